--- /dev/null
+++ b/siskintally/leader.py
@@ -0,0 +1,81 @@
+"""Calls to whichever member of a group leads it.
+
+>>> from siskintally.leader import LeaderClient
+>>> client = LeaderClient(group="cell", members=("s1", "s2"), call=None)
+>>> client.order()
+['s1', 's2']
+"""
+
+from time import monotonic
+
+from anyio import sleep
+
+from siskintally.codes import Code
+from siskintally.errors import NotLeaderError, OutcomeUnknownError, RefusedError, UnreachableError
+
+RETRY_DELAY_S = 0.1
+
+
+class LeaderClient:
+    """Finds the leader of a group and calls it.
+
+    :param group: group name, for errors.
+    :param members: process names of its stores.
+    :param call: ``async call(process_name, body, timeout=seconds)`` that returns the reply.
+    """
+
+    __slots__ = ("_call", "_leader", "group", "members")
+
+    def __init__(self, *, group, members, call):
+        self.group = group
+        self.members = members
+        self._call = call
+        self._leader = ""
+
+    def order(self):
+        """Return the members, the supposed leader first."""
+        return sorted(self.members, key=lambda name: name != self._leader)
+
+    async def call(self, body, *, timeout, attempt_timeout=None, idempotent=False):
+        """Call the leader, looking for it until the time is over.
+
+        :param timeout: seconds for everything.
+        :param attempt_timeout: seconds for one member; the default is ``timeout``.
+        :param idempotent: whether a call with an unknown outcome may be sent again.
+        :raises NotLeaderError: no leader was found; the call had no effect.
+        :raises OutcomeUnknownError: the call was sent and its effect is not known.
+        :raises RefusedError: the leader answered with a result code.
+        """
+        deadline = monotonic() + timeout
+        unknown = False
+        while True:
+            for name in self.order():
+                remaining = min(deadline - monotonic(), attempt_timeout or timeout)
+                if remaining <= 0:
+                    break
+                try:
+                    return await self._ask(name, body, remaining)
+                except (NotLeaderError, UnreachableError):
+                    continue
+                except OutcomeUnknownError:
+                    self._leader = ""
+                    unknown = True
+                    if not idempotent:
+                        raise
+            if monotonic() + RETRY_DELAY_S >= deadline:
+                break
+            await sleep(RETRY_DELAY_S)
+        if unknown:
+            raise OutcomeUnknownError(f"group {self.group}: no reply in {timeout} s")
+        raise NotLeaderError(f"group {self.group}: no leader found in {timeout} s")
+
+    async def _ask(self, name, body, timeout):
+        try:
+            reply = await self._call(name, body, timeout=timeout)
+        except RefusedError as error:
+            if error.code != Code.NOT_LEADER:
+                raise
+            self._leader = error.leader if error.leader in self.members else ""
+            raise NotLeaderError(str(error), leader=error.leader) from error
+        self._leader = name
+        return reply
--- /dev/null
+++ b/siskintally/link.py
@@ -0,0 +1,436 @@
+"""Streams between the processes of a cell.
+
+A link is one gRPC bidirectional stream that carries :class:`~siskintally.wire_pb2.Frame` messages.
+
+>>> from siskintally.link import unwrap, wrap
+>>> from siskintally.wire_pb2 import Ping
+>>> frame = wrap(Ping(sent_at=1.5), call_id=7)
+>>> frame.id, unwrap(frame).sent_at
+(7, 1.5)
+"""
+
+from abc import ABC, abstractmethod
+from hmac import compare_digest
+from random import random
+from time import monotonic
+from uuid import uuid4
+
+from anyio import (
+    ClosedResourceError,
+    EndOfStream,
+    Event,
+    WouldBlock,
+    create_memory_object_stream,
+    create_task_group,
+    move_on_after,
+    sleep,
+    sleep_forever,
+)
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server
+
+from siskintally.codes import Code
+from siskintally.errors import (
+    OutcomeUnknownError,
+    RefusedError,
+    SiskintallyError,
+    UnauthorizedError,
+    UnreachableError,
+)
+from siskintally.log import get_logger
+from siskintally.wire_grpc import PeerBase, PeerStub
+from siskintally.wire_pb2 import Failure, Frame, Hello, Ping, Pong
+
+SECRET_HEADER = "siskintally-secret"
+OUTBOX_FRAMES = 4096
+CONNECT_TIMEOUT_S = 2.0
+IDLE_PING_S = 5.0
+BUSY_PING_S = 1.0
+SILENCE_S = 3.0
+KEEPER_STEP_S = 0.5
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 2.0
+
+_FIELD_BY_TYPE = {
+    field.message_type.name: field.name for field in Frame.DESCRIPTOR.oneofs_by_name["body"].fields
+}
+_LOST = (GRPCError, ProtocolError, StreamTerminatedError, OSError, ClosedResourceError)
+
+log = get_logger("link")
+
+
+def wrap(body, *, call_id=0, reply=False):
+    """Put a message into a frame.
+
+    :param body: any message that the oneof ``body`` of Frame can hold.
+    :param call_id: number of the call, 0 for a message without a reply.
+    """
+    frame = Frame(id=call_id, reply=reply)
+    getattr(frame, _FIELD_BY_TYPE[type(body).__name__]).CopyFrom(body)
+    return frame
+
+
+def unwrap(frame):
+    """Return the message in a frame, or None for a body this version does not know."""
+    field = frame.WhichOneof("body")
+    return getattr(frame, field) if field else None
+
+
+class Handler(ABC):
+    """What a process does with the frames of its links."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    async def answer(self, session, body):
+        """Answer a call; the returned message is the reply.
+
+        :raises SiskintallyError: sent to the caller as a Failure with its code.
+        """
+
+    def receive(self, session, body):
+        """Take a message that has no reply; must not block."""
+
+    def closed(self, session):
+        """Note that a session has ended."""
+
+
+class _Pending:
+    __slots__ = ("done", "frame", "reply", "sent")
+
+    def __init__(self, *, frame):
+        self.frame = frame
+        self.done = Event()
+        self.reply = None
+        self.sent = False
+
+
+class Session:
+    """One established link; either side may call the other.
+
+    :param peer: the Hello of the other side.
+    """
+
+    __slots__ = (
+        "_handler",
+        "_last_heard",
+        "_last_ping",
+        "_next_id",
+        "_outbox",
+        "_outbox_reader",
+        "_pending_by_id",
+        "_scope",
+        "_stream",
+        "_tasks",
+        "closed",
+        "peer",
+    )
+
+    def __init__(self, *, stream, peer, handler):
+        self.peer = peer
+        self.closed = False
+        self._stream = stream
+        self._handler = handler
+        self._pending_by_id = {}
+        self._next_id = 1
+        self._outbox, self._outbox_reader = create_memory_object_stream(OUTBOX_FRAMES)
+        self._last_heard = monotonic()
+        self._last_ping = 0.0
+        self._scope = None
+        self._tasks = None
+
+    async def call(self, body, *, timeout):
+        """Send a message and wait for its reply.
+
+        :param timeout: seconds.
+        :raises UnreachableError: provably not sent.
+        :raises OutcomeUnknownError: sent, and no reply came in time.
+        :raises RefusedError: the other side answered with a result code.
+        """
+        call_id = self._next_id
+        self._next_id += 1
+        pending = _Pending(frame=wrap(body, call_id=call_id))
+        self._pending_by_id[call_id] = pending
+        try:
+            self._put(pending)
+            with move_on_after(timeout):
+                await pending.done.wait()
+        finally:
+            self._pending_by_id.pop(call_id, None)
+            pending.frame = None
+        return self._outcome(pending)
+
+    def _outcome(self, pending):
+        reply = pending.reply
+        if reply is None:
+            if pending.sent:
+                raise OutcomeUnknownError(f"no reply from {self.peer.name}")
+            raise UnreachableError(f"not sent to {self.peer.name}")
+        if isinstance(reply, Failure):
+            raise RefusedError(reply.message, code=_code(reply.code), leader=reply.leader)
+        return reply
+
+    def send(self, body):
+        """Send a message without a reply; dropped if the link is full or closed.
+
+        :returns: whether the message was queued.
+        """
+        try:
+            self._put(_Pending(frame=wrap(body)))
+        except UnreachableError:
+            return False
+        return True
+
+    def close(self):
+        """End the session; pending calls fail."""
+        self.closed = True
+        if self._scope is not None:
+            self._scope.cancel()
+
+    def _put(self, pending):
+        if self.closed:
+            raise UnreachableError(f"link to {self.peer.name} is closed")
+        try:
+            self._outbox.send_nowait(pending)
+        except (WouldBlock, ClosedResourceError) as error:
+            raise UnreachableError(f"link to {self.peer.name} is full") from error
+
+    async def run(self):
+        """Carry frames until the link is closed or silent."""
+        try:
+            async with create_task_group() as tasks:
+                self._tasks = tasks
+                self._scope = tasks.cancel_scope
+                tasks.start_soon(self._write)
+                tasks.start_soon(self._keep)
+                await self._read()
+                tasks.cancel_scope.cancel()
+        finally:
+            self._end()
+
+    def _end(self):
+        self.closed = True
+        for pending in self._pending_by_id.values():
+            pending.done.set()
+        self._outbox.close()
+        self._outbox_reader.close()
+        self._handler.closed(self)
+
+    async def _read(self):
+        try:
+            while (frame := await self._stream.recv_message()) is not None:
+                self._last_heard = monotonic()
+                self._dispatch(frame)
+        except _LOST as error:
+            log.info("link lost", peer=self.peer.name, error=str(error))
+
+    def _dispatch(self, frame):
+        body = unwrap(frame)
+        if body is None:
+            return
+        if frame.reply:
+            self._resolve(frame.id, body)
+        elif isinstance(body, Ping):
+            self.send(Pong(sent_at=body.sent_at))
+        elif isinstance(body, Pong):
+            return
+        elif frame.id:
+            self._tasks.start_soon(self._answer, frame.id, body)
+        else:
+            self._handler.receive(self, body)
+
+    def _resolve(self, call_id, body):
+        pending = self._pending_by_id.pop(call_id, None)
+        if pending is not None:
+            pending.reply = body
+            pending.done.set()
+
+    async def _answer(self, call_id, body):
+        try:
+            reply = await self._handler.answer(self, body)
+        except SiskintallyError as error:
+            leader = getattr(error, "leader", "")
+            reply = Failure(code=int(error.code), message=str(error), leader=leader)
+        except (ValueError, KeyError, TypeError) as error:
+            log.exception("call failed", peer=self.peer.name, body=type(body).__name__)
+            reply = Failure(code=int(Code.INTERNAL), message=repr(error))
+        try:
+            self._put(_Pending(frame=wrap(reply, call_id=call_id, reply=True)))
+        except UnreachableError:
+            log.info("reply dropped", peer=self.peer.name, body=type(body).__name__)
+
+    async def _write(self):
+        try:
+            async for pending in self._outbox_reader:
+                if pending.frame is None:
+                    continue
+                pending.sent = True
+                await self._stream.send_message(pending.frame)
+        except (*_LOST, EndOfStream):
+            self.close()
+
+    async def _keep(self):
+        while True:
+            await sleep(KEEPER_STEP_S)
+            now = monotonic()
+            silent = now - self._last_heard
+            if self._last_ping > self._last_heard and now - self._last_ping > SILENCE_S:
+                log.info("link silent", peer=self.peer.name, seconds=round(silent, 1))
+                self.close()
+            elif silent > self._ping_after() and self._last_ping <= self._last_heard:
+                self._last_ping = now
+                self.send(Ping(sent_at=now))
+
+    def _ping_after(self):
+        return BUSY_PING_S if self._pending_by_id else IDLE_PING_S
+
+
+def _code(number):
+    try:
+        return Code(number)
+    except ValueError:
+        return Code.INTERNAL
+
+
+class Link:
+    """Outgoing link that is opened again whenever it is lost.
+
+    >>> from siskintally.link import Link
+    >>> link = Link(host="127.0.0.1", port=7201, hello=None, secret="s", handler=None)
+    >>> link.is_open
+    False
+
+    :param hello: what this process says of itself.
+    :param handler: takes calls and messages of the other side.
+    """
+
+    __slots__ = ("_handler", "_hello", "_opened", "_secret", "host", "port", "session")
+
+    def __init__(self, *, host, port, hello, secret, handler):
+        self.host = host
+        self.port = port
+        self.session = None
+        self._hello = hello
+        self._secret = secret
+        self._handler = handler
+        self._opened = Event()
+
+    @property
+    def is_open(self):
+        """Whether a session is established."""
+        return self.session is not None and not self.session.closed
+
+    async def wait_open(self):
+        """Wait until a session is established."""
+        while not self.is_open:
+            await self._opened.wait()
+
+    async def call(self, body, *, timeout):
+        """Call the other side; see :meth:`Session.call`.
+
+        :raises UnreachableError: the link is not open.
+        """
+        if not self.is_open:
+            raise UnreachableError(f"no link to {self.host}:{self.port}")
+        return await self.session.call(body, timeout=timeout)
+
+    def send(self, body):
+        """Send a message without a reply.
+
+        :returns: whether it was queued.
+        """
+        return self.is_open and self.session.send(body)
+
+    async def run(self):
+        """Keep the link open until cancelled."""
+        backoff = MIN_BACKOFF_S
+        while True:
+            started = monotonic()
+            try:
+                await self._hold()
+            except _LOST as error:
+                log.debug("connect failed", address=f"{self.host}:{self.port}", error=str(error))
+            self.session = None
+            if monotonic() - started > MAX_BACKOFF_S:
+                backoff = MIN_BACKOFF_S
+            await sleep(backoff * (0.5 + random()))
+            backoff = min(backoff * 2, MAX_BACKOFF_S)
+
+    async def _hold(self):
+        channel = Channel(self.host, self.port)
+        try:
+            await self._converse(channel)
+        finally:
+            channel.close()
+
+    async def _converse(self, channel):
+        metadata = {SECRET_HEADER: self._secret}
+        async with PeerStub(channel).Link.open(metadata=metadata) as stream:
+            peer = None
+            with move_on_after(CONNECT_TIMEOUT_S):
+                await stream.send_message(wrap(self._hello))
+                frame = await stream.recv_message()
+                peer = unwrap(frame) if frame is not None else None
+            if not isinstance(peer, Hello):
+                await stream.cancel()
+                return
+            self.session = Session(stream=stream, peer=peer, handler=self._handler)
+            self._opened.set()
+            self._opened = Event()
+            await self.session.run()
+            await stream.cancel()
+
+
+class LinkServer(PeerBase):
+    """Accepts links of other processes.
+
+    :param hello: what this process says of itself.
+    :param secret: secret of the cell; others are refused.
+    """
+
+    __slots__ = ("_handler", "_hello", "_secret", "session_by_id")
+
+    def __init__(self, *, hello, secret, handler):
+        self.session_by_id = {}
+        self._hello = hello
+        self._secret = secret
+        self._handler = handler
+
+    async def Link(self, stream):  # noqa: N802 - name fixed by the generated base class
+        """Serve one stream."""
+        given = stream.metadata.get(SECRET_HEADER, "")
+        if not compare_digest(str(given).encode(), self._secret.encode()):
+            log.warning("link refused: wrong secret")
+            raise UnauthorizedError("wrong cell secret")
+        session = None
+        with move_on_after(CONNECT_TIMEOUT_S):
+            frame = await stream.recv_message()
+            peer = unwrap(frame) if frame is not None else None
+            if isinstance(peer, Hello) and peer.cell == self._hello.cell:
+                await stream.send_message(wrap(self._hello))
+                session = Session(stream=stream, peer=peer, handler=self._handler)
+        if session is None:
+            return
+        key = uuid4().hex
+        self.session_by_id[key] = session
+        try:
+            await session.run()
+        finally:
+            del self.session_by_id[key]
+
+    async def serve(self, *, host, port):
+        """Accept links until cancelled.
+
+        :raises OSError: the address is in use.
+        """
+        server = Server([self])
+        await server.start(host, port)
+        try:
+            await sleep_forever()
+        finally:
+            for session in list(self.session_by_id.values()):
+                session.close()
+            server.close()
+            with move_on_after(1.0, shield=True):
+                await server.wait_closed()
--- /dev/null
+++ b/siskintally/log.py
@@ -0,0 +1,40 @@
+"""Structured logs on standard error, one JSON object a line.
+
+>>> from siskintally.log import get_logger
+>>> get_logger("entry") is not None
+True
+"""
+
+from sys import stderr
+
+from structlog import PrintLoggerFactory, configure, make_filtering_bound_logger
+from structlog import get_logger as structlog_logger
+from structlog.contextvars import bind_contextvars, merge_contextvars
+from structlog.processors import JSONRenderer, TimeStamper, add_log_level, format_exc_info
+
+LEVEL_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+
+
+def set_up(*, process, level="info"):
+    """Configure logging for this process.
+
+    :param process: process name, added to each line.
+    :param level: ``debug``, ``info``, ``warning``, or ``error``.
+    """
+    configure(
+        processors=[
+            merge_contextvars,
+            add_log_level,
+            TimeStamper(fmt="iso", utc=True),
+            format_exc_info,
+            JSONRenderer(),
+        ],
+        wrapper_class=make_filtering_bound_logger(LEVEL_BY_NAME[level]),
+        logger_factory=PrintLoggerFactory(file=stderr),
+    )
+    bind_contextvars(process=process)
+
+
+def get_logger(module):
+    """Return a logger whose lines name a module."""
+    return structlog_logger(module=module)
--- /dev/null
+++ b/siskintally/settings.py
@@ -0,0 +1,276 @@
+"""Settings of a cell, read from one TOML file and checked as a whole.
+
+>>> from siskintally.settings import parse
+>>> text = '''
+... [cell]
+... name = "demo"
+... secret = "0123456789abcdef"
+... [[process]]
+... name = "e1"
+... role = "entry"
+... domain = "jylland-a"
+... region = "jylland"
+... link = "127.0.0.1:7201"
+... http = "127.0.0.1:7101"
+... '''
+>>> parse(text).process_by_name["e1"].http.port
+7101
+"""
+
+from pathlib import Path
+from tomllib import TOMLDecodeError, loads
+
+from siskintally.errors import BadSettingsError
+
+MIN_SECRET_LENGTH = 16
+MAX_PORT = 65535
+ROLES = ("entry", "store")
+CELL_GROUP = "cell"
+
+
+class Address:
+    """A TCP address.
+
+    >>> str(Address.parse("127.0.0.1:80", key="http"))
+    '127.0.0.1:80'
+    """
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, *, host, port):
+        self.host = host
+        self.port = port
+
+    @classmethod
+    def parse(cls, text, *, key):
+        """Read ``host:port``.
+
+        :param key: name of the setting, for the error.
+        :raises BadSettingsError: the text is no address.
+        """
+        host, colon, port = str(text).rpartition(":")
+        if not colon or not host or not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
+            raise BadSettingsError(
+                f"{key} = {text!r}: expected host:port with port 1 to {MAX_PORT}"
+            )
+        return cls(host=host, port=int(port))
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
+
+
+class Process:
+    """One process of the cell.
+
+    :param role: ``entry`` or ``store``.
+    :param link: address for links of other processes.
+    :param http: address for callers, endpoints, and operators; entries only.
+    :param data: data folder; stores only.
+    """
+
+    __slots__ = ("data", "domain", "http", "link", "name", "region", "role")
+
+    def __init__(self, *, name, role, domain, region, link, http=None, data=None):
+        self.name = name
+        self.role = role
+        self.domain = domain
+        self.region = region
+        self.link = link
+        self.http = http
+        self.data = data
+
+
+class GroupSettings:
+    """A replicated group.
+
+    :param members: names of the founding stores.
+    :param domains: failure domains whose workers and ledger it owns; empty for the cell group.
+    """
+
+    __slots__ = ("domains", "members", "name")
+
+    def __init__(self, *, name, members, domains):
+        self.name = name
+        self.members = members
+        self.domains = domains
+
+
+class Settings:
+    """All settings of a cell.
+
+    :param tokens: ``{token: operator name}``.
+    """
+
+    __slots__ = ("cell", "group_by_name", "process_by_name", "secret", "statsd", "token_operators")
+
+    def __init__(self, *, cell, secret, process_by_name, group_by_name, token_operators, statsd):
+        self.cell = cell
+        self.secret = secret
+        self.process_by_name = process_by_name
+        self.group_by_name = group_by_name
+        self.token_operators = token_operators
+        self.statsd = statsd
+
+    def process(self, name):
+        """Return the process of that name.
+
+        :raises BadSettingsError: there is none.
+        """
+        if name not in self.process_by_name:
+            known = ", ".join(sorted(self.process_by_name))
+            raise BadSettingsError(f"--name = {name!r}: expected one of {known}")
+        return self.process_by_name[name]
+
+    def entries(self, *, domain=None):
+        """Yield the entry processes, of one failure domain or of all."""
+        for process in self.process_by_name.values():
+            if process.role == "entry" and domain in (None, process.domain):
+                yield process
+
+    def group_of_domain(self, domain):
+        """Return the domain group that owns a failure domain.
+
+        :raises BadSettingsError: no group owns it.
+        """
+        for group in self.group_by_name.values():
+            if domain in group.domains:
+                return group
+        raise BadSettingsError(f"group.domains: no group owns failure domain {domain!r}")
+
+    def groups_of_store(self, name):
+        """Yield the groups that a store is a founding member of."""
+        for group in self.group_by_name.values():
+            if name in group.members:
+                yield group
+
+    def domain_groups(self):
+        """Yield the groups that own failure domains, in name order."""
+        for name in sorted(self.group_by_name):
+            if self.group_by_name[name].domains:
+                yield self.group_by_name[name]
+
+
+def load(path):
+    """Read and check a settings file.
+
+    :raises BadSettingsError: the file is missing or a value is out of range.
+    """
+    try:
+        return parse(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise BadSettingsError(f"--settings = {str(path)!r}: {error.strerror}") from error
+
+
+def parse(text):
+    """Check settings given as TOML text.
+
+    :raises BadSettingsError: names the key, the value, and what is allowed.
+    """
+    try:
+        document = loads(text)
+    except TOMLDecodeError as error:
+        raise BadSettingsError(f"settings are not TOML: {error}") from error
+    _known(document, "settings", ("cell", "process", "group", "operator", "metrics"))
+    cell = _table(document, "cell", ("name", "secret"))
+    secret = _string(cell, "cell.secret", "secret")
+    if len(secret) < MIN_SECRET_LENGTH:
+        raise BadSettingsError(f"cell.secret: expected at least {MIN_SECRET_LENGTH} characters")
+    process_by_name = _processes(document.get("process", []))
+    metrics = _table(document, "metrics", ("statsd",)) if "metrics" in document else {}
+    statsd = metrics.get("statsd")
+    return Settings(
+        cell=_string(cell, "cell.name", "name"),
+        secret=secret,
+        process_by_name=process_by_name,
+        group_by_name=_groups(document.get("group", []), process_by_name),
+        token_operators=_operators(document.get("operator", [])),
+        statsd=Address.parse(statsd, key="metrics.statsd") if statsd else None,
+    )
+
+
+def _known(table, key, names):
+    for name in table:
+        if name not in names:
+            raise BadSettingsError(f"{key}.{name}: unknown key, expected one of {', '.join(names)}")
+
+
+def _table(document, key, names):
+    table = document.get(key)
+    if not isinstance(table, dict):
+        raise BadSettingsError(f"{key}: expected a table [{key}]")
+    _known(table, key, names)
+    return table
+
+
+def _string(table, key, name):
+    value = table.get(name)
+    if not isinstance(value, str) or not value:
+        raise BadSettingsError(f"{key} = {value!r}: expected a non-empty string")
+    return value
+
+
+def _processes(rows):
+    by_name = {}
+    for number, row in enumerate(rows):
+        key = f"process[{number}]"
+        _known(row, key, ("name", "role", "domain", "region", "link", "http", "data"))
+        process = Process(
+            name=_string(row, f"{key}.name", "name"),
+            role=_string(row, f"{key}.role", "role"),
+            domain=_string(row, f"{key}.domain", "domain"),
+            region=_string(row, f"{key}.region", "region"),
+            link=Address.parse(row.get("link"), key=f"{key}.link"),
+            http=Address.parse(row["http"], key=f"{key}.http") if "http" in row else None,
+            data=row.get("data"),
+        )
+        _check_process(process, key)
+        if process.name in by_name:
+            raise BadSettingsError(f"{key}.name = {process.name!r}: used twice")
+        by_name[process.name] = process
+    return by_name
+
+
+def _check_process(process, key):
+    if process.role not in ROLES:
+        raise BadSettingsError(f"{key}.role = {process.role!r}: expected one of {', '.join(ROLES)}")
+    if process.role == "entry" and process.http is None:
+        raise BadSettingsError(f"{key}.http: an entry needs an address for HTTP")
+    if process.role == "store" and not isinstance(process.data, str):
+        raise BadSettingsError(f"{key}.data = {process.data!r}: a store needs a data folder")
+
+
+def _groups(rows, process_by_name):
+    by_name = {}
+    owned = set()
+    for number, row in enumerate(rows):
+        key = f"group[{number}]"
+        _known(row, key, ("name", "members", "domains"))
+        name = _string(row, f"{key}.name", "name")
+        members = tuple(row.get("members", ()))
+        for member in members:
+            if member not in process_by_name or process_by_name[member].role != "store":
+                raise BadSettingsError(f"{key}.members: {member!r} is no store")
+        if not members or len(set(members)) != len(members):
+            raise BadSettingsError(f"{key}.members = {list(members)}: expected distinct stores")
+        domains = tuple(row.get("domains", ()))
+        if owned & set(domains):
+            raise BadSettingsError(f"{key}.domains = {list(domains)}: owned by another group too")
+        if bool(domains) == (name == CELL_GROUP):
+            raise BadSettingsError(f"{key}.domains: expected for every group but {CELL_GROUP!r}")
+        owned.update(domains)
+        by_name[name] = GroupSettings(name=name, members=members, domains=domains)
+    return by_name
+
+
+def _operators(rows):
+    by_token = {}
+    for number, row in enumerate(rows):
+        key = f"operator[{number}]"
+        _known(row, key, ("name", "token"))
+        token = _string(row, f"{key}.token", "token")
+        if len(token) < MIN_SECRET_LENGTH or token in by_token:
+            raise BadSettingsError(
+                f"{key}.token: expected a distinct token of at least {MIN_SECRET_LENGTH} characters"
+            )
+        by_token[token] = _string(row, f"{key}.name", "name")
+    return by_token
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,83 @@
+"""Links: calls, failures, silence."""
+
+from socket import socket
+
+import pytest
+from anyio import create_task_group, fail_after, run
+
+from siskintally.codes import Code
+from siskintally.errors import RefusedError, UnreachableError, VersionConflictError
+from siskintally.link import Handler, Link, LinkServer
+from siskintally.wire_pb2 import ConfigState, ConfigWatch, Done, Hello, JobReport
+
+SECRET = "0123456789abcdef"
+
+
+class Echo(Handler):
+    """Answers watches and refuses reports."""
+
+    async def answer(self, session, body):
+        """Answer a call."""
+        if isinstance(body, ConfigWatch):
+            return ConfigState(version=body.known_version + 1)
+        if isinstance(body, JobReport):
+            raise VersionConflictError("taken")
+        return Done()
+
+
+def free_port():
+    with socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def with_link(check, *, secret=SECRET):
+    async def main():
+        port = free_port()
+        hello = Hello(name="a", cell="demo", incarnation="1")
+        server = LinkServer(hello=hello, secret=SECRET, handler=Echo())
+        link = Link(host="127.0.0.1", port=port, hello=hello, secret=secret, handler=Echo())
+
+        async def serve():
+            await server.serve(host="127.0.0.1", port=port)
+
+        with fail_after(20):
+            async with create_task_group() as tasks:
+                tasks.start_soon(serve)
+                tasks.start_soon(link.run)
+                await check(link)
+                tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_call_returns_the_reply_of_the_other_side():
+    async def check(link):
+        await link.wait_open()
+        reply = await link.call(ConfigWatch(known_version=4), timeout=5)
+        assert reply.version == 5
+
+    with_link(check)
+
+
+def test_failure_keeps_the_result_code():
+    async def check(link):
+        await link.wait_open()
+        with pytest.raises(RefusedError) as caught:
+            await link.call(JobReport(), timeout=5)
+        assert caught.value.code == Code.VERSION_CONFLICT
+
+    with_link(check)
+
+
+def test_wrong_secret_opens_no_session():
+    async def check(link):
+        from anyio import move_on_after
+
+        with move_on_after(1.0):
+            await link.wait_open()
+        assert not link.is_open
+        with pytest.raises(UnreachableError):
+            await link.call(ConfigWatch(), timeout=1)
+
+    with_link(check, secret="another secret!!")
