--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Regenerates siskintally/wire_pb2.py and siskintally/wire_grpc.py from wire.proto.
+# Regenerates the *_pb2.py and wire_grpc.py files from the *.proto files.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PATH="$PWD/.venv/bin:$PATH"
-python -m grpc_tools.protoc -I. --python_out=. --grpclib_python_out=. siskintally/wire.proto
+python -m grpc_tools.protoc -I. --python_out=. --grpclib_python_out=. siskintally/*.proto
