Measure the cost of links

Cause: intervals and budgets of the control plane depend on what one message costs, and no command measured it.

--- /dev/null
+++ b/bench/link.py
@@ -0,0 +1,154 @@
+"""Cost of links: processor time and bytes for each message, at three rates and three sizes.
+
+Usage: python -m bench.link [seconds for each point]
+"""
+
+import json
+from subprocess import Popen
+from sys import argv, executable
+
+from anyio import create_task_group, move_on_after, run, sleep
+
+from bench.meter import ByteCounter, cpu_seconds, fit, process_cpu_seconds
+from siskintally.link import Handler, Link, LinkServer
+from siskintally.log import set_up
+from siskintally.wire_pb2 import Done, Hello, JobReport, WorkerBeat
+
+SERVER_PORT = 17901
+RELAY_PORT = 17902
+SECRET = "0123456789abcdef"
+RATES = (50, 100, 200)
+ATTEMPTS = (0, 10, 40)
+DEFAULT_SECONDS = 3.0
+
+
+class Sink(Handler):
+    """Answers every call with Done and drops messages."""
+
+    async def answer(self, session, body):
+        """Answer a call."""
+        return Done()
+
+
+def beat(attempts):
+    """Return a worker beat with some attempts."""
+    body = WorkerBeat(worker="worker-101", domain="jylland-a", rack="rack-7", session="a1b2c3d4")
+    for number in range(attempts):
+        body.attempts.add(task_id=f"job-1234/{number}", attempt=1)
+    return body
+
+
+async def serve():
+    """Run the server side."""
+    set_up(process="server", level="error")
+    hello = Hello(name="server", cell="bench", incarnation="1")
+    await LinkServer(hello=hello, secret=SECRET, handler=Sink()).serve(
+        host="127.0.0.1", port=SERVER_PORT
+    )
+
+
+async def drive(link, counter, server, *, rate, seconds, send):
+    """Send at a rate; return CPU of each side and bytes, each for one message."""
+    before = cpu_seconds(), process_cpu_seconds(server.pid), counter.sent + counter.received
+    count = int(rate * seconds)
+    for _ in range(count):
+        await send(link)
+        await sleep(1 / rate)
+    await sleep(0.2)
+    after = cpu_seconds(), process_cpu_seconds(server.pid), counter.sent + counter.received
+    return [(b - a) / count for a, b in zip(before, after, strict=True)]
+
+
+async def call(link):
+    """Make one call."""
+    await link.call(JobReport(group="jylland-a"), timeout=5)
+
+
+def post(attempts):
+    """Return a function that sends one beat."""
+
+    async def send(link):
+        link.send(beat(attempts))
+
+    return send
+
+
+async def idle_cpu(seconds):
+    """Return the processor time of the pacing loop itself, a second at the lowest rate."""
+    before = cpu_seconds()
+    count = int(RATES[0] * seconds)
+    for _ in range(count):
+        await sleep(1 / RATES[0])
+    return (cpu_seconds() - before) / count
+
+
+async def points(link, counter, server, seconds):
+    """Yield the name and the costs of each point."""
+    for rate in RATES:
+        costs = await drive(link, counter, server, rate=rate, seconds=seconds, send=call)
+        yield f"call at {rate}/s", costs
+    for size in ATTEMPTS:
+        costs = await drive(link, counter, server, rate=100, seconds=seconds, send=post(size))
+        yield f"beat of {size} attempts", costs
+
+
+async def measure_through(port, counter, server, seconds):
+    """Measure all points over one port, the server's own or the relay's."""
+    hello = Hello(name="client", cell="bench", incarnation="1")
+    link = Link(host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=Sink())
+    async with create_task_group() as tasks:
+        if port == RELAY_PORT:
+            tasks.start_soon(counter.run)
+        tasks.start_soon(link.run)
+        with move_on_after(20):
+            await link.wait_open()
+        result = {name: costs async for name, costs in points(link, counter, server, seconds)}
+        tasks.cancel_scope.cancel()
+    return result
+
+
+async def measure(seconds):
+    """Measure processor time over a direct link and bytes through the relay."""
+    server = Popen([executable, "-m", "bench.link", "--serve"])
+    try:
+        counter = ByteCounter(port=RELAY_PORT, target=SERVER_PORT)
+        direct = await measure_through(SERVER_PORT, counter, server, seconds)
+        relayed = await measure_through(RELAY_PORT, counter, server, seconds)
+        idle = await idle_cpu(seconds)
+    finally:
+        server.terminate()
+        server.wait()
+    return {
+        name: (client - idle, served, relayed[name][2])
+        for name, (client, served, _) in direct.items()
+    }
+
+
+def main():
+    """Print the table and its slopes."""
+    if "--serve" in argv:
+        run(serve)
+        return
+    set_up(process="client", level="error")
+    seconds = float(argv[1]) if len(argv) > 1 else DEFAULT_SECONDS
+    result = run(measure, seconds)
+    print(f"{'message':24} {'client us':>10} {'server us':>10} {'bytes':>8}")
+    for name, (client, server, size) in result.items():
+        print(f"{name:24} {client * 1e6:10.0f} {server * 1e6:10.0f} {size:8.0f}")
+    sizes = [(size, result[f"beat of {size} attempts"]) for size in ATTEMPTS]
+    cpu, cpu_base = fit([(size, row[1]) for size, row in sizes])
+    wire, wire_base = fit([(size, row[2]) for size, row in sizes])
+    slopes = {
+        "beat_server_s": cpu_base,
+        "beat_attempt_server_s": cpu,
+        "beat_bytes": wire_base,
+        "beat_attempt_bytes": wire,
+        "call_client_s": result[f"call at {RATES[-1]}/s"][0],
+        "call_server_s": result[f"call at {RATES[-1]}/s"][1],
+        "call_bytes": result[f"call at {RATES[-1]}/s"][2],
+    }
+    print(json.dumps(slopes))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of siskintally."""
