Send queued frames of a link in one message

Cause: most of the cost of a message is the wake-up of the event loop and the HTTP/2 framing, not the payload, and bursts paid it for each frame.

Change: the writer takes all frames that are queued (up to 64 KiB) and sends them as one message.

--- a/bench/link.py
+++ b/bench/link.py
@@ -19,6 +19,7 @@
 SECRET = "0123456789abcdef"
 RATES = (50, 100, 200)
 ATTEMPTS = (0, 10, 40)
+BURSTS = (1, 5, 25)
 DEFAULT_SECONDS = 3.0
 
 
@@ -47,13 +48,14 @@
     )
 
 
-async def drive(link, counter, server, *, rate, seconds, send):
+async def drive(link, counter, server, *, rate, seconds, send, burst=1):
     """Send at a rate; return CPU of each side and bytes, each for one message."""
     before = cpu_seconds(), process_cpu_seconds(server.pid), counter.sent + counter.received
     count = int(rate * seconds)
-    for _ in range(count):
+    for number in range(count):
         await send(link)
-        await sleep(1 / rate)
+        if number % burst == burst - 1:
+            await sleep(burst / rate)
     await sleep(0.2)
     after = cpu_seconds(), process_cpu_seconds(server.pid), counter.sent + counter.received
     return [(b - a) / count for a, b in zip(before, after, strict=True)]
@@ -90,6 +92,11 @@
     for size in ATTEMPTS:
         costs = await drive(link, counter, server, rate=100, seconds=seconds, send=post(size))
         yield f"beat of {size} attempts", costs
+    for burst in BURSTS:
+        costs = await drive(
+            link, counter, server, rate=200, seconds=seconds, send=post(0), burst=burst
+        )
+        yield f"beat in bursts of {burst}", costs
 
 
 async def measure_through(port, counter, server, seconds):
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -44,6 +44,7 @@
 
 SECRET_HEADER = "siskintally-secret"
 OUTBOX_FRAMES = 4096
+BATCH_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
 IDLE_PING_S = 5.0
 BUSY_PING_S = 1.0
@@ -222,6 +223,8 @@
             while (frame := await self._stream.recv_message()) is not None:
                 self._last_heard = monotonic()
                 self._dispatch(frame)
+                for further in frame.batch:
+                    self._dispatch(further)
         except _LOST as error:
             log.info("link lost", peer=self.peer.name, error=str(error))
 
@@ -262,14 +265,32 @@
 
     async def _write(self):
         try:
-            async for pending in self._outbox_reader:
-                if pending.frame is None:
-                    continue
-                pending.sent = True
-                await self._stream.send_message(pending.frame)
+            async for first in self._outbox_reader:
+                frames = [self._take(pending) for pending in self._waiting(first)]
+                if frames:
+                    frames[0].batch.extend(frames[1:])
+                    await self._stream.send_message(frames[0])
         except (*_LOST, EndOfStream):
             self.close()
 
+    def _waiting(self, first):
+        """Yield what is queued, so that it leaves in one message."""
+        pending, size = first, 0
+        while True:
+            if pending.frame is not None:
+                size += pending.frame.ByteSize()
+                yield pending
+            if size > BATCH_BYTES:
+                return
+            try:
+                pending = self._outbox_reader.receive_nowait()
+            except (WouldBlock, EndOfStream):
+                return
+
+    def _take(self, pending):
+        pending.sent = True
+        return pending.frame
+
     async def _keep(self):
         while True:
             await sleep(KEEPER_STEP_S)
