Encrypt links with mutual TLS where settings name certificates

Cause: links were authenticated by the shared secret alone and readable on the network.

Change: cell.tls names a folder with the authority and the certificate and key of each process; both sides of a link then ask for a certificate.

--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -324,17 +324,19 @@
 
     :param hello: what this process says of itself.
     :param handler: takes calls and messages of the other side.
+    :param tls: :class:`~siskintally.settings.Tls`, or None.
     """
 
-    __slots__ = ("_handler", "_hello", "_opened", "_secret", "host", "port", "session")
+    __slots__ = ("_handler", "_hello", "_opened", "_secret", "_tls", "host", "port", "session")
 
-    def __init__(self, *, host, port, hello, secret, handler):
+    def __init__(self, *, host, port, hello, secret, handler, tls=None):
         self.host = host
         self.port = port
         self.session = None
         self._hello = hello
         self._secret = secret
         self._handler = handler
+        self._tls = tls.client_context() if tls is not None else None
         self._opened = Event()
 
     @property
@@ -379,7 +381,7 @@
             backoff = min(backoff * 2, MAX_BACKOFF_S)
 
     async def _hold(self):
-        channel = Channel(self.host, self.port)
+        channel = Channel(self.host, self.port, ssl=self._tls)
         try:
             await self._converse(channel)
         finally:
@@ -408,15 +410,17 @@
 
     :param hello: what this process says of itself.
     :param secret: secret of the cell; others are refused.
+    :param tls: :class:`~siskintally.settings.Tls`, or None.
     """
 
-    __slots__ = ("_handler", "_hello", "_secret", "session_by_id")
+    __slots__ = ("_handler", "_hello", "_secret", "_tls", "session_by_id")
 
-    def __init__(self, *, hello, secret, handler):
+    def __init__(self, *, hello, secret, handler, tls=None):
         self.session_by_id = {}
         self._hello = hello
         self._secret = secret
         self._handler = handler
+        self._tls = tls.server_context() if tls is not None else None
 
     async def Link(self, stream):  # noqa: N802 - name fixed by the generated base class
         """Serve one stream."""
@@ -446,7 +450,7 @@
         :raises OSError: the address is in use.
         """
         server = Server([self])
-        await server.start(host, port)
+        await server.start(host, port, ssl=self._tls)
         try:
             await sleep_forever()
         finally:
--- a/siskintally/settings.py
+++ b/siskintally/settings.py
@@ -18,6 +18,7 @@
 """
 
 from pathlib import Path
+from ssl import CERT_REQUIRED, Purpose, SSLError, TLSVersion, create_default_context
 from tomllib import TOMLDecodeError, loads
 
 from siskintally.errors import BadSettingsError
@@ -80,6 +81,52 @@
         self.data = data
 
 
+class Tls:
+    """Certificate of this process and the authority that all processes of the cell trust.
+
+    :param authority: path of a PEM file; so are ``certificate`` and ``key``.
+    """
+
+    __slots__ = ("authority", "certificate", "key")
+
+    def __init__(self, *, authority, certificate, key):
+        self.authority = authority
+        self.certificate = certificate
+        self.key = key
+
+    def server_context(self):
+        """Return a TLS context that asks the other side for a certificate.
+
+        :raises BadSettingsError: a file is missing or holds no certificate.
+        """
+        context = self._context(Purpose.CLIENT_AUTH)
+        context.verify_mode = CERT_REQUIRED
+        return context
+
+    def client_context(self):
+        """Return a TLS context for outgoing links.
+
+        Host names are not compared, because processes are addressed by IP number and any
+        process of the cell may be behind one; the authority is the cell's own.
+
+        :raises BadSettingsError: a file is missing or holds no certificate.
+        """
+        context = self._context(Purpose.SERVER_AUTH)
+        context.check_hostname = False
+        return context
+
+    def _context(self, purpose):
+        try:
+            context = create_default_context(purpose, cafile=self.authority)
+            context.load_cert_chain(self.certificate, self.key)
+        except (OSError, SSLError) as error:
+            files = f"{self.authority}, {self.certificate}, {self.key}"
+            raise BadSettingsError(f"cell.tls: cannot load {files}: {error}") from error
+        context.minimum_version = TLSVersion.TLSv1_3
+        context.set_alpn_protocols(["h2"])
+        return context
+
+
 class GroupSettings:
     """A replicated group.
 
@@ -98,18 +145,46 @@
 class Settings:
     """All settings of a cell.
 
-    :param tokens: ``{token: operator name}``.
+    :param token_operators: ``{token: operator name}``.
+    :param statsd: :class:`Address` of a statsd server, or None.
+    :param tls_folder: folder of the certificates, or None.
     """
 
-    __slots__ = ("cell", "group_by_name", "process_by_name", "secret", "statsd", "token_operators")
+    __slots__ = (
+        "cell",
+        "group_by_name",
+        "process_by_name",
+        "secret",
+        "statsd",
+        "tls_folder",
+        "token_operators",
+    )
 
-    def __init__(self, *, cell, secret, process_by_name, group_by_name, token_operators, statsd):
+    def __init__(
+        self, *, cell, secret, process_by_name, group_by_name, token_operators, statsd, tls_folder
+    ):
         self.cell = cell
         self.secret = secret
         self.process_by_name = process_by_name
         self.group_by_name = group_by_name
         self.token_operators = token_operators
         self.statsd = statsd
+        self.tls_folder = tls_folder
+
+    def tls(self, name):
+        """Return the TLS files of a process, or None where links are not encrypted.
+
+        The folder ``cell.tls`` holds ``authority.pem``, ``<process>.pem``, and
+        ``<process>.key``.
+        """
+        if self.tls_folder is None:
+            return None
+        folder = Path(self.tls_folder)
+        return Tls(
+            authority=str(folder / "authority.pem"),
+            certificate=str(folder / f"{name}.pem"),
+            key=str(folder / f"{name}.key"),
+        )
 
     def process(self, name):
         """Return the process of that name.
@@ -171,7 +246,7 @@
     except TOMLDecodeError as error:
         raise BadSettingsError(f"settings are not TOML: {error}") from error
     _known(document, "settings", ("cell", "process", "group", "operator", "metrics"))
-    cell = _table(document, "cell", ("name", "secret"))
+    cell = _table(document, "cell", ("name", "secret", "tls"))
     secret = _string(cell, "cell.secret", "secret")
     if len(secret) < MIN_SECRET_LENGTH:
         raise BadSettingsError(f"cell.secret: expected at least {MIN_SECRET_LENGTH} characters")
@@ -185,6 +260,7 @@
         group_by_name=_groups(document.get("group", []), process_by_name),
         token_operators=_operators(document.get("operator", [])),
         statsd=Address.parse(statsd, key="metrics.statsd") if statsd else None,
+        tls_folder=_string(cell, "cell.tls", "tls") if "tls" in cell else None,
     )
 
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,11 +3,13 @@
 from socket import socket
 
 import pytest
-from anyio import create_task_group, fail_after, run
+from anyio import create_task_group, fail_after, move_on_after, run
+from trustme import CA
 
 from siskintally.codes import Code
 from siskintally.errors import RefusedError, UnreachableError, VersionConflictError
 from siskintally.link import Handler, Link, LinkServer
+from siskintally.settings import Tls
 from siskintally.wire_pb2 import ConfigState, ConfigWatch, Done, Hello, JobReport
 
 SECRET = "0123456789abcdef"
@@ -31,12 +33,19 @@
         return probe.getsockname()[1]
 
 
-def with_link(check, *, secret=SECRET):
+def with_link(check, *, secret=SECRET, tls=None, client_tls=None):
     async def main():
         port = free_port()
         hello = Hello(name="a", cell="demo", incarnation="1")
-        server = LinkServer(hello=hello, secret=SECRET, handler=Echo())
-        link = Link(host="127.0.0.1", port=port, hello=hello, secret=secret, handler=Echo())
+        server = LinkServer(hello=hello, secret=SECRET, handler=Echo(), tls=tls)
+        link = Link(
+            host="127.0.0.1",
+            port=port,
+            hello=hello,
+            secret=secret,
+            handler=Echo(),
+            tls=client_tls,
+        )
 
         async def serve():
             await server.serve(host="127.0.0.1", port=port)
@@ -72,8 +81,6 @@
 
 def test_wrong_secret_opens_no_session():
     async def check(link):
-        from anyio import move_on_after
-
         with move_on_after(1.0):
             await link.wait_open()
         assert not link.is_open
@@ -81,3 +88,49 @@
             await link.call(ConfigWatch(), timeout=1)
 
     with_link(check, secret="another secret!!")
+
+
+def certificates(folder, *, name):
+    authority = CA()
+    leaf = authority.issue_cert("127.0.0.1")
+    paths = [folder / f"{name}.{part}" for part in ("authority", "pem", "key")]
+    authority.cert_pem.write_to_path(paths[0])
+    leaf.cert_chain_pems[0].write_to_path(paths[1])
+    leaf.private_key_pem.write_to_path(paths[2])
+    return Tls(authority=str(paths[0]), certificate=str(paths[1]), key=str(paths[2]))
+
+
+def test_tls_link_carries_calls(tmp_path):
+    async def check(link):
+        await link.wait_open()
+        assert (await link.call(ConfigWatch(known_version=1), timeout=5)).version == 2
+
+    tls = certificates(tmp_path, name="a")
+    with_link(check, tls=tls, client_tls=tls)
+
+
+def test_certificate_of_another_authority_opens_no_session(tmp_path):
+    async def check(link):
+        with move_on_after(1.0):
+            await link.wait_open()
+        assert not link.is_open
+
+    ours, theirs = certificates(tmp_path, name="ours"), certificates(tmp_path, name="theirs")
+    with_link(check, tls=ours, client_tls=theirs)
+
+
+def test_calls_of_one_burst_get_their_own_replies():
+    async def check(link):
+        await link.wait_open()
+        replies = {}
+
+        async def ask(number):
+            reply = await link.call(ConfigWatch(known_version=number), timeout=10)
+            replies[number] = reply.version
+
+        async with create_task_group() as tasks:
+            for number in range(300):
+                tasks.start_soon(ask, number)
+        assert replies == {number: number + 1 for number in range(300)}
+
+    with_link(check)
