--- /dev/null
+++ b/siskintally/__main__.py
@@ -0,0 +1,6 @@
+"""Entry point of ``python -m siskintally``."""
+
+from siskintally.main import run
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/siskintally/commands_entry.py
@@ -0,0 +1,115 @@
+"""Commands ``entry`` and ``stub-endpoint``.
+
+>>> from siskintally.command import Registry
+>>> from siskintally.commands_entry import register
+>>> registry = Registry()
+>>> register(registry)
+>>> [command.name for command in registry]
+['entry', 'stub-endpoint']
+"""
+
+from absl.flags import (
+    DEFINE_boolean,
+    DEFINE_enum,
+    DEFINE_float,
+    DEFINE_integer,
+    DEFINE_list,
+    DEFINE_string,
+)
+
+from siskintally.command import Command
+from siskintally.daemon import serve_until_signal
+from siskintally.entry import Entry
+from siskintally.errors import BadSettingsError
+from siskintally.log import set_up
+from siskintally.settings import load
+from siskintally.stub_endpoint import FAULTS, Stub, StubOptions
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def register(registry):
+    """Add the commands of this family."""
+    registry.add(
+        Command(
+            name="entry",
+            summary="Serve callers, endpoints, and operators over HTTP.",
+            define=define_entry,
+            start=start_entry,
+        )
+    )
+    registry.add(
+        Command(
+            name="stub-endpoint",
+            summary="Run an endpoint that announces itself and records what it ran (for tests).",
+            define=define_stub,
+            start=start_stub,
+        )
+    )
+
+
+def define_entry(values):
+    """Add the flags of ``entry``."""
+    DEFINE_string("settings", None, "settings file of the cell (TOML)", flag_values=values)
+    DEFINE_string("name", None, "name of this process in the settings", flag_values=values)
+    DEFINE_boolean(
+        "standalone", False, "serve with default limits and without stores", flag_values=values
+    )
+    DEFINE_float("drain_s", 30.0, "longest planned stop, s", 0.0, 3600.0, flag_values=values)
+    DEFINE_enum("log_level", "info", LEVELS, "least level of log lines", flag_values=values)
+
+
+def start_entry(values, arguments):
+    """Run ``entry``."""
+    _no_arguments(arguments)
+    if not values.settings or not values.name:
+        raise BadSettingsError("--settings and --name: expected both")
+    settings = load(values.settings)
+    process = settings.process(values.name)
+    if process.role != "entry":
+        raise BadSettingsError(f"--name = {values.name!r}: expected a process with role entry")
+    set_up(process=process.name, level=values.log_level)
+    entry = Entry(
+        settings=settings, process=process, standalone=values.standalone, drain_s=values.drain_s
+    )
+    return serve_until_signal(entry.run, entry.stop)
+
+
+def define_stub(values):
+    """Add the flags of ``stub-endpoint``."""
+    DEFINE_string("name", "stub-1", "endpoint name", flag_values=values)
+    DEFINE_string("service", "seat-count", "service name", flag_values=values)
+    DEFINE_string("domain", "jylland-a", "failure domain", flag_values=values)
+    DEFINE_string("http", "127.0.0.1:7301", "address to listen on, host:port", flag_values=values)
+    DEFINE_list("entries", [], "entry URLs to announce to, comma-separated", flag_values=values)
+    DEFINE_integer("slots", 8, "requests at a time", 1, 1024, flag_values=values)
+    DEFINE_integer("connections", 64, "connections at a time", 1, 8192, flag_values=values)
+    DEFINE_float("service_ms", 20.0, "service time, ms", 0.0, 3.6e6, flag_values=values)
+    DEFINE_enum("fault", "none", FAULTS, "fault of every answer", flag_values=values)
+    DEFINE_string("record", "", "file that gets a JSON line per start and end", flag_values=values)
+    DEFINE_enum("log_level", "warning", LEVELS, "least level of log lines", flag_values=values)
+
+
+def start_stub(values, arguments):
+    """Run ``stub-endpoint``."""
+    _no_arguments(arguments)
+    set_up(process=values.name, level=values.log_level)
+    options = StubOptions(
+        name=values.name,
+        service=values.service,
+        domain=values.domain,
+        http=values.http,
+        entries=tuple(values.entries),
+        slots=values.slots,
+        connections=values.connections,
+        service_s=values.service_ms / 1000,
+        fault=values.fault,
+        record=values.record,
+    )
+    stub = Stub(options=options)
+    return serve_until_signal(stub.run, stub.stop)
+
+
+def _no_arguments(arguments):
+    if arguments:
+        raise BadSettingsError(f"arguments = {arguments}: expected only flags")
--- /dev/null
+++ b/siskintally/daemon.py
@@ -0,0 +1,39 @@
+"""Signals of a daemon.
+
+>>> from siskintally.daemon import serve_until_signal
+>>> serve_until_signal.__name__
+'serve_until_signal'
+"""
+
+from signal import SIGINT, SIGTERM
+
+from anyio import create_task_group, open_signal_receiver, run
+
+from siskintally.log import get_logger
+
+log = get_logger("daemon")
+
+
+def serve_until_signal(start, stop):
+    """Run a daemon; SIGTERM or SIGINT starts a planned stop.
+
+    :param start: async function that serves until it is stopped.
+    :param stop: async function that starts the planned stop; ``start`` returns when it is over.
+    :returns: exit status 0.
+    """
+
+    async def main():
+        async with create_task_group() as tasks:
+            tasks.start_soon(_on_signal, stop)
+            await start()
+            tasks.cancel_scope.cancel()
+
+    run(main)
+    return 0
+
+
+async def _on_signal(stop):
+    with open_signal_receiver(SIGINT, SIGTERM) as signals:
+        async for number in signals:
+            log.info("planned stop", signal=number.name)
+            await stop()
--- /dev/null
+++ b/siskintally/forward.py
@@ -0,0 +1,176 @@
+"""Requests to endpoints over httpx; every failure is classified by what is known of the outcome.
+
+>>> from siskintally.forward import Sent
+>>> Sent.NOT_SENT.value
+'not sent'
+"""
+
+from enum import Enum
+from hashlib import sha256
+from time import monotonic
+
+from anyio import move_on_after
+from httpx import (
+    AsyncHTTPTransport,
+    ConnectError,
+    ConnectTimeout,
+    HTTPError,
+    InvalidURL,
+    Limits,
+    PoolTimeout,
+    Request,
+)
+
+ID_HEADER = "siskintally-request-id"
+DIGEST_HEADER = "siskintally-digest"
+# Below the 5 s after which an idle connection must not be used, and below usual server limits.
+REUSE_IDLE_S = 4.0
+CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 1 << 20
+HOP_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class Sent(Enum):
+    """What is known of a request after a dispatch."""
+
+    DONE = "done"
+    NOT_SENT = "not sent"
+    UNKNOWN = "unknown"
+
+
+class Outcome:
+    """Result of one dispatch.
+
+    :param headers: list of ``(name, value)``.
+    :param reason: why there is no response.
+    """
+
+    __slots__ = ("body", "headers", "reason", "sent", "status")
+
+    def __init__(self, *, sent, status=0, headers=(), body=b"", reason=""):
+        self.sent = sent
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.reason = reason
+
+
+class _BadAnswerError(Exception):
+    pass
+
+
+class Forwarder:
+    """Connections to one endpoint.
+
+    :param url: ``http://address:port``.
+    :param connections: this entry's share of the endpoint's connections.
+    """
+
+    __slots__ = ("_transport", "_url")
+
+    def __init__(self, *, url, connections):
+        self._url = url
+        self._transport = AsyncHTTPTransport(
+            limits=Limits(
+                max_connections=connections,
+                max_keepalive_connections=connections,
+                keepalive_expiry=REUSE_IDLE_S,
+            )
+        )
+
+    async def close(self):
+        """Close all connections."""
+        await self._transport.aclose()
+
+    async def send(self, *, request_id, method, target, headers, body, deadline):
+        """Send a request once.
+
+        :param target: path with query.
+        :param headers: list of ``(name, value)`` without hop-by-hop headers.
+        :param deadline: monotonic time; the connection is closed if no response is complete.
+        :returns: an :class:`Outcome`.
+        """
+        remaining = deadline - monotonic()
+        if remaining <= 0:
+            return Outcome(sent=Sent.NOT_SENT, reason="deadline passed")
+        outcome = Outcome(sent=Sent.UNKNOWN, reason="no response before the deadline")
+        with move_on_after(remaining):
+            try:
+                request = self._request(request_id, method, target, headers, body, remaining)
+            except (HTTPError, InvalidURL, ValueError) as error:
+                return Outcome(sent=Sent.NOT_SENT, reason=f"bad request: {error}")
+            outcome = await self._exchange(request, request_id)
+        return outcome  # noqa: RET504 - unchanged when the scope was cancelled
+
+    def _request(self, request_id, method, target, headers, body, remaining):
+        connect = min(CONNECT_TIMEOUT_S, remaining)
+        timeout = {"connect": connect, "read": remaining, "write": remaining, "pool": connect}
+        return Request(
+            method,
+            self._url + target,
+            headers=[*headers, (ID_HEADER, request_id)],
+            content=body,
+            extensions={"timeout": timeout},
+        )
+
+    async def _exchange(self, request, request_id):
+        try:
+            response = await self._transport.handle_async_request(request)
+            try:
+                _check_head(response, request_id)
+                content = await _read(response)
+            finally:
+                # Closing a response that was not read to its end closes the connection.
+                await response.aclose()
+            _check_digest(response, content)
+        except (ConnectError, ConnectTimeout, PoolTimeout) as error:
+            return Outcome(sent=Sent.NOT_SENT, reason=type(error).__name__)
+        except (HTTPError, _BadAnswerError) as error:
+            return Outcome(sent=Sent.UNKNOWN, reason=str(error) or type(error).__name__)
+        return Outcome(
+            sent=Sent.DONE,
+            status=response.status_code,
+            headers=list(end_to_end(response.headers.multi_items())),
+            body=content,
+        )
+
+
+def end_to_end(headers):
+    """Yield the headers that are passed on."""
+    return ((name, value) for name, value in headers if name.lower() not in HOP_HEADERS)
+
+
+def _check_head(response, request_id):
+    if response.headers.get(ID_HEADER) != request_id:
+        raise _BadAnswerError("response of another request")
+
+
+async def _read(response):
+    chunks = []
+    size = 0
+    async for chunk in response.stream:
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise _BadAnswerError(f"response over {MAX_ANSWER_BYTES} bytes")
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _check_digest(response, content):
+    if response.headers.get(DIGEST_HEADER) != sha256(content).hexdigest():
+        raise _BadAnswerError("response with another digest")
--- /dev/null
+++ b/siskintally/http_server.py
@@ -0,0 +1,187 @@
+"""HTTP server of a daemon: a plain ASGI app served by hypercorn in the same loop.
+
+>>> from siskintally.http_server import HttpRequest
+>>> HttpRequest(method="GET", path="/a", query="x=1", headers={}, body=b"").target
+'/a?x=1'
+"""
+
+from abc import ABC, abstractmethod
+from functools import partial
+from json import dumps
+
+from anyio import create_task_group
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from siskintally.codes import Code
+from siskintally.errors import BadRequestError, SiskintallyError
+from siskintally.log import get_logger
+
+MAX_BODY_BYTES = 1 << 20
+KEEP_ALIVE_S = 30.0
+# h11 refuses larger request heads with status 400.
+MAX_HEAD_BYTES = 32 * 1024
+
+log = get_logger("http")
+
+
+class TooLargeError(SiskintallyError):
+    """The body is over the limit."""
+
+    code = Code.TOO_LARGE
+
+
+class HttpRequest:
+    """A complete request.
+
+    :param headers: ``{lower-case name: value}``, the last of a name.
+    """
+
+    __slots__ = ("body", "headers", "method", "path", "peer", "query")
+
+    def __init__(self, *, method, path, query, headers, body, peer=""):
+        self.method = method
+        self.path = path
+        self.query = query
+        self.headers = headers
+        self.body = body
+        self.peer = peer
+
+    @property
+    def target(self):
+        """Path with query."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
+
+class HttpAnswer:
+    """A complete response.
+
+    :param headers: list of ``(name, value)`` strings.
+    """
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, *, status, body=b"", headers=()):
+        self.status = status
+        self.body = body
+        self.headers = headers
+
+
+def json_answer(status, fields, headers=()):
+    """Return a response with a JSON body."""
+    body = dumps(fields).encode()
+    return HttpAnswer(
+        status=status, body=body, headers=[("content-type", "application/json"), *headers]
+    )
+
+
+class HttpApp(ABC):
+    """ASGI app that answers complete requests."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    async def handle(self, request):
+        """Return the :class:`HttpAnswer` to a request, or None to end the stream early."""
+
+    def failure(self, error):
+        """Return the :class:`HttpAnswer` to input that was refused."""
+        status = 413 if error.code == Code.TOO_LARGE else 400
+        return json_answer(status, {"code": int(error.code), "message": str(error)})
+
+    async def __call__(self, scope, receive, send):
+        """Serve one ASGI connection."""
+        if scope["type"] == "lifespan":
+            await _lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve(scope, receive, send)
+
+    async def _serve(self, scope, receive, send):
+        try:
+            request = await _read(scope, receive)
+            if request is None:
+                return
+            answer = await self.handle(request)
+        except SiskintallyError as error:
+            answer = self.failure(error)
+        except Exception as error:  # the daemon outlives any fault in one request
+            log.exception("request failed", path=scope.get("path", ""))
+            answer = json_answer(500, {"code": int(Code.INTERNAL), "message": type(error).__name__})
+        if answer is not None:
+            await respond(send, answer)
+
+
+async def respond(send, answer):
+    """Send a response."""
+    headers = [(name.lower().encode(), value.encode("latin-1")) for name, value in answer.headers]
+    headers.append((b"content-length", str(len(answer.body)).encode()))
+    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
+    await send({"type": "http.response.body", "body": answer.body, "more_body": False})
+
+
+async def _lifespan(receive, send):
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _read(scope, receive):
+    try:
+        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        query = scope["query_string"].decode()
+    except UnicodeDecodeError as error:
+        raise BadRequestError("headers and query: expected UTF-8") from error
+    declared = headers.get("content-length", "0")
+    if declared.isdigit() and int(declared) > MAX_BODY_BYTES:
+        raise TooLargeError(f"body of {declared} bytes: expected at most {MAX_BODY_BYTES}")
+    body = await _body(receive)
+    if body is None:
+        return None
+    client = scope.get("client")
+    return HttpRequest(
+        method=scope["method"],
+        path=scope["path"],
+        query=query,
+        headers=headers,
+        body=body,
+        peer=client[0] if client else "",
+    )
+
+
+async def _body(receive):
+    chunks = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        chunk = message.get("body", b"")
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            raise TooLargeError(f"body: expected at most {MAX_BODY_BYTES} bytes")
+        chunks.append(chunk)
+        if not message.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def serve_http(app, *, address, until, graceful_s):
+    """Serve an app until an event is set, then finish the requests in progress.
+
+    :param until: anyio Event.
+    :param graceful_s: longest time for the requests in progress, s.
+    """
+    config = Config()
+    config.bind = [address]
+    config.errorlog = None
+    config.accesslog = None
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = graceful_s
+    config.h11_max_incomplete_size = MAX_HEAD_BYTES
+    config.include_server_header = False
+    config.include_date_header = False
+    # In a task of its own: on Python 3.11 the task group inside hypercorn leaves a pending
+    # cancellation count on its task, which would break the scopes of the caller.
+    async with create_task_group() as tasks:
+        tasks.start_soon(partial(serve, app, config, shutdown_trigger=until.wait, mode="asgi"))
--- /dev/null
+++ b/siskintally/main.py
@@ -0,0 +1,85 @@
+"""Command line: ``siskintally <command> [flags]``.
+
+Each family of commands is a module ``commands_*`` with a function ``register(registry)``.
+
+>>> from siskintally.main import commands
+>>> "entry" in [command.name for command in commands()]
+True
+"""
+
+from sys import argv as process_argv
+from sys import exit as exit_process
+from sys import stderr
+
+from absl.app import run as run_app
+from absl.flags import FLAGS
+from absl.flags import Error as FlagError
+from absl.logging import WARNING, set_verbosity
+
+from siskintally import commands_entry
+from siskintally.command import Registry
+from siskintally.errors import SiskintallyError
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+FAMILIES = (commands_entry,)
+
+
+def commands():
+    """Return the registry of all commands."""
+    registry = Registry()
+    for family in FAMILIES:
+        family.register(registry)
+    return registry
+
+
+def run():
+    """Run the process's own command line and exit; entry point of the executable."""
+    exit_process(dispatch(process_argv))
+
+
+def dispatch(argv):
+    """Run a command line.
+
+    :param argv: program name, command, flags.
+    :returns: exit status: 0 done, 1 failed with a result code, 2 wrong usage.
+    """
+    registry = commands()
+    if len(argv) < 2 or argv[1] in ("--help", "-h", "help"):
+        print(registry.usage())
+        return EXIT_OK if len(argv) > 1 else EXIT_USAGE
+    try:
+        command = registry.find(argv[1])
+    except SiskintallyError as error:
+        return _fail(error, EXIT_USAGE)
+    values = command.flag_values()
+    return _start(command, values, [argv[0], *argv[2:]])
+
+
+def _start(command, values, argv):
+    def parse(words):
+        FLAGS(words[:1])
+        return values(words)
+
+    def start(words):
+        # Libraries log each request at the level below.
+        set_verbosity(WARNING)
+        if values.help:
+            print(command.usage(values))
+            return EXIT_OK
+        try:
+            return command.start(values, words[1:]) or EXIT_OK
+        except SiskintallyError as error:
+            return _fail(error, EXIT_FAILED)
+
+    try:
+        return run_app(start, argv=argv, flags_parser=parse)
+    except FlagError as error:
+        print(f"siskintally {command.name}: {error}", file=stderr)
+        return EXIT_USAGE
+
+
+def _fail(error, status):
+    print(f"{int(error.code)} {error.code.name}: {error}", file=stderr)
+    return status
--- /dev/null
+++ b/siskintally/share.py
@@ -0,0 +1,29 @@
+"""Fixed shares of an endpoint's slots and connections for the entries of its domain.
+
+>>> from siskintally.share import share
+>>> entries = ("e1", "e2", "e3")
+>>> sorted(share(8, endpoint="p1", entry=name, entries=entries) for name in entries)
+[2, 3, 3]
+"""
+
+from functools import lru_cache
+
+from xxhash import xxh64_intdigest
+
+CACHE_SIZE = 16384
+
+
+def rendezvous(key, node):
+    """Return the weight of a node for a key, the same in every process."""
+    return xxh64_intdigest(f"{key}\0{node}".encode())
+
+
+@lru_cache(maxsize=CACHE_SIZE)
+def share(total, *, endpoint, entry, entries):
+    """Return this entry's part of ``total``; the parts of all entries add up to ``total``.
+
+    :param entries: tuple of the configured entries of the endpoint's domain.
+    """
+    count, remainder = divmod(total, len(entries))
+    order = sorted(entries, key=lambda name: (rendezvous(endpoint, name), name), reverse=True)
+    return count + (order.index(entry) < remainder)
--- /dev/null
+++ b/siskintally/stub_endpoint.py
@@ -0,0 +1,258 @@
+"""Stub endpoint: an HTTP service that announces itself and records what it ran.
+
+>>> from siskintally.stub_endpoint import FAULTS
+>>> "silent" in FAULTS
+True
+"""
+
+from hashlib import sha256
+from json import dumps, loads
+from random import uniform
+from time import monotonic, time_ns
+
+from anyio import Event, create_task_group, sleep, sleep_forever
+from httpx import AsyncClient, HTTPError
+
+from siskintally.http_server import HttpAnswer, HttpApp, json_answer, respond, serve_http
+from siskintally.log import get_logger
+
+ANNOUNCE_S = 1.0
+ANNOUNCE_TIMEOUT_S = 0.8
+DRAIN_S = 60.0
+LATE_S = 5.0
+ID_HEADER = "siskintally-request-id"
+FAULTS = ("none", "fail", "silent", "late", "truncated", "wrong-id", "wrong-digest", "doubled")
+
+log = get_logger("stub-endpoint")
+
+
+class StubOptions:
+    """Options of a stub endpoint.
+
+    :param http: ``host:port`` to listen on.
+    :param entries: entry URLs.
+    :param service_s: service time, s.
+    :param fault: one of :data:`FAULTS`.
+    :param record: path of the record file, or empty.
+    """
+
+    __slots__ = (
+        "connections",
+        "domain",
+        "entries",
+        "fault",
+        "http",
+        "name",
+        "record",
+        "service",
+        "service_s",
+        "slots",
+    )
+
+    def __init__(
+        self, *, name, service, domain, http, entries, slots, connections, service_s, fault, record
+    ):
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.http = http
+        self.entries = entries
+        self.slots = slots
+        self.connections = connections
+        self.service_s = service_s
+        self.fault = fault
+        self.record = record
+
+
+class Recorder:
+    """Appends a JSON line per event; each line is written at once."""
+
+    __slots__ = ("_file",)
+
+    def __init__(self, *, path):
+        self._file = open(path, "a", buffering=1, encoding="utf-8") if path else None  # noqa: SIM115
+
+    def write(self, **fields):
+        """Append one event with the monotonic time."""
+        if self._file is not None:
+            self._file.write(dumps({"time": monotonic(), **fields}) + "\n")
+
+
+class Announcer:
+    """Announces the endpoint each second to one entry, to the next one if it fails."""
+
+    __slots__ = ("_clock_by_entry", "_incarnation", "_options", "_seq", "_turn", "leaving")
+
+    def __init__(self, *, options):
+        self.leaving = False
+        self._options = options
+        self._incarnation = time_ns()
+        self._seq = 0
+        self._turn = 0
+        self._clock_by_entry = {}
+
+    async def run(self):
+        """Announce until cancelled."""
+        async with AsyncClient(timeout=ANNOUNCE_TIMEOUT_S) as client:
+            while self._options.entries:
+                await self.announce(client)
+                await sleep(ANNOUNCE_S)
+
+    async def announce(self, client):
+        """Announce once, to the first entry that takes it.
+
+        :returns: whether an entry took it.
+        """
+        for _ in self._options.entries:
+            entry = self._options.entries[self._turn % len(self._options.entries)]
+            known = entry in self._clock_by_entry
+            if await self._post(client, entry):
+                # Without an echo the entry can't bound the age, so the first one is repeated.
+                return known or await self._post(client, entry)
+            self._turn += 1
+        return False
+
+    async def _post(self, client, entry):
+        options = self._options
+        self._seq += 1
+        fields = {
+            "name": options.name,
+            "service": options.service,
+            "domain": options.domain,
+            "url": f"http://{options.http}",
+            "slots": options.slots,
+            "connections": options.connections,
+            "incarnation": self._incarnation,
+            "seq": self._seq,
+            "state": "leaving" if self.leaving else "serving",
+        }
+        if entry in self._clock_by_entry:
+            clock, received_at = self._clock_by_entry[entry]
+            fields.update(echo=clock, held_s=monotonic() - received_at)
+        try:
+            response = await client.post(f"{entry}/v1/announce", json=fields)
+            if response.status_code != 200:
+                return False
+            self._clock_by_entry[entry] = (float(response.json()["clock"]), monotonic())
+        except (HTTPError, ValueError, KeyError) as error:
+            log.info("announcement failed", entry=entry, error=repr(error))
+            self._clock_by_entry.pop(entry, None)
+            return False
+        return True
+
+
+class Stub(HttpApp):
+    """The endpoint daemon."""
+
+    __slots__ = (
+        "_announcer",
+        "_fault",
+        "_idle",
+        "_in_flight",
+        "_options",
+        "_recorder",
+        "_service_s",
+        "_stopped",
+    )
+
+    def __init__(self, *, options):
+        self._options = options
+        self._recorder = Recorder(path=options.record)
+        self._announcer = Announcer(options=options)
+        self._fault = options.fault
+        self._service_s = options.service_s
+        self._in_flight = 0
+        self._idle = Event()
+        self._stopped = Event()
+
+    async def run(self):
+        """Serve until :meth:`stop` has finished."""
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._announcer.run)
+            await serve_http(
+                self, address=self._options.http, until=self._stopped, graceful_s=DRAIN_S
+            )
+            tasks.cancel_scope.cancel()
+
+    async def stop(self):
+        """Announce leaving, wait until nothing is in flight, and end."""
+        self._announcer.leaving = True
+        self._recorder.write(event="leaving")
+        async with AsyncClient(timeout=ANNOUNCE_TIMEOUT_S) as client:
+            if self._options.entries:
+                await self._announcer.announce(client)
+        # Entries that heard nothing may send for another 3 s, the life of an announcement.
+        await sleep(3.0 if self._options.entries else 0.0)
+        while self._in_flight:
+            self._idle = Event()
+            await self._idle.wait()
+        self._stopped.set()
+
+    async def __call__(self, scope, receive, send):
+        """Serve one ASGI connection; faults need the raw ``send``."""
+        if scope["type"] == "http" and not scope["path"].startswith("/control"):
+            await self._run_one(scope, receive, send)
+        else:
+            await super().__call__(scope, receive, send)
+
+    async def handle(self, request):
+        """Answer the control route: ``{"fault": ..., "service_ms": ...}`` changes the stub."""
+        fields = loads(request.body or b"{}")
+        self._fault = fields.get("fault", self._fault)
+        self._service_s = fields.get("service_ms", self._service_s * 1000) / 1000
+        return json_answer(200, {"fault": self._fault, "in_flight": self._in_flight})
+
+    async def _run_one(self, scope, receive, send):
+        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
+        body = b""
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return
+            body += message.get("body", b"")
+            if not message.get("more_body", False):
+                break
+        event = {"id": headers.get(ID_HEADER, ""), "key": headers.get("idempotency-key", "")}
+        self._in_flight += 1
+        over = self._in_flight > self._options.slots
+        self._recorder.write(event="start", in_flight=self._in_flight, over_slots=over, **event)
+        try:
+            await self._work()
+            await self._answer(scope, event, body, send)
+        finally:
+            self._in_flight -= 1
+            self._recorder.write(event="end", **event)
+            if not self._in_flight:
+                self._idle.set()
+
+    async def _work(self):
+        await sleep(self._service_s)
+        if self._fault == "late":
+            await sleep(LATE_S + uniform(0, 1))
+        if self._fault == "silent":
+            await sleep_forever()
+
+    async def _answer(self, scope, event, body, send):
+        content = dumps({"endpoint": self._options.name, "id": event["id"], "size": len(body)})
+        content = content.encode()
+        answer = HttpAnswer(
+            status=500 if self._fault == "fail" else 200,
+            body=content,
+            headers=[
+                (ID_HEADER, "another" if self._fault == "wrong-id" else event["id"]),
+                ("siskintally-digest", sha256(content).hexdigest()),
+                ("content-type", "application/json"),
+            ],
+        )
+        if self._fault == "wrong-digest":
+            answer.body = content[:-1] + b"]"
+        if self._fault == "truncated":
+            await self._truncate(answer, send)
+        else:
+            await respond(send, answer)
+
+    async def _truncate(self, answer, send):
+        headers = [(name.encode(), value.encode()) for name, value in answer.headers]
+        headers.append((b"content-length", str(len(answer.body)).encode()))
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": answer.body[:5], "more_body": True})
