--- /dev/null
+++ b/siskintally/effects.py
@@ -0,0 +1,68 @@
+"""What a transition of a replica asks its owner to do.
+
+>>> from siskintally.effects import Effects
+>>> from siskintally.messages import HardState
+>>> effects = Effects()
+>>> effects.must_sync
+False
+>>> effects.hard_state = HardState(term=2, vote=None)
+>>> effects.must_sync
+True
+"""
+
+
+class Effects:
+    """Orders of one or more transitions, to be carried out in the order of the attributes.
+
+    ``hard_state``, ``entries``, ``snapshot``: to be synced to disk before anything else. An entry
+    replaces all stored entries with its index or a larger one. ``messages``: sent after the sync.
+    ``restore``: snapshot that replaces the state of the machine. ``committed``: entries to apply
+    after that. ``index``: last entry that was proposed, 0 if none. ``round``: read round that was
+    begun, 0 if none. ``confirmed``: highest read round that is confirmed, 0 if none is newly.
+    ``leadership``: set when it changed.
+    """
+
+    __slots__ = (
+        "committed",
+        "confirmed",
+        "entries",
+        "hard_state",
+        "index",
+        "leadership",
+        "messages",
+        "restore",
+        "round",
+        "snapshot",
+    )
+
+    def __init__(self):
+        self.hard_state = None
+        self.entries = []
+        self.snapshot = None
+        self.messages = []
+        self.restore = None
+        self.committed = []
+        self.index = 0
+        self.round = 0
+        self.confirmed = 0
+        self.leadership = None
+
+    @property
+    def must_sync(self):
+        """Whether something has to be on disk before the messages are sent."""
+        return bool(self.hard_state or self.entries or self.snapshot)
+
+    def extend(self, later):
+        """Add the effects of a later transition, so that one sync covers both."""
+        self.hard_state = later.hard_state or self.hard_state
+        self.entries.extend(later.entries)
+        self.snapshot = later.snapshot or self.snapshot
+        self.messages.extend(later.messages)
+        if later.restore is not None:
+            self.restore = later.restore
+            self.committed.clear()
+        self.committed.extend(later.committed)
+        self.index = later.index or self.index
+        self.round = later.round or self.round
+        self.confirmed = max(self.confirmed, later.confirmed)
+        self.leadership = later.leadership or self.leadership
--- /dev/null
+++ b/siskintally/election.py
@@ -0,0 +1,179 @@
+"""Elections: pre-vote, vote, and the changes of role.
+
+>>> from siskintally.election import Role
+>>> Role.LEADER.name
+'LEADER'
+"""
+
+from enum import IntEnum
+
+from siskintally.membership import quorum
+from siskintally.messages import (
+    Entry,
+    Envelope,
+    HardState,
+    Kind,
+    Leadership,
+    VoteReply,
+    VoteRequest,
+    voters_of,
+)
+
+NEVER = float("-inf")
+
+
+class Role(IntEnum):
+    """What a replica does at present."""
+
+    FOLLOWER = 0
+    PRE_CANDIDATE = 1
+    CANDIDATE = 2
+    LEADER = 3
+
+
+class Elections:
+    """The part of a replica that votes and asks for votes."""
+
+    __slots__ = ()
+
+    @property
+    def voters(self):
+        """Identities of the voters in force."""
+        return voters_of(self.log.members)
+
+    def _hears_leader(self, now):
+        if self.role == Role.LEADER:
+            return True
+        return self.leader is not None and now - self.heard < self.timing.election_min_s
+
+    def _restart_election_timer(self, now):
+        self.deadline = now + self._timeout()
+
+    def _set_term(self, term, vote, effects):
+        self.term = term
+        self.vote = vote
+        effects.hard_state = HardState(term=term, vote=vote)
+
+    def _set_leader(self, leader, effects):
+        self.leader = leader
+        effects.leadership = Leadership(
+            term=self.term,
+            leader=leader.name if leader else "",
+            is_leader=self.role == Role.LEADER,
+        )
+
+    def _follow(self, term, leader, now, effects):
+        if term > self.term:
+            self._set_term(term, None, effects)
+        changed = (self.role, self.leader) != (Role.FOLLOWER, leader) or effects.hard_state
+        if leader is not None or self.role == Role.LEADER:
+            self._restart_election_timer(now)
+        self.role = Role.FOLLOWER
+        self.votes = frozenset()
+        self.progress_by_id = {}
+        self.transfer_to = None
+        self.transfer_sent = False
+        if changed:
+            self._set_leader(leader, effects)
+
+    def _ask_votes(self, role, now, effects, *, transfer=False):
+        self.role = role
+        self.votes = frozenset((self.identity,))
+        self._set_leader(None, effects)
+        self._restart_election_timer(now)
+        pre_vote = role == Role.PRE_CANDIDATE
+        request = VoteRequest(
+            term=self.term + 1 if pre_vote else self.term,
+            sender=self.identity,
+            last_index=self.log.last_index,
+            last_term=self.log.last_term,
+            pre_vote=pre_vote,
+            transfer=transfer,
+        )
+        for voter in self.voters:
+            if voter != self.identity:
+                effects.messages.append(Envelope(to=voter, message=request))
+        self._count_votes(now, effects)
+
+    def _start_pre_vote(self, now, effects):
+        self._ask_votes(Role.PRE_CANDIDATE, now, effects)
+
+    def _start_election(self, now, effects, *, transfer=False):
+        self._set_term(self.term + 1, self.identity, effects)
+        self._ask_votes(Role.CANDIDATE, now, effects, transfer=transfer)
+
+    def _count_votes(self, now, effects):
+        voters = self.voters
+        if len(self.votes & set(voters)) < quorum(len(voters)):
+            return
+        if self.role == Role.PRE_CANDIDATE:
+            self._start_election(now, effects)
+        elif self.role == Role.CANDIDATE:
+            self._lead(now, effects)
+
+    def _lead(self, now, effects):
+        self.role = Role.LEADER
+        self.votes = frozenset()
+        self.round = 0
+        self.confirmed = 0
+        self._set_leader(self.identity, effects)
+        self.progress_by_id = {}
+        self._track_members(now)
+        self._append(Entry(self.log.last_index + 1, self.term, Kind.NOOP), effects)
+        self._send_all(now, effects)
+
+    def _on_vote_request(self, request, now, effects):
+        if request.pre_vote:
+            self._on_pre_vote_request(request, now, effects)
+            return
+        if self._hears_leader(now) and not request.transfer and request.term > self.term:
+            # A replica that was cut off must not unseat a leader that the others still hear.
+            return
+        if request.term > self.term:
+            self._follow(request.term, None, now, effects)
+        granted = (
+            request.term == self.term
+            and self.vote in (None, request.sender)
+            and self._is_up_to_date(request)
+        )
+        if granted and self.vote is None:
+            self._set_term(self.term, request.sender, effects)
+            self._restart_election_timer(now)
+        self._reply_vote(request, granted, effects)
+
+    def _on_pre_vote_request(self, request, now, effects):
+        granted = (
+            request.term > self.term
+            and not self._hears_leader(now)
+            and self._is_up_to_date(request)
+        )
+        self._reply_vote(request, granted, effects)
+
+    def _reply_vote(self, request, granted, effects):
+        reply = VoteReply(
+            term=request.term if granted else self.term,
+            sender=self.identity,
+            granted=granted,
+            pre_vote=request.pre_vote,
+        )
+        effects.messages.append(Envelope(to=request.sender, message=reply))
+
+    def _is_up_to_date(self, request):
+        ours = (self.log.last_term, self.log.last_index)
+        return (request.last_term, request.last_index) >= ours
+
+    def _on_vote_reply(self, reply, now, effects):
+        if not reply.granted:
+            if reply.term > self.term:
+                self._follow(reply.term, None, now, effects)
+            return
+        asked = self.term + 1 if reply.pre_vote else self.term
+        role = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
+        if reply.term == asked and self.role == role:
+            self.votes |= {reply.sender}
+            self._count_votes(now, effects)
+
+    def _on_transfer(self, message, now, effects):
+        may_lead = self.role != Role.LEADER and self.identity in self.voters
+        if message.term == self.term and may_lead:
+            self._start_election(now, effects, transfer=True)
--- /dev/null
+++ b/siskintally/membership.py
@@ -0,0 +1,58 @@
+"""Quorums and single-server changes of the member set.
+
+>>> from siskintally.membership import quorum_value
+>>> quorum_value([7, 9, 3])
+7
+"""
+
+from siskintally.errors import BadRequestError
+from siskintally.messages import Member, voters_of
+
+
+def quorum(count):
+    """Return the smallest majority of ``count`` voters."""
+    return count // 2 + 1
+
+
+def quorum_value(values):
+    """Return the largest value that a majority has reached."""
+    ranked = sorted(values, reverse=True)
+    return ranked[quorum(len(ranked)) - 1]
+
+
+def check_change(old, new, *, leader):
+    """Check that a change keeps every old quorum overlapping with every new one.
+
+    :raises BadRequestError: more than one voter differs, or the leader is no voter any more.
+    """
+    if len({member.identity for member in new}) != len(new):
+        raise BadRequestError("members: an identity is listed twice")
+    changed = set(voters_of(old)) ^ set(voters_of(new))
+    if len(changed) > 1:
+        raise BadRequestError(f"members: {len(changed)} voters differ, expected at most 1")
+    if leader not in voters_of(new):
+        raise BadRequestError("members: the leader must stay a voter; transfer leadership first")
+
+
+def admit(members, identity):
+    """Return the members with a learner in place of other learners of its name."""
+    kept = [member for member in members if member.voter or member.identity.name != identity.name]
+    return ordered([*kept, Member(identity=identity, voter=False)])
+
+
+def promote(members, identity):
+    """Return the next single step that makes a learner a voter.
+
+    An old incarnation of the name is removed first: it cannot come back, so the smaller set needs
+    no more live voters than before, while adding first would raise the majority.
+    """
+    others = [member for member in members if member.identity != identity]
+    kept = [member for member in others if member.identity.name != identity.name]
+    if len(kept) < len(others):
+        return ordered([*kept, Member(identity=identity, voter=False)])
+    return ordered([*kept, Member(identity=identity, voter=True)])
+
+
+def ordered(members):
+    """Return members as a tuple in canonical order."""
+    return tuple(sorted(members))
--- /dev/null
+++ b/siskintally/raftlog.py
@@ -0,0 +1,128 @@
+"""The log of a replica, with the snapshot that replaces its compacted part.
+
+>>> from siskintally.messages import Entry
+>>> from siskintally.raftlog import Log
+>>> log = Log()
+>>> log.append(Entry(index=1, term=3))
+>>> log.last_index, log.last_term, log.term_at(0), log.term_at(2)
+(1, 3, 0, None)
+"""
+
+from siskintally.messages import Kind, Snapshot
+
+EMPTY_SNAPSHOT = Snapshot(index=0, term=0, members=(), data=b"")
+
+
+class Log:
+    """Entries after ``base_index`` and the latest snapshot, whose index is not below the base.
+
+    :param members: member set in force: that of the last member entry, committed or not.
+    """
+
+    __slots__ = ("base_index", "base_term", "entries", "members", "members_index", "snapshot")
+
+    def __init__(self, *, snapshot=EMPTY_SNAPSHOT, base_index=None, base_term=None, entries=()):
+        self.snapshot = snapshot
+        self.base_index = snapshot.index if base_index is None else base_index
+        self.base_term = snapshot.term if base_term is None else base_term
+        self.entries = list(entries)
+        self._find_members()
+
+    @property
+    def last_index(self):
+        """Index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self):
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def term_at(self, index):
+        """Return the term of an entry, or None if it is compacted or does not exist."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def first_of_term(self, index):
+        """Return the first index whose entries up to ``index`` have the same term."""
+        term = self.term_at(index)
+        while index > self.base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def between(self, first, last):
+        """Return the entries first to last, both included."""
+        return self.entries[first - self.base_index - 1 : last - self.base_index]
+
+    def batch(self, first, *, max_entries, max_bytes):
+        """Return entries from ``first`` on, at least one if there is one."""
+        chosen = []
+        size = 0
+        for entry in self.between(first, min(self.last_index, first + max_entries - 1)):
+            size += len(entry.command)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def append(self, entry):
+        """Append the entry that follows the last one."""
+        self.entries.append(entry)
+        if entry.kind == Kind.MEMBERS:
+            self.members = entry.members
+            self.members_index = entry.index
+
+    def truncate(self, first):
+        """Remove the entries from ``first`` on."""
+        del self.entries[first - self.base_index - 1 :]
+        if self.members_index >= first:
+            self._find_members()
+
+    def members_at(self, index):
+        """Return (members, index of their entry) in force after the entry ``index``."""
+        for entry in reversed(self.between(self.snapshot.index + 1, index)):
+            if entry.kind == Kind.MEMBERS:
+                return entry.members, entry.index
+        return self.snapshot.members, self.snapshot.index
+
+    def compact(self, index, data, *, keep):
+        """Take a snapshot at ``index`` and drop all but ``keep`` of the entries before it."""
+        members, _ = self.members_at(index)
+        self.snapshot = Snapshot(index=index, term=self.term_at(index), members=members, data=data)
+        self._drop(max(self.base_index, index - keep))
+
+    def install(self, snapshot):
+        """Replace everything up to the index of a snapshot that another replica took."""
+        if self.term_at(snapshot.index) == snapshot.term:
+            self._drop(snapshot.index)
+        else:
+            self.entries = []
+            self.base_index = snapshot.index
+            self.base_term = snapshot.term
+        self.snapshot = snapshot
+        self._find_members()
+
+    def copy(self):
+        """Return an independent copy that shares the immutable entries."""
+        return Log(
+            snapshot=self.snapshot,
+            base_index=self.base_index,
+            base_term=self.base_term,
+            entries=self.entries,
+        )
+
+    def key(self):
+        """Return the state as a hashable value."""
+        return (self.snapshot, self.base_index, self.base_term, tuple(self.entries))
+
+    def _drop(self, index):
+        term = self.term_at(index)
+        del self.entries[: index - self.base_index]
+        self.base_index = index
+        self.base_term = term
+
+    def _find_members(self):
+        self.members, self.members_index = self.members_at(self.last_index)
--- /dev/null
+++ b/siskintally/replica.py
@@ -0,0 +1,388 @@
+"""Consensus core of one replica: pure transitions, without clock, disk, network or random source.
+
+>>> from siskintally.messages import Identity
+>>> from siskintally.replica import Replica, founding_state
+>>> me = Identity(name="s1", incarnation="a")
+>>> replica = Replica(identity=me, stable=founding_state((me,)), timeout=lambda: 1.0, now=0.0)
+>>> effects = replica.tick(1.0)
+>>> effects.hard_state.term, [entry.index for entry in effects.entries], replica.is_leader
+(2, [2], True)
+>>> [entry.index for entry in replica.synced(2, 2, 1.0).committed]
+[2]
+"""
+
+from typing import NamedTuple
+
+from siskintally.effects import Effects
+from siskintally.election import NEVER, Elections, Role
+from siskintally.errors import BadRequestError, NotLeaderError
+from siskintally.following import Following
+from siskintally.membership import check_change, ordered
+from siskintally.messages import (
+    AppendReply,
+    AppendRequest,
+    Entry,
+    Identity,
+    Kind,
+    Member,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotReply,
+    TransferLeadership,
+    VoteReply,
+    VoteRequest,
+)
+from siskintally.raftlog import EMPTY_SNAPSHOT, Log
+from siskintally.replication import Leading
+
+FOUNDING_INDEX = 1
+FOUNDING_TERM = 1
+
+
+class Timing:
+    """Intervals in seconds and limits of messages.
+
+    :param window_entries: entries sent to a replica ahead of its answers.
+    """
+
+    __slots__ = (
+        "batch_bytes",
+        "batch_entries",
+        "busy_beat_s",
+        "chunk_bytes",
+        "election_max_s",
+        "election_min_s",
+        "idle_beat_s",
+        "window_entries",
+    )
+
+    def __init__(
+        self,
+        *,
+        busy_beat_s=0.25,
+        idle_beat_s=0.5,
+        election_min_s=1.0,
+        election_max_s=2.0,
+        chunk_bytes=65536,
+        batch_entries=512,
+        batch_bytes=262144,
+        window_entries=4096,
+    ):
+        self.busy_beat_s = busy_beat_s
+        self.idle_beat_s = idle_beat_s
+        self.election_min_s = election_min_s
+        self.election_max_s = election_max_s
+        self.chunk_bytes = chunk_bytes
+        self.batch_entries = batch_entries
+        self.batch_bytes = batch_bytes
+        self.window_entries = window_entries
+
+
+class Stable(NamedTuple):
+    """What a replica has on disk."""
+
+    term: int = 0
+    vote: Identity | None = None
+    snapshot: Snapshot = EMPTY_SNAPSHOT
+    base_index: int = 0
+    base_term: int = 0
+    entries: tuple = ()
+
+
+def founding_state(voters):
+    """Return what the founding voters of a group have on disk at first.
+
+    :param voters: identities.
+    """
+    members = ordered(Member(identity=identity, voter=True) for identity in voters)
+    snapshot = Snapshot(index=FOUNDING_INDEX, term=FOUNDING_TERM, members=members, data=b"")
+    return Stable(
+        term=FOUNDING_TERM,
+        snapshot=snapshot,
+        base_index=FOUNDING_INDEX,
+        base_term=FOUNDING_TERM,
+    )
+
+
+class Replica(Elections, Leading, Following):
+    """One member of a group; each transition returns :class:`~siskintally.effects.Effects`.
+
+    The owner carries out the effects of a transition, and calls :meth:`synced` after each sync,
+    before it sends the messages of a later transition.
+
+    :param stable: what is on disk; the default is an empty disk.
+    :param timeout: function that returns the next election timeout in seconds.
+    :param now: monotonic time in seconds.
+    """
+
+    __slots__ = (
+        "_checksum",
+        "_timeout",
+        "commit",
+        "confirmed",
+        "deadline",
+        "durable",
+        "heard",
+        "identity",
+        "incoming",
+        "leader",
+        "log",
+        "progress_by_id",
+        "role",
+        "round",
+        "term",
+        "timing",
+        "transfer_sent",
+        "transfer_to",
+        "vote",
+        "votes",
+    )
+
+    def __init__(self, *, identity, stable=None, timing=None, timeout, now):
+        stable = stable or Stable()
+        self.identity = identity
+        self.timing = timing or Timing()
+        self._timeout = timeout
+        self.term = stable.term
+        self.vote = stable.vote
+        self.log = Log(
+            snapshot=stable.snapshot,
+            base_index=stable.base_index,
+            base_term=stable.base_term,
+            entries=stable.entries,
+        )
+        self.commit = stable.snapshot.index
+        self.durable = self.log.last_index
+        self.role = Role.FOLLOWER
+        self.leader = None
+        self.votes = frozenset()
+        self.heard = NEVER
+        self.deadline = now + timeout()
+        self.progress_by_id = {}
+        self.round = 0
+        self.confirmed = 0
+        self.transfer_to = None
+        self.transfer_sent = False
+        self.incoming = None
+        self._checksum = (0, 0)
+
+    @property
+    def is_leader(self):
+        """Whether this replica leads, as far as it knows."""
+        return self.role == Role.LEADER
+
+    @property
+    def stable(self):
+        """What is on disk once all effects so far are synced."""
+        return Stable(
+            term=self.term,
+            vote=self.vote,
+            snapshot=self.log.snapshot,
+            base_index=self.log.base_index,
+            base_term=self.log.base_term,
+            entries=tuple(self.log.entries),
+        )
+
+    def next_tick(self):
+        """Return the time at which :meth:`tick` has something to do."""
+        if self.role != Role.LEADER:
+            return self.deadline if self.identity in self.voters else float("inf")
+        times = [self._beat_at(progress) for progress in self.progress_by_id.values()]
+        if self.transfer_to is not None:
+            times.append(self.deadline)
+        return min(times, default=float("inf"))
+
+    def tick(self, now):
+        """Start an election or send heartbeats, if it is time."""
+        effects = Effects()
+        if self.role == Role.LEADER:
+            self._tick_leader(now, effects)
+        elif now >= self.deadline:
+            if self.identity in self.voters:
+                self._start_pre_vote(now, effects)
+            else:
+                self._restart_election_timer(now)
+        return effects
+
+    def receive(self, message, now):
+        """Take a message of another replica."""
+        effects = Effects()
+        answers = isinstance(message, AppendReply | SnapshotReply)
+        if answers and message.term > self.term:
+            self._follow(message.term, None, now, effects)
+        getattr(self, _HANDLER_BY_TYPE[type(message)])(message, now, effects)
+        return effects
+
+    def propose(self, command, now):
+        """Append a command; ``effects.index`` is its index.
+
+        :raises NotLeaderError: nothing was appended.
+        """
+        return self.propose_batch((command,), now)
+
+    def propose_batch(self, commands, now):
+        """Append commands; ``effects.index`` is the index of the last one.
+
+        :raises NotLeaderError: nothing was appended.
+        """
+        self._check_leading()
+        effects = Effects()
+        for command in commands:
+            entry = Entry(self.log.last_index + 1, self.term, Kind.COMMAND, command)
+            self._append(entry, effects)
+        self._send_all(now, effects)
+        return effects
+
+    def propose_members(self, members, now):
+        """Append a new member set, which is in force at once.
+
+        :raises NotLeaderError: nothing was appended.
+        :raises BadRequestError: an earlier change or the first entry of the term is not committed,
+            or the change is not a single step.
+        """
+        self._check_leading()
+        if not self.is_settled:
+            # Without this, changes of two leaders could be in force with disjoint quorums.
+            raise BadRequestError("members: no entry of the present term is committed yet")
+        if self.log.members_index > self.commit:
+            raise BadRequestError("members: the previous change is not committed yet")
+        check_change(self.log.members, members, leader=self.identity)
+        effects = Effects()
+        index = self.log.last_index + 1
+        entry = Entry(index, self.term, Kind.MEMBERS, members=ordered(members))
+        self._append(entry, effects)
+        self._track_members(now)
+        self._send_all(now, effects)
+        return effects
+
+    def confirm(self, now):
+        """Begin a read round; ``effects.round`` is its number.
+
+        It is confirmed once a quorum has answered a message sent after this call.
+
+        :raises NotLeaderError: this replica does not lead.
+        """
+        self._check_leading(transferring=True)
+        effects = Effects()
+        self.round += 1
+        effects.round = self.round
+        for voter in self.voters:
+            if voter != self.identity:
+                self._send_append(voter, self.progress_by_id[voter], now, effects)
+        self._advance_round(effects)
+        return effects
+
+    def synced(self, index, term, now):
+        """Note that the log up to an entry is on disk.
+
+        :param term: term of that entry; if it was replaced since, nothing changes.
+        """
+        effects = Effects()
+        if self.log.term_at(index) == term:
+            self.durable = max(self.durable, index)
+        if self.role == Role.LEADER:
+            self._advance_commit(effects)
+            self._advance_round(effects)
+        return effects
+
+    def compact(self, index, data, *, keep=0):
+        """Replace the log up to an applied entry with a snapshot.
+
+        :param data: state of the machine after that entry.
+        :param keep: entries before it to keep for followers that are a little behind.
+        """
+        effects = Effects()
+        if self.log.snapshot.index < index <= self.commit:
+            self.log.compact(index, data, keep=keep)
+            effects.snapshot = self.log.snapshot
+        return effects
+
+    def transfer(self, now):
+        """Hand leadership to the most up-to-date voter that answers; no proposals meanwhile.
+
+        :raises NotLeaderError: this replica does not lead.
+        """
+        self._check_leading(transferring=True)
+        effects = Effects()
+        alive = [
+            (self.progress_by_id[voter].match, voter)
+            for voter in self.voters
+            if voter != self.identity
+            and now - self.progress_by_id[voter].heard < self.timing.election_max_s
+        ]
+        if alive and self.transfer_to is None:
+            self.transfer_to = max(alive)[1]
+            self.transfer_sent = False
+            self.deadline = now + self.timing.election_min_s
+            self._continue_transfer(effects)
+        return effects
+
+    def expire_election(self):
+        """Let the waiting for a leader or a quorum end at the next tick (model checking)."""
+        self.deadline = NEVER
+        self.heard = NEVER
+        for progress in self.progress_by_id.values():
+            progress.heard = NEVER
+
+    def expire_beat(self):
+        """Let heartbeats and repeated chunks be due at the next tick (model checking)."""
+        for progress in self.progress_by_id.values():
+            progress.sent = NEVER
+            progress.chunk_sent = NEVER
+
+    def copy(self):
+        """Return an independent copy."""
+        other = type(self).__new__(type(self))
+        for name in Replica.__slots__:
+            setattr(other, name, getattr(self, name))
+        other.log = self.log.copy()
+        other.progress_by_id = {
+            peer: progress.copy() for peer, progress in self.progress_by_id.items()
+        }
+        return other
+
+    def key(self):
+        """Return the whole state as a hashable value; times are compared as they are."""
+        return (
+            self.identity,
+            self.term,
+            self.vote,
+            int(self.role),
+            self.leader,
+            self.commit,
+            self.durable,
+            self.log.key(),
+            self.votes,
+            self.heard,
+            self.deadline,
+            self.round,
+            self.confirmed,
+            self.transfer_to,
+            self.transfer_sent,
+            self.incoming,
+            tuple((peer, item.key()) for peer, item in self.progress_by_id.items()),
+        )
+
+    def _check_leading(self, *, transferring=False):
+        if self.role != Role.LEADER:
+            leader = self.leader.name if self.leader else ""
+            raise NotLeaderError(f"{self.identity.name} does not lead", leader=leader)
+        if self.transfer_to is not None and not transferring:
+            raise NotLeaderError(
+                f"{self.identity.name} hands leadership over", leader=self.transfer_to.name
+            )
+
+    def _commit_to(self, index, effects):
+        effects.committed.extend(self.log.between(self.commit + 1, index))
+        self.commit = index
+
+
+_HANDLER_BY_TYPE = {
+    VoteRequest: "_on_vote_request",
+    VoteReply: "_on_vote_reply",
+    AppendRequest: "_on_append_request",
+    AppendReply: "_on_append_reply",
+    SnapshotChunk: "_on_snapshot_chunk",
+    SnapshotReply: "_on_snapshot_reply",
+    TransferLeadership: "_on_transfer",
+}
--- /dev/null
+++ b/siskintally/replication.py
@@ -0,0 +1,202 @@
+"""Replication: what a leader sends and how it commits.
+
+>>> from siskintally.replication import Leading
+>>> Leading.__slots__
+()
+"""
+
+from xxhash import xxh64_intdigest
+
+from siskintally.election import NEVER, Role
+from siskintally.membership import quorum_value
+from siskintally.messages import AppendRequest, Envelope, SnapshotChunk, TransferLeadership
+from siskintally.progress import Progress
+
+
+class Leading:
+    """The part of a replica that acts while it leads."""
+
+    __slots__ = ()
+
+    @property
+    def is_settled(self):
+        """Whether the leader has committed an entry of its own term."""
+        return self.role == Role.LEADER and self.log.term_at(self.commit) == self.term
+
+    def _append(self, entry, effects):
+        self.log.append(entry)
+        effects.entries.append(entry)
+        effects.index = entry.index
+
+    def _track_members(self, now):
+        peers = {member.identity for member in self.log.members} - {self.identity}
+        kept = {}
+        for peer in sorted(peers):
+            progress = self.progress_by_id.get(peer)
+            kept[peer] = progress or Progress(next_index=self.log.last_index + 1, now=now)
+        self.progress_by_id = kept
+
+    def _send_all(self, now, effects):
+        for peer, progress in self.progress_by_id.items():
+            self._send_entries(peer, progress, now, effects)
+
+    def _send_entries(self, peer, progress, now, effects):
+        """Send what the peer lacks, up to the window of unanswered entries."""
+        if progress.next_index <= self.log.base_index:
+            self._send_chunk(peer, progress, now, effects)
+            return
+        while progress.next_index <= self.log.last_index:
+            if progress.match == 0:
+                # One batch at a time until the logs are known to match.
+                if progress.probed:
+                    return
+            elif progress.next_index - progress.match > self.timing.window_entries + 1:
+                return
+            progress.probed = True
+            entries = self.log.batch(
+                progress.next_index,
+                max_entries=self.timing.batch_entries,
+                max_bytes=self.timing.batch_bytes,
+            )
+            self._send_append(peer, progress, now, effects, entries)
+            progress.next_index += len(entries)
+
+    def _send_append(self, peer, progress, now, effects, entries=()):
+        prev_index = max(progress.next_index - 1, self.log.base_index)
+        request = AppendRequest(
+            term=self.term,
+            sender=self.identity,
+            prev_index=prev_index,
+            prev_term=self.log.term_at(prev_index),
+            commit=self.commit,
+            round=self.round,
+            entries=entries,
+        )
+        progress.sent = now
+        progress.sent_commit = self.commit
+        effects.messages.append(Envelope(to=peer, message=request))
+
+    def _send_chunk(self, peer, progress, now, effects):
+        snapshot = self.log.snapshot
+        if progress.chunk_index != snapshot.index:
+            progress.chunk_index = snapshot.index
+            progress.offset = 0
+        elif now - progress.chunk_sent < self.timing.election_min_s:
+            return
+        progress.chunk_sent = now
+        progress.sent = now
+        if self._checksum[0] != snapshot.index:
+            self._checksum = (snapshot.index, xxh64_intdigest(snapshot.data))
+        chunk = SnapshotChunk(
+            term=self.term,
+            sender=self.identity,
+            index=snapshot.index,
+            index_term=snapshot.term,
+            members=snapshot.members,
+            offset=progress.offset,
+            total=len(snapshot.data),
+            data=snapshot.data[progress.offset : progress.offset + self.timing.chunk_bytes],
+            checksum=self._checksum[1],
+        )
+        effects.messages.append(Envelope(to=peer, message=chunk))
+
+    def _on_append_reply(self, reply, now, effects):
+        progress = self._answering(reply, now)
+        if progress is None:
+            return
+        progress.round = max(progress.round, reply.round)
+        if not reply.accepted:
+            hint = min(progress.next_index, reply.match_index + 1)
+            progress.next_index = max(progress.match + 1, hint)
+        else:
+            progress.match = max(progress.match, reply.match_index)
+            progress.next_index = max(progress.next_index, progress.match + 1)
+        self._after_answer(reply.sender, progress, now, effects)
+
+    def _on_snapshot_reply(self, reply, now, effects):
+        progress = self._answering(reply, now)
+        if progress is None or progress.chunk_index == 0:
+            return
+        if not reply.index == progress.chunk_index == self.log.snapshot.index:
+            # The snapshot was replaced by a later one, whose size differs.
+            progress.chunk_sent = NEVER
+        elif reply.next_offset >= len(self.log.snapshot.data):
+            progress.match = max(progress.match, reply.index)
+            progress.next_index = progress.match + 1
+            progress.chunk_index = 0
+        elif reply.next_offset == progress.offset:
+            # A repeated answer; the chunk is on its way, or its timer sends it again.
+            return
+        else:
+            progress.offset = reply.next_offset
+            progress.chunk_sent = NEVER
+        self._after_answer(reply.sender, progress, now, effects)
+
+    def _answering(self, reply, now):
+        if self.role != Role.LEADER or reply.term != self.term:
+            return None
+        progress = self.progress_by_id.get(reply.sender)
+        if progress is not None:
+            progress.heard = now
+            progress.probed = False
+        return progress
+
+    def _after_answer(self, peer, progress, now, effects):
+        self._advance_commit(effects)
+        self._advance_round(effects)
+        self._send_entries(peer, progress, now, effects)
+        self._continue_transfer(effects)
+
+    def _advance_commit(self, effects):
+        matches = [
+            self.durable if voter == self.identity else self.progress_by_id[voter].match
+            for voter in self.voters
+        ]
+        reached = quorum_value(matches)
+        # An entry of an older term can still be overwritten, however many replicas hold it.
+        if reached > self.commit and self.log.term_at(reached) == self.term:
+            self._commit_to(reached, effects)
+
+    def _advance_round(self, effects):
+        if not self.is_settled:
+            return
+        rounds = [
+            self.round if voter == self.identity else self.progress_by_id[voter].round
+            for voter in self.voters
+        ]
+        reached = quorum_value(rounds)
+        if reached > self.confirmed:
+            self.confirmed = reached
+            effects.confirmed = reached
+
+    def _continue_transfer(self, effects):
+        target = self.transfer_to
+        if target is None or self.transfer_sent or target not in self.progress_by_id:
+            return
+        if self.progress_by_id[target].match == self.log.last_index:
+            self.transfer_sent = True
+            message = TransferLeadership(term=self.term, sender=self.identity.name)
+            effects.messages.append(Envelope(to=target, message=message))
+
+    def _tick_leader(self, now, effects):
+        heard = [
+            now if voter == self.identity else self.progress_by_id[voter].heard
+            for voter in self.voters
+        ]
+        if quorum_value(heard) <= now - self.timing.election_max_s:
+            self._follow(self.term, None, now, effects)
+            return
+        if self.transfer_to is not None and now >= self.deadline:
+            self.transfer_to = None
+            self.transfer_sent = False
+        for peer, progress in self.progress_by_id.items():
+            if now >= self._beat_at(progress):
+                self._send_append(peer, progress, now, effects)
+            if progress.next_index <= self.log.base_index:
+                self._send_chunk(peer, progress, now, effects)
+
+    def _beat_at(self, progress):
+        """Time of the next heartbeat: sooner while there is a commit that the peer lacks."""
+        if progress.sent_commit < self.commit or progress.match < self.log.last_index:
+            return progress.sent + self.timing.busy_beat_s
+        return progress.sent + self.timing.idle_beat_s
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,550 @@
+"""Consensus core under virtual time: elections, replication, snapshots, membership, schedules."""
+
+from random import Random
+
+import pytest
+
+from siskintally.errors import BadRequestError, NotLeaderError
+from siskintally.membership import admit, promote
+from siskintally.messages import (
+    AppendReply,
+    AppendRequest,
+    Identity,
+    Kind,
+    Member,
+    TransferLeadership,
+    VoteReply,
+    VoteRequest,
+    voters_of,
+)
+from siskintally.replica import Replica, Stable, Timing, founding_state
+
+NAMES = ("a", "b", "c")
+SMALL = Timing(chunk_bytes=7, batch_entries=3, window_entries=6)
+
+
+class Node:
+    """A replica with its disk, its machine (a list of commands) and the rules it must obey."""
+
+    def __init__(self, net, identity, stable):
+        self.net = net
+        self.identity = identity
+        self.disk = stable
+        self.replica = None
+        self.start()
+
+    def start(self):
+        self.replica = Replica(
+            identity=self.identity,
+            stable=self.disk,
+            timing=SMALL,
+            timeout=lambda: self.net.random.uniform(1.0, 2.0),
+            now=self.net.now,
+        )
+        data = self.disk.snapshot.data
+        self.state = data.decode().split(",") if data else []
+        self.applied = self.disk.snapshot.index
+        self.reads = {}
+
+    def do(self, method, *arguments, sync=True, **options):
+        """Run a transition; without ``sync`` the node crashes before its disk has it."""
+        effects = getattr(self.replica, method)(*arguments, **options)
+        if not sync:
+            self.start()
+            return effects
+        last = (self.replica.log.last_index, self.replica.log.last_term)
+        self.disk = self.replica.stable
+        for envelope in effects.messages:
+            self.net.post(self.identity, envelope)
+        self._apply(effects)
+        if effects.must_sync:
+            self._apply(self.replica.synced(*last, self.net.now))
+        self.net.check(self)
+        return effects
+
+    def _apply(self, effects):
+        if effects.restore is not None:
+            data = effects.restore.data
+            self.state = data.decode().split(",") if data else []
+            self.applied = effects.restore.index
+        for entry in effects.committed:
+            assert entry.index == self.applied + 1
+            self.applied = entry.index
+            if entry.kind == Kind.COMMAND:
+                self.state.append(entry.command.decode())
+            self.net.note_committed(self, entry)
+        if effects.confirmed:
+            for round_, floor in list(self.reads.items()):
+                if round_ <= effects.confirmed:
+                    del self.reads[round_]
+                    assert self.applied >= floor, "a read missed a commit that preceded it"
+
+
+class Net:
+    """Nodes, messages in flight, and the record of everything that was ever committed."""
+
+    def __init__(self, seed=0, names=NAMES):
+        self.random = Random(seed)
+        self.now = 0.0
+        self.flight = []
+        self.committed = {}
+        self.state_at = {}
+        self.leader_of_term = {}
+        self.cut = set()
+        ids = [Identity(name, f"{name}0") for name in names]
+        self.nodes = {i.name: Node(self, i, founding_state(ids)) for i in ids}
+
+    def post(self, sender, envelope):
+        self.flight.append((sender.name, envelope.to.name, envelope.message))
+
+    def deliver(self, position=0, *, sync=True):
+        sender, to, message = self.flight.pop(position)
+        if to in self.nodes and not {sender, to} & self.cut:
+            self.nodes[to].do("receive", message, self.now, sync=sync)
+
+    def settle(self):
+        for _ in range(10000):
+            if not self.flight:
+                return
+            self.deliver()
+        raise AssertionError("messages never end")
+
+    def run(self, seconds, step=0.05):
+        for _ in range(round(seconds / step)):
+            self.now += step
+            for node in self.nodes.values():
+                if node.identity.name not in self.cut:
+                    node.do("tick", self.now)
+            self.settle()
+
+    def elect(self, name):
+        for _ in range(20):
+            self.nodes[name].replica.expire_election()
+            for node in self.nodes.values():
+                node.replica.heard = float("-inf")
+            self.nodes[name].do("tick", self.now)
+            self.settle()
+            if self.nodes[name].replica.is_leader:
+                return self.nodes[name]
+        raise AssertionError("not elected")
+
+    def leaders(self):
+        return [node for node in self.nodes.values() if node.replica.is_leader]
+
+    def wipe(self, name):
+        """Replace a disk with an empty one, which has a new incarnation."""
+        fresh = Identity(name, f"{name}{self.random.getrandbits(40):x}")
+        self.nodes[name] = Node(self, fresh, Stable())
+        return fresh
+
+    def note_committed(self, node, entry):
+        known = self.committed.setdefault(entry.index, entry)
+        assert known == entry, f"two entries committed at {entry.index}: {known} {entry}"
+        state = tuple(node.state)
+        assert self.state_at.setdefault(entry.index, state) == state, "machines differ"
+
+    def check(self, node):
+        replica = node.replica
+        if not replica.is_leader:
+            return
+        first = self.leader_of_term.setdefault(replica.term, node.identity)
+        assert first == node.identity, f"two leaders in term {replica.term}"
+        for index, entry in self.committed.items():
+            if entry.term < replica.term and index > replica.log.base_index:
+                assert replica.log.term_at(index) == entry.term, f"leader lacks entry {index}"
+
+    def check_logs_match(self):
+        logs = [node.replica.log for node in self.nodes.values()]
+        for one in logs:
+            for other in logs:
+                low = max(one.base_index, other.base_index)
+                common = [
+                    index
+                    for index in range(low + 1, min(one.last_index, other.last_index) + 1)
+                    if one.term_at(index) == other.term_at(index)
+                ]
+                if common:
+                    last = common[-1]
+                    assert one.between(low + 1, last) == other.between(low + 1, last)
+
+
+def test_one_leader_is_elected_and_keeps_the_lead():
+    """Guards against elections that never end or that unseat a live leader."""
+    net = Net(seed=1)
+    net.run(6)
+    (leader,) = net.leaders()
+    term = leader.replica.term
+    net.run(20)
+    assert [node.identity for node in net.leaders()] == [leader.identity]
+    assert leader.replica.term == term
+
+
+def test_idle_group_sends_few_messages():
+    """Guards the control budget: 2 heartbeats a second to each follower, and their replies."""
+    net = Net(seed=1)
+    net.run(8)
+    sent = 0
+    for _ in range(200):
+        net.now += 0.05
+        for node in net.nodes.values():
+            node.do("tick", net.now)
+        sent += len(net.flight)
+        net.settle()
+    assert sent <= 10 * 2 * 2
+
+
+def test_entry_of_an_older_term_is_not_committed_by_counting():
+    """Guards against the loss of a committed entry that an older leader replicated (Raft, 5.4.2)."""
+    net = Net()
+    a = net.elect("a")
+    net.cut = {"c"}
+    a.do("propose", b"x", net.now)
+    net.flight.clear()
+    index = a.replica.log.last_index
+    a.replica.term += 1
+    a.replica.progress_by_id[net.nodes["b"].identity].match = index
+    a.do("synced", index, a.replica.log.last_term, net.now)
+    assert a.replica.commit < index
+
+
+def test_leader_cut_from_its_quorum_steps_down_and_its_reads_fail():
+    """Guards against stale reads by a leader that another one has replaced."""
+    net = Net(seed=3)
+    a = net.elect("a")
+    net.cut = {"a"}
+    effects = a.do("confirm", net.now)
+    assert effects.round == 1 and effects.confirmed == 0
+    net.flight.clear()
+    net.now += 2.1
+    a.do("tick", net.now)
+    assert not a.replica.is_leader
+    with pytest.raises(NotLeaderError):
+        a.do("propose", b"x", net.now)
+
+
+def test_read_round_counts_only_answers_to_messages_sent_after_it():
+    """Guards against a read that is confirmed by answers from before another election."""
+    net = Net()
+    a = net.elect("a")
+    b = net.nodes["b"].identity
+    a.do("confirm", net.now)
+    net.flight.clear()
+    old = AppendReply(term=a.replica.term, sender=b, accepted=True, match_index=2, round=0)
+    assert a.do("receive", old, net.now).confirmed == 0
+    assert a.do("receive", old._replace(round=1), net.now).confirmed == 1
+
+
+def test_isolated_voter_does_not_raise_terms():
+    """Guards against a returning voter that unseats the leader with a higher term (pre-vote)."""
+    net = Net(seed=5)
+    leader = net.elect("a")
+    net.cut = {"c"}
+    net.run(15)
+    net.cut = set()
+    net.run(5)
+    assert leader.replica.is_leader
+    assert net.nodes["c"].replica.term == leader.replica.term
+
+
+def test_vote_request_is_ignored_while_the_leader_is_heard():
+    """Guards against disruption by a removed member that still asks for votes."""
+    net = Net()
+    net.elect("a")
+    b = net.nodes["b"]
+    b.replica.heard = net.now
+    request = VoteRequest(b.replica.term + 5, Identity("c", "c0"), 99, 99, pre_vote=False)
+    b.do("receive", request, net.now)
+    assert b.replica.term < request.term and not net.flight
+
+
+def test_vote_is_counted_only_from_the_identity_that_is_a_voter():
+    """Guards against votes of an empty disk under the name of a voter, and of learners."""
+    net = Net()
+    a = net.nodes["a"]
+    a.replica.expire_election()
+    a.do("tick", net.now)
+    net.flight.clear()
+    term = a.replica.term
+    for sender in (Identity("b", "other"), Identity("z", "z0")):
+        a.do("receive", VoteReply(term + 1, sender, granted=True, pre_vote=True), net.now)
+    assert a.replica.term == term
+    a.do("receive", VoteReply(term + 1, Identity("b", "b0"), True, pre_vote=True), net.now)
+    assert a.replica.term == term + 1
+
+
+def test_one_vote_in_a_term():
+    """Guards against two leaders in a term through a voter that votes twice, also over a restart."""
+    net = Net()
+    b = net.nodes["b"]
+    ask = VoteRequest(5, Identity("a", "a0"), 9, 9, pre_vote=False)
+    assert b.do("receive", ask, net.now).messages[0].message.granted
+    b.start()
+    other = ask._replace(sender=Identity("c", "c0"))
+    assert not b.do("receive", other, net.now).messages[0].message.granted
+    assert b.do("receive", ask, net.now).messages[0].message.granted
+
+
+def test_learner_is_not_counted():
+    """Guards against a commit that only a minority of the voters holds."""
+    net = Net()
+    a = net.elect("a")
+    learner = Identity("d", "d0")
+    a.do("propose_members", admit(a.replica.log.members, learner), net.now)
+    net.settle()
+    net.cut = {"b", "c"}
+    a.do("propose", b"x", net.now)
+    net.flight.clear()
+    index = a.replica.log.last_index
+    reply = AppendReply(a.replica.term, learner, True, match_index=index, round=9)
+    a.do("receive", reply, net.now)
+    assert a.replica.commit < index and a.replica.confirmed == 0
+
+
+def test_member_changes_are_single_steps_after_the_first_commit():
+    """Guards against disjoint quorums of two member sets."""
+    net = Net()
+    net.cut = {"b", "c"}
+    a = net.elect_alone = net.nodes["a"]
+    a.replica.expire_election()
+    a.do("tick", net.now)
+    net.cut = set()
+    net.settle()
+    if not a.replica.is_leader:
+        a = net.elect("a")
+    members = a.replica.log.members
+    without_b = tuple(member for member in members if member.identity.name != "b")
+    with pytest.raises(BadRequestError, match="voters differ"):
+        a.do("propose_members", without_b[:1], net.now)
+    with pytest.raises(BadRequestError, match="leader must stay"):
+        a.do("propose_members", members[1:], net.now)
+    a.do("propose_members", without_b, net.now)
+    with pytest.raises(BadRequestError, match="previous change"):
+        a.do("propose_members", members, net.now)
+    net.settle()
+    a.do("propose_members", members, net.now)
+
+
+def test_member_change_waits_for_a_commit_of_the_term():
+    """Guards against the known flaw of single-server changes by two successive leaders."""
+    net = Net()
+    a = net.nodes["a"]
+    a.replica.expire_election()
+    a.do("tick", net.now)
+    while not a.replica.is_leader:
+        net.deliver()
+    with pytest.raises(BadRequestError, match="no entry of the present term"):
+        a.do("propose_members", a.replica.log.members, net.now)
+
+
+def test_empty_disk_rejoins_in_single_steps():
+    """Guards against a voter that forgot its vote: the old incarnation is removed first."""
+    net = Net(seed=8)
+    a = net.elect("a")
+    for number in range(10):
+        a.do("propose", b"%d" % number, net.now)
+        net.settle()
+    a.do("compact", a.applied, ",".join(a.state).encode())
+    fresh = net.wipe("c")
+    a.do("propose_members", admit(a.replica.log.members, fresh), net.now)
+    net.run(4)
+    assert net.nodes["c"].state == a.state
+    voter_sets = []
+    while Member(fresh, True) not in a.replica.log.members:
+        a.do("propose_members", promote(a.replica.log.members, fresh), net.now)
+        net.run(1)
+        voter_sets.append([voter.name for voter in a.replica.voters])
+    assert voter_sets == [["a", "b"], ["a", "b", "c"]]
+    net.cut = {"b"}
+    a.do("propose", b"after", net.now)
+    net.settle()
+    assert a.state[-1] == "after"
+
+
+def test_snapshot_is_installed_in_chunks_despite_loss():
+    """Guards against a follower that never catches up or installs a mixed snapshot."""
+    net = Net(seed=9)
+    a = net.elect("a")
+    net.cut = {"c"}
+    for number in range(30):
+        a.do("propose", b"n%d" % number, net.now)
+        net.settle()
+    a.do("compact", a.applied, ",".join(a.state).encode())
+    net.cut = set()
+    for _ in range(3000):
+        net.now += 0.02
+        for node in net.nodes.values():
+            node.do("tick", net.now)
+        while net.flight:
+            if net.random.random() < 0.2:
+                net.flight.pop(0)
+            else:
+                net.deliver()
+        if net.nodes["c"].state == a.state:
+            break
+    assert net.nodes["c"].state == a.state
+    assert net.nodes["c"].replica.log.snapshot == a.replica.log.snapshot
+
+
+def test_transfer_moves_the_lead_to_an_up_to_date_voter():
+    """Guards against a planned stop that waits for an election timeout."""
+    net = Net(seed=2)
+    a = net.elect("a")
+    a.do("propose", b"x", net.now)
+    a.do("transfer", net.now)
+    with pytest.raises(NotLeaderError):
+        a.do("propose", b"y", net.now)
+    sent = [message for _, _, message in net.flight if isinstance(message, TransferLeadership)]
+    assert not sent, "no voter has the last entry yet"
+    net.settle()
+    (leader,) = net.leaders()
+    assert leader is not a and leader.state[-1] == "x"
+
+
+def test_transfer_ends_if_the_target_does_not_take_over():
+    """Guards against a leader that refuses proposals forever."""
+    net = Net(seed=2)
+    a = net.elect("a")
+    a.do("transfer", net.now)
+    net.flight.clear()
+    net.now += 1.1
+    a.do("tick", net.now)
+    a.do("propose", b"y", net.now)
+
+
+def test_append_does_not_remove_entries_that_it_lacks():
+    """Guards against the loss of acknowledged entries through a late, shorter append."""
+    net = Net()
+    a = net.elect("a")
+    b = net.nodes["b"]
+    a.do("propose", b"x", net.now)
+    (late,) = [m for _, to, m in net.flight if to == "b" and isinstance(m, AppendRequest)]
+    net.settle()
+    a.do("propose", b"y", net.now)
+    net.settle()
+    last = b.replica.log.last_index
+    b.do("receive", late, net.now)
+    assert b.replica.log.last_index == last
+
+
+def test_copy_and_key_describe_the_whole_state():
+    """Guards the model checker: a copy is independent and equal keys mean equal states."""
+    net = Net()
+    a = net.elect("a")
+    copy = a.replica.copy()
+    assert copy.key() == a.replica.key() and hash(copy.key()) == hash(a.replica.key())
+    a.do("propose", b"x", net.now)
+    assert copy.key() != a.replica.key()
+
+
+SCHEDULES = [(seed, 2500) for seed in range(30)]
+
+
+@pytest.mark.parametrize(("seed", "steps"), SCHEDULES)
+def test_random_schedule(seed, steps):
+    """Guards election safety, log matching, leader completeness, machine equality and reads."""
+    print(f"seed {seed}, {steps} steps")
+    net = Net(seed=seed)
+    random = net.random
+    for step in range(steps):
+        _random_step(net, random, step)
+        if step % 50 == 0:
+            net.check_logs_match()
+    net.cut = set()
+    net.flight.clear()
+    net.run(30)
+    (leader,) = net.leaders()
+    _rejoin_all(net)
+    leader = net.leaders()[0]
+    leader.do("propose", b"last", net.now)
+    net.run(3)
+    states = {tuple(node.state) for node in net.nodes.values()}
+    assert len(states) == 1 and states.pop()[-1] == "last"
+    assert len(net.committed) > 20
+
+
+def _random_step(net, random, step):
+    node = net.nodes[random.choice(NAMES)]
+    roll = random.random()
+    if net.flight and roll < 0.62:
+        _random_delivery(net, random)
+    elif roll < 0.80:
+        net.now += random.choice((0.01, 0.05, 0.3))
+        node.do("tick", net.now, sync=random.random() > 0.02)
+    elif roll < 0.90:
+        _random_call(net, random, node, step)
+    elif roll < 0.92:
+        node.start()
+    elif roll < 0.94:
+        net.cut = set(random.sample(NAMES, random.choice((0, 0, 1))))
+    elif roll < 0.955 and random.random() < 0.2:
+        _random_wipe(net, random)
+    elif roll < 0.97:
+        _admit_step(net)
+
+
+def _random_delivery(net, random):
+    position = random.randrange(len(net.flight)) if random.random() < 0.3 else 0
+    roll = random.random()
+    if roll < 0.08:
+        net.flight.pop(position)
+    elif roll < 0.13:
+        net.flight.insert(random.randrange(len(net.flight) + 1), net.flight[position])
+    else:
+        net.deliver(position, sync=random.random() > 0.02)
+
+
+def _random_call(net, random, node, step):
+    sync = random.random() > 0.05
+    try:
+        call = random.choice(("propose", "propose", "propose", "confirm", "transfer", "compact"))
+        if call == "propose":
+            node.do("propose", b"%d" % step, net.now, sync=sync)
+        elif call == "confirm":
+            effects = node.replica.copy().confirm(net.now)
+            node.reads[effects.round] = max(net.committed, default=0)
+            node.do("confirm", net.now)
+        elif call == "transfer" and random.random() < 0.1:
+            node.do("transfer", net.now)
+        elif call == "compact":
+            data = ",".join(node.state).encode()
+            node.do("compact", node.applied, data, keep=random.choice((0, 2)), sync=sync)
+    except NotLeaderError:
+        pass
+
+
+def _random_wipe(net, random):
+    """Lose a disk, if the voters that remain can still elect a leader."""
+    for leader in net.leaders():
+        present = {node.identity for node in net.nodes.values()}
+        voters = set(leader.replica.voters)
+        others = [name for name in NAMES if name != leader.identity.name]
+        if leader.replica.is_settled and voters == present:
+            net.wipe(random.choice(others))
+            return
+
+
+def _admit_step(net):
+    for leader in net.leaders():
+        members = leader.replica.log.members
+        known = {member.identity for member in members}
+        for node in net.nodes.values():
+            if node.identity in voters_of(members):
+                continue
+            progress = leader.replica.progress_by_id.get(node.identity)
+            change = admit(members, node.identity)
+            if node.identity in known:
+                if progress.match < leader.replica.commit:
+                    continue
+                change = promote(members, node.identity)
+            try:
+                leader.do("propose_members", change, net.now)
+            except (BadRequestError, NotLeaderError):
+                continue
+            return
+
+
+def _rejoin_all(net):
+    for _ in range(10):
+        _admit_step(net)
+        net.run(3)
+    assert len(net.leaders()) == 1
