Add docstrings to the test net of the consensus core

The linter asks for docstrings on public methods in test files as well, and two docstrings were longer than 100 characters.

--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -34,6 +34,7 @@
         self.start()
 
     def start(self):
+        """Start, or restart after a crash, from the disk."""
         self.replica = Replica(
             identity=self.identity,
             stable=self.disk,
@@ -95,14 +96,17 @@
         self.nodes = {i.name: Node(self, i, founding_state(ids)) for i in ids}
 
     def post(self, sender, envelope):
+        """Put a message in flight."""
         self.flight.append((sender.name, envelope.to.name, envelope.message))
 
     def deliver(self, position=0, *, sync=True):
+        """Deliver a message in flight."""
         sender, to, message = self.flight.pop(position)
         if to in self.nodes and not {sender, to} & self.cut:
             self.nodes[to].do("receive", message, self.now, sync=sync)
 
     def settle(self):
+        """Deliver until nothing is in flight."""
         for _ in range(10000):
             if not self.flight:
                 return
@@ -110,6 +114,7 @@
         raise AssertionError("messages never end")
 
     def run(self, seconds, step=0.05):
+        """Let virtual time pass."""
         for _ in range(round(seconds / step)):
             self.now += step
             for node in self.nodes.values():
@@ -118,6 +123,7 @@
             self.settle()
 
     def elect(self, name):
+        """Make a node the leader."""
         for _ in range(20):
             self.nodes[name].replica.expire_election()
             for node in self.nodes.values():
@@ -129,6 +135,7 @@
         raise AssertionError("not elected")
 
     def leaders(self):
+        """Return the nodes that lead as far as they know."""
         return [node for node in self.nodes.values() if node.replica.is_leader]
 
     def wipe(self, name):
@@ -138,12 +145,14 @@
         return fresh
 
     def note_committed(self, node, entry):
+        """Check state machine safety."""
         known = self.committed.setdefault(entry.index, entry)
         assert known == entry, f"two entries committed at {entry.index}: {known} {entry}"
         state = tuple(node.state)
         assert self.state_at.setdefault(entry.index, state) == state, "machines differ"
 
     def check(self, node):
+        """Check election safety and leader completeness."""
         replica = node.replica
         if not replica.is_leader:
             return
@@ -154,6 +163,7 @@
                 assert replica.log.term_at(index) == entry.term, f"leader lacks entry {index}"
 
     def check_logs_match(self):
+        """Check log matching for each pair of logs."""
         logs = [node.replica.log for node in self.nodes.values()]
         for one in logs:
             for other in logs:
@@ -194,7 +204,7 @@
 
 
 def test_entry_of_an_older_term_is_not_committed_by_counting():
-    """Guards against the loss of a committed entry that an older leader replicated (Raft, 5.4.2)."""
+    """Guards against the loss of a committed entry of an older leader (Raft, 5.4.2)."""
     net = Net()
     a = net.elect("a")
     net.cut = {"c"}
@@ -273,7 +283,7 @@
 
 
 def test_one_vote_in_a_term():
-    """Guards against two leaders in a term through a voter that votes twice, also over a restart."""
+    """Guards against two leaders in a term through a voter that votes again after a restart."""
     net = Net()
     b = net.nodes["b"]
     ask = VoteRequest(5, Identity("a", "a0"), 9, 9, pre_vote=False)
@@ -304,7 +314,7 @@
     """Guards against disjoint quorums of two member sets."""
     net = Net()
     net.cut = {"b", "c"}
-    a = net.elect_alone = net.nodes["a"]
+    a = net.nodes["a"]
     a.replica.expire_election()
     a.do("tick", net.now)
     net.cut = set()
