Add the request ledger

Non-idempotent requests need at-most-once execution across entries. The ledger grants a key to one attempt, keeps answers for 24 h, remembers released attempts, and refuses new keys when full.

--- /dev/null
+++ b/siskintally/ledger.py
@@ -0,0 +1,309 @@
+"""Ledger of non-idempotent requests: every key is granted to one attempt at a time.
+
+>>> from siskintally.ledger import Ledger
+>>> from siskintally.wire_pb2 import LedgerBegin, LedgerBeginReply
+>>> ledger = Ledger()
+>>> order = LedgerBegin(key="dk/17", caller="shop", digest=b"d", attempt="e1-1")
+>>> LedgerBeginReply.Verdict.Name(ledger.begin(order, 0.0).verdict)
+'GRANTED'
+>>> resend = LedgerBegin(key="dk/17", caller="shop", digest=b"d", attempt="e2-1")
+>>> LedgerBeginReply.Verdict.Name(ledger.begin(resend, 1.0).verdict)
+'IN_PROGRESS'
+"""
+
+from hashlib import blake2b, sha256
+
+from google.protobuf.message import DecodeError
+
+from siskintally.codes import Code
+from siskintally.errors import DamagedDataError, RefusedError
+from siskintally.ledger_state_pb2 import LedgerGeneration, LedgerState
+from siskintally.wire_pb2 import Done, LedgerBeginReply, StoredAnswer
+
+RETENTION_S = 86_400.0
+BODY_LIMIT_BYTES = 16_384
+# 20,000 orders an hour for 24 h are 480,000 records; the rest is for released attempts.
+CAPACITY_RECORDS = 600_000
+CAPACITY_ANSWER_BYTES = 96 * 1024 * 1024
+GENERATIONS = 24
+
+# CPython stores a bytes object of up to 15 bytes in a 48-byte block and a longer one in 64.
+FINGERPRINT_BYTES = 15
+ATTEMPT_BYTES = 14
+REQUEST_BYTES = 16
+HEAD_BYTES = 1 + ATTEMPT_BYTES + REQUEST_BYTES
+
+RUNNING = 1
+ANSWERED = 2
+UNKNOWN = 3
+TOMBSTONE = b""
+
+_Verdict = LedgerBeginReply.Verdict
+
+
+def _hash(size, *parts):
+    digest = blake2b(digest_size=size)
+    for part in parts:
+        data = part if isinstance(part, bytes) else part.encode()
+        digest.update(len(data).to_bytes(4, "big"))
+        digest.update(data)
+    return digest.digest()
+
+
+def _key_print(key):
+    return _hash(FINGERPRINT_BYTES, b"key", key)
+
+
+def _tombstone_print(key, attempt):
+    return _hash(FINGERPRINT_BYTES, b"tombstone", key, attempt)
+
+
+class _Generation:
+    """Records whose last change lies in one interval of time; expires as a whole."""
+
+    __slots__ = ("record_by_print", "until")
+
+    def __init__(self, *, until, record_by_print):
+        self.until = until
+        self.record_by_print = record_by_print
+
+
+class Ledger:
+    """Records of keys and released attempts; a part of the state of a domain group.
+
+    A record is one bytes object: state, fingerprint of the attempt that holds the key, fingerprint
+    of the request (digest and caller), serialized StoredAnswer. The times passed in must come from
+    the replicated log; a time lower than an earlier one counts as the earlier one.
+
+    :param retention_s: how long a record is kept after its last change, seconds. It is dropped at
+        most 1/24 of that later.
+    :param body_limit: longest response body that is stored, bytes; of a longer one the digest.
+    :param capacity: number of records at which new keys are refused.
+    :param capacity_bytes: size of the stored answers at which new keys are refused, bytes.
+    """
+
+    __slots__ = (
+        "_answer_bytes",
+        "_body_limit",
+        "_capacity",
+        "_capacity_bytes",
+        "_count",
+        "_generations",
+        "_now",
+        "_retention_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        retention_s=RETENTION_S,
+        body_limit=BODY_LIMIT_BYTES,
+        capacity=CAPACITY_RECORDS,
+        capacity_bytes=CAPACITY_ANSWER_BYTES,
+    ):
+        self._retention_s = retention_s
+        self._body_limit = body_limit
+        self._capacity = capacity
+        self._capacity_bytes = capacity_bytes
+        self._reset()
+
+    def __len__(self):
+        return self._count
+
+    @property
+    def answer_bytes(self):
+        """Size of the stored answers, bytes."""
+        return self._answer_bytes
+
+    def begin(self, message, now):
+        """Grant a key to an attempt, or tell what is known about the key.
+
+        The attempt that holds the key is granted again, because its first reply may have been
+        lost; an entry dispatches an attempt at most once, whatever number of replies it gets.
+
+        :param message: a LedgerBegin.
+        :param now: seconds.
+        :returns: a LedgerBeginReply.
+        :raises RefusedError: OVERLOADED, the ledger is full and the key is new; nothing changed.
+        """
+        self.expire(now)
+        if self._find(_tombstone_print(message.key, message.attempt)) is not None:
+            return LedgerBeginReply(verdict=_Verdict.RELEASED)
+        key = _key_print(message.key)
+        attempt = _hash(ATTEMPT_BYTES, message.attempt)
+        request = _hash(REQUEST_BYTES, message.digest, message.caller)
+        record = self._find(key)
+        if record is not None:
+            return _known(record, attempt, request)
+        self._check_capacity()
+        self._put(key, bytes([RUNNING]) + attempt + request)
+        return LedgerBeginReply(verdict=_Verdict.GRANTED)
+
+    def finish(self, message, now):
+        """Store the answer of the attempt that holds the key, or that its outcome is unknown.
+
+        The first finish of the holding attempt counts; any other changes nothing.
+
+        :param message: a LedgerFinish.
+        :param now: seconds.
+        """
+        self.expire(now)
+        key = _key_print(message.key)
+        record = self._find(key)
+        if self._holds(record, message.attempt) and record[0] == RUNNING:
+            state, answer = UNKNOWN, b""
+            if not message.unknown:
+                state, answer = ANSWERED, self._pack(message.answer)
+            self._put(key, bytes([state]) + record[1:HEAD_BYTES] + answer)
+        return Done()
+
+    def release(self, message, now):
+        """Give back a key whose request was not sent; the attempt can never be granted again.
+
+        :param message: a LedgerRelease; may arrive before the begin of its attempt.
+        :param now: seconds.
+        :raises RefusedError: OVERLOADED, the ledger is full and the attempt holds no key.
+        """
+        self.expire(now)
+        key = _key_print(message.key)
+        tombstone = _tombstone_print(message.key, message.attempt)
+        record = self._find(key)
+        if self._holds(record, message.attempt):
+            if record[0] == RUNNING:
+                self._drop(key)
+                self._put(tombstone, TOMBSTONE)
+        elif self._find(tombstone) is None:
+            self._check_capacity()
+            self._put(tombstone, TOMBSTONE)
+        return Done()
+
+    def expire(self, now):
+        """Drop the records whose last change is longer ago than the retention.
+
+        :param now: seconds.
+        """
+        self._now = max(self._now, now)
+        while self._generations and self._generations[0].until + self._retention_s <= self._now:
+            old = self._generations.pop(0)
+            self._count -= len(old.record_by_print)
+            self._answer_bytes -= _answer_size(old.record_by_print.values())
+
+    def snapshot(self):
+        """Return the state as bytes, equal for equal states."""
+        state = LedgerState(now=self._now)
+        for generation in self._generations:
+            items = sorted(generation.record_by_print.items())
+            state.generations.append(
+                LedgerGeneration(
+                    until=generation.until,
+                    fingerprints=b"".join(item[0] for item in items),
+                    records=[item[1] for item in items],
+                )
+            )
+        return state.SerializeToString(deterministic=True)
+
+    def restore(self, data):
+        """Replace the state with a snapshot.
+
+        :raises DamagedDataError: the data is no snapshot of a ledger; nothing changed.
+        """
+        try:
+            state = LedgerState.FromString(data)
+            generations = [_unpack(generation) for generation in state.generations]
+        except (DecodeError, ValueError) as error:
+            raise DamagedDataError(f"ledger snapshot: {error}") from error
+        self._reset()
+        self._now = state.now
+        self._generations = generations
+        for generation in generations:
+            self._count += len(generation.record_by_print)
+            self._answer_bytes += _answer_size(generation.record_by_print.values())
+
+    def key(self):
+        """Return the state as a hashable value, equal for equal states."""
+        return self._now, tuple(
+            (generation.until, frozenset(generation.record_by_print.items()))
+            for generation in self._generations
+        )
+
+    def _reset(self):
+        self._now = 0.0
+        self._generations = []
+        self._count = 0
+        self._answer_bytes = 0
+
+    def _check_capacity(self):
+        if self._count >= self._capacity:
+            raise RefusedError(f"ledger holds {self._count} records", code=Code.OVERLOADED)
+        if self._answer_bytes >= self._capacity_bytes:
+            raise RefusedError(
+                f"ledger holds {self._answer_bytes} bytes of answers", code=Code.OVERLOADED
+            )
+
+    def _holds(self, record, attempt):
+        if record is None:
+            return False
+        return record[1 : 1 + ATTEMPT_BYTES] == _hash(ATTEMPT_BYTES, attempt)
+
+    def _find(self, fingerprint):
+        for generation in reversed(self._generations):
+            record = generation.record_by_print.get(fingerprint)
+            if record is not None:
+                return record
+        return None
+
+    def _drop(self, fingerprint):
+        for generation in reversed(self._generations):
+            record = generation.record_by_print.pop(fingerprint, None)
+            if record is not None:
+                self._count -= 1
+                self._answer_bytes -= _answer_size((record,))
+                return
+
+    def _put(self, fingerprint, record):
+        self._drop(fingerprint)
+        if not self._generations or self._generations[-1].until <= self._now:
+            until = self._now + self._retention_s / GENERATIONS
+            self._generations.append(_Generation(until=until, record_by_print={}))
+        self._generations[-1].record_by_print[fingerprint] = record
+        self._count += 1
+        self._answer_bytes += _answer_size((record,))
+
+    def _pack(self, answer):
+        stored = StoredAnswer(status=answer.status, content_type=answer.content_type)
+        if len(answer.body) <= self._body_limit and (answer.body_kept or not answer.body_digest):
+            stored.body = answer.body
+            stored.body_kept = True
+        else:
+            stored.body_digest = answer.body_digest or sha256(answer.body).digest()
+        return stored.SerializeToString(deterministic=True)
+
+
+def _known(record, attempt, request):
+    if record[1 + ATTEMPT_BYTES : HEAD_BYTES] != request:
+        return LedgerBeginReply(verdict=_Verdict.CONFLICT)
+    if record[0] == ANSWERED:
+        answer = StoredAnswer.FromString(record[HEAD_BYTES:])
+        return LedgerBeginReply(verdict=_Verdict.REPLAYED, answer=answer)
+    if record[0] == UNKNOWN:
+        return LedgerBeginReply(verdict=_Verdict.UNKNOWN)
+    same = record[1 : 1 + ATTEMPT_BYTES] == attempt
+    return LedgerBeginReply(verdict=_Verdict.GRANTED if same else _Verdict.IN_PROGRESS)
+
+
+def _answer_size(records):
+    return sum(max(0, len(record) - HEAD_BYTES) for record in records)
+
+
+def _unpack(generation):
+    data = generation.fingerprints
+    if len(data) != len(generation.records) * FINGERPRINT_BYTES:
+        raise ValueError(f"{len(data)} bytes of fingerprints, {len(generation.records)} records")
+    for record in generation.records:
+        if record != TOMBSTONE and (len(record) < HEAD_BYTES or record[0] not in (1, 2, 3)):
+            raise ValueError(f"record of {len(record)} bytes")
+    prints = (data[at : at + FINGERPRINT_BYTES] for at in range(0, len(data), FINGERPRINT_BYTES))
+    return _Generation(
+        until=generation.until,
+        record_by_print=dict(zip(prints, generation.records, strict=True)),
+    )
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,179 @@
+"""Ledger: verdicts, late messages, bounds, snapshots."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskintally.codes import Code
+from siskintally.errors import DamagedDataError, RefusedError
+from siskintally.ledger import Ledger
+from siskintally.wire_pb2 import (
+    LedgerBegin,
+    LedgerBeginReply,
+    LedgerFinish,
+    LedgerRelease,
+    StoredAnswer,
+)
+
+V = LedgerBeginReply.Verdict
+ANSWER = StoredAnswer(status=201, content_type="text/plain", body=b"ticket 9", body_kept=True)
+
+
+def begin(ledger, attempt, *, key="k", caller="shop", digest=b"d", now=0.0):
+    message = LedgerBegin(key=key, caller=caller, digest=digest, attempt=attempt)
+    return ledger.begin(message, now).verdict
+
+
+def finish(ledger, attempt, *, key="k", unknown=False, answer=ANSWER, now=0.0):
+    message = LedgerFinish(key=key, attempt=attempt, unknown=unknown)
+    if not unknown:
+        message.answer.CopyFrom(answer)
+    ledger.finish(message, now)
+
+
+def release(ledger, attempt, *, key="k", now=0.0):
+    ledger.release(LedgerRelease(key=key, attempt=attempt), now)
+
+
+def test_key_is_granted_to_one_attempt_and_its_answer_replayed():
+    ledger = Ledger()
+    assert begin(ledger, "a") == V.GRANTED
+    assert begin(ledger, "a") == V.GRANTED
+    assert begin(ledger, "b") == V.IN_PROGRESS
+    finish(ledger, "a")
+    reply = ledger.begin(LedgerBegin(key="k", caller="shop", digest=b"d", attempt="b"), 0.0)
+    assert (reply.verdict, reply.answer) == (V.REPLAYED, ANSWER)
+    assert begin(ledger, "a") == V.REPLAYED
+
+
+@pytest.mark.parametrize("field", [{"caller": "other"}, {"digest": b"e"}])
+def test_same_key_with_another_request_is_a_conflict(field):
+    ledger = Ledger()
+    begin(ledger, "a")
+    assert begin(ledger, "b", **field) == V.CONFLICT
+    finish(ledger, "a")
+    assert begin(ledger, "b", **field) == V.CONFLICT
+
+
+def test_unknown_outcome_stays_unknown():
+    ledger = Ledger()
+    begin(ledger, "a")
+    finish(ledger, "a", unknown=True)
+    finish(ledger, "a")
+    release(ledger, "a")
+    assert begin(ledger, "b") == V.UNKNOWN
+    assert begin(ledger, "a") == V.UNKNOWN
+
+
+def test_other_attempts_neither_finish_nor_release_a_key():
+    ledger = Ledger()
+    begin(ledger, "a")
+    finish(ledger, "b")
+    release(ledger, "b")
+    assert begin(ledger, "c") == V.IN_PROGRESS
+    assert begin(ledger, "b") == V.RELEASED
+
+
+def test_released_attempt_is_never_granted_again():
+    ledger = Ledger()
+    begin(ledger, "a")
+    release(ledger, "a")
+    assert begin(ledger, "a") == V.RELEASED
+    assert begin(ledger, "b", digest=b"e") == V.GRANTED
+    finish(ledger, "a")
+    assert begin(ledger, "c", digest=b"e") == V.IN_PROGRESS
+
+
+def test_release_before_begin_wins_over_the_late_begin():
+    ledger = Ledger()
+    release(ledger, "a")
+    assert begin(ledger, "a") == V.RELEASED
+    assert begin(ledger, "b") == V.GRANTED
+
+
+def test_full_ledger_refuses_new_keys_and_keeps_the_records():
+    ledger = Ledger(capacity=2)
+    begin(ledger, "a", key="1")
+    begin(ledger, "b", key="2")
+    for action in (lambda: begin(ledger, "c", key="3"), lambda: release(ledger, "c", key="3")):
+        with pytest.raises(RefusedError) as caught:
+            action()
+        assert caught.value.code == Code.OVERLOADED
+    finish(ledger, "a", key="1")
+    release(ledger, "b", key="2")
+    assert begin(ledger, "d", key="1") == V.REPLAYED
+    assert begin(ledger, "b", key="2") == V.RELEASED
+
+
+def test_full_store_of_answers_refuses_new_keys():
+    ledger = Ledger(capacity_bytes=10)
+    begin(ledger, "a", key="1")
+    finish(ledger, "a", key="1")
+    with pytest.raises(RefusedError):
+        begin(ledger, "b", key="2")
+    assert begin(ledger, "b", key="1") == V.REPLAYED
+
+
+def test_records_live_for_the_retention_after_their_last_change():
+    ledger = Ledger(retention_s=240.0)
+    begin(ledger, "a")
+    finish(ledger, "a", now=100.0)
+    assert begin(ledger, "b", now=339.0) == V.REPLAYED
+    assert begin(ledger, "b", now=351.0) == V.GRANTED
+    assert len(ledger) == 1
+
+
+def test_time_that_goes_back_drops_nothing_early():
+    ledger = Ledger(retention_s=240.0)
+    ledger.expire(1000.0)
+    begin(ledger, "a", now=5.0)
+    assert begin(ledger, "b", now=1239.0) == V.IN_PROGRESS
+
+
+def test_long_body_is_replaced_by_its_digest():
+    ledger = Ledger(body_limit=4)
+    begin(ledger, "a")
+    finish(ledger, "a")
+    message = LedgerBegin(key="k", caller="shop", digest=b"d", attempt="b")
+    answer = ledger.begin(message, 0.0).answer
+    assert (answer.body_kept, answer.body, len(answer.body_digest)) == (False, b"", 32)
+
+
+_actions = st.lists(
+    st.tuples(
+        st.sampled_from(["begin", "finish", "release", "expire"]),
+        st.sampled_from("xyz"),
+        st.sampled_from("ab"),
+        st.floats(0, 50),
+    )
+)
+
+
+@given(_actions)
+def test_snapshot_restores_the_same_state(actions):
+    ledger, now = Ledger(retention_s=48.0), 0.0
+    for name, key, attempt, step in actions:
+        now += step
+        if name == "expire":
+            ledger.expire(now)
+        else:
+            globals()[name](ledger, attempt, key=key, now=now)
+    other = Ledger(retention_s=48.0)
+    other.restore(ledger.snapshot())
+    assert (other.key(), len(other), other.answer_bytes) == (
+        ledger.key(),
+        len(ledger),
+        ledger.answer_bytes,
+    )
+    assert other.snapshot() == ledger.snapshot()
+
+
+@given(st.binary(max_size=80))
+def test_damaged_snapshot_is_refused_and_changes_nothing(data):
+    ledger = Ledger()
+    begin(ledger, "a")
+    before = ledger.key()
+    try:
+        ledger.restore(data)
+    except DamagedDataError:
+        assert ledger.key() == before
