--- /dev/null
+++ b/tests/checker.py
@@ -0,0 +1,112 @@
+"""Checks the records of endpoint stubs and worker stubs, not the system's own view.
+
+All times are readings of one machine's monotonic clock.
+"""
+
+from collections import defaultdict
+from json import JSONDecodeError, loads
+
+from siskintally.codes import Code, not_run
+
+RESOURCES = ("cpu_milli", "memory_mb", "accelerators")
+
+
+def read(*paths):
+    """Return the records of all files in order of time; a torn last line is left out."""
+    records = []
+    for path in paths:
+        lines = path.read_text(encoding="utf-8").split("\n") if path.exists() else []
+        for number, line in enumerate(lines):
+            try:
+                records.extend([loads(line)] if line.strip() else [])
+            except JSONDecodeError:
+                if number != len(lines) - 1:
+                    raise
+    return sorted(records, key=lambda record: record["t"])
+
+
+class Answer:
+    """What a caller received.
+
+    :param code: result code, None if the connection was lost.
+    :param body: received body.
+    :param expected: the body that belongs to the request.
+    """
+
+    __slots__ = ("body", "code", "expected", "key", "request_id")
+
+    def __init__(self, *, request_id, code, body=b"", expected=b"", key=None):
+        self.request_id = request_id
+        self.code = code
+        self.body = body
+        self.expected = expected
+        self.key = key
+
+
+def check_workers(records):
+    """Check I1 and I2 and return the violations as texts.
+
+    A ``capacity`` or ``killed`` line ends all that ran on the worker before.
+    """
+    faults, capacity, running, place_by_task = [], {}, defaultdict(dict), {}
+    for record in records:
+        worker, event = record["worker"], record["event"]
+        if event in ("capacity", "killed"):
+            for attempt in running.pop(worker, {}):
+                place_by_task.pop(attempt[0], None)
+            if event == "capacity":
+                capacity[worker] = record
+            continue
+        attempt = (record["task"], record["attempt"])
+        if event != "start":
+            if running[worker].pop(attempt, None) and place_by_task.get(attempt[0]) == worker:
+                del place_by_task[attempt[0]]
+            continue
+        if attempt[0] in place_by_task:
+            place = place_by_task[attempt[0]]
+            faults.append(f"{record['t']}: task {attempt[0]} starts on {worker}, runs on {place}")
+        place_by_task[attempt[0]] = worker
+        running[worker][attempt] = record
+        faults.extend(_overcommitted(record, capacity[worker], running[worker].values()))
+    return faults
+
+
+def _overcommitted(record, capacity, running):
+    for resource in RESOURCES:
+        used = sum(attempt[resource] for attempt in running)
+        if used > capacity[resource]:
+            yield f"{record['t']}: {record['worker']} {resource} {used} > {capacity[resource]}"
+
+
+def check_requests(records, answers):
+    """Check I3, I4 and I5 and return the violations as texts.
+
+    :param records: lines of the endpoint stubs.
+    :param answers: :class:`Answer` of the callers.
+    """
+    starts = [record for record in records if record["event"] == "start"]
+    ran = {record["request_id"] for record in starts}
+    by_key = defaultdict(list)
+    for record in starts:
+        if record.get("key"):
+            by_key[record["key"]].append(record)
+    faults = [
+        f"key {key} ran {len(runs)} times at {[run['endpoint'] for run in runs]}"
+        for key, runs in by_key.items()
+        if len(runs) > 1
+    ]
+    for answer in answers:
+        if answer.code is None:
+            continue
+        if not_run(answer.code) and answer.request_id in ran:
+            faults.append(f"request {answer.request_id} answered {answer.code} but ran")
+        if answer.code in (Code.DONE, Code.REPLAYED):
+            faults.extend(_foreign(answer, ran, by_key))
+    return faults
+
+
+def _foreign(answer, ran, by_key):
+    if answer.body != answer.expected:
+        yield f"request {answer.request_id} got {answer.body[:40]!r}, not its own answer"
+    if answer.request_id not in ran and answer.key not in by_key:
+        yield f"request {answer.request_id} answered {answer.code} but never ran"
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,128 @@
+"""Real processes for failure tests: start, signal, wait, end."""
+
+from json import dumps
+from os import environ
+from pathlib import Path
+from random import Random, randrange
+from shutil import rmtree
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from socket import socket
+from subprocess import Popen, TimeoutExpired
+from sys import executable
+from time import monotonic
+
+from anyio import sleep
+
+WAIT_LIMIT_S = 90.0
+POLL_S = 0.05
+STOP_LIMIT_S = 15.0
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago."""
+    sockets = [socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+def seeded():
+    """Return a random source; its seed is printed and can be given in SISKINTALLY_SEED."""
+    seed = int(environ.get("SISKINTALLY_SEED", randrange(2**32)))
+    print(f"SISKINTALLY_SEED={seed}")
+    return Random(seed)
+
+
+async def wait_until(condition, what, *, limit_s=WAIT_LIMIT_S):
+    """Wait until ``condition`` (a function or coroutine function) gives a true value; return it.
+
+    :raises AssertionError: not true within the limit.
+    """
+    started = monotonic()
+    while True:
+        value = condition()
+        if hasattr(value, "__await__"):
+            value = await value
+        if value:
+            return value
+        assert monotonic() - started < limit_s, f"not within {limit_s} s: {what}"
+        await sleep(POLL_S)
+
+
+class Processes:
+    """Processes of one test, by name; ends only those that it started.
+
+    :param folder: path for logs, records and data folders.
+    """
+
+    __slots__ = ("folder", "popen_by_name")
+
+    def __init__(self, *, folder):
+        self.folder = Path(folder)
+        self.popen_by_name = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc):
+        for popen in self.popen_by_name.values():
+            if popen.poll() is None:
+                popen.send_signal(SIGKILL)
+                popen.wait()
+
+    def start(self, name, *arguments):
+        """Start ``siskintally`` with the arguments; the log goes to ``<name>.log``."""
+        assert name not in self.popen_by_name or self.popen_by_name[name].poll() is not None
+        with open(self.folder / f"{name}.log", "ab") as log:
+            command = [executable, "-m", "siskintally.main", *map(str, arguments)]
+            self.popen_by_name[name] = Popen(command, stdout=log, stderr=log)
+
+    def is_running(self, name):
+        """Tell whether the process has not ended."""
+        return self.popen_by_name[name].poll() is None
+
+    def pause(self, name):
+        """Send SIGSTOP."""
+        self.popen_by_name[name].send_signal(SIGSTOP)
+
+    def resume(self, name):
+        """Send SIGCONT."""
+        self.popen_by_name[name].send_signal(SIGCONT)
+
+    def kill(self, name, *, record=None):
+        """Send SIGKILL and wait for the end.
+
+        :param record: record file of a worker stub; gets a line with the time of the kill.
+        """
+        popen = self.popen_by_name[name]
+        popen.send_signal(SIGKILL)
+        popen.wait()
+        if record is not None:
+            with open(record, "a", encoding="utf-8") as file:
+                file.write(dumps({"t": monotonic(), "event": "killed", "worker": name}) + "\n")
+
+    def stop(self, name):
+        """Send SIGTERM and wait for the end.
+
+        :returns: exit code.
+        """
+        popen = self.popen_by_name[name]
+        popen.send_signal(SIGTERM)
+        try:
+            return popen.wait(STOP_LIMIT_S)
+        except TimeoutExpired as error:
+            raise AssertionError(f"{name} did not stop within {STOP_LIMIT_S} s") from error
+
+    def remove(self, path):
+        """Remove a data folder below the folder of the test."""
+        full = (self.folder / path).resolve()
+        assert self.folder.resolve() in full.parents
+        rmtree(full)
+
+    def log_text(self, name):
+        """Return the log of a process."""
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
