--- a/tests/test_scaffolding.py
+++ b/tests/test_scaffolding.py
@@ -4,6 +4,8 @@
 
 import pytest
 from anyio import (
+    BrokenResourceError,
+    EndOfStream,
     connect_tcp,
     create_task_group,
     create_tcp_listener,
