--- a/siskintally/announcement.py
+++ b/siskintally/announcement.py
@@ -117,14 +117,14 @@
 
 
 def read_age(fields, *, now):
-    """Return the largest age of an announcement, s; 0 for an endpoint that echoes nothing.
+    """Return the largest age of an announcement, s; None for an endpoint that echoes nothing.
 
     :param fields: with ``echo``, the ``clock`` of this entry's last answer, and ``held_s``, how
         long the endpoint had that answer when it announced.
     :raises BadRequestError: the echo is no number or was never given out.
     """
     if "echo" not in fields:
-        return 0.0
+        return None
     echo, held_s = fields["echo"], fields.get("held_s", 0)
     for value in (echo, held_s):
         if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -17,6 +17,7 @@
     DEFINE_string,
 )
 
+from siskintally.balancer import BALANCER_BY_NAME
 from siskintally.command import Command
 from siskintally.daemon import serve_until_signal
 from siskintally.entry import Entry
@@ -56,6 +57,13 @@
         "standalone", False, "serve with default limits and without stores", flag_values=values
     )
     DEFINE_float("drain_s", 30.0, "longest planned stop, s", 0.0, 3600.0, flag_values=values)
+    DEFINE_enum(
+        "balancer",
+        "power-of-two",
+        sorted(BALANCER_BY_NAME),
+        "how an endpoint is chosen",
+        flag_values=values,
+    )
     DEFINE_enum("log_level", "info", LEVELS, "least level of log lines", flag_values=values)
 
 
@@ -70,7 +78,11 @@
         raise BadSettingsError(f"--name = {values.name!r}: expected a process with role entry")
     set_up(process=process.name, level=values.log_level)
     entry = Entry(
-        settings=settings, process=process, standalone=values.standalone, drain_s=values.drain_s
+        settings=settings,
+        process=process,
+        standalone=values.standalone,
+        drain_s=values.drain_s,
+        balancer=values.balancer,
     )
     return serve_until_signal(entry.run, entry.stop)
 
--- a/siskintally/daemon.py
+++ b/siskintally/daemon.py
@@ -20,6 +20,7 @@
     :param start: async function that serves until it is stopped.
     :param stop: async function that starts the planned stop; ``start`` returns when it is over.
     :returns: exit status 0.
+    :raises SiskintallyError: the daemon failed.
     """
 
     async def main():
@@ -28,10 +29,18 @@
             await start()
             tasks.cancel_scope.cancel()
 
-    run(main)
+    try:
+        run(main)
+    except BaseExceptionGroup as group:
+        raise _first(group) from group
     return 0
 
 
+def _first(group):
+    first = group.exceptions[0]
+    return _first(first) if isinstance(first, BaseExceptionGroup) else first
+
+
 async def _on_signal(stop):
     with open_signal_receiver(SIGINT, SIGTERM) as signals:
         async for number in signals:
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -5,68 +5,311 @@
 'Entry'
 """
 
+from functools import partial
 from time import monotonic
 from uuid import uuid4
 
-from anyio import Event
+from anyio import Event, create_task_group, sleep
 
 from siskintally.announcement import AnnouncementTable
+from siskintally.balancer import BALANCER_BY_NAME
+from siskintally.call import Answer, read_forward
 from siskintally.codes import Code
-from siskintally.forward import Forwarder, Sent, end_to_end
-from siskintally.gateway import Gateway, refusal
-from siskintally.http_server import HttpAnswer, serve_http
+from siskintally.errors import BadRequestError, UnreachableError
+from siskintally.exchange import Exchange
+from siskintally.gateway import Gateway
+from siskintally.http_server import serve_http
+from siskintally.lane import Lane
+from siskintally.leader import LeaderClient
+from siskintally.ledger_client import StandaloneLedger, StoreLedger
+from siskintally.limits import EntryLimits
+from siskintally.link import Handler, LinkServer
+from siskintally.log import get_logger
+from siskintally.metrics import Metrics
+from siskintally.pause import PauseGuard
+from siskintally.peers import Peers
+from siskintally.relay import OperatorRelay
+from siskintally.request import Course
+from siskintally.retry import RetryBudget
+from siskintally.share import share
+from siskintally.supervisor import Supervisor
+from siskintally.watch import ConfigFollower
+from siskintally.wire_pb2 import AnnounceExchange, EntrySummary, ForwardRequest, Hello
 
+TIDY_S = 0.25
+DRAIN_STEP_S = 0.05
+# Time to write the last responses once every request has its answer.
+LAST_WRITES_S = 2.0
+MAX_BUFFERED_BYTES = 64 << 20
 
-class Entry:
-    """One entry process."""
+log = get_logger("entry")
 
-    def __init__(self, *, settings, process, standalone, drain_s):
+
+class Entry(Handler):
+    """One entry process.
+
+    :param standalone: serve with default limits and without stores.
+    :param drain_s: longest planned stop, s.
+    :param balancer: name of the balancing policy.
+    """
+
+    __slots__ = (
+        "_balancer",
+        "_buffered",
+        "_course",
+        "_drain_s",
+        "_exchange",
+        "_follower",
+        "_in_flight",
+        "_lane_by_service",
+        "_ledger",
+        "_metrics",
+        "_own_entries",
+        "_pause",
+        "_peers",
+        "_process",
+        "_server",
+        "_settings",
+        "_standalone",
+        "_stopped",
+        "_supervisor",
+        "_table",
+        "_tasks",
+        "budget",
+        "draining",
+        "limits",
+        "relay",
+    )
+
+    def __init__(self, *, settings, process, standalone, drain_s, balancer="power-of-two"):
         self._settings = settings
         self._process = process
+        self._standalone = standalone
         self._drain_s = drain_s
-        self._stopped = Event()
+        self._balancer = BALANCER_BY_NAME[balancer]()
+        own = (one.name for one in settings.entries(domain=process.domain))
+        self._own_entries = tuple(sorted(own))
+        self._metrics = Metrics(address=settings.statsd, prefix=f"siskintally.{process.name}")
         self._table = AnnouncementTable(domain=process.domain)
-        self._forwarder_by_url = {}
+        self._pause = PauseGuard()
+        self.limits = EntryLimits()
+        self.budget = RetryBudget(ratio=self.limits.retry_ratio)
+        self._lane_by_service = {}
+        self._in_flight = 0
+        self._buffered = 0
+        self.draining = False
+        self._stopped = Event()
+        self._supervisor = Supervisor(name=process.name)
+        self._connect()
+
+    def _connect(self):
+        settings, process = self._settings, self._process
+        hello = Hello(name=process.name, cell=settings.cell, incarnation=uuid4().hex)
+        self._server = LinkServer(hello=hello, secret=settings.secret, handler=self)
+        self._peers = Peers(
+            settings=settings, process=process, hello=hello, handler=self, server=self._server
+        )
+        self._exchange = Exchange(table=self._table, peers=self._peers, lane=self.lane)
+        group = None if self._standalone else settings.group_of_domain(process.domain)
+        members = group.members if group else ()
+        self.relay = OperatorRelay(stores=members, call=self._peers.call)
+        client = LeaderClient(
+            group=group.name if group else "", members=members, call=self._peers.call
+        )
+        self._follower = ConfigFollower(client=client, changed=self._set_limits)
 
     async def run(self):
-        """Serve until stopped."""
+        """Serve until :meth:`stop` has finished.
+
+        :raises SiskintallyError: a part failed too often.
+        """
+        async with create_task_group() as tasks:
+            self._tasks = tasks
+            self._ledger = self._make_ledger(tasks)
+            self._course = Course(
+                lanes=self.lane,
+                budget=self.budget,
+                ledger=self._ledger,
+                peers=self._peers,
+                metrics=self._metrics,
+            )
+            self._plan()
+            await self._supervisor.run()
+            tasks.cancel_scope.cancel()
+
+    def _plan(self):
+        address = self._process.link
+        add = self._supervisor.add
+        add("links", partial(self._server.serve, host=address.host, port=address.port))
+        add("http", self._serve_http)
+        for name, link in self._peers.links():
+            add(f"link to {name}", link.run)
+        add("announcements", self._exchange.pass_on)
+        add("summaries", self._exchange.summarize)
+        add("tidy", self._tidy)
+        if not self._standalone:
+            add("configuration", self._follower.run)
+
+    def _make_ledger(self, tasks):
+        if self._standalone:
+            return StandaloneLedger(tasks=tasks)
+        groups = list(self._settings.domain_groups())
+        return StoreLedger(tasks=tasks, groups=groups, call=self._peers.call)
+
+    async def _serve_http(self):
         await serve_http(
-            Gateway(entry=self),
+            Gateway(entry=self, token_operators=self._settings.token_operators),
             address=str(self._process.http),
             until=self._stopped,
-            graceful_s=self._drain_s,
+            graceful_s=LAST_WRITES_S,
         )
+        if self._stopped.is_set():
+            self._supervisor.stop()
 
     async def stop(self):
-        """Start the planned stop."""
+        """Refuse new requests, finish those in flight, settle the ledger, and end."""
+        if self.draining:
+            return
+        self.draining = True
+        self._exchange.drain()
+        end = monotonic() + self._drain_s
+        while (self._in_flight or self._ledger.unsettled) and monotonic() < end:
+            await sleep(DRAIN_STEP_S)
+        log.info("drained", in_flight=self._in_flight, unsettled=self._ledger.unsettled)
         self._stopped.set()
 
+    def lane(self, service):
+        """Return the lane of a service."""
+        lane = self._lane_by_service.get(service)
+        if lane is None:
+            lane = self._lane_by_service[service] = Lane(
+                limits=self.limits,
+                live=lambda now: self._table.live(service, now=now),
+                share_of=self._share_of,
+                balancer=self._balancer,
+            )
+        return lane
+
+    def _share_of(self, total, endpoint):
+        return share(total, endpoint=endpoint, entry=self._process.name, entries=self._own_entries)
+
     def health(self):
-        """Return the state of the process."""
-        return {"name": self._process.name}
+        """Return (whether callers may be sent here, the state of the process)."""
+        ready = not self.draining and self._has_config()
+        state = "draining" if self.draining else "serving" if ready else "no configuration"
+        return ready, {
+            "name": self._process.name,
+            "domain": self._process.domain,
+            "state": state,
+            "config_version": self._follower.version,
+            "preset": self._follower.preset,
+            "in_flight": self._in_flight,
+            "endpoints": len(self._table),
+        }
+
+    def _has_config(self):
+        return self._standalone or self._follower.version > 0
+
+    def refusal(self):
+        """Return the answer to any new request, or None if requests are taken."""
+        if self.draining:
+            return Answer.without_response(Code.DRAINING, "this entry is shutting down")
+        if not self._has_config():
+            return Answer.without_response(Code.NO_CONFIG, "no configuration yet")
+        if self._buffered > MAX_BUFFERED_BYTES:
+            return Answer.without_response(Code.OVERLOADED, "memory for bodies is used up")
+        return None
 
     def announce(self, heard, *, age_s, now):
-        """Take an announcement."""
-        self._table.announce(heard, age_s=age_s, now=now)
-
-    async def call(self, service, target, request):
-        """Serve one request."""
-        live = self._table.live(service, now=monotonic())
-        if not live:
-            return refusal(Code.NO_ENDPOINT, "no endpoint")
-        url = live[0].url
-        if url not in self._forwarder_by_url:
-            self._forwarder_by_url[url] = Forwarder(url=url, connections=64)
-        request_id = uuid4().hex
-        outcome = await self._forwarder_by_url[url].send(
-            request_id=request_id,
-            method=request.method,
-            target=target,
-            headers=list(end_to_end(request.headers.items())),
-            body=request.body,
-            deadline=monotonic() + 10,
-        )
-        if outcome.sent is not Sent.DONE:
-            return refusal(Code.OUTCOME_UNKNOWN, outcome.reason)
-        headers = [*outcome.headers, ("siskintally-code", "1000")]
-        return HttpAnswer(status=outcome.status, body=outcome.body, headers=headers)
+        """Take an announcement from an endpoint.
+
+        :param age_s: largest age, s, or None if the endpoint echoed nothing.
+        """
+        if age_s is None:
+            age_s = float("inf") if self._pause.distrusts(now) else 0.0
+        if self._table.announce(heard, age_s=age_s, now=now):
+            self._exchange.pass_on_once()
+        if heard.domain == self._process.domain and heard.service in self._lane_by_service:
+            self._lane_by_service[heard.service].pump(now)
+
+    async def serve(self, call):
+        """Serve a caller's request.
+
+        :returns: an :class:`~siskintally.call.Answer`.
+        """
+        started = monotonic()
+        self._in_flight += 1
+        self._buffered += len(call.body)
+        try:
+            answer = await (self._detached(call) if call.once else self._course.run(call))
+        finally:
+            self._in_flight -= 1
+            self._buffered -= len(call.body)
+        self._metrics.count(f"answers.{int(answer.code)}")
+        self._metrics.timing("request", monotonic() - started)
+        return answer
+
+    async def _detached(self, call):
+        # A caller that disconnects must not cut a request whose outcome goes to the ledger.
+        done = Event()
+        answers = []
+
+        async def work():
+            try:
+                answers.append(await self._course.run(call))
+            except Exception:
+                log.exception("request failed", request_id=call.request_id)
+            finally:
+                done.set()
+
+        self._tasks.start_soon(work)
+        await done.wait()
+        return answers[0] if answers else Answer.without_response(Code.INTERNAL, "internal error")
+
+    async def answer(self, session, body):
+        """Answer a call of another process."""
+        if not isinstance(body, ForwardRequest):
+            raise BadRequestError(f"{type(body).__name__}: not for an entry")
+        if self._pause.distrusts(monotonic()):
+            raise UnreachableError("this process was paused; the request was not run")
+        refused = self.refusal()
+        if refused is not None:
+            return refused.to_message()
+        call = read_forward(body, caller=session.peer.name)
+        self._in_flight += 1
+        try:
+            return (await self._course.run_forwarded(call)).to_message()
+        finally:
+            self._in_flight -= 1
+
+    def receive(self, session, body):
+        """Take a message of another entry."""
+        now = monotonic()
+        if isinstance(body, AnnounceExchange):
+            self._exchange.take_announcements(session, body, now)
+        elif isinstance(body, EntrySummary):
+            self._exchange.take_summary(session, body)
+
+    def closed(self, session):
+        """Drop what belongs to a session."""
+        self._exchange.forget(session)
+
+    def _set_limits(self, limits):
+        self.limits = limits
+        self.budget.ratio = limits.retry_ratio
+        for lane in self._lane_by_service.values():
+            lane.admission.limits = limits
+
+    async def _tidy(self):
+        while True:
+            now = monotonic()
+            self._pause.beat(now)
+            self._table.expire(now=now)
+            for service, lane in list(self._lane_by_service.items()):
+                for forwarder in lane.tidy(now):
+                    await forwarder.close()
+                if lane.is_idle(now):
+                    del self._lane_by_service[service]
+            self._metrics.gauge("in_flight", self._in_flight)
+            self._metrics.gauge("endpoints", len(self._table))
+            await sleep(TIDY_S)
--- a/siskintally/forward.py
+++ b/siskintally/forward.py
@@ -81,10 +81,11 @@
     :param connections: this entry's share of the endpoint's connections.
     """
 
-    __slots__ = ("_transport", "_url")
+    __slots__ = ("_host", "_transport", "_url")
 
     def __init__(self, *, url, connections):
         self._url = url
+        self._host = url.partition("//")[2]
         self._transport = AsyncHTTPTransport(
             limits=Limits(
                 max_connections=connections,
@@ -123,7 +124,10 @@
         return Request(
             method,
             self._url + target,
-            headers=[*headers, (ID_HEADER, request_id)],
+            headers=[
+                (name.encode("latin-1"), value.encode("latin-1"))
+                for name, value in (*headers, ("host", self._host), (ID_HEADER, request_id))
+            ],
             content=body,
             extensions={"timeout": timeout},
         )
@@ -145,7 +149,7 @@
         return Outcome(
             sent=Sent.DONE,
             status=response.status_code,
-            headers=list(end_to_end(response.headers.multi_items())),
+            headers=list(end_to_end(_decoded(response.headers.raw))),
             body=content,
         )
 
@@ -155,6 +159,10 @@
     return ((name, value) for name, value in headers if name.lower() not in HOP_HEADERS)
 
 
+def _decoded(headers):
+    return ((name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in headers)
+
+
 def _check_head(response, request_id):
     if response.headers.get(ID_HEADER) != request_id:
         raise _BadAnswerError("response of another request")
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -5,13 +5,19 @@
 ('seat-count', '/boarding/7')
 """
 
-from json import loads
+from json import dumps, loads
 from time import monotonic
+from uuid import uuid4
 
 from siskintally.announcement import read_age, read_announcement
+from siskintally.call import read_call
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotFoundError
-from siskintally.http_server import HttpApp, json_answer
+from siskintally.http_server import HttpAnswer, HttpApp, json_answer
+from siskintally.relay import VERBS, operator_of
+
+MAX_REQUEST_ID = 128
+MAX_EVIDENCE = 300
 
 STATUS_BY_CODE = {
     Code.OVERLOADED: 503,
@@ -57,16 +63,18 @@
     """Routes of an entry.
 
     :param entry: the :class:`~siskintally.entry.Entry`.
+    :param token_operators: ``{token: operator name}``.
     """
 
-    __slots__ = ("_entry",)
+    __slots__ = ("_entry", "_token_operators")
 
-    def __init__(self, *, entry):
+    def __init__(self, *, entry, token_operators):
         self._entry = entry
+        self._token_operators = token_operators
 
     def failure(self, error):
         """Return the answer to input that was refused."""
-        return refusal(error.code, str(error))
+        return _json_of_code(error.code, {"name": error.code.name, "message": str(error)})
 
     async def handle(self, request):
         """Answer one request."""
@@ -75,29 +83,83 @@
         if request.path == "/v1/announce":
             return self._announce(request)
         if request.path == "/v1/health":
-            return json_answer(200, self._entry.health())
+            ready, fields = self._entry.health()
+            return json_answer(200 if ready else 503, fields)
+        if request.path.startswith("/v1/operator/"):
+            return await self._operate(request)
         raise NotFoundError(f"path {request.path[:100]!r}: unknown")
 
     async def _call(self, request):
         service, path = split_call(request.path)
         target = f"{path}?{request.query}" if request.query else path
-        return await self._entry.call(service, target, request)
+        call = read_call(request, service=service, target=target, limits=self._entry.limits)
+        answer = self._entry.refusal() or await self._entry.serve(call)
+        return _http_answer(call, answer)
 
     def _announce(self, request):
-        if request.method != "POST":
-            raise BadRequestError("method: expected POST")
+        _post_only(request)
         now = monotonic()
         fields = _json(request.body)
         heard = read_announcement(fields)
         self._entry.announce(heard, age_s=read_age(fields, now=now), now=now)
         return json_answer(200, {"code": int(Code.DONE), "clock": now})
 
-
-def refusal(code, message, headers=()):
-    """Return the answer to a request that got no response of an endpoint."""
-    fields = {"code": int(code), "name": code.name, "message": message}
+    async def _operate(self, request):
+        _post_only(request)
+        operator = operator_of(request.headers.get("authorization", ""), self._token_operators)
+        verb = request.path.removeprefix("/v1/operator/")
+        if verb not in VERBS:
+            raise NotFoundError(f"verb {verb[:40]!r}: expected one of {', '.join(VERBS)}")
+        arguments = _json(request.body or b"{}")
+        if not isinstance(arguments, dict):
+            raise BadRequestError("body: expected a JSON object")
+        request_id = request.headers.get("siskintally-request-id") or uuid4().hex
+        if len(request_id) > MAX_REQUEST_ID or not request_id.isprintable():
+            raise BadRequestError(f"Siskintally-Request-Id: expected up to {MAX_REQUEST_ID}")
+        reply = await self._entry.relay.relay(
+            request_id=request_id,
+            operator=operator,
+            verb=verb,
+            arguments=dumps(arguments).encode(),
+        )
+        headers = [("siskintally-request-id", request_id)]
+        return _json_of_code(_code(reply.code), {"answer": _json(reply.answer or b"null")}, headers)
+
+
+def _http_answer(call, answer):
+    headers = list(answer.headers)
+    if not answer.status:
+        headers.append(("content-type", "application/json"))
+    headers += [
+        ("siskintally-code", str(int(answer.code))),
+        ("siskintally-evidence", _header_text(answer.evidence)),
+        ("siskintally-request-id", call.request_id),
+    ]
+    return HttpAnswer(
+        status=answer.status or status_of(answer.code), body=answer.content(), headers=headers
+    )
+
+
+def _header_text(text):
+    printable = "".join(char if " " <= char <= "~" else " " for char in text)
+    return printable[:MAX_EVIDENCE].strip()
+
+
+def _json_of_code(code, fields, headers=()):
     all_headers = [("siskintally-code", str(int(code))), *headers]
-    return json_answer(status_of(code), fields, all_headers)
+    return json_answer(status_of(code), {"code": int(code), **fields}, all_headers)
+
+
+def _code(number):
+    try:
+        return Code(number)
+    except ValueError:
+        return Code.INTERNAL
+
+
+def _post_only(request):
+    if request.method != "POST":
+        raise BadRequestError("method: expected POST")
 
 
 def _json(body):
--- /dev/null
+++ b/siskintally/health.py
@@ -0,0 +1,136 @@
+"""Outlier ejection of the endpoints of one service; the time is passed in.
+
+>>> from siskintally.health import HealthTable
+>>> table = HealthTable()
+>>> names = ["a", "b", "c", "d"]
+>>> for _ in range(5):
+...     table.record("a", ok=False, names=names, now=10.0)
+>>> table.usable(names, now=10.5)
+['b', 'c', 'd']
+"""
+
+CONSECUTIVE_FAILURES = 5
+WINDOW_S = 10.0
+WINDOW_LEAST = 20
+WINDOW_FAILURE_RATE = 0.5
+MIN_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 60.0
+# An endpoint that fails again within this time of its readmission gets twice the back-off.
+RELAPSE_S = 60.0
+MAX_EJECTED_RATIO = 0.3
+
+
+class _Health:
+    __slots__ = (
+        "backoff_s",
+        "consecutive",
+        "ejected",
+        "failures",
+        "probing",
+        "readmitted_at",
+        "results",
+        "until",
+        "window_from",
+    )
+
+    def __init__(self, *, now):
+        self.consecutive = 0
+        self.results = 0
+        self.failures = 0
+        self.window_from = now
+        self.ejected = False
+        self.probing = False
+        self.until = 0.0
+        self.backoff_s = 0.0
+        self.readmitted_at = -RELAPSE_S
+
+    def count(self, ok, now):
+        if now - self.window_from > WINDOW_S:
+            self.results = self.failures = 0
+            self.window_from = now
+        self.results += 1
+        self.failures += not ok
+        self.consecutive = 0 if ok else self.consecutive + 1
+
+    def is_outlier(self):
+        if self.consecutive >= CONSECUTIVE_FAILURES:
+            return True
+        rate = self.failures / self.results if self.results else 0.0
+        return self.results >= WINDOW_LEAST and rate >= WINDOW_FAILURE_RATE
+
+    def eject(self, now):
+        relapsed = self.ejected or now - self.readmitted_at < RELAPSE_S
+        self.backoff_s = min(self.backoff_s * 2, MAX_BACKOFF_S) if relapsed else MIN_BACKOFF_S
+        self.backoff_s = max(self.backoff_s, MIN_BACKOFF_S)
+        self.ejected = True
+        self.probing = False
+        self.until = now + self.backoff_s
+
+    def readmit(self, now):
+        self.ejected = self.probing = False
+        self.consecutive = self.results = self.failures = 0
+        self.window_from = self.readmitted_at = now
+
+
+class HealthTable:
+    """Health of the endpoints of one service.
+
+    A name stands for one incarnation of an endpoint.
+    """
+
+    __slots__ = ("_by_name",)
+
+    def __init__(self):
+        self._by_name = {}
+
+    def usable(self, names, *, now):
+        """Return the endpoints that may get a request; an ejected one when its probe is due."""
+        return [name for name in names if self._is_usable(name, now)]
+
+    def ejected(self, names):
+        """Return the endpoints that are ejected."""
+        return [name for name in names if name in self._by_name and self._by_name[name].ejected]
+
+    def is_suspect(self, name):
+        """Tell whether an endpoint fails and is kept only by the limit on ejections."""
+        health = self._by_name.get(name)
+        return health is not None and health.is_outlier()
+
+    def start(self, name):
+        """Note that a request is sent; to an ejected endpoint it is the one probe."""
+        health = self._by_name.get(name)
+        if health is not None and health.ejected:
+            health.probing = True
+
+    def record(self, name, *, ok, names, now):
+        """Take the result of a request.
+
+        :param names: all endpoints of the service; at most 30% of them are ejected at once.
+        """
+        health = self._by_name.get(name)
+        if health is None:
+            if ok:
+                return
+            health = self._by_name[name] = _Health(now=now)
+        if health.ejected:
+            # Results of requests sent before the ejection change nothing.
+            if health.probing and ok:
+                health.readmit(now)
+            elif health.probing:
+                health.eject(now)
+            return
+        health.count(ok, now)
+        allowed = int(MAX_EJECTED_RATIO * len(names))
+        if health.is_outlier() and len(self.ejected(names)) < allowed:
+            health.eject(now)
+
+    def keep(self, names):
+        """Forget all endpoints but these."""
+        for name in self._by_name.keys() - set(names):
+            del self._by_name[name]
+
+    def _is_usable(self, name, now):
+        health = self._by_name.get(name)
+        if health is None or not health.ejected:
+            return True
+        return now >= health.until and not health.probing
--- a/siskintally/http_server.py
+++ b/siskintally/http_server.py
@@ -1,7 +1,7 @@
 """HTTP server of a daemon: a plain ASGI app served by hypercorn in the same loop.
 
 >>> from siskintally.http_server import HttpRequest
->>> HttpRequest(method="GET", path="/a", query="x=1", headers={}, body=b"").target
+>>> HttpRequest(method="GET", path="/a", query="x=1", header_items=[], body=b"").target
 '/a?x=1'
 """
 
@@ -14,7 +14,7 @@
 from hypercorn.config import Config
 
 from siskintally.codes import Code
-from siskintally.errors import BadRequestError, SiskintallyError
+from siskintally.errors import SiskintallyError
 from siskintally.log import get_logger
 
 MAX_BODY_BYTES = 1 << 20
@@ -34,16 +34,18 @@
 class HttpRequest:
     """A complete request.
 
-    :param headers: ``{lower-case name: value}``, the last of a name.
+    :param path: as sent, percent-encoded.
+    :param header_items: list of ``(lower-case name, value)``.
     """
 
-    __slots__ = ("body", "headers", "method", "path", "peer", "query")
+    __slots__ = ("body", "header_items", "headers", "method", "path", "peer", "query")
 
-    def __init__(self, *, method, path, query, headers, body, peer=""):
+    def __init__(self, *, method, path, query, header_items, body, peer=""):
         self.method = method
         self.path = path
         self.query = query
-        self.headers = headers
+        self.header_items = header_items
+        self.headers = dict(header_items)
         self.body = body
         self.peer = peer
 
@@ -128,12 +130,8 @@
 
 
 async def _read(scope, receive):
-    try:
-        headers = {name.decode(): value.decode() for name, value in scope["headers"]}
-        query = scope["query_string"].decode()
-    except UnicodeDecodeError as error:
-        raise BadRequestError("headers and query: expected UTF-8") from error
-    declared = headers.get("content-length", "0")
+    items = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]]
+    declared = next((value for name, value in items if name == "content-length"), "0")
     if declared.isdigit() and int(declared) > MAX_BODY_BYTES:
         raise TooLargeError(f"body of {declared} bytes: expected at most {MAX_BODY_BYTES}")
     body = await _body(receive)
@@ -142,9 +140,9 @@
     client = scope.get("client")
     return HttpRequest(
         method=scope["method"],
-        path=scope["path"],
-        query=query,
-        headers=headers,
+        path=scope["raw_path"].decode("latin-1"),
+        query=scope["query_string"].decode("latin-1"),
+        header_items=items,
         body=body,
         peer=client[0] if client else "",
     )
--- /dev/null
+++ b/siskintally/lane.py
@@ -0,0 +1,168 @@
+"""Requests of one service at this entry: its queue, its endpoints, and their slots.
+
+>>> from siskintally.lane import Lane
+>>> Lane.__name__
+'Lane'
+"""
+
+from siskintally.admission import Admission
+from siskintally.balancer import Candidate
+from siskintally.fair_queue import State
+from siskintally.forward import Forwarder
+from siskintally.health import HealthTable
+
+
+class Slots:
+    """Part of one endpoint that belongs to this entry.
+
+    :param share: slots of this entry.
+    """
+
+    __slots__ = ("forwarder", "in_flight", "key", "share")
+
+    def __init__(self, *, key, share, forwarder):
+        self.key = key
+        self.share = share
+        self.forwarder = forwarder
+        self.in_flight = 0
+
+
+class Lane:
+    """Queue and endpoints of one service.
+
+    :param live: ``live(now)`` returns the endpoints that may get new work.
+    :param share_of: ``share_of(total, endpoint_name)`` returns this entry's part.
+    :param balancer: policy of choosing an endpoint.
+    """
+
+    __slots__ = ("_balancer", "_health", "_live", "_share_of", "_slots_by_key", "admission")
+
+    def __init__(self, *, limits, live, share_of, balancer):
+        self.admission = Admission(limits=limits)
+        self._live = live
+        self._share_of = share_of
+        self._balancer = balancer
+        self._health = HealthTable()
+        self._slots_by_key = {}
+
+    def capacity(self, now):
+        """Return (free slots, all slots) of this entry on usable endpoints."""
+        usable = self._usable(now)
+        free = sum(max(one.share - one.in_flight, 0) for one in usable)
+        return free, sum(one.share for one in usable)
+
+    def endpoints(self, now):
+        """Return how many endpoints may get new work."""
+        return len(self._live(now))
+
+    def in_flight(self):
+        """Return how many requests are at endpoints."""
+        return sum(one.in_flight for one in self._slots_by_key.values())
+
+    def check(self, ticket, *, now):
+        """Check whether a request would be accepted now; see :meth:`Admission.check`."""
+        free, total = self.capacity(now)
+        self.admission.check(ticket, now=now, free=free, total=total)
+
+    def offer(self, ticket, *, now):
+        """Queue a request and send on what can be sent; see :meth:`Admission.offer`."""
+        free, total = self.capacity(now)
+        victim = self.admission.offer(ticket, now=now, free=free, total=total)
+        if victim is not None:
+            victim.notify()
+        self.pump(now)
+
+    def withdraw(self, ticket):
+        """Take out a request that no longer waits."""
+        self.admission.withdraw(ticket)
+
+    def pump(self, now):
+        """Give free slots to the requests that wait."""
+        while len(self.admission):
+            usable = self._usable(now)
+            free = sum(max(one.share - one.in_flight, 0) for one in usable)
+            total = sum(one.share for one in usable)
+            ticket = self.admission.take(now=now, free=free, total=total)
+            for expired in self.admission.take_expired():
+                expired.notify()
+            if ticket is None:
+                return
+            self._give(ticket, usable)
+
+    def release(self, slots, *, ok, seconds, now):
+        """Take back a slot.
+
+        :param ok: whether the endpoint did its work, or None if that is not known.
+        :param seconds: service time of a complete response, or None.
+        """
+        slots.in_flight -= 1
+        if ok is not None:
+            names = [_key(endpoint) for endpoint in self._live(now)]
+            self._health.record(slots.key, ok=ok, names=names, now=now)
+        if seconds is not None:
+            self.admission.measured(seconds, now=now)
+        self.pump(now)
+
+    def is_idle(self, now):
+        """Tell whether the lane can be dropped."""
+        return not len(self.admission) and not self._slots_by_key and not self._live(now)
+
+    def tidy(self, now):
+        """Give slots to requests that wait, and drop endpoints that are gone.
+
+        :returns: forwarders to close.
+        """
+        self.pump(now)
+        live = {_key(endpoint) for endpoint in self._live(now)}
+        self._health.keep(live | self._slots_by_key.keys())
+        gone = [
+            one for one in self._slots_by_key.values() if one.key not in live and not one.in_flight
+        ]
+        for one in gone:
+            del self._slots_by_key[one.key]
+        return [one.forwarder for one in gone]
+
+    def _give(self, ticket, usable):
+        free = [one for one in usable if one.in_flight < one.share]
+        others = [one for one in free if one.key != ticket.avoid] or free
+        candidates = [
+            Candidate(
+                name=one.key,
+                share=one.share,
+                in_flight=one.in_flight,
+                suspect=self._health.is_suspect(one.key),
+            )
+            for one in others
+        ]
+        chosen = self._slots_by_key[self._balancer.choose(candidates, key=ticket.caller).name]
+        chosen.in_flight += 1
+        self._health.start(chosen.key)
+        ticket.endpoint = chosen
+        ticket.notify()
+
+    def _usable(self, now):
+        by_key = {_key(endpoint): endpoint for endpoint in self._live(now)}
+        keys = self._health.usable(by_key, now=now)
+        found = (self._slots(key, by_key[key]) for key in keys)
+        return [one for one in found if one.share]
+
+    def _slots(self, key, endpoint):
+        slots = self._slots_by_key.get(key)
+        if slots is None:
+            connections = self._share_of(endpoint.connections, endpoint.name)
+            slots = self._slots_by_key[key] = Slots(
+                key=key,
+                share=min(self._share_of(endpoint.slots, endpoint.name), connections),
+                forwarder=Forwarder(url=endpoint.url, connections=max(connections, 1)),
+            )
+        return slots
+
+
+def _key(endpoint):
+    # A new incarnation starts with free slots, no connections, and a clean record.
+    return f"{endpoint.name}/{endpoint.incarnation}"
+
+
+def is_granted(ticket):
+    """Tell whether a ticket has got a slot."""
+    return ticket.state is State.TAKEN
--- /dev/null
+++ b/siskintally/ledger_client.py
@@ -0,0 +1,230 @@
+"""Ledger of non-idempotent requests, as an entry sees it.
+
+>>> from siskintally.ledger_client import home_of
+>>> home_of("jylland/order-7", ("fjeld", "jylland")), home_of("order-7", ("a",))
+('jylland', 'a')
+"""
+
+from abc import ABC, abstractmethod
+from collections import OrderedDict
+from hashlib import sha256
+
+from anyio import Event, move_on_after, sleep
+
+from siskintally.codes import Code
+from siskintally.errors import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    RefusedError,
+    SiskintallyError,
+    UnreachableError,
+)
+from siskintally.leader import LeaderClient
+from siskintally.log import get_logger
+from siskintally.share import rendezvous
+from siskintally.wire_pb2 import (
+    LedgerBegin,
+    LedgerBeginReply,
+    LedgerFinish,
+    LedgerRelease,
+    StoredAnswer,
+)
+
+# A leader is elected within 4 s, so a shorter call would fail at every planned stop of a leader.
+BEGIN_TIMEOUT_S = 5.0
+SETTLE_TIMEOUT_S = 5.0
+SETTLE_PAUSE_S = 1.0
+MAX_KEPT_BODY_BYTES = 16 * 1024
+STANDALONE_KEYS = 10_000
+
+log = get_logger("ledger-client")
+
+
+class LedgerUnreachableError(SiskintallyError):
+    """No ledger record could be made; the request was not run."""
+
+    code = Code.LEDGER_UNREACHABLE
+
+
+def home_of(key, groups):
+    """Return the domain group that keeps a key.
+
+    :param groups: names of all domain groups of the cell; the list never changes.
+    """
+    prefix, slash, _ = key.partition("/")
+    if slash and prefix in groups:
+        return prefix
+    return max(groups, key=lambda group: (rendezvous(key, group), group))
+
+
+def stored_answer(answer):
+    """Return what the ledger keeps of an :class:`~siskintally.call.Answer`."""
+    kept = len(answer.body) <= MAX_KEPT_BODY_BYTES
+    types = (value for name, value in answer.headers if name.lower() == "content-type")
+    return StoredAnswer(
+        status=answer.status,
+        content_type=next(types, ""),
+        body=answer.body if kept else b"",
+        body_kept=kept,
+        body_digest=sha256(answer.body).digest(),
+    )
+
+
+class LedgerClient(ABC):
+    """Begins and settles attempts.
+
+    ``finish`` and ``release`` are sent again in the background until they are acknowledged.
+
+    :param tasks: anyio task group for the background.
+    """
+
+    __slots__ = ("_tasks", "unsettled")
+
+    def __init__(self, *, tasks):
+        self._tasks = tasks
+        self.unsettled = 0
+
+    @abstractmethod
+    async def begin(self, call, *, attempt, timeout):
+        """Ask for leave to run a request.
+
+        :param timeout: seconds.
+        :returns: LedgerBeginReply.
+        :raises LedgerUnreachableError: the request must not be run.
+        """
+
+    @abstractmethod
+    async def settle(self, key, body):
+        """Send a LedgerFinish or a LedgerRelease once.
+
+        :raises SiskintallyError: it may not have been committed.
+        """
+
+    async def finish(self, call, *, attempt, answer, timeout):
+        """Store the outcome of an attempt; None: the outcome is unknown."""
+        body = LedgerFinish(key=call.key, attempt=attempt, unknown=answer is None)
+        if answer is not None:
+            body.answer.CopyFrom(stored_answer(answer))
+        return await self._settle(call.key, body, timeout)
+
+    async def release(self, call, *, attempt, timeout):
+        """State that an attempt was not run and never will be."""
+        return await self._settle(call.key, LedgerRelease(key=call.key, attempt=attempt), timeout)
+
+    async def _settle(self, key, body, timeout):
+        done = Event()
+        self._tasks.start_soon(self._keep_settling, key, body, done)
+        with move_on_after(timeout):
+            await done.wait()
+        return done.is_set()
+
+    async def _keep_settling(self, key, body, done):
+        self.unsettled += 1
+        try:
+            while not await self._settle_once(key, body):
+                await sleep(SETTLE_PAUSE_S)
+            done.set()
+        finally:
+            self.unsettled -= 1
+
+    async def _settle_once(self, key, body):
+        try:
+            await self.settle(key, body)
+        except RefusedError as error:
+            # The ledger has another record of the attempt; sending it again changes nothing.
+            log.warning("not settled", key=key, code=int(error.code), message=str(error))
+            return error.code not in (Code.STOPPED, Code.INTERNAL)
+        except SiskintallyError as error:
+            log.info("settling again", key=key, error=str(error))
+            return False
+        return True
+
+
+class StoreLedger(LedgerClient):
+    """Ledger kept by the domain groups.
+
+    :param groups: ``GroupSettings`` of all domain groups.
+    :param call: ``async call(process_name, body, timeout=seconds)``.
+    """
+
+    __slots__ = ("_client_by_group",)
+
+    def __init__(self, *, tasks, groups, call):
+        super().__init__(tasks=tasks)
+        self._client_by_group = {
+            group.name: LeaderClient(group=group.name, members=group.members, call=call)
+            for group in groups
+        }
+
+    def _home(self, key):
+        return self._client_by_group[home_of(key, tuple(self._client_by_group))]
+
+    async def begin(self, call, *, attempt, timeout):
+        """Ask the home group of the key."""
+        body = LedgerBegin(key=call.key, caller=call.caller, digest=call.digest(), attempt=attempt)
+        timeout = min(timeout, BEGIN_TIMEOUT_S)
+        try:
+            return await self._home(call.key).call(body, timeout=timeout)
+        except (NotLeaderError, UnreachableError) as error:
+            raise LedgerUnreachableError(str(error)) from error
+        except (OutcomeUnknownError, RefusedError) as error:
+            # The record may exist, so it is released before the key can be granted again.
+            await self.release(call, attempt=attempt, timeout=0.0)
+            raise LedgerUnreachableError(str(error)) from error
+
+    async def settle(self, key, body):
+        """Send to the home group of the key."""
+        await self._home(key).call(body, timeout=SETTLE_TIMEOUT_S, idempotent=True)
+
+
+class _Record:
+    __slots__ = ("answer", "attempt", "caller", "digest", "unknown")
+
+    def __init__(self, *, attempt, caller, digest):
+        self.attempt = attempt
+        self.caller = caller
+        self.digest = digest
+        self.answer = None
+        self.unknown = False
+
+
+class StandaloneLedger(LedgerClient):
+    """Ledger in memory of a single entry without stores, for tests and samples."""
+
+    __slots__ = ("_by_key",)
+
+    def __init__(self, *, tasks):
+        super().__init__(tasks=tasks)
+        self._by_key = OrderedDict()
+
+    async def begin(self, call, *, attempt, timeout):
+        """Look the key up."""
+        record = self._by_key.get(call.key)
+        if record is None:
+            self._by_key[call.key] = _Record(
+                attempt=attempt, caller=call.caller, digest=call.digest()
+            )
+            if len(self._by_key) > STANDALONE_KEYS:
+                self._by_key.popitem(last=False)
+            return LedgerBeginReply(verdict=LedgerBeginReply.GRANTED)
+        return LedgerBeginReply(verdict=self._verdict(record, call), answer=record.answer)
+
+    async def settle(self, key, body):
+        """Store the outcome."""
+        record = self._by_key.get(key)
+        if record is None or record.attempt != body.attempt:
+            return
+        if isinstance(body, LedgerRelease):
+            del self._by_key[key]
+        elif body.unknown:
+            record.unknown = True
+        else:
+            record.answer = body.answer
+
+    @staticmethod
+    def _verdict(record, call):
+        if (record.caller, record.digest) != (call.caller, call.digest()):
+            return LedgerBeginReply.CONFLICT
+        if record.unknown:
+            return LedgerBeginReply.UNKNOWN
+        return LedgerBeginReply.REPLAYED if record.answer else LedgerBeginReply.IN_PROGRESS
--- /dev/null
+++ b/siskintally/relay.py
@@ -0,0 +1,95 @@
+"""Operator calls, relayed from HTTP to a store of the own domain group.
+
+>>> from siskintally.relay import operator_of
+>>> operator_of("Bearer 0123456789abcdef", {"0123456789abcdef": "astrid"})
+'astrid'
+"""
+
+from hmac import compare_digest
+from time import monotonic
+
+from anyio import sleep
+
+from siskintally.codes import Code
+from siskintally.errors import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    RefusedError,
+    UnauthorizedError,
+    UnreachableError,
+)
+from siskintally.wire_pb2 import OperatorCall
+
+TIMEOUT_S = 12.0
+ATTEMPT_TIMEOUT_S = 5.0
+PAUSE_S = 0.2
+VERBS = ("submit", "cancel", "drain", "preset", "config", "status", "audit", "jobs")
+
+
+def operator_of(authorization, token_operators):
+    """Return the operator that a bearer token belongs to.
+
+    :raises UnauthorizedError: the token is missing or wrong.
+    """
+    scheme, _, given = authorization.partition(" ")
+    found = ""
+    # Every token is compared, so the time tells nothing about which one is close.
+    for token, operator in token_operators.items():
+        if compare_digest(token.encode(), given.strip().encode()):
+            found = operator
+    if scheme.lower() != "bearer" or not found:
+        raise UnauthorizedError("Authorization: expected Bearer with the token of an operator")
+    return found
+
+
+class OperatorRelay:
+    """Relays operator calls.
+
+    :param stores: process names of the stores of the own domain group.
+    :param call: ``async call(process_name, body, timeout=seconds)``.
+    """
+
+    __slots__ = ("_call", "_stores", "_turn")
+
+    def __init__(self, *, stores, call):
+        self._stores = stores
+        self._call = call
+        self._turn = 0
+
+    async def relay(self, *, request_id, operator, verb, arguments):
+        """Send a call; it may be sent again, because the cell answers a request id only once.
+
+        :param arguments: JSON bytes.
+        :returns: OperatorReply.
+        :raises OutcomeUnknownError: it may have been carried out; resend with the same id.
+        :raises UnreachableError: it was not carried out.
+        :raises RefusedError: it was refused.
+        """
+        body = OperatorCall(
+            request_id=request_id, operator=operator, verb=verb, arguments=arguments
+        )
+        deadline = monotonic() + TIMEOUT_S
+        unknown = False
+        while monotonic() < deadline:
+            for _ in self._stores:
+                store = self._stores[self._turn % len(self._stores)]
+                timeout = min(ATTEMPT_TIMEOUT_S, deadline - monotonic())
+                if timeout <= 0:
+                    break
+                try:
+                    return await self._call(store, body, timeout=timeout)
+                except OutcomeUnknownError:
+                    unknown = True
+                except (UnreachableError, NotLeaderError):
+                    pass
+                except RefusedError as error:
+                    if error.code not in (Code.NOT_LEADER, Code.STOPPED, Code.OUTCOME_UNKNOWN):
+                        raise
+                    unknown = unknown or error.code == Code.OUTCOME_UNKNOWN
+                self._turn += 1
+            if not self._stores:
+                break
+            await sleep(PAUSE_S)
+        if unknown:
+            raise OutcomeUnknownError(f"request {request_id}: no reply; resend with the same id")
+        raise UnreachableError("no store of the domain group answered; nothing was changed")
--- /dev/null
+++ b/siskintally/request.py
@@ -0,0 +1,257 @@
+"""Course of one request: ledger, admission, dispatch, retry, answer.
+
+>>> from siskintally.request import Course
+>>> Course.__name__
+'Course'
+"""
+
+from time import monotonic
+from uuid import uuid4
+
+from anyio import Event, move_on_after
+
+from siskintally.admission import OverloadedError
+from siskintally.call import Answer
+from siskintally.codes import Code
+from siskintally.errors import (
+    OutcomeUnknownError,
+    RefusedError,
+    SiskintallyError,
+    UnreachableError,
+)
+from siskintally.fair_queue import Ticket
+from siskintally.forward import Outcome, Sent
+from siskintally.lane import is_granted
+from siskintally.ledger_client import LedgerUnreachableError
+from siskintally.log import get_logger
+from siskintally.wire_pb2 import LedgerBeginReply
+
+# Endpoints tried after provably unsent dispatches; such a dispatch puts no load on an endpoint.
+MAX_DISPATCHES = 3
+# An idempotent request leaves time for a retry elsewhere, but waits 8 usual service times.
+ATTEMPT_RATIO = 0.5
+ATTEMPT_SERVICE_TIMES = 8.0
+# A ledger record that is not acknowledged in this time is settled after the caller is answered.
+SETTLE_WAIT_S = 2.0
+THIS_ATTEMPT = "this attempt was not run; earlier ones with the key are unchanged"
+
+log = get_logger("request")
+
+
+class Course:
+    """Takes requests from admission to the answer.
+
+    :param lanes: ``lanes(service)`` returns the :class:`~siskintally.lane.Lane` of a service.
+    :param budget: :class:`~siskintally.retry.RetryBudget`.
+    :param ledger: :class:`~siskintally.ledger_client.LedgerClient`.
+    :param peers: :class:`~siskintally.peers.Peers`, entries of other domains.
+    :param metrics: :class:`~siskintally.metrics.Metrics`.
+    """
+
+    __slots__ = ("_budget", "_lanes", "_ledger", "_metrics", "_peers")
+
+    def __init__(self, *, lanes, budget, ledger, peers, metrics):
+        self._lanes = lanes
+        self._budget = budget
+        self._ledger = ledger
+        self._peers = peers
+        self._metrics = metrics
+
+    async def run(self, call):
+        """Serve a caller's request.
+
+        :returns: an :class:`~siskintally.call.Answer`.
+        """
+        answer = await (self._run_once(call) if call.once else self._deliver(call))
+        log.debug("answered", request_id=call.request_id, code=int(answer.code))
+        return answer
+
+    async def run_forwarded(self, call):
+        """Serve a request that an entry of another domain forwarded; it retries, this one not."""
+        return await self._deliver(call, forwarded=True)
+
+    async def _run_once(self, call):
+        now = monotonic()
+        if self._lanes(call.service).endpoints(now):
+            try:
+                self._lanes(call.service).check(_ticket(call, now), now=now)
+            except OverloadedError as error:
+                return Answer.without_response(Code.OVERLOADED, f"{THIS_ATTEMPT}; {error}")
+        attempt = uuid4().hex
+        try:
+            reply = await self._ledger.begin(call, attempt=attempt, timeout=call.deadline - now)
+        except LedgerUnreachableError as error:
+            return Answer.without_response(Code.LEDGER_UNREACHABLE, f"{THIS_ATTEMPT}; {error}")
+        if reply.verdict != LedgerBeginReply.GRANTED:
+            return _answer_of_verdict(reply)
+        return await self._run_granted(call, attempt)
+
+    async def _run_granted(self, call, attempt):
+        answer = await self._deliver(call)
+        if answer.is_not_run:
+            await self._ledger.release(call, attempt=attempt, timeout=SETTLE_WAIT_S)
+            return answer
+        known = answer if answer.status else None
+        await self._ledger.finish(call, attempt=attempt, answer=known, timeout=SETTLE_WAIT_S)
+        return answer
+
+    async def _deliver(self, call, forwarded=False):
+        """Dispatch until there is a response, no time, or no leave for another attempt."""
+        avoid = ""
+        unknown = None
+        for number in range(MAX_DISPATCHES):
+            if number and monotonic() >= call.deadline:
+                break
+            answer, avoid = await self._dispatch(call, avoid, forwarded, last=call.once)
+            if answer.status or answer.code not in (Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN):
+                return unknown or answer if answer.is_not_run else answer
+            if answer.code == Code.NO_ENDPOINT and not avoid:
+                break
+            if answer.code == Code.OUTCOME_UNKNOWN:
+                unknown = answer
+                if call.once or forwarded or not self._budget.take():
+                    break
+                self._metrics.count("retries")
+        return unknown or answer
+
+    async def _dispatch(self, call, avoid, forwarded, last):
+        """Try one endpoint, or one entry of another domain.
+
+        :returns: answer and the endpoint or entry that was tried, empty if there was none.
+        """
+        now = monotonic()
+        lane = self._lanes(call.service)
+        if lane.endpoints(now):
+            try:
+                return await self._dispatch_here(call, lane, avoid, may_retry=not last)
+            except OverloadedError as error:
+                refused = Answer.without_response(Code.OVERLOADED, str(error))
+            peer = None if forwarded else self._peers.choose(call.service, need_free=True)
+        else:
+            refused = Answer.without_response(Code.NO_ENDPOINT, "no live endpoint")
+            peer = None if forwarded else self._peers.choose(call.service, avoid=avoid)
+        if peer is None:
+            return refused, ""
+        return await self._dispatch_to(call, peer), peer
+
+    async def _dispatch_here(self, call, lane, avoid, may_retry):
+        granted = Event()
+        ticket = _ticket(call, monotonic(), notify=granted.set, avoid=avoid)
+        lane.offer(ticket, now=monotonic())
+        try:
+            with move_on_after(call.deadline - monotonic()):
+                await granted.wait()
+        except BaseException:
+            self._give_back(lane, ticket)
+            raise
+        if not is_granted(ticket):
+            return _answer_of_unserved(lane, ticket, granted), ""
+        outcome = await self._send(call, lane, ticket, may_retry)
+        return _answer_of_outcome(outcome), ticket.endpoint.key
+
+    @staticmethod
+    def _give_back(lane, ticket):
+        if is_granted(ticket):
+            lane.release(ticket.endpoint, ok=None, seconds=None, now=monotonic())
+        else:
+            lane.withdraw(ticket)
+
+    async def _send(self, call, lane, ticket, may_retry):
+        started = monotonic()
+        self._metrics.timing("queue_wait", started - ticket.queued_at)
+        deadline = _attempt_deadline(call, lane, started) if may_retry else call.deadline
+        outcome = None
+        try:
+            self._budget.sent()
+            outcome = await ticket.endpoint.forwarder.send(
+                request_id=call.request_id,
+                method=call.method,
+                target=call.target,
+                headers=call.headers,
+                body=call.body,
+                deadline=deadline,
+            )
+        finally:
+            now = monotonic()
+            done = outcome is not None and outcome.sent is Sent.DONE
+            ok = None if outcome is None else done and outcome.status < 500
+            seconds = now - started if done else None
+            lane.release(ticket.endpoint, ok=ok, seconds=seconds, now=now)
+        return outcome
+
+    async def _dispatch_to(self, call, peer):
+        self._metrics.count("cross_domain")
+        if self._peers.is_other_region(peer):
+            self._metrics.count("cross_region")
+        remaining = call.deadline - monotonic()
+        if remaining <= 0:
+            return Answer.without_response(Code.EXPIRED, "deadline passed")
+        try:
+            reply = await self._peers.call(peer, call.to_message(), timeout=remaining)
+        except (UnreachableError, RefusedError) as error:
+            return Answer.without_response(Code.NO_ENDPOINT, str(error))
+        except (OutcomeUnknownError, SiskintallyError) as error:
+            return Answer.without_response(Code.OUTCOME_UNKNOWN, str(error))
+        return Answer.of_message(reply)
+
+
+def _ticket(call, now, notify=None, avoid=""):
+    return Ticket(
+        rank=call.rank,
+        caller=call.caller,
+        deadline=call.deadline,
+        queued_at=now,
+        notify=notify,
+        avoid=avoid,
+    )
+
+
+def _attempt_deadline(call, lane, now):
+    if lane.endpoints(now) < 2:
+        return call.deadline
+    remaining = call.deadline - now
+    usual = lane.admission.service_s(now) * ATTEMPT_SERVICE_TIMES
+    return now + min(remaining, max(remaining * ATTEMPT_RATIO, usual))
+
+
+def _answer_of_unserved(lane, ticket, granted):
+    lane.withdraw(ticket)
+    if granted.is_set() and ticket.deadline > monotonic():
+        evidence = "dropped from the queue; no byte was sent"
+        return Answer.without_response(Code.OVERLOADED, evidence)
+    return Answer.without_response(Code.EXPIRED, "deadline passed in the queue; no byte was sent")
+
+
+def _answer_of_outcome(outcome: Outcome):
+    if outcome.sent is Sent.DONE:
+        return Answer.of_response(outcome.status, outcome.headers, outcome.body)
+    if outcome.sent is Sent.NOT_SENT:
+        evidence = f"no byte was sent: {outcome.reason}"
+        return Answer.without_response(Code.NO_ENDPOINT, evidence)
+    evidence = f"bytes were sent, no complete response: {outcome.reason}"
+    return Answer.without_response(Code.OUTCOME_UNKNOWN, evidence)
+
+
+def _answer_of_verdict(reply):
+    verdict = reply.verdict
+    if verdict == LedgerBeginReply.REPLAYED:
+        return _replay(reply.answer)
+    code, evidence = {
+        LedgerBeginReply.IN_PROGRESS: (Code.IN_PROGRESS, "the same key is being run"),
+        LedgerBeginReply.UNKNOWN: (Code.OUTCOME_UNKNOWN, "outcome of the first run is unknown"),
+        LedgerBeginReply.CONFLICT: (Code.KEY_CONFLICT, "same key with another request or caller"),
+    }.get(verdict, (Code.LEDGER_UNREACHABLE, THIS_ATTEMPT))
+    return Answer.without_response(code, evidence)
+
+
+def _replay(stored):
+    headers = [("content-type", stored.content_type)] if stored.content_type else []
+    if not stored.body_kept:
+        headers.append(("siskintally-stored-digest", stored.body_digest.hex()))
+    return Answer(
+        code=Code.REPLAYED,
+        evidence="stored response" if stored.body_kept else "stored response without its body",
+        status=stored.status,
+        headers=headers,
+        body=stored.body,
+    )
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -10,7 +10,7 @@
 from random import uniform
 from time import monotonic, time_ns
 
-from anyio import Event, create_task_group, sleep, sleep_forever
+from anyio import Event, create_task_group, sleep
 from httpx import AsyncClient, HTTPError
 
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer, respond, serve_http
@@ -131,8 +131,7 @@
             fields.update(echo=clock, held_s=monotonic() - received_at)
         try:
             response = await client.post(f"{entry}/v1/announce", json=fields)
-            if response.status_code != 200:
-                return False
+            response.raise_for_status()
             self._clock_by_entry[entry] = (float(response.json()["clock"]), monotonic())
         except (HTTPError, ValueError, KeyError) as error:
             log.info("announcement failed", entry=entry, error=repr(error))
@@ -217,22 +216,24 @@
         over = self._in_flight > self._options.slots
         self._recorder.write(event="start", in_flight=self._in_flight, over_slots=over, **event)
         try:
-            await self._work()
-            await self._answer(scope, event, body, send)
+            if await self._work(receive):
+                await self._answer(event, body, send)
         finally:
             self._in_flight -= 1
             self._recorder.write(event="end", **event)
             if not self._in_flight:
                 self._idle.set()
 
-    async def _work(self):
+    async def _work(self, receive):
         await sleep(self._service_s)
         if self._fault == "late":
             await sleep(LATE_S + uniform(0, 1))
-        if self._fault == "silent":
-            await sleep_forever()
+        while self._fault == "silent":
+            if (await receive())["type"] == "http.disconnect":
+                return False
+        return True
 
-    async def _answer(self, scope, event, body, send):
+    async def _answer(self, event, body, send):
         content = dumps({"endpoint": self._options.name, "id": event["id"], "size": len(body)})
         content = content.encode()
         answer = HttpAnswer(
--- /dev/null
+++ b/siskintally/summary.py
@@ -0,0 +1,101 @@
+"""What entries of other domains know of this one, and the choice among them.
+
+>>> from siskintally.summary import SummaryTable
+>>> table = SummaryTable(region="jylland")
+>>> table.choose("seat-count", open_peers={}) is None
+True
+"""
+
+from random import Random
+
+# The link itself has pings, so a summary only repeats itself against lost messages.
+KEEPALIVE_S = 30.0
+# Free slots change all the time; only a change by this factor is worth cross-region bytes.
+CHANGE_FACTOR = 2.0
+
+
+class SummarySender:
+    """Decides when a summary is worth sending to one peer."""
+
+    __slots__ = ("_last", "_sent_at")
+
+    def __init__(self):
+        self._last = None
+        self._sent_at = 0.0
+
+    def is_due(self, summary, *, now):
+        """Tell whether to send; a summary that is due counts as sent."""
+        due = (
+            self._last is None
+            or now - self._sent_at >= KEEPALIVE_S
+            or _differs(self._last, summary)
+        )
+        if due:
+            self._last = summary
+            self._sent_at = now
+        return due
+
+
+def _differs(old, new):
+    if old.draining != new.draining or len(old.services) != len(new.services):
+        return True
+    before = {load.service: load for load in old.services}
+    return any(
+        load.service not in before or _load_differs(before[load.service], load)
+        for load in new.services
+    )
+
+
+def _load_differs(old, new):
+    if old.endpoints != new.endpoints or bool(old.free_slots) != bool(new.free_slots):
+        return True
+    low, high = sorted((old.free_slots, new.free_slots))
+    return high > low * CHANGE_FACTOR
+
+
+class SummaryTable:
+    """Latest summaries of entries of other domains.
+
+    :param region: region of this entry.
+    """
+
+    __slots__ = ("_by_peer", "_random", "region")
+
+    def __init__(self, *, region, random=None):
+        self.region = region
+        self._by_peer = {}
+        self._random = random or Random()
+
+    def learn(self, peer, summary):
+        """Take the summary of a peer."""
+        self._by_peer[peer] = summary
+
+    def forget(self, peer):
+        """Drop the summary of a peer whose link is closed."""
+        self._by_peer.pop(peer, None)
+
+    def choose(self, service, *, open_peers, avoid="", need_free=False):
+        """Return an entry that can serve a service, or None; the own region comes first.
+
+        :param open_peers: ``{peer: region}`` of the entries that can be reached.
+        :param avoid: entry that has just failed.
+        :param need_free: whether only entries with free slots are wanted.
+        """
+        best = []
+        best_rank = None
+        for peer, region in open_peers.items():
+            load = self._load(peer, service)
+            if load is None or not load.endpoints or (need_free and not load.free_slots):
+                continue
+            rank = (peer == avoid, region != self.region, not load.free_slots)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = [], rank
+            if rank == best_rank:
+                best.append(peer)
+        return self._random.choice(best) if best else None
+
+    def _load(self, peer, service):
+        summary = self._by_peer.get(peer)
+        if summary is None or summary.draining:
+            return None
+        return next((load for load in summary.services if load.service == service), None)
--- /dev/null
+++ b/siskintally/watch.py
@@ -0,0 +1,87 @@
+"""Configuration in force, followed from the domain group.
+
+>>> from siskintally.watch import read_limits
+>>> read_limits("[presets.peak]\nretry_ratio = 0.05", "peak").retry_ratio
+0.05
+"""
+
+from tomllib import TOMLDecodeError, loads
+
+from anyio import sleep
+
+from siskintally.errors import SiskintallyError
+from siskintally.limits import EntryLimits
+from siskintally.log import get_logger
+from siskintally.wire_pb2 import ConfigWatch
+
+# A change is sent at once; the wait bounds how long a dead connection goes unnoticed.
+WAIT_S = 2.0
+ATTEMPT_TIMEOUT_S = 3.0
+TIMEOUT_S = 10.0
+PAUSE_S = 0.2
+
+log = get_logger("watch")
+
+
+class ConfigFollower:
+    """Long poll to the leader of the own domain group.
+
+    :param client: :class:`~siskintally.leader.LeaderClient` of that group.
+    :param changed: called with the new :class:`~siskintally.limits.EntryLimits`.
+    """
+
+    __slots__ = ("_changed", "_client", "preset", "version")
+
+    def __init__(self, *, client, changed):
+        self._client = client
+        self._changed = changed
+        self.version = 0
+        self.preset = ""
+
+    async def run(self):
+        """Follow until cancelled."""
+        while True:
+            body = ConfigWatch(known_version=self.version, wait_s=WAIT_S)
+            try:
+                state = await self._client.call(
+                    body, timeout=TIMEOUT_S, attempt_timeout=ATTEMPT_TIMEOUT_S, idempotent=True
+                )
+            except SiskintallyError as error:
+                log.info("no configuration", error=str(error))
+                await sleep(PAUSE_S)
+                continue
+            if not self.take(state):
+                # Against a store that answers at once without waiting.
+                await sleep(PAUSE_S)
+
+    def take(self, state):
+        """Put a configuration in force if it is newer.
+
+        :returns: whether it was newer and readable.
+        """
+        if state.version <= self.version:
+            return False
+        try:
+            limits = read_limits(state.document, state.preset)
+        except (TOMLDecodeError, AttributeError, TypeError, ValueError) as error:
+            log.error("configuration not readable", version=state.version, error=str(error))
+            return False
+        self.version = state.version
+        self.preset = state.preset
+        log.info("configuration in force", version=state.version, preset=state.preset)
+        self._changed(limits)
+        return True
+
+
+def read_limits(document, preset):
+    """Return the limits of a preset; what it leaves out has its default.
+
+    :param document: TOML that the cell has checked.
+    """
+    table = loads(document).get("presets", {}).get(preset, {})
+    given = {name: table[name] for name in EntryLimits.__slots__ if name in table}
+    if any(
+        isinstance(value, bool) or not isinstance(value, int | float) for value in given.values()
+    ):
+        raise ValueError("limits: expected numbers")
+    return EntryLimits(**given)
