Read the newline escape in the example of the watch module

The example of the module had an unescaped backslash, so it ended in a syntax error and one of 39 doctests failed. A raw docstring keeps the escape for the interpreter; all 39 doctests pass now.

--- a/siskintally/watch.py
+++ b/siskintally/watch.py
@@ -1,4 +1,4 @@
-"""Configuration in force, followed from the domain group.
+r"""Configuration in force, followed from the domain group.
 
 >>> from siskintally.watch import read_limits
 >>> read_limits("[presets.peak]\nretry_ratio = 0.05", "peak").retry_ratio
