Write endpoint records in the form that the checker reads

The stub wrote time and id where the checker of the failure tests reads t, request_id and endpoint, and the package could not be started as siskintally.main.

--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -105,7 +105,9 @@
     def _connect(self):
         settings, process = self._settings, self._process
         hello = Hello(name=process.name, cell=settings.cell, incarnation=uuid4().hex)
-        self._server = LinkServer(hello=hello, secret=settings.secret, handler=self)
+        self._server = LinkServer(
+            hello=hello, secret=settings.secret, handler=self, tls=settings.tls(process.name)
+        )
         self._peers = Peers(
             settings=settings, process=process, hello=hello, handler=self, server=self._server
         )
--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -11,7 +11,7 @@
 
 from anyio import Event, move_on_after, sleep
 
-from siskintally.codes import Code
+from siskintally.codes import Code, not_run
 from siskintally.errors import (
     NotLeaderError,
     OutcomeUnknownError,
@@ -164,10 +164,13 @@
         body = LedgerBegin(key=call.key, caller=call.caller, digest=call.digest(), attempt=attempt)
         timeout = min(timeout, BEGIN_TIMEOUT_S)
         try:
-            return await self._home(call.key).call(body, timeout=timeout)
+            # The same attempt may begin again: it is dispatched once whatever comes back.
+            return await self._home(call.key).call(body, timeout=timeout, idempotent=True)
         except (NotLeaderError, UnreachableError) as error:
             raise LedgerUnreachableError(str(error)) from error
         except (OutcomeUnknownError, RefusedError) as error:
+            if isinstance(error, RefusedError) and not_run(error.code):
+                raise LedgerUnreachableError(str(error)) from error
             # The record may exist, so it is released before the key can be granted again.
             await self.release(call, attempt=attempt, timeout=0.0)
             raise LedgerUnreachableError(str(error)) from error
--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -83,3 +83,7 @@
 def _fail(error, status):
     print(f"{int(error.code)} {error.code.name}: {error}", file=stderr)
     return status
+
+
+if __name__ == "__main__":
+    run()
--- a/siskintally/peers.py
+++ b/siskintally/peers.py
@@ -41,6 +41,7 @@
                 hello=hello,
                 secret=settings.secret,
                 handler=handler,
+                tls=settings.tls(process.name),
             )
             for one in settings.process_by_name.values()
             if one.role == "store" or (one.name in self.entries and dials(process.name, one.name))
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -75,7 +75,7 @@
     def write(self, **fields):
         """Append one event with the monotonic time."""
         if self._file is not None:
-            self._file.write(dumps({"time": monotonic(), **fields}) + "\n")
+            self._file.write(dumps({"t": monotonic(), **fields}) + "\n")
 
 
 class Announcer:
@@ -176,7 +176,7 @@
     async def stop(self):
         """Announce leaving, wait until nothing is in flight, and end."""
         self._announcer.leaving = True
-        self._recorder.write(event="leaving")
+        self._recorder.write(event="leaving", endpoint=self._options.name)
         async with AsyncClient(timeout=ANNOUNCE_TIMEOUT_S) as client:
             if self._options.entries:
                 await self._announcer.announce(client)
@@ -211,13 +211,17 @@
             body += message.get("body", b"")
             if not message.get("more_body", False):
                 break
-        event = {"id": headers.get(ID_HEADER, ""), "key": headers.get("idempotency-key", "")}
+        event = {
+            "endpoint": self._options.name,
+            "request_id": headers.get(ID_HEADER, ""),
+            "key": headers.get("idempotency-key", ""),
+        }
         self._in_flight += 1
         over = self._in_flight > self._options.slots
         self._recorder.write(event="start", in_flight=self._in_flight, over_slots=over, **event)
         try:
             if await self._work(receive):
-                await self._answer(event, body, send)
+                await self._answer(event, scope["path"], body, send)
         finally:
             self._in_flight -= 1
             self._recorder.write(event="end", **event)
@@ -233,14 +237,19 @@
                 return False
         return True
 
-    async def _answer(self, event, body, send):
-        content = dumps({"endpoint": self._options.name, "id": event["id"], "size": len(body)})
-        content = content.encode()
+    async def _answer(self, event, path, body, send):
+        fields = {
+            "endpoint": self._options.name,
+            "id": event["request_id"],
+            "path": path,
+            "body": body.decode("latin-1"),
+        }
+        content = dumps(fields).encode()
         answer = HttpAnswer(
             status=500 if self._fault == "fail" else 200,
             body=content,
             headers=[
-                (ID_HEADER, "another" if self._fault == "wrong-id" else event["id"]),
+                (ID_HEADER, "another" if self._fault == "wrong-id" else event["request_id"]),
                 ("siskintally-digest", sha256(content).hexdigest()),
                 ("content-type", "application/json"),
             ],
