Add the cell state machine, configuration document, and audit chain

Operator changes had no replicated state. The cell machine now holds configuration and preset under one version number, jobs with quotas and domain shares, drains, stored replies by request id, and a hash chain of accepted and rejected changes, with a synced file for the chain.

--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PATH="$PWD/.venv/bin:$PATH"
-python -m grpc_tools.protoc -I. --python_out=. --grpclib_python_out=. siskintally/*.proto
+python -m grpc_tools.protoc -I. --python_out=. siskintally/*.proto
+python -m grpc_tools.protoc -I. --grpclib_python_out=. siskintally/wire.proto
--- /dev/null
+++ b/siskintally/audit.py
@@ -0,0 +1,227 @@
+"""Audit log: a hash chain of operator changes and its append-only file.
+
+>>> from siskintally.audit import AuditChain
+>>> chain = AuditChain()
+>>> first = chain.append(index=7, time=1.0, operator="ana", request_id="r1", verb="preset",
+...                      what="preset", from_value="ordinary", to_value="peak", code=1000)
+>>> chain.head == first.hash, chain.number
+(True, 1)
+"""
+
+from hashlib import sha256
+from json import dumps, loads
+from os import O_APPEND, O_CREAT, O_RDWR, close, fdatasync, fsync, ftruncate, write
+from os import open as os_open
+from pathlib import Path
+
+from siskintally.cell_state_pb2 import AuditRecord
+from siskintally.errors import DamagedDataError
+from siskintally.log import get_logger
+
+EMPTY_HEAD = "0" * 64
+# Enough for a store that was away for 1,000 changes to fill its file from a snapshot.
+RECENT_RECORDS = 1000
+FIELDS = tuple(field.name for field in AuditRecord.DESCRIPTOR.fields)
+_HASHED = tuple(name for name in FIELDS if name != "hash")
+
+log = get_logger("audit")
+
+
+def record_hash(record):
+    """Return the hash of a record over all fields but ``hash``, the previous hash included."""
+    fields = [getattr(record, name) for name in _HASHED]
+    return sha256(dumps(fields, separators=(",", ":")).encode()).hexdigest()
+
+
+def to_line(record):
+    """Write a record as one line of JSON."""
+    fields = {name: getattr(record, name) for name in FIELDS}
+    return dumps(fields, separators=(",", ":")).encode() + b"\n"
+
+
+def from_line(line):
+    """Read a record.
+
+    :raises DamagedDataError: the line is no record or its hash is wrong.
+    """
+    try:
+        fields = loads(line)
+        record = AuditRecord(**{name: fields[name] for name in FIELDS})
+    except (ValueError, KeyError, TypeError) as error:
+        raise DamagedDataError(f"not an audit record: {error!r}") from error
+    if record_hash(record) != record.hash or len(fields) != len(FIELDS):
+        raise DamagedDataError(f"audit record {record.number}: hash does not match")
+    return record
+
+
+class AuditChain:
+    """Head of the chain and the latest records, part of the cell state."""
+
+    __slots__ = ("head", "number", "recent")
+
+    def __init__(self, *, number=0, head=EMPTY_HEAD, recent=()):
+        self.number = number
+        self.head = head
+        self.recent = list(recent)
+
+    def append(self, **fields):
+        """Add a record; number, previous hash, and hash are filled in.
+
+        :param fields: all other fields of AuditRecord.
+        """
+        record = AuditRecord(number=self.number + 1, previous=self.head, **fields)
+        record.hash = record_hash(record)
+        self.number = record.number
+        self.head = record.hash
+        self.recent.append(record)
+        if len(self.recent) > 2 * RECENT_RECORDS:
+            del self.recent[:-RECENT_RECORDS]
+        return record
+
+    def after(self, number):
+        """Return the records that are kept and have a larger number."""
+        fresh = self.number - number
+        return self.recent[-fresh:] if fresh > 0 else []
+
+
+class Findings:
+    """What the check of an audit file found.
+
+    :param records: number of records read.
+    :param head: hash of the last one.
+    :param last: its number.
+    :param gaps: descriptions of ranges that this store never received.
+    :param damage: description of the first damage, or empty.
+    :param whole_bytes: length of the file without a torn last line.
+    """
+
+    __slots__ = ("damage", "gaps", "head", "last", "records", "whole_bytes")
+
+    def __init__(self):
+        self.records = 0
+        self.head = EMPTY_HEAD
+        self.last = 0
+        self.gaps = []
+        self.damage = ""
+        self.whole_bytes = 0
+
+
+def verify_lines(lines):
+    """Check a chain given as lines.
+
+    A gap, that is a range of numbers the store was not given because it was away too long, is no
+    damage. A line without a line feed is torn: the process ended while it wrote.
+
+    :param lines: iterable of bytes, each with its line feed.
+    """
+    findings = Findings()
+    for number, line in enumerate(lines, start=1):
+        if not line.endswith(b"\n"):
+            break
+        try:
+            record = from_line(line)
+        except DamagedDataError as error:
+            findings.damage = f"line {number}: {error}"
+            break
+        if record.number <= findings.last:
+            findings.damage = f"line {number}: record {record.number} follows {findings.last}"
+            break
+        if record.number > findings.last + 1:
+            findings.gaps.append(f"records {findings.last + 1} to {record.number - 1}")
+        elif record.previous != findings.head:
+            findings.damage = f"line {number}: previous hash does not match"
+            break
+        findings.records += 1
+        findings.last = record.number
+        findings.head = record.hash
+        findings.whole_bytes += len(line)
+    return findings
+
+
+def verify(path):
+    """Check an audit file; a missing file is an empty chain."""
+    try:
+        with Path(path).open("rb") as lines:
+            return verify_lines(lines)
+    except FileNotFoundError:
+        return Findings()
+
+
+class AuditFile:
+    """Append-only file of audit records, synced at each append.
+
+    :param path: created if missing; a torn last line is cut off.
+    :raises DamagedDataError: the chain in the file is broken.
+    """
+
+    __slots__ = ("_bytes", "_descriptor", "head", "last", "path")
+
+    def __init__(self, *, path):
+        self.path = Path(path)
+        findings = verify(self.path)
+        if findings.damage:
+            raise DamagedDataError(f"{self.path.name}: {findings.damage}")
+        self.last = findings.last
+        self.head = findings.head
+        self._descriptor = os_open(self.path, O_RDWR | O_CREAT | O_APPEND, 0o600)
+        self._bytes = findings.whole_bytes
+        ftruncate(self._descriptor, self._bytes)
+        fsync(self._descriptor)
+        _sync_folder(self.path.parent)
+
+    @classmethod
+    def recover(cls, *, path):
+        """Open the file; a damaged one is renamed with the suffix ``.damaged-<n>`` and replaced."""
+        try:
+            return cls(path=path)
+        except DamagedDataError as error:
+            path = Path(path)
+            number = len(list(path.parent.glob(f"{path.name}.damaged-*"))) + 1
+            aside = path.with_name(f"{path.name}.damaged-{number}")
+            path.rename(aside)
+            log.error("audit file damaged", kept_as=aside.name, error=str(error))
+            return cls(path=path)
+
+    def write(self, records):
+        """Append records and sync; those the file already has are skipped.
+
+        :raises DamagedDataError: a record contradicts the file; nothing was written.
+        """
+        lines = []
+        last, head = self.last, self.head
+        for record in records:
+            if record.number == last and record.hash != head:
+                raise DamagedDataError(f"audit record {last} differs from the one in the file")
+            if record.number <= last:
+                continue
+            if record.number == last + 1 and record.previous != head:
+                raise DamagedDataError(f"audit record {record.number} does not follow the file")
+            lines.append(to_line(record))
+            last, head = record.number, record.hash
+        if lines:
+            self._append(b"".join(lines))
+        self.last, self.head = last, head
+
+    def _append(self, data):
+        try:
+            view = memoryview(data)
+            while view:
+                view = view[write(self._descriptor, view) :]
+            fdatasync(self._descriptor)
+        except OSError:
+            # A part of a line, as on a full disk, must not stay in front of the next record.
+            ftruncate(self._descriptor, self._bytes)
+            raise
+        self._bytes += len(data)
+
+    def close(self):
+        """Close the file."""
+        close(self._descriptor)
+
+
+def _sync_folder(folder):
+    descriptor = os_open(folder, 0)
+    try:
+        fsync(descriptor)
+    finally:
+        close(descriptor)
--- /dev/null
+++ b/siskintally/capacity.py
@@ -0,0 +1,145 @@
+"""Capacity of the domain groups as last reported, with the demand that is not placed yet.
+
+>>> from siskintally.capacity import CapacityTable
+>>> CapacityTable().info_by_group
+{}
+"""
+
+from siskintally.cell_state_pb2 import GroupInfo
+from siskintally.errors import NeverFitsError, NotFoundError
+from siskintally.split import RESOURCE_NAMES, GroupView, lacking
+from siskintally.wire_pb2 import Resources
+
+# Workers register again after an election, so for this time a smaller largest worker is not
+# believed: it would turn a job away as never fitting before the large workers are back.
+KEEP_LARGEST_S = 600.0
+NOTHING = (0, 0, 0)
+
+
+class CapacityTable:
+    """Domain groups by name.
+
+    :param info_by_group: GroupInfo messages as last reported.
+    :param largest_at: time at which the largest worker of a group was last believed, s.
+    """
+
+    __slots__ = ("_demand_by_group", "info_by_group", "largest_at")
+
+    def __init__(self):
+        self.info_by_group = {}
+        self.largest_at = {}
+        self._demand_by_group = {}
+
+    def learn(self, infos, now):
+        """Take the list of domain groups and their capacity; an empty list changes nothing.
+
+        :param infos: GroupInfo messages; one without workers keeps the capacity known before.
+        """
+        if not infos:
+            return
+        known = self.info_by_group
+        self.info_by_group = {}
+        for info in infos:
+            merged = GroupInfo()
+            merged.CopyFrom(info)
+            before = known.get(info.name)
+            if before is not None:
+                self._merge(merged.capacity, before.capacity, info.name, now)
+            else:
+                self.largest_at[info.name] = now
+            self.info_by_group[info.name] = merged
+
+    def _merge(self, capacity, before, group, now):
+        if not capacity.workers:
+            capacity.CopyFrom(before)
+        elif (
+            before.workers
+            and lacking(capacity.largest, before.largest)
+            and now - self.largest_at.get(group, now) < KEEP_LARGEST_S
+        ):
+            for name in RESOURCE_NAMES:
+                most = max(getattr(capacity.largest, name), getattr(before.largest, name))
+                setattr(capacity.largest, name, most)
+        else:
+            self.largest_at[group] = now
+
+    def demand(self, group, each, tasks):
+        """Add tasks that wait for placement in a group; negative to take them away."""
+        _add(self._demand_by_group, group, each, tasks)
+
+    def candidates(self, spec, *, refused=()):
+        """Return views of the groups that may hold a task.
+
+        :raises NotFoundError: no group owns the domain of the job.
+        :raises NeverFitsError: no group is left.
+        """
+        infos = [
+            info
+            for info in self.info_by_group.values()
+            if not spec.domain or spec.domain in info.domains
+        ]
+        if not infos:
+            raise NotFoundError(f"domain = {spec.domain!r}: no group owns it")
+        views = [self._view(info) for info in infos]
+        views = [view for view in views if view.name not in refused and view.can_hold(spec.each)]
+        if not views:
+            names = {name for info in infos for name in lacking(info.capacity.largest, spec.each)}
+            what = ", ".join(sorted(names)) or "all resources together"
+            raise NeverFitsError(f"no worker is large enough: {what}")
+        return views
+
+    def _view(self, info):
+        demand = self._demand_by_group.get(info.name, NOTHING)
+        free = Resources()
+        for name, pending in zip(RESOURCE_NAMES, demand, strict=True):
+            setattr(free, name, getattr(info.capacity.free, name) - pending)
+        return GroupView(
+            name=info.name,
+            reported=info.capacity.workers > 0,
+            largest=info.capacity.largest,
+            free=free,
+            total=info.capacity.total,
+        )
+
+
+class QuotaUse:
+    """What the admitted jobs of each team hold."""
+
+    __slots__ = ("_used_by_team",)
+
+    def __init__(self):
+        self._used_by_team = {}
+
+    def add(self, team, each, tasks):
+        """Add tasks of a team; negative to take them away."""
+        _add(self._used_by_team, team, each, tasks)
+
+    def used(self, team):
+        """Return what a team holds as Resources."""
+        values = self._used_by_team.get(team, NOTHING)
+        return Resources(**dict(zip(RESOURCE_NAMES, values, strict=True)))
+
+    def fits(self, team, each, tasks, quota):
+        """Tell whether more tasks of a team stay within its quota."""
+        used = self._used_by_team.get(team, NOTHING)
+        return all(
+            held + getattr(each, name) * tasks <= getattr(quota, name)
+            for held, name in zip(used, RESOURCE_NAMES, strict=True)
+        )
+
+
+def exceeding(each, tasks, quota):
+    """Return (resource, need, allowed) of the first resource above the whole quota, or None."""
+    for name in RESOURCE_NAMES:
+        need, allowed = getattr(each, name) * tasks, getattr(quota, name)
+        if need > allowed:
+            return name, need, allowed
+    return None
+
+
+def _add(table, key, each, factor):
+    before = table.get(key, NOTHING)
+    table[key] = tuple(
+        value + getattr(each, name) * factor
+        for value, name in zip(before, RESOURCE_NAMES, strict=True)
+    )
--- /dev/null
+++ b/siskintally/cell.py
@@ -0,0 +1,328 @@
+"""State machine of the cell group: configuration, jobs, drains, audit chain, stored replies.
+
+>>> from siskintally.cell import Cell
+>>> from siskintally.wire_pb2 import OperatorReply
+>>> OperatorReply.FromString(Cell().apply(index=1, command=b"garbage")).code
+4000
+"""
+
+from hashlib import sha256
+from json import dumps
+
+from google.protobuf.message import DecodeError
+
+from siskintally.audit import AuditChain
+from siskintally.cell_state_pb2 import Command, State, StoredReply
+from siskintally.codes import Code
+from siskintally.config import check_preset_name, parse_config
+from siskintally.errors import (
+    BadRequestError,
+    NotFoundError,
+    SiskintallyError,
+    VersionConflictError,
+)
+from siskintally.jobs import JobTable
+from siskintally.machine import Machine
+from siskintally.spec import check_spec
+from siskintally.wire_pb2 import ConfigState, DrainItem, OperatorReply, SyncReply
+
+KEEP_REPLIES = 10_000
+KEEP_REPLIES_S = 24 * 3600.0
+MAX_DRAINS = 10_000
+MAX_ID_LENGTH = 128
+MAX_CANCELLED_AT_ONCE = 20_000
+# Year 5138; a larger time stamp is no time.
+MAX_TIME_S = 1e11
+SHOWN_IDS = 20
+MAX_NOTE_LENGTH = 1000
+DRAIN_KINDS = ("worker", "endpoint")
+
+
+class NoConfigError(SiskintallyError):
+    """No configuration has been set yet; nothing was changed."""
+
+    code = Code.NO_CONFIG
+
+
+class KeyConflictError(SiskintallyError):
+    """The request id was used for another change."""
+
+    code = Code.KEY_CONFLICT
+
+
+class _Note:
+    """What an audit record says of a change."""
+
+    __slots__ = ("after", "before", "verb", "what")
+
+    def __init__(self, *, verb):
+        self.verb = verb
+        self.what = ""
+        self.before = ""
+        self.after = ""
+
+
+def encode(answer):
+    """Write an answer as JSON, equal for equal answers."""
+    return dumps(answer, sort_keys=True, separators=(",", ":")).encode()
+
+
+def _reply(code, answer):
+    return OperatorReply(code=int(code), answer=encode(answer)).SerializeToString()
+
+
+class Cell(Machine):
+    """Deterministic state of the cell; time and capacities come in the commands.
+
+    :param config_state: ConfigState in force; version 0 before the first.
+    :param config: the parsed document, or None.
+    :param jobs: :class:`~siskintally.jobs.JobTable`.
+    :param audit: :class:`~siskintally.audit.AuditChain`.
+    :param now: largest time stamp of a command, Unix seconds.
+    """
+
+    __slots__ = (
+        "_drain_by_key",
+        "_reply_by_id",
+        "audit",
+        "config",
+        "config_state",
+        "jobs",
+        "now",
+    )
+
+    def __init__(self):
+        self.config_state = ConfigState()
+        self.config = None
+        self.jobs = JobTable()
+        self.audit = AuditChain()
+        self.now = 0.0
+        self._drain_by_key = {}
+        self._reply_by_id = {}
+
+    def apply(self, *, index, command):
+        """Apply a Command and return an OperatorReply; a malformed one changes nothing."""
+        try:
+            command = Command.FromString(command)
+        except DecodeError:
+            return _reply(Code.BAD_REQUEST, {"message": "command is malformed"})
+        kind = command.WhichOneof("change")
+        if kind is None or not 0 <= command.at <= MAX_TIME_S:
+            return _reply(Code.BAD_REQUEST, {"message": "command without change or time"})
+        if kind == "job_report":
+            self._learn(command)
+            self.jobs.report(command.job_report, index=index, now=self.now)
+            self._admit(index)
+            self.jobs.forget(self.now)
+            return _reply(Code.DONE, {})
+        if not (command.request_id and command.operator and command.digest):
+            return _reply(Code.BAD_REQUEST, {"message": "command without request id or operator"})
+        return self._apply_change(index, kind, command)
+
+    def _learn(self, command):
+        self.now = max(self.now, command.at)
+        self.jobs.capacity.learn(command.groups, self.now)
+
+    def _apply_change(self, index, kind, command):
+        stored = self._reply_by_id.get(command.request_id)
+        if stored is not None and stored.digest == command.digest:
+            return stored.reply
+        self._learn(command)
+        note = _Note(verb=kind.split("_")[1])
+        try:
+            if stored is not None:
+                raise KeyConflictError(f"request id {command.request_id} is of another change")
+            answer = _CHANGES[kind](self, index, command, note)
+            code = Code.DONE
+        except SiskintallyError as error:
+            code = error.code
+            answer = {"message": str(error)}
+            if code == Code.VERSION_CONFLICT:
+                answer["version"] = self.config_state.version
+        reply = _reply(code, answer)
+        self._record(index, command, note, code)
+        if stored is None:
+            self._store(command, reply)
+        self.jobs.forget(self.now)
+        return reply
+
+    def _record(self, index, command, note, code):
+        self.audit.append(
+            index=index,
+            time=command.at,
+            operator=command.operator,
+            request_id=command.request_id,
+            verb=note.verb,
+            what=note.what[:MAX_NOTE_LENGTH],
+            from_value=note.before[:MAX_NOTE_LENGTH],
+            to_value=note.after[:MAX_NOTE_LENGTH],
+            code=int(code),
+        )
+
+    def _store(self, command, reply):
+        stored = StoredReply(
+            request_id=command.request_id, at=self.now, digest=command.digest, reply=reply
+        )
+        self._reply_by_id[command.request_id] = stored
+        while len(self._reply_by_id) > KEEP_REPLIES:
+            oldest = next(iter(self._reply_by_id.values()))
+            if self.now - oldest.at <= KEEP_REPLIES_S:
+                return
+            del self._reply_by_id[oldest.request_id]
+
+    def _set_config(self, index, command, note):
+        change = command.set_config
+        note.what = "configuration"
+        note.before = _describe(self.config_state.version, self.config_state.document)
+        note.after = _describe(change.expect_version + 1, change.document)
+        self._check_version(change.expect_version)
+        config = parse_config(change.document)
+        self.config = config
+        self.config_state.document = change.document
+        if not self.config_state.preset:
+            self.config_state.preset = "ordinary"
+        return self._next_version(index)
+
+    def _set_preset(self, index, command, note):
+        change = command.set_preset
+        note.what = "preset"
+        note.before = self.config_state.preset
+        note.after = change.preset
+        check_preset_name(change.preset)
+        self._check_version(change.expect_version)
+        self._require_config()
+        self.config_state.preset = change.preset
+        return self._next_version(index)
+
+    def _check_version(self, expected):
+        present = self.config_state.version
+        if expected != present:
+            raise VersionConflictError(f"expected version {expected}, present version {present}")
+
+    def _next_version(self, index):
+        self.config_state.version += 1
+        self.config_state.changed_at = index
+        self._admit(index)
+        return {"version": self.config_state.version, "preset": self.config_state.preset}
+
+    def _require_config(self):
+        if self.config is None:
+            raise NoConfigError("no configuration yet: set one first")
+
+    def _admit(self, index):
+        if self.config is not None:
+            self.jobs.admit(index=index, now=self.now, quota_by_team=self.config.quota_by_team)
+
+    def _submit_job(self, index, command, note):
+        spec = command.submit_job.spec
+        note.what = spec.name[:MAX_ID_LENGTH]
+        note.after = f"{spec.tasks} tasks of team {spec.team[:MAX_ID_LENGTH]}"
+        check_spec(spec)
+        self._require_config()
+        job = self.jobs.submit(
+            spec,
+            operator=command.operator,
+            index=index,
+            now=self.now,
+            quota_by_team=self.config.quota_by_team,
+        )
+        note.what = job.job_id
+        split = {share.group: share.tasks for share in job.shares}
+        return {"job": job.job_id, "reason": job.reason, "split": split}
+
+    def _cancel_jobs(self, index, command, note):
+        change = command.cancel_jobs
+        shown = list(change.job_ids[:SHOWN_IDS]) + ([f"{change.prefix}*"] if change.prefix else [])
+        note.what = " ".join(shown)
+        note.after = "cancelled"
+        if len(change.job_ids) > MAX_CANCELLED_AT_ONCE:
+            raise BadRequestError(f"jobs: expected at most {MAX_CANCELLED_AT_ONCE} ids")
+        cancelled, ended, missing = self.jobs.cancel(
+            change.job_ids, change.prefix, index=index, now=self.now
+        )
+        note.before = f"{len(cancelled)} not ended, {len(ended)} ended, {len(missing)} not found"
+        if not cancelled and not ended:
+            raise NotFoundError("no such job")
+        self._admit(index)
+        return {"cancelled": len(cancelled), "ended": len(ended), "not_found": missing}
+
+    def _set_drain(self, index, command, note):
+        change = command.set_drain
+        note.what = f"{change.kind} {change.name}"[:MAX_ID_LENGTH]
+        note.after = "draining" if change.draining else "in service"
+        if change.kind not in DRAIN_KINDS:
+            raise BadRequestError(f"kind = {change.kind!r}: expected worker or endpoint")
+        if not 1 <= len(change.name) <= MAX_ID_LENGTH:
+            raise BadRequestError(f"name: expected 1 to {MAX_ID_LENGTH} characters")
+        key = (change.kind, change.name)
+        before = self._drain_by_key.get(key)
+        note.before = "draining" if before is not None and before.draining else "in service"
+        if before is None and len(self._drain_by_key) >= MAX_DRAINS:
+            raise BadRequestError(f"drains: expected at most {MAX_DRAINS} names")
+        if note.before != note.after:
+            self._drain_by_key.pop(key, None)
+            self._drain_by_key[key] = DrainItem(
+                kind=change.kind, name=change.name, draining=change.draining, changed_at=index
+            )
+        return {"kind": change.kind, "name": change.name, "draining": change.draining}
+
+    def drains(self):
+        """Return the DrainItems of everything that is draining, in order of change."""
+        return [item for item in self._drain_by_key.values() if item.draining]
+
+    def latest(self, group):
+        """Return the log index of the last change that concerns a domain group, 0 if none."""
+        drains = self._drain_by_key.values()
+        drained_at = next(reversed(drains)).changed_at if drains else 0
+        return max(self.config_state.changed_at, drained_at, self.jobs.latest(group))
+
+    def changes(self, group, since):
+        """Return a SyncReply with everything that changed for a domain group after an index."""
+        reply = SyncReply(index=max(since, self.latest(group)))
+        if self.config_state.changed_at > since:
+            reply.config.CopyFrom(self.config_state)
+        reply.jobs.extend(self.jobs.items(group, since))
+        reply.drains.extend(item for item in self._drain_by_key.values() if item.changed_at > since)
+        return reply
+
+    def snapshot(self):
+        """Return the state as a State message."""
+        state = State(now=self.now, audit_number=self.audit.number, audit_head=self.audit.head)
+        state.config.CopyFrom(self.config_state)
+        self.jobs.save(state)
+        state.drains.extend(self._drain_by_key.values())
+        state.replies.extend(self._reply_by_id.values())
+        state.records.extend(self.audit.recent)
+        return state.SerializeToString(deterministic=True)
+
+    def restore(self, data):
+        """Replace the state with a snapshot.
+
+        :raises DecodeError: the data is no snapshot; the state is unchanged.
+        """
+        state = State.FromString(data)
+        config = parse_config(state.config.document) if state.config.version else None
+        self.now = state.now
+        self.config_state = state.config
+        self.config = config
+        self.jobs.load(state)
+        self.audit = AuditChain(
+            number=state.audit_number, head=state.audit_head, recent=state.records
+        )
+        self._drain_by_key = {(item.kind, item.name): item for item in state.drains}
+        self._reply_by_id = {stored.request_id: stored for stored in state.replies}
+
+
+def _describe(version, document):
+    if not document:
+        return "none"
+    return f"version {version} sha256:{sha256(document.encode()).hexdigest()}"
+
+
+_CHANGES = {
+    "set_config": Cell._set_config,
+    "set_preset": Cell._set_preset,
+    "submit_job": Cell._submit_job,
+    "cancel_jobs": Cell._cancel_jobs,
+    "set_drain": Cell._set_drain,
+}
--- /dev/null
+++ b/siskintally/jobs.py
@@ -0,0 +1,339 @@
+"""Jobs of the cell: quotas, shares of domain groups, progress.
+
+>>> from siskintally.jobs import JobTable
+>>> table = JobTable()
+>>> table.by_id, table.latest("jylland")
+({}, 0)
+"""
+
+from siskintally.capacity import CapacityTable, QuotaUse, exceeding
+from siskintally.cell_state_pb2 import Job, Share
+from siskintally.codes import Code
+from siskintally.errors import (
+    NeverFitsError,
+    NotFoundError,
+    QuotaExceededError,
+    SiskintallyError,
+)
+from siskintally.split import split
+from siskintally.wire_pb2 import JobItem, JobSpec
+
+KEEP_ENDED_S = 24 * 3600.0
+MAX_ENDED_JOBS = 20_000
+MAX_ACTIVE_JOBS = 50_000
+WAITS_FOR_QUOTA = "quota"
+ABOVE_QUOTA = "quota: the job is larger than the whole quota of its team"
+_RANK_BY_CLASS = {JobSpec.URGENT: 0, JobSpec.NORMAL: 1, JobSpec.DEFERRABLE: 2}
+
+
+class TooManyJobsError(SiskintallyError):
+    """The cell holds as many jobs that have not ended as it may; nothing was changed."""
+
+    code = Code.OVERLOADED
+
+
+def ended_tasks(share):
+    """Return how many tasks of a share have ended."""
+    progress = share.progress
+    return progress.succeeded + progress.failed + progress.cancelled
+
+
+def job_state(job):
+    """Name the state of a job.
+
+    :returns: waiting, running, cancelling, succeeded, failed, cancelled, or never.
+    """
+    if job.code:
+        return "never"
+    if not job.ended:
+        if job.cancelled:
+            return "cancelling"
+        running = any(share.progress.running for share in job.shares)
+        return "running" if running else "waiting"
+    if any(share.progress.failed for share in job.shares):
+        return "failed"
+    succeeded = sum(share.progress.succeeded for share in job.shares)
+    return "succeeded" if succeeded >= job.spec.tasks else "cancelled"
+
+
+class JobTable:
+    """All jobs with their quotas and shares; every method is deterministic.
+
+    :param by_id: jobs in order of submission.
+    :param capacity: domain groups as last reported.
+    :param quota_use: what teams hold.
+    """
+
+    __slots__ = (
+        "_changed_by_group",
+        "_ended",
+        "_held_by_id",
+        "_waiting",
+        "by_id",
+        "capacity",
+        "quota_use",
+    )
+
+    def __init__(self):
+        self.by_id = {}
+        self.capacity = CapacityTable()
+        self.quota_use = QuotaUse()
+        self._ended = {}
+        self._waiting = {}
+        self._held_by_id = {}
+        self._changed_by_group = {}
+
+    def submit(self, spec, *, operator, index, now, quota_by_team):
+        """Admit a job or let it wait for quota.
+
+        :param spec: JobSpec, already checked on its own.
+        :returns: the Job.
+        :raises QuotaExceededError: larger than the whole quota.
+        :raises NeverFitsError: all groups have reported and none can hold a task.
+        :raises NotFoundError: no group owns the domain of the job.
+        :raises TooManyJobsError: too many jobs that have not ended.
+        """
+        if len(self.by_id) - len(self._ended) >= MAX_ACTIVE_JOBS:
+            raise TooManyJobsError(f"{MAX_ACTIVE_JOBS} jobs have not ended")
+        quota = quota_by_team.get(spec.team)
+        if quota is None:
+            raise QuotaExceededError(f"team {spec.team!r} has no quota in the configuration")
+        above = exceeding(spec.each, spec.tasks, quota)
+        if above is not None:
+            name, need, allowed = above
+            raise QuotaExceededError(f"{name}: {need} needed, quota of {spec.team} is {allowed}")
+        self.capacity.candidates(spec)
+        job = Job(
+            job_id=f"{spec.name}-{index}",
+            spec=spec,
+            operator=operator,
+            submitted_at=now,
+            index=index,
+        )
+        self.by_id[job.job_id] = job
+        self._waiting.setdefault(spec.team, {})[job.job_id] = None
+        self.admit(index=index, now=now, quota_by_team=quota_by_team, teams=(spec.team,))
+        return job
+
+    def cancel(self, job_ids, prefix, *, index, now):
+        """Cancel jobs.
+
+        :param prefix: all jobs whose id starts with it, unless empty.
+        :returns: (ids cancelled now, ids that had ended, ids not found).
+        """
+        wanted = dict.fromkeys(job_ids)
+        if prefix:
+            wanted.update(dict.fromkeys(name for name in self.by_id if name.startswith(prefix)))
+        cancelled, ended, missing = [], [], []
+        for job_id in wanted:
+            job = self.by_id.get(job_id)
+            if job is None:
+                missing.append(job_id)
+            elif job.ended:
+                ended.append(job_id)
+            else:
+                self._cancel(job, index=index, now=now)
+                cancelled.append(job_id)
+        return cancelled, ended, missing
+
+    def _cancel(self, job, *, index, now):
+        job.cancelled = True
+        self._waiting.get(job.spec.team, {}).pop(job.job_id, None)
+        for share in job.shares:
+            self._touch(job, share, index)
+        self._settle(job, now)
+
+    def admit(self, *, index, now, quota_by_team, teams=None):
+        """Admit waiting jobs as far as quotas allow.
+
+        Within a team a job never overtakes an earlier one of its class or one of a higher class,
+        so a stream of small jobs cannot starve a large one.
+        """
+        for team in list(self._waiting) if teams is None else teams:
+            waiting = [self.by_id[job_id] for job_id in self._waiting.get(team, {})]
+            waiting.sort(key=lambda job: (_RANK_BY_CLASS[job.spec.class_], job.index))
+            quota = quota_by_team.get(team)
+            full = False
+            for job in waiting:
+                each, tasks = job.spec.each, job.spec.tasks
+                if quota is None or exceeding(each, tasks, quota):
+                    job.reason = ABOVE_QUOTA
+                elif full or not self.quota_use.fits(team, each, tasks, quota):
+                    job.reason = WAITS_FOR_QUOTA
+                    full = True
+                else:
+                    self._place(job, index=index, now=now)
+            if not self._waiting.get(team):
+                self._waiting.pop(team, None)
+
+    def _place(self, job, *, index, now):
+        self._waiting[job.spec.team].pop(job.job_id)
+        job.reason = ""
+        try:
+            views = self.capacity.candidates(job.spec)
+        except (NeverFitsError, NotFoundError) as error:
+            self._end_as_never(job, str(error), index=index, now=now)
+            return
+        job.admitted = True
+        for group, tasks in split(job.spec, job.spec.tasks, views).items():
+            job.shares.append(Share(group=group, tasks=tasks))
+            self._touch(job, job.shares[-1], index)
+        self._settle(job, now)
+
+    def report(self, report, *, index, now):
+        """Take the progress of jobs in one domain group; unknown and ended jobs are skipped."""
+        for progress in report.jobs:
+            job = self.by_id.get(progress.job_id)
+            if job is None or job.ended:
+                continue
+            share = next((share for share in job.shares if share.group == report.group), None)
+            if share is None or (share.refused and not share.tasks):
+                continue
+            ended = progress.succeeded + progress.failed + progress.cancelled
+            if share.reported and ended < ended_tasks(share):
+                # A report that a former leader of the group sent before a newer one.
+                continue
+            share.progress.CopyFrom(progress)
+            share.reported = True
+            job.reason = progress.reason if progress.waiting or progress.code else ""
+            if progress.code == Code.NEVER_FITS and not job.cancelled and not share.refused:
+                self._move(job, share, index=index, now=now)
+            self._settle(job, now)
+
+    def _move(self, job, share, *, index, now):
+        """Give the tasks that a group can never hold to another group, or end the job."""
+        keep = min(share.tasks, ended_tasks(share) + share.progress.running)
+        moved = share.tasks - keep
+        share.refused = True
+        share.tasks = keep
+        self._touch(job, share, index)
+        refused = [other.group for other in job.shares if other.refused]
+        try:
+            views = self.capacity.candidates(job.spec, refused=refused)
+        except NeverFitsError as error:
+            reason = share.progress.reason or str(error)
+            self._end_as_never(job, reason, index=index, now=now)
+            return
+        share_by_group = {other.group: other for other in job.shares}
+        for group, tasks in split(job.spec, moved, views).items() if moved else ():
+            target = share_by_group.get(group)
+            if target is None:
+                job.shares.append(Share(group=group))
+                target = job.shares[-1]
+            target.tasks += tasks
+            self._touch(job, target, index)
+
+    def _end_as_never(self, job, reason, *, index, now):
+        job.code = int(Code.NEVER_FITS)
+        job.reason = reason
+        self._cancel(job, index=index, now=now)
+
+    def _touch(self, job, share, index):
+        share.changed_at = index
+        changed = self._changed_by_group.setdefault(share.group, {})
+        changed.pop(job.job_id, None)
+        changed[job.job_id] = index
+
+    def _settle(self, job, now):
+        """Bring the derived figures of a job up to date and end it when all its tasks have."""
+        self._hold(job, -1)
+        if not job.ended and (job.admitted or job.cancelled) and all(map(_has_ended, job.shares)):
+            job.ended = True
+            job.ended_at = now
+            self._ended[job.job_id] = None
+            if not job.code:
+                job.reason = ""
+        self._hold(job, 1)
+
+    def _hold(self, job, sign):
+        if sign < 0:
+            held = self._held_by_id.pop(job.job_id, None)
+        elif job.admitted and not job.ended:
+            held = self._held_by_id[job.job_id] = _holding(job)
+        else:
+            held = None
+        if held is None:
+            return
+        team_tasks, demand_by_group = held
+        self.quota_use.add(job.spec.team, job.spec.each, sign * team_tasks)
+        for group, tasks in demand_by_group:
+            self.capacity.demand(group, job.spec.each, sign * tasks)
+
+    def latest(self, group):
+        """Return the log index of the last change of desired state of a group, 0 if none."""
+        changed = self._changed_by_group.get(group)
+        return changed[next(reversed(changed))] if changed else 0
+
+    def items(self, group, since):
+        """Return JobItems of a group that changed after a log index, in order of change."""
+        items = []
+        changed = self._changed_by_group.get(group, {})
+        for job_id in reversed(changed):
+            if changed[job_id] <= since:
+                break
+            job = self.by_id[job_id]
+            share = next(share for share in job.shares if share.group == group)
+            items.append(
+                JobItem(
+                    job_id=job_id,
+                    spec=job.spec,
+                    tasks=share.tasks,
+                    cancelled=job.cancelled or not share.tasks,
+                    changed_at=share.changed_at,
+                )
+            )
+        items.reverse()
+        return items
+
+    def forget(self, now):
+        """Drop jobs that ended 24 h ago, and the oldest of more than 20,000."""
+        while self._ended:
+            job_id = next(iter(self._ended))
+            old = now - self.by_id[job_id].ended_at > KEEP_ENDED_S
+            if not old and len(self._ended) <= MAX_ENDED_JOBS:
+                return
+            del self._ended[job_id]
+            for share in self.by_id.pop(job_id).shares:
+                del self._changed_by_group[share.group][job_id]
+
+    def save(self, state):
+        """Write jobs and groups into a State message."""
+        state.jobs.extend(self.by_id.values())
+        state.ended.extend(self._ended)
+        for info in self.capacity.info_by_group.values():
+            state.groups.append(info)
+            state.largest_at.append(self.capacity.largest_at[info.name])
+
+    def load(self, state):
+        """Replace everything with the jobs and groups of a State message."""
+        self.__init__()
+        for info, at in zip(state.groups, state.largest_at, strict=True):
+            self.capacity.info_by_group[info.name] = info
+            self.capacity.largest_at[info.name] = at
+        self._ended = dict.fromkeys(state.ended)
+        changes = []
+        for job in state.jobs:
+            self.by_id[job.job_id] = job
+            self._hold(job, 1)
+            if not job.admitted and not job.ended:
+                self._waiting.setdefault(job.spec.team, {})[job.job_id] = None
+            changes.extend((share.changed_at, job.job_id, share.group) for share in job.shares)
+        # Jobs that one command changed are listed by id in a restored table and by order of
+        # change in others; the set of items after any index is the same.
+        for index, job_id, group in sorted(changes):
+            self._changed_by_group.setdefault(group, {})[job_id] = index
+
+
+def _has_ended(share):
+    return ended_tasks(share) >= share.tasks and not share.progress.running
+
+
+def _holding(job):
+    """Return (tasks that count against the quota, [(group, tasks not placed yet), ...])."""
+    ended = sum(min(ended_tasks(share), share.tasks) for share in job.shares)
+    held = job.spec.tasks if job.spec.kind == JobSpec.GANG else job.spec.tasks - ended
+    demand = []
+    for share in job.shares:
+        placed = ended_tasks(share) + share.progress.running
+        demand.append((share.group, max(0, share.tasks - placed)))
+    return held, demand
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,128 @@
+"""Audit chain and its file: tampering, torn writes, replay, gaps."""
+
+from json import dumps, loads
+
+import pytest
+from cell_commands import Driver
+
+from siskintally.audit import EMPTY_HEAD, AuditFile, verify
+from siskintally.cell import Cell
+from siskintally.cell_state_pb2 import SetPreset
+from siskintally.errors import DamagedDataError
+
+
+@pytest.fixture
+def chain():
+    driver = Driver(Cell())
+    driver.configure()
+    for expect_version in (1, 1, 2):
+        driver.change(SetPreset(preset="peak", expect_version=expect_version))
+    return driver.cell.audit
+
+
+def written(chain, path):
+    file = AuditFile(path=path)
+    file.write(chain.recent)
+    file.close()
+    return path
+
+
+def test_accepted_and_rejected_changes_are_recorded(chain):
+    """Guards against a change or a refusal that leaves no trace."""
+    assert [record.code for record in chain.recent] == [1000, 1000, 4009, 1000]
+    second = chain.recent[1]
+    assert (second.operator, second.verb) == ("ana", "preset")
+    assert (second.from_value, second.to_value) == ("ordinary", "peak")
+    assert chain.recent[0].previous == EMPTY_HEAD
+    assert chain.head == chain.recent[-1].hash
+
+
+def test_file_has_the_whole_chain(chain, tmp_path):
+    """Guards against a file whose head differs from the one in the state."""
+    findings = verify(written(chain, tmp_path / "audit.log"))
+    assert (findings.records, findings.head, findings.damage) == (4, chain.head, "")
+
+
+def change_operator(lines):
+    record = loads(lines[1])
+    record["operator"] = "eva"
+    lines[1] = dumps(record, separators=(",", ":")).encode() + b"\n"
+
+
+def drop_line(lines):
+    del lines[1]
+    # A dropped line looks like a gap, so the number of the next one is closed up as well.
+    record = loads(lines[1])
+    record["number"] = 2
+    lines[1] = dumps(record, separators=(",", ":")).encode() + b"\n"
+
+
+def swap_lines(lines):
+    lines[1], lines[2] = lines[2], lines[1]
+
+
+def add_field(lines):
+    lines[1] = lines[1].replace(b"{", b'{"note":"x",', 1)
+
+
+@pytest.mark.parametrize("tamper", [change_operator, drop_line, swap_lines, add_field])
+def test_tampering_is_found(chain, tmp_path, tamper):
+    """Guards against a changed, dropped, or moved record that the check passes."""
+    path = written(chain, tmp_path / "audit.log")
+    lines = path.read_bytes().splitlines(keepends=True)
+    tamper(lines)
+    path.write_bytes(b"".join(lines))
+    assert verify(path).damage
+    with pytest.raises(DamagedDataError):
+        AuditFile(path=path)
+
+
+def test_missing_record_is_reported_as_a_gap(chain, tmp_path):
+    """Guards against a silent hole; a store that was away long has one without tampering."""
+    path = written(chain, tmp_path / "audit.log")
+    lines = path.read_bytes().splitlines(keepends=True)
+    path.write_bytes(b"".join(lines[:1] + lines[2:]))
+    assert verify(path).gaps == ["records 2 to 2"]
+
+
+def test_damaged_file_is_kept_aside(chain, tmp_path):
+    """Guards against evidence of damage that is overwritten."""
+    path = written(chain, tmp_path / "audit.log")
+    path.write_bytes(b"x" + path.read_bytes())
+    file = AuditFile.recover(path=path)
+    file.write(chain.recent)
+    file.close()
+    assert verify(path).records == 4
+    assert (tmp_path / "audit.log.damaged-1").exists()
+
+
+@pytest.mark.parametrize("cut", [1, 20, 150])
+def test_torn_last_line_is_written_again(chain, tmp_path, cut):
+    """Guards against a crash within a write that spoils the file."""
+    path = written(chain, tmp_path / "audit.log")
+    whole = path.read_bytes()
+    path.write_bytes(whole[:-cut])
+    written(chain, path)
+    assert path.read_bytes() == whole
+
+
+def test_replay_after_restart_writes_nothing_twice(chain, tmp_path):
+    """Guards against doubled records when a store applies its log again."""
+    path = written(chain, tmp_path / "audit.log")
+    whole = path.read_bytes()
+    file = AuditFile(path=path)
+    for record in chain.recent:
+        file.write([record])
+    file.close()
+    assert path.read_bytes() == whole
+
+
+def test_record_that_contradicts_the_file_is_refused(chain, tmp_path):
+    """Guards against replicas that compute different chains without notice."""
+    file = AuditFile(path=written(chain, tmp_path / "audit.log"))
+    other = type(chain.recent[-1])()
+    other.CopyFrom(chain.recent[-1])
+    other.hash = "f" * 64
+    with pytest.raises(DamagedDataError):
+        file.write([other])
+    file.close()
