Add operator verbs, cell service, operator client, and operator commands

Operators had no way to reach the cell state. The cell leader now answers long polls of domain groups, job reports, and operator calls; the client retries with one request id and maps result codes to exit statuses.

--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -35,6 +35,7 @@
 MAX_TIME_S = 1e11
 SHOWN_IDS = 20
 MAX_NOTE_LENGTH = 1000
+MAX_MESSAGE_LENGTH = 2000
 DRAIN_KINDS = ("worker", "endpoint")
 
 
@@ -136,7 +137,7 @@
             code = Code.DONE
         except SiskintallyError as error:
             code = error.code
-            answer = {"message": str(error)}
+            answer = {"message": str(error)[:MAX_MESSAGE_LENGTH]}
             if code == Code.VERSION_CONFLICT:
                 answer["version"] = self.config_state.version
         reply = _reply(code, answer)
--- /dev/null
+++ b/siskintally/cell_service.py
@@ -0,0 +1,151 @@
+"""Calls that the leader of the cell group answers: domains, job reports, operators.
+
+>>> from siskintally.cell_service import MAX_WAIT_S
+>>> MAX_WAIT_S
+5.0
+"""
+
+from hashlib import sha256
+from time import monotonic, time
+
+from anyio import move_on_after
+
+from siskintally.cell import MAX_ID_LENGTH, MAX_MESSAGE_LENGTH, encode
+from siskintally.cell_state_pb2 import Command, GroupInfo
+from siskintally.codes import Code
+from siskintally.errors import BadRequestError, NotLeaderError, SiskintallyError
+from siskintally.inquiry import Inquiry, Reported
+from siskintally.verbs import canonical, change_of, is_read, parse_arguments
+from siskintally.wire_pb2 import Done, OperatorReply, SyncReply
+
+MAX_WAIT_S = 5.0
+# A waiting poll looks this often whether this process still leads.
+LEADER_CHECK_S = 1.0
+MAX_REPORT_JOBS = 20_000
+_NOT_ANSWERED = (Code.NOT_LEADER, Code.OUTCOME_UNKNOWN, Code.STOPPED)
+
+
+class CellService:
+    """Answers calls to the cell group.
+
+    :param group: the cell :class:`~siskintally.group.Group`.
+    :param machine: its :class:`~siskintally.recorded_cell.RecordedCell`.
+    :param settings: settings of the cell.
+    :param clock: Unix time, s; stamps the commands.
+    """
+
+    __slots__ = ("_clock", "_group", "_inquiry", "_machine", "_reported", "_settings")
+
+    def __init__(self, *, group, machine, settings, clock=time):
+        self._group = group
+        self._machine = machine
+        self._settings = settings
+        self._clock = clock
+        self._reported = Reported()
+        self._inquiry = Inquiry(
+            group=group, machine=machine, settings=settings, reported=self._reported
+        )
+
+    def _require_leader(self):
+        if not self._group.is_leader:
+            leader = self._group.leader or ""
+            raise NotLeaderError("this store does not lead the cell group", leader=leader)
+
+    async def sync(self, request):
+        """Answer a long poll of a domain group with what changed.
+
+        :raises NotLeaderError: this process does not lead, or no longer.
+        """
+        self._require_leader()
+        self._check_group(request.group)
+        self._reported.heard_by_group[request.group] = monotonic()
+        self._reported.since_by_group[request.group] = request.since
+        if request.HasField("capacity"):
+            self._reported.capacity_by_group[request.group] = request.capacity
+        wait_s = request.wait_s if 0 <= request.wait_s <= MAX_WAIT_S else MAX_WAIT_S
+        deadline = monotonic() + wait_s
+        cell = self._machine.cell
+        while cell.latest(request.group) <= request.since:
+            remaining = deadline - monotonic()
+            if remaining <= 0:
+                return SyncReply(index=request.since)
+            with move_on_after(min(remaining, LEADER_CHECK_S)):
+                await self._machine.wait_change()
+            self._require_leader()
+        return cell.changes(request.group, request.since)
+
+    async def report(self, report):
+        """Commit the progress of jobs in a domain group.
+
+        :raises NotLeaderError: nothing was proposed.
+        :raises OutcomeUnknownError: the report may be committed; it can be sent again.
+        """
+        self._require_leader()
+        self._check_group(report.group)
+        if len(report.jobs) > MAX_REPORT_JOBS:
+            raise BadRequestError(f"jobs: expected at most {MAX_REPORT_JOBS} in a report")
+        command = Command(at=self._clock(), groups=self._infos(), job_report=report)
+        await self._group.propose(command.SerializeToString())
+        return Done()
+
+    def _check_group(self, name):
+        group = self._settings.group_by_name.get(name)
+        if group is None or not group.domains:
+            raise BadRequestError(
+                f"group = {name[:100]!r}: expected a domain group of the settings"
+            )
+
+    def _infos(self):
+        infos = []
+        for group in self._settings.domain_groups():
+            info = GroupInfo(name=group.name, domains=group.domains)
+            capacity = self._reported.capacity_by_group.get(group.name)
+            if capacity is not None:
+                info.capacity.CopyFrom(capacity)
+            infos.append(info)
+        return infos
+
+    async def operator(self, call):
+        """Answer an operator; a refusal is a reply with a result code.
+
+        :raises NotLeaderError: nothing was proposed.
+        :raises OutcomeUnknownError: may be committed; the same request id gets the first reply.
+        """
+        self._require_leader()
+        try:
+            arguments = parse_arguments(call.arguments)
+            if is_read(call.verb, arguments):
+                await self._group.confirm()
+                answer = self._inquiry.answer(call.verb, arguments)
+                return OperatorReply(code=int(Code.DONE), answer=encode(answer))
+            command = self._command(call, arguments)
+        except RecursionError:
+            return _refusal(BadRequestError("arguments are nested too deeply"))
+        except SiskintallyError as error:
+            if error.code in _NOT_ANSWERED:
+                raise
+            return _refusal(error)
+        reply = await self._group.propose(command.SerializeToString())
+        return OperatorReply.FromString(reply)
+
+    def _command(self, call, arguments):
+        for key, value in (("request_id", call.request_id), ("operator", call.operator)):
+            if not 1 <= len(value) <= MAX_ID_LENGTH:
+                raise BadRequestError(f"{key}: expected 1 to {MAX_ID_LENGTH} characters")
+        field, change = change_of(call.verb, arguments)
+        digest = sha256()
+        for part in (call.operator.encode(), call.verb.encode(), canonical(arguments)):
+            digest.update(len(part).to_bytes(8) + part)
+        return Command(
+            at=self._clock(),
+            request_id=call.request_id,
+            operator=call.operator,
+            digest=digest.digest(),
+            groups=self._infos(),
+            **{field: change},
+        )
+
+
+def _refusal(error):
+    answer = {"message": str(error)[:MAX_MESSAGE_LENGTH]}
+    return OperatorReply(code=int(error.code), answer=encode(answer))
--- /dev/null
+++ b/siskintally/client.py
@@ -0,0 +1,178 @@
+"""Operator calls over HTTP to any entry.
+
+>>> from siskintally.client import exit_status
+>>> exit_status(1000), exit_status(2006), exit_status(3001), exit_status(4009)
+(0, 3, 4, 5)
+"""
+
+from time import monotonic, sleep
+
+from httpx import Client, ConnectError, ConnectTimeout, HTTPError, InvalidURL, PoolTimeout
+
+from siskintally.codes import Code, not_run
+from siskintally.errors import (
+    BadSettingsError,
+    NotLeaderError,
+    OutcomeUnknownError,
+    RefusedError,
+    UnreachableError,
+)
+
+EXIT_DONE = 0
+EXIT_USAGE = 2
+EXIT_NOT_RUN = 3
+EXIT_UNKNOWN = 4
+EXIT_FAILED = 5
+REQUEST_ID_HEADER = "Siskintally-Request-Id"
+ATTEMPT_TIMEOUT_S = 15.0
+RETRY_DELAY_S = 0.3
+# Codes after which the same request id may get another answer. Every other code is final.
+RETRIED = (
+    Code.NO_ENDPOINT,
+    Code.DRAINING,
+    Code.NOT_LEADER,
+    Code.OUTCOME_UNKNOWN,
+    Code.STOPPED,
+)
+_BAD_INPUT = (
+    Code.BAD_REQUEST,
+    Code.UNAUTHORIZED,
+    Code.TOO_LARGE,
+    Code.NOT_FOUND,
+    Code.BAD_SETTINGS,
+)
+_NOT_SENT = (ConnectError, ConnectTimeout, PoolTimeout)
+
+
+def exit_status(code):
+    """Return the exit status of a command for a result code.
+
+    :returns: 0 done, 2 bad input, 3 not run, 4 outcome unknown, 5 refused or failed.
+    """
+    if code < 2000:
+        return EXIT_DONE
+    if not_run(code):
+        return EXIT_NOT_RUN
+    if code < 4000:
+        return EXIT_UNKNOWN
+    return EXIT_USAGE if code in _BAD_INPUT else EXIT_FAILED
+
+
+class Outcome:
+    """Answer to an operator call.
+
+    :param code: result code, an int.
+    :param answer: dict.
+    """
+
+    __slots__ = ("answer", "code")
+
+    def __init__(self, *, code, answer):
+        self.code = code
+        self.answer = answer
+
+
+class OperatorClient:
+    """Calls entries in turn until one gives a final answer.
+
+    A call whose answer was lost is sent again with the same request id, so a change takes
+    effect at most once.
+
+    :param entries: base URLs.
+    :param token: bearer token of the operator.
+    :param timeout_s: for everything.
+    """
+
+    __slots__ = ("_client", "_entries", "_timeout_s", "_turn")
+
+    def __init__(self, *, entries, token, timeout_s, transport=None):
+        if not entries or not token:
+            raise BadSettingsError("--entry and --token: expected both")
+        self._entries = [url.rstrip("/") for url in entries]
+        self._timeout_s = timeout_s
+        self._turn = 0
+        headers = {"Authorization": f"Bearer {token}"}
+        # The proxy variables of the environment are ignored: entries are addressed directly.
+        self._client = Client(headers=headers, trust_env=False, transport=transport)
+
+    def call(self, verb, arguments, *, request_id):
+        """Call a verb.
+
+        :param arguments: dict of JSON values.
+        :returns: :class:`Outcome`, also for a refusal.
+        :raises UnreachableError: not run.
+        :raises OutcomeUnknownError: sent, and no answer in time.
+        """
+        deadline = monotonic() + self._timeout_s
+        unknown = False
+        problem = "no attempt"
+        while (remaining := deadline - monotonic()) > 0:
+            url = self._entries[self._turn % len(self._entries)]
+            try:
+                outcome = self._post(url, verb, arguments, request_id, remaining)
+            except UnreachableError as error:
+                problem = str(error)
+            except OutcomeUnknownError as error:
+                unknown, problem = True, str(error)
+            else:
+                if outcome.code not in RETRIED:
+                    return outcome
+                unknown = unknown or outcome.code == Code.OUTCOME_UNKNOWN
+                problem = f"{outcome.code} {outcome.answer.get('message', '')}"
+            self._turn += 1
+            sleep(min(RETRY_DELAY_S, max(0.0, deadline - monotonic())))
+        if unknown:
+            raise OutcomeUnknownError(f"{problem}; resend with --request_id {request_id}")
+        raise UnreachableError(f"not run: {problem}")
+
+    def _post(self, url, verb, arguments, request_id, remaining):
+        timeout = min(remaining, ATTEMPT_TIMEOUT_S)
+        try:
+            response = self._client.post(
+                f"{url}/v1/operator/{verb}",
+                json=arguments,
+                headers={REQUEST_ID_HEADER: request_id},
+                timeout=timeout,
+            )
+        except InvalidURL as error:
+            raise BadSettingsError(f"--entry = {url!r}: {error}") from error
+        except _NOT_SENT as error:
+            raise UnreachableError(f"{url}: {error}") from error
+        except HTTPError as error:
+            raise OutcomeUnknownError(f"{url}: {error!r}") from error
+        return _read(url, response)
+
+    def close(self):
+        """Close the connections."""
+        self._client.close()
+
+
+def _read(url, response):
+    try:
+        fields = response.json()
+        code = fields["code"]
+        answer = fields.get("answer")
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise OutcomeUnknownError(
+            f"{url}: HTTP status {response.status_code} without a result code"
+        ) from error
+    if not isinstance(answer, dict):
+        answer = {"message": str(fields.get("message", ""))}
+    return Outcome(code=int(code), answer=answer)
+
+
+def require_done(outcome):
+    """Return the answer of a call that succeeded.
+
+    :raises RefusedError: with the result code of the answer.
+    """
+    if outcome.code < 2000:
+        return outcome.answer
+    try:
+        code = Code(outcome.code)
+    except ValueError:
+        code = Code.INTERNAL
+    if code == Code.NOT_LEADER:
+        raise NotLeaderError(outcome.answer.get("message", ""))
+    message = outcome.answer.get("message", "refused")
+    raise RefusedError(message, code=code)
--- /dev/null
+++ b/siskintally/operation.py
@@ -0,0 +1,167 @@
+"""One run of an operator command: flags, request id, waiting, exit status.
+
+>>> from siskintally.operation import DEFAULT_ENTRY
+>>> DEFAULT_ENTRY
+'http://127.0.0.1:7101'
+"""
+
+from json import dumps
+from os import environ
+from sys import stderr
+from time import monotonic, sleep
+from uuid import uuid4
+
+from absl.flags import DEFINE_alias, DEFINE_boolean, DEFINE_float, DEFINE_list, DEFINE_string
+
+from siskintally.audit import record_hash
+from siskintally.cell_state_pb2 import AuditRecord
+from siskintally.client import OperatorClient, exit_status, require_done
+from siskintally.codes import Code
+from siskintally.errors import DamagedDataError, OutcomeUnknownError, SiskintallyError
+
+DEFAULT_ENTRY = "http://127.0.0.1:7101"
+TOKEN_VARIABLE = "SISKINTALLY_TOKEN"
+POLL_S = 1.0
+ENDED_STATES = ("succeeded", "failed", "cancelled", "never")
+# Ids of one poll; the arguments of a call are at most 1 MiB.
+POLLED_JOBS = 5000
+
+
+def define_common(values):
+    """Add the flags that all operator commands have."""
+    DEFINE_list("entry", [DEFAULT_ENTRY], "entry URLs, tried in turn", flag_values=values)
+    DEFINE_string(
+        "token", None, f"operator token; the default is ${TOKEN_VARIABLE}", flag_values=values
+    )
+    DEFINE_string(
+        "request_id", None, "request id of an earlier try, for a resend", flag_values=values
+    )
+    DEFINE_alias("request-id", "request_id", flag_values=values)
+    DEFINE_boolean("json", False, "print the answer as one line of JSON", flag_values=values)
+    DEFINE_float("timeout_s", 30.0, "for the call, s", 0.1, 3600.0, flag_values=values)
+    DEFINE_boolean("wait", False, "wait until the change has its effect", flag_values=values)
+    DEFINE_float("wait_s", 600.0, "longest wait, s", 0.0, 1e7, flag_values=values)
+
+
+class Operation:
+    """What a command works with.
+
+    :param json: whether the answer is printed as JSON instead of text.
+    :param wait: whether to wait for the effect.
+    """
+
+    __slots__ = ("_client", "_request_id", "_wait_s", "json", "wait")
+
+    def __init__(self, *, client, request_id, json, wait, wait_s):
+        self._client = client
+        self._request_id = request_id
+        self._wait_s = wait_s
+        self.json = json
+        self.wait = wait
+
+    @classmethod
+    def run(cls, values, arguments, start):
+        """Run a command and return its exit status.
+
+        :param start: ``start(operation, values, arguments)`` returns the answer.
+        """
+        code, answer = Code.DONE, None
+        try:
+            client = OperatorClient(
+                entries=values.entry,
+                token=values.token or environ.get(TOKEN_VARIABLE, ""),
+                timeout_s=values.timeout_s,
+            )
+            operation = cls(
+                client=client,
+                request_id=values.request_id or uuid4().hex,
+                json=values.json,
+                wait=values.wait,
+                wait_s=values.wait_s,
+            )
+            answer = start(operation, values, arguments)
+        except SiskintallyError as error:
+            code, answer = error.code, {"message": str(error)}
+            print(f"{int(code)} {code.name}: {error}", file=stderr)
+        if values.json:
+            print(dumps({"code": int(code), "answer": answer}))
+        return exit_status(code)
+
+    def call(self, verb, arguments):
+        """Make a change and return its answer; the request id is shown for a resend.
+
+        :raises SiskintallyError: refused, not run, or unknown.
+        """
+        print(f"request id {self._request_id}", file=stderr)
+        return require_done(self._client.call(verb, arguments, request_id=self._request_id))
+
+    def read(self, verb, arguments):
+        """Return the answer of a verb that changes nothing."""
+        return require_done(self._client.call(verb, arguments, request_id=uuid4().hex))
+
+    def wait_jobs(self, jobs, prefix=""):
+        """Wait until jobs have ended or, for services, all tasks run; show progress.
+
+        :raises OutcomeUnknownError: the wait was too short.
+        """
+        waiting = list(jobs)
+        while True:
+            rows = []
+            for start in range(0, len(waiting), POLLED_JOBS):
+                asked = {"jobs": waiting[start : start + POLLED_JOBS], "limit": POLLED_JOBS}
+                rows += self.read("jobs", asked)["jobs"]
+            if prefix:
+                rows += self.read("jobs", {"prefix": prefix, "limit": POLLED_JOBS})["jobs"]
+            rows = [row for row in rows if not _is_settled(row)]
+            if not rows:
+                return
+            counts = ", ".join(f"{name} {sum(row[name] for row in rows)}" for name in _COUNTS)
+            reasons = sorted({row["reason"] for row in rows if row["reason"]})
+            self._progress(f"{len(rows)} jobs: {counts} {'; '.join(reasons[:3])}")
+            waiting = [row["job"] for row in rows]
+            prefix = ""
+
+    def wait_config(self, version):
+        """Wait until every domain group has committed a configuration version.
+
+        :raises OutcomeUnknownError: the wait was too short.
+        """
+        while True:
+            status = self.read("status", {})
+            behind = [row["group"] for row in status["groups"] if not row["config_current"]]
+            if status["version"] > version or not behind:
+                return
+            self._progress(f"version {version} not yet in {', '.join(behind)}")
+
+    def _progress(self, text):
+        """Show progress and sleep, within the longest wait."""
+        if self._wait_s <= 0:
+            raise OutcomeUnknownError(f"wait is over: {text}")
+        started = monotonic()
+        print(text.rstrip(), file=stderr)
+        sleep(min(POLL_S, self._wait_s))
+        self._wait_s -= max(monotonic() - started, POLL_S)
+
+    def check_chain(self, answer):
+        """Check the records of an audit answer and the findings on the file.
+
+        :raises DamagedDataError: a hash does not match.
+        """
+        previous = None
+        for row in answer["rows"]:
+            record = AuditRecord(**row)
+            if record_hash(record) != record.hash or previous not in (None, record.previous):
+                raise DamagedDataError(f"audit record {record.number}: hash does not match")
+            previous = record.hash
+        damage = answer.get("file", {}).get("damage")
+        if damage:
+            raise DamagedDataError(f"audit file of {answer['file']['store']}: {damage}")
+
+
+_COUNTS = ("waiting", "running", "succeeded", "failed", "cancelled")
+
+
+def _is_settled(row):
+    if row["state"] in ENDED_STATES:
+        return True
+    return row["kind"] == "service" and row["running"] >= row["tasks"]
--- /dev/null
+++ b/siskintally/verbs.py
@@ -0,0 +1,168 @@
+"""Operator verbs: from the JSON arguments of an OperatorCall to a change of the cell state.
+
+>>> from siskintally.verbs import change_of, parse_arguments
+>>> change_of("preset", parse_arguments(b'{"preset": "peak", "expect_version": 3}'))
+('set_preset', preset: "peak"
+expect_version: 3
+)
+"""
+
+from json import dumps, loads
+
+from siskintally.cell_state_pb2 import CancelJobs, SetConfig, SetDrain, SetPreset, SubmitJob
+from siskintally.codes import Code
+from siskintally.errors import BadRequestError, SiskintallyError
+from siskintally.spec import parse_spec
+
+MAX_ARGUMENT_BYTES = 1 << 20
+MAX_VERSION = (1 << 63) - 1
+READS = ("status", "jobs", "audit")
+CHANGES = ("submit", "cancel", "drain", "preset", "config")
+
+
+class ArgumentsTooLargeError(SiskintallyError):
+    """The arguments are over the limit; nothing was changed."""
+
+    code = Code.TOO_LARGE
+
+
+def parse_arguments(data):
+    """Read the JSON arguments of a call; empty bytes are no arguments.
+
+    :returns: dict.
+    :raises BadRequestError: no JSON object.
+    :raises ArgumentsTooLargeError: over 1 MiB.
+    """
+    if len(data) > MAX_ARGUMENT_BYTES:
+        raise ArgumentsTooLargeError(f"arguments: expected at most {MAX_ARGUMENT_BYTES} bytes")
+    try:
+        arguments = loads(data) if data else {}
+    except (ValueError, RecursionError) as error:
+        raise BadRequestError(f"arguments are not JSON: {error}") from error
+    if not isinstance(arguments, dict):
+        raise BadRequestError("arguments: expected a JSON object")
+    return arguments
+
+
+def canonical(arguments):
+    """Write arguments so that equal ones give equal bytes."""
+    return dumps(arguments, sort_keys=True, separators=(",", ":")).encode()
+
+
+def is_read(verb, arguments):
+    """Tell whether a call only reads.
+
+    :raises BadRequestError: unknown verb.
+    """
+    if verb in READS:
+        return True
+    if verb not in CHANGES:
+        known = ", ".join(READS + CHANGES)
+        raise BadRequestError(f"verb = {verb[:100]!r}: expected one of {known}")
+    return verb == "config" and "document" not in arguments
+
+
+def change_of(verb, arguments):
+    """Make the change that a call asks for.
+
+    :returns: (field of Command, message).
+    :raises BadRequestError: names the argument, its value, and what is allowed.
+    """
+    try:
+        return _MAKERS[verb](arguments)
+    except (ValueError, TypeError, OverflowError, RecursionError) as error:
+        # Values that protobuf refuses, such as text with half of a surrogate pair.
+        raise BadRequestError(f"arguments: {error}") from error
+
+
+def text_of(arguments, key, default=None):
+    """Return a text argument.
+
+    :raises BadRequestError: missing without a default, or no text.
+    """
+    value = arguments.get(key, default)
+    if not isinstance(value, str):
+        raise BadRequestError(f"{key} = {value!r}: expected text")
+    return value
+
+
+def number_of(arguments, key, *, low, high, default=None):
+    """Return an integer argument.
+
+    :raises BadRequestError: missing without a default, no integer, or out of range.
+    """
+    value = arguments.get(key, default)
+    if not isinstance(value, int) or isinstance(value, bool) or not low <= value <= high:
+        raise BadRequestError(f"{key} = {value!r}: expected an integer from {low} to {high}")
+    return value
+
+
+def flag_of(arguments, key, default):
+    """Return a true or false argument.
+
+    :raises BadRequestError: another type.
+    """
+    value = arguments.get(key, default)
+    if not isinstance(value, bool):
+        raise BadRequestError(f"{key} = {value!r}: expected true or false")
+    return value
+
+
+def expect_keys(arguments, *allowed):
+    """Check that there are no other arguments.
+
+    :raises BadRequestError: names the unknown one.
+    """
+    for key in arguments:
+        if key not in allowed:
+            known = ", ".join(allowed) or "none"
+            raise BadRequestError(f"{key[:100]}: unknown argument, expected one of {known}")
+
+
+def _submit(arguments):
+    return "submit_job", SubmitJob(spec=parse_spec(arguments))
+
+
+def _cancel(arguments):
+    expect_keys(arguments, "jobs", "prefix")
+    jobs = arguments.get("jobs", [])
+    if not isinstance(jobs, list) or not all(isinstance(job, str) for job in jobs):
+        raise BadRequestError("jobs: expected a list of job ids")
+    prefix = text_of(arguments, "prefix", "")
+    if not jobs and not prefix:
+        raise BadRequestError("jobs, prefix: expected one of them")
+    return "cancel_jobs", CancelJobs(job_ids=jobs, prefix=prefix)
+
+
+def _drain(arguments):
+    expect_keys(arguments, "kind", "name", "draining")
+    return "set_drain", SetDrain(
+        kind=text_of(arguments, "kind"),
+        name=text_of(arguments, "name"),
+        draining=flag_of(arguments, "draining", True),
+    )
+
+
+def _preset(arguments):
+    expect_keys(arguments, "preset", "expect_version")
+    return "set_preset", SetPreset(
+        preset=text_of(arguments, "preset"),
+        expect_version=number_of(arguments, "expect_version", low=0, high=MAX_VERSION),
+    )
+
+
+def _config(arguments):
+    expect_keys(arguments, "document", "expect_version")
+    return "set_config", SetConfig(
+        document=text_of(arguments, "document"),
+        expect_version=number_of(arguments, "expect_version", low=0, high=MAX_VERSION),
+    )
+
+
+_MAKERS = {
+    "submit": _submit,
+    "cancel": _cancel,
+    "drain": _drain,
+    "preset": _preset,
+    "config": _config,
+}
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -3,12 +3,12 @@
 from json import dumps, loads
 
 import pytest
-from cell_commands import Driver
 
 from siskintally.audit import EMPTY_HEAD, AuditFile, verify
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import SetPreset
 from siskintally.errors import DamagedDataError
+from tests.cell_commands import Driver
 
 
 @pytest.fixture
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -1,7 +1,6 @@
 """Cell state machine: versions, resends, quotas, splits, cancellation, snapshots."""
 
 import pytest
-from cell_commands import DOCUMENT, NAMES, Driver, group
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -10,6 +9,7 @@
 from siskintally.codes import Code
 from siskintally.jobs import job_state
 from siskintally.wire_pb2 import OperatorReply
+from tests.cell_commands import DOCUMENT, NAMES, Driver, group
 
 
 @pytest.fixture
