--- /dev/null
+++ b/siskintally/store_links.py
@@ -0,0 +1,93 @@
+"""Links of a store to the other stores.
+
+Of two stores the one with the smaller name dials; the other uses the session it accepted.
+
+>>> from siskintally.store_links import dials
+>>> dials("s1", "s2"), dials("s2", "s1")
+(True, False)
+"""
+
+from siskintally.errors import UnreachableError
+from siskintally.link import Link
+
+
+def dials(own, other):
+    """Tell whether a store opens the link to another."""
+    return own < other
+
+
+class StoreLinks:
+    """Sessions with the other stores by process name.
+
+    :param process: the row of this store.
+    :param hello: what this process says of itself.
+    :param handler: takes calls and messages of peers.
+    :param server: :class:`~siskintally.link.LinkServer` of this process.
+    """
+
+    __slots__ = ("_accepted_by_name", "_link_by_name", "_server")
+
+    def __init__(self, *, settings, process, hello, handler, server):
+        self._server = server
+        self._accepted_by_name = {}
+        self._link_by_name = {
+            peer.name: Link(
+                host=peer.link.host,
+                port=peer.link.port,
+                hello=hello,
+                secret=settings.secret,
+                handler=handler,
+                tls=settings.tls(process.name),
+            )
+            for peer in settings.process_by_name.values()
+            if peer.role == "store" and dials(process.name, peer.name)
+        }
+
+    def links(self):
+        """Yield (process name, link) of the links that this store opens."""
+        yield from self._link_by_name.items()
+
+    def note(self, session):
+        """Remember the session from which a frame came as the one to its process.
+
+        After a silent loss the other side dials again, while the old session still looks open.
+        """
+        if session.peer.name not in self._link_by_name:
+            self._accepted_by_name[session.peer.name] = session
+
+    def forget(self, session):
+        """Drop a session that has ended."""
+        if self._accepted_by_name.get(session.peer.name) is session:
+            del self._accepted_by_name[session.peer.name]
+
+    def session(self, name):
+        """Return the open session with a process, or None."""
+        link = self._link_by_name.get(name)
+        if link is not None:
+            return link.session if link.is_open else None
+        session = self._accepted_by_name.get(name)
+        if session is not None and not session.closed:
+            return session
+        for session in reversed(self._server.session_by_id.values()):
+            if session.peer.name == name and not session.closed:
+                self._accepted_by_name[name] = session
+                return session
+        return None
+
+    def send(self, name, body):
+        """Send a message without a reply.
+
+        :returns: whether it was queued.
+        """
+        session = self.session(name)
+        return session is not None and session.send(body)
+
+    async def call(self, name, body, *, timeout):
+        """Call a process; see :meth:`siskintally.link.Session.call`.
+
+        :raises UnreachableError: there is no open session with it.
+        """
+        session = self.session(name)
+        if session is None:
+            raise UnreachableError(f"no link to {name}")
+        return await session.call(body, timeout=timeout)
--- /dev/null
+++ b/tests/fake_group.py
@@ -0,0 +1,28 @@
+"""Group of one process for tests: a proposal is applied at once."""
+
+from siskintally.errors import NotLeaderError
+
+
+class FakeGroup:
+    """Stands in for :class:`siskintally.group.Group`."""
+
+    __slots__ = ("applied_index", "is_leader", "leader", "machine", "name", "term")
+
+    def __init__(self, *, machine, name="cell"):
+        self.name = name
+        self.machine = machine
+        self.is_leader = True
+        self.leader = "s1"
+        self.term = 1
+        self.applied_index = 0
+
+    async def propose(self, command):
+        """Apply a command and return the reply."""
+        await self.confirm()
+        self.applied_index += 1
+        return self.machine.apply(index=self.applied_index, command=command)
+
+    async def confirm(self):
+        """Refuse unless this process leads."""
+        if not self.is_leader:
+            raise NotLeaderError("not leader", leader=self.leader)
