--- /dev/null
+++ b/siskintally/journal.py
@@ -0,0 +1,316 @@
+"""Data folder of a replica: identity, log and snapshot.
+
+>>> from pathlib import Path
+>>> from tempfile import TemporaryDirectory
+>>> from siskintally.journal import Journal
+>>> with TemporaryDirectory() as folder:
+...     journal = Journal.open(Path(folder) / "cell", group="cell", name="s1")
+...     journal.close()
+>>> journal.identity.name, journal.stable.term
+('s1', 0)
+"""
+
+from fcntl import LOCK_EX, LOCK_NB, flock
+from pathlib import Path
+from uuid import uuid4
+
+from google.protobuf.message import DecodeError
+
+from siskintally.encoding import decode_entry, decode_members, encode_entry, encode_members
+from siskintally.errors import BadRequestError, DamagedDataError, StoppedError
+from siskintally.journal_pb2 import (
+    LogHead,
+    LogRecord,
+    StoredHardState,
+    StoredIdentity,
+    StoredSnapshot,
+)
+from siskintally.messages import Identity, Snapshot
+from siskintally.raftlog import EMPTY_SNAPSHOT
+from siskintally.records import (
+    TEMPORARY_SUFFIX,
+    append_to,
+    pack,
+    replace_file,
+    sync_folder,
+    unpack,
+    unpack_one,
+)
+from siskintally.stable import Stable, founding_state
+
+IDENTITY_FILE = "identity"
+LOG_FILE = "log"
+SNAPSHOT_PREFIX = "snapshot-"
+DAMAGED_SUFFIX = ".damaged-"
+INCARNATION_LENGTH = 16
+
+
+class Journal:
+    """What one replica keeps on disk.
+
+    :param folder: data folder of the replica.
+    :param stable: its content at opening.
+    """
+
+    __slots__ = ("_group", "_lock", "_log", "folder", "identity", "log_bytes", "stable")
+
+    def __init__(self, *, folder, group, identity, stable, lock):
+        self.folder = folder
+        self.identity = identity
+        self.stable = stable
+        self.log_bytes = 0
+        self._group = group
+        self._lock = lock
+        self._log = None
+
+    @classmethod
+    def open(cls, folder, *, group, name):
+        """Read a folder; a missing or empty one gets a new incarnation.
+
+        The log is written anew, since after a failed sync its pages may be in memory only.
+
+        :raises DamagedDataError: the folder failed its checks; see :func:`set_aside`.
+        :raises StoppedError: another process has the folder open.
+        """
+        folder = Path(folder)
+        _create(folder, group, name)
+        lock = _lock(folder / IDENTITY_FILE)
+        try:
+            identity = _read_identity(folder, group, name)
+            stable = _read_log(folder, group, identity)
+            journal = cls(folder=folder, group=group, identity=identity, stable=stable, lock=lock)
+            journal._replace_log(stable)
+            _remove_others(folder, stable.snapshot.index)
+        except BaseException:
+            lock.close()
+            raise
+        return journal
+
+    def write(self, effects, stable):
+        """Sync the changes that a transition made; blocks.
+
+        :param effects: with hard state, entries or snapshot.
+        :param stable: function that returns the :class:`Stable` after the transition; it is called
+            only if there is a snapshot.
+        :raises OSError: the disk failed; the journal must be opened again.
+        """
+        if effects.snapshot is not None:
+            self._write_snapshot(stable())
+            return
+        records = []
+        if effects.hard_state is not None:
+            record = LogRecord(hard_state=_encode_hard_state(effects.hard_state))
+            records.append(pack(record.SerializeToString()))
+        for entry in effects.entries:
+            records.append(pack(LogRecord(entry=encode_entry(entry)).SerializeToString()))
+        data = b"".join(records)
+        append_to(self._log, data)
+        self.log_bytes += len(data)
+
+    def close(self):
+        """Close the files."""
+        if self._log is not None:
+            self._log.close()
+        self._lock.close()
+
+    def _write_snapshot(self, stable):
+        path = self.folder / f"{SNAPSHOT_PREFIX}{stable.snapshot.index}"
+        replace_file(path, _encode_snapshot(stable.snapshot))
+        self._replace_log(stable)
+        _remove_others(self.folder, stable.snapshot.index)
+
+    def _replace_log(self, stable):
+        """Start a new log with all that is not in the snapshot."""
+        data = _encode_head(stable, self._group, self.identity)
+        path = self.folder / LOG_FILE
+        if self._log is not None:
+            self._log.close()
+        replace_file(path, data)
+        self._log = open(path, "ab", buffering=0)  # noqa: SIM115
+        self.log_bytes = len(data)
+
+
+def found(folder, *, group, name, voters=()):
+    """Write the founding state of a group into an empty folder.
+
+    The founder is the only voter; the other stores join it with their own incarnations.
+
+    :param voters: identities, if the group has other founding voters whose folders get the same.
+    :raises BadRequestError: the folder already holds a replica that is not empty.
+    """
+    journal = Journal.open(folder, group=group, name=name)
+    try:
+        if journal.stable != Stable():
+            raise BadRequestError(f"{folder}: the group {group!r} is already founded here")
+        stable = founding_state(voters or (journal.identity,))
+        journal._write_snapshot(stable)
+    finally:
+        journal.close()
+    return journal.identity
+
+
+def set_aside(folder):
+    """Rename a damaged folder, so that the replica joins with a new incarnation.
+
+    :returns: the new path, which is kept for inspection.
+    """
+    folder = Path(folder)
+    number = 1
+    while (target := folder.with_name(f"{folder.name}{DAMAGED_SUFFIX}{number}")).exists():
+        number += 1
+    folder.rename(target)
+    sync_folder(folder.parent)
+    return target
+
+
+def _create(folder, group, name):
+    """Give an empty folder an incarnation.
+
+    The identity is written last, and a folder that lacks one of the two files is damaged: a lost
+    log must not make a replica vote again in a term in which it has voted.
+    """
+    if not folder.exists():
+        folder.mkdir(parents=True)
+        sync_folder(folder.parent)
+    for leftover in folder.glob(f"*{TEMPORARY_SUFFIX}"):
+        leftover.unlink()
+    if any(folder.iterdir()):
+        return
+    incarnation = uuid4().hex[:INCARNATION_LENGTH]
+    identity = Identity(name=name, incarnation=incarnation)
+    replace_file(folder / LOG_FILE, _encode_head(Stable(), group, identity))
+    stored = StoredIdentity(group=group, name=name, incarnation=incarnation)
+    replace_file(folder / IDENTITY_FILE, pack(stored.SerializeToString()))
+
+
+def _lock(path):
+    try:
+        file = open(path, "rb")  # noqa: SIM115
+    except FileNotFoundError as error:
+        raise DamagedDataError(f"{path}: the identity is missing") from error
+    try:
+        flock(file, LOCK_EX | LOCK_NB)
+    except BlockingIOError as error:
+        file.close()
+        raise StoppedError(f"{path}: another process uses this folder") from error
+    return file
+
+
+def _parse(type_, payload, name):
+    try:
+        return type_.FromString(payload)
+    except DecodeError as error:
+        raise DamagedDataError(f"{name}: a record has an unknown format") from error
+
+
+def _read_identity(folder, group, name):
+    data = (folder / IDENTITY_FILE).read_bytes()
+    stored = _parse(StoredIdentity, unpack_one(data, name=IDENTITY_FILE), IDENTITY_FILE)
+    if (stored.group, stored.name) != (group, name):
+        raise DamagedDataError(
+            f"{folder}: belongs to {stored.name!r} of group {stored.group!r}, not to {name!r}"
+        )
+    return Identity(name=stored.name, incarnation=stored.incarnation)
+
+
+def _read_log(folder, group, identity):
+    path = folder / LOG_FILE
+    if not path.exists():
+        raise DamagedDataError(f"{path}: the log is missing")
+    payloads = unpack(path.read_bytes(), name=LOG_FILE)
+    first = next(payloads, None)
+    record = _parse(LogRecord, first, LOG_FILE) if first is not None else LogRecord()
+    if record.WhichOneof("body") != "head":
+        raise DamagedDataError(f"{path}: the head is missing")
+    head = record.head
+    if (head.group, head.name, head.incarnation) != (group, *identity):
+        raise DamagedDataError(f"{path}: belongs to another replica")
+    return _replay(head, payloads, _read_snapshot(folder, head.snapshot_index))
+
+
+def _replay(head, payloads, snapshot):
+    hard_state = head.hard_state
+    entries = []
+    for body in head.entries:
+        _place(entries, body, head.base_index)
+    for payload in payloads:
+        record = _parse(LogRecord, payload, LOG_FILE)
+        kind = record.WhichOneof("body")
+        if kind == "hard_state":
+            hard_state = record.hard_state
+        elif kind == "entry":
+            _place(entries, record.entry, head.base_index)
+        else:
+            raise DamagedDataError(f"{LOG_FILE}: unexpected record {kind}")
+    if head.base_index + len(entries) < snapshot.index:
+        raise DamagedDataError(f"{LOG_FILE}: entries before the snapshot are missing")
+    vote = Identity(hard_state.vote_name, hard_state.vote_incarnation)
+    return Stable(
+        term=hard_state.term,
+        vote=vote if vote.name else None,
+        snapshot=snapshot,
+        base_index=head.base_index,
+        base_term=head.base_term,
+        entries=tuple(entries),
+    )
+
+
+def _place(entries, body, base_index):
+    position = body.index - base_index - 1
+    if not 0 <= position <= len(entries):
+        raise DamagedDataError(f"{LOG_FILE}: entry {body.index} does not follow the one before")
+    del entries[position:]
+    try:
+        entries.append(decode_entry(body))
+    except ValueError as error:
+        raise DamagedDataError(f"{LOG_FILE}: {error}") from error
+
+
+def _read_snapshot(folder, index):
+    if index == 0:
+        return EMPTY_SNAPSHOT
+    path = folder / f"{SNAPSHOT_PREFIX}{index}"
+    if not path.exists():
+        raise DamagedDataError(f"{path}: the snapshot is missing")
+    stored = _parse(StoredSnapshot, unpack_one(path.read_bytes(), name=path.name), path.name)
+    if stored.index != index:
+        raise DamagedDataError(f"{path}: holds the snapshot {stored.index}")
+    members = decode_members(stored.members)
+    return Snapshot(index=index, term=stored.term, members=members, data=stored.data)
+
+
+def _remove_others(folder, index):
+    for path in folder.glob(f"{SNAPSHOT_PREFIX}*"):
+        if path.name != f"{SNAPSHOT_PREFIX}{index}":
+            path.unlink()
+
+
+def _encode_hard_state(hard_state):
+    vote = hard_state.vote or Identity("", "")
+    return StoredHardState(
+        term=hard_state.term, vote_name=vote.name, vote_incarnation=vote.incarnation
+    )
+
+
+def _encode_snapshot(snapshot):
+    stored = StoredSnapshot(
+        index=snapshot.index,
+        term=snapshot.term,
+        members=encode_members(snapshot.members),
+        data=snapshot.data,
+    )
+    return pack(stored.SerializeToString())
+
+
+def _encode_head(stable, group, identity):
+    head = LogHead(
+        group=group,
+        name=identity.name,
+        incarnation=identity.incarnation,
+        snapshot_index=stable.snapshot.index,
+        base_index=stable.base_index,
+        base_term=stable.base_term,
+        hard_state=_encode_hard_state(stable),
+        entries=[encode_entry(entry) for entry in stable.entries],
+    )
+    return pack(LogRecord(head=head).SerializeToString())
--- /dev/null
+++ b/siskintally/records.py
@@ -0,0 +1,104 @@
+"""Checksummed records in files, and files that are replaced as a whole.
+
+A record is a header (length, xxh32 of the length, xxh64 of the rest), the payload, and a last byte
+that is not zero.
+
+>>> from siskintally.records import pack, unpack
+>>> list(unpack(pack(b"one") + pack(b"two")[:-2], name="log"))
+[b'one']
+"""
+
+from os import O_DIRECTORY, O_RDONLY, fdatasync, fsync
+from os import close as close_descriptor
+from os import open as open_descriptor
+from struct import Struct
+
+from xxhash import xxh32_intdigest, xxh64_intdigest
+
+from siskintally.errors import DamagedDataError
+
+HEADER = Struct("<IIQ")
+LENGTH = Struct("<I")
+LAST_BYTE = b"\xa5"
+SECTOR_BYTES = 512
+TEMPORARY_SUFFIX = ".tmp"
+
+
+def pack(payload):
+    """Return a payload as a record."""
+    length = LENGTH.pack(len(payload) + 1)
+    digest = xxh64_intdigest(payload + LAST_BYTE)
+    header = HEADER.pack(len(payload) + 1, xxh32_intdigest(length), digest)
+    return b"".join((header, payload, LAST_BYTE))
+
+
+def unpack(data, *, name):
+    """Yield the payloads of the records, up to a last one that was not completely written.
+
+    Incomplete is a record that ends with the file, or whose last sectors are zeros up to the end of
+    the file. A complete record with a wrong checksum was written and synced and is damaged.
+
+    :param name: file name, for errors.
+    :raises DamagedDataError: a record is damaged.
+    """
+    view = memoryview(data)
+    start = 0
+    while len(data) - start >= HEADER.size:
+        length, length_digest, digest = HEADER.unpack_from(data, start)
+        first = start + HEADER.size
+        is_length_right = xxh32_intdigest(LENGTH.pack(length)) == length_digest
+        end = first + length if is_length_right else first
+        if is_length_right and end > len(data):
+            return
+        body = view[first:end]
+        if not is_length_right or not length or xxh64_intdigest(body) != digest:
+            if _is_unwritten(data, start, end):
+                return
+            raise DamagedDataError(f"{name}: record at byte {start} is damaged")
+        yield bytes(body[:-1])
+        start = end
+
+
+def _is_unwritten(data, start, end):
+    """Whether zeros fill the file from the start or the last sector of a record to the end."""
+    last_sector = (end - 1) // SECTOR_BYTES * SECTOR_BYTES
+    return not any(data[max(start, last_sector) :])
+
+
+def unpack_one(data, *, name):
+    """Return the payload of a file that holds one record.
+
+    :raises DamagedDataError: the file holds anything else.
+    """
+    payloads = list(unpack(data, name=name))
+    if len(payloads) != 1 or len(data) != HEADER.size + len(payloads[0]) + 1:
+        raise DamagedDataError(f"{name}: expected one whole record")
+    return payloads[0]
+
+
+def replace_file(path, data):
+    """Write a file under a temporary name, sync it, rename it and sync the folder."""
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    with open(temporary, "wb") as file:
+        file.write(data)
+        file.flush()
+        fsync(file.fileno())
+    temporary.rename(path)
+    sync_folder(path.parent)
+
+
+def append_to(file, data):
+    """Append to an unbuffered file and sync it; the size is synced with the data."""
+    written = 0
+    while written < len(data):
+        written += file.write(data[written:])
+    fdatasync(file.fileno())
+
+
+def sync_folder(folder):
+    """Sync the names in a folder."""
+    descriptor = open_descriptor(folder, O_RDONLY | O_DIRECTORY)
+    try:
+        fsync(descriptor)
+    finally:
+        close_descriptor(descriptor)
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -1,7 +1,8 @@
 """Consensus core of one replica: pure transitions, without clock, disk, network or random source.
 
 >>> from siskintally.messages import Identity
->>> from siskintally.replica import Replica, founding_state
+>>> from siskintally.replica import Replica
+>>> from siskintally.stable import founding_state
 >>> me = Identity(name="s1", incarnation="a")
 >>> replica = Replica(identity=me, stable=founding_state((me,)), timeout=lambda: 1.0, now=0.0)
 >>> effects = replica.tick(1.0)
@@ -11,8 +12,6 @@
 [2]
 """
 
-from typing import NamedTuple
-
 from siskintally.effects import Effects
 from siskintally.election import NEVER, Elections, Role
 from siskintally.errors import BadRequestError, NotLeaderError
@@ -22,86 +21,17 @@
     AppendReply,
     AppendRequest,
     Entry,
-    Identity,
     Kind,
-    Member,
-    Snapshot,
     SnapshotChunk,
     SnapshotReply,
     TransferLeadership,
     VoteReply,
     VoteRequest,
 )
-from siskintally.raftlog import EMPTY_SNAPSHOT, Log
+from siskintally.raftlog import Log
 from siskintally.replication import Leading
-
-FOUNDING_INDEX = 1
-FOUNDING_TERM = 1
-
-
-class Timing:
-    """Intervals in seconds and limits of messages.
-
-    :param window_entries: entries sent to a replica ahead of its answers.
-    """
-
-    __slots__ = (
-        "batch_bytes",
-        "batch_entries",
-        "busy_beat_s",
-        "chunk_bytes",
-        "election_max_s",
-        "election_min_s",
-        "idle_beat_s",
-        "window_entries",
-    )
-
-    def __init__(
-        self,
-        *,
-        busy_beat_s=0.25,
-        idle_beat_s=0.5,
-        election_min_s=1.0,
-        election_max_s=2.0,
-        chunk_bytes=65536,
-        batch_entries=512,
-        batch_bytes=262144,
-        window_entries=4096,
-    ):
-        self.busy_beat_s = busy_beat_s
-        self.idle_beat_s = idle_beat_s
-        self.election_min_s = election_min_s
-        self.election_max_s = election_max_s
-        self.chunk_bytes = chunk_bytes
-        self.batch_entries = batch_entries
-        self.batch_bytes = batch_bytes
-        self.window_entries = window_entries
-
-
-class Stable(NamedTuple):
-    """What a replica has on disk."""
-
-    term: int = 0
-    vote: Identity | None = None
-    snapshot: Snapshot = EMPTY_SNAPSHOT
-    base_index: int = 0
-    base_term: int = 0
-    entries: tuple = ()
-
-
-def founding_state(voters):
-    """Return what the founding voters of a group have on disk at first.
-
-    :param voters: identities.
-    """
-    members = ordered(Member(identity=identity, voter=True) for identity in voters)
-    snapshot = Snapshot(index=FOUNDING_INDEX, term=FOUNDING_TERM, members=members, data=b"")
-    return Stable(
-        term=FOUNDING_TERM,
-        snapshot=snapshot,
-        base_index=FOUNDING_INDEX,
-        base_term=FOUNDING_TERM,
-    )
+from siskintally.stable import Stable
+from siskintally.timing import Timing
 
 
 class Replica(Elections, Leading, Following):
--- /dev/null
+++ b/siskintally/stable.py
@@ -0,0 +1,42 @@
+"""What a replica has on disk, as a value.
+
+>>> from siskintally.messages import Identity
+>>> from siskintally.stable import founding_state
+>>> founding_state((Identity("s1", "a"),)).snapshot.members[0].voter
+True
+"""
+
+from typing import NamedTuple
+
+from siskintally.membership import ordered
+from siskintally.messages import Identity, Member, Snapshot
+from siskintally.raftlog import EMPTY_SNAPSHOT
+
+FOUNDING_INDEX = 1
+FOUNDING_TERM = 1
+
+
+class Stable(NamedTuple):
+    """What a replica has on disk."""
+
+    term: int = 0
+    vote: Identity | None = None
+    snapshot: Snapshot = EMPTY_SNAPSHOT
+    base_index: int = 0
+    base_term: int = 0
+    entries: tuple = ()
+
+
+def founding_state(voters):
+    """Return what the founding voters of a group have on disk at first.
+
+    :param voters: identities.
+    """
+    members = ordered(Member(identity=identity, voter=True) for identity in voters)
+    snapshot = Snapshot(index=FOUNDING_INDEX, term=FOUNDING_TERM, members=members, data=b"")
+    return Stable(
+        term=FOUNDING_TERM,
+        snapshot=snapshot,
+        base_index=FOUNDING_INDEX,
+        base_term=FOUNDING_TERM,
+    )
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,228 @@
+"""Data folder: recovery after torn writes, damage, and lost files."""
+
+from tempfile import TemporaryDirectory
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from siskintally.effects import Effects
+from siskintally.errors import BadRequestError, DamagedDataError, StoppedError
+from siskintally.journal import Journal, found, set_aside
+from siskintally.messages import Entry, HardState, Identity, Kind, Member
+from siskintally.raftlog import Log
+from siskintally.records import pack
+from siskintally.stable import Stable
+
+
+def reopen(folder):
+    journal = Journal.open(folder, group="g", name="s1")
+    journal.close()
+    return journal
+
+
+def change(*, hard_state=None, entries=(), snapshot=None):
+    effects = Effects()
+    effects.hard_state = hard_state
+    effects.entries.extend(entries)
+    effects.snapshot = snapshot
+    return effects
+
+
+class Model:
+    """What the folder must hold, computed without it."""
+
+    def __init__(self):
+        self.hard_state = HardState(term=0, vote=None)
+        self.log = Log()
+
+    def stable(self):
+        """Return the expected content."""
+        return Stable(
+            term=self.hard_state.term,
+            vote=self.hard_state.vote,
+            snapshot=self.log.snapshot,
+            base_index=self.log.base_index,
+            base_term=self.log.base_term,
+            entries=tuple(self.log.entries),
+        )
+
+    def append(self, journal, first, commands, term):
+        """Write entries that replace those from ``first`` on."""
+        entries = [Entry(first + n, term, Kind.COMMAND, c) for n, c in enumerate(commands)]
+        self.log.truncate(first)
+        for entry in entries:
+            self.log.append(entry)
+        journal.write(change(entries=entries), self.stable)
+
+
+def filled(folder):
+    """Return the expected contents after each write to a new folder."""
+    journal = Journal.open(folder, group="g", name="s1")
+    model = Model()
+    states = [model.stable()]
+    members = (Member(journal.identity, True), Member(Identity("s2", "x"), False))
+    for number in range(1, 7):
+        if number == 4:
+            model.hard_state = HardState(term=2, vote=Identity("s2", "x"))
+            journal.write(change(hard_state=model.hard_state), model.stable)
+        else:
+            model.append(journal, model.log.last_index + 1, [b"c%d" % number, b""], number)
+        states.append(model.stable())
+    entry = Entry(model.log.last_index + 1, 7, Kind.MEMBERS, members=members)
+    model.log.append(entry)
+    journal.write(change(entries=[entry]), model.stable)
+    states.append(model.stable())
+    journal.close()
+    return states
+
+
+def test_flipping_any_byte_is_found(tmp_path):
+    """Guards against acknowledged records that are lost or changed without notice."""
+    filled(tmp_path / "g")
+    model = Model()
+    journal = Journal.open(tmp_path / "g", group="g", name="s1")
+    model.log = Log(entries=journal.stable.entries)
+    model.log.compact(5, b"state", keep=1)
+    journal.write(change(snapshot=model.log.snapshot), model.stable)
+    model.append(journal, model.log.last_index + 1, [b"x" * 700, b"y"], 9)
+    journal.close()
+    flips = 0
+    for name in ("identity", "log", "snapshot-5"):
+        path = tmp_path / "g" / name
+        good = path.read_bytes()
+        for position in range(len(good)):
+            bad = bytearray(good)
+            bad[position] ^= 1 << (position % 8)
+            path.write_bytes(bad)
+            with pytest.raises(DamagedDataError):
+                reopen(tmp_path / "g")
+            flips += 1
+        path.write_bytes(good)
+    size = sum(path.stat().st_size for path in (tmp_path / "g").iterdir())
+    assert flips == size > 900
+    assert reopen(tmp_path / "g").stable == model.stable()
+
+
+def test_cutting_at_any_length_keeps_a_prefix(tmp_path):
+    """Guards against a replica that cannot start after a torn write, or starts with half of one."""
+    states = filled(tmp_path / "g")
+    path = tmp_path / "g" / "log"
+    good = path.read_bytes()
+    seen = set()
+    prefixes = {state: number for number, state in enumerate(states)}
+    for length in range(len(good), -1, -1):
+        path.write_bytes(good[:length])
+        try:
+            stable = reopen(tmp_path / "g").stable
+        except DamagedDataError:
+            continue
+        whole = [s for s in states if s.entries[: len(stable.entries)] == stable.entries]
+        assert whole and (stable.term, stable.vote) in {(s.term, s.vote) for s in states}
+        seen.add(prefixes.get(stable))
+    assert seen >= set(range(len(states)))
+
+
+def test_sectors_that_were_not_written_are_a_torn_write(tmp_path):
+    """Guards against a refusal to start when the file grew and its last sectors are zeros."""
+    states = filled(tmp_path / "g")
+    path = tmp_path / "g" / "log"
+    good = path.read_bytes()
+    torn = (good + pack(b"z" * 2000))[: (len(good) // 512 + 2) * 512]
+    for tail in (b"\0" * 100, torn[len(good) :] + b"\0" * 700):
+        path.write_bytes(good + tail)
+        assert reopen(tmp_path / "g").stable == states[-1]
+
+
+@pytest.mark.parametrize("name", ["identity", "log", "snapshot-1"])
+def test_lost_file_is_damage(tmp_path, name):
+    """Guards against a second vote in a term by a replica whose log was lost."""
+    found(tmp_path / "g", group="g", name="s1")
+    (tmp_path / "g" / name).unlink()
+    with pytest.raises(DamagedDataError):
+        reopen(tmp_path / "g")
+
+
+def test_damaged_folder_is_set_aside_and_the_incarnation_is_new(tmp_path):
+    """Guards against a vote under an identity whose memory is lost."""
+    old = found(tmp_path / "g", group="g", name="s1")
+    for number in (1, 2):
+        (tmp_path / "g" / "log").unlink()
+        assert set_aside(tmp_path / "g").name == f"g.damaged-{number}"
+        fresh = reopen(tmp_path / "g")
+        assert fresh.identity != old and fresh.stable == Stable()
+
+
+def test_group_is_founded_once(tmp_path):
+    """Guards against a second founding that would drop the log."""
+    identity = found(tmp_path / "g", group="g", name="s1")
+    with pytest.raises(BadRequestError):
+        found(tmp_path / "g", group="g", name="s1")
+    stable = reopen(tmp_path / "g").stable
+    assert stable.snapshot.members == (Member(identity, True),)
+
+
+def test_folder_of_another_replica_is_refused(tmp_path):
+    """Guards against swapped disks."""
+    found(tmp_path / "g", group="g", name="s1")
+    with pytest.raises(DamagedDataError):
+        Journal.open(tmp_path / "g", group="g", name="s2")
+
+
+def test_folder_is_used_by_one_process(tmp_path):
+    """Guards against two processes that vote with one identity."""
+    journal = Journal.open(tmp_path / "g", group="g", name="s1")
+    with pytest.raises(StoppedError):
+        reopen(tmp_path / "g")
+    journal.close()
+    reopen(tmp_path / "g")
+
+
+def test_crash_between_the_steps_of_a_compaction(tmp_path):
+    """Guards against a log whose snapshot does not exist yet, or any more."""
+    states = filled(tmp_path / "g")
+    (tmp_path / "g" / "snapshot-3").write_bytes(pack(b"newer, not in use"))
+    (tmp_path / "g" / "log.tmp").write_bytes(b"half")
+    assert reopen(tmp_path / "g").stable == states[-1]
+    assert {path.name for path in (tmp_path / "g").iterdir()} == {"identity", "log"}
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("append"), st.integers(0, 3), st.lists(st.binary(max_size=40))),
+        st.tuples(st.just("vote"), st.integers(1, 9), st.booleans()),
+        st.tuples(st.just("compact"), st.integers(0, 6), st.integers(0, 4)),
+        st.tuples(st.just("reopen"), st.integers(0, 60), st.just(0)),
+    ),
+    max_size=12,
+)
+
+
+@settings(deadline=None, max_examples=60)
+@given(steps=STEPS)
+def test_folder_holds_what_was_written(steps):
+    """Guards recovery after any sequence of writes, truncations, snapshots and torn writes."""
+    with TemporaryDirectory() as folder:
+        journal = Journal.open(f"{folder}/g", group="g", name="s1")
+        model = Model()
+        for kind, number, value in steps:
+            if kind == "append":
+                first = max(model.log.snapshot.index, model.log.last_index - number) + 1
+                model.append(journal, first, value, term=number + 1)
+            elif kind == "vote":
+                vote = Identity("s2", "x") if value else None
+                model.hard_state = HardState(term=number, vote=vote)
+                journal.write(change(hard_state=model.hard_state), model.stable)
+            elif kind == "compact":
+                index = min(model.log.last_index, model.log.snapshot.index + number)
+                if index > model.log.snapshot.index:
+                    model.log.compact(index, b"state%d" % index, keep=value)
+                    journal.write(change(snapshot=model.log.snapshot), model.stable)
+            else:
+                journal.close()
+                with open(f"{folder}/g/log", "ab") as file:
+                    file.write(pack(b"not acknowledged" * 3)[:number])
+                journal = Journal.open(f"{folder}/g", group="g", name="s1")
+                assert journal.stable == model.stable()
+        journal.close()
+        assert reopen(f"{folder}/g").stable == model.stable()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -17,7 +17,9 @@
     VoteRequest,
     voters_of,
 )
-from siskintally.replica import Replica, Stable, Timing, founding_state
+from siskintally.replica import Replica
+from siskintally.stable import Stable, founding_state
+from siskintally.timing import Timing
 
 NAMES = ("a", "b", "c")
 SMALL = Timing(chunk_bytes=7, batch_entries=3, window_entries=6)
@@ -427,13 +429,24 @@
     a = net.elect("a")
     b = net.nodes["b"]
     a.do("propose", b"x", net.now)
-    (late,) = [m for _, to, m in net.flight if to == "b" and isinstance(m, AppendRequest)]
-    net.settle()
     a.do("propose", b"y", net.now)
-    net.settle()
-    last = b.replica.log.last_index
-    b.do("receive", late, net.now)
-    assert b.replica.log.last_index == last
+    appends = [m for _, to, m in net.flight if to == "b" and isinstance(m, AppendRequest)]
+    assert len(appends) == 2
+    for message in (*appends, appends[0]):
+        b.do("receive", message, net.now)
+    assert b.replica.log.last_index == a.replica.log.last_index
+    assert b.replica.commit < b.replica.log.last_index
+
+
+def test_leader_counts_itself_only_after_its_sync():
+    """Guards against a commit that one disk holds, when the owner syncs later than it sends."""
+    net = Net()
+    a = net.elect("a").replica
+    before = a.commit
+    index = a.propose(b"x", net.now).index
+    reply = AppendReply(a.term, Identity("b", "b0"), True, match_index=index, round=0)
+    assert not a.receive(reply, net.now).committed and a.commit == before
+    assert [entry.index for entry in a.synced(index, a.term, net.now).committed] == [index]
 
 
 def test_copy_and_key_describe_the_whole_state():
