--- /dev/null
+++ b/siskintally/joins.py
@@ -0,0 +1,81 @@
+"""Admission of new incarnations to a group: asking for it, and granting it as the leader.
+
+>>> from siskintally.joins import Joins
+>>> joins = Joins(group="cell", process="s1", founding_members=("s1", "s2"))
+>>> [(process, body.name) for process, body in joins.ask("incarnation", now=5.0)]
+[('s2', 's1')]
+>>> joins.ask("incarnation", now=5.1)
+[]
+"""
+
+from siskintally.membership import next_change
+from siskintally.messages import Identity
+from siskintally.wire_pb2 import JoinRequest
+
+INTERVAL_S = 1.0
+VALID_S = 3.0
+CAUGHT_UP_ENTRIES = 200
+
+
+class Joins:
+    """Join requests of this process and of others.
+
+    :param founding_members: process names that may have a replica.
+    """
+
+    __slots__ = ("_founding_members", "_group", "_process", "_request_by_name", "next_ask")
+
+    def __init__(self, *, group, process, founding_members):
+        self._group = group
+        self._process = process
+        self._founding_members = founding_members
+        self._request_by_name = {}
+        self.next_ask = 0.0
+
+    def ask(self, incarnation, now):
+        """Return (process, JoinRequest) pairs to send, if it is time."""
+        if now < self.next_ask:
+            return []
+        self.next_ask = now + INTERVAL_S
+        body = JoinRequest(group=self._group, name=self._process, incarnation=incarnation)
+        return [(name, body) for name in self._founding_members if name != self._process]
+
+    def note(self, body, now):
+        """Remember a request for some seconds; an empty incarnation is only a question."""
+        if body.incarnation and body.name in self._founding_members:
+            self._request_by_name[body.name] = (body.incarnation, now)
+
+    def next_change(self, replica, now):
+        """Return the next member set to propose, or None.
+
+        :param replica: leader of the group.
+        """
+        log = replica.log
+        can_change = replica.is_settled and replica.transfer_to is None
+        if not can_change or log.members_index > replica.commit:
+            return None
+        self._request_by_name = {
+            name: (incarnation, at)
+            for name, (incarnation, at) in self._request_by_name.items()
+            if now - at < VALID_S
+        }
+        if not self._request_by_name and all(member.voter for member in log.members):
+            return None
+        return next_change(
+            log.members,
+            joining=[Identity(name, item[0]) for name, item in self._request_by_name.items()],
+            is_alive=lambda identity: _is_alive(replica, identity, now),
+            is_caught_up=lambda identity: _is_caught_up(replica, identity),
+        )
+
+
+def _is_alive(replica, identity, now):
+    progress = replica.progress_by_id.get(identity)
+    if progress is None:
+        return identity == replica.identity
+    return now - progress.heard < replica.timing.election_max_s
+
+
+def _is_caught_up(replica, identity):
+    match = replica.progress_by_id[identity].match
+    return match > 0 and match >= replica.commit - CAUGHT_UP_ENTRIES
--- a/siskintally/membership.py
+++ b/siskintally/membership.py
@@ -56,3 +56,27 @@
 def ordered(members):
     """Return members as a tuple in canonical order."""
     return tuple(sorted(members))
+
+
+def next_change(members, *, joining, is_alive, is_caught_up):
+    """Return the next member set on the way to admit new incarnations, or None.
+
+    An identity whose name has a live voter is not admitted: the request is a late one.
+
+    :param joining: identities that asked to join.
+    :param is_alive: function that tells whether an identity has answered lately.
+    :param is_caught_up: function that tells whether a learner has nearly all entries.
+    """
+    identities = {member.identity for member in members}
+    live_names = {voter.name for voter in voters_of(members) if is_alive(voter)}
+    for identity in joining:
+        if identity not in identities and identity.name not in live_names:
+            return admit(members, identity)
+    for member in members:
+        if member.voter:
+            continue
+        if member.identity.name in live_names:
+            return tuple(other for other in members if other != member)
+        if is_alive(member.identity) and is_caught_up(member.identity):
+            return promote(members, member.identity)
+    return None
