Test the entry with real processes and its decisions with properties

Nothing guarded the entry's behaviour under faults. The process tests cover answers from any entry, leaving and lost endpoints, a paused entry, planned stops, ejection, damaged and silent answers, overload, other domains and malformed input. They found that a probe was never sent to an ejected endpoint, because it still counted as suspect, and that a body over the limit cut the connection before the answer; both are fixed.

--- a/siskintally/fair_queue.py
+++ b/siskintally/fair_queue.py
@@ -31,17 +31,29 @@
     :param deadline: monotonic time.
     :param notify: called without arguments when the ticket was taken, evicted, or expired.
     :param avoid: endpoint to use only if no other has a free slot.
+    :param may_probe: whether it may be the probe of an ejected endpoint.
     """
 
-    __slots__ = ("avoid", "caller", "deadline", "endpoint", "notify", "queued_at", "rank", "state")
-
-    def __init__(self, *, rank, caller, deadline, queued_at, notify=None, avoid=""):
+    __slots__ = (
+        "avoid",
+        "caller",
+        "deadline",
+        "endpoint",
+        "may_probe",
+        "notify",
+        "queued_at",
+        "rank",
+        "state",
+    )
+
+    def __init__(self, *, rank, caller, deadline, queued_at, notify=None, avoid="", may_probe=True):
         self.rank = rank
         self.caller = caller
         self.deadline = deadline
         self.queued_at = queued_at
         self.notify = notify
         self.avoid = avoid
+        self.may_probe = may_probe
         self.state = State.NEW
         self.endpoint = None
 
--- a/siskintally/health.py
+++ b/siskintally/health.py
@@ -89,18 +89,22 @@
 
     def ejected(self, names):
         """Return the endpoints that are ejected."""
-        return [name for name in names if name in self._by_name and self._by_name[name].ejected]
+        return [name for name in names if self.is_ejected(name)]
 
     def is_suspect(self, name):
         """Tell whether an endpoint fails and is kept only by the limit on ejections."""
         health = self._by_name.get(name)
-        return health is not None and health.is_outlier()
+        return health is not None and not health.ejected and health.is_outlier()
+
+    def is_ejected(self, name):
+        """Tell whether a request to an endpoint would be its probe."""
+        health = self._by_name.get(name)
+        return health is not None and health.ejected
 
     def start(self, name):
         """Note that a request is sent; to an ejected endpoint it is the one probe."""
-        health = self._by_name.get(name)
-        if health is not None and health.ejected:
-            health.probing = True
+        if self.is_ejected(name):
+            self._by_name[name].probing = True
 
     def record(self, name, *, ok, names, now):
         """Take the result of a request.
--- a/siskintally/http_server.py
+++ b/siskintally/http_server.py
@@ -18,6 +18,7 @@
 from siskintally.log import get_logger
 
 MAX_BODY_BYTES = 1 << 20
+MAX_DRAINED_BYTES = 8 << 20
 KEEP_ALIVE_S = 30.0
 # h11 refuses larger request heads with status 400.
 MAX_HEAD_BYTES = 32 * 1024
@@ -131,9 +132,6 @@
 
 async def _read(scope, receive):
     items = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]]
-    declared = next((value for name, value in items if name == "content-length"), "0")
-    if declared.isdigit() and int(declared) > MAX_BODY_BYTES:
-        raise TooLargeError(f"body of {declared} bytes: expected at most {MAX_BODY_BYTES}")
     body = await _body(receive)
     if body is None:
         return None
@@ -151,17 +149,21 @@
 async def _body(receive):
     chunks = []
     size = 0
-    while True:
+    more = True
+    # What is over the limit is read and dropped, because a client that is cut while it writes
+    # does not see the answer.
+    while more and size <= MAX_DRAINED_BYTES:
         message = await receive()
         if message["type"] == "http.disconnect":
             return None
         chunk = message.get("body", b"")
         size += len(chunk)
-        if size > MAX_BODY_BYTES:
-            raise TooLargeError(f"body: expected at most {MAX_BODY_BYTES} bytes")
-        chunks.append(chunk)
-        if not message.get("more_body", False):
-            return b"".join(chunks)
+        if size <= MAX_BODY_BYTES:
+            chunks.append(chunk)
+        more = message.get("more_body", False)
+    if size > MAX_BODY_BYTES:
+        raise TooLargeError(f"body: expected at most {MAX_BODY_BYTES} bytes")
+    return b"".join(chunks)
 
 
 async def serve_http(app, *, address, until, graceful_s):
--- a/siskintally/lane.py
+++ b/siskintally/lane.py
@@ -124,7 +124,7 @@
 
     def _give(self, ticket, usable):
         free = [one for one in usable if one.in_flight < one.share]
-        others = [one for one in free if one.key != ticket.avoid] or free
+        others = [one for one in free if self._suits(ticket, one.key)] or free
         candidates = [
             Candidate(
                 name=one.key,
@@ -140,6 +140,9 @@
         ticket.endpoint = chosen
         ticket.notify()
 
+    def _suits(self, ticket, key):
+        return key != ticket.avoid and (ticket.may_probe or not self._health.is_ejected(key))
+
     def _usable(self, now):
         by_key = {_key(endpoint): endpoint for endpoint in self._live(now)}
         keys = self._health.usable(by_key, now=now)
--- a/siskintally/request.py
+++ b/siskintally/request.py
@@ -203,6 +203,7 @@
         queued_at=now,
         notify=notify,
         avoid=avoid,
+        may_probe=not call.once,
     )
 
 
--- /dev/null
+++ b/siskintally/stub_doubler.py
@@ -0,0 +1,87 @@
+"""Relay in front of a stub endpoint that sends each response twice on its connection.
+
+>>> from siskintally.stub_doubler import Doubler
+>>> Doubler(host="127.0.0.1", port=7301, target_port=7302).port
+7301
+"""
+
+from anyio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    connect_tcp,
+    create_task_group,
+    create_tcp_listener,
+)
+from h11 import CLIENT, NEED_DATA, Connection, EndOfMessage, Request
+
+CHUNK_BYTES = 65536
+_LOST = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
+
+
+class Doubler:
+    """TCP relay that knows where a response ends.
+
+    :param port: port that entries connect to.
+    :param target_port: port of the stub.
+    """
+
+    __slots__ = ("_host", "_target_port", "port")
+
+    def __init__(self, *, host, port, target_port):
+        self._host = host
+        self.port = port
+        self._target_port = target_port
+
+    async def run(self):
+        """Relay until cancelled."""
+        listener = await create_tcp_listener(local_host=self._host, local_port=self.port)
+        async with listener:
+            await listener.serve(self._serve)
+
+    async def _serve(self, client):
+        try:
+            server = await connect_tcp(self._host, self._target_port)
+            async with client, server, create_task_group() as tasks:
+                tasks.start_soon(self._copy, client, server)
+                await self._double(server, client)
+                tasks.cancel_scope.cancel()
+        except _LOST:
+            return
+
+    @staticmethod
+    async def _copy(source, sink):
+        try:
+            async for data in source:
+                await sink.send(data)
+            await sink.send_eof()
+        except _LOST:
+            return
+
+    @staticmethod
+    async def _double(source, sink):
+        parser, seen = _parser(), b""
+        while True:
+            data = await source.receive(CHUNK_BYTES)
+            seen += data
+            parser.receive_data(data)
+            if _ends(parser):
+                # In one write, so that both arrive before the connection is used again.
+                await sink.send(data + seen)
+                parser, seen = _parser(), b""
+            else:
+                await sink.send(data)
+
+
+def _parser():
+    parser = Connection(CLIENT)
+    parser.send(Request(method="GET", target="/", headers=[("host", "stub")]))
+    parser.send(EndOfMessage())
+    return parser
+
+
+def _ends(parser):
+    while (event := parser.next_event()) is not NEED_DATA:
+        if isinstance(event, EndOfMessage):
+            return True
+    return False
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -13,13 +13,18 @@
 from anyio import Event, create_task_group, sleep
 from httpx import AsyncClient, HTTPError
 
+from siskintally.errors import BadRequestError
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer, respond, serve_http
 from siskintally.log import get_logger
+from siskintally.stub_doubler import Doubler
 
 ANNOUNCE_S = 1.0
 ANNOUNCE_TIMEOUT_S = 0.8
 DRAIN_S = 60.0
 LATE_S = 5.0
+# With the fault "doubled", which must be given at the start, the stub listens here and the relay
+# at the announced port.
+DOUBLED_PORT_OFFSET = 1
 ID_HEADER = "siskintally-request-id"
 FAULTS = ("none", "fail", "silent", "late", "truncated", "wrong-id", "wrong-digest", "doubled")
 
@@ -166,11 +171,16 @@
 
     async def run(self):
         """Serve until :meth:`stop` has finished."""
+        address = self._options.http
         async with create_task_group() as tasks:
             tasks.start_soon(self._announcer.run)
-            await serve_http(
-                self, address=self._options.http, until=self._stopped, graceful_s=DRAIN_S
-            )
+            if self._fault == "doubled":
+                host, _, port = address.rpartition(":")
+                target = int(port) + DOUBLED_PORT_OFFSET
+                address = f"{host}:{target}"
+                relay = Doubler(host=host, port=int(port), target_port=target)
+                tasks.start_soon(relay.run)
+            await serve_http(self, address=address, until=self._stopped, graceful_s=DRAIN_S)
             tasks.cancel_scope.cancel()
 
     async def stop(self):
@@ -197,7 +207,10 @@
     async def handle(self, request):
         """Answer the control route: ``{"fault": ..., "service_ms": ...}`` changes the stub."""
         fields = loads(request.body or b"{}")
-        self._fault = fields.get("fault", self._fault)
+        fault = fields.get("fault", self._fault)
+        if fault not in FAULTS or fault == "doubled":
+            raise BadRequestError(f"fault = {fault!r}: expected one of {', '.join(FAULTS[:-1])}")
+        self._fault = fault
         self._service_s = fields.get("service_ms", self._service_s * 1000) / 1000
         return json_answer(200, {"fault": self._fault, "in_flight": self._in_flight})
 
--- /dev/null
+++ b/tests/entry_net.py
@@ -0,0 +1,119 @@
+"""Entries and endpoint stubs as processes of one test."""
+
+from contextlib import asynccontextmanager
+
+from httpx import AsyncClient, HTTPError
+
+from tests.processes import Processes, free_ports, wait_until
+
+HEAD = '[cell]\nname = "demo"\nsecret = "0123456789abcdef"\n'
+TOKEN = "operator-token-of-astrid"
+REGION_BY_DOMAIN = {"jylland-a": "jylland", "jylland-b": "jylland", "fjeld-a": "fjeld"}
+
+
+class Net:
+    """Standalone entries and stubs.
+
+    :param processes: :class:`~tests.processes.Processes`.
+    :param entries: ``{entry name: failure domain}``.
+    """
+
+    __slots__ = ("client", "entries", "folder", "processes", "settings", "url_by_name")
+
+    def __init__(self, *, processes, entries):
+        self.processes = processes
+        self.entries = entries
+        self.folder = processes.folder
+        self.url_by_name = {}
+        self.client = None
+        text = HEAD + f'[[operator]]\nname = "astrid"\ntoken = "{TOKEN}"\n'
+        for name, domain in entries.items():
+            link, http = free_ports(2)
+            text += (
+                f'[[process]]\nname = "{name}"\nrole = "entry"\ndomain = "{domain}"\n'
+                f'region = "{REGION_BY_DOMAIN[domain]}"\nlink = "127.0.0.1:{link}"\n'
+                f'http = "127.0.0.1:{http}"\n'
+            )
+            self.url_by_name[name] = f"http://127.0.0.1:{http}"
+        self.settings = self.folder / "cell.toml"
+        self.settings.write_text(text)
+
+    def start_entry(self, name, *flags):
+        """Start an entry."""
+        self.processes.start(
+            name, "entry", "--settings", self.settings, "--name", name, "--standalone", *flags
+        )
+
+    def start_stub(self, name, *flags, entries=None, domain="jylland-a"):
+        """Start a stub that announces itself to the named entries, by default to all."""
+        (port,) = free_ports(1)
+        self.url_by_name[name] = f"http://127.0.0.1:{port}"
+        urls = ",".join(self.url_by_name[one] for one in entries or self.entries)
+        self.processes.start(
+            name,
+            "stub-endpoint",
+            *("--name", name, "--domain", domain, "--http", f"127.0.0.1:{port}"),
+            *("--entries", urls, "--record", self.record(name)),
+            *flags,
+        )
+
+    def record(self, name):
+        """Return the path of a stub's record file."""
+        return self.folder / f"{name}.record"
+
+    async def call(self, entry, path="boarding", *, body=b"x", timeout=30.0, **headers):
+        """Send a request; header names have ``_`` for ``-``.
+
+        :returns: the httpx response, or None if the connection was lost.
+        """
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        url = f"{self.url_by_name[entry]}/call/seat-count/{path}"
+        try:
+            return await self.client.post(url, content=body, headers=names, timeout=timeout)
+        except HTTPError:
+            return None
+
+    async def health(self, entry):
+        """Return the state of an entry, or None."""
+        try:
+            return (await self.client.get(f"{self.url_by_name[entry]}/v1/health")).json()
+        except HTTPError:
+            return None
+
+    async def control(self, stub, **fields):
+        """Change a stub."""
+        await self.client.post(f"{self.url_by_name[stub]}/control", json=fields)
+
+    async def wait_known(self, count, *entries):
+        """Wait until entries know a number of endpoints."""
+        for entry in entries or self.entries:
+            await wait_until(lambda entry=entry: self._knows(entry, count), f"{entry}: {count}")
+
+    async def wait_served(self, entry):
+        """Wait until an entry serves requests."""
+
+        async def served():
+            response = await self.call(entry)
+            return response is not None and code(response) == 1000
+
+        await wait_until(served, f"{entry} serves")
+
+    async def _knows(self, entry, count):
+        state = await self.health(entry)
+        return state is not None and state["endpoints"] == count
+
+
+def code(response):
+    """Return the result code of a response."""
+    return int(response.headers["siskintally-code"])
+
+
+@asynccontextmanager
+async def running(folder, *, entries=None):
+    """Give a :class:`Net` whose entries have been started."""
+    with Processes(folder=folder) as processes:
+        net = Net(processes=processes, entries=entries or {"e1": "jylland-a"})
+        async with AsyncClient(timeout=30.0) as net.client:
+            for name in net.entries:
+                net.start_entry(name)
+            yield net
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,163 @@
+"""Admission queues: order, shares, refusals, promotion, fairness."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskintally.admission import Admission, OverloadedError, urgent_reserve
+from siskintally.fair_queue import FairQueue, State, Ticket
+from siskintally.limits import DEFERRABLE, NORMAL, URGENT, EntryLimits
+
+TOTAL = 8
+
+
+def ticket(rank=NORMAL, *, caller="c", deadline=100.0, at=0.0):
+    return Ticket(rank=rank, caller=caller, deadline=deadline, queued_at=at, notify=lambda: None)
+
+
+def admission(**limits):
+    return Admission(limits=EntryLimits(**limits))
+
+
+def offer(queue, one, *, now=0.0, free=0):
+    return queue.offer(one, now=now, free=free, total=TOTAL)
+
+
+def drain(queue, *, free=TOTAL, now=0.0):
+    return list(iter(lambda: queue.take(now=now, free=free, total=TOTAL), None))
+
+
+def test_urgent_comes_first_and_within_a_class_the_earliest_deadline():
+    queue = admission()
+    for rank, deadline in ((NORMAL, 5), (DEFERRABLE, 1), (NORMAL, 4), (URGENT, 9), (URGENT, 8)):
+        offer(queue, ticket(rank, deadline=deadline))
+    order = [(one.rank, one.deadline) for one in drain(queue)]
+    assert order == [(0, 8), (0, 9), (1, 4), (1, 5), (2, 1)]
+
+
+def test_reserved_slots_go_to_urgent_requests_only():
+    # Guards against an urgent request that waits behind a deferrable one in the last slot.
+    queue = admission()
+    for rank in (NORMAL, DEFERRABLE):
+        offer(queue, ticket(rank))
+    assert urgent_reserve(TOTAL) == 1
+    assert queue.take(now=0.0, free=1, total=TOTAL) is None
+    offer(queue, ticket(URGENT))
+    assert queue.take(now=0.0, free=1, total=TOTAL).rank == URGENT
+
+
+@pytest.mark.parametrize("share", [0.1, 0.25])
+def test_waiting_deferrable_requests_get_their_share_of_dispatches(share):
+    # Guards against starvation of deferrable requests by a stream of urgent ones.
+    queue = admission(deferrable_share=share, queue_limit_urgent=999, queue_limit_deferrable=999)
+    for _ in range(300):
+        offer(queue, ticket(URGENT))
+        offer(queue, ticket(DEFERRABLE))
+    ranks = [queue.take(now=0.0, free=2, total=TOTAL).rank for _ in range(200)]
+    assert share * 200 - 2 <= ranks.count(DEFERRABLE) <= share * 200
+
+
+def test_deferrable_request_counts_as_normal_near_its_deadline():
+    queue = admission()
+    late = ticket(DEFERRABLE, deadline=10.0)
+    offer(queue, late)
+    for _ in range(3):
+        offer(queue, ticket(NORMAL, caller="d", deadline=50.0), now=8.5)
+    assert queue.take(now=8.5, free=TOTAL, total=TOTAL) is late
+
+
+def test_request_that_cannot_meet_its_deadline_is_refused_at_once():
+    queue = admission()
+    queue.measured(1.0, now=0.0)
+    for number in range(14):
+        offer(queue, ticket(deadline=100.0, caller=f"c{number}"))
+    # 7 slots for normal requests, 14 wait: 2 s in the queue and 1 s of service.
+    with pytest.raises(OverloadedError):
+        offer(queue, ticket(deadline=2.9, caller="new"))
+    offer(queue, ticket(deadline=3.1, caller="new"))
+    offer(queue, ticket(URGENT, deadline=1.1))
+
+
+def test_one_slow_measurement_does_not_close_a_service():
+    # Guards against a refusal of everything that prevents any newer measurement.
+    queue = admission()
+    queue.measured(60.0, now=0.0)
+    offer(queue, ticket(deadline=2.0), free=TOTAL)
+    assert drain(queue)
+    offer(queue, ticket(deadline=100.0), now=20.0)
+    offer(queue, ticket(deadline=22.0), now=20.0)
+    assert len(drain(queue, now=20.0)) == 2
+
+
+def test_expired_requests_are_told_and_take_no_slot():
+    queue = admission()
+    gone, kept = ticket(deadline=5.0), ticket(deadline=50.0)
+    offer(queue, gone)
+    offer(queue, kept)
+    assert queue.take(now=6.0, free=1 + 1, total=TOTAL) is kept
+    assert queue.take_expired() == [gone]
+    assert gone.state is State.GONE
+
+
+def test_full_queue_takes_the_place_from_the_largest_caller():
+    # Guards against one caller that fills the queue and shuts out all others.
+    queue = admission(queue_limit_normal=10)
+    flood = [ticket(caller="flood", deadline=100.0 + number) for number in range(10)]
+    for one in flood:
+        offer(queue, one)
+    with pytest.raises(OverloadedError):
+        offer(queue, ticket(caller="flood"))
+    assert offer(queue, ticket(caller="small")) is flood[-1]
+    callers = [one.caller for one in drain(queue)]
+    assert callers[:2].count("small") == 1
+    assert len(callers) == 10
+
+
+def test_caller_that_comes_back_gets_no_more_turns_than_others():
+    queue = FairQueue()
+    for _ in range(20):
+        queue.push(ticket(caller="steady"))
+    served = []
+    for _ in range(20):
+        if not queue.waiting_of("returning"):
+            queue.push(ticket(caller="returning"))
+        served.append(queue.pop().caller)
+    assert served.count("steady") == 10
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["offer", "take", "withdraw"]),
+            st.integers(0, 2),
+            st.sampled_from("abc"),
+            st.floats(0.1, 20.0),
+        ),
+        max_size=60,
+    )
+)
+def test_every_request_ends_exactly_one_way(steps):
+    # Guards against requests that are lost in a queue, or taken twice.
+    queue = admission(queue_limit_urgent=3, queue_limit_normal=3, queue_limit_deferrable=3)
+    waiting, ended, now = [], [], 0.0
+    for kind, rank, caller, number in steps:
+        now += number / 10
+        if kind == "offer":
+            one = ticket(rank, caller=caller, deadline=now + number, at=now)
+            try:
+                victim = offer(queue, one, now=now)
+            except OverloadedError:
+                continue
+            waiting.append(one)
+            ended += [victim] if victim else []
+        elif kind == "take":
+            taken = queue.take(now=now, free=2, total=TOTAL)
+            ended += [taken] if taken else []
+            ended += queue.take_expired()
+        elif waiting:
+            one = waiting[int(number) % len(waiting)]
+            ended += [one] if one.state is State.WAITING else []
+            queue.withdraw(one)
+        assert len({id(one) for one in ended}) == len(ended)
+        assert len(waiting) == len(ended) + len(queue)
+        assert all(len(queue._queues[rank]) <= 3 for rank in (URGENT, DEFERRABLE))
--- /dev/null
+++ b/tests/test_entry_logic.py
@@ -0,0 +1,279 @@
+"""Pure parts of the entry: announcements, shares, health, retries, summaries, pauses."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from siskintally.announcement import (
+    MAX_ENDPOINTS,
+    AnnouncementTable,
+    TableFullError,
+    read_age,
+    read_announcement,
+)
+from siskintally.balancer import BALANCER_BY_NAME, Candidate, LeastLoaded, PowerOfTwo, Rendezvous
+from siskintally.errors import BadRequestError
+from siskintally.health import HealthTable
+from siskintally.ledger_client import home_of
+from siskintally.pause import PauseGuard
+from siskintally.retry import RetryBudget
+from siskintally.share import share
+from siskintally.summary import KEEPALIVE_S, SummarySender, SummaryTable
+from siskintally.wire_pb2 import EntrySummary, ServiceLoad
+
+FIELDS = {
+    "name": "p1",
+    "service": "s",
+    "domain": "d",
+    "url": "http://127.0.0.1:7301",
+    "slots": 8,
+    "connections": 64,
+    "incarnation": 1,
+    "seq": 1,
+    "state": "serving",
+}
+
+
+def heard(**fields):
+    return read_announcement(FIELDS | fields)
+
+
+def live(table, now):
+    return [endpoint.name for endpoint in table.live("s", now=now)]
+
+
+def exchange(source, target, *, sent, received):
+    """Carry one message from the entry ``a`` to the entry ``b``."""
+    message = source.exchange_for(peer="b", domain="d", now=sent)
+    return target.merge(message, peer="a", now=received)
+
+
+def pair():
+    """Return tables of two entries that have echoed each other at time 0."""
+    a, b = AnnouncementTable(domain="d"), AnnouncementTable(domain="d")
+    a.merge(b.exchange_for(peer="a", domain="d", now=10.0), peer="b", now=10.0)
+    return a, b
+
+
+def test_passed_on_announcement_is_live_for_3_s_after_the_endpoint_sent_it():
+    a, b = pair()
+    a.announce(heard(), age_s=0.0, now=10.0)
+    # The echo may be as old as the period of the exchange; it only makes the bound earlier.
+    a.merge(b.exchange_for(peer="a", domain="d", now=10.5), peer="b", now=10.5)
+    exchange(a, b, sent=10.5, received=10.6)
+    assert live(b, 12.8) == ["p1"]
+    assert live(b, 13.1) == []
+
+
+def test_message_delayed_on_its_way_refreshes_nothing():
+    # Guards against TCP that delivers an old message after a partition.
+    a, b = pair()
+    a.announce(heard(), age_s=0.0, now=10.0)
+    exchange(a, b, sent=10.1, received=70.0)
+    assert live(b, 70.0) == []
+
+
+def test_message_without_an_echo_tells_of_leaving_only():
+    a, b = AnnouncementTable(domain="d"), AnnouncementTable(domain="d")
+    a.announce(heard(), age_s=0.0, now=10.0)
+    a.announce(heard(name="p2", state="leaving"), age_s=0.0, now=10.0)
+    assert exchange(a, b, sent=10.1, received=10.1) == ["p2"]
+    assert live(b, 10.1) == []
+
+
+def test_entries_do_not_keep_an_announcement_alive_among_themselves():
+    a, b = pair()
+    a.announce(heard(), age_s=0.0, now=10.0)
+    now = 10.0
+    while now < 20.0:
+        now += 0.5
+        exchange(a, b, sent=now, received=now)
+        message = b.exchange_for(peer="a", domain="d", now=now)
+        assert not message.announcements
+        a.merge(message, peer="b", now=now)
+    assert live(a, 13.2) == live(b, 13.2) == []
+
+
+def test_order_is_by_incarnation_then_seq_and_leaving_is_final():
+    table = AnnouncementTable(domain="d")
+    table.announce(heard(incarnation=2, seq=5), age_s=0.0, now=10.0)
+    assert not table.announce(heard(incarnation=1, seq=9, state="leaving"), age_s=0.0, now=10.1)
+    assert live(table, 10.1) == ["p1"]
+    assert table.announce(heard(incarnation=2, seq=6, state="leaving"), age_s=0.0, now=10.2)
+    table.announce(heard(incarnation=2, seq=7), age_s=0.0, now=10.3)
+    assert live(table, 10.3) == []
+    table.announce(heard(incarnation=3, seq=1), age_s=0.0, now=10.4)
+    assert live(table, 10.4) == ["p1"]
+
+
+def test_flood_of_names_is_refused_and_changes_nothing():
+    table = AnnouncementTable(domain="d")
+    for number in range(MAX_ENDPOINTS):
+        table.announce(heard(name=f"p{number}"), age_s=0.0, now=10.0)
+    with pytest.raises(TableFullError):
+        table.announce(heard(name="more"), age_s=0.0, now=11.0)
+    assert len(table) == MAX_ENDPOINTS
+    table.announce(heard(name="p7", seq=2), age_s=0.0, now=11.0)
+    table.announce(heard(name="more"), age_s=0.0, now=13.5)
+    assert len(table) == 2
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("state", "gone"),
+        ("slots", 0),
+        ("slots", True),
+        ("seq", -1),
+        ("incarnation", 1 << 64),
+        ("url", "ftp://127.0.0.1:1"),
+        ("url", "http://127.0.0.1:99999"),
+        ("url", "http://127.0.0.1:80/path"),
+        ("name", "a\nb"),
+        ("service", 5),
+    ],
+)
+def test_malformed_announcement_names_the_field(key, value):
+    with pytest.raises(BadRequestError, match=key):
+        heard(**{key: value})
+
+
+def test_age_of_a_direct_announcement_is_bounded_by_the_echo():
+    assert read_age({}, now=50.0) is None
+    assert read_age({"echo": 10.0, "held_s": 1.0}, now=50.0) == pytest.approx(39.0, abs=0.1)
+    for fields in (
+        {"echo": 60.0},
+        {"echo": "x"},
+        {"echo": float("nan")},
+        {"echo": 1, "held_s": -1},
+    ):
+        with pytest.raises(BadRequestError):
+            read_age(fields, now=50.0)
+
+
+@given(st.integers(1, 64), st.integers(1, 9), st.text(max_size=8))
+def test_shares_of_all_entries_add_up_to_the_total(total, count, endpoint):
+    # Guards against entries that together send more than the endpoint has slots.
+    entries = tuple(f"e{number}" for number in range(count))
+    parts = [share(total, endpoint=endpoint, entry=one, entries=entries) for one in entries]
+    assert sum(parts) == total
+    assert max(parts) - min(parts) <= 1
+
+
+def test_balancers_prefer_free_and_healthy_endpoints():
+    idle, busy = (
+        Candidate(name="a", share=4, in_flight=0),
+        Candidate(name="b", share=4, in_flight=3),
+    )
+    suspect = Candidate(name="c", share=4, in_flight=0, suspect=True)
+    assert LeastLoaded().choose([busy, suspect, idle], key="") is idle
+    choose = PowerOfTwo(random=Random(1)).choose
+    counts = Counter(choose([busy, suspect, idle], key="").name for _ in range(300))
+    assert counts["a"] > 180
+    assert counts["c"] == 0
+    policy = Rendezvous()
+    homes = {key: policy.choose([idle, busy], key=key).name for key in "abcdefgh"}
+    assert set(homes.values()) == {"a", "b"}
+    assert all(policy.choose([busy, idle, suspect], key=key).name != "c" for key in homes)
+    assert set(BALANCER_BY_NAME) == {"power-of-two", "least-loaded", "rendezvous"}
+
+
+def test_retries_are_at_most_a_tenth_of_first_sends():
+    budget = RetryBudget(ratio=0.1)
+    taken = 0
+    for sent in range(1, 1001):
+        budget.sent()
+        taken += budget.take()
+        assert taken <= sent * 0.1 + 1e-9
+    assert taken == 100
+
+
+def fail(table, name, names, now, count=5):
+    for _ in range(count):
+        table.record(name, ok=False, names=names, now=now)
+
+
+def test_at_most_30_percent_are_ejected():
+    # Guards against a fault of the entry's own network that would eject every endpoint.
+    names = [f"p{number}" for number in range(10)]
+    table = HealthTable()
+    for name in names:
+        fail(table, name, names, 10.0)
+    assert len(table.usable(names, now=10.1)) == 7
+    fail(table, "p0", names[:3], 10.0)
+    small = HealthTable()
+    fail(small, "p0", names[:3], 10.0)
+    assert small.usable(names[:3], now=10.1) == names[:3]
+    assert small.is_suspect("p0")
+
+
+def test_back_off_doubles_and_one_probe_readmits():
+    names, now = ["a", "b", "c", "d"], 10.0
+    table = HealthTable()
+    fail(table, "a", names, now)
+    for backoff_s in (1, 2, 4, 8, 16, 32, 60, 60):
+        assert "a" not in table.usable(names, now=now + backoff_s - 0.01)
+        now += backoff_s
+        assert "a" in table.usable(names, now=now)
+        table.start("a")
+        assert "a" not in table.usable(names, now=now + 5)
+        table.record("a", ok=False, names=names, now=now)
+    table.start("a")
+    table.record("a", ok=True, names=names, now=now + 60)
+    assert "a" in table.usable(names, now=now + 60)
+
+
+def test_failure_rate_ejects_without_consecutive_failures():
+    names = ["a", "b", "c", "d"]
+    table = HealthTable()
+    for number in range(40):
+        table.record("a", ok=number % 3 == 0, names=names, now=10.0 + number / 100)
+    assert table.ejected(names) == ["a"]
+
+
+def summary(free, endpoints=1, **fields):
+    load = ServiceLoad(service="s", endpoints=endpoints, free_slots=free)
+    return EntrySummary(services=[load], **fields)
+
+
+def test_summary_is_sent_only_when_it_says_something_new():
+    # Guards against cross-region bytes for every small change of load.
+    sender = SummarySender()
+    due = [sender.is_due(summary(free), now=float(free)) for free in (8, 7, 5, 4, 3, 0, 0)]
+    assert due == [True, False, False, False, True, True, False]
+    assert sender.is_due(summary(0, draining=True), now=8.0)
+    assert sender.is_due(summary(0, draining=True), now=8.0 + KEEPALIVE_S)
+
+
+def test_own_region_comes_before_others_and_draining_entries_are_left_out():
+    table = SummaryTable(region="r1")
+    for peer, free in (("near", 0), ("far", 8), ("drains", 8), ("closed", 8)):
+        table.learn(peer, summary(free, draining=peer == "drains"))
+    peers = {"near": "r1", "far": "r2", "drains": "r1"}
+    assert table.choose("s", open_peers=peers) == "near"
+    assert table.choose("s", open_peers=peers, need_free=True) == "far"
+    assert table.choose("s", open_peers=peers, avoid="near") == "far"
+    assert table.choose("other", open_peers=peers) is None
+
+
+def test_pause_is_noticed_before_the_next_beat():
+    guard = PauseGuard()
+    for beat in range(5):
+        guard.beat(10.0 + beat / 4)
+    assert not guard.distrusts(11.5)
+    assert guard.distrusts(71.0)
+    guard.beat(71.1)
+    assert guard.distrusts(71.9)
+    guard.beat(71.9)
+    assert not guard.distrusts(72.2)
+
+
+def test_home_of_a_key_is_its_prefix_or_spread_over_the_groups():
+    groups = ("a", "b", "c")
+    assert home_of("b/17", groups) == "b"
+    assert home_of("z/17", groups) in groups
+    counts = Counter(home_of(f"k{number}", groups) for number in range(300))
+    assert min(counts.values()) > 60
--- /dev/null
+++ b/tests/test_entry_process.py
@@ -0,0 +1,357 @@
+"""Entries and endpoints as real processes on loopback."""
+
+from json import loads
+from time import monotonic
+
+import pytest
+from anyio import create_task_group, fail_after, run, sleep
+
+from siskintally.codes import Code, not_run
+from tests.checker import Answer, check_requests, read
+from tests.entry_net import TOKEN, code, running
+from tests.processes import wait_until
+
+LIMIT_S = 120
+
+
+def with_net(folder, check, **options):
+    async def main():
+        with fail_after(LIMIT_S):
+            async with running(folder, **options) as net:
+                await check(net)
+
+    run(main)
+
+
+def starts(net, *stubs):
+    records = read(*(net.record(stub) for stub in stubs))
+    return [record for record in records if record["event"] == "start"]
+
+
+async def gather(function, count):
+    """Run ``function(number)`` concurrently and return the results in order."""
+    results = [None] * count
+
+    async def keep(number):
+        results[number] = await function(number)
+
+    async with create_task_group() as tasks:
+        for number in range(count):
+            tasks.start_soon(keep, number)
+    return results
+
+
+def answer_of(response, body, key=None):
+    if response is None:
+        return Answer(request_id="", code=None)
+    content = response.content if code(response) in (1000, 1001) else b""
+    got = loads(content)["body"].encode() if content else b""
+    return Answer(
+        request_id=response.headers["siskintally-request-id"],
+        code=code(response),
+        body=got,
+        expected=body,
+        key=key,
+    )
+
+
+def test_each_caller_gets_its_own_answer_from_any_entry(tmp_path):
+    # Guards against answers mixed up between connections, and endpoints known to one entry only.
+    async def check(net):
+        net.start_stub("p1", "--service_ms", 5, entries=["e1"])
+        net.start_stub("p2", "--service_ms", 15, entries=["e2"])
+        await net.wait_known(2)
+        await net.wait_served("e1")
+
+        async def one(number):
+            body = f"order {number}".encode()
+            response = await net.call(("e1", "e2")[number % 2], f"seat/{number}?a=%20b", body=body)
+            return answer_of(response, body)
+
+        answers = await gather(one, 60)
+        assert {answer.code for answer in answers} == {1000}
+        records = read(net.record("p1"), net.record("p2"))
+        assert check_requests(records, answers) == []
+        assert not any(record["over_slots"] for record in starts(net, "p1", "p2"))
+
+    with_net(tmp_path, check, entries={"e1": "jylland-a", "e2": "jylland-a"})
+
+
+def test_leaving_endpoint_gets_no_new_work_and_finishes_its_requests(tmp_path):
+    # Guards against an entry that sends to an endpoint 3 s after it announced that it leaves, and
+    # against a stop that cuts requests. The endpoint announces to the other entry only.
+    async def check(net):
+        net.start_stub("p1", "--service_ms", 300, entries=["e1"])
+        net.start_stub("p2", "--service_ms", 300, entries=["e1"])
+        await net.wait_known(2)
+        await net.wait_served("e2")
+        answers = []
+
+        async def keep_calling():
+            while True:
+                answers.append(await net.call("e2"))
+
+        async with create_task_group() as tasks:
+            for _ in range(4):
+                tasks.start_soon(keep_calling)
+            await wait_until(lambda: len(starts(net, "p1")) > 3, "p1 works")
+            stopping = net.processes.popen_by_name["p1"]
+            stopping.terminate()
+            await wait_until(lambda: stopping.poll() is not None, "p1 ends")
+            await sleep(1.0)
+            tasks.cancel_scope.cancel()
+        assert stopping.returncode == 0
+        records = read(net.record("p1"))
+        left = next(record["t"] for record in records if record["event"] == "leaving")
+        assert all(record["t"] <= left + 3.0 for record in starts(net, "p1"))
+        assert len(records) == 2 * len(starts(net, "p1")) + 1
+        assert {code(answer) for answer in answers} == {1000}
+
+    with_net(tmp_path, check, entries={"e1": "jylland-a", "e2": "jylland-a"})
+
+
+def test_lost_endpoint_is_forgotten_in_3_s(tmp_path):
+    # Guards against announcements that entries keep fresh among themselves.
+    async def check(net):
+        net.start_stub("p1")
+        await net.wait_known(1)
+        net.processes.kill("p1")
+        killed = monotonic()
+        await wait_until(lambda: net._knows("e1", 0), "e1 forgets")
+        await wait_until(lambda: net._knows("e2", 0), "e2 forgets")
+        response = await net.call("e1")
+        assert code(response) == Code.NO_ENDPOINT
+        # Each entry forgets 3 s after the latest time at which the endpoint announced, plus the
+        # step of the table and the polling of this test.
+        assert monotonic() - killed < 10.0
+
+    with_net(tmp_path, check, entries={"e1": "jylland-a", "e2": "jylland-a"})
+
+
+def test_entry_resumed_after_a_pause_sends_nothing_to_an_endpoint_that_left(tmp_path):
+    # Guards against announcements in the socket buffers of a paused entry that look fresh.
+    async def check(net):
+        net.start_stub("p1", entries=["e1", "e2"])
+        await net.wait_known(1)
+        await net.wait_served("e1")
+        net.processes.pause("e1")
+        await sleep(2.0)
+        assert net.processes.stop("p1") == 0
+        before = len(starts(net, "p1"))
+        async with create_task_group() as tasks:
+            for _ in range(5):
+                tasks.start_soon(net.call, "e1")
+            await sleep(1.0)
+            net.processes.resume("e1")
+            response = await net.call("e1")
+        assert code(response) == Code.NO_ENDPOINT
+        assert len(starts(net, "p1")) == before
+
+    with_net(tmp_path, check, entries={"e1": "jylland-a", "e2": "jylland-a"})
+
+
+def test_stop_of_an_entry_finishes_what_is_in_flight(tmp_path):
+    # Guards against a planned stop that cuts requests, and against new work during it.
+    async def check(net):
+        net.start_stub("p1", "--service_ms", 1500)
+        await net.wait_known(1)
+        answers = []
+
+        async def one(**headers):
+            answers.append(await net.call("e1", **headers))
+
+        async with create_task_group() as tasks:
+            for number in range(8):
+                tasks.start_soon(lambda number=number: one(idempotency_key=f"k{number}"))
+            # More than the slots, so that some requests wait in the queue at the stop.
+            for _ in range(8):
+                tasks.start_soon(one)
+            await wait_until(lambda: len(starts(net, "p1")) >= 7, "p1 works")
+            net.processes.popen_by_name["e1"].terminate()
+
+            async def is_draining():
+                return (await net.health("e1") or {}).get("state") == "draining"
+
+            await wait_until(is_draining, "e1 drains")
+            late = await net.call("e1")
+            assert code(late) == Code.DRAINING
+        assert [code(answer) for answer in answers] == [1000] * 16
+        assert net.processes.popen_by_name["e1"].wait(10) == 0
+
+    with_net(tmp_path, check)
+
+
+def test_endpoint_that_fails_everything_is_ejected_and_comes_back(tmp_path):
+    # Guards against a fast failing endpoint that draws the traffic of a service.
+    async def check(net):
+        for number in range(4):
+            net.start_stub(f"p{number}", "--service_ms", 10)
+        await net.wait_known(4)
+        await net.wait_served("e1")
+        await net.control("p0", fault="fail")
+
+        async def many(count):
+            return [code(await net.call("e1")) for _ in range(count)]
+
+        await wait_until(lambda: many(20), "warm")
+        await many(40)
+        before = len(starts(net, "p0"))
+        began = monotonic()
+        codes = await many(100)
+        # One probe is due in each back-off, which is at least 1 s.
+        assert len(starts(net, "p0")) - before <= monotonic() - began + 1
+        assert codes.count(1000) >= 97
+        await net.control("p0", fault="none")
+        count = len(starts(net, "p0"))
+
+        async def works():
+            await many(20)
+            return len(starts(net, "p0")) > count + 5
+
+        await wait_until(works, "p0 is readmitted")
+
+    with_net(tmp_path, check)
+
+
+@pytest.mark.parametrize("fault", ["truncated", "wrong-id", "wrong-digest", "doubled"])
+def test_damaged_answers_are_not_delivered(tmp_path, fault):
+    # Guards against answers of other requests and incomplete answers reaching a caller.
+    async def check(net):
+        net.start_stub("p1", "--service_ms", 2, "--fault", fault)
+        net.start_stub("p2", "--service_ms", 2)
+        await net.wait_known(2)
+
+        async def one(number):
+            body = f"order {number}".encode()
+            key = f"k{number}" if number % 2 else None
+            headers = {"idempotency_key": key} if key else {}
+            response = await net.call("e1", body=body, **headers)
+            return answer_of(response, body, key)
+
+        answers = [answer for _ in range(5) for answer in await gather(one, 20)]
+        codes = {answer.code for answer in answers}
+        assert codes <= {1000, 1001, 3001}
+        assert 1000 in codes
+        # Shows that the fault took place: a doubled answer meets the next request as well.
+        assert 3001 in codes
+        assert check_requests(read(net.record("p1"), net.record("p2")), answers) == []
+
+    with_net(tmp_path, check)
+
+
+def test_silent_endpoint_holds_no_request_past_its_deadline(tmp_path):
+    # Guards against connections that go silent: the request ends, its slot is free again, and a
+    # non-idempotent one is never sent twice.
+    async def check(net):
+        net.start_stub("p1", "--service_ms", 2)
+        await net.wait_known(1)
+        await net.wait_served("e1")
+        await net.control("p1", fault="silent")
+        began = monotonic()
+
+        async def one(number):
+            headers = {"idempotency_key": f"k{number}"} if number % 2 else {}
+            return await net.call("e1", siskintally_deadline_ms="1000", **headers)
+
+        codes = [code(response) for response in await gather(one, 12)]
+        # Bounded by the deadline of the requests; the rest allows for a busy machine.
+        assert monotonic() - began < 10
+        assert set(codes) <= {2001, 2005, 3001}
+        assert 3001 in codes
+        await net.control("p1", fault="none")
+        await net.wait_served("e1")
+        resent = [code(await net.call("e1", idempotency_key=f"k{number}")) for number in (1, 3)]
+        assert all(
+            one == 3001 for one, first in zip(resent, codes[1:4:2], strict=True) if first == 3001
+        )
+        keys = [record["key"] for record in starts(net, "p1") if record["key"]]
+        assert len(keys) == len(set(keys))
+
+    with_net(tmp_path, check)
+
+
+def test_overload_tells_the_excess_and_keeps_urgent_within_the_deadline(tmp_path):
+    # Guards against queues that grow without bound, urgent work behind deferrable work, and
+    # answers "not run" to requests that ran.
+    async def check(net):
+        net.start_stub("p1", "--service_ms", 100)
+        await net.wait_known(1)
+        await net.wait_served("e1")
+        answers, urgent = [], []
+
+        async def one(number):
+            name = ("urgent", "normal", "deferrable", "deferrable")[number % 4]
+            response = await net.call(
+                "e1", siskintally_class=name, siskintally_deadline_ms="1500", timeout=10.0
+            )
+            answers.append(answer_of(response, b"x"))
+            if name == "urgent":
+                urgent.append(code(response))
+
+        async with create_task_group() as tasks:
+            # 8 slots of 100 ms serve 80 a second; this offers 160.
+            for number in range(640):
+                tasks.start_soon(one, number)
+                await sleep(1 / 160)
+        codes = [answer.code for answer in answers]
+        assert set(codes) <= {1000, 2001, 2005}
+        assert urgent.count(1000) == len(urgent)
+        refused = [one for one in codes if not_run(one)]
+        assert refused.count(2001) > 0
+        assert check_requests(read(net.record("p1")), answers) == []
+        assert not any(record["over_slots"] for record in starts(net, "p1"))
+
+    with_net(tmp_path, check)
+
+
+def test_request_goes_to_another_domain_when_the_own_has_no_endpoint(tmp_path):
+    # Guards against entries that send to endpoints of other domains directly, and against a
+    # service that can't be reached from a domain without endpoints.
+    async def check(net):
+        net.start_stub("p1", domain="jylland-b", entries=["e2"])
+        net.start_stub("p2", domain="fjeld-a", entries=["e1"])
+        await net.wait_known(1, "e2", "e3")
+        await net.wait_served("e1")
+        answers = [await net.call("e1") for _ in range(20)]
+        assert {code(answer) for answer in answers} == {1000}
+        assert {answer.json()["endpoint"] for answer in answers} == {"p1"}
+        net.processes.kill("p1")
+        await wait_until(lambda: net._knows("e2", 0), "e2 forgets p1")
+        await net.wait_served("e1")
+        assert (await net.call("e1")).json()["endpoint"] == "p2"
+
+    entries = {"e1": "jylland-a", "e2": "jylland-b", "e3": "fjeld-a"}
+    with_net(tmp_path, check, entries=entries)
+
+
+def test_malformed_input_is_refused_with_a_number_and_changes_nothing(tmp_path):
+    # Guards against a daemon that stops, or changes its state, on malformed input.
+    async def check(net):
+        net.start_stub("p1")
+        await net.wait_known(1)
+        url = net.url_by_name["e1"]
+        post = net.client.post
+        bad = [
+            (post(f"{url}/v1/announce", content=b"{"), 4000),
+            (post(f"{url}/v1/announce", json={"name": "x" * 500}), 4000),
+            (post(f"{url}/v1/announce", content=b"[" * 100_000), 4000),
+            (post(f"{url}/v1/nothing"), 4004),
+            (post(f"{url}/call/"), 4000),
+            (post(f"{url}/call/s/x", headers={"siskintally-class": "best"}), 4000),
+            (post(f"{url}/call/s/x", headers={"siskintally-deadline-ms": "-1"}), 4000),
+            (post(f"{url}/call/s/x", content=b"x" * (1 << 20) + b"x"), 4002),
+            (post(f"{url}/call/none/x"), 2002),
+            (post(f"{url}/v1/operator/status", json={}), 4001),
+            (
+                post(f"{url}/v1/operator/x", headers={"authorization": f"Bearer {TOKEN}"}),
+                4004,
+            ),
+        ]
+        for request, expected in bad:
+            response = await request
+            assert code(response) == expected, response.request.url
+            assert response.json()["code"] == expected
+        assert (await net.health("e1"))["endpoints"] == 1
+        await net.wait_served("e1")
+
+    with_net(tmp_path, check)
