--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -10,7 +10,7 @@
 from random import uniform
 from time import monotonic, time_ns
 
-from anyio import Event, create_task_group, sleep, sleep_forever
+from anyio import Event, create_task_group, sleep
 from httpx import AsyncClient, HTTPError
 
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer, respond, serve_http
@@ -75,7 +75,7 @@
     def write(self, **fields):
         """Append one event with the monotonic time."""
         if self._file is not None:
-            self._file.write(dumps({"time": monotonic(), **fields}) + "\n")
+            self._file.write(dumps({"t": monotonic(), **fields}) + "\n")
 
 
 class Announcer:
@@ -131,8 +131,7 @@
             fields.update(echo=clock, held_s=monotonic() - received_at)
         try:
             response = await client.post(f"{entry}/v1/announce", json=fields)
-            if response.status_code != 200:
-                return False
+            response.raise_for_status()
             self._clock_by_entry[entry] = (float(response.json()["clock"]), monotonic())
         except (HTTPError, ValueError, KeyError) as error:
             log.info("announcement failed", entry=entry, error=repr(error))
@@ -177,7 +176,7 @@
     async def stop(self):
         """Announce leaving, wait until nothing is in flight, and end."""
         self._announcer.leaving = True
-        self._recorder.write(event="leaving")
+        self._recorder.write(event="leaving", endpoint=self._options.name)
         async with AsyncClient(timeout=ANNOUNCE_TIMEOUT_S) as client:
             if self._options.entries:
                 await self._announcer.announce(client)
@@ -212,34 +211,45 @@
             body += message.get("body", b"")
             if not message.get("more_body", False):
                 break
-        event = {"id": headers.get(ID_HEADER, ""), "key": headers.get("idempotency-key", "")}
+        event = {
+            "endpoint": self._options.name,
+            "request_id": headers.get(ID_HEADER, ""),
+            "key": headers.get("idempotency-key", ""),
+        }
         self._in_flight += 1
         over = self._in_flight > self._options.slots
         self._recorder.write(event="start", in_flight=self._in_flight, over_slots=over, **event)
         try:
-            await self._work()
-            await self._answer(scope, event, body, send)
+            if await self._work(receive):
+                await self._answer(event, scope["path"], body, send)
         finally:
             self._in_flight -= 1
             self._recorder.write(event="end", **event)
             if not self._in_flight:
                 self._idle.set()
 
-    async def _work(self):
+    async def _work(self, receive):
         await sleep(self._service_s)
         if self._fault == "late":
             await sleep(LATE_S + uniform(0, 1))
-        if self._fault == "silent":
-            await sleep_forever()
+        while self._fault == "silent":
+            if (await receive())["type"] == "http.disconnect":
+                return False
+        return True
 
-    async def _answer(self, scope, event, body, send):
-        content = dumps({"endpoint": self._options.name, "id": event["id"], "size": len(body)})
-        content = content.encode()
+    async def _answer(self, event, path, body, send):
+        fields = {
+            "endpoint": self._options.name,
+            "id": event["request_id"],
+            "path": path,
+            "body": body.decode("latin-1"),
+        }
+        content = dumps(fields).encode()
         answer = HttpAnswer(
             status=500 if self._fault == "fail" else 200,
             body=content,
             headers=[
-                (ID_HEADER, "another" if self._fault == "wrong-id" else event["id"]),
+                (ID_HEADER, "another" if self._fault == "wrong-id" else event["request_id"]),
                 ("siskintally-digest", sha256(content).hexdigest()),
                 ("content-type", "application/json"),
             ],
