--- /dev/null
+++ b/tests/model/consensus.py
@@ -0,0 +1,405 @@
+"""Specification of consensus: real replicas, an unordered network, crashes and lost disks.
+
+One step is one transition of one replica together with the sync and the sending that it asks for.
+A crash before the sync equals the loss of the message that caused the transition. Elections start
+at any time without the pre-vote round, and voters never refuse because they hear a leader: both
+only protect liveness, so the search covers a superset of the behavior. With ``pre_vote`` the round
+is included.
+"""
+
+from ast import literal_eval
+from sys import intern
+from typing import NamedTuple
+
+from siskintally.effects import Effects
+from siskintally.election import NEVER, Role
+from siskintally.errors import BadRequestError, NotLeaderError
+from siskintally.membership import admit, ordered, promote
+from siskintally.messages import AppendReply, Identity, Kind, Member, VoteReply, VoteRequest
+from siskintally.replica import FOUNDING_INDEX, Replica, founding_state
+from tests.model.search import Spec, Table
+
+NOW = 0.0
+
+
+class Budget(NamedTuple):
+    """How many steps of each kind may still be taken."""
+
+    elect: int = 0
+    propose: int = 0
+    crash: int = 0
+    wipe: int = 0
+    repeat: int = 0
+    read: int = 0
+    beat: int = 0
+    compact: int = 0
+    change: int = 0
+
+    def __str__(self):
+        return ", ".join(f"{name} {value}" for name, value in self._asdict().items() if value)
+
+
+class Node(NamedTuple):
+    """A replica, what its machine has applied, and its disk if that is behind."""
+
+    replica: Replica
+    applied: tuple = ()
+    disk: object = None
+
+    def key(self):
+        """Return a hashable value."""
+        return self.replica.key(), self.applied, self.disk
+
+
+class State(NamedTuple):
+    """Numbers of nodes and messages, and what was observed so far.
+
+    ``committed``: longest applied sequence. ``leaders``: (term, identity). ``reads``: (node, term,
+    round, length of ``committed`` and highest elected term when the round began).
+    """
+
+    nodes: tuple
+    network: frozenset
+    budget: Budget
+    committed: tuple = ()
+    leaders: tuple = ()
+    reads: tuple = ()
+    fault: str = ""
+
+
+class Consensus(Spec):
+    """Replicas of one group.
+
+    :param voters: number of founding voters.
+    :param learner: whether a learner is a member from the start.
+    :param candidates: numbers of the nodes that start elections.
+    :param led: start with node 0 as a leader whose first entry all have.
+    :param replica_class: a mutant in tests.
+    :param reuse_identity: mutant; an empty disk keeps the incarnation.
+    :param early_send: mutant; messages leave before the sync.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_candidates",
+        "_dead",
+        "_early_send",
+        "_label_by_number",
+        "_learner",
+        "_led",
+        "_memo",
+        "_messages",
+        "_nodes",
+        "_pre_vote",
+        "_replica_class",
+        "_reuse_identity",
+        "_shared",
+        "_voters",
+    )
+
+    def __init__(
+        self,
+        *,
+        name,
+        budget,
+        voters=3,
+        learner=False,
+        candidates=(0, 1),
+        led=False,
+        pre_vote=False,
+        replica_class=Replica,
+        reuse_identity=False,
+        early_send=False,
+    ):
+        text = f"{voters} voters{', 1 learner' if learner else ''}, candidates {list(candidates)}"
+        super().__init__(name=name, bounds=f"{text}, {'led, ' if led else ''}{budget}")
+        self._budget = budget
+        self._voters = voters
+        self._learner = learner
+        self._candidates = candidates
+        self._led = led
+        self._pre_vote = pre_vote
+        self._replica_class = replica_class
+        self._reuse_identity = reuse_identity
+        self._early_send = early_send
+        self._nodes = Table()
+        self._messages = Table()
+        self._memo = {}
+        self._dead = {}
+        self._label_by_number = {}
+        self._shared = {}
+
+    def initial(self):
+        """Return the founding state, led by node 0 if asked."""
+        count = self._voters + self._learner
+        ids = [Identity(name=f"s{number + 1}", incarnation="a") for number in range(count)]
+        stable = founding_state(ids[: self._voters])
+        if self._learner:
+            members = ordered([*stable.snapshot.members, Member(identity=ids[-1], voter=False)])
+            stable = stable._replace(snapshot=stable.snapshot._replace(members=members))
+        nodes = tuple(self._put(Node(replica=self._replica(each, stable))) for each in ids)
+        state = State(nodes=nodes, network=frozenset(), budget=self._budget)
+        return [self._settled(state) if self._led else state]
+
+    def _settled(self, state):
+        state = self._act(state, 0, "elect")
+        while state.network:
+            number = min(state.network)
+            at = self._receiver(state, number)
+            state = state._replace(network=state.network - {number})
+            state = self._act(state, at, "receive", number)
+        return state
+
+    def steps(self, state):
+        """Yield deliveries, repeated deliveries, and what the budget allows."""
+        budget = state.budget
+        for number in state.network:
+            at = self._receiver(state, number)
+            if at is None:
+                continue
+            label = self._label(number)
+            without = state._replace(network=state.network - {number})
+            yield label, self._act(without, at, "receive", number)
+            if budget.repeat:
+                kept = state._replace(budget=budget._replace(repeat=budget.repeat - 1))
+                yield intern(f"{label} (a copy)"), self._act(kept, at, "receive", number)
+        for at in range(len(state.nodes)):
+            for action in self._actions(state, at):
+                left = self._share(budget._replace(**{action: getattr(budget, action) - 1}))
+                label = intern(f"{self._name(state, at)}: {action}")
+                yield label, self._act(state._replace(budget=left), at, action)
+            if self._nodes[state.nodes[at]].disk is not None:
+                yield f"{self._name(state, at)}: sync", self._act(state, at, "sync")
+
+    def fault(self, state):
+        """Return the violation that the last step made."""
+        return state.fault
+
+    def _actions(self, state, at):
+        replica = self._nodes[state.nodes[at]].replica
+        budget = state.budget
+        if budget.crash:
+            yield "crash"
+        if budget.wipe and at == self._voters - 1:
+            yield "wipe"
+        if budget.compact and replica.commit > replica.log.snapshot.index:
+            yield "compact"
+        if replica.is_leader:
+            leading = ("propose", "read", "beat", "change")
+            yield from (action for action in leading if getattr(budget, action))
+        elif budget.elect and at in self._candidates and replica.identity in replica.voters:
+            yield "elect"
+
+    def _act(self, state, at, action, number=None):
+        """Apply a step of one node and check what can be observed."""
+        before = state.nodes[at]
+        extra = len(state.committed) if action == "propose" else number
+        memo = (before, action, extra)
+        if memo not in self._memo:
+            self._memo[memo] = self._transition(self._nodes[before], action, extra)
+        after, sent, seen = self._memo[memo]
+        nodes = self._share((*state.nodes[:at], after, *state.nodes[at + 1 :]))
+        reads = state.reads
+        if action in ("crash", "wipe"):
+            reads = tuple(read for read in reads if read[0] != at)
+        network = state.network | sent
+        if after != before or sent:
+            network = self._pruned(nodes, network)
+        state = state._replace(nodes=nodes, network=self._share(network), reads=reads)
+        return self._observe(state, at, seen) if seen else state
+
+    def _pruned(self, nodes, network):
+        """Leave out the messages that can never change their receiver again."""
+        at_by_id = {self._nodes[node].replica.identity: node for node in nodes}
+        dead = []
+        for number in network:
+            at = at_by_id.get(self._messages[number].to)
+            memo = (number, at)
+            if memo not in self._dead:
+                self._dead[memo] = at is None or self._is_dead(number, self._nodes[at].replica)
+            if self._dead[memo]:
+                dead.append(number)
+        return network.difference(dead) if dead else network
+
+    def _is_dead(self, number, replica):
+        message = self._messages[number].message
+        if isinstance(message, AppendReply):
+            if message.term == replica.term:
+                return replica.role != Role.LEADER
+            return message.term < replica.term
+        if isinstance(message, VoteReply) and not message.pre_vote:
+            if message.granted and message.term == replica.term:
+                return replica.role != Role.CANDIDATE
+            return message.term <= replica.term
+        if isinstance(message, VoteRequest) and message.term == replica.term:
+            return replica.vote not in (None, message.sender)
+        return False
+
+    def _transition(self, node, action, extra):
+        replica = node.replica.copy()
+        if action == "crash":
+            return self._put(self._restarted(node)), frozenset(), None
+        if action == "wipe":
+            return self._put(Node(replica=self._wiped(replica.identity))), frozenset(), None
+        if action == "sync":
+            return self._put(node._replace(disk=None)), frozenset(), None
+        effects = self._effects(replica, node, action, extra)
+        disk = node.disk
+        if effects.must_sync:
+            if self._early_send:
+                disk = disk or node.replica.stable
+            effects.extend(replica.synced(replica.log.last_index, replica.log.last_term, NOW))
+        restore = effects.restore
+        applied = node.applied if restore is None else _decoded(restore.data)
+        applied += tuple(
+            (entry.term, int(entry.kind), entry.command) for entry in effects.committed
+        )
+        replica.heard = NEVER
+        after = self._put(Node(replica=replica, applied=applied, disk=disk))
+        sent = frozenset(self._messages.put(each, each) for each in effects.messages)
+        lead = effects.leadership is not None and effects.leadership.is_leader
+        seen = (lead, effects.round, effects.confirmed)
+        return after, sent, seen if any(seen) or applied != node.applied else None
+
+    def _effects(self, replica, node, action, extra):
+        if action == "receive":
+            return replica.receive(self._messages[extra].message, NOW)
+        if action == "elect":
+            return self._elect(replica)
+        if action == "propose":
+            return replica.propose(b"%d" % extra, NOW)
+        if action == "read":
+            return replica.confirm(NOW)
+        if action == "compact":
+            return replica.compact(replica.commit, repr(node.applied).encode())
+        if action == "beat":
+            replica.expire_beat()
+            return replica.tick(NOW)
+        return self._change(replica)
+
+    def _elect(self, replica):
+        if self._pre_vote:
+            replica.expire_election()
+            return replica.tick(NOW)
+        effects = Effects()
+        replica._start_election(NOW, effects)
+        return effects
+
+    def _change(self, replica):
+        """Admit the new incarnation of the last founding voter, then promote it step by step."""
+        newcomer = Identity(name=f"s{self._voters}", incarnation="b")
+        members = replica.log.members
+        known = [member for member in members if member.identity == newcomer]
+        following = promote(members, newcomer) if known else admit(members, newcomer)
+        try:
+            return replica.propose_members(following, NOW)
+        except (BadRequestError, NotLeaderError):
+            return Effects()
+
+    def _restarted(self, node):
+        stable = node.disk or node.replica.stable
+        applied = _decoded(stable.snapshot.data)
+        return Node(replica=self._replica(node.replica.identity, stable), applied=applied)
+
+    def _wiped(self, identity):
+        if not self._reuse_identity:
+            identity = identity._replace(incarnation=chr(ord(identity.incarnation) + 1))
+        return self._replica(identity, None)
+
+    def _replica(self, identity, stable):
+        return self._replica_class(identity=identity, stable=stable, timeout=lambda: 1.0, now=NOW)
+
+    def _share(self, value):
+        """Return the first object that is equal to a value, so that states share their parts."""
+        return self._shared.setdefault(value, value)
+
+    def _put(self, node):
+        return self._nodes.put(node.key(), node)
+
+    def _observe(self, state, at, seen):
+        node = self._nodes[state.nodes[at]]
+        lead, begun, confirmed = seen
+        shared = min(len(node.applied), len(state.committed))
+        if node.applied[:shared] != state.committed[:shared]:
+            fault = f"{node.replica.identity.name} applied {node.applied}, not {state.committed}"
+            return state._replace(fault=fault)
+        if len(node.applied) > shared:
+            state = state._replace(committed=self._share(node.applied))
+        if lead:
+            state = self._observe_leader(state, node.replica)
+            if state.fault:
+                return state
+        if begun:
+            top = max((term for term, _ in state.leaders), default=0)
+            read = (at, node.replica.term, begun, len(state.committed), top)
+            state = state._replace(reads=tuple(sorted({*state.reads, read})))
+        return self._observe_reads(state, at, node.replica, confirmed) if confirmed else state
+
+    def _observe_leader(self, state, replica):
+        identity, term = replica.identity, replica.term
+        if any(other != identity for at, other in state.leaders if at == term):
+            return state._replace(fault=f"two leaders in term {term}")
+        # A late leader of an older term than the latest may lack what the latest committed.
+        newest = all(at < term for at, _ in state.leaders)
+        for number, entry in enumerate(state.committed if newest else ()):
+            index = FOUNDING_INDEX + 1 + number
+            if index > replica.log.base_index and replica.log.term_at(index) != entry[0]:
+                fault = f"leader {identity.name} lacks the committed entry {index}"
+                return state._replace(fault=fault)
+        leaders = tuple(sorted({*state.leaders, (term, identity)}))
+        return state._replace(leaders=self._share(leaders))
+
+    def _observe_reads(self, state, at, replica, confirmed):
+        kept = []
+        for read in state.reads:
+            node, term, begun, length, top = read
+            if node != at or term != replica.term or begun > confirmed:
+                kept.append(read)
+            elif top > term:
+                return state._replace(fault=f"round of term {term} confirmed after term {top}")
+            elif replica.commit < FOUNDING_INDEX + length:
+                return state._replace(fault=f"round confirmed without {length} committed entries")
+        return state._replace(reads=tuple(kept))
+
+    def _receiver(self, state, number):
+        for at, node in enumerate(state.nodes):
+            if self._nodes[node].replica.identity == self._messages[number].to:
+                return at
+        return None
+
+    def _name(self, state, at):
+        replica = self._nodes[state.nodes[at]].replica
+        return f"{replica.identity.name}.{replica.identity.incarnation}"
+
+    def _label(self, number):
+        if number not in self._label_by_number:
+            to = self._messages[number].to
+            text = f"deliver to {to.name}.{to.incarnation}: {self._text(number)}"
+            self._label_by_number[number] = text
+        return self._label_by_number[number]
+
+    def _text(self, number):
+        message = self._messages[number].message
+        shown = [
+            f"{name}={_plain(value)}"
+            for name, value in message._asdict().items()
+            if name != "sender" and value not in (False, (), b"")
+        ]
+        sender = message.sender if isinstance(message.sender, str) else message.sender.name
+        return f"{type(message).__name__} from {sender} ({', '.join(shown)})"
+
+
+def _decoded(data):
+    """Return the applied sequence in a snapshot; that of the founding state is empty."""
+    return literal_eval(data.decode()) if data else ()
+
+
+def _plain(value):
+    if isinstance(value, tuple):
+        return "+".join(
+            f"{entry.index}.{entry.term}{Kind(entry.kind).name.lower()}"
+            if hasattr(entry, "kind")
+            else str(getattr(entry, "identity", entry))
+            for entry in value
+        )
+    return str(value)
--- /dev/null
+++ b/tests/model/ledger.py
@@ -0,0 +1,249 @@
+"""Specification of the ledger: attempts of entries for one key, late and repeated messages.
+
+Every attempt follows section 3.3 of the design and can crash, give up or resend at any moment; a
+crash of an entry is a crash of its attempts. The network is unordered; a message that is never
+delivered is lost. Time stands still, so that nothing expires.
+"""
+
+from sys import intern
+from typing import NamedTuple
+
+from siskintally.ledger import Ledger
+from siskintally.wire_pb2 import (
+    LedgerBegin,
+    LedgerBeginReply,
+    LedgerFinish,
+    LedgerRelease,
+    StoredAnswer,
+)
+from tests.model.search import Spec, Table
+
+NOW = 0.0
+NOT_RUN = "not run"
+UNKNOWN = "unknown"
+_Verdict = LedgerBeginReply.Verdict
+
+
+class State(NamedTuple):
+    """Number of the ledger state, attempts, network, and what was observed.
+
+    ``phases``: of each attempt. ``told``: what the caller of each attempt was told. ``executed``:
+    attempts in the order in which the endpoint ran them. ``granted``, ``released``: attempts for
+    which the ledger answered or applied it.
+    """
+
+    ledger: int
+    phases: tuple
+    network: frozenset
+    told: tuple
+    repeats: int
+    resends: int
+    executed: tuple = ()
+    granted: frozenset = frozenset()
+    released: frozenset = frozenset()
+    fault: str = ""
+
+    def move(self, attempt, phase, *, told=None, send=()):
+        """Return the state after an attempt changed its phase."""
+        return self._replace(
+            phases=(*self.phases[:attempt], phase, *self.phases[attempt + 1 :]),
+            told=(*self.told[:attempt], told or self.told[attempt], *self.told[attempt + 1 :]),
+            network=self.network | set(send),
+        ).pruned()
+
+    def pruned(self):
+        """Leave out the replies that their attempt will ignore from now on."""
+        dead = {message for message in self.network if _is_dead(message, self.phases)}
+        return self._replace(network=self.network - dead) if dead else self
+
+
+class LedgerSpec(Spec):
+    """One key, several attempts.
+
+    :param attempts: number of attempts; the last has another digest if ``conflict``.
+    :param repeats: messages that are delivered twice.
+    :param resends: messages that an attempt sends again.
+    :param ledger_class: a mutant in tests.
+    """
+
+    __slots__ = ("_attempts", "_conflict", "_ledger_class", "_ledgers", "_memo", "_resends")
+    __slots__ += ("_repeats",)
+
+    def __init__(self, *, name, attempts, repeats, resends, conflict=False, ledger_class=Ledger):
+        super().__init__(
+            name=name,
+            bounds=f"1 key, {attempts} attempts{', 1 with another digest' if conflict else ''}, "
+            f"{repeats} repeated deliveries, {resends} resends, any crash, any snapshot",
+        )
+        self._attempts = attempts
+        self._repeats = repeats
+        self._resends = resends
+        self._conflict = conflict
+        self._ledger_class = ledger_class
+        self._ledgers = Table()
+        self._memo = {}
+
+    def initial(self):
+        """Return the state without any attempt."""
+        ledger = self._ledger_class()
+        return [
+            State(
+                ledger=self._ledgers.put(ledger.key(), ledger),
+                phases=("idle",) * self._attempts,
+                network=frozenset(),
+                told=("",) * self._attempts,
+                repeats=self._repeats,
+                resends=self._resends,
+            )
+        ]
+
+    def fault(self, state):
+        """Return the violation that the last step made."""
+        return state.fault
+
+    def steps(self, state):
+        """Yield deliveries, steps of the attempts, and a snapshot."""
+        for message in state.network:
+            label = intern(f"deliver {' '.join(map(str, message))}")
+            without = state._replace(network=state.network - {message})
+            yield label, self._checked(self._deliver(without, message))
+            # A stream carries a request to an endpoint and its answer once.
+            if state.repeats and message[0] not in ("request", "answer"):
+                kept = state._replace(repeats=state.repeats - 1)
+                yield intern(f"{label} (a copy)"), self._checked(self._deliver(kept, message))
+        for attempt, phase in enumerate(state.phases):
+            for label, successor in _own_steps(state, attempt, phase):
+                yield intern(f"attempt {attempt} {label}"), self._checked(successor)
+        restored = self._ledger_step(state.ledger, ("restore", 0))[0]
+        if restored != state.ledger:
+            yield "snapshot and restore", state._replace(ledger=restored)
+
+    def _deliver(self, state, message):
+        kind, attempt = message[:2]
+        if kind in ("begin", "finish", "unsure", "release"):
+            return self._at_ledger(state, message)
+        phase = state.phases[attempt]
+        if kind == "request":
+            executed = (*state.executed, attempt)
+            network = state.network | {("answer", attempt)}
+            return state._replace(executed=executed, network=network).pruned()
+        if kind == "answer":
+            return state.move(attempt, "answered", send=[("finish", attempt)])
+        if kind == "verdict":
+            return _on_verdict(state, attempt, *message[2:])
+        told = f"answer {attempt}" if phase == "answered" else None
+        return state.move(attempt, "over", told=told)
+
+    def _at_ledger(self, state, message):
+        kind, attempt = message
+        ledger, reply = self._ledger_step(state.ledger, message)
+        state = state._replace(ledger=ledger, network=state.network | {reply}).pruned()
+        if kind == "release":
+            return state._replace(
+                released=state.released | {attempt}, granted=state.granted - {attempt}
+            )
+        return _check_verdict(state, reply) if kind == "begin" else state
+
+    def _ledger_step(self, number, message):
+        memo = (number, message)
+        if memo not in self._memo:
+            ledger = self._ledger_class()
+            ledger.restore(Ledger.snapshot(self._ledgers[number]))
+            reply = self._apply(ledger, message)
+            self._memo[memo] = (self._ledgers.put(ledger.key(), ledger), reply)
+        return self._memo[memo]
+
+    def _apply(self, ledger, message):
+        kind, attempt = message
+        name = f"attempt-{attempt}"
+        if kind == "restore":
+            ledger.restore(ledger.snapshot())
+            return None
+        if kind == "begin":
+            other = self._conflict and attempt == self._attempts - 1
+            digest = b"other" if other else b"digest"
+            begin = LedgerBegin(key="k", caller="shop", digest=digest, attempt=name)
+            reply = ledger.begin(begin, NOW)
+            return ("verdict", attempt, _Verdict.Name(reply.verdict), reply.answer.body.decode())
+        if kind == "release":
+            ledger.release(LedgerRelease(key="k", attempt=name), NOW)
+        else:
+            finish = LedgerFinish(key="k", attempt=name, unknown=kind == "unsure")
+            if kind == "finish":
+                finish.answer.CopyFrom(StoredAnswer(body=f"answer {attempt}".encode()))
+            ledger.finish(finish, NOW)
+        return ("done", attempt, kind)
+
+    def _checked(self, state):
+        if state.fault:
+            return state
+        if len(state.executed) > 1:
+            return state._replace(fault=f"attempts {state.executed} were both executed")
+        for attempt, told in enumerate(state.told):
+            if told == NOT_RUN and attempt in state.executed:
+                return state._replace(fault=f"attempt {attempt} told not run, but executed")
+            if told.startswith("answer") and told != f"answer {state.executed[0]}":
+                return state._replace(fault=f"attempt {attempt} told {told}")
+        return state
+
+
+_ACKNOWLEDGED = {("finish", "answered"), ("unsure", "unsure"), ("release", "releasing")}
+_RESENT = {"asked": "begin", "answered": "finish", "unsure": "unsure", "releasing": "release"}
+
+
+def _is_dead(message, phases):
+    kind, attempt = message[:2]
+    expected = {"verdict": "asked", "answer": "sent"}.get(kind)
+    if kind == "done":
+        return (message[2], phases[attempt]) not in _ACKNOWLEDGED
+    return expected is not None and phases[attempt] != expected
+
+
+def _own_steps(state, attempt, phase):
+    """Yield what an attempt does by itself."""
+    if phase == "idle":
+        # Attempts are numbered in the order in which they begin.
+        if attempt and state.phases[attempt - 1] == "idle":
+            return
+        yield "begins", state.move(attempt, "asked", send=[("begin", attempt)])
+        return
+    if phase in ("over", "crashed"):
+        return
+    yield "crashes", state.move(attempt, "crashed")
+    resent = _RESENT.get(phase)
+    if resent and state.resends and (resent, attempt) not in state.network:
+        again = state._replace(resends=state.resends - 1)
+        yield f"resends {resent}", again.move(attempt, phase, send=[(resent, attempt)])
+    if phase == "asked":
+        release = [("release", attempt)]
+        yield "times out", state.move(attempt, "releasing", told=NOT_RUN, send=release)
+        unsure = [("unsure", attempt)]
+        yield "gives up as unknown", state.move(attempt, "unsure", told=UNKNOWN, send=unsure)
+    elif phase == "granted":
+        yield "dispatches", state.move(attempt, "sent", send=[("request", attempt)])
+        release = [("release", attempt)]
+        yield "cannot send", state.move(attempt, "releasing", told=NOT_RUN, send=release)
+    elif phase == "sent":
+        unsure = [("unsure", attempt)]
+        yield "loses its endpoint", state.move(attempt, "unsure", told=UNKNOWN, send=unsure)
+
+
+def _on_verdict(state, attempt, verdict, answer):
+    if verdict == "GRANTED":
+        return state.move(attempt, "granted")
+    told = {"REPLAYED": answer, "RELEASED": NOT_RUN, "UNKNOWN": UNKNOWN}
+    return state.move(attempt, "over", told=told.get(verdict, verdict))
+
+
+def _check_verdict(state, reply):
+    _, attempt, verdict, answer = reply
+    answers = {told for told in state.told if told.startswith("answer")}
+    if answers and verdict not in ("RELEASED", "CONFLICT") and answer not in answers:
+        return state._replace(fault=f"{answers} was told, but the ledger answers {verdict}")
+    if verdict != "GRANTED":
+        return state
+    if attempt in state.released:
+        return state._replace(fault=f"released attempt {attempt} is granted again")
+    if state.granted - {attempt}:
+        return state._replace(fault=f"granted to {attempt} besides {sorted(state.granted)}")
+    return state._replace(granted=state.granted | {attempt})
--- /dev/null
+++ b/tests/model/mutants.py
@@ -0,0 +1,76 @@
+"""Faulty versions of the checked functions; the search must find every one."""
+
+from siskintally.ledger import RUNNING, Ledger, _key_print, _tombstone_print
+from siskintally.ledger_state_pb2 import LedgerState
+from siskintally.membership import quorum
+from siskintally.replica import Replica
+
+
+class LearnerCountingReplica(Replica):
+    """Counts the log positions of learners towards a commit."""
+
+    __slots__ = ()
+
+    def _advance_commit(self, effects):
+        matches = [progress.match for progress in self.progress_by_id.values()]
+        ranked = sorted([self.durable, *matches], reverse=True)
+        reached = ranked[quorum(len(self.voters)) - 1]
+        if reached > self.commit and self.log.term_at(reached) == self.term:
+            self._commit_to(reached, effects)
+
+
+class StaleRoundReplica(Replica):
+    """Counts an answer to an earlier message for the newest read round."""
+
+    __slots__ = ()
+
+    def _on_append_reply(self, reply, now, effects):
+        super()._on_append_reply(reply._replace(round=self.round), now, effects)
+
+
+class ForgetfulLedger(Ledger):
+    """Drops the records of running attempts at a snapshot."""
+
+    __slots__ = ()
+
+    def snapshot(self):
+        """Return the state without what a resend needs."""
+        state = LedgerState.FromString(super().snapshot())
+        for generation in state.generations:
+            generation.fingerprints = b""
+            del generation.records[:]
+        return state.SerializeToString()
+
+
+class TrustingLedger(Ledger):
+    """Accepts a finish from any attempt."""
+
+    __slots__ = ()
+
+    def _holds(self, record, attempt):
+        return record is not None and record[0] == RUNNING
+
+
+class AmnesicLedger(Ledger):
+    """Keeps no released attempts."""
+
+    __slots__ = ()
+
+    def release(self, message, now):
+        """Give the key back and forget the attempt."""
+        done = super().release(message, now)
+        self._drop(_tombstone_print(message.key, message.attempt))
+        return done
+
+
+class GenerousLedger(Ledger):
+    """Grants a key again whose outcome is unknown."""
+
+    __slots__ = ()
+
+    def finish(self, message, now):
+        """Treat an unknown outcome like a release."""
+        done = super().finish(message, now)
+        if message.unknown:
+            self._drop(_key_print(message.key))
+        return done
--- /dev/null
+++ b/tests/model/registry.py
@@ -0,0 +1,116 @@
+"""Specifications and mutants by size of the search."""
+
+from tests.model.consensus import Budget, Consensus
+from tests.model.ledger import LedgerSpec
+from tests.model.mutants import (
+    AmnesicLedger,
+    ForgetfulLedger,
+    GenerousLedger,
+    LearnerCountingReplica,
+    StaleRoundReplica,
+    TrustingLedger,
+)
+
+
+class Mutant:
+    """A seeded fault.
+
+    :param name: what is wrong.
+    :param build: function that returns the specification with the fault.
+    """
+
+    __slots__ = ("build", "name")
+
+    def __init__(self, *, name, build):
+        self.name = name
+        self.build = build
+
+
+def ci_specs():
+    """Yield the specifications that CI searches completely."""
+    yield Consensus(name="elections", budget=Budget(elect=2, propose=1))
+    yield Consensus(name="elections-crash", budget=Budget(elect=2, crash=1))
+    yield Consensus(name="elections-repeat", budget=Budget(elect=2, repeat=1))
+    yield Consensus(name="pre-vote", budget=Budget(elect=1, crash=1), pre_vote=True)
+    yield Consensus(name="lost-disk", budget=Budget(elect=2, wipe=1))
+    yield Consensus(name="replacement", budget=Budget(elect=1, wipe=1, change=3), led=True)
+    yield Consensus(
+        name="snapshot-transfer",
+        budget=Budget(elect=1, wipe=1, change=1, compact=1, repeat=1),
+        led=True,
+    )
+    yield Consensus(name="learner", budget=Budget(elect=1, propose=1), learner=True, led=True)
+    yield Consensus(name="commands", budget=Budget(elect=1, propose=1, crash=1), led=True)
+    yield Consensus(name="reads", budget=Budget(elect=1, read=1, crash=1), led=True)
+    yield LedgerSpec(name="ledger-repeat", attempts=2, repeats=1, resends=1)
+    yield LedgerSpec(name="ledger-conflict", attempts=2, repeats=1, resends=1, conflict=True)
+    yield LedgerSpec(name="ledger", attempts=3, repeats=0, resends=0)
+
+
+def large_specs():
+    """Yield the specifications with larger bounds."""
+    yield Consensus(name="elections-large", budget=Budget(elect=2, propose=1, crash=1))
+    yield Consensus(
+        name="commands-large", budget=Budget(elect=1, propose=2, crash=1, wipe=1), led=True
+    )
+    yield Consensus(
+        name="snapshot-transfer-large",
+        budget=Budget(elect=1, wipe=1, propose=1, change=1, compact=1),
+        led=True,
+    )
+    yield Consensus(name="three-elections", budget=Budget(elect=3))
+    yield Consensus(name="reads-large", budget=Budget(elect=1, read=2, repeat=1), led=True)
+    yield LedgerSpec(name="ledger-large", attempts=3, repeats=1, resends=0)
+
+
+def mutants():
+    """Yield the seeded faults."""
+    yield Mutant(
+        name="vote with an empty disk",
+        build=lambda: Consensus(
+            name="lost-disk", budget=Budget(elect=2, wipe=1), reuse_identity=True
+        ),
+    )
+    yield Mutant(
+        name="acknowledge before sync",
+        build=lambda: Consensus(
+            name="elections-crash", budget=Budget(elect=2, crash=1), early_send=True
+        ),
+    )
+    yield Mutant(
+        name="count a learner",
+        build=lambda: Consensus(
+            name="learner",
+            budget=Budget(elect=1, propose=1),
+            learner=True,
+            led=True,
+            replica_class=LearnerCountingReplica,
+        ),
+    )
+    yield Mutant(
+        name="confirm a read round by an answer to an earlier message",
+        build=lambda: Consensus(
+            name="reads",
+            budget=Budget(elect=1, read=1, beat=1),
+            led=True,
+            replica_class=StaleRoundReplica,
+        ),
+    )
+    yield from ledger_mutants()
+
+
+def ledger_mutants():
+    """Yield the seeded faults of the ledger."""
+    named = {
+        "drop the resend record at a snapshot": ForgetfulLedger,
+        "accept a finish from another attempt": TrustingLedger,
+        "grant a released attempt again": AmnesicLedger,
+        "grant a key of unknown outcome again": GenerousLedger,
+    }
+    for name, ledger_class in named.items():
+        yield Mutant(
+            name=name,
+            build=lambda ledger_class=ledger_class: LedgerSpec(
+                name="ledger-repeat", attempts=2, repeats=1, resends=1, ledger_class=ledger_class
+            ),
+        )
--- /dev/null
+++ b/tests/test_model.py
@@ -0,0 +1,21 @@
+"""Bounded model checking of consensus and ledger, and the seeded faults that it must find."""
+
+import pytest
+
+from tests.model.registry import ci_specs, mutants
+from tests.model.search import search
+
+
+@pytest.mark.parametrize("spec", list(ci_specs()), ids=lambda spec: spec.name)
+def test_specification_holds_within_its_bounds(spec):
+    result = search(spec)
+    print(f"{spec.name}: {spec.bounds}: {result}")
+    assert not result.fault, "\n".join([result.fault, *result.trace])
+    assert result.complete
+
+
+@pytest.mark.parametrize("mutant", list(mutants()), ids=lambda mutant: mutant.name)
+def test_search_finds_the_seeded_fault(mutant):
+    result = search(mutant.build())
+    assert result.fault
+    assert result.trace
