--- a/siskintally/encoding.py
+++ b/siskintally/encoding.py
@@ -77,7 +77,7 @@
 
     :raises ValueError: its kind is not known.
     """
-    if body.kind >= len(_KINDS):
+    if not 0 <= body.kind < len(_KINDS):
         raise ValueError(f"entry {body.index}: unknown kind {body.kind}")
     members = decode_members(body.members) if body.members else ()
     return Entry(body.index, body.term, _KINDS[body.kind], body.command, members)
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -175,14 +175,15 @@
         """
         return await self._ask(Waiter(command=command))
 
-    async def confirm(self):
+    async def confirm(self, *, urgent=True):
         """Return once a quorum has answered a round that began after the call.
 
         The machine has then applied every entry that was committed before the call.
 
+        :param urgent: False to wait for the next heartbeat (0.5 s), which costs no messages.
         :raises NotLeaderError: this replica does not lead, or lost leadership meanwhile.
         """
-        await self._ask(Waiter())
+        await self._ask(Waiter(urgent=urgent))
 
     def watch(self):
         """Return a receive stream of :class:`Leadership`, starting with the present state.
@@ -357,7 +358,8 @@
                 self._waiters.add_proposals(proposals, effects.index)
                 proposals = []
             if reads:
-                effects.extend(self._replica.confirm(now))
+                urgent = any(waiter.urgent for waiter in reads)
+                effects.extend(self._replica.confirm(now, urgent=urgent))
                 self._waiters.add_reads(reads, effects.round)
                 reads = []
         except NotLeaderError:
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -17,7 +17,12 @@
 from google.protobuf.message import DecodeError
 
 from siskintally.encoding import decode_entry, decode_members, encode_entry, encode_members
-from siskintally.errors import BadRequestError, DamagedDataError, StoppedError
+from siskintally.errors import (
+    BadRequestError,
+    BadSettingsError,
+    DamagedDataError,
+    StoppedError,
+)
 from siskintally.journal_pb2 import (
     LogHead,
     LogRecord,
@@ -70,6 +75,7 @@
         The log is written anew, since after a failed sync its pages may be in memory only.
 
         :raises DamagedDataError: the folder failed its checks; see :func:`set_aside`.
+        :raises BadSettingsError: the folder belongs to another replica, and is left as it is.
         :raises StoppedError: another process has the folder open.
         """
         folder = Path(folder)
@@ -207,7 +213,7 @@
     data = (folder / IDENTITY_FILE).read_bytes()
     stored = _parse(StoredIdentity, unpack_one(data, name=IDENTITY_FILE), IDENTITY_FILE)
     if (stored.group, stored.name) != (group, name):
-        raise DamagedDataError(
+        raise BadSettingsError(
             f"{folder}: belongs to {stored.name!r} of group {stored.group!r}, not to {name!r}"
         )
     return Identity(name=stored.name, incarnation=stored.incarnation)
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -185,11 +185,12 @@
         self._send_all(now, effects)
         return effects
 
-    def confirm(self, now):
+    def confirm(self, now, *, urgent=True):
         """Begin a read round; ``effects.round`` is its number.
 
         It is confirmed once a quorum has answered a message sent after this call.
 
+        :param urgent: whether to send messages now; otherwise the next heartbeats carry the round.
         :raises NotLeaderError: this replica does not lead.
         """
         self._check_leading(transferring=True)
@@ -197,7 +198,7 @@
         self.round += 1
         effects.round = self.round
         for voter in self.voters:
-            if voter != self.identity:
+            if urgent and voter != self.identity:
                 self._send_append(voter, self.progress_by_id[voter], now, effects)
         self._advance_round(effects)
         return effects
--- a/siskintally/waiters.py
+++ b/siskintally/waiters.py
@@ -12,12 +12,14 @@
     """One waiting call.
 
     :param command: bytes to propose, None for a read round.
+    :param urgent: whether a read round is sent at once.
     """
 
-    __slots__ = ("_done", "_error", "_reply", "command")
+    __slots__ = ("_done", "_error", "_reply", "command", "urgent")
 
-    def __init__(self, *, command=None):
+    def __init__(self, *, command=None, urgent=True):
         self.command = command
+        self.urgent = urgent
         self._done = Event()
         self._reply = None
         self._error = None
