Count urgent requests in their own reserve and measure the entry path

Ordinary requests had to leave the reserved slots free even while urgent ones were in other slots, so they were refused below the capacity. The reserve now limits the slots in use by ordinary requests. A slot whose request may still run is held for a service time.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,192 @@
+"""Open-loop load over HTTP: requests leave at planned times, whatever happened to earlier ones.
+
+Latencies count from the planned time, so a stalled system can't hide the requests it delayed
+(coordinated omission).
+"""
+
+from collections import Counter
+from random import Random
+from time import monotonic
+
+from anyio import (
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    connect_tcp,
+    create_task_group,
+    move_on_after,
+    sleep_until,
+)
+from anyio import current_time as loop_time
+from h11 import CLIENT, NEED_DATA, Connection, Data, EndOfMessage, ProtocolError, Request, Response
+from hdrh.histogram import HdrHistogram
+
+HIGHEST_US = 120_000_000
+DIGITS = 3
+CHUNK_BYTES = 65536
+REUSE_IDLE_S = 4.0
+PERCENT_KEPT = (50, 99, 99.9)
+
+
+class Histogram:
+    """Latencies of one kind of request."""
+
+    __slots__ = ("_inner",)
+
+    def __init__(self):
+        self._inner = HdrHistogram(1, HIGHEST_US, DIGITS)
+
+    def record(self, seconds):
+        """Add a latency."""
+        self._inner.record_value(max(1, min(int(seconds * 1e6), HIGHEST_US)))
+
+    def ms(self, percent):
+        """Return a percentile, ms."""
+        return self._inner.get_value_at_percentile(percent) / 1000
+
+    def count(self):
+        """Return the number of latencies."""
+        return self._inner.get_total_count()
+
+
+class Kind:
+    """A kind of request in a mix.
+
+    :param weight: share of the mix.
+    :param headers: list of ``(name, value)``.
+    """
+
+    __slots__ = ("headers", "name", "weight")
+
+    def __init__(self, *, name, weight, headers):
+        self.name = name
+        self.weight = weight
+        self.headers = headers
+
+
+class Result:
+    """Outcome of one run."""
+
+    __slots__ = ("codes_by_kind", "done_by_kind", "lag", "refused", "seconds")
+
+    def __init__(self, *, kinds):
+        self.codes_by_kind = {kind.name: Counter() for kind in kinds}
+        self.done_by_kind = {kind.name: Histogram() for kind in kinds}
+        self.refused = Histogram()
+        self.lag = Histogram()
+        self.seconds = 0.0
+
+    def codes(self):
+        """Return the number of answers by code."""
+        return sum(self.codes_by_kind.values(), Counter())
+
+    def all_done(self):
+        """Return the latencies of all requests that were answered by an endpoint."""
+        total = Histogram()
+        for one in self.done_by_kind.values():
+            total._inner.add(one._inner)
+        return total
+
+
+class _Channel:
+    __slots__ = ("host", "parser", "stream", "used_at")
+
+    def __init__(self, *, stream, host):
+        self.stream = stream
+        self.host = host
+        self.parser = Connection(CLIENT)
+        self.used_at = monotonic()
+
+    async def exchange(self, path, headers):
+        request = Request(
+            method="POST",
+            target=path,
+            headers=[("host", self.host), ("content-length", "1"), *headers],
+        )
+        data = self.parser.send(request) + self.parser.send(Data(data=b"x"))
+        await self.stream.send(data + self.parser.send(EndOfMessage()))
+        code = 0
+        while True:
+            event = self.parser.next_event()
+            if event is NEED_DATA:
+                self.parser.receive_data(await self.stream.receive(CHUNK_BYTES))
+            elif isinstance(event, Response):
+                code = _code(event)
+            elif isinstance(event, EndOfMessage):
+                break
+        self.parser.start_next_cycle()
+        self.used_at = monotonic()
+        return code
+
+
+def _code(response):
+    found = dict(response.headers).get(b"siskintally-code")
+    return int(found) if found else response.status_code * 5
+
+
+class Load:
+    """Sends a mix of requests to targets in turn.
+
+    :param targets: list of ``(host, port)``.
+    :param path: path of all requests.
+    :param kinds: list of :class:`Kind`.
+    """
+
+    __slots__ = ("_idle_by_target", "_kinds", "_path", "_random", "_targets")
+
+    def __init__(self, *, targets, path, kinds, seed):
+        self._targets = targets
+        self._path = path
+        self._kinds = kinds
+        self._random = Random(seed)
+        self._idle_by_target = {target: [] for target in targets}
+
+    async def run(self, *, rate, seconds, limit_s=30.0):
+        """Send for a time at Poisson intervals and wait for the answers.
+
+        :param rate: requests a second.
+        """
+        result = Result(kinds=self._kinds)
+        kinds = self._random.choices(
+            self._kinds, [kind.weight for kind in self._kinds], k=int(rate * seconds)
+        )
+        at = began = loop_time()
+        with move_on_after(seconds + limit_s):
+            async with create_task_group() as tasks:
+                for number, kind in enumerate(kinds):
+                    at += self._random.expovariate(rate)
+                    await sleep_until(at)
+                    target = self._targets[number % len(self._targets)]
+                    tasks.start_soon(self._one, target, kind, at, result)
+        result.seconds = at - began
+        return result
+
+    async def _one(self, target, kind, at, result):
+        result.lag.record(loop_time() - at)
+        try:
+            code = await self._exchange(target, kind)
+        except (OSError, EndOfStream, BrokenResourceError, ClosedResourceError, ProtocolError):
+            code = 0
+        latency = loop_time() - at
+        result.codes_by_kind[kind.name][code] += 1
+        (result.done_by_kind[kind.name] if code == 1000 else result.refused).record(latency)
+
+    async def _exchange(self, target, kind):
+        idle = self._idle_by_target[target]
+        while idle and monotonic() - idle[-1].used_at > REUSE_IDLE_S:
+            await idle.pop().stream.aclose()
+        if idle:
+            channel = idle.pop()
+        else:
+            host, port = target
+            channel = _Channel(stream=await connect_tcp(host, port), host=f"{host}:{port}")
+        code = await channel.exchange(self._path, kind.headers)
+        idle.append(channel)
+        return code
+
+    async def close(self):
+        """Close the connections."""
+        for idle in self._idle_by_target.values():
+            for channel in idle:
+                await channel.stream.aclose()
+            idle.clear()
--- a/siskintally/admission.py
+++ b/siskintally/admission.py
@@ -7,7 +7,7 @@
 >>> for rank in (NORMAL, URGENT):
 ...     ticket = Ticket(rank=rank, caller="c", deadline=9.0, queued_at=0.0)
 ...     _ = admission.offer(ticket, now=0.0, free=0, total=8)
->>> admission.take(now=0.0, free=8, total=8).rank
+>>> admission.take(now=0.0, free=8, total=8, ordinary=0).rank
 0
 """
 
@@ -26,6 +26,8 @@
 PROMOTE_RATIO = 0.2
 PROMOTE_SERVICE_TIMES = 2.0
 SMOOTHING = 0.1
+# A request sent with less time left than mean and deviations often ends with an unknown outcome.
+DEVIATIONS = 4.0
 # A service time measured longer ago refuses nobody, so one slow answer can't close a service.
 MEASURE_LIFE_S = 10.0
 MAX_CREDIT = 2.0
@@ -54,6 +56,7 @@
 
     __slots__ = (
         "_credit",
+        "_deviation_s",
         "_expired",
         "_interval_s",
         "_last_taken_at",
@@ -72,6 +75,7 @@
         self._numbers = count()
         self._credit = 0.0
         self._service_s = 0.0
+        self._deviation_s = 0.0
         self._measured_at = 0.0
         self._interval_s = [0.0 for _ in RANKS]
         self._last_taken_at = [None for _ in RANKS]
@@ -88,12 +92,20 @@
         """Return the measured service time, s; 0 if there was no recent one."""
         return self._service_s if now - self._measured_at <= MEASURE_LIFE_S else 0.0
 
+    def needed_s(self, now):
+        """Return the time within which nearly all requests are served, s."""
+        mean = self.service_s(now)
+        return mean + DEVIATIONS * self._deviation_s if mean else 0.0
+
     def measured(self, seconds, *, now):
         """Take the service time of a complete response."""
         if self.service_s(now) == 0.0:
             self._service_s = seconds
+            self._deviation_s = 0.0
         else:
-            self._service_s += SMOOTHING * (seconds - self._service_s)
+            error = seconds - self._service_s
+            self._service_s += SMOOTHING * error
+            self._deviation_s += SMOOTHING * (abs(error) - self._deviation_s)
         self._measured_at = now
 
     def check(self, ticket, *, now, free, total):
@@ -107,7 +119,7 @@
         ahead = self._ahead(ticket)
         if free > 0 and not ahead:
             return
-        finish = now + self._wait_s(ticket.rank, ahead, now, total) + self.service_s(now)
+        finish = now + self._wait_s(ticket.rank, ahead, now, total) + self.needed_s(now)
         if finish > ticket.deadline:
             raise OverloadedError("deadline: can't be met with the requests that wait already")
         if len(queue) >= self.limits.queue_limit(ticket.rank) and self._victim(ticket) is None:
@@ -137,15 +149,18 @@
         if ticket.state is State.WAITING:
             self._queues[ticket.rank].remove(ticket)
 
-    def take(self, *, now, free, total):
+    def take(self, *, now, free, total, ordinary):
         """Return the next request to send, or None.
 
         :param free: free slots of this entry.
         :param total: all slots of this entry.
+        :param ordinary: slots in use by requests that are not urgent.
         """
         self._promote(now)
+        # The reserve limits the others instead of keeping slots idle beside busy urgent ones;
+        # that would refuse ordinary requests below the capacity.
         while free > 0:
-            rank = self._choose(free > urgent_reserve(total))
+            rank = self._choose(ordinary < total - urgent_reserve(total))
             if rank is None:
                 return None
             ticket = self._queues[rank].pop()
@@ -186,14 +201,14 @@
 
     def _is_hopeless(self, ticket, now):
         # Sent alone it is a measurement; with others waiting it would waste a slot.
-        return len(self) > 0 and now + self.service_s(now) > ticket.deadline
+        return len(self) > 0 and now + self.needed_s(now) > ticket.deadline
 
-    def _choose(self, beyond_reserve):
-        if beyond_reserve and self._credit >= 1.0 - 1e-9 and self._queues[DEFERRABLE]:
+    def _choose(self, has_ordinary_slot):
+        if has_ordinary_slot and self._credit >= 1.0 - 1e-9 and self._queues[DEFERRABLE]:
             return DEFERRABLE
         if self._queues[URGENT]:
             return URGENT
-        if beyond_reserve:
+        if has_ordinary_slot:
             return next((rank for rank in (NORMAL, DEFERRABLE) if self._queues[rank]), None)
         return None
 
--- a/siskintally/forward.py
+++ b/siskintally/forward.py
@@ -19,6 +19,7 @@
     Limits,
     PoolTimeout,
     Request,
+    TimeoutException,
 )
 
 ID_HEADER = "siskintally-request-id"
@@ -26,6 +27,7 @@
 # Below the 5 s after which an idle connection must not be used, and below usual server limits.
 REUSE_IDLE_S = 4.0
 CONNECT_TIMEOUT_S = 1.0
+DEADLINE_PASSED = "no response before the deadline"
 MAX_ANSWER_BYTES = 1 << 20
 HOP_HEADERS = frozenset(
     {
@@ -58,16 +60,18 @@
 
     :param headers: list of ``(name, value)``.
     :param reason: why there is no response.
+    :param may_run: whether the endpoint may still work on the request.
     """
 
-    __slots__ = ("body", "headers", "reason", "sent", "status")
+    __slots__ = ("body", "headers", "may_run", "reason", "sent", "status")
 
-    def __init__(self, *, sent, status=0, headers=(), body=b"", reason=""):
+    def __init__(self, *, sent, status=0, headers=(), body=b"", reason="", may_run=False):
         self.sent = sent
         self.status = status
         self.headers = headers
         self.body = body
         self.reason = reason
+        self.may_run = may_run
 
 
 class _BadAnswerError(Exception):
@@ -109,7 +113,7 @@
         remaining = deadline - monotonic()
         if remaining <= 0:
             return Outcome(sent=Sent.NOT_SENT, reason="deadline passed")
-        outcome = Outcome(sent=Sent.UNKNOWN, reason="no response before the deadline")
+        outcome = Outcome(sent=Sent.UNKNOWN, reason=DEADLINE_PASSED, may_run=True)
         with move_on_after(remaining):
             try:
                 request = self._request(request_id, method, target, headers, body, remaining)
@@ -144,6 +148,8 @@
             _check_digest(response, content)
         except (ConnectError, ConnectTimeout, PoolTimeout) as error:
             return Outcome(sent=Sent.NOT_SENT, reason=type(error).__name__)
+        except TimeoutException:
+            return Outcome(sent=Sent.UNKNOWN, reason=DEADLINE_PASSED, may_run=True)
         except (HTTPError, _BadAnswerError) as error:
             return Outcome(sent=Sent.UNKNOWN, reason=str(error) or type(error).__name__)
         return Outcome(
--- a/siskintally/lane.py
+++ b/siskintally/lane.py
@@ -10,6 +10,10 @@
 from siskintally.fair_queue import State
 from siskintally.forward import Forwarder
 from siskintally.health import HealthTable
+from siskintally.limits import URGENT
+
+MIN_HOLD_S = 0.5
+MAX_HOLD_S = 5.0
 
 
 class Slots:
@@ -18,13 +22,24 @@
     :param share: slots of this entry.
     """
 
-    __slots__ = ("forwarder", "in_flight", "key", "share")
+    __slots__ = ("forwarder", "in_flight", "key", "ordinary", "share")
 
     def __init__(self, *, key, share, forwarder):
         self.key = key
         self.share = share
         self.forwarder = forwarder
         self.in_flight = 0
+        self.ordinary = 0
+
+    def take(self, *, urgent):
+        """Use a slot."""
+        self.in_flight += 1
+        self.ordinary += not urgent
+
+    def give_back(self, *, urgent):
+        """Free a slot."""
+        self.in_flight -= 1
+        self.ordinary -= not urgent
 
 
 class Lane:
@@ -35,7 +50,15 @@
     :param balancer: policy of choosing an endpoint.
     """
 
-    __slots__ = ("_balancer", "_health", "_live", "_share_of", "_slots_by_key", "admission")
+    __slots__ = (
+        "_balancer",
+        "_health",
+        "_held",
+        "_live",
+        "_share_of",
+        "_slots_by_key",
+        "admission",
+    )
 
     def __init__(self, *, limits, live, share_of, balancer):
         self.admission = Admission(limits=limits)
@@ -44,6 +67,7 @@
         self._balancer = balancer
         self._health = HealthTable()
         self._slots_by_key = {}
+        self._held = []
 
     def capacity(self, now):
         """Return (free slots, all slots) of this entry on usable endpoints."""
@@ -55,10 +79,6 @@
         """Return how many endpoints may get new work."""
         return len(self._live(now))
 
-    def in_flight(self):
-        """Return how many requests are at endpoints."""
-        return sum(one.in_flight for one in self._slots_by_key.values())
-
     def check(self, ticket, *, now):
         """Check whether a request would be accepted now; see :meth:`Admission.check`."""
         free, total = self.capacity(now)
@@ -82,23 +102,31 @@
             usable = self._usable(now)
             free = sum(max(one.share - one.in_flight, 0) for one in usable)
             total = sum(one.share for one in usable)
-            ticket = self.admission.take(now=now, free=free, total=total)
+            ordinary = sum(one.ordinary for one in usable)
+            ticket = self.admission.take(now=now, free=free, total=total, ordinary=ordinary)
             for expired in self.admission.take_expired():
                 expired.notify()
             if ticket is None:
                 return
             self._give(ticket, usable)
 
-    def release(self, slots, *, ok, seconds, now):
+    def release(self, ticket, *, ok, seconds, now, may_run=False):
         """Take back a slot.
 
+        A slot whose request may still run at the endpoint is held for a usual service time, so
+        that the endpoint gets no more requests at a time than it has slots.
+
         :param ok: whether the endpoint did its work, or None if that is not known.
         :param seconds: service time of a complete response, or None.
+        :param may_run: whether the endpoint may still work on the request.
         """
-        slots.in_flight -= 1
+        if may_run:
+            self._held.append((now + self._hold_s(now), ticket))
+        else:
+            ticket.endpoint.give_back(urgent=ticket.rank == URGENT)
         if ok is not None:
             names = [_key(endpoint) for endpoint in self._live(now)]
-            self._health.record(slots.key, ok=ok, names=names, now=now)
+            self._health.record(ticket.endpoint.key, ok=ok, names=names, now=now)
         if seconds is not None:
             self.admission.measured(seconds, now=now)
         self.pump(now)
@@ -112,6 +140,10 @@
 
         :returns: forwarders to close.
         """
+        due = [ticket for at, ticket in self._held if at <= now]
+        self._held = [held for held in self._held if held[0] > now]
+        for ticket in due:
+            ticket.endpoint.give_back(urgent=ticket.rank == URGENT)
         self.pump(now)
         live = {_key(endpoint) for endpoint in self._live(now)}
         self._health.keep(live | self._slots_by_key.keys())
@@ -135,11 +167,14 @@
             for one in others
         ]
         chosen = self._slots_by_key[self._balancer.choose(candidates, key=ticket.caller).name]
-        chosen.in_flight += 1
+        chosen.take(urgent=ticket.rank == URGENT)
         self._health.start(chosen.key)
         ticket.endpoint = chosen
         ticket.notify()
 
+    def _hold_s(self, now):
+        return min(max(self.admission.needed_s(now), MIN_HOLD_S), MAX_HOLD_S)
+
     def _suits(self, ticket, key):
         return key != ticket.avoid and (ticket.may_probe or not self._health.is_ejected(key))
 
--- a/siskintally/request.py
+++ b/siskintally/request.py
@@ -152,7 +152,7 @@
     @staticmethod
     def _give_back(lane, ticket):
         if is_granted(ticket):
-            lane.release(ticket.endpoint, ok=None, seconds=None, now=monotonic())
+            lane.release(ticket, ok=None, seconds=None, now=monotonic())
         else:
             lane.withdraw(ticket)
 
@@ -176,7 +176,8 @@
             done = outcome is not None and outcome.sent is Sent.DONE
             ok = None if outcome is None else done and outcome.status < 500
             seconds = now - started if done else None
-            lane.release(ticket.endpoint, ok=ok, seconds=seconds, now=now)
+            may_run = outcome is not None and outcome.may_run
+            lane.release(ticket, ok=ok, seconds=seconds, now=now, may_run=may_run)
         return outcome
 
     async def _dispatch_to(self, call, peer):
