Add the store daemon, init, and check

Replicas had no process. A store now links to the other stores, runs its groups under the supervisor, sends calls to the cell service or passes operator calls on to the leader, and hands leadership over on SIGTERM.

--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -11,7 +11,7 @@
 
 from google.protobuf.message import DecodeError
 
-from siskintally.audit import AuditChain
+from siskintally.audit import EMPTY_HEAD, AuditChain
 from siskintally.cell_state_pb2 import Command, State, StoredReply
 from siskintally.codes import Code
 from siskintally.config import check_preset_name, parse_config
@@ -308,7 +308,10 @@
         self.config = config
         self.jobs.load(state)
         self.audit = AuditChain(
-            number=state.audit_number, head=state.audit_head, recent=state.records
+            number=state.audit_number,
+            # The founding snapshot of a group is empty.
+            head=state.audit_head or EMPTY_HEAD,
+            recent=state.records,
         )
         self._drain_by_key = {(item.kind, item.name): item for item in state.drains}
         self._reply_by_id = {stored.request_id: stored for stored in state.replies}
--- /dev/null
+++ b/siskintally/founding.py
@@ -0,0 +1,93 @@
+"""Founding of groups, once in the life of a cell.
+
+>>> from siskintally.founding import AlreadyFoundedError
+>>> int(AlreadyFoundedError.code)
+4000
+"""
+
+from uuid import uuid4
+
+from anyio import create_task_group, move_on_after
+
+from siskintally.errors import BadRequestError, NotFoundError, SiskintallyError
+from siskintally.link import Handler, Link
+from siskintally.replicas import group_folder
+from siskintally.wire_pb2 import Hello, JoinRequest
+
+ASK_TIMEOUT_S = 2.0
+
+
+class AlreadyFoundedError(BadRequestError):
+    """The group exists; founding it again would make a second one."""
+
+
+class _Silent(Handler):
+    """Handler of links that only ask."""
+
+    __slots__ = ()
+
+    async def answer(self, session, body):
+        """Refuse; this process serves nothing."""
+        raise NotFoundError("this process only founds a group")
+
+
+def groups_to_found(settings, name):
+    """Yield the groups whose first member is the store; it is the one that founds them.
+
+    The other members join it, so that a cell in which `init` ran everywhere has one founder.
+    """
+    for group in settings.groups_of_store(name):
+        if group.members[0] == name:
+            yield group
+
+
+async def found_group(*, settings, process, group, found):
+    """Found a group in the data folder of a store.
+
+    :param found: :func:`siskintally.journal.found`.
+    :raises AlreadyFoundedError: the folder is not empty, or a reachable peer has a log.
+    """
+    folder = group_folder(process.data, group.name)
+    if folder.exists() and any(folder.iterdir()):
+        raise AlreadyFoundedError(f"{folder}: not empty, the group {group.name!r} is founded here")
+    peer = await founded_peer(settings=settings, process=process, group=group)
+    if peer is not None:
+        raise AlreadyFoundedError(
+            f"group {group.name!r}: store {peer} already has its log; start this store to join"
+        )
+    folder.parent.mkdir(parents=True, exist_ok=True)
+    found(folder, group=group.name, name=process.name)
+
+
+async def founded_peer(*, settings, process, group):
+    """Return the name of a reachable member that has a log of the group, or None."""
+    with_log = []
+
+    async def ask(name):
+        peer = settings.process(name)
+        hello = Hello(name=f"{process.name}/init", cell=settings.cell, incarnation=uuid4().hex)
+        link = Link(
+            host=peer.link.host,
+            port=peer.link.port,
+            hello=hello,
+            secret=settings.secret,
+            handler=_Silent(),
+            tls=settings.tls(process.name),
+        )
+        async with create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            with move_on_after(ASK_TIMEOUT_S):
+                await link.wait_open()
+                try:
+                    reply = await link.call(JoinRequest(group=group.name), timeout=ASK_TIMEOUT_S)
+                except SiskintallyError:
+                    reply = None
+                if reply is not None and reply.last_index:
+                    with_log.append(name)
+            tasks.cancel_scope.cancel()
+
+    async with create_task_group() as tasks:
+        for name in group.members:
+            if name != process.name:
+                tasks.start_soon(ask, name)
+    return with_log[0] if with_log else None
--- /dev/null
+++ b/siskintally/replicas.py
@@ -0,0 +1,138 @@
+"""The groups that a store is a member of, with what serves them.
+
+>>> from siskintally.replicas import group_folder
+>>> str(group_folder("data/s1", "cell"))
+'data/s1/group-cell'
+"""
+
+from pathlib import Path
+
+from siskintally.audit import AuditFile
+from siskintally.cell import Cell
+from siskintally.cell_service import CellService
+from siskintally.errors import (
+    BadSettingsError,
+    NotFoundError,
+    NotLeaderError,
+)
+from siskintally.group import Group
+from siskintally.recorded_cell import RecordedCell
+from siskintally.settings import CELL_GROUP
+
+AUDIT_FILE = "audit.log"
+
+
+def group_folder(data, group):
+    """Return the data folder of a group's replica."""
+    return Path(data) / f"group-{group}"
+
+
+class Replicas:
+    """Groups of one store.
+
+    :param links: :class:`~siskintally.store_links.StoreLinks`.
+    :param cell_call: ``async cell_call(body, *, timeout)`` to the leader of the cell group.
+    """
+
+    __slots__ = (
+        "_audit_file",
+        "_cell_call",
+        "_links",
+        "_metrics",
+        "_process",
+        "_settings",
+        "cell_service",
+        "group_by_name",
+        "owner",
+    )
+
+    def __init__(self, *, settings, process, links, cell_call, metrics):
+        self._settings = settings
+        self._process = process
+        self._links = links
+        self._cell_call = cell_call
+        self._metrics = metrics
+        self._audit_file = None
+        self.group_by_name = {}
+        self.cell_service = None
+        self.owner = None
+        groups = list(settings.groups_of_store(process.name))
+        if not groups:
+            raise BadSettingsError(f"group.members: no group has the store {process.name!r}")
+        for group in groups:
+            if group.name == CELL_GROUP:
+                self._add_cell(group)
+            elif self.owner is None:
+                self._add_domain(group)
+            else:
+                # Ledger calls and worker heartbeats name no group.
+                raise BadSettingsError(
+                    f"group.members: {process.name!r} is in more than one domain group"
+                )
+
+    def _make_group(self, group, machine):
+        folder = group_folder(self._process.data, group.name)
+        folder.parent.mkdir(parents=True, exist_ok=True)
+        made = Group(
+            name=group.name,
+            process=self._process.name,
+            founding_members=group.members,
+            folder=folder,
+            machine=machine,
+            send=self._links.send,
+        )
+        self.group_by_name[group.name] = made
+        return made
+
+    def _add_cell(self, group):
+        folder = Path(self._process.data)
+        folder.mkdir(parents=True, exist_ok=True)
+        self._audit_file = AuditFile.recover(path=folder / AUDIT_FILE)
+        machine = RecordedCell(cell=Cell(), audit_file=self._audit_file)
+        self.cell_service = CellService(
+            group=self._make_group(group, machine), machine=machine, settings=self._settings
+        )
+
+    def _add_domain(self, group):
+        from siskintally.domain import Domain
+        from siskintally.owner import Owner
+
+        domain = Domain()
+        self.owner = Owner(
+            group=self._make_group(group, domain),
+            domain=domain,
+            settings=self._settings,
+            cell_call=self._cell_call,
+            metrics=self._metrics,
+        )
+
+    def close(self):
+        """Close the files that are not the groups' own."""
+        if self._audit_file is not None:
+            self._audit_file.close()
+
+    def children(self):
+        """Yield (name, async function) of all that has to run."""
+        for name, group in self.group_by_name.items():
+            yield f"group {name}", group.run
+        if self.owner is not None:
+            yield "owner", self.owner.run
+
+    def require_owner(self):
+        """Return the owner.
+
+        :raises NotLeaderError: the store is in no domain group.
+        """
+        if self.owner is None:
+            raise NotLeaderError("this store is in no domain group")
+        return self.owner
+
+    async def join(self, body):
+        """Answer a store that asks to be admitted, or that only asks whether the group exists.
+
+        :raises NotFoundError: this store is not in the group.
+        """
+        group = self.group_by_name.get(body.group)
+        if group is None:
+            raise NotFoundError(f"group {body.group[:100]!r}: not on this store")
+        return await group.join_request(body)
--- /dev/null
+++ b/siskintally/store.py
@@ -0,0 +1,217 @@
+"""Store daemon: replicas of the cell group and of a domain group.
+
+>>> from siskintally.store import dispatch_field
+>>> from siskintally.wire_pb2 import SyncRequest, VoteRequest
+>>> dispatch_field(VoteRequest()), dispatch_field(SyncRequest())
+('consensus', 'cell')
+"""
+
+from uuid import uuid4
+
+from anyio import create_task_group, fail_after, move_on_after
+
+from siskintally.codes import Code
+from siskintally.errors import (
+    BadSettingsError,
+    NotFoundError,
+    NotLeaderError,
+    OutcomeUnknownError,
+    RefusedError,
+    SiskintallyError,
+    UnreachableError,
+)
+from siskintally.leader import LeaderClient
+from siskintally.link import Handler, LinkServer
+from siskintally.log import get_logger
+from siskintally.metrics import Metrics
+from siskintally.replicas import Replicas
+from siskintally.settings import CELL_GROUP
+from siskintally.store_links import StoreLinks
+from siskintally.supervisor import Supervisor
+from siskintally.wire_pb2 import Hello, JobReport, JoinRequest, OperatorCall, SyncRequest
+
+# Less than the 5 s that an entry waits for a store, so that the store's own answer arrives.
+OPERATOR_TIMEOUT_S = 4.5
+OPERATOR_ATTEMPT_S = 2.0
+STOP_TIMEOUT_S = 10.0
+_CONSENSUS = (
+    "VoteRequest",
+    "VoteReply",
+    "AppendRequest",
+    "AppendReply",
+    "SnapshotChunk",
+    "SnapshotReply",
+    "TransferLeadership",
+    "JoinRequest",
+)
+_CELL = ("SyncRequest", "JobReport", "OperatorCall")
+_OWNER = ("ConfigWatch", "LedgerBegin", "LedgerFinish", "LedgerRelease", "WorkerBeat")
+
+log = get_logger("store")
+
+
+def dispatch_field(body):
+    """Name the part of a store that takes a message: consensus, cell, owner, or none."""
+    name = type(body).__name__
+    if name in _CONSENSUS:
+        return "consensus"
+    if name in _CELL:
+        return "cell"
+    if name in _OWNER:
+        return "owner"
+    return "none"
+
+
+class Store(Handler):
+    """One store process.
+
+    :param settings: settings of the cell.
+    :param process: the row of this store.
+    """
+
+    __slots__ = (
+        "_cell_client",
+        "_links",
+        "_process",
+        "_replicas",
+        "_server",
+        "_settings",
+        "_stopping",
+        "_supervisor",
+    )
+
+    def __init__(self, *, settings, process):
+        if CELL_GROUP not in settings.group_by_name:
+            raise BadSettingsError(f"group: expected one named {CELL_GROUP!r}")
+        self._settings = settings
+        self._process = process
+        self._stopping = False
+        hello = Hello(name=process.name, cell=settings.cell, incarnation=uuid4().hex)
+        tls = settings.tls(process.name)
+        self._server = LinkServer(hello=hello, secret=settings.secret, handler=self, tls=tls)
+        self._links = StoreLinks(
+            settings=settings, process=process, hello=hello, handler=self, server=self._server
+        )
+        self._cell_client = LeaderClient(
+            group=CELL_GROUP,
+            members=settings.group_by_name[CELL_GROUP].members,
+            call=self._call_store,
+        )
+        self._replicas = Replicas(
+            settings=settings,
+            process=process,
+            links=self._links,
+            cell_call=self.cell_call,
+            metrics=Metrics(address=settings.statsd, prefix=f"siskintally.{process.name}"),
+        )
+        self._supervisor = Supervisor(name="store")
+
+    async def run(self):
+        """Serve until stopped.
+
+        :raises SiskintallyError: the data folder is damaged or a child failed too often.
+        """
+        self._supervisor.add("server", self._serve)
+        for name, link in self._links.links():
+            self._supervisor.add(f"link {name}", link.run)
+        for name, start in self._replicas.children():
+            self._supervisor.add(name, start)
+        try:
+            await self._supervisor.run()
+        finally:
+            self._replicas.close()
+
+    async def _serve(self):
+        address = self._process.link
+        log.info("serving", address=str(address), groups=list(self._replicas.group_by_name))
+        await self._server.serve(host=address.host, port=address.port)
+
+    async def stop(self):
+        """Hand leadership over and stop."""
+        self._stopping = True
+        with move_on_after(STOP_TIMEOUT_S):
+            async with create_task_group() as tasks:
+                for group in self._replicas.group_by_name.values():
+                    tasks.start_soon(group.stop)
+        self._supervisor.stop()
+
+    async def answer(self, session, body):
+        """Answer a call of another process."""
+        self._links.note(session)
+        if self._stopping:
+            # Nothing has been proposed, and the caller looks for the next leader.
+            raise NotLeaderError(f"store {self._process.name} is stopping")
+        part = dispatch_field(body)
+        if isinstance(body, JoinRequest):
+            return await self._replicas.join(body)
+        if part == "owner":
+            return await self._replicas.require_owner().answer(session, body)
+        if part != "cell":
+            raise NotFoundError(f"a store takes no call {type(body).__name__}")
+        if isinstance(body, OperatorCall) and not self._is_store(session):
+            return await self._cell_client.call(
+                body,
+                timeout=OPERATOR_TIMEOUT_S,
+                attempt_timeout=OPERATOR_ATTEMPT_S,
+                idempotent=True,
+            )
+        return await self._answer_cell(body)
+
+    def receive(self, session, body):
+        """Take a message of another process."""
+        self._links.note(session)
+        part = dispatch_field(body)
+        if part == "consensus":
+            group = self._replicas.group_by_name.get(body.group)
+            if group is not None:
+                group.receive(body)
+        elif part == "owner" and self._replicas.owner is not None:
+            self._replicas.owner.receive(session, body)
+
+    def closed(self, session):
+        """Note that a session has ended."""
+        self._links.forget(session)
+        if self._replicas.owner is not None:
+            self._replicas.owner.closed(session)
+
+    def _is_store(self, session):
+        process = self._settings.process_by_name.get(session.peer.name)
+        return process is not None and process.role == "store"
+
+    async def _answer_cell(self, body):
+        """Answer a call to the cell group as the leader, without passing it on."""
+        service = self._replicas.cell_service
+        if service is None:
+            raise NotLeaderError("this store is no member of the cell group")
+        if isinstance(body, SyncRequest):
+            return await service.sync(body)
+        if isinstance(body, JobReport):
+            return await service.report(body)
+        return await service.operator(body)
+
+    async def cell_call(self, body, *, timeout):
+        """Call the leader of the cell group, which may be this process.
+
+        :param body: SyncRequest, JobReport, or OperatorCall; all may be sent again.
+        :param timeout: s.
+        :raises NotLeaderError: no leader was found; the call had no effect.
+        :raises OutcomeUnknownError: the effect is not known.
+        :raises RefusedError: refused by the leader.
+        """
+        return await self._cell_client.call(body, timeout=timeout, idempotent=True)
+
+    async def _call_store(self, name, body, *, timeout):
+        try:
+            if name != self._process.name:
+                return await self._links.call(name, body, timeout=timeout)
+            with fail_after(timeout):
+                return await self._answer_cell(body)
+        except TimeoutError as error:
+            raise OutcomeUnknownError(f"no answer in {timeout} s") from error
+        except SiskintallyError as error:
+            if error.code == Code.OUTCOME_UNKNOWN:
+                raise OutcomeUnknownError(str(error)) from error
+            if isinstance(error, RefusedError | UnreachableError):
+                raise
+            leader = getattr(error, "leader", "")
+            raise RefusedError(str(error), code=error.code, leader=leader) from error
--- /dev/null
+++ b/tests/store_processes.py
@@ -0,0 +1,124 @@
+"""Stores as real processes, called over links as an entry calls them."""
+
+from json import dumps, loads
+from subprocess import run as run_process
+from sys import executable
+
+from anyio import create_task_group
+from anyio import run as run_async
+
+from siskintally.errors import SiskintallyError
+from siskintally.link import Handler, Link
+from siskintally.wire_pb2 import Hello, OperatorCall
+from tests.processes import Processes, free_ports, wait_until
+
+SECRET = "0123456789abcdef"
+DOCUMENT = "[teams.ski]\ncpu_milli = 4000\nmemory_mb = 4000\n"
+
+
+class _Silent(Handler):
+    __slots__ = ()
+
+    async def answer(self, session, body):
+        """Refuse; the test serves nothing."""
+        raise SiskintallyError("not served")
+
+
+class Stores:
+    """Stores s1, s2, ... that are members of the cell group.
+
+    :param folder: path for settings, data, and logs.
+    """
+
+    __slots__ = ("_link_by_name", "folder", "names", "ports", "processes", "settings_path")
+
+    def __init__(self, *, folder, count=3):
+        self.folder = folder
+        self.names = [f"s{number + 1}" for number in range(count)]
+        self.ports = dict(zip(self.names, free_ports(count), strict=True))
+        self.settings_path = folder / "cell.toml"
+        self.settings_path.write_text(self._settings())
+        self.processes = None
+        self._link_by_name = {}
+
+    def _settings(self):
+        lines = ["[cell]", 'name = "demo"', f'secret = "{SECRET}"']
+        for name, port in self.ports.items():
+            lines += [
+                "[[process]]",
+                f'name = "{name}"',
+                'role = "store"',
+                'domain = "fjeld-a"',
+                'region = "fjeld"',
+                f'link = "127.0.0.1:{port}"',
+                f'data = "{self.folder / name}"',
+            ]
+        return "\n".join([*lines, "[[group]]", 'name = "cell"', f"members = {self.names}\n"])
+
+    def command(self, *words):
+        """Run a command to its end; return (exit status, output)."""
+        command = [executable, "-m", "siskintally.main", *words]
+        done = run_process(command, capture_output=True, text=True, timeout=60, check=False)
+        return done.returncode, done.stdout + done.stderr
+
+    def init(self, name):
+        """Run ``init`` for a store."""
+        return self.command("init", f"--settings={self.settings_path}", f"--name={name}")
+
+    def start(self, *names):
+        """Start stores, all by default."""
+        for name in names or self.names:
+            self.processes.start(name, "store", f"--settings={self.settings_path}", "--name", name)
+
+    def run(self, check):
+        """Found the group, start all stores, and run ``await check(self)``."""
+
+        async def main():
+            async with create_task_group() as tasks:
+                for name, port in self.ports.items():
+                    hello = Hello(name="e1", cell="demo", incarnation="1")
+                    link = Link(
+                        host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=_Silent()
+                    )
+                    self._link_by_name[name] = link
+                    tasks.start_soon(link.run)
+                await check(self)
+                tasks.cancel_scope.cancel()
+
+        with Processes(folder=self.folder) as self.processes:
+            assert self.init(self.names[0])[0] == 0
+            self.start()
+            run_async(main)
+
+    async def ask(self, name, verb, arguments=None, *, request_id="read"):
+        """Return (code, answer) of an operator call through a store, or None without a reply."""
+        body = OperatorCall(
+            request_id=request_id,
+            operator="ana",
+            verb=verb,
+            arguments=dumps(arguments or {}).encode(),
+        )
+        try:
+            reply = await self._link_by_name[name].call(body, timeout=6)
+        except SiskintallyError:
+            return None
+        return reply.code, loads(reply.answer)
+
+    async def change(self, name, verb, arguments, *, request_id):
+        """Send a change with one request id until it is answered."""
+
+        async def answered():
+            return await self.ask(name, verb, arguments, request_id=request_id)
+
+        return await wait_until(answered, f"{verb} answered")
+
+    async def leader(self, names=None):
+        """Wait until stores agree on a leader among themselves and return its name."""
+        names = names or self.names
+
+        async def agreed():
+            found = [await self.ask(name, "status") for name in names]
+            leaders = {answer[1]["leader"] for answer in found if answer and answer[0] == 1000}
+            return leaders.pop() if len(leaders) == 1 and None not in found else None
+
+        return await wait_until(agreed, f"leader of {names}")
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -226,6 +226,13 @@
     assert replica.snapshot() == driver.cell.snapshot() == restored.snapshot()
 
 
+def test_empty_snapshot_is_the_empty_state():
+    """Guards against a founded group whose chain does not start as a new one does."""
+    cell = Cell()
+    cell.restore(b"")
+    assert cell.snapshot() == Cell().snapshot()
+
+
 @settings(max_examples=300, deadline=None)
 @given(data=st.binary(max_size=200), at=st.floats(), request_id=st.text(max_size=5))
 def test_malformed_commands_give_a_code_and_change_nothing(data, at, request_id):
--- /dev/null
+++ b/tests/test_store_process.py
@@ -0,0 +1,119 @@
+"""Stores as real processes: founding, election, loss of the leader, planned stop."""
+
+from anyio import create_task_group
+
+from siskintally.audit import verify
+from siskintally.codes import Code
+from tests.processes import wait_until
+from tests.store_processes import DOCUMENT, Stores
+
+
+def test_state_survives_the_loss_of_the_leader(tmp_path):
+    """Guards against an accepted configuration that an election loses or runs twice."""
+
+    async def check(stores):
+        leader = await stores.leader()
+        change = {"document": DOCUMENT, "expect_version": 0}
+        first = await stores.change("s2", "config", change, request_id="r1")
+        assert first == (Code.DONE, {"version": 1, "preset": "ordinary"})
+        stores.processes.kill(leader)
+        left = [name for name in stores.names if name != leader]
+        assert await stores.leader(left) in left
+        assert await stores.change(left[0], "config", change, request_id="r1") == first
+        code, answer = await stores.change(left[1], "config", change, request_id="r2")
+        assert (code, answer["version"]) == (Code.VERSION_CONFLICT, 1)
+        code, config = await stores.ask(left[0], "config")
+        assert (code, config["document"]) == (Code.DONE, DOCUMENT)
+        stores.start(leader)
+        await stores.leader()
+        await wait_until(lambda: same_audit_files(stores, 2), "audit file of the restarted store")
+
+    Stores(folder=tmp_path).run(check)
+
+
+def same_audit_files(stores, records):
+    found = [verify(stores.folder / name / "audit.log") for name in stores.names]
+    same_head = len({one.head for one in found}) == 1
+    return same_head and all(one.records == records and not one.damage for one in found)
+
+
+def test_racing_operators_get_one_winner(tmp_path):
+    """Guards against two stores that both accept a change of the same version."""
+
+    async def check(stores):
+        await stores.leader()
+        await stores.change(
+            "s1", "config", {"document": DOCUMENT, "expect_version": 0}, request_id="r0"
+        )
+        answers = []
+
+        async def race(name):
+            change = {"preset": "peak", "expect_version": 1}
+            answers.append(await stores.change(name, "preset", change, request_id=name))
+
+        async with create_task_group() as tasks:
+            for name in stores.names:
+                tasks.start_soon(race, name)
+        assert sorted(code for code, _ in answers) == [1000, 4009, 4009]
+        assert {answer["version"] for _, answer in answers} == {2}
+
+    Stores(folder=tmp_path).run(check)
+
+
+def test_planned_stop_hands_over_and_exits_with_0(tmp_path):
+    """Guards against a stop that kills the process or leaves the group without a leader."""
+
+    async def check(stores):
+        leader = await stores.leader()
+        assert stores.processes.stop(leader) == 0
+        left = [name for name in stores.names if name != leader]
+        assert await stores.leader(left) in left
+        for name in left:
+            assert stores.processes.stop(name) == 0
+
+    Stores(folder=tmp_path).run(check)
+
+
+def test_lost_disk_joins_again_and_is_not_founded_again(tmp_path):
+    """Guards against a second group, or a vote of a store that has forgotten its votes."""
+
+    async def check(stores):
+        await stores.leader()
+        change = {"document": DOCUMENT, "expect_version": 0}
+        await stores.change("s2", "config", change, request_id="r1")
+        stores.processes.kill("s1")
+        stores.processes.remove("s1")
+        await stores.leader(["s2", "s3"])
+        status, text = stores.init("s1")
+        assert status == 2
+        assert "4000" in text
+        stores.start("s1")
+        await wait_until(lambda: same_audit_files(stores, 1), "audit file of the new disk")
+        assert (await stores.change("s1", "config", change, request_id="r1"))[0] == Code.DONE
+
+    Stores(folder=tmp_path).run(check)
+
+
+def test_init_founds_once_and_only_on_the_first_member(tmp_path):
+    """Guards against two founders, which would be two groups under one name."""
+    stores = Stores(folder=tmp_path)
+    status, text = stores.init("s2")
+    assert (status, "joins" in text) == (0, True)
+    assert stores.init("s1")[0] == 0
+    status, text = stores.init("s1")
+    assert (status, "4000" in text) == (2, True)
+
+
+def test_stores_of_another_cell_secret_stay_out(tmp_path):
+    """Guards against a store with a wrong settings file that takes part."""
+
+    async def check(stores):
+        await stores.leader()
+        assert stores.processes.stop("s3") == 0
+        text = stores.settings_path.read_text()
+        stores.settings_path.write_text(text.replace("0123456789abcdef", "fedcba9876543210"))
+        stores.start("s3")
+        await wait_until(lambda: "link refused" in stores.processes.log_text("s1"), "refusal")
+        assert await stores.leader(["s1", "s2"]) in ("s1", "s2")
+
+    Stores(folder=tmp_path).run(check)
