End a cancelled job that its domain never ran

A domain group that learns of a job together with its cancellation makes no tasks, so its counts never reach the size of the share. A cancelled share now ends when it is reported without waiting or running tasks. Measured: the new test failed before and passes now.

--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -237,7 +237,8 @@
     def _settle(self, job, now):
         """Bring the derived figures of a job up to date and end it when all its tasks have."""
         self._hold(job, -1)
-        if not job.ended and (job.admitted or job.cancelled) and all(map(_has_ended, job.shares)):
+        begun = job.admitted or job.cancelled
+        if not job.ended and begun and all(_has_ended(job, share) for share in job.shares):
             job.ended = True
             job.ended_at = now
             self._ended[job.job_id] = None
@@ -324,8 +325,14 @@
             self._changed_by_group.setdefault(group, {})[job_id] = index
 
 
-def _has_ended(share):
-    return ended_tasks(share) >= share.tasks and not share.progress.running
+def _has_ended(job, share):
+    progress = share.progress
+    if progress.running:
+        return False
+    if job.cancelled and share.reported and not progress.waiting:
+        # A group that learned of the job together with its cancellation made no tasks to count.
+        return True
+    return ended_tasks(share) >= share.tasks
 
 
 def _holding(job):
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -97,7 +97,7 @@
         from siskintally.domain import Domain
         from siskintally.owner import Owner
 
-        domain = Domain()
+        domain = Domain(group=group.name)
         self.owner = Owner(
             group=self._make_group(group, domain),
             domain=domain,
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -174,6 +174,18 @@
     assert driver.change(CancelJobs(job_ids=["no-such"]))[0] == Code.NOT_FOUND
 
 
+def test_job_cancelled_before_its_domain_knew_it_ends(driver):
+    """Guards against a cancelled job that holds quota for ever."""
+    _, answer = driver.submit(tasks=5, domain="fjeld-a")
+    driver.change(CancelJobs(job_ids=[answer["job"]]))
+    job = driver.cell.jobs.by_id[answer["job"]]
+    driver.report("fjeld-a", job.job_id, waiting=4, running=1)
+    assert job_state(job) == "cancelling"
+    driver.report("fjeld-a", job.job_id)
+    assert (job.ended, job_state(job)) == (True, "cancelled")
+    assert driver.cell.jobs.quota_use.used("ski").cpu_milli == 0
+
+
 def test_changes_since_an_index_are_complete(driver):
     """Guards against a domain that misses a configuration, a job, or a drain."""
     start = driver.index
