Add placement over indexed free resources

Cause: tasks had no component that chooses workers for them. Change: workers are indexed by logarithmic classes of free processor and memory; batch is packed tightly, services are spread over domains and racks, gangs are placed whole or not at all. Jobs that have waited 5 s get promises of resources, urgent jobs get promises by stopping deferrable batch tasks, and workers that fail every task are set aside. Pool.take is the only place that allocates and refuses what does not fit.

--- /dev/null
+++ b/siskintally/capacity.py
@@ -0,0 +1,69 @@
+"""Which jobs no worker can ever hold.
+
+>>> from siskintally.capacity import CapacityTable
+>>> from siskintally.size import Size
+>>> from siskintally.workload import Job, Kind
+>>> table = CapacityTable()
+>>> table.add("d", Size(cpu=32000, memory=64000))
+>>> table.reason(Job(job_id="j", kind=Kind.BATCH, need=Size(cpu=64000), tasks=1, submitted=0.0))
+('needs 64000 cpu_milli, the largest worker has 32000', True)
+"""
+
+from collections import Counter
+
+from siskintally.size import NOTHING
+from siskintally.workload import Kind
+
+_NAMES = ("cpu_milli", "memory_mb", "accelerators")
+NO_ROOM = "waits for free resources"
+NO_WORKERS = "no worker is known"
+
+
+class CapacityTable:
+    """Numbers of workers by failure domain and capacity, empty or not."""
+
+    __slots__ = ("_count_by_capacity",)
+
+    def __init__(self):
+        self._count_by_capacity = Counter()
+
+    def add(self, domain, capacity):
+        """Count a worker."""
+        self._count_by_capacity[domain, capacity] += 1
+
+    def remove(self, domain, capacity):
+        """Count a worker no more."""
+        self._count_by_capacity[domain, capacity] -= 1
+        if not self._count_by_capacity[domain, capacity]:
+            del self._count_by_capacity[domain, capacity]
+
+    def _capacities(self, job):
+        for (domain, capacity), count in self._count_by_capacity.items():
+            if job.domain in ("", domain):
+                yield capacity, count
+
+    def reason(self, job):
+        """Say why a job waits.
+
+        :returns: the reason, and whether the job could not run even if all workers were empty.
+        """
+        capacities = list(self._capacities(job))
+        if not capacities:
+            return NO_WORKERS, False
+        places = sum(job.need.times(capacity) * count for capacity, count in capacities)
+        tasks = len(job.waiting) + len(job.running)
+        if places >= (tasks if job.kind == Kind.GANG else 1):
+            return NO_ROOM, False
+        if places:
+            return f"{tasks} tasks must run at once, all workers together hold {places}", True
+        for number, name in enumerate(_NAMES):
+            needed = job.need.key()[number]
+            largest = max(capacity.key()[number] for capacity, _ in capacities)
+            if needed > largest:
+                return f"needs {needed} {name}, the largest worker has {largest}", True
+        return f"no worker has {_describe(job.need)} together", True
+
+
+def _describe(size):
+    parts = zip(_NAMES, size.key(), NOTHING.key(), strict=True)
+    return ", ".join(f"{amount} {name}" for name, amount, none in parts if amount != none)
--- /dev/null
+++ b/siskintally/placement.py
@@ -0,0 +1,326 @@
+"""Decisions on which worker runs which task; pure, with the time passed in.
+
+>>> from siskintally.placement import Placement
+>>> from siskintally.size import Size
+>>> from siskintally.workload import Job, Kind
+>>> placement = Placement()
+>>> placement.add_worker("w1", domain="d", rack="r", capacity=Size(cpu=4000, memory=4000))
+>>> job = Job(job_id="j", kind=Kind.BATCH, need=Size(cpu=3000), tasks=1, submitted=0.0)
+>>> placement.submit(job)
+>>> [(found.task_id, found.worker) for found in placement.decide(now=0.0).assignments]
+[('j/0', 'w1')]
+"""
+
+from siskintally.backlog import Backlog
+from siskintally.capacity import CapacityTable
+from siskintally.ejection import Ejection
+from siskintally.policy import policy_for
+from siskintally.pool import Pool
+from siskintally.preemption import preempt, redeem, reserve, withdraw
+from siskintally.workload import Kind, Urgency
+
+# A job that has found no room for this long gets a reservation.
+RESERVE_AFTER_S = 5.0
+# Each reservation keeps resources idle, so only the oldest jobs get one.
+MAX_RESERVATIONS = 4
+# Searches without a result, or for preemption, in each part of a pass: together they stay below the
+# 2 ms that a decision may take.
+MAX_MISSES = 32
+# Jobs looked at in each part of a pass, most of them known not to fit.
+MAX_LOOKS = 500
+# Without changes, the queue is looked at this often for reservations that became due.
+PASS_INTERVAL_S = 1.0
+
+
+class Decision:
+    """Result of one pass.
+
+    :param assignments: list of :class:`~siskintally.policy.Assignment`.
+    :param stops: ids of tasks to stop for urgent work.
+    """
+
+    __slots__ = ("assignments", "stops")
+
+    def __init__(self):
+        self.assignments = []
+        self.stops = []
+
+
+class Placement:
+    """Jobs, workers and the order in which resources are given out.
+
+    A decision takes the resources at once; they come back by :meth:`ended` or :meth:`lose_worker`.
+    """
+
+    __slots__ = (
+        "_backlog",
+        "_capacities",
+        "_cursor",
+        "_ejection",
+        "_fresh",
+        "_last_pass",
+        "_misses",
+        "_promised",
+        "_reclaim_misses",
+        "_seen",
+        "job_by_id",
+        "pool",
+    )
+
+    def __init__(self):
+        self.pool = Pool()
+        self.job_by_id = {}
+        self._backlog = Backlog()
+        self._capacities = CapacityTable()
+        self._ejection = Ejection()
+        self._promised = {}
+        self._misses = _Misses()
+        self._reclaim_misses = _Misses()
+        self._fresh = []
+        self._cursor = 0
+        self._seen = None
+        self._last_pass = float("-inf")
+
+    def add_worker(self, name, *, domain, rack, capacity):
+        """Add a worker, without tasks."""
+        self.pool.add(name, domain=domain, rack=rack, capacity=capacity)
+        self.pool.freed += 1
+        self._capacities.add(domain, capacity)
+
+    def lose_worker(self, name):
+        """Remove a worker; return the ids of the tasks that ended with it."""
+        worker = self.pool.worker_by_name[name]
+        self._withdraw_from(worker)
+        self._capacities.remove(worker.domain, worker.capacity)
+        self._ejection.forget(name)
+        return self.pool.remove(name)
+
+    def drain_worker(self, name, *, draining):
+        """Stop or resume giving new tasks to a worker."""
+        worker = self.pool.worker_by_name.get(name)
+        if worker is not None and worker.draining != draining:
+            if draining:
+                self._withdraw_from(worker)
+            self.pool.open(worker, draining=draining)
+
+    def submit(self, job):
+        """Queue the waiting tasks of a new job."""
+        self.job_by_id[job.job_id] = job
+        if job.waiting:
+            self._backlog.add(job)
+            self._fresh.append(job)
+
+    def requeue(self, job_id, task_id):
+        """Queue a task again after its attempt ended."""
+        job = self.job_by_id[job_id]
+        if not job.cancelled:
+            job.waiting.append(task_id)
+            self._backlog.add(job)
+
+    def restore(self, job_id, task_id, worker):
+        """Record a task that runs already, as the committed state says.
+
+        :raises OvercommitError: the worker has no room for it.
+        """
+        job = self.job_by_id[job_id]
+        self.pool.take(self.pool.worker_by_name[worker], task_id, job)
+
+    def cancel(self, job_id):
+        """Drop the waiting tasks of a job; return the ids of those that run and must be stopped."""
+        job = self.job_by_id.get(job_id)
+        if job is None or job.cancelled:
+            return []
+        job.cancelled = True
+        job.waiting.clear()
+        self._backlog.remove(job)
+        if job.promises:
+            self._drop_promises(job)
+        return list(job.running)
+
+    def forget(self, job_id):
+        """Drop a job that has no tasks left."""
+        job = self.job_by_id.pop(job_id, None)
+        if job is not None:
+            self._backlog.remove(job)
+            self._drop_promises(job)
+
+    def ended(self, task_id, *, now, failed=False, succeeded=False):
+        """Free what a task held, after its worker reported the end.
+
+        :param failed: it ended with an error; counts against the worker.
+        :param succeeded: it ran to its end.
+        """
+        held = self.pool.release(task_id)
+        if held is None:
+            return
+        worker = held.worker
+        if failed and self._ejection.failed(worker.name, held.job.job_id, now=now):
+            self._withdraw_from(worker)
+            worker.probing = False
+            self.pool.open(worker, set_aside=True)
+        elif succeeded and self._ejection.succeeded(worker.name):
+            self._restore_worker(worker)
+
+    def started(self, worker):
+        """Note that a task has been running on a worker for long enough to count as a success."""
+        if self._ejection.succeeded(worker) and worker in self.pool.worker_by_name:
+            self._restore_worker(self.pool.worker_by_name[worker])
+
+    def _restore_worker(self, worker):
+        worker.probing = False
+        self.pool.open(worker, set_aside=False)
+
+    def decide(self, *, now, limit=1000):
+        """Place waiting tasks in order.
+
+        :param now: monotonic seconds.
+        :param limit: number of assignments; the last gang may go beyond it.
+        :returns: :class:`Decision`; its resources are taken already.
+        """
+        decision = Decision()
+        for name in self._ejection.due(now):
+            if name in self.pool.worker_by_name:
+                worker = self.pool.worker_by_name[name]
+                worker.probing = True
+                self.pool.open(worker, set_aside=False)
+        self._backlog.promote(now)
+        state = (self.pool.freed, self._backlog.changes)
+        if state == self._seen and now - self._last_pass < PASS_INTERVAL_S:
+            return decision
+        self._redeem(decision)
+        state = (self.pool.freed, self._backlog.changes)
+        complete = self._pass(decision, now, limit)
+        self._last_pass = now
+        self._seen = state if complete else None
+        return decision
+
+    def _redeem(self, decision):
+        for job in list(self._promised.values()):
+            decision.assignments.extend(redeem(self.pool, job))
+            self._tidy(job)
+
+    def _pass(self, decision, now, limit):
+        """Try the jobs in order; return whether none was left out for the limits.
+
+        The head of the queue comes first, then jobs not tried yet, then the others in turn.
+        """
+        self._misses.start(self.pool.freed)
+        self._reclaim_misses.start((self.pool.freed, self.pool.offered))
+        jobs = self._backlog.jobs()
+        fresh, self._fresh = self._fresh, []
+        head = self._run(jobs, 0, decision, now, limit)
+        if head == len(jobs):
+            self._cursor = 0
+            return True
+        left = self._run(fresh, 0, decision, now, limit)
+        self._fresh.extend(fresh[left:])
+        reached = self._run(jobs, max(self._cursor, head), decision, now, limit)
+        self._cursor = reached if reached < len(jobs) else 0
+        return False
+
+    def _run(self, jobs, start, decision, now, limit):
+        """Try jobs from a position on; return the position reached within the limits."""
+        misses = 0
+        for position in range(start, min(start + MAX_LOOKS, len(jobs))):
+            if misses >= MAX_MISSES or len(decision.assignments) >= limit:
+                return position
+            job = jobs[position]
+            if job.waiting and not job.never and len(job.promises) < len(job.waiting):
+                misses += self._try(job, decision, now, limit)
+        return min(start + MAX_LOOKS, len(jobs))
+
+    def _try(self, job, decision, now, limit):
+        """Place what can be placed of a job; return the number of searches made for the rest."""
+        missed, known = True, self._misses.covers(job)
+        if not known:
+            room = limit - len(decision.assignments)
+            placed = policy_for(job.kind).place(pool=self.pool, job=job, limit=room)
+            decision.assignments.extend(placed)
+            missed = bool(job.waiting) and len(placed) < room
+        self._tidy(job)
+        if not missed or (job.kind == Kind.GANG and job.running):
+            return 0
+        if not known:
+            self._misses.add(job)
+        return (not known) + self._wait(job, decision, now)
+
+    def _wait(self, job, decision, now):
+        """Act for a job that has found no room; return the number of searches made."""
+        searches = 0
+        if job.blocked_since is None:
+            searches = 1
+            job.blocked_since = now
+            job.reason, job.never = self._capacities.reason(job)
+        if job.never:
+            return searches
+        if job.urgency == Urgency.URGENT:
+            if not self._reclaim_misses.covers(job):
+                searches += 1
+                decision.stops.extend(preempt(self.pool, job))
+                if len(job.promises) < len(job.waiting):
+                    self._reclaim_misses.add(job)
+        elif now - job.blocked_since >= RESERVE_AFTER_S and not job.promises:
+            reserved = sum(kept.urgency != Urgency.URGENT for kept in self._promised.values())
+            if reserved < MAX_RESERVATIONS:
+                searches += 1
+                reserve(self.pool, job)
+        if job.promises:
+            self._promised[job.job_id] = job
+        return searches
+
+    def _tidy(self, job):
+        if not job.waiting:
+            self._backlog.remove(job)
+            job.blocked_since = None
+            job.reason = ""
+            self._drop_promises(job)
+        elif not job.promises:
+            self._promised.pop(job.job_id, None)
+
+    def _drop_promises(self, job):
+        withdraw(self.pool, job)
+        self._promised.pop(job.job_id, None)
+
+    def _withdraw_from(self, worker):
+        """Take back promises on a worker that can no longer keep them."""
+        for job in list(self._promised.values()):
+            if worker in job.promises:
+                self._drop_promises(job)
+
+    def review(self):
+        """Judge again which jobs can never run, after workers were added or lost."""
+        for job in self.job_by_id.values():
+            if job.waiting:
+                job.reason, job.never = self._capacities.reason(job)
+
+
+class _Misses:
+    """Sizes that found no room since resources were last freed; larger ones need no search."""
+
+    __slots__ = ("_failed", "_freed", "_shapes")
+
+    def __init__(self):
+        self._freed = None
+
+    def start(self, freed):
+        if freed != self._freed:
+            self._freed = freed
+            self._failed = []
+            self._shapes = set()
+
+    def covers(self, job):
+        if job.shape in self._shapes:
+            return True
+        return any(
+            domain in ("", job.domain) and need.within(job.need) for domain, need in self._failed
+        )
+
+    def add(self, job):
+        self._shapes.add(job.shape)
+        if job.kind != Kind.GANG:
+            self._failed = [
+                (domain, need)
+                for domain, need in self._failed
+                if not (job.domain in ("", domain) and job.need.within(need))
+            ]
+            self._failed.append((job.domain, job.need))
--- /dev/null
+++ b/siskintally/size.py
@@ -0,0 +1,94 @@
+"""Amounts of processor, memory and accelerators.
+
+>>> from siskintally.size import Size
+>>> Size(cpu=2000, memory=512).within(Size(cpu=4000, memory=1024))
+True
+"""
+
+from siskintally.wire_pb2 import Resources
+
+# How many tasks that need nothing fit anywhere.
+UNLIMITED = 1 << 30
+
+
+class Size:
+    """Resources of a task or a worker; not changed after creation.
+
+    :param cpu: thousandths of a core.
+    :param memory: megabytes.
+    :param accelerators: whole devices.
+    """
+
+    __slots__ = ("accelerators", "cpu", "memory")
+
+    def __init__(self, *, cpu=0, memory=0, accelerators=0):
+        self.cpu = cpu
+        self.memory = memory
+        self.accelerators = accelerators
+
+    @classmethod
+    def of(cls, resources):
+        """Convert the wire message ``Resources``."""
+        return cls(
+            cpu=resources.cpu_milli,
+            memory=resources.memory_mb,
+            accelerators=resources.accelerators,
+        )
+
+    def message(self):
+        """Return the wire message."""
+        return Resources(cpu_milli=self.cpu, memory_mb=self.memory, accelerators=self.accelerators)
+
+    def within(self, other):
+        """Tell whether no amount is larger than in ``other``."""
+        return (
+            self.cpu <= other.cpu
+            and self.memory <= other.memory
+            and self.accelerators <= other.accelerators
+        )
+
+    def scaled(self, factor):
+        """Return this size times a whole number."""
+        return Size(
+            cpu=self.cpu * factor,
+            memory=self.memory * factor,
+            accelerators=self.accelerators * factor,
+        )
+
+    def times(self, room):
+        """Return how many pieces of this size fit into ``room``."""
+        counts = []
+        for part, whole in zip(self.key(), room.key(), strict=True):
+            if part > 0:
+                counts.append(max(whole, 0) // part)
+        return min(counts) if counts else UNLIMITED
+
+    def key(self):
+        """Return the amounts as a tuple that can be hashed and compared."""
+        return (self.cpu, self.memory, self.accelerators)
+
+    def __add__(self, other):
+        return Size(
+            cpu=self.cpu + other.cpu,
+            memory=self.memory + other.memory,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other):
+        return Size(
+            cpu=self.cpu - other.cpu,
+            memory=self.memory - other.memory,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def __eq__(self, other):
+        return isinstance(other, Size) and self.key() == other.key()
+
+    def __hash__(self):
+        return hash(self.key())
+
+    def __repr__(self):
+        return f"Size(cpu={self.cpu}, memory={self.memory}, accelerators={self.accelerators})"
+
+
+NOTHING = Size()
--- /dev/null
+++ b/siskintally/workload.py
@@ -0,0 +1,128 @@
+"""Jobs as placement sees them.
+
+>>> from siskintally.size import Size
+>>> from siskintally.workload import Job, Kind
+>>> job = Job(job_id="j1", kind=Kind.BATCH, need=Size(cpu=1000), tasks=2, submitted=0.0)
+>>> list(job.waiting)
+['j1/0', 'j1/1']
+"""
+
+from collections import deque
+from enum import IntEnum
+
+from siskintally.size import Size
+
+# A job without a deadline is treated as if it should start within an hour, so that newer jobs with
+# deadlines cannot pass it forever.
+PATIENCE_S = 3600.0
+
+
+class Kind(IntEnum):
+    """Kinds of jobs; the numbers of ``JobSpec.Kind``."""
+
+    BATCH = 0
+    SERVICE = 1
+    GANG = 2
+
+
+class Urgency(IntEnum):
+    """Priority classes, most urgent first."""
+
+    URGENT = 0
+    NORMAL = 1
+    DEFERRABLE = 2
+
+
+# JobSpec.Class has NORMAL = 0 so that it is the default on the wire.
+_URGENCY_BY_WIRE = (Urgency.NORMAL, Urgency.URGENT, Urgency.DEFERRABLE)
+
+
+class Job:
+    """One job and its tasks that wait for a worker.
+
+    :param need: :class:`~siskintally.size.Size` of one task.
+    :param tasks: number of tasks, or the ids of the waiting ones.
+    :param domain: failure domain the tasks must run in, empty for any.
+    :param submitted: monotonic seconds.
+    :param run_s: declared run time, 0 for until stopped; only orders the queue.
+    :param deadline_s: seconds from submission, 0 for none.
+
+    Urgent work may stop the tasks of a ``reclaimable`` job. ``rank`` is the class it is queued in;
+    deferrable jobs move up when their latest start is near.
+    """
+
+    __slots__ = (
+        "blocked_since",
+        "cancelled",
+        "count_by_domain",
+        "count_by_rack",
+        "domain",
+        "job_id",
+        "kind",
+        "lasting",
+        "latest_start",
+        "need",
+        "never",
+        "promises",
+        "queued",
+        "rank",
+        "reason",
+        "reclaimable",
+        "running",
+        "shape",
+        "urgency",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        job_id,
+        kind,
+        need,
+        tasks,
+        submitted,
+        urgency=Urgency.NORMAL,
+        domain="",
+        run_s=0.0,
+        deadline_s=0.0,
+    ):
+        names = tasks
+        if isinstance(tasks, int):
+            names = [f"{job_id}/{number}" for number in range(tasks)]
+        self.job_id = job_id
+        self.kind = kind
+        self.need = need
+        self.domain = domain
+        self.urgency = urgency
+        self.rank = urgency
+        self.reclaimable = kind == Kind.BATCH and urgency == Urgency.DEFERRABLE
+        self.lasting = kind == Kind.SERVICE or run_s <= 0
+        self.latest_start = submitted + (max(deadline_s - run_s, 0.0) if deadline_s else PATIENCE_S)
+        self.waiting = deque(names)
+        self.running = set()
+        self.promises = []
+        self.count_by_rack = {}
+        self.count_by_domain = {}
+        self.blocked_since = None
+        self.cancelled = False
+        self.queued = None
+        self.never = False
+        self.reason = ""
+        size = len(self.waiting) if kind == Kind.GANG else 1
+        self.shape = (kind, domain, need.key(), size)
+
+    @classmethod
+    def of(cls, job_id, spec, *, tasks, submitted):
+        """Convert the wire message ``JobSpec``."""
+        return cls(
+            job_id=job_id,
+            kind=Kind(spec.kind),
+            need=Size.of(spec.each),
+            tasks=tasks,
+            submitted=submitted,
+            urgency=_URGENCY_BY_WIRE[spec.class_],
+            domain=spec.domain,
+            run_s=spec.run_s,
+            deadline_s=spec.deadline_s,
+        )
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,280 @@
+"""Placement: capacity, gangs, starvation, preemption, workers set aside."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from siskintally.placement import MAX_RESERVATIONS, RESERVE_AFTER_S, Placement
+from siskintally.pool import OvercommitError
+from siskintally.size import NOTHING, Size
+from siskintally.workload import Job, Kind, Urgency
+
+CAPACITY = Size(cpu=8000, memory=16_000)
+
+
+def placement_with(workers, *, racks=1, capacity=CAPACITY):
+    placement = Placement()
+    for number in range(workers):
+        rack = f"r{number % racks}"
+        placement.add_worker(f"w{number}", domain="d", rack=rack, capacity=capacity)
+    return placement
+
+
+def job(name, cpu, *, tasks=1, kind=Kind.BATCH, urgency=Urgency.NORMAL, run_s=60.0, **more):
+    need = Size(cpu=cpu, memory=more.pop("memory", 100), accelerators=more.pop("accelerators", 0))
+    return Job(
+        job_id=name,
+        kind=kind,
+        need=need,
+        tasks=tasks,
+        submitted=more.pop("submitted", 0.0),
+        urgency=urgency,
+        run_s=run_s,
+        **more,
+    )
+
+
+def placed(placement, now):
+    return {found.task_id: found.worker for found in placement.decide(now=now).assignments}
+
+
+def check_invariants(placement):
+    """Recompute all sums from the tasks and compare them with what the pool keeps."""
+    for worker in placement.pool.worker_by_name.values():
+        held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
+        assert held.within(worker.capacity)
+        assert held + worker.free == worker.capacity
+        promises = [
+            other.need
+            for other in placement.job_by_id.values()
+            for promised in other.promises
+            if promised is worker
+        ]
+        assert sum(promises, NOTHING) == worker.promised
+    for other in placement.job_by_id.values():
+        if other.kind == Kind.GANG and not other.cancelled:
+            assert not (other.running and other.waiting)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("submit", "end", "fail", "cancel", "lose", "add", "drain", "wait")),
+        st.integers(0, 10_000),
+        st.sampled_from(list(Kind)),
+        st.sampled_from(list(Urgency)),
+        st.integers(1, 4),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=150, deadline=None)
+@given(steps=STEPS)
+def test_no_sequence_of_events_allocates_more_than_a_worker_has(steps):
+    """Guards against overcommitment and against a gang that holds a part of its places."""
+    placement, now = (
+        placement_with(3, racks=2, capacity=Size(cpu=8000, memory=9000, accelerators=2)),
+        0.0,
+    )
+    for number, (step, value, kind, urgency, tasks) in enumerate(steps):
+        now += 1.0
+        running = sorted(placement.pool.held_by_task)
+        names = sorted(placement.pool.worker_by_name)
+        if step == "submit":
+            more = {"memory": value // 3, "accelerators": value % 2}
+            placement.submit(
+                job(
+                    f"j{number}",
+                    value,
+                    tasks=tasks,
+                    kind=kind,
+                    urgency=urgency,
+                    submitted=now,
+                    **more,
+                )
+            )
+        elif step in ("end", "fail") and running:
+            task_id = running[value % len(running)]
+            placement.ended(task_id, now=now, failed=step == "fail", succeeded=step == "end")
+        elif step == "cancel" and placement.job_by_id:
+            placement.cancel(sorted(placement.job_by_id)[value % len(placement.job_by_id)])
+        elif step == "lose" and names:
+            for task_id in placement.lose_worker(names[value % len(names)]):
+                if placement.job_by_id[task_id.partition("/")[0]].kind != Kind.GANG:
+                    placement.requeue(task_id.partition("/")[0], task_id)
+        elif step == "add":
+            placement.add_worker(f"n{number}", domain="d", rack="r9", capacity=CAPACITY)
+        elif step == "drain" and names:
+            placement.drain_worker(names[value % len(names)], draining=bool(tasks % 2))
+        elif step == "wait":
+            now += 20.0
+        placement.decide(now=now)
+        check_invariants(placement)
+
+
+def test_taking_more_than_is_free_is_refused_in_the_pool():
+    """Guards against a policy that picks a worker without room."""
+    placement = placement_with(1)
+    with pytest.raises(OvercommitError):
+        placement.pool.take(placement.pool.worker_by_name["w0"], "j/0", job("j", 9000))
+    check_invariants(placement)
+
+
+def test_two_gangs_that_each_fit_alone_do_not_block_each_other():
+    """Guards against the deadlock of two gangs that hold half of their places."""
+    placement = placement_with(4)
+    for name in ("a", "b"):
+        placement.submit(job(name, 8000, tasks=3, kind=Kind.GANG))
+    first = placed(placement, 0.0)
+    assert {task.partition("/")[0] for task in first} == {"a"} and len(first) == 3
+    assert len(placement.pool.held_by_task) == 3
+    for task_id in first:
+        placement.ended(task_id, now=1.0, succeeded=True)
+    assert len(placed(placement, 1.0)) == 3
+
+
+def test_a_stream_of_small_jobs_does_not_starve_a_gang():
+    """Guards against starvation: each freed place went to the next small job."""
+    placement = placement_with(2)
+    running, started = [], False
+    for number in range(16):
+        placement.submit(job(f"s{number}", 1000))
+    running.extend(placed(placement, 0.0))
+    placement.submit(job("gang", 8000, tasks=2, kind=Kind.GANG))
+    for step in range(200):
+        now = float(step)
+        placement.submit(job(f"t{step}", 1000, submitted=now))
+        if running:
+            placement.ended(running.pop(0), now=now, succeeded=True)
+        found = placed(placement, now)
+        started = started or "gang/0" in found
+        running.extend(task for task in found if not task.startswith("gang"))
+    assert started
+
+
+def test_reservations_keep_only_a_few_jobs_places():
+    """Guards against reservations that leave the pool idle for every blocked job."""
+    placement = placement_with(20)
+    for number in range(20):
+        placement.submit(job(f"small{number}", 5000))
+    placed(placement, 0.0)
+    for number in range(10):
+        placement.submit(job(f"large{number}", 8000))
+    placed(placement, 1.0)
+    placed(placement, 2.0 + RESERVE_AFTER_S)
+    promised = [other for other in placement.job_by_id.values() if other.promises]
+    assert len(promised) == MAX_RESERVATIONS
+
+
+def test_urgent_work_waits_for_the_end_of_the_tasks_it_stops():
+    """Guards against counting resources as free when the stop order was only sent."""
+    placement = placement_with(1)
+    placement.submit(job("low", 2000, tasks=4, urgency=Urgency.DEFERRABLE))
+    assert len(placed(placement, 0.0)) == 4
+    placement.submit(job("now", 4000, urgency=Urgency.URGENT))
+    decision = placement.decide(now=1.0)
+    assert len(decision.stops) == 2 and not decision.assignments
+    placement.submit(job("other", 2000))
+    placement.ended(decision.stops[0], now=2.0)
+    assert placed(placement, 2.0) == {}
+    placement.ended(decision.stops[1], now=3.0)
+    assert "now/0" in placed(placement, 3.0)
+
+
+def test_urgent_work_stops_neither_services_nor_normal_batch():
+    """Guards against victims outside deferrable batch."""
+    placement = placement_with(1)
+    placement.submit(job("service", 4000, kind=Kind.SERVICE, urgency=Urgency.DEFERRABLE))
+    placement.submit(job("batch", 4000))
+    placed(placement, 0.0)
+    placement.submit(job("now", 4000, urgency=Urgency.URGENT))
+    decision = placement.decide(now=1.0)
+    assert decision.stops == [] and decision.assignments == []
+
+
+@pytest.mark.parametrize(
+    ("wanted", "reason"),
+    [
+        (job("j", 9000), "needs 9000 cpu_milli, the largest worker has 8000"),
+        (job("j", 1, accelerators=1), "needs 1 accelerators, the largest worker has 0"),
+        (job("j", 8000, tasks=3, kind=Kind.GANG), "3 tasks must run at once"),
+    ],
+)
+def test_jobs_that_never_fit_say_why(wanted, reason):
+    """Guards against jobs that wait forever without a reason."""
+    placement = placement_with(2)
+    placement.submit(wanted)
+    assert placed(placement, 0.0) == {}
+    assert wanted.never and reason in wanted.reason
+
+
+def test_never_is_not_said_before_workers_are_known():
+    """Guards against refusing all jobs right after an election."""
+    placement, wanted = Placement(), job("j", 1000)
+    placement.submit(wanted)
+    placed(placement, 0.0)
+    assert not wanted.never
+    placement.add_worker("w0", domain="d", rack="r", capacity=CAPACITY)
+    assert placed(placement, 0.1) == {"j/0": "w0"}
+
+
+def test_a_worker_that_fails_every_task_is_tried_again_with_one_task():
+    """Guards against a broken worker that swallows the queue, and against losing it for good."""
+    placement = placement_with(1)
+    for number in range(5):
+        placement.submit(job(f"j{number % 2}-{number}", 1000))
+        (task_id,) = placed(placement, 0.0)
+        placement.ended(task_id, now=0.0, failed=True)
+    placement.submit(job("next", 1000, tasks=3))
+    assert placed(placement, 59.0) == {}
+    assert len(placed(placement, 60.0)) == 1
+    placement.ended("next/0", now=61.0, failed=True)
+    assert placed(placement, 179.0) == {}
+    assert len(placed(placement, 181.0)) == 1
+    placement.ended("next/1", now=182.0, succeeded=True)
+    assert len(placed(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].is_open
+
+
+def test_services_use_each_rack_before_any_rack_twice():
+    """Guards against a rack failure that takes a whole service."""
+    placement = placement_with(12, racks=4)
+    placement.submit(job("s", 500, tasks=8, kind=Kind.SERVICE))
+    racks = [placement.pool.worker_by_name[name].rack for name in placed(placement, 0.0).values()]
+    assert {rack: racks.count(rack) for rack in racks} == {f"r{n}": 2 for n in range(4)}
+
+
+def test_order_is_urgent_then_normal_then_deferrable_unless_late():
+    """Guards against priority inversion, and against deferrable work that is never run."""
+    placement = placement_with(1)
+    for name, urgency in (("d", Urgency.DEFERRABLE), ("n", Urgency.NORMAL), ("u", Urgency.URGENT)):
+        placement.submit(job(name, 8000, urgency=urgency))
+    assert list(placed(placement, 0.0)) == ["u/0"]
+    placement.ended("u/0", now=1.0)
+    assert list(placed(placement, 1.0)) == ["n/0"]
+    placement.submit(job("n2", 8000, submitted=3200.0))
+    placement.ended("n/0", now=3300.0)
+    assert list(placed(placement, 3300.0)) == ["d/0"]
+
+
+def test_a_drained_worker_gets_nothing_new():
+    """Guards against new work on a worker that is leaving."""
+    placement = placement_with(1)
+    placement.drain_worker("w0", draining=True)
+    placement.submit(job("j", 1000))
+    assert placed(placement, 0.0) == {}
+    placement.drain_worker("w0", draining=False)
+    assert placed(placement, 0.1) == {"j/0": "w0"}
+
+
+def test_cancelling_a_wave_stops_only_what_runs():
+    """Guards against placing cancelled tasks and against losing track of running ones."""
+    placement = placement_with(2)
+    for number in range(10_000):
+        placement.submit(job(f"j{number}", 8000))
+    running = placed(placement, 0.0)
+    stopped = [task for n in range(10_000) for task in placement.cancel(f"j{n}")]
+    assert sorted(stopped) == sorted(running) and len(running) == 2
+    assert placed(placement, 1.0) == {}
+    for task_id in stopped:
+        placement.ended(task_id, now=2.0)
+    assert placed(placement, 2.0) == {} and placement.pool.free == placement.pool.capacity
