--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -12,8 +12,8 @@
 """
 
 from siskintally.backlog import Backlog
-from siskintally.capacity import CapacityTable
 from siskintally.ejection import Ejection
+from siskintally.feasibility import CapacityTable
 from siskintally.policy import policy_for
 from siskintally.pool import Pool
 from siskintally.preemption import preempt, redeem, reserve, withdraw
