Add the state machine of domain groups

Cause: tasks, assignments, and followed cell items need replicated state that refuses wrong assignments whatever an owner proposes. Change: Domain applies protobuf batches in a fixed order, delegates ledger commands to Ledger, and refuses assignments beyond the capacity of a worker, to an old session, or for a task with a live attempt. Replies name what was refused and which tasks ended. Placement gains workers that cannot be reached and workers that a job avoids after a failure there.

--- /dev/null
+++ b/siskintally/domain.py
@@ -0,0 +1,308 @@
+"""State machine of a domain group: what it follows of the cell, tasks, assignments, ledger.
+
+>>> from siskintally.domain import Domain
+>>> from siskintally.domain_state_pb2 import DomainReply
+>>> DomainReply.FromString(Domain(group="g").apply(index=1, command=b"garbage")).code
+4000
+"""
+
+from google.protobuf.message import DecodeError
+
+from siskintally.codes import Code
+from siskintally.domain_job import DomainJob, job_id_of
+from siskintally.domain_state_pb2 import (
+    AttemptEnd,
+    DomainCommand,
+    DomainReply,
+    DomainState,
+)
+from siskintally.errors import BadRequestError, DamagedDataError, SiskintallyError
+from siskintally.ledger import Ledger
+from siskintally.machine import Machine
+from siskintally.size import NOTHING, Size
+from siskintally.wire_pb2 import ConfigState, JobSpec
+
+MAX_NAME_LENGTH = 200
+MAX_TASKS = 100_000
+# Largest amount of a resource; larger ones are no amounts.
+MAX_AMOUNT = 1 << 40
+# Year 5138; a larger time stamp is no time.
+MAX_TIME_S = 1e11
+# The cell may send the item of an ended job again, which must not run a second time.
+KEEP_ENDED_JOBS = 50_000
+
+
+class DomainWorker:
+    """A worker as committed, with the tasks assigned to it."""
+
+    __slots__ = ("capacity", "record", "task_ids", "used")
+
+    def __init__(self, *, record):
+        self.record = record
+        self.capacity = Size.of(record.capacity)
+        self.used = NOTHING
+        self.task_ids = {}
+
+
+class Domain(Machine):
+    """Deterministic state of a domain group; the time comes in the commands.
+
+    :param group: name of the group.
+
+    ``config`` is the ConfigState followed from the cell, version 0 before the first; ``cell_index``
+    is the cell's log index that the state has followed up to.
+    """
+
+    __slots__ = (
+        "_ended_jobs",
+        "cell_index",
+        "config",
+        "drain_by_key",
+        "group",
+        "job_by_id",
+        "ledger",
+        "now",
+        "worker_by_name",
+    )
+
+    def __init__(self, *, group):
+        self.group = group
+        self._reset()
+
+    def _reset(self):
+        self.cell_index = 0
+        self.config = ConfigState()
+        self.job_by_id = {}
+        self.drain_by_key = {}
+        self.worker_by_name = {}
+        self.ledger = Ledger()
+        self.now = 0.0
+        self._ended_jobs = {}
+
+    def apply(self, *, index, command):
+        """Apply a DomainCommand and return a DomainReply; a malformed one changes nothing."""
+        try:
+            return self._apply(DomainCommand.FromString(command)).SerializeToString()
+        except DecodeError:
+            reply = DomainReply(code=int(Code.BAD_REQUEST), message="command is malformed")
+        except SiskintallyError as error:
+            reply = DomainReply(code=int(error.code), message=str(error))
+        return reply.SerializeToString()
+
+    def _apply(self, command):
+        if not 0 <= command.at <= MAX_TIME_S:
+            raise BadRequestError("command without time")
+        kind = command.WhichOneof("change")
+        if kind is None:
+            raise BadRequestError("command without change")
+        change = getattr(command, kind)
+        if kind == "sync":
+            _check_sync(change)
+        elif kind == "batch":
+            _check_batch(change)
+        self.now = max(self.now, command.at)
+        return getattr(self, f"_apply_{kind}")(change)
+
+    def _apply_ledger_begin(self, change):
+        answer = self.ledger.begin(change, self.now)
+        return DomainReply(code=int(Code.DONE), ledger_begin=answer)
+
+    def _apply_ledger_finish(self, change):
+        self.ledger.finish(change, self.now)
+        return DomainReply(code=int(Code.DONE))
+
+    def _apply_ledger_release(self, change):
+        self.ledger.release(change, self.now)
+        return DomainReply(code=int(Code.DONE))
+
+    def _apply_sync(self, change):
+        """Follow the cell; an older reply, applied late, changes nothing."""
+        if change.index >= self.cell_index:
+            self.cell_index = change.index
+            if change.config.version > self.config.version:
+                self.config = _copy(change.config)
+            for drain in change.drains:
+                self._apply_drain(drain)
+            for item in change.jobs:
+                self._apply_job(item)
+        return DomainReply(code=int(Code.DONE))
+
+    def _apply_drain(self, drain):
+        if drain.draining:
+            self.drain_by_key[drain.kind, drain.name] = _copy(drain)
+        else:
+            self.drain_by_key.pop((drain.kind, drain.name), None)
+
+    def _apply_job(self, item):
+        job = self.job_by_id.get(item.job_id)
+        if job is None:
+            job = DomainJob(item=_copy(item), group=self.group, accepted_at=self.now)
+            self.job_by_id[item.job_id] = job
+        elif item.changed_at <= job.item.changed_at:
+            return
+        job.item = _copy(item)
+        job.resize()
+        self._keep(job)
+
+    def _keep(self, job):
+        """Remember an ended job for a while; drop the oldest."""
+        job_id = job.item.job_id
+        if not job.is_over:
+            self._ended_jobs.pop(job_id, None)
+            return
+        self._ended_jobs[job_id] = None
+        if len(self._ended_jobs) > KEEP_ENDED_JOBS:
+            oldest = next(iter(self._ended_jobs))
+            del self._ended_jobs[oldest], self.job_by_id[oldest]
+
+    def _apply_batch(self, batch):
+        ended, refused = [], []
+        for end in batch.ended:
+            task = self.task(end.task_id)
+            if task is not None and task.worker and task.attempt == end.attempt:
+                self._end(task, end.cause)
+                ended.append(end.task_id)
+        for name in batch.lost:
+            worker = self.worker_by_name.get(name)
+            if worker is not None:
+                for task_id in sorted(worker.task_ids):
+                    self._end(self.task(task_id), AttemptEnd.LOST)
+                    ended.append(task_id)
+                del self.worker_by_name[name]
+        refused.extend(record.name for record in batch.joined if not self._join(record))
+        refused.extend(one.task_id for one in batch.assigned if not self._assign(one))
+        return DomainReply(code=int(Code.DONE), refused=refused, ended=ended)
+
+    def task(self, task_id):
+        """Return a :class:`~siskintally.domain_job.Task` that has not ended, or None."""
+        job = self.job_by_id.get(job_id_of(task_id))
+        return job.task_by_id.get(task_id) if job is not None else None
+
+    def _end(self, task, cause):
+        job = self.job_by_id[job_id_of(task.task_id)]
+        worker = self.worker_by_name[task.worker]
+        del worker.task_ids[task.task_id]
+        worker.used -= job.need
+        job.end(task, cause)
+        self._keep(job)
+
+    def _join(self, record):
+        """Record a worker; a capacity below what its tasks hold is refused."""
+        known = self.worker_by_name.get(record.name)
+        worker = DomainWorker(record=_copy(record))
+        if known is not None:
+            if not known.used.within(worker.capacity):
+                return False
+            worker.used, worker.task_ids = known.used, known.task_ids
+        self.worker_by_name[record.name] = worker
+        return True
+
+    def _assign(self, one):
+        """Give a waiting task to a worker; the last check of I1 and I2 before a start is sent."""
+        task = self.task(one.task_id)
+        worker = self.worker_by_name.get(one.worker)
+        if task is None or worker is None or task.worker or one.attempt != task.attempt + 1:
+            return False
+        job = self.job_by_id[job_id_of(one.task_id)]
+        total = worker.used + job.need
+        if job.item.cancelled or worker.record.session != one.session:
+            return False
+        if not total.within(worker.capacity):
+            return False
+        task.attempt, task.worker, task.session = one.attempt, one.worker, one.session
+        worker.used = total
+        worker.task_ids[one.task_id] = None
+        job.running += 1
+        return True
+
+    def snapshot(self):
+        """Return the whole state as bytes, equal for equal states."""
+        state = DomainState(
+            group=self.group,
+            cell_index=self.cell_index,
+            config=self.config,
+            workers=[self.worker_by_name[name].record for name in sorted(self.worker_by_name)],
+            jobs=[job.state() for job in self.job_by_id.values()],
+            drains=[self.drain_by_key[key] for key in sorted(self.drain_by_key)],
+            ledger=self.ledger.snapshot(),
+            now=self.now,
+        )
+        state.ended_jobs.extend(self._ended_jobs)
+        return state.SerializeToString(deterministic=True)
+
+    def restore(self, data):
+        """Replace the state with a snapshot.
+
+        :raises DamagedDataError: the data is no snapshot of this group; nothing changed.
+        """
+        fresh = Domain(group=self.group)
+        try:
+            fresh._load(DomainState.FromString(data))
+        except (DecodeError, KeyError, BadRequestError) as error:
+            raise DamagedDataError(f"domain snapshot: {error}") from error
+        for name in Domain.__slots__:
+            setattr(self, name, getattr(fresh, name))
+
+    def _load(self, state):
+        if state.group != self.group:
+            raise BadRequestError(f"snapshot of group {state.group!r}")
+        self.cell_index = state.cell_index
+        self.config = _copy(state.config)
+        self.now = state.now
+        self.ledger.restore(state.ledger)
+        for record in state.workers:
+            self.worker_by_name[record.name] = DomainWorker(record=_copy(record))
+        for drain in state.drains:
+            self.drain_by_key[drain.kind, drain.name] = _copy(drain)
+        for saved in state.jobs:
+            job = DomainJob.of(_copy(saved), group=self.group)
+            self.job_by_id[job.item.job_id] = job
+            for task in job.task_by_id.values():
+                if task.worker:
+                    worker = self.worker_by_name[task.worker]
+                    worker.used += job.need
+                    worker.task_ids[task.task_id] = None
+        self._ended_jobs = dict.fromkeys(state.ended_jobs)
+
+
+def _copy(message):
+    copy = type(message)()
+    copy.CopyFrom(message)
+    return copy
+
+
+def _check_name(text):
+    if not 0 < len(text) <= MAX_NAME_LENGTH:
+        raise BadRequestError(f"name {text[:40]!r}: expected 1 to {MAX_NAME_LENGTH} characters")
+
+
+def _check_amounts(resources):
+    for amount in Size.of(resources).key():
+        if not 0 <= amount <= MAX_AMOUNT:
+            raise BadRequestError(f"amount {amount}: expected 0 to {MAX_AMOUNT}")
+
+
+def _check_spec(spec):
+    _check_amounts(spec.each)
+    if spec.kind not in JobSpec.Kind.values() or spec.class_ not in JobSpec.Class.values():
+        raise BadRequestError(f"kind = {spec.kind}, class = {spec.class_}: unknown")
+    for seconds in (spec.run_s, spec.deadline_s):
+        if not 0 <= seconds <= MAX_TIME_S:
+            raise BadRequestError(f"duration {seconds}: expected 0 to {MAX_TIME_S} s")
+
+
+def _check_sync(change):
+    for item in change.jobs:
+        _check_name(item.job_id)
+        _check_spec(item.spec)
+        if item.tasks > MAX_TASKS:
+            raise BadRequestError(f"tasks = {item.tasks}: expected at most {MAX_TASKS}")
+    for drain in change.drains:
+        _check_name(drain.name)
+
+
+def _check_batch(change):
+    for record in change.joined:
+        _check_name(record.name)
+        _check_name(record.session)
+        _check_amounts(record.capacity)
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -11,6 +11,8 @@
 [('j/0', 'w1')]
 """
 
+from collections import deque
+
 from siskintally.backlog import Backlog
 from siskintally.ejection import Ejection
 from siskintally.feasibility import CapacityTable
@@ -103,6 +105,25 @@
                 self._withdraw_from(worker)
             self.pool.open(worker, draining=draining)
 
+    def connect_worker(self, name, *, connected):
+        """Give new tasks only to workers that can be reached."""
+        worker = self.pool.worker_by_name.get(name)
+        if worker is not None and worker.connected != connected:
+            self.pool.open(worker, connected=connected)
+
+    def set_waiting(self, job_id, task_ids):
+        """Replace the waiting tasks of a job; tasks that hold resources are left out."""
+        job = self.job_by_id[job_id]
+        held = self.pool.held_by_task
+        job.waiting = deque(task_id for task_id in task_ids if task_id not in held)
+        if job.promises:
+            self._drop_promises(job)
+        if job.waiting:
+            self._backlog.add(job)
+            self._fresh.append(job)
+        else:
+            self._backlog.remove(job)
+
     def submit(self, job):
         """Queue the waiting tasks of a new job."""
         self.job_by_id[job.job_id] = job
--- a/siskintally/policy.py
+++ b/siskintally/policy.py
@@ -49,6 +49,9 @@
             worker = self.choose(pool, job)
             if worker is None:
                 break
+            if worker.name in job.avoid:
+                others = (one for one in pool.fitting(job) if one.name not in job.avoid)
+                worker = next(others, worker)
             task_id = job.waiting.popleft()
             pool.take(worker, task_id, job)
             placed.append(Assignment(task_id=task_id, job=job, worker=worker.name))
--- a/siskintally/pool.py
+++ b/siskintally/pool.py
@@ -48,6 +48,7 @@
 
     __slots__ = (
         "capacity",
+        "connected",
         "count_by_job",
         "domain",
         "draining",
@@ -74,13 +75,14 @@
         self.held_by_task = {}
         self.count_by_job = {}
         self.draining = False
+        self.connected = True
         self.set_aside = False
         self.probing = False
 
     @property
     def is_open(self):
         """Whether the worker takes new tasks."""
-        return not (self.draining or self.set_aside)
+        return self.connected and not (self.draining or self.set_aside)
 
     def available(self):
         """Return what is free and not promised to a waiting task."""
@@ -254,8 +256,10 @@
         self.freed += 1
         self.refresh(worker)
 
-    def open(self, worker, *, draining=None, set_aside=None):
+    def open(self, worker, *, draining=None, set_aside=None, connected=None):
         """Change whether a worker takes new tasks."""
+        if connected is not None:
+            worker.connected = connected
         if draining is not None:
             worker.draining = draining
         if set_aside is not None:
--- a/siskintally/workload.py
+++ b/siskintally/workload.py
@@ -47,11 +47,13 @@
     :param run_s: declared run time, 0 for until stopped; only orders the queue.
     :param deadline_s: seconds from submission, 0 for none.
 
-    Urgent work may stop the tasks of a ``reclaimable`` job. ``rank`` is the class it is queued in;
+    Workers in ``avoid`` are used only if no other has room. Urgent work may stop the tasks of a
+    ``reclaimable`` job. ``rank`` is the class it is queued in;
     deferrable jobs move up when their latest start is near.
     """
 
     __slots__ = (
+        "avoid",
         "blocked_since",
         "cancelled",
         "count_by_domain",
@@ -104,6 +106,7 @@
         self.promises = []
         self.count_by_rack = {}
         self.count_by_domain = {}
+        self.avoid = set()
         self.blocked_since = None
         self.cancelled = False
         self.queued = None
