Check the configuration protocol by search

An accepted configuration must never revert and of two changes with equal version numbers only one may pass.

--- a/tests/model/__main__.py
+++ b/tests/model/__main__.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from sys import argv, exit
 
+from siskintally.log import set_up
 from tests.model.registry import ci_specs, large_specs, mutants
 from tests.model.search import search
 
@@ -66,4 +67,5 @@
 
 
 if __name__ == "__main__":
+    set_up(process="model", level="error")
     main(*(argv[1:] or ["ci"]))
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -1,5 +1,7 @@
 """Faulty versions of the checked functions; the search must find every one."""
 
+from siskintally.cell import Cell
+from siskintally.cell_state_pb2 import State as CellState
 from siskintally.ledger import RUNNING, Ledger, _key_print, _tombstone_print
 from siskintally.ledger_state_pb2 import LedgerState
 from siskintally.membership import quorum
@@ -74,3 +76,25 @@
         if message.unknown:
             self._drop(_key_print(message.key))
         return done
+
+
+class LenientCell(Cell):
+    """Accepts the version before the present one too, so two changes with equal numbers pass."""
+
+    __slots__ = ()
+
+    def _check_version(self, expected):
+        if expected + 1 != self.config_state.version:
+            super()._check_version(expected)
+
+
+class ForgetfulCell(Cell):
+    """Drops the stored responses at a snapshot."""
+
+    __slots__ = ()
+
+    def snapshot(self):
+        """Return the state without the responses."""
+        state = CellState.FromString(super().snapshot())
+        del state.replies[:]
+        return state.SerializeToString(deterministic=True)
--- a/tests/model/registry.py
+++ b/tests/model/registry.py
@@ -1,12 +1,15 @@
 """Specifications and mutants by size of the search."""
 
+from tests.model.config import ConfigSpec
 from tests.model.consensus import Budget, Consensus
 from tests.model.ledger import LedgerSpec
 from tests.model.mutants import (
     AmnesicLedger,
+    ForgetfulCell,
     ForgetfulLedger,
     GenerousLedger,
     LearnerCountingReplica,
+    LenientCell,
     StaleRoundReplica,
     TrustingLedger,
 )
@@ -45,6 +48,7 @@
     yield LedgerSpec(name="ledger-repeat", attempts=2, repeats=1, resends=1)
     yield LedgerSpec(name="ledger-conflict", attempts=2, repeats=1, resends=1, conflict=True)
     yield LedgerSpec(name="ledger", attempts=3, repeats=0, resends=0)
+    yield ConfigSpec(name="config", repeats=1, feeds=2, polls=2, restarts=1)
 
 
 def large_specs():
@@ -61,6 +65,7 @@
     yield Consensus(name="three-elections", budget=Budget(elect=3))
     yield Consensus(name="reads-large", budget=Budget(elect=1, read=2, repeat=1), led=True)
     yield LedgerSpec(name="ledger-large", attempts=3, repeats=1, resends=0)
+    yield ConfigSpec(name="config-large", repeats=2, feeds=3, polls=3, restarts=1, entries=2)
 
 
 def mutants():
@@ -97,6 +102,16 @@
         ),
     )
     yield from ledger_mutants()
+    for name, cell_class in {
+        "accept an equal version twice": LenientCell,
+        "drop the stored responses of operators at a snapshot": ForgetfulCell,
+    }.items():
+        yield Mutant(
+            name=name,
+            build=lambda cell_class=cell_class: ConfigSpec(
+                name="config", repeats=1, feeds=2, polls=2, restarts=1, cell_class=cell_class
+            ),
+        )
 
 
 def ledger_mutants():
