Split the inbox and the applier from the group task

The queue of inputs and the application of entries to the machine are now modules of their own; behavior is unchanged.

--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -12,29 +12,25 @@
 from random import uniform
 from time import monotonic
 
-from anyio import (
-    Event,
-    WouldBlock,
-    create_memory_object_stream,
-    move_on_after,
-)
+from anyio import Event
 from anyio.to_thread import run_sync
 
+from siskintally.applier import Applier
 from siskintally.effects import Effects
 from siskintally.encoding import decode, encode
 from siskintally.errors import DamagedDataError, NotLeaderError, OutcomeUnknownError
+from siskintally.inbox import Inbox
 from siskintally.joins import Joins
 from siskintally.journal import Journal, set_aside
 from siskintally.log import get_logger
 from siskintally.membership import quorum
-from siskintally.messages import Kind, Leadership
+from siskintally.messages import Leadership
 from siskintally.replica import Replica
 from siskintally.timing import Timing
 from siskintally.waiters import Waiter, Waiters
 from siskintally.watchers import Watchers
 from siskintally.wire_pb2 import JoinReply, JoinRequest
 
-INBOX_ITEMS = 16384
 INBOX_MESSAGES = 4096
 BATCH_ITEMS = 1024
 SNAPSHOT_ENTRIES = 5000
@@ -70,29 +66,22 @@
     """
 
     __slots__ = (
+        "_applier",
         "_batch",
         "_batch_items",
         "_ended",
         "_inbox",
-        "_inbox_reader",
-        "_initial",
         "_is_handed_over",
         "_joins",
         "_journal",
         "_kept_entries",
         "_leadership",
-        "_machine",
-        "_queued_messages",
         "_replica",
         "_send",
-        "_since_snapshot",
-        "_snapshot_bytes",
-        "_snapshot_entries",
         "_stop_at",
         "_timing",
         "_waiters",
         "_watchers",
-        "applied_index",
         "folder",
         "founding_members",
         "name",
@@ -118,19 +107,15 @@
         self.process = process
         self.founding_members = tuple(founding_members)
         self.folder = folder
-        self.applied_index = 0
-        self._machine = machine
-        self._initial = None
+        self._applier = Applier(
+            machine=machine, snapshot_entries=snapshot_entries, snapshot_bytes=snapshot_bytes
+        )
         self._send = send
         self._timing = timing or Timing()
-        self._snapshot_entries = snapshot_entries
-        self._snapshot_bytes = snapshot_bytes
         self._kept_entries = kept_entries
         self._batch_items = batch_items
-        self._since_snapshot = 0
-        self._inbox, self._inbox_reader = create_memory_object_stream(INBOX_ITEMS)
+        self._inbox = Inbox(max_messages=INBOX_MESSAGES)
         self._batch = []
-        self._queued_messages = 0
         self._journal = None
         self._replica = None
         self._leadership = Leadership(term=0, leader="", is_leader=False)
@@ -156,6 +141,11 @@
         """Name of the process that leads, empty if unknown."""
         return self._leadership.leader
 
+    @property
+    def applied_index(self):
+        """Index of the last entry that the machine has applied."""
+        return self._applier.index
+
     @property
     def members(self):
         """Members in force, as :class:`~siskintally.messages.Member`."""
@@ -201,13 +191,7 @@
         except (KeyError, ValueError) as error:
             log.warning("message dropped", group=self.name, error=str(error))
             return
-        if self._queued_messages >= INBOX_MESSAGES:
-            return
-        try:
-            self._inbox.send_nowait(item)
-        except WouldBlock:
-            return
-        self._queued_messages += 1
+        self._inbox.drop_or_put(item)
 
     async def join_request(self, body):
         """Admit a new incarnation, if this replica leads, and say how far its log goes.
@@ -222,7 +206,7 @@
         """Finish accepted calls, hand leadership over, and end :meth:`run`."""
         if self._journal is None:
             return
-        await self._inbox.send(_Stop())
+        await self._inbox.put(_Stop())
         await self._ended.wait()
 
     async def run(self):
@@ -246,19 +230,14 @@
         for item in self._batch:
             if isinstance(item, Waiter):
                 item.fail(OutcomeUnknownError(f"group {self.name}: the replica ended"))
-        while True:
-            try:
-                item = self._inbox_reader.receive_nowait()
-            except WouldBlock:
-                break
+        for item in self._inbox.drain():
             if isinstance(item, Waiter):
                 item.fail(self._not_leader())
-        self._queued_messages = 0
 
     async def _ask(self, waiter):
         if not self.is_leader or self._stop_at is not None:
             raise self._not_leader()
-        await self._inbox.send(waiter)
+        await self._inbox.put(waiter)
         return await waiter.wait()
 
     def _not_leader(self):
@@ -282,22 +261,16 @@
         )
         self._stop_at = None
         self._is_handed_over = False
-        if self._initial is None:
-            self._initial = self._machine.snapshot()
-        self._restore(stable.snapshot)
-
-    def _restore(self, snapshot):
-        # The founding snapshot is empty and stands for the state that the machine started with.
-        self._machine.restore(snapshot.data or self._initial)
-        self.applied_index = snapshot.index
-        self._since_snapshot = 0
+        self._applier.restore(stable.snapshot)
 
     async def _loop(self):
         while not self._is_over():
-            items = await self._gather()
+            self._batch = await self._inbox.gather(
+                self._next_time() - monotonic(), self._batch_items
+            )
             now = monotonic()
             effects = Effects()
-            waiters = self._take(items, now, effects)
+            waiters = self._take(self._batch, now, effects)
             self._begin(waiters, now, effects)
             self._hand_over(now, effects)
             if now >= self._replica.next_tick():
@@ -306,18 +279,6 @@
             await self._carry_out(effects)
             await self._take_snapshot()
 
-    async def _gather(self):
-        """Wait for an input or a timer; return all inputs at hand."""
-        self._batch = items = []
-        with move_on_after(max(0.0, self._next_time() - monotonic())):
-            items.append(await self._inbox_reader.receive())
-        while items and len(items) < self._batch_items:
-            try:
-                items.append(self._inbox_reader.receive_nowait())
-            except WouldBlock:
-                break
-        return items
-
     def _next_time(self):
         times = [self._replica.next_tick()]
         if not self._is_member():
@@ -336,7 +297,6 @@
             if isinstance(item, _Stop):
                 self._stop_at = now + STOP_TIMEOUT_S
                 continue
-            self._queued_messages -= 1
             if isinstance(item, JoinRequest):
                 self._joins.note(item, now)
             else:
@@ -416,22 +376,14 @@
         for to, message in effects.messages:
             self._send(to.name, encode(message, group=self.name))
         if effects.restore is not None:
-            self._restore(effects.restore)
+            self._applier.restore(effects.restore)
         for entry in effects.committed:
-            self._apply(entry)
+            self._waiters.applied(entry.index, self._applier.apply(entry))
         if effects.confirmed:
             self._waiters.confirmed(effects.confirmed)
         if effects.committed or effects.leadership:
             self._publish(self._present_leadership())
 
-    def _apply(self, entry):
-        reply = b""
-        if entry.kind == Kind.COMMAND:
-            reply = self._machine.apply(index=entry.index, command=entry.command)
-        self.applied_index = entry.index
-        self._since_snapshot += len(entry.command)
-        self._waiters.applied(entry.index, reply)
-
     def _present_leadership(self):
         replica = self._replica
         if not replica.is_leader:
@@ -456,11 +408,8 @@
 
     async def _take_snapshot(self):
         """Replace the applied part of the log, if it has grown enough."""
-        snapshot_index = self._replica.log.snapshot.index
-        is_long = self.applied_index - snapshot_index >= self._snapshot_entries
-        if not is_long and self._since_snapshot < self._snapshot_bytes:
+        applier = self._applier
+        if not applier.is_snapshot_due(self._replica.log.snapshot.index):
             return
-        data = self._machine.snapshot()
-        self._since_snapshot = 0
-        effects = self._replica.compact(self.applied_index, data, keep=self._kept_entries)
+        effects = self._replica.compact(applier.index, applier.snapshot(), keep=self._kept_entries)
         await self._carry_out(effects)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -116,7 +116,7 @@
 
     def commands(self, name):
         """Return what the machine of a process has applied."""
-        return self.group_by_name[name]._machine.commands
+        return self.group_by_name[name]._applier._machine.commands
 
 
 @asynccontextmanager
