--- a/siskintally/admission.py
+++ b/siskintally/admission.py
@@ -134,7 +134,8 @@
         self.check(ticket, now=now, free=free, total=total)
         queue = self._queues[ticket.rank]
         victim = None
-        if len(queue) >= self.limits.queue_limit(ticket.rank):
+        is_full = len(queue) >= self.limits.queue_limit(ticket.rank)
+        if is_full and (free <= 0 or self._ahead(ticket)):
             victim = self._victim(ticket)
             if victim is None:
                 raise OverloadedError("queue: full")
--- a/siskintally/watch.py
+++ b/siskintally/watch.py
@@ -5,11 +5,10 @@
 0.05
 """
 
-from tomllib import TOMLDecodeError, loads
-
 from anyio import sleep
 
-from siskintally.errors import SiskintallyError
+from siskintally.config import parse_config
+from siskintally.errors import BadSettingsError, SiskintallyError
 from siskintally.limits import EntryLimits
 from siskintally.log import get_logger
 from siskintally.wire_pb2 import ConfigWatch
@@ -63,7 +62,7 @@
             return False
         try:
             limits = read_limits(state.document, state.preset)
-        except (TOMLDecodeError, AttributeError, TypeError, ValueError) as error:
+        except BadSettingsError as error:
             log.error("configuration not readable", version=state.version, error=str(error))
             return False
         self.version = state.version
@@ -74,14 +73,9 @@
 
 
 def read_limits(document, preset):
-    """Return the limits of a preset; what it leaves out has its default.
+    """Return the limits of a preset of a configuration document.
 
-    :param document: TOML that the cell has checked.
+    :param document: TOML.
+    :raises BadSettingsError: the document or the preset is not valid.
     """
-    table = loads(document).get("presets", {}).get(preset, {})
-    given = {name: table[name] for name in EntryLimits.__slots__ if name in table}
-    if any(
-        isinstance(value, bool) or not isinstance(value, int | float) for value in given.values()
-    ):
-        raise ValueError("limits: expected numbers")
-    return EntryLimits(**given)
+    return EntryLimits.of(parse_config(document).preset(preset))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -120,6 +120,14 @@
     assert len(callers) == 10
 
 
+def test_queue_limit_of_zero_still_lets_free_slots_be_used():
+    queue = admission(queue_limit_normal=0)
+    offer(queue, ticket(), free=TOTAL)
+    assert len(drain(queue)) == 1
+    with pytest.raises(OverloadedError):
+        offer(queue, ticket(), free=0)
+
+
 def test_caller_that_comes_back_gets_no_more_turns_than_others():
     queue = FairQueue()
     for _ in range(20):
