Account for jobs by differences

A burst of 10,000 cancellations blocked the cell leader for 374 ms and a report of 5,000 jobs for 172 ms, since each job was taken out of the quota and put back. Only what changes is accounted for now.

--- a/siskintally/capacity.py
+++ b/siskintally/capacity.py
@@ -138,8 +138,9 @@
 
 
 def _add(table, key, each, factor):
-    before = table.get(key, NOTHING)
-    table[key] = tuple(
-        value + getattr(each, name) * factor
-        for value, name in zip(before, RESOURCE_NAMES, strict=True)
+    cpu_milli, memory_mb, accelerators = table.get(key, NOTHING)
+    table[key] = (
+        cpu_milli + each.cpu_milli * factor,
+        memory_mb + each.memory_mb * factor,
+        accelerators + each.accelerators * factor,
     )
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -141,7 +141,8 @@
         self._waiting.get(job.spec.team, {}).pop(job.job_id, None)
         for share in job.shares:
             self._touch(job, share, index)
-        self._settle(job, now)
+        if self._end_if_done(job, now):
+            self._hold(job)
 
     def admit(self, *, index, now, quota_by_team, teams=None):
         """Admit waiting jobs as far as quotas allow.
@@ -235,30 +236,36 @@
         changed[job.job_id] = index
 
     def _settle(self, job, now):
-        """Bring the derived figures of a job up to date and end it when all its tasks have."""
-        self._hold(job, -1)
+        """Bring the derived figures of a job up to date after its shares have changed."""
+        self._end_if_done(job, now)
+        self._hold(job)
+
+    def _end_if_done(self, job, now):
+        """End a job when all its tasks have ended; return whether it ended now."""
         begun = job.admitted or job.cancelled
-        if not job.ended and begun and all(_has_ended(job, share) for share in job.shares):
-            job.ended = True
-            job.ended_at = now
-            self._ended[job.job_id] = None
-            if not job.code:
-                job.reason = ""
-        self._hold(job, 1)
-
-    def _hold(self, job, sign):
-        if sign < 0:
-            held = self._held_by_id.pop(job.job_id, None)
-        elif job.admitted and not job.ended:
-            held = self._held_by_id[job.job_id] = _holding(job)
-        else:
-            held = None
-        if held is None:
+        if job.ended or not begun or not all(_has_ended(job, share) for share in job.shares):
+            return False
+        job.ended = True
+        job.ended_at = now
+        self._ended[job.job_id] = None
+        if not job.code:
+            job.reason = ""
+        return True
+
+    def _hold(self, job):
+        """Account for what a job holds now in place of what it held before."""
+        held_before, demand_before = self._held_by_id.pop(job.job_id, (0, {}))
+        held, demand = 0, {}
+        if job.admitted and not job.ended:
+            held, demand = self._held_by_id[job.job_id] = _holding(job)
+        if held != held_before:
+            self.quota_use.add(job.spec.team, job.spec.each, held - held_before)
+        if demand == demand_before:
             return
-        team_tasks, demand_by_group = held
-        self.quota_use.add(job.spec.team, job.spec.each, sign * team_tasks)
-        for group, tasks in demand_by_group:
-            self.capacity.demand(group, job.spec.each, sign * tasks)
+        for group in demand | demand_before:
+            tasks = demand.get(group, 0) - demand_before.get(group, 0)
+            if tasks:
+                self.capacity.demand(group, job.spec.each, tasks)
 
     def latest(self, group):
         """Return the log index of the last change of desired state of a group, 0 if none."""
@@ -315,7 +322,7 @@
         changes = []
         for job in state.jobs:
             self.by_id[job.job_id] = job
-            self._hold(job, 1)
+            self._hold(job)
             if not job.admitted and not job.ended:
                 self._waiting.setdefault(job.spec.team, {})[job.job_id] = None
             changes.extend((share.changed_at, job.job_id, share.group) for share in job.shares)
@@ -336,11 +343,13 @@
 
 
 def _holding(job):
-    """Return (tasks that count against the quota, [(group, tasks not placed yet), ...])."""
-    ended = sum(min(ended_tasks(share), share.tasks) for share in job.shares)
-    held = job.spec.tasks if job.spec.kind == JobSpec.GANG else job.spec.tasks - ended
-    demand = []
+    """Return (tasks that count against the quota, {group: tasks not placed yet})."""
+    total_ended = 0
+    demand_by_group = {}
     for share in job.shares:
-        placed = ended_tasks(share) + share.progress.running
-        demand.append((share.group, max(0, share.tasks - placed)))
-    return held, demand
+        ended = ended_tasks(share)
+        total_ended += min(ended, share.tasks)
+        demand_by_group[share.group] = max(0, share.tasks - ended - share.progress.running)
+    if job.spec.kind == JobSpec.GANG:
+        return job.spec.tasks, demand_by_group
+    return job.spec.tasks - total_ended, demand_by_group
