Add the owner of a domain group

Cause: nobody placed tasks, answered workers, or followed the cell for a domain group. Change: Owner builds a Tenure from the committed state when leadership begins and drops it when it ends.

--- /dev/null
+++ b/siskintally/dispatcher.py
@@ -0,0 +1,102 @@
+"""The loop that places tasks, commits the assignments, and then sends the start orders.
+
+>>> from siskintally.dispatcher import PASS_S
+>>> PASS_S
+0.05
+"""
+
+from anyio import Event, move_on_after, sleep
+
+from siskintally.domain_job import job_id_of
+from siskintally.domain_state_pb2 import AssignmentRecord, DomainBatch
+from siskintally.log import get_logger
+
+# Passes this far apart let tasks that arrive together share one commit.
+PASS_S = 0.05
+# Reservations and workers set aside become due without any event.
+IDLE_PASS_S = 1.0
+
+log = get_logger("dispatcher")
+
+
+class Dispatcher:
+    """Places the waiting tasks of a tenure.
+
+    :param tenure: :class:`~siskintally.tenure.Tenure`.
+    """
+
+    __slots__ = ("_metrics", "_tenure")
+
+    def __init__(self, *, tenure, metrics):
+        self._tenure = tenure
+        self._metrics = metrics
+
+    async def run(self):
+        """Place tasks until cancelled.
+
+        :raises NotLeaderError: leadership has ended.
+        :raises OutcomeUnknownError: as above, during a commit.
+        """
+        tenure = self._tenure
+        while True:
+            with move_on_after(IDLE_PASS_S):
+                await tenure.wake.wait()
+            if tenure.wake.is_set() and not tenure.urgent:
+                await sleep(PASS_S)
+            tenure.wake = Event()
+            tenure.urgent = False
+            await self.step()
+
+    async def step(self):
+        """Make one pass."""
+        tenure = self._tenure
+        started = tenure.clock()
+        decision = tenure.placement.decide(now=started)
+        if decision.assignments:
+            await self._assign(decision.assignments)
+        tenure.stop_tasks(decision.stops, checkpoint=True)
+        tenure.push()
+        if decision.assignments:
+            self._metrics.count("placements", len(decision.assignments))
+            self._metrics.timing("placement_pass", tenure.clock() - started)
+            tenure.rouse()
+
+    async def _assign(self, assignments):
+        tenure = self._tenure
+        records, records_by_task = [], {}
+        for found in assignments:
+            record = self._record(found)
+            if record is not None:
+                records.append(record)
+            records_by_task[found.task_id] = record
+        reply = await tenure.commit(batch=DomainBatch(assigned=records))
+        refused = set(reply.refused)
+        refused.update(task for task, record in records_by_task.items() if record is None)
+        for found in assignments:
+            if found.task_id in refused:
+                self._give_back(found.task_id)
+            else:
+                tenure.start_task(found.task_id)
+
+    def _record(self, found):
+        domain = self._tenure.domain
+        task, worker = domain.task(found.task_id), domain.worker_by_name.get(found.worker)
+        if task is None or worker is None:
+            return None
+        return AssignmentRecord(
+            task_id=found.task_id,
+            attempt=task.attempt + 1,
+            worker=found.worker,
+            session=worker.record.session,
+        )
+
+    def _give_back(self, task_id):
+        """Undo a decision that the domain refused because its worker or job had changed."""
+        tenure = self._tenure
+        log.info("assignment refused", task=task_id)
+        tenure.placement.pool.release(task_id)
+        task, job_id = tenure.domain.task(task_id), job_id_of(task_id)
+        job = tenure.placement.job_by_id.get(job_id)
+        if job is not None and task is not None and not task.worker and task_id not in job.waiting:
+            tenure.placement.requeue(job_id, task_id)
+        tenure.rouse()
--- a/siskintally/lease.py
+++ b/siskintally/lease.py
@@ -48,7 +48,7 @@
         self._contact_by_worker = {}
 
     def watch(self, worker):
-        """Add a worker that the committed state names."""
+        """Add a worker that the committed state names; an earlier owner may have renewed it."""
         self._contact_by_worker.setdefault(worker, _Contact(since=self.elected_at))
 
     def arrived(self, worker, seq, *, now):
@@ -56,7 +56,8 @@
 
         :param seq: number of the heartbeat in its session.
         """
-        self.watch(worker)
+        if worker not in self._contact_by_worker:
+            self._contact_by_worker[worker] = _Contact(since=max(now, self.elected_at))
         self._contact_by_worker[worker].arrival_by_seq.setdefault(seq, now)
 
     def acknowledged(self, worker, seq):
--- /dev/null
+++ b/siskintally/orders.py
@@ -0,0 +1,95 @@
+"""Start and stop orders that a worker has not confirmed yet; pure.
+
+>>> from siskintally.orders import Orders
+>>> from siskintally.wire_pb2 import StopOrder
+>>> orders = Orders()
+>>> orders.stop("w1", StopOrder(task_id="j/g.0", attempt=1))
+>>> [stop.task_id for stop in orders.due("w1", now=0.0).stops]
+['j/g.0']
+>>> orders.due("w1", now=1.0).is_empty
+True
+"""
+
+# An order without an effect for this long is sent again with the next answer to a heartbeat.
+RESEND_S = 3.0
+
+
+class Due:
+    """Orders to send now.
+
+    :param starts: StartOrder messages.
+    :param stops: StopOrder messages.
+    """
+
+    __slots__ = ("starts", "stops")
+
+    def __init__(self, *, starts, stops):
+        self.starts = starts
+        self.stops = stops
+
+    @property
+    def is_empty(self):
+        """Whether there is nothing to send."""
+        return not self.starts and not self.stops
+
+
+class _Order:
+    __slots__ = ("message", "sent_at")
+
+    def __init__(self, *, message):
+        self.message = message
+        self.sent_at = None
+
+
+class Orders:
+    """Pending orders by worker."""
+
+    __slots__ = ("_starts_by_worker", "_stops_by_worker")
+
+    def __init__(self):
+        self._starts_by_worker = {}
+        self._stops_by_worker = {}
+
+    def start(self, worker, message):
+        """Add a start whose assignment is committed."""
+        starts = self._starts_by_worker.setdefault(worker, {})
+        starts[message.task_id, message.attempt] = _Order(message=message)
+
+    def stop(self, worker, message):
+        """Add a stop; an unsent start stays, so that the worker reports the end."""
+        stops = self._stops_by_worker.setdefault(worker, {})
+        stops.setdefault((message.task_id, message.attempt), _Order(message=message))
+
+    def running(self, worker, task_id, attempt):
+        """Note that a worker has confirmed a start."""
+        self._starts_by_worker.get(worker, {}).pop((task_id, attempt), None)
+
+    def ended(self, worker, task_id, attempt):
+        """Note that an attempt has ended."""
+        self._starts_by_worker.get(worker, {}).pop((task_id, attempt), None)
+        self._stops_by_worker.get(worker, {}).pop((task_id, attempt), None)
+
+    def forget(self, worker):
+        """Drop all orders of a worker that is lost."""
+        self._starts_by_worker.pop(worker, None)
+        self._stops_by_worker.pop(worker, None)
+
+    def resend(self, worker):
+        """Make all orders of a worker due, after its link was opened again."""
+        for orders in (self._starts_by_worker, self._stops_by_worker):
+            for order in orders.get(worker, {}).values():
+                order.sent_at = None
+
+    def due(self, worker, *, now):
+        """Return the orders that were not sent, or long ago, and count them as sent."""
+        return Due(
+            starts=list(_take(self._starts_by_worker.get(worker, {}), now)),
+            stops=list(_take(self._stops_by_worker.get(worker, {}), now)),
+        )
+
+
+def _take(orders, now):
+    for order in orders.values():
+        if order.sent_at is None or now - order.sent_at >= RESEND_S:
+            order.sent_at = now
+            yield order.message
--- /dev/null
+++ b/siskintally/tenure.py
@@ -0,0 +1,234 @@
+"""What an owner knows in one term of leadership: placement, leases, links, pending orders.
+
+>>> from siskintally.tenure import Tenure
+>>> Tenure.__name__
+'Tenure'
+"""
+
+from time import time
+
+from anyio import Event
+
+from siskintally.domain_job import job_id_of
+from siskintally.domain_state_pb2 import AttemptEnd, DomainCommand, DomainReply
+from siskintally.errors import NotLeaderError
+from siskintally.lease import LeaseTable
+from siskintally.orders import Orders
+from siskintally.placement import Placement
+from siskintally.shared_confirm import SharedConfirm
+from siskintally.wire_pb2 import StartOrder, StopOrder, WorkerOrders
+from siskintally.workload import Job, Kind, Urgency
+
+LEASE_S = 30.0
+# Heartbeats are not urgent; rounds of this distance keep the share of the control budget small.
+CONFIRM_WINDOW_S = 0.25
+
+
+class Tenure:
+    """State of the owner in one term, built from the committed state; gone with the leadership.
+
+    :param group: :class:`~siskintally.group.Group` that this process leads.
+    :param domain: its :class:`~siskintally.domain.Domain`.
+    :param clock: monotonic seconds.
+    """
+
+    __slots__ = (
+        "clock",
+        "dirty",
+        "domain",
+        "group",
+        "is_over",
+        "leases",
+        "link_by_worker",
+        "losing",
+        "orders",
+        "placement",
+        "review_due",
+        "shared_confirm",
+        "since",
+        "term",
+        "unsent",
+        "urgent",
+        "wake",
+    )
+
+    def __init__(self, *, group, domain, clock, lease_s=LEASE_S, window_s=CONFIRM_WINDOW_S):
+        self.group = group
+        self.domain = domain
+        self.clock = clock
+        self.term = group.term
+        self.since = clock()
+        self.is_over = False
+        self.placement = Placement()
+        self.leases = LeaseTable(lease_s=lease_s, elected_at=self.since)
+        self.orders = Orders()
+        self.shared_confirm = SharedConfirm(confirm=group.confirm, window_s=window_s)
+        self.link_by_worker = {}
+        self.losing = set()
+        self.dirty = set()
+        self.review_due = False
+        self.urgent = False
+        self.unsent = set()
+        self.wake = Event()
+        self._build()
+
+    def _build(self):
+        for name, worker in self.domain.worker_by_name.items():
+            self.add_worker(name, worker, connected=False)
+            self.leases.watch(name)
+        for job_id, job in self.domain.job_by_id.items():
+            if not job.is_over:
+                self._add_job(job)
+                self.dirty.add(job_id)
+        self.rouse()
+
+    def add_worker(self, name, worker, *, connected):
+        """Offer a committed worker to placement."""
+        record = worker.record
+        self.placement.add_worker(
+            name, domain=record.domain, rack=record.rack, capacity=worker.capacity
+        )
+        self.placement.connect_worker(name, connected=connected)
+        drain = self.domain.drain_by_key.get(("worker", name))
+        self.placement.drain_worker(name, draining=drain is not None)
+        self.review_due = True
+
+    def _add_job(self, job):
+        age = max(0.0, self.domain.now - job.accepted_at)
+        waiting = [task.task_id for task in job.waiting()]
+        added = Job.of(job.item.job_id, job.item.spec, tasks=waiting, submitted=self.clock() - age)
+        self.placement.submit(added)
+        for task in job.task_by_id.values():
+            if task.worker:
+                self.placement.restore(job.item.job_id, task.task_id, task.worker)
+        if job.item.cancelled:
+            self.stop_tasks(self.placement.cancel(job.item.job_id))
+
+    def rouse(self, *, urgent=False):
+        """Have waiting tasks looked at soon, or at once."""
+        self.urgent = self.urgent or urgent
+        self.wake.set()
+
+    async def commit(self, **change):
+        """Commit one change of a DomainCommand and act on the attempts that it ended.
+
+        :returns: DomainReply.
+        :raises NotLeaderError: nothing was proposed.
+        :raises OutcomeUnknownError: leadership was lost; the tenure must not go on.
+        """
+        self.check()
+        command = DomainCommand(at=time(), **change)
+        reply = DomainReply.FromString(await self.group.propose(command.SerializeToString()))
+        if reply.ended:
+            batch = change["batch"]
+            cause_by_task = {end.task_id: end.cause for end in batch.ended}
+            for task_id in reply.ended:
+                self._ended(task_id, cause_by_task.get(task_id, AttemptEnd.LOST))
+            self.rouse()
+        return reply
+
+    def check(self):
+        """Refuse to act after the leadership has ended.
+
+        :raises NotLeaderError: it has.
+        """
+        if self.is_over or not self.group.is_leader or self.group.term != self.term:
+            raise NotLeaderError("not the owner any more", leader=self.group.leader or "")
+
+    def _ended(self, task_id, cause):
+        job_id = job_id_of(task_id)
+        self.dirty.add(job_id)
+        held = self.placement.pool.held_by_task.get(task_id)
+        self.placement.ended(
+            task_id,
+            now=self.clock(),
+            failed=cause == AttemptEnd.FAILED,
+            succeeded=cause == AttemptEnd.SUCCEEDED,
+        )
+        job = self.placement.job_by_id.get(job_id)
+        if job is None:
+            return
+        if held is not None and cause == AttemptEnd.FAILED:
+            job.avoid.add(held.worker.name)
+        task = self.domain.task(task_id)
+        if task is not None and not task.worker:
+            self.placement.requeue(job_id, task_id)
+        if job.kind == Kind.GANG and cause != AttemptEnd.SUCCEEDED:
+            self.stop_tasks(job.running)
+        if self.domain.job_by_id[job_id].is_over:
+            self.placement.forget(job_id)
+
+    def stop_tasks(self, task_ids, *, checkpoint=False):
+        """Order the stop of tasks; their resources stay allocated until the end is reported."""
+        for task_id in list(task_ids):
+            task = self.domain.task(task_id)
+            if task is None or not task.worker:
+                continue
+            if task_id in self.placement.pool.held_by_task:
+                self.placement.pool.stop(task_id)
+            stop = StopOrder(task_id=task_id, attempt=task.attempt, checkpoint=checkpoint)
+            self.orders.stop(task.worker, stop)
+            self.unsent.add(task.worker)
+
+    def start_task(self, task_id):
+        """Order the start of a task, unless its committed assignment has ended meanwhile."""
+        task = self.domain.task(task_id)
+        if task is None or not task.worker:
+            return
+        spec = self.domain.job_by_id[job_id_of(task_id)].item.spec
+        start = StartOrder(
+            task_id=task_id,
+            attempt=task.attempt,
+            each=spec.each,
+            run_s=spec.run_s,
+            command=spec.command,
+        )
+        self.orders.start(task.worker, start)
+        self.dirty.add(job_id_of(task_id))
+        self.unsent.add(task.worker)
+
+    def orders_for(self, worker, session):
+        """Return the WorkerOrders with all due orders of a worker."""
+        due = self.orders.due(worker, now=self.clock())
+        return WorkerOrders(
+            session=session,
+            seq=self.leases.seq(worker),
+            lease_s=self.leases.lease_s,
+            term=self.term,
+            start=due.starts,
+            stop=due.stops,
+        )
+
+    def push(self):
+        """Send new orders between heartbeats; what cannot be sent goes with the next answer."""
+        self.check()
+        names, self.unsent = self.unsent, set()
+        for name in sorted(names):
+            link = self.link_by_worker.get(name)
+            worker = self.domain.worker_by_name.get(name)
+            if link is None or worker is None or not self.leases.seq(name):
+                continue
+            message = self.orders_for(name, worker.record.session)
+            if (message.start or message.stop) and not link.send(message):
+                self.orders.resend(name)
+
+    def follow(self, job_id):
+        """Bring placement up to date with a committed JobItem."""
+        job = self.domain.job_by_id.get(job_id)
+        if job is None:
+            return
+        self.dirty.add(job_id)
+        known = self.placement.job_by_id.get(job_id)
+        if job.item.cancelled:
+            self.stop_tasks(self.placement.cancel(job_id))
+            if job.is_over:
+                self.placement.forget(job_id)
+            return
+        if known is not None:
+            self.placement.set_waiting(job_id, [task.task_id for task in job.waiting()])
+        elif not job.is_over:
+            self._add_job(job)
+        if job.is_over:
+            self.placement.forget(job_id)
+        else:
+            self.rouse(urgent=self.placement.job_by_id[job_id].urgency == Urgency.URGENT)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -21,6 +21,7 @@
 def test_an_unacknowledged_heartbeat_does_not_count():
     """Guards against a worker kept alive by heartbeats without a quorum round."""
     owner = LeaseTable(lease_s=LEASE_S, elected_at=0.0)
+    owner.watch("w")
     owner.arrived("w", 1, now=20.0)
     assert owner.lost(31.7) == ["w"]
 
