--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -174,6 +174,18 @@
     assert driver.change(CancelJobs(job_ids=["no-such"]))[0] == Code.NOT_FOUND
 
 
+def test_job_cancelled_before_its_domain_knew_it_ends(driver):
+    """Guards against a cancelled job that holds quota for ever."""
+    _, answer = driver.submit(tasks=5, domain="fjeld-a")
+    driver.change(CancelJobs(job_ids=[answer["job"]]))
+    job = driver.cell.jobs.by_id[answer["job"]]
+    driver.report("fjeld-a", job.job_id, waiting=4, running=1)
+    assert job_state(job) == "cancelling"
+    driver.report("fjeld-a", job.job_id)
+    assert (job.ended, job_state(job)) == (True, "cancelled")
+    assert driver.cell.jobs.quota_use.used("ski").cpu_milli == 0
+
+
 def test_changes_since_an_index_are_complete(driver):
     """Guards against a domain that misses a configuration, a job, or a drain."""
     start = driver.index
@@ -226,6 +238,13 @@
     assert replica.snapshot() == driver.cell.snapshot() == restored.snapshot()
 
 
+def test_empty_snapshot_is_the_empty_state():
+    """Guards against a founded group whose chain does not start as a new one does."""
+    cell = Cell()
+    cell.restore(b"")
+    assert cell.snapshot() == Cell().snapshot()
+
+
 @settings(max_examples=300, deadline=None)
 @given(data=st.binary(max_size=200), at=st.floats(), request_id=st.text(max_size=5))
 def test_malformed_commands_give_a_code_and_change_nothing(data, at, request_id):
