--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -2,6 +2,7 @@
 
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import State as CellState
+from siskintally.lease import LeaseTable
 from siskintally.ledger import RUNNING, Ledger, _key_print, _tombstone_print
 from siskintally.ledger_state_pb2 import LedgerState
 from siskintally.membership import quorum
@@ -98,3 +99,26 @@
         state = CellState.FromString(super().snapshot())
         del state.replies[:]
         return state.SerializeToString(deterministic=True)
+
+
+class HastyLeaseTable(LeaseTable):
+    """Counts a worker as lost after the bare lease, without room for the drift of clocks."""
+
+    __slots__ = ()
+
+    def lost_at(self, worker):
+        """Return the end of the lease by the clock of the owner."""
+        return self._contact_by_worker[worker].acknowledged_at + self.lease_s
+
+
+class FreshLeaseTable(LeaseTable):
+    """Ignores that an earlier owner may have renewed the lease until the election."""
+
+    __slots__ = ()
+
+    def lost_at(self, worker):
+        """Return a time that does not wait for leases of an earlier owner."""
+        contact = self._contact_by_worker[worker]
+        if self.elected_at and contact.acknowledged_at == self.elected_at:
+            return self.elected_at
+        return super().lost_at(worker)
--- /dev/null
+++ b/tests/model/ownership.py
@@ -0,0 +1,229 @@
+"""Specification of worker leases: a task on worker w1 that owners may move to worker w2.
+
+The lease table and the lease holder are the real ones. Owners and w1 take steps at any time or not
+at all, which covers pauses; links keep the order of messages and may delay them without bound. Two
+properties of consensus that ``consensus.py`` checks are assumed: a deposed owner commits nothing,
+and a round that began after the election of a newer owner is never confirmed. A worker stops its
+tasks at the moment its lease ends by its own clock. Worker w2 starts the task at the moment the
+loss of w1 is committed and runs it for ever: this overlaps with w1 whenever a later start would.
+"""
+
+from copy import deepcopy
+from sys import intern
+from typing import NamedTuple
+
+from siskintally.lease import LeaseHolder, LeaseTable
+from tests.model.search import Spec, Table
+
+LEASE_S = 100.0
+STEP_S = 40.0
+WORKER = "w1"
+ATTEMPT = 1
+
+
+class Budget(NamedTuple):
+    """How many steps of each kind may still be taken."""
+
+    beat: int
+    connect: int
+    elect: int
+    wait: int
+
+
+class Owner(NamedTuple):
+    """Number of the lease table, and the heartbeats whose rounds can succeed."""
+
+    table: int
+    rounds: frozenset = frozenset()
+
+
+class State(NamedTuple):
+    """Global time, clock rates of worker and owners, and everybody's state.
+
+    ``holder``: number of the lease holder. ``link``: term of the owner that w1 is linked to.
+    ``beats``, ``orders``: messages on that link, oldest first. ``started``: whether w1 knows the
+    attempt. ``moved``: term of the owner that committed the loss of w1, or 0.
+    """
+
+    now: float
+    rates: tuple
+    budget: Budget
+    owners: tuple
+    holder: int
+    link: int = 1
+    beats: tuple = ()
+    orders: tuple = ()
+    started: bool = False
+    running: bool = False
+    moved: int = 0
+
+
+class OwnershipSpec(Spec):
+    """One task, one lease, owners of successive terms.
+
+    :param table_class: a mutant in tests.
+    :param trust_all_rounds: mutant; heartbeats are acknowledged without a quorum.
+    :param trust_all_terms: mutant; w1 takes orders of owners that were replaced.
+    :param rates: (worker, owner) clock rates.
+    """
+
+    __slots__ = ("_budget", "_holders", "_memo", "_rates", "_table_class", "_tables")
+    __slots__ += ("_trust_all_rounds", "_trust_all_terms")
+
+    def __init__(
+        self,
+        *,
+        name,
+        budget,
+        rates=((0.995, 1.005), (1.005, 0.995)),
+        table_class=LeaseTable,
+        trust_all_rounds=False,
+        trust_all_terms=False,
+    ):
+        bounds = ", ".join(f"{key} {value}" for key, value in budget._asdict().items())
+        super().__init__(name=name, bounds=f"1 task, clock rates {rates}, {bounds}")
+        self._budget = budget
+        self._rates = rates
+        self._table_class = table_class
+        self._trust_all_rounds = trust_all_rounds
+        self._trust_all_terms = trust_all_terms
+        self._tables = Table()
+        self._holders = Table()
+        self._memo = {}
+
+    def initial(self):
+        """Return w1 with a fresh lease of the first owner, before and after the start."""
+        table = self._new_table(0.0)
+        holder = LeaseHolder(lease_s=LEASE_S)
+        seq = holder.beat(now=0.0)
+        holder.acknowledged(seq, term=1)
+        table.arrived(WORKER, seq, now=0.0)
+        table.acknowledged(WORKER, seq)
+        held = self._holders.put(holder.key(), holder)
+        owners = (Owner(self._tables.put(table.key(), table)),)
+        for rates in self._rates:
+            for started in (False, True):
+                first = State(0.0, rates, self._budget, owners, held)
+                yield first._replace(started=started, running=started)
+
+    def _new_table(self, now):
+        table = self._table_class(lease_s=LEASE_S, elected_at=now)
+        table.watch(WORKER)
+        return table
+
+    def fault(self, state):
+        """Report two running copies."""
+        return "w1 runs the task while w2 runs it" if state.running and state.moved else ""
+
+    def steps(self, state):
+        """Yield steps of w1 and the owners, elections, and the passing of time."""
+        yield from self._worker_steps(state)
+        for term in range(1, len(state.owners) + 1):
+            yield from self._owner_steps(state, term)
+        if state.budget.elect:
+            table = self._new_table(_owner_time(state))
+            owners = (*state.owners, Owner(self._tables.put(table.key(), table)))
+            yield f"owner {len(owners)} is elected", _spend(state, "elect")._replace(owners=owners)
+        if state.budget.wait:
+            for until in sorted(self._instants(state)):
+                yield intern(f"time passes to {until:.1f} s"), self._wait(state, until)
+
+    def _worker_steps(self, state):
+        if state.budget.beat:
+            holder, seq = self._hold(state.holder, "beat", now=_worker_time(state))
+            sent = _spend(state, "beat")._replace(holder=holder, beats=(*state.beats, seq))
+            yield intern(f"w1 sends heartbeat {seq}"), sent
+        if state.budget.connect:
+            holder, _ = self._hold(state.holder, "reset")
+            lost = _spend(state, "connect")._replace(holder=holder, beats=(), orders=())
+            for term in range(1, len(state.owners) + 1):
+                yield f"w1 connects to owner {term}", lost._replace(link=term)
+        if state.orders:
+            kind, seq = state.orders[0]
+            taken = state._replace(orders=state.orders[1:])
+            yield intern(f"w1 receives {kind} {seq}"), self._take_order(taken, kind, seq)
+
+    def _take_order(self, state, kind, seq):
+        if kind == "answer":
+            term = 1 if self._trust_all_terms else state.link
+            holder, _ = self._hold(state.holder, "acknowledged", seq, term=term)
+            return state._replace(holder=holder)
+        holder = self._holders[state.holder]
+        if state.started or state.link < holder.term or holder.is_expired(_worker_time(state)):
+            return state
+        return state._replace(started=True, running=True)
+
+    def _owner_steps(self, state, term):
+        owner = state.owners[term - 1]
+        is_newest = term == len(state.owners)
+        if state.beats and state.link == term:
+            seq = state.beats[0]
+            now = _owner_time(state)
+            table, _ = self._keep(owner.table, "arrived", WORKER, seq, now=now)
+            succeeds = is_newest or self._trust_all_rounds
+            after = Owner(table, owner.rounds | ({seq} if succeeds else set()))
+            label = intern(f"owner {term} receives heartbeat {seq}")
+            yield label, _set_owner(state._replace(beats=state.beats[1:]), term, after)
+        for seq in owner.rounds:
+            table, known = self._keep(owner.table, "acknowledged", WORKER, seq)
+            after = _set_owner(state, term, Owner(table, owner.rounds - {seq}))
+            if known and state.link == term:
+                after = after._replace(orders=(*state.orders, ("answer", seq)))
+            yield intern(f"owner {term} answers heartbeat {seq}"), after
+        yield from self._order_steps(state, term)
+        is_lost = self._tables[owner.table].lost_at(WORKER) <= _owner_time(state)
+        if is_newest and is_lost and not state.moved:
+            yield f"owner {term} commits the loss of w1", state._replace(moved=term)
+
+    def _order_steps(self, state, term):
+        # An owner that is replaced before the loss is committed never learns of it.
+        believes = not state.moved or term < state.moved
+        is_sent = state.started or ("start", ATTEMPT) in state.orders
+        if state.link == term and believes and not is_sent:
+            orders = (*state.orders, ("start", ATTEMPT))
+            yield f"owner {term} sends the start order", state._replace(orders=orders)
+
+    def _instants(self, state):
+        """Return the next instants at which something can change."""
+        yield round(state.now + STEP_S, 6)
+        for owner in state.owners:
+            at = round(self._tables[owner.table].lost_at(WORKER) / state.rates[1] + 1e-6, 6)
+            if at > state.now:
+                yield at
+
+    def _wait(self, state, until):
+        state = _spend(state, "wait")._replace(now=until)
+        expired = self._holders[state.holder].is_expired(_worker_time(state))
+        return state._replace(running=state.running and not expired)
+
+    def _hold(self, number, method, *arguments, **options):
+        return self._call(self._holders, number, method, arguments, options)
+
+    def _keep(self, number, method, *arguments, **options):
+        return self._call(self._tables, number, method, arguments, options)
+
+    def _call(self, table, number, method, arguments, options):
+        """Call a method on a copy and return the number of the new state and the result."""
+        memo = (id(table), number, method, arguments, tuple(options.items()))
+        if memo not in self._memo:
+            copy = deepcopy(table[number])
+            result = getattr(copy, method)(*arguments, **options)
+            self._memo[memo] = (table.put(copy.key(), copy), result)
+        return self._memo[memo]
+
+
+def _spend(state, kind):
+    budget = state.budget
+    return state._replace(budget=budget._replace(**{kind: getattr(budget, kind) - 1}))
+
+
+def _set_owner(state, term, owner):
+    return state._replace(owners=(*state.owners[: term - 1], owner, *state.owners[term:]))
+
+
+def _worker_time(state):
+    return round(state.now * state.rates[0], 6)
+
+
+def _owner_time(state):
+    return round(state.now * state.rates[1], 6)
--- a/tests/model/registry.py
+++ b/tests/model/registry.py
@@ -7,12 +7,16 @@
     AmnesicLedger,
     ForgetfulCell,
     ForgetfulLedger,
+    FreshLeaseTable,
     GenerousLedger,
+    HastyLeaseTable,
     LearnerCountingReplica,
     LenientCell,
     StaleRoundReplica,
     TrustingLedger,
 )
+from tests.model.ownership import Budget as LeaseBudget
+from tests.model.ownership import OwnershipSpec
 
 
 class Mutant:
@@ -49,6 +53,10 @@
     yield LedgerSpec(name="ledger-conflict", attempts=2, repeats=1, resends=1, conflict=True)
     yield LedgerSpec(name="ledger", attempts=3, repeats=0, resends=0)
     yield ConfigSpec(name="config", repeats=1, feeds=2, polls=2, restarts=1)
+    yield OwnershipSpec(name="lease", budget=LeaseBudget(beat=2, connect=1, elect=1, wait=2))
+    yield OwnershipSpec(
+        name="lease-reconnect", budget=LeaseBudget(beat=1, connect=2, elect=1, wait=2)
+    )
 
 
 def large_specs():
@@ -65,6 +73,10 @@
     yield Consensus(name="three-elections", budget=Budget(elect=3))
     yield Consensus(name="reads-large", budget=Budget(elect=1, read=2, repeat=1), led=True)
     yield LedgerSpec(name="ledger-large", attempts=3, repeats=1, resends=0)
+    yield OwnershipSpec(name="lease-large", budget=LeaseBudget(beat=2, connect=1, elect=1, wait=3))
+    yield OwnershipSpec(
+        name="lease-three-owners", budget=LeaseBudget(beat=1, connect=2, elect=2, wait=2)
+    )
     yield ConfigSpec(name="config-large", repeats=2, feeds=3, polls=3, restarts=1, entries=2)
 
 
@@ -102,6 +114,7 @@
         ),
     )
     yield from ledger_mutants()
+    yield from lease_mutants()
     for name, cell_class in {
         "accept an equal version twice": LenientCell,
         "drop the stored responses of operators at a snapshot": ForgetfulCell,
@@ -114,6 +127,25 @@
         )
 
 
+def lease_mutants():
+    """Yield the seeded faults of leases."""
+    budget = LeaseBudget(beat=1, connect=2, elect=1, wait=2)
+    for name, fault in {
+        "grant before the old lease has ended: no room for clock drift": {
+            "table_class": HastyLeaseTable
+        },
+        "grant before the old lease has ended: leases of the earlier owner ignored": {
+            "table_class": FreshLeaseTable
+        },
+        "acknowledge a heartbeat without a quorum round": {"trust_all_rounds": True},
+        "take orders of an owner of a lower term": {"trust_all_terms": True},
+    }.items():
+        yield Mutant(
+            name=name,
+            build=lambda fault=fault: OwnershipSpec(name="lease", budget=budget, **fault),
+        )
+
+
 def ledger_mutants():
     """Yield the seeded faults of the ledger."""
     named = {
