--- a/tests/model/consensus.py
+++ b/tests/model/consensus.py
@@ -32,6 +32,7 @@
     wipe: int = 0
     repeat: int = 0
     read: int = 0
+    lazy: int = 0
     beat: int = 0
     compact: int = 0
     change: int = 0
@@ -186,7 +187,7 @@
         if budget.compact and replica.commit > replica.log.snapshot.index:
             yield "compact"
         if replica.is_leader:
-            leading = ("propose", "read", "beat", "change")
+            leading = ("propose", "read", "lazy", "beat", "change")
             yield from (action for action in leading if getattr(budget, action))
         elif budget.elect and at in self._candidates and replica.identity in replica.voters:
             yield "elect"
@@ -269,8 +270,8 @@
             return self._elect(replica)
         if action == "propose":
             return replica.propose(b"%d" % extra, NOW)
-        if action == "read":
-            return replica.confirm(NOW)
+        if action in ("read", "lazy"):
+            return replica.confirm(NOW, urgent=action == "read")
         if action == "compact":
             return replica.compact(replica.commit, repr(node.applied).encode())
         if action == "beat":
--- a/tests/model/registry.py
+++ b/tests/model/registry.py
@@ -49,6 +49,7 @@
     yield Consensus(name="learner", budget=Budget(elect=1, propose=1), learner=True, led=True)
     yield Consensus(name="commands", budget=Budget(elect=1, propose=1, crash=1), led=True)
     yield Consensus(name="reads", budget=Budget(elect=1, read=1, crash=1), led=True)
+    yield Consensus(name="reads-lazy", budget=Budget(elect=1, lazy=1, beat=1), led=True)
     yield LedgerSpec(name="ledger-repeat", attempts=2, repeats=1, resends=1)
     yield LedgerSpec(name="ledger-conflict", attempts=2, repeats=1, resends=1, conflict=True)
     yield LedgerSpec(name="ledger", attempts=3, repeats=0, resends=0)
