Let the keeper of a link sleep until there is something to check

Cause: every link woke twice a second to look at its clocks; an idle entry of the sample cell has 14 links, and 27 of its 40 wake-ups a second came from there (cProfile, 21 s).

Change: the keeper sleeps until the next ping or the end of the silence limit, and the first pending call wakes it. bench/roles.py measures a running cell; a test guards the closing of a silent connection while a call waits.

--- /dev/null
+++ b/bench/roles.py
@@ -0,0 +1,53 @@
+"""Processor time and memory of the processes of a running cell.
+
+Usage: python -m bench.roles RUN_FOLDER [seconds]
+
+RUN_FOLDER holds the ``<process>.pid`` files that scripts/cell.sh writes.
+"""
+
+import json
+from pathlib import Path
+from sys import argv
+from time import sleep
+
+from bench.meter import process_cpu_seconds, resident_mb
+
+DEFAULT_SECONDS = 20.0
+CPU_BUDGET = 0.012
+MEMORY_BUDGET_MB = 256.0
+
+
+def sample(pids):
+    """Return ``{name: cpu seconds}``."""
+    return {name: process_cpu_seconds(pid) for name, pid in pids.items()}
+
+
+def main():
+    """Print a row for each process and the means of each role."""
+    folder = Path(argv[1])
+    seconds = float(argv[2]) if len(argv) > 2 else DEFAULT_SECONDS
+    pids = {path.stem: int(path.read_text()) for path in sorted(folder.glob("*.pid"))}
+    pids = {name: pid for name, pid in pids.items() if Path(f"/proc/{pid}").exists()}
+    before = sample(pids)
+    sleep(seconds)
+    after = sample(pids)
+    rows = {}
+    print(f"{'process':24} {'core %':>8} {'MB':>6}")
+    for name, pid in pids.items():
+        core = (after[name] - before[name]) / seconds
+        rows[name] = {"core": core, "mb": resident_mb(pid)}
+        print(f"{name:24} {core * 100:8.2f} {rows[name]['mb']:6.0f}")
+    for role in ("store", "entry"):
+        chosen = [row for name, row in rows.items() if f"-{role}-" in name]
+        if chosen:
+            core = max(row["core"] for row in chosen)
+            memory = max(row["mb"] for row in chosen)
+            print(
+                f"{role}: most {core * 100:.2f}% of a core, {core / CPU_BUDGET:.2f} of the budget; "
+                f"{memory:.0f} MB, {memory / MEMORY_BUDGET_MB:.2f} of the budget"
+            )
+    print(json.dumps(rows))
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -7,7 +7,7 @@
 action=${1:-start}
 settings=${2:-samples/fjeldrute.toml}
 python=.venv/bin/python
-endpoint_port=7301
+endpoint_port=7401
 
 rows() { # role name domain address, one process a line
   "$python" - "$settings" <<'PY'
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -124,6 +124,7 @@
         "_scope",
         "_stream",
         "_tasks",
+        "_wake",
         "closed",
         "peer",
     )
@@ -140,6 +141,7 @@
         self._last_ping = 0.0
         self._scope = None
         self._tasks = None
+        self._wake = Event()
 
     async def call(self, body, *, timeout):
         """Send a message and wait for its reply.
@@ -152,6 +154,8 @@
         call_id = self._next_id
         self._next_id += 1
         pending = _Pending(frame=wrap(body, call_id=call_id))
+        if not self._pending_by_id:
+            self._wake.set()
         self._pending_by_id[call_id] = pending
         try:
             self._put(pending)
@@ -292,16 +296,23 @@
         return pending.frame
 
     async def _keep(self):
+        """Ping a quiet link and close a silent one; sleeps until there is something to check."""
         while True:
-            await sleep(KEEPER_STEP_S)
             now = monotonic()
-            silent = now - self._last_heard
-            if self._last_ping > self._last_heard and now - self._last_ping > SILENCE_S:
-                log.info("link silent", peer=self.peer.name, seconds=round(silent, 1))
-                self.close()
-            elif silent > self._ping_after() and self._last_ping <= self._last_heard:
-                self._last_ping = now
-                self.send(Ping(sent_at=now))
+            if self._last_ping > self._last_heard:
+                due = self._last_ping + SILENCE_S
+                if now >= due:
+                    silent = round(now - self._last_heard, 1)
+                    log.info("link silent", peer=self.peer.name, seconds=silent)
+                    self.close()
+            else:
+                due = self._last_heard + self._ping_after()
+                if now >= due:
+                    self._last_ping = now
+                    self.send(Ping(sent_at=now))
+            self._wake = Event()
+            with move_on_after(max(due - now, KEEPER_STEP_S)):
+                await self._wake.wait()
 
     def _ping_after(self):
         return BUSY_PING_S if self._pending_by_id else IDLE_PING_S
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,14 +3,20 @@
 from socket import socket
 
 import pytest
-from anyio import create_task_group, fail_after, move_on_after, run
+from anyio import create_task_group, current_time, fail_after, move_on_after, run
 from trustme import CA
 
 from siskintally.codes import Code
-from siskintally.errors import RefusedError, UnreachableError, VersionConflictError
+from siskintally.errors import (
+    OutcomeUnknownError,
+    RefusedError,
+    UnreachableError,
+    VersionConflictError,
+)
 from siskintally.link import Handler, Link, LinkServer
 from siskintally.settings import Tls
 from siskintally.wire_pb2 import ConfigState, ConfigWatch, Done, Hello, JobReport
+from tests.forwarder import Forwarder
 
 SECRET = "0123456789abcdef"
 
@@ -134,3 +140,35 @@
         assert replies == {number: number + 1 for number in range(300)}
 
     with_link(check)
+
+
+def test_silent_connection_is_closed_and_opened_again_while_a_call_waits():
+    """Guards against a connection that something in between has forgotten."""
+
+    async def main():
+        server_port, port = free_port(), free_port()
+        hello = Hello(name="a", cell="demo", incarnation="1")
+        server = LinkServer(hello=hello, secret=SECRET, handler=Echo())
+        link = Link(host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=Echo())
+        forwarder = Forwarder(port=port, target=server_port)
+
+        async def serve():
+            await server.serve(host="127.0.0.1", port=server_port)
+
+        with fail_after(30):
+            async with create_task_group() as tasks:
+                tasks.start_soon(serve)
+                tasks.start_soon(forwarder.run)
+                tasks.start_soon(link.run)
+                await link.wait_open()
+                forwarder.silence()
+                started = current_time()
+                with pytest.raises(OutcomeUnknownError):
+                    await link.call(ConfigWatch(), timeout=20)
+                # The outcome is known to be lost long before the call's own deadline.
+                assert current_time() - started < 10
+                await link.wait_open()
+                assert (await link.call(ConfigWatch(known_version=1), timeout=10)).version == 2
+                tasks.cancel_scope.cancel()
+
+    run(main)
