--- /dev/null
+++ b/siskintally/commands_worker.py
@@ -0,0 +1,102 @@
+"""Command ``stub-worker``.
+
+>>> from siskintally.command import Registry
+>>> from siskintally.commands_worker import register
+>>> registry = Registry()
+>>> register(registry)
+>>> [command.name for command in registry]
+['stub-worker']
+"""
+
+from absl.flags import DEFINE_boolean, DEFINE_enum, DEFINE_float, DEFINE_integer, DEFINE_string
+
+from siskintally.command import Command
+from siskintally.daemon import serve_until_signal
+from siskintally.errors import BadSettingsError
+from siskintally.log import set_up
+from siskintally.settings import load
+from siskintally.stub_worker import StubWorker, StubWorkers, TaskRecorder, WorkerOptions
+from siskintally.wire_pb2 import Resources
+from siskintally.worker_state import Faults
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def register(registry):
+    """Add the commands of this family."""
+    registry.add(
+        Command(
+            name="stub-worker",
+            summary="Run workers whose tasks are timers and record what they ran (for tests).",
+            define=define_worker,
+            start=start_worker,
+        )
+    )
+
+
+def define_worker(values):
+    """Add the flags of ``stub-worker``."""
+    DEFINE_string("settings", None, "settings file of the cell (TOML)", flag_values=values)
+    DEFINE_string("name", "worker", "worker name; with --count, its prefix", flag_values=values)
+    DEFINE_string("domain", "jylland-a", "failure domain", flag_values=values)
+    DEFINE_string("rack", "r0", "rack; with --count, its prefix", flag_values=values)
+    DEFINE_integer("count", 1, "workers in this process", 1, 1000, flag_values=values)
+    DEFINE_integer("per_rack", 8, "workers in a rack", 1, 1000, flag_values=values)
+    DEFINE_integer("cpu_milli", 32_000, "processors, thousandths", 0, flag_values=values)
+    DEFINE_integer("memory_mb", 128_000, "memory, MB", 0, flag_values=values)
+    DEFINE_integer("accelerators", 0, "accelerators", 0, flag_values=values)
+    DEFINE_float("beat_s", 5.0, "time between heartbeats, s", 0.1, 10.0, flag_values=values)
+    DEFINE_boolean("fail", False, "fail every task", flag_values=values)
+    DEFINE_float("run_factor", 1.0, "true over declared run time", 0.0, 1e3, flag_values=values)
+    DEFINE_float("size_factor", 1.0, "true over declared size", 0.0, 1e3, flag_values=values)
+    DEFINE_float("pause_s", 0.0, "from receipt to start, s", 0.0, 1e3, flag_values=values)
+    DEFINE_string("record", "", "file that gets a JSON line per event", flag_values=values)
+    DEFINE_enum("log_level", "warning", LEVELS, "least level of log lines", flag_values=values)
+
+
+def start_worker(values, arguments):
+    """Run ``stub-worker``."""
+    if arguments:
+        raise BadSettingsError(f"arguments = {arguments}: expected only flags")
+    if not values.settings:
+        raise BadSettingsError("--settings: expected a file")
+    settings = load(values.settings)
+    set_up(process=values.name, level=values.log_level)
+    group = settings.group_of_domain(values.domain)
+    recorder = TaskRecorder(path=values.record)
+    tls = settings.tls(values.name)
+    workers = [
+        StubWorker(
+            options=options,
+            stores=[settings.process(member) for member in group.members],
+            cell=settings.cell,
+            secret=settings.secret,
+            recorder=recorder,
+            tls=tls,
+        )
+        for options in _options(values)
+    ]
+    stubs = StubWorkers(workers=workers)
+    return serve_until_signal(stubs.run, stubs.stop)
+
+
+def _options(values):
+    for number in range(values.count):
+        several = values.count > 1
+        yield WorkerOptions(
+            name=f"{values.name}-{number}" if several else values.name,
+            domain=values.domain,
+            rack=f"{values.rack}-{number // values.per_rack}" if several else values.rack,
+            capacity=Resources(
+                cpu_milli=values.cpu_milli,
+                memory_mb=values.memory_mb,
+                accelerators=values.accelerators,
+            ),
+            faults=Faults(
+                fail=values.fail,
+                run_factor=values.run_factor,
+                size_factor=values.size_factor,
+                pause_s=values.pause_s,
+            ),
+            beat_s=values.beat_s,
+        )
--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -16,14 +16,14 @@
 from absl.flags import Error as FlagError
 from absl.logging import WARNING, set_verbosity
 
-from siskintally import commands_entry, commands_operator, commands_store
+from siskintally import commands_entry, commands_operator, commands_store, commands_worker
 from siskintally.command import Registry
 from siskintally.errors import SiskintallyError
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
-FAMILIES = (commands_entry, commands_operator, commands_store)
+FAMILIES = (commands_entry, commands_operator, commands_store, commands_worker)
 
 
 def commands():
