Keep a process alive when a linked peer is killed

Cause: grpclib cancels the task that reads a stream when its connection is lost; on Python 3.11 the cancellation count stays on the task, so the CancelledError left Link.run and ended the whole process without a message. Change: each conversation runs in a task of its own.

--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -370,10 +370,10 @@
         backoff = MIN_BACKOFF_S
         while True:
             started = monotonic()
-            try:
-                await self._hold()
-            except _LOST as error:
-                log.debug("connect failed", address=f"{self.host}:{self.port}", error=str(error))
+            # In a task of its own: grpclib cancels the task that reads when the connection is lost,
+            # and on Python 3.11 the cancellation count that stays would end the tasks around it.
+            async with create_task_group() as tasks:
+                tasks.start_soon(self._hold)
             self.session = None
             if monotonic() - started > MAX_BACKOFF_S:
                 backoff = MIN_BACKOFF_S
@@ -384,6 +384,8 @@
         channel = Channel(self.host, self.port, ssl=self._tls)
         try:
             await self._converse(channel)
+        except _LOST as error:
+            log.debug("connect failed", address=f"{self.host}:{self.port}", error=str(error))
         finally:
             channel.close()
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,9 +1,11 @@
 """Links: calls, failures, silence."""
 
 from socket import socket
+from subprocess import Popen
+from sys import executable
 
 import pytest
-from anyio import create_task_group, fail_after, move_on_after, run
+from anyio import create_task_group, fail_after, move_on_after, run, sleep
 from trustme import CA
 
 from siskintally.codes import Code
@@ -134,3 +136,39 @@
         assert replies == {number: number + 1 for number in range(300)}
 
     with_link(check)
+
+
+SERVER = """
+from functools import partial
+from sys import argv
+from anyio import run
+from siskintally.link import LinkServer
+from tests.test_link import SECRET, Echo
+from siskintally.wire_pb2 import Hello
+server = LinkServer(hello=Hello(name="b", cell="demo"), secret=SECRET, handler=Echo())
+run(partial(server.serve, host="127.0.0.1", port=int(argv[1])))
+"""
+
+
+def test_loss_of_a_killed_peer_does_not_end_the_process():
+    """Guards against a cancellation by the gRPC library that ends the tasks around a link."""
+
+    async def main():
+        port = free_port()
+        hello = Hello(name="a", cell="demo", incarnation="1")
+        link = Link(host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=Echo())
+        rounds = 0
+        with fail_after(60):
+            async with create_task_group() as tasks:
+                tasks.start_soon(link.run)
+                for _ in range(3):
+                    with Popen([executable, "-c", SERVER, str(port)]) as server:
+                        await link.wait_open()
+                        server.kill()
+                    rounds += 1
+                    while link.is_open:
+                        await sleep(0.05)
+                tasks.cancel_scope.cancel()
+        assert rounds == 3
+
+    run(main)
