Run the owner of a domain group in the store; test commands through an entry

The store ran only the cell group. It now runs the domain group and its owner as well, and a test sets a configuration, submits, cancels, and resends through an entry with real processes. Audit records name the operator's verb. The test of a wrong cell secret looked at the log of the dialing store; the accepting one refuses, so it looks there and also asks that store.

--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -129,7 +129,7 @@
         if stored is not None and stored.digest == command.digest:
             return stored.reply
         self._learn(command)
-        note = _Note(verb=kind.split("_")[1])
+        note = _Note(verb=_VERB_BY_KIND[kind])
         try:
             if stored is not None:
                 raise KeyConflictError(f"request id {command.request_id} is of another change")
@@ -330,3 +330,10 @@
     "cancel_jobs": Cell._cancel_jobs,
     "set_drain": Cell._set_drain,
 }
+_VERB_BY_KIND = {
+    "set_config": "config",
+    "set_preset": "preset",
+    "submit_job": "submit",
+    "cancel_jobs": "cancel",
+    "set_drain": "drain",
+}
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -10,12 +10,14 @@
 from siskintally.audit import AuditFile
 from siskintally.cell import Cell
 from siskintally.cell_service import CellService
+from siskintally.domain import Domain
 from siskintally.errors import (
     BadSettingsError,
     NotFoundError,
     NotLeaderError,
 )
 from siskintally.group import Group
+from siskintally.owner import Owner
 from siskintally.recorded_cell import RecordedCell
 from siskintally.settings import CELL_GROUP
 
@@ -94,9 +96,6 @@
         )
 
     def _add_domain(self, group):
-        from siskintally.domain import Domain
-        from siskintally.owner import Owner
-
         domain = Domain(group=group.name)
         self.owner = Owner(
             group=self._make_group(group, domain),
--- a/tests/store_processes.py
+++ b/tests/store_processes.py
@@ -13,6 +13,23 @@
 from tests.processes import Processes, free_ports, wait_until
 
 SECRET = "0123456789abcdef"
+TOKEN = "ana-0123456789abcdef"
+ENTRY = f"""
+[[process]]
+name = "e1"
+role = "entry"
+domain = "fjeld-a"
+region = "fjeld"
+link = "127.0.0.1:{{}}"
+http = "127.0.0.1:{{}}"
+[[group]]
+name = "fjeld"
+members = ["s1", "s2", "s3"]
+domains = ["fjeld-a"]
+[[operator]]
+name = "ana"
+token = "{TOKEN}"
+"""
 DOCUMENT = "[teams.ski]\ncpu_milli = 4000\nmemory_mb = 4000\n"
 
 
@@ -28,14 +45,26 @@
     """Stores s1, s2, ... that are members of the cell group.
 
     :param folder: path for settings, data, and logs.
+    :param with_entry: whether they are a domain group as well and an entry e1 runs.
     """
 
-    __slots__ = ("_link_by_name", "folder", "names", "ports", "processes", "settings_path")
-
-    def __init__(self, *, folder, count=3):
+    __slots__ = (
+        "_link_by_name",
+        "entry_port",
+        "extra",
+        "folder",
+        "names",
+        "ports",
+        "processes",
+        "settings_path",
+    )
+
+    def __init__(self, *, folder, with_entry=False):
         self.folder = folder
-        self.names = [f"s{number + 1}" for number in range(count)]
-        self.ports = dict(zip(self.names, free_ports(count), strict=True))
+        self.names = ["s1", "s2", "s3"]
+        *ports, entry_link, self.entry_port = free_ports(5)
+        self.ports = dict(zip(self.names, ports, strict=True))
+        self.extra = ENTRY.format(entry_link, self.entry_port) if with_entry else ""
         self.settings_path = folder / "cell.toml"
         self.settings_path.write_text(self._settings())
         self.processes = None
@@ -53,7 +82,8 @@
                 f'link = "127.0.0.1:{port}"',
                 f'data = "{self.folder / name}"',
             ]
-        return "\n".join([*lines, "[[group]]", 'name = "cell"', f"members = {self.names}\n"])
+        lines += ["[[group]]", 'name = "cell"', f"members = {self.names}"]
+        return "\n".join([*lines, self.extra])
 
     def command(self, *words):
         """Run a command to its end; return (exit status, output)."""
@@ -65,6 +95,13 @@
         """Run ``init`` for a store."""
         return self.command("init", f"--settings={self.settings_path}", f"--name={name}")
 
+    def operate(self, *words):
+        """Run an operator command through the entry; return (exit status, answer)."""
+        url = f"http://127.0.0.1:{self.entry_port}"
+        status, text = self.command(*words, f"--entry={url}", f"--token={TOKEN}", "--json")
+        lines = [line for line in text.splitlines() if line.startswith("{")]
+        return status, loads(lines[-1])["answer"]
+
     def start(self, *names):
         """Start stores, all by default."""
         for name in names or self.names:
@@ -88,6 +125,9 @@
         with Processes(folder=self.folder) as self.processes:
             assert self.init(self.names[0])[0] == 0
             self.start()
+            if self.extra:
+                words = (f"--settings={self.settings_path}", "--name=e1")
+                self.processes.start("e1", "entry", *words)
             run_async(main)
 
     async def ask(self, name, verb, arguments=None, *, request_id="read"):
--- a/tests/test_store_process.py
+++ b/tests/test_store_process.py
@@ -1,6 +1,7 @@
 """Stores as real processes: founding, election, loss of the leader, planned stop."""
 
 from anyio import create_task_group
+from httpx import get
 
 from siskintally.audit import verify
 from siskintally.codes import Code
@@ -113,7 +114,45 @@
         text = stores.settings_path.read_text()
         stores.settings_path.write_text(text.replace("0123456789abcdef", "fedcba9876543210"))
         stores.start("s3")
-        await wait_until(lambda: "link refused" in stores.processes.log_text("s1"), "refusal")
+        # Of two stores the one with the larger name accepts the link, so s3 sees the wrong secret.
+        await wait_until(lambda: "link refused" in stores.processes.log_text("s3"), "refusal")
         assert await stores.leader(["s1", "s2"]) in ("s1", "s2")
+        assert await stores.ask("s3", "status") is None
 
     Stores(folder=tmp_path).run(check)
+
+
+def test_operator_commands_through_an_entry(tmp_path):
+    """Guards against a change that the operator sees as done and the domain never gets."""
+
+    async def check(stores):
+        await stores.leader()
+        path = tmp_path / "config.toml"
+        path.write_text(DOCUMENT)
+        change = ("config", "set", str(path), "--expect-version=0", "--wait")
+        status, first = stores.operate(*change, "--request-id=r1")
+        assert (status, first["version"]) == (0, 1)
+        assert stores.operate("preset", "peak", "--wait")[0] == 0
+        await wait_until(lambda: entry_version(stores) == (2, "peak"), "version 2 at the entry")
+        job = ("submit", "--name=seats", "--team=ski", "--kind=batch", "--cpu_milli=1000")
+        status, submitted = stores.operate(*job)
+        assert (status, submitted["split"]) == (0, {"fjeld": 1})
+        assert stores.operate("cancel", submitted["job"], "--wait")[0] == 0
+        row = stores.operate("jobs", submitted["job"])[1]["jobs"][0]
+        assert (row["state"], row["cancelled"]) == ("cancelled", 1)
+        assert stores.operate(*change, "--request-id=r1") == (0, first)
+        assert stores.operate(*change)[0] == 5
+        status, audit = stores.operate("audit", "--verify")
+        verbs = [(record["verb"], record["code"]) for record in audit["rows"]]
+        accepted = [(verb, 1000) for verb in ("config", "preset", "submit", "cancel")]
+        assert (status, verbs) == (0, [*accepted, ("config", 4009)])
+        for name in (*stores.names, "e1"):
+            assert stores.processes.stop(name) == 0
+
+    Stores(folder=tmp_path, with_entry=True).run(check)
+
+
+def entry_version(stores):
+    """Return (configuration version, preset) that the entry has in force."""
+    health = get(f"http://127.0.0.1:{stores.entry_port}/v1/health", trust_env=False).json()
+    return health["config_version"], health["preset"]
