Start stub workers of the sample cell from the settings

Cause: the script was written before the worker stub and passed it store addresses and no accelerators, and the sample gang needs one. Change: flags of the script.

--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -18,10 +18,8 @@
 for process in settings.process_by_name.values():
     print(process.role, process.name, process.domain, process.http or process.link)
 for domain in sorted({process.domain for process in settings.process_by_name.values()}):
-    group = settings.group_of_domain(domain)
-    links = ",".join(str(settings.process_by_name[name].link) for name in group.members)
     urls = ",".join(f"http://{entry.http}" for entry in settings.entries(domain=domain))
-    print("domain", domain, links, urls)
+    print("domain", domain, urls)
 PY
 }
 
@@ -47,14 +45,14 @@
   while read -r role name _ _; do
     case $role in store | entry) spawn "$name" "$role" --settings "$settings" --name "$name" ;; esac
   done <<<"$table"
-  while read -r role name links urls; do
+  while read -r role name urls; do
     [ "$role" = domain ] || continue
     spawn "$name-endpoint" stub-endpoint --name "$name-endpoint" --service "$service" \
       --domain "$name" --http "127.0.0.1:$endpoint_port" --entries "$urls" \
       --record "$run/$name-endpoint.record"
     endpoint_port=$((endpoint_port + 1))
-    spawn "$name-workers" stub-worker --name "$name-worker" --domain "$name" --stores "$links" \
-      --settings "$settings" --count 8 --cpu_milli 32000 --memory_mb "$memory_mb" \
+    spawn "$name-workers" stub-worker --name "$name-worker" --rack "$name-rack" --domain "$name" \
+      --settings "$settings" --count 8 --cpu_milli 32000 --memory_mb "$memory_mb" --accelerators 2 \
       --record "$run/$name-workers.record"
   done <<<"$table"
   echo "cell $cell: started, logs in $run/"
