--- /dev/null
+++ b/bench/domain_load.py
@@ -0,0 +1,213 @@
+"""Control cost of a domain group against its number of workers and its task starts.
+
+Three stores hold the cell group and one domain group; stub workers run services of 20 tasks each.
+Processor time and memory are those of the store that leads, the mean of the others and the entry;
+bytes are counted by relays between the stores and between workers and stores.
+
+Usage: python -m bench.domain_load [workers,workers,...] [starts a second] [seconds]
+"""
+
+import json
+from pathlib import Path
+from random import Random
+from sys import argv
+from tempfile import TemporaryDirectory
+
+from anyio import create_task_group, run, sleep
+from httpx import AsyncClient
+
+from bench.meter import ByteCounter, fit, process_cpu_seconds, resident_mb
+from tests.full_cell import FullCell
+from tests.processes import Processes, free_ports, wait_until
+
+WORKERS = "24,72,142"
+TASKS_PER_WORKER = 20
+STARTS_PER_S = 9.0
+SECONDS = 20.0
+SETTLE_S = 12.0
+BATCH_INTERVAL_S = 5.0
+DOCUMENT = "[teams.ski]\ncpu_milli = 1000000000\nmemory_mb = 1000000000\n"
+
+
+class MeasuredCell(FullCell):
+    """A cell whose stores are reached through relays that count bytes.
+
+    :param relay_by_store: ``{store: [counter of links of stores, counter of links of workers]}``.
+    """
+
+    __slots__ = ("relay_by_store", "worker_settings")
+
+    def __init__(self, *, processes, entries, random):
+        super().__init__(processes=processes, entries=entries, random=random)
+        self.relay_by_store = {}
+        self.worker_settings = self.folder / "workers.toml"
+        lines = self.settings.read_text()
+        shown = [lines, lines]
+        for name in self.stores:
+            target = self.port_of(name)
+            counters = [ByteCounter(port=port, target=target) for port in free_ports(2)]
+            self.relay_by_store[name] = counters
+            for number, counter in enumerate(counters):
+                shown[number] = shown[number].replace(f":{target}", f":{counter.port}")
+        for name in self.stores:
+            # A store listens on its own address and dials the relays of the others.
+            own = shown[0].replace(
+                f":{self.relay_by_store[name][0].port}", f":{self.port_of(name)}"
+            )
+            (self.folder / f"{name}.toml").write_text(own)
+        self.worker_settings.write_text(shown[1])
+
+    def port_of(self, name):
+        """Return the link port of a store."""
+        text = self.settings.read_text().split(f'name = "{name}"')[1]
+        return int(text.split('link = "127.0.0.1:')[1].split('"')[0])
+
+    def start_store(self, name):
+        """Start a store that dials the others through relays."""
+        path = self.folder / f"{name}.toml"
+        self.processes.start(name, "store", "--settings", path, "--name", name)
+
+    def start_workers(self, name, count, *flags):
+        """Start stub workers that dial through relays; 160 slots of the task size each."""
+        self.processes.start(
+            name,
+            "stub-worker",
+            *("--settings", self.worker_settings, "--name", name, "--domain", "jylland-a"),
+            *("--count", count, "--cpu_milli", 32000, "--memory_mb", 128000, *flags),
+        )
+
+    def bytes_of(self, kind):
+        """Return the bytes so far: 0 between stores, 1 between workers and stores."""
+        return sum(pair[kind].sent + pair[kind].received for pair in self.relay_by_store.values())
+
+
+class Reading:
+    """Counters of all stores and the entry at one moment."""
+
+    __slots__ = ("cpu_by_name", "store_bytes", "worker_bytes")
+
+    def __init__(self, *, cell):
+        popen = cell.processes.popen_by_name
+        names = [*cell.stores, *cell.entries]
+        self.cpu_by_name = {name: process_cpu_seconds(popen[name].pid) for name in names}
+        self.store_bytes = cell.bytes_of(0)
+        self.worker_bytes = cell.bytes_of(1)
+
+
+def costs(cell, before, after, seconds):
+    """Return the costs between two readings as a flat mapping."""
+    leader = cell.owner()
+    core = {
+        name: (after.cpu_by_name[name] - before.cpu_by_name[name]) / seconds
+        for name in after.cpu_by_name
+    }
+    others = [core[name] for name in cell.stores if name != leader]
+    popen = cell.processes.popen_by_name
+    return {
+        "leader_core": core[leader],
+        "follower_core": sum(others) / len(others),
+        "entry_core": core["e1"],
+        "leader_mb": resident_mb(popen[leader].pid),
+        "entry_mb": resident_mb(popen["e1"].pid),
+        "store_bytes_s": (after.store_bytes - before.store_bytes) / seconds,
+        "worker_bytes_s": (after.worker_bytes - before.worker_bytes) / seconds,
+    }
+
+
+async def measured(cell, seconds, work=None):
+    """Measure for a time, with work beside it."""
+    before = Reading(cell=cell)
+    async with create_task_group() as tasks:
+        if work is not None:
+            tasks.start_soon(work)
+        await sleep(seconds)
+        tasks.cancel_scope.cancel()
+    return costs(cell, before, Reading(cell=cell), seconds)
+
+
+async def submit(cell, name, *, kind, tasks, run_s):
+    """Submit a job of small tasks."""
+    spec = {"name": name, "team": "ski", "kind": kind, "tasks": tasks, "run_s": run_s}
+    spec |= {"cpu_milli": 100, "memory_mb": 100}
+    return await cell.operate("submit", spec, request_id=name)
+
+
+async def running_tasks(cell):
+    """Return how many tasks run."""
+    answer = await cell.operate("jobs", {}, request_id="jobs")
+    return sum(job["running"] for job in answer["jobs"])
+
+
+async def point(folder, workers, starts_per_s, seconds):
+    """Measure one number of workers: idle, then with task starts."""
+    random = Random(1)
+    with Processes(folder=folder) as processes:
+        cell = MeasuredCell(processes=processes, entries=("e1",), random=random)
+        cell.found()
+        async with AsyncClient(timeout=30.0) as cell.client, create_task_group() as tasks:
+            for pair in cell.relay_by_store.values():
+                for counter in pair:
+                    tasks.start_soon(counter.run)
+            for name in cell.stores:
+                cell.start_store(name)
+            cell.start_entry("e1")
+            change = {"document": DOCUMENT, "expect_version": 0}
+            await cell.operate("config", change, request_id="first-config")
+            cell.start_workers("w", workers)
+            await sleep(SETTLE_S)
+            count = workers * TASKS_PER_WORKER
+            await submit(cell, "services", kind="service", tasks=count, run_s=0)
+
+            async def placed():
+                return await running_tasks(cell) >= count
+
+            await wait_until(placed, f"{count} tasks run")
+            await sleep(SETTLE_S)
+            idle = await measured(cell, seconds)
+
+            async def stream():
+                number = 0
+                while True:
+                    batch = round(starts_per_s * BATCH_INTERVAL_S)
+                    await submit(cell, f"batch-{number}", kind="batch", tasks=batch, run_s=4)
+                    number += 1
+                    await sleep(BATCH_INTERVAL_S)
+
+            busy = await measured(cell, seconds, stream)
+            tasks.cancel_scope.cancel()
+    return idle, busy
+
+
+async def measure(sizes, starts_per_s, seconds):
+    """Measure all sizes."""
+    result = {}
+    for workers in sizes:
+        with TemporaryDirectory() as folder:
+            result[workers] = await point(Path(folder), workers, starts_per_s, seconds)
+    return result
+
+
+def main():
+    """Print a table, slopes and JSON."""
+    sizes = [int(text) for text in (argv[1] if len(argv) > 1 else WORKERS).split(",")]
+    starts_per_s = float(argv[2]) if len(argv) > 2 else STARTS_PER_S
+    seconds = float(argv[3]) if len(argv) > 3 else SECONDS
+    result = run(measure, sizes, starts_per_s, seconds)
+    names = list(next(iter(result.values()))[0])
+    print(f"{'workers':>8} {'state':6} " + " ".join(f"{name:>15}" for name in names))
+    for workers, states in result.items():
+        for label, row in zip(("idle", "busy"), states, strict=True):
+            values = " ".join(f"{row[name]:15.4f}" for name in names)
+            print(f"{workers:8} {label:6} {values}")
+    slopes = {"starts_per_s": starts_per_s}
+    for name in names:
+        idle = [(workers, states[0][name]) for workers, states in result.items()]
+        slope, base = fit(idle) if len(idle) > 1 else (0.0, idle[0][1])
+        slopes[f"{name}_per_worker"], slopes[f"{name}_base"] = slope, base
+        extra = [states[1][name] - states[0][name] for states in result.values()]
+        slopes[f"{name}_per_start_s"] = sum(extra) / len(extra) / starts_per_s
+    print(json.dumps(slopes))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -59,17 +59,17 @@
     :param target: port to connect to, both on loopback.
     """
 
-    __slots__ = ("_port", "_target", "received", "sent")
+    __slots__ = ("_target", "port", "received", "sent")
 
     def __init__(self, *, port, target):
-        self._port = port
+        self.port = port
         self._target = target
         self.sent = 0
         self.received = 0
 
     async def run(self):
         """Relay connections until cancelled."""
-        listener = await create_tcp_listener(local_host="127.0.0.1", local_port=self._port)
+        listener = await create_tcp_listener(local_host="127.0.0.1", local_port=self.port)
         await listener.serve(self._relay)
 
     async def _relay(self, client):
