Let replaced or unheard replicas ask for admission again

A new leader counted its start as a sign of life of every voter, so it removed the learner that replaces a dead one, and the learner was never told. Only answers count now, and a replica that hears no leader for 5 s asks to join, also when its old disk returns.

--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -280,9 +280,7 @@
             await self._take_snapshot()
 
     def _next_time(self):
-        times = [self._replica.next_tick()]
-        if not self._is_member():
-            times.append(self._joins.next_ask)
+        times = [self._replica.next_tick(), self._joins.due(self._replica)]
         if self._stop_at is not None:
             times.append(self._stop_at)
         return min(times)
@@ -342,14 +340,10 @@
             return True
         return self._is_handed_over and self._replica.transfer_to is None
 
-    def _is_member(self):
-        identity = self._replica.identity
-        return any(member.identity == identity for member in self._replica.log.members)
-
     def _manage_members(self, now, effects):
         """Ask to be admitted, or as the leader admit others in single steps."""
         replica = self._replica
-        if not self._is_member():
+        if now >= self._joins.due(replica):
             for process, body in self._joins.ask(replica.identity.incarnation, now):
                 self._send(process, body)
         change = self._joins.next_change(replica, now)
--- a/siskintally/joins.py
+++ b/siskintally/joins.py
@@ -13,6 +13,7 @@
 from siskintally.wire_pb2 import JoinRequest
 
 INTERVAL_S = 1.0
+SILENCE_S = 5.0
 VALID_S = 3.0
 CAUGHT_UP_ENTRIES = 200
 
@@ -32,8 +33,19 @@
         self._request_by_name = {}
         self.next_ask = 0.0
 
+    def due(self, replica):
+        """Return the time at which a replica should ask to be admitted.
+
+        One that hears no leader asks too: it may have been replaced without being told.
+        """
+        if replica.is_leader:
+            return float("inf")
+        if any(member.identity == replica.identity for member in replica.log.members):
+            return max(self.next_ask, replica.heard + SILENCE_S)
+        return self.next_ask
+
     def ask(self, incarnation, now):
-        """Return (process, JoinRequest) pairs to send, if it is time."""
+        """Return (process, JoinRequest) pairs to send, not more often than every second."""
         if now < self.next_ask:
             return []
         self.next_ask = now + INTERVAL_S
@@ -73,7 +85,7 @@
     progress = replica.progress_by_id.get(identity)
     if progress is None:
         return identity == replica.identity
-    return now - progress.heard < replica.timing.election_max_s
+    return progress.answered and now - progress.heard < replica.timing.election_max_s
 
 
 def _is_caught_up(replica, identity):
--- a/siskintally/progress.py
+++ b/siskintally/progress.py
@@ -14,10 +14,12 @@
     ``match``: last index known to be synced there. ``next_index``: first index to send. ``round``:
     highest read round it answered. ``heard``, ``sent``, ``chunk_sent``: times. ``chunk_index``:
     index of the snapshot that is being sent, 0 if none; ``offset``: bytes of it that have arrived.
-    ``probed``: whether entries were sent since the last answer.
+    ``probed``: whether entries were sent since the last answer. ``answered``: whether it has
+    answered this leader.
     """
 
     __slots__ = (
+        "answered",
         "chunk_index",
         "chunk_sent",
         "heard",
@@ -35,6 +37,7 @@
         self.next_index = next_index
         self.round = 0
         self.probed = False
+        self.answered = False
         self.heard = now
         self.sent = NEVER
         self.sent_commit = 0
--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -138,6 +138,7 @@
         progress = self.progress_by_id.get(reply.sender)
         if progress is not None:
             progress.heard = now
+            progress.answered = True
             progress.probed = False
         return progress
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -298,6 +298,31 @@
     check(tmp_path, test, snapshot_entries=15, kept_entries=5)
 
 
+def test_replaced_incarnation_that_returns_is_admitted_again(tmp_path):
+    """Guards against a store that comes back with its old disk and waits forever."""
+
+    async def test(cell):
+        leader = await cell.full()
+        victim = next(name for name in NAMES if name != leader.process)
+        old = leader._replica.identity
+        for expected_new in (True, False):
+            group = cell.kill(victim)
+            await cell.until(lambda group=group: group._journal is None)
+            folder = tmp_path / victim / "g"
+            folder.rename(folder.with_name("second" if not expected_new else "first"))
+            if not expected_new:
+                folder.with_name("first").rename(folder)
+            else:
+                old = group.identity
+            cell.start(victim)
+            leader = await cell.full()
+            assert (cell.group_by_name[victim].identity != old) == expected_new
+        await cell.propose(b"x")
+        await cell.until(lambda: cell.commands(victim) == ["x"])
+
+    check(tmp_path, test)
+
+
 def test_snapshot_replaces_the_log_on_disk(tmp_path):
     """Guards against a log that grows without limit, and against a snapshot that loses entries."""
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -5,6 +5,7 @@
 import pytest
 
 from siskintally.errors import BadRequestError, NotLeaderError
+from siskintally.joins import Joins
 from siskintally.membership import admit, promote
 from siskintally.messages import (
     AppendReply,
@@ -372,6 +373,24 @@
     assert a.state[-1] == "after"
 
 
+def test_new_leader_keeps_the_learner_of_a_dead_voter():
+    """Guards against a learner that is dropped without being told, and then never asks again."""
+    net = Net(seed=8)
+    a = net.elect("a")
+    fresh = net.wipe("c")
+    a.do("propose_members", admit(a.replica.log.members, fresh), net.now)
+    net.settle()
+    net.cut = {"c"}
+    a.do("transfer", net.now)
+    net.settle()
+    b = net.nodes["b"].replica
+    joins = Joins(group="g", process="b", founding_members=NAMES)
+    assert b.is_settled and joins.next_change(b, net.now) is None
+    net.cut = set()
+    net.run(1)
+    assert joins.next_change(b, net.now) == promote(b.log.members, fresh)
+
+
 def test_snapshot_is_installed_in_chunks_despite_loss():
     """Guards against a follower that never catches up or installs a mixed snapshot."""
     net = Net(seed=9)
