--- /dev/null
+++ b/tests/test_announcement_model.py
@@ -0,0 +1,203 @@
+"""Announcements under delay, reordering, pauses, and clocks that differ: no stale endpoint is used.
+
+The model knows the true time at which each endpoint last announced that it serves; the entries know
+only their own clocks. Announcements without an echo are delivered at once, because their age is not
+bounded; all others may be delayed without limit, repeated, and reordered.
+"""
+
+from os import environ
+from random import Random
+
+from siskintally.announcement import (
+    CLOCK_RATE,
+    TTL_S,
+    AnnouncementTable,
+    read_age,
+    read_announcement,
+)
+
+ENTRIES = ("e1", "e2")
+ENDPOINTS = ("p1",)
+# Rates of clocks differ by less than 1%.
+RATES = {"e1": 1.0, "e2": 1.004, "p1": 0.996}
+OFFSETS = {"e1": 1000.0, "e2": 70_000.0, "p1": 300.0}
+
+
+class Announcements:
+    """Two entries of one domain and an endpoint."""
+
+    def __init__(self):
+        self.time = 1.0
+        self.tables = {name: AnnouncementTable(domain="d") for name in ENTRIES}
+        self.runs = dict.fromkeys(ENTRIES, 0)
+        self.incarnation = dict.fromkeys(ENDPOINTS, 1)
+        self.seq = dict.fromkeys(ENDPOINTS, 0)
+        self.leaving = dict.fromkeys(ENDPOINTS, False)
+        self.served_at = {}
+        self.clock_given = {}
+        self.posts = []
+        self.exchanges = []
+        self.known_to_leave = set()
+        self.gossip()
+
+    def clock(self, name):
+        """Return the monotonic clock of a process."""
+        return OFFSETS[name] + self.time * RATES[name]
+
+    def wait(self, seconds):
+        """Let time pass."""
+        self.time += seconds
+
+    def announce(self, endpoint, entry):
+        """Announce to an entry."""
+        self.seq[endpoint] += 1
+        leaving = self.leaving[endpoint]
+        if not leaving:
+            self.served_at[endpoint, self.incarnation[endpoint]] = self.time
+        fields = {
+            "name": endpoint,
+            "service": "s",
+            "domain": "d",
+            "url": "http://127.0.0.1:7301",
+            "slots": 8,
+            "connections": 64,
+            "incarnation": self.incarnation[endpoint],
+            "seq": self.seq[endpoint],
+            "state": "leaving" if leaving else "serving",
+        }
+        given = self.clock_given.get((endpoint, entry, self.runs[entry]))
+        if given is None:
+            self.receive_post(endpoint, entry, fields)
+        else:
+            held_s = self.clock(endpoint) - given[1]
+            fields |= {"echo": given[0], "held_s": held_s}
+            self.posts.append((endpoint, entry, self.runs[entry], fields))
+
+    def receive_post(self, endpoint, entry, fields):
+        """Handle an announcement as the gateway does."""
+        now = self.clock(entry)
+        age_s = read_age(fields, now=now)
+        heard = read_announcement(fields)
+        self.tables[entry].announce(heard, age_s=age_s or 0.0, now=now)
+        key = (endpoint, entry, self.runs[entry])
+        self.clock_given[key] = (now, self.clock(endpoint))
+
+    def deliver_post(self, number, again):
+        """Deliver any announcement on its way."""
+        if self.posts:
+            post = self.posts[number % len(self.posts)]
+            if not again:
+                self.posts.remove(post)
+            endpoint, entry, run, fields = post
+            if run == self.runs[entry]:
+                self.receive_post(endpoint, entry, fields)
+
+    def exchange(self, source, sink):
+        """Send an exchange message."""
+        if source != sink:
+            peer = f"{sink}/{self.runs[sink]}"
+            message = self.tables[source].exchange_for(
+                peer=peer, domain="d", now=self.clock(source)
+            )
+            self.exchanges.append((source, self.runs[source], sink, self.runs[sink], message))
+
+    def deliver_exchange(self, number, again):
+        """Deliver any exchange message on its way."""
+        if self.exchanges:
+            item = self.exchanges[number % len(self.exchanges)]
+            if not again:
+                self.exchanges.remove(item)
+            source, run, target, target_run, message = item
+            if target_run == self.runs[target]:
+                table = self.tables[target]
+                table.merge(message, peer=f"{source}/{run}", now=self.clock(target))
+
+    def gossip(self):
+        """Exchange messages both ways without delay, so that both entries hold a fresh echo."""
+        for source, sink in (ENTRIES, ENTRIES[::-1]):
+            self.exchange(source, sink)
+            *_, message = self.exchanges.pop()
+            peer = f"{source}/{self.runs[source]}"
+            self.tables[sink].merge(message, peer=peer, now=self.clock(sink))
+
+    def leave(self, endpoint):
+        """Leave for good."""
+        self.leaving[endpoint] = True
+
+    def restart_endpoint(self, endpoint):
+        """Start a new incarnation."""
+        self.incarnation[endpoint] += 1
+        self.leaving[endpoint] = False
+        for key in [key for key in self.clock_given if key[0] == endpoint]:
+            del self.clock_given[key]
+
+    def restart_entry(self, entry):
+        """Start an entry with an empty table."""
+        self.runs[entry] += 1
+        self.tables[entry] = AnnouncementTable(domain="d")
+
+    def expire(self, entry):
+        """Tidy up."""
+        self.tables[entry].expire(now=self.clock(entry))
+
+    def no_stale_endpoint_is_used(self):
+        """Check I6: new work goes only to what served in the last 3 s and is not known to leave."""
+        for entry, table in self.tables.items():
+            known = ((one.name, one.incarnation, one.leaving) for one in table._by_name.values())
+            self.known_to_leave |= {(table, *one[:2]) for one in known if one[2]}
+            for endpoint in table.live("s", now=self.clock(entry)):
+                served_at = self.served_at[endpoint.name, endpoint.incarnation]
+                assert self.time - served_at <= TTL_S * CLOCK_RATE
+                key = (table, endpoint.name, endpoint.incarnation)
+                assert key not in self.known_to_leave
+
+
+WAITS_S = (0.1, 0.5, 0.5, 1.0, 2.0, 4.0, 30.0)
+WEIGHT_BY_ACTION = {
+    "wait": 20,
+    "announce": 25,
+    "exchange": 15,
+    "deliver_post": 15,
+    "deliver_exchange": 15,
+    "gossip": 10,
+    "leave": 2,
+    "expire": 2,
+    "restart_endpoint": 2,
+    "restart_entry": 1,
+}
+WALKS = 1000
+STEPS = 60
+
+
+def act(model, random, action):
+    """Carry out an action with random arguments."""
+    entry = random.choice(ENTRIES)
+    endpoint = random.choice(ENDPOINTS)
+    arguments = {
+        "wait": lambda: {"seconds": random.choice(WAITS_S)},
+        "announce": lambda: {"endpoint": endpoint, "entry": entry},
+        "exchange": lambda: {"source": entry, "sink": random.choice(ENTRIES)},
+        "deliver_post": lambda: {"number": random.randrange(99), "again": random.random() < 0.2},
+        "deliver_exchange": lambda: {
+            "number": random.randrange(99),
+            "again": random.random() < 0.2,
+        },
+        "gossip": dict,
+        "leave": lambda: {"endpoint": endpoint},
+        "expire": lambda: {"entry": entry},
+        "restart_endpoint": lambda: {"endpoint": endpoint},
+        "restart_entry": lambda: {"entry": entry},
+    }
+    getattr(model, action)(**arguments[action]())
+
+
+def test_no_stale_endpoint_is_used():
+    seed = int(environ.get("SISKINTALLY_SEED", "1"))
+    print(f"SISKINTALLY_SEED={seed}")
+    random = Random(seed)
+    actions, weights = zip(*WEIGHT_BY_ACTION.items(), strict=True)
+    for _ in range(WALKS):
+        model = Announcements()
+        for action in random.choices(actions, weights, k=STEPS):
+            act(model, random, action)
+            model.no_stale_endpoint_is_used()
