--- a/siskintally/commands_worker.py
+++ b/siskintally/commands_worker.py
@@ -8,13 +8,20 @@
 ['stub-worker']
 """
 
-from absl.flags import DEFINE_boolean, DEFINE_enum, DEFINE_float, DEFINE_integer, DEFINE_string
+from absl.flags import (
+    DEFINE_boolean,
+    DEFINE_enum,
+    DEFINE_float,
+    DEFINE_integer,
+    DEFINE_list,
+    DEFINE_string,
+)
 
 from siskintally.command import Command
 from siskintally.daemon import serve_until_signal
 from siskintally.errors import BadSettingsError
 from siskintally.log import set_up
-from siskintally.settings import load
+from siskintally.settings import Address, Process, load
 from siskintally.stub_worker import StubWorker, StubWorkers, TaskRecorder, WorkerOptions
 from siskintally.wire_pb2 import Resources
 from siskintally.worker_state import Faults
@@ -37,6 +44,7 @@
 def define_worker(values):
     """Add the flags of ``stub-worker``."""
     DEFINE_string("settings", None, "settings file of the cell (TOML)", flag_values=values)
+    DEFINE_list("stores", [], "links of the domain's stores, host:port", flag_values=values)
     DEFINE_string("name", "worker", "worker name; with --count, its prefix", flag_values=values)
     DEFINE_string("domain", "jylland-a", "failure domain", flag_values=values)
     DEFINE_string("rack", "r0", "rack; with --count, its prefix", flag_values=values)
@@ -45,7 +53,9 @@
     DEFINE_integer("cpu_milli", 32_000, "processors, thousandths", 0, flag_values=values)
     DEFINE_integer("memory_mb", 128_000, "memory, MB", 0, flag_values=values)
     DEFINE_integer("accelerators", 0, "accelerators", 0, flag_values=values)
-    DEFINE_float("beat_s", 5.0, "time between heartbeats, s", 0.1, 10.0, flag_values=values)
+    DEFINE_float(
+        "beat_s", 10.0, "longest time between heartbeats, s", 0.1, 60.0, flag_values=values
+    )
     DEFINE_boolean("fail", False, "fail every task", flag_values=values)
     DEFINE_float("run_factor", 1.0, "true over declared run time", 0.0, 1e3, flag_values=values)
     DEFINE_float("size_factor", 1.0, "true over declared size", 0.0, 1e3, flag_values=values)
@@ -62,13 +72,12 @@
         raise BadSettingsError("--settings: expected a file")
     settings = load(values.settings)
     set_up(process=values.name, level=values.log_level)
-    group = settings.group_of_domain(values.domain)
     recorder = TaskRecorder(path=values.record)
     tls = settings.tls(values.name)
     workers = [
         StubWorker(
             options=options,
-            stores=[settings.process(member) for member in group.members],
+            stores=_stores(settings, values),
             cell=settings.cell,
             secret=settings.secret,
             recorder=recorder,
@@ -80,6 +89,28 @@
     return serve_until_signal(stubs.run, stubs.stop)
 
 
+def _stores(settings, values):
+    """Return the stores to dial; given addresses may lie behind a forwarder."""
+    group = settings.group_of_domain(values.domain)
+    members = [settings.process(member) for member in group.members]
+    if not values.stores:
+        return members
+    if len(values.stores) != len(members):
+        raise BadSettingsError(
+            f"--stores = {values.stores}: expected one for each of {group.members}"
+        )
+    return [
+        Process(
+            name=member.name,
+            role=member.role,
+            domain=member.domain,
+            region=member.region,
+            link=Address.parse(address, key="--stores"),
+        )
+        for member, address in zip(members, values.stores, strict=True)
+    ]
+
+
 def _options(values):
     for number in range(values.count):
         several = values.count > 1
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -9,6 +9,7 @@
 from google.protobuf.message import DecodeError
 
 from siskintally.codes import Code
+from siskintally.config import parse_config
 from siskintally.domain_job import DomainJob, job_id_of
 from siskintally.domain_state_pb2 import (
     AttemptEnd,
@@ -19,9 +20,11 @@
 from siskintally.errors import BadRequestError, DamagedDataError, SiskintallyError
 from siskintally.ledger import Ledger
 from siskintally.machine import Machine
+from siskintally.preset import default_preset
 from siskintally.size import NOTHING, Size
 from siskintally.wire_pb2 import ConfigState, JobSpec
 
+ORDINARY = "ordinary"
 MAX_NAME_LENGTH = 200
 MAX_TASKS = 100_000
 # Largest amount of a resource; larger ones are no amounts.
@@ -50,7 +53,8 @@
     :param group: name of the group.
 
     ``config`` is the ConfigState followed from the cell, version 0 before the first; ``cell_index``
-    is the cell's log index that the state has followed up to.
+    is the cell's log index that the state has followed up to. No lease that an owner has given and
+    that may still run is longer than ``longest_lease_s``.
     """
 
     __slots__ = (
@@ -61,6 +65,7 @@
         "group",
         "job_by_id",
         "ledger",
+        "longest_lease_s",
         "now",
         "worker_by_name",
     )
@@ -78,6 +83,14 @@
         self.ledger = Ledger()
         self.now = 0.0
         self._ended_jobs = {}
+        self.longest_lease_s = self.preset().lease_s
+
+    def preset(self):
+        """Return the :class:`~siskintally.preset.Preset` in force, the default before the first."""
+        try:
+            return parse_config(self.config.document).preset(self.config.preset)
+        except SiskintallyError:
+            return default_preset(ORDINARY)
 
     def apply(self, *, index, command):
         """Apply a DomainCommand and return a DomainReply; a malformed one changes nothing."""
@@ -121,6 +134,7 @@
             self.cell_index = change.index
             if change.config.version > self.config.version:
                 self.config = _copy(change.config)
+                self.longest_lease_s = max(self.longest_lease_s, self.preset().lease_s)
             for drain in change.drains:
                 self._apply_drain(drain)
             for item in change.jobs:
@@ -171,6 +185,8 @@
                 del self.worker_by_name[name]
         refused.extend(record.name for record in batch.joined if not self._join(record))
         refused.extend(one.task_id for one in batch.assigned if not self._assign(one))
+        if batch.longest_lease_s:
+            self.longest_lease_s = max(batch.longest_lease_s, self.preset().lease_s)
         return DomainReply(code=int(Code.DONE), refused=refused, ended=ended)
 
     def task(self, task_id):
@@ -226,6 +242,7 @@
             drains=[self.drain_by_key[key] for key in sorted(self.drain_by_key)],
             ledger=self.ledger.snapshot(),
             now=self.now,
+            longest_lease_s=self.longest_lease_s,
         )
         state.ended_jobs.extend(self._ended_jobs)
         return state.SerializeToString(deterministic=True)
@@ -249,6 +266,7 @@
         self.cell_index = state.cell_index
         self.config = _copy(state.config)
         self.now = state.now
+        self.longest_lease_s = max(state.longest_lease_s, self.preset().lease_s)
         self.ledger.restore(state.ledger)
         for record in state.workers:
             self.worker_by_name[record.name] = DomainWorker(record=_copy(record))
@@ -302,6 +320,8 @@
 
 
 def _check_batch(change):
+    if not 0 <= change.longest_lease_s <= MAX_TIME_S:
+        raise BadRequestError("longest lease out of range")
     for record in change.joined:
         _check_name(record.name)
         _check_name(record.session)
--- a/siskintally/orders.py
+++ b/siskintally/orders.py
@@ -10,8 +10,9 @@
 True
 """
 
-# An order without an effect for this long is sent again with the next answer to a heartbeat.
-RESEND_S = 3.0
+# Orders are lost only with their link, after which all are sent again at once. This time is longer
+# than the distance of two heartbeats, because workers confirm starts with the next regular one.
+RESEND_S = 15.0
 
 
 class Due:
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -16,7 +16,7 @@
 from siskintally.errors import BadRequestError, NotLeaderError, OutcomeUnknownError, RefusedError
 from siskintally.link import Handler
 from siskintally.log import get_logger
-from siskintally.tenure import CONFIRM_WINDOW_S, LEASE_S, Tenure
+from siskintally.tenure import CONFIRM_WINDOW_S, Tenure
 from siskintally.wire_pb2 import (
     ConfigState,
     ConfigWatch,
@@ -61,7 +61,6 @@
         "_desk",
         "_domain",
         "_group",
-        "_lease_s",
         "_metrics",
         "_settings",
         "_window_s",
@@ -77,7 +76,6 @@
         cell_call,
         metrics,
         clock=monotonic,
-        lease_s=LEASE_S,
         window_s=CONFIRM_WINDOW_S,
     ):
         self.tenure = None
@@ -87,7 +85,6 @@
         self._cell_call = cell_call
         self._metrics = metrics
         self._clock = clock
-        self._lease_s = lease_s
         self._window_s = window_s
         self._desk = None
         self._config_changed = Event()
@@ -108,7 +105,6 @@
             group=self._group,
             domain=self._domain,
             clock=self._clock,
-            lease_s=self._lease_s,
             window_s=self._window_s,
         )
         log.info("tenure begins", group=self._group.name, term=tenure.term)
@@ -140,6 +136,9 @@
                 tasks.start_soon(_until_lost, loop, scope)
 
     def _change_config(self):
+        if self.tenure is not None:
+            self.tenure.configure()
+            self.tenure.rouse()
         self._config_changed.set()
         self._config_changed = Event()
 
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -52,6 +52,7 @@
     """Jobs, workers and the order in which resources are given out.
 
     A decision takes the resources at once; they come back by :meth:`ended` or :meth:`lose_worker`.
+    ``may_preempt`` and ``places_deferrable`` follow the preset in force.
     """
 
     __slots__ = (
@@ -66,12 +67,16 @@
         "_reclaim_misses",
         "_seen",
         "job_by_id",
+        "may_preempt",
+        "places_deferrable",
         "pool",
     )
 
     def __init__(self):
         self.pool = Pool()
         self.job_by_id = {}
+        self.may_preempt = True
+        self.places_deferrable = True
         self._backlog = Backlog()
         self._capacities = CapacityTable()
         self._ejection = Ejection()
@@ -246,6 +251,8 @@
             if misses >= MAX_MISSES or len(decision.assignments) >= limit:
                 return position
             job = jobs[position]
+            if job.rank == Urgency.DEFERRABLE and not self.places_deferrable:
+                continue
             if job.waiting and not job.never and len(job.promises) < len(job.waiting):
                 misses += self._try(job, decision, now, limit)
         return min(start + MAX_LOOKS, len(jobs))
@@ -275,7 +282,7 @@
         if job.never:
             return searches
         if job.urgency == Urgency.URGENT:
-            if not self._reclaim_misses.covers(job):
+            if self.may_preempt and not self._reclaim_misses.covers(job):
                 searches += 1
                 decision.stops.extend(preempt(self.pool, job))
                 if len(job.promises) < len(job.waiting):
--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -3,7 +3,7 @@
 >>> from siskintally.stub_worker import WorkerOptions
 >>> options = WorkerOptions(name="w", domain="d", rack="r", capacity=None)
 >>> options.beat_s
-5.0
+10.0
 """
 
 from json import dumps
@@ -24,7 +24,10 @@
 from siskintally.wire_pb2 import Hello, WorkerOrders
 from siskintally.worker_state import WorkerState
 
-BEAT_S = 5.0
+# Ends are reported at once, so the regular heartbeat only renews the lease; a third of the lease
+# leaves room for two that fail.
+BEAT_S = 10.0
+BEATS_PER_LEASE = 3
 BEAT_TIMEOUT_S = 4.0
 OPEN_TIMEOUT_S = 2.0
 RETRY_S = 0.2
@@ -155,7 +158,7 @@
             at = paused_at if event.kind == "stop" else now
             self._recorder.event(at, self._options.name, event)
         self._last_tick = now
-        if events or self.state.has_changes:
+        if self.state.is_report_due:
             self._changed.set()
 
     async def _keep_link(self):
@@ -201,7 +204,8 @@
                 continue
             except (OutcomeUnknownError, UnreachableError):
                 return
-            with move_on_after(self._options.beat_s):
+            limit = self.state.lease.lease_s / BEATS_PER_LEASE
+            with move_on_after(min(self._options.beat_s, limit)):
                 await self._changed.wait()
                 await sleep(GATHER_S)
 
--- a/siskintally/tenure.py
+++ b/siskintally/tenure.py
@@ -10,16 +10,15 @@
 from anyio import Event
 
 from siskintally.domain_job import job_id_of
-from siskintally.domain_state_pb2 import AttemptEnd, DomainCommand, DomainReply
+from siskintally.domain_state_pb2 import AttemptEnd, DomainBatch, DomainCommand, DomainReply
 from siskintally.errors import NotLeaderError
-from siskintally.lease import LeaseTable
+from siskintally.lease import FIXED_MARGIN_S, RATE_MARGIN, LeaseTable
 from siskintally.orders import Orders
 from siskintally.placement import Placement
 from siskintally.shared_confirm import SharedConfirm
 from siskintally.wire_pb2 import StartOrder, StopOrder, WorkerOrders
 from siskintally.workload import Job, Kind, Urgency
 
-LEASE_S = 30.0
 # Heartbeats are not urgent; rounds of this distance keep the share of the control budget small.
 CONFIRM_WINDOW_S = 0.25
 
@@ -36,6 +35,7 @@
         "clock",
         "dirty",
         "domain",
+        "grant_s",
         "group",
         "is_over",
         "leases",
@@ -44,6 +44,7 @@
         "orders",
         "placement",
         "review_due",
+        "settled_at",
         "shared_confirm",
         "since",
         "term",
@@ -52,7 +53,7 @@
         "wake",
     )
 
-    def __init__(self, *, group, domain, clock, lease_s=LEASE_S, window_s=CONFIRM_WINDOW_S):
+    def __init__(self, *, group, domain, clock, window_s=CONFIRM_WINDOW_S):
         self.group = group
         self.domain = domain
         self.clock = clock
@@ -60,7 +61,9 @@
         self.since = clock()
         self.is_over = False
         self.placement = Placement()
-        self.leases = LeaseTable(lease_s=lease_s, elected_at=self.since)
+        self.leases = LeaseTable(lease_s=domain.longest_lease_s, elected_at=self.since)
+        self.grant_s = domain.longest_lease_s
+        self.settled_at = self.since
         self.orders = Orders()
         self.shared_confirm = SharedConfirm(confirm=group.confirm, window_s=window_s)
         self.link_by_worker = {}
@@ -71,6 +74,7 @@
         self.unsent = set()
         self.wake = Event()
         self._build()
+        self.configure()
 
     def _build(self):
         for name, worker in self.domain.worker_by_name.items():
@@ -82,6 +86,27 @@
                 self.dirty.add(job_id)
         self.rouse()
 
+    def configure(self):
+        """Follow the preset in force.
+
+        Leases given before may be longer; until they are over, workers count as lost later.
+        """
+        preset = self.domain.preset()
+        self.placement.may_preempt = preset.preempt
+        self.placement.places_deferrable = preset.place_deferrable
+        self.grant_s = preset.lease_s
+        self.leases.lease_s = max(self.leases.lease_s, self.grant_s)
+        self.settled_at = self.clock() + self.leases.lease_s * RATE_MARGIN + FIXED_MARGIN_S
+
+    async def settle_leases(self):
+        """Commit that no longer lease runs any more, when that is certain."""
+        if self.leases.lease_s <= self.grant_s or self.clock() < self.settled_at:
+            return
+        grant_s = self.grant_s
+        await self.commit(batch=DomainBatch(longest_lease_s=grant_s))
+        if self.grant_s == grant_s:
+            self.leases.lease_s = grant_s
+
     def add_worker(self, name, worker, *, connected):
         """Offer a committed worker to placement."""
         record = worker.record
@@ -193,7 +218,7 @@
         return WorkerOrders(
             session=session,
             seq=self.leases.seq(worker),
-            lease_s=self.leases.lease_s,
+            lease_s=self.grant_s,
             term=self.term,
             start=due.starts,
             stop=due.stops,
--- a/siskintally/worker_desk.py
+++ b/siskintally/worker_desk.py
@@ -147,6 +147,7 @@
         """End the attempts of workers whose leases can no longer run."""
         tenure = self._tenure
         tenure.check()
+        await tenure.settle_leases()
         names = []
         for name in tenure.leases.lost(tenure.clock()):
             tenure.leases.forget(name)
--- a/siskintally/worker_state.py
+++ b/siskintally/worker_state.py
@@ -101,9 +101,9 @@
         self._is_full_due = True
 
     @property
-    def has_changes(self):
-        """Whether something should be reported soon."""
-        return bool(self._changed) or self._is_full_due
+    def is_report_due(self):
+        """Whether a heartbeat should be sent soon; starts wait for the next regular one."""
+        return self._is_full_due or any(key in self._ended for key in self._changed)
 
     @property
     def running(self):
@@ -151,7 +151,8 @@
         self._changed.difference_update(
             (state.task_id, state.attempt)
             for state in beat.attempts
-            if state.state == AttemptState.RUNNING
+            if (state.state == AttemptState.RUNNING)
+            == ((state.task_id, state.attempt) in self._running)
         )
         return events + self.take(orders, now=now)
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -473,6 +473,35 @@
     with_owner(check)
 
 
+def test_a_shorter_lease_counts_only_when_longer_ones_are_over():
+    """Guards against a worker counted as lost while a lease of an earlier preset runs."""
+
+    async def configure(bench, version, lease_s):
+        document = f"[presets.ordinary]\nlease_s = {lease_s}\n"
+        config = ConfigState(version=version, preset="ordinary", document=document)
+        command = DomainCommand(at=1, sync=SyncReply(index=bench.cell_index, config=config))
+        await bench.group.propose(command.SerializeToString())
+        bench.owner._change_config()
+
+    async def check(bench):
+        link, desk = WorkerLink(), bench.owner._desk
+        await configure(bench, 1, 60)
+        assert (await bench.beat(link)).lease_s == 60
+        await configure(bench, 2, 10)
+        bench.clock.now += 62.1
+        await desk.lose()
+        assert "w1" in bench.domain.worker_by_name
+        assert (await bench.beat(link, seq=2, full=False)).lease_s == 10
+        bench.clock.now += 0.2
+        await desk.lose()
+        assert bench.domain.longest_lease_s == 10
+        bench.clock.now += 11.2
+        await desk.lose()
+        assert "w1" not in bench.domain.worker_by_name
+
+    with_owner(check)
+
+
 def test_a_refused_assignment_is_placed_again():
     """Guards against a task that is lost when the domain refuses what placement decided."""
 
--- /dev/null
+++ b/tests/test_worker_state.py
@@ -0,0 +1,92 @@
+"""Rules of the worker stub: lease, session, term, repeated and early orders."""
+
+from siskintally.wire_pb2 import AttemptState, StartOrder, StopOrder, WorkerOrders
+from siskintally.worker_state import Faults, WorkerState
+
+
+class Net:
+    """A worker state and shorthand for the orders of its owner."""
+
+    __slots__ = ("state",)
+
+    def __init__(self, **faults):
+        self.state = WorkerState(session="s", faults=Faults(**faults))
+
+    def beat(self, *, sent, answered, term=1, **orders):
+        """Send a heartbeat and take its answer; return the kinds of the events."""
+        beat = self.state.beat(now=sent)
+        answer = WorkerOrders(session=beat.session, seq=beat.seq, lease_s=30, term=term, **orders)
+        return [event.kind for event in self.state.answered(beat, answer, now=answered)]
+
+    def push(self, *, now, session="s", seq=1, term=1, **orders):
+        """Take orders between heartbeats; return the kinds of the events."""
+        message = WorkerOrders(session=session, seq=seq, lease_s=30, term=term, **orders)
+        return [event.kind for event in self.state.take(message, now=now)]
+
+
+def start(attempt=1, run_s=0.0):
+    return StartOrder(task_id="j/g.0", attempt=attempt, run_s=run_s)
+
+
+def test_a_lease_that_has_ended_is_not_revived_by_an_answer():
+    """Guards against a paused worker that goes on with tasks that run elsewhere by now."""
+    net = Net()
+    assert net.beat(sent=0.0, answered=0.1, start=[start()]) == ["start"]
+    assert net.beat(sent=29.0, answered=35.0) == ["stop"]
+    assert net.state.running == [] and net.state.session != "s"
+
+
+def test_orders_without_a_lease_or_of_another_session_or_term_have_no_effect():
+    """Guards against late starts of a deposed owner."""
+    net = Net()
+    assert net.push(now=0.0, start=[start()]) == []
+    net.beat(sent=0.0, answered=0.1, term=3)
+    assert net.push(now=1.0, session="old", term=3, start=[start()]) == []
+    assert net.push(now=1.0, term=2, start=[start()]) == []
+    assert net.push(now=1.0, term=3, start=[start()]) == ["start"]
+    assert net.push(now=31.0, term=3, start=[start(2)]) == ["stop"]
+
+
+def test_repeated_orders_run_an_attempt_once():
+    """Guards against a second run when an order is sent again."""
+    net = Net()
+    net.beat(sent=0.0, answered=0.1, start=[start(run_s=1)])
+    assert net.push(now=0.5, start=[start(run_s=1)]) == []
+    assert net.push(now=2.0) == ["end"]
+    assert net.push(now=2.1, start=[start(run_s=1)]) == []
+    seen = AttemptState(task_id="j/g.0", attempt=1, state=AttemptState.SUCCEEDED)
+    assert net.push(now=2.2, seen=[seen], start=[start(run_s=1)]) == []
+    assert net.push(now=2.3, start=[start(2)]) == ["start"]
+
+
+def test_a_stop_that_overtakes_its_start_wins():
+    """Guards against a cancelled task that starts after its stop was confirmed."""
+    net = Net()
+    net.beat(sent=0.0, answered=0.1)
+    stop = StopOrder(task_id="j/g.0", attempt=1)
+    assert net.push(now=0.2, stop=[stop]) == []
+    assert net.push(now=0.3, start=[start()]) == []
+    (reported,) = net.state.beat(now=0.4).attempts
+    assert reported.state == AttemptState.STOPPED
+
+
+def test_ends_are_reported_until_they_are_seen_and_full_lists_once():
+    """Guards against a lost end, and against full lists that cost control traffic."""
+    net = Net()
+    net.beat(sent=0.0, answered=0.1, start=[start()])
+    assert [one.attempt for one in net.state.beat(now=0.2).attempts] == [1]
+    net.beat(sent=0.3, answered=0.4)
+    quiet = net.state.beat(now=0.5)
+    assert not quiet.full and not quiet.attempts
+    net.push(now=0.6, stop=[StopOrder(task_id="j/g.0", attempt=1)])
+    for now in (0.7, 0.8):
+        assert [one.attempt for one in net.state.beat(now=now).attempts] == [1]
+    net.state.reconnect()
+    assert net.state.beat(now=0.9).full
+
+
+def test_a_delayed_start_is_dropped_when_the_lease_ends_first():
+    """Guards against a start between receipt and lease end that is carried out too late."""
+    net = Net(pause_s=20.0)
+    net.beat(sent=0.0, answered=15.0, start=[start()])
+    assert net.state.tick(now=36.0) == [] and net.state.running == []
