Test failures of whole cells with real processes

The ledger and the entries were only tested apart. Four tests run three stores, two entries and an endpoint stub: the ledger leader is killed, an entry is killed, the endpoint answers late, a disk is lost together with the leader.

--- /dev/null
+++ b/tests/full_cell.py
@@ -0,0 +1,183 @@
+"""A whole cell as processes of one test: stores, entries, endpoint stubs, worker stubs."""
+
+from contextlib import asynccontextmanager
+from json import JSONDecodeError, dumps, loads
+from re import findall
+from subprocess import run as run_process
+from sys import executable
+from time import monotonic
+
+from anyio import sleep
+from httpx import AsyncClient
+
+from tests.checker import Answer
+from tests.entry_net import TOKEN, Net, code
+from tests.processes import Processes, free_ports, wait_until
+
+DOMAIN = "jylland-a"
+GROUP = "jylland"
+DOCUMENT = "[teams.ski]\ncpu_milli = 100000\nmemory_mb = 100000\n"
+FINAL_CODES = (1000, 1001, 3001)
+RESEND_S = 0.3
+IN_PROGRESS_LIMIT_S = 8.0
+
+
+class FullCell(Net):
+    """Three stores of one domain group and the cell group, entries that use them.
+
+    :param random: seeded source for choices of the callers.
+    """
+
+    __slots__ = ("random", "stores")
+
+    def __init__(self, *, processes, entries, random):
+        super().__init__(processes=processes, entries=dict.fromkeys(entries, DOMAIN))
+        self.random = random
+        self.stores = ["s1", "s2", "s3"]
+        text = self.settings.read_text()
+        for name, port in zip(self.stores, free_ports(3), strict=True):
+            text += (
+                f'[[process]]\nname = "{name}"\nrole = "store"\ndomain = "{DOMAIN}"\n'
+                f'region = "jylland"\nlink = "127.0.0.1:{port}"\ndata = "{self.folder / name}"\n'
+            )
+        text += f'[[group]]\nname = "cell"\nmembers = {self.stores}\n'
+        text += f'[[group]]\nname = "{GROUP}"\nmembers = {self.stores}\ndomains = ["{DOMAIN}"]\n'
+        self.settings.write_text(text)
+
+    def start_entry(self, name, *flags):
+        """Start an entry that uses the stores."""
+        self.processes.start(name, "entry", "--settings", self.settings, "--name", name, *flags)
+
+    def start_store(self, name):
+        """Start a store."""
+        self.processes.start(name, "store", "--settings", self.settings, "--name", name)
+
+    def start_workers(self, name, count, *flags):
+        """Start a process with worker stubs."""
+        self.processes.start(
+            name,
+            "stub-worker",
+            *("--settings", self.settings, "--name", name, "--domain", DOMAIN),
+            *("--count", count, "--cpu_milli", 4000, "--memory_mb", 4000),
+            *("--record", self.record(name), *flags),
+        )
+
+    def found(self):
+        """Found the groups on their first member."""
+        command = [executable, "-m", "siskintally.main", "init"]
+        command += ["--settings", str(self.settings), "--name", self.stores[0]]
+        run_process(command, check=True, capture_output=True, timeout=60)
+
+    async def operate(self, verb, arguments, *, request_id, entry="e1"):
+        """Send an operator call until it is answered with code 1000; return the answer."""
+
+        async def done():
+            response = await self._post_operator(entry, verb, arguments, request_id)
+            fields = response.json() if response is not None else {}
+            return fields if fields.get("code") == 1000 else None
+
+        return (await wait_until(done, f"{verb} done"))["answer"]
+
+    async def _post_operator(self, entry, verb, arguments, request_id):
+        headers = {"authorization": f"Bearer {TOKEN}", "siskintally-request-id": request_id}
+        url = f"{self.url_by_name[entry]}/v1/operator/{verb}"
+        try:
+            return await self.client.post(url, content=dumps(arguments), headers=headers)
+        except OSError:
+            return None
+        except Exception as error:
+            print("operator call failed", repr(error))
+            return None
+
+    def _events(self, event, group):
+        """Yield the log lines of stores for an event of a group."""
+        for name in self.stores:
+            for line in self.processes.log_text(name).splitlines():
+                try:
+                    fields = loads(line)
+                except JSONDecodeError:
+                    continue
+                if fields.get("event") == event and fields.get("group") == group:
+                    yield fields
+
+    def owner(self):
+        """Return the store whose tenure of the domain group began last."""
+        begun = self._events("tenure begins", GROUP)
+        last = max(begun, key=lambda fields: int(fields["term"]), default={})
+        return last.get("process")
+
+    def voters(self, group):
+        """Return {store: incarnation} of the voters after the latest change of members."""
+        changes = self._events("member change", group)
+        last = max(changes, key=lambda fields: fields["timestamp"], default={"members": ""})
+        found = findall(r"name='(\w+)', incarnation='(\w+)'\), voter=True", last["members"])
+        return dict(found)
+
+    async def wait_voters(self, *, without=()):
+        """Wait until all stores vote in both groups, none with one of the given incarnations.
+
+        :returns: {group: {store: incarnation}}.
+        """
+
+        def complete():
+            found = {group: self.voters(group) for group in ("cell", GROUP)}
+            return (
+                all(
+                    set(voters) == set(self.stores) and not set(voters.values()) & set(without)
+                    for voters in found.values()
+                )
+                and found
+            )
+
+        return await wait_until(complete, "all stores vote")
+
+    async def order(self, key, answers, *, headers=None, limit_s=60.0):
+        """Send one non-idempotent order through random entries until its outcome is final.
+
+        Every answer is appended to ``answers``; returns the final code, 3002 if the key stays in
+        progress because the entry that runs it is gone.
+        """
+        started, in_progress_since = monotonic(), None
+        body = f"order {key}".encode()
+        while monotonic() - started < limit_s:
+            entry = self.random.choice(list(self.entries))
+            response = await self.call(entry, body=body, idempotency_key=key, **(headers or {}))
+            # A process that dies may cut a request with a response of the HTTP library.
+            if response is not None and "siskintally-code" in response.headers:
+                answers.append(_answer(response, key, body))
+                got = code(response)
+                if got in FINAL_CODES:
+                    return got
+                in_progress_since = (in_progress_since or monotonic()) if got == 3002 else None
+                if in_progress_since and monotonic() - in_progress_since > IN_PROGRESS_LIMIT_S:
+                    return got
+            await sleep(RESEND_S)
+        raise AssertionError(f"order {key}: no final outcome in {limit_s} s")
+
+
+def _answer(response, key, body):
+    got = loads(response.content)["body"].encode() if code(response) in (1000, 1001) else b""
+    return Answer(
+        request_id=response.headers["siskintally-request-id"],
+        code=code(response),
+        body=got,
+        expected=body,
+        key=key,
+    )
+
+
+@asynccontextmanager
+async def running_cell(folder, random, *, entries=("e1", "e2")):
+    """Give a :class:`FullCell` with a configuration in force."""
+    with Processes(folder=folder) as processes:
+        cell = FullCell(processes=processes, entries=entries, random=random)
+        cell.found()
+        for name in cell.stores:
+            cell.start_store(name)
+        async with AsyncClient(timeout=30.0) as cell.client:
+            for name in entries:
+                cell.start_entry(name)
+            change = {"document": DOCUMENT, "expect_version": 0}
+            await cell.operate("config", change, request_id="first-config")
+            await cell.wait_voters()
+            yield cell
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,140 @@
+"""Failures of whole cells of real processes; the verdict comes from the records of the stubs."""
+
+import pytest
+from anyio import create_task_group, fail_after, run, sleep
+
+from tests.checker import check_requests, read
+from tests.full_cell import running_cell
+from tests.processes import seeded, wait_until
+
+LIMIT_S = 240
+ORDERS = 24
+
+
+def with_cell(folder, check, **options):
+    random = seeded()
+
+    async def main():
+        with fail_after(LIMIT_S):
+            async with running_cell(folder, random, **options) as cell:
+                await check(cell)
+
+    run(main)
+
+
+async def place_orders(cell, fault, *, orders=ORDERS, headers=None):
+    """Send orders while ``await fault()`` runs; return {key: final code} and all answers."""
+    code_by_key, answers = {}, []
+
+    async def place(key):
+        await sleep(cell.random.uniform(0.0, 1.0))
+        code_by_key[key] = await cell.order(key, answers, headers=headers)
+
+    async with create_task_group() as tasks:
+        for number in range(orders):
+            tasks.start_soon(place, f"order-{number}")
+        await sleep(cell.random.uniform(0.2, 0.8))
+        await fault()
+    return code_by_key, answers
+
+
+def check_orders(cell, code_by_key, answers, *stubs):
+    records = read(*(cell.record(stub) for stub in stubs))
+    assert check_requests(records, answers) == []
+    ran = {record["key"] for record in records if record["event"] == "start"}
+    missing = {key for key, code in code_by_key.items() if code in (1000, 1001)} - ran
+    assert not missing
+    for name in [*cell.entries, *cell.stores, *stubs]:
+        assert cell.processes.is_running(name), f"{name} has ended: {cell.processes.log_text(name)}"
+    return ran
+
+
+async def wait_ready(cell, *entries):
+    for entry in entries:
+        await cell.wait_served(entry)
+
+
+@pytest.mark.timeout(300)
+def test_orders_survive_the_loss_of_the_ledger_leader(tmp_path):
+    """Guards against a second run of an order whose record the new leader of the ledger lacks."""
+
+    async def check(cell):
+        cell.start_stub("p1", "--service_ms", 40)
+        await wait_ready(cell, "e1", "e2")
+
+        async def kill_owner():
+            owner = cell.owner()
+            cell.processes.kill(owner)
+            await sleep(2.0)
+            cell.start_store(owner)
+
+        code_by_key, answers = await place_orders(cell, kill_owner)
+        check_orders(cell, code_by_key, answers, "p1")
+        assert set(code_by_key.values()) <= {1000, 1001}
+
+    with_cell(tmp_path, check)
+
+
+@pytest.mark.timeout(300)
+def test_orders_of_a_killed_entry_do_not_run_twice(tmp_path):
+    """Guards against a resend that runs again what the killed entry had already sent."""
+
+    async def check(cell):
+        cell.start_stub("p1", "--service_ms", 300)
+        await wait_ready(cell, "e1", "e2")
+
+        async def kill_entry():
+            cell.processes.kill("e1")
+            await sleep(1.0)
+            cell.start_entry("e1")
+
+        code_by_key, answers = await place_orders(cell, kill_entry)
+        check_orders(cell, code_by_key, answers, "p1")
+        assert set(code_by_key.values()) <= {1000, 1001, 3001, 3002}
+
+    with_cell(tmp_path, check)
+
+
+@pytest.mark.timeout(300)
+def test_late_answer_leaves_the_outcome_unknown_for_good(tmp_path):
+    """Guards against a resend that runs again, or that gets the answer of another request."""
+
+    async def check(cell):
+        cell.start_stub("p1", "--fault", "late")
+        await wait_ready(cell, "e1", "e2")
+        headers = {"siskintally_deadline_ms": "1500"}
+        code_by_key, answers = await place_orders(cell, lambda: sleep(0), orders=6, headers=headers)
+        await sleep(7.0)
+        for key in code_by_key:
+            code_by_key[key] = await cell.order(key, answers)
+        ran = check_orders(cell, code_by_key, answers, "p1")
+        assert all(code == 3001 for key, code in code_by_key.items() if key in ran)
+
+    with_cell(tmp_path, check)
+
+
+@pytest.mark.timeout(300)
+def test_empty_disk_does_not_vote(tmp_path):
+    """Guards against a quorum of a store with an empty disk that votes as its old self."""
+
+    async def check(cell):
+        owner = await wait_until(cell.owner, "an owner")
+        wiped, other = (name for name in cell.stores if name != owner)
+        lost = {voters[wiped] for voters in (await cell.wait_voters()).values()}
+        cell.processes.kill(wiped)
+        cell.processes.kill(owner)
+        cell.processes.remove(wiped)
+        cell.start_store(wiped)
+        # Several election timeouts; the remaining voter has one vote of three.
+        await sleep(12.0)
+        assert cell.owner() == owner
+        cell.start_store(owner)
+        change = {"preset": "peak", "expect_version": 1}
+        await cell.operate("preset", change, request_id="after")
+        await cell.wait_voters(without=lost)
+        cell.processes.kill(other)
+        change = {"preset": "ordinary", "expect_version": 2}
+        answer = await cell.operate("preset", change, request_id="last")
+        assert answer["version"] == 3
+
+    with_cell(tmp_path, check)
