Test a store leader that is paused longer than a lease

A paused owner could act on what it knew before its lease ended. Six tasks run on three workers, the owner is stopped for 36 s and continued while a second job is placed.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,11 +3,13 @@
 import pytest
 from anyio import create_task_group, fail_after, run, sleep
 
-from tests.checker import check_requests, read
+from tests.checker import check_requests, check_workers, read
 from tests.full_cell import running_cell
 from tests.processes import seeded, wait_until
 
 LIMIT_S = 240
+# Longer than a lease of 30 s and the time after which a worker counts as lost.
+PAUSE_S = 36.0
 ORDERS = 24
 
 
@@ -138,3 +140,35 @@
         assert answer["version"] == 3
 
     with_cell(tmp_path, check)
+
+
+@pytest.mark.timeout(300)
+def test_paused_owner_starts_no_task_a_second_time(tmp_path):
+    """Guards against an owner that wakes after its lease and acts on what it knew before."""
+
+    async def check(cell):
+        cell.start_workers("w", 3, "--beat_s", 2)
+        job = {"name": "long", "team": "ski", "kind": "service", "tasks": 6}
+        await cell.operate(
+            "submit", job | {"cpu_milli": 1000, "memory_mb": 500}, request_id="job-1"
+        )
+        record = cell.record("w")
+
+        def starts():
+            return [line for line in read(record) if line["event"] == "start"]
+
+        await wait_until(lambda: len(starts()) >= 6, "six tasks run")
+        paused = cell.owner()
+        cell.processes.pause(paused)
+        await wait_until(lambda: cell.owner() != paused, "a new owner")
+        more = job | {"name": "more", "cpu_milli": 500, "memory_mb": 500}
+        await cell.operate("submit", more, request_id="job-2", entry="e2")
+        await sleep(PAUSE_S)
+        cell.processes.resume(paused)
+        await wait_until(lambda: len(starts()) >= 12, "the second job runs")
+        await sleep(5.0)
+        assert check_workers(read(record)) == []
+        running = {line["task"] for line in starts()}
+        assert len(running) == 12
+
+    with_cell(tmp_path, check)
