Keep ended jobs small and bring tried workers back with services

Change: ended jobs keep only id, counts and index, 20,000 of them; a first task that has run for 30 s counts as a success.

--- a/siskintally/cell_feed.py
+++ b/siskintally/cell_feed.py
@@ -137,7 +137,8 @@
         else:
             self._reported_by_job.update((one.job_id, one) for one in changed)
             for one in changed:
-                if tenure.domain.job_by_id[one.job_id].is_over:
+                job = tenure.domain.job_by_id.get(one.job_id)
+                if job is None or job.is_over:
                     self._reported_by_job.pop(one.job_id)
 
     def _add_waiting(self):
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -31,8 +31,9 @@
 MAX_AMOUNT = 1 << 40
 # Year 5138; a larger time stamp is no time.
 MAX_TIME_S = 1e11
-# The cell may send the item of an ended job again, which must not run a second time.
-KEEP_ENDED_JOBS = 50_000
+# The cell may send the item of an ended job again, which must not run a second time. These are the
+# jobs of three days.
+KEEP_ENDED_JOBS = 20_000
 
 
 class DomainWorker:
@@ -154,8 +155,7 @@
             self.job_by_id[item.job_id] = job
         elif item.changed_at <= job.item.changed_at:
             return
-        job.item = _copy(item)
-        job.resize()
+        job.follow(_copy(item))
         self._keep(job)
 
     def _keep(self, job):
@@ -164,6 +164,7 @@
         if not job.is_over:
             self._ended_jobs.pop(job_id, None)
             return
+        job.strip()
         self._ended_jobs[job_id] = None
         if len(self._ended_jobs) > KEEP_ENDED_JOBS:
             oldest = next(iter(self._ended_jobs))
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -93,6 +93,17 @@
         """Whether no task is left."""
         return not self.task_by_id
 
+    def follow(self, item):
+        """Take a newer item; the size of a task stays while the job has any."""
+        if self.is_over:
+            self.need = Size.of(item.spec.each)
+        self.item = item
+        self.resize()
+
+    def strip(self):
+        """Drop the spec of an ended job, most of what it would add to a snapshot."""
+        self.item.ClearField("spec")
+
     def resize(self):
         """Follow the item: add tasks, drop waiting ones that are too many or cancelled."""
         if self.item.cancelled:
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -30,6 +30,8 @@
 MAX_MISSES = 32
 # Jobs looked at in each part of a pass, most of them known not to fit.
 MAX_LOOKS = 500
+# A worker that is tried with one task is trusted again when the task has run this long.
+PROBE_RUN_S = 30.0
 # Without changes, the queue is looked at this often for reservations that became due.
 PASS_INTERVAL_S = 1.0
 
@@ -63,6 +65,7 @@
         "_fresh",
         "_last_pass",
         "_misses",
+        "_probe_since",
         "_promised",
         "_reclaim_misses",
         "_seen",
@@ -80,6 +83,7 @@
         self._backlog = Backlog()
         self._capacities = CapacityTable()
         self._ejection = Ejection()
+        self._probe_since = {}
         self._promised = {}
         self._misses = _Misses()
         self._reclaim_misses = _Misses()
@@ -187,10 +191,19 @@
         elif succeeded and self._ejection.succeeded(worker.name):
             self._restore_worker(worker)
 
-    def started(self, worker):
-        """Note that a task has been running on a worker for long enough to count as a success."""
-        if self._ejection.succeeded(worker) and worker in self.pool.worker_by_name:
-            self._restore_worker(self.pool.worker_by_name[worker])
+    def _judge_probes(self, now):
+        """Count a first task that has run for a while as a success; a service never ends."""
+        for name, since in list(self._probe_since.items()):
+            worker = self.pool.worker_by_name.get(name)
+            if worker is None or not worker.probing:
+                del self._probe_since[name]
+            elif not worker.held_by_task:
+                self._probe_since[name] = None
+            elif since is None:
+                self._probe_since[name] = now
+            elif now - since >= PROBE_RUN_S:
+                self._ejection.succeeded(name)
+                self._restore_worker(worker)
 
     def _restore_worker(self, worker):
         worker.probing = False
@@ -204,8 +217,10 @@
         :returns: :class:`Decision`; its resources are taken already.
         """
         decision = Decision()
+        self._judge_probes(now)
         for name in self._ejection.due(now):
             if name in self.pool.worker_by_name:
+                self._probe_since[name] = None
                 worker = self.pool.worker_by_name[name]
                 worker.probing = True
                 self.pool.open(worker, set_aside=False)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -255,11 +255,12 @@
 
     async def check(bench):
         link, answers = WorkerLink(), []
+        await bench.beat(link)
         bench.group.round_gate = Event()
 
         async def beat():
             try:
-                answers.append(await bench.beat(link))
+                answers.append(await bench.beat(link, seq=2, full=False))
             except NotLeaderError:
                 answers.append(None)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -235,6 +235,41 @@
     assert len(placed(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].is_open
 
 
+def test_a_service_that_runs_brings_a_worker_back():
+    """Guards against a worker that is tried with a service and waits for its end for ever."""
+    placement = placement_with(1)
+    placement.submit(job("a", 100, tasks=3))
+    placement.submit(job("b", 100, tasks=3))
+    for task_id in placed(placement, 0.0):
+        placement.ended(task_id, now=0.0, failed=True)
+    placement.submit(job("s", 1000, tasks=2, kind=Kind.SERVICE, run_s=0))
+    assert len(placed(placement, 60.0)) == 1
+    assert placed(placement, 61.0) == placed(placement, 80.0) == {}
+    assert len(placed(placement, 91.0)) == 1
+
+
+def test_failures_of_one_job_do_not_set_a_worker_aside():
+    """Guards against losing good workers to a job that cannot run anywhere."""
+    placement = placement_with(1)
+    placement.submit(job("broken", 1000, tasks=8))
+    for task_id in placed(placement, 0.0):
+        placement.ended(task_id, now=0.0, failed=True)
+    assert placement.pool.worker_by_name["w0"].is_open
+
+
+def test_a_task_that_failed_is_tried_on_another_worker():
+    """Guards against a broken worker that uses up all attempts of a task."""
+    placement = placement_with(2)
+    placement.submit(job("tightest", 1000))
+    (first,) = placed(placement, 0.0).values()
+    placement.submit(job("j", 1000))
+    assert placed(placement, 0.0) == {"j/0": first}
+    placement.ended("j/0", now=0.0, failed=True)
+    placement.job_by_id["j"].avoid.add(first)
+    placement.requeue("j", "j/0")
+    assert set(placed(placement, 1.0).values()) == {"w0", "w1"} - {first}
+
+
 def test_services_use_each_rack_before_any_rack_twice():
     """Guards against a rack failure that takes a whole service."""
     placement = placement_with(12, racks=4)
