Take drained endpoints out of service at the entries

Cause: `drain endpoint NAME` was accepted and committed, but the list stayed in the domain and no entry ever saw it.

Change: ConfigWatch also carries the drained endpoints of the domain, as a whole set confirmed by the leader; entries leave them out of routing. A link with a wrong secret is refused with an UNAUTHENTICATED status.

--- a/siskintally/announcement.py
+++ b/siskintally/announcement.py
@@ -170,6 +170,7 @@
 
     __slots__ = (
         "_by_name",
+        "_drained",
         "_expired_at",
         "_names_by_service",
         "_seen_by_peer",
@@ -180,6 +181,7 @@
     def __init__(self, *, domain):
         self.domain = domain
         self._by_name = {}
+        self._drained = frozenset()
         self._names_by_service = {}
         self._seen_by_peer = {}
         self._sent_by_peer = {}
@@ -191,9 +193,13 @@
     def live(self, service, *, now):
         """Return the endpoints of a service in this domain that may get new work."""
         names = self._names_by_service.get(service, ())
-        found = (self._by_name[name] for name in names)
+        found = (self._by_name[name] for name in names if name not in self._drained)
         return [one for one in found if one.domain == self.domain and one.is_live(now)]
 
+    def drain(self, names):
+        """Replace the set of endpoints that operators have taken out of service."""
+        self._drained = names
+
     def services(self, *, now):
         """Return the services with live endpoints in this domain."""
         return [service for service in self._names_by_service if self.live(service, now=now)]
--- a/siskintally/cell_feed.py
+++ b/siskintally/cell_feed.py
@@ -80,6 +80,8 @@
         for drain in reply.drains:
             if drain.kind == "worker":
                 tenure.placement.drain_worker(drain.name, draining=drain.draining)
+            else:
+                self._on_config()
         for item in reply.jobs:
             tenure.follow(item.job_id)
         tenure.push()
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -148,6 +148,10 @@
         else:
             self.drain_by_key.pop((drain.kind, drain.name), None)
 
+    def drained_endpoints(self):
+        """Return the names of the endpoints that are to get no new work, sorted."""
+        return sorted(name for kind, name in self.drain_by_key if kind == "endpoint")
+
     def _apply_job(self, item):
         job = self.job_by_id.get(item.job_id)
         if job is None:
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -118,7 +118,9 @@
         client = LeaderClient(
             group=group.name if group else "", members=members, call=self._peers.call
         )
-        self._follower = ConfigFollower(client=client, changed=self._set_limits)
+        self._follower = ConfigFollower(
+            client=client, changed=self._set_limits, drained=self._table.drain
+        )
 
     async def run(self):
         """Serve until :meth:`stop` has finished.
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -27,6 +27,7 @@
     sleep_forever,
 )
 from grpclib.client import Channel
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server
 
@@ -35,7 +36,6 @@
     OutcomeUnknownError,
     RefusedError,
     SiskintallyError,
-    UnauthorizedError,
     UnreachableError,
 )
 from siskintally.log import get_logger
@@ -440,7 +440,7 @@
         given = stream.metadata.get(SECRET_HEADER, "")
         if not compare_digest(str(given).encode(), self._secret.encode()):
             log.warning("link refused: wrong secret")
-            raise UnauthorizedError("wrong cell secret")
+            raise GRPCError(Status.UNAUTHENTICATED, "wrong cell secret")
         session = None
         with move_on_after(CONNECT_TIMEOUT_S):
             frame = await stream.recv_message()
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -172,7 +172,7 @@
     async def _answer_watch(self, body):
         """Return the committed configuration, at once if it is newer than the known one."""
         deadline = self._clock() + min(max(body.wait_s, 0.0), MAX_WATCH_S)
-        while self._domain.config.version <= body.known_version and self.tenure is not None:
+        while not self._has_news(body) and self.tenure is not None:
             remaining = deadline - self._clock()
             if remaining <= 0:
                 break
@@ -181,8 +181,13 @@
         await self._group.confirm()
         state = ConfigState()
         state.CopyFrom(self._domain.config)
+        state.drained.extend(self._domain.drained_endpoints())
         return state
 
+    def _has_news(self, body):
+        newer = self._domain.config.version > body.known_version
+        return newer or list(body.known_drained) != self._domain.drained_endpoints()
+
     async def _answer_ledger(self, body):
         command = DomainCommand(at=time(), **{_LEDGER_FIELDS[type(body)]: body})
         reply = DomainReply.FromString(await self._group.propose(command.SerializeToString()))
--- a/siskintally/watch.py
+++ b/siskintally/watch.py
@@ -27,20 +27,25 @@
 
     :param client: :class:`~siskintally.leader.LeaderClient` of that group.
     :param changed: called with the new :class:`~siskintally.limits.EntryLimits`.
+    :param drained: called with the names of the endpoints that are to get no new work.
     """
 
-    __slots__ = ("_changed", "_client", "preset", "version")
+    __slots__ = ("_changed", "_client", "_drained", "_known_drained", "preset", "version")
 
-    def __init__(self, *, client, changed):
+    def __init__(self, *, client, changed, drained):
         self._client = client
         self._changed = changed
+        self._drained = drained
+        self._known_drained = []
         self.version = 0
         self.preset = ""
 
     async def run(self):
         """Follow until cancelled."""
         while True:
-            body = ConfigWatch(known_version=self.version, wait_s=WAIT_S)
+            body = ConfigWatch(
+                known_version=self.version, wait_s=WAIT_S, known_drained=self._known_drained
+            )
             try:
                 state = await self._client.call(
                     body, timeout=TIMEOUT_S, attempt_timeout=ATTEMPT_TIMEOUT_S, idempotent=True
@@ -56,10 +61,16 @@
     def take(self, state):
         """Put a configuration in force if it is newer.
 
-        :returns: whether it was newer and readable.
+        :returns: whether anything changed.
         """
+        drained = list(state.drained)
+        is_drain_news = drained != self._known_drained and state.version >= self.version
+        if is_drain_news:
+            self._known_drained = drained
+            self._drained(frozenset(drained))
+            log.info("endpoints drained", names=drained)
         if state.version <= self.version:
-            return False
+            return is_drain_news
         try:
             limits = read_limits(state.document, state.preset)
         except BadSettingsError as error:
--- a/tests/model/config.py
+++ b/tests/model/config.py
@@ -189,7 +189,9 @@
     def _take_poll(self, state, at, config):
         present = state.entries[at]
         if ("poll", present, config) not in self._memo:
-            follower = ConfigFollower(client=None, changed=lambda limits: None)
+            follower = ConfigFollower(
+                client=None, changed=lambda limits: None, drained=lambda names: None
+            )
             follower.version = _version(present) if present else 0
             taken = follower.take(ConfigState.FromString(config))
             self._memo["poll", present, config] = config if taken else present
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,6 +4,7 @@
 from anyio import create_task_group, fail_after, run, sleep
 
 from tests.checker import check_requests, check_workers, read
+from tests.entry_net import code
 from tests.full_cell import running_cell
 from tests.processes import seeded, wait_until
 
@@ -172,3 +173,27 @@
         assert len(running) == 12
 
     with_cell(tmp_path, check)
+
+
+@pytest.mark.timeout(300)
+def test_drained_endpoint_gets_no_new_work_at_any_entry(tmp_path):
+    """Guards against a drain by an operator that is accepted and has no effect."""
+
+    async def check(cell):
+        cell.start_stub("p1")
+        await wait_ready(cell, "e1", "e2")
+
+        async def answers(expected):
+            responses = [await cell.call(entry) for entry in cell.entries]
+            return all(response and code(response) == expected for response in responses)
+
+        drain = {"kind": "endpoint", "name": "p1", "draining": True}
+        await cell.operate("drain", drain, request_id="drain")
+        await wait_until(lambda: answers(2002), "no endpoint in service")
+        before = len(read(cell.record("p1")))
+        assert await answers(2002)
+        assert len(read(cell.record("p1"))) == before
+        await cell.operate("drain", drain | {"draining": False}, request_id="undrain")
+        await wait_until(lambda: answers(1000), "the endpoint in service again")
+
+    with_cell(tmp_path, check)
