Tell a resend of an order whose entry is gone that its outcome is unknown

Cause: a key that an entry had begun and could not finish, because the entry was killed, answered 3002 (in progress) until the record expired after 24 h. A begin also spent its whole time on a paused ledger leader.

Change: LedgerBegin carries the remaining time of the request; 10 s after it the ledger answers unknown (3001), while a late finish of that attempt still counts. Calls to the ledger try the next member after 1.5 s.

Result: the new test gets UNKNOWN after the time and REPLAYED after a late finish (before: IN_PROGRESS); ledger, model and failure tests pass.

--- a/siskintally/ledger.py
+++ b/siskintally/ledger.py
@@ -12,6 +12,8 @@
 """
 
 from hashlib import blake2b, sha256
+from math import inf
+from struct import Struct
 
 from google.protobuf.message import DecodeError
 
@@ -33,6 +35,11 @@
 REQUEST_BYTES = 16
 HEAD_BYTES = 1 + ATTEMPT_BYTES + REQUEST_BYTES
 
+# Of a running record: time after which its attempt counts as lost, seconds.
+UNTIL = Struct(">d")
+# Leaders stamp commands with wall clocks that may differ by seconds.
+DEADLINE_MARGIN_S = 10.0
+
 RUNNING = 1
 ANSWERED = 2
 UNKNOWN = 3
@@ -72,7 +79,8 @@
     """Records of keys and released attempts; a part of the state of a domain group.
 
     A record is one bytes object: state, fingerprint of the attempt that holds the key, fingerprint
-    of the request (digest and caller), serialized StoredAnswer. The times passed in must come from
+    of the request (digest and caller), then of a running one the time until which it may run, of an
+    answered one the serialized StoredAnswer. The times passed in must come from
     the replicated log; a time lower than an earlier one counts as the earlier one.
 
     :param retention_s: how long a record is kept after its last change, seconds. It is dropped at
@@ -118,6 +126,9 @@
     def begin(self, message, now):
         """Grant a key to an attempt, or tell what is known about the key.
 
+        A key whose attempt did not finish in the time of its request, because its entry is gone,
+        counts as unknown; a late finish of that attempt still counts.
+
         The attempt that holds the key is granted again, because its first reply may have been
         lost; an entry dispatches an attempt at most once, whatever number of replies it gets.
 
@@ -134,9 +145,10 @@
         request = _hash(REQUEST_BYTES, message.digest, message.caller)
         record = self._find(key)
         if record is not None:
-            return _known(record, attempt, request)
+            return _known(record, attempt, request, self._now)
         self._check_capacity()
-        self._put(key, bytes([RUNNING]) + attempt + request)
+        until = now + message.deadline_s + DEADLINE_MARGIN_S if message.deadline_s > 0 else inf
+        self._put(key, bytes([RUNNING]) + attempt + request + UNTIL.pack(until))
         return LedgerBeginReply(verdict=_Verdict.GRANTED)
 
     def finish(self, message, now):
@@ -279,7 +291,7 @@
         return stored.SerializeToString(deterministic=True)
 
 
-def _known(record, attempt, request):
+def _known(record, attempt, request, now):
     if record[1 + ATTEMPT_BYTES : HEAD_BYTES] != request:
         return LedgerBeginReply(verdict=_Verdict.CONFLICT)
     if record[0] == ANSWERED:
@@ -287,12 +299,22 @@
         return LedgerBeginReply(verdict=_Verdict.REPLAYED, answer=answer)
     if record[0] == UNKNOWN:
         return LedgerBeginReply(verdict=_Verdict.UNKNOWN)
-    same = record[1 : 1 + ATTEMPT_BYTES] == attempt
-    return LedgerBeginReply(verdict=_Verdict.GRANTED if same else _Verdict.IN_PROGRESS)
+    if record[1 : 1 + ATTEMPT_BYTES] == attempt:
+        return LedgerBeginReply(verdict=_Verdict.GRANTED)
+    is_lost = now > UNTIL.unpack_from(record, HEAD_BYTES)[0]
+    return LedgerBeginReply(verdict=_Verdict.UNKNOWN if is_lost else _Verdict.IN_PROGRESS)
+
+
+def _is_record(record):
+    if len(record) < HEAD_BYTES:
+        return False
+    if record[0] == RUNNING:
+        return len(record) == HEAD_BYTES + UNTIL.size
+    return record[0] in (ANSWERED, UNKNOWN)
 
 
 def _answer_size(records):
-    return sum(max(0, len(record) - HEAD_BYTES) for record in records)
+    return sum(len(record) - HEAD_BYTES for record in records if record and record[0] == ANSWERED)
 
 
 def _unpack(generation):
@@ -300,7 +322,7 @@
     if len(data) != len(generation.records) * FINGERPRINT_BYTES:
         raise ValueError(f"{len(data)} bytes of fingerprints, {len(generation.records)} records")
     for record in generation.records:
-        if record != TOMBSTONE and (len(record) < HEAD_BYTES or record[0] not in (1, 2, 3)):
+        if record != TOMBSTONE and not _is_record(record):
             raise ValueError(f"record of {len(record)} bytes")
     prints = (data[at : at + FINGERPRINT_BYTES] for at in range(0, len(data), FINGERPRINT_BYTES))
     return _Generation(
--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -8,6 +8,7 @@
 from abc import ABC, abstractmethod
 from collections import OrderedDict
 from hashlib import sha256
+from time import monotonic
 
 from anyio import Event, move_on_after, sleep
 
@@ -32,6 +33,8 @@
 
 # A leader is elected within 4 s, so a shorter call would fail at every planned stop of a leader.
 BEGIN_TIMEOUT_S = 5.0
+# A paused leader must not use up the time in which its successor could answer.
+ATTEMPT_TIMEOUT_S = 1.5
 SETTLE_TIMEOUT_S = 5.0
 SETTLE_PAUSE_S = 1.0
 MAX_KEPT_BODY_BYTES = 16 * 1024
@@ -161,11 +164,19 @@
 
     async def begin(self, call, *, attempt, timeout):
         """Ask the home group of the key."""
-        body = LedgerBegin(key=call.key, caller=call.caller, digest=call.digest(), attempt=attempt)
+        body = LedgerBegin(
+            key=call.key,
+            caller=call.caller,
+            digest=call.digest(),
+            attempt=attempt,
+            deadline_s=max(call.deadline - monotonic(), 0.0),
+        )
         timeout = min(timeout, BEGIN_TIMEOUT_S)
         try:
             # The same attempt may begin again: it is dispatched once whatever comes back.
-            return await self._home(call.key).call(body, timeout=timeout, idempotent=True)
+            return await self._home(call.key).call(
+                body, timeout=timeout, attempt_timeout=ATTEMPT_TIMEOUT_S, idempotent=True
+            )
         except (NotLeaderError, UnreachableError) as error:
             raise LedgerUnreachableError(str(error)) from error
         except (OutcomeUnknownError, RefusedError) as error:
@@ -177,7 +188,9 @@
 
     async def settle(self, key, body):
         """Send to the home group of the key."""
-        await self._home(key).call(body, timeout=SETTLE_TIMEOUT_S, idempotent=True)
+        await self._home(key).call(
+            body, timeout=SETTLE_TIMEOUT_S, attempt_timeout=ATTEMPT_TIMEOUT_S, idempotent=True
+        )
 
 
 class _Record:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,7 +6,7 @@
 
 from siskintally.codes import Code
 from siskintally.errors import DamagedDataError, RefusedError
-from siskintally.ledger import Ledger
+from siskintally.ledger import DEADLINE_MARGIN_S, Ledger
 from siskintally.wire_pb2 import (
     LedgerBegin,
     LedgerBeginReply,
@@ -55,6 +55,20 @@
     assert begin(ledger, "b", **field) == V.CONFLICT
 
 
+def test_attempt_of_a_lost_entry_is_unknown_after_its_time_and_may_still_finish():
+    """Guards against 3002 for a day when the entry that ran the request was killed."""
+    ledger = Ledger()
+    order = LedgerBegin(key="k", caller="shop", digest=b"d", attempt="a", deadline_s=30.0)
+    assert ledger.begin(order, 100.0).verdict == V.GRANTED
+    assert begin(ledger, "b", now=130.0) == V.IN_PROGRESS
+    copy = Ledger()
+    copy.restore(ledger.snapshot())
+    for each in (ledger, copy):
+        assert begin(each, "b", now=130.1 + DEADLINE_MARGIN_S) == V.UNKNOWN
+        finish(each, "a", now=200.0)
+        assert begin(each, "b", now=201.0) == V.REPLAYED
+
+
 def test_unknown_outcome_stays_unknown():
     ledger = Ledger()
     begin(ledger, "a")
