Align heartbeats of all groups of a process

Cause: a store that leads two groups sent their heartbeats at different phases, so each cost its own message and its own wake-up on both sides.

--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -5,6 +5,8 @@
 ()
 """
 
+from math import floor
+
 from xxhash import xxh64_intdigest
 
 from siskintally.election import NEVER, Role
@@ -12,6 +14,8 @@
 from siskintally.messages import AppendRequest, Envelope, SnapshotChunk, TransferLeadership
 from siskintally.progress import Progress
 
+BEAT_TOLERANCE = 1e-9
+
 
 class Leading:
     """The part of a replica that acts while it leads."""
@@ -197,7 +201,14 @@
                 self._send_chunk(peer, progress, now, effects)
 
     def _beat_at(self, progress):
-        """Time of the next heartbeat: sooner while there is a commit that the peer lacks."""
-        if progress.sent_commit < self.commit or progress.match < self.log.last_index:
-            return progress.sent + self.timing.busy_beat_s
-        return progress.sent + self.timing.idle_beat_s
+        """Time of the next heartbeat: sooner while there is a commit that the peer lacks.
+
+        Heartbeats fall on multiples of their interval, so that those of all groups of a process
+        leave together, as one message of each link.
+        """
+        if progress.sent == NEVER:
+            return NEVER
+        lacks = progress.sent_commit < self.commit or progress.match < self.log.last_index
+        interval = self.timing.busy_beat_s if lacks else self.timing.idle_beat_s
+        # Rounding of the quotient must not yield the time of the last heartbeat again.
+        return interval * floor(progress.sent / interval + 1 + BEAT_TOLERANCE)
