--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -30,6 +30,8 @@
 MAX_MISSES = 32
 # Jobs looked at in each part of a pass, most of them known not to fit.
 MAX_LOOKS = 500
+# A worker that is tried with one task is trusted again when the task has run this long.
+PROBE_RUN_S = 30.0
 # Without changes, the queue is looked at this often for reservations that became due.
 PASS_INTERVAL_S = 1.0
 
@@ -52,6 +54,7 @@
     """Jobs, workers and the order in which resources are given out.
 
     A decision takes the resources at once; they come back by :meth:`ended` or :meth:`lose_worker`.
+    ``may_preempt`` and ``places_deferrable`` follow the preset in force.
     """
 
     __slots__ = (
@@ -62,19 +65,25 @@
         "_fresh",
         "_last_pass",
         "_misses",
+        "_probe_since",
         "_promised",
         "_reclaim_misses",
         "_seen",
         "job_by_id",
+        "may_preempt",
+        "places_deferrable",
         "pool",
     )
 
     def __init__(self):
         self.pool = Pool()
         self.job_by_id = {}
+        self.may_preempt = True
+        self.places_deferrable = True
         self._backlog = Backlog()
         self._capacities = CapacityTable()
         self._ejection = Ejection()
+        self._probe_since = {}
         self._promised = {}
         self._misses = _Misses()
         self._reclaim_misses = _Misses()
@@ -182,10 +191,19 @@
         elif succeeded and self._ejection.succeeded(worker.name):
             self._restore_worker(worker)
 
-    def started(self, worker):
-        """Note that a task has been running on a worker for long enough to count as a success."""
-        if self._ejection.succeeded(worker) and worker in self.pool.worker_by_name:
-            self._restore_worker(self.pool.worker_by_name[worker])
+    def _judge_probes(self, now):
+        """Count a first task that has run for a while as a success; a service never ends."""
+        for name, since in list(self._probe_since.items()):
+            worker = self.pool.worker_by_name.get(name)
+            if worker is None or not worker.probing:
+                del self._probe_since[name]
+            elif not worker.held_by_task:
+                self._probe_since[name] = None
+            elif since is None:
+                self._probe_since[name] = now
+            elif now - since >= PROBE_RUN_S:
+                self._ejection.succeeded(name)
+                self._restore_worker(worker)
 
     def _restore_worker(self, worker):
         worker.probing = False
@@ -199,8 +217,10 @@
         :returns: :class:`Decision`; its resources are taken already.
         """
         decision = Decision()
+        self._judge_probes(now)
         for name in self._ejection.due(now):
             if name in self.pool.worker_by_name:
+                self._probe_since[name] = None
                 worker = self.pool.worker_by_name[name]
                 worker.probing = True
                 self.pool.open(worker, set_aside=False)
@@ -246,6 +266,8 @@
             if misses >= MAX_MISSES or len(decision.assignments) >= limit:
                 return position
             job = jobs[position]
+            if job.rank == Urgency.DEFERRABLE and not self.places_deferrable:
+                continue
             if job.waiting and not job.never and len(job.promises) < len(job.waiting):
                 misses += self._try(job, decision, now, limit)
         return min(start + MAX_LOOKS, len(jobs))
@@ -275,7 +297,7 @@
         if job.never:
             return searches
         if job.urgency == Urgency.URGENT:
-            if not self._reclaim_misses.covers(job):
+            if self.may_preempt and not self._reclaim_misses.covers(job):
                 searches += 1
                 decision.stops.extend(preempt(self.pool, job))
                 if len(job.promises) < len(job.waiting):
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,16 +1,24 @@
 """Links: calls, failures, silence."""
 
 from socket import socket
+from subprocess import Popen
+from sys import executable
 
 import pytest
-from anyio import create_task_group, fail_after, move_on_after, run
+from anyio import create_task_group, current_time, fail_after, move_on_after, run, sleep
 from trustme import CA
 
 from siskintally.codes import Code
-from siskintally.errors import RefusedError, UnreachableError, VersionConflictError
+from siskintally.errors import (
+    OutcomeUnknownError,
+    RefusedError,
+    UnreachableError,
+    VersionConflictError,
+)
 from siskintally.link import Handler, Link, LinkServer
 from siskintally.settings import Tls
 from siskintally.wire_pb2 import ConfigState, ConfigWatch, Done, Hello, JobReport
+from tests.forwarder import Forwarder
 
 SECRET = "0123456789abcdef"
 
@@ -134,3 +142,71 @@
         assert replies == {number: number + 1 for number in range(300)}
 
     with_link(check)
+
+
+def test_silent_connection_is_closed_and_opened_again_while_a_call_waits():
+    """Guards against a connection that something in between has forgotten."""
+
+    async def main():
+        server_port, port = free_port(), free_port()
+        hello = Hello(name="a", cell="demo", incarnation="1")
+        server = LinkServer(hello=hello, secret=SECRET, handler=Echo())
+        link = Link(host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=Echo())
+        forwarder = Forwarder(port=port, target=server_port)
+
+        async def serve():
+            await server.serve(host="127.0.0.1", port=server_port)
+
+        with fail_after(30):
+            async with create_task_group() as tasks:
+                tasks.start_soon(serve)
+                tasks.start_soon(forwarder.run)
+                tasks.start_soon(link.run)
+                await link.wait_open()
+                forwarder.silence()
+                started = current_time()
+                with pytest.raises(OutcomeUnknownError):
+                    await link.call(ConfigWatch(), timeout=20)
+                # The outcome is known to be lost long before the call's own deadline.
+                assert current_time() - started < 10
+                await link.wait_open()
+                assert (await link.call(ConfigWatch(known_version=1), timeout=10)).version == 2
+                tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+SERVER = """
+from functools import partial
+from sys import argv
+from anyio import run
+from siskintally.link import LinkServer
+from tests.test_link import SECRET, Echo
+from siskintally.wire_pb2 import Hello
+server = LinkServer(hello=Hello(name="b", cell="demo"), secret=SECRET, handler=Echo())
+run(partial(server.serve, host="127.0.0.1", port=int(argv[1])))
+"""
+
+
+def test_loss_of_a_killed_peer_does_not_end_the_process():
+    """Guards against a cancellation by the gRPC library that ends the tasks around a link."""
+
+    async def main():
+        port = free_port()
+        hello = Hello(name="a", cell="demo", incarnation="1")
+        link = Link(host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=Echo())
+        rounds = 0
+        with fail_after(60):
+            async with create_task_group() as tasks:
+                tasks.start_soon(link.run)
+                for _ in range(3):
+                    with Popen([executable, "-c", SERVER, str(port)]) as server:
+                        await link.wait_open()
+                        server.kill()
+                    rounds += 1
+                    while link.is_open:
+                        await sleep(0.05)
+                tasks.cancel_scope.cancel()
+        assert rounds == 3
+
+    run(main)
