Test keyed requests with real stores lost one after another

The ledger path of the entry had only met a stand-in leader. Three stores, two entries and an endpoint now run as processes: no configuration, a configuration through an entry, its resend and a conflict, then a key while each store is killed in turn.

--- /dev/null
+++ b/tests/test_entry_cell.py
@@ -0,0 +1,79 @@
+"""Entries, stores, and an endpoint as real processes: configuration, ledger, loss of a leader."""
+
+from httpx import AsyncClient
+
+from siskintally.codes import Code
+from tests.checker import read
+from tests.entry_net import TOKEN, Net, code
+from tests.processes import wait_until
+from tests.store_processes import DOCUMENT, Stores
+
+OPERATOR = {"authorization": f"Bearer {TOKEN}"}
+
+
+class StoresWithLedger(Stores):
+    """Stores of a cell group and a domain group."""
+
+    __slots__ = ()
+
+    def _settings(self):
+        group = f'[[group]]\nname = "fjeld"\nmembers = {self.names}\ndomains = ["fjeld-a"]\n'
+        return super()._settings() + group
+
+
+async def serving(stores, client):
+    """Start two entries and an endpoint beside the stores and return the :class:`Net`."""
+    text = stores.settings_path.read_text().partition("[[process]]")
+    net = Net(processes=stores.processes, entries={"e1": "fjeld-a", "e2": "fjeld-a"})
+    net.settings.write_text(net.settings.read_text() + "".join(text[1:]))
+    net.client = client
+    for name in net.entries:
+        net.start_entry(name, "--nostandalone")
+    net.start_stub("p1", domain="fjeld-a")
+    await net.wait_known(1)
+    return net
+
+
+async def configure(net, entry, request_id):
+    response = await net.client.post(
+        f"{net.url_by_name[entry]}/v1/operator/config",
+        json={"document": DOCUMENT, "expect_version": 0},
+        headers=OPERATOR | {"siskintally-request-id": request_id},
+    )
+    return code(response)
+
+
+def test_keyed_requests_run_once_while_each_store_is_lost_in_turn(tmp_path):
+    # Guards against a key that is forgotten by an election or run again through another entry.
+    async def check(stores):
+        await stores.leader()
+        async with AsyncClient(timeout=30.0) as client:
+            net = await serving(stores, client)
+            assert code(await net.call("e1")) == Code.NO_CONFIG
+            assert await configure(net, "e1", "r1") == Code.DONE
+            assert await configure(net, "e2", "r1") == Code.DONE
+            assert await configure(net, "e2", "r2") == Code.VERSION_CONFLICT
+            for entry in net.entries:
+                await net.wait_served(entry)
+
+            async def run_key(entry, key):
+                return code(await net.call(entry, idempotency_key=key, siskintally_caller="c"))
+
+            async def done(key):
+                return await run_key("e1", key) in (Code.DONE, Code.REPLAYED)
+
+            await wait_until(lambda: done("k0"), "k0 is done")
+            keys = ["k0"]
+            # Each store in turn, so that the leader of the ledger is among them.
+            for name in stores.names:
+                stores.processes.kill(name)
+                keys.append(f"without {name}")
+                await wait_until(lambda: done(keys[-1]), f"{keys[-1]} is done")
+                stores.start(name)
+            for key in keys:
+                assert await run_key("e2", key) == Code.REPLAYED
+            records = read(net.record("p1"))
+            run = [one["key"] for one in records if one["event"] == "start" and one["key"]]
+            assert sorted(run) == sorted(keys)
+
+    StoresWithLedger(folder=tmp_path).run(check)
