Report jobs that ended under the former owner of a domain

A domain leader that committed the end of a job and was killed before its report left the job as running in the cell, with its quota held: its successor reported only jobs with tasks left. It now reports every job it knows once; the cell skips those that it knows as ended.

--- a/siskintally/tenure.py
+++ b/siskintally/tenure.py
@@ -80,10 +80,11 @@
         for name, worker in self.domain.worker_by_name.items():
             self.add_worker(name, worker, connected=False)
             self.leases.watch(name)
-        for job_id, job in self.domain.job_by_id.items():
+        # The former leader may have committed the end of a job and not lived to report it.
+        self.dirty.update(self.domain.job_by_id)
+        for job in self.domain.job_by_id.values():
             if not job.is_over:
                 self._add_job(job)
-                self.dirty.add(job_id)
         self.rouse()
 
     def configure(self):
