Show the voters in status and wait for them in process tests

The test of a planned stop failed once in a loaded run: the leader was stopped while the third store was still a learner, so two voters were left of which one was gone, and no leader could be elected. Operators now see the voters, and the tests that take a store away first wait until all stores vote.

--- a/siskintally/inquiry.py
+++ b/siskintally/inquiry.py
@@ -80,6 +80,7 @@
             "preset": cell.config_state.preset,
             "leader": self._group.leader or "",
             "term": self._group.term,
+            "voters": [one.identity.name for one in self._group.members if one.voter],
             "jobs": count_by_state,
             "groups": [self._group_status(group) for group in self._settings.domain_groups()],
             "drains": [{"kind": item.kind, "name": item.name} for item in cell.drains()],
--- a/siskintally/tables.py
+++ b/siskintally/tables.py
@@ -54,6 +54,7 @@
     """Print the state of the cell."""
     print(f"configuration  version {answer['version']}, preset {answer['preset'] or 'none'}")
     print(f"leader         {answer['leader']} (term {answer['term']})")
+    print(f"voters         {', '.join(answer['voters'])}")
     counts = ", ".join(f"{number} {state}" for state, number in sorted(answer["jobs"].items()))
     print(f"jobs           {counts or 'none'}")
     print(f"audit          {answer['audit']['records']} records")
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -6,6 +6,8 @@
 class FakeGroup:
     """Stands in for :class:`siskintally.group.Group`."""
 
+    members = ()
+
     __slots__ = ("applied_index", "is_leader", "leader", "machine", "name", "term")
 
     def __init__(self, *, machine, name="cell"):
--- a/tests/store_processes.py
+++ b/tests/store_processes.py
@@ -162,3 +162,13 @@
             return leaders.pop() if len(leaders) == 1 and None not in found else None
 
         return await wait_until(agreed, f"leader of {names}")
+
+    async def ready(self):
+        """Wait until all stores vote, so that any one can be lost, and return the leader."""
+
+        async def all_vote():
+            found = await self.ask(self.names[0], "status")
+            return found and found[0] == 1000 and len(found[1]["voters"]) == len(self.names)
+
+        await wait_until(all_vote, "all stores vote")
+        return await self.leader()
--- a/tests/test_store_process.py
+++ b/tests/test_store_process.py
@@ -13,7 +13,7 @@
     """Guards against an accepted configuration that an election loses or runs twice."""
 
     async def check(stores):
-        leader = await stores.leader()
+        leader = await stores.ready()
         change = {"document": DOCUMENT, "expect_version": 0}
         first = await stores.change("s2", "config", change, request_id="r1")
         assert first == (Code.DONE, {"version": 1, "preset": "ordinary"})
@@ -65,7 +65,7 @@
     """Guards against a stop that kills the process or leaves the group without a leader."""
 
     async def check(stores):
-        leader = await stores.leader()
+        leader = await stores.ready()
         assert stores.processes.stop(leader) == 0
         left = [name for name in stores.names if name != leader]
         assert await stores.leader(left) in left
@@ -79,7 +79,7 @@
     """Guards against a second group, or a vote of a store that has forgotten its votes."""
 
     async def check(stores):
-        await stores.leader()
+        await stores.ready()
         change = {"document": DOCUMENT, "expect_version": 0}
         await stores.change("s2", "config", change, request_id="r1")
         stores.processes.kill("s1")
@@ -109,7 +109,7 @@
     """Guards against a store with a wrong settings file that takes part."""
 
     async def check(stores):
-        await stores.leader()
+        await stores.ready()
         assert stores.processes.stop("s3") == 0
         text = stores.settings_path.read_text()
         stores.settings_path.write_text(text.replace("0123456789abcdef", "fedcba9876543210"))
