Use the usual terms for owner terms, reservations, and ejected workers

Cause: tenure, desk, feed, promise, and set aside are not the terms of the field, and reviewers had to look them up. Change: OwnerTerm, WorkerService, CellSync, reservations, and ejected replace them; behaviour is the same. Measured: the tests of placement, lease, domain, owner, and worker pass.

--- a/bench/control.py
+++ b/bench/control.py
@@ -181,7 +181,7 @@
     )
     async with create_task_group() as tasks:
         tasks.start_soon(load.owner.run)
-        while load.owner.tenure is None:
+        while load.owner.owner_term is None:
             await sleep(0.01)
         for number in range(workers):
             tasks.start_soon(load.worker, f"w{number}")
--- a/siskintally/cell_feed.py
+++ b/siskintally/cell_sync.py
@@ -1,6 +1,6 @@
 """The two loops between a domain owner and the cell: what to run, and how it goes.
 
->>> from siskintally.cell_feed import SYNC_WAIT_S
+>>> from siskintally.cell_sync import SYNC_WAIT_S
 >>> SYNC_WAIT_S
 5.0
 """
@@ -24,20 +24,20 @@
 # Workers that register one after the other must not turn a large job into one that never fits.
 NEVER_AFTER_S = 10.0
 
-log = get_logger("cell-feed")
+log = get_logger("cell-sync")
 
 
-class CellFeed:
-    """Follows the cell and reports to it during one tenure.
+class CellSync:
+    """Follows the cell and reports to it during one term as owner.
 
-    :param tenure: :class:`~siskintally.tenure.Tenure`.
+    :param owner_term: :class:`~siskintally.owner_term.OwnerTerm`.
     :param cell_call: ``async cell_call(body, timeout=seconds)`` to the leader of the cell group.
     """
 
-    __slots__ = ("_cell_call", "_on_config", "_reason_by_job", "_reported_by_job", "_tenure")
+    __slots__ = ("_cell_call", "_on_config", "_owner_term", "_reason_by_job", "_reported_by_job")
 
-    def __init__(self, *, tenure, cell_call, on_config):
-        self._tenure = tenure
+    def __init__(self, *, owner_term, cell_call, on_config):
+        self._owner_term = owner_term
         self._cell_call = cell_call
         self._on_config = on_config
         self._reported_by_job = {}
@@ -48,11 +48,11 @@
 
         :raises NotLeaderError: leadership has ended.
         """
-        tenure = self._tenure
+        owner_term = self._owner_term
         while True:
             request = SyncRequest(
-                group=tenure.group.name,
-                since=tenure.domain.cell_index,
+                group=owner_term.group.name,
+                since=owner_term.domain.cell_index,
                 wait_s=SYNC_WAIT_S,
                 capacity=self.capacity(),
             )
@@ -60,7 +60,7 @@
             try:
                 reply = await self._cell_call(request, timeout=SYNC_TIMEOUT_S)
             except SiskintallyError as error:
-                tenure.check()
+                owner_term.check()
                 log.info("cell not reached", error=str(error))
                 await sleep(RETRY_S)
                 continue
@@ -70,26 +70,26 @@
                 await sleep(RETRY_S)
 
     async def _take(self, reply):
-        tenure = self._tenure
-        before = tenure.domain.config.version
-        answer = await tenure.commit(sync=reply)
+        owner_term = self._owner_term
+        before = owner_term.domain.config.version
+        answer = await owner_term.commit(sync=reply)
         if answer.code != Code.DONE:
             log.error("cell item refused", code=answer.code, message=answer.message)
             await sleep(RETRY_S)
             return
         for drain in reply.drains:
             if drain.kind == "worker":
-                tenure.placement.drain_worker(drain.name, draining=drain.draining)
+                owner_term.placement.drain_worker(drain.name, draining=drain.draining)
         for item in reply.jobs:
-            tenure.follow(item.job_id)
-        tenure.push()
-        tenure.rouse()
-        if tenure.domain.config.version != before:
+            owner_term.follow(item.job_id)
+        owner_term.push()
+        owner_term.request_pass()
+        if owner_term.domain.config.version != before:
             self._on_config()
 
     def capacity(self):
         """Return the DomainCapacity of the registered workers."""
-        pool = self._tenure.placement.pool
+        pool = self._owner_term.placement.pool
         largest = NOTHING
         for worker in pool.worker_by_name.values():
             pairs = zip(largest.key(), worker.capacity.key(), strict=True)
@@ -109,58 +109,58 @@
         """
         while True:
             await sleep(REPORT_S)
-            self._tenure.check()
-            if self._tenure.review_due:
-                self._tenure.review_due = False
-                self._tenure.placement.review()
+            self._owner_term.check()
+            if self._owner_term.review_due:
+                self._owner_term.review_due = False
+                self._owner_term.placement.review()
             await self.send_report()
 
     async def send_report(self):
         """Send one report of what has changed since the last; what fails is sent again."""
-        tenure = self._tenure
+        owner_term = self._owner_term
         self._add_waiting()
-        jobs = sorted(tenure.dirty)[:MAX_REPORT_JOBS]
+        jobs = sorted(owner_term.dirty)[:MAX_REPORT_JOBS]
         progress = [one for one in map(self._progress, jobs) if one is not None]
         changed = [one for one in progress if self._reported_by_job.get(one.job_id) != one]
-        tenure.dirty.difference_update(jobs)
+        owner_term.dirty.difference_update(jobs)
         if not changed:
             return
         try:
             await self._cell_call(
-                JobReport(group=tenure.group.name, jobs=changed), timeout=REPORT_TIMEOUT_S
+                JobReport(group=owner_term.group.name, jobs=changed), timeout=REPORT_TIMEOUT_S
             )
         except NotLeaderError:
-            tenure.dirty.update(jobs)
+            owner_term.dirty.update(jobs)
         except SiskintallyError as error:
-            tenure.dirty.update(jobs)
+            owner_term.dirty.update(jobs)
             log.info("report not delivered", error=str(error))
         else:
             self._reported_by_job.update((one.job_id, one) for one in changed)
             for one in changed:
-                job = tenure.domain.job_by_id.get(one.job_id)
+                job = owner_term.domain.job_by_id.get(one.job_id)
                 if job is None or job.is_over:
                     self._reported_by_job.pop(one.job_id)
 
     def _add_waiting(self):
         """Look again at jobs whose reason for waiting has changed."""
-        tenure = self._tenure
-        is_due = tenure.clock() - tenure.since >= NEVER_AFTER_S
+        owner_term = self._owner_term
+        is_due = owner_term.clock() - owner_term.since >= NEVER_AFTER_S
         before, self._reason_by_job = self._reason_by_job, {}
-        for job_id, job in tenure.placement.job_by_id.items():
+        for job_id, job in owner_term.placement.job_by_id.items():
             if job.reason:
                 reason = self._reason_by_job[job_id] = (job.reason, job.never and is_due)
                 if before.get(job_id) != reason:
-                    tenure.dirty.add(job_id)
+                    owner_term.dirty.add(job_id)
 
     def _progress(self, job_id):
-        tenure = self._tenure
-        job = tenure.domain.job_by_id.get(job_id)
+        owner_term = self._owner_term
+        job = owner_term.domain.job_by_id.get(job_id)
         if job is None:
             return None
         progress = job.progress()
-        placed = tenure.placement.job_by_id.get(job_id)
+        placed = owner_term.placement.job_by_id.get(job_id)
         if placed is not None and progress.waiting:
             progress.reason = placed.reason
-            if placed.never and tenure.clock() - tenure.since >= NEVER_AFTER_S:
+            if placed.never and owner_term.clock() - owner_term.since >= NEVER_AFTER_S:
                 progress.code = int(Code.NEVER_FITS)
         return progress
--- a/siskintally/dispatcher.py
+++ b/siskintally/dispatcher.py
@@ -20,15 +20,15 @@
 
 
 class Dispatcher:
-    """Places the waiting tasks of a tenure.
+    """Places the waiting tasks during one term as owner.
 
-    :param tenure: :class:`~siskintally.tenure.Tenure`.
+    :param owner_term: :class:`~siskintally.owner_term.OwnerTerm`.
     """
 
-    __slots__ = ("_metrics", "_tenure")
+    __slots__ = ("_metrics", "_owner_term")
 
-    def __init__(self, *, tenure, metrics):
-        self._tenure = tenure
+    def __init__(self, *, owner_term, metrics):
+        self._owner_term = owner_term
         self._metrics = metrics
 
     async def run(self):
@@ -37,49 +37,49 @@
         :raises NotLeaderError: leadership has ended.
         :raises OutcomeUnknownError: as above, during a commit.
         """
-        tenure = self._tenure
+        owner_term = self._owner_term
         while True:
             with move_on_after(IDLE_PASS_S):
-                await tenure.wake.wait()
-            if tenure.wake.is_set() and not tenure.urgent:
+                await owner_term.wake.wait()
+            if owner_term.wake.is_set() and not owner_term.urgent:
                 await sleep(PASS_S)
-            tenure.wake = Event()
-            tenure.urgent = False
+            owner_term.wake = Event()
+            owner_term.urgent = False
             await self.step()
 
     async def step(self):
         """Make one pass."""
-        tenure = self._tenure
-        started = tenure.clock()
-        decision = tenure.placement.decide(now=started)
+        owner_term = self._owner_term
+        started = owner_term.clock()
+        decision = owner_term.placement.decide(now=started)
         if decision.assignments:
             await self._assign(decision.assignments)
-        tenure.stop_tasks(decision.stops, checkpoint=True)
-        tenure.push()
+        owner_term.stop_tasks(decision.stops, checkpoint=True)
+        owner_term.push()
         if decision.assignments:
             self._metrics.count("placements", len(decision.assignments))
-            self._metrics.timing("placement_pass", tenure.clock() - started)
-            tenure.rouse()
+            self._metrics.timing("placement_pass", owner_term.clock() - started)
+            owner_term.request_pass()
 
     async def _assign(self, assignments):
-        tenure = self._tenure
+        owner_term = self._owner_term
         records, records_by_task = [], {}
         for found in assignments:
             record = self._record(found)
             if record is not None:
                 records.append(record)
             records_by_task[found.task_id] = record
-        reply = await tenure.commit(batch=DomainBatch(assigned=records))
+        reply = await owner_term.commit(batch=DomainBatch(assigned=records))
         refused = set(reply.refused)
         refused.update(task for task, record in records_by_task.items() if record is None)
         for found in assignments:
             if found.task_id in refused:
                 self._give_back(found.task_id)
             else:
-                tenure.start_task(found.task_id)
+                owner_term.start_task(found.task_id)
 
     def _record(self, found):
-        domain = self._tenure.domain
+        domain = self._owner_term.domain
         task, worker = domain.task(found.task_id), domain.worker_by_name.get(found.worker)
         if task is None or worker is None:
             return None
@@ -92,11 +92,11 @@
 
     def _give_back(self, task_id):
         """Undo a decision that the domain refused because its worker or job had changed."""
-        tenure = self._tenure
+        owner_term = self._owner_term
         log.info("assignment refused", task=task_id)
-        tenure.placement.pool.release(task_id)
-        task, job_id = tenure.domain.task(task_id), job_id_of(task_id)
-        job = tenure.placement.job_by_id.get(job_id)
+        owner_term.placement.pool.release(task_id)
+        task, job_id = owner_term.domain.task(task_id), job_id_of(task_id)
+        job = owner_term.placement.job_by_id.get(job_id)
         if job is not None and task is not None and not task.worker and task_id not in job.waiting:
-            tenure.placement.requeue(job_id, task_id)
-        tenure.rouse()
+            owner_term.placement.requeue(job_id, task_id)
+        owner_term.request_pass()
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -133,13 +133,13 @@
             self.succeeded += 1
         elif self.item.cancelled:
             self.cancelled += 1
-        elif cause == AttemptEnd.FAILED and self._is_hopeless(task):
+        elif cause == AttemptEnd.FAILED and self._has_failed_too_often(task):
             self.failed += 1
         elif self.ended + len(self.task_by_id) <= self.item.tasks:
             return
         del self.task_by_id[task.task_id]
 
-    def _is_hopeless(self, task):
+    def _has_failed_too_often(self, task):
         task.failures += 1
         return self.item.spec.kind != JobSpec.SERVICE and task.failures >= MAX_FAILURES
 
--- a/siskintally/ejection.py
+++ b/siskintally/ejection.py
@@ -27,7 +27,7 @@
 
 
 class Ejection:
-    """Counts failures in a row and decides how long a worker is set aside."""
+    """Counts failures in a row and decides how long a worker stays ejected."""
 
     __slots__ = ("_history_by_worker",)
 
@@ -35,7 +35,7 @@
         self._history_by_worker = {}
 
     def failed(self, worker, job_id, *, now):
-        """Note a failed task; return whether the worker is to be set aside now.
+        """Note a failed task; return whether the worker is to be ejected now.
 
         :param now: monotonic seconds.
         """
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -9,14 +9,14 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
-from siskintally.cell_feed import CellFeed
+from siskintally.cell_sync import CellSync
 from siskintally.codes import Code
 from siskintally.dispatcher import Dispatcher
 from siskintally.domain_state_pb2 import DomainCommand, DomainReply
 from siskintally.errors import BadRequestError, NotLeaderError, OutcomeUnknownError, RefusedError
 from siskintally.link import Handler
 from siskintally.log import get_logger
-from siskintally.tenure import CONFIRM_WINDOW_S, Tenure
+from siskintally.owner_term import CONFIRM_WINDOW_S, OwnerTerm
 from siskintally.wire_pb2 import (
     ConfigState,
     ConfigWatch,
@@ -26,7 +26,7 @@
     LedgerRelease,
     WorkerBeat,
 )
-from siskintally.worker_desk import WorkerDesk
+from siskintally.worker_service import WorkerService
 
 MAX_WATCH_S = 30.0
 RESTART_S = 0.1
@@ -43,8 +43,8 @@
 class Owner(Handler):
     """Places and watches tasks while this process leads a domain group.
 
-    All it knows is in a :class:`~siskintally.tenure.Tenure` that is built from the committed state
-    when leadership begins and dropped when it ends.
+    All it knows is in an :class:`~siskintally.owner_term.OwnerTerm`, built from the committed
+    state when leadership begins and dropped when it ends.
 
     :param group: :class:`~siskintally.group.Group` of the domain group.
     :param domain: its :class:`~siskintally.domain.Domain`.
@@ -58,13 +58,13 @@
         "_cell_call",
         "_clock",
         "_config_changed",
-        "_desk",
         "_domain",
         "_group",
         "_metrics",
         "_settings",
         "_window_s",
-        "tenure",
+        "_workers",
+        "owner_term",
     )
 
     def __init__(
@@ -78,7 +78,7 @@
         clock=monotonic,
         window_s=CONFIRM_WINDOW_S,
     ):
-        self.tenure = None
+        self.owner_term = None
         self._group = group
         self._domain = domain
         self._settings = settings
@@ -86,7 +86,7 @@
         self._metrics = metrics
         self._clock = clock
         self._window_s = window_s
-        self._desk = None
+        self._workers = None
         self._config_changed = Event()
 
     async def run(self):
@@ -100,45 +100,47 @@
                     leadership = await leaderships.receive()
 
     async def _lead(self, leadership, leaderships):
-        """Hold one tenure; return the next leadership."""
-        tenure = Tenure(
+        """Act as the owner for one term; return the next leadership."""
+        owner_term = OwnerTerm(
             group=self._group,
             domain=self._domain,
             clock=self._clock,
             window_s=self._window_s,
         )
-        log.info("tenure begins", group=self._group.name, term=tenure.term)
+        log.info("term as owner begins", group=self._group.name, term=owner_term.term)
         following = leadership
         try:
             async with create_task_group() as tasks:
-                tasks.start_soon(self._hold, tenure, tasks.cancel_scope)
+                tasks.start_soon(self._hold, owner_term, tasks.cancel_scope)
                 while following.is_leader and following.term == leadership.term:
                     following = await leaderships.receive()
                 tasks.cancel_scope.cancel()
         finally:
-            tenure.is_over = True
-            self.tenure = self._desk = None
+            owner_term.is_over = True
+            self.owner_term = self._workers = None
             self._change_config()
-            log.info("tenure ends", group=self._group.name, term=tenure.term)
+            log.info("term as owner ends", group=self._group.name, term=owner_term.term)
         await sleep(RESTART_S)
         return following
 
-    async def _hold(self, tenure, scope):
-        """Run the loops of a tenure; after a lost commit the next reads the state anew."""
-        desk = WorkerDesk(
-            tenure=tenure, domains=self._settings.group_by_name[self._group.name].domains
+    async def _hold(self, owner_term, scope):
+        """Run the loops of a term; after a lost commit the next one reads the state anew."""
+        workers = WorkerService(
+            owner_term=owner_term, domains=self._settings.group_by_name[self._group.name].domains
         )
-        feed = CellFeed(tenure=tenure, cell_call=self._cell_call, on_config=self._change_config)
-        dispatcher = Dispatcher(tenure=tenure, metrics=self._metrics)
-        self.tenure, self._desk = tenure, desk
+        sync = CellSync(
+            owner_term=owner_term, cell_call=self._cell_call, on_config=self._change_config
+        )
+        dispatcher = Dispatcher(owner_term=owner_term, metrics=self._metrics)
+        self.owner_term, self._workers = owner_term, workers
         async with create_task_group() as tasks:
-            for loop in (dispatcher.run, desk.watch, feed.follow, feed.report):
+            for loop in (dispatcher.run, workers.watch, sync.follow, sync.report):
                 tasks.start_soon(_until_lost, loop, scope)
 
     def _change_config(self):
-        if self.tenure is not None:
-            self.tenure.configure()
-            self.tenure.rouse()
+        if self.owner_term is not None:
+            self.owner_term.configure()
+            self.owner_term.request_pass()
         self._config_changed.set()
         self._config_changed = Event()
 
@@ -148,10 +150,10 @@
         :raises NotLeaderError: this process does not lead the group.
         :raises BadRequestError: no such call.
         """
-        if self.tenure is None:
+        if self.owner_term is None:
             raise NotLeaderError(f"not the owner of {self._group.name}", leader=self._leader())
         if isinstance(body, WorkerBeat):
-            return await self._desk.answer(session, body)
+            return await self._workers.answer(session, body)
         if isinstance(body, ConfigWatch):
             return await self._answer_watch(body)
         if type(body) in _LEDGER_FIELDS:
@@ -163,8 +165,8 @@
 
     def closed(self, session):
         """Give no new tasks to a worker whose link has ended."""
-        if self._desk is not None:
-            self._desk.closed(session)
+        if self._workers is not None:
+            self._workers.closed(session)
 
     def _leader(self):
         return self._group.leader or ""
@@ -172,7 +174,7 @@
     async def _answer_watch(self, body):
         """Return the committed configuration, at once if it is newer than the known one."""
         deadline = self._clock() + min(max(body.wait_s, 0.0), MAX_WATCH_S)
-        while self._domain.config.version <= body.known_version and self.tenure is not None:
+        while self._domain.config.version <= body.known_version and self.owner_term is not None:
             remaining = deadline - self._clock()
             if remaining <= 0:
                 break
--- a/siskintally/tenure.py
+++ b/siskintally/owner_term.py
@@ -1,8 +1,8 @@
 """What an owner knows in one term of leadership: placement, leases, links, pending orders.
 
->>> from siskintally.tenure import Tenure
->>> Tenure.__name__
-'Tenure'
+>>> from siskintally.owner_term import OwnerTerm
+>>> OwnerTerm.__name__
+'OwnerTerm'
 """
 
 from time import time
@@ -23,7 +23,7 @@
 CONFIRM_WINDOW_S = 0.25
 
 
-class Tenure:
+class OwnerTerm:
     """State of the owner in one term, built from the committed state; gone with the leadership.
 
     :param group: :class:`~siskintally.group.Group` that this process leads.
@@ -84,7 +84,7 @@
             if not job.is_over:
                 self._add_job(job)
                 self.dirty.add(job_id)
-        self.rouse()
+        self.request_pass()
 
     def configure(self):
         """Follow the preset in force.
@@ -129,7 +129,7 @@
         if job.item.cancelled:
             self.stop_tasks(self.placement.cancel(job.item.job_id))
 
-    def rouse(self, *, urgent=False):
+    def request_pass(self, *, urgent=False):
         """Have waiting tasks looked at soon, or at once."""
         self.urgent = self.urgent or urgent
         self.wake.set()
@@ -139,7 +139,7 @@
 
         :returns: DomainReply.
         :raises NotLeaderError: nothing was proposed.
-        :raises OutcomeUnknownError: leadership was lost; the tenure must not go on.
+        :raises OutcomeUnknownError: leadership was lost; this object must not be used on.
         """
         self.check()
         command = DomainCommand(at=time(), **change)
@@ -149,7 +149,7 @@
             cause_by_task = {end.task_id: end.cause for end in batch.ended}
             for task_id in reply.ended:
                 self._ended(task_id, cause_by_task.get(task_id, AttemptEnd.LOST))
-            self.rouse()
+            self.request_pass()
         return reply
 
     def check(self):
@@ -256,4 +256,4 @@
         if job.is_over:
             self.placement.forget(job_id)
         else:
-            self.rouse(urgent=self.placement.job_by_id[job_id].urgency == Urgency.URGENT)
+            self.request_pass(urgent=self.placement.job_by_id[job_id].urgency == Urgency.URGENT)
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -18,7 +18,7 @@
 from siskintally.feasibility import CapacityTable
 from siskintally.policy import policy_for
 from siskintally.pool import Pool
-from siskintally.preemption import preempt, redeem, reserve, withdraw
+from siskintally.preemption import place_reserved, preempt, reserve, withdraw
 from siskintally.workload import Kind, Urgency
 
 # A job that has found no room for this long gets a reservation.
@@ -66,8 +66,8 @@
         "_last_pass",
         "_misses",
         "_probe_since",
-        "_promised",
         "_reclaim_misses",
+        "_reserved",
         "_seen",
         "job_by_id",
         "may_preempt",
@@ -84,7 +84,7 @@
         self._capacities = CapacityTable()
         self._ejection = Ejection()
         self._probe_since = {}
-        self._promised = {}
+        self._reserved = {}
         self._misses = _Misses()
         self._reclaim_misses = _Misses()
         self._fresh = []
@@ -125,8 +125,8 @@
         job = self.job_by_id[job_id]
         held = self.pool.held_by_task
         job.waiting = deque(task_id for task_id in task_ids if task_id not in held)
-        if job.promises:
-            self._drop_promises(job)
+        if job.reservations:
+            self._drop_reservations(job)
         if job.waiting:
             self._backlog.add(job)
             self._fresh.append(job)
@@ -163,8 +163,8 @@
         job.cancelled = True
         job.waiting.clear()
         self._backlog.remove(job)
-        if job.promises:
-            self._drop_promises(job)
+        if job.reservations:
+            self._drop_reservations(job)
         return list(job.running)
 
     def forget(self, job_id):
@@ -172,7 +172,7 @@
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
             self._backlog.remove(job)
-            self._drop_promises(job)
+            self._drop_reservations(job)
 
     def ended(self, task_id, *, now, failed=False, succeeded=False):
         """Free what a task held, after its worker reported the end.
@@ -187,7 +187,7 @@
         if failed and self._ejection.failed(worker.name, held.job.job_id, now=now):
             self._withdraw_from(worker)
             worker.probing = False
-            self.pool.open(worker, set_aside=True)
+            self.pool.open(worker, ejected=True)
         elif succeeded and self._ejection.succeeded(worker.name):
             self._restore_worker(worker)
 
@@ -207,7 +207,7 @@
 
     def _restore_worker(self, worker):
         worker.probing = False
-        self.pool.open(worker, set_aside=False)
+        self.pool.open(worker, ejected=False)
 
     def decide(self, *, now, limit=1000):
         """Place waiting tasks in order.
@@ -223,21 +223,21 @@
                 self._probe_since[name] = None
                 worker = self.pool.worker_by_name[name]
                 worker.probing = True
-                self.pool.open(worker, set_aside=False)
+                self.pool.open(worker, ejected=False)
         self._backlog.promote(now)
         state = (self.pool.freed, self._backlog.changes)
         if state == self._seen and now - self._last_pass < PASS_INTERVAL_S:
             return decision
-        self._redeem(decision)
+        self._place_reserved(decision)
         state = (self.pool.freed, self._backlog.changes)
         complete = self._pass(decision, now, limit)
         self._last_pass = now
         self._seen = state if complete else None
         return decision
 
-    def _redeem(self, decision):
-        for job in list(self._promised.values()):
-            decision.assignments.extend(redeem(self.pool, job))
+    def _place_reserved(self, decision):
+        for job in list(self._reserved.values()):
+            decision.assignments.extend(place_reserved(self.pool, job))
             self._tidy(job)
 
     def _pass(self, decision, now, limit):
@@ -268,7 +268,7 @@
             job = jobs[position]
             if job.rank == Urgency.DEFERRABLE and not self.places_deferrable:
                 continue
-            if job.waiting and not job.never and len(job.promises) < len(job.waiting):
+            if job.waiting and not job.never and len(job.reservations) < len(job.waiting):
                 misses += self._try(job, decision, now, limit)
         return min(start + MAX_LOOKS, len(jobs))
 
@@ -300,15 +300,15 @@
             if self.may_preempt and not self._reclaim_misses.covers(job):
                 searches += 1
                 decision.stops.extend(preempt(self.pool, job))
-                if len(job.promises) < len(job.waiting):
+                if len(job.reservations) < len(job.waiting):
                     self._reclaim_misses.add(job)
-        elif now - job.blocked_since >= RESERVE_AFTER_S and not job.promises:
-            reserved = sum(kept.urgency != Urgency.URGENT for kept in self._promised.values())
+        elif now - job.blocked_since >= RESERVE_AFTER_S and not job.reservations:
+            reserved = sum(kept.urgency != Urgency.URGENT for kept in self._reserved.values())
             if reserved < MAX_RESERVATIONS:
                 searches += 1
                 reserve(self.pool, job)
-        if job.promises:
-            self._promised[job.job_id] = job
+        if job.reservations:
+            self._reserved[job.job_id] = job
         return searches
 
     def _tidy(self, job):
@@ -316,19 +316,19 @@
             self._backlog.remove(job)
             job.blocked_since = None
             job.reason = ""
-            self._drop_promises(job)
-        elif not job.promises:
-            self._promised.pop(job.job_id, None)
+            self._drop_reservations(job)
+        elif not job.reservations:
+            self._reserved.pop(job.job_id, None)
 
-    def _drop_promises(self, job):
+    def _drop_reservations(self, job):
         withdraw(self.pool, job)
-        self._promised.pop(job.job_id, None)
+        self._reserved.pop(job.job_id, None)
 
     def _withdraw_from(self, worker):
-        """Take back promises on a worker that can no longer keep them."""
-        for job in list(self._promised.values()):
-            if worker in job.promises:
-                self._drop_promises(job)
+        """Take back reservations on a worker that can no longer keep them."""
+        for job in list(self._reserved.values()):
+            if worker in job.reservations:
+                self._drop_reservations(job)
 
     def review(self):
         """Judge again which jobs can never run, after workers were added or lost."""
--- a/siskintally/pool.py
+++ b/siskintally/pool.py
@@ -43,7 +43,7 @@
 
     :param capacity: what the worker has.
 
-    A worker with ``probing`` takes one task and is set aside until its result is known.
+    A worker with ``probing`` takes one task and is ejected until its result is known.
     """
 
     __slots__ = (
@@ -52,15 +52,15 @@
         "count_by_job",
         "domain",
         "draining",
+        "ejected",
         "ending",
         "free",
         "held_by_task",
         "name",
         "probing",
-        "promised",
         "rack",
         "reclaimable",
-        "set_aside",
+        "reserved",
     )
 
     def __init__(self, *, name, domain, rack, capacity):
@@ -69,24 +69,24 @@
         self.rack = rack
         self.capacity = capacity
         self.free = capacity
-        self.promised = NOTHING
+        self.reserved = NOTHING
         self.ending = NOTHING
         self.reclaimable = NOTHING
         self.held_by_task = {}
         self.count_by_job = {}
         self.draining = False
         self.connected = True
-        self.set_aside = False
+        self.ejected = False
         self.probing = False
 
     @property
     def is_open(self):
         """Whether the worker takes new tasks."""
-        return self.connected and not (self.draining or self.set_aside)
+        return self.connected and not (self.draining or self.ejected)
 
     def available(self):
-        """Return what is free and not promised to a waiting task."""
-        return self.free - self.promised if self.promised is not NOTHING else self.free
+        """Return what is free and not reserved to a waiting task."""
+        return self.free - self.reserved if self.reserved is not NOTHING else self.free
 
     def after_stops(self, *, reclaim):
         """Return what will be available when ends under way are reported.
@@ -195,7 +195,7 @@
         _count(job.count_by_rack, (worker.domain, worker.rack), 1)
         _count(job.count_by_domain, worker.domain, 1)
         job.running.add(task_id)
-        worker.set_aside = worker.set_aside or worker.probing
+        worker.ejected = worker.ejected or worker.probing
         self.refresh(worker)
 
     def release(self, task_id):
@@ -218,7 +218,7 @@
         _count(job.count_by_rack, (worker.domain, worker.rack), -1)
         _count(job.count_by_domain, worker.domain, -1)
         job.running.discard(task_id)
-        worker.set_aside = worker.set_aside and not worker.probing
+        worker.ejected = worker.ejected and not worker.probing
         self.freed += 1
         self.refresh(worker)
         return held
@@ -244,26 +244,26 @@
             worker.reclaimable = change
         self.refresh(worker)
 
-    def promise(self, worker, need):
+    def reserve(self, worker, need):
         """Keep a worker's resources, free now or later, from other tasks."""
-        worker.promised += need
+        worker.reserved += need
         self.refresh(worker)
 
-    def withdraw(self, worker, need):
-        """Take back a promise."""
-        left = worker.promised - need
-        worker.promised = NOTHING if left == NOTHING else left
+    def unreserve(self, worker, need):
+        """Take back a reservation."""
+        left = worker.reserved - need
+        worker.reserved = NOTHING if left == NOTHING else left
         self.freed += 1
         self.refresh(worker)
 
-    def open(self, worker, *, draining=None, set_aside=None, connected=None):
+    def open(self, worker, *, draining=None, ejected=None, connected=None):
         """Change whether a worker takes new tasks."""
         if connected is not None:
             worker.connected = connected
         if draining is not None:
             worker.draining = draining
-        if set_aside is not None:
-            worker.set_aside = set_aside
+        if ejected is not None:
+            worker.ejected = ejected
         self.freed += worker.is_open
         self.refresh(worker)
 
--- a/siskintally/preemption.py
+++ b/siskintally/preemption.py
@@ -1,6 +1,6 @@
-"""Resources promised to tasks that wait: by stopping deferrable tasks, or by a reservation.
+"""Reservations of resources for tasks that wait.
 
-A promise keeps resources from everybody else. It allocates nothing: the task is placed when the
+A reservation keeps resources from other jobs. It allocates nothing: the task is placed when the
 resources are free, which is after the worker has reported the end of what used them.
 
 >>> from siskintally.pool import Pool
@@ -22,27 +22,27 @@
 
 
 def preempt(pool, job):
-    """Promise places to the waiting tasks of an urgent job by stopping deferrable batch tasks.
+    """Reserve places for the waiting tasks of an urgent job by stopping deferrable batch tasks.
 
     :returns: ids of the tasks to stop. A gang gets all places or none.
     """
     victims = []
-    first = len(job.promises)
-    for _ in range(len(job.waiting) - len(job.promises)):
+    first = len(job.reservations)
+    for _ in range(len(job.waiting) - len(job.reservations)):
         worker = pool.reclaim(job)
         if worker is None:
             break
         for held in _cheapest(worker, job.need):
             pool.stop(held.task_id)
             victims.append(held)
-        pool.promise(worker, job.need)
-        job.promises.append(worker)
-    if job.kind == Kind.GANG and len(job.promises) < len(job.waiting):
+        pool.reserve(worker, job.need)
+        job.reservations.append(worker)
+    if job.kind == Kind.GANG and len(job.reservations) < len(job.waiting):
         for held in victims:
             pool.resume(held.task_id)
-        for worker in job.promises[first:]:
-            pool.withdraw(worker, job.need)
-        del job.promises[first:]
+        for worker in job.reservations[first:]:
+            pool.unreserve(worker, job.need)
+        del job.reservations[first:]
         return []
     return [held.task_id for held in victims]
 
@@ -76,17 +76,17 @@
 
 
 def reserve(pool, job):
-    """Promise places to a job that has waited long: to every task of a gang, to one task otherwise.
+    """Reserve places for a job that has waited long: for all tasks of a gang, otherwise for one.
 
     Tasks that run until stopped are not counted on to end.
 
-    :returns: whether all promises could be made.
+    :returns: whether all reservations could be made.
     """
     wanted = len(job.waiting) if job.kind == Kind.GANG else 1
     rooms = []
     for worker in pool.worker_by_name.values():
         if worker.is_open and job.domain in ("", worker.domain):
-            count = job.need.times(worker.capacity - worker.lasting() - worker.promised)
+            count = job.need.times(worker.capacity - worker.lasting() - worker.reserved)
             if count > 0:
                 rooms.append((worker.available().key(), worker.name, worker, count))
     rooms.sort(reverse=True)
@@ -99,36 +99,36 @@
         return False
     for worker, count in Counter(chosen).items():
         for _ in range(count):
-            pool.promise(worker, job.need)
-    job.promises.extend(chosen)
+            pool.reserve(worker, job.need)
+    job.reservations.extend(chosen)
     return True
 
 
 def withdraw(pool, job):
-    """Take back all promises of a job."""
-    for worker in job.promises:
-        pool.withdraw(worker, job.need)
-    job.promises.clear()
+    """Take back all reservations of a job."""
+    for worker in job.reservations:
+        pool.unreserve(worker, job.need)
+    job.reservations.clear()
 
 
-def redeem(pool, job):
-    """Place the tasks whose promised resources are free now.
+def place_reserved(pool, job):
+    """Place the tasks whose reserved resources are free now.
 
     :returns: assignments; for a gang all or none.
     """
     if job.kind == Kind.GANG:
-        if job.running or len(job.promises) != len(job.waiting):
+        if job.running or len(job.reservations) != len(job.waiting):
             return []
-        for worker, count in Counter(job.promises).items():
+        for worker, count in Counter(job.reservations).items():
             if job.need.times(worker.free) < count:
                 return []
-        ready = list(job.promises)
+        ready = list(job.reservations)
     else:
         ready = _free_now(job)
     placed = []
     for worker in ready:
-        job.promises.remove(worker)
-        pool.withdraw(worker, job.need)
+        job.reservations.remove(worker)
+        pool.unreserve(worker, job.need)
         task_id = job.waiting.popleft()
         pool.take(worker, task_id, job)
         placed.append(Assignment(task_id=task_id, job=job, worker=worker.name))
@@ -137,6 +137,6 @@
 
 def _free_now(job):
     ready = []
-    for worker, count in Counter(job.promises).items():
+    for worker, count in Counter(job.reservations).items():
         ready.extend([worker] * min(count, job.need.times(worker.free)))
     return ready[: len(job.waiting)]
--- a/siskintally/worker_desk.py
+++ b/siskintally/worker_service.py
@@ -1,6 +1,6 @@
 """Answers the heartbeats of workers and ends the attempts of workers that are lost.
 
->>> from siskintally.worker_desk import LOSS_CHECK_S
+>>> from siskintally.worker_service import LOSS_CHECK_S
 >>> LOSS_CHECK_S
 0.5
 """
@@ -15,20 +15,20 @@
 
 LOSS_CHECK_S = 0.5
 
-log = get_logger("worker-desk")
+log = get_logger("worker-service")
 
 
-class WorkerDesk:
-    """Heartbeats and losses of one tenure.
+class WorkerService:
+    """Heartbeats and losses during one term as owner.
 
-    :param tenure: :class:`~siskintally.tenure.Tenure`.
+    :param owner_term: :class:`~siskintally.owner_term.OwnerTerm`.
     :param domains: failure domains whose workers the group owns.
     """
 
-    __slots__ = ("_domains", "_reported", "_tenure")
+    __slots__ = ("_domains", "_owner_term", "_reported")
 
-    def __init__(self, *, tenure, domains):
-        self._tenure = tenure
+    def __init__(self, *, owner_term, domains):
+        self._owner_term = owner_term
         self._domains = domains
         self._reported = {}
 
@@ -39,21 +39,21 @@
         :raises NotLeaderError: leadership has ended.
         :raises BadRequestError: a full heartbeat is expected, or the domain is not owned here.
         """
-        tenure = self._tenure
-        tenure.check()
+        owner_term = self._owner_term
+        owner_term.check()
         self._check(beat)
         if self._reported.get(beat.worker) != (session, beat.session):
             if not beat.full:
                 raise BadRequestError("full heartbeat expected")
-            tenure.leases.renewed(beat.worker)
-        tenure.leases.arrived(beat.worker, beat.seq, now=tenure.clock())
-        findings = compare(tenure.domain, beat)
+            owner_term.leases.renewed(beat.worker)
+        owner_term.leases.arrived(beat.worker, beat.seq, now=owner_term.clock())
+        findings = compare(owner_term.domain, beat)
         if findings.must_commit:
             await self._commit(beat, findings)
-        await tenure.shared_confirm.wait()
-        tenure.check()
+        await owner_term.shared_confirm.wait()
+        owner_term.check()
         self._check(beat)
-        if not tenure.leases.acknowledged(beat.worker, beat.seq):
+        if not owner_term.leases.acknowledged(beat.worker, beat.seq):
             raise RefusedError("heartbeat of an earlier session", code=Code.OVERLOADED)
         self._register(session, beat)
         return self._orders(beat, findings)
@@ -63,63 +63,63 @@
             raise BadRequestError(
                 f"worker {beat.worker!r}: domain {beat.domain!r} is not owned here"
             )
-        if beat.worker in self._tenure.losing:
+        if beat.worker in self._owner_term.losing:
             # Answering would renew the lease while the attempts are being placed elsewhere.
             raise RefusedError("the worker is being counted as lost", code=Code.OVERLOADED)
 
     async def _commit(self, beat, findings):
-        tenure = self._tenure
+        owner_term = self._owner_term
         joined = [findings.joined] if findings.joined is not None else []
-        reply = await tenure.commit(batch=DomainBatch(ended=findings.ended, joined=joined))
+        reply = await owner_term.commit(batch=DomainBatch(ended=findings.ended, joined=joined))
         if reply.code != Code.DONE or beat.worker in reply.refused:
             message = reply.message or "capacity below what is assigned"
             raise BadRequestError(f"worker {beat.worker!r}: {message}")
         for end in findings.ended:
-            tenure.orders.ended(beat.worker, end.task_id, end.attempt)
+            owner_term.orders.ended(beat.worker, end.task_id, end.attempt)
         if joined:
             self._add(beat.worker)
 
     def _add(self, name):
         """Offer a new worker; one with another capacity is offered anew with its tasks."""
-        tenure = self._tenure
-        pool, worker = tenure.placement.pool, tenure.domain.worker_by_name[name]
+        owner_term = self._owner_term
+        pool, worker = owner_term.placement.pool, owner_term.domain.worker_by_name[name]
         known = pool.worker_by_name.get(name)
         if known is not None and known.capacity == worker.capacity:
             return
         held = []
         if known is not None:
             held = [(one.job, one.task_id) for one in known.held_by_task.values()]
-            tenure.placement.lose_worker(name)
-        tenure.add_worker(name, worker, connected=False)
+            owner_term.placement.lose_worker(name)
+        owner_term.add_worker(name, worker, connected=False)
         for job, task_id in held:
             if task_id in worker.task_ids:
                 pool.take(pool.worker_by_name[name], task_id, job)
-            elif tenure.domain.task(task_id) is not None:
-                tenure.placement.requeue(job.job_id, task_id)
+            elif owner_term.domain.task(task_id) is not None:
+                owner_term.placement.requeue(job.job_id, task_id)
 
     def _register(self, session, beat):
         """Take a link as the worker's only one; orders not confirmed on an earlier one are due."""
-        tenure = self._tenure
+        owner_term = self._owner_term
         if self._reported.get(beat.worker) == (session, beat.session):
             return
         self._reported[beat.worker] = (session, beat.session)
-        tenure.link_by_worker[beat.worker] = session
-        tenure.orders.resend(beat.worker)
-        tenure.placement.connect_worker(beat.worker, connected=True)
-        tenure.review_due = True
-        tenure.rouse()
+        owner_term.link_by_worker[beat.worker] = session
+        owner_term.orders.resend(beat.worker)
+        owner_term.placement.connect_worker(beat.worker, connected=True)
+        owner_term.review_due = True
+        owner_term.request_pass()
 
     def _orders(self, beat, findings):
-        tenure = self._tenure
+        owner_term = self._owner_term
         for task_id, attempt in findings.running:
-            tenure.orders.running(beat.worker, task_id, attempt)
+            owner_term.orders.running(beat.worker, task_id, attempt)
         for task_id in findings.missing:
-            task = tenure.domain.task(task_id)
+            task = owner_term.domain.task(task_id)
             if task is not None and task.worker == beat.worker and task.session == beat.session:
-                tenure.start_task(task_id)
+                owner_term.start_task(task_id)
         for state in findings.seen:
-            tenure.orders.ended(beat.worker, state.task_id, state.attempt)
-        orders = tenure.orders_for(beat.worker, beat.session)
+            owner_term.orders.ended(beat.worker, state.task_id, state.attempt)
+        orders = owner_term.orders_for(beat.worker, beat.session)
         orders.seq = beat.seq
         orders.stop.extend(findings.stops)
         orders.seen.extend(findings.seen)
@@ -127,12 +127,12 @@
 
     def closed(self, session):
         """Give no new tasks to workers whose link has ended."""
-        tenure = self._tenure
-        names = [name for name, link in tenure.link_by_worker.items() if link is session]
+        owner_term = self._owner_term
+        names = [name for name, link in owner_term.link_by_worker.items() if link is session]
         for name in names:
-            del tenure.link_by_worker[name]
+            del owner_term.link_by_worker[name]
             self._reported.pop(name, None)
-            tenure.placement.connect_worker(name, connected=False)
+            owner_term.placement.connect_worker(name, connected=False)
 
     async def watch(self):
         """End the attempts of lost workers until cancelled.
@@ -145,27 +145,27 @@
 
     async def lose(self):
         """End the attempts of workers whose leases can no longer run."""
-        tenure = self._tenure
-        tenure.check()
-        await tenure.settle_leases()
+        owner_term = self._owner_term
+        owner_term.check()
+        await owner_term.settle_leases()
         names = []
-        for name in tenure.leases.lost(tenure.clock()):
-            tenure.leases.forget(name)
-            if name in tenure.domain.worker_by_name:
+        for name in owner_term.leases.lost(owner_term.clock()):
+            owner_term.leases.forget(name)
+            if name in owner_term.domain.worker_by_name:
                 names.append(name)
         if not names:
             return
         log.info("workers lost", workers=names)
-        tenure.losing.update(names)
+        owner_term.losing.update(names)
         try:
-            await tenure.commit(batch=DomainBatch(lost=names))
+            await owner_term.commit(batch=DomainBatch(lost=names))
         finally:
-            tenure.losing.difference_update(names)
+            owner_term.losing.difference_update(names)
         for name in names:
-            tenure.orders.forget(name)
-            tenure.link_by_worker.pop(name, None)
+            owner_term.orders.forget(name)
+            owner_term.link_by_worker.pop(name, None)
             self._reported.pop(name, None)
-            if name in tenure.placement.pool.worker_by_name:
-                tenure.placement.lose_worker(name)
-        tenure.review_due = True
-        tenure.rouse()
+            if name in owner_term.placement.pool.worker_by_name:
+                owner_term.placement.lose_worker(name)
+        owner_term.review_due = True
+        owner_term.request_pass()
--- a/siskintally/workload.py
+++ b/siskintally/workload.py
@@ -65,11 +65,11 @@
         "latest_start",
         "need",
         "never",
-        "promises",
         "queued",
         "rank",
         "reason",
         "reclaimable",
+        "reservations",
         "running",
         "shape",
         "urgency",
@@ -103,7 +103,7 @@
         self.latest_start = submitted + (max(deadline_s - run_s, 0.0) if deadline_s else PATIENCE_S)
         self.waiting = deque(names)
         self.running = set()
-        self.promises = []
+        self.reservations = []
         self.count_by_rack = {}
         self.count_by_domain = {}
         self.avoid = set()
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -197,7 +197,7 @@
         with fail_after(60):
             async with create_task_group() as tasks:
                 tasks.start_soon(bench.owner.run)
-                await until(lambda: bench.owner.tenure is not None)
+                await until(lambda: bench.owner.owner_term is not None)
                 await check(bench)
                 tasks.cancel_scope.cancel()
 
@@ -237,15 +237,15 @@
         await until(lambda: "j" in bench.domain.job_by_id)
         bench.group.gate = Event()
         await until(lambda: any(one.batch.assigned for one in bench.group.proposals))
-        tenure = bench.owner.tenure
+        owner_term = bench.owner.owner_term
         bench.group.depose()
         bench.group.gate.set()
-        await until(lambda: bench.owner.tenure is None)
-        assert link.starts() == [] and tenure.is_over
+        await until(lambda: bench.owner.owner_term is None)
+        assert link.starts() == [] and owner_term.is_over
         with pytest.raises(NotLeaderError):
             await bench.beat(link, seq=2, full=False)
         with pytest.raises(NotLeaderError):
-            tenure.push()
+            owner_term.push()
 
     with_owner(check)
 
@@ -286,10 +286,10 @@
         bench.clock.now += 20.0
         await bench.beat(two, worker="w2")
         bench.clock.now += 11.0
-        await bench.owner._desk.lose()
+        await bench.owner._workers.lose()
         assert bench.domain.task("j/g.0").worker == "w1"
         bench.clock.now += 0.7
-        await bench.owner._desk.lose()
+        await bench.owner._workers.lose()
         await until(lambda: two.starts() == ["j/g.0"])
         assert bench.domain.task("j/g.0").attempt == 2
         assert "w1" not in bench.domain.worker_by_name
@@ -306,8 +306,8 @@
         bench.clock.now += 31.7
         bench.group.gate = Event()
         async with create_task_group() as tasks:
-            tasks.start_soon(bench.owner._desk.lose)
-            await until(lambda: bool(bench.owner.tenure.losing))
+            tasks.start_soon(bench.owner._workers.lose)
+            await until(lambda: bool(bench.owner.owner_term.losing))
             with pytest.raises(RefusedError):
                 await bench.beat(link, seq=2, full=False)
             bench.group.gate.set()
@@ -325,14 +325,14 @@
         await bench.beat(link)
         bench.clock.now += 500.0
         bench.group.depose()
-        await until(lambda: bench.owner.tenure is None)
+        await until(lambda: bench.owner.owner_term is None)
         bench.group.elect()
-        await until(lambda: bench.owner.tenure is not None)
+        await until(lambda: bench.owner.owner_term is not None)
         bench.clock.now += 31.5
-        await bench.owner._desk.lose()
+        await bench.owner._workers.lose()
         assert "w1" in bench.domain.worker_by_name
         bench.clock.now += 0.2
-        await bench.owner._desk.lose()
+        await bench.owner._workers.lose()
         assert "w1" not in bench.domain.worker_by_name
 
     with_owner(check)
@@ -436,10 +436,10 @@
         bench.submit("j", tasks=6)
         await until(lambda: len(link.starts()) == 4)
         bench.group.depose()
-        await until(lambda: bench.owner.tenure is None)
+        await until(lambda: bench.owner.owner_term is None)
         bench.group.elect()
-        await until(lambda: bench.owner.tenure is not None)
-        pool = bench.owner.tenure.placement.pool
+        await until(lambda: bench.owner.owner_term is not None)
+        pool = bench.owner.owner_term.placement.pool
         assert len(pool.held_by_task) == 4 and pool.worker_by_name["w1"].free.cpu == 0
         running = [state(task) for task in link.starts()]
         answer = await bench.beat(link, seq=2, attempts=running)
@@ -485,19 +485,19 @@
         bench.owner._change_config()
 
     async def check(bench):
-        link, desk = WorkerLink(), bench.owner._desk
+        link, workers = WorkerLink(), bench.owner._workers
         await configure(bench, 1, 60)
         assert (await bench.beat(link)).lease_s == 60
         await configure(bench, 2, 10)
         bench.clock.now += 62.1
-        await desk.lose()
+        await workers.lose()
         assert "w1" in bench.domain.worker_by_name
         assert (await bench.beat(link, seq=2, full=False)).lease_s == 10
         bench.clock.now += 0.2
-        await desk.lose()
+        await workers.lose()
         assert bench.domain.longest_lease_s == 10
         bench.clock.now += 11.2
-        await desk.lose()
+        await workers.lose()
         assert "w1" not in bench.domain.worker_by_name
 
     with_owner(check)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Placement: capacity, gangs, starvation, preemption, workers set aside."""
+"""Placement: capacity, gangs, starvation, preemption, ejected workers."""
 
 import pytest
 from hypothesis import given, settings
@@ -44,13 +44,13 @@
         held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
         assert held.within(worker.capacity)
         assert held + worker.free == worker.capacity
-        promises = [
+        reservations = [
             other.need
             for other in placement.job_by_id.values()
-            for promised in other.promises
-            if promised is worker
+            for reserved in other.reservations
+            if reserved is worker
         ]
-        assert sum(promises, NOTHING) == worker.promised
+        assert sum(reservations, NOTHING) == worker.reserved
     for other in placement.job_by_id.values():
         if other.kind == Kind.GANG and not other.cancelled:
             assert not (other.running and other.waiting)
@@ -162,8 +162,8 @@
         placement.submit(job(f"large{number}", 8000))
     placed(placement, 1.0)
     placed(placement, 2.0 + RESERVE_AFTER_S)
-    promised = [other for other in placement.job_by_id.values() if other.promises]
-    assert len(promised) == MAX_RESERVATIONS
+    reserved = [other for other in placement.job_by_id.values() if other.reservations]
+    assert len(reserved) == MAX_RESERVATIONS
 
 
 def test_urgent_work_waits_for_the_end_of_the_tasks_it_stops():
