Test orders while links between entries and stores are silent

Established connections can go silent while new ones work, and answers can be held in one direction. Entries reach the stores through forwarders that silence all links and then hold the answers for 5 s.

--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -7,11 +7,12 @@
 from sys import executable
 from time import monotonic
 
-from anyio import sleep
+from anyio import create_task_group, sleep
 from httpx import AsyncClient, HTTPError
 
 from tests.checker import Answer
 from tests.entry_net import TOKEN, Net, code
+from tests.forwarder import Forwarder
 from tests.processes import Processes, free_ports, wait_until
 
 DOMAIN = "jylland-a"
@@ -28,7 +29,7 @@
     :param random: seeded source for choices of the callers.
     """
 
-    __slots__ = ("random", "stores")
+    __slots__ = ("entry_settings", "forwarders", "random", "stores")
 
     def __init__(self, *, processes, entries, random):
         super().__init__(processes=processes, entries=dict.fromkeys(entries, DOMAIN))
@@ -43,10 +44,28 @@
         text += f'[[group]]\nname = "cell"\nmembers = {self.stores}\n'
         text += f'[[group]]\nname = "{GROUP}"\nmembers = {self.stores}\ndomains = ["{DOMAIN}"]\n'
         self.settings.write_text(text)
+        self.entry_settings = self.settings
+        self.forwarders = []
+
+    def forward_stores(self):
+        """Let entries that are started from now on reach the stores through forwarders.
+
+        The forwarders are in ``forwarders``; the test runs them.
+        """
+        text = self.settings.read_text()
+        pattern = r'role = "store"\n(?:.*\n)*?link = "127.0.0.1:(\d+)"'
+        targets = [int(port) for port in findall(pattern, text)]
+        for target, port in zip(targets, free_ports(len(targets)), strict=True):
+            text = text.replace(f'"127.0.0.1:{target}"', f'"127.0.0.1:{port}"')
+            self.forwarders.append(Forwarder(port=port, target=target))
+        self.entry_settings = self.folder / "entries.toml"
+        self.entry_settings.write_text(text)
 
     def start_entry(self, name, *flags):
         """Start an entry that uses the stores."""
-        self.processes.start(name, "entry", "--settings", self.settings, "--name", name, *flags)
+        self.processes.start(
+            name, "entry", "--settings", self.entry_settings, "--name", name, *flags
+        )
 
     def start_store(self, name):
         """Start a store."""
@@ -164,17 +183,25 @@
 
 
 @asynccontextmanager
-async def running_cell(folder, random, *, entries=("e1", "e2")):
-    """Give a :class:`FullCell` with a configuration in force."""
+async def running_cell(folder, random, *, entries=("e1", "e2"), forwarded=False):
+    """Give a :class:`FullCell` with a configuration in force.
+
+    :param forwarded: whether entries reach the stores through forwarders.
+    """
     with Processes(folder=folder) as processes:
         cell = FullCell(processes=processes, entries=entries, random=random)
         cell.found()
         for name in cell.stores:
             cell.start_store(name)
-        async with AsyncClient(timeout=30.0) as cell.client:
+        if forwarded:
+            cell.forward_stores()
+        async with AsyncClient(timeout=30.0) as cell.client, create_task_group() as tasks:
+            for forwarder in cell.forwarders:
+                tasks.start_soon(forwarder.run)
             for name in entries:
                 cell.start_entry(name)
             change = {"document": DOCUMENT, "expect_version": 0}
             await cell.operate("config", change, request_id="first-config")
             await cell.wait_voters()
             yield cell
+            tasks.cancel_scope.cancel()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -253,3 +253,30 @@
         await wait_until(lambda: answers(1000), "the endpoint in service again")
 
     with_cell(tmp_path, check)
+
+
+@pytest.mark.timeout(300)
+def test_orders_go_on_when_links_to_the_stores_fall_silent(tmp_path):
+    """Guards against calls that wait for ever, or run twice, on connections that are silent."""
+
+    async def check(cell):
+        cell.start_stub("p1", "--service_ms", 40)
+        await wait_ready(cell, "e1", "e2")
+
+        async def silence():
+            for forwarder in cell.forwarders:
+                forwarder.silence()
+            await sleep(cell.random.uniform(0.5, 6.0))
+            for forwarder in cell.forwarders:
+                forwarder.block("to_client")
+            await sleep(5.0)
+            for forwarder in cell.forwarders:
+                forwarder.heal()
+
+        assert len(cell.forwarders) == len(cell.stores)
+        code_by_key, answers = await place_orders(cell, silence, spread_s=12.0)
+        assert "link silent" in cell.processes.log_text("e1")
+        check_orders(cell, code_by_key, answers, "p1")
+        assert set(code_by_key.values()) <= {1000, 1001}
+
+    with_cell(tmp_path, check, forwarded=True)
