--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -117,8 +117,8 @@
                     yield fields
 
     def owner(self):
-        """Return the store whose tenure of the domain group began last."""
-        begun = self._events("tenure begins", GROUP)
+        """Return the store whose term as owner of the domain group began last."""
+        begun = self._events("term as owner begins", GROUP)
         last = max(begun, key=lambda fields: int(fields["term"]), default={})
         return last.get("process")
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -427,7 +427,7 @@
     with_owner(check)
 
 
-def test_a_tenure_is_built_from_the_committed_state():
+def test_a_term_is_built_from_the_committed_state():
     """Guards against a new owner that forgets running tasks and places them again."""
 
     async def check(bench):
--- a/tests/test_unreported_end.py
+++ b/tests/test_unreported_end.py
@@ -16,10 +16,10 @@
         await bench.beat(link, seq=2, full=False, attempts=[end])
         assert bench.domain.job_by_id["j"].is_over
         bench.group.depose()
-        await until(lambda: bench.owner.tenure is None)
+        await until(lambda: bench.owner.owner_term is None)
         bench.reports.clear()
         bench.group.elect()
-        await until(lambda: bench.owner.tenure is not None)
+        await until(lambda: bench.owner.owner_term is not None)
         await until(lambda: any(one.job_id == "j" for one in bench.reports))
         assert bench.reports[-1].succeeded == 1
 
