Stamp domain commands with committed time and let leases outlive elections

Cause: three faults reported by the model and failure tests. A refusal that followed a lost reply was taken as proof that a begin had no effect, so its key was not released. A preset allowed leases of 5 s, and the loss of the owner then stopped all tasks during the election (seen in test_placement_goes_on_after_the_owner_is_killed).

--- a/siskintally/leader.py
+++ b/siskintally/leader.py
@@ -44,7 +44,8 @@
         :param idempotent: whether a call with an unknown outcome may be sent again.
         :raises NotLeaderError: no leader was found; the call had no effect.
         :raises OutcomeUnknownError: the call was sent and its effect is not known.
-        :raises RefusedError: the leader answered with a result code.
+        :raises RefusedError: the leader answered with a result code, and no earlier send of the
+            call can have had an effect.
         """
         deadline = monotonic() + timeout
         unknown = False
@@ -57,6 +58,10 @@
                     return await self._ask(name, body, remaining)
                 except (NotLeaderError, UnreachableError):
                     continue
+                except RefusedError as error:
+                    if unknown:
+                        raise OutcomeUnknownError(f"sent before the refusal: {error}") from error
+                    raise
                 except OutcomeUnknownError:
                     self._leader = ""
                     unknown = True
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -5,7 +5,7 @@
 'Handler'
 """
 
-from time import monotonic, time
+from time import monotonic
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
@@ -191,7 +191,8 @@
         return newer or list(body.known_drained) != self._domain.drained_endpoints()
 
     async def _answer_ledger(self, body):
-        command = DomainCommand(at=time(), **{_LEDGER_FIELDS[type(body)]: body})
+        at = self.owner_term.stamp()
+        command = DomainCommand(at=at, **{_LEDGER_FIELDS[type(body)]: body})
         reply = DomainReply.FromString(await self._group.propose(command.SerializeToString()))
         if reply.code != Code.DONE:
             raise RefusedError(reply.message, code=Code(reply.code))
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -5,8 +5,6 @@
 'OwnerTerm'
 """
 
-from time import time
-
 from anyio import Event
 
 from siskintally.domain_job import job_id_of
@@ -32,6 +30,7 @@
     """
 
     __slots__ = (
+        "_committed_at",
         "clock",
         "dirty",
         "domain",
@@ -59,6 +58,7 @@
         self.clock = clock
         self.term = group.term
         self.since = clock()
+        self._committed_at = domain.now
         self.is_over = False
         self.placement = Placement()
         self.leases = LeaseTable(lease_s=domain.longest_lease_s, elected_at=self.since)
@@ -143,7 +143,7 @@
         :raises OutcomeUnknownError: leadership was lost; this object must not be used on.
         """
         self.check()
-        command = DomainCommand(at=time(), **change)
+        command = DomainCommand(at=self.stamp(), **change)
         reply = DomainReply.FromString(await self.group.propose(command.SerializeToString()))
         if reply.ended:
             batch = change["batch"]
@@ -153,6 +153,13 @@
             self.request_pass()
         return reply
 
+    def stamp(self):
+        """Return the time for a command: committed time plus what has passed in this term.
+
+        A wall clock that is a day ahead would let the ledger forget orders that can be resent.
+        """
+        return self._committed_at + self.clock() - self.since
+
     def check(self):
         """Refuse to act after the leadership has ended.
 
--- a/siskintally/preset.py
+++ b/siskintally/preset.py
@@ -126,7 +126,8 @@
         high=0.5,
         defaults=(0.1, 0.05, 0.1),
     ),
-    Limit(name="lease_s", kind=float, unit="s", low=5, high=600, defaults=(30.0, 30.0, 30.0)),
+    # A lease must outlive an election, or the loss of one store stops the tasks of its workers.
+    Limit(name="lease_s", kind=float, unit="s", low=10, high=600, defaults=(30.0, 30.0, 30.0)),
     Limit(name="preempt", kind=bool, unit="", defaults=(True, True, True)),
     Limit(name="place_deferrable", kind=bool, unit="", defaults=(True, True, False)),
 )
