--- a/siskintally/forward.py
+++ b/siskintally/forward.py
@@ -7,8 +7,6 @@
 
 from enum import Enum
 from hashlib import sha256
-from importlib.util import find_spec
-from sys import modules
 from time import monotonic
 
 from anyio import move_on_after
@@ -24,12 +22,6 @@
     TimeoutException,
 )
 
-# httpcore tries to import this optional module several times for each request. Where it is not
-# installed, each try searches the whole path, 15% of the entry's processor time; the None entry
-# makes the import fail at once.
-if find_spec("sniffio") is None:
-    modules["sniffio"] = None
-
 ID_HEADER = "siskintally-request-id"
 DIGEST_HEADER = "siskintally-digest"
 # Below the 5 s after which an idle connection must not be used, and below usual server limits.
