--- /dev/null
+++ b/bench/urgent.py
@@ -0,0 +1,100 @@
+"""Time from the submission of an urgent job to the start of its task on full workers.
+
+Deferrable tasks fill all workers; urgent jobs then have to preempt. Each second point kills the
+owner first. Times are from the records of the workers.
+
+Usage: python -m bench.urgent [jobs] [workers]
+"""
+
+import json
+from pathlib import Path
+from random import Random
+from sys import argv
+from tempfile import TemporaryDirectory
+from time import monotonic
+
+from anyio import run, sleep
+from hdrh.histogram import HdrHistogram
+
+from tests.checker import read
+from tests.full_cell import running_cell
+from tests.processes import wait_until
+
+JOBS = 20
+WORKERS = 24
+TARGET_S = 6.1
+MAX_MS = 120_000
+SLOTS_PER_WORKER = 4
+DOCUMENT = "[teams.ski]\ncpu_milli = 1000000000\nmemory_mb = 1000000000\n"
+
+
+def started(cell, job):
+    """Return the time at which the first task of a job started, or None."""
+    for line in read(cell.record("w")):
+        if line["event"] == "start" and line["task"].startswith(f"{job}/"):
+            return line["t"]
+    return None
+
+
+async def submit(cell, name, *, tasks, rank):
+    """Submit a batch job of tasks that take a quarter of a worker; return its id."""
+    spec = {"name": name, "team": "ski", "kind": "batch", "class": rank, "tasks": tasks}
+    spec |= {"cpu_milli": 1000, "memory_mb": 1000, "run_s": 600}
+    answer = await cell.operate("submit", spec, request_id=name)
+    return answer["job"]
+
+
+async def measure(jobs, workers):
+    """Return milliseconds of each urgent job, without and with the loss of the owner."""
+    with TemporaryDirectory() as folder:
+        async with running_cell(Path(folder), Random(1)) as cell:
+            await cell.wait_voters()
+            change = {"document": DOCUMENT, "expect_version": 1}
+            await cell.operate("config", change, request_id="quota")
+            cell.start_workers("w", workers)
+            slots = workers * SLOTS_PER_WORKER
+            await submit(cell, "night", tasks=slots * 2, rank="deferrable")
+            await wait_until(lambda: len(read(cell.record("w"))) >= slots, "workers are full")
+            await sleep(2.0)
+            calm = [await one(cell, f"calm-{number}") for number in range(jobs)]
+            lost = []
+            for number in range(3):
+                owner = cell.owner()
+                cell.processes.kill(owner)
+                lost.append(await one(cell, f"lost-{number}"))
+                cell.start_store(owner)
+                await sleep(8.0)
+    return calm, lost
+
+
+async def one(cell, name):
+    """Submit one urgent job and return the milliseconds to its start."""
+    begun = monotonic()
+    job = await submit(cell, name, tasks=1, rank="urgent")
+    at = await wait_until(lambda: started(cell, job), f"{name} starts")
+    return max(1, round((at - begun) * 1000))
+
+
+def main():
+    """Print percentiles, the target and JSON."""
+    jobs = int(argv[1]) if len(argv) > 1 else JOBS
+    workers = int(argv[2]) if len(argv) > 2 else WORKERS
+    calm, lost = run(measure, jobs, workers)
+    histogram = HdrHistogram(1, MAX_MS, 3)
+    for value in calm:
+        histogram.record_value(value)
+    figures = {
+        "p50_ms": histogram.get_value_at_percentile(50),
+        "p99_ms": histogram.get_value_at_percentile(99),
+        "max_ms": max(calm),
+        "owner_lost_ms": lost,
+        "target_ms": TARGET_S * 1000,
+    }
+    print(f"{jobs} urgent jobs on {workers} full workers: p50 {figures['p50_ms']} ms, ", end="")
+    print(f"p99 {figures['p99_ms']} ms, max {figures['max_ms']} ms; target {TARGET_S} s")
+    print(f"submitted right after the loss of the owner: {lost} ms")
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    main()
