Split what goes over a link from opening and accepting it

Cause: link.py had grown to 461 lines with three jobs.

Change: session.py holds one established conversation (calls, replies, keepalive), link.py opens and accepts; no behaviour changes.

--- a/bench/link.py
+++ b/bench/link.py
@@ -10,8 +10,9 @@
 from anyio import create_task_group, move_on_after, run, sleep
 
 from bench.meter import ByteCounter, cpu_seconds, fit, process_cpu_seconds
-from siskintally.link import Handler, Link, LinkServer
+from siskintally.link import Link, LinkServer
 from siskintally.log import set_up
+from siskintally.session import Handler
 from siskintally.wire_pb2 import Done, Hello, JobReport, WorkerBeat
 
 SERVER_PORT = 17901
--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -27,8 +27,8 @@
         "stable timing encoding journal records group inbox applier joins waiters watchers machine"
     ),
     "Processes and transport": (
-        "store store_links replicas founding link leader supervisor daemon settings log metrics "
-        "codes errors"
+        "store store_links replicas founding link session leader supervisor daemon settings log "
+        "metrics codes errors"
     ),
     "Command line and stubs": (
         "main __main__ command commands_entry commands_operator commands_store commands_worker "
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -23,7 +23,7 @@
 from siskintally.leader import LeaderClient
 from siskintally.ledger_client import StandaloneLedger, StoreLedger
 from siskintally.limits import EntryLimits
-from siskintally.link import Handler, LinkServer
+from siskintally.link import LinkServer
 from siskintally.log import get_logger
 from siskintally.metrics import Metrics
 from siskintally.pause import PauseGuard
@@ -31,6 +31,7 @@
 from siskintally.relay import OperatorRelay
 from siskintally.request import Course
 from siskintally.retry import RetryBudget
+from siskintally.session import Handler
 from siskintally.share import share
 from siskintally.supervisor import Supervisor
 from siskintally.watch import ConfigFollower
--- a/siskintally/founding.py
+++ b/siskintally/founding.py
@@ -10,8 +10,9 @@
 from anyio import create_task_group, move_on_after
 
 from siskintally.errors import BadRequestError, NotFoundError, SiskintallyError
-from siskintally.link import Handler, Link
+from siskintally.link import Link
 from siskintally.replicas import group_folder
+from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello, JoinRequest
 
 ASK_TIMEOUT_S = 2.0
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -1,330 +1,38 @@
-"""Streams between the processes of a cell.
+"""Streams between the processes of a cell: opening, accepting, opening again.
 
-A link is one gRPC bidirectional stream that carries :class:`~siskintally.wire_pb2.Frame` messages.
+A link is one gRPC bidirectional stream that carries :class:`~siskintally.wire_pb2.Frame` messages;
+:class:`~siskintally.session.Session` is what goes over it.
 
->>> from siskintally.link import unwrap, wrap
->>> from siskintally.wire_pb2 import Ping
->>> frame = wrap(Ping(sent_at=1.5), call_id=7)
->>> frame.id, unwrap(frame).sent_at
-(7, 1.5)
+>>> from siskintally.link import Link
+>>> Link(host="127.0.0.1", port=7201, hello=None, secret="s", handler=None).is_open
+False
 """
 
-from abc import ABC, abstractmethod
 from hmac import compare_digest
 from random import random
 from time import monotonic
 from uuid import uuid4
 
-from anyio import (
-    ClosedResourceError,
-    EndOfStream,
-    Event,
-    WouldBlock,
-    create_memory_object_stream,
-    create_task_group,
-    move_on_after,
-    sleep,
-    sleep_forever,
-)
+from anyio import Event, create_task_group, move_on_after, sleep, sleep_forever
 from grpclib.client import Channel
 from grpclib.const import Status
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
-from siskintally.codes import Code
-from siskintally.errors import (
-    OutcomeUnknownError,
-    RefusedError,
-    SiskintallyError,
-    UnreachableError,
-)
+from siskintally.errors import UnreachableError
 from siskintally.log import get_logger
+from siskintally.session import LOST, Session, unwrap, wrap
 from siskintally.wire_grpc import PeerBase, PeerStub
-from siskintally.wire_pb2 import Failure, Frame, Hello, Ping, Pong
+from siskintally.wire_pb2 import Hello
 
 SECRET_HEADER = "siskintally-secret"
-OUTBOX_FRAMES = 4096
-BATCH_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
-IDLE_PING_S = 5.0
-BUSY_PING_S = 1.0
-SILENCE_S = 3.0
-KEEPER_STEP_S = 0.5
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
 
-_FIELD_BY_TYPE = {
-    field.message_type.name: field.name for field in Frame.DESCRIPTOR.oneofs_by_name["body"].fields
-}
-_LOST = (GRPCError, ProtocolError, StreamTerminatedError, OSError, ClosedResourceError)
-
 log = get_logger("link")
 
 
-def wrap(body, *, call_id=0, reply=False):
-    """Put a message into a frame.
-
-    :param body: any message that the oneof ``body`` of Frame can hold.
-    :param call_id: number of the call, 0 for a message without a reply.
-    """
-    frame = Frame(id=call_id, reply=reply)
-    getattr(frame, _FIELD_BY_TYPE[type(body).__name__]).CopyFrom(body)
-    return frame
-
-
-def unwrap(frame):
-    """Return the message in a frame, or None for a body this version does not know."""
-    field = frame.WhichOneof("body")
-    return getattr(frame, field) if field else None
-
-
-class Handler(ABC):
-    """What a process does with the frames of its links."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    async def answer(self, session, body):
-        """Answer a call; the returned message is the reply.
-
-        :raises SiskintallyError: sent to the caller as a Failure with its code.
-        """
-
-    def receive(self, session, body):
-        """Take a message that has no reply; must not block."""
-
-    def closed(self, session):
-        """Note that a session has ended."""
-
-
-class _Pending:
-    __slots__ = ("done", "frame", "reply", "sent")
-
-    def __init__(self, *, frame):
-        self.frame = frame
-        self.done = Event()
-        self.reply = None
-        self.sent = False
-
-
-class Session:
-    """One established link; either side may call the other.
-
-    :param peer: the Hello of the other side.
-    """
-
-    __slots__ = (
-        "_handler",
-        "_last_heard",
-        "_last_ping",
-        "_next_id",
-        "_outbox",
-        "_outbox_reader",
-        "_pending_by_id",
-        "_scope",
-        "_stream",
-        "_tasks",
-        "_wake",
-        "closed",
-        "peer",
-    )
-
-    def __init__(self, *, stream, peer, handler):
-        self.peer = peer
-        self.closed = False
-        self._stream = stream
-        self._handler = handler
-        self._pending_by_id = {}
-        self._next_id = 1
-        self._outbox, self._outbox_reader = create_memory_object_stream(OUTBOX_FRAMES)
-        self._last_heard = monotonic()
-        self._last_ping = 0.0
-        self._scope = None
-        self._tasks = None
-        self._wake = Event()
-
-    async def call(self, body, *, timeout):
-        """Send a message and wait for its reply.
-
-        :param timeout: seconds.
-        :raises UnreachableError: provably not sent.
-        :raises OutcomeUnknownError: sent, and no reply came in time.
-        :raises RefusedError: the other side answered with a result code.
-        """
-        call_id = self._next_id
-        self._next_id += 1
-        pending = _Pending(frame=wrap(body, call_id=call_id))
-        if not self._pending_by_id:
-            self._wake.set()
-        self._pending_by_id[call_id] = pending
-        try:
-            self._put(pending)
-            with move_on_after(timeout):
-                await pending.done.wait()
-        finally:
-            self._pending_by_id.pop(call_id, None)
-            pending.frame = None
-        return self._outcome(pending)
-
-    def _outcome(self, pending):
-        reply = pending.reply
-        if reply is None:
-            if pending.sent:
-                raise OutcomeUnknownError(f"no reply from {self.peer.name}")
-            raise UnreachableError(f"not sent to {self.peer.name}")
-        if isinstance(reply, Failure):
-            raise RefusedError(reply.message, code=_code(reply.code), leader=reply.leader)
-        return reply
-
-    def send(self, body):
-        """Send a message without a reply; dropped if the link is full or closed.
-
-        :returns: whether the message was queued.
-        """
-        try:
-            self._put(_Pending(frame=wrap(body)))
-        except UnreachableError:
-            return False
-        return True
-
-    def close(self):
-        """End the session; pending calls fail."""
-        self.closed = True
-        if self._scope is not None:
-            self._scope.cancel()
-
-    def _put(self, pending):
-        if self.closed:
-            raise UnreachableError(f"link to {self.peer.name} is closed")
-        try:
-            self._outbox.send_nowait(pending)
-        except (WouldBlock, ClosedResourceError) as error:
-            raise UnreachableError(f"link to {self.peer.name} is full") from error
-
-    async def run(self):
-        """Carry frames until the link is closed or silent."""
-        try:
-            async with create_task_group() as tasks:
-                self._tasks = tasks
-                self._scope = tasks.cancel_scope
-                tasks.start_soon(self._write)
-                tasks.start_soon(self._keep)
-                await self._read()
-                tasks.cancel_scope.cancel()
-        finally:
-            self._end()
-
-    def _end(self):
-        self.closed = True
-        for pending in self._pending_by_id.values():
-            pending.done.set()
-        self._outbox.close()
-        self._outbox_reader.close()
-        self._handler.closed(self)
-
-    async def _read(self):
-        try:
-            while (frame := await self._stream.recv_message()) is not None:
-                self._last_heard = monotonic()
-                self._dispatch(frame)
-                for further in frame.batch:
-                    self._dispatch(further)
-        except _LOST as error:
-            log.info("link lost", peer=self.peer.name, error=str(error))
-
-    def _dispatch(self, frame):
-        body = unwrap(frame)
-        if body is None:
-            return
-        if frame.reply:
-            self._resolve(frame.id, body)
-        elif isinstance(body, Ping):
-            self.send(Pong(sent_at=body.sent_at))
-        elif isinstance(body, Pong):
-            return
-        elif frame.id:
-            self._tasks.start_soon(self._answer, frame.id, body)
-        else:
-            self._handler.receive(self, body)
-
-    def _resolve(self, call_id, body):
-        pending = self._pending_by_id.pop(call_id, None)
-        if pending is not None:
-            pending.reply = body
-            pending.done.set()
-
-    async def _answer(self, call_id, body):
-        try:
-            reply = await self._handler.answer(self, body)
-        except SiskintallyError as error:
-            leader = getattr(error, "leader", "")
-            reply = Failure(code=int(error.code), message=str(error), leader=leader)
-        except (ValueError, KeyError, TypeError) as error:
-            log.exception("call failed", peer=self.peer.name, body=type(body).__name__)
-            reply = Failure(code=int(Code.INTERNAL), message=repr(error))
-        try:
-            self._put(_Pending(frame=wrap(reply, call_id=call_id, reply=True)))
-        except UnreachableError:
-            log.info("reply dropped", peer=self.peer.name, body=type(body).__name__)
-
-    async def _write(self):
-        try:
-            async for first in self._outbox_reader:
-                frames = [self._take(pending) for pending in self._waiting(first)]
-                if frames:
-                    frames[0].batch.extend(frames[1:])
-                    await self._stream.send_message(frames[0])
-        except (*_LOST, EndOfStream):
-            self.close()
-
-    def _waiting(self, first):
-        """Yield what is queued, so that it leaves in one message."""
-        pending, size = first, 0
-        while True:
-            if pending.frame is not None:
-                size += pending.frame.ByteSize()
-                yield pending
-            if size > BATCH_BYTES:
-                return
-            try:
-                pending = self._outbox_reader.receive_nowait()
-            except (WouldBlock, EndOfStream):
-                return
-
-    def _take(self, pending):
-        pending.sent = True
-        return pending.frame
-
-    async def _keep(self):
-        """Ping a quiet link and close a silent one; sleeps until there is something to check."""
-        while True:
-            now = monotonic()
-            if self._last_ping > self._last_heard:
-                due = self._last_ping + SILENCE_S
-                if now >= due:
-                    silent = round(now - self._last_heard, 1)
-                    log.info("link silent", peer=self.peer.name, seconds=silent)
-                    self.close()
-            else:
-                due = self._last_heard + self._ping_after()
-                if now >= due:
-                    self._last_ping = now
-                    self.send(Ping(sent_at=now))
-            self._wake = Event()
-            with move_on_after(max(due - now, KEEPER_STEP_S)):
-                await self._wake.wait()
-
-    def _ping_after(self):
-        return BUSY_PING_S if self._pending_by_id else IDLE_PING_S
-
-
-def _code(number):
-    try:
-        return Code(number)
-    except ValueError:
-        return Code.INTERNAL
-
-
 class Link:
     """Outgoing link that is opened again whenever it is lost.
 
@@ -395,7 +103,7 @@
         channel = Channel(self.host, self.port, ssl=self._tls)
         try:
             await self._converse(channel)
-        except _LOST as error:
+        except LOST as error:
             log.debug("connect failed", address=f"{self.host}:{self.port}", error=str(error))
         finally:
             channel.close()
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -14,9 +14,9 @@
 from siskintally.dispatcher import Dispatcher
 from siskintally.domain_state_pb2 import DomainCommand, DomainReply
 from siskintally.errors import BadRequestError, NotLeaderError, OutcomeUnknownError, RefusedError
-from siskintally.link import Handler
 from siskintally.log import get_logger
 from siskintally.owner_term import CONFIRM_WINDOW_S, OwnerTerm
+from siskintally.session import Handler
 from siskintally.wire_pb2 import (
     ConfigState,
     ConfigWatch,
--- a/siskintally/peers.py
+++ b/siskintally/peers.py
@@ -61,7 +61,7 @@
         return found[-1] if found else None
 
     async def call(self, name, body, *, timeout):
-        """Call a process; see :meth:`siskintally.link.Session.call`.
+        """Call a process; see :meth:`siskintally.session.Session.call`.
 
         :raises UnreachableError: there is no open link to it.
         """
--- a/siskintally/store.py
+++ b/siskintally/store.py
@@ -21,10 +21,11 @@
     UnreachableError,
 )
 from siskintally.leader import LeaderClient
-from siskintally.link import Handler, LinkServer
+from siskintally.link import LinkServer
 from siskintally.log import get_logger
 from siskintally.metrics import Metrics
 from siskintally.replicas import Replicas
+from siskintally.session import Handler
 from siskintally.settings import CELL_GROUP
 from siskintally.store_links import StoreLinks
 from siskintally.supervisor import Supervisor
--- a/siskintally/store_links.py
+++ b/siskintally/store_links.py
@@ -83,7 +83,7 @@
         return session is not None and session.send(body)
 
     async def call(self, name, body, *, timeout):
-        """Call a process; see :meth:`siskintally.link.Session.call`.
+        """Call a process; see :meth:`siskintally.session.Session.call`.
 
         :raises UnreachableError: there is no open session with it.
         """
--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -19,8 +19,9 @@
 
 from siskintally.codes import Code
 from siskintally.errors import OutcomeUnknownError, RefusedError, UnreachableError
-from siskintally.link import Handler, Link
+from siskintally.link import Link
 from siskintally.log import get_logger
+from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello, WorkerOrders
 from siskintally.worker_state import WorkerState
 
--- a/tests/store_processes.py
+++ b/tests/store_processes.py
@@ -8,7 +8,8 @@
 from anyio import run as run_async
 
 from siskintally.errors import SiskintallyError
-from siskintally.link import Handler, Link
+from siskintally.link import Link
+from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello, OperatorCall
 from tests.processes import Processes, free_ports, wait_until
 
--- a/tests/test_entry_store.py
+++ b/tests/test_entry_store.py
@@ -11,7 +11,8 @@
 
 from siskintally.errors import NotLeaderError
 from siskintally.ledger import Ledger
-from siskintally.link import Handler, LinkServer
+from siskintally.link import LinkServer
+from siskintally.session import Handler
 from siskintally.wire_pb2 import (
     ConfigState,
     ConfigWatch,
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -15,7 +15,8 @@
     UnreachableError,
     VersionConflictError,
 )
-from siskintally.link import Handler, Link, LinkServer
+from siskintally.link import Link, LinkServer
+from siskintally.session import Handler
 from siskintally.settings import Tls
 from siskintally.wire_pb2 import ConfigState, ConfigWatch, Done, Hello, JobReport
 from tests.forwarder import Forwarder
