--- a/siskintally/forward.py
+++ b/siskintally/forward.py
@@ -147,7 +147,7 @@
                 await response.aclose()
             _check_digest(response, content)
         except (ConnectError, ConnectTimeout, PoolTimeout) as error:
-            return Outcome(sent=Sent.NOT_SENT, reason=type(error).__name__)
+            return Outcome(sent=Sent.NOT_SENT, reason=_describe(error))
         except TimeoutException:
             return Outcome(sent=Sent.UNKNOWN, reason=DEADLINE_PASSED, may_run=True)
         except (HTTPError, _BadAnswerError) as error:
@@ -188,3 +188,8 @@
 def _check_digest(response, content):
     if response.headers.get(DIGEST_HEADER) != sha256(content).hexdigest():
         raise _BadAnswerError("response with another digest")
+
+
+def _describe(error):
+    cause = error.__cause__ or error
+    return f"{type(error).__name__}: {cause}" if str(cause) else type(error).__name__
--- a/siskintally/stub_doubler.py
+++ b/siskintally/stub_doubler.py
@@ -1,7 +1,7 @@
 """Relay in front of a stub endpoint that sends each response twice on its connection.
 
 >>> from siskintally.stub_doubler import Doubler
->>> Doubler(host="127.0.0.1", port=7301, target_port=7302).port
+>>> Doubler(host="127.0.0.1", port=7301, target_host="127.0.0.2").port
 7301
 """
 
@@ -22,16 +22,17 @@
 class Doubler:
     """TCP relay that knows where a response ends.
 
-    :param port: port that entries connect to.
-    :param target_port: port of the stub.
+    :param host: address that entries connect to.
+    :param port: port of the relay and of the stub.
+    :param target_host: address of the stub.
     """
 
-    __slots__ = ("_host", "_target_port", "port")
+    __slots__ = ("_host", "_target_host", "port")
 
-    def __init__(self, *, host, port, target_port):
+    def __init__(self, *, host, port, target_host):
         self._host = host
+        self._target_host = target_host
         self.port = port
-        self._target_port = target_port
 
     async def run(self):
         """Relay until cancelled."""
@@ -41,13 +42,14 @@
 
     async def _serve(self, client):
         try:
-            server = await connect_tcp(self._host, self._target_port)
-            async with client, server, create_task_group() as tasks:
-                tasks.start_soon(self._copy, client, server)
-                await self._double(server, client)
-                tasks.cancel_scope.cancel()
-        except _LOST:
+            server = await connect_tcp(self._target_host, self.port)
+        except OSError:
+            await client.aclose()
             return
+        async with client, server, create_task_group() as tasks:
+            tasks.start_soon(self._copy, client, server)
+            await self._double(server, client)
+            tasks.cancel_scope.cancel()
 
     @staticmethod
     async def _copy(source, sink):
@@ -58,8 +60,15 @@
         except _LOST:
             return
 
+    async def _double(self, source, sink):
+        # Caught here, since a task group would wrap the error and end the whole stub with it.
+        try:
+            await self._relay_responses(source, sink)
+        except _LOST:
+            return
+
     @staticmethod
-    async def _double(source, sink):
+    async def _relay_responses(source, sink):
         parser, seen = _parser(), b""
         while True:
             data = await source.receive(CHUNK_BYTES)
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -22,9 +22,9 @@
 ANNOUNCE_TIMEOUT_S = 0.8
 DRAIN_S = 60.0
 LATE_S = 5.0
-# With the fault "doubled", which must be given at the start, the stub listens here and the relay
-# at the announced port.
-DOUBLED_PORT_OFFSET = 1
+# With the fault "doubled", which must be given at the start, the relay listens at the announced
+# address and the stub at the same port of this one, which no other process uses.
+DOUBLED_HOST = "127.0.0.2"
 ID_HEADER = "siskintally-request-id"
 FAULTS = ("none", "fail", "silent", "late", "truncated", "wrong-id", "wrong-digest", "doubled")
 
@@ -176,9 +176,8 @@
             tasks.start_soon(self._announcer.run)
             if self._fault == "doubled":
                 host, _, port = address.rpartition(":")
-                target = int(port) + DOUBLED_PORT_OFFSET
-                address = f"{host}:{target}"
-                relay = Doubler(host=host, port=int(port), target_port=target)
+                address = f"{DOUBLED_HOST}:{port}"
+                relay = Doubler(host=host, port=int(port), target_host=DOUBLED_HOST)
                 tasks.start_soon(relay.run)
             await serve_http(self, address=address, until=self._stopped, graceful_s=DRAIN_S)
             tasks.cancel_scope.cancel()
