--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -79,7 +79,7 @@
     """Yield rows for groups of a failure domain and of a region, idle and at the peak."""
     for label, groups in (("group a failure domain", DOMAINS), ("group a region", 2)):
         workers = round(WORKERS / groups)
-        daily = JOBS_PER_DAY * TASKS / JOBS_PER_DAY / DAY_S / groups
+        daily = TASKS / DAY_S / groups
         for state, starts in (("ordinary day", daily), ("peak", STARTS_PER_S / groups)):
             yield Leader(slopes=slopes, workers=workers, starts=starts).row(f"{label}, {state}")
     yield Leader(slopes=slopes, workers=round(10 * WORKERS / DOMAINS), starts=90).row(
