Wait until the entry holds every request before its planned stop

Cause: the test stopped the entry once 7 of 16 requests had started. On a busy machine the other requests had not arrived yet, and an entry that drains answers those with 2004, which is what it should do. Change: the test waits until the entry reports 16 requests in flight, and then sends the signal. Every answer must still be 1000.

--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -176,6 +176,12 @@
             for _ in range(8):
                 tasks.start_soon(one)
             await wait_until(lambda: len(starts(net, "p1")) >= 7, "p1 works")
+
+            async def has_all():
+                return (await net.health("e1") or {}).get("in_flight") == 16
+
+            # A request that arrives after the signal is refused, which is no fault.
+            await wait_until(has_all, "e1 has taken every request")
             net.processes.popen_by_name["e1"].terminate()
 
             async def is_draining():
