Log member sets when they are in force, and take test ports outside the ephemeral range

Cause: the failure tests took the last proposed member set from the logs of all stores. A leader that lost its term could log a proposal that was never committed after the set in force was complete, and the test then waited in vain for 'all stores vote' (seen once). Test ports came from the range of outgoing connections, so that a connection of another process could take one before its server was bound to it. Change: a replica logs a member set once it is committed, with its index, and the test reads the highest index. Ports of tests lie between 10,000 and 32,000 and are given once in a run.

--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -76,6 +76,7 @@
         "_journal",
         "_kept_entries",
         "_leadership",
+        "_members_index",
         "_replica",
         "_send",
         "_stop_at",
@@ -124,6 +125,7 @@
         self._joins = Joins(group=name, process=process, founding_members=self.founding_members)
         self._stop_at = None
         self._is_handed_over = False
+        self._members_index = None
         self._ended = Event()
 
     @property
@@ -348,7 +350,7 @@
                 self._send(process, body)
         change = self._joins.next_change(replica, now)
         if change is not None:
-            log.info("member change", group=self.name, members=str(change))
+            log.info("member change proposed", group=self.name, members=str(change))
             effects.extend(replica.propose_members(change, now))
 
     async def _carry_out(self, effects):
@@ -377,6 +379,15 @@
             self._waiters.confirmed(effects.confirmed)
         if effects.committed or effects.leadership:
             self._publish(self._present_leadership())
+        self._log_members()
+
+    def _log_members(self):
+        """Log a committed member set once; a proposed one may never be in force."""
+        raft_log = self._replica.log
+        index = raft_log.members_index
+        if index != self._members_index and index <= self._replica.commit:
+            self._members_index = index
+            log.info("members", group=self.name, index=index, members=str(raft_log.members))
 
     def _present_leadership(self):
         replica = self._replica
--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -123,9 +123,9 @@
         return last.get("process")
 
     def voters(self, group):
-        """Return {store: incarnation} of the voters after the latest change of members."""
-        changes = self._events("member change", group)
-        last = max(changes, key=lambda fields: fields["timestamp"], default={"members": ""})
+        """Return {store: incarnation} of the voters in the latest committed member set."""
+        sets = self._events("members", group)
+        last = max(sets, key=lambda fields: fields["index"], default={"members": ""})
         found = findall(r"name='(\w+)', incarnation='(\w+)'\), voter=True", last["members"])
         return dict(found)
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -16,18 +16,33 @@
 WAIT_LIMIT_S = 90.0
 POLL_S = 0.05
 STOP_LIMIT_S = 15.0
+SERVER_PORTS = (10_000, 32_000)
+
+_given_ports = set()
 
 
 def free_ports(count):
-    """Return ports that were free a moment ago."""
-    sockets = [socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return ports that were free a moment ago, none of them twice in one run.
+
+    They lie below the range from which the system takes the ports of outgoing connections, which
+    could otherwise use one before its process is bound to it.
+    """
+    ports = []
+    while len(ports) < count:
+        port = randrange(*SERVER_PORTS)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            ports.append(port)
+    return ports
+
+
+def _is_free(port):
+    with socket() as server:
+        try:
+            server.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def seeded():
