Let the sample cell run from the one file, with an acceptance script

Cause: the README's first requests had been run from the one file in parts only. Change: SISKINTALLY names the program that scripts/cell.sh runs; scripts/acceptance.sh runs the README's steps against a new cell and checks each answer, the number of runs of the booking and that no daemon has a child process.

--- /dev/null
+++ b/scripts/acceptance.sh
@@ -0,0 +1,66 @@
+#!/usr/bin/env bash
+# Runs the first requests of the README against a sample cell and checks every answer.
+# Usage: scripts/acceptance.sh   (the modules of this folder)
+#        SISKINTALLY=dist/siskintally scripts/acceptance.sh   (the one file)
+# It needs a cell that has never run: run/fjeldrute must not exist. The cell is stopped at the end.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ -e run/fjeldrute ]; then
+  echo "run/fjeldrute exists: stop that cell and move its folder away first" >&2
+  exit 2
+fi
+export SISKINTALLY_TOKEN=sample-token-astrid
+# A planned stop of all processes, also after a failed check.
+trap 'scripts/cell.sh stop' EXIT
+scripts/cell.sh start
+read -ra program <<<"${SISKINTALLY:-.venv/bin/python -m siskintally}"
+
+fail() {
+  echo "acceptance: $1" >&2
+  exit 1
+}
+
+# Repeats a command until its output has a pattern, at most 120 s.
+expect() { # pattern, command...
+  local pattern=$1 output
+  shift
+  for _ in $(seq 120); do
+    if output=$("$@" 2>&1) && grep -qiE "$pattern" <<<"$output"; then
+      printf '%s\n' "$output"
+      return
+    fi
+    sleep 1
+  done
+  printf '%s\n' "$output" >&2
+  fail "no '$pattern' from: $*"
+}
+
+call() { # port, path, curl arguments...
+  local port=$1 path=$2
+  shift 2
+  curl -sS -i "http://127.0.0.1:$port/call/seat-count/$path" "$@"
+}
+
+samples=samples/fjeldrute
+expect '"?version"?.*1' "${program[@]}" config set "$samples-config.toml" --expect-version 0 \
+  --request-id acceptance-config
+expect 'siskintally-code: 1000' call 7101 boarding -H 'Siskintally-Class: urgent' \
+  -d '{"member": "m-17", "bus": "hemsedal-4"}'
+booking=(-H 'Idempotency-Key: jylland/booking-1' -H 'Siskintally-Caller: member-app' -d '{"seat": 12}')
+expect 'siskintally-code: 1000' call 7101 bookings "${booking[@]}"
+expect 'siskintally-code: 1001' call 7103 bookings "${booking[@]}"
+runs=$(cat run/fjeldrute/*-endpoint.record | grep '"start"' | grep -c 'jylland/booking-1')
+[ "$runs" -eq 1 ] || fail "the booking ran $runs times, expected once"
+for job in seat-count seat-reconciliation snow-replan; do
+  "${program[@]}" submit "$samples-$job.toml" --wait || fail "$job was not placed"
+done
+"${program[@]}" jobs
+"${program[@]}" status
+"${program[@]}" preset peak --expect-version 1 || fail "preset"
+expect 'peak' "${program[@]}" status
+"${program[@]}" audit --verify || fail "audit"
+for pid in run/fjeldrute/*.pid; do
+  children=$(ps -o pid= --ppid "$(cat "$pid")" | wc -l)
+  [ "$children" -eq 0 ] || fail "$(basename "$pid" .pid) has $children child processes"
+done
+echo "acceptance: passed"
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -1,12 +1,14 @@
 #!/usr/bin/env bash
 # Starts, stops or lists a sample cell on loopback: stores, entries, stub endpoints, stub workers.
-# Usage: scripts/cell.sh start|stop|status|demo [SETTINGS]   (default samples/fjeldrute.toml)
-# Process ids, logs, records and data are kept in run/<cell>/.
+# Usage: scripts/cell.sh start|stop|status [SETTINGS]   (default samples/fjeldrute.toml)
+# Process ids, logs, records and data are kept in run/<cell>/. SISKINTALLY names another program to
+# run than the modules of this folder, for example SISKINTALLY=dist/siskintally.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 action=${1:-start}
 settings=${2:-samples/fjeldrute.toml}
 python=.venv/bin/python
+read -ra program <<<"${SISKINTALLY:-$python -m siskintally}"
 endpoint_port=7401
 
 rows() { # role name domain address, one process a line
@@ -26,7 +28,7 @@
 spawn() { # name, command...
   local name=$1
   shift
-  "$python" -m siskintally "$@" >"$run/$name.out" 2>"$run/$name.log" </dev/null &
+  "${program[@]}" "$@" >"$run/$name.out" 2>"$run/$name.log" </dev/null &
   echo "$!" >"$run/$name.pid"
 }
 
@@ -39,7 +41,7 @@
   done
   while read -r role name _ _; do
     [ "$role" = store ] && [ ! -e "$run/$name.founded" ] || continue
-    "$python" -m siskintally init --settings "$settings" --name "$name" >>"$run/init.log" 2>&1
+    "${program[@]}" init --settings "$settings" --name "$name" >>"$run/init.log" 2>&1
     touch "$run/$name.founded"
   done <<<"$table"
   while read -r role name _ _; do
