--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -19,8 +19,8 @@
         "cell_sync"
     ),
     "State of the cell and of domains": (
-        "cell cell_service recorded_cell inquiry verbs jobs split capacity spec config preset "
-        "audit domain domain_job ledger"
+        "cell cell_service recorded_cell inquiry verbs jobs job_changes job_counts split capacity "
+        "spec config preset audit domain domain_job ledger"
     ),
     "Replicated log": (
         "replica election replication following membership progress raftlog messages effects "
--- a/siskintally/inquiry.py
+++ b/siskintally/inquiry.py
@@ -9,7 +9,7 @@
 
 from siskintally.audit import FIELDS, verify
 from siskintally.errors import BadRequestError
-from siskintally.jobs import job_state
+from siskintally.job_counts import job_state
 from siskintally.spec import CLASS_BY_NAME, KIND_BY_NAME
 from siskintally.split import RESOURCE_NAMES
 from siskintally.verbs import expect_keys, flag_of, number_of, text_of
--- /dev/null
+++ b/siskintally/job_changes.py
@@ -0,0 +1,66 @@
+"""Shares of each domain group in the order in which their desired state last changed.
+
+>>> from siskintally.job_changes import JobChanges
+>>> JobChanges().latest("jylland")
+0
+"""
+
+from siskintally.wire_pb2 import JobItem
+
+
+class JobChanges:
+    """What domain groups have to be told, found by log index."""
+
+    __slots__ = ("_index_by_group",)
+
+    def __init__(self):
+        self._index_by_group = {}
+
+    def touch(self, job, share, index):
+        """Note that the desired state of a share has changed."""
+        share.changed_at = index
+        changed = self._index_by_group.setdefault(share.group, {})
+        changed.pop(job.job_id, None)
+        changed[job.job_id] = index
+
+    def drop(self, job, share):
+        """Forget a share."""
+        del self._index_by_group[share.group][job.job_id]
+
+    def latest(self, group):
+        """Return the log index of the last change of desired state of a group, 0 if none."""
+        changed = self._index_by_group.get(group)
+        return changed[next(reversed(changed))] if changed else 0
+
+    def items(self, group, since, by_id):
+        """Return JobItems of a group that changed after a log index, in order of change.
+
+        :param by_id: all jobs.
+        """
+        items = []
+        changed = self._index_by_group.get(group, {})
+        for job_id in reversed(changed):
+            if changed[job_id] <= since:
+                break
+            job = by_id[job_id]
+            share = next(share for share in job.shares if share.group == group)
+            items.append(
+                JobItem(
+                    job_id=job_id,
+                    spec=job.spec,
+                    tasks=share.tasks,
+                    cancelled=job.cancelled or not share.tasks,
+                    changed_at=share.changed_at,
+                )
+            )
+        items.reverse()
+        return items
+
+    def load(self, jobs):
+        """Replace everything with the shares of restored jobs."""
+        self._index_by_group = {}
+        changes = [(share.changed_at, job.job_id, share) for job in jobs for share in job.shares]
+        # Jobs that one command changed are listed by id in a restored table and by order of
+        # change in others; the set of items after any index is the same.
+        for index, job_id, share in sorted(changes, key=lambda change: change[:2]):
+            self._index_by_group.setdefault(share.group, {})[job_id] = index
--- /dev/null
+++ b/siskintally/job_counts.py
@@ -0,0 +1,56 @@
+"""Counts and the state of a job of the cell, from the progress of its shares; pure.
+
+>>> from siskintally.cell_state_pb2 import Job
+>>> from siskintally.job_counts import job_state
+>>> job_state(Job())
+'waiting'
+"""
+
+from siskintally.wire_pb2 import JobSpec
+
+
+def ended_tasks(progress):
+    """Return how many tasks have ended according to a JobProgress."""
+    return progress.succeeded + progress.failed + progress.cancelled
+
+
+def job_state(job):
+    """Name the state of a job.
+
+    :returns: waiting, running, cancelling, succeeded, failed, cancelled, or never.
+    """
+    if job.code:
+        return "never"
+    if not job.ended:
+        if job.cancelled:
+            return "cancelling"
+        running = any(share.progress.running for share in job.shares)
+        return "running" if running else "waiting"
+    if any(share.progress.failed for share in job.shares):
+        return "failed"
+    succeeded = sum(share.progress.succeeded for share in job.shares)
+    return "succeeded" if succeeded >= job.spec.tasks else "cancelled"
+
+
+def share_has_ended(job, share):
+    """Tell whether no task of a share is left."""
+    progress = share.progress
+    if progress.running:
+        return False
+    if job.cancelled and share.reported and not progress.waiting:
+        # A group that learned of the job together with its cancellation made no tasks to count.
+        return True
+    return ended_tasks(progress) >= share.tasks
+
+
+def holding(job):
+    """Return (tasks that count against the quota, {group: tasks not placed yet})."""
+    total_ended = 0
+    demand_by_group = {}
+    for share in job.shares:
+        ended = ended_tasks(share.progress)
+        total_ended += min(ended, share.tasks)
+        demand_by_group[share.group] = max(0, share.tasks - ended - share.progress.running)
+    if job.spec.kind == JobSpec.GANG:
+        return job.spec.tasks, demand_by_group
+    return job.spec.tasks - total_ended, demand_by_group
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -15,8 +15,10 @@
     QuotaExceededError,
     SiskintallyError,
 )
+from siskintally.job_changes import JobChanges
+from siskintally.job_counts import ended_tasks, holding, share_has_ended
 from siskintally.split import split
-from siskintally.wire_pb2 import JobItem, JobSpec
+from siskintally.wire_pb2 import JobSpec
 
 KEEP_ENDED_S = 24 * 3600.0
 MAX_ENDED_JOBS = 20_000
@@ -32,30 +34,6 @@
     code = Code.OVERLOADED
 
 
-def ended_tasks(share):
-    """Return how many tasks of a share have ended."""
-    progress = share.progress
-    return progress.succeeded + progress.failed + progress.cancelled
-
-
-def job_state(job):
-    """Name the state of a job.
-
-    :returns: waiting, running, cancelling, succeeded, failed, cancelled, or never.
-    """
-    if job.code:
-        return "never"
-    if not job.ended:
-        if job.cancelled:
-            return "cancelling"
-        running = any(share.progress.running for share in job.shares)
-        return "running" if running else "waiting"
-    if any(share.progress.failed for share in job.shares):
-        return "failed"
-    succeeded = sum(share.progress.succeeded for share in job.shares)
-    return "succeeded" if succeeded >= job.spec.tasks else "cancelled"
-
-
 class JobTable:
     """All jobs with their quotas and shares; every method is deterministic.
 
@@ -65,7 +43,7 @@
     """
 
     __slots__ = (
-        "_changed_by_group",
+        "_changes",
         "_ended",
         "_held_by_id",
         "_waiting",
@@ -81,7 +59,7 @@
         self._ended = {}
         self._waiting = {}
         self._held_by_id = {}
-        self._changed_by_group = {}
+        self._changes = JobChanges()
 
     def submit(self, spec, *, operator, index, now, quota_by_team):
         """Admit a job or let it wait for quota.
@@ -140,7 +118,7 @@
         job.cancelled = True
         self._waiting.get(job.spec.team, {}).pop(job.job_id, None)
         for share in job.shares:
-            self._touch(job, share, index)
+            self._changes.touch(job, share, index)
         if self._end_if_done(job, now):
             self._hold(job)
 
@@ -178,7 +156,7 @@
         job.admitted = True
         for group, tasks in split(job.spec, job.spec.tasks, views).items():
             job.shares.append(Share(group=group, tasks=tasks))
-            self._touch(job, job.shares[-1], index)
+            self._changes.touch(job, job.shares[-1], index)
         self._settle(job, now)
 
     def report(self, report, *, index, now):
@@ -190,8 +168,7 @@
             share = next((share for share in job.shares if share.group == report.group), None)
             if share is None or (share.refused and not share.tasks):
                 continue
-            ended = progress.succeeded + progress.failed + progress.cancelled
-            if share.reported and ended < ended_tasks(share):
+            if share.reported and ended_tasks(progress) < ended_tasks(share.progress):
                 # A report that a former leader of the group sent before a newer one.
                 continue
             share.progress.CopyFrom(progress)
@@ -203,11 +180,11 @@
 
     def _move(self, job, share, *, index, now):
         """Give the tasks that a group can never hold to another group, or end the job."""
-        keep = min(share.tasks, ended_tasks(share) + share.progress.running)
+        keep = min(share.tasks, ended_tasks(share.progress) + share.progress.running)
         moved = share.tasks - keep
         share.refused = True
         share.tasks = keep
-        self._touch(job, share, index)
+        self._changes.touch(job, share, index)
         refused = [other.group for other in job.shares if other.refused]
         try:
             views = self.capacity.candidates(job.spec, refused=refused)
@@ -222,19 +199,13 @@
                 job.shares.append(Share(group=group))
                 target = job.shares[-1]
             target.tasks += tasks
-            self._touch(job, target, index)
+            self._changes.touch(job, target, index)
 
     def _end_as_never(self, job, reason, *, index, now):
         job.code = int(Code.NEVER_FITS)
         job.reason = reason
         self._cancel(job, index=index, now=now)
 
-    def _touch(self, job, share, index):
-        share.changed_at = index
-        changed = self._changed_by_group.setdefault(share.group, {})
-        changed.pop(job.job_id, None)
-        changed[job.job_id] = index
-
     def _settle(self, job, now):
         """Bring the derived figures of a job up to date after its shares have changed."""
         self._end_if_done(job, now)
@@ -243,7 +214,7 @@
     def _end_if_done(self, job, now):
         """End a job when all its tasks have ended; return whether it ended now."""
         begun = job.admitted or job.cancelled
-        if job.ended or not begun or not all(_has_ended(job, share) for share in job.shares):
+        if job.ended or not begun or not all(share_has_ended(job, share) for share in job.shares):
             return False
         job.ended = True
         job.ended_at = now
@@ -257,7 +228,7 @@
         held_before, demand_before = self._held_by_id.pop(job.job_id, (0, {}))
         held, demand = 0, {}
         if job.admitted and not job.ended:
-            held, demand = self._held_by_id[job.job_id] = _holding(job)
+            held, demand = self._held_by_id[job.job_id] = holding(job)
         if held != held_before:
             self.quota_use.add(job.spec.team, job.spec.each, held - held_before)
         if demand == demand_before:
@@ -269,29 +240,11 @@
 
     def latest(self, group):
         """Return the log index of the last change of desired state of a group, 0 if none."""
-        changed = self._changed_by_group.get(group)
-        return changed[next(reversed(changed))] if changed else 0
+        return self._changes.latest(group)
 
     def items(self, group, since):
         """Return JobItems of a group that changed after a log index, in order of change."""
-        items = []
-        changed = self._changed_by_group.get(group, {})
-        for job_id in reversed(changed):
-            if changed[job_id] <= since:
-                break
-            job = self.by_id[job_id]
-            share = next(share for share in job.shares if share.group == group)
-            items.append(
-                JobItem(
-                    job_id=job_id,
-                    spec=job.spec,
-                    tasks=share.tasks,
-                    cancelled=job.cancelled or not share.tasks,
-                    changed_at=share.changed_at,
-                )
-            )
-        items.reverse()
-        return items
+        return self._changes.items(group, since, self.by_id)
 
     def forget(self, now):
         """Drop jobs that ended 24 h ago, and the oldest of more than 20,000."""
@@ -301,8 +254,9 @@
             if not old and len(self._ended) <= MAX_ENDED_JOBS:
                 return
             del self._ended[job_id]
-            for share in self.by_id.pop(job_id).shares:
-                del self._changed_by_group[share.group][job_id]
+            job = self.by_id.pop(job_id)
+            for share in job.shares:
+                self._changes.drop(job, share)
 
     def save(self, state):
         """Write jobs and groups into a State message."""
@@ -319,37 +273,9 @@
             self.capacity.info_by_group[info.name] = info
             self.capacity.largest_at[info.name] = at
         self._ended = dict.fromkeys(state.ended)
-        changes = []
         for job in state.jobs:
             self.by_id[job.job_id] = job
             self._hold(job)
             if not job.admitted and not job.ended:
                 self._waiting.setdefault(job.spec.team, {})[job.job_id] = None
-            changes.extend((share.changed_at, job.job_id, share.group) for share in job.shares)
-        # Jobs that one command changed are listed by id in a restored table and by order of
-        # change in others; the set of items after any index is the same.
-        for index, job_id, group in sorted(changes):
-            self._changed_by_group.setdefault(group, {})[job_id] = index
-
-
-def _has_ended(job, share):
-    progress = share.progress
-    if progress.running:
-        return False
-    if job.cancelled and share.reported and not progress.waiting:
-        # A group that learned of the job together with its cancellation made no tasks to count.
-        return True
-    return ended_tasks(share) >= share.tasks
-
-
-def _holding(job):
-    """Return (tasks that count against the quota, {group: tasks not placed yet})."""
-    total_ended = 0
-    demand_by_group = {}
-    for share in job.shares:
-        ended = ended_tasks(share)
-        total_ended += min(ended, share.tasks)
-        demand_by_group[share.group] = max(0, share.tasks - ended - share.progress.running)
-    if job.spec.kind == JobSpec.GANG:
-        return job.spec.tasks, demand_by_group
-    return job.spec.tasks - total_ended, demand_by_group
+        self._changes.load(state.jobs)
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -7,7 +7,7 @@
 from siskintally.cell import KEEP_REPLIES, Cell
 from siskintally.cell_state_pb2 import CancelJobs, Command, SetConfig, SetDrain, SetPreset
 from siskintally.codes import Code
-from siskintally.jobs import job_state
+from siskintally.job_counts import job_state
 from siskintally.wire_pb2 import OperatorReply
 from tests.cell_commands import DOCUMENT, NAMES, Driver, group
 
