Let an operator declare domain groups lost and restore them

The jobs of a domain group whose machines are gone stayed assigned to it for ever, because the cell cannot tell a lost domain from a partitioned one. The cell begins a new epoch of the group, keeps what was reported as ended and divides the rest over the groups that are left; what fits nowhere waits with a reason.

A group that comes back learns the new epoch at its first sync. It ends its jobs, follows the cell from the start and starts nothing until it has confirmed that nothing runs there and 'siskintally domain restore GROUP' was accepted. A store process starts no task before the cell has told it, since its start, that the group is not lost; a process that runs on through a partition keeps that word. Task ids of later epochs carry the epoch, as a returned group numbers tasks from 0 again.

Drains moved out of cell.py into drains.py.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -16,11 +16,12 @@
     "Placement and workers": (
         "placement policy pool index grid size workload backlog preemption ejection feasibility "
         "lease owner owner_term dispatcher orders reconciler worker_service shared_confirm "
-        "cell_sync"
+        "cell_sync clearance"
     ),
     "State of the cell and of domains": (
-        "cell cell_service recorded_cell inquiry verbs jobs job_changes job_counts split capacity "
-        "spec config preset audit domain domain_job ledger"
+        "cell cell_service recorded_cell inquiry verbs jobs job_changes job_counts job_shares "
+        "split standing group_changes drains capacity spec config preset audit domain domain_job "
+        "ledger"
     ),
     "Replicated log": (
         "replica election replication following membership progress raftlog messages effects "
@@ -31,8 +32,9 @@
         "metrics codes errors"
     ),
     "Command line and stubs": (
-        "main __main__ command commands_entry commands_operator commands_store commands_worker "
-        "client operation tables stub_endpoint stub_doubler stub_worker worker_state"
+        "main __main__ command commands_domain commands_entry commands_operator commands_store "
+        "commands_worker client operation tables stub_endpoint stub_doubler stub_worker "
+        "worker_state"
     ),
 }
 MARKER = "## Modules\n"
--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -15,20 +15,21 @@
 from siskintally.cell_state_pb2 import Command, State, StoredReply
 from siskintally.codes import Code
 from siskintally.config import check_preset_name, parse_config
+from siskintally.drains import DrainTable
 from siskintally.errors import (
     BadRequestError,
     NotFoundError,
     SiskintallyError,
     VersionConflictError,
 )
+from siskintally.group_changes import lose_groups, restore_group
 from siskintally.jobs import JobTable
 from siskintally.machine import Machine
 from siskintally.spec import check_spec
-from siskintally.wire_pb2 import ConfigState, DrainItem, OperatorReply, SyncReply
+from siskintally.wire_pb2 import ConfigState, OperatorReply, SyncReply
 
 KEEP_REPLIES = 10_000
 KEEP_REPLIES_S = 24 * 3600.0
-MAX_DRAINS = 10_000
 MAX_ID_LENGTH = 128
 MAX_CANCELLED_AT_ONCE = 20_000
 # Year 5138; a larger time stamp is no time.
@@ -36,7 +37,6 @@
 SHOWN_IDS = 20
 MAX_NOTE_LENGTH = 1000
 MAX_MESSAGE_LENGTH = 2000
-DRAIN_KINDS = ("worker", "endpoint")
 
 
 class NoConfigError(SiskintallyError):
@@ -78,16 +78,17 @@
     :param config_state: ConfigState in force; version 0 before the first.
     :param config: the parsed document, or None.
     :param jobs: :class:`~siskintally.jobs.JobTable`.
+    :param drains: :class:`~siskintally.drains.DrainTable`.
     :param audit: :class:`~siskintally.audit.AuditChain`.
     :param now: largest time stamp of a command, Unix seconds.
     """
 
     __slots__ = (
-        "_drain_by_key",
         "_reply_by_id",
         "audit",
         "config",
         "config_state",
+        "drains",
         "jobs",
         "now",
     )
@@ -98,9 +99,14 @@
         self.jobs = JobTable()
         self.audit = AuditChain()
         self.now = 0.0
-        self._drain_by_key = {}
+        self.drains = DrainTable()
         self._reply_by_id = {}
 
+    @property
+    def standings(self):
+        """The :class:`~siskintally.standing.StandingTable` of the domain groups."""
+        return self.jobs.standings
+
     def apply(self, *, index, command):
         """Apply a Command and return an OperatorReply; a malformed one changes nothing."""
         try:
@@ -112,10 +118,15 @@
             return _reply(Code.BAD_REQUEST, {"message": "command without change or time"})
         if kind == "job_report":
             self._learn(command)
-            self.jobs.report(command.job_report, index=index, now=self.now)
+            report = command.job_report
+            if self.standings.accepts(report.group, report.epoch):
+                self.jobs.report(report, index=index, now=self.now)
             self._admit(index)
             self.jobs.forget(self.now)
             return _reply(Code.DONE, {})
+        if kind == "confirm_idle":
+            self.standings.confirm(command.confirm_idle.group, command.confirm_idle.epoch)
+            return _reply(Code.DONE, {})
         if not (command.request_id and command.operator and command.digest):
             return _reply(Code.BAD_REQUEST, {"message": "command without request id or operator"})
         return self._apply_change(index, kind, command)
@@ -251,39 +262,37 @@
         change = command.set_drain
         note.what = f"{change.kind} {change.name}"[:MAX_ID_LENGTH]
         note.after = "draining" if change.draining else "in service"
-        if change.kind not in DRAIN_KINDS:
-            raise BadRequestError(f"kind = {change.kind!r}: expected worker or endpoint")
         if not 1 <= len(change.name) <= MAX_ID_LENGTH:
             raise BadRequestError(f"name: expected 1 to {MAX_ID_LENGTH} characters")
-        key = (change.kind, change.name)
-        before = self._drain_by_key.get(key)
-        note.before = "draining" if before is not None and before.draining else "in service"
-        if before is None and len(self._drain_by_key) >= MAX_DRAINS:
-            raise BadRequestError(f"drains: expected at most {MAX_DRAINS} names")
-        if note.before != note.after:
-            self._drain_by_key.pop(key, None)
-            self._drain_by_key[key] = DrainItem(
-                kind=change.kind, name=change.name, draining=change.draining, changed_at=index
-            )
+        draining = self.drains.is_draining(change.kind, change.name)
+        note.before = "draining" if draining else "in service"
+        self.drains.set(change, index=index)
         return {"kind": change.kind, "name": change.name, "draining": change.draining}
 
-    def drains(self):
-        """Return the DrainItems of everything that is draining, in order of change."""
-        return [item for item in self._drain_by_key.values() if item.draining]
-
     def latest(self, group):
         """Return the log index of the last change that concerns a domain group, 0 if none."""
-        drains = self._drain_by_key.values()
-        drained_at = next(reversed(drains)).changed_at if drains else 0
-        return max(self.config_state.changed_at, drained_at, self.jobs.latest(group))
+        return max(
+            self.config_state.changed_at,
+            self.drains.latest(),
+            self.jobs.latest(group),
+            self.standings.latest(group),
+        )
 
-    def changes(self, group, since):
-        """Return a SyncReply with everything that changed for a domain group after an index."""
-        reply = SyncReply(index=max(since, self.latest(group)))
+    def changes(self, group, since, epoch=0):
+        """Return a SyncReply with everything that changed for a domain group after an index.
+
+        A group that follows another epoch than the present one learns only that.
+        """
+        standing = self.standings.of(group)
+        if epoch != standing.epoch:
+            return SyncReply(index=since, epoch=standing.epoch, lost=standing.lost)
+        reply = SyncReply(
+            index=max(since, self.latest(group)), epoch=standing.epoch, lost=standing.lost
+        )
         if self.config_state.changed_at > since:
             reply.config.CopyFrom(self.config_state)
         reply.jobs.extend(self.jobs.items(group, since))
-        reply.drains.extend(item for item in self._drain_by_key.values() if item.changed_at > since)
+        reply.drains.extend(self.drains.since(since))
         return reply
 
     def snapshot(self):
@@ -291,7 +300,7 @@
         state = State(now=self.now, audit_number=self.audit.number, audit_head=self.audit.head)
         state.config.CopyFrom(self.config_state)
         self.jobs.save(state)
-        state.drains.extend(self._drain_by_key.values())
+        self.drains.save(state)
         state.replies.extend(self._reply_by_id.values())
         state.records.extend(self.audit.recent)
         return state.SerializeToString(deterministic=True)
@@ -313,7 +322,7 @@
             head=state.audit_head or EMPTY_HEAD,
             recent=state.records,
         )
-        self._drain_by_key = {(item.kind, item.name): item for item in state.drains}
+        self.drains.load(state)
         self._reply_by_id = {stored.request_id: stored for stored in state.replies}
 
 
@@ -329,6 +338,8 @@
     "submit_job": Cell._submit_job,
     "cancel_jobs": Cell._cancel_jobs,
     "set_drain": Cell._set_drain,
+    "lose_groups": lose_groups,
+    "restore_group": restore_group,
 }
 _VERB_BY_KIND = {
     "set_config": "config",
@@ -336,4 +347,6 @@
     "submit_job": "submit",
     "cancel_jobs": "cancel",
     "set_drain": "drain",
+    "lose_groups": "domain lost",
+    "restore_group": "domain restore",
 }
--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -11,7 +11,7 @@
 from anyio import move_on_after
 
 from siskintally.cell import MAX_ID_LENGTH, MAX_MESSAGE_LENGTH, encode
-from siskintally.cell_state_pb2 import Command, GroupInfo
+from siskintally.cell_state_pb2 import Command, ConfirmIdle, GroupInfo
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotLeaderError, SiskintallyError
 from siskintally.inquiry import Inquiry, Reported
@@ -34,7 +34,15 @@
     :param clock: Unix time, s; stamps the commands.
     """
 
-    __slots__ = ("_clock", "_group", "_inquiry", "_machine", "_reported", "_settings")
+    __slots__ = (
+        "_clock",
+        "_group",
+        "_inquiry",
+        "_led",
+        "_machine",
+        "_reported",
+        "_settings",
+    )
 
     def __init__(self, *, group, machine, settings, clock=time):
         self._group = group
@@ -42,6 +50,7 @@
         self._settings = settings
         self._clock = clock
         self._reported = Reported()
+        self._led = (None, 0.0)
         self._inquiry = Inquiry(
             group=group, machine=machine, settings=settings, reported=self._reported
         )
@@ -50,6 +59,8 @@
         if not self._group.is_leader:
             leader = self._group.leader or ""
             raise NotLeaderError("this store does not lead the cell group", leader=leader)
+        if self._led[0] != self._group.term:
+            self._led = (self._group.term, monotonic())
 
     async def sync(self, request):
         """Answer a long poll of a domain group with what changed.
@@ -58,21 +69,40 @@
         """
         self._require_leader()
         self._check_group(request.group)
+        cell = self._machine.cell
+        if request.check:
+            await self._group.confirm()
+            standing = cell.standings.of(request.group)
+            return SyncReply(epoch=standing.epoch, lost=standing.lost)
         self._reported.heard_by_group[request.group] = monotonic()
         self._reported.since_by_group[request.group] = request.since
         if request.HasField("capacity"):
             self._reported.capacity_by_group[request.group] = request.capacity
         wait_s = request.wait_s if 0 <= request.wait_s <= MAX_WAIT_S else MAX_WAIT_S
         deadline = monotonic() + wait_s
-        cell = self._machine.cell
-        while cell.latest(request.group) <= request.since:
+        await self._confirm_idle(request)
+        while not self._has_news(request):
             remaining = deadline - monotonic()
             if remaining <= 0:
-                return SyncReply(index=request.since)
+                standing = cell.standings.of(request.group)
+                return SyncReply(index=request.since, epoch=standing.epoch, lost=standing.lost)
             with move_on_after(min(remaining, LEADER_CHECK_S)):
                 await self._machine.wait_change()
             self._require_leader()
-        return cell.changes(request.group, request.since)
+        return cell.changes(request.group, request.since, request.epoch)
+
+    def _has_news(self, request):
+        cell = self._machine.cell
+        other_epoch = cell.standings.of(request.group).epoch != request.epoch
+        return other_epoch or cell.latest(request.group) > request.since
+
+    async def _confirm_idle(self, request):
+        """Commit the word of a fenced group that nothing runs there any more."""
+        standing = self._machine.cell.standings.of(request.group)
+        if request.idle and standing.lost and not standing.idle and standing.epoch == request.epoch:
+            change = ConfirmIdle(group=request.group, epoch=request.epoch)
+            command = Command(at=self._clock(), confirm_idle=change)
+            await self._group.propose(command.SerializeToString())
 
     async def report(self, report):
         """Commit the progress of jobs in a domain group.
@@ -84,6 +114,7 @@
         self._check_group(report.group)
         if len(report.jobs) > MAX_REPORT_JOBS:
             raise BadRequestError(f"jobs: expected at most {MAX_REPORT_JOBS} in a report")
+        self._reported.heard_by_group[report.group] = monotonic()
         command = Command(at=self._clock(), groups=self._infos(), job_report=report)
         await self._group.propose(command.SerializeToString())
         return Done()
@@ -98,13 +129,23 @@
     def _infos(self):
         infos = []
         for group in self._settings.domain_groups():
-            info = GroupInfo(name=group.name, domains=group.domains)
+            info = GroupInfo(
+                name=group.name, domains=group.domains, silent_s=self._silent_s(group.name)
+            )
             capacity = self._reported.capacity_by_group.get(group.name)
             if capacity is not None:
                 info.capacity.CopyFrom(capacity)
             infos.append(info)
         return infos
 
+    def _silent_s(self, group):
+        """Return for how long this process as leader has heard nothing of a domain group.
+
+        What was said to a former leader is not known, so a new one counts from its first call.
+        """
+        heard_at = max(self._reported.heard_by_group.get(group, 0.0), self._led[1])
+        return max(0.0, monotonic() - heard_at)
+
     async def operator(self, call):
         """Answer an operator; a refusal is a reply with a result code.
 
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -53,8 +53,10 @@
             request = SyncRequest(
                 group=owner_term.group.name,
                 since=owner_term.domain.cell_index,
-                wait_s=SYNC_WAIT_S,
+                wait_s=self._wait_s(),
                 capacity=self.capacity(),
+                epoch=owner_term.domain.epoch,
+                idle=owner_term.is_idle(),
             )
             started = monotonic()
             try:
@@ -64,19 +66,57 @@
                 log.info("cell not reached", error=str(error))
                 await sleep(RETRY_S)
                 continue
-            if reply.jobs or reply.drains or reply.HasField("config"):
+            if self._is_too_early(reply):
+                await sleep(RETRY_S)
+            elif self._has_news(reply):
                 await self._take(reply)
+                self._clear(reply)
+            elif not owner_term.may_start():
+                self._clear(reply)
             elif monotonic() - started < RETRY_S:
                 await sleep(RETRY_S)
 
+    def _wait_s(self):
+        """Return the longest wait for news, s; an owner that may not start tasks asks at once."""
+        owner_term = self._owner_term
+        return SYNC_WAIT_S if owner_term.may_start() or owner_term.domain.fenced else 0.0
+
+    def _has_news(self, reply):
+        domain = self._owner_term.domain
+        if reply.epoch != domain.epoch:
+            return reply.epoch > domain.epoch
+        items = reply.jobs or reply.drains or reply.HasField("config")
+        return bool(items) or reply.lost != domain.fenced
+
+    def _is_too_early(self, reply):
+        """Tell whether a restore has to wait until nothing runs here any more."""
+        owner_term = self._owner_term
+        same_epoch = reply.epoch == owner_term.domain.epoch
+        return same_epoch and owner_term.domain.fenced and not (reply.lost or owner_term.is_idle())
+
+    def _clear(self, reply):
+        """Start tasks if the cell says that the group is not lost and nothing forbids it."""
+        owner_term = self._owner_term
+        before = owner_term.may_start()
+        owner_term.clearance.learn(reply)
+        if owner_term.may_start() and not before:
+            owner_term.unsent.update(owner_term.link_by_worker)
+            owner_term.push()
+            owner_term.request_pass()
+
     async def _take(self, reply):
         owner_term = self._owner_term
-        before = owner_term.domain.config.version
+        before, epoch = owner_term.domain.config.version, owner_term.domain.epoch
         answer = await owner_term.commit(sync=reply)
         if answer.code != Code.DONE:
             log.error("cell item refused", code=answer.code, message=answer.message)
             await sleep(RETRY_S)
             return
+        if owner_term.domain.epoch != epoch:
+            log.error("declared lost, all tasks end", epoch=owner_term.domain.epoch)
+            self._reported_by_job.clear()
+            owner_term.withdraw()
+            return
         for drain in reply.drains:
             if drain.kind == "worker":
                 owner_term.placement.drain_worker(drain.name, draining=drain.draining)
@@ -120,6 +160,9 @@
     async def send_report(self):
         """Send one report of what has changed since the last; what fails is sent again."""
         owner_term = self._owner_term
+        if owner_term.domain.fenced:
+            owner_term.dirty.clear()
+            return
         self._add_waiting()
         jobs = sorted(owner_term.dirty)[:MAX_REPORT_JOBS]
         progress = [one for one in map(self._progress, jobs) if one is not None]
@@ -129,7 +172,8 @@
             return
         try:
             await self._cell_call(
-                JobReport(group=owner_term.group.name, jobs=changed), timeout=REPORT_TIMEOUT_S
+                JobReport(group=owner_term.group.name, jobs=changed, epoch=owner_term.domain.epoch),
+                timeout=REPORT_TIMEOUT_S,
             )
         except NotLeaderError:
             owner_term.dirty.update(jobs)
--- a/siskintally/commands_operator.py
+++ b/siskintally/commands_operator.py
@@ -1,11 +1,11 @@
-"""Commands of operators: status, submit, cancel, jobs, drain, preset, config, audit.
+"""Commands of operators: status, submit, cancel, jobs, drain, domain, preset, config, audit.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_operator import register
 >>> registry = Registry()
 >>> register(registry)
 >>> [command.name for command in registry]
-['audit', 'cancel', 'config', 'drain', 'jobs', 'preset', 'status', 'submit']
+['audit', 'cancel', 'config', 'domain', 'drain', 'jobs', 'preset', 'status', 'submit']
 """
 
 from pathlib import Path
@@ -20,6 +20,7 @@
     DEFINE_string,
 )
 
+from siskintally import commands_domain
 from siskintally.command import Command
 from siskintally.errors import BadRequestError, BadSettingsError
 from siskintally.operation import Operation, define_common
@@ -33,6 +34,7 @@
     "cancel": "Cancel jobs: ids, --all-of-job-prefix, or both; one command for all.",
     "jobs": "List jobs, all or by id.",
     "drain": "Take a worker or an endpoint out of service: drain worker|endpoint NAME [--off].",
+    "domain": commands_domain.SUMMARY,
     "preset": "Put a preset in force, or show the one that is.",
     "config": "Read or replace the configuration document: config get | config set FILE.",
     "audit": "Show the latest operator changes; --verify checks the hash chain.",
@@ -251,6 +253,7 @@
     "cancel": (_with_common(_define_cancel), _cancel),
     "jobs": (_with_common(_define_jobs), _jobs),
     "drain": (_with_common(_define_drain), _drain),
+    "domain": (_with_common(commands_domain.define), commands_domain.start),
     "preset": (_with_common(_define_version), _preset),
     "config": (_with_common(_define_version), _config),
     "audit": (_with_common(_define_audit), _audit),
--- a/siskintally/dispatcher.py
+++ b/siskintally/dispatcher.py
@@ -48,8 +48,11 @@
             await self.step()
 
     async def step(self):
-        """Make one pass."""
+        """Make one pass; without clearance of the cell only stops are sent."""
         owner_term = self._owner_term
+        if not owner_term.may_start():
+            owner_term.push()
+            return
         started = owner_term.clock()
         decision = owner_term.placement.decide(now=started)
         if decision.assignments:
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -55,7 +55,8 @@
 
     ``config`` is the ConfigState followed from the cell, version 0 before the first; ``cell_index``
     is the cell's log index that the state has followed up to. No lease that an owner has given and
-    that may still run is longer than ``longest_lease_s``.
+    that may still run is longer than ``longest_lease_s``. ``epoch`` counts the losses of the group
+    that operators have declared and that it knows of; while ``fenced`` it starts no task.
     """
 
     __slots__ = (
@@ -63,6 +64,8 @@
         "cell_index",
         "config",
         "drain_by_key",
+        "epoch",
+        "fenced",
         "group",
         "job_by_id",
         "ledger",
@@ -76,6 +79,8 @@
         self._reset()
 
     def _reset(self):
+        self.epoch = 0
+        self.fenced = False
         self.cell_index = 0
         self.config = ConfigState()
         self.job_by_id = {}
@@ -131,8 +136,14 @@
 
     def _apply_sync(self, change):
         """Follow the cell; an older reply, applied late, changes nothing."""
-        if change.index >= self.cell_index:
+        if change.epoch > self.epoch:
+            self._begin_epoch(change.epoch)
+            return DomainReply(code=int(Code.DONE))
+        # A group whose disks were put back to an older state is restored before it has ended all.
+        too_early = self.fenced and not change.lost and not self.is_idle
+        if change.epoch == self.epoch and change.index >= self.cell_index and not too_early:
             self.cell_index = change.index
+            self.fenced = change.lost
             if change.config.version > self.config.version:
                 self.config = _copy(change.config)
                 self.longest_lease_s = max(self.longest_lease_s, self.preset().lease_s)
@@ -142,6 +153,24 @@
                 self._apply_job(item)
         return DomainReply(code=int(Code.DONE))
 
+    def _begin_epoch(self, epoch):
+        """Learn that the group was declared lost: end its jobs and follow the cell anew.
+
+        The ledger and the configuration stay: their keys and versions are valid in all epochs.
+        """
+        self.epoch = epoch
+        self.fenced = True
+        self.cell_index = 0
+        self.drain_by_key.clear()
+        for job in list(self.job_by_id.values()):
+            job.withdraw()
+            self._keep(job)
+
+    @property
+    def is_idle(self):
+        """Whether no attempt is assigned to any worker."""
+        return not any(worker.task_ids for worker in self.worker_by_name.values())
+
     def _apply_drain(self, drain):
         if drain.draining:
             self.drain_by_key[drain.kind, drain.name] = _copy(drain)
@@ -155,7 +184,9 @@
     def _apply_job(self, item):
         job = self.job_by_id.get(item.job_id)
         if job is None:
-            job = DomainJob(item=_copy(item), group=self.group, accepted_at=self.now)
+            job = DomainJob(
+                item=_copy(item), group=self.group, accepted_at=self.now, epoch=self.epoch
+            )
             self.job_by_id[item.job_id] = job
         elif item.changed_at <= job.item.changed_at:
             return
@@ -163,8 +194,12 @@
         self._keep(job)
 
     def _keep(self, job):
-        """Remember an ended job for a while; drop the oldest."""
+        """Remember an ended job for a while; drop the oldest and those of earlier epochs."""
         job_id = job.item.job_id
+        if job.is_over and job.epoch != self.epoch:
+            self._ended_jobs.pop(job_id, None)
+            del self.job_by_id[job_id]
+            return
         if not job.is_over:
             self._ended_jobs.pop(job_id, None)
             return
@@ -226,6 +261,8 @@
             return False
         job = self.job_by_id[job_id_of(one.task_id)]
         total = worker.used + job.need
+        if self.fenced or job.epoch != self.epoch:
+            return False
         if job.item.cancelled or worker.record.session != one.session:
             return False
         if not total.within(worker.capacity):
@@ -248,6 +285,8 @@
             ledger=self.ledger.snapshot(),
             now=self.now,
             longest_lease_s=self.longest_lease_s,
+            epoch=self.epoch,
+            fenced=self.fenced,
         )
         state.ended_jobs.extend(self._ended_jobs)
         return state.SerializeToString(deterministic=True)
@@ -268,6 +307,7 @@
     def _load(self, state):
         if state.group != self.group:
             raise BadRequestError(f"snapshot of group {state.group!r}")
+        self.epoch, self.fenced = state.epoch, state.fenced
         self.cell_index = state.cell_index
         self.config = _copy(state.config)
         self.now = state.now
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -56,11 +56,14 @@
 
     :param item: JobItem as the cell sent it last.
     :param group: group name, part of the task ids, so that they are unique in the cell.
+    :param epoch: epoch of the group in which it accepted the job, also part of the task ids: a
+        group that comes back numbers the tasks of a job from 0 again.
     """
 
     __slots__ = (
         "accepted_at",
         "cancelled",
+        "epoch",
         "failed",
         "group",
         "item",
@@ -71,9 +74,10 @@
         "task_by_id",
     )
 
-    def __init__(self, *, item, group, accepted_at):
+    def __init__(self, *, item, group, accepted_at, epoch=0):
         self.item = item
         self.group = group
+        self.epoch = epoch
         self.need = Size.of(item.spec.each)
         self.accepted_at = accepted_at
         self.next_number = 0
@@ -100,6 +104,11 @@
         self.item = item
         self.resize()
 
+    def withdraw(self):
+        """Drop what waits and cancel what runs, because the group was declared lost."""
+        self.item.cancelled = True
+        self.resize()
+
     def strip(self):
         """Drop the spec of an ended job, most of what it would add to a snapshot."""
         self.item.ClearField("spec")
@@ -117,7 +126,8 @@
                 del self.task_by_id[task.task_id]
                 surplus -= 1
         while self.ended + len(self.task_by_id) < self.item.tasks:
-            task_id = f"{self.item.job_id}/{self.group}.{self.next_number}"
+            label = f"{self.group}~{self.epoch}" if self.epoch else self.group
+            task_id = f"{self.item.job_id}/{label}.{self.next_number}"
             self.next_number += 1
             self.task_by_id[task_id] = Task(task_id=task_id)
 
@@ -164,12 +174,13 @@
             cancelled=self.cancelled,
             accepted_at=self.accepted_at,
             tasks=[task.state() for task in self.task_by_id.values()],
+            epoch=self.epoch,
         )
 
     @classmethod
     def of(cls, state, *, group):
         """Rebuild a job from a snapshot."""
-        job = cls(item=state.item, group=group, accepted_at=state.accepted_at)
+        job = cls(item=state.item, group=group, accepted_at=state.accepted_at, epoch=state.epoch)
         job.next_number = state.next_number
         job.succeeded, job.failed = state.succeeded, state.failed
         job.cancelled = state.cancelled
--- /dev/null
+++ b/siskintally/drains.py
@@ -0,0 +1,63 @@
+"""Workers and endpoints that operators have taken out of service.
+
+>>> from siskintally.drains import DrainTable
+>>> DrainTable().latest()
+0
+"""
+
+from siskintally.errors import BadRequestError
+from siskintally.wire_pb2 import DrainItem
+
+MAX_DRAINS = 10_000
+DRAIN_KINDS = ("worker", "endpoint")
+
+
+class DrainTable:
+    """DrainItems by kind and name, in order of change; one put back stays as an item."""
+
+    __slots__ = ("_by_key",)
+
+    def __init__(self):
+        self._by_key = {}
+
+    def is_draining(self, kind, name):
+        """Tell whether something is out of service."""
+        item = self._by_key.get((kind, name))
+        return item is not None and item.draining
+
+    def set(self, change, *, index):
+        """Take something out of service or put it back.
+
+        :param change: SetDrain, its name already checked.
+        :raises BadRequestError: unknown kind, or too many names.
+        """
+        if change.kind not in DRAIN_KINDS:
+            raise BadRequestError(f"kind = {change.kind!r}: expected worker or endpoint")
+        key = (change.kind, change.name)
+        if key not in self._by_key and len(self._by_key) >= MAX_DRAINS:
+            raise BadRequestError(f"drains: expected at most {MAX_DRAINS} names")
+        if self.is_draining(*key) != change.draining:
+            self._by_key.pop(key, None)
+            self._by_key[key] = DrainItem(
+                kind=change.kind, name=change.name, draining=change.draining, changed_at=index
+            )
+
+    def draining(self):
+        """Return the DrainItems of everything that is out of service, in order of change."""
+        return [item for item in self._by_key.values() if item.draining]
+
+    def latest(self):
+        """Return the log index of the last change, 0 if none."""
+        return next(reversed(self._by_key.values())).changed_at if self._by_key else 0
+
+    def since(self, index):
+        """Return the DrainItems that changed after a log index."""
+        return [item for item in self._by_key.values() if item.changed_at > index]
+
+    def save(self, state):
+        """Write all items into a State message."""
+        state.drains.extend(self._by_key.values())
+
+    def load(self, state):
+        """Replace everything with the items of a State message."""
+        self._by_key = {(item.kind, item.name): item for item in state.drains}
--- /dev/null
+++ b/siskintally/group_changes.py
@@ -0,0 +1,62 @@
+"""Operator changes of the cell state that declare domain groups lost and restore them.
+
+>>> from siskintally.group_changes import restore_group
+>>> restore_group.__name__
+'restore_group'
+"""
+
+from siskintally.errors import BadRequestError, NotFoundError
+from siskintally.standing import MIN_SILENCE_S, GroupInUseError, standing_text
+
+MAX_SHOWN_NAME = 128
+
+
+def lose_groups(cell, index, command, note):
+    """Declare domain groups lost, all of them or none.
+
+    :param cell: :class:`~siskintally.cell.Cell`, changed in place.
+    :param note: filled for the audit record.
+    :returns: the answer as a dict.
+    :raises GroupInUseError: a group was heard from lately, and the change is not forced.
+    :raises NotFoundError: no such group.
+    :raises BadRequestError: no names.
+    """
+    change = command.lose_groups
+    names = list(dict.fromkeys(change.groups))
+    note.what = " ".join(names)
+    note.after = "lost, forced" if change.force else "lost"
+    if not names:
+        raise BadRequestError("groups: expected at least one name")
+    note.before = " ".join(f"{name}: {_standing_text(cell, name)}" for name in names)
+    names = [name for name in names if not cell.standings.is_lost(name)]
+    for name in names:
+        silent_s = cell.jobs.capacity.info_by_group[name].silent_s
+        if not change.force and silent_s < MIN_SILENCE_S:
+            raise GroupInUseError(
+                f"{name} was or may have been heard from {silent_s:.0f} s ago; "
+                f"expected {MIN_SILENCE_S:.0f} s of silence, or force"
+            )
+    moved, unplaced = cell.jobs.lose(names, index=index, now=cell.now)
+    return {"lost": cell.standings.lost(), "moved": moved, "unplaced": unplaced}
+
+
+def restore_group(cell, index, command, note):
+    """Let a lost group take work again.
+
+    :returns: the answer as a dict.
+    :raises GroupInUseError: it has not confirmed that nothing runs there.
+    :raises NotFoundError: no such group.
+    """
+    name = command.restore_group.group
+    note.what = name
+    note.before = _standing_text(cell, name)
+    note.after = "in service"
+    if cell.standings.is_lost(name):
+        cell.jobs.restore(name, index=index, now=cell.now)
+    return {"lost": cell.standings.lost()}
+
+
+def _standing_text(cell, group):
+    if group not in cell.jobs.capacity.info_by_group:
+        raise NotFoundError(f"group = {group[:MAX_SHOWN_NAME]!r}: no such domain group")
+    return standing_text(cell.standings.of(group))
--- a/siskintally/inquiry.py
+++ b/siskintally/inquiry.py
@@ -12,6 +12,7 @@
 from siskintally.job_counts import job_state
 from siskintally.spec import CLASS_BY_NAME, KIND_BY_NAME
 from siskintally.split import RESOURCE_NAMES
+from siskintally.standing import standing_text
 from siskintally.verbs import expect_keys, flag_of, number_of, text_of
 
 MAX_LISTED = 10_000
@@ -83,7 +84,7 @@
             "voters": [one.identity.name for one in self._group.members if one.voter],
             "jobs": count_by_state,
             "groups": [self._group_status(group) for group in self._settings.domain_groups()],
-            "drains": [{"kind": item.kind, "name": item.name} for item in cell.drains()],
+            "drains": [{"kind": item.kind, "name": item.name} for item in cell.drains.draining()],
             "teams": self._teams(),
             "audit": {"records": cell.audit.number, "head": cell.audit.head},
         }
@@ -94,6 +95,7 @@
         return {
             "group": group.name,
             "domains": list(group.domains),
+            "standing": standing_text(self._cell.standings.of(group.name)),
             "config_current": self._is_current(group.name),
             "heard_s": None if heard is None else round(monotonic() - heard, 1),
             "workers": 0 if capacity is None else capacity.workers,
@@ -169,8 +171,10 @@
 
 
 def _job_row(job):
-    progress = [share.progress for share in job.shares]
+    progress = [job.past, *(share.progress for share in job.shares)]
     counts = ("waiting", "running", "succeeded", "failed", "cancelled")
+    number_by_count = {name: sum(getattr(row, name) for row in progress) for name in counts}
+    number_by_count["waiting"] += job.unplaced
     return {
         "job": job.job_id,
         "state": job_state(job),
@@ -183,5 +187,6 @@
         "operator": job.operator,
         "submitted_at": job.submitted_at,
         "split": {share.group: share.tasks for share in job.shares if share.tasks},
-        **{name: sum(getattr(row, name) for row in progress) for name in counts},
+        "restarted": job.restarted,
+        **number_by_count,
     }
--- a/siskintally/job_counts.py
+++ b/siskintally/job_counts.py
@@ -26,9 +26,10 @@
             return "cancelling"
         running = any(share.progress.running for share in job.shares)
         return "running" if running else "waiting"
-    if any(share.progress.failed for share in job.shares):
+    parts = [job.past, *(share.progress for share in job.shares)]
+    if any(part.failed for part in parts):
         return "failed"
-    succeeded = sum(share.progress.succeeded for share in job.shares)
+    succeeded = sum(part.succeeded for part in parts)
     return "succeeded" if succeeded >= job.spec.tasks else "cancelled"
 
 
@@ -45,7 +46,7 @@
 
 def holding(job):
     """Return (tasks that count against the quota, {group: tasks not placed yet})."""
-    total_ended = 0
+    total_ended = ended_tasks(job.past)
     demand_by_group = {}
     for share in job.shares:
         ended = ended_tasks(share.progress)
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -7,7 +7,7 @@
 """
 
 from siskintally.capacity import CapacityTable, QuotaUse, exceeding
-from siskintally.cell_state_pb2 import Job, Share
+from siskintally.cell_state_pb2 import Job
 from siskintally.codes import Code
 from siskintally.errors import (
     NeverFitsError,
@@ -17,7 +17,8 @@
 )
 from siskintally.job_changes import JobChanges
 from siskintally.job_counts import ended_tasks, holding, share_has_ended
-from siskintally.split import split
+from siskintally.job_shares import JobShares
+from siskintally.standing import StandingTable
 from siskintally.wire_pb2 import JobSpec
 
 KEEP_ENDED_S = 24 * 3600.0
@@ -40,26 +41,33 @@
     :param by_id: jobs in order of submission.
     :param capacity: domain groups as last reported.
     :param quota_use: what teams hold.
+    :param standings: which groups were declared lost.
     """
 
     __slots__ = (
         "_changes",
         "_ended",
         "_held_by_id",
+        "_shares",
         "_waiting",
         "by_id",
         "capacity",
         "quota_use",
+        "standings",
     )
 
     def __init__(self):
         self.by_id = {}
         self.capacity = CapacityTable()
         self.quota_use = QuotaUse()
+        self.standings = StandingTable()
         self._ended = {}
         self._waiting = {}
         self._held_by_id = {}
         self._changes = JobChanges()
+        self._shares = JobShares(
+            capacity=self.capacity, standings=self.standings, changes=self._changes
+        )
 
     def submit(self, spec, *, operator, index, now, quota_by_team):
         """Admit a job or let it wait for quota.
@@ -117,6 +125,8 @@
     def _cancel(self, job, *, index, now):
         job.cancelled = True
         self._waiting.get(job.spec.team, {}).pop(job.job_id, None)
+        job.past.cancelled += job.unplaced
+        job.unplaced = 0
         for share in job.shares:
             self._changes.touch(job, share, index)
         if self._end_if_done(job, now):
@@ -149,14 +159,11 @@
         self._waiting[job.spec.team].pop(job.job_id)
         job.reason = ""
         try:
-            views = self.capacity.candidates(job.spec)
+            self._shares.give(job, job.spec.tasks, index=index)
         except (NeverFitsError, NotFoundError) as error:
             self._end_as_never(job, str(error), index=index, now=now)
             return
         job.admitted = True
-        for group, tasks in split(job.spec, job.spec.tasks, views).items():
-            job.shares.append(Share(group=group, tasks=tasks))
-            self._changes.touch(job, job.shares[-1], index)
         self._settle(job, now)
 
     def report(self, report, *, index, now):
@@ -173,7 +180,8 @@
                 continue
             share.progress.CopyFrom(progress)
             share.reported = True
-            job.reason = progress.reason if progress.waiting or progress.code else ""
+            if not job.unplaced:
+                job.reason = progress.reason if progress.waiting or progress.code else ""
             if progress.code == Code.NEVER_FITS and not job.cancelled and not share.refused:
                 self._move(job, share, index=index, now=now)
             self._settle(job, now)
@@ -185,21 +193,50 @@
         share.refused = True
         share.tasks = keep
         self._changes.touch(job, share, index)
-        refused = [other.group for other in job.shares if other.refused]
+        if not moved:
+            return
         try:
-            views = self.capacity.candidates(job.spec, refused=refused)
+            self._shares.give(job, moved, index=index)
         except NeverFitsError as error:
             reason = share.progress.reason or str(error)
             self._end_as_never(job, reason, index=index, now=now)
-            return
-        share_by_group = {other.group: other for other in job.shares}
-        for group, tasks in split(job.spec, moved, views).items() if moved else ():
-            target = share_by_group.get(group)
-            if target is None:
-                job.shares.append(Share(group=group))
-                target = job.shares[-1]
-            target.tasks += tasks
-            self._changes.touch(job, target, index)
+
+    def lose(self, groups, *, index, now):
+        """Divide the tasks of groups that are gone over the groups that are left.
+
+        A task whose end was reported stays ended; every other one may run a second time.
+
+        :returns: (tasks given to other groups, tasks that no other group can hold).
+        """
+        for group in groups:
+            self.standings.lose(group, index=index)
+        moved = unplaced = 0
+        for job in self.by_id.values():
+            left = self._shares.withdraw(job, groups)
+            if job.ended or not left:
+                continue
+            if job.cancelled:
+                job.past.cancelled += left
+            else:
+                before = job.unplaced
+                self._shares.give_again(job, left, index=index)
+                job.restarted += left
+                unplaced += job.unplaced - before
+                moved += left - (job.unplaced - before)
+            self._settle(job, now)
+        return moved, unplaced
+
+    def restore(self, group, *, index, now):
+        """Give work to a group again that was lost.
+
+        :raises GroupInUseError: it has not confirmed that nothing runs there.
+        """
+        self.standings.restore(group, index=index)
+        for job in self.by_id.values():
+            if job.unplaced:
+                tasks, job.unplaced, job.reason = job.unplaced, 0, ""
+                self._shares.give_again(job, tasks, index=index)
+                self._settle(job, now)
 
     def _end_as_never(self, job, reason, *, index, now):
         job.code = int(Code.NEVER_FITS)
@@ -214,7 +251,8 @@
     def _end_if_done(self, job, now):
         """End a job when all its tasks have ended; return whether it ended now."""
         begun = job.admitted or job.cancelled
-        if job.ended or not begun or not all(share_has_ended(job, share) for share in job.shares):
+        over = not job.unplaced and all(share_has_ended(job, share) for share in job.shares)
+        if job.ended or not begun or not over:
             return False
         job.ended = True
         job.ended_at = now
@@ -265,6 +303,7 @@
         for info in self.capacity.info_by_group.values():
             state.groups.append(info)
             state.largest_at.append(self.capacity.largest_at[info.name])
+        self.standings.save(state)
 
     def load(self, state):
         """Replace everything with the jobs and groups of a State message."""
@@ -272,6 +311,7 @@
         for info, at in zip(state.groups, state.largest_at, strict=True):
             self.capacity.info_by_group[info.name] = info
             self.capacity.largest_at[info.name] = at
+        self.standings.load(state)
         self._ended = dict.fromkeys(state.ended)
         for job in state.jobs:
             self.by_id[job.job_id] = job
--- a/siskintally/operation.py
+++ b/siskintally/operation.py
@@ -122,13 +122,14 @@
             prefix = ""
 
     def wait_config(self, version):
-        """Wait until every domain group has committed a configuration version.
+        """Wait until every domain group in service has committed a configuration version.
 
         :raises OutcomeUnknownError: the wait was too short.
         """
         while True:
             status = self.read("status", {})
-            behind = [row["group"] for row in status["groups"] if not row["config_current"]]
+            rows = [row for row in status["groups"] if row["standing"] == "in service"]
+            behind = [row["group"] for row in rows if not row["config_current"]]
             if status["version"] > version or not behind:
                 return
             self._progress(f"version {version} not yet in {', '.join(behind)}")
--- a/siskintally/orders.py
+++ b/siskintally/orders.py
@@ -81,10 +81,11 @@
             for order in orders.get(worker, {}).values():
                 order.sent_at = None
 
-    def due(self, worker, *, now):
+    def due(self, worker, *, now, with_starts=True):
         """Return the orders that were not sent, or long ago, and count them as sent."""
+        starts = self._starts_by_worker.get(worker, {}) if with_starts else {}
         return Due(
-            starts=list(_take(self._starts_by_worker.get(worker, {}), now)),
+            starts=list(_take(starts, now)),
             stops=list(_take(self._stops_by_worker.get(worker, {}), now)),
         )
 
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -10,6 +10,7 @@
 from anyio import Event, create_task_group, move_on_after, sleep
 
 from siskintally.cell_sync import CellSync
+from siskintally.clearance import Clearance
 from siskintally.codes import Code
 from siskintally.dispatcher import Dispatcher
 from siskintally.domain_state_pb2 import DomainCommand, DomainReply
@@ -56,6 +57,7 @@
 
     __slots__ = (
         "_cell_call",
+        "_clearance",
         "_clock",
         "_config_changed",
         "_domain",
@@ -88,9 +90,20 @@
         self._window_s = window_s
         self._workers = None
         self._config_changed = Event()
+        self._clearance = Clearance()
 
     async def run(self):
         """Act as the owner whenever this process leads, until cancelled."""
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._seek_clearance)
+            await self._follow_leadership()
+
+    async def _seek_clearance(self):
+        await self._clearance.seek(
+            domain=self._domain, cell_call=self._cell_call, leads=lambda: self._group.is_leader
+        )
+
+    async def _follow_leadership(self):
         with self._group.watch() as leaderships:
             leadership = await leaderships.receive()
             while True:
@@ -105,6 +118,7 @@
             group=self._group,
             domain=self._domain,
             clock=self._clock,
+            clearance=self._clearance,
             window_s=self._window_s,
         )
         log.info("term as owner begins", group=self._group.name, term=owner_term.term)
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -27,10 +27,12 @@
     :param group: :class:`~siskintally.group.Group` that this process leads.
     :param domain: its :class:`~siskintally.domain.Domain`.
     :param clock: monotonic seconds.
+    :param clearance: :class:`~siskintally.clearance.Clearance` of the process.
     """
 
     __slots__ = (
         "_committed_at",
+        "clearance",
         "clock",
         "dirty",
         "domain",
@@ -52,7 +54,8 @@
         "wake",
     )
 
-    def __init__(self, *, group, domain, clock, window_s=CONFIRM_WINDOW_S):
+    def __init__(self, *, group, domain, clock, clearance, window_s=CONFIRM_WINDOW_S):
+        self.clearance = clearance
         self.group = group
         self.domain = domain
         self.clock = clock
@@ -203,6 +206,25 @@
             self.orders.stop(task.worker, stop)
             self.unsent.add(task.worker)
 
+    def may_start(self):
+        """Tell whether the cell has said that the group is not lost."""
+        return self.clearance.covers(self.domain)
+
+    def is_idle(self):
+        """Tell whether a fenced group has nothing running, on workers it does not know either."""
+        is_over = self.clock() >= self.settled_at
+        return self.domain.fenced and self.domain.is_idle and is_over
+
+    def withdraw(self):
+        """Follow the committed state of a group that was declared lost: nothing may run."""
+        for job_id in list(self.placement.job_by_id):
+            if job_id in self.domain.job_by_id:
+                self.follow(job_id)
+            else:
+                self.placement.cancel(job_id)
+                self.placement.forget(job_id)
+        self.push()
+
     def start_task(self, task_id):
         """Order the start of a task, unless its committed assignment has ended meanwhile."""
         task = self.domain.task(task_id)
@@ -222,7 +244,7 @@
 
     def orders_for(self, worker, session):
         """Return the WorkerOrders with all due orders of a worker."""
-        due = self.orders.due(worker, now=self.clock())
+        due = self.orders.due(worker, now=self.clock(), with_starts=self.may_start())
         return WorkerOrders(
             session=session,
             seq=self.leases.seq(worker),
--- a/siskintally/relay.py
+++ b/siskintally/relay.py
@@ -23,7 +23,7 @@
 TIMEOUT_S = 12.0
 ATTEMPT_TIMEOUT_S = 5.0
 PAUSE_S = 0.2
-VERBS = ("submit", "cancel", "drain", "preset", "config", "status", "audit", "jobs")
+VERBS = ("submit", "cancel", "drain", "preset", "config", "domain", "status", "audit", "jobs")
 
 
 def operator_of(authorization, token_operators):
--- a/siskintally/split.py
+++ b/siskintally/split.py
@@ -54,11 +54,12 @@
     return max(0, min(counts, default=UNBOUNDED))
 
 
-def split(spec, tasks, views):
+def split(spec, tasks, views, *, present=None):
     """Divide tasks over groups that can each hold one.
 
     :param tasks: number of tasks, at least 1.
     :param views: candidate groups, at least one.
+    :param present: ``{group name: tasks}`` that the job has already; services are spread with them.
     :returns: ``{group name: tasks}``; groups without tasks are left out.
     """
     room_by_name = {view.name: task_count(view.free, spec.each) for view in views}
@@ -69,7 +70,7 @@
         return {best.name: tasks}
     names = [view.name for view in order]
     if spec.kind == JobSpec.SERVICE:
-        given = _spread(tasks, names, room_by_name)
+        given = _spread(tasks, names, room_by_name, present or {})
     else:
         given = _fill(tasks, names, room_by_name, total_by_name)
     return {name: number for name, number in given.items() if number}
@@ -81,9 +82,9 @@
     return 0 if total_by_name[view.name] >= tasks else 2
 
 
-def _spread(tasks, names, room_by_name):
+def _spread(tasks, names, room_by_name, present):
     given = dict.fromkeys(names, 0)
-    left = tasks
+    left = _level(tasks, given, room_by_name, present)
     open_names = [name for name in names if room_by_name[name]]
     while left and open_names:
         step = max(1, left // len(open_names))
@@ -95,6 +96,22 @@
     return _divide(left, given, dict.fromkeys(names, 1))
 
 
+def _level(tasks, given, room_by_name, present):
+    """Raise the groups with the fewest tasks of the job to the level of the others."""
+    level = max((present.get(name, 0) for name in given), default=0)
+    order = sorted(given, key=lambda name: present.get(name, 0))
+    left = tasks
+    for position, name in enumerate(order):
+        above = present.get(order[position + 1], 0) if position + 1 < len(order) else level
+        lower = [one for one in order[: position + 1] if given[one] < room_by_name[one]]
+        for _ in range(above - present.get(name, 0)):
+            for one in lower:
+                number = 1 if left and given[one] < room_by_name[one] else 0
+                given[one] += number
+                left -= number
+    return left
+
+
 def _fill(tasks, names, room_by_name, total_by_name):
     given = dict.fromkeys(names, 0)
     left = tasks
--- a/siskintally/tables.py
+++ b/siskintally/tables.py
@@ -23,7 +23,19 @@
 
 def show_jobs(answer):
     """Print a list of jobs."""
-    head = ("job", "state", "kind", "class", "team", "tasks", "wait", "run", "done", "reason")
+    head = (
+        "job",
+        "state",
+        "kind",
+        "class",
+        "team",
+        "tasks",
+        "wait",
+        "run",
+        "done",
+        "again",
+        "reason",
+    )
     rows = [
         (
             row["job"],
@@ -35,6 +47,7 @@
             row["waiting"],
             row["running"],
             row["succeeded"] + row["failed"] + row["cancelled"],
+            row["restarted"],
             row["reason"],
         )
         for row in answer["jobs"]
@@ -58,14 +71,16 @@
     counts = ", ".join(f"{number} {state}" for state, number in sorted(answer["jobs"].items()))
     print(f"jobs           {counts or 'none'}")
     print(f"audit          {answer['audit']['records']} records")
-    rows = [("group", "workers", "free cpu", "free MB", "free acc", "config", "heard s ago")]
+    rows = [
+        ("group", "workers", "free cpu", "free MB", "free acc", "config", "heard s ago", "standing")
+    ]
     for row in answer["groups"]:
         free = row["free"]
         cores = free.get("cpu_milli", 0) / 1000
         current = "current" if row["config_current"] else "behind"
         heard = "never" if row["heard_s"] is None else row["heard_s"]
         amounts = (cores, free.get("memory_mb", 0), free.get("accelerators", 0))
-        rows.append((row["group"], row["workers"], *amounts, current, heard))
+        rows.append((row["group"], row["workers"], *amounts, current, heard, row["standing"]))
     print(table(rows))
     for item in answer["drains"]:
         print(f"draining       {item['kind']} {item['name']}")
--- a/siskintally/verbs.py
+++ b/siskintally/verbs.py
@@ -9,7 +9,15 @@
 
 from json import dumps, loads
 
-from siskintally.cell_state_pb2 import CancelJobs, SetConfig, SetDrain, SetPreset, SubmitJob
+from siskintally.cell_state_pb2 import (
+    CancelJobs,
+    LoseGroups,
+    RestoreGroup,
+    SetConfig,
+    SetDrain,
+    SetPreset,
+    SubmitJob,
+)
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, SiskintallyError
 from siskintally.spec import parse_spec
@@ -17,7 +25,8 @@
 MAX_ARGUMENT_BYTES = 1 << 20
 MAX_VERSION = (1 << 63) - 1
 READS = ("status", "jobs", "audit")
-CHANGES = ("submit", "cancel", "drain", "preset", "config")
+CHANGES = ("submit", "cancel", "drain", "preset", "config", "domain")
+ACTIONS = ("lost", "restore")
 
 
 class ArgumentsTooLargeError(SiskintallyError):
@@ -159,10 +168,26 @@
     )
 
 
+def _domain(arguments):
+    expect_keys(arguments, "action", "groups", "confirm", "force")
+    action = text_of(arguments, "action")
+    groups = arguments.get("groups")
+    if not isinstance(groups, list) or not all(isinstance(name, str) for name in groups):
+        raise BadRequestError("groups: expected a list of domain groups")
+    if action == "lost":
+        if not flag_of(arguments, "confirm", False):
+            raise BadRequestError("confirm: expected true, as nothing runs in the groups any more")
+        return "lose_groups", LoseGroups(groups=groups, force=flag_of(arguments, "force", False))
+    if action != "restore" or len(groups) != 1:
+        raise BadRequestError(f"action = {action!r}: expected lost, or restore with one group")
+    return "restore_group", RestoreGroup(group=groups[0])
+
+
 _MAKERS = {
     "submit": _submit,
     "cancel": _cancel,
     "drain": _drain,
     "preset": _preset,
     "config": _config,
+    "domain": _domain,
 }
