--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -21,7 +21,7 @@
     "State of the cell and of domains": (
         "cell cell_service recorded_cell inquiry verbs jobs job_changes job_counts job_shares "
         "split standing group_changes drains capacity spec config preset audit domain domain_job "
-        "ledger"
+        "domain_checks ledger"
     ),
     "Replicated log": (
         "replica election replication following membership progress raftlog messages effects "
--- a/siskintally/capacity.py
+++ b/siskintally/capacity.py
@@ -6,7 +6,8 @@
 """
 
 from siskintally.cell_state_pb2 import GroupInfo
-from siskintally.errors import NeverFitsError, NotFoundError
+from siskintally.errors import NeverFitsError, NotFoundError, QuotaExceededError
+from siskintally.job_counts import holding
 from siskintally.split import RESOURCE_NAMES, GroupView, lacking
 from siskintally.wire_pb2 import Resources
 
@@ -128,6 +129,32 @@
         )
 
 
+class Holdings:
+    """What each job holds of the quota of its team and demands of the domain groups."""
+
+    __slots__ = ("_capacity", "_held_by_id", "_quota_use")
+
+    def __init__(self, *, capacity, quota_use):
+        self._capacity = capacity
+        self._quota_use = quota_use
+        self._held_by_id = {}
+
+    def update(self, job):
+        """Account for what a job holds now in place of what it held before."""
+        held_before, demand_before = self._held_by_id.pop(job.job_id, (0, {}))
+        held, demand = 0, {}
+        if job.admitted and not job.ended:
+            held, demand = self._held_by_id[job.job_id] = holding(job)
+        if held != held_before:
+            self._quota_use.add(job.spec.team, job.spec.each, held - held_before)
+        if demand == demand_before:
+            return
+        for group in demand | demand_before:
+            tasks = demand.get(group, 0) - demand_before.get(group, 0)
+            if tasks:
+                self._capacity.demand(group, job.spec.each, tasks)
+
+
 def exceeding(each, tasks, quota):
     """Return (resource, need, allowed) of the first resource above the whole quota, or None."""
     for name in RESOURCE_NAMES:
@@ -137,6 +164,19 @@
     return None
 
 
+def require_within(spec, quota):
+    """Check that a job alone stays within the quota of its team, None if it has none.
+
+    :raises QuotaExceededError: names the resource.
+    """
+    if quota is None:
+        raise QuotaExceededError(f"team {spec.team!r} has no quota in the configuration")
+    above = exceeding(spec.each, spec.tasks, quota)
+    if above is not None:
+        name, need, allowed = above
+        raise QuotaExceededError(f"{name}: {need} needed, quota of {spec.team} is {allowed}")
+
+
 def _add(table, key, each, factor):
     cpu_milli, memory_mb, accelerators = table.get(key, NOTHING)
     table[key] = (
--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -121,7 +121,7 @@
             report = command.job_report
             if self.standings.accepts(report.group, report.epoch):
                 self.jobs.report(report, index=index, now=self.now)
-            self._admit(index)
+            self.admit(index)
             self.jobs.forget(self.now)
             return _reply(Code.DONE, {})
         if kind == "confirm_idle":
@@ -214,14 +214,15 @@
     def _next_version(self, index):
         self.config_state.version += 1
         self.config_state.changed_at = index
-        self._admit(index)
+        self.admit(index)
         return {"version": self.config_state.version, "preset": self.config_state.preset}
 
     def _require_config(self):
         if self.config is None:
             raise NoConfigError("no configuration yet: set one first")
 
-    def _admit(self, index):
+    def admit(self, index):
+        """Admit waiting jobs as far as quotas allow."""
         if self.config is not None:
             self.jobs.admit(index=index, now=self.now, quota_by_team=self.config.quota_by_team)
 
@@ -255,7 +256,7 @@
         note.before = f"{len(cancelled)} not ended, {len(ended)} ended, {len(missing)} not found"
         if not cancelled and not ended:
             raise NotFoundError("no such job")
-        self._admit(index)
+        self.admit(index)
         return {"cancelled": len(cancelled), "ended": len(ended), "not_found": missing}
 
     def _set_drain(self, index, command, note):
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -10,6 +10,7 @@
 
 from siskintally.codes import Code
 from siskintally.config import parse_config
+from siskintally.domain_checks import MAX_TIME_S, check_batch, check_sync
 from siskintally.domain_job import DomainJob, job_id_of
 from siskintally.domain_state_pb2 import (
     AttemptEnd,
@@ -22,15 +23,9 @@
 from siskintally.machine import Machine
 from siskintally.preset import default_preset
 from siskintally.size import NOTHING, Size
-from siskintally.wire_pb2 import ConfigState, JobSpec
+from siskintally.wire_pb2 import ConfigState
 
 ORDINARY = "ordinary"
-MAX_NAME_LENGTH = 200
-MAX_TASKS = 100_000
-# Largest amount of a resource; larger ones are no amounts.
-MAX_AMOUNT = 1 << 40
-# Year 5138; a larger time stamp is no time.
-MAX_TIME_S = 1e11
 # The cell may send the item of an ended job again, which must not run a second time. These are the
 # jobs of three days.
 KEEP_ENDED_JOBS = 20_000
@@ -116,9 +111,9 @@
             raise BadRequestError("command without change")
         change = getattr(command, kind)
         if kind == "sync":
-            _check_sync(change)
+            check_sync(change)
         elif kind == "batch":
-            _check_batch(change)
+            check_batch(change)
         self.now = max(self.now, command.at)
         return getattr(self, f"_apply_{kind}")(change)
 
@@ -332,42 +327,3 @@
     copy = type(message)()
     copy.CopyFrom(message)
     return copy
-
-
-def _check_name(text):
-    if not 0 < len(text) <= MAX_NAME_LENGTH:
-        raise BadRequestError(f"name {text[:40]!r}: expected 1 to {MAX_NAME_LENGTH} characters")
-
-
-def _check_amounts(resources):
-    for amount in Size.of(resources).key():
-        if not 0 <= amount <= MAX_AMOUNT:
-            raise BadRequestError(f"amount {amount}: expected 0 to {MAX_AMOUNT}")
-
-
-def _check_spec(spec):
-    _check_amounts(spec.each)
-    if spec.kind not in JobSpec.Kind.values() or spec.class_ not in JobSpec.Class.values():
-        raise BadRequestError(f"kind = {spec.kind}, class = {spec.class_}: unknown")
-    for seconds in (spec.run_s, spec.deadline_s):
-        if not 0 <= seconds <= MAX_TIME_S:
-            raise BadRequestError(f"duration {seconds}: expected 0 to {MAX_TIME_S} s")
-
-
-def _check_sync(change):
-    for item in change.jobs:
-        _check_name(item.job_id)
-        _check_spec(item.spec)
-        if item.tasks > MAX_TASKS:
-            raise BadRequestError(f"tasks = {item.tasks}: expected at most {MAX_TASKS}")
-    for drain in change.drains:
-        _check_name(drain.name)
-
-
-def _check_batch(change):
-    if not 0 <= change.longest_lease_s <= MAX_TIME_S:
-        raise BadRequestError("longest lease out of range")
-    for record in change.joined:
-        _check_name(record.name)
-        _check_name(record.session)
-        _check_amounts(record.capacity)
--- a/siskintally/group_changes.py
+++ b/siskintally/group_changes.py
@@ -37,6 +37,7 @@
                 f"expected {MIN_SILENCE_S:.0f} s of silence, or force"
             )
     moved, unplaced = cell.jobs.lose(names, index=index, now=cell.now)
+    cell.admit(index)
     return {"lost": cell.standings.lost(), "moved": moved, "unplaced": unplaced}
 
 
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -6,17 +6,16 @@
 ({}, 0)
 """
 
-from siskintally.capacity import CapacityTable, QuotaUse, exceeding
+from siskintally.capacity import CapacityTable, Holdings, QuotaUse, exceeding, require_within
 from siskintally.cell_state_pb2 import Job
 from siskintally.codes import Code
 from siskintally.errors import (
     NeverFitsError,
     NotFoundError,
-    QuotaExceededError,
     SiskintallyError,
 )
 from siskintally.job_changes import JobChanges
-from siskintally.job_counts import ended_tasks, holding, share_has_ended
+from siskintally.job_counts import ended_tasks, share_has_ended
 from siskintally.job_shares import JobShares
 from siskintally.standing import StandingTable
 from siskintally.wire_pb2 import JobSpec
@@ -47,7 +46,7 @@
     __slots__ = (
         "_changes",
         "_ended",
-        "_held_by_id",
+        "_holdings",
         "_shares",
         "_waiting",
         "by_id",
@@ -63,7 +62,7 @@
         self.standings = StandingTable()
         self._ended = {}
         self._waiting = {}
-        self._held_by_id = {}
+        self._holdings = Holdings(capacity=self.capacity, quota_use=self.quota_use)
         self._changes = JobChanges()
         self._shares = JobShares(
             capacity=self.capacity, standings=self.standings, changes=self._changes
@@ -81,13 +80,7 @@
         """
         if len(self.by_id) - len(self._ended) >= MAX_ACTIVE_JOBS:
             raise TooManyJobsError(f"{MAX_ACTIVE_JOBS} jobs have not ended")
-        quota = quota_by_team.get(spec.team)
-        if quota is None:
-            raise QuotaExceededError(f"team {spec.team!r} has no quota in the configuration")
-        above = exceeding(spec.each, spec.tasks, quota)
-        if above is not None:
-            name, need, allowed = above
-            raise QuotaExceededError(f"{name}: {need} needed, quota of {spec.team} is {allowed}")
+        require_within(spec, quota_by_team.get(spec.team))
         self.capacity.candidates(spec)
         job = Job(
             job_id=f"{spec.name}-{index}",
@@ -130,7 +123,7 @@
         for share in job.shares:
             self._changes.touch(job, share, index)
         if self._end_if_done(job, now):
-            self._hold(job)
+            self._holdings.update(job)
 
     def admit(self, *, index, now, quota_by_team, teams=None):
         """Admit waiting jobs as far as quotas allow.
@@ -246,7 +239,7 @@
     def _settle(self, job, now):
         """Bring the derived figures of a job up to date after its shares have changed."""
         self._end_if_done(job, now)
-        self._hold(job)
+        self._holdings.update(job)
 
     def _end_if_done(self, job, now):
         """End a job when all its tasks have ended; return whether it ended now."""
@@ -261,21 +254,6 @@
             job.reason = ""
         return True
 
-    def _hold(self, job):
-        """Account for what a job holds now in place of what it held before."""
-        held_before, demand_before = self._held_by_id.pop(job.job_id, (0, {}))
-        held, demand = 0, {}
-        if job.admitted and not job.ended:
-            held, demand = self._held_by_id[job.job_id] = holding(job)
-        if held != held_before:
-            self.quota_use.add(job.spec.team, job.spec.each, held - held_before)
-        if demand == demand_before:
-            return
-        for group in demand | demand_before:
-            tasks = demand.get(group, 0) - demand_before.get(group, 0)
-            if tasks:
-                self.capacity.demand(group, job.spec.each, tasks)
-
     def latest(self, group):
         """Return the log index of the last change of desired state of a group, 0 if none."""
         return self._changes.latest(group)
@@ -315,7 +293,7 @@
         self._ended = dict.fromkeys(state.ended)
         for job in state.jobs:
             self.by_id[job.job_id] = job
-            self._hold(job)
+            self._holdings.update(job)
             if not job.admitted and not job.ended:
                 self._waiting.setdefault(job.spec.team, {})[job.job_id] = None
         self._changes.load(state.jobs)
--- a/tests/cell_commands.py
+++ b/tests/cell_commands.py
@@ -6,7 +6,10 @@
 from siskintally.cell_state_pb2 import (
     CancelJobs,
     Command,
+    ConfirmIdle,
     GroupInfo,
+    LoseGroups,
+    RestoreGroup,
     SetConfig,
     SetDrain,
     SetPreset,
@@ -19,7 +22,7 @@
 NAMES = ("fjeld-a", "jylland-a", "sjaelland-a")
 
 
-def group(name, *, free=32, largest=32, workers=8):
+def group(name, *, free=32, largest=32, workers=8, silent_s=0.0):
     def cores(number):
         return Resources(cpu_milli=number * 1000, memory_mb=number * 4000)
 
@@ -28,7 +31,7 @@
         capacity = DomainCapacity(
             total=cores(32 * 8), free=cores(free), largest=cores(largest), workers=workers
         )
-    return GroupInfo(name=name, domains=[name], capacity=capacity)
+    return GroupInfo(name=name, domains=[name], capacity=capacity, silent_s=silent_s)
 
 
 class Driver:
@@ -58,6 +61,8 @@
             SubmitJob: "submit_job",
             CancelJobs: "cancel_jobs",
             SetDrain: "set_drain",
+            LoseGroups: "lose_groups",
+            RestoreGroup: "restore_group",
         }[type(change)]
         command = Command(
             at=self.at,
@@ -80,8 +85,20 @@
         fields = {"name": "job", "team": "ski", "kind": "batch", "cpu_milli": 1000, **fields}
         return self.change(SubmitJob(spec=parse_spec(fields)))
 
-    def report(self, group_name, job_id, **progress):
+    def lose(self, *names, force=True):
+        """Declare domain groups lost."""
+        return self.change(LoseGroups(groups=names, force=force))
+
+    def restore(self, name):
+        """Let a domain group take work again."""
+        return self.change(RestoreGroup(group=name))
+
+    def confirm_idle(self, name, epoch=1):
+        """Say as a domain group that nothing runs there."""
+        self.raw(Command(at=self.at, confirm_idle=ConfirmIdle(group=name, epoch=epoch)))
+
+    def report(self, group_name, job_id, epoch=0, **progress):
         """Report progress of one job."""
         rows = [JobProgress(job_id=job_id, **progress)]
-        report = JobReport(group=group_name, jobs=rows)
+        report = JobReport(group=group_name, jobs=rows, epoch=epoch)
         self.raw(Command(at=self.at, groups=self.groups, job_report=report))
--- /dev/null
+++ b/tests/test_group_loss.py
@@ -0,0 +1,191 @@
+"""Declared loss of domain groups: what the cell moves, and what a group does that comes back."""
+
+import pytest
+
+from siskintally.cell import Cell
+from siskintally.cell_service import CellService
+from siskintally.cell_state_pb2 import CancelJobs
+from siskintally.clearance import Clearance
+from siskintally.codes import Code
+from siskintally.domain import Domain
+from siskintally.domain_state_pb2 import DomainBatch
+from siskintally.job_counts import job_state
+from siskintally.job_shares import WAITS_FOR_GROUP
+from siskintally.standing import MIN_SILENCE_S
+from siskintally.wire_pb2 import JobItem, JobSpec, SyncReply
+from tests.cell_commands import NAMES, Driver, group
+from tests.test_domain import Driver as DomainDriver
+
+FJELD, JYLLAND, SJAELLAND = NAMES
+
+
+@pytest.fixture
+def driver():
+    driver = Driver(Cell())
+    driver.configure()
+    return driver
+
+
+def tasks_by_group(job):
+    return {share.group: share.tasks for share in job.shares}
+
+
+def submitted(driver, **fields):
+    return driver.cell.jobs.by_id[driver.submit(**fields)[1]["job"]]
+
+
+def test_group_that_was_heard_from_is_not_declared_lost(driver):
+    """Guards against a loss by mistake, whose tasks would run in two places."""
+    job = submitted(driver, kind="service", tasks=3)
+    driver.groups[0] = group(FJELD, silent_s=MIN_SILENCE_S - 1)
+    code, answer = driver.lose(FJELD, force=False)
+    assert code == Code.GROUP_IN_USE
+    assert "119 s ago" in answer["message"]
+    assert tasks_by_group(job) == dict.fromkeys(NAMES, 1)
+    assert not driver.cell.standings.lost()
+    assert driver.lose("atlantis")[0] == Code.NOT_FOUND
+    driver.groups[0] = group(FJELD, silent_s=MIN_SILENCE_S)
+    assert driver.lose(FJELD, force=False)[0] == Code.DONE
+    records = [(record.verb, record.to_value, record.code) for record in driver.cell.audit.recent]
+    assert records[-3:] == [
+        ("domain lost", "lost", 4010),
+        ("domain lost", "lost, forced", 4004),
+        ("domain lost", "lost", 1000),
+    ]
+
+
+def test_new_cell_leader_does_not_know_of_silence(monkeypatch):
+    """Guards against a loss right after an election, when nothing has been heard of anyone yet."""
+    clock = [1000.0]
+    monkeypatch.setattr("siskintally.cell_service.monotonic", lambda: clock[0])
+
+    class Group:
+        is_leader, term, leader = True, 1, "s1"
+
+    machine = type("Machine", (), {"cell": Cell(), "audit_file": None})
+    service = CellService(group=Group, machine=machine, settings=None)
+    service._require_leader()
+    clock[0] += 500
+    assert service._silent_s(FJELD) == 500
+    Group.term = 2
+    service._require_leader()
+    assert service._silent_s(FJELD) == 0
+
+
+def test_service_stays_spread_and_gang_moves_whole(driver):
+    """Guards against a service on one group after a loss, and against a torn gang."""
+    service = submitted(driver, kind="service", tasks=6)
+    gang = submitted(driver, kind="gang", tasks=20, domain=FJELD)
+    assert tasks_by_group(service) == dict.fromkeys(NAMES, 2)
+    code, answer = driver.lose(FJELD)
+    assert (code, answer) == (1000, {"lost": [FJELD], "moved": 2, "unplaced": 20})
+    assert tasks_by_group(service) == {JYLLAND: 3, SJAELLAND: 3}
+    assert (gang.unplaced, gang.reason, list(gang.shares)) == (20, WAITS_FOR_GROUP, [])
+    free = submitted(driver, kind="gang", tasks=20)
+    (home,) = tasks_by_group(free)
+    driver.lose(home)
+    (other,) = tasks_by_group(free).items()
+    assert other == (({JYLLAND, SJAELLAND} - {home}).pop(), 20)
+
+
+def test_ended_tasks_stay_ended_and_others_count_as_restarted(driver):
+    """Guards against a batch that runs again from the start, and a quota that leaks."""
+    job = submitted(driver, tasks=10, domain=FJELD)
+    driver.report(FJELD, job.job_id, succeeded=6, running=3, waiting=1)
+    free = submitted(driver, tasks=4)
+    (home,) = tasks_by_group(free)
+    driver.report(home, free.job_id, succeeded=1, running=3)
+    driver.lose(home)
+    assert (free.past.succeeded, free.restarted) == (1, 3)
+    assert sum(tasks_by_group(free).values()) == 3
+    driver.report(home, free.job_id, succeeded=4)
+    assert not free.ended, "a late report of the lost group counted"
+    for name, tasks in tasks_by_group(free).items():
+        driver.report(name, free.job_id, succeeded=tasks)
+    assert job_state(free) == "succeeded"
+    used = driver.cell.jobs.quota_use.used("ski").cpu_milli
+    assert used == 4000, "only the four open tasks of the first job hold quota"
+
+
+def test_loss_of_a_region_and_of_a_group_that_has_just_been_given_the_tasks(driver):
+    """Guards against tasks given to a group that is lost at the same time or next."""
+    job = submitted(driver, kind="service", tasks=6)
+    driver.lose(FJELD, JYLLAND)
+    assert tasks_by_group(job) == {SJAELLAND: 6}
+    driver.lose(SJAELLAND)
+    assert (tasks_by_group(job), job.unplaced, job.reason) == ({}, 6, WAITS_FOR_GROUP)
+    waiting = submitted(driver, tasks=2)
+    assert (waiting.unplaced, waiting.reason) == (2, WAITS_FOR_GROUP)
+    driver.confirm_idle(JYLLAND)
+    assert driver.restore(JYLLAND)[0] == Code.DONE
+    assert tasks_by_group(job) == {JYLLAND: 6}
+    assert (waiting.unplaced, tasks_by_group(waiting)) == (0, {JYLLAND: 2})
+
+
+def test_cancelled_jobs_of_a_lost_group_end_and_free_their_quota(driver):
+    """Guards against quota held for ever by tasks of which nobody will report."""
+    job = submitted(driver, tasks=90, domain=FJELD)
+    late = submitted(driver, tasks=50)
+    driver.report(FJELD, job.job_id, running=90)
+    driver.change(CancelJobs(job_ids=[job.job_id]))
+    assert not job.ended
+    assert not late.admitted
+    driver.lose(FJELD)
+    assert job_state(job) == "cancelled"
+    assert late.admitted
+
+
+def test_restore_needs_the_word_of_the_present_epoch(driver):
+    """Guards against work for a group that still runs what was given to others."""
+    driver.lose(FJELD)
+    assert driver.restore(FJELD)[0] == Code.GROUP_IN_USE
+    driver.confirm_idle(FJELD, epoch=0)
+    assert driver.restore(FJELD)[0] == Code.GROUP_IN_USE
+    driver.confirm_idle(FJELD)
+    assert driver.restore(FJELD) == (1000, {"lost": []})
+    driver.lose(FJELD)
+    assert driver.restore(FJELD)[0] == Code.GROUP_IN_USE, "the word of the first loss counted"
+    restored = Cell()
+    restored.restore(driver.cell.snapshot())
+    assert restored.snapshot() == driver.cell.snapshot()
+    assert restored.standings.of(FJELD).epoch == 2
+
+
+def test_returned_group_ends_its_jobs_and_numbers_tasks_anew():
+    """Guards against old tasks that wait or start, and against two tasks of one name."""
+    driver = DomainDriver()
+    domain = driver.domain
+    driver.job("j", tasks=2, changed_at=5)
+    driver.worker("w1")
+    assert driver.assign("j/g.0", "w1")
+    driver.apply(sync=SyncReply(epoch=1, lost=True))
+    assert (domain.fenced, domain.cell_index, domain.is_idle) == (True, 0, False)
+    assert list(domain.job_by_id["j"].task_by_id) == ["j/g.0"]
+    again = JobItem(job_id="j", spec=JobSpec(name="j"), tasks=1, changed_at=9)
+    driver.apply(sync=SyncReply(index=9, epoch=1, jobs=[again]))
+    assert domain.fenced, "the fence was lifted while an attempt is assigned"
+    restored = Domain(group="g")
+    restored.restore(domain.snapshot())
+    assert restored.snapshot() == domain.snapshot()
+    driver.apply(batch=DomainBatch(lost=["w1"]))
+    assert domain.is_idle
+    assert not domain.job_by_id
+    driver.job("j", tasks=2, changed_at=7)
+    assert not domain.job_by_id, "a reply of the former epoch counted"
+    driver.apply(sync=SyncReply(index=9, epoch=1, jobs=[again]))
+    assert list(domain.job_by_id["j"].task_by_id) == ["j/g~1.0"]
+    driver.worker("w1")
+    assert driver.assign("j/g~1.0", "w1")
+
+
+def test_clearance_is_of_one_process_and_one_epoch():
+    """Guards against a start by a process that was switched off while its group was lost."""
+    driver, clearance = DomainDriver(), Clearance()
+    domain = driver.domain
+    assert not clearance.covers(domain)
+    clearance.learn(SyncReply(epoch=1, lost=True))
+    assert not clearance.covers(domain)
+    clearance.learn(SyncReply(epoch=0))
+    assert clearance.covers(domain)
+    driver.apply(sync=SyncReply(epoch=1, lost=True))
+    assert not clearance.covers(domain)
--- /dev/null
+++ b/tests/test_group_loss_walk.py
@@ -0,0 +1,234 @@
+"""Random walks of losses, returns, syncs and job changes over a cell and three domain groups.
+
+The groups run tasks as the platform does: a machine that is switched off runs nothing, and disks
+keep what was committed. Losses are declared only of groups that are switched off.
+"""
+
+from collections import Counter
+from os import environ
+from random import Random
+
+import pytest
+
+from siskintally.cell import Cell
+from siskintally.cell_state_pb2 import CancelJobs, Command
+from siskintally.clearance import Clearance
+from siskintally.domain import Domain
+from siskintally.domain_state_pb2 import (
+    AssignmentRecord,
+    AttemptEnd,
+    DomainBatch,
+    DomainCommand,
+    DomainReply,
+    WorkerRecord,
+)
+from siskintally.wire_pb2 import JobReport, JobSpec, Resources
+from tests.cell_commands import NAMES, Driver
+
+STEPS = 250
+WALKS = 60
+FIRST_SEED = int(environ.get("SISKINTALLY_SEED", "1"))
+KINDS = (
+    *("submit", "cancel", "sync", "sync", "place", "place", "complete", "report", "report"),
+    *("deliver", "off", "on", "lose", "restore", "snapshot"),
+)
+CAPACITY = Resources(cpu_milli=1 << 30, memory_mb=1 << 30)
+
+
+class Site:
+    """A domain group with one worker.
+
+    :param running: {task id: job id} of what runs on the worker.
+    :param completed: number of tasks that have succeeded, by job.
+    """
+
+    def __init__(self, name, completed):
+        self.name = name
+        self.domain = Domain(group=name)
+        self.running = {}
+        self.completed = completed
+        self.is_on = False
+        self.sessions = 0
+        self.switch_on()
+
+    def commit(self, **change):
+        """Apply one change and return the reply."""
+        data = DomainCommand(at=1.0, **change).SerializeToString()
+        return DomainReply.FromString(self.domain.apply(index=1, command=data))
+
+    def switch_on(self):
+        """Start new processes on the old disks; the worker reports that it runs nothing."""
+        self.is_on = True
+        self.clearance = Clearance()
+        self.sessions += 1
+        tasks = [task for job in self.domain.job_by_id.values() for task in job.task_by_id.values()]
+        ended = [
+            AttemptEnd(task_id=task.task_id, attempt=task.attempt, cause=AttemptEnd.LOST)
+            for task in tasks
+            if task.worker
+        ]
+        record = WorkerRecord(name="w", session=str(self.sessions), capacity=CAPACITY)
+        self.commit(batch=DomainBatch(ended=ended, joined=[record]))
+
+    def switch_off(self):
+        """End all processes and tasks."""
+        self.is_on = False
+        self.running.clear()
+
+    def sync(self, driver):
+        """Follow the cell once, and confirm that nothing runs if it asks for that."""
+        domain = self.domain
+        reply = driver.cell.changes(self.name, domain.cell_index, domain.epoch)
+        self.commit(sync=reply)
+        self.clearance.learn(reply)
+        self.stop()
+        if domain.fenced and domain.is_idle:
+            driver.confirm_idle(self.name, domain.epoch)
+
+    def stop(self):
+        """Stop the tasks of cancelled jobs."""
+        for task_id in list(self.running):
+            task = self.domain.task(task_id)
+            if self.domain.job_by_id[self.running[task_id]].item.cancelled:
+                del self.running[task_id]
+                self.end(task, AttemptEnd.STOPPED)
+
+    def end(self, task, cause):
+        """Commit the end of an attempt."""
+        end = AttemptEnd(task_id=task.task_id, attempt=task.attempt, cause=cause)
+        self.commit(batch=DomainBatch(ended=[end]))
+
+    def place(self, random, share=1.0):
+        """Assign some waiting tasks and start those whose assignment was committed."""
+        if not self.clearance.covers(self.domain):
+            return
+        for job_id, job in self.domain.job_by_id.items():
+            for task in job.waiting():
+                if random.random() <= share:
+                    record = AssignmentRecord(
+                        task_id=task.task_id,
+                        attempt=task.attempt + 1,
+                        worker="w",
+                        session=str(self.sessions),
+                    )
+                    if not self.commit(batch=DomainBatch(assigned=[record])).refused:
+                        self.running[task.task_id] = job_id
+
+    def complete(self, random, share=1.0):
+        """End some tasks of batch jobs and gangs."""
+        for task_id, job_id in list(self.running.items()):
+            kind = self.domain.job_by_id[job_id].item.spec.kind
+            if kind != JobSpec.SERVICE and random.random() <= share:
+                del self.running[task_id]
+                self.completed[job_id] += 1
+                self.end(self.domain.task(task_id), AttemptEnd.SUCCEEDED)
+
+    def report(self):
+        """Return a Command with the progress of all jobs."""
+        rows = [job.progress() for job in self.domain.job_by_id.values()]
+        report = JobReport(group=self.name, jobs=rows, epoch=self.domain.epoch)
+        return None if self.domain.fenced else report
+
+
+class Walk:
+    """A cell, three sites, and reports on the way."""
+
+    def __init__(self, seed):
+        self.random = Random(seed)
+        self.driver = Driver(Cell())
+        self.driver.configure("[teams.ski]\ncpu_milli = 60000\nmemory_mb = 100000\n")
+        self.completed = Counter()
+        self.sites = [Site(name, self.completed) for name in NAMES]
+        self.reports = []
+
+    def jobs(self):
+        """Return the jobs of the cell by id."""
+        return self.driver.cell.jobs.by_id
+
+    def step(self):
+        """Take one random step."""
+        random, driver = self.random, self.driver
+        site = random.choice(self.sites)
+        kind = random.choice(KINDS)
+        if kind == "submit":
+            job_kind = random.choice(("batch", "service", "gang"))
+            domain = random.choice(("", "", *NAMES))
+            driver.submit(kind=job_kind, tasks=random.randint(1, 8), domain=domain)
+        elif kind == "cancel" and self.jobs() and random.random() < 0.3:
+            driver.change(CancelJobs(job_ids=[random.choice(list(self.jobs()))]))
+        elif kind == "deliver" and self.reports:
+            self.deliver(self.reports.pop(random.randrange(len(self.reports))))
+        elif kind == "off" and site.is_on:
+            site.switch_off()
+        elif kind == "on" and not site.is_on:
+            site.switch_on()
+        elif kind == "lose" and random.random() < 0.5:
+            driver.lose(*[one.name for one in self.sites if not one.is_on])
+        elif kind == "restore":
+            driver.restore(site.name)
+        elif kind == "snapshot":
+            self.take_snapshots(site)
+        elif site.is_on and kind in ("sync", "place", "complete", "report"):
+            self.step_of(site, kind)
+
+    def step_of(self, site, kind):
+        """Let a site that is switched on do something."""
+        if kind == "sync":
+            site.sync(self.driver)
+        elif kind == "report":
+            self.reports.append(site.report())
+        else:
+            getattr(site, kind)(self.random, share=0.5)
+
+    def deliver(self, report):
+        """Commit a report; it may be old."""
+        if report is not None:
+            driver = self.driver
+            driver.raw(Command(at=driver.at, groups=driver.groups, job_report=report))
+
+    def take_snapshots(self, site):
+        """Go on from snapshots, as a store does that was restarted."""
+        cell, domain = Cell(), Domain(group=site.name)
+        cell.restore(self.driver.cell.snapshot())
+        domain.restore(site.domain.snapshot())
+        self.driver.cell, site.domain = cell, domain
+
+    def check(self):
+        """Compare what runs with what was asked for."""
+        running = Counter(job_id for site in self.sites for job_id in site.running.values())
+        for job_id, job in self.jobs().items():
+            tasks = job.spec.tasks
+            where = [site.name for site in self.sites if job_id in site.running.values()]
+            assert running[job_id] <= tasks, f"{job_id}: {running[job_id]} of {tasks} in {where}"
+            begun = running[job_id] + self.completed[job_id]
+            assert begun <= tasks + job.restarted, f"{job_id}: {begun} begun of {tasks}"
+
+    def settle(self):
+        """Bring everything back; all that was asked for must end or run."""
+        for _ in range(12):
+            for site in self.sites:
+                if not site.is_on:
+                    site.switch_on()
+                site.sync(self.driver)
+                self.driver.restore(site.name)
+                site.place(self.random)
+                site.complete(self.random)
+                self.deliver(site.report())
+                self.check()
+        for job in self.jobs().values():
+            running = sum(share.progress.running for share in job.shares)
+            done = job.ended or (job.spec.kind == JobSpec.SERVICE and running == job.spec.tasks)
+            assert done or job.reason == "quota", f"left over: {job}"
+        held = sum(job.spec.tasks for job in self.jobs().values() if job.admitted and not job.ended)
+        used = self.driver.cell.jobs.quota_use.used("ski").cpu_milli
+        assert used == 1000 * held, "the quota does not agree with the services that run"
+
+
+@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + WALKS))
+def test_no_task_runs_in_two_groups(seed):
+    """Guards against tasks that run in a returned group and elsewhere, or are forgotten."""
+    walk = Walk(seed)
+    for _ in range(STEPS):
+        walk.step()
+        walk.check()
+    walk.settle()
