Test the loss and return of a failure domain with real processes

Two domains; the stores and the entry of one are killed, its workers stop their tasks when their lease ends, the loss is declared, the service runs elsewhere, and the domain comes back on its old disks, cut off from the cell at first. The verdict comes from the records of the worker stubs.

--- a/tests/checker.py
+++ b/tests/checker.py
@@ -78,6 +78,28 @@
             yield f"{record['t']}: {record['worker']} {resource} {used} > {capacity[resource]}"
 
 
+def check_jobs(records, tasks_by_job):
+    """Check that no job runs more tasks at once than it has, on all workers together.
+
+    Tasks of one job have other names in another domain group.
+    """
+    faults, job_by_attempt = [], {}
+    for record in records:
+        worker, event = record["worker"], record["event"]
+        if event in ("capacity", "killed"):
+            job_by_attempt = {key: job for key, job in job_by_attempt.items() if key[0] != worker}
+            continue
+        key, job = (worker, record["task"], record["attempt"]), record["task"].rpartition("/")[0]
+        if event != "start":
+            job_by_attempt.pop(key, None)
+            continue
+        job_by_attempt[key] = job
+        running = list(job_by_attempt.values()).count(job)
+        if running > tasks_by_job[job]:
+            faults.append(f"{record['t']}: {job} runs {running} of {tasks_by_job[job]} tasks")
+    return faults
+
+
 def check_requests(records, answers):
     """Check I3, I4 and I5 and return the violations as texts.
 
--- /dev/null
+++ b/tests/test_domain_loss.py
@@ -0,0 +1,162 @@
+"""Permanent loss of a failure domain and its return with the old disks, with real processes."""
+
+import pytest
+from anyio import create_task_group, fail_after, run, sleep
+from httpx import AsyncClient
+
+from tests.checker import check_jobs, check_workers, read
+from tests.processes import Processes, seeded, wait_until
+from tests.test_partition import DOCUMENT, FAR, GROUP_BY_DOMAIN, NEAR, STORES_BY_DOMAIN, TwoDomains
+
+LIMIT_S = 280
+GROUP = GROUP_BY_DOMAIN[FAR]
+# Longer than the returned workers take to register and a placement pass takes.
+CUT_OFF_S = 8
+SERVICE, PINNED, BATCH = "tally", "lift", "count"
+TASKS_BY_NAME = {SERVICE: 6, PINNED: 1, BATCH: 2}
+
+
+class LossCell(TwoDomains):
+    """Two domains with workers in both."""
+
+    __slots__ = ()
+
+    def start_workers(self, name, domain):
+        """Start two workers in a domain."""
+        self.processes.start(
+            name,
+            "stub-worker",
+            *("--settings", self.folder / f"{domain}.toml", "--name", name, "--domain", domain),
+            *("--count", 2, "--cpu_milli", 8000, "--memory_mb", 8000),
+            *("--record", self.record(name)),
+        )
+
+    async def submit(self, name, **fields):
+        """Submit a job and return its id."""
+        job = {"name": name, "team": "ski", "cpu_milli": 500, "memory_mb": 100, **fields}
+        job["tasks"] = TASKS_BY_NAME[name]
+        return (await self.operate("submit", job, request_id=name))["job"]
+
+    async def code_of(self, verb, arguments, *, request_id):
+        """Return the result code of an operator call, or None if it got no answer."""
+        response = await self._post_operator("e1", verb, arguments, request_id)
+        return response and response.json()["code"]
+
+    async def row(self, job):
+        """Return a job as the cell shows it."""
+        answer = await self.operate("jobs", {"jobs": [job]}, request_id="read")
+        return answer["jobs"][0]
+
+    async def standing(self):
+        """Return the standing of the far group."""
+        status = await self.operate("status", {}, request_id="read")
+        return next(row["standing"] for row in status["groups"] if row["group"] == GROUP)
+
+    def running(self, name, job):
+        """Return the number of tasks of a job that run on the workers of a process."""
+        kinds = [line["event"] for line in read(self.record(name)) if job in line.get("task", "")]
+        return kinds.count("start") - len(kinds) + kinds.count("start")
+
+
+async def prepare(cell):
+    """Bring up the cell with a service in both domains, a pinned one, and a finished batch."""
+    for name in cell.stores:
+        cell.start_store(name)
+    for name in cell.entries:
+        cell.start_entry(name)
+    await cell.operate("config", {"document": DOCUMENT, "expect_version": 0}, request_id="config")
+    cell.start_workers("n", NEAR)
+    cell.start_workers("w", FAR)
+
+    async def registered():
+        status = await cell.operate("status", {}, request_id="read")
+        return all(row["workers"] == 2 for row in status["groups"])
+
+    await wait_until(registered, "all workers have registered")
+    batch = await cell.submit(BATCH, kind="batch", run_s=1, domain=FAR)
+    await wait_until(lambda: has_state(cell, batch, "succeeded"), "the batch has ended")
+    service = await cell.submit(SERVICE, kind="service")
+    pinned = await cell.submit(PINNED, kind="service", domain=FAR)
+    await wait_until(
+        lambda: cell.running("n", service) == 3 and cell.running("w", service) == 3, "spread"
+    )
+    await wait_until(lambda: cell.running("w", pinned) == 1, "the pinned service runs")
+    return service, pinned, batch
+
+
+async def has_state(cell, job, state):
+    return (await cell.row(job))["state"] == state
+
+
+async def lose(cell, service, pinned):
+    """End everything in the far domain and declare it lost."""
+    for name in [*STORES_BY_DOMAIN[FAR], "e2"]:
+        cell.processes.kill(name)
+    await wait_until(
+        lambda: cell.running("w", service) == cell.running("w", pinned) == 0,
+        "workers without an owner stop their tasks when the lease ends",
+    )
+    cell.processes.kill("w")
+    lost = {"action": "lost", "groups": [GROUP], "confirm": True}
+    assert await cell.code_of("domain", lost, request_id="lost") == 4010
+    assert cell.running("n", service) == 3
+    answer = await cell.operate("domain", lost | {"force": True}, request_id="forced")
+    assert answer == {"lost": [GROUP], "moved": 3, "unplaced": 1}
+    await wait_until(lambda: cell.running("n", service) == 6, "the service runs elsewhere")
+    row = await cell.row(pinned)
+    assert (row["waiting"], row["restarted"]) == (1, 1)
+    assert row["reason"].startswith("domain group lost")
+
+
+async def bring_back(cell, service, pinned):
+    """Start the far domain on its old disks, cut off from the cell at first."""
+    cell.block()
+    for name in STORES_BY_DOMAIN[FAR]:
+        cell.start_store(name)
+    cell.start_entry("e2")
+    cell.start_workers("w", FAR)
+    await sleep(CUT_OFF_S)
+    assert cell.running("w", service) == 0, "started without the word of the cell"
+    cell.heal()
+    restore = {"action": "restore", "groups": [GROUP]}
+    assert await cell.code_of("domain", restore, request_id="early") in (4010, None)
+
+    async def idle():
+        return await cell.standing() == "lost, idle"
+
+    await wait_until(idle, "the far group confirms that nothing runs there")
+    assert cell.running("w", pinned) == 0
+    await cell.operate("domain", restore, request_id="restore")
+    await wait_until(lambda: cell.running("w", pinned) == 1, "the pinned service runs again")
+
+
+@pytest.mark.timeout(300)
+def test_lost_domain_comes_back_and_runs_nothing_twice(tmp_path):
+    """Guards against jobs that stay with a lost domain, and tasks that run there again."""
+
+    async def check(cell):
+        service, pinned, batch = await prepare(cell)
+        await lose(cell, service, pinned)
+        await bring_back(cell, service, pinned)
+        records = read(cell.record("n"), cell.record("w"))
+        assert check_workers(records) == []
+        jobs = {service: SERVICE, pinned: PINNED, batch: BATCH}
+        limits = {job: TASKS_BY_NAME[name] for job, name in jobs.items()}
+        assert check_jobs(records, limits) == []
+        began = [line for line in records if batch in line.get("task", "")]
+        assert len(began) == 2 * TASKS_BY_NAME[BATCH]  # one start and one end each
+        assert await has_state(cell, batch, "succeeded")
+
+    random = seeded()
+
+    async def main():
+        with fail_after(LIMIT_S), Processes(folder=tmp_path) as processes:
+            cell = LossCell(processes=processes, random=random)
+            cell.found()
+            async with AsyncClient(timeout=30.0) as cell.client, create_task_group() as tasks:
+                for forwarder in cell.forwarders:
+                    tasks.start_soon(forwarder.run)
+                await check(cell)
+                tasks.cancel_scope.cancel()
+
+    run(main)
