Keep the owner alive when an attempt of a withdrawn job ends

A group that learns that it was declared lost forgets a job with its last attempt; the owner then looked the job up and failed with KeyError. Found by the new test of the owner, which failed before and passes now.

--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -191,7 +191,8 @@
             self.placement.requeue(job_id, task_id)
         if job.kind == Kind.GANG and cause != AttemptEnd.SUCCEEDED:
             self.stop_tasks(job.running)
-        if self.domain.job_by_id[job_id].is_over:
+        committed = self.domain.job_by_id.get(job_id)
+        if committed is None or committed.is_over:
             self.placement.forget(job_id)
 
     def stop_tasks(self, task_ids, *, checkpoint=False):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -149,6 +149,8 @@
         ("config", "set", "no-such-file", "--expect-version=1"),
         ("config", "set", "f"),
         ("drain", "worker"),
+        ("domain", "lost", "fjeld"),
+        ("domain", "restore", "fjeld", "--confirm"),
         ("status", "extra"),
         ("submit", "--tasks=many"),
         ("cancle",),
--- a/tests/test_domain_loss.py
+++ b/tests/test_domain_loss.py
@@ -54,8 +54,9 @@
 
     def running(self, name, job):
         """Return the number of tasks of a job that run on the workers of a process."""
-        kinds = [line["event"] for line in read(self.record(name)) if job in line.get("task", "")]
-        return kinds.count("start") - len(kinds) + kinds.count("start")
+        lines = [line for line in read(self.record(name)) if job in line.get("task", "")]
+        starts = sum(line["event"] == "start" for line in lines)
+        return 2 * starts - len(lines)
 
 
 async def prepare(cell):
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -122,6 +122,19 @@
     assert (waiting.unplaced, tasks_by_group(waiting)) == (0, {JYLLAND: 2})
 
 
+def test_late_report_of_an_earlier_epoch_is_ignored(driver):
+    """Guards against the progress of tasks that ended with the loss counting for new ones."""
+    job = submitted(driver, tasks=2, domain=FJELD)
+    driver.lose(FJELD)
+    driver.confirm_idle(FJELD)
+    driver.restore(FJELD)
+    assert tasks_by_group(job) == {FJELD: 2}
+    driver.report(FJELD, job.job_id, succeeded=2)
+    assert not job.ended
+    driver.report(FJELD, job.job_id, epoch=1, succeeded=2)
+    assert job_state(job) == "succeeded"
+
+
 def test_cancelled_jobs_of_a_lost_group_end_and_free_their_quota(driver):
     """Guards against quota held for ever by tasks of which nobody will report."""
     job = submitted(driver, tasks=90, domain=FJELD)
@@ -189,3 +202,6 @@
     assert clearance.covers(domain)
     driver.apply(sync=SyncReply(epoch=1, lost=True))
     assert not clearance.covers(domain)
+    driver.apply(sync=SyncReply(index=1, epoch=1))
+    assert not domain.fenced
+    assert not clearance.covers(domain), "the word of an earlier epoch counted"
--- a/tests/test_group_loss_walk.py
+++ b/tests/test_group_loss_walk.py
@@ -22,6 +22,7 @@
     DomainReply,
     WorkerRecord,
 )
+from siskintally.job_counts import job_state
 from siskintally.wire_pb2 import JobReport, JobSpec, Resources
 from tests.cell_commands import NAMES, Driver
 
@@ -219,6 +220,8 @@
             running = sum(share.progress.running for share in job.shares)
             done = job.ended or (job.spec.kind == JobSpec.SERVICE and running == job.spec.tasks)
             assert done or job.reason == "quota", f"left over: {job}"
+            if job.ended and not job.cancelled:
+                assert job_state(job) == "succeeded"
         held = sum(job.spec.tasks for job in self.jobs().values() if job.admitted and not job.ended)
         used = self.driver.cell.jobs.quota_use.used("ski").cpu_milli
         assert used == 1000 * held, "the quota does not agree with the services that run"
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -144,6 +144,8 @@
         while not self.items:
             await sleep(0.005)
         items, self.items = self.items, []
+        if isinstance(items[0], SyncReply):
+            return items[0]
         return SyncReply(index=self.cell_index, jobs=items)
 
     def submit(self, name, *, tasks=1, cancelled=False, cpu=1000, **more):
--- /dev/null
+++ b/tests/test_owner_fence.py
@@ -0,0 +1,68 @@
+"""Owner of a group that was, or may have been, declared lost while its machines were off."""
+
+from anyio import sleep
+
+from siskintally.domain_state_pb2 import AssignmentRecord, DomainBatch, WorkerRecord
+from siskintally.wire_pb2 import AttemptState, JobItem, JobSpec, SyncReply
+from tests.test_owner import CAPACITY, WorkerLink, state, until, with_owner
+
+# Several placement passes.
+PASSES_S = 0.4
+
+
+def sync_of(tasks):
+    """Return a reply that brings one job."""
+    spec = JobSpec(name="j", each={"cpu_milli": 1000, "memory_mb": 1}, run_s=60)
+    return SyncReply(index=1, jobs=[JobItem(job_id="j", spec=spec, tasks=tasks, changed_at=1)])
+
+
+def test_nothing_is_started_before_the_cell_has_answered():
+    """Guards against a start by an owner whose group was declared lost while it was off."""
+
+    async def check(bench):
+        term = bench.owner.owner_term
+        record = WorkerRecord(name="w1", domain="d", rack="r", session="a", capacity=CAPACITY)
+        one = AssignmentRecord(task_id="j/g.0", attempt=1, worker="w1", session="a")
+        await term.commit(sync=sync_of(tasks=2))
+        await term.commit(batch=DomainBatch(joined=[record], assigned=[one]))
+        bench.group.depose()
+        await until(lambda: bench.owner.owner_term is None)
+        bench.group.elect()
+        await until(lambda: bench.owner.owner_term is not None)
+        link = WorkerLink()
+        await bench.beat(link)
+        await bench.beat(link, seq=2)
+        await sleep(PASSES_S)
+        assert link.starts() == []
+        bench.items = [SyncReply(index=1)]
+        await until(lambda: sorted(link.starts()) == ["j/g.0", "j/g.1"])
+
+    with_owner(check)
+
+
+def test_owner_that_was_declared_lost_ends_everything_before_it_says_so():
+    """Guards against a word that nothing runs while an attempt or a lease does."""
+
+    async def check(bench):
+        link = WorkerLink()
+        await bench.beat(link)
+        bench.submit("j", tasks=5)
+        await until(lambda: len(link.starts()) == 4)
+        bench.items = [SyncReply(epoch=1, lost=True)]
+        await until(lambda: bench.domain.fenced)
+        await until(lambda: len(link.stops()) == 4)
+        term = bench.owner.owner_term
+        bench.clock.now += 100
+        assert not term.is_idle(), "four attempts have not ended"
+        stopped = [state(name, kind=AttemptState.STOPPED) for name in link.starts()]
+        await bench.beat(link, seq=2, full=False, attempts=stopped)
+        assert term.is_idle()
+        bench.clock.now -= 100
+        assert not term.is_idle(), "leases of an earlier owner may still run"
+        assert not bench.domain.job_by_id
+        assert not term.placement.job_by_id
+        bench.items = [SyncReply(index=0, epoch=1, lost=True)]
+        await sleep(PASSES_S)
+        assert len(link.starts()) == 4
+
+    with_owner(check)
