Confirm the leadership of the cell before a group is told that it may start tasks

An owner without clearance starts tasks on the answer of the cell. A cell leader that was cut off could still say that a group is not lost, so the answer now follows a quorum round. A job whose share was withdrawn is settled also when all its tasks there had ended.

--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -70,8 +70,10 @@
         self._require_leader()
         self._check_group(request.group)
         cell = self._machine.cell
-        if request.check:
+        if request.check or request.wait_s <= 0:
+            # The caller starts tasks on this answer; a leader that was cut off must not give it.
             await self._group.confirm()
+        if request.check:
             standing = cell.standings.of(request.group)
             return SyncReply(epoch=standing.epoch, lost=standing.lost)
         self._reported.heard_by_group[request.group] = monotonic()
--- a/siskintally/job_shares.py
+++ b/siskintally/job_shares.py
@@ -67,16 +67,19 @@
         job.reason = WAITS_FOR_GROUP
 
     def withdraw(self, job, groups):
-        """Keep only the ended tasks of the shares of groups; return how many others they had.
+        """Keep only the ended tasks of the shares of groups.
 
         A group that comes back follows the cell from the start, so nothing of the share is left.
+
+        :returns: number of other tasks that they had, or None if there were no such shares.
         """
+        shares = [share for share in job.shares if share.group in groups]
         left = 0
-        for share in [share for share in job.shares if share.group in groups]:
+        for share in shares:
             left += max(0, share.tasks - ended_tasks(share.progress))
             job.past.succeeded += share.progress.succeeded
             job.past.failed += share.progress.failed
             job.past.cancelled += share.progress.cancelled
             self._changes.drop(job, share)
             job.shares.remove(share)
-        return left
+        return left if shares else None
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -206,11 +206,11 @@
         moved = unplaced = 0
         for job in self.by_id.values():
             left = self._shares.withdraw(job, groups)
-            if job.ended or not left:
+            if job.ended or left is None:
                 continue
             if job.cancelled:
                 job.past.cancelled += left
-            else:
+            elif left:
                 before = job.unplaced
                 self._shares.give_again(job, left, index=index)
                 job.restarted += left
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -1,7 +1,9 @@
 """Declared loss of domain groups: what the cell moves, and what a group does that comes back."""
 
 import pytest
+from anyio import run
 
+from siskintally.audit import AuditFile
 from siskintally.cell import Cell
 from siskintally.cell_service import CellService
 from siskintally.cell_state_pb2 import CancelJobs
@@ -9,11 +11,14 @@
 from siskintally.codes import Code
 from siskintally.domain import Domain
 from siskintally.domain_state_pb2 import DomainBatch
+from siskintally.errors import NotLeaderError
 from siskintally.job_counts import job_state
 from siskintally.job_shares import WAITS_FOR_GROUP
 from siskintally.standing import MIN_SILENCE_S
-from siskintally.wire_pb2 import JobItem, JobSpec, SyncReply
+from siskintally.wire_pb2 import JobItem, JobSpec, SyncReply, SyncRequest
 from tests.cell_commands import NAMES, Driver, group
+from tests.fake_group import FakeGroup
+from tests.test_cell_service import Desk
 from tests.test_domain import Driver as DomainDriver
 
 FJELD, JYLLAND, SJAELLAND = NAMES
@@ -191,6 +196,37 @@
     assert driver.assign("j/g~1.0", "w1")
 
 
+def test_calls_of_a_lost_group(tmp_path, monkeypatch):
+    """Guards against a stale word of the cell, and a confirmation that is not committed."""
+
+    async def check():
+        desk = Desk(AuditFile(path=tmp_path / "audit"))
+        lost = {"action": "lost", "groups": ["fjeld"]}
+        assert (await desk.ask("domain", lost))[0] == Code.BAD_REQUEST
+        lost["confirm"] = True
+        assert (await desk.ask("domain", lost))[0] == Code.GROUP_IN_USE
+        assert (await desk.ask("domain", lost | {"force": True}))[0] == Code.DONE
+        old = await desk.service.sync(SyncRequest(group="fjeld", wait_s=5))
+        assert (old.epoch, old.lost, len(old.jobs)) == (1, True, 0)
+        rows = (await desk.ask("status", {}))[1]["groups"]
+        assert [row["standing"] for row in rows] == ["lost"]
+        await desk.service.sync(SyncRequest(group="fjeld", epoch=1, idle=True))
+        restore = {"action": "restore", "groups": ["fjeld"]}
+        assert (await desk.ask("domain", restore))[0] == Code.DONE
+        word = SyncRequest(group="fjeld", epoch=1, check=True)
+        assert not (await desk.service.sync(word)).lost
+
+        async def cut_off(_):
+            raise NotLeaderError("no quorum")
+
+        monkeypatch.setattr(FakeGroup, "confirm", cut_off)
+        for request in (word, SyncRequest(group="fjeld", epoch=1)):
+            with pytest.raises(NotLeaderError):
+                await desk.service.sync(request)
+
+    run(check)
+
+
 def test_clearance_is_of_one_process_and_one_epoch():
     """Guards against a start by a process that was switched off while its group was lost."""
     driver, clearance = DomainDriver(), Clearance()
