--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -93,6 +93,16 @@
     assert other == (({JYLLAND, SJAELLAND} - {home}).pop(), 20)
 
 
+def test_service_is_spread_again_over_a_restored_group(driver):
+    """Guards against tasks that pile up where the job has most, beside an empty group."""
+    job = submitted(driver, kind="service", tasks=6)
+    driver.lose(FJELD)
+    driver.confirm_idle(FJELD)
+    driver.restore(FJELD)
+    driver.lose(JYLLAND)
+    assert tasks_by_group(job) == {FJELD: 3, SJAELLAND: 3}
+
+
 def test_ended_tasks_stay_ended_and_others_count_as_restarted(driver):
     """Guards against a batch that runs again from the start, and a quota that leaks."""
     job = submitted(driver, tasks=10, domain=FJELD)
--- a/tests/test_owner_fence.py
+++ b/tests/test_owner_fence.py
@@ -34,6 +34,7 @@
         await bench.beat(link, seq=2)
         await sleep(PASSES_S)
         assert link.starts() == []
+        assert bench.domain.task("j/g.1").worker == ""
         bench.items = [SyncReply(index=1)]
         await until(lambda: sorted(link.starts()) == ["j/g.0", "j/g.1"])
 
