Run the whole acceptance from the one file, and show progress only when it changes

Change: progress is printed when its text changes; the acceptance waits until no task of its three jobs waits.

--- a/scripts/acceptance.sh
+++ b/scripts/acceptance.sh
@@ -52,15 +52,25 @@
 runs=$(cat run/fjeldrute/*-endpoint.record | grep '"start"' | grep -c 'jylland/booking-1')
 [ "$runs" -eq 1 ] || fail "the booking ran $runs times, expected once"
 for job in seat-count seat-reconciliation snow-replan; do
-  "${program[@]}" submit "$samples-$job.toml" --wait || fail "$job was not placed"
+  "${program[@]}" submit "$samples-$job.toml" || fail "$job was not accepted"
 done
+all_placed() { # prints the jobs once none of their tasks waits
+  "${program[@]}" jobs --json | .venv/bin/python -c '
+from json import loads
+from sys import exit, stdin
+jobs = loads(stdin.read())["answer"]["jobs"]
+placed = sum(not job["waiting"] and job["running"] + job["succeeded"] > 0 for job in jobs)
+print(f"{placed} of 3 jobs placed")
+exit(placed != 3)'
+}
+expect '3 of 3 jobs placed' all_placed
 "${program[@]}" jobs
 "${program[@]}" status
 "${program[@]}" preset peak --expect-version 1 || fail "preset"
 expect 'peak' "${program[@]}" status
 "${program[@]}" audit --verify || fail "audit"
 for pid in run/fjeldrute/*.pid; do
-  children=$(ps -o pid= --ppid "$(cat "$pid")" | wc -l)
+  children=$(ps -o pid= --ppid "$(cat "$pid")" | wc -l || true)
   [ "$children" -eq 0 ] || fail "$(basename "$pid" .pid) has $children child processes"
 done
 echo "acceptance: passed"
--- a/siskintally/operation.py
+++ b/siskintally/operation.py
@@ -50,12 +50,13 @@
     :param wait: whether to wait for the effect.
     """
 
-    __slots__ = ("_client", "_request_id", "_wait_s", "json", "wait")
+    __slots__ = ("_client", "_request_id", "_shown", "_wait_s", "json", "wait")
 
     def __init__(self, *, client, request_id, json, wait, wait_s):
         self._client = client
         self._request_id = request_id
         self._wait_s = wait_s
+        self._shown = None
         self.json = json
         self.wait = wait
 
@@ -134,11 +135,13 @@
             self._progress(f"version {version} not yet in {', '.join(behind)}")
 
     def _progress(self, text):
-        """Show progress and sleep, within the longest wait."""
+        """Show progress when it has changed and sleep, within the longest wait."""
         if self._wait_s <= 0:
             raise OutcomeUnknownError(f"wait is over: {text}")
         started = monotonic()
-        print(text.rstrip(), file=stderr)
+        if text != self._shown:
+            print(text.rstrip(), file=stderr)
+            self._shown = text
         sleep(min(POLL_S, self._wait_s))
         self._wait_s -= max(monotonic() - started, POLL_S)
 
