Let a store hold several domain groups

Cause: ledger calls and configuration watches named no group, so a store refused to be in two domain groups. Six domain groups of three replicas on nine VMs then need two store processes on each VM, and an entry with other settings could record an order in the ledger of the wrong group without an error. Change: these calls name their group, a heartbeat its failure domain; the store hands each to the owner of that group and answers NOT_FOUND otherwise.

--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -171,10 +171,12 @@
             attempt=attempt,
             deadline_s=max(call.deadline - monotonic(), 0.0),
         )
+        home = self._home(call.key)
+        body.group = home.group
         timeout = min(timeout, BEGIN_TIMEOUT_S)
         try:
             # The same attempt may begin again: it is dispatched once whatever comes back.
-            return await self._home(call.key).call(
+            return await home.call(
                 body, timeout=timeout, attempt_timeout=ATTEMPT_TIMEOUT_S, idempotent=True
             )
         except (NotLeaderError, UnreachableError) as error:
@@ -188,7 +190,9 @@
 
     async def settle(self, key, body):
         """Send to the home group of the key."""
-        await self._home(key).call(
+        home = self._home(key)
+        body.group = home.group
+        await home.call(
             body, timeout=SETTLE_TIMEOUT_S, attempt_timeout=ATTEMPT_TIMEOUT_S, idempotent=True
         )
 
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -160,9 +160,6 @@
             return await self._answer_ledger(body)
         raise BadRequestError(f"{type(body).__name__}: no such call of a domain owner")
 
-    def receive(self, session, body):
-        """Take a message without a reply; an owner expects none."""
-
     def closed(self, session):
         """Give no new tasks to a worker whose link has ended."""
         if self._workers is not None:
@@ -192,6 +189,7 @@
 
     async def _answer_ledger(self, body):
         at = self.owner_term.stamp()
+        body.ClearField("group")  # The log of a group need not repeat its name.
         command = DomainCommand(at=at, **{_LEDGER_FIELDS[type(body)]: body})
         reply = DomainReply.FromString(await self._group.propose(command.SerializeToString()))
         if reply.code != Code.DONE:
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -11,15 +11,12 @@
 from siskintally.cell import Cell
 from siskintally.cell_service import CellService
 from siskintally.domain import Domain
-from siskintally.errors import (
-    BadSettingsError,
-    NotFoundError,
-    NotLeaderError,
-)
+from siskintally.errors import BadSettingsError, NotFoundError, NotLeaderError
 from siskintally.group import Group
 from siskintally.owner import Owner
 from siskintally.recorded_cell import RecordedCell
 from siskintally.settings import CELL_GROUP
+from siskintally.wire_pb2 import WorkerBeat
 
 AUDIT_FILE = "audit.log"
 
@@ -45,7 +42,7 @@
         "_settings",
         "cell_service",
         "group_by_name",
-        "owner",
+        "owner_by_group",
     )
 
     def __init__(self, *, settings, process, links, cell_call, metrics):
@@ -57,20 +54,15 @@
         self._audit_file = None
         self.group_by_name = {}
         self.cell_service = None
-        self.owner = None
+        self.owner_by_group = {}
         groups = list(settings.groups_of_store(process.name))
         if not groups:
             raise BadSettingsError(f"group.members: no group has the store {process.name!r}")
         for group in groups:
             if group.name == CELL_GROUP:
                 self._add_cell(group)
-            elif self.owner is None:
-                self._add_domain(group)
             else:
-                # Ledger calls and worker heartbeats name no group.
-                raise BadSettingsError(
-                    f"group.members: {process.name!r} is in more than one domain group"
-                )
+                self._add_domain(group)
 
     def _make_group(self, group, machine):
         folder = group_folder(self._process.data, group.name)
@@ -97,7 +89,7 @@
 
     def _add_domain(self, group):
         domain = Domain(group=group.name)
-        self.owner = Owner(
+        self.owner_by_group[group.name] = Owner(
             group=self._make_group(group, domain),
             domain=domain,
             settings=self._settings,
@@ -114,17 +106,33 @@
         """Yield (name, async function) of all that has to run."""
         for name, group in self.group_by_name.items():
             yield f"group {name}", group.run
-        if self.owner is not None:
-            yield "owner", self.owner.run
+        for name, owner in self.owner_by_group.items():
+            yield f"owner {name}", owner.run
 
-    def require_owner(self):
-        """Return the owner.
+    def owner_for(self, body):
+        """Return the owner that a call is meant for.
 
+        :param body: WorkerBeat, which names its failure domain, or a call that names a group; one
+            that names none is for the only domain group.
         :raises NotLeaderError: the store is in no domain group.
+        :raises NotFoundError: the store is not in that one.
         """
-        if self.owner is None:
+        if not self.owner_by_group:
             raise NotLeaderError("this store is in no domain group")
-        return self.owner
+        name = self._group_of(body)
+        if name not in self.owner_by_group:
+            raise NotFoundError(f"domain group {name[:100]!r}: not on this store")
+        return self.owner_by_group[name]
+
+    def _group_of(self, body):
+        if isinstance(body, WorkerBeat):
+            for name in self.owner_by_group:
+                if body.domain in self._settings.group_by_name[name].domains:
+                    return name
+            raise NotFoundError(f"failure domain {body.domain[:100]!r}: not owned on this store")
+        if not body.group and len(self.owner_by_group) == 1:
+            return next(iter(self.owner_by_group))
+        return body.group
 
     async def join(self, body):
         """Answer a store that asks to be admitted, or that only asks whether the group exists.
--- a/siskintally/store.py
+++ b/siskintally/store.py
@@ -1,4 +1,4 @@
-"""Store daemon: replicas of the cell group and of a domain group.
+"""Store daemon: replicas of the cell group and of domain groups.
 
 >>> from siskintally.store import dispatch_field
 >>> from siskintally.wire_pb2 import SyncRequest, VoteRequest
@@ -146,7 +146,7 @@
         if isinstance(body, JoinRequest):
             return await self._replicas.join(body)
         if part == "owner":
-            return await self._replicas.require_owner().answer(session, body)
+            return await self._replicas.owner_for(body).answer(session, body)
         if part != "cell":
             raise NotFoundError(f"a store takes no call {type(body).__name__}")
         if isinstance(body, OperatorCall) and not self._is_store(session):
@@ -161,19 +161,16 @@
     def receive(self, session, body):
         """Take a message of another process."""
         self._links.note(session)
-        part = dispatch_field(body)
-        if part == "consensus":
+        if dispatch_field(body) == "consensus":
             group = self._replicas.group_by_name.get(body.group)
             if group is not None:
                 group.receive(body)
-        elif part == "owner" and self._replicas.owner is not None:
-            self._replicas.owner.receive(session, body)
 
     def closed(self, session):
         """Note that a session has ended."""
         self._links.forget(session)
-        if self._replicas.owner is not None:
-            self._replicas.owner.closed(session)
+        for owner in self._replicas.owner_by_group.values():
+            owner.closed(session)
 
     def _is_store(self, session):
         process = self._settings.process_by_name.get(session.peer.name)
--- a/siskintally/watch.py
+++ b/siskintally/watch.py
@@ -44,7 +44,10 @@
         """Follow until cancelled."""
         while True:
             body = ConfigWatch(
-                known_version=self.version, wait_s=WAIT_S, known_drained=self._known_drained
+                known_version=self.version,
+                wait_s=WAIT_S,
+                known_drained=self._known_drained,
+                group=self._client.group,
             )
             try:
                 state = await self._client.call(
--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -26,13 +26,18 @@
 class FullCell(Net):
     """Three stores of one domain group and the cell group, entries that use them.
 
+    :param entries: entry names, or ``{entry name: failure domain}``.
     :param random: seeded source for choices of the callers.
+    :param group_by_domain: further domain groups on the same stores.
     """
 
-    __slots__ = ("entry_settings", "forwarders", "random", "stores")
+    __slots__ = ("entry_settings", "forwarders", "groups", "random", "stores")
 
-    def __init__(self, *, processes, entries, random):
-        super().__init__(processes=processes, entries=dict.fromkeys(entries, DOMAIN))
+    def __init__(self, *, processes, entries, random, group_by_domain=None):
+        if not isinstance(entries, dict):
+            entries = dict.fromkeys(entries, DOMAIN)
+        super().__init__(processes=processes, entries=entries)
+        self.groups = ["cell"]
         self.random = random
         self.stores = ["s1", "s2", "s3"]
         text = self.settings.read_text()
@@ -42,7 +47,10 @@
                 f'region = "jylland"\nlink = "127.0.0.1:{port}"\ndata = "{self.folder / name}"\n'
             )
         text += f'[[group]]\nname = "cell"\nmembers = {self.stores}\n'
-        text += f'[[group]]\nname = "{GROUP}"\nmembers = {self.stores}\ndomains = ["{DOMAIN}"]\n'
+        for domain, group in {DOMAIN: GROUP, **(group_by_domain or {})}.items():
+            self.groups.append(group)
+            text += f'[[group]]\nname = "{group}"\nmembers = {self.stores}\n'
+            text += f'domains = ["{domain}"]\n'
         self.settings.write_text(text)
         self.entry_settings = self.settings
         self.forwarders = []
@@ -71,12 +79,12 @@
         """Start a store."""
         self.processes.start(name, "store", "--settings", self.settings, "--name", name)
 
-    def start_workers(self, name, count, *flags):
+    def start_workers(self, name, count, *flags, domain=DOMAIN):
         """Start a process with worker stubs."""
         self.processes.start(
             name,
             "stub-worker",
-            *("--settings", self.settings, "--name", name, "--domain", DOMAIN),
+            *("--settings", self.settings, "--name", name, "--domain", domain),
             *("--count", count, "--cpu_milli", 4000, "--memory_mb", 4000),
             *("--record", self.record(name), *flags),
         )
@@ -116,9 +124,9 @@
                 if fields.get("event") == event and fields.get("group") == group:
                     yield fields
 
-    def owner(self):
-        """Return the store whose term as owner of the domain group began last."""
-        begun = self._events("term as owner begins", GROUP)
+    def owner(self, group=GROUP):
+        """Return the store whose term as owner of a domain group began last."""
+        begun = self._events("term as owner begins", group)
         last = max(begun, key=lambda fields: int(fields["term"]), default={})
         return last.get("process")
 
@@ -130,13 +138,13 @@
         return dict(found)
 
     async def wait_voters(self, *, without=()):
-        """Wait until all stores vote in both groups, none with one of the given incarnations.
+        """Wait until all stores vote in all groups, none with one of the given incarnations.
 
         :returns: {group: {store: incarnation}}.
         """
 
         def complete():
-            found = {group: self.voters(group) for group in ("cell", GROUP)}
+            found = {group: self.voters(group) for group in self.groups}
             return (
                 all(
                     set(voters) == set(self.stores) and not set(voters.values()) & set(without)
@@ -183,13 +191,13 @@
 
 
 @asynccontextmanager
-async def running_cell(folder, random, *, entries=("e1", "e2"), forwarded=False):
+async def running_cell(folder, random, *, entries=("e1", "e2"), forwarded=False, **options):
     """Give a :class:`FullCell` with a configuration in force.
 
     :param forwarded: whether entries reach the stores through forwarders.
     """
     with Processes(folder=folder) as processes:
-        cell = FullCell(processes=processes, entries=entries, random=random)
+        cell = FullCell(processes=processes, entries=entries, random=random, **options)
         cell.found()
         for name in cell.stores:
             cell.start_store(name)
--- /dev/null
+++ b/tests/test_shared_stores.py
@@ -0,0 +1,118 @@
+"""Stores that hold several domain groups, as real processes."""
+
+import pytest
+from anyio import fail_after, run
+
+from siskintally.errors import NotFoundError
+from siskintally.metrics import Metrics
+from siskintally.replicas import Replicas
+from siskintally.settings import parse
+from siskintally.store_links import StoreLinks
+from siskintally.wire_pb2 import ConfigWatch, LedgerBegin, LedgerFinish, LedgerRelease, WorkerBeat
+from tests.checker import check_requests, check_workers, read
+from tests.full_cell import DOMAIN, GROUP, running_cell
+from tests.processes import seeded, wait_until
+
+LIMIT_S = 240
+OTHER_DOMAIN, OTHER_GROUP = "fjeld-a", "fjeld"
+JOB = {"team": "ski", "kind": "service", "tasks": 4, "cpu_milli": 1000, "memory_mb": 500}
+SETTINGS = """
+[cell]
+name = "demo"
+secret = "0123456789abcdef"
+[[process]]
+name = "s1"
+role = "store"
+domain = "jylland-a"
+region = "jylland"
+link = "127.0.0.1:7201"
+data = "{folder}"
+[[group]]
+name = "cell"
+members = ["s1"]
+[[group]]
+name = "jylland"
+members = ["s1"]
+domains = ["jylland-a", "jylland-b"]
+[[group]]
+name = "fjeld"
+members = ["s1"]
+domains = ["fjeld-a"]
+"""
+
+
+def test_call_reaches_the_owner_of_its_group_only(tmp_path):
+    """Guards against an order that is recorded in a ledger where no resend looks for it."""
+    settings = parse(SETTINGS.format(folder=tmp_path))
+    process = settings.process("s1")
+    replicas = Replicas(
+        settings=settings,
+        process=process,
+        links=StoreLinks(settings=settings, process=process, hello=None, handler=None, server=None),
+        cell_call=None,
+        metrics=Metrics(address=None, prefix=""),
+    )
+    for call in (ConfigWatch, LedgerBegin, LedgerFinish, LedgerRelease):
+        for group in ("jylland", "fjeld"):
+            assert replicas.owner_for(call(group=group)) is replicas.owner_by_group[group]
+        for unknown in ("", "cell", "sjaelland"):
+            with pytest.raises(NotFoundError):
+                replicas.owner_for(call(group=unknown))
+    for domain, group in (("jylland-b", "jylland"), ("fjeld-a", "fjeld")):
+        beat = WorkerBeat(domain=domain)
+        assert replicas.owner_for(beat) is replicas.owner_by_group[group]
+    with pytest.raises(NotFoundError):
+        replicas.owner_for(WorkerBeat(domain="sjaelland-a"))
+    replicas.close()
+
+
+def running(cell, workers):
+    """Return the tasks that have started and not ended at some worker stubs."""
+    records = [record for record in read(cell.record(workers)) if "task" in record]
+    started = {record["task"] for record in records if record["event"] == "start"}
+    return started - {record["task"] for record in records if record["event"] == "end"}
+
+
+@pytest.mark.timeout(300)
+def test_groups_on_the_same_stores_keep_their_workers_and_orders_apart(tmp_path):
+    """Guards against a call that reaches the owner or the ledger of another group of its store."""
+
+    async def check(cell):
+        for domain, entry, stub, workers in (
+            (DOMAIN, "e1", "p1", "w1"),
+            (OTHER_DOMAIN, "e2", "p2", "w2"),
+        ):
+            cell.start_stub(stub, "--service_ms", 20, entries=[entry], domain=domain)
+            cell.start_workers(workers, 2, domain=domain)
+            await cell.wait_served(entry)
+            job = JOB | {"name": f"tally-{workers}", "domain": domain}
+            await cell.operate("submit", job, request_id=workers)
+        for workers in ("w1", "w2"):
+            await wait_until(lambda one=workers: len(running(cell, one)) == 4, f"{workers} runs")
+        killed = cell.owner(OTHER_GROUP)
+        keys = [f"{group}/order-{number}" for group in (GROUP, OTHER_GROUP) for number in range(6)]
+        answers = []
+        for key in keys[::2]:
+            assert await cell.order(key, answers) == 1000
+        cell.processes.kill(killed)
+        for key in keys:
+            expected = 1001 if key in keys[::2] else 1000
+            assert await cell.order(key, answers) in (expected, 1001)
+        cell.start_store(killed)
+        assert check_requests(read(cell.record("p1"), cell.record("p2")), answers) == []
+        assert check_workers(read(cell.record("w1"), cell.record("w2"))) == []
+        assert len(running(cell, "w1")) == len(running(cell, "w2")) == 4
+        status = await cell.operate("status", {}, request_id="status")
+        assert {row["group"] for row in status["groups"]} == {GROUP, OTHER_GROUP}
+
+    random = seeded()
+
+    async def main():
+        with fail_after(LIMIT_S):
+            entries = {"e1": DOMAIN, "e2": OTHER_DOMAIN}
+            others = {OTHER_DOMAIN: OTHER_GROUP}
+            options = {"entries": entries, "group_by_domain": others}
+            async with running_cell(tmp_path, random, **options) as cell:
+                await check(cell)
+
+    run(main)
