Return leadership to the first member of a group

Cause: nothing moved leadership back after a failure, so that the leaders of several groups could gather on one VM, whose processor budget carries one. Change: a leader whose term is 120 s old transfers leadership to the first founding member when that one is a voter, answers and has caught up, and no proposal waits. Reads that wait fail as not run.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -23,8 +23,9 @@
         "audit domain domain_job ledger"
     ),
     "Replicated log": (
-        "replica election replication following membership progress raftlog messages effects "
-        "stable timing encoding journal records group inbox applier joins waiters watchers machine"
+        "replica election replication following membership preference progress raftlog messages "
+        "effects stable timing encoding journal records group inbox applier joins "
+        "waiters watchers machine"
     ),
     "Processes and transport": (
         "store store_links replicas founding link session leader supervisor daemon settings log "
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -25,6 +25,7 @@
 from siskintally.log import get_logger
 from siskintally.membership import quorum
 from siskintally.messages import Leadership
+from siskintally.preference import STABLE_S, Preference
 from siskintally.replica import Replica
 from siskintally.timing import Timing
 from siskintally.waiters import Waiter, Waiters
@@ -62,6 +63,8 @@
     :param timing: :class:`~siskintally.timing.Timing`.
     :param snapshot_entries: entries between two snapshots.
     :param snapshot_bytes: bytes of commands between two snapshots.
+    :param stable_s: least time between a term's beginning and the return of leadership to the first
+        founding member, seconds.
     :param batch_items: inputs that share one sync; 1 turns group commit off.
     """
 
@@ -77,6 +80,7 @@
         "_kept_entries",
         "_leadership",
         "_members_index",
+        "_preference",
         "_replica",
         "_send",
         "_stop_at",
@@ -103,6 +107,7 @@
         snapshot_bytes=SNAPSHOT_BYTES,
         kept_entries=KEPT_ENTRIES,
         batch_items=BATCH_ITEMS,
+        stable_s=STABLE_S,
     ):
         self.name = name
         self.process = process
@@ -126,6 +131,7 @@
         self._stop_at = None
         self._is_handed_over = False
         self._members_index = None
+        self._preference = Preference(preferred=self.founding_members[0], stable_s=stable_s)
         self._ended = Event()
 
     @property
@@ -278,6 +284,7 @@
             if now >= self._replica.next_tick():
                 effects.extend(self._replica.tick(now))
             self._manage_members(now, effects)
+            self._prefer_leader(now, effects)
             await self._carry_out(effects)
             await self._take_snapshot()
 
@@ -334,6 +341,17 @@
             self._is_handed_over = True
             effects.extend(self._replica.transfer(now))
 
+    def _prefer_leader(self, now, effects):
+        """Transfer leadership to the preferred member while no proposal waits.
+
+        Reads may wait: at a busy owner some always do, and they fail as not run.
+        """
+        if self._stop_at is None and not self._waiters.has_proposals:
+            target = self._preference.target(self._replica, now)
+            if target is not None:
+                log.info("leadership goes to the preferred member", group=self.name, to=target.name)
+                effects.extend(self._replica.transfer(now, to=target))
+
     def _is_over(self):
         """Whether a stop is asked for and leadership is handed over, or cannot be."""
         if self._stop_at is None:
--- /dev/null
+++ b/siskintally/preference.py
@@ -0,0 +1,55 @@
+"""Return of leadership to the preferred member of a group; the time is passed in.
+
+After failures the leaders of many groups would gather on the VMs that failed last, and a VM that
+leads several groups is over its processor budget.
+
+>>> from siskintally.preference import Preference
+>>> Preference(preferred="s1").preferred
+'s1'
+"""
+
+from math import inf
+
+# A member that fails again and again must not move leadership more often than this.
+STABLE_S = 120.0
+
+
+class Preference:
+    """Decides when a leader gives way to the preferred member.
+
+    :param preferred: process name of the member that should lead.
+    :param stable_s: least time between the beginning of a term, or the last try, and a transfer,
+        seconds.
+    """
+
+    __slots__ = ("_since", "_stable_s", "_term", "preferred")
+
+    def __init__(self, *, preferred, stable_s=STABLE_S):
+        self.preferred = preferred
+        self._stable_s = stable_s
+        self._term = None
+        self._since = inf
+
+    def target(self, replica, now):
+        """Return the identity to transfer leadership to, or None.
+
+        :param replica: :class:`~siskintally.replica.Replica` of this process.
+        :param now: monotonic time in seconds.
+        """
+        if not replica.is_leader or replica.identity.name == self.preferred:
+            return None
+        if self._term != replica.term:
+            self._term, self._since = replica.term, now
+        if now - self._since < self._stable_s or not replica.is_settled:
+            return None
+        for voter in replica.voters:
+            if voter.name == self.preferred and _can_lead(replica, voter, now):
+                self._since = now
+                return voter
+        return None
+
+
+def _can_lead(replica, voter, now):
+    progress = replica.progress_by_id[voter]
+    answers = progress.answered and now - progress.heard < replica.timing.election_min_s
+    return answers and progress.match >= replica.commit
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -228,9 +228,10 @@
             effects.snapshot = self.log.snapshot
         return effects
 
-    def transfer(self, now):
+    def transfer(self, now, *, to=None):
         """Hand leadership to the most up-to-date voter that answers; no proposals meanwhile.
 
+        :param to: identity of the only voter that may get it.
         :raises NotLeaderError: this replica does not lead.
         """
         self._check_leading(transferring=True)
@@ -239,6 +240,7 @@
             (self.progress_by_id[voter].match, voter)
             for voter in self.voters
             if voter != self.identity
+            and to in (None, voter)
             and now - self.progress_by_id[voter].heard < self.timing.election_max_s
         ]
         if alive and self.transfer_to is None:
--- a/siskintally/waiters.py
+++ b/siskintally/waiters.py
@@ -57,6 +57,11 @@
         """Whether no call waits."""
         return not self._by_index and not self._by_round
 
+    @property
+    def has_proposals(self):
+        """Whether a call waits for its command to be committed."""
+        return bool(self._by_index)
+
     def add_proposals(self, waiters, last_index):
         """Add calls whose commands are the entries up to ``last_index``."""
         first = last_index - len(waiters) + 1
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -344,6 +344,28 @@
     check(tmp_path, test, snapshot_entries=20, kept_entries=5)
 
 
+def test_leadership_returns_to_the_first_member(tmp_path):
+    """Guards against leaders of many groups that stay on the VMs that failed least lately."""
+
+    async def test(cell):
+        await cell.full()
+        await cell.until(lambda: cell.group_by_name["s1"].is_leader)
+        await cell.until(lambda: cell.group_by_name["s1"]._journal is not None)
+        cell.kill("s1")
+        other = await cell.leader()
+        assert other.process != "s1"
+        cell.start("s1")
+        sent = 0
+        while not cell.group_by_name["s1"].is_leader:
+            # Not a proposal at the same time as a transfer: each of these has a known outcome.
+            await cell.propose(b"%d" % sent)
+            sent += 1
+            await sleep(0.05)
+        await cell.until(lambda: len(cell.commands("s1")) == sent)
+
+    check(tmp_path, test, stable_s=0.5)
+
+
 def test_stop_hands_leadership_over(tmp_path):
     """Guards a planned stop: no election timeout, no accepted proposal without a reply."""
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -18,6 +18,7 @@
     VoteRequest,
     voters_of,
 )
+from siskintally.preference import Preference
 from siskintally.replica import Replica
 from siskintally.stable import Stable, founding_state
 from siskintally.timing import Timing
@@ -432,6 +433,29 @@
     assert leader is not a and leader.state[-1] == "x"
 
 
+def test_leadership_returns_to_the_preferred_member_when_it_has_caught_up():
+    """Guards against leaders that gather on few VMs, and against a transfer to a member behind."""
+    net = Net(seed=2)
+    replica = net.elect("a").replica
+    net.settle()
+    other = next(voter for voter in replica.voters if voter != replica.identity)
+    preference = Preference(preferred=other.name, stable_s=60.0)
+    assert preference.target(replica, net.now) is None
+    progress = replica.progress_by_id[other]
+
+    def target(after_s):
+        progress.heard = net.now + after_s
+        return preference.target(replica, net.now + after_s)
+
+    assert target(59.0) is None
+    match, progress.match = progress.match, replica.commit - 1
+    assert target(61.0) is None
+    progress.match = match
+    assert target(62.0) == other
+    assert target(63.0) is None, "a transfer that failed is tried again too soon"
+    assert Preference(preferred=replica.identity.name, stable_s=0.0).target(replica, 1e9) is None
+
+
 def test_transfer_ends_if_the_target_does_not_take_over():
     """Guards against a leader that refuses proposals forever."""
     net = Net(seed=2)
