--- a/tests/processes.py
+++ b/tests/processes.py
@@ -16,7 +16,9 @@
 WAIT_LIMIT_S = 90.0
 POLL_S = 0.05
 STOP_LIMIT_S = 15.0
-SERVER_PORTS = (10_000, 32_000)
+# Each worker of a parallel run has a range of its own.
+RANGE_PORTS = 2_500
+FIRST_PORT = 10_000 + RANGE_PORTS * (int(environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % 8)
 
 _given_ports = set()
 
@@ -29,7 +31,7 @@
     """
     ports = []
     while len(ports) < count:
-        port = randrange(*SERVER_PORTS)
+        port = randrange(FIRST_PORT, FIRST_PORT + RANGE_PORTS)
         if port not in _given_ports and _is_free(port):
             _given_ports.add(port)
             ports.append(port)
