Take a promoted request from its new queue only

Taken from there it left the normal queue counting a request too many, whose next turn failed with AttributeError. The exception came out of the release of a slot, so that a caller whose request had been answered by the endpoint got status 500 without a result code. Change: an entry of a heap counts only if it is the ticket's present one. Any answer to an internal error now has the result code in its header as well. Result: the new test failed before with that exception and passes after.

--- a/siskintally/fair_queue.py
+++ b/siskintally/fair_queue.py
@@ -39,6 +39,7 @@
         "caller",
         "deadline",
         "endpoint",
+        "entry",
         "may_probe",
         "notify",
         "queued_at",
@@ -56,6 +57,7 @@
         self.may_probe = may_probe
         self.state = State.NEW
         self.endpoint = None
+        self.entry = None
 
 
 class _Line:
@@ -101,10 +103,11 @@
             turn = max(self._round, self._round_by_caller.get(ticket.caller, 0))
             line = self._line_by_caller[ticket.caller] = _Line(turn=turn)
         ticket.state = State.WAITING
-        heappush(line.heap, (ticket.deadline, next(self._numbers), ticket))
+        ticket.entry = (ticket.deadline, next(self._numbers), ticket)
+        heappush(line.heap, ticket.entry)
         line.waiting += 1
         self._waiting += 1
-        if line.heap[0][2] is ticket:
+        if line.heap[0] is ticket.entry:
             self._enter(ticket.caller, line)
 
     def pop(self):
@@ -128,7 +131,7 @@
     def remove(self, ticket):
         """Take out a waiting ticket."""
         line = self._line_by_caller[ticket.caller]
-        was_head = line.heap[0][2] is ticket
+        was_head = line.heap[0] is ticket.entry
         ticket.state = State.GONE
         self._leave(ticket.caller, line, reenter=was_head)
 
@@ -137,8 +140,7 @@
         if not self._line_by_caller:
             return None
         line = max(self._line_by_caller.values(), key=lambda one: one.waiting)
-        waiting = (entry for entry in line.heap if entry[2].state is State.WAITING)
-        return max(waiting, key=lambda entry: entry[:2])[2]
+        return max(filter(_is_waiting, line.heap), key=lambda entry: entry[:2])[2]
 
     def _leave(self, caller, line, *, reenter=True):
         line.waiting -= 1
@@ -163,6 +165,12 @@
 
     @staticmethod
     def _head(line):
-        while line.heap and line.heap[0][2].state is not State.WAITING:
+        while line.heap and not _is_waiting(line.heap[0]):
             heappop(line.heap)
         return line.heap[0][2] if line.heap else None
+
+
+def _is_waiting(entry):
+    """Tell whether a ticket waits at this place; a promoted one leaves its old entry behind."""
+    ticket = entry[2]
+    return ticket.state is State.WAITING and ticket.entry is entry
--- a/siskintally/http_server.py
+++ b/siskintally/http_server.py
@@ -78,6 +78,12 @@
     )
 
 
+def error_answer(status, code, message):
+    """Return a response with a result code in its body and in the header that callers read."""
+    fields = {"code": int(code), "message": message}
+    return json_answer(status, fields, headers=[("siskintally-code", str(int(code)))])
+
+
 class HttpApp(ABC):
     """ASGI app that answers complete requests."""
 
@@ -89,8 +95,7 @@
 
     def failure(self, error):
         """Return the :class:`HttpAnswer` to input that was refused."""
-        status = 413 if error.code == Code.TOO_LARGE else 400
-        return json_answer(status, {"code": int(error.code), "message": str(error)})
+        return error_answer(413 if error.code == Code.TOO_LARGE else 400, error.code, str(error))
 
     async def __call__(self, scope, receive, send):
         """Serve one ASGI connection."""
@@ -109,7 +114,7 @@
             answer = self.failure(error)
         except Exception as error:  # the daemon outlives any fault in one request
             log.exception("request failed", path=scope.get("path", ""))
-            answer = json_answer(500, {"code": int(Code.INTERNAL), "message": type(error).__name__})
+            answer = error_answer(500, Code.INTERNAL, type(error).__name__)
         if answer is not None:
             await respond(send, answer)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -73,6 +73,24 @@
     assert queue.take(now=8.5, free=TOTAL, total=TOTAL, ordinary=0) is late
 
 
+def test_promoted_request_is_taken_once_and_from_its_new_class():
+    # Guards against a promoted request that is also taken from its old queue: the new one then
+    # counted a request too many and failed at its next turn, after an endpoint had answered.
+    queue = admission(deferrable_share=0.5, queue_limit_normal=20)
+    normal = [ticket(NORMAL, deadline=40.0) for _ in range(10)]
+    first = ticket(DEFERRABLE, deadline=50.0, at=29.0)
+    promoted = ticket(DEFERRABLE, deadline=55.0, at=-100.0)
+    last = ticket(DEFERRABLE, deadline=60.0, at=29.0)
+    tickets = [*normal, first, promoted, last]
+    for one in tickets:
+        offer(queue, one)
+    taken = drain(queue, now=30.0)
+    assert promoted.rank == NORMAL
+    assert len(taken) == len({id(one) for one in taken}) == len(tickets)
+    assert taken.index(last) < taken.index(promoted)
+    assert len(queue) == 0
+
+
 def test_request_that_cannot_meet_its_deadline_is_refused_at_once():
     queue = admission()
     queue.measured(1.0, now=0.0)
