--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -91,8 +91,11 @@
 
     def found(self):
         """Found the groups on their first member."""
+        self._found_on(self.stores[0])
+
+    def _found_on(self, name):
         command = [executable, "-m", "siskintally.main", "init"]
-        command += ["--settings", str(self.settings), "--name", self.stores[0]]
+        command += ["--settings", str(self.settings), "--name", name]
         run_process(command, check=True, capture_output=True, timeout=60)
 
     async def operate(self, verb, arguments, *, request_id, entry="e1"):
@@ -134,7 +137,7 @@
         """Return {store: incarnation} of the voters in the latest committed member set."""
         sets = self._events("members", group)
         last = max(sets, key=lambda fields: fields["index"], default={"members": ""})
-        found = findall(r"name='(\w+)', incarnation='(\w+)'\), voter=True", last["members"])
+        found = findall(r"name='([\w-]+)', incarnation='(\w+)'\), voter=True", last["members"])
         return dict(found)
 
     async def wait_voters(self, *, without=()):
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -49,6 +49,19 @@
     assert set(KEYS) <= set(table)
 
 
+def test_layout_of_nine_vms_gives_each_leader_its_own():
+    """Guards against a VM that leads two groups, which is over its processor budget."""
+    settings = load(SAMPLES / "two-regions.toml")
+    stores = {name for name, one in settings.process_by_name.items() if one.role == "store"}
+    leaders = [group.members[0] for group in settings.group_by_name.values()]
+    assert len(stores) == 9
+    assert len(set(leaders)) == len(leaders) == 7
+    for group in settings.domain_groups():
+        regions = {settings.process(member).region for member in group.members}
+        assert len(group.members) == 3
+        assert len(regions) == 1
+
+
 @pytest.mark.parametrize("cell", CELLS)
 def test_sample_cell_is_valid(cell):
     """Guards against sample settings that no process can start with."""
