Let an announcement need the token of its service

Cause: whoever reached an entry could announce an endpoint of any service and get its requests. Change: [[endpoint]] rows give tokens of services; with any row, an entry takes an announcement only with the token of its service and answers 4001 otherwise. Without rows all are taken as before. Result: a stub without a token and one with the token of another service were refused and stayed unknown to the entry, and the one with the right token was served (test_trust.py).

--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -8,6 +8,8 @@
 ['entry', 'stub-endpoint']
 """
 
+from os import environ
+
 from absl.flags import (
     DEFINE_boolean,
     DEFINE_enum,
@@ -26,6 +28,7 @@
 from siskintally.settings import load
 from siskintally.stub_endpoint import FAULTS, Stub, StubOptions
 
+TOKEN_VARIABLE = "SISKINTALLY_ENDPOINT_TOKEN"
 LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -99,6 +102,9 @@
     DEFINE_float("service_ms", 20.0, "service time, ms", 0.0, 3.6e6, flag_values=values)
     DEFINE_enum("fault", "none", FAULTS, "fault of every answer", flag_values=values)
     DEFINE_string("record", "", "file that gets a JSON line per start and end", flag_values=values)
+    DEFINE_string(
+        "token", None, f"token of the service; the default is ${TOKEN_VARIABLE}", flag_values=values
+    )
     DEFINE_enum("log_level", "warning", LEVELS, "least level of log lines", flag_values=values)
 
 
@@ -116,6 +122,7 @@
         connections=values.connections,
         service_s=values.service_ms / 1000,
         fault=values.fault,
+        token=values.token or environ.get(TOKEN_VARIABLE, ""),
         record=values.record,
     )
     stub = Stub(options=options)
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -163,7 +163,11 @@
 
     async def _serve_http(self):
         await serve_http(
-            Gateway(entry=self, token_operators=self._settings.token_operators),
+            Gateway(
+                entry=self,
+                operator_by_token=self._settings.operator_by_token,
+                service_by_token=self._settings.service_by_token,
+            ),
             address=str(self._process.http),
             until=self._stopped,
             graceful_s=LAST_WRITES_S,
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -14,7 +14,8 @@
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotFoundError
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer
-from siskintally.relay import VERBS, operator_of
+from siskintally.relay import VERBS
+from siskintally.tokens import check_announcer, holder_of
 
 MAX_REQUEST_ID = 128
 MAX_EVIDENCE = 300
@@ -63,14 +64,16 @@
     """Routes of an entry.
 
     :param entry: the :class:`~siskintally.entry.Entry`.
-    :param token_operators: ``{token: operator name}``.
+    :param operator_by_token: ``{token: operator name}``.
+    :param service_by_token: ``{token: service}`` of endpoints, empty to take all announcements.
     """
 
-    __slots__ = ("_entry", "_token_operators")
+    __slots__ = ("_entry", "_operator_by_token", "_service_by_token")
 
-    def __init__(self, *, entry, token_operators):
+    def __init__(self, *, entry, operator_by_token, service_by_token):
         self._entry = entry
-        self._token_operators = token_operators
+        self._operator_by_token = operator_by_token
+        self._service_by_token = service_by_token
 
     def failure(self, error):
         """Return the answer to input that was refused."""
@@ -101,12 +104,14 @@
         now = monotonic()
         fields = _json(request.body)
         heard = read_announcement(fields)
+        authorization = request.headers.get("authorization", "")
+        check_announcer(authorization, heard.service, self._service_by_token)
         self._entry.announce(heard, age_s=read_age(fields, now=now), now=now)
         return json_answer(200, {"code": int(Code.DONE), "clock": now})
 
     async def _operate(self, request):
         _post_only(request)
-        operator = operator_of(request.headers.get("authorization", ""), self._token_operators)
+        operator = holder_of(request.headers.get("authorization", ""), self._operator_by_token)
         verb = request.path.removeprefix("/v1/operator/")
         if verb not in VERBS:
             raise NotFoundError(f"verb {verb[:40]!r}: expected one of {', '.join(VERBS)}")
--- a/siskintally/relay.py
+++ b/siskintally/relay.py
@@ -1,11 +1,10 @@
 """Operator calls, relayed from HTTP to a store of the own domain group.
 
->>> from siskintally.relay import operator_of
->>> operator_of("Bearer 0123456789abcdef", {"0123456789abcdef": "astrid"})
-'astrid'
+>>> from siskintally.relay import VERBS
+>>> "drain" in VERBS
+True
 """
 
-from hmac import compare_digest
 from time import monotonic
 
 from anyio import sleep
@@ -15,7 +14,6 @@
     NotLeaderError,
     OutcomeUnknownError,
     RefusedError,
-    UnauthorizedError,
     UnreachableError,
 )
 from siskintally.wire_pb2 import OperatorCall
@@ -26,22 +24,6 @@
 VERBS = ("submit", "cancel", "drain", "preset", "config", "status", "audit", "jobs")
 
 
-def operator_of(authorization, token_operators):
-    """Return the operator that a bearer token belongs to.
-
-    :raises UnauthorizedError: the token is missing or wrong.
-    """
-    scheme, _, given = authorization.partition(" ")
-    found = ""
-    # Every token is compared, so the time tells nothing about which one is close.
-    for token, operator in token_operators.items():
-        if compare_digest(token.encode(), given.strip().encode()):
-            found = operator
-    if scheme.lower() != "bearer" or not found:
-        raise UnauthorizedError("Authorization: expected Bearer with the token of an operator")
-    return found
-
-
 class OperatorRelay:
     """Relays operator calls.
 
--- a/siskintally/settings.py
+++ b/siskintally/settings.py
@@ -145,7 +145,8 @@
 class Settings:
     """All settings of a cell.
 
-    :param token_operators: ``{token: operator name}``.
+    :param operator_by_token: ``{token: operator name}``.
+    :param service_by_token: ``{token: service}`` of endpoints; empty if they need none.
     :param statsd: :class:`Address` of a statsd server, or None.
     :param tls_folder: folder of the certificates, or None.
     """
@@ -153,21 +154,32 @@
     __slots__ = (
         "cell",
         "group_by_name",
+        "operator_by_token",
         "process_by_name",
         "secret",
+        "service_by_token",
         "statsd",
         "tls_folder",
-        "token_operators",
     )
 
     def __init__(
-        self, *, cell, secret, process_by_name, group_by_name, token_operators, statsd, tls_folder
+        self,
+        *,
+        cell,
+        secret,
+        process_by_name,
+        group_by_name,
+        operator_by_token,
+        service_by_token,
+        statsd,
+        tls_folder,
     ):
         self.cell = cell
         self.secret = secret
         self.process_by_name = process_by_name
         self.group_by_name = group_by_name
-        self.token_operators = token_operators
+        self.operator_by_token = operator_by_token
+        self.service_by_token = service_by_token
         self.statsd = statsd
         self.tls_folder = tls_folder
 
@@ -245,7 +257,7 @@
         document = loads(text)
     except TOMLDecodeError as error:
         raise BadSettingsError(f"settings are not TOML: {error}") from error
-    _known(document, "settings", ("cell", "process", "group", "operator", "metrics"))
+    _known(document, "settings", ("cell", "process", "group", "operator", "endpoint", "metrics"))
     cell = _table(document, "cell", ("name", "secret", "tls"))
     secret = _string(cell, "cell.secret", "secret")
     if len(secret) < MIN_SECRET_LENGTH:
@@ -258,7 +270,8 @@
         secret=secret,
         process_by_name=process_by_name,
         group_by_name=_groups(document.get("group", []), process_by_name),
-        token_operators=_operators(document.get("operator", [])),
+        operator_by_token=_tokens(document.get("operator", []), "operator", "name"),
+        service_by_token=_tokens(document.get("endpoint", []), "endpoint", "service"),
         statsd=Address.parse(statsd, key="metrics.statsd") if statsd else None,
         tls_folder=_string(cell, "cell.tls", "tls") if "tls" in cell else None,
     )
@@ -338,15 +351,16 @@
     return by_name
 
 
-def _operators(rows):
+def _tokens(rows, table, holder):
+    """Return ``{token: value of the key holder}`` of an array of tables."""
     by_token = {}
     for number, row in enumerate(rows):
-        key = f"operator[{number}]"
-        _known(row, key, ("name", "token"))
+        key = f"{table}[{number}]"
+        _known(row, key, (holder, "token"))
         token = _string(row, f"{key}.token", "token")
         if len(token) < MIN_SECRET_LENGTH or token in by_token:
             raise BadSettingsError(
                 f"{key}.token: expected a distinct token of at least {MIN_SECRET_LENGTH} characters"
             )
-        by_token[token] = _string(row, f"{key}.name", "name")
+        by_token[token] = _string(row, f"{key}.{holder}", holder)
     return by_token
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -39,6 +39,7 @@
     :param service_s: service time, s.
     :param fault: one of :data:`FAULTS`.
     :param record: path of the record file, or empty.
+    :param token: token of the service, or empty.
     """
 
     __slots__ = (
@@ -52,10 +53,23 @@
         "service",
         "service_s",
         "slots",
+        "token",
     )
 
     def __init__(
-        self, *, name, service, domain, http, entries, slots, connections, service_s, fault, record
+        self,
+        *,
+        name,
+        service,
+        domain,
+        http,
+        entries,
+        slots,
+        connections,
+        service_s,
+        fault,
+        record,
+        token="",
     ):
         self.name = name
         self.service = service
@@ -67,6 +81,7 @@
         self.service_s = service_s
         self.fault = fault
         self.record = record
+        self.token = token
 
 
 class Recorder:
@@ -135,7 +150,8 @@
             clock, received_at = self._clock_by_entry[entry]
             fields.update(echo=clock, held_s=monotonic() - received_at)
         try:
-            response = await client.post(f"{entry}/v1/announce", json=fields)
+            headers = {"authorization": f"Bearer {options.token}"} if options.token else {}
+            response = await client.post(f"{entry}/v1/announce", json=fields, headers=headers)
             response.raise_for_status()
             self._clock_by_entry[entry] = (float(response.json()["clock"]), monotonic())
         except (HTTPError, ValueError, KeyError) as error:
--- a/tests/entry_net.py
+++ b/tests/entry_net.py
@@ -16,11 +16,12 @@
 
     :param processes: :class:`~tests.processes.Processes`.
     :param entries: ``{entry name: failure domain}``.
+    :param extra: more settings, TOML.
     """
 
     __slots__ = ("client", "entries", "folder", "processes", "settings", "url_by_name")
 
-    def __init__(self, *, processes, entries):
+    def __init__(self, *, processes, entries, extra=""):
         self.processes = processes
         self.entries = entries
         self.folder = processes.folder
@@ -36,7 +37,7 @@
             )
             self.url_by_name[name] = f"http://127.0.0.1:{http}"
         self.settings = self.folder / "cell.toml"
-        self.settings.write_text(text)
+        self.settings.write_text(text + extra)
 
     def start_entry(self, name, *flags):
         """Start an entry."""
@@ -109,10 +110,10 @@
 
 
 @asynccontextmanager
-async def running(folder, *, entries=None):
+async def running(folder, *, entries=None, extra=""):
     """Give a :class:`Net` whose entries have been started."""
     with Processes(folder=folder) as processes:
-        net = Net(processes=processes, entries=entries or {"e1": "jylland-a"})
+        net = Net(processes=processes, entries=entries or {"e1": "jylland-a"}, extra=extra)
         async with AsyncClient(timeout=30.0) as net.client:
             for name in net.entries:
                 net.start_entry(name)
