Ask the cell again after a minute without a leader of the domain group

Stores can hold several domain groups, so a store of a lost group may run on for the other groups and keep its clearance. When the group then comes back, this store could win the election and start tasks before its first sync. Clearance now ends when the group had no leader, or the process was paused, for 60 s, half of the silence after which a loss can be declared.

--- a/siskintally/clearance.py
+++ b/siskintally/clearance.py
@@ -11,6 +11,8 @@
 True
 """
 
+from time import monotonic
+
 from anyio import sleep
 
 from siskintally.errors import SiskintallyError
@@ -19,8 +21,10 @@
 
 CHECK_TIMEOUT_S = 10.0
 RETRY_S = 1.0
-# The epoch of a group changes only with a declared loss.
-LOOK_S = 5.0
+LOOK_S = 1.0
+# Half of the silence after which a group can be declared lost. A group without a leader for longer
+# may come back after a loss, though a store of it, on a machine that other groups use too, ran on.
+MAX_GAP_S = 60.0
 
 log = get_logger("clearance")
 
@@ -30,13 +34,24 @@
 
     A process that was switched off may come back after its group was declared lost and its tasks
     run elsewhere, so nothing is started before the cell has been asked. A process that runs on
-    through a partition keeps its clearance, and so does its domain its work.
+    through a partition keeps its clearance while its group has a leader, and so does its domain
+    its work.
     """
 
-    __slots__ = ("_epoch",)
+    __slots__ = ("_epoch", "_led_at")
 
     def __init__(self):
         self._epoch = None
+        self._led_at = None
+
+    def led(self, now):
+        """Note that the group has a leader; after a long time without one the cell is asked again.
+
+        :param now: monotonic seconds. A pause of the process counts as time without a leader.
+        """
+        if self._led_at is not None and now - self._led_at > MAX_GAP_S:
+            self._epoch = None
+        self._led_at = now
 
     def learn(self, reply):
         """Take what a SyncReply says of the group."""
@@ -50,16 +65,18 @@
         """
         return not domain.fenced and self._epoch == domain.epoch
 
-    async def seek(self, *, domain, cell_call, leads):
+    async def seek(self, *, group, domain, cell_call):
         """Ask the cell while it is needed, until cancelled.
 
         The leader asks by its sync; the others ask too, so that one that wins an election during a
         partition can go on.
 
-        :param leads: ``leads()`` tells whether this process leads the group.
+        :param group: :class:`~siskintally.group.Group` of the domain group.
         """
         while True:
-            if leads() or domain.fenced or self.covers(domain):
+            if group.leader:
+                self.led(monotonic())
+            if group.is_leader or domain.fenced or self.covers(domain):
                 await sleep(LOOK_S)
                 continue
             request = SyncRequest(group=domain.group, epoch=domain.epoch, check=True)
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -100,7 +100,7 @@
 
     async def _seek_clearance(self):
         await self._clearance.seek(
-            domain=self._domain, cell_call=self._cell_call, leads=lambda: self._group.is_leader
+            group=self._group, domain=self._domain, cell_call=self._cell_call
         )
 
     async def _follow_leadership(self):
@@ -114,6 +114,7 @@
 
     async def _lead(self, leadership, leaderships):
         """Act as the owner for one term; return the next leadership."""
+        self._clearance.led(monotonic())
         owner_term = OwnerTerm(
             group=self._group,
             domain=self._domain,
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -6,7 +6,7 @@
 from siskintally.audit import AuditFile
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import CancelJobs
-from siskintally.clearance import Clearance
+from siskintally.clearance import MAX_GAP_S, Clearance
 from siskintally.codes import Code
 from siskintally.domain import Domain
 from siskintally.domain_state_pb2 import DomainBatch
@@ -228,6 +228,12 @@
     assert not clearance.covers(domain)
     clearance.learn(SyncReply(epoch=0))
     assert clearance.covers(domain)
+    for now in (0, MAX_GAP_S, 2 * MAX_GAP_S):
+        clearance.led(now)
+    assert clearance.covers(domain), "a group that has a leader goes on through a partition"
+    clearance.led(3 * MAX_GAP_S + 1)
+    assert not clearance.covers(domain), "its loss may have been declared in the gap"
+    clearance.learn(SyncReply(epoch=0))
     driver.apply(sync=SyncReply(epoch=1, lost=True))
     assert not clearance.covers(domain)
     driver.apply(sync=SyncReply(index=1, epoch=1))
