Send nothing to an endpoint that refuses connections

Cause: at most 30% of a service may be ejected, so with two endpoints none is. The slots of one that refuses connections are free again at once, so they drew what waited for the busy other one, and after three refusals the caller was told 2002. Failures that say nothing of the endpoint (deadline passed, malformed request, full pool) counted against it, and a probe whose caller disconnected left the endpoint shut for good.

Change: an endpoint to which no connection can be made is not used until a probe is due, after 0.1 s that doubles up to 1 s, whatever the limit on ejections. The unsent request waits for a slot of the other endpoint within its deadline, without a retry token. Dispatches that say nothing of the endpoint are not counted, and a probe that is cut off is followed by another.

--- a/siskintally/forward.py
+++ b/siskintally/forward.py
@@ -61,17 +61,29 @@
     :param headers: list of ``(name, value)``.
     :param reason: why there is no response.
     :param may_run: whether the endpoint may still work on the request.
+    :param unreachable: whether no connection to the endpoint could be made.
     """
 
-    __slots__ = ("body", "headers", "may_run", "reason", "sent", "status")
-
-    def __init__(self, *, sent, status=0, headers=(), body=b"", reason="", may_run=False):
+    __slots__ = ("body", "headers", "may_run", "reason", "sent", "status", "unreachable")
+
+    def __init__(
+        self,
+        *,
+        sent,
+        status=0,
+        headers=(),
+        body=b"",
+        reason="",
+        may_run=False,
+        unreachable=False,
+    ):
         self.sent = sent
         self.status = status
         self.headers = headers
         self.body = body
         self.reason = reason
         self.may_run = may_run
+        self.unreachable = unreachable
 
 
 class _BadAnswerError(Exception):
@@ -146,7 +158,9 @@
                 # Closing a response that was not read to its end closes the connection.
                 await response.aclose()
             _check_digest(response, content)
-        except (ConnectError, ConnectTimeout, PoolTimeout) as error:
+        except (ConnectError, ConnectTimeout) as error:
+            return Outcome(sent=Sent.NOT_SENT, reason=_describe(error), unreachable=True)
+        except PoolTimeout as error:
             return Outcome(sent=Sent.NOT_SENT, reason=_describe(error))
         except TimeoutException:
             return Outcome(sent=Sent.UNKNOWN, reason=DEADLINE_PASSED, may_run=True)
--- a/siskintally/health.py
+++ b/siskintally/health.py
@@ -18,6 +18,11 @@
 # An endpoint that fails again within this time of its readmission gets twice the back-off.
 RELAPSE_S = 60.0
 MAX_EJECTED_RATIO = 0.3
+# An endpoint to which no connection can be made gets nothing for this time, which doubles with each
+# failed probe. The limit on ejections doesn't count here: such an endpoint serves nobody, while one
+# that answers errors may be failing because of the requests.
+MIN_UNREACHABLE_S = 0.1
+MAX_UNREACHABLE_S = 1.0
 
 
 class _Health:
@@ -29,6 +34,7 @@
         "probing",
         "readmitted_at",
         "results",
+        "unreachable_s",
         "until",
         "window_from",
     )
@@ -42,6 +48,7 @@
         self.probing = False
         self.until = 0.0
         self.backoff_s = 0.0
+        self.unreachable_s = 0.0
         self.readmitted_at = -RELAPSE_S
 
     def count(self, ok, now):
@@ -52,6 +59,19 @@
         self.failures += not ok
         self.consecutive = 0 if ok else self.consecutive + 1
 
+    def is_shut(self):
+        return self.ejected or self.unreachable_s > 0.0
+
+    def lose(self, now):
+        """Note that no connection could be made."""
+        if self.unreachable_s and not self.probing:
+            # A request sent before the endpoint was found unreachable tells nothing new.
+            return
+        doubled = min(self.unreachable_s * 2, MAX_UNREACHABLE_S)
+        self.unreachable_s = max(doubled, MIN_UNREACHABLE_S)
+        self.probing = False
+        self.until = max(self.until, now + self.unreachable_s)
+
     def is_outlier(self):
         if self.consecutive >= CONSECUTIVE_FAILURES:
             return True
@@ -68,6 +88,7 @@
 
     def readmit(self, now):
         self.ejected = self.probing = False
+        self.unreachable_s = 0.0
         self.consecutive = self.results = self.failures = 0
         self.window_from = self.readmitted_at = now
 
@@ -97,15 +118,33 @@
         return health is not None and not health.ejected and health.is_outlier()
 
     def is_ejected(self, name):
-        """Tell whether a request to an endpoint would be its probe."""
+        """Tell whether an endpoint is ejected."""
         health = self._by_name.get(name)
         return health is not None and health.ejected
 
+    def needs_probe(self, name):
+        """Tell whether a request to an endpoint would be its probe."""
+        health = self._by_name.get(name)
+        return health is not None and health.is_shut()
+
     def start(self, name):
-        """Note that a request is sent; to an ejected endpoint it is the one probe."""
-        if self.is_ejected(name):
+        """Note that a request is sent; to an ejected or unreachable endpoint it is the probe."""
+        if self.needs_probe(name):
             self._by_name[name].probing = True
 
+    def lose(self, name, *, now):
+        """Note that no connection to an endpoint could be made.
+
+        The endpoint is not used until a probe is due, however many others there are.
+        """
+        self._by_name.setdefault(name, _Health(now=now)).lose(now)
+
+    def abandon(self, name):
+        """Note that a request ended without telling anything about its endpoint."""
+        health = self._by_name.get(name)
+        if health is not None:
+            health.probing = False
+
     def record(self, name, *, ok, names, now):
         """Take the result of a request.
 
@@ -116,6 +155,11 @@
             if ok:
                 return
             health = self._by_name[name] = _Health(now=now)
+        if health.unreachable_s and not health.ejected:
+            # Any response shows that connections can be made again.
+            health.unreachable_s = 0.0
+            health.probing = False
+            health.until = 0.0
         if health.ejected:
             # Results of requests sent before the ejection change nothing.
             if health.probing and ok:
@@ -135,6 +179,6 @@
 
     def _is_usable(self, name, now):
         health = self._by_name.get(name)
-        if health is None or not health.ejected:
+        if health is None or not health.is_shut():
             return True
         return now >= health.until and not health.probing
--- a/siskintally/lane.py
+++ b/siskintally/lane.py
@@ -110,7 +110,7 @@
                 return
             self._give(ticket, usable)
 
-    def release(self, ticket, *, ok, seconds, now, may_run=False):
+    def release(self, ticket, *, ok, seconds, now, may_run=False, unreachable=False):
         """Take back a slot.
 
         A slot whose request may still run at the endpoint is held for a usual service time, so
@@ -119,14 +119,20 @@
         :param ok: whether the endpoint did its work, or None if that is not known.
         :param seconds: service time of a complete response, or None.
         :param may_run: whether the endpoint may still work on the request.
+        :param unreachable: whether no connection to the endpoint could be made.
         """
         if may_run:
             self._held.append((now + self._hold_s(now), ticket))
         else:
             ticket.endpoint.give_back(urgent=ticket.rank == URGENT)
-        if ok is not None:
+        key = ticket.endpoint.key
+        if unreachable:
+            self._health.lose(key, now=now)
+        elif ok is None:
+            self._health.abandon(key)
+        else:
             names = [_key(endpoint) for endpoint in self._live(now)]
-            self._health.record(ticket.endpoint.key, ok=ok, names=names, now=now)
+            self._health.record(key, ok=ok, names=names, now=now)
         if seconds is not None:
             self.admission.measured(seconds, now=now)
         self.pump(now)
--- a/siskintally/request.py
+++ b/siskintally/request.py
@@ -172,11 +172,7 @@
             )
         finally:
             now = monotonic()
-            done = outcome is not None and outcome.sent is Sent.DONE
-            ok = None if outcome is None else done and outcome.status < 500
-            seconds = now - started if done else None
-            may_run = outcome is not None and outcome.may_run
-            lane.release(ticket, ok=ok, seconds=seconds, now=now, may_run=may_run)
+            lane.release(ticket, now=now, **_lesson(outcome, now - started))
         return outcome
 
     async def _dispatch_to(self, call, peer):
@@ -221,6 +217,20 @@
     return now + min(remaining, max(remaining * ATTEMPT_RATIO, usual))
 
 
+def _lesson(outcome, seconds):
+    """Return what a dispatch tells of its endpoint, as arguments of :meth:`Lane.release`."""
+    if outcome is None:
+        return {"ok": None, "seconds": None}
+    if outcome.sent is Sent.NOT_SENT:
+        return {"ok": None, "seconds": None, "unreachable": outcome.unreachable}
+    done = outcome.sent is Sent.DONE
+    return {
+        "ok": done and outcome.status < 500,
+        "seconds": seconds if done else None,
+        "may_run": outcome.may_run,
+    }
+
+
 def _answer_of_unserved(lane, ticket, granted):
     lane.withdraw(ticket)
     if granted.is_set() and ticket.deadline > monotonic():
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -247,6 +247,34 @@
     assert table.ejected(names) == ["a"]
 
 
+def test_unreachable_endpoint_is_not_used_however_few_there_are():
+    # Guards against a refusing endpoint of two that draws requests because its slots stay free.
+    names, now = ["a", "b"], 10.0
+    table = HealthTable()
+    for backoff_s in (0.1, 0.2, 0.4, 0.8, 1.0, 1.0):
+        table.start("a")
+        table.lose("a", now=now)
+        table.lose("a", now=now)
+        assert table.usable(names, now=now + backoff_s * 0.9) == ["b"]
+        now += backoff_s * 1.01
+        assert table.usable(names, now=now) == names
+    table.start("a")
+    assert table.usable(names, now=now) == ["b"]
+    table.record("a", ok=True, names=names, now=now)
+    assert table.usable(names, now=now) == names
+
+
+def test_probe_that_is_cut_off_is_followed_by_another():
+    # Guards against an endpoint that stays shut because the caller of its probe disconnected.
+    names = ["a", "b", "c", "d"]
+    table = HealthTable()
+    fail(table, "a", names, 10.0)
+    table.start("a")
+    assert "a" not in table.usable(names, now=12.0)
+    table.abandon("a")
+    assert "a" in table.usable(names, now=12.0)
+
+
 def summary(free, endpoints=1, **fields):
     load = ServiceLoad(service="s", endpoints=endpoints, free_slots=free)
     return EntrySummary(services=[load], **fields)
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -1,5 +1,6 @@
 """Entries and endpoints as real processes on loopback."""
 
+from itertools import count
 from json import loads
 from time import monotonic
 
@@ -9,7 +10,7 @@
 from siskintally.codes import Code, not_run
 from tests.checker import Answer, check_requests, read
 from tests.entry_net import TOKEN, code, running
-from tests.processes import wait_until
+from tests.processes import free_ports, wait_until
 
 LIMIT_S = 120
 
@@ -28,15 +29,15 @@
     return [record for record in records if record["event"] == "start"]
 
 
-async def gather(function, count):
+async def gather(function, total):
     """Run ``function(number)`` concurrently and return the results in order."""
-    results = [None] * count
+    results = [None] * total
 
     async def keep(number):
         results[number] = await function(number)
 
     async with create_task_group() as tasks:
-        for number in range(count):
+        for number in range(total):
             tasks.start_soon(keep, number)
     return results
 
@@ -205,8 +206,8 @@
         await net.wait_served("e1")
         await net.control("p0", fault="fail")
 
-        async def many(count):
-            return [code(await net.call("e1")) for _ in range(count)]
+        async def many(total):
+            return [code(await net.call("e1")) for _ in range(total)]
 
         await wait_until(lambda: many(20), "warm")
         await many(40)
@@ -217,17 +218,60 @@
         assert len(starts(net, "p0")) - before <= monotonic() - began + 1
         assert codes.count(1000) >= 97
         await net.control("p0", fault="none")
-        count = len(starts(net, "p0"))
+        probed = len(starts(net, "p0"))
 
         async def works():
             await many(20)
-            return len(starts(net, "p0")) > count + 5
+            return len(starts(net, "p0")) > probed + 5
 
         await wait_until(works, "p0 is readmitted")
 
     with_net(tmp_path, check)
 
 
+def test_requests_wait_for_the_other_endpoint_while_one_refuses_connections(tmp_path):
+    # Guards against "no endpoint" while the other one would take the request a moment later: the
+    # slots of an endpoint that refuses are always free and so draw what waits.
+    async def check(net):
+        net.start_stub("p1", "--service_ms", 50)
+        await net.wait_known(1)
+        await net.wait_served("e1")
+        (port,) = free_ports(1)
+        refusing = {
+            "name": "p2",
+            "service": "seat-count",
+            "domain": "jylland-a",
+            "url": f"http://127.0.0.1:{port}",
+            "slots": 8,
+            "connections": 64,
+            "incarnation": 1,
+            "state": "serving",
+        }
+
+        async def keep_announcing():
+            for seq in count(1):
+                url = f"{net.url_by_name['e1']}/v1/announce"
+                await net.client.post(url, json={**refusing, "seq": seq})
+                await sleep(0.3)
+
+        async with create_task_group() as tasks:
+            tasks.start_soon(keep_announcing)
+            await net.wait_known(2)
+
+            async def one(number):
+                headers = {"idempotency_key": f"k{number}"} if number % 2 else {}
+                body = f"order {number}".encode()
+                response = await net.call("e1", body=body, **headers)
+                return answer_of(response, body, headers.get("idempotency_key"))
+
+            answers = [answer for _ in range(3) for answer in await gather(one, 30)]
+            tasks.cancel_scope.cancel()
+        assert {answer.code for answer in answers} <= {1000, 1001}
+        assert check_requests(read(net.record("p1")), answers) == []
+
+    with_net(tmp_path, check)
+
+
 @pytest.mark.parametrize("fault", ["truncated", "wrong-id", "wrong-digest", "doubled"])
 def test_damaged_answers_are_not_delivered(tmp_path, fault):
     # Guards against answers of other requests and incomplete answers reaching a caller.
