Refuse requests that won't run early, and compare three admission rules

Cause of late refusals: a request was accepted when it would be in time by the measured intervals between dispatches, without regard to the share that higher classes take, so at twice the capacity each queue grew until its wait was the whole deadline, and whoever was pushed back by a more urgent request or a promoted deferrable one was dropped when its deadline had nearly passed.

Change: the wait is forecast from the requests ahead, the measured service time and the arrivals of higher classes; a request is accepted if it would be in time after twice that wait, and waiting requests are reviewed after each fifth of their time.

Class-share is kept: it tells on arrival, so that the caller can go elsewhere and a non-idempotent request makes no ledger record, and it uses more of the deadline in bursts.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -10,8 +10,9 @@
 ROOT = Path(__file__).resolve().parent.parent
 PARTS = {
     "Requests (entry daemon)": (
-        "entry gateway http_server call request lane admission fair_queue balancer share health "
-        "retry forward ledger_client announcement exchange summary peers pause limits watch relay"
+        "entry gateway http_server call request lane admission admission_trials forecast "
+        "fair_queue balancer share health retry forward ledger_client announcement exchange "
+        "summary peers pause limits watch relay"
     ),
     "Placement and workers": (
         "placement policy pool index grid size workload backlog preemption ejection feasibility "
--- a/siskintally/admission.py
+++ b/siskintally/admission.py
@@ -17,6 +17,7 @@
 from siskintally.codes import Code
 from siskintally.errors import SiskintallyError
 from siskintally.fair_queue import FairQueue, State
+from siskintally.forecast import Rate, ServiceTime, wait_s
 from siskintally.limits import DEFERRABLE, NORMAL, URGENT
 
 RANKS = (URGENT, NORMAL, DEFERRABLE)
@@ -25,12 +26,13 @@
 # A deferrable request counts as normal in the last fifth of its time.
 PROMOTE_RATIO = 0.2
 PROMOTE_SERVICE_TIMES = 2.0
-SMOOTHING = 0.1
-# A request sent with less time left than mean and deviations often ends with an unknown outcome.
-DEVIATIONS = 4.0
-# A service time measured longer ago refuses nobody, so one slow answer can't close a service.
-MEASURE_LIFE_S = 10.0
 MAX_CREDIT = 2.0
+# A request is accepted if it would be in time even though it waited this many times the forecast:
+# later requests of higher classes and of earlier deadlines go before it.
+WAIT_MARGIN = 2.0
+# Waiting requests are reviewed this often in the time to their deadline, so that one whose chance
+# has gone by the first review is told within a quarter of that time.
+REVIEWS = 5
 
 
 class OverloadedError(SiskintallyError):
@@ -48,6 +50,21 @@
     return 0 if total < 2 else max(1, total // SLOTS_PER_RESERVE)
 
 
+def next_review(ticket, now):
+    """Return when a waiting request is reviewed next, at the latest its deadline.
+
+    >>> from siskintally.fair_queue import Ticket
+    >>> ticket = Ticket(rank=1, caller="c", deadline=10.0, queued_at=0.0)
+    >>> [next_review(ticket, now) for now in (0.0, 2.0, 3.0, 9.0)]
+    [2.0, 4.0, 4.0, 10.0]
+    """
+    step = (ticket.deadline - ticket.queued_at) / REVIEWS
+    if step <= 0:
+        return ticket.deadline
+    number = (now - ticket.queued_at) // step + 1
+    return min(ticket.queued_at + number * step, ticket.deadline)
+
+
 class Admission:
     """Requests of one service that wait for a slot.
 
@@ -56,15 +73,12 @@
 
     __slots__ = (
         "_credit",
-        "_deviation_s",
+        "_demand",
         "_expired",
-        "_interval_s",
-        "_last_taken_at",
-        "_measured_at",
         "_numbers",
         "_promotions",
         "_queues",
-        "_service_s",
+        "_service",
         "limits",
     )
 
@@ -74,11 +88,8 @@
         self._promotions = []
         self._numbers = count()
         self._credit = 0.0
-        self._service_s = 0.0
-        self._deviation_s = 0.0
-        self._measured_at = 0.0
-        self._interval_s = [0.0 for _ in RANKS]
-        self._last_taken_at = [None for _ in RANKS]
+        self._service = ServiceTime()
+        self._demand = tuple(Rate() for _ in RANKS)
         self._expired = []
 
     def __len__(self):
@@ -90,23 +101,15 @@
 
     def service_s(self, now):
         """Return the measured service time, s; 0 if there was no recent one."""
-        return self._service_s if now - self._measured_at <= MEASURE_LIFE_S else 0.0
+        return self._service.mean_s(now)
 
     def needed_s(self, now):
         """Return the time within which nearly all requests are served, s."""
-        mean = self.service_s(now)
-        return mean + DEVIATIONS * self._deviation_s if mean else 0.0
+        return self._service.needed_s(now)
 
     def measured(self, seconds, *, now):
         """Take the service time of a complete response."""
-        if self.service_s(now) == 0.0:
-            self._service_s = seconds
-            self._deviation_s = 0.0
-        else:
-            error = seconds - self._service_s
-            self._service_s += SMOOTHING * error
-            self._deviation_s += SMOOTHING * (abs(error) - self._deviation_s)
-        self._measured_at = now
+        self._service.add(seconds, now)
 
     def check(self, ticket, *, now, free, total):
         """Check whether a request would be accepted now.
@@ -116,11 +119,10 @@
         :raises OverloadedError: the request must be refused.
         """
         queue = self._queues[ticket.rank]
-        ahead = self._ahead(ticket)
-        if free > 0 and not ahead:
+        if free > 0 and not any(self._ahead(ticket)):
             return
-        finish = now + self._wait_s(ticket.rank, ahead, now, total) + self.needed_s(now)
-        if finish > ticket.deadline:
+        wait = WAIT_MARGIN * self._wait_s(ticket, now, total)
+        if now + wait + self.needed_s(now) > ticket.deadline:
             raise OverloadedError("deadline: can't be met with the requests that wait already")
         if len(queue) >= self.limits.queue_limit(ticket.rank) and self._victim(ticket) is None:
             raise OverloadedError("queue: full")
@@ -135,16 +137,25 @@
         queue = self._queues[ticket.rank]
         victim = None
         is_full = len(queue) >= self.limits.queue_limit(ticket.rank)
-        if is_full and (free <= 0 or self._ahead(ticket)):
+        if is_full and (free <= 0 or any(self._ahead(ticket))):
             victim = self._victim(ticket)
             if victim is None:
                 raise OverloadedError("queue: full")
             queue.remove(victim)
         queue.push(ticket)
+        self._demand[ticket.rank].add(now)
         if ticket.rank == DEFERRABLE:
             self._plan_promotion(ticket, now)
         return victim
 
+    def keeps(self, ticket, *, now, total):
+        """Tell whether a waiting request can still meet its deadline.
+
+        :param total: all slots of this entry.
+        """
+        finish = now + self._wait_s(ticket, now, total) + self.needed_s(now)
+        return finish <= ticket.deadline
+
     def withdraw(self, ticket):
         """Take out a request that no longer waits."""
         if ticket.state is State.WAITING:
@@ -169,7 +180,7 @@
                 ticket.state = State.GONE
                 self._expired.append(ticket)
                 continue
-            self._taken(rank, now)
+            self._taken(rank)
             return ticket
         return None
 
@@ -180,17 +191,19 @@
 
     def _ahead(self, ticket):
         queue = self._queues[ticket.rank]
-        own = queue.waiting_of(ticket.caller)
-        callers = queue.callers() + (own == 0)
-        # Round robin: others get at most as many turns as this caller before its new request.
-        in_class = min(len(queue), (own + 1) * callers - 1)
-        return in_class + sum(len(self._queues[rank]) for rank in range(ticket.rank))
-
-    def _wait_s(self, rank, ahead, now, total):
-        usable = total if rank == URGENT else total - urgent_reserve(total)
-        by_model = ahead * self.service_s(now) / max(usable, 1)
-        own = ahead - sum(len(self._queues[other]) for other in range(rank))
-        return max(by_model, own * self._interval_s[rank])
+        higher = [len(self._queues[rank]) for rank in range(ticket.rank)]
+        return [*higher, queue.ahead_of(ticket)]
+
+    def _wait_s(self, ticket, now, total):
+        service = self.service_s(now)
+        if not service:
+            return 0.0
+        capacity = total / service
+        ordinary = (total - urgent_reserve(total)) / service
+        demand = [rate.per_s(now) for rate in self._demand]
+        waits = self._queues[DEFERRABLE] or ticket.rank == DEFERRABLE
+        share = self.limits.deferrable_share if waits else 0.0
+        return wait_s(ticket.rank, self._ahead(ticket), capacity, ordinary, demand, share=share)
 
     def _victim(self, ticket):
         queue = self._queues[ticket.rank]
@@ -213,16 +226,11 @@
             return next((rank for rank in (NORMAL, DEFERRABLE) if self._queues[rank]), None)
         return None
 
-    def _taken(self, rank, now):
+    def _taken(self, rank):
         if rank == DEFERRABLE:
             self._credit = max(0.0, self._credit - 1.0)
         if self._queues[DEFERRABLE]:
             self._credit = min(self._credit + self.limits.deferrable_share, MAX_CREDIT)
-        last = self._last_taken_at[rank]
-        if last is not None:
-            self._interval_s[rank] += SMOOTHING * (now - last - self._interval_s[rank])
-        # Only intervals with a request waiting throughout tell how fast a queue drains.
-        self._last_taken_at[rank] = now if self._queues[rank] else None
 
     def _plan_promotion(self, ticket, now):
         span = ticket.deadline - ticket.queued_at
--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -17,6 +17,7 @@
     DEFINE_string,
 )
 
+from siskintally.admission_trials import ADMISSION_BY_NAME
 from siskintally.balancer import BALANCER_BY_NAME
 from siskintally.command import Command
 from siskintally.daemon import serve_until_signal
@@ -64,6 +65,9 @@
         "how an endpoint is chosen",
         flag_values=values,
     )
+    DEFINE_enum(
+        "admission", "class-share", sorted(ADMISSION_BY_NAME), "admission", flag_values=values
+    )
     DEFINE_enum("log_level", "info", LEVELS, "least level of log lines", flag_values=values)
 
 
@@ -83,6 +87,7 @@
         standalone=values.standalone,
         drain_s=values.drain_s,
         balancer=values.balancer,
+        admission=values.admission,
     )
     return serve_until_signal(entry.run, entry.stop)
 
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -11,6 +11,7 @@
 
 from anyio import Event, create_task_group, sleep
 
+from siskintally.admission_trials import ADMISSION_BY_NAME
 from siskintally.announcement import AnnouncementTable
 from siskintally.balancer import BALANCER_BY_NAME
 from siskintally.call import Answer, read_forward
@@ -55,6 +56,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_balancer",
         "_buffered",
         "_course",
@@ -82,7 +84,17 @@
         "relay",
     )
 
-    def __init__(self, *, settings, process, standalone, drain_s, balancer="power-of-two"):
+    def __init__(
+        self,
+        *,
+        settings,
+        process,
+        standalone,
+        drain_s,
+        balancer="power-of-two",
+        admission="class-share",
+    ):
+        self._admission = ADMISSION_BY_NAME[admission]
         self._settings = settings
         self._process = process
         self._standalone = standalone
@@ -188,7 +200,7 @@
         lane = self._lane_by_service.get(service)
         if lane is None:
             lane = self._lane_by_service[service] = Lane(
-                limits=self.limits,
+                admission=self._admission(limits=self.limits),
                 live=lambda now: self._table.live(service, now=now),
                 share_of=self._share_of,
                 balancer=self._balancer,
--- a/siskintally/fair_queue.py
+++ b/siskintally/fair_queue.py
@@ -93,6 +93,21 @@
         line = self._line_by_caller.get(caller)
         return line.waiting if line else 0
 
+    def ahead_of(self, ticket):
+        """Return how many waiting tickets are popped before a new or a waiting one.
+
+        Round robin gives others at most as many turns as this caller has up to the ticket.
+        """
+        line = self._line_by_caller.get(ticket.caller)
+        callers = self.callers() + (line is None)
+        own = sum(
+            1
+            for deadline, _, other in (line.heap if line else ())
+            if deadline <= ticket.deadline and other is not ticket and other.state is State.WAITING
+        )
+        others = self._waiting - (ticket.state is State.WAITING)
+        return min(others, (own + 1) * callers - 1)
+
     def push(self, ticket):
         """Add a ticket."""
         line = self._line_by_caller.get(ticket.caller)
--- a/siskintally/lane.py
+++ b/siskintally/lane.py
@@ -5,7 +5,6 @@
 'Lane'
 """
 
-from siskintally.admission import Admission
 from siskintally.balancer import Candidate
 from siskintally.fair_queue import State
 from siskintally.forward import Forwarder
@@ -60,8 +59,8 @@
         "admission",
     )
 
-    def __init__(self, *, limits, live, share_of, balancer):
-        self.admission = Admission(limits=limits)
+    def __init__(self, *, admission, live, share_of, balancer):
+        self.admission = admission
         self._live = live
         self._share_of = share_of
         self._balancer = balancer
@@ -92,6 +91,14 @@
             victim.notify()
         self.pump(now)
 
+    def keeps(self, ticket, *, now):
+        """Tell whether a waiting request can still meet its deadline."""
+        if not self.endpoints(now):
+            return False
+        _, total = self.capacity(now)
+        # Endpoints that are unreachable are probed again within a second.
+        return not total or self.admission.keeps(ticket, now=now, total=total)
+
     def withdraw(self, ticket):
         """Take out a request that no longer waits."""
         self.admission.withdraw(ticket)
--- a/siskintally/request.py
+++ b/siskintally/request.py
@@ -10,7 +10,7 @@
 
 from anyio import Event, move_on_after
 
-from siskintally.admission import OverloadedError
+from siskintally.admission import OverloadedError, next_review
 from siskintally.call import Answer
 from siskintally.codes import Code, not_run
 from siskintally.errors import SiskintallyError, UnreachableError
@@ -138,13 +138,12 @@
         ticket = _ticket(call, monotonic(), notify=granted.set, avoid=avoid)
         lane.offer(ticket, now=monotonic())
         try:
-            with move_on_after(call.deadline - monotonic()):
-                await granted.wait()
+            has_chance = await _wait_for_slot(lane, ticket, granted)
         except BaseException:
             self._give_back(lane, ticket)
             raise
         if not is_granted(ticket):
-            return _answer_of_unserved(lane, ticket, granted), ""
+            return _answer_of_unserved(lane, ticket, dropped=granted.is_set() or not has_chance), ""
         outcome = await self._send(call, lane, ticket, may_retry)
         return _answer_of_outcome(outcome), ticket.endpoint.key
 
@@ -231,9 +230,22 @@
     }
 
 
-def _answer_of_unserved(lane, ticket, granted):
+async def _wait_for_slot(lane, ticket, granted):
+    """Wait until a request was taken or dropped.
+
+    :returns: False if a review found that the request can't meet its deadline any more.
+    """
+    while not granted.is_set() and (now := monotonic()) < ticket.deadline:
+        with move_on_after(next_review(ticket, now) - now):
+            await granted.wait()
+        if not granted.is_set() and not lane.keeps(ticket, now=monotonic()):
+            return False
+    return True
+
+
+def _answer_of_unserved(lane, ticket, *, dropped):
     lane.withdraw(ticket)
-    if granted.is_set() and ticket.deadline > monotonic():
+    if dropped and ticket.deadline > monotonic():
         evidence = "dropped from the queue; no byte was sent"
         return Answer.without_response(Code.OVERLOADED, evidence)
     return Answer.without_response(Code.EXPIRED, "deadline passed in the queue; no byte was sent")
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -2,8 +2,10 @@
 
 from collections import Counter
 from random import Random
+from time import monotonic
 
 import pytest
+from anyio import Event, run
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -17,9 +19,11 @@
 from siskintally.balancer import BALANCER_BY_NAME, Candidate, LeastLoaded, PowerOfTwo, Rendezvous
 from siskintally.entry import Entry
 from siskintally.errors import BadRequestError
+from siskintally.fair_queue import Ticket
 from siskintally.health import HealthTable
 from siskintally.ledger_client import home_of
 from siskintally.pause import PauseGuard
+from siskintally.request import _wait_for_slot
 from siskintally.retry import RetryBudget
 from siskintally.settings import parse
 from siskintally.share import share
@@ -275,6 +279,24 @@
     assert "a" in table.usable(names, now=12.0)
 
 
+class LaneWithoutChance:
+    """A lane whose waiting requests can't meet their deadlines."""
+
+    def keeps(self, ticket, *, now):
+        """Return False."""
+        return False
+
+
+def test_waiting_request_without_a_chance_is_told_at_its_review():
+    # Guards against a request that waits for its deadline although it can't be met any more.
+    async def main():
+        now = monotonic()
+        one = Ticket(rank=1, caller="c", deadline=now + 80.1, queued_at=now - 19.9)
+        return await _wait_for_slot(LaneWithoutChance(), one, Event())
+
+    assert run(main) is False
+
+
 def summary(free, endpoints=1, **fields):
     load = ServiceLoad(service="s", endpoints=endpoints, free_slots=free)
     return EntrySummary(services=[load], **fields)
