--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -10,7 +10,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 PARTS = {
     "Requests (entry daemon)": (
-        "entry gateway http_server call request lane admission admission_trials forecast "
+        "entry gateway http_server call request lane admission forecast "
         "fair_queue balancer share health retry forward ledger_client announcement exchange "
         "summary peers pause limits watch relay"
     ),
--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -17,7 +17,6 @@
     DEFINE_string,
 )
 
-from siskintally.admission_trials import ADMISSION_BY_NAME
 from siskintally.balancer import BALANCER_BY_NAME
 from siskintally.command import Command
 from siskintally.daemon import serve_until_signal
@@ -65,9 +64,6 @@
         "how an endpoint is chosen",
         flag_values=values,
     )
-    DEFINE_enum(
-        "admission", "class-share", sorted(ADMISSION_BY_NAME), "admission", flag_values=values
-    )
     DEFINE_enum("log_level", "info", LEVELS, "least level of log lines", flag_values=values)
 
 
@@ -87,7 +83,6 @@
         standalone=values.standalone,
         drain_s=values.drain_s,
         balancer=values.balancer,
-        admission=values.admission,
     )
     return serve_until_signal(entry.run, entry.stop)
 
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -11,7 +11,6 @@
 
 from anyio import Event, create_task_group, sleep
 
-from siskintally.admission_trials import ADMISSION_BY_NAME
 from siskintally.announcement import AnnouncementTable
 from siskintally.balancer import BALANCER_BY_NAME
 from siskintally.call import Answer, read_forward
@@ -56,7 +55,6 @@
     """
 
     __slots__ = (
-        "_admission",
         "_balancer",
         "_buffered",
         "_course",
@@ -84,17 +82,7 @@
         "relay",
     )
 
-    def __init__(
-        self,
-        *,
-        settings,
-        process,
-        standalone,
-        drain_s,
-        balancer="power-of-two",
-        admission="class-share",
-    ):
-        self._admission = ADMISSION_BY_NAME[admission]
+    def __init__(self, *, settings, process, standalone, drain_s, balancer="power-of-two"):
         self._settings = settings
         self._process = process
         self._standalone = standalone
@@ -200,7 +188,7 @@
         lane = self._lane_by_service.get(service)
         if lane is None:
             lane = self._lane_by_service[service] = Lane(
-                admission=self._admission(limits=self.limits),
+                limits=self.limits,
                 live=lambda now: self._table.live(service, now=now),
                 share_of=self._share_of,
                 balancer=self._balancer,
--- a/siskintally/lane.py
+++ b/siskintally/lane.py
@@ -5,6 +5,7 @@
 'Lane'
 """
 
+from siskintally.admission import Admission
 from siskintally.balancer import Candidate
 from siskintally.fair_queue import State
 from siskintally.forward import Forwarder
@@ -59,8 +60,8 @@
         "admission",
     )
 
-    def __init__(self, *, admission, live, share_of, balancer):
-        self.admission = admission
+    def __init__(self, *, limits, live, share_of, balancer):
+        self.admission = Admission(limits=limits)
         self._live = live
         self._share_of = share_of
         self._balancer = balancer
