Count only the first send of a request for the retry budget

Cause: retries and dispatches that sent no byte added to the budget of retries, so that retries could pass a tenth of the first sends (a tenth of all sends is a ninth of the first ones).

Change: only the first send that may have run counts, at the entry that may retry it. A request that is dropped from the queue is now offered to an entry of another domain with free slots, like one that is refused on arrival.

--- a/siskintally/request.py
+++ b/siskintally/request.py
@@ -30,6 +30,7 @@
 FORWARD_MARGIN_RATIO = 0.1
 # A ledger record that is not acknowledged in this time is settled after the caller is answered.
 SETTLE_WAIT_S = 2.0
+EXPIRED_IN_QUEUE = "deadline passed in the queue; no byte was sent"
 THIS_ATTEMPT = "this attempt was not run; earlier ones with the key are unchanged"
 
 log = get_logger("request")
@@ -101,6 +102,10 @@
             if number and monotonic() >= call.deadline:
                 break
             answer, avoid = await self._dispatch(call, avoid, forwarded, last=call.once)
+            if unknown is None and not forwarded and not answer.is_not_run:
+                # Only the first send that may have run fills the budget; the entry that forwarded
+                # a request counts it in its own.
+                self._budget.sent()
             if answer.status or answer.code not in (Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN):
                 return unknown or answer if answer.is_not_run else answer
             if answer.code == Code.NO_ENDPOINT and not avoid:
@@ -143,7 +148,10 @@
             self._give_back(lane, ticket)
             raise
         if not is_granted(ticket):
-            return _answer_of_unserved(lane, ticket, dropped=granted.is_set() or not has_chance), ""
+            lane.withdraw(ticket)
+            if ticket.deadline > monotonic() and (granted.is_set() or not has_chance):
+                raise OverloadedError("dropped from the queue; no byte was sent")
+            return Answer.without_response(Code.EXPIRED, EXPIRED_IN_QUEUE), ""
         outcome = await self._send(call, lane, ticket, may_retry)
         return _answer_of_outcome(outcome), ticket.endpoint.key
 
@@ -160,7 +168,6 @@
         deadline = _attempt_deadline(call, lane, started) if may_retry else call.deadline
         outcome = None
         try:
-            self._budget.sent()
             outcome = await ticket.endpoint.forwarder.send(
                 request_id=call.request_id,
                 method=call.method,
@@ -243,14 +250,6 @@
     return True
 
 
-def _answer_of_unserved(lane, ticket, *, dropped):
-    lane.withdraw(ticket)
-    if dropped and ticket.deadline > monotonic():
-        evidence = "dropped from the queue; no byte was sent"
-        return Answer.without_response(Code.OVERLOADED, evidence)
-    return Answer.without_response(Code.EXPIRED, "deadline passed in the queue; no byte was sent")
-
-
 def _answer_of_outcome(outcome: Outcome):
     if outcome.sent is Sent.DONE:
         return Answer.of_response(outcome.status, outcome.headers, outcome.body)
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from random import Random
 from time import monotonic
+from types import SimpleNamespace
 
 import pytest
 from anyio import Event, run
@@ -17,13 +18,16 @@
     read_announcement,
 )
 from siskintally.balancer import BALANCER_BY_NAME, Candidate, LeastLoaded, PowerOfTwo, Rendezvous
+from siskintally.call import Answer
+from siskintally.codes import Code
 from siskintally.entry import Entry
 from siskintally.errors import BadRequestError
 from siskintally.fair_queue import Ticket
 from siskintally.health import HealthTable
 from siskintally.ledger_client import home_of
+from siskintally.metrics import Metrics
 from siskintally.pause import PauseGuard
-from siskintally.request import _wait_for_slot
+from siskintally.request import Course, _wait_for_slot
 from siskintally.retry import RetryBudget
 from siskintally.settings import parse
 from siskintally.share import share
@@ -279,6 +283,33 @@
     assert "a" in table.usable(names, now=12.0)
 
 
+class ScriptedCourse(Course):
+    """A course whose dispatches end as a list says."""
+
+    __slots__ = ("codes",)
+
+    async def _dispatch(self, call, avoid, forwarded, last):
+        return Answer.without_response(self.codes.pop(0), ""), "p1"
+
+
+def test_retries_and_unsent_dispatches_do_not_fill_the_retry_budget():
+    # Guards against retries that allow further retries, which pass a tenth of the first sends.
+    budget = RetryBudget(ratio=0.1)
+    metrics = Metrics(address=None, prefix="")
+    course = ScriptedCourse(lanes=None, budget=budget, ledger=None, peers=None, metrics=metrics)
+    unsent, unknown, failed = Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN, Code.ENDPOINT_FAILED
+    call = SimpleNamespace(once=False, deadline=float("inf"), request_id="r")
+    for _ in range(40):
+        course.codes = [unsent, unsent, failed]
+        run(course.run, call)
+    retries = 0
+    for _ in range(60):
+        course.codes = [unknown, failed]
+        run(course.run, call)
+        retries += not course.codes
+    assert retries == 10
+
+
 class LaneWithoutChance:
     """A lane whose waiting requests can't meet their deadlines."""
 
