--- a/bench/load.py
+++ b/bench/load.py
@@ -186,6 +186,7 @@
             result.told.record(latency / kind.deadline_s)
 
     async def _exchange(self, target, kind):
+        is_new = False
         idle = self._idle_by_target[target]
         while idle and monotonic() - idle[-1].used_at > REUSE_IDLE_S:
             await idle.pop().stream.aclose()
@@ -193,7 +194,15 @@
             channel = idle.pop()
         else:
             channel = await self._open(target)
-        code = await channel.exchange(self._path, kind.headers)
+            is_new = True
+        try:
+            code = await channel.exchange(self._path, kind.headers)
+        except (OSError, EndOfStream, BrokenResourceError, ClosedResourceError):
+            # The target closed the idle connection; a load balancer opens another one.
+            if is_new:
+                raise
+            channel = await self._open(target)
+            code = await channel.exchange(self._path, kind.headers)
         host, _, port = channel.host.rpartition(":")
         self._idle_by_target[host, int(port)].append(channel)
         return code
