Let requests wait for the first announcement after the start of an entry

Cause: endpoints announce themselves each second, so a restarted entry knew none of them for about a second but took requests, and told them 2002.

Change: in the first 2 s a request waits for an endpoint of its service, for at most a quarter of the time to its deadline and only while no entry of another domain can serve it.

--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -137,6 +137,7 @@
                 ledger=self._ledger,
                 peers=self._peers,
                 metrics=self._metrics,
+                started=monotonic(),
             )
             self._plan()
             await self._supervisor.run()
--- a/siskintally/request.py
+++ b/siskintally/request.py
@@ -8,7 +8,7 @@
 from time import monotonic
 from uuid import uuid4
 
-from anyio import Event, move_on_after
+from anyio import Event, move_on_after, sleep
 
 from siskintally.admission import OverloadedError, next_review
 from siskintally.call import Answer
@@ -23,6 +23,11 @@
 
 # Endpoints tried after provably unsent dispatches; such a dispatch puts no load on an endpoint.
 MAX_DISPATCHES = 3
+# Endpoints announce themselves each second, so an entry that has just started knows none of them.
+STARTUP_S = 2.0
+STARTUP_STEP_S = 0.05
+# A request waits for the first announcement for at most this part of its time.
+STARTUP_RATIO = 0.25
 # An idempotent request leaves time for a retry elsewhere, but waits 8 usual service times.
 ATTEMPT_RATIO = 0.5
 ATTEMPT_SERVICE_TIMES = 8.0
@@ -44,11 +49,13 @@
     :param ledger: :class:`~siskintally.ledger_client.LedgerClient`.
     :param peers: :class:`~siskintally.peers.Peers`, entries of other domains.
     :param metrics: :class:`~siskintally.metrics.Metrics`.
+    :param started: monotonic time at which the entry started.
     """
 
-    __slots__ = ("_budget", "_lanes", "_ledger", "_metrics", "_peers")
+    __slots__ = ("_budget", "_lanes", "_ledger", "_metrics", "_peers", "_startup_end")
 
-    def __init__(self, *, lanes, budget, ledger, peers, metrics):
+    def __init__(self, *, lanes, budget, ledger, peers, metrics, started):
+        self._startup_end = started + STARTUP_S
         self._lanes = lanes
         self._budget = budget
         self._ledger = ledger
@@ -96,6 +103,7 @@
 
     async def _deliver(self, call, forwarded=False):
         """Dispatch until there is a response, no time, or no leave for another attempt."""
+        await self._wait_for_endpoint(call)
         avoid = ""
         unknown = None
         for number in range(MAX_DISPATCHES):
@@ -117,6 +125,17 @@
                 self._metrics.count("retries")
         return unknown or answer
 
+    async def _wait_for_endpoint(self, call):
+        """Wait for the first announcement of a service if this entry has just started."""
+        now = monotonic()
+        end = startup_wait_end(self._startup_end, call.deadline, now)
+        while now < end and not self._is_served(call.service, now):
+            await sleep(STARTUP_STEP_S)
+            now = monotonic()
+
+    def _is_served(self, service, now):
+        return self._lanes(service).endpoints(now) or self._peers.choose(service) is not None
+
     async def _dispatch(self, call, avoid, forwarded, last):
         """Try one endpoint, or one entry of another domain.
 
@@ -203,6 +222,15 @@
         return answer
 
 
+def startup_wait_end(startup_end, deadline, now):
+    """Return until when a request waits for the first announcement of its service.
+
+    >>> [startup_wait_end(2.0, deadline, 1.0) for deadline in (61.0, 3.0)]
+    [2.0, 1.5]
+    """
+    return min(startup_end, now + STARTUP_RATIO * (deadline - now))
+
+
 def _ticket(call, now, notify=None, avoid=""):
     return Ticket(
         rank=call.rank,
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -27,7 +27,7 @@
 from siskintally.ledger_client import home_of
 from siskintally.metrics import Metrics
 from siskintally.pause import PauseGuard
-from siskintally.request import Course, _wait_for_slot
+from siskintally.request import STARTUP_S, Course, _wait_for_slot
 from siskintally.retry import RetryBudget
 from siskintally.settings import parse
 from siskintally.share import share
@@ -296,7 +296,9 @@
     # Guards against retries that allow further retries, which pass a tenth of the first sends.
     budget = RetryBudget(ratio=0.1)
     metrics = Metrics(address=None, prefix="")
-    course = ScriptedCourse(lanes=None, budget=budget, ledger=None, peers=None, metrics=metrics)
+    course = ScriptedCourse(
+        lanes=None, budget=budget, ledger=None, peers=None, metrics=metrics, started=-STARTUP_S
+    )
     unsent, unknown, failed = Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN, Code.ENDPOINT_FAILED
     call = SimpleNamespace(once=False, deadline=float("inf"), request_id="r")
     for _ in range(40):
@@ -310,6 +312,19 @@
     assert retries == 10
 
 
+def test_request_waits_for_the_first_announcement_after_the_start_only():
+    # Guards against "no endpoint" from an entry that was restarted a moment ago.
+    counts = [0, 0, 1]
+    lane = SimpleNamespace(endpoints=lambda now: counts.pop(0))
+    peers = SimpleNamespace(choose=lambda service: None)
+    parts = {"lanes": lambda service: lane, "budget": None, "ledger": None, "metrics": None}
+    call = SimpleNamespace(deadline=monotonic() + 1e6, service="s")
+    for started, left in ((float("inf"), 0), (monotonic() - STARTUP_S, 0)):
+        course = Course(**parts, peers=peers, started=started)
+        run(course._wait_for_endpoint, call)
+        assert len(counts) == left
+
+
 class LaneWithoutChance:
     """A lane whose waiting requests can't meet their deadlines."""
 
