--- a/siskintally/request.py
+++ b/siskintally/request.py
@@ -8,9 +8,9 @@
 from time import monotonic
 from uuid import uuid4
 
-from anyio import Event, move_on_after
+from anyio import Event, move_on_after, sleep
 
-from siskintally.admission import OverloadedError
+from siskintally.admission import OverloadedError, next_review
 from siskintally.call import Answer
 from siskintally.codes import Code, not_run
 from siskintally.errors import SiskintallyError, UnreachableError
@@ -23,6 +23,11 @@
 
 # Endpoints tried after provably unsent dispatches; such a dispatch puts no load on an endpoint.
 MAX_DISPATCHES = 3
+# Endpoints announce themselves each second, so an entry that has just started knows none of them.
+STARTUP_S = 2.0
+STARTUP_STEP_S = 0.05
+# A request waits for the first announcement for at most this part of its time.
+STARTUP_RATIO = 0.25
 # An idempotent request leaves time for a retry elsewhere, but waits 8 usual service times.
 ATTEMPT_RATIO = 0.5
 ATTEMPT_SERVICE_TIMES = 8.0
@@ -30,6 +35,7 @@
 FORWARD_MARGIN_RATIO = 0.1
 # A ledger record that is not acknowledged in this time is settled after the caller is answered.
 SETTLE_WAIT_S = 2.0
+EXPIRED_IN_QUEUE = "deadline passed in the queue; no byte was sent"
 THIS_ATTEMPT = "this attempt was not run; earlier ones with the key are unchanged"
 
 log = get_logger("request")
@@ -43,11 +49,13 @@
     :param ledger: :class:`~siskintally.ledger_client.LedgerClient`.
     :param peers: :class:`~siskintally.peers.Peers`, entries of other domains.
     :param metrics: :class:`~siskintally.metrics.Metrics`.
+    :param started: monotonic time at which the entry started.
     """
 
-    __slots__ = ("_budget", "_lanes", "_ledger", "_metrics", "_peers")
+    __slots__ = ("_budget", "_lanes", "_ledger", "_metrics", "_peers", "_startup_end")
 
-    def __init__(self, *, lanes, budget, ledger, peers, metrics):
+    def __init__(self, *, lanes, budget, ledger, peers, metrics, started):
+        self._startup_end = started + STARTUP_S
         self._lanes = lanes
         self._budget = budget
         self._ledger = ledger
@@ -95,12 +103,17 @@
 
     async def _deliver(self, call, forwarded=False):
         """Dispatch until there is a response, no time, or no leave for another attempt."""
+        await self._wait_for_endpoint(call)
         avoid = ""
         unknown = None
         for number in range(MAX_DISPATCHES):
             if number and monotonic() >= call.deadline:
                 break
             answer, avoid = await self._dispatch(call, avoid, forwarded, last=call.once)
+            if unknown is None and not forwarded and not answer.is_not_run:
+                # Only the first send that may have run fills the budget; the entry that forwarded
+                # a request counts it in its own.
+                self._budget.sent()
             if answer.status or answer.code not in (Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN):
                 return unknown or answer if answer.is_not_run else answer
             if answer.code == Code.NO_ENDPOINT and not avoid:
@@ -112,6 +125,17 @@
                 self._metrics.count("retries")
         return unknown or answer
 
+    async def _wait_for_endpoint(self, call):
+        """Wait for the first announcement of a service if this entry has just started."""
+        now = monotonic()
+        end = startup_wait_end(self._startup_end, call.deadline, now)
+        while now < end and not self._is_served(call.service, now):
+            await sleep(STARTUP_STEP_S)
+            now = monotonic()
+
+    def _is_served(self, service, now):
+        return self._lanes(service).endpoints(now) or self._peers.choose(service) is not None
+
     async def _dispatch(self, call, avoid, forwarded, last):
         """Try one endpoint, or one entry of another domain.
 
@@ -138,13 +162,15 @@
         ticket = _ticket(call, monotonic(), notify=granted.set, avoid=avoid)
         lane.offer(ticket, now=monotonic())
         try:
-            with move_on_after(call.deadline - monotonic()):
-                await granted.wait()
+            has_chance = await _wait_for_slot(lane, ticket, granted)
         except BaseException:
             self._give_back(lane, ticket)
             raise
         if not is_granted(ticket):
-            return _answer_of_unserved(lane, ticket, granted), ""
+            lane.withdraw(ticket)
+            if ticket.deadline > monotonic() and (granted.is_set() or not has_chance):
+                raise OverloadedError("dropped from the queue; no byte was sent")
+            return Answer.without_response(Code.EXPIRED, EXPIRED_IN_QUEUE), ""
         outcome = await self._send(call, lane, ticket, may_retry)
         return _answer_of_outcome(outcome), ticket.endpoint.key
 
@@ -161,7 +187,6 @@
         deadline = _attempt_deadline(call, lane, started) if may_retry else call.deadline
         outcome = None
         try:
-            self._budget.sent()
             outcome = await ticket.endpoint.forwarder.send(
                 request_id=call.request_id,
                 method=call.method,
@@ -172,11 +197,7 @@
             )
         finally:
             now = monotonic()
-            done = outcome is not None and outcome.sent is Sent.DONE
-            ok = None if outcome is None else done and outcome.status < 500
-            seconds = now - started if done else None
-            may_run = outcome is not None and outcome.may_run
-            lane.release(ticket, ok=ok, seconds=seconds, now=now, may_run=may_run)
+            lane.release(ticket, now=now, **_lesson(outcome, now - started))
         return outcome
 
     async def _dispatch_to(self, call, peer):
@@ -201,6 +222,15 @@
         return answer
 
 
+def startup_wait_end(startup_end, deadline, now):
+    """Return until when a request waits for the first announcement of its service.
+
+    >>> [startup_wait_end(2.0, deadline, 1.0) for deadline in (61.0, 3.0)]
+    [2.0, 1.5]
+    """
+    return min(startup_end, now + STARTUP_RATIO * (deadline - now))
+
+
 def _ticket(call, now, notify=None, avoid=""):
     return Ticket(
         rank=call.rank,
@@ -221,12 +251,31 @@
     return now + min(remaining, max(remaining * ATTEMPT_RATIO, usual))
 
 
-def _answer_of_unserved(lane, ticket, granted):
-    lane.withdraw(ticket)
-    if granted.is_set() and ticket.deadline > monotonic():
-        evidence = "dropped from the queue; no byte was sent"
-        return Answer.without_response(Code.OVERLOADED, evidence)
-    return Answer.without_response(Code.EXPIRED, "deadline passed in the queue; no byte was sent")
+def _lesson(outcome, seconds):
+    """Return what a dispatch tells of its endpoint, as arguments of :meth:`Lane.release`."""
+    if outcome is None:
+        return {"ok": None, "seconds": None}
+    if outcome.sent is Sent.NOT_SENT:
+        return {"ok": None, "seconds": None, "unreachable": outcome.unreachable}
+    done = outcome.sent is Sent.DONE
+    return {
+        "ok": done and outcome.status < 500,
+        "seconds": seconds if done else None,
+        "may_run": outcome.may_run,
+    }
+
+
+async def _wait_for_slot(lane, ticket, granted):
+    """Wait until a request was taken or dropped.
+
+    :returns: False if a review found that the request can't meet its deadline any more.
+    """
+    while not granted.is_set() and (now := monotonic()) < ticket.deadline:
+        with move_on_after(next_review(ticket, now) - now):
+            await granted.wait()
+        if not granted.is_set() and not lane.keeps(ticket, now=monotonic()):
+            return False
+    return True
 
 
 def _answer_of_outcome(outcome: Outcome):
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -2,8 +2,11 @@
 
 from collections import Counter
 from random import Random
+from time import monotonic
+from types import SimpleNamespace
 
 import pytest
+from anyio import Event, run
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -15,11 +18,16 @@
     read_announcement,
 )
 from siskintally.balancer import BALANCER_BY_NAME, Candidate, LeastLoaded, PowerOfTwo, Rendezvous
+from siskintally.call import Answer
+from siskintally.codes import Code
 from siskintally.entry import Entry
 from siskintally.errors import BadRequestError
+from siskintally.fair_queue import Ticket
 from siskintally.health import HealthTable
 from siskintally.ledger_client import home_of
+from siskintally.metrics import Metrics
 from siskintally.pause import PauseGuard
+from siskintally.request import STARTUP_S, Course, _wait_for_slot
 from siskintally.retry import RetryBudget
 from siskintally.settings import parse
 from siskintally.share import share
@@ -247,6 +255,94 @@
     assert table.ejected(names) == ["a"]
 
 
+def test_unreachable_endpoint_is_not_used_however_few_there_are():
+    # Guards against a refusing endpoint of two that draws requests because its slots stay free.
+    names, now = ["a", "b"], 10.0
+    table = HealthTable()
+    for backoff_s in (0.1, 0.2, 0.4, 0.8, 1.0, 1.0):
+        table.start("a")
+        table.lose("a", now=now)
+        table.lose("a", now=now)
+        assert table.usable(names, now=now + backoff_s * 0.9) == ["b"]
+        now += backoff_s * 1.01
+        assert table.usable(names, now=now) == names
+    table.start("a")
+    assert table.usable(names, now=now) == ["b"]
+    table.record("a", ok=True, names=names, now=now)
+    assert table.usable(names, now=now) == names
+
+
+def test_probe_that_is_cut_off_is_followed_by_another():
+    # Guards against an endpoint that stays shut because the caller of its probe disconnected.
+    names = ["a", "b", "c", "d"]
+    table = HealthTable()
+    fail(table, "a", names, 10.0)
+    table.start("a")
+    assert "a" not in table.usable(names, now=12.0)
+    table.abandon("a")
+    assert "a" in table.usable(names, now=12.0)
+
+
+class ScriptedCourse(Course):
+    """A course whose dispatches end as a list says."""
+
+    __slots__ = ("codes",)
+
+    async def _dispatch(self, call, avoid, forwarded, last):
+        return Answer.without_response(self.codes.pop(0), ""), "p1"
+
+
+def test_retries_and_unsent_dispatches_do_not_fill_the_retry_budget():
+    # Guards against retries that allow further retries, which pass a tenth of the first sends.
+    budget = RetryBudget(ratio=0.1)
+    metrics = Metrics(address=None, prefix="")
+    course = ScriptedCourse(
+        lanes=None, budget=budget, ledger=None, peers=None, metrics=metrics, started=-STARTUP_S
+    )
+    unsent, unknown, failed = Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN, Code.ENDPOINT_FAILED
+    call = SimpleNamespace(once=False, deadline=float("inf"), request_id="r")
+    for _ in range(40):
+        course.codes = [unsent, unsent, failed]
+        run(course.run, call)
+    retries = 0
+    for _ in range(60):
+        course.codes = [unknown, failed]
+        run(course.run, call)
+        retries += not course.codes
+    assert retries == 10
+
+
+def test_request_waits_for_the_first_announcement_after_the_start_only():
+    # Guards against "no endpoint" from an entry that was restarted a moment ago.
+    counts = [0, 0, 1]
+    lane = SimpleNamespace(endpoints=lambda now: counts.pop(0))
+    peers = SimpleNamespace(choose=lambda service: None)
+    parts = {"lanes": lambda service: lane, "budget": None, "ledger": None, "metrics": None}
+    call = SimpleNamespace(deadline=monotonic() + 1e6, service="s")
+    for started, left in ((float("inf"), 0), (monotonic() - STARTUP_S, 0)):
+        course = Course(**parts, peers=peers, started=started)
+        run(course._wait_for_endpoint, call)
+        assert len(counts) == left
+
+
+class LaneWithoutChance:
+    """A lane whose waiting requests can't meet their deadlines."""
+
+    def keeps(self, ticket, *, now):
+        """Return False."""
+        return False
+
+
+def test_waiting_request_without_a_chance_is_told_at_its_review():
+    # Guards against a request that waits for its deadline although it can't be met any more.
+    async def main():
+        now = monotonic()
+        one = Ticket(rank=1, caller="c", deadline=now + 80.1, queued_at=now - 19.9)
+        return await _wait_for_slot(LaneWithoutChance(), one, Event())
+
+    assert run(main) is False
+
+
 def summary(free, endpoints=1, **fields):
     load = ServiceLoad(service="s", endpoints=endpoints, free_slots=free)
     return EntrySummary(services=[load], **fields)
