--- /dev/null
+++ b/tests/cell_runs.py
@@ -0,0 +1,84 @@
+"""Steps that tests of whole cells share: bring a cell up, place orders, check the records."""
+
+from anyio import create_task_group, fail_after, run, sleep
+
+from tests.checker import check_requests, read
+from tests.full_cell import running_cell
+from tests.processes import seeded, wait_until
+
+LIMIT_S = 240
+ORDERS = 24
+WATCH_S = 0.05
+
+
+def with_cell(folder, check, **options):
+    random = seeded()
+
+    async def main():
+        with fail_after(LIMIT_S):
+            async with running_cell(folder, random, **options) as cell:
+                await check(cell)
+
+    run(main)
+
+
+async def place_orders(cell, fault, *, orders=ORDERS, headers=None, spread_s=1.0):
+    """Send orders while ``await fault()`` runs; return {key: final code} and all answers.
+
+    :param spread_s: time over which the orders are first sent, seconds.
+    """
+    code_by_key, answers = {}, []
+
+    async def place(key):
+        await sleep(cell.random.uniform(0.0, spread_s))
+        code_by_key[key] = await cell.order(key, answers, headers=headers)
+
+    async with create_task_group() as tasks:
+        for number in range(orders):
+            tasks.start_soon(place, f"order-{number}")
+        await sleep(cell.random.uniform(0.2, 0.8))
+        await fault()
+    return code_by_key, answers
+
+
+def check_orders(cell, code_by_key, answers, *stubs):
+    records = read(*(cell.record(stub) for stub in stubs))
+    assert check_requests(records, answers) == []
+    ran = {record["key"] for record in records if record["event"] == "start"}
+    missing = {key for key, code in code_by_key.items() if code in (1000, 1001)} - ran
+    assert not missing
+    for name in [*cell.entries, *cell.stores, *stubs]:
+        assert cell.processes.is_running(name), f"{name} has ended: {cell.processes.log_text(name)}"
+    return ran
+
+
+async def wait_ready(cell, *entries):
+    for entry in entries:
+        await cell.wait_served(entry)
+
+
+async def watch_versions(cell, faults):
+    """Watch the configuration in force at every entry until cancelled.
+
+    :param faults: list that gets a text for each version that follows a newer one.
+    """
+    highest = dict.fromkeys(cell.entries, 0)
+    while True:
+        for entry in cell.entries:
+            state = await cell.health(entry)
+            # A restarted entry has version 0, that is none, and serves nothing.
+            version = state["config_version"] if state else 0
+            if 0 < version < highest[entry]:
+                faults.append(f"{entry}: version {version} after {highest[entry]}")
+            highest[entry] = max(highest[entry], version)
+        await sleep(WATCH_S)
+
+
+async def wait_version(cell, version, *, entries=None):
+    """Wait until a configuration version is in force at entries, by default at all."""
+
+    async def reached():
+        states = [await cell.health(entry) for entry in entries or cell.entries]
+        return all(state and state["config_version"] == version for state in states)
+
+    await wait_until(reached, f"version {version} in force")
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -7,6 +7,7 @@
 from json import JSONDecodeError, loads
 
 from siskintally.codes import Code, not_run
+from siskintally.domain_job import job_id_of
 
 RESOURCES = ("cpu_milli", "memory_mb", "accelerators")
 
@@ -78,6 +79,25 @@
             yield f"{record['t']}: {record['worker']} {resource} {used} > {capacity[resource]}"
 
 
+def check_stopped(records, job_ids, *, since):
+    """Check that no task of some jobs runs or starts after a time; return violations as texts.
+
+    :param since: time at which the system reported the jobs as cancelled.
+    """
+    faults, running = [], set()
+    for record in records:
+        if "task" not in record or job_id_of(record["task"]) not in job_ids:
+            continue
+        attempt = (record["task"], record["attempt"])
+        if record["event"] == "start":
+            running.add(attempt)
+            if record["t"] > since:
+                faults.append(f"{record['t']}: {attempt} starts after its job was cancelled")
+        else:
+            running.discard(attempt)
+    return faults + [f"{attempt} still runs" for attempt in running]
+
+
 def check_requests(records, answers):
     """Check I3, I4 and I5 and return the violations as texts.
 
--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -91,19 +91,20 @@
         """Send an operator call until it is answered with code 1000; return the answer."""
 
         async def done():
-            response = await self._post_operator(entry, verb, arguments, request_id)
-            fields = response.json() if response is not None else {}
+            fields = await self.post(entry, verb, arguments, request_id)
             return fields if fields.get("code") == 1000 else None
 
         return (await wait_until(done, f"{verb} done"))["answer"]
 
-    async def _post_operator(self, entry, verb, arguments, request_id):
+    async def post(self, entry, verb, arguments, request_id):
+        """Send an operator call once; return the fields of the answer, none if it was lost."""
         headers = {"authorization": f"Bearer {TOKEN}", "siskintally-request-id": request_id}
         url = f"{self.url_by_name[entry]}/v1/operator/{verb}"
         try:
-            return await self.client.post(url, content=dumps(arguments), headers=headers)
+            response = await self.client.post(url, content=dumps(arguments), headers=headers)
         except HTTPError:
-            return None
+            return {}
+        return response.json()
 
     def _events(self, event, group):
         """Yield the log lines of stores for an event of a group."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,63 +1,15 @@
 """Failures of whole cells of real processes; the verdict comes from the records of the stubs."""
 
 import pytest
-from anyio import create_task_group, fail_after, run, sleep
+from anyio import sleep
 
-from tests.checker import check_requests, check_workers, read
+from tests.cell_runs import check_orders, place_orders, wait_ready, with_cell
+from tests.checker import check_workers, read
 from tests.entry_net import code
-from tests.full_cell import running_cell
-from tests.processes import seeded, wait_until
+from tests.processes import wait_until
 
-LIMIT_S = 240
 # Longer than a lease of 30 s and the time after which a worker counts as lost.
 PAUSE_S = 36.0
-ORDERS = 24
-
-
-def with_cell(folder, check, **options):
-    random = seeded()
-
-    async def main():
-        with fail_after(LIMIT_S):
-            async with running_cell(folder, random, **options) as cell:
-                await check(cell)
-
-    run(main)
-
-
-async def place_orders(cell, fault, *, orders=ORDERS, headers=None, spread_s=1.0):
-    """Send orders while ``await fault()`` runs; return {key: final code} and all answers.
-
-    :param spread_s: time over which the orders are first sent, seconds.
-    """
-    code_by_key, answers = {}, []
-
-    async def place(key):
-        await sleep(cell.random.uniform(0.0, spread_s))
-        code_by_key[key] = await cell.order(key, answers, headers=headers)
-
-    async with create_task_group() as tasks:
-        for number in range(orders):
-            tasks.start_soon(place, f"order-{number}")
-        await sleep(cell.random.uniform(0.2, 0.8))
-        await fault()
-    return code_by_key, answers
-
-
-def check_orders(cell, code_by_key, answers, *stubs):
-    records = read(*(cell.record(stub) for stub in stubs))
-    assert check_requests(records, answers) == []
-    ran = {record["key"] for record in records if record["event"] == "start"}
-    missing = {key for key, code in code_by_key.items() if code in (1000, 1001)} - ran
-    assert not missing
-    for name in [*cell.entries, *cell.stores, *stubs]:
-        assert cell.processes.is_running(name), f"{name} has ended: {cell.processes.log_text(name)}"
-    return ran
-
-
-async def wait_ready(cell, *entries):
-    for entry in entries:
-        await cell.wait_served(entry)
 
 
 @pytest.mark.timeout(300)
--- /dev/null
+++ b/tests/test_workloads.py
@@ -0,0 +1,145 @@
+"""Difficult workloads in a whole cell; the verdict comes from the records of the workers."""
+
+import pytest
+from anyio import CapacityLimiter, create_task_group, sleep
+
+from siskintally.domain_job import job_id_of
+from tests.cell_runs import with_cell
+from tests.checker import check_stopped, check_workers, read
+from tests.processes import wait_until
+
+DOCUMENT = "".join(
+    f"[teams.{team}]\ncpu_milli = 1000000\nmemory_mb = 1000000\naccelerators = 100\n"
+    for team in ("ski", "shops")
+)
+WAVE = 1000
+GOOD = 60
+CALLERS = 16
+SMALL = {"team": "ski", "kind": "batch", "cpu_milli": 100, "memory_mb": 50}
+USUAL = {"team": "shops", "kind": "batch", "cpu_milli": 500, "memory_mb": 300, "run_s": 0.3}
+# A worker of the tests has 4,000 thousandths of a core and 4,000 MB; there are eight of them.
+NEVER = {
+    "core": {"cpu_milli": 4001},
+    "memory": {"memory_mb": 4001},
+    "accelerator": {"accelerators": 1},
+    "gang": {"kind": "gang", "tasks": 9, "cpu_milli": 4000},
+}
+
+
+async def call_all(cell, verb, arguments_by_id):
+    """Make many operator calls at a time; return {request id: answer}."""
+    answer_by_id, limiter = {}, CapacityLimiter(CALLERS)
+
+    async def one(request_id, arguments):
+        async with limiter:
+            entry = cell.random.choice(list(cell.entries))
+            answer_by_id[request_id] = await cell.operate(
+                verb, arguments, request_id=request_id, entry=entry
+            )
+
+    async with create_task_group() as tasks:
+        for request_id, arguments in arguments_by_id.items():
+            tasks.start_soon(one, request_id, arguments)
+    return answer_by_id
+
+
+async def submit(cell, jobs):
+    """Submit {name: fields}; return the set of job ids."""
+    fields = {name: {"name": name, **one} for name, one in jobs.items()}
+    return {answer["job"] for answer in (await call_all(cell, "submit", fields)).values()}
+
+
+async def rows(cell, job_ids):
+    """Return {job id: row} of the cell's list of jobs."""
+    asked = {"jobs": sorted(job_ids), "limit": 10_000}
+    answer = await cell.operate("jobs", asked, request_id="read")
+    return {row["job"]: row for row in answer["jobs"]}
+
+
+async def wait_state(cell, job_ids, state):
+    """Wait until the cell reports a state for all jobs."""
+
+    async def reached():
+        found = await rows(cell, job_ids)
+        return found.keys() == job_ids and {row["state"] for row in found.values()} == {state}
+
+    await wait_until(reached, f"{len(job_ids)} jobs are {state}")
+
+
+async def start_workers_of_all_kinds(cell):
+    """Start good workers, workers that fail everything, and some that run ten times as long."""
+    cell.start_workers("good", 4)
+    cell.start_workers("bad", 2, "--fail")
+    cell.start_workers("slow", 2, "--run_factor", 10, "--size_factor", 10)
+
+    async def known():
+        status = await cell.operate("status", {}, request_id="read")
+        return status["groups"][0]["workers"] == 8
+
+    await wait_until(known, "eight workers")
+
+
+def records(cell):
+    """Return the records of all workers."""
+    return read(*(cell.record(name) for name in ("good", "bad", "slow")))
+
+
+def succeeded(lines):
+    """Return how often a task of each job has succeeded, {job id: count}."""
+    ended = [job_id_of(line["task"]) for line in lines if line.get("result") == "SUCCEEDED"]
+    return {job_id: ended.count(job_id) for job_id in ended}
+
+
+@pytest.mark.timeout(300)
+def test_difficult_workloads_leave_no_job_without_an_outcome(tmp_path):
+    """Guards against overcommitment, lost jobs and a blocked queue under a wave of cancellations.
+
+    Sizes and run times are wrong by ten times in both directions, some jobs can never run, and
+    two of eight workers fail every task.
+    """
+
+    async def check(cell):
+        change = {"document": DOCUMENT, "expect_version": 1}
+        await cell.operate("config", change, request_id="quotas")
+        # Accepted, because no worker is known yet.
+        never = await submit(cell, {"early": USUAL | NEVER["core"]})
+        await start_workers_of_all_kinds(cell)
+        wave = await submit(cell, {f"wave-{number}": SMALL for number in range(WAVE)})
+        assert len(wave) == WAVE
+        outcome = {}
+
+        async def submit_others():
+            usual = {f"usual-{number}": USUAL for number in range(GOOD)}
+            # Declared at ten times the run time of most workers, and at a tenth of it on "slow".
+            wrong = {f"wrong-{number}": USUAL | {"run_s": 0.8} for number in range(4)}
+            outcome["finishing"] = await submit(cell, usual | wrong)
+            for name, fields in NEVER.items():
+                job = USUAL | {"name": name} | fields
+                reply = await cell.post("e1", "submit", job, name)
+                assert reply["code"] in (1000, 4005), reply
+                never.update([reply["answer"]["job"]] if reply["code"] == 1000 else [])
+            endless = {"kind": "service", "tasks": 100, "run_s": 0, "class": "deferrable"}
+            outcome["pending"] = await submit(cell, {"large": USUAL | endless})
+
+        async with create_task_group() as tasks:
+            tasks.start_soon(submit_others)
+            cancels = {f"cancel-{job_id}": {"jobs": [job_id]} for job_id in wave}
+            answers = await call_all(cell, "cancel", cancels)
+        assert all(answer["cancelled"] == 1 for answer in answers.values())
+        await wait_state(cell, wave, "cancelled")
+        settled = records(cell)
+        await wait_state(cell, outcome["finishing"], "succeeded")
+        await wait_state(cell, never, "never")
+        await sleep(1.0)
+        lines = records(cell)
+        assert check_workers(lines) == []
+        assert check_stopped(lines, wave, since=settled[-1]["t"]) == []
+        assert succeeded(lines) == dict.fromkeys(outcome["finishing"], 1)
+        assert all(row["reason"] for row in (await rows(cell, never)).values())
+        (large,) = (await rows(cell, outcome["pending"])).values()
+        assert large["running"] < 100
+        assert large["reason"]
+        bad = [line for line in lines if line["worker"].startswith("bad")]
+        assert any(line.get("result") == "FAILED" for line in bad)
+
+    with_cell(tmp_path, check)
