--- /dev/null
+++ b/tests/split_cell.py
@@ -0,0 +1,53 @@
+"""A cell whose places (VMs or failure domains) can be cut off from each other."""
+
+from re import search
+
+from tests.forwarder import Forwarder
+from tests.processes import free_ports
+
+
+class Places:
+    """Forwarders on all links between places, and the settings files that lead through them.
+
+    :param settings: path of the settings file with the true addresses.
+    :param place_by_name: ``{process name: place}``; names without a row only dial.
+    """
+
+    __slots__ = ("_folder", "forwarder_by_way", "place_by_name")
+
+    def __init__(self, *, settings, place_by_name):
+        self._folder = settings.parent
+        self.place_by_name = place_by_name
+        self.forwarder_by_way = {}
+        for place in sorted(set(place_by_name.values())):
+            self._write_view(place, settings.read_text())
+
+    def _write_view(self, place, text):
+        for name, other in self.place_by_name.items():
+            found = search(rf'name = "{name}"\n(?:\w+ = .*\n)*?link = "127.0.0.1:(\d+)"', text)
+            if other == place or found is None:
+                continue
+            (port,) = free_ports(1)
+            text = text.replace(f'"127.0.0.1:{found[1]}"', f'"127.0.0.1:{port}"')
+            self.forwarder_by_way[place, name] = Forwarder(port=port, target=int(found[1]))
+        (self._folder / f"{place}.toml").write_text(text)
+
+    def view(self, name):
+        """Return the settings file of a process."""
+        return self._folder / f"{self.place_by_name[name]}.toml"
+
+    def cut(self, *places, inbound=True, outbound=True):
+        """Hold the bytes to (inbound) or from (outbound) places, on all connections."""
+        for (start, name), forwarder in self.forwarder_by_way.items():
+            starts_there = start in places
+            if starts_there == (self.place_by_name[name] in places):
+                continue
+            if inbound:
+                forwarder.block("to_client" if starts_there else "to_server")
+            if outbound:
+                forwarder.block("to_server" if starts_there else "to_client")
+
+    def heal(self):
+        """End all cuts."""
+        for forwarder in self.forwarder_by_way.values():
+            forwarder.heal()
--- /dev/null
+++ b/tests/test_one_way_cut.py
@@ -0,0 +1,67 @@
+"""Silent cuts of a control-plane VM in one direction only, in a whole cell."""
+
+import pytest
+from anyio import sleep
+
+from tests.cell_runs import check_orders, place_orders, wait_ready, with_cell
+from tests.checker import check_workers, read
+from tests.processes import wait_until
+
+LEASE_S = 10
+# Longer than the time after which a worker counts as lost: lease x 1.02 + 1 s.
+CUT_S = 13.0
+DOCUMENT = (
+    f"[presets.ordinary]\nlease_s = {LEASE_S}\n"
+    "[teams.ski]\ncpu_milli = 100000\nmemory_mb = 100000\n"
+)
+PLACES = {"s1": "s1", "s2": "s2", "s3": "s3", "e1": "entries", "e2": "entries", "w": "workers"}
+SERVICE = {"team": "ski", "kind": "service", "tasks": 4, "cpu_milli": 500, "memory_mb": 300}
+
+
+def starts(cell):
+    """Return the starts of tasks at the workers."""
+    return [line for line in read(cell.record("w")) if line["event"] == "start"]
+
+
+async def leader(cell):
+    """Return the leader of the cell group."""
+    return (await cell.operate("status", {}, request_id="read"))["leader"]
+
+
+@pytest.mark.timeout(300)
+@pytest.mark.parametrize("direction", ["inbound", "outbound"])
+def test_leader_cut_in_one_direction_is_replaced(tmp_path, direction):
+    """Guards against a leader that is heard but hears nobody, or hears all and is not heard.
+
+    Either could block the election of another one, or go on acting as the owner.
+    """
+
+    async def check(cell):
+        cell.start_stub("p1", "--service_ms", 40)
+        cell.start_workers("w", 3, "--beat_s", 2)
+        await wait_ready(cell, "e1", "e2")
+        await cell.operate("submit", SERVICE | {"name": "before"}, request_id="before")
+        await wait_until(lambda: len(starts(cell)) == 4, "the first service runs")
+        victim = await wait_until(cell.owner, "an owner")
+
+        async def cut():
+            cell.places.cut(victim, inbound=direction == "inbound", outbound=direction != "inbound")
+            await wait_until(lambda: cell.owner() != victim, "another owner")
+            assert await leader(cell) != victim
+            await cell.operate("submit", SERVICE | {"name": "during"}, request_id="during")
+            await wait_until(lambda: len(starts(cell)) == 8, "a service starts during the cut")
+            await sleep(CUT_S)
+            assert cell.owners().isdisjoint({victim}), "the old owner has not stepped down"
+
+        code_by_key, answers = await place_orders(cell, cut, spread_s=CUT_S)
+        cell.places.heal()
+        await cell.operate("submit", SERVICE | {"name": "after"}, request_id="after")
+        await wait_until(lambda: len(starts(cell)) == 12, "a service starts after the cut")
+        await sleep(3.0)
+        assert len(cell.owners()) == 1
+        assert len({line["task"] for line in starts(cell)}) == len(starts(cell)) == 12
+        assert check_workers(read(cell.record("w"))) == []
+        check_orders(cell, code_by_key, answers, "p1")
+        assert set(code_by_key.values()) <= {1000, 1001}
+
+    with_cell(tmp_path, check, place_by_name=PLACES, document=DOCUMENT)
