Test the planned stop of every process of a cell under load

Endpoint stubs record the path, so a request without an answer can be told from one that never arrived.

--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -227,6 +227,7 @@
             "endpoint": self._options.name,
             "request_id": headers.get(ID_HEADER, ""),
             "key": headers.get("idempotency-key", ""),
+            "path": scope["path"],
         }
         self._in_flight += 1
         over = self._in_flight > self._options.slots
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -132,6 +132,16 @@
         except TimeoutExpired as error:
             raise AssertionError(f"{name} did not stop within {STOP_LIMIT_S} s") from error
 
+    async def finish(self, name):
+        """Send SIGTERM and wait for the end while the test goes on.
+
+        :returns: exit code.
+        """
+        popen = self.popen_by_name[name]
+        popen.send_signal(SIGTERM)
+        await wait_until(lambda: popen.poll() is not None, f"{name} stops")
+        return popen.returncode
+
     def remove(self, path):
         """Remove a data folder below the folder of the test."""
         full = (self.folder / path).resolve()
