Hold the cuts of the six domains until links are closed, and state what is proved

With shorter cuts the links delivered what they held, so a cell that forgets missed changes passed (18.9 s); now it fails.

--- a/tests/cell_runs.py
+++ b/tests/cell_runs.py
@@ -44,10 +44,11 @@
 
 def check_orders(cell, code_by_key, answers, *stubs):
     records = read(*(cell.record(stub) for stub in stubs))
-    assert check_requests(records, answers) == []
+    faults = check_requests(records, answers)
+    assert not faults, faults
     ran = {record["key"] for record in records if record["event"] == "start"}
     missing = {key for key, code in code_by_key.items() if code in (1000, 1001)} - ran
-    assert not missing
+    assert not missing, f"answered as run, but never ran: {missing}"
     for name in [*cell.entries, *cell.stores, *stubs]:
         assert cell.processes.is_running(name), f"{name} has ended: {cell.processes.log_text(name)}"
     return ran
--- a/tests/test_six_domains.py
+++ b/tests/test_six_domains.py
@@ -1,12 +1,14 @@
 """Six failure domains in two regions: the order of configurations at every entry."""
 
 import pytest
-from anyio import create_task_group
+from anyio import create_task_group, sleep
 
 from tests.cell_runs import wait_version, watch_versions, with_cell
 from tests.six_domains import DOMAINS_BY_REGION, ENTRIES, LAYOUT, change
 
 CHANGES = 8
+# Longer than the 3 s of silence after which links are closed and what they hold is lost.
+CUT_S = 4.0
 
 
 async def change_during_cut(cell, places, version):
@@ -20,6 +22,7 @@
     await wait_version(cell, version, entries=outside)
     for entry in inside:
         assert (await cell.health(entry))["config_version"] < version
+    await sleep(CUT_S)
     cell.places.heal()
     await wait_version(cell, version)
     return version
@@ -40,7 +43,7 @@
                 await change(cell, version)
                 await wait_version(cell, version + 1)
             version = await change_during_cut(cell, ["fjeld-b"], CHANGES + 1)
-            version = await change_during_cut(cell, ["jylland-c"], version)
+            version = await change_during_cut(cell, ["jylland-b"], version)
             await change_during_cut(cell, DOMAINS_BY_REGION["fjeld"], version)
             tasks.cancel_scope.cancel()
         assert faults == []
