--- a/bench/layout.py
+++ b/bench/layout.py
@@ -19,9 +19,9 @@
 from httpx import AsyncClient
 
 from bench.meter import process_cpu_seconds, resident_mb
-from siskintally.settings import CELL_GROUP, load
+from siskintally.settings import load
 from tests.entry_net import TOKEN
-from tests.full_cell import FullCell
+from tests.full_cell import FullCell, Layout
 from tests.processes import Processes, free_ports, wait_until
 
 SAMPLE = Path(__file__).parent.parent / "samples" / "two-regions.toml"
@@ -40,7 +40,7 @@
 DOCUMENT = "[teams.ski]\ncpu_milli = 1000000000\nmemory_mb = 1000000000\n"
 
 
-class Layout(FullCell):
+class LayoutCell(FullCell):
     """The processes of the sample, on free ports and with data below a folder.
 
     :param parsed: :class:`~siskintally.settings.Settings`.
@@ -52,24 +52,30 @@
         self.processes = processes
         self.folder = processes.folder
         self.random = Random(1)
-        self.forwarders = []
+        self.places = None
         text = sub(
             r"127\.0\.0\.1:\d+", lambda _: f"127.0.0.1:{free_ports(1)[0]}", SAMPLE.read_text()
         )
         text = text.replace("run/two-regions/data", str(self.folder))
         text += f'\n[[operator]]\nname = "bench"\ntoken = "{TOKEN}"\n'
-        self.settings = self.entry_settings = self.folder / "cell.toml"
+        self.settings = self.folder / "cell.toml"
         self.settings.write_text(text)
         self.parsed = load(self.settings)
         self.entries = {entry.name: entry.domain for entry in self.parsed.entries()}
         self.url_by_name = {entry.name: f"http://{entry.http}" for entry in self.parsed.entries()}
-        self.groups = list(self.parsed.group_by_name)
         self.stores = [name.replace("entry", "store") for name in self.entries]
+        groups = self.parsed.group_by_name.values()
+        self.layout = Layout(
+            stores={name: self.parsed.process(name).domain for name in self.stores},
+            entries=self.entries,
+            members_by_group={group.name: list(group.members) for group in groups},
+            domains_by_group={group.name: list(group.domains) for group in groups if group.domains},
+        )
         self.client = None
 
     def leaders(self):
-        """Return ``{group: store}`` of the owners and of the leader of the cell group."""
-        return {group: self.owner(group) for group in self.groups if group != CELL_GROUP}
+        """Return ``{domain group: store that owns it}``."""
+        return {group: self.owner(group) for group in self.layout.domains_by_group}
 
     def vms(self):
         """Yield (VM, names of its processes)."""
@@ -78,25 +84,20 @@
 
     async def start(self, workers):
         """Start everything and wait until the workers are known."""
-        for group in self.parsed.group_by_name.values():
-            self._found_on(group.members[0])
+        self.found()
         for name in self.stores:
             self.start_store(name)
         for name in self.entries:
             self.start_entry(name)
         change = {"document": DOCUMENT, "expect_version": 0}
         await self.operate("config", change, request_id="config", entry="vm1-entry")
-        await wait_until(self._all_vote, "all members vote")
+        await self.wait_voters()
         for domain in dict.fromkeys(self.entries.values()):
             entries = [name for name, own in self.entries.items() if own == domain]
             self.start_stub(f"endpoint-{domain}", entries=entries, domain=domain)
             flags = ("--cpu_milli", 32000, "--memory_mb", 128000, "--beat_s", BEAT_S)
             self.start_workers(f"workers-{domain}", workers, *flags, domain=domain)
 
-    def _all_vote(self):
-        groups = self.parsed.group_by_name.values()
-        return all(set(self.voters(group.name)) == set(group.members) for group in groups)
-
     async def submit(self, name, **fields):
         """Submit a job of small tasks."""
         spec = {"name": name, "team": "ski", "cpu_milli": 100, "memory_mb": 100, **fields}
@@ -148,7 +149,7 @@
 async def measure(folder, workers, tasks, seconds):
     """Return the measured figures as a mapping."""
     with Processes(folder=folder) as processes:
-        cell = Layout(processes=processes)
+        cell = LayoutCell(processes=processes)
         async with AsyncClient(timeout=30.0) as cell.client:
             await cell.start(workers)
             domains = list(dict.fromkeys(cell.entries.values()))
--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -11,9 +11,9 @@
 from httpx import AsyncClient, HTTPError
 
 from tests.checker import Answer
-from tests.entry_net import TOKEN, Net, code
-from tests.forwarder import Forwarder
+from tests.entry_net import REGION_BY_DOMAIN, TOKEN, Net, code
 from tests.processes import Processes, free_ports, wait_until
+from tests.split_cell import Places
 
 DOMAIN = "jylland-a"
 GROUP = "jylland"
@@ -23,98 +23,132 @@
 IN_PROGRESS_LIMIT_S = 8.0
 
 
+class Layout:
+    """Stores, entries and groups of a cell.
+
+    :param stores: ``{store: failure domain}``.
+    :param entries: ``{entry: failure domain}``.
+    :param members_by_group: ``{group: stores}``; the first one founds the group.
+    :param domains_by_group: ``{domain group: failure domains}``.
+    """
+
+    __slots__ = ("domains_by_group", "entries", "members_by_group", "stores")
+
+    def __init__(self, *, stores, entries, members_by_group, domains_by_group):
+        self.stores = stores
+        self.entries = entries
+        self.members_by_group = members_by_group
+        self.domains_by_group = domains_by_group
+
+    def places(self):
+        """Return ``{process name: failure domain}``."""
+        return self.stores | self.entries
+
+    def rows(self, folder):
+        """Return the settings of stores and groups as TOML."""
+        text = ""
+        for (name, domain), port in zip(
+            self.stores.items(), free_ports(len(self.stores)), strict=True
+        ):
+            text += (
+                f'[[process]]\nname = "{name}"\nrole = "store"\ndomain = "{domain}"\n'
+                f'region = "{REGION_BY_DOMAIN[domain]}"\nlink = "127.0.0.1:{port}"\n'
+                f'data = "{folder / name}"\n'
+            )
+        for group, members in self.members_by_group.items():
+            text += f'[[group]]\nname = "{group}"\nmembers = {members}\n'
+            if group in self.domains_by_group:
+                text += f"domains = {self.domains_by_group[group]}\n"
+        return text
+
+
+def one_domain(entries):
+    """Return the layout of three stores that are members of both groups."""
+    stores = ["s1", "s2", "s3"]
+    return Layout(
+        stores=dict.fromkeys(stores, DOMAIN),
+        entries=dict.fromkeys(entries, DOMAIN),
+        members_by_group={"cell": stores, GROUP: stores},
+        domains_by_group={GROUP: [DOMAIN]},
+    )
+
+
 class FullCell(Net):
-    """Three stores of one domain group and the cell group, entries that use them.
+    """Stores of the cell group and of domain groups, and entries that use them.
 
-    :param entries: entry names, or ``{entry name: failure domain}``.
+    :param layout: :class:`Layout`.
     :param random: seeded source for choices of the callers.
-    :param group_by_domain: further domain groups on the same stores.
     """
 
-    __slots__ = ("entry_settings", "forwarders", "groups", "random", "stores")
+    __slots__ = ("layout", "places", "random", "stores")
 
-    def __init__(self, *, processes, entries, random, group_by_domain=None):
-        if not isinstance(entries, dict):
-            entries = dict.fromkeys(entries, DOMAIN)
-        super().__init__(processes=processes, entries=entries)
-        self.groups = ["cell"]
+    def __init__(self, *, processes, layout, random):
+        super().__init__(processes=processes, entries=layout.entries)
         self.random = random
-        self.stores = ["s1", "s2", "s3"]
-        text = self.settings.read_text()
-        for name, port in zip(self.stores, free_ports(3), strict=True):
-            text += (
-                f'[[process]]\nname = "{name}"\nrole = "store"\ndomain = "{DOMAIN}"\n'
-                f'region = "jylland"\nlink = "127.0.0.1:{port}"\ndata = "{self.folder / name}"\n'
-            )
-        text += f'[[group]]\nname = "cell"\nmembers = {self.stores}\n'
-        for domain, group in {DOMAIN: GROUP, **(group_by_domain or {})}.items():
-            self.groups.append(group)
-            text += f'[[group]]\nname = "{group}"\nmembers = {self.stores}\n'
-            text += f'domains = ["{domain}"]\n'
-        self.settings.write_text(text)
-        self.entry_settings = self.settings
-        self.forwarders = []
-
-    def forward_stores(self):
-        """Let entries that are started from now on reach the stores through forwarders.
-
-        The forwarders are in ``forwarders``; the test runs them.
+        self.layout = layout
+        self.stores = list(layout.stores)
+        self.settings.write_text(self.settings.read_text() + layout.rows(self.folder))
+        self.places = None
+
+    def split(self, place_by_name):
+        """Let the links of processes that are started from now on be cut between places.
+
+        :param place_by_name: ``{process name: place}``.
         """
-        text = self.settings.read_text()
-        pattern = r'role = "store"\n(?:.*\n)*?link = "127.0.0.1:(\d+)"'
-        targets = [int(port) for port in findall(pattern, text)]
-        for target, port in zip(targets, free_ports(len(targets)), strict=True):
-            text = text.replace(f'"127.0.0.1:{target}"', f'"127.0.0.1:{port}"')
-            self.forwarders.append(Forwarder(port=port, target=target))
-        self.entry_settings = self.folder / "entries.toml"
-        self.entry_settings.write_text(text)
+        self.places = Places(settings=self.settings, place_by_name=place_by_name)
+
+    @property
+    def forwarders(self):
+        """Forwarders between the places; the test runs them."""
+        return list(self.places.forwarder_by_way.values()) if self.places else []
+
+    def view(self, name):
+        """Return the settings file of a process."""
+        return self.places.view(name) if self.places else self.settings
 
     def start_entry(self, name, *flags):
         """Start an entry that uses the stores."""
-        self.processes.start(
-            name, "entry", "--settings", self.entry_settings, "--name", name, *flags
-        )
+        self.processes.start(name, "entry", "--settings", self.view(name), "--name", name, *flags)
 
     def start_store(self, name):
         """Start a store."""
-        self.processes.start(name, "store", "--settings", self.settings, "--name", name)
+        self.processes.start(name, "store", "--settings", self.view(name), "--name", name)
 
     def start_workers(self, name, count, *flags, domain=DOMAIN):
         """Start a process with worker stubs."""
         self.processes.start(
             name,
             "stub-worker",
-            *("--settings", self.settings, "--name", name, "--domain", domain),
+            *("--settings", self.view(name), "--name", name, "--domain", domain),
             *("--count", count, "--cpu_milli", 4000, "--memory_mb", 4000),
             *("--record", self.record(name), *flags),
         )
 
     def found(self):
-        """Found the groups on their first member."""
-        self._found_on(self.stores[0])
-
-    def _found_on(self, name):
-        command = [executable, "-m", "siskintally.main", "init"]
-        command += ["--settings", str(self.settings), "--name", name]
-        run_process(command, check=True, capture_output=True, timeout=60)
+        """Found the groups, each on its first member."""
+        for name in sorted({members[0] for members in self.layout.members_by_group.values()}):
+            command = [executable, "-m", "siskintally.main", "init"]
+            command += ["--settings", str(self.view(name)), "--name", name]
+            run_process(command, check=True, capture_output=True, timeout=60)
 
     async def operate(self, verb, arguments, *, request_id, entry="e1"):
         """Send an operator call until it is answered with code 1000; return the answer."""
 
         async def done():
-            response = await self._post_operator(entry, verb, arguments, request_id)
-            fields = response.json() if response is not None else {}
+            fields = await self.post(entry, verb, arguments, request_id)
             return fields if fields.get("code") == 1000 else None
 
         return (await wait_until(done, f"{verb} done"))["answer"]
 
-    async def _post_operator(self, entry, verb, arguments, request_id):
+    async def post(self, entry, verb, arguments, request_id):
+        """Send an operator call once; return the fields of the answer, none if it was lost."""
         headers = {"authorization": f"Bearer {TOKEN}", "siskintally-request-id": request_id}
         url = f"{self.url_by_name[entry]}/v1/operator/{verb}"
         try:
-            return await self.client.post(url, content=dumps(arguments), headers=headers)
+            response = await self.client.post(url, content=dumps(arguments), headers=headers)
         except HTTPError:
-            return None
+            return {}
+        return response.json()
 
     def _events(self, event, group):
         """Yield the log lines of stores for an event of a group."""
@@ -133,6 +167,15 @@
         last = max(begun, key=lambda fields: int(fields["term"]), default={})
         return last.get("process")
 
+    def owners(self, group=GROUP):
+        """Return the stores that act as owner of a domain group now."""
+        acting = set()
+        for event in ("term as owner begins", "term as owner ends"):
+            for fields in self._events(event, group):
+                change = acting.add if event.endswith("begins") else acting.discard
+                change((fields["process"], fields["term"]))
+        return {name for name, _ in acting if self.processes.is_running(name)}
+
     def voters(self, group):
         """Return {store: incarnation} of the voters in the latest committed member set."""
         sets = self._events("members", group)
@@ -141,17 +184,18 @@
         return dict(found)
 
     async def wait_voters(self, *, without=()):
-        """Wait until all stores vote in all groups, none with one of the given incarnations.
+        """Wait until all members vote in their groups, none with one of the given incarnations.
 
         :returns: {group: {store: incarnation}}.
         """
 
         def complete():
-            found = {group: self.voters(group) for group in self.groups}
+            found = {group: self.voters(group) for group in self.layout.members_by_group}
             return (
                 all(
-                    set(voters) == set(self.stores) and not set(voters.values()) & set(without)
-                    for voters in found.values()
+                    set(voters) == set(self.layout.members_by_group[group])
+                    and not set(voters.values()) & set(without)
+                    for group, voters in found.items()
                 )
                 and found
             )
@@ -194,24 +238,26 @@
 
 
 @asynccontextmanager
-async def running_cell(folder, random, *, entries=("e1", "e2"), forwarded=False, **options):
+async def running_cell(folder, random, *, layout=None, place_by_name=None, document=DOCUMENT):
     """Give a :class:`FullCell` with a configuration in force.
 
-    :param forwarded: whether entries reach the stores through forwarders.
+    :param layout: :class:`Layout`, by default two entries in one domain.
+    :param place_by_name: places between which links can be cut, none by default.
     """
+    layout = layout or one_domain(("e1", "e2"))
     with Processes(folder=folder) as processes:
-        cell = FullCell(processes=processes, entries=entries, random=random, **options)
+        cell = FullCell(processes=processes, layout=layout, random=random)
+        if place_by_name:
+            cell.split(place_by_name)
         cell.found()
-        for name in cell.stores:
-            cell.start_store(name)
-        if forwarded:
-            cell.forward_stores()
         async with AsyncClient(timeout=30.0) as cell.client, create_task_group() as tasks:
             for forwarder in cell.forwarders:
                 tasks.start_soon(forwarder.run)
-            for name in entries:
+            for name in cell.stores:
+                cell.start_store(name)
+            for name in cell.entries:
                 cell.start_entry(name)
-            change = {"document": DOCUMENT, "expect_version": 0}
+            change = {"document": document, "expect_version": 0}
             await cell.operate("config", change, request_id="first-config")
             await cell.wait_voters()
             yield cell
--- a/tests/test_domain_loss.py
+++ b/tests/test_domain_loss.py
@@ -3,97 +3,73 @@
 import pytest
 from anyio import sleep
 
+from tests.cell_runs import with_cell
 from tests.checker import check_jobs, check_workers, read
 from tests.processes import wait_until
-from tests.test_partition import (
-    DOCUMENT,
-    FAR,
-    GROUP_BY_DOMAIN,
-    NEAR,
-    STORES_BY_DOMAIN,
-    TwoDomains,
-    run_cell,
-)
-
-LIMIT_S = 280
-GROUP = GROUP_BY_DOMAIN[FAR]
+from tests.two_domains import DOCUMENT, FAR, LAYOUT, NEAR, PLACES, STORES_BY_DOMAIN
+
+GROUP = "fjeld"
+LARGE = ("--cpu_milli", 8000, "--memory_mb", 8000)
 # Longer than the returned workers take to register and a placement pass takes.
 CUT_OFF_S = 8
 SERVICE, PINNED, BATCH = "tally", "lift", "count"
 TASKS_BY_NAME = {SERVICE: 6, PINNED: 1, BATCH: 2}
 
 
-class LossCell(TwoDomains):
-    """Two domains with workers in both."""
+async def submit(cell, name, **fields):
+    """Submit a job and return its id."""
+    job = {"name": name, "team": "ski", "cpu_milli": 500, "memory_mb": 100, **fields}
+    job["tasks"] = TASKS_BY_NAME[name]
+    return (await cell.operate("submit", job, request_id=name))["job"]
+
 
-    __slots__ = ()
+async def code_of(cell, verb, arguments, *, request_id):
+    """Return the result code of an operator call, or None if it got no answer."""
+    return (await cell.post("e1", verb, arguments, request_id)).get("code")
 
-    def start_workers(self, name, domain):
-        """Start two workers in a domain."""
-        self.processes.start(
-            name,
-            "stub-worker",
-            *("--settings", self.folder / f"{domain}.toml", "--name", name, "--domain", domain),
-            *("--count", 2, "--cpu_milli", 8000, "--memory_mb", 8000),
-            *("--record", self.record(name)),
-        )
 
-    async def submit(self, name, **fields):
-        """Submit a job and return its id."""
-        job = {"name": name, "team": "ski", "cpu_milli": 500, "memory_mb": 100, **fields}
-        job["tasks"] = TASKS_BY_NAME[name]
-        return (await self.operate("submit", job, request_id=name))["job"]
+async def row(cell, job):
+    """Return a job as the cell shows it."""
+    answer = await cell.operate("jobs", {"jobs": [job]}, request_id="read")
+    return answer["jobs"][0]
 
-    async def code_of(self, verb, arguments, *, request_id):
-        """Return the result code of an operator call, or None if it got no answer."""
-        response = await self._post_operator("e1", verb, arguments, request_id)
-        return response and response.json()["code"]
 
-    async def row(self, job):
-        """Return a job as the cell shows it."""
-        answer = await self.operate("jobs", {"jobs": [job]}, request_id="read")
-        return answer["jobs"][0]
+async def standing(cell):
+    """Return the standing of the far group."""
+    status = await cell.operate("status", {}, request_id="read")
+    return next(row["standing"] for row in status["groups"] if row["group"] == GROUP)
 
-    async def standing(self):
-        """Return the standing of the far group."""
-        status = await self.operate("status", {}, request_id="read")
-        return next(row["standing"] for row in status["groups"] if row["group"] == GROUP)
 
-    def running(self, name, job):
-        """Return the number of tasks of a job that run on the workers of a process."""
-        lines = [line for line in read(self.record(name)) if job in line.get("task", "")]
-        starts = sum(line["event"] == "start" for line in lines)
-        return 2 * starts - len(lines)
+def running(cell, name, job):
+    """Return the number of tasks of a job that run on the workers of a process."""
+    lines = [line for line in read(cell.record(name)) if job in line.get("task", "")]
+    starts = sum(line["event"] == "start" for line in lines)
+    return 2 * starts - len(lines)
 
 
 async def prepare(cell):
-    """Bring up the cell with a service in both domains, a pinned one, and a finished batch."""
-    for name in cell.stores:
-        cell.start_store(name)
-    for name in cell.entries:
-        cell.start_entry(name)
-    await cell.operate("config", {"document": DOCUMENT, "expect_version": 0}, request_id="config")
-    cell.start_workers("n", NEAR)
-    cell.start_workers("w", FAR)
+    """Bring up a service in both domains, a pinned one, and a finished batch."""
+    cell.start_workers("n", 2, *LARGE, domain=NEAR)
+    cell.start_workers("w", 2, *LARGE, domain=FAR)
 
     async def registered():
         status = await cell.operate("status", {}, request_id="read")
         return all(row["workers"] == 2 for row in status["groups"])
 
     await wait_until(registered, "all workers have registered")
-    batch = await cell.submit(BATCH, kind="batch", run_s=1, domain=FAR)
+    batch = await submit(cell, BATCH, kind="batch", run_s=1, domain=FAR)
     await wait_until(lambda: has_state(cell, batch, "succeeded"), "the batch has ended")
-    service = await cell.submit(SERVICE, kind="service")
-    pinned = await cell.submit(PINNED, kind="service", domain=FAR)
+    service = await submit(cell, SERVICE, kind="service")
+    pinned = await submit(cell, PINNED, kind="service", domain=FAR)
     await wait_until(
-        lambda: cell.running("n", service) == 3 and cell.running("w", service) == 3, "spread"
+        lambda: running(cell, "n", service) == 3 and running(cell, "w", service) == 3, "spread"
     )
-    await wait_until(lambda: cell.running("w", pinned) == 1, "the pinned service runs")
+    await wait_until(lambda: running(cell, "w", pinned) == 1, "the pinned service runs")
     return service, pinned, batch
 
 
 async def has_state(cell, job, state):
-    return (await cell.row(job))["state"] == state
+    return (await row(cell, job))["state"] == state
 
 
 async def lose(cell, service, pinned):
@@ -101,41 +77,41 @@
     for name in [*STORES_BY_DOMAIN[FAR], "e2"]:
         cell.processes.kill(name)
     await wait_until(
-        lambda: cell.running("w", service) == cell.running("w", pinned) == 0,
+        lambda: running(cell, "w", service) == running(cell, "w", pinned) == 0,
         "workers without an owner stop their tasks when the lease ends",
     )
     cell.processes.kill("w")
     lost = {"action": "lost", "groups": [GROUP], "confirm": True}
-    assert await cell.code_of("domain", lost, request_id="lost") == 4010
-    assert cell.running("n", service) == 3
+    assert await code_of(cell, "domain", lost, request_id="lost") == 4010
+    assert running(cell, "n", service) == 3
     answer = await cell.operate("domain", lost | {"force": True}, request_id="forced")
     assert answer == {"lost": [GROUP], "moved": 3, "unplaced": 1}
-    await wait_until(lambda: cell.running("n", service) == 6, "the service runs elsewhere")
-    row = await cell.row(pinned)
-    assert (row["waiting"], row["restarted"]) == (1, 1)
-    assert row["reason"].startswith("domain group lost")
+    await wait_until(lambda: running(cell, "n", service) == 6, "the service runs elsewhere")
+    shown = await row(cell, pinned)
+    assert (shown["waiting"], shown["restarted"]) == (1, 1)
+    assert shown["reason"].startswith("domain group lost")
 
 
 async def bring_back(cell, service, pinned):
     """Start the far domain on its old disks, cut off from the cell at first."""
-    cell.block()
+    cell.places.cut(FAR)
     for name in STORES_BY_DOMAIN[FAR]:
         cell.start_store(name)
     cell.start_entry("e2")
-    cell.start_workers("w", FAR)
+    cell.start_workers("w", 2, *LARGE, domain=FAR)
     await sleep(CUT_OFF_S)
-    assert cell.running("w", service) == 0, "started without the word of the cell"
-    cell.heal()
+    assert running(cell, "w", service) == 0, "started without the word of the cell"
+    cell.places.heal()
     restore = {"action": "restore", "groups": [GROUP]}
-    assert await cell.code_of("domain", restore, request_id="early") in (4010, None)
+    assert await code_of(cell, "domain", restore, request_id="early") in (4010, None)
 
     async def idle():
-        return await cell.standing() == "lost, idle"
+        return await standing(cell) == "lost, idle"
 
     await wait_until(idle, "the far group confirms that nothing runs there")
-    assert cell.running("w", pinned) == 0
+    assert running(cell, "w", pinned) == 0
     await cell.operate("domain", restore, request_id="restore")
-    await wait_until(lambda: cell.running("w", pinned) == 1, "the pinned service runs again")
+    await wait_until(lambda: running(cell, "w", pinned) == 1, "the pinned service runs again")
 
 
 @pytest.mark.timeout(300)
@@ -155,4 +131,5 @@
         assert len(began) == 2 * TASKS_BY_NAME[BATCH]  # one start and one end each
         assert await has_state(cell, batch, "succeeded")
 
-    run_cell(LossCell, tmp_path, check, limit_s=LIMIT_S)
+    places = PLACES | {"n": NEAR}
+    with_cell(tmp_path, check, layout=LAYOUT, place_by_name=places, document=DOCUMENT)
--- a/tests/test_shared_stores.py
+++ b/tests/test_shared_stores.py
@@ -1,7 +1,6 @@
 """Stores that hold several domain groups, as real processes."""
 
 import pytest
-from anyio import fail_after, run
 
 from siskintally.errors import NotFoundError
 from siskintally.metrics import Metrics
@@ -9,12 +8,19 @@
 from siskintally.settings import parse
 from siskintally.store_links import StoreLinks
 from siskintally.wire_pb2 import ConfigWatch, LedgerBegin, LedgerFinish, LedgerRelease, WorkerBeat
+from tests.cell_runs import with_cell
 from tests.checker import check_requests, check_workers, read
-from tests.full_cell import DOMAIN, GROUP, running_cell
-from tests.processes import seeded, wait_until
+from tests.full_cell import DOMAIN, GROUP, Layout
+from tests.processes import wait_until
 
-LIMIT_S = 240
 OTHER_DOMAIN, OTHER_GROUP = "fjeld-a", "fjeld"
+STORES = ["s1", "s2", "s3"]
+LAYOUT = Layout(
+    stores=dict.fromkeys(STORES, DOMAIN),
+    entries={"e1": DOMAIN, "e2": OTHER_DOMAIN},
+    members_by_group={"cell": STORES, GROUP: STORES, OTHER_GROUP: STORES},
+    domains_by_group={GROUP: [DOMAIN], OTHER_GROUP: [OTHER_DOMAIN]},
+)
 JOB = {"team": "ski", "kind": "service", "tasks": 4, "cpu_milli": 1000, "memory_mb": 500}
 SETTINGS = """
 [cell]
@@ -105,14 +111,4 @@
         status = await cell.operate("status", {}, request_id="status")
         assert {row["group"] for row in status["groups"]} == {GROUP, OTHER_GROUP}
 
-    random = seeded()
-
-    async def main():
-        with fail_after(LIMIT_S):
-            entries = {"e1": DOMAIN, "e2": OTHER_DOMAIN}
-            others = {OTHER_DOMAIN: OTHER_GROUP}
-            options = {"entries": entries, "group_by_domain": others}
-            async with running_cell(tmp_path, random, **options) as cell:
-                await check(cell)
-
-    run(main)
+    with_cell(tmp_path, check, layout=LAYOUT)
