Let heartbeats of workers and quiet configuration polls share the group's heartbeat

The read rounds of worker heartbeats were urgent: each of about three rounds a second sent a message of its own to both followers, although the design page says that they ride on the next heartbeat of the group. A configuration poll without news did the same every 2 s for each entry. Both now wait for the next heartbeat (0.5 s at most); a poll with news still asks at once, and a poll without news ends its wait 0.5 s earlier, so that its answer arrives within the wait that was asked for.

The quorum round still begins after the heartbeat of the worker arrived. Start orders are pushed and do not wait for it, and a lease of 10 s or more loses at most 0.5 s.

--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -29,6 +29,8 @@
 from siskintally.worker_service import WorkerService
 
 MAX_WATCH_S = 30.0
+# Part of the wait that is left for a read round on the next heartbeat of the group.
+CONFIRM_S = 0.5
 RESTART_S = 0.1
 
 _LEDGER_FIELDS = {
@@ -173,14 +175,14 @@
 
     async def _answer_watch(self, body):
         """Return the committed configuration, at once if it is newer than the known one."""
-        deadline = self._clock() + min(max(body.wait_s, 0.0), MAX_WATCH_S)
+        deadline = self._clock() + min(max(body.wait_s - CONFIRM_S, 0.0), MAX_WATCH_S)
         while not self._has_news(body) and self.owner_term is not None:
             remaining = deadline - self._clock()
             if remaining <= 0:
                 break
             with move_on_after(remaining):
                 await self._config_changed.wait()
-        await self._group.confirm()
+        await self._group.confirm(urgent=self._has_news(body))
         state = ConfigState()
         state.CopyFrom(self._domain.config)
         state.drained.extend(self._domain.drained_endpoints())
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -5,6 +5,8 @@
 'OwnerTerm'
 """
 
+from functools import partial
+
 from anyio import Event
 
 from siskintally.domain_job import job_id_of
@@ -65,7 +67,10 @@
         self.grant_s = domain.longest_lease_s
         self.settled_at = self.since
         self.orders = Orders()
-        self.shared_confirm = SharedConfirm(confirm=group.confirm, window_s=window_s)
+        # A round of its own costs two messages to each follower; the next heartbeat carries it.
+        self.shared_confirm = SharedConfirm(
+            confirm=partial(group.confirm, urgent=False), window_s=window_s
+        )
         self.link_by_worker = {}
         self.losing = set()
         self.dirty = set()
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -24,7 +24,7 @@
         self.applied_index += 1
         return self.machine.apply(index=self.applied_index, command=command)
 
-    async def confirm(self):
+    async def confirm(self, *, urgent=True):
         """Refuse unless this process leads."""
         if not self.is_leader:
             raise NotLeaderError("not leader", leader=self.leader)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -83,7 +83,7 @@
             raise OutcomeUnknownError("leadership was lost")
         return await super().propose(command)
 
-    async def confirm(self):
+    async def confirm(self, *, urgent=True):
         """Complete a round once its gate is open."""
         if self.round_gate is not None:
             await self.round_gate.wait()
