Wake a leading store less often: one keeper for all links, lighter queues, quiet keepalives

A profile of a leader with 142 workers showed that most of its time went into waking up: a keeper task a link that was cancelled by a timeout each time, memory object streams that make an event and look up the present task for each item, and an iteration of the group's loop for each reply to a heartbeat.

- One task of a server checks all its sessions at multiples of 0.5 s, when the groups send their heartbeats too; when to ping and when to close is decided by `liveness`, without input or output.
- The queue of a link and the inbox of a group are deques with one event.
- A reply that only shows that a peer is alive (nothing uncommitted, no open read round, no handover) waits in the inbox for the next heartbeat and keeps the time of its arrival.
- A call on a quiet link no longer causes a ping at once; it is itself a question, and a ping follows after 1 s without a reply.
Worker links have no pings between heartbeats.
A path that drops packets is found by TCP keepalive (5 s and 3 probes of 1 s, 8 s as before), a host that still acknowledges them by the heartbeat's own deadline (at most 10 s + 4 s, before 8 s).
- group.py is split: member changes, waiting calls and leadership have modules of their own.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -24,11 +24,12 @@
     ),
     "Replicated log": (
         "replica election replication following membership progress raftlog messages effects "
-        "stable timing encoding journal records group inbox applier joins waiters watchers machine"
+        "stable timing encoding journal records group inbox applier joins "
+        "member_changes group_calls leadership waiters watchers machine"
     ),
     "Processes and transport": (
-        "store store_links replicas founding link session leader supervisor daemon settings log "
-        "metrics codes errors"
+        "store store_links replicas founding link session outbox liveness leader "
+        "supervisor daemon settings log metrics codes errors"
     ),
     "Command line and stubs": (
         "main __main__ command commands_entry commands_operator commands_store commands_worker "
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -18,17 +18,17 @@
 from siskintally.applier import Applier
 from siskintally.effects import Effects
 from siskintally.encoding import decode, encode
-from siskintally.errors import DamagedDataError, NotLeaderError, OutcomeUnknownError
+from siskintally.errors import DamagedDataError
+from siskintally.group_calls import GroupCalls
 from siskintally.inbox import Inbox
-from siskintally.joins import Joins
 from siskintally.journal import Journal, set_aside
+from siskintally.leadership import LeadershipState
 from siskintally.log import get_logger
-from siskintally.membership import quorum
+from siskintally.member_changes import MemberChanges
 from siskintally.messages import Leadership
 from siskintally.replica import Replica
 from siskintally.timing import Timing
-from siskintally.waiters import Waiter, Waiters
-from siskintally.watchers import Watchers
+from siskintally.waiters import Waiter
 from siskintally.wire_pb2 import JoinReply, JoinRequest
 
 INBOX_MESSAGES = 4096
@@ -47,6 +47,16 @@
     __slots__ = ()
 
 
+class _Arrival:
+    """A message of another replica, with the time of its arrival if it waits for others."""
+
+    __slots__ = ("at", "message")
+
+    def __init__(self, *, message, at):
+        self.message = message
+        self.at = at
+
+
 class Group:
     """One replica of a replicated group.
 
@@ -69,20 +79,18 @@
         "_applier",
         "_batch",
         "_batch_items",
+        "_calls",
+        "_changes",
         "_ended",
         "_inbox",
         "_is_handed_over",
-        "_joins",
         "_journal",
         "_kept_entries",
         "_leadership",
-        "_members_index",
         "_replica",
         "_send",
         "_stop_at",
         "_timing",
-        "_waiters",
-        "_watchers",
         "folder",
         "founding_members",
         "name",
@@ -119,29 +127,29 @@
         self._batch = []
         self._journal = None
         self._replica = None
-        self._leadership = Leadership(term=0, leader="", is_leader=False)
-        self._watchers = Watchers()
-        self._waiters = Waiters()
-        self._joins = Joins(group=name, process=process, founding_members=self.founding_members)
+        self._leadership = LeadershipState(process=process, founding_members=self.founding_members)
+        self._calls = GroupCalls(group=name, process=process, leadership=self._leadership)
+        self._changes = MemberChanges(
+            group=name, process=process, founding_members=self.founding_members, send=send
+        )
         self._stop_at = None
         self._is_handed_over = False
-        self._members_index = None
         self._ended = Event()
 
     @property
     def term(self):
         """Present term."""
-        return self._leadership.term
+        return self._leadership.now.term
 
     @property
     def is_leader(self):
         """Whether this replica leads and its machine has applied an entry of the term."""
-        return self._leadership.is_leader
+        return self._leadership.now.is_leader
 
     @property
     def leader(self):
         """Name of the process that leads, empty if unknown."""
-        return self._leadership.leader
+        return self._leadership.now.leader
 
     @property
     def applied_index(self):
@@ -182,7 +190,7 @@
 
         A slow reader loses the oldest messages, never the latest.
         """
-        return self._watchers.add(self._leadership)
+        return self._leadership.watch()
 
     def receive(self, body):
         """Take a consensus message or a join request of a link; dropped if the queue is full."""
@@ -193,7 +201,10 @@
         except (KeyError, ValueError) as error:
             log.warning("message dropped", group=self.name, error=str(error))
             return
-        self._inbox.drop_or_put(item)
+        # A reply that only shows that a peer is alive waits for the next heartbeat.
+        is_keepalive = self._replica is not None and self._replica.is_keepalive(item)
+        item = _Arrival(message=item, at=monotonic() if is_keepalive else None)
+        self._inbox.drop_or_put(item, wakes=not is_keepalive)
 
     async def join_request(self, body):
         """Admit a new incarnation, if this replica leads, and say how far its log goes.
@@ -222,30 +233,17 @@
             await self._loop()
         finally:
             self._publish(Leadership(term=self.term, leader="", is_leader=False))
-            self._fail_queued()
+            self._calls.end(self._batch, self._inbox.drain())
             self._journal.close()
             self._journal = None
             self._ended.set()
 
-    def _fail_queued(self):
-        """End the calls that were not begun, or whose batch was cut short by an error."""
-        for item in self._batch:
-            if isinstance(item, Waiter):
-                item.fail(OutcomeUnknownError(f"group {self.name}: the replica ended"))
-        for item in self._inbox.drain():
-            if isinstance(item, Waiter):
-                item.fail(self._not_leader())
-
     async def _ask(self, waiter):
         if not self.is_leader or self._stop_at is not None:
-            raise self._not_leader()
+            raise self._calls.not_leader()
         await self._inbox.put(waiter)
         return await waiter.wait()
 
-    def _not_leader(self):
-        leader = self.leader if self.leader != self.process else ""
-        return NotLeaderError(f"{self.process} does not lead group {self.name}", leader=leader)
-
     def _open(self):
         try:
             self._journal = Journal.open(self.folder, group=self.name, name=self.process)
@@ -273,16 +271,19 @@
             now = monotonic()
             effects = Effects()
             waiters = self._take(self._batch, now, effects)
-            self._begin(waiters, now, effects)
+            if self.is_leader:
+                self._calls.begin(waiters, self._replica, now, effects)
+            else:
+                self._calls.refuse(waiters)
             self._hand_over(now, effects)
             if now >= self._replica.next_tick():
                 effects.extend(self._replica.tick(now))
-            self._manage_members(now, effects)
+            self._changes.manage(self._replica, now, effects)
             await self._carry_out(effects)
             await self._take_snapshot()
 
     def _next_time(self):
-        times = [self._replica.next_tick(), self._joins.due(self._replica)]
+        times = [self._replica.next_tick(), self._changes.due(self._replica)]
         if self._stop_at is not None:
             times.append(self._stop_at)
         return min(times)
@@ -293,44 +294,20 @@
         for item in items:
             if isinstance(item, Waiter):
                 waiters.append(item)
-                continue
-            if isinstance(item, _Stop):
+            elif isinstance(item, _Stop):
                 self._stop_at = now + STOP_TIMEOUT_S
-                continue
-            if isinstance(item, JoinRequest):
-                self._joins.note(item, now)
+            elif isinstance(item.message, JoinRequest):
+                self._changes.note(item.message, now)
             else:
-                effects.extend(self._replica.receive(item, now))
+                at = now if item.at is None else item.at
+                effects.extend(self._replica.receive(item.message, at))
         return waiters
 
-    def _begin(self, waiters, now, effects):
-        """Begin the entries and the read round of new calls."""
-        if not self.is_leader:
-            for waiter in waiters:
-                waiter.fail(self._not_leader())
-            return
-        proposals = [waiter for waiter in waiters if waiter.command is not None]
-        reads = [waiter for waiter in waiters if waiter.command is None]
-        try:
-            if proposals:
-                commands = [waiter.command for waiter in proposals]
-                effects.extend(self._replica.propose_batch(commands, now))
-                self._waiters.add_proposals(proposals, effects.index)
-                proposals = []
-            if reads:
-                urgent = any(waiter.urgent for waiter in reads)
-                effects.extend(self._replica.confirm(now, urgent=urgent))
-                self._waiters.add_reads(reads, effects.round)
-                reads = []
-        except NotLeaderError:
-            for waiter in (*proposals, *reads):
-                waiter.fail(self._not_leader())
-
     def _hand_over(self, now, effects):
         """Transfer leadership once, after all accepted calls have ended."""
         if self._stop_at is None or self._is_handed_over:
             return
-        if self._replica.is_leader and self._waiters.is_empty:
+        if self._replica.is_leader and self._calls.is_empty:
             self._is_handed_over = True
             effects.extend(self._replica.transfer(now))
 
@@ -342,17 +319,6 @@
             return True
         return self._is_handed_over and self._replica.transfer_to is None
 
-    def _manage_members(self, now, effects):
-        """Ask to be admitted, or as the leader admit others in single steps."""
-        replica = self._replica
-        if now >= self._joins.due(replica):
-            for process, body in self._joins.ask(replica.identity.incarnation, now):
-                self._send(process, body)
-        change = self._joins.next_change(replica, now)
-        if change is not None:
-            log.info("member change proposed", group=self.name, members=str(change))
-            effects.extend(replica.propose_members(change, now))
-
     async def _carry_out(self, effects):
         replica = self._replica
         while effects.must_sync:
@@ -374,42 +340,16 @@
         if effects.restore is not None:
             self._applier.restore(effects.restore)
         for entry in effects.committed:
-            self._waiters.applied(entry.index, self._applier.apply(entry))
+            self._calls.applied(entry.index, self._applier.apply(entry))
         if effects.confirmed:
-            self._waiters.confirmed(effects.confirmed)
+            self._calls.confirmed(effects.confirmed)
         if effects.committed or effects.leadership:
-            self._publish(self._present_leadership())
-        self._log_members()
-
-    def _log_members(self):
-        """Log a committed member set once; a proposed one may never be in force."""
-        raft_log = self._replica.log
-        index = raft_log.members_index
-        if index != self._members_index and index <= self._replica.commit:
-            self._members_index = index
-            log.info("members", group=self.name, index=index, members=str(raft_log.members))
-
-    def _present_leadership(self):
-        replica = self._replica
-        if not replica.is_leader:
-            leader = replica.leader.name if replica.leader else ""
-            return Leadership(term=replica.term, leader=leader, is_leader=False)
-        # Until a majority of the founding members are voters, a commit could be on one disk only.
-        names = {voter.name for voter in replica.voters} & set(self.founding_members)
-        is_ready = replica.is_settled and len(names) >= quorum(len(self.founding_members))
-        leader = self.process if is_ready else ""
-        return Leadership(term=replica.term, leader=leader, is_leader=is_ready)
+            self._publish(self._leadership.seen_by(self._replica))
+        self._changes.log_committed(self._replica)
 
     def _publish(self, leadership):
-        if leadership == self._leadership:
-            return
-        if self._leadership.is_leader:
-            self._waiters.fail(
-                proposals=lambda: OutcomeUnknownError(f"group {self.name}: leadership was lost"),
-                reads=self._not_leader,
-            )
-        self._leadership = leadership
-        self._watchers.publish(leadership)
+        if self._leadership.publish(leadership):
+            self._calls.fail()
 
     async def _take_snapshot(self):
         """Replace the applied part of the log, if it has grown enough."""
--- a/siskintally/inbox.py
+++ b/siskintally/inbox.py
@@ -9,7 +9,10 @@
 ['one']
 """
 
-from anyio import WouldBlock, create_memory_object_stream, move_on_after
+from collections import deque
+
+from anyio import Event, move_on_after
+from anyio.lowlevel import checkpoint
 
 MAX_ITEMS = 16384
 
@@ -20,48 +23,64 @@
     :param max_messages: messages that wait at most; more are dropped.
     """
 
-    __slots__ = ("_max_messages", "_messages", "_reader", "_writer")
+    __slots__ = ("_is_due", "_items", "_max_messages", "_messages", "_ready", "_space")
 
     def __init__(self, *, max_messages):
         self._max_messages = max_messages
         self._messages = 0
-        self._writer, self._reader = create_memory_object_stream(MAX_ITEMS)
+        self._items = deque()
+        self._is_due = False
+        self._ready = None
+        self._space = None
 
-    def drop_or_put(self, message):
-        """Add a message; return False if the queue is full."""
-        if self._messages >= self._max_messages:
-            return False
-        try:
-            self._writer.send_nowait((True, message))
-        except WouldBlock:
+    def drop_or_put(self, message, *, wakes=True):
+        """Add a message; return False if the queue is full.
+
+        :param wakes: False for a message that can wait for the next one or for the next timeout.
+        """
+        if self._messages >= self._max_messages or len(self._items) >= MAX_ITEMS:
             return False
         self._messages += 1
+        self._items.append((True, message))
+        if wakes:
+            self._wake()
         return True
 
     async def put(self, call):
         """Add a call; waits while the queue is full."""
-        await self._writer.send((False, call))
+        while len(self._items) >= MAX_ITEMS:
+            if self._space is None:
+                self._space = Event()
+            await self._space.wait()
+        self._items.append((False, call))
+        self._wake()
 
     async def gather(self, timeout, max_items):
         """Wait for an item for ``timeout`` seconds; return all items at hand."""
-        items = []
-        with move_on_after(max(0.0, timeout)):
-            items.append(self._taken(await self._reader.receive()))
-        if items:
-            items.extend(self.drain(max_items - 1))
-        return items
+        if self._is_due or timeout <= 0:
+            # The task that takes the items must not keep others from running.
+            await checkpoint()
+        else:
+            self._ready = Event()
+            with move_on_after(timeout):
+                await self._ready.wait()
+            self._ready = None
+        return self.drain(max_items)
 
     def drain(self, max_items=MAX_ITEMS):
         """Return the items at hand without waiting."""
         items = []
-        while len(items) < max_items:
-            try:
-                items.append(self._taken(self._reader.receive_nowait()))
-            except WouldBlock:
-                break
+        while self._items and len(items) < max_items:
+            is_message, item = self._items.popleft()
+            self._messages -= is_message
+            items.append(item)
+        self._is_due = bool(self._items)
+        if self._space is not None:
+            self._space.set()
+            self._space = None
         return items
 
-    def _taken(self, pair):
-        is_message, item = pair
-        self._messages -= is_message
-        return item
+    def _wake(self):
+        self._is_due = True
+        if self._ready is not None:
+            self._ready.set()
--- /dev/null
+++ b/siskintally/leadership.py
@@ -0,0 +1,50 @@
+"""Who leads a group, as one replica tells the rest of its process.
+
+>>> from siskintally.leadership import LeadershipState
+>>> state = LeadershipState(process="s1", founding_members=("s1", "s2", "s3"))
+>>> state.now.term, state.now.is_leader, state.now.leader
+(0, False, '')
+"""
+
+from siskintally.membership import quorum
+from siskintally.messages import Leadership
+from siskintally.watchers import Watchers
+
+
+class LeadershipState:
+    """The present :class:`~siskintally.messages.Leadership` and those who watch it.
+
+    :param founding_members: process names that may have a replica.
+    """
+
+    __slots__ = ("_founding_members", "_process", "_watchers", "now")
+
+    def __init__(self, *, process, founding_members):
+        self.now = Leadership(term=0, leader="", is_leader=False)
+        self._process = process
+        self._founding_members = frozenset(founding_members)
+        self._watchers = Watchers()
+
+    def watch(self):
+        """Return a receive stream of :class:`Leadership`, starting with the present state."""
+        return self._watchers.add(self.now)
+
+    def seen_by(self, replica):
+        """Return the leadership as a replica sees it."""
+        if not replica.is_leader:
+            leader = replica.leader.name if replica.leader else ""
+            return Leadership(term=replica.term, leader=leader, is_leader=False)
+        # Until a majority of the founding members are voters, a commit could be on one disk only.
+        names = {voter.name for voter in replica.voters} & self._founding_members
+        is_ready = replica.is_settled and len(names) >= quorum(len(self._founding_members))
+        leader = self._process if is_ready else ""
+        return Leadership(term=replica.term, leader=leader, is_leader=is_ready)
+
+    def publish(self, leadership):
+        """Tell those who watch, if it changed; return whether this replica has ceased to lead."""
+        before = self.now
+        if leadership == before:
+            return False
+        self.now = leadership
+        self._watchers.publish(leadership)
+        return before.is_leader
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -10,18 +10,30 @@
 
 from hmac import compare_digest
 from random import random
+from socket import (
+    AF_INET,
+    AF_INET6,
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    create_server,
+)
 from time import monotonic
 from uuid import uuid4
 
-from anyio import Event, create_task_group, move_on_after, sleep, sleep_forever
+from anyio import Event, create_task_group, move_on_after, sleep
 from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
 from siskintally.errors import UnreachableError
+from siskintally.liveness import watch
 from siskintally.log import get_logger
-from siskintally.session import LOST, Session, unwrap, wrap
+from siskintally.session import IDLE_PING_S, LOST, Session, unwrap, wrap
 from siskintally.wire_grpc import PeerBase, PeerStub
 from siskintally.wire_pb2 import Hello
 
@@ -29,10 +41,24 @@
 CONNECT_TIMEOUT_S = 2.0
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
+# Longer than the heartbeats of workers (10 s) and than the pings of the other links (5 s): the side
+# that dials pings, so that a quiet link carries one ping and not two.
+ACCEPTED_IDLE_PING_S = 12.0
+
+# A path that drops packets ends an idle connection after 5 s and 3 probes, without any processor
+# time of this process; pings find what a host in between still acknowledges.
+TCP_OPTIONS = ((TCP_KEEPIDLE, 5), (TCP_KEEPINTVL, 1), (TCP_KEEPCNT, 3))
 
 log = get_logger("link")
 
 
+def _keep_alive(sock):
+    """Let the kernel probe an idle connection, or all that a listening socket accepts."""
+    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    for option, value in TCP_OPTIONS:
+        sock.setsockopt(IPPROTO_TCP, option, value)
+
+
 class Link:
     """Outgoing link that is opened again whenever it is lost.
 
@@ -44,17 +70,29 @@
     :param hello: what this process says of itself.
     :param handler: takes calls and messages of the other side.
     :param tls: :class:`~siskintally.settings.Tls`, or None.
+    :param idle_ping_s: silence after which the link is pinged if no call waits, s.
     """
 
-    __slots__ = ("_handler", "_hello", "_opened", "_secret", "_tls", "host", "port", "session")
-
-    def __init__(self, *, host, port, hello, secret, handler, tls=None):
+    __slots__ = (
+        "_handler",
+        "_hello",
+        "_idle_ping_s",
+        "_opened",
+        "_secret",
+        "_tls",
+        "host",
+        "port",
+        "session",
+    )
+
+    def __init__(self, *, host, port, hello, secret, handler, tls=None, idle_ping_s=IDLE_PING_S):
         self.host = host
         self.port = port
         self.session = None
         self._hello = hello
         self._secret = secret
         self._handler = handler
+        self._idle_ping_s = idle_ping_s
         self._tls = tls.client_context() if tls is not None else None
         self._opened = Event()
 
@@ -92,14 +130,18 @@
             # In a task of its own: grpclib cancels the task that reads when the connection is lost,
             # and on Python 3.11 the cancellation count that stays would end the tasks around it.
             async with create_task_group() as tasks:
-                tasks.start_soon(self._hold)
+                tasks.start_soon(watch, self._sessions)
+                tasks.start_soon(self._hold, tasks.cancel_scope)
             self.session = None
             if monotonic() - started > MAX_BACKOFF_S:
                 backoff = MIN_BACKOFF_S
             await sleep(backoff * (0.5 + random()))
             backoff = min(backoff * 2, MAX_BACKOFF_S)
 
-    async def _hold(self):
+    def _sessions(self):
+        return (self.session,) if self.is_open else ()
+
+    async def _hold(self, scope):
         channel = Channel(self.host, self.port, ssl=self._tls)
         try:
             await self._converse(channel)
@@ -107,6 +149,7 @@
             log.debug("connect failed", address=f"{self.host}:{self.port}", error=str(error))
         finally:
             channel.close()
+            scope.cancel()
 
     async def _converse(self, channel):
         metadata = {SECRET_HEADER: self._secret}
@@ -114,15 +157,19 @@
             peer = None
             with move_on_after(CONNECT_TIMEOUT_S):
                 await stream.send_message(wrap(self._hello))
+                # grpclib has no public way to its socket.
+                _keep_alive(stream.peer._transport.get_extra_info("socket"))
                 frame = await stream.recv_message()
                 peer = unwrap(frame) if frame is not None else None
             if not isinstance(peer, Hello):
                 await stream.cancel()
                 return
-            self.session = Session(stream=stream, peer=peer, handler=self._handler)
+            self.session = session = Session(
+                stream=stream, peer=peer, handler=self._handler, idle_ping_s=self._idle_ping_s
+            )
             self._opened.set()
             self._opened = Event()
-            await self.session.run()
+            await session.run()
             await stream.cancel()
 
 
@@ -155,7 +202,12 @@
             peer = unwrap(frame) if frame is not None else None
             if isinstance(peer, Hello) and peer.cell == self._hello.cell:
                 await stream.send_message(wrap(self._hello))
-                session = Session(stream=stream, peer=peer, handler=self._handler)
+                session = Session(
+                    stream=stream,
+                    peer=peer,
+                    handler=self._handler,
+                    idle_ping_s=ACCEPTED_IDLE_PING_S,
+                )
         if session is None:
             return
         key = uuid4().hex
@@ -171,9 +223,13 @@
         :raises OSError: the address is in use.
         """
         server = Server([self])
-        await server.start(host, port, ssl=self._tls)
+        family = AF_INET6 if ":" in host else AF_INET
+        listener = create_server((host, port), family=family)
+        # Accepted connections inherit the options.
+        _keep_alive(listener)
+        await server.start(sock=listener, ssl=self._tls)
         try:
-            await sleep_forever()
+            await watch(lambda: list(self.session_by_id.values()))
         finally:
             for session in list(self.session_by_id.values()):
                 session.close()
--- /dev/null
+++ b/siskintally/member_changes.py
@@ -0,0 +1,56 @@
+"""Member changes of one replica: asking to be admitted, admitting others, logging what is in force.
+
+>>> from siskintally.member_changes import MemberChanges
+>>> changes = MemberChanges(
+...     group="cell", process="s1", founding_members=("s1", "s2"), send=lambda to, body: True
+... )
+>>> changes.founding_members
+('s1', 's2')
+"""
+
+from siskintally.joins import Joins
+from siskintally.log import get_logger
+
+log = get_logger("member-changes")
+
+
+class MemberChanges:
+    """What a replica does about the members of its group.
+
+    :param founding_members: process names that may have a replica.
+    :param send: ``send(process_name, body) -> bool``; must not block.
+    """
+
+    __slots__ = ("_group", "_joins", "_logged_index", "_send", "founding_members")
+
+    def __init__(self, *, group, process, founding_members, send):
+        self.founding_members = tuple(founding_members)
+        self._group = group
+        self._send = send
+        self._joins = Joins(group=group, process=process, founding_members=self.founding_members)
+        self._logged_index = None
+
+    def note(self, body, now):
+        """Remember a JoinRequest of another process."""
+        self._joins.note(body, now)
+
+    def due(self, replica):
+        """Return the time at which :meth:`manage` has something to ask."""
+        return self._joins.due(replica)
+
+    def manage(self, replica, now, effects):
+        """Ask to be admitted, or as the leader admit others in single steps."""
+        if now >= self._joins.due(replica):
+            for process, body in self._joins.ask(replica.identity.incarnation, now):
+                self._send(process, body)
+        change = self._joins.next_change(replica, now)
+        if change is not None:
+            log.info("member change proposed", group=self._group, members=str(change))
+            effects.extend(replica.propose_members(change, now))
+
+    def log_committed(self, replica):
+        """Log a committed member set once; a proposed one may never be in force."""
+        index = replica.log.members_index
+        if index != self._logged_index and index <= replica.commit:
+            self._logged_index = index
+            log.info("members", group=self._group, index=index, members=str(replica.log.members))
--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -11,7 +11,13 @@
 
 from siskintally.election import NEVER, Role
 from siskintally.membership import quorum_value
-from siskintally.messages import AppendRequest, Envelope, SnapshotChunk, TransferLeadership
+from siskintally.messages import (
+    AppendReply,
+    AppendRequest,
+    Envelope,
+    SnapshotChunk,
+    TransferLeadership,
+)
 from siskintally.progress import Progress
 
 BEAT_TOLERANCE = 1e-9
@@ -27,6 +33,22 @@
         """Whether the leader has committed an entry of its own term."""
         return self.role == Role.LEADER and self.log.term_at(self.commit) == self.term
 
+    def is_keepalive(self, message):
+        """Whether a message is a reply that only shows that a peer is alive.
+
+        Nothing waits for it: the peer lacks no entry, no read round is open, and leadership is not
+        being handed over. It can be taken with the next heartbeat.
+        """
+        if not isinstance(message, AppendReply) or message.term != self.term:
+            return False
+        progress = self.progress_by_id.get(message.sender)
+        is_quiet = self.is_settled and self.transfer_to is None
+        return (
+            (is_quiet and progress is not None and message.accepted)
+            and self.commit == self.log.last_index == progress.match == message.match_index
+            and self.confirmed == self.round
+        )
+
     def _append(self, entry, effects):
         self.log.append(entry)
         effects.entries.append(entry)
--- a/siskintally/session.py
+++ b/siskintally/session.py
@@ -10,15 +10,7 @@
 from abc import ABC, abstractmethod
 from time import monotonic
 
-from anyio import (
-    ClosedResourceError,
-    EndOfStream,
-    Event,
-    WouldBlock,
-    create_memory_object_stream,
-    create_task_group,
-    move_on_after,
-)
+from anyio import ClosedResourceError, Event, create_task_group, move_on_after
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from siskintally.codes import Code
@@ -28,15 +20,14 @@
     SiskintallyError,
     UnreachableError,
 )
+from siskintally.liveness import Liveness, Step
 from siskintally.log import get_logger
+from siskintally.outbox import Outbox
 from siskintally.wire_pb2 import Failure, Frame, Ping, Pong
 
 OUTBOX_FRAMES = 4096
 BATCH_BYTES = 65536
 IDLE_PING_S = 5.0
-BUSY_PING_S = 1.0
-SILENCE_S = 3.0
-KEEPER_STEP_S = 0.5
 LOST = (GRPCError, ProtocolError, StreamTerminatedError, OSError, ClosedResourceError)
 
 _FIELD_BY_TYPE = {
@@ -96,37 +87,35 @@
     """One established link; either side may call the other.
 
     :param peer: the Hello of the other side.
+    :param idle_ping_s: silence after which the link is pinged if no call waits, s.
     """
 
     __slots__ = (
+        "_busy_since",
         "_handler",
-        "_last_heard",
-        "_last_ping",
+        "_liveness",
         "_next_id",
         "_outbox",
-        "_outbox_reader",
         "_pending_by_id",
         "_scope",
         "_stream",
         "_tasks",
-        "_wake",
         "closed",
         "peer",
     )
 
-    def __init__(self, *, stream, peer, handler):
+    def __init__(self, *, stream, peer, handler, idle_ping_s=IDLE_PING_S):
         self.peer = peer
         self.closed = False
         self._stream = stream
         self._handler = handler
         self._pending_by_id = {}
+        self._busy_since = 0.0
         self._next_id = 1
-        self._outbox, self._outbox_reader = create_memory_object_stream(OUTBOX_FRAMES)
-        self._last_heard = monotonic()
-        self._last_ping = 0.0
+        self._outbox = Outbox(max_items=OUTBOX_FRAMES)
+        self._liveness = Liveness(idle_ping_s=idle_ping_s, now=monotonic())
         self._scope = None
         self._tasks = None
-        self._wake = Event()
 
     async def call(self, body, *, timeout):
         """Send a message and wait for its reply.
@@ -140,7 +129,7 @@
         self._next_id += 1
         pending = _Pending(frame=wrap(body, call_id=call_id))
         if not self._pending_by_id:
-            self._wake.set()
+            self._busy_since = monotonic()
         self._pending_by_id[call_id] = pending
         try:
             self._put(pending)
@@ -181,10 +170,8 @@
     def _put(self, pending):
         if self.closed:
             raise UnreachableError(f"link to {self.peer.name} is closed")
-        try:
-            self._outbox.send_nowait(pending)
-        except (WouldBlock, ClosedResourceError) as error:
-            raise UnreachableError(f"link to {self.peer.name} is full") from error
+        if not self._outbox.put(pending):
+            raise UnreachableError(f"link to {self.peer.name} is full")
 
     async def run(self):
         """Carry frames until the link is closed or silent."""
@@ -193,7 +180,6 @@
                 self._tasks = tasks
                 self._scope = tasks.cancel_scope
                 tasks.start_soon(self._write)
-                tasks.start_soon(self._keep)
                 await self._read()
                 tasks.cancel_scope.cancel()
         finally:
@@ -204,13 +190,12 @@
         for pending in self._pending_by_id.values():
             pending.done.set()
         self._outbox.close()
-        self._outbox_reader.close()
         self._handler.closed(self)
 
     async def _read(self):
         try:
             while (frame := await self._stream.recv_message()) is not None:
-                self._last_heard = monotonic()
+                self._liveness.last_heard = monotonic()
                 self._dispatch(frame)
                 for further in frame.batch:
                     self._dispatch(further)
@@ -254,53 +239,37 @@
 
     async def _write(self):
         try:
-            async for first in self._outbox_reader:
-                frames = [self._take(pending) for pending in self._waiting(first)]
+            while True:
+                await self._outbox.wait()
+                frames = list(self._waiting())
                 if frames:
                     frames[0].batch.extend(frames[1:])
                     await self._stream.send_message(frames[0])
-        except (*LOST, EndOfStream):
+        except LOST:
             self.close()
 
-    def _waiting(self, first):
-        """Yield what is queued, so that it leaves in one message."""
-        pending, size = first, 0
-        while True:
+    def _waiting(self):
+        """Yield the frames that are queued, so that they leave in one message.
+
+        A call that has been given up has no frame any more and is not sent.
+        """
+        size = 0
+        while size <= BATCH_BYTES and (pending := self._outbox.take()) is not None:
             if pending.frame is not None:
+                pending.sent = True
                 size += pending.frame.ByteSize()
-                yield pending
-            if size > BATCH_BYTES:
-                return
-            try:
-                pending = self._outbox_reader.receive_nowait()
-            except (WouldBlock, EndOfStream):
-                return
-
-    def _take(self, pending):
-        pending.sent = True
-        return pending.frame
-
-    async def _keep(self):
-        """Ping a quiet link and close a silent one; sleeps until there is something to check."""
-        while True:
-            now = monotonic()
-            if self._last_ping > self._last_heard:
-                due = self._last_ping + SILENCE_S
-                if now >= due:
-                    silent = round(now - self._last_heard, 1)
-                    log.info("link silent", peer=self.peer.name, seconds=silent)
-                    self.close()
-            else:
-                due = self._last_heard + self._ping_after()
-                if now >= due:
-                    self._last_ping = now
-                    self.send(Ping(sent_at=now))
-            self._wake = Event()
-            with move_on_after(max(due - now, KEEPER_STEP_S)):
-                await self._wake.wait()
-
-    def _ping_after(self):
-        return BUSY_PING_S if self._pending_by_id else IDLE_PING_S
+                yield pending.frame
+
+    def check(self, now):
+        """Ping a quiet link and close a silent one."""
+        busy_since = self._busy_since if self._pending_by_id else None
+        step = self._liveness.step(now, busy_since=busy_since)
+        if step == Step.CLOSE:
+            silent = round(now - self._liveness.last_heard, 1)
+            log.info("link silent", peer=self.peer.name, seconds=silent)
+            self.close()
+        elif step == Step.PING:
+            self.send(Ping(sent_at=now))
 
 
 def _code(number):
--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -29,6 +29,9 @@
 # leaves room for two that fail.
 BEAT_S = 10.0
 BEATS_PER_LEASE = 3
+# Heartbeats are calls, so an idle link needs no pings between them; a path that has gone silent is
+# noticed by TCP keepalive.
+IDLE_PING_S = 12.0
 BEAT_TIMEOUT_S = 4.0
 OPEN_TIMEOUT_S = 2.0
 RETRY_S = 0.2
@@ -179,6 +182,7 @@
                     secret=self._secret,
                     handler=self,
                     tls=self._tls,
+                    idle_ping_s=IDLE_PING_S,
                 )
                 tasks.start_soon(link.run)
                 with move_on_after(OPEN_TIMEOUT_S):
--- /dev/null
+++ b/tests/test_inbox.py
@@ -0,0 +1,74 @@
+"""Queues of the group task and of links."""
+
+from anyio import create_task_group, fail_after, run, sleep
+
+from siskintally.inbox import Inbox
+from siskintally.liveness import BUSY_PING_S, Liveness, Step
+from siskintally.outbox import Outbox
+
+LIMIT_S = 30
+
+
+def test_message_that_does_not_wake_is_taken_with_the_next_one():
+    """Guards against a keepalive that wakes the task, and against one that is never taken."""
+
+    async def main():
+        inbox = Inbox(max_messages=8)
+        taken = []
+
+        async def take():
+            taken.extend(await inbox.gather(LIMIT_S, 10))
+
+        with fail_after(LIMIT_S):
+            async with create_task_group() as tasks:
+                tasks.start_soon(take)
+                await sleep(0.01)
+                inbox.drop_or_put("keepalive", wakes=False)
+                await sleep(0.01)
+                assert not taken
+                inbox.drop_or_put("entry")
+        assert taken == ["keepalive", "entry"]
+        inbox.drop_or_put("keepalive", wakes=False)
+        assert await inbox.gather(0.01, 10) == ["keepalive"]
+
+    run(main)
+
+
+def test_items_over_the_limit_of_a_batch_are_due_at_once():
+    """Guards against a call that waits for a timeout because another one was taken before it."""
+
+    async def main():
+        inbox = Inbox(max_messages=8)
+        with fail_after(LIMIT_S / 2):
+            for call in ("one", "two"):
+                await inbox.put(call)
+            assert await inbox.gather(LIMIT_S, 1) == ["one"]
+            assert await inbox.gather(LIMIT_S, 1) == ["two"]
+
+    run(main)
+
+
+def test_outbox_keeps_the_order_and_refuses_after_its_end():
+    async def main():
+        outbox = Outbox(max_items=2)
+        with fail_after(LIMIT_S):
+            async with create_task_group() as tasks:
+                tasks.start_soon(outbox.wait)
+                await sleep(0.01)
+                assert outbox.put("one")
+            assert outbox.put("two")
+            assert not outbox.put("three")
+            await outbox.wait()
+        assert [outbox.take(), outbox.take(), outbox.take()] == ["one", "two", None]
+        outbox.close()
+        assert not outbox.put("late")
+
+    run(main)
+
+
+def test_call_on_a_quiet_link_is_pinged_only_when_its_reply_takes_long():
+    """Guards against a ping for each heartbeat, and against a call on a silent link that waits."""
+    liveness = Liveness(idle_ping_s=12.0, now=0.0)
+    assert liveness.step(10.5, busy_since=10.0) == Step.NONE
+    assert liveness.step(10.0 + BUSY_PING_S, busy_since=10.0) == Step.PING
+    assert liveness.step(14.1, busy_since=10.0) == Step.CLOSE
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -248,6 +248,27 @@
     assert a.do("receive", old._replace(round=1), net.now).confirmed == 1
 
 
+def test_reply_for_which_something_waits_is_no_keepalive():
+    """Guards against a commit or a read that waits for the next heartbeat."""
+    net = Net()
+    a = net.elect("a")
+    net.run(1)
+    index, b = a.replica.log.last_index, net.nodes["b"].identity
+    reply = AppendReply(
+        term=a.replica.term, sender=b, accepted=True, match_index=index, round=a.replica.round
+    )
+    assert a.replica.is_keepalive(reply)
+    assert not a.replica.is_keepalive(reply._replace(accepted=False))
+    assert not a.replica.is_keepalive(reply._replace(match_index=index - 1))
+    assert not a.replica.is_keepalive(reply._replace(term=a.replica.term - 1))
+    assert not a.replica.is_keepalive(reply._replace(sender=Identity("d", "d0")))
+    a.do("confirm", net.now, urgent=False)
+    assert not a.replica.is_keepalive(reply)
+    net.run(1)
+    a.do("propose", b"x", net.now)
+    assert not a.replica.is_keepalive(reply)
+
+
 def test_isolated_voter_does_not_raise_terms():
     """Guards against a returning voter that unseats the leader with a higher term (pre-vote)."""
     net = Net(seed=5)
