--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -25,7 +25,7 @@
     "Replicated log": (
         "replica election replication following membership progress raftlog messages effects "
         "stable timing encoding journal records group inbox applier joins "
-        "member_changes group_calls leadership waiters watchers machine"
+        "member_changes handover group_calls leadership waiters watchers machine"
     ),
     "Processes and transport": (
         "store store_links replicas founding link session outbox liveness leader "
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -20,6 +20,7 @@
 from siskintally.encoding import decode, encode
 from siskintally.errors import DamagedDataError
 from siskintally.group_calls import GroupCalls
+from siskintally.handover import Handover
 from siskintally.inbox import Inbox
 from siskintally.journal import Journal, set_aside
 from siskintally.leadership import LeadershipState
@@ -36,7 +37,6 @@
 SNAPSHOT_ENTRIES = 5000
 SNAPSHOT_BYTES = 16 * 1024 * 1024
 KEPT_ENTRIES = 1000
-STOP_TIMEOUT_S = 4.0
 
 log = get_logger("group")
 
@@ -82,14 +82,13 @@
         "_calls",
         "_changes",
         "_ended",
+        "_handover",
         "_inbox",
-        "_is_handed_over",
         "_journal",
         "_kept_entries",
         "_leadership",
         "_replica",
         "_send",
-        "_stop_at",
         "_timing",
         "folder",
         "founding_members",
@@ -132,8 +131,7 @@
         self._changes = MemberChanges(
             group=name, process=process, founding_members=self.founding_members, send=send
         )
-        self._stop_at = None
-        self._is_handed_over = False
+        self._handover = Handover()
         self._ended = Event()
 
     @property
@@ -239,7 +237,7 @@
             self._ended.set()
 
     async def _ask(self, waiter):
-        if not self.is_leader or self._stop_at is not None:
+        if not self.is_leader or self._handover.is_asked:
             raise self._calls.not_leader()
         await self._inbox.put(waiter)
         return await waiter.wait()
@@ -259,12 +257,11 @@
             timeout=lambda: uniform(self._timing.election_min_s, self._timing.election_max_s),
             now=monotonic(),
         )
-        self._stop_at = None
-        self._is_handed_over = False
+        self._handover = Handover()
         self._applier.restore(stable.snapshot)
 
     async def _loop(self):
-        while not self._is_over():
+        while not self._handover.is_over(self._replica, monotonic()):
             self._batch = await self._inbox.gather(
                 self._next_time() - monotonic(), self._batch_items
             )
@@ -275,7 +272,7 @@
                 self._calls.begin(waiters, self._replica, now, effects)
             else:
                 self._calls.refuse(waiters)
-            self._hand_over(now, effects)
+            self._handover.advance(self._replica, now, effects, is_idle=self._calls.is_empty)
             if now >= self._replica.next_tick():
                 effects.extend(self._replica.tick(now))
             self._changes.manage(self._replica, now, effects)
@@ -283,10 +280,8 @@
             await self._take_snapshot()
 
     def _next_time(self):
-        times = [self._replica.next_tick(), self._changes.due(self._replica)]
-        if self._stop_at is not None:
-            times.append(self._stop_at)
-        return min(times)
+        replica = self._replica
+        return min(replica.next_tick(), self._changes.due(replica), self._handover.due)
 
     def _take(self, items, now, effects):
         """Hand messages to the replica; return the calls."""
@@ -295,7 +290,7 @@
             if isinstance(item, Waiter):
                 waiters.append(item)
             elif isinstance(item, _Stop):
-                self._stop_at = now + STOP_TIMEOUT_S
+                self._handover.ask(now)
             elif isinstance(item.message, JoinRequest):
                 self._changes.note(item.message, now)
             else:
@@ -303,22 +298,6 @@
                 effects.extend(self._replica.receive(item.message, at))
         return waiters
 
-    def _hand_over(self, now, effects):
-        """Transfer leadership once, after all accepted calls have ended."""
-        if self._stop_at is None or self._is_handed_over:
-            return
-        if self._replica.is_leader and self._calls.is_empty:
-            self._is_handed_over = True
-            effects.extend(self._replica.transfer(now))
-
-    def _is_over(self):
-        """Whether a stop is asked for and leadership is handed over, or cannot be."""
-        if self._stop_at is None:
-            return False
-        if monotonic() >= self._stop_at or not self._replica.is_leader:
-            return True
-        return self._is_handed_over and self._replica.transfer_to is None
-
     async def _carry_out(self, effects):
         replica = self._replica
         while effects.must_sync:
