Measure bytes between regions, a catch-up and a wave of announcements

bench.regions runs two domains in two regions and counts the bytes of every link whose ends are in different regions. It stops the quorum of a domain, makes 500 changes (499 jobs and a configuration), and measures what the catch-up costs; and it lets 142 endpoints announce themselves each second. bench.domain_load prints these figures after its own. The partition test builds its forwarders in a method, so that the benchmark can put counters in their place; what it checks is unchanged.

--- a/bench/domain_load.py
+++ b/bench/domain_load.py
@@ -2,7 +2,8 @@
 
 Three stores hold the cell group and one domain group; stub workers run services of 20 tasks each.
 Processor time and memory are those of the store that leads, the mean of the others and the entry;
-bytes are counted by relays between the stores and between workers and stores.
+bytes are counted by relays between the stores and between workers and stores. All these links are
+within one region; what crosses a region boundary is measured with two regions by bench.regions.
 
 Usage: python -m bench.domain_load [workers,workers,...] [starts a second] [seconds]
 """
@@ -16,6 +17,7 @@
 from anyio import create_task_group, run, sleep
 from httpx import AsyncClient
 
+from bench import regions
 from bench.meter import ByteCounter, fit, process_cpu_seconds, resident_mb
 from tests.full_cell import FullCell
 from tests.processes import Processes, free_ports, wait_until
@@ -196,6 +198,7 @@
     starts_per_s = float(argv[2]) if len(argv) > 2 else STARTS_PER_S
     seconds = float(argv[3]) if len(argv) > 3 else SECONDS
     result = run(measure, sizes, starts_per_s, seconds)
+    crossing = run(regions.measure, seconds)
     names = list(next(iter(result.values()))[0])
     print(f"{'workers':>8} {'state':6} " + " ".join(f"{name:>15}" for name in names))
     for workers, states in result.items():
@@ -209,7 +212,8 @@
         slopes[f"{name}_per_worker"], slopes[f"{name}_base"] = slope, base
         extra = [states[1][name] - states[0][name] for states in result.values()]
         slopes[f"{name}_per_start_s"] = sum(extra) / len(extra) / starts_per_s
-    print(json.dumps(slopes))
+    regions.show(crossing)
+    print(json.dumps(slopes | crossing))
 
 
 if __name__ == "__main__":
--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -64,9 +64,13 @@
             target = findall(r'link = "127.0.0.1:(\d+)"', row)[0]
             (port,) = free_ports(1)
             text = text.replace(f'"127.0.0.1:{target}"', f'"127.0.0.1:{port}"')
-            self.forwarders.append(Forwarder(port=port, target=int(target)))
+            self.forwarders.append(self.forwarder(port=port, target=int(target)))
         (self.folder / f"{domain}.toml").write_text(text)
 
+    def forwarder(self, *, port, target):
+        """Return what links between the domains pass through."""
+        return Forwarder(port=port, target=target)
+
     def view(self, name):
         """Return the settings file of a process."""
         return self.folder / f"{self.domain_by_name[name]}.toml"
