--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -52,7 +52,7 @@
 log = get_logger("link")
 
 
-def _keep_alive(sock):
+def keep_alive(sock):
     """Let the kernel probe an idle connection, or all that a listening socket accepts."""
     sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     for option, value in TCP_OPTIONS:
@@ -158,7 +158,7 @@
             with move_on_after(CONNECT_TIMEOUT_S):
                 await stream.send_message(wrap(self._hello))
                 # grpclib has no public way to its socket.
-                _keep_alive(stream.peer._transport.get_extra_info("socket"))
+                keep_alive(stream.peer._transport.get_extra_info("socket"))
                 frame = await stream.recv_message()
                 peer = unwrap(frame) if frame is not None else None
             if not isinstance(peer, Hello):
@@ -226,7 +226,7 @@
         family = AF_INET6 if ":" in host else AF_INET
         listener = create_server((host, port), family=family)
         # Accepted connections inherit the options.
-        _keep_alive(listener)
+        keep_alive(listener)
         await server.start(sock=listener, ssl=self._tls)
         try:
             await watch(lambda: list(self.session_by_id.values()))
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,6 +1,13 @@
 """Links: calls, failures, silence."""
 
-from socket import socket
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    create_connection,
+    create_server,
+    socket,
+)
 from subprocess import Popen
 from sys import executable
 
@@ -15,7 +22,7 @@
     UnreachableError,
     VersionConflictError,
 )
-from siskintally.link import Link, LinkServer
+from siskintally.link import TCP_OPTIONS, Link, LinkServer, keep_alive
 from siskintally.session import Handler
 from siskintally.settings import Tls
 from siskintally.wire_pb2 import ConfigState, ConfigWatch, Done, Hello, JobReport
@@ -88,6 +95,29 @@
     with_link(check)
 
 
+def test_link_is_probed_by_the_kernel():
+    """Guards against a worker link without pings that a silent path keeps open for hours."""
+
+    async def check(link):
+        await link.wait_open()
+        sock = link.session._stream.peer._transport.get_extra_info("socket")
+        assert sock.getsockopt(SOL_SOCKET, SO_KEEPALIVE)
+        for option, value in TCP_OPTIONS:
+            assert sock.getsockopt(IPPROTO_TCP, option) == value
+
+    with_link(check)
+
+
+def test_accepted_connections_are_probed_by_the_kernel():
+    """Guards against an owner that keeps the link of a worker whose path has gone silent."""
+    with create_server(("127.0.0.1", 0)) as listener:
+        keep_alive(listener)
+        with create_connection(listener.getsockname()), listener.accept()[0] as accepted:
+            assert accepted.getsockopt(SOL_SOCKET, SO_KEEPALIVE)
+            for option, value in TCP_OPTIONS:
+                assert accepted.getsockopt(IPPROTO_TCP, option) == value
+
+
 def test_wrong_secret_opens_no_session():
     async def check(link):
         with move_on_after(1.0):
