--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -7,6 +7,8 @@
 import json
 from pathlib import Path
 
+from bench.regions import ENDPOINTS
+
 ROOT = Path(__file__).resolve().parent.parent
 RESULTS = ROOT / "bench" / "results"
 TEMPLATE = ROOT / "bench" / "capacity.template.md"
@@ -124,6 +126,14 @@
         beat_ms=1000 * link["beat_server_s"],
         beats_s=beats_s,
         beats_ms=1000 * beats_s * (link["beat_server_s"] + link["call_server_s"]) / 2,
+        crossing=domain["crossing_bytes_s"],
+        endpoints=ENDPOINTS,
+        wave_crossing=domain["wave_crossing_bytes_s"],
+        wave_rate=domain["wave_announcements_s"],
+        wave_core=100 * domain["wave_entry_core"],
+        catch_up_s=domain["catch_up_s"],
+        catch_up_bytes=domain["catch_up_crossing_bytes_per_change"],
+        catch_up_cpu=domain["catch_up_cpu_s_other_stores"],
         cell=cell,
         cell_ms=cell * 1000 * state["job_s"],
         per_start=1e6 * domain["leader_core_per_start_s"],
