Let workers that register have an urgent quorum round

A full heartbeat after an election gets no tasks before its round, so riding on the group's heartbeat would add up to 0.5 s to urgent work that is submitted while the owner changes. Full heartbeats are rare and use the urgent round of before.

--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -44,6 +44,7 @@
         "losing",
         "orders",
         "placement",
+        "register_confirm",
         "review_due",
         "settled_at",
         "shared_confirm",
@@ -67,6 +68,8 @@
         self.grant_s = domain.longest_lease_s
         self.settled_at = self.since
         self.orders = Orders()
+        # Workers that register after an election get no tasks before the round, so it is urgent.
+        self.register_confirm = SharedConfirm(confirm=group.confirm, window_s=window_s)
         # A round of its own costs two messages to each follower; the next heartbeat carries it.
         self.shared_confirm = SharedConfirm(
             confirm=partial(group.confirm, urgent=False), window_s=window_s
--- a/siskintally/worker_service.py
+++ b/siskintally/worker_service.py
@@ -50,7 +50,8 @@
         findings = compare(owner_term.domain, beat)
         if findings.must_commit:
             await self._commit(beat, findings)
-        await owner_term.shared_confirm.wait()
+        rounds = owner_term.register_confirm if beat.full else owner_term.shared_confirm
+        await rounds.wait()
         owner_term.check()
         self._check(beat)
         if not owner_term.leases.acknowledged(beat.worker, beat.seq):
