--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -18,18 +18,19 @@
 from siskintally.applier import Applier
 from siskintally.effects import Effects
 from siskintally.encoding import decode, encode
-from siskintally.errors import DamagedDataError, NotLeaderError, OutcomeUnknownError
+from siskintally.errors import DamagedDataError
+from siskintally.group_calls import GroupCalls
+from siskintally.handover import Handover
 from siskintally.inbox import Inbox
-from siskintally.joins import Joins
 from siskintally.journal import Journal, set_aside
+from siskintally.leadership import LeadershipState
 from siskintally.log import get_logger
-from siskintally.membership import quorum
+from siskintally.member_changes import MemberChanges
 from siskintally.messages import Leadership
 from siskintally.preference import STABLE_S, Preference
 from siskintally.replica import Replica
 from siskintally.timing import Timing
-from siskintally.waiters import Waiter, Waiters
-from siskintally.watchers import Watchers
+from siskintally.waiters import Waiter
 from siskintally.wire_pb2 import JoinReply, JoinRequest
 
 INBOX_MESSAGES = 4096
@@ -37,7 +38,6 @@
 SNAPSHOT_ENTRIES = 5000
 SNAPSHOT_BYTES = 16 * 1024 * 1024
 KEPT_ENTRIES = 1000
-STOP_TIMEOUT_S = 4.0
 
 log = get_logger("group")
 
@@ -48,6 +48,16 @@
     __slots__ = ()
 
 
+class _Arrival:
+    """A message of another replica, with the time of its arrival if it waits for others."""
+
+    __slots__ = ("at", "message")
+
+    def __init__(self, *, message, at):
+        self.message = message
+        self.at = at
+
+
 class Group:
     """One replica of a replicated group.
 
@@ -72,21 +82,18 @@
         "_applier",
         "_batch",
         "_batch_items",
+        "_calls",
+        "_changes",
         "_ended",
+        "_handover",
         "_inbox",
-        "_is_handed_over",
-        "_joins",
         "_journal",
         "_kept_entries",
         "_leadership",
-        "_members_index",
         "_preference",
         "_replica",
         "_send",
-        "_stop_at",
         "_timing",
-        "_waiters",
-        "_watchers",
         "folder",
         "founding_members",
         "name",
@@ -124,30 +131,29 @@
         self._batch = []
         self._journal = None
         self._replica = None
-        self._leadership = Leadership(term=0, leader="", is_leader=False)
-        self._watchers = Watchers()
-        self._waiters = Waiters()
-        self._joins = Joins(group=name, process=process, founding_members=self.founding_members)
-        self._stop_at = None
-        self._is_handed_over = False
-        self._members_index = None
+        self._leadership = LeadershipState(process=process, founding_members=self.founding_members)
+        self._calls = GroupCalls(group=name, process=process, leadership=self._leadership)
+        self._changes = MemberChanges(
+            group=name, process=process, founding_members=self.founding_members, send=send
+        )
+        self._handover = Handover()
         self._preference = Preference(preferred=self.founding_members[0], stable_s=stable_s)
         self._ended = Event()
 
     @property
     def term(self):
         """Present term."""
-        return self._leadership.term
+        return self._leadership.now.term
 
     @property
     def is_leader(self):
         """Whether this replica leads and its machine has applied an entry of the term."""
-        return self._leadership.is_leader
+        return self._leadership.now.is_leader
 
     @property
     def leader(self):
         """Name of the process that leads, empty if unknown."""
-        return self._leadership.leader
+        return self._leadership.now.leader
 
     @property
     def applied_index(self):
@@ -188,7 +194,7 @@
 
         A slow reader loses the oldest messages, never the latest.
         """
-        return self._watchers.add(self._leadership)
+        return self._leadership.watch()
 
     def receive(self, body):
         """Take a consensus message or a join request of a link; dropped if the queue is full."""
@@ -199,7 +205,10 @@
         except (KeyError, ValueError) as error:
             log.warning("message dropped", group=self.name, error=str(error))
             return
-        self._inbox.drop_or_put(item)
+        # A reply that only shows that a peer is alive waits for the next heartbeat.
+        is_keepalive = self._replica is not None and self._replica.is_keepalive(item)
+        item = _Arrival(message=item, at=monotonic() if is_keepalive else None)
+        self._inbox.drop_or_put(item, wakes=not is_keepalive)
 
     async def join_request(self, body):
         """Admit a new incarnation, if this replica leads, and say how far its log goes.
@@ -228,30 +237,17 @@
             await self._loop()
         finally:
             self._publish(Leadership(term=self.term, leader="", is_leader=False))
-            self._fail_queued()
+            self._calls.end(self._batch, self._inbox.drain())
             self._journal.close()
             self._journal = None
             self._ended.set()
 
-    def _fail_queued(self):
-        """End the calls that were not begun, or whose batch was cut short by an error."""
-        for item in self._batch:
-            if isinstance(item, Waiter):
-                item.fail(OutcomeUnknownError(f"group {self.name}: the replica ended"))
-        for item in self._inbox.drain():
-            if isinstance(item, Waiter):
-                item.fail(self._not_leader())
-
     async def _ask(self, waiter):
-        if not self.is_leader or self._stop_at is not None:
-            raise self._not_leader()
+        if not self.is_leader or self._handover.is_asked:
+            raise self._calls.not_leader()
         await self._inbox.put(waiter)
         return await waiter.wait()
 
-    def _not_leader(self):
-        leader = self.leader if self.leader != self.process else ""
-        return NotLeaderError(f"{self.process} does not lead group {self.name}", leader=leader)
-
     def _open(self):
         try:
             self._journal = Journal.open(self.folder, group=self.name, name=self.process)
@@ -267,32 +263,32 @@
             timeout=lambda: uniform(self._timing.election_min_s, self._timing.election_max_s),
             now=monotonic(),
         )
-        self._stop_at = None
-        self._is_handed_over = False
+        self._handover = Handover()
         self._applier.restore(stable.snapshot)
 
     async def _loop(self):
-        while not self._is_over():
+        while not self._handover.is_over(self._replica, monotonic()):
             self._batch = await self._inbox.gather(
                 self._next_time() - monotonic(), self._batch_items
             )
             now = monotonic()
             effects = Effects()
             waiters = self._take(self._batch, now, effects)
-            self._begin(waiters, now, effects)
-            self._hand_over(now, effects)
+            if self.is_leader:
+                self._calls.begin(waiters, self._replica, now, effects)
+            else:
+                self._calls.refuse(waiters)
+            self._handover.advance(self._replica, now, effects, is_idle=self._calls.is_empty)
             if now >= self._replica.next_tick():
                 effects.extend(self._replica.tick(now))
-            self._manage_members(now, effects)
+            self._changes.manage(self._replica, now, effects)
             self._prefer_leader(now, effects)
             await self._carry_out(effects)
             await self._take_snapshot()
 
     def _next_time(self):
-        times = [self._replica.next_tick(), self._joins.due(self._replica)]
-        if self._stop_at is not None:
-            times.append(self._stop_at)
-        return min(times)
+        replica = self._replica
+        return min(replica.next_tick(), self._changes.due(replica), self._handover.due)
 
     def _take(self, items, now, effects):
         """Hand messages to the replica; return the calls."""
@@ -300,77 +296,26 @@
         for item in items:
             if isinstance(item, Waiter):
                 waiters.append(item)
-                continue
-            if isinstance(item, _Stop):
-                self._stop_at = now + STOP_TIMEOUT_S
-                continue
-            if isinstance(item, JoinRequest):
-                self._joins.note(item, now)
+            elif isinstance(item, _Stop):
+                self._handover.ask(now)
+            elif isinstance(item.message, JoinRequest):
+                self._changes.note(item.message, now)
             else:
-                effects.extend(self._replica.receive(item, now))
+                at = now if item.at is None else item.at
+                effects.extend(self._replica.receive(item.message, at))
         return waiters
 
-    def _begin(self, waiters, now, effects):
-        """Begin the entries and the read round of new calls."""
-        if not self.is_leader:
-            for waiter in waiters:
-                waiter.fail(self._not_leader())
-            return
-        proposals = [waiter for waiter in waiters if waiter.command is not None]
-        reads = [waiter for waiter in waiters if waiter.command is None]
-        try:
-            if proposals:
-                commands = [waiter.command for waiter in proposals]
-                effects.extend(self._replica.propose_batch(commands, now))
-                self._waiters.add_proposals(proposals, effects.index)
-                proposals = []
-            if reads:
-                urgent = any(waiter.urgent for waiter in reads)
-                effects.extend(self._replica.confirm(now, urgent=urgent))
-                self._waiters.add_reads(reads, effects.round)
-                reads = []
-        except NotLeaderError:
-            for waiter in (*proposals, *reads):
-                waiter.fail(self._not_leader())
-
-    def _hand_over(self, now, effects):
-        """Transfer leadership once, after all accepted calls have ended."""
-        if self._stop_at is None or self._is_handed_over:
-            return
-        if self._replica.is_leader and self._waiters.is_empty:
-            self._is_handed_over = True
-            effects.extend(self._replica.transfer(now))
-
     def _prefer_leader(self, now, effects):
         """Transfer leadership to the preferred member while no proposal waits.
 
         Reads may wait: at a busy owner some always do, and they fail as not run.
         """
-        if self._stop_at is None and not self._waiters.has_proposals:
+        if not self._handover.is_asked and not self._calls.has_proposals:
             target = self._preference.target(self._replica, now)
             if target is not None:
                 log.info("leadership goes to the preferred member", group=self.name, to=target.name)
                 effects.extend(self._replica.transfer(now, to=target))
 
-    def _is_over(self):
-        """Whether a stop is asked for and leadership is handed over, or cannot be."""
-        if self._stop_at is None:
-            return False
-        if monotonic() >= self._stop_at or not self._replica.is_leader:
-            return True
-        return self._is_handed_over and self._replica.transfer_to is None
-
-    def _manage_members(self, now, effects):
-        """Ask to be admitted, or as the leader admit others in single steps."""
-        replica = self._replica
-        if now >= self._joins.due(replica):
-            for process, body in self._joins.ask(replica.identity.incarnation, now):
-                self._send(process, body)
-        change = self._joins.next_change(replica, now)
-        if change is not None:
-            log.info("member change proposed", group=self.name, members=str(change))
-            effects.extend(replica.propose_members(change, now))
-
     async def _carry_out(self, effects):
         replica = self._replica
         while effects.must_sync:
@@ -392,42 +337,16 @@
         if effects.restore is not None:
             self._applier.restore(effects.restore)
         for entry in effects.committed:
-            self._waiters.applied(entry.index, self._applier.apply(entry))
+            self._calls.applied(entry.index, self._applier.apply(entry))
         if effects.confirmed:
-            self._waiters.confirmed(effects.confirmed)
+            self._calls.confirmed(effects.confirmed)
         if effects.committed or effects.leadership:
-            self._publish(self._present_leadership())
-        self._log_members()
-
-    def _log_members(self):
-        """Log a committed member set once; a proposed one may never be in force."""
-        raft_log = self._replica.log
-        index = raft_log.members_index
-        if index != self._members_index and index <= self._replica.commit:
-            self._members_index = index
-            log.info("members", group=self.name, index=index, members=str(raft_log.members))
-
-    def _present_leadership(self):
-        replica = self._replica
-        if not replica.is_leader:
-            leader = replica.leader.name if replica.leader else ""
-            return Leadership(term=replica.term, leader=leader, is_leader=False)
-        # Until a majority of the founding members are voters, a commit could be on one disk only.
-        names = {voter.name for voter in replica.voters} & set(self.founding_members)
-        is_ready = replica.is_settled and len(names) >= quorum(len(self.founding_members))
-        leader = self.process if is_ready else ""
-        return Leadership(term=replica.term, leader=leader, is_leader=is_ready)
+            self._publish(self._leadership.seen_by(self._replica))
+        self._changes.log_committed(self._replica)
 
     def _publish(self, leadership):
-        if leadership == self._leadership:
-            return
-        if self._leadership.is_leader:
-            self._waiters.fail(
-                proposals=lambda: OutcomeUnknownError(f"group {self.name}: leadership was lost"),
-                reads=self._not_leader,
-            )
-        self._leadership = leadership
-        self._watchers.publish(leadership)
+        if self._leadership.publish(leadership):
+            self._calls.fail()
 
     async def _take_snapshot(self):
         """Replace the applied part of the log, if it has grown enough."""
--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -12,6 +12,7 @@
 
 from tests.checker import Answer
 from tests.entry_net import REGION_BY_DOMAIN, TOKEN, Net, code
+from tests.forwarder import Forwarder
 from tests.processes import Processes, free_ports, wait_until
 from tests.split_cell import Places
 
@@ -90,12 +91,15 @@
         self.settings.write_text(self.settings.read_text() + layout.rows(self.folder))
         self.places = None
 
-    def split(self, place_by_name):
+    def split(self, place_by_name, *, forwarder=Forwarder):
         """Let the links of processes that are started from now on be cut between places.
 
         :param place_by_name: ``{process name: place}``.
+        :param forwarder: ``forwarder(port=..., target=...)`` makes a forwarder.
         """
-        self.places = Places(settings=self.settings, place_by_name=place_by_name)
+        self.places = Places(
+            settings=self.settings, place_by_name=place_by_name, forwarder=forwarder
+        )
 
     @property
     def forwarders(self):
--- a/tests/split_cell.py
+++ b/tests/split_cell.py
@@ -11,12 +11,14 @@
 
     :param settings: path of the settings file with the true addresses.
     :param place_by_name: ``{process name: place}``; names without a row only dial.
+    :param forwarder: ``forwarder(port=..., target=...)`` makes a forwarder.
     """
 
-    __slots__ = ("_folder", "forwarder_by_way", "place_by_name")
+    __slots__ = ("_folder", "_forwarder", "forwarder_by_way", "place_by_name")
 
-    def __init__(self, *, settings, place_by_name):
+    def __init__(self, *, settings, place_by_name, forwarder=Forwarder):
         self._folder = settings.parent
+        self._forwarder = forwarder
         self.place_by_name = place_by_name
         self.forwarder_by_way = {}
         for place in sorted(set(place_by_name.values())):
@@ -29,7 +31,7 @@
                 continue
             (port,) = free_ports(1)
             text = text.replace(f'"127.0.0.1:{found[1]}"', f'"127.0.0.1:{port}"')
-            self.forwarder_by_way[place, name] = Forwarder(port=port, target=int(found[1]))
+            self.forwarder_by_way[place, name] = self._forwarder(port=port, target=int(found[1]))
         (self._folder / f"{place}.toml").write_text(text)
 
     def view(self, name):
