--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -39,6 +39,9 @@
 
 TIDY_S = 0.25
 DRAIN_STEP_S = 0.05
+# Until a balancer has seen the state, it still opens connections; those that arrive as the
+# listening socket closes are reset unread.
+NOTICE_S = 1.0
 # Time to write the last responses once every request has its answer.
 LAST_WRITES_S = 2.0
 MAX_BUFFERED_BYTES = 64 << 20
@@ -182,12 +185,17 @@
             return
         self.draining = True
         self._exchange.drain()
-        end = monotonic() + self._drain_s
-        while (self._in_flight or self._ledger.unsettled) and monotonic() < end:
+        began = monotonic()
+        end = began + self._drain_s
+        while self._is_busy(began) and monotonic() < end:
             await sleep(DRAIN_STEP_S)
         log.info("drained", in_flight=self._in_flight, unsettled=self._ledger.unsettled)
         self._stopped.set()
 
+    def _is_busy(self, began):
+        noticed = monotonic() >= began + NOTICE_S
+        return not noticed or self._in_flight or self._ledger.unsettled
+
     def lane(self, service):
         """Return the lane of a service."""
         lane = self._lane_by_service.get(service)
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -81,6 +81,13 @@
 
     async def handle(self, request):
         """Answer one request."""
+        answer = await self._route(request)
+        if self._entry.draining:
+            # The caller's next request must not be on a connection that ends with this process.
+            answer.headers = [*answer.headers, ("connection", "close")]
+        return answer
+
+    async def _route(self, request):
         if request.path.startswith("/call/"):
             return await self._call(request)
         if request.path == "/v1/announce":
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -191,6 +191,7 @@
             await wait_until(is_draining, "e1 drains")
             late = await net.call("e1")
             assert code(late) == Code.DRAINING
+            assert late.headers["connection"] == "close"
         assert [code(answer) for answer in answers] == [1000] * 16
         assert net.processes.popen_by_name["e1"].wait(10) == 0
 
