--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -137,7 +137,9 @@
             group=name, process=process, founding_members=self.founding_members, send=send
         )
         self._handover = Handover()
-        self._preference = Preference(preferred=self.founding_members[0], stable_s=stable_s)
+        self._preference = Preference(
+            group=name, preferred=self.founding_members[0], stable_s=stable_s
+        )
         self._ended = Event()
 
     @property
@@ -282,7 +284,9 @@
             if now >= self._replica.next_tick():
                 effects.extend(self._replica.tick(now))
             self._changes.manage(self._replica, now, effects)
-            self._prefer_leader(now, effects)
+            # Reads may wait: at a busy owner some always do, and they fail as not run.
+            if not self._handover.is_asked and not self._calls.has_proposals:
+                self._preference.advance(self._replica, now, effects)
             await self._carry_out(effects)
             await self._take_snapshot()
 
@@ -305,17 +309,6 @@
                 effects.extend(self._replica.receive(item.message, at))
         return waiters
 
-    def _prefer_leader(self, now, effects):
-        """Transfer leadership to the preferred member while no proposal waits.
-
-        Reads may wait: at a busy owner some always do, and they fail as not run.
-        """
-        if not self._handover.is_asked and not self._calls.has_proposals:
-            target = self._preference.target(self._replica, now)
-            if target is not None:
-                log.info("leadership goes to the preferred member", group=self.name, to=target.name)
-                effects.extend(self._replica.transfer(now, to=target))
-
     async def _carry_out(self, effects):
         replica = self._replica
         while effects.must_sync:
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -77,8 +77,8 @@
         self.places_deferrable = True
         self._backlog = Backlog()
         self._capacities = CapacityTable()
-        self._probation = Probation(self.pool)
-        self._reservations = Reservations(self.pool)
+        self._probation = Probation(pool=self.pool)
+        self._reservations = Reservations(pool=self.pool)
         self._misses = Misses()
         self._reclaim_misses = Misses()
         self._fresh = []
--- a/siskintally/preference.py
+++ b/siskintally/preference.py
@@ -4,15 +4,19 @@
 leads several groups is over its processor budget.
 
 >>> from siskintally.preference import Preference
->>> Preference(preferred="s1").preferred
+>>> Preference(group="cell", preferred="s1").preferred
 's1'
 """
 
 from math import inf
 
+from siskintally.log import get_logger
+
 # A member that fails again and again must not move leadership more often than this.
 STABLE_S = 120.0
 
+log = get_logger("preference")
+
 
 class Preference:
     """Decides when a leader gives way to the preferred member.
@@ -22,14 +26,22 @@
         seconds.
     """
 
-    __slots__ = ("_since", "_stable_s", "_term", "preferred")
+    __slots__ = ("_group", "_since", "_stable_s", "_term", "preferred")
 
-    def __init__(self, *, preferred, stable_s=STABLE_S):
+    def __init__(self, *, group, preferred, stable_s=STABLE_S):
+        self._group = group
         self.preferred = preferred
         self._stable_s = stable_s
         self._term = None
         self._since = inf
 
+    def advance(self, replica, now, effects):
+        """Transfer leadership if it is due."""
+        target = self.target(replica, now)
+        if target is not None:
+            log.info("leadership goes to the preferred member", group=self._group, to=target.name)
+            effects.extend(replica.transfer(now, to=target))
+
     def target(self, replica, now):
         """Return the identity to transfer leadership to, or None.
 
--- a/siskintally/probation.py
+++ b/siskintally/probation.py
@@ -5,7 +5,7 @@
 >>> from siskintally.size import Size
 >>> pool = Pool()
 >>> pool.add("w1", domain="d", rack="r", capacity=Size(cpu=4000))
->>> worker, probation = pool.worker_by_name["w1"], Probation(pool)
+>>> worker, probation = pool.worker_by_name["w1"], Probation(pool=pool)
 >>> [probation.failed(worker, job_id, now=0.0) for job_id in "aaaab"][-1], worker.is_open
 (True, False)
 >>> probation.review(60.0)
@@ -20,11 +20,14 @@
 
 
 class Probation:
-    """Closes and opens the workers of a pool after failures and successes of their tasks."""
+    """Closes and opens the workers of a pool after failures and successes of their tasks.
+
+    :param pool: :class:`~siskintally.pool.Pool`.
+    """
 
     __slots__ = ("_ejection", "_pool", "_since_by_name")
 
-    def __init__(self, pool):
+    def __init__(self, *, pool):
         self._ejection = Ejection()
         self._pool = pool
         self._since_by_name = {}
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -10,7 +10,7 @@
 >>> pool = Pool()
 >>> pool.add("w1", domain="d", rack="r", capacity=Size(cpu=4000, memory=4000))
 >>> gang = Job(job_id="g", kind=Kind.GANG, need=Size(cpu=1000), tasks=4, submitted=0.0)
->>> Reservations(pool).reserve(gang)
+>>> Reservations(pool=pool).reserve(gang)
 True
 >>> pool.best(Job(job_id="b", kind=Kind.BATCH, need=Size(cpu=1), tasks=1, submitted=0.0))
 """
@@ -31,11 +31,14 @@
 
 
 class Reservations:
-    """Jobs with reserved places. Places are moved to where less has to end, as tasks end."""
+    """Jobs with reserved places. Places are moved to where less has to end, as tasks end.
+
+    :param pool: :class:`~siskintally.pool.Pool`.
+    """
 
     __slots__ = ("_job_by_id", "_jobs", "_pool")
 
-    def __init__(self, pool):
+    def __init__(self, *, pool):
         self._pool = pool
         self._job_by_id = {}
         self._jobs = []
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -460,7 +460,7 @@
     replica = net.elect("a").replica
     net.settle()
     other = next(voter for voter in replica.voters if voter != replica.identity)
-    preference = Preference(preferred=other.name, stable_s=60.0)
+    preference = Preference(group="g", preferred=other.name, stable_s=60.0)
     assert preference.target(replica, net.now) is None
     progress = replica.progress_by_id[other]
 
@@ -474,7 +474,10 @@
     progress.match = match
     assert target(62.0) == other
     assert target(63.0) is None, "a transfer that failed is tried again too soon"
-    assert Preference(preferred=replica.identity.name, stable_s=0.0).target(replica, 1e9) is None
+    assert (
+        Preference(group="g", preferred=replica.identity.name, stable_s=0.0).target(replica, 1e9)
+        is None
+    )
 
 
 def test_transfer_ends_if_the_target_does_not_take_over():
