Show the whole layout on the capacity page

Cause: the page worked the cost of a VM out from single figures, although the layout can now be run whole. Change: bench.capacity reads the last line of bench.layout and writes a table of VMs that lead and that follow.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,7 +1,7 @@
 """Writes docs/CAPACITY.md from measured slopes.
 
-The slopes are the JSON lines that bench.domain_load, bench.state and bench.link print, kept in
-bench/results/. Usage: python -m bench.capacity
+The slopes are the JSON lines that bench.domain_load, bench.state, bench.link and bench.layout
+print, kept in bench/results/. Usage: python -m bench.capacity
 """
 
 import json
@@ -107,7 +107,23 @@
         )
 
 
-def page(domain, state, link):
+def layout_rows(layout):
+    """Yield rows of the VMs of the whole layout, by what they lead and by load."""
+    leading = {store.partition("-")[0] for store in layout["leaders"].values()}
+    kinds = (("leads a domain group", True), ("leads no domain group", False))
+    for label, leads in kinds:
+        for state in ("idle", "busy"):
+            vms = [row for vm, row in layout[state].items() if (vm in leading) == leads]
+            stores, entries, memory = zip(*vms, strict=True)
+            total = max(map(sum, zip(stores, entries, strict=True)))
+            yield (
+                f"| {label} | {state} | {len(vms)} | {100 * max(stores):.2f}% | "
+                f"{100 * max(entries):.2f}% | {100 * total:.2f}% ({verdict(total, CORE_BUDGET)}) | "
+                f"{max(memory):.0f} MB ({verdict(max(memory), MEMORY_BUDGET_MB)}) |"
+            )
+
+
+def page(domain, state, link, layout):
     """Return the page as Markdown."""
     base, entry = domain["leader_core_base"], domain["entry_core_base"]
     follower = domain["follower_core_base"]
@@ -119,6 +135,11 @@
     return TEMPLATE.read_text(encoding="utf-8").format(
         leaders=leaders,
         states=states,
+        layout="\n".join(layout_rows(layout)),
+        layout_workers=layout["workers"],
+        layout_tasks=layout["tasks"],
+        placed_s=layout["placed_s"],
+        in_force_s=max(layout["in_force_s"]),
         base=100 * base,
         entry=100 * entry,
         follower=100 * follower,
@@ -143,7 +164,8 @@
 
 def main():
     """Write the page."""
-    text = page(load("domain_load"), load("state"), load("link"))
+    names = ("domain_load", "state", "link", "layout")
+    text = page(*map(load, names))
     (ROOT / "docs" / "CAPACITY.md").write_text(text, encoding="utf-8")
     print(text)
 
