--- a/siskintally/audit.py
+++ b/siskintally/audit.py
@@ -84,6 +84,18 @@
         return self.recent[-fresh:] if fresh > 0 else []
 
 
+class Note:
+    """What an audit record says of a change; the change fills it while it is made."""
+
+    __slots__ = ("after", "before", "verb", "what")
+
+    def __init__(self, *, verb):
+        self.verb = verb
+        self.what = ""
+        self.before = ""
+        self.after = ""
+
+
 class Findings:
     """What the check of an audit file found.
 
--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -11,7 +11,7 @@
 
 from google.protobuf.message import DecodeError
 
-from siskintally.audit import EMPTY_HEAD, AuditChain
+from siskintally.audit import EMPTY_HEAD, AuditChain, Note
 from siskintally.cell_state_pb2 import Command, State, StoredReply
 from siskintally.codes import Code
 from siskintally.config import check_preset_name, parse_config
@@ -51,18 +51,6 @@
     code = Code.KEY_CONFLICT
 
 
-class _Note:
-    """What an audit record says of a change."""
-
-    __slots__ = ("after", "before", "verb", "what")
-
-    def __init__(self, *, verb):
-        self.verb = verb
-        self.what = ""
-        self.before = ""
-        self.after = ""
-
-
 def encode(answer):
     """Write an answer as JSON, equal for equal answers."""
     return dumps(answer, sort_keys=True, separators=(",", ":")).encode()
@@ -140,7 +128,7 @@
         if stored is not None and stored.digest == command.digest:
             return stored.reply
         self._learn(command)
-        note = _Note(verb=_VERB_BY_KIND[kind])
+        note = Note(verb=_VERB_BY_KIND[kind])
         try:
             if stored is not None:
                 raise KeyConflictError(f"request id {command.request_id} is of another change")
@@ -285,11 +273,10 @@
         A group that follows another epoch than the present one learns only that.
         """
         standing = self.standings.of(group)
+        reply = SyncReply(index=since, epoch=standing.epoch, lost=standing.lost)
         if epoch != standing.epoch:
-            return SyncReply(index=since, epoch=standing.epoch, lost=standing.lost)
-        reply = SyncReply(
-            index=max(since, self.latest(group)), epoch=standing.epoch, lost=standing.lost
-        )
+            return reply
+        reply.index = max(since, self.latest(group))
         if self.config_state.changed_at > since:
             reply.config.CopyFrom(self.config_state)
         reply.jobs.extend(self.jobs.items(group, since))
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -73,8 +73,7 @@
     :param timing: :class:`~siskintally.timing.Timing`.
     :param snapshot_entries: entries between two snapshots.
     :param snapshot_bytes: bytes of commands between two snapshots.
-    :param stable_s: least time between a term's beginning and the return of leadership to the first
-        founding member, seconds.
+    :param stable_s: age of a term at which the first founding member gets leadership back, seconds.
     :param batch_items: inputs that share one sync; 1 turns group commit off.
     """
 
@@ -129,17 +128,15 @@
         self._batch_items = batch_items
         self._inbox = Inbox(max_messages=INBOX_MESSAGES)
         self._batch = []
-        self._journal = None
-        self._replica = None
+        self._journal = self._replica = None
         self._leadership = LeadershipState(process=process, founding_members=self.founding_members)
         self._calls = GroupCalls(group=name, process=process, leadership=self._leadership)
         self._changes = MemberChanges(
             group=name, process=process, founding_members=self.founding_members, send=send
         )
         self._handover = Handover()
-        self._preference = Preference(
-            group=name, preferred=self.founding_members[0], stable_s=stable_s
-        )
+        first = self.founding_members[0]
+        self._preference = Preference(group=name, preferred=first, stable_s=stable_s)
         self._ended = Event()
 
     @property
