--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -110,7 +110,10 @@
 def layout_rows(layout):
     """Yield rows of the VMs of the whole layout, by what they lead and by load."""
     leading = {store.partition("-")[0] for store in layout["leaders"].values()}
-    kinds = (("leads a domain group", True), ("leads no domain group", False))
+    kinds = (
+        ("leads a domain group", True),
+        ("leads no domain group; one of them the cell group", False),
+    )
     for label, leads in kinds:
         for state in ("idle", "busy"):
             vms = [row for vm, row in layout[state].items() if (vm in leading) == leads]
