--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -33,7 +33,7 @@
 def register(registry):
     """Add the commands of this family."""
     rows = (
-        ("store", "Run a store: replicas of the cell group and a domain group.", start_store),
+        ("store", "Run a store: replicas of the cell group and of domain groups.", start_store),
         ("init", "Found the groups whose first member is this store; once per cell.", start_init),
         ("check", "Check settings and, with --config, a configuration document.", start_check),
     )
