Hold the ports of a test process by a file lock

Cause: runs side by side shared the ranges of their workers. The hang of test_keyed_requests_run_once_while_each_store_is_lost_in_turn had the same line. Change: a test process locks one of 11 ranges of 2,000 ports until it ends.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,5 +1,6 @@
 """Real processes for failure tests: start, signal, wait, end."""
 
+from fcntl import LOCK_EX, LOCK_NB, flock
 from json import dumps
 from os import environ
 from pathlib import Path
@@ -9,6 +10,7 @@
 from socket import socket
 from subprocess import Popen, TimeoutExpired
 from sys import executable
+from tempfile import gettempdir
 from time import monotonic
 
 from anyio import sleep
@@ -16,11 +18,12 @@
 WAIT_LIMIT_S = 90.0
 POLL_S = 0.05
 STOP_LIMIT_S = 15.0
-# Each worker of a parallel run has a range of its own.
-RANGE_PORTS = 2_500
-FIRST_PORT = 10_000 + RANGE_PORTS * (int(environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % 8)
+FIRST_PORT = 10_000
+RANGE_PORTS = 2_000
+RANGES = 11
 
 _given_ports = set()
+_claims = []
 
 
 def free_ports(count):
@@ -29,15 +32,37 @@
     They lie below the range from which the system takes the ports of outgoing connections, which
     could otherwise use one before its process is bound to it.
     """
+    first = _range_start()
     ports = []
     while len(ports) < count:
-        port = randrange(FIRST_PORT, FIRST_PORT + RANGE_PORTS)
+        port = randrange(first, first + RANGE_PORTS)
         if port not in _given_ports and _is_free(port):
             _given_ports.add(port)
             ports.append(port)
     return ports
 
 
+def _range_start():
+    """Return the first port of a range that no other test process on this machine uses.
+
+    The range is held by a file lock until this process ends, so that neither the workers of a
+    parallel run nor runs side by side give a port twice.
+    """
+    if not _claims:
+        for number in range(RANGES):
+            file = open(Path(gettempdir()) / f"siskintally-ports-{number}", "w")  # noqa: SIM115
+            try:
+                flock(file, LOCK_EX | LOCK_NB)
+            except BlockingIOError:
+                file.close()
+                continue
+            _claims.append((file, FIRST_PORT + number * RANGE_PORTS))
+            break
+        else:
+            raise AssertionError(f"all {RANGES} ranges of ports are in use by other tests")
+    return _claims[0][1]
+
+
 def _is_free(port):
     with socket() as server:
         try:
