--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -30,8 +30,8 @@
         "flow_timing control_state queue_checks conductor keeper lanes flow_desk driver"
     ),
     "Processes of the control plane": (
-        "control_node entry_node flow_gateway leader_book leader_calls mesh node_settings http_pool "
-        "counters"
+        "control_node entry_node flow_gateway leader_book leader_calls mesh node_settings "
+        "http_pool counters"
     ),
     "Replicated log": (
         "replica election replication following membership preference progress raftlog messages "
