--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -274,11 +274,22 @@
         self._tasks.start_soon(self._work, conductor)
 
     async def _work(self, conductor):
-        """Run a conductor; a leader that ended its own term must not begin it a second time."""
+        """Run a conductor; a leader that ended its own term must not begin it a second time.
+
+        :raises StoppedError: a quorum still follows this store, which does nothing any more.
+        """
         await conductor.run()
         await sleep(self._settings.fresh_ms / 1000)
-        if self._works is conductor and not self._stopping and self._group.is_leader:
-            raise StoppedError("the term was ended, and this store still leads: restart")
+        if self._works is not conductor or self._stopping:
+            return
+        try:
+            # Waits while the disk hangs; the others have another leader then.
+            await self._group.confirm()
+        except SiskintallyError as error:
+            log.info("term was over", term=conductor.term, reason=str(error))
+            return
+        if self._works is conductor and not self._stopping:
+            raise StoppedError("the term was ended, and a quorum still follows: restart")
 
     def _publish(self):
         """Tell the others of a new configuration at once."""
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -10,6 +10,7 @@
 """
 
 from enum import IntEnum
+from typing import NamedTuple
 
 from siskintally.control_pb2 import (
     ControlCommand,
@@ -19,6 +20,7 @@
     PoolWorker,
     QueueDocument,
     TaskEnd,
+    TaskFailures,
 )
 from siskintally.machine import Machine
 from siskintally.task_id import TaskId, occurrences, step_tasks
@@ -33,10 +35,17 @@
     CANCELLED = 3
 
 
+class Failures(NamedTuple):
+    """Failed attempts of a task; ``last_run`` is the run that failed last."""
+
+    count: int = 0
+    last_run: int = 0
+
+
 class FlowState:
     """A flow with the ends of its tasks that are committed.
 
-    ``done``: ids of tasks that have ended as done. ``failures_by_task``: failed attempts.
+    ``done``: ids of tasks that have ended as done. ``failures_by_task``: :class:`Failures`.
     ``remaining``: tasks that are not done, infinite for a flow with a lasting step.
     """
 
@@ -64,15 +73,24 @@
         if not self.remaining and self.outcome == Outcome.OPEN:
             self.outcome = Outcome.COMPLETED
 
-    def note_failure(self, task, max_attempts):
-        """Count a failed attempt; the flow has failed when a task has used up its attempts."""
+    def note_failure(self, task, run, max_attempts):
+        """Count a failed attempt; the flow has failed when a task has used up its attempts.
+
+        Two leaders may report the same end, so a run counts once.
+
+        :param max_attempts: None if the queue is not in the configuration any more.
+        """
         step = self.flow.steps[task.step]
         name = str(task._replace(index=0)) if step.gang else str(task)
         if step.lasting or name in self.done:
             return
-        count = self.failures_by_task.get(name, 0) + 1
-        self.failures_by_task[name] = count
-        if count >= max_attempts and self.outcome == Outcome.OPEN:
+        before = self.failures_by_task.get(name, Failures())
+        if run <= before.last_run:
+            return
+        count = before.count + 1
+        self.failures_by_task[name] = Failures(count=count, last_run=run)
+        is_over = max_attempts is not None and count >= max_attempts
+        if is_over and self.outcome == Outcome.OPEN:
             self.outcome = Outcome.FAILED
 
 
@@ -116,7 +134,8 @@
                 state.note_done(task)
             else:
                 queue = self.queue(state.flow.queue)
-                state.note_failure(task, queue.max_attempts if queue is not None else 1)
+                limit = queue.max_attempts if queue is not None else None
+                state.note_failure(task, end.run, limit)
 
     def _apply_document(self, document):
         if document.version > self.document.version:
@@ -157,14 +176,20 @@
         cancelled=state.outcome == Outcome.CANCELLED,
         failed=state.outcome == Outcome.FAILED,
         done=sorted(state.done),
-        failures=state.failures_by_task,
+        failures={
+            name: TaskFailures(count=one.count, last_run=one.last_run)
+            for name, one in state.failures_by_task.items()
+        },
     )
 
 
 def _state(record):
     state = FlowState(flow=_copy(Flow, record.flow))
     state.done = set(record.done)
-    state.failures_by_task = dict(record.failures)
+    state.failures_by_task = {
+        name: Failures(count=one.count, last_run=one.last_run)
+        for name, one in record.failures.items()
+    }
     state.remaining -= len(state.done)
     if record.cancelled:
         state.outcome = Outcome.CANCELLED
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -12,7 +12,7 @@
 """
 
 from siskintally.advising import Advising
-from siskintally.control_state import Outcome
+from siskintally.control_state import Failures, Outcome
 from siskintally.fleet import FleetWorker, Standing
 from siskintally.flow import FlowRun, TaskState
 from siskintally.observing import Observing, StopAction
@@ -32,6 +32,7 @@
     """
 
     __slots__ = (
+        "_known_flows",
         "_runs",
         "_unseen",
         "flow_by_id",
@@ -50,6 +51,7 @@
         self.stops = []
         self.taken_by_worker = {}
         self._runs = 0
+        self._known_flows = set()
         self._unseen = False
 
     def next_run(self):
@@ -74,10 +76,13 @@
     def _restore_flow(self, state, queue, now):
         run = FlowRun(flow=state.flow, queue=queue, arrived=now)
         self.flow_by_id[run.id] = run
+        self._known_flows.add(run.id)
         run.started = bool(state.done)
         for step in run.steps():
             for task in step.tasks:
-                task.failures = state.failures_by_task.get(task.id, 0)
+                failures = state.failures_by_task.get(task.id, Failures())
+                task.failures = failures.count
+                step.failed_runs.add(failures.last_run)
                 task.state = TaskState.DONE if task.id in state.done else TaskState.UNKNOWN
             step.waiting.clear()
             step.remaining = sum(task.state != TaskState.DONE for task in step.tasks)
@@ -109,9 +114,13 @@
                     self.stop(task)
 
     def accept(self, flow, queue, now):
-        """Add a flow whose acceptance is committed."""
-        if flow.id in self.flow_by_id:
+        """Add a flow whose acceptance is committed.
+
+        A flow that this leader knew before is over here, also while its last end is not committed.
+        """
+        if flow.id in self._known_flows:
             return
+        self._known_flows.add(flow.id)
         run = FlowRun(flow=flow, queue=queue, arrived=now)
         self.flow_by_id[flow.id] = run
         self._ready(run.steps())
--- a/siskintally/observing.py
+++ b/siskintally/observing.py
@@ -110,7 +110,7 @@
         step = task.step
         if step.spec.lasting:
             return
-        if step.spec.gang and row.run in step.failed_runs:
+        if row.run in step.failed_runs:
             return
         step.failed_runs.add(row.run)
         yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.FAILED)
--- /dev/null
+++ b/tests/flow_rig.py
@@ -0,0 +1,152 @@
+"""A scheduler of flows with workers that answer at once; no network and no clock of its own."""
+
+from siskintally.control_pb2 import (
+    ControlCommand,
+    EndBatch,
+    Flow,
+    FlowStep,
+    PoolWorker,
+    Queue,
+    QueueDocument,
+    WorkerService,
+)
+from siskintally.control_state import ControlState
+from siskintally.driver import EndKind, EndRow, RunRow, WorkerReport
+from siskintally.flow_scheduler import FlowScheduler
+
+SERVICE = "pool"
+QUEUE = Queue(
+    name="q",
+    host="h",
+    prefix="/q/",
+    service=SERVICE,
+    timeout_ms=3000,
+    aim_ms=400,
+    max_attempts=3,
+    stretch=1.5,
+)
+
+
+def worker(name, *, cpu_milli=8000, memory_mb=8000, born_ms=1, rack="r1"):
+    """Return an announcement of a worker."""
+    return PoolWorker(
+        id=name,
+        born_ms=born_ms,
+        service=SERVICE,
+        address="127.0.0.1:1",
+        domain="d",
+        cpu_milli=cpu_milli,
+        memory_mb=memory_mb,
+        labels=["a", rack],
+        rack=rack,
+    )
+
+
+def flow(name, *steps):
+    """Return a flow with steps, by default one task of one core."""
+    steps = steps or (FlowStep(tasks=1, cpu_milli=1000, memory_mb=10, estimate_ms=1000),)
+    return Flow(id=name, queue="q", spec="spec", steps=steps)
+
+
+def step(tasks, **fields):
+    """Return a step of tasks with one core each."""
+    fields = {"cpu_milli": 1000, "memory_mb": 10, "estimate_ms": 1000, **fields}
+    return FlowStep(tasks=tasks, **fields)
+
+
+class FlowRig:
+    """A leader's scheduler, the replicated state, and workers that carry out orders at once."""
+
+    def __init__(self, *, queue=QUEUE, term=2):
+        self.queue = queue
+        self.state = ControlState()
+        self.index = 1
+        self.now = 100.0
+        self.number_by_worker = {}
+        self.running_by_worker = {}
+        self.ended_by_worker = {}
+        self.started = []
+        self.uncommitted = []
+        self.commit(
+            document=QueueDocument(
+                version=1, queues=[queue], services=[WorkerService(name=SERVICE)]
+            )
+        )
+        self.lead(term)
+
+    def lead(self, term):
+        """Begin a new term: everything that was not committed is forgotten."""
+        self.uncommitted = []
+        self.scheduler = FlowScheduler(term=term)
+        self.scheduler.restore(self.state, self.now)
+
+    def commit(self, **body):
+        """Apply a command."""
+        self.index += 1
+        command = ControlCommand(**body).SerializeToString()
+        self.state.apply(index=self.index, command=command)
+
+    def add(self, record):
+        """Let a worker join."""
+        self.commit(join=record)
+        self.scheduler.join(record, is_new=True)
+        self.running_by_worker.setdefault(record.id, {})
+        self.ended_by_worker.setdefault(record.id, [])
+
+    def submit(self, body):
+        """Hand in a flow, also once more."""
+        self.commit(accept=body)
+        self.scheduler.accept(body, self.queue, self.now)
+
+    def place(self):
+        """Start all that can be started; return the (task id, worker id) pairs."""
+        pairs = []
+        for action in self.scheduler.place(self.now, 0):
+            runs = self.running_by_worker[action.worker.id]
+            runs[action.task.id] = action.run
+            self.scheduler.started(action.task, action.run, self.now)
+            pairs.append((action.task.id, action.worker.id))
+        self.started.extend(pairs)
+        return pairs
+
+    def carry_out_stops(self):
+        """Let workers end what is to be stopped; return the task ids."""
+        stops, self.scheduler.stops = self.scheduler.stops, []
+        for action in stops:
+            if self.running_by_worker[action.worker.id].get(action.task_id) == action.run:
+                self.end(action.worker.id, action.task_id, EndKind.STOPPED)
+            self.scheduler.stopped(action, self.now)
+        return [action.task_id for action in stops]
+
+    def end(self, worker_id, task_id, kind=EndKind.DONE, checkpoint=""):
+        """Let a run end on its worker; the leader does not know yet."""
+        run = self.running_by_worker[worker_id].pop(task_id)
+        number = self.number_by_worker.get(worker_id, 0) + 1
+        self.number_by_worker[worker_id] = number
+        self.ended_by_worker[worker_id].append(
+            EndRow(number=number, task_id=task_id, run=run, kind=kind, checkpoint=checkpoint)
+        )
+
+    def report(self, worker_id, *, commit=True, percent=0, load=0):
+        """Let the leader look at a worker; ends are committed unless told otherwise."""
+        self.now += 0.01
+        report = WorkerReport(
+            clock_ms=int(self.now * 1000),
+            running=[
+                RunRow(task_id=task_id, run=run, percent=percent, load=load)
+                for task_id, run in self.running_by_worker[worker_id].items()
+            ],
+            ended=list(self.ended_by_worker[worker_id]),
+        )
+        found = self.scheduler.worker_by_id[worker_id]
+        ends = self.scheduler.report(found, report, self.now, self.now)
+        self.uncommitted.extend(ends)
+        if commit:
+            self.settle()
+        return ends
+
+    def settle(self):
+        """Commit the ends that were reported."""
+        if self.uncommitted:
+            self.commit(ends=EndBatch(ends=self.uncommitted))
+            self.uncommitted = []
--- /dev/null
+++ b/tests/test_flow_scheduler.py
@@ -0,0 +1,205 @@
+"""Decisions of the flow scheduler; each test names the failure it guards against."""
+
+from siskintally.control_pb2 import EndBatch, TaskEnd
+from siskintally.control_state import Outcome
+from siskintally.driver import EndKind
+from siskintally.flow import TaskState
+from tests.flow_rig import FlowRig, flow, step, worker
+
+
+def test_a_resent_flow_is_not_run_again_while_its_last_end_is_not_committed():
+    """Guards against a second run of a flow that is done and only waits for its commit."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    body = flow("f", step(1))
+    rig.submit(body)
+    rig.place()
+    rig.end("w", "f.0.0.0")
+    rig.report("w", commit=False)
+    rig.submit(body)
+    assert rig.place() == []
+    rig.settle()
+    assert rig.state.flow_by_id["f"].outcome == Outcome.COMPLETED
+
+
+def test_a_failed_run_counts_once_though_two_leaders_report_it():
+    """Guards against a flow that is shown as failed before its attempts are used up."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("f", step(1)))
+    rig.place()
+    rig.end("w", "f.0.0.0", EndKind.FAILED)
+    rig.report("w")
+    # The next leader reads the same end again, because the worker was not told of the commit.
+    rig.lead(3)
+    rig.report("w")
+    assert rig.state.flow_by_id["f"].failures_by_task["f.0.0.0"].count == 1
+    rig.commit(ends=EndBatch(ends=[TaskEnd(task="f.0.0.0", run=1, how=TaskEnd.FAILED)]))
+    assert rig.state.flow_by_id["f"].failures_by_task["f.0.0.0"].count == 1
+
+
+def test_the_failure_that_ends_a_flow_stops_only_what_still_runs():
+    """Guards against a stop for a task that its worker has already freed."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("f", step(2)))
+    for _ in range(3):
+        rig.place()
+        rig.end("w", "f.0.0.0", EndKind.FAILED)
+        rig.report("w")
+    assert rig.carry_out_stops() == ["f.0.0.1"]
+    assert rig.state.flow_by_id["f"].outcome == Outcome.FAILED
+    rig.report("w")
+    assert rig.scheduler.flow_by_id == {}
+
+
+def test_no_worker_gets_more_than_it_has_and_a_stopping_task_still_counts():
+    """Guards against a start on room that is not free yet."""
+    rig = FlowRig()
+    rig.add(worker("w", cpu_milli=2000))
+    rig.submit(flow("f", step(2)))
+    assert len(rig.place()) == 2
+    rig.submit(flow("g", step(1)))
+    assert rig.place() == []
+    rig.scheduler.cancel("f")
+    assert rig.place() == []
+    rig.carry_out_stops()
+    assert rig.place() == []
+    rig.report("w")
+    assert rig.place() == [("g.0.0.0", "w")]
+
+
+def test_a_step_waits_for_the_steps_before_it():
+    """Guards against a start before all tasks of an earlier step are done."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("f", step(2), step(1, after=[0])))
+    rig.place()
+    rig.end("w", "f.0.0.0")
+    rig.report("w")
+    assert rig.place() == []
+    rig.end("w", "f.0.0.1")
+    rig.report("w")
+    assert rig.place() == [("f.0.1.0", "w")]
+
+
+def test_a_new_leader_starts_nothing_old_before_every_worker_is_seen_or_waited_out():
+    """Guards against a second run of a task on a worker that the new leader cannot reach."""
+    rig = FlowRig()
+    rig.add(worker("w1", cpu_milli=1000))
+    rig.add(worker("w2", cpu_milli=1000))
+    rig.submit(flow("f", step(2)))
+    rig.place()
+    rig.lead(3)
+    rig.report("w1")
+    assert rig.place() == []
+    unseen = rig.scheduler.worker_by_id["w2"]
+    rig.scheduler.lapse(unseen)
+    assert rig.place() == []
+    states = sorted(task.state for task in rig.scheduler.flow_by_id["f"].step_by_key[0, 0].tasks)
+    assert states == [TaskState.WAITING, TaskState.RUNNING]
+
+
+def test_a_new_leader_stops_what_belongs_to_no_open_flow():
+    """Guards against a task that runs on after its flow was cancelled in a former term."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("f", step(1)))
+    rig.place()
+    rig.commit(cancel={"id": "f"})
+    rig.lead(3)
+    rig.report("w")
+    assert rig.carry_out_stops() == ["f.0.0.0"]
+    assert not rig.scheduler.worker_by_id["w"].is_open
+    rig.report("w")
+    assert rig.scheduler.worker_by_id["w"].is_open
+
+
+def test_a_gang_is_placed_as_a_whole_and_starts_again_as_a_whole():
+    """Guards against a gang that waits for a member, and against members of two runs at once."""
+    rig = FlowRig()
+    rig.add(worker("w1", cpu_milli=2000))
+    rig.submit(flow("f", step(3, gang=True)))
+    assert rig.place() == []
+    rig.add(worker("w2", cpu_milli=2000))
+    assert len(rig.place()) == 3
+    runs = {run for runs in rig.running_by_worker.values() for run in runs.values()}
+    assert len(runs) == 1
+    task_id = next(iter(rig.running_by_worker["w1"]))
+    rig.end("w1", task_id, EndKind.FAILED)
+    rig.report("w1")
+    assert rig.place() == []
+    assert len(rig.carry_out_stops()) == 2
+    rig.report("w1")
+    rig.report("w2")
+    assert len(rig.place()) == 3
+    assert rig.state.flow_by_id["f"].failures_by_task["f.0.0.0"].count == 1
+
+
+def test_one_end_of_a_gang_stands_for_all():
+    """Guards against a second run of members whose end was not listed yet."""
+    rig = FlowRig()
+    rig.add(worker("w1", cpu_milli=1000))
+    rig.add(worker("w2", cpu_milli=1000))
+    rig.submit(flow("f", step(2, gang=True)))
+    rig.place()
+    rig.end("w1", next(iter(rig.running_by_worker["w1"])))
+    rig.report("w1")
+    assert rig.state.flow_by_id["f"].outcome == Outcome.COMPLETED
+    assert rig.scheduler.worker_by_id["w2"].cpu_free == 0
+    rig.end("w2", next(iter(rig.running_by_worker["w2"])))
+    rig.report("w2")
+    assert rig.scheduler.worker_by_id["w2"].cpu_free == 1000
+    assert rig.place() == []
+
+
+def test_a_lost_worker_gives_back_its_tasks():
+    """Guards against tasks that nobody runs after a worker is gone."""
+    rig = FlowRig()
+    rig.add(worker("w1"))
+    rig.submit(flow("f", step(1)))
+    rig.place()
+    rig.scheduler.lapse(rig.scheduler.worker_by_id["w1"])
+    assert rig.place() == []
+    rig.add(worker("w2"))
+    assert rig.place() == [("f.0.0.0", "w2")]
+
+
+def test_a_new_incarnation_under_the_same_id_knows_nothing():
+    """Guards against ends of a former incarnation that hide those of the new one."""
+    rig = FlowRig()
+    rig.add(worker("w", born_ms=1))
+    rig.submit(flow("f", step(1)))
+    rig.place()
+    rig.end("w", "f.0.0.0", EndKind.FAILED)
+    rig.report("w")
+    rig.ended_by_worker["w"] = []
+    rig.number_by_worker["w"] = 0
+    rig.running_by_worker["w"] = {}
+    rig.add(worker("w", born_ms=2))
+    assert rig.place() == [("f.0.0.0", "w")]
+    rig.end("w", "f.0.0.0")
+    rig.report("w")
+    assert rig.state.flow_by_id["f"].outcome == Outcome.COMPLETED
+
+
+def test_a_lasting_task_starts_again_however_it_ends():
+    """Guards against a service task that stays away after it ended."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("f", step(1, lasting=True)))
+    for kind in (EndKind.DONE, EndKind.FAILED, EndKind.FAILED, EndKind.FAILED, EndKind.FAILED):
+        assert rig.place() == [("f.0.0.0", "w")]
+        rig.end("w", "f.0.0.0", kind)
+        rig.report("w")
+        rig.scheduler.worker_by_id["w"].shunned_until = 0.0
+    assert rig.state.flow_by_id["f"].outcome == Outcome.OPEN
+
+
+def test_no_more_tasks_of_a_step_than_allowed_on_one_worker():
+    """Guards against a step that is not spread as it asked."""
+    rig = FlowRig()
+    rig.add(worker("w1"))
+    rig.add(worker("w2"))
+    rig.submit(flow("f", step(6, max_per_worker=2)))
+    assert len(rig.place()) == 4
