--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -26,8 +26,9 @@
         "domain_checks ledger"
     ),
     "Flows (jobs made of steps)": (
-        "flow task_id flow_checks flow_scheduler placing advising observing fleet worker_lease "
-        "flow_timing control_state queue_checks conductor keeper lanes flow_desk driver"
+        "flow task_id flow_checks flow_scheduler placing advising observing pacing fleet "
+        "worker_lease flow_timing control_state queue_checks conductor keeper lanes flow_desk "
+        "driver stub_pool"
     ),
     "Processes of the control plane": (
         "control_node entry_node flow_gateway leader_book leader_calls mesh node_settings "
--- a/siskintally/conductor.py
+++ b/siskintally/conductor.py
@@ -20,9 +20,9 @@
 from siskintally.worker_lease import longest_s
 
 # Nobody else can be elected while a quorum has heard this leader within the shortest election
-# timeout; the rest is for clocks that differ.
-AUTHORITY_SHARE = 0.8
-CONFIRM_S = 0.2
+# timeout. The rest covers clocks that differ, and members that forget it by a restart.
+AUTHORITY_SHARE = 0.5
+CONFIRM_S = 0.15
 # Events within this time share one pass over the waiting tasks.
 GATHER_S = 0.004
 IDLE_PASS_S = 0.1
@@ -152,12 +152,24 @@
             )
             self._tasks.start_soon(self._keeper_by_worker[action.worker.id].start, action)
         self._send_stops()
+        self._send_paces()
         for action in scheduler.advice_wanted(now, wall_ms):
             lane = self._lanes.take(is_quick=action.is_quick)
             if lane is not None:
                 action.step.asking = True
                 self._tasks.start_soon(self._ask, lane, action)
 
+    def _send_paces(self):
+        paces, self.scheduler.paces = self.scheduler.paces, []
+        for action in paces:
+            keeper = self._keeper_by_worker.get(action.worker.id)
+            if keeper is not None and keeper.worker is action.worker:
+                self._counters.count("paces")
+                log.info(
+                    "pace", task=action.task.id, worker=action.worker.id, percent=action.percent
+                )
+                self._tasks.start_soon(keeper.pace, action)
+
     def _send_stops(self):
         stops, self.scheduler.stops = self.scheduler.stops, []
         for action in stops:
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -44,6 +44,9 @@
 CELL = "control"
 FOUNDING = "founding"
 NOTICE_S = 0.4
+FIRST_ELECTION_SHARE = 0.35
+# With the start of the process itself, longer than a leader may act without its quorum.
+QUIET_START_S = 0.25
 # A voter that has gone makes room for its successor; a shorter silence may be a restart.
 SILENT_VOTER_S = 2.0
 ACCEPTED_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, silence_s=1.5)
@@ -176,6 +179,8 @@
                 idle_beat_s=0.2,
                 election_min_s=flow_timing.election_min_s,
                 election_max_s=flow_timing.election_min_s * 1.6,
+                first_election_share=FIRST_ELECTION_SHARE,
+                quiet_start_s=QUIET_START_S,
             ),
             stable_s=float("inf"),
             sync_in_thread=True,
@@ -194,6 +199,16 @@
         """Newest configuration that is known to be committed."""
         return self.state.document
 
+    @property
+    def leads(self):
+        """Whether this store leads and answers calls."""
+        return self._desk is not None
+
+    @property
+    def voters(self):
+        """Link addresses of the voters in force."""
+        return {member.identity.name for member in self._group.members if member.voter}
+
     async def run(self, serve):
         """Serve until stopped.
 
--- a/siskintally/election.py
+++ b/siskintally/election.py
@@ -42,12 +42,13 @@
         return voters_of(self.log.members)
 
     def _hears_leader(self, now):
-        if self.role == Role.LEADER:
+        if self.role == Role.LEADER or now < self.quiet_until:
             return True
         return self.leader is not None and now - self.heard < self.timing.election_min_s
 
     def _restart_election_timer(self, now):
-        self.deadline = now + self._timeout()
+        share = self.timing.first_election_share if self.heard == NEVER else 1.0
+        self.deadline = now + self._timeout() * share
 
     def _set_term(self, term, vote, effects):
         self.term = term
--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -44,12 +44,15 @@
     ``held_by_task``: :class:`~siskintally.flow.TaskRun` by task id of all that takes room.
     ``lease_until``: steady time at which everything there has surely ended unless renewed.
     ``foreign``: runs of tasks that are not known here and have to stop, by task id.
+    ``serving``: tasks held with a latency target. ``fill_percent``: share of the processor that
+    filling tasks may use there.
     ``pace``: relative speed, 1.0 for a worker that needs the estimated time.
     """
 
     __slots__ = (
         "cpu_free",
         "failed_in_a_row",
+        "fill_percent",
         "foreign",
         "free_accelerators",
         "held_by_task",
@@ -57,6 +60,7 @@
         "memory_free",
         "pace",
         "record",
+        "serving",
         "shunned_until",
         "standing",
     )
@@ -73,6 +77,8 @@
         self.failed_in_a_row = 0
         self.shunned_until = -inf
         self.pace = 1.0
+        self.fill_percent = 100
+        self.serving = 0
 
     @property
     def id(self):
@@ -122,11 +128,13 @@
     def hold(self, task):
         """Reserve the room of a task."""
         self.held_by_task[task.id] = task
+        self.serving += bool(task.step.spec.tail_target_ms)
         self._take(task.need, 1)
 
     def release(self, task):
         """Free the room of a task that has ended here."""
         if self.held_by_task.pop(task.id, None) is not None:
+            self.serving -= bool(task.step.spec.tail_target_ms)
             self._take(task.need, -1)
 
     def _take(self, need, sign):
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -25,7 +25,8 @@
 class FlowScheduler(Placing, Advising, Observing):
     """What a leader decides about flows, from its election to its deposition.
 
-    ``stops``: :class:`~siskintally.observing.StopAction` objects that are to be sent.
+    ``stops``, ``paces``: :class:`~siskintally.observing.StopAction` and
+    :class:`~siskintally.observing.PaceAction` objects that are to be sent.
     ``taken_by_worker``: number of the last end that was taken from each worker.
 
     :param term: term of the leader; also the fence of its orders.
@@ -36,6 +37,7 @@
         "_runs",
         "_unseen",
         "flow_by_id",
+        "paces",
         "ready_by_id",
         "stops",
         "taken_by_worker",
@@ -49,6 +51,7 @@
         self.worker_by_id = {}
         self.ready_by_id = {}
         self.stops = []
+        self.paces = []
         self.taken_by_worker = {}
         self._runs = 0
         self._known_flows = set()
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -26,7 +26,7 @@
 from siskintally.leadership import LeadershipState
 from siskintally.log import get_logger
 from siskintally.member_changes import MemberChanges
-from siskintally.messages import Leadership
+from siskintally.messages import AppendRequest, Leadership
 from siskintally.preference import STABLE_S, Preference
 from siskintally.replica import Replica
 from siskintally.roster import FixedRoster
@@ -313,6 +313,7 @@
 
     async def _carry_out(self, effects):
         replica = self._replica
+        self._send_early(effects)
         while effects.must_sync:
             last = (replica.log.last_index, replica.log.last_term)
             # On a disk of 0.2 ms, a sync of a few records costs less CPU and less time in the event
@@ -325,6 +326,20 @@
             effects = replica.synced(*last, steady())
         self._finish(effects)
 
+    def _send_early(self, effects):
+        """Send new entries to the followers while the own disk syncs them.
+
+        A commit counts the own copy only after its sync, so the order does not matter; a vote or
+        a term, in contrast, has to be on disk first.
+        """
+        is_plain = effects.hard_state is None and effects.snapshot is None
+        if not (self._sync_in_thread and is_plain and self._replica.is_leader):
+            return
+        early = [one for one in effects.messages if isinstance(one.message, AppendRequest)]
+        effects.messages = [one for one in effects.messages if one not in early]
+        for to, message in early:
+            self._send(to.name, encode(message, group=self.name))
+
     def _finish(self, effects):
         """Send, apply, and answer what a sync has made safe."""
         for to, message in effects.messages:
--- a/siskintally/keeper.py
+++ b/siskintally/keeper.py
@@ -71,7 +71,9 @@
         is_known = worker.standing == Standing.READY and not worker.foreign
         wait_s = self._timing.wait_s if is_known else 0.0
         asked_at = steady()
-        until_ms = self.lease.grant(asked_at) if self.lease.is_sampled else None
+        # A worker that does not answer gets no longer lease, or it would never be over.
+        may_grant = self.lease.is_sampled and worker.standing == Standing.READY
+        until_ms = self.lease.grant(asked_at) if may_grant else None
         worker.lease_until = self.lease.surely_over
         try:
             report = await self._driver.hold(
@@ -141,7 +143,7 @@
             run=action.run,
             fence=self._leader.term,
             spec=task.step.flow.flow.spec,
-            lease_until_ms=self.lease.grant(now),
+            lease_until_ms=self._lease_for_start(now),
             checkpoint=task.checkpoint,
             ticket=action.ticket,
         )
@@ -170,6 +172,11 @@
             self._leader.refused(action, reply.refusal, was_sent_before=was_sent)
         return reply.refusal, True
 
+    def _lease_for_start(self, now):
+        if self.worker.standing == Standing.READY:
+            return self.lease.grant(now)
+        return self.lease.until_ms
+
     def _avoid(self, error):
         self.worker.shunned_until = steady() + BUSY_S
         log.info("start not taken", worker=self.worker.id, error=str(error)[:120])
@@ -179,6 +186,31 @@
         if reply.clock_ms is not None:
             self.lease.sample(clock_ms=reply.clock_ms, sent_at=sent_at, received_at=steady())
 
+    async def pace(self, action):
+        """Send a pace order while it is the newest for its run."""
+        task = action.task
+        order = Order(
+            task_id=task.id, run=action.run, fence=self._leader.term, percent=action.percent
+        )
+        while (
+            task.run == action.run
+            and task.state == TaskState.RUNNING
+            and self.worker.fill_percent == action.percent
+            and self.worker.standing in (Standing.READY, Standing.SUSPECT)
+        ):
+            if not await self._leader.has_authority():
+                return
+            try:
+                await self._driver.pace(self.worker.record, order, timeout=self._timing.order_s)
+            except GoneError as error:
+                self._leader.gone(self.worker, str(error))
+                return
+            except (UnreachableError, OutcomeUnknownError, BusyError) as error:
+                log.info("pace repeated", task=task.id, run=action.run, error=str(error)[:120])
+                await sleep(RETRY_S)
+                continue
+            return
+
     async def stop(self, action):
         """Send a stop until it is confirmed or nothing can run there any more."""
         order = Order(task_id=action.task_id, run=action.run, fence=self._leader.term)
--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -7,6 +7,7 @@
 True
 """
 
+from importlib import import_module
 from sys import argv as process_argv
 from sys import exit as exit_process
 from sys import stderr
@@ -16,28 +17,35 @@
 from absl.flags import Error as FlagError
 from absl.logging import WARNING, set_verbosity
 
-from siskintally import commands_entry, commands_operator, commands_store, commands_worker
 from siskintally.command import Registry
 from siskintally.errors import SiskintallyError
-from siskintally.platform import commands as commands_platform
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 FAMILIES = (
-    commands_entry,
-    commands_operator,
-    commands_store,
-    commands_worker,
-    commands_platform,
+    "siskintally.commands_entry",
+    "siskintally.commands_operator",
+    "siskintally.commands_store",
+    "siskintally.commands_worker",
+    "siskintally.platform.commands",
 )
+# On a small VM the imports of the other families are half of the time that a start takes.
+FAMILY_BY_COMMAND = {
+    "platform-entry": "siskintally.platform.commands",
+    "platform-store": "siskintally.platform.commands",
+}
 
 
-def commands():
-    """Return the registry of all commands."""
+def commands(name=None):
+    """Return the registry of all commands.
+
+    :param name: command for which only its own family may be loaded.
+    """
     registry = Registry()
-    for family in FAMILIES:
-        family.register(registry)
+    families = (FAMILY_BY_COMMAND[name],) if name in FAMILY_BY_COMMAND else FAMILIES
+    for family in families:
+        import_module(family).register(registry)
     return registry
 
 
@@ -52,7 +60,7 @@
     :param argv: program name, command, flags.
     :returns: exit status: 0 done, 1 failed with a result code, 2 wrong usage.
     """
-    registry = commands()
+    registry = commands(argv[1] if len(argv) > 1 else None)
     if len(argv) < 2 or argv[1] in ("--help", "-h", "help"):
         print(registry.usage())
         return EXIT_OK if len(argv) > 1 else EXIT_USAGE
--- a/siskintally/observing.py
+++ b/siskintally/observing.py
@@ -10,7 +10,8 @@
 from siskintally.control_pb2 import TaskEnd
 from siskintally.driver import EndKind, Refusal
 from siskintally.fleet import FleetWorker, Standing
-from siskintally.flow import TaskState
+from siskintally.flow import TaskRun, TaskState
+from siskintally.pacing import next_percent, worst_ratio
 from siskintally.task_id import TaskId
 
 # Failures in a row, without a task done between them, after which a worker gets no more tasks.
@@ -28,6 +29,15 @@
     worker: FleetWorker
 
 
+class PaceAction(NamedTuple):
+    """An order to limit a filling task that is to be sent."""
+
+    task: TaskRun
+    run: int
+    worker: FleetWorker
+    percent: int
+
+
 class Observing:
     """The part of a scheduler that takes what workers say."""
 
@@ -50,11 +60,23 @@
             for task_id, run in worker.foreign.items()
             if task_id in rows and rows[task_id].run == run
         }
+        self._pace(worker)
         if worker.standing != Standing.READY:
             worker.standing = Standing.READY
             self.note_seen()
         return ends
 
+    def _pace(self, worker):
+        """Adapt the pace of filling tasks to the latency of those that serve beside them."""
+        held = list(worker.held_by_task.values())
+        percent = next_percent(worker.fill_percent, worst=worst_ratio(held))
+        if percent == worker.fill_percent:
+            return
+        worker.fill_percent = percent
+        for task in held:
+            if task.step.spec.filling and task.state == TaskState.RUNNING:
+                self.paces.append(PaceAction(task, task.run, worker, percent))
+
     def _take_ends(self, worker, rows, now):
         for row in rows:
             if row.number <= self.taken_by_worker.get(worker.id, 0):
@@ -183,6 +205,9 @@
         if task.run == run and task.state == TaskState.STARTING:
             task.state = TaskState.RUNNING
             task.since = now
+            worker = task.worker
+            if task.step.spec.filling and worker.fill_percent < 100:
+                self.paces.append(PaceAction(task, run, worker, worker.fill_percent))
 
     def refused(self, task, run, refusal, now, *, was_sent_before):
         """Note that a worker has refused a start.
--- a/siskintally/placing.py
+++ b/siskintally/placing.py
@@ -115,6 +115,9 @@
         spec = step.spec
         far = bool(spec.data_rack) and worker.rack != spec.data_rack
         left = worker.cpu_free - step.need.cpu_milli
+        if spec.filling:
+            # What fills disturbs what serves, and gets little where it is slowed.
+            return (bool(worker.serving), -worker.fill_percent, far, -left, worker.id)
         if step.flow.priority == 0:
             # Urgent tasks go to fast workers with the most room.
             return (far, round(worker.pace, 1), -left, worker.id)
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -58,6 +58,7 @@
         "leader",
         "log",
         "progress_by_id",
+        "quiet_until",
         "role",
         "round",
         "term",
@@ -87,7 +88,8 @@
         self.leader = None
         self.votes = frozenset()
         self.heard = NEVER
-        self.deadline = now + timeout()
+        self.quiet_until = now + self.timing.quiet_start_s
+        self._restart_election_timer(now)
         self.progress_by_id = {}
         self.round = 0
         self.confirmed = 0
--- a/siskintally/timing.py
+++ b/siskintally/timing.py
@@ -10,6 +10,10 @@
     """Intervals in seconds and limits of messages.
 
     :param window_entries: entries sent to a replica ahead of its answers.
+    :param first_election_share: part of the election timeout that a replica waits which has heard
+        no leader since its start; after a restart of all, none is left to be heard.
+    :param quiet_start_s: time after its start in which a replica supports no candidate, because it
+        may have followed a leader until shortly before.
     """
 
     __slots__ = (
@@ -19,7 +23,9 @@
         "chunk_bytes",
         "election_max_s",
         "election_min_s",
+        "first_election_share",
         "idle_beat_s",
+        "quiet_start_s",
         "window_entries",
     )
 
@@ -34,6 +40,8 @@
         batch_entries=512,
         batch_bytes=262144,
         window_entries=4096,
+        first_election_share=1.0,
+        quiet_start_s=0.0,
     ):
         self.busy_beat_s = busy_beat_s
         self.idle_beat_s = idle_beat_s
@@ -43,3 +51,5 @@
         self.batch_entries = batch_entries
         self.batch_bytes = batch_bytes
         self.window_entries = window_entries
+        self.first_election_share = first_election_share
+        self.quiet_start_s = quiet_start_s
--- a/siskintally/worker_lease.py
+++ b/siskintally/worker_lease.py
@@ -19,12 +19,21 @@
     """Grants of one leader to one incarnation of a worker.
 
     ``surely_over``: steady time of this process at which every grant so far has ended.
+    ``until_ms``: end of the last grant on the worker's clock, 0 if there was none.
 
     :param length_s: duration of a grant.
     :param margin_s: time that a worker may need to end its runs after the lease.
     """
 
-    __slots__ = ("_clock_ms", "_length_s", "_margin_s", "_received_at", "_sent_at", "surely_over")
+    __slots__ = (
+        "_clock_ms",
+        "_length_s",
+        "_margin_s",
+        "_received_at",
+        "_sent_at",
+        "surely_over",
+        "until_ms",
+    )
 
     def __init__(self, *, length_s, margin_s):
         self._length_s = length_s
@@ -33,6 +42,7 @@
         self._sent_at = 0.0
         self._received_at = 0.0
         self.surely_over = -inf
+        self.until_ms = 0
 
     @property
     def is_sampled(self):
@@ -55,7 +65,8 @@
         until_ms = int(self._clock_ms + (now - self._sent_at + self._length_s) * 1000)
         left_s = (until_ms - self._clock_ms) / 1000 / SLOWEST_CLOCK
         self.surely_over = max(self.surely_over, self._received_at + left_s + self._margin_s)
-        return until_ms
+        self.until_ms = max(self.until_ms, until_ms)
+        return self.until_ms
 
     def wait_out(self, until):
         """Count the grants of former leaders, which end by ``until`` at the latest."""
--- /dev/null
+++ b/tests/test_flow_cell.py
@@ -0,0 +1,288 @@
+"""Stores of a control group over real links on loopback, with stub workers in memory."""
+
+from contextlib import asynccontextmanager
+from functools import partial
+
+from anyio import create_task_group, run, sleep, sleep_forever
+
+from siskintally.clock import now as steady
+from siskintally.control_node import ControlNode
+from siskintally.control_pb2 import (
+    DocumentPut,
+    DocumentRead,
+    FlowCancel,
+    FlowRead,
+    FlowStep,
+    FlowSubmit,
+    QueueDocument,
+    WorkerSeen,
+    WorkerService,
+)
+from siskintally.counters import Counters
+from siskintally.driver import Advice
+from siskintally.errors import SiskintallyError
+from siskintally.node_settings import parse_node
+from siskintally.stub_pool import StubPool
+from tests.flow_rig import QUEUE, SERVICE, flow, step
+from tests.processes import free_ports, wait_until
+
+
+class NoAdvice(Advice):
+    """Advice service of queues that need none."""
+
+    async def ask(self, step_id, worker_ids, *, timeout):
+        """Return no tickets."""
+        return []
+
+
+class FlowCell:
+    """Three stores in one process, each with an address of its own and the same port."""
+
+    def __init__(self, *, folder, run_s=lambda task_id: 0.3):
+        self.folder = folder
+        self.port = free_ports(1)[0]
+        self.hosts = [f"127.0.0.{number}" for number in range(21, 24)]
+        self.pool = StubPool(clock=steady, run_s=run_s)
+        self.node_by_host = {}
+        self.scope_by_host = {}
+        self.tasks = None
+
+    def settings(self, host, *, founding=True):
+        """Return the settings of a store."""
+        seeds = ", ".join(f'"{one}:1"' for one in self.hosts)
+        return parse_node(
+            f'name = "{host}"\nip = "{host}"\ndomain = "d"\nlink_port = {self.port}\n'
+            f"seeds = [{seeds}]\nfounding = {str(founding).lower()}\n"
+            f'data = "{self.folder}/{host}"\n'
+        )
+
+    def start(self, host, *, founding=True):
+        """Start a store."""
+        node = ControlNode(
+            settings=self.settings(host, founding=founding),
+            driver=self.pool,
+            advice=NoAdvice(),
+            counters=Counters(),
+        )
+        self.node_by_host[host] = node
+        self.tasks.start_soon(self._run, host, node)
+
+    async def _run(self, host, node):
+        async with create_task_group() as tasks:
+            self.scope_by_host[host] = tasks.cancel_scope
+            await node.run(sleep_forever)
+
+    def kill(self, host):
+        """End a store at once."""
+        self.scope_by_host[host].cancel()
+        del self.node_by_host[host]
+
+    def leader(self):
+        """Return the host of the store that leads, or None."""
+        for host, node in self.node_by_host.items():
+            if node.leads:
+                return host
+        return None
+
+    async def call(self, body):
+        """Call the leader through any store until it answers."""
+        error = None
+        for _ in range(200):
+            for node in list(self.node_by_host.values()):
+                try:
+                    return await node.calls.call(body, timeout=2.0)
+                except SiskintallyError as refused:
+                    error = refused
+            await sleep(0.05)
+        raise AssertionError(f"no answer: {error}")
+
+    async def configure(self, *workers):
+        """Set the configuration and announce workers of four cores."""
+        await wait_until(self.leader, "a leader")
+        document = QueueDocument(
+            version=3, queues=[QUEUE], services=[WorkerService(name=SERVICE)], original=b"{}"
+        )
+        await self.call(DocumentPut(document=document))
+        for name in workers:
+            self.pool.add(name, cpu_milli=4000, memory_mb=4000, service=SERVICE)
+            await self.announce(name)
+
+    async def announce(self, name):
+        """Let a worker announce itself."""
+        worker = self.pool.worker_by_id[name]
+        worker.record.seq += 1
+        worker.record.clock_ms = worker.clock_ms
+        await self.call(WorkerSeen(worker=worker.record))
+
+    async def state(self, flow_id):
+        """Return the state of a flow."""
+        return (await self.call(FlowRead(id=flow_id, queue="q"))).state
+
+    def starts(self):
+        """Return the task ids of all starts, the earliest first."""
+        events = [one for worker in self.pool.worker_by_id.values() for one in worker.history]
+        return [task_id for _, event, task_id, _ in sorted(events) if event == "START"]
+
+    @asynccontextmanager
+    async def running(self):
+        """Run all stores."""
+        async with create_task_group() as tasks:
+            self.tasks = tasks
+            for host in self.hosts:
+                self.start(host)
+            yield self
+            tasks.cancel_scope.cancel()
+
+
+def play(folder, check, **options):
+    """Run a check against a cell."""
+
+    async def main():
+        async with FlowCell(folder=folder, **options).running() as cell:
+            await check(cell)
+
+    run(main)
+
+
+def test_a_flow_runs_its_steps_in_order_and_is_completed(tmp_path):
+    """Guards against a break anywhere on the way from a submission to its completion."""
+
+    async def check(cell):
+        await cell.configure("w1", "w2")
+        await cell.call(FlowSubmit(flow=flow("f", step(3), step(1, after=[0]))))
+        await wait_until(partial(is_state, cell, "f", "completed"), "completed")
+        assert sorted(cell.starts()) == ["f.0.0.0", "f.0.0.1", "f.0.0.2", "f.0.1.0"]
+        assert cell.starts()[-1] == "f.0.1.0"
+
+    play(tmp_path, check)
+
+
+async def is_state(cell, flow_id, state):
+    return await cell.state(flow_id) == state
+
+
+def test_the_next_leader_goes_on_with_what_runs(tmp_path):
+    """Guards against a second run, or a loss, of tasks that run while their leader is killed."""
+
+    async def check(cell):
+        await cell.configure("w1", "w2")
+        await cell.call(FlowSubmit(flow=flow("f", step(4), step(2, after=[0]))))
+        await wait_until(lambda: len(cell.starts()) == 4, "first step started")
+        cell.kill(cell.leader())
+        await wait_until(cell.leader, "next leader")
+        await cell.call(FlowSubmit(flow=flow("g", step(1))))
+        for name in ("f", "g"):
+            await wait_until(partial(is_state, cell, name, "completed"), f"{name} completed")
+        assert sorted(cell.starts()) == [
+            *("f.0.0.0", "f.0.0.1", "f.0.0.2", "f.0.0.3"),
+            *("f.0.1.0", "f.0.1.1", "g.0.0.0"),
+        ]
+
+    play(tmp_path, check, run_s=lambda task_id: 1.0)
+
+
+def test_an_order_that_was_carried_out_without_an_answer_is_not_doubled(tmp_path):
+    """Guards against a second run of a task whose start got no answer."""
+
+    async def check(cell):
+        await cell.configure("w1", "w2")
+        cell.pool.worker_by_id["w1"].loses_answers = True
+        await cell.call(FlowSubmit(flow=flow("f", step(8))))
+        await wait_until(partial(is_state, cell, "f", "completed"), "completed")
+        assert len(cell.starts()) == len(set(cell.starts())) == 8
+
+    play(tmp_path, check)
+
+
+def test_a_worker_without_answers_is_replaced_only_after_its_lease(tmp_path):
+    """Guards against a task in two places while its worker is cut off and runs on."""
+
+    async def check(cell):
+        await cell.configure("w1")
+        await cell.call(FlowSubmit(flow=flow("f", step(1))))
+        first = cell.pool.worker_by_id["w1"]
+        await wait_until(lambda: first.running_by_task, "started")
+        first.is_dark = True
+        cell.pool.add("w2", cpu_milli=4000, memory_mb=4000, service=SERVICE)
+        await cell.announce("w2")
+        await wait_until(lambda: cell.pool.worker_by_id["w2"].history, "moved")
+        moved_at = cell.pool.worker_by_id["w2"].history[0][0]
+        first.tick()
+        assert not first.running_by_task
+        assert first.history[-1][1] == "LAPSED"
+        assert moved_at >= lease_end(first)
+
+    play(tmp_path, check, run_s=lambda task_id: 60.0)
+
+
+def lease_end(worker):
+    return worker._lease_until_ms / 1000
+
+
+def test_a_cancelled_flow_stops_and_its_resend_stays_one(tmp_path):
+    """Guards against tasks that run on, and against a cancelled flow that a resend revives."""
+
+    async def check(cell):
+        await cell.configure("w1")
+        body = flow("f", FlowStep(tasks=2, cpu_milli=1000, lasting=True))
+        await cell.call(FlowSubmit(flow=body))
+        worker = cell.pool.worker_by_id["w1"]
+        await wait_until(lambda: len(worker.running_by_task) == 2, "started")
+        await cell.call(FlowCancel(id="f", queue="q"))
+        await wait_until(lambda: not worker.running_by_task, "stopped")
+        await cell.call(FlowSubmit(flow=body))
+        assert await cell.state("f") == "cancelled"
+        await sleep(0.3)
+        assert len(cell.starts()) == 2
+
+    play(tmp_path, check, run_s=lambda task_id: 60.0)
+
+
+def test_a_configuration_outlives_the_end_of_all_stores(tmp_path):
+    """Guards against an acknowledged configuration that is gone after all were killed at once."""
+
+    async def check(cell):
+        await cell.configure()
+        for host in cell.hosts:
+            cell.kill(host)
+        await sleep(0.3)
+        for host in cell.hosts:
+            cell.start(host, founding=False)
+        await wait_until(cell.leader, "a leader again")
+        assert (await cell.call(DocumentRead())).document.version == 3
+
+    play(tmp_path, check)
+
+
+def test_an_older_configuration_is_acknowledged_and_changes_nothing(tmp_path):
+    """Guards against a change that arrives again and takes back a newer one."""
+
+    async def check(cell):
+        await cell.configure()
+        for version in (2, 3):
+            body = QueueDocument(version=version, original=b'{"other": 1}')
+            await cell.call(DocumentPut(document=body))
+        found = (await cell.call(DocumentRead())).document
+        assert (found.version, found.original) == (3, b"{}")
+
+    play(tmp_path, check)
+
+
+def test_a_store_with_an_empty_disk_takes_the_place_of_a_lost_one(tmp_path):
+    """Guards against a group that cannot bear the next loss after a store was replaced."""
+
+    async def check(cell):
+        await cell.configure()
+        lost = next(host for host in cell.hosts if host != cell.leader())
+        cell.kill(lost)
+        cell.start("127.0.0.24", founding=False)
+        others = {f"{host}:{cell.port}" for host in [*cell.hosts, "127.0.0.24"] if host != lost}
+        await wait_until(
+            lambda: cell.leader() and cell.node_by_host[cell.leader()].voters == others,
+            "the lost store has left",
+        )
+        cell.kill(cell.leader())
+        await wait_until(cell.leader, "a leader after the second loss")
+        assert (await cell.call(DocumentRead())).document.version == 3
+
+    play(tmp_path, check)
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -203,3 +203,32 @@
     rig.add(worker("w2"))
     rig.submit(flow("f", step(6, max_per_worker=2)))
     assert len(rig.place()) == 4
+
+
+def test_filling_tasks_are_slowed_while_a_serving_task_is_over_its_target():
+    """Guards against harm that lasts: a task that serves stays over its target beside others."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("s", step(1, lasting=True, tail_target_ms=100)))
+    rig.submit(flow("b", step(2, filling=True)))
+    rig.place()
+    found = rig.scheduler.worker_by_id["w"]
+    rig.report("w", load=150)
+    assert {action.percent for action in rig.scheduler.paces} == {25}
+    rig.report("w", load=150)
+    rig.report("w", load=150)
+    assert found.fill_percent == 0
+    rig.report("w", load=90)
+    assert found.fill_percent == 0
+    rig.report("w", load=50)
+    assert found.fill_percent == 25
+
+
+def test_a_filling_task_that_starts_beside_a_slowed_one_is_slowed_too():
+    """Guards against new filling tasks that run at full pace on a worker that is relieved."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.scheduler.worker_by_id["w"].fill_percent = 5
+    rig.submit(flow("b", step(1, filling=True)))
+    rig.place()
+    assert [action.percent for action in rig.scheduler.paces] == [5]
