--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -43,7 +43,7 @@
 GROUP = "control"
 CELL = "control"
 FOUNDING = "founding"
-NOTICE_S = 0.4
+NOTICE_S = 0.3
 FIRST_ELECTION_SHARE = 0.35
 # With the start of the process itself, longer than a leader may act without its quorum.
 QUIET_START_S = 0.25
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -32,8 +32,8 @@
     ``failures``: failed attempts; a gang counts them at its first task. ``run``: number of the
     present or last start. ``since``: steady time of the last change of
     state. ``worker``: :class:`~siskintally.fleet.FleetWorker` that holds it, or None.
-    ``checkpoint``: where a new start resumes, "" for none. ``percent``: share of the processor
-    that it may use, or 100 for a lasting task that is at work.
+    ``checkpoint``: where a new start resumes, "" for none. ``percent``: progress, or 100 for a
+    lasting task that is at work. ``progress_at``: steady time at which it last changed.
     """
 
     __slots__ = (
@@ -42,6 +42,7 @@
         "id",
         "need",
         "percent",
+        "progress_at",
         "run",
         "since",
         "state",
@@ -59,7 +60,8 @@
         self.worker = None
         self.checkpoint = ""
         self.failures = 0
-        self.percent = 100
+        self.percent = 0
+        self.progress_at = 0.0
         self.since = 0.0
         self.tail_ms = 0
 
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -16,8 +16,10 @@
 # Part of a caller's time that is left for the way of the answer.
 TIME_SHARE = 0.85
 DEFAULT_TIME_S = 3.0
-# While no leader is known, one is usually elected within this time.
-RETRY_AFTER_S = 1
+# A leader is usually elected within the first time. The longer there has been none, the longer it
+# takes, and a caller that comes back too often has used up its retries by then.
+MIN_RETRY_AFTER_S = 1
+MAX_RETRY_AFTER_S = 4
 
 log = get_logger("flow-gateway")
 
@@ -66,6 +68,11 @@
             raise NotFoundError(f"no queue at {host}{path[:80]}")
         return queue
 
+    def retry_after_s(self):
+        """Return when a caller that was refused should come back, in whole seconds."""
+        silent_s = self._book.silent_s(steady())
+        return int(min(max(silent_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S))
+
     async def submit(self, flow, *, time_s):
         """Hand in a flow; it is stored when this returns.
 
--- a/siskintally/leader_book.py
+++ b/siskintally/leader_book.py
@@ -22,13 +22,14 @@
     :param fresh_s: time after which a notice says nothing any more.
     """
 
-    __slots__ = ("_fresh_s", "_heard_at", "_leader", "_named_at", "document")
+    __slots__ = ("_fresh_s", "_heard_at", "_is_disowned", "_leader", "_named_at", "document")
 
     def __init__(self, *, fresh_s):
         self._fresh_s = fresh_s
         self._leader = ""
         self._heard_at = -inf
         self._named_at = -inf
+        self._is_disowned = False
         self.document = QueueDocument()
 
     def take(self, notice, *, sender, now):
@@ -40,7 +41,8 @@
         if notice.leads:
             self._leader = sender
             self._heard_at = self._named_at = now
-        elif notice.leader and now - self._heard_at > self._fresh_s:
+            self._is_disowned = False
+        elif notice.leader and (self._is_disowned or now - self._heard_at > self._fresh_s):
             self._leader = notice.leader
             self._named_at = now
         if notice.document.version > self.document.version:
@@ -54,12 +56,21 @@
 
     def is_fresh(self, now):
         """Tell whether the configuration is as new as the leader's."""
-        return now - self._heard_at <= self._fresh_s and self.document.version > 0
+        is_heard = not self._is_disowned and now - self._heard_at <= self._fresh_s
+        return is_heard and self.document.version > 0
+
+    def silent_s(self, now):
+        """Return for how long no leader has told anything, in seconds; infinite before the first.
+
+        :param now: steady time, s.
+        """
+        return now - self._heard_at
 
     def disown(self, leader):
         """Forget a leader that has said that it does not lead."""
         if self._leader == leader:
-            self._named_at = self._heard_at = -inf
+            self._named_at = -inf
+            self._is_disowned = True
 
     def hint(self, leader, now):
         """Take the name of a leader from a process that refused a call."""
--- a/siskintally/observing.py
+++ b/siskintally/observing.py
@@ -17,10 +17,29 @@
 # Failures in a row, without a task done between them, after which a worker gets no more tasks.
 SHUN_FAILURES = 3
 SHUN_S = 4.0
+# Least time without progress after which a task counts as standing still.
+STILL_S = 2.5
+# A worker is not taken for standing still while it works this many times slower than estimated.
+SLOWEST_FACTOR = 20
 # Weight of one task in the moving average of a worker's speed.
 PACE_WEIGHT = 0.1
 
 
+def stands_still(task, now):
+    """Tell whether a task makes no progress though nothing slows it on purpose.
+
+    :param now: steady time, s.
+    """
+    if task.state != TaskState.RUNNING or task.step.spec.filling:
+        return False
+    quiet_s = now - task.progress_at
+    if task.step.spec.lasting:
+        return task.percent < 100 and quiet_s > STILL_S
+    # Even a worker that is slowed several times shows a percent more within this time.
+    slow_s = SLOWEST_FACTOR * task.step.spec.estimate_ms / 1000 / 100
+    return task.percent < 100 and quiet_s > max(STILL_S, slow_s)
+
+
 class StopAction(NamedTuple):
     """A stop order that is to be sent."""
 
@@ -165,12 +184,23 @@
     def _update(self, task, row, now):
         if row.checkpoint:
             task.checkpoint = row.checkpoint
-        task.percent = row.percent
+        if row.percent != task.percent or task.progress_at < task.since:
+            task.percent = row.percent
+            task.progress_at = now
         if task.step.spec.lasting:
             task.tail_ms = row.load
         if task.state == TaskState.STARTING:
             task.state = TaskState.RUNNING
             task.since = now
+        elif stands_still(task, now):
+            self._replace_still(task, now)
+
+    def _replace_still(self, task, now):
+        """Start a task elsewhere that does not go on; its worker gets nothing new for a while."""
+        task.worker.shunned_until = now + SHUN_S
+        self.stop(task)
+        if task.step.spec.gang:
+            self.break_gang(task.step, task.run)
 
     def _claim(self, worker, task, row, now):
         """Take over a run that a former leader started."""
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -10,8 +10,8 @@
 
 from siskintally.codes import Code
 from siskintally.control_pb2 import DocumentPut, DocumentRead, WorkerGone, WorkerSeen
-from siskintally.errors import BadRequestError, SiskintallyError
-from siskintally.flow_gateway import RETRY_AFTER_S
+from siskintally.errors import BadRequestError
+from siskintally.flow_gateway import MIN_RETRY_AFTER_S
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer
 from siskintally.log import get_logger
 from siskintally.platform.documents import read_document, read_flow, read_worker
@@ -43,10 +43,15 @@
 
     __slots__ = ()
 
+    def retry_after_s(self):
+        """Return when a request that was refused may come again, in seconds."""
+        return MIN_RETRY_AFTER_S
+
     def failure(self, error):
         """Return the answer to a request that was refused."""
         status = STATUS_BY_CODE.get(error.code, UNAVAILABLE)
-        headers = [("retry-after", str(RETRY_AFTER_S))] if status in (UNAVAILABLE, 429) else []
+        is_retried = status in (UNAVAILABLE, 429)
+        headers = [("retry-after", str(self.retry_after_s()))] if is_retried else []
         return json_answer(
             status, {"error": str(error)[:200], "code": int(error.code)}, headers=headers
         )
@@ -63,6 +68,10 @@
     def __init__(self, *, gateway):
         self._gateway = gateway
 
+    def retry_after_s(self):
+        """Return what the gateway advises."""
+        return self._gateway.retry_after_s()
+
     async def handle(self, request):
         """Answer a request."""
         host = request.headers.get("host", "").partition(":")[0].lower()
@@ -186,6 +195,3 @@
     except BadRequestError as error:
         log.info("deregistration without a birth", error=str(error)[:80])
         return 0
-
-
-__all__ = ["ClientApp", "ControlApp", "MetricsApp", "ReadyApp", "SiskintallyError"]
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -232,3 +232,45 @@
     rig.submit(flow("b", step(1, filling=True)))
     rig.place()
     assert [action.percent for action in rig.scheduler.paces] == [5]
+
+
+def test_a_task_that_stands_still_is_started_on_another_worker():
+    """Guards against tasks that hang on a worker whose announcements look good."""
+    rig = FlowRig()
+    rig.add(worker("w1"))
+    rig.submit(flow("f", step(1, estimate_ms=1000)))
+    rig.place()
+    rig.add(worker("w2"))
+    rig.report("w1", percent=30)
+    rig.now += 2.0
+    rig.report("w1", percent=30)
+    assert rig.carry_out_stops() == []
+    rig.now += 1.0
+    rig.report("w1", percent=30)
+    assert rig.carry_out_stops() == ["f.0.0.0"]
+    rig.report("w1")
+    assert rig.place() == [("f.0.0.0", "w2")]
+
+
+def test_a_slow_task_is_left_alone_while_it_makes_progress():
+    """Guards against work that is thrown away because a worker is slow."""
+    rig = FlowRig()
+    rig.add(worker("w1"))
+    rig.submit(flow("f", step(1, estimate_ms=12000)))
+    rig.place()
+    for percent in range(10, 20):
+        rig.now += 2.0
+        rig.report("w1", percent=percent)
+    assert rig.carry_out_stops() == []
+
+
+def test_a_lasting_task_that_is_at_work_is_not_taken_for_standing_still():
+    """Guards against service tasks that are restarted though they work."""
+    rig = FlowRig()
+    rig.add(worker("w1"))
+    rig.submit(flow("f", step(1, lasting=True)))
+    rig.place()
+    for _ in range(4):
+        rig.now += 5.0
+        rig.report("w1", percent=100)
+    assert rig.carry_out_stops() == []
