--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -7,6 +7,8 @@
 ('q', None)
 """
 
+from math import inf
+
 from siskintally.clock import now as steady
 from siskintally.codes import Code
 from siskintally.control_pb2 import FlowCancel, FlowRead, FlowSubmit, QueueRead
@@ -61,13 +63,27 @@
         :raises NoConfigError: the configuration here may be old.
         :raises NotFoundError: there is none.
         """
-        if not self._book.is_fresh(steady()):
+        now = steady()
+        if not self._book.is_fresh(now):
+            self._refuse("no leader in touch", path, now)
             raise NoConfigError("no leader is in touch")
         queue = match_queue(self._book.document, host, path)
         if queue is None:
+            self._refuse("no such queue", path, now)
             raise NotFoundError(f"no queue at {host}{path[:80]}")
         return queue
 
+    def _refuse(self, reason, path, now):
+        self._counters.count("requests_refused")
+        silent_s = self._book.silent_s(now)
+        log.info(
+            "request refused",
+            reason=reason,
+            path=path[:80],
+            version=self._book.document.version,
+            leader_silent_ms=round(silent_s * 1000) if silent_s < inf else None,
+        )
+
     def retry_after_s(self):
         """Return when a caller that was refused should come back, in whole seconds."""
         silent_s = self._book.silent_s(steady())
--- a/siskintally/mesh.py
+++ b/siskintally/mesh.py
@@ -19,7 +19,7 @@
 # A cut has to be noticed, and a healed one used, well within the time in which a process has to
 # be in touch again.
 MESH_TIMING = LinkTiming(
-    idle_ping_s=1.0, busy_ping_s=0.6, silence_s=0.9, connect_s=1.0, max_backoff_s=0.5
+    idle_ping_s=1.0, busy_ping_s=0.6, silence_s=0.9, connect_s=0.4, max_backoff_s=0.3
 )
 MAX_STORES = 64
 
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -1,10 +1,10 @@
 """Decisions of the flow scheduler; each test names the failure it guards against."""
 
-from siskintally.control_pb2 import EndBatch, TaskEnd
+from siskintally.control_pb2 import AdviceTerms, EndBatch, Queue, TaskEnd
 from siskintally.control_state import Outcome
-from siskintally.driver import EndKind
+from siskintally.driver import EndKind, Ticket
 from siskintally.flow import TaskState
-from tests.flow_rig import FlowRig, flow, step, worker
+from tests.flow_rig import QUEUE, FlowRig, flow, step, worker
 
 
 def test_a_resent_flow_is_not_run_again_while_its_last_end_is_not_committed():
@@ -274,3 +274,73 @@
         rig.now += 5.0
         rig.report("w1", percent=100)
     assert rig.carry_out_stops() == []
+
+
+def test_an_occurrence_is_not_started_before_its_time():
+    """Guards against a scheduled occurrence that runs early, or that waits for the one before."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    body = flow("f", step(1))
+    body.times, body.first_run_ms, body.interval_ms = 2, 1000, 500
+    rig.submit(body)
+    started = {}
+    for wall_ms in (999, 1000, 1499, 1500):
+        started[wall_ms] = [one.task.id for one in rig.scheduler.place(rig.now, wall_ms)]
+    assert started == {999: [], 1000: ["f.0.0.0"], 1499: [], 1500: ["f.1.0.0"]}
+
+
+def test_a_start_on_a_queue_with_advice_needs_a_ticket_in_force():
+    """Guards against starts that workers refuse for want of a ticket."""
+    queue = Queue()
+    queue.CopyFrom(QUEUE)
+    queue.advice.CopyFrom(AdviceTerms(decide_ms=20, per_worker_ms=1, valid_ms=2000))
+    rig = FlowRig(queue=queue)
+    rig.add(worker("w1"))
+    rig.add(worker("w2"))
+    rig.submit(flow("f", step(2)))
+    assert rig.place() == []
+    (action,) = rig.scheduler.advice_wanted(rig.now, 0)
+    assert sorted(action.worker_ids) == ["w1", "w2"]
+    tickets = [Ticket(worker_id="w2", text="t")]
+    rig.scheduler.advised(action, tickets, rig.now + 2.0, rig.now)
+    rig.now += 1.9
+    assert rig.place() == []
+    (action,) = rig.scheduler.advice_wanted(rig.now, 0)
+    assert action.worker_ids == ("w2",)
+    rig.scheduler.advised(action, tickets, rig.now + 2.0, rig.now)
+    assert {worker_id for _, worker_id in rig.place()} == {"w2"}
+
+
+def test_an_urgent_flow_comes_before_others_that_arrived_earlier():
+    """Guards against urgent work that waits behind batch work.
+
+    Pattern: a burst of batch flows fills the workers, then an urgent flow arrives.
+    """
+    rig = FlowRig()
+    rig.add(worker("w", cpu_milli=1000))
+    batch = Queue()
+    batch.CopyFrom(QUEUE)
+    batch.priority = 2
+    for number in range(20):
+        body = flow(f"b{number}", step(1))
+        rig.commit(accept=body)
+        rig.scheduler.accept(body, batch, rig.now)
+    rig.submit(flow("u", step(1)))
+    assert rig.place() == [("u.0.0.0", "w")]
+
+
+def test_what_a_leaving_worker_cannot_finish_moves_away():
+    """Guards against tasks that end with their worker though it told that it leaves."""
+    rig = FlowRig()
+    rig.add(worker("w1"))
+    rig.submit(flow("f", step(1, estimate_ms=500), step(1, estimate_ms=60000)))
+    rig.place()
+    leaving = worker("w1")
+    leaving.leaving, leaving.leaves_in_ms = True, 2000
+    rig.scheduler.join(leaving, is_new=False)
+    rig.scheduler.evacuate(rig.scheduler.worker_by_id["w1"], rig.now)
+    assert rig.carry_out_stops() == ["f.0.1.0"]
+    rig.report("w1")
+    assert rig.place() == []
+    rig.add(worker("w2"))
+    assert rig.place() == [("f.0.1.0", "w2")]
