--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -27,7 +27,8 @@
     ),
     "Flows (jobs made of steps)": (
         "flow task_id flow_checks flow_scheduler placing advising observing pacing fleet "
-        "worker_lease flow_timing control_state queue_checks conductor keeper lanes flow_desk "
+        "worker_lease flow_timing control_state queue_checks conductor keeper lanes "
+        "advice_lanes flow_desk "
         "driver stub_pool"
     ),
     "Processes of the control plane": (
@@ -36,7 +37,8 @@
     ),
     "Replicated log": (
         "replica election replication following membership preference progress raftlog messages "
-        "effects stable timing encoding journal records group inbox applier joins roster "
+        "effects stable timing encoding journal records group inbox group_inputs applier "
+        "joins roster "
         "member_changes handover group_calls leadership waiters watchers machine"
     ),
     "Processes and transport": (
--- /dev/null
+++ b/siskintally/advice_lanes.py
@@ -0,0 +1,67 @@
+"""The lanes of one leader: its own process, and the processes that are linked to it.
+
+>>> from siskintally.advice_lanes import LocalLane
+>>> LocalLane(name="s1", advice=None).name
+'s1'
+"""
+
+from siskintally.control_pb2 import AdviceAsk, AdviceReply, AdviceTicket
+from siskintally.driver import Ticket
+from siskintally.errors import SiskintallyError, UnreachableError
+from siskintally.lanes import Lane
+from siskintally.log import get_logger
+
+# Time for the way to the other process and back.
+WAY_S = 0.2
+
+log = get_logger("advice-lanes")
+
+
+class LocalLane(Lane):
+    """The own process as a caller of the advice service.
+
+    :param advice: :class:`~siskintally.driver.Advice`.
+    """
+
+    __slots__ = ("_advice",)
+
+    def __init__(self, *, name, advice):
+        super().__init__(name=name)
+        self._advice = advice
+
+    async def ask(self, step_id, worker_ids, *, timeout):
+        """Call the service from here."""
+        return await self._advice.ask(step_id, worker_ids, timeout=timeout)
+
+
+class RemoteLane(Lane):
+    """Another process that calls the advice service on behalf of the leader.
+
+    :param session: :class:`~siskintally.session.Session` with it.
+    """
+
+    __slots__ = ("_session",)
+
+    def __init__(self, *, name, session):
+        super().__init__(name=name)
+        self._session = session
+
+    async def ask(self, step_id, worker_ids, *, timeout):
+        """Let the other process call the service."""
+        body = AdviceAsk(step=step_id, workers=worker_ids, timeout_s=timeout)
+        reply = await self._session.call(body, timeout=timeout + WAY_S)
+        if reply.failed:
+            raise UnreachableError(f"{self.name}: the advice service gave no answer")
+        return [Ticket(worker_id=one.worker, text=one.ticket) for one in reply.tickets]
+
+
+async def answer_advice(advice, body):
+    """Answer an :class:`AdviceAsk` of the leader."""
+    try:
+        tickets = await advice.ask(body.step, tuple(body.workers), timeout=body.timeout_s)
+    except SiskintallyError as error:
+        log.info("advice failed", step=body.step, error=str(error)[:120])
+        return AdviceReply(failed=True)
+    return AdviceReply(
+        tickets=[AdviceTicket(worker=one.worker_id, ticket=one.text) for one in tickets]
+    )
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -10,30 +10,28 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
+from siskintally.advice_lanes import LocalLane, RemoteLane, answer_advice
 from siskintally.clock import now as steady
 from siskintally.conductor import Conductor
-from siskintally.control_pb2 import AdviceAsk, AdviceReply, AdviceTicket, ControlNotice
+from siskintally.control_pb2 import AdviceAsk, ControlNotice
 from siskintally.control_state import ControlState
-from siskintally.driver import Ticket
 from siskintally.errors import (
     BadRequestError,
     NotLeaderError,
     OutcomeUnknownError,
     SiskintallyError,
     StoppedError,
-    UnreachableError,
 )
 from siskintally.flow_desk import FlowDesk
 from siskintally.flow_timing import FlowTiming
 from siskintally.group import Group
 from siskintally.journal import found
-from siskintally.lanes import Lane
 from siskintally.leader_book import LeaderBook
 from siskintally.leader_calls import LeaderCalls
 from siskintally.link import LinkServer
 from siskintally.liveness import LinkTiming
 from siskintally.log import get_logger
-from siskintally.mesh import Mesh
+from siskintally.mesh import CELL, Mesh
 from siskintally.messages import Identity
 from siskintally.roster import OpenRoster
 from siskintally.session import Handler
@@ -41,7 +39,6 @@
 from siskintally.wire_pb2 import Hello, JoinRequest
 
 GROUP = "control"
-CELL = "control"
 FOUNDING = "founding"
 NOTICE_S = 0.3
 FIRST_ELECTION_SHARE = 0.35
@@ -54,56 +51,6 @@
 log = get_logger("control-node")
 
 
-class LocalLane(Lane):
-    """The own process as a caller of the advice service.
-
-    :param advice: :class:`~siskintally.driver.Advice`.
-    """
-
-    __slots__ = ("_advice",)
-
-    def __init__(self, *, name, advice):
-        super().__init__(name=name)
-        self._advice = advice
-
-    async def ask(self, step_id, worker_ids, *, timeout):
-        """Call the service from here."""
-        return await self._advice.ask(step_id, worker_ids, timeout=timeout)
-
-
-class RemoteLane(Lane):
-    """Another process that calls the advice service on behalf of the leader.
-
-    :param session: :class:`~siskintally.session.Session` with it.
-    """
-
-    __slots__ = ("_session",)
-
-    def __init__(self, *, name, session):
-        super().__init__(name=name)
-        self._session = session
-
-    async def ask(self, step_id, worker_ids, *, timeout):
-        """Let the other process call the service."""
-        body = AdviceAsk(step=step_id, workers=worker_ids, timeout_s=timeout)
-        reply = await self._session.call(body, timeout=timeout + 0.2)
-        if reply.failed:
-            raise UnreachableError(f"{self.name}: the advice service gave no answer")
-        return [Ticket(worker_id=one.worker, text=one.ticket) for one in reply.tickets]
-
-
-async def answer_advice(advice, body):
-    """Answer an :class:`AdviceAsk` of the leader."""
-    try:
-        tickets = await advice.ask(body.step, tuple(body.workers), timeout=body.timeout_s)
-    except SiskintallyError as error:
-        log.info("advice failed", step=body.step, error=str(error)[:120])
-        return AdviceReply(failed=True)
-    return AdviceReply(
-        tickets=[AdviceTicket(worker=one.worker_id, ticket=one.text) for one in tickets]
-    )
-
-
 class ControlNode(Handler):
     """One store.
 
@@ -322,11 +269,8 @@
             sessions = list(self._server.session_by_id.values())
             leads = self._desk is not None
             if leads:
-                self.book.take(
-                    ControlNotice(leads=True, leader=self._settings.link),
-                    sender=self._settings.link,
-                    now=steady(),
-                )
+                own = self._settings.link
+                self._take_notice(ControlNotice(leads=True, leader=own), own)
             members = [member.identity.name for member in self._group.members]
             self._mesh.learn(members)
             for session in sessions:
@@ -371,10 +315,17 @@
         """Take a message of another process."""
         if isinstance(body, ControlNotice):
             self._mesh.learn(body.members)
-            self.book.take(body, sender=session.peer.name, now=steady())
+            self._take_notice(body, session.peer.name)
         else:
             self._group.receive(body)
 
+    def _take_notice(self, notice, sender):
+        now = steady()
+        before = self.book.leader(now)
+        self.book.take(notice, sender=sender, now=now)
+        if self.book.leader(now) != before:
+            self.calls.leader_changed()
+
     async def _call(self, address, body, *, timeout):
         if address != self._settings.link:
             return await self._mesh.call(address, body, timeout=timeout)
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -20,6 +20,7 @@
 from siskintally.encoding import decode, encode
 from siskintally.errors import DamagedDataError
 from siskintally.group_calls import GroupCalls
+from siskintally.group_inputs import Arrival, Stop
 from siskintally.handover import Handover
 from siskintally.inbox import Inbox
 from siskintally.journal import Journal, set_aside
@@ -43,22 +44,6 @@
 log = get_logger("group")
 
 
-class _Stop:
-    """Asks the task to hand over leadership and end."""
-
-    __slots__ = ()
-
-
-class _Arrival:
-    """A message of another replica, with the time of its arrival if it waits for others."""
-
-    __slots__ = ("at", "message")
-
-    def __init__(self, *, message, at):
-        self.message = message
-        self.at = at
-
-
 class Group:
     """One replica of a replicated group.
 
@@ -142,10 +127,13 @@
         self._calls = GroupCalls(group=name, process=process, leadership=self._leadership)
         self._changes = MemberChanges(group=name, process=process, roster=roster, send=send)
         self._handover = Handover()
-        first = self.founding_members[0] if self.founding_members else ""
-        self._preference = Preference(group=name, preferred=first, stable_s=stable_s)
+        self._preference = self._make_preference(stable_s)
         self._ended = Event()
 
+    def _make_preference(self, stable_s):
+        first = self.founding_members[0] if self.founding_members else ""
+        return Preference(group=self.name, preferred=first, stable_s=stable_s)
+
     @property
     def term(self):
         """Present term."""
@@ -213,7 +201,7 @@
             return
         # A reply that only shows that a peer is alive waits for the next heartbeat.
         is_keepalive = self._replica is not None and self._replica.is_keepalive(item)
-        item = _Arrival(message=item, at=steady() if is_keepalive else None)
+        item = Arrival(message=item, at=steady() if is_keepalive else None)
         self._inbox.drop_or_put(item, wakes=not is_keepalive)
 
     async def join_request(self, body):
@@ -229,7 +217,7 @@
         """Finish accepted calls, hand leadership over, and end :meth:`run`."""
         if self._journal is None:
             return
-        await self._inbox.put(_Stop())
+        await self._inbox.put(Stop())
         await self._ended.wait()
 
     async def run(self):
@@ -302,7 +290,7 @@
         for item in items:
             if isinstance(item, Waiter):
                 waiters.append(item)
-            elif isinstance(item, _Stop):
+            elif isinstance(item, Stop):
                 self._handover.ask(now)
             elif isinstance(item.message, JoinRequest):
                 self._changes.note(item.message, now)
--- a/siskintally/keeper.py
+++ b/siskintally/keeper.py
@@ -149,6 +149,9 @@
         )
         self.worker.lease_until = self.lease.surely_over
         self.wake()
+        return await self._send_start(action, order, was_sent, now)
+
+    async def _send_start(self, action, order, was_sent, now):
         try:
             reply = await self._driver.start(
                 self.worker.record, order, timeout=self._timing.order_s
--- a/siskintally/leader_calls.py
+++ b/siskintally/leader_calls.py
@@ -5,18 +5,17 @@
 'LeaderCalls'
 """
 
-from anyio import sleep
+from anyio import CancelScope, sleep
 
 from siskintally.clock import now as steady
 from siskintally.codes import Code
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, RefusedError, UnreachableError
-from siskintally.log import get_logger
 
 RETRY_S = 0.05
 # Longest time for one attempt; a call that a leader holds longer is asked again.
 ATTEMPT_S = 1.2
-
-log = get_logger("leader-calls")
+# A caller is refused when the leader that is known cannot be reached for this long.
+UNREACHED_S = 0.6
 
 
 class LeaderCalls:
@@ -26,11 +25,17 @@
     :param call: ``async call(address, body, timeout=seconds)`` that returns the reply.
     """
 
-    __slots__ = ("_book", "_call")
+    __slots__ = ("_book", "_call", "_scopes")
 
     def __init__(self, *, book, call):
         self._book = book
         self._call = call
+        self._scopes = set()
+
+    def leader_changed(self):
+        """Send calls that wait for a former leader to the new one."""
+        for scope in list(self._scopes):
+            scope.cancel()
 
     async def call(self, body, *, timeout):
         """Call the leader until it answers or the time is over.
@@ -39,7 +44,8 @@
         :raises OutcomeUnknownError: an attempt may have had an effect.
         :raises RefusedError: the leader refused.
         """
-        deadline = steady() + timeout
+        began = steady()
+        deadline = began + timeout
         is_unknown = False
         while True:
             leader = self._book.leader(steady())
@@ -48,25 +54,36 @@
                 break
             if leader:
                 try:
-                    return await self._call(leader, body, timeout=min(remaining, ATTEMPT_S))
+                    return await self._attempt(leader, body, min(remaining, ATTEMPT_S))
                 except OutcomeUnknownError:
                     is_unknown = True
                 except UnreachableError:
-                    log.debug("leader not reached", leader=leader)
+                    if not is_unknown and steady() - began > UNREACHED_S:
+                        raise NotLeaderError(f"{leader}: not reached") from None
                 except NotLeaderError as error:
                     self._turn(leader, error.leader)
-                except RefusedError as error:
-                    if error.code == Code.OUTCOME_UNKNOWN:
-                        is_unknown = True
-                    elif error.code == Code.NOT_LEADER:
-                        self._turn(leader, error.leader)
-                    else:
-                        raise
             await sleep(RETRY_S)
         if is_unknown:
             raise OutcomeUnknownError(f"{type(body).__name__}: no answer in {timeout:.1f} s")
         raise NotLeaderError(f"{type(body).__name__}: no leader is known")
 
+    async def _attempt(self, leader, body, timeout):
+        """Call one store; refusals with an unknown outcome or another leader are told apart."""
+        scope = CancelScope()
+        self._scopes.add(scope)
+        try:
+            with scope:
+                return await self._call(leader, body, timeout=timeout)
+        except RefusedError as error:
+            if error.code == Code.OUTCOME_UNKNOWN:
+                raise OutcomeUnknownError(str(error)) from error
+            if error.code == Code.NOT_LEADER:
+                raise NotLeaderError(str(error), leader=error.leader) from error
+            raise
+        finally:
+            self._scopes.discard(scope)
+        raise OutcomeUnknownError(f"{leader}: another store leads")
+
     def _turn(self, leader, hint):
         self._book.disown(leader)
         self._book.hint(hint, steady())
--- a/siskintally/mesh.py
+++ b/siskintally/mesh.py
@@ -22,6 +22,8 @@
     idle_ping_s=1.0, busy_ping_s=0.6, silence_s=0.9, connect_s=0.4, max_backoff_s=0.3
 )
 MAX_STORES = 64
+# Name of the cell in the greeting of every link.
+CELL = "control"
 
 log = get_logger("mesh")
 
--- a/siskintally/platform/fields.py
+++ b/siskintally/platform/fields.py
@@ -1,7 +1,7 @@
 """Typed reads of the platform's JSON bodies.
 
 >>> from siskintally.platform.fields import Fields
->>> Fields({"cpu": 500}).integer("cpu")
+>>> Fields(values={"cpu": 500}).integer("cpu")
 500
 """
 
@@ -10,6 +10,7 @@
 from siskintally.errors import BadRequestError
 
 MAX_INTEGER = 2**53
+MAX_NUMBER = 1_000_000_000
 
 
 class Fields:
@@ -20,7 +21,7 @@
 
     __slots__ = ("_values",)
 
-    def __init__(self, values):
+    def __init__(self, *, values):
         if not isinstance(values, dict):
             raise BadRequestError("body: expected an object")
         self._values = values
@@ -29,7 +30,7 @@
     def parse(cls, body):
         """Read a body of bytes."""
         try:
-            return cls(loads(body))
+            return cls(values=loads(body))
         except (JSONDecodeError, UnicodeDecodeError, RecursionError) as error:
             raise BadRequestError(f"body: not JSON ({error})") from error
 
@@ -49,8 +50,9 @@
     def number(self, name, default=None):
         """Return a number of 0 or more."""
         value = self._values.get(name, default)
-        if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value < 1e15:
-            raise BadRequestError(f"{name}: expected a number of 0 or more")
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not is_number or not 0 <= value <= MAX_NUMBER:
+            raise BadRequestError(f"{name}: expected a number from 0 to {MAX_NUMBER}")
         return value
 
     def text(self, name, default=None):
@@ -58,6 +60,8 @@
         value = self._values.get(name, default)
         if not isinstance(value, str):
             raise BadRequestError(f"{name}: expected a string")
+        if not value.isascii():
+            _check_text(name, value)
         return value
 
     def flag(self, name):
@@ -69,7 +73,7 @@
 
     def table(self, name):
         """Return an object as :class:`Fields`; a missing one is empty."""
-        return Fields(self._values.get(name) or {})
+        return Fields(values=self._values.get(name) or {})
 
     def rows(self, name):
         """Return a list; a missing one is empty."""
@@ -83,4 +87,12 @@
     def tables(self, name):
         """Yield the objects of a list as :class:`Fields`."""
         for row in self.rows(name):
-            yield Fields(row)
+            yield Fields(values=row)
+
+
+def _check_text(name, value):
+    """Refuse text with halves of surrogate pairs, which cannot be stored."""
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise BadRequestError(f"{name}: expected valid Unicode") from error
--- /dev/null
+++ b/tests/test_http_pool.py
@@ -0,0 +1,120 @@
+"""The HTTP client for workers: what is known of a call that fails."""
+
+from functools import partial
+
+from anyio import create_task_group, create_tcp_listener, run, sleep, sleep_forever
+from anyio.abc import SocketAttribute
+from pytest import raises
+
+from siskintally.errors import OutcomeUnknownError, UnreachableError
+from siskintally.http_pool import HttpPool
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+class Server:
+    """Answers each request with the next of some raw responses; None keeps silent."""
+
+    def __init__(self, *responses):
+        self.responses = list(responses)
+        self.connections = 0
+        self.requests = []
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        self.connections += 1
+        async with stream:
+            while True:
+                try:
+                    self.requests.append(await stream.receive())
+                except Exception:
+                    return
+                response = self.responses.pop(0)
+                if response is None:
+                    await sleep_forever()
+                await stream.send(response)
+                if b"close" in response:
+                    return
+
+
+def play(server, check):
+    """Run a check with a pool that calls a server."""
+
+    async def main():
+        listener = await create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        async with create_task_group() as tasks:
+            tasks.start_soon(listener.serve, server.serve)
+            pool = HttpPool(host="127.0.0.1", port=port)
+            await check(pool)
+            await pool.close()
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+post = partial(HttpPool.request, method="POST", path="/x", body=b"{}", timeout=1.0)
+
+
+def test_one_connection_carries_many_requests():
+    """Guards against a new connection for each call to a worker."""
+    server = Server(OK, OK, OK)
+
+    async def check(pool):
+        for _ in range(3):
+            assert (await post(pool)).body == b"ok"
+
+    play(server, check)
+    assert server.connections == 1
+
+
+def test_a_connection_that_the_other_side_closed_is_not_used_again():
+    """Guards against an unknown outcome for a call that was sent on a dead connection."""
+    server = Server(OK.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"), OK)
+
+    async def check(pool):
+        await post(pool)
+        await sleep(0.05)
+        assert (await post(pool)).status == 200
+
+    play(server, check)
+    assert server.connections == 2
+
+
+def test_silence_after_the_request_was_written_is_an_unknown_outcome():
+    """Guards against a start that is told as not sent though it may be carried out."""
+
+    async def check(pool):
+        with raises(OutcomeUnknownError):
+            await post(pool, timeout=0.1)
+        assert (await post(pool)).status == 200
+
+    server = Server(None, OK)
+    play(server, check)
+    assert server.connections == 2
+
+
+def test_a_refused_connection_is_provably_not_sent():
+    """Guards against retries that are withheld from calls that never left."""
+
+    async def main():
+        listener = await create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        await listener.aclose()
+        with raises(UnreachableError):
+            await post(HttpPool(host="127.0.0.1", port=port))
+
+    run(main)
+
+
+def test_a_broken_answer_is_an_unknown_outcome():
+    """Guards against a reply that is cut short or no HTTP and counts as an answer."""
+
+    async def check(pool):
+        for _ in range(2):
+            with raises(OutcomeUnknownError):
+                await post(pool, timeout=0.3)
+
+    play(
+        Server(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nclose", b"nonsense close\r\n"), check
+    )
--- /dev/null
+++ b/tests/test_leader_calls.py
@@ -0,0 +1,116 @@
+"""Calls to a leader that changes while they wait."""
+
+from anyio import create_task_group, fail_after, run, sleep, sleep_forever
+
+from siskintally.clock import now as steady
+from siskintally.codes import Code
+from siskintally.control_pb2 import ControlNotice, FlowRead
+from siskintally.errors import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    RefusedError,
+    UnreachableError,
+)
+from siskintally.leader_book import LeaderBook
+from siskintally.leader_calls import LeaderCalls
+
+LIMIT_S = 10.0
+
+
+class Stores:
+    """What each store does with a call."""
+
+    def __init__(self, **answer_by_name):
+        self.answer_by_name = answer_by_name
+        self.asked = []
+        self.book = LeaderBook(fresh_s=60.0)
+        self.calls = LeaderCalls(book=self.book, call=self.call)
+
+    def lead(self, name):
+        """Let a store tell that it leads."""
+        self.book.take(ControlNotice(leads=True), sender=name, now=steady())
+        self.calls.leader_changed()
+
+    async def call(self, name, body, *, timeout):
+        """Answer a call, raise an error, or hang."""
+        self.asked.append(name)
+        answer = self.answer_by_name[name]
+        if answer is None:
+            await sleep_forever()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def ask(stores, *, timeout=1.0, meanwhile=None):
+    """Return the answer to one call, or its error."""
+
+    async def main():
+        with fail_after(LIMIT_S):
+            async with create_task_group() as tasks:
+                if meanwhile is not None:
+                    tasks.start_soon(meanwhile)
+                try:
+                    answer = await stores.calls.call(FlowRead(id="f"), timeout=timeout)
+                except Exception as error:
+                    answer = error
+                tasks.cancel_scope.cancel()
+                return answer
+
+    return run(main)
+
+
+def test_a_call_that_waits_for_a_lost_leader_goes_to_the_next_one_at_once():
+    """Guards against requests that wait out an attempt though the next leader is known.
+
+    Pattern: a leader freezes with requests in flight, and the next one is elected meanwhile.
+    """
+    stores = Stores(a=None, b="done")
+    stores.lead("a")
+
+    async def elect():
+        await sleep(0.05)
+        stores.lead("b")
+
+    began = steady()
+    assert ask(stores, timeout=5.0, meanwhile=elect) == "done"
+    assert stores.asked == ["a", "b"]
+    assert steady() - began < 1.0
+
+
+def test_without_a_leader_a_call_is_refused_at_once_as_not_done():
+    """Guards against callers that wait for a leader that nobody knows."""
+    stores = Stores()
+    began = steady()
+    assert isinstance(ask(stores, timeout=5.0), NotLeaderError)
+    assert steady() - began < 1.0
+
+
+def test_a_call_that_may_have_had_an_effect_is_never_told_as_not_done():
+    """Guards against 'not accepted' for a flow that is stored."""
+    stores = Stores(a=OutcomeUnknownError("cut"))
+    stores.lead("a")
+    assert isinstance(ask(stores, timeout=0.3), OutcomeUnknownError)
+    stores = Stores(a=RefusedError("leadership was lost", code=Code.OUTCOME_UNKNOWN))
+    stores.lead("a")
+    assert isinstance(ask(stores, timeout=0.3), OutcomeUnknownError)
+
+
+def test_a_store_that_does_not_lead_names_the_one_that_does():
+    """Guards against calls that keep going to a follower."""
+    stores = Stores(a=RefusedError("no", code=Code.NOT_LEADER, leader="b"), b="done")
+    stores.lead("a")
+    assert ask(stores) == "done"
+    assert stores.asked == ["a", "b"]
+
+
+def test_an_unreachable_leader_is_tried_again_until_the_time_is_over():
+    """Guards against a refusal for a link that is opened again within the caller's time."""
+    stores = Stores(a=UnreachableError("no link"))
+    stores.lead("a")
+
+    async def heal():
+        await sleep(0.1)
+        stores.answer_by_name["a"] = "done"
+
+    assert ask(stores, meanwhile=heal) == "done"
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,209 @@
+"""The platform's bodies as types of the product; bad ones change nothing and name the field."""
+
+from json import dumps
+
+from hypothesis import given
+from hypothesis import strategies as st
+from pytest import mark, raises
+
+from siskintally.driver import EndKind
+from siskintally.errors import BadRequestError, OutcomeUnknownError
+from siskintally.platform.documents import read_document, read_flow, read_worker
+from siskintally.platform.workers import read_report
+from siskintally.queue_checks import check_document
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner),
+    max_leaves=8,
+)
+ROUTE = {
+    "name": "r",
+    "host": "H.example",
+    "pathPrefix": "/a/",
+    "service": "s",
+    "timeoutMs": 3000,
+    "maxAttempts": 3,
+    "priority": 1,
+    "targetRuntimeMs": 400,
+    "stretch": 1.5,
+    "advice": {"decideMs": 33.6, "periodMs": 0.3, "validMs": 2500},
+}
+DOCUMENT = {"version": 7, "routes": [ROUTE], "services": [{"name": "s"}], "limits": {}}
+WORKER = {
+    "service": "s",
+    "addr": "10.0.0.9:80",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 1},
+    "labels": ["a", "r1-3"],
+    "clockMs": 482113,
+    "seq": 4,
+    "born": 1783394105546,
+}
+STEP = {
+    "count": 20,
+    "cpu": 2000,
+    "memMb": 1024,
+    "gpu": 1,
+    "estimateMs": 7000.4,
+    "after": [0],
+    "checkpointable": True,
+    "gang": True,
+    "sameRack": True,
+    "requiredLabel": "b",
+    "dataRack": "r1-3",
+    "maxPerServer": 2,
+    "speculative": True,
+    "longRunning": True,
+    "image": "i",
+    "targetMs": 50,
+    "fills": True,
+    "maxUnavailable": 1,
+}
+
+
+def flow_body(**step):
+    return dumps({"spec": "x", "steps": [{"count": 1}, {**STEP, **step}]}).encode()
+
+
+def test_every_field_of_a_step_arrives():
+    """Guards against a term of a job that is dropped on the way in."""
+    step = read_flow("5c0e", "q", flow_body()).steps[1]
+    assert (step.tasks, step.cpu_milli, step.memory_mb, step.accelerators) == (20, 2000, 1024, 1)
+    assert (step.estimate_ms, list(step.after), step.label) == (7000, [0], "b")
+    assert (step.data_rack, step.max_per_worker, step.image) == ("r1-3", 2, "i")
+    assert (step.tail_target_ms, step.max_unavailable) == (50, 1)
+    flags = (step.checkpointable, step.gang, step.one_rack, step.speculative, step.lasting)
+    assert all(flags) and step.filling
+
+
+@mark.parametrize(
+    "bad",
+    [
+        {"count": -1},
+        {"count": "2"},
+        {"cpu": 1.5},
+        {"gang": 1},
+        {"after": ["0"]},
+        {"after": 0},
+        {"estimateMs": 1e14},
+        {"image": "\ud800"},
+    ],
+)
+def test_a_step_with_a_bad_field_is_refused(bad):
+    """Guards against a job that is stored and can never be run as it was meant."""
+    with raises(BadRequestError):
+        read_flow("5c0e", "q", flow_body(**bad))
+
+
+def test_a_configuration_arrives_whole_and_is_kept_as_it_was_sent():
+    """Guards against a configuration that is read back other than it was sent."""
+    body = dumps(DOCUMENT).encode()
+    document = read_document(body)
+    check_document(document)
+    queue = document.queues[0]
+    assert document.original == body
+    assert (queue.host, queue.prefix, queue.max_attempts) == ("h.example", "/a/", 3)
+    assert (queue.aim_ms, queue.stretch, queue.advice.decide_ms) == (400, 1.5, 33.6)
+
+
+@mark.parametrize(
+    "bad",
+    [
+        {"routes": [{**ROUTE, "service": "unknown"}]},
+        {"routes": [{**ROUTE, "timeoutMs": 0}]},
+        {"routes": [ROUTE, {**ROUTE, "name": "other"}]},
+        {"routes": None},
+        {"version": 0},
+        {"version": "7"},
+        {"services": "s"},
+    ],
+)
+def test_an_invalid_configuration_is_refused_as_a_whole(bad):
+    """Guards against an acknowledged configuration that cannot be in force."""
+    with raises(BadRequestError):
+        check_document(read_document(dumps({**DOCUMENT, **bad}).encode()))
+
+
+@mark.parametrize("length", [0, 1, 20, 60])
+def test_a_configuration_that_was_cut_short_is_refused(length):
+    """Guards against half of a configuration in force."""
+    with raises(BadRequestError):
+        read_document(dumps(DOCUMENT).encode()[:length])
+
+
+def test_a_worker_is_read_with_its_room_and_rack():
+    """Guards against work that is sent to a worker without the room for it."""
+    worker = read_worker("i-1", dumps(WORKER).encode())
+    assert (worker.cpu_milli, worker.memory_mb, worker.accelerators) == (16000, 32768, 1)
+    assert (worker.rack, worker.born_ms, worker.leaving) == ("r1-3", 1783394105546, False)
+
+
+@mark.parametrize(
+    "bad",
+    [
+        {"state": "asleep"},
+        {"state": 5},
+        {"addr": "nowhere"},
+        {"addr": None},
+        {"capacity": 7},
+        {"labels": [1]},
+        {"service": None},
+        {"seq": "many"},
+    ],
+)
+def test_an_announcement_that_names_no_worker_is_refused(bad):
+    """Guards against announcements of other writers that become workers."""
+    with raises(BadRequestError):
+        read_worker("i-1", dumps({**WORKER, **bad}).encode())
+
+
+def test_a_report_lists_runs_and_ends():
+    """Guards against ends that are taken for others."""
+    body = {
+        "clockMs": 9,
+        "running": [["f.0.0.1", 2, "save", 41, 900]],
+        "ended": [[58, "f.0.0.0", 1, "broken", ""]],
+    }
+    report = read_report(dumps(body).encode())
+    (row,), (end,) = report.running, report.ended
+    assert (row.task_id, row.run, row.checkpoint, row.percent, row.load) == (
+        "f.0.0.1",
+        2,
+        "save",
+        41,
+        900,
+    )
+    assert (end.number, end.task_id, end.run, end.kind) == (58, "f.0.0.0", 1, EndKind.BROKEN)
+
+
+@given(JSON)
+def test_no_body_of_another_shape_ends_a_process(value):
+    """Guards against input that raises anything but a numbered error."""
+    body = dumps(value).encode()
+    for read in (
+        lambda: read_flow("5c0e", "q", body),
+        lambda: read_document(body),
+        lambda: read_worker("i-1", body),
+        lambda: read_report(body),
+    ):
+        try:
+            read()
+        except (BadRequestError, OutcomeUnknownError):
+            continue
+
+
+@given(st.binary(max_size=40))
+def test_no_unreadable_bytes_end_a_process(body):
+    """Guards against bytes that are no text or no JSON."""
+    for read in (
+        lambda: read_flow("5c0e", "q", body),
+        lambda: read_document(body),
+        lambda: read_worker("i-1", body),
+        lambda: read_report(body),
+    ):
+        try:
+            read()
+        except (BadRequestError, OutcomeUnknownError):
+            continue
--- /dev/null
+++ b/tests/test_platform_folder.py
@@ -0,0 +1,119 @@
+"""The adapter's folder: it holds the platform's names and decides nothing."""
+
+import ast
+from pathlib import Path
+from re import compile as compile_pattern
+
+ROOT = Path(__file__).resolve().parent.parent / "siskintally"
+FOLDER = ROOT / "platform"
+# The platform writes its fields in this way; the product's own names have underscores.
+CAMEL_CASE = compile_pattern(r"[a-z]+(?:[A-Z][a-z]*)+")
+HEADER = compile_pattern(r"Siskintally-[A-Z][A-Za-z-]+")
+# Headers of the product's own interface for callers and endpoints.
+OWN_HEADERS = {
+    "Siskintally-Caller",
+    "Siskintally-Class",
+    "Siskintally-Code",
+    "Siskintally-Request-Id",
+}
+# What a translation needs: types of the product, its errors, and calls. Whatever decides lives in
+# modules that are not listed here.
+ALLOWED_IMPORTS = {
+    "siskintally.codes",
+    "siskintally.command",
+    "siskintally.control_node",
+    "siskintally.control_pb2",
+    "siskintally.counters",
+    "siskintally.daemon",
+    "siskintally.driver",
+    "siskintally.entry_node",
+    "siskintally.errors",
+    "siskintally.flow_gateway",
+    "siskintally.http_pool",
+    "siskintally.http_server",
+    "siskintally.log",
+    "siskintally.node_settings",
+    "siskintally.queue_checks",
+}
+DECIDING = {"time", "random", "anyio.sleep", "siskintally.clock"}
+MAX_LINES = 900
+
+
+def modules(folder):
+    """Yield (path, syntax tree) of the modules of a folder that are not generated."""
+    for path in sorted(folder.glob("*.py")):
+        if not path.stem.endswith(("_pb2", "_grpc")):
+            yield path, ast.parse(path.read_text(encoding="utf-8"))
+
+
+def strings(tree):
+    """Yield the string literals of a module that are no docstrings."""
+    docstrings = {
+        id(node.body[0].value)
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Module | ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef)
+        and node.body
+        and isinstance(node.body[0], ast.Expr)
+    }
+    for node in ast.walk(tree):
+        is_text = isinstance(node, ast.Constant) and isinstance(node.value, str)
+        if is_text and id(node) not in docstrings:
+            yield node.value
+
+
+def imports(tree):
+    """Yield the names of imported modules."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module
+
+
+def wire_names():
+    """Return the platform's field names, as the folder has them in string literals."""
+    return {
+        text
+        for _, tree in modules(FOLDER)
+        for text in strings(tree)
+        if CAMEL_CASE.fullmatch(text) or HEADER.fullmatch(text)
+    }
+
+
+def test_no_name_of_the_platform_stands_outside_its_folder():
+    """Guards against the platform's words that spread through the product."""
+    names = wire_names()
+    assert len(names) > 20
+    found = {
+        (path.name, text)
+        for path, tree in modules(ROOT)
+        for text in strings(tree)
+        if text in names or (HEADER.fullmatch(text) and text not in OWN_HEADERS)
+    }
+    assert found == set()
+
+
+def test_only_the_command_line_and_the_folder_itself_import_the_folder():
+    """Guards against modules of the product that depend on one platform."""
+    users = {
+        path.name
+        for path, tree in modules(ROOT)
+        if any(name and name.startswith("siskintally.platform") for name in imports(tree))
+    }
+    assert users == set()
+
+
+def test_the_folder_translates_and_decides_nothing():
+    """Guards against retries, timers, and choices that move into the adapter.
+
+    A translation neither waits nor reads a clock nor draws numbers, has no loop that repeats a
+    call, and imports no module that decides.
+    """
+    for path, tree in modules(FOLDER):
+        assert not any(isinstance(node, ast.While) for node in ast.walk(tree)), path.name
+        for name in imports(tree):
+            is_own = name.startswith("siskintally.") and not name.startswith("siskintally.platform")
+            assert not is_own or name in ALLOWED_IMPORTS, (path.name, name)
+            assert name not in DECIDING, (path.name, name)
+    lines = sum(len(path.read_text().splitlines()) for path, _ in modules(FOLDER))
+    assert lines <= MAX_LINES
