--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -43,7 +43,7 @@
     ),
     "Processes and transport": (
         "store store_links replicas founding link session outbox liveness leader "
-        "supervisor daemon settings log metrics clock codes errors"
+        "supervisor daemon settings log log_stream metrics clock codes errors"
     ),
     "Command line and stubs": (
         "main __main__ command commands_domain commands_entry commands_operator commands_store "
--- a/siskintally/conductor.py
+++ b/siskintally/conductor.py
@@ -10,7 +10,8 @@
 from anyio import Event, create_task_group, move_on_after, sleep
 
 from siskintally.clock import now as steady
-from siskintally.control_pb2 import ControlCommand, EndBatch, WorkerKey
+from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, WorkerKey
+from siskintally.control_state import Outcome
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
 from siskintally.fleet import Standing
 from siskintally.flow_scheduler import FlowScheduler
@@ -27,6 +28,7 @@
 GATHER_S = 0.004
 IDLE_PASS_S = 0.1
 ADVICE_MARGIN_S = 1.5
+RETIRE_S = 10.0
 
 log = get_logger("conductor")
 
@@ -88,6 +90,7 @@
                 self._keep(worker).lease.wait_out(former_leases)
             tasks.start_soon(self._confirm)
             tasks.start_soon(self._pass_on)
+            tasks.start_soon(self._retire)
         log.info("term over", term=self.term)
 
     def cancel(self):
@@ -117,6 +120,26 @@
                 self._authorized = Event()
             await sleep(CONFIRM_S)
 
+    async def _retire(self):
+        """Forget flows whose outcome nobody asks for any more."""
+        over_since = {}
+        while True:
+            await sleep(RETIRE_S)
+            now = steady()
+            over = [
+                flow_id
+                for flow_id, flow in self.state.flow_by_id.items()
+                if flow.outcome != Outcome.OPEN
+            ]
+            over_since = {flow_id: over_since.get(flow_id, now) for flow_id in over}
+            old = [one for one, since in over_since.items() if now - since > self._timing.keep_s]
+            if old:
+                log.info("flows forgotten", count=len(old))
+                try:
+                    await self.propose(forget=FlowIds(ids=old))
+                except (NotLeaderError, OutcomeUnknownError) as error:
+                    self.deposed(str(error))
+
     async def has_authority(self):
         """Wait until a quorum is known to follow this leader.
 
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -41,6 +41,7 @@
 GROUP = "control"
 FOUNDING = "founding"
 NOTICE_S = 0.3
+DISK_RETRY_S = 0.5
 FIRST_ELECTION_SHARE = 0.35
 # With the start of the process itself, longer than a leader may act without its quorum.
 QUIET_START_S = 0.25
@@ -139,6 +140,7 @@
             lease_max_s=settings.lease_max_ms / 1000,
             thaw_s=settings.thaw_ms / 1000,
             contact_s=settings.contact_ms / 1000,
+            status_s=settings.status_s,
         )
 
     @property
@@ -166,7 +168,7 @@
             self._tasks = tasks
             tasks.start_soon(self._serve)
             tasks.start_soon(self._mesh.run)
-            tasks.start_soon(self._group.run)
+            tasks.start_soon(self._keep_group)
             tasks.start_soon(self._notify)
             tasks.start_soon(self._lead)
             tasks.start_soon(serve)
@@ -174,6 +176,16 @@
             await self._end()
             tasks.cancel_scope.cancel()
 
+    async def _keep_group(self):
+        """Run the replica, and open it again after its disk has failed."""
+        while True:
+            try:
+                await self._group.run()
+                return
+            except OSError as error:
+                log.error("disk failed", error=str(error))
+            await sleep(DISK_RETRY_S)
+
     def _found(self):
         """Write the founding state; all founding stores write the same."""
         settings = self._settings
--- a/siskintally/log.py
+++ b/siskintally/log.py
@@ -5,13 +5,19 @@
 True
 """
 
+from functools import partial
+from os import set_blocking
+from os import write as write_descriptor
 from sys import stderr, stdout
+from time import monotonic
 
 from structlog import PrintLoggerFactory, configure, make_filtering_bound_logger
 from structlog import get_logger as structlog_logger
 from structlog.contextvars import bind_contextvars, merge_contextvars
 from structlog.processors import JSONRenderer, TimeStamper, add_log_level, format_exc_info
 
+from siskintally.log_stream import LogStream
+
 LEVEL_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
@@ -20,7 +26,8 @@
 
     :param process: process name, added to each line.
     :param level: ``debug``, ``info``, ``warning``, or ``error``.
-    :param to_stdout: whether lines go to standard output in place of standard error.
+    :param to_stdout: whether lines go to standard output in place of standard error, bounded and
+        without waiting for the reader.
     """
     configure(
         processors=[
@@ -31,11 +38,17 @@
             JSONRenderer(),
         ],
         wrapper_class=make_filtering_bound_logger(LEVEL_BY_NAME[level]),
-        logger_factory=PrintLoggerFactory(file=stdout if to_stdout else stderr),
+        logger_factory=PrintLoggerFactory(file=_bounded_stdout() if to_stdout else stderr),
     )
     bind_contextvars(process=process)
 
 
+def _bounded_stdout():
+    descriptor = stdout.fileno()
+    set_blocking(descriptor, False)
+    return LogStream(write=partial(write_descriptor, descriptor), clock=monotonic)
+
+
 def get_logger(module):
     """Return a logger whose lines name a module."""
     return structlog_logger(module=module)
--- /dev/null
+++ b/siskintally/log_stream.py
@@ -0,0 +1,69 @@
+r"""Output of log lines that is bounded and never waits for its reader.
+
+>>> from siskintally.log_stream import LogStream
+>>> written = []
+>>> def write(data):
+...     written.append(data)
+...     return len(data)
+>>> stream = LogStream(write=write, clock=lambda: 0.0, lines_per_s=1, burst_lines=2)
+>>> for line in ("a", "b", "c"):
+...     stream.write(line + "\n")
+>>> written, stream.dropped
+([b'a\n', b'b\n'], 1)
+"""
+
+from json import dumps
+
+LINES_PER_S = 1500
+BURST_LINES = 3000
+
+
+class LogStream:
+    """File-like object for log lines; what does not fit is dropped and counted.
+
+    :param write: function that writes bytes at once, or raises BlockingIOError.
+    :param clock: function that returns the steady time in seconds.
+    :param lines_per_s: lines a second in the long run.
+    :param burst_lines: lines at once.
+    """
+
+    __slots__ = ("_at", "_burst_lines", "_clock", "_lines_per_s", "_tokens", "_write", "dropped")
+
+    def __init__(self, *, write, clock, lines_per_s=LINES_PER_S, burst_lines=BURST_LINES):
+        self._write = write
+        self._clock = clock
+        self._lines_per_s = lines_per_s
+        self._burst_lines = burst_lines
+        self._tokens = float(burst_lines)
+        self._at = clock()
+        self.dropped = 0
+
+    def write(self, text):
+        """Write one line with its end, or drop it."""
+        now = self._clock()
+        refill = (now - self._at) * self._lines_per_s
+        self._tokens = min(self._tokens + refill, self._burst_lines)
+        self._at = now
+        if self._tokens < 1.0:
+            self.dropped += 1
+            return
+        self._tokens -= 1.0
+        if self.dropped and self._put(_note(self.dropped)):
+            self.dropped = 0
+        if not self._put(text):
+            self.dropped += 1
+
+    def _put(self, text):
+        try:
+            self._write(text.encode())
+        except (BlockingIOError, BrokenPipeError):
+            # The reader is behind or gone; the count tells of it as soon as it reads again.
+            return False
+        return True
+
+    def flush(self):
+        """Do nothing: lines are not held back."""
+
+
+def _note(count):
+    return dumps({"event": "log lines dropped", "level": "warning", "count": count}) + "\n"
--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -28,12 +28,13 @@
     "siskintally.commands_operator",
     "siskintally.commands_store",
     "siskintally.commands_worker",
-    "siskintally.platform.commands",
+    "siskintally.platform.entry_command",
+    "siskintally.platform.store_command",
 )
 # On a small VM the imports of the other families are half of the time that a start takes.
 FAMILY_BY_COMMAND = {
-    "platform-entry": "siskintally.platform.commands",
-    "platform-store": "siskintally.platform.commands",
+    "platform-entry": "siskintally.platform.entry_command",
+    "platform-store": "siskintally.platform.store_command",
 }
 
 
--- /dev/null
+++ b/siskintally/platform/entry_command.py
@@ -0,0 +1,40 @@
+"""Command ``platform-entry``.
+
+>>> from siskintally.command import Registry
+>>> from siskintally.platform.entry_command import register
+>>> registry = Registry()
+>>> register(registry)
+>>> [command.name for command in registry]
+['platform-entry']
+"""
+
+from siskintally.command import Command
+from siskintally.counters import Counters
+from siskintally.entry_node import EntryNode
+from siskintally.flow_gateway import FlowGateway
+from siskintally.platform.http import ClientApp, MetricsApp, ReadyApp
+from siskintally.platform.process import METRICS_PORT, define, load, serve
+from siskintally.platform.workers import PlatformAdvice
+
+# Part of the grace of a stop that is left when the platform has noticed that no more is wanted.
+LAST_REQUESTS_SHARE = 0.5
+
+
+def register(registry):
+    """Add the command."""
+    summary = "Run an entry on the users' platform."
+    registry.add(Command(name="platform-entry", summary=summary, define=define, start=start))
+
+
+def start(values, arguments):
+    """Run an entry until a signal."""
+    path, settings = load(values, "entry")
+    counters = Counters()
+    node = EntryNode(settings=settings, advice=PlatformAdvice(address=settings.advice))
+    gateway = FlowGateway(book=node.book, calls=node.calls, counters=counters)
+    apps = (
+        (ClientApp(gateway=gateway), settings.callers),
+        (ReadyApp(is_ready=lambda: node.is_ready), settings.ready),
+        (MetricsApp(counters=counters), f"{settings.ip}:{METRICS_PORT}"),
+    )
+    return serve(node, apps, path, graceful_s=settings.grace_s * LAST_REQUESTS_SHARE)
--- /dev/null
+++ b/siskintally/platform/process.py
@@ -0,0 +1,68 @@
+"""What the commands of the platform have in common: settings, logs, and HTTP servers.
+
+>>> from siskintally.platform.process import METRICS_PORT
+>>> METRICS_PORT
+9464
+"""
+
+from functools import partial
+from os import environ
+
+from absl.flags import DEFINE_string
+from anyio import create_task_group
+
+from siskintally.daemon import serve_until_signal
+from siskintally.errors import BadSettingsError
+from siskintally.http_server import serve_http
+from siskintally.log import get_logger, set_up
+from siskintally.node_settings import load_node
+
+SETTINGS_VARIABLE = "SISKINTALLY_SETTINGS"
+METRICS_PORT = 9464
+
+log = get_logger("platform")
+
+
+def define(values):
+    """Add the flags of a platform command."""
+    DEFINE_string("settings", None, "settings of this process (TOML)", flag_values=values)
+
+
+def load(values, role):
+    """Read the settings and set up logs; return the path and the settings.
+
+    :raises BadSettingsError: the settings are missing or out of range.
+    """
+    path = values.settings or environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise BadSettingsError(f"--settings: missing, and {SETTINGS_VARIABLE} is not set")
+    settings = load_node(path)
+    set_up(process=settings.name, to_stdout=True)
+    log.info(
+        "start",
+        role=role,
+        seeds=settings.seeds,
+        domain=settings.domain,
+        founding=settings.founding,
+    )
+    return path, settings
+
+
+def serve(node, apps, path, *, graceful_s):
+    """Run a node with its HTTP servers until a signal; SIGHUP reads the seeds again.
+
+    :param apps: pairs of an app and the address it listens on.
+    :param graceful_s: longest time for the requests in progress at the end, s.
+    """
+    servers = partial(_serve_all, apps, node.closing, graceful_s)
+    return serve_until_signal(
+        partial(node.run, servers), node.stop, lambda: node.learn_seeds(load_node(path))
+    )
+
+
+async def _serve_all(apps, until, graceful_s):
+    async with create_task_group() as tasks:
+        for app, address in apps:
+            tasks.start_soon(
+                partial(serve_http, app, address=address, until=until, graceful_s=graceful_s)
+            )
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -21,6 +21,8 @@
 from siskintally.counters import Counters
 from siskintally.driver import Advice
 from siskintally.errors import SiskintallyError
+from siskintally.flow_timing import FlowTiming
+from siskintally.journal import Journal
 from siskintally.node_settings import parse_node
 from siskintally.stub_pool import StubPool
 from tests.flow_rig import QUEUE, SERVICE, flow, step
@@ -286,3 +288,55 @@
         assert (await cell.call(DocumentRead())).document.version == 3
 
     play(tmp_path, check)
+
+
+def test_a_store_whose_disk_fails_comes_back_without_a_new_process(tmp_path, monkeypatch):
+    """Guards against a store that ends itself while its disk takes no more bytes."""
+
+    async def check(cell):
+        await cell.configure()
+        leader = cell.leader()
+        full = [True]
+
+        def write(journal, effects, stable, *, real=Journal.write):
+            if full[0] and journal.identity.name.startswith(f"{leader}:"):
+                raise OSError("no space left")
+            real(journal, effects, stable)
+
+        monkeypatch.setattr(Journal, "write", write)
+        body = QueueDocument(version=9, original=b"{}")
+        await cell.call(DocumentPut(document=body))
+        await wait_until(lambda: cell.leader() not in (None, leader), "another leader")
+        full[0] = False
+        cell.kill(cell.leader())
+        await wait_until(cell.leader, "a quorum with the mended store")
+        assert (await cell.call(DocumentRead())).document.version == 9
+
+    play(tmp_path, check)
+
+
+def test_outcomes_are_forgotten_after_their_time(tmp_path, monkeypatch):
+    """Guards against state that grows with every flow that ever ran."""
+    monkeypatch.setattr("siskintally.conductor.RETIRE_S", 0.1)
+    monkeypatch.setattr(
+        "siskintally.flow_timing.FlowTiming.derive",
+        partial(short_lived, FlowTiming.derive),
+    )
+
+    async def check(cell):
+        await cell.configure("w1")
+        await cell.call(FlowSubmit(flow=flow("f", step(1))))
+        await wait_until(partial(is_state, cell, "f", "completed"), "completed")
+
+        async def is_forgotten():
+            return not (await cell.call(FlowRead(id="f", queue="q"))).known
+
+        await wait_until(is_forgotten, "forgotten")
+
+    play(tmp_path, check)
+
+
+def short_lived(derive, **bounds):
+    timing = derive(**bounds)
+    timing.keep_s = 1.0
+    return timing
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -93,7 +93,7 @@
     assert found == set()
 
 
-def test_only_the_command_line_and_the_folder_itself_import_the_folder():
+def test_no_module_of_the_product_imports_the_folder():
     """Guards against modules of the product that depend on one platform."""
     users = {
         path.name
