--- a/siskintally/conductor.py
+++ b/siskintally/conductor.py
@@ -10,7 +10,7 @@
 from anyio import Event, create_task_group, move_on_after, sleep
 
 from siskintally.clock import now as steady
-from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, WorkerKey
+from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, TaskEnd, WorkerKey
 from siskintally.control_state import Outcome
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
 from siskintally.fleet import Standing
@@ -164,7 +164,8 @@
     def _run_pass(self, now, wall_ms):
         scheduler = self.scheduler
         for action in scheduler.place(now, wall_ms):
-            self._counters.count("starts")
+            self._counters.starts.inc()
+            self._counters.start_seconds.observe(now - action.task.step.flow.arrived)
             log.info(
                 "start",
                 task=action.task.id,
@@ -187,7 +188,7 @@
         for action in paces:
             keeper = self._keeper_by_worker.get(action.worker.id)
             if keeper is not None and keeper.worker is action.worker:
-                self._counters.count("paces")
+                self._counters.paces.inc()
                 log.info(
                     "pace", task=action.task.id, worker=action.worker.id, percent=action.percent
                 )
@@ -198,7 +199,7 @@
         for action in stops:
             keeper = self._keeper_by_worker.get(action.worker.id)
             if keeper is not None and keeper.worker is action.worker:
-                self._counters.count("stops")
+                self._counters.stops.inc()
                 log.info("stop", task=action.task_id, run=action.run, worker=action.worker.id)
                 keeper.wake()
                 self._tasks.start_soon(keeper.stop, action)
@@ -214,7 +215,7 @@
         finally:
             self._lanes.give_back(lane)
         now = steady()
-        self._counters.observe("advice_s", now - asked_at)
+        self._counters.advice_seconds.observe(now - asked_at)
         queue = action.step.flow.queue
         valid_s = queue.advice.valid_ms / 1000 if queue is not None else 0.0
         self.scheduler.advised(action, tickets, now + valid_s, now)
@@ -280,8 +281,9 @@
         self.wake()
         if ends:
             for end in ends:
-                log.info("end", task=end.task, run=end.run, how=end.how, worker=keeper.worker.id)
-            self._counters.count("ends", len(ends))
+                how = TaskEnd.How.Name(end.how)
+                self._counters.ends.labels(how).inc()
+                log.info("end", task=end.task, run=end.run, how=how, worker=keeper.worker.id)
             try:
                 await self.propose(ends=EndBatch(ends=ends))
             except (NotLeaderError, OutcomeUnknownError) as error:
@@ -296,7 +298,7 @@
     def refused(self, action, refusal, *, was_sent_before):
         """Note a refused start."""
         log.info("start refused", task=action.task.id, run=action.run, reason=refusal.name)
-        self._counters.count("starts_refused")
+        self._counters.starts_refused.labels(refusal.name).inc()
         if refusal.name == "FENCED":
             self.deposed(f"worker {action.worker.id} has a higher fence")
             return
@@ -311,6 +313,7 @@
 
     def lapsed(self, worker):
         """Note that the lease of a worker has ended."""
+        self._counters.workers_lapsed.inc()
         log.warning("worker lapsed", worker=worker.id, held=len(worker.held_by_task))
         self.scheduler.lapse(worker)
         self.wake()
--- a/siskintally/counters.py
+++ b/siskintally/counters.py
@@ -1,51 +1,57 @@
-"""Counters and latency histograms of one process, as text for scraping.
+"""Counters and latency histograms of one process of the control plane, as text for scraping.
 
 >>> from siskintally.counters import Counters
 >>> counters = Counters()
->>> counters.count("starts", 2)
->>> counters.observe("commit_s", 0.003)
->>> print(counters.text().splitlines()[0])
-siskintally_starts_total 2
+>>> counters.starts.inc(2)
+>>> "siskintally_starts_total 2.0" in counters.text()
+True
 """
 
-from bisect import bisect_left
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 
-BOUNDS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 
 class Counters:
-    """Counts by name, and durations in seconds by name in fixed buckets."""
-
-    __slots__ = ("_buckets_by_name", "_count_by_name", "_sum_by_name")
+    """Metrics in a registry of their own; each attribute is a metric of the client library."""
+
+    __slots__ = (
+        "_registry",
+        "advice_seconds",
+        "ends",
+        "paces",
+        "refusals",
+        "request_seconds",
+        "requests",
+        "start_seconds",
+        "starts",
+        "starts_refused",
+        "stops",
+        "workers_lapsed",
+    )
 
     def __init__(self):
-        self._count_by_name = {}
-        self._buckets_by_name = {}
-        self._sum_by_name = {}
-
-    def count(self, name, number=1):
-        """Add to a counter."""
-        self._count_by_name[name] = self._count_by_name.get(name, 0) + number
-
-    def observe(self, name, seconds):
-        """Add a duration to a histogram."""
-        buckets = self._buckets_by_name.setdefault(name, [0] * (len(BOUNDS_S) + 1))
-        buckets[bisect_left(BOUNDS_S, seconds)] += 1
-        self._sum_by_name[name] = self._sum_by_name.get(name, 0.0) + seconds
+        self._registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Calls about flows.", "call", "outcome")
+        self.request_seconds = self._histogram("request_seconds", "Time of calls.", "call")
+        self.refusals = self._counter("refusals", "Requests refused by an entry.", "reason")
+        self.starts = self._counter("starts", "Start orders for tasks.")
+        self.starts_refused = self._counter("starts_refused", "Refused starts.", "reason")
+        self.start_seconds = self._histogram("start_seconds", "Acceptance to start of a task.")
+        self.ends = self._counter("ends", "Ends of tasks.", "how")
+        self.stops = self._counter("stops", "Stop orders for tasks.")
+        self.paces = self._counter("paces", "Pace orders for filling tasks.")
+        self.workers_lapsed = self._counter("workers_lapsed", "Leases of workers that ended.")
+        self.advice_seconds = self._histogram("advice_seconds", "Calls to the advice service.")
+
+    def _counter(self, name, text, *labels):
+        return Counter(f"siskintally_{name}", text, labels, registry=self._registry)
+
+    def _histogram(self, name, text, *labels):
+        return Histogram(
+            f"siskintally_{name}", text, labels, registry=self._registry, buckets=BUCKETS_S
+        )
 
     def text(self):
-        """Return all values in the text format that metric scrapers read."""
-        return "\n".join([*self._counter_lines(), *self._histogram_lines()]) + "\n"
-
-    def _counter_lines(self):
-        for name, number in sorted(self._count_by_name.items()):
-            yield f"siskintally_{name}_total {number}"
-
-    def _histogram_lines(self):
-        for name, buckets in sorted(self._buckets_by_name.items()):
-            total = 0
-            for bound, number in zip((*BOUNDS_S, "+Inf"), buckets, strict=True):
-                total += number
-                yield f'siskintally_{name}_bucket{{le="{bound}"}} {total}'
-            yield f"siskintally_{name}_sum {self._sum_by_name[name]:.6f}"
-            yield f"siskintally_{name}_count {total}"
+        """Return all values in the text format of the client library."""
+        return generate_latest(self._registry).decode()
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -74,7 +74,7 @@
         return queue
 
     def _refuse(self, reason, path, now):
-        self._counters.count("requests_refused")
+        self._counters.refusals.labels(reason).inc()
         silent_s = self._book.silent_s(now)
         log.info(
             "request refused",
@@ -131,8 +131,8 @@
             raise
         finally:
             took_s = steady() - began
-            self._counters.count(f"calls_{call}_{outcome}")
-            self._counters.observe(f"{call}_s", took_s)
+            self._counters.requests.labels(call, outcome).inc()
+            self._counters.request_seconds.labels(call).observe(took_s)
             log.info(
                 "request",
                 call=call,
--- a/tests/test_leader_book.py
+++ b/tests/test_leader_book.py
@@ -1,6 +1,7 @@
 """What a process believes of the leader, and when it tells callers to come back."""
 
 from siskintally.control_pb2 import ControlNotice, QueueDocument
+from siskintally.counters import Counters
 from siskintally.flow_gateway import FlowGateway
 from siskintally.leader_book import LeaderBook
 
@@ -51,7 +52,7 @@
 
     Pattern: all stores are dark for 4.5 s and callers have four retries.
     """
-    gateway = FlowGateway(book=led_book(now=10.0), calls=None, counters=None)
+    gateway = FlowGateway(book=led_book(now=10.0), calls=None, counters=Counters())
     advised = []
     for now in (10.5, 11.5, 13.2, 20.0):
         monkeypatch.setattr("siskintally.flow_gateway.steady", lambda now=now: now)
