--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -8,9 +8,11 @@
 """
 
 from importlib import import_module
+from os import O_WRONLY, devnull, dup2
+from os import open as open_descriptor
 from sys import argv as process_argv
 from sys import exit as exit_process
-from sys import stderr
+from sys import stderr, stdout
 
 from absl.app import run as run_app
 from absl.flags import FLAGS
@@ -23,6 +25,8 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
+# What a shell shows for a process that SIGPIPE has ended.
+EXIT_READER_GONE = 141
 FAMILIES = (
     "siskintally.commands_entry",
     "siskintally.commands_operator",
@@ -51,8 +55,18 @@
 
 
 def run():
-    """Run the process's own command line and exit; entry point of the executable."""
-    exit_process(dispatch(process_argv))
+    """Run the process's own command line and exit; entry point of the executable.
+
+    A reader that closes its end, such as ``head``, ends the command without a message.
+    """
+    try:
+        status = dispatch(process_argv)
+        stdout.flush()
+    except BrokenPipeError:
+        # What is left in the buffer must not be written when the interpreter ends.
+        dup2(open_descriptor(devnull, O_WRONLY), stdout.fileno())
+        status = EXIT_READER_GONE
+    exit_process(status)
 
 
 def dispatch(argv):
