--- a/siskintally/log_stream.py
+++ b/siskintally/log_stream.py
@@ -27,7 +27,17 @@
     :param burst_lines: lines at once.
     """
 
-    __slots__ = ("_at", "_burst_lines", "_clock", "_lines_per_s", "_tokens", "_write", "dropped")
+    # The logger keeps a lock for each file that it writes to, by a weak reference.
+    __slots__ = (
+        "__weakref__",
+        "_at",
+        "_burst_lines",
+        "_clock",
+        "_lines_per_s",
+        "_tokens",
+        "_write",
+        "dropped",
+    )
 
     def __init__(self, *, write, clock, lines_per_s=LINES_PER_S, burst_lines=BURST_LINES):
         self._write = write
--- a/siskintally/node_settings.py
+++ b/siskintally/node_settings.py
@@ -66,6 +66,11 @@
         """Address for links of other processes."""
         return f"{self.ip}:{self.link_port}"
 
+    @property
+    def metrics(self):
+        """Address for scrapers of metrics, empty for none."""
+        return f"{self.ip}:{self.metrics_port}" if self.metrics_port else ""
+
     def seed_links(self):
         """Return the link addresses of the seeds; the ports of all processes are the same."""
         return [f"{seed.rpartition(':')[0]}:{self.link_port}" for seed in self.seeds]
--- a/siskintally/platform/entry_command.py
+++ b/siskintally/platform/entry_command.py
@@ -13,7 +13,7 @@
 from siskintally.entry_node import EntryNode
 from siskintally.flow_gateway import FlowGateway
 from siskintally.platform.http import ClientApp, MetricsApp, ReadyApp
-from siskintally.platform.process import METRICS_PORT, define, load, serve
+from siskintally.platform.process import define, load, serve
 from siskintally.platform.workers import PlatformAdvice
 
 # Part of the grace of a stop that is left when the platform has noticed that no more is wanted.
@@ -35,6 +35,6 @@
     apps = (
         (ClientApp(gateway=gateway), settings.callers),
         (ReadyApp(is_ready=lambda: node.is_ready), settings.ready),
-        (MetricsApp(counters=counters), f"{settings.ip}:{METRICS_PORT}"),
+        (MetricsApp(counters=counters), settings.metrics),
     )
     return serve(node, apps, path, graceful_s=settings.grace_s * LAST_REQUESTS_SHARE)
--- a/siskintally/platform/process.py
+++ b/siskintally/platform/process.py
@@ -1,8 +1,8 @@
 """What the commands of the platform have in common: settings, logs, and HTTP servers.
 
->>> from siskintally.platform.process import METRICS_PORT
->>> METRICS_PORT
-9464
+>>> from siskintally.platform.process import SETTINGS_VARIABLE
+>>> SETTINGS_VARIABLE
+'SISKINTALLY_SETTINGS'
 """
 
 from functools import partial
@@ -18,7 +18,6 @@
 from siskintally.node_settings import load_node
 
 SETTINGS_VARIABLE = "SISKINTALLY_SETTINGS"
-METRICS_PORT = 9464
 
 log = get_logger("platform")
 
@@ -51,10 +50,11 @@
 def serve(node, apps, path, *, graceful_s):
     """Run a node with its HTTP servers until a signal; SIGHUP reads the seeds again.
 
-    :param apps: pairs of an app and the address it listens on.
+    :param apps: pairs of an app and the address it listens on, which may be empty.
     :param graceful_s: longest time for the requests in progress at the end, s.
     """
-    servers = partial(_serve_all, apps, node.closing, graceful_s)
+    bound = [(app, address) for app, address in apps if address]
+    servers = partial(_serve_all, bound, node.closing, graceful_s)
     return serve_until_signal(
         partial(node.run, servers), node.stop, lambda: node.learn_seeds(load_node(path))
     )
--- a/siskintally/platform/store_command.py
+++ b/siskintally/platform/store_command.py
@@ -12,7 +12,7 @@
 from siskintally.control_node import ControlNode
 from siskintally.counters import Counters
 from siskintally.platform.http import ControlApp, MetricsApp
-from siskintally.platform.process import METRICS_PORT, define, load, serve
+from siskintally.platform.process import define, load, serve
 from siskintally.platform.workers import PlatformAdvice, PlatformWorkers
 
 LAST_REQUESTS_S = 1.0
@@ -36,6 +36,6 @@
     )
     apps = (
         (ControlApp(calls=node.calls), settings.control),
-        (MetricsApp(counters=counters), f"{settings.ip}:{METRICS_PORT}"),
+        (MetricsApp(counters=counters), settings.metrics),
     )
     return serve(node, apps, path, graceful_s=LAST_REQUESTS_S)
--- /dev/null
+++ b/tests/platform_worker.py
@@ -0,0 +1,75 @@
+"""A stand-in for a worker of the platform: its HTTP calls, on a stub worker in memory."""
+
+from json import loads
+
+from siskintally.driver import Order, Refusal
+from siskintally.http_server import HttpApp, json_answer
+
+REASON_BY_REFUSAL = {Refusal.FENCED: "fence", Refusal.OLD: "old", Refusal.LATE: "late"}
+
+
+class PlatformWorkerApp(HttpApp):
+    """Answers the calls of the system.
+
+    :param worker: :class:`~siskintally.stub_pool.StubPoolWorker`.
+    """
+
+    def __init__(self, *, worker):
+        self.worker = worker
+
+    async def handle(self, request):
+        """Answer one call."""
+        body = loads(request.body)
+        if request.headers.get("siskintally-expect-instance") != self.worker.record.id:
+            return json_answer(421, {})
+        if request.path == "/hold":
+            return self._hold(body)
+        order = Order(
+            task_id=body["task"],
+            run=body["run"],
+            fence=body["fence"],
+            spec=body.get("spec", ""),
+            lease_until_ms=body.get("untilMs", 0),
+            checkpoint=body.get("checkpointed", ""),
+        )
+        carry_out = {"/run-start": self.worker.start, "/run-stop": self.worker.stop}[request.path]
+        reply = carry_out(order)
+        if reply.refusal != Refusal.NONE:
+            reason = REASON_BY_REFUSAL[reply.refusal]
+            return json_answer(409, {"clockMs": reply.clock_ms, "reason": reason})
+        return json_answer(200, {"clockMs": reply.clock_ms})
+
+    def _hold(self, body):
+        report = self.worker.hold(
+            fence=body["fence"], lease_until_ms=body.get("untilMs"), noted=body["ackedUpto"]
+        )
+        if report.refusal != Refusal.NONE:
+            return json_answer(409, {"clockMs": report.clock_ms, "reason": "fence"})
+        return json_answer(
+            200,
+            {
+                "clockMs": report.clock_ms,
+                "running": [[one.task_id, one.run, "", 50] for one in report.running],
+                "ended": [
+                    [one.number, one.task_id, one.run, one.kind.name.lower(), ""]
+                    for one in report.ended
+                ],
+            },
+        )
+
+    def announcement(self, address):
+        """Return the body of a heartbeat."""
+        self.worker.record.seq += 1
+        return {
+            "service": "s",
+            "addr": address,
+            "zone": "d",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "capacity": {"cpu": 4000, "memMb": 4000},
+            "labels": ["a", "r1"],
+            "clockMs": self.worker.clock_ms,
+            "seq": self.worker.record.seq,
+            "born": 5,
+        }
