--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -69,6 +69,7 @@
         "_group",
         "_mesh",
         "_notice_now",
+        "_served",
         "_server",
         "_settings",
         "_stop_asked",
@@ -91,6 +92,7 @@
         self._stopping = False
         self._stop_asked = Event()
         self.closing = Event()
+        self._served = Event()
         self._works = None
         self._tasks = None
         self._notice_now = Event()
@@ -171,11 +173,17 @@
             tasks.start_soon(self._keep_group)
             tasks.start_soon(self._notify)
             tasks.start_soon(self._lead)
-            tasks.start_soon(serve)
+            tasks.start_soon(self._answer_http, serve)
             await self._stop_asked.wait()
             await self._end()
+            # The server must not be cancelled while it finishes its last requests.
+            await self._served.wait()
             tasks.cancel_scope.cancel()
 
+    async def _answer_http(self, serve):
+        await serve()
+        self._served.set()
+
     async def _keep_group(self):
         """Run the replica, and open it again after its disk has failed."""
         while True:
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -3,7 +3,7 @@
 from contextlib import asynccontextmanager
 from functools import partial
 
-from anyio import create_task_group, run, sleep, sleep_forever
+from anyio import create_task_group, run, sleep
 
 from siskintally.clock import now as steady
 from siskintally.control_node import ControlNode
@@ -72,7 +72,7 @@
     async def _run(self, host, node):
         async with create_task_group() as tasks:
             self.scope_by_host[host] = tasks.cancel_scope
-            await node.run(sleep_forever)
+            await node.run(node.closing.wait)
 
     def kill(self, host):
         """End a store at once."""
