--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -1,7 +1,14 @@
 """Decisions of the flow scheduler; each test names the failure it guards against."""
 
-from siskintally.control_pb2 import AdviceTerms, EndBatch, Queue, TaskEnd
-from siskintally.control_state import Outcome
+from siskintally.control_pb2 import (
+    AdviceTerms,
+    ControlCommand,
+    EndBatch,
+    Queue,
+    QueueDocument,
+    TaskEnd,
+)
+from siskintally.control_state import ControlState, Outcome
 from siskintally.driver import EndKind, Ticket
 from siskintally.flow import TaskState
 from tests.flow_rig import QUEUE, FlowRig, flow, step, worker
@@ -147,10 +154,11 @@
     rig.report("w1")
     assert rig.state.flow_by_id["f"].outcome == Outcome.COMPLETED
     assert rig.scheduler.worker_by_id["w2"].cpu_free == 0
-    rig.end("w2", next(iter(rig.running_by_worker["w2"])))
+    rig.end("w2", next(iter(rig.running_by_worker["w2"])), EndKind.BROKEN)
     rig.report("w2")
     assert rig.scheduler.worker_by_id["w2"].cpu_free == 1000
     assert rig.place() == []
+    assert rig.scheduler.flow_by_id == {}
 
 
 def test_a_lost_worker_gives_back_its_tasks():
@@ -344,3 +352,48 @@
     assert rig.place() == []
     rig.add(worker("w2"))
     assert rig.place() == [("f.0.1.0", "w2")]
+
+
+def test_a_member_of_a_gang_waits_until_all_members_can_start():
+    """Guards against a member that starts alone while others of its gang still stop."""
+    rig = FlowRig()
+    rig.add(worker("w1"))
+    rig.add(worker("w2"))
+    rig.submit(flow("f", step(3, gang=True)))
+    rig.place()
+    task_id = next(iter(rig.running_by_worker["w1"]))
+    rig.end("w1", task_id, EndKind.FAILED)
+    rig.report("w1")
+    assert rig.place() == []
+
+
+def test_the_highest_version_of_the_configuration_stays_in_force():
+    """Guards against two proposals that are committed in the order in which they were not sent."""
+    state = ControlState()
+    for index, version in enumerate((5, 4, 5), start=2):
+        document = QueueDocument(version=version, original=b"%d" % index)
+        command = ControlCommand(document=document).SerializeToString()
+        state.apply(index=index, command=command)
+    assert (state.document.version, state.document.original) == (5, b"2")
+
+
+def test_a_snapshot_holds_the_whole_state():
+    """Guards against ends, failures, or workers that are lost when a log is compacted."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("f", step(2), step(1, after=[0])))
+    rig.place()
+    rig.end("w", "f.0.0.0")
+    rig.end("w", "f.0.0.1", EndKind.FAILED)
+    rig.report("w")
+    copy = ControlState()
+    copy.restore(rig.state.snapshot())
+    found, kept = rig.state.flow_by_id["f"], copy.flow_by_id["f"]
+    assert (kept.done, kept.failures_by_task, kept.remaining) == (
+        found.done,
+        found.failures_by_task,
+        found.remaining,
+    )
+    assert kept.failures_by_task["f.0.0.1"].count == 1
+    assert copy.worker_by_id == rig.state.worker_by_id
+    assert copy.document == rig.state.document
