--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -2,6 +2,7 @@
 
 from contextlib import asynccontextmanager
 from functools import partial
+from threading import Event as ThreadEvent
 
 from anyio import create_task_group, run, sleep
 
@@ -340,3 +341,32 @@
     timing = derive(**bounds)
     timing.keep_s = 1.0
     return timing
+
+
+def test_a_leader_whose_disk_hangs_is_replaced_and_does_not_end_itself(tmp_path, monkeypatch):
+    """Guards against a store that takes its own blocked replica for one that still leads."""
+
+    async def check(cell):
+        await cell.configure("w1")
+        body = flow("f", FlowStep(tasks=1, cpu_milli=1000, lasting=True))
+        await cell.call(FlowSubmit(flow=body))
+        await wait_until(cell.starts, "started")
+        leader = cell.leader()
+        hung = ThreadEvent()
+
+        def write(journal, effects, stable, *, real=Journal.write):
+            if journal.identity.name.startswith(f"{leader}:"):
+                hung.wait(30.0)
+            real(journal, effects, stable)
+
+        monkeypatch.setattr(Journal, "write", write)
+        await cell.call(DocumentPut(document=QueueDocument(version=9, original=b"{}")))
+        others = [node for host, node in cell.node_by_host.items() if host != leader]
+        await wait_until(lambda: any(node.leads for node in others), "another leader")
+        # Longer than a store waits before it asks whether a quorum still follows it.
+        await sleep(2.5)
+        hung.set()
+        assert (await cell.call(DocumentRead())).document.version == 9
+        assert cell.starts() == ["f.0.0.0"]
+
+    play(tmp_path, check, run_s=lambda task_id: 60.0)
