--- a/siskintally/conductor.py
+++ b/siskintally/conductor.py
@@ -56,6 +56,7 @@
         "_tasks",
         "_timing",
         "_wake",
+        "is_over",
         "scheduler",
         "state",
         "term",
@@ -76,6 +77,7 @@
         self._wake = Event()
         self._scope = None
         self._tasks = None
+        self.is_over = False
 
     async def run(self):
         """Work until deposed or cancelled."""
@@ -91,6 +93,7 @@
             tasks.start_soon(self._confirm)
             tasks.start_soon(self._pass_on)
             tasks.start_soon(self._retire)
+        self.is_over = True
         log.info("term over", term=self.term)
 
     def cancel(self):
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -153,7 +153,7 @@
     @property
     def leads(self):
         """Whether this store leads and answers calls."""
-        return self._desk is not None
+        return self._desk is not None and not self._works.is_over
 
     @property
     def voters(self):
@@ -287,10 +287,11 @@
         """Tell all linked processes who leads, and the leader its configuration."""
         while True:
             sessions = list(self._server.session_by_id.values())
-            leads = self._desk is not None
+            leads = self.leads
             if leads:
                 own = self._settings.link
-                self._take_notice(ControlNotice(leads=True, leader=own), own)
+                notice = ControlNotice(leads=True, leader=own, term=self._group.term)
+                self._take_notice(notice, own)
             members = [member.identity.name for member in self._group.members]
             self._mesh.learn(members)
             for session in sessions:
@@ -306,7 +307,11 @@
     def _tell(self, session, leads, members):
         version = self.state.document.version
         notice = ControlNotice(
-            leader=self._group.leader, members=members, version=version, leads=leads
+            leader=self._group.leader,
+            members=members,
+            version=version,
+            leads=leads,
+            term=self._group.term,
         )
         if leads and self._told_by_session.get(id(session)) != version:
             notice.document.CopyFrom(self.state.document)
@@ -325,7 +330,7 @@
 
     async def _answer_flow(self, body):
         desk = self._desk
-        if desk is None or self._stopping:
+        if not self.leads or self._stopping:
             leader = self._group.leader
             leader = leader if leader != self._settings.link else ""
             raise NotLeaderError(f"{self._settings.name} does not lead", leader=leader)
--- a/siskintally/leader_book.py
+++ b/siskintally/leader_book.py
@@ -22,7 +22,15 @@
     :param fresh_s: time after which a notice says nothing any more.
     """
 
-    __slots__ = ("_fresh_s", "_heard_at", "_is_disowned", "_leader", "_named_at", "document")
+    __slots__ = (
+        "_fresh_s",
+        "_heard_at",
+        "_is_disowned",
+        "_leader",
+        "_named_at",
+        "_term",
+        "document",
+    )
 
     def __init__(self, *, fresh_s):
         self._fresh_s = fresh_s
@@ -30,6 +38,7 @@
         self._heard_at = -inf
         self._named_at = -inf
         self._is_disowned = False
+        self._term = 0
         self.document = QueueDocument()
 
     def take(self, notice, *, sender, now):
@@ -38,6 +47,11 @@
         :param sender: link address of the store that sent it.
         :returns: whether there is a new configuration.
         """
+        if notice.term < self._term:
+            # A former leader that is cut off or whose disk hangs may still claim to lead.
+            return False
+        if notice.leads or notice.leader:
+            self._term = notice.term
         if notice.leads:
             self._leader = sender
             self._heard_at = self._named_at = now
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -365,6 +365,7 @@
         await wait_until(lambda: any(node.leads for node in others), "another leader")
         # Longer than a store waits before it asks whether a quorum still follows it.
         await sleep(2.5)
+        assert not cell.node_by_host[leader].leads
         hung.set()
         assert (await cell.call(DocumentRead())).document.version == 9
         assert cell.starts() == ["f.0.0.0"]
--- a/tests/test_leader_book.py
+++ b/tests/test_leader_book.py
@@ -58,3 +58,18 @@
         monkeypatch.setattr("siskintally.flow_gateway.steady", lambda now=now: now)
         advised.append(gateway.retry_after_s())
     assert advised == [1, 1, 3, 4]
+
+
+def test_a_former_leader_that_still_claims_to_lead_is_not_believed():
+    """Guards against calls that go back and forth between two stores that both claim to lead.
+
+    Pattern: the disk of a leader hangs, so that it does not notice that another was elected.
+    """
+    book = led_book(now=10.0)
+    book.take(ControlNotice(leads=True, term=3), sender="b:1", now=11.0)
+    book.take(ControlNotice(leads=True, term=2), sender="a:1", now=11.2)
+    assert book.leader(11.2) == "b:1"
+    book.take(ControlNotice(leader="a:1", term=2), sender="c:1", now=13.0)
+    assert book.leader(13.0) == ""
+    book.take(ControlNotice(leads=True, term=3), sender="b:1", now=13.1)
+    assert book.leader(13.1) == "b:1"
