Close idle connections with a failed one, and look again after one reset

Ruled out: a change of leaders before 35 s, and the rolling restart of entries (their lines show neither). Change: a call that fails closes the idle connections of its pool; a lost connection is told from silence (ConnectionLostError), and the look is repeated at once over a new connection, without a longer lease, before the worker becomes suspect. Tests: test_http_pool, test_keeper (failed before).

--- a/siskintally/errors.py
+++ b/siskintally/errors.py
@@ -36,6 +36,10 @@
     code = Code.OUTCOME_UNKNOWN
 
 
+class ConnectionLostError(OutcomeUnknownError):
+    """The connection ended while a request was on it; the other side may be sound."""
+
+
 class UnreachableError(SiskintallyError):
     """The call was provably not sent."""
 
--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -32,7 +32,7 @@
 )
 from h11 import Connection as Protocol
 
-from siskintally.errors import OutcomeUnknownError, UnreachableError
+from siskintally.errors import ConnectionLostError, OutcomeUnknownError, UnreachableError
 
 READ_BYTES = 65536
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -85,6 +85,7 @@
         :param headers: pairs of strings.
         :param timeout: seconds for everything.
         :raises UnreachableError: provably not sent.
+        :raises ConnectionLostError: sent in part or as a whole, and the connection ended.
         :raises OutcomeUnknownError: sent in part or as a whole, and no complete answer came.
         """
         sent = False
@@ -98,10 +99,15 @@
                 reply = await _receive(connection)
         except (TimeoutError, *LOST) as error:
             await self._close(connection)
+            # What broke or silenced this connection may have done so to the idle ones, and each
+            # would cost another timeout.
+            await self.close()
             reason = f"{self._host}:{self._port}: {type(error).__name__} {error}"
-            if sent:
+            if not sent:
+                raise UnreachableError(reason) from error
+            if isinstance(error, TimeoutError):
                 raise OutcomeUnknownError(reason) from error
-            raise UnreachableError(reason) from error
+            raise ConnectionLostError(reason) from error
         except BaseException:
             await self._close(connection)
             raise
--- a/siskintally/keeper.py
+++ b/siskintally/keeper.py
@@ -9,7 +9,7 @@
 
 from siskintally.clock import now as steady
 from siskintally.driver import BusyError, GoneError, Order, Refusal
-from siskintally.errors import OutcomeUnknownError, UnreachableError
+from siskintally.errors import ConnectionLostError, OutcomeUnknownError, UnreachableError
 from siskintally.fleet import Standing
 from siskintally.flow import TaskState
 from siskintally.log import get_logger
@@ -31,7 +31,16 @@
     :param leader: :class:`~siskintally.conductor.Conductor`.
     """
 
-    __slots__ = ("_driver", "_leader", "_timing", "_work", "lease", "noted", "worker")
+    __slots__ = (
+        "_driver",
+        "_has_lost_connection",
+        "_leader",
+        "_timing",
+        "_work",
+        "lease",
+        "noted",
+        "worker",
+    )
 
     def __init__(self, *, worker, leader, driver, timing):
         self.worker = worker
@@ -41,6 +50,8 @@
         self._driver = driver
         self._timing = timing
         self._work = Event()
+        # The look before this one ended with a lost connection.
+        self._has_lost_connection = False
 
     def wake(self):
         """Look at the worker again if it was left alone."""
@@ -68,11 +79,11 @@
     async def _look(self):
         worker = self.worker
         self._work = Event()
-        is_known = worker.standing == Standing.READY and not worker.foreign
-        wait_s = self._timing.wait_s if is_known else 0.0
+        is_sound = worker.standing == Standing.READY and not self._has_lost_connection
+        wait_s = self._timing.wait_s if is_sound and not worker.foreign else 0.0
         asked_at = steady()
         # A worker that does not answer gets no longer lease, or it would never be over.
-        may_grant = self.lease.is_sampled and worker.standing == Standing.READY
+        may_grant = self.lease.is_sampled and is_sound
         until_ms = self.lease.grant(asked_at) if may_grant else None
         worker.lease_until = self.lease.surely_over
         try:
@@ -90,6 +101,7 @@
         except (UnreachableError, OutcomeUnknownError, BusyError) as error:
             await self._failed(error)
             return
+        self._has_lost_connection = False
         received_at = steady()
         if report.refusal == Refusal.FENCED:
             self._leader.deposed(f"worker {worker.id} has a higher fence")
@@ -103,6 +115,11 @@
     async def _failed(self, error):
         worker = self.worker
         now = steady()
+        if isinstance(error, ConnectionLostError) and not self._has_lost_connection:
+            # One reset tells nothing of the worker; a second look over a new connection does.
+            self._has_lost_connection = True
+            log.info("look repeated", worker=worker.id, error=str(error)[:120])
+            return
         if worker.standing == Standing.READY:
             worker.standing = Standing.SUSPECT
             log.info("worker suspect", worker=worker.id, error=str(error)[:120])
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -6,7 +6,7 @@
 from anyio.abc import SocketAttribute
 from pytest import raises
 
-from siskintally.errors import OutcomeUnknownError, UnreachableError
+from siskintally.errors import ConnectionLostError, OutcomeUnknownError, UnreachableError
 from siskintally.http_pool import HttpPool
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -94,6 +94,34 @@
     assert server.connections == 2
 
 
+def test_a_silent_connection_takes_the_idle_ones_with_it():
+    """Guards against each of several dead connections being found out alone, a timeout each."""
+    server = Server(OK, OK, None, OK)
+
+    async def check(pool):
+        async with create_task_group() as tasks:
+            tasks.start_soon(post, pool)
+            tasks.start_soon(post, pool)
+        assert pool.idle == 2
+        with raises(OutcomeUnknownError):
+            await post(pool, timeout=0.1)
+        assert pool.idle == 0
+        assert (await post(pool)).status == 200
+
+    play(server, check)
+    assert server.connections == 3
+
+
+def test_a_reset_connection_is_told_from_silence():
+    """Guards against a worker taken for silent because a connection to it was reset."""
+
+    async def check(pool):
+        with raises(ConnectionLostError):
+            await post(pool)
+
+    play(Server(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nclose"), check)
+
+
 def test_a_refused_connection_is_provably_not_sent():
     """Guards against retries that are withheld from calls that never left."""
 
--- /dev/null
+++ b/tests/test_keeper.py
@@ -0,0 +1,103 @@
+"""The keeper of one worker: what a failed call says of the worker."""
+
+from anyio import create_task_group, run
+from pytest import fixture
+
+from siskintally.control_pb2 import PoolWorker
+from siskintally.driver import WorkerDriver, WorkerReport
+from siskintally.errors import ConnectionLostError, OutcomeUnknownError
+from siskintally.fleet import FleetWorker, Standing
+from siskintally.flow_timing import FlowTiming
+from siskintally.keeper import Keeper
+
+TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
+REPORT = WorkerReport(clock_ms=1000)
+
+
+class ScriptedWorker(WorkerDriver):
+    """Answers each look with the next of some reports or errors."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+        self.lease_by_look = []
+
+    async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
+        """Answer a look."""
+        self.lease_by_look.append(lease_until_ms)
+        outcome = self.outcomes.pop(0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    async def start(self, worker, order, *, timeout):
+        """Not used here."""
+
+    async def stop(self, worker, order, *, timeout):
+        """Not used here."""
+
+    async def pace(self, worker, order, *, timeout):
+        """Not used here."""
+
+    async def forget(self, worker):
+        """Not used here."""
+
+
+class LeaderOfOneWorker:
+    """Records the standing of the worker at each report; ends the keeper after the last."""
+
+    term = 3
+
+    def __init__(self, driver):
+        self.driver = driver
+        self.standings = []
+
+    async def take_report(self, keeper, report, asked_at):
+        """Take a report."""
+        self.standings.append(keeper.worker.standing)
+        keeper.worker.standing = Standing.READY if self.driver.outcomes else Standing.LOST
+
+    def lapsed(self, worker):
+        """End the keeper: its lease is over."""
+        worker.standing = Standing.LOST
+
+
+@fixture
+def keep():
+    """Return a function that plays the outcomes of looks and returns (leader, driver)."""
+
+    def play(*outcomes):
+        driver = ScriptedWorker(*outcomes)
+        leader = LeaderOfOneWorker(driver)
+        worker = FleetWorker(record=PoolWorker(id="w", cpu_milli=1000, memory_mb=10))
+        worker.foreign = {"some task": 1}
+        keeper = Keeper(worker=worker, leader=leader, driver=driver, timing=TIMING)
+
+        async def main():
+            async with create_task_group() as tasks:
+                tasks.start_soon(keeper.run)
+
+        run(main)
+        return leader, driver
+
+    return play
+
+
+def test_one_lost_connection_does_not_make_a_worker_suspect(keep):
+    """Guards against a reset connection that keeps new tasks from a sound worker."""
+    leader, driver = keep(REPORT, ConnectionLostError("reset"), REPORT)
+    assert leader.standings == [Standing.UNSEEN, Standing.READY]
+    assert driver.lease_by_look[1] is not None
+    assert driver.lease_by_look[2] is None, "a look after a failed one grants no longer lease"
+
+
+def test_connections_lost_one_after_the_other_make_a_worker_suspect(keep):
+    """Guards against starts that go on being sent to a worker that resets everything."""
+    lost = ConnectionLostError("reset")
+    leader, _ = keep(REPORT, lost, lost, REPORT)
+    assert leader.standings == [Standing.UNSEEN, Standing.SUSPECT]
+
+
+def test_a_worker_that_keeps_silent_is_suspect_at_once(keep):
+    """Guards against starts that wait for a worker whose look timed out."""
+    leader, _ = keep(REPORT, OutcomeUnknownError("timeout"), REPORT)
+    assert leader.standings == [Standing.UNSEEN, Standing.SUSPECT]
