Commit the worker of each task before its start is sent

Ruled out: lanes for advice (new flows got theirs in 60 ms meanwhile), room (workers idle). Change: the starts of a pass are committed in one batch; a new leader waits for the one worker on record, starts at once what was never sent, and after a report without a task there. A page of a report that is not the last tells nothing of what is missing. An older failure of a task no longer counts after a newer one. Tests failed before: test_a_new_leader_waits_only..., test_a_start_is_sent_only_after..., and the three for incarnations, partial reports, order of failures.

--- a/siskintally/conductor.py
+++ b/siskintally/conductor.py
@@ -10,7 +10,15 @@
 from anyio import Event, create_task_group, move_on_after, sleep
 
 from siskintally.clock import now as steady
-from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, TaskEnd, WorkerKey
+from siskintally.control_pb2 import (
+    ControlCommand,
+    EndBatch,
+    FlowIds,
+    StartBatch,
+    TaskEnd,
+    TaskStart,
+    WorkerKey,
+)
 from siskintally.control_state import Outcome
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
 from siskintally.fleet import Standing
@@ -166,7 +174,8 @@
 
     def _run_pass(self, now, wall_ms):
         scheduler = self.scheduler
-        for action in scheduler.place(now, wall_ms):
+        actions = list(scheduler.place(now, wall_ms))
+        for action in actions:
             self._counters.starts.inc()
             self._counters.start_seconds.observe(now - action.task.step.flow.arrived)
             log.info(
@@ -177,7 +186,8 @@
                 term=self.term,
                 waited_ms=round((now - action.task.step.flow.arrived) * 1000),
             )
-            self._tasks.start_soon(self._keeper_by_worker[action.worker.id].start, action)
+        if actions:
+            self._tasks.start_soon(self._send_starts, actions)
         self._send_stops()
         self._send_paces()
         for action in scheduler.advice_wanted(now, wall_ms):
@@ -186,6 +196,30 @@
                 action.step.asking = True
                 self._tasks.start_soon(self._ask, lane, action)
 
+    async def _send_starts(self, actions):
+        """Commit where tasks are started, then send the orders.
+
+        The next leader needs to wait only for the workers on record, not for every silent one.
+        """
+        starts = [
+            TaskStart(
+                task=action.task.id,
+                run=action.run,
+                worker=action.worker.id,
+                born_ms=action.worker.record.born_ms,
+            )
+            for action in actions
+        ]
+        try:
+            await self.propose(starts=StartBatch(starts=starts))
+        except (NotLeaderError, OutcomeUnknownError) as error:
+            self.deposed(str(error))
+            return
+        for action in actions:
+            keeper = self._keeper_by_worker.get(action.worker.id)
+            if keeper is not None and keeper.worker is action.worker:
+                self._tasks.start_soon(keeper.start, action)
+
     def _send_paces(self):
         paces, self.scheduler.paces = self.scheduler.paces, []
         for action in paces:
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -21,6 +21,7 @@
     QueueDocument,
     TaskEnd,
     TaskFailures,
+    TaskStart,
 )
 from siskintally.machine import Machine
 from siskintally.task_id import TaskId, occurrences, step_tasks
@@ -42,24 +43,46 @@
     last_run: int = 0
 
 
+class Start(NamedTuple):
+    """The last start of a task; its worker is the only one on which the task may run."""
+
+    run: int
+    worker: str
+    born_ms: int
+
+
 class FlowState:
-    """A flow with the ends of its tasks that are committed.
+    """A flow with the starts and ends of its tasks that are committed.
 
     ``done``: ids of tasks that have ended as done. ``failures_by_task``: :class:`Failures`.
+    ``start_by_task``: :class:`Start` of tasks that were sent to a worker and are not done.
     ``remaining``: tasks that are not done, infinite for a flow with a lasting step.
     """
 
-    __slots__ = ("done", "failures_by_task", "flow", "outcome", "remaining")
+    __slots__ = ("done", "failures_by_task", "flow", "outcome", "remaining", "start_by_task")
 
     def __init__(self, *, flow):
         self.flow = flow
         self.outcome = Outcome.OPEN
         self.done = set()
         self.failures_by_task = {}
+        self.start_by_task = {}
         self.remaining = sum(
             float("inf") if step.lasting else step.tasks for step in flow.steps
         ) * occurrences(flow)
 
+    def note_start(self, start):
+        """Note where a task is started, in place of its start before."""
+        if self.outcome == Outcome.OPEN and start.task not in self.done:
+            known = Start(run=start.run, worker=start.worker, born_ms=start.born_ms)
+            self.start_by_task[start.task] = known
+
+    def close(self, outcome):
+        """Note the outcome of a flow that was open; its tasks are not started again."""
+        if self.outcome == Outcome.OPEN:
+            self.outcome = outcome
+            self.start_by_task.clear()
+
     def note_done(self, task):
         """Note that a task has ended as done; one member of a gang stands for all."""
         step = self.flow.steps[task.step]
@@ -69,9 +92,10 @@
         for name in ended:
             if name not in self.done:
                 self.done.add(name)
+                self.start_by_task.pop(name, None)
                 self.remaining -= 1
-        if not self.remaining and self.outcome == Outcome.OPEN:
-            self.outcome = Outcome.COMPLETED
+        if not self.remaining:
+            self.close(Outcome.COMPLETED)
 
     def note_failure(self, task, run, max_attempts):
         """Count a failed attempt; the flow has failed when a task has used up its attempts.
@@ -90,8 +114,8 @@
         count = before.count + 1
         self.failures_by_task[name] = Failures(count=count, last_run=run)
         is_over = max_attempts is not None and count >= max_attempts
-        if is_over and self.outcome == Outcome.OPEN:
-            self.outcome = Outcome.FAILED
+        if is_over:
+            self.close(Outcome.FAILED)
 
 
 class ControlState(Machine):
@@ -121,8 +145,15 @@
 
     def _apply_cancel(self, key):
         state = self.flow_by_id.get(key.id)
-        if state is not None and state.outcome == Outcome.OPEN:
-            state.outcome = Outcome.CANCELLED
+        if state is not None:
+            state.close(Outcome.CANCELLED)
+
+    def _apply_starts(self, batch):
+        for start in batch.starts:
+            task = TaskId.parse(start.task)
+            state = self.flow_by_id.get(task.flow) if task is not None else None
+            if state is not None and task.is_of(state.flow):
+                state.note_start(start)
 
     def _apply_ends(self, batch):
         for end in batch.ends:
@@ -180,6 +211,10 @@
             name: TaskFailures(count=one.count, last_run=one.last_run)
             for name, one in state.failures_by_task.items()
         },
+        starts=[
+            TaskStart(task=name, run=one.run, worker=one.worker, born_ms=one.born_ms)
+            for name, one in state.start_by_task.items()
+        ],
     )
 
 
@@ -191,6 +226,8 @@
         for name, one in record.failures.items()
     }
     state.remaining -= len(state.done)
+    for start in record.starts:
+        state.note_start(start)
     if record.cancelled:
         state.outcome = Outcome.CANCELLED
     elif record.failed:
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -17,7 +17,7 @@
 class TaskState(IntEnum):
     """What a leader knows of a task."""
 
-    # A former leader may have started it somewhere.
+    # A former leader may have started it on the worker that is on record.
     UNKNOWN = 0
     WAITING = 1
     STARTING = 2
@@ -29,8 +29,8 @@
 class TaskRun:
     """One task.
 
-    ``failures``: failed attempts; a gang counts them at its first task. ``run``: number of the
-    present or last start. ``since``: steady time of the last change of
+    ``failures``, ``failed_run``: failed attempts and the run that failed last; a gang counts them
+    at its first task. ``run``: number of the present or last start. ``since``: steady time of the last change of
     state. ``worker``: :class:`~siskintally.fleet.FleetWorker` that holds it, or None.
     ``checkpoint``: where a new start resumes, "" for none. ``percent``: progress, or 100 for a
     lasting task that is at work. ``progress_at``: steady time at which it last changed.
@@ -38,6 +38,7 @@
 
     __slots__ = (
         "checkpoint",
+        "failed_run",
         "failures",
         "id",
         "need",
@@ -60,6 +61,7 @@
         self.worker = None
         self.checkpoint = ""
         self.failures = 0
+        self.failed_run = 0
         self.percent = 0
         self.progress_at = 0.0
         self.since = 0.0
@@ -73,14 +75,12 @@
     started, a stack. ``count_by_worker``: tasks that each worker holds. ``ticket_by_worker``:
     permits of the advice service as (ticket, steady time of its end). ``refused``: ids of workers
     that the advice service does not allow. ``gang_run``: run number that the members share.
-    ``failed_runs``: runs whose failure is counted.
     """
 
     __slots__ = (
         "asking",
         "blockers",
         "count_by_worker",
-        "failed_runs",
         "flow",
         "followers",
         "gang_run",
@@ -115,7 +115,6 @@
         self.asking = False
         self.next_ask = 0.0
         self.gang_run = 0
-        self.failed_runs = set()
 
     @property
     def id(self):
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -28,6 +28,7 @@
     ``stops``, ``paces``: :class:`~siskintally.observing.StopAction` and
     :class:`~siskintally.observing.PaceAction` objects that are to be sent.
     ``taken_by_worker``: number of the last end that was taken from each worker.
+    ``_unlocated_by_worker``: tasks that a former leader sent to a worker which has not reported yet.
 
     :param term: term of the leader; also the fence of its orders.
     """
@@ -35,7 +36,7 @@
     __slots__ = (
         "_known_flows",
         "_runs",
-        "_unseen",
+        "_unlocated_by_worker",
         "flow_by_id",
         "paces",
         "ready_by_id",
@@ -55,7 +56,7 @@
         self.taken_by_worker = {}
         self._runs = 0
         self._known_flows = set()
-        self._unseen = False
+        self._unlocated_by_worker = {}
 
     def next_run(self):
         """Return the number of the next start."""
@@ -63,7 +64,11 @@
         return self.term * RUNS_PER_TERM + self._runs
 
     def restore(self, state, now):
-        """Take over the flows and workers of a former leader; what runs where is not known yet.
+        """Take over the flows and workers of a former leader.
+
+        A task may run only on the worker that its last committed start names; what was never
+        started, or on a worker that is gone, may start at once.
+
 
         :param state: :class:`~siskintally.control_state.ControlState`.
         """
@@ -73,48 +78,62 @@
             if flow_state.outcome == Outcome.OPEN:
                 queue = state.queue(flow_state.flow.queue)
                 self._restore_flow(flow_state, queue, now)
-        self._unseen = True
-        self.note_seen()
 
     def _restore_flow(self, state, queue, now):
         run = FlowRun(flow=state.flow, queue=queue, arrived=now)
         self.flow_by_id[run.id] = run
         self._known_flows.add(run.id)
-        run.started = bool(state.done)
+        run.started = bool(state.done or state.start_by_task)
         for step in run.steps():
-            for task in step.tasks:
-                failures = state.failures_by_task.get(task.id, Failures())
-                task.failures = failures.count
-                step.failed_runs.add(failures.last_run)
-                task.state = TaskState.DONE if task.id in state.done else TaskState.UNKNOWN
-            step.waiting.clear()
-            step.remaining = sum(task.state != TaskState.DONE for task in step.tasks)
+            self._restore_step(step, state)
         for step in run.steps():
             if not step.remaining:
                 for follower in step.followers:
                     follower.blockers -= 1
         self._ready(run.steps())
 
-    def note_seen(self):
-        """Let unlocated tasks wait again once no worker is left that may run them unseen."""
-        if not self._unseen:
+    def _restore_step(self, step, state):
+        step.waiting.clear()
+        for task in reversed(step.tasks):
+            failures = state.failures_by_task.get(task.id, Failures())
+            task.failures = failures.count
+            task.failed_run = failures.last_run
+            worker = self._worker_of(state.start_by_task.get(task.id))
+            if task.id in state.done:
+                task.state = TaskState.DONE
+            elif worker is not None:
+                task.state = TaskState.UNKNOWN
+                self._unlocated_by_worker.setdefault(worker.id, []).append(task)
+            else:
+                step.waiting.append(task)
+        step.remaining = sum(task.state != TaskState.DONE for task in step.tasks)
+
+    def _worker_of(self, start):
+        """Return the worker on which a committed start may run, or None."""
+        worker = self.worker_by_id.get(start.worker) if start is not None else None
+        if worker is None or worker.record.born_ms != start.born_ms:
+            return None
+        return worker
+
+    def note_seen(self, worker):
+        """Let tasks wait again that a former leader sent to a worker and that are not there."""
+        steps = {}
+        for task in self._unlocated_by_worker.pop(worker.id, ()):
+            steps[task.step.id] = task.step
+            if task.state == TaskState.UNKNOWN and task.step.flow.is_open:
+                self._requeue(task, "")
+        for step in steps.values():
+            self._rejoin_gang(step)
+
+    def _rejoin_gang(self, step):
+        """Stop what runs of a gang of which a member does not, once all members are located."""
+        if not step.spec.gang or not 0 < len(step.waiting) < step.remaining:
             return
-        if any(one.standing == Standing.UNSEEN for one in self.worker_by_id.values()):
+        if any(task.state == TaskState.UNKNOWN for task in step.tasks):
             return
-        self._unseen = False
-        for flow in list(self.flow_by_id.values()):
-            for step in flow.steps():
-                self._locate(step)
-
-    def _locate(self, step):
         for task in step.tasks:
-            if task.state == TaskState.UNKNOWN:
-                task.state = TaskState.WAITING
-                step.waiting.append(task)
-        if step.spec.gang and 0 < len(step.waiting) < step.remaining:
-            for task in step.tasks:
-                if task.state == TaskState.RUNNING:
-                    self.stop(task)
+            if task.state == TaskState.RUNNING:
+                self.stop(task)
 
     def accept(self, flow, queue, now):
         """Add a flow whose acceptance is committed.
@@ -205,7 +224,7 @@
         """Note that the lease of a worker has ended: nothing that was started runs there."""
         worker.standing = Standing.LAPSED
         self._empty(worker)
-        self.note_seen()
+        self.note_seen(worker)
 
     def lose(self, worker):
         """Forget an incarnation that does not exist any more."""
@@ -213,7 +232,7 @@
         self._empty(worker)
         if self.worker_by_id.get(worker.id) is worker:
             del self.worker_by_id[worker.id]
-        self.note_seen()
+            self.note_seen(worker)
 
     def _empty(self, worker):
         worker.foreign = {}
--- a/siskintally/observing.py
+++ b/siskintally/observing.py
@@ -74,15 +74,14 @@
             self._take_running(worker, row, now)
         if not report.is_partial:
             self._note_vanished(worker, rows, asked_at, now)
+            self.note_seen(worker)
         worker.foreign = {
             task_id: run
             for task_id, run in worker.foreign.items()
             if task_id in rows and rows[task_id].run == run
         }
         self._pace(worker)
-        if worker.standing != Standing.READY:
-            worker.standing = Standing.READY
-            self.note_seen()
+        worker.standing = Standing.READY
         return ends
 
     def _pace(self, worker):
@@ -149,13 +148,11 @@
 
     def _count_failure(self, task, row):
         step = task.step
-        if step.spec.lasting:
-            return
-        if row.run in step.failed_runs:
+        counted = step.tasks[0] if step.spec.gang else task
+        if step.spec.lasting or row.run <= counted.failed_run:
             return
-        step.failed_runs.add(row.run)
+        counted.failed_run = row.run
         yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.FAILED)
-        counted = step.tasks[0] if step.spec.gang else task
         counted.failures += 1
         queue = step.flow.queue
         if queue is not None and counted.failures >= queue.max_attempts:
--- a/tests/flow_rig.py
+++ b/tests/flow_rig.py
@@ -8,6 +8,8 @@
     PoolWorker,
     Queue,
     QueueDocument,
+    StartBatch,
+    TaskStart,
     WorkerService,
 )
 from siskintally.control_state import ControlState
@@ -101,7 +103,9 @@
     def place(self):
         """Start all that can be started; return the (task id, worker id) pairs."""
         pairs = []
-        for action in self.scheduler.place(self.now, 0):
+        actions = list(self.scheduler.place(self.now, 0))
+        self.commit(starts=StartBatch(starts=[_start_record(action) for action in actions]))
+        for action in actions:
             runs = self.running_by_worker[action.worker.id]
             runs[action.task.id] = action.run
             self.scheduler.started(action.task, action.run, self.now)
@@ -150,3 +154,12 @@
         if self.uncommitted:
             self.commit(ends=EndBatch(ends=self.uncommitted))
             self.uncommitted = []
+
+
+def _start_record(action):
+    return TaskStart(
+        task=action.task.id,
+        run=action.run,
+        worker=action.worker.id,
+        born_ms=action.worker.record.born_ms,
+    )
--- /dev/null
+++ b/tests/test_conductor.py
@@ -0,0 +1,120 @@
+"""The leader at work: what has to be committed before an order leaves."""
+
+from anyio import Event, create_task_group, run, sleep
+
+from siskintally.conductor import Conductor
+from siskintally.control_pb2 import ControlCommand
+from siskintally.control_state import ControlState
+from siskintally.counters import Counters
+from siskintally.driver import OrderReply, RunRow, WorkerDriver, WorkerReport
+from siskintally.errors import NotLeaderError
+from siskintally.flow_timing import FlowTiming
+from tests.flow_rig import QUEUE, flow, step, worker
+
+TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
+SETTLE_S = 0.3
+
+
+class SlowGroup:
+    """A group whose commits wait until they are let through, or fail."""
+
+    term = 3
+
+    def __init__(self):
+        self.commands = []
+        self.may_commit = Event()
+        self.error = None
+
+    async def propose(self, command):
+        """Commit a command."""
+        self.commands.append(ControlCommand.FromString(command))
+        await self.may_commit.wait()
+        if self.error is not None:
+            raise self.error
+
+    async def confirm(self):
+        """Answer as a group whose quorum follows."""
+
+
+class RecordingWorkers(WorkerDriver):
+    """Workers that take every order and never end a run."""
+
+    def __init__(self):
+        self.starts = []
+        self.running = []
+
+    async def start(self, worker, order, *, timeout):
+        """Take a start."""
+        self.starts.append((order.task_id, worker.id))
+        row = RunRow(task_id=order.task_id, run=order.run, checkpoint="", percent=1, load=0)
+        self.running.append(row)
+        return OrderReply(clock_ms=1000)
+
+    async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
+        """Report what runs."""
+        await sleep(0.05)
+        return WorkerReport(clock_ms=1000, running=list(self.running))
+
+    async def stop(self, worker, order, *, timeout):
+        """Take a stop."""
+        return OrderReply(clock_ms=1000)
+
+    async def pace(self, worker, order, *, timeout):
+        """Take a pace order."""
+        return OrderReply(clock_ms=1000)
+
+    async def forget(self, worker):
+        """Nothing to close."""
+
+
+def play(check):
+    """Run a check beside a conductor with one worker and one flow of two tasks."""
+
+    async def main():
+        group, driver = SlowGroup(), RecordingWorkers()
+        conductor = Conductor(
+            group=group,
+            state=ControlState(),
+            driver=driver,
+            lanes=lambda: (),
+            timing=TIMING,
+            counters=Counters(),
+        )
+        async with create_task_group() as tasks:
+            tasks.start_soon(conductor.run)
+            await sleep(0.01)
+            conductor.joined(worker("w"), 0.0)
+            conductor.scheduler.accept(flow("f", step(2)), QUEUE, 0.0)
+            conductor.wake()
+            await sleep(SETTLE_S)
+            await check(conductor, group, driver)
+            tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_a_start_is_sent_only_after_its_worker_is_on_record():
+    """Guards against a run that the next leader does not look for."""
+
+    async def check(conductor, group, driver):
+        assert driver.starts == []
+        [command] = group.commands
+        assert [one.worker for one in command.starts.starts] == ["w", "w"]
+        group.may_commit.set()
+        await sleep(SETTLE_S)
+        assert sorted(driver.starts) == [("f.0.0.0", "w"), ("f.0.0.1", "w")]
+
+    play(check)
+
+
+def test_a_start_whose_record_is_not_committed_is_never_sent():
+    """Guards against orders of a leader that has lost its group."""
+
+    async def check(conductor, group, driver):
+        group.error = NotLeaderError("another store leads")
+        group.may_commit.set()
+        await sleep(SETTLE_S)
+        assert driver.starts == []
+        assert conductor.is_over
+
+    play(check)
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -9,7 +9,7 @@
     TaskEnd,
 )
 from siskintally.control_state import ControlState, Outcome
-from siskintally.driver import EndKind, Ticket
+from siskintally.driver import EndKind, Ticket, WorkerReport
 from siskintally.flow import TaskState
 from tests.flow_rig import QUEUE, FlowRig, flow, step, worker
 
@@ -107,6 +107,92 @@
     assert states == [TaskState.WAITING, TaskState.RUNNING]
 
 
+def test_a_new_leader_waits_only_for_the_workers_on_which_a_task_may_run():
+    """Guards against flows that all stand while a few workers are cut off and the leader is lost.
+
+    Pattern: one worker of four is silent when the leader changes, and urgent flows are open.
+    """
+    rig = FlowRig()
+    for number in range(4):
+        rig.add(worker(f"w{number}", cpu_milli=1000))
+    rig.submit(flow("a", step(2), step(1, after=[0])))
+    ran = rig.place()
+    rig.submit(flow("b", step(1)))
+    seen, silent = (worker_id for _, worker_id in ran)
+    idle = [f"w{number}" for number in range(4) if f"w{number}" not in (seen, silent)]
+    rig.lead(3)
+    for worker_id in idle:
+        rig.report(worker_id)
+    assert rig.place() == [("b.0.0.0", idle[0])], "never sent anywhere: starts at once"
+    rig.running_by_worker[seen].clear()
+    rig.report(seen)
+    assert [task for task, _ in rig.place()] == [ran[0][0]], "not on its worker: starts again"
+    assert rig.scheduler.find(ran[1][0]).state == TaskState.UNKNOWN
+    rig.scheduler.lapse(rig.scheduler.worker_by_id[silent])
+    assert rig.scheduler.find(ran[1][0]).state == TaskState.WAITING
+
+
+def test_a_task_may_start_again_when_its_worker_is_another_incarnation():
+    """Guards against a wait for a worker that was replaced under the same id."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("f"))
+    rig.place()
+    rig.commit(join=worker("w", born_ms=2))
+    rig.lead(3)
+    assert rig.scheduler.find("f.0.0.0").state == TaskState.WAITING
+
+
+def test_a_part_of_a_report_does_not_tell_what_is_missing():
+    """Guards against a second run of a task whose end is on the next page of a report."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("f"))
+    rig.place()
+    rig.lead(3)
+    found = rig.scheduler.worker_by_id["w"]
+    report = WorkerReport(clock_ms=1, running=[], ended=[], is_partial=True)
+    rig.scheduler.report(found, report, rig.now, rig.now)
+    assert rig.place() == []
+    assert rig.scheduler.find("f.0.0.0").state == TaskState.UNKNOWN
+
+
+def test_a_failure_that_is_older_than_one_that_counts_is_not_counted():
+    """Guards against a flow that is given up early by ends that come in another order."""
+    rig = FlowRig()
+    rig.add(worker("w1", cpu_milli=1000))
+    rig.add(worker("w2", cpu_milli=1000))
+    rig.submit(flow("f"))
+    [(task_id, first)] = rig.place()
+    second = "w2" if first == "w1" else "w1"
+    rig.end(first, task_id, EndKind.FAILED)
+    rig.scheduler.lapse(rig.scheduler.worker_by_id[first])
+    assert rig.place() == [(task_id, second)]
+    rig.end(second, task_id, EndKind.FAILED)
+    rig.report(second)
+    rig.lead(3)
+    assert rig.report(second) == []
+    assert rig.report(first) == []
+    assert rig.scheduler.find(task_id).failures == 1
+
+
+def test_a_gang_with_a_lost_member_starts_again_once_all_members_are_located():
+    """Guards against members that are stopped while another one may still run unseen."""
+    rig = FlowRig()
+    for name in ("w1", "w2", "w3"):
+        rig.add(worker(name, cpu_milli=1000))
+    rig.submit(flow("f", step(3, gang=True)))
+    rig.place()
+    rig.lead(3)
+    rig.report("w1")
+    rig.running_by_worker["w2"].clear()
+    rig.report("w2")
+    assert rig.carry_out_stops() == []
+    rig.report("w3")
+    assert len(rig.carry_out_stops()) == 2
+    assert rig.place() == []
+
+
 def test_a_new_leader_stops_what_belongs_to_no_open_flow():
     """Guards against a task that runs on after its flow was cancelled in a former term."""
     rig = FlowRig()
@@ -386,9 +472,12 @@
     rig.end("w", "f.0.0.0")
     rig.end("w", "f.0.0.1", EndKind.FAILED)
     rig.report("w")
+    rig.place()
     copy = ControlState()
     copy.restore(rig.state.snapshot())
     found, kept = rig.state.flow_by_id["f"], copy.flow_by_id["f"]
+    assert kept.start_by_task == found.start_by_task
+    assert list(kept.start_by_task) == ["f.0.0.1"]
     assert (kept.done, kept.failures_by_task, kept.remaining) == (
         found.done,
         found.failures_by_task,
