Elect the next leader early once the process of the last one has ended

Ruled out: shorter election timeouts for all cases, because disks that hang and links that lose packets keep a live leader silent for longer than that. Change: a link tells when nothing listens at the address of its peer, or when another incarnation answers there; a follower whose leader has ended so looks for another one after 0.6 of the timeout, which is above the 0.5 for which a leader acts after a confirmed round, in case it is alive after all. Default of other groups: off. Tests: test_the_next_leader_is_elected_early..., test_a_leader_that_is_heard_again..., two of links.

--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -43,6 +43,8 @@
 NOTICE_S = 0.3
 DISK_RETRY_S = 0.5
 FIRST_ELECTION_SHARE = 0.35
+# Above the share for which a leader acts after a confirmed round, in case it is alive after all.
+ENDED_LEADER_SHARE = 0.6
 # Longer than a round of votes between regions, 16 ms and the sync of a vote.
 STAGGER_S = 0.1
 # With the start of the process itself, longer than a leader may act without its quorum.
@@ -104,7 +106,9 @@
         self._server = LinkServer(
             hello=hello, secret=settings.secret, handler=self, timing=ACCEPTED_TIMING
         )
-        self._mesh = Mesh(own=own, hello=hello, secret=settings.secret, handler=self)
+        self._mesh = Mesh(
+            own=own, hello=hello, secret=settings.secret, handler=self, ended=self._store_ended
+        )
         self._mesh.learn(settings.seed_links())
         self.book = LeaderBook(fresh_s=settings.fresh_ms / 1000)
         self.calls = LeaderCalls(book=self.book, call=self._call)
@@ -132,6 +136,7 @@
                 election_min_s=flow_timing.election_min_s,
                 election_max_s=flow_timing.election_min_s * 1.6,
                 first_election_share=FIRST_ELECTION_SHARE,
+                ended_leader_share=ENDED_LEADER_SHARE,
                 retry_election_share=FIRST_ELECTION_SHARE,
                 stagger_s=STAGGER_S,
                 election_spread_s=STAGGER_S / 2,
@@ -141,6 +146,10 @@
             sync_in_thread=True,
         )
 
+    def _store_ended(self, address):
+        """Note that the process at the address of a store has ended."""
+        self._group.peer_ended(address)
+
     def _flow_timing(self):
         settings = self._settings
         return FlowTiming.derive(
--- a/siskintally/election.py
+++ b/siskintally/election.py
@@ -44,7 +44,24 @@
     def _hears_leader(self, now):
         if self.role == Role.LEADER or now < self.quiet_until:
             return True
-        return self.leader is not None and now - self.heard < self.timing.election_min_s
+        return self.leader is not None and now - self.heard < self._least_silence_s()
+
+    def _least_silence_s(self):
+        """Return the silence of a leader after which another one may be elected."""
+        share = self.timing.ended_leader_share if self.leader_ended else 1.0
+        return self.timing.election_min_s * share
+
+    def note_ended(self, name, now):
+        """Note that the process of a leader has ended, and look for another one early.
+
+        :param name: name of the process.
+        """
+        is_leader = self.leader is not None and self.leader.name == name
+        if self.role != Role.FOLLOWER or not is_leader:
+            return
+        self.leader_ended = True
+        earliest = max(now, self.heard + self._least_silence_s()) + self._stagger_s()
+        self.deadline = min(self.deadline, earliest)
 
     def _restart_election_timer(self, now):
         self.deadline = now + self._timeout() * self._timeout_share() + self._stagger_s()
@@ -68,6 +85,7 @@
 
     def _set_leader(self, leader, effects):
         self.leader = leader
+        self.leader_ended = False
         effects.leadership = Leadership(
             term=self.term,
             leader=leader.name if leader else "",
--- a/siskintally/following.py
+++ b/siskintally/following.py
@@ -46,6 +46,7 @@
     def _hear(self, message, now, effects):
         self._follow(message.term, message.sender, now, effects)
         self.heard = now
+        self.leader_ended = False
 
     def _mismatch(self, request):
         """Return where the leader should try next, or None if the log has the previous entry."""
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -20,7 +20,7 @@
 from siskintally.encoding import decode, encode
 from siskintally.errors import DamagedDataError
 from siskintally.group_calls import GroupCalls
-from siskintally.group_inputs import Arrival, Stop
+from siskintally.group_inputs import Arrival, PeerEnded, Stop
 from siskintally.handover import Handover
 from siskintally.inbox import Inbox
 from siskintally.journal import Journal, set_aside
@@ -204,6 +204,13 @@
         item = Arrival(message=item, at=steady() if is_keepalive else None)
         self._inbox.drop_or_put(item, wakes=not is_keepalive)
 
+    def peer_ended(self, name):
+        """Note that the process of another replica has ended; if it led, another one may soon.
+
+        :param name: process name.
+        """
+        self._inbox.drop_or_put(PeerEnded(name=name))
+
     async def join_request(self, body):
         """Admit a new incarnation, if this replica leads, and say how far its log goes.
 
@@ -296,6 +303,8 @@
                 waiters.append(item)
             elif isinstance(item, Stop):
                 self._handover.ask(now)
+            elif isinstance(item, PeerEnded):
+                self._replica.note_ended(item.name, now)
             elif isinstance(item.message, JoinRequest):
                 self._changes.note(item.message, now)
             else:
--- a/siskintally/group_inputs.py
+++ b/siskintally/group_inputs.py
@@ -20,3 +20,12 @@
     def __init__(self, *, message, at):
         self.message = message
         self.at = at
+
+
+class PeerEnded:
+    """Says that the process of another replica has ended."""
+
+    __slots__ = ("name",)
+
+    def __init__(self, *, name):
+        self.name = name
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -69,11 +69,15 @@
     :param handler: takes calls and messages of the other side.
     :param tls: :class:`~siskintally.settings.Tls`, or None.
     :param timing: :class:`~siskintally.liveness.LinkTiming`.
+    :param ended: called when the process on the other side has ended: nothing listens there, or
+        another incarnation answers.
     """
 
     __slots__ = (
+        "_ended",
         "_handler",
         "_hello",
+        "_incarnation",
         "_opened",
         "_secret",
         "_timing",
@@ -83,7 +87,7 @@
         "session",
     )
 
-    def __init__(self, *, host, port, hello, secret, handler, tls=None, timing=None):
+    def __init__(self, *, host, port, hello, secret, handler, tls=None, timing=None, ended=None):
         self.host = host
         self.port = port
         self.session = None
@@ -93,6 +97,8 @@
         self._timing = timing or LinkTiming()
         self._tls = tls.client_context() if tls is not None else None
         self._opened = Event()
+        self._ended = ended
+        self._incarnation = None
 
     @property
     def is_open(self):
@@ -145,10 +151,21 @@
             await self._converse(channel)
         except LOST as error:
             log.debug("connect failed", address=f"{self.host}:{self.port}", error=str(error))
+            if isinstance(error, ConnectionRefusedError):
+                self._note_end()
         finally:
             channel.close()
             scope.cancel()
 
+    def _note_end(self):
+        if self._ended is not None:
+            self._ended()
+
+    def _note_incarnation(self, incarnation):
+        if self._incarnation not in (None, incarnation):
+            self._note_end()
+        self._incarnation = incarnation
+
     async def _converse(self, channel):
         metadata = {SECRET_HEADER: self._secret}
         async with PeerStub(channel).Link.open(metadata=metadata) as stream:
@@ -162,6 +179,7 @@
             if not isinstance(peer, Hello):
                 await stream.cancel()
                 return
+            self._note_incarnation(peer.incarnation)
             self.session = session = Session(
                 stream=stream, peer=peer, handler=self._handler, timing=self._timing
             )
--- a/siskintally/mesh.py
+++ b/siskintally/mesh.py
@@ -9,6 +9,8 @@
 []
 """
 
+from functools import partial
+
 from anyio import create_task_group, sleep_forever
 
 from siskintally.errors import UnreachableError
@@ -34,15 +36,17 @@
     :param own: address of this process, or an empty text.
     :param hello: what this process says of itself.
     :param handler: takes calls and messages of the other side.
+    :param ended: called with the address of a process that has ended, or None.
     """
 
-    __slots__ = ("_handler", "_hello", "_link_by_address", "_own", "_secret", "_tasks")
+    __slots__ = ("_ended", "_handler", "_hello", "_link_by_address", "_own", "_secret", "_tasks")
 
-    def __init__(self, *, own, hello, secret, handler):
+    def __init__(self, *, own, hello, secret, handler, ended=None):
         self._own = own
         self._hello = hello
         self._secret = secret
         self._handler = handler
+        self._ended = ended
         self._link_by_address = {}
         self._tasks = None
 
@@ -66,6 +70,7 @@
                 secret=self._secret,
                 handler=self._handler,
                 timing=MESH_TIMING,
+                ended=partial(self._ended, address) if self._ended is not None else None,
             )
             self._link_by_address[address] = link
             log.info("store learnt", address=address)
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -56,6 +56,7 @@
         "identity",
         "incoming",
         "leader",
+        "leader_ended",
         "log",
         "progress_by_id",
         "quiet_until",
@@ -86,6 +87,7 @@
         self.durable = self.log.last_index
         self.role = Role.FOLLOWER
         self.leader = None
+        self.leader_ended = False
         self.votes = frozenset()
         self.heard = NEVER
         self.quiet_until = now + self.timing.quiet_start_s
@@ -284,6 +286,7 @@
             self.vote,
             int(self.role),
             self.leader,
+            self.leader_ended,
             self.commit,
             self.durable,
             self.log.key(),
--- a/siskintally/timing.py
+++ b/siskintally/timing.py
@@ -14,6 +14,8 @@
         no leader since its start; after a restart of all, none is left to be heard.
     :param retry_election_share: the same for a candidate that was not elected: no leader is heard
         then, so nobody has to be protected from it.
+    :param ended_leader_share: part of the election timeout after which the next leader may be
+        elected once the process of the last one is known to have ended.
     :param stagger_s: added for each voter that comes before in the order of names; longer than a
         round of votes, so that two candidates rarely split the votes.
     :param election_spread_s: random part of the election timeout, None for all up to its maximum.
@@ -29,6 +31,7 @@
         "election_max_s",
         "election_min_s",
         "election_spread_s",
+        "ended_leader_share",
         "first_election_share",
         "idle_beat_s",
         "quiet_start_s",
@@ -50,6 +53,7 @@
         window_entries=4096,
         first_election_share=1.0,
         retry_election_share=1.0,
+        ended_leader_share=1.0,
         stagger_s=0.0,
         election_spread_s=None,
         quiet_start_s=0.0,
@@ -64,6 +68,7 @@
         self.window_entries = window_entries
         self.first_election_share = first_election_share
         self.retry_election_share = retry_election_share
+        self.ended_leader_share = ended_leader_share
         self.stagger_s = stagger_s
         if election_spread_s is None:
             election_spread_s = election_max_s - election_min_s
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,5 +1,6 @@
 """Links: calls, failures, silence."""
 
+from functools import partial
 from socket import (
     IPPROTO_TCP,
     SO_KEEPALIVE,
@@ -241,3 +242,52 @@
         assert rounds == 3
 
     run(main)
+
+
+def test_the_end_of_the_other_process_is_told():
+    """Guards against a link that looks like a cut one though its process has ended."""
+    ended = []
+
+    async def main():
+        port = free_port()
+        link = Link(
+            host="127.0.0.1",
+            port=port,
+            hello=Hello(name="b", cell="demo", incarnation="7"),
+            secret=SECRET,
+            handler=Echo(),
+            ended=lambda: ended.append(current_time()),
+        )
+        with fail_after(20):
+            async with create_task_group() as tasks:
+                tasks.start_soon(link.run)
+                while not ended:
+                    await sleep(0.02)
+                hello = Hello(name="a", cell="demo", incarnation="1")
+                server = LinkServer(hello=hello, secret=SECRET, handler=Echo())
+                tasks.start_soon(partial(server.serve, host="127.0.0.1", port=port))
+                await link.wait_open()
+                ended.clear()
+                link.session.close()
+                await sleep(0.05)
+                await link.wait_open()
+                assert not ended, "the same incarnation answers again"
+                tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_another_incarnation_tells_the_end_of_the_one_before():
+    """Guards against a restart that is faster than the next attempt to connect."""
+    ended = []
+    link = Link(
+        host="127.0.0.1",
+        port=1,
+        hello=None,
+        secret=SECRET,
+        handler=Echo(),
+        ended=lambda: ended.append(1),
+    )
+    for incarnation in ("1", "1", "2"):
+        link._note_incarnation(incarnation)
+    assert len(ended) == 1
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -318,6 +318,33 @@
     assert deadlines[2] - deadlines[0] >= 5.0
 
 
+def test_the_next_leader_is_elected_early_when_the_process_of_the_last_one_has_ended():
+    """Guards against a whole election timeout without a leader after the end of a process."""
+    net = Net(timing=Timing(ended_leader_share=0.6))
+    net.elect("a")
+    b, c = net.nodes["b"].replica, net.nodes["c"].replica
+    b.heard = c.heard = net.now
+    request = VoteRequest(b.term + 1, Identity("c", "c0"), 99, 99, pre_vote=True)
+    b.note_ended("c", net.now)
+    assert b.next_tick() - net.now >= 1.0, "another process than the leader's"
+    b.note_ended("a", net.now)
+    assert 0.6 <= b.next_tick() - net.now < 1.0
+    for later_s, granted in ((0.5, False), (0.7, True)):
+        effects = b.receive(request, net.now + later_s)
+        assert effects.messages[0].message.granted == granted
+
+
+def test_a_leader_that_is_heard_again_has_not_ended():
+    """Guards against an election beside a leader that only refused a connection."""
+    net = Net(timing=Timing(ended_leader_share=0.6))
+    net.elect("a")
+    b = net.nodes["b"].replica
+    b.note_ended("a", net.now)
+    net.run(5)
+    assert not b.leader_ended
+    assert net.nodes["a"].replica.is_leader
+
+
 def test_vote_is_counted_only_from_the_identity_that_is_a_voter():
     """Guards against votes of an empty disk under the name of a voter, and of learners."""
     net = Net()
