Learn the speed of a worker from the progress of its tasks

Ruled out: interference in general (the other workers are at 0.9 to 1.6). Change: a task that makes progress at half the expected speed or less changes the pace of its worker at the next report; an observation loses its weight within seconds, as the disturbances do. The steps of a flow are in its log line. Tests: test_urgent_tasks_avoid_a_worker_as_soon_as_its_tasks_crawl, test_a_rough_estimate_is_not_taken_for_a_slow_worker.

--- a/siskintally/advising.py
+++ b/siskintally/advising.py
@@ -70,7 +70,7 @@
                 continue
             if task.state != TaskState.RUNNING:
                 return inf
-            whole_s = step.spec.estimate_ms / 1000 * task.worker.pace
+            whole_s = step.spec.estimate_ms / 1000 * task.worker.expected_pace(now)
             latest = max(latest, task.since + whole_s - now)
         return latest
 
--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -8,7 +8,7 @@
 """
 
 from enum import IntEnum
-from math import inf
+from math import exp, inf
 from typing import NamedTuple
 
 
@@ -25,6 +25,16 @@
     return Need(0 if step.filling else step.cpu_milli, step.memory_mb, step.accelerators)
 
 
+# Time constant with which an observed speed loses its weight: disturbances last some seconds.
+PACE_MEMORY_S = 5.0
+# Weights of one finished task and of the progress of one that runs.
+END_WEIGHT = 0.1
+PROGRESS_WEIGHT = 0.4
+# Bounds of one observation of the pace; estimates of run times are rough.
+LEAST_PACE = 0.3
+MOST_PACE = 8.0
+
+
 class Standing(IntEnum):
     """What a leader knows of a worker."""
 
@@ -46,7 +56,8 @@
     ``foreign``: runs of tasks that are not known here and have to stop, by task id.
     ``serving``: tasks held with a latency target. ``fill_percent``: share of the processor that
     filling tasks may use there.
-    ``pace``: relative speed, 1.0 for a worker that needs the estimated time.
+    ``pace``: time that tasks need there in multiples of their estimates, as last observed at
+    ``pace_at``.
     """
 
     __slots__ = (
@@ -59,6 +70,7 @@
         "lease_until",
         "memory_free",
         "pace",
+        "pace_at",
         "record",
         "serving",
         "shunned_until",
@@ -77,6 +89,7 @@
         self.failed_in_a_row = 0
         self.shunned_until = -inf
         self.pace = 1.0
+        self.pace_at = 0.0
         self.fill_percent = 100
         self.serving = 0
 
@@ -142,6 +155,20 @@
         self.memory_free -= sign * need.memory_mb
         self.free_accelerators -= sign * need.accelerators
 
+    def expected_pace(self, now):
+        """Return the pace to expect; an old observation says little."""
+        weight = exp(-max(now - self.pace_at, 0.0) / PACE_MEMORY_S)
+        return 1.0 + (self.pace - 1.0) * weight
+
+    def observe_pace(self, ratio, weight, now):
+        """Take the run time of a task in multiples of its estimate.
+
+        :param weight: share of this observation in the new average.
+        """
+        before = self.expected_pace(now)
+        self.pace = before + weight * (min(max(ratio, LEAST_PACE), MOST_PACE) - before)
+        self.pace_at = now
+
     def update(self, record):
         """Take what the worker says of itself now."""
         self.cpu_free += record.cpu_milli - self.record.cpu_milli
--- a/siskintally/flow_desk.py
+++ b/siskintally/flow_desk.py
@@ -26,6 +26,9 @@
 from siskintally.flow_checks import check_flow
 from siskintally.log import get_logger
 
+# Steps of a flow that its log line describes; flows have a few, and lines stay short.
+LOGGED_STEPS = 8
+
 log = get_logger("flow-desk")
 
 
@@ -79,7 +82,12 @@
             return
         self._admitted.add(flow_id)
         queue = conductor.state.queue(flow_state.flow.queue)
-        log.info("flow accepted", flow=flow_id, queue=flow_state.flow.queue)
+        log.info(
+            "flow accepted",
+            flow=flow_id,
+            queue=flow_state.flow.queue,
+            steps=[describe_step(step) for step in flow_state.flow.steps[:LOGGED_STEPS]],
+        )
         conductor.scheduler.accept(flow_state.flow, queue, steady())
         conductor.wake()
 
@@ -196,3 +204,18 @@
     WorkerSeen: FlowDesk._seen,
     WorkerGone: FlowDesk._gone,
 }
+
+
+def describe_step(step):
+    """Return what a step asks for in one short text.
+
+    >>> from siskintally.control_pb2 import FlowStep
+    >>> describe_step(FlowStep(tasks=6, cpu_milli=500, memory_mb=64, estimate_ms=640, gang=True))
+    '6 x 500m 64MB 640ms gang'
+    """
+    text = f"{step.tasks} x {step.cpu_milli}m {step.memory_mb}MB {step.estimate_ms}ms"
+    flags = ("gang", "one_rack", "speculative", "lasting", "filling", "checkpointable")
+    words = [flag for flag in flags if getattr(step, flag)]
+    named = ("label", "data_rack", "max_per_worker", "after")
+    words += [f"{name}={getattr(step, name)}" for name in named if getattr(step, name)]
+    return " ".join([text, *words])
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -216,7 +216,7 @@
             if task.state != TaskState.RUNNING:
                 continue
             spec = task.step.spec
-            remaining_s = spec.estimate_ms / 1000 * worker.pace - (now - task.since)
+            remaining_s = spec.estimate_ms / 1000 * worker.expected_pace(now) - (now - task.since)
             if spec.lasting or remaining_s > left_s:
                 self.stop(task)
 
--- a/siskintally/observing.py
+++ b/siskintally/observing.py
@@ -9,7 +9,7 @@
 
 from siskintally.control_pb2 import TaskEnd
 from siskintally.driver import EndKind, Refusal
-from siskintally.fleet import FleetWorker, Standing
+from siskintally.fleet import END_WEIGHT, PROGRESS_WEIGHT, FleetWorker, Standing
 from siskintally.flow import TaskRun, TaskState
 from siskintally.pacing import next_percent, worst_ratio
 from siskintally.task_id import TaskId
@@ -21,8 +21,12 @@
 STILL_S = 2.5
 # A worker is not taken for standing still while it works this many times slower than estimated.
 SLOWEST_FACTOR = 20
-# Weight of one task in the moving average of a worker's speed.
-PACE_WEIGHT = 0.1
+# Run time after which the progress of a task tells the speed of its worker, and the least progress;
+# a start takes a moment, and percents are whole.
+TELLING_S = 0.3
+TELLING_PERCENT = 5
+# Progress is taken for slow from this ratio on; rough estimates alone seldom reach it.
+SLOW_RATIO = 2.0
 
 
 def stands_still(task, now):
@@ -130,8 +134,20 @@
     def _learn_pace(self, worker, task, now):
         estimate_s = task.step.spec.estimate_ms / 1000
         if estimate_s > 0 and not task.checkpoint and task.state == TaskState.RUNNING:
-            ratio = min(max((now - task.since) / estimate_s, 0.3), 3.0)
-            worker.pace += PACE_WEIGHT * (ratio - worker.pace)
+            worker.observe_pace((now - task.since) / estimate_s, END_WEIGHT, now)
+
+    def _note_slow(self, worker, task, now):
+        """Learn from a task that makes little progress, long before it ends."""
+        estimate_s = task.step.spec.estimate_ms / 1000
+        ran_s = now - task.since
+        is_comparable = estimate_s > 0 and not task.checkpoint and not task.step.spec.filling
+        if not is_comparable or task.state != TaskState.RUNNING or ran_s < TELLING_S:
+            return
+        # Below the least percent, the run time so far bounds the ratio from below.
+        share = task.percent / 100 if task.percent >= TELLING_PERCENT else 1.0
+        ratio = ran_s / share / estimate_s
+        if ratio >= SLOW_RATIO:
+            worker.observe_pace(ratio, PROGRESS_WEIGHT, now)
 
     def _take_other_end(self, worker, task, row, now):
         if row.kind == EndKind.FAILED:
@@ -184,6 +200,7 @@
         if row.percent != task.percent or task.progress_at < task.since:
             task.percent = row.percent
             task.progress_at = now
+            self._note_slow(task.worker, task, now)
         if task.step.spec.lasting:
             task.tail_ms = row.load
         if task.state == TaskState.STARTING:
--- a/siskintally/placing.py
+++ b/siskintally/placing.py
@@ -120,7 +120,7 @@
             return (bool(worker.serving), -worker.fill_percent, far, -left, worker.id)
         if step.flow.priority == 0:
             # Urgent tasks go to fast workers with the most room.
-            return (far, round(worker.pace, 1), -left, worker.id)
+            return (far, round(worker.expected_pace(now), 1), -left, worker.id)
         if spec.lasting:
             return (far, step.count_by_worker.get(worker.id, 0), -left, worker.id)
         return (far, left, worker.id)
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -423,6 +423,36 @@
     assert rig.place() == [("u.0.0.0", "w")]
 
 
+def test_urgent_tasks_avoid_a_worker_as_soon_as_its_tasks_crawl():
+    """Guards against urgent flows that are late because a slow worker shows only when tasks end.
+
+    Pattern: a twelfth of the workers takes six times as long for some seconds, under a burst.
+    """
+    rig = FlowRig(queue=Queue(name="q", service="pool", priority=0, max_attempts=3, stretch=1.5))
+    rig.add(worker("slow"))
+    rig.submit(flow("a", step(1, estimate_ms=640)))
+    rig.place()
+    rig.add(worker("sound", cpu_milli=4000))
+    rig.now += 0.6
+    rig.report("slow", percent=15)
+    rig.submit(flow("b", step(1, estimate_ms=640)))
+    assert rig.place() == [("b.0.0.0", "sound")]
+    rig.now += 30
+    rig.submit(flow("c", step(1, estimate_ms=640)))
+    assert rig.place() == [("c.0.0.0", "slow")], "an old observation says nothing"
+
+
+def test_a_rough_estimate_is_not_taken_for_a_slow_worker():
+    """Guards against sound workers that are avoided because of tasks that are a little long."""
+    rig = FlowRig()
+    rig.add(worker("w"))
+    rig.submit(flow("a", step(1, estimate_ms=640)))
+    rig.place()
+    rig.now += 0.6
+    rig.report("w", percent=60)
+    assert rig.scheduler.worker_by_id["w"].expected_pace(rig.now) == 1.0
+
+
 def test_what_a_leaving_worker_cannot_finish_moves_away():
     """Guards against tasks that end with their worker though it told that it leaves."""
     rig = FlowRig()
