Race copies of tasks on silent workers where their steps allow it

Ruled out: a shorter lease, because a change of leaders without a closed connection takes up to 2.3 s of it. Change: when a worker becomes suspect, its tasks of such steps wait again and start elsewhere; the first run becomes a copy that keeps its room. The first end counts, the others are stopped; a start that was under way is stopped first, so that a late order finds no room taken twice. Orders have a module of their own (actions).

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -27,7 +27,8 @@
     ),
     "Flows (jobs made of steps)": (
         "flow task_id flow_checks flow_scheduler placing advising observing pacing fleet "
-        "worker_lease flow_timing control_state queue_checks conductor keeper look_wait lanes "
+        "worker_lease flow_timing control_state queue_checks actions racing conductor "
+        "keeper look_wait lanes "
         "advice_lanes flow_desk "
         "driver stub_pool"
     ),
--- a/siskintally/conductor.py
+++ b/siskintally/conductor.py
@@ -356,6 +356,13 @@
         """Note a confirmed stop."""
         self.scheduler.stopped(action, steady())
 
+    def suspected(self, worker):
+        """Let tasks of a silent worker race with copies elsewhere, where they may."""
+        raced = self.scheduler.race(worker, steady())
+        if raced:
+            log.info("copies wanted", worker=worker.id, tasks=len(raced), first=raced[0])
+            self.wake()
+
     def lapsed(self, worker):
         """Note that the lease of a worker has ended."""
         self._counters.workers_lapsed.inc()
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -34,10 +34,13 @@
     last change of state. ``worker``: :class:`~siskintally.fleet.FleetWorker` that holds it, or
     None. ``checkpoint``: where a new start resumes, "" for none. ``percent``: progress, or 100 for
     a lasting task that is at work. ``progress_at``: steady time at which it last changed.
+    ``copies``: other runs of the task that still hold room, as tasks whose ``copy_of`` is this one.
     """
 
     __slots__ = (
         "checkpoint",
+        "copies",
+        "copy_of",
         "failed_run",
         "failures",
         "id",
@@ -59,6 +62,8 @@
         self.state = TaskState.WAITING
         self.run = 0
         self.worker = None
+        self.copies = []
+        self.copy_of = None
         self.checkpoint = ""
         self.failures = 0
         self.failed_run = 0
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -11,22 +11,24 @@
 [('f.0.0.0', 'w')]
 """
 
+from siskintally.actions import StopAction
 from siskintally.advising import Advising
 from siskintally.control_state import Failures, Outcome
 from siskintally.fleet import FleetWorker, Standing
 from siskintally.flow import FlowRun, TaskState
-from siskintally.observing import Observing, StopAction
+from siskintally.observing import Observing
 from siskintally.placing import Placing
+from siskintally.racing import Racing
 
 # Starts of one term have numbers of their own, so that a later leader's are always higher.
 RUNS_PER_TERM = 1_000_000
 
 
-class FlowScheduler(Placing, Advising, Observing):
+class FlowScheduler(Placing, Advising, Observing, Racing):
     """What a leader decides about flows, from its election to its deposition.
 
-    ``stops``, ``paces``: :class:`~siskintally.observing.StopAction` and
-    :class:`~siskintally.observing.PaceAction` objects that are to be sent.
+    ``stops``, ``paces``: :class:`~siskintally.actions.StopAction` and
+    :class:`~siskintally.actions.PaceAction` objects that are to be sent.
     ``taken_by_worker``: number of the last end that was taken from each worker.
     ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not reported.
 
@@ -176,8 +178,9 @@
             self.ready_by_id.pop(step.id, None)
             step.waiting.clear()
             for task in step.tasks:
-                if task.worker and task.state in (TaskState.STARTING, TaskState.RUNNING):
-                    self.stop(task)
+                for one in (task, *task.copies):
+                    if one.worker and one.state in (TaskState.STARTING, TaskState.RUNNING):
+                        self.stop(one)
         self._drop_if_over(flow)
 
     def stop(self, task):
@@ -250,11 +253,15 @@
         counts = task.step.count_by_worker
         counts[worker.id] = counts.get(worker.id, 1) - 1
         task.worker = None
+        if task.copy_of is not None:
+            task.copy_of.copies.remove(task)
         if not task.step.flow.is_open:
             self._drop_if_over(task.step.flow)
 
     def _requeue(self, task, checkpoint):
         """Let a task that runs nowhere be started again, if its flow goes on."""
+        if task.copy_of is not None:
+            return
         if checkpoint:
             task.checkpoint = checkpoint
         step = task.step
@@ -271,6 +278,8 @@
         step = task.step
         if task.state == TaskState.WAITING and task in step.waiting:
             step.waiting.remove(task)
+        if not step.spec.gang:
+            self._end_copies(task, now)
         task.state = TaskState.DONE
         task.since = now
         step.remaining -= 1
--- a/siskintally/keeper.py
+++ b/siskintally/keeper.py
@@ -126,6 +126,7 @@
         if worker.standing == Standing.READY:
             worker.standing = Standing.SUSPECT
             log.info("worker suspect", worker=worker.id, error=str(error)[:120])
+            self._leader.suspected(worker)
         if worker.standing != Standing.LAPSED and now >= self.lease.surely_over:
             self._leader.lapsed(worker)
             return
--- a/siskintally/observing.py
+++ b/siskintally/observing.py
@@ -5,12 +5,11 @@
 ()
 """
 
-from typing import NamedTuple
-
+from siskintally.actions import PaceAction, StopAction
 from siskintally.control_pb2 import TaskEnd
 from siskintally.driver import EndKind, Refusal
-from siskintally.fleet import END_WEIGHT, PROGRESS_WEIGHT, FleetWorker, Standing
-from siskintally.flow import TaskRun, TaskState
+from siskintally.fleet import END_WEIGHT, PROGRESS_WEIGHT, Standing
+from siskintally.flow import TaskState
 from siskintally.pacing import next_percent, worst_ratio
 from siskintally.task_id import TaskId
 
@@ -44,23 +43,6 @@
     return task.percent < 100 and quiet_s > max(STILL_S, slow_s)
 
 
-class StopAction(NamedTuple):
-    """A stop order that is to be sent."""
-
-    task_id: str
-    run: int
-    worker: FleetWorker
-
-
-class PaceAction(NamedTuple):
-    """An order to limit a filling task that is to be sent."""
-
-    task: TaskRun
-    run: int
-    worker: FleetWorker
-    percent: int
-
-
 class Observing:
     """The part of a scheduler that takes what workers say."""
 
@@ -110,9 +92,12 @@
             if task is None:
                 continue
             if is_present:
+                self._learn_pace(worker, held, row, now)
                 self._leave_worker(held)
             if row.kind == EndKind.DONE:
                 yield from self._take_done(worker, task, row, is_present, now)
+            elif is_present and held is not task:
+                yield from self._take_failure(worker, task, row, now)
             elif is_present or (task.state == TaskState.UNKNOWN):
                 yield from self._take_other_end(worker, task, row, now)
 
@@ -122,8 +107,6 @@
                 self._requeue(task, row.checkpoint)
             return
         worker.failed_in_a_row = 0
-        if is_present:
-            self._learn_pace(worker, task, now)
         if task.state == TaskState.DONE:
             return
         yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.DONE)
@@ -131,9 +114,10 @@
         for one in ended:
             self._finish(one, now)
 
-    def _learn_pace(self, worker, task, now):
+    def _learn_pace(self, worker, task, row, now):
         estimate_s = task.step.spec.estimate_ms / 1000
-        if estimate_s > 0 and not task.checkpoint and task.state == TaskState.RUNNING:
+        is_whole = row.kind == EndKind.DONE and not task.checkpoint
+        if estimate_s > 0 and is_whole and task.state == TaskState.RUNNING:
             worker.observe_pace((now - task.since) / estimate_s, END_WEIGHT, now)
 
     def _note_slow(self, worker, task, now):
@@ -149,12 +133,16 @@
         if ratio >= SLOW_RATIO:
             worker.observe_pace(ratio, PROGRESS_WEIGHT, now)
 
+    def _take_failure(self, worker, task, row, now):
+        if row.kind != EndKind.FAILED:
+            return
+        worker.failed_in_a_row += 1
+        if worker.failed_in_a_row >= SHUN_FAILURES:
+            worker.shunned_until = now + SHUN_S
+        yield from self._count_failure(task, row)
+
     def _take_other_end(self, worker, task, row, now):
-        if row.kind == EndKind.FAILED:
-            worker.failed_in_a_row += 1
-            if worker.failed_in_a_row >= SHUN_FAILURES:
-                worker.shunned_until = now + SHUN_S
-            yield from self._count_failure(task, row)
+        yield from self._take_failure(worker, task, row, now)
         if task.state != TaskState.UNKNOWN:
             self._requeue(task, row.checkpoint)
         elif row.checkpoint:
@@ -165,7 +153,8 @@
     def _count_failure(self, task, row):
         step = task.step
         counted = step.tasks[0] if step.spec.gang else task
-        if step.spec.lasting or row.run <= counted.failed_run:
+        is_over = step.spec.lasting or counted.state == TaskState.DONE
+        if is_over or row.run <= counted.failed_run:
             return
         counted.failed_run = row.run
         yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.FAILED)
--- a/siskintally/placing.py
+++ b/siskintally/placing.py
@@ -5,24 +5,13 @@
 True
 """
 
-from typing import NamedTuple
-
-from siskintally.fleet import FleetWorker
-from siskintally.flow import TaskRun, TaskState
+from siskintally.actions import StartAction
+from siskintally.flow import TaskState
 
 # A start has to reach the worker before its ticket ends.
 TICKET_MARGIN_S = 0.15
 
 
-class StartAction(NamedTuple):
-    """A start order that is to be sent."""
-
-    task: TaskRun
-    worker: FleetWorker
-    run: int
-    ticket: str
-
-
 class Placing:
     """The part of a scheduler that puts waiting tasks on workers."""
 
@@ -53,7 +42,11 @@
     def _place_tasks(self, step, now):
         candidates = list(self.candidates(step, now))
         while step.waiting and candidates:
-            worker = min(candidates, key=lambda one: self.cost(step, one, now))
+            held = {copy.worker for copy in step.waiting[-1].copies}
+            options = [one for one in candidates if one not in held] if held else candidates
+            if not options:
+                return
+            worker = min(options, key=lambda one: self.cost(step, one, now))
             yield self._assign(step.waiting.pop(), worker, self.next_run(), now)
             if not _has_place(step, worker):
                 candidates.remove(worker)
--- a/tests/flow_rig.py
+++ b/tests/flow_rig.py
@@ -104,7 +104,7 @@
         """Start all that can be started; return the (task id, worker id) pairs."""
         pairs = []
         actions = list(self.scheduler.place(self.now, 0))
-        self.commit(starts=StartBatch(starts=[_start_record(action) for action in actions]))
+        self.commit(starts=StartBatch(starts=[start_record(action) for action in actions]))
         for action in actions:
             runs = self.running_by_worker[action.worker.id]
             runs[action.task.id] = action.run
@@ -156,7 +156,8 @@
             self.uncommitted = []
 
 
-def _start_record(action):
+def start_record(action):
+    """Return what is committed of a start before it is sent."""
     return TaskStart(
         task=action.task.id,
         run=action.run,
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -60,6 +60,9 @@
         self.standings.append(keeper.worker.standing)
         keeper.worker.standing = Standing.READY if self.driver.outcomes else Standing.LOST
 
+    def suspected(self, worker):
+        """Not used here."""
+
     def lapsed(self, worker):
         """End the keeper: its lease is over."""
         worker.standing = Standing.LOST
