Add flow-report: where the time of flows went, from the logs of stores

The command reads logs as the platform keeps them, splits each completed flow along its chain of last tasks into advice, queue, runs again, work and slowness, and prints means, bars and the slowest flows. Not done: a bound by a list scheduler that knows every run time; the chain of estimates stands for it.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -28,7 +28,7 @@
     "Flows (jobs made of steps)": (
         "flow task_id flow_checks flow_scheduler placing advising observing pacing fleet "
         "worker_lease flow_timing control_state queue_checks actions racing conductor "
-        "keeper look_wait lanes "
+        "keeper look_wait lanes step_text flow_trace flow_report "
         "advice_lanes flow_desk "
         "driver stub_pool"
     ),
@@ -48,7 +48,8 @@
         "supervisor daemon settings log log_stream metrics clock codes errors"
     ),
     "Command line and stubs": (
-        "main __main__ command commands_domain commands_entry commands_operator commands_store "
+        "main __main__ command commands_domain commands_entry commands_operator commands_report "
+        "commands_store "
         "commands_worker client operation tables stub_endpoint stub_doubler stub_worker "
         "worker_state"
     ),
--- /dev/null
+++ b/siskintally/commands_report.py
@@ -0,0 +1,36 @@
+"""Command that reads logs: flow-report.
+
+>>> from siskintally.command import Registry
+>>> from siskintally.commands_report import register
+>>> registry = Registry()
+>>> register(registry)
+>>> [command.name for command in registry]
+['flow-report']
+"""
+
+from siskintally.command import Command
+from siskintally.errors import BadRequestError
+from siskintally.flow_report import report
+from siskintally.flow_trace import collect, read_events
+
+SUMMARY = "Say where the time of flows went: flow-report LOG... (logs of stores, in time order)."
+
+
+def register(registry):
+    """Add the command of this family."""
+    registry.add(Command(name="flow-report", summary=SUMMARY, define=None, start=_start))
+
+
+def _start(_, arguments):
+    if not arguments:
+        raise BadRequestError("flow-report: name one log file or more")
+    print(report(collect(read_events(_lines(arguments))).values()))
+
+
+def _lines(paths):
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                yield from file
+        except OSError as error:
+            raise BadRequestError(f"{path}: {error.strerror}") from error
--- a/siskintally/flow_desk.py
+++ b/siskintally/flow_desk.py
@@ -25,6 +25,7 @@
 from siskintally.errors import BadRequestError, NotFoundError
 from siskintally.flow_checks import check_flow
 from siskintally.log import get_logger
+from siskintally.step_text import describe_step
 
 # Steps of a flow that its log line describes; flows have a few, and lines stay short.
 LOGGED_STEPS = 8
@@ -204,18 +205,3 @@
     WorkerSeen: FlowDesk._seen,
     WorkerGone: FlowDesk._gone,
 }
-
-
-def describe_step(step):
-    """Return what a step asks for in one short text.
-
-    >>> from siskintally.control_pb2 import FlowStep
-    >>> describe_step(FlowStep(tasks=6, cpu_milli=500, memory_mb=64, estimate_ms=640, gang=True))
-    '6 x 500m 64MB 640ms gang'
-    """
-    text = f"{step.tasks} x {step.cpu_milli}m {step.memory_mb}MB {step.estimate_ms}ms"
-    flags = ("gang", "one_rack", "speculative", "lasting", "filling", "checkpointable")
-    words = [flag for flag in flags if getattr(step, flag)]
-    named = ("label", "data_rack", "max_per_worker", "after")
-    words += [f"{name}={getattr(step, name)}" for name in named if getattr(step, name)]
-    return " ".join([text, *words])
--- /dev/null
+++ b/siskintally/flow_report.py
@@ -0,0 +1,128 @@
+"""Where the time of flows went, per queue, along the chain of tasks that ended last; pure.
+
+>>> from siskintally.flow_report import PARTS
+>>> PARTS
+('advice', 'queue', 'again', 'work', 'slow')
+"""
+
+from typing import NamedTuple
+
+from siskintally.tables import table
+
+# advice: until the last permit before the start. queue: from there to the start. again: from the
+# first start to the one that was done. work: the estimate. slow: what the run took beyond it.
+PARTS = ("advice", "queue", "again", "work", "slow")
+BAR_WIDTH = 40
+SLOWEST_SHOWN = 5
+_BAR_LETTERS = dict(zip(PARTS, "aqr#s", strict=True))
+
+
+class Split(NamedTuple):
+    """One completed flow; ``parts`` are seconds by name, ``estimate_s`` its chain of work."""
+
+    flow: str
+    queue: str
+    total_s: float
+    estimate_s: float
+    parts: dict
+
+
+def split_flow(flow):
+    """Return the :class:`Split` of a flow, or None if the log does not hold all of it.
+
+    :param flow: :class:`~siskintally.flow_trace.FlowTrace`.
+    """
+    if not flow.steps or flow.cancelled or any(step.lasting for step in flow.steps):
+        return None
+    done = [_last_task(flow, number) for number in range(len(flow.steps))]
+    if any(task is None for task in done):
+        return None
+    parts = dict.fromkeys(PARTS, 0.0)
+    estimate_s = 0.0
+    last = max(range(len(done)), key=lambda number: done[number].done_at)
+    number = last
+    while number is not None:
+        step = flow.steps[number]
+        before = max(step.after, key=lambda one: done[one].done_at, default=None)
+        ready_at = flow.accepted_at if before is None else done[before].done_at
+        _add_step(parts, flow, number, done[number], ready_at)
+        estimate_s += step.estimate_s
+        number = before
+    total_s = done[last].done_at - flow.accepted_at
+    return Split(flow.id, flow.queue, total_s, estimate_s, parts)
+
+
+def _last_task(flow, number):
+    """Return the task of a step that ended last, None if one has not ended."""
+    names = (f"{flow.id}.0.{number}.{index}" for index in range(flow.steps[number].tasks))
+    tasks = [flow.task_by_id.get(name) for name in names]
+    if any(task is None or task.done_at is None or not task.starts for task in tasks):
+        return None
+    return max(tasks, key=lambda task: task.done_at)
+
+
+def _add_step(parts, flow, number, task, ready_at):
+    first, last = task.starts[0], max(at for at in task.starts if at <= task.done_at)
+    answers = flow.advice_by_step.get(f"{flow.id}.0.{number}", ())
+    advised_at = max((at for at in answers if ready_at <= at <= first), default=ready_at)
+    ran_s = task.done_at - last
+    work_s = min(ran_s, flow.steps[number].estimate_s)
+    parts["advice"] += advised_at - ready_at
+    parts["queue"] += max(first - advised_at, 0.0)
+    parts["again"] += last - first
+    parts["work"] += work_s
+    parts["slow"] += ran_s - work_s
+
+
+def report(flows):
+    """Return the report as text.
+
+    :param flows: :class:`~siskintally.flow_trace.FlowTrace` objects.
+    """
+    flows = list(flows)
+    splits = [split for split in map(split_flow, flows) if split is not None]
+    by_queue = {}
+    for split in splits:
+        by_queue.setdefault(split.queue, []).append(split)
+    lines = [f"{len(flows)} flows accepted, {len(splits)} of them completed within these logs"]
+    if not splits:
+        return lines[0]
+    lines += ["", table(_rows(by_queue)), ""]
+    lines += [f"{name:<16} {_bar(_means(group))}" for name, group in sorted(by_queue.items())]
+    legend = ", ".join(f"{letter} {name}" for name, letter in _BAR_LETTERS.items())
+    lines += ["", f"share of the mean time: {legend}", "", "slowest against their estimate:"]
+    lines += [_describe(split) for split in _slowest(splits)]
+    return "\n".join(lines)
+
+
+def _rows(by_queue):
+    yield ("queue", "flows", "mean s", "chain s", *(f"{part} s" for part in PARTS))
+    for name, group in sorted(by_queue.items()):
+        means = _means(group)
+        total = sum(split.total_s for split in group) / len(group)
+        chain = sum(split.estimate_s for split in group) / len(group)
+        figures = (f"{value:.3f}" for value in (total, chain, *means.values()))
+        yield (name, len(group), *figures)
+
+
+def _means(group):
+    return {part: sum(split.parts[part] for split in group) / len(group) for part in PARTS}
+
+
+def _bar(means):
+    total = sum(means.values()) or 1.0
+    return "".join(
+        _BAR_LETTERS[part] * round(BAR_WIDTH * value / total) for part, value in means.items()
+    )
+
+
+def _slowest(splits):
+    return sorted(splits, key=lambda split: split.estimate_s - split.total_s)[:SLOWEST_SHOWN]
+
+
+def _describe(split):
+    lost = max((part for part in PARTS if part != "work"), key=split.parts.get)
+    return (
+        f"{split.flow}  {split.queue}  {split.total_s:.2f} s for a chain of "
+        f"{split.estimate_s:.2f} s, most for {lost} ({split.parts[lost]:.2f} s)"
+    )
--- /dev/null
+++ b/siskintally/flow_trace.py
@@ -0,0 +1,136 @@
+"""What the logs of stores tell of each flow: acceptance, advice, starts, ends.
+
+>>> from siskintally.flow_trace import collect, read_events
+>>> line = '{"event": "flow accepted", "flow": "f", "queue": "q", "timestamp": '
+>>> line += '"2026-01-23T13:39:52Z", "steps": ["1 x 500m 64MB 640ms"]}'
+>>> flows = collect(read_events(["10.5 store-1 " + line, "no event"]))
+>>> flows["f"].queue, flows["f"].steps[0].tasks
+('q', 1)
+"""
+
+from datetime import datetime
+from json import JSONDecodeError, loads
+
+from siskintally.errors import BadRequestError
+from siskintally.step_text import parse_step
+from siskintally.task_id import TaskId
+
+
+class TaskTrace:
+    """Starts and ends of one task.
+
+    ``starts``: times in s since 1970. ``ends``: (time, how) pairs, in the order of the log.
+    """
+
+    __slots__ = ("ends", "starts")
+
+    def __init__(self):
+        self.starts = []
+        self.ends = []
+
+    @property
+    def done_at(self):
+        """Time at which it ended as done, or None."""
+        return next((at for at, how in self.ends if how == "DONE"), None)
+
+
+class FlowTrace:
+    """One accepted flow.
+
+    ``steps``: :class:`~siskintally.step_text.StepShape` objects. ``task_by_id``:
+    :class:`TaskTrace`. ``advice_by_step``: times of answers of the advice service by step id.
+    """
+
+    __slots__ = ("accepted_at", "advice_by_step", "cancelled", "id", "queue", "steps", "task_by_id")
+
+    def __init__(self, *, flow_id, queue, accepted_at, steps):
+        self.id = flow_id
+        self.queue = queue
+        self.accepted_at = accepted_at
+        self.steps = steps
+        self.cancelled = False
+        self.task_by_id = {}
+        self.advice_by_step = {}
+
+    def task(self, name):
+        """Return the trace of a task, also of one that was not seen before."""
+        return self.task_by_id.setdefault(name, TaskTrace())
+
+
+def read_events(lines):
+    """Yield (time, fields) of each log line; what comes before the JSON object is left out."""
+    for line in lines:
+        begin = line.find("{")
+        if begin < 0:
+            continue
+        try:
+            fields = loads(line[begin:])
+            yield datetime.fromisoformat(fields["timestamp"]).timestamp(), fields
+        except (JSONDecodeError, KeyError, TypeError, ValueError):
+            # Lines of other programs stand between those of ours.
+            continue
+
+
+def collect(events):
+    """Return :class:`FlowTrace` objects by flow id.
+
+    Leaders repeat what they take over, so only the first acceptance and end count.
+    """
+    flows = {}
+    for at, fields in events:
+        take = _TAKE_BY_EVENT.get(fields.get("event"))
+        if take is not None:
+            take(flows, at, fields)
+    return flows
+
+
+def _take_accepted(flows, at, fields):
+    flow_id = fields.get("flow")
+    if flow_id in flows:
+        return
+    try:
+        steps = [parse_step(text) for text in fields.get("steps", ())]
+    except BadRequestError:
+        # The log of another version has no steps; the flow cannot be split then.
+        steps = []
+    flows[flow_id] = FlowTrace(
+        flow_id=flow_id, queue=fields.get("queue", ""), accepted_at=at, steps=steps
+    )
+
+
+def _take_cancelled(flows, _, fields):
+    if fields.get("flow") in flows:
+        flows[fields["flow"]].cancelled = True
+
+
+def _take_advice(flows, at, fields):
+    step = str(fields.get("step", ""))
+    flow = flows.get(step.partition(".")[0])
+    if flow is not None:
+        flow.advice_by_step.setdefault(step, []).append(at)
+
+
+def _flow_of_task(flows, fields):
+    task = TaskId.parse(fields.get("task"))
+    return flows.get(task.flow) if task is not None else None
+
+
+def _take_start(flows, at, fields):
+    flow = _flow_of_task(flows, fields)
+    if flow is not None:
+        flow.task(fields["task"]).starts.append(at)
+
+
+def _take_end(flows, at, fields):
+    flow = _flow_of_task(flows, fields)
+    if flow is not None:
+        flow.task(fields["task"]).ends.append((at, fields.get("how", "")))
+
+
+_TAKE_BY_EVENT = {
+    "flow accepted": _take_accepted,
+    "flow cancelled": _take_cancelled,
+    "advice": _take_advice,
+    "start": _take_start,
+    "end": _take_end,
+}
--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -30,6 +30,7 @@
 FAMILIES = (
     "siskintally.commands_entry",
     "siskintally.commands_operator",
+    "siskintally.commands_report",
     "siskintally.commands_store",
     "siskintally.commands_worker",
     "siskintally.platform.entry_command",
--- /dev/null
+++ b/siskintally/step_text.py
@@ -0,0 +1,54 @@
+"""Short text of what a step asks for, as it stands in the log line of an accepted flow.
+
+>>> from siskintally.control_pb2 import FlowStep
+>>> from siskintally.step_text import describe_step, parse_step
+>>> text = describe_step(FlowStep(tasks=6, cpu_milli=500, memory_mb=64, estimate_ms=640, after=[0]))
+>>> text
+'6 x 500m 64MB 640ms after=[0]'
+>>> parse_step(text)
+StepShape(tasks=6, estimate_s=0.64, after=(0,), lasting=False)
+"""
+
+from re import compile as compile_pattern
+from typing import NamedTuple
+
+from siskintally.errors import BadRequestError
+
+FLAGS = ("gang", "one_rack", "speculative", "lasting", "filling", "checkpointable")
+NAMED = ("label", "data_rack", "max_per_worker", "after")
+_SHAPE = compile_pattern(r"(\d+) x \d+m \d+MB (\d+)ms")
+_AFTER = compile_pattern(r"after=\[([\d, ]*)\]")
+
+
+class StepShape(NamedTuple):
+    """What a report needs to know of a step; ``after`` are the numbers of earlier steps."""
+
+    tasks: int
+    estimate_s: float
+    after: tuple
+    lasting: bool
+
+
+def describe_step(step):
+    """Return the text of a :class:`~siskintally.control_pb2.FlowStep`."""
+    text = f"{step.tasks} x {step.cpu_milli}m {step.memory_mb}MB {step.estimate_ms}ms"
+    words = [flag for flag in FLAGS if getattr(step, flag)]
+    words += [f"{name}={getattr(step, name)}" for name in NAMED if getattr(step, name)]
+    return " ".join([text, *words])
+
+
+def parse_step(text):
+    """Read the text of a step.
+
+    :raises BadRequestError: it is no such text.
+    """
+    shape, after = _SHAPE.match(text), _AFTER.search(text)
+    if shape is None:
+        raise BadRequestError(f"{text[:80]!r}: not the text of a step")
+    numbers = after[1].split(",") if after else ()
+    return StepShape(
+        tasks=int(shape[1]),
+        estimate_s=int(shape[2]) / 1000,
+        after=tuple(int(number) for number in numbers),
+        lasting="lasting" in text.split(),
+    )
