--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -51,7 +51,7 @@
     """One replica of a replicated group.
 
     Nothing but the task of :meth:`run` changes the replica. All inputs at hand are handled with one
-    sync in the event loop; snapshots are written by a worker thread.
+    sync, in the event loop or in a worker thread; snapshots are written by a worker thread.
 
     :param name: group name.
     :param process: name of this process.
--- a/tests/test_conductor.py
+++ b/tests/test_conductor.py
@@ -2,7 +2,8 @@
 
 from anyio import Event, create_task_group, run, sleep
 
-from siskintally.conductor import Conductor
+from siskintally.conductor import AUTHORITY_SHARE, Conductor
+from siskintally.control_node import ENDED_LEADER_SHARE
 from siskintally.control_pb2 import ControlCommand
 from siskintally.control_state import ControlState
 from siskintally.counters import Counters
@@ -93,6 +94,11 @@
     run(main)
 
 
+def test_a_leader_stops_acting_before_the_next_one_may_be_elected():
+    """Guards against two leaders that act at once after a change of either share."""
+    assert AUTHORITY_SHARE < ENDED_LEADER_SHARE <= 1.0
+
+
 def test_a_start_is_sent_only_after_its_worker_is_on_record():
     """Guards against a run that the next leader does not look for."""
 
