--- a/siskintally/conductor.py
+++ b/siskintally/conductor.py
@@ -30,7 +30,8 @@
 from siskintally.worker_lease import longest_s
 
 # Nobody else can be elected while a quorum has heard this leader within the shortest election
-# timeout, or a share of it that is larger than this one if its process has ended. The rest covers clocks that differ, and members that forget it by a restart.
+# timeout, or a share of it that is larger than this one if its process has ended. The rest covers
+# clocks that differ, and members that forget it by a restart.
 AUTHORITY_SHARE = 0.5
 CONFIRM_S = 0.15
 # Events within this time share one pass over the waiting tasks.
