Move the last decisions out of the adapter

Cause: read as its users would, siskintally/platform/ chose four things: the time for the last requests of an entry and of a store, the smaller one of a caller's deadline and its queue's timeout, and the time for an operator's order. Two settings (counts, machines) were read and never used. Ruled out: HEARTBEAT_S and the statuses, which the platform's pages state; names of the platform outside the folder (none). Change: the nodes say how long last requests may take, the gateway combines deadline and timeout, LeaderCalls has a default time; the unused settings are gone. The guard of the folder now fails on min, max, sorted and on numbers that are not the platform's (it failed on LAST_REQUESTS_S, LAST_REQUESTS_SHARE, ORDER_S, CONFLICT and min before). Measured: no behaviour changes; tests of the folder, the processes and the cell pass.

--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -42,6 +42,8 @@
 FOUNDING = "founding"
 NOTICE_S = 0.3
 DISK_RETRY_S = 0.5
+# Longest time for the requests in progress when a store ends.
+LAST_REQUESTS_S = 1.0
 FIRST_ELECTION_SHARE = 0.35
 # Above the share for which a leader acts after a confirmed round, in case it is alive after all.
 ENDED_LEADER_SHARE = 0.6
@@ -59,6 +61,8 @@
 class ControlNode(Handler):
     """One store.
 
+    ``last_requests_s``: longest time for the requests in progress at the end, s.
+
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param driver: :class:`~siskintally.driver.WorkerDriver`.
     :param advice: :class:`~siskintally.driver.Advice`.
@@ -84,6 +88,7 @@
         "book",
         "calls",
         "closing",
+        "last_requests_s",
         "state",
     )
 
@@ -96,6 +101,7 @@
         self._stopping = False
         self._stop_asked = Event()
         self.closing = Event()
+        self.last_requests_s = LAST_REQUESTS_S
         self._served = Event()
         self._works = None
         self._tasks = None
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -25,6 +25,8 @@
 DRAIN_S = 2.3
 # Readiness outlives a change of leaders, so that callers are not sent away for it.
 READY_S = 4.0
+# Part of the grace of a stop that is left when the platform has noticed that no more is wanted.
+LAST_REQUESTS_SHARE = 0.5
 
 log = get_logger("entry-node")
 
@@ -32,17 +34,29 @@
 class EntryNode(Handler):
     """One entry.
 
+    ``last_requests_s``: longest time for the requests in progress at the end, s.
+
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param advice: :class:`~siskintally.driver.Advice`.
     """
 
-    __slots__ = ("_advice", "_heard_at", "_mesh", "book", "calls", "closing", "stopping")
+    __slots__ = (
+        "_advice",
+        "_heard_at",
+        "_mesh",
+        "book",
+        "calls",
+        "closing",
+        "last_requests_s",
+        "stopping",
+    )
 
     def __init__(self, *, settings, advice):
         self._advice = advice
         self._heard_at = 0.0
         self.stopping = Event()
         self.closing = Event()
+        self.last_requests_s = settings.grace_s * LAST_REQUESTS_SHARE
         hello = Hello(name=settings.name, cell=CELL, incarnation=uuid4().hex)
         self._mesh = Mesh(own="", hello=hello, secret=settings.secret, handler=self)
         self._mesh.learn(settings.seed_links())
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -17,6 +17,7 @@
 
 # Part of a caller's time that is left for the way of the answer.
 TIME_SHARE = 0.85
+# For callers that say nothing, on a queue without a timeout.
 DEFAULT_TIME_S = 3.0
 # A leader is usually elected within the first time. The longer there has been none, the longer it
 # takes, and a caller that comes back too often has used up its retries by then.
@@ -89,28 +90,31 @@
         silent_s = self._book.silent_s(steady())
         return int(min(max(silent_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S))
 
-    async def submit(self, flow, *, time_s):
+    async def submit(self, flow, queue, *, deadline_s):
         """Hand in a flow; it is stored when this returns.
 
-        :param time_s: for how long the caller waits.
+        :param deadline_s: for how long the caller waits, None if it does not say.
         :raises OutcomeUnknownError: it may be stored or not.
         :raises SiskintallyError: it is not stored.
         """
-        await self._ask(FlowSubmit(flow=flow), flow.id, time_s)
+        await self._ask(FlowSubmit(flow=flow), flow.id, _time_s(queue, deadline_s))
 
-    async def cancel(self, flow_id, queue, *, time_s):
+    async def cancel(self, flow_id, queue, *, deadline_s):
         """Cancel a flow; return whether it is known."""
-        reply = await self._ask(FlowCancel(id=flow_id, queue=queue.name), flow_id, time_s)
+        body = FlowCancel(id=flow_id, queue=queue.name)
+        reply = await self._ask(body, flow_id, _time_s(queue, deadline_s))
         return reply.known
 
-    async def read(self, flow_id, queue, *, time_s):
+    async def read(self, flow_id, queue, *, deadline_s):
         """Return the state of a flow, or None if it is not known."""
-        reply = await self._ask(FlowRead(id=flow_id, queue=queue.name), flow_id, time_s)
+        body = FlowRead(id=flow_id, queue=queue.name)
+        reply = await self._ask(body, flow_id, _time_s(queue, deadline_s))
         return reply.state if reply.known else None
 
-    async def pending(self, queue, *, time_s):
+    async def pending(self, queue, *, deadline_s):
         """Return how many flows of a queue have not begun."""
-        reply = await self._ask(QueueRead(queue=queue.name), queue.name, time_s)
+        body = QueueRead(queue=queue.name)
+        reply = await self._ask(body, queue.name, _time_s(queue, deadline_s))
         return reply.pending
 
     async def _ask(self, body, name, time_s):
@@ -118,7 +122,7 @@
         call = type(body).__name__
         outcome = "done"
         try:
-            return await self._calls.call(body, timeout=(time_s or DEFAULT_TIME_S) * TIME_SHARE)
+            return await self._calls.call(body, timeout=time_s * TIME_SHARE)
         except RefusedError as error:
             outcome = error.code.name
             if error.code == Code.NOT_FOUND:
@@ -142,3 +146,11 @@
                 version=self._book.document.version,
                 took_ms=round(took_s * 1000),
             )
+
+
+def _time_s(queue, deadline_s):
+    """Return for how long a request may take: as the caller and the queue allow."""
+    limits = [queue.timeout_ms / 1000] if queue.timeout_ms else []
+    if deadline_s is not None:
+        limits.append(deadline_s)
+    return min(limits, default=DEFAULT_TIME_S)
--- a/siskintally/leader_calls.py
+++ b/siskintally/leader_calls.py
@@ -16,6 +16,8 @@
 ATTEMPT_S = 1.2
 # A caller is refused when the leader that is known cannot be reached for this long.
 UNREACHED_S = 0.6
+# Time for a call whose sender names none: two attempts and the search for another leader.
+CALL_S = 2.0
 
 
 class LeaderCalls:
@@ -37,9 +39,10 @@
         for scope in list(self._scopes):
             scope.cancel()
 
-    async def call(self, body, *, timeout):
+    async def call(self, body, *, timeout=CALL_S):
         """Call the leader until it answers or the time is over.
 
+        :param timeout: seconds.
         :raises NotLeaderError: no leader is known and no attempt can have had an effect.
         :raises OutcomeUnknownError: an attempt may have had an effect.
         :raises RefusedError: the leader refused.
--- a/siskintally/node_settings.py
+++ b/siskintally/node_settings.py
@@ -28,14 +28,12 @@
     "link_port": (int, _REQUIRED, 1, MAX_PORT),
     "seeds": (list, _REQUIRED, None, None),
     "founding": (bool, False, None, None),
-    "counts": (bool, False, None, None),
     "callers": (str, "", None, None),
     "ready": (str, "", None, None),
     "control": (str, "", None, None),
     "metrics_port": (int, 0, 0, MAX_PORT),
     "data": (str, "", None, None),
     "advice": (str, "", None, None),
-    "machines": (str, "", None, None),
     "tolerated": (int, 1, 0, 8),
     "secret": (str, "control-plane-links", None, None),
     "lease_max_ms": (int, 6000, 500, 600_000),
@@ -51,8 +49,8 @@
     """Settings of one process.
 
     ``seeds``: control addresses of some stores. ``founding``: whether the whole cell starts for
-    the first time. ``counts``: whether this process votes. ``callers``, ``ready``, ``control``:
-    addresses to listen on, empty for none. ``tolerated``: stores that may be lost at once.
+    the first time. ``callers``, ``ready``, ``control``: addresses to listen on, empty for none.
+    ``tolerated``: stores that may be lost at once.
     """
 
     __slots__ = tuple(_KEYS)
--- a/siskintally/platform/entry_command.py
+++ b/siskintally/platform/entry_command.py
@@ -16,9 +16,6 @@
 from siskintally.platform.process import define, load, serve
 from siskintally.platform.workers import PlatformAdvice
 
-# Part of the grace of a stop that is left when the platform has noticed that no more is wanted.
-LAST_REQUESTS_SHARE = 0.5
-
 
 def register(registry):
     """Add the command."""
@@ -37,4 +34,4 @@
         (ReadyApp(is_ready=lambda: node.is_ready), settings.ready),
         (MetricsApp(counters=counters), settings.metrics),
     )
-    return serve(node, apps, path, graceful_s=settings.grace_s * LAST_REQUESTS_SHARE)
+    return serve(node, apps, path)
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -31,7 +31,6 @@
 DEADLINE = "siskintally-deadline-ms"
 # The platform resends a heartbeat to another node after a second without an answer.
 HEARTBEAT_S = 0.8
-ORDER_S = 2.0
 MAX_CONFIG_BYTES = 4 * 1024 * 1024
 METRICS_TYPE = ("content-type", "text/plain; version=0.0.4")
 
@@ -77,31 +76,29 @@
         host = request.headers.get("host", "").partition(":")[0].lower()
         queue = self._gateway.queue(host, request.path)
         rest = request.path[len(queue.prefix) :]
-        time_s = _time_s(request, queue)
+        deadline_s = _deadline_s(request)
         if not rest and request.method == "GET":
-            return json_answer(200, {"pending": await self._gateway.pending(queue, time_s=time_s)})
+            pending = await self._gateway.pending(queue, deadline_s=deadline_s)
+            return json_answer(200, {"pending": pending})
         if not JOB_ID.fullmatch(rest):
             return json_answer(404, {"error": "no job of that name"})
         if request.method == "POST":
             flow = read_flow(rest, queue.name, request.body)
-            await self._gateway.submit(flow, time_s=time_s)
+            await self._gateway.submit(flow, queue, deadline_s=deadline_s)
             return json_answer(200, {})
         if request.method == "DELETE":
-            is_known = await self._gateway.cancel(rest, queue, time_s=time_s)
+            is_known = await self._gateway.cancel(rest, queue, deadline_s=deadline_s)
             return json_answer(200 if is_known else GONE, {})
         if request.method == "GET":
-            state = await self._gateway.read(rest, queue, time_s=time_s)
+            state = await self._gateway.read(rest, queue, deadline_s=deadline_s)
             return json_answer(GONE, {}) if state is None else json_answer(200, {"state": state})
         return json_answer(405, {"error": "expected GET, POST or DELETE"})
 
 
-def _time_s(request, queue):
-    """Return for how long the client waits."""
+def _deadline_s(request):
+    """Return for how long the client waits, None if it does not say."""
     text = request.headers.get(DEADLINE, "")
-    limits = [queue.timeout_ms] if queue.timeout_ms else []
-    if text.isdecimal():
-        limits.append(int(text))
-    return min(limits) / 1000 if limits else None
+    return int(text) / 1000 if text.isdecimal() else None
 
 
 class ReadyApp(PlatformApp):
@@ -170,11 +167,11 @@
     async def _replace(self, request):
         document = read_document(request.body)
         check_document(document)
-        await self._calls.call(DocumentPut(document=document), timeout=ORDER_S)
+        await self._calls.call(DocumentPut(document=document))
         return json_answer(200, {})
 
     async def _get(self):
-        reply = await self._calls.call(DocumentRead(), timeout=ORDER_S)
+        reply = await self._calls.call(DocumentRead())
         if not reply.document.version:
             return json_answer(UNAVAILABLE, {"error": "no configuration yet"})
         headers = [("content-type", "application/json")]
--- a/siskintally/platform/process.py
+++ b/siskintally/platform/process.py
@@ -47,22 +47,20 @@
     return path, settings
 
 
-def serve(node, apps, path, *, graceful_s):
+def serve(node, apps, path):
     """Run a node with its HTTP servers until a signal; SIGHUP reads the seeds again.
 
     :param apps: pairs of an app and the address it listens on, which may be empty.
-    :param graceful_s: longest time for the requests in progress at the end, s.
     """
     bound = [(app, address) for app, address in apps if address]
-    servers = partial(_serve_all, bound, node.closing, graceful_s)
+    servers = partial(_serve_all, bound, node)
     return serve_until_signal(
         partial(node.run, servers), node.stop, lambda: node.learn_seeds(load_node(path))
     )
 
 
-async def _serve_all(apps, until, graceful_s):
+async def _serve_all(apps, node):
+    serve_one = partial(serve_http, until=node.closing, graceful_s=node.last_requests_s)
     async with create_task_group() as tasks:
         for app, address in apps:
-            tasks.start_soon(
-                partial(serve_http, app, address=address, until=until, graceful_s=graceful_s)
-            )
+            tasks.start_soon(partial(serve_one, app, address=address))
--- a/siskintally/platform/store_command.py
+++ b/siskintally/platform/store_command.py
@@ -15,8 +15,6 @@
 from siskintally.platform.process import define, load, serve
 from siskintally.platform.workers import PlatformAdvice, PlatformWorkers
 
-LAST_REQUESTS_S = 1.0
-
 
 def register(registry):
     """Add the command."""
@@ -38,4 +36,4 @@
         (ControlApp(calls=node.calls), settings.control),
         (MetricsApp(counters=counters), settings.metrics),
     )
-    return serve(node, apps, path, graceful_s=LAST_REQUESTS_S)
+    return serve(node, apps, path)
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -30,7 +30,6 @@
 # The worker returns at most this many ends in one response.
 ENDS_PER_REPORT = 500
 MISDIRECTED = 421
-CONFLICT = 409
 BUSY = (429, 503)
 REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -36,6 +36,23 @@
     "siskintally.queue_checks",
 }
 DECIDING = {"time", "random", "anyio.sleep", "siskintally.clock"}
+# Statuses and bounds that the platform's pages state.
+PLATFORM_NUMBERS = {
+    "BUSY",
+    "ENDS_PER_REPORT",
+    "GONE",
+    "HEARTBEAT_S",
+    "MAX_CONFIG_BYTES",
+    "MAX_INTEGER",
+    "MAX_NUMBER",
+    "MAX_STEP",
+    "METRICS_TYPE",
+    "MISDIRECTED",
+    "STATUS_BY_CODE",
+    "UNAVAILABLE",
+}
+# Calls that choose among values; a translation takes each value as it comes.
+CHOOSING = {"min", "max", "sorted"}
 MAX_LINES = 900
 
 
@@ -70,6 +87,11 @@
             yield node.module
 
 
+def is_plain_call(node):
+    """Tell whether a node calls a function by its bare name."""
+    return isinstance(node, ast.Call) and isinstance(node.func, ast.Name)
+
+
 def wire_names():
     """Return the platform's field names, as the folder has them in string literals."""
     return {
@@ -103,6 +125,21 @@
     assert users == set()
 
 
+def test_the_numbers_of_the_folder_are_the_platforms():
+    """Guards against times and limits that the adapter chooses in place of the product."""
+    found = {
+        node.targets[0].id
+        for _, tree in modules(FOLDER)
+        for node in tree.body
+        if isinstance(node, ast.Assign)
+        and any(
+            isinstance(part, ast.Constant) and isinstance(part.value, int | float)
+            for part in ast.walk(node.value)
+        )
+    }
+    assert found <= PLATFORM_NUMBERS, found - PLATFORM_NUMBERS
+
+
 def test_the_folder_translates_and_decides_nothing():
     """Guards against retries, timers, and choices that move into the adapter.
 
@@ -115,5 +152,7 @@
             is_own = name.startswith("siskintally.") and not name.startswith("siskintally.platform")
             assert not is_own or name in ALLOWED_IMPORTS, (path.name, name)
             assert name not in DECIDING, (path.name, name)
+        called = {node.func.id for node in ast.walk(tree) if is_plain_call(node)}
+        assert not called & CHOOSING, (path.name, called & CHOOSING)
     lines = sum(len(path.read_text().splitlines()) for path, _ in modules(FOLDER))
     assert lines <= MAX_LINES
