Split the three large files, and walk replicas that write behind

The random schedules of the replica run a second time with a leader that crashes before its disk has what it sent.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -27,19 +27,20 @@
     ),
     "Flows (jobs made of steps)": (
         "flow task_id flow_checks flow_scheduler placing advising observing pacing fleet "
-        "worker_lease flow_timing control_state queue_checks actions racing conductor "
+        "worker_lease flow_timing control_state queue_checks actions racing authority "
+        "retirement conductor flow_orders "
         "keeper look_wait lanes step_text flow_trace flow_report "
         "advice_lanes flow_desk "
         "driver stub_pool"
     ),
     "Processes of the control plane": (
-        "control_node entry_node flow_gateway leader_book leader_calls mesh node_settings "
-        "http_pool counters"
+        "control_group control_node entry_node flow_gateway leader_book leader_calls mesh "
+        "node_settings http_pool counters"
     ),
     "Replicated log": (
         "replica election replication following membership preference progress raftlog messages "
         "effects stable timing encoding journal records group inbox group_inputs "
-        "write_behind applier "
+        "write_behind group_disk applier "
         "joins roster "
         "member_changes handover group_calls leadership waiters watchers machine"
     ),
--- a/siskintally/conductor.py
+++ b/siskintally/conductor.py
@@ -1,7 +1,7 @@
 """The leader of a control group at work: places tasks, keeps workers, commits ends.
 
->>> from siskintally.conductor import AUTHORITY_SHARE
->>> 0 < AUTHORITY_SHARE < 1
+>>> from siskintally.conductor import GATHER_S, IDLE_PASS_S
+>>> GATHER_S < IDLE_PASS_S
 True
 """
 
@@ -9,35 +9,24 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
+from siskintally.authority import Authority
 from siskintally.clock import now as steady
-from siskintally.control_pb2 import (
-    ControlCommand,
-    EndBatch,
-    FlowIds,
-    StartBatch,
-    TaskEnd,
-    TaskStart,
-    WorkerKey,
-)
+from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, TaskEnd, WorkerKey
 from siskintally.control_state import Outcome
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
 from siskintally.fleet import Standing
+from siskintally.flow_orders import FlowOrders
 from siskintally.flow_scheduler import FlowScheduler
 from siskintally.keeper import Keeper
 from siskintally.lanes import Lanes
 from siskintally.log import get_logger
 from siskintally.look_wait import LookWait
+from siskintally.retirement import Retirement
 from siskintally.worker_lease import longest_s
 
-# Nobody else can be elected while a quorum has heard this leader within the shortest election
-# timeout, or a share of it that is larger than this one if its process has ended. The rest covers
-# clocks that differ, and members that forget it by a restart.
-AUTHORITY_SHARE = 0.5
-CONFIRM_S = 0.15
 # Events within this time share one pass over the waiting tasks.
 GATHER_S = 0.004
 IDLE_PASS_S = 0.1
-ADVICE_MARGIN_S = 1.5
 RETIRE_S = 10.0
 # Orders get no answer for seconds when something is wrong with workers or links.
 TROUBLED_WAIT_S = 0.3
@@ -58,17 +47,16 @@
     """
 
     __slots__ = (
-        "_authority_until",
-        "_authorized",
         "_counters",
         "_driver",
         "_group",
         "_keeper_by_worker",
-        "_lanes",
+        "_orders",
         "_scope",
         "_tasks",
         "_timing",
         "_wake",
+        "authority",
         "is_over",
         "look_wait",
         "scheduler",
@@ -82,15 +70,14 @@
         self.scheduler = FlowScheduler(term=group.term)
         self._group = group
         self._driver = driver
-        self._lanes = Lanes(lanes=lanes)
+        self._orders = FlowOrders(leader=self, lanes=Lanes(lanes=lanes), counters=counters)
         self._timing = timing
         self._counters = counters
         self._keeper_by_worker = {}
         self.look_wait = LookWait(
             calm_s=timing.wait_s, troubled_s=TROUBLED_WAIT_S, memory_s=TROUBLE_MEMORY_S
         )
-        self._authority_until = 0.0
-        self._authorized = Event()
+        self.authority = Authority(group=group, election_min_s=timing.election_min_s)
         self._wake = Event()
         self._scope = None
         self._tasks = None
@@ -107,7 +94,7 @@
             self._scope = tasks.cancel_scope
             for worker in list(self.scheduler.worker_by_id.values()):
                 self._keep(worker).lease.wait_out(former_leases)
-            tasks.start_soon(self._confirm)
+            tasks.start_soon(self._hold_authority)
             tasks.start_soon(self._pass_on)
             tasks.start_soon(self._retire)
         self.is_over = True
@@ -123,36 +110,20 @@
         log.warning("deposed", term=self.term, reason=reason)
         self.cancel()
 
-    async def _confirm(self):
-        """Keep the authority of this leader: a quorum still follows it."""
-        while True:
-            asked_at = steady()
-            try:
-                with move_on_after(self._timing.election_min_s * 2) as scope:
-                    await self._group.confirm()
-            except SiskintallyError as error:
-                self.deposed(str(error))
-                return
-            if not scope.cancelled_caught:
-                share = self._timing.election_min_s * AUTHORITY_SHARE
-                self._authority_until = asked_at + share
-                self._authorized.set()
-                self._authorized = Event()
-            await sleep(CONFIRM_S)
+    async def _hold_authority(self):
+        try:
+            await self.authority.run()
+        except SiskintallyError as error:
+            self.deposed(str(error))
 
     async def _retire(self):
         """Forget flows whose outcome nobody asks for any more."""
-        over_since = {}
+        retirement = Retirement(keep_s=self._timing.keep_s)
         while True:
             await sleep(RETIRE_S)
-            now = steady()
-            over = [
-                flow_id
-                for flow_id, flow in self.state.flow_by_id.items()
-                if flow.outcome != Outcome.OPEN
-            ]
-            over_since = {flow_id: over_since.get(flow_id, now) for flow_id in over}
-            old = [one for one, since in over_since.items() if now - since > self._timing.keep_s]
+            flows = self.state.flow_by_id.values()
+            closed = [state.flow.id for state in flows if state.outcome != Outcome.OPEN]
+            old = retirement.old(closed, steady())
             if old:
                 log.info("flows forgotten", count=len(old))
                 try:
@@ -160,15 +131,6 @@
                 except (NotLeaderError, OutcomeUnknownError) as error:
                     self.deposed(str(error))
 
-    async def has_authority(self):
-        """Wait until a quorum is known to follow this leader.
-
-        :returns: whether it does; the term ends otherwise.
-        """
-        while steady() >= self._authority_until:
-            await self._authorized.wait()
-        return True
-
     def wake(self):
         """Look at the waiting tasks soon."""
         self._wake.set()
@@ -179,102 +141,7 @@
                 await self._wake.wait()
             await sleep(GATHER_S)
             self._wake = Event()
-            self._run_pass(steady(), int(time() * 1000))
-
-    def _run_pass(self, now, wall_ms):
-        scheduler = self.scheduler
-        actions = list(scheduler.place(now, wall_ms))
-        for action in actions:
-            self._counters.starts.inc()
-            self._counters.start_seconds.observe(now - action.task.step.flow.arrived)
-            log.info(
-                "start",
-                task=action.task.id,
-                run=action.run,
-                worker=action.worker.id,
-                term=self.term,
-                waited_ms=round((now - action.task.step.flow.arrived) * 1000),
-            )
-        if actions:
-            self._tasks.start_soon(self._send_starts, actions)
-        self._send_stops()
-        self._send_paces()
-        for action in scheduler.advice_wanted(now, wall_ms):
-            lane = self._lanes.take(is_quick=action.is_quick)
-            if lane is not None:
-                action.step.asking = True
-                self._tasks.start_soon(self._ask, lane, action)
-
-    async def _send_starts(self, actions):
-        """Commit where tasks are started, then send the orders.
-
-        The next leader needs to wait only for the workers on record, not for every silent one.
-        """
-        starts = [
-            TaskStart(
-                task=action.task.id,
-                run=action.run,
-                worker=action.worker.id,
-                born_ms=action.worker.record.born_ms,
-            )
-            for action in actions
-        ]
-        try:
-            await self.propose(starts=StartBatch(starts=starts))
-        except (NotLeaderError, OutcomeUnknownError) as error:
-            self.deposed(str(error))
-            return
-        for action in actions:
-            keeper = self._keeper_by_worker.get(action.worker.id)
-            if keeper is not None and keeper.worker is action.worker:
-                self._tasks.start_soon(keeper.start, action)
-
-    def _send_paces(self):
-        paces, self.scheduler.paces = self.scheduler.paces, []
-        for action in paces:
-            keeper = self._keeper_by_worker.get(action.worker.id)
-            if keeper is not None and keeper.worker is action.worker:
-                self._counters.paces.inc()
-                log.info(
-                    "pace", task=action.task.id, worker=action.worker.id, percent=action.percent
-                )
-                self._tasks.start_soon(keeper.pace, action)
-
-    def _send_stops(self):
-        stops, self.scheduler.stops = self.scheduler.stops, []
-        for action in stops:
-            keeper = self._keeper_by_worker.get(action.worker.id)
-            if keeper is not None and keeper.worker is action.worker:
-                self._counters.stops.inc()
-                log.info("stop", task=action.task_id, run=action.run, worker=action.worker.id)
-                keeper.wake()
-                self._tasks.start_soon(keeper.stop, action)
-
-    async def _ask(self, lane, action):
-        tickets = None
-        asked_at = steady()
-        timeout = action.expected_s + ADVICE_MARGIN_S
-        try:
-            tickets = await lane.ask(action.step.id, action.worker_ids, timeout=timeout)
-        except SiskintallyError as error:
-            log.info("advice failed", step=action.step.id, lane=lane.name, error=str(error)[:120])
-        finally:
-            self._lanes.give_back(lane)
-        now = steady()
-        self._counters.advice_seconds.observe(now - asked_at)
-        queue = action.step.flow.queue
-        valid_s = queue.advice.valid_ms / 1000 if queue is not None else 0.0
-        self.scheduler.advised(action, tickets, now + valid_s, now)
-        if tickets is not None:
-            log.info(
-                "advice",
-                step=action.step.id,
-                lane=lane.name,
-                asked=len(action.worker_ids),
-                allowed=len(tickets),
-                took_ms=round((now - asked_at) * 1000),
-            )
-        self.wake()
+            self._orders.run_pass(steady(), int(time() * 1000), self._tasks)
 
     def _keep(self, worker):
         keeper = Keeper(worker=worker, leader=self, driver=self._driver, timing=self._timing)
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -1,11 +1,10 @@
 """Store process of a control plane: a replica of the control group, and its leader's work.
 
->>> from siskintally.control_node import GROUP
->>> GROUP
-'control'
+>>> from siskintally.control_node import NOTICE_S
+>>> NOTICE_S < 1.0
+True
 """
 
-from pathlib import Path
 from uuid import uuid4
 
 from anyio import Event, create_task_group, move_on_after, sleep
@@ -13,6 +12,7 @@
 from siskintally.advice_lanes import LocalLane, RemoteLane, answer_advice
 from siskintally.clock import now as steady
 from siskintally.conductor import Conductor
+from siskintally.control_group import flow_timing, found_group, make_group
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
 from siskintally.control_state import ControlState
 from siskintally.errors import (
@@ -23,36 +23,19 @@
     StoppedError,
 )
 from siskintally.flow_desk import FlowDesk
-from siskintally.flow_timing import FlowTiming
-from siskintally.group import Group
-from siskintally.journal import found
 from siskintally.leader_book import LeaderBook
 from siskintally.leader_calls import LeaderCalls
 from siskintally.link import LinkServer
 from siskintally.liveness import LinkTiming
 from siskintally.log import get_logger
 from siskintally.mesh import CELL, Mesh
-from siskintally.messages import Identity
-from siskintally.roster import OpenRoster
 from siskintally.session import Handler
-from siskintally.timing import Timing
 from siskintally.wire_pb2 import Hello, JoinRequest
 
-GROUP = "control"
-FOUNDING = "founding"
 NOTICE_S = 0.3
 DISK_RETRY_S = 0.5
 # Longest time for the requests in progress when a store ends.
 LAST_REQUESTS_S = 1.0
-FIRST_ELECTION_SHARE = 0.35
-# Above the share for which a leader acts after a confirmed round, in case it is alive after all.
-ENDED_LEADER_SHARE = 0.6
-# Longer than a round of votes between regions, 16 ms and the sync of a vote.
-STAGGER_S = 0.1
-# With the start of the process itself, longer than a leader may act without its quorum.
-QUIET_START_S = 0.25
-# A voter that has gone makes room for its successor; a shorter silence may be a restart.
-SILENT_VOTER_S = 2.0
 ACCEPTED_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, silence_s=1.5)
 
 log = get_logger("control-node")
@@ -119,52 +102,14 @@
         self.book = LeaderBook(fresh_s=settings.fresh_ms / 1000)
         self.calls = LeaderCalls(book=self.book, call=self._call)
         self.state = ControlState()
-        self._group = self._make_group()
-
-    def _make_group(self):
-        settings = self._settings
-        flow_timing = self._flow_timing()
-        return Group(
-            name=GROUP,
-            process=settings.link,
-            founding_members=(),
-            roster=OpenRoster(
-                contacts=self._mesh.addresses,
-                tolerated=settings.tolerated,
-                silence_s=SILENT_VOTER_S,
-            ),
-            folder=Path(settings.data) / "group-control",
-            machine=self.state,
-            send=self._mesh.send,
-            timing=Timing(
-                busy_beat_s=0.2,
-                idle_beat_s=0.2,
-                election_min_s=flow_timing.election_min_s,
-                election_max_s=flow_timing.election_min_s * 1.6,
-                first_election_share=FIRST_ELECTION_SHARE,
-                ended_leader_share=ENDED_LEADER_SHARE,
-                retry_election_share=FIRST_ELECTION_SHARE,
-                stagger_s=STAGGER_S,
-                election_spread_s=STAGGER_S / 2,
-                quiet_start_s=QUIET_START_S,
-            ),
-            stable_s=float("inf"),
-            sync_in_thread=True,
+        self._group = make_group(
+            settings, machine=self.state, contacts=self._mesh.addresses, send=self._mesh.send
         )
 
     def _store_ended(self, address):
         """Note that the process at the address of a store has ended."""
         self._group.peer_ended(address)
 
-    def _flow_timing(self):
-        settings = self._settings
-        return FlowTiming.derive(
-            lease_max_s=settings.lease_max_ms / 1000,
-            thaw_s=settings.thaw_ms / 1000,
-            contact_s=settings.contact_ms / 1000,
-            status_s=settings.status_s,
-        )
-
     @property
     def document(self):
         """Newest configuration that is known to be committed."""
@@ -185,7 +130,7 @@
 
         :param serve: async function that serves requests until ``closing`` is set.
         """
-        self._found()
+        found_group(self._settings)
         async with create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._serve)
@@ -214,18 +159,6 @@
                 log.error("disk failed", error=str(error))
             await sleep(DISK_RETRY_S)
 
-    def _found(self):
-        """Write the founding state; all founding stores write the same."""
-        settings = self._settings
-        folder = Path(settings.data) / "group-control"
-        voters = settings.seed_links()
-        if not settings.founding or settings.link not in voters or folder.exists():
-            return
-        folder.parent.mkdir(parents=True, exist_ok=True)
-        identities = tuple(Identity(name, FOUNDING) for name in sorted(voters))
-        found(folder, group=GROUP, name=settings.link, voters=identities, incarnation=FOUNDING)
-        log.info("group founded", voters=sorted(voters))
-
     async def _serve(self):
         log.info("serving", link=self._settings.link)
         await self._server.serve(host=self._settings.ip, port=self._settings.link_port)
@@ -268,7 +201,7 @@
             state=self.state,
             driver=self._driver,
             lanes=self._lanes,
-            timing=self._flow_timing(),
+            timing=flow_timing(self._settings),
             counters=self._counters,
         )
         self._desk = FlowDesk(conductor=conductor, published=self._publish)
--- /dev/null
+++ b/siskintally/flow_orders.py
@@ -0,0 +1,133 @@
+"""Orders of a leader: what its scheduler decides, on the way to workers and the advice service.
+
+>>> from siskintally.flow_orders import ADVICE_MARGIN_S
+>>> ADVICE_MARGIN_S > 0
+True
+"""
+
+from siskintally.clock import now as steady
+from siskintally.control_pb2 import StartBatch, TaskStart
+from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
+from siskintally.log import get_logger
+
+# Time for an answer of the advice service beyond the one that its terms promise.
+ADVICE_MARGIN_S = 1.5
+
+log = get_logger("flow-orders")
+
+
+class FlowOrders:
+    """Sends starts, stops, paces, and calls for advice.
+
+    :param leader: :class:`~siskintally.conductor.Conductor`.
+    :param lanes: :class:`~siskintally.lanes.Lanes`.
+    :param counters: :class:`~siskintally.counters.Counters`.
+    """
+
+    __slots__ = ("_counters", "_lanes", "_leader")
+
+    def __init__(self, *, leader, lanes, counters):
+        self._leader = leader
+        self._lanes = lanes
+        self._counters = counters
+
+    def run_pass(self, now, wall_ms, tasks):
+        """Send what the scheduler decides now.
+
+        :param now: steady time, s.
+        :param wall_ms: Unix time, ms.
+        :param tasks: task group for the calls.
+        """
+        scheduler = self._leader.scheduler
+        actions = list(scheduler.place(now, wall_ms))
+        for action in actions:
+            self._counters.starts.inc()
+            self._counters.start_seconds.observe(now - action.task.step.flow.arrived)
+            log.info(
+                "start",
+                task=action.task.id,
+                run=action.run,
+                worker=action.worker.id,
+                term=self._leader.term,
+                waited_ms=round((now - action.task.step.flow.arrived) * 1000),
+            )
+        if actions:
+            tasks.start_soon(self._send_starts, actions, tasks)
+        self._send_stops(tasks)
+        self._send_paces(tasks)
+        for action in scheduler.advice_wanted(now, wall_ms):
+            lane = self._lanes.take(is_quick=action.is_quick)
+            if lane is not None:
+                action.step.asking = True
+                tasks.start_soon(self._ask, lane, action)
+
+    async def _send_starts(self, actions, tasks):
+        """Commit where tasks are started, then send the orders.
+
+        The next leader needs to wait only for the workers on record, not for every silent one.
+        """
+        starts = [
+            TaskStart(
+                task=action.task.id,
+                run=action.run,
+                worker=action.worker.id,
+                born_ms=action.worker.record.born_ms,
+            )
+            for action in actions
+        ]
+        try:
+            await self._leader.propose(starts=StartBatch(starts=starts))
+        except (NotLeaderError, OutcomeUnknownError) as error:
+            self._leader.deposed(str(error))
+            return
+        for action in actions:
+            keeper = self._leader.keeper_of(action.worker.id)
+            if keeper is not None and keeper.worker is action.worker:
+                tasks.start_soon(keeper.start, action)
+
+    def _send_paces(self, tasks):
+        paces, self._leader.scheduler.paces = self._leader.scheduler.paces, []
+        for action in paces:
+            keeper = self._leader.keeper_of(action.worker.id)
+            if keeper is not None and keeper.worker is action.worker:
+                self._counters.paces.inc()
+                log.info(
+                    "pace", task=action.task.id, worker=action.worker.id, percent=action.percent
+                )
+                tasks.start_soon(keeper.pace, action)
+
+    def _send_stops(self, tasks):
+        stops, self._leader.scheduler.stops = self._leader.scheduler.stops, []
+        for action in stops:
+            keeper = self._leader.keeper_of(action.worker.id)
+            if keeper is not None and keeper.worker is action.worker:
+                self._counters.stops.inc()
+                log.info("stop", task=action.task_id, run=action.run, worker=action.worker.id)
+                keeper.wake()
+                tasks.start_soon(keeper.stop, action)
+
+    async def _ask(self, lane, action):
+        tickets = None
+        asked_at = steady()
+        timeout = action.expected_s + ADVICE_MARGIN_S
+        try:
+            tickets = await lane.ask(action.step.id, action.worker_ids, timeout=timeout)
+        except SiskintallyError as error:
+            log.info("advice failed", step=action.step.id, lane=lane.name, error=str(error)[:120])
+        finally:
+            self._lanes.give_back(lane)
+        now = steady()
+        self._counters.advice_seconds.observe(now - asked_at)
+        queue = action.step.flow.queue
+        valid_s = queue.advice.valid_ms / 1000 if queue is not None else 0.0
+        self._leader.scheduler.advised(action, tickets, now + valid_s, now)
+        if tickets is not None:
+            log.info(
+                "advice",
+                step=action.step.id,
+                lane=lane.name,
+                asked=len(action.worker_ids),
+                allowed=len(tickets),
+                took_ms=round((now - asked_at) * 1000),
+            )
+        self._leader.wake()
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -11,19 +11,17 @@
 
 from random import uniform
 
-from anyio import Event, create_task_group
-from anyio.to_thread import run_sync
+from anyio import Event
 
 from siskintally.applier import Applier
 from siskintally.clock import now as steady
 from siskintally.effects import Effects
 from siskintally.encoding import decode, encode
-from siskintally.errors import DamagedDataError
 from siskintally.group_calls import GroupCalls
+from siskintally.group_disk import GroupDisk
 from siskintally.group_inputs import Arrival, PeerEnded, Stop
 from siskintally.handover import Handover
 from siskintally.inbox import Inbox
-from siskintally.journal import Journal, set_aside
 from siskintally.leadership import LeadershipState
 from siskintally.log import get_logger
 from siskintally.member_changes import MemberChanges
@@ -34,15 +32,12 @@
 from siskintally.timing import Timing
 from siskintally.waiters import Waiter
 from siskintally.wire_pb2 import JoinReply, JoinRequest
-from siskintally.write_behind import WriteBehind
 
 INBOX_MESSAGES = 4096
 BATCH_ITEMS = 1024
 SNAPSHOT_ENTRIES = 5000
 SNAPSHOT_BYTES = 16 * 1024 * 1024
 KEPT_ENTRIES = 1000
-# A disk that takes longer for a sync hangs: slow ones of the platform take up to 0.3 s.
-HUNG_DISK_S = 0.6
 
 log = get_logger("group")
 
@@ -65,9 +60,8 @@
     :param snapshot_bytes: bytes of commands between two snapshots.
     :param stable_s: age of a term at which the first founding member gets leadership back, seconds.
     :param batch_items: inputs that share one sync; 1 turns group commit off.
-    :param sync_in_thread: whether appends sync in a worker thread, so that a disk that takes
-        milliseconds or hangs does not hold up the rest of the process. A leader then goes on while
-        its own entries are synced, and hands leadership over when its disk hangs.
+    :param sync_in_thread: for disks that take milliseconds or hang; see
+        :class:`~siskintally.group_disk.GroupDisk`.
     """
 
     __slots__ = (
@@ -76,18 +70,16 @@
         "_batch_items",
         "_calls",
         "_changes",
+        "_disk",
         "_ended",
         "_handover",
         "_inbox",
-        "_journal",
         "_kept_entries",
         "_leadership",
         "_preference",
         "_replica",
         "_send",
-        "_sync_in_thread",
         "_timing",
-        "_writer",
         "folder",
         "founding_members",
         "name",
@@ -121,24 +113,20 @@
         )
         self._send = send
         self._timing = timing or Timing()
-        self._kept_entries = kept_entries
-        self._batch_items = batch_items
+        self._kept_entries, self._batch_items = kept_entries, batch_items
         self._inbox = Inbox(max_messages=INBOX_MESSAGES)
         self._batch = []
-        self._journal = self._replica = self._writer = None
+        self._replica = None
+        self._disk = GroupDisk(folder=folder, group=name, process=process, in_thread=sync_in_thread)
         roster = roster or FixedRoster(names=self.founding_members)
-        self._sync_in_thread = sync_in_thread
         self._leadership = LeadershipState(process=process, roster=roster)
         self._calls = GroupCalls(group=name, process=process, leadership=self._leadership)
         self._changes = MemberChanges(group=name, process=process, roster=roster, send=send)
         self._handover = Handover()
-        self._preference = self._make_preference(stable_s)
+        first = next(iter(self.founding_members), "")
+        self._preference = Preference(group=name, preferred=first, stable_s=stable_s)
         self._ended = Event()
 
-    def _make_preference(self, stable_s):
-        first = self.founding_members[0] if self.founding_members else ""
-        return Preference(group=self.name, preferred=first, stable_s=stable_s)
-
     @property
     def term(self):
         """Present term."""
@@ -227,7 +215,7 @@
 
     async def stop(self):
         """Finish accepted calls, hand leadership over, and end :meth:`run`."""
-        if self._journal is None:
+        if not self._disk.is_open:
             return
         await self._inbox.put(Stop())
         await self._ended.wait()
@@ -240,12 +228,11 @@
         self._ended = Event()
         self._open()
         try:
-            await self._run_beside_writer()
+            await self._disk.run_beside(self._loop)
         finally:
             self._publish(Leadership(term=self.term, leader="", is_leader=False))
             self._calls.end(self._batch, self._inbox.drain())
-            self._journal.close()
-            self._journal = None
+            self._disk.close()
             self._ended.set()
 
     async def _ask(self, waiter):
@@ -255,49 +242,27 @@
         return await waiter.wait()
 
     def _open(self):
-        try:
-            self._journal = Journal.open(self.folder, group=self.name, name=self.process)
-        except DamagedDataError as error:
-            kept = set_aside(self.folder)
-            log.error("data folder damaged", group=self.name, error=str(error), kept=str(kept))
-            self._journal = Journal.open(self.folder, group=self.name, name=self.process)
-        stable = self._journal.stable
+        journal = self._disk.open(wake=self._inbox.wake)
         self._replica = Replica(
-            identity=self._journal.identity,
-            stable=stable,
+            identity=journal.identity,
+            stable=journal.stable,
             timing=self._timing,
             timeout=self._election_timeout,
             now=steady(),
         )
         self._handover = Handover()
-        self._applier.restore(stable.snapshot)
-        self._writer = WriteBehind(
-            write=lambda effects: self._journal.write(effects, None), wake=self._inbox.wake
-        )
+        self._applier.restore(journal.stable.snapshot)
 
     def _election_timeout(self):
         timing = self._timing
         return timing.election_min_s + uniform(0.0, timing.election_spread_s)
 
-    async def _run_beside_writer(self):
-        """Run the loop and the writer; an error of the loop is not wrapped into a group."""
-        failure = None
-        async with create_task_group() as tasks:
-            tasks.start_soon(self._writer.run)
-            try:
-                await self._loop()
-            except OSError as error:
-                failure = error
-            tasks.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-
     async def _loop(self):
         while not self._handover.is_over(self._replica, steady()):
             self._batch = await self._inbox.gather(self._next_time() - steady(), self._batch_items)
             now = steady()
             effects = Effects()
-            self._take_written(now, effects)
+            self._disk.advance(self._replica, now, effects)
             waiters = self._take(self._batch, now, effects)
             if self.is_leader:
                 self._calls.begin(waiters, self._replica, now, effects)
@@ -317,16 +282,6 @@
         replica = self._replica
         return min(replica.next_tick(), self._changes.due(replica), self._handover.due)
 
-    def _take_written(self, now, effects):
-        """Count what the own disk has now, and leave the office if it hangs."""
-        written = self._writer.take_written()
-        if written is not None:
-            effects.extend(self._replica.synced(*written, now))
-        is_hung = self._writer.busy_s(now) > HUNG_DISK_S
-        if is_hung and self._replica.is_leader and self._replica.transfer_to is None:
-            log.warning("disk hangs", group=self.name, seconds=round(self._writer.busy_s(now), 1))
-            effects.extend(self._replica.transfer(now))
-
     def _take(self, items, now, effects):
         """Hand messages to the replica; return the calls."""
         waiters = []
@@ -346,35 +301,17 @@
 
     async def _carry_out(self, effects):
         replica = self._replica
-        if self._may_write_behind(effects):
-            last = (replica.log.last_index, replica.log.last_term)
-            self._writer.add(effects.entries, last)
+        if self._disk.may_follow(effects, replica):
+            self._disk.follow(effects, replica)
             self._finish(effects)
             return
-        if effects.must_sync:
-            # Keeps the order of the log on disk.
-            await self._writer.drain()
         while effects.must_sync:
             last = (replica.log.last_index, replica.log.last_term)
-            # On a disk of 0.2 ms, a sync of a few records costs less CPU and less time in the event
-            # loop than the change to a worker thread and back. A snapshot must not block.
-            if effects.snapshot is not None or self._sync_in_thread:
-                await run_sync(self._journal.write, effects, lambda: replica.stable)
-            else:
-                self._journal.write(effects, lambda: replica.stable)
+            await self._disk.write(effects, replica)
             self._finish(effects)
             effects = replica.synced(*last, steady())
         self._finish(effects)
 
-    def _may_write_behind(self, effects):
-        """Tell whether entries may be sent, and committed by others, before the own disk has them.
-
-        A vote or a term, in contrast, has to be on disk first.
-        """
-        is_plain = effects.hard_state is None and effects.snapshot is None
-        may_wait = self._sync_in_thread and self._replica.is_leader
-        return bool(effects.entries) and is_plain and may_wait
-
     def _finish(self, effects):
         """Send, apply, and answer what a sync has made safe."""
         for to, message in effects.messages:
--- a/siskintally/keeper.py
+++ b/siskintally/keeper.py
@@ -143,8 +143,7 @@
             and task.state == TaskState.STARTING
             and self.worker.standing in (Standing.READY, Standing.SUSPECT)
         ):
-            if not await self._leader.has_authority():
-                return
+            await self._leader.authority.wait()
             refusal, sent = await self._try_start(action, was_sent)
             was_sent = was_sent or sent
             if refusal is not None:
@@ -225,8 +224,7 @@
             and self.worker.fill_percent == action.percent
             and self.worker.standing in (Standing.READY, Standing.SUSPECT)
         ):
-            if not await self._leader.has_authority():
-                return
+            await self._leader.authority.wait()
             try:
                 await self._driver.pace(self.worker.record, order, timeout=self._timing.order_s)
             except GoneError as error:
@@ -242,8 +240,7 @@
         """Send a stop until it is confirmed or nothing can run there any more."""
         order = Order(task_id=action.task_id, run=action.run, fence=self._leader.term)
         while self.worker.standing in (Standing.UNSEEN, Standing.READY, Standing.SUSPECT):
-            if not await self._leader.has_authority():
-                return
+            await self._leader.authority.wait()
             sent_at = steady()
             try:
                 reply = await self._driver.stop(
--- /dev/null
+++ b/siskintally/retirement.py
@@ -0,0 +1,30 @@
+"""Which closed flows have been kept for long enough; pure.
+
+>>> from siskintally.retirement import Retirement
+>>> retirement = Retirement(keep_s=60.0)
+>>> retirement.old(["f"], now=0.0), retirement.old(["f"], now=61.0)
+([], ['f'])
+"""
+
+
+class Retirement:
+    """Closed flows and when they were first seen closed.
+
+    :param keep_s: time for which the outcome of a flow is kept.
+    """
+
+    __slots__ = ("_keep_s", "_since_by_flow")
+
+    def __init__(self, *, keep_s):
+        self._keep_s = keep_s
+        self._since_by_flow = {}
+
+    def old(self, closed, now):
+        """Return the ids of flows whose outcome nobody asks for any more.
+
+        :param closed: ids of all closed flows.
+        :param now: steady time, s.
+        """
+        known = self._since_by_flow
+        self._since_by_flow = {one: known.get(one, now) for one in closed}
+        return [one for one, since in self._since_by_flow.items() if now - since > self._keep_s]
--- a/tests/test_conductor.py
+++ b/tests/test_conductor.py
@@ -2,8 +2,9 @@
 
 from anyio import Event, create_task_group, run, sleep
 
-from siskintally.conductor import AUTHORITY_SHARE, Conductor
-from siskintally.control_node import ENDED_LEADER_SHARE
+from siskintally.authority import AUTHORITY_SHARE
+from siskintally.conductor import Conductor
+from siskintally.control_group import ENDED_LEADER_SHARE
 from siskintally.control_pb2 import ControlCommand
 from siskintally.control_state import ControlState
 from siskintally.counters import Counters
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -189,7 +189,7 @@
     async def test(cell):
         leader = await cell.full()
         writes = 0
-        journal = leader._journal
+        journal = leader._disk.journal
         group = leader
         original = type(journal).write
 
@@ -281,7 +281,7 @@
         victim = next(name for name in NAMES if name != leader.process)
         group = cell.kill(victim)
         old = group.identity
-        await cell.until(lambda: group._journal is None)
+        await cell.until(lambda: group._disk.journal is None)
         log = tmp_path / victim / "g" / "log"
         if loss == "removed":
             for path in log.parent.iterdir():
@@ -307,7 +307,7 @@
         old = leader._replica.identity
         for expected_new in (True, False):
             group = cell.kill(victim)
-            await cell.until(lambda group=group: group._journal is None)
+            await cell.until(lambda group=group: group._disk.journal is None)
             folder = tmp_path / victim / "g"
             folder.rename(folder.with_name("second" if not expected_new else "first"))
             if not expected_new:
@@ -350,7 +350,7 @@
     async def test(cell):
         await cell.full()
         await cell.until(lambda: cell.group_by_name["s1"].is_leader)
-        await cell.until(lambda: cell.group_by_name["s1"]._journal is not None)
+        await cell.until(lambda: cell.group_by_name["s1"]._disk.journal is not None)
         cell.kill("s1")
         other = await cell.leader()
         assert other.process != "s1"
@@ -419,7 +419,7 @@
 
         await leader.propose(b"kept")
         with open("/dev/full", "ab", buffering=0) as full:
-            leader._journal._log = full
+            leader._disk.journal._log = full
             async with create_task_group() as tasks:
                 tasks.start_soon(note_error, errors, leader.propose, b"x")
                 tasks.start_soon(note_error, errors, leader.propose, b"queued behind it")
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -7,6 +7,7 @@
 from siskintally.effects import Effects
 from siskintally.election import Role
 from siskintally.errors import BadRequestError, NotLeaderError
+from siskintally.group_disk import GroupDisk
 from siskintally.joins import Joins
 from siskintally.membership import admit, promote
 from siskintally.messages import (
@@ -27,6 +28,7 @@
 from siskintally.timing import Timing
 
 NAMES = ("a", "b", "c")
+DISK = GroupDisk(folder=None, group="g", process="p", in_thread=True)
 SMALL = Timing(chunk_bytes=7, batch_entries=3, window_entries=6)
 
 
@@ -49,6 +51,7 @@
             timeout=lambda: self.net.random.uniform(1.0, 2.0),
             now=self.net.now,
         )
+        self.unwritten = None
         data = self.disk.snapshot.data
         self.state = data.decode().split(",") if data else []
         self.applied = self.disk.snapshot.index
@@ -61,14 +64,30 @@
             self.start()
             return effects
         last = (self.replica.log.last_index, self.replica.log.last_term)
-        self.disk = self.replica.stable
+        if self.net.writes_behind and DISK.may_follow(effects, self.replica):
+            self.unwritten = last
+            self._send_and_apply(effects)
+            return effects
+        if effects.must_sync:
+            self.disk, self.unwritten = self.replica.stable, None
+        self._send_and_apply(effects, last)
+        return effects
+
+    def write(self):
+        """Let the disk have what the leader has sent ahead of it."""
+        if self.unwritten is not None:
+            last, self.unwritten = self.unwritten, None
+            self.disk = self.replica.stable
+            self._apply(self.replica.synced(*last, self.net.now))
+            self.net.check(self)
+
+    def _send_and_apply(self, effects, last=None):
         for envelope in effects.messages:
             self.net.post(self.identity, envelope)
         self._apply(effects)
-        if effects.must_sync:
+        if last is not None and effects.must_sync:
             self._apply(self.replica.synced(*last, self.net.now))
         self.net.check(self)
-        return effects
 
     def _apply(self, effects):
         if effects.restore is not None:
@@ -91,8 +110,9 @@
 class Net:
     """Nodes, messages in flight, and the record of everything that was ever committed."""
 
-    def __init__(self, seed=0, names=NAMES, timing=SMALL):
+    def __init__(self, seed=0, names=NAMES, timing=SMALL, writes_behind=False):
         self.random = Random(seed)
+        self.writes_behind = writes_behind
         self.timing = timing
         self.now = 0.0
         self.flight = []
@@ -121,13 +141,18 @@
             self.deliver()
         raise AssertionError("messages never end")
 
-    def run(self, seconds, step=0.05):
-        """Let virtual time pass."""
+    def run(self, seconds, step=0.05, writes=False):
+        """Let virtual time pass.
+
+        :param writes: whether disks get what was sent ahead of them.
+        """
         for _ in range(round(seconds / step)):
             self.now += step
             for node in self.nodes.values():
                 if node.identity.name not in self.cut:
                     node.do("tick", self.now)
+                if writes:
+                    node.write()
             self.settle()
 
     def elect(self, name):
@@ -582,11 +607,16 @@
 SCHEDULES = [(seed, 2500) for seed in range(30)]
 
 
+@pytest.mark.parametrize("writes_behind", [False, True])
 @pytest.mark.parametrize(("seed", "steps"), SCHEDULES)
-def test_random_schedule(seed, steps):
-    """Guards election safety, log matching, leader completeness, machine equality and reads."""
-    print(f"seed {seed}, {steps} steps")
-    net = Net(seed=seed)
+def test_random_schedule(seed, steps, writes_behind):
+    """Guards election safety, log matching, leader completeness, machine equality and reads.
+
+    A leader that writes behind sends and commits entries before its own disk has them, and loses
+    them when it crashes.
+    """
+    print(f"seed {seed}, {steps} steps, writes behind {writes_behind}")
+    net = Net(seed=seed, writes_behind=writes_behind)
     random = net.random
     for step in range(steps):
         _random_step(net, random, step)
@@ -594,12 +624,12 @@
             net.check_logs_match()
     net.cut = set()
     net.flight.clear()
-    net.run(30)
+    net.run(30, writes=True)
     (leader,) = net.leaders()
     _rejoin_all(net)
     leader = net.leaders()[0]
     leader.do("propose", b"last", net.now)
-    net.run(3)
+    net.run(3, writes=True)
     states = {tuple(node.state) for node in net.nodes.values()}
     assert len(states) == 1 and states.pop()[-1] == "last"
     assert len(net.committed) > 20
@@ -617,6 +647,8 @@
         _random_call(net, random, node, step)
     elif roll < 0.92:
         node.start()
+    elif net.writes_behind and random.random() < 0.3:
+        node.write()
     elif roll < 0.94:
         net.cut = set(random.sample(NAMES, random.choice((0, 0, 1))))
     elif roll < 0.955 and random.random() < 0.2:
