Name modules after the terms of the field

Names such as keeper, conductor, desk, mesh, grid and probation hid what the modules do: manage workers, run the leading control store, answer callers, pool links, index free resources and readmit workers. The modules, their tests and the logger names now say so; log events and settings keep their names.

--- a/bench/log.py
+++ b/bench/log.py
@@ -18,9 +18,9 @@
 
 from siskintally.group import BATCH_ITEMS, Group
 from siskintally.journal import found
-from siskintally.machine import Machine
 from siskintally.records import append_to
 from siskintally.session import wrap
+from siskintally.state_machine import Machine
 
 NAMES = ("s1", "s2", "s3")
 COMMAND = b"x" * 200
--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -10,49 +10,47 @@
 ROOT = Path(__file__).resolve().parent.parent
 PARTS = {
     "Requests (entry daemon)": (
-        "entry gateway tokens http_server call request lane admission forecast "
-        "fair_queue balancer share health retry forward ledger_client announcement exchange "
-        "summary peers pause limits watch relay"
+        "entry gateway tokens http_server call request_handler service_dispatcher admission "
+        "forecast fair_queue balancer slot_share health retry forward ledger_client "
+        "announcement gossip entry_summary peers pause_detector limits config_follower "
+        "operator_relay"
     ),
     "Placement and workers": (
-        "placement policy pool worker index grid size workload backlog misses preemption "
-        "reservation ejection probation feasibility "
-        "lease owner owner_term dispatcher orders reconciler worker_service shared_confirm "
-        "cell_sync clearance"
+        "placement policy pool worker worker_index resource_index size workload backlog "
+        "failed_searches preemption reservation ejection readmission feasibility lease owner "
+        "owner_term dispatcher orders reconciler worker_service shared_confirm cell_sync "
+        "group_status_check"
     ),
     "State of the cell and of domains": (
-        "cell cell_service recorded_cell inquiry verbs jobs job_changes job_counts job_shares "
-        "split standing group_changes drains capacity spec config preset audit domain domain_job "
-        "domain_checks ledger"
+        "cell cell_service recorded_cell operator_queries verbs jobs job_changes job_counts "
+        "job_shares job_split group_status group_changes drains capacity spec config preset "
+        "audit domain domain_job domain_checks ledger"
     ),
     "Flows (jobs made of steps)": (
-        "flow task_id flow_checks flow_scheduler placing advising observing pacing fleet "
-        "worker_lease flow_timing control_state queue_checks actions racing authority "
-        "retirement conductor flow_orders "
-        "keeper look_wait lanes step_text flow_trace flow_report "
-        "advice_lanes flow_desk "
-        "driver stub_pool"
+        "flow task_id flow_checks flow_scheduler step_placement advice_planning "
+        "report_handling throttling fleet worker_lease flow_timing control_state queue_checks "
+        "actions speculation quorum_check flow_retention control_leader flow_dispatcher "
+        "worker_manager long_poll advice_client_pool step_text flow_trace flow_report "
+        "advice_clients control_service driver stub_pool"
     ),
     "Processes of the control plane": (
-        "control_group control_node entry_node flow_gateway leader_book leader_calls mesh "
-        "node_settings http_pool counters"
+        "control_group control_node entry_node flow_gateway leader_cache control_client "
+        "link_pool node_settings http_pool counters"
     ),
     "Replicated log": (
-        "replica election replication following membership preference progress raftlog messages "
-        "effects stable timing encoding journal records group inbox group_inputs "
-        "write_behind group_disk applier "
-        "joins roster "
-        "member_changes handover group_calls leadership waiters watchers machine"
+        "replica election replication follower membership leader_preference progress raftlog "
+        "messages effects persistent_state timing encoding journal records group inbox "
+        "group_inputs write_behind group_disk applier member_admission roster member_changes "
+        "handover group_calls leadership waiters leader_watchers state_machine"
     ),
     "Processes and transport": (
-        "store store_links replicas founding link session outbox liveness leader "
+        "store store_links replicas bootstrap link session outbox liveness leader_client "
         "supervisor daemon settings log log_stream metrics clock codes errors"
     ),
     "Command line and stubs": (
-        "main __main__ command commands_domain commands_entry commands_operator commands_report "
-        "commands_store "
-        "commands_worker client operation tables stub_endpoint stub_doubler stub_worker "
-        "worker_state"
+        "main __main__ command commands_domain commands_entry commands_operator "
+        "commands_report commands_store commands_worker client operation tables stub_endpoint "
+        "stub_duplicator stub_worker worker_state"
     ),
 }
 MARKER = "## Modules\n"
--- a/siskintally/lanes.py
+++ b/siskintally/advice_client_pool.py
@@ -2,7 +2,7 @@
 
 The service handles one call at a time for each VM, so every linked process is one lane.
 
->>> from siskintally.lanes import reserved
+>>> from siskintally.advice_client_pool import reserved
 >>> reserved(9), reserved(2)
 (2, 0)
 """
--- a/siskintally/advice_lanes.py
+++ b/siskintally/advice_clients.py
@@ -1,20 +1,20 @@
 """The lanes of one leader: its own process, and the processes that are linked to it.
 
->>> from siskintally.advice_lanes import LocalLane
+>>> from siskintally.advice_clients import LocalLane
 >>> LocalLane(name="s1", advice=None).name
 's1'
 """
 
+from siskintally.advice_client_pool import Lane
 from siskintally.control_pb2 import AdviceAsk, AdviceReply, AdviceTicket
 from siskintally.driver import Ticket
 from siskintally.errors import SiskintallyError, UnreachableError
-from siskintally.lanes import Lane
 from siskintally.log import get_logger
 
 # Time for the way to the other process and back.
 WAY_S = 0.2
 
-log = get_logger("advice-lanes")
+log = get_logger("advice-clients")
 
 
 class LocalLane(Lane):
--- a/siskintally/advising.py
+++ b/siskintally/advice_planning.py
@@ -1,6 +1,6 @@
 """Which steps need permits of the advice service, and for which workers; pure.
 
->>> from siskintally.advising import MAX_WORKERS
+>>> from siskintally.advice_planning import MAX_WORKERS
 >>> MAX_WORKERS
 100
 """
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from siskintally.flow import StepRun, TaskState
-from siskintally.placing import TICKET_MARGIN_S
+from siskintally.step_placement import TICKET_MARGIN_S
 
 MAX_WORKERS = 100
 # A call that takes longer than this is kept out of the lanes for urgent calls.
--- a/siskintally/balancer.py
+++ b/siskintally/balancer.py
@@ -10,7 +10,7 @@
 from abc import ABC, abstractmethod
 from random import Random
 
-from siskintally.share import rendezvous
+from siskintally.slot_share import rendezvous
 
 # A failing endpoint that may not be ejected looks this much more loaded.
 SUSPECT_FACTOR = 8
--- a/siskintally/founding.py
+++ b/siskintally/bootstrap.py
@@ -1,6 +1,6 @@
 """Founding of groups, once in the life of a cell.
 
->>> from siskintally.founding import AlreadyFoundedError
+>>> from siskintally.bootstrap import AlreadyFoundedError
 >>> int(AlreadyFoundedError.code)
 4000
 """
--- a/siskintally/capacity.py
+++ b/siskintally/capacity.py
@@ -8,7 +8,7 @@
 from siskintally.cell_state_pb2 import GroupInfo
 from siskintally.errors import NeverFitsError, NotFoundError, QuotaExceededError
 from siskintally.job_counts import holding
-from siskintally.split import RESOURCE_NAMES, GroupView, lacking
+from siskintally.job_split import RESOURCE_NAMES, GroupView, lacking
 from siskintally.wire_pb2 import Resources
 
 # Workers register again after an election, so for this time a smaller largest worker is not
--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -24,8 +24,8 @@
 )
 from siskintally.group_changes import lose_groups, restore_group
 from siskintally.jobs import JobTable
-from siskintally.machine import Machine
 from siskintally.spec import check_spec
+from siskintally.state_machine import Machine
 from siskintally.wire_pb2 import ConfigState, OperatorReply, SyncReply
 
 KEEP_REPLIES = 10_000
@@ -92,7 +92,7 @@
 
     @property
     def standings(self):
-        """The :class:`~siskintally.standing.StandingTable` of the domain groups."""
+        """The :class:`~siskintally.group_status.StandingTable` of the domain groups."""
         return self.jobs.standings
 
     def apply(self, *, index, command):
--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -14,7 +14,7 @@
 from siskintally.cell_state_pb2 import Command, ConfirmIdle, GroupInfo
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotLeaderError, SiskintallyError
-from siskintally.inquiry import Inquiry, Reported
+from siskintally.operator_queries import Inquiry, Reported
 from siskintally.verbs import canonical, change_of, is_read, parse_arguments
 from siskintally.wire_pb2 import Done, OperatorReply, SyncReply
 
--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -16,12 +16,12 @@
 from absl.flags import DEFINE_boolean, DEFINE_enum, DEFINE_string
 from anyio import run as run_async
 
+from siskintally.bootstrap import found_group, groups_to_found
 from siskintally.client import exit_status
 from siskintally.command import Command
 from siskintally.config import parse_config
 from siskintally.daemon import serve_until_signal
 from siskintally.errors import BadSettingsError, SiskintallyError
-from siskintally.founding import found_group, groups_to_found
 from siskintally.journal import found
 from siskintally.log import LEVEL_BY_NAME, set_up
 from siskintally.settings import load
--- a/siskintally/watch.py
+++ b/siskintally/config_follower.py
@@ -1,6 +1,6 @@
 r"""Configuration in force, followed from the domain group.
 
->>> from siskintally.watch import read_limits
+>>> from siskintally.config_follower import read_limits
 >>> read_limits("[presets.peak]\nretry_ratio = 0.05", "peak").retry_ratio
 0.05
 """
@@ -19,13 +19,13 @@
 TIMEOUT_S = 10.0
 PAUSE_S = 0.2
 
-log = get_logger("watch")
+log = get_logger("config-follower")
 
 
 class ConfigFollower:
     """Long poll to the leader of the own domain group.
 
-    :param client: :class:`~siskintally.leader.LeaderClient` of that group.
+    :param client: :class:`~siskintally.leader_client.LeaderClient` of that group.
     :param changed: called with the new :class:`~siskintally.limits.EntryLimits`.
     :param drained: called with the names of the endpoints that are to get no new work.
     """
--- a/siskintally/leader_calls.py
+++ b/siskintally/control_client.py
@@ -1,6 +1,6 @@
 """Calls of one process to the leader of the control group.
 
->>> from siskintally.leader_calls import LeaderCalls
+>>> from siskintally.control_client import LeaderCalls
 >>> LeaderCalls.__name__
 'LeaderCalls'
 """
@@ -23,7 +23,7 @@
 class LeaderCalls:
     """Finds the leader and calls it; all calls may be sent again.
 
-    :param book: :class:`~siskintally.leader_book.LeaderBook`.
+    :param book: :class:`~siskintally.leader_cache.LeaderBook`.
     :param call: ``async call(address, body, timeout=seconds)`` that returns the reply.
     """
 
--- a/siskintally/control_group.py
+++ b/siskintally/control_group.py
@@ -45,7 +45,7 @@
     """Return the :class:`Group` of a store.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
-    :param machine: :class:`~siskintally.machine.Machine`.
+    :param machine: :class:`~siskintally.state_machine.Machine`.
     :param contacts: function that yields the link addresses of other stores.
     :param send: ``send(address, body) -> bool``; must not block.
     """
--- a/siskintally/conductor.py
+++ b/siskintally/control_leader.py
@@ -1,6 +1,6 @@
 """The leader of a control group at work: places tasks, keeps workers, commits ends.
 
->>> from siskintally.conductor import GATHER_S, IDLE_PASS_S
+>>> from siskintally.control_leader import GATHER_S, IDLE_PASS_S
 >>> GATHER_S < IDLE_PASS_S
 True
 """
@@ -9,20 +9,20 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
-from siskintally.authority import Authority
+from siskintally.advice_client_pool import Lanes
 from siskintally.clock import now as steady
 from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, TaskEnd, WorkerKey
 from siskintally.control_state import Outcome
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
 from siskintally.fleet import Standing
-from siskintally.flow_orders import FlowOrders
+from siskintally.flow_dispatcher import FlowOrders
+from siskintally.flow_retention import Retirement
 from siskintally.flow_scheduler import FlowScheduler
-from siskintally.keeper import Keeper
-from siskintally.lanes import Lanes
 from siskintally.log import get_logger
-from siskintally.look_wait import LookWait
-from siskintally.retirement import Retirement
+from siskintally.long_poll import LookWait
+from siskintally.quorum_check import Authority
 from siskintally.worker_lease import longest_s
+from siskintally.worker_manager import Keeper
 
 # Events within this time share one pass over the waiting tasks.
 GATHER_S = 0.004
@@ -32,7 +32,7 @@
 TROUBLED_WAIT_S = 0.3
 TROUBLE_MEMORY_S = 3.0
 
-log = get_logger("conductor")
+log = get_logger("control-leader")
 
 
 class Conductor:
@@ -41,7 +41,7 @@
     :param group: :class:`~siskintally.group.Group` whose replica leads.
     :param state: :class:`~siskintally.control_state.ControlState` of the group.
     :param driver: :class:`~siskintally.driver.WorkerDriver`.
-    :param lanes: function that returns :class:`~siskintally.lanes.Lane` objects.
+    :param lanes: function that returns :class:`~siskintally.advice_client_pool.Lane` objects.
     :param timing: :class:`~siskintally.flow_timing.FlowTiming`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -9,11 +9,13 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
-from siskintally.advice_lanes import LocalLane, RemoteLane, answer_advice
+from siskintally.advice_clients import LocalLane, RemoteLane, answer_advice
 from siskintally.clock import now as steady
-from siskintally.conductor import Conductor
+from siskintally.control_client import LeaderCalls
 from siskintally.control_group import flow_timing, found_group, make_group
+from siskintally.control_leader import Conductor
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
+from siskintally.control_service import FlowDesk
 from siskintally.control_state import ControlState
 from siskintally.errors import (
     BadRequestError,
@@ -22,13 +24,11 @@
     SiskintallyError,
     StoppedError,
 )
-from siskintally.flow_desk import FlowDesk
-from siskintally.leader_book import LeaderBook
-from siskintally.leader_calls import LeaderCalls
+from siskintally.leader_cache import LeaderBook
 from siskintally.link import LinkServer
+from siskintally.link_pool import CELL, Mesh
 from siskintally.liveness import LinkTiming
 from siskintally.log import get_logger
-from siskintally.mesh import CELL, Mesh
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello, JoinRequest
 
--- a/siskintally/flow_desk.py
+++ b/siskintally/control_service.py
@@ -1,6 +1,6 @@
 """Calls of entries and stores that the leader of a control group answers.
 
->>> from siskintally.flow_desk import FlowDesk
+>>> from siskintally.control_service import FlowDesk
 >>> FlowDesk.__name__
 'FlowDesk'
 """
@@ -30,13 +30,13 @@
 # Steps of a flow that its log line describes; flows have a few, and lines stay short.
 LOGGED_STEPS = 8
 
-log = get_logger("flow-desk")
+log = get_logger("control-service")
 
 
 class FlowDesk:
     """Answers calls about flows, workers and configuration in one term.
 
-    :param conductor: :class:`~siskintally.conductor.Conductor` of the term.
+    :param conductor: :class:`~siskintally.control_leader.Conductor` of the term.
     :param published: function that is called when a new configuration is in force.
     """
 
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -23,7 +23,7 @@
     TaskFailures,
     TaskStart,
 )
-from siskintally.machine import Machine
+from siskintally.state_machine import Machine
 from siskintally.task_id import TaskId, occurrences, step_tasks
 
 
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -20,9 +20,9 @@
 )
 from siskintally.errors import BadRequestError, DamagedDataError, SiskintallyError
 from siskintally.ledger import Ledger
-from siskintally.machine import Machine
 from siskintally.preset import default_preset
 from siskintally.size import NOTHING, Size
+from siskintally.state_machine import Machine
 from siskintally.wire_pb2 import ConfigState
 
 ORDINARY = "ordinary"
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -15,26 +15,26 @@
 from siskintally.balancer import BALANCER_BY_NAME
 from siskintally.call import Answer, read_forward
 from siskintally.codes import Code
+from siskintally.config_follower import ConfigFollower
 from siskintally.errors import BadRequestError, UnreachableError
-from siskintally.exchange import Exchange
 from siskintally.gateway import Gateway
+from siskintally.gossip import Exchange
 from siskintally.http_server import serve_http
-from siskintally.lane import Lane
-from siskintally.leader import LeaderClient
+from siskintally.leader_client import LeaderClient
 from siskintally.ledger_client import StandaloneLedger, StoreLedger
 from siskintally.limits import EntryLimits
 from siskintally.link import LinkServer
 from siskintally.log import get_logger
 from siskintally.metrics import Metrics
-from siskintally.pause import PauseGuard
+from siskintally.operator_relay import OperatorRelay
+from siskintally.pause_detector import PauseGuard
 from siskintally.peers import Peers
-from siskintally.relay import OperatorRelay
-from siskintally.request import Course
+from siskintally.request_handler import Course
 from siskintally.retry import RetryBudget
+from siskintally.service_dispatcher import Lane
 from siskintally.session import Handler
-from siskintally.share import share
+from siskintally.slot_share import share
 from siskintally.supervisor import Supervisor
-from siskintally.watch import ConfigFollower
 from siskintally.wire_pb2 import AnnounceExchange, EntrySummary, ForwardRequest, Hello
 
 TIDY_S = 0.25
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -9,14 +9,14 @@
 
 from anyio import Event, create_task_group, sleep
 
-from siskintally.advice_lanes import answer_advice
+from siskintally.advice_clients import answer_advice
 from siskintally.clock import now as steady
+from siskintally.control_client import LeaderCalls
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
 from siskintally.errors import BadRequestError
-from siskintally.leader_book import LeaderBook
-from siskintally.leader_calls import LeaderCalls
+from siskintally.leader_cache import LeaderBook
+from siskintally.link_pool import CELL, Mesh
 from siskintally.log import get_logger
-from siskintally.mesh import CELL, Mesh
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello
 
--- a/siskintally/summary.py
+++ b/siskintally/entry_summary.py
@@ -1,6 +1,6 @@
 """What entries of other domains know of this one, and the choice among them.
 
->>> from siskintally.summary import SummaryTable
+>>> from siskintally.entry_summary import SummaryTable
 >>> table = SummaryTable(region="jylland")
 >>> table.choose("seat-count", open_peers={}) is None
 True
--- a/siskintally/misses.py
+++ b/siskintally/failed_searches.py
@@ -1,6 +1,6 @@
 """What searches for room have failed since resources were last freed.
 
->>> from siskintally.misses import Misses
+>>> from siskintally.failed_searches import Misses
 >>> from siskintally.size import Size
 >>> from siskintally.workload import Job, Kind
 >>> small, large = (
--- a/siskintally/flow_orders.py
+++ b/siskintally/flow_dispatcher.py
@@ -1,6 +1,6 @@
 """Orders of a leader: what its scheduler decides, on the way to workers and the advice service.
 
->>> from siskintally.flow_orders import ADVICE_MARGIN_S
+>>> from siskintally.flow_dispatcher import ADVICE_MARGIN_S
 >>> ADVICE_MARGIN_S > 0
 True
 """
@@ -13,14 +13,14 @@
 # Time for an answer of the advice service beyond the one that its terms promise.
 ADVICE_MARGIN_S = 1.5
 
-log = get_logger("flow-orders")
+log = get_logger("flow-dispatcher")
 
 
 class FlowOrders:
     """Sends starts, stops, paces, and calls for advice.
 
-    :param leader: :class:`~siskintally.conductor.Conductor`.
-    :param lanes: :class:`~siskintally.lanes.Lanes`.
+    :param leader: :class:`~siskintally.control_leader.Conductor`.
+    :param lanes: :class:`~siskintally.advice_client_pool.Lanes`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -46,8 +46,8 @@
 class FlowGateway:
     """Requests of callers at one entry.
 
-    :param book: :class:`~siskintally.leader_book.LeaderBook`.
-    :param calls: :class:`~siskintally.leader_calls.LeaderCalls`.
+    :param book: :class:`~siskintally.leader_cache.LeaderBook`.
+    :param calls: :class:`~siskintally.control_client.LeaderCalls`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
--- a/siskintally/retirement.py
+++ b/siskintally/flow_retention.py
@@ -1,6 +1,6 @@
 """Which closed flows have been kept for long enough; pure.
 
->>> from siskintally.retirement import Retirement
+>>> from siskintally.flow_retention import Retirement
 >>> retirement = Retirement(keep_s=60.0)
 >>> retirement.old(["f"], now=0.0), retirement.old(["f"], now=61.0)
 ([], ['f'])
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -12,13 +12,13 @@
 """
 
 from siskintally.actions import StopAction
-from siskintally.advising import Advising
+from siskintally.advice_planning import Advising
 from siskintally.control_state import Failures, Outcome
 from siskintally.fleet import FleetWorker, Standing
 from siskintally.flow import FlowRun, TaskState
-from siskintally.observing import Observing
-from siskintally.placing import Placing
-from siskintally.racing import Racing
+from siskintally.report_handling import Observing
+from siskintally.speculation import Racing
+from siskintally.step_placement import Placing
 
 # Starts of one term have numbers of their own, so that a later leader's are always higher.
 RUNS_PER_TERM = 1_000_000
--- a/siskintally/following.py
+++ b/siskintally/follower.py
@@ -1,6 +1,6 @@
 """Following: how a replica takes entries and snapshots of its leader.
 
->>> from siskintally.following import Following
+>>> from siskintally.follower import Following
 >>> Following.__slots__
 ()
 """
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -14,7 +14,7 @@
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotFoundError
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer
-from siskintally.relay import VERBS
+from siskintally.operator_relay import VERBS
 from siskintally.tokens import check_announcer, holder_of
 
 MAX_REQUEST_ID = 128
--- a/siskintally/exchange.py
+++ b/siskintally/gossip.py
@@ -1,6 +1,6 @@
 """Exchange of announcements and summaries with other entries.
 
->>> from siskintally.exchange import Exchange
+>>> from siskintally.gossip import Exchange
 >>> Exchange.__name__
 'Exchange'
 """
@@ -10,8 +10,8 @@
 from anyio import sleep
 
 from siskintally.announcement import TTL_S
+from siskintally.entry_summary import SummarySender
 from siskintally.peers import identity
-from siskintally.summary import SummarySender
 from siskintally.wire_pb2 import EntrySummary, ServiceLoad
 
 PASS_ON_S = 0.5
--- a/siskintally/group_changes.py
+++ b/siskintally/group_changes.py
@@ -6,7 +6,7 @@
 """
 
 from siskintally.errors import BadRequestError, NotFoundError
-from siskintally.standing import MIN_SILENCE_S, GroupInUseError, standing_text
+from siskintally.group_status import MIN_SILENCE_S, GroupInUseError, standing_text
 
 MAX_SHOWN_NAME = 128
 
--- a/siskintally/standing.py
+++ b/siskintally/group_status.py
@@ -1,6 +1,6 @@
 """Which domain groups operators have declared lost.
 
->>> from siskintally.standing import StandingTable
+>>> from siskintally.group_status import StandingTable
 >>> table = StandingTable()
 >>> table.lose("fjeld", index=7)
 >>> table.is_lost("fjeld"), table.of("fjeld").epoch, table.latest("fjeld")
--- a/siskintally/clearance.py
+++ b/siskintally/group_status_check.py
@@ -1,6 +1,6 @@
 """What a store process knows from the cell about the standing of its domain group.
 
->>> from siskintally.clearance import Clearance
+>>> from siskintally.group_status_check import Clearance
 >>> from siskintally.domain import Domain
 >>> from siskintally.wire_pb2 import SyncReply
 >>> clearance, domain = Clearance(), Domain(group="g")
@@ -26,7 +26,7 @@
 # may come back after a loss, though a store of it, on a machine that other groups use too, ran on.
 MAX_GAP_S = 60.0
 
-log = get_logger("clearance")
+log = get_logger("group-status-check")
 
 
 class Clearance:
--- a/siskintally/job_shares.py
+++ b/siskintally/job_shares.py
@@ -8,7 +8,7 @@
 from siskintally.cell_state_pb2 import Share
 from siskintally.errors import NeverFitsError, NotFoundError
 from siskintally.job_counts import ended_tasks
-from siskintally.split import split
+from siskintally.job_split import split
 
 WAITS_FOR_GROUP = "domain group lost: no other group can hold the tasks; restore it or cancel"
 
@@ -17,7 +17,7 @@
     """Gives tasks to domain groups and takes them back.
 
     :param capacity: :class:`~siskintally.capacity.CapacityTable`.
-    :param standings: :class:`~siskintally.standing.StandingTable`.
+    :param standings: :class:`~siskintally.group_status.StandingTable`.
     :param changes: :class:`~siskintally.job_changes.JobChanges`.
     """
 
--- a/siskintally/split.py
+++ b/siskintally/job_split.py
@@ -1,6 +1,6 @@
 """Division of a job over domain groups, pure.
 
->>> from siskintally.split import GroupView, split
+>>> from siskintally.job_split import GroupView, split
 >>> from siskintally.wire_pb2 import JobSpec, Resources
 >>> free = Resources(cpu_milli=8000, memory_mb=8000)
 >>> views = [GroupView(name=name, reported=True, largest=free, free=free, total=free)
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -14,10 +14,10 @@
     NotFoundError,
     SiskintallyError,
 )
+from siskintally.group_status import StandingTable
 from siskintally.job_changes import JobChanges
 from siskintally.job_counts import ended_tasks, share_has_ended
 from siskintally.job_shares import JobShares
-from siskintally.standing import StandingTable
 from siskintally.wire_pb2 import JobSpec
 
 KEEP_ENDED_S = 24 * 3600.0
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -31,6 +31,7 @@
     StoredSnapshot,
 )
 from siskintally.messages import Identity, Snapshot
+from siskintally.persistent_state import Stable, founding_state
 from siskintally.raftlog import EMPTY_SNAPSHOT
 from siskintally.records import (
     TEMPORARY_SUFFIX,
@@ -41,7 +42,6 @@
     unpack,
     unpack_one,
 )
-from siskintally.stable import Stable, founding_state
 
 IDENTITY_FILE = "identity"
 LOG_FILE = "log"
--- a/siskintally/leader_book.py
+++ b/siskintally/leader_cache.py
@@ -1,7 +1,7 @@
 """What a process knows of the leader of the control group and of its configuration; pure.
 
 >>> from siskintally.control_pb2 import ControlNotice
->>> from siskintally.leader_book import LeaderBook
+>>> from siskintally.leader_cache import LeaderBook
 >>> book = LeaderBook(fresh_s=1.5)
 >>> book.take(ControlNotice(leads=True), sender="10.0.0.1:7000", now=5.0)
 False
--- a/siskintally/leader.py
+++ b/siskintally/leader_client.py
@@ -1,6 +1,6 @@
 """Calls to whichever member of a group leads it.
 
->>> from siskintally.leader import LeaderClient
+>>> from siskintally.leader_client import LeaderClient
 >>> client = LeaderClient(group="cell", members=("s1", "s2"), call=None)
 >>> client.order()
 ['s1', 's2']
--- a/siskintally/preference.py
+++ b/siskintally/leader_preference.py
@@ -3,7 +3,7 @@
 After failures the leaders of many groups would gather on the VMs that failed last, and a VM that
 leads several groups is over its processor budget.
 
->>> from siskintally.preference import Preference
+>>> from siskintally.leader_preference import Preference
 >>> Preference(group="cell", preferred="s1").preferred
 's1'
 """
@@ -15,7 +15,7 @@
 # A member that fails again and again must not move leadership more often than this.
 STABLE_S = 120.0
 
-log = get_logger("preference")
+log = get_logger("leader-preference")
 
 
 class Preference:
--- a/siskintally/watchers.py
+++ b/siskintally/leader_watchers.py
@@ -1,7 +1,7 @@
 """Streams that tell others who leads a group.
 
 >>> from siskintally.messages import Leadership
->>> from siskintally.watchers import Watchers
+>>> from siskintally.leader_watchers import Watchers
 >>> watchers = Watchers()
 >>> stream = watchers.add(Leadership(term=1, leader="", is_leader=False))
 >>> watchers.publish(Leadership(term=2, leader="s1", is_leader=True))
--- a/siskintally/leadership.py
+++ b/siskintally/leadership.py
@@ -7,8 +7,8 @@
 (0, False, '')
 """
 
+from siskintally.leader_watchers import Watchers
 from siskintally.messages import Leadership
-from siskintally.watchers import Watchers
 
 
 class LeadershipState:
--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -20,9 +20,9 @@
     SiskintallyError,
     UnreachableError,
 )
-from siskintally.leader import LeaderClient
+from siskintally.leader_client import LeaderClient
 from siskintally.log import get_logger
-from siskintally.share import rendezvous
+from siskintally.slot_share import rendezvous
 from siskintally.wire_pb2 import (
     LedgerBegin,
     LedgerBeginReply,
--- a/siskintally/mesh.py
+++ b/siskintally/link_pool.py
@@ -2,7 +2,7 @@
 
 A store is named by the address of its link port, so that whoever knows a member can reach it.
 
->>> from siskintally.mesh import Mesh
+>>> from siskintally.link_pool import Mesh
 >>> mesh = Mesh(own="10.0.0.1:7000", hello=None, secret="s", handler=None)
 >>> mesh.learn(["10.0.0.1:7000"])
 >>> list(mesh.addresses())
@@ -27,7 +27,7 @@
 # Name of the cell in the greeting of every link.
 CELL = "control"
 
-log = get_logger("mesh")
+log = get_logger("link-pool")
 
 
 class Mesh:
--- a/siskintally/look_wait.py
+++ b/siskintally/long_poll.py
@@ -1,6 +1,6 @@
 """For how long a worker is asked to wait for an end before it answers; pure.
 
->>> from siskintally.look_wait import LookWait
+>>> from siskintally.long_poll import LookWait
 >>> wait = LookWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
 >>> wait.note_silence(10.0)
 >>> wait.seconds(11.0), wait.seconds(14.0)
--- a/siskintally/joins.py
+++ b/siskintally/member_admission.py
@@ -1,6 +1,6 @@
 """Admission of new incarnations to a group: asking for it, and granting it as the leader.
 
->>> from siskintally.joins import Joins
+>>> from siskintally.member_admission import Joins
 >>> from siskintally.roster import FixedRoster
 >>> joins = Joins(group="cell", process="s1", roster=FixedRoster(names=("s1", "s2")))
 >>> [(process, body.name) for process, body in joins.ask("incarnation", now=5.0)]
--- a/siskintally/member_changes.py
+++ b/siskintally/member_changes.py
@@ -12,8 +12,8 @@
 ['s1', 's2']
 """
 
-from siskintally.joins import Joins
 from siskintally.log import get_logger
+from siskintally.member_admission import Joins
 
 log = get_logger("member-changes")
 
--- a/siskintally/inquiry.py
+++ b/siskintally/operator_queries.py
@@ -1,6 +1,6 @@
 """Answers to operators who only read: status, jobs, audit, configuration.
 
->>> from siskintally.inquiry import DEFAULT_LISTED
+>>> from siskintally.operator_queries import DEFAULT_LISTED
 >>> DEFAULT_LISTED
 1000
 """
@@ -9,10 +9,10 @@
 
 from siskintally.audit import FIELDS, verify
 from siskintally.errors import BadRequestError
+from siskintally.group_status import standing_text
 from siskintally.job_counts import job_state
+from siskintally.job_split import RESOURCE_NAMES
 from siskintally.spec import CLASS_BY_NAME, KIND_BY_NAME
-from siskintally.split import RESOURCE_NAMES
-from siskintally.standing import standing_text
 from siskintally.verbs import expect_keys, flag_of, number_of, text_of
 
 MAX_LISTED = 10_000
--- a/siskintally/relay.py
+++ b/siskintally/operator_relay.py
@@ -1,6 +1,6 @@
 """Operator calls, relayed from HTTP to a store of the own domain group.
 
->>> from siskintally.relay import VERBS
+>>> from siskintally.operator_relay import VERBS
 >>> "drain" in VERBS
 True
 """
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -10,11 +10,11 @@
 from anyio import Event, create_task_group, move_on_after, sleep
 
 from siskintally.cell_sync import CellSync
-from siskintally.clearance import Clearance
 from siskintally.codes import Code
 from siskintally.dispatcher import Dispatcher
 from siskintally.domain_state_pb2 import DomainCommand, DomainReply
 from siskintally.errors import BadRequestError, NotLeaderError, OutcomeUnknownError, RefusedError
+from siskintally.group_status_check import Clearance
 from siskintally.log import get_logger
 from siskintally.owner_term import CONFIRM_WINDOW_S, OwnerTerm
 from siskintally.session import Handler
--- a/siskintally/pause.py
+++ b/siskintally/pause_detector.py
@@ -1,6 +1,6 @@
 """Detection of pauses of this process, such as SIGSTOP or a frozen VM.
 
->>> from siskintally.pause import PauseGuard
+>>> from siskintally.pause_detector import PauseGuard
 >>> guard = PauseGuard()
 >>> guard.beat(10.0); guard.distrusts(10.5), guard.distrusts(70.0)
 (False, True)
--- a/siskintally/peers.py
+++ b/siskintally/peers.py
@@ -7,9 +7,9 @@
 (True, False)
 """
 
+from siskintally.entry_summary import SummaryTable
 from siskintally.errors import UnreachableError
 from siskintally.link import Link
-from siskintally.summary import SummaryTable
 
 
 def dials(own, other):
--- a/siskintally/stable.py
+++ b/siskintally/persistent_state.py
@@ -1,7 +1,7 @@
 """What a replica has on disk, as a value.
 
 >>> from siskintally.messages import Identity
->>> from siskintally.stable import founding_state
+>>> from siskintally.persistent_state import founding_state
 >>> founding_state((Identity("s1", "a"),)).snapshot.members[0].voter
 True
 """
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -14,12 +14,12 @@
 from collections import deque
 
 from siskintally.backlog import Backlog
+from siskintally.failed_searches import Misses
 from siskintally.feasibility import CapacityTable
-from siskintally.misses import Misses
 from siskintally.policy import policy_for
 from siskintally.pool import Pool
 from siskintally.preemption import preempt
-from siskintally.probation import Probation
+from siskintally.readmission import Probation
 from siskintally.reservation import RESERVE_AFTER_S, Reservations
 from siskintally.workload import Kind, Urgency
 
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -137,7 +137,7 @@
 class ControlApp(PlatformApp):
     """Interface for workers and operators.
 
-    :param calls: :class:`~siskintally.leader_calls.LeaderCalls`.
+    :param calls: :class:`~siskintally.control_client.LeaderCalls`.
     """
 
     __slots__ = ("_calls",)
--- a/siskintally/pool.py
+++ b/siskintally/pool.py
@@ -15,9 +15,9 @@
 from itertools import islice
 
 from siskintally.errors import SiskintallyError
-from siskintally.index import Index
 from siskintally.size import NOTHING
 from siskintally.worker import Held, Worker
+from siskintally.worker_index import Index
 
 # A service compares this many workers with room; more would cost time and hardly spread it better.
 MAX_COMPARED = 256
--- a/siskintally/authority.py
+++ b/siskintally/quorum_check.py
@@ -1,6 +1,6 @@
 """Authority of a leader: a quorum is known to follow it at present.
 
->>> from siskintally.authority import AUTHORITY_SHARE
+>>> from siskintally.quorum_check import AUTHORITY_SHARE
 >>> 0 < AUTHORITY_SHARE < 1
 True
 """
--- a/siskintally/probation.py
+++ b/siskintally/readmission.py
@@ -1,7 +1,7 @@
 """Workers that were ejected for failed tasks, and how they are taken back.
 
 >>> from siskintally.pool import Pool
->>> from siskintally.probation import Probation
+>>> from siskintally.readmission import Probation
 >>> from siskintally.size import Size
 >>> pool = Pool()
 >>> pool.add("w1", domain="d", rack="r", capacity=Size(cpu=4000))
--- a/siskintally/recorded_cell.py
+++ b/siskintally/recorded_cell.py
@@ -9,7 +9,7 @@
 
 from siskintally.errors import DamagedDataError
 from siskintally.log import get_logger
-from siskintally.machine import Machine
+from siskintally.state_machine import Machine
 
 log = get_logger("cell")
 
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -2,7 +2,7 @@
 
 >>> from siskintally.messages import Identity
 >>> from siskintally.replica import Replica
->>> from siskintally.stable import founding_state
+>>> from siskintally.persistent_state import founding_state
 >>> me = Identity(name="s1", incarnation="a")
 >>> replica = Replica(identity=me, stable=founding_state((me,)), timeout=lambda: 1.0, now=0.0)
 >>> effects = replica.tick(1.0)
@@ -15,7 +15,7 @@
 from siskintally.effects import Effects
 from siskintally.election import NEVER, Elections, Role
 from siskintally.errors import BadRequestError, NotLeaderError
-from siskintally.following import Following
+from siskintally.follower import Following
 from siskintally.membership import check_change, ordered
 from siskintally.messages import (
     AppendReply,
@@ -28,9 +28,9 @@
     VoteReply,
     VoteRequest,
 )
+from siskintally.persistent_state import Stable
 from siskintally.raftlog import Log
 from siskintally.replication import Leading
-from siskintally.stable import Stable
 from siskintally.timing import Timing
 
 
--- a/siskintally/observing.py
+++ b/siskintally/report_handling.py
@@ -1,6 +1,6 @@
 """What the reports and answers of workers change in the state of tasks; pure.
 
->>> from siskintally.observing import Observing
+>>> from siskintally.report_handling import Observing
 >>> Observing.__slots__
 ()
 """
@@ -10,8 +10,8 @@
 from siskintally.driver import EndKind, Refusal
 from siskintally.fleet import END_WEIGHT, PROGRESS_WEIGHT, Standing
 from siskintally.flow import TaskState
-from siskintally.pacing import next_percent, worst_ratio
 from siskintally.task_id import TaskId
+from siskintally.throttling import next_percent, worst_ratio
 
 # Failures in a row, without a task done between them, after which a worker gets no more tasks.
 SHUN_FAILURES = 3
--- a/siskintally/request.py
+++ b/siskintally/request_handler.py
@@ -1,6 +1,6 @@
 """Course of one request: ledger, admission, dispatch, retry, answer.
 
->>> from siskintally.request import Course
+>>> from siskintally.request_handler import Course
 >>> Course.__name__
 'Course'
 """
@@ -16,9 +16,9 @@
 from siskintally.errors import SiskintallyError, UnreachableError
 from siskintally.fair_queue import Ticket
 from siskintally.forward import Outcome, Sent
-from siskintally.lane import is_granted
 from siskintally.ledger_client import LedgerUnreachableError
 from siskintally.log import get_logger
+from siskintally.service_dispatcher import is_granted
 from siskintally.wire_pb2 import LedgerBeginReply
 
 # Endpoints tried after provably unsent dispatches; such a dispatch puts no load on an endpoint.
@@ -38,13 +38,14 @@
 EXPIRED_IN_QUEUE = "deadline passed in the queue; no byte was sent"
 THIS_ATTEMPT = "this attempt was not run; earlier ones with the key are unchanged"
 
-log = get_logger("request")
+log = get_logger("request-handler")
 
 
 class Course:
     """Takes requests from admission to the answer.
 
-    :param lanes: ``lanes(service)`` returns the :class:`~siskintally.lane.Lane` of a service.
+    :param lanes: ``lanes(service)`` returns the :class:`~siskintally.service_dispatcher.Lane` of a
+        service.
     :param budget: :class:`~siskintally.retry.RetryBudget`.
     :param ledger: :class:`~siskintally.ledger_client.LedgerClient`.
     :param peers: :class:`~siskintally.peers.Peers`, entries of other domains.
--- a/siskintally/grid.py
+++ b/siskintally/resource_index.py
@@ -1,6 +1,6 @@
 """Index of items by the processor and memory they have free.
 
->>> from siskintally.grid import Grid
+>>> from siskintally.resource_index import Grid
 >>> from siskintally.size import Size
 >>> grid = Grid()
 >>> grid.add("w1", Size(cpu=4000, memory=8000))
--- a/siskintally/lane.py
+++ b/siskintally/service_dispatcher.py
@@ -1,6 +1,6 @@
 """Requests of one service at this entry: its queue, its endpoints, and their slots.
 
->>> from siskintally.lane import Lane
+>>> from siskintally.service_dispatcher import Lane
 >>> Lane.__name__
 'Lane'
 """
--- a/siskintally/share.py
+++ b/siskintally/slot_share.py
@@ -1,6 +1,6 @@
 """Fixed shares of an endpoint's slots and connections for the entries of its domain.
 
->>> from siskintally.share import share
+>>> from siskintally.slot_share import share
 >>> entries = ("e1", "e2", "e3")
 >>> sorted(share(8, endpoint="p1", entry=name, entries=entries) for name in entries)
 [2, 3, 3]
--- a/siskintally/racing.py
+++ b/siskintally/speculation.py
@@ -1,6 +1,6 @@
 """Copies of tasks that race with a run on a worker that has gone silent; pure.
 
->>> from siskintally.racing import Racing
+>>> from siskintally.speculation import Racing
 >>> Racing.__slots__
 ()
 """
--- a/siskintally/machine.py
+++ b/siskintally/state_machine.py
@@ -1,6 +1,6 @@
 """Abstract base class of replicated state machines.
 
->>> from siskintally.machine import Machine
+>>> from siskintally.state_machine import Machine
 >>> sorted(Machine.__abstractmethods__)
 ['apply', 'restore', 'snapshot']
 """
--- a/siskintally/placing.py
+++ b/siskintally/step_placement.py
@@ -1,6 +1,6 @@
 """Choice of workers for the tasks of steps that are due; pure, with the time passed in.
 
->>> from siskintally.placing import TICKET_MARGIN_S
+>>> from siskintally.step_placement import TICKET_MARGIN_S
 >>> TICKET_MARGIN_S > 0
 True
 """
--- a/siskintally/store.py
+++ b/siskintally/store.py
@@ -20,7 +20,7 @@
     SiskintallyError,
     UnreachableError,
 )
-from siskintally.leader import LeaderClient
+from siskintally.leader_client import LeaderClient
 from siskintally.link import LinkServer
 from siskintally.log import get_logger
 from siskintally.metrics import Metrics
--- a/siskintally/stub_doubler.py
+++ b/siskintally/stub_duplicator.py
@@ -1,6 +1,6 @@
 """Relay in front of a stub endpoint that sends each response twice on its connection.
 
->>> from siskintally.stub_doubler import Doubler
+>>> from siskintally.stub_duplicator import Doubler
 >>> Doubler(host="127.0.0.1", port=7301, target_host="127.0.0.2").port
 7301
 """
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -16,7 +16,7 @@
 from siskintally.errors import BadRequestError
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer, respond, serve_http
 from siskintally.log import get_logger
-from siskintally.stub_doubler import Doubler
+from siskintally.stub_duplicator import Doubler
 
 ANNOUNCE_S = 1.0
 ANNOUNCE_TIMEOUT_S = 0.8
--- a/siskintally/pacing.py
+++ b/siskintally/throttling.py
@@ -1,6 +1,6 @@
 """Pace of filling tasks, so that the tasks that serve beside them keep their latency target; pure.
 
->>> from siskintally.pacing import next_percent
+>>> from siskintally.throttling import next_percent
 >>> next_percent(100, worst=1.2), next_percent(25, worst=0.8), next_percent(25, worst=0.3)
 (25, 25, 50)
 """
--- a/siskintally/index.py
+++ b/siskintally/worker_index.py
@@ -1,6 +1,6 @@
 """Workers of one failure domain, indexed by their free resources.
 
->>> from siskintally.index import Index
+>>> from siskintally.worker_index import Index
 >>> from siskintally.size import Size
 >>> index = Index()
 >>> index.put("w1", Size(cpu=4000, memory=4000, accelerators=1), accelerated=True)
@@ -9,7 +9,7 @@
 'w2'
 """
 
-from siskintally.grid import Grid
+from siskintally.resource_index import Grid
 
 # Key of workers without accelerators: work that needs none is kept off the others while possible.
 _PLAIN = -1
--- a/siskintally/keeper.py
+++ b/siskintally/worker_manager.py
@@ -1,6 +1,6 @@
 """The task that keeps one worker: its lease, its reports, and the orders for it.
 
->>> from siskintally.keeper import ANSWER_S
+>>> from siskintally.worker_manager import ANSWER_S
 >>> ANSWER_S > 0
 True
 """
@@ -22,14 +22,14 @@
 # A worker that is unhealthy gets nothing new for this long.
 BUSY_S = 1.0
 
-log = get_logger("keeper")
+log = get_logger("worker-manager")
 
 
 class Keeper:
     """Calls to one incarnation of a worker, on behalf of the leader.
 
     :param worker: :class:`~siskintally.fleet.FleetWorker`.
-    :param leader: :class:`~siskintally.conductor.Conductor`.
+    :param leader: :class:`~siskintally.control_leader.Conductor`.
     """
 
     __slots__ = (
--- a/tests/model/config.py
+++ b/tests/model/config.py
@@ -11,7 +11,7 @@
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import Command, SetConfig, SetPreset
 from siskintally.codes import Code
-from siskintally.watch import ConfigFollower
+from siskintally.config_follower import ConfigFollower
 from siskintally.wire_pb2 import ConfigState, OperatorReply
 from tests.model.search import Spec, Table
 
--- a/tests/model/consensus.py
+++ b/tests/model/consensus.py
@@ -16,8 +16,8 @@
 from siskintally.errors import BadRequestError, NotLeaderError
 from siskintally.membership import admit, ordered, promote
 from siskintally.messages import AppendReply, Identity, Kind, Member, VoteReply, VoteRequest
+from siskintally.persistent_state import FOUNDING_INDEX, founding_state
 from siskintally.replica import Replica
-from siskintally.stable import FOUNDING_INDEX, founding_state
 from tests.model.search import Spec, Table
 
 NOW = 0.0
--- a/tests/test_leader_calls.py
+++ b/tests/test_control_client.py
@@ -4,6 +4,7 @@
 
 from siskintally.clock import now as steady
 from siskintally.codes import Code
+from siskintally.control_client import LeaderCalls
 from siskintally.control_pb2 import ControlNotice, FlowRead
 from siskintally.errors import (
     NotLeaderError,
@@ -11,8 +12,7 @@
     RefusedError,
     UnreachableError,
 )
-from siskintally.leader_book import LeaderBook
-from siskintally.leader_calls import LeaderCalls
+from siskintally.leader_cache import LeaderBook
 
 LIMIT_S = 10.0
 
--- a/tests/test_conductor.py
+++ b/tests/test_control_leader.py
@@ -2,15 +2,15 @@
 
 from anyio import Event, create_task_group, run, sleep
 
-from siskintally.authority import AUTHORITY_SHARE
-from siskintally.conductor import Conductor
 from siskintally.control_group import ENDED_LEADER_SHARE
+from siskintally.control_leader import Conductor
 from siskintally.control_pb2 import ControlCommand
 from siskintally.control_state import ControlState
 from siskintally.counters import Counters
 from siskintally.driver import OrderReply, RunRow, WorkerDriver, WorkerReport
 from siskintally.errors import NotLeaderError
 from siskintally.flow_timing import FlowTiming
+from siskintally.quorum_check import AUTHORITY_SHARE
 from tests.flow_rig import QUEUE, flow, step, worker
 
 TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -8,10 +8,10 @@
 
 from siskintally.codes import Code
 from siskintally.config import parse_config
+from siskintally.job_split import lacking, task_count
 from siskintally.preset import LIMITS
 from siskintally.settings import load
 from siskintally.spec import KEYS, parse_spec
-from siskintally.split import lacking, task_count
 from siskintally.wire_pb2 import Resources
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -21,18 +21,18 @@
 from siskintally.call import Answer
 from siskintally.codes import Code
 from siskintally.entry import Entry
+from siskintally.entry_summary import KEEPALIVE_S, SummarySender, SummaryTable
 from siskintally.errors import BadRequestError
 from siskintally.fair_queue import Ticket
 from siskintally.forward import Forwarder
 from siskintally.health import HealthTable
 from siskintally.ledger_client import home_of
 from siskintally.metrics import Metrics
-from siskintally.pause import PauseGuard
-from siskintally.request import STARTUP_S, Course, _wait_for_slot
+from siskintally.pause_detector import PauseGuard
+from siskintally.request_handler import STARTUP_S, Course, _wait_for_slot
 from siskintally.retry import RetryBudget
 from siskintally.settings import parse
-from siskintally.share import share
-from siskintally.summary import KEEPALIVE_S, SummarySender, SummaryTable
+from siskintally.slot_share import share
 from siskintally.wire_pb2 import EntrySummary, ServiceLoad
 
 FIELDS = {
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -9,8 +9,8 @@
 from siskintally.errors import NotLeaderError, OutcomeUnknownError
 from siskintally.group import Group
 from siskintally.journal import found
-from siskintally.machine import Machine
 from siskintally.messages import voters_of
+from siskintally.state_machine import Machine
 from siskintally.timing import Timing
 from siskintally.wire_pb2 import AppendReply, AppendRequest, JoinRequest
 
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -6,14 +6,14 @@
 from siskintally.audit import AuditFile
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import CancelJobs
-from siskintally.clearance import MAX_GAP_S, Clearance
 from siskintally.codes import Code
 from siskintally.domain import Domain
 from siskintally.domain_state_pb2 import DomainBatch
 from siskintally.errors import NotLeaderError
+from siskintally.group_status import MIN_SILENCE_S
+from siskintally.group_status_check import MAX_GAP_S, Clearance
 from siskintally.job_counts import job_state
 from siskintally.job_shares import WAITS_FOR_GROUP
-from siskintally.standing import MIN_SILENCE_S
 from siskintally.wire_pb2 import JobItem, JobSpec, SyncReply, SyncRequest
 from tests.cell_commands import NAMES, Driver, group
 from tests.fake_group import FakeGroup
--- a/tests/test_group_loss_walk.py
+++ b/tests/test_group_loss_walk.py
@@ -12,7 +12,6 @@
 
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import CancelJobs, Command
-from siskintally.clearance import Clearance
 from siskintally.domain import Domain
 from siskintally.domain_state_pb2 import (
     AssignmentRecord,
@@ -22,6 +21,7 @@
     DomainReply,
     WorkerRecord,
 )
+from siskintally.group_status_check import Clearance
 from siskintally.job_counts import job_state
 from siskintally.wire_pb2 import JobReport, JobSpec, Resources
 from tests.cell_commands import NAMES, Driver
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -15,9 +15,9 @@
 )
 from siskintally.journal import Journal, found, set_aside
 from siskintally.messages import Entry, HardState, Identity, Kind, Member
+from siskintally.persistent_state import Stable
 from siskintally.raftlog import Log
 from siskintally.records import pack
-from siskintally.stable import Stable
 
 
 def reopen(folder):
--- a/tests/test_leader_book.py
+++ b/tests/test_leader_cache.py
@@ -3,7 +3,7 @@
 from siskintally.control_pb2 import ControlNotice, QueueDocument
 from siskintally.counters import Counters
 from siskintally.flow_gateway import FlowGateway
-from siskintally.leader_book import LeaderBook
+from siskintally.leader_cache import LeaderBook
 
 
 def led_book(now=10.0):
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -8,7 +8,8 @@
 from siskintally.election import Role
 from siskintally.errors import BadRequestError, NotLeaderError
 from siskintally.group_disk import GroupDisk
-from siskintally.joins import Joins
+from siskintally.leader_preference import Preference
+from siskintally.member_admission import Joins
 from siskintally.membership import admit, promote
 from siskintally.messages import (
     AppendReply,
@@ -21,10 +22,9 @@
     VoteRequest,
     voters_of,
 )
-from siskintally.preference import Preference
+from siskintally.persistent_state import Stable, founding_state
 from siskintally.replica import Replica
 from siskintally.roster import FixedRoster
-from siskintally.stable import Stable, founding_state
 from siskintally.timing import Timing
 
 NAMES = ("a", "b", "c")
--- a/tests/test_keeper.py
+++ b/tests/test_worker_manager.py
@@ -8,8 +8,8 @@
 from siskintally.errors import ConnectionLostError, OutcomeUnknownError
 from siskintally.fleet import FleetWorker, Standing
 from siskintally.flow_timing import FlowTiming
-from siskintally.keeper import Keeper
-from siskintally.look_wait import LookWait
+from siskintally.long_poll import LookWait
+from siskintally.worker_manager import Keeper
 
 TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
 REPORT = WorkerReport(clock_ms=1000)
