--- a/bench/log.py
+++ b/bench/log.py
@@ -20,7 +20,7 @@
 from siskintally.journal import found
 from siskintally.records import append_to
 from siskintally.session import wrap
-from siskintally.state_machine import Machine
+from siskintally.state_machine import StateMachine
 
 NAMES = ("s1", "s2", "s3")
 COMMAND = b"x" * 200
@@ -34,7 +34,7 @@
 flags.DEFINE_string("folder", None, "Where to put the data; default: the temporary folder.")
 
 
-class Counter(Machine):
+class Counter(StateMachine):
     """Counts commands."""
 
     __slots__ = ("count",)
--- a/siskintally/actions.py
+++ b/siskintally/actions.py
@@ -28,7 +28,7 @@
     worker: FleetWorker
 
 
-class PaceAction(NamedTuple):
+class ThrottleAction(NamedTuple):
     """An order to limit a filling task that is to be sent."""
 
     task: TaskRun
--- a/siskintally/advice_client_pool.py
+++ b/siskintally/advice_client_pool.py
@@ -17,7 +17,7 @@
     return min(QUICK_LANES, count // 3)
 
 
-class Lane(ABC):
+class AdviceClient(ABC):
     """One VM that can call the advice service; ``name`` tells lanes apart."""
 
     __slots__ = ("name",)
@@ -30,10 +30,10 @@
         """Return :class:`~siskintally.driver.Ticket` objects; see :class:`Advice`."""
 
 
-class Lanes:
+class AdviceClientPool:
     """Which lanes are free.
 
-    :param lanes: function that returns the :class:`Lane` objects at present, nearest first.
+    :param lanes: function that returns the :class:`AdviceClient` objects at present, nearest first.
     """
 
     __slots__ = ("_busy", "_lanes")
--- a/siskintally/advice_clients.py
+++ b/siskintally/advice_clients.py
@@ -1,11 +1,11 @@
 """The lanes of one leader: its own process, and the processes that are linked to it.
 
->>> from siskintally.advice_clients import LocalLane
->>> LocalLane(name="s1", advice=None).name
+>>> from siskintally.advice_clients import LocalAdviceClient
+>>> LocalAdviceClient(name="s1", advice=None).name
 's1'
 """
 
-from siskintally.advice_client_pool import Lane
+from siskintally.advice_client_pool import AdviceClient
 from siskintally.control_pb2 import AdviceAsk, AdviceReply, AdviceTicket
 from siskintally.driver import Ticket
 from siskintally.errors import SiskintallyError, UnreachableError
@@ -17,7 +17,7 @@
 log = get_logger("advice-clients")
 
 
-class LocalLane(Lane):
+class LocalAdviceClient(AdviceClient):
     """The own process as a caller of the advice service.
 
     :param advice: :class:`~siskintally.driver.Advice`.
@@ -34,7 +34,7 @@
         return await self._advice.ask(step_id, worker_ids, timeout=timeout)
 
 
-class RemoteLane(Lane):
+class RemoteAdviceClient(AdviceClient):
     """Another process that calls the advice service on behalf of the leader.
 
     :param session: :class:`~siskintally.session.Session` with it.
--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -31,7 +31,7 @@
         return self.expected_s <= QUICK_S
 
 
-class Advising:
+class AdvicePlanning:
     """The part of a scheduler that asks for permits."""
 
     __slots__ = ()
--- a/siskintally/applier.py
+++ b/siskintally/applier.py
@@ -11,7 +11,7 @@
 class Applier:
     """A machine with the index up to which it has applied the log.
 
-    :param machine: :class:`~siskintally.state_machine.Machine` in its first state.
+    :param machine: :class:`~siskintally.state_machine.StateMachine` in its first state.
     :param snapshot_entries: entries between two snapshots.
     :param snapshot_bytes: bytes of commands between two snapshots.
     """
--- a/siskintally/bootstrap.py
+++ b/siskintally/bootstrap.py
@@ -1,7 +1,7 @@
 """Founding of groups, once in the life of a cell.
 
->>> from siskintally.bootstrap import AlreadyFoundedError
->>> int(AlreadyFoundedError.code)
+>>> from siskintally.bootstrap import AlreadyBootstrappedError
+>>> int(AlreadyBootstrappedError.code)
 4000
 """
 
@@ -18,7 +18,7 @@
 ASK_TIMEOUT_S = 2.0
 
 
-class AlreadyFoundedError(BadRequestError):
+class AlreadyBootstrappedError(BadRequestError):
     """The group exists; founding it again would make a second one."""
 
 
@@ -32,7 +32,7 @@
         raise NotFoundError("this process only founds a group")
 
 
-def groups_to_found(settings, name):
+def groups_to_bootstrap(settings, name):
     """Yield the groups whose first member is the store; it is the one that founds them.
 
     The other members join it, so that a cell in which `init` ran everywhere has one founder.
@@ -42,25 +42,27 @@
             yield group
 
 
-async def found_group(*, settings, process, group, found):
+async def bootstrap_group(*, settings, process, group, found):
     """Found a group in the data folder of a store.
 
     :param found: :func:`siskintally.journal.found`.
-    :raises AlreadyFoundedError: the folder is not empty, or a reachable peer has a log.
+    :raises AlreadyBootstrappedError: the folder is not empty, or a reachable peer has a log.
     """
     folder = group_folder(process.data, group.name)
     if folder.exists() and any(folder.iterdir()):
-        raise AlreadyFoundedError(f"{folder}: not empty, the group {group.name!r} is founded here")
-    peer = await founded_peer(settings=settings, process=process, group=group)
+        raise AlreadyBootstrappedError(
+            f"{folder}: not empty, the group {group.name!r} is founded here"
+        )
+    peer = await find_bootstrapped_peer(settings=settings, process=process, group=group)
     if peer is not None:
-        raise AlreadyFoundedError(
+        raise AlreadyBootstrappedError(
             f"group {group.name!r}: store {peer} already has its log; start this store to join"
         )
     folder.parent.mkdir(parents=True, exist_ok=True)
     found(folder, group=group.name, name=process.name)
 
 
-async def founded_peer(*, settings, process, group):
+async def find_bootstrapped_peer(*, settings, process, group):
     """Return the name of a reachable member that has a log of the group, or None."""
     with_log = []
 
--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -25,7 +25,7 @@
 from siskintally.group_changes import lose_groups, restore_group
 from siskintally.jobs import JobTable
 from siskintally.spec import check_spec
-from siskintally.state_machine import Machine
+from siskintally.state_machine import StateMachine
 from siskintally.wire_pb2 import ConfigState, OperatorReply, SyncReply
 
 KEEP_REPLIES = 10_000
@@ -60,7 +60,7 @@
     return OperatorReply(code=int(code), answer=encode(answer)).SerializeToString()
 
 
-class Cell(Machine):
+class Cell(StateMachine):
     """Deterministic state of the cell; time and capacities come in the commands.
 
     :param config_state: ConfigState in force; version 0 before the first.
@@ -92,7 +92,7 @@
 
     @property
     def standings(self):
-        """The :class:`~siskintally.group_status.StandingTable` of the domain groups."""
+        """The :class:`~siskintally.group_status.GroupStatusTable` of the domain groups."""
         return self.jobs.standings
 
     def apply(self, *, index, command):
--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -14,7 +14,7 @@
 from siskintally.cell_state_pb2 import Command, ConfirmIdle, GroupInfo
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotLeaderError, SiskintallyError
-from siskintally.operator_queries import Inquiry, Reported
+from siskintally.operator_queries import GroupReports, OperatorQueries
 from siskintally.verbs import canonical, change_of, is_read, parse_arguments
 from siskintally.wire_pb2 import Done, OperatorReply, SyncReply
 
@@ -49,9 +49,9 @@
         self._machine = machine
         self._settings = settings
         self._clock = clock
-        self._reported = Reported()
+        self._reported = GroupReports()
         self._led = (None, 0.0)
-        self._inquiry = Inquiry(
+        self._inquiry = OperatorQueries(
             group=group, machine=machine, settings=settings, reported=self._reported
         )
 
--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -16,7 +16,7 @@
 from absl.flags import DEFINE_boolean, DEFINE_enum, DEFINE_string
 from anyio import run as run_async
 
-from siskintally.bootstrap import found_group, groups_to_found
+from siskintally.bootstrap import bootstrap_group, groups_to_bootstrap
 from siskintally.client import exit_status
 from siskintally.command import Command
 from siskintally.config import parse_config
@@ -102,9 +102,9 @@
     """Run ``init``."""
     settings, process = _process(values)
     names = []
-    for group in groups_to_found(settings, process.name):
+    for group in groups_to_bootstrap(settings, process.name):
         run_async(
-            partial(found_group, settings=settings, process=process, group=group, found=found)
+            partial(bootstrap_group, settings=settings, process=process, group=group, found=found)
         )
         names.append(group.name)
     if values.json:
--- a/siskintally/control_client.py
+++ b/siskintally/control_client.py
@@ -1,8 +1,8 @@
 """Calls of one process to the leader of the control group.
 
->>> from siskintally.control_client import LeaderCalls
->>> LeaderCalls.__name__
-'LeaderCalls'
+>>> from siskintally.control_client import ControlClient
+>>> ControlClient.__name__
+'ControlClient'
 """
 
 from anyio import CancelScope, sleep
@@ -20,10 +20,10 @@
 CALL_S = 2.0
 
 
-class LeaderCalls:
+class ControlClient:
     """Finds the leader and calls it; all calls may be sent again.
 
-    :param book: :class:`~siskintally.leader_cache.LeaderBook`.
+    :param book: :class:`~siskintally.leader_cache.LeaderCache`.
     :param call: ``async call(address, body, timeout=seconds)`` that returns the reply.
     """
 
--- a/siskintally/control_group.py
+++ b/siskintally/control_group.py
@@ -45,7 +45,7 @@
     """Return the :class:`Group` of a store.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
-    :param machine: :class:`~siskintally.state_machine.Machine`.
+    :param machine: :class:`~siskintally.state_machine.StateMachine`.
     :param contacts: function that yields the link addresses of other stores.
     :param send: ``send(address, body) -> bool``; must not block.
     """
@@ -77,7 +77,7 @@
     )
 
 
-def found_group(settings):
+def bootstrap_group(settings):
     """Write the founding state, once; all founding stores write the same."""
     folder, voters = _folder(settings), settings.seed_links()
     if not settings.founding or settings.link not in voters or folder.exists():
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -9,20 +9,20 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
-from siskintally.advice_client_pool import Lanes
+from siskintally.advice_client_pool import AdviceClientPool
 from siskintally.clock import now as steady
 from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, TaskEnd, WorkerKey
 from siskintally.control_state import Outcome
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
-from siskintally.fleet import Standing
-from siskintally.flow_dispatcher import FlowOrders
-from siskintally.flow_retention import Retirement
+from siskintally.fleet import WorkerStatus
+from siskintally.flow_dispatcher import FlowDispatcher
+from siskintally.flow_retention import FlowRetention
 from siskintally.flow_scheduler import FlowScheduler
 from siskintally.log import get_logger
-from siskintally.long_poll import LookWait
-from siskintally.quorum_check import Authority
+from siskintally.long_poll import LongPollWait
+from siskintally.quorum_check import QuorumCheck
 from siskintally.worker_lease import longest_s
-from siskintally.worker_manager import Keeper
+from siskintally.worker_manager import WorkerManager
 
 # Events within this time share one pass over the waiting tasks.
 GATHER_S = 0.004
@@ -35,13 +35,14 @@
 log = get_logger("control-leader")
 
 
-class Conductor:
+class ControlLeader:
     """What a leader does in one term.
 
     :param group: :class:`~siskintally.group.Group` whose replica leads.
     :param state: :class:`~siskintally.control_state.ControlState` of the group.
     :param driver: :class:`~siskintally.driver.WorkerDriver`.
-    :param lanes: function that returns :class:`~siskintally.advice_client_pool.Lane` objects.
+    :param lanes: function that returns
+        :class:`~siskintally.advice_client_pool.AdviceClient` objects.
     :param timing: :class:`~siskintally.flow_timing.FlowTiming`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
@@ -70,14 +71,16 @@
         self.scheduler = FlowScheduler(term=group.term)
         self._group = group
         self._driver = driver
-        self._orders = FlowOrders(leader=self, lanes=Lanes(lanes=lanes), counters=counters)
+        self._orders = FlowDispatcher(
+            leader=self, lanes=AdviceClientPool(lanes=lanes), counters=counters
+        )
         self._timing = timing
         self._counters = counters
         self._keeper_by_worker = {}
-        self.look_wait = LookWait(
+        self.look_wait = LongPollWait(
             calm_s=timing.wait_s, troubled_s=TROUBLED_WAIT_S, memory_s=TROUBLE_MEMORY_S
         )
-        self.authority = Authority(group=group, election_min_s=timing.election_min_s)
+        self.authority = QuorumCheck(group=group, election_min_s=timing.election_min_s)
         self._wake = Event()
         self._scope = None
         self._tasks = None
@@ -118,7 +121,7 @@
 
     async def _retire(self):
         """Forget flows whose outcome nobody asks for any more."""
-        retirement = Retirement(keep_s=self._timing.keep_s)
+        retirement = FlowRetention(keep_s=self._timing.keep_s)
         while True:
             await sleep(RETIRE_S)
             flows = self.state.flow_by_id.values()
@@ -144,7 +147,7 @@
             self._orders.run_pass(steady(), int(time() * 1000), self._tasks)
 
     def _keep(self, worker):
-        keeper = Keeper(worker=worker, leader=self, driver=self._driver, timing=self._timing)
+        keeper = WorkerManager(worker=worker, leader=self, driver=self._driver, timing=self._timing)
         self._keeper_by_worker[worker.id] = keeper
         self._tasks.start_soon(keeper.run)
         return keeper
@@ -169,7 +172,7 @@
             keeper.lease.sample(
                 clock_ms=record.clock_ms, sent_at=received_at, received_at=received_at
             )
-        if worker.standing == Standing.LAPSED:
+        if worker.standing == WorkerStatus.LAPSED:
             keeper.wake()
         if record.leaving:
             self.scheduler.evacuate(worker, steady())
@@ -240,7 +243,7 @@
 
     def gone(self, worker, reason):
         """Note that an incarnation of a worker does not exist any more."""
-        if worker.standing == Standing.LOST:
+        if worker.standing == WorkerStatus.LOST:
             return
         log.warning("worker lost", worker=worker.id, reason=reason[:120])
         self.scheduler.lose(worker)
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -9,13 +9,13 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
-from siskintally.advice_clients import LocalLane, RemoteLane, answer_advice
+from siskintally.advice_clients import LocalAdviceClient, RemoteAdviceClient, answer_advice
 from siskintally.clock import now as steady
-from siskintally.control_client import LeaderCalls
-from siskintally.control_group import flow_timing, found_group, make_group
-from siskintally.control_leader import Conductor
+from siskintally.control_client import ControlClient
+from siskintally.control_group import bootstrap_group, flow_timing, make_group
+from siskintally.control_leader import ControlLeader
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
-from siskintally.control_service import FlowDesk
+from siskintally.control_service import ControlService
 from siskintally.control_state import ControlState
 from siskintally.errors import (
     BadRequestError,
@@ -24,9 +24,9 @@
     SiskintallyError,
     StoppedError,
 )
-from siskintally.leader_cache import LeaderBook
+from siskintally.leader_cache import LeaderCache
 from siskintally.link import LinkServer
-from siskintally.link_pool import CELL, Mesh
+from siskintally.link_pool import CELL, LinkPool
 from siskintally.liveness import LinkTiming
 from siskintally.log import get_logger
 from siskintally.session import Handler
@@ -95,12 +95,12 @@
         self._server = LinkServer(
             hello=hello, secret=settings.secret, handler=self, timing=ACCEPTED_TIMING
         )
-        self._mesh = Mesh(
+        self._mesh = LinkPool(
             own=own, hello=hello, secret=settings.secret, handler=self, ended=self._store_ended
         )
         self._mesh.learn(settings.seed_links())
-        self.book = LeaderBook(fresh_s=settings.fresh_ms / 1000)
-        self.calls = LeaderCalls(book=self.book, call=self._call)
+        self.book = LeaderCache(fresh_s=settings.fresh_ms / 1000)
+        self.calls = ControlClient(book=self.book, call=self._call)
         self.state = ControlState()
         self._group = make_group(
             settings, machine=self.state, contacts=self._mesh.addresses, send=self._mesh.send
@@ -130,7 +130,7 @@
 
         :param serve: async function that serves requests until ``closing`` is set.
         """
-        found_group(self._settings)
+        bootstrap_group(self._settings)
         async with create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._serve)
@@ -196,7 +196,7 @@
             self._notice_now.set()
 
     def _begin_term(self):
-        conductor = Conductor(
+        conductor = ControlLeader(
             group=self._group,
             state=self.state,
             driver=self._driver,
@@ -204,7 +204,7 @@
             timing=flow_timing(self._settings),
             counters=self._counters,
         )
-        self._desk = FlowDesk(conductor=conductor, published=self._publish)
+        self._desk = ControlService(conductor=conductor, published=self._publish)
         self._works = conductor
         self._tasks.start_soon(self._work, conductor)
 
@@ -231,10 +231,10 @@
         self._notice_now.set()
 
     def _lanes(self):
-        yield LocalLane(name=self._settings.name, advice=self._advice)
+        yield LocalAdviceClient(name=self._settings.name, advice=self._advice)
         for session in list(self._server.session_by_id.values()):
             if not session.closed:
-                yield RemoteLane(name=session.peer.name, session=session)
+                yield RemoteAdviceClient(name=session.peer.name, session=session)
 
     async def _notify(self):
         """Tell all linked processes who leads, and the leader its configuration."""
@@ -277,7 +277,7 @@
             return await self._group.join_request(body)
         if isinstance(body, AdviceAsk):
             return await answer_advice(self._advice, body)
-        if not FlowDesk.takes(body):
+        if not ControlService.takes(body):
             raise BadRequestError(f"{type(body).__name__}: no such call")
         return await self._answer_flow(body)
 
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -1,8 +1,8 @@
 """Calls of entries and stores that the leader of a control group answers.
 
->>> from siskintally.control_service import FlowDesk
->>> FlowDesk.__name__
-'FlowDesk'
+>>> from siskintally.control_service import ControlService
+>>> ControlService.__name__
+'ControlService'
 """
 
 from time import time
@@ -33,10 +33,10 @@
 log = get_logger("control-service")
 
 
-class FlowDesk:
+class ControlService:
     """Answers calls about flows, workers and configuration in one term.
 
-    :param conductor: :class:`~siskintally.control_leader.Conductor` of the term.
+    :param conductor: :class:`~siskintally.control_leader.ControlLeader` of the term.
     :param published: function that is called when a new configuration is in force.
     """
 
@@ -196,12 +196,12 @@
 
 
 _ANSWER_BY_TYPE = {
-    FlowSubmit: FlowDesk._submit,
-    FlowCancel: FlowDesk._cancel,
-    FlowRead: FlowDesk._read,
-    QueueRead: FlowDesk._count,
-    DocumentPut: FlowDesk._put_document,
-    DocumentRead: FlowDesk._read_document,
-    WorkerSeen: FlowDesk._seen,
-    WorkerGone: FlowDesk._gone,
+    FlowSubmit: ControlService._submit,
+    FlowCancel: ControlService._cancel,
+    FlowRead: ControlService._read,
+    QueueRead: ControlService._count,
+    DocumentPut: ControlService._put_document,
+    DocumentRead: ControlService._read_document,
+    WorkerSeen: ControlService._seen,
+    WorkerGone: ControlService._gone,
 }
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -23,7 +23,7 @@
     TaskFailures,
     TaskStart,
 )
-from siskintally.state_machine import Machine
+from siskintally.state_machine import StateMachine
 from siskintally.task_id import TaskId, occurrences, step_tasks
 
 
@@ -118,7 +118,7 @@
             self.close(Outcome.FAILED)
 
 
-class ControlState(Machine):
+class ControlState(StateMachine):
     """Replicated state; ``worker_by_id`` holds each worker that tasks may have been sent to."""
 
     __slots__ = ("document", "flow_by_id", "worker_by_id")
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -22,7 +22,7 @@
 from siskintally.ledger import Ledger
 from siskintally.preset import default_preset
 from siskintally.size import NOTHING, Size
-from siskintally.state_machine import Machine
+from siskintally.state_machine import StateMachine
 from siskintally.wire_pb2 import ConfigState
 
 ORDINARY = "ordinary"
@@ -43,7 +43,7 @@
         self.task_ids = {}
 
 
-class Domain(Machine):
+class Domain(StateMachine):
     """Deterministic state of a domain group; the time comes in the commands.
 
     :param group: name of the group.
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -18,7 +18,7 @@
 from siskintally.config_follower import ConfigFollower
 from siskintally.errors import BadRequestError, UnreachableError
 from siskintally.gateway import Gateway
-from siskintally.gossip import Exchange
+from siskintally.gossip import Gossip
 from siskintally.http_server import serve_http
 from siskintally.leader_client import LeaderClient
 from siskintally.ledger_client import StandaloneLedger, StoreLedger
@@ -27,11 +27,11 @@
 from siskintally.log import get_logger
 from siskintally.metrics import Metrics
 from siskintally.operator_relay import OperatorRelay
-from siskintally.pause_detector import PauseGuard
+from siskintally.pause_detector import PauseDetector
 from siskintally.peers import Peers
-from siskintally.request_handler import Course
+from siskintally.request_handler import RequestHandler
 from siskintally.retry import RetryBudget
-from siskintally.service_dispatcher import Lane
+from siskintally.service_dispatcher import ServiceDispatcher
 from siskintally.session import Handler
 from siskintally.slot_share import share
 from siskintally.supervisor import Supervisor
@@ -95,7 +95,7 @@
         self._own_entries = tuple(sorted(own))
         self._metrics = Metrics(address=settings.statsd, prefix=f"siskintally.{process.name}")
         self._table = AnnouncementTable(domain=process.domain)
-        self._pause = PauseGuard()
+        self._pause = PauseDetector()
         self.limits = EntryLimits()
         self.budget = RetryBudget(ratio=self.limits.retry_ratio)
         self._lane_by_service = {}
@@ -115,7 +115,7 @@
         self._peers = Peers(
             settings=settings, process=process, hello=hello, handler=self, server=self._server
         )
-        self._exchange = Exchange(table=self._table, peers=self._peers, lane=self.lane)
+        self._exchange = Gossip(table=self._table, peers=self._peers, lane=self.lane)
         group = None if self._standalone else settings.group_of_domain(process.domain)
         members = group.members if group else ()
         self.relay = OperatorRelay(stores=members, call=self._peers.call)
@@ -134,7 +134,7 @@
         async with create_task_group() as tasks:
             self._tasks = tasks
             self._ledger = self._make_ledger(tasks)
-            self._course = Course(
+            self._course = RequestHandler(
                 lanes=self.lane,
                 budget=self.budget,
                 ledger=self._ledger,
@@ -200,7 +200,7 @@
         """Return the lane of a service."""
         lane = self._lane_by_service.get(service)
         if lane is None:
-            lane = self._lane_by_service[service] = Lane(
+            lane = self._lane_by_service[service] = ServiceDispatcher(
                 limits=self.limits,
                 live=lambda now: self._table.live(service, now=now),
                 share_of=self._share_of,
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -11,11 +11,11 @@
 
 from siskintally.advice_clients import answer_advice
 from siskintally.clock import now as steady
-from siskintally.control_client import LeaderCalls
+from siskintally.control_client import ControlClient
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
 from siskintally.errors import BadRequestError
-from siskintally.leader_cache import LeaderBook
-from siskintally.link_pool import CELL, Mesh
+from siskintally.leader_cache import LeaderCache
+from siskintally.link_pool import CELL, LinkPool
 from siskintally.log import get_logger
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello
@@ -58,10 +58,10 @@
         self.closing = Event()
         self.last_requests_s = settings.grace_s * LAST_REQUESTS_SHARE
         hello = Hello(name=settings.name, cell=CELL, incarnation=uuid4().hex)
-        self._mesh = Mesh(own="", hello=hello, secret=settings.secret, handler=self)
+        self._mesh = LinkPool(own="", hello=hello, secret=settings.secret, handler=self)
         self._mesh.learn(settings.seed_links())
-        self.book = LeaderBook(fresh_s=settings.fresh_ms / 1000)
-        self.calls = LeaderCalls(book=self.book, call=self._mesh.call)
+        self.book = LeaderCache(fresh_s=settings.fresh_ms / 1000)
+        self.calls = ControlClient(book=self.book, call=self._mesh.call)
 
     def learn_seeds(self, settings):
         """Link to the seeds of changed settings too."""
--- a/siskintally/failed_searches.py
+++ b/siskintally/failed_searches.py
@@ -1,13 +1,13 @@
 """What searches for room have failed since resources were last freed.
 
->>> from siskintally.failed_searches import Misses
+>>> from siskintally.failed_searches import FailedSearches
 >>> from siskintally.size import Size
 >>> from siskintally.workload import Job, Kind
 >>> small, large = (
 ...     Job(job_id=f"j{cpu}", kind=Kind.BATCH, need=Size(cpu=cpu), tasks=1, submitted=0.0)
 ...     for cpu in (1000, 2000)
 ... )
->>> misses = Misses()
+>>> misses = FailedSearches()
 >>> misses.add(small)
 >>> misses.covers(large)
 True
@@ -16,7 +16,7 @@
 from siskintally.workload import Kind
 
 
-class Misses:
+class FailedSearches:
     """Sizes that found no room since resources were last freed; larger ones need no search."""
 
     __slots__ = ("_failed", "_freed", "_shapes")
--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -35,7 +35,7 @@
 MOST_PACE = 8.0
 
 
-class Standing(IntEnum):
+class WorkerStatus(IntEnum):
     """What a leader knows of a worker."""
 
     # What runs there is not known: it has not answered in this term.
@@ -82,7 +82,7 @@
         self.held_by_task = {}
         self.foreign = {}
         self.lease_until = -inf
-        self.standing = Standing.UNSEEN
+        self.standing = WorkerStatus.UNSEEN
         self.cpu_free = record.cpu_milli
         self.memory_free = record.memory_mb
         self.free_accelerators = record.accelerators
@@ -106,7 +106,7 @@
     @property
     def is_open(self):
         """Whether new tasks may be sent there."""
-        return self.standing == Standing.READY and not self.record.leaving and not self.foreign
+        return self.standing == WorkerStatus.READY and not self.record.leaving and not self.foreign
 
     def fits(self, need):
         """Tell whether a task fits beside what is held."""
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -16,11 +16,11 @@
 log = get_logger("flow-dispatcher")
 
 
-class FlowOrders:
+class FlowDispatcher:
     """Sends starts, stops, paces, and calls for advice.
 
-    :param leader: :class:`~siskintally.control_leader.Conductor`.
-    :param lanes: :class:`~siskintally.advice_client_pool.Lanes`.
+    :param leader: :class:`~siskintally.control_leader.ControlLeader`.
+    :param lanes: :class:`~siskintally.advice_client_pool.AdviceClientPool`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -46,8 +46,8 @@
 class FlowGateway:
     """Requests of callers at one entry.
 
-    :param book: :class:`~siskintally.leader_cache.LeaderBook`.
-    :param calls: :class:`~siskintally.control_client.LeaderCalls`.
+    :param book: :class:`~siskintally.leader_cache.LeaderCache`.
+    :param calls: :class:`~siskintally.control_client.ControlClient`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
--- a/siskintally/flow_retention.py
+++ b/siskintally/flow_retention.py
@@ -1,13 +1,13 @@
 """Which closed flows have been kept for long enough; pure.
 
->>> from siskintally.flow_retention import Retirement
->>> retirement = Retirement(keep_s=60.0)
+>>> from siskintally.flow_retention import FlowRetention
+>>> retirement = FlowRetention(keep_s=60.0)
 >>> retirement.old(["f"], now=0.0), retirement.old(["f"], now=61.0)
 ([], ['f'])
 """
 
 
-class Retirement:
+class FlowRetention:
     """Closed flows and when they were first seen closed.
 
     :param keep_s: time for which the outcome of a flow is kept.
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -12,23 +12,23 @@
 """
 
 from siskintally.actions import StopAction
-from siskintally.advice_planning import Advising
+from siskintally.advice_planning import AdvicePlanning
 from siskintally.control_state import Failures, Outcome
-from siskintally.fleet import FleetWorker, Standing
+from siskintally.fleet import FleetWorker, WorkerStatus
 from siskintally.flow import FlowRun, TaskState
-from siskintally.report_handling import Observing
-from siskintally.speculation import Racing
-from siskintally.step_placement import Placing
+from siskintally.report_handling import ReportHandling
+from siskintally.speculation import Speculation
+from siskintally.step_placement import StepPlacement
 
 # Starts of one term have numbers of their own, so that a later leader's are always higher.
 RUNS_PER_TERM = 1_000_000
 
 
-class FlowScheduler(Placing, Advising, Observing, Racing):
+class FlowScheduler(StepPlacement, AdvicePlanning, ReportHandling, Speculation):
     """What a leader decides about flows, from its election to its deposition.
 
     ``stops``, ``paces``: :class:`~siskintally.actions.StopAction` and
-    :class:`~siskintally.actions.PaceAction` objects that are to be sent.
+    :class:`~siskintally.actions.ThrottleAction` objects that are to be sent.
     ``taken_by_worker``: number of the last end that was taken from each worker.
     ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not reported.
 
@@ -208,7 +208,7 @@
             self.lose(known)
         worker = FleetWorker(record=record)
         if is_new:
-            worker.standing = Standing.READY
+            worker.standing = WorkerStatus.READY
         self.worker_by_id[record.id] = worker
         self.taken_by_worker.pop(record.id, None)
 
@@ -225,13 +225,13 @@
 
     def lapse(self, worker):
         """Note that the lease of a worker has ended: nothing that was started runs there."""
-        worker.standing = Standing.LAPSED
+        worker.standing = WorkerStatus.LAPSED
         self._empty(worker)
         self.note_seen(worker)
 
     def lose(self, worker):
         """Forget an incarnation that does not exist any more."""
-        worker.standing = Standing.LOST
+        worker.standing = WorkerStatus.LOST
         self._empty(worker)
         if self.worker_by_id.get(worker.id) is worker:
             del self.worker_by_id[worker.id]
--- a/siskintally/follower.py
+++ b/siskintally/follower.py
@@ -1,7 +1,7 @@
-"""Following: how a replica takes entries and snapshots of its leader.
+"""Follower: how a replica takes entries and snapshots of its leader.
 
->>> from siskintally.follower import Following
->>> Following.__slots__
+>>> from siskintally.follower import Follower
+>>> Follower.__slots__
 ()
 """
 
@@ -23,7 +23,7 @@
     parts: tuple
 
 
-class Following:
+class Follower:
     """The part of a replica that acts while another one leads."""
 
     __slots__ = ()
--- a/siskintally/gossip.py
+++ b/siskintally/gossip.py
@@ -1,8 +1,8 @@
-"""Exchange of announcements and summaries with other entries.
+"""Gossip of announcements and summaries with other entries.
 
->>> from siskintally.gossip import Exchange
->>> Exchange.__name__
-'Exchange'
+>>> from siskintally.gossip import Gossip
+>>> Gossip.__name__
+'Gossip'
 """
 
 from time import monotonic
@@ -18,7 +18,7 @@
 SUMMARY_S = 2.0
 
 
-class Exchange:
+class Gossip:
     """Sends what this entry knows to the other entries.
 
     :param table: :class:`~siskintally.announcement.AnnouncementTable`.
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -22,7 +22,7 @@
 from siskintally.group_inputs import Arrival, PeerEnded, Stop
 from siskintally.handover import Handover
 from siskintally.inbox import Inbox
-from siskintally.leader_preference import STABLE_S, Preference
+from siskintally.leader_preference import STABLE_S, LeaderPreference
 from siskintally.leadership import LeadershipState
 from siskintally.log import get_logger
 from siskintally.member_changes import MemberChanges
@@ -53,7 +53,7 @@
     :param founding_members: process names that the settings give to the group.
     :param roster: :class:`~siskintally.roster.Roster`; by default the founding members.
     :param folder: data folder of this replica alone.
-    :param machine: :class:`~siskintally.state_machine.Machine` that entries are applied to.
+    :param machine: :class:`~siskintally.state_machine.StateMachine` that entries are applied to.
     :param send: ``send(process_name, body) -> bool``; must not block.
     :param timing: :class:`~siskintally.timing.Timing`.
     :param snapshot_entries: entries between two snapshots.
@@ -124,7 +124,7 @@
         self._changes = MemberChanges(group=name, process=process, roster=roster, send=send)
         self._handover = Handover()
         first = next(iter(self.founding_members), "")
-        self._preference = Preference(group=name, preferred=first, stable_s=stable_s)
+        self._preference = LeaderPreference(group=name, preferred=first, stable_s=stable_s)
         self._ended = Event()
 
     @property
--- a/siskintally/group_changes.py
+++ b/siskintally/group_changes.py
@@ -6,7 +6,7 @@
 """
 
 from siskintally.errors import BadRequestError, NotFoundError
-from siskintally.group_status import MIN_SILENCE_S, GroupInUseError, standing_text
+from siskintally.group_status import MIN_SILENCE_S, GroupInUseError, group_status_text
 
 MAX_SHOWN_NAME = 128
 
@@ -60,4 +60,4 @@
 def _standing_text(cell, group):
     if group not in cell.jobs.capacity.info_by_group:
         raise NotFoundError(f"group = {group[:MAX_SHOWN_NAME]!r}: no such domain group")
-    return standing_text(cell.standings.of(group))
+    return group_status_text(cell.standings.of(group))
--- a/siskintally/group_status.py
+++ b/siskintally/group_status.py
@@ -1,7 +1,7 @@
 """Which domain groups operators have declared lost.
 
->>> from siskintally.group_status import StandingTable
->>> table = StandingTable()
+>>> from siskintally.group_status import GroupStatusTable
+>>> table = GroupStatusTable()
 >>> table.lose("fjeld", index=7)
 >>> table.is_lost("fjeld"), table.of("fjeld").epoch, table.latest("fjeld")
 (True, 1, 7)
@@ -22,7 +22,7 @@
     code = Code.GROUP_IN_USE
 
 
-def standing_text(standing):
+def group_status_text(standing):
     """Name a Standing.
 
     :returns: in service; lost; or lost, idle.
@@ -32,7 +32,7 @@
     return "lost, idle" if standing.idle else "lost"
 
 
-class StandingTable:
+class GroupStatusTable:
     """Standing of each domain group.
 
     Each declared loss begins a new epoch of the group. What belongs to an earlier epoch, such as a
--- a/siskintally/group_status_check.py
+++ b/siskintally/group_status_check.py
@@ -1,9 +1,9 @@
 """What a store process knows from the cell about the standing of its domain group.
 
->>> from siskintally.group_status_check import Clearance
+>>> from siskintally.group_status_check import GroupStatusCheck
 >>> from siskintally.domain import Domain
 >>> from siskintally.wire_pb2 import SyncReply
->>> clearance, domain = Clearance(), Domain(group="g")
+>>> clearance, domain = GroupStatusCheck(), Domain(group="g")
 >>> clearance.covers(domain)
 False
 >>> clearance.learn(SyncReply())
@@ -29,7 +29,7 @@
 log = get_logger("group-status-check")
 
 
-class Clearance:
+class GroupStatusCheck:
     """Whether the cell has told this process, since its start, that the group is not lost.
 
     A process that was switched off may come back after its group was declared lost and its tasks
--- a/siskintally/job_shares.py
+++ b/siskintally/job_shares.py
@@ -17,7 +17,7 @@
     """Gives tasks to domain groups and takes them back.
 
     :param capacity: :class:`~siskintally.capacity.CapacityTable`.
-    :param standings: :class:`~siskintally.group_status.StandingTable`.
+    :param standings: :class:`~siskintally.group_status.GroupStatusTable`.
     :param changes: :class:`~siskintally.job_changes.JobChanges`.
     """
 
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -14,7 +14,7 @@
     NotFoundError,
     SiskintallyError,
 )
-from siskintally.group_status import StandingTable
+from siskintally.group_status import GroupStatusTable
 from siskintally.job_changes import JobChanges
 from siskintally.job_counts import ended_tasks, share_has_ended
 from siskintally.job_shares import JobShares
@@ -59,7 +59,7 @@
         self.by_id = {}
         self.capacity = CapacityTable()
         self.quota_use = QuotaUse()
-        self.standings = StandingTable()
+        self.standings = GroupStatusTable()
         self._ended = {}
         self._waiting = {}
         self._holdings = Holdings(capacity=self.capacity, quota_use=self.quota_use)
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -31,7 +31,7 @@
     StoredSnapshot,
 )
 from siskintally.messages import Identity, Snapshot
-from siskintally.persistent_state import Stable, founding_state
+from siskintally.persistent_state import PersistentState, founding_state
 from siskintally.raftlog import EMPTY_SNAPSHOT
 from siskintally.records import (
     TEMPORARY_SUFFIX,
@@ -98,8 +98,8 @@
         """Sync the changes that a transition made; blocks.
 
         :param effects: with hard state, entries or snapshot.
-        :param stable: function that returns the :class:`Stable` after the transition; it is called
-            only if there is a snapshot.
+        :param stable: function that returns the :class:`PersistentState` after the transition; it
+            is called only if there is a snapshot.
         :raises OSError: the disk failed; the journal must be opened again.
         """
         if effects.snapshot is not None:
@@ -149,7 +149,7 @@
     """
     journal = Journal.open(folder, group=group, name=name, incarnation=incarnation)
     try:
-        if journal.stable != Stable():
+        if journal.stable != PersistentState():
             raise BadRequestError(f"{folder}: the group {group!r} is already founded here")
         stable = founding_state(voters or (journal.identity,))
         journal._write_snapshot(stable)
@@ -187,7 +187,7 @@
         return
     incarnation = incarnation or uuid4().hex[:INCARNATION_LENGTH]
     identity = Identity(name=name, incarnation=incarnation)
-    replace_file(folder / LOG_FILE, _encode_head(Stable(), group, identity))
+    replace_file(folder / LOG_FILE, _encode_head(PersistentState(), group, identity))
     stored = StoredIdentity(group=group, name=name, incarnation=incarnation)
     replace_file(folder / IDENTITY_FILE, pack(stored.SerializeToString()))
 
@@ -254,7 +254,7 @@
     if head.base_index + len(entries) < snapshot.index:
         raise DamagedDataError(f"{LOG_FILE}: entries before the snapshot are missing")
     vote = Identity(hard_state.vote_name, hard_state.vote_incarnation)
-    return Stable(
+    return PersistentState(
         term=hard_state.term,
         vote=vote if vote.name else None,
         snapshot=snapshot,
--- a/siskintally/leader_cache.py
+++ b/siskintally/leader_cache.py
@@ -1,8 +1,8 @@
 """What a process knows of the leader of the control group and of its configuration; pure.
 
 >>> from siskintally.control_pb2 import ControlNotice
->>> from siskintally.leader_cache import LeaderBook
->>> book = LeaderBook(fresh_s=1.5)
+>>> from siskintally.leader_cache import LeaderCache
+>>> book = LeaderCache(fresh_s=1.5)
 >>> book.take(ControlNotice(leads=True), sender="10.0.0.1:7000", now=5.0)
 False
 >>> book.leader(5.5), book.leader(9.0)
@@ -14,7 +14,7 @@
 from siskintally.control_pb2 import QueueDocument
 
 
-class LeaderBook:
+class LeaderCache:
     """Notices of stores.
 
     ``document``: newest configuration that a leader has told.
--- a/siskintally/leader_preference.py
+++ b/siskintally/leader_preference.py
@@ -3,8 +3,8 @@
 After failures the leaders of many groups would gather on the VMs that failed last, and a VM that
 leads several groups is over its processor budget.
 
->>> from siskintally.leader_preference import Preference
->>> Preference(group="cell", preferred="s1").preferred
+>>> from siskintally.leader_preference import LeaderPreference
+>>> LeaderPreference(group="cell", preferred="s1").preferred
 's1'
 """
 
@@ -18,7 +18,7 @@
 log = get_logger("leader-preference")
 
 
-class Preference:
+class LeaderPreference:
     """Decides when a leader gives way to the preferred member.
 
     :param preferred: process name of the member that should lead.
--- a/siskintally/leader_watchers.py
+++ b/siskintally/leader_watchers.py
@@ -1,8 +1,8 @@
 """Streams that tell others who leads a group.
 
 >>> from siskintally.messages import Leadership
->>> from siskintally.leader_watchers import Watchers
->>> watchers = Watchers()
+>>> from siskintally.leader_watchers import LeaderWatchers
+>>> watchers = LeaderWatchers()
 >>> stream = watchers.add(Leadership(term=1, leader="", is_leader=False))
 >>> watchers.publish(Leadership(term=2, leader="s1", is_leader=True))
 >>> stream.receive_nowait().term, stream.receive_nowait().leader
@@ -14,7 +14,7 @@
 BUFFER_MESSAGES = 16
 
 
-class Watchers:
+class LeaderWatchers:
     """Receivers of Leadership messages; a slow one loses the oldest, never the latest."""
 
     __slots__ = ("_ends",)
--- a/siskintally/leadership.py
+++ b/siskintally/leadership.py
@@ -7,7 +7,7 @@
 (0, False, '')
 """
 
-from siskintally.leader_watchers import Watchers
+from siskintally.leader_watchers import LeaderWatchers
 from siskintally.messages import Leadership
 
 
@@ -23,7 +23,7 @@
         self.now = Leadership(term=0, leader="", is_leader=False)
         self._process = process
         self._roster = roster
-        self._watchers = Watchers()
+        self._watchers = LeaderWatchers()
 
     def watch(self):
         """Return a receive stream of :class:`Leadership`, starting with the present state."""
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -2,8 +2,8 @@
 
 A store is named by the address of its link port, so that whoever knows a member can reach it.
 
->>> from siskintally.link_pool import Mesh
->>> mesh = Mesh(own="10.0.0.1:7000", hello=None, secret="s", handler=None)
+>>> from siskintally.link_pool import LinkPool
+>>> mesh = LinkPool(own="10.0.0.1:7000", hello=None, secret="s", handler=None)
 >>> mesh.learn(["10.0.0.1:7000"])
 >>> list(mesh.addresses())
 []
@@ -20,7 +20,7 @@
 
 # A cut has to be noticed, and a healed one used, well within the time in which a process has to
 # be in touch again.
-MESH_TIMING = LinkTiming(
+LINK_POOL_TIMING = LinkTiming(
     idle_ping_s=1.0, busy_ping_s=0.6, silence_s=0.9, connect_s=0.4, max_backoff_s=0.3
 )
 MAX_STORES = 64
@@ -30,7 +30,7 @@
 log = get_logger("link-pool")
 
 
-class Mesh:
+class LinkPool:
     """Outgoing links by address; each is opened when the address is learnt.
 
     :param own: address of this process, or an empty text.
@@ -69,7 +69,7 @@
                 hello=self._hello,
                 secret=self._secret,
                 handler=self._handler,
-                timing=MESH_TIMING,
+                timing=LINK_POOL_TIMING,
                 ended=partial(self._ended, address) if self._ended is not None else None,
             )
             self._link_by_address[address] = link
--- a/siskintally/long_poll.py
+++ b/siskintally/long_poll.py
@@ -1,7 +1,7 @@
 """For how long a worker is asked to wait for an end before it answers; pure.
 
->>> from siskintally.long_poll import LookWait
->>> wait = LookWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
+>>> from siskintally.long_poll import LongPollWait
+>>> wait = LongPollWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
 >>> wait.note_silence(10.0)
 >>> wait.seconds(11.0), wait.seconds(14.0)
 (0.3, 1.2)
@@ -10,7 +10,7 @@
 from math import inf
 
 
-class LookWait:
+class LongPollWait:
     """Long waits while all workers answer, short ones for a while after a call got no answer.
 
     An answer that is lost hides every end on its worker until the look times out. A long wait saves
--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -1,8 +1,8 @@
 """Admission of new incarnations to a group: asking for it, and granting it as the leader.
 
->>> from siskintally.member_admission import Joins
+>>> from siskintally.member_admission import MemberAdmission
 >>> from siskintally.roster import FixedRoster
->>> joins = Joins(group="cell", process="s1", roster=FixedRoster(names=("s1", "s2")))
+>>> joins = MemberAdmission(group="cell", process="s1", roster=FixedRoster(names=("s1", "s2")))
 >>> [(process, body.name) for process, body in joins.ask("incarnation", now=5.0)]
 [('s2', 's1')]
 >>> joins.ask("incarnation", now=5.1)
@@ -19,7 +19,7 @@
 CAUGHT_UP_ENTRIES = 200
 
 
-class Joins:
+class MemberAdmission:
     """Join requests of this process and of others.
 
     :param roster: :class:`~siskintally.roster.Roster` of the group.
--- a/siskintally/member_changes.py
+++ b/siskintally/member_changes.py
@@ -13,7 +13,7 @@
 """
 
 from siskintally.log import get_logger
-from siskintally.member_admission import Joins
+from siskintally.member_admission import MemberAdmission
 
 log = get_logger("member-changes")
 
@@ -31,7 +31,7 @@
         self.roster = roster
         self._group = group
         self._send = send
-        self._joins = Joins(group=group, process=process, roster=roster)
+        self._joins = MemberAdmission(group=group, process=process, roster=roster)
         self._logged_index = None
 
     def note(self, body, now):
--- a/siskintally/operator_queries.py
+++ b/siskintally/operator_queries.py
@@ -9,7 +9,7 @@
 
 from siskintally.audit import FIELDS, verify
 from siskintally.errors import BadRequestError
-from siskintally.group_status import standing_text
+from siskintally.group_status import group_status_text
 from siskintally.job_counts import job_state
 from siskintally.job_split import RESOURCE_NAMES
 from siskintally.spec import CLASS_BY_NAME, KIND_BY_NAME
@@ -19,7 +19,7 @@
 DEFAULT_LISTED = 1000
 
 
-class Reported:
+class GroupReports:
     """What domain groups last reported to this process; lost when it stops.
 
     :param capacity_by_group: DomainCapacity messages.
@@ -35,12 +35,12 @@
         self.since_by_group = {}
 
 
-class Inquiry:
+class OperatorQueries:
     """Reads the state of the cell.
 
     :param group: the cell :class:`~siskintally.group.Group`.
     :param machine: its :class:`~siskintally.recorded_cell.RecordedCell`.
-    :param reported: :class:`Reported`.
+    :param reported: :class:`GroupReports`.
     """
 
     __slots__ = ("_audit_file", "_cell", "_group", "_settings", "_soft")
@@ -95,7 +95,7 @@
         return {
             "group": group.name,
             "domains": list(group.domains),
-            "standing": standing_text(self._cell.standings.of(group.name)),
+            "standing": group_status_text(self._cell.standings.of(group.name)),
             "config_current": self._is_current(group.name),
             "heard_s": None if heard is None else round(monotonic() - heard, 1),
             "workers": 0 if capacity is None else capacity.workers,
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -14,7 +14,7 @@
 from siskintally.dispatcher import Dispatcher
 from siskintally.domain_state_pb2 import DomainCommand, DomainReply
 from siskintally.errors import BadRequestError, NotLeaderError, OutcomeUnknownError, RefusedError
-from siskintally.group_status_check import Clearance
+from siskintally.group_status_check import GroupStatusCheck
 from siskintally.log import get_logger
 from siskintally.owner_term import CONFIRM_WINDOW_S, OwnerTerm
 from siskintally.session import Handler
@@ -92,7 +92,7 @@
         self._window_s = window_s
         self._workers = None
         self._config_changed = Event()
-        self._clearance = Clearance()
+        self._clearance = GroupStatusCheck()
 
     async def run(self):
         """Act as the owner whenever this process leads, until cancelled."""
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -29,7 +29,7 @@
     :param group: :class:`~siskintally.group.Group` that this process leads.
     :param domain: its :class:`~siskintally.domain.Domain`.
     :param clock: monotonic seconds.
-    :param clearance: :class:`~siskintally.group_status_check.Clearance` of the process.
+    :param clearance: :class:`~siskintally.group_status_check.GroupStatusCheck` of the process.
     """
 
     __slots__ = (
--- a/siskintally/pause_detector.py
+++ b/siskintally/pause_detector.py
@@ -1,7 +1,7 @@
 """Detection of pauses of this process, such as SIGSTOP or a frozen VM.
 
->>> from siskintally.pause_detector import PauseGuard
->>> guard = PauseGuard()
+>>> from siskintally.pause_detector import PauseDetector
+>>> guard = PauseDetector()
 >>> guard.beat(10.0); guard.distrusts(10.5), guard.distrusts(70.0)
 (False, True)
 """
@@ -14,7 +14,7 @@
 DISTRUST_S = 1.0
 
 
-class PauseGuard:
+class PauseDetector:
     """Tells whether what is read now may have waited in socket buffers through a pause."""
 
     __slots__ = ("_distrust_until", "_last")
--- a/siskintally/persistent_state.py
+++ b/siskintally/persistent_state.py
@@ -16,7 +16,7 @@
 FOUNDING_TERM = 1
 
 
-class Stable(NamedTuple):
+class PersistentState(NamedTuple):
     """What a replica has on disk."""
 
     term: int = 0
@@ -34,7 +34,7 @@
     """
     members = ordered(Member(identity=identity, voter=True) for identity in voters)
     snapshot = Snapshot(index=FOUNDING_INDEX, term=FOUNDING_TERM, members=members, data=b"")
-    return Stable(
+    return PersistentState(
         term=FOUNDING_TERM,
         snapshot=snapshot,
         base_index=FOUNDING_INDEX,
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -14,12 +14,12 @@
 from collections import deque
 
 from siskintally.backlog import Backlog
-from siskintally.failed_searches import Misses
+from siskintally.failed_searches import FailedSearches
 from siskintally.feasibility import CapacityTable
 from siskintally.policy import policy_for
 from siskintally.pool import Pool
 from siskintally.preemption import preempt
-from siskintally.readmission import Probation
+from siskintally.readmission import Readmission
 from siskintally.reservation import RESERVE_AFTER_S, Reservations
 from siskintally.workload import Kind, Urgency
 
@@ -77,10 +77,10 @@
         self.places_deferrable = True
         self._backlog = Backlog()
         self._capacities = CapacityTable()
-        self._probation = Probation(pool=self.pool)
+        self._probation = Readmission(pool=self.pool)
         self._reservations = Reservations(pool=self.pool)
-        self._misses = Misses()
-        self._reclaim_misses = Misses()
+        self._misses = FailedSearches()
+        self._reclaim_misses = FailedSearches()
         self._fresh = []
         self._cursor = 0
         self._seen = None
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -137,7 +137,7 @@
 class ControlApp(PlatformApp):
     """Interface for workers and operators.
 
-    :param calls: :class:`~siskintally.control_client.LeaderCalls`.
+    :param calls: :class:`~siskintally.control_client.ControlClient`.
     """
 
     __slots__ = ("_calls",)
--- a/siskintally/pool.py
+++ b/siskintally/pool.py
@@ -17,7 +17,7 @@
 from siskintally.errors import SiskintallyError
 from siskintally.size import NOTHING
 from siskintally.worker import Held, Worker
-from siskintally.worker_index import Index
+from siskintally.worker_index import WorkerIndex
 
 # A service compares this many workers with room; more would cost time and hardly spread it better.
 MAX_COMPARED = 256
@@ -62,8 +62,8 @@
         self.capacity += capacity
         self.free += capacity
         if domain not in self._index_by_domain:
-            self._index_by_domain[domain] = Index()
-            self._reclaim_by_domain[domain] = Index()
+            self._index_by_domain[domain] = WorkerIndex()
+            self._reclaim_by_domain[domain] = WorkerIndex()
         self.refresh(worker)
 
     def remove(self, name):
--- a/siskintally/quorum_check.py
+++ b/siskintally/quorum_check.py
@@ -1,4 +1,4 @@
-"""Authority of a leader: a quorum is known to follow it at present.
+"""Quorum check of a leader: a quorum is known to follow it at present.
 
 >>> from siskintally.quorum_check import AUTHORITY_SHARE
 >>> 0 < AUTHORITY_SHARE < 1
@@ -16,7 +16,7 @@
 CONFIRM_S = 0.15
 
 
-class Authority:
+class QuorumCheck:
     """Rounds that a quorum answers, and how long each lets a leader act.
 
     :param group: :class:`~siskintally.group.Group` whose replica leads.
--- a/siskintally/readmission.py
+++ b/siskintally/readmission.py
@@ -1,11 +1,11 @@
 """Workers that were ejected for failed tasks, and how they are taken back.
 
 >>> from siskintally.pool import Pool
->>> from siskintally.readmission import Probation
+>>> from siskintally.readmission import Readmission
 >>> from siskintally.size import Size
 >>> pool = Pool()
 >>> pool.add("w1", domain="d", rack="r", capacity=Size(cpu=4000))
->>> worker, probation = pool.worker_by_name["w1"], Probation(pool=pool)
+>>> worker, probation = pool.worker_by_name["w1"], Readmission(pool=pool)
 >>> [probation.failed(worker, job_id, now=0.0) for job_id in "aaaab"][-1], worker.is_open
 (True, False)
 >>> probation.review(60.0)
@@ -19,7 +19,7 @@
 PROBE_RUN_S = 30.0
 
 
-class Probation:
+class Readmission:
     """Closes and opens the workers of a pool after failures and successes of their tasks.
 
     :param pool: :class:`~siskintally.pool.Pool`.
--- a/siskintally/recorded_cell.py
+++ b/siskintally/recorded_cell.py
@@ -2,19 +2,19 @@
 
 >>> from siskintally.recorded_cell import RecordedCell
 >>> RecordedCell.__mro__[1].__name__
-'Machine'
+'StateMachine'
 """
 
 from anyio import Event
 
 from siskintally.errors import DamagedDataError
 from siskintally.log import get_logger
-from siskintally.state_machine import Machine
+from siskintally.state_machine import StateMachine
 
 log = get_logger("cell")
 
 
-class RecordedCell(Machine):
+class RecordedCell(StateMachine):
     """Cell machine of a store: writes the audit file and wakes waiting polls.
 
     :param cell: :class:`~siskintally.cell.Cell`.
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -15,7 +15,7 @@
 from siskintally.effects import Effects
 from siskintally.election import NEVER, Elections, Role
 from siskintally.errors import BadRequestError, NotLeaderError
-from siskintally.follower import Following
+from siskintally.follower import Follower
 from siskintally.membership import check_change, ordered
 from siskintally.messages import (
     AppendReply,
@@ -28,13 +28,13 @@
     VoteReply,
     VoteRequest,
 )
-from siskintally.persistent_state import Stable
+from siskintally.persistent_state import PersistentState
 from siskintally.raftlog import Log
-from siskintally.replication import Leading
+from siskintally.replication import Replication
 from siskintally.timing import Timing
 
 
-class Replica(Elections, Leading, Following):
+class Replica(Elections, Replication, Follower):
     """One member of a group; each transition returns :class:`~siskintally.effects.Effects`.
 
     The owner carries out the effects of a transition, and calls :meth:`synced` after each sync,
@@ -71,7 +71,7 @@
     )
 
     def __init__(self, *, identity, stable=None, timing=None, timeout, now):
-        stable = stable or Stable()
+        stable = stable or PersistentState()
         self.identity = identity
         self.timing = timing or Timing()
         self._timeout = timeout
@@ -108,7 +108,7 @@
     @property
     def stable(self):
         """What is on disk once all effects so far are synced."""
-        return Stable(
+        return PersistentState(
             term=self.term,
             vote=self.vote,
             snapshot=self.log.snapshot,
--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -1,7 +1,7 @@
 """Replication: what a leader sends and how it commits.
 
->>> from siskintally.replication import Leading
->>> Leading.__slots__
+>>> from siskintally.replication import Replication
+>>> Replication.__slots__
 ()
 """
 
@@ -23,7 +23,7 @@
 BEAT_TOLERANCE = 1e-9
 
 
-class Leading:
+class Replication:
     """The part of a replica that acts while it leads."""
 
     __slots__ = ()
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -1,14 +1,14 @@
 """What the reports and answers of workers change in the state of tasks; pure.
 
->>> from siskintally.report_handling import Observing
->>> Observing.__slots__
+>>> from siskintally.report_handling import ReportHandling
+>>> ReportHandling.__slots__
 ()
 """
 
-from siskintally.actions import PaceAction, StopAction
+from siskintally.actions import StopAction, ThrottleAction
 from siskintally.control_pb2 import TaskEnd
 from siskintally.driver import EndKind, Refusal
-from siskintally.fleet import END_WEIGHT, PROGRESS_WEIGHT, Standing
+from siskintally.fleet import END_WEIGHT, PROGRESS_WEIGHT, WorkerStatus
 from siskintally.flow import TaskState
 from siskintally.task_id import TaskId
 from siskintally.throttling import next_percent, worst_ratio
@@ -43,7 +43,7 @@
     return task.percent < 100 and quiet_s > max(STILL_S, slow_s)
 
 
-class Observing:
+class ReportHandling:
     """The part of a scheduler that takes what workers say."""
 
     __slots__ = ()
@@ -67,7 +67,7 @@
             if task_id in rows and rows[task_id].run == run
         }
         self._pace(worker)
-        worker.standing = Standing.READY
+        worker.standing = WorkerStatus.READY
         return ends
 
     def _pace(self, worker):
@@ -79,7 +79,7 @@
         worker.fill_percent = percent
         for task in held:
             if task.step.spec.filling and task.state == TaskState.RUNNING:
-                self.paces.append(PaceAction(task, task.run, worker, percent))
+                self.paces.append(ThrottleAction(task, task.run, worker, percent))
 
     def _take_ends(self, worker, rows, now):
         for row in rows:
@@ -240,7 +240,7 @@
             task.since = now
             worker = task.worker
             if task.step.spec.filling and worker.fill_percent < 100:
-                self.paces.append(PaceAction(task, run, worker, worker.fill_percent))
+                self.paces.append(ThrottleAction(task, run, worker, worker.fill_percent))
 
     def refused(self, task, run, refusal, now, *, was_sent_before):
         """Note that a worker has refused a start.
--- a/siskintally/request_handler.py
+++ b/siskintally/request_handler.py
@@ -1,8 +1,8 @@
-"""Course of one request: ledger, admission, dispatch, retry, answer.
+"""Handling of one request: ledger, admission, dispatch, retry, answer.
 
->>> from siskintally.request_handler import Course
->>> Course.__name__
-'Course'
+>>> from siskintally.request_handler import RequestHandler
+>>> RequestHandler.__name__
+'RequestHandler'
 """
 
 from time import monotonic
@@ -41,11 +41,11 @@
 log = get_logger("request-handler")
 
 
-class Course:
+class RequestHandler:
     """Takes requests from admission to the answer.
 
-    :param lanes: ``lanes(service)`` returns the :class:`~siskintally.service_dispatcher.Lane` of a
-        service.
+    :param lanes: ``lanes(service)`` returns the
+        :class:`~siskintally.service_dispatcher.ServiceDispatcher` of a service.
     :param budget: :class:`~siskintally.retry.RetryBudget`.
     :param ledger: :class:`~siskintally.ledger_client.LedgerClient`.
     :param peers: :class:`~siskintally.peers.Peers`, entries of other domains.
@@ -253,7 +253,7 @@
 
 
 def _lesson(outcome, seconds):
-    """Return what a dispatch tells of its endpoint, as arguments of :meth:`Lane.release`."""
+    """Return arguments of :meth:`ServiceDispatcher.release`: what a dispatch tells of its endpoint."""
     if outcome is None:
         return {"ok": None, "seconds": None}
     if outcome.sent is Sent.NOT_SENT:
--- a/siskintally/resource_index.py
+++ b/siskintally/resource_index.py
@@ -1,8 +1,8 @@
 """Index of items by the processor and memory they have free.
 
->>> from siskintally.resource_index import Grid
+>>> from siskintally.resource_index import ResourceIndex
 >>> from siskintally.size import Size
->>> grid = Grid()
+>>> grid = ResourceIndex()
 >>> grid.add("w1", Size(cpu=4000, memory=8000))
 >>> grid.add("w2", Size(cpu=2000, memory=8000))
 >>> grid.best(Size(cpu=1500, memory=1000))
@@ -71,7 +71,7 @@
             row += 1
 
 
-class Grid:
+class ResourceIndex:
     """Items in cells of (processor class, memory class), found in time that hardly grows.
 
     The search walks over non-empty cells by bit masks. Only the cells at the lower edge can hold
--- a/siskintally/service_dispatcher.py
+++ b/siskintally/service_dispatcher.py
@@ -1,8 +1,8 @@
 """Requests of one service at this entry: its queue, its endpoints, and their slots.
 
->>> from siskintally.service_dispatcher import Lane
->>> Lane.__name__
-'Lane'
+>>> from siskintally.service_dispatcher import ServiceDispatcher
+>>> ServiceDispatcher.__name__
+'ServiceDispatcher'
 """
 
 from siskintally.admission import Admission
@@ -42,7 +42,7 @@
         self.ordinary -= not urgent
 
 
-class Lane:
+class ServiceDispatcher:
     """Queue and endpoints of one service.
 
     :param live: ``live(now)`` returns the endpoints that may get new work.
--- a/siskintally/speculation.py
+++ b/siskintally/speculation.py
@@ -1,21 +1,21 @@
 """Copies of tasks that race with a run on a worker that has gone silent; pure.
 
->>> from siskintally.speculation import Racing
->>> Racing.__slots__
+>>> from siskintally.speculation import Speculation
+>>> Speculation.__slots__
 ()
 """
 
 from siskintally.flow import TaskRun, TaskState
 
 
-def may_race(task):
+def may_speculate(task):
     """Tell whether a second run of a task may be started beside the one that it has."""
     spec = task.step.spec
     is_single = spec.speculative and not spec.gang and not spec.lasting
     return is_single and not task.copies and task.step.flow.is_open
 
 
-class Racing:
+class Speculation:
     """The part of a scheduler that starts copies and ends the ones that lost."""
 
     __slots__ = ()
@@ -28,7 +28,7 @@
         raced = []
         for task in list(worker.held_by_task.values()):
             is_live = task.state in (TaskState.STARTING, TaskState.RUNNING)
-            if is_live and task.copy_of is None and may_race(task):
+            if is_live and task.copy_of is None and may_speculate(task):
                 self._leave_copy(task, now)
                 raced.append(task.id)
         return raced
--- a/siskintally/state_machine.py
+++ b/siskintally/state_machine.py
@@ -1,14 +1,14 @@
 """Abstract base class of replicated state machines.
 
->>> from siskintally.state_machine import Machine
->>> sorted(Machine.__abstractmethods__)
+>>> from siskintally.state_machine import StateMachine
+>>> sorted(StateMachine.__abstractmethods__)
 ['apply', 'restore', 'snapshot']
 """
 
 from abc import ABC, abstractmethod
 
 
-class Machine(ABC):
+class StateMachine(ABC):
     """State that every replica of a group computes from the same log.
 
     ``apply`` reads no clock and no random source: time and random values come in the command.
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -12,7 +12,7 @@
 TICKET_MARGIN_S = 0.15
 
 
-class Placing:
+class StepPlacement:
     """The part of a scheduler that puts waiting tasks on workers."""
 
     __slots__ = ()
--- a/siskintally/stub_duplicator.py
+++ b/siskintally/stub_duplicator.py
@@ -1,7 +1,7 @@
 """Relay in front of a stub endpoint that sends each response twice on its connection.
 
->>> from siskintally.stub_duplicator import Doubler
->>> Doubler(host="127.0.0.1", port=7301, target_host="127.0.0.2").port
+>>> from siskintally.stub_duplicator import ResponseDuplicator
+>>> ResponseDuplicator(host="127.0.0.1", port=7301, target_host="127.0.0.2").port
 7301
 """
 
@@ -19,7 +19,7 @@
 _LOST = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
 
 
-class Doubler:
+class ResponseDuplicator:
     """TCP relay that knows where a response ends.
 
     :param host: address that entries connect to.
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -16,7 +16,7 @@
 from siskintally.errors import BadRequestError
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer, respond, serve_http
 from siskintally.log import get_logger
-from siskintally.stub_duplicator import Doubler
+from siskintally.stub_duplicator import ResponseDuplicator
 
 ANNOUNCE_S = 1.0
 ANNOUNCE_TIMEOUT_S = 0.8
@@ -193,7 +193,7 @@
             if self._fault == "doubled":
                 host, _, port = address.rpartition(":")
                 address = f"{DOUBLED_HOST}:{port}"
-                relay = Doubler(host=host, port=int(port), target_host=DOUBLED_HOST)
+                relay = ResponseDuplicator(host=host, port=int(port), target_host=DOUBLED_HOST)
                 tasks.start_soon(relay.run)
             await serve_http(self, address=address, until=self._stopped, graceful_s=DRAIN_S)
             tasks.cancel_scope.cancel()
--- a/siskintally/throttling.py
+++ b/siskintally/throttling.py
@@ -8,7 +8,7 @@
 # Above its target a serving task is relieved at once; below this part of it the filling tasks get
 # more again. The band between keeps the pace from swinging.
 RELIEF_SHARE = 0.6
-SLOWDOWN = 4
+THROTTLE_DIVISOR = 4
 SPEEDUP_PERCENT = 25
 LEAST_PERCENT = 5
 
@@ -20,7 +20,7 @@
     :param worst: largest ratio of tail latency to target among the serving tasks, 0 for none.
     """
     if worst > 1.0:
-        lower = percent // SLOWDOWN
+        lower = percent // THROTTLE_DIVISOR
         return lower if lower >= LEAST_PERCENT else 0
     if worst < RELIEF_SHARE:
         return min(percent + SPEEDUP_PERCENT, 100)
--- a/siskintally/worker_index.py
+++ b/siskintally/worker_index.py
@@ -1,21 +1,21 @@
 """Workers of one failure domain, indexed by their free resources.
 
->>> from siskintally.worker_index import Index
+>>> from siskintally.worker_index import WorkerIndex
 >>> from siskintally.size import Size
->>> index = Index()
+>>> index = WorkerIndex()
 >>> index.put("w1", Size(cpu=4000, memory=4000, accelerators=1), accelerated=True)
 >>> index.put("w2", Size(cpu=8000, memory=8000), accelerated=False)
 >>> index.best(Size(cpu=1000, memory=1000))
 'w2'
 """
 
-from siskintally.resource_index import Grid
+from siskintally.resource_index import ResourceIndex
 
 # Key of workers without accelerators: work that needs none is kept off the others while possible.
 _PLAIN = -1
 
 
-class Index:
+class WorkerIndex:
     """A grid for each number of free accelerators."""
 
     __slots__ = ("_grid_by_accelerators", "_keys", "_place_by_item")
@@ -35,7 +35,7 @@
         key = size.accelerators if accelerated else _PLAIN
         grid = self._grid_by_accelerators.get(key)
         if grid is None:
-            grid = self._grid_by_accelerators[key] = Grid()
+            grid = self._grid_by_accelerators[key] = ResourceIndex()
             self._keys = sorted(self._grid_by_accelerators)
         grid.add(item, size)
         self._place_by_item[item] = (key, size)
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -10,7 +10,7 @@
 from siskintally.clock import now as steady
 from siskintally.driver import BusyError, GoneError, Order, Refusal
 from siskintally.errors import ConnectionLostError, OutcomeUnknownError, UnreachableError
-from siskintally.fleet import Standing
+from siskintally.fleet import WorkerStatus
 from siskintally.flow import TaskState
 from siskintally.log import get_logger
 from siskintally.worker_lease import WorkerLease
@@ -25,11 +25,11 @@
 log = get_logger("worker-manager")
 
 
-class Keeper:
+class WorkerManager:
     """Calls to one incarnation of a worker, on behalf of the leader.
 
     :param worker: :class:`~siskintally.fleet.FleetWorker`.
-    :param leader: :class:`~siskintally.control_leader.Conductor`.
+    :param leader: :class:`~siskintally.control_leader.ControlLeader`.
     """
 
     __slots__ = (
@@ -61,7 +61,7 @@
     async def run(self):
         """Keep the worker until it is lost."""
         try:
-            while self.worker.standing != Standing.LOST:
+            while self.worker.standing != WorkerStatus.LOST:
                 if self._is_idle():
                     self._work = Event()
                     await self._work.wait()
@@ -72,15 +72,15 @@
 
     def _is_idle(self):
         worker = self.worker
-        if worker.standing == Standing.LAPSED:
+        if worker.standing == WorkerStatus.LAPSED:
             return not self._work.is_set()
-        needs_look = worker.held_by_task or worker.foreign or worker.standing != Standing.READY
+        needs_look = worker.held_by_task or worker.foreign or worker.standing != WorkerStatus.READY
         return not needs_look
 
     async def _look(self):
         worker = self.worker
         self._work = Event()
-        is_sound = worker.standing == Standing.READY and not self._has_lost_connection
+        is_sound = worker.standing == WorkerStatus.READY and not self._has_lost_connection
         asked_at = steady()
         may_wait = is_sound and not worker.foreign
         wait_s = self._leader.look_wait.seconds(asked_at) if may_wait else 0.0
@@ -123,11 +123,11 @@
             self._has_lost_connection = True
             log.info("look repeated", worker=worker.id, error=str(error)[:120])
             return
-        if worker.standing == Standing.READY:
-            worker.standing = Standing.SUSPECT
+        if worker.standing == WorkerStatus.READY:
+            worker.standing = WorkerStatus.SUSPECT
             log.info("worker suspect", worker=worker.id, error=str(error)[:120])
             self._leader.suspected(worker)
-        if worker.standing != Standing.LAPSED and now >= self.lease.surely_over:
+        if worker.standing != WorkerStatus.LAPSED and now >= self.lease.surely_over:
             self._leader.lapsed(worker)
             return
         with move_on_after(RETRY_S):
@@ -141,7 +141,7 @@
             task.run == run
             and task.worker is self.worker
             and task.state == TaskState.STARTING
-            and self.worker.standing in (Standing.READY, Standing.SUSPECT)
+            and self.worker.standing in (WorkerStatus.READY, WorkerStatus.SUSPECT)
         ):
             await self._leader.authority.wait()
             refusal, sent = await self._try_start(action, was_sent)
@@ -199,7 +199,7 @@
         return reply.refusal, True
 
     def _lease_for_start(self, now):
-        if self.worker.standing == Standing.READY:
+        if self.worker.standing == WorkerStatus.READY:
             return self.lease.grant(now)
         return self.lease.until_ms
 
@@ -222,7 +222,7 @@
             task.run == action.run
             and task.state == TaskState.RUNNING
             and self.worker.fill_percent == action.percent
-            and self.worker.standing in (Standing.READY, Standing.SUSPECT)
+            and self.worker.standing in (WorkerStatus.READY, WorkerStatus.SUSPECT)
         ):
             await self._leader.authority.wait()
             try:
@@ -239,7 +239,11 @@
     async def stop(self, action):
         """Send a stop until it is confirmed or nothing can run there any more."""
         order = Order(task_id=action.task_id, run=action.run, fence=self._leader.term)
-        while self.worker.standing in (Standing.UNSEEN, Standing.READY, Standing.SUSPECT):
+        while self.worker.standing in (
+            WorkerStatus.UNSEEN,
+            WorkerStatus.READY,
+            WorkerStatus.SUSPECT,
+        ):
             await self._leader.authority.wait()
             sent_at = steady()
             try:
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -4,7 +4,7 @@
 
 from siskintally.clock import now as steady
 from siskintally.codes import Code
-from siskintally.control_client import LeaderCalls
+from siskintally.control_client import ControlClient
 from siskintally.control_pb2 import ControlNotice, FlowRead
 from siskintally.errors import (
     NotLeaderError,
@@ -12,7 +12,7 @@
     RefusedError,
     UnreachableError,
 )
-from siskintally.leader_cache import LeaderBook
+from siskintally.leader_cache import LeaderCache
 
 LIMIT_S = 10.0
 
@@ -23,8 +23,8 @@
     def __init__(self, **answer_by_name):
         self.answer_by_name = answer_by_name
         self.asked = []
-        self.book = LeaderBook(fresh_s=60.0)
-        self.calls = LeaderCalls(book=self.book, call=self.call)
+        self.book = LeaderCache(fresh_s=60.0)
+        self.calls = ControlClient(book=self.book, call=self.call)
 
     def lead(self, name):
         """Let a store tell that it leads."""
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -3,7 +3,7 @@
 from anyio import Event, create_task_group, run, sleep
 
 from siskintally.control_group import ENDED_LEADER_SHARE
-from siskintally.control_leader import Conductor
+from siskintally.control_leader import ControlLeader
 from siskintally.control_pb2 import ControlCommand
 from siskintally.control_state import ControlState
 from siskintally.counters import Counters
@@ -74,7 +74,7 @@
 
     async def main():
         group, driver = SlowGroup(), RecordingWorkers()
-        conductor = Conductor(
+        conductor = ControlLeader(
             group=group,
             state=ControlState(),
             driver=driver,
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -28,8 +28,8 @@
 from siskintally.health import HealthTable
 from siskintally.ledger_client import home_of
 from siskintally.metrics import Metrics
-from siskintally.pause_detector import PauseGuard
-from siskintally.request_handler import STARTUP_S, Course, _wait_for_slot
+from siskintally.pause_detector import PauseDetector
+from siskintally.request_handler import STARTUP_S, RequestHandler, _wait_for_slot
 from siskintally.retry import RetryBudget
 from siskintally.settings import parse
 from siskintally.slot_share import share
@@ -284,7 +284,7 @@
     assert "a" in table.usable(names, now=12.0)
 
 
-class ScriptedCourse(Course):
+class ScriptedRequestHandler(RequestHandler):
     """A course whose dispatches end as a list says."""
 
     __slots__ = ("codes",)
@@ -297,7 +297,7 @@
     # Guards against retries that allow further retries, which pass a tenth of the first sends.
     budget = RetryBudget(ratio=0.1)
     metrics = Metrics(address=None, prefix="")
-    course = ScriptedCourse(
+    course = ScriptedRequestHandler(
         lanes=None, budget=budget, ledger=None, peers=None, metrics=metrics, started=-STARTUP_S
     )
     unsent, unknown, failed = Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN, Code.ENDPOINT_FAILED
@@ -321,7 +321,7 @@
     parts = {"lanes": lambda service: lane, "budget": None, "ledger": None, "metrics": None}
     call = SimpleNamespace(deadline=monotonic() + 1e6, service="s")
     for started, left in ((float("inf"), 0), (monotonic() - STARTUP_S, 0)):
-        course = Course(**parts, peers=peers, started=started)
+        course = RequestHandler(**parts, peers=peers, started=started)
         run(course._wait_for_endpoint, call)
         assert len(counts) == left
 
@@ -370,7 +370,7 @@
 
 
 def test_pause_is_noticed_before_the_next_beat():
-    guard = PauseGuard()
+    guard = PauseDetector()
     for beat in range(5):
         guard.beat(10.0 + beat / 4)
     assert not guard.distrusts(11.5)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -10,7 +10,7 @@
 from siskintally.group import Group
 from siskintally.journal import found
 from siskintally.messages import voters_of
-from siskintally.state_machine import Machine
+from siskintally.state_machine import StateMachine
 from siskintally.timing import Timing
 from siskintally.wire_pb2 import AppendReply, AppendRequest, JoinRequest
 
@@ -19,7 +19,7 @@
 FAST = Timing(busy_beat_s=0.1, idle_beat_s=0.2, election_min_s=1.0, election_max_s=1.5)
 
 
-class Journaled(Machine):
+class Journaled(StateMachine):
     """Keeps the commands in order; replies with their count."""
 
     def __init__(self):
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -11,7 +11,7 @@
 from siskintally.domain_state_pb2 import DomainBatch
 from siskintally.errors import NotLeaderError
 from siskintally.group_status import MIN_SILENCE_S
-from siskintally.group_status_check import MAX_GAP_S, Clearance
+from siskintally.group_status_check import MAX_GAP_S, GroupStatusCheck
 from siskintally.job_counts import job_state
 from siskintally.job_shares import WAITS_FOR_GROUP
 from siskintally.wire_pb2 import JobItem, JobSpec, SyncReply, SyncRequest
@@ -221,7 +221,7 @@
 
 def test_clearance_is_of_one_process_and_one_epoch():
     """Guards against a start by a process that was switched off while its group was lost."""
-    driver, clearance = DomainDriver(), Clearance()
+    driver, clearance = DomainDriver(), GroupStatusCheck()
     domain = driver.domain
     assert not clearance.covers(domain)
     clearance.learn(SyncReply(epoch=1, lost=True))
--- a/tests/test_group_loss_walk.py
+++ b/tests/test_group_loss_walk.py
@@ -21,7 +21,7 @@
     DomainReply,
     WorkerRecord,
 )
-from siskintally.group_status_check import Clearance
+from siskintally.group_status_check import GroupStatusCheck
 from siskintally.job_counts import job_state
 from siskintally.wire_pb2 import JobReport, JobSpec, Resources
 from tests.cell_commands import NAMES, Driver
@@ -60,7 +60,7 @@
     def switch_on(self):
         """Start new processes on the old disks; the worker reports that it runs nothing."""
         self.is_on = True
-        self.clearance = Clearance()
+        self.clearance = GroupStatusCheck()
         self.sessions += 1
         tasks = [task for job in self.domain.job_by_id.values() for task in job.task_by_id.values()]
         ended = [
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -15,7 +15,7 @@
 )
 from siskintally.journal import Journal, found, set_aside
 from siskintally.messages import Entry, HardState, Identity, Kind, Member
-from siskintally.persistent_state import Stable
+from siskintally.persistent_state import PersistentState
 from siskintally.raftlog import Log
 from siskintally.records import pack
 
@@ -43,7 +43,7 @@
 
     def stable(self):
         """Return the expected content."""
-        return Stable(
+        return PersistentState(
             term=self.hard_state.term,
             vote=self.hard_state.vote,
             snapshot=self.log.snapshot,
@@ -155,7 +155,7 @@
         (tmp_path / "g" / "log").unlink()
         assert set_aside(tmp_path / "g").name == f"g.damaged-{number}"
         fresh = reopen(tmp_path / "g")
-        assert fresh.identity != old and fresh.stable == Stable()
+        assert fresh.identity != old and fresh.stable == PersistentState()
 
 
 def test_group_is_founded_once(tmp_path):
--- a/tests/test_leader_cache.py
+++ b/tests/test_leader_cache.py
@@ -3,11 +3,11 @@
 from siskintally.control_pb2 import ControlNotice, QueueDocument
 from siskintally.counters import Counters
 from siskintally.flow_gateway import FlowGateway
-from siskintally.leader_cache import LeaderBook
+from siskintally.leader_cache import LeaderCache
 
 
 def led_book(now=10.0):
-    book = LeaderBook(fresh_s=1.5)
+    book = LeaderCache(fresh_s=1.5)
     notice = ControlNotice(leads=True, document=QueueDocument(version=4))
     assert book.take(notice, sender="a:1", now=now)
     return book
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -8,8 +8,8 @@
 from siskintally.election import Role
 from siskintally.errors import BadRequestError, NotLeaderError
 from siskintally.group_disk import GroupDisk
-from siskintally.leader_preference import Preference
-from siskintally.member_admission import Joins
+from siskintally.leader_preference import LeaderPreference
+from siskintally.member_admission import MemberAdmission
 from siskintally.membership import admit, promote
 from siskintally.messages import (
     AppendReply,
@@ -22,7 +22,7 @@
     VoteRequest,
     voters_of,
 )
-from siskintally.persistent_state import Stable, founding_state
+from siskintally.persistent_state import PersistentState, founding_state
 from siskintally.replica import Replica
 from siskintally.roster import FixedRoster
 from siskintally.timing import Timing
@@ -174,7 +174,7 @@
     def wipe(self, name):
         """Replace a disk with an empty one, which has a new incarnation."""
         fresh = Identity(name, f"{name}{self.random.getrandbits(40):x}")
-        self.nodes[name] = Node(self, fresh, Stable())
+        self.nodes[name] = Node(self, fresh, PersistentState())
         return fresh
 
     def note_committed(self, node, entry):
@@ -484,7 +484,7 @@
     a.do("transfer", net.now)
     net.settle()
     b = net.nodes["b"].replica
-    joins = Joins(group="g", process="b", roster=FixedRoster(names=NAMES))
+    joins = MemberAdmission(group="g", process="b", roster=FixedRoster(names=NAMES))
     assert b.is_settled and joins.next_change(b, net.now) is None
     net.cut = set()
     net.run(1)
@@ -537,7 +537,7 @@
     replica = net.elect("a").replica
     net.settle()
     other = next(voter for voter in replica.voters if voter != replica.identity)
-    preference = Preference(group="g", preferred=other.name, stable_s=60.0)
+    preference = LeaderPreference(group="g", preferred=other.name, stable_s=60.0)
     assert preference.target(replica, net.now) is None
     progress = replica.progress_by_id[other]
 
@@ -552,7 +552,9 @@
     assert target(62.0) == other
     assert target(63.0) is None, "a transfer that failed is tried again too soon"
     assert (
-        Preference(group="g", preferred=replica.identity.name, stable_s=0.0).target(replica, 1e9)
+        LeaderPreference(group="g", preferred=replica.identity.name, stable_s=0.0).target(
+            replica, 1e9
+        )
         is None
     )
 
--- a/tests/test_speculation.py
+++ b/tests/test_speculation.py
@@ -1,7 +1,7 @@
 """Copies of tasks: a silent worker does not hold up a step whose tasks may run twice."""
 
 from siskintally.driver import EndKind
-from siskintally.fleet import Standing
+from siskintally.fleet import WorkerStatus
 from siskintally.flow import TaskState
 from tests.flow_rig import FlowRig, flow, step, worker
 
@@ -17,7 +17,7 @@
     if not confirmed:
         rig.scheduler.find("f.0.0.0").state = TaskState.STARTING
     found = rig.scheduler.worker_by_id[silent]
-    found.standing = Standing.SUSPECT
+    found.standing = WorkerStatus.SUSPECT
     rig.scheduler.race(found, rig.now)
     return rig, silent, other
 
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -6,10 +6,10 @@
 from siskintally.control_pb2 import PoolWorker
 from siskintally.driver import WorkerDriver, WorkerReport
 from siskintally.errors import ConnectionLostError, OutcomeUnknownError
-from siskintally.fleet import FleetWorker, Standing
+from siskintally.fleet import FleetWorker, WorkerStatus
 from siskintally.flow_timing import FlowTiming
-from siskintally.long_poll import LookWait
-from siskintally.worker_manager import Keeper
+from siskintally.long_poll import LongPollWait
+from siskintally.worker_manager import WorkerManager
 
 TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
 REPORT = WorkerReport(clock_ms=1000)
@@ -53,19 +53,19 @@
     def __init__(self, driver):
         self.driver = driver
         self.standings = []
-        self.look_wait = LookWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
+        self.look_wait = LongPollWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
 
     async def take_report(self, keeper, report, asked_at):
         """Take a report."""
         self.standings.append(keeper.worker.standing)
-        keeper.worker.standing = Standing.READY if self.driver.outcomes else Standing.LOST
+        keeper.worker.standing = WorkerStatus.READY if self.driver.outcomes else WorkerStatus.LOST
 
     def suspected(self, worker):
         """Not used here."""
 
     def lapsed(self, worker):
         """End the keeper: its lease is over."""
-        worker.standing = Standing.LOST
+        worker.standing = WorkerStatus.LOST
 
 
 @fixture
@@ -77,7 +77,7 @@
         leader = LeaderOfOneWorker(driver)
         worker = FleetWorker(record=PoolWorker(id="w", cpu_milli=1000, memory_mb=10))
         worker.held_by_task = {"some task": None}
-        keeper = Keeper(worker=worker, leader=leader, driver=driver, timing=TIMING)
+        keeper = WorkerManager(worker=worker, leader=leader, driver=driver, timing=TIMING)
 
         async def main():
             async with create_task_group() as tasks:
@@ -92,7 +92,7 @@
 def test_one_lost_connection_does_not_make_a_worker_suspect(keep):
     """Guards against a reset connection that keeps new tasks from a sound worker."""
     leader, driver = keep(REPORT, ConnectionLostError("reset"), REPORT)
-    assert leader.standings == [Standing.UNSEEN, Standing.READY]
+    assert leader.standings == [WorkerStatus.UNSEEN, WorkerStatus.READY]
     assert driver.lease_by_look[1] is not None
     assert driver.lease_by_look[2] is None, "a look after a failed one grants no longer lease"
 
@@ -101,13 +101,13 @@
     """Guards against starts that go on being sent to a worker that resets everything."""
     lost = ConnectionLostError("reset")
     leader, _ = keep(REPORT, lost, lost, REPORT)
-    assert leader.standings == [Standing.UNSEEN, Standing.SUSPECT]
+    assert leader.standings == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
 def test_a_worker_that_keeps_silent_is_suspect_at_once(keep):
     """Guards against starts that wait for a worker whose look timed out."""
     leader, _ = keep(REPORT, OutcomeUnknownError("timeout"), REPORT)
-    assert leader.standings == [Standing.UNSEEN, Standing.SUSPECT]
+    assert leader.standings == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
 def test_looks_wait_less_after_a_call_without_an_answer(keep):
