--- a/siskintally/advice_client_pool.py
+++ b/siskintally/advice_client_pool.py
@@ -1,6 +1,6 @@
 """Calls to the advice service, spread over the VMs that may make them.
 
-The service handles one call at a time for each VM, so every linked process is one lane.
+The service handles one call at a time for each VM, so every linked process is one client.
 
 >>> from siskintally.advice_client_pool import reserved
 >>> reserved(9), reserved(2)
@@ -9,16 +9,16 @@
 
 from abc import ABC, abstractmethod
 
-QUICK_LANES = 2
+QUICK_CLIENTS = 2
 
 
 def reserved(count):
-    """Return how many of some lanes are kept for quick calls."""
-    return min(QUICK_LANES, count // 3)
+    """Return how many of some clients are kept for quick calls."""
+    return min(QUICK_CLIENTS, count // 3)
 
 
 class AdviceClient(ABC):
-    """One VM that can call the advice service; ``name`` tells lanes apart."""
+    """One VM that can call the advice service; ``name`` tells clients apart."""
 
     __slots__ = ("name",)
 
@@ -31,33 +31,34 @@
 
 
 class AdviceClientPool:
-    """Which lanes are free.
+    """Which clients are free.
 
-    :param lanes: function that returns the :class:`AdviceClient` objects at present, nearest first.
+    :param clients: function that returns the :class:`AdviceClient` objects at present, nearest
+        first.
     """
 
-    __slots__ = ("_busy", "_lanes")
+    __slots__ = ("_busy", "_clients")
 
-    def __init__(self, *, lanes):
-        self._lanes = lanes
+    def __init__(self, *, clients):
+        self._clients = clients
         self._busy = set()
 
     def take(self, *, is_quick):
-        """Return a free lane and mark it as busy, or None.
+        """Return a free client and mark it as busy, or None.
 
-        Slow calls take the farthest lanes and leave some free, so that a quick call never waits
+        Slow calls take the farthest clients and leave some free, so that a quick call never waits
         behind them.
         """
-        lanes = list(self._lanes())
-        free = [lane for lane in lanes if lane.name not in self._busy]
+        clients = list(self._clients())
+        free = [client for client in clients if client.name not in self._busy]
         if not is_quick:
-            free = free[reserved(len(lanes)) :]
+            free = free[reserved(len(clients)) :]
             free.reverse()
         if not free:
             return None
         self._busy.add(free[0].name)
         return free[0]
 
-    def give_back(self, lane):
-        """Mark a lane as free."""
-        self._busy.discard(lane.name)
+    def give_back(self, client):
+        """Mark a client as free."""
+        self._busy.discard(client.name)
--- a/siskintally/advice_clients.py
+++ b/siskintally/advice_clients.py
@@ -1,4 +1,4 @@
-"""The lanes of one leader: its own process, and the processes that are linked to it.
+"""The advice clients of one leader: its own process, and the processes that are linked to it.
 
 >>> from siskintally.advice_clients import LocalAdviceClient
 >>> LocalAdviceClient(name="s1", advice=None).name
--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -12,7 +12,7 @@
 from siskintally.step_placement import TICKET_MARGIN_S
 
 MAX_WORKERS = 100
-# A call that takes longer than this is kept out of the lanes for urgent calls.
+# A call that takes longer than this is not given the clients for urgent calls.
 QUICK_S = 0.15
 # Pause before a step asks again after a call without any permit that it can use.
 RETRY_S = 0.25
@@ -27,7 +27,7 @@
 
     @property
     def is_quick(self):
-        """Whether the call may use a lane for urgent calls."""
+        """Whether the call may use a client for urgent calls."""
         return self.expected_s <= QUICK_S
 
 
@@ -70,7 +70,7 @@
                 continue
             if task.state != TaskState.RUNNING:
                 return inf
-            whole_s = step.spec.estimate_ms / 1000 * task.worker.expected_pace(now)
+            whole_s = step.spec.estimate_ms / 1000 * task.worker.expected_slowdown(now)
             latest = max(latest, task.since + whole_s - now)
         return latest
 
--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -91,9 +91,9 @@
         self._reply_by_id = {}
 
     @property
-    def standings(self):
+    def group_statuses(self):
         """The :class:`~siskintally.group_status.GroupStatusTable` of the domain groups."""
-        return self.jobs.standings
+        return self.jobs.group_statuses
 
     def apply(self, *, index, command):
         """Apply a Command and return an OperatorReply; a malformed one changes nothing."""
@@ -107,13 +107,13 @@
         if kind == "job_report":
             self._learn(command)
             report = command.job_report
-            if self.standings.accepts(report.group, report.epoch):
+            if self.group_statuses.accepts(report.group, report.epoch):
                 self.jobs.report(report, index=index, now=self.now)
             self.admit(index)
             self.jobs.forget(self.now)
             return _reply(Code.DONE, {})
         if kind == "confirm_idle":
-            self.standings.confirm(command.confirm_idle.group, command.confirm_idle.epoch)
+            self.group_statuses.confirm(command.confirm_idle.group, command.confirm_idle.epoch)
             return _reply(Code.DONE, {})
         if not (command.request_id and command.operator and command.digest):
             return _reply(Code.BAD_REQUEST, {"message": "command without request id or operator"})
@@ -264,7 +264,7 @@
             self.config_state.changed_at,
             self.drains.latest(),
             self.jobs.latest(group),
-            self.standings.latest(group),
+            self.group_statuses.latest(group),
         )
 
     def changes(self, group, since, epoch=0):
@@ -272,9 +272,9 @@
 
         A group that follows another epoch than the present one learns only that.
         """
-        standing = self.standings.of(group)
-        reply = SyncReply(index=since, epoch=standing.epoch, lost=standing.lost)
-        if epoch != standing.epoch:
+        status = self.group_statuses.of(group)
+        reply = SyncReply(index=since, epoch=status.epoch, lost=status.lost)
+        if epoch != status.epoch:
             return reply
         reply.index = max(since, self.latest(group))
         if self.config_state.changed_at > since:
--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -37,9 +37,9 @@
     __slots__ = (
         "_clock",
         "_group",
-        "_inquiry",
         "_led",
         "_machine",
+        "_queries",
         "_reported",
         "_settings",
     )
@@ -51,7 +51,7 @@
         self._clock = clock
         self._reported = GroupReports()
         self._led = (None, 0.0)
-        self._inquiry = OperatorQueries(
+        self._queries = OperatorQueries(
             group=group, machine=machine, settings=settings, reported=self._reported
         )
 
@@ -74,8 +74,8 @@
             # The caller starts tasks on this answer; a leader that was cut off must not give it.
             await self._group.confirm()
         if request.check:
-            standing = cell.standings.of(request.group)
-            return SyncReply(epoch=standing.epoch, lost=standing.lost)
+            status = cell.group_statuses.of(request.group)
+            return SyncReply(epoch=status.epoch, lost=status.lost)
         self._reported.heard_by_group[request.group] = monotonic()
         self._reported.since_by_group[request.group] = request.since
         if request.HasField("capacity"):
@@ -86,8 +86,8 @@
         while not self._has_news(request):
             remaining = deadline - monotonic()
             if remaining <= 0:
-                standing = cell.standings.of(request.group)
-                return SyncReply(index=request.since, epoch=standing.epoch, lost=standing.lost)
+                status = cell.group_statuses.of(request.group)
+                return SyncReply(index=request.since, epoch=status.epoch, lost=status.lost)
             with move_on_after(min(remaining, LEADER_CHECK_S)):
                 await self._machine.wait_change()
             self._require_leader()
@@ -95,13 +95,13 @@
 
     def _has_news(self, request):
         cell = self._machine.cell
-        other_epoch = cell.standings.of(request.group).epoch != request.epoch
+        other_epoch = cell.group_statuses.of(request.group).epoch != request.epoch
         return other_epoch or cell.latest(request.group) > request.since
 
     async def _confirm_idle(self, request):
         """Commit the word of a fenced group that nothing runs there any more."""
-        standing = self._machine.cell.standings.of(request.group)
-        if request.idle and standing.lost and not standing.idle and standing.epoch == request.epoch:
+        status = self._machine.cell.group_statuses.of(request.group)
+        if request.idle and status.lost and not status.idle and status.epoch == request.epoch:
             change = ConfirmIdle(group=request.group, epoch=request.epoch)
             command = Command(at=self._clock(), confirm_idle=change)
             await self._group.propose(command.SerializeToString())
@@ -159,7 +159,7 @@
             arguments = parse_arguments(call.arguments)
             if is_read(call.verb, arguments):
                 await self._group.confirm()
-                answer = self._inquiry.answer(call.verb, arguments)
+                answer = self._queries.answer(call.verb, arguments)
                 return OperatorReply(code=int(Code.DONE), answer=encode(answer))
             command = self._command(call, arguments)
         except SiskintallyError as error:
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -98,7 +98,7 @@
         """Start tasks if the cell says that the group is not lost and nothing forbids it."""
         owner_term = self._owner_term
         before = owner_term.may_start()
-        owner_term.clearance.learn(reply)
+        owner_term.status_check.record_reply(reply)
         if owner_term.may_start() and not before:
             owner_term.unsent.update(owner_term.link_by_worker)
             owner_term.push()
--- a/siskintally/control_client.py
+++ b/siskintally/control_client.py
@@ -23,14 +23,14 @@
 class ControlClient:
     """Finds the leader and calls it; all calls may be sent again.
 
-    :param book: :class:`~siskintally.leader_cache.LeaderCache`.
+    :param cache: :class:`~siskintally.leader_cache.LeaderCache`.
     :param call: ``async call(address, body, timeout=seconds)`` that returns the reply.
     """
 
-    __slots__ = ("_book", "_call", "_scopes")
+    __slots__ = ("_cache", "_call", "_scopes")
 
-    def __init__(self, *, book, call):
-        self._book = book
+    def __init__(self, *, cache, call):
+        self._cache = cache
         self._call = call
         self._scopes = set()
 
@@ -51,7 +51,7 @@
         deadline = began + timeout
         is_unknown = False
         while True:
-            leader = self._book.leader(steady())
+            leader = self._cache.leader(steady())
             remaining = deadline - steady()
             if remaining <= 0 or (not leader and not is_unknown):
                 break
@@ -88,5 +88,5 @@
         raise OutcomeUnknownError(f"{leader}: another store leads")
 
     def _turn(self, leader, hint):
-        self._book.disown(leader)
-        self._book.hint(hint, steady())
+        self._cache.disown(leader)
+        self._cache.hint(hint, steady())
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -41,7 +41,7 @@
     :param group: :class:`~siskintally.group.Group` whose replica leads.
     :param state: :class:`~siskintally.control_state.ControlState` of the group.
     :param driver: :class:`~siskintally.driver.WorkerDriver`.
-    :param lanes: function that returns
+    :param advice_clients: function that returns
         :class:`~siskintally.advice_client_pool.AdviceClient` objects.
     :param timing: :class:`~siskintally.flow_timing.FlowTiming`.
     :param counters: :class:`~siskintally.counters.Counters`.
@@ -51,36 +51,36 @@
         "_counters",
         "_driver",
         "_group",
-        "_keeper_by_worker",
+        "_manager_by_worker",
         "_orders",
         "_scope",
         "_tasks",
         "_timing",
         "_wake",
-        "authority",
         "is_over",
-        "look_wait",
+        "poll_wait",
+        "quorum_check",
         "scheduler",
         "state",
         "term",
     )
 
-    def __init__(self, *, group, state, driver, lanes, timing, counters):
+    def __init__(self, *, group, state, driver, advice_clients, timing, counters):
         self.state = state
         self.term = group.term
         self.scheduler = FlowScheduler(term=group.term)
         self._group = group
         self._driver = driver
         self._orders = FlowDispatcher(
-            leader=self, lanes=AdviceClientPool(lanes=lanes), counters=counters
+            leader=self, advice_clients=AdviceClientPool(clients=advice_clients), counters=counters
         )
         self._timing = timing
         self._counters = counters
-        self._keeper_by_worker = {}
-        self.look_wait = LongPollWait(
+        self._manager_by_worker = {}
+        self.poll_wait = LongPollWait(
             calm_s=timing.wait_s, troubled_s=TROUBLED_WAIT_S, memory_s=TROUBLE_MEMORY_S
         )
-        self.authority = QuorumCheck(group=group, election_min_s=timing.election_min_s)
+        self.quorum_check = QuorumCheck(group=group, election_min_s=timing.election_min_s)
         self._wake = Event()
         self._scope = None
         self._tasks = None
@@ -96,7 +96,7 @@
             self._tasks = tasks
             self._scope = tasks.cancel_scope
             for worker in list(self.scheduler.worker_by_id.values()):
-                self._keep(worker).lease.wait_out(former_leases)
+                self._manage(worker).lease.wait_out(former_leases)
             tasks.start_soon(self._hold_authority)
             tasks.start_soon(self._pass_on)
             tasks.start_soon(self._retire)
@@ -115,18 +115,18 @@
 
     async def _hold_authority(self):
         try:
-            await self.authority.run()
+            await self.quorum_check.run()
         except SiskintallyError as error:
             self.deposed(str(error))
 
     async def _retire(self):
         """Forget flows whose outcome nobody asks for any more."""
-        retirement = FlowRetention(keep_s=self._timing.keep_s)
+        retention = FlowRetention(keep_s=self._timing.keep_s)
         while True:
             await sleep(RETIRE_S)
             flows = self.state.flow_by_id.values()
             closed = [state.flow.id for state in flows if state.outcome != Outcome.OPEN]
-            old = retirement.old(closed, steady())
+            old = retention.old(closed, steady())
             if old:
                 log.info("flows forgotten", count=len(old))
                 try:
@@ -146,15 +146,17 @@
             self._wake = Event()
             self._orders.run_pass(steady(), int(time() * 1000), self._tasks)
 
-    def _keep(self, worker):
-        keeper = WorkerManager(worker=worker, leader=self, driver=self._driver, timing=self._timing)
-        self._keeper_by_worker[worker.id] = keeper
-        self._tasks.start_soon(keeper.run)
-        return keeper
+    def _manage(self, worker):
+        manager = WorkerManager(
+            worker=worker, leader=self, driver=self._driver, timing=self._timing
+        )
+        self._manager_by_worker[worker.id] = manager
+        self._tasks.start_soon(manager.run)
+        return manager
 
-    def keeper_of(self, worker_id):
-        """Return the keeper of the present incarnation of a worker, or None."""
-        return self._keeper_by_worker.get(worker_id)
+    def manager_of(self, worker_id):
+        """Return the manager of the present incarnation of a worker, or None."""
+        return self._manager_by_worker.get(worker_id)
 
     def joined(self, record, received_at):
         """Take a worker whose announcement is committed, or what a known one says of itself now.
@@ -164,16 +166,16 @@
         known = self.scheduler.worker_by_id.get(record.id)
         is_new = known is None or known.record.born_ms != record.born_ms
         if is_new and known is not None:
-            self._keeper_by_worker[record.id].wake()
+            self._manager_by_worker[record.id].wake()
         self.scheduler.join(record, is_new=is_new)
         worker = self.scheduler.worker_by_id[record.id]
-        keeper = self._keep(worker) if is_new else self._keeper_by_worker[record.id]
+        manager = self._manage(worker) if is_new else self._manager_by_worker[record.id]
         if record.clock_ms:
-            keeper.lease.sample(
+            manager.lease.sample(
                 clock_ms=record.clock_ms, sent_at=received_at, received_at=received_at
             )
-        if worker.standing == WorkerStatus.LAPSED:
-            keeper.wake()
+        if worker.status == WorkerStatus.LAPSED:
+            manager.wake()
         if record.leaving:
             self.scheduler.evacuate(worker, steady())
         self.wake()
@@ -191,21 +193,21 @@
         """Return once the state holds all that was committed before the call."""
         await self._group.confirm()
 
-    async def take_report(self, keeper, report, asked_at):
+    async def take_report(self, manager, report, asked_at):
         """Take a report, and commit the ends in it before the worker may forget them."""
-        ends = self.scheduler.report(keeper.worker, report, asked_at, steady())
+        ends = self.scheduler.report(manager.worker, report, asked_at, steady())
         self.wake()
         if ends:
             for end in ends:
                 how = TaskEnd.How.Name(end.how)
                 self._counters.ends.labels(how).inc()
-                log.info("end", task=end.task, run=end.run, how=how, worker=keeper.worker.id)
+                log.info("end", task=end.task, run=end.run, how=how, worker=manager.worker.id)
             try:
                 await self.propose(ends=EndBatch(ends=ends))
             except (NotLeaderError, OutcomeUnknownError) as error:
                 self.deposed(str(error))
                 return
-        keeper.noted = max([keeper.noted, *(row.number for row in report.ended)])
+        manager.noted = max([manager.noted, *(row.number for row in report.ended)])
 
     def started(self, action):
         """Note a confirmed start."""
@@ -243,14 +245,14 @@
 
     def gone(self, worker, reason):
         """Note that an incarnation of a worker does not exist any more."""
-        if worker.standing == WorkerStatus.LOST:
+        if worker.status == WorkerStatus.LOST:
             return
         log.warning("worker lost", worker=worker.id, reason=reason[:120])
         self.scheduler.lose(worker)
-        keeper = self._keeper_by_worker.get(worker.id)
-        if keeper is not None and keeper.worker is worker:
-            keeper.wake()
-            del self._keeper_by_worker[worker.id]
+        manager = self._manager_by_worker.get(worker.id)
+        if manager is not None and manager.worker is worker:
+            manager.wake()
+            del self._manager_by_worker[worker.id]
         self._tasks.start_soon(self._commit_loss, worker.record)
         self.wake()
 
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -55,20 +55,20 @@
     __slots__ = (
         "_advice",
         "_counters",
-        "_desk",
         "_driver",
         "_group",
-        "_mesh",
+        "_links",
         "_notice_now",
         "_served",
         "_server",
+        "_service",
         "_settings",
         "_stop_asked",
         "_stopping",
         "_tasks",
         "_told_by_session",
         "_works",
-        "book",
+        "cache",
         "calls",
         "closing",
         "last_requests_s",
@@ -80,7 +80,7 @@
         self._driver = driver
         self._advice = advice
         self._counters = counters
-        self._desk = None
+        self._service = None
         self._stopping = False
         self._stop_asked = Event()
         self.closing = Event()
@@ -95,15 +95,15 @@
         self._server = LinkServer(
             hello=hello, secret=settings.secret, handler=self, timing=ACCEPTED_TIMING
         )
-        self._mesh = LinkPool(
+        self._links = LinkPool(
             own=own, hello=hello, secret=settings.secret, handler=self, ended=self._store_ended
         )
-        self._mesh.learn(settings.seed_links())
-        self.book = LeaderCache(fresh_s=settings.fresh_ms / 1000)
-        self.calls = ControlClient(book=self.book, call=self._call)
+        self._links.learn(settings.seed_links())
+        self.cache = LeaderCache(fresh_s=settings.fresh_ms / 1000)
+        self.calls = ControlClient(cache=self.cache, call=self._call)
         self.state = ControlState()
         self._group = make_group(
-            settings, machine=self.state, contacts=self._mesh.addresses, send=self._mesh.send
+            settings, machine=self.state, contacts=self._links.addresses, send=self._links.send
         )
 
     def _store_ended(self, address):
@@ -118,7 +118,7 @@
     @property
     def leads(self):
         """Whether this store leads and answers calls."""
-        return self._desk is not None and not self._works.is_over
+        return self._service is not None and not self._works.is_over
 
     @property
     def voters(self):
@@ -134,7 +134,7 @@
         async with create_task_group() as tasks:
             self._tasks = tasks
             tasks.start_soon(self._serve)
-            tasks.start_soon(self._mesh.run)
+            tasks.start_soon(self._links.run)
             tasks.start_soon(self._keep_group)
             tasks.start_soon(self._notify)
             tasks.start_soon(self._lead)
@@ -170,7 +170,7 @@
 
     def learn_seeds(self, settings):
         """Link to the seeds of changed settings too."""
-        self._mesh.learn(settings.seed_links())
+        self._links.learn(settings.seed_links())
 
     async def _end(self):
         self.closing.set()
@@ -180,7 +180,7 @@
             await self._group.stop()
 
     async def _lead(self):
-        """Run a conductor in each term in which this store leads."""
+        """Run a control leader in each term in which this store leads."""
         stream = self._group.watch()
         term = None
         async for leadership in stream:
@@ -188,7 +188,7 @@
                 continue
             if self._works is not None:
                 self._works.cancel()
-                self._works = self._desk = None
+                self._works = self._service = None
             term = leadership.term if leadership.is_leader else None
             log.info("leadership", term=leadership.term, leader=leadership.leader)
             if leadership.is_leader and not self._stopping:
@@ -196,41 +196,41 @@
             self._notice_now.set()
 
     def _begin_term(self):
-        conductor = ControlLeader(
+        leader = ControlLeader(
             group=self._group,
             state=self.state,
             driver=self._driver,
-            lanes=self._lanes,
+            advice_clients=self._advice_clients,
             timing=flow_timing(self._settings),
             counters=self._counters,
         )
-        self._desk = ControlService(conductor=conductor, published=self._publish)
-        self._works = conductor
-        self._tasks.start_soon(self._work, conductor)
+        self._service = ControlService(leader=leader, published=self._publish)
+        self._works = leader
+        self._tasks.start_soon(self._work, leader)
 
-    async def _work(self, conductor):
-        """Run a conductor; a leader that ended its own term must not begin it a second time.
+    async def _work(self, leader):
+        """Run a control leader; a leader that ended its own term must not begin it a second time.
 
         :raises StoppedError: a quorum still follows this store, which does nothing any more.
         """
-        await conductor.run()
+        await leader.run()
         await sleep(self._settings.fresh_ms / 1000)
-        if self._works is not conductor or self._stopping:
+        if self._works is not leader or self._stopping:
             return
         try:
             # Waits while the disk hangs; the others have another leader then.
             await self._group.confirm()
         except SiskintallyError as error:
-            log.info("term was over", term=conductor.term, reason=str(error))
+            log.info("term was over", term=leader.term, reason=str(error))
             return
-        if self._works is conductor and not self._stopping:
+        if self._works is leader and not self._stopping:
             raise StoppedError("the term was ended, and a quorum still follows: restart")
 
     def _publish(self):
         """Tell the others of a new configuration at once."""
         self._notice_now.set()
 
-    def _lanes(self):
+    def _advice_clients(self):
         yield LocalAdviceClient(name=self._settings.name, advice=self._advice)
         for session in list(self._server.session_by_id.values()):
             if not session.closed:
@@ -246,7 +246,7 @@
                 notice = ControlNotice(leads=True, leader=own, term=self._group.term)
                 self._take_notice(notice, own)
             members = [member.identity.name for member in self._group.members]
-            self._mesh.learn(members)
+            self._links.learn(members)
             for session in sessions:
                 self._tell(session, leads, members)
             alive = {id(session) for session in sessions}
@@ -282,31 +282,31 @@
         return await self._answer_flow(body)
 
     async def _answer_flow(self, body):
-        desk = self._desk
+        service = self._service
         if not self.leads or self._stopping:
             leader = self._group.leader
             leader = leader if leader != self._settings.link else ""
             raise NotLeaderError(f"{self._settings.name} does not lead", leader=leader)
-        return await desk.answer(body)
+        return await service.answer(body)
 
     def receive(self, session, body):
         """Take a message of another process."""
         if isinstance(body, ControlNotice):
-            self._mesh.learn(body.members)
+            self._links.learn(body.members)
             self._take_notice(body, session.peer.name)
         else:
             self._group.receive(body)
 
     def _take_notice(self, notice, sender):
         now = steady()
-        before = self.book.leader(now)
-        self.book.take(notice, sender=sender, now=now)
-        if self.book.leader(now) != before:
+        before = self.cache.leader(now)
+        self.cache.take(notice, sender=sender, now=now)
+        if self.cache.leader(now) != before:
             self.calls.leader_changed()
 
     async def _call(self, address, body, *, timeout):
         if address != self._settings.link:
-            return await self._mesh.call(address, body, timeout=timeout)
+            return await self._links.call(address, body, timeout=timeout)
         with move_on_after(timeout):
             return await self._answer_flow(body)
         raise OutcomeUnknownError(f"{type(body).__name__}: no answer in {timeout:.1f} s")
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -36,14 +36,14 @@
 class ControlService:
     """Answers calls about flows, workers and configuration in one term.
 
-    :param conductor: :class:`~siskintally.control_leader.ControlLeader` of the term.
+    :param leader: :class:`~siskintally.control_leader.ControlLeader` of the term.
     :param published: function that is called when a new configuration is in force.
     """
 
-    __slots__ = ("_admitted", "_conductor", "_published", "_seq_by_worker")
+    __slots__ = ("_admitted", "_leader", "_published", "_seq_by_worker")
 
-    def __init__(self, *, conductor, published):
-        self._conductor = conductor
+    def __init__(self, *, leader, published):
+        self._leader = leader
         self._published = published
         self._admitted = set()
         self._seq_by_worker = {}
@@ -62,94 +62,94 @@
 
     async def _submit(self, body):
         flow = body.flow
-        state = self._conductor.state
+        state = self._leader.state
         check_flow(flow)
         if flow.id not in state.flow_by_id:
             if state.queue(flow.queue) is None:
                 # A configuration with this queue may be committed and not yet applied here.
-                await self._conductor.confirm()
+                await self._leader.confirm()
                 if state.queue(flow.queue) is None:
                     raise NotFoundError(f"queue {flow.queue!r}: not in the configuration")
             flow.accepted_ms = int(time() * 1000)
-            await self._conductor.propose(accept=flow)
+            await self._leader.propose(accept=flow)
         self._admit(flow.id)
         return FlowReply(known=True)
 
     def _admit(self, flow_id):
         """Hand a committed flow to the scheduler, once in this term."""
-        conductor = self._conductor
-        flow_state = conductor.state.flow_by_id.get(flow_id)
+        leader = self._leader
+        flow_state = leader.state.flow_by_id.get(flow_id)
         if flow_state is None or flow_state.outcome != Outcome.OPEN or flow_id in self._admitted:
             return
         self._admitted.add(flow_id)
-        queue = conductor.state.queue(flow_state.flow.queue)
+        queue = leader.state.queue(flow_state.flow.queue)
         log.info(
             "flow accepted",
             flow=flow_id,
             queue=flow_state.flow.queue,
             steps=[describe_step(step) for step in flow_state.flow.steps[:LOGGED_STEPS]],
         )
-        conductor.scheduler.accept(flow_state.flow, queue, steady())
-        conductor.wake()
+        leader.scheduler.accept(flow_state.flow, queue, steady())
+        leader.wake()
 
     async def _cancel(self, body):
-        conductor = self._conductor
-        if body.id not in conductor.state.flow_by_id:
-            await conductor.confirm()
-        flow_state = conductor.state.flow_by_id.get(body.id)
+        leader = self._leader
+        if body.id not in leader.state.flow_by_id:
+            await leader.confirm()
+        flow_state = leader.state.flow_by_id.get(body.id)
         if flow_state is None:
             return FlowReply(known=False)
         if flow_state.outcome == Outcome.OPEN:
-            await conductor.propose(cancel=FlowId(id=body.id))
+            await leader.propose(cancel=FlowId(id=body.id))
         log.info("flow cancelled", flow=body.id, outcome=flow_state.outcome.name)
-        conductor.scheduler.cancel(body.id)
-        conductor.wake()
+        leader.scheduler.cancel(body.id)
+        leader.wake()
         return FlowReply(known=True)
 
     async def _read(self, body):
-        await self._conductor.confirm()
-        flow_state = self._conductor.state.flow_by_id.get(body.id)
+        await self._leader.confirm()
+        flow_state = self._leader.state.flow_by_id.get(body.id)
         if flow_state is None:
             return FlowReply(known=False)
         text = flow_state.outcome.name.lower()
         if flow_state.outcome == Outcome.OPEN:
-            run = self._conductor.scheduler.flow_by_id.get(body.id)
+            run = self._leader.scheduler.flow_by_id.get(body.id)
             text = "running" if run is not None and run.started else "queued"
         return FlowReply(known=True, state=text)
 
     async def _count(self, body):
-        await self._conductor.confirm()
-        if self._conductor.state.queue(body.queue) is None:
+        await self._leader.confirm()
+        if self._leader.state.queue(body.queue) is None:
             raise NotFoundError(f"queue {body.queue!r}: not in the configuration")
-        return FlowReply(known=True, pending=self._conductor.scheduler.pending(body.queue))
+        return FlowReply(known=True, pending=self._leader.scheduler.pending(body.queue))
 
     async def _put_document(self, body):
-        conductor = self._conductor
-        if body.document.version > conductor.state.document.version:
-            await conductor.propose(document=body.document)
-            conductor.scheduler.requeue_queues(conductor.state)
+        leader = self._leader
+        if body.document.version > leader.state.document.version:
+            await leader.propose(document=body.document)
+            leader.scheduler.requeue_queues(leader.state)
             self._published()
-            conductor.wake()
+            leader.wake()
         else:
             # The acknowledgement says that nothing newer is lost, so leadership must be in force.
-            await conductor.confirm()
+            await leader.confirm()
         log.info(
             "configuration",
             offered=body.document.version,
-            in_force=conductor.state.document.version,
+            in_force=leader.state.document.version,
         )
         return FlowReply(known=True)
 
     async def _read_document(self, body):
-        await self._conductor.confirm()
-        return FlowReply(known=True, document=self._conductor.state.document)
+        await self._leader.confirm()
+        return FlowReply(known=True, document=self._leader.state.document)
 
     async def _seen(self, body):
         """Take an announcement of a worker; its incarnation is committed before it gets work."""
         received_at = steady()
         record = body.worker
-        conductor = self._conductor
-        known = conductor.state.worker_by_id.get(record.id)
+        leader = self._leader
+        known = leader.state.worker_by_id.get(record.id)
         if known is not None and record.born_ms < known.born_ms:
             log.info("announcement of a former incarnation", worker=record.id)
             return FlowReply(known=True)
@@ -158,14 +158,14 @@
             return FlowReply(known=True)
         self._seq_by_worker[record.id] = record.seq
         if not is_same or _essence(known) != _essence(record):
-            await conductor.propose(join=record)
+            await leader.propose(join=record)
             log.info("worker announced", worker=record.id, leaving=record.leaving)
-        conductor.joined(record, received_at)
+        leader.joined(record, received_at)
         return FlowReply(known=True)
 
     async def _gone(self, body):
         """Treat a worker that says it ends as leaving: it may run on for a moment."""
-        known = self._conductor.state.worker_by_id.get(body.id)
+        known = self._leader.state.worker_by_id.get(body.id)
         if known is None or body.born_ms not in (0, known.born_ms):
             return FlowReply(known=False)
         record = PoolWorker()
--- a/siskintally/dispatcher.py
+++ b/siskintally/dispatcher.py
@@ -48,7 +48,7 @@
             await self.step()
 
     async def step(self):
-        """Make one pass; without clearance of the cell only stops are sent."""
+        """Make one pass; unless the cell permits starts only stops are sent."""
         owner_term = self._owner_term
         if not owner_term.may_start():
             owner_term.push()
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -60,16 +60,16 @@
     __slots__ = (
         "_balancer",
         "_buffered",
-        "_course",
+        "_dispatcher_by_service",
         "_drain_s",
-        "_exchange",
         "_follower",
+        "_gossip",
+        "_handler",
         "_in_flight",
-        "_lane_by_service",
         "_ledger",
         "_metrics",
         "_own_entries",
-        "_pause",
+        "_pause_detector",
         "_peers",
         "_process",
         "_server",
@@ -95,10 +95,10 @@
         self._own_entries = tuple(sorted(own))
         self._metrics = Metrics(address=settings.statsd, prefix=f"siskintally.{process.name}")
         self._table = AnnouncementTable(domain=process.domain)
-        self._pause = PauseDetector()
+        self._pause_detector = PauseDetector()
         self.limits = EntryLimits()
         self.budget = RetryBudget(ratio=self.limits.retry_ratio)
-        self._lane_by_service = {}
+        self._dispatcher_by_service = {}
         self._in_flight = 0
         self._buffered = 0
         self.draining = False
@@ -115,7 +115,7 @@
         self._peers = Peers(
             settings=settings, process=process, hello=hello, handler=self, server=self._server
         )
-        self._exchange = Gossip(table=self._table, peers=self._peers, lane=self.lane)
+        self._gossip = Gossip(table=self._table, peers=self._peers, dispatcher_of=self.dispatcher)
         group = None if self._standalone else settings.group_of_domain(process.domain)
         members = group.members if group else ()
         self.relay = OperatorRelay(stores=members, call=self._peers.call)
@@ -134,8 +134,8 @@
         async with create_task_group() as tasks:
             self._tasks = tasks
             self._ledger = self._make_ledger(tasks)
-            self._course = RequestHandler(
-                lanes=self.lane,
+            self._handler = RequestHandler(
+                dispatcher_of=self.dispatcher,
                 budget=self.budget,
                 ledger=self._ledger,
                 peers=self._peers,
@@ -153,8 +153,8 @@
         add("http", self._serve_http)
         for name, link in self._peers.links():
             add(f"link to {name}", link.run)
-        add("announcements", self._exchange.pass_on)
-        add("summaries", self._exchange.summarize)
+        add("announcements", self._gossip.pass_on)
+        add("summaries", self._gossip.summarize)
         add("tidy", self._tidy)
         if not self._standalone:
             add("configuration", self._follower.run)
@@ -184,7 +184,7 @@
         if self.draining:
             return
         self.draining = True
-        self._exchange.drain()
+        self._gossip.drain()
         began = monotonic()
         end = began + self._drain_s
         while self._is_busy(began) and monotonic() < end:
@@ -196,17 +196,17 @@
         noticed = monotonic() >= began + NOTICE_S
         return not noticed or self._in_flight or self._ledger.unsettled
 
-    def lane(self, service):
-        """Return the lane of a service."""
-        lane = self._lane_by_service.get(service)
-        if lane is None:
-            lane = self._lane_by_service[service] = ServiceDispatcher(
+    def dispatcher(self, service):
+        """Return the dispatcher of a service."""
+        dispatcher = self._dispatcher_by_service.get(service)
+        if dispatcher is None:
+            dispatcher = self._dispatcher_by_service[service] = ServiceDispatcher(
                 limits=self.limits,
                 live=lambda now: self._table.live(service, now=now),
                 share_of=self._share_of,
                 balancer=self._balancer,
             )
-        return lane
+        return dispatcher
 
     def _share_of(self, total, endpoint):
         return share(total, endpoint=endpoint, entry=self._process.name, entries=self._own_entries)
@@ -244,11 +244,11 @@
         :param age_s: largest age, s, or None if the endpoint echoed nothing.
         """
         if age_s is None:
-            age_s = float("inf") if self._pause.distrusts(now) else 0.0
+            age_s = float("inf") if self._pause_detector.distrusts(now) else 0.0
         if self._table.announce(heard, age_s=age_s, now=now):
-            self._exchange.pass_on_once()
-        if heard.domain == self._process.domain and heard.service in self._lane_by_service:
-            self._lane_by_service[heard.service].pump(now)
+            self._gossip.pass_on_once()
+        if heard.domain == self._process.domain and heard.service in self._dispatcher_by_service:
+            self._dispatcher_by_service[heard.service].pump(now)
 
     async def serve(self, call):
         """Serve a caller's request.
@@ -259,7 +259,7 @@
         self._in_flight += 1
         self._buffered += len(call.body)
         try:
-            answer = await (self._detached(call) if call.once else self._course.run(call))
+            answer = await (self._detached(call) if call.once else self._handler.run(call))
         finally:
             self._in_flight -= 1
             self._buffered -= len(call.body)
@@ -274,7 +274,7 @@
 
         async def work():
             try:
-                answers.append(await self._course.run(call))
+                answers.append(await self._handler.run(call))
             except Exception:
                 log.exception("request failed", request_id=call.request_id)
             finally:
@@ -288,7 +288,7 @@
         """Answer a call of another process."""
         if not isinstance(body, ForwardRequest):
             raise BadRequestError(f"{type(body).__name__}: not for an entry")
-        if self._pause.distrusts(monotonic()):
+        if self._pause_detector.distrusts(monotonic()):
             raise UnreachableError("this process was paused; the request was not run")
         refused = self.refusal()
         if refused is not None:
@@ -296,7 +296,7 @@
         call = read_forward(body, caller=session.peer.name)
         self._in_flight += 1
         try:
-            return (await self._course.run_forwarded(call)).to_message()
+            return (await self._handler.run_forwarded(call)).to_message()
         finally:
             self._in_flight -= 1
 
@@ -304,30 +304,30 @@
         """Take a message of another entry."""
         now = monotonic()
         if isinstance(body, AnnounceExchange):
-            self._exchange.take_announcements(session, body, now)
+            self._gossip.take_announcements(session, body, now)
         elif isinstance(body, EntrySummary):
-            self._exchange.take_summary(session, body)
+            self._gossip.take_summary(session, body)
 
     def closed(self, session):
         """Drop what belongs to a session."""
-        self._exchange.forget(session)
+        self._gossip.forget(session)
 
     def _set_limits(self, limits):
         self.limits = limits
         self.budget.ratio = limits.retry_ratio
-        for lane in self._lane_by_service.values():
-            lane.admission.limits = limits
+        for dispatcher in self._dispatcher_by_service.values():
+            dispatcher.admission.limits = limits
 
     async def _tidy(self):
         while True:
             now = monotonic()
-            self._pause.beat(now)
+            self._pause_detector.beat(now)
             self._table.expire(now=now)
-            for service, lane in list(self._lane_by_service.items()):
-                for forwarder in lane.tidy(now):
+            for service, dispatcher in list(self._dispatcher_by_service.items()):
+                for forwarder in dispatcher.tidy(now):
                     await forwarder.close()
-                if lane.is_idle(now):
-                    del self._lane_by_service[service]
+                if dispatcher.is_idle(now):
+                    del self._dispatcher_by_service[service]
             self._metrics.gauge("in_flight", self._in_flight)
             self._metrics.gauge("endpoints", len(self._table))
             await sleep(TIDY_S)
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -1,4 +1,4 @@
-"""Entry process of a control plane: links to the stores, readiness, and a lane for advice.
+"""Entry process of a control plane: links to the stores, readiness, and a client for advice.
 
 >>> from siskintally.entry_node import EntryNode
 >>> EntryNode.__name__
@@ -43,8 +43,8 @@
     __slots__ = (
         "_advice",
         "_heard_at",
-        "_mesh",
-        "book",
+        "_links",
+        "cache",
         "calls",
         "closing",
         "last_requests_s",
@@ -58,20 +58,20 @@
         self.closing = Event()
         self.last_requests_s = settings.grace_s * LAST_REQUESTS_SHARE
         hello = Hello(name=settings.name, cell=CELL, incarnation=uuid4().hex)
-        self._mesh = LinkPool(own="", hello=hello, secret=settings.secret, handler=self)
-        self._mesh.learn(settings.seed_links())
-        self.book = LeaderCache(fresh_s=settings.fresh_ms / 1000)
-        self.calls = ControlClient(book=self.book, call=self._mesh.call)
+        self._links = LinkPool(own="", hello=hello, secret=settings.secret, handler=self)
+        self._links.learn(settings.seed_links())
+        self.cache = LeaderCache(fresh_s=settings.fresh_ms / 1000)
+        self.calls = ControlClient(cache=self.cache, call=self._links.call)
 
     def learn_seeds(self, settings):
         """Link to the seeds of changed settings too."""
-        self._mesh.learn(settings.seed_links())
+        self._links.learn(settings.seed_links())
 
     @property
     def is_ready(self):
         """Whether requests can be served now."""
         is_heard = steady() - self._heard_at <= READY_S
-        return is_heard and self.book.document.version > 0 and not self.stopping.is_set()
+        return is_heard and self.cache.document.version > 0 and not self.stopping.is_set()
 
     async def run(self, serve):
         """Serve until stopped.
@@ -79,7 +79,7 @@
         :param serve: async function that serves requests until ``closing`` is set.
         """
         async with create_task_group() as tasks:
-            tasks.start_soon(self._mesh.run)
+            tasks.start_soon(self._links.run)
             await serve()
             tasks.cancel_scope.cancel()
 
@@ -100,11 +100,11 @@
         if not isinstance(body, ControlNotice):
             return
         now = steady()
-        before = self.book.leader(now)
-        self._mesh.learn(body.members)
-        if self.book.take(body, sender=session.peer.name, now=now):
-            log.info("configuration", version=self.book.document.version, source=session.peer.name)
-        leader = self.book.leader(now)
+        before = self.cache.leader(now)
+        self._links.learn(body.members)
+        if self.cache.take(body, sender=session.peer.name, now=now):
+            log.info("configuration", version=self.cache.document.version, source=session.peer.name)
+        leader = self.cache.leader(now)
         if leader != before:
             log.info("leader", leader=leader, before=before)
             self.calls.leader_changed()
--- a/siskintally/failed_searches.py
+++ b/siskintally/failed_searches.py
@@ -7,9 +7,9 @@
 ...     Job(job_id=f"j{cpu}", kind=Kind.BATCH, need=Size(cpu=cpu), tasks=1, submitted=0.0)
 ...     for cpu in (1000, 2000)
 ... )
->>> misses = FailedSearches()
->>> misses.add(small)
->>> misses.covers(large)
+>>> searches = FailedSearches()
+>>> searches.add(small)
+>>> searches.covers(large)
 True
 """
 
--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -26,13 +26,13 @@
 
 
 # Time constant with which an observed speed loses its weight: disturbances last some seconds.
-PACE_MEMORY_S = 5.0
+SLOWDOWN_MEMORY_S = 5.0
 # Weights of one finished task and of the progress of one that runs.
 END_WEIGHT = 0.1
 PROGRESS_WEIGHT = 0.4
-# Bounds of one observation of the pace; estimates of run times are rough.
-LEAST_PACE = 0.3
-MOST_PACE = 8.0
+# Bounds of one observation of the slowdown; estimates of run times are rough.
+MIN_SLOWDOWN = 0.3
+MAX_SLOWDOWN = 8.0
 
 
 class WorkerStatus(IntEnum):
@@ -56,12 +56,13 @@
     ``foreign``: runs of tasks that are not known here and have to stop, by task id.
     ``serving``: tasks held with a latency target. ``fill_percent``: share of the processor that
     filling tasks may use there.
-    ``pace``: time that tasks need there in multiples of their estimates, as last observed at
-    ``pace_at``.
+    ``slowdown``: time that tasks need there in multiples of their estimates, as last observed at
+    ``slowdown_at``.
     """
 
     __slots__ = (
         "cpu_free",
+        "excluded_until",
         "failed_in_a_row",
         "fill_percent",
         "foreign",
@@ -69,12 +70,11 @@
         "held_by_task",
         "lease_until",
         "memory_free",
-        "pace",
-        "pace_at",
         "record",
         "serving",
-        "shunned_until",
-        "standing",
+        "slowdown",
+        "slowdown_at",
+        "status",
     )
 
     def __init__(self, *, record):
@@ -82,14 +82,14 @@
         self.held_by_task = {}
         self.foreign = {}
         self.lease_until = -inf
-        self.standing = WorkerStatus.UNSEEN
+        self.status = WorkerStatus.UNSEEN
         self.cpu_free = record.cpu_milli
         self.memory_free = record.memory_mb
         self.free_accelerators = record.accelerators
         self.failed_in_a_row = 0
-        self.shunned_until = -inf
-        self.pace = 1.0
-        self.pace_at = 0.0
+        self.excluded_until = -inf
+        self.slowdown = 1.0
+        self.slowdown_at = 0.0
         self.fill_percent = 100
         self.serving = 0
 
@@ -106,7 +106,7 @@
     @property
     def is_open(self):
         """Whether new tasks may be sent there."""
-        return self.standing == WorkerStatus.READY and not self.record.leaving and not self.foreign
+        return self.status == WorkerStatus.READY and not self.record.leaving and not self.foreign
 
     def fits(self, need):
         """Tell whether a task fits beside what is held."""
@@ -155,19 +155,19 @@
         self.memory_free -= sign * need.memory_mb
         self.free_accelerators -= sign * need.accelerators
 
-    def expected_pace(self, now):
-        """Return the pace to expect; an old observation says little."""
-        weight = exp(-max(now - self.pace_at, 0.0) / PACE_MEMORY_S)
-        return 1.0 + (self.pace - 1.0) * weight
+    def expected_slowdown(self, now):
+        """Return the slowdown to expect; an old observation says little."""
+        weight = exp(-max(now - self.slowdown_at, 0.0) / SLOWDOWN_MEMORY_S)
+        return 1.0 + (self.slowdown - 1.0) * weight
 
-    def observe_pace(self, ratio, weight, now):
+    def record_slowdown(self, ratio, weight, now):
         """Take the run time of a task in multiples of its estimate.
 
         :param weight: share of this observation in the new average.
         """
-        before = self.expected_pace(now)
-        self.pace = before + weight * (min(max(ratio, LEAST_PACE), MOST_PACE) - before)
-        self.pace_at = now
+        before = self.expected_slowdown(now)
+        self.slowdown = before + weight * (min(max(ratio, MIN_SLOWDOWN), MAX_SLOWDOWN) - before)
+        self.slowdown_at = now
 
     def update(self, record):
         """Take what the worker says of itself now."""
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -17,18 +17,18 @@
 
 
 class FlowDispatcher:
-    """Sends starts, stops, paces, and calls for advice.
+    """Sends starts, stops, throttle orders, and calls for advice.
 
     :param leader: :class:`~siskintally.control_leader.ControlLeader`.
-    :param lanes: :class:`~siskintally.advice_client_pool.AdviceClientPool`.
+    :param advice_clients: :class:`~siskintally.advice_client_pool.AdviceClientPool`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
-    __slots__ = ("_counters", "_lanes", "_leader")
+    __slots__ = ("_advice_clients", "_counters", "_leader")
 
-    def __init__(self, *, leader, lanes, counters):
+    def __init__(self, *, leader, advice_clients, counters):
         self._leader = leader
-        self._lanes = lanes
+        self._advice_clients = advice_clients
         self._counters = counters
 
     def run_pass(self, now, wall_ms, tasks):
@@ -56,10 +56,10 @@
         self._send_stops(tasks)
         self._send_paces(tasks)
         for action in scheduler.advice_wanted(now, wall_ms):
-            lane = self._lanes.take(is_quick=action.is_quick)
-            if lane is not None:
+            client = self._advice_clients.take(is_quick=action.is_quick)
+            if client is not None:
                 action.step.asking = True
-                tasks.start_soon(self._ask, lane, action)
+                tasks.start_soon(self._ask, client, action)
 
     async def _send_starts(self, actions, tasks):
         """Commit where tasks are started, then send the orders.
@@ -81,41 +81,41 @@
             self._leader.deposed(str(error))
             return
         for action in actions:
-            keeper = self._leader.keeper_of(action.worker.id)
-            if keeper is not None and keeper.worker is action.worker:
-                tasks.start_soon(keeper.start, action)
+            manager = self._leader.manager_of(action.worker.id)
+            if manager is not None and manager.worker is action.worker:
+                tasks.start_soon(manager.start, action)
 
     def _send_paces(self, tasks):
-        paces, self._leader.scheduler.paces = self._leader.scheduler.paces, []
-        for action in paces:
-            keeper = self._leader.keeper_of(action.worker.id)
-            if keeper is not None and keeper.worker is action.worker:
+        throttles, self._leader.scheduler.throttles = self._leader.scheduler.throttles, []
+        for action in throttles:
+            manager = self._leader.manager_of(action.worker.id)
+            if manager is not None and manager.worker is action.worker:
                 self._counters.paces.inc()
                 log.info(
                     "pace", task=action.task.id, worker=action.worker.id, percent=action.percent
                 )
-                tasks.start_soon(keeper.pace, action)
+                tasks.start_soon(manager.throttle, action)
 
     def _send_stops(self, tasks):
         stops, self._leader.scheduler.stops = self._leader.scheduler.stops, []
         for action in stops:
-            keeper = self._leader.keeper_of(action.worker.id)
-            if keeper is not None and keeper.worker is action.worker:
+            manager = self._leader.manager_of(action.worker.id)
+            if manager is not None and manager.worker is action.worker:
                 self._counters.stops.inc()
                 log.info("stop", task=action.task_id, run=action.run, worker=action.worker.id)
-                keeper.wake()
-                tasks.start_soon(keeper.stop, action)
+                manager.wake()
+                tasks.start_soon(manager.stop, action)
 
-    async def _ask(self, lane, action):
+    async def _ask(self, client, action):
         tickets = None
         asked_at = steady()
         timeout = action.expected_s + ADVICE_MARGIN_S
         try:
-            tickets = await lane.ask(action.step.id, action.worker_ids, timeout=timeout)
+            tickets = await client.ask(action.step.id, action.worker_ids, timeout=timeout)
         except SiskintallyError as error:
-            log.info("advice failed", step=action.step.id, lane=lane.name, error=str(error)[:120])
+            log.info("advice failed", step=action.step.id, lane=client.name, error=str(error)[:120])
         finally:
-            self._lanes.give_back(lane)
+            self._advice_clients.give_back(client)
         now = steady()
         self._counters.advice_seconds.observe(now - asked_at)
         queue = action.step.flow.queue
@@ -125,7 +125,7 @@
             log.info(
                 "advice",
                 step=action.step.id,
-                lane=lane.name,
+                lane=client.name,
                 asked=len(action.worker_ids),
                 allowed=len(tickets),
                 took_ms=round((now - asked_at) * 1000),
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -46,15 +46,15 @@
 class FlowGateway:
     """Requests of callers at one entry.
 
-    :param book: :class:`~siskintally.leader_cache.LeaderCache`.
+    :param cache: :class:`~siskintally.leader_cache.LeaderCache`.
     :param calls: :class:`~siskintally.control_client.ControlClient`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
-    __slots__ = ("_book", "_calls", "_counters")
+    __slots__ = ("_cache", "_calls", "_counters")
 
-    def __init__(self, *, book, calls, counters):
-        self._book = book
+    def __init__(self, *, cache, calls, counters):
+        self._cache = cache
         self._calls = calls
         self._counters = counters
 
@@ -65,10 +65,10 @@
         :raises NotFoundError: there is none.
         """
         now = steady()
-        if not self._book.is_fresh(now):
+        if not self._cache.is_fresh(now):
             self._refuse("no leader in touch", path, now)
             raise NoConfigError("no leader is in touch")
-        queue = match_queue(self._book.document, host, path)
+        queue = match_queue(self._cache.document, host, path)
         if queue is None:
             self._refuse("no such queue", path, now)
             raise NotFoundError(f"no queue at {host}{path[:80]}")
@@ -76,18 +76,18 @@
 
     def _refuse(self, reason, path, now):
         self._counters.refusals.labels(reason).inc()
-        silent_s = self._book.silent_s(now)
+        silent_s = self._cache.silent_s(now)
         log.info(
             "request refused",
             reason=reason,
             path=path[:80],
-            version=self._book.document.version,
+            version=self._cache.document.version,
             leader_silent_ms=round(silent_s * 1000) if silent_s < inf else None,
         )
 
     def retry_after_s(self):
         """Return when a caller that was refused should come back, in whole seconds."""
-        silent_s = self._book.silent_s(steady())
+        silent_s = self._cache.silent_s(steady())
         return int(min(max(silent_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S))
 
     async def submit(self, flow, queue, *, deadline_s):
@@ -142,8 +142,8 @@
                 call=call,
                 id=name,
                 outcome=outcome,
-                leader=self._book.leader(steady()),
-                version=self._book.document.version,
+                leader=self._cache.leader(steady()),
+                version=self._cache.document.version,
                 took_ms=round(took_s * 1000),
             )
 
--- a/siskintally/flow_retention.py
+++ b/siskintally/flow_retention.py
@@ -1,8 +1,8 @@
 """Which closed flows have been kept for long enough; pure.
 
 >>> from siskintally.flow_retention import FlowRetention
->>> retirement = FlowRetention(keep_s=60.0)
->>> retirement.old(["f"], now=0.0), retirement.old(["f"], now=61.0)
+>>> retention = FlowRetention(keep_s=60.0)
+>>> retention.old(["f"], now=0.0), retention.old(["f"], now=61.0)
 ([], ['f'])
 """
 
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -27,7 +27,7 @@
 class FlowScheduler(StepPlacement, AdvicePlanning, ReportHandling, Speculation):
     """What a leader decides about flows, from its election to its deposition.
 
-    ``stops``, ``paces``: :class:`~siskintally.actions.StopAction` and
+    ``stops``, ``throttles``: :class:`~siskintally.actions.StopAction` and
     :class:`~siskintally.actions.ThrottleAction` objects that are to be sent.
     ``taken_by_worker``: number of the last end that was taken from each worker.
     ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not reported.
@@ -40,11 +40,11 @@
         "_runs",
         "_unlocated_by_worker",
         "flow_by_id",
-        "paces",
         "ready_by_id",
         "stops",
         "taken_by_worker",
         "term",
+        "throttles",
         "worker_by_id",
     )
 
@@ -54,7 +54,7 @@
         self.worker_by_id = {}
         self.ready_by_id = {}
         self.stops = []
-        self.paces = []
+        self.throttles = []
         self.taken_by_worker = {}
         self._runs = 0
         self._known_flows = set()
@@ -208,7 +208,7 @@
             self.lose(known)
         worker = FleetWorker(record=record)
         if is_new:
-            worker.standing = WorkerStatus.READY
+            worker.status = WorkerStatus.READY
         self.worker_by_id[record.id] = worker
         self.taken_by_worker.pop(record.id, None)
 
@@ -219,19 +219,21 @@
             if task.state != TaskState.RUNNING:
                 continue
             spec = task.step.spec
-            remaining_s = spec.estimate_ms / 1000 * worker.expected_pace(now) - (now - task.since)
+            remaining_s = spec.estimate_ms / 1000 * worker.expected_slowdown(now) - (
+                now - task.since
+            )
             if spec.lasting or remaining_s > left_s:
                 self.stop(task)
 
     def lapse(self, worker):
         """Note that the lease of a worker has ended: nothing that was started runs there."""
-        worker.standing = WorkerStatus.LAPSED
+        worker.status = WorkerStatus.LAPSED
         self._empty(worker)
         self.note_seen(worker)
 
     def lose(self, worker):
         """Forget an incarnation that does not exist any more."""
-        worker.standing = WorkerStatus.LOST
+        worker.status = WorkerStatus.LOST
         self._empty(worker)
         if self.worker_by_id.get(worker.id) is worker:
             del self.worker_by_id[worker.id]
--- a/siskintally/gossip.py
+++ b/siskintally/gossip.py
@@ -23,15 +23,22 @@
 
     :param table: :class:`~siskintally.announcement.AnnouncementTable`.
     :param peers: :class:`~siskintally.peers.Peers`.
-    :param lane: ``lane(service)`` returns the lane of a service.
+    :param dispatcher_of: ``dispatcher_of(service)`` returns the dispatcher of a service.
     """
 
-    __slots__ = ("_draining", "_echo_until_by_peer", "_lane", "_peers", "_senders", "_table")
+    __slots__ = (
+        "_dispatcher_of",
+        "_draining",
+        "_echo_until_by_peer",
+        "_peers",
+        "_senders",
+        "_table",
+    )
 
-    def __init__(self, *, table, peers, lane):
+    def __init__(self, *, table, peers, dispatcher_of):
         self._table = table
         self._peers = peers
-        self._lane = lane
+        self._dispatcher_of = dispatcher_of
         self._draining = False
         self._senders = {}
         self._echo_until_by_peer = {}
@@ -93,10 +100,12 @@
         now = monotonic()
         summary = EntrySummary(draining=self._draining)
         for service in self._table.services(now=now):
-            lane = self._lane(service)
-            free, total = lane.capacity(now)
+            dispatcher = self._dispatcher_of(service)
+            free, total = dispatcher.capacity(now)
             if total:
-                load = ServiceLoad(service=service, endpoints=lane.endpoints(now), free_slots=free)
+                load = ServiceLoad(
+                    service=service, endpoints=dispatcher.endpoints(now), free_slots=free
+                )
                 summary.services.append(load)
         for _, session in self._peers.open_entries(own_domain=False):
             sender = self._senders.setdefault(session, SummarySender())
--- a/siskintally/group_changes.py
+++ b/siskintally/group_changes.py
@@ -28,7 +28,7 @@
     if not names:
         raise BadRequestError("groups: expected at least one name")
     note.before = " ".join(f"{name}: {_standing_text(cell, name)}" for name in names)
-    names = [name for name in names if not cell.standings.is_lost(name)]
+    names = [name for name in names if not cell.group_statuses.is_lost(name)]
     for name in names:
         silent_s = cell.jobs.capacity.info_by_group[name].silent_s
         if not change.force and silent_s < MIN_SILENCE_S:
@@ -38,7 +38,7 @@
             )
     moved, unplaced = cell.jobs.lose(names, index=index, now=cell.now)
     cell.admit(index)
-    return {"lost": cell.standings.lost(), "moved": moved, "unplaced": unplaced}
+    return {"lost": cell.group_statuses.lost(), "moved": moved, "unplaced": unplaced}
 
 
 def restore_group(cell, index, command, note):
@@ -52,12 +52,12 @@
     note.what = name
     note.before = _standing_text(cell, name)
     note.after = "in service"
-    if cell.standings.is_lost(name):
+    if cell.group_statuses.is_lost(name):
         cell.jobs.restore(name, index=index, now=cell.now)
-    return {"lost": cell.standings.lost()}
+    return {"lost": cell.group_statuses.lost()}
 
 
 def _standing_text(cell, group):
     if group not in cell.jobs.capacity.info_by_group:
         raise NotFoundError(f"group = {group[:MAX_SHOWN_NAME]!r}: no such domain group")
-    return group_status_text(cell.standings.of(group))
+    return group_status_text(cell.group_statuses.of(group))
--- a/siskintally/group_status.py
+++ b/siskintally/group_status.py
@@ -22,18 +22,18 @@
     code = Code.GROUP_IN_USE
 
 
-def group_status_text(standing):
+def group_status_text(status):
     """Name a Standing.
 
     :returns: in service; lost; or lost, idle.
     """
-    if not standing.lost:
+    if not status.lost:
         return "in service"
-    return "lost, idle" if standing.idle else "lost"
+    return "lost, idle" if status.idle else "lost"
 
 
 class GroupStatusTable:
-    """Standing of each domain group.
+    """Status of each domain group.
 
     Each declared loss begins a new epoch of the group. What belongs to an earlier epoch, such as a
     late report, has no effect, and a group that still follows an earlier one has to clear its jobs.
@@ -54,12 +54,12 @@
 
     def lost(self):
         """Return the names of the groups that may run nothing, sorted."""
-        return sorted(name for name, standing in self._by_group.items() if standing.lost)
+        return sorted(name for name, status in self._by_group.items() if status.lost)
 
     def accepts(self, group, epoch):
         """Tell whether a report of a group in an epoch counts."""
-        standing = self.of(group)
-        return not standing.lost and epoch == standing.epoch
+        status = self.of(group)
+        return not status.lost and epoch == status.epoch
 
     def latest(self, group):
         """Return the log index of the last change for a group, 0 if none."""
@@ -72,20 +72,20 @@
 
     def confirm(self, group, epoch):
         """Note that nothing runs in a lost group; a word from another epoch is ignored."""
-        standing = self.of(group)
-        if standing.lost and standing.epoch == epoch:
-            standing.idle = True
+        status = self.of(group)
+        if status.lost and status.epoch == epoch:
+            status.idle = True
 
     def restore(self, group, *, index):
         """Let a lost group take work again.
 
         :raises GroupInUseError: it has not confirmed that nothing runs there.
         """
-        standing = self.of(group)
-        if not standing.idle:
+        status = self.of(group)
+        if not status.idle:
             raise GroupInUseError(f"{group} has not confirmed that nothing runs there")
-        standing.lost = standing.idle = False
-        standing.changed_at = index
+        status.lost = status.idle = False
+        status.changed_at = index
 
     def save(self, state):
         """Write all standings into a State message."""
@@ -93,4 +93,4 @@
 
     def load(self, state):
         """Replace everything with the standings of a State message."""
-        self._by_group = {standing.group: standing for standing in state.standings}
+        self._by_group = {status.group: status for status in state.standings}
--- a/siskintally/group_status_check.py
+++ b/siskintally/group_status_check.py
@@ -1,13 +1,13 @@
-"""What a store process knows from the cell about the standing of its domain group.
+"""What a store process knows from the cell about the status of its domain group.
 
 >>> from siskintally.group_status_check import GroupStatusCheck
 >>> from siskintally.domain import Domain
 >>> from siskintally.wire_pb2 import SyncReply
->>> clearance, domain = GroupStatusCheck(), Domain(group="g")
->>> clearance.covers(domain)
+>>> status_check, domain = GroupStatusCheck(), Domain(group="g")
+>>> status_check.permits_start(domain)
 False
->>> clearance.learn(SyncReply())
->>> clearance.covers(domain)
+>>> status_check.record_reply(SyncReply())
+>>> status_check.permits_start(domain)
 True
 """
 
@@ -34,8 +34,8 @@
 
     A process that was switched off may come back after its group was declared lost and its tasks
     run elsewhere, so nothing is started before the cell has been asked. A process that runs on
-    through a partition keeps its clearance while its group has a leader, and so does its domain
-    its work.
+    through a partition may go on starting tasks while its group has a leader, and so its domain
+    goes on with its work.
     """
 
     __slots__ = ("_epoch", "_led_at")
@@ -44,7 +44,7 @@
         self._epoch = None
         self._led_at = None
 
-    def led(self, now):
+    def note_leader(self, now):
         """Note that the group has a leader; after a long time without one the cell is asked again.
 
         :param now: monotonic seconds. A pause of the process counts as time without a leader.
@@ -53,19 +53,19 @@
             self._epoch = None
         self._led_at = now
 
-    def learn(self, reply):
+    def record_reply(self, reply):
         """Take what a SyncReply says of the group."""
         if not reply.lost:
             self._epoch = reply.epoch
 
-    def covers(self, domain):
+    def permits_start(self, domain):
         """Tell whether tasks of a domain may be started.
 
         :param domain: :class:`~siskintally.domain.Domain`.
         """
         return not domain.fenced and self._epoch == domain.epoch
 
-    async def seek(self, *, group, domain, cell_call):
+    async def run(self, *, group, domain, cell_call):
         """Ask the cell while it is needed, until cancelled.
 
         The leader asks by its sync; the others ask too, so that one that wins an election during a
@@ -75,14 +75,14 @@
         """
         while True:
             if group.leader:
-                self.led(monotonic())
-            if group.is_leader or domain.fenced or self.covers(domain):
+                self.note_leader(monotonic())
+            if group.is_leader or domain.fenced or self.permits_start(domain):
                 await sleep(LOOK_S)
                 continue
             request = SyncRequest(group=domain.group, epoch=domain.epoch, check=True)
             try:
-                self.learn(await cell_call(request, timeout=CHECK_TIMEOUT_S))
+                self.record_reply(await cell_call(request, timeout=CHECK_TIMEOUT_S))
             except SiskintallyError as error:
                 log.info("cell not reached", error=str(error))
-            if not self.covers(domain):
+            if not self.permits_start(domain):
                 await sleep(RETRY_S)
--- a/siskintally/job_shares.py
+++ b/siskintally/job_shares.py
@@ -17,15 +17,15 @@
     """Gives tasks to domain groups and takes them back.
 
     :param capacity: :class:`~siskintally.capacity.CapacityTable`.
-    :param standings: :class:`~siskintally.group_status.GroupStatusTable`.
+    :param group_statuses: :class:`~siskintally.group_status.GroupStatusTable`.
     :param changes: :class:`~siskintally.job_changes.JobChanges`.
     """
 
-    __slots__ = ("_capacity", "_changes", "_standings")
+    __slots__ = ("_capacity", "_changes", "_group_statuses")
 
-    def __init__(self, *, capacity, standings, changes):
+    def __init__(self, *, capacity, group_statuses, changes):
         self._capacity = capacity
-        self._standings = standings
+        self._group_statuses = group_statuses
         self._changes = changes
 
     def give(self, job, tasks, *, index):
@@ -38,7 +38,7 @@
         """
         refused = [share.group for share in job.shares if share.refused]
         views = self._capacity.candidates(job.spec, refused=refused)
-        views = [view for view in views if not self._standings.is_lost(view.name)]
+        views = [view for view in views if not self._group_statuses.is_lost(view.name)]
         if not views:
             self._hold_back(job, tasks)
             return
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -40,7 +40,7 @@
     :param by_id: jobs in order of submission.
     :param capacity: domain groups as last reported.
     :param quota_use: what teams hold.
-    :param standings: which groups were declared lost.
+    :param group_statuses: which groups were declared lost.
     """
 
     __slots__ = (
@@ -51,21 +51,21 @@
         "_waiting",
         "by_id",
         "capacity",
+        "group_statuses",
         "quota_use",
-        "standings",
     )
 
     def __init__(self):
         self.by_id = {}
         self.capacity = CapacityTable()
         self.quota_use = QuotaUse()
-        self.standings = GroupStatusTable()
+        self.group_statuses = GroupStatusTable()
         self._ended = {}
         self._waiting = {}
         self._holdings = Holdings(capacity=self.capacity, quota_use=self.quota_use)
         self._changes = JobChanges()
         self._shares = JobShares(
-            capacity=self.capacity, standings=self.standings, changes=self._changes
+            capacity=self.capacity, group_statuses=self.group_statuses, changes=self._changes
         )
 
     def submit(self, spec, *, operator, index, now, quota_by_team):
@@ -202,7 +202,7 @@
         :returns: (tasks given to other groups, tasks that no other group can hold).
         """
         for group in groups:
-            self.standings.lose(group, index=index)
+            self.group_statuses.lose(group, index=index)
         moved = unplaced = 0
         for job in self.by_id.values():
             left = self._shares.withdraw(job, groups)
@@ -224,7 +224,7 @@
 
         :raises GroupInUseError: it has not confirmed that nothing runs there.
         """
-        self.standings.restore(group, index=index)
+        self.group_statuses.restore(group, index=index)
         for job in self.by_id.values():
             if job.unplaced:
                 tasks, job.unplaced, job.reason = job.unplaced, 0, ""
@@ -281,7 +281,7 @@
         for info in self.capacity.info_by_group.values():
             state.groups.append(info)
             state.largest_at.append(self.capacity.largest_at[info.name])
-        self.standings.save(state)
+        self.group_statuses.save(state)
 
     def load(self, state):
         """Replace everything with the jobs and groups of a State message."""
@@ -289,7 +289,7 @@
         for info, at in zip(state.groups, state.largest_at, strict=True):
             self.capacity.info_by_group[info.name] = info
             self.capacity.largest_at[info.name] = at
-        self.standings.load(state)
+        self.group_statuses.load(state)
         self._ended = dict.fromkeys(state.ended)
         for job in state.jobs:
             self.by_id[job.job_id] = job
--- a/siskintally/leader_cache.py
+++ b/siskintally/leader_cache.py
@@ -2,10 +2,10 @@
 
 >>> from siskintally.control_pb2 import ControlNotice
 >>> from siskintally.leader_cache import LeaderCache
->>> book = LeaderCache(fresh_s=1.5)
->>> book.take(ControlNotice(leads=True), sender="10.0.0.1:7000", now=5.0)
+>>> cache = LeaderCache(fresh_s=1.5)
+>>> cache.take(ControlNotice(leads=True), sender="10.0.0.1:7000", now=5.0)
 False
->>> book.leader(5.5), book.leader(9.0)
+>>> cache.leader(5.5), cache.leader(9.0)
 ('10.0.0.1:7000', '')
 """
 
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -3,9 +3,9 @@
 A store is named by the address of its link port, so that whoever knows a member can reach it.
 
 >>> from siskintally.link_pool import LinkPool
->>> mesh = LinkPool(own="10.0.0.1:7000", hello=None, secret="s", handler=None)
->>> mesh.learn(["10.0.0.1:7000"])
->>> list(mesh.addresses())
+>>> links = LinkPool(own="10.0.0.1:7000", hello=None, secret="s", handler=None)
+>>> links.learn(["10.0.0.1:7000"])
+>>> list(links.addresses())
 []
 """
 
--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -2,10 +2,10 @@
 
 >>> from siskintally.member_admission import MemberAdmission
 >>> from siskintally.roster import FixedRoster
->>> joins = MemberAdmission(group="cell", process="s1", roster=FixedRoster(names=("s1", "s2")))
->>> [(process, body.name) for process, body in joins.ask("incarnation", now=5.0)]
+>>> admission = MemberAdmission(group="cell", process="s1", roster=FixedRoster(names=("s1", "s2")))
+>>> [(process, body.name) for process, body in admission.ask("incarnation", now=5.0)]
 [('s2', 's1')]
->>> joins.ask("incarnation", now=5.1)
+>>> admission.ask("incarnation", now=5.1)
 []
 """
 
--- a/siskintally/member_changes.py
+++ b/siskintally/member_changes.py
@@ -25,29 +25,29 @@
     :param send: ``send(process_name, body) -> bool``; must not block.
     """
 
-    __slots__ = ("_group", "_joins", "_logged_index", "_send", "roster")
+    __slots__ = ("_admission", "_group", "_logged_index", "_send", "roster")
 
     def __init__(self, *, group, process, roster, send):
         self.roster = roster
         self._group = group
         self._send = send
-        self._joins = MemberAdmission(group=group, process=process, roster=roster)
+        self._admission = MemberAdmission(group=group, process=process, roster=roster)
         self._logged_index = None
 
     def note(self, body, now):
         """Remember a JoinRequest of another process."""
-        self._joins.note(body, now)
+        self._admission.note(body, now)
 
     def due(self, replica):
         """Return the time at which :meth:`manage` has something to ask."""
-        return self._joins.due(replica)
+        return self._admission.due(replica)
 
     def manage(self, replica, now, effects):
         """Ask to be admitted, or as the leader admit others in single steps."""
-        if now >= self._joins.due(replica):
-            for process, body in self._joins.ask(replica.identity.incarnation, now):
+        if now >= self._admission.due(replica):
+            for process, body in self._admission.ask(replica.identity.incarnation, now):
                 self._send(process, body)
-        change = self._joins.next_change(replica, now)
+        change = self._admission.next_change(replica, now)
         if change is not None:
             log.info("member change proposed", group=self._group, members=str(change))
             effects.extend(replica.propose_members(change, now))
--- a/siskintally/operator_queries.py
+++ b/siskintally/operator_queries.py
@@ -95,7 +95,7 @@
         return {
             "group": group.name,
             "domains": list(group.domains),
-            "standing": group_status_text(self._cell.standings.of(group.name)),
+            "standing": group_status_text(self._cell.group_statuses.of(group.name)),
             "config_current": self._is_current(group.name),
             "heard_s": None if heard is None else round(monotonic() - heard, 1),
             "workers": 0 if capacity is None else capacity.workers,
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -59,13 +59,13 @@
 
     __slots__ = (
         "_cell_call",
-        "_clearance",
         "_clock",
         "_config_changed",
         "_domain",
         "_group",
         "_metrics",
         "_settings",
+        "_status_check",
         "_window_s",
         "_workers",
         "owner_term",
@@ -92,7 +92,7 @@
         self._window_s = window_s
         self._workers = None
         self._config_changed = Event()
-        self._clearance = GroupStatusCheck()
+        self._status_check = GroupStatusCheck()
 
     async def run(self):
         """Act as the owner whenever this process leads, until cancelled."""
@@ -101,7 +101,7 @@
             await self._follow_leadership()
 
     async def _seek_clearance(self):
-        await self._clearance.seek(
+        await self._status_check.run(
             group=self._group, domain=self._domain, cell_call=self._cell_call
         )
 
@@ -116,12 +116,12 @@
 
     async def _lead(self, leadership, leaderships):
         """Act as the owner for one term; return the next leadership."""
-        self._clearance.led(monotonic())
+        self._status_check.note_leader(monotonic())
         owner_term = OwnerTerm(
             group=self._group,
             domain=self._domain,
             clock=self._clock,
-            clearance=self._clearance,
+            status_check=self._status_check,
             window_s=self._window_s,
         )
         log.info("term as owner begins", group=self._group.name, term=owner_term.term)
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -29,12 +29,11 @@
     :param group: :class:`~siskintally.group.Group` that this process leads.
     :param domain: its :class:`~siskintally.domain.Domain`.
     :param clock: monotonic seconds.
-    :param clearance: :class:`~siskintally.group_status_check.GroupStatusCheck` of the process.
+    :param status_check: :class:`~siskintally.group_status_check.GroupStatusCheck` of the process.
     """
 
     __slots__ = (
         "_committed_at",
-        "clearance",
         "clock",
         "dirty",
         "domain",
@@ -51,14 +50,15 @@
         "settled_at",
         "shared_confirm",
         "since",
+        "status_check",
         "term",
         "unsent",
         "urgent",
         "wake",
     )
 
-    def __init__(self, *, group, domain, clock, clearance, window_s=CONFIRM_WINDOW_S):
-        self.clearance = clearance
+    def __init__(self, *, group, domain, clock, status_check, window_s=CONFIRM_WINDOW_S):
+        self.status_check = status_check
         self.group = group
         self.domain = domain
         self.clock = clock
@@ -217,7 +217,7 @@
 
     def may_start(self):
         """Tell whether the cell has said that the group is not lost."""
-        return self.clearance.covers(self.domain)
+        return self.status_check.permits_start(self.domain)
 
     def is_idle(self):
         """Tell whether a fenced group has nothing running, on workers it does not know either."""
--- a/siskintally/pause_detector.py
+++ b/siskintally/pause_detector.py
@@ -1,8 +1,8 @@
 """Detection of pauses of this process, such as SIGSTOP or a frozen VM.
 
 >>> from siskintally.pause_detector import PauseDetector
->>> guard = PauseDetector()
->>> guard.beat(10.0); guard.distrusts(10.5), guard.distrusts(70.0)
+>>> detector = PauseDetector()
+>>> detector.beat(10.0); detector.distrusts(10.5), detector.distrusts(70.0)
 (False, True)
 """
 
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -57,11 +57,11 @@
         "_backlog",
         "_capacities",
         "_cursor",
+        "_failed_reclaim_searches",
+        "_failed_searches",
         "_fresh",
         "_last_pass",
-        "_misses",
-        "_probation",
-        "_reclaim_misses",
+        "_readmission",
         "_reservations",
         "_seen",
         "job_by_id",
@@ -77,10 +77,10 @@
         self.places_deferrable = True
         self._backlog = Backlog()
         self._capacities = CapacityTable()
-        self._probation = Readmission(pool=self.pool)
+        self._readmission = Readmission(pool=self.pool)
         self._reservations = Reservations(pool=self.pool)
-        self._misses = FailedSearches()
-        self._reclaim_misses = FailedSearches()
+        self._failed_searches = FailedSearches()
+        self._failed_reclaim_searches = FailedSearches()
         self._fresh = []
         self._cursor = 0
         self._seen = None
@@ -97,7 +97,7 @@
         worker = self.pool.worker_by_name[name]
         self._reservations.drop_on(worker)
         self._capacities.remove(worker.domain, worker.capacity)
-        self._probation.forget(name)
+        self._readmission.forget(name)
         return self.pool.remove(name)
 
     def drain_worker(self, name, *, draining):
@@ -178,10 +178,10 @@
         if held is None:
             return
         worker = held.worker
-        if failed and self._probation.failed(worker, held.job.job_id, now=now):
+        if failed and self._readmission.failed(worker, held.job.job_id, now=now):
             self._reservations.drop_on(worker)
         elif succeeded:
-            self._probation.succeeded(worker)
+            self._readmission.succeeded(worker)
         self._reservations.offer(worker)
 
     def decide(self, *, now, limit=1000):
@@ -192,7 +192,7 @@
         :returns: :class:`Decision`; its resources are taken already.
         """
         decision = Decision()
-        self._probation.review(now)
+        self._readmission.review(now)
         self._backlog.promote(now)
         state = (self.pool.freed, self._backlog.changes)
         if state == self._seen and now - self._last_pass < PASS_INTERVAL_S:
@@ -215,8 +215,8 @@
 
         The head of the queue comes first, then jobs not tried yet, then the others in turn.
         """
-        self._misses.start(self.pool.freed)
-        self._reclaim_misses.start((self.pool.freed, self.pool.offered))
+        self._failed_searches.start(self.pool.freed)
+        self._failed_reclaim_searches.start((self.pool.freed, self.pool.offered))
         jobs = self._backlog.jobs()
         fresh, self._fresh = self._fresh, []
         head = self._run(jobs, 0, decision, now, limit)
@@ -244,7 +244,7 @@
 
     def _try(self, job, decision, now, limit):
         """Place what can be placed of a job; return the number of searches made for the rest."""
-        missed, known = True, self._misses.covers(job)
+        missed, known = True, self._failed_searches.covers(job)
         if not known:
             room = limit - len(decision.assignments)
             placed = policy_for(job.kind).place(pool=self.pool, job=job, limit=room)
@@ -254,7 +254,7 @@
         if not missed or (job.kind == Kind.GANG and job.running):
             return 0
         if not known:
-            self._misses.add(job)
+            self._failed_searches.add(job)
         return (not known) + self._wait(job, decision, now)
 
     def _wait(self, job, decision, now):
@@ -267,13 +267,13 @@
         if job.never:
             return searches
         if job.urgency == Urgency.URGENT:
-            if self.may_preempt and not self._reclaim_misses.covers(job):
+            if self.may_preempt and not self._failed_reclaim_searches.covers(job):
                 searches += 1
                 decision.stops.extend(preempt(self.pool, job))
                 if job.reservations:
                     self._reservations.keep(job)
                 if len(job.reservations) < len(job.waiting):
-                    self._reclaim_misses.add(job)
+                    self._failed_reclaim_searches.add(job)
         elif now - job.blocked_since >= RESERVE_AFTER_S and not job.reservations:
             searches += self._reservations.has_room
             self._reservations.reserve(job)
--- a/siskintally/platform/entry_command.py
+++ b/siskintally/platform/entry_command.py
@@ -28,7 +28,7 @@
     path, settings = load(values, "entry")
     counters = Counters()
     node = EntryNode(settings=settings, advice=PlatformAdvice(address=settings.advice))
-    gateway = FlowGateway(book=node.book, calls=node.calls, counters=counters)
+    gateway = FlowGateway(cache=node.cache, calls=node.calls, counters=counters)
     apps = (
         (ClientApp(gateway=gateway), settings.callers),
         (ReadyApp(is_ready=lambda: node.is_ready), settings.ready),
--- a/siskintally/readmission.py
+++ b/siskintally/readmission.py
@@ -5,10 +5,10 @@
 >>> from siskintally.size import Size
 >>> pool = Pool()
 >>> pool.add("w1", domain="d", rack="r", capacity=Size(cpu=4000))
->>> worker, probation = pool.worker_by_name["w1"], Readmission(pool=pool)
->>> [probation.failed(worker, job_id, now=0.0) for job_id in "aaaab"][-1], worker.is_open
+>>> worker, readmission = pool.worker_by_name["w1"], Readmission(pool=pool)
+>>> [readmission.failed(worker, job_id, now=0.0) for job_id in "aaaab"][-1], worker.is_open
 (True, False)
->>> probation.review(60.0)
+>>> readmission.review(60.0)
 >>> worker.is_open, worker.probing
 (True, True)
 """
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -66,11 +66,11 @@
             for task_id, run in worker.foreign.items()
             if task_id in rows and rows[task_id].run == run
         }
-        self._pace(worker)
-        worker.standing = WorkerStatus.READY
+        self._throttle(worker)
+        worker.status = WorkerStatus.READY
         return ends
 
-    def _pace(self, worker):
+    def _throttle(self, worker):
         """Adapt the pace of filling tasks to the latency of those that serve beside them."""
         held = list(worker.held_by_task.values())
         percent = next_percent(worker.fill_percent, worst=worst_ratio(held))
@@ -79,7 +79,7 @@
         worker.fill_percent = percent
         for task in held:
             if task.step.spec.filling and task.state == TaskState.RUNNING:
-                self.paces.append(ThrottleAction(task, task.run, worker, percent))
+                self.throttles.append(ThrottleAction(task, task.run, worker, percent))
 
     def _take_ends(self, worker, rows, now):
         for row in rows:
@@ -118,7 +118,7 @@
         estimate_s = task.step.spec.estimate_ms / 1000
         is_whole = row.kind == EndKind.DONE and not task.checkpoint
         if estimate_s > 0 and is_whole and task.state == TaskState.RUNNING:
-            worker.observe_pace((now - task.since) / estimate_s, END_WEIGHT, now)
+            worker.record_slowdown((now - task.since) / estimate_s, END_WEIGHT, now)
 
     def _note_slow(self, worker, task, now):
         """Learn from a task that makes little progress, long before it ends."""
@@ -131,14 +131,14 @@
         share = task.percent / 100 if task.percent >= TELLING_PERCENT else 1.0
         ratio = ran_s / share / estimate_s
         if ratio >= SLOW_RATIO:
-            worker.observe_pace(ratio, PROGRESS_WEIGHT, now)
+            worker.record_slowdown(ratio, PROGRESS_WEIGHT, now)
 
     def _take_failure(self, worker, task, row, now):
         if row.kind != EndKind.FAILED:
             return
         worker.failed_in_a_row += 1
         if worker.failed_in_a_row >= SHUN_FAILURES:
-            worker.shunned_until = now + SHUN_S
+            worker.excluded_until = now + SHUN_S
         yield from self._count_failure(task, row)
 
     def _take_other_end(self, worker, task, row, now):
@@ -200,7 +200,7 @@
 
     def _replace_still(self, task, now):
         """Start a task elsewhere that does not go on; its worker gets nothing new for a while."""
-        task.worker.shunned_until = now + SHUN_S
+        task.worker.excluded_until = now + SHUN_S
         self.stop(task)
         if task.step.spec.gang:
             self.break_gang(task.step, task.run)
@@ -240,7 +240,7 @@
             task.since = now
             worker = task.worker
             if task.step.spec.filling and worker.fill_percent < 100:
-                self.paces.append(ThrottleAction(task, run, worker, worker.fill_percent))
+                self.throttles.append(ThrottleAction(task, run, worker, worker.fill_percent))
 
     def refused(self, task, run, refusal, now, *, was_sent_before):
         """Note that a worker has refused a start.
--- a/siskintally/request_handler.py
+++ b/siskintally/request_handler.py
@@ -44,7 +44,7 @@
 class RequestHandler:
     """Takes requests from admission to the answer.
 
-    :param lanes: ``lanes(service)`` returns the
+    :param dispatcher_of: ``dispatcher_of(service)`` returns the
         :class:`~siskintally.service_dispatcher.ServiceDispatcher` of a service.
     :param budget: :class:`~siskintally.retry.RetryBudget`.
     :param ledger: :class:`~siskintally.ledger_client.LedgerClient`.
@@ -53,11 +53,11 @@
     :param started: monotonic time at which the entry started.
     """
 
-    __slots__ = ("_budget", "_lanes", "_ledger", "_metrics", "_peers", "_startup_end")
+    __slots__ = ("_budget", "_dispatcher_of", "_ledger", "_metrics", "_peers", "_startup_end")
 
-    def __init__(self, *, lanes, budget, ledger, peers, metrics, started):
+    def __init__(self, *, dispatcher_of, budget, ledger, peers, metrics, started):
         self._startup_end = started + STARTUP_S
-        self._lanes = lanes
+        self._dispatcher_of = dispatcher_of
         self._budget = budget
         self._ledger = ledger
         self._peers = peers
@@ -78,10 +78,10 @@
 
     async def _run_once(self, call):
         now = monotonic()
-        lane = self._lanes(call.service)
-        if lane.endpoints(now):
+        dispatcher = self._dispatcher_of(call.service)
+        if dispatcher.endpoints(now):
             try:
-                lane.check(_ticket(call, now), now=now)
+                dispatcher.check(_ticket(call, now), now=now)
             except OverloadedError as error:
                 return Answer.without_response(Code.OVERLOADED, f"{THIS_ATTEMPT}; {error}")
         attempt = uuid4().hex
@@ -135,7 +135,9 @@
             now = monotonic()
 
     def _is_served(self, service, now):
-        return self._lanes(service).endpoints(now) or self._peers.choose(service) is not None
+        return (
+            self._dispatcher_of(service).endpoints(now) or self._peers.choose(service) is not None
+        )
 
     async def _dispatch(self, call, avoid, forwarded, last):
         """Try one endpoint, or one entry of another domain.
@@ -143,11 +145,11 @@
         :returns: answer and the endpoint or entry that was tried, empty if there was none.
         """
         now = monotonic()
-        lane = self._lanes(call.service)
-        _, total = lane.capacity(now)
+        dispatcher = self._dispatcher_of(call.service)
+        _, total = dispatcher.capacity(now)
         if total:
             try:
-                return await self._dispatch_here(call, lane, avoid, may_retry=not last)
+                return await self._dispatch_here(call, dispatcher, avoid, may_retry=not last)
             except OverloadedError as error:
                 refused = Answer.without_response(Code.OVERLOADED, str(error))
             peer = None if forwarded else self._peers.choose(call.service, need_free=True)
@@ -158,34 +160,34 @@
             return refused, ""
         return await self._dispatch_to(call, peer), peer
 
-    async def _dispatch_here(self, call, lane, avoid, may_retry):
+    async def _dispatch_here(self, call, dispatcher, avoid, may_retry):
         granted = Event()
         ticket = _ticket(call, monotonic(), notify=granted.set, avoid=avoid)
-        lane.offer(ticket, now=monotonic())
+        dispatcher.offer(ticket, now=monotonic())
         try:
-            has_chance = await _wait_for_slot(lane, ticket, granted)
+            has_chance = await _wait_for_slot(dispatcher, ticket, granted)
         except BaseException:
-            self._give_back(lane, ticket)
+            self._give_back(dispatcher, ticket)
             raise
         if not is_granted(ticket):
-            lane.withdraw(ticket)
+            dispatcher.withdraw(ticket)
             if ticket.deadline > monotonic() and (granted.is_set() or not has_chance):
                 raise OverloadedError("dropped from the queue; no byte was sent")
             return Answer.without_response(Code.EXPIRED, EXPIRED_IN_QUEUE), ""
-        outcome = await self._send(call, lane, ticket, may_retry)
+        outcome = await self._send(call, dispatcher, ticket, may_retry)
         return _answer_of_outcome(outcome), ticket.endpoint.key
 
     @staticmethod
-    def _give_back(lane, ticket):
+    def _give_back(dispatcher, ticket):
         if is_granted(ticket):
-            lane.release(ticket, ok=None, seconds=None, now=monotonic())
+            dispatcher.release(ticket, ok=None, seconds=None, now=monotonic())
         else:
-            lane.withdraw(ticket)
+            dispatcher.withdraw(ticket)
 
-    async def _send(self, call, lane, ticket, may_retry):
+    async def _send(self, call, dispatcher, ticket, may_retry):
         started = monotonic()
         self._metrics.timing("queue_wait", started - ticket.queued_at)
-        deadline = _attempt_deadline(call, lane, started) if may_retry else call.deadline
+        deadline = _attempt_deadline(call, dispatcher, started) if may_retry else call.deadline
         outcome = None
         try:
             outcome = await ticket.endpoint.forwarder.send(
@@ -198,7 +200,7 @@
             )
         finally:
             now = monotonic()
-            lane.release(ticket, now=now, **_lesson(outcome, now - started))
+            dispatcher.release(ticket, now=now, **_lesson(outcome, now - started))
         return outcome
 
     async def _dispatch_to(self, call, peer):
@@ -244,16 +246,19 @@
     )
 
 
-def _attempt_deadline(call, lane, now):
-    if lane.endpoints(now) < 2:
+def _attempt_deadline(call, dispatcher, now):
+    if dispatcher.endpoints(now) < 2:
         return call.deadline
     remaining = call.deadline - now
-    usual = lane.admission.service_s(now) * ATTEMPT_SERVICE_TIMES
+    usual = dispatcher.admission.service_s(now) * ATTEMPT_SERVICE_TIMES
     return now + min(remaining, max(remaining * ATTEMPT_RATIO, usual))
 
 
 def _lesson(outcome, seconds):
-    """Return arguments of :meth:`ServiceDispatcher.release`: what a dispatch tells of its endpoint."""
+    """Return what a dispatch tells of its endpoint.
+
+    :returns: arguments of :meth:`ServiceDispatcher.release`.
+    """
     if outcome is None:
         return {"ok": None, "seconds": None}
     if outcome.sent is Sent.NOT_SENT:
@@ -266,7 +271,7 @@
     }
 
 
-async def _wait_for_slot(lane, ticket, granted):
+async def _wait_for_slot(dispatcher, ticket, granted):
     """Wait until a request was taken or dropped.
 
     :returns: False if a review found that the request can't meet its deadline any more.
@@ -274,7 +279,7 @@
     while not granted.is_set() and (now := monotonic()) < ticket.deadline:
         with move_on_after(next_review(ticket, now) - now):
             await granted.wait()
-        if not granted.is_set() and not lane.keeps(ticket, now=monotonic()):
+        if not granted.is_set() and not dispatcher.keeps(ticket, now=monotonic()):
             return False
     return True
 
--- a/siskintally/resource_index.py
+++ b/siskintally/resource_index.py
@@ -2,10 +2,10 @@
 
 >>> from siskintally.resource_index import ResourceIndex
 >>> from siskintally.size import Size
->>> grid = ResourceIndex()
->>> grid.add("w1", Size(cpu=4000, memory=8000))
->>> grid.add("w2", Size(cpu=2000, memory=8000))
->>> grid.best(Size(cpu=1500, memory=1000))
+>>> index = ResourceIndex()
+>>> index.add("w1", Size(cpu=4000, memory=8000))
+>>> index.add("w2", Size(cpu=2000, memory=8000))
+>>> index.best(Size(cpu=1500, memory=1000))
 'w2'
 """
 
@@ -141,7 +141,7 @@
         return None
 
     def fitting(self, need, *, by_memory=False):
-        """Yield the items that fit, tightest classes first; the grid must not change meanwhile."""
+        """Yield the items that fit, tightest classes first; the index must not change meanwhile."""
         for _, items in self._groups(need, by_memory):
             yield from items
 
--- a/siskintally/service_dispatcher.py
+++ b/siskintally/service_dispatcher.py
@@ -146,7 +146,7 @@
         self.pump(now)
 
     def is_idle(self, now):
-        """Tell whether the lane can be dropped."""
+        """Tell whether the dispatcher can be dropped."""
         return not len(self.admission) and not self._slots_by_key and not self._live(now)
 
     def tidy(self, now):
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -98,7 +98,7 @@
             if (
                 worker.is_open
                 and worker.record.service == queue.service
-                and worker.shunned_until <= now
+                and worker.excluded_until <= now
                 and (not step.spec.label or step.spec.label in worker.record.labels)
             ):
                 yield worker
@@ -113,7 +113,7 @@
             return (bool(worker.serving), -worker.fill_percent, far, -left, worker.id)
         if step.flow.priority == 0:
             # Urgent tasks go to fast workers with the most room.
-            return (far, round(worker.expected_pace(now), 1), -left, worker.id)
+            return (far, round(worker.expected_slowdown(now), 1), -left, worker.id)
         if spec.lasting:
             return (far, step.count_by_worker.get(worker.id, 0), -left, worker.id)
         return (far, left, worker.id)
--- a/siskintally/worker_index.py
+++ b/siskintally/worker_index.py
@@ -16,12 +16,12 @@
 
 
 class WorkerIndex:
-    """A grid for each number of free accelerators."""
+    """A :class:`~siskintally.resource_index.ResourceIndex` for each number of free accelerators."""
 
-    __slots__ = ("_grid_by_accelerators", "_keys", "_place_by_item")
+    __slots__ = ("_index_by_accelerators", "_keys", "_place_by_item")
 
     def __init__(self):
-        self._grid_by_accelerators = {}
+        self._index_by_accelerators = {}
         self._keys = []
         self._place_by_item = {}
 
@@ -29,33 +29,33 @@
         """Add an item, or move it; a size of None removes it."""
         place = self._place_by_item.pop(item, None)
         if place is not None:
-            self._grid_by_accelerators[place[0]].remove(item, place[1])
+            self._index_by_accelerators[place[0]].remove(item, place[1])
         if size is None:
             return
         key = size.accelerators if accelerated else _PLAIN
-        grid = self._grid_by_accelerators.get(key)
-        if grid is None:
-            grid = self._grid_by_accelerators[key] = ResourceIndex()
-            self._keys = sorted(self._grid_by_accelerators)
-        grid.add(item, size)
+        index = self._index_by_accelerators.get(key)
+        if index is None:
+            index = self._index_by_accelerators[key] = ResourceIndex()
+            self._keys = sorted(self._index_by_accelerators)
+        index.add(item, size)
         self._place_by_item[item] = (key, size)
 
-    def _grids(self, need):
+    def _indexes(self, need):
         for key in self._keys:
             if key >= need.accelerators or not need.accelerators:
-                grid = self._grid_by_accelerators[key]
-                if grid:
-                    yield grid
+                index = self._index_by_accelerators[key]
+                if index:
+                    yield index
 
     def best(self, need, *, by_memory=False):
         """Return the tightest item that fits, with the fewest free accelerators, or None."""
-        for grid in self._grids(need):
-            item = grid.best(need, by_memory=by_memory)
+        for index in self._indexes(need):
+            item = index.best(need, by_memory=by_memory)
             if item is not None:
                 return item
         return None
 
     def fitting(self, need, *, by_memory=False):
         """Yield the items that fit; the index must not change meanwhile."""
-        for grid in self._grids(need):
-            yield from grid.fitting(need, by_memory=by_memory)
+        for index in self._indexes(need):
+            yield from index.fitting(need, by_memory=by_memory)
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -61,7 +61,7 @@
     async def run(self):
         """Keep the worker until it is lost."""
         try:
-            while self.worker.standing != WorkerStatus.LOST:
+            while self.worker.status != WorkerStatus.LOST:
                 if self._is_idle():
                     self._work = Event()
                     await self._work.wait()
@@ -72,18 +72,18 @@
 
     def _is_idle(self):
         worker = self.worker
-        if worker.standing == WorkerStatus.LAPSED:
+        if worker.status == WorkerStatus.LAPSED:
             return not self._work.is_set()
-        needs_look = worker.held_by_task or worker.foreign or worker.standing != WorkerStatus.READY
+        needs_look = worker.held_by_task or worker.foreign or worker.status != WorkerStatus.READY
         return not needs_look
 
     async def _look(self):
         worker = self.worker
         self._work = Event()
-        is_sound = worker.standing == WorkerStatus.READY and not self._has_lost_connection
+        is_sound = worker.status == WorkerStatus.READY and not self._has_lost_connection
         asked_at = steady()
         may_wait = is_sound and not worker.foreign
-        wait_s = self._leader.look_wait.seconds(asked_at) if may_wait else 0.0
+        wait_s = self._leader.poll_wait.seconds(asked_at) if may_wait else 0.0
         # A worker that does not answer gets no longer lease, or it would never be over.
         may_grant = self.lease.is_sampled and is_sound
         until_ms = self.lease.grant(asked_at) if may_grant else None
@@ -117,17 +117,17 @@
     async def _failed(self, error):
         worker = self.worker
         now = steady()
-        self._leader.look_wait.note_silence(now)
+        self._leader.poll_wait.note_silence(now)
         if isinstance(error, ConnectionLostError) and not self._has_lost_connection:
             # One reset tells nothing of the worker; a second look over a new connection does.
             self._has_lost_connection = True
             log.info("look repeated", worker=worker.id, error=str(error)[:120])
             return
-        if worker.standing == WorkerStatus.READY:
-            worker.standing = WorkerStatus.SUSPECT
+        if worker.status == WorkerStatus.READY:
+            worker.status = WorkerStatus.SUSPECT
             log.info("worker suspect", worker=worker.id, error=str(error)[:120])
             self._leader.suspected(worker)
-        if worker.standing != WorkerStatus.LAPSED and now >= self.lease.surely_over:
+        if worker.status != WorkerStatus.LAPSED and now >= self.lease.surely_over:
             self._leader.lapsed(worker)
             return
         with move_on_after(RETRY_S):
@@ -141,9 +141,9 @@
             task.run == run
             and task.worker is self.worker
             and task.state == TaskState.STARTING
-            and self.worker.standing in (WorkerStatus.READY, WorkerStatus.SUSPECT)
+            and self.worker.status in (WorkerStatus.READY, WorkerStatus.SUSPECT)
         ):
-            await self._leader.authority.wait()
+            await self._leader.quorum_check.wait()
             refusal, sent = await self._try_start(action, was_sent)
             was_sent = was_sent or sent
             if refusal is not None:
@@ -178,7 +178,7 @@
                 self.worker.record, order, timeout=self._timing.order_s
             )
         except OutcomeUnknownError as error:
-            self._leader.look_wait.note_silence(steady())
+            self._leader.poll_wait.note_silence(steady())
             log.info("start repeated", task=task.id, run=action.run, error=str(error)[:120])
             return None, True
         except GoneError as error:
@@ -199,12 +199,12 @@
         return reply.refusal, True
 
     def _lease_for_start(self, now):
-        if self.worker.standing == WorkerStatus.READY:
+        if self.worker.status == WorkerStatus.READY:
             return self.lease.grant(now)
         return self.lease.until_ms
 
     def _avoid(self, error):
-        self.worker.shunned_until = steady() + BUSY_S
+        self.worker.excluded_until = steady() + BUSY_S
         log.info("start not taken", worker=self.worker.id, error=str(error)[:120])
         self.wake()
 
@@ -212,7 +212,7 @@
         if reply.clock_ms is not None:
             self.lease.sample(clock_ms=reply.clock_ms, sent_at=sent_at, received_at=steady())
 
-    async def pace(self, action):
+    async def throttle(self, action):
         """Send a pace order while it is the newest for its run."""
         task = action.task
         order = Order(
@@ -222,9 +222,9 @@
             task.run == action.run
             and task.state == TaskState.RUNNING
             and self.worker.fill_percent == action.percent
-            and self.worker.standing in (WorkerStatus.READY, WorkerStatus.SUSPECT)
+            and self.worker.status in (WorkerStatus.READY, WorkerStatus.SUSPECT)
         ):
-            await self._leader.authority.wait()
+            await self._leader.quorum_check.wait()
             try:
                 await self._driver.pace(self.worker.record, order, timeout=self._timing.order_s)
             except GoneError as error:
@@ -239,12 +239,12 @@
     async def stop(self, action):
         """Send a stop until it is confirmed or nothing can run there any more."""
         order = Order(task_id=action.task_id, run=action.run, fence=self._leader.term)
-        while self.worker.standing in (
+        while self.worker.status in (
             WorkerStatus.UNSEEN,
             WorkerStatus.READY,
             WorkerStatus.SUSPECT,
         ):
-            await self._leader.authority.wait()
+            await self._leader.quorum_check.wait()
             sent_at = steady()
             try:
                 reply = await self._driver.stop(
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -23,12 +23,12 @@
     def __init__(self, **answer_by_name):
         self.answer_by_name = answer_by_name
         self.asked = []
-        self.book = LeaderCache(fresh_s=60.0)
-        self.calls = ControlClient(book=self.book, call=self.call)
+        self.cache = LeaderCache(fresh_s=60.0)
+        self.calls = ControlClient(cache=self.cache, call=self.call)
 
     def lead(self, name):
         """Let a store tell that it leads."""
-        self.book.take(ControlNotice(leads=True), sender=name, now=steady())
+        self.cache.take(ControlNotice(leads=True), sender=name, now=steady())
         self.calls.leader_changed()
 
     async def call(self, name, body, *, timeout):
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -70,26 +70,26 @@
 
 
 def play(check):
-    """Run a check beside a conductor with one worker and one flow of two tasks."""
+    """Run a check beside a leader with one worker and one flow of two tasks."""
 
     async def main():
         group, driver = SlowGroup(), RecordingWorkers()
-        conductor = ControlLeader(
+        leader = ControlLeader(
             group=group,
             state=ControlState(),
             driver=driver,
-            lanes=lambda: (),
+            advice_clients=lambda: (),
             timing=TIMING,
             counters=Counters(),
         )
         async with create_task_group() as tasks:
-            tasks.start_soon(conductor.run)
+            tasks.start_soon(leader.run)
             await sleep(0.01)
-            conductor.joined(worker("w"), 0.0)
-            conductor.scheduler.accept(flow("f", step(2)), QUEUE, 0.0)
-            conductor.wake()
+            leader.joined(worker("w"), 0.0)
+            leader.scheduler.accept(flow("f", step(2)), QUEUE, 0.0)
+            leader.wake()
             await sleep(SETTLE_S)
-            await check(conductor, group, driver)
+            await check(leader, group, driver)
             tasks.cancel_scope.cancel()
 
     run(main)
@@ -103,7 +103,7 @@
 def test_a_start_is_sent_only_after_its_worker_is_on_record():
     """Guards against a run that the next leader does not look for."""
 
-    async def check(conductor, group, driver):
+    async def check(leader, group, driver):
         assert driver.starts == []
         [command] = group.commands
         assert [one.worker for one in command.starts.starts] == ["w", "w"]
@@ -117,11 +117,11 @@
 def test_a_start_whose_record_is_not_committed_is_never_sent():
     """Guards against orders of a leader that has lost its group."""
 
-    async def check(conductor, group, driver):
+    async def check(leader, group, driver):
         group.error = NotLeaderError("another store leads")
         group.may_commit.set()
         await sleep(SETTLE_S)
         assert driver.starts == []
-        assert conductor.is_over
+        assert leader.is_over
 
     play(check)
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -285,7 +285,7 @@
 
 
 class ScriptedRequestHandler(RequestHandler):
-    """A course whose dispatches end as a list says."""
+    """A handler whose dispatches end as a list says."""
 
     __slots__ = ("codes",)
 
@@ -297,37 +297,47 @@
     # Guards against retries that allow further retries, which pass a tenth of the first sends.
     budget = RetryBudget(ratio=0.1)
     metrics = Metrics(address=None, prefix="")
-    course = ScriptedRequestHandler(
-        lanes=None, budget=budget, ledger=None, peers=None, metrics=metrics, started=-STARTUP_S
+    handler = ScriptedRequestHandler(
+        dispatcher_of=None,
+        budget=budget,
+        ledger=None,
+        peers=None,
+        metrics=metrics,
+        started=-STARTUP_S,
     )
     unsent, unknown, failed = Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN, Code.ENDPOINT_FAILED
     call = SimpleNamespace(once=False, deadline=float("inf"), request_id="r")
     for _ in range(40):
-        course.codes = [unsent, unsent, failed]
-        run(course.run, call)
+        handler.codes = [unsent, unsent, failed]
+        run(handler.run, call)
     retries = 0
     for _ in range(60):
-        course.codes = [unknown, failed]
-        run(course.run, call)
-        retries += not course.codes
+        handler.codes = [unknown, failed]
+        run(handler.run, call)
+        retries += not handler.codes
     assert retries == 10
 
 
 def test_request_waits_for_the_first_announcement_after_the_start_only():
     # Guards against "no endpoint" from an entry that was restarted a moment ago.
     counts = [0, 0, 1]
-    lane = SimpleNamespace(endpoints=lambda now: counts.pop(0))
+    dispatcher = SimpleNamespace(endpoints=lambda now: counts.pop(0))
     peers = SimpleNamespace(choose=lambda service: None)
-    parts = {"lanes": lambda service: lane, "budget": None, "ledger": None, "metrics": None}
+    parts = {
+        "dispatcher_of": lambda service: dispatcher,
+        "budget": None,
+        "ledger": None,
+        "metrics": None,
+    }
     call = SimpleNamespace(deadline=monotonic() + 1e6, service="s")
     for started, left in ((float("inf"), 0), (monotonic() - STARTUP_S, 0)):
-        course = RequestHandler(**parts, peers=peers, started=started)
-        run(course._wait_for_endpoint, call)
+        handler = RequestHandler(**parts, peers=peers, started=started)
+        run(handler._wait_for_endpoint, call)
         assert len(counts) == left
 
 
-class LaneWithoutChance:
-    """A lane whose waiting requests can't meet their deadlines."""
+class DispatcherWithoutChance:
+    """A dispatcher whose waiting requests can't meet their deadlines."""
 
     def keeps(self, ticket, *, now):
         """Return False."""
@@ -339,7 +349,7 @@
     async def main():
         now = monotonic()
         one = Ticket(rank=1, caller="c", deadline=now + 80.1, queued_at=now - 19.9)
-        return await _wait_for_slot(LaneWithoutChance(), one, Event())
+        return await _wait_for_slot(DispatcherWithoutChance(), one, Event())
 
     assert run(main) is False
 
@@ -390,14 +400,14 @@
     settings = parse(text)
     process = settings.process("e1")
     entry = Entry(settings=settings, process=process, standalone=True, drain_s=0.0)
-    entry._pause.beat(10.0)
+    entry._pause_detector.beat(10.0)
     entry.announce(heard(), age_s=None, now=70.0)
     assert live(entry._table, 70.0) == []
     entry.announce(heard(seq=2), age_s=0.5, now=70.1)
     assert live(entry._table, 70.1) == ["p1"]
     entry.announce(heard(name="p2"), age_s=None, now=70.1)
     for beat in (70.5, 71.0, 71.5, 72.0):
-        entry._pause.beat(beat)
+        entry._pause_detector.beat(beat)
     assert live(entry._table, 72.0) == ["p1"]
     entry.announce(heard(name="p2", seq=2), age_s=None, now=72.6)
     assert live(entry._table, 72.6) == ["p1", "p2"]
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -286,7 +286,7 @@
         assert rig.place() == [("f.0.0.0", "w")]
         rig.end("w", "f.0.0.0", kind)
         rig.report("w")
-        rig.scheduler.worker_by_id["w"].shunned_until = 0.0
+        rig.scheduler.worker_by_id["w"].excluded_until = 0.0
     assert rig.state.flow_by_id["f"].outcome == Outcome.OPEN
 
 
@@ -308,7 +308,7 @@
     rig.place()
     found = rig.scheduler.worker_by_id["w"]
     rig.report("w", load=150)
-    assert {action.percent for action in rig.scheduler.paces} == {25}
+    assert {action.percent for action in rig.scheduler.throttles} == {25}
     rig.report("w", load=150)
     rig.report("w", load=150)
     assert found.fill_percent == 0
@@ -325,7 +325,7 @@
     rig.scheduler.worker_by_id["w"].fill_percent = 5
     rig.submit(flow("b", step(1, filling=True)))
     rig.place()
-    assert [action.percent for action in rig.scheduler.paces] == [5]
+    assert [action.percent for action in rig.scheduler.throttles] == [5]
 
 
 def test_a_task_that_stands_still_is_started_on_another_worker():
@@ -450,7 +450,7 @@
     rig.place()
     rig.now += 0.6
     rig.report("w", percent=60)
-    assert rig.scheduler.worker_by_id["w"].expected_pace(rig.now) == 1.0
+    assert rig.scheduler.worker_by_id["w"].expected_slowdown(rig.now) == 1.0
 
 
 def test_what_a_leaving_worker_cannot_finish_moves_away():
--- a/tests/test_flow_walk.py
+++ b/tests/test_flow_walk.py
@@ -141,7 +141,7 @@
         machine = self.random.choice(list(self.machines.values()))
         machine.fence = max(machine.fence, self.scheduler.term)
         found = self.scheduler.worker_by_id[machine.record.id]
-        if found.standing == WorkerStatus.LAPSED:
+        if found.status == WorkerStatus.LAPSED:
             machine.run_by_task.clear()
         rows = [
             RunRow(task_id=task, run=run, checkpoint="", percent=self.random.randint(1, 99), load=0)
@@ -164,14 +164,14 @@
     def suspect(self):
         """Let a worker go silent."""
         found = self.random.choice(list(self.scheduler.worker_by_id.values()))
-        if found.standing == WorkerStatus.READY:
-            found.standing = WorkerStatus.SUSPECT
+        if found.status == WorkerStatus.READY:
+            found.status = WorkerStatus.SUSPECT
             self.scheduler.race(found, self.rig.now)
 
     def lapse(self):
         """Let the lease of a silent worker end: everything there is killed, orders are late."""
         for found in list(self.scheduler.worker_by_id.values()):
-            if found.standing in (WorkerStatus.SUSPECT, WorkerStatus.UNSEEN):
+            if found.status in (WorkerStatus.SUSPECT, WorkerStatus.UNSEEN):
                 self.machines[found.id].run_by_task.clear()
                 self.orders = [one for one in self.orders if one[1].worker.id != found.id]
                 self.scheduler.lapse(found)
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -46,7 +46,7 @@
     assert code == Code.GROUP_IN_USE
     assert "119 s ago" in answer["message"]
     assert tasks_by_group(job) == dict.fromkeys(NAMES, 1)
-    assert not driver.cell.standings.lost()
+    assert not driver.cell.group_statuses.lost()
     assert driver.lose("atlantis")[0] == Code.NOT_FOUND
     driver.groups[0] = group(FJELD, silent_s=MIN_SILENCE_S)
     assert driver.lose(FJELD, force=False)[0] == Code.DONE
@@ -157,7 +157,7 @@
     restored = Cell()
     restored.restore(driver.cell.snapshot())
     assert restored.snapshot() == driver.cell.snapshot()
-    assert restored.standings.of(FJELD).epoch == 2
+    assert restored.group_statuses.of(FJELD).epoch == 2
 
 
 def test_returned_group_ends_its_jobs_and_numbers_tasks_anew():
@@ -221,21 +221,23 @@
 
 def test_clearance_is_of_one_process_and_one_epoch():
     """Guards against a start by a process that was switched off while its group was lost."""
-    driver, clearance = DomainDriver(), GroupStatusCheck()
+    driver, status_check = DomainDriver(), GroupStatusCheck()
     domain = driver.domain
-    assert not clearance.covers(domain)
-    clearance.learn(SyncReply(epoch=1, lost=True))
-    assert not clearance.covers(domain)
-    clearance.learn(SyncReply(epoch=0))
-    assert clearance.covers(domain)
+    assert not status_check.permits_start(domain)
+    status_check.record_reply(SyncReply(epoch=1, lost=True))
+    assert not status_check.permits_start(domain)
+    status_check.record_reply(SyncReply(epoch=0))
+    assert status_check.permits_start(domain)
     for now in (0, MAX_GAP_S, 2 * MAX_GAP_S):
-        clearance.led(now)
-    assert clearance.covers(domain), "a group that has a leader goes on through a partition"
-    clearance.led(3 * MAX_GAP_S + 1)
-    assert not clearance.covers(domain), "its loss may have been declared in the gap"
-    clearance.learn(SyncReply(epoch=0))
+        status_check.note_leader(now)
+    assert status_check.permits_start(domain), (
+        "a group that has a leader goes on through a partition"
+    )
+    status_check.note_leader(3 * MAX_GAP_S + 1)
+    assert not status_check.permits_start(domain), "its loss may have been declared in the gap"
+    status_check.record_reply(SyncReply(epoch=0))
     driver.apply(sync=SyncReply(epoch=1, lost=True))
-    assert not clearance.covers(domain)
+    assert not status_check.permits_start(domain)
     driver.apply(sync=SyncReply(index=1, epoch=1))
     assert not domain.fenced
-    assert not clearance.covers(domain), "the word of an earlier epoch counted"
+    assert not status_check.permits_start(domain), "the word of an earlier epoch counted"
--- a/tests/test_group_loss_walk.py
+++ b/tests/test_group_loss_walk.py
@@ -60,7 +60,7 @@
     def switch_on(self):
         """Start new processes on the old disks; the worker reports that it runs nothing."""
         self.is_on = True
-        self.clearance = GroupStatusCheck()
+        self.status_check = GroupStatusCheck()
         self.sessions += 1
         tasks = [task for job in self.domain.job_by_id.values() for task in job.task_by_id.values()]
         ended = [
@@ -81,7 +81,7 @@
         domain = self.domain
         reply = driver.cell.changes(self.name, domain.cell_index, domain.epoch)
         self.commit(sync=reply)
-        self.clearance.learn(reply)
+        self.status_check.record_reply(reply)
         self.stop()
         if domain.fenced and domain.is_idle:
             driver.confirm_idle(self.name, domain.epoch)
@@ -101,7 +101,7 @@
 
     def place(self, random, share=1.0):
         """Assign some waiting tasks and start those whose assignment was committed."""
-        if not self.clearance.covers(self.domain):
+        if not self.status_check.permits_start(self.domain):
             return
         for job_id, job in self.domain.job_by_id.items():
             for task in job.waiting():
--- a/tests/test_speculation.py
+++ b/tests/test_speculation.py
@@ -17,7 +17,7 @@
     if not confirmed:
         rig.scheduler.find("f.0.0.0").state = TaskState.STARTING
     found = rig.scheduler.worker_by_id[silent]
-    found.standing = WorkerStatus.SUSPECT
+    found.status = WorkerStatus.SUSPECT
     rig.scheduler.race(found, rig.now)
     return rig, silent, other
 
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -1,4 +1,4 @@
-"""The keeper of one worker: what a failed call says of the worker."""
+"""The manager of one worker: what a failed call says of the worker."""
 
 from anyio import create_task_group, run
 from pytest import fixture
@@ -46,26 +46,26 @@
 
 
 class LeaderOfOneWorker:
-    """Records the standing of the worker at each report; ends the keeper after the last."""
+    """Records the status of the worker at each report; ends the manager after the last."""
 
     term = 3
 
     def __init__(self, driver):
         self.driver = driver
-        self.standings = []
-        self.look_wait = LongPollWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
+        self.statuses = []
+        self.poll_wait = LongPollWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
 
-    async def take_report(self, keeper, report, asked_at):
+    async def take_report(self, manager, report, asked_at):
         """Take a report."""
-        self.standings.append(keeper.worker.standing)
-        keeper.worker.standing = WorkerStatus.READY if self.driver.outcomes else WorkerStatus.LOST
+        self.statuses.append(manager.worker.status)
+        manager.worker.status = WorkerStatus.READY if self.driver.outcomes else WorkerStatus.LOST
 
     def suspected(self, worker):
         """Not used here."""
 
     def lapsed(self, worker):
-        """End the keeper: its lease is over."""
-        worker.standing = WorkerStatus.LOST
+        """End the manager: its lease is over."""
+        worker.status = WorkerStatus.LOST
 
 
 @fixture
@@ -77,11 +77,11 @@
         leader = LeaderOfOneWorker(driver)
         worker = FleetWorker(record=PoolWorker(id="w", cpu_milli=1000, memory_mb=10))
         worker.held_by_task = {"some task": None}
-        keeper = WorkerManager(worker=worker, leader=leader, driver=driver, timing=TIMING)
+        manager = WorkerManager(worker=worker, leader=leader, driver=driver, timing=TIMING)
 
         async def main():
             async with create_task_group() as tasks:
-                tasks.start_soon(keeper.run)
+                tasks.start_soon(manager.run)
 
         run(main)
         return leader, driver
@@ -92,7 +92,7 @@
 def test_one_lost_connection_does_not_make_a_worker_suspect(keep):
     """Guards against a reset connection that keeps new tasks from a sound worker."""
     leader, driver = keep(REPORT, ConnectionLostError("reset"), REPORT)
-    assert leader.standings == [WorkerStatus.UNSEEN, WorkerStatus.READY]
+    assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.READY]
     assert driver.lease_by_look[1] is not None
     assert driver.lease_by_look[2] is None, "a look after a failed one grants no longer lease"
 
@@ -101,13 +101,13 @@
     """Guards against starts that go on being sent to a worker that resets everything."""
     lost = ConnectionLostError("reset")
     leader, _ = keep(REPORT, lost, lost, REPORT)
-    assert leader.standings == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
+    assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
 def test_a_worker_that_keeps_silent_is_suspect_at_once(keep):
     """Guards against starts that wait for a worker whose look timed out."""
     leader, _ = keep(REPORT, OutcomeUnknownError("timeout"), REPORT)
-    assert leader.standings == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
+    assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
 def test_looks_wait_less_after_a_call_without_an_answer(keep):
