--- a/siskintally/actions.py
+++ b/siskintally/actions.py
@@ -1,4 +1,4 @@
-"""Orders for workers that a scheduler decides on, before they are sent.
+"""Start, stop, and throttle orders that a scheduler has decided on but not yet sent.
 
 >>> from siskintally.actions import StopAction
 >>> StopAction(task_id="f.0.0.1", run=7, worker=None).run
@@ -12,7 +12,7 @@
 
 
 class StartAction(NamedTuple):
-    """A start order that is to be sent."""
+    """A start order to send."""
 
     task: TaskRun
     worker: FleetWorker
@@ -21,7 +21,7 @@
 
 
 class StopAction(NamedTuple):
-    """A stop order that is to be sent."""
+    """A stop order to send."""
 
     task_id: str
     run: int
@@ -29,7 +29,7 @@
 
 
 class ThrottleAction(NamedTuple):
-    """An order to limit a filling task that is to be sent."""
+    """An order to send that limits a best-effort task to a share of the processor."""
 
     task: TaskRun
     run: int
--- a/siskintally/advice_client_pool.py
+++ b/siskintally/advice_client_pool.py
@@ -1,6 +1,6 @@
-"""Calls to the advice service, spread over the VMs that may make them.
+"""Pool of the clients that can call the advice service, one per linked VM.
 
-The service handles one call at a time for each VM, so every linked process is one client.
+The service handles one call at a time per VM, so each linked process is one client.
 
 >>> from siskintally.advice_client_pool import reserved
 >>> reserved(9), reserved(2)
@@ -9,16 +9,17 @@
 
 from abc import ABC, abstractmethod
 
+# Most clients that are reserved for quick calls.
 QUICK_CLIENTS = 2
 
 
 def reserved(count):
-    """Return how many of some clients are kept for quick calls."""
+    """Return how many of ``count`` clients are reserved for quick calls."""
     return min(QUICK_CLIENTS, count // 3)
 
 
 class AdviceClient(ABC):
-    """One VM that can call the advice service; ``name`` tells clients apart."""
+    """One VM that can call the advice service; ``name`` is unique among clients."""
 
     __slots__ = ("name",)
 
@@ -27,14 +28,16 @@
 
     @abstractmethod
     async def ask(self, step_id, worker_ids, *, timeout):
-        """Return :class:`~siskintally.driver.Ticket` objects; see :class:`Advice`."""
+        """Request permits for a step; return :class:`~siskintally.driver.Ticket` objects.
+
+        See :class:`~siskintally.driver.Advice`.
+        """
 
 
 class AdviceClientPool:
-    """Which clients are free.
+    """Tracks which clients are free.
 
-    :param clients: function that returns the :class:`AdviceClient` objects at present, nearest
-        first.
+    :param clients: function that returns the current :class:`AdviceClient` objects, nearest first.
     """
 
     __slots__ = ("_busy", "_clients")
@@ -46,8 +49,8 @@
     def take(self, *, is_quick):
         """Return a free client and mark it as busy, or None.
 
-        Slow calls take the farthest clients and leave some free, so that a quick call never waits
-        behind them.
+        Slow calls use the farthest clients and leave some free, so that a quick call never waits
+        for a slow one.
         """
         clients = list(self._clients())
         free = [client for client in clients if client.name not in self._busy]
--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -1,4 +1,4 @@
-"""Which steps need permits of the advice service, and for which workers; pure.
+"""Planning of calls to the advice service, which permits steps to use workers; pure logic.
 
 >>> from siskintally.advice_planning import MAX_WORKERS
 >>> MAX_WORKERS
@@ -11,15 +11,19 @@
 from siskintally.flow import StepRun, TaskState
 from siskintally.step_placement import TICKET_MARGIN_S
 
+# Workers named in one call.
 MAX_WORKERS = 100
-# A call that takes longer than this is not given the clients for urgent calls.
+# Calls expected to take longer than this may not use the clients reserved for quick calls.
 QUICK_S = 0.15
-# Pause before a step asks again after a call without any permit that it can use.
+# Delay before a step asks again after a call that failed or granted no permit.
 RETRY_S = 0.25
 
 
 class AdviceAction(NamedTuple):
-    """A call to the advice service that is to be made."""
+    """A planned call to the advice service for one step.
+
+    ``expected_s``: call duration according to the terms of the service.
+    """
 
     step: StepRun
     worker_ids: tuple
@@ -27,17 +31,17 @@
 
     @property
     def is_quick(self):
-        """Whether the call may use a client for urgent calls."""
+        """Whether the call may use a client reserved for quick calls."""
         return self.expected_s <= QUICK_S
 
 
 class AdvicePlanning:
-    """The part of a scheduler that asks for permits."""
+    """Mixin of the scheduler that requests permits."""
 
     __slots__ = ()
 
     def advice_wanted(self, now, wall_ms):
-        """Yield an :class:`AdviceAction` for each step that should ask now, in order."""
+        """Yield an :class:`AdviceAction` for each step that should ask now, by priority."""
         for step in (*self.due_steps(wall_ms), *self._next_steps(now)):
             if step.asking or now < step.next_ask or not step.flow.is_open:
                 continue
@@ -51,7 +55,7 @@
                 yield AdviceAction(step=step, worker_ids=workers, expected_s=expected_s)
 
     def _next_steps(self, now):
-        """Yield steps whose last step before is about to end, so that permits are there in time."""
+        """Yield steps whose last dependency ends soon, so that their permits arrive in time."""
         for step in self.running_steps():
             for follower in step.followers:
                 if follower.blockers == 1 and not follower.ticket_by_worker:
@@ -63,7 +67,7 @@
                         yield follower
 
     def _ends_in(self, step, now):
-        """Return the estimated time until a step ends, infinite if a task waits."""
+        """Return the estimated time until a step ends, s; infinite if a task is not running."""
         latest = 0.0
         for task in step.tasks:
             if task.state == TaskState.DONE:
@@ -75,7 +79,10 @@
         return latest
 
     def _to_ask(self, step, now):
-        """Return ids of workers to name: those with room that may be allowed."""
+        """Return ids of the workers to ask about, none if there are enough permits.
+
+        Urgent steps and steps that are not ready ask also about workers that are full now.
+        """
         eligible = [one for one in self.eligible(step, now) if one.id not in step.refused]
         held = sum(one.fits(step.need) for one in eligible if self._is_permitted(step, one, now))
         wanted = len(step.waiting) or len(step.tasks)
@@ -94,10 +101,10 @@
         return ends - TICKET_MARGIN_S > now
 
     def advised(self, action, tickets, valid_until, now):
-        """Take the answer of the advice service.
+        """Store the tickets and denials from an answer of the advice service.
 
         :param tickets: :class:`~siskintally.driver.Ticket` objects, None after a failed call.
-        :param valid_until: steady time at which they end.
+        :param valid_until: steady time at which the tickets expire.
         """
         step = action.step
         step.asking = False
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -1,4 +1,4 @@
-"""The leader of a control group at work: places tasks, keeps workers, commits ends.
+"""Leader of a control group during its term: places tasks, manages workers, commits ends.
 
 >>> from siskintally.control_leader import GATHER_S, IDLE_PASS_S
 >>> GATHER_S < IDLE_PASS_S
@@ -24,11 +24,14 @@
 from siskintally.worker_lease import longest_s
 from siskintally.worker_manager import WorkerManager
 
-# Events within this time share one pass over the waiting tasks.
+# Events within this time share one placement pass.
 GATHER_S = 0.004
+# Longest time between placement passes.
 IDLE_PASS_S = 0.1
+# Interval of the check for closed flows to forget.
 RETIRE_S = 10.0
-# Orders get no answer for seconds when something is wrong with workers or links.
+# Wait of a status poll, and for how long it applies, after a call without a reply: faults of
+# workers or links leave calls without a reply for seconds.
 TROUBLED_WAIT_S = 0.3
 TROUBLE_MEMORY_S = 3.0
 
@@ -36,7 +39,9 @@
 
 
 class ControlLeader:
-    """What a leader does in one term.
+    """Leader of a control group during one term.
+
+    ``is_over``: whether the term has ended.
 
     :param group: :class:`~siskintally.group.Group` whose replica leads.
     :param state: :class:`~siskintally.control_state.ControlState` of the group.
@@ -87,7 +92,7 @@
         self.is_over = False
 
     async def run(self):
-        """Work until deposed or cancelled."""
+        """Lead until the term ends or is cancelled."""
         now = steady()
         log.info("term begins", term=self.term, flows=len(self.state.flow_by_id))
         self.scheduler.restore(self.state, now)
@@ -104,12 +109,12 @@
         log.info("term over", term=self.term)
 
     def cancel(self):
-        """End the term because this store does not lead any more."""
+        """End the term because this store is no longer the leader."""
         if self._scope is not None:
             self._scope.cancel()
 
     def deposed(self, reason):
-        """End the term."""
+        """End the term because leadership is lost or in doubt."""
         log.warning("deposed", term=self.term, reason=reason)
         self.cancel()
 
@@ -120,7 +125,7 @@
             self.deposed(str(error))
 
     async def _retire(self):
-        """Forget flows whose outcome nobody asks for any more."""
+        """Remove closed flows from the state after their retention time."""
         retention = FlowRetention(keep_s=self._timing.keep_s)
         while True:
             await sleep(RETIRE_S)
@@ -135,7 +140,7 @@
                     self.deposed(str(error))
 
     def wake(self):
-        """Look at the waiting tasks soon."""
+        """Request a placement pass."""
         self._wake.set()
 
     async def _pass_on(self):
@@ -155,13 +160,13 @@
         return manager
 
     def manager_of(self, worker_id):
-        """Return the manager of the present incarnation of a worker, or None."""
+        """Return the manager of the current incarnation of a worker, or None."""
         return self._manager_by_worker.get(worker_id)
 
     def joined(self, record, received_at):
-        """Take a worker whose announcement is committed, or what a known one says of itself now.
+        """Add a worker whose announcement is committed, or update the record of a known one.
 
-        :param received_at: steady time at which its clock had been read.
+        :param received_at: steady time at which the announcement, with its clock reading, arrived.
         """
         known = self.scheduler.worker_by_id.get(record.id)
         is_new = known is None or known.record.born_ms != record.born_ms
@@ -183,18 +188,18 @@
     async def propose(self, **body):
         """Commit a :class:`ControlCommand`.
 
-        :param body: its one field.
+        :param body: the one field of the command.
         :raises NotLeaderError: nothing was committed.
         :raises OutcomeUnknownError: it may or may not be committed.
         """
         await self._group.propose(ControlCommand(**body).SerializeToString())
 
     async def confirm(self):
-        """Return once the state holds all that was committed before the call."""
+        """Wait until the state contains all commands committed before the call."""
         await self._group.confirm()
 
     async def take_report(self, manager, report, asked_at):
-        """Take a report, and commit the ends in it before the worker may forget them."""
+        """Apply a status report; commit its ends before they are acknowledged to the worker."""
         ends = self.scheduler.report(manager.worker, report, asked_at, steady())
         self.wake()
         if ends:
@@ -210,11 +215,11 @@
         manager.noted = max([manager.noted, *(row.number for row in report.ended)])
 
     def started(self, action):
-        """Note a confirmed start."""
+        """Process a confirmed start."""
         self.scheduler.started(action.task, action.run, steady())
 
     def refused(self, action, refusal, *, was_sent_before):
-        """Note a refused start."""
+        """Process a refused start."""
         log.info("start refused", task=action.task.id, run=action.run, reason=refusal.name)
         self._counters.starts_refused.labels(refusal.name).inc()
         if refusal.name == "FENCED":
@@ -226,25 +231,25 @@
         self.wake()
 
     def stop_confirmed(self, action):
-        """Note a confirmed stop."""
+        """Process a confirmed stop."""
         self.scheduler.stopped(action, steady())
 
     def suspected(self, worker):
-        """Let tasks of a silent worker race with copies elsewhere, where they may."""
+        """Requeue tasks of an unresponsive worker for speculative copies elsewhere."""
         raced = self.scheduler.race(worker, steady())
         if raced:
             log.info("copies wanted", worker=worker.id, tasks=len(raced), first=raced[0])
             self.wake()
 
     def lapsed(self, worker):
-        """Note that the lease of a worker has ended."""
+        """Process the expired lease of a worker."""
         self._counters.workers_lapsed.inc()
         log.warning("worker lapsed", worker=worker.id, held=len(worker.held_by_task))
         self.scheduler.lapse(worker)
         self.wake()
 
     def gone(self, worker, reason):
-        """Note that an incarnation of a worker does not exist any more."""
+        """Process the loss of a worker incarnation that no longer exists."""
         if worker.status == WorkerStatus.LOST:
             return
         log.warning("worker lost", worker=worker.id, reason=reason[:120])
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -1,4 +1,4 @@
-"""State machine of the control group: flows, their ends, queues, and workers.
+"""Replicated state machine of a control group: flows, task starts and ends, queues, workers.
 
 >>> from siskintally.control_pb2 import ControlCommand, Flow, FlowStep
 >>> from siskintally.control_state import ControlState
@@ -28,7 +28,7 @@
 
 
 class Outcome(IntEnum):
-    """How far a flow has come for good."""
+    """Committed outcome of a flow."""
 
     OPEN = 0
     COMPLETED = 1
@@ -37,14 +37,14 @@
 
 
 class Failures(NamedTuple):
-    """Failed attempts of a task; ``last_run`` is the run that failed last."""
+    """Failed attempts of a task; ``last_run`` is the run number of the last one."""
 
     count: int = 0
     last_run: int = 0
 
 
 class Start(NamedTuple):
-    """The last start of a task; its worker is the only one on which the task may run."""
+    """Last committed start of a task; the task can run on no other worker."""
 
     run: int
     worker: str
@@ -52,11 +52,11 @@
 
 
 class FlowState:
-    """A flow with the starts and ends of its tasks that are committed.
+    """A flow with the committed starts and ends of its tasks.
 
-    ``done``: ids of tasks that have ended as done. ``failures_by_task``: :class:`Failures`.
+    ``done``: ids of tasks that are done. ``failures_by_task``: :class:`Failures` by task id.
     ``start_by_task``: :class:`Start` of tasks that were sent to a worker and are not done.
-    ``remaining``: tasks that are not done, infinite for a flow with a lasting step.
+    ``remaining``: number of tasks that are not done, infinite with a long-running step.
     """
 
     __slots__ = ("done", "failures_by_task", "flow", "outcome", "remaining", "start_by_task")
@@ -72,19 +72,19 @@
         ) * occurrences(flow)
 
     def note_start(self, start):
-        """Note where a task is started, in place of its start before."""
+        """Record the start of a task in place of its previous one."""
         if self.outcome == Outcome.OPEN and start.task not in self.done:
             known = Start(run=start.run, worker=start.worker, born_ms=start.born_ms)
             self.start_by_task[start.task] = known
 
     def close(self, outcome):
-        """Note the outcome of a flow that was open; its tasks are not started again."""
+        """Record the outcome of an open flow; its tasks are not started again."""
         if self.outcome == Outcome.OPEN:
             self.outcome = outcome
             self.start_by_task.clear()
 
     def note_done(self, task):
-        """Note that a task has ended as done; one member of a gang stands for all."""
+        """Record that a task is done; the end of one gang member counts for all members."""
         step = self.flow.steps[task.step]
         if step.lasting:
             return
@@ -98,11 +98,11 @@
             self.close(Outcome.COMPLETED)
 
     def note_failure(self, task, run, max_attempts):
-        """Count a failed attempt; the flow has failed when a task has used up its attempts.
+        """Count a failed attempt; the flow fails when a task has used up its attempts.
 
-        Two leaders may report the same end, so a run counts once.
+        Two leaders may report the same end, so each run counts once.
 
-        :param max_attempts: None if the queue is not in the configuration any more.
+        :param max_attempts: None if the queue is no longer configured.
         """
         step = self.flow.steps[task.step]
         name = str(task._replace(index=0)) if step.gang else str(task)
@@ -119,7 +119,7 @@
 
 
 class ControlState(StateMachine):
-    """Replicated state; ``worker_by_id`` holds each worker that tasks may have been sent to."""
+    """Replicated state; ``worker_by_id`` contains every worker that may have received tasks."""
 
     __slots__ = ("document", "flow_by_id", "worker_by_id")
 
@@ -238,7 +238,7 @@
 
 
 def _copy(kind, message):
-    """Return a message that does not keep the whole snapshot in memory."""
+    """Return a copy of a message that does not keep the whole snapshot in memory."""
     copy = kind()
     copy.CopyFrom(message)
     return copy
--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -1,4 +1,4 @@
-"""Workers that a leader owns: what runs on them, the room that is left, and their leases.
+"""Workers in the view of the leader: their tasks, free resources, and observed speed.
 
 >>> from siskintally.control_pb2 import PoolWorker
 >>> from siskintally.fleet import FleetWorker, Need
@@ -21,29 +21,30 @@
 
 
 def need_of(step):
-    """Return what a task of a step reserves; filling tasks take only spare processor time."""
+    """Return what a task of a step reserves; best-effort tasks reserve no processor time."""
     return Need(0 if step.filling else step.cpu_milli, step.memory_mb, step.accelerators)
 
 
-# Time constant with which an observed speed loses its weight: disturbances last some seconds.
+# Time constant of the exponential decay of an observed slowdown: disturbances last some seconds.
 SLOWDOWN_MEMORY_S = 5.0
-# Weights of one finished task and of the progress of one that runs.
+# Weights of an observation in the average: from a finished task, and from the progress of a
+# running one.
 END_WEIGHT = 0.1
 PROGRESS_WEIGHT = 0.4
-# Bounds of one observation of the slowdown; estimates of run times are rough.
+# Bounds of a single slowdown observation, because estimates of run times are inaccurate.
 MIN_SLOWDOWN = 0.3
 MAX_SLOWDOWN = 8.0
 
 
 class WorkerStatus(IntEnum):
-    """What a leader knows of a worker."""
+    """Status of a worker in the view of the leader."""
 
-    # What runs there is not known: it has not answered in this term.
+    # It has not reported in this term, so the tasks that run there are not known.
     UNSEEN = 0
     READY = 1
-    # Calls fail; nothing new is sent there.
+    # Calls fail; no new tasks are sent there.
     SUSPECT = 2
-    # Its lease has ended, so that nothing of this leader runs there.
+    # Its lease has expired, so no task runs there any more.
     LAPSED = 3
     LOST = 4
 
@@ -51,12 +52,12 @@
 class FleetWorker:
     """One incarnation of a worker.
 
-    ``held_by_task``: :class:`~siskintally.flow.TaskRun` by task id of all that takes room.
-    ``lease_until``: steady time at which everything there has surely ended unless renewed.
-    ``foreign``: runs of tasks that are not known here and have to stop, by task id.
-    ``serving``: tasks held with a latency target. ``fill_percent``: share of the processor that
-    filling tasks may use there.
-    ``slowdown``: time that tasks need there in multiples of their estimates, as last observed at
+    ``held_by_task``: :class:`~siskintally.flow.TaskRun` objects with reserved resources, by task
+    id. ``lease_until``: steady time by which all runs there have ended unless the lease is renewed.
+    ``foreign``: numbers of reported runs that the scheduler does not expect and stops, by task id.
+    ``serving``: number of tasks with a latency target. ``fill_percent``: share of the processor
+    that best-effort tasks may use. ``excluded_until``: steady time before which no new tasks are
+    placed there. ``slowdown``: run time as a multiple of the estimate, averaged at steady time
     ``slowdown_at``.
     """
 
@@ -100,16 +101,16 @@
 
     @property
     def rack(self):
-        """Name of its rack."""
+        """Rack of the worker."""
         return self.record.rack
 
     @property
     def is_open(self):
-        """Whether new tasks may be sent there."""
+        """Whether new tasks may be placed on the worker."""
         return self.status == WorkerStatus.READY and not self.record.leaving and not self.foreign
 
     def fits(self, need):
-        """Tell whether a task fits beside what is held."""
+        """Return whether a task fits into the free resources."""
         return (
             need.cpu_milli <= self.cpu_free
             and need.memory_mb <= self.memory_free
@@ -117,7 +118,7 @@
         )
 
     def room_for(self, need):
-        """Return how many tasks of one size fit."""
+        """Return how many tasks of that size fit into the free resources."""
         counts = [
             free // each
             for free, each in (
@@ -130,7 +131,7 @@
         return max(min(counts, default=0), 0)
 
     def can_ever_hold(self, need):
-        """Tell whether a task fits on the worker when nothing else is there."""
+        """Return whether a task fits on the worker when it is empty."""
         record = self.record
         return (
             need.cpu_milli <= record.cpu_milli
@@ -139,13 +140,13 @@
         )
 
     def hold(self, task):
-        """Reserve the room of a task."""
+        """Reserve the resources of a task."""
         self.held_by_task[task.id] = task
         self.serving += bool(task.step.spec.tail_target_ms)
         self._take(task.need, 1)
 
     def release(self, task):
-        """Free the room of a task that has ended here."""
+        """Release the resources of a task that no longer runs here."""
         if self.held_by_task.pop(task.id, None) is not None:
             self.serving -= bool(task.step.spec.tail_target_ms)
             self._take(task.need, -1)
@@ -156,13 +157,14 @@
         self.free_accelerators -= sign * need.accelerators
 
     def expected_slowdown(self, now):
-        """Return the slowdown to expect; an old observation says little."""
+        """Return the expected slowdown; it decays to 1 as the last observation ages."""
         weight = exp(-max(now - self.slowdown_at, 0.0) / SLOWDOWN_MEMORY_S)
         return 1.0 + (self.slowdown - 1.0) * weight
 
     def record_slowdown(self, ratio, weight, now):
-        """Take the run time of a task in multiples of its estimate.
+        """Add an observed slowdown to the average.
 
+        :param ratio: run time of a task as a multiple of its estimate.
         :param weight: share of this observation in the new average.
         """
         before = self.expected_slowdown(now)
@@ -170,7 +172,7 @@
         self.slowdown_at = now
 
     def update(self, record):
-        """Take what the worker says of itself now."""
+        """Replace the record of the worker and adjust the free resources."""
         self.cpu_free += record.cpu_milli - self.record.cpu_milli
         self.memory_free += record.memory_mb - self.record.memory_mb
         self.free_accelerators += record.accelerators - self.record.accelerators
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -1,4 +1,7 @@
-"""Flows as a leader runs them: occurrences, steps, tasks.
+"""Runtime state that a leader keeps for each flow: occurrences, steps, and tasks.
+
+A flow is a workflow of dependent steps, run by the control group; a scheduled flow runs its steps
+once per occurrence. A job, in contrast, is a set of tasks of one kind, placed by domain groups.
 
 >>> from siskintally.control_pb2 import Flow, FlowStep, Queue
 >>> from siskintally.flow import FlowRun
@@ -15,9 +18,9 @@
 
 
 class TaskState(IntEnum):
-    """What a leader knows of a task."""
+    """State of a task in the view of the leader."""
 
-    # A former leader may have started it on the worker that is on record.
+    # A former leader may have started it on the recorded worker, which has not reported yet.
     UNKNOWN = 0
     WAITING = 1
     STARTING = 2
@@ -27,14 +30,16 @@
 
 
 class TaskRun:
-    """One task.
-
-    ``failures``, ``failed_run``: failed attempts and the run that failed last; a gang counts them
-    at its first task. ``run``: number of the present or last start. ``since``: steady time of the
-    last change of state. ``worker``: :class:`~siskintally.fleet.FleetWorker` that holds it, or
-    None. ``checkpoint``: where a new start resumes, "" for none. ``percent``: progress, or 100 for
-    a lasting task that is at work. ``progress_at``: steady time at which it last changed.
-    ``copies``: other runs of the task that still hold room, as tasks whose ``copy_of`` is this one.
+    """One task of a step.
+
+    ``failures``: number of failed attempts. ``failed_run``: run number of the last one. A gang
+    counts both at its first task. ``run``: number of the current or last run. ``since``: steady
+    time of the last state change. ``worker``: :class:`~siskintally.fleet.FleetWorker` on which
+    resources are reserved for the task, or None. ``checkpoint``: checkpoint from which the next
+    start resumes, "" for none. ``percent``: progress, or 100 for a long-running task that is
+    working. ``progress_at``: steady time of the last change of ``percent``. ``copies``: other runs
+    of the task that still have resources reserved, as tasks whose ``copy_of`` is this one.
+    ``tail_ms``: last reported tail latency of a long-running task.
     """
 
     __slots__ = (
@@ -76,10 +81,12 @@
 class StepRun:
     """One step of one occurrence.
 
-    ``blockers``: number of steps that have to be done first. ``waiting``: tasks that may be
-    started, a stack. ``count_by_worker``: tasks that each worker holds. ``ticket_by_worker``:
-    permits of the advice service as (ticket, steady time of its end). ``refused``: ids of workers
-    that the advice service does not allow. ``gang_run``: run number that the members share.
+    ``blockers``: number of unfinished steps that this one depends on. ``followers``: steps that
+    depend on this one. ``waiting``: stack of tasks that can be started. ``count_by_worker``: number
+    of this step's tasks on each worker. ``ticket_by_worker``: permits of the advice service, as
+    (ticket, steady time at which it expires). ``refused``: ids of workers that the advice service
+    denied. ``asking``: whether a call to the advice service is in flight. ``next_ask``: earliest
+    steady time of the next call. ``gang_run``: run number shared by all members of a gang.
     """
 
     __slots__ = (
@@ -123,29 +130,34 @@
 
     @property
     def id(self):
-        """Name of the step: ``flow.occurrence.step``."""
+        """Step id: ``flow.occurrence.step``."""
         return f"{self.flow.id}.{self.occurrence}.{self.number}"
 
     @property
     def need(self):
-        """What one task reserves."""
+        """Resources that each task reserves."""
         return self.tasks[0].need
 
     @property
     def is_ready(self):
-        """Whether all steps before it are done."""
+        """Whether all steps that it depends on are done."""
         return not self.blockers
 
     @property
     def is_due(self):
-        """Whether tasks may be started now."""
+        """Whether the step has tasks to start and may start them now."""
         return bool(self.waiting) and not self.blockers and self.flow.is_open
 
 
 class FlowRun:
-    """One flow that is not over.
+    """One flow that is open, or closed with tasks still on workers.
+
+    ``due``: steady time by which the flow should be done; orders flows of equal priority.
+    ``started``: whether any task has been started.
 
-    :param arrived: steady time of its acceptance, or of the beginning of this leader's term.
+    :param queue: :class:`~siskintally.control_pb2.Queue`, None if it is no longer configured.
+    :param arrived: steady time of acceptance, or of the start of this leader's term if a former
+        leader accepted the flow.
     """
 
     __slots__ = (
@@ -183,11 +195,11 @@
 
     @property
     def priority(self):
-        """Priority of its queue, 0 first."""
+        """Priority of the queue; 0 is the highest."""
         return self.queue.priority if self.queue is not None else 0
 
     def steps(self):
-        """Yield all steps of all occurrences."""
+        """Yield the steps of all occurrences."""
         yield from self.step_by_key.values()
 
     def task(self, task_id):
@@ -198,7 +210,7 @@
         return self.step_by_key[task_id.occurrence, task_id.step].tasks[task_id.index]
 
     def chain_s(self):
-        """Return the estimated time of the longest chain of steps."""
+        """Return the estimated run time of the critical path of one occurrence, s."""
         ends = []
         for spec in self.flow.steps:
             before = max((ends[number] for number in spec.after if number < len(ends)), default=0.0)
@@ -206,7 +218,7 @@
         return max(ends, default=0.0)
 
     def starts_at(self, occurrence):
-        """Return the Unix time in ms at which an occurrence is due, 0 without a schedule."""
+        """Return the scheduled Unix time of an occurrence in ms, 0 for a flow without schedule."""
         if not self.flow.times:
             return 0
         return self.flow.first_run_ms + occurrence * self.flow.interval_ms
--- a/siskintally/flow_checks.py
+++ b/siskintally/flow_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a flow before it is stored.
+"""Validation of a submitted flow before it is stored.
 
 >>> from siskintally.control_pb2 import Flow, FlowStep
 >>> from siskintally.flow_checks import check_flow
@@ -13,9 +13,9 @@
 
 
 def check_flow(flow):
-    """Check sizes and the order of steps.
+    """Check the id, size limits, and dependencies of the steps.
 
-    :raises BadRequestError: names the field and what is allowed.
+    :raises BadRequestError: a field is invalid; the message says which and what is allowed.
     """
     if not flow.id or "." in flow.id:
         raise BadRequestError(f"id = {flow.id!r}: expected a name without dots")
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -1,4 +1,4 @@
-"""Orders of a leader: what its scheduler decides, on the way to workers and the advice service.
+"""Dispatcher of a leader: sends its orders to workers and its calls to the advice service.
 
 >>> from siskintally.flow_dispatcher import ADVICE_MARGIN_S
 >>> ADVICE_MARGIN_S > 0
@@ -10,14 +10,14 @@
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
 from siskintally.log import get_logger
 
-# Time for an answer of the advice service beyond the one that its terms promise.
+# Timeout of a call to the advice service beyond the call duration that its terms state.
 ADVICE_MARGIN_S = 1.5
 
 log = get_logger("flow-dispatcher")
 
 
 class FlowDispatcher:
-    """Sends starts, stops, throttle orders, and calls for advice.
+    """Sends start, stop, and throttle orders, and calls to the advice service.
 
     :param leader: :class:`~siskintally.control_leader.ControlLeader`.
     :param advice_clients: :class:`~siskintally.advice_client_pool.AdviceClientPool`.
@@ -32,7 +32,7 @@
         self._counters = counters
 
     def run_pass(self, now, wall_ms, tasks):
-        """Send what the scheduler decides now.
+        """Run a placement pass and send the resulting orders and calls.
 
         :param now: steady time, s.
         :param wall_ms: Unix time, ms.
@@ -62,9 +62,10 @@
                 tasks.start_soon(self._ask, client, action)
 
     async def _send_starts(self, actions, tasks):
-        """Commit where tasks are started, then send the orders.
+        """Commit on which workers tasks are started, then send the orders.
 
-        The next leader needs to wait only for the workers on record, not for every silent one.
+        So the next leader has to wait only for the recorded workers, not for every unresponsive
+        one.
         """
         starts = [
             TaskStart(
--- a/siskintally/flow_report.py
+++ b/siskintally/flow_report.py
@@ -1,4 +1,4 @@
-"""Where the time of flows went, per queue, along the chain of tasks that ended last; pure.
+"""Report on the time spent by flows per queue, along their critical paths; pure logic.
 
 >>> from siskintally.flow_report import PARTS
 >>> PARTS
@@ -9,8 +9,9 @@
 
 from siskintally.tables import table
 
-# advice: until the last permit before the start. queue: from there to the start. again: from the
-# first start to the one that was done. work: the estimate. slow: what the run took beyond it.
+# advice: until the last permit before the start. queue: from then to the first start. again: from
+# the first start to the start of the run that was done. work: run time up to the estimate. slow:
+# run time beyond the estimate.
 PARTS = ("advice", "queue", "again", "work", "slow")
 BAR_WIDTH = 40
 SLOWEST_SHOWN = 5
@@ -18,7 +19,10 @@
 
 
 class Split(NamedTuple):
-    """One completed flow; ``parts`` are seconds by name, ``estimate_s`` its chain of work."""
+    """Time of one completed flow; ``parts``: seconds by name, for the steps of its critical path.
+
+    ``estimate_s``: sum of the estimates of those steps.
+    """
 
     flow: str
     queue: str
@@ -28,7 +32,7 @@
 
 
 def split_flow(flow):
-    """Return the :class:`Split` of a flow, or None if the log does not hold all of it.
+    """Return the :class:`Split` of a flow, or None if the log does not contain all of it.
 
     :param flow: :class:`~siskintally.flow_trace.FlowTrace`.
     """
@@ -53,7 +57,7 @@
 
 
 def _last_task(flow, number):
-    """Return the task of a step that ended last, None if one has not ended."""
+    """Return the task of a step that was done last, None if one is not done."""
     names = (f"{flow.id}.0.{number}.{index}" for index in range(flow.steps[number].tasks))
     tasks = [flow.task_by_id.get(name) for name in names]
     if any(task is None or task.done_at is None or not task.starts for task in tasks):
--- a/siskintally/flow_retention.py
+++ b/siskintally/flow_retention.py
@@ -1,4 +1,4 @@
-"""Which closed flows have been kept for long enough; pure.
+"""Retention of closed flows: returns those whose retention time is over; pure logic.
 
 >>> from siskintally.flow_retention import FlowRetention
 >>> retention = FlowRetention(keep_s=60.0)
@@ -8,9 +8,9 @@
 
 
 class FlowRetention:
-    """Closed flows and when they were first seen closed.
+    """Closed flows and the steady times at which they were first seen closed.
 
-    :param keep_s: time for which the outcome of a flow is kept.
+    :param keep_s: retention time of the outcome of a flow.
     """
 
     __slots__ = ("_keep_s", "_since_by_flow")
@@ -20,7 +20,7 @@
         self._since_by_flow = {}
 
     def old(self, closed, now):
-        """Return the ids of flows whose outcome nobody asks for any more.
+        """Return the ids of flows whose retention time is over.
 
         :param closed: ids of all closed flows.
         :param now: steady time, s.
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -1,4 +1,4 @@
-"""Scheduler of flows in one term of a leader; pure, with the time passed in.
+"""Flow scheduler for one leader term; pure logic, callers pass the time in.
 
 >>> from siskintally.control_pb2 import Flow, FlowStep, PoolWorker, Queue
 >>> from siskintally.flow_scheduler import FlowScheduler
@@ -20,17 +20,18 @@
 from siskintally.speculation import Speculation
 from siskintally.step_placement import StepPlacement
 
-# Starts of one term have numbers of their own, so that a later leader's are always higher.
+# Each term has its own range of run numbers, so those of a later leader are always higher.
 RUNS_PER_TERM = 1_000_000
 
 
 class FlowScheduler(StepPlacement, AdvicePlanning, ReportHandling, Speculation):
-    """What a leader decides about flows, from its election to its deposition.
+    """Scheduling decisions of a leader during its term.
 
-    ``stops``, ``throttles``: :class:`~siskintally.actions.StopAction` and
-    :class:`~siskintally.actions.ThrottleAction` objects that are to be sent.
-    ``taken_by_worker``: number of the last end that was taken from each worker.
-    ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not reported.
+    ``ready_by_id``: unfinished steps whose dependencies are done. ``stops``, ``throttles``:
+    :class:`~siskintally.actions.StopAction` and :class:`~siskintally.actions.ThrottleAction`
+    objects waiting to be sent. ``taken_by_worker``: number of the last end processed from each
+    worker. ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not yet
+    reported in this term. ``_known_flows``: ids of all flows seen in this term.
 
     :param term: term of the leader; also the fence of its orders.
     """
@@ -61,16 +62,15 @@
         self._unlocated_by_worker = {}
 
     def next_run(self):
-        """Return the number of the next start."""
+        """Return a new run number."""
         self._runs += 1
         return self.term * RUNS_PER_TERM + self._runs
 
     def restore(self, state, now):
-        """Take over the flows and workers of a former leader.
-
-        A task may run only on the worker that its last committed start names; what was never
-        started, or on a worker that is gone, may start at once.
+        """Load the flows and workers from the replicated state at the start of the term.
 
+        A task can only be running on the worker that its last committed start names. Tasks that
+        were never started, or whose worker is gone, can start at once.
 
         :param state: :class:`~siskintally.control_state.ControlState`.
         """
@@ -111,14 +111,14 @@
         step.remaining = sum(task.state != TaskState.DONE for task in step.tasks)
 
     def _worker_of(self, start):
-        """Return the worker on which a committed start may run, or None."""
+        """Return the worker on which a committed start may be running, or None."""
         worker = self.worker_by_id.get(start.worker) if start is not None else None
         if worker is None or worker.record.born_ms != start.born_ms:
             return None
         return worker
 
     def note_seen(self, worker):
-        """Let tasks wait again that a former leader sent to a worker and that are not there."""
+        """Requeue the tasks that a former leader sent to a worker and that do not run there."""
         steps = {}
         for task in self._unlocated_by_worker.pop(worker.id, ()):
             steps[task.step.id] = task.step
@@ -128,7 +128,7 @@
             self._rejoin_gang(step)
 
     def _rejoin_gang(self, step):
-        """Stop what runs of a gang of which a member does not, once all members are located."""
+        """Stop the running members of an incomplete gang, once all members are located."""
         if not step.spec.gang or not 0 < len(step.waiting) < step.remaining:
             return
         if any(task.state == TaskState.UNKNOWN for task in step.tasks):
@@ -140,7 +140,8 @@
     def accept(self, flow, queue, now):
         """Add a flow whose acceptance is committed.
 
-        A flow that this leader knew before is over here, also while its last end is not committed.
+        Flows already seen in this term are ignored: the scheduler may have finished one whose last
+        end is not committed yet.
         """
         if flow.id in self._known_flows:
             return
@@ -155,7 +156,7 @@
                 self.ready_by_id[step.id] = step
 
     def requeue_queues(self, state):
-        """Let flows follow a new configuration of their queues.
+        """Apply a new queue configuration to all flows.
 
         :param state: :class:`~siskintally.control_state.ControlState`.
         """
@@ -164,13 +165,13 @@
             flow.queue = by_name.get(flow.flow.queue)
 
     def cancel(self, flow_id):
-        """Stop a flow whose cancellation is committed."""
+        """Close a flow whose cancellation is committed."""
         flow = self.flow_by_id.get(flow_id)
         if flow is not None:
             self.close(flow)
 
     def close(self, flow):
-        """Start nothing of a flow any more and stop what runs."""
+        """Start no more tasks of a flow and stop the running ones."""
         if not flow.is_open:
             return
         flow.is_open = False
@@ -184,21 +185,21 @@
         self._drop_if_over(flow)
 
     def stop(self, task):
-        """Order the stop of a task that a worker holds."""
+        """Queue a stop order for a task on a worker."""
         task.state = TaskState.STOPPING
         task.since = float("inf")
         self.stops.append(StopAction(task.id, task.run, task.worker))
 
     def running_steps(self):
-        """Yield steps that are started and not done."""
+        """Yield unfinished steps with all tasks started that other steps depend on."""
         for step in self.ready_by_id.values():
             if not step.waiting and step.followers:
                 yield step
 
     def join(self, record, *, is_new):
-        """Add a worker, or a new incarnation of one.
+        """Add a worker, replace its former incarnation, or update its record.
 
-        :param is_new: whether no leader has sent anything to it before.
+        :param is_new: whether no leader has sent tasks to this incarnation before.
         """
         known = self.worker_by_id.get(record.id)
         if known is not None and known.record.born_ms == record.born_ms:
@@ -213,7 +214,7 @@
         self.taken_by_worker.pop(record.id, None)
 
     def evacuate(self, worker, now):
-        """Move away what would not end before a leaving worker does."""
+        """Stop the tasks that would not end before a leaving worker shuts down."""
         left_s = worker.record.leaves_in_ms / 1000
         for task in list(worker.held_by_task.values()):
             if task.state != TaskState.RUNNING:
@@ -226,13 +227,13 @@
                 self.stop(task)
 
     def lapse(self, worker):
-        """Note that the lease of a worker has ended: nothing that was started runs there."""
+        """Requeue the tasks of a worker whose lease has expired: none of them runs any more."""
         worker.status = WorkerStatus.LAPSED
         self._empty(worker)
         self.note_seen(worker)
 
     def lose(self, worker):
-        """Forget an incarnation that does not exist any more."""
+        """Remove a worker incarnation that no longer exists and requeue its tasks."""
         worker.status = WorkerStatus.LOST
         self._empty(worker)
         if self.worker_by_id.get(worker.id) is worker:
@@ -261,7 +262,7 @@
             self._drop_if_over(task.step.flow)
 
     def _requeue(self, task, checkpoint):
-        """Let a task that runs nowhere be started again, if its flow goes on."""
+        """Make a task that runs nowhere startable again if its flow is open."""
         if task.copy_of is not None:
             return
         if checkpoint:
@@ -274,7 +275,7 @@
         self._ready((step,))
 
     def _finish(self, task, now):
-        """Note that a task is done, whether or not its worker has freed the room."""
+        """Mark a task as done, whether or not its worker has freed the resources."""
         if task.state == TaskState.DONE:
             return
         step = task.step
@@ -296,14 +297,14 @@
             self._drop_if_over(step.flow)
 
     def _drop_if_over(self, flow):
-        """Forget a closed flow once no worker holds a task of it."""
+        """Remove a closed flow once no worker has a task of it."""
         if flow.is_open or self.flow_by_id.get(flow.id) is not flow:
             return
         if all(task.worker is None for step in flow.steps() for task in step.tasks):
             del self.flow_by_id[flow.id]
 
     def pending(self, queue_name):
-        """Return the number of flows of a queue of which nothing has started."""
+        """Return the number of open flows of a queue without a started task."""
         return sum(
             flow.flow.queue == queue_name and flow.is_open and not flow.started
             for flow in self.flow_by_id.values()
--- a/siskintally/flow_timing.py
+++ b/siskintally/flow_timing.py
@@ -1,4 +1,4 @@
-"""Intervals of the leader of a control group, derived from what the platform promises.
+"""Intervals and timeouts of a control group leader, derived from the platform's guarantees.
 
 >>> from siskintally.flow_timing import FlowTiming
 >>> timing = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
@@ -7,23 +7,24 @@
 """
 
 # A lease has to outlive the loss of a leader: detection, election, and the first call of the next
-# leader take up to 2.5 s. A longer one delays the replacement of what a lost worker ran.
+# leader take up to 2.5 s. A longer lease delays the restart of tasks of a lost worker.
 LEASE_S = 3.5
-# Time for the answer to an order: the longest round trip (16 ms between regions) with one packet
-# lost (200 ms). An order that is sent again has the same run number, so a short time is safe.
+# Timeout for the reply to an order: the longest round trip (16 ms between regions) with one lost
+# packet (200 ms). A repeated order has the same run number, so a short timeout is safe.
 ORDER_S = 0.25
+# Default retention time of closed flows.
 KEEP_S = 120.0
 
 
 class FlowTiming:
-    """Intervals in seconds.
+    """Intervals and timeouts in seconds.
 
     :param lease_s: duration of the lease of a worker.
-    :param margin_s: time that a worker may need to end what runs after its lease.
-    :param wait_s: longest time for which a worker is asked to wait for an end.
-    :param order_s: time for the answer to an order.
-    :param election_min_s: silence after which members look for another leader.
-    :param keep_s: time for which the outcome of a flow is kept.
+    :param margin_s: time that a worker may need to end its runs after its lease has expired.
+    :param wait_s: longest wait of a status poll for an end on the worker.
+    :param order_s: timeout for the reply to an order.
+    :param election_min_s: shortest election timeout of the group.
+    :param keep_s: time for which the outcome of a closed flow is kept.
     """
 
     __slots__ = ("election_min_s", "keep_s", "lease_s", "margin_s", "order_s", "wait_s")
@@ -38,11 +39,12 @@
 
     @classmethod
     def derive(cls, *, lease_max_s, thaw_s, contact_s, status_s=KEEP_S):
-        """Return intervals that keep the bounds of a platform.
+        """Return intervals that meet the guarantees of a platform.
 
         :param lease_max_s: longest lease that workers accept.
-        :param thaw_s: time that a resumed worker may take to notice that its lease is over.
-        :param status_s: time for which callers may ask for the outcome of a flow.
+        :param thaw_s: time that a worker resumed from a pause may take to notice that its lease
+            has expired.
+        :param status_s: time for which callers may query the outcome of a flow.
         :param contact_s: time within which the system has to work again after a disruption.
         """
         lease_s = min(LEASE_S, lease_max_s)
--- a/siskintally/flow_trace.py
+++ b/siskintally/flow_trace.py
@@ -1,4 +1,4 @@
-"""What the logs of stores tell of each flow: acceptance, advice, starts, ends.
+"""Timeline of each flow from the logs of stores: acceptance, advice, starts, and ends.
 
 >>> from siskintally.flow_trace import collect, read_events
 >>> line = '{"event": "flow accepted", "flow": "f", "queue": "q", "timestamp": '
@@ -19,7 +19,7 @@
 class TaskTrace:
     """Starts and ends of one task.
 
-    ``starts``: times in s since 1970. ``ends``: (time, how) pairs, in the order of the log.
+    ``starts``: Unix times in s. ``ends``: (Unix time, how) pairs. Both in the order of the log.
     """
 
     __slots__ = ("ends", "starts")
@@ -30,15 +30,16 @@
 
     @property
     def done_at(self):
-        """Time at which it ended as done, or None."""
+        """Unix time at which the task was first done, or None."""
         return next((at for at, how in self.ends if how == "DONE"), None)
 
 
 class FlowTrace:
-    """One accepted flow.
+    """Timeline of one accepted flow.
 
-    ``steps``: :class:`~siskintally.step_text.StepShape` objects. ``task_by_id``:
-    :class:`TaskTrace`. ``advice_by_step``: times of answers of the advice service by step id.
+    ``steps``: :class:`~siskintally.step_text.StepShape` objects, empty if the log has none.
+    ``task_by_id``: :class:`TaskTrace` objects. ``advice_by_step``: Unix times of answers of the
+    advice service, by step id.
     """
 
     __slots__ = ("accepted_at", "advice_by_step", "cancelled", "id", "queue", "steps", "task_by_id")
@@ -53,12 +54,12 @@
         self.advice_by_step = {}
 
     def task(self, name):
-        """Return the trace of a task, also of one that was not seen before."""
+        """Return the trace of a task; create it if there is none."""
         return self.task_by_id.setdefault(name, TaskTrace())
 
 
 def read_events(lines):
-    """Yield (time, fields) of each log line; what comes before the JSON object is left out."""
+    """Yield (Unix time, fields) of each log line; text before the JSON object is skipped."""
     for line in lines:
         begin = line.find("{")
         if begin < 0:
@@ -67,14 +68,14 @@
             fields = loads(line[begin:])
             yield datetime.fromisoformat(fields["timestamp"]).timestamp(), fields
         except (JSONDecodeError, KeyError, TypeError, ValueError):
-            # Lines of other programs stand between those of ours.
+            # The log also contains lines of other programs.
             continue
 
 
 def collect(events):
     """Return :class:`FlowTrace` objects by flow id.
 
-    Leaders repeat what they take over, so only the first acceptance and end count.
+    A new leader logs the flows and ends that it takes over again, so only the first ones count.
     """
     flows = {}
     for at, fields in events:
@@ -91,7 +92,7 @@
     try:
         steps = [parse_step(text) for text in fields.get("steps", ())]
     except BadRequestError:
-        # The log of another version has no steps; the flow cannot be split then.
+        # The log of another version may lack the steps; no breakdown is possible then.
         steps = []
     flows[flow_id] = FlowTrace(
         flow_id=flow_id, queue=fields.get("queue", ""), accepted_at=at, steps=steps
--- a/siskintally/long_poll.py
+++ b/siskintally/long_poll.py
@@ -1,4 +1,4 @@
-"""For how long a worker is asked to wait for an end before it answers; pure.
+"""Wait time of status polls, in which a worker waits for an end before it replies; pure.
 
 >>> from siskintally.long_poll import LongPollWait
 >>> wait = LongPollWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
@@ -11,14 +11,14 @@
 
 
 class LongPollWait:
-    """Long waits while all workers answer, short ones for a while after a call got no answer.
+    """Long waits while all workers reply, short ones for a while after a call got no reply.
 
-    An answer that is lost hides every end on its worker until the look times out. A long wait saves
-    looks; a short one finds the loss early.
+    A lost reply hides all ends on its worker until the status poll times out. A long wait reduces
+    the number of polls; a short one detects the loss early.
 
-    :param calm_s: wait while all calls are answered.
-    :param troubled_s: wait after a call without an answer.
-    :param memory_s: time for which a call without an answer is remembered.
+    :param calm_s: wait while all calls get a reply.
+    :param troubled_s: wait after a call without a reply.
+    :param memory_s: time for which the short wait is used after a call without a reply.
     """
 
     __slots__ = ("_calm_s", "_memory_s", "_silent_at", "_troubled_s")
@@ -30,10 +30,10 @@
         self._silent_at = -inf
 
     def note_silence(self, now):
-        """Note that a call to a worker got no answer."""
+        """Record that a call to a worker got no reply."""
         self._silent_at = now
 
     def seconds(self, now):
-        """Return the wait for a look that is sent now."""
+        """Return the wait for a status poll that is sent now, s."""
         is_troubled = now - self._silent_at <= self._memory_s
         return self._troubled_s if is_troubled else self._calm_s
--- a/siskintally/queue_checks.py
+++ b/siskintally/queue_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a configuration of queues as a whole.
+"""Validation of a queue configuration: services, timeouts, prefixes, and duplicates.
 
 >>> from siskintally.control_pb2 import Queue, QueueDocument, WorkerService
 >>> from siskintally.queue_checks import check_document
@@ -10,9 +10,9 @@
 
 
 def check_document(document):
-    """Check a configuration.
+    """Check the queues of a configuration.
 
-    :raises BadRequestError: names the queue and what is wrong.
+    :raises BadRequestError: a queue is invalid; the message says which and why.
     """
     services = {service.name for service in document.services}
     places = set()
@@ -21,11 +21,13 @@
         if queue.service not in services:
             raise BadRequestError(f"queue {queue.name!r}: unknown service {queue.service!r}")
         if not queue.timeout_ms:
-            raise BadRequestError(f"queue {queue.name!r}: a timeout of 0")
+            raise BadRequestError(f"queue {queue.name!r}: timeout must not be 0")
         if not queue.prefix.startswith("/"):
-            raise BadRequestError(f"queue {queue.name!r}: prefix {queue.prefix!r} without a slash")
+            raise BadRequestError(
+                f"queue {queue.name!r}: prefix {queue.prefix!r} must start with a slash"
+            )
         place = (queue.host, queue.prefix)
         if place in places or queue.name in names:
-            raise BadRequestError(f"queue {queue.name!r}: used twice")
+            raise BadRequestError(f"queue {queue.name!r}: duplicate name or host and prefix")
         places.add(place)
         names.add(queue.name)
--- a/siskintally/quorum_check.py
+++ b/siskintally/quorum_check.py
@@ -1,4 +1,4 @@
-"""Quorum check of a leader: a quorum is known to follow it at present.
+"""Quorum check of a leader: confirms at intervals that a quorum still follows it.
 
 >>> from siskintally.quorum_check import AUTHORITY_SHARE
 >>> 0 < AUTHORITY_SHARE < 1
@@ -9,15 +9,16 @@
 
 from siskintally.clock import now as steady
 
-# Nobody else can be elected while a quorum has heard this leader within the shortest election
-# timeout, or a share of it that is larger than this one if its process has ended. The rest covers
-# clocks that differ, and members that forget it by a restart.
+# Share of the shortest election timeout for which a confirmation by a quorum lets the leader act.
+# No other leader can be elected while a quorum has heard from this one within that timeout, or
+# within a smaller share of it, still larger than this one, if the leader's process has ended. The
+# rest covers differences between clocks, and members that forget the leader by a restart.
 AUTHORITY_SHARE = 0.5
 CONFIRM_S = 0.15
 
 
 class QuorumCheck:
-    """Rounds that a quorum answers, and how long each lets a leader act.
+    """Confirmations by a quorum, each of which lets the leader act for a limited time.
 
     :param group: :class:`~siskintally.group.Group` whose replica leads.
     :param election_min_s: shortest election timeout of the group.
@@ -32,9 +33,9 @@
         self._confirmed = Event()
 
     async def run(self):
-        """Confirm the authority again and again.
+        """Confirm the leadership at intervals until cancelled.
 
-        :raises SiskintallyError: it is lost.
+        :raises SiskintallyError: leadership is lost.
         """
         while True:
             asked_at = steady()
@@ -47,6 +48,6 @@
             await sleep(CONFIRM_S)
 
     async def wait(self):
-        """Return once a quorum is known to follow; the term ends otherwise."""
+        """Wait until a quorum is known to follow; the end of the term cancels the wait."""
         while steady() >= self._until:
             await self._confirmed.wait()
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -1,4 +1,4 @@
-"""What the reports and answers of workers change in the state of tasks; pure.
+"""Updates of task states from the reports and replies of workers; pure logic.
 
 >>> from siskintally.report_handling import ReportHandling
 >>> ReportHandling.__slots__
@@ -13,23 +13,25 @@
 from siskintally.task_id import TaskId
 from siskintally.throttling import next_percent, worst_ratio
 
-# Failures in a row, without a task done between them, after which a worker gets no more tasks.
+# Failures in a row, without a finished task between them, after which a worker is excluded.
 SHUN_FAILURES = 3
+# Time for which an excluded worker gets no new tasks.
 SHUN_S = 4.0
-# Least time without progress after which a task counts as standing still.
+# Minimum time without progress after which a task counts as stalled.
 STILL_S = 2.5
-# A worker is not taken for standing still while it works this many times slower than estimated.
+# A task is not considered stalled while it may run this many times slower than estimated.
 SLOWEST_FACTOR = 20
-# Run time after which the progress of a task tells the speed of its worker, and the least progress;
-# a start takes a moment, and percents are whole.
+# Minimum run time and progress of a task from which the speed of its worker is derived: starting
+# takes a moment, and progress is reported in whole percents.
 TELLING_S = 0.3
 TELLING_PERCENT = 5
-# Progress is taken for slow from this ratio on; rough estimates alone seldom reach it.
+# Minimum ratio of run time to estimate that counts as slow; inaccurate estimates alone seldom
+# reach it.
 SLOW_RATIO = 2.0
 
 
 def stands_still(task, now):
-    """Tell whether a task makes no progress though nothing slows it on purpose.
+    """Return whether a task makes no progress although it is not throttled.
 
     :param now: steady time, s.
     """
@@ -38,21 +40,21 @@
     quiet_s = now - task.progress_at
     if task.step.spec.lasting:
         return task.percent < 100 and quiet_s > STILL_S
-    # Even a worker that is slowed several times shows a percent more within this time.
+    # Even on a worker that is slowed several times, a task gains 1 % within this time.
     slow_s = SLOWEST_FACTOR * task.step.spec.estimate_ms / 1000 / 100
     return task.percent < 100 and quiet_s > max(STILL_S, slow_s)
 
 
 class ReportHandling:
-    """The part of a scheduler that takes what workers say."""
+    """Mixin of the scheduler that processes what workers report."""
 
     __slots__ = ()
 
     def report(self, worker, report, asked_at, now):
-        """Take a report of a worker; return the :class:`TaskEnd` messages to commit.
+        """Apply a status report of a worker; return the :class:`TaskEnd` messages to commit.
 
-        :param asked_at: steady time at which the report was asked for; it says nothing of what
-            was ordered after that.
+        :param asked_at: steady time at which the status poll was sent; the report need not cover
+            orders sent after that.
         """
         ends = list(self._take_ends(worker, report.ended, now))
         rows = {row.task_id: row for row in report.running}
@@ -71,7 +73,7 @@
         return ends
 
     def _throttle(self, worker):
-        """Adapt the pace of filling tasks to the latency of those that serve beside them."""
+        """Adapt the throttle of best-effort tasks to the tail latency of long-running tasks."""
         held = list(worker.held_by_task.values())
         percent = next_percent(worker.fill_percent, worst=worst_ratio(held))
         if percent == worker.fill_percent:
@@ -121,13 +123,13 @@
             worker.record_slowdown((now - task.since) / estimate_s, END_WEIGHT, now)
 
     def _note_slow(self, worker, task, now):
-        """Learn from a task that makes little progress, long before it ends."""
+        """Record the slowdown of the worker of a slow task, long before the task ends."""
         estimate_s = task.step.spec.estimate_ms / 1000
         ran_s = now - task.since
         is_comparable = estimate_s > 0 and not task.checkpoint and not task.step.spec.filling
         if not is_comparable or task.state != TaskState.RUNNING or ran_s < TELLING_S:
             return
-        # Below the least percent, the run time so far bounds the ratio from below.
+        # With less progress than that, the run time so far is a lower bound of the ratio.
         share = task.percent / 100 if task.percent >= TELLING_PERCENT else 1.0
         ratio = ran_s / share / estimate_s
         if ratio >= SLOW_RATIO:
@@ -164,7 +166,7 @@
             self.close(step.flow)
 
     def break_gang(self, step, run):
-        """Stop the other members of a gang whose run has ended; all start again together."""
+        """Stop the other members of a gang when one run has ended; all restart together."""
         for task in step.tasks:
             is_member = task.run == run and task.worker is not None
             if is_member and task.state in (TaskState.STARTING, TaskState.RUNNING):
@@ -199,14 +201,14 @@
             self._replace_still(task, now)
 
     def _replace_still(self, task, now):
-        """Start a task elsewhere that does not go on; its worker gets nothing new for a while."""
+        """Stop a stalled task so that it restarts elsewhere; exclude its worker for a while."""
         task.worker.excluded_until = now + SHUN_S
         self.stop(task)
         if task.step.spec.gang:
             self.break_gang(task.step, task.run)
 
     def _claim(self, worker, task, row, now):
-        """Take over a run that a former leader started."""
+        """Adopt a run that a former leader started."""
         step = task.step
         task.state = TaskState.RUNNING
         task.run = row.run
@@ -220,7 +222,7 @@
         self._update(task, row, now)
 
     def _note_vanished(self, worker, rows, asked_at, now):
-        """Free what the worker ran before the report was asked for, and does not list any more."""
+        """Release and requeue runs that are missing from a report requested after they began."""
         for task in list(worker.held_by_task.values()):
             row = rows.get(task.id)
             is_listed = row is not None and row.run == task.run
@@ -234,7 +236,7 @@
                     self.break_gang(task.step, task.run)
 
     def started(self, task, run, now):
-        """Note that a worker has confirmed a start."""
+        """Mark a task as running after its worker confirmed the start."""
         if task.run == run and task.state == TaskState.STARTING:
             task.state = TaskState.RUNNING
             task.since = now
@@ -243,10 +245,10 @@
                 self.throttles.append(ThrottleAction(task, run, worker, worker.fill_percent))
 
     def refused(self, task, run, refusal, now, *, was_sent_before):
-        """Note that a worker has refused a start.
+        """Release and requeue a task after its worker refused the start.
 
-        :param was_sent_before: whether an earlier send of the order may have been carried out. Its
-            end, if there is one, comes with the next report.
+        :param was_sent_before: whether an earlier attempt to send the order may have started the
+            run. Its end, if any, arrives with the next report.
         """
         if task.run != run or task.state not in (TaskState.STARTING, TaskState.STOPPING):
             return
@@ -264,13 +266,13 @@
             self.break_gang(task.step, run)
 
     def stopped(self, action, now):
-        """Note that a worker has confirmed a stop; its room is free when the run is gone."""
+        """Record a confirmed stop; the resources are released when the run has ended."""
         held = action.worker.held_by_task.get(action.task_id)
         if held is not None and held.run == action.run and held.state == TaskState.STOPPING:
             held.since = now
 
     def find(self, name):
-        """Return the task of that name in a flow that is known, or None."""
+        """Return the task with that id, or None if its flow or the task is unknown."""
         task_id = TaskId.parse(name)
         flow = self.flow_by_id.get(task_id.flow) if task_id is not None else None
         if flow is None or not task_id.is_of(flow.flow):
--- a/siskintally/speculation.py
+++ b/siskintally/speculation.py
@@ -1,4 +1,4 @@
-"""Copies of tasks that race with a run on a worker that has gone silent; pure.
+"""Speculative execution: second runs of tasks on unresponsive workers; pure logic.
 
 >>> from siskintally.speculation import Speculation
 >>> Speculation.__slots__
@@ -9,21 +9,21 @@
 
 
 def may_speculate(task):
-    """Tell whether a second run of a task may be started beside the one that it has."""
+    """Return whether a second run of a task may be started beside the current one."""
     spec = task.step.spec
     is_single = spec.speculative and not spec.gang and not spec.lasting
     return is_single and not task.copies and task.step.flow.is_open
 
 
 class Speculation:
-    """The part of a scheduler that starts copies and ends the ones that lost."""
+    """Mixin of the scheduler that requeues tasks speculatively and stops superseded runs."""
 
     __slots__ = ()
 
     def race(self, worker, now):
-        """Let tasks of a silent worker start elsewhere, where their steps allow copies.
+        """Requeue the tasks of an unresponsive worker whose steps allow speculative copies.
 
-        :returns: ids of the tasks.
+        :returns: ids of the requeued tasks.
         """
         raced = []
         for task in list(worker.held_by_task.values()):
@@ -34,14 +34,14 @@
         return raced
 
     def _leave_copy(self, task, now):
-        """Keep the present run as a copy, and let the task wait again."""
+        """Keep the current run as a copy and requeue the task."""
         self._set_aside(task, now)
         task.state = TaskState.WAITING
         task.step.waiting.append(task)
         self._ready((task.step,))
 
     def _set_aside(self, task, now):
-        """Turn the present run of a task into a copy that holds its room."""
+        """Turn the current run of a task into a copy, which takes over its reservation."""
         copy = TaskRun(task_id=task.id, step=task.step, need=task.need)
         copy.copy_of = task
         copy.run, copy.worker, copy.since = task.run, task.worker, task.since
@@ -51,11 +51,11 @@
         task.worker = None
         task.copies.append(copy)
         if copy.state == TaskState.STARTING:
-            # The order may still be carried out; a stop makes the worker refuse it.
+            # The start order may still be executed; after a stop the worker refuses it.
             self.stop(copy)
 
     def _end_copies(self, task, now):
-        """Stop every other run of a task that is done; the first end has won."""
+        """Stop all other runs of a task that is done; the first run to finish counts."""
         if task.worker is not None:
             self._set_aside(task, now)
         for copy in task.copies:
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -1,4 +1,4 @@
-"""Choice of workers for the tasks of steps that are due; pure, with the time passed in.
+"""Placement of waiting tasks on workers; pure logic, callers pass the time in.
 
 >>> from siskintally.step_placement import TICKET_MARGIN_S
 >>> TICKET_MARGIN_S > 0
@@ -8,17 +8,17 @@
 from siskintally.actions import StartAction
 from siskintally.flow import TaskState
 
-# A start has to reach the worker before its ticket ends.
+# A start order has to reach the worker before its ticket expires.
 TICKET_MARGIN_S = 0.15
 
 
 class StepPlacement:
-    """The part of a scheduler that puts waiting tasks on workers."""
+    """Mixin of the scheduler that assigns waiting tasks to workers."""
 
     __slots__ = ()
 
     def place(self, now, wall_ms):
-        """Reserve room for waiting tasks; yield a :class:`StartAction` for each.
+        """Reserve resources for waiting tasks; yield a :class:`StartAction` for each placed one.
 
         :param now: steady time, s.
         :param wall_ms: Unix time, ms.
@@ -30,7 +30,7 @@
                 yield from self._place_tasks(step, now)
 
     def due_steps(self, wall_ms):
-        """Return the steps with tasks to start, in the order in which they get room."""
+        """Return the steps with tasks to start, in the order in which resources are allocated."""
         due = [
             step
             for step in self.ready_by_id.values()
@@ -52,7 +52,7 @@
                 candidates.remove(worker)
 
     def _place_gang(self, step, now):
-        """Place all members or none; within one rack if the step runs faster so."""
+        """Place all members or none; within one rack if the step prefers that and one fits."""
         if len(step.waiting) < len(step.tasks):
             return
         candidates = list(self.candidates(step, now))
@@ -72,7 +72,7 @@
             yield self._assign(step.waiting.pop(), worker, step.gang_run, now)
 
     def _gang_places(self, step, candidates, now):
-        """Return a worker for each member, or None."""
+        """Return a list with a worker for each member, or None if they do not all fit."""
         places = []
         limit = step.spec.max_per_worker or step.spec.tasks
         for worker in sorted(candidates, key=lambda one: self.cost(step, one, now)):
@@ -84,13 +84,13 @@
         return None
 
     def candidates(self, step, now):
-        """Yield the workers on which a task of a step can be started now."""
+        """Yield the eligible workers with a valid ticket and enough free resources."""
         for worker in self.eligible(step, now):
             if self._ticket(step, worker, now) is not None and _has_place(step, worker):
                 yield worker
 
     def eligible(self, step, now):
-        """Yield the workers that a step may use as far as its own terms go."""
+        """Yield the workers that match the service and label of a step and accept tasks."""
         queue = step.flow.queue
         if queue is None:
             return
@@ -104,22 +104,23 @@
                 yield worker
 
     def cost(self, step, worker, now):
-        """Return a key: the worker with the smallest one is taken."""
+        """Return a sort key; the worker with the smallest key is preferred."""
         spec = step.spec
         far = bool(spec.data_rack) and worker.rack != spec.data_rack
         left = worker.cpu_free - step.need.cpu_milli
         if spec.filling:
-            # What fills disturbs what serves, and gets little where it is slowed.
+            # Best-effort tasks disturb tasks with a latency target, and get little processor time
+            # on workers that throttle them.
             return (bool(worker.serving), -worker.fill_percent, far, -left, worker.id)
         if step.flow.priority == 0:
-            # Urgent tasks go to fast workers with the most room.
+            # Urgent tasks go to fast workers with the most free processor time.
             return (far, round(worker.expected_slowdown(now), 1), -left, worker.id)
         if spec.lasting:
             return (far, step.count_by_worker.get(worker.id, 0), -left, worker.id)
         return (far, left, worker.id)
 
     def _ticket(self, step, worker, now):
-        """Return the permit for a worker, "" if none is needed, None if it is missing."""
+        """Return the ticket for a worker, "" if none is needed, None if it is missing."""
         if not step.flow.queue.HasField("advice"):
             return ""
         ticket, ends = step.ticket_by_worker.get(worker.id, ("", 0.0))
--- a/siskintally/step_text.py
+++ b/siskintally/step_text.py
@@ -1,4 +1,4 @@
-"""Short text of what a step asks for, as it stands in the log line of an accepted flow.
+"""Text form of a step in the log line of an accepted flow: written and parsed here.
 
 >>> from siskintally.control_pb2 import FlowStep
 >>> from siskintally.step_text import describe_step, parse_step
@@ -21,7 +21,7 @@
 
 
 class StepShape(NamedTuple):
-    """What a report needs to know of a step; ``after`` are the numbers of earlier steps."""
+    """Parsed text of a step; ``after``: numbers of the steps that it depends on."""
 
     tasks: int
     estimate_s: float
@@ -38,13 +38,13 @@
 
 
 def parse_step(text):
-    """Read the text of a step.
+    """Parse the text of a step.
 
-    :raises BadRequestError: it is no such text.
+    :raises BadRequestError: the text does not describe a step.
     """
     shape, after = _SHAPE.match(text), _AFTER.search(text)
     if shape is None:
-        raise BadRequestError(f"{text[:80]!r}: not the text of a step")
+        raise BadRequestError(f"{text[:80]!r}: expected the text of a step")
     numbers = after[1].split(",") if after else ()
     return StepShape(
         tasks=int(shape[1]),
--- a/siskintally/task_id.py
+++ b/siskintally/task_id.py
@@ -1,4 +1,4 @@
-"""Names of the tasks of a flow: ``flow.occurrence.step.index``.
+"""Ids of the tasks of a flow: ``flow.occurrence.step.index``.
 
 >>> from siskintally.task_id import TaskId
 >>> TaskId.parse("5c0e.0.1.17").index
@@ -11,7 +11,7 @@
 
 
 class TaskId(NamedTuple):
-    """A task; ``occurrence`` is 0 for a flow without a schedule."""
+    """Parsed task id; ``occurrence`` is 0 for a flow without a schedule."""
 
     flow: str
     occurrence: int
@@ -20,14 +20,14 @@
 
     @classmethod
     def parse(cls, text):
-        """Read a name; None if it is not the name of a task."""
+        """Return the parsed id, or None if the text is not a task id."""
         parts = text.split(".") if isinstance(text, str) else ()
         if len(parts) != len(cls._fields) or not all(part.isdecimal() for part in parts[1:]):
             return None
         return cls(parts[0], *map(int, parts[1:]))
 
     def is_of(self, flow):
-        """Tell whether a flow has this task."""
+        """Return whether a flow has this task."""
         return (
             self.flow == flow.id
             and self.occurrence < occurrences(flow)
@@ -40,10 +40,10 @@
 
 
 def occurrences(flow):
-    """Return how often the steps of a flow run."""
+    """Return the number of occurrences of a flow, 1 without a schedule."""
     return max(flow.times, 1)
 
 
 def step_tasks(flow, occurrence, step):
-    """Return the names of the tasks of one step of one occurrence."""
+    """Return the ids of the tasks of one step of one occurrence."""
     return [f"{flow.id}.{occurrence}.{step}.{index}" for index in range(flow.steps[step].tasks)]
--- a/siskintally/throttling.py
+++ b/siskintally/throttling.py
@@ -1,12 +1,13 @@
-"""Pace of filling tasks, so that the tasks that serve beside them keep their latency target; pure.
+"""Throttle of best-effort tasks that protects latency targets of other tasks; pure logic.
 
 >>> from siskintally.throttling import next_percent
 >>> next_percent(100, worst=1.2), next_percent(25, worst=0.8), next_percent(25, worst=0.3)
 (25, 25, 50)
 """
 
-# Above its target a serving task is relieved at once; below this part of it the filling tasks get
-# more again. The band between keeps the pace from swinging.
+# When a task exceeds its latency target, best-effort tasks are throttled at once; when the latency
+# falls below this share of the target, they get more processor time again. The gap between the two
+# prevents oscillation.
 RELIEF_SHARE = 0.6
 THROTTLE_DIVISOR = 4
 SPEEDUP_PERCENT = 25
@@ -14,10 +15,10 @@
 
 
 def next_percent(percent, *, worst):
-    """Return the share of the processor that filling tasks of a worker may use from now on.
+    """Return the new share of the processor, in percent, for best-effort tasks of a worker.
 
-    :param percent: present share, 0 to 100.
-    :param worst: largest ratio of tail latency to target among the serving tasks, 0 for none.
+    :param percent: current share, 0 to 100.
+    :param worst: largest ratio of tail latency to target among the worker's tasks, 0 for none.
     """
     if worst > 1.0:
         lower = percent // THROTTLE_DIVISOR
@@ -28,7 +29,7 @@
 
 
 def worst_ratio(tasks):
-    """Return the largest ratio of tail latency to target among tasks.
+    """Return the largest ratio of tail latency to latency target, 0 without targets.
 
     :param tasks: :class:`~siskintally.flow.TaskRun` objects of one worker.
     """
--- a/siskintally/worker_lease.py
+++ b/siskintally/worker_lease.py
@@ -1,4 +1,4 @@
-"""Lease of one worker in its own clock, as the leader that grants it sees it; pure.
+"""Worker lease, measured on the worker's clock, from the side of the granting leader; pure.
 
 >>> from siskintally.worker_lease import WorkerLease
 >>> lease = WorkerLease(length_s=3.0, margin_s=0.5)
@@ -11,18 +11,18 @@
 
 from math import inf
 
-# Clocks of workers may be this much slower than true time.
+# Lowest rate of a worker's clock relative to true time.
 SLOWEST_CLOCK = 0.98
 
 
 class WorkerLease:
-    """Grants of one leader to one incarnation of a worker.
+    """Lease that one leader grants and renews for one incarnation of a worker.
 
-    ``surely_over``: steady time of this process at which every grant so far has ended.
-    ``until_ms``: end of the last grant on the worker's clock, 0 if there was none.
+    ``surely_over``: steady time of this process by which every grant so far has expired and its
+    runs have ended. ``until_ms``: end of the last grant on the worker's clock, 0 without one.
 
     :param length_s: duration of a grant.
-    :param margin_s: time that a worker may need to end its runs after the lease.
+    :param margin_s: time that a worker may need to end its runs after the lease has expired.
     """
 
     __slots__ = (
@@ -46,14 +46,14 @@
 
     @property
     def is_sampled(self):
-        """Whether the clock of the worker is known."""
+        """Whether there is a reading of the worker's clock."""
         return self._clock_ms is not None
 
     def sample(self, *, clock_ms, sent_at, received_at):
-        """Take a reading of the worker's clock.
+        """Record a reading of the worker's clock; one older than the last is ignored.
 
-        :param sent_at: steady time before which the reading was not taken.
-        :param received_at: steady time at which it had been taken.
+        :param sent_at: earliest steady time at which the reading can have been taken.
+        :param received_at: latest steady time at which it can have been taken.
         """
         if self._clock_ms is None or clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
@@ -61,7 +61,7 @@
             self._received_at = received_at
 
     def grant(self, now):
-        """Return the end of a new grant on the worker's clock, in ms."""
+        """Extend the lease from now; return its end on the worker's clock, in ms."""
         until_ms = int(self._clock_ms + (now - self._sent_at + self._length_s) * 1000)
         left_s = (until_ms - self._clock_ms) / 1000 / SLOWEST_CLOCK
         self.surely_over = max(self.surely_over, self._received_at + left_s + self._margin_s)
@@ -69,10 +69,10 @@
         return self.until_ms
 
     def wait_out(self, until):
-        """Count the grants of former leaders, which end by ``until`` at the latest."""
+        """Account for grants of former leaders, which have expired by steady time ``until``."""
         self.surely_over = max(self.surely_over, until)
 
 
 def longest_s(length_s, margin_s):
-    """Return how long a grant may last in true time."""
+    """Return the longest true time from a grant until its runs have ended, s."""
     return length_s / SLOWEST_CLOCK + margin_s
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -1,4 +1,4 @@
-"""The task that keeps one worker: its lease, its reports, and the orders for it.
+"""Manager of one worker: renews its lease, polls its status, and sends its orders.
 
 >>> from siskintally.worker_manager import ANSWER_S
 >>> ANSWER_S > 0
@@ -15,18 +15,20 @@
 from siskintally.log import get_logger
 from siskintally.worker_lease import WorkerLease
 
-# Time for the answer of a worker beyond the time for which it was asked to wait: over the longest
-# round trip with one packet lost.
+# Timeout of a status poll beyond the wait that the worker was asked for: more than the longest
+# round trip with one lost packet.
 ANSWER_S = 0.5
 RETRY_S = 0.2
-# A worker that is unhealthy gets nothing new for this long.
+# Time for which a worker that could not take a start gets no new tasks.
 BUSY_S = 1.0
 
 log = get_logger("worker-manager")
 
 
 class WorkerManager:
-    """Calls to one incarnation of a worker, on behalf of the leader.
+    """Calls of the leader to one incarnation of a worker.
+
+    ``noted``: number of the worker's last end that is committed.
 
     :param worker: :class:`~siskintally.fleet.FleetWorker`.
     :param leader: :class:`~siskintally.control_leader.ControlLeader`.
@@ -51,15 +53,15 @@
         self._driver = driver
         self._timing = timing
         self._work = Event()
-        # The look before this one ended with a lost connection.
+        # Whether the previous status poll ended with a lost connection.
         self._has_lost_connection = False
 
     def wake(self):
-        """Look at the worker again if it was left alone."""
+        """Poll the worker now instead of waiting for the next reason or retry."""
         self._work.set()
 
     async def run(self):
-        """Keep the worker until it is lost."""
+        """Poll the worker until it is lost."""
         try:
             while self.worker.status != WorkerStatus.LOST:
                 if self._is_idle():
@@ -84,7 +86,7 @@
         asked_at = steady()
         may_wait = is_sound and not worker.foreign
         wait_s = self._leader.poll_wait.seconds(asked_at) if may_wait else 0.0
-        # A worker that does not answer gets no longer lease, or it would never be over.
+        # The lease of an unresponsive worker is not renewed, or it would never expire.
         may_grant = self.lease.is_sampled and is_sound
         until_ms = self.lease.grant(asked_at) if may_grant else None
         worker.lease_until = self.lease.surely_over
@@ -111,7 +113,7 @@
         self.lease.sample(clock_ms=report.clock_ms, sent_at=asked_at, received_at=received_at)
         await self._leader.take_report(self, report, asked_at)
         if worker.foreign:
-            # Foreign runs are gone when their ends are listed; a stop takes a moment.
+            # Unexpected runs count until their ends are reported; a stop takes a moment.
             await sleep(RETRY_S)
 
     async def _failed(self, error):
@@ -119,7 +121,8 @@
         now = steady()
         self._leader.poll_wait.note_silence(now)
         if isinstance(error, ConnectionLostError) and not self._has_lost_connection:
-            # One reset tells nothing of the worker; a second look over a new connection does.
+            # A single reset says nothing about the worker; a second failure, on a new connection,
+            # does.
             self._has_lost_connection = True
             log.info("look repeated", worker=worker.id, error=str(error)[:120])
             return
@@ -134,7 +137,7 @@
             await self._work.wait()
 
     async def start(self, action):
-        """Send a start until it is confirmed, refused, or pointless."""
+        """Send a start order until it is confirmed, refused, or obsolete."""
         task, run = action.task, action.run
         was_sent = False
         while (
@@ -151,7 +154,7 @@
             await sleep(0.02)
 
     async def _try_start(self, action, was_sent):
-        """Return (answer or None, whether the order may have been carried out)."""
+        """Return (refusal code or None without a reply, whether the order may be executed)."""
         if not self.lease.is_sampled:
             self.wake()
             await sleep(0.05)
@@ -205,7 +208,7 @@
 
     def _avoid(self, error):
         self.worker.excluded_until = steady() + BUSY_S
-        log.info("start not taken", worker=self.worker.id, error=str(error)[:120])
+        log.info("start not delivered", worker=self.worker.id, error=str(error)[:120])
         self.wake()
 
     def _sample(self, reply, sent_at):
@@ -213,7 +216,7 @@
             self.lease.sample(clock_ms=reply.clock_ms, sent_at=sent_at, received_at=steady())
 
     async def throttle(self, action):
-        """Send a pace order while it is the newest for its run."""
+        """Send a throttle order until it is confirmed or superseded."""
         task = action.task
         order = Order(
             task_id=task.id, run=action.run, fence=self._leader.term, percent=action.percent
@@ -231,13 +234,15 @@
                 self._leader.gone(self.worker, str(error))
                 return
             except (UnreachableError, OutcomeUnknownError, BusyError) as error:
-                log.info("pace repeated", task=task.id, run=action.run, error=str(error)[:120])
+                log.info(
+                    "throttle order repeated", task=task.id, run=action.run, error=str(error)[:120]
+                )
                 await sleep(RETRY_S)
                 continue
             return
 
     async def stop(self, action):
-        """Send a stop until it is confirmed or nothing can run there any more."""
+        """Send a stop order until it is confirmed or nothing can run on the worker any more."""
         order = Order(task_id=action.task_id, run=action.run, fence=self._leader.term)
         while self.worker.status in (
             WorkerStatus.UNSEEN,
