--- a/siskintally/advice_client_pool.py
+++ b/siskintally/advice_client_pool.py
@@ -2,20 +2,20 @@
 
 The service handles one call at a time per VM, so each linked process is one client.
 
->>> from siskintally.advice_client_pool import reserved
->>> reserved(9), reserved(2)
+>>> from siskintally.advice_client_pool import reserved_count
+>>> reserved_count(9), reserved_count(2)
 (2, 0)
 """
 
 from abc import ABC, abstractmethod
 
 # Most clients that are reserved for quick calls.
-QUICK_CLIENTS = 2
+MAX_RESERVED_CLIENTS = 2
 
 
-def reserved(count):
+def reserved_count(count):
     """Return how many of ``count`` clients are reserved for quick calls."""
-    return min(QUICK_CLIENTS, count // 3)
+    return min(MAX_RESERVED_CLIENTS, count // 3)
 
 
 class AdviceClient(ABC):
@@ -46,7 +46,7 @@
         self._clients = clients
         self._busy = set()
 
-    def take(self, *, is_quick):
+    def acquire(self, *, is_quick):
         """Return a free client and mark it as busy, or None.
 
         Slow calls use the farthest clients and leave some free, so that a quick call never waits
@@ -55,13 +55,13 @@
         clients = list(self._clients())
         free = [client for client in clients if client.name not in self._busy]
         if not is_quick:
-            free = free[reserved(len(clients)) :]
+            free = free[reserved_count(len(clients)) :]
             free.reverse()
         if not free:
             return None
         self._busy.add(free[0].name)
         return free[0]
 
-    def give_back(self, client):
+    def release(self, client):
         """Mark a client as free."""
         self._busy.discard(client.name)
--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -14,7 +14,7 @@
 # Workers named in one call.
 MAX_WORKERS = 100
 # Calls expected to take longer than this may not use the clients reserved for quick calls.
-QUICK_S = 0.15
+QUICK_CALL_MAX_S = 0.15
 # Delay before a step asks again after a call that failed or granted no permit.
 RETRY_S = 0.25
 
@@ -32,7 +32,7 @@
     @property
     def is_quick(self):
         """Whether the call may use a client reserved for quick calls."""
-        return self.expected_s <= QUICK_S
+        return self.expected_s <= QUICK_CALL_MAX_S
 
 
 class AdvicePlanning:
@@ -40,80 +40,90 @@
 
     __slots__ = ()
 
-    def advice_wanted(self, now, wall_ms):
+    def plan_advice_calls(self, now, wall_ms):
         """Yield an :class:`AdviceAction` for each step that should ask now, by priority."""
-        for step in (*self.due_steps(wall_ms), *self._next_steps(now)):
-            if step.asking or now < step.next_ask or not step.flow.is_open:
+        for step in (*self.due_steps(wall_ms), *self._steps_ready_soon(now)):
+            if step.is_asking or now < step.next_ask_at or not step.flow.is_open:
                 continue
             queue = step.flow.queue
             if queue is None or not queue.HasField("advice"):
                 continue
-            workers = self._to_ask(step, now)
+            workers = self._workers_to_ask(step, now)
             if workers:
                 terms = queue.advice
                 expected_s = (terms.decide_ms + terms.per_worker_ms * len(workers)) / 1000
                 yield AdviceAction(step=step, worker_ids=workers, expected_s=expected_s)
 
-    def _next_steps(self, now):
+    def _steps_ready_soon(self, now):
         """Yield steps whose last dependency ends soon, so that their permits arrive in time."""
         for step in self.running_steps():
-            for follower in step.followers:
-                if follower.blockers == 1 and not follower.ticket_by_worker:
-                    queue = follower.flow.queue
+            for dependent in step.dependents:
+                if dependent.unfinished_dependencies == 1 and not dependent.ticket_by_worker:
+                    queue = dependent.flow.queue
                     if queue is None or not queue.HasField("advice"):
                         continue
                     lead_s = (queue.advice.decide_ms + 200) / 1000
-                    if self._ends_in(step, now) <= lead_s:
-                        yield follower
+                    if self._remaining_s(step, now) <= lead_s:
+                        yield dependent
 
-    def _ends_in(self, step, now):
+    def _remaining_s(self, step, now):
         """Return the estimated time until a step ends, s; infinite if a task is not running."""
-        latest = 0.0
+        longest_s = 0.0
         for task in step.tasks:
             if task.state == TaskState.DONE:
                 continue
             if task.state != TaskState.RUNNING:
                 return inf
-            whole_s = step.spec.estimate_ms / 1000 * task.worker.expected_slowdown(now)
-            latest = max(latest, task.since + whole_s - now)
-        return latest
+            run_s = step.spec.estimate_ms / 1000 * task.worker.expected_slowdown(now)
+            longest_s = max(longest_s, task.since + run_s - now)
+        return longest_s
 
-    def _to_ask(self, step, now):
+    def _workers_to_ask(self, step, now):
         """Return ids of the workers to ask about, none if there are enough permits.
 
         Urgent steps and steps that are not ready ask also about workers that are full now.
         """
-        eligible = [one for one in self.eligible(step, now) if one.id not in step.refused]
-        held = sum(one.fits(step.need) for one in eligible if self._is_permitted(step, one, now))
-        wanted = len(step.waiting) or len(step.tasks)
-        if held and (held >= wanted or step.blockers):
+        workers = [
+            worker
+            for worker in self.eligible_workers(step, now)
+            if worker.id not in step.denied_worker_ids
+        ]
+        usable_count = sum(
+            worker.fits(step.resources)
+            for worker in workers
+            if self._is_permitted(step, worker, now)
+        )
+        wanted_count = len(step.waiting) or len(step.tasks)
+        if usable_count and (usable_count >= wanted_count or step.unfinished_dependencies):
             return ()
-        missing = [one for one in eligible if not self._is_permitted(step, one, now)]
-        if step.flow.priority == 0 or step.blockers:
-            chosen = missing
+        unpermitted = [worker for worker in workers if not self._is_permitted(step, worker, now)]
+        if step.flow.priority == 0 or step.unfinished_dependencies:
+            chosen = unpermitted
         else:
-            chosen = [one for one in missing if one.fits(step.need)]
-        chosen.sort(key=lambda one: self.cost(step, one, now))
-        return tuple(one.id for one in chosen[:MAX_WORKERS])
+            chosen = [worker for worker in unpermitted if worker.fits(step.resources)]
+        chosen.sort(key=lambda worker: self.sort_key(step, worker, now))
+        return tuple(worker.id for worker in chosen[:MAX_WORKERS])
 
     def _is_permitted(self, step, worker, now):
-        _, ends = step.ticket_by_worker.get(worker.id, ("", 0.0))
-        return ends - TICKET_MARGIN_S > now
+        _, expires_at = step.ticket_by_worker.get(worker.id, ("", 0.0))
+        return expires_at - TICKET_MARGIN_S > now
 
-    def advised(self, action, tickets, valid_until, now):
+    def apply_advice(self, action, tickets, valid_until, now):
         """Store the tickets and denials from an answer of the advice service.
 
         :param tickets: :class:`~siskintally.driver.Ticket` objects, None after a failed call.
         :param valid_until: steady time at which the tickets expire.
         """
         step = action.step
-        step.asking = False
+        step.is_asking = False
         if tickets is None:
-            step.next_ask = now + RETRY_S
+            step.next_ask_at = now + RETRY_S
             return
         allowed = {ticket.worker_id for ticket in tickets}
-        step.refused.update(one for one in action.worker_ids if one not in allowed)
+        step.denied_worker_ids.update(
+            worker_id for worker_id in action.worker_ids if worker_id not in allowed
+        )
         for ticket in tickets:
             step.ticket_by_worker[ticket.worker_id] = (ticket.text, valid_until)
         if not allowed:
-            step.next_ask = now + RETRY_S
+            step.next_ask_at = now + RETRY_S
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -1,7 +1,7 @@
 """Leader of a control group during its term: places tasks, manages workers, commits ends.
 
->>> from siskintally.control_leader import GATHER_S, IDLE_PASS_S
->>> GATHER_S < IDLE_PASS_S
+>>> from siskintally.control_leader import PASS_DELAY_S, MAX_PASS_INTERVAL_S
+>>> PASS_DELAY_S < MAX_PASS_INTERVAL_S
 True
 """
 
@@ -21,19 +21,19 @@
 from siskintally.log import get_logger
 from siskintally.long_poll import LongPollWait
 from siskintally.quorum_check import QuorumCheck
-from siskintally.worker_lease import longest_s
+from siskintally.worker_lease import longest_grant_s
 from siskintally.worker_manager import WorkerManager
 
 # Events within this time share one placement pass.
-GATHER_S = 0.004
+PASS_DELAY_S = 0.004
 # Longest time between placement passes.
-IDLE_PASS_S = 0.1
+MAX_PASS_INTERVAL_S = 0.1
 # Interval of the check for closed flows to forget.
-RETIRE_S = 10.0
+RETENTION_CHECK_S = 10.0
 # Wait of a status poll, and for how long it applies, after a call without a reply: faults of
 # workers or links leave calls without a reply for seconds.
-TROUBLED_WAIT_S = 0.3
-TROUBLE_MEMORY_S = 3.0
+REDUCED_WAIT_S = 0.3
+REDUCED_WAIT_PERIOD_S = 3.0
 
 log = get_logger("control-leader")
 
@@ -53,12 +53,12 @@
     """
 
     __slots__ = (
+        "_cancel_scope",
         "_counters",
+        "_dispatcher",
         "_driver",
         "_group",
         "_manager_by_worker",
-        "_orders",
-        "_scope",
         "_tasks",
         "_timing",
         "_wake",
@@ -76,18 +76,20 @@
         self.scheduler = FlowScheduler(term=group.term)
         self._group = group
         self._driver = driver
-        self._orders = FlowDispatcher(
+        self._dispatcher = FlowDispatcher(
             leader=self, advice_clients=AdviceClientPool(clients=advice_clients), counters=counters
         )
         self._timing = timing
         self._counters = counters
         self._manager_by_worker = {}
         self.poll_wait = LongPollWait(
-            calm_s=timing.wait_s, troubled_s=TROUBLED_WAIT_S, memory_s=TROUBLE_MEMORY_S
+            normal_wait_s=timing.max_wait_s,
+            reduced_wait_s=REDUCED_WAIT_S,
+            reduced_period_s=REDUCED_WAIT_PERIOD_S,
         )
         self.quorum_check = QuorumCheck(group=group, election_min_s=timing.election_min_s)
         self._wake = Event()
-        self._scope = None
+        self._cancel_scope = None
         self._tasks = None
         self.is_over = False
 
@@ -96,62 +98,62 @@
         now = steady()
         log.info("term begins", term=self.term, flows=len(self.state.flow_by_id))
         self.scheduler.restore(self.state, now)
-        former_leases = now + longest_s(self._timing.lease_s, self._timing.margin_s)
+        former_leases = now + longest_grant_s(self._timing.lease_s, self._timing.margin_s)
         async with create_task_group() as tasks:
             self._tasks = tasks
-            self._scope = tasks.cancel_scope
+            self._cancel_scope = tasks.cancel_scope
             for worker in list(self.scheduler.worker_by_id.values()):
-                self._manage(worker).lease.wait_out(former_leases)
-            tasks.start_soon(self._hold_authority)
-            tasks.start_soon(self._pass_on)
-            tasks.start_soon(self._retire)
+                self._start_manager(worker).lease.include_former_grants(former_leases)
+            tasks.start_soon(self._run_quorum_check)
+            tasks.start_soon(self._run_passes)
+            tasks.start_soon(self._forget_closed_flows)
         self.is_over = True
         log.info("term over", term=self.term)
 
     def cancel(self):
         """End the term because this store is no longer the leader."""
-        if self._scope is not None:
-            self._scope.cancel()
+        if self._cancel_scope is not None:
+            self._cancel_scope.cancel()
 
-    def deposed(self, reason):
+    def end_term(self, reason):
         """End the term because leadership is lost or in doubt."""
         log.warning("deposed", term=self.term, reason=reason)
         self.cancel()
 
-    async def _hold_authority(self):
+    async def _run_quorum_check(self):
         try:
             await self.quorum_check.run()
         except SiskintallyError as error:
-            self.deposed(str(error))
+            self.end_term(str(error))
 
-    async def _retire(self):
+    async def _forget_closed_flows(self):
         """Remove closed flows from the state after their retention time."""
-        retention = FlowRetention(keep_s=self._timing.keep_s)
+        retention = FlowRetention(retention_s=self._timing.retention_s)
         while True:
-            await sleep(RETIRE_S)
+            await sleep(RETENTION_CHECK_S)
             flows = self.state.flow_by_id.values()
             closed = [state.flow.id for state in flows if state.outcome != Outcome.OPEN]
-            old = retention.old(closed, steady())
-            if old:
-                log.info("flows forgotten", count=len(old))
+            expired = retention.expired(closed, steady())
+            if expired:
+                log.info("flows forgotten", count=len(expired))
                 try:
-                    await self.propose(forget=FlowIds(ids=old))
+                    await self.propose(forget=FlowIds(ids=expired))
                 except (NotLeaderError, OutcomeUnknownError) as error:
-                    self.deposed(str(error))
+                    self.end_term(str(error))
 
     def wake(self):
         """Request a placement pass."""
         self._wake.set()
 
-    async def _pass_on(self):
+    async def _run_passes(self):
         while True:
-            with move_on_after(IDLE_PASS_S):
+            with move_on_after(MAX_PASS_INTERVAL_S):
                 await self._wake.wait()
-            await sleep(GATHER_S)
+            await sleep(PASS_DELAY_S)
             self._wake = Event()
-            self._orders.run_pass(steady(), int(time() * 1000), self._tasks)
+            self._dispatcher.run_pass(steady(), int(time() * 1000), self._tasks)
 
-    def _manage(self, worker):
+    def _start_manager(self, worker):
         manager = WorkerManager(
             worker=worker, leader=self, driver=self._driver, timing=self._timing
         )
@@ -168,15 +170,15 @@
 
         :param received_at: steady time at which the announcement, with its clock reading, arrived.
         """
-        known = self.scheduler.worker_by_id.get(record.id)
-        is_new = known is None or known.record.born_ms != record.born_ms
-        if is_new and known is not None:
+        existing = self.scheduler.worker_by_id.get(record.id)
+        is_new = existing is None or existing.record.born_ms != record.born_ms
+        if is_new and existing is not None:
             self._manager_by_worker[record.id].wake()
         self.scheduler.join(record, is_new=is_new)
         worker = self.scheduler.worker_by_id[record.id]
-        manager = self._manage(worker) if is_new else self._manager_by_worker[record.id]
+        manager = self._start_manager(worker) if is_new else self._manager_by_worker[record.id]
         if record.clock_ms:
-            manager.lease.sample(
+            manager.lease.sample_clock(
                 clock_ms=record.clock_ms, sent_at=received_at, received_at=received_at
             )
         if worker.status == WorkerStatus.LAPSED:
@@ -198,9 +200,9 @@
         """Wait until the state contains all commands committed before the call."""
         await self._group.confirm()
 
-    async def take_report(self, manager, report, asked_at):
+    async def handle_report(self, manager, report, asked_at):
         """Apply a status report; commit its ends before they are acknowledged to the worker."""
-        ends = self.scheduler.report(manager.worker, report, asked_at, steady())
+        ends = self.scheduler.apply_report(manager.worker, report, asked_at, steady())
         self.wake()
         if ends:
             for end in ends:
@@ -210,50 +212,52 @@
             try:
                 await self.propose(ends=EndBatch(ends=ends))
             except (NotLeaderError, OutcomeUnknownError) as error:
-                self.deposed(str(error))
+                self.end_term(str(error))
                 return
-        manager.noted = max([manager.noted, *(row.number for row in report.ended)])
+        manager.committed_end_number = max(
+            [manager.committed_end_number, *(row.number for row in report.ended)]
+        )
 
-    def started(self, action):
+    def handle_started(self, action):
         """Process a confirmed start."""
-        self.scheduler.started(action.task, action.run, steady())
+        self.scheduler.apply_started(action.task, action.run, steady())
 
-    def refused(self, action, refusal, *, was_sent_before):
+    def handle_refused(self, action, refusal, *, was_sent_before):
         """Process a refused start."""
         log.info("start refused", task=action.task.id, run=action.run, reason=refusal.name)
         self._counters.starts_refused.labels(refusal.name).inc()
         if refusal.name == "FENCED":
-            self.deposed(f"worker {action.worker.id} has a higher fence")
+            self.end_term(f"worker {action.worker.id} has a higher fence")
             return
-        self.scheduler.refused(
+        self.scheduler.apply_refusal(
             action.task, action.run, refusal, steady(), was_sent_before=was_sent_before
         )
         self.wake()
 
-    def stop_confirmed(self, action):
+    def handle_stopped(self, action):
         """Process a confirmed stop."""
-        self.scheduler.stopped(action, steady())
+        self.scheduler.apply_stopped(action, steady())
 
-    def suspected(self, worker):
+    def handle_suspect(self, worker):
         """Requeue tasks of an unresponsive worker for speculative copies elsewhere."""
-        raced = self.scheduler.race(worker, steady())
-        if raced:
-            log.info("copies wanted", worker=worker.id, tasks=len(raced), first=raced[0])
+        task_ids = self.scheduler.speculate(worker, steady())
+        if task_ids:
+            log.info("copies wanted", worker=worker.id, tasks=len(task_ids), first=task_ids[0])
             self.wake()
 
-    def lapsed(self, worker):
+    def handle_lease_expired(self, worker):
         """Process the expired lease of a worker."""
         self._counters.workers_lapsed.inc()
-        log.warning("worker lapsed", worker=worker.id, held=len(worker.held_by_task))
-        self.scheduler.lapse(worker)
+        log.warning("worker lapsed", worker=worker.id, held=len(worker.task_by_id))
+        self.scheduler.expire_lease(worker)
         self.wake()
 
-    def gone(self, worker, reason):
+    def handle_worker_lost(self, worker, reason):
         """Process the loss of a worker incarnation that no longer exists."""
         if worker.status == WorkerStatus.LOST:
             return
         log.warning("worker lost", worker=worker.id, reason=reason[:120])
-        self.scheduler.lose(worker)
+        self.scheduler.remove_worker(worker)
         manager = self._manager_by_worker.get(worker.id)
         if manager is not None and manager.worker is worker:
             manager.wake()
@@ -265,4 +269,4 @@
         try:
             await self.propose(leave=WorkerKey(id=record.id, born_ms=record.born_ms))
         except (NotLeaderError, OutcomeUnknownError) as error:
-            self.deposed(str(error))
+            self.end_term(str(error))
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -24,7 +24,7 @@
     TaskStart,
 )
 from siskintally.state_machine import StateMachine
-from siskintally.task_id import TaskId, occurrences, step_tasks
+from siskintally.task_id import TaskId, occurrence_count, step_task_ids
 
 
 class Outcome(IntEnum):
@@ -69,13 +69,13 @@
         self.start_by_task = {}
         self.remaining = sum(
             float("inf") if step.lasting else step.tasks for step in flow.steps
-        ) * occurrences(flow)
+        ) * occurrence_count(flow)
 
-    def note_start(self, start):
+    def record_start(self, start):
         """Record the start of a task in place of its previous one."""
         if self.outcome == Outcome.OPEN and start.task not in self.done:
-            known = Start(run=start.run, worker=start.worker, born_ms=start.born_ms)
-            self.start_by_task[start.task] = known
+            recorded = Start(run=start.run, worker=start.worker, born_ms=start.born_ms)
+            self.start_by_task[start.task] = recorded
 
     def close(self, outcome):
         """Record the outcome of an open flow; its tasks are not started again."""
@@ -83,12 +83,12 @@
             self.outcome = outcome
             self.start_by_task.clear()
 
-    def note_done(self, task):
+    def record_done(self, task):
         """Record that a task is done; the end of one gang member counts for all members."""
         step = self.flow.steps[task.step]
         if step.lasting:
             return
-        ended = step_tasks(self.flow, task.occurrence, task.step) if step.gang else (str(task),)
+        ended = step_task_ids(self.flow, task.occurrence, task.step) if step.gang else (str(task),)
         for name in ended:
             if name not in self.done:
                 self.done.add(name)
@@ -97,7 +97,7 @@
         if not self.remaining:
             self.close(Outcome.COMPLETED)
 
-    def note_failure(self, task, run, max_attempts):
+    def record_failure(self, task, run, max_attempts):
         """Count a failed attempt; the flow fails when a task has used up its attempts.
 
         Two leaders may report the same end, so each run counts once.
@@ -113,8 +113,8 @@
             return
         count = before.count + 1
         self.failures_by_task[name] = Failures(count=count, last_run=run)
-        is_over = max_attempts is not None and count >= max_attempts
-        if is_over:
+        is_exhausted = max_attempts is not None and count >= max_attempts
+        if is_exhausted:
             self.close(Outcome.FAILED)
 
 
@@ -152,21 +152,21 @@
         for start in batch.starts:
             task = TaskId.parse(start.task)
             state = self.flow_by_id.get(task.flow) if task is not None else None
-            if state is not None and task.is_of(state.flow):
-                state.note_start(start)
+            if state is not None and task.belongs_to(state.flow):
+                state.record_start(start)
 
     def _apply_ends(self, batch):
         for end in batch.ends:
             task = TaskId.parse(end.task)
             state = self.flow_by_id.get(task.flow) if task is not None else None
-            if state is None or not task.is_of(state.flow):
+            if state is None or not task.belongs_to(state.flow):
                 continue
             if end.how == TaskEnd.DONE:
-                state.note_done(task)
+                state.record_done(task)
             else:
                 queue = self.queue(state.flow.queue)
-                limit = queue.max_attempts if queue is not None else None
-                state.note_failure(task, end.run, limit)
+                max_attempts = queue.max_attempts if queue is not None else None
+                state.record_failure(task, end.run, max_attempts)
 
     def _apply_document(self, document):
         if document.version > self.document.version:
@@ -188,7 +188,7 @@
         """Return the whole state as bytes."""
         snapshot = ControlSnapshot(
             document=self.document,
-            flows=[_record(state) for state in self.flow_by_id.values()],
+            flows=[_flow_record(state) for state in self.flow_by_id.values()],
             workers=list(self.worker_by_id.values()),
         )
         return snapshot.SerializeToString(deterministic=True)
@@ -197,37 +197,39 @@
         """Replace the state with a snapshot."""
         snapshot = ControlSnapshot.FromString(data)
         self.document = snapshot.document
-        self.worker_by_id = {worker.id: _copy(PoolWorker, worker) for worker in snapshot.workers}
-        self.flow_by_id = {record.flow.id: _state(record) for record in snapshot.flows}
+        self.worker_by_id = {
+            worker.id: _copy_message(PoolWorker, worker) for worker in snapshot.workers
+        }
+        self.flow_by_id = {record.flow.id: _flow_state(record) for record in snapshot.flows}
 
 
-def _record(state):
+def _flow_record(state):
     return FlowRecord(
         flow=state.flow,
         cancelled=state.outcome == Outcome.CANCELLED,
         failed=state.outcome == Outcome.FAILED,
         done=sorted(state.done),
         failures={
-            name: TaskFailures(count=one.count, last_run=one.last_run)
-            for name, one in state.failures_by_task.items()
+            name: TaskFailures(count=failures.count, last_run=failures.last_run)
+            for name, failures in state.failures_by_task.items()
         },
         starts=[
-            TaskStart(task=name, run=one.run, worker=one.worker, born_ms=one.born_ms)
-            for name, one in state.start_by_task.items()
+            TaskStart(task=name, run=start.run, worker=start.worker, born_ms=start.born_ms)
+            for name, start in state.start_by_task.items()
         ],
     )
 
 
-def _state(record):
-    state = FlowState(flow=_copy(Flow, record.flow))
+def _flow_state(record):
+    state = FlowState(flow=_copy_message(Flow, record.flow))
     state.done = set(record.done)
     state.failures_by_task = {
-        name: Failures(count=one.count, last_run=one.last_run)
-        for name, one in record.failures.items()
+        name: Failures(count=failures.count, last_run=failures.last_run)
+        for name, failures in record.failures.items()
     }
     state.remaining -= len(state.done)
     for start in record.starts:
-        state.note_start(start)
+        state.record_start(start)
     if record.cancelled:
         state.outcome = Outcome.CANCELLED
     elif record.failed:
@@ -237,7 +239,7 @@
     return state
 
 
-def _copy(kind, message):
+def _copy_message(kind, message):
     """Return a copy of a message that does not keep the whole snapshot in memory."""
     copy = kind()
     copy.CopyFrom(message)
--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -1,9 +1,9 @@
 """Workers in the view of the leader: their tasks, free resources, and observed speed.
 
 >>> from siskintally.control_pb2 import PoolWorker
->>> from siskintally.fleet import FleetWorker, Need
+>>> from siskintally.fleet import FleetWorker, TaskResources
 >>> worker = FleetWorker(record=PoolWorker(id="w", cpu_milli=4000, memory_mb=100))
->>> worker.fits(Need(cpu_milli=3000, memory_mb=50, accelerators=0))
+>>> worker.fits(TaskResources(cpu_milli=3000, memory_mb=50, accelerators=0))
 True
 """
 
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 
-class Need(NamedTuple):
+class TaskResources(NamedTuple):
     """Resources that one task reserves."""
 
     cpu_milli: int
@@ -20,13 +20,13 @@
     accelerators: int
 
 
-def need_of(step):
+def task_resources(step):
     """Return what a task of a step reserves; best-effort tasks reserve no processor time."""
-    return Need(0 if step.filling else step.cpu_milli, step.memory_mb, step.accelerators)
+    return TaskResources(0 if step.filling else step.cpu_milli, step.memory_mb, step.accelerators)
 
 
 # Time constant of the exponential decay of an observed slowdown: disturbances last some seconds.
-SLOWDOWN_MEMORY_S = 5.0
+SLOWDOWN_DECAY_S = 5.0
 # Weights of an observation in the average: from a finished task, and from the progress of a
 # running one.
 END_WEIGHT = 0.1
@@ -52,47 +52,47 @@
 class FleetWorker:
     """One incarnation of a worker.
 
-    ``held_by_task``: :class:`~siskintally.flow.TaskRun` objects with reserved resources, by task
-    id. ``lease_until``: steady time by which all runs there have ended unless the lease is renewed.
-    ``foreign``: numbers of reported runs that the scheduler does not expect and stops, by task id.
-    ``serving``: number of tasks with a latency target. ``fill_percent``: share of the processor
-    that best-effort tasks may use. ``excluded_until``: steady time before which no new tasks are
-    placed there. ``slowdown``: run time as a multiple of the estimate, averaged at steady time
-    ``slowdown_at``.
+    ``task_by_id``: :class:`~siskintally.flow.TaskRun` objects with reserved resources.
+    ``lease_expires_at``: steady time by which all runs there have ended unless the lease is
+    renewed. ``unexpected_run_by_task``: numbers of reported runs that the scheduler does not expect
+    and stops, by task id. ``latency_task_count``: number of tasks with a latency target.
+    ``best_effort_percent``: share of the processor that best-effort tasks may use.
+    ``excluded_until``: steady time before which no new tasks are placed there. ``slowdown``: run
+    time as a multiple of the estimate, averaged at steady time ``slowdown_at``.
     """
 
     __slots__ = (
-        "cpu_free",
+        "best_effort_percent",
+        "consecutive_failures",
         "excluded_until",
-        "failed_in_a_row",
-        "fill_percent",
-        "foreign",
         "free_accelerators",
-        "held_by_task",
-        "lease_until",
-        "memory_free",
+        "free_cpu_milli",
+        "free_memory_mb",
+        "latency_task_count",
+        "lease_expires_at",
         "record",
-        "serving",
         "slowdown",
         "slowdown_at",
         "status",
+        "task_by_id",
+        "unexpected_run_by_task",
     )
 
     def __init__(self, *, record):
         self.record = record
-        self.held_by_task = {}
-        self.foreign = {}
-        self.lease_until = -inf
+        self.task_by_id = {}
+        self.unexpected_run_by_task = {}
+        self.lease_expires_at = -inf
         self.status = WorkerStatus.UNSEEN
-        self.cpu_free = record.cpu_milli
-        self.memory_free = record.memory_mb
+        self.free_cpu_milli = record.cpu_milli
+        self.free_memory_mb = record.memory_mb
         self.free_accelerators = record.accelerators
-        self.failed_in_a_row = 0
+        self.consecutive_failures = 0
         self.excluded_until = -inf
         self.slowdown = 1.0
         self.slowdown_at = 0.0
-        self.fill_percent = 100
-        self.serving = 0
+        self.best_effort_percent = 100
+        self.latency_task_count = 0
 
     @property
     def id(self):
@@ -105,60 +105,64 @@
         return self.record.rack
 
     @property
-    def is_open(self):
+    def accepts_tasks(self):
         """Whether new tasks may be placed on the worker."""
-        return self.status == WorkerStatus.READY and not self.record.leaving and not self.foreign
+        return (
+            self.status == WorkerStatus.READY
+            and not self.record.leaving
+            and not self.unexpected_run_by_task
+        )
 
-    def fits(self, need):
+    def fits(self, resources):
         """Return whether a task fits into the free resources."""
         return (
-            need.cpu_milli <= self.cpu_free
-            and need.memory_mb <= self.memory_free
-            and need.accelerators <= self.free_accelerators
+            resources.cpu_milli <= self.free_cpu_milli
+            and resources.memory_mb <= self.free_memory_mb
+            and resources.accelerators <= self.free_accelerators
         )
 
-    def room_for(self, need):
+    def capacity_for(self, resources):
         """Return how many tasks of that size fit into the free resources."""
         counts = [
             free // each
             for free, each in (
-                (self.cpu_free, need.cpu_milli),
-                (self.memory_free, need.memory_mb),
-                (self.free_accelerators, need.accelerators),
+                (self.free_cpu_milli, resources.cpu_milli),
+                (self.free_memory_mb, resources.memory_mb),
+                (self.free_accelerators, resources.accelerators),
             )
             if each
         ]
         return max(min(counts, default=0), 0)
 
-    def can_ever_hold(self, need):
+    def fits_when_empty(self, resources):
         """Return whether a task fits on the worker when it is empty."""
         record = self.record
         return (
-            need.cpu_milli <= record.cpu_milli
-            and need.memory_mb <= record.memory_mb
-            and need.accelerators <= record.accelerators
+            resources.cpu_milli <= record.cpu_milli
+            and resources.memory_mb <= record.memory_mb
+            and resources.accelerators <= record.accelerators
         )
 
-    def hold(self, task):
+    def reserve(self, task):
         """Reserve the resources of a task."""
-        self.held_by_task[task.id] = task
-        self.serving += bool(task.step.spec.tail_target_ms)
-        self._take(task.need, 1)
+        self.task_by_id[task.id] = task
+        self.latency_task_count += bool(task.step.spec.tail_target_ms)
+        self._adjust_free(task.resources, 1)
 
     def release(self, task):
         """Release the resources of a task that no longer runs here."""
-        if self.held_by_task.pop(task.id, None) is not None:
-            self.serving -= bool(task.step.spec.tail_target_ms)
-            self._take(task.need, -1)
+        if self.task_by_id.pop(task.id, None) is not None:
+            self.latency_task_count -= bool(task.step.spec.tail_target_ms)
+            self._adjust_free(task.resources, -1)
 
-    def _take(self, need, sign):
-        self.cpu_free -= sign * need.cpu_milli
-        self.memory_free -= sign * need.memory_mb
-        self.free_accelerators -= sign * need.accelerators
+    def _adjust_free(self, resources, sign):
+        self.free_cpu_milli -= sign * resources.cpu_milli
+        self.free_memory_mb -= sign * resources.memory_mb
+        self.free_accelerators -= sign * resources.accelerators
 
     def expected_slowdown(self, now):
         """Return the expected slowdown; it decays to 1 as the last observation ages."""
-        weight = exp(-max(now - self.slowdown_at, 0.0) / SLOWDOWN_MEMORY_S)
+        weight = exp(-max(now - self.slowdown_at, 0.0) / SLOWDOWN_DECAY_S)
         return 1.0 + (self.slowdown - 1.0) * weight
 
     def record_slowdown(self, ratio, weight, now):
@@ -173,7 +177,7 @@
 
     def update(self, record):
         """Replace the record of the worker and adjust the free resources."""
-        self.cpu_free += record.cpu_milli - self.record.cpu_milli
-        self.memory_free += record.memory_mb - self.record.memory_mb
+        self.free_cpu_milli += record.cpu_milli - self.record.cpu_milli
+        self.free_memory_mb += record.memory_mb - self.record.memory_mb
         self.free_accelerators += record.accelerators - self.record.accelerators
         self.record = record
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -6,15 +6,15 @@
 >>> from siskintally.control_pb2 import Flow, FlowStep, Queue
 >>> from siskintally.flow import FlowRun
 >>> flow = Flow(id="f", queue="q", steps=[FlowStep(tasks=2), FlowStep(tasks=1, after=[0])])
->>> run = FlowRun(flow=flow, queue=Queue(name="q"), arrived=0.0)
+>>> run = FlowRun(flow=flow, queue=Queue(name="q"), arrived_at=0.0)
 >>> [step.is_ready for step in run.steps()]
 [True, False]
 """
 
 from enum import IntEnum
 
-from siskintally.fleet import need_of
-from siskintally.task_id import TaskId, occurrences
+from siskintally.fleet import task_resources
+from siskintally.task_id import TaskId, occurrence_count
 
 
 class TaskState(IntEnum):
@@ -32,38 +32,38 @@
 class TaskRun:
     """One task of a step.
 
-    ``failures``: number of failed attempts. ``failed_run``: run number of the last one. A gang
+    ``failures``: number of failed attempts. ``last_failed_run``: run number of the last one. A gang
     counts both at its first task. ``run``: number of the current or last run. ``since``: steady
     time of the last state change. ``worker``: :class:`~siskintally.fleet.FleetWorker` on which
     resources are reserved for the task, or None. ``checkpoint``: checkpoint from which the next
     start resumes, "" for none. ``percent``: progress, or 100 for a long-running task that is
     working. ``progress_at``: steady time of the last change of ``percent``. ``copies``: other runs
     of the task that still have resources reserved, as tasks whose ``copy_of`` is this one.
-    ``tail_ms``: last reported tail latency of a long-running task.
+    ``tail_latency_ms``: last reported tail latency of a long-running task.
     """
 
     __slots__ = (
         "checkpoint",
         "copies",
         "copy_of",
-        "failed_run",
         "failures",
         "id",
-        "need",
+        "last_failed_run",
         "percent",
         "progress_at",
+        "resources",
         "run",
         "since",
         "state",
         "step",
-        "tail_ms",
+        "tail_latency_ms",
         "worker",
     )
 
-    def __init__(self, *, task_id, step, need):
+    def __init__(self, *, task_id, step, resources):
         self.id = task_id
         self.step = step
-        self.need = need
+        self.resources = resources
         self.state = TaskState.WAITING
         self.run = 0
         self.worker = None
@@ -71,39 +71,40 @@
         self.copy_of = None
         self.checkpoint = ""
         self.failures = 0
-        self.failed_run = 0
+        self.last_failed_run = 0
         self.percent = 0
         self.progress_at = 0.0
         self.since = 0.0
-        self.tail_ms = 0
+        self.tail_latency_ms = 0
 
 
 class StepRun:
     """One step of one occurrence.
 
-    ``blockers``: number of unfinished steps that this one depends on. ``followers``: steps that
-    depend on this one. ``waiting``: stack of tasks that can be started. ``count_by_worker``: number
-    of this step's tasks on each worker. ``ticket_by_worker``: permits of the advice service, as
-    (ticket, steady time at which it expires). ``refused``: ids of workers that the advice service
-    denied. ``asking``: whether a call to the advice service is in flight. ``next_ask``: earliest
-    steady time of the next call. ``gang_run``: run number shared by all members of a gang.
+    ``unfinished_dependencies``: number of unfinished steps that this one depends on.
+    ``dependents``: steps that depend on this one. ``waiting``: stack of tasks that can be started.
+    ``task_count_by_worker``: number of this step's tasks on each worker. ``ticket_by_worker``:
+    permits of the advice service, as (ticket, steady time at which it expires).
+    ``denied_worker_ids``: workers that the advice service denied. ``is_asking``: whether a call to
+    the advice service is in flight. ``next_ask_at``: earliest steady time of the next call.
+    ``gang_run``: run number shared by all members of a gang.
     """
 
     __slots__ = (
-        "asking",
-        "blockers",
-        "count_by_worker",
+        "denied_worker_ids",
+        "dependents",
         "flow",
-        "followers",
         "gang_run",
-        "next_ask",
+        "is_asking",
+        "next_ask_at",
         "number",
         "occurrence",
-        "refused",
         "remaining",
         "spec",
+        "task_count_by_worker",
         "tasks",
         "ticket_by_worker",
+        "unfinished_dependencies",
         "waiting",
     )
 
@@ -112,20 +113,24 @@
         self.occurrence = occurrence
         self.number = number
         self.spec = spec
-        self.blockers = len(set(spec.after))
-        self.followers = []
-        need = need_of(spec)
+        self.unfinished_dependencies = len(set(spec.after))
+        self.dependents = []
+        resources = task_resources(spec)
         self.tasks = [
-            TaskRun(task_id=str(TaskId(flow.id, occurrence, number, index)), step=self, need=need)
+            TaskRun(
+                task_id=str(TaskId(flow.id, occurrence, number, index)),
+                step=self,
+                resources=resources,
+            )
             for index in range(spec.tasks)
         ]
         self.remaining = spec.tasks
         self.waiting = list(reversed(self.tasks))
-        self.count_by_worker = {}
+        self.task_count_by_worker = {}
         self.ticket_by_worker = {}
-        self.refused = set()
-        self.asking = False
-        self.next_ask = 0.0
+        self.denied_worker_ids = set()
+        self.is_asking = False
+        self.next_ask_at = 0.0
         self.gang_run = 0
 
     @property
@@ -134,35 +139,35 @@
         return f"{self.flow.id}.{self.occurrence}.{self.number}"
 
     @property
-    def need(self):
+    def resources(self):
         """Resources that each task reserves."""
-        return self.tasks[0].need
+        return self.tasks[0].resources
 
     @property
     def is_ready(self):
         """Whether all steps that it depends on are done."""
-        return not self.blockers
+        return not self.unfinished_dependencies
 
     @property
     def is_due(self):
         """Whether the step has tasks to start and may start them now."""
-        return bool(self.waiting) and not self.blockers and self.flow.is_open
+        return bool(self.waiting) and not self.unfinished_dependencies and self.flow.is_open
 
 
 class FlowRun:
     """One flow that is open, or closed with tasks still on workers.
 
-    ``due``: steady time by which the flow should be done; orders flows of equal priority.
+    ``due_at``: steady time by which the flow should be done; orders flows of equal priority.
     ``started``: whether any task has been started.
 
     :param queue: :class:`~siskintally.control_pb2.Queue`, None if it is no longer configured.
-    :param arrived: steady time of acceptance, or of the start of this leader's term if a former
+    :param arrived_at: steady time of acceptance, or of the start of this leader's term if a former
         leader accepted the flow.
     """
 
     __slots__ = (
-        "arrived",
-        "due",
+        "arrived_at",
+        "due_at",
         "flow",
         "is_open",
         "queue",
@@ -170,23 +175,23 @@
         "step_by_key",
     )
 
-    def __init__(self, *, flow, queue, arrived):
+    def __init__(self, *, flow, queue, arrived_at):
         self.flow = flow
         self.queue = queue
-        self.arrived = arrived
+        self.arrived_at = arrived_at
         self.is_open = True
         self.started = False
         self.step_by_key = {}
-        for occurrence in range(occurrences(flow)):
+        for occurrence in range(occurrence_count(flow)):
             for number, spec in enumerate(flow.steps):
                 step = StepRun(flow=self, occurrence=occurrence, number=number, spec=spec)
                 self.step_by_key[occurrence, number] = step
         for step in self.steps():
             for before in set(step.spec.after):
-                self.step_by_key[step.occurrence, before].followers.append(step)
+                self.step_by_key[step.occurrence, before].dependents.append(step)
         aim_s = queue.aim_ms / 1000 if queue is not None else 0.0
         stretch = queue.stretch if queue is not None else 1.0
-        self.due = arrived + aim_s + max(stretch, 1.0) * self.chain_s()
+        self.due_at = arrived_at + aim_s + max(stretch, 1.0) * self.critical_path_s()
 
     @property
     def id(self):
@@ -209,7 +214,7 @@
         """
         return self.step_by_key[task_id.occurrence, task_id.step].tasks[task_id.index]
 
-    def chain_s(self):
+    def critical_path_s(self):
         """Return the estimated run time of the critical path of one occurrence, s."""
         ends = []
         for spec in self.flow.steps:
@@ -217,7 +222,7 @@
             ends.append(before + spec.estimate_ms / 1000)
         return max(ends, default=0.0)
 
-    def starts_at(self, occurrence):
+    def scheduled_at_ms(self, occurrence):
         """Return the scheduled Unix time of an occurrence in ms, 0 for a flow without schedule."""
         if not self.flow.times:
             return 0
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -24,11 +24,11 @@
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
-    __slots__ = ("_advice_clients", "_counters", "_leader")
+    __slots__ = ("_advice_pool", "_counters", "_leader")
 
     def __init__(self, *, leader, advice_clients, counters):
         self._leader = leader
-        self._advice_clients = advice_clients
+        self._advice_pool = advice_clients
         self._counters = counters
 
     def run_pass(self, now, wall_ms, tasks):
@@ -42,24 +42,24 @@
         actions = list(scheduler.place(now, wall_ms))
         for action in actions:
             self._counters.starts.inc()
-            self._counters.start_seconds.observe(now - action.task.step.flow.arrived)
+            self._counters.start_seconds.observe(now - action.task.step.flow.arrived_at)
             log.info(
                 "start",
                 task=action.task.id,
                 run=action.run,
                 worker=action.worker.id,
                 term=self._leader.term,
-                waited_ms=round((now - action.task.step.flow.arrived) * 1000),
+                waited_ms=round((now - action.task.step.flow.arrived_at) * 1000),
             )
         if actions:
             tasks.start_soon(self._send_starts, actions, tasks)
         self._send_stops(tasks)
-        self._send_paces(tasks)
-        for action in scheduler.advice_wanted(now, wall_ms):
-            client = self._advice_clients.take(is_quick=action.is_quick)
+        self._send_throttles(tasks)
+        for action in scheduler.plan_advice_calls(now, wall_ms):
+            client = self._advice_pool.acquire(is_quick=action.is_quick)
             if client is not None:
-                action.step.asking = True
-                tasks.start_soon(self._ask, client, action)
+                action.step.is_asking = True
+                tasks.start_soon(self._request_advice, client, action)
 
     async def _send_starts(self, actions, tasks):
         """Commit on which workers tasks are started, then send the orders.
@@ -79,14 +79,14 @@
         try:
             await self._leader.propose(starts=StartBatch(starts=starts))
         except (NotLeaderError, OutcomeUnknownError) as error:
-            self._leader.deposed(str(error))
+            self._leader.end_term(str(error))
             return
         for action in actions:
             manager = self._leader.manager_of(action.worker.id)
             if manager is not None and manager.worker is action.worker:
                 tasks.start_soon(manager.start, action)
 
-    def _send_paces(self, tasks):
+    def _send_throttles(self, tasks):
         throttles, self._leader.scheduler.throttles = self._leader.scheduler.throttles, []
         for action in throttles:
             manager = self._leader.manager_of(action.worker.id)
@@ -107,7 +107,7 @@
                 manager.wake()
                 tasks.start_soon(manager.stop, action)
 
-    async def _ask(self, client, action):
+    async def _request_advice(self, client, action):
         tickets = None
         asked_at = steady()
         timeout = action.expected_s + ADVICE_MARGIN_S
@@ -116,12 +116,12 @@
         except SiskintallyError as error:
             log.info("advice failed", step=action.step.id, lane=client.name, error=str(error)[:120])
         finally:
-            self._advice_clients.give_back(client)
+            self._advice_pool.release(client)
         now = steady()
         self._counters.advice_seconds.observe(now - asked_at)
         queue = action.step.flow.queue
         valid_s = queue.advice.valid_ms / 1000 if queue is not None else 0.0
-        self._leader.scheduler.advised(action, tickets, now + valid_s, now)
+        self._leader.scheduler.apply_advice(action, tickets, now + valid_s, now)
         if tickets is not None:
             log.info(
                 "advice",
--- a/siskintally/flow_report.py
+++ b/siskintally/flow_report.py
@@ -18,7 +18,7 @@
 _BAR_LETTERS = dict(zip(PARTS, "aqr#s", strict=True))
 
 
-class Split(NamedTuple):
+class TimeBreakdown(NamedTuple):
     """Time of one completed flow; ``parts``: seconds by name, for the steps of its critical path.
 
     ``estimate_s``: sum of the estimates of those steps.
@@ -31,8 +31,8 @@
     parts: dict
 
 
-def split_flow(flow):
-    """Return the :class:`Split` of a flow, or None if the log does not contain all of it.
+def break_down_flow(flow):
+    """Return the :class:`TimeBreakdown` of a flow, or None if the log does not contain all of it.
 
     :param flow: :class:`~siskintally.flow_trace.FlowTrace`.
     """
@@ -53,7 +53,7 @@
         estimate_s += step.estimate_s
         number = before
     total_s = done[last].done_at - flow.accepted_at
-    return Split(flow.id, flow.queue, total_s, estimate_s, parts)
+    return TimeBreakdown(flow.id, flow.queue, total_s, estimate_s, parts)
 
 
 def _last_task(flow, number):
@@ -84,18 +84,18 @@
     :param flows: :class:`~siskintally.flow_trace.FlowTrace` objects.
     """
     flows = list(flows)
-    splits = [split for split in map(split_flow, flows) if split is not None]
+    breakdowns = [breakdown for breakdown in map(break_down_flow, flows) if breakdown is not None]
     by_queue = {}
-    for split in splits:
-        by_queue.setdefault(split.queue, []).append(split)
-    lines = [f"{len(flows)} flows accepted, {len(splits)} of them completed within these logs"]
-    if not splits:
+    for breakdown in breakdowns:
+        by_queue.setdefault(breakdown.queue, []).append(breakdown)
+    lines = [f"{len(flows)} flows accepted, {len(breakdowns)} of them completed within these logs"]
+    if not breakdowns:
         return lines[0]
     lines += ["", table(_rows(by_queue)), ""]
     lines += [f"{name:<16} {_bar(_means(group))}" for name, group in sorted(by_queue.items())]
     legend = ", ".join(f"{letter} {name}" for name, letter in _BAR_LETTERS.items())
     lines += ["", f"share of the mean time: {legend}", "", "slowest against their estimate:"]
-    lines += [_describe(split) for split in _slowest(splits)]
+    lines += [_describe(breakdown) for breakdown in _slowest(breakdowns)]
     return "\n".join(lines)
 
 
@@ -103,14 +103,14 @@
     yield ("queue", "flows", "mean s", "chain s", *(f"{part} s" for part in PARTS))
     for name, group in sorted(by_queue.items()):
         means = _means(group)
-        total = sum(split.total_s for split in group) / len(group)
-        chain = sum(split.estimate_s for split in group) / len(group)
+        total = sum(breakdown.total_s for breakdown in group) / len(group)
+        chain = sum(breakdown.estimate_s for breakdown in group) / len(group)
         figures = (f"{value:.3f}" for value in (total, chain, *means.values()))
         yield (name, len(group), *figures)
 
 
 def _means(group):
-    return {part: sum(split.parts[part] for split in group) / len(group) for part in PARTS}
+    return {part: sum(breakdown.parts[part] for breakdown in group) / len(group) for part in PARTS}
 
 
 def _bar(means):
@@ -120,13 +120,15 @@
     )
 
 
-def _slowest(splits):
-    return sorted(splits, key=lambda split: split.estimate_s - split.total_s)[:SLOWEST_SHOWN]
+def _slowest(breakdowns):
+    return sorted(breakdowns, key=lambda breakdown: breakdown.estimate_s - breakdown.total_s)[
+        :SLOWEST_SHOWN
+    ]
 
 
-def _describe(split):
-    lost = max((part for part in PARTS if part != "work"), key=split.parts.get)
+def _describe(breakdown):
+    largest = max((part for part in PARTS if part != "work"), key=breakdown.parts.get)
     return (
-        f"{split.flow}  {split.queue}  {split.total_s:.2f} s for a chain of "
-        f"{split.estimate_s:.2f} s, most for {lost} ({split.parts[lost]:.2f} s)"
+        f"{breakdown.flow}  {breakdown.queue}  {breakdown.total_s:.2f} s for a chain of "
+        f"{breakdown.estimate_s:.2f} s, most for {largest} ({breakdown.parts[largest]:.2f} s)"
     )
--- a/siskintally/flow_retention.py
+++ b/siskintally/flow_retention.py
@@ -1,8 +1,8 @@
 """Retention of closed flows: returns those whose retention time is over; pure logic.
 
 >>> from siskintally.flow_retention import FlowRetention
->>> retention = FlowRetention(keep_s=60.0)
->>> retention.old(["f"], now=0.0), retention.old(["f"], now=61.0)
+>>> retention = FlowRetention(retention_s=60.0)
+>>> retention.expired(["f"], now=0.0), retention.expired(["f"], now=61.0)
 ([], ['f'])
 """
 
@@ -10,21 +10,25 @@
 class FlowRetention:
     """Closed flows and the steady times at which they were first seen closed.
 
-    :param keep_s: retention time of the outcome of a flow.
+    :param retention_s: retention time of the outcome of a flow.
     """
 
-    __slots__ = ("_keep_s", "_since_by_flow")
+    __slots__ = ("_closed_at_by_flow", "_retention_s")
 
-    def __init__(self, *, keep_s):
-        self._keep_s = keep_s
-        self._since_by_flow = {}
+    def __init__(self, *, retention_s):
+        self._retention_s = retention_s
+        self._closed_at_by_flow = {}
 
-    def old(self, closed, now):
+    def expired(self, closed, now):
         """Return the ids of flows whose retention time is over.
 
         :param closed: ids of all closed flows.
         :param now: steady time, s.
         """
-        known = self._since_by_flow
-        self._since_by_flow = {one: known.get(one, now) for one in closed}
-        return [one for one, since in self._since_by_flow.items() if now - since > self._keep_s]
+        previous = self._closed_at_by_flow
+        self._closed_at_by_flow = {flow_id: previous.get(flow_id, now) for flow_id in closed}
+        return [
+            flow_id
+            for flow_id, closed_at in self._closed_at_by_flow.items()
+            if now - closed_at > self._retention_s
+        ]
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -29,21 +29,21 @@
 
     ``ready_by_id``: unfinished steps whose dependencies are done. ``stops``, ``throttles``:
     :class:`~siskintally.actions.StopAction` and :class:`~siskintally.actions.ThrottleAction`
-    objects waiting to be sent. ``taken_by_worker``: number of the last end processed from each
+    objects waiting to be sent. ``last_end_by_worker``: number of the last end processed from each
     worker. ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not yet
-    reported in this term. ``_known_flows``: ids of all flows seen in this term.
+    reported in this term. ``_known_flow_ids``: ids of all flows seen in this term.
 
     :param term: term of the leader; also the fence of its orders.
     """
 
     __slots__ = (
-        "_known_flows",
-        "_runs",
+        "_known_flow_ids",
+        "_run_count",
         "_unlocated_by_worker",
         "flow_by_id",
+        "last_end_by_worker",
         "ready_by_id",
         "stops",
-        "taken_by_worker",
         "term",
         "throttles",
         "worker_by_id",
@@ -56,15 +56,15 @@
         self.ready_by_id = {}
         self.stops = []
         self.throttles = []
-        self.taken_by_worker = {}
-        self._runs = 0
-        self._known_flows = set()
+        self.last_end_by_worker = {}
+        self._run_count = 0
+        self._known_flow_ids = set()
         self._unlocated_by_worker = {}
 
-    def next_run(self):
+    def next_run_number(self):
         """Return a new run number."""
-        self._runs += 1
-        return self.term * RUNS_PER_TERM + self._runs
+        self._run_count += 1
+        return self.term * RUNS_PER_TERM + self._run_count
 
     def restore(self, state, now):
         """Load the flows and workers from the replicated state at the start of the term.
@@ -82,25 +82,25 @@
                 self._restore_flow(flow_state, queue, now)
 
     def _restore_flow(self, state, queue, now):
-        run = FlowRun(flow=state.flow, queue=queue, arrived=now)
+        run = FlowRun(flow=state.flow, queue=queue, arrived_at=now)
         self.flow_by_id[run.id] = run
-        self._known_flows.add(run.id)
+        self._known_flow_ids.add(run.id)
         run.started = bool(state.done or state.start_by_task)
         for step in run.steps():
             self._restore_step(step, state)
         for step in run.steps():
             if not step.remaining:
-                for follower in step.followers:
-                    follower.blockers -= 1
-        self._ready(run.steps())
+                for dependent in step.dependents:
+                    dependent.unfinished_dependencies -= 1
+        self._add_ready(run.steps())
 
     def _restore_step(self, step, state):
         step.waiting.clear()
         for task in reversed(step.tasks):
             failures = state.failures_by_task.get(task.id, Failures())
             task.failures = failures.count
-            task.failed_run = failures.last_run
-            worker = self._worker_of(state.start_by_task.get(task.id))
+            task.last_failed_run = failures.last_run
+            worker = self._worker_of_start(state.start_by_task.get(task.id))
             if task.id in state.done:
                 task.state = TaskState.DONE
             elif worker is not None:
@@ -110,14 +110,14 @@
                 step.waiting.append(task)
         step.remaining = sum(task.state != TaskState.DONE for task in step.tasks)
 
-    def _worker_of(self, start):
+    def _worker_of_start(self, start):
         """Return the worker on which a committed start may be running, or None."""
         worker = self.worker_by_id.get(start.worker) if start is not None else None
         if worker is None or worker.record.born_ms != start.born_ms:
             return None
         return worker
 
-    def note_seen(self, worker):
+    def requeue_unlocated(self, worker):
         """Requeue the tasks that a former leader sent to a worker and that do not run there."""
         steps = {}
         for task in self._unlocated_by_worker.pop(worker.id, ()):
@@ -125,9 +125,9 @@
             if task.state == TaskState.UNKNOWN and task.step.flow.is_open:
                 self._requeue(task, "")
         for step in steps.values():
-            self._rejoin_gang(step)
+            self._stop_incomplete_gang(step)
 
-    def _rejoin_gang(self, step):
+    def _stop_incomplete_gang(self, step):
         """Stop the running members of an incomplete gang, once all members are located."""
         if not step.spec.gang or not 0 < len(step.waiting) < step.remaining:
             return
@@ -143,14 +143,14 @@
         Flows already seen in this term are ignored: the scheduler may have finished one whose last
         end is not committed yet.
         """
-        if flow.id in self._known_flows:
+        if flow.id in self._known_flow_ids:
             return
-        self._known_flows.add(flow.id)
-        run = FlowRun(flow=flow, queue=queue, arrived=now)
+        self._known_flow_ids.add(flow.id)
+        run = FlowRun(flow=flow, queue=queue, arrived_at=now)
         self.flow_by_id[flow.id] = run
-        self._ready(run.steps())
+        self._add_ready(run.steps())
 
-    def _ready(self, steps):
+    def _add_ready(self, steps):
         for step in steps:
             if step.is_ready and step.remaining:
                 self.ready_by_id[step.id] = step
@@ -179,10 +179,10 @@
             self.ready_by_id.pop(step.id, None)
             step.waiting.clear()
             for task in step.tasks:
-                for one in (task, *task.copies):
-                    if one.worker and one.state in (TaskState.STARTING, TaskState.RUNNING):
-                        self.stop(one)
-        self._drop_if_over(flow)
+                for run in (task, *task.copies):
+                    if run.worker and run.state in (TaskState.STARTING, TaskState.RUNNING):
+                        self.stop(run)
+        self._remove_if_over(flow)
 
     def stop(self, task):
         """Queue a stop order for a task on a worker."""
@@ -193,7 +193,7 @@
     def running_steps(self):
         """Yield unfinished steps with all tasks started that other steps depend on."""
         for step in self.ready_by_id.values():
-            if not step.waiting and step.followers:
+            if not step.waiting and step.dependents:
                 yield step
 
     def join(self, record, *, is_new):
@@ -201,65 +201,65 @@
 
         :param is_new: whether no leader has sent tasks to this incarnation before.
         """
-        known = self.worker_by_id.get(record.id)
-        if known is not None and known.record.born_ms == record.born_ms:
-            known.update(record)
+        existing = self.worker_by_id.get(record.id)
+        if existing is not None and existing.record.born_ms == record.born_ms:
+            existing.update(record)
             return
-        if known is not None:
-            self.lose(known)
+        if existing is not None:
+            self.remove_worker(existing)
         worker = FleetWorker(record=record)
         if is_new:
             worker.status = WorkerStatus.READY
         self.worker_by_id[record.id] = worker
-        self.taken_by_worker.pop(record.id, None)
+        self.last_end_by_worker.pop(record.id, None)
 
     def evacuate(self, worker, now):
         """Stop the tasks that would not end before a leaving worker shuts down."""
-        left_s = worker.record.leaves_in_ms / 1000
-        for task in list(worker.held_by_task.values()):
+        time_left_s = worker.record.leaves_in_ms / 1000
+        for task in list(worker.task_by_id.values()):
             if task.state != TaskState.RUNNING:
                 continue
             spec = task.step.spec
             remaining_s = spec.estimate_ms / 1000 * worker.expected_slowdown(now) - (
                 now - task.since
             )
-            if spec.lasting or remaining_s > left_s:
+            if spec.lasting or remaining_s > time_left_s:
                 self.stop(task)
 
-    def lapse(self, worker):
+    def expire_lease(self, worker):
         """Requeue the tasks of a worker whose lease has expired: none of them runs any more."""
         worker.status = WorkerStatus.LAPSED
-        self._empty(worker)
-        self.note_seen(worker)
+        self._release_tasks(worker)
+        self.requeue_unlocated(worker)
 
-    def lose(self, worker):
+    def remove_worker(self, worker):
         """Remove a worker incarnation that no longer exists and requeue its tasks."""
         worker.status = WorkerStatus.LOST
-        self._empty(worker)
+        self._release_tasks(worker)
         if self.worker_by_id.get(worker.id) is worker:
             del self.worker_by_id[worker.id]
-            self.note_seen(worker)
+            self.requeue_unlocated(worker)
 
-    def _empty(self, worker):
-        worker.foreign = {}
-        for task in list(worker.held_by_task.values()):
-            self._leave_worker(task)
+    def _release_tasks(self, worker):
+        worker.unexpected_run_by_task = {}
+        for task in list(worker.task_by_id.values()):
+            self._release_from_worker(task)
             if task.state == TaskState.DONE:
                 continue
             self._requeue(task, "")
             if task.step.spec.gang:
-                self.break_gang(task.step, task.run)
+                self.stop_gang(task.step, task.run)
 
-    def _leave_worker(self, task):
+    def _release_from_worker(self, task):
         worker = task.worker
         worker.release(task)
-        counts = task.step.count_by_worker
+        counts = task.step.task_count_by_worker
         counts[worker.id] = counts.get(worker.id, 1) - 1
         task.worker = None
         if task.copy_of is not None:
             task.copy_of.copies.remove(task)
         if not task.step.flow.is_open:
-            self._drop_if_over(task.step.flow)
+            self._remove_if_over(task.step.flow)
 
     def _requeue(self, task, checkpoint):
         """Make a task that runs nowhere startable again if its flow is open."""
@@ -272,7 +272,7 @@
             return
         task.state = TaskState.WAITING
         step.waiting.append(task)
-        self._ready((step,))
+        self._add_ready((step,))
 
     def _finish(self, task, now):
         """Mark a task as done, whether or not its worker has freed the resources."""
@@ -282,21 +282,21 @@
         if task.state == TaskState.WAITING and task in step.waiting:
             step.waiting.remove(task)
         if not step.spec.gang:
-            self._end_copies(task, now)
+            self._stop_copies(task, now)
         task.state = TaskState.DONE
         task.since = now
         step.remaining -= 1
         if step.remaining:
             return
         self.ready_by_id.pop(step.id, None)
-        for follower in step.followers:
-            follower.blockers -= 1
-        self._ready(step.followers)
-        if all(not one.remaining for one in step.flow.steps()):
+        for dependent in step.dependents:
+            dependent.unfinished_dependencies -= 1
+        self._add_ready(step.dependents)
+        if all(not other.remaining for other in step.flow.steps()):
             step.flow.is_open = False
-            self._drop_if_over(step.flow)
+            self._remove_if_over(step.flow)
 
-    def _drop_if_over(self, flow):
+    def _remove_if_over(self, flow):
         """Remove a closed flow once no worker has a task of it."""
         if flow.is_open or self.flow_by_id.get(flow.id) is not flow:
             return
--- a/siskintally/flow_timing.py
+++ b/siskintally/flow_timing.py
@@ -11,9 +11,9 @@
 LEASE_S = 3.5
 # Timeout for the reply to an order: the longest round trip (16 ms between regions) with one lost
 # packet (200 ms). A repeated order has the same run number, so a short timeout is safe.
-ORDER_S = 0.25
+ORDER_TIMEOUT_S = 0.25
 # Default retention time of closed flows.
-KEEP_S = 120.0
+DEFAULT_RETENTION_S = 120.0
 
 
 class FlowTiming:
@@ -21,24 +21,40 @@
 
     :param lease_s: duration of the lease of a worker.
     :param margin_s: time that a worker may need to end its runs after its lease has expired.
-    :param wait_s: longest wait of a status poll for an end on the worker.
-    :param order_s: timeout for the reply to an order.
+    :param max_wait_s: longest wait of a status poll for an end on the worker.
+    :param order_timeout_s: timeout for the reply to an order.
     :param election_min_s: shortest election timeout of the group.
-    :param keep_s: time for which the outcome of a closed flow is kept.
+    :param retention_s: time for which the outcome of a closed flow is kept.
     """
 
-    __slots__ = ("election_min_s", "keep_s", "lease_s", "margin_s", "order_s", "wait_s")
+    __slots__ = (
+        "election_min_s",
+        "lease_s",
+        "margin_s",
+        "max_wait_s",
+        "order_timeout_s",
+        "retention_s",
+    )
 
-    def __init__(self, *, lease_s, margin_s, wait_s, order_s, election_min_s, keep_s=KEEP_S):
+    def __init__(
+        self,
+        *,
+        lease_s,
+        margin_s,
+        max_wait_s,
+        order_timeout_s,
+        election_min_s,
+        retention_s=DEFAULT_RETENTION_S,
+    ):
         self.lease_s = lease_s
         self.margin_s = margin_s
-        self.wait_s = wait_s
-        self.order_s = order_s
+        self.max_wait_s = max_wait_s
+        self.order_timeout_s = order_timeout_s
         self.election_min_s = election_min_s
-        self.keep_s = keep_s
+        self.retention_s = retention_s
 
     @classmethod
-    def derive(cls, *, lease_max_s, thaw_s, contact_s, status_s=KEEP_S):
+    def derive(cls, *, lease_max_s, thaw_s, contact_s, status_s=DEFAULT_RETENTION_S):
         """Return intervals that meet the guarantees of a platform.
 
         :param lease_max_s: longest lease that workers accept.
@@ -51,8 +67,8 @@
         return cls(
             lease_s=lease_s,
             margin_s=thaw_s + 0.1,
-            wait_s=min(1.2, lease_s / 3),
-            order_s=ORDER_S,
+            max_wait_s=min(1.2, lease_s / 3),
+            order_timeout_s=ORDER_TIMEOUT_S,
             election_min_s=min(0.9, contact_s * 0.3),
-            keep_s=status_s * 1.5,
+            retention_s=status_s * 1.5,
         )
--- a/siskintally/flow_trace.py
+++ b/siskintally/flow_trace.py
@@ -37,7 +37,7 @@
 class FlowTrace:
     """Timeline of one accepted flow.
 
-    ``steps``: :class:`~siskintally.step_text.StepShape` objects, empty if the log has none.
+    ``steps``: :class:`~siskintally.step_text.StepSummary` objects, empty if the log has none.
     ``task_by_id``: :class:`TaskTrace` objects. ``advice_by_step``: Unix times of answers of the
     advice service, by step id.
     """
@@ -79,13 +79,13 @@
     """
     flows = {}
     for at, fields in events:
-        take = _TAKE_BY_EVENT.get(fields.get("event"))
-        if take is not None:
-            take(flows, at, fields)
+        handler = _HANDLER_BY_EVENT.get(fields.get("event"))
+        if handler is not None:
+            handler(flows, at, fields)
     return flows
 
 
-def _take_accepted(flows, at, fields):
+def _handle_accepted(flows, at, fields):
     flow_id = fields.get("flow")
     if flow_id in flows:
         return
@@ -99,12 +99,12 @@
     )
 
 
-def _take_cancelled(flows, _, fields):
+def _handle_cancelled(flows, _, fields):
     if fields.get("flow") in flows:
         flows[fields["flow"]].cancelled = True
 
 
-def _take_advice(flows, at, fields):
+def _handle_advice(flows, at, fields):
     step = str(fields.get("step", ""))
     flow = flows.get(step.partition(".")[0])
     if flow is not None:
@@ -116,22 +116,22 @@
     return flows.get(task.flow) if task is not None else None
 
 
-def _take_start(flows, at, fields):
+def _handle_start(flows, at, fields):
     flow = _flow_of_task(flows, fields)
     if flow is not None:
         flow.task(fields["task"]).starts.append(at)
 
 
-def _take_end(flows, at, fields):
+def _handle_end(flows, at, fields):
     flow = _flow_of_task(flows, fields)
     if flow is not None:
         flow.task(fields["task"]).ends.append((at, fields.get("how", "")))
 
 
-_TAKE_BY_EVENT = {
-    "flow accepted": _take_accepted,
-    "flow cancelled": _take_cancelled,
-    "advice": _take_advice,
-    "start": _take_start,
-    "end": _take_end,
+_HANDLER_BY_EVENT = {
+    "flow accepted": _handle_accepted,
+    "flow cancelled": _handle_cancelled,
+    "advice": _handle_advice,
+    "start": _handle_start,
+    "end": _handle_end,
 }
--- a/siskintally/quorum_check.py
+++ b/siskintally/quorum_check.py
@@ -1,7 +1,7 @@
 """Quorum check of a leader: confirms at intervals that a quorum still follows it.
 
->>> from siskintally.quorum_check import AUTHORITY_SHARE
->>> 0 < AUTHORITY_SHARE < 1
+>>> from siskintally.quorum_check import CONFIRMED_LEADER_SHARE
+>>> 0 < CONFIRMED_LEADER_SHARE < 1
 True
 """
 
@@ -13,8 +13,8 @@
 # No other leader can be elected while a quorum has heard from this one within that timeout, or
 # within a smaller share of it, still larger than this one, if the leader's process has ended. The
 # rest covers differences between clocks, and members that forget the leader by a restart.
-AUTHORITY_SHARE = 0.5
-CONFIRM_S = 0.15
+CONFIRMED_LEADER_SHARE = 0.5
+CONFIRM_INTERVAL_S = 0.15
 
 
 class QuorumCheck:
@@ -24,12 +24,12 @@
     :param election_min_s: shortest election timeout of the group.
     """
 
-    __slots__ = ("_confirmed", "_election_min_s", "_group", "_until")
+    __slots__ = ("_confirmed", "_confirmed_until", "_election_min_s", "_group")
 
     def __init__(self, *, group, election_min_s):
         self._group = group
         self._election_min_s = election_min_s
-        self._until = 0.0
+        self._confirmed_until = 0.0
         self._confirmed = Event()
 
     async def run(self):
@@ -42,12 +42,12 @@
             with move_on_after(self._election_min_s * 2) as scope:
                 await self._group.confirm()
             if not scope.cancelled_caught:
-                self._until = asked_at + self._election_min_s * AUTHORITY_SHARE
+                self._confirmed_until = asked_at + self._election_min_s * CONFIRMED_LEADER_SHARE
                 self._confirmed.set()
                 self._confirmed = Event()
-            await sleep(CONFIRM_S)
+            await sleep(CONFIRM_INTERVAL_S)
 
     async def wait(self):
         """Wait until a quorum is known to follow; the end of the term cancels the wait."""
-        while steady() >= self._until:
+        while steady() >= self._confirmed_until:
             await self._confirmed.wait()
--- a/siskintally/speculation.py
+++ b/siskintally/speculation.py
@@ -20,44 +20,44 @@
 
     __slots__ = ()
 
-    def race(self, worker, now):
+    def speculate(self, worker, now):
         """Requeue the tasks of an unresponsive worker whose steps allow speculative copies.
 
         :returns: ids of the requeued tasks.
         """
-        raced = []
-        for task in list(worker.held_by_task.values()):
+        task_ids = []
+        for task in list(worker.task_by_id.values()):
             is_live = task.state in (TaskState.STARTING, TaskState.RUNNING)
             if is_live and task.copy_of is None and may_speculate(task):
-                self._leave_copy(task, now)
-                raced.append(task.id)
-        return raced
+                self._requeue_with_copy(task, now)
+                task_ids.append(task.id)
+        return task_ids
 
-    def _leave_copy(self, task, now):
+    def _requeue_with_copy(self, task, now):
         """Keep the current run as a copy and requeue the task."""
-        self._set_aside(task, now)
+        self._convert_to_copy(task, now)
         task.state = TaskState.WAITING
         task.step.waiting.append(task)
-        self._ready((task.step,))
+        self._add_ready((task.step,))
 
-    def _set_aside(self, task, now):
+    def _convert_to_copy(self, task, now):
         """Turn the current run of a task into a copy, which takes over its reservation."""
-        copy = TaskRun(task_id=task.id, step=task.step, need=task.need)
+        copy = TaskRun(task_id=task.id, step=task.step, resources=task.resources)
         copy.copy_of = task
         copy.run, copy.worker, copy.since = task.run, task.worker, task.since
         copy.progress_at, copy.percent = now, task.percent
         copy.state = task.state
-        task.worker.held_by_task[task.id] = copy
+        task.worker.task_by_id[task.id] = copy
         task.worker = None
         task.copies.append(copy)
         if copy.state == TaskState.STARTING:
             # The start order may still be executed; after a stop the worker refuses it.
             self.stop(copy)
 
-    def _end_copies(self, task, now):
+    def _stop_copies(self, task, now):
         """Stop all other runs of a task that is done; the first run to finish counts."""
         if task.worker is not None:
-            self._set_aside(task, now)
+            self._convert_to_copy(task, now)
         for copy in task.copies:
             if copy.state in (TaskState.STARTING, TaskState.RUNNING):
                 self.stop(copy)
--- a/siskintally/step_text.py
+++ b/siskintally/step_text.py
@@ -6,7 +6,7 @@
 >>> text
 '6 x 500m 64MB 640ms after=[0]'
 >>> parse_step(text)
-StepShape(tasks=6, estimate_s=0.64, after=(0,), lasting=False)
+StepSummary(tasks=6, estimate_s=0.64, after=(0,), lasting=False)
 """
 
 from re import compile as compile_pattern
@@ -14,13 +14,13 @@
 
 from siskintally.errors import BadRequestError
 
-FLAGS = ("gang", "one_rack", "speculative", "lasting", "filling", "checkpointable")
-NAMED = ("label", "data_rack", "max_per_worker", "after")
-_SHAPE = compile_pattern(r"(\d+) x \d+m \d+MB (\d+)ms")
-_AFTER = compile_pattern(r"after=\[([\d, ]*)\]")
+FLAG_FIELDS = ("gang", "one_rack", "speculative", "lasting", "filling", "checkpointable")
+VALUE_FIELDS = ("label", "data_rack", "max_per_worker", "after")
+_STEP_PATTERN = compile_pattern(r"(\d+) x \d+m \d+MB (\d+)ms")
+_AFTER_PATTERN = compile_pattern(r"after=\[([\d, ]*)\]")
 
 
-class StepShape(NamedTuple):
+class StepSummary(NamedTuple):
     """Parsed text of a step; ``after``: numbers of the steps that it depends on."""
 
     tasks: int
@@ -32,8 +32,8 @@
 def describe_step(step):
     """Return the text of a :class:`~siskintally.control_pb2.FlowStep`."""
     text = f"{step.tasks} x {step.cpu_milli}m {step.memory_mb}MB {step.estimate_ms}ms"
-    words = [flag for flag in FLAGS if getattr(step, flag)]
-    words += [f"{name}={getattr(step, name)}" for name in NAMED if getattr(step, name)]
+    words = [flag for flag in FLAG_FIELDS if getattr(step, flag)]
+    words += [f"{name}={getattr(step, name)}" for name in VALUE_FIELDS if getattr(step, name)]
     return " ".join([text, *words])
 
 
@@ -42,11 +42,11 @@
 
     :raises BadRequestError: the text does not describe a step.
     """
-    shape, after = _SHAPE.match(text), _AFTER.search(text)
+    shape, after = _STEP_PATTERN.match(text), _AFTER_PATTERN.search(text)
     if shape is None:
         raise BadRequestError(f"{text[:80]!r}: expected the text of a step")
     numbers = after[1].split(",") if after else ()
-    return StepShape(
+    return StepSummary(
         tasks=int(shape[1]),
         estimate_s=int(shape[2]) / 1000,
         after=tuple(int(number) for number in numbers),
--- a/siskintally/task_id.py
+++ b/siskintally/task_id.py
@@ -26,11 +26,11 @@
             return None
         return cls(parts[0], *map(int, parts[1:]))
 
-    def is_of(self, flow):
+    def belongs_to(self, flow):
         """Return whether a flow has this task."""
         return (
             self.flow == flow.id
-            and self.occurrence < occurrences(flow)
+            and self.occurrence < occurrence_count(flow)
             and self.step < len(flow.steps)
             and self.index < flow.steps[self.step].tasks
         )
@@ -39,11 +39,11 @@
         return f"{self.flow}.{self.occurrence}.{self.step}.{self.index}"
 
 
-def occurrences(flow):
+def occurrence_count(flow):
     """Return the number of occurrences of a flow, 1 without a schedule."""
     return max(flow.times, 1)
 
 
-def step_tasks(flow, occurrence, step):
+def step_task_ids(flow, occurrence, step):
     """Return the ids of the tasks of one step of one occurrence."""
     return [f"{flow.id}.{occurrence}.{step}.{index}" for index in range(flow.steps[step].tasks)]
--- a/siskintally/throttling.py
+++ b/siskintally/throttling.py
@@ -8,10 +8,10 @@
 # When a task exceeds its latency target, best-effort tasks are throttled at once; when the latency
 # falls below this share of the target, they get more processor time again. The gap between the two
 # prevents oscillation.
-RELIEF_SHARE = 0.6
+RECOVERY_RATIO = 0.6
 THROTTLE_DIVISOR = 4
-SPEEDUP_PERCENT = 25
-LEAST_PERCENT = 5
+RECOVERY_STEP_PERCENT = 25
+MIN_PERCENT = 5
 
 
 def next_percent(percent, *, worst):
@@ -22,9 +22,9 @@
     """
     if worst > 1.0:
         lower = percent // THROTTLE_DIVISOR
-        return lower if lower >= LEAST_PERCENT else 0
-    if worst < RELIEF_SHARE:
-        return min(percent + SPEEDUP_PERCENT, 100)
+        return lower if lower >= MIN_PERCENT else 0
+    if worst < RECOVERY_RATIO:
+        return min(percent + RECOVERY_STEP_PERCENT, 100)
     return percent
 
 
@@ -35,7 +35,7 @@
     """
     return max(
         (
-            task.tail_ms / task.step.spec.tail_target_ms
+            task.tail_latency_ms / task.step.spec.tail_target_ms
             for task in tasks
             if task.step.spec.tail_target_ms
         ),
--- a/siskintally/worker_lease.py
+++ b/siskintally/worker_lease.py
@@ -2,23 +2,23 @@
 
 >>> from siskintally.worker_lease import WorkerLease
 >>> lease = WorkerLease(length_s=3.0, margin_s=0.5)
->>> lease.sample(clock_ms=1000, sent_at=10.0, received_at=10.1)
+>>> lease.sample_clock(clock_ms=1000, sent_at=10.0, received_at=10.1)
 >>> lease.grant(now=11.0)
 5000
->>> round(lease.surely_over, 2)
+>>> round(lease.expired_by, 2)
 14.68
 """
 
 from math import inf
 
 # Lowest rate of a worker's clock relative to true time.
-SLOWEST_CLOCK = 0.98
+MIN_CLOCK_RATE = 0.98
 
 
 class WorkerLease:
     """Lease that one leader grants and renews for one incarnation of a worker.
 
-    ``surely_over``: steady time of this process by which every grant so far has expired and its
+    ``expired_by``: steady time of this process by which every grant so far has expired and its
     runs have ended. ``until_ms``: end of the last grant on the worker's clock, 0 without one.
 
     :param length_s: duration of a grant.
@@ -31,7 +31,7 @@
         "_margin_s",
         "_received_at",
         "_sent_at",
-        "surely_over",
+        "expired_by",
         "until_ms",
     )
 
@@ -41,15 +41,15 @@
         self._clock_ms = None
         self._sent_at = 0.0
         self._received_at = 0.0
-        self.surely_over = -inf
+        self.expired_by = -inf
         self.until_ms = 0
 
     @property
-    def is_sampled(self):
+    def has_clock_sample(self):
         """Whether there is a reading of the worker's clock."""
         return self._clock_ms is not None
 
-    def sample(self, *, clock_ms, sent_at, received_at):
+    def sample_clock(self, *, clock_ms, sent_at, received_at):
         """Record a reading of the worker's clock; one older than the last is ignored.
 
         :param sent_at: earliest steady time at which the reading can have been taken.
@@ -63,16 +63,16 @@
     def grant(self, now):
         """Extend the lease from now; return its end on the worker's clock, in ms."""
         until_ms = int(self._clock_ms + (now - self._sent_at + self._length_s) * 1000)
-        left_s = (until_ms - self._clock_ms) / 1000 / SLOWEST_CLOCK
-        self.surely_over = max(self.surely_over, self._received_at + left_s + self._margin_s)
+        left_s = (until_ms - self._clock_ms) / 1000 / MIN_CLOCK_RATE
+        self.expired_by = max(self.expired_by, self._received_at + left_s + self._margin_s)
         self.until_ms = max(self.until_ms, until_ms)
         return self.until_ms
 
-    def wait_out(self, until):
+    def include_former_grants(self, until):
         """Account for grants of former leaders, which have expired by steady time ``until``."""
-        self.surely_over = max(self.surely_over, until)
+        self.expired_by = max(self.expired_by, until)
 
 
-def longest_s(length_s, margin_s):
+def longest_grant_s(length_s, margin_s):
     """Return the longest true time from a grant until its runs have ended, s."""
-    return length_s / SLOWEST_CLOCK + margin_s
+    return length_s / MIN_CLOCK_RATE + margin_s
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -1,7 +1,7 @@
 """Manager of one worker: renews its lease, polls its status, and sends its orders.
 
->>> from siskintally.worker_manager import ANSWER_S
->>> ANSWER_S > 0
+>>> from siskintally.worker_manager import REPLY_MARGIN_S
+>>> REPLY_MARGIN_S > 0
 True
 """
 
@@ -17,10 +17,10 @@
 
 # Timeout of a status poll beyond the wait that the worker was asked for: more than the longest
 # round trip with one lost packet.
-ANSWER_S = 0.5
+REPLY_MARGIN_S = 0.5
 RETRY_S = 0.2
 # Time for which a worker that could not take a start gets no new tasks.
-BUSY_S = 1.0
+BUSY_EXCLUSION_S = 1.0
 
 log = get_logger("worker-manager")
 
@@ -28,7 +28,7 @@
 class WorkerManager:
     """Calls of the leader to one incarnation of a worker.
 
-    ``noted``: number of the worker's last end that is committed.
+    ``committed_end_number``: number of the worker's last end that is committed.
 
     :param worker: :class:`~siskintally.fleet.FleetWorker`.
     :param leader: :class:`~siskintally.control_leader.ControlLeader`.
@@ -39,87 +39,91 @@
         "_has_lost_connection",
         "_leader",
         "_timing",
-        "_work",
+        "_wake_event",
+        "committed_end_number",
         "lease",
-        "noted",
         "worker",
     )
 
     def __init__(self, *, worker, leader, driver, timing):
         self.worker = worker
         self.lease = WorkerLease(length_s=timing.lease_s, margin_s=timing.margin_s)
-        self.noted = 0
+        self.committed_end_number = 0
         self._leader = leader
         self._driver = driver
         self._timing = timing
-        self._work = Event()
+        self._wake_event = Event()
         # Whether the previous status poll ended with a lost connection.
         self._has_lost_connection = False
 
     def wake(self):
         """Poll the worker now instead of waiting for the next reason or retry."""
-        self._work.set()
+        self._wake_event.set()
 
     async def run(self):
         """Poll the worker until it is lost."""
         try:
             while self.worker.status != WorkerStatus.LOST:
                 if self._is_idle():
-                    self._work = Event()
-                    await self._work.wait()
+                    self._wake_event = Event()
+                    await self._wake_event.wait()
                     continue
-                await self._look()
+                await self._poll_status()
         finally:
             await self._driver.forget(self.worker.record)
 
     def _is_idle(self):
         worker = self.worker
         if worker.status == WorkerStatus.LAPSED:
-            return not self._work.is_set()
-        needs_look = worker.held_by_task or worker.foreign or worker.status != WorkerStatus.READY
-        return not needs_look
+            return not self._wake_event.is_set()
+        needs_poll = (
+            worker.task_by_id
+            or worker.unexpected_run_by_task
+            or worker.status != WorkerStatus.READY
+        )
+        return not needs_poll
 
-    async def _look(self):
+    async def _poll_status(self):
         worker = self.worker
-        self._work = Event()
-        is_sound = worker.status == WorkerStatus.READY and not self._has_lost_connection
+        self._wake_event = Event()
+        is_healthy = worker.status == WorkerStatus.READY and not self._has_lost_connection
         asked_at = steady()
-        may_wait = is_sound and not worker.foreign
+        may_wait = is_healthy and not worker.unexpected_run_by_task
         wait_s = self._leader.poll_wait.seconds(asked_at) if may_wait else 0.0
         # The lease of an unresponsive worker is not renewed, or it would never expire.
-        may_grant = self.lease.is_sampled and is_sound
+        may_grant = self.lease.has_clock_sample and is_healthy
         until_ms = self.lease.grant(asked_at) if may_grant else None
-        worker.lease_until = self.lease.surely_over
+        worker.lease_expires_at = self.lease.expired_by
         try:
             report = await self._driver.hold(
                 worker.record,
                 fence=self._leader.term,
                 lease_until_ms=until_ms,
-                noted=self.noted,
+                noted=self.committed_end_number,
                 wait_ms=int(wait_s * 1000),
-                timeout=wait_s + ANSWER_S,
+                timeout=wait_s + REPLY_MARGIN_S,
             )
         except GoneError as error:
-            self._leader.gone(worker, str(error))
+            self._leader.handle_worker_lost(worker, str(error))
             return
         except (UnreachableError, OutcomeUnknownError, BusyError) as error:
-            await self._failed(error)
+            await self._handle_poll_failure(error)
             return
         self._has_lost_connection = False
         received_at = steady()
         if report.refusal == Refusal.FENCED:
-            self._leader.deposed(f"worker {worker.id} has a higher fence")
+            self._leader.end_term(f"worker {worker.id} has a higher fence")
             return
-        self.lease.sample(clock_ms=report.clock_ms, sent_at=asked_at, received_at=received_at)
-        await self._leader.take_report(self, report, asked_at)
-        if worker.foreign:
+        self.lease.sample_clock(clock_ms=report.clock_ms, sent_at=asked_at, received_at=received_at)
+        await self._leader.handle_report(self, report, asked_at)
+        if worker.unexpected_run_by_task:
             # Unexpected runs count until their ends are reported; a stop takes a moment.
             await sleep(RETRY_S)
 
-    async def _failed(self, error):
+    async def _handle_poll_failure(self, error):
         worker = self.worker
         now = steady()
-        self._leader.poll_wait.note_silence(now)
+        self._leader.poll_wait.record_unanswered(now)
         if isinstance(error, ConnectionLostError) and not self._has_lost_connection:
             # A single reset says nothing about the worker; a second failure, on a new connection,
             # does.
@@ -129,12 +133,12 @@
         if worker.status == WorkerStatus.READY:
             worker.status = WorkerStatus.SUSPECT
             log.info("worker suspect", worker=worker.id, error=str(error)[:120])
-            self._leader.suspected(worker)
-        if worker.status != WorkerStatus.LAPSED and now >= self.lease.surely_over:
-            self._leader.lapsed(worker)
+            self._leader.handle_suspect(worker)
+        if worker.status != WorkerStatus.LAPSED and now >= self.lease.expired_by:
+            self._leader.handle_lease_expired(worker)
             return
         with move_on_after(RETRY_S):
-            await self._work.wait()
+            await self._wake_event.wait()
 
     async def start(self, action):
         """Send a start order until it is confirmed, refused, or obsolete."""
@@ -155,7 +159,7 @@
 
     async def _try_start(self, action, was_sent):
         """Return (refusal code or None without a reply, whether the order may be executed)."""
-        if not self.lease.is_sampled:
+        if not self.lease.has_clock_sample:
             self.wake()
             await sleep(0.05)
             return None, False
@@ -170,7 +174,7 @@
             checkpoint=task.checkpoint,
             ticket=action.ticket,
         )
-        self.worker.lease_until = self.lease.surely_over
+        self.worker.lease_expires_at = self.lease.expired_by
         self.wake()
         return await self._send_start(action, order, was_sent, now)
 
@@ -178,27 +182,27 @@
         task = action.task
         try:
             reply = await self._driver.start(
-                self.worker.record, order, timeout=self._timing.order_s
+                self.worker.record, order, timeout=self._timing.order_timeout_s
             )
         except OutcomeUnknownError as error:
-            self._leader.poll_wait.note_silence(steady())
+            self._leader.poll_wait.record_unanswered(steady())
             log.info("start repeated", task=task.id, run=action.run, error=str(error)[:120])
             return None, True
         except GoneError as error:
-            self._leader.gone(self.worker, str(error))
+            self._leader.handle_worker_lost(self.worker, str(error))
             return None, was_sent
         except (UnreachableError, BusyError) as error:
             if was_sent:
                 await sleep(RETRY_S)
                 return None, False
-            self._avoid(error)
-            self._leader.refused(action, Refusal.INVALID, was_sent_before=False)
+            self._exclude_worker(error)
+            self._leader.handle_refused(action, Refusal.INVALID, was_sent_before=False)
             return Refusal.INVALID, False
-        self._sample(reply, now)
+        self._sample_clock(reply, now)
         if reply.refusal == Refusal.NONE:
-            self._leader.started(action)
+            self._leader.handle_started(action)
         else:
-            self._leader.refused(action, reply.refusal, was_sent_before=was_sent)
+            self._leader.handle_refused(action, reply.refusal, was_sent_before=was_sent)
         return reply.refusal, True
 
     def _lease_for_start(self, now):
@@ -206,14 +210,14 @@
             return self.lease.grant(now)
         return self.lease.until_ms
 
-    def _avoid(self, error):
-        self.worker.excluded_until = steady() + BUSY_S
+    def _exclude_worker(self, error):
+        self.worker.excluded_until = steady() + BUSY_EXCLUSION_S
         log.info("start not delivered", worker=self.worker.id, error=str(error)[:120])
         self.wake()
 
-    def _sample(self, reply, sent_at):
+    def _sample_clock(self, reply, sent_at):
         if reply.clock_ms is not None:
-            self.lease.sample(clock_ms=reply.clock_ms, sent_at=sent_at, received_at=steady())
+            self.lease.sample_clock(clock_ms=reply.clock_ms, sent_at=sent_at, received_at=steady())
 
     async def throttle(self, action):
         """Send a throttle order until it is confirmed or superseded."""
@@ -224,14 +228,16 @@
         while (
             task.run == action.run
             and task.state == TaskState.RUNNING
-            and self.worker.fill_percent == action.percent
+            and self.worker.best_effort_percent == action.percent
             and self.worker.status in (WorkerStatus.READY, WorkerStatus.SUSPECT)
         ):
             await self._leader.quorum_check.wait()
             try:
-                await self._driver.pace(self.worker.record, order, timeout=self._timing.order_s)
+                await self._driver.pace(
+                    self.worker.record, order, timeout=self._timing.order_timeout_s
+                )
             except GoneError as error:
-                self._leader.gone(self.worker, str(error))
+                self._leader.handle_worker_lost(self.worker, str(error))
                 return
             except (UnreachableError, OutcomeUnknownError, BusyError) as error:
                 log.info(
@@ -253,18 +259,18 @@
             sent_at = steady()
             try:
                 reply = await self._driver.stop(
-                    self.worker.record, order, timeout=self._timing.order_s
+                    self.worker.record, order, timeout=self._timing.order_timeout_s
                 )
             except GoneError as error:
-                self._leader.gone(self.worker, str(error))
+                self._leader.handle_worker_lost(self.worker, str(error))
                 return
             except (UnreachableError, OutcomeUnknownError, BusyError) as error:
                 log.info("stop repeated", task=action.task_id, run=action.run, error=str(error))
                 await sleep(RETRY_S)
                 continue
-            self._sample(reply, sent_at)
+            self._sample_clock(reply, sent_at)
             if reply.refusal == Refusal.FENCED:
-                self._leader.deposed(f"worker {self.worker.id} has a higher fence")
+                self._leader.end_term(f"worker {self.worker.id} has a higher fence")
                 return
-            self._leader.stop_confirmed(action)
+            self._leader.handle_stopped(action)
             return
--- a/tests/flow_rig.py
+++ b/tests/flow_rig.py
@@ -108,7 +108,7 @@
         for action in actions:
             runs = self.running_by_worker[action.worker.id]
             runs[action.task.id] = action.run
-            self.scheduler.started(action.task, action.run, self.now)
+            self.scheduler.apply_started(action.task, action.run, self.now)
             pairs.append((action.task.id, action.worker.id))
         self.started.extend(pairs)
         return pairs
@@ -119,7 +119,7 @@
         for action in stops:
             if self.running_by_worker[action.worker.id].get(action.task_id) == action.run:
                 self.end(action.worker.id, action.task_id, EndKind.STOPPED)
-            self.scheduler.stopped(action, self.now)
+            self.scheduler.apply_stopped(action, self.now)
         return [action.task_id for action in stops]
 
     def end(self, worker_id, task_id, kind=EndKind.DONE, checkpoint=""):
@@ -143,7 +143,7 @@
             ended=list(self.ended_by_worker[worker_id]),
         )
         found = self.scheduler.worker_by_id[worker_id]
-        ends = self.scheduler.report(found, report, self.now, self.now)
+        ends = self.scheduler.apply_report(found, report, self.now, self.now)
         self.uncommitted.extend(ends)
         if commit:
             self.settle()
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -10,7 +10,7 @@
 from siskintally.driver import OrderReply, RunRow, WorkerDriver, WorkerReport
 from siskintally.errors import NotLeaderError
 from siskintally.flow_timing import FlowTiming
-from siskintally.quorum_check import AUTHORITY_SHARE
+from siskintally.quorum_check import CONFIRMED_LEADER_SHARE
 from tests.flow_rig import QUEUE, flow, step, worker
 
 TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
@@ -97,7 +97,7 @@
 
 def test_a_leader_stops_acting_before_the_next_one_may_be_elected():
     """Guards against two leaders that act at once after a change of either share."""
-    assert AUTHORITY_SHARE < ENDED_LEADER_SHARE <= 1.0
+    assert CONFIRMED_LEADER_SHARE < ENDED_LEADER_SHARE <= 1.0
 
 
 def test_a_start_is_sent_only_after_its_worker_is_on_record():
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -319,7 +319,7 @@
 
 def test_outcomes_are_forgotten_after_their_time(tmp_path, monkeypatch):
     """Guards against state that grows with every flow that ever ran."""
-    monkeypatch.setattr("siskintally.control_leader.RETIRE_S", 0.1)
+    monkeypatch.setattr("siskintally.control_leader.RETENTION_CHECK_S", 0.1)
     monkeypatch.setattr(
         "siskintally.flow_timing.FlowTiming.derive",
         partial(short_lived, FlowTiming.derive),
@@ -340,7 +340,7 @@
 
 def short_lived(derive, **bounds):
     timing = derive(**bounds)
-    timing.keep_s = 1.0
+    timing.retention_s = 1.0
     return timing
 
 
--- a/tests/test_flow_report.py
+++ b/tests/test_flow_report.py
@@ -6,7 +6,7 @@
 
 from siskintally.commands_report import _start
 from siskintally.errors import BadRequestError
-from siskintally.flow_report import report, split_flow
+from siskintally.flow_report import break_down_flow, report
 from siskintally.flow_trace import collect, read_events
 
 STEPS = ["2 x 500m 64MB 600ms", "1 x 500m 64MB 400ms after=[0]"]
@@ -39,12 +39,12 @@
 def test_the_time_of_a_flow_is_split_along_its_last_tasks():
     """Guards against a report whose parts do not add up to the time that a caller waited."""
     flows = collect(read_events(lines()))
-    split = split_flow(flows["f"])
-    rounded = {part: round(value, 3) for part, value in split.parts.items()}
+    breakdown = break_down_flow(flows["f"])
+    rounded = {part: round(value, 3) for part, value in breakdown.parts.items()}
     assert rounded == {"advice": 0.05, "queue": 0.15, "again": 0.8, "work": 0.9, "slow": 0.4}
-    assert abs(sum(split.parts.values()) - split.total_s) < 1e-6
-    assert split.estimate_s == 1.0
-    assert split_flow(flows["g"]) is None
+    assert abs(sum(breakdown.parts.values()) - breakdown.total_s) < 1e-6
+    assert breakdown.estimate_s == 1.0
+    assert break_down_flow(flows["g"]) is None
 
 
 def test_the_report_names_queues_and_the_slowest_flows(tmp_path, capsys):
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -101,7 +101,7 @@
     rig.report("w1")
     assert rig.place() == []
     unseen = rig.scheduler.worker_by_id["w2"]
-    rig.scheduler.lapse(unseen)
+    rig.scheduler.expire_lease(unseen)
     assert rig.place() == []
     states = sorted(task.state for task in rig.scheduler.flow_by_id["f"].step_by_key[0, 0].tasks)
     assert states == [TaskState.WAITING, TaskState.RUNNING]
@@ -127,9 +127,9 @@
     rig.running_by_worker[seen].clear()
     rig.report(seen)
     assert [task for task, _ in rig.place()] == [ran[0][0]], "not on its worker: starts again"
-    assert rig.scheduler.find(ran[1][0]).state == TaskState.UNKNOWN
-    rig.scheduler.lapse(rig.scheduler.worker_by_id[silent])
-    assert rig.scheduler.find(ran[1][0]).state == TaskState.WAITING
+    assert rig.scheduler.find_task(ran[1][0]).state == TaskState.UNKNOWN
+    rig.scheduler.expire_lease(rig.scheduler.worker_by_id[silent])
+    assert rig.scheduler.find_task(ran[1][0]).state == TaskState.WAITING
 
 
 def test_a_task_may_start_again_when_its_worker_is_another_incarnation():
@@ -140,7 +140,7 @@
     rig.place()
     rig.commit(join=worker("w", born_ms=2))
     rig.lead(3)
-    assert rig.scheduler.find("f.0.0.0").state == TaskState.WAITING
+    assert rig.scheduler.find_task("f.0.0.0").state == TaskState.WAITING
 
 
 def test_a_part_of_a_report_does_not_tell_what_is_missing():
@@ -152,9 +152,9 @@
     rig.lead(3)
     found = rig.scheduler.worker_by_id["w"]
     report = WorkerReport(clock_ms=1, running=[], ended=[], is_partial=True)
-    rig.scheduler.report(found, report, rig.now, rig.now)
+    rig.scheduler.apply_report(found, report, rig.now, rig.now)
     assert rig.place() == []
-    assert rig.scheduler.find("f.0.0.0").state == TaskState.UNKNOWN
+    assert rig.scheduler.find_task("f.0.0.0").state == TaskState.UNKNOWN
 
 
 def test_a_failure_that_is_older_than_one_that_counts_is_not_counted():
@@ -166,14 +166,14 @@
     [(task_id, first)] = rig.place()
     second = "w2" if first == "w1" else "w1"
     rig.end(first, task_id, EndKind.FAILED)
-    rig.scheduler.lapse(rig.scheduler.worker_by_id[first])
+    rig.scheduler.expire_lease(rig.scheduler.worker_by_id[first])
     assert rig.place() == [(task_id, second)]
     rig.end(second, task_id, EndKind.FAILED)
     rig.report(second)
     rig.lead(3)
     assert rig.report(second) == []
     assert rig.report(first) == []
-    assert rig.scheduler.find(task_id).failures == 1
+    assert rig.scheduler.find_task(task_id).failures == 1
 
 
 def test_a_gang_with_a_lost_member_starts_again_once_all_members_are_located():
@@ -203,9 +203,9 @@
     rig.lead(3)
     rig.report("w")
     assert rig.carry_out_stops() == ["f.0.0.0"]
-    assert not rig.scheduler.worker_by_id["w"].is_open
+    assert not rig.scheduler.worker_by_id["w"].accepts_tasks
     rig.report("w")
-    assert rig.scheduler.worker_by_id["w"].is_open
+    assert rig.scheduler.worker_by_id["w"].accepts_tasks
 
 
 def test_a_gang_is_placed_as_a_whole_and_starts_again_as_a_whole():
@@ -239,10 +239,10 @@
     rig.end("w1", next(iter(rig.running_by_worker["w1"])))
     rig.report("w1")
     assert rig.state.flow_by_id["f"].outcome == Outcome.COMPLETED
-    assert rig.scheduler.worker_by_id["w2"].cpu_free == 0
+    assert rig.scheduler.worker_by_id["w2"].free_cpu_milli == 0
     rig.end("w2", next(iter(rig.running_by_worker["w2"])), EndKind.BROKEN)
     rig.report("w2")
-    assert rig.scheduler.worker_by_id["w2"].cpu_free == 1000
+    assert rig.scheduler.worker_by_id["w2"].free_cpu_milli == 1000
     assert rig.place() == []
     assert rig.scheduler.flow_by_id == {}
 
@@ -253,7 +253,7 @@
     rig.add(worker("w1"))
     rig.submit(flow("f", step(1)))
     rig.place()
-    rig.scheduler.lapse(rig.scheduler.worker_by_id["w1"])
+    rig.scheduler.expire_lease(rig.scheduler.worker_by_id["w1"])
     assert rig.place() == []
     rig.add(worker("w2"))
     assert rig.place() == [("f.0.0.0", "w2")]
@@ -311,18 +311,18 @@
     assert {action.percent for action in rig.scheduler.throttles} == {25}
     rig.report("w", load=150)
     rig.report("w", load=150)
-    assert found.fill_percent == 0
+    assert found.best_effort_percent == 0
     rig.report("w", load=90)
-    assert found.fill_percent == 0
+    assert found.best_effort_percent == 0
     rig.report("w", load=50)
-    assert found.fill_percent == 25
+    assert found.best_effort_percent == 25
 
 
 def test_a_filling_task_that_starts_beside_a_slowed_one_is_slowed_too():
     """Guards against new filling tasks that run at full pace on a worker that is relieved."""
     rig = FlowRig()
     rig.add(worker("w"))
-    rig.scheduler.worker_by_id["w"].fill_percent = 5
+    rig.scheduler.worker_by_id["w"].best_effort_percent = 5
     rig.submit(flow("b", step(1, filling=True)))
     rig.place()
     assert [action.percent for action in rig.scheduler.throttles] == [5]
@@ -393,15 +393,15 @@
     rig.add(worker("w2"))
     rig.submit(flow("f", step(2)))
     assert rig.place() == []
-    (action,) = rig.scheduler.advice_wanted(rig.now, 0)
+    (action,) = rig.scheduler.plan_advice_calls(rig.now, 0)
     assert sorted(action.worker_ids) == ["w1", "w2"]
     tickets = [Ticket(worker_id="w2", text="t")]
-    rig.scheduler.advised(action, tickets, rig.now + 2.0, rig.now)
+    rig.scheduler.apply_advice(action, tickets, rig.now + 2.0, rig.now)
     rig.now += 1.9
     assert rig.place() == []
-    (action,) = rig.scheduler.advice_wanted(rig.now, 0)
+    (action,) = rig.scheduler.plan_advice_calls(rig.now, 0)
     assert action.worker_ids == ("w2",)
-    rig.scheduler.advised(action, tickets, rig.now + 2.0, rig.now)
+    rig.scheduler.apply_advice(action, tickets, rig.now + 2.0, rig.now)
     assert {worker_id for _, worker_id in rig.place()} == {"w2"}
 
 
--- a/tests/test_flow_walk.py
+++ b/tests/test_flow_walk.py
@@ -105,7 +105,7 @@
         self.check()
         is_answered = scheduler is self.scheduler and self.random.random() < 0.7
         if taken and is_answered:
-            scheduler.started(action.task, action.run, self.rig.now)
+            scheduler.apply_started(action.task, action.run, self.rig.now)
         elif not taken and is_answered and action.task.state == TaskState.STARTING:
             self.orders.append((scheduler, action))
 
@@ -149,7 +149,7 @@
         ]
         report = WorkerReport(clock_ms=1, running=rows, ended=list(machine.ended))
         self.rig.uncommitted.extend(
-            self.scheduler.report(found, report, self.rig.now, self.rig.now)
+            self.scheduler.apply_report(found, report, self.rig.now, self.rig.now)
         )
         if self.random.random() < 0.9:
             self.rig.settle()
@@ -159,22 +159,22 @@
         stops, self.scheduler.stops = self.scheduler.stops, []
         for action in stops:
             self.machines[action.worker.id].stop(action)
-            self.scheduler.stopped(action, self.rig.now)
+            self.scheduler.apply_stopped(action, self.rig.now)
 
     def suspect(self):
         """Let a worker go silent."""
         found = self.random.choice(list(self.scheduler.worker_by_id.values()))
         if found.status == WorkerStatus.READY:
             found.status = WorkerStatus.SUSPECT
-            self.scheduler.race(found, self.rig.now)
+            self.scheduler.speculate(found, self.rig.now)
 
-    def lapse(self):
+    def expire_lease(self):
         """Let the lease of a silent worker end: everything there is killed, orders are late."""
         for found in list(self.scheduler.worker_by_id.values()):
             if found.status in (WorkerStatus.SUSPECT, WorkerStatus.UNSEEN):
                 self.machines[found.id].run_by_task.clear()
                 self.orders = [one for one in self.orders if one[1].worker.id != found.id]
-                self.scheduler.lapse(found)
+                self.scheduler.expire_lease(found)
                 return
 
     def lead(self):
@@ -218,7 +218,7 @@
             self.stop: 10,
             self.submit: 4,
             self.suspect: 3,
-            self.lapse: 2,
+            self.expire_lease: 2,
             self.lead: 1,
             self.cancel: 1,
         }
@@ -245,7 +245,7 @@
                 scheduler, action = self.orders.pop()
                 machine = self.machines[action.worker.id]
                 if machine.start(action, scheduler.term) and scheduler is self.scheduler:
-                    scheduler.started(action.task, action.run, self.rig.now)
+                    scheduler.apply_started(action.task, action.run, self.rig.now)
             self.check()
             if not self.scheduler.flow_by_id and self.is_empty():
                 return
@@ -254,7 +254,7 @@
     def is_empty(self):
         """Tell whether no worker holds room any more."""
         return all(
-            not found.held_by_task and found.cpu_free == CPU_MILLI
+            not found.task_by_id and found.free_cpu_milli == CPU_MILLI
             for found in self.scheduler.worker_by_id.values()
         )
 
--- a/tests/test_speculation.py
+++ b/tests/test_speculation.py
@@ -15,10 +15,10 @@
     [(_, silent)] = rig.place()
     other = "w2" if silent == "w1" else "w1"
     if not confirmed:
-        rig.scheduler.find("f.0.0.0").state = TaskState.STARTING
+        rig.scheduler.find_task("f.0.0.0").state = TaskState.STARTING
     found = rig.scheduler.worker_by_id[silent]
     found.status = WorkerStatus.SUSPECT
-    rig.scheduler.race(found, rig.now)
+    rig.scheduler.speculate(found, rig.now)
     return rig, silent, other
 
 
@@ -35,7 +35,7 @@
     """Guards against two runs of a task whose step does not allow copies."""
     rig, silent, _ = silenced_rig(speculative=False)
     assert rig.place() == []
-    rig.scheduler.lapse(rig.scheduler.worker_by_id[silent])
+    rig.scheduler.expire_lease(rig.scheduler.worker_by_id[silent])
     assert len(rig.place()) == 1
 
 
@@ -50,7 +50,7 @@
         assert rig.state.flow_by_id["f"].outcome.name == "COMPLETED"
         assert rig.carry_out_stops() == ["f.0.0.0"]
         rig.report(loser)
-        assert rig.scheduler.worker_by_id[loser].cpu_free == 1000
+        assert rig.scheduler.worker_by_id[loser].free_cpu_milli == 1000
         assert rig.scheduler.flow_by_id == {}
 
 
@@ -61,7 +61,7 @@
     rig.end(silent, "f.0.0.0", EndKind.FAILED)
     rig.report(silent)
     assert rig.place() == []
-    assert rig.scheduler.find("f.0.0.0").failures == 1
+    assert rig.scheduler.find_task("f.0.0.0").failures == 1
     rig.end(other, "f.0.0.0")
     rig.report(other)
     assert rig.state.flow_by_id["f"].outcome.name == "COMPLETED"
@@ -71,12 +71,12 @@
 def test_a_copy_is_not_started_on_the_worker_that_may_run_the_task():
     """Guards against two runs of a task that hide each other on one worker."""
     rig, silent, _ = silenced_rig()
-    rig.scheduler.lose(rig.scheduler.worker_by_id["w2" if silent == "w1" else "w1"])
+    rig.scheduler.remove_worker(rig.scheduler.worker_by_id["w2" if silent == "w1" else "w1"])
     rig.add(worker("w3", cpu_milli=500))
     found = rig.scheduler.worker_by_id[silent]
     found.update(worker(silent, cpu_milli=4000))
     rig.report(silent)
-    assert found.is_open
+    assert found.accepts_tasks
     assert rig.place() == []
 
 
@@ -87,19 +87,19 @@
     assert rig.place() == [("f.0.0.0", other)]
     found = rig.scheduler.worker_by_id[silent]
     rig.report(silent)
-    assert found.cpu_free == 0, "the start may still arrive"
+    assert found.free_cpu_milli == 0, "the start may still arrive"
     rig.carry_out_stops()
     rig.report(silent)
-    assert found.cpu_free == 1000
+    assert found.free_cpu_milli == 1000
 
 
 def test_the_end_of_a_lease_leaves_the_copy_elsewhere_alone():
     """Guards against a task that waits again though a copy of it runs."""
     rig, silent, _ = silenced_rig()
     rig.place()
-    rig.scheduler.lapse(rig.scheduler.worker_by_id[silent])
+    rig.scheduler.expire_lease(rig.scheduler.worker_by_id[silent])
     assert rig.place() == []
-    assert rig.scheduler.find("f.0.0.0").state == TaskState.RUNNING
+    assert rig.scheduler.find_task("f.0.0.0").state == TaskState.RUNNING
 
 
 def test_a_cancelled_flow_stops_all_copies():
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -53,17 +53,17 @@
     def __init__(self, driver):
         self.driver = driver
         self.statuses = []
-        self.poll_wait = LongPollWait(calm_s=1.2, troubled_s=0.3, memory_s=3.0)
+        self.poll_wait = LongPollWait(normal_wait_s=1.2, reduced_wait_s=0.3, reduced_period_s=3.0)
 
-    async def take_report(self, manager, report, asked_at):
+    async def handle_report(self, manager, report, asked_at):
         """Take a report."""
         self.statuses.append(manager.worker.status)
         manager.worker.status = WorkerStatus.READY if self.driver.outcomes else WorkerStatus.LOST
 
-    def suspected(self, worker):
+    def handle_suspect(self, worker):
         """Not used here."""
 
-    def lapsed(self, worker):
+    def handle_lease_expired(self, worker):
         """End the manager: its lease is over."""
         worker.status = WorkerStatus.LOST
 
@@ -76,7 +76,7 @@
         driver = ScriptedWorker(*outcomes)
         leader = LeaderOfOneWorker(driver)
         worker = FleetWorker(record=PoolWorker(id="w", cpu_milli=1000, memory_mb=10))
-        worker.held_by_task = {"some task": None}
+        worker.task_by_id = {"some task": None}
         manager = WorkerManager(worker=worker, leader=leader, driver=driver, timing=TIMING)
 
         async def main():
