Rename public methods of the flow scheduler, the leader and the flow report

Some public names were vague: requeue_queues, pending, joined, wake, collect and report. They are now update_queues, count_pending, handle_join, request_pass, build_flow_traces and format_report. The control service, the report command and the tests follow.

--- a/siskintally/commands_report.py
+++ b/siskintally/commands_report.py
@@ -10,8 +10,8 @@
 
 from siskintally.command import Command
 from siskintally.errors import BadRequestError
-from siskintally.flow_report import report
-from siskintally.flow_trace import collect, read_events
+from siskintally.flow_report import format_report
+from siskintally.flow_trace import build_flow_traces, read_events
 
 SUMMARY = "Say where the time of flows went: flow-report LOG... (logs of stores, in time order)."
 
@@ -24,7 +24,7 @@
 def _start(_, arguments):
     if not arguments:
         raise BadRequestError("flow-report: name one log file or more")
-    print(report(collect(read_events(_lines(arguments))).values()))
+    print(format_report(build_flow_traces(read_events(_lines(arguments))).values()))
 
 
 def _lines(paths):
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -141,7 +141,7 @@
                 except (NotLeaderError, OutcomeUnknownError) as error:
                     self.end_term(str(error))
 
-    def wake(self):
+    def request_pass(self):
         """Request a placement pass."""
         self._wake.set()
 
@@ -165,7 +165,7 @@
         """Return the manager of the current incarnation of a worker, or None."""
         return self._manager_by_worker.get(worker_id)
 
-    def joined(self, record, received_at):
+    def handle_join(self, record, received_at):
         """Add a worker whose announcement is committed, or update the record of a known one.
 
         :param received_at: steady time at which the announcement, with its clock reading, arrived.
@@ -185,7 +185,7 @@
             manager.wake()
         if record.leaving:
             self.scheduler.evacuate(worker, steady())
-        self.wake()
+        self.request_pass()
 
     async def propose(self, **body):
         """Commit a :class:`ControlCommand`.
@@ -203,7 +203,7 @@
     async def handle_report(self, manager, report, asked_at):
         """Apply a status report; commit its ends before they are acknowledged to the worker."""
         ends = self.scheduler.apply_report(manager.worker, report, asked_at, steady())
-        self.wake()
+        self.request_pass()
         if ends:
             for end in ends:
                 how = TaskEnd.How.Name(end.how)
@@ -232,7 +232,7 @@
         self.scheduler.apply_refusal(
             action.task, action.run, refusal, steady(), was_sent_before=was_sent_before
         )
-        self.wake()
+        self.request_pass()
 
     def handle_stopped(self, action):
         """Process a confirmed stop."""
@@ -243,14 +243,14 @@
         task_ids = self.scheduler.speculate(worker, steady())
         if task_ids:
             log.info("copies wanted", worker=worker.id, tasks=len(task_ids), first=task_ids[0])
-            self.wake()
+            self.request_pass()
 
     def handle_lease_expired(self, worker):
         """Process the expired lease of a worker."""
         self._counters.workers_lapsed.inc()
         log.warning("worker lapsed", worker=worker.id, held=len(worker.task_by_id))
         self.scheduler.expire_lease(worker)
-        self.wake()
+        self.request_pass()
 
     def handle_worker_lost(self, worker, reason):
         """Process the loss of a worker incarnation that no longer exists."""
@@ -263,7 +263,7 @@
             manager.wake()
             del self._manager_by_worker[worker.id]
         self._tasks.start_soon(self._commit_loss, worker.record)
-        self.wake()
+        self.request_pass()
 
     async def _commit_loss(self, record):
         try:
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -90,7 +90,7 @@
             steps=[describe_step(step) for step in flow_state.flow.steps[:LOGGED_STEPS]],
         )
         leader.scheduler.accept(flow_state.flow, queue, steady())
-        leader.wake()
+        leader.request_pass()
 
     async def _cancel(self, body):
         leader = self._leader
@@ -103,7 +103,7 @@
             await leader.propose(cancel=FlowId(id=body.id))
         log.info("flow cancelled", flow=body.id, outcome=flow_state.outcome.name)
         leader.scheduler.cancel(body.id)
-        leader.wake()
+        leader.request_pass()
         return FlowReply(known=True)
 
     async def _read(self, body):
@@ -121,15 +121,15 @@
         await self._leader.confirm()
         if self._leader.state.queue(body.queue) is None:
             raise NotFoundError(f"queue {body.queue!r}: not in the configuration")
-        return FlowReply(known=True, pending=self._leader.scheduler.pending(body.queue))
+        return FlowReply(known=True, pending=self._leader.scheduler.count_pending(body.queue))
 
     async def _put_document(self, body):
         leader = self._leader
         if body.document.version > leader.state.document.version:
             await leader.propose(document=body.document)
-            leader.scheduler.requeue_queues(leader.state)
+            leader.scheduler.update_queues(leader.state)
             self._published()
-            leader.wake()
+            leader.request_pass()
         else:
             # The acknowledgement says that nothing newer is lost, so leadership must be in force.
             await leader.confirm()
@@ -160,7 +160,7 @@
         if not is_same or _essence(known) != _essence(record):
             await leader.propose(join=record)
             log.info("worker announced", worker=record.id, leaving=record.leaving)
-        leader.joined(record, received_at)
+        leader.handle_join(record, received_at)
         return FlowReply(known=True)
 
     async def _gone(self, body):
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -131,4 +131,4 @@
                 allowed=len(tickets),
                 took_ms=round((now - asked_at) * 1000),
             )
-        self._leader.wake()
+        self._leader.request_pass()
--- a/siskintally/flow_report.py
+++ b/siskintally/flow_report.py
@@ -78,7 +78,7 @@
     parts["slow"] += ran_s - work_s
 
 
-def report(flows):
+def format_report(flows):
     """Return the report as text.
 
     :param flows: :class:`~siskintally.flow_trace.FlowTrace` objects.
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -155,7 +155,7 @@
             if step.is_ready and step.remaining:
                 self.ready_by_id[step.id] = step
 
-    def requeue_queues(self, state):
+    def update_queues(self, state):
         """Apply a new queue configuration to all flows.
 
         :param state: :class:`~siskintally.control_state.ControlState`.
@@ -303,7 +303,7 @@
         if all(task.worker is None for step in flow.steps() for task in step.tasks):
             del self.flow_by_id[flow.id]
 
-    def pending(self, queue_name):
+    def count_pending(self, queue_name):
         """Return the number of open flows of a queue without a started task."""
         return sum(
             flow.flow.queue == queue_name and flow.is_open and not flow.started
--- a/siskintally/flow_trace.py
+++ b/siskintally/flow_trace.py
@@ -1,9 +1,9 @@
 """Timeline of each flow from the logs of stores: acceptance, advice, starts, and ends.
 
->>> from siskintally.flow_trace import collect, read_events
+>>> from siskintally.flow_trace import build_flow_traces, read_events
 >>> line = '{"event": "flow accepted", "flow": "f", "queue": "q", "timestamp": '
 >>> line += '"2026-01-23T13:39:52Z", "steps": ["1 x 500m 64MB 640ms"]}'
->>> flows = collect(read_events(["10.5 store-1 " + line, "no event"]))
+>>> flows = build_flow_traces(read_events(["10.5 store-1 " + line, "no event"]))
 >>> flows["f"].queue, flows["f"].steps[0].tasks
 ('q', 1)
 """
@@ -72,7 +72,7 @@
             continue
 
 
-def collect(events):
+def build_flow_traces(events):
     """Return :class:`FlowTrace` objects by flow id.
 
     A new leader logs the flows and ends that it takes over again, so only the first ones count.
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -85,9 +85,9 @@
         async with create_task_group() as tasks:
             tasks.start_soon(leader.run)
             await sleep(0.01)
-            leader.joined(worker("w"), 0.0)
+            leader.handle_join(worker("w"), 0.0)
             leader.scheduler.accept(flow("f", step(2)), QUEUE, 0.0)
-            leader.wake()
+            leader.request_pass()
             await sleep(SETTLE_S)
             await check(leader, group, driver)
             tasks.cancel_scope.cancel()
--- a/tests/test_flow_report.py
+++ b/tests/test_flow_report.py
@@ -6,8 +6,8 @@
 
 from siskintally.commands_report import _start
 from siskintally.errors import BadRequestError
-from siskintally.flow_report import break_down_flow, report
-from siskintally.flow_trace import collect, read_events
+from siskintally.flow_report import break_down_flow, format_report
+from siskintally.flow_trace import build_flow_traces, read_events
 
 STEPS = ["2 x 500m 64MB 600ms", "1 x 500m 64MB 400ms after=[0]"]
 
@@ -38,7 +38,7 @@
 
 def test_the_time_of_a_flow_is_split_along_its_last_tasks():
     """Guards against a report whose parts do not add up to the time that a caller waited."""
-    flows = collect(read_events(lines()))
+    flows = build_flow_traces(read_events(lines()))
     breakdown = break_down_flow(flows["f"])
     rounded = {part: round(value, 3) for part, value in breakdown.parts.items()}
     assert rounded == {"advice": 0.05, "queue": 0.15, "again": 0.8, "work": 0.9, "slow": 0.4}
@@ -59,7 +59,7 @@
 
 def test_a_log_without_flows_and_a_missing_log_are_told():
     """Guards against a traceback for the first thing that an operator gets wrong."""
-    assert report([]) == "0 flows accepted, 0 of them completed within these logs"
+    assert format_report([]) == "0 flows accepted, 0 of them completed within these logs"
     for arguments in ([], ["/nowhere/store.log"]):
         with raises(BadRequestError):
             _start(None, arguments)
