--- a/siskintally/advice_client_pool.py
+++ b/siskintally/advice_client_pool.py
@@ -1,24 +1,25 @@
-"""Calls to the advice service, spread over the VMs that may make them.
+"""Pool of the clients that can call the advice service, one per linked VM.
 
-The service handles one call at a time for each VM, so every linked process is one client.
+The service handles one call at a time per VM, so each linked process is one client.
 
->>> from siskintally.advice_client_pool import reserved
->>> reserved(9), reserved(2)
+>>> from siskintally.advice_client_pool import reserved_count
+>>> reserved_count(9), reserved_count(2)
 (2, 0)
 """
 
 from abc import ABC, abstractmethod
 
-QUICK_CLIENTS = 2
+# Most clients that are reserved for quick calls.
+MAX_RESERVED_CLIENTS = 2
 
 
-def reserved(count):
-    """Return how many of some clients are kept for quick calls."""
-    return min(QUICK_CLIENTS, count // 3)
+def reserved_count(count):
+    """Return how many of ``count`` clients are reserved for quick calls."""
+    return min(MAX_RESERVED_CLIENTS, count // 3)
 
 
 class AdviceClient(ABC):
-    """One VM that can call the advice service; ``name`` tells clients apart."""
+    """One VM that can call the advice service; ``name`` is unique among clients."""
 
     __slots__ = ("name",)
 
@@ -27,14 +28,16 @@
 
     @abstractmethod
     async def ask(self, step_id, worker_ids, *, timeout):
-        """Return :class:`~siskintally.driver.Ticket` objects; see :class:`Advice`."""
+        """Request permits for a step; return :class:`~siskintally.driver.Ticket` objects.
+
+        See :class:`~siskintally.driver.Advice`.
+        """
 
 
 class AdviceClientPool:
-    """Which clients are free.
+    """Tracks which clients are free.
 
-    :param clients: function that returns the :class:`AdviceClient` objects at present, nearest
-        first.
+    :param clients: function that returns the current :class:`AdviceClient` objects, nearest first.
     """
 
     __slots__ = ("_busy", "_clients")
@@ -43,22 +46,22 @@
         self._clients = clients
         self._busy = set()
 
-    def take(self, *, is_quick):
+    def acquire(self, *, is_quick):
         """Return a free client and mark it as busy, or None.
 
-        Slow calls take the farthest clients and leave some free, so that a quick call never waits
-        behind them.
+        Slow calls use the farthest clients and leave some free, so that a quick call never waits
+        for a slow one.
         """
         clients = list(self._clients())
         free = [client for client in clients if client.name not in self._busy]
         if not is_quick:
-            free = free[reserved(len(clients)) :]
+            free = free[reserved_count(len(clients)) :]
             free.reverse()
         if not free:
             return None
         self._busy.add(free[0].name)
         return free[0]
 
-    def give_back(self, client):
+    def release(self, client):
         """Mark a client as free."""
         self._busy.discard(client.name)
--- a/siskintally/flow_report.py
+++ b/siskintally/flow_report.py
@@ -1,4 +1,4 @@
-"""Where the time of flows went, per queue, along the chain of tasks that ended last; pure.
+"""Report on the time spent by flows per queue, along their critical paths; pure logic.
 
 >>> from siskintally.flow_report import PARTS
 >>> PARTS
@@ -9,16 +9,20 @@
 
 from siskintally.tables import table
 
-# advice: until the last permit before the start. queue: from there to the start. again: from the
-# first start to the one that was done. work: the estimate. slow: what the run took beyond it.
+# advice: until the last permit before the start. queue: from then to the first start. again: from
+# the first start to the start of the run that was done. work: run time up to the estimate. slow:
+# run time beyond the estimate.
 PARTS = ("advice", "queue", "again", "work", "slow")
 BAR_WIDTH = 40
 SLOWEST_SHOWN = 5
 _BAR_LETTERS = dict(zip(PARTS, "aqr#s", strict=True))
 
 
-class Split(NamedTuple):
-    """One completed flow; ``parts`` are seconds by name, ``estimate_s`` its chain of work."""
+class TimeBreakdown(NamedTuple):
+    """Time of one completed flow; ``parts``: seconds by name, for the steps of its critical path.
+
+    ``estimate_s``: sum of the estimates of those steps.
+    """
 
     flow: str
     queue: str
@@ -27,8 +31,8 @@
     parts: dict
 
 
-def split_flow(flow):
-    """Return the :class:`Split` of a flow, or None if the log does not hold all of it.
+def break_down_flow(flow):
+    """Return the :class:`TimeBreakdown` of a flow, or None if the log does not contain all of it.
 
     :param flow: :class:`~siskintally.flow_trace.FlowTrace`.
     """
@@ -49,11 +53,11 @@
         estimate_s += step.estimate_s
         number = before
     total_s = done[last].done_at - flow.accepted_at
-    return Split(flow.id, flow.queue, total_s, estimate_s, parts)
+    return TimeBreakdown(flow.id, flow.queue, total_s, estimate_s, parts)
 
 
 def _last_task(flow, number):
-    """Return the task of a step that ended last, None if one has not ended."""
+    """Return the task of a step that was done last, None if one is not done."""
     names = (f"{flow.id}.0.{number}.{index}" for index in range(flow.steps[number].tasks))
     tasks = [flow.task_by_id.get(name) for name in names]
     if any(task is None or task.done_at is None or not task.starts for task in tasks):
@@ -74,24 +78,24 @@
     parts["slow"] += ran_s - work_s
 
 
-def report(flows):
+def format_report(flows):
     """Return the report as text.
 
     :param flows: :class:`~siskintally.flow_trace.FlowTrace` objects.
     """
     flows = list(flows)
-    splits = [split for split in map(split_flow, flows) if split is not None]
+    breakdowns = [breakdown for breakdown in map(break_down_flow, flows) if breakdown is not None]
     by_queue = {}
-    for split in splits:
-        by_queue.setdefault(split.queue, []).append(split)
-    lines = [f"{len(flows)} flows accepted, {len(splits)} of them completed within these logs"]
-    if not splits:
+    for breakdown in breakdowns:
+        by_queue.setdefault(breakdown.queue, []).append(breakdown)
+    lines = [f"{len(flows)} flows accepted, {len(breakdowns)} of them completed within these logs"]
+    if not breakdowns:
         return lines[0]
     lines += ["", table(_rows(by_queue)), ""]
     lines += [f"{name:<16} {_bar(_means(group))}" for name, group in sorted(by_queue.items())]
     legend = ", ".join(f"{letter} {name}" for name, letter in _BAR_LETTERS.items())
     lines += ["", f"share of the mean time: {legend}", "", "slowest against their estimate:"]
-    lines += [_describe(split) for split in _slowest(splits)]
+    lines += [_describe(breakdown) for breakdown in _slowest(breakdowns)]
     return "\n".join(lines)
 
 
@@ -99,14 +103,14 @@
     yield ("queue", "flows", "mean s", "chain s", *(f"{part} s" for part in PARTS))
     for name, group in sorted(by_queue.items()):
         means = _means(group)
-        total = sum(split.total_s for split in group) / len(group)
-        chain = sum(split.estimate_s for split in group) / len(group)
+        total = sum(breakdown.total_s for breakdown in group) / len(group)
+        chain = sum(breakdown.estimate_s for breakdown in group) / len(group)
         figures = (f"{value:.3f}" for value in (total, chain, *means.values()))
         yield (name, len(group), *figures)
 
 
 def _means(group):
-    return {part: sum(split.parts[part] for split in group) / len(group) for part in PARTS}
+    return {part: sum(breakdown.parts[part] for breakdown in group) / len(group) for part in PARTS}
 
 
 def _bar(means):
@@ -116,13 +120,15 @@
     )
 
 
-def _slowest(splits):
-    return sorted(splits, key=lambda split: split.estimate_s - split.total_s)[:SLOWEST_SHOWN]
+def _slowest(breakdowns):
+    return sorted(breakdowns, key=lambda breakdown: breakdown.estimate_s - breakdown.total_s)[
+        :SLOWEST_SHOWN
+    ]
 
 
-def _describe(split):
-    lost = max((part for part in PARTS if part != "work"), key=split.parts.get)
+def _describe(breakdown):
+    largest = max((part for part in PARTS if part != "work"), key=breakdown.parts.get)
     return (
-        f"{split.flow}  {split.queue}  {split.total_s:.2f} s for a chain of "
-        f"{split.estimate_s:.2f} s, most for {lost} ({split.parts[lost]:.2f} s)"
+        f"{breakdown.flow}  {breakdown.queue}  {breakdown.total_s:.2f} s for a chain of "
+        f"{breakdown.estimate_s:.2f} s, most for {largest} ({breakdown.parts[largest]:.2f} s)"
     )
--- a/siskintally/quorum_check.py
+++ b/siskintally/quorum_check.py
@@ -1,7 +1,7 @@
-"""Quorum check of a leader: a quorum is known to follow it at present.
+"""Quorum check of a leader: confirms at intervals that a quorum still follows it.
 
->>> from siskintally.quorum_check import AUTHORITY_SHARE
->>> 0 < AUTHORITY_SHARE < 1
+>>> from siskintally.quorum_check import CONFIRMED_LEADER_SHARE
+>>> 0 < CONFIRMED_LEADER_SHARE < 1
 True
 """
 
@@ -9,44 +9,45 @@
 
 from siskintally.clock import now as steady
 
-# Nobody else can be elected while a quorum has heard this leader within the shortest election
-# timeout, or a share of it that is larger than this one if its process has ended. The rest covers
-# clocks that differ, and members that forget it by a restart.
-AUTHORITY_SHARE = 0.5
-CONFIRM_S = 0.15
+# Share of the shortest election timeout for which a confirmation by a quorum lets the leader act.
+# No other leader can be elected while a quorum has heard from this one within that timeout, or
+# within a smaller share of it, still larger than this one, if the leader's process has ended. The
+# rest covers differences between clocks, and members that forget the leader by a restart.
+CONFIRMED_LEADER_SHARE = 0.5
+CONFIRM_INTERVAL_S = 0.15
 
 
 class QuorumCheck:
-    """Rounds that a quorum answers, and how long each lets a leader act.
+    """Confirmations by a quorum, each of which lets the leader act for a limited time.
 
     :param group: :class:`~siskintally.group.Group` whose replica leads.
     :param election_min_s: shortest election timeout of the group.
     """
 
-    __slots__ = ("_confirmed", "_election_min_s", "_group", "_until")
+    __slots__ = ("_confirmed", "_confirmed_until", "_election_min_s", "_group")
 
     def __init__(self, *, group, election_min_s):
         self._group = group
         self._election_min_s = election_min_s
-        self._until = 0.0
+        self._confirmed_until = 0.0
         self._confirmed = Event()
 
     async def run(self):
-        """Confirm the authority again and again.
+        """Confirm the leadership at intervals until cancelled.
 
-        :raises SiskintallyError: it is lost.
+        :raises SiskintallyError: leadership is lost.
         """
         while True:
             asked_at = steady()
             with move_on_after(self._election_min_s * 2) as scope:
                 await self._group.confirm()
             if not scope.cancelled_caught:
-                self._until = asked_at + self._election_min_s * AUTHORITY_SHARE
+                self._confirmed_until = asked_at + self._election_min_s * CONFIRMED_LEADER_SHARE
                 self._confirmed.set()
                 self._confirmed = Event()
-            await sleep(CONFIRM_S)
+            await sleep(CONFIRM_INTERVAL_S)
 
     async def wait(self):
-        """Return once a quorum is known to follow; the term ends otherwise."""
-        while steady() >= self._until:
+        """Wait until a quorum is known to follow; the end of the term cancels the wait."""
+        while steady() >= self._confirmed_until:
             await self._confirmed.wait()
