Say plainly how the entry admits, queues and balances requests

The comments of admission, queues, forecast, balancing, health and retries were terse or figurative ("told", "hopeless", "takes nothing new"). They now state the rule, its unit and its reason, and each module's first line says what the module is.

--- a/siskintally/admission.py
+++ b/siskintally/admission.py
@@ -1,4 +1,7 @@
-"""Admission control of one service: bounded queues per class; the time is passed in.
+"""Admission control of one service: a bounded queue per request class, by deadline.
+
+A class is a number ("rank"): 0 urgent, 1 normal, 2 deferrable. Callers pass the current monotonic
+time as ``now``.
 
 >>> from siskintally.admission import Admission
 >>> from siskintally.fair_queue import Ticket
@@ -21,22 +24,24 @@
 from siskintally.limits import DEFERRABLE, NORMAL, URGENT
 
 RANKS = (URGENT, NORMAL, DEFERRABLE)
-# One slot in eight, at least one, is kept free for urgent requests.
+# An entry reserves one slot for urgent requests per this many slots, but at least one.
 SLOTS_PER_RESERVE = 8
-# A deferrable request counts as normal in the last fifth of its time.
+# A deferrable request is moved to the normal class for the last fifth of the time to its deadline,
+# or for the last two mean service times if they are longer.
 PROMOTE_RATIO = 0.2
 PROMOTE_SERVICE_TIMES = 2.0
+# Dispatches that deferrable requests may be owed at most.
 MAX_CREDIT = 2.0
-# A request is accepted if it would be in time even though it waited this many times the forecast:
-# later requests of higher classes and of earlier deadlines go before it.
+# The forecast wait is multiplied by this before it is compared with the deadline, because requests
+# that arrive later with a higher class or an earlier deadline are sent first.
 WAIT_MARGIN = 2.0
-# Waiting requests are reviewed this often in the time to their deadline, so that one whose chance
-# has gone by the first review is told within a quarter of that time.
+# Each waiting request is checked this many times between arrival and deadline. One that can't meet
+# its deadline any more at the first check is refused within a quarter of that time.
 REVIEWS = 5
 
 
 class OverloadedError(SiskintallyError):
-    """The request was refused by admission control; it was not run."""
+    """Admission control refused the request; it was not run."""
 
     code = Code.OVERLOADED
 
@@ -51,7 +56,7 @@
 
 
 def next_review(ticket, now):
-    """Return when a waiting request is reviewed next, at the latest its deadline.
+    """Return when a waiting request is checked next, at the latest at its deadline.
 
     >>> from siskintally.fair_queue import Ticket
     >>> ticket = Ticket(rank=1, caller="c", deadline=10.0, queued_at=0.0)
@@ -66,7 +71,7 @@
 
 
 class Admission:
-    """Requests of one service that wait for a slot.
+    """Queues of one service's requests that wait for a slot, with admission and dispatch order.
 
     :param limits: :class:`~siskintally.limits.EntryLimits`; may be replaced at any time.
     """
@@ -96,23 +101,23 @@
         return sum(len(queue) for queue in self._queues)
 
     def waiting(self, rank):
-        """Return how many requests of a class wait."""
+        """Return the number of waiting requests of a class."""
         return len(self._queues[rank])
 
     def service_s(self, now):
-        """Return the measured service time, s; 0 if there was no recent one."""
+        """Return the mean service time in seconds; 0 without a recent measurement."""
         return self._service.mean_s(now)
 
     def needed_s(self, now):
-        """Return the time within which nearly all requests are served, s."""
+        """Return the service time in seconds that nearly all requests stay below."""
         return self._service.needed_s(now)
 
     def measured(self, seconds, *, now):
-        """Take the service time of a complete response."""
+        """Record the service time of a complete response, in seconds."""
         self._service.add(seconds, now)
 
     def check(self, ticket, *, now, free, total):
-        """Check whether a request would be accepted now.
+        """Check whether a request would be accepted now; change nothing.
 
         :param free: free slots of this entry.
         :param total: all slots of this entry.
@@ -128,9 +133,9 @@
             raise OverloadedError("queue: full")
 
     def offer(self, ticket, *, now, free, total):
-        """Queue a request.
+        """Queue a request, or refuse it.
 
-        :returns: a waiting ticket that was evicted for it, or None.
+        :returns: the waiting request that was evicted to free its place, or None.
         :raises OverloadedError: refused; nothing was changed.
         """
         self.check(ticket, now=now, free=free, total=total)
@@ -149,7 +154,7 @@
         return victim
 
     def keeps(self, ticket, *, now, total):
-        """Tell whether a waiting request can still meet its deadline.
+        """Return whether a waiting request can still meet its deadline.
 
         :param total: all slots of this entry.
         """
@@ -157,20 +162,20 @@
         return finish <= ticket.deadline
 
     def withdraw(self, ticket):
-        """Take out a request that no longer waits."""
+        """Remove a request from its queue; do nothing if it isn't waiting."""
         if ticket.state is State.WAITING:
             self._queues[ticket.rank].remove(ticket)
 
     def take(self, *, now, free, total, ordinary):
-        """Return the next request to send, or None.
+        """Remove and return the next request to send, or None.
 
         :param free: free slots of this entry.
         :param total: all slots of this entry.
-        :param ordinary: slots in use by requests that are not urgent.
+        :param ordinary: slots in use by normal and deferrable requests.
         """
         self._promote(now)
-        # The reserve limits the others instead of keeping slots idle beside busy urgent ones;
-        # that would refuse ordinary requests below the capacity.
+        # The reserve caps the slots in use by normal and deferrable requests. Keeping slots idle in
+        # addition to those that urgent requests use would refuse requests below full capacity.
         while free > 0:
             rank = self._choose(ordinary < total - urgent_reserve(total))
             if rank is None:
@@ -185,7 +190,7 @@
         return None
 
     def take_expired(self):
-        """Return the requests dropped by :meth:`take` since the last call; they were not run."""
+        """Return the requests that :meth:`take` dropped since the last call; they were not run."""
         expired, self._expired = self._expired, []
         return expired
 
@@ -214,7 +219,8 @@
         return victim if fair else None
 
     def _is_hopeless(self, ticket, now):
-        # Sent alone it is a measurement; with others waiting it would waste a slot.
+        # With others waiting, a late request would waste a slot. Without others it is sent, because
+        # its response updates the measured service time.
         return len(self) > 0 and now + self.needed_s(now) > ticket.deadline
 
     def _choose(self, has_ordinary_slot):
--- a/siskintally/balancer.py
+++ b/siskintally/balancer.py
@@ -1,4 +1,4 @@
-"""Choice of an endpoint among those with a free slot.
+"""Load balancing policies: choice of an endpoint among those with a free slot.
 
 >>> from siskintally.balancer import Candidate, LeastLoaded
 >>> busy = Candidate(name="a", share=2, in_flight=1)
@@ -12,16 +12,16 @@
 
 from siskintally.slot_share import rendezvous
 
-# A failing endpoint that may not be ejected looks this much more loaded.
+# Factor on the load of a failing endpoint that the limit on ejections keeps in use.
 SUSPECT_FACTOR = 8
 
 
 class Candidate:
     """An endpoint that has a free slot for this entry.
 
-    :param share: slots of this entry.
+    :param share: slots of the endpoint that this entry may use.
     :param in_flight: slots in use.
-    :param suspect: whether it fails often.
+    :param suspect: whether the endpoint fails often.
     """
 
     __slots__ = ("in_flight", "name", "share", "suspect")
@@ -33,13 +33,13 @@
         self.suspect = suspect
 
     def load(self):
-        """Return the load after one more request, relative to the share."""
+        """Return the fraction of the share in use after one more request."""
         factor = SUSPECT_FACTOR if self.suspect else 1
         return (self.in_flight + 1) / self.share * factor
 
 
 class Balancer(ABC):
-    """A policy of choosing an endpoint."""
+    """Load balancing policy."""
 
     __slots__ = ()
 
@@ -48,14 +48,14 @@
         """Return one of the candidates.
 
         :param candidates: at least one.
-        :param key: what requests for the same data have in common.
+        :param key: affinity key, equal for requests that should go to the same endpoint.
         """
 
 
 class PowerOfTwo(Balancer):
-    """The less loaded of two random endpoints.
+    """Chooses the less loaded of two random endpoints.
 
-    :param random: random source.
+    :param random: random number generator.
     """
 
     __slots__ = ("_random",)
@@ -72,7 +72,7 @@
 
 
 class LeastLoaded(Balancer):
-    """The least loaded endpoint, the first of several."""
+    """Chooses the least loaded endpoint, the first one on a tie."""
 
     __slots__ = ()
 
@@ -82,7 +82,7 @@
 
 
 class Rendezvous(Balancer):
-    """The endpoint with the highest weight for the key, so equal keys meet warm caches."""
+    """Rendezvous hashing: equal keys go to the same endpoint, where caches are warm."""
 
     __slots__ = ()
 
--- a/siskintally/fair_queue.py
+++ b/siskintally/fair_queue.py
@@ -1,4 +1,4 @@
-"""Waiting requests of one class: round robin among callers, earliest deadline first in a caller.
+"""Queue of one request class: round robin over callers, earliest deadline first per caller.
 
 >>> from siskintally.fair_queue import FairQueue, Ticket
 >>> queue = FairQueue()
@@ -12,11 +12,12 @@
 from heapq import heappop, heappush
 from itertools import count
 
+# Above this number of remembered callers, those without a turn in a later round are dropped.
 MAX_ROUNDS_KEPT = 1024
 
 
 class State(Enum):
-    """Where a ticket is."""
+    """State of a request in the queue: GONE is removed, TAKEN is sent on."""
 
     NEW = 0
     WAITING = 1
@@ -29,9 +30,9 @@
 
     :param rank: class, 0 is the most urgent.
     :param deadline: monotonic time.
-    :param notify: called without arguments when the ticket was taken, evicted, or expired.
+    :param notify: called without arguments when the request gets a slot, is evicted, or expires.
     :param avoid: endpoint to use only if no other has a free slot.
-    :param may_probe: whether it may be the probe of an ejected endpoint.
+    :param may_probe: whether the request may be sent to an ejected endpoint to probe it.
     """
 
     __slots__ = (
@@ -71,7 +72,10 @@
 
 
 class FairQueue:
-    """Tickets of one class."""
+    """Waiting requests of one class.
+
+    Each caller gets one request per round. A heap orders the callers' turns by round and deadline.
+    """
 
     __slots__ = ("_line_by_caller", "_numbers", "_order", "_round", "_round_by_caller", "_waiting")
 
@@ -87,18 +91,18 @@
         return self._waiting
 
     def callers(self):
-        """Return how many callers wait."""
+        """Return the number of callers with waiting requests."""
         return len(self._line_by_caller)
 
     def waiting_of(self, caller):
-        """Return how many tickets of a caller wait."""
+        """Return the number of waiting requests of a caller."""
         line = self._line_by_caller.get(caller)
         return line.waiting if line else 0
 
     def ahead_of(self, ticket):
-        """Return how many waiting tickets are popped before a new or a waiting one.
+        """Return how many waiting requests at most are popped before a new or a waiting one.
 
-        Round robin gives others at most as many turns as this caller has up to the ticket.
+        Round robin gives each other caller at most as many turns as this caller needs until then.
         """
         line = self._line_by_caller.get(ticket.caller)
         callers = self.callers() + (line is None)
@@ -111,10 +115,10 @@
         return min(others, (own + 1) * callers - 1)
 
     def push(self, ticket):
-        """Add a ticket."""
+        """Add a request."""
         line = self._line_by_caller.get(ticket.caller)
         if line is None:
-            # A caller that comes back has no more turns in a round than one that stayed.
+            # A caller whose queue was empty still gets only one turn per round.
             turn = max(self._round, self._round_by_caller.get(ticket.caller, 0))
             line = self._line_by_caller[ticket.caller] = _Line(turn=turn)
         ticket.state = State.WAITING
@@ -126,7 +130,7 @@
             self._enter(ticket.caller, line)
 
     def pop(self):
-        """Return the next ticket, or None."""
+        """Remove and return the next request, or None."""
         while self._order:
             turn, _, _, caller, version = heappop(self._order)
             line = self._line_by_caller.get(caller)
@@ -144,14 +148,14 @@
         return None
 
     def remove(self, ticket):
-        """Take out a waiting ticket."""
+        """Remove a waiting request."""
         line = self._line_by_caller[ticket.caller]
         was_head = line.heap[0] is ticket.entry
         ticket.state = State.GONE
         self._leave(ticket.caller, line, reenter=was_head)
 
     def latest_of_largest(self):
-        """Return the ticket with the latest deadline of the caller with most tickets, or None."""
+        """Return the latest-deadline request of the caller with the most requests, or None."""
         if not self._line_by_caller:
             return None
         line = max(self._line_by_caller.values(), key=lambda one: one.waiting)
@@ -186,6 +190,6 @@
 
 
 def _is_waiting(entry):
-    """Tell whether a ticket waits at this place; a promoted one leaves its old entry behind."""
+    """Return whether a heap item is current; a promoted request leaves a stale one behind."""
     ticket = entry[2]
     return ticket.state is State.WAITING and ticket.entry is entry
--- a/siskintally/forecast.py
+++ b/siskintally/forecast.py
@@ -1,4 +1,6 @@
-"""Forecast of the time a request waits for a slot; the time is passed in.
+"""Forecast of how long a request waits for a slot, from arrival rates and service times.
+
+Callers pass the current monotonic time as ``now``.
 
 >>> from siskintally.forecast import Rate, class_rate
 >>> [round(class_rate(rank, 100.0, 90.0, [30.0, 50.0], share=0.1)) for rank in (0, 1, 2)]
@@ -9,18 +11,21 @@
 
 from siskintally.limits import NORMAL, URGENT
 
+# Weight of a new sample in the exponential moving averages.
 SMOOTHING = 0.1
-# A request sent with less time left than mean and deviations often ends with an unknown outcome.
+# A request with less time left than the mean service time and this many mean deviations often ends
+# with an unknown outcome.
 DEVIATIONS = 4.0
-# A service time measured longer ago refuses nobody, so one slow answer can't close a service.
+# Older measurements are ignored. Otherwise one slow response could refuse all requests, and with
+# them any newer measurement.
 MEASURE_LIFE_S = 10.0
-# Time constant of the measured arrivals: short against a burst, long against the interval of 1 ms
-# to 100 ms between requests.
+# Time constant of the exponential decay: shorter than a burst, longer than the 1 ms to 100 ms
+# between requests.
 RATE_TIME_S = 1.0
 
 
 class Rate:
-    """Events a second, mostly those of the last second."""
+    """Exponentially decayed event rate, mostly of the last second."""
 
     __slots__ = ("_at", "_count")
 
@@ -34,7 +39,7 @@
         self._at = now
 
     def per_s(self, now):
-        """Return the rate."""
+        """Return the events per second."""
         return self._kept(now) / RATE_TIME_S
 
     def _kept(self, now):
@@ -42,7 +47,7 @@
 
 
 class ServiceTime:
-    """Mean and mean deviation of measured service times."""
+    """Moving averages of the service time and of its absolute deviation."""
 
     __slots__ = ("_at", "_deviation_s", "_mean_s")
 
@@ -52,7 +57,7 @@
         self._deviation_s = 0.0
 
     def add(self, seconds, now):
-        """Take the service time of a complete response."""
+        """Record the service time of a complete response, in seconds."""
         if self.mean_s(now) == 0.0:
             self._mean_s = seconds
             self._deviation_s = 0.0
@@ -63,22 +68,22 @@
         self._at = now
 
     def mean_s(self, now):
-        """Return the measured service time, s; 0 if there was no recent one."""
+        """Return the mean in seconds; 0 without a recent measurement."""
         return self._mean_s if now - self._at <= MEASURE_LIFE_S else 0.0
 
     def needed_s(self, now):
-        """Return the time within which nearly all requests are served, s."""
+        """Return the service time in seconds that nearly all requests stay below; 0 if unknown."""
         mean = self.mean_s(now)
         return mean + DEVIATIONS * self._deviation_s if mean else 0.0
 
 
 def class_rate(rank, capacity, ordinary, demand, *, share):
-    """Return how many requests of a class are sent in a second while all classes wait.
+    """Return how many requests of a class are sent per second while all classes have some waiting.
 
-    :param capacity: requests a second that all slots serve.
-    :param ordinary: requests a second that the slots open to ordinary requests serve.
-    :param demand: accepted requests a second of the urgent and the normal class.
-    :param share: share of the dispatches that waiting deferrable requests get.
+    :param capacity: requests per second that all slots serve.
+    :param ordinary: requests per second served by the slots open to normal and deferrable requests.
+    :param demand: accepted requests per second of the urgent and the normal class.
+    :param share: fraction of the dispatches that waiting deferrable requests get.
     """
     if rank == URGENT:
         return capacity * (1 - share)
@@ -89,13 +94,13 @@
 
 
 def wait_s(rank, ahead, capacity, ordinary, demand, *, share):
-    """Return how long a request waits until it is sent, s; infinite if its class gets no slots.
+    """Return the wait in seconds until a request is sent; infinite if its class gets no slots.
 
     :param ahead: waiting requests of each class up to its own that are sent before it.
     """
     if capacity <= 0:
         return float("inf")
     rate = class_rate(rank, capacity, ordinary, demand, share=share)
-    # The guaranteed share of deferrable requests doesn't wait for the queues of other classes.
+    # Deferrable requests are sent at their guaranteed share even while other classes wait.
     by_share = ahead[rank] / (share * capacity) if rank > NORMAL and share > 0 else float("inf")
     return min(by_share, sum(ahead) / rate if rate > 0 else float("inf"))
--- a/siskintally/health.py
+++ b/siskintally/health.py
@@ -1,4 +1,6 @@
-"""Outlier ejection of the endpoints of one service; the time is passed in.
+"""Outlier ejection of the endpoints of one service, with back-off and probes.
+
+Callers pass the current monotonic time as ``now``.
 
 >>> from siskintally.health import HealthTable
 >>> table = HealthTable()
@@ -9,18 +11,20 @@
 ['b', 'c', 'd']
 """
 
+# An endpoint is ejected after this many failures in a row, or when at least half of its results in
+# a window failed, given at least 20 results.
 CONSECUTIVE_FAILURES = 5
 WINDOW_S = 10.0
 WINDOW_LEAST = 20
 WINDOW_FAILURE_RATE = 0.5
 MIN_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 60.0
-# An endpoint that fails again within this time of its readmission gets twice the back-off.
+# An endpoint that is ejected again within this time of its readmission gets twice the back-off.
 RELAPSE_S = 60.0
 MAX_EJECTED_RATIO = 0.3
-# An endpoint to which no connection can be made gets nothing for this time, which doubles with each
-# failed probe. The limit on ejections doesn't count here: such an endpoint serves nobody, while one
-# that answers errors may be failing because of the requests.
+# An unreachable endpoint gets no requests for this time, which doubles with each failed probe.
+# MAX_EJECTED_RATIO doesn't apply: an unreachable endpoint serves nobody, while one that returns
+# errors may fail because of the requests.
 MIN_UNREACHABLE_S = 0.1
 MAX_UNREACHABLE_S = 1.0
 
@@ -63,9 +67,9 @@
         return self.ejected or self.unreachable_s > 0.0
 
     def lose(self, now):
-        """Note that no connection could be made."""
+        """Record that no connection could be made."""
         if self.unreachable_s and not self.probing:
-            # A request sent before the endpoint was found unreachable tells nothing new.
+            # The request was sent before the endpoint was marked as unreachable.
             return
         doubled = min(self.unreachable_s * 2, MAX_UNREACHABLE_S)
         self.unreachable_s = max(doubled, MIN_UNREACHABLE_S)
@@ -96,7 +100,7 @@
 class HealthTable:
     """Health of the endpoints of one service.
 
-    A name stands for one incarnation of an endpoint.
+    Each name stands for one incarnation of an endpoint.
     """
 
     __slots__ = ("_by_name",)
@@ -105,48 +109,48 @@
         self._by_name = {}
 
     def usable(self, names, *, now):
-        """Return the endpoints that may get a request; an ejected one when its probe is due."""
+        """Return the endpoints that may get a request, including those due for a probe."""
         return [name for name in names if self._is_usable(name, now)]
 
     def ejected(self, names):
-        """Return the endpoints that are ejected."""
+        """Return the ejected endpoints."""
         return [name for name in names if self.is_ejected(name)]
 
     def is_suspect(self, name):
-        """Tell whether an endpoint fails and is kept only by the limit on ejections."""
+        """Return whether an endpoint is an outlier that the limit on ejections keeps in use."""
         health = self._by_name.get(name)
         return health is not None and not health.ejected and health.is_outlier()
 
     def is_ejected(self, name):
-        """Tell whether an endpoint is ejected."""
+        """Return whether an endpoint is ejected."""
         health = self._by_name.get(name)
         return health is not None and health.ejected
 
     def needs_probe(self, name):
-        """Tell whether a request to an endpoint would be its probe."""
+        """Return whether the next request to an endpoint would be a probe."""
         health = self._by_name.get(name)
         return health is not None and health.is_shut()
 
     def start(self, name):
-        """Note that a request is sent; to an ejected or unreachable endpoint it is the probe."""
+        """Record that a request is sent; to an ejected or unreachable endpoint it is a probe."""
         if self.needs_probe(name):
             self._by_name[name].probing = True
 
     def lose(self, name, *, now):
-        """Note that no connection to an endpoint could be made.
+        """Record that no connection to an endpoint could be made.
 
-        The endpoint is not used until a probe is due, however many others there are.
+        It gets no request until a probe is due, even if no other endpoint is left.
         """
         self._by_name.setdefault(name, _Health(now=now)).lose(now)
 
     def abandon(self, name):
-        """Note that a request ended without telling anything about its endpoint."""
+        """Record that a request ended without a result that says anything about its endpoint."""
         health = self._by_name.get(name)
         if health is not None:
             health.probing = False
 
     def record(self, name, *, ok, names, now):
-        """Take the result of a request.
+        """Record the result of a request.
 
         :param names: all endpoints of the service; at most 30% of them are ejected at once.
         """
@@ -156,12 +160,12 @@
                 return
             health = self._by_name[name] = _Health(now=now)
         if health.unreachable_s and not health.ejected:
-            # Any response shows that connections can be made again.
+            # Any response shows that the endpoint accepts connections again.
             health.unreachable_s = 0.0
             health.probing = False
             health.until = 0.0
         if health.ejected:
-            # Results of requests sent before the ejection change nothing.
+            # Results of requests sent before the ejection are ignored.
             if health.probing and ok:
                 health.readmit(now)
             elif health.probing:
@@ -173,7 +177,7 @@
             health.eject(now)
 
     def keep(self, names):
-        """Forget all endpoints but these."""
+        """Drop all endpoints except these."""
         for name in self._by_name.keys() - set(names):
             del self._by_name[name]
 
--- a/siskintally/limits.py
+++ b/siskintally/limits.py
@@ -1,4 +1,4 @@
-"""Limits of an entry, from the preset in force.
+"""Queue, deadline and retry limits of an entry, taken from the preset in force.
 
 >>> from siskintally.limits import URGENT, EntryLimits
 >>> EntryLimits().queue_limit(URGENT)
@@ -14,12 +14,14 @@
 class EntryLimits:
     """Limits of one entry.
 
-    :param queue_limit_urgent: urgent requests of one service that may wait; the same for the
-        other classes.
-    :param deadline_ms_urgent: deadline of a request that names none and longest deadline of a
-        request of the class, ms; the same for the other classes.
-    :param retry_ratio: retries per first send.
-    :param deferrable_share: share of the dispatches that deferrable requests get when they wait.
+    The attributes have the names of the preset's settings.
+
+    :param queue_limit_urgent: longest queue of urgent requests of one service; the other classes
+        have their own.
+    :param deadline_ms_urgent: deadline in ms of an urgent request that names none; the other
+        classes have their own.
+    :param retry_ratio: retries per first attempt.
+    :param deferrable_share: fraction of the dispatches that waiting deferrable requests get.
     """
 
     __slots__ = (
@@ -60,11 +62,11 @@
         return cls(**{name: getattr(preset, name) for name in cls.__slots__})
 
     def queue_limit(self, rank):
-        """Return how many requests of a class may wait."""
+        """Return the longest queue of a class."""
         limits = (self.queue_limit_urgent, self.queue_limit_normal, self.queue_limit_deferrable)
         return limits[rank]
 
     def deadline_s(self, rank):
-        """Return the deadline of a class, s."""
+        """Return the default deadline of a class, in seconds."""
         limits = (self.deadline_ms_urgent, self.deadline_ms_normal, self.deadline_ms_deferrable)
         return limits[rank] / 1000
--- a/siskintally/retry.py
+++ b/siskintally/retry.py
@@ -1,4 +1,4 @@
-"""Retry budget: a token bucket that first sends fill.
+"""Retry budget: a token bucket that each first attempt refills by a fraction of a token.
 
 >>> from siskintally.retry import RetryBudget
 >>> budget = RetryBudget(ratio=0.5)
@@ -8,14 +8,14 @@
 (True, False)
 """
 
-# Bounds a burst of retries after a long time without any.
+# Limits the burst of retries after a long time without any.
 MAX_TOKENS = 50.0
 
 
 class RetryBudget:
-    """Allows retries up to a ratio of the first sends; it starts empty, so the ratio always holds.
+    """Limits retries to a ratio of the first attempts; starts empty, so the ratio always holds.
 
-    :param ratio: retries per first send.
+    :param ratio: retries per first attempt.
     """
 
     __slots__ = ("_tokens", "ratio")
@@ -25,15 +25,15 @@
         self._tokens = 0.0
 
     def sent(self):
-        """Count a first send."""
+        """Count a first attempt."""
         self._tokens = min(self._tokens + self.ratio, MAX_TOKENS)
 
     def take(self):
-        """Take a token for one retry.
+        """Consume a token for one retry if there is one.
 
         :returns: whether the retry is allowed.
         """
-        # Ten additions of 0.1 give slightly less than 1.
+        # Tolerates rounding: ten additions of 0.1 give slightly less than 1.
         if self._tokens < 1.0 - 1e-9:
             return False
         self._tokens -= 1.0
--- a/siskintally/slot_share.py
+++ b/siskintally/slot_share.py
@@ -1,4 +1,4 @@
-"""Fixed shares of an endpoint's slots and connections for the entries of its domain.
+"""Fixed split of an endpoint's slots and connections over the entries of its domain.
 
 >>> from siskintally.slot_share import share
 >>> entries = ("e1", "e2", "e3")
@@ -14,15 +14,15 @@
 
 
 def rendezvous(key, node):
-    """Return the weight of a node for a key, the same in every process."""
+    """Return the rendezvous hashing weight of a node for a key, the same in every process."""
     return xxh64_intdigest(f"{key}\0{node}".encode())
 
 
 @lru_cache(maxsize=CACHE_SIZE)
 def share(total, *, endpoint, entry, entries):
-    """Return this entry's part of ``total``; the parts of all entries add up to ``total``.
+    """Return an entry's share of ``total``; the shares of all entries add up to ``total``.
 
-    :param entries: tuple of the configured entries of the endpoint's domain.
+    :param entries: tuple of the names of all configured entries in the endpoint's domain.
     """
     count, remainder = divmod(total, len(entries))
     order = sorted(entries, key=lambda name: (rendezvous(endpoint, name), name), reverse=True)
