Say plainly how the entry handles and dispatches a request

The docstrings from the HTTP API to the dispatch spoke of leave, taking and giving back. They now use permission, recording and releasing, and name the HTTP and ledger steps. The log texts of ledger retries say what failed, and the error for a bad request id names what is allowed.

--- a/siskintally/call.py
+++ b/siskintally/call.py
@@ -1,4 +1,4 @@
-"""A caller's request and the answer to it.
+"""A caller's request (Call) and its result (Answer), with their HTTP and wire forms.
 
 >>> from siskintally.call import Answer
 >>> from siskintally.codes import Code
@@ -25,11 +25,11 @@
 
 
 class Call:
-    """A request for an endpoint.
+    """A caller's request to a service.
 
     :param target: path with query.
     :param headers: list of ``(name, value)`` for the endpoint.
-    :param rank: class.
+    :param rank: class, 0 is the most urgent.
     :param deadline: monotonic time.
     :param key: idempotency key of a non-idempotent request, else empty.
     """
@@ -64,12 +64,12 @@
         self.once = bool(key)
 
     def digest(self):
-        """Return what two requests with the same key must have in common."""
+        """Return the SHA-256 that must be equal for requests with the same idempotency key."""
         head = f"{self.method}\0{self.service}\0{self.target}\0".encode()
         return sha256(head + self.body).digest()
 
     def to_message(self):
-        """Return the call as a message to an entry of another domain."""
+        """Return the call as a message for an entry of another domain."""
         return ForwardRequest(
             request_id=self.request_id,
             service=self.service,
@@ -84,9 +84,9 @@
 
 
 def read_call(request, *, service, target, limits):
-    """Check a caller's HTTP request.
+    """Return the call in a caller's HTTP request.
 
-    :raises BadRequestError: names the header and what is allowed.
+    :raises BadRequestError: names the invalid part and what is allowed.
     """
     headers = request.headers
     if request.method not in METHODS:
@@ -109,7 +109,7 @@
 
 
 def read_forward(message, *, caller):
-    """Return the call in a message of another entry.
+    """Return the call in a message from another entry.
 
     :param caller: name of that entry.
     """
@@ -146,11 +146,11 @@
 
 
 class Answer:
-    """What a caller is told.
+    """Result of a call, as returned to the caller.
 
     :param code: result code.
-    :param evidence: what the code rests on.
-    :param status: HTTP status of the endpoint's response, 0 if there is none.
+    :param evidence: short text for the caller that explains the code.
+    :param status: HTTP status of the endpoint's response, 0 without a response.
     :param headers: list of ``(name, value)`` of the endpoint's response.
     """
 
@@ -165,12 +165,12 @@
 
     @classmethod
     def without_response(cls, code, evidence):
-        """Return an answer that holds no response of an endpoint."""
+        """Return an answer without a response of an endpoint."""
         return cls(code=code, evidence=evidence)
 
     @classmethod
     def of_response(cls, status, headers, body):
-        """Return an answer that passes a complete response on."""
+        """Return an answer with an endpoint's complete response."""
         failed = status >= 500
         return cls(
             code=Code.ENDPOINT_FAILED if failed else Code.DONE,
@@ -182,7 +182,7 @@
 
     @classmethod
     def of_message(cls, reply):
-        """Return the answer in the reply of another entry."""
+        """Return the answer in the reply of another entry; an unknown code is OUTCOME_UNKNOWN."""
         try:
             code = Code(reply.code)
         except ValueError:
@@ -198,11 +198,11 @@
 
     @property
     def is_not_run(self):
-        """Whether it states that the request was not run."""
+        """Whether the code guarantees that the request was not run."""
         return not_run(self.code)
 
     def to_message(self):
-        """Return the answer as a message to the entry that forwarded the request."""
+        """Return the answer as a message for the entry that forwarded the request."""
         return ForwardReply(
             code=int(self.code),
             evidence=self.evidence,
@@ -212,7 +212,7 @@
         )
 
     def content(self):
-        """Return the body for the caller; one without a response gets JSON."""
+        """Return the body for the caller: that of the response, else JSON with the code."""
         if self.status:
             return self.body
         fields = {"code": int(self.code), "name": self.code.name, "message": self.evidence}
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -1,4 +1,4 @@
-"""Entry daemon.
+"""Entry daemon: accepts requests over HTTP and dispatches them to endpoints.
 
 >>> from siskintally.entry import Entry
 >>> Entry.__name__
@@ -39,11 +39,12 @@
 
 TIDY_S = 0.25
 DRAIN_STEP_S = 0.05
-# Until a balancer has seen the state, it still opens connections; those that arrive as the
-# listening socket closes are reset unread.
+# Shortest drain. Until load balancers see the state, they open connections, and those that arrive
+# while the listening socket closes are reset unread.
 NOTICE_S = 1.0
-# Time to write the last responses once every request has its answer.
+# Time to write the last responses after all requests are answered.
 LAST_WRITES_S = 2.0
+# Limit on the request bodies in memory.
 MAX_BUFFERED_BYTES = 64 << 20
 
 log = get_logger("entry")
@@ -53,8 +54,8 @@
     """One entry process.
 
     :param standalone: serve with default limits and without stores.
-    :param drain_s: longest planned stop, s.
-    :param balancer: name of the balancing policy.
+    :param drain_s: longest time in seconds to wait for requests in flight at a planned stop.
+    :param balancer: name of the load balancing policy.
     """
 
     __slots__ = (
@@ -129,7 +130,7 @@
     async def run(self):
         """Serve until :meth:`stop` has finished.
 
-        :raises SiskintallyError: a part failed too often.
+        :raises SiskintallyError: a supervised task failed too often.
         """
         async with create_task_group() as tasks:
             self._tasks = tasks
@@ -180,7 +181,7 @@
             self._supervisor.stop()
 
     async def stop(self):
-        """Refuse new requests, finish those in flight, settle the ledger, and end."""
+        """Refuse new requests, finish those in flight, settle the ledger, and shut down."""
         if self.draining:
             return
         self.draining = True
@@ -197,7 +198,7 @@
         return not noticed or self._in_flight or self._ledger.unsettled
 
     def dispatcher(self, service):
-        """Return the dispatcher of a service."""
+        """Return the dispatcher of a service, created on first use."""
         dispatcher = self._dispatcher_by_service.get(service)
         if dispatcher is None:
             dispatcher = self._dispatcher_by_service[service] = ServiceDispatcher(
@@ -212,7 +213,7 @@
         return share(total, endpoint=endpoint, entry=self._process.name, entries=self._own_entries)
 
     def health(self):
-        """Return (whether callers may be sent here, the state of the process)."""
+        """Return (whether load balancers may route callers here, state of the process)."""
         ready = not self.draining and self._has_config()
         state = "draining" if self.draining else "serving" if ready else "no configuration"
         return ready, {
@@ -229,7 +230,7 @@
         return self._standalone or self._follower.version > 0
 
     def refusal(self):
-        """Return the answer to any new request, or None if requests are taken."""
+        """Return the answer that refuses all new requests, or None if they are accepted."""
         if self.draining:
             return Answer.without_response(Code.DRAINING, "this entry is shutting down")
         if not self._has_config():
@@ -239,9 +240,9 @@
         return None
 
     def announce(self, heard, *, age_s, now):
-        """Take an announcement from an endpoint.
+        """Record an announcement from an endpoint.
 
-        :param age_s: largest age, s, or None if the endpoint echoed nothing.
+        :param age_s: upper bound of its age in seconds, None without an echo.
         """
         if age_s is None:
             age_s = float("inf") if self._pause_detector.distrusts(now) else 0.0
@@ -268,7 +269,7 @@
         return answer
 
     async def _detached(self, call):
-        # A caller that disconnects must not cut a request whose outcome goes to the ledger.
+        # A caller that disconnects must not cancel a request whose outcome goes to the ledger.
         done = Event()
         answers = []
 
@@ -285,7 +286,7 @@
         return answers[0] if answers else Answer.without_response(Code.INTERNAL, "internal error")
 
     async def answer(self, session, body):
-        """Answer a call of another process."""
+        """Answer a call from another process."""
         if not isinstance(body, ForwardRequest):
             raise BadRequestError(f"{type(body).__name__}: not for an entry")
         if self._pause_detector.distrusts(monotonic()):
@@ -301,7 +302,7 @@
             self._in_flight -= 1
 
     def receive(self, session, body):
-        """Take a message of another entry."""
+        """Handle a message from another entry."""
         now = monotonic()
         if isinstance(body, AnnounceExchange):
             self._gossip.take_announcements(session, body, now)
@@ -309,7 +310,7 @@
             self._gossip.take_summary(session, body)
 
     def closed(self, session):
-        """Drop what belongs to a session."""
+        """Drop the state of a closed session."""
         self._gossip.forget(session)
 
     def _set_limits(self, limits):
--- a/siskintally/forward.py
+++ b/siskintally/forward.py
@@ -1,4 +1,4 @@
-"""Requests to endpoints over httpx; every failure is classified by what is known of the outcome.
+"""HTTP client for endpoints; classifies each failure by whether the request may have run.
 
 >>> from siskintally.forward import Sent
 >>> Sent.NOT_SENT.value
@@ -25,7 +25,8 @@
 
 ID_HEADER = "siskintally-request-id"
 DIGEST_HEADER = "siskintally-digest"
-# Below the 5 s after which an idle connection must not be used, and below usual server limits.
+# Less than the 5 s after which an idle connection must not be reused, and less than the keep-alive
+# timeouts of common servers.
 REUSE_IDLE_S = 4.0
 CONNECT_TIMEOUT_S = 1.0
 DEADLINE_PASSED = "no response before the deadline"
@@ -46,14 +47,14 @@
         "upgrade",
     }
 )
-# Endpoints have plain http URLs. Without a context, httpx reads the certificate authorities of the
-# system for each endpoint, 41 ms of processor time in the event loop on a busy machine. This one
-# trusts nobody.
+# Endpoints have plain http URLs. Without a context, httpx loads the certificate authorities of the
+# system for each endpoint, which blocks the event loop for 41 ms on a busy machine. This context
+# trusts no authority.
 _NO_TLS = SSLContext(PROTOCOL_TLS_CLIENT)
 
 
 class Sent(Enum):
-    """What is known of a request after a dispatch."""
+    """Outcome of an attempt: a complete response, no byte sent, or not known."""
 
     DONE = "done"
     NOT_SENT = "not sent"
@@ -61,11 +62,11 @@
 
 
 class Outcome:
-    """Result of one dispatch.
+    """Result of one attempt at an endpoint.
 
     :param headers: list of ``(name, value)``.
     :param reason: why there is no response.
-    :param may_run: whether the endpoint may still work on the request.
+    :param may_run: whether the endpoint may still be working on the request.
     :param unreachable: whether no connection to the endpoint could be made.
     """
 
@@ -96,7 +97,7 @@
 
 
 class Forwarder:
-    """Connections to one endpoint.
+    """HTTP client for one endpoint, with its connection pool.
 
     :param url: ``http://address:port``.
     :param connections: this entry's share of the endpoint's connections.
@@ -121,11 +122,11 @@
         await self._transport.aclose()
 
     async def send(self, *, request_id, method, target, headers, body, deadline):
-        """Send a request once.
+        """Send a request, without retries.
 
         :param target: path with query.
         :param headers: list of ``(name, value)`` without hop-by-hop headers.
-        :param deadline: monotonic time; the connection is closed if no response is complete.
+        :param deadline: monotonic time at which an incomplete exchange is cut off.
         :returns: an :class:`Outcome`.
         """
         remaining = deadline - monotonic()
@@ -161,7 +162,7 @@
                 _check_head(response, request_id)
                 content = await _read(response)
             finally:
-                # Closing a response that was not read to its end closes the connection.
+                # This closes the connection if the response was not read to its end.
                 await response.aclose()
             _check_digest(response, content)
         except (ConnectError, ConnectTimeout) as error:
@@ -181,7 +182,7 @@
 
 
 def end_to_end(headers):
-    """Yield the headers that are passed on."""
+    """Yield the headers to forward, without hop-by-hop headers."""
     return ((name, value) for name, value in headers if name.lower() not in HOP_HEADERS)
 
 
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -1,4 +1,4 @@
-"""HTTP interface of an entry for callers, endpoints, and operators.
+"""HTTP API of an entry for callers, endpoints, and operators.
 
 >>> from siskintally.gateway import split_call
 >>> split_call("/call/seat-count/boarding/7")
@@ -49,9 +49,9 @@
 
 
 def split_call(path):
-    """Return service and path of ``/call/<service>/<path>``.
+    """Return (service, path) of ``/call/<service>/<path>``.
 
-    :raises BadRequestError: no service is named.
+    :raises BadRequestError: the service is missing or too long.
     """
     _, _, rest = path.partition("/call/")
     service, slash, tail = rest.partition("/")
@@ -61,11 +61,11 @@
 
 
 class Gateway(HttpApp):
-    """Routes of an entry.
+    """Routes and handlers of an entry's HTTP API.
 
     :param entry: the :class:`~siskintally.entry.Entry`.
     :param operator_by_token: ``{token: operator name}``.
-    :param service_by_token: ``{token: service}`` of endpoints, empty to take all announcements.
+    :param service_by_token: ``{token: service}``; if empty, all announcements are accepted.
     """
 
     __slots__ = ("_entry", "_operator_by_token", "_service_by_token")
@@ -76,14 +76,14 @@
         self._service_by_token = service_by_token
 
     def failure(self, error):
-        """Return the answer to input that was refused."""
+        """Return the JSON answer for a refused request."""
         return _json_of_code(error.code, {"name": error.code.name, "message": str(error)})
 
     async def handle(self, request):
         """Answer one request."""
         answer = await self._route(request)
         if self._entry.draining:
-            # The caller's next request must not be on a connection that ends with this process.
+            # The caller's next request must not use a connection that closes with this process.
             answer.headers = [*answer.headers, ("connection", "close")]
         return answer
 
@@ -127,7 +127,9 @@
             raise BadRequestError("body: expected a JSON object")
         request_id = request.headers.get("siskintally-request-id") or uuid4().hex
         if len(request_id) > MAX_REQUEST_ID or not request_id.isprintable():
-            raise BadRequestError(f"Siskintally-Request-Id: expected up to {MAX_REQUEST_ID}")
+            raise BadRequestError(
+                f"Siskintally-Request-Id: expected up to {MAX_REQUEST_ID} printable characters"
+            )
         reply = await self._entry.relay.relay(
             request_id=request_id,
             operator=operator,
--- a/siskintally/http_server.py
+++ b/siskintally/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP server of a daemon: a plain ASGI app served by hypercorn in the same loop.
+"""HTTP server of a daemon: a plain ASGI app that hypercorn serves in the daemon's event loop.
 
 >>> from siskintally.http_server import HttpRequest
 >>> HttpRequest(method="GET", path="/a", query="x=1", header_items=[], body=b"").target
@@ -18,6 +18,7 @@
 from siskintally.log import get_logger
 
 MAX_BODY_BYTES = 1 << 20
+# A body over the limit is read and discarded up to this size.
 MAX_DRAINED_BYTES = 8 << 20
 KEEP_ALIVE_S = 30.0
 # h11 refuses larger request heads with status 400.
@@ -27,7 +28,7 @@
 
 
 class TooLargeError(SiskintallyError):
-    """The body is over the limit."""
+    """The request body is over the size limit."""
 
     code = Code.TOO_LARGE
 
@@ -35,7 +36,7 @@
 class HttpRequest:
     """A complete request.
 
-    :param path: as sent, percent-encoded.
+    :param path: as received, percent-encoded.
     :param header_items: list of ``(lower-case name, value)``.
     """
 
@@ -79,23 +80,23 @@
 
 
 def error_answer(status, code, message):
-    """Return a response with a result code in its body and in the header that callers read."""
+    """Return a JSON error response with the result code in the body and in siskintally-code."""
     fields = {"code": int(code), "message": message}
     return json_answer(status, fields, headers=[("siskintally-code", str(int(code)))])
 
 
 class HttpApp(ABC):
-    """ASGI app that answers complete requests."""
+    """ASGI app whose handlers get complete requests and return complete responses."""
 
     __slots__ = ()
     max_body_bytes = MAX_BODY_BYTES
 
     @abstractmethod
     async def handle(self, request):
-        """Return the :class:`HttpAnswer` to a request, or None to end the stream early."""
+        """Return the :class:`HttpAnswer` to a request, or None to abort the response."""
 
     def failure(self, error):
-        """Return the :class:`HttpAnswer` to input that was refused."""
+        """Return the :class:`HttpAnswer` for a refused request."""
         return error_answer(413 if error.code == Code.TOO_LARGE else 400, error.code, str(error))
 
     async def __call__(self, scope, receive, send):
@@ -113,7 +114,7 @@
             answer = await self.handle(request)
         except SiskintallyError as error:
             answer = self.failure(error)
-        except Exception as error:  # the daemon outlives any fault in one request
+        except Exception as error:  # a fault in one request must not end the daemon
             log.exception("request failed", path=scope.get("path", ""))
             answer = error_answer(500, Code.INTERNAL, type(error).__name__)
         if answer is not None:
@@ -156,8 +157,8 @@
     chunks = []
     size = 0
     more = True
-    # What is over the limit is read and dropped, because a client that is cut while it writes
-    # does not see the answer.
+    # The rest of a body over the limit is read and discarded, because a client whose connection is
+    # closed while it writes doesn't see the answer.
     while more and size <= MAX_DRAINED_BYTES:
         message = await receive()
         if message["type"] == "http.disconnect":
@@ -175,8 +176,8 @@
 async def serve_http(app, *, address, until, graceful_s):
     """Serve an app until an event is set, then finish the requests in progress.
 
-    :param until: anyio Event.
-    :param graceful_s: longest time for the requests in progress, s.
+    :param until: anyio Event that stops the server.
+    :param graceful_s: longest time in seconds to finish the requests in progress.
     """
     config = Config()
     config.bind = [address]
@@ -187,7 +188,7 @@
     config.h11_max_incomplete_size = MAX_HEAD_BYTES
     config.include_server_header = False
     config.include_date_header = False
-    # In a task of its own: on Python 3.11 the task group inside hypercorn leaves a pending
-    # cancellation count on its task, which would break the scopes of the caller.
+    # Runs in its own task: on Python 3.11 hypercorn's task group leaves a pending cancellation
+    # count on its task, which would break the caller's cancel scopes.
     async with create_task_group() as tasks:
         tasks.start_soon(partial(serve, app, config, shutdown_trigger=until.wait, mode="asgi"))
--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -1,4 +1,4 @@
-"""Ledger of non-idempotent requests, as an entry sees it.
+"""Client of the ledger that lets non-idempotent requests run at most once.
 
 >>> from siskintally.ledger_client import home_of
 >>> home_of("jylland/order-7", ("fjeld", "jylland")), home_of("order-7", ("a",))
@@ -31,9 +31,9 @@
     StoredAnswer,
 )
 
-# A leader is elected within 4 s, so a shorter call would fail at every planned stop of a leader.
+# Electing a leader takes up to 4 s; a shorter timeout would fail at every planned stop of a leader.
 BEGIN_TIMEOUT_S = 5.0
-# A paused leader must not use up the time in which its successor could answer.
+# Timeout of one attempt, so that a paused leader leaves time for its successor to answer.
 ATTEMPT_TIMEOUT_S = 1.5
 SETTLE_TIMEOUT_S = 5.0
 SETTLE_PAUSE_S = 1.0
@@ -44,15 +44,15 @@
 
 
 class LedgerUnreachableError(SiskintallyError):
-    """No ledger record could be made; the request was not run."""
+    """The ledger granted no attempt; the request was not run."""
 
     code = Code.LEDGER_UNREACHABLE
 
 
 def home_of(key, groups):
-    """Return the domain group that keeps a key.
+    """Return the domain group whose ledger stores a key.
 
-    :param groups: names of all domain groups of the cell; the list never changes.
+    :param groups: names of all domain groups of the cell; they never change.
     """
     prefix, slash, _ = key.partition("/")
     if slash and prefix in groups:
@@ -61,7 +61,7 @@
 
 
 def stored_answer(answer):
-    """Return what the ledger keeps of an :class:`~siskintally.call.Answer`."""
+    """Return the record of an :class:`~siskintally.call.Answer`; large bodies are left out."""
     kept = len(answer.body) <= MAX_KEPT_BODY_BYTES
     types = (value for name, value in answer.headers if name.lower() == "content-type")
     return StoredAnswer(
@@ -74,11 +74,11 @@
 
 
 class LedgerClient(ABC):
-    """Begins and settles attempts.
+    """Begins and settles attempts in the ledger.
 
-    ``finish`` and ``release`` are sent again in the background until they are acknowledged.
+    ``finish`` and ``release`` are repeated in the background until the ledger acknowledges them.
 
-    :param tasks: anyio task group for the background.
+    :param tasks: anyio task group for the background tasks.
     """
 
     __slots__ = ("_tasks", "unsettled")
@@ -89,7 +89,7 @@
 
     @abstractmethod
     async def begin(self, call, *, attempt, timeout):
-        """Ask for leave to run a request.
+        """Ask for permission to run a request.
 
         :param timeout: seconds.
         :returns: LedgerBeginReply.
@@ -104,14 +104,19 @@
         """
 
     async def finish(self, call, *, attempt, answer, timeout):
-        """Store the outcome of an attempt; None: the outcome is unknown."""
+        """Store the outcome of an attempt.
+
+        :param answer: None if the outcome is unknown.
+        :param timeout: seconds to wait for the acknowledgement.
+        :returns: whether it was acknowledged in time.
+        """
         body = LedgerFinish(key=call.key, attempt=attempt, unknown=answer is None)
         if answer is not None:
             body.answer.CopyFrom(stored_answer(answer))
         return await self._settle(call.key, body, timeout)
 
     async def release(self, call, *, attempt, timeout):
-        """State that an attempt was not run and never will be."""
+        """Report that an attempt was not run and never will be; see :meth:`finish`."""
         return await self._settle(call.key, LedgerRelease(key=call.key, attempt=attempt), timeout)
 
     async def _settle(self, key, body, timeout):
@@ -134,17 +139,22 @@
         try:
             await self.settle(key, body)
         except RefusedError as error:
-            # The ledger has another record of the attempt; sending it again changes nothing.
-            log.warning("not settled", key=key, code=int(error.code), message=str(error))
+            # The ledger has a different record of the attempt; repeating the message is no use.
+            log.warning(
+                "ledger refused to settle an attempt",
+                key=key,
+                code=int(error.code),
+                message=str(error),
+            )
             return error.code not in (Code.STOPPED, Code.INTERNAL)
         except SiskintallyError as error:
-            log.info("settling again", key=key, error=str(error))
+            log.info("attempt not settled yet; retrying", key=key, error=str(error))
             return False
         return True
 
 
 class StoreLedger(LedgerClient):
-    """Ledger kept by the domain groups.
+    """Ledger that the domain groups replicate; each key belongs to one group.
 
     :param groups: ``GroupSettings`` of all domain groups.
     :param call: ``async call(process_name, body, timeout=seconds)``.
@@ -163,7 +173,7 @@
         return self._client_by_group[home_of(key, tuple(self._client_by_group))]
 
     async def begin(self, call, *, attempt, timeout):
-        """Ask the home group of the key."""
+        """Begin the attempt in the home group of the key."""
         body = LedgerBegin(
             key=call.key,
             caller=call.caller,
@@ -175,7 +185,7 @@
         body.group = home.group
         timeout = min(timeout, BEGIN_TIMEOUT_S)
         try:
-            # The same attempt may begin again: it is dispatched once whatever comes back.
+            # Repeating the call is safe: this attempt is dispatched at most once in any case.
             return await home.call(
                 body, timeout=timeout, attempt_timeout=ATTEMPT_TIMEOUT_S, idempotent=True
             )
@@ -184,12 +194,12 @@
         except (OutcomeUnknownError, RefusedError) as error:
             if isinstance(error, RefusedError) and not_run(error.code):
                 raise LedgerUnreachableError(str(error)) from error
-            # The record may exist, so it is released before the key can be granted again.
+            # The ledger may have granted the attempt; the key is blocked until it is released.
             await self.release(call, attempt=attempt, timeout=0.0)
             raise LedgerUnreachableError(str(error)) from error
 
     async def settle(self, key, body):
-        """Send to the home group of the key."""
+        """Send the message to the home group of the key."""
         home = self._home(key)
         body.group = home.group
         await home.call(
@@ -209,7 +219,7 @@
 
 
 class StandaloneLedger(LedgerClient):
-    """Ledger in memory of a single entry without stores, for tests and samples."""
+    """In-memory ledger of a single entry without stores, for tests and samples."""
 
     __slots__ = ("_by_key",)
 
@@ -218,7 +228,7 @@
         self._by_key = OrderedDict()
 
     async def begin(self, call, *, attempt, timeout):
-        """Look the key up."""
+        """Grant the attempt if the key is new."""
         record = self._by_key.get(call.key)
         if record is None:
             self._by_key[call.key] = _Record(
--- a/siskintally/request_handler.py
+++ b/siskintally/request_handler.py
@@ -1,4 +1,4 @@
-"""Handling of one request: ledger, admission, dispatch, retry, answer.
+"""Handling of one request in an entry: ledger, admission, dispatch, retries, answer.
 
 >>> from siskintally.request_handler import RequestHandler
 >>> RequestHandler.__name__
@@ -21,19 +21,23 @@
 from siskintally.service_dispatcher import is_granted
 from siskintally.wire_pb2 import LedgerBeginReply
 
-# Endpoints tried after provably unsent dispatches; such a dispatch puts no load on an endpoint.
+# Attempts per request. Retries of attempts that certainly sent nothing are outside of the retry
+# budget, because they put no load on an endpoint.
 MAX_DISPATCHES = 3
-# Endpoints announce themselves each second, so an entry that has just started knows none of them.
+# Endpoints announce themselves every second, so an entry that has just started knows none of them.
 STARTUP_S = 2.0
 STARTUP_STEP_S = 0.05
-# A request waits for the first announcement for at most this part of its time.
+# A request waits for the first announcement for at most this fraction of the time it has left.
 STARTUP_RATIO = 0.25
-# An idempotent request leaves time for a retry elsewhere, but waits 8 usual service times.
+# An attempt of an idempotent request may use this fraction of the time left, so that a retry on
+# another endpoint fits, but at least 8 mean service times.
 ATTEMPT_RATIO = 0.5
 ATTEMPT_SERVICE_TIMES = 8.0
+# The deadline given to an entry of another domain is earlier by 0.1 s or 10% of the time left,
+# whichever is less.
 FORWARD_MARGIN_S = 0.1
 FORWARD_MARGIN_RATIO = 0.1
-# A ledger record that is not acknowledged in this time is settled after the caller is answered.
+# Longest wait for the ledger before the caller is answered; settling goes on in the background.
 SETTLE_WAIT_S = 2.0
 EXPIRED_IN_QUEUE = "deadline passed in the queue; no byte was sent"
 THIS_ATTEMPT = "this attempt was not run; earlier ones with the key are unchanged"
@@ -42,7 +46,7 @@
 
 
 class RequestHandler:
-    """Takes requests from admission to the answer.
+    """Runs requests from admission to the answer.
 
     :param dispatcher_of: ``dispatcher_of(service)`` returns the
         :class:`~siskintally.service_dispatcher.ServiceDispatcher` of a service.
@@ -73,7 +77,7 @@
         return answer
 
     async def run_forwarded(self, call):
-        """Serve a request that an entry of another domain forwarded; it retries, this one not."""
+        """Serve a request forwarded by an entry of another domain; only that entry retries it."""
         return await self._deliver(call, forwarded=True)
 
     async def _run_once(self, call):
@@ -103,7 +107,7 @@
         return answer
 
     async def _deliver(self, call, forwarded=False):
-        """Dispatch until there is a response, no time, or no leave for another attempt."""
+        """Dispatch until a response, the deadline, or no further attempt is allowed."""
         await self._wait_for_endpoint(call)
         avoid = ""
         unknown = None
@@ -112,8 +116,8 @@
                 break
             answer, avoid = await self._dispatch(call, avoid, forwarded, last=call.once)
             if unknown is None and not forwarded and not answer.is_not_run:
-                # Only the first send that may have run fills the budget; the entry that forwarded
-                # a request counts it in its own.
+                # Only the first attempt that may have run counts for the retry budget. A forwarded
+                # request counts at the entry that forwarded it.
                 self._budget.sent()
             if answer.status or answer.code not in (Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN):
                 return unknown or answer if answer.is_not_run else answer
@@ -140,9 +144,9 @@
         )
 
     async def _dispatch(self, call, avoid, forwarded, last):
-        """Try one endpoint, or one entry of another domain.
+        """Make one attempt, at an endpoint or through an entry of another domain.
 
-        :returns: answer and the endpoint or entry that was tried, empty if there was none.
+        :returns: the answer, and the endpoint or entry that was tried (empty if none).
         """
         now = monotonic()
         dispatcher = self._dispatcher_of(call.service)
@@ -210,7 +214,7 @@
         remaining = call.deadline - monotonic()
         if remaining <= 0:
             return Answer.without_response(Code.EXPIRED, "deadline passed")
-        # The other entry gives up first, so that its answer "not run" still arrives here.
+        # The other entry has the earlier deadline, so its "not run" answer still arrives in time.
         message = call.to_message()
         message.deadline_s = remaining - min(FORWARD_MARGIN_S, remaining * FORWARD_MARGIN_RATIO)
         try:
@@ -226,7 +230,7 @@
 
 
 def startup_wait_end(startup_end, deadline, now):
-    """Return until when a request waits for the first announcement of its service.
+    """Return the time until which a request waits for the first announcement of its service.
 
     >>> [startup_wait_end(2.0, deadline, 1.0) for deadline in (61.0, 3.0)]
     [2.0, 1.5]
@@ -255,9 +259,9 @@
 
 
 def _lesson(outcome, seconds):
-    """Return what a dispatch tells of its endpoint.
+    """Return the arguments of :meth:`ServiceDispatcher.release` for the result of a dispatch.
 
-    :returns: arguments of :meth:`ServiceDispatcher.release`.
+    :param seconds: time from sending to the result.
     """
     if outcome is None:
         return {"ok": None, "seconds": None}
@@ -272,9 +276,9 @@
 
 
 async def _wait_for_slot(dispatcher, ticket, granted):
-    """Wait until a request was taken or dropped.
+    """Wait until a request gets a slot, is dropped, or reaches its deadline.
 
-    :returns: False if a review found that the request can't meet its deadline any more.
+    :returns: False if a check found that the request can't meet its deadline any more.
     """
     while not granted.is_set() and (now := monotonic()) < ticket.deadline:
         with move_on_after(next_review(ticket, now) - now):
--- a/siskintally/service_dispatcher.py
+++ b/siskintally/service_dispatcher.py
@@ -1,4 +1,4 @@
-"""Requests of one service at this entry: its queue, its endpoints, and their slots.
+"""Dispatch of one service's requests: its queue, its endpoints, and this entry's slots on them.
 
 >>> from siskintally.service_dispatcher import ServiceDispatcher
 >>> ServiceDispatcher.__name__
@@ -17,9 +17,10 @@
 
 
 class Slots:
-    """Part of one endpoint that belongs to this entry.
+    """Slots of one endpoint that this entry may use.
 
-    :param share: slots of this entry.
+    :param key: name and incarnation of the endpoint.
+    :param share: number of slots.
     """
 
     __slots__ = ("forwarder", "in_flight", "key", "ordinary", "share")
@@ -32,7 +33,7 @@
         self.ordinary = 0
 
     def take(self, *, urgent):
-        """Use a slot."""
+        """Occupy a slot."""
         self.in_flight += 1
         self.ordinary += not urgent
 
@@ -43,11 +44,11 @@
 
 
 class ServiceDispatcher:
-    """Queue and endpoints of one service.
+    """Queues the requests of one service and sends them to its endpoints.
 
     :param live: ``live(now)`` returns the endpoints that may get new work.
-    :param share_of: ``share_of(total, endpoint_name)`` returns this entry's part.
-    :param balancer: policy of choosing an endpoint.
+    :param share_of: ``share_of(total, endpoint_name)`` returns this entry's share of a total.
+    :param balancer: :class:`~siskintally.balancer.Balancer`.
     """
 
     __slots__ = (
@@ -70,13 +71,13 @@
         self._held = []
 
     def capacity(self, now):
-        """Return (free slots, all slots) of this entry on usable endpoints."""
+        """Return (free slots, all slots) that this entry has on usable endpoints."""
         usable = self._usable(now)
         free = sum(max(one.share - one.in_flight, 0) for one in usable)
         return free, sum(one.share for one in usable)
 
     def endpoints(self, now):
-        """Return how many endpoints may get new work."""
+        """Return the number of endpoints that may get new work."""
         return len(self._live(now))
 
     def check(self, ticket, *, now):
@@ -85,7 +86,7 @@
         self.admission.check(ticket, now=now, free=free, total=total)
 
     def offer(self, ticket, *, now):
-        """Queue a request and send on what can be sent; see :meth:`Admission.offer`."""
+        """Queue a request, then dispatch what has a free slot; see :meth:`Admission.offer`."""
         free, total = self.capacity(now)
         victim = self.admission.offer(ticket, now=now, free=free, total=total)
         if victim is not None:
@@ -93,19 +94,19 @@
         self.pump(now)
 
     def keeps(self, ticket, *, now):
-        """Tell whether a waiting request can still meet its deadline."""
+        """Return whether a waiting request can still meet its deadline."""
         if not self.endpoints(now):
             return False
         _, total = self.capacity(now)
-        # Endpoints that are unreachable are probed again within a second.
+        # Without usable endpoints the request stays: unreachable ones are probed within a second.
         return not total or self.admission.keeps(ticket, now=now, total=total)
 
     def withdraw(self, ticket):
-        """Take out a request that no longer waits."""
+        """Remove a request from its queue; do nothing if it isn't waiting."""
         self.admission.withdraw(ticket)
 
     def pump(self, now):
-        """Give free slots to the requests that wait."""
+        """Assign free slots to waiting requests."""
         while len(self.admission):
             usable = self._usable(now)
             free = sum(max(one.share - one.in_flight, 0) for one in usable)
@@ -119,14 +120,14 @@
             self._give(ticket, usable)
 
     def release(self, ticket, *, ok, seconds, now, may_run=False, unreachable=False):
-        """Take back a slot.
+        """Release the slot of a request and record the result.
 
-        A slot whose request may still run at the endpoint is held for a usual service time, so
-        that the endpoint gets no more requests at a time than it has slots.
+        If the request may still run at the endpoint, its slot is released only after the estimated
+        service time, 0.5 s to 5 s, to avoid sending the endpoint more requests than it has slots.
 
-        :param ok: whether the endpoint did its work, or None if that is not known.
+        :param ok: whether the endpoint succeeded, or None if unknown.
         :param seconds: service time of a complete response, or None.
-        :param may_run: whether the endpoint may still work on the request.
+        :param may_run: whether the endpoint may still be working on the request.
         :param unreachable: whether no connection to the endpoint could be made.
         """
         if may_run:
@@ -146,13 +147,13 @@
         self.pump(now)
 
     def is_idle(self, now):
-        """Tell whether the dispatcher can be dropped."""
+        """Return whether the dispatcher has no requests and no endpoints, and can be dropped."""
         return not len(self.admission) and not self._slots_by_key and not self._live(now)
 
     def tidy(self, now):
-        """Give slots to requests that wait, and drop endpoints that are gone.
+        """Release slots whose delay has passed, dispatch waiting requests, drop dead endpoints.
 
-        :returns: forwarders to close.
+        :returns: forwarders of the dropped endpoints, to be closed.
         """
         due = [ticket for at, ticket in self._held if at <= now]
         self._held = [held for held in self._held if held[0] > now]
@@ -211,10 +212,10 @@
 
 
 def _key(endpoint):
-    # A new incarnation starts with free slots, no connections, and a clean record.
+    # A new incarnation starts with free slots, no connections, and no failures.
     return f"{endpoint.name}/{endpoint.incarnation}"
 
 
 def is_granted(ticket):
-    """Tell whether a ticket has got a slot."""
+    """Return whether a request has a slot."""
     return ticket.state is State.TAKEN
--- a/siskintally/tokens.py
+++ b/siskintally/tokens.py
@@ -1,4 +1,4 @@
-"""Bearer tokens of operators and endpoints.
+"""Authentication of operators and endpoints by bearer tokens.
 
 >>> from siskintally.tokens import holder_of
 >>> holder_of("Bearer 0123456789abcdef", {"0123456789abcdef": "astrid"})
@@ -14,11 +14,12 @@
     """Return the operator or service that a bearer token belongs to.
 
     :param authorization: value of the Authorization header.
+    :param holder_by_token: ``{token: operator or service}``.
     :raises UnauthorizedError: the token is missing or wrong.
     """
     scheme, _, given = authorization.partition(" ")
     found = ""
-    # Every token is compared, so the time tells nothing about which one is close.
+    # Compares with every token, so that the time doesn't show which one nearly matches.
     for token, holder in holder_by_token.items():
         if compare_digest(token.encode(), given.strip().encode()):
             found = holder
@@ -30,7 +31,7 @@
 def check_announcer(authorization, service, service_by_token):
     """Check that an announcement comes from an endpoint of its service.
 
-    Without any token in the settings, every announcement is taken.
+    Without tokens in the settings, every announcement is accepted.
 
     :raises UnauthorizedError: the token is missing, wrong, or that of another service.
     """
