Say plainly how entries exchange state and follow the configuration

Announcements, summaries, pauses and the configuration poll were described by what is told, learned or forgotten. The texts now speak of records, upper bounds of ages, incarnations and long polls, and say when each applies.

--- a/siskintally/announcement.py
+++ b/siskintally/announcement.py
@@ -1,8 +1,8 @@
-"""Announcements of endpoints, with a bound on the age of each.
+"""Table of the endpoints' announcements, each with an upper bound of its age.
 
-The age of what another entry passes on is bounded by an echo: a message that echoes this entry's
-clock value ``e`` was written after ``e``, so at time ``now`` it is at most ``now - e`` old, however
-long it was on its way. All functions take the time as an argument.
+The age of an announcement relayed by another entry is bounded by an echo: a message that echoes
+this entry's clock value ``e`` was written after ``e``, so at time ``now`` it is at most ``now - e``
+old, however long it was in flight. Callers pass the current monotonic time as ``now``.
 
 >>> from siskintally.announcement import AnnouncementTable, read_announcement
 >>> table = AnnouncementTable(domain="d")
@@ -23,31 +23,33 @@
 from siskintally.wire_pb2 import AnnounceExchange, Announcement
 
 TTL_S = 3.0
-# A leaving endpoint is remembered longer than any announcement of it can look fresh.
+# A leaving endpoint is remembered longer than any earlier announcement of it can seem fresh.
 TOMBSTONE_S = 60.0
 MAX_ENDPOINTS = 4096
+# Shortest time between two searches of a full table for expired endpoints.
 EXPIRE_S = 0.25
 MAX_NAME = 128
 MAX_URL = 256
 MAX_SLOTS = 1024
 MAX_CONNECTIONS = 8192
 MAX_NUMBER = (1 << 63) - 1
-# Monotonic clocks of two VMs differ in rate by less than 1%.
+# Upper bound of the ratio of two VMs' clock rates; monotonic clocks differ by less than 1%.
 CLOCK_RATE = 1.01
 STATES = ("serving", "leaving")
 
 
 class TableFullError(SiskintallyError):
-    """The table holds its largest number of live endpoints; nothing was changed."""
+    """The table has no space for another endpoint; nothing was changed."""
 
     code = Code.OVERLOADED
 
 
 class Endpoint:
-    """What is known of one endpoint.
+    """Last announcement of an endpoint.
 
-    :param at: latest time at which it was certainly announcing, or -inf.
-    :param direct_at: the same, from the endpoint itself.
+    ``at`` is the latest time at which the endpoint was certainly announcing, or -inf; ``direct_at``
+    is the same by the endpoint's own messages to this entry alone. ``heard_at`` is the time at
+    which this entry received the announcement.
     """
 
     __slots__ = (
@@ -82,22 +84,22 @@
         self.heard_at = -inf
 
     def order(self):
-        """Return the key that orders announcements of one endpoint."""
+        """Return the sort key of the announcements of one endpoint."""
         return (self.incarnation, self.seq)
 
     def is_live(self, now):
-        """Tell whether it may get new work."""
+        """Return whether the endpoint may get new work."""
         return not self.leaving and now - self.at <= TTL_S
 
     def is_kept(self, now):
-        """Tell whether it must still be remembered."""
+        """Return whether the endpoint must stay in the table."""
         return now - self.heard_at <= (TOMBSTONE_S if self.leaving else TTL_S)
 
 
 def read_announcement(fields):
-    """Check an announcement given as a JSON object.
+    """Return the endpoint in an announcement, a decoded JSON object.
 
-    :raises BadRequestError: names the field and what is allowed.
+    :raises BadRequestError: names the invalid field and what is allowed.
     """
     if not isinstance(fields, dict):
         raise BadRequestError("announcement: expected a JSON object")
@@ -118,11 +120,11 @@
 
 
 def read_age(fields, *, now):
-    """Return the largest age of an announcement, s; None for an endpoint that echoes nothing.
+    """Return the upper bound of an announcement's age in seconds; None without an echo.
 
-    :param fields: with ``echo``, the ``clock`` of this entry's last answer, and ``held_s``, how
-        long the endpoint had that answer when it announced.
-    :raises BadRequestError: the echo is no number or was never given out.
+    :param fields: with ``echo``, the ``clock`` in this entry's last answer, and ``held_s``, the
+        seconds between the endpoint's receipt of that answer and its announcement.
+    :raises BadRequestError: the echo is not a number or can't be a value of this entry's clock.
     """
     if "echo" not in fields:
         return None
@@ -163,7 +165,7 @@
 
 
 class AnnouncementTable:
-    """Endpoints known to one entry, at most 4,096.
+    """Endpoints known to one entry, at most MAX_ENDPOINTS.
 
     :param domain: failure domain of the entry.
     """
@@ -197,7 +199,7 @@
         return [one for one in found if one.domain == self.domain and one.is_live(now)]
 
     def drain(self, names):
-        """Replace the set of endpoints that operators have taken out of service."""
+        """Replace the set of names of the endpoints that operators have drained."""
         self._drained = names
 
     def services(self, *, now):
@@ -205,20 +207,20 @@
         return [service for service in self._names_by_service if self.live(service, now=now)]
 
     def announce(self, heard, *, age_s, now):
-        """Take an announcement from the endpoint itself.
+        """Record an announcement from the endpoint itself.
 
-        :param age_s: largest age, s.
-        :returns: whether the endpoint has just been learned to be leaving.
-        :raises TableFullError: no room; nothing was changed.
+        :param age_s: upper bound of its age in seconds.
+        :returns: whether it is the first news that the endpoint is leaving.
+        :raises TableFullError: no space; nothing was changed.
         """
         heard.at = heard.direct_at = now - age_s
         return self._learn(heard, now)
 
     def merge(self, exchange, *, peer, now):
-        """Take announcements passed on by another entry.
+        """Record announcements relayed by another entry.
 
-        :param peer: identity of the sending process, another one after its restart.
-        :returns: names of the endpoints just learned to be leaving.
+        :param peer: identity of the sending process; a restarted process has a new one.
+        :returns: names of the endpoints that are leaving, if that is news.
         """
         self._seen_by_peer[peer] = max(exchange.sent_at, self._seen_by_peer.get(peer, 0.0))
         bounded = 0.0 < exchange.echo <= now
@@ -239,11 +241,12 @@
         return left
 
     def exchange_for(self, *, peer, domain, now):
-        """Return what to pass on to another entry: what endpoints of its domain told this one.
+        """Return the message that relays fresh direct announcements to another entry.
 
-        Each announcement is passed on once, and again to a new run of the other entry.
+        Each announcement is relayed once to each incarnation of the other entry.
 
-        :param domain: failure domain of the other entry.
+        :param peer: identity of the other process.
+        :param domain: failure domain of the other entry; only its endpoints are relayed.
         """
         exchange = AnnounceExchange(sent_at=now, echo=self._seen_by_peer.get(peer, 0.0))
         before = self._sent_by_peer.get(peer, {})
@@ -257,12 +260,12 @@
         return exchange
 
     def forget_peer(self, peer):
-        """Drop what belongs to a run of another entry that has gone."""
+        """Drop the state kept for an incarnation of another entry that has ended."""
         self._seen_by_peer.pop(peer, None)
         self._sent_by_peer.pop(peer, None)
 
     def expire(self, *, now):
-        """Drop the endpoints that need not be remembered.
+        """Drop the endpoints that need not be remembered any more.
 
         :returns: their names.
         """
@@ -290,7 +293,7 @@
         return left
 
     def _insert(self, heard, now):
-        # Not at each announcement of a flood, because it looks at the whole table.
+        # Limited in rate during a flood of announcements, because it scans the whole table.
         if len(self._by_name) >= MAX_ENDPOINTS and now - self._expired_at >= EXPIRE_S:
             self.expire(now=now)
         if len(self._by_name) >= MAX_ENDPOINTS:
--- a/siskintally/config_follower.py
+++ b/siskintally/config_follower.py
@@ -1,4 +1,4 @@
-r"""Configuration in force, followed from the domain group.
+r"""Long poll of the configuration in force from the leader of the own domain group.
 
 >>> from siskintally.config_follower import read_limits
 >>> read_limits("[presets.peak]\nretry_ratio = 0.05", "peak").retry_ratio
@@ -13,7 +13,8 @@
 from siskintally.log import get_logger
 from siskintally.wire_pb2 import ConfigWatch
 
-# A change is sent at once; the wait bounds how long a dead connection goes unnoticed.
+# Length of a long poll. A change is sent at once, so the length only limits how long a dead
+# connection goes unnoticed.
 WAIT_S = 2.0
 ATTEMPT_TIMEOUT_S = 3.0
 TIMEOUT_S = 10.0
@@ -23,11 +24,11 @@
 
 
 class ConfigFollower:
-    """Long poll to the leader of the own domain group.
+    """Follows the configuration and the drained endpoints of the own domain group.
 
     :param client: :class:`~siskintally.leader_client.LeaderClient` of that group.
     :param changed: called with the new :class:`~siskintally.limits.EntryLimits`.
-    :param drained: called with the names of the endpoints that are to get no new work.
+    :param drained: called with the names of the endpoints that must get no new work.
     """
 
     __slots__ = ("_changed", "_client", "_drained", "_known_drained", "preset", "version")
@@ -41,7 +42,7 @@
         self.preset = ""
 
     async def run(self):
-        """Follow until cancelled."""
+        """Poll until cancelled."""
         while True:
             body = ConfigWatch(
                 known_version=self.version,
@@ -54,15 +55,15 @@
                     body, timeout=TIMEOUT_S, attempt_timeout=ATTEMPT_TIMEOUT_S, idempotent=True
                 )
             except SiskintallyError as error:
-                log.info("no configuration", error=str(error))
+                log.info("configuration poll failed", error=str(error))
                 await sleep(PAUSE_S)
                 continue
             if not self.take(state):
-                # Against a store that answers at once without waiting.
+                # Prevents a busy loop with a store that answers at once without a change.
                 await sleep(PAUSE_S)
 
     def take(self, state):
-        """Put a configuration in force if it is newer.
+        """Apply a configuration if it is newer, and a changed set of drained endpoints.
 
         :returns: whether anything changed.
         """
@@ -77,7 +78,7 @@
         try:
             limits = read_limits(state.document, state.preset)
         except BadSettingsError as error:
-            log.error("configuration not readable", version=state.version, error=str(error))
+            log.error("configuration rejected", version=state.version, error=str(error))
             return False
         self.version = state.version
         self.preset = state.preset
@@ -87,7 +88,7 @@
 
 
 def read_limits(document, preset):
-    """Return the limits of a preset of a configuration document.
+    """Return the entry limits of a preset in a configuration document.
 
     :param document: TOML.
     :raises BadSettingsError: the document or the preset is not valid.
--- a/siskintally/entry_summary.py
+++ b/siskintally/entry_summary.py
@@ -1,4 +1,4 @@
-"""What entries of other domains know of this one, and the choice among them.
+"""Load summaries between entries of different domains, and the choice of one to forward to.
 
 >>> from siskintally.entry_summary import SummaryTable
 >>> table = SummaryTable(region="jylland")
@@ -8,14 +8,14 @@
 
 from random import Random
 
-# The link itself has pings, so a summary only repeats itself against lost messages.
+# An unchanged summary is repeated only to make up for lost messages; pings check the link.
 KEEPALIVE_S = 30.0
-# Free slots change all the time; only a change by this factor is worth cross-region bytes.
+# Free slots change all the time; smaller changes are not worth billed cross-region bytes.
 CHANGE_FACTOR = 2.0
 
 
 class SummarySender:
-    """Decides when a summary is worth sending to one peer."""
+    """Decides when to send a summary to one peer: when it changed much, or after 30 s."""
 
     __slots__ = ("_last", "_sent_at")
 
@@ -24,7 +24,7 @@
         self._sent_at = 0.0
 
     def is_due(self, summary, *, now):
-        """Tell whether to send; a summary that is due counts as sent."""
+        """Return whether to send a summary; if so, record it as sent."""
         due = (
             self._last is None
             or now - self._sent_at >= KEEPALIVE_S
@@ -67,7 +67,7 @@
         self._random = random or Random()
 
     def learn(self, peer, summary):
-        """Take the summary of a peer."""
+        """Record the summary of a peer."""
         self._by_peer[peer] = summary
 
     def forget(self, peer):
@@ -75,11 +75,13 @@
         self._by_peer.pop(peer, None)
 
     def choose(self, service, *, open_peers, avoid="", need_free=False):
-        """Return an entry that can serve a service, or None; the own region comes first.
+        """Return a random one of the best entries that serve a service, or None.
 
-        :param open_peers: ``{peer: region}`` of the entries that can be reached.
-        :param avoid: entry that has just failed.
-        :param need_free: whether only entries with free slots are wanted.
+        Any other entry is better than ``avoid``, then one in the own region, then free slots.
+
+        :param open_peers: ``{peer: region}`` of the reachable entries.
+        :param avoid: entry that has just failed, or empty.
+        :param need_free: whether an entry must have free slots.
         """
         best = []
         best_rank = None
--- a/siskintally/gossip.py
+++ b/siskintally/gossip.py
@@ -1,4 +1,4 @@
-"""Gossip of announcements and summaries with other entries.
+"""Exchange of endpoint announcements and load summaries between entries.
 
 >>> from siskintally.gossip import Gossip
 >>> Gossip.__name__
@@ -19,7 +19,7 @@
 
 
 class Gossip:
-    """Sends what this entry knows to the other entries.
+    """Sends announcements and load summaries to the other entries, and applies theirs.
 
     :param table: :class:`~siskintally.announcement.AnnouncementTable`.
     :param peers: :class:`~siskintally.peers.Peers`.
@@ -44,27 +44,27 @@
         self._echo_until_by_peer = {}
 
     async def pass_on(self):
-        """Pass announcements on every 0.5 s until cancelled."""
+        """Relay announcements every 0.5 s until cancelled."""
         while True:
             self.pass_on_once()
             await sleep(PASS_ON_S)
 
     def pass_on_once(self):
-        """Pass announcements on now."""
+        """Relay announcements now."""
         now = monotonic()
         for process, session in self._peers.open_entries(own_domain=True):
             session.send(self._message(process, session, now))
-        # Entries of other domains get only what endpoints of their domain announced here, and
-        # an echo while they pass something on, because cross-region bytes are billed.
+        # Cross-region bytes are billed, so entries of other domains get a message only if it has
+        # announcements of their endpoints, or an echo while they relay announcements to this entry.
         for process, session in self._peers.open_entries(own_domain=False):
             message = self._message(process, session, now)
             if message.announcements or now < self._echo_until(session):
                 session.send(message)
 
     def take_announcements(self, session, body, now):
-        """Take an exchange message.
+        """Record the announcements relayed by another entry.
 
-        :returns: names of the endpoints just learned to be leaving.
+        :returns: names of the endpoints that are leaving, if that is news.
         """
         peer = identity(session.peer)
         if body.announcements:
@@ -72,11 +72,11 @@
         return self._table.merge(body, peer=peer, now=now)
 
     def take_summary(self, session, body):
-        """Take the summary of an entry of another domain."""
+        """Record the summary of an entry of another domain."""
         self._peers.summaries.learn(session.peer.name, body)
 
     def forget(self, session):
-        """Drop what belongs to a session that has ended."""
+        """Drop the state of a closed session."""
         peer = identity(session.peer)
         self._table.forget_peer(peer)
         self._echo_until_by_peer.pop(peer, None)
@@ -85,18 +85,18 @@
             self._peers.summaries.forget(session.peer.name)
 
     async def summarize(self):
-        """Send summaries to entries of other domains, when they changed, until cancelled."""
+        """Send changed summaries to entries of other domains every 2 s until cancelled."""
         while True:
             self.summarize_once()
             await sleep(SUMMARY_S)
 
     def drain(self):
-        """Tell entries of other domains to send nothing more."""
+        """Announce to entries of other domains that this one takes no more requests."""
         self._draining = True
         self.summarize_once()
 
     def summarize_once(self):
-        """Send summaries that are due now."""
+        """Send the summaries that are due now."""
         now = monotonic()
         summary = EntrySummary(draining=self._draining)
         for service in self._table.services(now=now):
--- a/siskintally/operator_relay.py
+++ b/siskintally/operator_relay.py
@@ -1,4 +1,4 @@
-"""Operator calls, relayed from HTTP to a store of the own domain group.
+"""Relay of operator calls from the HTTP API to a store of the own domain group.
 
 >>> from siskintally.operator_relay import VERBS
 >>> "drain" in VERBS
@@ -25,7 +25,7 @@
 
 
 class OperatorRelay:
-    """Relays operator calls.
+    """Relays operator calls to the stores, one after the other until one answers.
 
     :param stores: process names of the stores of the own domain group.
     :param call: ``async call(process_name, body, timeout=seconds)``.
@@ -39,12 +39,12 @@
         self._turn = 0
 
     async def relay(self, *, request_id, operator, verb, arguments):
-        """Send a call; it may be sent again, because the cell answers a request id only once.
+        """Relay a call; repeating it is safe, because the cell runs a request id only once.
 
         :param arguments: JSON bytes.
         :returns: OperatorReply.
-        :raises OutcomeUnknownError: it may have been carried out; resend with the same id.
-        :raises UnreachableError: it was not carried out.
+        :raises OutcomeUnknownError: it may have run; resend with the same id.
+        :raises UnreachableError: it was not run.
         :raises RefusedError: it was refused.
         """
         body = OperatorCall(
--- a/siskintally/pause_detector.py
+++ b/siskintally/pause_detector.py
@@ -1,4 +1,4 @@
-"""Detection of pauses of this process, such as SIGSTOP or a frozen VM.
+"""Detection of pauses of this process, such as by SIGSTOP or a frozen VM.
 
 >>> from siskintally.pause_detector import PauseDetector
 >>> detector = PauseDetector()
@@ -8,14 +8,14 @@
 
 from math import inf
 
-# The loop beats four times a second; a longer gap means that the process did not run.
+# The process calls the detector four times a second; after a longer gap it was paused.
 GAP_S = 1.0
-# Time to read what arrived during the pause.
+# Time to read the input that arrived during the pause.
 DISTRUST_S = 1.0
 
 
 class PauseDetector:
-    """Tells whether what is read now may have waited in socket buffers through a pause."""
+    """Detects pauses, after which input may be old because it waited in socket buffers."""
 
     __slots__ = ("_distrust_until", "_last")
 
@@ -24,12 +24,12 @@
         self._distrust_until = -inf
 
     def beat(self, now):
-        """Note that the process runs; call it at least twice a second."""
+        """Record that the process runs; must be called at least twice a second."""
         self._look(now)
         self._last = now
 
     def distrusts(self, now):
-        """Tell whether input read now may be from before a pause."""
+        """Return whether input read now may have arrived during a pause."""
         self._look(now)
         return now <= self._distrust_until
 
--- a/siskintally/peers.py
+++ b/siskintally/peers.py
@@ -1,6 +1,6 @@
 """Links of an entry to the other entries and to the stores.
 
-Of two entries the one with the smaller name dials, so there is one link for each pair.
+Of two entries, the one with the smaller name opens the link, so each pair has one link.
 
 >>> from siskintally.peers import dials
 >>> dials("e1", "e2"), dials("e2", "e1")
@@ -13,17 +13,17 @@
 
 
 def dials(own, other):
-    """Tell whether an entry opens the link to another."""
+    """Return whether an entry opens the link to another."""
     return own < other
 
 
 class Peers:
-    """Links by process name.
+    """Sessions with the other entries and the stores, by process name.
 
     :param settings: settings of the cell.
-    :param process: the row of this entry.
-    :param hello: what this process says of itself.
-    :param handler: takes calls and messages of peers.
+    :param process: settings of this entry.
+    :param hello: Hello message that identifies this process.
+    :param handler: :class:`~siskintally.session.Handler` of calls and messages from peers.
     :param server: :class:`~siskintally.link.LinkServer` of this process.
     """
 
@@ -48,7 +48,7 @@
         }
 
     def links(self):
-        """Yield (process name, link) of all links that this process opens."""
+        """Yield (process name, link) of the links that this process opens."""
         yield from self._links.items()
 
     def session(self, name):
@@ -63,7 +63,7 @@
     async def call(self, name, body, *, timeout):
         """Call a process; see :meth:`siskintally.session.Session.call`.
 
-        :raises UnreachableError: there is no open link to it.
+        :raises UnreachableError: there is no open session with it.
         """
         session = self.session(name)
         if session is None:
@@ -71,9 +71,9 @@
         return await session.call(body, timeout=timeout)
 
     def open_entries(self, *, own_domain):
-        """Yield (entry process, session) of the entries that can be reached.
+        """Yield (process settings, session) of the reachable entries.
 
-        :param own_domain: whether those of the own failure domain or the others.
+        :param own_domain: whether to yield those of the own failure domain or the others.
         """
         for name, process in self.entries.items():
             if (process.domain == self._process.domain) == own_domain:
@@ -82,7 +82,7 @@
                     yield process, session
 
     def choose(self, service, *, avoid="", need_free=False):
-        """Return the name of an entry of another domain that can serve a service, or None."""
+        """Choose an entry of another domain; see :meth:`SummaryTable.choose`."""
         reachable = {
             process.name: process.region for process, _ in self.open_entries(own_domain=False)
         }
@@ -91,10 +91,10 @@
         )
 
     def is_other_region(self, name):
-        """Tell whether an entry is in another region."""
+        """Return whether an entry is in another region."""
         return self.entries[name].region != self._process.region
 
 
 def identity(hello):
-    """Return what tells two runs of a process apart."""
+    """Return name and incarnation of a process, which differ after a restart."""
     return f"{hello.name}/{hello.incarnation}"
