--- a/siskintally/balancer.py
+++ b/siskintally/balancer.py
@@ -10,10 +10,10 @@
 from abc import ABC, abstractmethod
 from random import Random
 
-from siskintally.slot_share import rendezvous
+from siskintally.slot_share import rendezvous_weight
 
 # Factor on the load of a failing endpoint that the limit on ejections keeps in use.
-SUSPECT_FACTOR = 8
+SUSPECT_LOAD_FACTOR = 8
 
 
 class Candidate:
@@ -34,7 +34,7 @@
 
     def load(self):
         """Return the fraction of the share in use after one more request."""
-        factor = SUSPECT_FACTOR if self.suspect else 1
+        factor = SUSPECT_LOAD_FACTOR if self.suspect else 1
         return (self.in_flight + 1) / self.share * factor
 
 
@@ -88,8 +88,10 @@
 
     def choose(self, candidates, *, key):
         """Return one of the candidates."""
-        healthy = [one for one in candidates if not one.suspect] or candidates
-        return max(healthy, key=lambda one: (rendezvous(key, one.name), one.name))
+        healthy = [candidate for candidate in candidates if not candidate.suspect] or candidates
+        return max(
+            healthy, key=lambda candidate: (rendezvous_weight(key, candidate.name), candidate.name)
+        )
 
 
 BALANCER_BY_NAME = {
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -33,7 +33,7 @@
 from siskintally.retry import RetryBudget
 from siskintally.service_dispatcher import ServiceDispatcher
 from siskintally.session import Handler
-from siskintally.slot_share import share
+from siskintally.slot_share import entry_share
 from siskintally.supervisor import Supervisor
 from siskintally.wire_pb2 import AnnounceExchange, EntrySummary, ForwardRequest, Hello
 
@@ -203,14 +203,16 @@
         if dispatcher is None:
             dispatcher = self._dispatcher_by_service[service] = ServiceDispatcher(
                 limits=self.limits,
-                live=lambda now: self._table.live(service, now=now),
+                live_endpoints=lambda now: self._table.live(service, now=now),
                 share_of=self._share_of,
                 balancer=self._balancer,
             )
         return dispatcher
 
     def _share_of(self, total, endpoint):
-        return share(total, endpoint=endpoint, entry=self._process.name, entries=self._own_entries)
+        return entry_share(
+            total, endpoint=endpoint, entry=self._process.name, entries=self._own_entries
+        )
 
     def health(self):
         """Return (whether load balancers may route callers here, state of the process)."""
@@ -249,7 +251,7 @@
         if self._table.announce(heard, age_s=age_s, now=now):
             self._gossip.pass_on_once()
         if heard.domain == self._process.domain and heard.service in self._dispatcher_by_service:
-            self._dispatcher_by_service[heard.service].pump(now)
+            self._dispatcher_by_service[heard.service].dispatch_waiting(now)
 
     async def serve(self, call):
         """Serve a caller's request.
@@ -325,7 +327,7 @@
             self._pause_detector.beat(now)
             self._table.expire(now=now)
             for service, dispatcher in list(self._dispatcher_by_service.items()):
-                for forwarder in dispatcher.tidy(now):
+                for forwarder in dispatcher.run_maintenance(now):
                     await forwarder.close()
                 if dispatcher.is_idle(now):
                     del self._dispatcher_by_service[service]
--- a/siskintally/fair_queue.py
+++ b/siskintally/fair_queue.py
@@ -1,10 +1,10 @@
 """Queue of one request class: round robin over callers, earliest deadline first per caller.
 
->>> from siskintally.fair_queue import FairQueue, Ticket
+>>> from siskintally.fair_queue import FairQueue, QueuedRequest
 >>> queue = FairQueue()
 >>> for caller, deadline in (("a", 3.0), ("a", 1.0), ("b", 9.0)):
-...     queue.push(Ticket(rank=1, caller=caller, deadline=deadline, queued_at=0.0))
->>> [(ticket.caller, ticket.deadline) for ticket in iter(queue.pop, None)]
+...     queue.push(QueuedRequest(rank=1, caller=caller, deadline=deadline, queued_at=0.0))
+>>> [(request.caller, request.deadline) for request in iter(queue.pop, None)]
 [('a', 1.0), ('b', 9.0), ('a', 3.0)]
 """
 
@@ -13,10 +13,10 @@
 from itertools import count
 
 # Above this number of remembered callers, those without a turn in a later round are dropped.
-MAX_ROUNDS_KEPT = 1024
+MAX_REMEMBERED_CALLERS = 1024
 
 
-class State(Enum):
+class RequestState(Enum):
     """State of a request in the queue: GONE is removed, TAKEN is sent on."""
 
     NEW = 0
@@ -25,7 +25,7 @@
     GONE = 3
 
 
-class Ticket:
+class QueuedRequest:
     """A request that waits for a slot.
 
     :param rank: class, 0 is the most urgent.
@@ -40,7 +40,7 @@
         "caller",
         "deadline",
         "endpoint",
-        "entry",
+        "heap_item",
         "may_probe",
         "notify",
         "queued_at",
@@ -56,19 +56,19 @@
         self.notify = notify
         self.avoid = avoid
         self.may_probe = may_probe
-        self.state = State.NEW
+        self.state = RequestState.NEW
         self.endpoint = None
-        self.entry = None
+        self.heap_item = None
 
 
-class _Line:
-    __slots__ = ("heap", "round", "version", "waiting")
+class _CallerQueue:
+    __slots__ = ("heap", "next_round", "turn_version", "waiting_count")
 
-    def __init__(self, *, turn):
+    def __init__(self, *, round_number):
         self.heap = []
-        self.waiting = 0
-        self.round = turn
-        self.version = 0
+        self.waiting_count = 0
+        self.next_round = round_number
+        self.turn_version = 0
 
 
 class FairQueue:
@@ -77,119 +77,142 @@
     Each caller gets one request per round. A heap orders the callers' turns by round and deadline.
     """
 
-    __slots__ = ("_line_by_caller", "_numbers", "_order", "_round", "_round_by_caller", "_waiting")
+    __slots__ = (
+        "_current_round",
+        "_next_round_by_caller",
+        "_queue_by_caller",
+        "_sequence",
+        "_turns",
+        "_waiting_count",
+    )
 
     def __init__(self):
-        self._line_by_caller = {}
-        self._order = []
-        self._numbers = count()
-        self._round = 0
-        self._round_by_caller = {}
-        self._waiting = 0
+        self._queue_by_caller = {}
+        self._turns = []
+        self._sequence = count()
+        self._current_round = 0
+        self._next_round_by_caller = {}
+        self._waiting_count = 0
 
     def __len__(self):
-        return self._waiting
+        return self._waiting_count
 
-    def callers(self):
+    def caller_count(self):
         """Return the number of callers with waiting requests."""
-        return len(self._line_by_caller)
+        return len(self._queue_by_caller)
 
-    def waiting_of(self, caller):
+    def count_waiting(self, caller):
         """Return the number of waiting requests of a caller."""
-        line = self._line_by_caller.get(caller)
-        return line.waiting if line else 0
+        caller_queue = self._queue_by_caller.get(caller)
+        return caller_queue.waiting_count if caller_queue else 0
 
-    def ahead_of(self, ticket):
+    def count_ahead(self, request):
         """Return how many waiting requests at most are popped before a new or a waiting one.
 
         Round robin gives each other caller at most as many turns as this caller needs until then.
         """
-        line = self._line_by_caller.get(ticket.caller)
-        callers = self.callers() + (line is None)
+        caller_queue = self._queue_by_caller.get(request.caller)
+        caller_count = self.caller_count() + (caller_queue is None)
         own = sum(
             1
-            for entry in (line.heap if line else ())
-            if entry[0] <= ticket.deadline and entry[2] is not ticket and _is_waiting(entry)
+            for heap_item in (caller_queue.heap if caller_queue else ())
+            if heap_item[0] <= request.deadline
+            and heap_item[2] is not request
+            and _is_waiting(heap_item)
         )
-        others = self._waiting - (ticket.state is State.WAITING)
-        return min(others, (own + 1) * callers - 1)
+        others = self._waiting_count - (request.state is RequestState.WAITING)
+        return min(others, (own + 1) * caller_count - 1)
 
-    def push(self, ticket):
+    def push(self, request):
         """Add a request."""
-        line = self._line_by_caller.get(ticket.caller)
-        if line is None:
+        caller_queue = self._queue_by_caller.get(request.caller)
+        if caller_queue is None:
             # A caller whose queue was empty still gets only one turn per round.
-            turn = max(self._round, self._round_by_caller.get(ticket.caller, 0))
-            line = self._line_by_caller[ticket.caller] = _Line(turn=turn)
-        ticket.state = State.WAITING
-        ticket.entry = (ticket.deadline, next(self._numbers), ticket)
-        heappush(line.heap, ticket.entry)
-        line.waiting += 1
-        self._waiting += 1
-        if line.heap[0] is ticket.entry:
-            self._enter(ticket.caller, line)
+            round_number = max(
+                self._current_round, self._next_round_by_caller.get(request.caller, 0)
+            )
+            caller_queue = self._queue_by_caller[request.caller] = _CallerQueue(
+                round_number=round_number
+            )
+        request.state = RequestState.WAITING
+        request.heap_item = (request.deadline, next(self._sequence), request)
+        heappush(caller_queue.heap, request.heap_item)
+        caller_queue.waiting_count += 1
+        self._waiting_count += 1
+        if caller_queue.heap[0] is request.heap_item:
+            self._schedule_turn(request.caller, caller_queue)
 
     def pop(self):
         """Remove and return the next request, or None."""
-        while self._order:
-            turn, _, _, caller, version = heappop(self._order)
-            line = self._line_by_caller.get(caller)
-            if line is None or line.version != version:
+        while self._turns:
+            round_number, _, _, caller, turn_version = heappop(self._turns)
+            caller_queue = self._queue_by_caller.get(caller)
+            if caller_queue is None or caller_queue.turn_version != turn_version:
                 continue
-            ticket = self._head(line)
-            if ticket is None:
+            request = self._first_waiting(caller_queue)
+            if request is None:
                 continue
-            heappop(line.heap)
-            self._round = turn
-            line.round = turn + 1
-            ticket.state = State.TAKEN
-            self._leave(ticket.caller, line)
-            return ticket
+            heappop(caller_queue.heap)
+            self._current_round = round_number
+            caller_queue.next_round = round_number + 1
+            request.state = RequestState.TAKEN
+            self._finish_removal(request.caller, caller_queue)
+            return request
         return None
 
-    def remove(self, ticket):
+    def remove(self, request):
         """Remove a waiting request."""
-        line = self._line_by_caller[ticket.caller]
-        was_head = line.heap[0] is ticket.entry
-        ticket.state = State.GONE
-        self._leave(ticket.caller, line, reenter=was_head)
+        caller_queue = self._queue_by_caller[request.caller]
+        was_first = caller_queue.heap[0] is request.heap_item
+        request.state = RequestState.GONE
+        self._finish_removal(request.caller, caller_queue, reschedule=was_first)
 
-    def latest_of_largest(self):
+    def latest_of_busiest_caller(self):
         """Return the latest-deadline request of the caller with the most requests, or None."""
-        if not self._line_by_caller:
+        if not self._queue_by_caller:
             return None
-        line = max(self._line_by_caller.values(), key=lambda one: one.waiting)
-        return max(filter(_is_waiting, line.heap), key=lambda entry: entry[:2])[2]
-
-    def _leave(self, caller, line, *, reenter=True):
-        line.waiting -= 1
-        self._waiting -= 1
-        if not line.waiting:
-            del self._line_by_caller[caller]
-            self._remember(caller, line.round)
-        elif reenter:
-            self._enter(caller, line)
-
-    def _remember(self, caller, turn):
-        self._round_by_caller[caller] = turn
-        if len(self._round_by_caller) > MAX_ROUNDS_KEPT:
-            late = {name: at for name, at in self._round_by_caller.items() if at > self._round}
-            self._round_by_caller = late
-
-    def _enter(self, caller, line):
-        ticket = self._head(line)
-        line.version += 1
-        entry = (line.round, ticket.deadline, next(self._numbers), caller, line.version)
-        heappush(self._order, entry)
+        caller_queue = max(self._queue_by_caller.values(), key=lambda queue: queue.waiting_count)
+        return max(filter(_is_waiting, caller_queue.heap), key=lambda heap_item: heap_item[:2])[2]
+
+    def _finish_removal(self, caller, caller_queue, *, reschedule=True):
+        caller_queue.waiting_count -= 1
+        self._waiting_count -= 1
+        if not caller_queue.waiting_count:
+            del self._queue_by_caller[caller]
+            self._remember_round(caller, caller_queue.next_round)
+        elif reschedule:
+            self._schedule_turn(caller, caller_queue)
+
+    def _remember_round(self, caller, round_number):
+        self._next_round_by_caller[caller] = round_number
+        if len(self._next_round_by_caller) > MAX_REMEMBERED_CALLERS:
+            later = {
+                name: at
+                for name, at in self._next_round_by_caller.items()
+                if at > self._current_round
+            }
+            self._next_round_by_caller = later
+
+    def _schedule_turn(self, caller, caller_queue):
+        request = self._first_waiting(caller_queue)
+        caller_queue.turn_version += 1
+        turn = (
+            caller_queue.next_round,
+            request.deadline,
+            next(self._sequence),
+            caller,
+            caller_queue.turn_version,
+        )
+        heappush(self._turns, turn)
 
     @staticmethod
-    def _head(line):
-        while line.heap and not _is_waiting(line.heap[0]):
-            heappop(line.heap)
-        return line.heap[0][2] if line.heap else None
+    def _first_waiting(caller_queue):
+        while caller_queue.heap and not _is_waiting(caller_queue.heap[0]):
+            heappop(caller_queue.heap)
+        return caller_queue.heap[0][2] if caller_queue.heap else None
 
 
-def _is_waiting(entry):
+def _is_waiting(heap_item):
     """Return whether a heap item is current; a promoted request leaves a stale one behind."""
-    ticket = entry[2]
-    return ticket.state is State.WAITING and ticket.entry is entry
+    request = heap_item[2]
+    return request.state is RequestState.WAITING and request.heap_item is heap_item
--- a/siskintally/gossip.py
+++ b/siskintally/gossip.py
@@ -104,7 +104,7 @@
             free, total = dispatcher.capacity(now)
             if total:
                 load = ServiceLoad(
-                    service=service, endpoints=dispatcher.endpoints(now), free_slots=free
+                    service=service, endpoints=dispatcher.endpoint_count(now), free_slots=free
                 )
                 summary.services.append(load)
         for _, session in self._peers.open_entries(own_domain=False):
--- a/siskintally/health.py
+++ b/siskintally/health.py
@@ -6,7 +6,7 @@
 >>> table = HealthTable()
 >>> names = ["a", "b", "c", "d"]
 >>> for _ in range(5):
-...     table.record("a", ok=False, names=names, now=10.0)
+...     table.record_result("a", ok=False, names=names, now=10.0)
 >>> table.usable(names, now=10.5)
 ['b', 'c', 'd']
 """
@@ -15,86 +15,90 @@
 # a window failed, given at least 20 results.
 CONSECUTIVE_FAILURES = 5
 WINDOW_S = 10.0
-WINDOW_LEAST = 20
+WINDOW_MIN_RESULTS = 20
 WINDOW_FAILURE_RATE = 0.5
-MIN_BACKOFF_S = 1.0
-MAX_BACKOFF_S = 60.0
+MIN_EJECTION_BACKOFF_S = 1.0
+MAX_EJECTION_BACKOFF_S = 60.0
 # An endpoint that is ejected again within this time of its readmission gets twice the back-off.
-RELAPSE_S = 60.0
+RELAPSE_WINDOW_S = 60.0
 MAX_EJECTED_RATIO = 0.3
 # An unreachable endpoint gets no requests for this time, which doubles with each failed probe.
 # MAX_EJECTED_RATIO doesn't apply: an unreachable endpoint serves nobody, while one that returns
 # errors may fail because of the requests.
-MIN_UNREACHABLE_S = 0.1
-MAX_UNREACHABLE_S = 1.0
+MIN_UNREACHABLE_BACKOFF_S = 0.1
+MAX_UNREACHABLE_BACKOFF_S = 1.0
 
 
-class _Health:
+class _EndpointHealth:
     __slots__ = (
-        "backoff_s",
-        "consecutive",
+        "consecutive_failures",
         "ejected",
-        "failures",
+        "ejection_backoff_s",
+        "excluded_until",
         "probing",
         "readmitted_at",
-        "results",
-        "unreachable_s",
-        "until",
-        "window_from",
+        "unreachable_backoff_s",
+        "window_failures",
+        "window_results",
+        "window_start",
     )
 
     def __init__(self, *, now):
-        self.consecutive = 0
-        self.results = 0
-        self.failures = 0
-        self.window_from = now
+        self.consecutive_failures = 0
+        self.window_results = 0
+        self.window_failures = 0
+        self.window_start = now
         self.ejected = False
         self.probing = False
-        self.until = 0.0
-        self.backoff_s = 0.0
-        self.unreachable_s = 0.0
-        self.readmitted_at = -RELAPSE_S
-
-    def count(self, ok, now):
-        if now - self.window_from > WINDOW_S:
-            self.results = self.failures = 0
-            self.window_from = now
-        self.results += 1
-        self.failures += not ok
-        self.consecutive = 0 if ok else self.consecutive + 1
-
-    def is_shut(self):
-        return self.ejected or self.unreachable_s > 0.0
-
-    def lose(self, now):
+        self.excluded_until = 0.0
+        self.ejection_backoff_s = 0.0
+        self.unreachable_backoff_s = 0.0
+        self.readmitted_at = -RELAPSE_WINDOW_S
+
+    def record_result(self, ok, now):
+        if now - self.window_start > WINDOW_S:
+            self.window_results = self.window_failures = 0
+            self.window_start = now
+        self.window_results += 1
+        self.window_failures += not ok
+        self.consecutive_failures = 0 if ok else self.consecutive_failures + 1
+
+    def is_excluded(self):
+        return self.ejected or self.unreachable_backoff_s > 0.0
+
+    def record_unreachable(self, now):
         """Record that no connection could be made."""
-        if self.unreachable_s and not self.probing:
+        if self.unreachable_backoff_s and not self.probing:
             # The request was sent before the endpoint was marked as unreachable.
             return
-        doubled = min(self.unreachable_s * 2, MAX_UNREACHABLE_S)
-        self.unreachable_s = max(doubled, MIN_UNREACHABLE_S)
+        doubled = min(self.unreachable_backoff_s * 2, MAX_UNREACHABLE_BACKOFF_S)
+        self.unreachable_backoff_s = max(doubled, MIN_UNREACHABLE_BACKOFF_S)
         self.probing = False
-        self.until = max(self.until, now + self.unreachable_s)
+        self.excluded_until = max(self.excluded_until, now + self.unreachable_backoff_s)
 
     def is_outlier(self):
-        if self.consecutive >= CONSECUTIVE_FAILURES:
+        if self.consecutive_failures >= CONSECUTIVE_FAILURES:
             return True
-        rate = self.failures / self.results if self.results else 0.0
-        return self.results >= WINDOW_LEAST and rate >= WINDOW_FAILURE_RATE
+        rate = self.window_failures / self.window_results if self.window_results else 0.0
+        return self.window_results >= WINDOW_MIN_RESULTS and rate >= WINDOW_FAILURE_RATE
 
     def eject(self, now):
-        relapsed = self.ejected or now - self.readmitted_at < RELAPSE_S
-        self.backoff_s = min(self.backoff_s * 2, MAX_BACKOFF_S) if relapsed else MIN_BACKOFF_S
-        self.backoff_s = max(self.backoff_s, MIN_BACKOFF_S)
+        relapsed = self.ejected or now - self.readmitted_at < RELAPSE_WINDOW_S
+        self.ejection_backoff_s = (
+            min(self.ejection_backoff_s * 2, MAX_EJECTION_BACKOFF_S)
+            if relapsed
+            else MIN_EJECTION_BACKOFF_S
+        )
+        self.ejection_backoff_s = max(self.ejection_backoff_s, MIN_EJECTION_BACKOFF_S)
         self.ejected = True
         self.probing = False
-        self.until = now + self.backoff_s
+        self.excluded_until = now + self.ejection_backoff_s
 
     def readmit(self, now):
         self.ejected = self.probing = False
-        self.unreachable_s = 0.0
-        self.consecutive = self.results = self.failures = 0
-        self.window_from = self.readmitted_at = now
+        self.unreachable_backoff_s = 0.0
+        self.consecutive_failures = self.window_results = self.window_failures = 0
+        self.window_start = self.readmitted_at = now
 
 
 class HealthTable:
@@ -129,27 +133,27 @@
     def needs_probe(self, name):
         """Return whether the next request to an endpoint would be a probe."""
         health = self._by_name.get(name)
-        return health is not None and health.is_shut()
+        return health is not None and health.is_excluded()
 
-    def start(self, name):
+    def record_send(self, name):
         """Record that a request is sent; to an ejected or unreachable endpoint it is a probe."""
         if self.needs_probe(name):
             self._by_name[name].probing = True
 
-    def lose(self, name, *, now):
+    def record_unreachable(self, name, *, now):
         """Record that no connection to an endpoint could be made.
 
         It gets no request until a probe is due, even if no other endpoint is left.
         """
-        self._by_name.setdefault(name, _Health(now=now)).lose(now)
+        self._by_name.setdefault(name, _EndpointHealth(now=now)).record_unreachable(now)
 
-    def abandon(self, name):
+    def record_no_result(self, name):
         """Record that a request ended without a result that says anything about its endpoint."""
         health = self._by_name.get(name)
         if health is not None:
             health.probing = False
 
-    def record(self, name, *, ok, names, now):
+    def record_result(self, name, *, ok, names, now):
         """Record the result of a request.
 
         :param names: all endpoints of the service; at most 30% of them are ejected at once.
@@ -158,12 +162,12 @@
         if health is None:
             if ok:
                 return
-            health = self._by_name[name] = _Health(now=now)
-        if health.unreachable_s and not health.ejected:
+            health = self._by_name[name] = _EndpointHealth(now=now)
+        if health.unreachable_backoff_s and not health.ejected:
             # Any response shows that the endpoint accepts connections again.
-            health.unreachable_s = 0.0
+            health.unreachable_backoff_s = 0.0
             health.probing = False
-            health.until = 0.0
+            health.excluded_until = 0.0
         if health.ejected:
             # Results of requests sent before the ejection are ignored.
             if health.probing and ok:
@@ -171,18 +175,18 @@
             elif health.probing:
                 health.eject(now)
             return
-        health.count(ok, now)
-        allowed = int(MAX_EJECTED_RATIO * len(names))
-        if health.is_outlier() and len(self.ejected(names)) < allowed:
+        health.record_result(ok, now)
+        max_ejected = int(MAX_EJECTED_RATIO * len(names))
+        if health.is_outlier() and len(self.ejected(names)) < max_ejected:
             health.eject(now)
 
-    def keep(self, names):
+    def retain(self, names):
         """Drop all endpoints except these."""
         for name in self._by_name.keys() - set(names):
             del self._by_name[name]
 
     def _is_usable(self, name, now):
         health = self._by_name.get(name)
-        if health is None or not health.is_shut():
+        if health is None or not health.is_excluded():
             return True
-        return now >= health.until and not health.probing
+        return now >= health.excluded_until and not health.probing
--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -22,7 +22,7 @@
 )
 from siskintally.leader_client import LeaderClient
 from siskintally.log import get_logger
-from siskintally.slot_share import rendezvous
+from siskintally.slot_share import rendezvous_weight
 from siskintally.wire_pb2 import (
     LedgerBegin,
     LedgerBeginReply,
@@ -57,7 +57,7 @@
     prefix, slash, _ = key.partition("/")
     if slash and prefix in groups:
         return prefix
-    return max(groups, key=lambda group: (rendezvous(key, group), group))
+    return max(groups, key=lambda group: (rendezvous_weight(key, group), group))
 
 
 def stored_answer(answer):
--- a/siskintally/request_handler.py
+++ b/siskintally/request_handler.py
@@ -10,15 +10,15 @@
 
 from anyio import Event, move_on_after, sleep
 
-from siskintally.admission import OverloadedError, next_review
+from siskintally.admission import OverloadedError, next_deadline_check
 from siskintally.call import Answer
 from siskintally.codes import Code, not_run
 from siskintally.errors import SiskintallyError, UnreachableError
-from siskintally.fair_queue import Ticket
+from siskintally.fair_queue import QueuedRequest
 from siskintally.forward import Outcome, Sent
 from siskintally.ledger_client import LedgerUnreachableError
 from siskintally.log import get_logger
-from siskintally.service_dispatcher import is_granted
+from siskintally.service_dispatcher import has_slot
 from siskintally.wire_pb2 import LedgerBeginReply
 
 # Attempts per request. Retries of attempts that certainly sent nothing are outside of the retry
@@ -83,9 +83,9 @@
     async def _run_once(self, call):
         now = monotonic()
         dispatcher = self._dispatcher_of(call.service)
-        if dispatcher.endpoints(now):
+        if dispatcher.endpoint_count(now):
             try:
-                dispatcher.check(_ticket(call, now), now=now)
+                dispatcher.check(_queued_request(call, now), now=now)
             except OverloadedError as error:
                 return Answer.without_response(Code.OVERLOADED, f"{THIS_ATTEMPT}; {error}")
         attempt = uuid4().hex
@@ -118,14 +118,14 @@
             if unknown is None and not forwarded and not answer.is_not_run:
                 # Only the first attempt that may have run counts for the retry budget. A forwarded
                 # request counts at the entry that forwarded it.
-                self._budget.sent()
+                self._budget.record_first_attempt()
             if answer.status or answer.code not in (Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN):
                 return unknown or answer if answer.is_not_run else answer
             if answer.code == Code.NO_ENDPOINT and not avoid:
                 break
             if answer.code == Code.OUTCOME_UNKNOWN:
                 unknown = answer
-                if call.once or forwarded or not self._budget.take():
+                if call.once or forwarded or not self._budget.try_take():
                     break
                 self._metrics.count("retries")
         return unknown or answer
@@ -140,7 +140,8 @@
 
     def _is_served(self, service, now):
         return (
-            self._dispatcher_of(service).endpoints(now) or self._peers.choose(service) is not None
+            self._dispatcher_of(service).endpoint_count(now)
+            or self._peers.choose(service) is not None
         )
 
     async def _dispatch(self, call, avoid, forwarded, last):
@@ -166,35 +167,35 @@
 
     async def _dispatch_here(self, call, dispatcher, avoid, may_retry):
         granted = Event()
-        ticket = _ticket(call, monotonic(), notify=granted.set, avoid=avoid)
-        dispatcher.offer(ticket, now=monotonic())
+        request = _queued_request(call, monotonic(), notify=granted.set, avoid=avoid)
+        dispatcher.offer(request, now=monotonic())
         try:
-            has_chance = await _wait_for_slot(dispatcher, ticket, granted)
+            has_chance = await _wait_for_slot(dispatcher, request, granted)
         except BaseException:
-            self._give_back(dispatcher, ticket)
+            self._give_back(dispatcher, request)
             raise
-        if not is_granted(ticket):
-            dispatcher.withdraw(ticket)
-            if ticket.deadline > monotonic() and (granted.is_set() or not has_chance):
+        if not has_slot(request):
+            dispatcher.withdraw(request)
+            if request.deadline > monotonic() and (granted.is_set() or not has_chance):
                 raise OverloadedError("dropped from the queue; no byte was sent")
             return Answer.without_response(Code.EXPIRED, EXPIRED_IN_QUEUE), ""
-        outcome = await self._send(call, dispatcher, ticket, may_retry)
-        return _answer_of_outcome(outcome), ticket.endpoint.key
+        outcome = await self._send(call, dispatcher, request, may_retry)
+        return _answer_of_outcome(outcome), request.endpoint.key
 
     @staticmethod
-    def _give_back(dispatcher, ticket):
-        if is_granted(ticket):
-            dispatcher.release(ticket, ok=None, seconds=None, now=monotonic())
+    def _give_back(dispatcher, request):
+        if has_slot(request):
+            dispatcher.release(request, ok=None, seconds=None, now=monotonic())
         else:
-            dispatcher.withdraw(ticket)
+            dispatcher.withdraw(request)
 
-    async def _send(self, call, dispatcher, ticket, may_retry):
+    async def _send(self, call, dispatcher, request, may_retry):
         started = monotonic()
-        self._metrics.timing("queue_wait", started - ticket.queued_at)
+        self._metrics.timing("queue_wait", started - request.queued_at)
         deadline = _attempt_deadline(call, dispatcher, started) if may_retry else call.deadline
         outcome = None
         try:
-            outcome = await ticket.endpoint.forwarder.send(
+            outcome = await request.endpoint.forwarder.send(
                 request_id=call.request_id,
                 method=call.method,
                 target=call.target,
@@ -204,7 +205,7 @@
             )
         finally:
             now = monotonic()
-            dispatcher.release(ticket, now=now, **_lesson(outcome, now - started))
+            dispatcher.release(request, now=now, **_lesson(outcome, now - started))
         return outcome
 
     async def _dispatch_to(self, call, peer):
@@ -238,8 +239,8 @@
     return min(startup_end, now + STARTUP_RATIO * (deadline - now))
 
 
-def _ticket(call, now, notify=None, avoid=""):
-    return Ticket(
+def _queued_request(call, now, notify=None, avoid=""):
+    return QueuedRequest(
         rank=call.rank,
         caller=call.caller,
         deadline=call.deadline,
@@ -251,10 +252,10 @@
 
 
 def _attempt_deadline(call, dispatcher, now):
-    if dispatcher.endpoints(now) < 2:
+    if dispatcher.endpoint_count(now) < 2:
         return call.deadline
     remaining = call.deadline - now
-    usual = dispatcher.admission.service_s(now) * ATTEMPT_SERVICE_TIMES
+    usual = dispatcher.admission.mean_service_s(now) * ATTEMPT_SERVICE_TIMES
     return now + min(remaining, max(remaining * ATTEMPT_RATIO, usual))
 
 
@@ -275,15 +276,15 @@
     }
 
 
-async def _wait_for_slot(dispatcher, ticket, granted):
+async def _wait_for_slot(dispatcher, request, granted):
     """Wait until a request gets a slot, is dropped, or reaches its deadline.
 
     :returns: False if a check found that the request can't meet its deadline any more.
     """
-    while not granted.is_set() and (now := monotonic()) < ticket.deadline:
-        with move_on_after(next_review(ticket, now) - now):
+    while not granted.is_set() and (now := monotonic()) < request.deadline:
+        with move_on_after(next_deadline_check(request, now) - now):
             await granted.wait()
-        if not granted.is_set() and not dispatcher.keeps(ticket, now=monotonic()):
+        if not granted.is_set() and not dispatcher.can_meet_deadline(request, now=monotonic()):
             return False
     return True
 
--- a/siskintally/retry.py
+++ b/siskintally/retry.py
@@ -2,9 +2,10 @@
 
 >>> from siskintally.retry import RetryBudget
 >>> budget = RetryBudget(ratio=0.5)
->>> budget.take()
+>>> budget.try_take()
 False
->>> budget.sent(); budget.sent(); budget.take(), budget.take()
+>>> budget.record_first_attempt(); budget.record_first_attempt()
+>>> budget.try_take(), budget.try_take()
 (True, False)
 """
 
@@ -24,11 +25,11 @@
         self.ratio = ratio
         self._tokens = 0.0
 
-    def sent(self):
+    def record_first_attempt(self):
         """Count a first attempt."""
         self._tokens = min(self._tokens + self.ratio, MAX_TOKENS)
 
-    def take(self):
+    def try_take(self):
         """Consume a token for one retry if there is one.
 
         :returns: whether the retry is allowed.
--- a/siskintally/service_dispatcher.py
+++ b/siskintally/service_dispatcher.py
@@ -7,119 +7,122 @@
 
 from siskintally.admission import Admission
 from siskintally.balancer import Candidate
-from siskintally.fair_queue import State
+from siskintally.fair_queue import RequestState
 from siskintally.forward import Forwarder
 from siskintally.health import HealthTable
 from siskintally.limits import URGENT
 
-MIN_HOLD_S = 0.5
-MAX_HOLD_S = 5.0
+# Limits of the delay after which the slot of a request that may still run is released.
+MIN_RELEASE_DELAY_S = 0.5
+MAX_RELEASE_DELAY_S = 5.0
 
 
-class Slots:
+class EndpointSlots:
     """Slots of one endpoint that this entry may use.
 
     :param key: name and incarnation of the endpoint.
     :param share: number of slots.
     """
 
-    __slots__ = ("forwarder", "in_flight", "key", "ordinary", "share")
+    __slots__ = ("forwarder", "in_flight", "key", "non_urgent_in_flight", "share")
 
     def __init__(self, *, key, share, forwarder):
         self.key = key
         self.share = share
         self.forwarder = forwarder
         self.in_flight = 0
-        self.ordinary = 0
+        self.non_urgent_in_flight = 0
 
-    def take(self, *, urgent):
+    def acquire(self, *, urgent):
         """Occupy a slot."""
         self.in_flight += 1
-        self.ordinary += not urgent
+        self.non_urgent_in_flight += not urgent
 
-    def give_back(self, *, urgent):
+    def release(self, *, urgent):
         """Free a slot."""
         self.in_flight -= 1
-        self.ordinary -= not urgent
+        self.non_urgent_in_flight -= not urgent
 
 
 class ServiceDispatcher:
     """Queues the requests of one service and sends them to its endpoints.
 
-    :param live: ``live(now)`` returns the endpoints that may get new work.
+    :param live_endpoints: ``live_endpoints(now)`` returns the endpoints that may get new work.
     :param share_of: ``share_of(total, endpoint_name)`` returns this entry's share of a total.
     :param balancer: :class:`~siskintally.balancer.Balancer`.
     """
 
     __slots__ = (
         "_balancer",
+        "_delayed_releases",
         "_health",
-        "_held",
-        "_live",
+        "_live_endpoints",
         "_share_of",
         "_slots_by_key",
         "admission",
     )
 
-    def __init__(self, *, limits, live, share_of, balancer):
+    def __init__(self, *, limits, live_endpoints, share_of, balancer):
         self.admission = Admission(limits=limits)
-        self._live = live
+        self._live_endpoints = live_endpoints
         self._share_of = share_of
         self._balancer = balancer
         self._health = HealthTable()
         self._slots_by_key = {}
-        self._held = []
+        self._delayed_releases = []
 
     def capacity(self, now):
         """Return (free slots, all slots) that this entry has on usable endpoints."""
-        usable = self._usable(now)
-        free = sum(max(one.share - one.in_flight, 0) for one in usable)
-        return free, sum(one.share for one in usable)
+        usable = self._usable_slots(now)
+        free = sum(max(slots.share - slots.in_flight, 0) for slots in usable)
+        return free, sum(slots.share for slots in usable)
 
-    def endpoints(self, now):
+    def endpoint_count(self, now):
         """Return the number of endpoints that may get new work."""
-        return len(self._live(now))
+        return len(self._live_endpoints(now))
 
-    def check(self, ticket, *, now):
+    def check(self, request, *, now):
         """Check whether a request would be accepted now; see :meth:`Admission.check`."""
         free, total = self.capacity(now)
-        self.admission.check(ticket, now=now, free=free, total=total)
+        self.admission.check(request, now=now, free=free, total=total)
 
-    def offer(self, ticket, *, now):
+    def offer(self, request, *, now):
         """Queue a request, then dispatch what has a free slot; see :meth:`Admission.offer`."""
         free, total = self.capacity(now)
-        victim = self.admission.offer(ticket, now=now, free=free, total=total)
+        victim = self.admission.offer(request, now=now, free=free, total=total)
         if victim is not None:
             victim.notify()
-        self.pump(now)
+        self.dispatch_waiting(now)
 
-    def keeps(self, ticket, *, now):
+    def can_meet_deadline(self, request, *, now):
         """Return whether a waiting request can still meet its deadline."""
-        if not self.endpoints(now):
+        if not self.endpoint_count(now):
             return False
         _, total = self.capacity(now)
         # Without usable endpoints the request stays: unreachable ones are probed within a second.
-        return not total or self.admission.keeps(ticket, now=now, total=total)
+        return not total or self.admission.can_meet_deadline(request, now=now, total=total)
 
-    def withdraw(self, ticket):
+    def withdraw(self, request):
         """Remove a request from its queue; do nothing if it isn't waiting."""
-        self.admission.withdraw(ticket)
+        self.admission.withdraw(request)
 
-    def pump(self, now):
+    def dispatch_waiting(self, now):
         """Assign free slots to waiting requests."""
         while len(self.admission):
-            usable = self._usable(now)
-            free = sum(max(one.share - one.in_flight, 0) for one in usable)
-            total = sum(one.share for one in usable)
-            ordinary = sum(one.ordinary for one in usable)
-            ticket = self.admission.take(now=now, free=free, total=total, ordinary=ordinary)
-            for expired in self.admission.take_expired():
+            usable = self._usable_slots(now)
+            free = sum(max(slots.share - slots.in_flight, 0) for slots in usable)
+            total = sum(slots.share for slots in usable)
+            non_urgent_in_flight = sum(slots.non_urgent_in_flight for slots in usable)
+            request = self.admission.pop_next(
+                now=now, free=free, total=total, non_urgent_in_flight=non_urgent_in_flight
+            )
+            for expired in self.admission.pop_expired():
                 expired.notify()
-            if ticket is None:
+            if request is None:
                 return
-            self._give(ticket, usable)
+            self._assign_endpoint(request, usable)
 
-    def release(self, ticket, *, ok, seconds, now, may_run=False, unreachable=False):
+    def release(self, request, *, ok, seconds, now, may_run=False, unreachable=False):
         """Release the slot of a request and record the result.
 
         If the request may still run at the endpoint, its slot is released only after the estimated
@@ -131,79 +134,83 @@
         :param unreachable: whether no connection to the endpoint could be made.
         """
         if may_run:
-            self._held.append((now + self._hold_s(now), ticket))
+            self._delayed_releases.append((now + self._release_delay_s(now), request))
         else:
-            ticket.endpoint.give_back(urgent=ticket.rank == URGENT)
-        key = ticket.endpoint.key
+            request.endpoint.release(urgent=request.rank == URGENT)
+        key = request.endpoint.key
         if unreachable:
-            self._health.lose(key, now=now)
+            self._health.record_unreachable(key, now=now)
         elif ok is None:
-            self._health.abandon(key)
+            self._health.record_no_result(key)
         else:
-            names = [_key(endpoint) for endpoint in self._live(now)]
-            self._health.record(key, ok=ok, names=names, now=now)
+            names = [_incarnation_key(endpoint) for endpoint in self._live_endpoints(now)]
+            self._health.record_result(key, ok=ok, names=names, now=now)
         if seconds is not None:
-            self.admission.measured(seconds, now=now)
-        self.pump(now)
+            self.admission.record_service_time(seconds, now=now)
+        self.dispatch_waiting(now)
 
     def is_idle(self, now):
         """Return whether the dispatcher has no requests and no endpoints, and can be dropped."""
-        return not len(self.admission) and not self._slots_by_key and not self._live(now)
+        return not len(self.admission) and not self._slots_by_key and not self._live_endpoints(now)
 
-    def tidy(self, now):
-        """Release slots whose delay has passed, dispatch waiting requests, drop dead endpoints.
+    def run_maintenance(self, now):
+        """Release slots whose delay has passed, dispatch waiting requests, drop ended endpoints.
 
         :returns: forwarders of the dropped endpoints, to be closed.
         """
-        due = [ticket for at, ticket in self._held if at <= now]
-        self._held = [held for held in self._held if held[0] > now]
-        for ticket in due:
-            ticket.endpoint.give_back(urgent=ticket.rank == URGENT)
-        self.pump(now)
-        live = {_key(endpoint) for endpoint in self._live(now)}
-        self._health.keep(live | self._slots_by_key.keys())
+        due = [request for at, request in self._delayed_releases if at <= now]
+        self._delayed_releases = [delayed for delayed in self._delayed_releases if delayed[0] > now]
+        for request in due:
+            request.endpoint.release(urgent=request.rank == URGENT)
+        self.dispatch_waiting(now)
+        live_keys = {_incarnation_key(endpoint) for endpoint in self._live_endpoints(now)}
+        self._health.retain(live_keys | self._slots_by_key.keys())
         gone = [
-            one for one in self._slots_by_key.values() if one.key not in live and not one.in_flight
+            slots
+            for slots in self._slots_by_key.values()
+            if slots.key not in live_keys and not slots.in_flight
         ]
-        for one in gone:
-            del self._slots_by_key[one.key]
-        return [one.forwarder for one in gone]
+        for slots in gone:
+            del self._slots_by_key[slots.key]
+        return [slots.forwarder for slots in gone]
 
-    def _give(self, ticket, usable):
-        free = [one for one in usable if one.in_flight < one.share]
-        others = [one for one in free if self._suits(ticket, one.key)] or free
+    def _assign_endpoint(self, request, usable):
+        free = [slots for slots in usable if slots.in_flight < slots.share]
+        preferred = [slots for slots in free if self._is_preferred(request, slots.key)] or free
         candidates = [
             Candidate(
-                name=one.key,
-                share=one.share,
-                in_flight=one.in_flight,
-                suspect=self._health.is_suspect(one.key),
+                name=slots.key,
+                share=slots.share,
+                in_flight=slots.in_flight,
+                suspect=self._health.is_suspect(slots.key),
             )
-            for one in others
+            for slots in preferred
         ]
-        chosen = self._slots_by_key[self._balancer.choose(candidates, key=ticket.caller).name]
-        chosen.take(urgent=ticket.rank == URGENT)
-        self._health.start(chosen.key)
-        ticket.endpoint = chosen
-        ticket.notify()
-
-    def _hold_s(self, now):
-        return min(max(self.admission.needed_s(now), MIN_HOLD_S), MAX_HOLD_S)
-
-    def _suits(self, ticket, key):
-        return key != ticket.avoid and (ticket.may_probe or not self._health.is_ejected(key))
-
-    def _usable(self, now):
-        by_key = {_key(endpoint): endpoint for endpoint in self._live(now)}
+        chosen = self._slots_by_key[self._balancer.choose(candidates, key=request.caller).name]
+        chosen.acquire(urgent=request.rank == URGENT)
+        self._health.record_send(chosen.key)
+        request.endpoint = chosen
+        request.notify()
+
+    def _release_delay_s(self, now):
+        return min(
+            max(self.admission.service_bound_s(now), MIN_RELEASE_DELAY_S), MAX_RELEASE_DELAY_S
+        )
+
+    def _is_preferred(self, request, key):
+        return key != request.avoid and (request.may_probe or not self._health.is_ejected(key))
+
+    def _usable_slots(self, now):
+        by_key = {_incarnation_key(endpoint): endpoint for endpoint in self._live_endpoints(now)}
         keys = self._health.usable(by_key, now=now)
-        found = (self._slots(key, by_key[key]) for key in keys)
-        return [one for one in found if one.share]
+        found = (self._slots_of(key, by_key[key]) for key in keys)
+        return [slots for slots in found if slots.share]
 
-    def _slots(self, key, endpoint):
+    def _slots_of(self, key, endpoint):
         slots = self._slots_by_key.get(key)
         if slots is None:
             connections = self._share_of(endpoint.connections, endpoint.name)
-            slots = self._slots_by_key[key] = Slots(
+            slots = self._slots_by_key[key] = EndpointSlots(
                 key=key,
                 share=min(self._share_of(endpoint.slots, endpoint.name), connections),
                 forwarder=Forwarder(url=endpoint.url, connections=max(connections, 1)),
@@ -211,11 +218,11 @@
         return slots
 
 
-def _key(endpoint):
+def _incarnation_key(endpoint):
     # A new incarnation starts with free slots, no connections, and no failures.
     return f"{endpoint.name}/{endpoint.incarnation}"
 
 
-def is_granted(ticket):
+def has_slot(request):
     """Return whether a request has a slot."""
-    return ticket.state is State.TAKEN
+    return request.state is RequestState.TAKEN
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,15 +9,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from siskintally.admission import Admission, OverloadedError, next_review, urgent_reserve
-from siskintally.fair_queue import FairQueue, State, Ticket
+from siskintally.admission import Admission, OverloadedError, next_deadline_check, urgent_reserve
+from siskintally.fair_queue import FairQueue, QueuedRequest, RequestState
 from siskintally.limits import DEFERRABLE, NORMAL, URGENT, EntryLimits
 
 TOTAL = 8
 
 
-def ticket(rank=NORMAL, *, caller="c", deadline=100.0, at=0.0):
-    return Ticket(rank=rank, caller=caller, deadline=deadline, queued_at=at, notify=lambda: None)
+def request(rank=NORMAL, *, caller="c", deadline=100.0, at=0.0):
+    return QueuedRequest(
+        rank=rank, caller=caller, deadline=deadline, queued_at=at, notify=lambda: None
+    )
 
 
 def admission(**limits):
@@ -29,13 +31,15 @@
 
 
 def drain(queue, *, free=TOTAL, now=0.0):
-    return list(iter(lambda: queue.take(now=now, free=free, total=TOTAL, ordinary=0), None))
+    return list(
+        iter(lambda: queue.pop_next(now=now, free=free, total=TOTAL, non_urgent_in_flight=0), None)
+    )
 
 
 def test_urgent_comes_first_and_within_a_class_the_earliest_deadline():
     queue = admission()
     for rank, deadline in ((NORMAL, 5), (DEFERRABLE, 1), (NORMAL, 4), (URGENT, 9), (URGENT, 8)):
-        offer(queue, ticket(rank, deadline=deadline))
+        offer(queue, request(rank, deadline=deadline))
     order = [(one.rank, one.deadline) for one in drain(queue)]
     assert order == [(0, 8), (0, 9), (1, 4), (1, 5), (2, 1)]
 
@@ -44,18 +48,22 @@
     # Guards against an urgent request that waits behind a deferrable one in the last slot.
     queue = admission()
     for rank in (NORMAL, DEFERRABLE):
-        offer(queue, ticket(rank))
+        offer(queue, request(rank))
     assert urgent_reserve(TOTAL) == 1
-    assert queue.take(now=0.0, free=1, total=TOTAL, ordinary=TOTAL - 1) is None
-    offer(queue, ticket(URGENT))
-    assert queue.take(now=0.0, free=1, total=TOTAL, ordinary=TOTAL - 1).rank == URGENT
+    assert queue.pop_next(now=0.0, free=1, total=TOTAL, non_urgent_in_flight=TOTAL - 1) is None
+    offer(queue, request(URGENT))
+    assert (
+        queue.pop_next(now=0.0, free=1, total=TOTAL, non_urgent_in_flight=TOTAL - 1).rank == URGENT
+    )
 
 
 def test_slots_of_urgent_requests_count_as_the_reserve():
     # Guards against idle slots while ordinary requests wait.
     queue = admission()
-    offer(queue, ticket(NORMAL))
-    assert queue.take(now=0.0, free=1, total=TOTAL, ordinary=TOTAL - 2).rank == NORMAL
+    offer(queue, request(NORMAL))
+    assert (
+        queue.pop_next(now=0.0, free=1, total=TOTAL, non_urgent_in_flight=TOTAL - 2).rank == NORMAL
+    )
 
 
 @pytest.mark.parametrize("share", [0.1, 0.25])
@@ -63,78 +71,81 @@
     # Guards against starvation of deferrable requests by a stream of urgent ones.
     queue = admission(deferrable_share=share, queue_limit_urgent=999, queue_limit_deferrable=999)
     for _ in range(300):
-        offer(queue, ticket(URGENT))
-        offer(queue, ticket(DEFERRABLE))
-    ranks = [queue.take(now=0.0, free=2, total=TOTAL, ordinary=0).rank for _ in range(200)]
+        offer(queue, request(URGENT))
+        offer(queue, request(DEFERRABLE))
+    ranks = [
+        queue.pop_next(now=0.0, free=2, total=TOTAL, non_urgent_in_flight=0).rank
+        for _ in range(200)
+    ]
     assert share * 200 - 2 <= ranks.count(DEFERRABLE) <= share * 200
 
 
 def test_deferrable_request_counts_as_normal_near_its_deadline():
     queue = admission()
-    late = ticket(DEFERRABLE, deadline=10.0)
+    late = request(DEFERRABLE, deadline=10.0)
     offer(queue, late)
     for _ in range(3):
-        offer(queue, ticket(NORMAL, caller="d", deadline=50.0), now=8.5)
-    assert queue.take(now=8.5, free=TOTAL, total=TOTAL, ordinary=0) is late
+        offer(queue, request(NORMAL, caller="d", deadline=50.0), now=8.5)
+    assert queue.pop_next(now=8.5, free=TOTAL, total=TOTAL, non_urgent_in_flight=0) is late
 
 
 def test_promoted_request_is_taken_once_and_from_its_new_class():
     # Guards against a promoted request that is also taken from its old queue: the new one then
     # counted a request too many and failed at its next turn, after an endpoint had answered.
     queue = admission(deferrable_share=0.5, queue_limit_normal=20)
-    normal = [ticket(NORMAL, deadline=40.0) for _ in range(10)]
-    first = ticket(DEFERRABLE, deadline=50.0, at=29.0)
-    promoted = ticket(DEFERRABLE, deadline=55.0, at=-100.0)
-    last = ticket(DEFERRABLE, deadline=60.0, at=29.0)
-    tickets = [*normal, first, promoted, last]
-    for one in tickets:
+    normal = [request(NORMAL, deadline=40.0) for _ in range(10)]
+    first = request(DEFERRABLE, deadline=50.0, at=29.0)
+    promoted = request(DEFERRABLE, deadline=55.0, at=-100.0)
+    last = request(DEFERRABLE, deadline=60.0, at=29.0)
+    requests = [*normal, first, promoted, last]
+    for one in requests:
         offer(queue, one)
     taken = drain(queue, now=30.0)
     assert promoted.rank == NORMAL
-    assert len(taken) == len({id(one) for one in taken}) == len(tickets)
+    assert len(taken) == len({id(one) for one in taken}) == len(requests)
     assert taken.index(last) < taken.index(promoted)
     assert len(queue) == 0
 
 
 def test_request_that_cannot_meet_its_deadline_is_refused_at_once():
     queue = admission()
-    queue.measured(1.0, now=0.0)
+    queue.record_service_time(1.0, now=0.0)
     for number in range(14):
-        offer(queue, ticket(deadline=100.0, caller=f"c{number}"))
+        offer(queue, request(deadline=100.0, caller=f"c{number}"))
     # 7 slots for normal requests, 14 wait: 2 s in the queue, twice as much with the margin, and
     # 1 s of service.
     with pytest.raises(OverloadedError):
-        offer(queue, ticket(deadline=4.9, caller="new"))
-    offer(queue, ticket(deadline=5.1, caller="new"))
-    offer(queue, ticket(URGENT, deadline=1.1))
+        offer(queue, request(deadline=4.9, caller="new"))
+    offer(queue, request(deadline=5.1, caller="new"))
+    offer(queue, request(URGENT, deadline=1.1))
 
 
 def test_deferrable_request_counts_on_its_share_only():
     # Guards against deferrable requests accepted for slots that later normal ones will take.
     queue = admission(deferrable_share=0.1)
-    queue.measured(0.1, now=0.0)
+    queue.record_service_time(0.1, now=0.0)
     for number in range(80):
-        offer(queue, ticket(NORMAL, caller=f"c{number}"), now=number / 80)
-    offer(queue, ticket(DEFERRABLE, deadline=1.2), now=1.0)
+        offer(queue, request(NORMAL, caller=f"c{number}"), now=number / 80)
+    offer(queue, request(DEFERRABLE, deadline=1.2), now=1.0)
     # 8 a second are left of 80, so the second one waits for 1/8 s, 1/4 s with the margin.
-    needed_s = queue.needed_s(1.0)
+    bound_s = queue.service_bound_s(1.0)
     with pytest.raises(OverloadedError):
-        offer(queue, ticket(DEFERRABLE, deadline=1.24 + needed_s), now=1.0)
-    offer(queue, ticket(DEFERRABLE, deadline=1.26 + needed_s), now=1.0)
+        offer(queue, request(DEFERRABLE, deadline=1.24 + bound_s), now=1.0)
+    offer(queue, request(DEFERRABLE, deadline=1.26 + bound_s), now=1.0)
 
 
 def test_waiting_request_is_kept_while_its_deadline_can_be_met():
     # Guards against a request that is told "not run" only when its deadline passes.
     queue = admission()
-    queue.measured(1.0, now=0.0)
+    queue.record_service_time(1.0, now=0.0)
     for number in range(14):
-        offer(queue, ticket(deadline=100.0, caller=f"c{number}"))
-    one = ticket(deadline=6.0, caller="new")
+        offer(queue, request(deadline=100.0, caller=f"c{number}"))
+    one = request(deadline=6.0, caller="new")
     offer(queue, one)
-    assert queue.keeps(one, now=2.0, total=TOTAL)
+    assert queue.can_meet_deadline(one, now=2.0, total=TOTAL)
     # Half of the slots are lost: 3 serve normal requests.
-    assert not queue.keeps(one, now=2.0, total=TOTAL // 2)
-    assert next_review(one, 0.0) <= 0.25 * one.deadline
+    assert not queue.can_meet_deadline(one, now=2.0, total=TOTAL // 2)
+    assert next_deadline_check(one, 0.0) <= 0.25 * one.deadline
 
 
 class Overload:
@@ -165,28 +176,30 @@
 
     def _arrive(self, now):
         rank = self.random.choices((URGENT, NORMAL, DEFERRABLE), (1, 2, 1))[0]
-        one = ticket(rank, deadline=now + self.DEADLINE_S[rank], at=now)
+        one = request(rank, deadline=now + self.DEADLINE_S[rank], at=now)
         try:
             offer(self.queue, one, now=now, free=TOTAL - self.sent_by_rank.total())
         except OverloadedError:
             self._tell(now, one)
             return
-        self._plan(next_review(one, now), self._review, one)
+        self._plan(next_deadline_check(one, now), self._review, one)
         self._pump(now)
 
     def _review(self, now, one):
-        if one.state is State.WAITING:
-            if now >= one.deadline or not self.queue.keeps(one, now=now, total=TOTAL):
+        if one.state is RequestState.WAITING:
+            if now >= one.deadline or not self.queue.can_meet_deadline(one, now=now, total=TOTAL):
                 self.queue.withdraw(one)
                 self._tell(now, one)
             else:
-                self._plan(next_review(one, now + 1e-6), self._review, one)
+                self._plan(next_deadline_check(one, now + 1e-6), self._review, one)
 
     def _pump(self, now):
         sent = self.sent_by_rank.total()
-        ordinary = sent - self.sent_by_rank[URGENT]
-        one = self.queue.take(now=now, free=TOTAL - sent, total=TOTAL, ordinary=ordinary)
-        for expired in self.queue.take_expired():
+        non_urgent_in_flight = sent - self.sent_by_rank[URGENT]
+        one = self.queue.pop_next(
+            now=now, free=TOTAL - sent, total=TOTAL, non_urgent_in_flight=non_urgent_in_flight
+        )
+        for expired in self.queue.pop_expired():
             self._tell(now, expired)
         if one is not None:
             self.sent_by_rank[one.rank] += 1
@@ -196,7 +209,7 @@
 
     def _finish(self, now, one, service_s):
         self.sent_by_rank[one.rank] -= 1
-        self.queue.measured(service_s, now=now)
+        self.queue.record_service_time(service_s, now=now)
         self.finished.append((now, one))
         self._pump(now)
 
@@ -218,33 +231,33 @@
 def test_one_slow_measurement_does_not_close_a_service():
     # Guards against a refusal of everything that prevents any newer measurement.
     queue = admission()
-    queue.measured(60.0, now=0.0)
-    offer(queue, ticket(deadline=2.0), free=TOTAL)
+    queue.record_service_time(60.0, now=0.0)
+    offer(queue, request(deadline=2.0), free=TOTAL)
     assert drain(queue)
-    offer(queue, ticket(deadline=100.0), now=20.0)
-    offer(queue, ticket(deadline=22.0), now=20.0)
+    offer(queue, request(deadline=100.0), now=20.0)
+    offer(queue, request(deadline=22.0), now=20.0)
     assert len(drain(queue, now=20.0)) == 2
 
 
 def test_expired_requests_are_told_and_take_no_slot():
     queue = admission()
-    gone, kept = ticket(deadline=5.0), ticket(deadline=50.0)
+    gone, kept = request(deadline=5.0), request(deadline=50.0)
     offer(queue, gone)
     offer(queue, kept)
-    assert queue.take(now=6.0, free=2, total=TOTAL, ordinary=0) is kept
-    assert queue.take_expired() == [gone]
-    assert gone.state is State.GONE
+    assert queue.pop_next(now=6.0, free=2, total=TOTAL, non_urgent_in_flight=0) is kept
+    assert queue.pop_expired() == [gone]
+    assert gone.state is RequestState.GONE
 
 
 def test_full_queue_takes_the_place_from_the_largest_caller():
     # Guards against one caller that fills the queue and shuts out all others.
     queue = admission(queue_limit_normal=10)
-    flood = [ticket(caller="flood", deadline=100.0 + number) for number in range(10)]
+    flood = [request(caller="flood", deadline=100.0 + number) for number in range(10)]
     for one in flood:
         offer(queue, one)
     with pytest.raises(OverloadedError):
-        offer(queue, ticket(caller="flood"))
-    assert offer(queue, ticket(caller="small")) is flood[-1]
+        offer(queue, request(caller="flood"))
+    assert offer(queue, request(caller="small")) is flood[-1]
     callers = [one.caller for one in drain(queue)]
     assert callers[:2].count("small") == 1
     assert len(callers) == 10
@@ -252,20 +265,20 @@
 
 def test_queue_limit_of_zero_still_lets_free_slots_be_used():
     queue = admission(queue_limit_normal=0)
-    offer(queue, ticket(), free=TOTAL)
+    offer(queue, request(), free=TOTAL)
     assert len(drain(queue)) == 1
     with pytest.raises(OverloadedError):
-        offer(queue, ticket(), free=0)
+        offer(queue, request(), free=0)
 
 
 def test_caller_that_comes_back_gets_no_more_turns_than_others():
     queue = FairQueue()
     for _ in range(20):
-        queue.push(ticket(caller="steady"))
+        queue.push(request(caller="steady"))
     served = []
     for _ in range(20):
-        if not queue.waiting_of("returning"):
-            queue.push(ticket(caller="returning"))
+        if not queue.count_waiting("returning"):
+            queue.push(request(caller="returning"))
         served.append(queue.pop().caller)
     assert served.count("steady") == 10
 
@@ -288,7 +301,7 @@
     for kind, rank, caller, number in steps:
         now += number / 10
         if kind == "offer":
-            one = ticket(rank, caller=caller, deadline=now + number, at=now)
+            one = request(rank, caller=caller, deadline=now + number, at=now)
             try:
                 victim = offer(queue, one, now=now)
             except OverloadedError:
@@ -296,12 +309,12 @@
             waiting.append(one)
             ended += [victim] if victim else []
         elif kind == "take":
-            taken = queue.take(now=now, free=2, total=TOTAL, ordinary=0)
+            taken = queue.pop_next(now=now, free=2, total=TOTAL, non_urgent_in_flight=0)
             ended += [taken] if taken else []
-            ended += queue.take_expired()
+            ended += queue.pop_expired()
         elif waiting:
             one = waiting[int(number) % len(waiting)]
-            ended += [one] if one.state is State.WAITING else []
+            ended += [one] if one.state is RequestState.WAITING else []
             queue.withdraw(one)
         assert len({id(one) for one in ended}) == len(ended)
         assert len(waiting) == len(ended) + len(queue)
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -23,7 +23,7 @@
 from siskintally.entry import Entry
 from siskintally.entry_summary import KEEPALIVE_S, SummarySender, SummaryTable
 from siskintally.errors import BadRequestError
-from siskintally.fair_queue import Ticket
+from siskintally.fair_queue import QueuedRequest
 from siskintally.forward import Forwarder
 from siskintally.health import HealthTable
 from siskintally.ledger_client import home_of
@@ -32,7 +32,7 @@
 from siskintally.request_handler import STARTUP_S, RequestHandler, _wait_for_slot
 from siskintally.retry import RetryBudget
 from siskintally.settings import parse
-from siskintally.slot_share import share
+from siskintally.slot_share import entry_share
 from siskintally.wire_pb2 import EntrySummary, ServiceLoad
 
 FIELDS = {
@@ -180,7 +180,7 @@
 def test_shares_of_all_entries_add_up_to_the_total(total, count, endpoint):
     # Guards against entries that together send more than the endpoint has slots.
     entries = tuple(f"e{number}" for number in range(count))
-    parts = [share(total, endpoint=endpoint, entry=one, entries=entries) for one in entries]
+    parts = [entry_share(total, endpoint=endpoint, entry=one, entries=entries) for one in entries]
     assert sum(parts) == total
     assert max(parts) - min(parts) <= 1
 
@@ -207,15 +207,15 @@
     budget = RetryBudget(ratio=0.1)
     taken = 0
     for sent in range(1, 1001):
-        budget.sent()
-        taken += budget.take()
+        budget.record_first_attempt()
+        taken += budget.try_take()
         assert taken <= sent * 0.1 + 1e-9
     assert taken == 100
 
 
 def fail(table, name, names, now, count=5):
     for _ in range(count):
-        table.record(name, ok=False, names=names, now=now)
+        table.record_result(name, ok=False, names=names, now=now)
 
 
 def test_at_most_30_percent_are_ejected():
@@ -240,11 +240,11 @@
         assert "a" not in table.usable(names, now=now + backoff_s - 0.01)
         now += backoff_s
         assert "a" in table.usable(names, now=now)
-        table.start("a")
+        table.record_send("a")
         assert "a" not in table.usable(names, now=now + 5)
-        table.record("a", ok=False, names=names, now=now)
-    table.start("a")
-    table.record("a", ok=True, names=names, now=now + 60)
+        table.record_result("a", ok=False, names=names, now=now)
+    table.record_send("a")
+    table.record_result("a", ok=True, names=names, now=now + 60)
     assert "a" in table.usable(names, now=now + 60)
 
 
@@ -252,7 +252,7 @@
     names = ["a", "b", "c", "d"]
     table = HealthTable()
     for number in range(40):
-        table.record("a", ok=number % 3 == 0, names=names, now=10.0 + number / 100)
+        table.record_result("a", ok=number % 3 == 0, names=names, now=10.0 + number / 100)
     assert table.ejected(names) == ["a"]
 
 
@@ -261,15 +261,15 @@
     names, now = ["a", "b"], 10.0
     table = HealthTable()
     for backoff_s in (0.1, 0.2, 0.4, 0.8, 1.0, 1.0):
-        table.start("a")
-        table.lose("a", now=now)
-        table.lose("a", now=now)
+        table.record_send("a")
+        table.record_unreachable("a", now=now)
+        table.record_unreachable("a", now=now)
         assert table.usable(names, now=now + backoff_s * 0.9) == ["b"]
         now += backoff_s * 1.01
         assert table.usable(names, now=now) == names
-    table.start("a")
+    table.record_send("a")
     assert table.usable(names, now=now) == ["b"]
-    table.record("a", ok=True, names=names, now=now)
+    table.record_result("a", ok=True, names=names, now=now)
     assert table.usable(names, now=now) == names
 
 
@@ -278,9 +278,9 @@
     names = ["a", "b", "c", "d"]
     table = HealthTable()
     fail(table, "a", names, 10.0)
-    table.start("a")
+    table.record_send("a")
     assert "a" not in table.usable(names, now=12.0)
-    table.abandon("a")
+    table.record_no_result("a")
     assert "a" in table.usable(names, now=12.0)
 
 
@@ -321,7 +321,7 @@
 def test_request_waits_for_the_first_announcement_after_the_start_only():
     # Guards against "no endpoint" from an entry that was restarted a moment ago.
     counts = [0, 0, 1]
-    dispatcher = SimpleNamespace(endpoints=lambda now: counts.pop(0))
+    dispatcher = SimpleNamespace(endpoint_count=lambda now: counts.pop(0))
     peers = SimpleNamespace(choose=lambda service: None)
     parts = {
         "dispatcher_of": lambda service: dispatcher,
@@ -339,7 +339,7 @@
 class DispatcherWithoutChance:
     """A dispatcher whose waiting requests can't meet their deadlines."""
 
-    def keeps(self, ticket, *, now):
+    def can_meet_deadline(self, request, *, now):
         """Return False."""
         return False
 
@@ -348,7 +348,7 @@
     # Guards against a request that waits for its deadline although it can't be met any more.
     async def main():
         now = monotonic()
-        one = Ticket(rank=1, caller="c", deadline=now + 80.1, queued_at=now - 19.9)
+        one = QueuedRequest(rank=1, caller="c", deadline=now + 80.1, queued_at=now - 19.9)
         return await _wait_for_slot(DispatcherWithoutChance(), one, Event())
 
     assert run(main) is False
