--- a/bench/state.py
+++ b/bench/state.py
@@ -8,7 +8,7 @@
 from tracemalloc import get_traced_memory, start, stop
 
 from bench.meter import fit
-from siskintally.announcement import AnnouncementTable, read_announcement
+from siskintally.announcement import AnnouncementTable, parse_announcement
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import Command, GroupInfo
 from siskintally.config import DEFAULT_DOCUMENT
@@ -117,7 +117,7 @@
             "seq": 1,
             "state": "serving",
         }
-        table.announce(read_announcement(fields), age_s=0.0, now=1.0)
+        table.record(parse_announcement(fields), age_s=0.0, now=1.0)
     return table
 
 
--- a/siskintally/call.py
+++ b/siskintally/call.py
@@ -13,15 +13,15 @@
 
 from siskintally.codes import Code, not_run
 from siskintally.errors import BadRequestError
-from siskintally.forward import end_to_end
+from siskintally.forward import end_to_end_headers
 from siskintally.limits import CLASS_BY_NAME, NORMAL
 from siskintally.wire_pb2 import ForwardReply, ForwardRequest, Header
 
 METHODS = ("GET", "POST")
-MAX_NAME = 128
-MAX_KEY = 256
+MAX_CALLER_CHARS = 128
+MAX_KEY_CHARS = 256
 MAX_DEADLINE_MS = 3_600_000
-OWN_HEADER_PREFIX = "siskintally-"
+RESERVED_HEADER_PREFIX = "siskintally-"
 
 
 class Call:
@@ -41,7 +41,7 @@
         "headers",
         "key",
         "method",
-        "once",
+        "non_idempotent",
         "rank",
         "request_id",
         "service",
@@ -61,7 +61,7 @@
         self.deadline = deadline
         self.caller = caller
         self.key = key
-        self.once = bool(key)
+        self.non_idempotent = bool(key)
 
     def digest(self):
         """Return the SHA-256 that must be equal for requests with the same idempotency key."""
@@ -79,11 +79,11 @@
             body=self.body,
             class_=self.rank,
             deadline_s=max(self.deadline - monotonic(), 0.0),
-            once=self.once,
+            once=self.non_idempotent,
         )
 
 
-def read_call(request, *, service, target, limits):
+def parse_call(request, *, service, target, limits):
     """Return the call in a caller's HTTP request.
 
     :raises BadRequestError: names the invalid part and what is allowed.
@@ -99,16 +99,16 @@
         service=service,
         method=request.method,
         target=target,
-        headers=[*end_to_end(request.header_items)],
+        headers=[*end_to_end_headers(request.header_items)],
         body=request.body,
         rank=rank,
         deadline=monotonic() + _deadline_s(headers, limits, rank),
-        caller=_short(headers, "siskintally-caller", MAX_NAME) or request.peer,
-        key=_short(headers, "idempotency-key", MAX_KEY),
+        caller=_limited_header(headers, "siskintally-caller", MAX_CALLER_CHARS) or request.peer,
+        key=_limited_header(headers, "idempotency-key", MAX_KEY_CHARS),
     )
 
 
-def read_forward(message, *, caller):
+def parse_forward(message, *, caller):
     """Return the call in a message from another entry.
 
     :param caller: name of that entry.
@@ -125,7 +125,7 @@
         caller=caller,
         key="",
     )
-    call.once = message.once
+    call.non_idempotent = message.once
     return call
 
 
@@ -138,7 +138,7 @@
     return int(text) / 1000
 
 
-def _short(headers, name, limit):
+def _limited_header(headers, name, limit):
     value = headers.get(name, "")
     if len(value) > limit or not value.isprintable():
         raise BadRequestError(f"{name}: expected at most {limit} printable characters")
@@ -169,19 +169,19 @@
         return cls(code=code, evidence=evidence)
 
     @classmethod
-    def of_response(cls, status, headers, body):
+    def from_response(cls, status, headers, body):
         """Return an answer with an endpoint's complete response."""
         failed = status >= 500
         return cls(
             code=Code.ENDPOINT_FAILED if failed else Code.DONE,
             evidence="complete response, id and digest checked",
             status=status,
-            headers=[pair for pair in headers if not pair[0].startswith(OWN_HEADER_PREFIX)],
+            headers=[pair for pair in headers if not pair[0].startswith(RESERVED_HEADER_PREFIX)],
             body=body,
         )
 
     @classmethod
-    def of_message(cls, reply):
+    def from_message(cls, reply):
         """Return the answer in the reply of another entry; an unknown code is OUTCOME_UNKNOWN."""
         try:
             code = Code(reply.code)
@@ -211,7 +211,7 @@
             body=self.body,
         )
 
-    def content(self):
+    def body_for_caller(self):
         """Return the body for the caller: that of the response, else JSON with the code."""
         if self.status:
             return self.body
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -13,7 +13,7 @@
 
 from siskintally.announcement import AnnouncementTable
 from siskintally.balancer import BALANCER_BY_NAME
-from siskintally.call import Answer, read_forward
+from siskintally.call import Answer, parse_forward
 from siskintally.codes import Code
 from siskintally.config_follower import ConfigFollower
 from siskintally.errors import BadRequestError, UnreachableError
@@ -37,13 +37,13 @@
 from siskintally.supervisor import Supervisor
 from siskintally.wire_pb2 import AnnounceExchange, EntrySummary, ForwardRequest, Hello
 
-TIDY_S = 0.25
-DRAIN_STEP_S = 0.05
+MAINTENANCE_INTERVAL_S = 0.25
+DRAIN_POLL_S = 0.05
 # Shortest drain. Until load balancers see the state, they open connections, and those that arrive
 # while the listening socket closes are reset unread.
-NOTICE_S = 1.0
+MIN_DRAIN_S = 1.0
 # Time to write the last responses after all requests are answered.
-LAST_WRITES_S = 2.0
+RESPONSE_FLUSH_S = 2.0
 # Limit on the request bodies in memory.
 MAX_BUFFERED_BYTES = 64 << 20
 
@@ -60,8 +60,9 @@
 
     __slots__ = (
         "_balancer",
-        "_buffered",
+        "_buffered_bytes",
         "_dispatcher_by_service",
+        "_domain_entries",
         "_drain_s",
         "_follower",
         "_gossip",
@@ -69,7 +70,6 @@
         "_in_flight",
         "_ledger",
         "_metrics",
-        "_own_entries",
         "_pause_detector",
         "_peers",
         "_process",
@@ -92,8 +92,8 @@
         self._standalone = standalone
         self._drain_s = drain_s
         self._balancer = BALANCER_BY_NAME[balancer]()
-        own = (one.name for one in settings.entries(domain=process.domain))
-        self._own_entries = tuple(sorted(own))
+        domain_entries = (one.name for one in settings.entries(domain=process.domain))
+        self._domain_entries = tuple(sorted(domain_entries))
         self._metrics = Metrics(address=settings.statsd, prefix=f"siskintally.{process.name}")
         self._table = AnnouncementTable(domain=process.domain)
         self._pause_detector = PauseDetector()
@@ -101,13 +101,13 @@
         self.budget = RetryBudget(ratio=self.limits.retry_ratio)
         self._dispatcher_by_service = {}
         self._in_flight = 0
-        self._buffered = 0
+        self._buffered_bytes = 0
         self.draining = False
         self._stopped = Event()
         self._supervisor = Supervisor(name=process.name)
-        self._connect()
+        self._create_links()
 
-    def _connect(self):
+    def _create_links(self):
         settings, process = self._settings, self._process
         hello = Hello(name=process.name, cell=settings.cell, incarnation=uuid4().hex)
         self._server = LinkServer(
@@ -124,7 +124,7 @@
             group=group.name if group else "", members=members, call=self._peers.call
         )
         self._follower = ConfigFollower(
-            client=client, changed=self._set_limits, drained=self._table.drain
+            client=client, on_limits=self._set_limits, on_drained=self._table.set_drained
         )
 
     async def run(self):
@@ -143,20 +143,20 @@
                 metrics=self._metrics,
                 started=monotonic(),
             )
-            self._plan()
+            self._add_tasks()
             await self._supervisor.run()
             tasks.cancel_scope.cancel()
 
-    def _plan(self):
+    def _add_tasks(self):
         address = self._process.link
         add = self._supervisor.add
         add("links", partial(self._server.serve, host=address.host, port=address.port))
         add("http", self._serve_http)
         for name, link in self._peers.links():
             add(f"link to {name}", link.run)
-        add("announcements", self._gossip.pass_on)
-        add("summaries", self._gossip.summarize)
-        add("tidy", self._tidy)
+        add("announcements", self._gossip.run_exchanges)
+        add("summaries", self._gossip.run_summaries)
+        add("tidy", self._run_maintenance)
         if not self._standalone:
             add("configuration", self._follower.run)
 
@@ -175,7 +175,7 @@
             ),
             address=str(self._process.http),
             until=self._stopped,
-            graceful_s=LAST_WRITES_S,
+            graceful_s=RESPONSE_FLUSH_S,
         )
         if self._stopped.is_set():
             self._supervisor.stop()
@@ -186,16 +186,16 @@
             return
         self.draining = True
         self._gossip.drain()
-        began = monotonic()
-        end = began + self._drain_s
-        while self._is_busy(began) and monotonic() < end:
-            await sleep(DRAIN_STEP_S)
+        drain_started = monotonic()
+        end = drain_started + self._drain_s
+        while self._is_busy(drain_started) and monotonic() < end:
+            await sleep(DRAIN_POLL_S)
         log.info("drained", in_flight=self._in_flight, unsettled=self._ledger.unsettled)
         self._stopped.set()
 
-    def _is_busy(self, began):
-        noticed = monotonic() >= began + NOTICE_S
-        return not noticed or self._in_flight or self._ledger.unsettled
+    def _is_busy(self, drain_started):
+        min_drain_passed = monotonic() >= drain_started + MIN_DRAIN_S
+        return not min_drain_passed or self._in_flight or self._ledger.unsettled
 
     def dispatcher(self, service):
         """Return the dispatcher of a service, created on first use."""
@@ -211,7 +211,7 @@
 
     def _share_of(self, total, endpoint):
         return entry_share(
-            total, endpoint=endpoint, entry=self._process.name, entries=self._own_entries
+            total, endpoint=endpoint, entry=self._process.name, entries=self._domain_entries
         )
 
     def health(self):
@@ -237,21 +237,24 @@
             return Answer.without_response(Code.DRAINING, "this entry is shutting down")
         if not self._has_config():
             return Answer.without_response(Code.NO_CONFIG, "no configuration yet")
-        if self._buffered > MAX_BUFFERED_BYTES:
+        if self._buffered_bytes > MAX_BUFFERED_BYTES:
             return Answer.without_response(Code.OVERLOADED, "memory for bodies is used up")
         return None
 
-    def announce(self, heard, *, age_s, now):
+    def record_announcement(self, endpoint, *, age_s, now):
         """Record an announcement from an endpoint.
 
         :param age_s: upper bound of its age in seconds, None without an echo.
         """
         if age_s is None:
-            age_s = float("inf") if self._pause_detector.distrusts(now) else 0.0
-        if self._table.announce(heard, age_s=age_s, now=now):
-            self._gossip.pass_on_once()
-        if heard.domain == self._process.domain and heard.service in self._dispatcher_by_service:
-            self._dispatcher_by_service[heard.service].dispatch_waiting(now)
+            age_s = float("inf") if self._pause_detector.is_after_pause(now) else 0.0
+        if self._table.record(endpoint, age_s=age_s, now=now):
+            self._gossip.send_exchanges()
+        if (
+            endpoint.domain == self._process.domain
+            and endpoint.service in self._dispatcher_by_service
+        ):
+            self._dispatcher_by_service[endpoint.service].dispatch_waiting(now)
 
     async def serve(self, call):
         """Serve a caller's request.
@@ -260,30 +263,32 @@
         """
         started = monotonic()
         self._in_flight += 1
-        self._buffered += len(call.body)
+        self._buffered_bytes += len(call.body)
         try:
-            answer = await (self._detached(call) if call.once else self._handler.run(call))
+            answer = await (
+                self._run_detached(call) if call.non_idempotent else self._handler.handle(call)
+            )
         finally:
             self._in_flight -= 1
-            self._buffered -= len(call.body)
+            self._buffered_bytes -= len(call.body)
         self._metrics.count(f"answers.{int(answer.code)}")
         self._metrics.timing("request", monotonic() - started)
         return answer
 
-    async def _detached(self, call):
+    async def _run_detached(self, call):
         # A caller that disconnects must not cancel a request whose outcome goes to the ledger.
         done = Event()
         answers = []
 
-        async def work():
+        async def handle():
             try:
-                answers.append(await self._handler.run(call))
+                answers.append(await self._handler.handle(call))
             except Exception:
                 log.exception("request failed", request_id=call.request_id)
             finally:
                 done.set()
 
-        self._tasks.start_soon(work)
+        self._tasks.start_soon(handle)
         await done.wait()
         return answers[0] if answers else Answer.without_response(Code.INTERNAL, "internal error")
 
@@ -291,15 +296,15 @@
         """Answer a call from another process."""
         if not isinstance(body, ForwardRequest):
             raise BadRequestError(f"{type(body).__name__}: not for an entry")
-        if self._pause_detector.distrusts(monotonic()):
+        if self._pause_detector.is_after_pause(monotonic()):
             raise UnreachableError("this process was paused; the request was not run")
-        refused = self.refusal()
-        if refused is not None:
-            return refused.to_message()
-        call = read_forward(body, caller=session.peer.name)
+        refusal = self.refusal()
+        if refusal is not None:
+            return refusal.to_message()
+        call = parse_forward(body, caller=session.peer.name)
         self._in_flight += 1
         try:
-            return (await self._handler.run_forwarded(call)).to_message()
+            return (await self._handler.handle_forwarded(call)).to_message()
         finally:
             self._in_flight -= 1
 
@@ -307,13 +312,13 @@
         """Handle a message from another entry."""
         now = monotonic()
         if isinstance(body, AnnounceExchange):
-            self._gossip.take_announcements(session, body, now)
+            self._gossip.apply_exchange(session, body, now)
         elif isinstance(body, EntrySummary):
-            self._gossip.take_summary(session, body)
+            self._gossip.record_summary(session, body)
 
     def closed(self, session):
         """Drop the state of a closed session."""
-        self._gossip.forget(session)
+        self._gossip.drop_session(session)
 
     def _set_limits(self, limits):
         self.limits = limits
@@ -321,10 +326,10 @@
         for dispatcher in self._dispatcher_by_service.values():
             dispatcher.admission.limits = limits
 
-    async def _tidy(self):
+    async def _run_maintenance(self):
         while True:
             now = monotonic()
-            self._pause_detector.beat(now)
+            self._pause_detector.tick(now)
             self._table.expire(now=now)
             for service, dispatcher in list(self._dispatcher_by_service.items()):
                 for forwarder in dispatcher.run_maintenance(now):
@@ -333,4 +338,4 @@
                     del self._dispatcher_by_service[service]
             self._metrics.gauge("in_flight", self._in_flight)
             self._metrics.gauge("endpoints", len(self._table))
-            await sleep(TIDY_S)
+            await sleep(MAINTENANCE_INTERVAL_S)
--- a/siskintally/entry_summary.py
+++ b/siskintally/entry_summary.py
@@ -9,39 +9,40 @@
 from random import Random
 
 # An unchanged summary is repeated only to make up for lost messages; pings check the link.
-KEEPALIVE_S = 30.0
+REPEAT_INTERVAL_S = 30.0
 # Free slots change all the time; smaller changes are not worth billed cross-region bytes.
-CHANGE_FACTOR = 2.0
+MIN_CHANGE_FACTOR = 2.0
 
 
-class SummarySender:
+class SummaryThrottle:
     """Decides when to send a summary to one peer: when it changed much, or after 30 s."""
 
-    __slots__ = ("_last", "_sent_at")
+    __slots__ = ("_last_sent", "_sent_at")
 
     def __init__(self):
-        self._last = None
+        self._last_sent = None
         self._sent_at = 0.0
 
     def is_due(self, summary, *, now):
         """Return whether to send a summary; if so, record it as sent."""
         due = (
-            self._last is None
-            or now - self._sent_at >= KEEPALIVE_S
-            or _differs(self._last, summary)
+            self._last_sent is None
+            or now - self._sent_at >= REPEAT_INTERVAL_S
+            or _is_significant_change(self._last_sent, summary)
         )
         if due:
-            self._last = summary
+            self._last_sent = summary
             self._sent_at = now
         return due
 
 
-def _differs(old, new):
+def _is_significant_change(old, new):
     if old.draining != new.draining or len(old.services) != len(new.services):
         return True
-    before = {load.service: load for load in old.services}
+    old_load_by_service = {load.service: load for load in old.services}
     return any(
-        load.service not in before or _load_differs(before[load.service], load)
+        load.service not in old_load_by_service
+        or _load_differs(old_load_by_service[load.service], load)
         for load in new.services
     )
 
@@ -50,7 +51,7 @@
     if old.endpoints != new.endpoints or bool(old.free_slots) != bool(new.free_slots):
         return True
     low, high = sorted((old.free_slots, new.free_slots))
-    return high > low * CHANGE_FACTOR
+    return high > low * MIN_CHANGE_FACTOR
 
 
 class SummaryTable:
@@ -66,7 +67,7 @@
         self._by_peer = {}
         self._random = random or Random()
 
-    def learn(self, peer, summary):
+    def record(self, peer, summary):
         """Record the summary of a peer."""
         self._by_peer[peer] = summary
 
@@ -86,7 +87,7 @@
         best = []
         best_rank = None
         for peer, region in open_peers.items():
-            load = self._load(peer, service)
+            load = self._load_of(peer, service)
             if load is None or not load.endpoints or (need_free and not load.free_slots):
                 continue
             rank = (peer == avoid, region != self.region, not load.free_slots)
@@ -96,7 +97,7 @@
                 best.append(peer)
         return self._random.choice(best) if best else None
 
-    def _load(self, peer, service):
+    def _load_of(self, peer, service):
         summary = self._by_peer.get(peer)
         if summary is None or summary.draining:
             return None
--- a/siskintally/forward.py
+++ b/siskintally/forward.py
@@ -1,7 +1,7 @@
 """HTTP client for endpoints; classifies each failure by whether the request may have run.
 
->>> from siskintally.forward import Sent
->>> Sent.NOT_SENT.value
+>>> from siskintally.forward import SendStatus
+>>> SendStatus.NOT_SENT.value
 'not sent'
 """
 
@@ -27,11 +27,11 @@
 DIGEST_HEADER = "siskintally-digest"
 # Less than the 5 s after which an idle connection must not be reused, and less than the keep-alive
 # timeouts of common servers.
-REUSE_IDLE_S = 4.0
+KEEPALIVE_EXPIRY_S = 4.0
 CONNECT_TIMEOUT_S = 1.0
 DEADLINE_PASSED = "no response before the deadline"
-MAX_ANSWER_BYTES = 1 << 20
-HOP_HEADERS = frozenset(
+MAX_RESPONSE_BYTES = 1 << 20
+NOT_FORWARDED_HEADERS = frozenset(
     {
         "authorization",
         "connection",
@@ -50,10 +50,10 @@
 # Endpoints have plain http URLs. Without a context, httpx loads the certificate authorities of the
 # system for each endpoint, which blocks the event loop for 41 ms on a busy machine. This context
 # trusts no authority.
-_NO_TLS = SSLContext(PROTOCOL_TLS_CLIENT)
+_EMPTY_TLS_CONTEXT = SSLContext(PROTOCOL_TLS_CLIENT)
 
 
-class Sent(Enum):
+class SendStatus(Enum):
     """Outcome of an attempt: a complete response, no byte sent, or not known."""
 
     DONE = "done"
@@ -61,7 +61,7 @@
     UNKNOWN = "unknown"
 
 
-class Outcome:
+class SendResult:
     """Result of one attempt at an endpoint.
 
     :param headers: list of ``(name, value)``.
@@ -70,12 +70,12 @@
     :param unreachable: whether no connection to the endpoint could be made.
     """
 
-    __slots__ = ("body", "headers", "may_run", "reason", "sent", "status", "unreachable")
+    __slots__ = ("body", "headers", "may_run", "reason", "send_status", "status", "unreachable")
 
     def __init__(
         self,
         *,
-        sent,
+        send_status,
         status=0,
         headers=(),
         body=b"",
@@ -83,7 +83,7 @@
         may_run=False,
         unreachable=False,
     ):
-        self.sent = sent
+        self.send_status = send_status
         self.status = status
         self.headers = headers
         self.body = body
@@ -92,7 +92,7 @@
         self.unreachable = unreachable
 
 
-class _BadAnswerError(Exception):
+class _BadResponseError(Exception):
     pass
 
 
@@ -109,11 +109,11 @@
         self._url = url
         self._host = url.partition("//")[2]
         self._transport = AsyncHTTPTransport(
-            verify=_NO_TLS,
+            verify=_EMPTY_TLS_CONTEXT,
             limits=Limits(
                 max_connections=connections,
                 max_keepalive_connections=connections,
-                keepalive_expiry=REUSE_IDLE_S,
+                keepalive_expiry=KEEPALIVE_EXPIRY_S,
             ),
         )
 
@@ -127,19 +127,19 @@
         :param target: path with query.
         :param headers: list of ``(name, value)`` without hop-by-hop headers.
         :param deadline: monotonic time at which an incomplete exchange is cut off.
-        :returns: an :class:`Outcome`.
+        :returns: a :class:`SendResult`.
         """
         remaining = deadline - monotonic()
         if remaining <= 0:
-            return Outcome(sent=Sent.NOT_SENT, reason="deadline passed")
-        outcome = Outcome(sent=Sent.UNKNOWN, reason=DEADLINE_PASSED, may_run=True)
+            return SendResult(send_status=SendStatus.NOT_SENT, reason="deadline passed")
+        result = SendResult(send_status=SendStatus.UNKNOWN, reason=DEADLINE_PASSED, may_run=True)
         with move_on_after(remaining):
             try:
                 request = self._request(request_id, method, target, headers, body, remaining)
             except (HTTPError, InvalidURL, ValueError) as error:
-                return Outcome(sent=Sent.NOT_SENT, reason=f"bad request: {error}")
-            outcome = await self._exchange(request, request_id)
-        return outcome  # noqa: RET504 - unchanged when the scope was cancelled
+                return SendResult(send_status=SendStatus.NOT_SENT, reason=f"bad request: {error}")
+            result = await self._exchange(request, request_id)
+        return result  # noqa: RET504 - unchanged when the scope was cancelled
 
     def _request(self, request_id, method, target, headers, body, remaining):
         connect = min(CONNECT_TIMEOUT_S, remaining)
@@ -159,58 +159,62 @@
         try:
             response = await self._transport.handle_async_request(request)
             try:
-                _check_head(response, request_id)
-                content = await _read(response)
+                _check_request_id(response, request_id)
+                content = await _read_body(response)
             finally:
                 # This closes the connection if the response was not read to its end.
                 await response.aclose()
             _check_digest(response, content)
         except (ConnectError, ConnectTimeout) as error:
-            return Outcome(sent=Sent.NOT_SENT, reason=_describe(error), unreachable=True)
+            return SendResult(
+                send_status=SendStatus.NOT_SENT, reason=_describe_error(error), unreachable=True
+            )
         except PoolTimeout as error:
-            return Outcome(sent=Sent.NOT_SENT, reason=_describe(error))
+            return SendResult(send_status=SendStatus.NOT_SENT, reason=_describe_error(error))
         except TimeoutException:
-            return Outcome(sent=Sent.UNKNOWN, reason=DEADLINE_PASSED, may_run=True)
-        except (HTTPError, _BadAnswerError) as error:
-            return Outcome(sent=Sent.UNKNOWN, reason=str(error) or type(error).__name__)
-        return Outcome(
-            sent=Sent.DONE,
+            return SendResult(send_status=SendStatus.UNKNOWN, reason=DEADLINE_PASSED, may_run=True)
+        except (HTTPError, _BadResponseError) as error:
+            return SendResult(
+                send_status=SendStatus.UNKNOWN, reason=str(error) or type(error).__name__
+            )
+        return SendResult(
+            send_status=SendStatus.DONE,
             status=response.status_code,
-            headers=list(end_to_end(_decoded(response.headers.raw))),
+            headers=list(end_to_end_headers(_decode_headers(response.headers.raw))),
             body=content,
         )
 
 
-def end_to_end(headers):
+def end_to_end_headers(headers):
     """Yield the headers to forward, without hop-by-hop headers."""
-    return ((name, value) for name, value in headers if name.lower() not in HOP_HEADERS)
+    return ((name, value) for name, value in headers if name.lower() not in NOT_FORWARDED_HEADERS)
 
 
-def _decoded(headers):
+def _decode_headers(headers):
     return ((name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in headers)
 
 
-def _check_head(response, request_id):
+def _check_request_id(response, request_id):
     if response.headers.get(ID_HEADER) != request_id:
-        raise _BadAnswerError("response of another request")
+        raise _BadResponseError("response of another request")
 
 
-async def _read(response):
+async def _read_body(response):
     chunks = []
     size = 0
     async for chunk in response.stream:
         size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise _BadAnswerError(f"response over {MAX_ANSWER_BYTES} bytes")
+        if size > MAX_RESPONSE_BYTES:
+            raise _BadResponseError(f"response over {MAX_RESPONSE_BYTES} bytes")
         chunks.append(chunk)
     return b"".join(chunks)
 
 
 def _check_digest(response, content):
     if response.headers.get(DIGEST_HEADER) != sha256(content).hexdigest():
-        raise _BadAnswerError("response with another digest")
+        raise _BadResponseError("response with another digest")
 
 
-def _describe(error):
+def _describe_error(error):
     cause = error.__cause__ or error
     return f"{type(error).__name__}: {cause}" if str(cause) else type(error).__name__
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -9,16 +9,16 @@
 from time import monotonic
 from uuid import uuid4
 
-from siskintally.announcement import read_age, read_announcement
-from siskintally.call import read_call
+from siskintally.announcement import parse_age, parse_announcement
+from siskintally.call import parse_call
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotFoundError
 from siskintally.http_server import HttpAnswer, HttpApp, json_answer
 from siskintally.operator_relay import VERBS
-from siskintally.tokens import check_announcer, holder_of
+from siskintally.tokens import authenticate, check_announcer
 
-MAX_REQUEST_ID = 128
-MAX_EVIDENCE = 300
+MAX_ID_CHARS = 128
+MAX_EVIDENCE_CHARS = 300
 
 STATUS_BY_CODE = {
     Code.OVERLOADED: 503,
@@ -77,7 +77,7 @@
 
     def failure(self, error):
         """Return the JSON answer for a refused request."""
-        return _json_of_code(error.code, {"name": error.code.name, "message": str(error)})
+        return _json_answer_with_code(error.code, {"name": error.code.name, "message": str(error)})
 
     async def handle(self, request):
         """Answer one request."""
@@ -102,33 +102,33 @@
     async def _call(self, request):
         service, path = split_call(request.path)
         target = f"{path}?{request.query}" if request.query else path
-        call = read_call(request, service=service, target=target, limits=self._entry.limits)
+        call = parse_call(request, service=service, target=target, limits=self._entry.limits)
         answer = self._entry.refusal() or await self._entry.serve(call)
         return _http_answer(call, answer)
 
     def _announce(self, request):
-        _post_only(request)
+        _require_post(request)
         now = monotonic()
-        fields = _json(request.body)
-        heard = read_announcement(fields)
+        fields = _parse_json(request.body)
+        endpoint = parse_announcement(fields)
         authorization = request.headers.get("authorization", "")
-        check_announcer(authorization, heard.service, self._service_by_token)
-        self._entry.announce(heard, age_s=read_age(fields, now=now), now=now)
+        check_announcer(authorization, endpoint.service, self._service_by_token)
+        self._entry.record_announcement(endpoint, age_s=parse_age(fields, now=now), now=now)
         return json_answer(200, {"code": int(Code.DONE), "clock": now})
 
     async def _operate(self, request):
-        _post_only(request)
-        operator = holder_of(request.headers.get("authorization", ""), self._operator_by_token)
+        _require_post(request)
+        operator = authenticate(request.headers.get("authorization", ""), self._operator_by_token)
         verb = request.path.removeprefix("/v1/operator/")
         if verb not in VERBS:
             raise NotFoundError(f"verb {verb[:40]!r}: expected one of {', '.join(VERBS)}")
-        arguments = _json(request.body or b"{}")
+        arguments = _parse_json(request.body or b"{}")
         if not isinstance(arguments, dict):
             raise BadRequestError("body: expected a JSON object")
         request_id = request.headers.get("siskintally-request-id") or uuid4().hex
-        if len(request_id) > MAX_REQUEST_ID or not request_id.isprintable():
+        if len(request_id) > MAX_ID_CHARS or not request_id.isprintable():
             raise BadRequestError(
-                f"Siskintally-Request-Id: expected up to {MAX_REQUEST_ID} printable characters"
+                f"Siskintally-Request-Id: expected up to {MAX_ID_CHARS} printable characters"
             )
         reply = await self._entry.relay.relay(
             request_id=request_id,
@@ -137,7 +137,9 @@
             arguments=dumps(arguments).encode(),
         )
         headers = [("siskintally-request-id", request_id)]
-        return _json_of_code(_code(reply.code), {"answer": _json(reply.answer or b"null")}, headers)
+        return _json_answer_with_code(
+            _code_or_internal(reply.code), {"answer": _parse_json(reply.answer or b"null")}, headers
+        )
 
 
 def _http_answer(call, answer):
@@ -150,33 +152,35 @@
         ("siskintally-request-id", call.request_id),
     ]
     return HttpAnswer(
-        status=answer.status or status_of(answer.code), body=answer.content(), headers=headers
+        status=answer.status or status_of(answer.code),
+        body=answer.body_for_caller(),
+        headers=headers,
     )
 
 
 def _header_text(text):
     printable = "".join(char if " " <= char <= "~" else " " for char in text)
-    return printable[:MAX_EVIDENCE].strip()
+    return printable[:MAX_EVIDENCE_CHARS].strip()
 
 
-def _json_of_code(code, fields, headers=()):
+def _json_answer_with_code(code, fields, headers=()):
     all_headers = [("siskintally-code", str(int(code))), *headers]
     return json_answer(status_of(code), {"code": int(code), **fields}, all_headers)
 
 
-def _code(number):
+def _code_or_internal(number):
     try:
         return Code(number)
     except ValueError:
         return Code.INTERNAL
 
 
-def _post_only(request):
+def _require_post(request):
     if request.method != "POST":
         raise BadRequestError("method: expected POST")
 
 
-def _json(body):
+def _parse_json(body):
     try:
         return loads(body)
     except (ValueError, RecursionError) as error:
--- a/siskintally/gossip.py
+++ b/siskintally/gossip.py
@@ -9,13 +9,13 @@
 
 from anyio import sleep
 
-from siskintally.announcement import TTL_S
-from siskintally.entry_summary import SummarySender
-from siskintally.peers import identity
+from siskintally.announcement import ANNOUNCEMENT_TTL_S
+from siskintally.entry_summary import SummaryThrottle
+from siskintally.peers import incarnation_id
 from siskintally.wire_pb2 import EntrySummary, ServiceLoad
 
-PASS_ON_S = 0.5
-SUMMARY_S = 2.0
+EXCHANGE_INTERVAL_S = 0.5
+SUMMARY_INTERVAL_S = 2.0
 
 
 class Gossip:
@@ -31,8 +31,8 @@
         "_draining",
         "_echo_until_by_peer",
         "_peers",
-        "_senders",
         "_table",
+        "_throttle_by_session",
     )
 
     def __init__(self, *, table, peers, dispatcher_of):
@@ -40,62 +40,62 @@
         self._peers = peers
         self._dispatcher_of = dispatcher_of
         self._draining = False
-        self._senders = {}
+        self._throttle_by_session = {}
         self._echo_until_by_peer = {}
 
-    async def pass_on(self):
+    async def run_exchanges(self):
         """Relay announcements every 0.5 s until cancelled."""
         while True:
-            self.pass_on_once()
-            await sleep(PASS_ON_S)
+            self.send_exchanges()
+            await sleep(EXCHANGE_INTERVAL_S)
 
-    def pass_on_once(self):
+    def send_exchanges(self):
         """Relay announcements now."""
         now = monotonic()
         for process, session in self._peers.open_entries(own_domain=True):
-            session.send(self._message(process, session, now))
+            session.send(self._build_exchange(process, session, now))
         # Cross-region bytes are billed, so entries of other domains get a message only if it has
         # announcements of their endpoints, or an echo while they relay announcements to this entry.
         for process, session in self._peers.open_entries(own_domain=False):
-            message = self._message(process, session, now)
+            message = self._build_exchange(process, session, now)
             if message.announcements or now < self._echo_until(session):
                 session.send(message)
 
-    def take_announcements(self, session, body, now):
+    def apply_exchange(self, session, body, now):
         """Record the announcements relayed by another entry.
 
         :returns: names of the endpoints that are leaving, if that is news.
         """
-        peer = identity(session.peer)
+        peer = incarnation_id(session.peer)
         if body.announcements:
-            self._echo_until_by_peer[peer] = now + TTL_S
-        return self._table.merge(body, peer=peer, now=now)
+            self._echo_until_by_peer[peer] = now + ANNOUNCEMENT_TTL_S
+        return self._table.merge_exchange(body, peer=peer, now=now)
 
-    def take_summary(self, session, body):
+    def record_summary(self, session, body):
         """Record the summary of an entry of another domain."""
-        self._peers.summaries.learn(session.peer.name, body)
+        self._peers.summaries.record(session.peer.name, body)
 
-    def forget(self, session):
+    def drop_session(self, session):
         """Drop the state of a closed session."""
-        peer = identity(session.peer)
+        peer = incarnation_id(session.peer)
         self._table.forget_peer(peer)
         self._echo_until_by_peer.pop(peer, None)
-        self._senders.pop(session, None)
+        self._throttle_by_session.pop(session, None)
         if self._peers.session(session.peer.name) is None:
             self._peers.summaries.forget(session.peer.name)
 
-    async def summarize(self):
+    async def run_summaries(self):
         """Send changed summaries to entries of other domains every 2 s until cancelled."""
         while True:
-            self.summarize_once()
-            await sleep(SUMMARY_S)
+            self.send_summaries()
+            await sleep(SUMMARY_INTERVAL_S)
 
     def drain(self):
         """Announce to entries of other domains that this one takes no more requests."""
         self._draining = True
-        self.summarize_once()
+        self.send_summaries()
 
-    def summarize_once(self):
+    def send_summaries(self):
         """Send the summaries that are due now."""
         now = monotonic()
         summary = EntrySummary(draining=self._draining)
@@ -108,13 +108,13 @@
                 )
                 summary.services.append(load)
         for _, session in self._peers.open_entries(own_domain=False):
-            sender = self._senders.setdefault(session, SummarySender())
-            if sender.is_due(summary, now=now):
+            throttle = self._throttle_by_session.setdefault(session, SummaryThrottle())
+            if throttle.is_due(summary, now=now):
                 session.send(summary)
 
-    def _message(self, process, session, now):
-        peer = identity(session.peer)
-        return self._table.exchange_for(peer=peer, domain=process.domain, now=now)
+    def _build_exchange(self, process, session, now):
+        peer = incarnation_id(session.peer)
+        return self._table.build_exchange(peer=peer, domain=process.domain, now=now)
 
     def _echo_until(self, session):
-        return self._echo_until_by_peer.get(identity(session.peer), 0.0)
+        return self._echo_until_by_peer.get(incarnation_id(session.peer), 0.0)
--- a/siskintally/http_server.py
+++ b/siskintally/http_server.py
@@ -19,8 +19,8 @@
 
 MAX_BODY_BYTES = 1 << 20
 # A body over the limit is read and discarded up to this size.
-MAX_DRAINED_BYTES = 8 << 20
-KEEP_ALIVE_S = 30.0
+MAX_DISCARDED_BYTES = 8 << 20
+KEEP_ALIVE_TIMEOUT_S = 30.0
 # h11 refuses larger request heads with status 400.
 MAX_HEAD_BYTES = 32 * 1024
 
@@ -108,7 +108,7 @@
 
     async def _serve(self, scope, receive, send):
         try:
-            request = await _read(scope, receive, self.max_body_bytes)
+            request = await _read_request(scope, receive, self.max_body_bytes)
             if request is None:
                 return
             answer = await self.handle(request)
@@ -137,9 +137,9 @@
             return
 
 
-async def _read(scope, receive, max_body_bytes):
+async def _read_request(scope, receive, max_body_bytes):
     items = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]]
-    body = await _body(receive, max_body_bytes)
+    body = await _read_body(receive, max_body_bytes)
     if body is None:
         return None
     client = scope.get("client")
@@ -153,13 +153,13 @@
     )
 
 
-async def _body(receive, max_body_bytes):
+async def _read_body(receive, max_body_bytes):
     chunks = []
     size = 0
     more = True
     # The rest of a body over the limit is read and discarded, because a client whose connection is
     # closed while it writes doesn't see the answer.
-    while more and size <= MAX_DRAINED_BYTES:
+    while more and size <= MAX_DISCARDED_BYTES:
         message = await receive()
         if message["type"] == "http.disconnect":
             return None
@@ -183,7 +183,7 @@
     config.bind = [address]
     config.errorlog = None
     config.accesslog = None
-    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
     config.graceful_timeout = graceful_s
     config.h11_max_incomplete_size = MAX_HEAD_BYTES
     config.include_server_header = False
--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -1,7 +1,7 @@
 """Client of the ledger that lets non-idempotent requests run at most once.
 
->>> from siskintally.ledger_client import home_of
->>> home_of("jylland/order-7", ("fjeld", "jylland")), home_of("order-7", ("a",))
+>>> from siskintally.ledger_client import home_group
+>>> home_group("jylland/order-7", ("fjeld", "jylland")), home_group("order-7", ("a",))
 ('jylland', 'a')
 """
 
@@ -36,9 +36,9 @@
 # Timeout of one attempt, so that a paused leader leaves time for its successor to answer.
 ATTEMPT_TIMEOUT_S = 1.5
 SETTLE_TIMEOUT_S = 5.0
-SETTLE_PAUSE_S = 1.0
+SETTLE_RETRY_S = 1.0
 MAX_KEPT_BODY_BYTES = 16 * 1024
-STANDALONE_KEYS = 10_000
+MAX_STANDALONE_KEYS = 10_000
 
 log = get_logger("ledger-client")
 
@@ -49,7 +49,7 @@
     code = Code.LEDGER_UNREACHABLE
 
 
-def home_of(key, groups):
+def home_group(key, groups):
     """Return the domain group whose ledger stores a key.
 
     :param groups: names of all domain groups of the cell; they never change.
@@ -60,13 +60,13 @@
     return max(groups, key=lambda group: (rendezvous_weight(key, group), group))
 
 
-def stored_answer(answer):
+def to_stored_answer(answer):
     """Return the record of an :class:`~siskintally.call.Answer`; large bodies are left out."""
     kept = len(answer.body) <= MAX_KEPT_BODY_BYTES
-    types = (value for name, value in answer.headers if name.lower() == "content-type")
+    content_types = (value for name, value in answer.headers if name.lower() == "content-type")
     return StoredAnswer(
         status=answer.status,
-        content_type=next(types, ""),
+        content_type=next(content_types, ""),
         body=answer.body if kept else b"",
         body_kept=kept,
         body_digest=sha256(answer.body).digest(),
@@ -112,26 +112,28 @@
         """
         body = LedgerFinish(key=call.key, attempt=attempt, unknown=answer is None)
         if answer is not None:
-            body.answer.CopyFrom(stored_answer(answer))
-        return await self._settle(call.key, body, timeout)
+            body.answer.CopyFrom(to_stored_answer(answer))
+        return await self._settle_in_background(call.key, body, timeout)
 
     async def release(self, call, *, attempt, timeout):
         """Report that an attempt was not run and never will be; see :meth:`finish`."""
-        return await self._settle(call.key, LedgerRelease(key=call.key, attempt=attempt), timeout)
+        return await self._settle_in_background(
+            call.key, LedgerRelease(key=call.key, attempt=attempt), timeout
+        )
 
-    async def _settle(self, key, body, timeout):
-        done = Event()
-        self._tasks.start_soon(self._keep_settling, key, body, done)
+    async def _settle_in_background(self, key, body, timeout):
+        acknowledged = Event()
+        self._tasks.start_soon(self._settle_until_acknowledged, key, body, acknowledged)
         with move_on_after(timeout):
-            await done.wait()
-        return done.is_set()
+            await acknowledged.wait()
+        return acknowledged.is_set()
 
-    async def _keep_settling(self, key, body, done):
+    async def _settle_until_acknowledged(self, key, body, acknowledged):
         self.unsettled += 1
         try:
             while not await self._settle_once(key, body):
-                await sleep(SETTLE_PAUSE_S)
-            done.set()
+                await sleep(SETTLE_RETRY_S)
+            acknowledged.set()
         finally:
             self.unsettled -= 1
 
@@ -170,7 +172,7 @@
         }
 
     def _home(self, key):
-        return self._client_by_group[home_of(key, tuple(self._client_by_group))]
+        return self._client_by_group[home_group(key, tuple(self._client_by_group))]
 
     async def begin(self, call, *, attempt, timeout):
         """Begin the attempt in the home group of the key."""
@@ -234,7 +236,7 @@
             self._by_key[call.key] = _Record(
                 attempt=attempt, caller=call.caller, digest=call.digest()
             )
-            if len(self._by_key) > STANDALONE_KEYS:
+            if len(self._by_key) > MAX_STANDALONE_KEYS:
                 self._by_key.popitem(last=False)
             return LedgerBeginReply(verdict=LedgerBeginReply.GRANTED)
         return LedgerBeginReply(verdict=self._verdict(record, call), answer=record.answer)
--- a/siskintally/limits.py
+++ b/siskintally/limits.py
@@ -57,7 +57,7 @@
         self.deferrable_share = deferrable_share
 
     @classmethod
-    def of(cls, preset):
+    def from_preset(cls, preset):
         """Return the limits of a preset, any object with attributes of the same names."""
         return cls(**{name: getattr(preset, name) for name in cls.__slots__})
 
--- a/siskintally/operator_relay.py
+++ b/siskintally/operator_relay.py
@@ -18,9 +18,9 @@
 )
 from siskintally.wire_pb2 import OperatorCall
 
-TIMEOUT_S = 12.0
+RELAY_TIMEOUT_S = 12.0
 ATTEMPT_TIMEOUT_S = 5.0
-PAUSE_S = 0.2
+RETRY_DELAY_S = 0.2
 VERBS = ("submit", "cancel", "drain", "preset", "config", "domain", "status", "audit", "jobs")
 
 
@@ -31,12 +31,12 @@
     :param call: ``async call(process_name, body, timeout=seconds)``.
     """
 
-    __slots__ = ("_call", "_stores", "_turn")
+    __slots__ = ("_call", "_next_store", "_stores")
 
     def __init__(self, *, stores, call):
         self._stores = stores
         self._call = call
-        self._turn = 0
+        self._next_store = 0
 
     async def relay(self, *, request_id, operator, verb, arguments):
         """Relay a call; repeating it is safe, because the cell runs a request id only once.
@@ -50,28 +50,28 @@
         body = OperatorCall(
             request_id=request_id, operator=operator, verb=verb, arguments=arguments
         )
-        deadline = monotonic() + TIMEOUT_S
-        unknown = False
+        deadline = monotonic() + RELAY_TIMEOUT_S
+        may_have_run = False
         while monotonic() < deadline:
             for _ in self._stores:
-                store = self._stores[self._turn % len(self._stores)]
+                store = self._stores[self._next_store % len(self._stores)]
                 timeout = min(ATTEMPT_TIMEOUT_S, deadline - monotonic())
                 if timeout <= 0:
                     break
                 try:
                     return await self._call(store, body, timeout=timeout)
                 except OutcomeUnknownError:
-                    unknown = True
+                    may_have_run = True
                 except (UnreachableError, NotLeaderError):
                     pass
                 except RefusedError as error:
                     if error.code not in (Code.NOT_LEADER, Code.STOPPED, Code.OUTCOME_UNKNOWN):
                         raise
-                    unknown = unknown or error.code == Code.OUTCOME_UNKNOWN
-                self._turn += 1
+                    may_have_run = may_have_run or error.code == Code.OUTCOME_UNKNOWN
+                self._next_store += 1
             if not self._stores:
                 break
-            await sleep(PAUSE_S)
-        if unknown:
+            await sleep(RETRY_DELAY_S)
+        if may_have_run:
             raise OutcomeUnknownError(f"request {request_id}: no reply; resend with the same id")
         raise UnreachableError("no store of the domain group answered; nothing was changed")
--- a/siskintally/peers.py
+++ b/siskintally/peers.py
@@ -2,8 +2,8 @@
 
 Of two entries, the one with the smaller name opens the link, so each pair has one link.
 
->>> from siskintally.peers import dials
->>> dials("e1", "e2"), dials("e2", "e1")
+>>> from siskintally.peers import opens_link
+>>> opens_link("e1", "e2"), opens_link("e2", "e1")
 (True, False)
 """
 
@@ -12,7 +12,7 @@
 from siskintally.link import Link
 
 
-def dials(own, other):
+def opens_link(own, other):
     """Return whether an entry opens the link to another."""
     return own < other
 
@@ -32,19 +32,22 @@
     def __init__(self, *, settings, process, hello, handler, server):
         self._process = process
         self._server = server
-        self.entries = {one.name: one for one in settings.entries() if one.name != process.name}
+        self.entries = {
+            other.name: other for other in settings.entries() if other.name != process.name
+        }
         self.summaries = SummaryTable(region=process.region)
         self._links = {
-            one.name: Link(
-                host=one.link.host,
-                port=one.link.port,
+            other.name: Link(
+                host=other.link.host,
+                port=other.link.port,
                 hello=hello,
                 secret=settings.secret,
                 handler=handler,
                 tls=settings.tls(process.name),
             )
-            for one in settings.process_by_name.values()
-            if one.role == "store" or (one.name in self.entries and dials(process.name, one.name))
+            for other in settings.process_by_name.values()
+            if other.role == "store"
+            or (other.name in self.entries and opens_link(process.name, other.name))
         }
 
     def links(self):
@@ -57,8 +60,10 @@
             link = self._links[name]
             return link.session if link.is_open else None
         sessions = self._server.session_by_id.values()
-        found = [one for one in sessions if one.peer.name == name and not one.closed]
-        return found[-1] if found else None
+        open_sessions = [
+            session for session in sessions if session.peer.name == name and not session.closed
+        ]
+        return open_sessions[-1] if open_sessions else None
 
     async def call(self, name, body, *, timeout):
         """Call a process; see :meth:`siskintally.session.Session.call`.
@@ -95,6 +100,6 @@
         return self.entries[name].region != self._process.region
 
 
-def identity(hello):
+def incarnation_id(hello):
     """Return name and incarnation of a process, which differ after a restart."""
     return f"{hello.name}/{hello.incarnation}"
--- a/siskintally/request_handler.py
+++ b/siskintally/request_handler.py
@@ -15,7 +15,7 @@
 from siskintally.codes import Code, not_run
 from siskintally.errors import SiskintallyError, UnreachableError
 from siskintally.fair_queue import QueuedRequest
-from siskintally.forward import Outcome, Sent
+from siskintally.forward import SendResult, SendStatus
 from siskintally.ledger_client import LedgerUnreachableError
 from siskintally.log import get_logger
 from siskintally.service_dispatcher import has_slot
@@ -25,10 +25,10 @@
 # budget, because they put no load on an endpoint.
 MAX_DISPATCHES = 3
 # Endpoints announce themselves every second, so an entry that has just started knows none of them.
-STARTUP_S = 2.0
-STARTUP_STEP_S = 0.05
+STARTUP_WAIT_S = 2.0
+STARTUP_POLL_S = 0.05
 # A request waits for the first announcement for at most this fraction of the time it has left.
-STARTUP_RATIO = 0.25
+STARTUP_WAIT_RATIO = 0.25
 # An attempt of an idempotent request may use this fraction of the time left, so that a retry on
 # another endpoint fits, but at least 8 mean service times.
 ATTEMPT_RATIO = 0.5
@@ -38,9 +38,9 @@
 FORWARD_MARGIN_S = 0.1
 FORWARD_MARGIN_RATIO = 0.1
 # Longest wait for the ledger before the caller is answered; settling goes on in the background.
-SETTLE_WAIT_S = 2.0
-EXPIRED_IN_QUEUE = "deadline passed in the queue; no byte was sent"
-THIS_ATTEMPT = "this attempt was not run; earlier ones with the key are unchanged"
+MAX_SETTLE_WAIT_S = 2.0
+EXPIRED_EVIDENCE = "deadline passed in the queue; no byte was sent"
+NOT_RUN_EVIDENCE = "this attempt was not run; earlier ones with the key are unchanged"
 
 log = get_logger("request-handler")
 
@@ -60,91 +60,97 @@
     __slots__ = ("_budget", "_dispatcher_of", "_ledger", "_metrics", "_peers", "_startup_end")
 
     def __init__(self, *, dispatcher_of, budget, ledger, peers, metrics, started):
-        self._startup_end = started + STARTUP_S
+        self._startup_end = started + STARTUP_WAIT_S
         self._dispatcher_of = dispatcher_of
         self._budget = budget
         self._ledger = ledger
         self._peers = peers
         self._metrics = metrics
 
-    async def run(self, call):
+    async def handle(self, call):
         """Serve a caller's request.
 
         :returns: an :class:`~siskintally.call.Answer`.
         """
-        answer = await (self._run_once(call) if call.once else self._deliver(call))
+        answer = await (
+            self._run_at_most_once(call)
+            if call.non_idempotent
+            else self._dispatch_with_retries(call)
+        )
         log.debug("answered", request_id=call.request_id, code=int(answer.code))
         return answer
 
-    async def run_forwarded(self, call):
+    async def handle_forwarded(self, call):
         """Serve a request forwarded by an entry of another domain; only that entry retries it."""
-        return await self._deliver(call, forwarded=True)
+        return await self._dispatch_with_retries(call, forwarded=True)
 
-    async def _run_once(self, call):
+    async def _run_at_most_once(self, call):
         now = monotonic()
         dispatcher = self._dispatcher_of(call.service)
         if dispatcher.endpoint_count(now):
             try:
                 dispatcher.check(_queued_request(call, now), now=now)
             except OverloadedError as error:
-                return Answer.without_response(Code.OVERLOADED, f"{THIS_ATTEMPT}; {error}")
+                return Answer.without_response(Code.OVERLOADED, f"{NOT_RUN_EVIDENCE}; {error}")
         attempt = uuid4().hex
         try:
             reply = await self._ledger.begin(call, attempt=attempt, timeout=call.deadline - now)
         except LedgerUnreachableError as error:
-            return Answer.without_response(Code.LEDGER_UNREACHABLE, f"{THIS_ATTEMPT}; {error}")
+            return Answer.without_response(Code.LEDGER_UNREACHABLE, f"{NOT_RUN_EVIDENCE}; {error}")
         if reply.verdict != LedgerBeginReply.GRANTED:
-            return _answer_of_verdict(reply)
+            return _answer_from_verdict(reply)
         return await self._run_granted(call, attempt)
 
     async def _run_granted(self, call, attempt):
-        answer = await self._deliver(call)
+        answer = await self._dispatch_with_retries(call)
         if answer.is_not_run:
-            await self._ledger.release(call, attempt=attempt, timeout=SETTLE_WAIT_S)
+            await self._ledger.release(call, attempt=attempt, timeout=MAX_SETTLE_WAIT_S)
             return answer
         known = answer if answer.status else None
-        await self._ledger.finish(call, attempt=attempt, answer=known, timeout=SETTLE_WAIT_S)
+        await self._ledger.finish(call, attempt=attempt, answer=known, timeout=MAX_SETTLE_WAIT_S)
         return answer
 
-    async def _deliver(self, call, forwarded=False):
+    async def _dispatch_with_retries(self, call, forwarded=False):
         """Dispatch until a response, the deadline, or no further attempt is allowed."""
         await self._wait_for_endpoint(call)
         avoid = ""
-        unknown = None
+        unknown_answer = None
         for number in range(MAX_DISPATCHES):
             if number and monotonic() >= call.deadline:
                 break
-            answer, avoid = await self._dispatch(call, avoid, forwarded, last=call.once)
-            if unknown is None and not forwarded and not answer.is_not_run:
+            answer, avoid = await self._dispatch(
+                call, avoid, forwarded, is_last_attempt=call.non_idempotent
+            )
+            if unknown_answer is None and not forwarded and not answer.is_not_run:
                 # Only the first attempt that may have run counts for the retry budget. A forwarded
                 # request counts at the entry that forwarded it.
                 self._budget.record_first_attempt()
             if answer.status or answer.code not in (Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN):
-                return unknown or answer if answer.is_not_run else answer
+                return unknown_answer or answer if answer.is_not_run else answer
             if answer.code == Code.NO_ENDPOINT and not avoid:
                 break
             if answer.code == Code.OUTCOME_UNKNOWN:
-                unknown = answer
-                if call.once or forwarded or not self._budget.try_take():
+                unknown_answer = answer
+                if call.non_idempotent or forwarded or not self._budget.try_take():
                     break
                 self._metrics.count("retries")
-        return unknown or answer
+        return unknown_answer or answer
 
     async def _wait_for_endpoint(self, call):
         """Wait for the first announcement of a service if this entry has just started."""
         now = monotonic()
         end = startup_wait_end(self._startup_end, call.deadline, now)
-        while now < end and not self._is_served(call.service, now):
-            await sleep(STARTUP_STEP_S)
+        while now < end and not self._has_endpoint_or_peer(call.service, now):
+            await sleep(STARTUP_POLL_S)
             now = monotonic()
 
-    def _is_served(self, service, now):
+    def _has_endpoint_or_peer(self, service, now):
         return (
             self._dispatcher_of(service).endpoint_count(now)
             or self._peers.choose(service) is not None
         )
 
-    async def _dispatch(self, call, avoid, forwarded, last):
+    async def _dispatch(self, call, avoid, forwarded, is_last_attempt):
         """Make one attempt, at an endpoint or through an entry of another domain.
 
         :returns: the answer, and the endpoint or entry that was tried (empty if none).
@@ -154,7 +160,9 @@
         _, total = dispatcher.capacity(now)
         if total:
             try:
-                return await self._dispatch_here(call, dispatcher, avoid, may_retry=not last)
+                return await self._dispatch_locally(
+                    call, dispatcher, avoid, may_retry=not is_last_attempt
+                )
             except OverloadedError as error:
                 refused = Answer.without_response(Code.OVERLOADED, str(error))
             peer = None if forwarded else self._peers.choose(call.service, need_free=True)
@@ -163,27 +171,27 @@
             peer = None if forwarded else self._peers.choose(call.service, avoid=avoid)
         if peer is None:
             return refused, ""
-        return await self._dispatch_to(call, peer), peer
+        return await self._forward_to_peer(call, peer), peer
 
-    async def _dispatch_here(self, call, dispatcher, avoid, may_retry):
+    async def _dispatch_locally(self, call, dispatcher, avoid, may_retry):
         granted = Event()
         request = _queued_request(call, monotonic(), notify=granted.set, avoid=avoid)
         dispatcher.offer(request, now=monotonic())
         try:
             has_chance = await _wait_for_slot(dispatcher, request, granted)
         except BaseException:
-            self._give_back(dispatcher, request)
+            self._release_or_withdraw(dispatcher, request)
             raise
         if not has_slot(request):
             dispatcher.withdraw(request)
             if request.deadline > monotonic() and (granted.is_set() or not has_chance):
                 raise OverloadedError("dropped from the queue; no byte was sent")
-            return Answer.without_response(Code.EXPIRED, EXPIRED_IN_QUEUE), ""
-        outcome = await self._send(call, dispatcher, request, may_retry)
-        return _answer_of_outcome(outcome), request.endpoint.key
+            return Answer.without_response(Code.EXPIRED, EXPIRED_EVIDENCE), ""
+        result = await self._send(call, dispatcher, request, may_retry)
+        return _answer_from_result(result), request.endpoint.key
 
     @staticmethod
-    def _give_back(dispatcher, request):
+    def _release_or_withdraw(dispatcher, request):
         if has_slot(request):
             dispatcher.release(request, ok=None, seconds=None, now=monotonic())
         else:
@@ -193,9 +201,9 @@
         started = monotonic()
         self._metrics.timing("queue_wait", started - request.queued_at)
         deadline = _attempt_deadline(call, dispatcher, started) if may_retry else call.deadline
-        outcome = None
+        result = None
         try:
-            outcome = await request.endpoint.forwarder.send(
+            result = await request.endpoint.forwarder.send(
                 request_id=call.request_id,
                 method=call.method,
                 target=call.target,
@@ -205,10 +213,10 @@
             )
         finally:
             now = monotonic()
-            dispatcher.release(request, now=now, **_lesson(outcome, now - started))
-        return outcome
+            dispatcher.release(request, now=now, **_release_arguments(result, now - started))
+        return result
 
-    async def _dispatch_to(self, call, peer):
+    async def _forward_to_peer(self, call, peer):
         self._metrics.count("cross_domain")
         if self._peers.is_other_region(peer):
             self._metrics.count("cross_region")
@@ -219,7 +227,7 @@
         message = call.to_message()
         message.deadline_s = remaining - min(FORWARD_MARGIN_S, remaining * FORWARD_MARGIN_RATIO)
         try:
-            answer = Answer.of_message(await self._peers.call(peer, message, timeout=remaining))
+            answer = Answer.from_message(await self._peers.call(peer, message, timeout=remaining))
         except UnreachableError as error:
             return Answer.without_response(Code.NO_ENDPOINT, str(error))
         except SiskintallyError as error:
@@ -236,7 +244,7 @@
     >>> [startup_wait_end(2.0, deadline, 1.0) for deadline in (61.0, 3.0)]
     [2.0, 1.5]
     """
-    return min(startup_end, now + STARTUP_RATIO * (deadline - now))
+    return min(startup_end, now + STARTUP_WAIT_RATIO * (deadline - now))
 
 
 def _queued_request(call, now, notify=None, avoid=""):
@@ -247,7 +255,7 @@
         queued_at=now,
         notify=notify,
         avoid=avoid,
-        may_probe=not call.once,
+        may_probe=not call.non_idempotent,
     )
 
 
@@ -255,24 +263,24 @@
     if dispatcher.endpoint_count(now) < 2:
         return call.deadline
     remaining = call.deadline - now
-    usual = dispatcher.admission.mean_service_s(now) * ATTEMPT_SERVICE_TIMES
-    return now + min(remaining, max(remaining * ATTEMPT_RATIO, usual))
+    service_times_s = dispatcher.admission.mean_service_s(now) * ATTEMPT_SERVICE_TIMES
+    return now + min(remaining, max(remaining * ATTEMPT_RATIO, service_times_s))
 
 
-def _lesson(outcome, seconds):
+def _release_arguments(result, seconds):
     """Return the arguments of :meth:`ServiceDispatcher.release` for the result of a dispatch.
 
     :param seconds: time from sending to the result.
     """
-    if outcome is None:
+    if result is None:
         return {"ok": None, "seconds": None}
-    if outcome.sent is Sent.NOT_SENT:
-        return {"ok": None, "seconds": None, "unreachable": outcome.unreachable}
-    done = outcome.sent is Sent.DONE
+    if result.send_status is SendStatus.NOT_SENT:
+        return {"ok": None, "seconds": None, "unreachable": result.unreachable}
+    done = result.send_status is SendStatus.DONE
     return {
-        "ok": done and outcome.status < 500,
+        "ok": done and result.status < 500,
         "seconds": seconds if done else None,
-        "may_run": outcome.may_run,
+        "may_run": result.may_run,
     }
 
 
@@ -289,29 +297,29 @@
     return True
 
 
-def _answer_of_outcome(outcome: Outcome):
-    if outcome.sent is Sent.DONE:
-        return Answer.of_response(outcome.status, outcome.headers, outcome.body)
-    if outcome.sent is Sent.NOT_SENT:
-        evidence = f"no byte was sent: {outcome.reason}"
+def _answer_from_result(result: SendResult):
+    if result.send_status is SendStatus.DONE:
+        return Answer.from_response(result.status, result.headers, result.body)
+    if result.send_status is SendStatus.NOT_SENT:
+        evidence = f"no byte was sent: {result.reason}"
         return Answer.without_response(Code.NO_ENDPOINT, evidence)
-    evidence = f"bytes were sent, no complete response: {outcome.reason}"
+    evidence = f"bytes were sent, no complete response: {result.reason}"
     return Answer.without_response(Code.OUTCOME_UNKNOWN, evidence)
 
 
-def _answer_of_verdict(reply):
+def _answer_from_verdict(reply):
     verdict = reply.verdict
     if verdict == LedgerBeginReply.REPLAYED:
-        return _replay(reply.answer)
+        return _replayed_answer(reply.answer)
     code, evidence = {
         LedgerBeginReply.IN_PROGRESS: (Code.IN_PROGRESS, "the same key is being run"),
         LedgerBeginReply.UNKNOWN: (Code.OUTCOME_UNKNOWN, "outcome of the first run is unknown"),
         LedgerBeginReply.CONFLICT: (Code.KEY_CONFLICT, "same key with another request or caller"),
-    }.get(verdict, (Code.LEDGER_UNREACHABLE, THIS_ATTEMPT))
+    }.get(verdict, (Code.LEDGER_UNREACHABLE, NOT_RUN_EVIDENCE))
     return Answer.without_response(code, evidence)
 
 
-def _replay(stored):
+def _replayed_answer(stored):
     headers = [("content-type", stored.content_type)] if stored.content_type else []
     if not stored.body_kept:
         headers.append(("siskintally-stored-digest", stored.body_digest.hex()))
--- a/siskintally/tokens.py
+++ b/siskintally/tokens.py
@@ -1,7 +1,7 @@
 """Authentication of operators and endpoints by bearer tokens.
 
->>> from siskintally.tokens import holder_of
->>> holder_of("Bearer 0123456789abcdef", {"0123456789abcdef": "astrid"})
+>>> from siskintally.tokens import authenticate
+>>> authenticate("Bearer 0123456789abcdef", {"0123456789abcdef": "astrid"})
 'astrid'
 """
 
@@ -10,7 +10,7 @@
 from siskintally.errors import UnauthorizedError
 
 
-def holder_of(authorization, holder_by_token):
+def authenticate(authorization, holder_by_token):
     """Return the operator or service that a bearer token belongs to.
 
     :param authorization: value of the Authorization header.
@@ -35,5 +35,5 @@
 
     :raises UnauthorizedError: the token is missing, wrong, or that of another service.
     """
-    if service_by_token and holder_of(authorization, service_by_token) != service:
+    if service_by_token and authenticate(authorization, service_by_token) != service:
         raise UnauthorizedError(f"service {service[:100]!r}: the token is that of another service")
--- a/tests/model/config.py
+++ b/tests/model/config.py
@@ -190,10 +190,10 @@
         present = state.entries[at]
         if ("poll", present, config) not in self._memo:
             follower = ConfigFollower(
-                client=None, changed=lambda limits: None, drained=lambda names: None
+                client=None, on_limits=lambda limits: None, on_drained=lambda names: None
             )
             follower.version = _version(present) if present else 0
-            taken = follower.take(ConfigState.FromString(config))
+            taken = follower.apply(ConfigState.FromString(config))
             self._memo["poll", present, config] = config if taken else present
         after = self._memo["poll", present, config]
         state = state._replace(entries=_replaced(state.entries, at, after))
--- a/tests/test_announcement_model.py
+++ b/tests/test_announcement_model.py
@@ -9,11 +9,11 @@
 from random import Random
 
 from siskintally.announcement import (
-    CLOCK_RATE,
-    TTL_S,
+    ANNOUNCEMENT_TTL_S,
+    MAX_CLOCK_RATE_RATIO,
     AnnouncementTable,
-    read_age,
-    read_announcement,
+    parse_age,
+    parse_announcement,
 )
 
 ENTRIES = ("e1", "e2")
@@ -76,9 +76,9 @@
     def receive_post(self, endpoint, entry, fields):
         """Handle an announcement as the gateway does."""
         now = self.clock(entry)
-        age_s = read_age(fields, now=now)
-        heard = read_announcement(fields)
-        self.tables[entry].announce(heard, age_s=age_s or 0.0, now=now)
+        age_s = parse_age(fields, now=now)
+        heard = parse_announcement(fields)
+        self.tables[entry].record(heard, age_s=age_s or 0.0, now=now)
         key = (endpoint, entry, self.runs[entry])
         self.clock_given[key] = (now, self.clock(endpoint))
 
@@ -96,7 +96,7 @@
         """Send an exchange message."""
         if source != sink:
             peer = f"{sink}/{self.runs[sink]}"
-            message = self.tables[source].exchange_for(
+            message = self.tables[source].build_exchange(
                 peer=peer, domain="d", now=self.clock(source)
             )
             self.exchanges.append((source, self.runs[source], sink, self.runs[sink], message))
@@ -110,7 +110,7 @@
             source, run, target, target_run, message = item
             if target_run == self.runs[target]:
                 table = self.tables[target]
-                table.merge(message, peer=f"{source}/{run}", now=self.clock(target))
+                table.merge_exchange(message, peer=f"{source}/{run}", now=self.clock(target))
 
     def gossip(self):
         """Exchange messages both ways without delay, so that both entries hold a fresh echo."""
@@ -118,7 +118,7 @@
             self.exchange(source, sink)
             *_, message = self.exchanges.pop()
             peer = f"{source}/{self.runs[source]}"
-            self.tables[sink].merge(message, peer=peer, now=self.clock(sink))
+            self.tables[sink].merge_exchange(message, peer=peer, now=self.clock(sink))
 
     def leave(self, endpoint):
         """Leave for good."""
@@ -147,7 +147,7 @@
             self.known_to_leave |= {(table, *one[:2]) for one in known if one[2]}
             for endpoint in table.live("s", now=self.clock(entry)):
                 served_at = self.served_at[endpoint.name, endpoint.incarnation]
-                assert self.time - served_at <= TTL_S * CLOCK_RATE
+                assert self.time - served_at <= ANNOUNCEMENT_TTL_S * MAX_CLOCK_RATE_RATIO
                 key = (table, endpoint.name, endpoint.incarnation)
                 assert key not in self.known_to_leave
 
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -14,22 +14,22 @@
     MAX_ENDPOINTS,
     AnnouncementTable,
     TableFullError,
-    read_age,
-    read_announcement,
+    parse_age,
+    parse_announcement,
 )
 from siskintally.balancer import BALANCER_BY_NAME, Candidate, LeastLoaded, PowerOfTwo, Rendezvous
 from siskintally.call import Answer
 from siskintally.codes import Code
 from siskintally.entry import Entry
-from siskintally.entry_summary import KEEPALIVE_S, SummarySender, SummaryTable
+from siskintally.entry_summary import REPEAT_INTERVAL_S, SummaryTable, SummaryThrottle
 from siskintally.errors import BadRequestError
 from siskintally.fair_queue import QueuedRequest
 from siskintally.forward import Forwarder
 from siskintally.health import HealthTable
-from siskintally.ledger_client import home_of
+from siskintally.ledger_client import home_group
 from siskintally.metrics import Metrics
 from siskintally.pause_detector import PauseDetector
-from siskintally.request_handler import STARTUP_S, RequestHandler, _wait_for_slot
+from siskintally.request_handler import STARTUP_WAIT_S, RequestHandler, _wait_for_slot
 from siskintally.retry import RetryBudget
 from siskintally.settings import parse
 from siskintally.slot_share import entry_share
@@ -49,7 +49,7 @@
 
 
 def heard(**fields):
-    return read_announcement(FIELDS | fields)
+    return parse_announcement(FIELDS | fields)
 
 
 def live(table, now):
@@ -58,22 +58,22 @@
 
 def exchange(source, target, *, sent, received):
     """Carry one message from the entry ``a`` to the entry ``b``."""
-    message = source.exchange_for(peer="b", domain="d", now=sent)
-    return target.merge(message, peer="a", now=received)
+    message = source.build_exchange(peer="b", domain="d", now=sent)
+    return target.merge_exchange(message, peer="a", now=received)
 
 
 def pair():
     """Return tables of two entries that have echoed each other at time 0."""
     a, b = AnnouncementTable(domain="d"), AnnouncementTable(domain="d")
-    a.merge(b.exchange_for(peer="a", domain="d", now=10.0), peer="b", now=10.0)
+    a.merge_exchange(b.build_exchange(peer="a", domain="d", now=10.0), peer="b", now=10.0)
     return a, b
 
 
 def test_passed_on_announcement_is_live_for_3_s_after_the_endpoint_sent_it():
     a, b = pair()
-    a.announce(heard(), age_s=0.0, now=10.0)
+    a.record(heard(), age_s=0.0, now=10.0)
     # The echo may be as old as the period of the exchange; it only makes the bound earlier.
-    a.merge(b.exchange_for(peer="a", domain="d", now=10.5), peer="b", now=10.5)
+    a.merge_exchange(b.build_exchange(peer="a", domain="d", now=10.5), peer="b", now=10.5)
     exchange(a, b, sent=10.5, received=10.6)
     assert live(b, 12.8) == ["p1"]
     assert live(b, 13.1) == []
@@ -82,64 +82,64 @@
 def test_message_delayed_on_its_way_refreshes_nothing():
     # Guards against TCP that delivers an old message after a partition.
     a, b = pair()
-    a.announce(heard(), age_s=0.0, now=10.0)
+    a.record(heard(), age_s=0.0, now=10.0)
     exchange(a, b, sent=10.1, received=70.0)
     assert live(b, 70.0) == []
 
 
 def test_message_without_an_echo_tells_of_leaving_only():
     a, b = AnnouncementTable(domain="d"), AnnouncementTable(domain="d")
-    a.announce(heard(), age_s=0.0, now=10.0)
-    a.announce(heard(name="p2", state="leaving"), age_s=0.0, now=10.0)
+    a.record(heard(), age_s=0.0, now=10.0)
+    a.record(heard(name="p2", state="leaving"), age_s=0.0, now=10.0)
     assert exchange(a, b, sent=10.1, received=10.1) == ["p2"]
     assert live(b, 10.1) == []
 
 
 def test_entries_do_not_keep_an_announcement_alive_among_themselves():
     a, b = pair()
-    a.announce(heard(), age_s=0.0, now=10.0)
+    a.record(heard(), age_s=0.0, now=10.0)
     now = 10.0
     while now < 20.0:
         now += 0.5
         exchange(a, b, sent=now, received=now)
-        message = b.exchange_for(peer="a", domain="d", now=now)
+        message = b.build_exchange(peer="a", domain="d", now=now)
         assert not message.announcements
-        a.merge(message, peer="b", now=now)
+        a.merge_exchange(message, peer="b", now=now)
     assert live(a, 13.2) == live(b, 13.2) == []
 
 
 def test_announcement_is_passed_on_once_to_each_run_of_an_entry():
     # Guards against bytes for repeated announcements, and against a restarted entry without any.
     table = AnnouncementTable(domain="d")
-    table.announce(heard(), age_s=0.0, now=10.0)
+    table.record(heard(), age_s=0.0, now=10.0)
     counts = []
     for peer, seq in (("b", 1), ("b", 1), ("c", 1), ("b", 2), ("b", 2)):
-        table.announce(heard(seq=seq), age_s=0.0, now=10.0)
-        counts.append(len(table.exchange_for(peer=peer, domain="d", now=10.0).announcements))
+        table.record(heard(seq=seq), age_s=0.0, now=10.0)
+        counts.append(len(table.build_exchange(peer=peer, domain="d", now=10.0).announcements))
     assert counts == [1, 0, 1, 1, 0]
 
 
 def test_order_is_by_incarnation_then_seq_and_leaving_is_final():
     table = AnnouncementTable(domain="d")
-    table.announce(heard(incarnation=2, seq=5), age_s=0.0, now=10.0)
-    assert not table.announce(heard(incarnation=1, seq=9, state="leaving"), age_s=0.0, now=10.1)
+    table.record(heard(incarnation=2, seq=5), age_s=0.0, now=10.0)
+    assert not table.record(heard(incarnation=1, seq=9, state="leaving"), age_s=0.0, now=10.1)
     assert live(table, 10.1) == ["p1"]
-    assert table.announce(heard(incarnation=2, seq=6, state="leaving"), age_s=0.0, now=10.2)
-    table.announce(heard(incarnation=2, seq=7), age_s=0.0, now=10.3)
+    assert table.record(heard(incarnation=2, seq=6, state="leaving"), age_s=0.0, now=10.2)
+    table.record(heard(incarnation=2, seq=7), age_s=0.0, now=10.3)
     assert live(table, 10.3) == []
-    table.announce(heard(incarnation=3, seq=1), age_s=0.0, now=10.4)
+    table.record(heard(incarnation=3, seq=1), age_s=0.0, now=10.4)
     assert live(table, 10.4) == ["p1"]
 
 
 def test_flood_of_names_is_refused_and_changes_nothing():
     table = AnnouncementTable(domain="d")
     for number in range(MAX_ENDPOINTS):
-        table.announce(heard(name=f"p{number}"), age_s=0.0, now=10.0)
+        table.record(heard(name=f"p{number}"), age_s=0.0, now=10.0)
     with pytest.raises(TableFullError):
-        table.announce(heard(name="more"), age_s=0.0, now=11.0)
+        table.record(heard(name="more"), age_s=0.0, now=11.0)
     assert len(table) == MAX_ENDPOINTS
-    table.announce(heard(name="p7", seq=2), age_s=0.0, now=11.0)
-    table.announce(heard(name="more"), age_s=0.0, now=13.5)
+    table.record(heard(name="p7", seq=2), age_s=0.0, now=11.0)
+    table.record(heard(name="more"), age_s=0.0, now=13.5)
     assert len(table) == 2
 
 
@@ -164,8 +164,8 @@
 
 
 def test_age_of_a_direct_announcement_is_bounded_by_the_echo():
-    assert read_age({}, now=50.0) is None
-    assert read_age({"echo": 10.0, "held_s": 1.0}, now=50.0) == pytest.approx(39.0, abs=0.1)
+    assert parse_age({}, now=50.0) is None
+    assert parse_age({"echo": 10.0, "held_s": 1.0}, now=50.0) == pytest.approx(39.0, abs=0.1)
     for fields in (
         {"echo": 60.0},
         {"echo": "x"},
@@ -173,7 +173,7 @@
         {"echo": 1, "held_s": -1},
     ):
         with pytest.raises(BadRequestError):
-            read_age(fields, now=50.0)
+            parse_age(fields, now=50.0)
 
 
 @given(st.integers(1, 64), st.integers(1, 9), st.text(max_size=8))
@@ -289,7 +289,7 @@
 
     __slots__ = ("codes",)
 
-    async def _dispatch(self, call, avoid, forwarded, last):
+    async def _dispatch(self, call, avoid, forwarded, is_last_attempt):
         return Answer.without_response(self.codes.pop(0), ""), "p1"
 
 
@@ -303,17 +303,17 @@
         ledger=None,
         peers=None,
         metrics=metrics,
-        started=-STARTUP_S,
+        started=-STARTUP_WAIT_S,
     )
     unsent, unknown, failed = Code.NO_ENDPOINT, Code.OUTCOME_UNKNOWN, Code.ENDPOINT_FAILED
-    call = SimpleNamespace(once=False, deadline=float("inf"), request_id="r")
+    call = SimpleNamespace(non_idempotent=False, deadline=float("inf"), request_id="r")
     for _ in range(40):
         handler.codes = [unsent, unsent, failed]
-        run(handler.run, call)
+        run(handler.handle, call)
     retries = 0
     for _ in range(60):
         handler.codes = [unknown, failed]
-        run(handler.run, call)
+        run(handler.handle, call)
         retries += not handler.codes
     assert retries == 10
 
@@ -330,7 +330,7 @@
         "metrics": None,
     }
     call = SimpleNamespace(deadline=monotonic() + 1e6, service="s")
-    for started, left in ((float("inf"), 0), (monotonic() - STARTUP_S, 0)):
+    for started, left in ((float("inf"), 0), (monotonic() - STARTUP_WAIT_S, 0)):
         handler = RequestHandler(**parts, peers=peers, started=started)
         run(handler._wait_for_endpoint, call)
         assert len(counts) == left
@@ -361,17 +361,17 @@
 
 def test_summary_is_sent_only_when_it_says_something_new():
     # Guards against cross-region bytes for every small change of load.
-    sender = SummarySender()
-    due = [sender.is_due(summary(free), now=float(free)) for free in (8, 7, 5, 4, 3, 0, 0)]
+    throttle = SummaryThrottle()
+    due = [throttle.is_due(summary(free), now=float(free)) for free in (8, 7, 5, 4, 3, 0, 0)]
     assert due == [True, False, False, False, True, True, False]
-    assert sender.is_due(summary(0, draining=True), now=8.0)
-    assert sender.is_due(summary(0, draining=True), now=8.0 + KEEPALIVE_S)
+    assert throttle.is_due(summary(0, draining=True), now=8.0)
+    assert throttle.is_due(summary(0, draining=True), now=8.0 + REPEAT_INTERVAL_S)
 
 
 def test_own_region_comes_before_others_and_draining_entries_are_left_out():
     table = SummaryTable(region="r1")
     for peer, free in (("near", 0), ("far", 8), ("drains", 8), ("closed", 8)):
-        table.learn(peer, summary(free, draining=peer == "drains"))
+        table.record(peer, summary(free, draining=peer == "drains"))
     peers = {"near": "r1", "far": "r2", "drains": "r1"}
     assert table.choose("s", open_peers=peers) == "near"
     assert table.choose("s", open_peers=peers, need_free=True) == "far"
@@ -382,13 +382,13 @@
 def test_pause_is_noticed_before_the_next_beat():
     guard = PauseDetector()
     for beat in range(5):
-        guard.beat(10.0 + beat / 4)
-    assert not guard.distrusts(11.5)
-    assert guard.distrusts(71.0)
-    guard.beat(71.1)
-    assert guard.distrusts(71.9)
-    guard.beat(71.9)
-    assert not guard.distrusts(72.2)
+        guard.tick(10.0 + beat / 4)
+    assert not guard.is_after_pause(11.5)
+    assert guard.is_after_pause(71.0)
+    guard.tick(71.1)
+    assert guard.is_after_pause(71.9)
+    guard.tick(71.9)
+    assert not guard.is_after_pause(72.2)
 
 
 def test_announcement_read_after_a_pause_needs_an_echo():
@@ -400,24 +400,24 @@
     settings = parse(text)
     process = settings.process("e1")
     entry = Entry(settings=settings, process=process, standalone=True, drain_s=0.0)
-    entry._pause_detector.beat(10.0)
-    entry.announce(heard(), age_s=None, now=70.0)
+    entry._pause_detector.tick(10.0)
+    entry.record_announcement(heard(), age_s=None, now=70.0)
     assert live(entry._table, 70.0) == []
-    entry.announce(heard(seq=2), age_s=0.5, now=70.1)
+    entry.record_announcement(heard(seq=2), age_s=0.5, now=70.1)
     assert live(entry._table, 70.1) == ["p1"]
-    entry.announce(heard(name="p2"), age_s=None, now=70.1)
+    entry.record_announcement(heard(name="p2"), age_s=None, now=70.1)
     for beat in (70.5, 71.0, 71.5, 72.0):
-        entry._pause_detector.beat(beat)
+        entry._pause_detector.tick(beat)
     assert live(entry._table, 72.0) == ["p1"]
-    entry.announce(heard(name="p2", seq=2), age_s=None, now=72.6)
+    entry.record_announcement(heard(name="p2", seq=2), age_s=None, now=72.6)
     assert live(entry._table, 72.6) == ["p1", "p2"]
 
 
 def test_home_of_a_key_is_its_prefix_or_spread_over_the_groups():
     groups = ("a", "b", "c")
-    assert home_of("b/17", groups) == "b"
-    assert home_of("z/17", groups) in groups
-    counts = Counter(home_of(f"k{number}", groups) for number in range(300))
+    assert home_group("b/17", groups) == "b"
+    assert home_group("z/17", groups) in groups
+    counts = Counter(home_group(f"k{number}", groups) for number in range(300))
     assert min(counts.values()) > 60
 
 
