Call the HTTP responses of the daemons responses

HttpAnswer, json_answer and failure were words of this project, and Answer is the result of a call. They are HttpResponse, json_response and error_to_response now, and the event that stops serve_http is its stop_event.

--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -174,7 +174,7 @@
                 service_by_token=self._settings.service_by_token,
             ),
             address=str(self._process.http),
-            until=self._stopped,
+            stop_event=self._stopped,
             graceful_s=RESPONSE_FLUSH_S,
         )
         if self._stopped.is_set():
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -13,7 +13,7 @@
 from siskintally.call import parse_call
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotFoundError
-from siskintally.http_server import HttpAnswer, HttpApp, json_answer
+from siskintally.http_server import HttpApp, HttpResponse, json_response
 from siskintally.operator_relay import VERBS
 from siskintally.tokens import authenticate, check_announcer
 
@@ -75,9 +75,11 @@
         self._operator_by_token = operator_by_token
         self._service_by_token = service_by_token
 
-    def failure(self, error):
-        """Return the JSON answer for a refused request."""
-        return _json_answer_with_code(error.code, {"name": error.code.name, "message": str(error)})
+    def error_to_response(self, error):
+        """Return the JSON response for a refused request."""
+        return _json_response_with_code(
+            error.code, {"name": error.code.name, "message": str(error)}
+        )
 
     async def handle(self, request):
         """Answer one request."""
@@ -94,7 +96,7 @@
             return self._announce(request)
         if request.path == "/v1/health":
             ready, fields = self._entry.health()
-            return json_answer(200 if ready else 503, fields)
+            return json_response(200 if ready else 503, fields)
         if request.path.startswith("/v1/operator/"):
             return await self._operate(request)
         raise NotFoundError(f"path {request.path[:100]!r}: unknown")
@@ -104,7 +106,7 @@
         target = f"{path}?{request.query}" if request.query else path
         call = parse_call(request, service=service, target=target, limits=self._entry.limits)
         answer = self._entry.refusal() or await self._entry.serve(call)
-        return _http_answer(call, answer)
+        return _http_response(call, answer)
 
     def _announce(self, request):
         _require_post(request)
@@ -114,7 +116,7 @@
         authorization = request.headers.get("authorization", "")
         check_announcer(authorization, endpoint.service, self._service_by_token)
         self._entry.record_announcement(endpoint, age_s=parse_age(fields, now=now), now=now)
-        return json_answer(200, {"code": int(Code.DONE), "clock": now})
+        return json_response(200, {"code": int(Code.DONE), "clock": now})
 
     async def _operate(self, request):
         _require_post(request)
@@ -137,12 +139,12 @@
             arguments=dumps(arguments).encode(),
         )
         headers = [("siskintally-request-id", request_id)]
-        return _json_answer_with_code(
+        return _json_response_with_code(
             _code_or_internal(reply.code), {"answer": _parse_json(reply.answer or b"null")}, headers
         )
 
 
-def _http_answer(call, answer):
+def _http_response(call, answer):
     headers = list(answer.headers)
     if not answer.status:
         headers.append(("content-type", "application/json"))
@@ -151,7 +153,7 @@
         ("siskintally-evidence", _header_text(answer.evidence)),
         ("siskintally-request-id", call.request_id),
     ]
-    return HttpAnswer(
+    return HttpResponse(
         status=answer.status or status_of(answer.code),
         body=answer.body_for_caller(),
         headers=headers,
@@ -163,9 +165,9 @@
     return printable[:MAX_EVIDENCE_CHARS].strip()
 
 
-def _json_answer_with_code(code, fields, headers=()):
+def _json_response_with_code(code, fields, headers=()):
     all_headers = [("siskintally-code", str(int(code))), *headers]
-    return json_answer(status_of(code), {"code": int(code), **fields}, all_headers)
+    return json_response(status_of(code), {"code": int(code), **fields}, all_headers)
 
 
 def _code_or_internal(number):
--- a/siskintally/http_server.py
+++ b/siskintally/http_server.py
@@ -57,7 +57,7 @@
         return f"{self.path}?{self.query}" if self.query else self.path
 
 
-class HttpAnswer:
+class HttpResponse:
     """A complete response.
 
     :param headers: list of ``(name, value)`` strings.
@@ -71,18 +71,18 @@
         self.headers = headers
 
 
-def json_answer(status, fields, headers=()):
+def json_response(status, fields, headers=()):
     """Return a response with a JSON body."""
     body = dumps(fields).encode()
-    return HttpAnswer(
+    return HttpResponse(
         status=status, body=body, headers=[("content-type", "application/json"), *headers]
     )
 
 
-def error_answer(status, code, message):
+def error_response(status, code, message):
     """Return a JSON error response with the result code in the body and in siskintally-code."""
     fields = {"code": int(code), "message": message}
-    return json_answer(status, fields, headers=[("siskintally-code", str(int(code)))])
+    return json_response(status, fields, headers=[("siskintally-code", str(int(code)))])
 
 
 class HttpApp(ABC):
@@ -93,11 +93,11 @@
 
     @abstractmethod
     async def handle(self, request):
-        """Return the :class:`HttpAnswer` to a request, or None to abort the response."""
+        """Return the :class:`HttpResponse` to a request, or None to abort the response."""
 
-    def failure(self, error):
-        """Return the :class:`HttpAnswer` for a refused request."""
-        return error_answer(413 if error.code == Code.TOO_LARGE else 400, error.code, str(error))
+    def error_to_response(self, error):
+        """Return the :class:`HttpResponse` for a refused request."""
+        return error_response(413 if error.code == Code.TOO_LARGE else 400, error.code, str(error))
 
     async def __call__(self, scope, receive, send):
         """Serve one ASGI connection."""
@@ -111,22 +111,22 @@
             request = await _read_request(scope, receive, self.max_body_bytes)
             if request is None:
                 return
-            answer = await self.handle(request)
+            response = await self.handle(request)
         except SiskintallyError as error:
-            answer = self.failure(error)
+            response = self.error_to_response(error)
         except Exception as error:  # a fault in one request must not end the daemon
             log.exception("request failed", path=scope.get("path", ""))
-            answer = error_answer(500, Code.INTERNAL, type(error).__name__)
-        if answer is not None:
-            await respond(send, answer)
+            response = error_response(500, Code.INTERNAL, type(error).__name__)
+        if response is not None:
+            await respond(send, response)
 
 
-async def respond(send, answer):
+async def respond(send, response):
     """Send a response."""
-    headers = [(name.lower().encode(), value.encode("latin-1")) for name, value in answer.headers]
-    headers.append((b"content-length", str(len(answer.body)).encode()))
-    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
-    await send({"type": "http.response.body", "body": answer.body, "more_body": False})
+    headers = [(name.lower().encode(), value.encode("latin-1")) for name, value in response.headers]
+    headers.append((b"content-length", str(len(response.body)).encode()))
+    await send({"type": "http.response.start", "status": response.status, "headers": headers})
+    await send({"type": "http.response.body", "body": response.body, "more_body": False})
 
 
 async def _lifespan(receive, send):
@@ -173,10 +173,10 @@
     return b"".join(chunks)
 
 
-async def serve_http(app, *, address, until, graceful_s):
+async def serve_http(app, *, address, stop_event, graceful_s):
     """Serve an app until an event is set, then finish the requests in progress.
 
-    :param until: anyio Event that stops the server.
+    :param stop_event: anyio Event that stops the server.
     :param graceful_s: longest time in seconds to finish the requests in progress.
     """
     config = Config()
@@ -191,4 +191,4 @@
     # Runs in its own task: on Python 3.11 hypercorn's task group leaves a pending cancellation
     # count on its task, which would break the caller's cancel scopes.
     async with create_task_group() as tasks:
-        tasks.start_soon(partial(serve, app, config, shutdown_trigger=until.wait, mode="asgi"))
+        tasks.start_soon(partial(serve, app, config, shutdown_trigger=stop_event.wait, mode="asgi"))
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -12,7 +12,7 @@
 from siskintally.control_pb2 import DocumentPut, DocumentRead, WorkerGone, WorkerSeen
 from siskintally.errors import BadRequestError
 from siskintally.flow_gateway import MIN_RETRY_AFTER_S
-from siskintally.http_server import HttpAnswer, HttpApp, json_answer
+from siskintally.http_server import HttpApp, HttpResponse, json_response
 from siskintally.log import get_logger
 from siskintally.platform.documents import read_document, read_flow, read_worker
 from siskintally.platform.fields import Fields
@@ -46,12 +46,12 @@
         """Return when a request that was refused may come again, in seconds."""
         return MIN_RETRY_AFTER_S
 
-    def failure(self, error):
+    def error_to_response(self, error):
         """Return the answer to a request that was refused."""
         status = STATUS_BY_CODE.get(error.code, UNAVAILABLE)
         is_retried = status in (UNAVAILABLE, 429)
         headers = [("retry-after", str(self.retry_after_s()))] if is_retried else []
-        return json_answer(
+        return json_response(
             status, {"error": str(error)[:200], "code": int(error.code)}, headers=headers
         )
 
@@ -79,20 +79,22 @@
         deadline_s = _deadline_s(request)
         if not rest and request.method == "GET":
             pending = await self._gateway.pending(queue, deadline_s=deadline_s)
-            return json_answer(200, {"pending": pending})
+            return json_response(200, {"pending": pending})
         if not JOB_ID.fullmatch(rest):
-            return json_answer(404, {"error": "no job of that name"})
+            return json_response(404, {"error": "no job of that name"})
         if request.method == "POST":
             flow = read_flow(rest, queue.name, request.body)
             await self._gateway.submit(flow, queue, deadline_s=deadline_s)
-            return json_answer(200, {})
+            return json_response(200, {})
         if request.method == "DELETE":
             is_known = await self._gateway.cancel(rest, queue, deadline_s=deadline_s)
-            return json_answer(200 if is_known else GONE, {})
+            return json_response(200 if is_known else GONE, {})
         if request.method == "GET":
             state = await self._gateway.read(rest, queue, deadline_s=deadline_s)
-            return json_answer(GONE, {}) if state is None else json_answer(200, {"state": state})
-        return json_answer(405, {"error": "expected GET, POST or DELETE"})
+            return (
+                json_response(GONE, {}) if state is None else json_response(200, {"state": state})
+            )
+        return json_response(405, {"error": "expected GET, POST or DELETE"})
 
 
 def _deadline_s(request):
@@ -114,7 +116,7 @@
 
     async def handle(self, request):
         """Answer with 200 or 503."""
-        return HttpAnswer(status=200 if self._is_ready() else UNAVAILABLE)
+        return HttpResponse(status=200 if self._is_ready() else UNAVAILABLE)
 
 
 class MetricsApp(PlatformApp):
@@ -131,7 +133,7 @@
     async def handle(self, request):
         """Answer with all values."""
         body = self._counters.text().encode()
-        return HttpAnswer(status=200, body=body, headers=[METRICS_TYPE])
+        return HttpResponse(status=200, body=body, headers=[METRICS_TYPE])
 
 
 class ControlApp(PlatformApp):
@@ -153,35 +155,35 @@
             case "POST", ["instances", worker_id, "heartbeat"]:
                 worker = read_worker(worker_id, request.body)
                 await self._calls.call(WorkerSeen(worker=worker), timeout=HEARTBEAT_S)
-                return json_answer(200, {})
+                return json_response(200, {})
             case "POST", ["instances", worker_id, "deregister"]:
                 body = WorkerGone(id=worker_id, born_ms=_born(request.body))
                 await self._calls.call(body, timeout=HEARTBEAT_S)
-                return json_answer(200, {})
+                return json_response(200, {})
             case "POST", ["config", "replace"]:
                 return await self._replace(request)
             case "GET", ["config", "get"]:
                 return await self._get()
-        return json_answer(404, {"error": "no such call"})
+        return json_response(404, {"error": "no such call"})
 
     async def _replace(self, request):
         document = read_document(request.body)
         check_document(document)
         await self._calls.call(DocumentPut(document=document))
-        return json_answer(200, {})
+        return json_response(200, {})
 
     async def _get(self):
         reply = await self._calls.call(DocumentRead())
         if not reply.document.version:
-            return json_answer(UNAVAILABLE, {"error": "no configuration yet"})
+            return json_response(UNAVAILABLE, {"error": "no configuration yet"})
         headers = [("content-type", "application/json")]
-        return HttpAnswer(status=200, body=reply.document.original, headers=headers)
+        return HttpResponse(status=200, body=reply.document.original, headers=headers)
 
-    def failure(self, error):
+    def error_to_response(self, error):
         """Return the answer; an unknown outcome lets the sender try another node."""
         if error.code == Code.OUTCOME_UNKNOWN:
-            return json_answer(UNAVAILABLE, {"error": str(error)[:200]})
-        return super().failure(error)
+            return json_response(UNAVAILABLE, {"error": str(error)[:200]})
+        return super().error_to_response(error)
 
 
 def _born(body):
--- a/siskintally/platform/process.py
+++ b/siskintally/platform/process.py
@@ -60,7 +60,7 @@
 
 
 async def _serve_all(apps, node):
-    serve_one = partial(serve_http, until=node.closing, graceful_s=node.last_requests_s)
+    serve_one = partial(serve_http, stop_event=node.closing, graceful_s=node.last_requests_s)
     async with create_task_group() as tasks:
         for app, address in apps:
             tasks.start_soon(partial(serve_one, app, address=address))
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -14,7 +14,7 @@
 from httpx import AsyncClient, HTTPError
 
 from siskintally.errors import BadRequestError
-from siskintally.http_server import HttpAnswer, HttpApp, json_answer, respond, serve_http
+from siskintally.http_server import HttpApp, HttpResponse, json_response, respond, serve_http
 from siskintally.log import get_logger
 from siskintally.stub_duplicator import ResponseDuplicator
 
@@ -195,7 +195,7 @@
                 address = f"{DOUBLED_HOST}:{port}"
                 relay = ResponseDuplicator(host=host, port=int(port), target_host=DOUBLED_HOST)
                 tasks.start_soon(relay.run)
-            await serve_http(self, address=address, until=self._stopped, graceful_s=DRAIN_S)
+            await serve_http(self, address=address, stop_event=self._stopped, graceful_s=DRAIN_S)
             tasks.cancel_scope.cancel()
 
     async def stop(self):
@@ -227,7 +227,7 @@
             raise BadRequestError(f"fault = {fault!r}: expected one of {', '.join(FAULTS[:-1])}")
         self._fault = fault
         self._service_s = fields.get("service_ms", self._service_s * 1000) / 1000
-        return json_answer(200, {"fault": self._fault, "in_flight": self._in_flight})
+        return json_response(200, {"fault": self._fault, "in_flight": self._in_flight})
 
     async def _run_one(self, scope, receive, send):
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
@@ -274,7 +274,7 @@
             "body": body.decode("latin-1"),
         }
         content = dumps(fields).encode()
-        answer = HttpAnswer(
+        answer = HttpResponse(
             status=500 if self._fault == "fail" else 200,
             body=content,
             headers=[
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -3,7 +3,7 @@
 from json import loads
 
 from siskintally.driver import Order, Refusal
-from siskintally.http_server import HttpApp, json_answer
+from siskintally.http_server import HttpApp, json_response
 
 REASON_BY_REFUSAL = {Refusal.FENCED: "fence", Refusal.OLD: "old", Refusal.LATE: "late"}
 
@@ -21,7 +21,7 @@
         """Answer one call."""
         body = loads(request.body)
         if request.headers.get("siskintally-expect-instance") != self.worker.record.id:
-            return json_answer(421, {})
+            return json_response(421, {})
         if request.path == "/hold":
             return self._hold(body)
         order = Order(
@@ -36,16 +36,16 @@
         reply = carry_out(order)
         if reply.refusal != Refusal.NONE:
             reason = REASON_BY_REFUSAL[reply.refusal]
-            return json_answer(409, {"clockMs": reply.clock_ms, "reason": reason})
-        return json_answer(200, {"clockMs": reply.clock_ms})
+            return json_response(409, {"clockMs": reply.clock_ms, "reason": reason})
+        return json_response(200, {"clockMs": reply.clock_ms})
 
     def _hold(self, body):
         report = self.worker.hold(
             fence=body["fence"], lease_until_ms=body.get("untilMs"), noted=body["ackedUpto"]
         )
         if report.refusal != Refusal.NONE:
-            return json_answer(409, {"clockMs": report.clock_ms, "reason": "fence"})
-        return json_answer(
+            return json_response(409, {"clockMs": report.clock_ms, "reason": "fence"})
+        return json_response(
             200,
             {
                 "clockMs": report.clock_ms,
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -92,7 +92,7 @@
             until = Event()
             async with create_task_group() as tasks, AsyncClient() as cell.client:
                 tasks.start_soon(
-                    partial(serve_http, app, address=address, until=until, graceful_s=0.1)
+                    partial(serve_http, app, address=address, stop_event=until, graceful_s=0.1)
                 )
                 await cell.control_call("POST", "/config/replace", json=CONFIG)
                 beat = app.announcement(address)
