Correct comments on ledger refusals and on the limit on bodies

A refusal by a stopping store is retried, and the limit counts only the bodies of callers' requests; the comments suggested otherwise. Two terse docstrings of the queue and the dispatcher are spelled out.

--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -44,7 +44,7 @@
 MIN_DRAIN_S = 1.0
 # Time to write the last responses after all requests are answered.
 RESPONSE_FLUSH_S = 2.0
-# Limit on the request bodies in memory.
+# Limit on the request bodies of callers in memory.
 MAX_BUFFERED_BYTES = 64 << 20
 
 log = get_logger("entry")
--- a/siskintally/fair_queue.py
+++ b/siskintally/fair_queue.py
@@ -17,7 +17,7 @@
 
 
 class RequestState(Enum):
-    """State of a request in the queue: GONE is removed, TAKEN is sent on."""
+    """State of a request in the queue: TAKEN has a slot, GONE was dropped."""
 
     NEW = 0
     WAITING = 1
--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -141,7 +141,8 @@
         try:
             await self.settle(key, body)
         except RefusedError as error:
-            # The ledger has a different record of the attempt; repeating the message is no use.
+            # Unless a stop or an internal error is the cause, the ledger has a different record of
+            # the attempt, and repeating the message doesn't help.
             log.warning(
                 "ledger refused to settle an attempt",
                 key=key,
--- a/siskintally/request_handler.py
+++ b/siskintally/request_handler.py
@@ -37,7 +37,7 @@
 # whichever is less.
 FORWARD_MARGIN_S = 0.1
 FORWARD_MARGIN_RATIO = 0.1
-# Longest wait for the ledger before the caller is answered; settling goes on in the background.
+# Longest wait for the ledger before the caller is answered; settling continues in the background.
 MAX_SETTLE_WAIT_S = 2.0
 EXPIRED_EVIDENCE = "deadline passed in the queue; no byte was sent"
 NOT_RUN_EVIDENCE = "this attempt was not run; earlier ones with the key are unchanged"
--- a/siskintally/service_dispatcher.py
+++ b/siskintally/service_dispatcher.py
@@ -154,7 +154,7 @@
         return not len(self.admission) and not self._slots_by_key and not self._live_endpoints(now)
 
     def run_maintenance(self, now):
-        """Release slots whose delay has passed, dispatch waiting requests, drop ended endpoints.
+        """Release slots whose delay has passed, dispatch waiting requests, drop gone endpoints.
 
         :returns: forwarders of the dropped endpoints, to be closed.
         """
