--- a/siskintally/call.py
+++ b/siskintally/call.py
@@ -1,4 +1,4 @@
-"""A caller's request and the answer to it.
+"""A caller's request (Call) and its result (Answer), with their HTTP and wire forms.
 
 >>> from siskintally.call import Answer
 >>> from siskintally.codes import Code
@@ -13,23 +13,23 @@
 
 from siskintally.codes import Code, not_run
 from siskintally.errors import BadRequestError
-from siskintally.forward import end_to_end
+from siskintally.forward import end_to_end_headers
 from siskintally.limits import CLASS_BY_NAME, NORMAL
 from siskintally.wire_pb2 import ForwardReply, ForwardRequest, Header
 
 METHODS = ("GET", "POST")
-MAX_NAME = 128
-MAX_KEY = 256
+MAX_CALLER_CHARS = 128
+MAX_KEY_CHARS = 256
 MAX_DEADLINE_MS = 3_600_000
-OWN_HEADER_PREFIX = "siskintally-"
+RESERVED_HEADER_PREFIX = "siskintally-"
 
 
 class Call:
-    """A request for an endpoint.
+    """A caller's request to a service.
 
     :param target: path with query.
     :param headers: list of ``(name, value)`` for the endpoint.
-    :param rank: class.
+    :param rank: class, 0 is the most urgent.
     :param deadline: monotonic time.
     :param key: idempotency key of a non-idempotent request, else empty.
     """
@@ -41,7 +41,7 @@
         "headers",
         "key",
         "method",
-        "once",
+        "non_idempotent",
         "rank",
         "request_id",
         "service",
@@ -61,15 +61,15 @@
         self.deadline = deadline
         self.caller = caller
         self.key = key
-        self.once = bool(key)
+        self.non_idempotent = bool(key)
 
     def digest(self):
-        """Return what two requests with the same key must have in common."""
+        """Return the SHA-256 that must be equal for requests with the same idempotency key."""
         head = f"{self.method}\0{self.service}\0{self.target}\0".encode()
         return sha256(head + self.body).digest()
 
     def to_message(self):
-        """Return the call as a message to an entry of another domain."""
+        """Return the call as a message for an entry of another domain."""
         return ForwardRequest(
             request_id=self.request_id,
             service=self.service,
@@ -79,14 +79,14 @@
             body=self.body,
             class_=self.rank,
             deadline_s=max(self.deadline - monotonic(), 0.0),
-            once=self.once,
+            once=self.non_idempotent,
         )
 
 
-def read_call(request, *, service, target, limits):
-    """Check a caller's HTTP request.
+def parse_call(request, *, service, target, limits):
+    """Return the call in a caller's HTTP request.
 
-    :raises BadRequestError: names the header and what is allowed.
+    :raises BadRequestError: names the invalid part and what is allowed.
     """
     headers = request.headers
     if request.method not in METHODS:
@@ -99,17 +99,17 @@
         service=service,
         method=request.method,
         target=target,
-        headers=[*end_to_end(request.header_items)],
+        headers=[*end_to_end_headers(request.header_items)],
         body=request.body,
         rank=rank,
         deadline=monotonic() + _deadline_s(headers, limits, rank),
-        caller=_short(headers, "siskintally-caller", MAX_NAME) or request.peer,
-        key=_short(headers, "idempotency-key", MAX_KEY),
+        caller=_limited_header(headers, "siskintally-caller", MAX_CALLER_CHARS) or request.peer,
+        key=_limited_header(headers, "idempotency-key", MAX_KEY_CHARS),
     )
 
 
-def read_forward(message, *, caller):
-    """Return the call in a message of another entry.
+def parse_forward(message, *, caller):
+    """Return the call in a message from another entry.
 
     :param caller: name of that entry.
     """
@@ -125,7 +125,7 @@
         caller=caller,
         key="",
     )
-    call.once = message.once
+    call.non_idempotent = message.once
     return call
 
 
@@ -138,7 +138,7 @@
     return int(text) / 1000
 
 
-def _short(headers, name, limit):
+def _limited_header(headers, name, limit):
     value = headers.get(name, "")
     if len(value) > limit or not value.isprintable():
         raise BadRequestError(f"{name}: expected at most {limit} printable characters")
@@ -146,11 +146,11 @@
 
 
 class Answer:
-    """What a caller is told.
+    """Result of a call, as returned to the caller.
 
     :param code: result code.
-    :param evidence: what the code rests on.
-    :param status: HTTP status of the endpoint's response, 0 if there is none.
+    :param evidence: short text for the caller that explains the code.
+    :param status: HTTP status of the endpoint's response, 0 without a response.
     :param headers: list of ``(name, value)`` of the endpoint's response.
     """
 
@@ -165,24 +165,24 @@
 
     @classmethod
     def without_response(cls, code, evidence):
-        """Return an answer that holds no response of an endpoint."""
+        """Return an answer without a response of an endpoint."""
         return cls(code=code, evidence=evidence)
 
     @classmethod
-    def of_response(cls, status, headers, body):
-        """Return an answer that passes a complete response on."""
+    def from_response(cls, status, headers, body):
+        """Return an answer with an endpoint's complete response."""
         failed = status >= 500
         return cls(
             code=Code.ENDPOINT_FAILED if failed else Code.DONE,
             evidence="complete response, id and digest checked",
             status=status,
-            headers=[pair for pair in headers if not pair[0].startswith(OWN_HEADER_PREFIX)],
+            headers=[pair for pair in headers if not pair[0].startswith(RESERVED_HEADER_PREFIX)],
             body=body,
         )
 
     @classmethod
-    def of_message(cls, reply):
-        """Return the answer in the reply of another entry."""
+    def from_message(cls, reply):
+        """Return the answer in the reply of another entry; an unknown code is OUTCOME_UNKNOWN."""
         try:
             code = Code(reply.code)
         except ValueError:
@@ -198,11 +198,11 @@
 
     @property
     def is_not_run(self):
-        """Whether it states that the request was not run."""
+        """Whether the code guarantees that the request was not run."""
         return not_run(self.code)
 
     def to_message(self):
-        """Return the answer as a message to the entry that forwarded the request."""
+        """Return the answer as a message for the entry that forwarded the request."""
         return ForwardReply(
             code=int(self.code),
             evidence=self.evidence,
@@ -211,8 +211,8 @@
             body=self.body,
         )
 
-    def content(self):
-        """Return the body for the caller; one without a response gets JSON."""
+    def body_for_caller(self):
+        """Return the body for the caller: that of the response, else JSON with the code."""
         if self.status:
             return self.body
         fields = {"code": int(self.code), "name": self.code.name, "message": self.evidence}
--- a/siskintally/entry_summary.py
+++ b/siskintally/entry_summary.py
@@ -1,4 +1,4 @@
-"""What entries of other domains know of this one, and the choice among them.
+"""Load summaries between entries of different domains, and the choice of one to forward to.
 
 >>> from siskintally.entry_summary import SummaryTable
 >>> table = SummaryTable(region="jylland")
@@ -8,40 +8,41 @@
 
 from random import Random
 
-# The link itself has pings, so a summary only repeats itself against lost messages.
-KEEPALIVE_S = 30.0
-# Free slots change all the time; only a change by this factor is worth cross-region bytes.
-CHANGE_FACTOR = 2.0
+# An unchanged summary is repeated only to make up for lost messages; pings check the link.
+REPEAT_INTERVAL_S = 30.0
+# Free slots change all the time; smaller changes are not worth billed cross-region bytes.
+MIN_CHANGE_FACTOR = 2.0
 
 
-class SummarySender:
-    """Decides when a summary is worth sending to one peer."""
+class SummaryThrottle:
+    """Decides when to send a summary to one peer: when it changed much, or after 30 s."""
 
-    __slots__ = ("_last", "_sent_at")
+    __slots__ = ("_last_sent", "_sent_at")
 
     def __init__(self):
-        self._last = None
+        self._last_sent = None
         self._sent_at = 0.0
 
     def is_due(self, summary, *, now):
-        """Tell whether to send; a summary that is due counts as sent."""
+        """Return whether to send a summary; if so, record it as sent."""
         due = (
-            self._last is None
-            or now - self._sent_at >= KEEPALIVE_S
-            or _differs(self._last, summary)
+            self._last_sent is None
+            or now - self._sent_at >= REPEAT_INTERVAL_S
+            or _is_significant_change(self._last_sent, summary)
         )
         if due:
-            self._last = summary
+            self._last_sent = summary
             self._sent_at = now
         return due
 
 
-def _differs(old, new):
+def _is_significant_change(old, new):
     if old.draining != new.draining or len(old.services) != len(new.services):
         return True
-    before = {load.service: load for load in old.services}
+    old_load_by_service = {load.service: load for load in old.services}
     return any(
-        load.service not in before or _load_differs(before[load.service], load)
+        load.service not in old_load_by_service
+        or _load_differs(old_load_by_service[load.service], load)
         for load in new.services
     )
 
@@ -50,7 +51,7 @@
     if old.endpoints != new.endpoints or bool(old.free_slots) != bool(new.free_slots):
         return True
     low, high = sorted((old.free_slots, new.free_slots))
-    return high > low * CHANGE_FACTOR
+    return high > low * MIN_CHANGE_FACTOR
 
 
 class SummaryTable:
@@ -66,8 +67,8 @@
         self._by_peer = {}
         self._random = random or Random()
 
-    def learn(self, peer, summary):
-        """Take the summary of a peer."""
+    def record(self, peer, summary):
+        """Record the summary of a peer."""
         self._by_peer[peer] = summary
 
     def forget(self, peer):
@@ -75,16 +76,18 @@
         self._by_peer.pop(peer, None)
 
     def choose(self, service, *, open_peers, avoid="", need_free=False):
-        """Return an entry that can serve a service, or None; the own region comes first.
+        """Return a random one of the best entries that serve a service, or None.
 
-        :param open_peers: ``{peer: region}`` of the entries that can be reached.
-        :param avoid: entry that has just failed.
-        :param need_free: whether only entries with free slots are wanted.
+        Any other entry is better than ``avoid``, then one in the own region, then free slots.
+
+        :param open_peers: ``{peer: region}`` of the reachable entries.
+        :param avoid: entry that has just failed, or empty.
+        :param need_free: whether an entry must have free slots.
         """
         best = []
         best_rank = None
         for peer, region in open_peers.items():
-            load = self._load(peer, service)
+            load = self._load_of(peer, service)
             if load is None or not load.endpoints or (need_free and not load.free_slots):
                 continue
             rank = (peer == avoid, region != self.region, not load.free_slots)
@@ -94,7 +97,7 @@
                 best.append(peer)
         return self._random.choice(best) if best else None
 
-    def _load(self, peer, service):
+    def _load_of(self, peer, service):
         summary = self._by_peer.get(peer)
         if summary is None or summary.draining:
             return None
--- a/siskintally/peers.py
+++ b/siskintally/peers.py
@@ -1,9 +1,9 @@
 """Links of an entry to the other entries and to the stores.
 
-Of two entries the one with the smaller name dials, so there is one link for each pair.
+Of two entries, the one with the smaller name opens the link, so each pair has one link.
 
->>> from siskintally.peers import dials
->>> dials("e1", "e2"), dials("e2", "e1")
+>>> from siskintally.peers import opens_link
+>>> opens_link("e1", "e2"), opens_link("e2", "e1")
 (True, False)
 """
 
@@ -12,18 +12,18 @@
 from siskintally.link import Link
 
 
-def dials(own, other):
-    """Tell whether an entry opens the link to another."""
+def opens_link(own, other):
+    """Return whether an entry opens the link to another."""
     return own < other
 
 
 class Peers:
-    """Links by process name.
+    """Sessions with the other entries and the stores, by process name.
 
     :param settings: settings of the cell.
-    :param process: the row of this entry.
-    :param hello: what this process says of itself.
-    :param handler: takes calls and messages of peers.
+    :param process: settings of this entry.
+    :param hello: Hello message that identifies this process.
+    :param handler: :class:`~siskintally.session.Handler` of calls and messages from peers.
     :param server: :class:`~siskintally.link.LinkServer` of this process.
     """
 
@@ -32,23 +32,26 @@
     def __init__(self, *, settings, process, hello, handler, server):
         self._process = process
         self._server = server
-        self.entries = {one.name: one for one in settings.entries() if one.name != process.name}
+        self.entries = {
+            other.name: other for other in settings.entries() if other.name != process.name
+        }
         self.summaries = SummaryTable(region=process.region)
         self._links = {
-            one.name: Link(
-                host=one.link.host,
-                port=one.link.port,
+            other.name: Link(
+                host=other.link.host,
+                port=other.link.port,
                 hello=hello,
                 secret=settings.secret,
                 handler=handler,
                 tls=settings.tls(process.name),
             )
-            for one in settings.process_by_name.values()
-            if one.role == "store" or (one.name in self.entries and dials(process.name, one.name))
+            for other in settings.process_by_name.values()
+            if other.role == "store"
+            or (other.name in self.entries and opens_link(process.name, other.name))
         }
 
     def links(self):
-        """Yield (process name, link) of all links that this process opens."""
+        """Yield (process name, link) of the links that this process opens."""
         yield from self._links.items()
 
     def session(self, name):
@@ -57,13 +60,15 @@
             link = self._links[name]
             return link.session if link.is_open else None
         sessions = self._server.session_by_id.values()
-        found = [one for one in sessions if one.peer.name == name and not one.closed]
-        return found[-1] if found else None
+        open_sessions = [
+            session for session in sessions if session.peer.name == name and not session.closed
+        ]
+        return open_sessions[-1] if open_sessions else None
 
     async def call(self, name, body, *, timeout):
         """Call a process; see :meth:`siskintally.session.Session.call`.
 
-        :raises UnreachableError: there is no open link to it.
+        :raises UnreachableError: there is no open session with it.
         """
         session = self.session(name)
         if session is None:
@@ -71,9 +76,9 @@
         return await session.call(body, timeout=timeout)
 
     def open_entries(self, *, own_domain):
-        """Yield (entry process, session) of the entries that can be reached.
+        """Yield (process settings, session) of the reachable entries.
 
-        :param own_domain: whether those of the own failure domain or the others.
+        :param own_domain: whether to yield those of the own failure domain or the others.
         """
         for name, process in self.entries.items():
             if (process.domain == self._process.domain) == own_domain:
@@ -82,7 +87,7 @@
                     yield process, session
 
     def choose(self, service, *, avoid="", need_free=False):
-        """Return the name of an entry of another domain that can serve a service, or None."""
+        """Choose an entry of another domain; see :meth:`SummaryTable.choose`."""
         reachable = {
             process.name: process.region for process, _ in self.open_entries(own_domain=False)
         }
@@ -91,10 +96,10 @@
         )
 
     def is_other_region(self, name):
-        """Tell whether an entry is in another region."""
+        """Return whether an entry is in another region."""
         return self.entries[name].region != self._process.region
 
 
-def identity(hello):
-    """Return what tells two runs of a process apart."""
+def incarnation_id(hello):
+    """Return name and incarnation of a process, which differ after a restart."""
     return f"{hello.name}/{hello.incarnation}"
