--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -1,4 +1,4 @@
-"""Scheduler of flows in one term of a leader; pure, with the time passed in.
+"""Flow scheduler for one leader term; pure logic, callers pass the time in.
 
 >>> from siskintally.control_pb2 import Flow, FlowStep, PoolWorker, Queue
 >>> from siskintally.flow_scheduler import FlowScheduler
@@ -20,29 +20,30 @@
 from siskintally.speculation import Speculation
 from siskintally.step_placement import StepPlacement
 
-# Starts of one term have numbers of their own, so that a later leader's are always higher.
+# Each term has its own range of run numbers, so those of a later leader are always higher.
 RUNS_PER_TERM = 1_000_000
 
 
 class FlowScheduler(StepPlacement, AdvicePlanning, ReportHandling, Speculation):
-    """What a leader decides about flows, from its election to its deposition.
+    """Scheduling decisions of a leader during its term.
 
-    ``stops``, ``throttles``: :class:`~siskintally.actions.StopAction` and
-    :class:`~siskintally.actions.ThrottleAction` objects that are to be sent.
-    ``taken_by_worker``: number of the last end that was taken from each worker.
-    ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not reported.
+    ``ready_by_id``: unfinished steps whose dependencies are done. ``stops``, ``throttles``:
+    :class:`~siskintally.actions.StopAction` and :class:`~siskintally.actions.ThrottleAction`
+    objects waiting to be sent. ``last_end_by_worker``: number of the last end processed from each
+    worker. ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not yet
+    reported in this term. ``_known_flow_ids``: ids of all flows seen in this term.
 
     :param term: term of the leader; also the fence of its orders.
     """
 
     __slots__ = (
-        "_known_flows",
-        "_runs",
+        "_known_flow_ids",
+        "_run_count",
         "_unlocated_by_worker",
         "flow_by_id",
+        "last_end_by_worker",
         "ready_by_id",
         "stops",
-        "taken_by_worker",
         "term",
         "throttles",
         "worker_by_id",
@@ -55,22 +56,21 @@
         self.ready_by_id = {}
         self.stops = []
         self.throttles = []
-        self.taken_by_worker = {}
-        self._runs = 0
-        self._known_flows = set()
+        self.last_end_by_worker = {}
+        self._run_count = 0
+        self._known_flow_ids = set()
         self._unlocated_by_worker = {}
 
-    def next_run(self):
-        """Return the number of the next start."""
-        self._runs += 1
-        return self.term * RUNS_PER_TERM + self._runs
+    def next_run_number(self):
+        """Return a new run number."""
+        self._run_count += 1
+        return self.term * RUNS_PER_TERM + self._run_count
 
     def restore(self, state, now):
-        """Take over the flows and workers of a former leader.
-
-        A task may run only on the worker that its last committed start names; what was never
-        started, or on a worker that is gone, may start at once.
+        """Load the flows and workers from the replicated state at the start of the term.
 
+        A task can only be running on the worker that its last committed start names. Tasks that
+        were never started, or whose worker is gone, can start at once.
 
         :param state: :class:`~siskintally.control_state.ControlState`.
         """
@@ -82,25 +82,25 @@
                 self._restore_flow(flow_state, queue, now)
 
     def _restore_flow(self, state, queue, now):
-        run = FlowRun(flow=state.flow, queue=queue, arrived=now)
+        run = FlowRun(flow=state.flow, queue=queue, arrived_at=now)
         self.flow_by_id[run.id] = run
-        self._known_flows.add(run.id)
+        self._known_flow_ids.add(run.id)
         run.started = bool(state.done or state.start_by_task)
         for step in run.steps():
             self._restore_step(step, state)
         for step in run.steps():
             if not step.remaining:
-                for follower in step.followers:
-                    follower.blockers -= 1
-        self._ready(run.steps())
+                for dependent in step.dependents:
+                    dependent.unfinished_dependencies -= 1
+        self._add_ready(run.steps())
 
     def _restore_step(self, step, state):
         step.waiting.clear()
         for task in reversed(step.tasks):
             failures = state.failures_by_task.get(task.id, Failures())
             task.failures = failures.count
-            task.failed_run = failures.last_run
-            worker = self._worker_of(state.start_by_task.get(task.id))
+            task.last_failed_run = failures.last_run
+            worker = self._worker_of_start(state.start_by_task.get(task.id))
             if task.id in state.done:
                 task.state = TaskState.DONE
             elif worker is not None:
@@ -110,25 +110,25 @@
                 step.waiting.append(task)
         step.remaining = sum(task.state != TaskState.DONE for task in step.tasks)
 
-    def _worker_of(self, start):
-        """Return the worker on which a committed start may run, or None."""
+    def _worker_of_start(self, start):
+        """Return the worker on which a committed start may be running, or None."""
         worker = self.worker_by_id.get(start.worker) if start is not None else None
         if worker is None or worker.record.born_ms != start.born_ms:
             return None
         return worker
 
-    def note_seen(self, worker):
-        """Let tasks wait again that a former leader sent to a worker and that are not there."""
+    def requeue_unlocated(self, worker):
+        """Requeue the tasks that a former leader sent to a worker and that do not run there."""
         steps = {}
         for task in self._unlocated_by_worker.pop(worker.id, ()):
             steps[task.step.id] = task.step
             if task.state == TaskState.UNKNOWN and task.step.flow.is_open:
                 self._requeue(task, "")
         for step in steps.values():
-            self._rejoin_gang(step)
+            self._stop_incomplete_gang(step)
 
-    def _rejoin_gang(self, step):
-        """Stop what runs of a gang of which a member does not, once all members are located."""
+    def _stop_incomplete_gang(self, step):
+        """Stop the running members of an incomplete gang, once all members are located."""
         if not step.spec.gang or not 0 < len(step.waiting) < step.remaining:
             return
         if any(task.state == TaskState.UNKNOWN for task in step.tasks):
@@ -140,22 +140,23 @@
     def accept(self, flow, queue, now):
         """Add a flow whose acceptance is committed.
 
-        A flow that this leader knew before is over here, also while its last end is not committed.
+        Flows already seen in this term are ignored: the scheduler may have finished one whose last
+        end is not committed yet.
         """
-        if flow.id in self._known_flows:
+        if flow.id in self._known_flow_ids:
             return
-        self._known_flows.add(flow.id)
-        run = FlowRun(flow=flow, queue=queue, arrived=now)
+        self._known_flow_ids.add(flow.id)
+        run = FlowRun(flow=flow, queue=queue, arrived_at=now)
         self.flow_by_id[flow.id] = run
-        self._ready(run.steps())
+        self._add_ready(run.steps())
 
-    def _ready(self, steps):
+    def _add_ready(self, steps):
         for step in steps:
             if step.is_ready and step.remaining:
                 self.ready_by_id[step.id] = step
 
-    def requeue_queues(self, state):
-        """Let flows follow a new configuration of their queues.
+    def update_queues(self, state):
+        """Apply a new queue configuration to all flows.
 
         :param state: :class:`~siskintally.control_state.ControlState`.
         """
@@ -164,13 +165,13 @@
             flow.queue = by_name.get(flow.flow.queue)
 
     def cancel(self, flow_id):
-        """Stop a flow whose cancellation is committed."""
+        """Close a flow whose cancellation is committed."""
         flow = self.flow_by_id.get(flow_id)
         if flow is not None:
             self.close(flow)
 
     def close(self, flow):
-        """Start nothing of a flow any more and stop what runs."""
+        """Start no more tasks of a flow and stop the running ones."""
         if not flow.is_open:
             return
         flow.is_open = False
@@ -178,90 +179,90 @@
             self.ready_by_id.pop(step.id, None)
             step.waiting.clear()
             for task in step.tasks:
-                for one in (task, *task.copies):
-                    if one.worker and one.state in (TaskState.STARTING, TaskState.RUNNING):
-                        self.stop(one)
-        self._drop_if_over(flow)
+                for run in (task, *task.copies):
+                    if run.worker and run.state in (TaskState.STARTING, TaskState.RUNNING):
+                        self.stop(run)
+        self._remove_if_over(flow)
 
     def stop(self, task):
-        """Order the stop of a task that a worker holds."""
+        """Queue a stop order for a task on a worker."""
         task.state = TaskState.STOPPING
         task.since = float("inf")
         self.stops.append(StopAction(task.id, task.run, task.worker))
 
     def running_steps(self):
-        """Yield steps that are started and not done."""
+        """Yield unfinished steps with all tasks started that other steps depend on."""
         for step in self.ready_by_id.values():
-            if not step.waiting and step.followers:
+            if not step.waiting and step.dependents:
                 yield step
 
     def join(self, record, *, is_new):
-        """Add a worker, or a new incarnation of one.
+        """Add a worker, replace its former incarnation, or update its record.
 
-        :param is_new: whether no leader has sent anything to it before.
+        :param is_new: whether no leader has sent tasks to this incarnation before.
         """
-        known = self.worker_by_id.get(record.id)
-        if known is not None and known.record.born_ms == record.born_ms:
-            known.update(record)
+        existing = self.worker_by_id.get(record.id)
+        if existing is not None and existing.record.born_ms == record.born_ms:
+            existing.update(record)
             return
-        if known is not None:
-            self.lose(known)
+        if existing is not None:
+            self.remove_worker(existing)
         worker = FleetWorker(record=record)
         if is_new:
             worker.status = WorkerStatus.READY
         self.worker_by_id[record.id] = worker
-        self.taken_by_worker.pop(record.id, None)
+        self.last_end_by_worker.pop(record.id, None)
 
     def evacuate(self, worker, now):
-        """Move away what would not end before a leaving worker does."""
-        left_s = worker.record.leaves_in_ms / 1000
-        for task in list(worker.held_by_task.values()):
+        """Stop the tasks that would not end before a leaving worker shuts down."""
+        time_left_s = worker.record.leaves_in_ms / 1000
+        for task in list(worker.task_by_id.values()):
             if task.state != TaskState.RUNNING:
                 continue
             spec = task.step.spec
             remaining_s = spec.estimate_ms / 1000 * worker.expected_slowdown(now) - (
                 now - task.since
             )
-            if spec.lasting or remaining_s > left_s:
+            if spec.lasting or remaining_s > time_left_s:
                 self.stop(task)
 
-    def lapse(self, worker):
-        """Note that the lease of a worker has ended: nothing that was started runs there."""
+    def expire_lease(self, worker):
+        """Requeue the tasks of a worker whose lease has expired: none of them runs any more."""
         worker.status = WorkerStatus.LAPSED
-        self._empty(worker)
-        self.note_seen(worker)
+        self._release_tasks(worker)
+        self.requeue_unlocated(worker)
 
-    def lose(self, worker):
-        """Forget an incarnation that does not exist any more."""
+    def remove_worker(self, worker):
+        """Remove a worker incarnation that no longer exists and requeue its tasks."""
         worker.status = WorkerStatus.LOST
-        self._empty(worker)
+        self._release_tasks(worker)
         if self.worker_by_id.get(worker.id) is worker:
             del self.worker_by_id[worker.id]
-            self.note_seen(worker)
+            self.requeue_unlocated(worker)
 
-    def _empty(self, worker):
-        worker.foreign = {}
-        for task in list(worker.held_by_task.values()):
-            self._leave_worker(task)
+    def _release_tasks(self, worker):
+        worker.unexpected_run_by_task = {}
+        for task in list(worker.task_by_id.values()):
+            self._release_from_worker(task)
             if task.state == TaskState.DONE:
                 continue
             self._requeue(task, "")
             if task.step.spec.gang:
-                self.break_gang(task.step, task.run)
+                self.stop_gang(task.step, task.run)
 
-    def _leave_worker(self, task):
+    def _release_from_worker(self, task):
         worker = task.worker
         worker.release(task)
-        counts = task.step.count_by_worker
+        counts = task.step.task_count_by_worker
         counts[worker.id] = counts.get(worker.id, 1) - 1
         task.worker = None
         if task.copy_of is not None:
             task.copy_of.copies.remove(task)
         if not task.step.flow.is_open:
-            self._drop_if_over(task.step.flow)
+            self._remove_if_over(task.step.flow)
 
     def _requeue(self, task, checkpoint):
-        """Let a task that runs nowhere be started again, if its flow goes on."""
+        """Make a task that runs nowhere startable again if its flow is open."""
         if task.copy_of is not None:
             return
         if checkpoint:
@@ -271,39 +272,39 @@
             return
         task.state = TaskState.WAITING
         step.waiting.append(task)
-        self._ready((step,))
+        self._add_ready((step,))
 
     def _finish(self, task, now):
-        """Note that a task is done, whether or not its worker has freed the room."""
+        """Mark a task as done, whether or not its worker has freed the resources."""
         if task.state == TaskState.DONE:
             return
         step = task.step
         if task.state == TaskState.WAITING and task in step.waiting:
             step.waiting.remove(task)
         if not step.spec.gang:
-            self._end_copies(task, now)
+            self._stop_copies(task, now)
         task.state = TaskState.DONE
         task.since = now
         step.remaining -= 1
         if step.remaining:
             return
         self.ready_by_id.pop(step.id, None)
-        for follower in step.followers:
-            follower.blockers -= 1
-        self._ready(step.followers)
-        if all(not one.remaining for one in step.flow.steps()):
+        for dependent in step.dependents:
+            dependent.unfinished_dependencies -= 1
+        self._add_ready(step.dependents)
+        if all(not other.remaining for other in step.flow.steps()):
             step.flow.is_open = False
-            self._drop_if_over(step.flow)
+            self._remove_if_over(step.flow)
 
-    def _drop_if_over(self, flow):
-        """Forget a closed flow once no worker holds a task of it."""
+    def _remove_if_over(self, flow):
+        """Remove a closed flow once no worker has a task of it."""
         if flow.is_open or self.flow_by_id.get(flow.id) is not flow:
             return
         if all(task.worker is None for step in flow.steps() for task in step.tasks):
             del self.flow_by_id[flow.id]
 
-    def pending(self, queue_name):
-        """Return the number of flows of a queue of which nothing has started."""
+    def count_pending(self, queue_name):
+        """Return the number of open flows of a queue without a started task."""
         return sum(
             flow.flow.queue == queue_name and flow.is_open and not flow.started
             for flow in self.flow_by_id.values()
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -1,4 +1,4 @@
-"""HTTP interface of an entry for callers, endpoints, and operators.
+"""HTTP API of an entry for callers, endpoints, and operators.
 
 >>> from siskintally.gateway import split_call
 >>> split_call("/call/seat-count/boarding/7")
@@ -9,16 +9,16 @@
 from time import monotonic
 from uuid import uuid4
 
-from siskintally.announcement import read_age, read_announcement
-from siskintally.call import read_call
+from siskintally.announcement import parse_age, parse_announcement
+from siskintally.call import parse_call
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotFoundError
-from siskintally.http_server import HttpAnswer, HttpApp, json_answer
+from siskintally.http_server import HttpApp, HttpResponse, json_response
 from siskintally.operator_relay import VERBS
-from siskintally.tokens import check_announcer, holder_of
+from siskintally.tokens import authenticate, check_announcer
 
-MAX_REQUEST_ID = 128
-MAX_EVIDENCE = 300
+MAX_ID_CHARS = 128
+MAX_EVIDENCE_CHARS = 300
 
 STATUS_BY_CODE = {
     Code.OVERLOADED: 503,
@@ -49,9 +49,9 @@
 
 
 def split_call(path):
-    """Return service and path of ``/call/<service>/<path>``.
+    """Return (service, path) of ``/call/<service>/<path>``.
 
-    :raises BadRequestError: no service is named.
+    :raises BadRequestError: the service is missing or too long.
     """
     _, _, rest = path.partition("/call/")
     service, slash, tail = rest.partition("/")
@@ -61,11 +61,11 @@
 
 
 class Gateway(HttpApp):
-    """Routes of an entry.
+    """Routes and handlers of an entry's HTTP API.
 
     :param entry: the :class:`~siskintally.entry.Entry`.
     :param operator_by_token: ``{token: operator name}``.
-    :param service_by_token: ``{token: service}`` of endpoints, empty to take all announcements.
+    :param service_by_token: ``{token: service}``; if empty, all announcements are accepted.
     """
 
     __slots__ = ("_entry", "_operator_by_token", "_service_by_token")
@@ -75,15 +75,17 @@
         self._operator_by_token = operator_by_token
         self._service_by_token = service_by_token
 
-    def failure(self, error):
-        """Return the answer to input that was refused."""
-        return _json_of_code(error.code, {"name": error.code.name, "message": str(error)})
+    def error_to_response(self, error):
+        """Return the JSON response for a refused request."""
+        return _json_response_with_code(
+            error.code, {"name": error.code.name, "message": str(error)}
+        )
 
     async def handle(self, request):
         """Answer one request."""
         answer = await self._route(request)
         if self._entry.draining:
-            # The caller's next request must not be on a connection that ends with this process.
+            # The caller's next request must not use a connection that closes with this process.
             answer.headers = [*answer.headers, ("connection", "close")]
         return answer
 
@@ -94,7 +96,7 @@
             return self._announce(request)
         if request.path == "/v1/health":
             ready, fields = self._entry.health()
-            return json_answer(200 if ready else 503, fields)
+            return json_response(200 if ready else 503, fields)
         if request.path.startswith("/v1/operator/"):
             return await self._operate(request)
         raise NotFoundError(f"path {request.path[:100]!r}: unknown")
@@ -102,32 +104,34 @@
     async def _call(self, request):
         service, path = split_call(request.path)
         target = f"{path}?{request.query}" if request.query else path
-        call = read_call(request, service=service, target=target, limits=self._entry.limits)
+        call = parse_call(request, service=service, target=target, limits=self._entry.limits)
         answer = self._entry.refusal() or await self._entry.serve(call)
-        return _http_answer(call, answer)
+        return _http_response(call, answer)
 
     def _announce(self, request):
-        _post_only(request)
+        _require_post(request)
         now = monotonic()
-        fields = _json(request.body)
-        heard = read_announcement(fields)
+        fields = _parse_json(request.body)
+        endpoint = parse_announcement(fields)
         authorization = request.headers.get("authorization", "")
-        check_announcer(authorization, heard.service, self._service_by_token)
-        self._entry.announce(heard, age_s=read_age(fields, now=now), now=now)
-        return json_answer(200, {"code": int(Code.DONE), "clock": now})
+        check_announcer(authorization, endpoint.service, self._service_by_token)
+        self._entry.record_announcement(endpoint, age_s=parse_age(fields, now=now), now=now)
+        return json_response(200, {"code": int(Code.DONE), "clock": now})
 
     async def _operate(self, request):
-        _post_only(request)
-        operator = holder_of(request.headers.get("authorization", ""), self._operator_by_token)
+        _require_post(request)
+        operator = authenticate(request.headers.get("authorization", ""), self._operator_by_token)
         verb = request.path.removeprefix("/v1/operator/")
         if verb not in VERBS:
             raise NotFoundError(f"verb {verb[:40]!r}: expected one of {', '.join(VERBS)}")
-        arguments = _json(request.body or b"{}")
+        arguments = _parse_json(request.body or b"{}")
         if not isinstance(arguments, dict):
             raise BadRequestError("body: expected a JSON object")
         request_id = request.headers.get("siskintally-request-id") or uuid4().hex
-        if len(request_id) > MAX_REQUEST_ID or not request_id.isprintable():
-            raise BadRequestError(f"Siskintally-Request-Id: expected up to {MAX_REQUEST_ID}")
+        if len(request_id) > MAX_ID_CHARS or not request_id.isprintable():
+            raise BadRequestError(
+                f"Siskintally-Request-Id: expected up to {MAX_ID_CHARS} printable characters"
+            )
         reply = await self._entry.relay.relay(
             request_id=request_id,
             operator=operator,
@@ -135,10 +139,12 @@
             arguments=dumps(arguments).encode(),
         )
         headers = [("siskintally-request-id", request_id)]
-        return _json_of_code(_code(reply.code), {"answer": _json(reply.answer or b"null")}, headers)
+        return _json_response_with_code(
+            _code_or_internal(reply.code), {"answer": _parse_json(reply.answer or b"null")}, headers
+        )
 
 
-def _http_answer(call, answer):
+def _http_response(call, answer):
     headers = list(answer.headers)
     if not answer.status:
         headers.append(("content-type", "application/json"))
@@ -147,34 +153,36 @@
         ("siskintally-evidence", _header_text(answer.evidence)),
         ("siskintally-request-id", call.request_id),
     ]
-    return HttpAnswer(
-        status=answer.status or status_of(answer.code), body=answer.content(), headers=headers
+    return HttpResponse(
+        status=answer.status or status_of(answer.code),
+        body=answer.body_for_caller(),
+        headers=headers,
     )
 
 
 def _header_text(text):
     printable = "".join(char if " " <= char <= "~" else " " for char in text)
-    return printable[:MAX_EVIDENCE].strip()
+    return printable[:MAX_EVIDENCE_CHARS].strip()
 
 
-def _json_of_code(code, fields, headers=()):
+def _json_response_with_code(code, fields, headers=()):
     all_headers = [("siskintally-code", str(int(code))), *headers]
-    return json_answer(status_of(code), {"code": int(code), **fields}, all_headers)
+    return json_response(status_of(code), {"code": int(code), **fields}, all_headers)
 
 
-def _code(number):
+def _code_or_internal(number):
     try:
         return Code(number)
     except ValueError:
         return Code.INTERNAL
 
 
-def _post_only(request):
+def _require_post(request):
     if request.method != "POST":
         raise BadRequestError("method: expected POST")
 
 
-def _json(body):
+def _parse_json(body):
     try:
         return loads(body)
     except (ValueError, RecursionError) as error:
--- a/siskintally/http_server.py
+++ b/siskintally/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP server of a daemon: a plain ASGI app served by hypercorn in the same loop.
+"""HTTP server of a daemon: a plain ASGI app that hypercorn serves in the daemon's event loop.
 
 >>> from siskintally.http_server import HttpRequest
 >>> HttpRequest(method="GET", path="/a", query="x=1", header_items=[], body=b"").target
@@ -18,8 +18,9 @@
 from siskintally.log import get_logger
 
 MAX_BODY_BYTES = 1 << 20
-MAX_DRAINED_BYTES = 8 << 20
-KEEP_ALIVE_S = 30.0
+# A body over the limit is read and discarded up to this size.
+MAX_DISCARDED_BYTES = 8 << 20
+KEEP_ALIVE_TIMEOUT_S = 30.0
 # h11 refuses larger request heads with status 400.
 MAX_HEAD_BYTES = 32 * 1024
 
@@ -27,7 +28,7 @@
 
 
 class TooLargeError(SiskintallyError):
-    """The body is over the limit."""
+    """The request body is over the size limit."""
 
     code = Code.TOO_LARGE
 
@@ -35,7 +36,7 @@
 class HttpRequest:
     """A complete request.
 
-    :param path: as sent, percent-encoded.
+    :param path: as received, percent-encoded.
     :param header_items: list of ``(lower-case name, value)``.
     """
 
@@ -56,7 +57,7 @@
         return f"{self.path}?{self.query}" if self.query else self.path
 
 
-class HttpAnswer:
+class HttpResponse:
     """A complete response.
 
     :param headers: list of ``(name, value)`` strings.
@@ -70,33 +71,33 @@
         self.headers = headers
 
 
-def json_answer(status, fields, headers=()):
+def json_response(status, fields, headers=()):
     """Return a response with a JSON body."""
     body = dumps(fields).encode()
-    return HttpAnswer(
+    return HttpResponse(
         status=status, body=body, headers=[("content-type", "application/json"), *headers]
     )
 
 
-def error_answer(status, code, message):
-    """Return a response with a result code in its body and in the header that callers read."""
+def error_response(status, code, message):
+    """Return a JSON error response with the result code in the body and in siskintally-code."""
     fields = {"code": int(code), "message": message}
-    return json_answer(status, fields, headers=[("siskintally-code", str(int(code)))])
+    return json_response(status, fields, headers=[("siskintally-code", str(int(code)))])
 
 
 class HttpApp(ABC):
-    """ASGI app that answers complete requests."""
+    """ASGI app whose handlers get complete requests and return complete responses."""
 
     __slots__ = ()
     max_body_bytes = MAX_BODY_BYTES
 
     @abstractmethod
     async def handle(self, request):
-        """Return the :class:`HttpAnswer` to a request, or None to end the stream early."""
+        """Return the :class:`HttpResponse` to a request, or None to abort the response."""
 
-    def failure(self, error):
-        """Return the :class:`HttpAnswer` to input that was refused."""
-        return error_answer(413 if error.code == Code.TOO_LARGE else 400, error.code, str(error))
+    def error_to_response(self, error):
+        """Return the :class:`HttpResponse` for a refused request."""
+        return error_response(413 if error.code == Code.TOO_LARGE else 400, error.code, str(error))
 
     async def __call__(self, scope, receive, send):
         """Serve one ASGI connection."""
@@ -107,25 +108,25 @@
 
     async def _serve(self, scope, receive, send):
         try:
-            request = await _read(scope, receive, self.max_body_bytes)
+            request = await _read_request(scope, receive, self.max_body_bytes)
             if request is None:
                 return
-            answer = await self.handle(request)
+            response = await self.handle(request)
         except SiskintallyError as error:
-            answer = self.failure(error)
-        except Exception as error:  # the daemon outlives any fault in one request
+            response = self.error_to_response(error)
+        except Exception as error:  # a fault in one request must not end the daemon
             log.exception("request failed", path=scope.get("path", ""))
-            answer = error_answer(500, Code.INTERNAL, type(error).__name__)
-        if answer is not None:
-            await respond(send, answer)
+            response = error_response(500, Code.INTERNAL, type(error).__name__)
+        if response is not None:
+            await respond(send, response)
 
 
-async def respond(send, answer):
+async def respond(send, response):
     """Send a response."""
-    headers = [(name.lower().encode(), value.encode("latin-1")) for name, value in answer.headers]
-    headers.append((b"content-length", str(len(answer.body)).encode()))
-    await send({"type": "http.response.start", "status": answer.status, "headers": headers})
-    await send({"type": "http.response.body", "body": answer.body, "more_body": False})
+    headers = [(name.lower().encode(), value.encode("latin-1")) for name, value in response.headers]
+    headers.append((b"content-length", str(len(response.body)).encode()))
+    await send({"type": "http.response.start", "status": response.status, "headers": headers})
+    await send({"type": "http.response.body", "body": response.body, "more_body": False})
 
 
 async def _lifespan(receive, send):
@@ -136,9 +137,9 @@
             return
 
 
-async def _read(scope, receive, max_body_bytes):
+async def _read_request(scope, receive, max_body_bytes):
     items = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in scope["headers"]]
-    body = await _body(receive, max_body_bytes)
+    body = await _read_body(receive, max_body_bytes)
     if body is None:
         return None
     client = scope.get("client")
@@ -152,13 +153,13 @@
     )
 
 
-async def _body(receive, max_body_bytes):
+async def _read_body(receive, max_body_bytes):
     chunks = []
     size = 0
     more = True
-    # What is over the limit is read and dropped, because a client that is cut while it writes
-    # does not see the answer.
-    while more and size <= MAX_DRAINED_BYTES:
+    # The rest of a body over the limit is read and discarded, because a client whose connection is
+    # closed while it writes doesn't see the answer.
+    while more and size <= MAX_DISCARDED_BYTES:
         message = await receive()
         if message["type"] == "http.disconnect":
             return None
@@ -172,22 +173,22 @@
     return b"".join(chunks)
 
 
-async def serve_http(app, *, address, until, graceful_s):
+async def serve_http(app, *, address, stop_event, graceful_s):
     """Serve an app until an event is set, then finish the requests in progress.
 
-    :param until: anyio Event.
-    :param graceful_s: longest time for the requests in progress, s.
+    :param stop_event: anyio Event that stops the server.
+    :param graceful_s: longest time in seconds to finish the requests in progress.
     """
     config = Config()
     config.bind = [address]
     config.errorlog = None
     config.accesslog = None
-    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
     config.graceful_timeout = graceful_s
     config.h11_max_incomplete_size = MAX_HEAD_BYTES
     config.include_server_header = False
     config.include_date_header = False
-    # In a task of its own: on Python 3.11 the task group inside hypercorn leaves a pending
-    # cancellation count on its task, which would break the scopes of the caller.
+    # Runs in its own task: on Python 3.11 hypercorn's task group leaves a pending cancellation
+    # count on its task, which would break the caller's cancel scopes.
     async with create_task_group() as tasks:
-        tasks.start_soon(partial(serve, app, config, shutdown_trigger=until.wait, mode="asgi"))
+        tasks.start_soon(partial(serve, app, config, shutdown_trigger=stop_event.wait, mode="asgi"))
--- a/siskintally/retry.py
+++ b/siskintally/retry.py
@@ -1,21 +1,22 @@
-"""Retry budget: a token bucket that first sends fill.
+"""Retry budget: a token bucket that each first attempt refills by a fraction of a token.
 
 >>> from siskintally.retry import RetryBudget
 >>> budget = RetryBudget(ratio=0.5)
->>> budget.take()
+>>> budget.try_take()
 False
->>> budget.sent(); budget.sent(); budget.take(), budget.take()
+>>> budget.record_first_attempt(); budget.record_first_attempt()
+>>> budget.try_take(), budget.try_take()
 (True, False)
 """
 
-# Bounds a burst of retries after a long time without any.
+# Limits the burst of retries after a long time without any.
 MAX_TOKENS = 50.0
 
 
 class RetryBudget:
-    """Allows retries up to a ratio of the first sends; it starts empty, so the ratio always holds.
+    """Limits retries to a ratio of the first attempts; starts empty, so the ratio always holds.
 
-    :param ratio: retries per first send.
+    :param ratio: retries per first attempt.
     """
 
     __slots__ = ("_tokens", "ratio")
@@ -24,16 +25,16 @@
         self.ratio = ratio
         self._tokens = 0.0
 
-    def sent(self):
-        """Count a first send."""
+    def record_first_attempt(self):
+        """Count a first attempt."""
         self._tokens = min(self._tokens + self.ratio, MAX_TOKENS)
 
-    def take(self):
-        """Take a token for one retry.
+    def try_take(self):
+        """Consume a token for one retry if there is one.
 
         :returns: whether the retry is allowed.
         """
-        # Ten additions of 0.1 give slightly less than 1.
+        # Tolerates rounding: ten additions of 0.1 give slightly less than 1.
         if self._tokens < 1.0 - 1e-9:
             return False
         self._tokens -= 1.0
