--- a/siskintally/applier.py
+++ b/siskintally/applier.py
@@ -9,11 +9,13 @@
 
 
 class Applier:
-    """A machine with the index up to which it has applied the log.
+    """Applies entries to a state machine and decides when a snapshot is due.
 
-    :param machine: :class:`~siskintally.state_machine.StateMachine` in its first state.
-    :param snapshot_entries: entries between two snapshots.
-    :param snapshot_bytes: bytes of commands between two snapshots.
+    ``index``: index of the last applied entry.
+
+    :param machine: :class:`~siskintally.state_machine.StateMachine` in its initial state.
+    :param snapshot_entries: applied entries after which a snapshot is due.
+    :param snapshot_bytes: applied bytes of commands after which a snapshot is due.
     """
 
     __slots__ = ("_bytes", "_initial", "_machine", "_snapshot_bytes", "_snapshot_entries", "index")
@@ -27,7 +29,7 @@
         self.index = 0
 
     def restore(self, snapshot):
-        """Replace the state; an empty snapshot stands for the first state of the machine."""
+        """Restore the state machine; an empty snapshot stands for its initial state."""
         if self._initial is None:
             self._initial = self._machine.snapshot()
         self._machine.restore(snapshot.data or self._initial)
@@ -35,7 +37,7 @@
         self._bytes = 0
 
     def apply(self, entry):
-        """Apply an entry and return the reply of the machine."""
+        """Apply an entry and return the reply of the state machine, empty if it is no command."""
         reply = b""
         if entry.kind == Kind.COMMAND:
             reply = self._machine.apply(index=entry.index, command=entry.command)
@@ -44,11 +46,11 @@
         return reply
 
     def is_snapshot_due(self, snapshot_index):
-        """Whether much has been applied since the snapshot at an index."""
+        """Return whether enough has been applied since the snapshot at ``snapshot_index``."""
         is_long = self.index - snapshot_index >= self._snapshot_entries
         return is_long or self._bytes >= self._snapshot_bytes
 
     def snapshot(self):
-        """Return the state as bytes."""
+        """Return a snapshot of the state machine as bytes."""
         self._bytes = 0
         return self._machine.snapshot()
--- a/siskintally/effects.py
+++ b/siskintally/effects.py
@@ -1,4 +1,4 @@
-"""What a transition of a replica asks its owner to do.
+"""Effects of a replica's transition: what to sync, send, apply and report.
 
 >>> from siskintally.effects import Effects
 >>> from siskintally.messages import HardState
@@ -12,14 +12,14 @@
 
 
 class Effects:
-    """Orders of one or more transitions, to be carried out in the order of the attributes.
+    """Effects of one or more transitions, to be executed in the order below.
 
-    ``hard_state``, ``entries``, ``snapshot``: to be synced to disk before anything else. An entry
-    replaces all stored entries with its index or a larger one. ``messages``: sent after the sync.
-    ``restore``: snapshot that replaces the state of the machine. ``committed``: entries to apply
-    after that. ``index``: last entry that was proposed, 0 if none. ``round``: read round that was
-    begun, 0 if none. ``confirmed``: highest read round that is confirmed, 0 if none is newly.
-    ``leadership``: set when it changed.
+    ``hard_state``, ``entries``, ``snapshot``: to sync to disk first. An entry replaces all stored
+    entries with its index or a larger one. ``messages``: to send after the sync. ``restore``:
+    snapshot to restore the state machine from. ``committed``: entries to apply after that.
+    ``index``: index of the last proposed entry, 0 if none. ``round``: read round that was started,
+    0 if none. ``confirmed``: highest newly confirmed read round, 0 if none. ``leadership``: new
+    leadership, None if unchanged.
     """
 
     __slots__ = (
@@ -49,7 +49,7 @@
 
     @property
     def must_sync(self):
-        """Whether something has to be on disk before the messages are sent."""
+        """Whether something must be synced to disk before the messages are sent."""
         return bool(self.hard_state or self.entries or self.snapshot)
 
     def extend(self, later):
--- a/siskintally/election.py
+++ b/siskintally/election.py
@@ -1,4 +1,4 @@
-"""Elections: pre-vote, vote, and the changes of role.
+"""Leader election of a replica: pre-votes, votes and role changes.
 
 >>> from siskintally.election import Role
 >>> Role.LEADER.name
@@ -23,7 +23,7 @@
 
 
 class Role(IntEnum):
-    """What a replica does at present."""
+    """Raft role of a replica."""
 
     FOLLOWER = 0
     PRE_CANDIDATE = 1
@@ -32,27 +32,28 @@
 
 
 class Elections:
-    """The part of a replica that votes and asks for votes."""
+    """Mixin of :class:`~siskintally.replica.Replica` with the election rules."""
 
     __slots__ = ()
 
     @property
     def voters(self):
-        """Identities of the voters in force."""
+        """Identities of the voters in the current configuration."""
         return voters_of(self.log.members)
 
     def _hears_leader(self, now):
+        """Return whether to ignore candidates: a leader is alive, or may be after a restart."""
         if self.role == Role.LEADER or now < self.quiet_until:
             return True
         return self.leader is not None and now - self.heard < self._least_silence_s()
 
     def _least_silence_s(self):
-        """Return the silence of a leader after which another one may be elected."""
+        """Return the time without contact after which a leader may be replaced, in seconds."""
         share = self.timing.ended_leader_share if self.leader_ended else 1.0
         return self.timing.election_min_s * share
 
     def note_ended(self, name, now):
-        """Note that the process of a leader has ended, and look for another one early.
+        """Shorten the election timeout if the process that exited is that of the leader.
 
         :param name: name of the process.
         """
@@ -74,7 +75,7 @@
         return 1.0
 
     def _stagger_s(self):
-        """Return the time by which this voter lets those before it go first."""
+        """Return the election delay of this voter: the earlier its name, the sooner it starts."""
         before = sum(voter < self.identity for voter in self.voters)
         return before * self.timing.stagger_s
 
@@ -158,7 +159,7 @@
             self._on_pre_vote_request(request, now, effects)
             return
         if self._hears_leader(now) and not request.transfer and request.term > self.term:
-            # A replica that was cut off must not unseat a leader that the others still hear.
+            # A replica back from a partition must not depose a leader that is still alive.
             return
         if request.term > self.term:
             self._follow(request.term, None, now, effects)
--- a/siskintally/encoding.py
+++ b/siskintally/encoding.py
@@ -1,4 +1,4 @@
-"""Conversion between the value types of the consensus core and wire messages.
+"""Conversion between Raft messages and entries and their protobuf wire messages.
 
 >>> from siskintally.encoding import decode, encode
 >>> from siskintally.messages import Identity, VoteReply
@@ -46,7 +46,7 @@
 
 
 def encode_members(members):
-    """Return members as wire messages."""
+    """Return a member set as wire messages."""
     return [
         MemberBody(
             name=member.identity.name,
@@ -58,14 +58,14 @@
 
 
 def decode_members(bodies):
-    """Return members from wire messages."""
+    """Return the member set in wire messages."""
     return tuple(
         Member(identity=Identity(body.name, body.incarnation), voter=body.voter) for body in bodies
     )
 
 
 def encode_entry(entry):
-    """Return an entry as a wire message."""
+    """Return a log entry as a wire message."""
     body = EntryBody(index=entry.index, term=entry.term, kind=entry.kind, command=entry.command)
     if entry.members:
         body.members.extend(encode_members(entry.members))
@@ -73,9 +73,9 @@
 
 
 def decode_entry(body):
-    """Return an entry from a wire message.
+    """Return the log entry in a wire message.
 
-    :raises ValueError: its kind is not known.
+    :raises ValueError: the entry has an unknown kind.
     """
     if not 0 <= body.kind < len(_KINDS):
         raise ValueError(f"entry {body.index}: unknown kind {body.kind}")
@@ -84,7 +84,7 @@
 
 
 def encode(message, *, group):
-    """Return a message of the core as a frame body.
+    """Return a Raft message as a frame body.
 
     :param group: name of the group.
     """
@@ -102,7 +102,7 @@
 
 
 def decode(body):
-    """Return a message of the core from a frame body.
+    """Return the Raft message in a frame body.
 
     :raises ValueError: an entry has an unknown kind.
     """
--- a/siskintally/follower.py
+++ b/siskintally/follower.py
@@ -1,4 +1,4 @@
-"""Follower: how a replica takes entries and snapshots of its leader.
+"""Follower side of replication: accepts entries and snapshots from the leader.
 
 >>> from siskintally.follower import Follower
 >>> Follower.__slots__
@@ -13,7 +13,7 @@
 
 
 class Incoming(NamedTuple):
-    """Snapshot of which a part has arrived."""
+    """Partly received snapshot; ``size`` counts the bytes received, ``total`` all of them."""
 
     index: int
     index_term: int
@@ -24,7 +24,7 @@
 
 
 class Follower:
-    """The part of a replica that acts while another one leads."""
+    """Mixin of :class:`~siskintally.replica.Replica` with the duties of a follower."""
 
     __slots__ = ()
 
@@ -49,7 +49,7 @@
         self.leader_ended = False
 
     def _mismatch(self, request):
-        """Return where the leader should try next, or None if the log has the previous entry."""
+        """Return the index after which the leader should retry, or None if the log matches."""
         if request.prev_index > self.log.last_index:
             return self.log.last_index
         term = self.log.term_at(request.prev_index)
@@ -111,7 +111,7 @@
         data = b"".join(self.incoming.parts)
         self.incoming = None
         if xxh64_intdigest(data) != chunk.checksum:
-            # The leader sends the last chunk again and is then told to start over.
+            # No reply: the leader retransmits the last chunk, and the reply to that restarts it.
             return
         snapshot = Snapshot(
             index=chunk.index, term=chunk.index_term, members=chunk.members, data=data
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -1,4 +1,4 @@
-"""The task that runs one replica of a group: timers, disk, messages, machine.
+"""Runs one replica of a Raft group: connects its core to timers, disk, links and state machine.
 
 >>> from siskintally.group import Group
 >>> group = Group(
@@ -43,24 +43,28 @@
 
 
 class Group:
-    """One replica of a replicated group.
+    """One replica of a Raft group.
 
-    Nothing but the task of :meth:`run` changes the replica. All inputs at hand are handled with one
-    sync, in the event loop or in a worker thread; snapshots are written by a worker thread.
+    Only the task in :meth:`run` changes the replica. It processes all queued inputs as a batch with
+    one disk sync (group commit), in the event loop or in a worker thread; snapshots are always
+    written in a worker thread.
 
     :param name: group name.
     :param process: name of this process.
-    :param founding_members: process names that the settings give to the group.
-    :param roster: :class:`~siskintally.roster.Roster`; by default the founding members.
+    :param founding_members: process names that the settings list for the group; the first one is
+        the preferred leader.
+    :param roster: :class:`~siskintally.roster.Roster`; by default the processes in the settings.
     :param folder: data folder of this replica alone.
     :param machine: :class:`~siskintally.state_machine.StateMachine` that entries are applied to.
     :param send: ``send(process_name, body) -> bool``; must not block.
     :param timing: :class:`~siskintally.timing.Timing`.
-    :param snapshot_entries: entries between two snapshots.
-    :param snapshot_bytes: bytes of commands between two snapshots.
-    :param stable_s: age of a term at which the first founding member gets leadership back, seconds.
-    :param batch_items: inputs that share one sync; 1 turns group commit off.
-    :param sync_in_thread: for disks that take milliseconds or hang; see
+    :param snapshot_entries: applied entries after which a snapshot is taken.
+    :param snapshot_bytes: applied bytes of commands after which a snapshot is taken.
+    :param kept_entries: entries before a snapshot that stay in the log for slow followers.
+    :param batch_items: maximum inputs that share one sync; 1 disables group commit.
+    :param stable_s: seconds after the start of a term before leadership is transferred back to the
+        preferred leader.
+    :param sync_in_thread: sync in a worker thread, for disks that take milliseconds or hang; see
         :class:`~siskintally.group_disk.GroupDisk`.
     """
 
@@ -129,27 +133,27 @@
 
     @property
     def term(self):
-        """Present term."""
+        """Current term."""
         return self._leadership.now.term
 
     @property
     def is_leader(self):
-        """Whether this replica leads and its machine has applied an entry of the term."""
+        """Whether this replica leads and can serve: it has applied an entry of its term."""
         return self._leadership.now.is_leader
 
     @property
     def leader(self):
-        """Name of the process that leads, empty if unknown."""
+        """Process name of the leader, empty if unknown."""
         return self._leadership.now.leader
 
     @property
     def applied_index(self):
-        """Index of the last entry that the machine has applied."""
+        """Index of the last entry applied to the state machine."""
         return self._applier.index
 
     @property
     def members(self):
-        """Members in force, as :class:`~siskintally.messages.Member`."""
+        """Current members, as :class:`~siskintally.messages.Member`."""
         return self._replica.log.members if self._replica else ()
 
     @property
@@ -158,63 +162,64 @@
         return self._replica.identity if self._replica else None
 
     async def propose(self, command):
-        """Commit a command and return the reply of the machine.
+        """Replicate and apply a command; return the reply of the state machine.
 
         :param command: bytes.
-        :raises NotLeaderError: nothing was appended.
-        :raises OutcomeUnknownError: leadership was lost before the commit was seen.
+        :raises NotLeaderError: the command was not appended to the log.
+        :raises OutcomeUnknownError: leadership was lost first; the command may be committed yet.
         """
         return await self._ask(Waiter(command=command))
 
     async def confirm(self, *, urgent=True):
-        """Return once a quorum has answered a round that began after the call.
+        """Confirm leadership with a read round, for linearizable reads (as in Raft ReadIndex).
 
-        The machine has then applied every entry that was committed before the call.
+        Returns once a quorum has replied to a round that started after the call. The state machine
+        has then applied every entry that was committed before the call.
 
-        :param urgent: False to wait for the next heartbeat (0.5 s), which costs no messages.
+        :param urgent: False to use the next heartbeat (every 0.5 s), which costs no extra messages.
         :raises NotLeaderError: this replica does not lead, or lost leadership meanwhile.
         """
         await self._ask(Waiter(urgent=urgent))
 
     def watch(self):
-        """Return a receive stream of :class:`Leadership`, starting with the present state.
+        """Return a receive stream of :class:`Leadership`, starting with the current one.
 
-        A slow reader loses the oldest messages, never the latest.
+        A slow reader loses the oldest items, never the latest.
         """
         return self._leadership.watch()
 
     def receive(self, body):
-        """Take a consensus message or a join request of a link; dropped if the queue is full."""
+        """Enqueue a Raft message or a join request from a link; drop it if the queue is full."""
         if body.group != self.name:
             return
         try:
             item = body if isinstance(body, JoinRequest) else decode(body)
         except (KeyError, ValueError) as error:
-            log.warning("message dropped", group=self.name, error=str(error))
+            log.warning("dropped invalid message", group=self.name, error=str(error))
             return
-        # A reply that only shows that a peer is alive waits for the next heartbeat.
+        # A reply that only shows that a peer is alive does not wake the task.
         is_keepalive = self._replica is not None and self._replica.is_keepalive(item)
         item = Arrival(message=item, at=steady() if is_keepalive else None)
         self._inbox.drop_or_put(item, wakes=not is_keepalive)
 
     def peer_ended(self, name):
-        """Note that the process of another replica has ended; if it led, another one may soon.
+        """Record that a peer's process has exited; if it led, the next election starts sooner.
 
         :param name: process name.
         """
         self._inbox.drop_or_put(PeerEnded(name=name))
 
     async def join_request(self, body):
-        """Admit a new incarnation, if this replica leads, and say how far its log goes.
+        """Enqueue a request to join the group; return a JoinReply with the last log index.
 
-        :param body: JoinRequest; with an empty incarnation it is only a question.
+        :param body: JoinRequest; one with an empty incarnation only queries the index.
         """
         self.receive(body)
         last_index = self._replica.log.last_index if self._replica else 0
         return JoinReply(group=self.name, last_index=last_index)
 
     async def stop(self):
-        """Finish accepted calls, hand leadership over, and end :meth:`run`."""
+        """Finish accepted calls, transfer leadership, and wait for :meth:`run` to return."""
         if not self._disk.is_open:
             return
         await self._inbox.put(Stop())
@@ -223,7 +228,7 @@
     async def run(self):
         """Run the replica until :meth:`stop` or cancellation.
 
-        :raises OSError: the disk failed; the group can be run again.
+        :raises OSError: the disk failed; :meth:`run` may be called again.
         """
         self._ended = Event()
         self._open()
@@ -272,7 +277,8 @@
             if now >= self._replica.next_tick():
                 effects.extend(self._replica.tick(now))
             self._changes.manage(self._replica, now, effects)
-            # Reads may wait: at a busy owner some always do, and they fail as not run.
+            # Pending reads do not delay a transfer: a busy owner always has some, and they fail
+            # with NotLeaderError, which is safe to retry.
             if not self._handover.is_asked and not self._calls.has_proposals:
                 self._preference.advance(self._replica, now, effects)
             await self._carry_out(effects)
@@ -283,7 +289,7 @@
         return min(replica.next_tick(), self._changes.due(replica), self._handover.due)
 
     def _take(self, items, now, effects):
-        """Hand messages to the replica; return the calls."""
+        """Process messages and events; return the calls."""
         waiters = []
         for item in items:
             if isinstance(item, Waiter):
@@ -313,7 +319,7 @@
         self._finish(effects)
 
     def _finish(self, effects):
-        """Send, apply, and answer what a sync has made safe."""
+        """Send messages, apply entries and complete calls, after the sync that they depend on."""
         for to, message in effects.messages:
             self._send(to.name, encode(message, group=self.name))
         if effects.restore is not None:
@@ -331,7 +337,7 @@
             self._calls.fail()
 
     async def _take_snapshot(self):
-        """Replace the applied part of the log, if it has grown enough."""
+        """Take a snapshot and compact the log, if enough was applied since the last one."""
         applier = self._applier
         if not applier.is_snapshot_due(self._replica.log.snapshot.index):
             return
--- a/siskintally/group_calls.py
+++ b/siskintally/group_calls.py
@@ -1,4 +1,4 @@
-"""Calls to the leader of a group: proposals and read rounds, from acceptance to reply.
+"""Proposals and reads that the leader of a group has accepted, until they are answered.
 
 >>> from siskintally.group_calls import GroupCalls
 >>> GroupCalls(group="cell", process="s1", leadership=None).is_empty
@@ -10,7 +10,7 @@
 
 
 class GroupCalls:
-    """Calls that one replica has accepted.
+    """Pending calls of one replica.
 
     :param leadership: :class:`~siskintally.leadership.LeadershipState` of the replica.
     """
@@ -25,22 +25,24 @@
 
     @property
     def is_empty(self):
-        """Whether no call waits."""
+        """Whether no call is pending."""
         return self._waiters.is_empty
 
     @property
     def has_proposals(self):
-        """Whether a call waits for its command to be committed."""
+        """Whether a proposal is pending."""
         return self._waiters.has_proposals
 
     def not_leader(self):
-        """Return the error of a call that another process has to answer."""
+        """Return the error for a call that belongs to the leader; it names the leader if known."""
         leader = self._leadership.now.leader
         leader = leader if leader != self._process else ""
-        return NotLeaderError(f"{self._process} does not lead group {self._group}", leader=leader)
+        return NotLeaderError(
+            f"{self._process} is not the leader of group {self._group}", leader=leader
+        )
 
     def begin(self, waiters, replica, now, effects):
-        """Begin the entries and the read round of new calls."""
+        """Propose the commands of new calls and start a read round for the reads."""
         proposals = [waiter for waiter in waiters if waiter.command is not None]
         reads = [waiter for waiter in waiters if waiter.command is None]
         try:
@@ -58,32 +60,32 @@
             self.refuse((*proposals, *reads))
 
     def refuse(self, waiters):
-        """End calls that were not begun."""
+        """Fail calls that were not started."""
         for waiter in waiters:
             waiter.fail(self.not_leader())
 
     def applied(self, index, reply):
-        """End the call whose entry was applied."""
+        """Complete the proposal whose entry was applied."""
         self._waiters.applied(index, reply)
 
     def confirmed(self, round_):
-        """End the calls of all read rounds up to one."""
+        """Complete the reads of all rounds up to a confirmed one."""
         self._waiters.confirmed(round_)
 
     def fail(self):
-        """End all calls, because leadership was lost."""
+        """Fail all pending calls because leadership was lost."""
         self._waiters.fail(
             proposals=lambda: OutcomeUnknownError(f"group {self._group}: leadership was lost"),
             reads=self.not_leader,
         )
 
     def end(self, items, queued):
-        """End the calls of a replica that ends.
+        """Fail the remaining calls of a replica that stops.
 
-        :param items: inputs of the last batch, which may have been cut short by an error.
-        :param queued: inputs that were not begun.
+        :param items: inputs of the last batch, which an error may have interrupted.
+        :param queued: inputs that were not started.
         """
         for item in items:
             if isinstance(item, Waiter):
-                item.fail(OutcomeUnknownError(f"group {self._group}: the replica ended"))
+                item.fail(OutcomeUnknownError(f"group {self._group}: the replica stopped"))
         self.refuse(item for item in queued if isinstance(item, Waiter))
--- a/siskintally/group_disk.py
+++ b/siskintally/group_disk.py
@@ -1,4 +1,4 @@
-"""The disk of one replica: its journal, and the entries of a leader on their way to it.
+"""Disk of one replica: its journal, written before messages are sent or in the background.
 
 >>> from siskintally.group_disk import GroupDisk
 >>> disk = GroupDisk(folder="data/cell", group="cell", process="s1", in_thread=False)
@@ -15,22 +15,22 @@
 from siskintally.messages import AppendReply
 from siskintally.write_behind import WriteBehind
 
-# A disk that takes longer for a sync hangs: slow ones of the platform take up to 0.3 s.
+# A sync that takes longer counts as a hung disk; slow disks of the platform take up to 0.3 s.
 HUNG_DISK_S = 0.6
 
 log = get_logger("group")
 
 
 class GroupDisk:
-    """Journal of a replica; ``journal`` is None while it is closed.
+    """Journal of a replica and its background writer; ``journal`` is None while it is closed.
 
-    With ``in_thread`` a disk that takes milliseconds or hangs does not hold up the rest of the
-    process: a leader goes on while its own entries are synced.
+    With ``in_thread`` a slow or hung disk does not block the event loop of the process, and a
+    leader continues while its own entries are synced.
 
     :param folder: data folder of this replica alone.
     :param group: group name.
     :param process: name of this process.
-    :param in_thread: whether appends sync in a worker thread.
+    :param in_thread: whether appends are synced in a worker thread.
     """
 
     __slots__ = ("_folder", "_group", "_in_thread", "_process", "_writer", "journal")
@@ -49,9 +49,11 @@
         return self.journal is not None
 
     def open(self, *, wake):
-        """Open the journal and return it; a damaged folder is set aside and the replica joins anew.
+        """Open the journal and return it.
 
-        :param wake: function that is called when entries written behind are on disk.
+        A damaged folder is set aside, and the replica joins the group again as a new incarnation.
+
+        :param wake: function that is called after each sync of the background writer.
         """
         try:
             journal = Journal.open(self._folder, group=self._group, name=self._process)
@@ -69,7 +71,9 @@
         self.journal = None
 
     async def run_beside(self, loop):
-        """Write behind while the loop of the replica runs; its errors are not wrapped into a group.
+        """Run the background writer beside the main loop of the replica.
+
+        An OSError of the loop is raised as it is, not wrapped in an ExceptionGroup.
 
         :param loop: async function.
         """
@@ -85,7 +89,7 @@
             raise failure
 
     def advance(self, replica, now, effects):
-        """Count what is newly on disk; a leader whose disk hangs leaves its office.
+        """Record newly synced entries; transfer leadership away if the disk hangs.
 
         :param now: steady time, s.
         :raises OSError: the disk failed.
@@ -99,9 +103,9 @@
             effects.extend(replica.transfer(now))
 
     def may_follow(self, effects, replica):
-        """Tell whether entries may be sent, and committed by others, before this disk has them.
+        """Return whether entries may be sent, and committed by followers, before the own sync.
 
-        A vote, a term, or the answer of a follower, in contrast, has to be on disk first.
+        A vote, a new term, or what a follower acknowledges must be on disk first.
         """
         if not (self._in_thread and replica.is_leader and effects.entries):
             return False
@@ -110,17 +114,17 @@
         return is_plain and not any(answers)
 
     def follow(self, effects, replica):
-        """Write entries of a leader while its replica goes on."""
+        """Queue entries of a leader for the background writer."""
         self._writer.add(effects.entries, (replica.log.last_index, replica.log.last_term))
 
     async def write(self, effects, replica):
-        """Sync effects after everything that is written behind, in the order of the log.
+        """Sync effects, after all entries queued for the background writer (log order).
 
         :raises OSError: the disk failed.
         """
         await self._writer.drain()
-        # On a disk of 0.2 ms, a sync of a few records costs less CPU and less time in the event
-        # loop than the change to a worker thread and back. A snapshot must not block.
+        # With a disk that syncs in 0.2 ms, syncing a few records inline costs less CPU and less
+        # event loop time than switching to a worker thread and back. A snapshot must not block.
         if effects.snapshot is not None or self._in_thread:
             await run_sync(self.journal.write, effects, lambda: replica.stable)
         else:
--- a/siskintally/group_inputs.py
+++ b/siskintally/group_inputs.py
@@ -1,4 +1,4 @@
-"""Inputs of the task that runs one replica, beside the calls that wait.
+"""Inputs other than calls to the task that runs one replica.
 
 >>> from siskintally.group_inputs import Arrival
 >>> Arrival(message=None, at=1.5).at
@@ -7,13 +7,13 @@
 
 
 class Stop:
-    """Asks the task to hand over leadership and end."""
+    """Request to transfer leadership and stop."""
 
     __slots__ = ()
 
 
 class Arrival:
-    """A message of another replica, with the time of its arrival if it waits for others."""
+    """A received message; ``at`` is its time of arrival if processing it may be delayed."""
 
     __slots__ = ("at", "message")
 
@@ -23,7 +23,7 @@
 
 
 class PeerEnded:
-    """Says that the process of another replica has ended."""
+    """Event: the process of another replica has exited."""
 
     __slots__ = ("name",)
 
--- a/siskintally/handover.py
+++ b/siskintally/handover.py
@@ -1,4 +1,4 @@
-"""End of a replica: finish the accepted calls, then transfer leadership.
+"""Graceful stop of a replica: finishes accepted calls, then transfers leadership.
 
 >>> from siskintally.handover import Handover
 >>> handover = Handover()
@@ -12,9 +12,9 @@
 
 
 class Handover:
-    """Progress of a stop; pure.
+    """State of a graceful stop; does no I/O.
 
-    ``due``: time at which the replica ends in any case, infinite while no stop is asked for.
+    ``due``: time at which the replica stops in any case, infinite unless a stop was requested.
     """
 
     __slots__ = ("_is_begun", "due")
@@ -25,15 +25,15 @@
 
     @property
     def is_asked(self):
-        """Whether a stop is asked for; no more calls are accepted."""
+        """Whether a stop was requested; no more calls are accepted then."""
         return self.due != inf
 
     def ask(self, now):
-        """Begin to stop."""
+        """Request a stop."""
         self.due = now + STOP_TIMEOUT_S
 
     def advance(self, replica, now, effects, *, is_idle):
-        """Transfer leadership once.
+        """Start the leadership transfer once all accepted calls have ended.
 
         :param is_idle: whether all accepted calls have ended.
         """
@@ -42,7 +42,7 @@
             effects.extend(replica.transfer(now))
 
     def is_over(self, replica, now):
-        """Whether a stop is asked for and leadership is handed over, or cannot be."""
+        """Return whether to stop now: leadership is transferred or cannot be, or time is up."""
         if not self.is_asked:
             return False
         if now >= self.due or not replica.is_leader:
--- a/siskintally/inbox.py
+++ b/siskintally/inbox.py
@@ -1,4 +1,4 @@
-"""Queue of the inputs of one task: messages of others, which may be dropped, and calls.
+"""Bounded input queue of one task: messages, which may be dropped, and calls, which wait.
 
 >>> from anyio import run
 >>> from siskintally.inbox import Inbox
@@ -18,9 +18,9 @@
 
 
 class Inbox:
-    """Bounded queue from which a task takes all items at hand.
+    """Bounded queue that one task reads in batches.
 
-    :param max_messages: messages that wait at most; more are dropped.
+    :param max_messages: maximum queued messages; further ones are dropped.
     """
 
     __slots__ = ("_is_due", "_items", "_max_messages", "_messages", "_ready", "_space")
@@ -34,9 +34,9 @@
         self._space = None
 
     def drop_or_put(self, message, *, wakes=True):
-        """Add a message; return False if the queue is full.
+        """Add a message; drop it and return False if the queue is full.
 
-        :param wakes: False for a message that can wait for the next one or for the next timeout.
+        :param wakes: False for a message that can wait for the next item or timeout.
         """
         if self._messages >= self._max_messages or len(self._items) >= MAX_ITEMS:
             return False
@@ -47,7 +47,7 @@
         return True
 
     async def put(self, call):
-        """Add a call; waits while the queue is full."""
+        """Add a call; wait while the queue is full."""
         while len(self._items) >= MAX_ITEMS:
             if self._space is None:
                 self._space = Event()
@@ -56,9 +56,9 @@
         self._wake()
 
     async def gather(self, timeout, max_items):
-        """Wait for an item for ``timeout`` seconds; return all items at hand."""
+        """Wait up to ``timeout`` seconds for items; return those queued, up to ``max_items``."""
         if self._is_due or timeout <= 0:
-            # The task that takes the items must not keep others from running.
+            # Yields to the event loop, so that a busy queue does not starve other tasks.
             await checkpoint()
         else:
             self._ready = Event()
@@ -68,7 +68,7 @@
         return self.drain(max_items)
 
     def drain(self, max_items=MAX_ITEMS):
-        """Return the items at hand without waiting."""
+        """Return the queued items, up to ``max_items``, without waiting."""
         items = []
         while self._items and len(items) < max_items:
             is_message, item = self._items.popleft()
@@ -81,7 +81,7 @@
         return items
 
     def wake(self):
-        """Let :meth:`gather` return, also without an item."""
+        """Make :meth:`gather` return, even without an item."""
         self._wake()
 
     def _wake(self):
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -1,4 +1,4 @@
-"""Data folder of a replica: identity, log and snapshot.
+"""Data folder of a replica: files with its identity, its log and its latest snapshot.
 
 >>> from pathlib import Path
 >>> from tempfile import TemporaryDirectory
@@ -51,10 +51,13 @@
 
 
 class Journal:
-    """What one replica keeps on disk.
+    """Open data folder of one replica; holds a file lock until it is closed.
+
+    ``log_bytes``: size of the log file.
 
     :param folder: data folder of the replica.
-    :param stable: its content at opening.
+    :param stable: persistent state read when the folder was opened.
+    :param lock: open file that holds the lock.
     """
 
     __slots__ = ("_group", "_lock", "_log", "folder", "identity", "log_bytes", "stable")
@@ -70,14 +73,13 @@
 
     @classmethod
     def open(cls, folder, *, group, name, incarnation=None):
-        """Read a folder; a missing or empty one gets a new incarnation.
-
-        :param incarnation: what an empty folder gets in place of a random incarnation.
+        """Open and read a data folder; a missing or empty one gets a new incarnation.
 
-        The log is written anew, since after a failed sync its pages may be in memory only.
+        The log file is rewritten, since after a failed sync its pages may be in memory only.
 
-        :raises DamagedDataError: the folder failed its checks; see :func:`set_aside`.
-        :raises BadSettingsError: the folder belongs to another replica, and is left as it is.
+        :param incarnation: incarnation for an empty folder; random by default.
+        :raises DamagedDataError: the data is damaged or incomplete; see :func:`set_aside`.
+        :raises BadSettingsError: the folder belongs to another replica and is left unchanged.
         :raises StoppedError: another process has the folder open.
         """
         folder = Path(folder)
@@ -95,12 +97,12 @@
         return journal
 
     def write(self, effects, stable):
-        """Sync the changes that a transition made; blocks.
+        """Write the hard state, entries or snapshot of a transition and sync them; blocks.
 
-        :param effects: with hard state, entries or snapshot.
+        :param effects: :class:`~siskintally.effects.Effects` of the transition.
         :param stable: function that returns the :class:`PersistentState` after the transition; it
             is called only if there is a snapshot.
-        :raises OSError: the disk failed; the journal must be opened again.
+        :raises OSError: a write or sync failed; the journal must be opened again.
         """
         if effects.snapshot is not None:
             self._write_snapshot(stable())
@@ -116,7 +118,7 @@
         self.log_bytes += len(data)
 
     def close(self):
-        """Close the files."""
+        """Close the files and release the lock."""
         if self._log is not None:
             self._log.close()
         self._lock.close()
@@ -128,7 +130,7 @@
         _remove_others(self.folder, stable.snapshot.index)
 
     def _replace_log(self, stable):
-        """Start a new log with all that is not in the snapshot."""
+        """Replace the log file with one that starts with the given state."""
         data = _encode_head(stable, self._group, self.identity)
         path = self.folder / LOG_FILE
         if self._log is not None:
@@ -139,18 +141,20 @@
 
 
 def found(folder, *, group, name, voters=(), incarnation=None):
-    """Write the founding state of a group into an empty folder.
+    """Bootstrap a group: write its initial state into an empty data folder.
 
-    The founder is the only voter; the other stores join it with their own incarnations.
+    By default this replica is the only voter, and the other stores join it with incarnations of
+    their own.
 
-    :param voters: identities, if the group has other founding voters whose folders get the same.
+    :param voters: identities of the first voters, if there are several; the data folder of each
+        must be bootstrapped with the same ones.
     :param incarnation: incarnation of this replica, random by default.
-    :raises BadRequestError: the folder already holds a replica that is not empty.
+    :raises BadRequestError: the folder already holds the state of a replica.
     """
     journal = Journal.open(folder, group=group, name=name, incarnation=incarnation)
     try:
         if journal.stable != PersistentState():
-            raise BadRequestError(f"{folder}: the group {group!r} is already founded here")
+            raise BadRequestError(f"{folder}: the group {group!r} is already bootstrapped here")
         stable = founding_state(voters or (journal.identity,))
         journal._write_snapshot(stable)
     finally:
@@ -159,9 +163,9 @@
 
 
 def set_aside(folder):
-    """Rename a damaged folder, so that the replica joins with a new incarnation.
+    """Rename a damaged data folder, so that the replica rejoins with a new incarnation.
 
-    :returns: the new path, which is kept for inspection.
+    :returns: the new path; the folder is kept for inspection.
     """
     folder = Path(folder)
     number = 1
@@ -173,10 +177,10 @@
 
 
 def _create(folder, group, name, incarnation):
-    """Give an empty folder an incarnation.
+    """Initialize an empty data folder with an identity and an empty log.
 
-    The identity is written last, and a folder that lacks one of the two files is damaged: a lost
-    log must not make a replica vote again in a term in which it has voted.
+    The identity is written last, and a folder that lacks one of the two files counts as damaged:
+    a replica that lost its log must not vote again in a term in which it has voted.
     """
     if not folder.exists():
         folder.mkdir(parents=True)
@@ -196,12 +200,12 @@
     try:
         file = open(path, "rb")  # noqa: SIM115
     except FileNotFoundError as error:
-        raise DamagedDataError(f"{path}: the identity is missing") from error
+        raise DamagedDataError(f"{path}: the identity file is missing") from error
     try:
         flock(file, LOCK_EX | LOCK_NB)
     except BlockingIOError as error:
         file.close()
-        raise StoppedError(f"{path}: another process uses this folder") from error
+        raise StoppedError(f"{path}: another process has this data folder open") from error
     return file
 
 
@@ -209,7 +213,7 @@
     try:
         return type_.FromString(payload)
     except DecodeError as error:
-        raise DamagedDataError(f"{name}: a record has an unknown format") from error
+        raise DamagedDataError(f"{name}: a record cannot be parsed") from error
 
 
 def _read_identity(folder, group, name):
@@ -225,12 +229,12 @@
 def _read_log(folder, group, identity):
     path = folder / LOG_FILE
     if not path.exists():
-        raise DamagedDataError(f"{path}: the log is missing")
+        raise DamagedDataError(f"{path}: the log file is missing")
     payloads = unpack(path.read_bytes(), name=LOG_FILE)
     first = next(payloads, None)
     record = _parse(LogRecord, first, LOG_FILE) if first is not None else LogRecord()
     if record.WhichOneof("body") != "head":
-        raise DamagedDataError(f"{path}: the head is missing")
+        raise DamagedDataError(f"{path}: the log does not begin with a head record")
     head = record.head
     if (head.group, head.name, head.incarnation) != (group, *identity):
         raise DamagedDataError(f"{path}: belongs to another replica")
@@ -250,7 +254,7 @@
         elif kind == "entry":
             _place(entries, record.entry, head.base_index)
         else:
-            raise DamagedDataError(f"{LOG_FILE}: unexpected record {kind}")
+            raise DamagedDataError(f"{LOG_FILE}: unexpected record of type {kind}")
     if head.base_index + len(entries) < snapshot.index:
         raise DamagedDataError(f"{LOG_FILE}: entries before the snapshot are missing")
     vote = Identity(hard_state.vote_name, hard_state.vote_incarnation)
@@ -267,7 +271,7 @@
 def _place(entries, body, base_index):
     position = body.index - base_index - 1
     if not 0 <= position <= len(entries):
-        raise DamagedDataError(f"{LOG_FILE}: entry {body.index} does not follow the one before")
+        raise DamagedDataError(f"{LOG_FILE}: entry {body.index} is out of sequence")
     del entries[position:]
     try:
         entries.append(decode_entry(body))
@@ -280,10 +284,10 @@
         return EMPTY_SNAPSHOT
     path = folder / f"{SNAPSHOT_PREFIX}{index}"
     if not path.exists():
-        raise DamagedDataError(f"{path}: the snapshot is missing")
+        raise DamagedDataError(f"{path}: the snapshot file is missing")
     stored = _parse(StoredSnapshot, unpack_one(path.read_bytes(), name=path.name), path.name)
     if stored.index != index:
-        raise DamagedDataError(f"{path}: holds the snapshot {stored.index}")
+        raise DamagedDataError(f"{path}: contains a snapshot at index {stored.index}")
     members = decode_members(stored.members)
     return Snapshot(index=index, term=stored.term, members=members, data=stored.data)
 
--- a/siskintally/leader_preference.py
+++ b/siskintally/leader_preference.py
@@ -1,7 +1,7 @@
-"""Return of leadership to the preferred member of a group; the time is passed in.
+"""Transfers leadership back to the preferred member of a group after a failover.
 
-After failures the leaders of many groups would gather on the VMs that failed last, and a VM that
-leads several groups is over its processor budget.
+Otherwise, after failures, the leaders of many groups would accumulate on the VMs that failed last,
+and a VM that leads several groups exceeds its processor budget. The current time is passed in.
 
 >>> from siskintally.leader_preference import LeaderPreference
 >>> LeaderPreference(group="cell", preferred="s1").preferred
@@ -12,18 +12,18 @@
 
 from siskintally.log import get_logger
 
-# A member that fails again and again must not move leadership more often than this.
+# Limits how often a member that fails repeatedly moves leadership.
 STABLE_S = 120.0
 
 log = get_logger("leader-preference")
 
 
 class LeaderPreference:
-    """Decides when a leader gives way to the preferred member.
+    """Decides when a leader transfers leadership to the preferred member.
 
     :param preferred: process name of the member that should lead.
-    :param stable_s: least time between the beginning of a term, or the last try, and a transfer,
-        seconds.
+    :param stable_s: minimum seconds since the term began, or since the last attempt, before a
+        transfer.
     """
 
     __slots__ = ("_group", "_since", "_stable_s", "_term", "preferred")
@@ -36,14 +36,16 @@
         self._since = inf
 
     def advance(self, replica, now, effects):
-        """Transfer leadership if it is due."""
+        """Start a leadership transfer if one is due."""
         target = self.target(replica, now)
         if target is not None:
-            log.info("leadership goes to the preferred member", group=self._group, to=target.name)
+            log.info(
+                "transferring leadership to the preferred member", group=self._group, to=target.name
+            )
             effects.extend(replica.transfer(now, to=target))
 
     def target(self, replica, now):
-        """Return the identity to transfer leadership to, or None.
+        """Return the voter to transfer leadership to now, or None.
 
         :param replica: :class:`~siskintally.replica.Replica` of this process.
         :param now: monotonic time in seconds.
--- a/siskintally/leader_watchers.py
+++ b/siskintally/leader_watchers.py
@@ -1,4 +1,4 @@
-"""Streams that tell others who leads a group.
+"""Streams that notify subscribers of leadership changes of a group.
 
 >>> from siskintally.messages import Leadership
 >>> from siskintally.leader_watchers import LeaderWatchers
@@ -15,7 +15,7 @@
 
 
 class LeaderWatchers:
-    """Receivers of Leadership messages; a slow one loses the oldest, never the latest."""
+    """Subscribers to leadership changes; a slow one loses the oldest items, never the latest."""
 
     __slots__ = ("_ends",)
 
@@ -23,15 +23,15 @@
         self._ends = []
 
     def add(self, leadership):
-        """Return a new receive stream that starts with the present state."""
+        """Return a new receive stream that starts with the given leadership."""
         sender, receiver = create_memory_object_stream(BUFFER_MESSAGES)
         sender.send_nowait(leadership)
-        # The copy is used to drop the oldest message, and to notice that the reader is gone.
+        # The clone serves to drop the oldest item and to detect that the reader closed its stream.
         self._ends.append((sender, receiver.clone()))
         return receiver
 
     def publish(self, leadership):
-        """Send the new state to all readers that are still there."""
+        """Send the new leadership to all open streams; drop the closed ones."""
         for end in list(self._ends):
             sender, receiver = end
             if receiver.statistics().open_receive_streams == 1:
--- a/siskintally/leadership.py
+++ b/siskintally/leadership.py
@@ -1,4 +1,4 @@
-"""Who leads a group, as one replica tells the rest of its process.
+"""Current leader of a group, as published to the rest of the process.
 
 >>> from siskintally.leadership import LeadershipState
 >>> from siskintally.roster import FixedRoster
@@ -12,7 +12,7 @@
 
 
 class LeadershipState:
-    """The present :class:`~siskintally.messages.Leadership` and those who watch it.
+    """The current :class:`~siskintally.messages.Leadership` and its subscribers.
 
     :param roster: :class:`~siskintally.roster.Roster` of the group.
     """
@@ -26,11 +26,11 @@
         self._watchers = LeaderWatchers()
 
     def watch(self):
-        """Return a receive stream of :class:`Leadership`, starting with the present state."""
+        """Return a receive stream of :class:`Leadership`, starting with the current one."""
         return self._watchers.add(self.now)
 
     def seen_by(self, replica):
-        """Return the leadership as a replica sees it."""
+        """Return the leadership to publish; a new leader counts once it can accept proposals."""
         if not replica.is_leader:
             leader = replica.leader.name if replica.leader else ""
             return Leadership(term=replica.term, leader=leader, is_leader=False)
@@ -40,7 +40,7 @@
         return Leadership(term=replica.term, leader=leader, is_leader=is_ready)
 
     def publish(self, leadership):
-        """Tell those who watch, if it changed; return whether this replica has ceased to lead."""
+        """Notify subscribers of a change; return whether this replica led until now."""
         before = self.now
         if leadership == before:
             return False
--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -1,4 +1,4 @@
-"""Admission of new incarnations to a group: asking for it, and granting it as the leader.
+"""Join requests of a group: sending them as a new incarnation, granting them as the leader.
 
 >>> from siskintally.member_admission import MemberAdmission
 >>> from siskintally.roster import FixedRoster
@@ -20,7 +20,7 @@
 
 
 class MemberAdmission:
-    """Join requests of this process and of others.
+    """Sends join requests and, on the leader, decides on the next membership change.
 
     :param roster: :class:`~siskintally.roster.Roster` of the group.
     """
@@ -36,9 +36,9 @@
         self.next_ask = 0.0
 
     def due(self, replica):
-        """Return the time at which a replica should ask to be admitted.
+        """Return the time at which a replica should request to join the group.
 
-        One that hears no leader asks too: it may have been replaced without being told.
+        A member without contact to a leader does so too: it may have been replaced meanwhile.
         """
         if replica.is_leader:
             return float("inf")
@@ -47,7 +47,7 @@
         return self.next_ask
 
     def ask(self, incarnation, now):
-        """Return (process, JoinRequest) pairs to send, not more often than every second."""
+        """Return (process, JoinRequest) pairs to send, at most once a second."""
         if now < self.next_ask:
             return []
         self.next_ask = now + INTERVAL_S
@@ -55,12 +55,12 @@
         return [(name, body) for name in self._roster.contacts() if name != self._process]
 
     def note(self, body, now):
-        """Remember a request for some seconds; an empty incarnation is only a question."""
+        """Record a request, valid for 3 s; ignore one with an empty incarnation (a query)."""
         if body.incarnation and self._roster.admits(body.name):
             self._request_by_name[body.name] = (body.incarnation, now)
 
     def next_change(self, replica, now):
-        """Return the next member set to propose, or None.
+        """Return the next member set for the leader to propose, or None.
 
         :param replica: leader of the group.
         """
@@ -87,7 +87,7 @@
         )
 
     def _removal(self, replica, now):
-        """Return the members without a voter that has gone; silence counts within this term."""
+        """Return the members without a lost voter, or None; silence before this term is ignored."""
         if self._led_since[0] != replica.term:
             self._led_since = (replica.term, now)
         silent_s_by_voter = {
--- a/siskintally/member_changes.py
+++ b/siskintally/member_changes.py
@@ -1,4 +1,4 @@
-"""Member changes of one replica: asking to be admitted, admitting others, logging what is in force.
+"""Membership changes by one replica: sends join requests, proposes changes, logs commits.
 
 >>> from siskintally.member_changes import MemberChanges
 >>> from siskintally.roster import FixedRoster
@@ -19,7 +19,7 @@
 
 
 class MemberChanges:
-    """What a replica does about the members of its group.
+    """Carries out the join requests and membership changes of a replica.
 
     :param roster: :class:`~siskintally.roster.Roster` of the group.
     :param send: ``send(process_name, body) -> bool``; must not block.
@@ -35,25 +35,25 @@
         self._logged_index = None
 
     def note(self, body, now):
-        """Remember a JoinRequest of another process."""
+        """Record a JoinRequest of another process."""
         self._admission.note(body, now)
 
     def due(self, replica):
-        """Return the time at which :meth:`manage` has something to ask."""
+        """Return the time at which :meth:`manage` must send the next join requests."""
         return self._admission.due(replica)
 
     def manage(self, replica, now, effects):
-        """Ask to be admitted, or as the leader admit others in single steps."""
+        """Send join requests that are due; as the leader, propose the next membership change."""
         if now >= self._admission.due(replica):
             for process, body in self._admission.ask(replica.identity.incarnation, now):
                 self._send(process, body)
         change = self._admission.next_change(replica, now)
         if change is not None:
-            log.info("member change proposed", group=self._group, members=str(change))
+            log.info("proposed membership change", group=self._group, members=str(change))
             effects.extend(replica.propose_members(change, now))
 
     def log_committed(self, replica):
-        """Log a committed member set once; a proposed one may never be in force."""
+        """Log each committed member set once; a proposed one may never be committed."""
         index = replica.log.members_index
         if index != self._logged_index and index <= replica.commit:
             self._logged_index = index
--- a/siskintally/membership.py
+++ b/siskintally/membership.py
@@ -1,4 +1,4 @@
-"""Quorums and single-server changes of the member set.
+"""Quorum sizes and single-server membership changes.
 
 >>> from siskintally.membership import quorum_value
 >>> quorum_value([7, 9, 3])
@@ -15,15 +15,15 @@
 
 
 def quorum_value(values):
-    """Return the largest value that a majority has reached."""
+    """Return the largest value that a majority of the values has reached."""
     ranked = sorted(values, reverse=True)
     return ranked[quorum(len(ranked)) - 1]
 
 
 def check_change(old, new, *, leader):
-    """Check that a change keeps every old quorum overlapping with every new one.
+    """Check that every quorum of the old members overlaps with every quorum of the new ones.
 
-    :raises BadRequestError: more than one voter differs, or the leader is no voter any more.
+    :raises BadRequestError: more than one voter differs, or the leader would not be a voter.
     """
     if len({member.identity for member in new}) != len(new):
         raise BadRequestError("members: an identity is listed twice")
@@ -35,16 +35,16 @@
 
 
 def admit(members, identity):
-    """Return the members with a learner in place of other learners of its name."""
+    """Return the members with a new learner; it replaces other learners of its name."""
     kept = [member for member in members if member.voter or member.identity.name != identity.name]
     return ordered([*kept, Member(identity=identity, voter=False)])
 
 
 def promote(members, identity):
-    """Return the next single step that makes a learner a voter.
+    """Return the members after the next single-server change towards making a learner a voter.
 
     An old incarnation of the name is removed first: it cannot come back, so the smaller set needs
-    no more live voters than before, while adding first would raise the majority.
+    no more live voters than before, while adding first would increase the quorum.
     """
     others = [member for member in members if member.identity != identity]
     kept = [member for member in others if member.identity.name != identity.name]
@@ -59,13 +59,13 @@
 
 
 def next_change(members, *, joining, is_alive, is_caught_up):
-    """Return the next member set on the way to admit new incarnations, or None.
+    """Return the next member set to propose in order to admit new incarnations, or None.
 
-    An identity whose name has a live voter is not admitted: the request is a late one.
+    An identity whose name has a live voter is not admitted: its join request is stale.
 
-    :param joining: identities that asked to join.
-    :param is_alive: function that tells whether an identity has answered lately.
-    :param is_caught_up: function that tells whether a learner has nearly all entries.
+    :param joining: identities that requested to join.
+    :param is_alive: function that returns whether an identity has replied recently.
+    :param is_caught_up: function that returns whether a learner has nearly all entries.
     """
     identities = {member.identity for member in members}
     live_names = {voter.name for voter in voters_of(members) if is_alive(voter)}
--- a/siskintally/messages.py
+++ b/siskintally/messages.py
@@ -1,6 +1,6 @@
-"""Value types of the consensus core: identities, entries, snapshots, messages.
+"""Raft value types: identities, members, log entries, snapshots and messages.
 
-All are immutable and hashable, so that a model checker can put them into states.
+All are immutable and hashable, so that the model checker can use them in its states.
 
 >>> from siskintally.messages import Identity, Member, voters_of
 >>> members = (Member(Identity("s1", "a"), voter=True), Member(Identity("s2", "b"), voter=False))
@@ -13,7 +13,7 @@
 
 
 class Kind(IntEnum):
-    """What an entry holds; the numbers are those of the wire format."""
+    """Type of a log entry; the numbers are those of the wire format."""
 
     COMMAND = 0
     NOOP = 1
@@ -21,14 +21,14 @@
 
 
 class Identity(NamedTuple):
-    """Who votes: a store name with the incarnation of its data folder."""
+    """Identity of a replica: its process name and the incarnation of its data folder."""
 
     name: str
     incarnation: str
 
 
 class Member(NamedTuple):
-    """A replica of the group; one that is no voter is a learner."""
+    """A member of the group: a voter or a learner."""
 
     identity: Identity
     voter: bool
@@ -45,14 +45,14 @@
 
 
 class HardState(NamedTuple):
-    """What must be on disk before any message of its term is sent."""
+    """Term and vote; must be on disk before any message of the term is sent."""
 
     term: int
     vote: Identity | None
 
 
 class Snapshot(NamedTuple):
-    """State of the machine after the entry ``index``."""
+    """Serialized state machine after the entry ``index``."""
 
     index: int
     term: int
@@ -61,7 +61,10 @@
 
 
 class VoteRequest(NamedTuple):
-    """A candidate asks for a vote or, with ``pre_vote``, whether it would get one."""
+    """A candidate's request for a vote or, with ``pre_vote``, for a pre-vote.
+
+    ``transfer`` marks an election that the leader itself requested.
+    """
 
     term: int
     sender: Identity
@@ -72,7 +75,7 @@
 
 
 class VoteReply(NamedTuple):
-    """Answer to a vote request; ``term`` is the asked one if granted, else the voter's."""
+    """Reply to a vote request; ``term`` is the requested one if granted, else the voter's."""
 
     term: int
     sender: Identity
@@ -81,7 +84,7 @@
 
 
 class AppendRequest(NamedTuple):
-    """Entries that follow (prev_index, prev_term); none in a heartbeat."""
+    """Entries after (prev_index, prev_term); a heartbeat has none."""
 
     term: int
     sender: Identity
@@ -93,7 +96,7 @@
 
 
 class AppendReply(NamedTuple):
-    """Answer to an append; when refused, ``match_index`` is where to try next."""
+    """Reply to an append; if rejected, ``match_index`` is the index after which to retry."""
 
     term: int
     sender: Identity
@@ -103,7 +106,7 @@
 
 
 class SnapshotChunk(NamedTuple):
-    """A part of a snapshot; ``checksum`` is the xxh64 of the whole."""
+    """A part of a snapshot; ``checksum`` is the xxh64 of the whole snapshot."""
 
     term: int
     sender: Identity
@@ -117,9 +120,9 @@
 
 
 class SnapshotReply(NamedTuple):
-    """Answer to a chunk; ``next_offset`` is the total once the snapshot is installed.
+    """Reply to a chunk; ``next_offset`` is the total size once the snapshot is installed.
 
-    The field order differs from VoteReply, because tuples of equal content compare as equal.
+    The field order differs from VoteReply, because tuples with equal values compare equal.
     """
 
     index: int
@@ -129,21 +132,21 @@
 
 
 class TransferLeadership(NamedTuple):
-    """The leader asks the receiver to start an election now."""
+    """The leader's request that the receiver start an election now (Raft TimeoutNow)."""
 
     term: int
     sender: str
 
 
 class Envelope(NamedTuple):
-    """A message and the replica it is for."""
+    """A message and its recipient."""
 
     to: Identity
     message: tuple
 
 
 class Leadership(NamedTuple):
-    """Who leads; ``leader`` is a process name, empty if unknown."""
+    """Current leader; ``leader`` is a process name, empty if unknown."""
 
     term: int
     leader: str
--- a/siskintally/persistent_state.py
+++ b/siskintally/persistent_state.py
@@ -1,4 +1,4 @@
-"""What a replica has on disk, as a value.
+"""Persistent state of a replica as a value, and the initial state of a new group.
 
 >>> from siskintally.messages import Identity
 >>> from siskintally.persistent_state import founding_state
@@ -17,7 +17,7 @@
 
 
 class PersistentState(NamedTuple):
-    """What a replica has on disk."""
+    """Term, vote, snapshot and log of a replica as stored on disk."""
 
     term: int = 0
     vote: Identity | None = None
@@ -28,9 +28,9 @@
 
 
 def founding_state(voters):
-    """Return what the founding voters of a group have on disk at first.
+    """Return the state from which a new group is bootstrapped: a snapshot that names its voters.
 
-    :param voters: identities.
+    :param voters: identities of the first voters.
     """
     members = ordered(Member(identity=identity, voter=True) for identity in voters)
     snapshot = Snapshot(index=FOUNDING_INDEX, term=FOUNDING_TERM, members=members, data=b"")
--- a/siskintally/progress.py
+++ b/siskintally/progress.py
@@ -1,4 +1,4 @@
-"""What a leader knows of one other replica.
+"""Replication progress of one peer, as tracked by the leader.
 
 >>> from siskintally.progress import Progress
 >>> Progress(next_index=5, now=0.0).match
@@ -9,13 +9,14 @@
 
 
 class Progress:
-    """Position and liveness of one replica, as its leader sees it.
-
-    ``match``: last index known to be synced there. ``next_index``: first index to send. ``round``:
-    highest read round it answered. ``heard``, ``sent``, ``chunk_sent``: times. ``chunk_index``:
-    index of the snapshot that is being sent, 0 if none; ``offset``: bytes of it that have arrived.
-    ``probed``: whether entries were sent since the last answer. ``answered``: whether it has
-    answered this leader.
+    """Log position and liveness of one peer.
+
+    ``match``: highest log index known to be on the peer's disk. ``next_index``: next index to send.
+    ``round``: highest read round that the peer acknowledged. ``heard``: time of the last reply, at
+    first that of the start of tracking; ``answered``: whether there was a reply. ``probed``:
+    whether entries were sent since the last reply. ``sent``: time of the last message;
+    ``sent_commit``: commit index in it. ``chunk_index``: index of the snapshot being sent, 0 if
+    none; ``offset``: bytes of it that the peer has; ``chunk_sent``: time of its last chunk.
     """
 
     __slots__ = (
--- a/siskintally/raftlog.py
+++ b/siskintally/raftlog.py
@@ -1,4 +1,4 @@
-"""The log of a replica, with the snapshot that replaces its compacted part.
+"""In-memory Raft log of a replica, with the snapshot that replaces its compacted prefix.
 
 >>> from siskintally.messages import Entry
 >>> from siskintally.raftlog import Log
@@ -14,9 +14,9 @@
 
 
 class Log:
-    """Entries after ``base_index`` and the latest snapshot, whose index is not below the base.
+    """Entries after ``base_index`` and the latest snapshot, whose index is at least the base.
 
-    :param members: member set in force: that of the last member entry, committed or not.
+    ``members``: current member set, from the last membership entry, committed or not.
     """
 
     __slots__ = ("base_index", "base_term", "entries", "members", "members_index", "snapshot")
@@ -47,18 +47,18 @@
         return None
 
     def first_of_term(self, index):
-        """Return the first index whose entries up to ``index`` have the same term."""
+        """Return the first index of the run of entries of the same term that ends at ``index``."""
         term = self.term_at(index)
         while index > self.base_index + 1 and self.term_at(index - 1) == term:
             index -= 1
         return index
 
     def between(self, first, last):
-        """Return the entries first to last, both included."""
+        """Return the entries from ``first`` to ``last``, both included."""
         return self.entries[first - self.base_index - 1 : last - self.base_index]
 
     def batch(self, first, *, max_entries, max_bytes):
-        """Return entries from ``first`` on, at least one if there is one."""
+        """Return entries from ``first`` on within the limits, at least one if there is one."""
         chosen = []
         size = 0
         for entry in self.between(first, min(self.last_index, first + max_entries - 1)):
@@ -82,7 +82,7 @@
             self._find_members()
 
     def members_at(self, index):
-        """Return (members, index of their entry) in force after the entry ``index``."""
+        """Return the member set in effect after the entry ``index``, and the index it came from."""
         for entry in reversed(self.between(self.snapshot.index + 1, index)):
             if entry.kind == Kind.MEMBERS:
                 return entry.members, entry.index
@@ -95,7 +95,7 @@
         self._drop(max(self.base_index, index - keep))
 
     def install(self, snapshot):
-        """Replace everything up to the index of a snapshot that another replica took."""
+        """Install a snapshot from the leader in place of all entries up to its index."""
         if self.term_at(snapshot.index) == snapshot.term:
             self._drop(snapshot.index)
         else:
--- a/siskintally/records.py
+++ b/siskintally/records.py
@@ -1,4 +1,4 @@
-"""Checksummed records in files, and files that are replaced as a whole.
+"""Checksummed records for append-only files, and atomic replacement of files.
 
 A record is a header (length, xxh32 of the length, xxh64 of the rest), the payload, and a last byte
 that is not zero.
@@ -33,12 +33,12 @@
 
 
 def unpack(data, *, name):
-    """Yield the payloads of the records, up to a last one that was not completely written.
+    """Yield the payloads of the records; ignore a last record that was only partly written.
 
-    Incomplete is a record that ends with the file, or whose last sectors are zeros up to the end of
-    the file. A complete record with a wrong checksum was written and synced and is damaged.
+    A record is partly written if the file ends before it does, or if its last sector and everything
+    after it are zeros. Any other record with a wrong checksum is damaged, since it was synced.
 
-    :param name: file name, for errors.
+    :param name: file name for error messages.
     :raises DamagedDataError: a record is damaged.
     """
     view = memoryview(data)
@@ -60,7 +60,7 @@
 
 
 def _is_unwritten(data, start, end):
-    """Whether zeros fill the file from the start or the last sector of a record to the end."""
+    """Return whether the file is zeros from the record's last sector, or its start, to the end."""
     last_sector = (end - 1) // SECTOR_BYTES * SECTOR_BYTES
     return not any(data[max(start, last_sector) :])
 
@@ -68,16 +68,16 @@
 def unpack_one(data, *, name):
     """Return the payload of a file that holds one record.
 
-    :raises DamagedDataError: the file holds anything else.
+    :raises DamagedDataError: the file contains anything but one complete record.
     """
     payloads = list(unpack(data, name=name))
     if len(payloads) != 1 or len(data) != HEADER.size + len(payloads[0]) + 1:
-        raise DamagedDataError(f"{name}: expected one whole record")
+        raise DamagedDataError(f"{name}: expected exactly one complete record")
     return payloads[0]
 
 
 def replace_file(path, data):
-    """Write a file under a temporary name, sync it, rename it and sync the folder."""
+    """Replace a file atomically: write and sync a temporary file, rename it, sync the folder."""
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
     with open(temporary, "wb") as file:
         file.write(data)
@@ -88,7 +88,7 @@
 
 
 def append_to(file, data):
-    """Append to an unbuffered file and sync it; the size is synced with the data."""
+    """Append to an unbuffered file and sync its data and size with fdatasync."""
     written = 0
     while written < len(data):
         written += file.write(data[written:])
@@ -96,7 +96,7 @@
 
 
 def sync_folder(folder):
-    """Sync the names in a folder."""
+    """Sync the directory entries of a folder."""
     descriptor = open_descriptor(folder, O_RDONLY | O_DIRECTORY)
     try:
         fsync(descriptor)
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -1,4 +1,4 @@
-"""Consensus core of one replica: pure transitions, without clock, disk, network or random source.
+"""Raft replica as a pure state machine: no clock, disk, network or random source of its own.
 
 >>> from siskintally.messages import Identity
 >>> from siskintally.replica import Replica
@@ -35,13 +35,14 @@
 
 
 class Replica(Elections, Replication, Follower):
-    """One member of a group; each transition returns :class:`~siskintally.effects.Effects`.
+    """One Raft replica; each transition returns :class:`~siskintally.effects.Effects`.
 
-    The owner carries out the effects of a transition, and calls :meth:`synced` after each sync,
-    before it sends the messages of a later transition.
+    The caller executes the effects of a transition, and calls :meth:`synced` after each sync,
+    before it sends the messages of a later transition. ``deadline`` is the election timeout, and
+    on a leader the end of a leadership transfer.
 
-    :param stable: what is on disk; the default is an empty disk.
-    :param timeout: function that returns the next election timeout in seconds.
+    :param stable: persistent state read from disk; by default that of an empty disk.
+    :param timeout: function that returns a random election timeout in seconds.
     :param now: monotonic time in seconds.
     """
 
@@ -102,12 +103,12 @@
 
     @property
     def is_leader(self):
-        """Whether this replica leads, as far as it knows."""
+        """Whether this replica is in the leader role; a newer leader may exist already."""
         return self.role == Role.LEADER
 
     @property
     def stable(self):
-        """What is on disk once all effects so far are synced."""
+        """Persistent state: what is on disk once all effects so far are synced."""
         return PersistentState(
             term=self.term,
             vote=self.vote,
@@ -118,7 +119,7 @@
         )
 
     def next_tick(self):
-        """Return the time at which :meth:`tick` has something to do."""
+        """Return the time at which :meth:`tick` must be called next."""
         if self.role != Role.LEADER:
             return self.deadline if self.identity in self.voters else float("inf")
         times = [self._beat_at(progress) for progress in self.progress_by_id.values()]
@@ -127,7 +128,7 @@
         return min(times, default=float("inf"))
 
     def tick(self, now):
-        """Start an election or send heartbeats, if it is time."""
+        """Start an election if the election timeout has expired; send heartbeats that are due."""
         effects = Effects()
         if self.role == Role.LEADER:
             self._tick_leader(now, effects)
@@ -139,7 +140,7 @@
         return effects
 
     def receive(self, message, now):
-        """Take a message of another replica."""
+        """Process a message from another replica."""
         effects = Effects()
         answers = isinstance(message, AppendReply | SnapshotReply)
         if answers and message.term > self.term:
@@ -148,16 +149,16 @@
         return effects
 
     def propose(self, command, now):
-        """Append a command; ``effects.index`` is its index.
+        """Append a command to the log; ``effects.index`` is its index.
 
-        :raises NotLeaderError: nothing was appended.
+        :raises NotLeaderError: this replica cannot accept proposals; nothing was appended.
         """
         return self.propose_batch((command,), now)
 
     def propose_batch(self, commands, now):
-        """Append commands; ``effects.index`` is the index of the last one.
+        """Append commands to the log; ``effects.index`` is the index of the last one.
 
-        :raises NotLeaderError: nothing was appended.
+        :raises NotLeaderError: this replica cannot accept proposals; nothing was appended.
         """
         self._check_leading()
         effects = Effects()
@@ -168,15 +169,15 @@
         return effects
 
     def propose_members(self, members, now):
-        """Append a new member set, which is in force at once.
+        """Append a membership change, which takes effect at once, before it is committed.
 
-        :raises NotLeaderError: nothing was appended.
+        :raises NotLeaderError: this replica cannot accept proposals; nothing was appended.
         :raises BadRequestError: an earlier change or the first entry of the term is not committed,
-            or the change is not a single step.
+            or more than one voter changes.
         """
         self._check_leading()
         if not self.is_settled:
-            # Without this, changes of two leaders could be in force with disjoint quorums.
+            # Otherwise changes by two successive leaders could be active with disjoint quorums.
             raise BadRequestError("members: no entry of the present term is committed yet")
         if self.log.members_index > self.commit:
             raise BadRequestError("members: the previous change is not committed yet")
@@ -190,9 +191,9 @@
         return effects
 
     def confirm(self, now, *, urgent=True):
-        """Begin a read round; ``effects.round`` is its number.
+        """Start a read round (as in ReadIndex); ``effects.round`` is its number.
 
-        It is confirmed once a quorum has answered a message sent after this call.
+        The round is confirmed once a quorum has replied to a message sent after this call.
 
         :param urgent: whether to send messages now; otherwise the next heartbeats carry the round.
         :raises NotLeaderError: this replica does not lead.
@@ -208,9 +209,9 @@
         return effects
 
     def synced(self, index, term, now):
-        """Note that the log up to an entry is on disk.
+        """Record that the log up to an entry is on disk.
 
-        :param term: term of that entry; if it was replaced since, nothing changes.
+        :param term: term of that entry; the call is ignored if the entry was replaced since.
         """
         effects = Effects()
         if self.log.term_at(index) == term:
@@ -221,10 +222,11 @@
         return effects
 
     def compact(self, index, data, *, keep=0):
-        """Replace the log up to an applied entry with a snapshot.
+        """Compact the log: replace entries up to an applied one with a snapshot.
 
-        :param data: state of the machine after that entry.
-        :param keep: entries before it to keep for followers that are a little behind.
+        :param data: serialized state machine after that entry.
+        :param keep: number of entries before ``index`` to retain, so that followers slightly behind
+            need no snapshot.
         """
         effects = Effects()
         if self.log.snapshot.index < index <= self.commit:
@@ -233,9 +235,12 @@
         return effects
 
     def transfer(self, now, *, to=None):
-        """Hand leadership to the most up-to-date voter that answers; no proposals meanwhile.
+        """Transfer leadership to the most up-to-date reachable voter.
 
-        :param to: identity of the only voter that may get it.
+        Proposals are rejected until the transfer ends. Nothing happens if no voter is reachable or
+        a transfer is already in progress.
+
+        :param to: identity of the only acceptable target; by default any voter.
         :raises NotLeaderError: this replica does not lead.
         """
         self._check_leading(transferring=True)
@@ -255,14 +260,14 @@
         return effects
 
     def expire_election(self):
-        """Let the waiting for a leader or a quorum end at the next tick (model checking)."""
+        """Make the election and quorum timeouts expire at the next tick (for model checking)."""
         self.deadline = NEVER
         self.heard = NEVER
         for progress in self.progress_by_id.values():
             progress.heard = NEVER
 
     def expire_beat(self):
-        """Let heartbeats and repeated chunks be due at the next tick (model checking)."""
+        """Make heartbeats and chunk retransmissions due at the next tick (for model checking)."""
         for progress in self.progress_by_id.values():
             progress.sent = NEVER
             progress.chunk_sent = NEVER
@@ -279,7 +284,7 @@
         return other
 
     def key(self):
-        """Return the whole state as a hashable value; times are compared as they are."""
+        """Return the whole state, timestamps included, as a hashable value."""
         return (
             self.identity,
             self.term,
@@ -304,10 +309,10 @@
     def _check_leading(self, *, transferring=False):
         if self.role != Role.LEADER:
             leader = self.leader.name if self.leader else ""
-            raise NotLeaderError(f"{self.identity.name} does not lead", leader=leader)
+            raise NotLeaderError(f"{self.identity.name} is not the leader", leader=leader)
         if self.transfer_to is not None and not transferring:
             raise NotLeaderError(
-                f"{self.identity.name} hands leadership over", leader=self.transfer_to.name
+                f"{self.identity.name} is transferring leadership", leader=self.transfer_to.name
             )
 
     def _commit_to(self, index, effects):
--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -1,4 +1,4 @@
-"""Replication: what a leader sends and how it commits.
+"""Log replication by the leader: appends, snapshots, commits, read rounds and heartbeats.
 
 >>> from siskintally.replication import Replication
 >>> Replication.__slots__
@@ -24,20 +24,20 @@
 
 
 class Replication:
-    """The part of a replica that acts while it leads."""
+    """Mixin of :class:`~siskintally.replica.Replica` with the duties of a leader."""
 
     __slots__ = ()
 
     @property
     def is_settled(self):
-        """Whether the leader has committed an entry of its own term."""
+        """Whether this replica leads and has committed an entry of its own term."""
         return self.role == Role.LEADER and self.log.term_at(self.commit) == self.term
 
     def is_keepalive(self, message):
-        """Whether a message is a reply that only shows that a peer is alive.
+        """Return whether a message is a reply that only shows that a peer is alive.
 
-        Nothing waits for it: the peer lacks no entry, no read round is open, and leadership is not
-        being handed over. It can be taken with the next heartbeat.
+        Nothing depends on it: the peer has all entries, no read round is unconfirmed, and no
+        leadership transfer is in progress. It can be processed as late as the next heartbeat.
         """
         if not isinstance(message, AppendReply) or message.term != self.term:
             return False
@@ -67,13 +67,13 @@
             self._send_entries(peer, progress, now, effects)
 
     def _send_entries(self, peer, progress, now, effects):
-        """Send what the peer lacks, up to the window of unanswered entries."""
+        """Send missing entries, up to the window of unacknowledged ones, or a snapshot chunk."""
         if progress.next_index <= self.log.base_index:
             self._send_chunk(peer, progress, now, effects)
             return
         while progress.next_index <= self.log.last_index:
             if progress.match == 0:
-                # One batch at a time until the logs are known to match.
+                # Send one batch at a time until the logs are known to match.
                 if progress.probed:
                     return
             elif progress.next_index - progress.match > self.timing.window_entries + 1:
@@ -144,14 +144,14 @@
         if progress is None or progress.chunk_index == 0:
             return
         if not reply.index == progress.chunk_index == self.log.snapshot.index:
-            # The snapshot was replaced by a later one, whose size differs.
+            # A later snapshot of another size has replaced the one being sent.
             progress.chunk_sent = NEVER
         elif reply.next_offset >= len(self.log.snapshot.data):
             progress.match = max(progress.match, reply.index)
             progress.next_index = progress.match + 1
             progress.chunk_index = 0
         elif reply.next_offset == progress.offset:
-            # A repeated answer; the chunk is on its way, or its timer sends it again.
+            # Duplicate reply: the chunk is in flight, or its timer retransmits it.
             return
         else:
             progress.offset = reply.next_offset
@@ -180,7 +180,7 @@
             for voter in self.voters
         ]
         reached = quorum_value(matches)
-        # An entry of an older term can still be overwritten, however many replicas hold it.
+        # Raft 5.4.2: an entry of an older term can still be overwritten, even on a quorum.
         if reached > self.commit and self.log.term_at(reached) == self.term:
             self._commit_to(reached, effects)
 
@@ -223,14 +223,14 @@
                 self._send_chunk(peer, progress, now, effects)
 
     def _beat_at(self, progress):
-        """Time of the next heartbeat: sooner while there is a commit that the peer lacks.
+        """Return the time of the next heartbeat, sooner if the peer lacks entries or a commit.
 
-        Heartbeats fall on multiples of their interval, so that those of all groups of a process
-        leave together, as one message of each link.
+        Heartbeats are sent at multiples of their interval, so that those of all groups of a
+        process go out together, as one message per link.
         """
         if progress.sent == NEVER:
             return NEVER
         lacks = progress.sent_commit < self.commit or progress.match < self.log.last_index
         interval = self.timing.busy_beat_s if lacks else self.timing.idle_beat_s
-        # Rounding of the quotient must not yield the time of the last heartbeat again.
+        # Without the tolerance, rounding could yield the time of the last heartbeat again.
         return interval * floor(progress.sent / interval + 1 + BEAT_TOLERANCE)
--- a/siskintally/roster.py
+++ b/siskintally/roster.py
@@ -1,4 +1,4 @@
-"""Which processes may have a replica of a group, whom to ask for admission, and who has to leave.
+"""Membership policy of a group: which processes may join, and which voters to remove.
 
 >>> from siskintally.roster import FixedRoster
 >>> roster = FixedRoster(names=("s1", "s2", "s3"))
@@ -12,31 +12,31 @@
 
 
 class Roster(ABC):
-    """Processes that a group may consist of."""
+    """Policy on the processes that may be members of a group."""
 
     __slots__ = ()
 
     @abstractmethod
     def contacts(self):
-        """Yield the names of processes that may know the leader of the group."""
+        """Yield the names of processes to send join requests to."""
 
     @abstractmethod
     def admits(self, name):
-        """Tell whether a process may have a replica."""
+        """Return whether a process may join the group."""
 
     @abstractmethod
     def is_founded(self, voter_names):
-        """Tell whether a leader with these voters may accept proposals."""
+        """Return whether a leader with these voters may accept proposals."""
 
     def removable(self, silent_s_by_voter):
-        """Return a voter that has to leave the group, or None.
+        """Return a voter to remove from the group, or None.
 
-        :param silent_s_by_voter: seconds since each voter was heard, by identity.
+        :param silent_s_by_voter: seconds since the last reply of each voter, by identity.
         """
 
 
 class FixedRoster(Roster):
-    """Processes that the settings name.
+    """Allows only the processes listed in the settings.
 
     :param names: process names.
     """
@@ -47,24 +47,24 @@
         self.names = tuple(names)
 
     def contacts(self):
-        """Yield the names of the settings."""
+        """Yield the names in the settings."""
         yield from self.names
 
     def admits(self, name):
-        """Tell whether the settings name a process."""
+        """Return whether the settings list a process."""
         return name in self.names
 
     def is_founded(self, voter_names):
-        """Tell whether a majority of the names vote; before, a commit could be on one disk only."""
+        """Return whether a majority are voters; before that, one disk alone could commit."""
         return len(set(voter_names) & set(self.names)) >= quorum(len(self.names))
 
 
 class OpenRoster(Roster):
-    """Any process that asks; voters that have gone leave once enough others are alive.
+    """Allows any process; unresponsive voters are removed once enough others are alive.
 
-    :param contacts: function that returns the names of processes that are known at present.
-    :param tolerated: members that may be lost at the same time.
-    :param silence_s: silence after which a voter may be removed.
+    :param contacts: function that returns the names of the currently known processes.
+    :param tolerated: number of members that may be lost at the same time.
+    :param silence_s: seconds without a reply after which a voter may be removed.
     """
 
     __slots__ = ("_contacts", "_silence_s", "_tolerated")
@@ -75,19 +75,19 @@
         self._silence_s = silence_s
 
     def contacts(self):
-        """Yield the names that are known at present."""
+        """Yield the names of the currently known processes."""
         yield from self._contacts()
 
     def admits(self, name):
-        """Admit every process."""
+        """Return whether the name is not empty; every process may join."""
         return bool(name)
 
     def is_founded(self, voter_names):
-        """Tell whether there are voters; all founding voters begin with the same state."""
+        """Return whether there are voters; all first ones are bootstrapped with the same state."""
         return bool(voter_names)
 
     def removable(self, silent_s_by_voter):
-        """Return the voter that is silent for longest, if the others can bear the losses alone."""
+        """Return the voter unresponsive for longest, if 2 * ``tolerated`` + 1 others are alive."""
         silent = {
             voter: silent_s
             for voter, silent_s in silent_s_by_voter.items()
--- a/siskintally/state_machine.py
+++ b/siskintally/state_machine.py
@@ -9,9 +9,9 @@
 
 
 class StateMachine(ABC):
-    """State that every replica of a group computes from the same log.
+    """Deterministic state machine that every replica of a group runs on the same log.
 
-    ``apply`` reads no clock and no random source: time and random values come in the command.
+    ``apply`` must not use a clock or a random source: commands carry such values.
     """
 
     __slots__ = ()
@@ -20,14 +20,14 @@
     def apply(self, *, index, command):
         """Apply a committed command and return the reply as bytes.
 
-        :param index: log index, larger by at least 1 at each call.
-        :param command: bytes that :meth:`Group.propose` was given.
+        :param index: log index; increases with each call, not always by 1.
+        :param command: bytes given to :meth:`~siskintally.group.Group.propose`.
         """
 
     @abstractmethod
     def snapshot(self):
-        """Return the whole state as bytes."""
+        """Return the complete state as bytes."""
 
     @abstractmethod
     def restore(self, data):
-        """Replace the state with a snapshot."""
+        """Replace the state with that of a snapshot."""
--- a/siskintally/timing.py
+++ b/siskintally/timing.py
@@ -1,4 +1,4 @@
-"""Intervals and limits of the consensus core.
+"""Raft timing and limits: heartbeat and election timeouts, batch and window sizes.
 
 >>> from siskintally.timing import Timing
 >>> Timing(idle_beat_s=0.4).idle_beat_s
@@ -7,20 +7,28 @@
 
 
 class Timing:
-    """Intervals in seconds and limits of messages.
+    """Timeouts and intervals in seconds, and size limits of messages.
 
-    :param window_entries: entries sent to a replica ahead of its answers.
-    :param first_election_share: part of the election timeout that a replica waits which has heard
-        no leader since its start; after a restart of all, none is left to be heard.
-    :param retry_election_share: the same for a candidate that was not elected: no leader is heard
-        then, so nobody has to be protected from it.
-    :param ended_leader_share: part of the election timeout after which the next leader may be
-        elected once the process of the last one is known to have ended.
-    :param stagger_s: added for each voter that comes before in the order of names; longer than a
-        round of votes, so that two candidates rarely split the votes.
-    :param election_spread_s: random part of the election timeout, None for all up to its maximum.
-    :param quiet_start_s: time after its start in which a replica supports no candidate, because it
-        may have followed a leader until shortly before.
+    :param busy_beat_s: heartbeat interval to a peer that lacks entries or the commit index.
+    :param idle_beat_s: heartbeat interval to a peer that is up to date.
+    :param election_min_s: minimum election timeout.
+    :param election_max_s: time without replies from a quorum after which a leader steps down.
+    :param chunk_bytes: maximum data of one snapshot chunk.
+    :param batch_entries: maximum entries of one append.
+    :param batch_bytes: maximum command bytes of one append, unless its first entry is larger.
+    :param window_entries: unacknowledged entries to one replica above which sending pauses.
+    :param first_election_share: factor of the election timeout while a replica has had no contact
+        with a leader since its start; after a restart of the whole group there is no leader.
+    :param retry_election_share: factor of the election timeout for a candidate that was not
+        elected: there is no leader then that a new election could disrupt.
+    :param ended_leader_share: factor of ``election_min_s`` after which another leader may be
+        elected once the process of the leader is known to have exited.
+    :param stagger_s: added to the election timeout for each voter that precedes in the order of
+        names; longer than a round of votes, so that candidates rarely split the vote.
+    :param election_spread_s: random part of the election timeout; by default the difference between
+        ``election_max_s`` and ``election_min_s``.
+    :param quiet_start_s: time after its start in which a replica grants no votes, because it may
+        have followed a leader until shortly before.
     """
 
     __slots__ = (
--- a/siskintally/waiters.py
+++ b/siskintally/waiters.py
@@ -1,4 +1,4 @@
-"""Calls that wait for a commit or for a read round of a group.
+"""Pending calls of a group: proposals by log index and reads by read round.
 
 >>> from siskintally.waiters import Waiters
 >>> Waiters().is_empty
@@ -9,10 +9,10 @@
 
 
 class Waiter:
-    """One waiting call.
+    """One pending call: a proposal or a read.
 
     :param command: bytes to propose, None for a read round.
-    :param urgent: whether a read round is sent at once.
+    :param urgent: whether the read round is sent at once.
     """
 
     __slots__ = ("_done", "_error", "_reply", "command", "urgent")
@@ -25,18 +25,18 @@
         self._error = None
 
     def resolve(self, reply=None):
-        """End the call with a reply."""
+        """Complete the call with a reply."""
         self._reply = reply
         self._done.set()
 
     def fail(self, error):
-        """End the call with an exception, unless it has ended."""
+        """Complete the call with an exception, unless it is complete."""
         if not self._done.is_set():
             self._error = error
             self._done.set()
 
     async def wait(self):
-        """Wait for the end of the call and return its reply."""
+        """Wait until the call is complete; return its reply or raise its exception."""
         await self._done.wait()
         if self._error is not None:
             raise self._error
@@ -44,7 +44,7 @@
 
 
 class Waiters:
-    """All calls that a leader has accepted in its present term."""
+    """All calls that a leader has accepted in its current term."""
 
     __slots__ = ("_by_index", "_by_round")
 
@@ -54,38 +54,38 @@
 
     @property
     def is_empty(self):
-        """Whether no call waits."""
+        """Whether no call is pending."""
         return not self._by_index and not self._by_round
 
     @property
     def has_proposals(self):
-        """Whether a call waits for its command to be committed."""
+        """Whether a proposal is pending."""
         return bool(self._by_index)
 
     def add_proposals(self, waiters, last_index):
-        """Add calls whose commands are the entries up to ``last_index``."""
+        """Add proposals whose commands are the entries up to ``last_index``."""
         first = last_index - len(waiters) + 1
         for index, waiter in enumerate(waiters, first):
             self._by_index[index] = waiter
 
     def add_reads(self, waiters, round_):
-        """Add calls that wait for a read round."""
+        """Add reads that wait for a read round."""
         self._by_round.setdefault(round_, []).extend(waiters)
 
     def applied(self, index, reply):
-        """End the call whose entry was applied."""
+        """Complete the proposal whose entry was applied."""
         waiter = self._by_index.pop(index, None)
         if waiter is not None:
             waiter.resolve(reply)
 
     def confirmed(self, round_):
-        """End the calls of all read rounds up to one."""
+        """Complete the reads of all rounds up to a confirmed one."""
         for number in [number for number in self._by_round if number <= round_]:
             for waiter in self._by_round.pop(number):
                 waiter.resolve()
 
     def fail(self, *, proposals, reads):
-        """End all calls with exceptions.
+        """Fail all calls.
 
         :param proposals: function that returns the exception of a proposal.
         :param reads: function that returns the exception of a read.
--- a/siskintally/write_behind.py
+++ b/siskintally/write_behind.py
@@ -1,4 +1,4 @@
-"""The task that syncs a leader's own entries while its replica goes on.
+"""Background writer of a leader's log entries, so that it need not wait for its own disk.
 
 >>> from siskintally.write_behind import WriteBehind
 >>> WriteBehind(write=None, wake=None).is_idle
@@ -13,10 +13,10 @@
 
 
 class WriteBehind:
-    """Entries of a leader on their way to its own disk, in the order of the log.
+    """Writes and syncs entries of a leader in the background, in log order.
 
-    A commit needs a quorum of disks, not the leader's own: followers commit while it syncs, and
-    the leader counts itself once :meth:`take_written` has told of it.
+    A commit needs a quorum of disks, not necessarily the leader's own: entries can be committed by
+    the followers while it syncs. The leader counts itself once :meth:`take_written` returns them.
 
     :param write: function that syncs :class:`~siskintally.effects.Effects`; blocks.
     :param wake: function that is called after each sync.
@@ -40,22 +40,22 @@
         return self._began is None and not self._waiting
 
     def busy_s(self, now):
-        """Return for how long the present sync has taken.
+        """Return how long the sync in progress has taken, 0 if there is none, in seconds.
 
         :param now: steady time, s.
         """
         return now - self._began if self._began is not None else 0.0
 
     def add(self, entries, last):
-        """Write entries soon.
+        """Queue entries to be written.
 
-        :param last: (index, term) of the last entry of the log that they belong to.
+        :param last: (index, term) of the last log entry once they are written.
         """
         self._waiting.append((entries, last))
         self._arrived.set()
 
     def take_written(self):
-        """Return (index, term) up to which the log is newly on disk, or None.
+        """Return (index, term) of the last newly synced entry, or None.
 
         :raises OSError: the disk failed.
         """
@@ -65,7 +65,7 @@
         return last
 
     async def drain(self):
-        """Return once everything that was added is on disk.
+        """Wait until everything that was added is on disk.
 
         :raises OSError: the disk failed.
         """
@@ -76,7 +76,7 @@
             raise self._error
 
     async def run(self):
-        """Write until cancelled or until the disk fails."""
+        """Write queued entries until cancelled or until the disk fails."""
         while self._error is None:
             while not self._waiting:
                 self._arrived = Event()
@@ -93,7 +93,7 @@
             await run_sync(self._write, effects)
             _, self._last = batch[-1]
         except OSError as error:
-            # Raised where the replica runs, which ends with its disk.
+            # Raised by take_written() and drain() in the task of the replica, which then ends.
             self._error = error
         self._began = None
         self._idle.set()
