--- a/siskintally/effects.py
+++ b/siskintally/effects.py
@@ -17,21 +17,21 @@
     ``hard_state``, ``entries``, ``snapshot``: to sync to disk first. An entry replaces all stored
     entries with its index or a larger one. ``messages``: to send after the sync. ``restore``:
     snapshot to restore the state machine from. ``committed``: entries to apply after that.
-    ``index``: index of the last proposed entry, 0 if none. ``round``: read round that was started,
-    0 if none. ``confirmed``: highest newly confirmed read round, 0 if none. ``leadership``: new
-    leadership, None if unchanged.
+    ``index``: index of the last proposed entry, 0 if none. ``read_round``: read round that was
+    started, 0 if none. ``confirmed_round``: highest newly confirmed read round, 0 if none.
+    ``leadership``: new leadership, None if unchanged.
     """
 
     __slots__ = (
         "committed",
-        "confirmed",
+        "confirmed_round",
         "entries",
         "hard_state",
         "index",
         "leadership",
         "messages",
+        "read_round",
         "restore",
-        "round",
         "snapshot",
     )
 
@@ -43,8 +43,8 @@
         self.restore = None
         self.committed = []
         self.index = 0
-        self.round = 0
-        self.confirmed = 0
+        self.read_round = 0
+        self.confirmed_round = 0
         self.leadership = None
 
     @property
@@ -63,6 +63,6 @@
             self.committed.clear()
         self.committed.extend(later.committed)
         self.index = later.index or self.index
-        self.round = later.round or self.round
-        self.confirmed = max(self.confirmed, later.confirmed)
+        self.read_round = later.read_round or self.read_round
+        self.confirmed_round = max(self.confirmed_round, later.confirmed_round)
         self.leadership = later.leadership or self.leadership
--- a/siskintally/election.py
+++ b/siskintally/election.py
@@ -31,7 +31,7 @@
     LEADER = 3
 
 
-class Elections:
+class ElectionMixin:
     """Mixin of :class:`~siskintally.replica.Replica` with the election rules."""
 
     __slots__ = ()
@@ -41,18 +41,20 @@
         """Identities of the voters in the current configuration."""
         return voters_of(self.log.members)
 
-    def _hears_leader(self, now):
+    def _must_ignore_candidates(self, now):
         """Return whether to ignore candidates: a leader is alive, or may be after a restart."""
-        if self.role == Role.LEADER or now < self.quiet_until:
+        if self.role == Role.LEADER or now < self.votes_blocked_until:
             return True
-        return self.leader is not None and now - self.heard < self._least_silence_s()
+        return (
+            self.leader is not None and now - self.leader_contact_at < self._min_leader_timeout_s()
+        )
 
-    def _least_silence_s(self):
+    def _min_leader_timeout_s(self):
         """Return the time without contact after which a leader may be replaced, in seconds."""
-        share = self.timing.ended_leader_share if self.leader_ended else 1.0
+        share = self.timing.ended_leader_share if self.leader_process_exited else 1.0
         return self.timing.election_min_s * share
 
-    def note_ended(self, name, now):
+    def record_process_exit(self, name, now):
         """Shorten the election timeout if the process that exited is that of the leader.
 
         :param name: name of the process.
@@ -60,21 +62,26 @@
         is_leader = self.leader is not None and self.leader.name == name
         if self.role != Role.FOLLOWER or not is_leader:
             return
-        self.leader_ended = True
-        earliest = max(now, self.heard + self._least_silence_s()) + self._stagger_s()
+        self.leader_process_exited = True
+        earliest = (
+            max(now, self.leader_contact_at + self._min_leader_timeout_s())
+            + self._stagger_delay_s()
+        )
         self.deadline = min(self.deadline, earliest)
 
     def _restart_election_timer(self, now):
-        self.deadline = now + self._timeout() * self._timeout_share() + self._stagger_s()
+        self.deadline = (
+            now + self._election_timeout() * self._timeout_factor() + self._stagger_delay_s()
+        )
 
-    def _timeout_share(self):
-        if self.heard == NEVER:
+    def _timeout_factor(self):
+        if self.leader_contact_at == NEVER:
             return self.timing.first_election_share
         if self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             return self.timing.retry_election_share
         return 1.0
 
-    def _stagger_s(self):
+    def _stagger_delay_s(self):
         """Return the election delay of this voter: the earlier its name, the sooner it starts."""
         before = sum(voter < self.identity for voter in self.voters)
         return before * self.timing.stagger_s
@@ -86,29 +93,29 @@
 
     def _set_leader(self, leader, effects):
         self.leader = leader
-        self.leader_ended = False
+        self.leader_process_exited = False
         effects.leadership = Leadership(
             term=self.term,
             leader=leader.name if leader else "",
             is_leader=self.role == Role.LEADER,
         )
 
-    def _follow(self, term, leader, now, effects):
+    def _become_follower(self, term, leader, now, effects):
         if term > self.term:
             self._set_term(term, None, effects)
         changed = (self.role, self.leader) != (Role.FOLLOWER, leader) or effects.hard_state
-        has_led = self.role == Role.LEADER
+        was_leader = self.role == Role.LEADER
         self.role = Role.FOLLOWER
-        if leader is not None or has_led:
+        if leader is not None or was_leader:
             self._restart_election_timer(now)
         self.votes = frozenset()
         self.progress_by_id = {}
-        self.transfer_to = None
+        self.transfer_target = None
         self.transfer_sent = False
         if changed:
             self._set_leader(leader, effects)
 
-    def _ask_votes(self, role, now, effects, *, transfer=False):
+    def _request_votes(self, role, now, effects, *, transfer=False):
         self.role = role
         self.votes = frozenset((self.identity,))
         self._set_leader(None, effects)
@@ -128,11 +135,11 @@
         self._count_votes(now, effects)
 
     def _start_pre_vote(self, now, effects):
-        self._ask_votes(Role.PRE_CANDIDATE, now, effects)
+        self._request_votes(Role.PRE_CANDIDATE, now, effects)
 
     def _start_election(self, now, effects, *, transfer=False):
         self._set_term(self.term + 1, self.identity, effects)
-        self._ask_votes(Role.CANDIDATE, now, effects, transfer=transfer)
+        self._request_votes(Role.CANDIDATE, now, effects, transfer=transfer)
 
     def _count_votes(self, now, effects):
         voters = self.voters
@@ -141,16 +148,16 @@
         if self.role == Role.PRE_CANDIDATE:
             self._start_election(now, effects)
         elif self.role == Role.CANDIDATE:
-            self._lead(now, effects)
+            self._become_leader(now, effects)
 
-    def _lead(self, now, effects):
+    def _become_leader(self, now, effects):
         self.role = Role.LEADER
         self.votes = frozenset()
-        self.round = 0
-        self.confirmed = 0
+        self.read_round = 0
+        self.confirmed_round = 0
         self._set_leader(self.identity, effects)
         self.progress_by_id = {}
-        self._track_members(now)
+        self._update_tracked_peers(now)
         self._append(Entry(self.log.last_index + 1, self.term, Kind.NOOP), effects)
         self._send_all(now, effects)
 
@@ -158,11 +165,11 @@
         if request.pre_vote:
             self._on_pre_vote_request(request, now, effects)
             return
-        if self._hears_leader(now) and not request.transfer and request.term > self.term:
+        if self._must_ignore_candidates(now) and not request.transfer and request.term > self.term:
             # A replica back from a partition must not depose a leader that is still alive.
             return
         if request.term > self.term:
-            self._follow(request.term, None, now, effects)
+            self._become_follower(request.term, None, now, effects)
         granted = (
             request.term == self.term
             and self.vote in (None, request.sender)
@@ -176,7 +183,7 @@
     def _on_pre_vote_request(self, request, now, effects):
         granted = (
             request.term > self.term
-            and not self._hears_leader(now)
+            and not self._must_ignore_candidates(now)
             and self._is_up_to_date(request)
         )
         self._reply_vote(request, granted, effects)
@@ -197,7 +204,7 @@
     def _on_vote_reply(self, reply, now, effects):
         if not reply.granted:
             if reply.term > self.term:
-                self._follow(reply.term, None, now, effects)
+                self._become_follower(reply.term, None, now, effects)
             return
         asked = self.term + 1 if reply.pre_vote else self.term
         role = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
--- a/siskintally/follower.py
+++ b/siskintally/follower.py
@@ -1,7 +1,7 @@
 """Follower side of replication: accepts entries and snapshots from the leader.
 
->>> from siskintally.follower import Follower
->>> Follower.__slots__
+>>> from siskintally.follower import FollowerMixin
+>>> FollowerMixin.__slots__
 ()
 """
 
@@ -12,7 +12,7 @@
 from siskintally.messages import AppendReply, Envelope, Snapshot, SnapshotReply
 
 
-class Incoming(NamedTuple):
+class IncomingSnapshot(NamedTuple):
     """Partly received snapshot; ``size`` counts the bytes received, ``total`` all of them."""
 
     index: int
@@ -23,53 +23,53 @@
     parts: tuple
 
 
-class Follower:
+class FollowerMixin:
     """Mixin of :class:`~siskintally.replica.Replica` with the duties of a follower."""
 
     __slots__ = ()
 
     def _on_append_request(self, request, now, effects):
         if request.term < self.term:
-            self._refuse(request, 0, effects)
+            self._reject_append(request, 0, effects)
             return
-        self._hear(request, now, effects)
-        hint = self._mismatch(request)
+        self._accept_leader(request, now, effects)
+        hint = self._find_conflict(request)
         if hint is not None:
-            self._refuse(request, hint, effects)
+            self._reject_append(request, hint, effects)
             return
-        self._take_entries(request.entries, effects)
+        self._store_entries(request.entries, effects)
         match = request.prev_index + len(request.entries)
-        if min(request.commit, match) > self.commit:
+        if min(request.commit, match) > self.commit_index:
             self._commit_to(min(request.commit, match), effects)
         self._reply_append(request, True, match, effects)
 
-    def _hear(self, message, now, effects):
-        self._follow(message.term, message.sender, now, effects)
-        self.heard = now
-        self.leader_ended = False
+    def _accept_leader(self, message, now, effects):
+        self._become_follower(message.term, message.sender, now, effects)
+        self.leader_contact_at = now
+        self.leader_process_exited = False
 
-    def _mismatch(self, request):
+    def _find_conflict(self, request):
         """Return the index after which the leader should retry, or None if the log matches."""
         if request.prev_index > self.log.last_index:
             return self.log.last_index
         term = self.log.term_at(request.prev_index)
-        if request.prev_index <= self.commit or term == request.prev_term:
+        if request.prev_index <= self.commit_index or term == request.prev_term:
             return None
-        return max(self.commit, self.log.first_of_term(request.prev_index) - 1)
+        return max(self.commit_index, self.log.first_of_term(request.prev_index) - 1)
 
-    def _take_entries(self, entries, effects):
+    def _store_entries(self, entries, effects):
         for entry in entries:
-            if entry.index <= self.commit:
+            if entry.index <= self.commit_index:
                 continue
             if self.log.term_at(entry.index) == entry.term:
                 continue
             if entry.index <= self.log.last_index:
                 self.log.truncate(entry.index)
-                self.durable = min(self.durable, entry.index - 1)
+                self.durable_index = min(self.durable_index, entry.index - 1)
             self.log.append(entry)
             effects.entries.append(entry)
 
-    def _refuse(self, request, hint, effects):
+    def _reject_append(self, request, hint, effects):
         self._reply_append(request, False, hint, effects)
 
     def _reply_append(self, request, accepted, match, effects):
@@ -86,30 +86,30 @@
         if chunk.term < self.term:
             self._reply_chunk(chunk, 0, effects)
             return
-        self._hear(chunk, now, effects)
-        if chunk.index <= self.commit:
+        self._accept_leader(chunk, now, effects)
+        if chunk.index <= self.commit_index:
             self._reply_chunk(chunk, chunk.total, effects)
             return
-        incoming = self._incoming_for(chunk)
+        incoming = self._matching_partial(chunk)
         if chunk.offset == incoming.size:
             incoming = incoming._replace(
                 size=incoming.size + len(chunk.data), parts=(*incoming.parts, chunk.data)
             )
-        self.incoming = incoming
+        self.incoming_snapshot = incoming
         if incoming.size >= chunk.total:
-            self._finish_snapshot(chunk, effects)
+            self._install_snapshot(chunk, effects)
         else:
             self._reply_chunk(chunk, incoming.size, effects)
 
-    def _incoming_for(self, chunk):
+    def _matching_partial(self, chunk):
         mark = (chunk.index, chunk.index_term, chunk.checksum, chunk.total)
-        if self.incoming is not None and self.incoming[:4] == mark:
-            return self.incoming
-        return Incoming(*mark, size=0, parts=())
+        if self.incoming_snapshot is not None and self.incoming_snapshot[:4] == mark:
+            return self.incoming_snapshot
+        return IncomingSnapshot(*mark, size=0, parts=())
 
-    def _finish_snapshot(self, chunk, effects):
-        data = b"".join(self.incoming.parts)
-        self.incoming = None
+    def _install_snapshot(self, chunk, effects):
+        data = b"".join(self.incoming_snapshot.parts)
+        self.incoming_snapshot = None
         if xxh64_intdigest(data) != chunk.checksum:
             # No reply: the leader retransmits the last chunk, and the reply to that restarts it.
             return
@@ -117,8 +117,8 @@
             index=chunk.index, term=chunk.index_term, members=chunk.members, data=data
         )
         self.log.install(snapshot)
-        self.commit = snapshot.index
-        self.durable = max(self.durable, snapshot.index)
+        self.commit_index = snapshot.index
+        self.durable_index = max(self.durable_index, snapshot.index)
         effects.committed.clear()
         effects.snapshot = snapshot
         effects.restore = snapshot
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -250,13 +250,13 @@
         journal = self._disk.open(wake=self._inbox.wake)
         self._replica = Replica(
             identity=journal.identity,
-            stable=journal.stable,
+            persistent_state=journal.persistent_state,
             timing=self._timing,
-            timeout=self._election_timeout,
+            election_timeout=self._election_timeout,
             now=steady(),
         )
         self._handover = Handover()
-        self._applier.restore(journal.stable.snapshot)
+        self._applier.restore(journal.persistent_state.snapshot)
 
     def _election_timeout(self):
         timing = self._timing
@@ -297,7 +297,7 @@
             elif isinstance(item, Stop):
                 self._handover.ask(now)
             elif isinstance(item, PeerEnded):
-                self._replica.note_ended(item.name, now)
+                self._replica.record_process_exit(item.name, now)
             elif isinstance(item.message, JoinRequest):
                 self._changes.note(item.message, now)
             else:
@@ -315,7 +315,7 @@
             last = (replica.log.last_index, replica.log.last_term)
             await self._disk.write(effects, replica)
             self._finish(effects)
-            effects = replica.synced(*last, steady())
+            effects = replica.mark_synced(*last, steady())
         self._finish(effects)
 
     def _finish(self, effects):
@@ -326,8 +326,8 @@
             self._applier.restore(effects.restore)
         for entry in effects.committed:
             self._calls.applied(entry.index, self._applier.apply(entry))
-        if effects.confirmed:
-            self._calls.confirmed(effects.confirmed)
+        if effects.confirmed_round:
+            self._calls.confirmed(effects.confirmed_round)
         if effects.committed or effects.leadership:
             self._publish(self._leadership.seen_by(self._replica))
         self._changes.log_committed(self._replica)
--- a/siskintally/group_calls.py
+++ b/siskintally/group_calls.py
@@ -53,8 +53,8 @@
                 proposals = []
             if reads:
                 urgent = any(waiter.urgent for waiter in reads)
-                effects.extend(replica.confirm(now, urgent=urgent))
-                self._waiters.add_reads(reads, effects.round)
+                effects.extend(replica.start_read_round(now, urgent=urgent))
+                self._waiters.add_reads(reads, effects.read_round)
                 reads = []
         except NotLeaderError:
             self.refuse((*proposals, *reads))
--- a/siskintally/group_disk.py
+++ b/siskintally/group_disk.py
@@ -96,11 +96,11 @@
         """
         written = self._writer.take_written()
         if written is not None:
-            effects.extend(replica.synced(*written, now))
+            effects.extend(replica.mark_synced(*written, now))
         busy_s = self._writer.busy_s(now)
-        if busy_s > HUNG_DISK_S and replica.is_leader and replica.transfer_to is None:
+        if busy_s > HUNG_DISK_S and replica.is_leader and replica.transfer_target is None:
             log.warning("disk hangs", group=self._group, seconds=round(busy_s, 1))
-            effects.extend(replica.transfer(now))
+            effects.extend(replica.transfer_leadership(now))
 
     def may_follow(self, effects, replica):
         """Return whether entries may be sent, and committed by followers, before the own sync.
@@ -126,6 +126,6 @@
         # With a disk that syncs in 0.2 ms, syncing a few records inline costs less CPU and less
         # event loop time than switching to a worker thread and back. A snapshot must not block.
         if effects.snapshot is not None or self._in_thread:
-            await run_sync(self.journal.write, effects, lambda: replica.stable)
+            await run_sync(self.journal.write, effects, lambda: replica.persistent_state)
         else:
-            self.journal.write(effects, lambda: replica.stable)
+            self.journal.write(effects, lambda: replica.persistent_state)
--- a/siskintally/handover.py
+++ b/siskintally/handover.py
@@ -39,7 +39,7 @@
         """
         if self.is_asked and not self._is_begun and replica.is_leader and is_idle:
             self._is_begun = True
-            effects.extend(replica.transfer(now))
+            effects.extend(replica.transfer_leadership(now))
 
     def is_over(self, replica, now):
         """Return whether to stop now: leadership is transferred or cannot be, or time is up."""
@@ -47,4 +47,4 @@
             return False
         if now >= self.due or not replica.is_leader:
             return True
-        return self._is_begun and replica.transfer_to is None
+        return self._is_begun and replica.transfer_target is None
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -6,7 +6,7 @@
 >>> with TemporaryDirectory() as folder:
 ...     journal = Journal.open(Path(folder) / "cell", group="cell", name="s1")
 ...     journal.close()
->>> journal.identity.name, journal.stable.term
+>>> journal.identity.name, journal.persistent_state.term
 ('s1', 0)
 """
 
@@ -56,16 +56,16 @@
     ``log_bytes``: size of the log file.
 
     :param folder: data folder of the replica.
-    :param stable: persistent state read when the folder was opened.
+    :param persistent_state: persistent state read when the folder was opened.
     :param lock: open file that holds the lock.
     """
 
-    __slots__ = ("_group", "_lock", "_log", "folder", "identity", "log_bytes", "stable")
+    __slots__ = ("_group", "_lock", "_log", "folder", "identity", "log_bytes", "persistent_state")
 
-    def __init__(self, *, folder, group, identity, stable, lock):
+    def __init__(self, *, folder, group, identity, persistent_state, lock):
         self.folder = folder
         self.identity = identity
-        self.stable = stable
+        self.persistent_state = persistent_state
         self.log_bytes = 0
         self._group = group
         self._lock = lock
@@ -87,25 +87,31 @@
         lock = _lock(folder / IDENTITY_FILE)
         try:
             identity = _read_identity(folder, group, name)
-            stable = _read_log(folder, group, identity)
-            journal = cls(folder=folder, group=group, identity=identity, stable=stable, lock=lock)
-            journal._replace_log(stable)
-            _remove_others(folder, stable.snapshot.index)
+            persistent_state = _read_log(folder, group, identity)
+            journal = cls(
+                folder=folder,
+                group=group,
+                identity=identity,
+                persistent_state=persistent_state,
+                lock=lock,
+            )
+            journal._replace_log(persistent_state)
+            _remove_others(folder, persistent_state.snapshot.index)
         except BaseException:
             lock.close()
             raise
         return journal
 
-    def write(self, effects, stable):
+    def write(self, effects, persistent_state):
         """Write the hard state, entries or snapshot of a transition and sync them; blocks.
 
         :param effects: :class:`~siskintally.effects.Effects` of the transition.
-        :param stable: function that returns the :class:`PersistentState` after the transition; it
-            is called only if there is a snapshot.
+        :param persistent_state: function that returns the :class:`PersistentState` after the
+            transition; it is called only if there is a snapshot.
         :raises OSError: a write or sync failed; the journal must be opened again.
         """
         if effects.snapshot is not None:
-            self._write_snapshot(stable())
+            self._write_snapshot(persistent_state())
             return
         records = []
         if effects.hard_state is not None:
@@ -123,15 +129,15 @@
             self._log.close()
         self._lock.close()
 
-    def _write_snapshot(self, stable):
-        path = self.folder / f"{SNAPSHOT_PREFIX}{stable.snapshot.index}"
-        replace_file(path, _encode_snapshot(stable.snapshot))
-        self._replace_log(stable)
-        _remove_others(self.folder, stable.snapshot.index)
+    def _write_snapshot(self, persistent_state):
+        path = self.folder / f"{SNAPSHOT_PREFIX}{persistent_state.snapshot.index}"
+        replace_file(path, _encode_snapshot(persistent_state.snapshot))
+        self._replace_log(persistent_state)
+        _remove_others(self.folder, persistent_state.snapshot.index)
 
-    def _replace_log(self, stable):
+    def _replace_log(self, persistent_state):
         """Replace the log file with one that starts with the given state."""
-        data = _encode_head(stable, self._group, self.identity)
+        data = _encode_head(persistent_state, self._group, self.identity)
         path = self.folder / LOG_FILE
         if self._log is not None:
             self._log.close()
@@ -153,10 +159,10 @@
     """
     journal = Journal.open(folder, group=group, name=name, incarnation=incarnation)
     try:
-        if journal.stable != PersistentState():
+        if journal.persistent_state != PersistentState():
             raise BadRequestError(f"{folder}: the group {group!r} is already bootstrapped here")
-        stable = founding_state(voters or (journal.identity,))
-        journal._write_snapshot(stable)
+        persistent_state = founding_state(voters or (journal.identity,))
+        journal._write_snapshot(persistent_state)
     finally:
         journal.close()
     return journal.identity
@@ -315,15 +321,15 @@
     return pack(stored.SerializeToString())
 
 
-def _encode_head(stable, group, identity):
+def _encode_head(persistent_state, group, identity):
     head = LogHead(
         group=group,
         name=identity.name,
         incarnation=identity.incarnation,
-        snapshot_index=stable.snapshot.index,
-        base_index=stable.base_index,
-        base_term=stable.base_term,
-        hard_state=_encode_hard_state(stable),
-        entries=[encode_entry(entry) for entry in stable.entries],
+        snapshot_index=persistent_state.snapshot.index,
+        base_index=persistent_state.base_index,
+        base_term=persistent_state.base_term,
+        hard_state=_encode_hard_state(persistent_state),
+        entries=[encode_entry(entry) for entry in persistent_state.entries],
     )
     return pack(LogRecord(head=head).SerializeToString())
--- a/siskintally/leader_preference.py
+++ b/siskintally/leader_preference.py
@@ -42,7 +42,7 @@
             log.info(
                 "transferring leadership to the preferred member", group=self._group, to=target.name
             )
-            effects.extend(replica.transfer(now, to=target))
+            effects.extend(replica.transfer_leadership(now, to=target))
 
     def target(self, replica, now):
         """Return the voter to transfer leadership to now, or None.
@@ -54,7 +54,7 @@
             return None
         if self._term != replica.term:
             self._term, self._since = replica.term, now
-        if now - self._since < self._stable_s or not replica.is_settled:
+        if now - self._since < self._stable_s or not replica.has_committed_in_term:
             return None
         for voter in replica.voters:
             if voter.name == self.preferred and _can_lead(replica, voter, now):
@@ -65,5 +65,5 @@
 
 def _can_lead(replica, voter, now):
     progress = replica.progress_by_id[voter]
-    answers = progress.answered and now - progress.heard < replica.timing.election_min_s
-    return answers and progress.match >= replica.commit
+    answers = progress.has_replied and now - progress.last_reply_at < replica.timing.election_min_s
+    return answers and progress.match_index >= replica.commit_index
--- a/siskintally/leadership.py
+++ b/siskintally/leadership.py
@@ -35,7 +35,7 @@
             leader = replica.leader.name if replica.leader else ""
             return Leadership(term=replica.term, leader=leader, is_leader=False)
         names = [voter.name for voter in replica.voters]
-        is_ready = replica.is_settled and self._roster.is_founded(names)
+        is_ready = replica.has_committed_in_term and self._roster.is_founded(names)
         leader = self._process if is_ready else ""
         return Leadership(term=replica.term, leader=leader, is_leader=is_ready)
 
--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -43,7 +43,7 @@
         if replica.is_leader:
             return float("inf")
         if any(member.identity == replica.identity for member in replica.log.members):
-            return max(self.next_ask, replica.heard + SILENCE_S)
+            return max(self.next_ask, replica.leader_contact_at + SILENCE_S)
         return self.next_ask
 
     def ask(self, incarnation, now):
@@ -65,8 +65,8 @@
         :param replica: leader of the group.
         """
         log = replica.log
-        can_change = replica.is_settled and replica.transfer_to is None
-        if not can_change or log.members_index > replica.commit:
+        can_change = replica.has_committed_in_term and replica.transfer_target is None
+        if not can_change or log.members_index > replica.commit_index:
             return None
         self._request_by_name = {
             name: (incarnation, at)
@@ -103,16 +103,16 @@
     if voter == replica.identity:
         return 0.0
     progress = replica.progress_by_id[voter]
-    return now - max(progress.heard, since) if progress.answered else now - since
+    return now - max(progress.last_reply_at, since) if progress.has_replied else now - since
 
 
 def _is_alive(replica, identity, now):
     progress = replica.progress_by_id.get(identity)
     if progress is None:
         return identity == replica.identity
-    return progress.answered and now - progress.heard < replica.timing.election_max_s
+    return progress.has_replied and now - progress.last_reply_at < replica.timing.election_max_s
 
 
 def _is_caught_up(replica, identity):
-    match = replica.progress_by_id[identity].match
-    return match > 0 and match >= replica.commit - CAUGHT_UP_ENTRIES
+    match = replica.progress_by_id[identity].match_index
+    return match > 0 and match >= replica.commit_index - CAUGHT_UP_ENTRIES
--- a/siskintally/member_changes.py
+++ b/siskintally/member_changes.py
@@ -55,6 +55,6 @@
     def log_committed(self, replica):
         """Log each committed member set once; a proposed one may never be committed."""
         index = replica.log.members_index
-        if index != self._logged_index and index <= replica.commit:
+        if index != self._logged_index and index <= replica.commit_index:
             self._logged_index = index
             log.info("members", group=self._group, index=index, members=str(replica.log.members))
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -4,18 +4,23 @@
 >>> from siskintally.replica import Replica
 >>> from siskintally.persistent_state import founding_state
 >>> me = Identity(name="s1", incarnation="a")
->>> replica = Replica(identity=me, stable=founding_state((me,)), timeout=lambda: 1.0, now=0.0)
+>>> replica = Replica(
+...     identity=me,
+...     persistent_state=founding_state((me,)),
+...     election_timeout=lambda: 1.0,
+...     now=0.0,
+... )
 >>> effects = replica.tick(1.0)
 >>> effects.hard_state.term, [entry.index for entry in effects.entries], replica.is_leader
 (2, [2], True)
->>> [entry.index for entry in replica.synced(2, 2, 1.0).committed]
+>>> [entry.index for entry in replica.mark_synced(2, 2, 1.0).committed]
 [2]
 """
 
 from siskintally.effects import Effects
-from siskintally.election import NEVER, Elections, Role
+from siskintally.election import NEVER, ElectionMixin, Role
 from siskintally.errors import BadRequestError, NotLeaderError
-from siskintally.follower import Follower
+from siskintally.follower import FollowerMixin
 from siskintally.membership import check_change, ordered
 from siskintally.messages import (
     AppendReply,
@@ -30,76 +35,76 @@
 )
 from siskintally.persistent_state import PersistentState
 from siskintally.raftlog import Log
-from siskintally.replication import Replication
+from siskintally.replication import ReplicationMixin
 from siskintally.timing import Timing
 
 
-class Replica(Elections, Replication, Follower):
+class Replica(ElectionMixin, ReplicationMixin, FollowerMixin):
     """One Raft replica; each transition returns :class:`~siskintally.effects.Effects`.
 
-    The caller executes the effects of a transition, and calls :meth:`synced` after each sync,
+    The caller executes the effects of a transition, and calls :meth:`mark_synced` after each sync,
     before it sends the messages of a later transition. ``deadline`` is the election timeout, and
     on a leader the end of a leadership transfer.
 
-    :param stable: persistent state read from disk; by default that of an empty disk.
-    :param timeout: function that returns a random election timeout in seconds.
+    :param persistent_state: persistent state read from disk; by default that of an empty disk.
+    :param election_timeout: function that returns a random election timeout in seconds.
     :param now: monotonic time in seconds.
     """
 
     __slots__ = (
-        "_checksum",
-        "_timeout",
-        "commit",
-        "confirmed",
+        "_election_timeout",
+        "_snapshot_checksum",
+        "commit_index",
+        "confirmed_round",
         "deadline",
-        "durable",
-        "heard",
+        "durable_index",
         "identity",
-        "incoming",
+        "incoming_snapshot",
         "leader",
-        "leader_ended",
+        "leader_contact_at",
+        "leader_process_exited",
         "log",
         "progress_by_id",
-        "quiet_until",
+        "read_round",
         "role",
-        "round",
         "term",
         "timing",
         "transfer_sent",
-        "transfer_to",
+        "transfer_target",
         "vote",
         "votes",
+        "votes_blocked_until",
     )
 
-    def __init__(self, *, identity, stable=None, timing=None, timeout, now):
-        stable = stable or PersistentState()
+    def __init__(self, *, identity, persistent_state=None, timing=None, election_timeout, now):
+        persistent_state = persistent_state or PersistentState()
         self.identity = identity
         self.timing = timing or Timing()
-        self._timeout = timeout
-        self.term = stable.term
-        self.vote = stable.vote
+        self._election_timeout = election_timeout
+        self.term = persistent_state.term
+        self.vote = persistent_state.vote
         self.log = Log(
-            snapshot=stable.snapshot,
-            base_index=stable.base_index,
-            base_term=stable.base_term,
-            entries=stable.entries,
+            snapshot=persistent_state.snapshot,
+            base_index=persistent_state.base_index,
+            base_term=persistent_state.base_term,
+            entries=persistent_state.entries,
         )
-        self.commit = stable.snapshot.index
-        self.durable = self.log.last_index
+        self.commit_index = persistent_state.snapshot.index
+        self.durable_index = self.log.last_index
         self.role = Role.FOLLOWER
         self.leader = None
-        self.leader_ended = False
+        self.leader_process_exited = False
         self.votes = frozenset()
-        self.heard = NEVER
-        self.quiet_until = now + self.timing.quiet_start_s
+        self.leader_contact_at = NEVER
+        self.votes_blocked_until = now + self.timing.quiet_start_s
         self._restart_election_timer(now)
         self.progress_by_id = {}
-        self.round = 0
-        self.confirmed = 0
-        self.transfer_to = None
+        self.read_round = 0
+        self.confirmed_round = 0
+        self.transfer_target = None
         self.transfer_sent = False
-        self.incoming = None
-        self._checksum = (0, 0)
+        self.incoming_snapshot = None
+        self._snapshot_checksum = (0, 0)
 
     @property
     def is_leader(self):
@@ -107,7 +112,7 @@
         return self.role == Role.LEADER
 
     @property
-    def stable(self):
+    def persistent_state(self):
         """Persistent state: what is on disk once all effects so far are synced."""
         return PersistentState(
             term=self.term,
@@ -122,8 +127,8 @@
         """Return the time at which :meth:`tick` must be called next."""
         if self.role != Role.LEADER:
             return self.deadline if self.identity in self.voters else float("inf")
-        times = [self._beat_at(progress) for progress in self.progress_by_id.values()]
-        if self.transfer_to is not None:
+        times = [self._next_heartbeat_at(progress) for progress in self.progress_by_id.values()]
+        if self.transfer_target is not None:
             times.append(self.deadline)
         return min(times, default=float("inf"))
 
@@ -144,7 +149,7 @@
         effects = Effects()
         answers = isinstance(message, AppendReply | SnapshotReply)
         if answers and message.term > self.term:
-            self._follow(message.term, None, now, effects)
+            self._become_follower(message.term, None, now, effects)
         getattr(self, _HANDLER_BY_TYPE[type(message)])(message, now, effects)
         return effects
 
@@ -160,7 +165,7 @@
 
         :raises NotLeaderError: this replica cannot accept proposals; nothing was appended.
         """
-        self._check_leading()
+        self._check_is_leader()
         effects = Effects()
         for command in commands:
             entry = Entry(self.log.last_index + 1, self.term, Kind.COMMAND, command)
@@ -175,50 +180,50 @@
         :raises BadRequestError: an earlier change or the first entry of the term is not committed,
             or more than one voter changes.
         """
-        self._check_leading()
-        if not self.is_settled:
+        self._check_is_leader()
+        if not self.has_committed_in_term:
             # Otherwise changes by two successive leaders could be active with disjoint quorums.
             raise BadRequestError("members: no entry of the present term is committed yet")
-        if self.log.members_index > self.commit:
+        if self.log.members_index > self.commit_index:
             raise BadRequestError("members: the previous change is not committed yet")
         check_change(self.log.members, members, leader=self.identity)
         effects = Effects()
         index = self.log.last_index + 1
         entry = Entry(index, self.term, Kind.MEMBERS, members=ordered(members))
         self._append(entry, effects)
-        self._track_members(now)
+        self._update_tracked_peers(now)
         self._send_all(now, effects)
         return effects
 
-    def confirm(self, now, *, urgent=True):
-        """Start a read round (as in ReadIndex); ``effects.round`` is its number.
+    def start_read_round(self, now, *, urgent=True):
+        """Start a read round (as in ReadIndex); ``effects.read_round`` is its number.
 
         The round is confirmed once a quorum has replied to a message sent after this call.
 
         :param urgent: whether to send messages now; otherwise the next heartbeats carry the round.
         :raises NotLeaderError: this replica does not lead.
         """
-        self._check_leading(transferring=True)
+        self._check_is_leader(allow_during_transfer=True)
         effects = Effects()
-        self.round += 1
-        effects.round = self.round
+        self.read_round += 1
+        effects.read_round = self.read_round
         for voter in self.voters:
             if urgent and voter != self.identity:
                 self._send_append(voter, self.progress_by_id[voter], now, effects)
-        self._advance_round(effects)
+        self._advance_read_round(effects)
         return effects
 
-    def synced(self, index, term, now):
+    def mark_synced(self, index, term, now):
         """Record that the log up to an entry is on disk.
 
         :param term: term of that entry; the call is ignored if the entry was replaced since.
         """
         effects = Effects()
         if self.log.term_at(index) == term:
-            self.durable = max(self.durable, index)
+            self.durable_index = max(self.durable_index, index)
         if self.role == Role.LEADER:
             self._advance_commit(effects)
-            self._advance_round(effects)
+            self._advance_read_round(effects)
         return effects
 
     def compact(self, index, data, *, keep=0):
@@ -229,12 +234,12 @@
             need no snapshot.
         """
         effects = Effects()
-        if self.log.snapshot.index < index <= self.commit:
+        if self.log.snapshot.index < index <= self.commit_index:
             self.log.compact(index, data, keep=keep)
             effects.snapshot = self.log.snapshot
         return effects
 
-    def transfer(self, now, *, to=None):
+    def transfer_leadership(self, now, *, to=None):
         """Transfer leadership to the most up-to-date reachable voter.
 
         Proposals are rejected until the transfer ends. Nothing happens if no voter is reachable or
@@ -243,34 +248,34 @@
         :param to: identity of the only acceptable target; by default any voter.
         :raises NotLeaderError: this replica does not lead.
         """
-        self._check_leading(transferring=True)
+        self._check_is_leader(allow_during_transfer=True)
         effects = Effects()
         alive = [
-            (self.progress_by_id[voter].match, voter)
+            (self.progress_by_id[voter].match_index, voter)
             for voter in self.voters
             if voter != self.identity
             and to in (None, voter)
-            and now - self.progress_by_id[voter].heard < self.timing.election_max_s
+            and now - self.progress_by_id[voter].last_reply_at < self.timing.election_max_s
         ]
-        if alive and self.transfer_to is None:
-            self.transfer_to = max(alive)[1]
+        if alive and self.transfer_target is None:
+            self.transfer_target = max(alive)[1]
             self.transfer_sent = False
             self.deadline = now + self.timing.election_min_s
-            self._continue_transfer(effects)
+            self._send_transfer_if_ready(effects)
         return effects
 
-    def expire_election(self):
+    def expire_election_timers(self):
         """Make the election and quorum timeouts expire at the next tick (for model checking)."""
         self.deadline = NEVER
-        self.heard = NEVER
+        self.leader_contact_at = NEVER
         for progress in self.progress_by_id.values():
-            progress.heard = NEVER
+            progress.last_reply_at = NEVER
 
-    def expire_beat(self):
+    def expire_heartbeat_timers(self):
         """Make heartbeats and chunk retransmissions due at the next tick (for model checking)."""
         for progress in self.progress_by_id.values():
-            progress.sent = NEVER
-            progress.chunk_sent = NEVER
+            progress.last_sent_at = NEVER
+            progress.chunk_sent_at = NEVER
 
     def copy(self):
         """Return an independent copy."""
@@ -291,33 +296,33 @@
             self.vote,
             int(self.role),
             self.leader,
-            self.leader_ended,
-            self.commit,
-            self.durable,
+            self.leader_process_exited,
+            self.commit_index,
+            self.durable_index,
             self.log.key(),
             self.votes,
-            self.heard,
+            self.leader_contact_at,
             self.deadline,
-            self.round,
-            self.confirmed,
-            self.transfer_to,
+            self.read_round,
+            self.confirmed_round,
+            self.transfer_target,
             self.transfer_sent,
-            self.incoming,
+            self.incoming_snapshot,
             tuple((peer, item.key()) for peer, item in self.progress_by_id.items()),
         )
 
-    def _check_leading(self, *, transferring=False):
+    def _check_is_leader(self, *, allow_during_transfer=False):
         if self.role != Role.LEADER:
             leader = self.leader.name if self.leader else ""
             raise NotLeaderError(f"{self.identity.name} is not the leader", leader=leader)
-        if self.transfer_to is not None and not transferring:
+        if self.transfer_target is not None and not allow_during_transfer:
             raise NotLeaderError(
-                f"{self.identity.name} is transferring leadership", leader=self.transfer_to.name
+                f"{self.identity.name} is transferring leadership", leader=self.transfer_target.name
             )
 
     def _commit_to(self, index, effects):
-        effects.committed.extend(self.log.between(self.commit + 1, index))
-        self.commit = index
+        effects.committed.extend(self.log.between(self.commit_index + 1, index))
+        self.commit_index = index
 
 
 _HANDLER_BY_TYPE = {
--- a/tests/model/consensus.py
+++ b/tests/model/consensus.py
@@ -135,11 +135,17 @@
         """Return the founding state, led by node 0 if asked."""
         count = self._voters + self._learner
         ids = [Identity(name=f"s{number + 1}", incarnation="a") for number in range(count)]
-        stable = founding_state(ids[: self._voters])
+        persistent_state = founding_state(ids[: self._voters])
         if self._learner:
-            members = ordered([*stable.snapshot.members, Member(identity=ids[-1], voter=False)])
-            stable = stable._replace(snapshot=stable.snapshot._replace(members=members))
-        nodes = tuple(self._put(Node(replica=self._replica(each, stable))) for each in ids)
+            members = ordered(
+                [*persistent_state.snapshot.members, Member(identity=ids[-1], voter=False)]
+            )
+            persistent_state = persistent_state._replace(
+                snapshot=persistent_state.snapshot._replace(members=members)
+            )
+        nodes = tuple(
+            self._put(Node(replica=self._replica(each, persistent_state))) for each in ids
+        )
         state = State(nodes=nodes, network=frozenset(), budget=self._budget)
         return [self._settled(state) if self._led else state]
 
@@ -184,7 +190,7 @@
             yield "crash"
         if budget.wipe and at == self._voters - 1:
             yield "wipe"
-        if budget.compact and replica.commit > replica.log.snapshot.index:
+        if budget.compact and replica.commit_index > replica.log.snapshot.index:
             yield "compact"
         if replica.is_leader:
             leading = ("propose", "read", "lazy", "beat", "change")
@@ -249,18 +255,18 @@
         disk = node.disk
         if effects.must_sync:
             if self._early_send:
-                disk = disk or node.replica.stable
-            effects.extend(replica.synced(replica.log.last_index, replica.log.last_term, NOW))
+                disk = disk or node.replica.persistent_state
+            effects.extend(replica.mark_synced(replica.log.last_index, replica.log.last_term, NOW))
         restore = effects.restore
         applied = node.applied if restore is None else _decoded(restore.data)
         applied += tuple(
             (entry.term, int(entry.kind), entry.command) for entry in effects.committed
         )
-        replica.heard = NEVER
+        replica.leader_contact_at = NEVER
         after = self._put(Node(replica=replica, applied=applied, disk=disk))
         sent = frozenset(self._messages.put(each, each) for each in effects.messages)
         lead = effects.leadership is not None and effects.leadership.is_leader
-        seen = (lead, effects.round, effects.confirmed)
+        seen = (lead, effects.read_round, effects.confirmed_round)
         return after, sent, seen if any(seen) or applied != node.applied else None
 
     def _effects(self, replica, node, action, extra):
@@ -271,17 +277,17 @@
         if action == "propose":
             return replica.propose(b"%d" % extra, NOW)
         if action in ("read", "lazy"):
-            return replica.confirm(NOW, urgent=action == "read")
+            return replica.start_read_round(NOW, urgent=action == "read")
         if action == "compact":
-            return replica.compact(replica.commit, repr(node.applied).encode())
+            return replica.compact(replica.commit_index, repr(node.applied).encode())
         if action == "beat":
-            replica.expire_beat()
+            replica.expire_heartbeat_timers()
             return replica.tick(NOW)
         return self._change(replica)
 
     def _elect(self, replica):
         if self._pre_vote:
-            replica.expire_election()
+            replica.expire_election_timers()
             return replica.tick(NOW)
         effects = Effects()
         replica._start_election(NOW, effects)
@@ -299,17 +305,22 @@
             return Effects()
 
     def _restarted(self, node):
-        stable = node.disk or node.replica.stable
-        applied = _decoded(stable.snapshot.data)
-        return Node(replica=self._replica(node.replica.identity, stable), applied=applied)
+        persistent_state = node.disk or node.replica.persistent_state
+        applied = _decoded(persistent_state.snapshot.data)
+        return Node(replica=self._replica(node.replica.identity, persistent_state), applied=applied)
 
     def _wiped(self, identity):
         if not self._reuse_identity:
             identity = identity._replace(incarnation=chr(ord(identity.incarnation) + 1))
         return self._replica(identity, None)
 
-    def _replica(self, identity, stable):
-        return self._replica_class(identity=identity, stable=stable, timeout=lambda: 1.0, now=NOW)
+    def _replica(self, identity, persistent_state):
+        return self._replica_class(
+            identity=identity,
+            persistent_state=persistent_state,
+            election_timeout=lambda: 1.0,
+            now=NOW,
+        )
 
     def _share(self, value):
         """Return the first object that is equal to a value, so that states share their parts."""
@@ -359,7 +370,7 @@
                 kept.append(read)
             elif top > term:
                 return state._replace(fault=f"round of term {term} confirmed after term {top}")
-            elif replica.commit < FOUNDING_INDEX + length:
+            elif replica.commit_index < FOUNDING_INDEX + length:
                 return state._replace(fault=f"round confirmed without {length} committed entries")
         return state._replace(reads=tuple(kept))
 
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -15,10 +15,10 @@
     __slots__ = ()
 
     def _advance_commit(self, effects):
-        matches = [progress.match for progress in self.progress_by_id.values()]
-        ranked = sorted([self.durable, *matches], reverse=True)
+        matches = [progress.match_index for progress in self.progress_by_id.values()]
+        ranked = sorted([self.durable_index, *matches], reverse=True)
         reached = ranked[quorum(len(self.voters)) - 1]
-        if reached > self.commit and self.log.term_at(reached) == self.term:
+        if reached > self.commit_index and self.log.term_at(reached) == self.term:
             self._commit_to(reached, effects)
 
 
@@ -28,7 +28,7 @@
     __slots__ = ()
 
     def _on_append_reply(self, reply, now, effects):
-        super()._on_append_reply(reply._replace(round=self.round), now, effects)
+        super()._on_append_reply(reply._replace(round=self.read_round), now, effects)
 
 
 class ForgetfulLedger(Ledger):
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -300,10 +300,10 @@
         leader = cell.leader()
         full = [True]
 
-        def write(journal, effects, stable, *, real=Journal.write):
+        def write(journal, effects, persistent_state, *, real=Journal.write):
             if full[0] and journal.identity.name.startswith(f"{leader}:"):
                 raise OSError("no space left")
-            real(journal, effects, stable)
+            real(journal, effects, persistent_state)
 
         monkeypatch.setattr(Journal, "write", write)
         body = QueueDocument(version=9, original=b"{}")
@@ -355,10 +355,10 @@
         leader = cell.leader()
         hung = ThreadEvent()
 
-        def write(journal, effects, stable, *, real=Journal.write):
+        def write(journal, effects, persistent_state, *, real=Journal.write):
             if journal.identity.name.startswith(f"{leader}:"):
                 hung.wait(30.0)
-            real(journal, effects, stable)
+            real(journal, effects, persistent_state)
 
         monkeypatch.setattr(Journal, "write", write)
         await cell.call(DocumentPut(document=QueueDocument(version=9, original=b"{}")))
@@ -384,10 +384,10 @@
         await cell.configure("w1")
         leader = cell.leader()
 
-        def write(journal, effects, stable, *, real=Journal.write):
+        def write(journal, effects, persistent_state, *, real=Journal.write):
             if journal.identity.name.startswith(f"{leader}:"):
                 pause(0.3)
-            real(journal, effects, stable)
+            real(journal, effects, persistent_state)
 
         monkeypatch.setattr(Journal, "write", write)
         for version in range(10, 20):
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -193,10 +193,10 @@
         group = leader
         original = type(journal).write
 
-        def write(self, effects, stable):
+        def write(self, effects, persistent_state):
             nonlocal writes
             writes += self is journal
-            original(self, effects, stable)
+            original(self, effects, persistent_state)
 
         type(journal).write = write
         replies = []
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -41,7 +41,7 @@
         self.hard_state = HardState(term=0, vote=None)
         self.log = Log()
 
-    def stable(self):
+    def persistent_state(self):
         """Return the expected content."""
         return PersistentState(
             term=self.hard_state.term,
@@ -58,26 +58,26 @@
         self.log.truncate(first)
         for entry in entries:
             self.log.append(entry)
-        journal.write(change(entries=entries), self.stable)
+        journal.write(change(entries=entries), self.persistent_state)
 
 
 def filled(folder):
     """Return the expected contents after each write to a new folder."""
     journal = Journal.open(folder, group="g", name="s1")
     model = Model()
-    states = [model.stable()]
+    states = [model.persistent_state()]
     members = (Member(journal.identity, True), Member(Identity("s2", "x"), False))
     for number in range(1, 7):
         if number == 4:
             model.hard_state = HardState(term=2, vote=Identity("s2", "x"))
-            journal.write(change(hard_state=model.hard_state), model.stable)
+            journal.write(change(hard_state=model.hard_state), model.persistent_state)
         else:
             model.append(journal, model.log.last_index + 1, [b"c%d" % number, b""], number)
-        states.append(model.stable())
+        states.append(model.persistent_state())
     entry = Entry(model.log.last_index + 1, 7, Kind.MEMBERS, members=members)
     model.log.append(entry)
-    journal.write(change(entries=[entry]), model.stable)
-    states.append(model.stable())
+    journal.write(change(entries=[entry]), model.persistent_state)
+    states.append(model.persistent_state())
     journal.close()
     return states
 
@@ -87,9 +87,9 @@
     filled(tmp_path / "g")
     model = Model()
     journal = Journal.open(tmp_path / "g", group="g", name="s1")
-    model.log = Log(entries=journal.stable.entries)
+    model.log = Log(entries=journal.persistent_state.entries)
     model.log.compact(5, b"state", keep=1)
-    journal.write(change(snapshot=model.log.snapshot), model.stable)
+    journal.write(change(snapshot=model.log.snapshot), model.persistent_state)
     model.append(journal, model.log.last_index + 1, [b"x" * 700, b"y"], 9)
     journal.close()
     flips = 0
@@ -106,7 +106,7 @@
         path.write_bytes(good)
     size = sum(path.stat().st_size for path in (tmp_path / "g").iterdir())
     assert flips == size > 900
-    assert reopen(tmp_path / "g").stable == model.stable()
+    assert reopen(tmp_path / "g").persistent_state == model.persistent_state()
 
 
 def test_cutting_at_any_length_keeps_a_prefix(tmp_path):
@@ -119,12 +119,18 @@
     for length in range(len(good), -1, -1):
         path.write_bytes(good[:length])
         try:
-            stable = reopen(tmp_path / "g").stable
+            persistent_state = reopen(tmp_path / "g").persistent_state
         except DamagedDataError:
             continue
-        whole = [s for s in states if s.entries[: len(stable.entries)] == stable.entries]
-        assert whole and (stable.term, stable.vote) in {(s.term, s.vote) for s in states}
-        seen.add(prefixes.get(stable))
+        whole = [
+            s
+            for s in states
+            if s.entries[: len(persistent_state.entries)] == persistent_state.entries
+        ]
+        assert whole and (persistent_state.term, persistent_state.vote) in {
+            (s.term, s.vote) for s in states
+        }
+        seen.add(prefixes.get(persistent_state))
     assert seen >= set(range(len(states)))
 
 
@@ -136,7 +142,7 @@
     torn = (good + pack(b"z" * 2000))[: (len(good) // 512 + 2) * 512]
     for tail in (b"\0" * 100, torn[len(good) :] + b"\0" * 700):
         path.write_bytes(good + tail)
-        assert reopen(tmp_path / "g").stable == states[-1]
+        assert reopen(tmp_path / "g").persistent_state == states[-1]
 
 
 @pytest.mark.parametrize("name", ["identity", "log", "snapshot-1"])
@@ -155,7 +161,7 @@
         (tmp_path / "g" / "log").unlink()
         assert set_aside(tmp_path / "g").name == f"g.damaged-{number}"
         fresh = reopen(tmp_path / "g")
-        assert fresh.identity != old and fresh.stable == PersistentState()
+        assert fresh.identity != old and fresh.persistent_state == PersistentState()
 
 
 def test_group_is_founded_once(tmp_path):
@@ -163,8 +169,8 @@
     identity = found(tmp_path / "g", group="g", name="s1")
     with pytest.raises(BadRequestError):
         found(tmp_path / "g", group="g", name="s1")
-    stable = reopen(tmp_path / "g").stable
-    assert stable.snapshot.members == (Member(identity, True),)
+    persistent_state = reopen(tmp_path / "g").persistent_state
+    assert persistent_state.snapshot.members == (Member(identity, True),)
 
 
 def test_folder_of_another_replica_is_refused(tmp_path):
@@ -188,7 +194,7 @@
     states = filled(tmp_path / "g")
     (tmp_path / "g" / "snapshot-3").write_bytes(pack(b"newer, not in use"))
     (tmp_path / "g" / "log.tmp").write_bytes(b"half")
-    assert reopen(tmp_path / "g").stable == states[-1]
+    assert reopen(tmp_path / "g").persistent_state == states[-1]
     assert {path.name for path in (tmp_path / "g").iterdir()} == {"identity", "log"}
 
 
@@ -219,17 +225,17 @@
             elif kind == "vote":
                 vote = Identity("s2", "x") if value else None
                 model.hard_state = HardState(term=number, vote=vote)
-                journal.write(change(hard_state=model.hard_state), model.stable)
+                journal.write(change(hard_state=model.hard_state), model.persistent_state)
             elif kind == "compact":
                 index = min(model.log.last_index, model.log.snapshot.index + number)
                 if index > model.log.snapshot.index:
                     model.log.compact(index, b"state%d" % index, keep=value)
-                    journal.write(change(snapshot=model.log.snapshot), model.stable)
+                    journal.write(change(snapshot=model.log.snapshot), model.persistent_state)
             else:
                 journal.close()
                 with open(f"{folder}/g/log", "ab") as file:
                     file.write(pack(b"not acknowledged" * 3)[:number])
                 journal = Journal.open(f"{folder}/g", group="g", name="s1")
-                assert journal.stable == model.stable()
+                assert journal.persistent_state == model.persistent_state()
         journal.close()
-        assert reopen(f"{folder}/g").stable == model.stable()
+        assert reopen(f"{folder}/g").persistent_state == model.persistent_state()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -35,10 +35,10 @@
 class Node:
     """A replica with its disk, its machine (a list of commands) and the rules it must obey."""
 
-    def __init__(self, net, identity, stable):
+    def __init__(self, net, identity, persistent_state):
         self.net = net
         self.identity = identity
-        self.disk = stable
+        self.disk = persistent_state
         self.replica = None
         self.start()
 
@@ -46,9 +46,9 @@
         """Start, or restart after a crash, from the disk."""
         self.replica = Replica(
             identity=self.identity,
-            stable=self.disk,
+            persistent_state=self.disk,
             timing=self.net.timing,
-            timeout=lambda: self.net.random.uniform(1.0, 2.0),
+            election_timeout=lambda: self.net.random.uniform(1.0, 2.0),
             now=self.net.now,
         )
         self.unwritten = None
@@ -69,7 +69,7 @@
             self._send_and_apply(effects)
             return effects
         if effects.must_sync:
-            self.disk, self.unwritten = self.replica.stable, None
+            self.disk, self.unwritten = self.replica.persistent_state, None
         self._send_and_apply(effects, last)
         return effects
 
@@ -77,8 +77,8 @@
         """Let the disk have what the leader has sent ahead of it."""
         if self.unwritten is not None:
             last, self.unwritten = self.unwritten, None
-            self.disk = self.replica.stable
-            self._apply(self.replica.synced(*last, self.net.now))
+            self.disk = self.replica.persistent_state
+            self._apply(self.replica.mark_synced(*last, self.net.now))
             self.net.check(self)
 
     def _send_and_apply(self, effects, last=None):
@@ -86,7 +86,7 @@
             self.net.post(self.identity, envelope)
         self._apply(effects)
         if last is not None and effects.must_sync:
-            self._apply(self.replica.synced(*last, self.net.now))
+            self._apply(self.replica.mark_synced(*last, self.net.now))
         self.net.check(self)
 
     def _apply(self, effects):
@@ -100,9 +100,9 @@
             if entry.kind == Kind.COMMAND:
                 self.state.append(entry.command.decode())
             self.net.note_committed(self, entry)
-        if effects.confirmed:
+        if effects.confirmed_round:
             for round_, floor in list(self.reads.items()):
-                if round_ <= effects.confirmed:
+                if round_ <= effects.confirmed_round:
                     del self.reads[round_]
                     assert self.applied >= floor, "a read missed a commit that preceded it"
 
@@ -158,9 +158,9 @@
     def elect(self, name):
         """Make a node the leader."""
         for _ in range(20):
-            self.nodes[name].replica.expire_election()
+            self.nodes[name].replica.expire_election_timers()
             for node in self.nodes.values():
-                node.replica.heard = float("-inf")
+                node.replica.leader_contact_at = float("-inf")
             self.nodes[name].do("tick", self.now)
             self.settle()
             if self.nodes[name].replica.is_leader:
@@ -246,9 +246,9 @@
     net.flight.clear()
     index = a.replica.log.last_index
     a.replica.term += 1
-    a.replica.progress_by_id[net.nodes["b"].identity].match = index
-    a.do("synced", index, a.replica.log.last_term, net.now)
-    assert a.replica.commit < index
+    a.replica.progress_by_id[net.nodes["b"].identity].match_index = index
+    a.do("mark_synced", index, a.replica.log.last_term, net.now)
+    assert a.replica.commit_index < index
 
 
 def test_leader_cut_from_its_quorum_steps_down_and_its_reads_fail():
@@ -256,8 +256,8 @@
     net = Net(seed=3)
     a = net.elect("a")
     net.cut = {"a"}
-    effects = a.do("confirm", net.now)
-    assert effects.round == 1 and effects.confirmed == 0
+    effects = a.do("start_read_round", net.now)
+    assert effects.read_round == 1 and effects.confirmed_round == 0
     net.flight.clear()
     net.now += 2.1
     a.do("tick", net.now)
@@ -271,11 +271,11 @@
     net = Net()
     a = net.elect("a")
     b = net.nodes["b"].identity
-    a.do("confirm", net.now)
+    a.do("start_read_round", net.now)
     net.flight.clear()
     old = AppendReply(term=a.replica.term, sender=b, accepted=True, match_index=2, round=0)
-    assert a.do("receive", old, net.now).confirmed == 0
-    assert a.do("receive", old._replace(round=1), net.now).confirmed == 1
+    assert a.do("receive", old, net.now).confirmed_round == 0
+    assert a.do("receive", old._replace(round=1), net.now).confirmed_round == 1
 
 
 def test_reply_for_which_something_waits_is_no_keepalive():
@@ -285,14 +285,14 @@
     net.run(1)
     index, b = a.replica.log.last_index, net.nodes["b"].identity
     reply = AppendReply(
-        term=a.replica.term, sender=b, accepted=True, match_index=index, round=a.replica.round
+        term=a.replica.term, sender=b, accepted=True, match_index=index, round=a.replica.read_round
     )
     assert a.replica.is_keepalive(reply)
     assert not a.replica.is_keepalive(reply._replace(accepted=False))
     assert not a.replica.is_keepalive(reply._replace(match_index=index - 1))
     assert not a.replica.is_keepalive(reply._replace(term=a.replica.term - 1))
     assert not a.replica.is_keepalive(reply._replace(sender=Identity("d", "d0")))
-    a.do("confirm", net.now, urgent=False)
+    a.do("start_read_round", net.now, urgent=False)
     assert not a.replica.is_keepalive(reply)
     net.run(1)
     a.do("propose", b"x", net.now)
@@ -316,7 +316,7 @@
     net = Net()
     net.elect("a")
     b = net.nodes["b"]
-    b.replica.heard = net.now
+    b.replica.leader_contact_at = net.now
     request = VoteRequest(b.replica.term + 5, Identity("c", "c0"), 99, 99, pre_vote=False)
     b.do("receive", request, net.now)
     assert b.replica.term < request.term and not net.flight
@@ -326,12 +326,12 @@
     """Guards against a whole election timeout without a leader after each split vote."""
     timing = Timing(retry_election_share=0.35)
     b = Net(timing=timing).nodes["b"].replica
-    b.heard = 0.0
+    b.leader_contact_at = 0.0
     b.tick(5.0)
     assert b.role == Role.PRE_CANDIDATE
     assert 0.35 <= b.next_tick() - 5.0 <= 0.7
     leader = VoteRequest(b.term, Identity("a", "a0"), 0, 0, pre_vote=False)
-    b._follow(b.term, leader.sender, 6.0, Effects())
+    b._become_follower(b.term, leader.sender, 6.0, Effects())
     assert 1.0 <= b.next_tick() - 6.0 <= 2.0, "a follower waits a whole timeout"
 
 
@@ -348,11 +348,11 @@
     net = Net(timing=Timing(ended_leader_share=0.6))
     net.elect("a")
     b, c = net.nodes["b"].replica, net.nodes["c"].replica
-    b.heard = c.heard = net.now
+    b.leader_contact_at = c.leader_contact_at = net.now
     request = VoteRequest(b.term + 1, Identity("c", "c0"), 99, 99, pre_vote=True)
-    b.note_ended("c", net.now)
+    b.record_process_exit("c", net.now)
     assert b.next_tick() - net.now >= 1.0, "another process than the leader's"
-    b.note_ended("a", net.now)
+    b.record_process_exit("a", net.now)
     assert 0.6 <= b.next_tick() - net.now < 1.0
     for later_s, granted in ((0.5, False), (0.7, True)):
         effects = b.receive(request, net.now + later_s)
@@ -364,9 +364,9 @@
     net = Net(timing=Timing(ended_leader_share=0.6))
     net.elect("a")
     b = net.nodes["b"].replica
-    b.note_ended("a", net.now)
+    b.record_process_exit("a", net.now)
     net.run(5)
-    assert not b.leader_ended
+    assert not b.leader_process_exited
     assert net.nodes["a"].replica.is_leader
 
 
@@ -374,7 +374,7 @@
     """Guards against votes of an empty disk under the name of a voter, and of learners."""
     net = Net()
     a = net.nodes["a"]
-    a.replica.expire_election()
+    a.replica.expire_election_timers()
     a.do("tick", net.now)
     net.flight.clear()
     term = a.replica.term
@@ -410,7 +410,7 @@
     index = a.replica.log.last_index
     reply = AppendReply(a.replica.term, learner, True, match_index=index, round=9)
     a.do("receive", reply, net.now)
-    assert a.replica.commit < index and a.replica.confirmed == 0
+    assert a.replica.commit_index < index and a.replica.confirmed_round == 0
 
 
 def test_member_changes_are_single_steps_after_the_first_commit():
@@ -418,7 +418,7 @@
     net = Net()
     net.cut = {"b", "c"}
     a = net.nodes["a"]
-    a.replica.expire_election()
+    a.replica.expire_election_timers()
     a.do("tick", net.now)
     net.cut = set()
     net.settle()
@@ -441,7 +441,7 @@
     """Guards against the known flaw of single-server changes by two successive leaders."""
     net = Net()
     a = net.nodes["a"]
-    a.replica.expire_election()
+    a.replica.expire_election_timers()
     a.do("tick", net.now)
     while not a.replica.is_leader:
         net.deliver()
@@ -481,11 +481,11 @@
     a.do("propose_members", admit(a.replica.log.members, fresh), net.now)
     net.settle()
     net.cut = {"c"}
-    a.do("transfer", net.now)
+    a.do("transfer_leadership", net.now)
     net.settle()
     b = net.nodes["b"].replica
     joins = MemberAdmission(group="g", process="b", roster=FixedRoster(names=NAMES))
-    assert b.is_settled and joins.next_change(b, net.now) is None
+    assert b.has_committed_in_term and joins.next_change(b, net.now) is None
     net.cut = set()
     net.run(1)
     assert joins.next_change(b, net.now) == promote(b.log.members, fresh)
@@ -521,7 +521,7 @@
     net = Net(seed=2)
     a = net.elect("a")
     a.do("propose", b"x", net.now)
-    a.do("transfer", net.now)
+    a.do("transfer_leadership", net.now)
     with pytest.raises(NotLeaderError):
         a.do("propose", b"y", net.now)
     sent = [message for _, _, message in net.flight if isinstance(message, TransferLeadership)]
@@ -542,13 +542,13 @@
     progress = replica.progress_by_id[other]
 
     def target(after_s):
-        progress.heard = net.now + after_s
+        progress.last_reply_at = net.now + after_s
         return preference.target(replica, net.now + after_s)
 
     assert target(59.0) is None
-    match, progress.match = progress.match, replica.commit - 1
+    match, progress.match_index = progress.match_index, replica.commit_index - 1
     assert target(61.0) is None
-    progress.match = match
+    progress.match_index = match
     assert target(62.0) == other
     assert target(63.0) is None, "a transfer that failed is tried again too soon"
     assert (
@@ -563,7 +563,7 @@
     """Guards against a leader that refuses proposals forever."""
     net = Net(seed=2)
     a = net.elect("a")
-    a.do("transfer", net.now)
+    a.do("transfer_leadership", net.now)
     net.flight.clear()
     net.now += 1.1
     a.do("tick", net.now)
@@ -582,18 +582,18 @@
     for message in (*appends, appends[0]):
         b.do("receive", message, net.now)
     assert b.replica.log.last_index == a.replica.log.last_index
-    assert b.replica.commit < b.replica.log.last_index
+    assert b.replica.commit_index < b.replica.log.last_index
 
 
 def test_leader_counts_itself_only_after_its_sync():
     """Guards against a commit that one disk holds, when the owner syncs later than it sends."""
     net = Net()
     a = net.elect("a").replica
-    before = a.commit
+    before = a.commit_index
     index = a.propose(b"x", net.now).index
     reply = AppendReply(a.term, Identity("b", "b0"), True, match_index=index, round=0)
-    assert not a.receive(reply, net.now).committed and a.commit == before
-    assert [entry.index for entry in a.synced(index, a.term, net.now).committed] == [index]
+    assert not a.receive(reply, net.now).committed and a.commit_index == before
+    assert [entry.index for entry in a.mark_synced(index, a.term, net.now).committed] == [index]
 
 
 def test_copy_and_key_describe_the_whole_state():
@@ -673,15 +673,17 @@
 def _random_call(net, random, node, step):
     sync = random.random() > 0.05
     try:
-        call = random.choice(("propose", "propose", "propose", "confirm", "transfer", "compact"))
+        call = random.choice(
+            ("propose", "propose", "propose", "start_read_round", "transfer_leadership", "compact")
+        )
         if call == "propose":
             node.do("propose", b"%d" % step, net.now, sync=sync)
-        elif call == "confirm":
-            effects = node.replica.copy().confirm(net.now)
-            node.reads[effects.round] = max(net.committed, default=0)
-            node.do("confirm", net.now)
-        elif call == "transfer" and random.random() < 0.1:
-            node.do("transfer", net.now)
+        elif call == "start_read_round":
+            effects = node.replica.copy().start_read_round(net.now)
+            node.reads[effects.read_round] = max(net.committed, default=0)
+            node.do("start_read_round", net.now)
+        elif call == "transfer_leadership" and random.random() < 0.1:
+            node.do("transfer_leadership", net.now)
         elif call == "compact":
             data = ",".join(node.state).encode()
             node.do("compact", node.applied, data, keep=random.choice((0, 2)), sync=sync)
@@ -695,7 +697,7 @@
         present = {node.identity for node in net.nodes.values()}
         voters = set(leader.replica.voters)
         others = [name for name in NAMES if name != leader.identity.name]
-        if leader.replica.is_settled and voters == present:
+        if leader.replica.has_committed_in_term and voters == present:
             net.wipe(random.choice(others))
             return
 
@@ -710,7 +712,7 @@
             progress = leader.replica.progress_by_id.get(node.identity)
             change = admit(members, node.identity)
             if node.identity in known:
-                if progress.match < leader.replica.commit:
+                if progress.match_index < leader.replica.commit_index:
                     continue
                 change = promote(members, node.identity)
             try:
