--- a/bench/log.py
+++ b/bench/log.py
@@ -18,7 +18,7 @@
 
 from siskintally.group import BATCH_ITEMS, Group
 from siskintally.journal import found
-from siskintally.records import append_to
+from siskintally.records import append_and_sync
 from siskintally.session import wrap
 from siskintally.state_machine import StateMachine
 
@@ -165,9 +165,9 @@
             for _ in range(SYNC_PROBES):
                 begin = monotonic()
                 if label == "inline":
-                    append_to(file, COMMAND)
+                    append_and_sync(file, COMMAND)
                 else:
-                    await run_sync(append_to, file, COMMAND, limiter=limiter)
+                    await run_sync(append_and_sync, file, COMMAND, limiter=limiter)
                 times.append(monotonic() - begin)
             cpu = (process_time() - cpu) / SYNC_PROBES * 1e6
             print(f"sync {label}: {cpu:.0f} us CPU, median {median(times) * 1e6:.0f} us")
--- a/siskintally/applier.py
+++ b/siskintally/applier.py
@@ -5,7 +5,7 @@
 0
 """
 
-from siskintally.messages import Kind
+from siskintally.messages import EntryKind
 
 
 class Applier:
@@ -18,39 +18,46 @@
     :param snapshot_bytes: applied bytes of commands after which a snapshot is due.
     """
 
-    __slots__ = ("_bytes", "_initial", "_machine", "_snapshot_bytes", "_snapshot_entries", "index")
+    __slots__ = (
+        "_applied_bytes",
+        "_initial_state",
+        "_machine",
+        "_snapshot_bytes",
+        "_snapshot_entries",
+        "index",
+    )
 
     def __init__(self, *, machine, snapshot_entries, snapshot_bytes):
         self._machine = machine
         self._snapshot_entries = snapshot_entries
         self._snapshot_bytes = snapshot_bytes
-        self._initial = None
-        self._bytes = 0
+        self._initial_state = None
+        self._applied_bytes = 0
         self.index = 0
 
     def restore(self, snapshot):
         """Restore the state machine; an empty snapshot stands for its initial state."""
-        if self._initial is None:
-            self._initial = self._machine.snapshot()
-        self._machine.restore(snapshot.data or self._initial)
+        if self._initial_state is None:
+            self._initial_state = self._machine.snapshot()
+        self._machine.restore(snapshot.data or self._initial_state)
         self.index = snapshot.index
-        self._bytes = 0
+        self._applied_bytes = 0
 
     def apply(self, entry):
         """Apply an entry and return the reply of the state machine, empty if it is no command."""
         reply = b""
-        if entry.kind == Kind.COMMAND:
+        if entry.kind == EntryKind.COMMAND:
             reply = self._machine.apply(index=entry.index, command=entry.command)
         self.index = entry.index
-        self._bytes += len(entry.command)
+        self._applied_bytes += len(entry.command)
         return reply
 
     def is_snapshot_due(self, snapshot_index):
         """Return whether enough has been applied since the snapshot at ``snapshot_index``."""
-        is_long = self.index - snapshot_index >= self._snapshot_entries
-        return is_long or self._bytes >= self._snapshot_bytes
+        has_enough_entries = self.index - snapshot_index >= self._snapshot_entries
+        return has_enough_entries or self._applied_bytes >= self._snapshot_bytes
 
     def snapshot(self):
         """Return a snapshot of the state machine as bytes."""
-        self._bytes = 0
+        self._applied_bytes = 0
         return self._machine.snapshot()
--- a/siskintally/election.py
+++ b/siskintally/election.py
@@ -7,12 +7,12 @@
 
 from enum import IntEnum
 
-from siskintally.membership import quorum
+from siskintally.membership import quorum_size
 from siskintally.messages import (
     Entry,
+    EntryKind,
     Envelope,
     HardState,
-    Kind,
     Leadership,
     VoteReply,
     VoteRequest,
@@ -51,8 +51,8 @@
 
     def _min_leader_timeout_s(self):
         """Return the time without contact after which a leader may be replaced, in seconds."""
-        share = self.timing.ended_leader_share if self.leader_process_exited else 1.0
-        return self.timing.election_min_s * share
+        factor = self.timing.ended_leader_share if self.leader_process_exited else 1.0
+        return self.timing.election_min_s * factor
 
     def record_process_exit(self, name, now):
         """Shorten the election timeout if the process that exited is that of the leader.
@@ -63,11 +63,11 @@
         if self.role != Role.FOLLOWER or not is_leader:
             return
         self.leader_process_exited = True
-        earliest = (
+        earliest_at = (
             max(now, self.leader_contact_at + self._min_leader_timeout_s())
             + self._stagger_delay_s()
         )
-        self.deadline = min(self.deadline, earliest)
+        self.deadline = min(self.deadline, earliest_at)
 
     def _restart_election_timer(self, now):
         self.deadline = (
@@ -83,8 +83,8 @@
 
     def _stagger_delay_s(self):
         """Return the election delay of this voter: the earlier its name, the sooner it starts."""
-        before = sum(voter < self.identity for voter in self.voters)
-        return before * self.timing.stagger_s
+        preceding = sum(voter < self.identity for voter in self.voters)
+        return preceding * self.timing.stagger_s
 
     def _set_term(self, term, vote, effects):
         self.term = term
@@ -103,7 +103,7 @@
     def _become_follower(self, term, leader, now, effects):
         if term > self.term:
             self._set_term(term, None, effects)
-        changed = (self.role, self.leader) != (Role.FOLLOWER, leader) or effects.hard_state
+        is_changed = (self.role, self.leader) != (Role.FOLLOWER, leader) or effects.hard_state
         was_leader = self.role == Role.LEADER
         self.role = Role.FOLLOWER
         if leader is not None or was_leader:
@@ -112,7 +112,7 @@
         self.progress_by_id = {}
         self.transfer_target = None
         self.transfer_sent = False
-        if changed:
+        if is_changed:
             self._set_leader(leader, effects)
 
     def _request_votes(self, role, now, effects, *, transfer=False):
@@ -143,7 +143,7 @@
 
     def _count_votes(self, now, effects):
         voters = self.voters
-        if len(self.votes & set(voters)) < quorum(len(voters)):
+        if len(self.votes & set(voters)) < quorum_size(len(voters)):
             return
         if self.role == Role.PRE_CANDIDATE:
             self._start_election(now, effects)
@@ -158,7 +158,7 @@
         self._set_leader(self.identity, effects)
         self.progress_by_id = {}
         self._update_tracked_peers(now)
-        self._append(Entry(self.log.last_index + 1, self.term, Kind.NOOP), effects)
+        self._append(Entry(self.log.last_index + 1, self.term, EntryKind.NOOP), effects)
         self._send_all(now, effects)
 
     def _on_vote_request(self, request, now, effects):
@@ -198,17 +198,17 @@
         effects.messages.append(Envelope(to=request.sender, message=reply))
 
     def _is_up_to_date(self, request):
-        ours = (self.log.last_term, self.log.last_index)
-        return (request.last_term, request.last_index) >= ours
+        own_position = (self.log.last_term, self.log.last_index)
+        return (request.last_term, request.last_index) >= own_position
 
     def _on_vote_reply(self, reply, now, effects):
         if not reply.granted:
             if reply.term > self.term:
                 self._become_follower(reply.term, None, now, effects)
             return
-        asked = self.term + 1 if reply.pre_vote else self.term
+        requested_term = self.term + 1 if reply.pre_vote else self.term
         role = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
-        if reply.term == asked and self.role == role:
+        if reply.term == requested_term and self.role == role:
             self.votes |= {reply.sender}
             self._count_votes(now, effects)
 
--- a/siskintally/encoding.py
+++ b/siskintally/encoding.py
@@ -1,10 +1,10 @@
 """Conversion between Raft messages and entries and their protobuf wire messages.
 
->>> from siskintally.encoding import decode, encode
+>>> from siskintally.encoding import decode_message, encode_message
 >>> from siskintally.messages import Identity, VoteReply
 >>> reply = VoteReply(term=3, sender=Identity("s1", "a"), granted=True, pre_vote=False)
->>> body = encode(reply, group="cell")
->>> body.group, decode(body) == reply
+>>> body = encode_message(reply, group="cell")
+>>> body.group, decode_message(body) == reply
 ('cell', True)
 """
 
@@ -12,8 +12,8 @@
     AppendReply,
     AppendRequest,
     Entry,
+    EntryKind,
     Identity,
-    Kind,
     Member,
     SnapshotChunk,
     SnapshotReply,
@@ -31,7 +31,7 @@
 from siskintally.wire_pb2 import VoteReply as VoteReplyBody
 from siskintally.wire_pb2 import VoteRequest as VoteRequestBody
 
-_KINDS = tuple(Kind)
+_KINDS = tuple(EntryKind)
 _BODY_BY_TYPE = {
     VoteRequest: VoteRequestBody,
     VoteReply: VoteReplyBody,
@@ -42,7 +42,7 @@
     TransferLeadership: TransferLeadershipBody,
 }
 _TYPE_BY_BODY = {body: type_ for type_, body in _BODY_BY_TYPE.items()}
-CONSENSUS_BODIES = tuple(_TYPE_BY_BODY)
+CONSENSUS_BODY_TYPES = tuple(_TYPE_BY_BODY)
 
 
 def encode_members(members):
@@ -83,7 +83,7 @@
     return Entry(body.index, body.term, _KINDS[body.kind], body.command, members)
 
 
-def encode(message, *, group):
+def encode_message(message, *, group):
     """Return a Raft message as a frame body.
 
     :param group: name of the group.
@@ -101,7 +101,7 @@
     return _BODY_BY_TYPE[type(message)](group=group, **fields)
 
 
-def decode(body):
+def decode_message(body):
     """Return the Raft message in a frame body.
 
     :raises ValueError: an entry has an unknown kind.
--- a/siskintally/follower.py
+++ b/siskintally/follower.py
@@ -33,9 +33,9 @@
             self._reject_append(request, 0, effects)
             return
         self._accept_leader(request, now, effects)
-        hint = self._find_conflict(request)
-        if hint is not None:
-            self._reject_append(request, hint, effects)
+        retry_after_index = self._find_conflict(request)
+        if retry_after_index is not None:
+            self._reject_append(request, retry_after_index, effects)
             return
         self._store_entries(request.entries, effects)
         match = request.prev_index + len(request.entries)
@@ -55,7 +55,7 @@
         term = self.log.term_at(request.prev_index)
         if request.prev_index <= self.commit_index or term == request.prev_term:
             return None
-        return max(self.commit_index, self.log.first_of_term(request.prev_index) - 1)
+        return max(self.commit_index, self.log.first_index_of_term_run(request.prev_index) - 1)
 
     def _store_entries(self, entries, effects):
         for entry in entries:
@@ -69,8 +69,8 @@
             self.log.append(entry)
             effects.entries.append(entry)
 
-    def _reject_append(self, request, hint, effects):
-        self._reply_append(request, False, hint, effects)
+    def _reject_append(self, request, retry_after_index, effects):
+        self._reply_append(request, False, retry_after_index, effects)
 
     def _reply_append(self, request, accepted, match, effects):
         reply = AppendReply(
@@ -102,10 +102,10 @@
             self._reply_chunk(chunk, incoming.size, effects)
 
     def _matching_partial(self, chunk):
-        mark = (chunk.index, chunk.index_term, chunk.checksum, chunk.total)
-        if self.incoming_snapshot is not None and self.incoming_snapshot[:4] == mark:
+        snapshot_id = (chunk.index, chunk.index_term, chunk.checksum, chunk.total)
+        if self.incoming_snapshot is not None and self.incoming_snapshot[:4] == snapshot_id:
             return self.incoming_snapshot
-        return IncomingSnapshot(*mark, size=0, parts=())
+        return IncomingSnapshot(*snapshot_id, size=0, parts=())
 
     def _install_snapshot(self, chunk, effects):
         data = b"".join(self.incoming_snapshot.parts)
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -16,10 +16,10 @@
 from siskintally.applier import Applier
 from siskintally.clock import now as steady
 from siskintally.effects import Effects
-from siskintally.encoding import decode, encode
+from siskintally.encoding import decode_message, encode_message
 from siskintally.group_calls import GroupCalls
 from siskintally.group_disk import GroupDisk
-from siskintally.group_inputs import Arrival, PeerEnded, Stop
+from siskintally.group_inputs import PeerEnded, ReceivedMessage, Stop
 from siskintally.handover import Handover
 from siskintally.inbox import Inbox
 from siskintally.leader_preference import STABLE_S, LeaderPreference
@@ -73,15 +73,15 @@
         "_batch",
         "_batch_items",
         "_calls",
-        "_changes",
         "_disk",
-        "_ended",
         "_handover",
         "_inbox",
         "_kept_entries",
+        "_leader_preference",
         "_leadership",
-        "_preference",
+        "_member_changes",
         "_replica",
+        "_run_ended",
         "_send",
         "_timing",
         "folder",
@@ -125,26 +125,26 @@
         roster = roster or FixedRoster(names=self.founding_members)
         self._leadership = LeadershipState(process=process, roster=roster)
         self._calls = GroupCalls(group=name, process=process, leadership=self._leadership)
-        self._changes = MemberChanges(group=name, process=process, roster=roster, send=send)
+        self._member_changes = MemberChanges(group=name, process=process, roster=roster, send=send)
         self._handover = Handover()
         first = next(iter(self.founding_members), "")
-        self._preference = LeaderPreference(group=name, preferred=first, stable_s=stable_s)
-        self._ended = Event()
+        self._leader_preference = LeaderPreference(group=name, preferred=first, stable_s=stable_s)
+        self._run_ended = Event()
 
     @property
     def term(self):
         """Current term."""
-        return self._leadership.now.term
+        return self._leadership.current.term
 
     @property
     def is_leader(self):
         """Whether this replica leads and can serve: it has applied an entry of its term."""
-        return self._leadership.now.is_leader
+        return self._leadership.current.is_leader
 
     @property
     def leader(self):
         """Process name of the leader, empty if unknown."""
-        return self._leadership.now.leader
+        return self._leadership.current.leader
 
     @property
     def applied_index(self):
@@ -168,7 +168,7 @@
         :raises NotLeaderError: the command was not appended to the log.
         :raises OutcomeUnknownError: leadership was lost first; the command may be committed yet.
         """
-        return await self._ask(Waiter(command=command))
+        return await self._call(Waiter(command=command))
 
     async def confirm(self, *, urgent=True):
         """Confirm leadership with a read round, for linearizable reads (as in Raft ReadIndex).
@@ -179,7 +179,7 @@
         :param urgent: False to use the next heartbeat (every 0.5 s), which costs no extra messages.
         :raises NotLeaderError: this replica does not lead, or lost leadership meanwhile.
         """
-        await self._ask(Waiter(urgent=urgent))
+        await self._call(Waiter(urgent=urgent))
 
     def watch(self):
         """Return a receive stream of :class:`Leadership`, starting with the current one.
@@ -193,21 +193,21 @@
         if body.group != self.name:
             return
         try:
-            item = body if isinstance(body, JoinRequest) else decode(body)
+            item = body if isinstance(body, JoinRequest) else decode_message(body)
         except (KeyError, ValueError) as error:
             log.warning("dropped invalid message", group=self.name, error=str(error))
             return
         # A reply that only shows that a peer is alive does not wake the task.
         is_keepalive = self._replica is not None and self._replica.is_keepalive(item)
-        item = Arrival(message=item, at=steady() if is_keepalive else None)
-        self._inbox.drop_or_put(item, wakes=not is_keepalive)
+        item = ReceivedMessage(message=item, received_at=steady() if is_keepalive else None)
+        self._inbox.put_message(item, wakes=not is_keepalive)
 
     def peer_ended(self, name):
         """Record that a peer's process has exited; if it led, the next election starts sooner.
 
         :param name: process name.
         """
-        self._inbox.drop_or_put(PeerEnded(name=name))
+        self._inbox.put_message(PeerEnded(name=name))
 
     async def join_request(self, body):
         """Enqueue a request to join the group; return a JoinReply with the last log index.
@@ -222,28 +222,28 @@
         """Finish accepted calls, transfer leadership, and wait for :meth:`run` to return."""
         if not self._disk.is_open:
             return
-        await self._inbox.put(Stop())
-        await self._ended.wait()
+        await self._inbox.put_call(Stop())
+        await self._run_ended.wait()
 
     async def run(self):
         """Run the replica until :meth:`stop` or cancellation.
 
         :raises OSError: the disk failed; :meth:`run` may be called again.
         """
-        self._ended = Event()
+        self._run_ended = Event()
         self._open()
         try:
-            await self._disk.run_beside(self._loop)
+            await self._disk.run_with_writer(self._loop)
         finally:
             self._publish(Leadership(term=self.term, leader="", is_leader=False))
-            self._calls.end(self._batch, self._inbox.drain())
+            self._calls.close(self._batch, self._inbox.drain())
             self._disk.close()
-            self._ended.set()
+            self._run_ended.set()
 
-    async def _ask(self, waiter):
-        if not self.is_leader or self._handover.is_asked:
-            raise self._calls.not_leader()
-        await self._inbox.put(waiter)
+    async def _call(self, waiter):
+        if not self.is_leader or self._handover.is_requested:
+            raise self._calls.not_leader_error()
+        await self._inbox.put_call(waiter)
         return await waiter.wait()
 
     def _open(self):
@@ -263,83 +263,89 @@
         return timing.election_min_s + uniform(0.0, timing.election_spread_s)
 
     async def _loop(self):
-        while not self._handover.is_over(self._replica, steady()):
-            self._batch = await self._inbox.gather(self._next_time() - steady(), self._batch_items)
+        while not self._handover.is_finished(self._replica, steady()):
+            self._batch = await self._inbox.wait_for_items(
+                self._next_wakeup() - steady(), self._batch_items
+            )
             now = steady()
             effects = Effects()
-            self._disk.advance(self._replica, now, effects)
-            waiters = self._take(self._batch, now, effects)
+            self._disk.poll(self._replica, now, effects)
+            waiters = self._process_inputs(self._batch, now, effects)
             if self.is_leader:
-                self._calls.begin(waiters, self._replica, now, effects)
+                self._calls.start(waiters, self._replica, now, effects)
             else:
-                self._calls.refuse(waiters)
+                self._calls.reject(waiters)
             self._handover.advance(self._replica, now, effects, is_idle=self._calls.is_empty)
             if now >= self._replica.next_tick():
                 effects.extend(self._replica.tick(now))
-            self._changes.manage(self._replica, now, effects)
+            self._member_changes.advance(self._replica, now, effects)
             # Pending reads do not delay a transfer: a busy owner always has some, and they fail
             # with NotLeaderError, which is safe to retry.
-            if not self._handover.is_asked and not self._calls.has_proposals:
-                self._preference.advance(self._replica, now, effects)
-            await self._carry_out(effects)
-            await self._take_snapshot()
+            if not self._handover.is_requested and not self._calls.has_proposals:
+                self._leader_preference.advance(self._replica, now, effects)
+            await self._execute(effects)
+            await self._snapshot_if_due()
 
-    def _next_time(self):
+    def _next_wakeup(self):
         replica = self._replica
-        return min(replica.next_tick(), self._changes.due(replica), self._handover.due)
+        return min(
+            replica.next_tick(),
+            self._member_changes.request_due_at(replica),
+            self._handover.deadline,
+        )
 
-    def _take(self, items, now, effects):
+    def _process_inputs(self, items, now, effects):
         """Process messages and events; return the calls."""
         waiters = []
         for item in items:
             if isinstance(item, Waiter):
                 waiters.append(item)
             elif isinstance(item, Stop):
-                self._handover.ask(now)
+                self._handover.request(now)
             elif isinstance(item, PeerEnded):
                 self._replica.record_process_exit(item.name, now)
             elif isinstance(item.message, JoinRequest):
-                self._changes.note(item.message, now)
+                self._member_changes.record_request(item.message, now)
             else:
-                at = now if item.at is None else item.at
-                effects.extend(self._replica.receive(item.message, at))
+                received_at = now if item.received_at is None else item.received_at
+                effects.extend(self._replica.receive(item.message, received_at))
         return waiters
 
-    async def _carry_out(self, effects):
+    async def _execute(self, effects):
         replica = self._replica
-        if self._disk.may_follow(effects, replica):
-            self._disk.follow(effects, replica)
-            self._finish(effects)
+        if self._disk.can_write_behind(effects, replica):
+            self._disk.write_behind(effects, replica)
+            self._complete(effects)
             return
         while effects.must_sync:
             last = (replica.log.last_index, replica.log.last_term)
             await self._disk.write(effects, replica)
-            self._finish(effects)
+            self._complete(effects)
             effects = replica.mark_synced(*last, steady())
-        self._finish(effects)
+        self._complete(effects)
 
-    def _finish(self, effects):
+    def _complete(self, effects):
         """Send messages, apply entries and complete calls, after the sync that they depend on."""
         for to, message in effects.messages:
-            self._send(to.name, encode(message, group=self.name))
+            self._send(to.name, encode_message(message, group=self.name))
         if effects.restore is not None:
             self._applier.restore(effects.restore)
         for entry in effects.committed:
-            self._calls.applied(entry.index, self._applier.apply(entry))
+            self._calls.complete_proposal(entry.index, self._applier.apply(entry))
         if effects.confirmed_round:
-            self._calls.confirmed(effects.confirmed_round)
+            self._calls.complete_reads(effects.confirmed_round)
         if effects.committed or effects.leadership:
-            self._publish(self._leadership.seen_by(self._replica))
-        self._changes.log_committed(self._replica)
+            self._publish(self._leadership.leadership_of(self._replica))
+        self._member_changes.log_committed(self._replica)
 
     def _publish(self, leadership):
         if self._leadership.publish(leadership):
-            self._calls.fail()
+            self._calls.fail_all()
 
-    async def _take_snapshot(self):
+    async def _snapshot_if_due(self):
         """Take a snapshot and compact the log, if enough was applied since the last one."""
         applier = self._applier
         if not applier.is_snapshot_due(self._replica.log.snapshot.index):
             return
         effects = self._replica.compact(applier.index, applier.snapshot(), keep=self._kept_entries)
-        await self._carry_out(effects)
+        await self._execute(effects)
--- a/siskintally/group_calls.py
+++ b/siskintally/group_calls.py
@@ -33,15 +33,15 @@
         """Whether a proposal is pending."""
         return self._waiters.has_proposals
 
-    def not_leader(self):
+    def not_leader_error(self):
         """Return the error for a call that belongs to the leader; it names the leader if known."""
-        leader = self._leadership.now.leader
+        leader = self._leadership.current.leader
         leader = leader if leader != self._process else ""
         return NotLeaderError(
             f"{self._process} is not the leader of group {self._group}", leader=leader
         )
 
-    def begin(self, waiters, replica, now, effects):
+    def start(self, waiters, replica, now, effects):
         """Propose the commands of new calls and start a read round for the reads."""
         proposals = [waiter for waiter in waiters if waiter.command is not None]
         reads = [waiter for waiter in waiters if waiter.command is None]
@@ -57,29 +57,29 @@
                 self._waiters.add_reads(reads, effects.read_round)
                 reads = []
         except NotLeaderError:
-            self.refuse((*proposals, *reads))
+            self.reject((*proposals, *reads))
 
-    def refuse(self, waiters):
+    def reject(self, waiters):
         """Fail calls that were not started."""
         for waiter in waiters:
-            waiter.fail(self.not_leader())
+            waiter.fail(self.not_leader_error())
 
-    def applied(self, index, reply):
+    def complete_proposal(self, index, reply):
         """Complete the proposal whose entry was applied."""
-        self._waiters.applied(index, reply)
+        self._waiters.complete_proposal(index, reply)
 
-    def confirmed(self, round_):
+    def complete_reads(self, round_):
         """Complete the reads of all rounds up to a confirmed one."""
-        self._waiters.confirmed(round_)
+        self._waiters.complete_reads(round_)
 
-    def fail(self):
+    def fail_all(self):
         """Fail all pending calls because leadership was lost."""
-        self._waiters.fail(
+        self._waiters.fail_all(
             proposals=lambda: OutcomeUnknownError(f"group {self._group}: leadership was lost"),
-            reads=self.not_leader,
+            reads=self.not_leader_error,
         )
 
-    def end(self, items, queued):
+    def close(self, items, queued):
         """Fail the remaining calls of a replica that stops.
 
         :param items: inputs of the last batch, which an error may have interrupted.
@@ -88,4 +88,4 @@
         for item in items:
             if isinstance(item, Waiter):
                 item.fail(OutcomeUnknownError(f"group {self._group}: the replica stopped"))
-        self.refuse(item for item in queued if isinstance(item, Waiter))
+        self.reject(item for item in queued if isinstance(item, Waiter))
--- a/siskintally/group_disk.py
+++ b/siskintally/group_disk.py
@@ -70,7 +70,7 @@
         self.journal.close()
         self.journal = None
 
-    async def run_beside(self, loop):
+    async def run_with_writer(self, loop):
         """Run the background writer beside the main loop of the replica.
 
         An OSError of the loop is raised as it is, not wrapped in an ExceptionGroup.
@@ -88,32 +88,32 @@
         if failure is not None:
             raise failure
 
-    def advance(self, replica, now, effects):
+    def poll(self, replica, now, effects):
         """Record newly synced entries; transfer leadership away if the disk hangs.
 
         :param now: steady time, s.
         :raises OSError: the disk failed.
         """
-        written = self._writer.take_written()
+        written = self._writer.pop_written()
         if written is not None:
             effects.extend(replica.mark_synced(*written, now))
-        busy_s = self._writer.busy_s(now)
-        if busy_s > HUNG_DISK_S and replica.is_leader and replica.transfer_target is None:
-            log.warning("disk hangs", group=self._group, seconds=round(busy_s, 1))
+        sync_duration_s = self._writer.sync_duration_s(now)
+        if sync_duration_s > HUNG_DISK_S and replica.is_leader and replica.transfer_target is None:
+            log.warning("disk hangs", group=self._group, seconds=round(sync_duration_s, 1))
             effects.extend(replica.transfer_leadership(now))
 
-    def may_follow(self, effects, replica):
+    def can_write_behind(self, effects, replica):
         """Return whether entries may be sent, and committed by followers, before the own sync.
 
         A vote, a new term, or what a follower acknowledges must be on disk first.
         """
         if not (self._in_thread and replica.is_leader and effects.entries):
             return False
-        is_plain = effects.hard_state is None and effects.snapshot is None
-        answers = (isinstance(one.message, AppendReply) for one in effects.messages)
-        return is_plain and not any(answers)
+        has_entries_only = effects.hard_state is None and effects.snapshot is None
+        are_replies = (isinstance(envelope.message, AppendReply) for envelope in effects.messages)
+        return has_entries_only and not any(are_replies)
 
-    def follow(self, effects, replica):
+    def write_behind(self, effects, replica):
         """Queue entries of a leader for the background writer."""
         self._writer.add(effects.entries, (replica.log.last_index, replica.log.last_term))
 
--- a/siskintally/group_inputs.py
+++ b/siskintally/group_inputs.py
@@ -1,7 +1,7 @@
 """Inputs other than calls to the task that runs one replica.
 
->>> from siskintally.group_inputs import Arrival
->>> Arrival(message=None, at=1.5).at
+>>> from siskintally.group_inputs import ReceivedMessage
+>>> ReceivedMessage(message=None, received_at=1.5).received_at
 1.5
 """
 
@@ -12,14 +12,14 @@
     __slots__ = ()
 
 
-class Arrival:
-    """A received message; ``at`` is its time of arrival if processing it may be delayed."""
+class ReceivedMessage:
+    """A received message; ``received_at`` is set if processing it may be delayed."""
 
-    __slots__ = ("at", "message")
+    __slots__ = ("message", "received_at")
 
-    def __init__(self, *, message, at):
+    def __init__(self, *, message, received_at):
         self.message = message
-        self.at = at
+        self.received_at = received_at
 
 
 class PeerEnded:
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -31,23 +31,23 @@
     StoredSnapshot,
 )
 from siskintally.messages import Identity, Snapshot
-from siskintally.persistent_state import PersistentState, founding_state
+from siskintally.persistent_state import PersistentState, bootstrap_state
 from siskintally.raftlog import EMPTY_SNAPSHOT
 from siskintally.records import (
     TEMPORARY_SUFFIX,
-    append_to,
-    pack,
+    append_and_sync,
+    pack_record,
     replace_file,
     sync_folder,
-    unpack,
-    unpack_one,
+    unpack_records,
+    unpack_single_record,
 )
 
 IDENTITY_FILE = "identity"
 LOG_FILE = "log"
 SNAPSHOT_PREFIX = "snapshot-"
 DAMAGED_SUFFIX = ".damaged-"
-INCARNATION_LENGTH = 16
+INCARNATION_CHARS = 16
 
 
 class Journal:
@@ -83,8 +83,8 @@
         :raises StoppedError: another process has the folder open.
         """
         folder = Path(folder)
-        _create(folder, group, name, incarnation)
-        lock = _lock(folder / IDENTITY_FILE)
+        _initialize_folder(folder, group, name, incarnation)
+        lock = _lock_folder(folder / IDENTITY_FILE)
         try:
             identity = _read_identity(folder, group, name)
             persistent_state = _read_log(folder, group, identity)
@@ -96,7 +96,7 @@
                 lock=lock,
             )
             journal._replace_log(persistent_state)
-            _remove_others(folder, persistent_state.snapshot.index)
+            _remove_other_snapshots(folder, persistent_state.snapshot.index)
         except BaseException:
             lock.close()
             raise
@@ -116,11 +116,11 @@
         records = []
         if effects.hard_state is not None:
             record = LogRecord(hard_state=_encode_hard_state(effects.hard_state))
-            records.append(pack(record.SerializeToString()))
+            records.append(pack_record(record.SerializeToString()))
         for entry in effects.entries:
-            records.append(pack(LogRecord(entry=encode_entry(entry)).SerializeToString()))
+            records.append(pack_record(LogRecord(entry=encode_entry(entry)).SerializeToString()))
         data = b"".join(records)
-        append_to(self._log, data)
+        append_and_sync(self._log, data)
         self.log_bytes += len(data)
 
     def close(self):
@@ -133,7 +133,7 @@
         path = self.folder / f"{SNAPSHOT_PREFIX}{persistent_state.snapshot.index}"
         replace_file(path, _encode_snapshot(persistent_state.snapshot))
         self._replace_log(persistent_state)
-        _remove_others(self.folder, persistent_state.snapshot.index)
+        _remove_other_snapshots(self.folder, persistent_state.snapshot.index)
 
     def _replace_log(self, persistent_state):
         """Replace the log file with one that starts with the given state."""
@@ -161,7 +161,7 @@
     try:
         if journal.persistent_state != PersistentState():
             raise BadRequestError(f"{folder}: the group {group!r} is already bootstrapped here")
-        persistent_state = founding_state(voters or (journal.identity,))
+        persistent_state = bootstrap_state(voters or (journal.identity,))
         journal._write_snapshot(persistent_state)
     finally:
         journal.close()
@@ -182,7 +182,7 @@
     return target
 
 
-def _create(folder, group, name, incarnation):
+def _initialize_folder(folder, group, name, incarnation):
     """Initialize an empty data folder with an identity and an empty log.
 
     The identity is written last, and a folder that lacks one of the two files counts as damaged:
@@ -195,14 +195,14 @@
         leftover.unlink()
     if any(folder.iterdir()):
         return
-    incarnation = incarnation or uuid4().hex[:INCARNATION_LENGTH]
+    incarnation = incarnation or uuid4().hex[:INCARNATION_CHARS]
     identity = Identity(name=name, incarnation=incarnation)
     replace_file(folder / LOG_FILE, _encode_head(PersistentState(), group, identity))
     stored = StoredIdentity(group=group, name=name, incarnation=incarnation)
-    replace_file(folder / IDENTITY_FILE, pack(stored.SerializeToString()))
+    replace_file(folder / IDENTITY_FILE, pack_record(stored.SerializeToString()))
 
 
-def _lock(path):
+def _lock_folder(path):
     try:
         file = open(path, "rb")  # noqa: SIM115
     except FileNotFoundError as error:
@@ -224,7 +224,7 @@
 
 def _read_identity(folder, group, name):
     data = (folder / IDENTITY_FILE).read_bytes()
-    stored = _parse(StoredIdentity, unpack_one(data, name=IDENTITY_FILE), IDENTITY_FILE)
+    stored = _parse(StoredIdentity, unpack_single_record(data, name=IDENTITY_FILE), IDENTITY_FILE)
     if (stored.group, stored.name) != (group, name):
         raise BadSettingsError(
             f"{folder}: belongs to {stored.name!r} of group {stored.group!r}, not to {name!r}"
@@ -236,7 +236,7 @@
     path = folder / LOG_FILE
     if not path.exists():
         raise DamagedDataError(f"{path}: the log file is missing")
-    payloads = unpack(path.read_bytes(), name=LOG_FILE)
+    payloads = unpack_records(path.read_bytes(), name=LOG_FILE)
     first = next(payloads, None)
     record = _parse(LogRecord, first, LOG_FILE) if first is not None else LogRecord()
     if record.WhichOneof("body") != "head":
@@ -251,16 +251,16 @@
     hard_state = head.hard_state
     entries = []
     for body in head.entries:
-        _place(entries, body, head.base_index)
+        _insert_entry(entries, body, head.base_index)
     for payload in payloads:
         record = _parse(LogRecord, payload, LOG_FILE)
-        kind = record.WhichOneof("body")
-        if kind == "hard_state":
+        record_type = record.WhichOneof("body")
+        if record_type == "hard_state":
             hard_state = record.hard_state
-        elif kind == "entry":
-            _place(entries, record.entry, head.base_index)
+        elif record_type == "entry":
+            _insert_entry(entries, record.entry, head.base_index)
         else:
-            raise DamagedDataError(f"{LOG_FILE}: unexpected record of type {kind}")
+            raise DamagedDataError(f"{LOG_FILE}: unexpected record of type {record_type}")
     if head.base_index + len(entries) < snapshot.index:
         raise DamagedDataError(f"{LOG_FILE}: entries before the snapshot are missing")
     vote = Identity(hard_state.vote_name, hard_state.vote_incarnation)
@@ -274,7 +274,7 @@
     )
 
 
-def _place(entries, body, base_index):
+def _insert_entry(entries, body, base_index):
     position = body.index - base_index - 1
     if not 0 <= position <= len(entries):
         raise DamagedDataError(f"{LOG_FILE}: entry {body.index} is out of sequence")
@@ -291,14 +291,16 @@
     path = folder / f"{SNAPSHOT_PREFIX}{index}"
     if not path.exists():
         raise DamagedDataError(f"{path}: the snapshot file is missing")
-    stored = _parse(StoredSnapshot, unpack_one(path.read_bytes(), name=path.name), path.name)
+    stored = _parse(
+        StoredSnapshot, unpack_single_record(path.read_bytes(), name=path.name), path.name
+    )
     if stored.index != index:
         raise DamagedDataError(f"{path}: contains a snapshot at index {stored.index}")
     members = decode_members(stored.members)
     return Snapshot(index=index, term=stored.term, members=members, data=stored.data)
 
 
-def _remove_others(folder, index):
+def _remove_other_snapshots(folder, index):
     for path in folder.glob(f"{SNAPSHOT_PREFIX}*"):
         if path.name != f"{SNAPSHOT_PREFIX}{index}":
             path.unlink()
@@ -318,7 +320,7 @@
         members=encode_members(snapshot.members),
         data=snapshot.data,
     )
-    return pack(stored.SerializeToString())
+    return pack_record(stored.SerializeToString())
 
 
 def _encode_head(persistent_state, group, identity):
@@ -332,4 +334,4 @@
         hard_state=_encode_hard_state(persistent_state),
         entries=[encode_entry(entry) for entry in persistent_state.entries],
     )
-    return pack(LogRecord(head=head).SerializeToString())
+    return pack_record(LogRecord(head=head).SerializeToString())
--- a/siskintally/leader_preference.py
+++ b/siskintally/leader_preference.py
@@ -26,14 +26,14 @@
         transfer.
     """
 
-    __slots__ = ("_group", "_since", "_stable_s", "_term", "preferred")
+    __slots__ = ("_delay_started_at", "_group", "_stable_s", "_term", "preferred")
 
     def __init__(self, *, group, preferred, stable_s=STABLE_S):
         self._group = group
         self.preferred = preferred
         self._stable_s = stable_s
         self._term = None
-        self._since = inf
+        self._delay_started_at = inf
 
     def advance(self, replica, now, effects):
         """Start a leadership transfer if one is due."""
@@ -53,17 +53,19 @@
         if not replica.is_leader or replica.identity.name == self.preferred:
             return None
         if self._term != replica.term:
-            self._term, self._since = replica.term, now
-        if now - self._since < self._stable_s or not replica.has_committed_in_term:
+            self._term, self._delay_started_at = replica.term, now
+        if now - self._delay_started_at < self._stable_s or not replica.has_committed_in_term:
             return None
         for voter in replica.voters:
             if voter.name == self.preferred and _can_lead(replica, voter, now):
-                self._since = now
+                self._delay_started_at = now
                 return voter
         return None
 
 
 def _can_lead(replica, voter, now):
     progress = replica.progress_by_id[voter]
-    answers = progress.has_replied and now - progress.last_reply_at < replica.timing.election_min_s
-    return answers and progress.match_index >= replica.commit_index
+    is_reachable = (
+        progress.has_replied and now - progress.last_reply_at < replica.timing.election_min_s
+    )
+    return is_reachable and progress.match_index >= replica.commit_index
--- a/siskintally/leader_watchers.py
+++ b/siskintally/leader_watchers.py
@@ -17,25 +17,25 @@
 class LeaderWatchers:
     """Subscribers to leadership changes; a slow one loses the oldest items, never the latest."""
 
-    __slots__ = ("_ends",)
+    __slots__ = ("_streams",)
 
     def __init__(self):
-        self._ends = []
+        self._streams = []
 
     def add(self, leadership):
         """Return a new receive stream that starts with the given leadership."""
         sender, receiver = create_memory_object_stream(BUFFER_MESSAGES)
         sender.send_nowait(leadership)
         # The clone serves to drop the oldest item and to detect that the reader closed its stream.
-        self._ends.append((sender, receiver.clone()))
+        self._streams.append((sender, receiver.clone()))
         return receiver
 
     def publish(self, leadership):
         """Send the new leadership to all open streams; drop the closed ones."""
-        for end in list(self._ends):
-            sender, receiver = end
+        for stream in list(self._streams):
+            sender, receiver = stream
             if receiver.statistics().open_receive_streams == 1:
-                self._ends.remove(end)
+                self._streams.remove(stream)
                 sender.close()
                 receiver.close()
                 continue
--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -3,19 +3,19 @@
 >>> from siskintally.member_admission import MemberAdmission
 >>> from siskintally.roster import FixedRoster
 >>> admission = MemberAdmission(group="cell", process="s1", roster=FixedRoster(names=("s1", "s2")))
->>> [(process, body.name) for process, body in admission.ask("incarnation", now=5.0)]
+>>> [(process, body.name) for process, body in admission.join_requests("incarnation", now=5.0)]
 [('s2', 's1')]
->>> admission.ask("incarnation", now=5.1)
+>>> admission.join_requests("incarnation", now=5.1)
 []
 """
 
-from siskintally.membership import next_change
+from siskintally.membership import next_member_change
 from siskintally.messages import Identity
 from siskintally.wire_pb2 import JoinRequest
 
-INTERVAL_S = 1.0
-SILENCE_S = 5.0
-VALID_S = 3.0
+JOIN_INTERVAL_S = 1.0
+LEADER_SILENCE_S = 5.0
+JOIN_REQUEST_VALID_S = 3.0
 CAUGHT_UP_ENTRIES = 200
 
 
@@ -25,17 +25,24 @@
     :param roster: :class:`~siskintally.roster.Roster` of the group.
     """
 
-    __slots__ = ("_group", "_led_since", "_process", "_request_by_name", "_roster", "next_ask")
+    __slots__ = (
+        "_group",
+        "_process",
+        "_request_by_name",
+        "_roster",
+        "_term_start",
+        "next_request_at",
+    )
 
     def __init__(self, *, group, process, roster):
         self._group = group
         self._process = process
         self._roster = roster
-        self._led_since = (0, 0.0)
+        self._term_start = (0, 0.0)
         self._request_by_name = {}
-        self.next_ask = 0.0
+        self.next_request_at = 0.0
 
-    def due(self, replica):
+    def request_due_at(self, replica):
         """Return the time at which a replica should request to join the group.
 
         A member without contact to a leader does so too: it may have been replaced meanwhile.
@@ -43,23 +50,23 @@
         if replica.is_leader:
             return float("inf")
         if any(member.identity == replica.identity for member in replica.log.members):
-            return max(self.next_ask, replica.leader_contact_at + SILENCE_S)
-        return self.next_ask
+            return max(self.next_request_at, replica.leader_contact_at + LEADER_SILENCE_S)
+        return self.next_request_at
 
-    def ask(self, incarnation, now):
+    def join_requests(self, incarnation, now):
         """Return (process, JoinRequest) pairs to send, at most once a second."""
-        if now < self.next_ask:
+        if now < self.next_request_at:
             return []
-        self.next_ask = now + INTERVAL_S
+        self.next_request_at = now + JOIN_INTERVAL_S
         body = JoinRequest(group=self._group, name=self._process, incarnation=incarnation)
         return [(name, body) for name in self._roster.contacts() if name != self._process]
 
-    def note(self, body, now):
+    def record_request(self, body, now):
         """Record a request, valid for 3 s; ignore one with an empty incarnation (a query)."""
-        if body.incarnation and self._roster.admits(body.name):
+        if body.incarnation and self._roster.may_join(body.name):
             self._request_by_name[body.name] = (body.incarnation, now)
 
-    def next_change(self, replica, now):
+    def next_member_change(self, replica, now):
         """Return the next member set for the leader to propose, or None.
 
         :param replica: leader of the group.
@@ -71,32 +78,32 @@
         self._request_by_name = {
             name: (incarnation, at)
             for name, (incarnation, at) in self._request_by_name.items()
-            if now - at < VALID_S
+            if now - at < JOIN_REQUEST_VALID_S
         }
-        return self._admission(replica, now) or self._removal(replica, now)
+        return self._next_admission(replica, now) or self._next_removal(replica, now)
 
-    def _admission(self, replica, now):
+    def _next_admission(self, replica, now):
         log = replica.log
         if not self._request_by_name and all(member.voter for member in log.members):
             return None
-        return next_change(
+        return next_member_change(
             log.members,
             joining=[Identity(name, item[0]) for name, item in self._request_by_name.items()],
             is_alive=lambda identity: _is_alive(replica, identity, now),
             is_caught_up=lambda identity: _is_caught_up(replica, identity),
         )
 
-    def _removal(self, replica, now):
+    def _next_removal(self, replica, now):
         """Return the members without a lost voter, or None; silence before this term is ignored."""
-        if self._led_since[0] != replica.term:
-            self._led_since = (replica.term, now)
+        if self._term_start[0] != replica.term:
+            self._term_start = (replica.term, now)
         silent_s_by_voter = {
-            voter: _silent_s(replica, voter, now, self._led_since[1]) for voter in replica.voters
+            voter: _silent_s(replica, voter, now, self._term_start[1]) for voter in replica.voters
         }
-        gone = self._roster.removable(silent_s_by_voter)
-        if gone is None:
+        lost = self._roster.voter_to_remove(silent_s_by_voter)
+        if lost is None:
             return None
-        return tuple(member for member in replica.log.members if member.identity != gone)
+        return tuple(member for member in replica.log.members if member.identity != lost)
 
 
 def _silent_s(replica, voter, now, since):
--- a/siskintally/member_changes.py
+++ b/siskintally/member_changes.py
@@ -34,20 +34,20 @@
         self._admission = MemberAdmission(group=group, process=process, roster=roster)
         self._logged_index = None
 
-    def note(self, body, now):
+    def record_request(self, body, now):
         """Record a JoinRequest of another process."""
-        self._admission.note(body, now)
+        self._admission.record_request(body, now)
 
-    def due(self, replica):
-        """Return the time at which :meth:`manage` must send the next join requests."""
-        return self._admission.due(replica)
+    def request_due_at(self, replica):
+        """Return the time at which :meth:`advance` must send the next join requests."""
+        return self._admission.request_due_at(replica)
 
-    def manage(self, replica, now, effects):
+    def advance(self, replica, now, effects):
         """Send join requests that are due; as the leader, propose the next membership change."""
-        if now >= self._admission.due(replica):
-            for process, body in self._admission.ask(replica.identity.incarnation, now):
+        if now >= self._admission.request_due_at(replica):
+            for process, body in self._admission.join_requests(replica.identity.incarnation, now):
                 self._send(process, body)
-        change = self._admission.next_change(replica, now)
+        change = self._admission.next_member_change(replica, now)
         if change is not None:
             log.info("proposed membership change", group=self._group, members=str(change))
             effects.extend(replica.propose_members(change, now))
--- a/siskintally/messages.py
+++ b/siskintally/messages.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 
-class Kind(IntEnum):
+class EntryKind(IntEnum):
     """Type of a log entry; the numbers are those of the wire format."""
 
     COMMAND = 0
@@ -39,7 +39,7 @@
 
     index: int
     term: int
-    kind: Kind = Kind.COMMAND
+    kind: EntryKind = EntryKind.COMMAND
     command: bytes = b""
     members: tuple = ()
 
--- a/siskintally/persistent_state.py
+++ b/siskintally/persistent_state.py
@@ -1,19 +1,19 @@
 """Persistent state of a replica as a value, and the initial state of a new group.
 
 >>> from siskintally.messages import Identity
->>> from siskintally.persistent_state import founding_state
->>> founding_state((Identity("s1", "a"),)).snapshot.members[0].voter
+>>> from siskintally.persistent_state import bootstrap_state
+>>> bootstrap_state((Identity("s1", "a"),)).snapshot.members[0].voter
 True
 """
 
 from typing import NamedTuple
 
-from siskintally.membership import ordered
+from siskintally.membership import sort_members
 from siskintally.messages import Identity, Member, Snapshot
 from siskintally.raftlog import EMPTY_SNAPSHOT
 
-FOUNDING_INDEX = 1
-FOUNDING_TERM = 1
+BOOTSTRAP_INDEX = 1
+BOOTSTRAP_TERM = 1
 
 
 class PersistentState(NamedTuple):
@@ -27,16 +27,16 @@
     entries: tuple = ()
 
 
-def founding_state(voters):
+def bootstrap_state(voters):
     """Return the state from which a new group is bootstrapped: a snapshot that names its voters.
 
     :param voters: identities of the first voters.
     """
-    members = ordered(Member(identity=identity, voter=True) for identity in voters)
-    snapshot = Snapshot(index=FOUNDING_INDEX, term=FOUNDING_TERM, members=members, data=b"")
+    members = sort_members(Member(identity=identity, voter=True) for identity in voters)
+    snapshot = Snapshot(index=BOOTSTRAP_INDEX, term=BOOTSTRAP_TERM, members=members, data=b"")
     return PersistentState(
-        term=FOUNDING_TERM,
+        term=BOOTSTRAP_TERM,
         snapshot=snapshot,
-        base_index=FOUNDING_INDEX,
-        base_term=FOUNDING_TERM,
+        base_index=BOOTSTRAP_INDEX,
+        base_term=BOOTSTRAP_TERM,
     )
--- a/siskintally/records.py
+++ b/siskintally/records.py
@@ -3,8 +3,8 @@
 A record is a header (length, xxh32 of the length, xxh64 of the rest), the payload, and a last byte
 that is not zero.
 
->>> from siskintally.records import pack, unpack
->>> list(unpack(pack(b"one") + pack(b"two")[:-2], name="log"))
+>>> from siskintally.records import pack_record, unpack_records
+>>> list(unpack_records(pack_record(b"one") + pack_record(b"two")[:-2], name="log"))
 [b'one']
 """
 
@@ -24,7 +24,7 @@
 TEMPORARY_SUFFIX = ".tmp"
 
 
-def pack(payload):
+def pack_record(payload):
     """Return a payload as a record."""
     length = LENGTH.pack(len(payload) + 1)
     digest = xxh64_intdigest(payload + LAST_BYTE)
@@ -32,7 +32,7 @@
     return b"".join((header, payload, LAST_BYTE))
 
 
-def unpack(data, *, name):
+def unpack_records(data, *, name):
     """Yield the payloads of the records; ignore a last record that was only partly written.
 
     A record is partly written if the file ends before it does, or if its last sector and everything
@@ -45,13 +45,13 @@
     start = 0
     while len(data) - start >= HEADER.size:
         length, length_digest, digest = HEADER.unpack_from(data, start)
-        first = start + HEADER.size
-        is_length_right = xxh32_intdigest(LENGTH.pack(length)) == length_digest
-        end = first + length if is_length_right else first
-        if is_length_right and end > len(data):
+        body_start = start + HEADER.size
+        is_length_valid = xxh32_intdigest(LENGTH.pack(length)) == length_digest
+        end = body_start + length if is_length_valid else body_start
+        if is_length_valid and end > len(data):
             return
-        body = view[first:end]
-        if not is_length_right or not length or xxh64_intdigest(body) != digest:
+        body = view[body_start:end]
+        if not is_length_valid or not length or xxh64_intdigest(body) != digest:
             if _is_unwritten(data, start, end):
                 return
             raise DamagedDataError(f"{name}: record at byte {start} is damaged")
@@ -65,12 +65,12 @@
     return not any(data[max(start, last_sector) :])
 
 
-def unpack_one(data, *, name):
+def unpack_single_record(data, *, name):
     """Return the payload of a file that holds one record.
 
     :raises DamagedDataError: the file contains anything but one complete record.
     """
-    payloads = list(unpack(data, name=name))
+    payloads = list(unpack_records(data, name=name))
     if len(payloads) != 1 or len(data) != HEADER.size + len(payloads[0]) + 1:
         raise DamagedDataError(f"{name}: expected exactly one complete record")
     return payloads[0]
@@ -87,7 +87,7 @@
     sync_folder(path.parent)
 
 
-def append_to(file, data):
+def append_and_sync(file, data):
     """Append to an unbuffered file and sync its data and size with fdatasync."""
     written = 0
     while written < len(data):
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -2,11 +2,11 @@
 
 >>> from siskintally.messages import Identity
 >>> from siskintally.replica import Replica
->>> from siskintally.persistent_state import founding_state
+>>> from siskintally.persistent_state import bootstrap_state
 >>> me = Identity(name="s1", incarnation="a")
 >>> replica = Replica(
 ...     identity=me,
-...     persistent_state=founding_state((me,)),
+...     persistent_state=bootstrap_state((me,)),
 ...     election_timeout=lambda: 1.0,
 ...     now=0.0,
 ... )
@@ -21,12 +21,12 @@
 from siskintally.election import NEVER, ElectionMixin, Role
 from siskintally.errors import BadRequestError, NotLeaderError
 from siskintally.follower import FollowerMixin
-from siskintally.membership import check_change, ordered
+from siskintally.membership import check_member_change, sort_members
 from siskintally.messages import (
     AppendReply,
     AppendRequest,
     Entry,
-    Kind,
+    EntryKind,
     SnapshotChunk,
     SnapshotReply,
     TransferLeadership,
@@ -34,7 +34,7 @@
     VoteRequest,
 )
 from siskintally.persistent_state import PersistentState
-from siskintally.raftlog import Log
+from siskintally.raftlog import RaftLog
 from siskintally.replication import ReplicationMixin
 from siskintally.timing import Timing
 
@@ -83,7 +83,7 @@
         self._election_timeout = election_timeout
         self.term = persistent_state.term
         self.vote = persistent_state.vote
-        self.log = Log(
+        self.log = RaftLog(
             snapshot=persistent_state.snapshot,
             base_index=persistent_state.base_index,
             base_term=persistent_state.base_term,
@@ -147,8 +147,8 @@
     def receive(self, message, now):
         """Process a message from another replica."""
         effects = Effects()
-        answers = isinstance(message, AppendReply | SnapshotReply)
-        if answers and message.term > self.term:
+        is_reply = isinstance(message, AppendReply | SnapshotReply)
+        if is_reply and message.term > self.term:
             self._become_follower(message.term, None, now, effects)
         getattr(self, _HANDLER_BY_TYPE[type(message)])(message, now, effects)
         return effects
@@ -168,7 +168,7 @@
         self._check_is_leader()
         effects = Effects()
         for command in commands:
-            entry = Entry(self.log.last_index + 1, self.term, Kind.COMMAND, command)
+            entry = Entry(self.log.last_index + 1, self.term, EntryKind.COMMAND, command)
             self._append(entry, effects)
         self._send_all(now, effects)
         return effects
@@ -186,10 +186,10 @@
             raise BadRequestError("members: no entry of the present term is committed yet")
         if self.log.members_index > self.commit_index:
             raise BadRequestError("members: the previous change is not committed yet")
-        check_change(self.log.members, members, leader=self.identity)
+        check_member_change(self.log.members, members, leader=self.identity)
         effects = Effects()
         index = self.log.last_index + 1
-        entry = Entry(index, self.term, Kind.MEMBERS, members=ordered(members))
+        entry = Entry(index, self.term, EntryKind.MEMBERS, members=sort_members(members))
         self._append(entry, effects)
         self._update_tracked_peers(now)
         self._send_all(now, effects)
@@ -250,15 +250,15 @@
         """
         self._check_is_leader(allow_during_transfer=True)
         effects = Effects()
-        alive = [
+        candidates = [
             (self.progress_by_id[voter].match_index, voter)
             for voter in self.voters
             if voter != self.identity
             and to in (None, voter)
             and now - self.progress_by_id[voter].last_reply_at < self.timing.election_max_s
         ]
-        if alive and self.transfer_target is None:
-            self.transfer_target = max(alive)[1]
+        if candidates and self.transfer_target is None:
+            self.transfer_target = max(candidates)[1]
             self.transfer_sent = False
             self.deadline = now + self.timing.election_min_s
             self._send_transfer_if_ready(effects)
@@ -321,7 +321,7 @@
             )
 
     def _commit_to(self, index, effects):
-        effects.committed.extend(self.log.between(self.commit_index + 1, index))
+        effects.committed.extend(self.log.entries_between(self.commit_index + 1, index))
         self.commit_index = index
 
 
--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -59,11 +59,11 @@
 
     def _update_tracked_peers(self, now):
         peers = {member.identity for member in self.log.members} - {self.identity}
-        kept = {}
+        tracked = {}
         for peer in sorted(peers):
             progress = self.progress_by_id.get(peer)
-            kept[peer] = progress or Progress(next_index=self.log.last_index + 1, now=now)
-        self.progress_by_id = kept
+            tracked[peer] = progress or Progress(next_index=self.log.last_index + 1, now=now)
+        self.progress_by_id = tracked
 
     def _send_all(self, now, effects):
         for peer, progress in self.progress_by_id.items():
@@ -137,8 +137,8 @@
             return
         progress.read_round = max(progress.read_round, reply.round)
         if not reply.accepted:
-            hint = min(progress.next_index, reply.match_index + 1)
-            progress.next_index = max(progress.match_index + 1, hint)
+            retry_index = min(progress.next_index, reply.match_index + 1)
+            progress.next_index = max(progress.match_index + 1, retry_index)
         else:
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
@@ -184,10 +184,10 @@
             self.durable_index if voter == self.identity else self.progress_by_id[voter].match_index
             for voter in self.voters
         ]
-        reached = quorum_value(matches)
+        quorum_reached = quorum_value(matches)
         # Raft 5.4.2: an entry of an older term can still be overwritten, even on a quorum.
-        if reached > self.commit_index and self.log.term_at(reached) == self.term:
-            self._commit_to(reached, effects)
+        if quorum_reached > self.commit_index and self.log.term_at(quorum_reached) == self.term:
+            self._commit_to(quorum_reached, effects)
 
     def _advance_read_round(self, effects):
         if not self.has_committed_in_term:
@@ -196,10 +196,10 @@
             self.read_round if voter == self.identity else self.progress_by_id[voter].read_round
             for voter in self.voters
         ]
-        reached = quorum_value(rounds)
-        if reached > self.confirmed_round:
-            self.confirmed_round = reached
-            effects.confirmed_round = reached
+        quorum_reached = quorum_value(rounds)
+        if quorum_reached > self.confirmed_round:
+            self.confirmed_round = quorum_reached
+            effects.confirmed_round = quorum_reached
 
     def _send_transfer_if_ready(self, effects):
         target = self.transfer_target
@@ -211,11 +211,11 @@
             effects.messages.append(Envelope(to=target, message=message))
 
     def _tick_leader(self, now, effects):
-        heard = [
+        last_replies = [
             now if voter == self.identity else self.progress_by_id[voter].last_reply_at
             for voter in self.voters
         ]
-        if quorum_value(heard) <= now - self.timing.election_max_s:
+        if quorum_value(last_replies) <= now - self.timing.election_max_s:
             self._become_follower(self.term, None, now, effects)
             return
         if self.transfer_target is not None and now >= self.deadline:
@@ -235,10 +235,10 @@
         """
         if progress.last_sent_at == NEVER:
             return NEVER
-        lacks = (
+        is_behind = (
             progress.sent_commit_index < self.commit_index
             or progress.match_index < self.log.last_index
         )
-        interval = self.timing.busy_beat_s if lacks else self.timing.idle_beat_s
+        interval = self.timing.busy_beat_s if is_behind else self.timing.idle_beat_s
         # Without the tolerance, rounding could yield the time of the last heartbeat again.
         return interval * floor(progress.last_sent_at / interval + 1 + HEARTBEAT_TOLERANCE)
--- a/siskintally/roster.py
+++ b/siskintally/roster.py
@@ -2,13 +2,13 @@
 
 >>> from siskintally.roster import FixedRoster
 >>> roster = FixedRoster(names=("s1", "s2", "s3"))
->>> roster.admits("s2"), roster.admits("s9"), roster.is_founded(("s1", "s2"))
+>>> roster.may_join("s2"), roster.may_join("s9"), roster.is_bootstrapped(("s1", "s2"))
 (True, False, True)
 """
 
 from abc import ABC, abstractmethod
 
-from siskintally.membership import quorum
+from siskintally.membership import quorum_size
 
 
 class Roster(ABC):
@@ -21,14 +21,14 @@
         """Yield the names of processes to send join requests to."""
 
     @abstractmethod
-    def admits(self, name):
+    def may_join(self, name):
         """Return whether a process may join the group."""
 
     @abstractmethod
-    def is_founded(self, voter_names):
+    def is_bootstrapped(self, voter_names):
         """Return whether a leader with these voters may accept proposals."""
 
-    def removable(self, silent_s_by_voter):
+    def voter_to_remove(self, silent_s_by_voter):
         """Return a voter to remove from the group, or None.
 
         :param silent_s_by_voter: seconds since the last reply of each voter, by identity.
@@ -50,13 +50,13 @@
         """Yield the names in the settings."""
         yield from self.names
 
-    def admits(self, name):
+    def may_join(self, name):
         """Return whether the settings list a process."""
         return name in self.names
 
-    def is_founded(self, voter_names):
+    def is_bootstrapped(self, voter_names):
         """Return whether a majority are voters; before that, one disk alone could commit."""
-        return len(set(voter_names) & set(self.names)) >= quorum(len(self.names))
+        return len(set(voter_names) & set(self.names)) >= quorum_size(len(self.names))
 
 
 class OpenRoster(Roster):
@@ -78,22 +78,22 @@
         """Yield the names of the currently known processes."""
         yield from self._contacts()
 
-    def admits(self, name):
+    def may_join(self, name):
         """Return whether the name is not empty; every process may join."""
         return bool(name)
 
-    def is_founded(self, voter_names):
+    def is_bootstrapped(self, voter_names):
         """Return whether there are voters; all first ones are bootstrapped with the same state."""
         return bool(voter_names)
 
-    def removable(self, silent_s_by_voter):
+    def voter_to_remove(self, silent_s_by_voter):
         """Return the voter unresponsive for longest, if 2 * ``tolerated`` + 1 others are alive."""
-        silent = {
+        unresponsive = {
             voter: silent_s
             for voter, silent_s in silent_s_by_voter.items()
             if silent_s >= self._silence_s
         }
-        alive = len(silent_s_by_voter) - len(silent)
-        if not silent or alive < 2 * self._tolerated + 1:
+        responsive_count = len(silent_s_by_voter) - len(unresponsive)
+        if not unresponsive or responsive_count < 2 * self._tolerated + 1:
             return None
-        return max(silent, key=lambda voter: (silent[voter], voter))
+        return max(unresponsive, key=lambda voter: (unresponsive[voter], voter))
--- a/siskintally/waiters.py
+++ b/siskintally/waiters.py
@@ -72,19 +72,19 @@
         """Add reads that wait for a read round."""
         self._by_round.setdefault(round_, []).extend(waiters)
 
-    def applied(self, index, reply):
+    def complete_proposal(self, index, reply):
         """Complete the proposal whose entry was applied."""
         waiter = self._by_index.pop(index, None)
         if waiter is not None:
             waiter.resolve(reply)
 
-    def confirmed(self, round_):
+    def complete_reads(self, round_):
         """Complete the reads of all rounds up to a confirmed one."""
         for number in [number for number in self._by_round if number <= round_]:
             for waiter in self._by_round.pop(number):
                 waiter.resolve()
 
-    def fail(self, *, proposals, reads):
+    def fail_all(self, *, proposals, reads):
         """Fail all calls.
 
         :param proposals: function that returns the exception of a proposal.
--- a/siskintally/write_behind.py
+++ b/siskintally/write_behind.py
@@ -16,52 +16,61 @@
     """Writes and syncs entries of a leader in the background, in log order.
 
     A commit needs a quorum of disks, not necessarily the leader's own: entries can be committed by
-    the followers while it syncs. The leader counts itself once :meth:`take_written` returns them.
+    the followers while it syncs. The leader counts itself once :meth:`pop_written` returns them.
 
     :param write: function that syncs :class:`~siskintally.effects.Effects`; blocks.
     :param wake: function that is called after each sync.
     """
 
-    __slots__ = ("_arrived", "_began", "_error", "_idle", "_last", "_waiting", "_wake", "_write")
+    __slots__ = (
+        "_error",
+        "_idle_event",
+        "_pending",
+        "_pending_event",
+        "_sync_started_at",
+        "_wake",
+        "_write",
+        "_written",
+    )
 
     def __init__(self, *, write, wake):
         self._write = write
         self._wake = wake
-        self._waiting = []
-        self._arrived = Event()
-        self._idle = Event()
-        self._began = None
-        self._last = None
+        self._pending = []
+        self._pending_event = Event()
+        self._idle_event = Event()
+        self._sync_started_at = None
+        self._written = None
         self._error = None
 
     @property
     def is_idle(self):
         """Whether everything that was added is on disk."""
-        return self._began is None and not self._waiting
+        return self._sync_started_at is None and not self._pending
 
-    def busy_s(self, now):
+    def sync_duration_s(self, now):
         """Return how long the sync in progress has taken, 0 if there is none, in seconds.
 
         :param now: steady time, s.
         """
-        return now - self._began if self._began is not None else 0.0
+        return now - self._sync_started_at if self._sync_started_at is not None else 0.0
 
     def add(self, entries, last):
         """Queue entries to be written.
 
         :param last: (index, term) of the last log entry once they are written.
         """
-        self._waiting.append((entries, last))
-        self._arrived.set()
+        self._pending.append((entries, last))
+        self._pending_event.set()
 
-    def take_written(self):
+    def pop_written(self):
         """Return (index, term) of the last newly synced entry, or None.
 
         :raises OSError: the disk failed.
         """
         if self._error is not None:
             raise self._error
-        last, self._last = self._last, None
+        last, self._written = self._written, None
         return last
 
     async def drain(self):
@@ -70,31 +79,31 @@
         :raises OSError: the disk failed.
         """
         while not self.is_idle and self._error is None:
-            self._idle = Event()
-            await self._idle.wait()
+            self._idle_event = Event()
+            await self._idle_event.wait()
         if self._error is not None:
             raise self._error
 
     async def run(self):
         """Write queued entries until cancelled or until the disk fails."""
         while self._error is None:
-            while not self._waiting:
-                self._arrived = Event()
-                await self._arrived.wait()
-            await self._write_waiting()
+            while not self._pending:
+                self._pending_event = Event()
+                await self._pending_event.wait()
+            await self._write_pending()
 
-    async def _write_waiting(self):
+    async def _write_pending(self):
         effects = Effects()
-        batch, self._waiting = self._waiting, []
+        batch, self._pending = self._pending, []
         for entries, _ in batch:
             effects.entries.extend(entries)
-        self._began = steady()
+        self._sync_started_at = steady()
         try:
             await run_sync(self._write, effects)
-            _, self._last = batch[-1]
+            _, self._written = batch[-1]
         except OSError as error:
-            # Raised by take_written() and drain() in the task of the replica, which then ends.
+            # Raised by pop_written() and drain() in the task of the replica, which then ends.
             self._error = error
-        self._began = None
-        self._idle.set()
+        self._sync_started_at = None
+        self._idle_event.set()
         self._wake()
--- a/tests/model/consensus.py
+++ b/tests/model/consensus.py
@@ -14,9 +14,9 @@
 from siskintally.effects import Effects
 from siskintally.election import NEVER, Role
 from siskintally.errors import BadRequestError, NotLeaderError
-from siskintally.membership import admit, ordered, promote
-from siskintally.messages import AppendReply, Identity, Kind, Member, VoteReply, VoteRequest
-from siskintally.persistent_state import FOUNDING_INDEX, founding_state
+from siskintally.membership import add_learner, next_promotion_step, sort_members
+from siskintally.messages import AppendReply, EntryKind, Identity, Member, VoteReply, VoteRequest
+from siskintally.persistent_state import BOOTSTRAP_INDEX, bootstrap_state
 from siskintally.replica import Replica
 from tests.model.search import Spec, Table
 
@@ -135,9 +135,9 @@
         """Return the founding state, led by node 0 if asked."""
         count = self._voters + self._learner
         ids = [Identity(name=f"s{number + 1}", incarnation="a") for number in range(count)]
-        persistent_state = founding_state(ids[: self._voters])
+        persistent_state = bootstrap_state(ids[: self._voters])
         if self._learner:
-            members = ordered(
+            members = sort_members(
                 [*persistent_state.snapshot.members, Member(identity=ids[-1], voter=False)]
             )
             persistent_state = persistent_state._replace(
@@ -298,7 +298,9 @@
         newcomer = Identity(name=f"s{self._voters}", incarnation="b")
         members = replica.log.members
         known = [member for member in members if member.identity == newcomer]
-        following = promote(members, newcomer) if known else admit(members, newcomer)
+        following = (
+            next_promotion_step(members, newcomer) if known else add_learner(members, newcomer)
+        )
         try:
             return replica.propose_members(following, NOW)
         except (BadRequestError, NotLeaderError):
@@ -355,7 +357,7 @@
         # A late leader of an older term than the latest may lack what the latest committed.
         newest = all(at < term for at, _ in state.leaders)
         for number, entry in enumerate(state.committed if newest else ()):
-            index = FOUNDING_INDEX + 1 + number
+            index = BOOTSTRAP_INDEX + 1 + number
             if index > replica.log.base_index and replica.log.term_at(index) != entry[0]:
                 fault = f"leader {identity.name} lacks the committed entry {index}"
                 return state._replace(fault=fault)
@@ -370,7 +372,7 @@
                 kept.append(read)
             elif top > term:
                 return state._replace(fault=f"round of term {term} confirmed after term {top}")
-            elif replica.commit_index < FOUNDING_INDEX + length:
+            elif replica.commit_index < BOOTSTRAP_INDEX + length:
                 return state._replace(fault=f"round confirmed without {length} committed entries")
         return state._replace(reads=tuple(kept))
 
@@ -410,7 +412,7 @@
 def _plain(value):
     if isinstance(value, tuple):
         return "+".join(
-            f"{entry.index}.{entry.term}{Kind(entry.kind).name.lower()}"
+            f"{entry.index}.{entry.term}{EntryKind(entry.kind).name.lower()}"
             if hasattr(entry, "kind")
             else str(getattr(entry, "identity", entry))
             for entry in value
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -5,7 +5,7 @@
 from siskintally.lease import LeaseTable
 from siskintally.ledger import RUNNING, Ledger, _key_print, _tombstone_print
 from siskintally.ledger_state_pb2 import LedgerState
-from siskintally.membership import quorum
+from siskintally.membership import quorum_size
 from siskintally.replica import Replica
 
 
@@ -17,7 +17,7 @@
     def _advance_commit(self, effects):
         matches = [progress.match_index for progress in self.progress_by_id.values()]
         ranked = sorted([self.durable_index, *matches], reverse=True)
-        reached = ranked[quorum(len(self.voters)) - 1]
+        reached = ranked[quorum_size(len(self.voters)) - 1]
         if reached > self.commit_index and self.log.term_at(reached) == self.term:
             self._commit_to(reached, effects)
 
--- a/tests/test_encoding.py
+++ b/tests/test_encoding.py
@@ -5,13 +5,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from siskintally.encoding import CONSENSUS_BODIES, decode, encode
+from siskintally.encoding import CONSENSUS_BODY_TYPES, decode_message, encode_message
 from siskintally.messages import (
     AppendReply,
     AppendRequest,
     Entry,
+    EntryKind,
     Identity,
-    Kind,
     Member,
     SnapshotChunk,
     SnapshotReply,
@@ -25,7 +25,7 @@
 NUMBER = st.integers(0, 2**64 - 1)
 IDENTITY = st.builds(Identity, st.text(max_size=9), st.text(max_size=9))
 MEMBERS = st.lists(st.builds(Member, IDENTITY, st.booleans()), max_size=3).map(tuple)
-ENTRY = st.builds(Entry, NUMBER, NUMBER, st.sampled_from(Kind), st.binary(max_size=9), MEMBERS)
+ENTRY = st.builds(Entry, NUMBER, NUMBER, st.sampled_from(EntryKind), st.binary(max_size=9), MEMBERS)
 FLAG = st.booleans()
 MESSAGE = st.one_of(
     st.builds(VoteRequest, NUMBER, IDENTITY, NUMBER, NUMBER, FLAG, FLAG),
@@ -61,14 +61,14 @@
 @given(message=MESSAGE)
 def test_message_survives_the_wire(message):
     """Guards against a field that is lost or swapped between two versions of a message."""
-    body = encode(message, group="g")
+    body = encode_message(message, group="g")
     again = type(body).FromString(body.SerializeToString())
     assert again.group == "g"
-    assert decode(again) == message and type(decode(again)) is type(message)
+    assert decode_message(again) == message and type(decode_message(again)) is type(message)
 
 
 @settings(max_examples=300)
-@given(type_=st.sampled_from(CONSENSUS_BODIES), data=st.binary(max_size=60))
+@given(type_=st.sampled_from(CONSENSUS_BODY_TYPES), data=st.binary(max_size=60))
 def test_any_bytes_are_a_message_or_an_error(type_, data):
     """Guards the task of a group against a frame that it cannot read."""
     try:
@@ -76,7 +76,7 @@
     except DecodeError:
         return
     try:
-        decode(body)
+        decode_message(body)
     except ValueError as error:
         assert "unknown kind" in str(error)
 
@@ -85,4 +85,4 @@
 def test_unknown_kind_of_entry_is_refused(kind):
     """Guards against an entry of a later version that is applied as another kind."""
     with pytest.raises(ValueError, match="unknown kind"):
-        decode(AppendRequestBody(entries=[EntryBody(kind=kind)]))
+        decode_message(AppendRequestBody(entries=[EntryBody(kind=kind)]))
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -404,7 +404,7 @@
         stream.close()
         for number in range(40):
             leader._publish(lost._replace(term=lost.term + number + 1))
-        assert not leader._leadership._watchers._ends
+        assert not leader._leadership._watchers._streams
 
     check(tmp_path, test)
 
--- a/tests/test_inbox.py
+++ b/tests/test_inbox.py
@@ -17,19 +17,19 @@
         taken = []
 
         async def take():
-            taken.extend(await inbox.gather(LIMIT_S, 10))
+            taken.extend(await inbox.wait_for_items(LIMIT_S, 10))
 
         with fail_after(LIMIT_S):
             async with create_task_group() as tasks:
                 tasks.start_soon(take)
                 await sleep(0.01)
-                inbox.drop_or_put("keepalive", wakes=False)
+                inbox.put_message("keepalive", wakes=False)
                 await sleep(0.01)
                 assert not taken
-                inbox.drop_or_put("entry")
+                inbox.put_message("entry")
         assert taken == ["keepalive", "entry"]
-        inbox.drop_or_put("keepalive", wakes=False)
-        assert await inbox.gather(0.01, 10) == ["keepalive"]
+        inbox.put_message("keepalive", wakes=False)
+        assert await inbox.wait_for_items(0.01, 10) == ["keepalive"]
 
     run(main)
 
@@ -41,9 +41,9 @@
         inbox = Inbox(max_messages=8)
         with fail_after(LIMIT_S / 2):
             for call in ("one", "two"):
-                await inbox.put(call)
-            assert await inbox.gather(LIMIT_S, 1) == ["one"]
-            assert await inbox.gather(LIMIT_S, 1) == ["two"]
+                await inbox.put_call(call)
+            assert await inbox.wait_for_items(LIMIT_S, 1) == ["one"]
+            assert await inbox.wait_for_items(LIMIT_S, 1) == ["two"]
 
     run(main)
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -14,10 +14,10 @@
     StoppedError,
 )
 from siskintally.journal import Journal, found, set_aside
-from siskintally.messages import Entry, HardState, Identity, Kind, Member
+from siskintally.messages import Entry, EntryKind, HardState, Identity, Member
 from siskintally.persistent_state import PersistentState
-from siskintally.raftlog import Log
-from siskintally.records import pack
+from siskintally.raftlog import RaftLog
+from siskintally.records import pack_record
 
 
 def reopen(folder):
@@ -39,7 +39,7 @@
 
     def __init__(self):
         self.hard_state = HardState(term=0, vote=None)
-        self.log = Log()
+        self.log = RaftLog()
 
     def persistent_state(self):
         """Return the expected content."""
@@ -54,7 +54,7 @@
 
     def append(self, journal, first, commands, term):
         """Write entries that replace those from ``first`` on."""
-        entries = [Entry(first + n, term, Kind.COMMAND, c) for n, c in enumerate(commands)]
+        entries = [Entry(first + n, term, EntryKind.COMMAND, c) for n, c in enumerate(commands)]
         self.log.truncate(first)
         for entry in entries:
             self.log.append(entry)
@@ -74,7 +74,7 @@
         else:
             model.append(journal, model.log.last_index + 1, [b"c%d" % number, b""], number)
         states.append(model.persistent_state())
-    entry = Entry(model.log.last_index + 1, 7, Kind.MEMBERS, members=members)
+    entry = Entry(model.log.last_index + 1, 7, EntryKind.MEMBERS, members=members)
     model.log.append(entry)
     journal.write(change(entries=[entry]), model.persistent_state)
     states.append(model.persistent_state())
@@ -87,7 +87,7 @@
     filled(tmp_path / "g")
     model = Model()
     journal = Journal.open(tmp_path / "g", group="g", name="s1")
-    model.log = Log(entries=journal.persistent_state.entries)
+    model.log = RaftLog(entries=journal.persistent_state.entries)
     model.log.compact(5, b"state", keep=1)
     journal.write(change(snapshot=model.log.snapshot), model.persistent_state)
     model.append(journal, model.log.last_index + 1, [b"x" * 700, b"y"], 9)
@@ -139,7 +139,7 @@
     states = filled(tmp_path / "g")
     path = tmp_path / "g" / "log"
     good = path.read_bytes()
-    torn = (good + pack(b"z" * 2000))[: (len(good) // 512 + 2) * 512]
+    torn = (good + pack_record(b"z" * 2000))[: (len(good) // 512 + 2) * 512]
     for tail in (b"\0" * 100, torn[len(good) :] + b"\0" * 700):
         path.write_bytes(good + tail)
         assert reopen(tmp_path / "g").persistent_state == states[-1]
@@ -192,7 +192,7 @@
 def test_crash_between_the_steps_of_a_compaction(tmp_path):
     """Guards against a log whose snapshot does not exist yet, or any more."""
     states = filled(tmp_path / "g")
-    (tmp_path / "g" / "snapshot-3").write_bytes(pack(b"newer, not in use"))
+    (tmp_path / "g" / "snapshot-3").write_bytes(pack_record(b"newer, not in use"))
     (tmp_path / "g" / "log.tmp").write_bytes(b"half")
     assert reopen(tmp_path / "g").persistent_state == states[-1]
     assert {path.name for path in (tmp_path / "g").iterdir()} == {"identity", "log"}
@@ -234,7 +234,7 @@
             else:
                 journal.close()
                 with open(f"{folder}/g/log", "ab") as file:
-                    file.write(pack(b"not acknowledged" * 3)[:number])
+                    file.write(pack_record(b"not acknowledged" * 3)[:number])
                 journal = Journal.open(f"{folder}/g", group="g", name="s1")
                 assert journal.persistent_state == model.persistent_state()
         journal.close()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -10,19 +10,19 @@
 from siskintally.group_disk import GroupDisk
 from siskintally.leader_preference import LeaderPreference
 from siskintally.member_admission import MemberAdmission
-from siskintally.membership import admit, promote
+from siskintally.membership import add_learner, next_promotion_step
 from siskintally.messages import (
     AppendReply,
     AppendRequest,
+    EntryKind,
     Identity,
-    Kind,
     Member,
     TransferLeadership,
     VoteReply,
     VoteRequest,
     voters_of,
 )
-from siskintally.persistent_state import PersistentState, founding_state
+from siskintally.persistent_state import PersistentState, bootstrap_state
 from siskintally.replica import Replica
 from siskintally.roster import FixedRoster
 from siskintally.timing import Timing
@@ -64,7 +64,7 @@
             self.start()
             return effects
         last = (self.replica.log.last_index, self.replica.log.last_term)
-        if self.net.writes_behind and DISK.may_follow(effects, self.replica):
+        if self.net.writes_behind and DISK.can_write_behind(effects, self.replica):
             self.unwritten = last
             self._send_and_apply(effects)
             return effects
@@ -97,7 +97,7 @@
         for entry in effects.committed:
             assert entry.index == self.applied + 1
             self.applied = entry.index
-            if entry.kind == Kind.COMMAND:
+            if entry.kind == EntryKind.COMMAND:
                 self.state.append(entry.command.decode())
             self.net.note_committed(self, entry)
         if effects.confirmed_round:
@@ -121,7 +121,7 @@
         self.leader_of_term = {}
         self.cut = set()
         ids = [Identity(name, f"{name}0") for name in names]
-        self.nodes = {i.name: Node(self, i, founding_state(ids)) for i in ids}
+        self.nodes = {i.name: Node(self, i, bootstrap_state(ids)) for i in ids}
 
     def post(self, sender, envelope):
         """Put a message in flight."""
@@ -208,7 +208,9 @@
                 ]
                 if common:
                     last = common[-1]
-                    assert one.between(low + 1, last) == other.between(low + 1, last)
+                    assert one.entries_between(low + 1, last) == other.entries_between(
+                        low + 1, last
+                    )
 
 
 def test_one_leader_is_elected_and_keeps_the_lead():
@@ -402,7 +404,7 @@
     net = Net()
     a = net.elect("a")
     learner = Identity("d", "d0")
-    a.do("propose_members", admit(a.replica.log.members, learner), net.now)
+    a.do("propose_members", add_learner(a.replica.log.members, learner), net.now)
     net.settle()
     net.cut = {"b", "c"}
     a.do("propose", b"x", net.now)
@@ -458,12 +460,12 @@
         net.settle()
     a.do("compact", a.applied, ",".join(a.state).encode())
     fresh = net.wipe("c")
-    a.do("propose_members", admit(a.replica.log.members, fresh), net.now)
+    a.do("propose_members", add_learner(a.replica.log.members, fresh), net.now)
     net.run(4)
     assert net.nodes["c"].state == a.state
     voter_sets = []
     while Member(fresh, True) not in a.replica.log.members:
-        a.do("propose_members", promote(a.replica.log.members, fresh), net.now)
+        a.do("propose_members", next_promotion_step(a.replica.log.members, fresh), net.now)
         net.run(1)
         voter_sets.append([voter.name for voter in a.replica.voters])
     assert voter_sets == [["a", "b"], ["a", "b", "c"]]
@@ -478,17 +480,17 @@
     net = Net(seed=8)
     a = net.elect("a")
     fresh = net.wipe("c")
-    a.do("propose_members", admit(a.replica.log.members, fresh), net.now)
+    a.do("propose_members", add_learner(a.replica.log.members, fresh), net.now)
     net.settle()
     net.cut = {"c"}
     a.do("transfer_leadership", net.now)
     net.settle()
     b = net.nodes["b"].replica
     joins = MemberAdmission(group="g", process="b", roster=FixedRoster(names=NAMES))
-    assert b.has_committed_in_term and joins.next_change(b, net.now) is None
+    assert b.has_committed_in_term and joins.next_member_change(b, net.now) is None
     net.cut = set()
     net.run(1)
-    assert joins.next_change(b, net.now) == promote(b.log.members, fresh)
+    assert joins.next_member_change(b, net.now) == next_promotion_step(b.log.members, fresh)
 
 
 def test_snapshot_is_installed_in_chunks_despite_loss():
@@ -710,11 +712,11 @@
             if node.identity in voters_of(members):
                 continue
             progress = leader.replica.progress_by_id.get(node.identity)
-            change = admit(members, node.identity)
+            change = add_learner(members, node.identity)
             if node.identity in known:
                 if progress.match_index < leader.replica.commit_index:
                     continue
-                change = promote(members, node.identity)
+                change = next_promotion_step(members, node.identity)
             try:
                 leader.do("propose_members", change, net.now)
             except (BadRequestError, NotLeaderError):
--- a/tests/test_write_behind.py
+++ b/tests/test_write_behind.py
@@ -33,8 +33,8 @@
         assert not writer.is_idle
         await writer.drain()
         assert written == [0, 1, 2, 3, 4]
-        assert writer.take_written() == (4, 1)
-        assert writer.take_written() is None
+        assert writer.pop_written() == (4, 1)
+        assert writer.pop_written() is None
 
     play(lambda effects: written.extend(effects.entries), check)
 
@@ -46,11 +46,11 @@
     async def check(writer):
         writer.add(["a"], (1, 1))
         await sleep(0.1)
-        assert writer.take_written() is None
-        assert writer.busy_s(1e9) > 0
+        assert writer.pop_written() is None
+        assert writer.sync_duration_s(1e9) > 0
         may_go.set()
         await writer.drain()
-        assert writer.take_written() == (1, 1)
+        assert writer.pop_written() == (1, 1)
 
     play(lambda effects: may_go.wait(5), check)
 
@@ -66,6 +66,6 @@
         with raises(OSError):
             await writer.drain()
         with raises(OSError):
-            writer.take_written()
+            writer.pop_written()
 
     play(write, check)
