Name the calls and settings of a group in plain terms

They are now confirm_leadership, bootstrap_replica, transfer_delay_s, busy_heartbeat_s and startup_vote_block_s; Group takes a state_machine, since a machine could also be a VM. Callers in other modules, tests and benchmarks follow.

--- a/bench/control.py
+++ b/bench/control.py
@@ -70,7 +70,7 @@
         self.bytes += 2 * len(command)
         return self.machine.apply(index=self.applied_index, command=command)
 
-    async def confirm(self, *, urgent=True):
+    async def confirm_leadership(self, *, urgent=True):
         """Complete a round."""
 
 
--- a/bench/log.py
+++ b/bench/log.py
@@ -17,7 +17,7 @@
 from structlog import configure, make_filtering_bound_logger
 
 from siskintally.group import BATCH_ITEMS, Group
-from siskintally.journal import found
+from siskintally.journal import bootstrap_replica
 from siskintally.records import append_and_sync
 from siskintally.session import wrap
 from siskintally.state_machine import StateMachine
@@ -79,15 +79,15 @@
 async def running(batch_items):
     with TemporaryDirectory(dir=FLAGS.folder) as folder:
         traffic = Traffic()
-        found(Path(folder) / NAMES[0], group="bench", name=NAMES[0])
+        bootstrap_replica(Path(folder) / NAMES[0], group="bench", name=NAMES[0])
         async with create_task_group() as tasks:
             for name in NAMES:
                 group = Group(
                     name="bench",
                     process=name,
-                    founding_members=NAMES,
+                    bootstrap_members=NAMES,
                     folder=Path(folder) / name,
-                    machine=Counter(),
+                    state_machine=Counter(),
                     send=traffic.send,
                     batch_items=batch_items,
                 )
--- a/siskintally/applier.py
+++ b/siskintally/applier.py
@@ -1,7 +1,7 @@
 """Applies the committed entries of a log to a state machine.
 
 >>> from siskintally.applier import Applier
->>> Applier(machine=None, snapshot_entries=10, snapshot_bytes=100).index
+>>> Applier(state_machine=None, snapshot_entries=10, snapshot_bytes=100).index
 0
 """
 
@@ -13,7 +13,7 @@
 
     ``index``: index of the last applied entry.
 
-    :param machine: :class:`~siskintally.state_machine.StateMachine` in its initial state.
+    :param state_machine: :class:`~siskintally.state_machine.StateMachine` in its initial state.
     :param snapshot_entries: applied entries after which a snapshot is due.
     :param snapshot_bytes: applied bytes of commands after which a snapshot is due.
     """
@@ -21,14 +21,14 @@
     __slots__ = (
         "_applied_bytes",
         "_initial_state",
-        "_machine",
         "_snapshot_bytes",
         "_snapshot_entries",
+        "_state_machine",
         "index",
     )
 
-    def __init__(self, *, machine, snapshot_entries, snapshot_bytes):
-        self._machine = machine
+    def __init__(self, *, state_machine, snapshot_entries, snapshot_bytes):
+        self._state_machine = state_machine
         self._snapshot_entries = snapshot_entries
         self._snapshot_bytes = snapshot_bytes
         self._initial_state = None
@@ -38,8 +38,8 @@
     def restore(self, snapshot):
         """Restore the state machine; an empty snapshot stands for its initial state."""
         if self._initial_state is None:
-            self._initial_state = self._machine.snapshot()
-        self._machine.restore(snapshot.data or self._initial_state)
+            self._initial_state = self._state_machine.snapshot()
+        self._state_machine.restore(snapshot.data or self._initial_state)
         self.index = snapshot.index
         self._applied_bytes = 0
 
@@ -47,7 +47,7 @@
         """Apply an entry and return the reply of the state machine, empty if it is no command."""
         reply = b""
         if entry.kind == EntryKind.COMMAND:
-            reply = self._machine.apply(index=entry.index, command=entry.command)
+            reply = self._state_machine.apply(index=entry.index, command=entry.command)
         self.index = entry.index
         self._applied_bytes += len(entry.command)
         return reply
@@ -60,4 +60,4 @@
     def snapshot(self):
         """Return a snapshot of the state machine as bytes."""
         self._applied_bytes = 0
-        return self._machine.snapshot()
+        return self._state_machine.snapshot()
--- a/siskintally/bootstrap.py
+++ b/siskintally/bootstrap.py
@@ -42,10 +42,10 @@
             yield group
 
 
-async def bootstrap_group(*, settings, process, group, found):
+async def bootstrap_group(*, settings, process, group, bootstrap_replica):
     """Found a group in the data folder of a store.
 
-    :param found: :func:`siskintally.journal.found`.
+    :param bootstrap_replica: :func:`siskintally.journal.bootstrap_replica`.
     :raises AlreadyBootstrappedError: the folder is not empty, or a reachable peer has a log.
     """
     folder = group_folder(process.data, group.name)
@@ -59,7 +59,7 @@
             f"group {group.name!r}: store {peer} already has its log; start this store to join"
         )
     folder.parent.mkdir(parents=True, exist_ok=True)
-    found(folder, group=group.name, name=process.name)
+    bootstrap_replica(folder, group=group.name, name=process.name)
 
 
 async def find_bootstrapped_peer(*, settings, process, group):
--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -72,7 +72,7 @@
         cell = self._machine.cell
         if request.check or request.wait_s <= 0:
             # The caller starts tasks on this answer; a leader that was cut off must not give it.
-            await self._group.confirm()
+            await self._group.confirm_leadership()
         if request.check:
             status = cell.group_statuses.of(request.group)
             return SyncReply(epoch=status.epoch, lost=status.lost)
@@ -158,7 +158,7 @@
         try:
             arguments = parse_arguments(call.arguments)
             if is_read(call.verb, arguments):
-                await self._group.confirm()
+                await self._group.confirm_leadership()
                 answer = self._queries.answer(call.verb, arguments)
                 return OperatorReply(code=int(Code.DONE), answer=encode(answer))
             command = self._command(call, arguments)
--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -22,7 +22,7 @@
 from siskintally.config import parse_config
 from siskintally.daemon import serve_until_signal
 from siskintally.errors import BadSettingsError, SiskintallyError
-from siskintally.journal import found
+from siskintally.journal import bootstrap_replica
 from siskintally.log import LEVEL_BY_NAME, set_up
 from siskintally.settings import load
 from siskintally.store import Store
@@ -104,7 +104,13 @@
     names = []
     for group in groups_to_bootstrap(settings, process.name):
         run_async(
-            partial(bootstrap_group, settings=settings, process=process, group=group, found=found)
+            partial(
+                bootstrap_group,
+                settings=settings,
+                process=process,
+                group=group,
+                bootstrap_replica=bootstrap_replica,
+            )
         )
         names.append(group.name)
     if values.json:
--- a/siskintally/control_group.py
+++ b/siskintally/control_group.py
@@ -9,7 +9,7 @@
 
 from siskintally.flow_timing import FlowTiming
 from siskintally.group import Group
-from siskintally.journal import found
+from siskintally.journal import bootstrap_replica
 from siskintally.log import get_logger
 from siskintally.messages import Identity
 from siskintally.roster import OpenRoster
@@ -53,26 +53,26 @@
     return Group(
         name=GROUP,
         process=settings.link,
-        founding_members=(),
+        bootstrap_members=(),
         roster=OpenRoster(
             contacts=contacts, tolerated=settings.tolerated, silence_s=SILENT_VOTER_S
         ),
         folder=_folder(settings),
-        machine=machine,
+        state_machine=machine,
         send=send,
         timing=Timing(
-            busy_beat_s=BEAT_S,
-            idle_beat_s=BEAT_S,
+            busy_heartbeat_s=BEAT_S,
+            idle_heartbeat_s=BEAT_S,
             election_min_s=election_min_s,
             election_max_s=election_min_s * 1.6,
-            first_election_share=FIRST_ELECTION_SHARE,
-            ended_leader_share=ENDED_LEADER_SHARE,
-            retry_election_share=FIRST_ELECTION_SHARE,
+            first_timeout_factor=FIRST_ELECTION_SHARE,
+            exited_leader_timeout_factor=ENDED_LEADER_SHARE,
+            retry_timeout_factor=FIRST_ELECTION_SHARE,
             stagger_s=STAGGER_S,
             election_spread_s=STAGGER_S / 2,
-            quiet_start_s=QUIET_START_S,
+            startup_vote_block_s=QUIET_START_S,
         ),
-        stable_s=float("inf"),
+        transfer_delay_s=float("inf"),
         sync_in_thread=True,
     )
 
@@ -84,7 +84,9 @@
         return
     folder.parent.mkdir(parents=True, exist_ok=True)
     identities = tuple(Identity(name, FOUNDING) for name in sorted(voters))
-    found(folder, group=GROUP, name=settings.link, voters=identities, incarnation=FOUNDING)
+    bootstrap_replica(
+        folder, group=GROUP, name=settings.link, voters=identities, incarnation=FOUNDING
+    )
     log.info("group founded", voters=sorted(voters))
 
 
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -191,7 +191,7 @@
 
     async def confirm(self):
         """Return once the state holds all that was committed before the call."""
-        await self._group.confirm()
+        await self._group.confirm_leadership()
 
     async def take_report(self, manager, report, asked_at):
         """Take a report, and commit the ends in it before the worker may forget them."""
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -108,7 +108,7 @@
 
     def _store_ended(self, address):
         """Note that the process at the address of a store has ended."""
-        self._group.peer_ended(address)
+        self._group.record_peer_exit(address)
 
     @property
     def document(self):
@@ -219,7 +219,7 @@
             return
         try:
             # Waits while the disk hangs; the others have another leader then.
-            await self._group.confirm()
+            await self._group.confirm_leadership()
         except SiskintallyError as error:
             log.info("term was over", term=leader.term, reason=str(error))
             return
@@ -274,7 +274,7 @@
     async def answer(self, session, body):
         """Answer a call of another process."""
         if isinstance(body, JoinRequest):
-            return await self._group.join_request(body)
+            return await self._group.handle_join_request(body)
         if isinstance(body, AdviceAsk):
             return await answer_advice(self._advice, body)
         if not ControlService.takes(body):
--- a/siskintally/election.py
+++ b/siskintally/election.py
@@ -51,7 +51,7 @@
 
     def _min_leader_timeout_s(self):
         """Return the time without contact after which a leader may be replaced, in seconds."""
-        factor = self.timing.ended_leader_share if self.leader_process_exited else 1.0
+        factor = self.timing.exited_leader_timeout_factor if self.leader_process_exited else 1.0
         return self.timing.election_min_s * factor
 
     def record_process_exit(self, name, now):
@@ -76,9 +76,9 @@
 
     def _timeout_factor(self):
         if self.leader_contact_at == NEVER:
-            return self.timing.first_election_share
+            return self.timing.first_timeout_factor
         if self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
-            return self.timing.retry_election_share
+            return self.timing.retry_timeout_factor
         return 1.0
 
     def _stagger_delay_s(self):
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -2,8 +2,8 @@
 
 >>> from siskintally.group import Group
 >>> group = Group(
-...     name="cell", process="s1", founding_members=("s1", "s2", "s3"), folder="data/cell",
-...     machine=None, send=lambda process, body: False,
+...     name="cell", process="s1", bootstrap_members=("s1", "s2", "s3"), folder="data/cell",
+...     state_machine=None, send=lambda process, body: False,
 ... )
 >>> group.term, group.is_leader, group.leader, group.applied_index
 (0, False, '', 0)
@@ -22,7 +22,7 @@
 from siskintally.group_inputs import PeerEnded, ReceivedMessage, Stop
 from siskintally.handover import Handover
 from siskintally.inbox import Inbox
-from siskintally.leader_preference import STABLE_S, LeaderPreference
+from siskintally.leader_preference import TRANSFER_DELAY_S, LeaderPreference
 from siskintally.leadership import LeadershipState
 from siskintally.log import get_logger
 from siskintally.member_changes import MemberChanges
@@ -51,19 +51,19 @@
 
     :param name: group name.
     :param process: name of this process.
-    :param founding_members: process names that the settings list for the group; the first one is
+    :param bootstrap_members: process names that the settings list for the group; the first one is
         the preferred leader.
     :param roster: :class:`~siskintally.roster.Roster`; by default the processes in the settings.
     :param folder: data folder of this replica alone.
-    :param machine: :class:`~siskintally.state_machine.StateMachine` that entries are applied to.
+    :param state_machine: :class:`~siskintally.state_machine.StateMachine` of the group.
     :param send: ``send(process_name, body) -> bool``; must not block.
     :param timing: :class:`~siskintally.timing.Timing`.
     :param snapshot_entries: applied entries after which a snapshot is taken.
     :param snapshot_bytes: applied bytes of commands after which a snapshot is taken.
     :param kept_entries: entries before a snapshot that stay in the log for slow followers.
     :param batch_items: maximum inputs that share one sync; 1 disables group commit.
-    :param stable_s: seconds after the start of a term before leadership is transferred back to the
-        preferred leader.
+    :param transfer_delay_s: seconds after the start of a term before leadership is transferred
+        back to the preferred leader.
     :param sync_in_thread: sync in a worker thread, for disks that take milliseconds or hang; see
         :class:`~siskintally.group_disk.GroupDisk`.
     """
@@ -84,8 +84,8 @@
         "_run_ended",
         "_send",
         "_timing",
+        "bootstrap_members",
         "folder",
-        "founding_members",
         "name",
         "process",
     )
@@ -95,25 +95,27 @@
         *,
         name,
         process,
-        founding_members,
+        bootstrap_members,
         folder,
-        machine,
+        state_machine,
         send,
         timing=None,
         snapshot_entries=SNAPSHOT_ENTRIES,
         snapshot_bytes=SNAPSHOT_BYTES,
         kept_entries=KEPT_ENTRIES,
         batch_items=BATCH_ITEMS,
-        stable_s=STABLE_S,
+        transfer_delay_s=TRANSFER_DELAY_S,
         roster=None,
         sync_in_thread=False,
     ):
         self.name = name
         self.process = process
-        self.founding_members = tuple(founding_members)
+        self.bootstrap_members = tuple(bootstrap_members)
         self.folder = folder
         self._applier = Applier(
-            machine=machine, snapshot_entries=snapshot_entries, snapshot_bytes=snapshot_bytes
+            state_machine=state_machine,
+            snapshot_entries=snapshot_entries,
+            snapshot_bytes=snapshot_bytes,
         )
         self._send = send
         self._timing = timing or Timing()
@@ -122,13 +124,15 @@
         self._batch = []
         self._replica = None
         self._disk = GroupDisk(folder=folder, group=name, process=process, in_thread=sync_in_thread)
-        roster = roster or FixedRoster(names=self.founding_members)
+        roster = roster or FixedRoster(names=self.bootstrap_members)
         self._leadership = LeadershipState(process=process, roster=roster)
         self._calls = GroupCalls(group=name, process=process, leadership=self._leadership)
         self._member_changes = MemberChanges(group=name, process=process, roster=roster, send=send)
         self._handover = Handover()
-        first = next(iter(self.founding_members), "")
-        self._leader_preference = LeaderPreference(group=name, preferred=first, stable_s=stable_s)
+        first = next(iter(self.bootstrap_members), "")
+        self._leader_preference = LeaderPreference(
+            group=name, preferred=first, transfer_delay_s=transfer_delay_s
+        )
         self._run_ended = Event()
 
     @property
@@ -170,7 +174,7 @@
         """
         return await self._call(Waiter(command=command))
 
-    async def confirm(self, *, urgent=True):
+    async def confirm_leadership(self, *, urgent=True):
         """Confirm leadership with a read round, for linearizable reads (as in Raft ReadIndex).
 
         Returns once a quorum has replied to a round that started after the call. The state machine
@@ -202,14 +206,14 @@
         item = ReceivedMessage(message=item, received_at=steady() if is_keepalive else None)
         self._inbox.put_message(item, wakes=not is_keepalive)
 
-    def peer_ended(self, name):
+    def record_peer_exit(self, name):
         """Record that a peer's process has exited; if it led, the next election starts sooner.
 
         :param name: process name.
         """
         self._inbox.put_message(PeerEnded(name=name))
 
-    async def join_request(self, body):
+    async def handle_join_request(self, body):
         """Enqueue a request to join the group; return a JoinReply with the last log index.
 
         :param body: JoinRequest; one with an empty incarnation only queries the index.
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -146,7 +146,7 @@
         self.log_bytes = len(data)
 
 
-def found(folder, *, group, name, voters=(), incarnation=None):
+def bootstrap_replica(folder, *, group, name, voters=(), incarnation=None):
     """Bootstrap a group: write its initial state into an empty data folder.
 
     By default this replica is the only voter, and the other stores join it with incarnations of
--- a/siskintally/leader_preference.py
+++ b/siskintally/leader_preference.py
@@ -13,7 +13,7 @@
 from siskintally.log import get_logger
 
 # Limits how often a member that fails repeatedly moves leadership.
-STABLE_S = 120.0
+TRANSFER_DELAY_S = 120.0
 
 log = get_logger("leader-preference")
 
@@ -22,16 +22,16 @@
     """Decides when a leader transfers leadership to the preferred member.
 
     :param preferred: process name of the member that should lead.
-    :param stable_s: minimum seconds since the term began, or since the last attempt, before a
-        transfer.
+    :param transfer_delay_s: minimum seconds since the term began, or since the last attempt,
+        before a transfer.
     """
 
-    __slots__ = ("_delay_started_at", "_group", "_stable_s", "_term", "preferred")
+    __slots__ = ("_delay_started_at", "_group", "_term", "_transfer_delay_s", "preferred")
 
-    def __init__(self, *, group, preferred, stable_s=STABLE_S):
+    def __init__(self, *, group, preferred, transfer_delay_s=TRANSFER_DELAY_S):
         self._group = group
         self.preferred = preferred
-        self._stable_s = stable_s
+        self._transfer_delay_s = transfer_delay_s
         self._term = None
         self._delay_started_at = inf
 
@@ -54,7 +54,10 @@
             return None
         if self._term != replica.term:
             self._term, self._delay_started_at = replica.term, now
-        if now - self._delay_started_at < self._stable_s or not replica.has_committed_in_term:
+        if (
+            now - self._delay_started_at < self._transfer_delay_s
+            or not replica.has_committed_in_term
+        ):
             return None
         for voter in replica.voters:
             if voter.name == self.preferred and _can_lead(replica, voter, now):
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -194,7 +194,7 @@
                 break
             with move_on_after(remaining):
                 await self._config_changed.wait()
-        await self._group.confirm(urgent=self._has_news(body))
+        await self._group.confirm_leadership(urgent=self._has_news(body))
         state = ConfigState()
         state.CopyFrom(self._domain.config)
         state.drained.extend(self._domain.drained_endpoints())
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -72,10 +72,10 @@
         self.settled_at = self.since
         self.orders = Orders()
         # Workers that register after an election get no tasks before the round, so it is urgent.
-        self.register_confirm = SharedConfirm(confirm=group.confirm, window_s=window_s)
+        self.register_confirm = SharedConfirm(confirm=group.confirm_leadership, window_s=window_s)
         # A round of its own costs two messages to each follower; the next heartbeat carries it.
         self.shared_confirm = SharedConfirm(
-            confirm=partial(group.confirm, urgent=False), window_s=window_s
+            confirm=partial(group.confirm_leadership, urgent=False), window_s=window_s
         )
         self.link_by_worker = {}
         self.losing = set()
--- a/siskintally/quorum_check.py
+++ b/siskintally/quorum_check.py
@@ -39,7 +39,7 @@
         while True:
             asked_at = steady()
             with move_on_after(self._election_min_s * 2) as scope:
-                await self._group.confirm()
+                await self._group.confirm_leadership()
             if not scope.cancelled_caught:
                 self._until = asked_at + self._election_min_s * AUTHORITY_SHARE
                 self._confirmed.set()
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -96,7 +96,7 @@
         self.leader_process_exited = False
         self.votes = frozenset()
         self.leader_contact_at = NEVER
-        self.votes_blocked_until = now + self.timing.quiet_start_s
+        self.votes_blocked_until = now + self.timing.startup_vote_block_s
         self._restart_election_timer(now)
         self.progress_by_id = {}
         self.read_round = 0
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -70,9 +70,9 @@
         made = Group(
             name=group.name,
             process=self._process.name,
-            founding_members=group.members,
+            bootstrap_members=group.members,
             folder=folder,
-            machine=machine,
+            state_machine=machine,
             send=self._links.send,
         )
         self.group_by_name[group.name] = made
@@ -142,4 +142,4 @@
         group = self.group_by_name.get(body.group)
         if group is None:
             raise NotFoundError(f"group {body.group[:100]!r}: not on this store")
-        return await group.join_request(body)
+        return await group.handle_join_request(body)
--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -239,6 +239,6 @@
             progress.sent_commit_index < self.commit_index
             or progress.match_index < self.log.last_index
         )
-        interval = self.timing.busy_beat_s if is_behind else self.timing.idle_beat_s
+        interval = self.timing.busy_heartbeat_s if is_behind else self.timing.idle_heartbeat_s
         # Without the tolerance, rounding could yield the time of the last heartbeat again.
         return interval * floor(progress.last_sent_at / interval + 1 + HEARTBEAT_TOLERANCE)
--- a/siskintally/shared_confirm.py
+++ b/siskintally/shared_confirm.py
@@ -26,7 +26,7 @@
 class SharedConfirm:
     """Calls that arrive within a window share the round that begins at its end.
 
-    :param confirm: ``async confirm()`` of a group.
+    :param confirm: ``async confirm_leadership()`` of a group.
     :param window_s: how long the first call waits for others.
     """
 
--- a/siskintally/timing.py
+++ b/siskintally/timing.py
@@ -1,7 +1,7 @@
 """Raft timing and limits: heartbeat and election timeouts, batch and window sizes.
 
 >>> from siskintally.timing import Timing
->>> Timing(idle_beat_s=0.4).idle_beat_s
+>>> Timing(idle_heartbeat_s=0.4).idle_heartbeat_s
 0.4
 """
 
@@ -9,76 +9,76 @@
 class Timing:
     """Timeouts and intervals in seconds, and size limits of messages.
 
-    :param busy_beat_s: heartbeat interval to a peer that lacks entries or the commit index.
-    :param idle_beat_s: heartbeat interval to a peer that is up to date.
+    :param busy_heartbeat_s: heartbeat interval to a peer that lacks entries or the commit index.
+    :param idle_heartbeat_s: heartbeat interval to a peer that is up to date.
     :param election_min_s: minimum election timeout.
     :param election_max_s: time without replies from a quorum after which a leader steps down.
     :param chunk_bytes: maximum data of one snapshot chunk.
     :param batch_entries: maximum entries of one append.
     :param batch_bytes: maximum command bytes of one append, unless its first entry is larger.
     :param window_entries: unacknowledged entries to one replica above which sending pauses.
-    :param first_election_share: factor of the election timeout while a replica has had no contact
+    :param first_timeout_factor: factor of the election timeout while a replica has had no contact
         with a leader since its start; after a restart of the whole group there is no leader.
-    :param retry_election_share: factor of the election timeout for a candidate that was not
+    :param retry_timeout_factor: factor of the election timeout for a candidate that was not
         elected: there is no leader then that a new election could disrupt.
-    :param ended_leader_share: factor of ``election_min_s`` after which another leader may be
-        elected once the process of the leader is known to have exited.
+    :param exited_leader_timeout_factor: factor of ``election_min_s`` after which another leader
+        may be elected once the process of the leader is known to have exited.
     :param stagger_s: added to the election timeout for each voter that precedes in the order of
         names; longer than a round of votes, so that candidates rarely split the vote.
     :param election_spread_s: random part of the election timeout; by default the difference between
         ``election_max_s`` and ``election_min_s``.
-    :param quiet_start_s: time after its start in which a replica grants no votes, because it may
-        have followed a leader until shortly before.
+    :param startup_vote_block_s: time after its start in which a replica grants no votes, because
+        it may have followed a leader until shortly before.
     """
 
     __slots__ = (
         "batch_bytes",
         "batch_entries",
-        "busy_beat_s",
+        "busy_heartbeat_s",
         "chunk_bytes",
         "election_max_s",
         "election_min_s",
         "election_spread_s",
-        "ended_leader_share",
-        "first_election_share",
-        "idle_beat_s",
-        "quiet_start_s",
-        "retry_election_share",
+        "exited_leader_timeout_factor",
+        "first_timeout_factor",
+        "idle_heartbeat_s",
+        "retry_timeout_factor",
         "stagger_s",
+        "startup_vote_block_s",
         "window_entries",
     )
 
     def __init__(
         self,
         *,
-        busy_beat_s=0.25,
-        idle_beat_s=0.5,
+        busy_heartbeat_s=0.25,
+        idle_heartbeat_s=0.5,
         election_min_s=1.0,
         election_max_s=2.0,
         chunk_bytes=65536,
         batch_entries=512,
         batch_bytes=262144,
         window_entries=4096,
-        first_election_share=1.0,
-        retry_election_share=1.0,
-        ended_leader_share=1.0,
+        first_timeout_factor=1.0,
+        retry_timeout_factor=1.0,
+        exited_leader_timeout_factor=1.0,
         stagger_s=0.0,
         election_spread_s=None,
-        quiet_start_s=0.0,
+        startup_vote_block_s=0.0,
     ):
-        self.busy_beat_s = busy_beat_s
-        self.idle_beat_s = idle_beat_s
+        self.busy_heartbeat_s = busy_heartbeat_s
+        self.idle_heartbeat_s = idle_heartbeat_s
         self.election_min_s = election_min_s
         self.election_max_s = election_max_s
         self.chunk_bytes = chunk_bytes
         self.batch_entries = batch_entries
         self.batch_bytes = batch_bytes
         self.window_entries = window_entries
-        self.first_election_share = first_election_share
-        self.retry_election_share = retry_election_share
-        self.ended_leader_share = ended_leader_share
+        self.first_timeout_factor = first_timeout_factor
+        self.retry_timeout_factor = retry_timeout_factor
+        self.exited_leader_timeout_factor = exited_leader_timeout_factor
         self.stagger_s = stagger_s
         if election_spread_s is None:
             election_spread_s = election_max_s - election_min_s
         self.election_spread_s = election_spread_s
-        self.quiet_start_s = quiet_start_s
+        self.startup_vote_block_s = startup_vote_block_s
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -20,11 +20,11 @@
 
     async def propose(self, command):
         """Apply a command and return the reply."""
-        await self.confirm()
+        await self.confirm_leadership()
         self.applied_index += 1
         return self.machine.apply(index=self.applied_index, command=command)
 
-    async def confirm(self, *, urgent=True):
+    async def confirm_leadership(self, *, urgent=True):
         """Refuse unless this process leads."""
         if not self.is_leader:
             raise NotLeaderError("not leader", leader=self.leader)
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -34,7 +34,7 @@
         if self.error is not None:
             raise self.error
 
-    async def confirm(self):
+    async def confirm_leadership(self):
         """Answer as a group whose quorum follows."""
 
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -8,7 +8,7 @@
 
 from siskintally.errors import NotLeaderError, OutcomeUnknownError
 from siskintally.group import Group
-from siskintally.journal import found
+from siskintally.journal import bootstrap_replica
 from siskintally.messages import voters_of
 from siskintally.state_machine import StateMachine
 from siskintally.timing import Timing
@@ -16,7 +16,7 @@
 
 NAMES = ("s1", "s2", "s3")
 LIMIT_S = 60
-FAST = Timing(busy_beat_s=0.1, idle_beat_s=0.2, election_min_s=1.0, election_max_s=1.5)
+FAST = Timing(busy_heartbeat_s=0.1, idle_heartbeat_s=0.2, election_min_s=1.0, election_max_s=1.5)
 
 
 class Journaled(StateMachine):
@@ -61,9 +61,9 @@
         self.group_by_name[name] = Group(
             name="g",
             process=name,
-            founding_members=NAMES,
+            bootstrap_members=NAMES,
             folder=self.folder / name / "g",
-            machine=Journaled(),
+            state_machine=Journaled(),
             send=lambda to, body: self.send(name, to, body),
             **self.options,
         )
@@ -124,7 +124,7 @@
 
     def commands(self, name):
         """Return what the machine of a process has applied."""
-        return self.group_by_name[name]._applier._machine.commands
+        return self.group_by_name[name]._applier._state_machine.commands
 
 
 async def note_error(errors, call, *arguments):
@@ -138,7 +138,7 @@
 async def cell(folder, **options):
     with fail_after(LIMIT_S):
         async with create_task_group() as tasks:
-            found(folder / "s1" / "g", group="g", name="s1")
+            bootstrap_replica(folder / "s1" / "g", group="g", name="s1")
             cell = Cell(folder, tasks, **options)
             for name in NAMES:
                 cell.start(name)
@@ -162,8 +162,8 @@
         leader = await cell.full()
         replies = [await leader.propose(b"c%d" % n) for n in range(3)]
         assert replies == [b"1", b"2", b"3"]
-        await leader.confirm()
-        await leader.confirm(urgent=False)
+        await leader.confirm_leadership()
+        await leader.confirm_leadership(urgent=False)
         await cell.until(lambda: all(len(cell.commands(name)) == 3 for name in NAMES))
 
     check(tmp_path, test)
@@ -227,7 +227,7 @@
             await follower.propose(b"x")
         assert caught.value.leader == leader.process
         with pytest.raises(NotLeaderError):
-            await follower.confirm()
+            await follower.confirm_leadership()
 
     check(tmp_path, test)
 
@@ -242,7 +242,7 @@
 
         async with create_task_group() as tasks:
             tasks.start_soon(note_error, errors, leader.propose, b"lost")
-            tasks.start_soon(note_error, errors, leader.confirm)
+            tasks.start_soon(note_error, errors, leader.confirm_leadership)
         assert set(errors) == {OutcomeUnknownError, NotLeaderError}
         await cell.leader(but=leader)
         assert await cell.propose(b"kept") == b"1"
@@ -363,7 +363,7 @@
             await sleep(0.05)
         await cell.until(lambda: len(cell.commands("s1")) == sent)
 
-    check(tmp_path, test, stable_s=0.5)
+    check(tmp_path, test, transfer_delay_s=0.5)
 
 
 def test_stop_hands_leadership_over(tmp_path):
@@ -440,10 +440,10 @@
     async def test(cell):
         leader = await cell.full()
         question = JoinRequest(group="g", name="s2", incarnation="")
-        assert (await leader.join_request(question)).last_index > 1
+        assert (await leader.handle_join_request(question)).last_index > 1
         members = leader.members
-        await leader.join_request(JoinRequest(group="g", name="s9", incarnation="z"))
-        await leader.join_request(JoinRequest(group="g", name="s2", incarnation="late"))
+        await leader.handle_join_request(JoinRequest(group="g", name="s9", incarnation="z"))
+        await leader.handle_join_request(JoinRequest(group="g", name="s2", incarnation="late"))
         await leader.propose(b"x")
         await sleep(0.3)
         assert leader.members == members
@@ -466,4 +466,4 @@
             cell.lose = ()
         await cell.until(lambda: all(len(cell.commands(name)) == 5 for name in NAMES))
 
-    check(tmp_path, test, timing=Timing(busy_beat_s=0.05, idle_beat_s=0.1))
+    check(tmp_path, test, timing=Timing(busy_heartbeat_s=0.05, idle_heartbeat_s=0.1))
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -211,7 +211,7 @@
         async def cut_off(_):
             raise NotLeaderError("no quorum")
 
-        monkeypatch.setattr(FakeGroup, "confirm", cut_off)
+        monkeypatch.setattr(FakeGroup, "confirm_leadership", cut_off)
         for request in (word, SyncRequest(group="fjeld", epoch=1)):
             with pytest.raises(NotLeaderError):
                 await desk.service.sync(request)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -13,7 +13,7 @@
     DamagedDataError,
     StoppedError,
 )
-from siskintally.journal import Journal, found, set_aside
+from siskintally.journal import Journal, bootstrap_replica, set_aside
 from siskintally.messages import Entry, EntryKind, HardState, Identity, Member
 from siskintally.persistent_state import PersistentState
 from siskintally.raftlog import RaftLog
@@ -148,7 +148,7 @@
 @pytest.mark.parametrize("name", ["identity", "log", "snapshot-1"])
 def test_lost_file_is_damage(tmp_path, name):
     """Guards against a second vote in a term by a replica whose log was lost."""
-    found(tmp_path / "g", group="g", name="s1")
+    bootstrap_replica(tmp_path / "g", group="g", name="s1")
     (tmp_path / "g" / name).unlink()
     with pytest.raises(DamagedDataError):
         reopen(tmp_path / "g")
@@ -156,7 +156,7 @@
 
 def test_damaged_folder_is_set_aside_and_the_incarnation_is_new(tmp_path):
     """Guards against a vote under an identity whose memory is lost."""
-    old = found(tmp_path / "g", group="g", name="s1")
+    old = bootstrap_replica(tmp_path / "g", group="g", name="s1")
     for number in (1, 2):
         (tmp_path / "g" / "log").unlink()
         assert set_aside(tmp_path / "g").name == f"g.damaged-{number}"
@@ -166,16 +166,16 @@
 
 def test_group_is_founded_once(tmp_path):
     """Guards against a second founding that would drop the log."""
-    identity = found(tmp_path / "g", group="g", name="s1")
+    identity = bootstrap_replica(tmp_path / "g", group="g", name="s1")
     with pytest.raises(BadRequestError):
-        found(tmp_path / "g", group="g", name="s1")
+        bootstrap_replica(tmp_path / "g", group="g", name="s1")
     persistent_state = reopen(tmp_path / "g").persistent_state
     assert persistent_state.snapshot.members == (Member(identity, True),)
 
 
 def test_folder_of_another_replica_is_refused(tmp_path):
     """Guards against swapped disks."""
-    found(tmp_path / "g", group="g", name="s1")
+    bootstrap_replica(tmp_path / "g", group="g", name="s1")
     with pytest.raises(BadSettingsError):
         Journal.open(tmp_path / "g", group="g", name="s2")
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -83,11 +83,11 @@
             raise OutcomeUnknownError("leadership was lost")
         return await super().propose(command)
 
-    async def confirm(self, *, urgent=True):
+    async def confirm_leadership(self, *, urgent=True):
         """Complete a round once its gate is open."""
         if self.round_gate is not None:
             await self.round_gate.wait()
-        await super().confirm()
+        await super().confirm_leadership()
 
 
 class WorkerLink:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -326,7 +326,7 @@
 
 def test_a_candidate_that_was_not_elected_asks_again_soon():
     """Guards against a whole election timeout without a leader after each split vote."""
-    timing = Timing(retry_election_share=0.35)
+    timing = Timing(retry_timeout_factor=0.35)
     b = Net(timing=timing).nodes["b"].replica
     b.leader_contact_at = 0.0
     b.tick(5.0)
@@ -347,7 +347,7 @@
 
 def test_the_next_leader_is_elected_early_when_the_process_of_the_last_one_has_ended():
     """Guards against a whole election timeout without a leader after the end of a process."""
-    net = Net(timing=Timing(ended_leader_share=0.6))
+    net = Net(timing=Timing(exited_leader_timeout_factor=0.6))
     net.elect("a")
     b, c = net.nodes["b"].replica, net.nodes["c"].replica
     b.leader_contact_at = c.leader_contact_at = net.now
@@ -363,7 +363,7 @@
 
 def test_a_leader_that_is_heard_again_has_not_ended():
     """Guards against an election beside a leader that only refused a connection."""
-    net = Net(timing=Timing(ended_leader_share=0.6))
+    net = Net(timing=Timing(exited_leader_timeout_factor=0.6))
     net.elect("a")
     b = net.nodes["b"].replica
     b.record_process_exit("a", net.now)
@@ -539,7 +539,7 @@
     replica = net.elect("a").replica
     net.settle()
     other = next(voter for voter in replica.voters if voter != replica.identity)
-    preference = LeaderPreference(group="g", preferred=other.name, stable_s=60.0)
+    preference = LeaderPreference(group="g", preferred=other.name, transfer_delay_s=60.0)
     assert preference.target(replica, net.now) is None
     progress = replica.progress_by_id[other]
 
@@ -554,7 +554,7 @@
     assert target(62.0) == other
     assert target(63.0) is None, "a transfer that failed is tried again too soon"
     assert (
-        LeaderPreference(group="g", preferred=replica.identity.name, stable_s=0.0).target(
+        LeaderPreference(group="g", preferred=replica.identity.name, transfer_delay_s=0.0).target(
             replica, 1e9
         )
         is None
