Name two leftovers of the replicated log

PeerEnded did not match record_peer_exit, and _silent_s did not say since when a voter is silent. They are now PeerExited and _seconds_since_reply.

--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -19,7 +19,7 @@
 from siskintally.encoding import decode_message, encode_message
 from siskintally.group_calls import GroupCalls
 from siskintally.group_disk import GroupDisk
-from siskintally.group_inputs import PeerEnded, ReceivedMessage, Stop
+from siskintally.group_inputs import PeerExited, ReceivedMessage, Stop
 from siskintally.handover import Handover
 from siskintally.inbox import Inbox
 from siskintally.leader_preference import TRANSFER_DELAY_S, LeaderPreference
@@ -211,7 +211,7 @@
 
         :param name: process name.
         """
-        self._inbox.put_message(PeerEnded(name=name))
+        self._inbox.put_message(PeerExited(name=name))
 
     async def handle_join_request(self, body):
         """Enqueue a request to join the group; return a JoinReply with the last log index.
@@ -306,7 +306,7 @@
                 waiters.append(item)
             elif isinstance(item, Stop):
                 self._handover.request(now)
-            elif isinstance(item, PeerEnded):
+            elif isinstance(item, PeerExited):
                 self._replica.record_process_exit(item.name, now)
             elif isinstance(item.message, JoinRequest):
                 self._member_changes.record_request(item.message, now)
--- a/siskintally/group_inputs.py
+++ b/siskintally/group_inputs.py
@@ -22,7 +22,7 @@
         self.received_at = received_at
 
 
-class PeerEnded:
+class PeerExited:
     """Event: the process of another replica has exited."""
 
     __slots__ = ("name",)
--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -98,7 +98,8 @@
         if self._term_start[0] != replica.term:
             self._term_start = (replica.term, now)
         silent_s_by_voter = {
-            voter: _silent_s(replica, voter, now, self._term_start[1]) for voter in replica.voters
+            voter: _seconds_since_reply(replica, voter, now, self._term_start[1])
+            for voter in replica.voters
         }
         lost = self._roster.voter_to_remove(silent_s_by_voter)
         if lost is None:
@@ -106,7 +107,7 @@
         return tuple(member for member in replica.log.members if member.identity != lost)
 
 
-def _silent_s(replica, voter, now, since):
+def _seconds_since_reply(replica, voter, now, since):
     if voter == replica.identity:
         return 0.0
     progress = replica.progress_by_id[voter]
