--- a/siskintally/applier.py
+++ b/siskintally/applier.py
@@ -1,54 +1,63 @@
 """Applies the committed entries of a log to a state machine.
 
 >>> from siskintally.applier import Applier
->>> Applier(machine=None, snapshot_entries=10, snapshot_bytes=100).index
+>>> Applier(state_machine=None, snapshot_entries=10, snapshot_bytes=100).index
 0
 """
 
-from siskintally.messages import Kind
+from siskintally.messages import EntryKind
 
 
 class Applier:
-    """A machine with the index up to which it has applied the log.
+    """Applies entries to a state machine and decides when a snapshot is due.
 
-    :param machine: :class:`~siskintally.state_machine.StateMachine` in its first state.
-    :param snapshot_entries: entries between two snapshots.
-    :param snapshot_bytes: bytes of commands between two snapshots.
-    """
+    ``index``: index of the last applied entry.
 
-    __slots__ = ("_bytes", "_initial", "_machine", "_snapshot_bytes", "_snapshot_entries", "index")
+    :param state_machine: :class:`~siskintally.state_machine.StateMachine` in its initial state.
+    :param snapshot_entries: applied entries after which a snapshot is due.
+    :param snapshot_bytes: applied bytes of commands after which a snapshot is due.
+    """
 
-    def __init__(self, *, machine, snapshot_entries, snapshot_bytes):
-        self._machine = machine
+    __slots__ = (
+        "_applied_bytes",
+        "_initial_state",
+        "_snapshot_bytes",
+        "_snapshot_entries",
+        "_state_machine",
+        "index",
+    )
+
+    def __init__(self, *, state_machine, snapshot_entries, snapshot_bytes):
+        self._state_machine = state_machine
         self._snapshot_entries = snapshot_entries
         self._snapshot_bytes = snapshot_bytes
-        self._initial = None
-        self._bytes = 0
+        self._initial_state = None
+        self._applied_bytes = 0
         self.index = 0
 
     def restore(self, snapshot):
-        """Replace the state; an empty snapshot stands for the first state of the machine."""
-        if self._initial is None:
-            self._initial = self._machine.snapshot()
-        self._machine.restore(snapshot.data or self._initial)
+        """Restore the state machine; an empty snapshot stands for its initial state."""
+        if self._initial_state is None:
+            self._initial_state = self._state_machine.snapshot()
+        self._state_machine.restore(snapshot.data or self._initial_state)
         self.index = snapshot.index
-        self._bytes = 0
+        self._applied_bytes = 0
 
     def apply(self, entry):
-        """Apply an entry and return the reply of the machine."""
+        """Apply an entry and return the reply of the state machine, empty if it is no command."""
         reply = b""
-        if entry.kind == Kind.COMMAND:
-            reply = self._machine.apply(index=entry.index, command=entry.command)
+        if entry.kind == EntryKind.COMMAND:
+            reply = self._state_machine.apply(index=entry.index, command=entry.command)
         self.index = entry.index
-        self._bytes += len(entry.command)
+        self._applied_bytes += len(entry.command)
         return reply
 
     def is_snapshot_due(self, snapshot_index):
-        """Whether much has been applied since the snapshot at an index."""
-        is_long = self.index - snapshot_index >= self._snapshot_entries
-        return is_long or self._bytes >= self._snapshot_bytes
+        """Return whether enough has been applied since the snapshot at ``snapshot_index``."""
+        has_enough_entries = self.index - snapshot_index >= self._snapshot_entries
+        return has_enough_entries or self._applied_bytes >= self._snapshot_bytes
 
     def snapshot(self):
-        """Return the state as bytes."""
-        self._bytes = 0
-        return self._machine.snapshot()
+        """Return a snapshot of the state machine as bytes."""
+        self._applied_bytes = 0
+        return self._state_machine.snapshot()
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -198,7 +198,7 @@
 
     async def confirm(self):
         """Wait until the state contains all commands committed before the call."""
-        await self._group.confirm()
+        await self._group.confirm_leadership()
 
     async def handle_report(self, manager, report, asked_at):
         """Apply a status report; commit its ends before they are acknowledged to the worker."""
--- a/siskintally/effects.py
+++ b/siskintally/effects.py
@@ -1,4 +1,4 @@
-"""What a transition of a replica asks its owner to do.
+"""Effects of a replica's transition: what to sync, send, apply and report.
 
 >>> from siskintally.effects import Effects
 >>> from siskintally.messages import HardState
@@ -12,26 +12,26 @@
 
 
 class Effects:
-    """Orders of one or more transitions, to be carried out in the order of the attributes.
+    """Effects of one or more transitions, to be executed in the order below.
 
-    ``hard_state``, ``entries``, ``snapshot``: to be synced to disk before anything else. An entry
-    replaces all stored entries with its index or a larger one. ``messages``: sent after the sync.
-    ``restore``: snapshot that replaces the state of the machine. ``committed``: entries to apply
-    after that. ``index``: last entry that was proposed, 0 if none. ``round``: read round that was
-    begun, 0 if none. ``confirmed``: highest read round that is confirmed, 0 if none is newly.
-    ``leadership``: set when it changed.
+    ``hard_state``, ``entries``, ``snapshot``: to sync to disk first. An entry replaces all stored
+    entries with its index or a larger one. ``messages``: to send after the sync. ``restore``:
+    snapshot to restore the state machine from. ``committed``: entries to apply after that.
+    ``index``: index of the last proposed entry, 0 if none. ``read_round``: read round that was
+    started, 0 if none. ``confirmed_round``: highest newly confirmed read round, 0 if none.
+    ``leadership``: new leadership, None if unchanged.
     """
 
     __slots__ = (
         "committed",
-        "confirmed",
+        "confirmed_round",
         "entries",
         "hard_state",
         "index",
         "leadership",
         "messages",
+        "read_round",
         "restore",
-        "round",
         "snapshot",
     )
 
@@ -43,13 +43,13 @@
         self.restore = None
         self.committed = []
         self.index = 0
-        self.round = 0
-        self.confirmed = 0
+        self.read_round = 0
+        self.confirmed_round = 0
         self.leadership = None
 
     @property
     def must_sync(self):
-        """Whether something has to be on disk before the messages are sent."""
+        """Whether something must be synced to disk before the messages are sent."""
         return bool(self.hard_state or self.entries or self.snapshot)
 
     def extend(self, later):
@@ -63,6 +63,6 @@
             self.committed.clear()
         self.committed.extend(later.committed)
         self.index = later.index or self.index
-        self.round = later.round or self.round
-        self.confirmed = max(self.confirmed, later.confirmed)
+        self.read_round = later.read_round or self.read_round
+        self.confirmed_round = max(self.confirmed_round, later.confirmed_round)
         self.leadership = later.leadership or self.leadership
--- a/siskintally/group_inputs.py
+++ b/siskintally/group_inputs.py
@@ -1,29 +1,29 @@
-"""Inputs of the task that runs one replica, beside the calls that wait.
+"""Inputs other than calls to the task that runs one replica.
 
->>> from siskintally.group_inputs import Arrival
->>> Arrival(message=None, at=1.5).at
+>>> from siskintally.group_inputs import ReceivedMessage
+>>> ReceivedMessage(message=None, received_at=1.5).received_at
 1.5
 """
 
 
 class Stop:
-    """Asks the task to hand over leadership and end."""
+    """Request to transfer leadership and stop."""
 
     __slots__ = ()
 
 
-class Arrival:
-    """A message of another replica, with the time of its arrival if it waits for others."""
+class ReceivedMessage:
+    """A received message; ``received_at`` is set if processing it may be delayed."""
 
-    __slots__ = ("at", "message")
+    __slots__ = ("message", "received_at")
 
-    def __init__(self, *, message, at):
+    def __init__(self, *, message, received_at):
         self.message = message
-        self.at = at
+        self.received_at = received_at
 
 
-class PeerEnded:
-    """Says that the process of another replica has ended."""
+class PeerExited:
+    """Event: the process of another replica has exited."""
 
     __slots__ = ("name",)
 
