Describe the state of a domain group and its ledger in plain terms

The comments spoke of following the cell, giving tasks and holding keys, and left the layout of a ledger record to the reader. They now say what is stored, in which unit, and when a command has no effect; a full ledger and a command without a time stamp are named as such.

--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -1,4 +1,4 @@
-"""State machine of a domain group: what it follows of the cell, tasks, assignments, ledger.
+"""Replicated state of a domain group: workers, jobs, task assignments, cell sync, ledger.
 
 >>> from siskintally.domain import Domain
 >>> from siskintally.domain_state_pb2 import DomainReply
@@ -26,13 +26,13 @@
 from siskintally.wire_pb2 import ConfigState
 
 ORDINARY = "ordinary"
-# The cell may send the item of an ended job again, which must not run a second time. These are the
-# jobs of three days.
+# The cell may send the item of a job again after the job has ended, and the job must not run a
+# second time. 20,000 are the jobs of three days.
 KEEP_ENDED_JOBS = 20_000
 
 
 class DomainWorker:
-    """A worker as committed, with the tasks assigned to it."""
+    """A registered worker with the resources and the tasks assigned to it."""
 
     __slots__ = ("capacity", "record", "task_ids", "used")
 
@@ -44,14 +44,14 @@
 
 
 class Domain(StateMachine):
-    """Deterministic state of a domain group; the time comes in the commands.
+    """Deterministic state of a domain group; commands carry the time.
 
     :param group: name of the group.
 
-    ``config`` is the ConfigState followed from the cell, version 0 before the first; ``cell_index``
-    is the cell's log index that the state has followed up to. No lease that an owner has given and
-    that may still run is longer than ``longest_lease_s``. ``epoch`` counts the losses of the group
-    that operators have declared and that it knows of; while ``fenced`` it starts no task.
+    ``config`` is the last ConfigState received from the cell (version 0 before the first one), and
+    ``cell_index`` the cell log index up to which the cell's changes are applied.
+    ``longest_lease_s`` is an upper bound of all worker leases that may still run. ``epoch`` counts
+    the declared losses of the group that it has learned of; while ``fenced`` it starts no task.
     """
 
     __slots__ = (
@@ -87,14 +87,14 @@
         self.longest_lease_s = self.preset().lease_s
 
     def preset(self):
-        """Return the :class:`~siskintally.preset.Preset` in force, the default before the first."""
+        """Return the current :class:`~siskintally.preset.Preset`, the default without a config."""
         try:
             return parse_config(self.config.document).preset(self.config.preset)
         except SiskintallyError:
             return default_preset(ORDINARY)
 
     def apply(self, *, index, command):
-        """Apply a DomainCommand and return a DomainReply; a malformed one changes nothing."""
+        """Apply a serialized DomainCommand, return a DomainReply; a malformed one has no effect."""
         try:
             return self._apply(DomainCommand.FromString(command)).SerializeToString()
         except DecodeError:
@@ -105,10 +105,10 @@
 
     def _apply(self, command):
         if not 0 <= command.at <= MAX_TIME_S:
-            raise BadRequestError("command without time")
+            raise BadRequestError("command has no valid time stamp")
         kind = command.WhichOneof("change")
         if kind is None:
-            raise BadRequestError("command without change")
+            raise BadRequestError("command has no change")
         change = getattr(command, kind)
         if kind == "sync":
             check_sync(change)
@@ -130,11 +130,12 @@
         return DomainReply(code=int(Code.DONE))
 
     def _apply_sync(self, change):
-        """Follow the cell; an older reply, applied late, changes nothing."""
+        """Apply a SyncReply of the cell; one older than the applied state has no effect."""
         if change.epoch > self.epoch:
             self._begin_epoch(change.epoch)
             return DomainReply(code=int(Code.DONE))
-        # A group whose disks were put back to an older state is restored before it has ended all.
+        # When the disks of a group were restored from an older copy, the cell may restore the
+        # group to service although attempts of that copy have not ended here.
         too_early = self.fenced and not change.lost and not self.is_idle
         if change.epoch == self.epoch and change.index >= self.cell_index and not too_early:
             self.cell_index = change.index
@@ -149,7 +150,7 @@
         return DomainReply(code=int(Code.DONE))
 
     def _begin_epoch(self, epoch):
-        """Learn that the group was declared lost: end its jobs and follow the cell anew.
+        """Start a new epoch after a declared loss: cancel all jobs and sync from index 0.
 
         The ledger and the configuration stay: their keys and versions are valid in all epochs.
         """
@@ -173,7 +174,7 @@
             self.drain_by_key.pop((drain.kind, drain.name), None)
 
     def drained_endpoints(self):
-        """Return the names of the endpoints that are to get no new work, sorted."""
+        """Return the sorted names of the endpoints that must get no new work."""
         return sorted(name for kind, name in self.drain_by_key if kind == "endpoint")
 
     def _apply_job(self, item):
@@ -189,7 +190,7 @@
         self._keep(job)
 
     def _keep(self, job):
-        """Remember an ended job for a while; drop the oldest and those of earlier epochs."""
+        """Move a job into or out of the ended jobs; drop the oldest and those of earlier epochs."""
         job_id = job.item.job_id
         if job.is_over and job.epoch != self.epoch:
             self._ended_jobs.pop(job_id, None)
@@ -238,7 +239,7 @@
         self._keep(job)
 
     def _join(self, record):
-        """Record a worker; a capacity below what its tasks hold is refused."""
+        """Register a worker; return False if its capacity is below what its tasks have reserved."""
         known = self.worker_by_name.get(record.name)
         worker = DomainWorker(record=_copy(record))
         if known is not None:
@@ -249,7 +250,10 @@
         return True
 
     def _assign(self, one):
-        """Give a waiting task to a worker; the last check of I1 and I2 before a start is sent."""
+        """Assign a waiting task; return False if refused.
+
+        This is the last check of invariants I1 and I2 before the start is sent to the worker.
+        """
         task = self.task(one.task_id)
         worker = self.worker_by_name.get(one.worker)
         if task is None or worker is None or task.worker or one.attempt != task.attempt + 1:
@@ -269,7 +273,7 @@
         return True
 
     def snapshot(self):
-        """Return the whole state as bytes, equal for equal states."""
+        """Return the whole state as bytes; equal states give equal bytes."""
         state = DomainState(
             group=self.group,
             cell_index=self.cell_index,
@@ -289,7 +293,7 @@
     def restore(self, data):
         """Replace the state with a snapshot.
 
-        :raises DamagedDataError: the data is no snapshot of this group; nothing changed.
+        :raises DamagedDataError: the data is not a snapshot of this group; nothing changed.
         """
         fresh = Domain(group=self.group)
         try:
--- a/siskintally/domain_checks.py
+++ b/siskintally/domain_checks.py
@@ -1,4 +1,4 @@
-"""Limits of the commands of a domain group; a command beyond them changes nothing.
+"""Range checks of the commands of a domain group; a command out of range has no effect.
 
 >>> from siskintally.domain_checks import check_sync
 >>> from siskintally.wire_pb2 import SyncReply
@@ -11,9 +11,9 @@
 
 MAX_NAME_LENGTH = 200
 MAX_TASKS = 100_000
-# Largest amount of a resource; larger ones are no amounts.
+# Largest valid amount of a resource.
 MAX_AMOUNT = 1 << 40
-# Year 5138; a larger time stamp is no time.
+# Largest valid Unix time, in the year 5138, and largest valid duration.
 MAX_TIME_S = 1e11
 
 
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -1,4 +1,4 @@
-"""Jobs and tasks in the state of a domain group.
+"""Jobs and tasks of a domain group: task numbering, attempt ends and progress counts.
 
 >>> from siskintally.domain_job import DomainJob
 >>> from siskintally.wire_pb2 import JobItem, JobSpec
@@ -12,12 +12,12 @@
 from siskintally.size import Size
 from siskintally.wire_pb2 import JobProgress, JobSpec
 
-# A batch task that failed this often on different workers is reported as failed.
+# A batch or gang task that has failed this often, on different workers, is reported as failed.
 MAX_FAILURES = 5
 
 
 def job_id_of(task_id):
-    """Return the job of a task.
+    """Return the job id within a task id.
 
     >>> job_id_of("j/g.0")
     'j'
@@ -26,9 +26,12 @@
 
 
 class Task:
-    """One task that has not ended; it has at most one live attempt.
+    """A task that has not ended; it has at most one live attempt.
 
+    :param attempt: number of the last attempt, 0 before the first.
     :param worker: worker of the live attempt, empty if the task waits.
+    :param session: session of that worker, empty if the task waits.
+    :param failures: number of failed attempts.
     """
 
     __slots__ = ("attempt", "failures", "session", "task_id", "worker")
@@ -41,7 +44,7 @@
         self.failures = failures
 
     def state(self):
-        """Return the message for a snapshot."""
+        """Return the TaskState for a snapshot."""
         return TaskState(
             task_id=self.task_id,
             attempt=self.attempt,
@@ -54,10 +57,10 @@
 class DomainJob:
     """The share of a job that a domain group runs.
 
-    :param item: JobItem as the cell sent it last.
-    :param group: group name, part of the task ids, so that they are unique in the cell.
-    :param epoch: epoch of the group in which it accepted the job, also part of the task ids: a
-        group that comes back numbers the tasks of a job from 0 again.
+    :param item: last JobItem received from the cell.
+    :param group: group name; part of the task ids, which makes them unique in the cell.
+    :param epoch: epoch of the group in which it accepted the job. Above 0 it is part of the task
+        ids too, because a restored group numbers the tasks of a job from 0 again.
     """
 
     __slots__ = (
@@ -94,27 +97,27 @@
 
     @property
     def is_over(self):
-        """Whether no task is left."""
+        """Whether all tasks have ended."""
         return not self.task_by_id
 
     def follow(self, item):
-        """Take a newer item; the size of a task stays while the job has any."""
+        """Apply a newer item; the size of the tasks changes only when all of them have ended."""
         if self.is_over:
             self.need = Size.of(item.spec.each)
         self.item = item
         self.resize()
 
     def withdraw(self):
-        """Drop what waits and cancel what runs, because the group was declared lost."""
+        """Cancel the job, because the group was declared lost; waiting tasks end at once."""
         self.item.cancelled = True
         self.resize()
 
     def strip(self):
-        """Drop the spec of an ended job, most of what it would add to a snapshot."""
+        """Drop the spec of an ended job, which is most of its size in a snapshot."""
         self.item.ClearField("spec")
 
     def resize(self):
-        """Follow the item: add tasks, drop waiting ones that are too many or cancelled."""
+        """Add tasks up to the number in the item; drop surplus and cancelled waiting tasks."""
         if self.item.cancelled:
             for task in self.waiting():
                 del self.task_by_id[task.task_id]
@@ -136,7 +139,7 @@
         return [task for task in self.task_by_id.values() if not task.worker]
 
     def end(self, task, cause):
-        """End the live attempt of a task; the task ends too, or waits again."""
+        """End the live attempt of a task; the task ends with it or waits for another attempt."""
         task.worker = task.session = ""
         self.running -= 1
         if cause == AttemptEnd.SUCCEEDED:
@@ -154,7 +157,7 @@
         return self.item.spec.kind != JobSpec.SERVICE and task.failures >= MAX_FAILURES
 
     def progress(self):
-        """Return the counts as JobProgress."""
+        """Return the task counts as a JobProgress."""
         return JobProgress(
             job_id=self.item.job_id,
             waiting=len(self.task_by_id) - self.running,
@@ -165,7 +168,7 @@
         )
 
     def state(self):
-        """Return the message for a snapshot."""
+        """Return the JobState for a snapshot."""
         return JobState(
             item=self.item,
             next_number=self.next_number,
@@ -179,7 +182,7 @@
 
     @classmethod
     def of(cls, state, *, group):
-        """Rebuild a job from a snapshot."""
+        """Return the job of a JobState from a snapshot."""
         job = cls(item=state.item, group=group, accepted_at=state.accepted_at, epoch=state.epoch)
         job.next_number = state.next_number
         job.succeeded, job.failed = state.succeeded, state.failed
--- a/siskintally/ledger.py
+++ b/siskintally/ledger.py
@@ -1,4 +1,4 @@
-"""Ledger of non-idempotent requests: every key is granted to one attempt at a time.
+"""Ledger of non-idempotent requests: grants each idempotency key to one attempt at a time.
 
 >>> from siskintally.ledger import Ledger
 >>> from siskintally.wire_pb2 import LedgerBegin, LedgerBeginReply
@@ -24,20 +24,21 @@
 
 RETENTION_S = 86_400.0
 BODY_LIMIT_BYTES = 16_384
-# 20,000 orders an hour for 24 h are 480,000 records; the rest is for released attempts.
+# 20,000 requests an hour for 24 h are 480,000 records; the rest is for released attempts.
 CAPACITY_RECORDS = 600_000
 CAPACITY_ANSWER_BYTES = 96 * 1024 * 1024
 GENERATIONS = 24
 
-# CPython stores a bytes object of up to 15 bytes in a 48-byte block and a longer one in 64.
+# 15 bytes save memory: CPython needs 48 bytes for a bytes object of up to 15 bytes, and 64 for
+# the next longer ones.
 FINGERPRINT_BYTES = 15
 ATTEMPT_BYTES = 14
 REQUEST_BYTES = 16
 HEAD_BYTES = 1 + ATTEMPT_BYTES + REQUEST_BYTES
 
-# Of a running record: time after which its attempt counts as lost, seconds.
+# Last field of a running record: Unix time, in seconds, after which its attempt counts as lost.
 UNTIL = Struct(">d")
-# Leaders stamp commands with wall clocks that may differ by seconds.
+# Allows for the wall clocks of successive leaders, which may differ by seconds.
 DEADLINE_MARGIN_S = 10.0
 
 RUNNING = 1
@@ -66,7 +67,11 @@
 
 
 class _Generation:
-    """Records whose last change lies in one interval of time; expires as a whole."""
+    """The records that last changed within one time interval; they expire together.
+
+    :param until: end of the interval, seconds.
+    :param record_by_print: ``{fingerprint of a key: record}``.
+    """
 
     __slots__ = ("record_by_print", "until")
 
@@ -76,16 +81,18 @@
 
 
 class Ledger:
-    """Records of keys and released attempts; a part of the state of a domain group.
-
-    A record is one bytes object: state, fingerprint of the attempt that holds the key, fingerprint
-    of the request (digest and caller), then of a running one the time until which it may run, of an
-    answered one the serialized StoredAnswer. The times passed in must come from
-    the replicated log; a time lower than an earlier one counts as the earlier one.
-
-    :param retention_s: how long a record is kept after its last change, seconds. It is dropped at
-        most 1/24 of that later.
-    :param body_limit: longest response body that is stored, bytes; of a longer one the digest.
+    """Records of keys and of released attempts; part of the state of a domain group.
+
+    The record of a key is one bytes object: its state (1 byte), the fingerprint of the attempt that
+    the key is granted to, the fingerprint of the request (digest and caller), and last, if the
+    attempt is running, the time until which it may run, or, if it is answered, the serialized
+    StoredAnswer. The record of a released attempt is an empty tombstone. The times passed in must
+    come from the replicated log; a time before an earlier one counts as the earlier one.
+
+    :param retention_s: time for which a record is kept after its last change, seconds. It expires
+        at most 1/24 of that later.
+    :param body_limit: longest response body that is stored, bytes; of a longer one only the digest
+        is stored.
     :param capacity: number of records at which new keys are refused.
     :param capacity_bytes: size of the stored answers at which new keys are refused, bytes.
     """
@@ -124,18 +131,18 @@
         return self._answer_bytes
 
     def begin(self, message, now):
-        """Grant a key to an attempt, or tell what is known about the key.
+        """Grant a key to an attempt, or return the state of a key that is already granted.
 
-        A key whose attempt did not finish in the time of its request, because its entry is gone,
-        counts as unknown; a late finish of that attempt still counts.
+        If an attempt did not finish before the deadline of its request, because its entry is gone,
+        the outcome of the key counts as unknown; a late finish of that attempt is still stored.
 
-        The attempt that holds the key is granted again, because its first reply may have been
-        lost; an entry dispatches an attempt at most once, whatever number of replies it gets.
+        The same attempt may be granted its key again, because the first reply may have been lost;
+        an entry dispatches an attempt at most once, however many replies it gets.
 
         :param message: a LedgerBegin.
         :param now: seconds.
         :returns: a LedgerBeginReply.
-        :raises RefusedError: OVERLOADED, the ledger is full and the key is new; nothing changed.
+        :raises RefusedError: OVERLOADED, the key is new and the ledger is full; nothing changed.
         """
         self.expire(now)
         if self._find(_tombstone_print(message.key, message.attempt)) is not None:
@@ -152,9 +159,9 @@
         return LedgerBeginReply(verdict=_Verdict.GRANTED)
 
     def finish(self, message, now):
-        """Store the answer of the attempt that holds the key, or that its outcome is unknown.
+        """Store the answer of an attempt, or that its outcome is unknown.
 
-        The first finish of the holding attempt counts; any other changes nothing.
+        Only the first finish of the attempt that the key is granted to has an effect.
 
         :param message: a LedgerFinish.
         :param now: seconds.
@@ -170,11 +177,12 @@
         return Done()
 
     def release(self, message, now):
-        """Give back a key whose request was not sent; the attempt can never be granted again.
+        """Release a key whose request was not sent; the attempt can never be granted it again.
 
-        :param message: a LedgerRelease; may arrive before the begin of its attempt.
+        :param message: a LedgerRelease; it may arrive before the begin of its attempt.
         :param now: seconds.
-        :raises RefusedError: OVERLOADED, the ledger is full and the attempt holds no key.
+        :raises RefusedError: OVERLOADED, the ledger is full and the key is not granted to the
+            attempt.
         """
         self.expire(now)
         key = _key_print(message.key)
@@ -190,7 +198,7 @@
         return Done()
 
     def expire(self, now):
-        """Drop the records whose last change is longer ago than the retention.
+        """Drop the records whose retention time is over.
 
         :param now: seconds.
         """
@@ -201,7 +209,7 @@
             self._answer_bytes -= _answer_size(old.record_by_print.values())
 
     def snapshot(self):
-        """Return the state as bytes, equal for equal states."""
+        """Return the state as bytes; equal states give equal bytes."""
         state = LedgerState(now=self._now)
         for generation in self._generations:
             items = sorted(generation.record_by_print.items())
@@ -217,7 +225,7 @@
     def restore(self, data):
         """Replace the state with a snapshot.
 
-        :raises DamagedDataError: the data is no snapshot of a ledger; nothing changed.
+        :raises DamagedDataError: the data is not a snapshot of a ledger; nothing changed.
         """
         try:
             state = LedgerState.FromString(data)
@@ -232,7 +240,7 @@
             self._answer_bytes += _answer_size(generation.record_by_print.values())
 
     def key(self):
-        """Return the state as a hashable value, equal for equal states."""
+        """Return the state as a hashable value; equal states give equal values."""
         return self._now, tuple(
             (generation.until, frozenset(generation.record_by_print.items()))
             for generation in self._generations
@@ -246,10 +254,10 @@
 
     def _check_capacity(self):
         if self._count >= self._capacity:
-            raise RefusedError(f"ledger holds {self._count} records", code=Code.OVERLOADED)
+            raise RefusedError(f"ledger is full: {self._count} records", code=Code.OVERLOADED)
         if self._answer_bytes >= self._capacity_bytes:
             raise RefusedError(
-                f"ledger holds {self._answer_bytes} bytes of answers", code=Code.OVERLOADED
+                f"ledger is full: {self._answer_bytes} bytes of answers", code=Code.OVERLOADED
             )
 
     def _holds(self, record, attempt):
