Describe the state of the cell and the calls to it in plain terms

"Learns", "word of a group" and "nothing was heard" described reports, confirmations and long polls. The docstrings now name these, the comments of the messages have their units, and the log line about a differing audit file says what it differs from.

--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -1,4 +1,4 @@
-"""State machine of the cell group: configuration, jobs, drains, audit chain, stored replies.
+"""Replicated state of the cell group: configuration, jobs, drains, audit chain, stored replies.
 
 >>> from siskintally.cell import Cell
 >>> from siskintally.wire_pb2 import OperatorReply
@@ -32,7 +32,7 @@
 KEEP_REPLIES_S = 24 * 3600.0
 MAX_ID_LENGTH = 128
 MAX_CANCELLED_AT_ONCE = 20_000
-# Year 5138; a larger time stamp is no time.
+# Largest valid Unix time, in the year 5138.
 MAX_TIME_S = 1e11
 SHOWN_IDS = 20
 MAX_NOTE_LENGTH = 1000
@@ -40,19 +40,19 @@
 
 
 class NoConfigError(SiskintallyError):
-    """No configuration has been set yet; nothing was changed."""
+    """No configuration has been set yet; nothing changed."""
 
     code = Code.NO_CONFIG
 
 
 class KeyConflictError(SiskintallyError):
-    """The request id was used for another change."""
+    """The request id was already used for another change."""
 
     code = Code.KEY_CONFLICT
 
 
 def encode(answer):
-    """Write an answer as JSON, equal for equal answers."""
+    """Return an answer as JSON bytes; equal answers give equal bytes."""
     return dumps(answer, sort_keys=True, separators=(",", ":")).encode()
 
 
@@ -61,10 +61,10 @@
 
 
 class Cell(StateMachine):
-    """Deterministic state of the cell; time and capacities come in the commands.
+    """Deterministic state of the cell; commands carry the time and the capacities.
 
-    :param config_state: ConfigState in force; version 0 before the first.
-    :param config: the parsed document, or None.
+    :param config_state: current ConfigState; version 0 before the first.
+    :param config: its parsed document, or None.
     :param jobs: :class:`~siskintally.jobs.JobTable`.
     :param drains: :class:`~siskintally.drains.DrainTable`.
     :param audit: :class:`~siskintally.audit.AuditChain`.
@@ -96,14 +96,16 @@
         return self.jobs.group_statuses
 
     def apply(self, *, index, command):
-        """Apply a Command and return an OperatorReply; a malformed one changes nothing."""
+        """Apply a serialized Command and return an OperatorReply; a malformed one has no effect."""
         try:
             command = Command.FromString(command)
         except DecodeError:
             return _reply(Code.BAD_REQUEST, {"message": "command is malformed"})
         kind = command.WhichOneof("change")
         if kind is None or not 0 <= command.at <= MAX_TIME_S:
-            return _reply(Code.BAD_REQUEST, {"message": "command without change or time"})
+            return _reply(
+                Code.BAD_REQUEST, {"message": "command has no change or no valid time stamp"}
+            )
         if kind == "job_report":
             self._learn(command)
             report = command.job_report
@@ -116,7 +118,9 @@
             self.group_statuses.confirm(command.confirm_idle.group, command.confirm_idle.epoch)
             return _reply(Code.DONE, {})
         if not (command.request_id and command.operator and command.digest):
-            return _reply(Code.BAD_REQUEST, {"message": "command without request id or operator"})
+            return _reply(
+                Code.BAD_REQUEST, {"message": "command has no request id, operator or digest"}
+            )
         return self._apply_change(index, kind, command)
 
     def _learn(self, command):
@@ -210,7 +214,7 @@
             raise NoConfigError("no configuration yet: set one first")
 
     def admit(self, index):
-        """Admit waiting jobs as far as quotas allow."""
+        """Admit the waiting jobs that fit in the quotas of their teams."""
         if self.config is not None:
             self.jobs.admit(index=index, now=self.now, quota_by_team=self.config.quota_by_team)
 
@@ -259,7 +263,7 @@
         return {"kind": change.kind, "name": change.name, "draining": change.draining}
 
     def latest(self, group):
-        """Return the log index of the last change that concerns a domain group, 0 if none."""
+        """Return the log index of the last change that a domain group must learn of, 0 if none."""
         return max(
             self.config_state.changed_at,
             self.drains.latest(),
@@ -268,9 +272,9 @@
         )
 
     def changes(self, group, since, epoch=0):
-        """Return a SyncReply with everything that changed for a domain group after an index.
+        """Return a SyncReply with all changes for a domain group after a log index.
 
-        A group that follows another epoch than the present one learns only that.
+        A group in another epoch gets only its current epoch and whether it is lost.
         """
         status = self.group_statuses.of(group)
         reply = SyncReply(index=since, epoch=status.epoch, lost=status.lost)
@@ -284,7 +288,7 @@
         return reply
 
     def snapshot(self):
-        """Return the state as a State message."""
+        """Return the whole state as a serialized State message."""
         state = State(now=self.now, audit_number=self.audit.number, audit_head=self.audit.head)
         state.config.CopyFrom(self.config_state)
         self.jobs.save(state)
@@ -296,7 +300,7 @@
     def restore(self, data):
         """Replace the state with a snapshot.
 
-        :raises DecodeError: the data is no snapshot; the state is unchanged.
+        :raises DecodeError: the data is not a snapshot; nothing changed.
         """
         state = State.FromString(data)
         config = parse_config(state.config.document) if state.config.version else None
@@ -306,7 +310,7 @@
         self.jobs.load(state)
         self.audit = AuditChain(
             number=state.audit_number,
-            # The founding snapshot of a group is empty.
+            # The bootstrap snapshot of a group is empty.
             head=state.audit_head or EMPTY_HEAD,
             recent=state.records,
         )
--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -1,4 +1,4 @@
-"""Calls that the leader of the cell group answers: domains, job reports, operators.
+"""Requests to the leader of the cell group: domain syncs, job reports, operator calls.
 
 >>> from siskintally.cell_service import MAX_WAIT_S
 >>> MAX_WAIT_S
@@ -19,19 +19,19 @@
 from siskintally.wire_pb2 import Done, OperatorReply, SyncReply
 
 MAX_WAIT_S = 5.0
-# A waiting poll looks this often whether this process still leads.
+# Interval at which a long poll checks whether this process is still the leader.
 LEADER_CHECK_S = 1.0
 MAX_REPORT_JOBS = 20_000
 _NOT_ANSWERED = (Code.NOT_LEADER, Code.OUTCOME_UNKNOWN, Code.STOPPED)
 
 
 class CellService:
-    """Answers calls to the cell group.
+    """Handles requests to the cell group; only its leader answers.
 
     :param group: the cell :class:`~siskintally.group.Group`.
     :param machine: its :class:`~siskintally.recorded_cell.RecordedCell`.
     :param settings: settings of the cell.
-    :param clock: Unix time, s; stamps the commands.
+    :param clock: returns the Unix time for the time stamps of commands, s.
     """
 
     __slots__ = (
@@ -63,15 +63,16 @@
             self._led = (self._group.term, monotonic())
 
     async def sync(self, request):
-        """Answer a long poll of a domain group with what changed.
+        """Answer a long poll of a domain group with the changes since its last one.
 
-        :raises NotLeaderError: this process does not lead, or no longer.
+        :raises NotLeaderError: this process is not the leader, or stopped being it meanwhile.
         """
         self._require_leader()
         self._check_group(request.group)
         cell = self._machine.cell
         if request.check or request.wait_s <= 0:
-            # The caller starts tasks on this answer; a leader that was cut off must not give it.
+            # The caller starts tasks because of this answer, so a leader that is partitioned from
+            # its quorum must not give it.
             await self._group.confirm()
         if request.check:
             status = cell.group_statuses.of(request.group)
@@ -99,7 +100,7 @@
         return other_epoch or cell.latest(request.group) > request.since
 
     async def _confirm_idle(self, request):
-        """Commit the word of a fenced group that nothing runs there any more."""
+        """Commit the report of a fenced group that nothing runs there any more."""
         status = self._machine.cell.group_statuses.of(request.group)
         if request.idle and status.lost and not status.idle and status.epoch == request.epoch:
             change = ConfirmIdle(group=request.group, epoch=request.epoch)
@@ -107,7 +108,7 @@
             await self._group.propose(command.SerializeToString())
 
     async def report(self, report):
-        """Commit the progress of jobs in a domain group.
+        """Commit a report of a domain group on the progress of its jobs.
 
         :raises NotLeaderError: nothing was proposed.
         :raises OutcomeUnknownError: the report may be committed; it can be sent again.
@@ -141,18 +142,20 @@
         return infos
 
     def _silent_s(self, group):
-        """Return for how long this process as leader has heard nothing of a domain group.
+        """Return the time for which this leader has heard nothing from a domain group, s.
 
-        What was said to a former leader is not known, so a new one counts from its first call.
+        Requests to a former leader are not known here, so a new leader counts from the first
+        request that it gets in its term.
         """
         heard_at = max(self._reported.heard_by_group.get(group, 0.0), self._led[1])
         return max(0.0, monotonic() - heard_at)
 
     async def operator(self, call):
-        """Answer an operator; a refusal is a reply with a result code.
+        """Answer an operator call; a refusal is a reply with a result code.
 
         :raises NotLeaderError: nothing was proposed.
-        :raises OutcomeUnknownError: may be committed; the same request id gets the first reply.
+        :raises OutcomeUnknownError: the change may be committed; a retry with the same request id
+            gets the first reply.
         """
         self._require_leader()
         try:
--- a/siskintally/operator_queries.py
+++ b/siskintally/operator_queries.py
@@ -1,4 +1,4 @@
-"""Answers to operators who only read: status, jobs, audit, configuration.
+"""Read-only operator calls: status, jobs, audit, configuration.
 
 >>> from siskintally.operator_queries import DEFAULT_LISTED
 >>> DEFAULT_LISTED
@@ -20,11 +20,11 @@
 
 
 class GroupReports:
-    """What domain groups last reported to this process; lost when it stops.
+    """Last reports of the domain groups to this process; kept in memory only.
 
     :param capacity_by_group: DomainCapacity messages.
     :param heard_by_group: monotonic time of the last request, s.
-    :param since_by_group: cell log index up to which the group has committed changes.
+    :param since_by_group: cell log index up to which the group has committed the changes.
     """
 
     __slots__ = ("capacity_by_group", "heard_by_group", "since_by_group")
@@ -36,11 +36,12 @@
 
 
 class OperatorQueries:
-    """Reads the state of the cell.
+    """Answers read-only operator calls from the state of the cell.
 
     :param group: the cell :class:`~siskintally.group.Group`.
     :param machine: its :class:`~siskintally.recorded_cell.RecordedCell`.
-    :param reported: :class:`GroupReports`.
+    :param settings: settings of the cell.
+    :param reported: :class:`GroupReports` of this process.
     """
 
     __slots__ = ("_audit_file", "_cell", "_group", "_settings", "_soft")
@@ -53,7 +54,7 @@
         self._soft = reported
 
     def answer(self, verb, arguments):
-        """Return the answer of a verb as a dict.
+        """Return the answer to a call of a verb as a dict.
 
         :raises BadRequestError: names the argument, its value, and what is allowed.
         """
@@ -104,7 +105,7 @@
         }
 
     def _is_current(self, group):
-        """Tell whether the quorum of a group has committed the configuration in force."""
+        """Return whether a domain group has committed the current configuration."""
         since = self._soft.since_by_group.get(group)
         return since is not None and since >= self._cell.config_state.changed_at
 
--- a/siskintally/recorded_cell.py
+++ b/siskintally/recorded_cell.py
@@ -1,4 +1,4 @@
-"""Cell machine of a store, with its audit file and a wake-up for waiting polls.
+"""State machine of the cell in a store: writes the audit file and wakes long polls.
 
 >>> from siskintally.recorded_cell import RecordedCell
 >>> RecordedCell.__mro__[1].__name__
@@ -15,7 +15,7 @@
 
 
 class RecordedCell(StateMachine):
-    """Cell machine of a store: writes the audit file and wakes waiting polls.
+    """Wraps the cell state machine: writes the audit file and wakes long polls.
 
     :param cell: :class:`~siskintally.cell.Cell`.
     :param audit_file: :class:`~siskintally.audit.AuditFile`.
@@ -29,7 +29,7 @@
         self._changed = Event()
 
     def apply(self, *, index, command):
-        """Apply a command; its audit record is synced before the reply is returned."""
+        """Apply a command; its audit record is synced to disk before the reply is returned."""
         reply = self.cell.apply(index=index, command=command)
         self._record()
         self._changed.set()
@@ -37,18 +37,18 @@
         return reply
 
     def snapshot(self):
-        """Return the state of the cell."""
+        """Return the snapshot of the cell."""
         return self.cell.snapshot()
 
     def restore(self, data):
-        """Replace the state; records that this store missed are written from it."""
+        """Replace the state; audit records that this store missed are written from the snapshot."""
         self.cell.restore(data)
         self._record()
         self._changed.set()
         self._changed = Event()
 
     async def wait_change(self):
-        """Wait until something is applied."""
+        """Wait until a command or a snapshot is applied."""
         await self._changed.wait()
 
     def _record(self):
@@ -56,7 +56,7 @@
         if chain.number < self.audit_file.last:
             return
         try:
-            # The last record of the file is given again, so that a different chain is noticed.
+            # Includes the last record of the file, so that a different chain is detected.
             self.audit_file.write(chain.after(self.audit_file.last - 1))
         except DamagedDataError as error:
-            log.error("audit file contradicts the log", error=str(error))
+            log.error("audit file differs from the audit chain of the cell", error=str(error))
--- a/siskintally/verbs.py
+++ b/siskintally/verbs.py
@@ -1,4 +1,4 @@
-"""Operator verbs: from the JSON arguments of an OperatorCall to a change of the cell state.
+"""Operator verbs: parses the JSON arguments of a call into a change of the cell state.
 
 >>> from siskintally.verbs import change_of, parse_arguments
 >>> change_of("preset", parse_arguments(b'{"preset": "peak", "expect_version": 3}'))
@@ -30,17 +30,17 @@
 
 
 class ArgumentsTooLargeError(SiskintallyError):
-    """The arguments are over the limit; nothing was changed."""
+    """The arguments are larger than the limit; nothing changed."""
 
     code = Code.TOO_LARGE
 
 
 def parse_arguments(data):
-    """Read the JSON arguments of a call; empty bytes are no arguments.
+    """Parse the JSON arguments of a call; empty bytes mean no arguments.
 
     :returns: dict.
-    :raises BadRequestError: no JSON object.
-    :raises ArgumentsTooLargeError: over 1 MiB.
+    :raises BadRequestError: the data is not a JSON object.
+    :raises ArgumentsTooLargeError: the data is larger than 1 MiB.
     """
     if len(data) > MAX_ARGUMENT_BYTES:
         raise ArgumentsTooLargeError(f"arguments: expected at most {MAX_ARGUMENT_BYTES} bytes")
@@ -54,14 +54,14 @@
 
 
 def canonical(arguments):
-    """Write arguments so that equal ones give equal bytes."""
+    """Return arguments as JSON bytes; equal arguments give equal bytes."""
     return dumps(arguments, sort_keys=True, separators=(",", ":")).encode()
 
 
 def is_read(verb, arguments):
-    """Tell whether a call only reads.
+    """Return whether a call only reads.
 
-    :raises BadRequestError: unknown verb.
+    :raises BadRequestError: the verb is unknown.
     """
     if verb in READS:
         return True
@@ -72,22 +72,22 @@
 
 
 def change_of(verb, arguments):
-    """Make the change that a call asks for.
+    """Return the change of the cell state that a call requests.
 
-    :returns: (field of Command, message).
+    :returns: (field name in Command, message).
     :raises BadRequestError: names the argument, its value, and what is allowed.
     """
     try:
         return _MAKERS[verb](arguments)
     except (ValueError, TypeError, OverflowError, RecursionError) as error:
-        # Values that protobuf refuses, such as text with half of a surrogate pair.
+        # Protobuf rejects some values, such as text with an unpaired surrogate.
         raise BadRequestError(f"arguments: {error}") from error
 
 
 def text_of(arguments, key, default=None):
     """Return a text argument.
 
-    :raises BadRequestError: missing without a default, or no text.
+    :raises BadRequestError: not text, or missing without a default.
     """
     value = arguments.get(key, default)
     if not isinstance(value, str):
@@ -98,7 +98,7 @@
 def number_of(arguments, key, *, low, high, default=None):
     """Return an integer argument.
 
-    :raises BadRequestError: missing without a default, no integer, or out of range.
+    :raises BadRequestError: not an integer, out of range, or missing without a default.
     """
     value = arguments.get(key, default)
     if not isinstance(value, int) or isinstance(value, bool) or not low <= value <= high:
@@ -107,9 +107,9 @@
 
 
 def flag_of(arguments, key, default):
-    """Return a true or false argument.
+    """Return a boolean argument.
 
-    :raises BadRequestError: another type.
+    :raises BadRequestError: not a boolean.
     """
     value = arguments.get(key, default)
     if not isinstance(value, bool):
@@ -118,9 +118,9 @@
 
 
 def expect_keys(arguments, *allowed):
-    """Check that there are no other arguments.
+    """Check that all arguments are among the allowed ones.
 
-    :raises BadRequestError: names the unknown one.
+    :raises BadRequestError: names the first unknown argument.
     """
     for key in arguments:
         if key not in allowed:
@@ -176,7 +176,9 @@
         raise BadRequestError("groups: expected a list of domain groups")
     if action == "lost":
         if not flag_of(arguments, "confirm", False):
-            raise BadRequestError("confirm: expected true, as nothing runs in the groups any more")
+            raise BadRequestError(
+                "confirm: expected true, to confirm that nothing runs in the groups"
+            )
         return "lose_groups", LoseGroups(groups=groups, force=flag_of(arguments, "force", False))
     if action != "restore" or len(groups) != 1:
         raise BadRequestError(f"action = {action!r}: expected lost, or restore with one group")
