Describe jobs, shares, group status and capacity in plain terms

Shares were given, taken back and held back, and capacity was believed. The docstrings now speak of dividing, removing and unplaced tasks, of quota use and of placement demand, and say what each return value counts.

--- a/siskintally/capacity.py
+++ b/siskintally/capacity.py
@@ -1,4 +1,4 @@
-"""Capacity of the domain groups as last reported, with the demand that is not placed yet.
+"""Capacity table of the domain groups, their demand not placed yet, and quota use of teams.
 
 >>> from siskintally.capacity import CapacityTable
 >>> CapacityTable().info_by_group
@@ -11,17 +11,18 @@
 from siskintally.job_split import RESOURCE_NAMES, GroupView, lacking
 from siskintally.wire_pb2 import Resources
 
-# Workers register again after an election, so for this time a smaller largest worker is not
-# believed: it would turn a job away as never fitting before the large workers are back.
+# Workers register again after an election. For this time a report of a smaller largest worker is
+# ignored: it would reject a job as never fitting before the large workers have registered.
 KEEP_LARGEST_S = 600.0
 NOTHING = (0, 0, 0)
 
 
 class CapacityTable:
-    """Domain groups by name.
+    """Last reported capacity of each domain group, and the demand on it.
 
-    :param info_by_group: GroupInfo messages as last reported.
-    :param largest_at: time at which the largest worker of a group was last believed, s.
+    :param info_by_group: ``{group name: GroupInfo}``.
+    :param largest_at: ``{group name: Unix time}`` of the last accepted report of the largest
+        worker, s.
     """
 
     __slots__ = ("_demand_by_group", "info_by_group", "largest_at")
@@ -32,9 +33,9 @@
         self._demand_by_group = {}
 
     def learn(self, infos, now):
-        """Take the list of domain groups and their capacity; an empty list changes nothing.
+        """Replace the domain groups and their capacity; an empty list changes nothing.
 
-        :param infos: GroupInfo messages; one without workers keeps the capacity known before.
+        :param infos: GroupInfo messages; a group without workers keeps its previous capacity.
         """
         if not infos:
             return
@@ -65,14 +66,15 @@
             self.largest_at[group] = now
 
     def demand(self, group, each, tasks):
-        """Add tasks that wait for placement in a group; negative to take them away."""
+        """Add a number of tasks that wait for placement in a group; negative to subtract."""
         _add(self._demand_by_group, group, each, tasks)
 
     def candidates(self, spec, *, refused=()):
-        """Return views of the groups that may hold a task.
+        """Return a GroupView of each group with a worker that may be large enough for a task.
 
-        :raises NotFoundError: no group owns the domain of the job.
-        :raises NeverFitsError: no group is left.
+        :param refused: names of groups that have refused the job.
+        :raises NotFoundError: no group owns the failure domain that the job names.
+        :raises NeverFitsError: no group can fit a task.
         """
         infos = [
             info
@@ -104,7 +106,7 @@
 
 
 class QuotaUse:
-    """What the admitted jobs of each team hold."""
+    """Resources of the admitted jobs of each team, which count against its quota."""
 
     __slots__ = ("_used_by_team",)
 
@@ -112,16 +114,16 @@
         self._used_by_team = {}
 
     def add(self, team, each, tasks):
-        """Add tasks of a team; negative to take them away."""
+        """Add a number of tasks of a team; negative to subtract."""
         _add(self._used_by_team, team, each, tasks)
 
     def used(self, team):
-        """Return what a team holds as Resources."""
+        """Return the resources that count against the quota of a team, as Resources."""
         values = self._used_by_team.get(team, NOTHING)
         return Resources(**dict(zip(RESOURCE_NAMES, values, strict=True)))
 
     def fits(self, team, each, tasks, quota):
-        """Tell whether more tasks of a team stay within its quota."""
+        """Return whether a number of further tasks of a team fits in its quota."""
         used = self._used_by_team.get(team, NOTHING)
         return all(
             held + getattr(each, name) * tasks <= getattr(quota, name)
@@ -130,7 +132,7 @@
 
 
 class Holdings:
-    """What each job holds of the quota of its team and demands of the domain groups."""
+    """Quota use and placement demand of each job, summed up by team and by domain group."""
 
     __slots__ = ("_capacity", "_held_by_id", "_quota_use")
 
@@ -140,7 +142,7 @@
         self._held_by_id = {}
 
     def update(self, job):
-        """Account for what a job holds now in place of what it held before."""
+        """Replace the quota use and the demand of a job by the present ones."""
         held_before, demand_before = self._held_by_id.pop(job.job_id, (0, {}))
         held, demand = 0, {}
         if job.admitted and not job.ended:
@@ -156,7 +158,7 @@
 
 
 def exceeding(each, tasks, quota):
-    """Return (resource, need, allowed) of the first resource above the whole quota, or None."""
+    """Return (name, need, quota) of the first resource above the whole quota, or None."""
     for name in RESOURCE_NAMES:
         need, allowed = getattr(each, name) * tasks, getattr(quota, name)
         if need > allowed:
@@ -165,8 +167,9 @@
 
 
 def require_within(spec, quota):
-    """Check that a job alone stays within the quota of its team, None if it has none.
+    """Check that a job alone fits in the quota of its team.
 
+    :param quota: None if the team has no quota.
     :raises QuotaExceededError: names the resource.
     """
     if quota is None:
--- a/siskintally/drains.py
+++ b/siskintally/drains.py
@@ -1,4 +1,4 @@
-"""Workers and endpoints that operators have taken out of service.
+"""Drain table of the cell: workers and endpoints that operators have taken out of service.
 
 >>> from siskintally.drains import DrainTable
 >>> DrainTable().latest()
@@ -13,7 +13,10 @@
 
 
 class DrainTable:
-    """DrainItems by kind and name, in order of change; one put back stays as an item."""
+    """DrainItems by kind and name, in order of change.
+
+    An item stays when its worker or endpoint is back in service, so that domain groups learn of it.
+    """
 
     __slots__ = ("_by_key",)
 
@@ -21,15 +24,15 @@
         self._by_key = {}
 
     def is_draining(self, kind, name):
-        """Tell whether something is out of service."""
+        """Return whether a worker or endpoint is out of service."""
         item = self._by_key.get((kind, name))
         return item is not None and item.draining
 
     def set(self, change, *, index):
-        """Take something out of service or put it back.
+        """Take a worker or endpoint out of service, or put it back.
 
-        :param change: SetDrain, its name already checked.
-        :raises BadRequestError: unknown kind, or too many names.
+        :param change: SetDrain message with a name that was already checked.
+        :raises BadRequestError: the kind is unknown, or there are too many names.
         """
         if change.kind not in DRAIN_KINDS:
             raise BadRequestError(f"kind = {change.kind!r}: expected worker or endpoint")
@@ -43,7 +46,7 @@
             )
 
     def draining(self):
-        """Return the DrainItems of everything that is out of service, in order of change."""
+        """Return the DrainItems of all workers and endpoints out of service, in order of change."""
         return [item for item in self._by_key.values() if item.draining]
 
     def latest(self):
--- a/siskintally/group_changes.py
+++ b/siskintally/group_changes.py
@@ -1,4 +1,4 @@
-"""Operator changes of the cell state that declare domain groups lost and restore them.
+"""Operator changes that declare domain groups lost or restore them to service.
 
 >>> from siskintally.group_changes import restore_group
 >>> restore_group.__name__
@@ -15,11 +15,11 @@
     """Declare domain groups lost, all of them or none.
 
     :param cell: :class:`~siskintally.cell.Cell`, changed in place.
-    :param note: filled for the audit record.
+    :param note: description of the change for the audit record, filled in here.
     :returns: the answer as a dict.
-    :raises GroupInUseError: a group was heard from lately, and the change is not forced.
+    :raises GroupInUseError: a group was heard from recently, and the change is not forced.
     :raises NotFoundError: no such group.
-    :raises BadRequestError: no names.
+    :raises BadRequestError: no group is named.
     """
     change = command.lose_groups
     names = list(dict.fromkeys(change.groups))
@@ -42,10 +42,10 @@
 
 
 def restore_group(cell, index, command, note):
-    """Let a lost group take work again.
+    """Put a lost group back into service.
 
     :returns: the answer as a dict.
-    :raises GroupInUseError: it has not confirmed that nothing runs there.
+    :raises GroupInUseError: the group has not confirmed that nothing runs there.
     :raises NotFoundError: no such group.
     """
     name = command.restore_group.group
--- a/siskintally/group_status.py
+++ b/siskintally/group_status.py
@@ -1,4 +1,4 @@
-"""Which domain groups operators have declared lost.
+"""Status of the domain groups: which of them operators have declared lost, and their epochs.
 
 >>> from siskintally.group_status import GroupStatusTable
 >>> table = GroupStatusTable()
@@ -11,19 +11,19 @@
 from siskintally.codes import Code
 from siskintally.errors import SiskintallyError
 
-# The leader of a domain group polls every 5 s. Elections, restarts and short partitions are over
-# within this time; a group that was heard from later is more likely alive than lost.
+# The leader of a domain group polls every 5 s. Elections, restarts and short partitions take less
+# than this time; a group that was heard from more recently is more likely alive than lost.
 MIN_SILENCE_S = 120.0
 
 
 class GroupInUseError(SiskintallyError):
-    """Something may still run in the domain group; nothing was changed."""
+    """Tasks may still run in the domain group; nothing changed."""
 
     code = Code.GROUP_IN_USE
 
 
 def group_status_text(status):
-    """Name a Standing.
+    """Return the name of the status in a Standing message.
 
     :returns: in service; lost; or lost, idle.
     """
@@ -35,8 +35,8 @@
 class GroupStatusTable:
     """Status of each domain group.
 
-    Each declared loss begins a new epoch of the group. What belongs to an earlier epoch, such as a
-    late report, has no effect, and a group that still follows an earlier one has to clear its jobs.
+    Each declared loss starts a new epoch of the group. Messages of an earlier epoch, such as a late
+    report, have no effect, and a group that is still in an earlier epoch must cancel its jobs.
     """
 
     __slots__ = ("_by_group",)
@@ -45,41 +45,41 @@
         self._by_group = {}
 
     def of(self, group):
-        """Return the Standing of a group; it must not be changed."""
+        """Return the Standing message of a group; callers must not change it."""
         return self._by_group.get(group) or Standing(group=group)
 
     def is_lost(self, group):
-        """Tell whether a group may run nothing."""
+        """Return whether a group is lost, so that it may not run tasks."""
         return self.of(group).lost
 
     def lost(self):
-        """Return the names of the groups that may run nothing, sorted."""
+        """Return the sorted names of the lost groups."""
         return sorted(name for name, status in self._by_group.items() if status.lost)
 
     def accepts(self, group, epoch):
-        """Tell whether a report of a group in an epoch counts."""
+        """Return whether a report that a group sent in an epoch is valid."""
         status = self.of(group)
         return not status.lost and epoch == status.epoch
 
     def latest(self, group):
-        """Return the log index of the last change for a group, 0 if none."""
+        """Return the log index of the last loss or restore of a group, 0 if none."""
         return self.of(group).changed_at
 
     def lose(self, group, *, index):
-        """Begin a new epoch of a group, in which it may run nothing."""
+        """Declare a group lost, which starts a new epoch of it."""
         epoch = self.of(group).epoch + 1
         self._by_group[group] = Standing(group=group, epoch=epoch, lost=True, changed_at=index)
 
     def confirm(self, group, epoch):
-        """Note that nothing runs in a lost group; a word from another epoch is ignored."""
+        """Record that nothing runs in a lost group; a report of another epoch is ignored."""
         status = self.of(group)
         if status.lost and status.epoch == epoch:
             status.idle = True
 
     def restore(self, group, *, index):
-        """Let a lost group take work again.
+        """Put a lost group back into service.
 
-        :raises GroupInUseError: it has not confirmed that nothing runs there.
+        :raises GroupInUseError: the group has not confirmed that nothing runs there.
         """
         status = self.of(group)
         if not status.idle:
@@ -88,9 +88,9 @@
         status.changed_at = index
 
     def save(self, state):
-        """Write all standings into a State message."""
+        """Write the status of all groups into a State message."""
         state.standings.extend(self._by_group[name] for name in sorted(self._by_group))
 
     def load(self, state):
-        """Replace everything with the standings of a State message."""
+        """Replace the table with the statuses in a State message."""
         self._by_group = {status.group: status for status in state.standings}
--- a/siskintally/job_changes.py
+++ b/siskintally/job_changes.py
@@ -1,4 +1,4 @@
-"""Shares of each domain group in the order in which their desired state last changed.
+"""Index of job changes: the job shares of each domain group by log index of the last change.
 
 >>> from siskintally.job_changes import JobChanges
 >>> JobChanges().latest("jylland")
@@ -9,7 +9,7 @@
 
 
 class JobChanges:
-    """What domain groups have to be told, found by log index."""
+    """Finds the job changes that a domain group has not received yet."""
 
     __slots__ = ("_index_by_group",)
 
@@ -17,25 +17,25 @@
         self._index_by_group = {}
 
     def touch(self, job, share, index):
-        """Note that the desired state of a share has changed."""
+        """Record that the desired state of a share changed at a log index."""
         share.changed_at = index
         changed = self._index_by_group.setdefault(share.group, {})
         changed.pop(job.job_id, None)
         changed[job.job_id] = index
 
     def drop(self, job, share):
-        """Forget a share."""
+        """Remove a share."""
         del self._index_by_group[share.group][job.job_id]
 
     def latest(self, group):
-        """Return the log index of the last change of desired state of a group, 0 if none."""
+        """Return the log index of the last change of a group's desired state, 0 if none."""
         changed = self._index_by_group.get(group)
         return changed[next(reversed(changed))] if changed else 0
 
     def items(self, group, since, by_id):
-        """Return JobItems of a group that changed after a log index, in order of change.
+        """Return the JobItems of a group that changed after a log index, in order of change.
 
-        :param by_id: all jobs.
+        :param by_id: ``{job id: Job}`` of all jobs.
         """
         items = []
         changed = self._index_by_group.get(group, {})
@@ -60,7 +60,7 @@
         """Replace everything with the shares of restored jobs."""
         self._index_by_group = {}
         changes = [(share.changed_at, job.job_id, share) for job in jobs for share in job.shares]
-        # Jobs that one command changed are listed by id in a restored table and by order of
-        # change in others; the set of items after any index is the same.
+        # Jobs that the same command changed are ordered by id here, but by order of change in a
+        # replica that was not restored; the set of items after any index is the same.
         for index, job_id, share in sorted(changes, key=lambda change: change[:2]):
             self._index_by_group.setdefault(share.group, {})[job_id] = index
--- a/siskintally/job_counts.py
+++ b/siskintally/job_counts.py
@@ -1,4 +1,4 @@
-"""Counts and the state of a job of the cell, from the progress of its shares; pure.
+"""Pure functions that derive counts and the state of a job from the progress of its shares.
 
 >>> from siskintally.cell_state_pb2 import Job
 >>> from siskintally.job_counts import job_state
@@ -10,12 +10,12 @@
 
 
 def ended_tasks(progress):
-    """Return how many tasks have ended according to a JobProgress."""
+    """Return the number of ended tasks in a JobProgress."""
     return progress.succeeded + progress.failed + progress.cancelled
 
 
 def job_state(job):
-    """Name the state of a job.
+    """Return the name of the state of a job.
 
     :returns: waiting, running, cancelling, succeeded, failed, cancelled, or never.
     """
@@ -34,18 +34,22 @@
 
 
 def share_has_ended(job, share):
-    """Tell whether no task of a share is left."""
+    """Return whether all tasks of a share have ended."""
     progress = share.progress
     if progress.running:
         return False
     if job.cancelled and share.reported and not progress.waiting:
-        # A group that learned of the job together with its cancellation made no tasks to count.
+        # A group that received the job and its cancellation together created no tasks, so its
+        # report has no ended ones.
         return True
     return ended_tasks(progress) >= share.tasks
 
 
 def holding(job):
-    """Return (tasks that count against the quota, {group: tasks not placed yet})."""
+    """Return (number of tasks that count against the quota, {group: tasks not placed yet}).
+
+    All tasks of a gang count until the whole job ends.
+    """
     total_ended = ended_tasks(job.past)
     demand_by_group = {}
     for share in job.shares:
--- a/siskintally/job_shares.py
+++ b/siskintally/job_shares.py
@@ -1,4 +1,4 @@
-"""Division of the tasks of a job over domain groups, and its withdrawal from lost ones.
+"""Assigns the tasks of a job to domain groups, and removes the shares of lost groups.
 
 >>> from siskintally.job_shares import JobShares
 >>> JobShares.__name__
@@ -14,7 +14,7 @@
 
 
 class JobShares:
-    """Gives tasks to domain groups and takes them back.
+    """Creates, extends and removes the shares of jobs.
 
     :param capacity: :class:`~siskintally.capacity.CapacityTable`.
     :param group_statuses: :class:`~siskintally.group_status.GroupStatusTable`.
@@ -29,12 +29,12 @@
         self._changes = changes
 
     def give(self, job, tasks, *, index):
-        """Divide tasks over the groups that may hold them.
+        """Divide tasks over the groups with workers large enough for them.
 
-        If only lost groups may, the tasks wait until an operator restores one.
+        If only lost groups have such workers, the tasks wait until an operator restores one.
 
-        :raises NeverFitsError: no group can ever hold one.
-        :raises NotFoundError: no group owns the domain of the job.
+        :raises NeverFitsError: no group can ever fit a task.
+        :raises NotFoundError: no group owns the failure domain that the job names.
         """
         refused = [share.group for share in job.shares if share.refused]
         views = self._capacity.candidates(job.spec, refused=refused)
@@ -56,7 +56,7 @@
             self._changes.touch(job, share, index)
 
     def give_again(self, job, tasks, *, index):
-        """Divide tasks that may have run before; they never turn into ones that never fit."""
+        """Divide tasks that may have run before; if no group fits them, they wait."""
         try:
             self.give(job, tasks, index=index)
         except (NeverFitsError, NotFoundError):
@@ -67,11 +67,11 @@
         job.reason = WAITS_FOR_GROUP
 
     def withdraw(self, job, groups):
-        """Keep only the ended tasks of the shares of groups.
+        """Remove the shares of groups; their ended tasks stay counted in ``job.past``.
 
-        A group that comes back follows the cell from the start, so nothing of the share is left.
+        A restored group syncs with the cell from the start, so the whole share can be removed.
 
-        :returns: number of other tasks that they had, or None if there were no such shares.
+        :returns: number of tasks in the shares that had not ended, None if there was no share.
         """
         shares = [share for share in job.shares if share.group in groups]
         left = 0
--- a/siskintally/job_split.py
+++ b/siskintally/job_split.py
@@ -1,4 +1,4 @@
-"""Division of a job over domain groups, pure.
+"""Pure functions that divide the tasks of a job over domain groups by free capacity.
 
 >>> from siskintally.job_split import GroupView, split
 >>> from siskintally.wire_pb2 import JobSpec, Resources
@@ -17,10 +17,10 @@
 
 
 class GroupView:
-    """What is known of a domain group when a job is divided.
+    """Capacity of a domain group for the division of a job.
 
     :param reported: whether the group has reported its workers.
-    :param largest: largest worker, each resource on its own.
+    :param largest: largest amount of each resource that some worker has.
     :param free: unallocated resources, less the demand of tasks that are not placed yet.
     :param total: resources of all workers.
     """
@@ -35,17 +35,17 @@
         self.total = total
 
     def can_hold(self, each):
-        """Tell whether some worker may hold a task; a group that has not reported may."""
+        """Return whether some worker may be large enough; True if the group has not reported."""
         return not self.reported or not lacking(self.largest, each)
 
 
 def lacking(largest, each):
-    """Return the names of the resources of which a task needs more than the largest worker has."""
+    """Return the names of the resources that a task needs more of than the largest worker has."""
     return [name for name in RESOURCE_NAMES if getattr(each, name) > getattr(largest, name)]
 
 
 def task_count(available, each):
-    """Return how many tasks fit into an amount of resources, at least 0."""
+    """Return the number of tasks that fit in an amount of resources, at least 0."""
     counts = [
         getattr(available, name) // getattr(each, name)
         for name in RESOURCE_NAMES
@@ -55,11 +55,15 @@
 
 
 def split(spec, tasks, views, *, present=None):
-    """Divide tasks over groups that can each hold one.
+    """Divide tasks over groups, each of which can fit at least one.
+
+    A gang goes to one group, a service is spread evenly, and a batch job fills the groups with the
+    most free capacity first.
 
     :param tasks: number of tasks, at least 1.
     :param views: candidate groups, at least one.
-    :param present: ``{group name: tasks}`` that the job has already; services are spread with them.
+    :param present: ``{group name: tasks}`` that the job already has; they count in the spread of a
+        service.
     :returns: ``{group name: tasks}``; groups without tasks are left out.
     """
     room_by_name = {view.name: task_count(view.free, spec.each) for view in views}
@@ -97,7 +101,10 @@
 
 
 def _level(tasks, given, room_by_name, present):
-    """Raise the groups with the fewest tasks of the job to the level of the others."""
+    """Add tasks to the groups with the fewest tasks of the job until all have equally many.
+
+    :returns: number of tasks left.
+    """
     level = max((present.get(name, 0) for name in given), default=0)
     order = sorted(given, key=lambda name: present.get(name, 0))
     left = tasks
@@ -122,7 +129,7 @@
 
 
 def _divide(tasks, given, weight_by_name):
-    """Add tasks that fit nowhere now in proportion to weights."""
+    """Add the tasks that no group has free capacity for, in proportion to the weights."""
     weight = sum(weight_by_name.values())
     left = tasks
     for name in given:
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -1,4 +1,4 @@
-"""Jobs of the cell: quotas, shares of domain groups, progress.
+"""Job table of the cell: admission by quota, shares of domain groups, progress and end of jobs.
 
 >>> from siskintally.jobs import JobTable
 >>> table = JobTable()
@@ -29,18 +29,20 @@
 
 
 class TooManyJobsError(SiskintallyError):
-    """The cell holds as many jobs that have not ended as it may; nothing was changed."""
+    """The cell has the maximum number of jobs that have not ended; nothing changed."""
 
     code = Code.OVERLOADED
 
 
 class JobTable:
-    """All jobs with their quotas and shares; every method is deterministic.
+    """All jobs of the cell with their shares; every method is deterministic.
 
-    :param by_id: jobs in order of submission.
-    :param capacity: domain groups as last reported.
-    :param quota_use: what teams hold.
-    :param group_statuses: which groups were declared lost.
+    A job is a set of tasks of one kind. Each share of it is run by one domain group.
+
+    :param by_id: ``{job id: Job}`` in order of submission.
+    :param capacity: last reported capacity of the domain groups.
+    :param quota_use: resources that count against the quota of each team.
+    :param group_statuses: which domain groups were declared lost.
     """
 
     __slots__ = (
@@ -69,14 +71,14 @@
         )
 
     def submit(self, spec, *, operator, index, now, quota_by_team):
-        """Admit a job or let it wait for quota.
+        """Add a job; it is admitted at once or waits for quota.
 
-        :param spec: JobSpec, already checked on its own.
+        :param spec: JobSpec that has passed :func:`~siskintally.spec.check_spec`.
         :returns: the Job.
-        :raises QuotaExceededError: larger than the whole quota.
-        :raises NeverFitsError: all groups have reported and none can hold a task.
-        :raises NotFoundError: no group owns the domain of the job.
-        :raises TooManyJobsError: too many jobs that have not ended.
+        :raises QuotaExceededError: the job is larger than the whole quota of its team.
+        :raises NeverFitsError: all groups have reported, and no worker can ever fit a task.
+        :raises NotFoundError: no group owns the failure domain that the job names.
+        :raises TooManyJobsError: too many jobs have not ended.
         """
         if len(self.by_id) - len(self._ended) >= MAX_ACTIVE_JOBS:
             raise TooManyJobsError(f"{MAX_ACTIVE_JOBS} jobs have not ended")
@@ -95,9 +97,9 @@
         return job
 
     def cancel(self, job_ids, prefix, *, index, now):
-        """Cancel jobs.
+        """Cancel jobs given by their ids and by a prefix of ids.
 
-        :param prefix: all jobs whose id starts with it, unless empty.
+        :param prefix: cancels all jobs whose id starts with it; empty: none.
         :returns: (ids cancelled now, ids that had ended, ids not found).
         """
         wanted = dict.fromkeys(job_ids)
@@ -126,10 +128,12 @@
             self._holdings.update(job)
 
     def admit(self, *, index, now, quota_by_team, teams=None):
-        """Admit waiting jobs as far as quotas allow.
+        """Admit the waiting jobs that fit in the quotas of their teams.
+
+        Within a team no job is admitted before an earlier one of its class or any one of a higher
+        class, so a stream of small jobs cannot starve a large one.
 
-        Within a team a job never overtakes an earlier one of its class or one of a higher class,
-        so a stream of small jobs cannot starve a large one.
+        :param teams: teams whose jobs are considered; None: all.
         """
         for team in list(self._waiting) if teams is None else teams:
             waiting = [self.by_id[job_id] for job_id in self._waiting.get(team, {})]
@@ -160,7 +164,7 @@
         self._settle(job, now)
 
     def report(self, report, *, index, now):
-        """Take the progress of jobs in one domain group; unknown and ended jobs are skipped."""
+        """Apply a JobReport of one domain group; unknown and ended jobs are skipped."""
         for progress in report.jobs:
             job = self.by_id.get(progress.job_id)
             if job is None or job.ended:
@@ -169,7 +173,7 @@
             if share is None or (share.refused and not share.tasks):
                 continue
             if share.reported and ended_tasks(progress) < ended_tasks(share.progress):
-                # A report that a former leader of the group sent before a newer one.
+                # An old report of a former leader of the group, received after a newer one.
                 continue
             share.progress.CopyFrom(progress)
             share.reported = True
@@ -180,7 +184,7 @@
             self._settle(job, now)
 
     def _move(self, job, share, *, index, now):
-        """Give the tasks that a group can never hold to another group, or end the job."""
+        """Move the tasks that no worker of a group can ever fit to other groups, or end the job."""
         keep = min(share.tasks, ended_tasks(share.progress) + share.progress.running)
         moved = share.tasks - keep
         share.refused = True
@@ -195,11 +199,11 @@
             self._end_as_never(job, reason, index=index, now=now)
 
     def lose(self, groups, *, index, now):
-        """Divide the tasks of groups that are gone over the groups that are left.
+        """Declare groups lost and divide their tasks over the remaining groups.
 
-        A task whose end was reported stays ended; every other one may run a second time.
+        A task whose end was reported stays ended; any other task may run a second time.
 
-        :returns: (tasks given to other groups, tasks that no other group can hold).
+        :returns: (number of tasks moved to other groups, number that fit in no other group).
         """
         for group in groups:
             self.group_statuses.lose(group, index=index)
@@ -220,9 +224,9 @@
         return moved, unplaced
 
     def restore(self, group, *, index, now):
-        """Give work to a group again that was lost.
+        """Put a lost group back into service and divide the unplaced tasks again.
 
-        :raises GroupInUseError: it has not confirmed that nothing runs there.
+        :raises GroupInUseError: the group has not confirmed that nothing runs there.
         """
         self.group_statuses.restore(group, index=index)
         for job in self.by_id.values():
@@ -237,12 +241,12 @@
         self._cancel(job, index=index, now=now)
 
     def _settle(self, job, now):
-        """Bring the derived figures of a job up to date after its shares have changed."""
+        """Update a job's end, quota use and placement demand after a change of its shares."""
         self._end_if_done(job, now)
         self._holdings.update(job)
 
     def _end_if_done(self, job, now):
-        """End a job when all its tasks have ended; return whether it ended now."""
+        """End a job if all its tasks have ended; return whether it ended now."""
         begun = job.admitted or job.cancelled
         over = not job.unplaced and all(share_has_ended(job, share) for share in job.shares)
         if job.ended or not begun or not over:
@@ -255,15 +259,15 @@
         return True
 
     def latest(self, group):
-        """Return the log index of the last change of desired state of a group, 0 if none."""
+        """Return the log index of the last change of a group's desired state, 0 if none."""
         return self._changes.latest(group)
 
     def items(self, group, since):
-        """Return JobItems of a group that changed after a log index, in order of change."""
+        """Return the JobItems of a group that changed after a log index, in order of change."""
         return self._changes.items(group, since, self.by_id)
 
     def forget(self, now):
-        """Drop jobs that ended 24 h ago, and the oldest of more than 20,000."""
+        """Drop jobs that ended more than 24 h ago, and the oldest ended ones above 20,000."""
         while self._ended:
             job_id = next(iter(self._ended))
             old = now - self.by_id[job_id].ended_at > KEEP_ENDED_S
