Describe specifications, configuration, presets and the audit log in plain terms

Several docstrings were fragments ("no record", "none of the three") or left out units and return values. They now say what is parsed, what is checked, and what a gap or a torn line in the audit file is.

--- a/siskintally/audit.py
+++ b/siskintally/audit.py
@@ -1,4 +1,4 @@
-"""Audit log: a hash chain of operator changes and its append-only file.
+"""Audit log: hash chain of operator changes, and the append-only file that stores it.
 
 >>> from siskintally.audit import AuditChain
 >>> chain = AuditChain()
@@ -19,7 +19,7 @@
 from siskintally.log import get_logger
 
 EMPTY_HEAD = "0" * 64
-# Enough for a store that was away for 1,000 changes to fill its file from a snapshot.
+# A store that missed up to 1,000 changes can complete its file from a snapshot.
 RECENT_RECORDS = 1000
 FIELDS = tuple(field.name for field in AuditRecord.DESCRIPTOR.fields)
 _HASHED = tuple(name for name in FIELDS if name != "hash")
@@ -28,21 +28,21 @@
 
 
 def record_hash(record):
-    """Return the hash of a record over all fields but ``hash``, the previous hash included."""
+    """Return the hash of all fields of a record except ``hash``; it includes the previous hash."""
     fields = [getattr(record, name) for name in _HASHED]
     return sha256(dumps(fields, separators=(",", ":")).encode()).hexdigest()
 
 
 def to_line(record):
-    """Write a record as one line of JSON."""
+    """Return a record as one line of JSON."""
     fields = {name: getattr(record, name) for name in FIELDS}
     return dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
 def from_line(line):
-    """Read a record.
+    """Parse a record from a line.
 
-    :raises DamagedDataError: the line is no record or its hash is wrong.
+    :raises DamagedDataError: the line is not a record, or its hash does not match.
     """
     try:
         fields = loads(line)
@@ -55,7 +55,12 @@
 
 
 class AuditChain:
-    """Head of the chain and the latest records, part of the cell state."""
+    """End of the hash chain and the latest records; part of the cell state.
+
+    :param number: number of the last record.
+    :param head: hash of the last record.
+    :param recent: the latest records, oldest first.
+    """
 
     __slots__ = ("head", "number", "recent")
 
@@ -65,9 +70,9 @@
         self.recent = list(recent)
 
     def append(self, **fields):
-        """Add a record; number, previous hash, and hash are filled in.
+        """Append a record to the chain and return it.
 
-        :param fields: all other fields of AuditRecord.
+        :param fields: all fields of AuditRecord except number, previous and hash.
         """
         record = AuditRecord(number=self.number + 1, previous=self.head, **fields)
         record.hash = record_hash(record)
@@ -79,13 +84,18 @@
         return record
 
     def after(self, number):
-        """Return the records that are kept and have a larger number."""
+        """Return the kept records with a larger number."""
         fresh = self.number - number
         return self.recent[-fresh:] if fresh > 0 else []
 
 
 class Note:
-    """What an audit record says of a change; the change fills it while it is made."""
+    """Description of a change for its audit record; filled in while the change is applied.
+
+    :param verb: verb of the operator call.
+
+    ``what`` names the changed thing; ``before`` and ``after`` are its old and new values.
+    """
 
     __slots__ = ("after", "before", "verb", "what")
 
@@ -97,14 +107,14 @@
 
 
 class Findings:
-    """What the check of an audit file found.
+    """Result of the check of an audit file.
 
-    :param records: number of records read.
-    :param head: hash of the last one.
-    :param last: its number.
-    :param gaps: descriptions of ranges that this store never received.
+    :param records: number of valid records.
+    :param head: hash of the last valid record.
+    :param last: number of the last valid record.
+    :param gaps: descriptions of the ranges of records that this store never received.
     :param damage: description of the first damage, or empty.
-    :param whole_bytes: length of the file without a torn last line.
+    :param whole_bytes: length of the valid lines, without a torn last line.
     """
 
     __slots__ = ("damage", "gaps", "head", "last", "records", "whole_bytes")
@@ -119,12 +129,14 @@
 
 
 def verify_lines(lines):
-    """Check a chain given as lines.
+    """Check the hash chain in the lines of an audit file.
 
-    A gap, that is a range of numbers the store was not given because it was away too long, is no
-    damage. A line without a line feed is torn: the process ended while it wrote.
+    A gap is a range of record numbers that the store never received, because it was down for too
+    many changes; it is no damage. A line without a line feed is torn: the process ended while it
+    wrote the line.
 
     :param lines: iterable of bytes, each with its line feed.
+    :returns: :class:`Findings`.
     """
     findings = Findings()
     for number, line in enumerate(lines, start=1):
@@ -151,7 +163,7 @@
 
 
 def verify(path):
-    """Check an audit file; a missing file is an empty chain."""
+    """Check an audit file; a missing file counts as an empty chain."""
     try:
         with Path(path).open("rb") as lines:
             return verify_lines(lines)
@@ -160,10 +172,10 @@
 
 
 class AuditFile:
-    """Append-only file of audit records, synced at each append.
+    """Append-only file of audit records, synced to disk after each append.
 
-    :param path: created if missing; a torn last line is cut off.
-    :raises DamagedDataError: the chain in the file is broken.
+    :param path: file, created if missing; a torn last line is truncated.
+    :raises DamagedDataError: the hash chain in the file is broken.
     """
 
     __slots__ = ("_bytes", "_descriptor", "head", "last", "path")
@@ -183,7 +195,7 @@
 
     @classmethod
     def recover(cls, *, path):
-        """Open the file; a damaged one is renamed with the suffix ``.damaged-<n>`` and replaced."""
+        """Open a file; a damaged one is renamed with the suffix ``.damaged-<n>`` and replaced."""
         try:
             return cls(path=path)
         except DamagedDataError as error:
@@ -195,9 +207,9 @@
             return cls(path=path)
 
     def write(self, records):
-        """Append records and sync; those the file already has are skipped.
+        """Append records and sync; records that the file already has are skipped.
 
-        :raises DamagedDataError: a record contradicts the file; nothing was written.
+        :raises DamagedDataError: a record does not match the file; nothing was written.
         """
         lines = []
         last, head = self.last, self.head
@@ -221,7 +233,7 @@
                 view = view[write(self._descriptor, view) :]
             fdatasync(self._descriptor)
         except OSError:
-            # A part of a line, as on a full disk, must not stay in front of the next record.
+            # A partly written line, as on a full disk, must not precede the next record.
             ftruncate(self._descriptor, self._bytes)
             raise
         self._bytes += len(data)
--- a/siskintally/config.py
+++ b/siskintally/config.py
@@ -1,4 +1,4 @@
-r"""The configuration document that operators set, checked as a whole.
+r"""Configuration document of the cell: parses and checks its presets and team quotas.
 
 >>> from siskintally.config import parse_config
 >>> config = parse_config("[teams.buses]\ncpu_milli = 8000\nmemory_mb = 16384")
@@ -18,7 +18,7 @@
 MAX_MEMORY_MB = 1_000_000_000_000
 MAX_ACCELERATORS = 1_000_000
 
-# Every preset key at its default and one team; a start for operators.
+# All presets at their defaults and one team; a document for operators to start from.
 DEFAULT_DOCUMENT = """\
 [presets.ordinary]
 
@@ -40,7 +40,7 @@
 
 
 class Quota:
-    """What all running tasks of a team may reserve together.
+    """Maximum resources that the admitted jobs of a team may use together.
 
     :param cpu_milli: thousandths of a core.
     :param memory_mb: MB.
@@ -56,10 +56,10 @@
 
 
 class Config:
-    """A checked configuration document.
+    """A parsed and checked configuration document.
 
-    :param preset_by_name: the three presets.
-    :param quota_by_team: a team that is absent has no quota, so its jobs are refused.
+    :param preset_by_name: ``{name: Preset}`` of the three presets.
+    :param quota_by_team: ``{team: Quota}``; the jobs of a team without a quota are refused.
     """
 
     __slots__ = ("preset_by_name", "quota_by_team")
@@ -71,7 +71,7 @@
     def preset(self, name):
         """Return a preset by name.
 
-        :raises BadSettingsError: there is no such preset.
+        :raises BadSettingsError: the name is unknown.
         """
         check_preset_name(name)
         return self.preset_by_name[name]
@@ -80,17 +80,19 @@
 def check_preset_name(name):
     """Check the name of a preset.
 
-    :raises BadSettingsError: it is none of the three.
+    :raises BadSettingsError: the name is unknown.
     """
     if name not in PRESET_NAMES:
         raise BadSettingsError(f"preset = {name!r}: expected one of {', '.join(PRESET_NAMES)}")
 
 
 def parse_config(text):
-    """Check a configuration document.
+    """Parse and check a configuration document.
 
     :param text: TOML.
-    :raises BadSettingsError: names key, value, and allowed range; nothing of it may be used.
+    :returns: :class:`Config`.
+    :raises BadSettingsError: names the key, its value and the allowed range; no part of the
+        document may be used.
     """
     size = len(text.encode("utf-8", "surrogatepass"))
     if size > MAX_DOCUMENT_BYTES:
--- a/siskintally/preset.py
+++ b/siskintally/preset.py
@@ -1,4 +1,4 @@
-"""Presets: the sets of limits of which exactly one is in force.
+"""Presets: named sets of limits, exactly one of which is active in the cell.
 
 >>> from siskintally.preset import default_preset
 >>> default_preset("peak").queue_limit_urgent
@@ -12,12 +12,13 @@
 
 
 class Limit:
-    """Type, range, unit, and default values of one key of a preset.
+    """Type, range, unit and default values of one key of a preset.
 
     :param kind: ``int``, ``float``, or ``bool``.
-    :param low: least value; unused for ``bool``.
-    :param high: greatest value.
-    :param defaults: values for ordinary, peak, and maintenance.
+    :param unit: unit for documentation.
+    :param defaults: values for the ordinary, peak and maintenance presets.
+    :param low: smallest value; unused for ``bool``.
+    :param high: largest value; unused for ``bool``.
     """
 
     __slots__ = ("defaults", "high", "kind", "low", "name", "unit")
@@ -33,7 +34,7 @@
     def check(self, value, *, key):
         """Return the value, converted to the type of the key.
 
-        :param key: full name, for the error.
+        :param key: full name of the key, for the error message.
         :raises BadSettingsError: wrong type or out of range.
         """
         if self.kind is bool:
@@ -44,12 +45,12 @@
 
 
 def number(value, *, key, kind, low, high):
-    """Check a number against its range.
+    """Check the type and range of a number and return it as ``kind``.
 
     >>> number(3, key="n", kind=int, low=1, high=5)
     3
 
-    :raises BadSettingsError: wrong type or out of range; not-a-number is out of every range.
+    :raises BadSettingsError: wrong type or out of range; NaN is out of every range.
     """
     expected = "an integer" if kind is int else "a number"
     types = (int,) if kind is int else (int, float)
@@ -59,8 +60,9 @@
     return kind(value)
 
 
-# The peak preset sheds earlier and gives deferrable work half the share, because latency counts
-# most at peak. Urgent limits stay equal: urgent work must start within 6.1 s under each preset.
+# The peak preset sheds load earlier and gives deferrable work half the share, because latency
+# matters most at peak. The limits of urgent work are the same in all presets, because it must start
+# within 6.1 s under each of them.
 LIMITS = (
     Limit(
         name="queue_limit_urgent",
@@ -126,7 +128,8 @@
         high=0.5,
         defaults=(0.1, 0.05, 0.1),
     ),
-    # A lease must outlive an election, or the loss of one store stops the tasks of its workers.
+    # A lease must last longer than an election; otherwise the loss of one store stops the tasks of
+    # its workers.
     Limit(name="lease_s", kind=float, unit="s", low=10, high=600, defaults=(30.0, 30.0, 30.0)),
     Limit(name="preempt", kind=bool, unit="", defaults=(True, True, True)),
     Limit(name="place_deferrable", kind=bool, unit="", defaults=(True, True, False)),
@@ -135,13 +138,13 @@
 
 
 class Preset:
-    """The limits of one preset, one attribute for each entry of ``LIMITS``.
+    """The limits of one preset, with one attribute for each entry of ``LIMITS``.
 
-    :param queue_limit_urgent: requests; likewise for normal and deferrable.
-    :param deadline_ms_urgent: ms, for requests that name none; likewise for the others.
-    :param retry_ratio: retries per first send.
-    :param deferrable_share: guaranteed share of dispatches.
-    :param lease_s: worker lease, s.
+    :param queue_limit_urgent: longest queue, in requests; likewise for normal and deferrable.
+    :param deadline_ms_urgent: default deadline of requests, ms; likewise for the other classes.
+    :param retry_ratio: allowed retries per first send.
+    :param deferrable_share: share of dispatches guaranteed to deferrable requests.
+    :param lease_s: length of a worker lease, s.
     :param preempt: whether urgent work may stop deferrable batch tasks.
     :param place_deferrable: whether deferrable tasks are started.
     """
@@ -163,15 +166,15 @@
 
 
 def default_preset(name):
-    """Return a preset with every key at its default."""
+    """Return the preset of a name with all keys at their defaults."""
     position = PRESET_NAMES.index(name)
     return Preset(name=name, **{limit.name: limit.defaults[position] for limit in LIMITS})
 
 
 def parse_preset(name, table):
-    """Check the table of one preset; keys that are absent keep their defaults.
+    """Parse and check the table of one preset; absent keys have their defaults.
 
-    :raises BadSettingsError: unknown key, wrong type, or out of range.
+    :raises BadSettingsError: unknown key, wrong type or value out of range.
     """
     key = f"presets.{name}"
     if not isinstance(table, dict):
--- a/siskintally/spec.py
+++ b/siskintally/spec.py
@@ -1,4 +1,4 @@
-"""Job specifications: reading from JSON or TOML values, and checks.
+"""Job specifications: parses them from JSON or TOML values and checks them.
 
 >>> from siskintally.spec import parse_spec
 >>> parse_spec({"name": "restock", "team": "shops", "kind": "gang", "tasks": 4,
@@ -42,10 +42,10 @@
 
 
 def parse_spec(fields):
-    """Make a JobSpec from plain values.
+    """Return the JobSpec of plain values.
 
-    :param fields: ``{key: value}`` with the keys of a job file; name, team, and kind are required.
-    :raises BadRequestError: names key, value, and what is allowed.
+    :param fields: ``{key: value}`` with the keys of a job file; name, team and kind are required.
+    :raises BadRequestError: names the key, its value and what is allowed.
     """
     if not isinstance(fields, dict):
         raise BadRequestError("job: expected a table of keys and values")
@@ -78,9 +78,9 @@
 
 
 def check_spec(spec):
-    """Check a JobSpec on its own.
+    """Check a JobSpec by itself, without the state of the cell.
 
-    :raises BadRequestError: names key, value, and what is allowed.
+    :raises BadRequestError: names the key, its value and what is allowed.
     """
     if not NAME_PATTERN.fullmatch(spec.name):
         raise BadRequestError(
