Rename identifiers of the domain state and the ledger after what they do

"_keep", "_end", "follow", "strip" and "withdraw" hid that jobs are filed, attempts ended, items applied and jobs cancelled; loop variables were called "one" and "end". In the ledger, prints are fingerprints now, a record is granted to an attempt, and sizes and limits name their unit.

--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -25,10 +25,10 @@
 from siskintally.state_machine import StateMachine
 from siskintally.wire_pb2 import ConfigState
 
-ORDINARY = "ordinary"
+DEFAULT_PRESET_NAME = "ordinary"
 # The cell may send the item of a job again after the job has ended, and the job must not run a
 # second time. 20,000 are the jobs of three days.
-KEEP_ENDED_JOBS = 20_000
+MAX_KEPT_ENDED_JOBS = 20_000
 
 
 class DomainWorker:
@@ -91,7 +91,7 @@
         try:
             return parse_config(self.config.document).preset(self.config.preset)
         except SiskintallyError:
-            return default_preset(ORDINARY)
+            return default_preset(DEFAULT_PRESET_NAME)
 
     def apply(self, *, index, command):
         """Apply a serialized DomainCommand, return a DomainReply; a malformed one has no effect."""
@@ -136,17 +136,21 @@
             return DomainReply(code=int(Code.DONE))
         # When the disks of a group were restored from an older copy, the cell may restore the
         # group to service although attempts of that copy have not ended here.
-        too_early = self.fenced and not change.lost and not self.is_idle
-        if change.epoch == self.epoch and change.index >= self.cell_index and not too_early:
+        restored_too_early = self.fenced and not change.lost and not self.is_idle
+        if (
+            change.epoch == self.epoch
+            and change.index >= self.cell_index
+            and not restored_too_early
+        ):
             self.cell_index = change.index
             self.fenced = change.lost
             if change.config.version > self.config.version:
                 self.config = _copy(change.config)
                 self.longest_lease_s = max(self.longest_lease_s, self.preset().lease_s)
             for drain in change.drains:
-                self._apply_drain(drain)
+                self._apply_drain_item(drain)
             for item in change.jobs:
-                self._apply_job(item)
+                self._apply_job_item(item)
         return DomainReply(code=int(Code.DONE))
 
     def _begin_epoch(self, epoch):
@@ -159,15 +163,15 @@
         self.cell_index = 0
         self.drain_by_key.clear()
         for job in list(self.job_by_id.values()):
-            job.withdraw()
-            self._keep(job)
+            job.cancel()
+            self._update_ended_jobs(job)
 
     @property
     def is_idle(self):
         """Whether no attempt is assigned to any worker."""
         return not any(worker.task_ids for worker in self.worker_by_name.values())
 
-    def _apply_drain(self, drain):
+    def _apply_drain_item(self, drain):
         if drain.draining:
             self.drain_by_key[drain.kind, drain.name] = _copy(drain)
         else:
@@ -177,7 +181,7 @@
         """Return the sorted names of the endpoints that must get no new work."""
         return sorted(name for kind, name in self.drain_by_key if kind == "endpoint")
 
-    def _apply_job(self, item):
+    def _apply_job_item(self, item):
         job = self.job_by_id.get(item.job_id)
         if job is None:
             job = DomainJob(
@@ -186,10 +190,10 @@
             self.job_by_id[item.job_id] = job
         elif item.changed_at <= job.item.changed_at:
             return
-        job.follow(_copy(item))
-        self._keep(job)
+        job.apply_item(_copy(item))
+        self._update_ended_jobs(job)
 
-    def _keep(self, job):
+    def _update_ended_jobs(self, job):
         """Move a job into or out of the ended jobs; drop the oldest and those of earlier epochs."""
         job_id = job.item.job_id
         if job.is_over and job.epoch != self.epoch:
@@ -199,28 +203,30 @@
         if not job.is_over:
             self._ended_jobs.pop(job_id, None)
             return
-        job.strip()
+        job.drop_spec()
         self._ended_jobs[job_id] = None
-        if len(self._ended_jobs) > KEEP_ENDED_JOBS:
+        if len(self._ended_jobs) > MAX_KEPT_ENDED_JOBS:
             oldest = next(iter(self._ended_jobs))
             del self._ended_jobs[oldest], self.job_by_id[oldest]
 
     def _apply_batch(self, batch):
         ended, refused = [], []
-        for end in batch.ended:
-            task = self.task(end.task_id)
-            if task is not None and task.worker and task.attempt == end.attempt:
-                self._end(task, end.cause)
-                ended.append(end.task_id)
+        for attempt_end in batch.ended:
+            task = self.task(attempt_end.task_id)
+            if task is not None and task.worker and task.attempt == attempt_end.attempt:
+                self._end_attempt(task, attempt_end.cause)
+                ended.append(attempt_end.task_id)
         for name in batch.lost:
             worker = self.worker_by_name.get(name)
             if worker is not None:
                 for task_id in sorted(worker.task_ids):
-                    self._end(self.task(task_id), AttemptEnd.LOST)
+                    self._end_attempt(self.task(task_id), AttemptEnd.LOST)
                     ended.append(task_id)
                 del self.worker_by_name[name]
-        refused.extend(record.name for record in batch.joined if not self._join(record))
-        refused.extend(one.task_id for one in batch.assigned if not self._assign(one))
+        refused.extend(record.name for record in batch.joined if not self._register_worker(record))
+        refused.extend(
+            assignment.task_id for assignment in batch.assigned if not self._assign_task(assignment)
+        )
         if batch.longest_lease_s:
             self.longest_lease_s = max(batch.longest_lease_s, self.preset().lease_s)
         return DomainReply(code=int(Code.DONE), refused=refused, ended=ended)
@@ -230,45 +236,49 @@
         job = self.job_by_id.get(job_id_of(task_id))
         return job.task_by_id.get(task_id) if job is not None else None
 
-    def _end(self, task, cause):
+    def _end_attempt(self, task, cause):
         job = self.job_by_id[job_id_of(task.task_id)]
         worker = self.worker_by_name[task.worker]
         del worker.task_ids[task.task_id]
         worker.used -= job.need
-        job.end(task, cause)
-        self._keep(job)
+        job.end_attempt(task, cause)
+        self._update_ended_jobs(job)
 
-    def _join(self, record):
+    def _register_worker(self, record):
         """Register a worker; return False if its capacity is below what its tasks have reserved."""
-        known = self.worker_by_name.get(record.name)
+        registered = self.worker_by_name.get(record.name)
         worker = DomainWorker(record=_copy(record))
-        if known is not None:
-            if not known.used.within(worker.capacity):
+        if registered is not None:
+            if not registered.used.within(worker.capacity):
                 return False
-            worker.used, worker.task_ids = known.used, known.task_ids
+            worker.used, worker.task_ids = registered.used, registered.task_ids
         self.worker_by_name[record.name] = worker
         return True
 
-    def _assign(self, one):
+    def _assign_task(self, assignment):
         """Assign a waiting task; return False if refused.
 
         This is the last check of invariants I1 and I2 before the start is sent to the worker.
         """
-        task = self.task(one.task_id)
-        worker = self.worker_by_name.get(one.worker)
-        if task is None or worker is None or task.worker or one.attempt != task.attempt + 1:
+        task = self.task(assignment.task_id)
+        worker = self.worker_by_name.get(assignment.worker)
+        if task is None or worker is None or task.worker or assignment.attempt != task.attempt + 1:
             return False
-        job = self.job_by_id[job_id_of(one.task_id)]
-        total = worker.used + job.need
+        job = self.job_by_id[job_id_of(assignment.task_id)]
+        used = worker.used + job.need
         if self.fenced or job.epoch != self.epoch:
             return False
-        if job.item.cancelled or worker.record.session != one.session:
+        if job.item.cancelled or worker.record.session != assignment.session:
             return False
-        if not total.within(worker.capacity):
+        if not used.within(worker.capacity):
             return False
-        task.attempt, task.worker, task.session = one.attempt, one.worker, one.session
-        worker.used = total
-        worker.task_ids[one.task_id] = None
+        task.attempt, task.worker, task.session = (
+            assignment.attempt,
+            assignment.worker,
+            assignment.session,
+        )
+        worker.used = used
+        worker.task_ids[assignment.task_id] = None
         job.running += 1
         return True
 
@@ -295,13 +305,13 @@
 
         :raises DamagedDataError: the data is not a snapshot of this group; nothing changed.
         """
-        fresh = Domain(group=self.group)
+        restored = Domain(group=self.group)
         try:
-            fresh._load(DomainState.FromString(data))
+            restored._load(DomainState.FromString(data))
         except (DecodeError, KeyError, BadRequestError) as error:
             raise DamagedDataError(f"domain snapshot: {error}") from error
         for name in Domain.__slots__:
-            setattr(self, name, getattr(fresh, name))
+            setattr(self, name, getattr(restored, name))
 
     def _load(self, state):
         if state.group != self.group:
@@ -316,8 +326,8 @@
             self.worker_by_name[record.name] = DomainWorker(record=_copy(record))
         for drain in state.drains:
             self.drain_by_key[drain.kind, drain.name] = _copy(drain)
-        for saved in state.jobs:
-            job = DomainJob.of(_copy(saved), group=self.group)
+        for job_state in state.jobs:
+            job = DomainJob.from_state(_copy(job_state), group=self.group)
             self.job_by_id[job.item.job_id] = job
             for task in job.task_by_id.values():
                 if task.worker:
--- a/siskintally/domain_checks.py
+++ b/siskintally/domain_checks.py
@@ -22,14 +22,14 @@
         raise BadRequestError(f"name {text[:40]!r}: expected 1 to {MAX_NAME_LENGTH} characters")
 
 
-def _check_amounts(resources):
+def _check_resources(resources):
     for amount in Size.of(resources).key():
         if not 0 <= amount <= MAX_AMOUNT:
             raise BadRequestError(f"amount {amount}: expected 0 to {MAX_AMOUNT}")
 
 
 def _check_spec(spec):
-    _check_amounts(spec.each)
+    _check_resources(spec.each)
     if spec.kind not in JobSpec.Kind.values() or spec.class_ not in JobSpec.Class.values():
         raise BadRequestError(f"kind = {spec.kind}, class = {spec.class_}: unknown")
     for seconds in (spec.run_s, spec.deadline_s):
@@ -61,4 +61,4 @@
     for record in change.joined:
         _check_name(record.name)
         _check_name(record.session)
-        _check_amounts(record.capacity)
+        _check_resources(record.capacity)
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -3,7 +3,7 @@
 >>> from siskintally.domain_job import DomainJob
 >>> from siskintally.wire_pb2 import JobItem, JobSpec
 >>> job = DomainJob(item=JobItem(job_id="j", spec=JobSpec(), tasks=2), group="g", accepted_at=0.0)
->>> job.resize()
+>>> job.adjust_tasks()
 >>> sorted(job.task_by_id)
 ['j/g.0', 'j/g.1']
 """
@@ -13,7 +13,7 @@
 from siskintally.wire_pb2 import JobProgress, JobSpec
 
 # A batch or gang task that has failed this often, on different workers, is reported as failed.
-MAX_FAILURES = 5
+MAX_TASK_FAILURES = 5
 
 
 def job_id_of(task_id):
@@ -100,23 +100,23 @@
         """Whether all tasks have ended."""
         return not self.task_by_id
 
-    def follow(self, item):
+    def apply_item(self, item):
         """Apply a newer item; the size of the tasks changes only when all of them have ended."""
         if self.is_over:
             self.need = Size.of(item.spec.each)
         self.item = item
-        self.resize()
+        self.adjust_tasks()
 
-    def withdraw(self):
+    def cancel(self):
         """Cancel the job, because the group was declared lost; waiting tasks end at once."""
         self.item.cancelled = True
-        self.resize()
+        self.adjust_tasks()
 
-    def strip(self):
+    def drop_spec(self):
         """Drop the spec of an ended job, which is most of its size in a snapshot."""
         self.item.ClearField("spec")
 
-    def resize(self):
+    def adjust_tasks(self):
         """Add tasks up to the number in the item; drop surplus and cancelled waiting tasks."""
         if self.item.cancelled:
             for task in self.waiting():
@@ -129,8 +129,8 @@
                 del self.task_by_id[task.task_id]
                 surplus -= 1
         while self.ended + len(self.task_by_id) < self.item.tasks:
-            label = f"{self.group}~{self.epoch}" if self.epoch else self.group
-            task_id = f"{self.item.job_id}/{label}.{self.next_number}"
+            group_label = f"{self.group}~{self.epoch}" if self.epoch else self.group
+            task_id = f"{self.item.job_id}/{group_label}.{self.next_number}"
             self.next_number += 1
             self.task_by_id[task_id] = Task(task_id=task_id)
 
@@ -138,7 +138,7 @@
         """Return the tasks without a live attempt."""
         return [task for task in self.task_by_id.values() if not task.worker]
 
-    def end(self, task, cause):
+    def end_attempt(self, task, cause):
         """End the live attempt of a task; the task ends with it or waits for another attempt."""
         task.worker = task.session = ""
         self.running -= 1
@@ -146,15 +146,15 @@
             self.succeeded += 1
         elif self.item.cancelled:
             self.cancelled += 1
-        elif cause == AttemptEnd.FAILED and self._has_failed_too_often(task):
+        elif cause == AttemptEnd.FAILED and self._record_failure(task):
             self.failed += 1
         elif self.ended + len(self.task_by_id) <= self.item.tasks:
             return
         del self.task_by_id[task.task_id]
 
-    def _has_failed_too_often(self, task):
+    def _record_failure(self, task):
         task.failures += 1
-        return self.item.spec.kind != JobSpec.SERVICE and task.failures >= MAX_FAILURES
+        return self.item.spec.kind != JobSpec.SERVICE and task.failures >= MAX_TASK_FAILURES
 
     def progress(self):
         """Return the task counts as a JobProgress."""
@@ -181,7 +181,7 @@
         )
 
     @classmethod
-    def of(cls, state, *, group):
+    def from_state(cls, state, *, group):
         """Return the job of a JobState from a snapshot."""
         job = cls(item=state.item, group=group, accepted_at=state.accepted_at, epoch=state.epoch)
         job.next_number = state.next_number
--- a/siskintally/ledger.py
+++ b/siskintally/ledger.py
@@ -26,18 +26,18 @@
 BODY_LIMIT_BYTES = 16_384
 # 20,000 requests an hour for 24 h are 480,000 records; the rest is for released attempts.
 CAPACITY_RECORDS = 600_000
-CAPACITY_ANSWER_BYTES = 96 * 1024 * 1024
-GENERATIONS = 24
+ANSWER_CAPACITY_BYTES = 96 * 1024 * 1024
+GENERATIONS_PER_RETENTION = 24
 
 # 15 bytes save memory: CPython needs 48 bytes for a bytes object of up to 15 bytes, and 64 for
 # the next longer ones.
-FINGERPRINT_BYTES = 15
-ATTEMPT_BYTES = 14
-REQUEST_BYTES = 16
-HEAD_BYTES = 1 + ATTEMPT_BYTES + REQUEST_BYTES
+KEY_FINGERPRINT_BYTES = 15
+ATTEMPT_FINGERPRINT_BYTES = 14
+REQUEST_FINGERPRINT_BYTES = 16
+RECORD_HEADER_BYTES = 1 + ATTEMPT_FINGERPRINT_BYTES + REQUEST_FINGERPRINT_BYTES
 
 # Last field of a running record: Unix time, in seconds, after which its attempt counts as lost.
-UNTIL = Struct(">d")
+RUN_UNTIL = Struct(">d")
 # Allows for the wall clocks of successive leaders, which may differ by seconds.
 DEADLINE_MARGIN_S = 10.0
 
@@ -49,8 +49,8 @@
 _Verdict = LedgerBeginReply.Verdict
 
 
-def _hash(size, *parts):
-    digest = blake2b(digest_size=size)
+def _fingerprint(size_bytes, *parts):
+    digest = blake2b(digest_size=size_bytes)
     for part in parts:
         data = part if isinstance(part, bytes) else part.encode()
         digest.update(len(data).to_bytes(4, "big"))
@@ -58,26 +58,26 @@
     return digest.digest()
 
 
-def _key_print(key):
-    return _hash(FINGERPRINT_BYTES, b"key", key)
+def _key_fingerprint(key):
+    return _fingerprint(KEY_FINGERPRINT_BYTES, b"key", key)
 
 
-def _tombstone_print(key, attempt):
-    return _hash(FINGERPRINT_BYTES, b"tombstone", key, attempt)
+def _tombstone_fingerprint(key, attempt):
+    return _fingerprint(KEY_FINGERPRINT_BYTES, b"tombstone", key, attempt)
 
 
 class _Generation:
     """The records that last changed within one time interval; they expire together.
 
     :param until: end of the interval, seconds.
-    :param record_by_print: ``{fingerprint of a key: record}``.
+    :param record_by_fingerprint: ``{fingerprint of a key: record}``.
     """
 
-    __slots__ = ("record_by_print", "until")
+    __slots__ = ("record_by_fingerprint", "until")
 
-    def __init__(self, *, until, record_by_print):
+    def __init__(self, *, until, record_by_fingerprint):
         self.until = until
-        self.record_by_print = record_by_print
+        self.record_by_fingerprint = record_by_fingerprint
 
 
 class Ledger:
@@ -91,17 +91,17 @@
 
     :param retention_s: time for which a record is kept after its last change, seconds. It expires
         at most 1/24 of that later.
-    :param body_limit: longest response body that is stored, bytes; of a longer one only the digest
+    :param body_limit_bytes: longest response body that is stored; of a longer one only the digest
         is stored.
-    :param capacity: number of records at which new keys are refused.
+    :param capacity_records: number of records at which new keys are refused.
     :param capacity_bytes: size of the stored answers at which new keys are refused, bytes.
     """
 
     __slots__ = (
         "_answer_bytes",
-        "_body_limit",
-        "_capacity",
+        "_body_limit_bytes",
         "_capacity_bytes",
+        "_capacity_records",
         "_count",
         "_generations",
         "_now",
@@ -112,13 +112,13 @@
         self,
         *,
         retention_s=RETENTION_S,
-        body_limit=BODY_LIMIT_BYTES,
-        capacity=CAPACITY_RECORDS,
-        capacity_bytes=CAPACITY_ANSWER_BYTES,
+        body_limit_bytes=BODY_LIMIT_BYTES,
+        capacity_records=CAPACITY_RECORDS,
+        capacity_bytes=ANSWER_CAPACITY_BYTES,
     ):
         self._retention_s = retention_s
-        self._body_limit = body_limit
-        self._capacity = capacity
+        self._body_limit_bytes = body_limit_bytes
+        self._capacity_records = capacity_records
         self._capacity_bytes = capacity_bytes
         self._reset()
 
@@ -145,17 +145,17 @@
         :raises RefusedError: OVERLOADED, the key is new and the ledger is full; nothing changed.
         """
         self.expire(now)
-        if self._find(_tombstone_print(message.key, message.attempt)) is not None:
+        if self._find_record(_tombstone_fingerprint(message.key, message.attempt)) is not None:
             return LedgerBeginReply(verdict=_Verdict.RELEASED)
-        key = _key_print(message.key)
-        attempt = _hash(ATTEMPT_BYTES, message.attempt)
-        request = _hash(REQUEST_BYTES, message.digest, message.caller)
-        record = self._find(key)
+        key = _key_fingerprint(message.key)
+        attempt = _fingerprint(ATTEMPT_FINGERPRINT_BYTES, message.attempt)
+        request = _fingerprint(REQUEST_FINGERPRINT_BYTES, message.digest, message.caller)
+        record = self._find_record(key)
         if record is not None:
-            return _known(record, attempt, request, self._now)
+            return _reply_for_record(record, attempt, request, self._now)
         self._check_capacity()
         until = now + message.deadline_s + DEADLINE_MARGIN_S if message.deadline_s > 0 else inf
-        self._put(key, bytes([RUNNING]) + attempt + request + UNTIL.pack(until))
+        self._store_record(key, bytes([RUNNING]) + attempt + request + RUN_UNTIL.pack(until))
         return LedgerBeginReply(verdict=_Verdict.GRANTED)
 
     def finish(self, message, now):
@@ -167,13 +167,13 @@
         :param now: seconds.
         """
         self.expire(now)
-        key = _key_print(message.key)
-        record = self._find(key)
-        if self._holds(record, message.attempt) and record[0] == RUNNING:
+        key = _key_fingerprint(message.key)
+        record = self._find_record(key)
+        if self._is_granted_to(record, message.attempt) and record[0] == RUNNING:
             state, answer = UNKNOWN, b""
             if not message.unknown:
-                state, answer = ANSWERED, self._pack(message.answer)
-            self._put(key, bytes([state]) + record[1:HEAD_BYTES] + answer)
+                state, answer = ANSWERED, self._serialize_answer(message.answer)
+            self._store_record(key, bytes([state]) + record[1:RECORD_HEADER_BYTES] + answer)
         return Done()
 
     def release(self, message, now):
@@ -185,16 +185,16 @@
             attempt.
         """
         self.expire(now)
-        key = _key_print(message.key)
-        tombstone = _tombstone_print(message.key, message.attempt)
-        record = self._find(key)
-        if self._holds(record, message.attempt):
+        key = _key_fingerprint(message.key)
+        tombstone = _tombstone_fingerprint(message.key, message.attempt)
+        record = self._find_record(key)
+        if self._is_granted_to(record, message.attempt):
             if record[0] == RUNNING:
-                self._drop(key)
-                self._put(tombstone, TOMBSTONE)
-        elif self._find(tombstone) is None:
+                self._delete_record(key)
+                self._store_record(tombstone, TOMBSTONE)
+        elif self._find_record(tombstone) is None:
             self._check_capacity()
-            self._put(tombstone, TOMBSTONE)
+            self._store_record(tombstone, TOMBSTONE)
         return Done()
 
     def expire(self, now):
@@ -204,20 +204,20 @@
         """
         self._now = max(self._now, now)
         while self._generations and self._generations[0].until + self._retention_s <= self._now:
-            old = self._generations.pop(0)
-            self._count -= len(old.record_by_print)
-            self._answer_bytes -= _answer_size(old.record_by_print.values())
+            expired = self._generations.pop(0)
+            self._count -= len(expired.record_by_fingerprint)
+            self._answer_bytes -= _answer_size(expired.record_by_fingerprint.values())
 
     def snapshot(self):
         """Return the state as bytes; equal states give equal bytes."""
         state = LedgerState(now=self._now)
         for generation in self._generations:
-            items = sorted(generation.record_by_print.items())
+            pairs = sorted(generation.record_by_fingerprint.items())
             state.generations.append(
                 LedgerGeneration(
                     until=generation.until,
-                    fingerprints=b"".join(item[0] for item in items),
-                    records=[item[1] for item in items],
+                    fingerprints=b"".join(pair[0] for pair in pairs),
+                    records=[pair[1] for pair in pairs],
                 )
             )
         return state.SerializeToString(deterministic=True)
@@ -229,20 +229,20 @@
         """
         try:
             state = LedgerState.FromString(data)
-            generations = [_unpack(generation) for generation in state.generations]
+            generations = [_load_generation(generation) for generation in state.generations]
         except (DecodeError, ValueError) as error:
             raise DamagedDataError(f"ledger snapshot: {error}") from error
         self._reset()
         self._now = state.now
         self._generations = generations
         for generation in generations:
-            self._count += len(generation.record_by_print)
-            self._answer_bytes += _answer_size(generation.record_by_print.values())
+            self._count += len(generation.record_by_fingerprint)
+            self._answer_bytes += _answer_size(generation.record_by_fingerprint.values())
 
     def key(self):
         """Return the state as a hashable value; equal states give equal values."""
         return self._now, tuple(
-            (generation.until, frozenset(generation.record_by_print.items()))
+            (generation.until, frozenset(generation.record_by_fingerprint.items()))
             for generation in self._generations
         )
 
@@ -253,45 +253,49 @@
         self._answer_bytes = 0
 
     def _check_capacity(self):
-        if self._count >= self._capacity:
+        if self._count >= self._capacity_records:
             raise RefusedError(f"ledger is full: {self._count} records", code=Code.OVERLOADED)
         if self._answer_bytes >= self._capacity_bytes:
             raise RefusedError(
                 f"ledger is full: {self._answer_bytes} bytes of answers", code=Code.OVERLOADED
             )
 
-    def _holds(self, record, attempt):
+    def _is_granted_to(self, record, attempt):
         if record is None:
             return False
-        return record[1 : 1 + ATTEMPT_BYTES] == _hash(ATTEMPT_BYTES, attempt)
+        return record[1 : 1 + ATTEMPT_FINGERPRINT_BYTES] == _fingerprint(
+            ATTEMPT_FINGERPRINT_BYTES, attempt
+        )
 
-    def _find(self, fingerprint):
+    def _find_record(self, fingerprint):
         for generation in reversed(self._generations):
-            record = generation.record_by_print.get(fingerprint)
+            record = generation.record_by_fingerprint.get(fingerprint)
             if record is not None:
                 return record
         return None
 
-    def _drop(self, fingerprint):
+    def _delete_record(self, fingerprint):
         for generation in reversed(self._generations):
-            record = generation.record_by_print.pop(fingerprint, None)
+            record = generation.record_by_fingerprint.pop(fingerprint, None)
             if record is not None:
                 self._count -= 1
                 self._answer_bytes -= _answer_size((record,))
                 return
 
-    def _put(self, fingerprint, record):
-        self._drop(fingerprint)
+    def _store_record(self, fingerprint, record):
+        self._delete_record(fingerprint)
         if not self._generations or self._generations[-1].until <= self._now:
-            until = self._now + self._retention_s / GENERATIONS
-            self._generations.append(_Generation(until=until, record_by_print={}))
-        self._generations[-1].record_by_print[fingerprint] = record
+            until = self._now + self._retention_s / GENERATIONS_PER_RETENTION
+            self._generations.append(_Generation(until=until, record_by_fingerprint={}))
+        self._generations[-1].record_by_fingerprint[fingerprint] = record
         self._count += 1
         self._answer_bytes += _answer_size((record,))
 
-    def _pack(self, answer):
+    def _serialize_answer(self, answer):
         stored = StoredAnswer(status=answer.status, content_type=answer.content_type)
-        if len(answer.body) <= self._body_limit and (answer.body_kept or not answer.body_digest):
+        if len(answer.body) <= self._body_limit_bytes and (
+            answer.body_kept or not answer.body_digest
+        ):
             stored.body = answer.body
             stored.body_kept = True
         else:
@@ -299,41 +303,45 @@
         return stored.SerializeToString(deterministic=True)
 
 
-def _known(record, attempt, request, now):
-    if record[1 + ATTEMPT_BYTES : HEAD_BYTES] != request:
+def _reply_for_record(record, attempt, request, now):
+    if record[1 + ATTEMPT_FINGERPRINT_BYTES : RECORD_HEADER_BYTES] != request:
         return LedgerBeginReply(verdict=_Verdict.CONFLICT)
     if record[0] == ANSWERED:
-        answer = StoredAnswer.FromString(record[HEAD_BYTES:])
+        answer = StoredAnswer.FromString(record[RECORD_HEADER_BYTES:])
         return LedgerBeginReply(verdict=_Verdict.REPLAYED, answer=answer)
     if record[0] == UNKNOWN:
         return LedgerBeginReply(verdict=_Verdict.UNKNOWN)
-    if record[1 : 1 + ATTEMPT_BYTES] == attempt:
+    if record[1 : 1 + ATTEMPT_FINGERPRINT_BYTES] == attempt:
         return LedgerBeginReply(verdict=_Verdict.GRANTED)
-    is_lost = now > UNTIL.unpack_from(record, HEAD_BYTES)[0]
-    return LedgerBeginReply(verdict=_Verdict.UNKNOWN if is_lost else _Verdict.IN_PROGRESS)
+    is_overdue = now > RUN_UNTIL.unpack_from(record, RECORD_HEADER_BYTES)[0]
+    return LedgerBeginReply(verdict=_Verdict.UNKNOWN if is_overdue else _Verdict.IN_PROGRESS)
 
 
 def _is_record(record):
-    if len(record) < HEAD_BYTES:
+    if len(record) < RECORD_HEADER_BYTES:
         return False
     if record[0] == RUNNING:
-        return len(record) == HEAD_BYTES + UNTIL.size
+        return len(record) == RECORD_HEADER_BYTES + RUN_UNTIL.size
     return record[0] in (ANSWERED, UNKNOWN)
 
 
 def _answer_size(records):
-    return sum(len(record) - HEAD_BYTES for record in records if record and record[0] == ANSWERED)
+    return sum(
+        len(record) - RECORD_HEADER_BYTES for record in records if record and record[0] == ANSWERED
+    )
 
 
-def _unpack(generation):
+def _load_generation(generation):
     data = generation.fingerprints
-    if len(data) != len(generation.records) * FINGERPRINT_BYTES:
+    if len(data) != len(generation.records) * KEY_FINGERPRINT_BYTES:
         raise ValueError(f"{len(data)} bytes of fingerprints, {len(generation.records)} records")
     for record in generation.records:
         if record != TOMBSTONE and not _is_record(record):
             raise ValueError(f"record of {len(record)} bytes")
-    prints = (data[at : at + FINGERPRINT_BYTES] for at in range(0, len(data), FINGERPRINT_BYTES))
+    fingerprints = (
+        data[at : at + KEY_FINGERPRINT_BYTES] for at in range(0, len(data), KEY_FINGERPRINT_BYTES)
+    )
     return _Generation(
         until=generation.until,
-        record_by_print=dict(zip(prints, generation.records, strict=True)),
+        record_by_fingerprint=dict(zip(fingerprints, generation.records, strict=True)),
     )
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -3,7 +3,7 @@
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import State as CellState
 from siskintally.lease import LeaseTable
-from siskintally.ledger import RUNNING, Ledger, _key_print, _tombstone_print
+from siskintally.ledger import RUNNING, Ledger, _key_fingerprint, _tombstone_fingerprint
 from siskintally.ledger_state_pb2 import LedgerState
 from siskintally.membership import quorum
 from siskintally.replica import Replica
@@ -50,7 +50,7 @@
 
     __slots__ = ()
 
-    def _holds(self, record, attempt):
+    def _is_granted_to(self, record, attempt):
         return record is not None and record[0] == RUNNING
 
 
@@ -62,7 +62,7 @@
     def release(self, message, now):
         """Give the key back and forget the attempt."""
         done = super().release(message, now)
-        self._drop(_tombstone_print(message.key, message.attempt))
+        self._delete_record(_tombstone_fingerprint(message.key, message.attempt))
         return done
 
 
@@ -75,7 +75,7 @@
         """Treat an unknown outcome like a release."""
         done = super().finish(message, now)
         if message.unknown:
-            self._drop(_key_print(message.key))
+            self._delete_record(_key_fingerprint(message.key))
         return done
 
 
--- a/tests/test_domain.py
+++ b/tests/test_domain.py
@@ -6,7 +6,7 @@
 
 from siskintally.codes import Code
 from siskintally.domain import Domain
-from siskintally.domain_job import MAX_FAILURES
+from siskintally.domain_job import MAX_TASK_FAILURES
 from siskintally.domain_state_pb2 import (
     AssignmentRecord,
     AttemptEnd,
@@ -139,7 +139,7 @@
 def test_a_batch_task_that_always_fails_ends_as_failed():
     """Guards against a job that fails forever."""
     driver = filled()
-    for attempt in range(1, MAX_FAILURES + 1):
+    for attempt in range(1, MAX_TASK_FAILURES + 1):
         assert driver.assign("j/g.0", "w1", attempt=attempt)
         driver.end("j/g.0", attempt, AttemptEnd.FAILED)
     assert driver.domain.job_by_id["j"].failed == 1
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -106,7 +106,7 @@
 
 
 def test_full_ledger_refuses_new_keys_and_keeps_the_records():
-    ledger = Ledger(capacity=2)
+    ledger = Ledger(capacity_records=2)
     begin(ledger, "a", key="1")
     begin(ledger, "b", key="2")
     for action in (lambda: begin(ledger, "c", key="3"), lambda: release(ledger, "c", key="3")):
@@ -145,7 +145,7 @@
 
 
 def test_long_body_is_replaced_by_its_digest():
-    ledger = Ledger(body_limit=4)
+    ledger = Ledger(body_limit_bytes=4)
     begin(ledger, "a")
     finish(ledger, "a")
     message = LedgerBegin(key="k", caller="shop", digest=b"d", attempt="b")
