--- a/siskintally/audit.py
+++ b/siskintally/audit.py
@@ -21,35 +21,35 @@
 EMPTY_HEAD = "0" * 64
 # A store that missed up to 1,000 changes can complete its file from a snapshot.
 RECENT_RECORDS = 1000
-FIELDS = tuple(field.name for field in AuditRecord.DESCRIPTOR.fields)
-_HASHED = tuple(name for name in FIELDS if name != "hash")
+RECORD_FIELDS = tuple(field.name for field in AuditRecord.DESCRIPTOR.fields)
+_HASHED_FIELDS = tuple(name for name in RECORD_FIELDS if name != "hash")
 
 log = get_logger("audit")
 
 
 def record_hash(record):
     """Return the hash of all fields of a record except ``hash``; it includes the previous hash."""
-    fields = [getattr(record, name) for name in _HASHED]
+    fields = [getattr(record, name) for name in _HASHED_FIELDS]
     return sha256(dumps(fields, separators=(",", ":")).encode()).hexdigest()
 
 
-def to_line(record):
+def record_to_line(record):
     """Return a record as one line of JSON."""
-    fields = {name: getattr(record, name) for name in FIELDS}
+    fields = {name: getattr(record, name) for name in RECORD_FIELDS}
     return dumps(fields, separators=(",", ":")).encode() + b"\n"
 
 
-def from_line(line):
+def record_from_line(line):
     """Parse a record from a line.
 
     :raises DamagedDataError: the line is not a record, or its hash does not match.
     """
     try:
         fields = loads(line)
-        record = AuditRecord(**{name: fields[name] for name in FIELDS})
+        record = AuditRecord(**{name: fields[name] for name in RECORD_FIELDS})
     except (ValueError, KeyError, TypeError) as error:
         raise DamagedDataError(f"not an audit record: {error!r}") from error
-    if record_hash(record) != record.hash or len(fields) != len(FIELDS):
+    if record_hash(record) != record.hash or len(fields) != len(RECORD_FIELDS):
         raise DamagedDataError(f"audit record {record.number}: hash does not match")
     return record
 
@@ -83,30 +83,30 @@
             del self.recent[:-RECENT_RECORDS]
         return record
 
-    def after(self, number):
+    def records_after(self, number):
         """Return the kept records with a larger number."""
-        fresh = self.number - number
-        return self.recent[-fresh:] if fresh > 0 else []
+        count = self.number - number
+        return self.recent[-count:] if count > 0 else []
 
 
-class Note:
+class ChangeDescription:
     """Description of a change for its audit record; filled in while the change is applied.
 
     :param verb: verb of the operator call.
 
-    ``what`` names the changed thing; ``before`` and ``after`` are its old and new values.
+    ``subject`` names what is changed; ``old_value`` and ``new_value`` are its old and new values.
     """
 
-    __slots__ = ("after", "before", "verb", "what")
+    __slots__ = ("new_value", "old_value", "subject", "verb")
 
     def __init__(self, *, verb):
         self.verb = verb
-        self.what = ""
-        self.before = ""
-        self.after = ""
+        self.subject = ""
+        self.old_value = ""
+        self.new_value = ""
 
 
-class Findings:
+class AuditFindings:
     """Result of the check of an audit file.
 
     :param records: number of valid records.
@@ -114,10 +114,10 @@
     :param last: number of the last valid record.
     :param gaps: descriptions of the ranges of records that this store never received.
     :param damage: description of the first damage, or empty.
-    :param whole_bytes: length of the valid lines, without a torn last line.
+    :param valid_bytes: length of the valid lines, without a torn last line.
     """
 
-    __slots__ = ("damage", "gaps", "head", "last", "records", "whole_bytes")
+    __slots__ = ("damage", "gaps", "head", "last", "records", "valid_bytes")
 
     def __init__(self):
         self.records = 0
@@ -125,7 +125,7 @@
         self.last = 0
         self.gaps = []
         self.damage = ""
-        self.whole_bytes = 0
+        self.valid_bytes = 0
 
 
 def verify_lines(lines):
@@ -136,14 +136,14 @@
     wrote the line.
 
     :param lines: iterable of bytes, each with its line feed.
-    :returns: :class:`Findings`.
+    :returns: :class:`AuditFindings`.
     """
-    findings = Findings()
+    findings = AuditFindings()
     for number, line in enumerate(lines, start=1):
         if not line.endswith(b"\n"):
             break
         try:
-            record = from_line(line)
+            record = record_from_line(line)
         except DamagedDataError as error:
             findings.damage = f"line {number}: {error}"
             break
@@ -158,17 +158,17 @@
         findings.records += 1
         findings.last = record.number
         findings.head = record.hash
-        findings.whole_bytes += len(line)
+        findings.valid_bytes += len(line)
     return findings
 
 
-def verify(path):
+def verify_file(path):
     """Check an audit file; a missing file counts as an empty chain."""
     try:
         with Path(path).open("rb") as lines:
             return verify_lines(lines)
     except FileNotFoundError:
-        return Findings()
+        return AuditFindings()
 
 
 class AuditFile:
@@ -178,18 +178,18 @@
     :raises DamagedDataError: the hash chain in the file is broken.
     """
 
-    __slots__ = ("_bytes", "_descriptor", "head", "last", "path")
+    __slots__ = ("_descriptor", "_size_bytes", "head", "last", "path")
 
     def __init__(self, *, path):
         self.path = Path(path)
-        findings = verify(self.path)
+        findings = verify_file(self.path)
         if findings.damage:
             raise DamagedDataError(f"{self.path.name}: {findings.damage}")
         self.last = findings.last
         self.head = findings.head
         self._descriptor = os_open(self.path, O_RDWR | O_CREAT | O_APPEND, 0o600)
-        self._bytes = findings.whole_bytes
-        ftruncate(self._descriptor, self._bytes)
+        self._size_bytes = findings.valid_bytes
+        ftruncate(self._descriptor, self._size_bytes)
         fsync(self._descriptor)
         _sync_folder(self.path.parent)
 
@@ -201,9 +201,9 @@
         except DamagedDataError as error:
             path = Path(path)
             number = len(list(path.parent.glob(f"{path.name}.damaged-*"))) + 1
-            aside = path.with_name(f"{path.name}.damaged-{number}")
-            path.rename(aside)
-            log.error("audit file damaged", kept_as=aside.name, error=str(error))
+            renamed = path.with_name(f"{path.name}.damaged-{number}")
+            path.rename(renamed)
+            log.error("audit file damaged", kept_as=renamed.name, error=str(error))
             return cls(path=path)
 
     def write(self, records):
@@ -220,7 +220,7 @@
                 continue
             if record.number == last + 1 and record.previous != head:
                 raise DamagedDataError(f"audit record {record.number} does not follow the file")
-            lines.append(to_line(record))
+            lines.append(record_to_line(record))
             last, head = record.number, record.hash
         if lines:
             self._append(b"".join(lines))
@@ -234,9 +234,9 @@
             fdatasync(self._descriptor)
         except OSError:
             # A partly written line, as on a full disk, must not precede the next record.
-            ftruncate(self._descriptor, self._bytes)
+            ftruncate(self._descriptor, self._size_bytes)
             raise
-        self._bytes += len(data)
+        self._size_bytes += len(data)
 
     def close(self):
         """Close the file."""
--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -10,19 +10,19 @@
 
 from anyio import move_on_after
 
-from siskintally.cell import MAX_ID_LENGTH, MAX_MESSAGE_LENGTH, encode
+from siskintally.cell import MAX_ID_LENGTH, MAX_MESSAGE_LENGTH, encode_answer
 from siskintally.cell_state_pb2 import Command, ConfirmIdle, GroupInfo
 from siskintally.codes import Code
 from siskintally.errors import BadRequestError, NotLeaderError, SiskintallyError
 from siskintally.operator_queries import GroupReports, OperatorQueries
-from siskintally.verbs import canonical, change_of, is_read, parse_arguments
+from siskintally.verbs import canonical_json, is_read, parse_arguments, parse_change
 from siskintally.wire_pb2 import Done, OperatorReply, SyncReply
 
 MAX_WAIT_S = 5.0
 # Interval at which a long poll checks whether this process is still the leader.
 LEADER_CHECK_S = 1.0
 MAX_REPORT_JOBS = 20_000
-_NOT_ANSWERED = (Code.NOT_LEADER, Code.OUTCOME_UNKNOWN, Code.STOPPED)
+_RAISED_CODES = (Code.NOT_LEADER, Code.OUTCOME_UNKNOWN, Code.STOPPED)
 
 
 class CellService:
@@ -37,10 +37,10 @@
     __slots__ = (
         "_clock",
         "_group",
-        "_led",
+        "_group_reports",
+        "_leading_since",
         "_machine",
         "_queries",
-        "_reported",
         "_settings",
     )
 
@@ -49,18 +49,18 @@
         self._machine = machine
         self._settings = settings
         self._clock = clock
-        self._reported = GroupReports()
-        self._led = (None, 0.0)
+        self._group_reports = GroupReports()
+        self._leading_since = (None, 0.0)
         self._queries = OperatorQueries(
-            group=group, machine=machine, settings=settings, reported=self._reported
+            group=group, machine=machine, settings=settings, group_reports=self._group_reports
         )
 
     def _require_leader(self):
         if not self._group.is_leader:
             leader = self._group.leader or ""
             raise NotLeaderError("this store does not lead the cell group", leader=leader)
-        if self._led[0] != self._group.term:
-            self._led = (self._group.term, monotonic())
+        if self._leading_since[0] != self._group.term:
+            self._leading_since = (self._group.term, monotonic())
 
     async def sync(self, request):
         """Answer a long poll of a domain group with the changes since its last one.
@@ -75,33 +75,33 @@
             # its quorum must not give it.
             await self._group.confirm()
         if request.check:
-            status = cell.group_statuses.of(request.group)
+            status = cell.group_statuses.get(request.group)
             return SyncReply(epoch=status.epoch, lost=status.lost)
-        self._reported.heard_by_group[request.group] = monotonic()
-        self._reported.since_by_group[request.group] = request.since
+        self._group_reports.heard_at_by_group[request.group] = monotonic()
+        self._group_reports.synced_index_by_group[request.group] = request.since
         if request.HasField("capacity"):
-            self._reported.capacity_by_group[request.group] = request.capacity
+            self._group_reports.capacity_by_group[request.group] = request.capacity
         wait_s = request.wait_s if 0 <= request.wait_s <= MAX_WAIT_S else MAX_WAIT_S
         deadline = monotonic() + wait_s
         await self._confirm_idle(request)
-        while not self._has_news(request):
+        while not self._has_changes(request):
             remaining = deadline - monotonic()
             if remaining <= 0:
-                status = cell.group_statuses.of(request.group)
+                status = cell.group_statuses.get(request.group)
                 return SyncReply(index=request.since, epoch=status.epoch, lost=status.lost)
             with move_on_after(min(remaining, LEADER_CHECK_S)):
                 await self._machine.wait_change()
             self._require_leader()
-        return cell.changes(request.group, request.since, request.epoch)
+        return cell.changes_since(request.group, request.since, request.epoch)
 
-    def _has_news(self, request):
+    def _has_changes(self, request):
         cell = self._machine.cell
-        other_epoch = cell.group_statuses.of(request.group).epoch != request.epoch
-        return other_epoch or cell.latest(request.group) > request.since
+        is_other_epoch = cell.group_statuses.get(request.group).epoch != request.epoch
+        return is_other_epoch or cell.latest_change(request.group) > request.since
 
     async def _confirm_idle(self, request):
         """Commit the report of a fenced group that nothing runs there any more."""
-        status = self._machine.cell.group_statuses.of(request.group)
+        status = self._machine.cell.group_statuses.get(request.group)
         if request.idle and status.lost and not status.idle and status.epoch == request.epoch:
             change = ConfirmIdle(group=request.group, epoch=request.epoch)
             command = Command(at=self._clock(), confirm_idle=change)
@@ -117,8 +117,8 @@
         self._check_group(report.group)
         if len(report.jobs) > MAX_REPORT_JOBS:
             raise BadRequestError(f"jobs: expected at most {MAX_REPORT_JOBS} in a report")
-        self._reported.heard_by_group[report.group] = monotonic()
-        command = Command(at=self._clock(), groups=self._infos(), job_report=report)
+        self._group_reports.heard_at_by_group[report.group] = monotonic()
+        command = Command(at=self._clock(), groups=self._group_infos(), job_report=report)
         await self._group.propose(command.SerializeToString())
         return Done()
 
@@ -129,25 +129,27 @@
                 f"group = {name[:100]!r}: expected a domain group of the settings"
             )
 
-    def _infos(self):
+    def _group_infos(self):
         infos = []
         for group in self._settings.domain_groups():
             info = GroupInfo(
-                name=group.name, domains=group.domains, silent_s=self._silent_s(group.name)
+                name=group.name, domains=group.domains, silent_s=self._silence_s(group.name)
             )
-            capacity = self._reported.capacity_by_group.get(group.name)
+            capacity = self._group_reports.capacity_by_group.get(group.name)
             if capacity is not None:
                 info.capacity.CopyFrom(capacity)
             infos.append(info)
         return infos
 
-    def _silent_s(self, group):
+    def _silence_s(self, group):
         """Return the time for which this leader has heard nothing from a domain group, s.
 
         Requests to a former leader are not known here, so a new leader counts from the first
         request that it gets in its term.
         """
-        heard_at = max(self._reported.heard_by_group.get(group, 0.0), self._led[1])
+        heard_at = max(
+            self._group_reports.heard_at_by_group.get(group, 0.0), self._leading_since[1]
+        )
         return max(0.0, monotonic() - heard_at)
 
     async def operator(self, call):
@@ -163,10 +165,10 @@
             if is_read(call.verb, arguments):
                 await self._group.confirm()
                 answer = self._queries.answer(call.verb, arguments)
-                return OperatorReply(code=int(Code.DONE), answer=encode(answer))
+                return OperatorReply(code=int(Code.DONE), answer=encode_answer(answer))
             command = self._command(call, arguments)
         except SiskintallyError as error:
-            if error.code in _NOT_ANSWERED:
+            if error.code in _RAISED_CODES:
                 raise
             return _refusal(error)
         reply = await self._group.propose(command.SerializeToString())
@@ -176,20 +178,20 @@
         for key, value in (("request_id", call.request_id), ("operator", call.operator)):
             if not 1 <= len(value) <= MAX_ID_LENGTH:
                 raise BadRequestError(f"{key}: expected 1 to {MAX_ID_LENGTH} characters")
-        field, change = change_of(call.verb, arguments)
+        field, change = parse_change(call.verb, arguments)
         digest = sha256()
-        for part in (call.operator.encode(), call.verb.encode(), canonical(arguments)):
+        for part in (call.operator.encode(), call.verb.encode(), canonical_json(arguments)):
             digest.update(len(part).to_bytes(8) + part)
         return Command(
             at=self._clock(),
             request_id=call.request_id,
             operator=call.operator,
             digest=digest.digest(),
-            groups=self._infos(),
+            groups=self._group_infos(),
             **{field: change},
         )
 
 
 def _refusal(error):
     answer = {"message": str(error)[:MAX_MESSAGE_LENGTH]}
-    return OperatorReply(code=int(error.code), answer=encode(answer))
+    return OperatorReply(code=int(error.code), answer=encode_answer(answer))
--- a/siskintally/config.py
+++ b/siskintally/config.py
@@ -9,11 +9,11 @@
 from tomllib import TOMLDecodeError, loads
 
 from siskintally.errors import BadSettingsError
-from siskintally.preset import PRESET_NAMES, number, parse_preset
+from siskintally.preset import PRESET_NAMES, check_number, parse_preset
 
 MAX_DOCUMENT_BYTES = 256 * 1024
 MAX_TEAMS = 1000
-MAX_TEAM_NAME = 63
+MAX_TEAM_NAME_LENGTH = 63
 MAX_CPU_MILLI = 1_000_000_000
 MAX_MEMORY_MB = 1_000_000_000_000
 MAX_ACCELERATORS = 1_000_000
@@ -32,7 +32,7 @@
 accelerators = 0
 """
 
-_QUOTA_HIGH_BY_KEY = {
+_MAX_QUOTA_BY_KEY = {
     "cpu_milli": MAX_CPU_MILLI,
     "memory_mb": MAX_MEMORY_MB,
     "accelerators": MAX_ACCELERATORS,
@@ -114,7 +114,7 @@
         raise BadSettingsError(f"teams: {len(teams)} entries, expected at most {MAX_TEAMS}")
     return Config(
         preset_by_name={name: parse_preset(name, presets.get(name, {})) for name in PRESET_NAMES},
-        quota_by_team={name: _quota(name, row) for name, row in teams.items()},
+        quota_by_team={name: _parse_quota(name, table) for name, table in teams.items()},
     )
 
 
@@ -125,25 +125,25 @@
     return table
 
 
-def _quota(team, row):
+def _parse_quota(team, table):
     key = f"teams.{team}"
-    if not 1 <= len(team) <= MAX_TEAM_NAME:
-        raise BadSettingsError(f"{key}: expected a name of 1 to {MAX_TEAM_NAME} characters")
-    if not isinstance(row, dict):
-        raise BadSettingsError(f"{key} = {row!r}: expected a table [{key}]")
-    for item in row:
-        if item not in _QUOTA_HIGH_BY_KEY:
-            known = ", ".join(_QUOTA_HIGH_BY_KEY)
+    if not 1 <= len(team) <= MAX_TEAM_NAME_LENGTH:
+        raise BadSettingsError(f"{key}: expected a name of 1 to {MAX_TEAM_NAME_LENGTH} characters")
+    if not isinstance(table, dict):
+        raise BadSettingsError(f"{key} = {table!r}: expected a table [{key}]")
+    for item in table:
+        if item not in _MAX_QUOTA_BY_KEY:
+            known = ", ".join(_MAX_QUOTA_BY_KEY)
             raise BadSettingsError(
-                f"{key}.{item} = {row[item]!r}: unknown key, expected one of {known}"
+                f"{key}.{item} = {table[item]!r}: unknown key, expected one of {known}"
             )
     for item in ("cpu_milli", "memory_mb"):
-        if item not in row:
+        if item not in table:
             raise BadSettingsError(
-                f"{key}.{item}: missing, expected an integer from 0 to {_QUOTA_HIGH_BY_KEY[item]}"
+                f"{key}.{item}: missing, expected an integer from 0 to {_MAX_QUOTA_BY_KEY[item]}"
             )
     values = {
-        item: number(row.get(item, 0), key=f"{key}.{item}", kind=int, low=0, high=high)
-        for item, high in _QUOTA_HIGH_BY_KEY.items()
+        item: check_number(table.get(item, 0), key=f"{key}.{item}", kind=int, low=0, high=high)
+        for item, high in _MAX_QUOTA_BY_KEY.items()
     }
     return Quota(**values)
--- a/siskintally/drains.py
+++ b/siskintally/drains.py
@@ -1,7 +1,7 @@
 """Drain table of the cell: workers and endpoints that operators have taken out of service.
 
 >>> from siskintally.drains import DrainTable
->>> DrainTable().latest()
+>>> DrainTable().latest_change()
 0
 """
 
@@ -18,14 +18,14 @@
     An item stays when its worker or endpoint is back in service, so that domain groups learn of it.
     """
 
-    __slots__ = ("_by_key",)
+    __slots__ = ("_item_by_key",)
 
     def __init__(self):
-        self._by_key = {}
+        self._item_by_key = {}
 
     def is_draining(self, kind, name):
         """Return whether a worker or endpoint is out of service."""
-        item = self._by_key.get((kind, name))
+        item = self._item_by_key.get((kind, name))
         return item is not None and item.draining
 
     def set(self, change, *, index):
@@ -37,30 +37,30 @@
         if change.kind not in DRAIN_KINDS:
             raise BadRequestError(f"kind = {change.kind!r}: expected worker or endpoint")
         key = (change.kind, change.name)
-        if key not in self._by_key and len(self._by_key) >= MAX_DRAINS:
+        if key not in self._item_by_key and len(self._item_by_key) >= MAX_DRAINS:
             raise BadRequestError(f"drains: expected at most {MAX_DRAINS} names")
         if self.is_draining(*key) != change.draining:
-            self._by_key.pop(key, None)
-            self._by_key[key] = DrainItem(
+            self._item_by_key.pop(key, None)
+            self._item_by_key[key] = DrainItem(
                 kind=change.kind, name=change.name, draining=change.draining, changed_at=index
             )
 
-    def draining(self):
+    def draining_items(self):
         """Return the DrainItems of all workers and endpoints out of service, in order of change."""
-        return [item for item in self._by_key.values() if item.draining]
+        return [item for item in self._item_by_key.values() if item.draining]
 
-    def latest(self):
+    def latest_change(self):
         """Return the log index of the last change, 0 if none."""
-        return next(reversed(self._by_key.values())).changed_at if self._by_key else 0
+        return next(reversed(self._item_by_key.values())).changed_at if self._item_by_key else 0
 
-    def since(self, index):
+    def changed_since(self, index):
         """Return the DrainItems that changed after a log index."""
-        return [item for item in self._by_key.values() if item.changed_at > index]
+        return [item for item in self._item_by_key.values() if item.changed_at > index]
 
     def save(self, state):
         """Write all items into a State message."""
-        state.drains.extend(self._by_key.values())
+        state.drains.extend(self._item_by_key.values())
 
     def load(self, state):
         """Replace everything with the items of a State message."""
-        self._by_key = {(item.kind, item.name): item for item in state.drains}
+        self._item_by_key = {(item.kind, item.name): item for item in state.drains}
--- a/siskintally/group_changes.py
+++ b/siskintally/group_changes.py
@@ -8,14 +8,14 @@
 from siskintally.errors import BadRequestError, NotFoundError
 from siskintally.group_status import MIN_SILENCE_S, GroupInUseError, group_status_text
 
-MAX_SHOWN_NAME = 128
+MAX_SHOWN_NAME_LENGTH = 128
 
 
-def lose_groups(cell, index, command, note):
+def lose_groups(cell, index, command, description):
     """Declare domain groups lost, all of them or none.
 
     :param cell: :class:`~siskintally.cell.Cell`, changed in place.
-    :param note: description of the change for the audit record, filled in here.
+    :param description: description of the change for the audit record, filled in here.
     :returns: the answer as a dict.
     :raises GroupInUseError: a group was heard from recently, and the change is not forced.
     :raises NotFoundError: no such group.
@@ -23,11 +23,11 @@
     """
     change = command.lose_groups
     names = list(dict.fromkeys(change.groups))
-    note.what = " ".join(names)
-    note.after = "lost, forced" if change.force else "lost"
+    description.subject = " ".join(names)
+    description.new_value = "lost, forced" if change.force else "lost"
     if not names:
         raise BadRequestError("groups: expected at least one name")
-    note.before = " ".join(f"{name}: {_standing_text(cell, name)}" for name in names)
+    description.old_value = " ".join(f"{name}: {_status_text(cell, name)}" for name in names)
     names = [name for name in names if not cell.group_statuses.is_lost(name)]
     for name in names:
         silent_s = cell.jobs.capacity.info_by_group[name].silent_s
@@ -36,12 +36,12 @@
                 f"{name} was or may have been heard from {silent_s:.0f} s ago; "
                 f"expected {MIN_SILENCE_S:.0f} s of silence, or force"
             )
-    moved, unplaced = cell.jobs.lose(names, index=index, now=cell.now)
-    cell.admit(index)
-    return {"lost": cell.group_statuses.lost(), "moved": moved, "unplaced": unplaced}
+    moved, unplaced = cell.jobs.declare_lost(names, index=index, now=cell.now)
+    cell.admit_jobs(index)
+    return {"lost": cell.group_statuses.lost_groups(), "moved": moved, "unplaced": unplaced}
 
 
-def restore_group(cell, index, command, note):
+def restore_group(cell, index, command, description):
     """Put a lost group back into service.
 
     :returns: the answer as a dict.
@@ -49,15 +49,15 @@
     :raises NotFoundError: no such group.
     """
     name = command.restore_group.group
-    note.what = name
-    note.before = _standing_text(cell, name)
-    note.after = "in service"
+    description.subject = name
+    description.old_value = _status_text(cell, name)
+    description.new_value = "in service"
     if cell.group_statuses.is_lost(name):
         cell.jobs.restore(name, index=index, now=cell.now)
-    return {"lost": cell.group_statuses.lost()}
+    return {"lost": cell.group_statuses.lost_groups()}
 
 
-def _standing_text(cell, group):
+def _status_text(cell, group):
     if group not in cell.jobs.capacity.info_by_group:
-        raise NotFoundError(f"group = {group[:MAX_SHOWN_NAME]!r}: no such domain group")
-    return group_status_text(cell.group_statuses.of(group))
+        raise NotFoundError(f"group = {group[:MAX_SHOWN_NAME_LENGTH]!r}: no such domain group")
+    return group_status_text(cell.group_statuses.get(group))
--- a/siskintally/group_status.py
+++ b/siskintally/group_status.py
@@ -2,8 +2,8 @@
 
 >>> from siskintally.group_status import GroupStatusTable
 >>> table = GroupStatusTable()
->>> table.lose("fjeld", index=7)
->>> table.is_lost("fjeld"), table.of("fjeld").epoch, table.latest("fjeld")
+>>> table.declare_lost("fjeld", index=7)
+>>> table.is_lost("fjeld"), table.get("fjeld").epoch, table.latest_change("fjeld")
 (True, 1, 7)
 """
 
@@ -39,40 +39,42 @@
     report, have no effect, and a group that is still in an earlier epoch must cancel its jobs.
     """
 
-    __slots__ = ("_by_group",)
+    __slots__ = ("_status_by_group",)
 
     def __init__(self):
-        self._by_group = {}
+        self._status_by_group = {}
 
-    def of(self, group):
+    def get(self, group):
         """Return the Standing message of a group; callers must not change it."""
-        return self._by_group.get(group) or Standing(group=group)
+        return self._status_by_group.get(group) or Standing(group=group)
 
     def is_lost(self, group):
         """Return whether a group is lost, so that it may not run tasks."""
-        return self.of(group).lost
+        return self.get(group).lost
 
-    def lost(self):
+    def lost_groups(self):
         """Return the sorted names of the lost groups."""
-        return sorted(name for name, status in self._by_group.items() if status.lost)
+        return sorted(name for name, status in self._status_by_group.items() if status.lost)
 
-    def accepts(self, group, epoch):
+    def accepts_report(self, group, epoch):
         """Return whether a report that a group sent in an epoch is valid."""
-        status = self.of(group)
+        status = self.get(group)
         return not status.lost and epoch == status.epoch
 
-    def latest(self, group):
+    def latest_change(self, group):
         """Return the log index of the last loss or restore of a group, 0 if none."""
-        return self.of(group).changed_at
+        return self.get(group).changed_at
 
-    def lose(self, group, *, index):
+    def declare_lost(self, group, *, index):
         """Declare a group lost, which starts a new epoch of it."""
-        epoch = self.of(group).epoch + 1
-        self._by_group[group] = Standing(group=group, epoch=epoch, lost=True, changed_at=index)
+        epoch = self.get(group).epoch + 1
+        self._status_by_group[group] = Standing(
+            group=group, epoch=epoch, lost=True, changed_at=index
+        )
 
-    def confirm(self, group, epoch):
+    def confirm_idle(self, group, epoch):
         """Record that nothing runs in a lost group; a report of another epoch is ignored."""
-        status = self.of(group)
+        status = self.get(group)
         if status.lost and status.epoch == epoch:
             status.idle = True
 
@@ -81,7 +83,7 @@
 
         :raises GroupInUseError: the group has not confirmed that nothing runs there.
         """
-        status = self.of(group)
+        status = self.get(group)
         if not status.idle:
             raise GroupInUseError(f"{group} has not confirmed that nothing runs there")
         status.lost = status.idle = False
@@ -89,8 +91,10 @@
 
     def save(self, state):
         """Write the status of all groups into a State message."""
-        state.standings.extend(self._by_group[name] for name in sorted(self._by_group))
+        state.standings.extend(
+            self._status_by_group[name] for name in sorted(self._status_by_group)
+        )
 
     def load(self, state):
         """Replace the table with the statuses in a State message."""
-        self._by_group = {status.group: status for status in state.standings}
+        self._status_by_group = {status.group: status for status in state.standings}
--- a/siskintally/job_changes.py
+++ b/siskintally/job_changes.py
@@ -1,7 +1,7 @@
 """Index of job changes: the job shares of each domain group by log index of the last change.
 
 >>> from siskintally.job_changes import JobChanges
->>> JobChanges().latest("jylland")
+>>> JobChanges().latest_change("jylland")
 0
 """
 
@@ -16,33 +16,33 @@
     def __init__(self):
         self._index_by_group = {}
 
-    def touch(self, job, share, index):
+    def record_change(self, job, share, index):
         """Record that the desired state of a share changed at a log index."""
         share.changed_at = index
-        changed = self._index_by_group.setdefault(share.group, {})
-        changed.pop(job.job_id, None)
-        changed[job.job_id] = index
+        index_by_job = self._index_by_group.setdefault(share.group, {})
+        index_by_job.pop(job.job_id, None)
+        index_by_job[job.job_id] = index
 
-    def drop(self, job, share):
+    def remove(self, job, share):
         """Remove a share."""
         del self._index_by_group[share.group][job.job_id]
 
-    def latest(self, group):
+    def latest_change(self, group):
         """Return the log index of the last change of a group's desired state, 0 if none."""
-        changed = self._index_by_group.get(group)
-        return changed[next(reversed(changed))] if changed else 0
+        index_by_job = self._index_by_group.get(group)
+        return index_by_job[next(reversed(index_by_job))] if index_by_job else 0
 
-    def items(self, group, since, by_id):
+    def items_since(self, group, since, job_by_id):
         """Return the JobItems of a group that changed after a log index, in order of change.
 
-        :param by_id: ``{job id: Job}`` of all jobs.
+        :param job_by_id: ``{job id: Job}`` of all jobs.
         """
         items = []
-        changed = self._index_by_group.get(group, {})
-        for job_id in reversed(changed):
-            if changed[job_id] <= since:
+        index_by_job = self._index_by_group.get(group, {})
+        for job_id in reversed(index_by_job):
+            if index_by_job[job_id] <= since:
                 break
-            job = by_id[job_id]
+            job = job_by_id[job_id]
             share = next(share for share in job.shares if share.group == group)
             items.append(
                 JobItem(
--- a/siskintally/job_counts.py
+++ b/siskintally/job_counts.py
@@ -45,7 +45,7 @@
     return ended_tasks(progress) >= share.tasks
 
 
-def holding(job):
+def quota_and_demand(job):
     """Return (number of tasks that count against the quota, {group: tasks not placed yet}).
 
     All tasks of a gang count until the whole job ends.
--- a/siskintally/job_shares.py
+++ b/siskintally/job_shares.py
@@ -10,13 +10,13 @@
 from siskintally.job_counts import ended_tasks
 from siskintally.job_split import split
 
-WAITS_FOR_GROUP = "domain group lost: no other group can hold the tasks; restore it or cancel"
+LOST_GROUP_REASON = "domain group lost: no other group can hold the tasks; restore it or cancel"
 
 
 class JobShares:
     """Creates, extends and removes the shares of jobs.
 
-    :param capacity: :class:`~siskintally.capacity.CapacityTable`.
+    :param capacity: :class:`~siskintally.capacity.GroupCapacityTable`.
     :param group_statuses: :class:`~siskintally.group_status.GroupStatusTable`.
     :param changes: :class:`~siskintally.job_changes.JobChanges`.
     """
@@ -28,7 +28,7 @@
         self._group_statuses = group_statuses
         self._changes = changes
 
-    def give(self, job, tasks, *, index):
+    def assign(self, job, tasks, *, index):
         """Divide tasks over the groups with workers large enough for them.
 
         If only lost groups have such workers, the tasks wait until an operator restores one.
@@ -40,7 +40,7 @@
         views = self._capacity.candidates(job.spec, refused=refused)
         views = [view for view in views if not self._group_statuses.is_lost(view.name)]
         if not views:
-            self._hold_back(job, tasks)
+            self._leave_unplaced(job, tasks)
             return
         share_by_group = {share.group: share for share in job.shares}
         present = {
@@ -53,20 +53,20 @@
                 job.shares.append(Share(group=group))
                 share = job.shares[-1]
             share.tasks += number
-            self._changes.touch(job, share, index)
+            self._changes.record_change(job, share, index)
 
-    def give_again(self, job, tasks, *, index):
+    def reassign(self, job, tasks, *, index):
         """Divide tasks that may have run before; if no group fits them, they wait."""
         try:
-            self.give(job, tasks, index=index)
+            self.assign(job, tasks, index=index)
         except (NeverFitsError, NotFoundError):
-            self._hold_back(job, tasks)
+            self._leave_unplaced(job, tasks)
 
-    def _hold_back(self, job, tasks):
+    def _leave_unplaced(self, job, tasks):
         job.unplaced += tasks
-        job.reason = WAITS_FOR_GROUP
+        job.reason = LOST_GROUP_REASON
 
-    def withdraw(self, job, groups):
+    def remove_shares(self, job, groups):
         """Remove the shares of groups; their ended tasks stay counted in ``job.past``.
 
         A restored group syncs with the cell from the start, so the whole share can be removed.
@@ -74,12 +74,12 @@
         :returns: number of tasks in the shares that had not ended, None if there was no share.
         """
         shares = [share for share in job.shares if share.group in groups]
-        left = 0
+        remaining = 0
         for share in shares:
-            left += max(0, share.tasks - ended_tasks(share.progress))
+            remaining += max(0, share.tasks - ended_tasks(share.progress))
             job.past.succeeded += share.progress.succeeded
             job.past.failed += share.progress.failed
             job.past.cancelled += share.progress.cancelled
-            self._changes.drop(job, share)
+            self._changes.remove(job, share)
             job.shares.remove(share)
-        return left if shares else None
+        return remaining if shares else None
--- a/siskintally/job_split.py
+++ b/siskintally/job_split.py
@@ -13,7 +13,7 @@
 from siskintally.wire_pb2 import JobSpec
 
 RESOURCE_NAMES = ("cpu_milli", "memory_mb", "accelerators")
-UNBOUNDED = 1 << 31
+UNBOUNDED_TASKS = 1 << 31
 
 
 class GroupView:
@@ -34,12 +34,12 @@
         self.free = free
         self.total = total
 
-    def can_hold(self, each):
+    def may_fit(self, each):
         """Return whether some worker may be large enough; True if the group has not reported."""
-        return not self.reported or not lacking(self.largest, each)
+        return not self.reported or not insufficient_resources(self.largest, each)
 
 
-def lacking(largest, each):
+def insufficient_resources(largest, each):
     """Return the names of the resources that a task needs more of than the largest worker has."""
     return [name for name in RESOURCE_NAMES if getattr(each, name) > getattr(largest, name)]
 
@@ -51,7 +51,7 @@
         for name in RESOURCE_NAMES
         if getattr(each, name) > 0
     ]
-    return max(0, min(counts, default=UNBOUNDED))
+    return max(0, min(counts, default=UNBOUNDED_TASKS))
 
 
 def split(spec, tasks, views, *, present=None):
@@ -66,78 +66,92 @@
         service.
     :returns: ``{group name: tasks}``; groups without tasks are left out.
     """
-    room_by_name = {view.name: task_count(view.free, spec.each) for view in views}
-    total_by_name = {view.name: task_count(view.total, spec.each) for view in views}
-    order = sorted(views, key=lambda view: (-room_by_name[view.name], view.name))
+    free_tasks_by_name = {view.name: task_count(view.free, spec.each) for view in views}
+    total_tasks_by_name = {view.name: task_count(view.total, spec.each) for view in views}
+    order = sorted(views, key=lambda view: (-free_tasks_by_name[view.name], view.name))
     if spec.kind == JobSpec.GANG:
-        best = min(order, key=lambda view: _gang_rank(view, tasks, total_by_name))
+        best = min(order, key=lambda view: _gang_rank(view, tasks, total_tasks_by_name))
         return {best.name: tasks}
     names = [view.name for view in order]
     if spec.kind == JobSpec.SERVICE:
-        given = _spread(tasks, names, room_by_name, present or {})
+        assigned_by_name = _spread(tasks, names, free_tasks_by_name, present or {})
     else:
-        given = _fill(tasks, names, room_by_name, total_by_name)
-    return {name: number for name, number in given.items() if number}
+        assigned_by_name = _fill_freest_first(tasks, names, free_tasks_by_name, total_tasks_by_name)
+    return {name: number for name, number in assigned_by_name.items() if number}
 
 
-def _gang_rank(view, tasks, total_by_name):
+def _gang_rank(view, tasks, total_tasks_by_name):
     if not view.reported:
         return 1
-    return 0 if total_by_name[view.name] >= tasks else 2
+    return 0 if total_tasks_by_name[view.name] >= tasks else 2
 
 
-def _spread(tasks, names, room_by_name, present):
-    given = dict.fromkeys(names, 0)
-    left = _level(tasks, given, room_by_name, present)
-    open_names = [name for name in names if room_by_name[name]]
-    while left and open_names:
-        step = max(1, left // len(open_names))
+def _spread(tasks, names, free_tasks_by_name, present):
+    assigned_by_name = dict.fromkeys(names, 0)
+    remaining = _level_up(tasks, assigned_by_name, free_tasks_by_name, present)
+    open_names = [name for name in names if free_tasks_by_name[name]]
+    while remaining and open_names:
+        step = max(1, remaining // len(open_names))
         for name in open_names:
-            number = min(step, room_by_name[name] - given[name], left)
-            given[name] += number
-            left -= number
-        open_names = [name for name in open_names if given[name] < room_by_name[name]]
-    return _divide(left, given, dict.fromkeys(names, 1))
+            number = min(step, free_tasks_by_name[name] - assigned_by_name[name], remaining)
+            assigned_by_name[name] += number
+            remaining -= number
+        open_names = [
+            name for name in open_names if assigned_by_name[name] < free_tasks_by_name[name]
+        ]
+    return _divide(remaining, assigned_by_name, dict.fromkeys(names, 1))
 
 
-def _level(tasks, given, room_by_name, present):
+def _level_up(tasks, assigned_by_name, free_tasks_by_name, present):
     """Add tasks to the groups with the fewest tasks of the job until all have equally many.
 
-    :returns: number of tasks left.
+    :returns: number of tasks remaining.
     """
-    level = max((present.get(name, 0) for name in given), default=0)
-    order = sorted(given, key=lambda name: present.get(name, 0))
-    left = tasks
+    highest = max((present.get(name, 0) for name in assigned_by_name), default=0)
+    order = sorted(assigned_by_name, key=lambda name: present.get(name, 0))
+    remaining = tasks
     for position, name in enumerate(order):
-        above = present.get(order[position + 1], 0) if position + 1 < len(order) else level
-        lower = [one for one in order[: position + 1] if given[one] < room_by_name[one]]
-        for _ in range(above - present.get(name, 0)):
-            for one in lower:
-                number = 1 if left and given[one] < room_by_name[one] else 0
-                given[one] += number
-                left -= number
-    return left
-
-
-def _fill(tasks, names, room_by_name, total_by_name):
-    given = dict.fromkeys(names, 0)
-    left = tasks
+        next_level = present.get(order[position + 1], 0) if position + 1 < len(order) else highest
+        lowest = [
+            candidate
+            for candidate in order[: position + 1]
+            if assigned_by_name[candidate] < free_tasks_by_name[candidate]
+        ]
+        for _ in range(next_level - present.get(name, 0)):
+            for candidate in lowest:
+                number = (
+                    1
+                    if remaining and assigned_by_name[candidate] < free_tasks_by_name[candidate]
+                    else 0
+                )
+                assigned_by_name[candidate] += number
+                remaining -= number
+    return remaining
+
+
+def _fill_freest_first(tasks, names, free_tasks_by_name, total_tasks_by_name):
+    assigned_by_name = dict.fromkeys(names, 0)
+    remaining = tasks
     for name in names:
-        given[name] = min(left, room_by_name[name])
-        left -= given[name]
-    return _divide(left, given, total_by_name)
+        assigned_by_name[name] = min(remaining, free_tasks_by_name[name])
+        remaining -= assigned_by_name[name]
+    return _divide(remaining, assigned_by_name, total_tasks_by_name)
 
 
-def _divide(tasks, given, weight_by_name):
+def _divide(tasks, assigned_by_name, weight_by_name):
     """Add the tasks that no group has free capacity for, in proportion to the weights."""
-    weight = sum(weight_by_name.values())
-    left = tasks
-    for name in given:
-        number = tasks * weight_by_name[name] // weight if weight else tasks // len(given)
-        given[name] += number
-        left -= number
-    for name in given:
-        number = 1 if left else 0
-        given[name] += number
-        left -= number
-    return given
+    total_weight = sum(weight_by_name.values())
+    remaining = tasks
+    for name in assigned_by_name:
+        number = (
+            tasks * weight_by_name[name] // total_weight
+            if total_weight
+            else tasks // len(assigned_by_name)
+        )
+        assigned_by_name[name] += number
+        remaining -= number
+    for name in assigned_by_name:
+        number = 1 if remaining else 0
+        assigned_by_name[name] += number
+        remaining -= number
+    return assigned_by_name
--- a/siskintally/jobs.py
+++ b/siskintally/jobs.py
@@ -2,11 +2,17 @@
 
 >>> from siskintally.jobs import JobTable
 >>> table = JobTable()
->>> table.by_id, table.latest("jylland")
+>>> table.job_by_id, table.latest_change("jylland")
 ({}, 0)
 """
 
-from siskintally.capacity import CapacityTable, Holdings, QuotaUse, exceeding, require_within
+from siskintally.capacity import (
+    GroupCapacityTable,
+    JobUsage,
+    QuotaUse,
+    check_within_quota,
+    first_above_quota,
+)
 from siskintally.cell_state_pb2 import Job
 from siskintally.codes import Code
 from siskintally.errors import (
@@ -20,11 +26,11 @@
 from siskintally.job_shares import JobShares
 from siskintally.wire_pb2 import JobSpec
 
-KEEP_ENDED_S = 24 * 3600.0
-MAX_ENDED_JOBS = 20_000
+ENDED_JOB_RETENTION_S = 24 * 3600.0
+MAX_KEPT_ENDED_JOBS = 20_000
 MAX_ACTIVE_JOBS = 50_000
-WAITS_FOR_QUOTA = "quota"
-ABOVE_QUOTA = "quota: the job is larger than the whole quota of its team"
+QUOTA_WAIT_REASON = "quota"
+ABOVE_QUOTA_REASON = "quota: the job is larger than the whole quota of its team"
 _RANK_BY_CLASS = {JobSpec.URGENT: 0, JobSpec.NORMAL: 1, JobSpec.DEFERRABLE: 2}
 
 
@@ -39,35 +45,35 @@
 
     A job is a set of tasks of one kind. Each share of it is run by one domain group.
 
-    :param by_id: ``{job id: Job}`` in order of submission.
+    :param job_by_id: ``{job id: Job}`` in order of submission.
     :param capacity: last reported capacity of the domain groups.
     :param quota_use: resources that count against the quota of each team.
     :param group_statuses: which domain groups were declared lost.
     """
 
     __slots__ = (
-        "_changes",
-        "_ended",
-        "_holdings",
-        "_shares",
-        "_waiting",
-        "by_id",
+        "_ended_ids",
+        "_job_changes",
+        "_job_shares",
+        "_job_usage",
+        "_waiting_by_team",
         "capacity",
         "group_statuses",
+        "job_by_id",
         "quota_use",
     )
 
     def __init__(self):
-        self.by_id = {}
-        self.capacity = CapacityTable()
+        self.job_by_id = {}
+        self.capacity = GroupCapacityTable()
         self.quota_use = QuotaUse()
         self.group_statuses = GroupStatusTable()
-        self._ended = {}
-        self._waiting = {}
-        self._holdings = Holdings(capacity=self.capacity, quota_use=self.quota_use)
-        self._changes = JobChanges()
-        self._shares = JobShares(
-            capacity=self.capacity, group_statuses=self.group_statuses, changes=self._changes
+        self._ended_ids = {}
+        self._waiting_by_team = {}
+        self._job_usage = JobUsage(capacity=self.capacity, quota_use=self.quota_use)
+        self._job_changes = JobChanges()
+        self._job_shares = JobShares(
+            capacity=self.capacity, group_statuses=self.group_statuses, changes=self._job_changes
         )
 
     def submit(self, spec, *, operator, index, now, quota_by_team):
@@ -80,9 +86,9 @@
         :raises NotFoundError: no group owns the failure domain that the job names.
         :raises TooManyJobsError: too many jobs have not ended.
         """
-        if len(self.by_id) - len(self._ended) >= MAX_ACTIVE_JOBS:
+        if len(self.job_by_id) - len(self._ended_ids) >= MAX_ACTIVE_JOBS:
             raise TooManyJobsError(f"{MAX_ACTIVE_JOBS} jobs have not ended")
-        require_within(spec, quota_by_team.get(spec.team))
+        check_within_quota(spec, quota_by_team.get(spec.team))
         self.capacity.candidates(spec)
         job = Job(
             job_id=f"{spec.name}-{index}",
@@ -91,9 +97,9 @@
             submitted_at=now,
             index=index,
         )
-        self.by_id[job.job_id] = job
-        self._waiting.setdefault(spec.team, {})[job.job_id] = None
-        self.admit(index=index, now=now, quota_by_team=quota_by_team, teams=(spec.team,))
+        self.job_by_id[job.job_id] = job
+        self._waiting_by_team.setdefault(spec.team, {})[job.job_id] = None
+        self.admit_waiting(index=index, now=now, quota_by_team=quota_by_team, teams=(spec.team,))
         return job
 
     def cancel(self, job_ids, prefix, *, index, now):
@@ -102,12 +108,14 @@
         :param prefix: cancels all jobs whose id starts with it; empty: none.
         :returns: (ids cancelled now, ids that had ended, ids not found).
         """
-        wanted = dict.fromkeys(job_ids)
+        matching = dict.fromkeys(job_ids)
         if prefix:
-            wanted.update(dict.fromkeys(name for name in self.by_id if name.startswith(prefix)))
+            matching.update(
+                dict.fromkeys(name for name in self.job_by_id if name.startswith(prefix))
+            )
         cancelled, ended, missing = [], [], []
-        for job_id in wanted:
-            job = self.by_id.get(job_id)
+        for job_id in matching:
+            job = self.job_by_id.get(job_id)
             if job is None:
                 missing.append(job_id)
             elif job.ended:
@@ -119,15 +127,15 @@
 
     def _cancel(self, job, *, index, now):
         job.cancelled = True
-        self._waiting.get(job.spec.team, {}).pop(job.job_id, None)
+        self._waiting_by_team.get(job.spec.team, {}).pop(job.job_id, None)
         job.past.cancelled += job.unplaced
         job.unplaced = 0
         for share in job.shares:
-            self._changes.touch(job, share, index)
+            self._job_changes.record_change(job, share, index)
         if self._end_if_done(job, now):
-            self._holdings.update(job)
+            self._job_usage.update(job)
 
-    def admit(self, *, index, now, quota_by_team, teams=None):
+    def admit_waiting(self, *, index, now, quota_by_team, teams=None):
         """Admit the waiting jobs that fit in the quotas of their teams.
 
         Within a team no job is admitted before an earlier one of its class or any one of a higher
@@ -135,38 +143,38 @@
 
         :param teams: teams whose jobs are considered; None: all.
         """
-        for team in list(self._waiting) if teams is None else teams:
-            waiting = [self.by_id[job_id] for job_id in self._waiting.get(team, {})]
+        for team in list(self._waiting_by_team) if teams is None else teams:
+            waiting = [self.job_by_id[job_id] for job_id in self._waiting_by_team.get(team, {})]
             waiting.sort(key=lambda job: (_RANK_BY_CLASS[job.spec.class_], job.index))
             quota = quota_by_team.get(team)
-            full = False
+            is_blocked = False
             for job in waiting:
                 each, tasks = job.spec.each, job.spec.tasks
-                if quota is None or exceeding(each, tasks, quota):
-                    job.reason = ABOVE_QUOTA
-                elif full or not self.quota_use.fits(team, each, tasks, quota):
-                    job.reason = WAITS_FOR_QUOTA
-                    full = True
+                if quota is None or first_above_quota(each, tasks, quota):
+                    job.reason = ABOVE_QUOTA_REASON
+                elif is_blocked or not self.quota_use.fits(team, each, tasks, quota):
+                    job.reason = QUOTA_WAIT_REASON
+                    is_blocked = True
                 else:
                     self._place(job, index=index, now=now)
-            if not self._waiting.get(team):
-                self._waiting.pop(team, None)
+            if not self._waiting_by_team.get(team):
+                self._waiting_by_team.pop(team, None)
 
     def _place(self, job, *, index, now):
-        self._waiting[job.spec.team].pop(job.job_id)
+        self._waiting_by_team[job.spec.team].pop(job.job_id)
         job.reason = ""
         try:
-            self._shares.give(job, job.spec.tasks, index=index)
+            self._job_shares.assign(job, job.spec.tasks, index=index)
         except (NeverFitsError, NotFoundError) as error:
-            self._end_as_never(job, str(error), index=index, now=now)
+            self._end_as_never_fitting(job, str(error), index=index, now=now)
             return
         job.admitted = True
-        self._settle(job, now)
+        self._update_derived(job, now)
 
     def report(self, report, *, index, now):
         """Apply a JobReport of one domain group; unknown and ended jobs are skipped."""
         for progress in report.jobs:
-            job = self.by_id.get(progress.job_id)
+            job = self.job_by_id.get(progress.job_id)
             if job is None or job.ended:
                 continue
             share = next((share for share in job.shares if share.group == report.group), None)
@@ -180,25 +188,25 @@
             if not job.unplaced:
                 job.reason = progress.reason if progress.waiting or progress.code else ""
             if progress.code == Code.NEVER_FITS and not job.cancelled and not share.refused:
-                self._move(job, share, index=index, now=now)
-            self._settle(job, now)
+                self._move_refused_tasks(job, share, index=index, now=now)
+            self._update_derived(job, now)
 
-    def _move(self, job, share, *, index, now):
+    def _move_refused_tasks(self, job, share, *, index, now):
         """Move the tasks that no worker of a group can ever fit to other groups, or end the job."""
-        keep = min(share.tasks, ended_tasks(share.progress) + share.progress.running)
-        moved = share.tasks - keep
+        kept = min(share.tasks, ended_tasks(share.progress) + share.progress.running)
+        moved = share.tasks - kept
         share.refused = True
-        share.tasks = keep
-        self._changes.touch(job, share, index)
+        share.tasks = kept
+        self._job_changes.record_change(job, share, index)
         if not moved:
             return
         try:
-            self._shares.give(job, moved, index=index)
+            self._job_shares.assign(job, moved, index=index)
         except NeverFitsError as error:
             reason = share.progress.reason or str(error)
-            self._end_as_never(job, reason, index=index, now=now)
+            self._end_as_never_fitting(job, reason, index=index, now=now)
 
-    def lose(self, groups, *, index, now):
+    def declare_lost(self, groups, *, index, now):
         """Declare groups lost and divide their tasks over the remaining groups.
 
         A task whose end was reported stays ended; any other task may run a second time.
@@ -206,21 +214,21 @@
         :returns: (number of tasks moved to other groups, number that fit in no other group).
         """
         for group in groups:
-            self.group_statuses.lose(group, index=index)
+            self.group_statuses.declare_lost(group, index=index)
         moved = unplaced = 0
-        for job in self.by_id.values():
-            left = self._shares.withdraw(job, groups)
-            if job.ended or left is None:
+        for job in self.job_by_id.values():
+            remaining = self._job_shares.remove_shares(job, groups)
+            if job.ended or remaining is None:
                 continue
             if job.cancelled:
-                job.past.cancelled += left
-            elif left:
-                before = job.unplaced
-                self._shares.give_again(job, left, index=index)
-                job.restarted += left
-                unplaced += job.unplaced - before
-                moved += left - (job.unplaced - before)
-            self._settle(job, now)
+                job.past.cancelled += remaining
+            elif remaining:
+                unplaced_before = job.unplaced
+                self._job_shares.reassign(job, remaining, index=index)
+                job.restarted += remaining
+                unplaced += job.unplaced - unplaced_before
+                moved += remaining - (job.unplaced - unplaced_before)
+            self._update_derived(job, now)
         return moved, unplaced
 
     def restore(self, group, *, index, now):
@@ -229,59 +237,59 @@
         :raises GroupInUseError: the group has not confirmed that nothing runs there.
         """
         self.group_statuses.restore(group, index=index)
-        for job in self.by_id.values():
+        for job in self.job_by_id.values():
             if job.unplaced:
                 tasks, job.unplaced, job.reason = job.unplaced, 0, ""
-                self._shares.give_again(job, tasks, index=index)
-                self._settle(job, now)
+                self._job_shares.reassign(job, tasks, index=index)
+                self._update_derived(job, now)
 
-    def _end_as_never(self, job, reason, *, index, now):
+    def _end_as_never_fitting(self, job, reason, *, index, now):
         job.code = int(Code.NEVER_FITS)
         job.reason = reason
         self._cancel(job, index=index, now=now)
 
-    def _settle(self, job, now):
+    def _update_derived(self, job, now):
         """Update a job's end, quota use and placement demand after a change of its shares."""
         self._end_if_done(job, now)
-        self._holdings.update(job)
+        self._job_usage.update(job)
 
     def _end_if_done(self, job, now):
         """End a job if all its tasks have ended; return whether it ended now."""
-        begun = job.admitted or job.cancelled
-        over = not job.unplaced and all(share_has_ended(job, share) for share in job.shares)
-        if job.ended or not begun or not over:
+        is_started = job.admitted or job.cancelled
+        all_ended = not job.unplaced and all(share_has_ended(job, share) for share in job.shares)
+        if job.ended or not is_started or not all_ended:
             return False
         job.ended = True
         job.ended_at = now
-        self._ended[job.job_id] = None
+        self._ended_ids[job.job_id] = None
         if not job.code:
             job.reason = ""
         return True
 
-    def latest(self, group):
+    def latest_change(self, group):
         """Return the log index of the last change of a group's desired state, 0 if none."""
-        return self._changes.latest(group)
+        return self._job_changes.latest_change(group)
 
-    def items(self, group, since):
+    def items_since(self, group, since):
         """Return the JobItems of a group that changed after a log index, in order of change."""
-        return self._changes.items(group, since, self.by_id)
+        return self._job_changes.items_since(group, since, self.job_by_id)
 
-    def forget(self, now):
+    def drop_old_jobs(self, now):
         """Drop jobs that ended more than 24 h ago, and the oldest ended ones above 20,000."""
-        while self._ended:
-            job_id = next(iter(self._ended))
-            old = now - self.by_id[job_id].ended_at > KEEP_ENDED_S
-            if not old and len(self._ended) <= MAX_ENDED_JOBS:
+        while self._ended_ids:
+            job_id = next(iter(self._ended_ids))
+            is_old = now - self.job_by_id[job_id].ended_at > ENDED_JOB_RETENTION_S
+            if not is_old and len(self._ended_ids) <= MAX_KEPT_ENDED_JOBS:
                 return
-            del self._ended[job_id]
-            job = self.by_id.pop(job_id)
+            del self._ended_ids[job_id]
+            job = self.job_by_id.pop(job_id)
             for share in job.shares:
-                self._changes.drop(job, share)
+                self._job_changes.remove(job, share)
 
     def save(self, state):
         """Write jobs and groups into a State message."""
-        state.jobs.extend(self.by_id.values())
-        state.ended.extend(self._ended)
+        state.jobs.extend(self.job_by_id.values())
+        state.ended.extend(self._ended_ids)
         for info in self.capacity.info_by_group.values():
             state.groups.append(info)
             state.largest_at.append(self.capacity.largest_at[info.name])
@@ -294,10 +302,10 @@
             self.capacity.info_by_group[info.name] = info
             self.capacity.largest_at[info.name] = at
         self.group_statuses.load(state)
-        self._ended = dict.fromkeys(state.ended)
+        self._ended_ids = dict.fromkeys(state.ended)
         for job in state.jobs:
-            self.by_id[job.job_id] = job
-            self._holdings.update(job)
+            self.job_by_id[job.job_id] = job
+            self._job_usage.update(job)
             if not job.admitted and not job.ended:
-                self._waiting.setdefault(job.spec.team, {})[job.job_id] = None
-        self._changes.load(state.jobs)
+                self._waiting_by_team.setdefault(job.spec.team, {})[job.job_id] = None
+        self._job_changes.load(state.jobs)
--- a/siskintally/preset.py
+++ b/siskintally/preset.py
@@ -41,13 +41,13 @@
             if not isinstance(value, bool):
                 raise BadSettingsError(f"{key} = {value!r}: expected true or false")
             return value
-        return number(value, key=key, kind=self.kind, low=self.low, high=self.high)
+        return check_number(value, key=key, kind=self.kind, low=self.low, high=self.high)
 
 
-def number(value, *, key, kind, low, high):
+def check_number(value, *, key, kind, low, high):
     """Check the type and range of a number and return it as ``kind``.
 
-    >>> number(3, key="n", kind=int, low=1, high=5)
+    >>> check_number(3, key="n", kind=int, low=1, high=5)
     3
 
     :raises BadSettingsError: wrong type or out of range; NaN is out of every range.
@@ -167,8 +167,8 @@
 
 def default_preset(name):
     """Return the preset of a name with all keys at their defaults."""
-    position = PRESET_NAMES.index(name)
-    return Preset(name=name, **{limit.name: limit.defaults[position] for limit in LIMITS})
+    index = PRESET_NAMES.index(name)
+    return Preset(name=name, **{limit.name: limit.defaults[index] for limit in LIMITS})
 
 
 def parse_preset(name, table):
--- a/siskintally/recorded_cell.py
+++ b/siskintally/recorded_cell.py
@@ -31,7 +31,7 @@
     def apply(self, *, index, command):
         """Apply a command; its audit record is synced to disk before the reply is returned."""
         reply = self.cell.apply(index=index, command=command)
-        self._record()
+        self._write_audit_records()
         self._changed.set()
         self._changed = Event()
         return reply
@@ -43,7 +43,7 @@
     def restore(self, data):
         """Replace the state; audit records that this store missed are written from the snapshot."""
         self.cell.restore(data)
-        self._record()
+        self._write_audit_records()
         self._changed.set()
         self._changed = Event()
 
@@ -51,12 +51,12 @@
         """Wait until a command or a snapshot is applied."""
         await self._changed.wait()
 
-    def _record(self):
+    def _write_audit_records(self):
         chain = self.cell.audit
         if chain.number < self.audit_file.last:
             return
         try:
             # Includes the last record of the file, so that a different chain is detected.
-            self.audit_file.write(chain.after(self.audit_file.last - 1))
+            self.audit_file.write(chain.records_after(self.audit_file.last - 1))
         except DamagedDataError as error:
             log.error("audit file differs from the audit chain of the cell", error=str(error))
--- a/siskintally/spec.py
+++ b/siskintally/spec.py
@@ -14,7 +14,7 @@
 
 MAX_TASKS = 100_000
 MAX_AMOUNT = 1_000_000_000
-MAX_SECONDS = 366 * 24 * 3600.0
+MAX_DURATION_S = 366 * 24 * 3600.0
 MAX_COMMAND_LENGTH = 4096
 MAX_TEXT_LENGTH = 63
 NAME_PATTERN = compile_pattern(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -59,12 +59,12 @@
     spec = JobSpec(
         name=fields["name"],
         team=fields["team"],
-        kind=_choice(KIND_BY_NAME, "kind", fields["kind"]),
-        class_=_choice(CLASS_BY_NAME, "class", fields.get("class", "normal")),
-        tasks=_in_range("tasks", fields.get("tasks", 1), 1, MAX_TASKS),
+        kind=_parse_choice(KIND_BY_NAME, "kind", fields["kind"]),
+        class_=_parse_choice(CLASS_BY_NAME, "class", fields.get("class", "normal")),
+        tasks=_check_range("tasks", fields.get("tasks", 1), 1, MAX_TASKS),
         each=Resources(
             **{
-                key: _in_range(key, fields.get(key, 0), 0, MAX_AMOUNT)
+                key: _check_range(key, fields.get(key, 0), 0, MAX_AMOUNT)
                 for key in ("cpu_milli", "memory_mb", "accelerators")
             }
         ),
@@ -91,34 +91,34 @@
         raise BadRequestError(f"team, domain: expected at most {MAX_TEXT_LENGTH} characters")
     if spec.kind not in KIND_BY_NAME.values() or spec.class_ not in CLASS_BY_NAME.values():
         raise BadRequestError(f"kind, class = {spec.kind}, {spec.class_}: unknown number")
-    _in_range("tasks", spec.tasks, 1, MAX_TASKS)
+    _check_range("tasks", spec.tasks, 1, MAX_TASKS)
     amounts = (spec.each.cpu_milli, spec.each.memory_mb, spec.each.accelerators)
     for key, value in zip(("cpu_milli", "memory_mb", "accelerators"), amounts, strict=True):
-        _in_range(key, value, 0, MAX_AMOUNT)
+        _check_range(key, value, 0, MAX_AMOUNT)
     if not any(amounts):
         raise BadRequestError("cpu_milli, memory_mb, accelerators: expected one above 0")
     for key, value in (("run_s", spec.run_s), ("deadline_s", spec.deadline_s)):
         if not isfinite(value):
             raise BadRequestError(f"{key} = {value}: expected a finite number")
-        _in_range(key, value, 0, MAX_SECONDS)
+        _check_range(key, value, 0, MAX_DURATION_S)
     if len(spec.command) > MAX_COMMAND_LENGTH:
         raise BadRequestError(f"command: expected at most {MAX_COMMAND_LENGTH} characters")
 
 
 def _check_type(key, value):
-    wanted = _TYPE_BY_KEY[key]
-    types = (int, float) if wanted is float else wanted
+    expected_type = _TYPE_BY_KEY[key]
+    types = (int, float) if expected_type is float else expected_type
     if not isinstance(value, types) or isinstance(value, bool):
-        raise BadRequestError(f"{key} = {value!r}: expected {wanted.__name__}")
+        raise BadRequestError(f"{key} = {value!r}: expected {expected_type.__name__}")
 
 
-def _choice(number_by_name, key, name):
+def _parse_choice(number_by_name, key, name):
     if name not in number_by_name:
         raise BadRequestError(f"{key} = {name!r}: expected one of {', '.join(number_by_name)}")
     return number_by_name[name]
 
 
-def _in_range(key, value, low, high):
+def _check_range(key, value, low, high):
     if not low <= value <= high:
         raise BadRequestError(f"{key} = {value}: expected {low} to {high}")
     return value
--- a/siskintally/verbs.py
+++ b/siskintally/verbs.py
@@ -1,7 +1,7 @@
 """Operator verbs: parses the JSON arguments of a call into a change of the cell state.
 
->>> from siskintally.verbs import change_of, parse_arguments
->>> change_of("preset", parse_arguments(b'{"preset": "peak", "expect_version": 3}'))
+>>> from siskintally.verbs import parse_arguments, parse_change
+>>> parse_change("preset", parse_arguments(b'{"preset": "peak", "expect_version": 3}'))
 ('set_preset', preset: "peak"
 expect_version: 3
 )
@@ -24,8 +24,8 @@
 
 MAX_ARGUMENT_BYTES = 1 << 20
 MAX_VERSION = (1 << 63) - 1
-READS = ("status", "jobs", "audit")
-CHANGES = ("submit", "cancel", "drain", "preset", "config", "domain")
+READ_VERBS = ("status", "jobs", "audit")
+CHANGE_VERBS = ("submit", "cancel", "drain", "preset", "config", "domain")
 ACTIONS = ("lost", "restore")
 
 
@@ -53,7 +53,7 @@
     return arguments
 
 
-def canonical(arguments):
+def canonical_json(arguments):
     """Return arguments as JSON bytes; equal arguments give equal bytes."""
     return dumps(arguments, sort_keys=True, separators=(",", ":")).encode()
 
@@ -63,28 +63,28 @@
 
     :raises BadRequestError: the verb is unknown.
     """
-    if verb in READS:
+    if verb in READ_VERBS:
         return True
-    if verb not in CHANGES:
-        known = ", ".join(READS + CHANGES)
+    if verb not in CHANGE_VERBS:
+        known = ", ".join(READ_VERBS + CHANGE_VERBS)
         raise BadRequestError(f"verb = {verb[:100]!r}: expected one of {known}")
     return verb == "config" and "document" not in arguments
 
 
-def change_of(verb, arguments):
+def parse_change(verb, arguments):
     """Return the change of the cell state that a call requests.
 
     :returns: (field name in Command, message).
     :raises BadRequestError: names the argument, its value, and what is allowed.
     """
     try:
-        return _MAKERS[verb](arguments)
+        return _PARSER_BY_VERB[verb](arguments)
     except (ValueError, TypeError, OverflowError, RecursionError) as error:
         # Protobuf rejects some values, such as text with an unpaired surrogate.
         raise BadRequestError(f"arguments: {error}") from error
 
 
-def text_of(arguments, key, default=None):
+def text_argument(arguments, key, default=None):
     """Return a text argument.
 
     :raises BadRequestError: not text, or missing without a default.
@@ -95,7 +95,7 @@
     return value
 
 
-def number_of(arguments, key, *, low, high, default=None):
+def integer_argument(arguments, key, *, low, high, default=None):
     """Return an integer argument.
 
     :raises BadRequestError: not an integer, out of range, or missing without a default.
@@ -106,7 +106,7 @@
     return value
 
 
-def flag_of(arguments, key, default):
+def boolean_argument(arguments, key, default):
     """Return a boolean argument.
 
     :raises BadRequestError: not a boolean.
@@ -117,7 +117,7 @@
     return value
 
 
-def expect_keys(arguments, *allowed):
+def check_keys(arguments, *allowed):
     """Check that all arguments are among the allowed ones.
 
     :raises BadRequestError: names the first unknown argument.
@@ -128,68 +128,70 @@
             raise BadRequestError(f"{key[:100]}: unknown argument, expected one of {known}")
 
 
-def _submit(arguments):
+def _parse_submit(arguments):
     return "submit_job", SubmitJob(spec=parse_spec(arguments))
 
 
-def _cancel(arguments):
-    expect_keys(arguments, "jobs", "prefix")
+def _parse_cancel(arguments):
+    check_keys(arguments, "jobs", "prefix")
     jobs = arguments.get("jobs", [])
     if not isinstance(jobs, list) or not all(isinstance(job, str) for job in jobs):
         raise BadRequestError("jobs: expected a list of job ids")
-    prefix = text_of(arguments, "prefix", "")
+    prefix = text_argument(arguments, "prefix", "")
     if not jobs and not prefix:
         raise BadRequestError("jobs, prefix: expected one of them")
     return "cancel_jobs", CancelJobs(job_ids=jobs, prefix=prefix)
 
 
-def _drain(arguments):
-    expect_keys(arguments, "kind", "name", "draining")
+def _parse_drain(arguments):
+    check_keys(arguments, "kind", "name", "draining")
     return "set_drain", SetDrain(
-        kind=text_of(arguments, "kind"),
-        name=text_of(arguments, "name"),
-        draining=flag_of(arguments, "draining", True),
+        kind=text_argument(arguments, "kind"),
+        name=text_argument(arguments, "name"),
+        draining=boolean_argument(arguments, "draining", True),
     )
 
 
-def _preset(arguments):
-    expect_keys(arguments, "preset", "expect_version")
+def _parse_preset(arguments):
+    check_keys(arguments, "preset", "expect_version")
     return "set_preset", SetPreset(
-        preset=text_of(arguments, "preset"),
-        expect_version=number_of(arguments, "expect_version", low=0, high=MAX_VERSION),
+        preset=text_argument(arguments, "preset"),
+        expect_version=integer_argument(arguments, "expect_version", low=0, high=MAX_VERSION),
     )
 
 
-def _config(arguments):
-    expect_keys(arguments, "document", "expect_version")
+def _parse_config(arguments):
+    check_keys(arguments, "document", "expect_version")
     return "set_config", SetConfig(
-        document=text_of(arguments, "document"),
-        expect_version=number_of(arguments, "expect_version", low=0, high=MAX_VERSION),
+        document=text_argument(arguments, "document"),
+        expect_version=integer_argument(arguments, "expect_version", low=0, high=MAX_VERSION),
     )
 
 
-def _domain(arguments):
-    expect_keys(arguments, "action", "groups", "confirm", "force")
-    action = text_of(arguments, "action")
+def _parse_domain(arguments):
+    check_keys(arguments, "action", "groups", "confirm", "force")
+    action = text_argument(arguments, "action")
     groups = arguments.get("groups")
     if not isinstance(groups, list) or not all(isinstance(name, str) for name in groups):
         raise BadRequestError("groups: expected a list of domain groups")
     if action == "lost":
-        if not flag_of(arguments, "confirm", False):
+        if not boolean_argument(arguments, "confirm", False):
             raise BadRequestError(
                 "confirm: expected true, to confirm that nothing runs in the groups"
             )
-        return "lose_groups", LoseGroups(groups=groups, force=flag_of(arguments, "force", False))
+        return "lose_groups", LoseGroups(
+            groups=groups, force=boolean_argument(arguments, "force", False)
+        )
     if action != "restore" or len(groups) != 1:
         raise BadRequestError(f"action = {action!r}: expected lost, or restore with one group")
     return "restore_group", RestoreGroup(group=groups[0])
 
 
-_MAKERS = {
-    "submit": _submit,
-    "cancel": _cancel,
-    "drain": _drain,
-    "preset": _preset,
-    "config": _config,
-    "domain": _domain,
+_PARSER_BY_VERB = {
+    "submit": _parse_submit,
+    "cancel": _parse_cancel,
+    "drain": _parse_drain,
+    "preset": _parse_preset,
+    "config": _parse_config,
+    "domain": _parse_domain,
 }
--- a/tests/model/config.py
+++ b/tests/model/config.py
@@ -153,7 +153,7 @@
 
     def _send_feed(self, state):
         cell = self._cells[state.cell]
-        changes = cell.changes(GROUP, state.domain[0])
+        changes = cell.changes_since(GROUP, state.domain[0])
         reply = (changes.index, changes.config.SerializeToString(deterministic=True))
         if changes.HasField("config") and reply not in state.feed:
             repeats, feeds, polls, restarts = state.budget
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from siskintally.audit import EMPTY_HEAD, AuditFile, record_hash, to_line, verify
+from siskintally.audit import EMPTY_HEAD, AuditFile, record_hash, record_to_line, verify_file
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import AuditRecord, SetPreset
 from siskintally.errors import DamagedDataError
@@ -39,7 +39,7 @@
 
 def test_file_has_the_whole_chain(chain, tmp_path):
     """Guards against a file whose head differs from the one in the state."""
-    findings = verify(written(chain, tmp_path / "audit.log"))
+    findings = verify_file(written(chain, tmp_path / "audit.log"))
     assert (findings.records, findings.head, findings.damage) == (4, chain.head, "")
 
 
@@ -53,7 +53,7 @@
     """Return a changed record with a hash that matches it."""
     record = AuditRecord(**(loads(line) | changes))
     record.hash = record_hash(record)
-    return to_line(record)
+    return record_to_line(record)
 
 
 def forge_operator(lines):
@@ -82,7 +82,7 @@
     lines = path.read_bytes().splitlines(keepends=True)
     tamper(lines)
     path.write_bytes(b"".join(lines))
-    assert verify(path).damage
+    assert verify_file(path).damage
     with pytest.raises(DamagedDataError):
         AuditFile(path=path)
 
@@ -92,7 +92,7 @@
     path = written(chain, tmp_path / "audit.log")
     lines = path.read_bytes().splitlines(keepends=True)
     path.write_bytes(b"".join(lines[:1] + lines[2:]))
-    assert verify(path).gaps == ["records 2 to 2"]
+    assert verify_file(path).gaps == ["records 2 to 2"]
 
 
 def test_damaged_file_is_kept_aside(chain, tmp_path):
@@ -102,7 +102,7 @@
     file = AuditFile.recover(path=path)
     file.write(chain.recent)
     file.close()
-    assert verify(path).records == 4
+    assert verify_file(path).records == 4
     assert (tmp_path / "audit.log.damaged-1").exists()
 
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from siskintally.cell import KEEP_REPLIES, Cell
+from siskintally.cell import MIN_KEPT_REPLIES, Cell
 from siskintally.cell_state_pb2 import CancelJobs, Command, SetConfig, SetDrain, SetPreset
 from siskintally.codes import Code
 from siskintally.job_counts import job_state
@@ -69,20 +69,20 @@
     """Guards against a resend that runs again because younger requests pushed its reply out."""
     drain = SetDrain(kind="worker", name="w1", draining=True)
     driver.change(drain, request_id="first")
-    for _ in range(KEEP_REPLIES):
+    for _ in range(MIN_KEPT_REPLIES):
         driver.change(drain)
     assert "first" in driver.cell._reply_by_id
     driver.at += 24 * 3600 + 1
     driver.change(drain)
     assert "first" not in driver.cell._reply_by_id
-    assert len(driver.cell._reply_by_id) == KEEP_REPLIES
+    assert len(driver.cell._reply_by_id) == MIN_KEPT_REPLIES
 
 
 def test_job_above_the_whole_quota_is_refused_for_good(driver):
     """Guards against a job that would wait for ever."""
     assert driver.submit(tasks=101)[0] == Code.QUOTA_EXCEEDED
     assert driver.submit(team="unknown")[0] == Code.QUOTA_EXCEEDED
-    assert not driver.cell.jobs.by_id
+    assert not driver.cell.jobs.job_by_id
 
 
 def test_job_waits_for_quota_and_is_admitted_when_it_frees(driver):
@@ -95,9 +95,9 @@
     for name, tasks in first["split"].items():
         driver.report(name, first["job"], succeeded=tasks)
     jobs = driver.cell.jobs
-    assert jobs.by_id[first["job"]].ended
-    assert sum(share.tasks for share in jobs.by_id[second["job"]].shares) == 50
-    assert jobs.by_id[third["job"]].admitted
+    assert jobs.job_by_id[first["job"]].ended
+    assert sum(share.tasks for share in jobs.job_by_id[second["job"]].shares) == 50
+    assert jobs.job_by_id[third["job"]].admitted
     assert jobs.quota_use.used("ski").cpu_milli == 60_000
 
 
@@ -109,7 +109,7 @@
     driver.change(CancelJobs(job_ids=[first["job"]]))
     for name, tasks in first["split"].items():
         driver.report(name, first["job"], cancelled=tasks)
-    jobs = driver.cell.jobs.by_id
+    jobs = driver.cell.jobs.job_by_id
     assert jobs[urgent["job"]].admitted
     assert not jobs[late["job"]].admitted
 
@@ -149,14 +149,14 @@
 def test_share_that_a_group_refuses_moves_until_none_is_left(driver):
     """Guards against a job lost in a group that can never run it."""
     _, answer = driver.submit(kind="gang", tasks=4)
-    job = driver.cell.jobs.by_id[answer["job"]]
+    job = driver.cell.jobs.job_by_id[answer["job"]]
     seen = set()
     for _ in NAMES:
         assert not job.ended
         (share,) = [share for share in job.shares if share.tasks]
         seen.add(share.group)
         driver.report(share.group, job.job_id, waiting=4, code=4005, reason="accelerators")
-        (item,) = driver.cell.jobs.items(share.group, 0)
+        (item,) = driver.cell.jobs.items_since(share.group, 0)
         assert item.cancelled
     assert seen == set(NAMES)
     assert (job.ended, job_state(job), job.reason) == (True, "never", "accelerators")
@@ -168,7 +168,7 @@
     before = driver.index
     code, answer = driver.change(CancelJobs(job_ids=[ids[0], "no-such"], prefix="seat-"))
     assert (code, answer) == (1000, {"cancelled": 50, "ended": 0, "not_found": ["no-such"]})
-    items = [item for name in NAMES for item in driver.cell.changes(name, before).jobs]
+    items = [item for name in NAMES for item in driver.cell.changes_since(name, before).jobs]
     assert sorted(item.job_id for item in items) == sorted(ids)
     assert all(item.cancelled for item in items)
     assert driver.change(CancelJobs(job_ids=["no-such"]))[0] == Code.NOT_FOUND
@@ -178,7 +178,7 @@
     """Guards against a cancelled job that holds quota for ever."""
     _, answer = driver.submit(tasks=5, domain="fjeld-a")
     driver.change(CancelJobs(job_ids=[answer["job"]]))
-    job = driver.cell.jobs.by_id[answer["job"]]
+    job = driver.cell.jobs.job_by_id[answer["job"]]
     driver.report("fjeld-a", job.job_id, waiting=4, running=1)
     assert job_state(job) == "cancelling"
     driver.report("fjeld-a", job.job_id)
@@ -191,13 +191,13 @@
     start = driver.index
     _, answer = driver.submit(kind="service", tasks=3)
     driver.change(SetDrain(kind="worker", name="w7", draining=True))
-    reply = driver.cell.changes("fjeld-a", start)
+    reply = driver.cell.changes_since("fjeld-a", start)
     assert [item.job_id for item in reply.jobs] == [answer["job"]]
     assert [item.name for item in reply.drains] == ["w7"]
     assert not reply.HasField("config")
-    assert driver.cell.changes("fjeld-a", 0).config.version == 1
-    assert driver.cell.changes("fjeld-a", reply.index).index == reply.index
-    assert not driver.cell.changes("fjeld-a", reply.index).jobs
+    assert driver.cell.changes_since("fjeld-a", 0).config.version == 1
+    assert driver.cell.changes_since("fjeld-a", reply.index).index == reply.index
+    assert not driver.cell.changes_since("fjeld-a", reply.index).jobs
 
 
 def test_late_report_of_a_former_leader_is_ignored(driver):
@@ -205,7 +205,7 @@
     _, answer = driver.submit(tasks=3, domain="fjeld-a")
     driver.report("fjeld-a", answer["job"], succeeded=2, running=1)
     driver.report("fjeld-a", answer["job"], waiting=3)
-    job = driver.cell.jobs.by_id[answer["job"]]
+    job = driver.cell.jobs.job_by_id[answer["job"]]
     assert job.shares[0].progress.succeeded == 2
 
 
@@ -215,8 +215,8 @@
     driver.report("fjeld-a", answer["job"], succeeded=1)
     driver.at += 24 * 3600 + 1
     driver.submit()
-    assert answer["job"] not in driver.cell.jobs.by_id
-    assert len(driver.cell.jobs.items("fjeld-a", 0)) <= 1
+    assert answer["job"] not in driver.cell.jobs.job_by_id
+    assert len(driver.cell.jobs.items_since("fjeld-a", 0)) <= 1
 
 
 def test_replicas_and_restored_snapshots_agree(driver):
--- a/tests/test_cell_service.py
+++ b/tests/test_cell_service.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from siskintally import cell_service, spec
-from siskintally.audit import AuditFile, verify
+from siskintally.audit import AuditFile, verify_file
 from siskintally.cell import Cell
 from siskintally.cell_service import CellService
 from siskintally.cell_state_pb2 import State
@@ -17,7 +17,7 @@
 from siskintally.errors import BadRequestError, NotLeaderError
 from siskintally.recorded_cell import RecordedCell
 from siskintally.settings import parse
-from siskintally.verbs import CHANGES, READS
+from siskintally.verbs import CHANGE_VERBS, READ_VERBS
 from siskintally.wire_pb2 import JobProgress, JobReport, OperatorCall, SyncRequest
 from tests.cell_commands import DOCUMENT, group
 from tests.fake_group import FakeGroup
@@ -171,7 +171,7 @@
 
     async def main():
         desk.group.is_leader, desk.group.leader = False, "s2"
-        for verb in READS + CHANGES:
+        for verb in READ_VERBS + CHANGE_VERBS:
             with pytest.raises(NotLeaderError):
                 await desk.ask(verb, {})
         with pytest.raises(NotLeaderError):
@@ -201,7 +201,7 @@
     behind = RecordedCell(cell=Cell(), audit_file=AuditFile(path=tmp_path / "other.log"))
     behind.restore(desk.machine.snapshot())
     assert (tmp_path / "other.log").read_bytes() == (tmp_path / "audit.log").read_bytes()
-    assert verify(tmp_path / "other.log").records == 5
+    assert verify_file(tmp_path / "other.log").records == 5
 
 
 JSON_VALUES = st.recursive(
@@ -232,7 +232,7 @@
 
 
 @settings(max_examples=1000, deadline=None)
-@given(verb=st.sampled_from((*READS, *CHANGES, "reboot", "")), arguments=ARGUMENTS)
+@given(verb=st.sampled_from((*READ_VERBS, *CHANGE_VERBS, "reboot", "")), arguments=ARGUMENTS)
 def test_malformed_arguments_give_a_code_and_change_nothing(verb, arguments):
     """Guards against arguments that crash the leader or leave a trace when refused."""
     desk = Desk(_NoFile())
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -8,7 +8,7 @@
 
 from siskintally.codes import Code
 from siskintally.config import parse_config
-from siskintally.job_split import lacking, task_count
+from siskintally.job_split import insufficient_resources, task_count
 from siskintally.preset import LIMITS
 from siskintally.settings import load
 from siskintally.spec import KEYS, parse_spec
@@ -85,6 +85,6 @@
     assert len(paths) == 3
     for path in paths:
         spec = parse_spec(loads(path.read_text(encoding="utf-8")))
-        assert not lacking(worker, spec.each)
+        assert not insufficient_resources(worker, spec.each)
         assert task_count(config.quota_by_team[spec.team], spec.each) >= spec.tasks
         assert spec.domain in {"", *domains}
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -13,7 +13,7 @@
 from siskintally.group_status import MIN_SILENCE_S
 from siskintally.group_status_check import MAX_GAP_S, GroupStatusCheck
 from siskintally.job_counts import job_state
-from siskintally.job_shares import WAITS_FOR_GROUP
+from siskintally.job_shares import LOST_GROUP_REASON
 from siskintally.wire_pb2 import JobItem, JobSpec, SyncReply, SyncRequest
 from tests.cell_commands import NAMES, Driver, group
 from tests.fake_group import FakeGroup
@@ -35,7 +35,7 @@
 
 
 def submitted(driver, **fields):
-    return driver.cell.jobs.by_id[driver.submit(**fields)[1]["job"]]
+    return driver.cell.jobs.job_by_id[driver.submit(**fields)[1]["job"]]
 
 
 def test_group_that_was_heard_from_is_not_declared_lost(driver):
@@ -46,7 +46,7 @@
     assert code == Code.GROUP_IN_USE
     assert "119 s ago" in answer["message"]
     assert tasks_by_group(job) == dict.fromkeys(NAMES, 1)
-    assert not driver.cell.group_statuses.lost()
+    assert not driver.cell.group_statuses.lost_groups()
     assert driver.lose("atlantis")[0] == Code.NOT_FOUND
     driver.groups[0] = group(FJELD, silent_s=MIN_SILENCE_S)
     assert driver.lose(FJELD, force=False)[0] == Code.DONE
@@ -66,7 +66,7 @@
     code, answer = driver.lose(FJELD)
     assert (code, answer) == (1000, {"lost": [FJELD], "moved": 2, "unplaced": 20})
     assert tasks_by_group(service) == {JYLLAND: 3, SJAELLAND: 3}
-    assert (gang.unplaced, gang.reason, list(gang.shares)) == (20, WAITS_FOR_GROUP, [])
+    assert (gang.unplaced, gang.reason, list(gang.shares)) == (20, LOST_GROUP_REASON, [])
     free = submitted(driver, kind="gang", tasks=20)
     (home,) = tasks_by_group(free)
     driver.lose(home)
@@ -109,9 +109,9 @@
     driver.lose(FJELD, JYLLAND)
     assert tasks_by_group(job) == {SJAELLAND: 6}
     driver.lose(SJAELLAND)
-    assert (tasks_by_group(job), job.unplaced, job.reason) == ({}, 6, WAITS_FOR_GROUP)
+    assert (tasks_by_group(job), job.unplaced, job.reason) == ({}, 6, LOST_GROUP_REASON)
     waiting = submitted(driver, tasks=2)
-    assert (waiting.unplaced, waiting.reason) == (2, WAITS_FOR_GROUP)
+    assert (waiting.unplaced, waiting.reason) == (2, LOST_GROUP_REASON)
     driver.confirm_idle(JYLLAND)
     assert driver.restore(JYLLAND)[0] == Code.DONE
     assert tasks_by_group(job) == {JYLLAND: 6}
@@ -157,7 +157,7 @@
     restored = Cell()
     restored.restore(driver.cell.snapshot())
     assert restored.snapshot() == driver.cell.snapshot()
-    assert restored.group_statuses.of(FJELD).epoch == 2
+    assert restored.group_statuses.get(FJELD).epoch == 2
 
 
 def test_returned_group_ends_its_jobs_and_numbers_tasks_anew():
--- a/tests/test_group_loss_walk.py
+++ b/tests/test_group_loss_walk.py
@@ -79,7 +79,7 @@
     def sync(self, driver):
         """Follow the cell once, and confirm that nothing runs if it asks for that."""
         domain = self.domain
-        reply = driver.cell.changes(self.name, domain.cell_index, domain.epoch)
+        reply = driver.cell.changes_since(self.name, domain.cell_index, domain.epoch)
         self.commit(sync=reply)
         self.status_check.record_reply(reply)
         self.stop()
@@ -144,7 +144,7 @@
 
     def jobs(self):
         """Return the jobs of the cell by id."""
-        return self.driver.cell.jobs.by_id
+        return self.driver.cell.jobs.job_by_id
 
     def step(self):
         """Take one random step."""
--- a/tests/test_store_process.py
+++ b/tests/test_store_process.py
@@ -3,7 +3,7 @@
 from anyio import create_task_group
 from httpx import get
 
-from siskintally.audit import verify
+from siskintally.audit import verify_file
 from siskintally.codes import Code
 from tests.processes import wait_until
 from tests.store_processes import DOCUMENT, Stores
@@ -33,7 +33,7 @@
 
 
 def same_audit_files(stores, records):
-    found = [verify(stores.folder / name / "audit.log") for name in stores.names]
+    found = [verify_file(stores.folder / name / "audit.log") for name in stores.names]
     same_head = len({one.head for one in found}) == 1
     return same_head and all(one.records == records and not one.damage for one in found)
 
