--- a/siskintally/capacity.py
+++ b/siskintally/capacity.py
@@ -52,6 +52,7 @@
             self.info_by_group[info.name] = merged
 
     def _merge(self, capacity, before, group, now):
+        """Keep values of the previous DomainCapacity that a new report must not replace yet."""
         if not capacity.workers:
             capacity.CopyFrom(before)
         elif (
--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -124,6 +124,7 @@
         return self._apply_change(index, kind, command)
 
     def _update_time_and_capacity(self, command):
+        """Apply the time stamp and the group capacities of a command."""
         self.now = max(self.now, command.at)
         self.jobs.capacity.update(command.groups, self.now)
 
--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -50,6 +50,7 @@
         self._settings = settings
         self._clock = clock
         self._group_reports = GroupReports()
+        # (term, monotonic time of the first request in this term, s)
         self._leading_since = (None, 0.0)
         self._queries = OperatorQueries(
             group=group, machine=machine, settings=settings, group_reports=self._group_reports
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -153,6 +153,7 @@
         del self.task_by_id[task.task_id]
 
     def _record_failure(self, task):
+        """Count a failed attempt; return whether the task has failed too often to run again."""
         task.failures += 1
         return self.item.spec.kind != JobSpec.SERVICE and task.failures >= MAX_TASK_FAILURES
 
--- a/siskintally/group_status.py
+++ b/siskintally/group_status.py
@@ -45,7 +45,10 @@
         self._status_by_group = {}
 
     def get(self, group):
-        """Return the Standing message of a group; callers must not change it."""
+        """Return the Standing message of a group, an empty one if it was never lost.
+
+        Callers must not change it.
+        """
         return self._status_by_group.get(group) or Standing(group=group)
 
     def is_lost(self, group):
--- a/siskintally/job_split.py
+++ b/siskintally/job_split.py
@@ -19,6 +19,7 @@
 class GroupView:
     """Capacity of a domain group for the division of a job.
 
+    :param name: name of the group.
     :param reported: whether the group has reported its workers.
     :param largest: largest amount of each resource that some worker has.
     :param free: unallocated resources, less the demand of tasks that are not placed yet.
@@ -81,12 +82,14 @@
 
 
 def _gang_rank(view, tasks, total_tasks_by_name):
+    """Return 0 for a group whose total capacity fits the gang, 2 if not, 1 if not reported."""
     if not view.reported:
         return 1
     return 0 if total_tasks_by_name[view.name] >= tasks else 2
 
 
 def _spread(tasks, names, free_tasks_by_name, present):
+    """Divide tasks evenly within the free capacity; divide the rest evenly without regard to it."""
     assigned_by_name = dict.fromkeys(names, 0)
     remaining = _level_up(tasks, assigned_by_name, free_tasks_by_name, present)
     open_names = [name for name in names if free_tasks_by_name[name]]
@@ -130,6 +133,7 @@
 
 
 def _fill_freest_first(tasks, names, free_tasks_by_name, total_tasks_by_name):
+    """Fill the free capacity in the order of names; divide the rest by total capacity."""
     assigned_by_name = dict.fromkeys(names, 0)
     remaining = tasks
     for name in names:
