--- a/siskintally/capacity.py
+++ b/siskintally/capacity.py
@@ -14,7 +14,7 @@
 # Workers register again after an election. For this time a report of a smaller largest worker is
 # ignored: it would reject a job as never fitting before the large workers have registered.
 LARGEST_WORKER_RETENTION_S = 600.0
-NO_RESOURCES = (0, 0, 0)
+ZERO_AMOUNTS = (0, 0, 0)
 
 
 class GroupCapacityTable:
@@ -97,7 +97,7 @@
         return views
 
     def _view(self, info):
-        demand = self._demand_by_group.get(info.name, NO_RESOURCES)
+        demand = self._demand_by_group.get(info.name, ZERO_AMOUNTS)
         free = Resources()
         for name, pending in zip(RESOURCE_NAMES, demand, strict=True):
             setattr(free, name, getattr(info.capacity.free, name) - pending)
@@ -124,12 +124,12 @@
 
     def used(self, team):
         """Return the resources that count against the quota of a team, as Resources."""
-        values = self._used_by_team.get(team, NO_RESOURCES)
+        values = self._used_by_team.get(team, ZERO_AMOUNTS)
         return Resources(**dict(zip(RESOURCE_NAMES, values, strict=True)))
 
     def fits(self, team, each, tasks, quota):
         """Return whether a number of further tasks of a team fits in its quota."""
-        used = self._used_by_team.get(team, NO_RESOURCES)
+        used = self._used_by_team.get(team, ZERO_AMOUNTS)
         return all(
             amount + getattr(each, name) * tasks <= getattr(quota, name)
             for amount, name in zip(used, RESOURCE_NAMES, strict=True)
@@ -186,7 +186,7 @@
 
 
 def _add(table, key, each, factor):
-    cpu_milli, memory_mb, accelerators = table.get(key, NO_RESOURCES)
+    cpu_milli, memory_mb, accelerators = table.get(key, ZERO_AMOUNTS)
     table[key] = (
         cpu_milli + each.cpu_milli * factor,
         memory_mb + each.memory_mb * factor,
