Rename names of the domain and cell state that other modules use

A job's "is_over" and "waiting" read like those of an owner's term and of counts; they are has_ended and waiting_tasks. The bare KEYS and ACTIONS are SPEC_KEYS and DOMAIN_ACTIONS, and what the cell service calls "machine", a word also used for hosts, is its state machine.

--- a/siskintally/cell_service.py
+++ b/siskintally/cell_service.py
@@ -29,7 +29,7 @@
     """Handles requests to the cell group; only its leader answers.
 
     :param group: the cell :class:`~siskintally.group.Group`.
-    :param machine: its :class:`~siskintally.recorded_cell.RecordedCell`.
+    :param state_machine: its :class:`~siskintally.recorded_cell.RecordedCell`.
     :param settings: settings of the cell.
     :param clock: returns the Unix time for the time stamps of commands, s.
     """
@@ -39,21 +39,24 @@
         "_group",
         "_group_reports",
         "_leading_since",
-        "_machine",
         "_queries",
         "_settings",
+        "_state_machine",
     )
 
-    def __init__(self, *, group, machine, settings, clock=time):
+    def __init__(self, *, group, state_machine, settings, clock=time):
         self._group = group
-        self._machine = machine
+        self._state_machine = state_machine
         self._settings = settings
         self._clock = clock
         self._group_reports = GroupReports()
         # (term, monotonic time of the first request in this term, s)
         self._leading_since = (None, 0.0)
         self._queries = OperatorQueries(
-            group=group, machine=machine, settings=settings, group_reports=self._group_reports
+            group=group,
+            state_machine=state_machine,
+            settings=settings,
+            group_reports=self._group_reports,
         )
 
     def _require_leader(self):
@@ -70,7 +73,7 @@
         """
         self._require_leader()
         self._check_group(request.group)
-        cell = self._machine.cell
+        cell = self._state_machine.cell
         if request.check or request.wait_s <= 0:
             # The caller starts tasks because of this answer, so a leader that is partitioned from
             # its quorum must not give it.
@@ -91,18 +94,18 @@
                 status = cell.group_statuses.get(request.group)
                 return SyncReply(index=request.since, epoch=status.epoch, lost=status.lost)
             with move_on_after(min(remaining, LEADER_CHECK_S)):
-                await self._machine.wait_change()
+                await self._state_machine.wait_change()
             self._require_leader()
         return cell.changes_since(request.group, request.since, request.epoch)
 
     def _has_changes(self, request):
-        cell = self._machine.cell
+        cell = self._state_machine.cell
         is_other_epoch = cell.group_statuses.get(request.group).epoch != request.epoch
         return is_other_epoch or cell.latest_change(request.group) > request.since
 
     async def _confirm_idle(self, request):
         """Commit the report of a fenced group that nothing runs there any more."""
-        status = self._machine.cell.group_statuses.get(request.group)
+        status = self._state_machine.cell.group_statuses.get(request.group)
         if request.idle and status.lost and not status.idle and status.epoch == request.epoch:
             change = ConfirmIdle(group=request.group, epoch=request.epoch)
             command = Command(at=self._clock(), confirm_idle=change)
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -184,7 +184,7 @@
             self._reported_by_job.update((one.job_id, one) for one in changed)
             for one in changed:
                 job = owner_term.domain.job_by_id.get(one.job_id)
-                if job is None or job.is_over:
+                if job is None or job.has_ended:
                     self._reported_by_job.pop(one.job_id)
 
     def _add_waiting(self):
--- a/siskintally/commands_domain.py
+++ b/siskintally/commands_domain.py
@@ -1,14 +1,14 @@
 """Operator command for domain groups that are lost for good or come back.
 
->>> from siskintally.commands_domain import ACTIONS
->>> ACTIONS
+>>> from siskintally.commands_domain import DOMAIN_ACTIONS
+>>> DOMAIN_ACTIONS
 ('lost', 'restore')
 """
 
 from absl.flags import DEFINE_boolean
 
 from siskintally.errors import BadSettingsError
-from siskintally.verbs import ACTIONS
+from siskintally.verbs import DOMAIN_ACTIONS
 
 SUMMARY = "Declare domain groups lost, or restore one: domain lost GROUP... | domain restore GROUP."
 _MUST_BE_SURE = (
@@ -40,7 +40,7 @@
     :raises BadSettingsError: names what is missing.
     """
     action, groups = (arguments or [""])[0], arguments[1:]
-    if action not in ACTIONS or not groups:
+    if action not in DOMAIN_ACTIONS or not groups:
         raise BadSettingsError(f"arguments = {arguments}: expected lost or restore, then a group")
     if action == "restore" and (len(groups) > 1 or values.confirm or values.force):
         raise BadSettingsError("restore: expected one group and neither --confirm nor --force")
--- a/siskintally/commands_operator.py
+++ b/siskintally/commands_operator.py
@@ -25,7 +25,7 @@
 from siskintally.errors import BadRequestError, BadSettingsError
 from siskintally.operation import Operation, define_common
 from siskintally.preset import PRESET_NAMES
-from siskintally.spec import CLASS_BY_NAME, KEYS, KIND_BY_NAME
+from siskintally.spec import CLASS_BY_NAME, KIND_BY_NAME, SPEC_KEYS
 from siskintally.tables import show_audit, show_config, show_jobs, show_status
 
 _SUMMARY_BY_NAME = {
@@ -83,7 +83,7 @@
         raise BadSettingsError(f"arguments = {arguments}: expected one job file")
     path = values.file or _at_most_one(arguments, "job file")
     fields = _read_toml(path) if path else {}
-    fields.update({key: values[key].value for key in KEYS if values[key].value is not None})
+    fields.update({key: values[key].value for key in SPEC_KEYS if values[key].value is not None})
     answer = operation.call("submit", fields)
     if not operation.json:
         waits = f"waits: {answer['reason']}" if answer["reason"] else _shares(answer["split"])
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -196,11 +196,11 @@
     def _update_ended_jobs(self, job):
         """Move a job into or out of the ended jobs; drop the oldest and those of earlier epochs."""
         job_id = job.item.job_id
-        if job.is_over and job.epoch != self.epoch:
+        if job.has_ended and job.epoch != self.epoch:
             self._ended_jobs.pop(job_id, None)
             del self.job_by_id[job_id]
             return
-        if not job.is_over:
+        if not job.has_ended:
             self._ended_jobs.pop(job_id, None)
             return
         job.drop_spec()
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -96,13 +96,13 @@
         return self.succeeded + self.failed + self.cancelled
 
     @property
-    def is_over(self):
+    def has_ended(self):
         """Whether all tasks have ended."""
         return not self.task_by_id
 
     def apply_item(self, item):
         """Apply a newer item; the size of the tasks changes only when all of them have ended."""
-        if self.is_over:
+        if self.has_ended:
             self.need = Size.of(item.spec.each)
         self.item = item
         self.adjust_tasks()
@@ -119,12 +119,12 @@
     def adjust_tasks(self):
         """Add tasks up to the number in the item; drop surplus and cancelled waiting tasks."""
         if self.item.cancelled:
-            for task in self.waiting():
+            for task in self.waiting_tasks():
                 del self.task_by_id[task.task_id]
                 self.cancelled += 1
             return
         surplus = self.ended + len(self.task_by_id) - self.item.tasks
-        for task in reversed(list(self.waiting()) if surplus > 0 else []):
+        for task in reversed(list(self.waiting_tasks()) if surplus > 0 else []):
             if surplus > 0:
                 del self.task_by_id[task.task_id]
                 surplus -= 1
@@ -134,7 +134,7 @@
             self.next_number += 1
             self.task_by_id[task_id] = Task(task_id=task_id)
 
-    def waiting(self):
+    def waiting_tasks(self):
         """Return the tasks without a live attempt."""
         return [task for task in self.task_by_id.values() if not task.worker]
 
--- a/siskintally/operator_queries.py
+++ b/siskintally/operator_queries.py
@@ -39,17 +39,17 @@
     """Answers read-only operator calls from the state of the cell.
 
     :param group: the cell :class:`~siskintally.group.Group`.
-    :param machine: its :class:`~siskintally.recorded_cell.RecordedCell`.
+    :param state_machine: its :class:`~siskintally.recorded_cell.RecordedCell`.
     :param settings: settings of the cell.
     :param group_reports: :class:`GroupReports` of this process.
     """
 
     __slots__ = ("_audit_file", "_cell", "_group", "_group_reports", "_settings")
 
-    def __init__(self, *, group, machine, settings, group_reports):
+    def __init__(self, *, group, state_machine, settings, group_reports):
         self._group = group
-        self._cell = machine.cell
-        self._audit_file = machine.audit_file
+        self._cell = state_machine.cell
+        self._audit_file = state_machine.audit_file
         self._settings = settings
         self._group_reports = group_reports
 
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -94,7 +94,7 @@
         # The former leader may have committed the end of a job and not lived to report it.
         self.dirty.update(self.domain.job_by_id)
         for job in self.domain.job_by_id.values():
-            if not job.is_over:
+            if not job.has_ended:
                 self._add_job(job)
         self.request_pass()
 
@@ -132,7 +132,7 @@
 
     def _add_job(self, job):
         age = max(0.0, self.domain.now - job.accepted_at)
-        waiting = [task.task_id for task in job.waiting()]
+        waiting = [task.task_id for task in job.waiting_tasks()]
         added = Job.of(job.item.job_id, job.item.spec, tasks=waiting, submitted=self.clock() - age)
         self.placement.submit(added)
         for task in job.task_by_id.values():
@@ -200,7 +200,7 @@
         if job.kind == Kind.GANG and cause != AttemptEnd.SUCCEEDED:
             self.stop_tasks(job.running)
         committed = self.domain.job_by_id.get(job_id)
-        if committed is None or committed.is_over:
+        if committed is None or committed.has_ended:
             self.placement.forget(job_id)
 
     def stop_tasks(self, task_ids, *, checkpoint=False):
@@ -285,14 +285,14 @@
         known = self.placement.job_by_id.get(job_id)
         if job.item.cancelled:
             self.stop_tasks(self.placement.cancel(job_id))
-            if job.is_over:
+            if job.has_ended:
                 self.placement.forget(job_id)
             return
         if known is not None:
-            self.placement.set_waiting(job_id, [task.task_id for task in job.waiting()])
-        elif not job.is_over:
+            self.placement.set_waiting(job_id, [task.task_id for task in job.waiting_tasks()])
+        elif not job.has_ended:
             self._add_job(job)
-        if job.is_over:
+        if job.has_ended:
             self.placement.forget(job_id)
         else:
             self.request_pass(urgent=self.placement.job_by_id[job_id].urgency == Urgency.URGENT)
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -84,7 +84,7 @@
         self._audit_file = AuditFile.recover(path=folder / AUDIT_FILE)
         machine = RecordedCell(cell=Cell(), audit_file=self._audit_file)
         self.cell_service = CellService(
-            group=self._make_group(group, machine), machine=machine, settings=self._settings
+            group=self._make_group(group, machine), state_machine=machine, settings=self._settings
         )
 
     def _add_domain(self, group):
--- a/siskintally/spec.py
+++ b/siskintally/spec.py
@@ -38,7 +38,7 @@
     "domain": str,
     "command": str,
 }
-KEYS = tuple(_TYPE_BY_KEY)
+SPEC_KEYS = tuple(_TYPE_BY_KEY)
 
 
 def parse_spec(fields):
@@ -51,7 +51,7 @@
         raise BadRequestError("job: expected a table of keys and values")
     for key, value in fields.items():
         if key not in _TYPE_BY_KEY:
-            raise BadRequestError(f"{key}: unknown key, expected one of {', '.join(KEYS)}")
+            raise BadRequestError(f"{key}: unknown key, expected one of {', '.join(SPEC_KEYS)}")
         _check_type(key, value)
     for key in ("name", "team", "kind"):
         if key not in fields:
--- a/siskintally/verbs.py
+++ b/siskintally/verbs.py
@@ -26,7 +26,7 @@
 MAX_VERSION = (1 << 63) - 1
 READ_VERBS = ("status", "jobs", "audit")
 CHANGE_VERBS = ("submit", "cancel", "drain", "preset", "config", "domain")
-ACTIONS = ("lost", "restore")
+DOMAIN_ACTIONS = ("lost", "restore")
 
 
 class ArgumentsTooLargeError(SiskintallyError):
--- a/tests/test_cell_service.py
+++ b/tests/test_cell_service.py
@@ -53,7 +53,7 @@
     def __init__(self, audit_file):
         self.machine = RecordedCell(cell=Cell(), audit_file=audit_file)
         self.group = FakeGroup(machine=self.machine)
-        self.service = CellService(group=self.group, machine=self.machine, settings=SETTINGS)
+        self.service = CellService(group=self.group, state_machine=self.machine, settings=SETTINGS)
         self.number = 0
 
     async def ask(self, verb, arguments=None, *, request_id=None):
@@ -215,7 +215,7 @@
     max_leaves=4,
 )
 KEYS = st.sampled_from(
-    (*spec.KEYS, "jobs", "prefix", "draining", "preset", "expect_version", "document", "extra")
+    (*spec.SPEC_KEYS, "jobs", "prefix", "draining", "preset", "expect_version", "document", "extra")
 )
 ARGUMENTS = st.binary(max_size=60) | st.dictionaries(KEYS, JSON_VALUES, max_size=6).map(
     lambda fields: dumps(fields).encode()
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -11,7 +11,7 @@
 from siskintally.job_split import insufficient_resources, task_count
 from siskintally.preset import LIMITS
 from siskintally.settings import load
-from siskintally.spec import KEYS, parse_spec
+from siskintally.spec import SPEC_KEYS, parse_spec
 from siskintally.wire_pb2 import Resources
 
 ROOT = Path(__file__).parent.parent
@@ -46,7 +46,7 @@
         assert kind == limit.kind.__name__
         assert range_ == ("true, false" if limit.kind is bool else f"{limit.low} to {limit.high}")
         assert [loads(f"v = {text}")["v"] for text in defaults.split(", ")] == list(limit.defaults)
-    assert set(KEYS) <= set(table)
+    assert set(SPEC_KEYS) <= set(table)
 
 
 def test_layout_of_nine_vms_gives_each_leader_its_own():
--- a/tests/test_domain.py
+++ b/tests/test_domain.py
@@ -124,7 +124,7 @@
     driver.assign("k/g.0", "w1")
     driver.end("k/g.0", 1, AttemptEnd.SUCCEEDED)
     driver.job("k", changed_at=6)
-    assert driver.domain.job_by_id["k"].is_over
+    assert driver.domain.job_by_id["k"].has_ended
     assert driver.domain.job_by_id["k"].succeeded == 1
 
 
--- a/tests/test_group_loss_walk.py
+++ b/tests/test_group_loss_walk.py
@@ -104,7 +104,7 @@
         if not self.status_check.permits_start(self.domain):
             return
         for job_id, job in self.domain.job_by_id.items():
-            for task in job.waiting():
+            for task in job.waiting_tasks():
                 if random.random() <= share:
                     record = AssignmentRecord(
                         task_id=task.task_id,
--- a/tests/test_unreported_end.py
+++ b/tests/test_unreported_end.py
@@ -14,7 +14,7 @@
         await until(link.starts)
         end = state("j/g.0", kind=AttemptState.SUCCEEDED)
         await bench.beat(link, seq=2, full=False, attempts=[end])
-        assert bench.domain.job_by_id["j"].is_over
+        assert bench.domain.job_by_id["j"].has_ended
         bench.group.depose()
         await until(lambda: bench.owner.owner_term is None)
         bench.reports.clear()
