--- a/siskintally/config.py
+++ b/siskintally/config.py
@@ -1,4 +1,4 @@
-r"""The configuration document that operators set, checked as a whole.
+r"""Configuration document of the cell: parses and checks its presets and team quotas.
 
 >>> from siskintally.config import parse_config
 >>> config = parse_config("[teams.buses]\ncpu_milli = 8000\nmemory_mb = 16384")
@@ -9,16 +9,16 @@
 from tomllib import TOMLDecodeError, loads
 
 from siskintally.errors import BadSettingsError
-from siskintally.preset import PRESET_NAMES, number, parse_preset
+from siskintally.preset import PRESET_NAMES, check_number, parse_preset
 
 MAX_DOCUMENT_BYTES = 256 * 1024
 MAX_TEAMS = 1000
-MAX_TEAM_NAME = 63
+MAX_TEAM_NAME_LENGTH = 63
 MAX_CPU_MILLI = 1_000_000_000
 MAX_MEMORY_MB = 1_000_000_000_000
 MAX_ACCELERATORS = 1_000_000
 
-# Every preset key at its default and one team; a start for operators.
+# All presets at their defaults and one team; a document for operators to start from.
 DEFAULT_DOCUMENT = """\
 [presets.ordinary]
 
@@ -32,7 +32,7 @@
 accelerators = 0
 """
 
-_QUOTA_HIGH_BY_KEY = {
+_MAX_QUOTA_BY_KEY = {
     "cpu_milli": MAX_CPU_MILLI,
     "memory_mb": MAX_MEMORY_MB,
     "accelerators": MAX_ACCELERATORS,
@@ -40,7 +40,7 @@
 
 
 class Quota:
-    """What all running tasks of a team may reserve together.
+    """Maximum resources that the admitted jobs of a team may use together.
 
     :param cpu_milli: thousandths of a core.
     :param memory_mb: MB.
@@ -56,10 +56,10 @@
 
 
 class Config:
-    """A checked configuration document.
+    """A parsed and checked configuration document.
 
-    :param preset_by_name: the three presets.
-    :param quota_by_team: a team that is absent has no quota, so its jobs are refused.
+    :param preset_by_name: ``{name: Preset}`` of the three presets.
+    :param quota_by_team: ``{team: Quota}``; the jobs of a team without a quota are refused.
     """
 
     __slots__ = ("preset_by_name", "quota_by_team")
@@ -71,7 +71,7 @@
     def preset(self, name):
         """Return a preset by name.
 
-        :raises BadSettingsError: there is no such preset.
+        :raises BadSettingsError: the name is unknown.
         """
         check_preset_name(name)
         return self.preset_by_name[name]
@@ -80,17 +80,19 @@
 def check_preset_name(name):
     """Check the name of a preset.
 
-    :raises BadSettingsError: it is none of the three.
+    :raises BadSettingsError: the name is unknown.
     """
     if name not in PRESET_NAMES:
         raise BadSettingsError(f"preset = {name!r}: expected one of {', '.join(PRESET_NAMES)}")
 
 
 def parse_config(text):
-    """Check a configuration document.
+    """Parse and check a configuration document.
 
     :param text: TOML.
-    :raises BadSettingsError: names key, value, and allowed range; nothing of it may be used.
+    :returns: :class:`Config`.
+    :raises BadSettingsError: names the key, its value and the allowed range; no part of the
+        document may be used.
     """
     size = len(text.encode("utf-8", "surrogatepass"))
     if size > MAX_DOCUMENT_BYTES:
@@ -112,7 +114,7 @@
         raise BadSettingsError(f"teams: {len(teams)} entries, expected at most {MAX_TEAMS}")
     return Config(
         preset_by_name={name: parse_preset(name, presets.get(name, {})) for name in PRESET_NAMES},
-        quota_by_team={name: _quota(name, row) for name, row in teams.items()},
+        quota_by_team={name: _parse_quota(name, table) for name, table in teams.items()},
     )
 
 
@@ -123,25 +125,25 @@
     return table
 
 
-def _quota(team, row):
+def _parse_quota(team, table):
     key = f"teams.{team}"
-    if not 1 <= len(team) <= MAX_TEAM_NAME:
-        raise BadSettingsError(f"{key}: expected a name of 1 to {MAX_TEAM_NAME} characters")
-    if not isinstance(row, dict):
-        raise BadSettingsError(f"{key} = {row!r}: expected a table [{key}]")
-    for item in row:
-        if item not in _QUOTA_HIGH_BY_KEY:
-            known = ", ".join(_QUOTA_HIGH_BY_KEY)
+    if not 1 <= len(team) <= MAX_TEAM_NAME_LENGTH:
+        raise BadSettingsError(f"{key}: expected a name of 1 to {MAX_TEAM_NAME_LENGTH} characters")
+    if not isinstance(table, dict):
+        raise BadSettingsError(f"{key} = {table!r}: expected a table [{key}]")
+    for item in table:
+        if item not in _MAX_QUOTA_BY_KEY:
+            known = ", ".join(_MAX_QUOTA_BY_KEY)
             raise BadSettingsError(
-                f"{key}.{item} = {row[item]!r}: unknown key, expected one of {known}"
+                f"{key}.{item} = {table[item]!r}: unknown key, expected one of {known}"
             )
     for item in ("cpu_milli", "memory_mb"):
-        if item not in row:
+        if item not in table:
             raise BadSettingsError(
-                f"{key}.{item}: missing, expected an integer from 0 to {_QUOTA_HIGH_BY_KEY[item]}"
+                f"{key}.{item}: missing, expected an integer from 0 to {_MAX_QUOTA_BY_KEY[item]}"
             )
     values = {
-        item: number(row.get(item, 0), key=f"{key}.{item}", kind=int, low=0, high=high)
-        for item, high in _QUOTA_HIGH_BY_KEY.items()
+        item: check_number(table.get(item, 0), key=f"{key}.{item}", kind=int, low=0, high=high)
+        for item, high in _MAX_QUOTA_BY_KEY.items()
     }
     return Quota(**values)
--- a/siskintally/job_changes.py
+++ b/siskintally/job_changes.py
@@ -1,7 +1,7 @@
-"""Shares of each domain group in the order in which their desired state last changed.
+"""Index of job changes: the job shares of each domain group by log index of the last change.
 
 >>> from siskintally.job_changes import JobChanges
->>> JobChanges().latest("jylland")
+>>> JobChanges().latest_change("jylland")
 0
 """
 
@@ -9,40 +9,40 @@
 
 
 class JobChanges:
-    """What domain groups have to be told, found by log index."""
+    """Finds the job changes that a domain group has not received yet."""
 
     __slots__ = ("_index_by_group",)
 
     def __init__(self):
         self._index_by_group = {}
 
-    def touch(self, job, share, index):
-        """Note that the desired state of a share has changed."""
+    def record_change(self, job, share, index):
+        """Record that the desired state of a share changed at a log index."""
         share.changed_at = index
-        changed = self._index_by_group.setdefault(share.group, {})
-        changed.pop(job.job_id, None)
-        changed[job.job_id] = index
+        index_by_job = self._index_by_group.setdefault(share.group, {})
+        index_by_job.pop(job.job_id, None)
+        index_by_job[job.job_id] = index
 
-    def drop(self, job, share):
-        """Forget a share."""
+    def remove(self, job, share):
+        """Remove a share."""
         del self._index_by_group[share.group][job.job_id]
 
-    def latest(self, group):
-        """Return the log index of the last change of desired state of a group, 0 if none."""
-        changed = self._index_by_group.get(group)
-        return changed[next(reversed(changed))] if changed else 0
+    def latest_change(self, group):
+        """Return the log index of the last change of a group's desired state, 0 if none."""
+        index_by_job = self._index_by_group.get(group)
+        return index_by_job[next(reversed(index_by_job))] if index_by_job else 0
 
-    def items(self, group, since, by_id):
-        """Return JobItems of a group that changed after a log index, in order of change.
+    def items_since(self, group, since, job_by_id):
+        """Return the JobItems of a group that changed after a log index, in order of change.
 
-        :param by_id: all jobs.
+        :param job_by_id: ``{job id: Job}`` of all jobs.
         """
         items = []
-        changed = self._index_by_group.get(group, {})
-        for job_id in reversed(changed):
-            if changed[job_id] <= since:
+        index_by_job = self._index_by_group.get(group, {})
+        for job_id in reversed(index_by_job):
+            if index_by_job[job_id] <= since:
                 break
-            job = by_id[job_id]
+            job = job_by_id[job_id]
             share = next(share for share in job.shares if share.group == group)
             items.append(
                 JobItem(
@@ -60,7 +60,7 @@
         """Replace everything with the shares of restored jobs."""
         self._index_by_group = {}
         changes = [(share.changed_at, job.job_id, share) for job in jobs for share in job.shares]
-        # Jobs that one command changed are listed by id in a restored table and by order of
-        # change in others; the set of items after any index is the same.
+        # Jobs that the same command changed are ordered by id here, but by order of change in a
+        # replica that was not restored; the set of items after any index is the same.
         for index, job_id, share in sorted(changes, key=lambda change: change[:2]):
             self._index_by_group.setdefault(share.group, {})[job_id] = index
--- a/siskintally/verbs.py
+++ b/siskintally/verbs.py
@@ -1,7 +1,7 @@
-"""Operator verbs: from the JSON arguments of an OperatorCall to a change of the cell state.
+"""Operator verbs: parses the JSON arguments of a call into a change of the cell state.
 
->>> from siskintally.verbs import change_of, parse_arguments
->>> change_of("preset", parse_arguments(b'{"preset": "peak", "expect_version": 3}'))
+>>> from siskintally.verbs import parse_arguments, parse_change
+>>> parse_change("preset", parse_arguments(b'{"preset": "peak", "expect_version": 3}'))
 ('set_preset', preset: "peak"
 expect_version: 3
 )
@@ -24,23 +24,23 @@
 
 MAX_ARGUMENT_BYTES = 1 << 20
 MAX_VERSION = (1 << 63) - 1
-READS = ("status", "jobs", "audit")
-CHANGES = ("submit", "cancel", "drain", "preset", "config", "domain")
-ACTIONS = ("lost", "restore")
+READ_VERBS = ("status", "jobs", "audit")
+CHANGE_VERBS = ("submit", "cancel", "drain", "preset", "config", "domain")
+DOMAIN_ACTIONS = ("lost", "restore")
 
 
 class ArgumentsTooLargeError(SiskintallyError):
-    """The arguments are over the limit; nothing was changed."""
+    """The arguments are larger than the limit; nothing changed."""
 
     code = Code.TOO_LARGE
 
 
 def parse_arguments(data):
-    """Read the JSON arguments of a call; empty bytes are no arguments.
+    """Parse the JSON arguments of a call; empty bytes mean no arguments.
 
     :returns: dict.
-    :raises BadRequestError: no JSON object.
-    :raises ArgumentsTooLargeError: over 1 MiB.
+    :raises BadRequestError: the data is not a JSON object.
+    :raises ArgumentsTooLargeError: the data is larger than 1 MiB.
     """
     if len(data) > MAX_ARGUMENT_BYTES:
         raise ArgumentsTooLargeError(f"arguments: expected at most {MAX_ARGUMENT_BYTES} bytes")
@@ -53,41 +53,41 @@
     return arguments
 
 
-def canonical(arguments):
-    """Write arguments so that equal ones give equal bytes."""
+def canonical_json(arguments):
+    """Return arguments as JSON bytes; equal arguments give equal bytes."""
     return dumps(arguments, sort_keys=True, separators=(",", ":")).encode()
 
 
 def is_read(verb, arguments):
-    """Tell whether a call only reads.
+    """Return whether a call only reads.
 
-    :raises BadRequestError: unknown verb.
+    :raises BadRequestError: the verb is unknown.
     """
-    if verb in READS:
+    if verb in READ_VERBS:
         return True
-    if verb not in CHANGES:
-        known = ", ".join(READS + CHANGES)
+    if verb not in CHANGE_VERBS:
+        known = ", ".join(READ_VERBS + CHANGE_VERBS)
         raise BadRequestError(f"verb = {verb[:100]!r}: expected one of {known}")
     return verb == "config" and "document" not in arguments
 
 
-def change_of(verb, arguments):
-    """Make the change that a call asks for.
+def parse_change(verb, arguments):
+    """Return the change of the cell state that a call requests.
 
-    :returns: (field of Command, message).
+    :returns: (field name in Command, message).
     :raises BadRequestError: names the argument, its value, and what is allowed.
     """
     try:
-        return _MAKERS[verb](arguments)
+        return _PARSER_BY_VERB[verb](arguments)
     except (ValueError, TypeError, OverflowError, RecursionError) as error:
-        # Values that protobuf refuses, such as text with half of a surrogate pair.
+        # Protobuf rejects some values, such as text with an unpaired surrogate.
         raise BadRequestError(f"arguments: {error}") from error
 
 
-def text_of(arguments, key, default=None):
+def text_argument(arguments, key, default=None):
     """Return a text argument.
 
-    :raises BadRequestError: missing without a default, or no text.
+    :raises BadRequestError: not text, or missing without a default.
     """
     value = arguments.get(key, default)
     if not isinstance(value, str):
@@ -95,10 +95,10 @@
     return value
 
 
-def number_of(arguments, key, *, low, high, default=None):
+def integer_argument(arguments, key, *, low, high, default=None):
     """Return an integer argument.
 
-    :raises BadRequestError: missing without a default, no integer, or out of range.
+    :raises BadRequestError: not an integer, out of range, or missing without a default.
     """
     value = arguments.get(key, default)
     if not isinstance(value, int) or isinstance(value, bool) or not low <= value <= high:
@@ -106,10 +106,10 @@
     return value
 
 
-def flag_of(arguments, key, default):
-    """Return a true or false argument.
+def boolean_argument(arguments, key, default):
+    """Return a boolean argument.
 
-    :raises BadRequestError: another type.
+    :raises BadRequestError: not a boolean.
     """
     value = arguments.get(key, default)
     if not isinstance(value, bool):
@@ -117,10 +117,10 @@
     return value
 
 
-def expect_keys(arguments, *allowed):
-    """Check that there are no other arguments.
+def check_keys(arguments, *allowed):
+    """Check that all arguments are among the allowed ones.
 
-    :raises BadRequestError: names the unknown one.
+    :raises BadRequestError: names the first unknown argument.
     """
     for key in arguments:
         if key not in allowed:
@@ -128,66 +128,70 @@
             raise BadRequestError(f"{key[:100]}: unknown argument, expected one of {known}")
 
 
-def _submit(arguments):
+def _parse_submit(arguments):
     return "submit_job", SubmitJob(spec=parse_spec(arguments))
 
 
-def _cancel(arguments):
-    expect_keys(arguments, "jobs", "prefix")
+def _parse_cancel(arguments):
+    check_keys(arguments, "jobs", "prefix")
     jobs = arguments.get("jobs", [])
     if not isinstance(jobs, list) or not all(isinstance(job, str) for job in jobs):
         raise BadRequestError("jobs: expected a list of job ids")
-    prefix = text_of(arguments, "prefix", "")
+    prefix = text_argument(arguments, "prefix", "")
     if not jobs and not prefix:
         raise BadRequestError("jobs, prefix: expected one of them")
     return "cancel_jobs", CancelJobs(job_ids=jobs, prefix=prefix)
 
 
-def _drain(arguments):
-    expect_keys(arguments, "kind", "name", "draining")
+def _parse_drain(arguments):
+    check_keys(arguments, "kind", "name", "draining")
     return "set_drain", SetDrain(
-        kind=text_of(arguments, "kind"),
-        name=text_of(arguments, "name"),
-        draining=flag_of(arguments, "draining", True),
+        kind=text_argument(arguments, "kind"),
+        name=text_argument(arguments, "name"),
+        draining=boolean_argument(arguments, "draining", True),
     )
 
 
-def _preset(arguments):
-    expect_keys(arguments, "preset", "expect_version")
+def _parse_preset(arguments):
+    check_keys(arguments, "preset", "expect_version")
     return "set_preset", SetPreset(
-        preset=text_of(arguments, "preset"),
-        expect_version=number_of(arguments, "expect_version", low=0, high=MAX_VERSION),
+        preset=text_argument(arguments, "preset"),
+        expect_version=integer_argument(arguments, "expect_version", low=0, high=MAX_VERSION),
     )
 
 
-def _config(arguments):
-    expect_keys(arguments, "document", "expect_version")
+def _parse_config(arguments):
+    check_keys(arguments, "document", "expect_version")
     return "set_config", SetConfig(
-        document=text_of(arguments, "document"),
-        expect_version=number_of(arguments, "expect_version", low=0, high=MAX_VERSION),
+        document=text_argument(arguments, "document"),
+        expect_version=integer_argument(arguments, "expect_version", low=0, high=MAX_VERSION),
     )
 
 
-def _domain(arguments):
-    expect_keys(arguments, "action", "groups", "confirm", "force")
-    action = text_of(arguments, "action")
+def _parse_domain(arguments):
+    check_keys(arguments, "action", "groups", "confirm", "force")
+    action = text_argument(arguments, "action")
     groups = arguments.get("groups")
     if not isinstance(groups, list) or not all(isinstance(name, str) for name in groups):
         raise BadRequestError("groups: expected a list of domain groups")
     if action == "lost":
-        if not flag_of(arguments, "confirm", False):
-            raise BadRequestError("confirm: expected true, as nothing runs in the groups any more")
-        return "lose_groups", LoseGroups(groups=groups, force=flag_of(arguments, "force", False))
+        if not boolean_argument(arguments, "confirm", False):
+            raise BadRequestError(
+                "confirm: expected true, to confirm that nothing runs in the groups"
+            )
+        return "lose_groups", LoseGroups(
+            groups=groups, force=boolean_argument(arguments, "force", False)
+        )
     if action != "restore" or len(groups) != 1:
         raise BadRequestError(f"action = {action!r}: expected lost, or restore with one group")
     return "restore_group", RestoreGroup(group=groups[0])
 
 
-_MAKERS = {
-    "submit": _submit,
-    "cancel": _cancel,
-    "drain": _drain,
-    "preset": _preset,
-    "config": _config,
-    "domain": _domain,
+_PARSER_BY_VERB = {
+    "submit": _parse_submit,
+    "cancel": _parse_cancel,
+    "drain": _parse_drain,
+    "preset": _parse_preset,
+    "config": _parse_config,
+    "domain": _parse_domain,
 }
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -8,10 +8,10 @@
 
 from siskintally.codes import Code
 from siskintally.config import parse_config
-from siskintally.job_split import lacking, task_count
+from siskintally.job_split import insufficient_resources, task_count
 from siskintally.preset import LIMITS
 from siskintally.settings import load
-from siskintally.spec import KEYS, parse_spec
+from siskintally.spec import SPEC_KEYS, parse_spec
 from siskintally.wire_pb2 import Resources
 
 ROOT = Path(__file__).parent.parent
@@ -46,7 +46,7 @@
         assert kind == limit.kind.__name__
         assert range_ == ("true, false" if limit.kind is bool else f"{limit.low} to {limit.high}")
         assert [loads(f"v = {text}")["v"] for text in defaults.split(", ")] == list(limit.defaults)
-    assert set(KEYS) <= set(table)
+    assert set(SPEC_KEYS) <= set(table)
 
 
 def test_layout_of_nine_vms_gives_each_leader_its_own():
@@ -85,6 +85,6 @@
     assert len(paths) == 3
     for path in paths:
         spec = parse_spec(loads(path.read_text(encoding="utf-8")))
-        assert not lacking(worker, spec.each)
+        assert not insufficient_resources(worker, spec.each)
         assert task_count(config.quota_by_team[spec.team], spec.each) >= spec.tasks
         assert spec.domain in {"", *domains}
