--- a/siskintally/advice_clients.py
+++ b/siskintally/advice_clients.py
@@ -12,7 +12,7 @@
 from siskintally.log import get_logger
 
 # Time for the way to the other process and back.
-WAY_S = 0.2
+ROUND_TRIP_S = 0.2
 
 log = get_logger("advice-clients")
 
@@ -49,10 +49,10 @@
     async def ask(self, step_id, worker_ids, *, timeout):
         """Let the other process call the service."""
         body = AdviceAsk(step=step_id, workers=worker_ids, timeout_s=timeout)
-        reply = await self._session.call(body, timeout=timeout + WAY_S)
+        reply = await self._session.call(body, timeout=timeout + ROUND_TRIP_S)
         if reply.failed:
             raise UnreachableError(f"{self.name}: the advice service gave no answer")
-        return [Ticket(worker_id=one.worker, text=one.ticket) for one in reply.tickets]
+        return [Ticket(worker_id=ticket.worker, text=ticket.ticket) for ticket in reply.tickets]
 
 
 async def answer_advice(advice, body):
@@ -63,5 +63,5 @@
         log.info("advice failed", step=body.step, error=str(error)[:120])
         return AdviceReply(failed=True)
     return AdviceReply(
-        tickets=[AdviceTicket(worker=one.worker_id, ticket=one.text) for one in tickets]
+        tickets=[AdviceTicket(worker=ticket.worker_id, ticket=ticket.text) for ticket in tickets]
     )
--- a/siskintally/control_group.py
+++ b/siskintally/control_group.py
@@ -1,7 +1,7 @@
 """The control group of a store: its timing, its roster, its founding state.
 
->>> from siskintally.control_group import GROUP
->>> GROUP
+>>> from siskintally.control_group import GROUP_NAME
+>>> GROUP_NAME
 'control'
 """
 
@@ -15,18 +15,18 @@
 from siskintally.roster import OpenRoster
 from siskintally.timing import Timing
 
-GROUP = "control"
-FOUNDING = "founding"
-FIRST_ELECTION_SHARE = 0.35
+GROUP_NAME = "control"
+BOOTSTRAP_INCARNATION = "founding"
+FIRST_TIMEOUT_FACTOR = 0.35
 # Above the share for which a leader acts after a confirmed round, in case it is alive after all.
-ENDED_LEADER_SHARE = 0.6
+EXITED_LEADER_TIMEOUT_FACTOR = 0.6
 # Longer than a round of votes between regions, 16 ms and the sync of a vote.
-STAGGER_S = 0.1
+VOTER_STAGGER_S = 0.1
 # With the start of the process itself, longer than a leader may act without its quorum.
-QUIET_START_S = 0.25
+STARTUP_VOTE_BLOCK_S = 0.25
 # A voter that has gone makes room for its successor; a shorter silence may be a restart.
-SILENT_VOTER_S = 2.0
-BEAT_S = 0.2
+VOTER_REMOVAL_S = 2.0
+HEARTBEAT_INTERVAL_S = 0.2
 
 log = get_logger("control-group")
 
@@ -41,36 +41,36 @@
     )
 
 
-def make_group(settings, *, machine, contacts, send):
+def create_group(settings, *, state_machine, contacts, send):
     """Return the :class:`Group` of a store.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
-    :param machine: :class:`~siskintally.state_machine.StateMachine`.
+    :param state_machine: :class:`~siskintally.state_machine.StateMachine`.
     :param contacts: function that yields the link addresses of other stores.
     :param send: ``send(address, body) -> bool``; must not block.
     """
     election_min_s = flow_timing(settings).election_min_s
     return Group(
-        name=GROUP,
-        process=settings.link,
+        name=GROUP_NAME,
+        process=settings.link_address,
         founding_members=(),
         roster=OpenRoster(
-            contacts=contacts, tolerated=settings.tolerated, silence_s=SILENT_VOTER_S
+            contacts=contacts, tolerated=settings.tolerated, silence_s=VOTER_REMOVAL_S
         ),
-        folder=_folder(settings),
-        machine=machine,
+        folder=_journal_folder(settings),
+        machine=state_machine,
         send=send,
         timing=Timing(
-            busy_beat_s=BEAT_S,
-            idle_beat_s=BEAT_S,
+            busy_beat_s=HEARTBEAT_INTERVAL_S,
+            idle_beat_s=HEARTBEAT_INTERVAL_S,
             election_min_s=election_min_s,
             election_max_s=election_min_s * 1.6,
-            first_election_share=FIRST_ELECTION_SHARE,
-            ended_leader_share=ENDED_LEADER_SHARE,
-            retry_election_share=FIRST_ELECTION_SHARE,
-            stagger_s=STAGGER_S,
-            election_spread_s=STAGGER_S / 2,
-            quiet_start_s=QUIET_START_S,
+            first_election_share=FIRST_TIMEOUT_FACTOR,
+            ended_leader_share=EXITED_LEADER_TIMEOUT_FACTOR,
+            retry_election_share=FIRST_TIMEOUT_FACTOR,
+            stagger_s=VOTER_STAGGER_S,
+            election_spread_s=VOTER_STAGGER_S / 2,
+            quiet_start_s=STARTUP_VOTE_BLOCK_S,
         ),
         stable_s=float("inf"),
         sync_in_thread=True,
@@ -79,14 +79,20 @@
 
 def bootstrap_group(settings):
     """Write the founding state, once; all founding stores write the same."""
-    folder, voters = _folder(settings), settings.seed_links()
-    if not settings.founding or settings.link not in voters or folder.exists():
+    folder, voters = _journal_folder(settings), settings.seed_link_addresses()
+    if not settings.founding or settings.link_address not in voters or folder.exists():
         return
     folder.parent.mkdir(parents=True, exist_ok=True)
-    identities = tuple(Identity(name, FOUNDING) for name in sorted(voters))
-    found(folder, group=GROUP, name=settings.link, voters=identities, incarnation=FOUNDING)
+    identities = tuple(Identity(name, BOOTSTRAP_INCARNATION) for name in sorted(voters))
+    found(
+        folder,
+        group=GROUP_NAME,
+        name=settings.link_address,
+        voters=identities,
+        incarnation=BOOTSTRAP_INCARNATION,
+    )
     log.info("group founded", voters=sorted(voters))
 
 
-def _folder(settings):
+def _journal_folder(settings):
     return Path(settings.data) / "group-control"
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -37,15 +37,15 @@
     """Answers calls about flows, workers and configuration in one term.
 
     :param leader: :class:`~siskintally.control_leader.ControlLeader` of the term.
-    :param published: function that is called when a new configuration is in force.
+    :param on_new_document: function that is called when a new configuration is in force.
     """
 
-    __slots__ = ("_admitted", "_leader", "_published", "_seq_by_worker")
+    __slots__ = ("_leader", "_on_new_document", "_scheduled_flow_ids", "_seq_by_worker")
 
-    def __init__(self, *, leader, published):
+    def __init__(self, *, leader, on_new_document):
         self._leader = leader
-        self._published = published
-        self._admitted = set()
+        self._on_new_document = on_new_document
+        self._scheduled_flow_ids = set()
         self._seq_by_worker = {}
 
     async def answer(self, body):
@@ -53,14 +53,14 @@
 
         :raises SiskintallyError: with the result code of the refusal.
         """
-        return await _ANSWER_BY_TYPE[type(body)](self, body)
+        return await _HANDLER_BY_TYPE[type(body)](self, body)
 
     @staticmethod
-    def takes(body):
+    def handles(body):
         """Tell whether a message is a call of this kind."""
-        return type(body) in _ANSWER_BY_TYPE
+        return type(body) in _HANDLER_BY_TYPE
 
-    async def _submit(self, body):
+    async def _submit_flow(self, body):
         flow = body.flow
         state = self._leader.state
         check_flow(flow)
@@ -72,16 +72,20 @@
                     raise NotFoundError(f"queue {flow.queue!r}: not in the configuration")
             flow.accepted_ms = int(time() * 1000)
             await self._leader.propose(accept=flow)
-        self._admit(flow.id)
+        self._schedule_flow(flow.id)
         return FlowReply(known=True)
 
-    def _admit(self, flow_id):
+    def _schedule_flow(self, flow_id):
         """Hand a committed flow to the scheduler, once in this term."""
         leader = self._leader
         flow_state = leader.state.flow_by_id.get(flow_id)
-        if flow_state is None or flow_state.outcome != Outcome.OPEN or flow_id in self._admitted:
+        if (
+            flow_state is None
+            or flow_state.outcome != Outcome.OPEN
+            or flow_id in self._scheduled_flow_ids
+        ):
             return
-        self._admitted.add(flow_id)
+        self._scheduled_flow_ids.add(flow_id)
         queue = leader.state.queue(flow_state.flow.queue)
         log.info(
             "flow accepted",
@@ -92,7 +96,7 @@
         leader.scheduler.accept(flow_state.flow, queue, steady())
         leader.request_pass()
 
-    async def _cancel(self, body):
+    async def _cancel_flow(self, body):
         leader = self._leader
         if body.id not in leader.state.flow_by_id:
             await leader.confirm()
@@ -106,18 +110,18 @@
         leader.request_pass()
         return FlowReply(known=True)
 
-    async def _read(self, body):
+    async def _read_flow_state(self, body):
         await self._leader.confirm()
         flow_state = self._leader.state.flow_by_id.get(body.id)
         if flow_state is None:
             return FlowReply(known=False)
-        text = flow_state.outcome.name.lower()
+        state_text = flow_state.outcome.name.lower()
         if flow_state.outcome == Outcome.OPEN:
             run = self._leader.scheduler.flow_by_id.get(body.id)
-            text = "running" if run is not None and run.started else "queued"
-        return FlowReply(known=True, state=text)
+            state_text = "running" if run is not None and run.started else "queued"
+        return FlowReply(known=True, state=state_text)
 
-    async def _count(self, body):
+    async def _count_pending(self, body):
         await self._leader.confirm()
         if self._leader.state.queue(body.queue) is None:
             raise NotFoundError(f"queue {body.queue!r}: not in the configuration")
@@ -128,7 +132,7 @@
         if body.document.version > leader.state.document.version:
             await leader.propose(document=body.document)
             leader.scheduler.update_queues(leader.state)
-            self._published()
+            self._on_new_document()
             leader.request_pass()
         else:
             # The acknowledgement says that nothing newer is lost, so leadership must be in force.
@@ -144,40 +148,40 @@
         await self._leader.confirm()
         return FlowReply(known=True, document=self._leader.state.document)
 
-    async def _seen(self, body):
+    async def _handle_announcement(self, body):
         """Take an announcement of a worker; its incarnation is committed before it gets work."""
         received_at = steady()
         record = body.worker
         leader = self._leader
-        known = leader.state.worker_by_id.get(record.id)
-        if known is not None and record.born_ms < known.born_ms:
+        known_record = leader.state.worker_by_id.get(record.id)
+        if known_record is not None and record.born_ms < known_record.born_ms:
             log.info("announcement of a former incarnation", worker=record.id)
             return FlowReply(known=True)
-        is_same = known is not None and known.born_ms == record.born_ms
-        if is_same and record.seq < self._seq_by_worker.get(record.id, 0):
+        is_known_incarnation = known_record is not None and known_record.born_ms == record.born_ms
+        if is_known_incarnation and record.seq < self._seq_by_worker.get(record.id, 0):
             return FlowReply(known=True)
         self._seq_by_worker[record.id] = record.seq
-        if not is_same or _essence(known) != _essence(record):
+        if not is_known_incarnation or _stored_fields(known_record) != _stored_fields(record):
             await leader.propose(join=record)
             log.info("worker announced", worker=record.id, leaving=record.leaving)
         leader.handle_join(record, received_at)
         return FlowReply(known=True)
 
-    async def _gone(self, body):
+    async def _handle_deregistration(self, body):
         """Treat a worker that says it ends as leaving: it may run on for a moment."""
-        known = self._leader.state.worker_by_id.get(body.id)
-        if known is None or body.born_ms not in (0, known.born_ms):
+        known_record = self._leader.state.worker_by_id.get(body.id)
+        if known_record is None or body.born_ms not in (0, known_record.born_ms):
             return FlowReply(known=False)
         record = PoolWorker()
-        record.CopyFrom(known)
+        record.CopyFrom(known_record)
         record.leaving = True
         record.leaves_in_ms = 0
         record.clock_ms = 0
         record.seq = self._seq_by_worker.get(body.id, 0)
-        return await self._seen(WorkerSeen(worker=record))
+        return await self._handle_announcement(WorkerSeen(worker=record))
 
 
-def _essence(record):
+def _stored_fields(record):
     """Return what of an announcement has to be stored."""
     return (
         record.service,
@@ -195,13 +199,13 @@
     raise BadRequestError(f"{type(body).__name__}: no such call")
 
 
-_ANSWER_BY_TYPE = {
-    FlowSubmit: ControlService._submit,
-    FlowCancel: ControlService._cancel,
-    FlowRead: ControlService._read,
-    QueueRead: ControlService._count,
+_HANDLER_BY_TYPE = {
+    FlowSubmit: ControlService._submit_flow,
+    FlowCancel: ControlService._cancel_flow,
+    FlowRead: ControlService._read_flow_state,
+    QueueRead: ControlService._count_pending,
     DocumentPut: ControlService._put_document,
     DocumentRead: ControlService._read_document,
-    WorkerSeen: ControlService._seen,
-    WorkerGone: ControlService._gone,
+    WorkerSeen: ControlService._handle_announcement,
+    WorkerGone: ControlService._handle_deregistration,
 }
--- a/siskintally/counters.py
+++ b/siskintally/counters.py
@@ -3,7 +3,7 @@
 >>> from siskintally.counters import Counters
 >>> counters = Counters()
 >>> counters.starts.inc(2)
->>> "siskintally_starts_total 2.0" in counters.text()
+>>> "siskintally_starts_total 2.0" in counters.to_text()
 True
 """
 
@@ -44,14 +44,14 @@
         self.workers_lapsed = self._counter("workers_lapsed", "Leases of workers that ended.")
         self.advice_seconds = self._histogram("advice_seconds", "Calls to the advice service.")
 
-    def _counter(self, name, text, *labels):
-        return Counter(f"siskintally_{name}", text, labels, registry=self._registry)
+    def _counter(self, name, help_text, *labels):
+        return Counter(f"siskintally_{name}", help_text, labels, registry=self._registry)
 
-    def _histogram(self, name, text, *labels):
+    def _histogram(self, name, help_text, *labels):
         return Histogram(
-            f"siskintally_{name}", text, labels, registry=self._registry, buckets=BUCKETS_S
+            f"siskintally_{name}", help_text, labels, registry=self._registry, buckets=BUCKETS_S
         )
 
-    def text(self):
+    def to_text(self):
         """Return all values in the text format of the client library."""
         return generate_latest(self._registry).decode()
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -15,18 +15,18 @@
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
 from siskintally.errors import BadRequestError
 from siskintally.leader_cache import LeaderCache
-from siskintally.link_pool import CELL, LinkPool
+from siskintally.link_pool import CELL_NAME, LinkPool
 from siskintally.log import get_logger
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello
 
 # The platform looks at the readiness once a second and takes two failures as an end; new
 # connections come until then.
-DRAIN_S = 2.3
+UNREADY_SERVING_S = 2.3
 # Readiness outlives a change of leaders, so that callers are not sent away for it.
-READY_S = 4.0
+READY_AFTER_NOTICE_S = 4.0
 # Part of the grace of a stop that is left when the platform has noticed that no more is wanted.
-LAST_REQUESTS_SHARE = 0.5
+GRACEFUL_FRACTION = 0.5
 
 log = get_logger("entry-node")
 
@@ -34,7 +34,7 @@
 class EntryNode(Handler):
     """One entry.
 
-    ``last_requests_s``: longest time for the requests in progress at the end, s.
+    ``graceful_s``: longest time for the requests in progress at the end, s.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param advice: :class:`~siskintally.driver.Advice`.
@@ -42,36 +42,36 @@
 
     __slots__ = (
         "_advice",
-        "_heard_at",
+        "_leader_notice_at",
         "_links",
         "cache",
-        "calls",
+        "client",
         "closing",
-        "last_requests_s",
+        "graceful_s",
         "stopping",
     )
 
     def __init__(self, *, settings, advice):
         self._advice = advice
-        self._heard_at = 0.0
+        self._leader_notice_at = 0.0
         self.stopping = Event()
         self.closing = Event()
-        self.last_requests_s = settings.grace_s * LAST_REQUESTS_SHARE
-        hello = Hello(name=settings.name, cell=CELL, incarnation=uuid4().hex)
-        self._links = LinkPool(own="", hello=hello, secret=settings.secret, handler=self)
-        self._links.learn(settings.seed_links())
+        self.graceful_s = settings.grace_s * GRACEFUL_FRACTION
+        hello = Hello(name=settings.name, cell=CELL_NAME, incarnation=uuid4().hex)
+        self._links = LinkPool(own_address="", hello=hello, secret=settings.secret, handler=self)
+        self._links.add_addresses(settings.seed_link_addresses())
         self.cache = LeaderCache(fresh_s=settings.fresh_ms / 1000)
-        self.calls = ControlClient(cache=self.cache, call=self._links.call)
+        self.client = ControlClient(cache=self.cache, call=self._links.call)
 
-    def learn_seeds(self, settings):
+    def add_seeds(self, settings):
         """Link to the seeds of changed settings too."""
-        self._links.learn(settings.seed_links())
+        self._links.add_addresses(settings.seed_link_addresses())
 
     @property
     def is_ready(self):
         """Whether requests can be served now."""
-        is_heard = steady() - self._heard_at <= READY_S
-        return is_heard and self.cache.document.version > 0 and not self.stopping.is_set()
+        has_leader = steady() - self._leader_notice_at <= READY_AFTER_NOTICE_S
+        return has_leader and self.cache.document.version > 0 and not self.stopping.is_set()
 
     async def run(self, serve):
         """Serve until stopped.
@@ -86,7 +86,7 @@
     async def stop(self):
         """Tell that no more requests are wanted, and end when those at hand are answered."""
         self.stopping.set()
-        await sleep(DRAIN_S)
+        await sleep(UNREADY_SERVING_S)
         self.closing.set()
 
     async def answer(self, session, body):
@@ -100,13 +100,13 @@
         if not isinstance(body, ControlNotice):
             return
         now = steady()
-        before = self.cache.leader(now)
-        self._links.learn(body.members)
-        if self.cache.take(body, sender=session.peer.name, now=now):
+        previous = self.cache.leader(now)
+        self._links.add_addresses(body.members)
+        if self.cache.apply_notice(body, sender=session.peer.name, now=now):
             log.info("configuration", version=self.cache.document.version, source=session.peer.name)
         leader = self.cache.leader(now)
-        if leader != before:
-            log.info("leader", leader=leader, before=before)
-            self.calls.leader_changed()
+        if leader != previous:
+            log.info("leader", leader=leader, before=previous)
+            self.client.handle_leader_change()
         if body.leads:
-            self._heard_at = now
+            self._leader_notice_at = now
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -16,9 +16,9 @@
 from siskintally.log import get_logger
 
 # Part of a caller's time that is left for the way of the answer.
-TIME_SHARE = 0.85
+CALL_TIME_FRACTION = 0.85
 # For callers that say nothing, on a queue without a timeout.
-DEFAULT_TIME_S = 3.0
+DEFAULT_TIMEOUT_S = 3.0
 # A leader is usually elected within the first time. The longer there has been none, the longer it
 # takes, and a caller that comes back too often has used up its retries by then.
 MIN_RETRY_AFTER_S = 1
@@ -47,18 +47,18 @@
     """Requests of callers at one entry.
 
     :param cache: :class:`~siskintally.leader_cache.LeaderCache`.
-    :param calls: :class:`~siskintally.control_client.ControlClient`.
+    :param client: :class:`~siskintally.control_client.ControlClient`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
-    __slots__ = ("_cache", "_calls", "_counters")
+    __slots__ = ("_cache", "_client", "_counters")
 
-    def __init__(self, *, cache, calls, counters):
+    def __init__(self, *, cache, client, counters):
         self._cache = cache
-        self._calls = calls
+        self._client = client
         self._counters = counters
 
-    def queue(self, host, path):
+    def find_queue(self, host, path):
         """Return the queue that a path belongs to.
 
         :raises NoConfigError: the configuration here may be old.
@@ -66,29 +66,29 @@
         """
         now = steady()
         if not self._cache.is_fresh(now):
-            self._refuse("no leader in touch", path, now)
+            self._record_refusal("no leader in touch", path, now)
             raise NoConfigError("no leader is in touch")
         queue = match_queue(self._cache.document, host, path)
         if queue is None:
-            self._refuse("no such queue", path, now)
+            self._record_refusal("no such queue", path, now)
             raise NotFoundError(f"no queue at {host}{path[:80]}")
         return queue
 
-    def _refuse(self, reason, path, now):
+    def _record_refusal(self, reason, path, now):
         self._counters.refusals.labels(reason).inc()
-        silent_s = self._cache.silent_s(now)
+        notice_age_s = self._cache.notice_age_s(now)
         log.info(
             "request refused",
             reason=reason,
             path=path[:80],
             version=self._cache.document.version,
-            leader_silent_ms=round(silent_s * 1000) if silent_s < inf else None,
+            leader_silent_ms=round(notice_age_s * 1000) if notice_age_s < inf else None,
         )
 
     def retry_after_s(self):
         """Return when a caller that was refused should come back, in whole seconds."""
-        silent_s = self._cache.silent_s(steady())
-        return int(min(max(silent_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S))
+        notice_age_s = self._cache.notice_age_s(steady())
+        return int(min(max(notice_age_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S))
 
     async def submit(self, flow, queue, *, deadline_s):
         """Hand in a flow; it is stored when this returns.
@@ -97,32 +97,32 @@
         :raises OutcomeUnknownError: it may be stored or not.
         :raises SiskintallyError: it is not stored.
         """
-        await self._ask(FlowSubmit(flow=flow), flow.id, _time_s(queue, deadline_s))
+        await self._call_leader(FlowSubmit(flow=flow), flow.id, _timeout_s(queue, deadline_s))
 
     async def cancel(self, flow_id, queue, *, deadline_s):
         """Cancel a flow; return whether it is known."""
         body = FlowCancel(id=flow_id, queue=queue.name)
-        reply = await self._ask(body, flow_id, _time_s(queue, deadline_s))
+        reply = await self._call_leader(body, flow_id, _timeout_s(queue, deadline_s))
         return reply.known
 
     async def read(self, flow_id, queue, *, deadline_s):
         """Return the state of a flow, or None if it is not known."""
         body = FlowRead(id=flow_id, queue=queue.name)
-        reply = await self._ask(body, flow_id, _time_s(queue, deadline_s))
+        reply = await self._call_leader(body, flow_id, _timeout_s(queue, deadline_s))
         return reply.state if reply.known else None
 
-    async def pending(self, queue, *, deadline_s):
+    async def count_pending(self, queue, *, deadline_s):
         """Return how many flows of a queue have not begun."""
         body = QueueRead(queue=queue.name)
-        reply = await self._ask(body, queue.name, _time_s(queue, deadline_s))
+        reply = await self._call_leader(body, queue.name, _timeout_s(queue, deadline_s))
         return reply.pending
 
-    async def _ask(self, body, name, time_s):
-        began = steady()
+    async def _call_leader(self, body, name, timeout_s):
+        started_at = steady()
         call = type(body).__name__
         outcome = "done"
         try:
-            return await self._calls.call(body, timeout=time_s * TIME_SHARE)
+            return await self._client.call(body, timeout=timeout_s * CALL_TIME_FRACTION)
         except RefusedError as error:
             outcome = error.code.name
             if error.code == Code.NOT_FOUND:
@@ -134,7 +134,7 @@
             outcome = error.code.name
             raise
         finally:
-            took_s = steady() - began
+            took_s = steady() - started_at
             self._counters.requests.labels(call, outcome).inc()
             self._counters.request_seconds.labels(call).observe(took_s)
             log.info(
@@ -148,9 +148,9 @@
             )
 
 
-def _time_s(queue, deadline_s):
+def _timeout_s(queue, deadline_s):
     """Return for how long a request may take: as the caller and the queue allow."""
     limits = [queue.timeout_ms / 1000] if queue.timeout_ms else []
     if deadline_s is not None:
         limits.append(deadline_s)
-    return min(limits, default=DEFAULT_TIME_S)
+    return min(limits, default=DEFAULT_TIMEOUT_S)
--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -4,7 +4,7 @@
 of calls a second needs.
 
 >>> from siskintally.http_pool import HttpPool
->>> HttpPool(host="127.0.0.1", port=80).idle
+>>> HttpPool(host="127.0.0.1", port=80).idle_count
 0
 """
 
@@ -35,9 +35,15 @@
 from siskintally.errors import ConnectionLostError, OutcomeUnknownError, UnreachableError
 
 READ_BYTES = 65536
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 8
-LOST = (OSError, BrokenResourceError, ClosedResourceError, EndOfStream, RemoteProtocolError)
+CONNECTION_ERRORS = (
+    OSError,
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    RemoteProtocolError,
+)
 
 
 class HttpReply:
@@ -52,12 +58,12 @@
 
 
 class _Connection:
-    __slots__ = ("protocol", "stream", "uses")
+    __slots__ = ("protocol", "request_count", "stream")
 
     def __init__(self, *, stream):
         self.stream = stream
         self.protocol = Protocol(CLIENT)
-        self.uses = 0
+        self.request_count = 0
 
 
 class HttpPool:
@@ -66,16 +72,16 @@
     :param host: IP address.
     """
 
-    __slots__ = ("_host", "_idle", "_port", "opened")
+    __slots__ = ("_host", "_idle", "_port", "opened_count")
 
     def __init__(self, *, host, port):
         self._host = host
         self._port = port
         self._idle = []
-        self.opened = 0
+        self.opened_count = 0
 
     @property
-    def idle(self):
+    def idle_count(self):
         """Number of connections that carry no request."""
         return len(self._idle)
 
@@ -92,12 +98,12 @@
         connection = None
         try:
             with fail_after(timeout):
-                connection = await self._take()
+                connection = await self._acquire()
                 data = self._encode(connection, method, path, headers, body)
                 sent = True
                 await connection.stream.send(data)
                 reply = await _receive(connection)
-        except (TimeoutError, *LOST) as error:
+        except (TimeoutError, *CONNECTION_ERRORS) as error:
             await self._close(connection)
             # What broke or silenced this connection may have done so to the idle ones, and each
             # would cost another timeout.
@@ -111,16 +117,16 @@
         except BaseException:
             await self._close(connection)
             raise
-        await self._give_back(connection)
+        await self._release(connection)
         return reply
 
-    async def _take(self):
+    async def _acquire(self):
         while self._idle:
             connection = self._idle.pop()
             if not _is_stale(connection):
                 return connection
             await self._close(connection)
-        self.opened += 1
+        self.opened_count += 1
         return _Connection(stream=await connect_tcp(self._host, self._port))
 
     def _encode(self, connection, method, path, headers, body):
@@ -135,7 +141,7 @@
             data += protocol.send(Data(data=body))
         return data + protocol.send(EndOfMessage())
 
-    async def _give_back(self, connection):
+    async def _release(self, connection):
         try:
             connection.protocol.start_next_cycle()
         except LocalProtocolError:
@@ -145,7 +151,7 @@
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
             await self._close(connection)
             return
-        connection.uses += 1
+        connection.request_count += 1
         self._idle.append(connection)
 
     async def _close(self, connection):
@@ -178,7 +184,7 @@
             status, headers = event.status_code, event.headers
         elif isinstance(event, Data):
             size += len(event.data)
-            if size > MAX_ANSWER_BYTES:
+            if size > MAX_RESPONSE_BYTES:
                 raise RemoteProtocolError("answer too large")
             chunks.append(bytes(event.data))
         elif isinstance(event, EndOfMessage):
--- a/siskintally/leader_cache.py
+++ b/siskintally/leader_cache.py
@@ -3,7 +3,7 @@
 >>> from siskintally.control_pb2 import ControlNotice
 >>> from siskintally.leader_cache import LeaderCache
 >>> cache = LeaderCache(fresh_s=1.5)
->>> cache.take(ControlNotice(leads=True), sender="10.0.0.1:7000", now=5.0)
+>>> cache.apply_notice(ControlNotice(leads=True), sender="10.0.0.1:7000", now=5.0)
 False
 >>> cache.leader(5.5), cache.leader(9.0)
 ('10.0.0.1:7000', '')
@@ -24,10 +24,10 @@
 
     __slots__ = (
         "_fresh_s",
-        "_heard_at",
-        "_is_disowned",
+        "_is_rejected",
         "_leader",
-        "_named_at",
+        "_leader_notice_at",
+        "_leader_set_at",
         "_term",
         "document",
     )
@@ -35,13 +35,13 @@
     def __init__(self, *, fresh_s):
         self._fresh_s = fresh_s
         self._leader = ""
-        self._heard_at = -inf
-        self._named_at = -inf
-        self._is_disowned = False
+        self._leader_notice_at = -inf
+        self._leader_set_at = -inf
+        self._is_rejected = False
         self._term = 0
         self.document = QueueDocument()
 
-    def take(self, notice, *, sender, now):
+    def apply_notice(self, notice, *, sender, now):
         """Take a notice.
 
         :param sender: link address of the store that sent it.
@@ -54,11 +54,11 @@
             self._term = notice.term
         if notice.leads:
             self._leader = sender
-            self._heard_at = self._named_at = now
-            self._is_disowned = False
-        elif notice.leader and (self._is_disowned or now - self._heard_at > self._fresh_s):
+            self._leader_notice_at = self._leader_set_at = now
+            self._is_rejected = False
+        elif notice.leader and (self._is_rejected or now - self._leader_notice_at > self._fresh_s):
             self._leader = notice.leader
-            self._named_at = now
+            self._leader_set_at = now
         if notice.document.version > self.document.version:
             self.document = notice.document
             return True
@@ -66,28 +66,28 @@
 
     def leader(self, now):
         """Return the link address of the leader, empty if it is not known at present."""
-        return self._leader if now - self._named_at <= self._fresh_s else ""
+        return self._leader if now - self._leader_set_at <= self._fresh_s else ""
 
     def is_fresh(self, now):
         """Tell whether the configuration is as new as the leader's."""
-        is_heard = not self._is_disowned and now - self._heard_at <= self._fresh_s
-        return is_heard and self.document.version > 0
+        has_leader_notice = not self._is_rejected and now - self._leader_notice_at <= self._fresh_s
+        return has_leader_notice and self.document.version > 0
 
-    def silent_s(self, now):
+    def notice_age_s(self, now):
         """Return for how long no leader has told anything, in seconds; infinite before the first.
 
         :param now: steady time, s.
         """
-        return now - self._heard_at
+        return now - self._leader_notice_at
 
-    def disown(self, leader):
+    def reject_leader(self, leader):
         """Forget a leader that has said that it does not lead."""
         if self._leader == leader:
-            self._named_at = -inf
-            self._is_disowned = True
+            self._leader_set_at = -inf
+            self._is_rejected = True
 
-    def hint(self, leader, now):
+    def apply_hint(self, leader, now):
         """Take the name of a leader from a process that refused a call."""
         if leader and leader != self._leader:
             self._leader = leader
-            self._named_at = now
+            self._leader_set_at = now
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -3,8 +3,8 @@
 A store is named by the address of its link port, so that whoever knows a member can reach it.
 
 >>> from siskintally.link_pool import LinkPool
->>> links = LinkPool(own="10.0.0.1:7000", hello=None, secret="s", handler=None)
->>> links.learn(["10.0.0.1:7000"])
+>>> links = LinkPool(own_address="10.0.0.1:7000", hello=None, secret="s", handler=None)
+>>> links.add_addresses(["10.0.0.1:7000"])
 >>> list(links.addresses())
 []
 """
@@ -25,7 +25,7 @@
 )
 MAX_STORES = 64
 # Name of the cell in the greeting of every link.
-CELL = "control"
+CELL_NAME = "control"
 
 log = get_logger("link-pool")
 
@@ -33,20 +33,28 @@
 class LinkPool:
     """Outgoing links by address; each is opened when the address is learnt.
 
-    :param own: address of this process, or an empty text.
+    :param own_address: address of this process, or an empty text.
     :param hello: what this process says of itself.
     :param handler: takes calls and messages of the other side.
-    :param ended: called with the address of a process that has ended, or None.
+    :param on_process_exit: called with the address of a process that has ended, or None.
     """
 
-    __slots__ = ("_ended", "_handler", "_hello", "_link_by_address", "_own", "_secret", "_tasks")
-
-    def __init__(self, *, own, hello, secret, handler, ended=None):
-        self._own = own
+    __slots__ = (
+        "_handler",
+        "_hello",
+        "_link_by_address",
+        "_on_process_exit",
+        "_own_address",
+        "_secret",
+        "_tasks",
+    )
+
+    def __init__(self, *, own_address, hello, secret, handler, on_process_exit=None):
+        self._own_address = own_address
         self._hello = hello
         self._secret = secret
         self._handler = handler
-        self._ended = ended
+        self._on_process_exit = on_process_exit
         self._link_by_address = {}
         self._tasks = None
 
@@ -54,10 +62,10 @@
         """Yield the addresses that are known, without the own one."""
         yield from self._link_by_address
 
-    def learn(self, addresses):
+    def add_addresses(self, addresses):
         """Open links to addresses that are new."""
         for address in addresses:
-            if address == self._own or address in self._link_by_address:
+            if address == self._own_address or address in self._link_by_address:
                 continue
             if len(self._link_by_address) >= MAX_STORES:
                 log.warning("store not linked: too many are known", address=address)
@@ -70,7 +78,9 @@
                 secret=self._secret,
                 handler=self._handler,
                 timing=LINK_POOL_TIMING,
-                ended=partial(self._ended, address) if self._ended is not None else None,
+                ended=partial(self._on_process_exit, address)
+                if self._on_process_exit is not None
+                else None,
             )
             self._link_by_address[address] = link
             log.info("store learnt", address=address)
@@ -95,7 +105,7 @@
 
         :returns: whether it was queued.
         """
-        self.learn([address])
+        self.add_addresses([address])
         link = self._link_by_address.get(address)
         return link is not None and link.send(body)
 
--- a/siskintally/node_settings.py
+++ b/siskintally/node_settings.py
@@ -1,6 +1,6 @@
 """Settings of one process of a control plane that finds the others by seeds (TOML).
 
->>> from siskintally.node_settings import parse_node
+>>> from siskintally.node_settings import parse_node_settings
 >>> text = '''
 ... name = "s1"
 ... ip = "10.0.0.1"
@@ -8,7 +8,7 @@
 ... link_port = 7000
 ... seeds = ["10.0.0.1:80"]
 ... '''
->>> parse_node(text).link
+>>> parse_node_settings(text).link_address
 '10.0.0.1:7000'
 """
 
@@ -60,32 +60,32 @@
             setattr(self, name, values[name])
 
     @property
-    def link(self):
+    def link_address(self):
         """Address for links of other processes."""
         return f"{self.ip}:{self.link_port}"
 
     @property
-    def metrics(self):
+    def metrics_address(self):
         """Address for scrapers of metrics, empty for none."""
         return f"{self.ip}:{self.metrics_port}" if self.metrics_port else ""
 
-    def seed_links(self):
+    def seed_link_addresses(self):
         """Return the link addresses of the seeds; the ports of all processes are the same."""
         return [f"{seed.rpartition(':')[0]}:{self.link_port}" for seed in self.seeds]
 
 
-def load_node(path):
+def load_node_settings(path):
     """Read and check a settings file.
 
     :raises BadSettingsError: the file is missing or a value is out of range.
     """
     try:
-        return parse_node(Path(path).read_text(encoding="utf-8"))
+        return parse_node_settings(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise BadSettingsError(f"--settings = {str(path)!r}: {error.strerror}") from error
 
 
-def parse_node(text):
+def parse_node_settings(text):
     """Check settings given as TOML text.
 
     :raises BadSettingsError: names the key, the value, and what is allowed.
@@ -97,16 +97,16 @@
     for key in document:
         if key not in _KEYS:
             raise BadSettingsError(f"{key}: unknown key, expected one of {', '.join(_KEYS)}")
-    return NodeSettings(**{key: _value(document, key) for key in _KEYS})
+    return NodeSettings(**{key: _checked_value(document, key) for key in _KEYS})
 
 
-def _value(document, key):
-    kind, default, least, greatest = _KEYS[key]
+def _checked_value(document, key):
+    kind, default, minimum, maximum = _KEYS[key]
     value = document.get(key, default)
     if value is _REQUIRED:
         raise BadSettingsError(f"{key}: missing")
     if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
         raise BadSettingsError(f"{key} = {value!r}: expected a value of type {kind}")
-    if least is not None and not least <= value <= greatest:
-        raise BadSettingsError(f"{key} = {value!r}: expected {least} to {greatest}")
+    if minimum is not None and not minimum <= value <= maximum:
+        raise BadSettingsError(f"{key} = {value!r}: expected {minimum} to {maximum}")
     return value
--- a/siskintally/platform/documents.py
+++ b/siskintally/platform/documents.py
@@ -18,7 +18,7 @@
 from siskintally.errors import BadRequestError
 from siskintally.platform.fields import Fields
 
-MAX_STEP = 1_000_000_000
+MAX_SMALL_INTEGER = 1_000_000_000
 STATES = ("ready", "draining")
 
 
@@ -32,45 +32,49 @@
         id=flow_id,
         queue=queue,
         spec=fields.text("spec", ""),
-        times=fields.integer("times", 0, greatest=MAX_STEP),
+        times=fields.integer("times", 0, maximum=MAX_SMALL_INTEGER),
         first_run_ms=fields.integer("firstRunMs", 0),
         interval_ms=fields.integer("intervalMs", 0),
     )
-    flow.steps.extend(_step(step) for step in fields.tables("steps"))
+    flow.steps.extend(_step(step) for step in fields.children("steps"))
     return flow
 
 
 def _step(fields):
-    def whole(name):
-        return fields.integer(name, 0, greatest=MAX_STEP)
+    def small_integer(name):
+        return fields.integer(name, 0, maximum=MAX_SMALL_INTEGER)
 
     return FlowStep(
-        tasks=whole("count"),
-        cpu_milli=whole("cpu"),
-        memory_mb=whole("memMb"),
-        accelerators=whole("gpu"),
+        tasks=small_integer("count"),
+        cpu_milli=small_integer("cpu"),
+        memory_mb=small_integer("memMb"),
+        accelerators=small_integer("gpu"),
         estimate_ms=round(fields.number("estimateMs", 0)),
-        after=_numbers(fields.rows("after")),
-        checkpointable=fields.flag("checkpointable"),
-        gang=fields.flag("gang"),
-        one_rack=fields.flag("sameRack"),
+        after=_step_numbers(fields.array("after")),
+        checkpointable=fields.boolean("checkpointable"),
+        gang=fields.boolean("gang"),
+        one_rack=fields.boolean("sameRack"),
         label=fields.text("requiredLabel", ""),
         data_rack=fields.text("dataRack", ""),
-        max_per_worker=whole("maxPerServer"),
-        speculative=fields.flag("speculative"),
-        lasting=fields.flag("longRunning"),
+        max_per_worker=small_integer("maxPerServer"),
+        speculative=fields.boolean("speculative"),
+        lasting=fields.boolean("longRunning"),
         image=fields.text("image", ""),
         tail_target_ms=round(fields.number("targetMs", 0)),
-        filling=fields.flag("fills"),
-        max_unavailable=whole("maxUnavailable"),
+        filling=fields.boolean("fills"),
+        max_unavailable=small_integer("maxUnavailable"),
     )
 
 
-def _numbers(rows):
-    for row in rows:
-        if not isinstance(row, int) or isinstance(row, bool) or not 0 <= row < MAX_STEP:
+def _step_numbers(numbers):
+    for number in numbers:
+        if (
+            not isinstance(number, int)
+            or isinstance(number, bool)
+            or not 0 <= number < MAX_SMALL_INTEGER
+        ):
             raise BadRequestError("after: expected numbers of steps")
-        yield row
+        yield number
 
 
 def read_document(body):
@@ -82,19 +86,19 @@
     document = QueueDocument(version=fields.integer("version"), original=body)
     if document.version == 0:
         raise BadRequestError("version: expected 1 or more")
-    for service in fields.tables("services"):
+    for service in fields.children("services"):
         document.services.append(
             WorkerService(
                 name=service.text("name"),
-                guards_capacity=service.flag("enforcesCapacity"),
-                spare=service.flag("spare"),
+                guards_capacity=service.boolean("enforcesCapacity"),
+                spare=service.boolean("spare"),
             )
         )
-    for route in fields.tables("routes"):
+    for route in fields.children("routes"):
         document.queues.append(_queue(route))
     if not fields.has("routes") or not fields.has("services"):
         raise BadRequestError("routes, services: expected lists")
-    fields.table("limits")
+    fields.child("limits")
     return document
 
 
@@ -104,14 +108,14 @@
         host=fields.text("host").lower(),
         prefix=fields.text("pathPrefix"),
         service=fields.text("service"),
-        priority=fields.integer("priority", 0, greatest=MAX_STEP),
-        timeout_ms=fields.integer("timeoutMs", greatest=MAX_STEP),
+        priority=fields.integer("priority", 0, maximum=MAX_SMALL_INTEGER),
+        timeout_ms=fields.integer("timeoutMs", maximum=MAX_SMALL_INTEGER),
         aim_ms=fields.number("targetRuntimeMs", 0),
-        max_attempts=fields.integer("maxAttempts", 1, greatest=MAX_STEP),
+        max_attempts=fields.integer("maxAttempts", 1, maximum=MAX_SMALL_INTEGER),
         stretch=fields.number("stretch", 1),
     )
     if fields.has("advice"):
-        terms = fields.table("advice")
+        terms = fields.child("advice")
         queue.advice.CopyFrom(
             AdviceTerms(
                 decide_ms=terms.number("decideMs", 0),
@@ -131,8 +135,8 @@
     state = fields.text("state")
     if state not in STATES:
         raise BadRequestError(f"state = {state[:40]!r}: expected one of {', '.join(STATES)}")
-    capacity = fields.table("capacity")
-    labels = fields.rows("labels")
+    capacity = fields.child("capacity")
+    labels = fields.array("labels")
     if not all(isinstance(label, str) for label in labels):
         raise BadRequestError("labels: expected strings")
     address = fields.text("addr")
@@ -145,9 +149,9 @@
         service=fields.text("service"),
         address=address,
         domain=fields.text("zone"),
-        cpu_milli=capacity.integer("cpu", 0, greatest=MAX_STEP),
-        memory_mb=capacity.integer("memMb", 0, greatest=MAX_STEP),
-        accelerators=capacity.integer("gpu", 0, greatest=MAX_STEP),
+        cpu_milli=capacity.integer("cpu", 0, maximum=MAX_SMALL_INTEGER),
+        memory_mb=capacity.integer("memMb", 0, maximum=MAX_SMALL_INTEGER),
+        accelerators=capacity.integer("gpu", 0, maximum=MAX_SMALL_INTEGER),
         labels=labels,
         # By the platform's custom the last label of a worker names its rack.
         rack=labels[-1] if labels else "",
--- a/siskintally/platform/entry_command.py
+++ b/siskintally/platform/entry_command.py
@@ -13,25 +13,25 @@
 from siskintally.entry_node import EntryNode
 from siskintally.flow_gateway import FlowGateway
 from siskintally.platform.http import ClientApp, MetricsApp, ReadyApp
-from siskintally.platform.process import define, load, serve
-from siskintally.platform.workers import PlatformAdvice
+from siskintally.platform.process import define_flags, load_settings, run_node
+from siskintally.platform.workers import PlatformAdviceService
 
 
 def register(registry):
     """Add the command."""
     summary = "Run an entry on the users' platform."
-    registry.add(Command(name="platform-entry", summary=summary, define=define, start=start))
+    registry.add(Command(name="platform-entry", summary=summary, define=define_flags, start=start))
 
 
 def start(values, arguments):
     """Run an entry until a signal."""
-    path, settings = load(values, "entry")
+    path, settings = load_settings(values, "entry")
     counters = Counters()
-    node = EntryNode(settings=settings, advice=PlatformAdvice(address=settings.advice))
-    gateway = FlowGateway(cache=node.cache, calls=node.calls, counters=counters)
+    node = EntryNode(settings=settings, advice=PlatformAdviceService(address=settings.advice))
+    gateway = FlowGateway(cache=node.cache, client=node.client, counters=counters)
     apps = (
         (ClientApp(gateway=gateway), settings.callers),
         (ReadyApp(is_ready=lambda: node.is_ready), settings.ready),
-        (MetricsApp(counters=counters), settings.metrics),
+        (MetricsApp(counters=counters), settings.metrics_address),
     )
-    return serve(node, apps, path)
+    return run_node(node, apps, path)
--- a/siskintally/platform/fields.py
+++ b/siskintally/platform/fields.py
@@ -38,13 +38,13 @@
         """Tell whether a field is there and not null."""
         return self._values.get(name) is not None
 
-    def integer(self, name, default=None, *, greatest=MAX_INTEGER):
+    def integer(self, name, default=None, *, maximum=MAX_INTEGER):
         """Return a whole number of 0 or more; numbers without a fraction count as whole."""
         value = self._values.get(name, default)
         if isinstance(value, float) and value.is_integer():
             value = int(value)
-        if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= greatest:
-            raise BadRequestError(f"{name}: expected a whole number from 0 to {greatest}")
+        if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= maximum:
+            raise BadRequestError(f"{name}: expected a whole number from 0 to {maximum}")
         return value
 
     def number(self, name, default=None):
@@ -61,21 +61,21 @@
         if not isinstance(value, str):
             raise BadRequestError(f"{name}: expected a string")
         if not value.isascii():
-            _check_text(name, value)
+            _check_encodable(name, value)
         return value
 
-    def flag(self, name):
+    def boolean(self, name):
         """Return a boolean; a missing one is false."""
         value = self._values.get(name, False)
         if not isinstance(value, bool):
             raise BadRequestError(f"{name}: expected a boolean")
         return value
 
-    def table(self, name):
+    def child(self, name):
         """Return an object as :class:`Fields`; a missing one is empty."""
         return Fields(values=self._values.get(name) or {})
 
-    def rows(self, name):
+    def array(self, name):
         """Return a list; a missing one is empty."""
         value = self._values.get(name)
         if value is None:
@@ -84,13 +84,13 @@
             raise BadRequestError(f"{name}: expected a list")
         return value
 
-    def tables(self, name):
+    def children(self, name):
         """Yield the objects of a list as :class:`Fields`."""
-        for row in self.rows(name):
+        for row in self.array(name):
             yield Fields(values=row)
 
 
-def _check_text(name, value):
+def _check_encodable(name, value):
     """Refuse text with halves of surrogate pairs, which cannot be stored."""
     try:
         value.encode()
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -28,11 +28,11 @@
 }
 UNAVAILABLE = 503
 GONE = 410
-DEADLINE = "siskintally-deadline-ms"
+DEADLINE_HEADER = "siskintally-deadline-ms"
 # The platform resends a heartbeat to another node after a second without an answer.
-HEARTBEAT_S = 0.8
+HEARTBEAT_TIMEOUT_S = 0.8
 MAX_CONFIG_BYTES = 4 * 1024 * 1024
-METRICS_TYPE = ("content-type", "text/plain; version=0.0.4")
+METRICS_HEADER = ("content-type", "text/plain; version=0.0.4")
 
 log = get_logger("platform-http")
 
@@ -49,8 +49,8 @@
     def failure(self, error):
         """Return the answer to a request that was refused."""
         status = STATUS_BY_CODE.get(error.code, UNAVAILABLE)
-        is_retried = status in (UNAVAILABLE, 429)
-        headers = [("retry-after", str(self.retry_after_s()))] if is_retried else []
+        may_retry = status in (UNAVAILABLE, 429)
+        headers = [("retry-after", str(self.retry_after_s()))] if may_retry else []
         return json_answer(
             status, {"error": str(error)[:200], "code": int(error.code)}, headers=headers
         )
@@ -74,30 +74,30 @@
     async def handle(self, request):
         """Answer a request."""
         host = request.headers.get("host", "").partition(":")[0].lower()
-        queue = self._gateway.queue(host, request.path)
-        rest = request.path[len(queue.prefix) :]
+        queue = self._gateway.find_queue(host, request.path)
+        job_id = request.path[len(queue.prefix) :]
         deadline_s = _deadline_s(request)
-        if not rest and request.method == "GET":
-            pending = await self._gateway.pending(queue, deadline_s=deadline_s)
+        if not job_id and request.method == "GET":
+            pending = await self._gateway.count_pending(queue, deadline_s=deadline_s)
             return json_answer(200, {"pending": pending})
-        if not JOB_ID.fullmatch(rest):
+        if not JOB_ID.fullmatch(job_id):
             return json_answer(404, {"error": "no job of that name"})
         if request.method == "POST":
-            flow = read_flow(rest, queue.name, request.body)
+            flow = read_flow(job_id, queue.name, request.body)
             await self._gateway.submit(flow, queue, deadline_s=deadline_s)
             return json_answer(200, {})
         if request.method == "DELETE":
-            is_known = await self._gateway.cancel(rest, queue, deadline_s=deadline_s)
+            is_known = await self._gateway.cancel(job_id, queue, deadline_s=deadline_s)
             return json_answer(200 if is_known else GONE, {})
         if request.method == "GET":
-            state = await self._gateway.read(rest, queue, deadline_s=deadline_s)
+            state = await self._gateway.read(job_id, queue, deadline_s=deadline_s)
             return json_answer(GONE, {}) if state is None else json_answer(200, {"state": state})
         return json_answer(405, {"error": "expected GET, POST or DELETE"})
 
 
 def _deadline_s(request):
     """Return for how long the client waits, None if it does not say."""
-    text = request.headers.get(DEADLINE, "")
+    text = request.headers.get(DEADLINE_HEADER, "")
     return int(text) / 1000 if text.isdecimal() else None
 
 
@@ -130,21 +130,21 @@
 
     async def handle(self, request):
         """Answer with all values."""
-        body = self._counters.text().encode()
-        return HttpAnswer(status=200, body=body, headers=[METRICS_TYPE])
+        body = self._counters.to_text().encode()
+        return HttpAnswer(status=200, body=body, headers=[METRICS_HEADER])
 
 
 class ControlApp(PlatformApp):
     """Interface for workers and operators.
 
-    :param calls: :class:`~siskintally.control_client.ControlClient`.
+    :param client: :class:`~siskintally.control_client.ControlClient`.
     """
 
-    __slots__ = ("_calls",)
+    __slots__ = ("_client",)
     max_body_bytes = MAX_CONFIG_BYTES
 
-    def __init__(self, *, calls):
-        self._calls = calls
+    def __init__(self, *, client):
+        self._client = client
 
     async def handle(self, request):
         """Answer a request."""
@@ -152,26 +152,26 @@
         match request.method, parts:
             case "POST", ["instances", worker_id, "heartbeat"]:
                 worker = read_worker(worker_id, request.body)
-                await self._calls.call(WorkerSeen(worker=worker), timeout=HEARTBEAT_S)
+                await self._client.call(WorkerSeen(worker=worker), timeout=HEARTBEAT_TIMEOUT_S)
                 return json_answer(200, {})
             case "POST", ["instances", worker_id, "deregister"]:
-                body = WorkerGone(id=worker_id, born_ms=_born(request.body))
-                await self._calls.call(body, timeout=HEARTBEAT_S)
+                body = WorkerGone(id=worker_id, born_ms=_read_incarnation(request.body))
+                await self._client.call(body, timeout=HEARTBEAT_TIMEOUT_S)
                 return json_answer(200, {})
             case "POST", ["config", "replace"]:
-                return await self._replace(request)
+                return await self._replace_document(request)
             case "GET", ["config", "get"]:
-                return await self._get()
+                return await self._get_document()
         return json_answer(404, {"error": "no such call"})
 
-    async def _replace(self, request):
+    async def _replace_document(self, request):
         document = read_document(request.body)
         check_document(document)
-        await self._calls.call(DocumentPut(document=document))
+        await self._client.call(DocumentPut(document=document))
         return json_answer(200, {})
 
-    async def _get(self):
-        reply = await self._calls.call(DocumentRead())
+    async def _get_document(self):
+        reply = await self._client.call(DocumentRead())
         if not reply.document.version:
             return json_answer(UNAVAILABLE, {"error": "no configuration yet"})
         headers = [("content-type", "application/json")]
@@ -184,7 +184,7 @@
         return super().failure(error)
 
 
-def _born(body):
+def _read_incarnation(body):
     if not body.strip():
         return 0
     try:
--- a/siskintally/platform/process.py
+++ b/siskintally/platform/process.py
@@ -15,19 +15,19 @@
 from siskintally.errors import BadSettingsError
 from siskintally.http_server import serve_http
 from siskintally.log import get_logger, set_up
-from siskintally.node_settings import load_node
+from siskintally.node_settings import load_node_settings
 
 SETTINGS_VARIABLE = "SISKINTALLY_SETTINGS"
 
 log = get_logger("platform")
 
 
-def define(values):
+def define_flags(values):
     """Add the flags of a platform command."""
     DEFINE_string("settings", None, "settings of this process (TOML)", flag_values=values)
 
 
-def load(values, role):
+def load_settings(values, role):
     """Read the settings and set up logs; return the path and the settings.
 
     :raises BadSettingsError: the settings are missing or out of range.
@@ -35,7 +35,7 @@
     path = values.settings or environ.get(SETTINGS_VARIABLE)
     if not path:
         raise BadSettingsError(f"--settings: missing, and {SETTINGS_VARIABLE} is not set")
-    settings = load_node(path)
+    settings = load_node_settings(path)
     set_up(process=settings.name, to_stdout=True)
     log.info(
         "start",
@@ -47,20 +47,20 @@
     return path, settings
 
 
-def serve(node, apps, path):
+def run_node(node, apps, path):
     """Run a node with its HTTP servers until a signal; SIGHUP reads the seeds again.
 
     :param apps: pairs of an app and the address it listens on, which may be empty.
     """
     bound = [(app, address) for app, address in apps if address]
-    servers = partial(_serve_all, bound, node)
+    servers = partial(_serve_apps, bound, node)
     return serve_until_signal(
-        partial(node.run, servers), node.stop, lambda: node.learn_seeds(load_node(path))
+        partial(node.run, servers), node.stop, lambda: node.add_seeds(load_node_settings(path))
     )
 
 
-async def _serve_all(apps, node):
-    serve_one = partial(serve_http, until=node.closing, graceful_s=node.last_requests_s)
+async def _serve_apps(apps, node):
+    serve_one = partial(serve_http, until=node.closing, graceful_s=node.graceful_s)
     async with create_task_group() as tasks:
         for app, address in apps:
             tasks.start_soon(partial(serve_one, app, address=address))
--- a/siskintally/platform/store_command.py
+++ b/siskintally/platform/store_command.py
@@ -12,28 +12,28 @@
 from siskintally.control_node import ControlNode
 from siskintally.counters import Counters
 from siskintally.platform.http import ControlApp, MetricsApp
-from siskintally.platform.process import define, load, serve
-from siskintally.platform.workers import PlatformAdvice, PlatformWorkers
+from siskintally.platform.process import define_flags, load_settings, run_node
+from siskintally.platform.workers import PlatformAdviceService, PlatformWorkerDriver
 
 
 def register(registry):
     """Add the command."""
     summary = "Run a store on the users' platform."
-    registry.add(Command(name="platform-store", summary=summary, define=define, start=start))
+    registry.add(Command(name="platform-store", summary=summary, define=define_flags, start=start))
 
 
 def start(values, arguments):
     """Run a store until a signal."""
-    path, settings = load(values, "store")
+    path, settings = load_settings(values, "store")
     counters = Counters()
     node = ControlNode(
         settings=settings,
-        driver=PlatformWorkers(),
-        advice=PlatformAdvice(address=settings.advice),
+        driver=PlatformWorkerDriver(),
+        advice=PlatformAdviceService(address=settings.advice),
         counters=counters,
     )
     apps = (
-        (ControlApp(calls=node.calls), settings.control),
-        (MetricsApp(counters=counters), settings.metrics),
+        (ControlApp(client=node.client), settings.control),
+        (MetricsApp(counters=counters), settings.metrics_address),
     )
-    return serve(node, apps, path)
+    return run_node(node, apps, path)
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -1,7 +1,7 @@
 """Calls to the platform's workers and to its advice service.
 
->>> from siskintally.platform.workers import PlatformWorkers
->>> PlatformWorkers().pools
+>>> from siskintally.platform.workers import PlatformWorkerDriver
+>>> PlatformWorkerDriver().pool_count
 0
 """
 
@@ -25,12 +25,12 @@
 from siskintally.log import get_logger
 from siskintally.platform.fields import Fields
 
-EXPECTED_INSTANCE = "Siskintally-Expect-Instance"
-JSON = ("Content-Type", "application/json")
+EXPECT_INSTANCE_HEADER = "Siskintally-Expect-Instance"
+JSON_HEADER = ("Content-Type", "application/json")
 # The worker returns at most this many ends in one response.
 ENDS_PER_REPORT = 500
 MISDIRECTED = 421
-BUSY = (429, 503)
+BUSY_STATUSES = (429, 503)
 REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD,
@@ -50,7 +50,7 @@
 log = get_logger("platform-workers")
 
 
-class PlatformWorkers(WorkerDriver):
+class PlatformWorkerDriver(WorkerDriver):
     """Workers that take their orders by HTTP."""
 
     __slots__ = ("_pool_by_address",)
@@ -59,7 +59,7 @@
         self._pool_by_address = {}
 
     @property
-    def pools(self):
+    def pool_count(self):
         """Number of workers with connections."""
         return len(self._pool_by_address)
 
@@ -76,12 +76,12 @@
             body["checkpointed"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return _order_reply(await self._post(worker, "/run-start", body, timeout))
+        return _read_order_reply(await self._post(worker, "/run-start", body, timeout))
 
     async def stop(self, worker, order, *, timeout):
         """Send a stop order."""
         body = {"task": order.task_id, "run": order.run, "fence": order.fence}
-        return _order_reply(await self._post(worker, "/run-stop", body, timeout))
+        return _read_order_reply(await self._post(worker, "/run-stop", body, timeout))
 
     async def pace(self, worker, order, *, timeout):
         """Send a pace order."""
@@ -91,7 +91,7 @@
             "percent": order.percent,
             "fence": order.fence,
         }
-        return _order_reply(await self._post(worker, "/pace", body, timeout))
+        return _read_order_reply(await self._post(worker, "/pace", body, timeout))
 
     async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
         """Renew the lease and read both lists."""
@@ -101,7 +101,7 @@
         if wait_ms:
             body["waitMs"] = wait_ms
         reply = await self._post(worker, "/hold", body, timeout)
-        answer = _order_reply(reply)
+        answer = _read_order_reply(reply)
         if answer.refusal != Refusal.NONE:
             return WorkerReport(clock_ms=answer.clock_ms, refusal=answer.refusal)
         return read_report(reply.body)
@@ -120,20 +120,20 @@
         reply = await pool.request(
             "POST",
             path,
-            headers=(JSON, (EXPECTED_INSTANCE, worker.id)),
+            headers=(JSON_HEADER, (EXPECT_INSTANCE_HEADER, worker.id)),
             body=dumps(body, separators=(",", ":")).encode(),
             timeout=timeout,
         )
         if reply.status == MISDIRECTED:
             raise GoneError(f"{worker.address}: another instance than {worker.id}")
-        if reply.status in BUSY:
+        if reply.status in BUSY_STATUSES:
             raise BusyError(f"{worker.id}: status {reply.status}")
         if reply.status >= 500:
             raise OutcomeUnknownError(f"{worker.id}: status {reply.status}")
         return reply
 
 
-def _order_reply(reply):
+def _read_order_reply(reply):
     try:
         fields = Fields.parse(reply.body)
         clock_ms = fields.integer("clockMs") if fields.has("clockMs") else None
@@ -154,10 +154,10 @@
     """
     try:
         fields = Fields.parse(body)
-        ended = [_end(row) for row in fields.rows("ended")]
+        ended = [_read_end(row) for row in fields.array("ended")]
         return WorkerReport(
             clock_ms=fields.integer("clockMs"),
-            running=[_run(row) for row in fields.rows("running")],
+            running=[_read_run(row) for row in fields.array("running")],
             ended=ended,
             is_partial=len(ended) >= ENDS_PER_REPORT,
         )
@@ -165,7 +165,7 @@
         raise OutcomeUnknownError(f"report of a worker: {error}") from error
 
 
-def _run(row):
+def _read_run(row):
     task_id, run, saved, percent, *rest = row
     return RunRow(
         task_id=str(task_id),
@@ -176,7 +176,7 @@
     )
 
 
-def _end(row):
+def _read_end(row):
     number, task_id, run, how, saved = row[:5]
     return EndRow(
         number=int(number),
@@ -187,7 +187,7 @@
     )
 
 
-class PlatformAdvice(Advice):
+class PlatformAdviceService(Advice):
     """The platform's service that knows which workers may run a step.
 
     :param address: host:port.
@@ -205,12 +205,12 @@
             raise UnreachableError("no advice service in the settings")
         body = dumps({"step": step_id, "workers": list(worker_ids)}).encode()
         reply = await self._pool.request(
-            "POST", "/advise", headers=(JSON,), body=body, timeout=timeout
+            "POST", "/advise", headers=(JSON_HEADER,), body=body, timeout=timeout
         )
         if reply.status >= 300:
             raise BusyError(f"advice: status {reply.status}")
         try:
-            rows = Fields.parse(reply.body).rows("allowed")
+            rows = Fields.parse(reply.body).array("allowed")
             return [Ticket(worker_id=str(worker), text=str(ticket)) for worker, ticket in rows]
         except (BadRequestError, ValueError, TypeError) as error:
             raise OutcomeUnknownError(f"advice: {error}") from error
--- a/siskintally/stub_pool.py
+++ b/siskintally/stub_pool.py
@@ -24,7 +24,7 @@
 )
 from siskintally.errors import OutcomeUnknownError, UnreachableError
 
-POLL_S = 0.01
+POLL_INTERVAL_S = 0.01
 
 
 class StubRun:
@@ -46,23 +46,24 @@
 class StubPoolWorker:
     """One incarnation of a worker.
 
-    ``history``: (time, event, task id, run) of all that ran, for checks. ``is_dark``: whether
-    calls get no answer. ``loses_answers``: whether orders are carried out and not answered.
+    ``history``: (time, event, task id, run) of all that ran, for checks. ``is_unreachable``:
+    whether calls get no answer. ``loses_replies``: whether orders are carried out and not
+    answered.
 
     :param run_s: ``run_s(task_id)`` returns the time that a task takes, in seconds.
     """
 
     __slots__ = (
         "_clock",
-        "_ended",
         "_fence",
-        "_highest_by_task",
+        "_highest_run_by_task",
+        "_last_end_number",
         "_lease_until_ms",
-        "_number",
         "_run_s",
+        "_unacknowledged_ends",
         "history",
-        "is_dark",
-        "loses_answers",
+        "is_unreachable",
+        "loses_replies",
         "record",
         "running_by_task",
     )
@@ -70,15 +71,15 @@
     def __init__(self, *, record, clock, run_s):
         self.record = record
         self.history = []
-        self.is_dark = False
-        self.loses_answers = False
+        self.is_unreachable = False
+        self.loses_replies = False
         self.running_by_task = {}
         self._clock = clock
         self._run_s = run_s
         self._fence = 0
-        self._number = 0
-        self._ended = []
-        self._highest_by_task = {}
+        self._last_end_number = 0
+        self._unacknowledged_ends = []
+        self._highest_run_by_task = {}
         self._lease_until_ms = 0
 
     @property
@@ -86,49 +87,55 @@
         """Steady clock of the worker."""
         return int(self._clock() * 1000)
 
-    def tick(self):
+    def end_due_runs(self):
         """End what is done, or everything if the lease is over."""
-        is_over = self.clock_ms >= self._lease_until_ms
-        for one in list(self.running_by_task.values()):
-            if is_over:
-                self._end(one, EndKind.LAPSED)
-            elif self._clock() >= one.ends_at:
-                self._end(one, EndKind.DONE)
-
-    def _end(self, one, kind):
-        del self.running_by_task[one.task_id]
-        self._highest_by_task[one.task_id] = one.run
-        self._number += 1
-        self._ended.append(EndRow(number=self._number, task_id=one.task_id, run=one.run, kind=kind))
-        self.history.append((self._clock(), kind.name, one.task_id, one.run))
-
-    def fail(self, task_id):
+        is_lease_expired = self.clock_ms >= self._lease_until_ms
+        for stub_run in list(self.running_by_task.values()):
+            if is_lease_expired:
+                self._end_run(stub_run, EndKind.LAPSED)
+            elif self._clock() >= stub_run.ends_at:
+                self._end_run(stub_run, EndKind.DONE)
+
+    def _end_run(self, stub_run, kind):
+        del self.running_by_task[stub_run.task_id]
+        self._highest_run_by_task[stub_run.task_id] = stub_run.run
+        self._last_end_number += 1
+        self._unacknowledged_ends.append(
+            EndRow(
+                number=self._last_end_number, task_id=stub_run.task_id, run=stub_run.run, kind=kind
+            )
+        )
+        self.history.append((self._clock(), kind.name, stub_run.task_id, stub_run.run))
+
+    def fail_run(self, task_id):
         """Let a run end as failed."""
-        self._end(self.running_by_task[task_id], EndKind.FAILED)
+        self._end_run(self.running_by_task[task_id], EndKind.FAILED)
 
-    def _extend(self, until_ms):
+    def _extend_lease(self, until_ms):
         self._lease_until_ms = max(self._lease_until_ms, until_ms or 0)
 
     def start(self, order):
         """Carry out a start order."""
-        self.tick()
-        present = self.running_by_task.get(order.task_id)
+        self.end_due_runs()
+        current_run = self.running_by_task.get(order.task_id)
         refusal = Refusal.NONE
         if order.fence < self._fence:
             return self._reply(Refusal.FENCED)
         self._fence = order.fence
-        if present is not None and present.run == order.run:
-            self._extend(order.lease_until_ms)
-        elif order.run <= self._highest_by_task.get(order.task_id, 0) or present is not None:
+        if current_run is not None and current_run.run == order.run:
+            self._extend_lease(order.lease_until_ms)
+        elif (
+            order.run <= self._highest_run_by_task.get(order.task_id, 0) or current_run is not None
+        ):
             refusal = Refusal.OLD
         elif order.lease_until_ms <= self.clock_ms:
             refusal = Refusal.LATE
         else:
-            self._extend(order.lease_until_ms)
-            self._begin(order)
+            self._extend_lease(order.lease_until_ms)
+            self._start_run(order)
         return self._reply(refusal)
 
-    def _begin(self, order):
+    def _start_run(self, order):
         now = self._clock()
         self.running_by_task[order.task_id] = StubRun(
             task_id=order.task_id,
@@ -141,32 +148,32 @@
 
     def stop(self, order):
         """Carry out a stop order; a run that is not there yet is refused later."""
-        self.tick()
+        self.end_due_runs()
         if order.fence < self._fence:
             return self._reply(Refusal.FENCED)
         self._fence = order.fence
-        present = self.running_by_task.get(order.task_id)
-        if present is not None and present.run <= order.run:
-            self._end(present, EndKind.STOPPED)
-        highest = self._highest_by_task.get(order.task_id, 0)
-        self._highest_by_task[order.task_id] = max(highest, order.run)
+        current_run = self.running_by_task.get(order.task_id)
+        if current_run is not None and current_run.run <= order.run:
+            self._end_run(current_run, EndKind.STOPPED)
+        highest = self._highest_run_by_task.get(order.task_id, 0)
+        self._highest_run_by_task[order.task_id] = max(highest, order.run)
         return self._reply(Refusal.NONE)
 
     def hold(self, *, fence, lease_until_ms, noted):
         """Renew the lease and list what runs and what has ended."""
-        self.tick()
+        self.end_due_runs()
         if fence < self._fence:
             return WorkerReport(clock_ms=self.clock_ms, refusal=Refusal.FENCED)
         self._fence = fence
-        self._extend(lease_until_ms)
-        self._ended = [row for row in self._ended if row.number > noted]
+        self._extend_lease(lease_until_ms)
+        self._unacknowledged_ends = [row for row in self._unacknowledged_ends if row.number > noted]
         return WorkerReport(
             clock_ms=self.clock_ms,
             running=[
-                RunRow(task_id=one.task_id, run=one.run, checkpoint=one.checkpoint)
-                for one in self.running_by_task.values()
+                RunRow(task_id=stub_run.task_id, run=stub_run.run, checkpoint=stub_run.checkpoint)
+                for stub_run in self.running_by_task.values()
             ],
-            ended=list(self._ended),
+            ended=list(self._unacknowledged_ends),
         )
 
     def _reply(self, refusal):
@@ -204,46 +211,46 @@
         )
         return self.worker_by_id[name]
 
-    async def _reach(self, worker, timeout):
-        found = self.worker_by_id.get(worker.id)
-        if found is None:
+    async def _find_reachable(self, worker, timeout):
+        stub = self.worker_by_id.get(worker.id)
+        if stub is None:
             raise UnreachableError(f"{worker.id}: no such worker")
-        if found.is_dark:
+        if stub.is_unreachable:
             await sleep(timeout)
             raise OutcomeUnknownError(f"{worker.id}: no answer")
-        if found.record.born_ms != worker.born_ms:
+        if stub.record.born_ms != worker.born_ms:
             raise GoneError(f"{worker.id}: another incarnation")
         await sleep(0)
-        return found
+        return stub
 
-    async def _order(self, worker, timeout, carry_out):
-        found = await self._reach(worker, timeout)
-        reply = carry_out(found)
-        if found.loses_answers:
+    async def _execute(self, worker, timeout, apply_order):
+        stub = await self._find_reachable(worker, timeout)
+        reply = apply_order(stub)
+        if stub.loses_replies:
             await sleep(timeout)
             raise OutcomeUnknownError(f"{worker.id}: no answer")
         return reply
 
     async def start(self, worker, order, *, timeout):
         """Start a run."""
-        return await self._order(worker, timeout, lambda found: found.start(order))
+        return await self._execute(worker, timeout, lambda stub: stub.start(order))
 
     async def stop(self, worker, order, *, timeout):
         """Stop a run."""
-        return await self._order(worker, timeout, lambda found: found.stop(order))
+        return await self._execute(worker, timeout, lambda stub: stub.stop(order))
 
     async def pace(self, worker, order, *, timeout):
         """Take a pace order; stub tasks run at one speed."""
-        return await self._order(worker, timeout, lambda found: OrderReply())
+        return await self._execute(worker, timeout, lambda stub: OrderReply())
 
     async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
         """Renew the lease; wait for an end that is not noted yet."""
-        found = await self._reach(worker, timeout)
-        report = found.hold(fence=fence, lease_until_ms=lease_until_ms, noted=noted)
+        stub = await self._find_reachable(worker, timeout)
+        report = stub.hold(fence=fence, lease_until_ms=lease_until_ms, noted=noted)
         with move_on_after(wait_ms / 1000):
-            while not report.ended and report.refusal == Refusal.NONE and not found.is_dark:
-                await sleep(POLL_S)
-                report = found.hold(fence=fence, lease_until_ms=None, noted=noted)
+            while not report.ended and report.refusal == Refusal.NONE and not stub.is_unreachable:
+                await sleep(POLL_INTERVAL_S)
+                report = stub.hold(fence=fence, lease_until_ms=None, noted=noted)
         return report
 
     async def forget(self, worker):
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -24,12 +24,12 @@
         self.answer_by_name = answer_by_name
         self.asked = []
         self.cache = LeaderCache(fresh_s=60.0)
-        self.calls = ControlClient(cache=self.cache, call=self.call)
+        self.client = ControlClient(cache=self.cache, call=self.call)
 
     def lead(self, name):
         """Let a store tell that it leads."""
-        self.cache.take(ControlNotice(leads=True), sender=name, now=steady())
-        self.calls.leader_changed()
+        self.cache.apply_notice(ControlNotice(leads=True), sender=name, now=steady())
+        self.client.handle_leader_change()
 
     async def call(self, name, body, *, timeout):
         """Answer a call, raise an error, or hang."""
@@ -51,7 +51,7 @@
                 if meanwhile is not None:
                     tasks.start_soon(meanwhile)
                 try:
-                    answer = await stores.calls.call(FlowRead(id="f"), timeout=timeout)
+                    answer = await stores.client.call(FlowRead(id="f"), timeout=timeout)
                 except Exception as error:
                     answer = error
                 tasks.cancel_scope.cancel()
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -2,7 +2,7 @@
 
 from anyio import Event, create_task_group, run, sleep
 
-from siskintally.control_group import ENDED_LEADER_SHARE
+from siskintally.control_group import EXITED_LEADER_TIMEOUT_FACTOR
 from siskintally.control_leader import ControlLeader
 from siskintally.control_pb2 import ControlCommand
 from siskintally.control_state import ControlState
@@ -97,7 +97,7 @@
 
 def test_a_leader_stops_acting_before_the_next_one_may_be_elected():
     """Guards against two leaders that act at once after a change of either share."""
-    assert CONFIRMED_LEADER_SHARE < ENDED_LEADER_SHARE <= 1.0
+    assert CONFIRMED_LEADER_SHARE < EXITED_LEADER_TIMEOUT_FACTOR <= 1.0
 
 
 def test_a_start_is_sent_only_after_its_worker_is_on_record():
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -25,7 +25,7 @@
 from siskintally.errors import SiskintallyError
 from siskintally.flow_timing import FlowTiming
 from siskintally.journal import Journal
-from siskintally.node_settings import parse_node
+from siskintally.node_settings import parse_node_settings
 from siskintally.stub_pool import StubPool
 from tests.flow_rig import QUEUE, SERVICE, flow, step
 from tests.processes import free_ports, wait_until
@@ -54,7 +54,7 @@
     def settings(self, host, *, founding=True):
         """Return the settings of a store."""
         seeds = ", ".join(f'"{one}:1"' for one in self.hosts)
-        return parse_node(
+        return parse_node_settings(
             f'name = "{host}"\nip = "{host}"\ndomain = "d"\nlink_port = {self.port}\n'
             f"seeds = [{seeds}]\nfounding = {str(founding).lower()}\n"
             f'data = "{self.folder}/{host}"\n'
@@ -94,7 +94,7 @@
         for _ in range(200):
             for node in list(self.node_by_host.values()):
                 try:
-                    return await node.calls.call(body, timeout=2.0)
+                    return await node.client.call(body, timeout=2.0)
                 except SiskintallyError as refused:
                     error = refused
             await sleep(0.05)
@@ -190,7 +190,7 @@
 
     async def check(cell):
         await cell.configure("w1", "w2")
-        cell.pool.worker_by_id["w1"].loses_answers = True
+        cell.pool.worker_by_id["w1"].loses_replies = True
         await cell.call(FlowSubmit(flow=flow("f", step(8))))
         await wait_until(partial(is_state, cell, "f", "completed"), "completed")
         assert len(cell.starts()) == len(set(cell.starts())) == 8
@@ -206,12 +206,12 @@
         await cell.call(FlowSubmit(flow=flow("f", step(1))))
         first = cell.pool.worker_by_id["w1"]
         await wait_until(lambda: first.running_by_task, "started")
-        first.is_dark = True
+        first.is_unreachable = True
         cell.pool.add("w2", cpu_milli=4000, memory_mb=4000, service=SERVICE)
         await cell.announce("w2")
         await wait_until(lambda: cell.pool.worker_by_id["w2"].history, "moved")
         moved_at = cell.pool.worker_by_id["w2"].history[0][0]
-        first.tick()
+        first.end_due_runs()
         assert not first.running_by_task
         assert first.history[-1][1] == "LAPSED"
         assert moved_at >= lease_end(first)
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -102,10 +102,10 @@
         async with create_task_group() as tasks:
             tasks.start_soon(post, pool)
             tasks.start_soon(post, pool)
-        assert pool.idle == 2
+        assert pool.idle_count == 2
         with raises(OutcomeUnknownError):
             await post(pool, timeout=0.1)
-        assert pool.idle == 0
+        assert pool.idle_count == 0
         assert (await post(pool)).status == 200
 
     play(server, check)
--- a/tests/test_leader_cache.py
+++ b/tests/test_leader_cache.py
@@ -9,7 +9,7 @@
 def led_cache(now=10.0):
     cache = LeaderCache(fresh_s=1.5)
     notice = ControlNotice(leads=True, document=QueueDocument(version=4))
-    assert cache.take(notice, sender="a:1", now=now)
+    assert cache.apply_notice(notice, sender="a:1", now=now)
     return cache
 
 
@@ -23,19 +23,19 @@
 def test_a_follower_names_another_leader_only_when_the_known_one_is_silent():
     """Guards against calls that are sent to a former leader on the word of a slow follower."""
     cache = led_cache()
-    cache.take(ControlNotice(leader="b:1"), sender="c:1", now=10.5)
+    cache.apply_notice(ControlNotice(leader="b:1"), sender="c:1", now=10.5)
     assert cache.leader(10.5) == "a:1"
-    cache.take(ControlNotice(leader="b:1"), sender="c:1", now=12.0)
+    cache.apply_notice(ControlNotice(leader="b:1"), sender="c:1", now=12.0)
     assert cache.leader(12.0) == "b:1"
 
 
 def test_a_leader_that_disowns_its_office_is_not_called_again():
     """Guards against calls that go on to a store that has said that it does not lead."""
     cache = led_cache()
-    cache.disown("a:1")
+    cache.reject_leader("a:1")
     assert cache.leader(10.1) == ""
     assert not cache.is_fresh(10.1)
-    cache.take(ControlNotice(leader="b:1"), sender="c:1", now=10.2)
+    cache.apply_notice(ControlNotice(leader="b:1"), sender="c:1", now=10.2)
     assert cache.leader(10.2) == "b:1"
 
 
@@ -43,7 +43,7 @@
     """Guards against a notice of a former leader that takes back a change."""
     cache = led_cache()
     old = ControlNotice(leads=True, document=QueueDocument(version=3))
-    assert not cache.take(old, sender="b:1", now=11.0)
+    assert not cache.apply_notice(old, sender="b:1", now=11.0)
     assert cache.document.version == 4
 
 
@@ -52,7 +52,7 @@
 
     Pattern: all stores are dark for 4.5 s and callers have four retries.
     """
-    gateway = FlowGateway(cache=led_cache(now=10.0), calls=None, counters=Counters())
+    gateway = FlowGateway(cache=led_cache(now=10.0), client=None, counters=Counters())
     advised = []
     for now in (10.5, 11.5, 13.2, 20.0):
         monkeypatch.setattr("siskintally.flow_gateway.steady", lambda now=now: now)
@@ -66,10 +66,10 @@
     Pattern: the disk of a leader hangs, so that it does not notice that another was elected.
     """
     cache = led_cache(now=10.0)
-    cache.take(ControlNotice(leads=True, term=3), sender="b:1", now=11.0)
-    cache.take(ControlNotice(leads=True, term=2), sender="a:1", now=11.2)
+    cache.apply_notice(ControlNotice(leads=True, term=3), sender="b:1", now=11.0)
+    cache.apply_notice(ControlNotice(leads=True, term=2), sender="a:1", now=11.2)
     assert cache.leader(11.2) == "b:1"
-    cache.take(ControlNotice(leader="a:1", term=2), sender="c:1", now=13.0)
+    cache.apply_notice(ControlNotice(leader="a:1", term=2), sender="c:1", now=13.0)
     assert cache.leader(13.0) == ""
-    cache.take(ControlNotice(leads=True, term=3), sender="b:1", now=13.1)
+    cache.apply_notice(ControlNotice(leads=True, term=3), sender="b:1", now=13.1)
     assert cache.leader(13.1) == "b:1"
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -38,15 +38,15 @@
 DECIDING = {"time", "random", "anyio.sleep", "siskintally.clock"}
 # Statuses and bounds that the platform's pages state.
 PLATFORM_NUMBERS = {
-    "BUSY",
+    "BUSY_STATUSES",
     "ENDS_PER_REPORT",
     "GONE",
-    "HEARTBEAT_S",
+    "HEARTBEAT_TIMEOUT_S",
     "MAX_CONFIG_BYTES",
     "MAX_INTEGER",
     "MAX_NUMBER",
-    "MAX_STEP",
-    "METRICS_TYPE",
+    "MAX_SMALL_INTEGER",
+    "METRICS_HEADER",
     "MISDIRECTED",
     "STATUS_BY_CODE",
     "UNAVAILABLE",
