--- a/siskintally/advice_clients.py
+++ b/siskintally/advice_clients.py
@@ -1,4 +1,4 @@
-"""The advice clients of one leader: its own process, and the processes that are linked to it.
+"""Advice clients of a leader: its own process, and each process linked to it.
 
 >>> from siskintally.advice_clients import LocalAdviceClient
 >>> LocalAdviceClient(name="s1", advice=None).name
@@ -11,14 +11,14 @@
 from siskintally.errors import SiskintallyError, UnreachableError
 from siskintally.log import get_logger
 
-# Time for the way to the other process and back.
+# Added to the timeout of the advice service for the round trip to the process that calls it.
 ROUND_TRIP_S = 0.2
 
 log = get_logger("advice-clients")
 
 
 class LocalAdviceClient(AdviceClient):
-    """The own process as a caller of the advice service.
+    """Calls the advice service from the leader's own process.
 
     :param advice: :class:`~siskintally.driver.Advice`.
     """
@@ -30,14 +30,14 @@
         self._advice = advice
 
     async def ask(self, step_id, worker_ids, *, timeout):
-        """Call the service from here."""
+        """Call the service directly."""
         return await self._advice.ask(step_id, worker_ids, timeout=timeout)
 
 
 class RemoteAdviceClient(AdviceClient):
-    """Another process that calls the advice service on behalf of the leader.
+    """Calls the advice service through a linked process.
 
-    :param session: :class:`~siskintally.session.Session` with it.
+    :param session: :class:`~siskintally.session.Session` with that process.
     """
 
     __slots__ = ("_session",)
@@ -47,16 +47,16 @@
         self._session = session
 
     async def ask(self, step_id, worker_ids, *, timeout):
-        """Let the other process call the service."""
+        """Have the linked process call the service."""
         body = AdviceAsk(step=step_id, workers=worker_ids, timeout_s=timeout)
         reply = await self._session.call(body, timeout=timeout + ROUND_TRIP_S)
         if reply.failed:
-            raise UnreachableError(f"{self.name}: the advice service gave no answer")
+            raise UnreachableError(f"{self.name}: no usable reply of the advice service")
         return [Ticket(worker_id=ticket.worker, text=ticket.ticket) for ticket in reply.tickets]
 
 
 async def answer_advice(advice, body):
-    """Answer an :class:`AdviceAsk` of the leader."""
+    """Call the advice service for the leader; return the reply to its :class:`AdviceAsk`."""
     try:
         tickets = await advice.ask(body.step, tuple(body.workers), timeout=body.timeout_s)
     except SiskintallyError as error:
--- a/siskintally/control_client.py
+++ b/siskintally/control_client.py
@@ -1,4 +1,4 @@
-"""Calls of one process to the leader of the control group.
+"""Client for calls to the leader of the control group; finds the leader and retries.
 
 >>> from siskintally.control_client import ControlClient
 >>> ControlClient.__name__
@@ -12,16 +12,16 @@
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, RefusedError, UnreachableError
 
 RETRY_DELAY_S = 0.05
-# Longest time for one attempt; a call that a leader holds longer is asked again.
+# Timeout of one attempt; after it, the call is repeated.
 ATTEMPT_TIMEOUT_S = 1.2
-# A caller is refused when the leader that is known cannot be reached for this long.
+# Time for which the cached leader may be unreachable before the call is refused.
 UNREACHABLE_LIMIT_S = 0.6
-# Time for a call whose sender names none: two attempts and the search for another leader.
+# Default timeout of a call: long enough for two attempts and a change of leaders between them.
 DEFAULT_TIMEOUT_S = 2.0
 
 
 class ControlClient:
-    """Finds the leader and calls it; all calls may be sent again.
+    """Calls the current leader; retries calls, which must all be idempotent.
 
     :param cache: :class:`~siskintally.leader_cache.LeaderCache`.
     :param call: ``async call(address, body, timeout=seconds)`` that returns the reply.
@@ -35,15 +35,15 @@
         self._attempt_scopes = set()
 
     def handle_leader_change(self):
-        """Send calls that wait for a former leader to the new one."""
+        """Redirect calls that wait for the former leader to the new one."""
         for scope in list(self._attempt_scopes):
             scope.cancel()
 
     async def call(self, body, *, timeout=DEFAULT_TIMEOUT_S):
-        """Call the leader until it answers or the time is over.
+        """Call the leader until it replies or the timeout expires.
 
         :param timeout: seconds.
-        :raises NotLeaderError: no leader is known and no attempt can have had an effect.
+        :raises NotLeaderError: no leader is known or reachable, and no attempt had an effect.
         :raises OutcomeUnknownError: an attempt may have had an effect.
         :raises RefusedError: the leader refused.
         """
@@ -62,16 +62,16 @@
                     may_have_effect = True
                 except UnreachableError:
                     if not may_have_effect and steady() - started_at > UNREACHABLE_LIMIT_S:
-                        raise NotLeaderError(f"{leader}: not reached") from None
+                        raise NotLeaderError(f"{leader}: leader is unreachable") from None
                 except NotLeaderError as error:
                     self._follow_refusal(leader, error.leader)
             await sleep(RETRY_DELAY_S)
         if may_have_effect:
-            raise OutcomeUnknownError(f"{type(body).__name__}: no answer in {timeout:.1f} s")
+            raise OutcomeUnknownError(f"{type(body).__name__}: no reply within {timeout:.1f} s")
         raise NotLeaderError(f"{type(body).__name__}: no leader is known")
 
     async def _attempt(self, leader, body, timeout):
-        """Call one store; refusals with an unknown outcome or another leader are told apart."""
+        """Call one store; raise refusals that allow a retry as their own error types."""
         scope = CancelScope()
         self._attempt_scopes.add(scope)
         try:
@@ -85,7 +85,7 @@
             raise
         finally:
             self._attempt_scopes.discard(scope)
-        raise OutcomeUnknownError(f"{leader}: another store leads")
+        raise OutcomeUnknownError(f"{leader}: replaced by another leader during the call")
 
     def _follow_refusal(self, leader, hint):
         self._cache.reject_leader(leader)
--- a/siskintally/control_group.py
+++ b/siskintally/control_group.py
@@ -1,4 +1,4 @@
-"""The control group of a store: its timing, its roster, its founding state.
+"""Configuration of a store's control group replica: timing, roster, and bootstrap state.
 
 >>> from siskintally.control_group import GROUP_NAME
 >>> GROUP_NAME
@@ -17,14 +17,19 @@
 
 GROUP_NAME = "control"
 BOOTSTRAP_INCARNATION = "founding"
+# Election timeout factor of a replica that has heard no leader since its start, or of a candidate
+# that lost its election. In both cases there is no live leader to protect.
 FIRST_TIMEOUT_FACTOR = 0.35
-# Above the share for which a leader acts after a confirmed round, in case it is alive after all.
+# Election timeout factor when the leader's process has exited. Greater than CONFIRMED_LEADER_SHARE,
+# the share for which a confirmed leader may act, in case the leader is alive after all.
 EXITED_LEADER_TIMEOUT_FACTOR = 0.6
-# Longer than a round of votes between regions, 16 ms and the sync of a vote.
+# Delay between the candidacies of two voters. Longer than a vote round between regions (16 ms) plus
+# the disk sync of a vote, so that candidates rarely split the votes.
 VOTER_STAGGER_S = 0.1
-# With the start of the process itself, longer than a leader may act without its quorum.
+# Time after its start in which a replica grants no votes. Together with the start of the process it
+# is longer than a leader may act without its quorum.
 STARTUP_VOTE_BLOCK_S = 0.25
-# A voter that has gone makes room for its successor; a shorter silence may be a restart.
+# Silence after which a voter may be removed for its replacement; a shorter one may be a restart.
 VOTER_REMOVAL_S = 2.0
 HEARTBEAT_INTERVAL_S = 0.2
 
@@ -32,7 +37,7 @@
 
 
 def flow_timing(settings):
-    """Return the :class:`FlowTiming` that keeps the bounds of the platform."""
+    """Return the :class:`FlowTiming` that meets the platform's limits in the settings."""
     return FlowTiming.derive(
         lease_max_s=settings.lease_max_ms / 1000,
         thaw_s=settings.thaw_ms / 1000,
@@ -42,11 +47,11 @@
 
 
 def create_group(settings, *, state_machine, contacts, send):
-    """Return the :class:`Group` of a store.
+    """Return the control :class:`Group` replica of a store.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param state_machine: :class:`~siskintally.state_machine.StateMachine`.
-    :param contacts: function that yields the link addresses of other stores.
+    :param contacts: function that yields the link addresses of known stores.
     :param send: ``send(address, body) -> bool``; must not block.
     """
     election_min_s = flow_timing(settings).election_min_s
@@ -78,7 +83,7 @@
 
 
 def bootstrap_group(settings):
-    """Write the founding state, once; all founding stores write the same."""
+    """Write the bootstrap state at the first start of a seed; all seeds write the same state."""
     folder, voters = _journal_folder(settings), settings.seed_link_addresses()
     if not settings.founding or settings.link_address not in voters or folder.exists():
         return
@@ -91,7 +96,7 @@
         voters=identities,
         incarnation=BOOTSTRAP_INCARNATION,
     )
-    log.info("group founded", voters=sorted(voters))
+    log.info("group bootstrapped", voters=sorted(voters))
 
 
 def _journal_folder(settings):
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -1,4 +1,4 @@
-"""Store process of a control plane: a replica of the control group, and its leader's work.
+"""Store process of a control plane: control group replica, and the leader while it leads.
 
 >>> from siskintally.control_node import NOTICE_INTERVAL_S
 >>> NOTICE_INTERVAL_S < 1.0
@@ -34,7 +34,7 @@
 
 NOTICE_INTERVAL_S = 0.3
 DISK_RETRY_S = 0.5
-# Longest time for the requests in progress when a store ends.
+# Longest time to finish the HTTP requests in progress at shutdown.
 HTTP_GRACEFUL_S = 1.0
 ACCEPTED_LINK_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, silence_s=1.5)
 
@@ -42,9 +42,10 @@
 
 
 class ControlNode(Handler):
-    """One store.
+    """One store process.
 
-    ``graceful_s``: longest time for the requests in progress at the end, s.
+    ``graceful_s``: longest time to finish the requests in progress at shutdown, s. ``closing``:
+    event that ends the HTTP servers.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param driver: :class:`~siskintally.driver.WorkerDriver`.
@@ -114,22 +115,22 @@
         )
 
     def _handle_process_exit(self, address):
-        """Note that the process at the address of a store has ended."""
+        """Report the exit of the store process at an address to the group."""
         self._group.peer_ended(address)
 
     @property
     def document(self):
-        """Newest configuration that is known to be committed."""
+        """Newest configuration that this replica knows to be committed."""
         return self.state.document
 
     @property
     def leads(self):
-        """Whether this store leads and answers calls."""
+        """Whether this store leads and handles calls."""
         return self._service is not None and not self._leader.is_over
 
     @property
     def voters(self):
-        """Link addresses of the voters in force."""
+        """Link addresses of the current voters."""
         return {member.identity.name for member in self._group.members if member.voter}
 
     async def run(self, serve):
@@ -148,7 +149,7 @@
             tasks.start_soon(self._serve_http, serve)
             await self._stop_requested.wait()
             await self._shut_down()
-            # The server must not be cancelled while it finishes its last requests.
+            # The HTTP server must not be cancelled while it finishes its last requests.
             await self._http_finished.wait()
             tasks.cancel_scope.cancel()
 
@@ -157,7 +158,7 @@
         self._http_finished.set()
 
     async def _run_replica(self):
-        """Run the replica, and open it again after its disk has failed."""
+        """Run the replica; reopen it after a disk failure."""
         while True:
             try:
                 await self._group.run()
@@ -171,12 +172,12 @@
         await self._server.serve(host=self._settings.ip, port=self._settings.link_port)
 
     async def stop(self):
-        """Hand leadership over and stop."""
+        """Transfer leadership to another store and stop."""
         self._stopping = True
         self._stop_requested.set()
 
     def add_seeds(self, settings):
-        """Link to the seeds of changed settings too."""
+        """Open links to the seeds of reloaded settings; existing links stay open."""
         self._links.add_addresses(settings.seed_link_addresses())
 
     async def _shut_down(self):
@@ -187,7 +188,7 @@
             await self._group.stop()
 
     async def _follow_leadership(self):
-        """Run a control leader in each term in which this store leads."""
+        """Run a control leader in each term in which this replica is the leader."""
         stream = self._group.watch()
         term = None
         async for leadership in stream:
@@ -216,25 +217,25 @@
         self._tasks.start_soon(self._run_leader, leader)
 
     async def _run_leader(self, leader):
-        """Run a control leader; a leader that ended its own term must not begin it a second time.
+        """Run a control leader until its term ends; a leader must not start the same term twice.
 
-        :raises StoppedError: a quorum still follows this store, which does nothing any more.
+        :raises StoppedError: the leader ended its own term, but a quorum still follows this store.
         """
         await leader.run()
         await sleep(self._settings.fresh_ms / 1000)
         if self._leader is not leader or self._stopping:
             return
         try:
-            # Waits while the disk hangs; the others have another leader then.
+            # Blocks while the disk hangs; the other stores elect another leader meanwhile.
             await self._group.confirm()
         except SiskintallyError as error:
-            log.info("term was over", term=leader.term, reason=str(error))
+            log.info("term already over", term=leader.term, reason=str(error))
             return
         if self._leader is leader and not self._stopping:
-            raise StoppedError("the term was ended, and a quorum still follows: restart")
+            raise StoppedError("the leader ended its term and a quorum still follows: restart")
 
     def _request_notices(self):
-        """Tell the others of a new configuration at once."""
+        """Send notices now instead of at the next interval."""
         self._notice_event.set()
 
     def _advice_clients(self):
@@ -244,7 +245,11 @@
                 yield RemoteAdviceClient(name=session.peer.name, session=session)
 
     async def _send_notices(self):
-        """Tell all linked processes who leads, and the leader its configuration."""
+        """Send notices to all linked processes at intervals and after each change.
+
+        A notice names the leader and the members. Those of the leader carry the configuration when
+        it is new to the receiver.
+        """
         while True:
             sessions = list(self._server.session_by_id.values())
             leads = self.leads
@@ -281,13 +286,13 @@
         session.send(notice)
 
     async def answer(self, session, body):
-        """Answer a call of another process."""
+        """Handle a call of a linked process."""
         if isinstance(body, JoinRequest):
             return await self._group.join_request(body)
         if isinstance(body, AdviceAsk):
             return await answer_advice(self._advice, body)
         if not ControlService.handles(body):
-            raise BadRequestError(f"{type(body).__name__}: no such call")
+            raise BadRequestError(f"{type(body).__name__}: not a call of a store")
         return await self._answer_flow(body)
 
     async def _answer_flow(self, body):
@@ -295,11 +300,11 @@
         if not self.leads or self._stopping:
             leader = self._group.leader
             leader = leader if leader != self._settings.link_address else ""
-            raise NotLeaderError(f"{self._settings.name} does not lead", leader=leader)
+            raise NotLeaderError(f"{self._settings.name} is not the leader", leader=leader)
         return await service.answer(body)
 
     def receive(self, session, body):
-        """Take a message of another process."""
+        """Handle a message of a linked process that expects no reply."""
         if isinstance(body, ControlNotice):
             self._links.add_addresses(body.members)
             self._apply_notice(body, session.peer.name)
@@ -318,4 +323,4 @@
             return await self._links.call(address, body, timeout=timeout)
         with move_on_after(timeout):
             return await self._answer_flow(body)
-        raise OutcomeUnknownError(f"{type(body).__name__}: no answer in {timeout:.1f} s")
+        raise OutcomeUnknownError(f"{type(body).__name__}: no reply within {timeout:.1f} s")
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -1,4 +1,4 @@
-"""Calls of entries and stores that the leader of a control group answers.
+"""Request handlers of a control group leader: flows, workers, and the configuration.
 
 >>> from siskintally.control_service import ControlService
 >>> ControlService.__name__
@@ -27,14 +27,14 @@
 from siskintally.log import get_logger
 from siskintally.step_text import describe_step
 
-# Steps of a flow that its log line describes; flows have a few, and lines stay short.
+# Most steps that the log line of a flow describes; flows have only a few, and lines stay short.
 LOGGED_STEPS = 8
 
 log = get_logger("control-service")
 
 
 class ControlService:
-    """Answers calls about flows, workers and configuration in one term.
+    """Handles calls about flows, workers, and the configuration during one term.
 
     :param leader: :class:`~siskintally.control_leader.ControlLeader` of the term.
     :param on_new_document: function that is called when a new configuration is in force.
@@ -49,15 +49,15 @@
         self._seq_by_worker = {}
 
     async def answer(self, body):
-        """Answer a call.
+        """Handle a call and return its :class:`FlowReply`.
 
-        :raises SiskintallyError: with the result code of the refusal.
+        :raises SiskintallyError: the call was refused; its code is the result code.
         """
         return await _HANDLER_BY_TYPE[type(body)](self, body)
 
     @staticmethod
     def handles(body):
-        """Tell whether a message is a call of this kind."""
+        """Return whether a message is a call that this service handles."""
         return type(body) in _HANDLER_BY_TYPE
 
     async def _submit_flow(self, body):
@@ -66,7 +66,7 @@
         check_flow(flow)
         if flow.id not in state.flow_by_id:
             if state.queue(flow.queue) is None:
-                # A configuration with this queue may be committed and not yet applied here.
+                # A configuration with this queue may be committed but not yet applied here.
                 await self._leader.confirm()
                 if state.queue(flow.queue) is None:
                     raise NotFoundError(f"queue {flow.queue!r}: not in the configuration")
@@ -76,7 +76,7 @@
         return FlowReply(known=True)
 
     def _schedule_flow(self, flow_id):
-        """Hand a committed flow to the scheduler, once in this term."""
+        """Pass a committed flow to the scheduler, at most once per term."""
         leader = self._leader
         flow_state = leader.state.flow_by_id.get(flow_id)
         if (
@@ -135,7 +135,8 @@
             self._on_new_document()
             leader.request_pass()
         else:
-            # The acknowledgement says that nothing newer is lost, so leadership must be in force.
+            # The reply states that this version or a newer one is committed, so this store must
+            # still be the leader.
             await leader.confirm()
         log.info(
             "configuration",
@@ -149,7 +150,7 @@
         return FlowReply(known=True, document=self._leader.state.document)
 
     async def _handle_announcement(self, body):
-        """Take an announcement of a worker; its incarnation is committed before it gets work."""
+        """Handle a worker announcement; commit a new incarnation before it gets tasks."""
         received_at = steady()
         record = body.worker
         leader = self._leader
@@ -168,7 +169,7 @@
         return FlowReply(known=True)
 
     async def _handle_deregistration(self, body):
-        """Treat a worker that says it ends as leaving: it may run on for a moment."""
+        """Mark a deregistering worker as leaving; its tasks may still run for a moment."""
         known_record = self._leader.state.worker_by_id.get(body.id)
         if known_record is None or body.born_ms not in (0, known_record.born_ms):
             return FlowReply(known=False)
@@ -182,7 +183,7 @@
 
 
 def _stored_fields(record):
-    """Return what of an announcement has to be stored."""
+    """Return the fields of an announcement whose change has to be committed."""
     return (
         record.service,
         record.address,
@@ -195,7 +196,7 @@
 
 
 def refuse_unknown(body):
-    """Raise the error for a call that no part of a store takes."""
+    """Raise the error for a call that no service of a store handles."""
     raise BadRequestError(f"{type(body).__name__}: no such call")
 
 
--- a/siskintally/counters.py
+++ b/siskintally/counters.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of one process of the control plane, as text for scraping.
+"""Metrics of a control plane process: counters and latency histograms for Prometheus.
 
 >>> from siskintally.counters import Counters
 >>> counters = Counters()
@@ -13,7 +13,7 @@
 
 
 class Counters:
-    """Metrics in a registry of their own; each attribute is a metric of the client library."""
+    """Metrics of one process in a separate registry; each public attribute is a metric."""
 
     __slots__ = (
         "_registry",
@@ -53,5 +53,5 @@
         )
 
     def to_text(self):
-        """Return all values in the text format of the client library."""
+        """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry).decode()
--- a/siskintally/driver.py
+++ b/siskintally/driver.py
@@ -1,4 +1,4 @@
-"""What the product asks of a platform: calls to workers and to the advice service.
+"""Interfaces that a platform implements: calls to workers and to the advice service.
 
 >>> from siskintally.driver import EndKind
 >>> EndKind.DONE.name
@@ -13,13 +13,13 @@
 
 
 class GoneError(SiskintallyError):
-    """The incarnation that was meant does not exist any more; another one answered."""
+    """The addressed incarnation of a worker no longer exists; another one answered."""
 
     code = Code.NO_ENDPOINT
 
 
 class BusyError(SiskintallyError):
-    """The other side has done nothing and may be asked again later."""
+    """The peer did nothing; the call may be repeated later."""
 
     code = Code.OVERLOADED
 
@@ -31,33 +31,38 @@
     FAILED = 1
     STOPPED = 2
     LAPSED = 3
-    # Another member of the gang ended.
+    # Another task of the gang ended.
     BROKEN = 4
     # The gang was not complete in time.
     ALONE = 5
 
 
 class Refusal(IntEnum):
-    """Why a worker refused a start."""
+    """Reason for which a worker refused an order."""
 
     NONE = 0
-    # A later leader has called the worker.
+    # The worker has seen the fence of a later leader.
     FENCED = 1
-    # The run is not higher than one that was stopped or has ended there.
+    # The run number is not higher than that of a run which was stopped or has ended there.
     OLD = 2
-    # The lease in the order is over.
+    # The lease in the order has expired.
     LATE = 3
+    # The worker lacks free resources.
     ROOM = 4
+    # The ticket is missing or not valid.
     TICKET = 5
     INVALID = 6
 
 
 class Order:
-    """A start, stop, or pace order for one run.
-
-    :param spec: text that the flow was submitted with; starts only.
-    :param lease_until_ms: end of the lease on the worker's clock; starts only.
-    :param percent: share of the processor that the run may use; pace orders only.
+    """A start, stop, or throttle order for one run.
+
+    :param fence: term of the leader; a worker refuses orders with a lower fence than it has seen.
+    :param spec: specification text of the flow; start orders only.
+    :param lease_until_ms: end of the lease on the worker's steady clock; start orders only.
+    :param checkpoint: checkpoint to resume from, empty for none; start orders only.
+    :param ticket: permit of the advice service, empty for none; start orders only.
+    :param percent: processor share that the run may use, in percent; throttle orders only.
     """
 
     __slots__ = (
@@ -94,9 +99,9 @@
 
 
 class OrderReply:
-    """Answer of a worker to an order.
+    """Reply of a worker to an order.
 
-    :param clock_ms: steady clock of the worker when it answered, None if it did not say.
+    :param clock_ms: steady clock of the worker at the time of the reply, None if not included.
     """
 
     __slots__ = ("clock_ms", "refusal")
@@ -107,10 +112,10 @@
 
 
 class RunRow:
-    """A run that is under way on a worker.
+    """A run in progress on a worker.
 
-    ``percent``: progress, or 100 for a lasting task that is at work. ``load``: tail latency in ms
-    of a task that serves, otherwise the processor time in use in thousandths of a core.
+    ``percent``: progress, or 100 for a long-running task that is ready. ``load``: tail latency in
+    ms of a task that serves requests, otherwise the processor use in thousandths of a core.
     """
 
     __slots__ = ("checkpoint", "load", "percent", "run", "task_id")
@@ -124,7 +129,7 @@
 
 
 class EndRow:
-    """A run that has ended on a worker; ``number`` counts the ends of an incarnation from 1."""
+    """A run that ended on a worker; ``number`` counts the ends of the incarnation from 1."""
 
     __slots__ = ("checkpoint", "kind", "number", "run", "task_id")
 
@@ -137,9 +142,10 @@
 
 
 class WorkerReport:
-    """What a worker says of its runs.
+    """Status report of a worker.
 
-    :param is_partial: whether more ends than these are kept there.
+    :param ended: ends that the worker keeps until they are acknowledged.
+    :param is_partial: whether the worker may keep more ends than the report lists.
     """
 
     __slots__ = ("clock_ms", "ended", "is_partial", "refusal", "running")
@@ -153,12 +159,12 @@
 
 
 class WorkerDriver(ABC):
-    """Calls to workers; each names the incarnation that is meant.
+    """Calls to workers; each call addresses one incarnation.
 
-    Every call raises :class:`~siskintally.errors.UnreachableError` if it was provably not sent,
-    :class:`~siskintally.errors.OutcomeUnknownError` if it may be carried out, also seconds later,
-    :class:`GoneError` if another incarnation answered, and :class:`BusyError` if the worker has
-    done nothing.
+    Every call raises :class:`~siskintally.errors.UnreachableError` if it was certainly not sent,
+    :class:`~siskintally.errors.OutcomeUnknownError` if the worker may execute it, even seconds
+    later, :class:`GoneError` if another incarnation answered, and :class:`BusyError` if the
+    worker did nothing.
 
     :param worker: :class:`~siskintally.control_pb2.PoolWorker`.
     :param timeout: seconds.
@@ -172,24 +178,24 @@
 
     @abstractmethod
     async def stop(self, worker, order, *, timeout):
-        """Stop a run, or refuse it when it arrives later; return an :class:`OrderReply`."""
+        """Stop a run, or have its late start refused; return an :class:`OrderReply`."""
 
     @abstractmethod
     async def pace(self, worker, order, *, timeout):
-        """Limit a run to a share of the processor; return an :class:`OrderReply`."""
+        """Limit the processor share of a run; return an :class:`OrderReply`."""
 
     @abstractmethod
     async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
-        """Renew the lease and return a :class:`WorkerReport`.
+        """Poll the status of a worker and renew its lease; return a :class:`WorkerReport`.
 
-        :param lease_until_ms: end of the lease on the worker's clock, None to leave it.
-        :param noted: number of the last end that is committed.
-        :param wait_ms: longest time to wait for an end.
+        :param lease_until_ms: end of the lease on the worker's steady clock, None not to renew it.
+        :param noted: number of the last committed end; the worker may discard ends up to it.
+        :param wait_ms: longest time that the worker waits for a run to end before it replies.
         """
 
     @abstractmethod
     async def forget(self, worker):
-        """Close the connections to a worker that is lost."""
+        """Close the connections to a lost worker."""
 
 
 class Ticket:
@@ -203,7 +209,7 @@
 
 
 class Advice(ABC):
-    """Service that knows which workers may run a step."""
+    """Service that decides which workers may run a step."""
 
     __slots__ = ()
 
@@ -211,5 +217,5 @@
     async def ask(self, step_id, worker_ids, *, timeout):
         """Return the :class:`Ticket` objects of the allowed workers.
 
-        :raises SiskintallyError: no usable answer; the call may be repeated.
+        :raises SiskintallyError: no usable reply; the call may be repeated.
         """
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -1,4 +1,4 @@
-"""Entry process of a control plane: links to the stores, readiness, and a client for advice.
+"""Entry process of a control plane: links to the stores, readiness, and advice calls.
 
 >>> from siskintally.entry_node import EntryNode
 >>> EntryNode.__name__
@@ -20,21 +20,23 @@
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello
 
-# The platform looks at the readiness once a second and takes two failures as an end; new
-# connections come until then.
+# The platform checks the readiness once a second and stops sending new connections after two
+# failures; until then they have to be served.
 UNREADY_SERVING_S = 2.3
-# Readiness outlives a change of leaders, so that callers are not sent away for it.
+# Age of the last leader notice up to which an entry is ready. Longer than a change of leaders,
+# which must not divert callers to other entries.
 READY_AFTER_NOTICE_S = 4.0
-# Part of the grace of a stop that is left when the platform has noticed that no more is wanted.
+# Share of the grace period that is left for requests in progress once new connections have stopped.
 GRACEFUL_FRACTION = 0.5
 
 log = get_logger("entry-node")
 
 
 class EntryNode(Handler):
-    """One entry.
+    """One entry process.
 
-    ``graceful_s``: longest time for the requests in progress at the end, s.
+    ``graceful_s``: longest time to finish the requests in progress at shutdown, s. ``stopping``:
+    event that ends the readiness. ``closing``: event that ends the HTTP servers.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param advice: :class:`~siskintally.driver.Advice`.
@@ -64,12 +66,12 @@
         self.client = ControlClient(cache=self.cache, call=self._links.call)
 
     def add_seeds(self, settings):
-        """Link to the seeds of changed settings too."""
+        """Open links to the seeds of reloaded settings; existing links stay open."""
         self._links.add_addresses(settings.seed_link_addresses())
 
     @property
     def is_ready(self):
-        """Whether requests can be served now."""
+        """Whether the entry can serve requests."""
         has_leader = steady() - self._leader_notice_at <= READY_AFTER_NOTICE_S
         return has_leader and self.cache.document.version > 0 and not self.stopping.is_set()
 
@@ -84,19 +86,19 @@
             tasks.cancel_scope.cancel()
 
     async def stop(self):
-        """Tell that no more requests are wanted, and end when those at hand are answered."""
+        """Report the entry as not ready; close the servers once new connections have stopped."""
         self.stopping.set()
         await sleep(UNREADY_SERVING_S)
         self.closing.set()
 
     async def answer(self, session, body):
-        """Answer a call of a store."""
+        """Handle a call of a store."""
         if isinstance(body, AdviceAsk):
             return await answer_advice(self._advice, body)
-        raise BadRequestError(f"{type(body).__name__}: no such call")
+        raise BadRequestError(f"{type(body).__name__}: not a call of an entry")
 
     def receive(self, session, body):
-        """Take a notice of a store."""
+        """Handle a notice of a store."""
         if not isinstance(body, ControlNotice):
             return
         now = steady()
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -1,4 +1,4 @@
-"""Course of a caller's request about a flow, from its queue to the answer of the leader.
+"""Gateway of an entry for flow requests: matches the queue and calls the leader.
 
 >>> from siskintally.control_pb2 import Queue, QueueDocument
 >>> from siskintally.flow_gateway import match_queue
@@ -15,12 +15,12 @@
 from siskintally.errors import NotFoundError, OutcomeUnknownError, RefusedError, SiskintallyError
 from siskintally.log import get_logger
 
-# Part of a caller's time that is left for the way of the answer.
+# Share of the caller's time that a call to the leader may take; the rest is for the response.
 CALL_TIME_FRACTION = 0.85
-# For callers that say nothing, on a queue without a timeout.
+# Applies to callers without a deadline, on a queue without a timeout.
 DEFAULT_TIMEOUT_S = 3.0
-# A leader is usually elected within the first time. The longer there has been none, the longer it
-# takes, and a caller that comes back too often has used up its retries by then.
+# Limits of the Retry-After value. A leader is usually elected within the minimum. The longer there
+# has been none, the longer the outage lasts, and early retries would exhaust a caller's attempts.
 MIN_RETRY_AFTER_S = 1
 MAX_RETRY_AFTER_S = 4
 
@@ -28,7 +28,7 @@
 
 
 class NoConfigError(SiskintallyError):
-    """The queues are not known here at present; nothing was done."""
+    """The entry has no current configuration of the queues; nothing was done."""
 
     code = Code.NO_CONFIG
 
@@ -44,7 +44,7 @@
 
 
 class FlowGateway:
-    """Requests of callers at one entry.
+    """Handles the flow requests of callers at one entry.
 
     :param cache: :class:`~siskintally.leader_cache.LeaderCache`.
     :param client: :class:`~siskintally.control_client.ControlClient`.
@@ -61,13 +61,13 @@
     def find_queue(self, host, path):
         """Return the queue that a path belongs to.
 
-        :raises NoConfigError: the configuration here may be old.
-        :raises NotFoundError: there is none.
+        :raises NoConfigError: the cached configuration may be outdated.
+        :raises NotFoundError: no queue matches.
         """
         now = steady()
         if not self._cache.is_fresh(now):
             self._record_refusal("no leader in touch", path, now)
-            raise NoConfigError("no leader is in touch")
+            raise NoConfigError("no leader is reachable")
         queue = match_queue(self._cache.document, host, path)
         if queue is None:
             self._record_refusal("no such queue", path, now)
@@ -86,33 +86,33 @@
         )
 
     def retry_after_s(self):
-        """Return when a caller that was refused should come back, in whole seconds."""
+        """Return after how many whole seconds a refused caller should retry."""
         notice_age_s = self._cache.notice_age_s(steady())
         return int(min(max(notice_age_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S))
 
     async def submit(self, flow, queue, *, deadline_s):
-        """Hand in a flow; it is stored when this returns.
+        """Submit a flow; it is committed when this returns.
 
-        :param deadline_s: for how long the caller waits, None if it does not say.
-        :raises OutcomeUnknownError: it may be stored or not.
-        :raises SiskintallyError: it is not stored.
+        :param deadline_s: seconds for which the caller waits, None if it named no deadline.
+        :raises OutcomeUnknownError: the flow may or may not be committed.
+        :raises SiskintallyError: the flow is not committed.
         """
         await self._call_leader(FlowSubmit(flow=flow), flow.id, _timeout_s(queue, deadline_s))
 
     async def cancel(self, flow_id, queue, *, deadline_s):
-        """Cancel a flow; return whether it is known."""
+        """Cancel a flow; return whether it exists."""
         body = FlowCancel(id=flow_id, queue=queue.name)
         reply = await self._call_leader(body, flow_id, _timeout_s(queue, deadline_s))
         return reply.known
 
     async def read(self, flow_id, queue, *, deadline_s):
-        """Return the state of a flow, or None if it is not known."""
+        """Return the state of a flow, or None if it does not exist."""
         body = FlowRead(id=flow_id, queue=queue.name)
         reply = await self._call_leader(body, flow_id, _timeout_s(queue, deadline_s))
         return reply.state if reply.known else None
 
     async def count_pending(self, queue, *, deadline_s):
-        """Return how many flows of a queue have not begun."""
+        """Return how many flows of a queue have not started."""
         body = QueueRead(queue=queue.name)
         reply = await self._call_leader(body, queue.name, _timeout_s(queue, deadline_s))
         return reply.pending
@@ -149,7 +149,7 @@
 
 
 def _timeout_s(queue, deadline_s):
-    """Return for how long a request may take: as the caller and the queue allow."""
+    """Return the timeout of a request, the lower one of the caller's and the queue's."""
     limits = [queue.timeout_ms / 1000] if queue.timeout_ms else []
     if deadline_s is not None:
         limits.append(deadline_s)
--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -1,7 +1,7 @@
-"""HTTP/1.1 client with a few open connections to one address, on h11 and an anyio stream.
+"""HTTP/1.1 client with a connection pool for one address, based on h11 and anyio streams.
 
-A call costs a quarter of the processor time of one over httpx, which a leader that makes hundreds
-of calls a second needs.
+A call takes a quarter of the processor time of a call with httpx. This matters for a leader, which
+makes hundreds of calls a second.
 
 >>> from siskintally.http_pool import HttpPool
 >>> HttpPool(host="127.0.0.1", port=80).idle_count
@@ -67,7 +67,7 @@
 
 
 class HttpPool:
-    """Connections to one address; each carries one request at a time.
+    """Pool of connections to one address; each carries one request at a time.
 
     :param host: IP address.
     """
@@ -82,17 +82,17 @@
 
     @property
     def idle_count(self):
-        """Number of connections that carry no request."""
+        """Number of idle connections."""
         return len(self._idle)
 
     async def request(self, method, path, *, headers=(), body=b"", timeout):
         """Send a request and return the :class:`HttpReply`.
 
         :param headers: pairs of strings.
-        :param timeout: seconds for everything.
-        :raises UnreachableError: provably not sent.
-        :raises ConnectionLostError: sent in part or as a whole, and the connection ended.
-        :raises OutcomeUnknownError: sent in part or as a whole, and no complete answer came.
+        :param timeout: seconds, including the time to connect.
+        :raises UnreachableError: the request was certainly not sent.
+        :raises ConnectionLostError: the connection was lost after (part of) the request was sent.
+        :raises OutcomeUnknownError: the timeout expired after (part of) the request was sent.
         """
         sent = False
         connection = None
@@ -105,8 +105,8 @@
                 reply = await _receive(connection)
         except (TimeoutError, *CONNECTION_ERRORS) as error:
             await self._close(connection)
-            # What broke or silenced this connection may have done so to the idle ones, and each
-            # would cost another timeout.
+            # The same fault may affect the idle connections, and each of them would cost another
+            # timeout.
             await self.close()
             reason = f"{self._host}:{self._port}: {type(error).__name__} {error}"
             if not sent:
@@ -145,7 +145,7 @@
         try:
             connection.protocol.start_next_cycle()
         except LocalProtocolError:
-            # The other side asked to close the connection.
+            # The peer asked to close the connection.
             await self._close(connection)
             return
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
@@ -156,7 +156,7 @@
 
     async def _close(self, connection):
         if connection is not None:
-            # Without a shutdown handshake, which would wait for a silent peer.
+            # Skip the shutdown handshake, which would wait for an unresponsive peer.
             await aclose_forcefully(connection.stream)
 
     async def close(self):
@@ -167,7 +167,7 @@
 
 
 def _is_stale(connection):
-    """Tell whether the other side has closed an idle connection or sent something unasked."""
+    """Return whether the peer has closed an idle connection or sent unsolicited data."""
     readable = poll()
     readable.register(connection.stream.extra(SocketAttribute.raw_socket).fileno(), POLLIN)
     return bool(readable.poll(0))
@@ -185,7 +185,7 @@
         elif isinstance(event, Data):
             size += len(event.data)
             if size > MAX_RESPONSE_BYTES:
-                raise RemoteProtocolError("answer too large")
+                raise RemoteProtocolError("response too large")
             chunks.append(bytes(event.data))
         elif isinstance(event, EndOfMessage):
             return HttpReply(status=status, headers=headers, body=b"".join(chunks))
--- a/siskintally/leader_cache.py
+++ b/siskintally/leader_cache.py
@@ -1,4 +1,4 @@
-"""What a process knows of the leader of the control group and of its configuration; pure.
+"""Cached state of the control group: its leader and the configuration; pure logic.
 
 >>> from siskintally.control_pb2 import ControlNotice
 >>> from siskintally.leader_cache import LeaderCache
@@ -15,11 +15,11 @@
 
 
 class LeaderCache:
-    """Notices of stores.
+    """Caches the leader and the configuration from the notices of stores.
 
-    ``document``: newest configuration that a leader has told.
+    ``document``: newest configuration that a notice has carried.
 
-    :param fresh_s: time after which a notice says nothing any more.
+    :param fresh_s: age up to which a notice is valid, s.
     """
 
     __slots__ = (
@@ -42,13 +42,14 @@
         self.document = QueueDocument()
 
     def apply_notice(self, notice, *, sender, now):
-        """Take a notice.
+        """Apply a notice.
 
         :param sender: link address of the store that sent it.
-        :returns: whether there is a new configuration.
+        :param now: steady time, s.
+        :returns: whether the notice carried a newer configuration.
         """
         if notice.term < self._term:
-            # A former leader that is cut off or whose disk hangs may still claim to lead.
+            # A former leader that is partitioned or whose disk hangs may still claim to lead.
             return False
         if notice.leads or notice.leader:
             self._term = notice.term
@@ -65,29 +66,29 @@
         return False
 
     def leader(self, now):
-        """Return the link address of the leader, empty if it is not known at present."""
+        """Return the link address of the current leader, empty if unknown."""
         return self._leader if now - self._leader_set_at <= self._fresh_s else ""
 
     def is_fresh(self, now):
-        """Tell whether the configuration is as new as the leader's."""
+        """Return whether a recent notice of the leader confirms the cached configuration."""
         has_leader_notice = not self._is_rejected and now - self._leader_notice_at <= self._fresh_s
         return has_leader_notice and self.document.version > 0
 
     def notice_age_s(self, now):
-        """Return for how long no leader has told anything, in seconds; infinite before the first.
+        """Return the age of the last notice from a leader in seconds, infinite before the first.
 
         :param now: steady time, s.
         """
         return now - self._leader_notice_at
 
     def reject_leader(self, leader):
-        """Forget a leader that has said that it does not lead."""
+        """Drop a leader that replied that it does not lead."""
         if self._leader == leader:
             self._leader_set_at = -inf
             self._is_rejected = True
 
     def apply_hint(self, leader, now):
-        """Take the name of a leader from a process that refused a call."""
+        """Use the leader that a store named when it refused a call."""
         if leader and leader != self._leader:
             self._leader = leader
             self._leader_set_at = now
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -1,6 +1,6 @@
-"""Links of one process to all stores that it knows, by address.
+"""Pool of outgoing links from one process to the known stores, by link address.
 
-A store is named by the address of its link port, so that whoever knows a member can reach it.
+The name of a store is the address of its link port, so a process that knows a member can reach it.
 
 >>> from siskintally.link_pool import LinkPool
 >>> links = LinkPool(own_address="10.0.0.1:7000", hello=None, secret="s", handler=None)
@@ -18,25 +18,26 @@
 from siskintally.liveness import LinkTiming
 from siskintally.log import get_logger
 
-# A cut has to be noticed, and a healed one used, well within the time in which a process has to
-# be in touch again.
+# Broken links must be detected and reopened well within the time in which a process has to be
+# connected again after a disruption.
 LINK_POOL_TIMING = LinkTiming(
     idle_ping_s=1.0, busy_ping_s=0.6, silence_s=0.9, connect_s=0.4, max_backoff_s=0.3
 )
 MAX_STORES = 64
-# Name of the cell in the greeting of every link.
+# Cell name in the Hello message of every link.
 CELL_NAME = "control"
 
 log = get_logger("link-pool")
 
 
 class LinkPool:
-    """Outgoing links by address; each is opened when the address is learnt.
+    """Outgoing links by address; each is opened when its address is added.
 
-    :param own_address: address of this process, or an empty text.
-    :param hello: what this process says of itself.
-    :param handler: takes calls and messages of the other side.
-    :param on_process_exit: called with the address of a process that has ended, or None.
+    :param own_address: link address of this process, empty if it accepts no links.
+    :param hello: :class:`~siskintally.wire_pb2.Hello` of this process.
+    :param handler: :class:`~siskintally.session.Handler` for calls and messages of peers.
+    :param on_process_exit: function that is called with the address of a store whose process has
+        exited, or None.
     """
 
     __slots__ = (
@@ -59,16 +60,16 @@
         self._tasks = None
 
     def addresses(self):
-        """Yield the addresses that are known, without the own one."""
+        """Yield the known addresses except the own one."""
         yield from self._link_by_address
 
     def add_addresses(self, addresses):
-        """Open links to addresses that are new."""
+        """Open links to the addresses that are new."""
         for address in addresses:
             if address == self._own_address or address in self._link_by_address:
                 continue
             if len(self._link_by_address) >= MAX_STORES:
-                log.warning("store not linked: too many are known", address=address)
+                log.warning("store not linked: too many known stores", address=address)
                 return
             host, _, port = address.rpartition(":")
             link = Link(
@@ -83,7 +84,7 @@
                 else None,
             )
             self._link_by_address[address] = link
-            log.info("store learnt", address=address)
+            log.info("store discovered", address=address)
             if self._tasks is not None:
                 self._tasks.start_soon(link.run)
 
@@ -96,7 +97,7 @@
             await sleep_forever()
 
     def is_open(self, address):
-        """Tell whether there is a session with a store."""
+        """Return whether the link to a store is open."""
         link = self._link_by_address.get(address)
         return link is not None and link.is_open
 
@@ -112,9 +113,9 @@
     async def call(self, address, body, *, timeout):
         """Call a store; see :meth:`siskintally.session.Session.call`.
 
-        :raises UnreachableError: the address is not known or its link is not open.
+        :raises UnreachableError: the address is unknown or its link is not open.
         """
         link = self._link_by_address.get(address)
         if link is None:
-            raise UnreachableError(f"store {address!r}: not known")
+            raise UnreachableError(f"store {address!r}: unknown address")
         return await link.call(body, timeout=timeout)
--- a/siskintally/node_settings.py
+++ b/siskintally/node_settings.py
@@ -1,4 +1,4 @@
-"""Settings of one process of a control plane that finds the others by seeds (TOML).
+"""Settings of a control plane process, which finds the other processes by seeds (TOML).
 
 >>> from siskintally.node_settings import parse_node_settings
 >>> text = '''
@@ -18,8 +18,8 @@
 from siskintally.errors import BadSettingsError
 
 MAX_PORT = 65535
-# Key: (type, default, least, greatest); no default means that the key is required.
 _REQUIRED = object()
+# Key: (type, default or _REQUIRED, minimum, maximum).
 _KEYS = {
     "name": (str, _REQUIRED, None, None),
     "ip": (str, _REQUIRED, None, None),
@@ -48,9 +48,9 @@
 class NodeSettings:
     """Settings of one process.
 
-    ``seeds``: control addresses of some stores. ``founding``: whether the whole cell starts for
-    the first time. ``callers``, ``ready``, ``control``: addresses to listen on, empty for none.
-    ``tolerated``: stores that may be lost at once.
+    ``seeds``: addresses of some stores. ``founding``: whether this is the first start of the cell,
+    which bootstraps the group. ``callers``, ``ready``, ``control``: addresses to listen on, empty
+    for none. ``tolerated``: stores that may be lost at the same time.
     """
 
     __slots__ = tuple(_KEYS)
@@ -61,16 +61,16 @@
 
     @property
     def link_address(self):
-        """Address for links of other processes."""
+        """Address on which the process accepts links."""
         return f"{self.ip}:{self.link_port}"
 
     @property
     def metrics_address(self):
-        """Address for scrapers of metrics, empty for none."""
+        """Address on which the process serves metrics, empty for none."""
         return f"{self.ip}:{self.metrics_port}" if self.metrics_port else ""
 
     def seed_link_addresses(self):
-        """Return the link addresses of the seeds; the ports of all processes are the same."""
+        """Return the link addresses of the seeds; all processes use the same link port."""
         return [f"{seed.rpartition(':')[0]}:{self.link_port}" for seed in self.seeds]
 
 
@@ -86,14 +86,14 @@
 
 
 def parse_node_settings(text):
-    """Check settings given as TOML text.
+    """Parse and check settings given as TOML text.
 
-    :raises BadSettingsError: names the key, the value, and what is allowed.
+    :raises BadSettingsError: names the key, the value, and the allowed values.
     """
     try:
         document = loads(text)
     except TOMLDecodeError as error:
-        raise BadSettingsError(f"settings are not TOML: {error}") from error
+        raise BadSettingsError(f"settings are not valid TOML: {error}") from error
     for key in document:
         if key not in _KEYS:
             raise BadSettingsError(f"{key}: unknown key, expected one of {', '.join(_KEYS)}")
--- a/siskintally/platform/__init__.py
+++ b/siskintally/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapter to the users' platform: its names, formats, and calls."""
+"""Adapter to the users' platform: translates its field names, formats, and calls."""
--- a/siskintally/platform/documents.py
+++ b/siskintally/platform/documents.py
@@ -1,4 +1,4 @@
-"""Jobs, configurations, and announcements of the platform, as types of the product.
+"""Parsers of the platform's JSON: jobs, configurations, and worker announcements.
 
 >>> from siskintally.platform.documents import read_flow
 >>> flow = read_flow("5c0e", "q", b'{"spec":"s","steps":[{"count":2,"cpu":500,"memMb":64}]}')
@@ -23,9 +23,9 @@
 
 
 def read_flow(flow_id, queue, body):
-    """Read a job that is handed in.
+    """Parse a submitted job, which is a flow in the product's terms.
 
-    :raises BadRequestError: names the field and what is allowed.
+    :raises BadRequestError: names the field and the allowed values.
     """
     fields = Fields.parse(body)
     flow = Flow(
@@ -78,9 +78,9 @@
 
 
 def read_document(body):
-    """Read a complete configuration.
+    """Parse a complete configuration.
 
-    :raises BadRequestError: it is invalid; nothing of it may be used.
+    :raises BadRequestError: the configuration is invalid; no part of it may be used.
     """
     fields = Fields.parse(body)
     document = QueueDocument(version=fields.integer("version"), original=body)
@@ -127,9 +127,9 @@
 
 
 def read_worker(worker_id, body):
-    """Read an announcement of a worker.
+    """Parse the announcement of a worker.
 
-    :raises BadRequestError: it names no worker that can be used.
+    :raises BadRequestError: the announcement is invalid.
     """
     fields = Fields.parse(body)
     state = fields.text("state")
@@ -153,7 +153,7 @@
         memory_mb=capacity.integer("memMb", 0, maximum=MAX_SMALL_INTEGER),
         accelerators=capacity.integer("gpu", 0, maximum=MAX_SMALL_INTEGER),
         labels=labels,
-        # By the platform's custom the last label of a worker names its rack.
+        # On the platform, the last label of a worker names its rack.
         rack=labels[-1] if labels else "",
         leaving=state == "draining",
         leaves_in_ms=round(fields.number("drainRemainingMs", 0)),
--- a/siskintally/platform/entry_command.py
+++ b/siskintally/platform/entry_command.py
@@ -1,4 +1,4 @@
-"""Command ``platform-entry``.
+"""Command ``platform-entry``: runs an entry on the users' platform.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.platform.entry_command import register
@@ -18,13 +18,13 @@
 
 
 def register(registry):
-    """Add the command."""
+    """Register the command."""
     summary = "Run an entry on the users' platform."
     registry.add(Command(name="platform-entry", summary=summary, define=define_flags, start=start))
 
 
 def start(values, arguments):
-    """Run an entry until a signal."""
+    """Run an entry until SIGTERM or SIGINT."""
     path, settings = load_settings(values, "entry")
     counters = Counters()
     node = EntryNode(settings=settings, advice=PlatformAdviceService(address=settings.advice))
--- a/siskintally/platform/fields.py
+++ b/siskintally/platform/fields.py
@@ -1,4 +1,4 @@
-"""Typed reads of the platform's JSON bodies.
+"""Typed access to the fields of the platform's JSON bodies.
 
 >>> from siskintally.platform.fields import Fields
 >>> Fields(values={"cpu": 500}).integer("cpu")
@@ -14,9 +14,9 @@
 
 
 class Fields:
-    """One JSON object whose fields are read with their types.
+    """Typed access to one JSON object.
 
-    Every method raises :class:`~siskintally.errors.BadRequestError` for a field of another type.
+    All getters raise :class:`~siskintally.errors.BadRequestError` for a field of another type.
     """
 
     __slots__ = ("_values",)
@@ -28,18 +28,18 @@
 
     @classmethod
     def parse(cls, body):
-        """Read a body of bytes."""
+        """Parse a request or response body."""
         try:
             return cls(values=loads(body))
         except (JSONDecodeError, UnicodeDecodeError, RecursionError) as error:
             raise BadRequestError(f"body: not JSON ({error})") from error
 
     def has(self, name):
-        """Tell whether a field is there and not null."""
+        """Return whether a field is present and not null."""
         return self._values.get(name) is not None
 
     def integer(self, name, default=None, *, maximum=MAX_INTEGER):
-        """Return a whole number of 0 or more; numbers without a fraction count as whole."""
+        """Return an integer from 0 to ``maximum``; a float without a fraction is converted."""
         value = self._values.get(name, default)
         if isinstance(value, float) and value.is_integer():
             value = int(value)
@@ -48,7 +48,7 @@
         return value
 
     def number(self, name, default=None):
-        """Return a number of 0 or more."""
+        """Return an integer or float from 0 to :data:`MAX_NUMBER`."""
         value = self._values.get(name, default)
         is_number = isinstance(value, int | float) and not isinstance(value, bool)
         if not is_number or not 0 <= value <= MAX_NUMBER:
@@ -65,18 +65,18 @@
         return value
 
     def boolean(self, name):
-        """Return a boolean; a missing one is false."""
+        """Return a boolean, false if missing."""
         value = self._values.get(name, False)
         if not isinstance(value, bool):
             raise BadRequestError(f"{name}: expected a boolean")
         return value
 
     def child(self, name):
-        """Return an object as :class:`Fields`; a missing one is empty."""
+        """Return an object as :class:`Fields`, empty if missing."""
         return Fields(values=self._values.get(name) or {})
 
     def array(self, name):
-        """Return a list; a missing one is empty."""
+        """Return a list, empty if missing."""
         value = self._values.get(name)
         if value is None:
             return []
@@ -91,7 +91,7 @@
 
 
 def _check_encodable(name, value):
-    """Refuse text with halves of surrogate pairs, which cannot be stored."""
+    """Reject text with unpaired surrogates, which cannot be encoded and stored."""
     try:
         value.encode()
     except UnicodeEncodeError as error:
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -1,4 +1,4 @@
-"""The platform's interfaces for clients, workers, operators, and metrics.
+"""HTTP interfaces of the platform: clients, workers, operators, readiness, and metrics.
 
 >>> from siskintally.platform.http import STATUS_BY_CODE
 >>> from siskintally.codes import Code
@@ -29,7 +29,8 @@
 UNAVAILABLE = 503
 GONE = 410
 DEADLINE_HEADER = "siskintally-deadline-ms"
-# The platform resends a heartbeat to another node after a second without an answer.
+# Timeout of a heartbeat call. The platform resends a heartbeat to another node after one second
+# without a response.
 HEARTBEAT_TIMEOUT_S = 0.8
 MAX_CONFIG_BYTES = 4 * 1024 * 1024
 METRICS_HEADER = ("content-type", "text/plain; version=0.0.4")
@@ -38,16 +39,16 @@
 
 
 class PlatformApp(HttpApp):
-    """Answers errors of the product with the platform's status codes."""
+    """Maps errors of the product to the platform's HTTP status codes."""
 
     __slots__ = ()
 
     def retry_after_s(self):
-        """Return when a request that was refused may come again, in seconds."""
+        """Return after how many seconds a refused request may be retried."""
         return MIN_RETRY_AFTER_S
 
     def failure(self, error):
-        """Return the answer to a request that was refused."""
+        """Return the response to a refused request."""
         status = STATUS_BY_CODE.get(error.code, UNAVAILABLE)
         may_retry = status in (UNAVAILABLE, 429)
         headers = [("retry-after", str(self.retry_after_s()))] if may_retry else []
@@ -57,7 +58,7 @@
 
 
 class ClientApp(PlatformApp):
-    """Interface for clients: jobs, their states, and counts.
+    """Interface for clients: submits, cancels, reads, and counts jobs.
 
     :param gateway: :class:`~siskintally.flow_gateway.FlowGateway`.
     """
@@ -68,11 +69,11 @@
         self._gateway = gateway
 
     def retry_after_s(self):
-        """Return what the gateway advises."""
+        """Return the delay that the gateway advises."""
         return self._gateway.retry_after_s()
 
     async def handle(self, request):
-        """Answer a request."""
+        """Handle a request."""
         host = request.headers.get("host", "").partition(":")[0].lower()
         queue = self._gateway.find_queue(host, request.path)
         job_id = request.path[len(queue.prefix) :]
@@ -96,15 +97,15 @@
 
 
 def _deadline_s(request):
-    """Return for how long the client waits, None if it does not say."""
+    """Return the seconds for which the client waits, None without the header."""
     text = request.headers.get(DEADLINE_HEADER, "")
     return int(text) / 1000 if text.isdecimal() else None
 
 
 class ReadyApp(PlatformApp):
-    """Readiness for the platform.
+    """Readiness endpoint.
 
-    :param is_ready: function that tells whether requests are wanted.
+    :param is_ready: function that returns whether the process accepts requests.
     """
 
     __slots__ = ("_is_ready",)
@@ -113,12 +114,12 @@
         self._is_ready = is_ready
 
     async def handle(self, request):
-        """Answer with 200 or 503."""
+        """Return status 200 if ready, otherwise 503."""
         return HttpAnswer(status=200 if self._is_ready() else UNAVAILABLE)
 
 
 class MetricsApp(PlatformApp):
-    """Counters and histograms as text.
+    """Metrics endpoint: counters and histograms as text.
 
     :param counters: :class:`~siskintally.counters.Counters`.
     """
@@ -129,7 +130,7 @@
         self._counters = counters
 
     async def handle(self, request):
-        """Answer with all values."""
+        """Return all metrics."""
         body = self._counters.to_text().encode()
         return HttpAnswer(status=200, body=body, headers=[METRICS_HEADER])
 
@@ -147,7 +148,7 @@
         self._client = client
 
     async def handle(self, request):
-        """Answer a request."""
+        """Handle a request."""
         parts = request.path.strip("/").split("/")
         match request.method, parts:
             case "POST", ["instances", worker_id, "heartbeat"]:
@@ -178,7 +179,7 @@
         return HttpAnswer(status=200, body=reply.document.original, headers=headers)
 
     def failure(self, error):
-        """Return the answer; an unknown outcome lets the sender try another node."""
+        """Return the response to a refused request; 503 lets the sender try another node."""
         if error.code == Code.OUTCOME_UNKNOWN:
             return json_answer(UNAVAILABLE, {"error": str(error)[:200]})
         return super().failure(error)
@@ -190,5 +191,5 @@
     try:
         return Fields.parse(body).integer("born", 0)
     except BadRequestError as error:
-        log.info("deregistration without a birth", error=str(error)[:80])
+        log.info("deregistration without an incarnation", error=str(error)[:80])
         return 0
--- a/siskintally/platform/process.py
+++ b/siskintally/platform/process.py
@@ -1,4 +1,4 @@
-"""What the commands of the platform have in common: settings, logs, and HTTP servers.
+"""Shared parts of the platform commands: settings, logs, and HTTP servers.
 
 >>> from siskintally.platform.process import SETTINGS_VARIABLE
 >>> SETTINGS_VARIABLE
@@ -28,7 +28,7 @@
 
 
 def load_settings(values, role):
-    """Read the settings and set up logs; return the path and the settings.
+    """Load the settings and set up logs; return the path and the settings.
 
     :raises BadSettingsError: the settings are missing or out of range.
     """
@@ -48,9 +48,11 @@
 
 
 def run_node(node, apps, path):
-    """Run a node with its HTTP servers until a signal; SIGHUP reads the seeds again.
+    """Run a node and its HTTP servers until SIGTERM or SIGINT; SIGHUP reloads the seeds.
 
-    :param apps: pairs of an app and the address it listens on, which may be empty.
+    :param node: :class:`~siskintally.control_node.ControlNode` or
+        :class:`~siskintally.entry_node.EntryNode`.
+    :param apps: pairs of an app and its listen address; an app with an empty one is not served.
     """
     bound = [(app, address) for app, address in apps if address]
     servers = partial(_serve_apps, bound, node)
--- a/siskintally/platform/store_command.py
+++ b/siskintally/platform/store_command.py
@@ -1,4 +1,4 @@
-"""Command ``platform-store``.
+"""Command ``platform-store``: runs a store on the users' platform.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.platform.store_command import register
@@ -17,13 +17,13 @@
 
 
 def register(registry):
-    """Add the command."""
+    """Register the command."""
     summary = "Run a store on the users' platform."
     registry.add(Command(name="platform-store", summary=summary, define=define_flags, start=start))
 
 
 def start(values, arguments):
-    """Run a store until a signal."""
+    """Run a store until SIGTERM or SIGINT."""
     path, settings = load_settings(values, "store")
     counters = Counters()
     node = ControlNode(
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's workers and to its advice service.
+"""HTTP drivers for the platform's workers and its advice service.
 
 >>> from siskintally.platform.workers import PlatformWorkerDriver
 >>> PlatformWorkerDriver().pool_count
@@ -27,7 +27,7 @@
 
 EXPECT_INSTANCE_HEADER = "Siskintally-Expect-Instance"
 JSON_HEADER = ("Content-Type", "application/json")
-# The worker returns at most this many ends in one response.
+# Most ends that a worker returns in one response.
 ENDS_PER_REPORT = 500
 MISDIRECTED = 421
 BUSY_STATUSES = (429, 503)
@@ -51,7 +51,7 @@
 
 
 class PlatformWorkerDriver(WorkerDriver):
-    """Workers that take their orders by HTTP."""
+    """Sends orders and status polls to workers over HTTP."""
 
     __slots__ = ("_pool_by_address",)
 
@@ -60,7 +60,7 @@
 
     @property
     def pool_count(self):
-        """Number of workers with connections."""
+        """Number of connection pools, one per worker address."""
         return len(self._pool_by_address)
 
     async def start(self, worker, order, *, timeout):
@@ -84,7 +84,7 @@
         return _read_order_reply(await self._post(worker, "/run-stop", body, timeout))
 
     async def pace(self, worker, order, *, timeout):
-        """Send a pace order."""
+        """Send a throttle order."""
         body = {
             "task": order.task_id,
             "run": order.run,
@@ -94,7 +94,7 @@
         return _read_order_reply(await self._post(worker, "/pace", body, timeout))
 
     async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
-        """Renew the lease and read both lists."""
+        """Renew the lease; return the runs in progress and the kept ends."""
         body = {"fence": fence, "ackedUpto": noted}
         if lease_until_ms is not None:
             body["untilMs"] = lease_until_ms
@@ -139,7 +139,7 @@
         clock_ms = fields.integer("clockMs") if fields.has("clockMs") else None
         reason = fields.text("reason", "")
     except BadRequestError as error:
-        log.info("worker answer without content", status=reply.status, error=str(error)[:80])
+        log.info("worker reply not readable", status=reply.status, error=str(error)[:80])
         clock_ms, reason = None, ""
     if reply.status < 300:
         return OrderReply(clock_ms=clock_ms)
@@ -148,9 +148,9 @@
 
 
 def read_report(body):
-    """Read what a worker says of its runs.
+    """Parse the status report of a worker.
 
-    :raises OutcomeUnknownError: the answer cannot be read.
+    :raises OutcomeUnknownError: the report is malformed.
     """
     try:
         fields = Fields.parse(body)
@@ -188,9 +188,9 @@
 
 
 class PlatformAdviceService(Advice):
-    """The platform's service that knows which workers may run a step.
+    """Client of the platform's service that decides which workers may run a step.
 
-    :param address: host:port.
+    :param address: host:port, empty if there is no such service.
     """
 
     __slots__ = ("_pool",)
--- a/siskintally/stub_pool.py
+++ b/siskintally/stub_pool.py
@@ -1,6 +1,6 @@
-"""Stub workers in memory that follow the rules of a platform: fences, runs, leases, ends.
+"""In-memory stub workers that enforce fences, run numbers, and leases like a platform.
 
-They are a second implementation of :class:`~siskintally.driver.WorkerDriver`, for tests and for
+This is a second implementation of :class:`~siskintally.driver.WorkerDriver`, for tests and for
 trials without a platform.
 
 >>> from siskintally.stub_pool import StubPool
@@ -30,7 +30,7 @@
 class StubRun:
     """One run on a stub worker.
 
-    :param ends_at: clock reading at which it ends as done.
+    :param ends_at: steady time at which the run ends as done, s.
     """
 
     __slots__ = ("checkpoint", "ends_at", "run", "started_at", "task_id")
@@ -46,11 +46,11 @@
 class StubPoolWorker:
     """One incarnation of a worker.
 
-    ``history``: (time, event, task id, run) of all that ran, for checks. ``is_unreachable``:
-    whether calls get no answer. ``loses_replies``: whether orders are carried out and not
-    answered.
+    ``history``: (time, event, task id, run) of each start and end, for checks in tests.
+    ``is_unreachable``: whether calls time out without an effect. ``loses_replies``: whether orders
+    are executed but their replies are lost.
 
-    :param run_s: ``run_s(task_id)`` returns the time that a task takes, in seconds.
+    :param run_s: ``run_s(task_id)`` returns the run time of a task in seconds.
     """
 
     __slots__ = (
@@ -84,11 +84,11 @@
 
     @property
     def clock_ms(self):
-        """Steady clock of the worker."""
+        """Steady clock of the worker in ms."""
         return int(self._clock() * 1000)
 
     def end_due_runs(self):
-        """End what is done, or everything if the lease is over."""
+        """End the runs that are done, or all runs if the lease has expired."""
         is_lease_expired = self.clock_ms >= self._lease_until_ms
         for stub_run in list(self.running_by_task.values()):
             if is_lease_expired:
@@ -108,14 +108,14 @@
         self.history.append((self._clock(), kind.name, stub_run.task_id, stub_run.run))
 
     def fail_run(self, task_id):
-        """Let a run end as failed."""
+        """End the run of a task as failed."""
         self._end_run(self.running_by_task[task_id], EndKind.FAILED)
 
     def _extend_lease(self, until_ms):
         self._lease_until_ms = max(self._lease_until_ms, until_ms or 0)
 
     def start(self, order):
-        """Carry out a start order."""
+        """Execute a start order."""
         self.end_due_runs()
         current_run = self.running_by_task.get(order.task_id)
         refusal = Refusal.NONE
@@ -147,7 +147,7 @@
         self.history.append((now, "START", order.task_id, order.run))
 
     def stop(self, order):
-        """Carry out a stop order; a run that is not there yet is refused later."""
+        """Execute a stop order; the start of a run that is not there yet is refused later."""
         self.end_due_runs()
         if order.fence < self._fence:
             return self._reply(Refusal.FENCED)
@@ -160,7 +160,7 @@
         return self._reply(Refusal.NONE)
 
     def hold(self, *, fence, lease_until_ms, noted):
-        """Renew the lease and list what runs and what has ended."""
+        """Renew the lease; report the runs in progress and the unacknowledged ends."""
         self.end_due_runs()
         if fence < self._fence:
             return WorkerReport(clock_ms=self.clock_ms, refusal=Refusal.FENCED)
@@ -181,10 +181,10 @@
 
 
 class StubPool(WorkerDriver):
-    """Workers by address.
+    """Driver of a set of stub workers.
 
     :param clock: function that returns the steady time in seconds.
-    :param run_s: ``run_s(task_id)`` returns the time that a task takes, in seconds.
+    :param run_s: ``run_s(task_id)`` returns the run time of a task in seconds.
     """
 
     __slots__ = ("_clock", "_run_s", "worker_by_id")
@@ -195,7 +195,7 @@
         self.worker_by_id = {}
 
     def add(self, name, *, cpu_milli, memory_mb, born_ms=1, service="pool"):
-        """Add a worker, or a new incarnation of one; return the :class:`StubPoolWorker`."""
+        """Add a worker or a new incarnation of one; return its :class:`StubPoolWorker`."""
         record = PoolWorker(
             id=name,
             born_ms=born_ms,
@@ -217,7 +217,7 @@
             raise UnreachableError(f"{worker.id}: no such worker")
         if stub.is_unreachable:
             await sleep(timeout)
-            raise OutcomeUnknownError(f"{worker.id}: no answer")
+            raise OutcomeUnknownError(f"{worker.id}: no reply")
         if stub.record.born_ms != worker.born_ms:
             raise GoneError(f"{worker.id}: another incarnation")
         await sleep(0)
@@ -228,7 +228,7 @@
         reply = apply_order(stub)
         if stub.loses_replies:
             await sleep(timeout)
-            raise OutcomeUnknownError(f"{worker.id}: no answer")
+            raise OutcomeUnknownError(f"{worker.id}: no reply")
         return reply
 
     async def start(self, worker, order, *, timeout):
@@ -240,11 +240,11 @@
         return await self._execute(worker, timeout, lambda stub: stub.stop(order))
 
     async def pace(self, worker, order, *, timeout):
-        """Take a pace order; stub tasks run at one speed."""
+        """Accept a throttle order without effect: stub tasks run at a fixed speed."""
         return await self._execute(worker, timeout, lambda stub: OrderReply())
 
     async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
-        """Renew the lease; wait for an end that is not noted yet."""
+        """Renew the lease; wait for an end that is not committed yet."""
         stub = await self._find_reachable(worker, timeout)
         report = stub.hold(fence=fence, lease_until_ms=lease_until_ms, noted=noted)
         with move_on_after(wait_ms / 1000):
