--- a/siskintally/advice_clients.py
+++ b/siskintally/advice_clients.py
@@ -55,7 +55,7 @@
         return [Ticket(worker_id=ticket.worker, text=ticket.ticket) for ticket in reply.tickets]
 
 
-async def answer_advice(advice, body):
+async def handle_advice_call(advice, body):
     """Call the advice service for the leader; return the reply to its :class:`AdviceAsk`."""
     try:
         tickets = await advice.ask(body.step, tuple(body.workers), timeout=body.timeout_s)
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -9,7 +9,7 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
-from siskintally.advice_clients import LocalAdviceClient, RemoteAdviceClient, answer_advice
+from siskintally.advice_clients import LocalAdviceClient, RemoteAdviceClient, handle_advice_call
 from siskintally.clock import now as steady
 from siskintally.control_client import ControlClient
 from siskintally.control_group import bootstrap_group, create_group, flow_timing
@@ -189,9 +189,9 @@
 
     async def _follow_leadership(self):
         """Run a control leader in each term in which this replica is the leader."""
-        stream = self._group.watch()
+        leadership_changes = self._group.watch()
         term = None
-        async for leadership in stream:
+        async for leadership in leadership_changes:
             if leadership.is_leader and leadership.term == term:
                 continue
             if self._leader is not None:
@@ -261,11 +261,11 @@
             self._links.add_addresses(members)
             for session in sessions:
                 self._send_notice(session, leads, members)
-            alive = {id(session) for session in sessions}
+            open_session_ids = {id(session) for session in sessions}
             self._sent_version_by_session = {
                 key: version
                 for key, version in self._sent_version_by_session.items()
-                if key in alive
+                if key in open_session_ids
             }
             self._notice_event = Event()
             with move_on_after(NOTICE_INTERVAL_S):
@@ -290,18 +290,18 @@
         if isinstance(body, JoinRequest):
             return await self._group.join_request(body)
         if isinstance(body, AdviceAsk):
-            return await answer_advice(self._advice, body)
+            return await handle_advice_call(self._advice, body)
         if not ControlService.handles(body):
             raise BadRequestError(f"{type(body).__name__}: not a call of a store")
-        return await self._answer_flow(body)
+        return await self._handle_leader_call(body)
 
-    async def _answer_flow(self, body):
+    async def _handle_leader_call(self, body):
         service = self._service
         if not self.leads or self._stopping:
             leader = self._group.leader
             leader = leader if leader != self._settings.link_address else ""
             raise NotLeaderError(f"{self._settings.name} is not the leader", leader=leader)
-        return await service.answer(body)
+        return await service.handle(body)
 
     def receive(self, session, body):
         """Handle a message of a linked process that expects no reply."""
@@ -322,5 +322,5 @@
         if address != self._settings.link_address:
             return await self._links.call(address, body, timeout=timeout)
         with move_on_after(timeout):
-            return await self._answer_flow(body)
+            return await self._handle_leader_call(body)
         raise OutcomeUnknownError(f"{type(body).__name__}: no reply within {timeout:.1f} s")
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -48,7 +48,7 @@
         self._scheduled_flow_ids = set()
         self._seq_by_worker = {}
 
-    async def answer(self, body):
+    async def handle(self, body):
         """Handle a call and return its :class:`FlowReply`.
 
         :raises SiskintallyError: the call was refused; its code is the result code.
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -9,7 +9,7 @@
 
 from anyio import Event, create_task_group, sleep
 
-from siskintally.advice_clients import answer_advice
+from siskintally.advice_clients import handle_advice_call
 from siskintally.clock import now as steady
 from siskintally.control_client import ControlClient
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
@@ -94,7 +94,7 @@
     async def answer(self, session, body):
         """Handle a call of a store."""
         if isinstance(body, AdviceAsk):
-            return await answer_advice(self._advice, body)
+            return await handle_advice_call(self._advice, body)
         raise BadRequestError(f"{type(body).__name__}: not a call of an entry")
 
     def receive(self, session, body):
--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -99,10 +99,10 @@
         try:
             with fail_after(timeout):
                 connection = await self._acquire()
-                data = self._encode(connection, method, path, headers, body)
+                data = self._encode_request(connection, method, path, headers, body)
                 sent = True
                 await connection.stream.send(data)
-                reply = await _receive(connection)
+                reply = await _receive_reply(connection)
         except (TimeoutError, *CONNECTION_ERRORS) as error:
             await self._close(connection)
             # The same fault may affect the idle connections, and each of them would cost another
@@ -129,7 +129,7 @@
         self.opened_count += 1
         return _Connection(stream=await connect_tcp(self._host, self._port))
 
-    def _encode(self, connection, method, path, headers, body):
+    def _encode_request(self, connection, method, path, headers, body):
         all_headers = [
             ("host", f"{self._host}:{self._port}"),
             ("content-length", str(len(body))),
@@ -168,12 +168,12 @@
 
 def _is_stale(connection):
     """Return whether the peer has closed an idle connection or sent unsolicited data."""
-    readable = poll()
-    readable.register(connection.stream.extra(SocketAttribute.raw_socket).fileno(), POLLIN)
-    return bool(readable.poll(0))
+    poller = poll()
+    poller.register(connection.stream.extra(SocketAttribute.raw_socket).fileno(), POLLIN)
+    return bool(poller.poll(0))
 
 
-async def _receive(connection):
+async def _receive_reply(connection):
     protocol = connection.protocol
     status, headers, chunks, size = 0, (), [], 0
     while True:
--- a/siskintally/platform/process.py
+++ b/siskintally/platform/process.py
@@ -54,15 +54,15 @@
         :class:`~siskintally.entry_node.EntryNode`.
     :param apps: pairs of an app and its listen address; an app with an empty one is not served.
     """
-    bound = [(app, address) for app, address in apps if address]
-    servers = partial(_serve_apps, bound, node)
+    served_apps = [(app, address) for app, address in apps if address]
+    servers = partial(_serve_apps, served_apps, node)
     return serve_until_signal(
         partial(node.run, servers), node.stop, lambda: node.add_seeds(load_node_settings(path))
     )
 
 
 async def _serve_apps(apps, node):
-    serve_one = partial(serve_http, until=node.closing, graceful_s=node.graceful_s)
+    serve_app = partial(serve_http, until=node.closing, graceful_s=node.graceful_s)
     async with create_task_group() as tasks:
         for app, address in apps:
-            tasks.start_soon(partial(serve_one, app, address=address))
+            tasks.start_soon(partial(serve_app, app, address=address))
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -101,9 +101,9 @@
         if wait_ms:
             body["waitMs"] = wait_ms
         reply = await self._post(worker, "/hold", body, timeout)
-        answer = _read_order_reply(reply)
-        if answer.refusal != Refusal.NONE:
-            return WorkerReport(clock_ms=answer.clock_ms, refusal=answer.refusal)
+        order_reply = _read_order_reply(reply)
+        if order_reply.refusal != Refusal.NONE:
+            return WorkerReport(clock_ms=order_reply.clock_ms, refusal=order_reply.refusal)
         return read_report(reply.body)
 
     async def forget(self, worker):
@@ -166,24 +166,24 @@
 
 
 def _read_run(row):
-    task_id, run, saved, percent, *rest = row
+    task_id, run, checkpoint, percent, *rest = row
     return RunRow(
         task_id=str(task_id),
         run=int(run),
-        checkpoint=saved or "",
+        checkpoint=checkpoint or "",
         percent=percent,
         load=rest[0] if rest else 0,
     )
 
 
 def _read_end(row):
-    number, task_id, run, how, saved = row[:5]
+    number, task_id, run, how, checkpoint = row[:5]
     return EndRow(
         number=int(number),
         task_id=str(task_id),
         run=int(run),
         kind=KIND_BY_HOW[how],
-        checkpoint=saved or "",
+        checkpoint=checkpoint or "",
     )
 
 
