Rename the worker driver interface and two metric attributes

The driver methods hold, pace and forget did not say what they do, and RunRow and EndRow named the layout of a message. They are now poll_status, throttle, disconnect, RunStatus and RunEnd; the worker manager, the stub pool and the tests follow. The attributes paces and workers_lapsed of the counters are throttles and leases_expired, under unchanged metric names.

--- a/siskintally/advice_client_pool.py
+++ b/siskintally/advice_client_pool.py
@@ -30,7 +30,7 @@
     async def ask(self, step_id, worker_ids, *, timeout):
         """Request permits for a step; return :class:`~siskintally.driver.Ticket` objects.
 
-        See :class:`~siskintally.driver.Advice`.
+        See :class:`~siskintally.driver.AdviceService`.
         """
 
 
--- a/siskintally/advice_clients.py
+++ b/siskintally/advice_clients.py
@@ -20,7 +20,7 @@
 class LocalAdviceClient(AdviceClient):
     """Calls the advice service from the leader's own process.
 
-    :param advice: :class:`~siskintally.driver.Advice`.
+    :param advice: :class:`~siskintally.driver.AdviceService`.
     """
 
     __slots__ = ("_advice",)
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -247,7 +247,7 @@
 
     def handle_lease_expired(self, worker):
         """Process the expired lease of a worker."""
-        self._counters.workers_lapsed.inc()
+        self._counters.leases_expired.inc()
         log.warning("worker lapsed", worker=worker.id, held=len(worker.task_by_id))
         self.scheduler.expire_lease(worker)
         self.request_pass()
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -49,7 +49,7 @@
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param driver: :class:`~siskintally.driver.WorkerDriver`.
-    :param advice: :class:`~siskintally.driver.Advice`.
+    :param advice: :class:`~siskintally.driver.AdviceService`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
--- a/siskintally/counters.py
+++ b/siskintally/counters.py
@@ -19,7 +19,7 @@
         "_registry",
         "advice_seconds",
         "ends",
-        "paces",
+        "leases_expired",
         "refusals",
         "request_seconds",
         "requests",
@@ -27,7 +27,7 @@
         "starts",
         "starts_refused",
         "stops",
-        "workers_lapsed",
+        "throttles",
     )
 
     def __init__(self):
@@ -40,8 +40,8 @@
         self.start_seconds = self._histogram("start_seconds", "Acceptance to start of a task.")
         self.ends = self._counter("ends", "Ends of tasks.", "how")
         self.stops = self._counter("stops", "Stop orders for tasks.")
-        self.paces = self._counter("paces", "Pace orders for filling tasks.")
-        self.workers_lapsed = self._counter("workers_lapsed", "Leases of workers that ended.")
+        self.throttles = self._counter("paces", "Pace orders for filling tasks.")
+        self.leases_expired = self._counter("workers_lapsed", "Leases of workers that ended.")
         self.advice_seconds = self._histogram("advice_seconds", "Calls to the advice service.")
 
     def _counter(self, name, help_text, *labels):
--- a/siskintally/driver.py
+++ b/siskintally/driver.py
@@ -12,7 +12,7 @@
 from siskintally.errors import SiskintallyError
 
 
-class GoneError(SiskintallyError):
+class IncarnationGoneError(SiskintallyError):
     """The addressed incarnation of a worker no longer exists; another one answered."""
 
     code = Code.NO_ENDPOINT
@@ -111,7 +111,7 @@
         self.clock_ms = clock_ms
 
 
-class RunRow:
+class RunStatus:
     """A run in progress on a worker.
 
     ``percent``: progress, or 100 for a long-running task that is ready. ``load``: tail latency in
@@ -128,7 +128,7 @@
         self.load = load
 
 
-class EndRow:
+class RunEnd:
     """A run that ended on a worker; ``number`` counts the ends of the incarnation from 1."""
 
     __slots__ = ("checkpoint", "kind", "number", "run", "task_id")
@@ -163,8 +163,8 @@
 
     Every call raises :class:`~siskintally.errors.UnreachableError` if it was certainly not sent,
     :class:`~siskintally.errors.OutcomeUnknownError` if the worker may execute it, even seconds
-    later, :class:`GoneError` if another incarnation answered, and :class:`BusyError` if the
-    worker did nothing.
+    later, :class:`IncarnationGoneError` if another incarnation answered, and :class:`BusyError`
+    if the worker did nothing.
 
     :param worker: :class:`~siskintally.control_pb2.PoolWorker`.
     :param timeout: seconds.
@@ -181,20 +181,23 @@
         """Stop a run, or have its late start refused; return an :class:`OrderReply`."""
 
     @abstractmethod
-    async def pace(self, worker, order, *, timeout):
+    async def throttle(self, worker, order, *, timeout):
         """Limit the processor share of a run; return an :class:`OrderReply`."""
 
     @abstractmethod
-    async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
+    async def poll_status(
+        self, worker, *, fence, lease_until_ms, committed_end_number, wait_ms, timeout
+    ):
         """Poll the status of a worker and renew its lease; return a :class:`WorkerReport`.
 
         :param lease_until_ms: end of the lease on the worker's steady clock, None not to renew it.
-        :param noted: number of the last committed end; the worker may discard ends up to it.
+        :param committed_end_number: number of the last committed end; the worker may discard ends
+            up to it.
         :param wait_ms: longest time that the worker waits for a run to end before it replies.
         """
 
     @abstractmethod
-    async def forget(self, worker):
+    async def disconnect(self, worker):
         """Close the connections to a lost worker."""
 
 
@@ -208,7 +211,7 @@
         self.text = text
 
 
-class Advice(ABC):
+class AdviceService(ABC):
     """Service that decides which workers may run a step."""
 
     __slots__ = ()
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -39,7 +39,7 @@
     event that ends the readiness. ``closing``: event that ends the HTTP servers.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
-    :param advice: :class:`~siskintally.driver.Advice`.
+    :param advice: :class:`~siskintally.driver.AdviceService`.
     """
 
     __slots__ = (
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -91,7 +91,7 @@
         for action in throttles:
             manager = self._leader.manager_of(action.worker.id)
             if manager is not None and manager.worker is action.worker:
-                self._counters.paces.inc()
+                self._counters.throttles.inc()
                 log.info(
                     "pace", task=action.task.id, worker=action.worker.id, percent=action.percent
                 )
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -8,14 +8,14 @@
 from json import dumps
 
 from siskintally.driver import (
-    Advice,
+    AdviceService,
     BusyError,
     EndKind,
-    EndRow,
-    GoneError,
+    IncarnationGoneError,
     OrderReply,
     Refusal,
-    RunRow,
+    RunEnd,
+    RunStatus,
     Ticket,
     WorkerDriver,
     WorkerReport,
@@ -83,7 +83,7 @@
         body = {"task": order.task_id, "run": order.run, "fence": order.fence}
         return _read_order_reply(await self._post(worker, "/run-stop", body, timeout))
 
-    async def pace(self, worker, order, *, timeout):
+    async def throttle(self, worker, order, *, timeout):
         """Send a throttle order."""
         body = {
             "task": order.task_id,
@@ -93,9 +93,11 @@
         }
         return _read_order_reply(await self._post(worker, "/pace", body, timeout))
 
-    async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
+    async def poll_status(
+        self, worker, *, fence, lease_until_ms, committed_end_number, wait_ms, timeout
+    ):
         """Renew the lease; return the runs in progress and the kept ends."""
-        body = {"fence": fence, "ackedUpto": noted}
+        body = {"fence": fence, "ackedUpto": committed_end_number}
         if lease_until_ms is not None:
             body["untilMs"] = lease_until_ms
         if wait_ms:
@@ -106,7 +108,7 @@
             return WorkerReport(clock_ms=order_reply.clock_ms, refusal=order_reply.refusal)
         return read_report(reply.body)
 
-    async def forget(self, worker):
+    async def disconnect(self, worker):
         """Close the connections to a worker."""
         pool = self._pool_by_address.pop(worker.address, None)
         if pool is not None:
@@ -125,7 +127,7 @@
             timeout=timeout,
         )
         if reply.status == MISDIRECTED:
-            raise GoneError(f"{worker.address}: another instance than {worker.id}")
+            raise IncarnationGoneError(f"{worker.address}: another instance than {worker.id}")
         if reply.status in BUSY_STATUSES:
             raise BusyError(f"{worker.id}: status {reply.status}")
         if reply.status >= 500:
@@ -167,7 +169,7 @@
 
 def _read_run(row):
     task_id, run, checkpoint, percent, *rest = row
-    return RunRow(
+    return RunStatus(
         task_id=str(task_id),
         run=int(run),
         checkpoint=checkpoint or "",
@@ -178,7 +180,7 @@
 
 def _read_end(row):
     number, task_id, run, how, checkpoint = row[:5]
-    return EndRow(
+    return RunEnd(
         number=int(number),
         task_id=str(task_id),
         run=int(run),
@@ -187,7 +189,7 @@
     )
 
 
-class PlatformAdviceService(Advice):
+class PlatformAdviceService(AdviceService):
     """Client of the platform's service that decides which workers may run a step.
 
     :param address: host:port, empty if there is no such service.
--- a/siskintally/stub_pool.py
+++ b/siskintally/stub_pool.py
@@ -14,11 +14,11 @@
 from siskintally.control_pb2 import PoolWorker
 from siskintally.driver import (
     EndKind,
-    EndRow,
-    GoneError,
+    IncarnationGoneError,
     OrderReply,
     Refusal,
-    RunRow,
+    RunEnd,
+    RunStatus,
     WorkerDriver,
     WorkerReport,
 )
@@ -101,7 +101,7 @@
         self._highest_run_by_task[stub_run.task_id] = stub_run.run
         self._last_end_number += 1
         self._unacknowledged_ends.append(
-            EndRow(
+            RunEnd(
                 number=self._last_end_number, task_id=stub_run.task_id, run=stub_run.run, kind=kind
             )
         )
@@ -159,18 +159,22 @@
         self._highest_run_by_task[order.task_id] = max(highest, order.run)
         return self._reply(Refusal.NONE)
 
-    def hold(self, *, fence, lease_until_ms, noted):
+    def poll_status(self, *, fence, lease_until_ms, committed_end_number):
         """Renew the lease; report the runs in progress and the unacknowledged ends."""
         self.end_due_runs()
         if fence < self._fence:
             return WorkerReport(clock_ms=self.clock_ms, refusal=Refusal.FENCED)
         self._fence = fence
         self._extend_lease(lease_until_ms)
-        self._unacknowledged_ends = [row for row in self._unacknowledged_ends if row.number > noted]
+        self._unacknowledged_ends = [
+            row for row in self._unacknowledged_ends if row.number > committed_end_number
+        ]
         return WorkerReport(
             clock_ms=self.clock_ms,
             running=[
-                RunRow(task_id=stub_run.task_id, run=stub_run.run, checkpoint=stub_run.checkpoint)
+                RunStatus(
+                    task_id=stub_run.task_id, run=stub_run.run, checkpoint=stub_run.checkpoint
+                )
                 for stub_run in self.running_by_task.values()
             ],
             ended=list(self._unacknowledged_ends),
@@ -219,7 +223,7 @@
             await sleep(timeout)
             raise OutcomeUnknownError(f"{worker.id}: no reply")
         if stub.record.born_ms != worker.born_ms:
-            raise GoneError(f"{worker.id}: another incarnation")
+            raise IncarnationGoneError(f"{worker.id}: another incarnation")
         await sleep(0)
         return stub
 
@@ -239,19 +243,25 @@
         """Stop a run."""
         return await self._execute(worker, timeout, lambda stub: stub.stop(order))
 
-    async def pace(self, worker, order, *, timeout):
+    async def throttle(self, worker, order, *, timeout):
         """Accept a throttle order without effect: stub tasks run at a fixed speed."""
         return await self._execute(worker, timeout, lambda stub: OrderReply())
 
-    async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
+    async def poll_status(
+        self, worker, *, fence, lease_until_ms, committed_end_number, wait_ms, timeout
+    ):
         """Renew the lease; wait for an end that is not committed yet."""
         stub = await self._find_reachable(worker, timeout)
-        report = stub.hold(fence=fence, lease_until_ms=lease_until_ms, noted=noted)
+        report = stub.poll_status(
+            fence=fence, lease_until_ms=lease_until_ms, committed_end_number=committed_end_number
+        )
         with move_on_after(wait_ms / 1000):
             while not report.ended and report.refusal == Refusal.NONE and not stub.is_unreachable:
                 await sleep(POLL_INTERVAL_S)
-                report = stub.hold(fence=fence, lease_until_ms=None, noted=noted)
+                report = stub.poll_status(
+                    fence=fence, lease_until_ms=None, committed_end_number=committed_end_number
+                )
         return report
 
-    async def forget(self, worker):
+    async def disconnect(self, worker):
         """Do nothing: there are no connections."""
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -8,7 +8,7 @@
 from anyio import Event, move_on_after, sleep
 
 from siskintally.clock import now as steady
-from siskintally.driver import BusyError, GoneError, Order, Refusal
+from siskintally.driver import BusyError, IncarnationGoneError, Order, Refusal
 from siskintally.errors import ConnectionLostError, OutcomeUnknownError, UnreachableError
 from siskintally.fleet import WorkerStatus
 from siskintally.flow import TaskState
@@ -70,7 +70,7 @@
                     continue
                 await self._poll_status()
         finally:
-            await self._driver.forget(self.worker.record)
+            await self._driver.disconnect(self.worker.record)
 
     def _is_idle(self):
         worker = self.worker
@@ -95,15 +95,15 @@
         until_ms = self.lease.grant(asked_at) if may_grant else None
         worker.lease_expires_at = self.lease.expired_by
         try:
-            report = await self._driver.hold(
+            report = await self._driver.poll_status(
                 worker.record,
                 fence=self._leader.term,
                 lease_until_ms=until_ms,
-                noted=self.committed_end_number,
+                committed_end_number=self.committed_end_number,
                 wait_ms=int(wait_s * 1000),
                 timeout=wait_s + REPLY_MARGIN_S,
             )
-        except GoneError as error:
+        except IncarnationGoneError as error:
             self._leader.handle_worker_lost(worker, str(error))
             return
         except (UnreachableError, OutcomeUnknownError, BusyError) as error:
@@ -188,7 +188,7 @@
             self._leader.poll_wait.record_unanswered(steady())
             log.info("start repeated", task=task.id, run=action.run, error=str(error)[:120])
             return None, True
-        except GoneError as error:
+        except IncarnationGoneError as error:
             self._leader.handle_worker_lost(self.worker, str(error))
             return None, was_sent
         except (UnreachableError, BusyError) as error:
@@ -233,10 +233,10 @@
         ):
             await self._leader.quorum_check.wait()
             try:
-                await self._driver.pace(
+                await self._driver.throttle(
                     self.worker.record, order, timeout=self._timing.order_timeout_s
                 )
-            except GoneError as error:
+            except IncarnationGoneError as error:
                 self._leader.handle_worker_lost(self.worker, str(error))
                 return
             except (UnreachableError, OutcomeUnknownError, BusyError) as error:
@@ -261,7 +261,7 @@
                 reply = await self._driver.stop(
                     self.worker.record, order, timeout=self._timing.order_timeout_s
                 )
-            except GoneError as error:
+            except IncarnationGoneError as error:
                 self._leader.handle_worker_lost(self.worker, str(error))
                 return
             except (UnreachableError, OutcomeUnknownError, BusyError) as error:
--- a/tests/flow_rig.py
+++ b/tests/flow_rig.py
@@ -13,7 +13,7 @@
     WorkerService,
 )
 from siskintally.control_state import ControlState
-from siskintally.driver import EndKind, EndRow, RunRow, WorkerReport
+from siskintally.driver import EndKind, RunEnd, RunStatus, WorkerReport
 from siskintally.flow_scheduler import FlowScheduler
 
 SERVICE = "pool"
@@ -128,7 +128,7 @@
         number = self.number_by_worker.get(worker_id, 0) + 1
         self.number_by_worker[worker_id] = number
         self.ended_by_worker[worker_id].append(
-            EndRow(number=number, task_id=task_id, run=run, kind=kind, checkpoint=checkpoint)
+            RunEnd(number=number, task_id=task_id, run=run, kind=kind, checkpoint=checkpoint)
         )
 
     def report(self, worker_id, *, commit=True, percent=0, load=0):
@@ -137,7 +137,7 @@
         report = WorkerReport(
             clock_ms=int(self.now * 1000),
             running=[
-                RunRow(task_id=task_id, run=run, percent=percent, load=load)
+                RunStatus(task_id=task_id, run=run, percent=percent, load=load)
                 for task_id, run in self.running_by_worker[worker_id].items()
             ],
             ended=list(self.ended_by_worker[worker_id]),
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -40,8 +40,10 @@
         return json_answer(200, {"clockMs": reply.clock_ms})
 
     def _hold(self, body):
-        report = self.worker.hold(
-            fence=body["fence"], lease_until_ms=body.get("untilMs"), noted=body["ackedUpto"]
+        report = self.worker.poll_status(
+            fence=body["fence"],
+            lease_until_ms=body.get("untilMs"),
+            committed_end_number=body["ackedUpto"],
         )
         if report.refusal != Refusal.NONE:
             return json_answer(409, {"clockMs": report.clock_ms, "reason": "fence"})
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -7,7 +7,7 @@
 from siskintally.control_pb2 import ControlCommand
 from siskintally.control_state import ControlState
 from siskintally.counters import Counters
-from siskintally.driver import OrderReply, RunRow, WorkerDriver, WorkerReport
+from siskintally.driver import OrderReply, RunStatus, WorkerDriver, WorkerReport
 from siskintally.errors import NotLeaderError
 from siskintally.flow_timing import FlowTiming
 from siskintally.quorum_check import CONFIRMED_LEADER_SHARE
@@ -48,11 +48,13 @@
     async def start(self, worker, order, *, timeout):
         """Take a start."""
         self.starts.append((order.task_id, worker.id))
-        row = RunRow(task_id=order.task_id, run=order.run, checkpoint="", percent=1, load=0)
+        row = RunStatus(task_id=order.task_id, run=order.run, checkpoint="", percent=1, load=0)
         self.running.append(row)
         return OrderReply(clock_ms=1000)
 
-    async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
+    async def poll_status(
+        self, worker, *, fence, lease_until_ms, committed_end_number, wait_ms, timeout
+    ):
         """Report what runs."""
         await sleep(0.05)
         return WorkerReport(clock_ms=1000, running=list(self.running))
@@ -61,11 +63,11 @@
         """Take a stop."""
         return OrderReply(clock_ms=1000)
 
-    async def pace(self, worker, order, *, timeout):
+    async def throttle(self, worker, order, *, timeout):
         """Take a pace order."""
         return OrderReply(clock_ms=1000)
 
-    async def forget(self, worker):
+    async def disconnect(self, worker):
         """Nothing to close."""
 
 
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -21,7 +21,7 @@
     WorkerService,
 )
 from siskintally.counters import Counters
-from siskintally.driver import Advice
+from siskintally.driver import AdviceService
 from siskintally.errors import SiskintallyError
 from siskintally.flow_timing import FlowTiming
 from siskintally.journal import Journal
@@ -31,7 +31,7 @@
 from tests.processes import free_ports, wait_until
 
 
-class NoAdvice(Advice):
+class NoAdvice(AdviceService):
     """Advice service of queues that need none."""
 
     async def ask(self, step_id, worker_ids, *, timeout):
--- a/tests/test_flow_walk.py
+++ b/tests/test_flow_walk.py
@@ -5,7 +5,7 @@
 import pytest
 
 from siskintally.control_pb2 import StartBatch
-from siskintally.driver import EndKind, EndRow, RunRow, WorkerReport
+from siskintally.driver import EndKind, RunEnd, RunStatus, WorkerReport
 from siskintally.fleet import WorkerStatus
 from siskintally.flow import TaskState
 from siskintally.task_id import TaskId
@@ -42,7 +42,7 @@
         run = self.run_by_task.pop(task)
         self.highest_by_task[task] = max(run, self.highest_by_task.get(task, 0))
         self.number += 1
-        row = EndRow(number=self.number, task_id=task, run=run, kind=kind, checkpoint="")
+        row = RunEnd(number=self.number, task_id=task, run=run, kind=kind, checkpoint="")
         self.ended.append(row)
 
     def stop(self, action):
@@ -144,7 +144,9 @@
         if found.status == WorkerStatus.LAPSED:
             machine.run_by_task.clear()
         rows = [
-            RunRow(task_id=task, run=run, checkpoint="", percent=self.random.randint(1, 99), load=0)
+            RunStatus(
+                task_id=task, run=run, checkpoint="", percent=self.random.randint(1, 99), load=0
+            )
             for task, run in machine.run_by_task.items()
         ]
         report = WorkerReport(clock_ms=1, running=rows, ended=list(machine.ended))
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -23,7 +23,9 @@
         self.lease_by_look = []
         self.wait_by_look = []
 
-    async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
+    async def poll_status(
+        self, worker, *, fence, lease_until_ms, committed_end_number, wait_ms, timeout
+    ):
         """Answer a look."""
         self.lease_by_look.append(lease_until_ms)
         self.wait_by_look.append(wait_ms)
@@ -38,10 +40,10 @@
     async def stop(self, worker, order, *, timeout):
         """Not used here."""
 
-    async def pace(self, worker, order, *, timeout):
+    async def throttle(self, worker, order, *, timeout):
         """Not used here."""
 
-    async def forget(self, worker):
+    async def disconnect(self, worker):
         """Not used here."""
 
 
