--- a/siskintally/counters.py
+++ b/siskintally/counters.py
@@ -1,9 +1,9 @@
-"""Counters and latency histograms of one process of the control plane, as text for scraping.
+"""Metrics of a control plane process: counters and latency histograms for Prometheus.
 
 >>> from siskintally.counters import Counters
 >>> counters = Counters()
 >>> counters.starts.inc(2)
->>> "siskintally_starts_total 2.0" in counters.text()
+>>> "siskintally_starts_total 2.0" in counters.to_text()
 True
 """
 
@@ -13,13 +13,13 @@
 
 
 class Counters:
-    """Metrics in a registry of their own; each attribute is a metric of the client library."""
+    """Metrics of one process in a separate registry; each public attribute is a metric."""
 
     __slots__ = (
         "_registry",
         "advice_seconds",
         "ends",
-        "paces",
+        "leases_expired",
         "refusals",
         "request_seconds",
         "requests",
@@ -27,7 +27,7 @@
         "starts",
         "starts_refused",
         "stops",
-        "workers_lapsed",
+        "throttles",
     )
 
     def __init__(self):
@@ -40,18 +40,18 @@
         self.start_seconds = self._histogram("start_seconds", "Acceptance to start of a task.")
         self.ends = self._counter("ends", "Ends of tasks.", "how")
         self.stops = self._counter("stops", "Stop orders for tasks.")
-        self.paces = self._counter("paces", "Pace orders for filling tasks.")
-        self.workers_lapsed = self._counter("workers_lapsed", "Leases of workers that ended.")
+        self.throttles = self._counter("paces", "Pace orders for filling tasks.")
+        self.leases_expired = self._counter("workers_lapsed", "Leases of workers that ended.")
         self.advice_seconds = self._histogram("advice_seconds", "Calls to the advice service.")
 
-    def _counter(self, name, text, *labels):
-        return Counter(f"siskintally_{name}", text, labels, registry=self._registry)
+    def _counter(self, name, help_text, *labels):
+        return Counter(f"siskintally_{name}", help_text, labels, registry=self._registry)
 
-    def _histogram(self, name, text, *labels):
+    def _histogram(self, name, help_text, *labels):
         return Histogram(
-            f"siskintally_{name}", text, labels, registry=self._registry, buckets=BUCKETS_S
+            f"siskintally_{name}", help_text, labels, registry=self._registry, buckets=BUCKETS_S
         )
 
-    def text(self):
-        """Return all values in the text format of the client library."""
+    def to_text(self):
+        """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry).decode()
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -1,4 +1,4 @@
-"""Entry process of a control plane: links to the stores, readiness, and a client for advice.
+"""Entry process of a control plane: links to the stores, readiness, and advice calls.
 
 >>> from siskintally.entry_node import EntryNode
 >>> EntryNode.__name__
@@ -9,69 +9,71 @@
 
 from anyio import Event, create_task_group, sleep
 
-from siskintally.advice_clients import answer_advice
+from siskintally.advice_clients import handle_advice_call
 from siskintally.clock import now as steady
 from siskintally.control_client import ControlClient
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
 from siskintally.errors import BadRequestError
 from siskintally.leader_cache import LeaderCache
-from siskintally.link_pool import CELL, LinkPool
+from siskintally.link_pool import CELL_NAME, LinkPool
 from siskintally.log import get_logger
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello
 
-# The platform looks at the readiness once a second and takes two failures as an end; new
-# connections come until then.
-DRAIN_S = 2.3
-# Readiness outlives a change of leaders, so that callers are not sent away for it.
-READY_S = 4.0
-# Part of the grace of a stop that is left when the platform has noticed that no more is wanted.
-LAST_REQUESTS_SHARE = 0.5
+# The platform checks the readiness once a second and stops sending new connections after two
+# failures; until then they have to be served.
+UNREADY_SERVING_S = 2.3
+# Age of the last leader notice up to which an entry is ready. Longer than a change of leaders,
+# which must not divert callers to other entries.
+READY_AFTER_NOTICE_S = 4.0
+# Share of the grace period that is left for requests in progress once new connections have stopped.
+GRACEFUL_FRACTION = 0.5
 
 log = get_logger("entry-node")
 
 
 class EntryNode(Handler):
-    """One entry.
+    """One entry process.
 
-    ``last_requests_s``: longest time for the requests in progress at the end, s.
+    ``graceful_s``: longest time to finish the requests in progress at shutdown, s. ``stopping``:
+    event that ends the readiness. ``closing``: event that ends the HTTP servers.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
-    :param advice: :class:`~siskintally.driver.Advice`.
+    :param advice: :class:`~siskintally.driver.AdviceService`.
     """
 
     __slots__ = (
         "_advice",
-        "_heard_at",
+        "_leader_notice_at",
         "_links",
         "cache",
-        "calls",
+        "client",
         "closing",
-        "last_requests_s",
+        "graceful_s",
         "stopping",
     )
 
     def __init__(self, *, settings, advice):
         self._advice = advice
-        self._heard_at = 0.0
+        self._leader_notice_at = 0.0
         self.stopping = Event()
         self.closing = Event()
-        self.last_requests_s = settings.grace_s * LAST_REQUESTS_SHARE
-        hello = Hello(name=settings.name, cell=CELL, incarnation=uuid4().hex)
-        self._links = LinkPool(own="", hello=hello, secret=settings.secret, handler=self)
-        self._links.learn(settings.seed_links())
+        self.graceful_s = settings.grace_s * GRACEFUL_FRACTION
+        hello = Hello(name=settings.name, cell=CELL_NAME, incarnation=uuid4().hex)
+        self._links = LinkPool(own_address="", hello=hello, secret=settings.secret, handler=self)
+        self._links.add_addresses(settings.seed_link_addresses())
         self.cache = LeaderCache(fresh_s=settings.fresh_ms / 1000)
-        self.calls = ControlClient(cache=self.cache, call=self._links.call)
+        self.client = ControlClient(cache=self.cache, call=self._links.call)
 
-    def learn_seeds(self, settings):
-        """Link to the seeds of changed settings too."""
-        self._links.learn(settings.seed_links())
+    def add_seeds(self, settings):
+        """Open links to the seeds of reloaded settings; existing links stay open."""
+        self._links.add_addresses(settings.seed_link_addresses())
 
     @property
     def is_ready(self):
-        """Whether requests can be served now."""
-        is_heard = steady() - self._heard_at <= READY_S
-        return is_heard and self.cache.document.version > 0 and not self.stopping.is_set()
+        """Whether the entry can serve requests."""
+        has_leader = steady() - self._leader_notice_at <= READY_AFTER_NOTICE_S
+        return has_leader and self.cache.document.version > 0 and not self.stopping.is_set()
 
     async def run(self, serve):
         """Serve until stopped.
@@ -84,29 +86,29 @@
             tasks.cancel_scope.cancel()
 
     async def stop(self):
-        """Tell that no more requests are wanted, and end when those at hand are answered."""
+        """Report the entry as not ready; close the servers once new connections have stopped."""
         self.stopping.set()
-        await sleep(DRAIN_S)
+        await sleep(UNREADY_SERVING_S)
         self.closing.set()
 
     async def answer(self, session, body):
-        """Answer a call of a store."""
+        """Handle a call of a store."""
         if isinstance(body, AdviceAsk):
-            return await answer_advice(self._advice, body)
-        raise BadRequestError(f"{type(body).__name__}: no such call")
+            return await handle_advice_call(self._advice, body)
+        raise BadRequestError(f"{type(body).__name__}: not a call of an entry")
 
     def receive(self, session, body):
-        """Take a notice of a store."""
+        """Handle a notice of a store."""
         if not isinstance(body, ControlNotice):
             return
         now = steady()
-        before = self.cache.leader(now)
-        self._links.learn(body.members)
-        if self.cache.take(body, sender=session.peer.name, now=now):
+        previous = self.cache.leader(now)
+        self._links.add_addresses(body.members)
+        if self.cache.apply_notice(body, sender=session.peer.name, now=now):
             log.info("configuration", version=self.cache.document.version, source=session.peer.name)
         leader = self.cache.leader(now)
-        if leader != before:
-            log.info("leader", leader=leader, before=before)
-            self.calls.leader_changed()
+        if leader != previous:
+            log.info("leader", leader=leader, before=previous)
+            self.client.handle_leader_change()
         if body.leads:
-            self._heard_at = now
+            self._leader_notice_at = now
--- a/siskintally/node_settings.py
+++ b/siskintally/node_settings.py
@@ -1,6 +1,6 @@
-"""Settings of one process of a control plane that finds the others by seeds (TOML).
+"""Settings of a control plane process, which finds the other processes by seeds (TOML).
 
->>> from siskintally.node_settings import parse_node
+>>> from siskintally.node_settings import parse_node_settings
 >>> text = '''
 ... name = "s1"
 ... ip = "10.0.0.1"
@@ -8,7 +8,7 @@
 ... link_port = 7000
 ... seeds = ["10.0.0.1:80"]
 ... '''
->>> parse_node(text).link
+>>> parse_node_settings(text).link_address
 '10.0.0.1:7000'
 """
 
@@ -18,8 +18,8 @@
 from siskintally.errors import BadSettingsError
 
 MAX_PORT = 65535
-# Key: (type, default, least, greatest); no default means that the key is required.
 _REQUIRED = object()
+# Key: (type, default or _REQUIRED, minimum, maximum).
 _KEYS = {
     "name": (str, _REQUIRED, None, None),
     "ip": (str, _REQUIRED, None, None),
@@ -48,9 +48,9 @@
 class NodeSettings:
     """Settings of one process.
 
-    ``seeds``: control addresses of some stores. ``founding``: whether the whole cell starts for
-    the first time. ``callers``, ``ready``, ``control``: addresses to listen on, empty for none.
-    ``tolerated``: stores that may be lost at once.
+    ``seeds``: addresses of some stores. ``founding``: whether this is the first start of the cell,
+    which bootstraps the group. ``callers``, ``ready``, ``control``: addresses to listen on, empty
+    for none. ``tolerated``: stores that may be lost at the same time.
     """
 
     __slots__ = tuple(_KEYS)
@@ -60,53 +60,53 @@
             setattr(self, name, values[name])
 
     @property
-    def link(self):
-        """Address for links of other processes."""
+    def link_address(self):
+        """Address on which the process accepts links."""
         return f"{self.ip}:{self.link_port}"
 
     @property
-    def metrics(self):
-        """Address for scrapers of metrics, empty for none."""
+    def metrics_address(self):
+        """Address on which the process serves metrics, empty for none."""
         return f"{self.ip}:{self.metrics_port}" if self.metrics_port else ""
 
-    def seed_links(self):
-        """Return the link addresses of the seeds; the ports of all processes are the same."""
+    def seed_link_addresses(self):
+        """Return the link addresses of the seeds; all processes use the same link port."""
         return [f"{seed.rpartition(':')[0]}:{self.link_port}" for seed in self.seeds]
 
 
-def load_node(path):
+def load_node_settings(path):
     """Read and check a settings file.
 
     :raises BadSettingsError: the file is missing or a value is out of range.
     """
     try:
-        return parse_node(Path(path).read_text(encoding="utf-8"))
+        return parse_node_settings(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise BadSettingsError(f"--settings = {str(path)!r}: {error.strerror}") from error
 
 
-def parse_node(text):
-    """Check settings given as TOML text.
+def parse_node_settings(text):
+    """Parse and check settings given as TOML text.
 
-    :raises BadSettingsError: names the key, the value, and what is allowed.
+    :raises BadSettingsError: names the key, the value, and the allowed values.
     """
     try:
         document = loads(text)
     except TOMLDecodeError as error:
-        raise BadSettingsError(f"settings are not TOML: {error}") from error
+        raise BadSettingsError(f"settings are not valid TOML: {error}") from error
     for key in document:
         if key not in _KEYS:
             raise BadSettingsError(f"{key}: unknown key, expected one of {', '.join(_KEYS)}")
-    return NodeSettings(**{key: _value(document, key) for key in _KEYS})
+    return NodeSettings(**{key: _checked_value(document, key) for key in _KEYS})
 
 
-def _value(document, key):
-    kind, default, least, greatest = _KEYS[key]
+def _checked_value(document, key):
+    kind, default, minimum, maximum = _KEYS[key]
     value = document.get(key, default)
     if value is _REQUIRED:
         raise BadSettingsError(f"{key}: missing")
     if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
         raise BadSettingsError(f"{key} = {value!r}: expected a value of type {kind}")
-    if least is not None and not least <= value <= greatest:
-        raise BadSettingsError(f"{key} = {value!r}: expected {least} to {greatest}")
+    if minimum is not None and not minimum <= value <= maximum:
+        raise BadSettingsError(f"{key} = {value!r}: expected {minimum} to {maximum}")
     return value
