--- a/siskintally/control_group.py
+++ b/siskintally/control_group.py
@@ -1,7 +1,7 @@
-"""The control group of a store: its timing, its roster, its founding state.
+"""Configuration of a store's control group replica: timing, roster, and bootstrap state.
 
->>> from siskintally.control_group import GROUP
->>> GROUP
+>>> from siskintally.control_group import GROUP_NAME
+>>> GROUP_NAME
 'control'
 """
 
@@ -9,30 +9,35 @@
 
 from siskintally.flow_timing import FlowTiming
 from siskintally.group import Group
-from siskintally.journal import found
+from siskintally.journal import bootstrap_replica
 from siskintally.log import get_logger
 from siskintally.messages import Identity
 from siskintally.roster import OpenRoster
 from siskintally.timing import Timing
 
-GROUP = "control"
-FOUNDING = "founding"
-FIRST_ELECTION_SHARE = 0.35
-# Above the share for which a leader acts after a confirmed round, in case it is alive after all.
-ENDED_LEADER_SHARE = 0.6
-# Longer than a round of votes between regions, 16 ms and the sync of a vote.
-STAGGER_S = 0.1
-# With the start of the process itself, longer than a leader may act without its quorum.
-QUIET_START_S = 0.25
-# A voter that has gone makes room for its successor; a shorter silence may be a restart.
-SILENT_VOTER_S = 2.0
-BEAT_S = 0.2
+GROUP_NAME = "control"
+BOOTSTRAP_INCARNATION = "founding"
+# Election timeout factor of a replica that has heard no leader since its start, or of a candidate
+# that lost its election. In both cases there is no live leader to protect.
+FIRST_TIMEOUT_FACTOR = 0.35
+# Election timeout factor when the leader's process has exited. Greater than CONFIRMED_LEADER_SHARE,
+# the share for which a confirmed leader may act, in case the leader is alive after all.
+EXITED_LEADER_TIMEOUT_FACTOR = 0.6
+# Delay between the candidacies of two voters. Longer than a vote round between regions (16 ms) plus
+# the disk sync of a vote, so that candidates rarely split the votes.
+VOTER_STAGGER_S = 0.1
+# Time after its start in which a replica grants no votes. Together with the start of the process it
+# is longer than a leader may act without its quorum.
+STARTUP_VOTE_BLOCK_S = 0.25
+# Silence after which a voter may be removed for its replacement; a shorter one may be a restart.
+VOTER_REMOVAL_S = 2.0
+HEARTBEAT_INTERVAL_S = 0.2
 
 log = get_logger("control-group")
 
 
 def flow_timing(settings):
-    """Return the :class:`FlowTiming` that keeps the bounds of the platform."""
+    """Return the :class:`FlowTiming` that meets the platform's limits in the settings."""
     return FlowTiming.derive(
         lease_max_s=settings.lease_max_ms / 1000,
         thaw_s=settings.thaw_ms / 1000,
@@ -41,52 +46,58 @@
     )
 
 
-def make_group(settings, *, machine, contacts, send):
-    """Return the :class:`Group` of a store.
+def create_group(settings, *, state_machine, contacts, send):
+    """Return the control :class:`Group` replica of a store.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
-    :param machine: :class:`~siskintally.state_machine.StateMachine`.
-    :param contacts: function that yields the link addresses of other stores.
+    :param state_machine: :class:`~siskintally.state_machine.StateMachine`.
+    :param contacts: function that yields the link addresses of known stores.
     :param send: ``send(address, body) -> bool``; must not block.
     """
     election_min_s = flow_timing(settings).election_min_s
     return Group(
-        name=GROUP,
-        process=settings.link,
-        founding_members=(),
+        name=GROUP_NAME,
+        process=settings.link_address,
+        bootstrap_members=(),
         roster=OpenRoster(
-            contacts=contacts, tolerated=settings.tolerated, silence_s=SILENT_VOTER_S
+            contacts=contacts, tolerated=settings.tolerated, silence_s=VOTER_REMOVAL_S
         ),
-        folder=_folder(settings),
-        machine=machine,
+        folder=_journal_folder(settings),
+        state_machine=state_machine,
         send=send,
         timing=Timing(
-            busy_beat_s=BEAT_S,
-            idle_beat_s=BEAT_S,
+            busy_heartbeat_s=HEARTBEAT_INTERVAL_S,
+            idle_heartbeat_s=HEARTBEAT_INTERVAL_S,
             election_min_s=election_min_s,
             election_max_s=election_min_s * 1.6,
-            first_election_share=FIRST_ELECTION_SHARE,
-            ended_leader_share=ENDED_LEADER_SHARE,
-            retry_election_share=FIRST_ELECTION_SHARE,
-            stagger_s=STAGGER_S,
-            election_spread_s=STAGGER_S / 2,
-            quiet_start_s=QUIET_START_S,
+            first_timeout_factor=FIRST_TIMEOUT_FACTOR,
+            exited_leader_timeout_factor=EXITED_LEADER_TIMEOUT_FACTOR,
+            retry_timeout_factor=FIRST_TIMEOUT_FACTOR,
+            stagger_s=VOTER_STAGGER_S,
+            election_spread_s=VOTER_STAGGER_S / 2,
+            startup_vote_block_s=STARTUP_VOTE_BLOCK_S,
         ),
-        stable_s=float("inf"),
+        transfer_delay_s=float("inf"),
         sync_in_thread=True,
     )
 
 
 def bootstrap_group(settings):
-    """Write the founding state, once; all founding stores write the same."""
-    folder, voters = _folder(settings), settings.seed_links()
-    if not settings.founding or settings.link not in voters or folder.exists():
+    """Write the bootstrap state at the first start of a seed; all seeds write the same state."""
+    folder, voters = _journal_folder(settings), settings.seed_link_addresses()
+    if not settings.founding or settings.link_address not in voters or folder.exists():
         return
     folder.parent.mkdir(parents=True, exist_ok=True)
-    identities = tuple(Identity(name, FOUNDING) for name in sorted(voters))
-    found(folder, group=GROUP, name=settings.link, voters=identities, incarnation=FOUNDING)
-    log.info("group founded", voters=sorted(voters))
+    identities = tuple(Identity(name, BOOTSTRAP_INCARNATION) for name in sorted(voters))
+    bootstrap_replica(
+        folder,
+        group=GROUP_NAME,
+        name=settings.link_address,
+        voters=identities,
+        incarnation=BOOTSTRAP_INCARNATION,
+    )
+    log.info("group bootstrapped", voters=sorted(voters))
 
 
-def _folder(settings):
+def _journal_folder(settings):
     return Path(settings.data) / "group-control"
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -198,7 +198,7 @@
 
     async def confirm(self):
         """Wait until the state contains all commands committed before the call."""
-        await self._group.confirm()
+        await self._group.confirm_leadership()
 
     async def handle_report(self, manager, report, asked_at):
         """Apply a status report; commit its ends before they are acknowledged to the worker."""
@@ -247,7 +247,7 @@
 
     def handle_lease_expired(self, worker):
         """Process the expired lease of a worker."""
-        self._counters.workers_lapsed.inc()
+        self._counters.leases_expired.inc()
         log.warning("worker lapsed", worker=worker.id, held=len(worker.task_by_id))
         self.scheduler.expire_lease(worker)
         self.request_pass()
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -1,7 +1,7 @@
-"""Store process of a control plane: a replica of the control group, and its leader's work.
+"""Store process of a control plane: control group replica, and the leader while it leads.
 
->>> from siskintally.control_node import NOTICE_S
->>> NOTICE_S < 1.0
+>>> from siskintally.control_node import NOTICE_INTERVAL_S
+>>> NOTICE_INTERVAL_S < 1.0
 True
 """
 
@@ -9,10 +9,10 @@
 
 from anyio import Event, create_task_group, move_on_after, sleep
 
-from siskintally.advice_clients import LocalAdviceClient, RemoteAdviceClient, answer_advice
+from siskintally.advice_clients import LocalAdviceClient, RemoteAdviceClient, handle_advice_call
 from siskintally.clock import now as steady
 from siskintally.control_client import ControlClient
-from siskintally.control_group import bootstrap_group, flow_timing, make_group
+from siskintally.control_group import bootstrap_group, create_group, flow_timing
 from siskintally.control_leader import ControlLeader
 from siskintally.control_pb2 import AdviceAsk, ControlNotice
 from siskintally.control_service import ControlService
@@ -26,29 +26,30 @@
 )
 from siskintally.leader_cache import LeaderCache
 from siskintally.link import LinkServer
-from siskintally.link_pool import CELL, LinkPool
+from siskintally.link_pool import CELL_NAME, LinkPool
 from siskintally.liveness import LinkTiming
 from siskintally.log import get_logger
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello, JoinRequest
 
-NOTICE_S = 0.3
+NOTICE_INTERVAL_S = 0.3
 DISK_RETRY_S = 0.5
-# Longest time for the requests in progress when a store ends.
-LAST_REQUESTS_S = 1.0
-ACCEPTED_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, silence_s=1.5)
+# Longest time to finish the HTTP requests in progress at shutdown.
+HTTP_GRACEFUL_S = 1.0
+ACCEPTED_LINK_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, silence_s=1.5)
 
 log = get_logger("control-node")
 
 
 class ControlNode(Handler):
-    """One store.
+    """One store process.
 
-    ``last_requests_s``: longest time for the requests in progress at the end, s.
+    ``graceful_s``: longest time to finish the requests in progress at shutdown, s. ``closing``:
+    event that ends the HTTP servers.
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param driver: :class:`~siskintally.driver.WorkerDriver`.
-    :param advice: :class:`~siskintally.driver.Advice`.
+    :param advice: :class:`~siskintally.driver.AdviceService`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
@@ -57,21 +58,21 @@
         "_counters",
         "_driver",
         "_group",
+        "_http_finished",
+        "_leader",
         "_links",
-        "_notice_now",
-        "_served",
+        "_notice_event",
+        "_sent_version_by_session",
         "_server",
         "_service",
         "_settings",
-        "_stop_asked",
+        "_stop_requested",
         "_stopping",
         "_tasks",
-        "_told_by_session",
-        "_works",
         "cache",
-        "calls",
+        "client",
         "closing",
-        "last_requests_s",
+        "graceful_s",
         "state",
     )
 
@@ -82,47 +83,54 @@
         self._counters = counters
         self._service = None
         self._stopping = False
-        self._stop_asked = Event()
+        self._stop_requested = Event()
         self.closing = Event()
-        self.last_requests_s = LAST_REQUESTS_S
-        self._served = Event()
-        self._works = None
+        self.graceful_s = HTTP_GRACEFUL_S
+        self._http_finished = Event()
+        self._leader = None
         self._tasks = None
-        self._notice_now = Event()
-        self._told_by_session = {}
-        own = settings.link
-        hello = Hello(name=own, cell=CELL, incarnation=uuid4().hex)
+        self._notice_event = Event()
+        self._sent_version_by_session = {}
+        own_address = settings.link_address
+        hello = Hello(name=own_address, cell=CELL_NAME, incarnation=uuid4().hex)
         self._server = LinkServer(
-            hello=hello, secret=settings.secret, handler=self, timing=ACCEPTED_TIMING
+            hello=hello, secret=settings.secret, handler=self, timing=ACCEPTED_LINK_TIMING
         )
         self._links = LinkPool(
-            own=own, hello=hello, secret=settings.secret, handler=self, ended=self._store_ended
+            own_address=own_address,
+            hello=hello,
+            secret=settings.secret,
+            handler=self,
+            on_process_exit=self._handle_process_exit,
         )
-        self._links.learn(settings.seed_links())
+        self._links.add_addresses(settings.seed_link_addresses())
         self.cache = LeaderCache(fresh_s=settings.fresh_ms / 1000)
-        self.calls = ControlClient(cache=self.cache, call=self._call)
+        self.client = ControlClient(cache=self.cache, call=self._call)
         self.state = ControlState()
-        self._group = make_group(
-            settings, machine=self.state, contacts=self._links.addresses, send=self._links.send
+        self._group = create_group(
+            settings,
+            state_machine=self.state,
+            contacts=self._links.addresses,
+            send=self._links.send,
         )
 
-    def _store_ended(self, address):
-        """Note that the process at the address of a store has ended."""
-        self._group.peer_ended(address)
+    def _handle_process_exit(self, address):
+        """Report the exit of the store process at an address to the group."""
+        self._group.record_peer_exit(address)
 
     @property
     def document(self):
-        """Newest configuration that is known to be committed."""
+        """Newest configuration that this replica knows to be committed."""
         return self.state.document
 
     @property
     def leads(self):
-        """Whether this store leads and answers calls."""
-        return self._service is not None and not self._works.is_over
+        """Whether this store leads and handles calls."""
+        return self._service is not None and not self._leader.is_over
 
     @property
     def voters(self):
-        """Link addresses of the voters in force."""
+        """Link addresses of the current voters."""
         return {member.identity.name for member in self._group.members if member.voter}
 
     async def run(self, serve):
@@ -133,24 +141,24 @@
         bootstrap_group(self._settings)
         async with create_task_group() as tasks:
             self._tasks = tasks
-            tasks.start_soon(self._serve)
+            tasks.start_soon(self._serve_links)
             tasks.start_soon(self._links.run)
-            tasks.start_soon(self._keep_group)
-            tasks.start_soon(self._notify)
-            tasks.start_soon(self._lead)
-            tasks.start_soon(self._answer_http, serve)
-            await self._stop_asked.wait()
-            await self._end()
-            # The server must not be cancelled while it finishes its last requests.
-            await self._served.wait()
+            tasks.start_soon(self._run_replica)
+            tasks.start_soon(self._send_notices)
+            tasks.start_soon(self._follow_leadership)
+            tasks.start_soon(self._serve_http, serve)
+            await self._stop_requested.wait()
+            await self._shut_down()
+            # The HTTP server must not be cancelled while it finishes its last requests.
+            await self._http_finished.wait()
             tasks.cancel_scope.cancel()
 
-    async def _answer_http(self, serve):
+    async def _serve_http(self, serve):
         await serve()
-        self._served.set()
+        self._http_finished.set()
 
-    async def _keep_group(self):
-        """Run the replica, and open it again after its disk has failed."""
+    async def _run_replica(self):
+        """Run the replica; reopen it after a disk failure."""
         while True:
             try:
                 await self._group.run()
@@ -159,43 +167,43 @@
                 log.error("disk failed", error=str(error))
             await sleep(DISK_RETRY_S)
 
-    async def _serve(self):
-        log.info("serving", link=self._settings.link)
+    async def _serve_links(self):
+        log.info("serving", link=self._settings.link_address)
         await self._server.serve(host=self._settings.ip, port=self._settings.link_port)
 
     async def stop(self):
-        """Hand leadership over and stop."""
+        """Transfer leadership to another store and stop."""
         self._stopping = True
-        self._stop_asked.set()
+        self._stop_requested.set()
 
-    def learn_seeds(self, settings):
-        """Link to the seeds of changed settings too."""
-        self._links.learn(settings.seed_links())
+    def add_seeds(self, settings):
+        """Open links to the seeds of reloaded settings; existing links stay open."""
+        self._links.add_addresses(settings.seed_link_addresses())
 
-    async def _end(self):
+    async def _shut_down(self):
         self.closing.set()
-        if self._works is not None:
-            self._works.cancel()
+        if self._leader is not None:
+            self._leader.cancel()
         with move_on_after(self._settings.grace_s * 0.6):
             await self._group.stop()
 
-    async def _lead(self):
-        """Run a control leader in each term in which this store leads."""
-        stream = self._group.watch()
+    async def _follow_leadership(self):
+        """Run a control leader in each term in which this replica is the leader."""
+        leadership_changes = self._group.watch()
         term = None
-        async for leadership in stream:
+        async for leadership in leadership_changes:
             if leadership.is_leader and leadership.term == term:
                 continue
-            if self._works is not None:
-                self._works.cancel()
-                self._works = self._service = None
+            if self._leader is not None:
+                self._leader.cancel()
+                self._leader = self._service = None
             term = leadership.term if leadership.is_leader else None
             log.info("leadership", term=leadership.term, leader=leadership.leader)
             if leadership.is_leader and not self._stopping:
-                self._begin_term()
-            self._notice_now.set()
+                self._start_leader()
+            self._notice_event.set()
 
-    def _begin_term(self):
+    def _start_leader(self):
         leader = ControlLeader(
             group=self._group,
             state=self.state,
@@ -204,31 +212,31 @@
             timing=flow_timing(self._settings),
             counters=self._counters,
         )
-        self._service = ControlService(leader=leader, published=self._publish)
-        self._works = leader
-        self._tasks.start_soon(self._work, leader)
+        self._service = ControlService(leader=leader, on_new_document=self._request_notices)
+        self._leader = leader
+        self._tasks.start_soon(self._run_leader, leader)
 
-    async def _work(self, leader):
-        """Run a control leader; a leader that ended its own term must not begin it a second time.
+    async def _run_leader(self, leader):
+        """Run a control leader until its term ends; a leader must not start the same term twice.
 
-        :raises StoppedError: a quorum still follows this store, which does nothing any more.
+        :raises StoppedError: the leader ended its own term, but a quorum still follows this store.
         """
         await leader.run()
         await sleep(self._settings.fresh_ms / 1000)
-        if self._works is not leader or self._stopping:
+        if self._leader is not leader or self._stopping:
             return
         try:
-            # Waits while the disk hangs; the others have another leader then.
-            await self._group.confirm()
+            # Blocks while the disk hangs; the other stores elect another leader meanwhile.
+            await self._group.confirm_leadership()
         except SiskintallyError as error:
-            log.info("term was over", term=leader.term, reason=str(error))
+            log.info("term already over", term=leader.term, reason=str(error))
             return
-        if self._works is leader and not self._stopping:
-            raise StoppedError("the term was ended, and a quorum still follows: restart")
+        if self._leader is leader and not self._stopping:
+            raise StoppedError("the leader ended its term and a quorum still follows: restart")
 
-    def _publish(self):
-        """Tell the others of a new configuration at once."""
-        self._notice_now.set()
+    def _request_notices(self):
+        """Send notices now instead of at the next interval."""
+        self._notice_event.set()
 
     def _advice_clients(self):
         yield LocalAdviceClient(name=self._settings.name, advice=self._advice)
@@ -236,28 +244,34 @@
             if not session.closed:
                 yield RemoteAdviceClient(name=session.peer.name, session=session)
 
-    async def _notify(self):
-        """Tell all linked processes who leads, and the leader its configuration."""
+    async def _send_notices(self):
+        """Send notices to all linked processes at intervals and after each change.
+
+        A notice names the leader and the members. Those of the leader carry the configuration when
+        it is new to the receiver.
+        """
         while True:
             sessions = list(self._server.session_by_id.values())
             leads = self.leads
             if leads:
-                own = self._settings.link
-                notice = ControlNotice(leads=True, leader=own, term=self._group.term)
-                self._take_notice(notice, own)
+                own_address = self._settings.link_address
+                notice = ControlNotice(leads=True, leader=own_address, term=self._group.term)
+                self._apply_notice(notice, own_address)
             members = [member.identity.name for member in self._group.members]
-            self._links.learn(members)
+            self._links.add_addresses(members)
             for session in sessions:
-                self._tell(session, leads, members)
-            alive = {id(session) for session in sessions}
-            self._told_by_session = {
-                key: version for key, version in self._told_by_session.items() if key in alive
+                self._send_notice(session, leads, members)
+            open_session_ids = {id(session) for session in sessions}
+            self._sent_version_by_session = {
+                key: version
+                for key, version in self._sent_version_by_session.items()
+                if key in open_session_ids
             }
-            self._notice_now = Event()
-            with move_on_after(NOTICE_S):
-                await self._notice_now.wait()
+            self._notice_event = Event()
+            with move_on_after(NOTICE_INTERVAL_S):
+                await self._notice_event.wait()
 
-    def _tell(self, session, leads, members):
+    def _send_notice(self, session, leads, members):
         version = self.state.document.version
         notice = ControlNotice(
             leader=self._group.leader,
@@ -266,47 +280,47 @@
             leads=leads,
             term=self._group.term,
         )
-        if leads and self._told_by_session.get(id(session)) != version:
+        if leads and self._sent_version_by_session.get(id(session)) != version:
             notice.document.CopyFrom(self.state.document)
-            self._told_by_session[id(session)] = version
+            self._sent_version_by_session[id(session)] = version
         session.send(notice)
 
     async def answer(self, session, body):
-        """Answer a call of another process."""
+        """Handle a call of a linked process."""
         if isinstance(body, JoinRequest):
-            return await self._group.join_request(body)
+            return await self._group.handle_join_request(body)
         if isinstance(body, AdviceAsk):
-            return await answer_advice(self._advice, body)
-        if not ControlService.takes(body):
-            raise BadRequestError(f"{type(body).__name__}: no such call")
-        return await self._answer_flow(body)
+            return await handle_advice_call(self._advice, body)
+        if not ControlService.handles(body):
+            raise BadRequestError(f"{type(body).__name__}: not a call of a store")
+        return await self._handle_leader_call(body)
 
-    async def _answer_flow(self, body):
+    async def _handle_leader_call(self, body):
         service = self._service
         if not self.leads or self._stopping:
             leader = self._group.leader
-            leader = leader if leader != self._settings.link else ""
-            raise NotLeaderError(f"{self._settings.name} does not lead", leader=leader)
-        return await service.answer(body)
+            leader = leader if leader != self._settings.link_address else ""
+            raise NotLeaderError(f"{self._settings.name} is not the leader", leader=leader)
+        return await service.handle(body)
 
     def receive(self, session, body):
-        """Take a message of another process."""
+        """Handle a message of a linked process that expects no reply."""
         if isinstance(body, ControlNotice):
-            self._links.learn(body.members)
-            self._take_notice(body, session.peer.name)
+            self._links.add_addresses(body.members)
+            self._apply_notice(body, session.peer.name)
         else:
             self._group.receive(body)
 
-    def _take_notice(self, notice, sender):
+    def _apply_notice(self, notice, sender):
         now = steady()
-        before = self.cache.leader(now)
-        self.cache.take(notice, sender=sender, now=now)
-        if self.cache.leader(now) != before:
-            self.calls.leader_changed()
+        previous = self.cache.leader(now)
+        self.cache.apply_notice(notice, sender=sender, now=now)
+        if self.cache.leader(now) != previous:
+            self.client.handle_leader_change()
 
     async def _call(self, address, body, *, timeout):
-        if address != self._settings.link:
+        if address != self._settings.link_address:
             return await self._links.call(address, body, timeout=timeout)
         with move_on_after(timeout):
-            return await self._answer_flow(body)
-        raise OutcomeUnknownError(f"{type(body).__name__}: no answer in {timeout:.1f} s")
+            return await self._handle_leader_call(body)
+        raise OutcomeUnknownError(f"{type(body).__name__}: no reply within {timeout:.1f} s")
--- a/siskintally/domain_checks.py
+++ b/siskintally/domain_checks.py
@@ -1,4 +1,4 @@
-"""Limits of the commands of a domain group; a command beyond them changes nothing.
+"""Range checks of the commands of a domain group; a command out of range has no effect.
 
 >>> from siskintally.domain_checks import check_sync
 >>> from siskintally.wire_pb2 import SyncReply
@@ -11,9 +11,9 @@
 
 MAX_NAME_LENGTH = 200
 MAX_TASKS = 100_000
-# Largest amount of a resource; larger ones are no amounts.
+# Largest valid amount of a resource.
 MAX_AMOUNT = 1 << 40
-# Year 5138; a larger time stamp is no time.
+# Largest valid Unix time, in the year 5138, and largest valid duration.
 MAX_TIME_S = 1e11
 
 
@@ -22,14 +22,14 @@
         raise BadRequestError(f"name {text[:40]!r}: expected 1 to {MAX_NAME_LENGTH} characters")
 
 
-def _check_amounts(resources):
+def _check_resources(resources):
     for amount in Size.of(resources).key():
         if not 0 <= amount <= MAX_AMOUNT:
             raise BadRequestError(f"amount {amount}: expected 0 to {MAX_AMOUNT}")
 
 
 def _check_spec(spec):
-    _check_amounts(spec.each)
+    _check_resources(spec.each)
     if spec.kind not in JobSpec.Kind.values() or spec.class_ not in JobSpec.Class.values():
         raise BadRequestError(f"kind = {spec.kind}, class = {spec.class_}: unknown")
     for seconds in (spec.run_s, spec.deadline_s):
@@ -61,4 +61,4 @@
     for record in change.joined:
         _check_name(record.name)
         _check_name(record.session)
-        _check_amounts(record.capacity)
+        _check_resources(record.capacity)
--- a/siskintally/election.py
+++ b/siskintally/election.py
@@ -1,4 +1,4 @@
-"""Elections: pre-vote, vote, and the changes of role.
+"""Leader election of a replica: pre-votes, votes and role changes.
 
 >>> from siskintally.election import Role
 >>> Role.LEADER.name
@@ -7,12 +7,12 @@
 
 from enum import IntEnum
 
-from siskintally.membership import quorum
+from siskintally.membership import quorum_size
 from siskintally.messages import (
     Entry,
+    EntryKind,
     Envelope,
     HardState,
-    Kind,
     Leadership,
     VoteReply,
     VoteRequest,
@@ -23,7 +23,7 @@
 
 
 class Role(IntEnum):
-    """What a replica does at present."""
+    """Raft role of a replica."""
 
     FOLLOWER = 0
     PRE_CANDIDATE = 1
@@ -31,52 +31,60 @@
     LEADER = 3
 
 
-class Elections:
-    """The part of a replica that votes and asks for votes."""
+class ElectionMixin:
+    """Mixin of :class:`~siskintally.replica.Replica` with the election rules."""
 
     __slots__ = ()
 
     @property
     def voters(self):
-        """Identities of the voters in force."""
+        """Identities of the voters in the current configuration."""
         return voters_of(self.log.members)
 
-    def _hears_leader(self, now):
-        if self.role == Role.LEADER or now < self.quiet_until:
+    def _must_ignore_candidates(self, now):
+        """Return whether to ignore candidates: a leader is alive, or may be after a restart."""
+        if self.role == Role.LEADER or now < self.votes_blocked_until:
             return True
-        return self.leader is not None and now - self.heard < self._least_silence_s()
+        return (
+            self.leader is not None and now - self.leader_contact_at < self._min_leader_timeout_s()
+        )
 
-    def _least_silence_s(self):
-        """Return the silence of a leader after which another one may be elected."""
-        share = self.timing.ended_leader_share if self.leader_ended else 1.0
-        return self.timing.election_min_s * share
+    def _min_leader_timeout_s(self):
+        """Return the time without contact after which a leader may be replaced, in seconds."""
+        factor = self.timing.exited_leader_timeout_factor if self.leader_process_exited else 1.0
+        return self.timing.election_min_s * factor
 
-    def note_ended(self, name, now):
-        """Note that the process of a leader has ended, and look for another one early.
+    def record_process_exit(self, name, now):
+        """Shorten the election timeout if the process that exited is that of the leader.
 
         :param name: name of the process.
         """
         is_leader = self.leader is not None and self.leader.name == name
         if self.role != Role.FOLLOWER or not is_leader:
             return
-        self.leader_ended = True
-        earliest = max(now, self.heard + self._least_silence_s()) + self._stagger_s()
-        self.deadline = min(self.deadline, earliest)
+        self.leader_process_exited = True
+        earliest_at = (
+            max(now, self.leader_contact_at + self._min_leader_timeout_s())
+            + self._stagger_delay_s()
+        )
+        self.deadline = min(self.deadline, earliest_at)
 
     def _restart_election_timer(self, now):
-        self.deadline = now + self._timeout() * self._timeout_share() + self._stagger_s()
+        self.deadline = (
+            now + self._election_timeout() * self._timeout_factor() + self._stagger_delay_s()
+        )
 
-    def _timeout_share(self):
-        if self.heard == NEVER:
-            return self.timing.first_election_share
+    def _timeout_factor(self):
+        if self.leader_contact_at == NEVER:
+            return self.timing.first_timeout_factor
         if self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE):
-            return self.timing.retry_election_share
+            return self.timing.retry_timeout_factor
         return 1.0
 
-    def _stagger_s(self):
-        """Return the time by which this voter lets those before it go first."""
-        before = sum(voter < self.identity for voter in self.voters)
-        return before * self.timing.stagger_s
+    def _stagger_delay_s(self):
+        """Return the election delay of this voter: the earlier its name, the sooner it starts."""
+        preceding = sum(voter < self.identity for voter in self.voters)
+        return preceding * self.timing.stagger_s
 
     def _set_term(self, term, vote, effects):
         self.term = term
@@ -85,29 +93,29 @@
 
     def _set_leader(self, leader, effects):
         self.leader = leader
-        self.leader_ended = False
+        self.leader_process_exited = False
         effects.leadership = Leadership(
             term=self.term,
             leader=leader.name if leader else "",
             is_leader=self.role == Role.LEADER,
         )
 
-    def _follow(self, term, leader, now, effects):
+    def _become_follower(self, term, leader, now, effects):
         if term > self.term:
             self._set_term(term, None, effects)
-        changed = (self.role, self.leader) != (Role.FOLLOWER, leader) or effects.hard_state
-        has_led = self.role == Role.LEADER
+        is_changed = (self.role, self.leader) != (Role.FOLLOWER, leader) or effects.hard_state
+        was_leader = self.role == Role.LEADER
         self.role = Role.FOLLOWER
-        if leader is not None or has_led:
+        if leader is not None or was_leader:
             self._restart_election_timer(now)
         self.votes = frozenset()
         self.progress_by_id = {}
-        self.transfer_to = None
+        self.transfer_target = None
         self.transfer_sent = False
-        if changed:
+        if is_changed:
             self._set_leader(leader, effects)
 
-    def _ask_votes(self, role, now, effects, *, transfer=False):
+    def _request_votes(self, role, now, effects, *, transfer=False):
         self.role = role
         self.votes = frozenset((self.identity,))
         self._set_leader(None, effects)
@@ -127,41 +135,41 @@
         self._count_votes(now, effects)
 
     def _start_pre_vote(self, now, effects):
-        self._ask_votes(Role.PRE_CANDIDATE, now, effects)
+        self._request_votes(Role.PRE_CANDIDATE, now, effects)
 
     def _start_election(self, now, effects, *, transfer=False):
         self._set_term(self.term + 1, self.identity, effects)
-        self._ask_votes(Role.CANDIDATE, now, effects, transfer=transfer)
+        self._request_votes(Role.CANDIDATE, now, effects, transfer=transfer)
 
     def _count_votes(self, now, effects):
         voters = self.voters
-        if len(self.votes & set(voters)) < quorum(len(voters)):
+        if len(self.votes & set(voters)) < quorum_size(len(voters)):
             return
         if self.role == Role.PRE_CANDIDATE:
             self._start_election(now, effects)
         elif self.role == Role.CANDIDATE:
-            self._lead(now, effects)
+            self._become_leader(now, effects)
 
-    def _lead(self, now, effects):
+    def _become_leader(self, now, effects):
         self.role = Role.LEADER
         self.votes = frozenset()
-        self.round = 0
-        self.confirmed = 0
+        self.read_round = 0
+        self.confirmed_round = 0
         self._set_leader(self.identity, effects)
         self.progress_by_id = {}
-        self._track_members(now)
-        self._append(Entry(self.log.last_index + 1, self.term, Kind.NOOP), effects)
+        self._update_tracked_peers(now)
+        self._append(Entry(self.log.last_index + 1, self.term, EntryKind.NOOP), effects)
         self._send_all(now, effects)
 
     def _on_vote_request(self, request, now, effects):
         if request.pre_vote:
             self._on_pre_vote_request(request, now, effects)
             return
-        if self._hears_leader(now) and not request.transfer and request.term > self.term:
-            # A replica that was cut off must not unseat a leader that the others still hear.
+        if self._must_ignore_candidates(now) and not request.transfer and request.term > self.term:
+            # A replica back from a partition must not depose a leader that is still alive.
             return
         if request.term > self.term:
-            self._follow(request.term, None, now, effects)
+            self._become_follower(request.term, None, now, effects)
         granted = (
             request.term == self.term
             and self.vote in (None, request.sender)
@@ -175,7 +183,7 @@
     def _on_pre_vote_request(self, request, now, effects):
         granted = (
             request.term > self.term
-            and not self._hears_leader(now)
+            and not self._must_ignore_candidates(now)
             and self._is_up_to_date(request)
         )
         self._reply_vote(request, granted, effects)
@@ -190,17 +198,17 @@
         effects.messages.append(Envelope(to=request.sender, message=reply))
 
     def _is_up_to_date(self, request):
-        ours = (self.log.last_term, self.log.last_index)
-        return (request.last_term, request.last_index) >= ours
+        own_position = (self.log.last_term, self.log.last_index)
+        return (request.last_term, request.last_index) >= own_position
 
     def _on_vote_reply(self, reply, now, effects):
         if not reply.granted:
             if reply.term > self.term:
-                self._follow(reply.term, None, now, effects)
+                self._become_follower(reply.term, None, now, effects)
             return
-        asked = self.term + 1 if reply.pre_vote else self.term
+        requested_term = self.term + 1 if reply.pre_vote else self.term
         role = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
-        if reply.term == asked and self.role == role:
+        if reply.term == requested_term and self.role == role:
             self.votes |= {reply.sender}
             self._count_votes(now, effects)
 
--- a/siskintally/encoding.py
+++ b/siskintally/encoding.py
@@ -1,10 +1,10 @@
-"""Conversion between the value types of the consensus core and wire messages.
+"""Conversion between Raft messages and entries and their protobuf wire messages.
 
->>> from siskintally.encoding import decode, encode
+>>> from siskintally.encoding import decode_message, encode_message
 >>> from siskintally.messages import Identity, VoteReply
 >>> reply = VoteReply(term=3, sender=Identity("s1", "a"), granted=True, pre_vote=False)
->>> body = encode(reply, group="cell")
->>> body.group, decode(body) == reply
+>>> body = encode_message(reply, group="cell")
+>>> body.group, decode_message(body) == reply
 ('cell', True)
 """
 
@@ -12,8 +12,8 @@
     AppendReply,
     AppendRequest,
     Entry,
+    EntryKind,
     Identity,
-    Kind,
     Member,
     SnapshotChunk,
     SnapshotReply,
@@ -31,7 +31,7 @@
 from siskintally.wire_pb2 import VoteReply as VoteReplyBody
 from siskintally.wire_pb2 import VoteRequest as VoteRequestBody
 
-_KINDS = tuple(Kind)
+_KINDS = tuple(EntryKind)
 _BODY_BY_TYPE = {
     VoteRequest: VoteRequestBody,
     VoteReply: VoteReplyBody,
@@ -42,11 +42,11 @@
     TransferLeadership: TransferLeadershipBody,
 }
 _TYPE_BY_BODY = {body: type_ for type_, body in _BODY_BY_TYPE.items()}
-CONSENSUS_BODIES = tuple(_TYPE_BY_BODY)
+CONSENSUS_BODY_TYPES = tuple(_TYPE_BY_BODY)
 
 
 def encode_members(members):
-    """Return members as wire messages."""
+    """Return a member set as wire messages."""
     return [
         MemberBody(
             name=member.identity.name,
@@ -58,14 +58,14 @@
 
 
 def decode_members(bodies):
-    """Return members from wire messages."""
+    """Return the member set in wire messages."""
     return tuple(
         Member(identity=Identity(body.name, body.incarnation), voter=body.voter) for body in bodies
     )
 
 
 def encode_entry(entry):
-    """Return an entry as a wire message."""
+    """Return a log entry as a wire message."""
     body = EntryBody(index=entry.index, term=entry.term, kind=entry.kind, command=entry.command)
     if entry.members:
         body.members.extend(encode_members(entry.members))
@@ -73,9 +73,9 @@
 
 
 def decode_entry(body):
-    """Return an entry from a wire message.
+    """Return the log entry in a wire message.
 
-    :raises ValueError: its kind is not known.
+    :raises ValueError: the entry has an unknown kind.
     """
     if not 0 <= body.kind < len(_KINDS):
         raise ValueError(f"entry {body.index}: unknown kind {body.kind}")
@@ -83,8 +83,8 @@
     return Entry(body.index, body.term, _KINDS[body.kind], body.command, members)
 
 
-def encode(message, *, group):
-    """Return a message of the core as a frame body.
+def encode_message(message, *, group):
+    """Return a Raft message as a frame body.
 
     :param group: name of the group.
     """
@@ -101,8 +101,8 @@
     return _BODY_BY_TYPE[type(message)](group=group, **fields)
 
 
-def decode(body):
-    """Return a message of the core from a frame body.
+def decode_message(body):
+    """Return the Raft message in a frame body.
 
     :raises ValueError: an entry has an unknown kind.
     """
--- a/siskintally/handover.py
+++ b/siskintally/handover.py
@@ -1,8 +1,8 @@
-"""End of a replica: finish the accepted calls, then transfer leadership.
+"""Graceful stop of a replica: finishes accepted calls, then transfers leadership.
 
 >>> from siskintally.handover import Handover
 >>> handover = Handover()
->>> handover.is_asked, handover.due
+>>> handover.is_requested, handover.deadline
 (False, inf)
 """
 
@@ -12,39 +12,39 @@
 
 
 class Handover:
-    """Progress of a stop; pure.
+    """State of a graceful stop; does no I/O.
 
-    ``due``: time at which the replica ends in any case, infinite while no stop is asked for.
+    ``deadline``: time at which the replica stops in any case, infinite unless a stop was requested.
     """
 
-    __slots__ = ("_is_begun", "due")
+    __slots__ = ("_has_started_transfer", "deadline")
 
     def __init__(self):
-        self.due = inf
-        self._is_begun = False
+        self.deadline = inf
+        self._has_started_transfer = False
 
     @property
-    def is_asked(self):
-        """Whether a stop is asked for; no more calls are accepted."""
-        return self.due != inf
+    def is_requested(self):
+        """Whether a stop was requested; no more calls are accepted then."""
+        return self.deadline != inf
 
-    def ask(self, now):
-        """Begin to stop."""
-        self.due = now + STOP_TIMEOUT_S
+    def request(self, now):
+        """Request a stop."""
+        self.deadline = now + STOP_TIMEOUT_S
 
     def advance(self, replica, now, effects, *, is_idle):
-        """Transfer leadership once.
+        """Start the leadership transfer once all accepted calls have ended.
 
         :param is_idle: whether all accepted calls have ended.
         """
-        if self.is_asked and not self._is_begun and replica.is_leader and is_idle:
-            self._is_begun = True
-            effects.extend(replica.transfer(now))
+        if self.is_requested and not self._has_started_transfer and replica.is_leader and is_idle:
+            self._has_started_transfer = True
+            effects.extend(replica.transfer_leadership(now))
 
-    def is_over(self, replica, now):
-        """Whether a stop is asked for and leadership is handed over, or cannot be."""
-        if not self.is_asked:
+    def is_finished(self, replica, now):
+        """Return whether to stop now: leadership is transferred or cannot be, or time is up."""
+        if not self.is_requested:
             return False
-        if now >= self.due or not replica.is_leader:
+        if now >= self.deadline or not replica.is_leader:
             return True
-        return self._is_begun and replica.transfer_to is None
+        return self._has_started_transfer and replica.transfer_target is None
--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -1,10 +1,10 @@
-"""HTTP/1.1 client with a few open connections to one address, on h11 and an anyio stream.
+"""HTTP/1.1 client with a connection pool for one address, based on h11 and anyio streams.
 
-A call costs a quarter of the processor time of one over httpx, which a leader that makes hundreds
-of calls a second needs.
+A call takes a quarter of the processor time of a call with httpx. This matters for a leader, which
+makes hundreds of calls a second.
 
 >>> from siskintally.http_pool import HttpPool
->>> HttpPool(host="127.0.0.1", port=80).idle
+>>> HttpPool(host="127.0.0.1", port=80).idle_count
 0
 """
 
@@ -35,9 +35,15 @@
 from siskintally.errors import ConnectionLostError, OutcomeUnknownError, UnreachableError
 
 READ_BYTES = 65536
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 8
-LOST = (OSError, BrokenResourceError, ClosedResourceError, EndOfStream, RemoteProtocolError)
+CONNECTION_ERRORS = (
+    OSError,
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    RemoteProtocolError,
+)
 
 
 class HttpReply:
@@ -52,55 +58,55 @@
 
 
 class _Connection:
-    __slots__ = ("protocol", "stream", "uses")
+    __slots__ = ("protocol", "request_count", "stream")
 
     def __init__(self, *, stream):
         self.stream = stream
         self.protocol = Protocol(CLIENT)
-        self.uses = 0
+        self.request_count = 0
 
 
 class HttpPool:
-    """Connections to one address; each carries one request at a time.
+    """Pool of connections to one address; each carries one request at a time.
 
     :param host: IP address.
     """
 
-    __slots__ = ("_host", "_idle", "_port", "opened")
+    __slots__ = ("_host", "_idle", "_port", "opened_count")
 
     def __init__(self, *, host, port):
         self._host = host
         self._port = port
         self._idle = []
-        self.opened = 0
+        self.opened_count = 0
 
     @property
-    def idle(self):
-        """Number of connections that carry no request."""
+    def idle_count(self):
+        """Number of idle connections."""
         return len(self._idle)
 
     async def request(self, method, path, *, headers=(), body=b"", timeout):
         """Send a request and return the :class:`HttpReply`.
 
         :param headers: pairs of strings.
-        :param timeout: seconds for everything.
-        :raises UnreachableError: provably not sent.
-        :raises ConnectionLostError: sent in part or as a whole, and the connection ended.
-        :raises OutcomeUnknownError: sent in part or as a whole, and no complete answer came.
+        :param timeout: seconds, including the time to connect.
+        :raises UnreachableError: the request was certainly not sent.
+        :raises ConnectionLostError: the connection was lost after (part of) the request was sent.
+        :raises OutcomeUnknownError: the timeout expired after (part of) the request was sent.
         """
         sent = False
         connection = None
         try:
             with fail_after(timeout):
-                connection = await self._take()
-                data = self._encode(connection, method, path, headers, body)
+                connection = await self._acquire()
+                data = self._encode_request(connection, method, path, headers, body)
                 sent = True
                 await connection.stream.send(data)
-                reply = await _receive(connection)
-        except (TimeoutError, *LOST) as error:
+                reply = await _receive_reply(connection)
+        except (TimeoutError, *CONNECTION_ERRORS) as error:
             await self._close(connection)
-            # What broke or silenced this connection may have done so to the idle ones, and each
-            # would cost another timeout.
+            # The same fault may affect the idle connections, and each of them would cost another
+            # timeout.
             await self.close()
             reason = f"{self._host}:{self._port}: {type(error).__name__} {error}"
             if not sent:
@@ -111,19 +117,19 @@
         except BaseException:
             await self._close(connection)
             raise
-        await self._give_back(connection)
+        await self._release(connection)
         return reply
 
-    async def _take(self):
+    async def _acquire(self):
         while self._idle:
             connection = self._idle.pop()
             if not _is_stale(connection):
                 return connection
             await self._close(connection)
-        self.opened += 1
+        self.opened_count += 1
         return _Connection(stream=await connect_tcp(self._host, self._port))
 
-    def _encode(self, connection, method, path, headers, body):
+    def _encode_request(self, connection, method, path, headers, body):
         all_headers = [
             ("host", f"{self._host}:{self._port}"),
             ("content-length", str(len(body))),
@@ -135,22 +141,22 @@
             data += protocol.send(Data(data=body))
         return data + protocol.send(EndOfMessage())
 
-    async def _give_back(self, connection):
+    async def _release(self, connection):
         try:
             connection.protocol.start_next_cycle()
         except LocalProtocolError:
-            # The other side asked to close the connection.
+            # The peer asked to close the connection.
             await self._close(connection)
             return
         if len(self._idle) >= MAX_IDLE_CONNECTIONS:
             await self._close(connection)
             return
-        connection.uses += 1
+        connection.request_count += 1
         self._idle.append(connection)
 
     async def _close(self, connection):
         if connection is not None:
-            # Without a shutdown handshake, which would wait for a silent peer.
+            # Skip the shutdown handshake, which would wait for an unresponsive peer.
             await aclose_forcefully(connection.stream)
 
     async def close(self):
@@ -161,13 +167,13 @@
 
 
 def _is_stale(connection):
-    """Tell whether the other side has closed an idle connection or sent something unasked."""
-    readable = poll()
-    readable.register(connection.stream.extra(SocketAttribute.raw_socket).fileno(), POLLIN)
-    return bool(readable.poll(0))
+    """Return whether the peer has closed an idle connection or sent unsolicited data."""
+    poller = poll()
+    poller.register(connection.stream.extra(SocketAttribute.raw_socket).fileno(), POLLIN)
+    return bool(poller.poll(0))
 
 
-async def _receive(connection):
+async def _receive_reply(connection):
     protocol = connection.protocol
     status, headers, chunks, size = 0, (), [], 0
     while True:
@@ -178,8 +184,8 @@
             status, headers = event.status_code, event.headers
         elif isinstance(event, Data):
             size += len(event.data)
-            if size > MAX_ANSWER_BYTES:
-                raise RemoteProtocolError("answer too large")
+            if size > MAX_RESPONSE_BYTES:
+                raise RemoteProtocolError("response too large")
             chunks.append(bytes(event.data))
         elif isinstance(event, EndOfMessage):
             return HttpReply(status=status, headers=headers, body=b"".join(chunks))
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -1,4 +1,4 @@
-"""Data folder of a replica: identity, log and snapshot.
+"""Data folder of a replica: files with its identity, its log and its latest snapshot.
 
 >>> from pathlib import Path
 >>> from tempfile import TemporaryDirectory
@@ -6,7 +6,7 @@
 >>> with TemporaryDirectory() as folder:
 ...     journal = Journal.open(Path(folder) / "cell", group="cell", name="s1")
 ...     journal.close()
->>> journal.identity.name, journal.stable.term
+>>> journal.identity.name, journal.persistent_state.term
 ('s1', 0)
 """
 
@@ -31,38 +31,41 @@
     StoredSnapshot,
 )
 from siskintally.messages import Identity, Snapshot
-from siskintally.persistent_state import PersistentState, founding_state
+from siskintally.persistent_state import PersistentState, bootstrap_state
 from siskintally.raftlog import EMPTY_SNAPSHOT
 from siskintally.records import (
     TEMPORARY_SUFFIX,
-    append_to,
-    pack,
+    append_and_sync,
+    pack_record,
     replace_file,
     sync_folder,
-    unpack,
-    unpack_one,
+    unpack_records,
+    unpack_single_record,
 )
 
 IDENTITY_FILE = "identity"
 LOG_FILE = "log"
 SNAPSHOT_PREFIX = "snapshot-"
 DAMAGED_SUFFIX = ".damaged-"
-INCARNATION_LENGTH = 16
+INCARNATION_CHARS = 16
 
 
 class Journal:
-    """What one replica keeps on disk.
+    """Open data folder of one replica; holds a file lock until it is closed.
+
+    ``log_bytes``: size of the log file.
 
     :param folder: data folder of the replica.
-    :param stable: its content at opening.
+    :param persistent_state: persistent state read when the folder was opened.
+    :param lock: open file that holds the lock.
     """
 
-    __slots__ = ("_group", "_lock", "_log", "folder", "identity", "log_bytes", "stable")
+    __slots__ = ("_group", "_lock", "_log", "folder", "identity", "log_bytes", "persistent_state")
 
-    def __init__(self, *, folder, group, identity, stable, lock):
+    def __init__(self, *, folder, group, identity, persistent_state, lock):
         self.folder = folder
         self.identity = identity
-        self.stable = stable
+        self.persistent_state = persistent_state
         self.log_bytes = 0
         self._group = group
         self._lock = lock
@@ -70,66 +73,71 @@
 
     @classmethod
     def open(cls, folder, *, group, name, incarnation=None):
-        """Read a folder; a missing or empty one gets a new incarnation.
-
-        :param incarnation: what an empty folder gets in place of a random incarnation.
+        """Open and read a data folder; a missing or empty one gets a new incarnation.
 
-        The log is written anew, since after a failed sync its pages may be in memory only.
+        The log file is rewritten, since after a failed sync its pages may be in memory only.
 
-        :raises DamagedDataError: the folder failed its checks; see :func:`set_aside`.
-        :raises BadSettingsError: the folder belongs to another replica, and is left as it is.
+        :param incarnation: incarnation for an empty folder; random by default.
+        :raises DamagedDataError: the data is damaged or incomplete; see :func:`set_aside`.
+        :raises BadSettingsError: the folder belongs to another replica and is left unchanged.
         :raises StoppedError: another process has the folder open.
         """
         folder = Path(folder)
-        _create(folder, group, name, incarnation)
-        lock = _lock(folder / IDENTITY_FILE)
+        _initialize_folder(folder, group, name, incarnation)
+        lock = _lock_folder(folder / IDENTITY_FILE)
         try:
             identity = _read_identity(folder, group, name)
-            stable = _read_log(folder, group, identity)
-            journal = cls(folder=folder, group=group, identity=identity, stable=stable, lock=lock)
-            journal._replace_log(stable)
-            _remove_others(folder, stable.snapshot.index)
+            persistent_state = _read_log(folder, group, identity)
+            journal = cls(
+                folder=folder,
+                group=group,
+                identity=identity,
+                persistent_state=persistent_state,
+                lock=lock,
+            )
+            journal._replace_log(persistent_state)
+            _remove_other_snapshots(folder, persistent_state.snapshot.index)
         except BaseException:
             lock.close()
             raise
         return journal
 
-    def write(self, effects, stable):
-        """Sync the changes that a transition made; blocks.
+    def write(self, effects, persistent_state):
+        """Write the hard state, entries or snapshot of a transition and sync them; blocks.
 
-        :param effects: with hard state, entries or snapshot.
-        :param stable: function that returns the :class:`PersistentState` after the transition; it
-            is called only if there is a snapshot.
-        :raises OSError: the disk failed; the journal must be opened again.
+        :param effects: :class:`~siskintally.effects.Effects` of the transition.
+        :param persistent_state: function that returns the :class:`PersistentState` after the
+            transition; it is called only if there is a snapshot.
+        :raises OSError: a write or sync failed; the journal must be opened again.
         """
         if effects.snapshot is not None:
-            self._write_snapshot(stable())
+            self._write_snapshot(persistent_state())
             return
         records = []
         if effects.hard_state is not None:
             record = LogRecord(hard_state=_encode_hard_state(effects.hard_state))
-            records.append(pack(record.SerializeToString()))
+            records.append(pack_record(record.SerializeToString()))
         for entry in effects.entries:
-            records.append(pack(LogRecord(entry=encode_entry(entry)).SerializeToString()))
+            records.append(pack_record(LogRecord(entry=encode_entry(entry)).SerializeToString()))
         data = b"".join(records)
-        append_to(self._log, data)
+        append_and_sync(self._log, data)
         self.log_bytes += len(data)
 
     def close(self):
-        """Close the files."""
+        """Close the files and release the lock."""
         if self._log is not None:
             self._log.close()
         self._lock.close()
 
-    def _write_snapshot(self, stable):
-        path = self.folder / f"{SNAPSHOT_PREFIX}{stable.snapshot.index}"
-        replace_file(path, _encode_snapshot(stable.snapshot))
-        self._replace_log(stable)
-        _remove_others(self.folder, stable.snapshot.index)
+    def _write_snapshot(self, persistent_state):
+        path = self.folder / f"{SNAPSHOT_PREFIX}{persistent_state.snapshot.index}"
+        replace_file(path, _encode_snapshot(persistent_state.snapshot))
+        self._replace_log(persistent_state)
+        _remove_other_snapshots(self.folder, persistent_state.snapshot.index)
 
-    def _replace_log(self, stable):
-        """Start a new log with all that is not in the snapshot."""
-        data = _encode_head(stable, self._group, self.identity)
+    def _replace_log(self, persistent_state):
+        """Replace the log file with one that starts with the given state."""
+        data = _encode_head(persistent_state, self._group, self.identity)
         path = self.folder / LOG_FILE
         if self._log is not None:
             self._log.close()
@@ -138,30 +146,32 @@
         self.log_bytes = len(data)
 
 
-def found(folder, *, group, name, voters=(), incarnation=None):
-    """Write the founding state of a group into an empty folder.
+def bootstrap_replica(folder, *, group, name, voters=(), incarnation=None):
+    """Bootstrap a group: write its initial state into an empty data folder.
 
-    The founder is the only voter; the other stores join it with their own incarnations.
+    By default this replica is the only voter, and the other stores join it with incarnations of
+    their own.
 
-    :param voters: identities, if the group has other founding voters whose folders get the same.
+    :param voters: identities of the first voters, if there are several; the data folder of each
+        must be bootstrapped with the same ones.
     :param incarnation: incarnation of this replica, random by default.
-    :raises BadRequestError: the folder already holds a replica that is not empty.
+    :raises BadRequestError: the folder already holds the state of a replica.
     """
     journal = Journal.open(folder, group=group, name=name, incarnation=incarnation)
     try:
-        if journal.stable != PersistentState():
-            raise BadRequestError(f"{folder}: the group {group!r} is already founded here")
-        stable = founding_state(voters or (journal.identity,))
-        journal._write_snapshot(stable)
+        if journal.persistent_state != PersistentState():
+            raise BadRequestError(f"{folder}: the group {group!r} is already bootstrapped here")
+        persistent_state = bootstrap_state(voters or (journal.identity,))
+        journal._write_snapshot(persistent_state)
     finally:
         journal.close()
     return journal.identity
 
 
 def set_aside(folder):
-    """Rename a damaged folder, so that the replica joins with a new incarnation.
+    """Rename a damaged data folder, so that the replica rejoins with a new incarnation.
 
-    :returns: the new path, which is kept for inspection.
+    :returns: the new path; the folder is kept for inspection.
     """
     folder = Path(folder)
     number = 1
@@ -172,11 +182,11 @@
     return target
 
 
-def _create(folder, group, name, incarnation):
-    """Give an empty folder an incarnation.
+def _initialize_folder(folder, group, name, incarnation):
+    """Initialize an empty data folder with an identity and an empty log.
 
-    The identity is written last, and a folder that lacks one of the two files is damaged: a lost
-    log must not make a replica vote again in a term in which it has voted.
+    The identity is written last, and a folder that lacks one of the two files counts as damaged:
+    a replica that lost its log must not vote again in a term in which it has voted.
     """
     if not folder.exists():
         folder.mkdir(parents=True)
@@ -185,23 +195,23 @@
         leftover.unlink()
     if any(folder.iterdir()):
         return
-    incarnation = incarnation or uuid4().hex[:INCARNATION_LENGTH]
+    incarnation = incarnation or uuid4().hex[:INCARNATION_CHARS]
     identity = Identity(name=name, incarnation=incarnation)
     replace_file(folder / LOG_FILE, _encode_head(PersistentState(), group, identity))
     stored = StoredIdentity(group=group, name=name, incarnation=incarnation)
-    replace_file(folder / IDENTITY_FILE, pack(stored.SerializeToString()))
+    replace_file(folder / IDENTITY_FILE, pack_record(stored.SerializeToString()))
 
 
-def _lock(path):
+def _lock_folder(path):
     try:
         file = open(path, "rb")  # noqa: SIM115
     except FileNotFoundError as error:
-        raise DamagedDataError(f"{path}: the identity is missing") from error
+        raise DamagedDataError(f"{path}: the identity file is missing") from error
     try:
         flock(file, LOCK_EX | LOCK_NB)
     except BlockingIOError as error:
         file.close()
-        raise StoppedError(f"{path}: another process uses this folder") from error
+        raise StoppedError(f"{path}: another process has this data folder open") from error
     return file
 
 
@@ -209,12 +219,12 @@
     try:
         return type_.FromString(payload)
     except DecodeError as error:
-        raise DamagedDataError(f"{name}: a record has an unknown format") from error
+        raise DamagedDataError(f"{name}: a record cannot be parsed") from error
 
 
 def _read_identity(folder, group, name):
     data = (folder / IDENTITY_FILE).read_bytes()
-    stored = _parse(StoredIdentity, unpack_one(data, name=IDENTITY_FILE), IDENTITY_FILE)
+    stored = _parse(StoredIdentity, unpack_single_record(data, name=IDENTITY_FILE), IDENTITY_FILE)
     if (stored.group, stored.name) != (group, name):
         raise BadSettingsError(
             f"{folder}: belongs to {stored.name!r} of group {stored.group!r}, not to {name!r}"
@@ -225,12 +235,12 @@
 def _read_log(folder, group, identity):
     path = folder / LOG_FILE
     if not path.exists():
-        raise DamagedDataError(f"{path}: the log is missing")
-    payloads = unpack(path.read_bytes(), name=LOG_FILE)
+        raise DamagedDataError(f"{path}: the log file is missing")
+    payloads = unpack_records(path.read_bytes(), name=LOG_FILE)
     first = next(payloads, None)
     record = _parse(LogRecord, first, LOG_FILE) if first is not None else LogRecord()
     if record.WhichOneof("body") != "head":
-        raise DamagedDataError(f"{path}: the head is missing")
+        raise DamagedDataError(f"{path}: the log does not begin with a head record")
     head = record.head
     if (head.group, head.name, head.incarnation) != (group, *identity):
         raise DamagedDataError(f"{path}: belongs to another replica")
@@ -241,16 +251,16 @@
     hard_state = head.hard_state
     entries = []
     for body in head.entries:
-        _place(entries, body, head.base_index)
+        _insert_entry(entries, body, head.base_index)
     for payload in payloads:
         record = _parse(LogRecord, payload, LOG_FILE)
-        kind = record.WhichOneof("body")
-        if kind == "hard_state":
+        record_type = record.WhichOneof("body")
+        if record_type == "hard_state":
             hard_state = record.hard_state
-        elif kind == "entry":
-            _place(entries, record.entry, head.base_index)
+        elif record_type == "entry":
+            _insert_entry(entries, record.entry, head.base_index)
         else:
-            raise DamagedDataError(f"{LOG_FILE}: unexpected record {kind}")
+            raise DamagedDataError(f"{LOG_FILE}: unexpected record of type {record_type}")
     if head.base_index + len(entries) < snapshot.index:
         raise DamagedDataError(f"{LOG_FILE}: entries before the snapshot are missing")
     vote = Identity(hard_state.vote_name, hard_state.vote_incarnation)
@@ -264,10 +274,10 @@
     )
 
 
-def _place(entries, body, base_index):
+def _insert_entry(entries, body, base_index):
     position = body.index - base_index - 1
     if not 0 <= position <= len(entries):
-        raise DamagedDataError(f"{LOG_FILE}: entry {body.index} does not follow the one before")
+        raise DamagedDataError(f"{LOG_FILE}: entry {body.index} is out of sequence")
     del entries[position:]
     try:
         entries.append(decode_entry(body))
@@ -280,15 +290,17 @@
         return EMPTY_SNAPSHOT
     path = folder / f"{SNAPSHOT_PREFIX}{index}"
     if not path.exists():
-        raise DamagedDataError(f"{path}: the snapshot is missing")
-    stored = _parse(StoredSnapshot, unpack_one(path.read_bytes(), name=path.name), path.name)
+        raise DamagedDataError(f"{path}: the snapshot file is missing")
+    stored = _parse(
+        StoredSnapshot, unpack_single_record(path.read_bytes(), name=path.name), path.name
+    )
     if stored.index != index:
-        raise DamagedDataError(f"{path}: holds the snapshot {stored.index}")
+        raise DamagedDataError(f"{path}: contains a snapshot at index {stored.index}")
     members = decode_members(stored.members)
     return Snapshot(index=index, term=stored.term, members=members, data=stored.data)
 
 
-def _remove_others(folder, index):
+def _remove_other_snapshots(folder, index):
     for path in folder.glob(f"{SNAPSHOT_PREFIX}*"):
         if path.name != f"{SNAPSHOT_PREFIX}{index}":
             path.unlink()
@@ -308,18 +320,18 @@
         members=encode_members(snapshot.members),
         data=snapshot.data,
     )
-    return pack(stored.SerializeToString())
+    return pack_record(stored.SerializeToString())
 
 
-def _encode_head(stable, group, identity):
+def _encode_head(persistent_state, group, identity):
     head = LogHead(
         group=group,
         name=identity.name,
         incarnation=identity.incarnation,
-        snapshot_index=stable.snapshot.index,
-        base_index=stable.base_index,
-        base_term=stable.base_term,
-        hard_state=_encode_hard_state(stable),
-        entries=[encode_entry(entry) for entry in stable.entries],
+        snapshot_index=persistent_state.snapshot.index,
+        base_index=persistent_state.base_index,
+        base_term=persistent_state.base_term,
+        hard_state=_encode_hard_state(persistent_state),
+        entries=[encode_entry(entry) for entry in persistent_state.entries],
     )
-    return pack(LogRecord(head=head).SerializeToString())
+    return pack_record(LogRecord(head=head).SerializeToString())
--- a/siskintally/leader_cache.py
+++ b/siskintally/leader_cache.py
@@ -1,9 +1,9 @@
-"""What a process knows of the leader of the control group and of its configuration; pure.
+"""Cached state of the control group: its leader and the configuration; pure logic.
 
 >>> from siskintally.control_pb2 import ControlNotice
 >>> from siskintally.leader_cache import LeaderCache
 >>> cache = LeaderCache(fresh_s=1.5)
->>> cache.take(ControlNotice(leads=True), sender="10.0.0.1:7000", now=5.0)
+>>> cache.apply_notice(ControlNotice(leads=True), sender="10.0.0.1:7000", now=5.0)
 False
 >>> cache.leader(5.5), cache.leader(9.0)
 ('10.0.0.1:7000', '')
@@ -15,19 +15,19 @@
 
 
 class LeaderCache:
-    """Notices of stores.
+    """Caches the leader and the configuration from the notices of stores.
 
-    ``document``: newest configuration that a leader has told.
+    ``document``: newest configuration that a notice has carried.
 
-    :param fresh_s: time after which a notice says nothing any more.
+    :param fresh_s: age up to which a notice is valid, s.
     """
 
     __slots__ = (
         "_fresh_s",
-        "_heard_at",
-        "_is_disowned",
+        "_is_rejected",
         "_leader",
-        "_named_at",
+        "_leader_notice_at",
+        "_leader_set_at",
         "_term",
         "document",
     )
@@ -35,59 +35,60 @@
     def __init__(self, *, fresh_s):
         self._fresh_s = fresh_s
         self._leader = ""
-        self._heard_at = -inf
-        self._named_at = -inf
-        self._is_disowned = False
+        self._leader_notice_at = -inf
+        self._leader_set_at = -inf
+        self._is_rejected = False
         self._term = 0
         self.document = QueueDocument()
 
-    def take(self, notice, *, sender, now):
-        """Take a notice.
+    def apply_notice(self, notice, *, sender, now):
+        """Apply a notice.
 
         :param sender: link address of the store that sent it.
-        :returns: whether there is a new configuration.
+        :param now: steady time, s.
+        :returns: whether the notice carried a newer configuration.
         """
         if notice.term < self._term:
-            # A former leader that is cut off or whose disk hangs may still claim to lead.
+            # A former leader that is partitioned or whose disk hangs may still claim to lead.
             return False
         if notice.leads or notice.leader:
             self._term = notice.term
         if notice.leads:
             self._leader = sender
-            self._heard_at = self._named_at = now
-            self._is_disowned = False
-        elif notice.leader and (self._is_disowned or now - self._heard_at > self._fresh_s):
+            self._leader_notice_at = self._leader_set_at = now
+            self._is_rejected = False
+        elif notice.leader and (self._is_rejected or now - self._leader_notice_at > self._fresh_s):
             self._leader = notice.leader
-            self._named_at = now
+            self._leader_set_at = now
         if notice.document.version > self.document.version:
             self.document = notice.document
             return True
         return False
 
     def leader(self, now):
-        """Return the link address of the leader, empty if it is not known at present."""
-        return self._leader if now - self._named_at <= self._fresh_s else ""
+        """Return the link address of the current leader, empty if unknown."""
+        return self._leader if now - self._leader_set_at <= self._fresh_s else ""
 
     def is_fresh(self, now):
-        """Tell whether the configuration is as new as the leader's."""
-        is_heard = not self._is_disowned and now - self._heard_at <= self._fresh_s
-        return is_heard and self.document.version > 0
+        """Return whether a recent notice of the leader confirms the cached configuration."""
+        has_leader_notice = not self._is_rejected and now - self._leader_notice_at <= self._fresh_s
+        return has_leader_notice and self.document.version > 0
 
-    def silent_s(self, now):
-        """Return for how long no leader has told anything, in seconds; infinite before the first.
+    def notice_age_s(self, now):
+        """Return the age of the last notice from a leader in seconds, infinite before the first.
 
         :param now: steady time, s.
         """
-        return now - self._heard_at
+        return now - self._leader_notice_at
 
-    def disown(self, leader):
-        """Forget a leader that has said that it does not lead."""
+    def reject_leader(self, leader):
+        """Drop a leader that replied that it does not lead."""
         if self._leader == leader:
-            self._named_at = -inf
-            self._is_disowned = True
+            self._leader_set_at = -inf
+            self._is_rejected = True
 
-    def hint(self, leader, now):
-        """Take the name of a leader from a process that refused a call."""
+    def apply_hint(self, leader, now):
+        """Use the leader that a store named when it refused a call."""
         if leader and leader != self._leader:
             self._leader = leader
-            self._named_at = now
+            self._leader_set_at = now
--- a/siskintally/leader_watchers.py
+++ b/siskintally/leader_watchers.py
@@ -1,4 +1,4 @@
-"""Streams that tell others who leads a group.
+"""Streams that notify subscribers of leadership changes of a group.
 
 >>> from siskintally.messages import Leadership
 >>> from siskintally.leader_watchers import LeaderWatchers
@@ -15,27 +15,27 @@
 
 
 class LeaderWatchers:
-    """Receivers of Leadership messages; a slow one loses the oldest, never the latest."""
+    """Subscribers to leadership changes; a slow one loses the oldest items, never the latest."""
 
-    __slots__ = ("_ends",)
+    __slots__ = ("_streams",)
 
     def __init__(self):
-        self._ends = []
+        self._streams = []
 
     def add(self, leadership):
-        """Return a new receive stream that starts with the present state."""
+        """Return a new receive stream that starts with the given leadership."""
         sender, receiver = create_memory_object_stream(BUFFER_MESSAGES)
         sender.send_nowait(leadership)
-        # The copy is used to drop the oldest message, and to notice that the reader is gone.
-        self._ends.append((sender, receiver.clone()))
+        # The clone serves to drop the oldest item and to detect that the reader closed its stream.
+        self._streams.append((sender, receiver.clone()))
         return receiver
 
     def publish(self, leadership):
-        """Send the new state to all readers that are still there."""
-        for end in list(self._ends):
-            sender, receiver = end
+        """Send the new leadership to all open streams; drop the closed ones."""
+        for stream in list(self._streams):
+            sender, receiver = stream
             if receiver.statistics().open_receive_streams == 1:
-                self._ends.remove(end)
+                self._streams.remove(stream)
                 sender.close()
                 receiver.close()
                 continue
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -1,10 +1,10 @@
-"""Links of one process to all stores that it knows, by address.
+"""Pool of outgoing links from one process to the known stores, by link address.
 
-A store is named by the address of its link port, so that whoever knows a member can reach it.
+The name of a store is the address of its link port, so a process that knows a member can reach it.
 
 >>> from siskintally.link_pool import LinkPool
->>> links = LinkPool(own="10.0.0.1:7000", hello=None, secret="s", handler=None)
->>> links.learn(["10.0.0.1:7000"])
+>>> links = LinkPool(own_address="10.0.0.1:7000", hello=None, secret="s", handler=None)
+>>> links.add_addresses(["10.0.0.1:7000"])
 >>> list(links.addresses())
 []
 """
@@ -18,49 +18,58 @@
 from siskintally.liveness import LinkTiming
 from siskintally.log import get_logger
 
-# A cut has to be noticed, and a healed one used, well within the time in which a process has to
-# be in touch again.
+# Broken links must be detected and reopened well within the time in which a process has to be
+# connected again after a disruption.
 LINK_POOL_TIMING = LinkTiming(
     idle_ping_s=1.0, busy_ping_s=0.6, silence_s=0.9, connect_s=0.4, max_backoff_s=0.3
 )
 MAX_STORES = 64
-# Name of the cell in the greeting of every link.
-CELL = "control"
+# Cell name in the Hello message of every link.
+CELL_NAME = "control"
 
 log = get_logger("link-pool")
 
 
 class LinkPool:
-    """Outgoing links by address; each is opened when the address is learnt.
+    """Outgoing links by address; each is opened when its address is added.
 
-    :param own: address of this process, or an empty text.
-    :param hello: what this process says of itself.
-    :param handler: takes calls and messages of the other side.
-    :param ended: called with the address of a process that has ended, or None.
+    :param own_address: link address of this process, empty if it accepts no links.
+    :param hello: :class:`~siskintally.wire_pb2.Hello` of this process.
+    :param handler: :class:`~siskintally.session.Handler` for calls and messages of peers.
+    :param on_process_exit: function that is called with the address of a store whose process has
+        exited, or None.
     """
 
-    __slots__ = ("_ended", "_handler", "_hello", "_link_by_address", "_own", "_secret", "_tasks")
-
-    def __init__(self, *, own, hello, secret, handler, ended=None):
-        self._own = own
+    __slots__ = (
+        "_handler",
+        "_hello",
+        "_link_by_address",
+        "_on_process_exit",
+        "_own_address",
+        "_secret",
+        "_tasks",
+    )
+
+    def __init__(self, *, own_address, hello, secret, handler, on_process_exit=None):
+        self._own_address = own_address
         self._hello = hello
         self._secret = secret
         self._handler = handler
-        self._ended = ended
+        self._on_process_exit = on_process_exit
         self._link_by_address = {}
         self._tasks = None
 
     def addresses(self):
-        """Yield the addresses that are known, without the own one."""
+        """Yield the known addresses except the own one."""
         yield from self._link_by_address
 
-    def learn(self, addresses):
-        """Open links to addresses that are new."""
+    def add_addresses(self, addresses):
+        """Open links to the addresses that are new."""
         for address in addresses:
-            if address == self._own or address in self._link_by_address:
+            if address == self._own_address or address in self._link_by_address:
                 continue
             if len(self._link_by_address) >= MAX_STORES:
-                log.warning("store not linked: too many are known", address=address)
+                log.warning("store not linked: too many known stores", address=address)
                 return
             host, _, port = address.rpartition(":")
             link = Link(
@@ -70,10 +79,12 @@
                 secret=self._secret,
                 handler=self._handler,
                 timing=LINK_POOL_TIMING,
-                ended=partial(self._ended, address) if self._ended is not None else None,
+                ended=partial(self._on_process_exit, address)
+                if self._on_process_exit is not None
+                else None,
             )
             self._link_by_address[address] = link
-            log.info("store learnt", address=address)
+            log.info("store discovered", address=address)
             if self._tasks is not None:
                 self._tasks.start_soon(link.run)
 
@@ -86,7 +97,7 @@
             await sleep_forever()
 
     def is_open(self, address):
-        """Tell whether there is a session with a store."""
+        """Return whether the link to a store is open."""
         link = self._link_by_address.get(address)
         return link is not None and link.is_open
 
@@ -95,16 +106,16 @@
 
         :returns: whether it was queued.
         """
-        self.learn([address])
+        self.add_addresses([address])
         link = self._link_by_address.get(address)
         return link is not None and link.send(body)
 
     async def call(self, address, body, *, timeout):
         """Call a store; see :meth:`siskintally.session.Session.call`.
 
-        :raises UnreachableError: the address is not known or its link is not open.
+        :raises UnreachableError: the address is unknown or its link is not open.
         """
         link = self._link_by_address.get(address)
         if link is None:
-            raise UnreachableError(f"store {address!r}: not known")
+            raise UnreachableError(f"store {address!r}: unknown address")
         return await link.call(body, timeout=timeout)
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -1,4 +1,4 @@
-"""The platform's interfaces for clients, workers, operators, and metrics.
+"""HTTP interfaces of the platform: clients, workers, operators, readiness, and metrics.
 
 >>> from siskintally.platform.http import STATUS_BY_CODE
 >>> from siskintally.codes import Code
@@ -28,36 +28,37 @@
 }
 UNAVAILABLE = 503
 GONE = 410
-DEADLINE = "siskintally-deadline-ms"
-# The platform resends a heartbeat to another node after a second without an answer.
-HEARTBEAT_S = 0.8
+DEADLINE_HEADER = "siskintally-deadline-ms"
+# Timeout of a heartbeat call. The platform resends a heartbeat to another node after one second
+# without a response.
+HEARTBEAT_TIMEOUT_S = 0.8
 MAX_CONFIG_BYTES = 4 * 1024 * 1024
-METRICS_TYPE = ("content-type", "text/plain; version=0.0.4")
+METRICS_HEADER = ("content-type", "text/plain; version=0.0.4")
 
 log = get_logger("platform-http")
 
 
 class PlatformApp(HttpApp):
-    """Answers errors of the product with the platform's status codes."""
+    """Maps errors of the product to the platform's HTTP status codes."""
 
     __slots__ = ()
 
     def retry_after_s(self):
-        """Return when a request that was refused may come again, in seconds."""
+        """Return after how many seconds a refused request may be retried."""
         return MIN_RETRY_AFTER_S
 
     def error_to_response(self, error):
-        """Return the answer to a request that was refused."""
+        """Return the response to a refused request."""
         status = STATUS_BY_CODE.get(error.code, UNAVAILABLE)
-        is_retried = status in (UNAVAILABLE, 429)
-        headers = [("retry-after", str(self.retry_after_s()))] if is_retried else []
+        may_retry = status in (UNAVAILABLE, 429)
+        headers = [("retry-after", str(self.retry_after_s()))] if may_retry else []
         return json_response(
             status, {"error": str(error)[:200], "code": int(error.code)}, headers=headers
         )
 
 
 class ClientApp(PlatformApp):
-    """Interface for clients: jobs, their states, and counts.
+    """Interface for clients: submits, cancels, reads, and counts jobs.
 
     :param gateway: :class:`~siskintally.flow_gateway.FlowGateway`.
     """
@@ -68,29 +69,29 @@
         self._gateway = gateway
 
     def retry_after_s(self):
-        """Return what the gateway advises."""
+        """Return the delay that the gateway advises."""
         return self._gateway.retry_after_s()
 
     async def handle(self, request):
-        """Answer a request."""
+        """Handle a request."""
         host = request.headers.get("host", "").partition(":")[0].lower()
-        queue = self._gateway.queue(host, request.path)
-        rest = request.path[len(queue.prefix) :]
+        queue = self._gateway.find_queue(host, request.path)
+        job_id = request.path[len(queue.prefix) :]
         deadline_s = _deadline_s(request)
-        if not rest and request.method == "GET":
-            pending = await self._gateway.pending(queue, deadline_s=deadline_s)
+        if not job_id and request.method == "GET":
+            pending = await self._gateway.count_pending(queue, deadline_s=deadline_s)
             return json_response(200, {"pending": pending})
-        if not JOB_ID.fullmatch(rest):
+        if not JOB_ID.fullmatch(job_id):
             return json_response(404, {"error": "no job of that name"})
         if request.method == "POST":
-            flow = read_flow(rest, queue.name, request.body)
+            flow = read_flow(job_id, queue.name, request.body)
             await self._gateway.submit(flow, queue, deadline_s=deadline_s)
             return json_response(200, {})
         if request.method == "DELETE":
-            is_known = await self._gateway.cancel(rest, queue, deadline_s=deadline_s)
+            is_known = await self._gateway.cancel(job_id, queue, deadline_s=deadline_s)
             return json_response(200 if is_known else GONE, {})
         if request.method == "GET":
-            state = await self._gateway.read(rest, queue, deadline_s=deadline_s)
+            state = await self._gateway.read(job_id, queue, deadline_s=deadline_s)
             return (
                 json_response(GONE, {}) if state is None else json_response(200, {"state": state})
             )
@@ -98,15 +99,15 @@
 
 
 def _deadline_s(request):
-    """Return for how long the client waits, None if it does not say."""
-    text = request.headers.get(DEADLINE, "")
+    """Return the seconds for which the client waits, None without the header."""
+    text = request.headers.get(DEADLINE_HEADER, "")
     return int(text) / 1000 if text.isdecimal() else None
 
 
 class ReadyApp(PlatformApp):
-    """Readiness for the platform.
+    """Readiness endpoint.
 
-    :param is_ready: function that tells whether requests are wanted.
+    :param is_ready: function that returns whether the process accepts requests.
     """
 
     __slots__ = ("_is_ready",)
@@ -115,12 +116,12 @@
         self._is_ready = is_ready
 
     async def handle(self, request):
-        """Answer with 200 or 503."""
+        """Return status 200 if ready, otherwise 503."""
         return HttpResponse(status=200 if self._is_ready() else UNAVAILABLE)
 
 
 class MetricsApp(PlatformApp):
-    """Counters and histograms as text.
+    """Metrics endpoint: counters and histograms as text.
 
     :param counters: :class:`~siskintally.counters.Counters`.
     """
@@ -131,66 +132,66 @@
         self._counters = counters
 
     async def handle(self, request):
-        """Answer with all values."""
-        body = self._counters.text().encode()
-        return HttpResponse(status=200, body=body, headers=[METRICS_TYPE])
+        """Return all metrics."""
+        body = self._counters.to_text().encode()
+        return HttpResponse(status=200, body=body, headers=[METRICS_HEADER])
 
 
 class ControlApp(PlatformApp):
     """Interface for workers and operators.
 
-    :param calls: :class:`~siskintally.control_client.ControlClient`.
+    :param client: :class:`~siskintally.control_client.ControlClient`.
     """
 
-    __slots__ = ("_calls",)
+    __slots__ = ("_client",)
     max_body_bytes = MAX_CONFIG_BYTES
 
-    def __init__(self, *, calls):
-        self._calls = calls
+    def __init__(self, *, client):
+        self._client = client
 
     async def handle(self, request):
-        """Answer a request."""
+        """Handle a request."""
         parts = request.path.strip("/").split("/")
         match request.method, parts:
             case "POST", ["instances", worker_id, "heartbeat"]:
                 worker = read_worker(worker_id, request.body)
-                await self._calls.call(WorkerSeen(worker=worker), timeout=HEARTBEAT_S)
+                await self._client.call(WorkerSeen(worker=worker), timeout=HEARTBEAT_TIMEOUT_S)
                 return json_response(200, {})
             case "POST", ["instances", worker_id, "deregister"]:
-                body = WorkerGone(id=worker_id, born_ms=_born(request.body))
-                await self._calls.call(body, timeout=HEARTBEAT_S)
+                body = WorkerGone(id=worker_id, born_ms=_read_incarnation(request.body))
+                await self._client.call(body, timeout=HEARTBEAT_TIMEOUT_S)
                 return json_response(200, {})
             case "POST", ["config", "replace"]:
-                return await self._replace(request)
+                return await self._replace_document(request)
             case "GET", ["config", "get"]:
-                return await self._get()
+                return await self._get_document()
         return json_response(404, {"error": "no such call"})
 
-    async def _replace(self, request):
+    async def _replace_document(self, request):
         document = read_document(request.body)
         check_document(document)
-        await self._calls.call(DocumentPut(document=document))
+        await self._client.call(DocumentPut(document=document))
         return json_response(200, {})
 
-    async def _get(self):
-        reply = await self._calls.call(DocumentRead())
+    async def _get_document(self):
+        reply = await self._client.call(DocumentRead())
         if not reply.document.version:
             return json_response(UNAVAILABLE, {"error": "no configuration yet"})
         headers = [("content-type", "application/json")]
         return HttpResponse(status=200, body=reply.document.original, headers=headers)
 
     def error_to_response(self, error):
-        """Return the answer; an unknown outcome lets the sender try another node."""
+        """Return the response to a refused request; 503 lets the sender try another node."""
         if error.code == Code.OUTCOME_UNKNOWN:
             return json_response(UNAVAILABLE, {"error": str(error)[:200]})
         return super().error_to_response(error)
 
 
-def _born(body):
+def _read_incarnation(body):
     if not body.strip():
         return 0
     try:
         return Fields.parse(body).integer("born", 0)
     except BadRequestError as error:
-        log.info("deregistration without a birth", error=str(error)[:80])
+        log.info("deregistration without an incarnation", error=str(error)[:80])
         return 0
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -1,21 +1,21 @@
-"""Calls to the platform's workers and to its advice service.
+"""HTTP drivers for the platform's workers and its advice service.
 
->>> from siskintally.platform.workers import PlatformWorkers
->>> PlatformWorkers().pools
+>>> from siskintally.platform.workers import PlatformWorkerDriver
+>>> PlatformWorkerDriver().pool_count
 0
 """
 
 from json import dumps
 
 from siskintally.driver import (
-    Advice,
+    AdviceService,
     BusyError,
     EndKind,
-    EndRow,
-    GoneError,
+    IncarnationGoneError,
     OrderReply,
     Refusal,
-    RunRow,
+    RunEnd,
+    RunStatus,
     Ticket,
     WorkerDriver,
     WorkerReport,
@@ -25,12 +25,12 @@
 from siskintally.log import get_logger
 from siskintally.platform.fields import Fields
 
-EXPECTED_INSTANCE = "Siskintally-Expect-Instance"
-JSON = ("Content-Type", "application/json")
-# The worker returns at most this many ends in one response.
+EXPECT_INSTANCE_HEADER = "Siskintally-Expect-Instance"
+JSON_HEADER = ("Content-Type", "application/json")
+# Most ends that a worker returns in one response.
 ENDS_PER_REPORT = 500
 MISDIRECTED = 421
-BUSY = (429, 503)
+BUSY_STATUSES = (429, 503)
 REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD,
@@ -50,8 +50,8 @@
 log = get_logger("platform-workers")
 
 
-class PlatformWorkers(WorkerDriver):
-    """Workers that take their orders by HTTP."""
+class PlatformWorkerDriver(WorkerDriver):
+    """Sends orders and status polls to workers over HTTP."""
 
     __slots__ = ("_pool_by_address",)
 
@@ -59,8 +59,8 @@
         self._pool_by_address = {}
 
     @property
-    def pools(self):
-        """Number of workers with connections."""
+    def pool_count(self):
+        """Number of connection pools, one per worker address."""
         return len(self._pool_by_address)
 
     async def start(self, worker, order, *, timeout):
@@ -76,37 +76,39 @@
             body["checkpointed"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return _order_reply(await self._post(worker, "/run-start", body, timeout))
+        return _read_order_reply(await self._post(worker, "/run-start", body, timeout))
 
     async def stop(self, worker, order, *, timeout):
         """Send a stop order."""
         body = {"task": order.task_id, "run": order.run, "fence": order.fence}
-        return _order_reply(await self._post(worker, "/run-stop", body, timeout))
+        return _read_order_reply(await self._post(worker, "/run-stop", body, timeout))
 
-    async def pace(self, worker, order, *, timeout):
-        """Send a pace order."""
+    async def throttle(self, worker, order, *, timeout):
+        """Send a throttle order."""
         body = {
             "task": order.task_id,
             "run": order.run,
             "percent": order.percent,
             "fence": order.fence,
         }
-        return _order_reply(await self._post(worker, "/pace", body, timeout))
+        return _read_order_reply(await self._post(worker, "/pace", body, timeout))
 
-    async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
-        """Renew the lease and read both lists."""
-        body = {"fence": fence, "ackedUpto": noted}
+    async def poll_status(
+        self, worker, *, fence, lease_until_ms, committed_end_number, wait_ms, timeout
+    ):
+        """Renew the lease; return the runs in progress and the kept ends."""
+        body = {"fence": fence, "ackedUpto": committed_end_number}
         if lease_until_ms is not None:
             body["untilMs"] = lease_until_ms
         if wait_ms:
             body["waitMs"] = wait_ms
         reply = await self._post(worker, "/hold", body, timeout)
-        answer = _order_reply(reply)
-        if answer.refusal != Refusal.NONE:
-            return WorkerReport(clock_ms=answer.clock_ms, refusal=answer.refusal)
+        order_reply = _read_order_reply(reply)
+        if order_reply.refusal != Refusal.NONE:
+            return WorkerReport(clock_ms=order_reply.clock_ms, refusal=order_reply.refusal)
         return read_report(reply.body)
 
-    async def forget(self, worker):
+    async def disconnect(self, worker):
         """Close the connections to a worker."""
         pool = self._pool_by_address.pop(worker.address, None)
         if pool is not None:
@@ -120,26 +122,26 @@
         reply = await pool.request(
             "POST",
             path,
-            headers=(JSON, (EXPECTED_INSTANCE, worker.id)),
+            headers=(JSON_HEADER, (EXPECT_INSTANCE_HEADER, worker.id)),
             body=dumps(body, separators=(",", ":")).encode(),
             timeout=timeout,
         )
         if reply.status == MISDIRECTED:
-            raise GoneError(f"{worker.address}: another instance than {worker.id}")
-        if reply.status in BUSY:
+            raise IncarnationGoneError(f"{worker.address}: another instance than {worker.id}")
+        if reply.status in BUSY_STATUSES:
             raise BusyError(f"{worker.id}: status {reply.status}")
         if reply.status >= 500:
             raise OutcomeUnknownError(f"{worker.id}: status {reply.status}")
         return reply
 
 
-def _order_reply(reply):
+def _read_order_reply(reply):
     try:
         fields = Fields.parse(reply.body)
         clock_ms = fields.integer("clockMs") if fields.has("clockMs") else None
         reason = fields.text("reason", "")
     except BadRequestError as error:
-        log.info("worker answer without content", status=reply.status, error=str(error)[:80])
+        log.info("worker reply not readable", status=reply.status, error=str(error)[:80])
         clock_ms, reason = None, ""
     if reply.status < 300:
         return OrderReply(clock_ms=clock_ms)
@@ -148,16 +150,16 @@
 
 
 def read_report(body):
-    """Read what a worker says of its runs.
+    """Parse the status report of a worker.
 
-    :raises OutcomeUnknownError: the answer cannot be read.
+    :raises OutcomeUnknownError: the report is malformed.
     """
     try:
         fields = Fields.parse(body)
-        ended = [_end(row) for row in fields.rows("ended")]
+        ended = [_read_end(row) for row in fields.array("ended")]
         return WorkerReport(
             clock_ms=fields.integer("clockMs"),
-            running=[_run(row) for row in fields.rows("running")],
+            running=[_read_run(row) for row in fields.array("running")],
             ended=ended,
             is_partial=len(ended) >= ENDS_PER_REPORT,
         )
@@ -165,32 +167,32 @@
         raise OutcomeUnknownError(f"report of a worker: {error}") from error
 
 
-def _run(row):
-    task_id, run, saved, percent, *rest = row
-    return RunRow(
+def _read_run(row):
+    task_id, run, checkpoint, percent, *rest = row
+    return RunStatus(
         task_id=str(task_id),
         run=int(run),
-        checkpoint=saved or "",
+        checkpoint=checkpoint or "",
         percent=percent,
         load=rest[0] if rest else 0,
     )
 
 
-def _end(row):
-    number, task_id, run, how, saved = row[:5]
-    return EndRow(
+def _read_end(row):
+    number, task_id, run, how, checkpoint = row[:5]
+    return RunEnd(
         number=int(number),
         task_id=str(task_id),
         run=int(run),
         kind=KIND_BY_HOW[how],
-        checkpoint=saved or "",
+        checkpoint=checkpoint or "",
     )
 
 
-class PlatformAdvice(Advice):
-    """The platform's service that knows which workers may run a step.
+class PlatformAdviceService(AdviceService):
+    """Client of the platform's service that decides which workers may run a step.
 
-    :param address: host:port.
+    :param address: host:port, empty if there is no such service.
     """
 
     __slots__ = ("_pool",)
@@ -205,12 +207,12 @@
             raise UnreachableError("no advice service in the settings")
         body = dumps({"step": step_id, "workers": list(worker_ids)}).encode()
         reply = await self._pool.request(
-            "POST", "/advise", headers=(JSON,), body=body, timeout=timeout
+            "POST", "/advise", headers=(JSON_HEADER,), body=body, timeout=timeout
         )
         if reply.status >= 300:
             raise BusyError(f"advice: status {reply.status}")
         try:
-            rows = Fields.parse(reply.body).rows("allowed")
+            rows = Fields.parse(reply.body).array("allowed")
             return [Ticket(worker_id=str(worker), text=str(ticket)) for worker, ticket in rows]
         except (BadRequestError, ValueError, TypeError) as error:
             raise OutcomeUnknownError(f"advice: {error}") from error
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -70,9 +70,9 @@
         made = Group(
             name=group.name,
             process=self._process.name,
-            founding_members=group.members,
+            bootstrap_members=group.members,
             folder=folder,
-            machine=machine,
+            state_machine=machine,
             send=self._links.send,
         )
         self.group_by_name[group.name] = made
@@ -84,7 +84,7 @@
         self._audit_file = AuditFile.recover(path=folder / AUDIT_FILE)
         machine = RecordedCell(cell=Cell(), audit_file=self._audit_file)
         self.cell_service = CellService(
-            group=self._make_group(group, machine), machine=machine, settings=self._settings
+            group=self._make_group(group, machine), state_machine=machine, settings=self._settings
         )
 
     def _add_domain(self, group):
@@ -142,4 +142,4 @@
         group = self.group_by_name.get(body.group)
         if group is None:
             raise NotFoundError(f"group {body.group[:100]!r}: not on this store")
-        return await group.join_request(body)
+        return await group.handle_join_request(body)
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -3,9 +3,9 @@
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import State as CellState
 from siskintally.lease import LeaseTable
-from siskintally.ledger import RUNNING, Ledger, _key_print, _tombstone_print
+from siskintally.ledger import RUNNING, Ledger, _key_fingerprint, _tombstone_fingerprint
 from siskintally.ledger_state_pb2 import LedgerState
-from siskintally.membership import quorum
+from siskintally.membership import quorum_size
 from siskintally.replica import Replica
 
 
@@ -15,10 +15,10 @@
     __slots__ = ()
 
     def _advance_commit(self, effects):
-        matches = [progress.match for progress in self.progress_by_id.values()]
-        ranked = sorted([self.durable, *matches], reverse=True)
-        reached = ranked[quorum(len(self.voters)) - 1]
-        if reached > self.commit and self.log.term_at(reached) == self.term:
+        matches = [progress.match_index for progress in self.progress_by_id.values()]
+        ranked = sorted([self.durable_index, *matches], reverse=True)
+        reached = ranked[quorum_size(len(self.voters)) - 1]
+        if reached > self.commit_index and self.log.term_at(reached) == self.term:
             self._commit_to(reached, effects)
 
 
@@ -28,7 +28,7 @@
     __slots__ = ()
 
     def _on_append_reply(self, reply, now, effects):
-        super()._on_append_reply(reply._replace(round=self.round), now, effects)
+        super()._on_append_reply(reply._replace(round=self.read_round), now, effects)
 
 
 class ForgetfulLedger(Ledger):
@@ -50,7 +50,7 @@
 
     __slots__ = ()
 
-    def _holds(self, record, attempt):
+    def _is_granted_to(self, record, attempt):
         return record is not None and record[0] == RUNNING
 
 
@@ -62,7 +62,7 @@
     def release(self, message, now):
         """Give the key back and forget the attempt."""
         done = super().release(message, now)
-        self._drop(_tombstone_print(message.key, message.attempt))
+        self._delete_record(_tombstone_fingerprint(message.key, message.attempt))
         return done
 
 
@@ -75,7 +75,7 @@
         """Treat an unknown outcome like a release."""
         done = super().finish(message, now)
         if message.unknown:
-            self._drop(_key_print(message.key))
+            self._delete_record(_key_fingerprint(message.key))
         return done
 
 
