Say plainly what the link, store and settings modules do

Docstrings and comments spoke of sides that say, take and hold things, and of founding a group where it is bootstrapped. They now name peers, calls, messages, sessions and pings, with units, and the error messages say which call, group or store they mean.

--- a/siskintally/bootstrap.py
+++ b/siskintally/bootstrap.py
@@ -1,4 +1,4 @@
-"""Founding of groups, once in the life of a cell.
+"""Bootstrap of groups: writes the first member's initial data, once in the life of a cell.
 
 >>> from siskintally.bootstrap import AlreadyBootstrappedError
 >>> int(AlreadyBootstrappedError.code)
@@ -19,23 +19,23 @@
 
 
 class AlreadyBootstrappedError(BadRequestError):
-    """The group exists; founding it again would make a second one."""
+    """The group exists already; a second bootstrap would make a second group of that name."""
 
 
 class _Silent(Handler):
-    """Handler of links that only ask."""
+    """Handler for links on which this process only makes calls."""
 
     __slots__ = ()
 
     async def answer(self, session, body):
-        """Refuse; this process serves nothing."""
-        raise NotFoundError("this process only founds a group")
+        """Refuse any call."""
+        raise NotFoundError("this process serves no calls, it only bootstraps a group")
 
 
 def groups_to_bootstrap(settings, name):
-    """Yield the groups whose first member is the store; it is the one that founds them.
+    """Yield the groups whose first member is the store; only that member bootstraps a group.
 
-    The other members join it, so that a cell in which `init` ran everywhere has one founder.
+    The other members join it. So a group is bootstrapped once even if `init` runs on every store.
     """
     for group in settings.groups_of_store(name):
         if group.members[0] == name:
@@ -43,20 +43,21 @@
 
 
 async def bootstrap_group(*, settings, process, group, found):
-    """Found a group in the data folder of a store.
+    """Bootstrap a group in the data folder of a store.
 
-    :param found: :func:`siskintally.journal.found`.
+    :param found: writes the initial files, :func:`siskintally.journal.found`.
     :raises AlreadyBootstrappedError: the folder is not empty, or a reachable peer has a log.
     """
     folder = group_folder(process.data, group.name)
     if folder.exists() and any(folder.iterdir()):
         raise AlreadyBootstrappedError(
-            f"{folder}: not empty, the group {group.name!r} is founded here"
+            f"{folder}: not empty, the group {group.name!r} is already bootstrapped here"
         )
     peer = await find_bootstrapped_peer(settings=settings, process=process, group=group)
     if peer is not None:
         raise AlreadyBootstrappedError(
-            f"group {group.name!r}: store {peer} already has its log; start this store to join"
+            f"group {group.name!r}: already bootstrapped, store {peer} has its log; "
+            f"start this store to join it"
         )
     folder.parent.mkdir(parents=True, exist_ok=True)
     found(folder, group=group.name, name=process.name)
--- a/siskintally/clock.py
+++ b/siskintally/clock.py
@@ -1,4 +1,4 @@
-"""Steady clock of a VM that also counts the time for which the VM was suspended.
+"""Monotonic clock that also counts the time for which the VM was suspended.
 
 >>> from siskintally.clock import now
 >>> first = now()
@@ -12,6 +12,7 @@
 def now():
     """Return seconds since the VM was started.
 
-    A lease that rested on CLOCK_MONOTONIC would seem to be in force after a suspension.
+    CLOCK_MONOTONIC stops while a VM is suspended, so a lease timed with it would still seem to be
+    valid afterwards.
     """
     return clock_gettime(CLOCK_BOOTTIME)
--- a/siskintally/codes.py
+++ b/siskintally/codes.py
@@ -1,4 +1,4 @@
-"""Numbered result codes.
+"""Result codes: numbers for the outcome of requests, calls, and commands.
 
 >>> from siskintally.codes import Code, not_run
 >>> Code.OVERLOADED.value, not_run(Code.OVERLOADED)
@@ -9,7 +9,7 @@
 
 
 class Code(IntEnum):
-    """Result codes; ``docs/result-codes.md`` has the meaning and the evidence of each."""
+    """Result codes; ``docs/result-codes.md`` gives the meaning and the evidence of each."""
 
     DONE = 1000
     REPLAYED = 1001
@@ -39,7 +39,7 @@
 
 
 def not_run(code):
-    """Tell whether a code states that the request was not run.
+    """Return whether a code guarantees that the request was not run.
 
     :param code: a :class:`Code` or its number.
     """
--- a/siskintally/daemon.py
+++ b/siskintally/daemon.py
@@ -1,4 +1,4 @@
-"""Signals of a daemon.
+"""Main loop of a daemon: serves until SIGTERM or SIGINT, reloads at SIGHUP.
 
 >>> from siskintally.daemon import serve_until_signal
 >>> serve_until_signal.__name__
@@ -18,10 +18,10 @@
     """Run a daemon; SIGTERM or SIGINT starts a planned stop.
 
     :param start: async function that serves until it is stopped.
-    :param stop: async function that starts the planned stop; ``start`` returns when it is over.
-    :param reload: function that is called at SIGHUP; without one, SIGHUP ends the process.
+    :param stop: async function that carries out the planned stop and makes ``start`` return.
+    :param reload: function to call at SIGHUP; by default, SIGHUP ends the process.
     :returns: exit status 0.
-    :raises SiskintallyError: the daemon failed.
+    :raises SiskintallyError: the daemon failed; the first error of an exception group.
     """
 
     async def main():
--- a/siskintally/errors.py
+++ b/siskintally/errors.py
@@ -1,4 +1,4 @@
-"""The exception tree; every exception has a result code.
+"""Exceptions of the package; each class has a result code.
 
 >>> from siskintally.errors import NotLeaderError
 >>> NotLeaderError("store-2 does not lead", leader="store-1").code.name
@@ -37,7 +37,7 @@
 
 
 class ConnectionLostError(OutcomeUnknownError):
-    """The connection ended while a request was on it; the other side may be sound."""
+    """The connection ended while a request was in flight; the peer may be healthy."""
 
 
 class UnreachableError(SiskintallyError):
@@ -71,13 +71,13 @@
 
 
 class VersionConflictError(SiskintallyError):
-    """Another change took the expected version number."""
+    """The stored version is not the expected one, because another change came first."""
 
     code = Code.VERSION_CONFLICT
 
 
 class NeverFitsError(SiskintallyError):
-    """No worker can ever hold the task."""
+    """No worker is large enough for the task."""
 
     code = Code.NEVER_FITS
 
@@ -95,15 +95,16 @@
 
 
 class DamagedDataError(SiskintallyError):
-    """The data folder failed its checks."""
+    """Stored data failed an integrity check."""
 
     code = Code.DAMAGED_DATA
 
 
 class RefusedError(SiskintallyError):
-    """Another process answered with a result code.
+    """Another process replied with an error code.
 
-    :param code: the :class:`Code` it gave.
+    :param code: the :class:`Code` in the reply.
+    :param leader: name of the process that leads the group, if the reply names it.
     """
 
     def __init__(self, message, *, code, leader=""):
--- a/siskintally/leader_client.py
+++ b/siskintally/leader_client.py
@@ -1,4 +1,4 @@
-"""Calls to whichever member of a group leads it.
+"""Client for the leader of a group: finds the leader among the members and calls it.
 
 >>> from siskintally.leader_client import LeaderClient
 >>> client = LeaderClient(group="cell", members=("s1", "s2"), call=None)
@@ -19,8 +19,8 @@
 class LeaderClient:
     """Finds the leader of a group and calls it.
 
-    :param group: group name, for errors.
-    :param members: process names of its stores.
+    :param group: group name, for error messages.
+    :param members: process names of the stores of the group.
     :param call: ``async call(process_name, body, timeout=seconds)`` that returns the reply.
     """
 
@@ -33,19 +33,19 @@
         self._leader = ""
 
     def order(self):
-        """Return the members, the supposed leader first."""
+        """Return the members in the order to try them: the last known leader first."""
         return sorted(self.members, key=lambda name: name != self._leader)
 
     async def call(self, body, *, timeout, attempt_timeout=None, idempotent=False):
-        """Call the leader, looking for it until the time is over.
+        """Call the leader; try members until one that leads replies or the timeout expires.
 
-        :param timeout: seconds for everything.
-        :param attempt_timeout: seconds for one member; the default is ``timeout``.
+        :param timeout: seconds, over all attempts.
+        :param attempt_timeout: seconds for one attempt; the default is ``timeout``.
         :param idempotent: whether a call with an unknown outcome may be sent again.
         :raises NotLeaderError: no leader was found; the call had no effect.
         :raises OutcomeUnknownError: the call was sent and its effect is not known.
-        :raises RefusedError: the leader answered with a result code, and no earlier send of the
-            call can have had an effect.
+        :raises RefusedError: the leader replied with an error code, and no earlier attempt can
+            have had an effect.
         """
         deadline = monotonic() + timeout
         unknown = False
@@ -60,7 +60,9 @@
                     continue
                 except RefusedError as error:
                     if unknown:
-                        raise OutcomeUnknownError(f"sent before the refusal: {error}") from error
+                        raise OutcomeUnknownError(
+                            f"refused, but an earlier attempt may have run: {error}"
+                        ) from error
                     raise
                 except OutcomeUnknownError:
                     self._leader = ""
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -1,7 +1,7 @@
-"""Streams between the processes of a cell: opening, accepting, opening again.
+"""Links between the processes of a cell: opens, accepts and reopens gRPC streams.
 
-A link is one gRPC bidirectional stream that carries :class:`~siskintally.wire_pb2.Frame` messages;
-:class:`~siskintally.session.Session` is what goes over it.
+A link is one bidirectional gRPC stream of :class:`~siskintally.wire_pb2.Frame` messages. Calls and
+messages on an established link are the job of :class:`~siskintally.session.Session`.
 
 >>> from siskintally.link import Link
 >>> Link(host="127.0.0.1", port=7201, hello=None, secret="s", handler=None).is_open
@@ -39,38 +39,39 @@
 
 SECRET_HEADER = "siskintally-secret"
 MIN_BACKOFF_S = 0.1
-# Longer than the heartbeats of workers (10 s) and than the pings of the other links (5 s): the side
-# that dials pings, so that a quiet link carries one ping and not two.
+# Longer than the heartbeat interval of workers (10 s) and the ping interval of the opening side
+# (5 s), so that only the opening side pings an idle link.
 ACCEPTED_TIMING = LinkTiming(idle_ping_s=12.0)
 
-# A path that drops packets ends an idle connection after 5 s and 3 probes, without any processor
-# time of this process; pings find what a host in between still acknowledges.
+# If the network drops packets, the kernel closes an idle connection after 5 s and 3 probes (1 s
+# apart), at no cost to this process. Pings find failures behind a host (such as a proxy) that still
+# acknowledges the probes.
 TCP_OPTIONS = ((TCP_KEEPIDLE, 5), (TCP_KEEPINTVL, 1), (TCP_KEEPCNT, 3))
 
 log = get_logger("link")
 
 
 def keep_alive(sock):
-    """Let the kernel probe an idle connection, or all that a listening socket accepts."""
+    """Turn on TCP keepalive for a connection, or for all that a listening socket accepts."""
     sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     for option, value in TCP_OPTIONS:
         sock.setsockopt(IPPROTO_TCP, option, value)
 
 
 class Link:
-    """Outgoing link that is opened again whenever it is lost.
+    """Outgoing link that is reopened, with exponential backoff, whenever it is lost.
 
     >>> from siskintally.link import Link
     >>> link = Link(host="127.0.0.1", port=7201, hello=None, secret="s", handler=None)
     >>> link.is_open
     False
 
-    :param hello: what this process says of itself.
-    :param handler: takes calls and messages of the other side.
+    :param hello: :class:`~siskintally.wire_pb2.Hello` that identifies this process.
+    :param handler: :class:`~siskintally.session.Handler` for calls and messages of the peer.
     :param tls: :class:`~siskintally.settings.Tls`, or None.
     :param timing: :class:`~siskintally.liveness.LinkTiming`.
-    :param ended: called when the process on the other side has ended: nothing listens there, or
-        another incarnation answers.
+    :param ended: called when the peer process has exited: the connection was refused, or a
+        process with another incarnation answered.
     """
 
     __slots__ = (
@@ -111,12 +112,12 @@
             await self._opened.wait()
 
     async def call(self, body, *, timeout):
-        """Call the other side; see :meth:`Session.call`.
+        """Call the peer; see :meth:`Session.call`.
 
         :raises UnreachableError: the link is not open.
         """
         if not self.is_open:
-            raise UnreachableError(f"no link to {self.host}:{self.port}")
+            raise UnreachableError(f"no open link to {self.host}:{self.port}")
         return await self.session.call(body, timeout=timeout)
 
     def send(self, body):
@@ -131,8 +132,8 @@
         backoff = MIN_BACKOFF_S
         while True:
             started = monotonic()
-            # In a task of its own: grpclib cancels the task that reads when the connection is lost,
-            # and on Python 3.11 the cancellation count that stays would end the tasks around it.
+            # In a separate task: grpclib cancels the reading task when the connection is lost, and
+            # on Python 3.11 the remaining cancellation count would end the enclosing tasks too.
             async with create_task_group() as tasks:
                 tasks.start_soon(watch, self._sessions)
                 tasks.start_soon(self._hold, tasks.cancel_scope)
@@ -172,7 +173,7 @@
             peer = None
             with move_on_after(self._timing.connect_s):
                 await stream.send_message(wrap(self._hello))
-                # grpclib has no public way to its socket.
+                # grpclib has no public access to its socket.
                 keep_alive(stream.peer._transport.get_extra_info("socket"))
                 frame = await stream.recv_message()
                 peer = unwrap(frame) if frame is not None else None
@@ -192,8 +193,9 @@
 class LinkServer(PeerBase):
     """Accepts links of other processes.
 
-    :param hello: what this process says of itself.
-    :param secret: secret of the cell; others are refused.
+    :param hello: :class:`~siskintally.wire_pb2.Hello` that identifies this process.
+    :param secret: secret of the cell; links with another secret are refused.
+    :param handler: :class:`~siskintally.session.Handler` for calls and messages of the peers.
     :param tls: :class:`~siskintally.settings.Tls`, or None.
     :param timing: :class:`~siskintally.liveness.LinkTiming` of the sessions.
     """
@@ -243,7 +245,7 @@
         server = Server([self])
         family = AF_INET6 if ":" in host else AF_INET
         listener = create_server((host, port), family=family)
-        # Accepted connections inherit the options.
+        # Accepted connections inherit the socket options.
         keep_alive(listener)
         await server.start(sock=listener, ssl=self._tls)
         try:
--- a/siskintally/liveness.py
+++ b/siskintally/liveness.py
@@ -1,4 +1,4 @@
-"""Decides when a link is pinged and when it counts as silent.
+"""Keepalive of links: decides when to ping a link and when to close it as silent.
 
 >>> from siskintally.liveness import LinkTiming, Liveness, Step
 >>> liveness = Liveness(timing=LinkTiming(), now=0.0)
@@ -17,12 +17,12 @@
 class LinkTiming:
     """Intervals of one link, in seconds.
 
-    :param idle_ping_s: silence after which a link without calls is pinged.
-    :param busy_ping_s: the same for a link on which a call waits; shorter, so that the call fails
+    :param idle_ping_s: time without a received frame after which a link without calls is pinged.
+    :param busy_ping_s: the same for a link with a pending call; shorter, so that the call fails
         before its own deadline.
-    :param silence_s: time after a ping without an answer when the link is closed.
+    :param silence_s: time after an unanswered ping at which the link is closed.
     :param connect_s: longest time to open a link.
-    :param max_backoff_s: longest pause before a lost link is opened again.
+    :param max_backoff_s: longest delay before a lost link is reopened, without jitter.
     """
 
     __slots__ = ("busy_ping_s", "connect_s", "idle_ping_s", "max_backoff_s", "silence_s")
@@ -44,7 +44,7 @@
 
 
 class Step(IntEnum):
-    """What to do with a link."""
+    """Action that is due on a link."""
 
     NONE = 0
     PING = 1
@@ -52,10 +52,10 @@
 
 
 class Liveness:
-    """When a link was heard and pinged; pure.
+    """Times of the last received frame and the last ping of a link; does no I/O.
 
     :param timing: :class:`LinkTiming`.
-    :param now: monotonic time, s.
+    :param now: monotonic time, seconds.
     """
 
     __slots__ = ("_last_ping", "_timing", "last_heard")
@@ -66,10 +66,10 @@
         self.last_heard = now
 
     def step(self, now, *, busy_since=None):
-        """Return what is due; a ping counts as sent.
+        """Return the action that is due; a ping counts as sent from then on.
 
-        :param busy_since: since when calls wait for replies, or None. A call on a quiet link is
-            itself a question, so a ping is due only when its reply takes long.
+        :param busy_since: time since which calls have been pending, or None. A call is a probe
+            in itself, so a ping is due only when its reply takes longer than ``busy_ping_s``.
         """
         if self._last_ping > self.last_heard:
             return Step.CLOSE if now >= self._last_ping + self._timing.silence_s else Step.NONE
@@ -83,10 +83,10 @@
 
 
 async def watch(sessions):
-    """Check sessions until cancelled.
+    """Check sessions each 0.5 s until cancelled.
 
-    The checks fall on multiples of their interval, as the heartbeats of groups do, so that a
-    process wakes up once for both; one task checks all the sessions of a server.
+    The checks are aligned to multiples of the interval, as the heartbeats of groups are, so that
+    the process wakes up once for both. One task checks all the sessions of a server.
 
     :param sessions: function that returns the open sessions.
     """
--- a/siskintally/log.py
+++ b/siskintally/log.py
@@ -1,4 +1,4 @@
-"""Structured logs, one JSON object a line.
+"""Structured logging: one JSON object per line.
 
 >>> from siskintally.log import get_logger
 >>> get_logger("entry") is not None
@@ -25,9 +25,9 @@
     """Configure logging for this process.
 
     :param process: process name, added to each line.
-    :param level: ``debug``, ``info``, ``warning``, or ``error``.
-    :param to_stdout: whether lines go to standard output in place of standard error, bounded and
-        without waiting for the reader.
+    :param level: lowest level to log: ``debug``, ``info``, ``warning``, or ``error``.
+    :param to_stdout: whether to log to standard output instead of standard error. Lines are then
+        rate-limited, and dropped if the reader is too slow, so that logging never blocks.
     """
     configure(
         processors=[
@@ -50,5 +50,5 @@
 
 
 def get_logger(module):
-    """Return a logger whose lines name a module."""
+    """Return a logger that adds the module name to each line."""
     return structlog_logger(module=module)
--- a/siskintally/log_stream.py
+++ b/siskintally/log_stream.py
@@ -1,4 +1,4 @@
-r"""Output of log lines that is bounded and never waits for its reader.
+r"""Output stream for log lines: rate-limited and non-blocking; drops what does not fit.
 
 >>> from siskintally.log_stream import LogStream
 >>> written = []
@@ -19,15 +19,15 @@
 
 
 class LogStream:
-    """File-like object for log lines; what does not fit is dropped and counted.
+    """File-like object for log lines with a token bucket; lines that do not fit are counted.
 
-    :param write: function that writes bytes at once, or raises BlockingIOError.
-    :param clock: function that returns the steady time in seconds.
-    :param lines_per_s: lines a second in the long run.
-    :param burst_lines: lines at once.
+    :param write: function that writes bytes without blocking, or raises BlockingIOError.
+    :param clock: function that returns the monotonic time in seconds.
+    :param lines_per_s: sustained rate, lines per second.
+    :param burst_lines: size of the token bucket, lines.
     """
 
-    # The logger keeps a lock for each file that it writes to, by a weak reference.
+    # structlog keeps a lock per output file in a dictionary with weak references.
     __slots__ = (
         "__weakref__",
         "_at",
@@ -49,7 +49,7 @@
         self.dropped = 0
 
     def write(self, text):
-        """Write one line with its end, or drop it."""
+        """Write one line, including its line end, or drop it."""
         now = self._clock()
         refill = (now - self._at) * self._lines_per_s
         self._tokens = min(self._tokens + refill, self._burst_lines)
@@ -67,12 +67,12 @@
         try:
             self._write(text.encode())
         except (BlockingIOError, BrokenPipeError):
-            # The reader is behind or gone; the count tells of it as soon as it reads again.
+            # The reader is slow or gone; the dropped lines are reported when it reads again.
             return False
         return True
 
     def flush(self):
-        """Do nothing: lines are not held back."""
+        """Do nothing, as lines are not buffered."""
 
 
 def _note(count):
--- a/siskintally/metrics.py
+++ b/siskintally/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics over statsd.
+"""Metrics client: sends counters, gauges, and timings to a statsd server.
 
 >>> from siskintally.metrics import Metrics
 >>> Metrics(address=None, prefix="siskintally.e1").count("requests")
@@ -8,10 +8,11 @@
 
 
 class Metrics:
-    """Counters, gauges, and timings of one process; silent without an address.
+    """Counters, gauges, and timings of one process.
 
-    :param address: :class:`~siskintally.settings.Address` of a statsd server, or None.
-    :param prefix: prefix of all names.
+    :param address: :class:`~siskintally.settings.Address` of a statsd server; if it is None,
+        nothing is sent.
+    :param prefix: prefix of all metric names.
     """
 
     __slots__ = ("_client",)
@@ -22,7 +23,7 @@
             self._client = StatsClient(address.host, address.port, prefix=prefix)
 
     def count(self, name, number=1):
-        """Add to a counter."""
+        """Increment a counter."""
         if self._client is not None:
             self._client.incr(name, number)
 
@@ -32,6 +33,6 @@
             self._client.gauge(name, value)
 
     def timing(self, name, seconds):
-        """Record a duration, sent in milliseconds."""
+        """Record a duration in seconds; it is sent in milliseconds."""
         if self._client is not None:
             self._client.timing(name, seconds * 1000)
--- a/siskintally/outbox.py
+++ b/siskintally/outbox.py
@@ -1,4 +1,4 @@
-"""Queue of the frames that a link has to write.
+"""Send queue of a link: bounded, with one reader.
 
 >>> from siskintally.outbox import Outbox
 >>> outbox = Outbox(max_items=1)
@@ -15,10 +15,10 @@
 class Outbox:
     """Bounded queue with one reader.
 
-    A deque with one event costs about a third of a memory object stream, which makes an event and
-    looks up the present task for each item.
+    A deque and one event cost about a third of a memory object stream, which creates an event and
+    looks up the current task for each item.
 
-    :param max_items: items that wait at most; more are refused.
+    :param max_items: largest number of queued items; more are refused.
     """
 
     __slots__ = ("_items", "_max_items", "_ready", "is_closed")
@@ -41,7 +41,7 @@
     async def wait(self):
         """Wait until there is an item."""
         if self._items:
-            # The reader must not keep others from running.
+            # Let other tasks run even if the queue never gets empty.
             await checkpoint()
             return
         self._ready = Event()
@@ -51,10 +51,10 @@
             self._ready = None
 
     def take(self):
-        """Return the oldest item, or None."""
+        """Remove and return the oldest item, or None if the queue is empty."""
         return self._items.popleft() if self._items else None
 
     def close(self):
-        """Refuse and drop all items."""
+        """Drop all items and refuse new ones."""
         self.is_closed = True
         self._items.clear()
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -1,4 +1,4 @@
-"""The groups that a store is a member of, with what serves them.
+"""Replicas on a store: one per group it is a member of, with the services on top.
 
 >>> from siskintally.replicas import group_folder
 >>> str(group_folder("data/s1", "cell"))
@@ -22,15 +22,16 @@
 
 
 def group_folder(data, group):
-    """Return the data folder of a group's replica."""
+    """Return the folder of a group's replica inside the data folder of a store."""
     return Path(data) / f"group-{group}"
 
 
 class Replicas:
-    """Groups of one store.
+    """Replicas of one store, and the cell service or owner that runs on each.
 
+    :param process: this store's :class:`~siskintally.settings.Process`.
     :param links: :class:`~siskintally.store_links.StoreLinks`.
-    :param cell_call: ``async cell_call(body, *, timeout)`` to the leader of the cell group.
+    :param cell_call: ``async cell_call(body, *, timeout)`` calls the leader of the cell group.
     """
 
     __slots__ = (
@@ -98,30 +99,30 @@
         )
 
     def close(self):
-        """Close the files that are not the groups' own."""
+        """Close the audit file; the groups close their own files."""
         if self._audit_file is not None:
             self._audit_file.close()
 
     def children(self):
-        """Yield (name, async function) of all that has to run."""
+        """Yield (name, async function) of each task that the store has to supervise."""
         for name, group in self.group_by_name.items():
             yield f"group {name}", group.run
         for name, owner in self.owner_by_group.items():
             yield f"owner {name}", owner.run
 
     def owner_for(self, body):
-        """Return the owner that a call is meant for.
+        """Return the owner that a call is addressed to.
 
-        :param body: WorkerBeat, which names its failure domain, or a call that names a group; one
-            that names none is for the only domain group.
-        :raises NotLeaderError: the store is in no domain group.
-        :raises NotFoundError: the store is not in that one.
+        :param body: WorkerBeat, which names its failure domain, or a call that names a domain
+            group. If the name is empty, the call is for the only domain group of this store.
+        :raises NotLeaderError: the store is not a member of any domain group.
+        :raises NotFoundError: the store is not a member of the named group.
         """
         if not self.owner_by_group:
-            raise NotLeaderError("this store is in no domain group")
+            raise NotLeaderError("this store is not a member of any domain group")
         name = self._group_of(body)
         if name not in self.owner_by_group:
-            raise NotFoundError(f"domain group {name[:100]!r}: not on this store")
+            raise NotFoundError(f"domain group {name[:100]!r}: no replica on this store")
         return self.owner_by_group[name]
 
     def _group_of(self, body):
@@ -129,7 +130,9 @@
             for name in self.owner_by_group:
                 if body.domain in self._settings.group_by_name[name].domains:
                     return name
-            raise NotFoundError(f"failure domain {body.domain[:100]!r}: not owned on this store")
+            raise NotFoundError(
+                f"failure domain {body.domain[:100]!r}: not owned by a group of this store"
+            )
         if not body.group and len(self.owner_by_group) == 1:
             return next(iter(self.owner_by_group))
         return body.group
@@ -137,9 +140,9 @@
     async def join(self, body):
         """Answer a store that asks to be admitted, or that only asks whether the group exists.
 
-        :raises NotFoundError: this store is not in the group.
+        :raises NotFoundError: this store is not a member of the group.
         """
         group = self.group_by_name.get(body.group)
         if group is None:
-            raise NotFoundError(f"group {body.group[:100]!r}: not on this store")
+            raise NotFoundError(f"group {body.group[:100]!r}: no replica on this store")
         return await group.join_request(body)
--- a/siskintally/session.py
+++ b/siskintally/session.py
@@ -1,4 +1,4 @@
-"""One established link between two processes: calls, replies, messages, keepalive.
+"""Session on an established link: calls, replies, one-way messages, pings.
 
 >>> from siskintally.session import unwrap, wrap
 >>> from siskintally.wire_pb2 import Ping
@@ -39,8 +39,9 @@
 def wrap(body, *, call_id=0, reply=False):
     """Put a message into a frame.
 
-    :param body: any message that the oneof ``body`` of Frame can hold.
+    :param body: message of a type in the oneof ``body`` of Frame.
     :param call_id: number of the call, 0 for a message without a reply.
+    :param reply: whether this is the reply to that call.
     """
     frame = Frame(id=call_id, reply=reply)
     getattr(frame, _FIELD_BY_TYPE[type(body).__name__]).CopyFrom(body)
@@ -48,28 +49,28 @@
 
 
 def unwrap(frame):
-    """Return the message in a frame, or None for a body this version does not know."""
+    """Return the message in a frame, or None if this version does not know its type."""
     field = frame.WhichOneof("body")
     return getattr(frame, field) if field else None
 
 
 class Handler(ABC):
-    """What a process does with the frames of its links."""
+    """Callbacks of a process for the frames of its links."""
 
     __slots__ = ()
 
     @abstractmethod
     async def answer(self, session, body):
-        """Answer a call; the returned message is the reply.
+        """Handle a call and return the reply message.
 
-        :raises SiskintallyError: sent to the caller as a Failure with its code.
+        :raises SiskintallyError: sent to the calling process as a Failure with its code.
         """
 
     def receive(self, session, body):
-        """Take a message that has no reply; must not block."""
+        """Handle a message without a reply; must not block."""
 
     def closed(self, session):
-        """Note that a session has ended."""
+        """Handle the end of a session."""
 
 
 class _Pending:
@@ -83,9 +84,11 @@
 
 
 class Session:
-    """One established link; either side may call the other.
+    """One established link; either process may call the other.
 
-    :param peer: the Hello of the other side.
+    :param stream: gRPC stream of Frame messages.
+    :param peer: Hello of the peer.
+    :param handler: :class:`Handler` for calls and messages of the peer.
     :param timing: :class:`~siskintally.liveness.LinkTiming`.
     """
 
@@ -121,8 +124,8 @@
 
         :param timeout: seconds.
         :raises UnreachableError: provably not sent.
-        :raises OutcomeUnknownError: sent, and no reply came in time.
-        :raises RefusedError: the other side answered with a result code.
+        :raises OutcomeUnknownError: sent, but no reply arrived in time.
+        :raises RefusedError: the peer replied with an error code.
         """
         call_id = self._next_id
         self._next_id += 1
@@ -144,13 +147,13 @@
         if reply is None:
             if pending.sent:
                 raise OutcomeUnknownError(f"no reply from {self.peer.name}")
-            raise UnreachableError(f"not sent to {self.peer.name}")
+            raise UnreachableError(f"call not sent to {self.peer.name}")
         if isinstance(reply, Failure):
             raise RefusedError(reply.message, code=_code(reply.code), leader=reply.leader)
         return reply
 
     def send(self, body):
-        """Send a message without a reply; dropped if the link is full or closed.
+        """Send a message without a reply; it is dropped if the send queue is full or closed.
 
         :returns: whether the message was queued.
         """
@@ -170,10 +173,10 @@
         if self.closed:
             raise UnreachableError(f"link to {self.peer.name} is closed")
         if not self._outbox.put(pending):
-            raise UnreachableError(f"link to {self.peer.name} is full")
+            raise UnreachableError(f"send queue of the link to {self.peer.name} is full")
 
     async def run(self):
-        """Carry frames until the link is closed or silent."""
+        """Send and receive frames until the link is closed or found silent."""
         try:
             async with create_task_group() as tasks:
                 self._tasks = tasks
@@ -229,7 +232,7 @@
             leader = getattr(error, "leader", "")
             reply = Failure(code=int(error.code), message=str(error), leader=leader)
         except (ValueError, KeyError, TypeError) as error:
-            log.exception("call failed", peer=self.peer.name, body=type(body).__name__)
+            log.exception("call handler failed", peer=self.peer.name, body=type(body).__name__)
             reply = Failure(code=int(Code.INTERNAL), message=repr(error))
         try:
             self._put(_Pending(frame=wrap(reply, call_id=call_id, reply=True)))
@@ -248,9 +251,9 @@
             self.close()
 
     def _waiting(self):
-        """Yield the frames that are queued, so that they leave in one message.
+        """Yield queued frames, up to about 64 KiB, to be sent in one message.
 
-        A call that has been given up has no frame any more and is not sent.
+        The frame of a call that has timed out is None; it is not sent.
         """
         size = 0
         while size <= BATCH_BYTES and (pending := self._outbox.take()) is not None:
@@ -260,7 +263,10 @@
                 yield pending.frame
 
     def check(self, now):
-        """Ping a quiet link and close a silent one."""
+        """Ping the peer of an idle link; close a link on which a ping was not answered.
+
+        :param now: monotonic time, seconds.
+        """
         busy_since = self._busy_since if self._pending_by_id else None
         step = self._liveness.step(now, busy_since=busy_since)
         if step == Step.CLOSE:
--- a/siskintally/settings.py
+++ b/siskintally/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a cell, read from one TOML file and checked as a whole.
+"""Settings of a cell: parses and validates the TOML settings file.
 
 >>> from siskintally.settings import parse
 >>> text = '''
@@ -44,10 +44,10 @@
 
     @classmethod
     def parse(cls, text, *, key):
-        """Read ``host:port``.
+        """Parse ``host:port``.
 
-        :param key: name of the setting, for the error.
-        :raises BadSettingsError: the text is no address.
+        :param key: name of the setting, for the error message.
+        :raises BadSettingsError: the text is not an address.
         """
         host, colon, port = str(text).rpartition(":")
         if not colon or not host or not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
@@ -64,7 +64,8 @@
     """One process of the cell.
 
     :param role: ``entry`` or ``store``.
-    :param link: address for links of other processes.
+    :param domain: failure domain of the process.
+    :param link: address on which the process accepts links of other processes.
     :param http: address for callers, endpoints, and operators; entries only.
     :param data: data folder; stores only.
     """
@@ -82,9 +83,11 @@
 
 
 class Tls:
-    """Certificate of this process and the authority that all processes of the cell trust.
+    """Paths of the TLS files of a process: its certificate and the authority of the cell.
 
-    :param authority: path of a PEM file; so are ``certificate`` and ``key``.
+    :param authority: PEM file of the certificate authority that all processes of the cell trust.
+    :param certificate: PEM file of the certificate of the process.
+    :param key: PEM file of its private key.
     """
 
     __slots__ = ("authority", "certificate", "key")
@@ -95,7 +98,7 @@
         self.key = key
 
     def server_context(self):
-        """Return a TLS context that asks the other side for a certificate.
+        """Return a TLS context that requires a certificate from the client.
 
         :raises BadSettingsError: a file is missing or holds no certificate.
         """
@@ -106,8 +109,8 @@
     def client_context(self):
         """Return a TLS context for outgoing links.
 
-        Host names are not compared, because processes are addressed by IP number and any
-        process of the cell may be behind one; the authority is the cell's own.
+        Host names are not checked, because processes are addressed by IP address and any process
+        of the cell may run there. The authority signs only certificates of the cell.
 
         :raises BadSettingsError: a file is missing or holds no certificate.
         """
@@ -128,9 +131,9 @@
 
 
 class GroupSettings:
-    """A replicated group.
+    """Settings of a replicated group.
 
-    :param members: names of the founding stores.
+    :param members: names of the initial member stores; the first one bootstraps the group.
     :param domains: failure domains whose workers and ledger it owns; empty for the cell group.
     """
 
@@ -146,9 +149,9 @@
     """All settings of a cell.
 
     :param operator_by_token: ``{token: operator name}``.
-    :param service_by_token: ``{token: service}`` of endpoints; empty if they need none.
+    :param service_by_token: ``{token: service}`` of endpoints; empty if endpoints need no token.
     :param statsd: :class:`Address` of a statsd server, or None.
-    :param tls_folder: folder of the certificates, or None.
+    :param tls_folder: folder of the certificates, or None if links are not encrypted.
     """
 
     __slots__ = (
@@ -184,7 +187,7 @@
         self.tls_folder = tls_folder
 
     def tls(self, name):
-        """Return the TLS files of a process, or None where links are not encrypted.
+        """Return the TLS files of a process, or None if links are not encrypted.
 
         The folder ``cell.tls`` holds ``authority.pem``, ``<process>.pem``, and
         ``<process>.key``.
@@ -199,7 +202,7 @@
         )
 
     def process(self, name):
-        """Return the process of that name.
+        """Return the process with this name.
 
         :raises BadSettingsError: there is none.
         """
@@ -225,7 +228,7 @@
         raise BadSettingsError(f"group.domains: no group owns failure domain {domain!r}")
 
     def groups_of_store(self, name):
-        """Yield the groups that a store is a founding member of."""
+        """Yield the groups that a store is an initial member of."""
         for group in self.group_by_name.values():
             if name in group.members:
                 yield group
@@ -238,7 +241,7 @@
 
 
 def load(path):
-    """Read and check a settings file.
+    """Read, parse and validate a settings file.
 
     :raises BadSettingsError: the file is missing or a value is out of range.
     """
@@ -249,9 +252,9 @@
 
 
 def parse(text):
-    """Check settings given as TOML text.
+    """Parse and validate settings given as TOML text.
 
-    :raises BadSettingsError: names the key, the value, and what is allowed.
+    :raises BadSettingsError: names the key, the value, and the allowed values.
     """
     try:
         document = loads(text)
@@ -338,21 +341,27 @@
         members = tuple(row.get("members", ()))
         for member in members:
             if member not in process_by_name or process_by_name[member].role != "store":
-                raise BadSettingsError(f"{key}.members: {member!r} is no store")
+                raise BadSettingsError(f"{key}.members: {member!r} is not a store")
         if not members or len(set(members)) != len(members):
-            raise BadSettingsError(f"{key}.members = {list(members)}: expected distinct stores")
+            raise BadSettingsError(
+                f"{key}.members = {list(members)}: expected a list of distinct stores"
+            )
         domains = tuple(row.get("domains", ()))
         if owned & set(domains):
-            raise BadSettingsError(f"{key}.domains = {list(domains)}: owned by another group too")
+            raise BadSettingsError(
+                f"{key}.domains = {list(domains)}: another group owns one of them too"
+            )
         if bool(domains) == (name == CELL_GROUP):
-            raise BadSettingsError(f"{key}.domains: expected for every group but {CELL_GROUP!r}")
+            raise BadSettingsError(
+                f"{key}.domains: expected failure domains, and none for the group {CELL_GROUP!r}"
+            )
         owned.update(domains)
         by_name[name] = GroupSettings(name=name, members=members, domains=domains)
     return by_name
 
 
 def _tokens(rows, table, holder):
-    """Return ``{token: value of the key holder}`` of an array of tables."""
+    """Return ``{token: value of the key holder}`` from an array of tables."""
     by_token = {}
     for number, row in enumerate(rows):
         key = f"{table}[{number}]"
--- a/siskintally/store.py
+++ b/siskintally/store.py
@@ -1,4 +1,4 @@
-"""Store daemon: replicas of the cell group and of domain groups.
+"""Store daemon: runs replicas of the cell group and of domain groups, and serves calls to them.
 
 >>> from siskintally.store import dispatch_field
 >>> from siskintally.wire_pb2 import SyncRequest, VoteRequest
@@ -31,7 +31,8 @@
 from siskintally.supervisor import Supervisor
 from siskintally.wire_pb2 import Hello, JobReport, JoinRequest, OperatorCall, SyncRequest
 
-# Less than the 5 s that an entry waits for a store, so that the store's own answer arrives.
+# Less than the 5 s that an entry waits for a store, so that the entry receives the store's own
+# reply instead of timing out.
 OPERATOR_TIMEOUT_S = 4.5
 OPERATOR_ATTEMPT_S = 2.0
 STOP_TIMEOUT_S = 10.0
@@ -52,7 +53,7 @@
 
 
 def dispatch_field(body):
-    """Name the part of a store that takes a message: consensus, cell, owner, or none."""
+    """Return the part of a store that handles a message: consensus, cell, owner, or none."""
     name = type(body).__name__
     if name in _CONSENSUS:
         return "consensus"
@@ -64,10 +65,10 @@
 
 
 class Store(Handler):
-    """One store process.
+    """One store process; handles the frames of all its links.
 
     :param settings: settings of the cell.
-    :param process: the row of this store.
+    :param process: this store's :class:`~siskintally.settings.Process`.
     """
 
     __slots__ = (
@@ -108,9 +109,9 @@
         self._supervisor = Supervisor(name="store")
 
     async def run(self):
-        """Serve until stopped.
+        """Serve until :meth:`stop` is called.
 
-        :raises SiskintallyError: the data folder is damaged or a child failed too often.
+        :raises SiskintallyError: the data folder is damaged, or a supervised task failed too often.
         """
         self._supervisor.add("server", self._serve)
         for name, link in self._links.links():
@@ -128,7 +129,7 @@
         await self._server.serve(host=address.host, port=address.port)
 
     async def stop(self):
-        """Hand leadership over and stop."""
+        """Transfer the leadership of all groups, within 10 s, and stop."""
         self._stopping = True
         with move_on_after(STOP_TIMEOUT_S):
             async with create_task_group() as tasks:
@@ -137,10 +138,10 @@
         self._supervisor.stop()
 
     async def answer(self, session, body):
-        """Answer a call of another process."""
+        """Handle a call from another process."""
         self._links.note(session)
         if self._stopping:
-            # Nothing has been proposed, and the caller looks for the next leader.
+            # Nothing has been proposed, so the caller can safely call the next leader.
             raise NotLeaderError(f"store {self._process.name} is stopping")
         part = dispatch_field(body)
         if isinstance(body, JoinRequest):
@@ -148,7 +149,7 @@
         if part == "owner":
             return await self._replicas.owner_for(body).answer(session, body)
         if part != "cell":
-            raise NotFoundError(f"a store takes no call {type(body).__name__}")
+            raise NotFoundError(f"a store does not serve {type(body).__name__} calls")
         if isinstance(body, OperatorCall) and not self._is_store(session):
             return await self._cell_client.call(
                 body,
@@ -159,7 +160,7 @@
         return await self._answer_cell(body)
 
     def receive(self, session, body):
-        """Take a message of another process."""
+        """Handle a message without a reply from another process."""
         self._links.note(session)
         if dispatch_field(body) == "consensus":
             group = self._replicas.group_by_name.get(body.group)
@@ -167,7 +168,7 @@
                 group.receive(body)
 
     def closed(self, session):
-        """Note that a session has ended."""
+        """Remove an ended session and notify the owners."""
         self._links.forget(session)
         for owner in self._replicas.owner_by_group.values():
             owner.closed(session)
@@ -177,10 +178,10 @@
         return process is not None and process.role == "store"
 
     async def _answer_cell(self, body):
-        """Answer a call to the cell group as the leader, without passing it on."""
+        """Answer a call to the cell group locally, without forwarding it to another store."""
         service = self._replicas.cell_service
         if service is None:
-            raise NotLeaderError("this store is no member of the cell group")
+            raise NotLeaderError("this store is not a member of the cell group")
         if isinstance(body, SyncRequest):
             return await service.sync(body)
         if isinstance(body, JobReport):
@@ -190,11 +191,11 @@
     async def cell_call(self, body, *, timeout):
         """Call the leader of the cell group, which may be this process.
 
-        :param body: SyncRequest, JobReport, or OperatorCall; all may be sent again.
-        :param timeout: s.
+        :param body: SyncRequest, JobReport, or OperatorCall; all are idempotent.
+        :param timeout: seconds.
         :raises NotLeaderError: no leader was found; the call had no effect.
         :raises OutcomeUnknownError: the effect is not known.
-        :raises RefusedError: refused by the leader.
+        :raises RefusedError: the leader replied with an error code.
         """
         return await self._cell_client.call(body, timeout=timeout, idempotent=True)
 
@@ -205,7 +206,7 @@
             with fail_after(timeout):
                 return await self._answer_cell(body)
         except TimeoutError as error:
-            raise OutcomeUnknownError(f"no answer in {timeout} s") from error
+            raise OutcomeUnknownError(f"no reply in {timeout} s") from error
         except SiskintallyError as error:
             if error.code == Code.OUTCOME_UNKNOWN:
                 raise OutcomeUnknownError(str(error)) from error
--- a/siskintally/store_links.py
+++ b/siskintally/store_links.py
@@ -1,6 +1,6 @@
-"""Links of a store to the other stores.
+"""Links between a store and the other stores.
 
-Of two stores the one with the smaller name dials; the other uses the session it accepted.
+Of two stores, the one with the smaller name opens the link; the other uses the accepted session.
 
 >>> from siskintally.store_links import dials
 >>> dials("s1", "s2"), dials("s2", "s1")
@@ -12,16 +12,16 @@
 
 
 def dials(own, other):
-    """Tell whether a store opens the link to another."""
+    """Return whether a store opens the link to another one."""
     return own < other
 
 
 class StoreLinks:
-    """Sessions with the other stores by process name.
+    """Open sessions with the other stores, by process name.
 
-    :param process: the row of this store.
-    :param hello: what this process says of itself.
-    :param handler: takes calls and messages of peers.
+    :param process: this store's :class:`~siskintally.settings.Process`.
+    :param hello: :class:`~siskintally.wire_pb2.Hello` that identifies this process.
+    :param handler: :class:`~siskintally.session.Handler` for calls and messages of peers.
     :param server: :class:`~siskintally.link.LinkServer` of this process.
     """
 
@@ -48,15 +48,16 @@
         yield from self._link_by_name.items()
 
     def note(self, session):
-        """Remember the session from which a frame came as the one to its process.
+        """Use the session that a frame came from for later frames to its process.
 
-        After a silent loss the other side dials again, while the old session still looks open.
+        When a connection is lost silently, the peer opens a new link while the old session still
+        looks open here.
         """
         if session.peer.name not in self._link_by_name:
             self._accepted_by_name[session.peer.name] = session
 
     def forget(self, session):
-        """Drop a session that has ended."""
+        """Remove a session that has ended."""
         if self._accepted_by_name.get(session.peer.name) is session:
             del self._accepted_by_name[session.peer.name]
 
@@ -85,9 +86,9 @@
     async def call(self, name, body, *, timeout):
         """Call a process; see :meth:`siskintally.session.Session.call`.
 
-        :raises UnreachableError: there is no open session with it.
+        :raises UnreachableError: there is no open session with the process.
         """
         session = self.session(name)
         if session is None:
-            raise UnreachableError(f"no link to {name}")
+            raise UnreachableError(f"no open link to {name}")
         return await session.call(body, timeout=timeout)
--- a/siskintally/supervisor.py
+++ b/siskintally/supervisor.py
@@ -1,4 +1,4 @@
-"""Supervision tree of tasks.
+"""Supervisor of tasks: restarts those that fail, and fails itself if one fails too often.
 
 >>> from anyio import run
 >>> from siskintally.supervisor import Supervisor
@@ -31,9 +31,9 @@
 
 
 class Supervisor:
-    """Runs children and restarts the ones that fail.
+    """Runs child tasks and restarts those that fail.
 
-    More than 5 failures of a child in 30 s end the supervisor, so that its own parent acts.
+    If a child fails more than 5 times in 30 s, :meth:`run` raises, so that the caller can act.
 
     :param name: shown in logs.
     """
@@ -46,15 +46,19 @@
         self._scope = None
 
     def add(self, name, start, *, restart=True):
-        """Add a child.
+        """Add a child; to be called before :meth:`run`.
 
+        :param name: shown in logs.
         :param start: async function without arguments.
         :param restart: whether to start it again after an exception.
         """
         self._children.append((name, start, restart))
 
     async def run(self):
-        """Run all children until they end, fail too often, or :meth:`stop` is called."""
+        """Run all children until all have ended or :meth:`stop` is called.
+
+        :raises ExceptionGroup: of a TooManyRestartsError, if a child failed too often.
+        """
         async with create_task_group() as tasks:
             self._scope = tasks.cancel_scope
             for name, start, restart in self._children:
