Explain the commands, the operator client and the stubs in plain words

Help texts such as "least level", "true over declared size" or "per task" did not say what a flag sets, and docstrings of the stubs relied on hints. Help texts now name the quantity and its unit, and docstrings state what each class does, what it is given and which errors it raises.

--- a/siskintally/__init__.py
+++ b/siskintally/__init__.py
@@ -1,1 +1,1 @@
-"""Cluster scheduler for services, batch work, and all-at-once jobs."""
+"""Cluster scheduler for services, batch jobs, and gangs (tasks that must run all at once)."""
--- a/siskintally/__main__.py
+++ b/siskintally/__main__.py
@@ -1,4 +1,4 @@
-"""Entry point of ``python -m siskintally``."""
+"""Runs the command line for ``python -m siskintally``."""
 
 from siskintally.main import run
 
--- a/siskintally/client.py
+++ b/siskintally/client.py
@@ -1,4 +1,4 @@
-"""Operator calls over HTTP to any entry.
+"""HTTP client for operator calls: tries entries in turn until one gives a final answer.
 
 >>> from siskintally.client import exit_status
 >>> exit_status(1000), exit_status(2006), exit_status(3001), exit_status(4009)
@@ -26,7 +26,7 @@
 REQUEST_ID_HEADER = "Siskintally-Request-Id"
 ATTEMPT_TIMEOUT_S = 15.0
 RETRY_DELAY_S = 0.3
-# Codes after which the same request id may get another answer. Every other code is final.
+# Codes after which a resend with the same request id may have another result. All others are final.
 RETRIED = (
     Code.NO_ENDPOINT,
     Code.DRAINING,
@@ -47,7 +47,7 @@
 def exit_status(code):
     """Return the exit status of a command for a result code.
 
-    :returns: 0 done, 2 bad input, 3 not run, 4 outcome unknown, 5 refused or failed.
+    :returns: 0: done, 2: bad input, 3: not run, 4: outcome unknown, 5: refused or failed.
     """
     if code < 2000:
         return EXIT_DONE
@@ -59,10 +59,10 @@
 
 
 class Outcome:
-    """Answer to an operator call.
+    """Result code and answer of an operator call.
 
     :param code: result code, an int.
-    :param answer: dict.
+    :param answer: dict; after a failure, it has the key ``message``.
     """
 
     __slots__ = ("answer", "code")
@@ -75,12 +75,13 @@
 class OperatorClient:
     """Calls entries in turn until one gives a final answer.
 
-    A call whose answer was lost is sent again with the same request id, so a change takes
+    A call whose reply was lost is sent again with the same request id, so that a change takes
     effect at most once.
 
-    :param entries: base URLs.
+    :param entries: base URLs of the entries.
     :param token: bearer token of the operator.
-    :param timeout_s: for everything.
+    :param timeout_s: timeout of a call, over all attempts.
+    :param transport: httpx transport, for tests.
     """
 
     __slots__ = ("_client", "_entries", "_timeout_s", "_turn")
@@ -92,7 +93,7 @@
         self._timeout_s = timeout_s
         self._turn = 0
         headers = {"Authorization": f"Bearer {token}"}
-        # The proxy variables of the environment are ignored: entries are addressed directly.
+        # Proxy settings of the environment are ignored, because entries are addressed directly.
         self._client = Client(headers=headers, trust_env=False, transport=transport)
 
     def call(self, verb, arguments, *, request_id):
@@ -100,8 +101,8 @@
 
         :param arguments: dict of JSON values.
         :returns: :class:`Outcome`, also for a refusal.
-        :raises UnreachableError: not run.
-        :raises OutcomeUnknownError: sent, and no answer in time.
+        :raises UnreachableError: no final answer in time; the call was not run.
+        :raises OutcomeUnknownError: no final answer in time; the call may have been run.
         """
         deadline = monotonic() + self._timeout_s
         unknown = False
@@ -143,7 +144,7 @@
         return _read(url, response)
 
     def close(self):
-        """Close the connections."""
+        """Close the HTTP connections."""
         self._client.close()
 
 
@@ -164,7 +165,8 @@
 def require_done(outcome):
     """Return the answer of a call that succeeded.
 
-    :raises RefusedError: with the result code of the answer.
+    :raises NotLeaderError: the result code is NOT_LEADER.
+    :raises RefusedError: the call failed; has the result code of the call.
     """
     if outcome.code < 2000:
         return outcome.answer
--- a/siskintally/command.py
+++ b/siskintally/command.py
@@ -1,4 +1,4 @@
-"""Registry of subcommands.
+"""Subcommands of the command line and their registry.
 
 >>> from siskintally.command import Command, Registry
 >>> registry = Registry()
@@ -16,10 +16,10 @@
     """One subcommand.
 
     :param name: first argument on the command line.
-    :param summary: one line for the overview.
-    :param define: ``define(values)`` adds the command's flags to a ``FlagValues``, or None.
-    :param start: ``start(values, arguments)`` runs it and returns the exit status; ``arguments``
-        are the words that are no flags.
+    :param summary: one line for the overview of all commands.
+    :param define: ``define(values)`` adds the command's flags to a ``FlagValues``; or None.
+    :param start: ``start(values, arguments)`` runs the command and returns the exit status;
+        ``arguments`` are the positional arguments.
     """
 
     __slots__ = ("define", "name", "start", "summary")
@@ -31,7 +31,7 @@
         self.start = start
 
     def flag_values(self):
-        """Return fresh flags of this command."""
+        """Return the flags of this command with their default values."""
         values = FlagValues()
         DEFINE_boolean("help", False, "print this help", flag_values=values)
         if self.define is not None:
@@ -39,7 +39,7 @@
         return values
 
     def usage(self, values):
-        """Return the help text."""
+        """Return the help text of the command."""
         lines = [f"usage: siskintally {self.name} [flags]", "", self.summary, "", "flags:"]
         for name in sorted(values):
             if name in values and values[name].name == name:
@@ -60,13 +60,16 @@
         return iter(self._by_name[name] for name in sorted(self._by_name))
 
     def add(self, command):
-        """Add a command; a name can be used once."""
+        """Add a command.
+
+        :raises ValueError: a command with this name exists already.
+        """
         if command.name in self._by_name:
             raise ValueError(f"command {command.name!r} is registered twice")
         self._by_name[command.name] = command
 
     def find(self, name):
-        """Return the command of that name.
+        """Return the command with this name.
 
         :raises BadSettingsError: there is none.
         """
--- a/siskintally/commands_domain.py
+++ b/siskintally/commands_domain.py
@@ -1,4 +1,4 @@
-"""Operator command for domain groups that are lost for good or come back.
+"""Operator command ``domain``: declares domain groups lost, or restores one.
 
 >>> from siskintally.commands_domain import ACTIONS
 >>> ACTIONS
@@ -12,9 +12,9 @@
 
 SUMMARY = "Declare domain groups lost, or restore one: domain lost GROUP... | domain restore GROUP."
 _MUST_BE_SURE = (
-    "--confirm: expected. It states that every machine of these domain groups, stores, workers and "
-    "entries, is switched off or fenced so that none of its tasks runs or can go on running. The "
-    "cell cannot tell a lost domain from a partitioned one, and starts the tasks elsewhere"
+    "--confirm: expected. It states that every machine of these domain groups (stores, workers and "
+    "entries) is switched off or fenced, so that no task runs on it now or later. The cell cannot "
+    "distinguish a lost domain group from a partitioned one, and starts its tasks elsewhere"
 )
 
 
@@ -23,25 +23,27 @@
     DEFINE_boolean(
         "confirm",
         False,
-        "lost: all machines of the groups are switched off or fenced; nothing runs there",
+        "lost: confirm that all machines of the groups are switched off or fenced and run no tasks",
         flag_values=values,
     )
     DEFINE_boolean(
         "force",
         False,
-        "lost: also if the cell has heard from a group in the last two minutes",
+        "lost: even if the cell has heard from a group within the last two minutes",
         flag_values=values,
     )
 
 
 def start(operation, values, arguments):
-    """Run the command; return the answer.
+    """Run the command and return the answer.
 
-    :raises BadSettingsError: names what is missing.
+    :raises BadSettingsError: an argument or flag is missing or must not be given.
     """
     action, groups = (arguments or [""])[0], arguments[1:]
     if action not in ACTIONS or not groups:
-        raise BadSettingsError(f"arguments = {arguments}: expected lost or restore, then a group")
+        raise BadSettingsError(
+            f"arguments = {arguments}: expected lost or restore, then group names"
+        )
     if action == "restore" and (len(groups) > 1 or values.confirm or values.force):
         raise BadSettingsError("restore: expected one group and neither --confirm nor --force")
     if action == "lost" and not values.confirm:
@@ -52,6 +54,6 @@
     answer = operation.call("domain", fields)
     if not operation.json:
         if action == "lost":
-            print(f"tasks moved {answer['moved']}, held back {answer['unplaced']}")
+            print(f"tasks moved {answer['moved']}, not placed {answer['unplaced']}")
         print(f"lost domain groups: {', '.join(answer['lost']) or 'none'}")
     return answer
--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -1,4 +1,4 @@
-"""Commands ``entry`` and ``stub-endpoint``.
+"""Commands ``entry`` (entry daemon) and ``stub-endpoint`` (endpoint for tests).
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_entry import register
@@ -59,15 +59,17 @@
     DEFINE_boolean(
         "standalone", False, "serve with default limits and without stores", flag_values=values
     )
-    DEFINE_float("drain_s", 30.0, "longest planned stop, s", 0.0, 3600.0, flag_values=values)
+    DEFINE_float(
+        "drain_s", 30.0, "longest duration of a planned stop, s", 0.0, 3600.0, flag_values=values
+    )
     DEFINE_enum(
         "balancer",
         "power-of-two",
         sorted(BALANCER_BY_NAME),
-        "how an endpoint is chosen",
+        "how the endpoint of a request is chosen",
         flag_values=values,
     )
-    DEFINE_enum("log_level", "info", LEVELS, "least level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "info", LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_entry(values, arguments):
@@ -97,15 +99,17 @@
     DEFINE_string("domain", "jylland-a", "failure domain", flag_values=values)
     DEFINE_string("http", "127.0.0.1:7301", "address to listen on, host:port", flag_values=values)
     DEFINE_list("entries", [], "entry URLs to announce to, comma-separated", flag_values=values)
-    DEFINE_integer("slots", 8, "requests at a time", 1, 1024, flag_values=values)
-    DEFINE_integer("connections", 64, "connections at a time", 1, 8192, flag_values=values)
+    DEFINE_integer("slots", 8, "requests served at a time", 1, 1024, flag_values=values)
+    DEFINE_integer("connections", 64, "connections accepted at a time", 1, 8192, flag_values=values)
     DEFINE_float("service_ms", 20.0, "service time, ms", 0.0, 3.6e6, flag_values=values)
-    DEFINE_enum("fault", "none", FAULTS, "fault of every answer", flag_values=values)
-    DEFINE_string("record", "", "file that gets a JSON line per start and end", flag_values=values)
+    DEFINE_enum("fault", "none", FAULTS, "fault injected into each response", flag_values=values)
+    DEFINE_string(
+        "record", "", "file to append a JSON line to per start and end", flag_values=values
+    )
     DEFINE_string(
         "token", None, f"token of the service; the default is ${TOKEN_VARIABLE}", flag_values=values
     )
-    DEFINE_enum("log_level", "warning", LEVELS, "least level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "warning", LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_stub(values, arguments):
--- a/siskintally/commands_operator.py
+++ b/siskintally/commands_operator.py
@@ -1,4 +1,4 @@
-"""Commands of operators: status, submit, cancel, jobs, drain, domain, preset, config, audit.
+"""Operator commands: status, submit, cancel, jobs, drain, domain, preset, config, audit.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_operator import register
@@ -30,14 +30,14 @@
 
 _SUMMARY_BY_NAME = {
     "status": "Show the state of the cell.",
-    "submit": "Submit a job given by flags, by a TOML job file, or by both (flags win).",
-    "cancel": "Cancel jobs: ids, --all-of-job-prefix, or both; one command for all.",
-    "jobs": "List jobs, all or by id.",
+    "submit": "Submit a job given by flags, a TOML job file, or both (flags take precedence).",
+    "cancel": "Cancel jobs by id, by --all-of-job-prefix, or both, in one change.",
+    "jobs": "List all jobs, or those with the given ids.",
     "drain": "Take a worker or an endpoint out of service: drain worker|endpoint NAME [--off].",
     "domain": commands_domain.SUMMARY,
-    "preset": "Put a preset in force, or show the one that is.",
+    "preset": "Activate a preset, or show the active one.",
     "config": "Read or replace the configuration document: config get | config set FILE.",
-    "audit": "Show the latest operator changes; --verify checks the hash chain.",
+    "audit": "Show the latest changes by operators; --verify checks the hash chain.",
 }
 
 
@@ -70,11 +70,13 @@
     DEFINE_enum("kind", None, tuple(KIND_BY_NAME), "kind of job", flag_values=values)
     DEFINE_enum("class", None, tuple(CLASS_BY_NAME), "priority class", flag_values=values)
     DEFINE_integer("tasks", None, "number of tasks", flag_values=values)
-    DEFINE_integer("cpu_milli", None, "per task, thousandths of a core", flag_values=values)
-    DEFINE_integer("memory_mb", None, "per task, MB", flag_values=values)
-    DEFINE_integer("accelerators", None, "per task", flag_values=values)
-    DEFINE_float("run_s", None, "declared run time, s; 0: until stopped", flag_values=values)
-    DEFINE_float("deadline_s", None, "s after submission; 0: none", flag_values=values)
+    DEFINE_integer(
+        "cpu_milli", None, "processor per task, thousandths of a core", flag_values=values
+    )
+    DEFINE_integer("memory_mb", None, "memory per task, MB", flag_values=values)
+    DEFINE_integer("accelerators", None, "accelerators per task", flag_values=values)
+    DEFINE_float("run_s", None, "declared run time, s; 0: runs until stopped", flag_values=values)
+    DEFINE_float("deadline_s", None, "deadline, s after submission; 0: none", flag_values=values)
     DEFINE_string("file", None, "TOML job file", flag_values=values)
 
 
@@ -118,7 +120,9 @@
 
 
 def _define_cancel(values):
-    DEFINE_string("all_of_job_prefix", "", "all jobs whose id starts with this", flag_values=values)
+    DEFINE_string(
+        "all_of_job_prefix", "", "cancel all jobs whose id starts with this", flag_values=values
+    )
     DEFINE_alias("all-of-job-prefix", "all_of_job_prefix", flag_values=values)
 
 
@@ -126,7 +130,7 @@
     prefix = values.all_of_job_prefix
     answer = operation.call("cancel", {"jobs": arguments, "prefix": prefix})
     if not operation.json:
-        print(f"cancelled {answer['cancelled']}, ended before {answer['ended']}")
+        print(f"cancelled {answer['cancelled']}, already ended {answer['ended']}")
         for job in answer["not_found"]:
             print(f"not found: {job}")
     if operation.wait:
@@ -135,9 +139,9 @@
 
 
 def _define_jobs(values):
-    DEFINE_string("prefix", "", "only jobs whose id starts with this", flag_values=values)
-    DEFINE_string("state", "", "only jobs in this state", flag_values=values)
-    DEFINE_integer("limit", 1000, "longest list", 1, 10_000, flag_values=values)
+    DEFINE_string("prefix", "", "list only jobs whose id starts with this", flag_values=values)
+    DEFINE_string("state", "", "list only jobs in this state", flag_values=values)
+    DEFINE_integer("limit", 1000, "largest number of jobs to list", 1, 10_000, flag_values=values)
 
 
 def _jobs(operation, values, arguments):
@@ -154,7 +158,7 @@
 
 
 def _define_drain(values):
-    DEFINE_boolean("off", False, "put it back into service", flag_values=values)
+    DEFINE_boolean("off", False, "end the drain: put it back into service", flag_values=values)
 
 
 def _drain(operation, values, arguments):
@@ -172,7 +176,7 @@
     DEFINE_integer(
         "expect_version",
         None,
-        "version that the change is based on; the default is the present one",
+        "version that the change is based on; the default is the current one",
         0,
         flag_values=values,
     )
@@ -203,7 +207,7 @@
             show_config(answer)
         return answer
     if len(arguments) != 2 or arguments[0] != "set":
-        raise BadSettingsError(f"arguments = {arguments}: expected get, or set and a file")
+        raise BadSettingsError(f"arguments = {arguments}: expected get, or set and a file name")
     if values.expect_version is None:
         raise BadSettingsError("--expect-version: expected the version that the file is based on")
     document = _read_text(arguments[1])
@@ -229,8 +233,10 @@
 
 
 def _define_audit(values):
-    DEFINE_boolean("verify", False, "check the hash chain in the leader's file", flag_values=values)
-    DEFINE_integer("limit", 20, "number of records shown", 1, 10_000, flag_values=values)
+    DEFINE_boolean(
+        "verify", False, "check the hash chain of the leader's audit file", flag_values=values
+    )
+    DEFINE_integer("limit", 20, "number of records to show", 1, 10_000, flag_values=values)
 
 
 def _audit(operation, values, arguments):
--- a/siskintally/commands_report.py
+++ b/siskintally/commands_report.py
@@ -1,4 +1,4 @@
-"""Command that reads logs: flow-report.
+"""Command ``flow-report``: reports from store logs where the time of flows was spent.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_report import register
@@ -13,7 +13,7 @@
 from siskintally.flow_report import format_report
 from siskintally.flow_trace import build_flow_traces, read_events
 
-SUMMARY = "Say where the time of flows went: flow-report LOG... (logs of stores, in time order)."
+SUMMARY = "Report where flows spent their time: flow-report LOG... (logs of stores, in time order)."
 
 
 def register(registry):
@@ -23,7 +23,7 @@
 
 def _start(_, arguments):
     if not arguments:
-        raise BadRequestError("flow-report: name one log file or more")
+        raise BadRequestError("arguments: expected one or more log files")
     print(format_report(build_flow_traces(read_events(_lines(arguments))).values()))
 
 
--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -1,4 +1,4 @@
-"""Commands ``store``, ``init``, and ``check``.
+"""Commands ``store`` (store daemon), ``init`` (bootstrap of groups), and ``check``.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_store import register
@@ -34,7 +34,11 @@
     """Add the commands of this family."""
     rows = (
         ("store", "Run a store: replicas of the cell group and of domain groups.", start_store),
-        ("init", "Found the groups whose first member is this store; once per cell.", start_init),
+        (
+            "init",
+            "Bootstrap the groups whose first member is this store; once per cell.",
+            start_init,
+        ),
         ("check", "Check settings and, with --config, a configuration document.", start_check),
     )
     for name, summary, start in rows:
@@ -43,7 +47,7 @@
 
 
 def _numbered(start):
-    """Turn an error into its exit status and a line with its code."""
+    """Wrap a command so that an error is printed with its code and sets the exit status."""
 
     def run(values, arguments):
         try:
@@ -69,7 +73,7 @@
     """Add the flags of ``store`` and ``init``."""
     DEFINE_string("settings", None, "settings file of the cell (TOML)", flag_values=values)
     DEFINE_string("name", None, "name of this process in the settings", flag_values=values)
-    DEFINE_enum("log_level", "info", LEVELS, "least level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "info", LEVELS, "lowest level of log lines", flag_values=values)
     DEFINE_boolean("json", False, "print the answer as one line of JSON", flag_values=values)
 
 
@@ -110,14 +114,14 @@
     if values.json:
         print(dumps({"code": 1000, "answer": {"founded": names}}))
     else:
-        print(f"founded: {', '.join(names) or 'none; this store joins when it starts'}")
+        print(f"bootstrapped: {', '.join(names) or 'none; this store joins when it starts'}")
     return 0
 
 
 def start_check(values):
     """Run ``check``."""
     if not values.settings and not values.config:
-        raise BadSettingsError("--settings, --config: expected one of them")
+        raise BadSettingsError("--settings, --config: expected at least one of them")
     checked = []
     if values.settings:
         settings = load(values.settings)
--- a/siskintally/commands_worker.py
+++ b/siskintally/commands_worker.py
@@ -1,4 +1,4 @@
-"""Command ``stub-worker``.
+"""Command ``stub-worker``: runs stub workers, for tests.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_worker import register
@@ -44,24 +44,35 @@
 def define_worker(values):
     """Add the flags of ``stub-worker``."""
     DEFINE_string("settings", None, "settings file of the cell (TOML)", flag_values=values)
-    DEFINE_list("stores", [], "links of the domain's stores, host:port", flag_values=values)
+    DEFINE_list("stores", [], "addresses of the domain's stores, host:port", flag_values=values)
     DEFINE_string("name", "worker", "worker name; with --count, its prefix", flag_values=values)
     DEFINE_string("domain", "jylland-a", "failure domain", flag_values=values)
     DEFINE_string("rack", "r0", "rack; with --count, its prefix", flag_values=values)
     DEFINE_integer("count", 1, "workers in this process", 1, 1000, flag_values=values)
     DEFINE_integer("per_rack", 8, "workers in a rack", 1, 1000, flag_values=values)
-    DEFINE_integer("cpu_milli", 32_000, "processors, thousandths", 0, flag_values=values)
-    DEFINE_integer("memory_mb", 128_000, "memory, MB", 0, flag_values=values)
-    DEFINE_integer("accelerators", 0, "accelerators", 0, flag_values=values)
+    DEFINE_integer(
+        "cpu_milli", 32_000, "processor capacity, thousandths of a core", 0, flag_values=values
+    )
+    DEFINE_integer("memory_mb", 128_000, "memory capacity, MB", 0, flag_values=values)
+    DEFINE_integer("accelerators", 0, "number of accelerators", 0, flag_values=values)
     DEFINE_float(
         "beat_s", 10.0, "longest time between heartbeats, s", 0.1, 60.0, flag_values=values
     )
     DEFINE_boolean("fail", False, "fail every task", flag_values=values)
-    DEFINE_float("run_factor", 1.0, "true over declared run time", 0.0, 1e3, flag_values=values)
-    DEFINE_float("size_factor", 1.0, "true over declared size", 0.0, 1e3, flag_values=values)
-    DEFINE_float("pause_s", 0.0, "from receipt to start, s", 0.0, 1e3, flag_values=values)
-    DEFINE_string("record", "", "file that gets a JSON line per event", flag_values=values)
-    DEFINE_enum("log_level", "warning", LEVELS, "least level of log lines", flag_values=values)
+    DEFINE_float(
+        "run_factor", 1.0, "actual run time / declared run time", 0.0, 1e3, flag_values=values
+    )
+    DEFINE_float("size_factor", 1.0, "reported use / declared size", 0.0, 1e3, flag_values=values)
+    DEFINE_float(
+        "pause_s",
+        0.0,
+        "delay from receipt of an order to the start, s",
+        0.0,
+        1e3,
+        flag_values=values,
+    )
+    DEFINE_string("record", "", "file to append a JSON line per event to", flag_values=values)
+    DEFINE_enum("log_level", "warning", LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_worker(values, arguments):
@@ -90,7 +101,10 @@
 
 
 def _stores(settings, values):
-    """Return the stores to dial; given addresses may lie behind a forwarder."""
+    """Return the stores to connect to; the flag --stores replaces their addresses.
+
+    The given addresses may be those of forwarders.
+    """
     group = settings.group_of_domain(values.domain)
     members = [settings.process(member) for member in group.members]
     if not values.stores:
--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -1,6 +1,6 @@
 """Command line: ``siskintally <command> [flags]``.
 
-Each family of commands is a module ``commands_*`` with a function ``register(registry)``.
+Each family of commands is a module with a function ``register(registry)``, see ``FAMILIES``.
 
 >>> from siskintally.main import commands
 >>> "entry" in [command.name for command in commands()]
@@ -25,7 +25,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
-# What a shell shows for a process that SIGPIPE has ended.
+# Status that a shell reports for a process that was killed by SIGPIPE.
 EXIT_READER_GONE = 141
 FAMILIES = (
     "siskintally.commands_entry",
@@ -36,7 +36,8 @@
     "siskintally.platform.entry_command",
     "siskintally.platform.store_command",
 )
-# On a small VM the imports of the other families are half of the time that a start takes.
+# These commands import only their own family: on a small VM, the imports of the other families
+# take half of the start time.
 FAMILY_BY_COMMAND = {
     "platform-entry": "siskintally.platform.entry_command",
     "platform-store": "siskintally.platform.store_command",
@@ -46,7 +47,7 @@
 def commands(name=None):
     """Return the registry of all commands.
 
-    :param name: command for which only its own family may be loaded.
+    :param name: command to be run; if it is in ``FAMILY_BY_COMMAND``, only its family is loaded.
     """
     registry = Registry()
     families = (FAMILY_BY_COMMAND[name],) if name in FAMILY_BY_COMMAND else FAMILIES
@@ -56,15 +57,17 @@
 
 
 def run():
-    """Run the process's own command line and exit; entry point of the executable.
+    """Run the command line of this process and exit; entry point of the executable.
 
-    A reader that closes its end, such as ``head``, ends the command without a message.
+    If the reader of standard output closes its end, as ``head`` does, the command ends without an
+    error message.
     """
     try:
         status = dispatch(process_argv)
         stdout.flush()
     except BrokenPipeError:
-        # What is left in the buffer must not be written when the interpreter ends.
+        # Redirect standard output, so that the interpreter does not write the rest of the buffer to
+        # the closed pipe when it exits.
         dup2(open_descriptor(devnull, O_WRONLY), stdout.fileno())
         status = EXIT_READER_GONE
     exit_process(status)
@@ -94,7 +97,7 @@
         return values(words)
 
     def start(words):
-        # Libraries log each request at the level below.
+        # Libraries log each request at level INFO.
         set_verbosity(WARNING)
         if values.help:
             print(command.usage(values))
--- a/siskintally/operation.py
+++ b/siskintally/operation.py
@@ -1,4 +1,4 @@
-"""One run of an operator command: flags, request id, waiting, exit status.
+"""Run of one operator command: common flags, request id, waiting, exit status.
 
 >>> from siskintally.operation import DEFAULT_ENTRY
 >>> DEFAULT_ENTRY
@@ -23,31 +23,41 @@
 TOKEN_VARIABLE = "SISKINTALLY_TOKEN"
 POLL_S = 1.0
 ENDED_STATES = ("succeeded", "failed", "cancelled", "never")
-# Ids of one poll; the arguments of a call are at most 1 MiB.
+# Job ids per poll; the arguments of a call are limited to 1 MiB.
 POLLED_JOBS = 5000
 
 
 def define_common(values):
-    """Add the flags that all operator commands have."""
-    DEFINE_list("entry", [DEFAULT_ENTRY], "entry URLs, tried in turn", flag_values=values)
+    """Add the flags that all operator commands share."""
+    DEFINE_list("entry", [DEFAULT_ENTRY], "URLs of entries, tried in turn", flag_values=values)
     DEFINE_string(
         "token", None, f"operator token; the default is ${TOKEN_VARIABLE}", flag_values=values
     )
     DEFINE_string(
-        "request_id", None, "request id of an earlier try, for a resend", flag_values=values
+        "request_id",
+        None,
+        "request id of an earlier attempt, to send the same change again",
+        flag_values=values,
     )
     DEFINE_alias("request-id", "request_id", flag_values=values)
     DEFINE_boolean("json", False, "print the answer as one line of JSON", flag_values=values)
-    DEFINE_float("timeout_s", 30.0, "for the call, s", 0.1, 3600.0, flag_values=values)
-    DEFINE_boolean("wait", False, "wait until the change has its effect", flag_values=values)
-    DEFINE_float("wait_s", 600.0, "longest wait, s", 0.0, 1e7, flag_values=values)
+    DEFINE_float(
+        "timeout_s", 30.0, "timeout of a call over all attempts, s", 0.1, 3600.0, flag_values=values
+    )
+    DEFINE_boolean("wait", False, "wait until the change has taken effect", flag_values=values)
+    DEFINE_float(
+        "wait_s", 600.0, "longest time to wait with --wait, s", 0.0, 1e7, flag_values=values
+    )
 
 
 class Operation:
-    """What a command works with.
+    """One run of an operator command.
 
-    :param json: whether the answer is printed as JSON instead of text.
-    :param wait: whether to wait for the effect.
+    :param client: :class:`~siskintally.client.OperatorClient`.
+    :param request_id: request id of the change that the command makes.
+    :param json: whether to print the answer as JSON instead of text.
+    :param wait: whether to wait until the change has taken effect.
+    :param wait_s: longest time to wait, seconds.
     """
 
     __slots__ = ("_client", "_request_id", "_shown", "_wait_s", "json", "wait")
@@ -89,21 +99,23 @@
         return exit_status(code)
 
     def call(self, verb, arguments):
-        """Make a change and return its answer; the request id is shown for a resend.
+        """Make a change and return the answer; print the request id, for use in a resend.
 
-        :raises SiskintallyError: refused, not run, or unknown.
+        :raises SiskintallyError: the call was refused, was not run, or its outcome is unknown.
         """
         print(f"request id {self._request_id}", file=stderr)
         return require_done(self._client.call(verb, arguments, request_id=self._request_id))
 
     def read(self, verb, arguments):
-        """Return the answer of a verb that changes nothing."""
+        """Call a verb that makes no change and return the answer."""
         return require_done(self._client.call(verb, arguments, request_id=uuid4().hex))
 
     def wait_jobs(self, jobs, prefix=""):
-        """Wait until jobs have ended or, for services, all tasks run; show progress.
+        """Wait until jobs have ended or, for services, until all tasks run; print progress.
 
-        :raises OutcomeUnknownError: the wait was too short.
+        :param jobs: job ids.
+        :param prefix: also wait for the jobs whose id starts with this, if it is not empty.
+        :raises OutcomeUnknownError: the longest wait is over.
         """
         waiting = list(jobs)
         while True:
@@ -123,9 +135,9 @@
             prefix = ""
 
     def wait_config(self, version):
-        """Wait until every domain group in service has committed a configuration version.
+        """Wait until each domain group in service has committed a configuration version.
 
-        :raises OutcomeUnknownError: the wait was too short.
+        :raises OutcomeUnknownError: the longest wait is over.
         """
         while True:
             status = self.read("status", {})
@@ -136,9 +148,12 @@
             self._progress(f"version {version} not yet in {', '.join(behind)}")
 
     def _progress(self, text):
-        """Show progress when it has changed and sleep, within the longest wait."""
+        """Print progress if it has changed, then sleep.
+
+        :raises OutcomeUnknownError: the longest wait is over.
+        """
         if self._wait_s <= 0:
-            raise OutcomeUnknownError(f"wait is over: {text}")
+            raise OutcomeUnknownError(f"wait timed out: {text}")
         started = monotonic()
         if text != self._shown:
             print(text.rstrip(), file=stderr)
@@ -147,9 +162,9 @@
         self._wait_s -= max(monotonic() - started, POLL_S)
 
     def check_chain(self, answer):
-        """Check the records of an audit answer and the findings on the file.
+        """Check the hashes of audit records and the result of the check of the audit file.
 
-        :raises DamagedDataError: a hash does not match.
+        :raises DamagedDataError: a hash does not match, or the file is damaged.
         """
         previous = None
         for row in answer["rows"]:
--- a/siskintally/stub_duplicator.py
+++ b/siskintally/stub_duplicator.py
@@ -1,4 +1,4 @@
-"""Relay in front of a stub endpoint that sends each response twice on its connection.
+"""Relay in front of a stub endpoint that sends each HTTP response twice (fault "doubled").
 
 >>> from siskintally.stub_duplicator import ResponseDuplicator
 >>> ResponseDuplicator(host="127.0.0.1", port=7301, target_host="127.0.0.2").port
@@ -20,10 +20,10 @@
 
 
 class ResponseDuplicator:
-    """TCP relay that knows where a response ends.
+    """TCP relay that parses responses, and repeats each one after its end.
 
-    :param host: address that entries connect to.
-    :param port: port of the relay and of the stub.
+    :param host: address to listen on, which entries connect to.
+    :param port: port of both the relay and the stub.
     :param target_host: address of the stub.
     """
 
@@ -61,7 +61,7 @@
             return
 
     async def _double(self, source, sink):
-        # Caught here, since a task group would wrap the error and end the whole stub with it.
+        # Caught here, because the task group would wrap the error and the whole stub would fail.
         try:
             await self._relay_responses(source, sink)
         except _LOST:
@@ -75,7 +75,7 @@
             seen += data
             parser.receive_data(data)
             if _ends(parser):
-                # In one write, so that both arrive before the connection is used again.
+                # One write for both, so that they arrive before the entry reuses the connection.
                 await sink.send(data + seen)
                 parser, seen = _parser(), b""
             else:
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -1,4 +1,4 @@
-"""Stub endpoint: an HTTP service that announces itself and records what it ran.
+"""Stub endpoint for tests: an HTTP service that announces itself and records its requests.
 
 >>> from siskintally.stub_endpoint import FAULTS
 >>> "silent" in FAULTS
@@ -22,8 +22,8 @@
 ANNOUNCE_TIMEOUT_S = 0.8
 DRAIN_S = 60.0
 LATE_S = 5.0
-# With the fault "doubled", which must be given at the start, the relay listens at the announced
-# address and the stub at the same port of this one, which no other process uses.
+# With the fault "doubled", which can only be set at the start, a relay listens at the announced
+# address, and the stub listens at the same port of this address, which no other process uses.
 DOUBLED_HOST = "127.0.0.2"
 ID_HEADER = "siskintally-request-id"
 FAULTS = ("none", "fail", "silent", "late", "truncated", "wrong-id", "wrong-digest", "doubled")
@@ -35,8 +35,10 @@
     """Options of a stub endpoint.
 
     :param http: ``host:port`` to listen on.
-    :param entries: entry URLs.
-    :param service_s: service time, s.
+    :param entries: URLs of the entries to announce to.
+    :param slots: announced number of requests at a time.
+    :param connections: announced number of connections at a time.
+    :param service_s: service time of a request, seconds.
     :param fault: one of :data:`FAULTS`.
     :param record: path of the record file, or empty.
     :param token: token of the service, or empty.
@@ -85,7 +87,10 @@
 
 
 class Recorder:
-    """Appends a JSON line per event; each line is written at once."""
+    """Appends a JSON line per event to a file, line-buffered.
+
+    :param path: path of the file; nothing is recorded if it is empty.
+    """
 
     __slots__ = ("_file",)
 
@@ -93,13 +98,13 @@
         self._file = open(path, "a", buffering=1, encoding="utf-8") if path else None  # noqa: SIM115
 
     def write(self, **fields):
-        """Append one event with the monotonic time."""
+        """Append one event with the monotonic time ``t``."""
         if self._file is not None:
             self._file.write(dumps({"t": monotonic(), **fields}) + "\n")
 
 
 class Announcer:
-    """Announces the endpoint each second to one entry, to the next one if it fails."""
+    """Announces the endpoint each second to one entry, and to the next one after a failure."""
 
     __slots__ = ("_clock_by_entry", "_incarnation", "_options", "_seq", "_turn", "leaving")
 
@@ -119,15 +124,16 @@
                 await sleep(ANNOUNCE_S)
 
     async def announce(self, client):
-        """Announce once, to the first entry that takes it.
+        """Announce once, to the first entry that accepts the announcement.
 
-        :returns: whether an entry took it.
+        :returns: whether an entry accepted it.
         """
         for _ in self._options.entries:
             entry = self._options.entries[self._turn % len(self._options.entries)]
             known = entry in self._clock_by_entry
             if await self._post(client, entry):
-                # Without an echo the entry can't bound the age, so the first one is repeated.
+                # Without an echo the entry cannot bound the age of an announcement, so the first
+                # one to an entry is repeated with an echo.
                 return known or await self._post(client, entry)
             self._turn += 1
         return False
@@ -162,7 +168,10 @@
 
 
 class Stub(HttpApp):
-    """The endpoint daemon."""
+    """Daemon of a stub endpoint.
+
+    :param options: :class:`StubOptions`.
+    """
 
     __slots__ = (
         "_announcer",
@@ -199,13 +208,14 @@
             tasks.cancel_scope.cancel()
 
     async def stop(self):
-        """Announce leaving, wait until nothing is in flight, and end."""
+        """Announce the leaving state, wait until no request is in flight, and end."""
         self._announcer.leaving = True
         self._recorder.write(event="leaving", endpoint=self._options.name)
         async with AsyncClient(timeout=ANNOUNCE_TIMEOUT_S) as client:
             if self._options.entries:
                 await self._announcer.announce(client)
-        # Entries that heard nothing may send for another 3 s, the life of an announcement.
+        # Entries that the announcement did not reach may dispatch for another 3 s, as long as the
+        # last announcement is valid.
         await sleep(3.0 if self._options.entries else 0.0)
         while self._in_flight:
             self._idle = Event()
@@ -213,14 +223,14 @@
         self._stopped.set()
 
     async def __call__(self, scope, receive, send):
-        """Serve one ASGI connection; faults need the raw ``send``."""
+        """Serve one ASGI request; faults are injected through the raw ``send``."""
         if scope["type"] == "http" and not scope["path"].startswith("/control"):
             await self._run_one(scope, receive, send)
         else:
             await super().__call__(scope, receive, send)
 
     async def handle(self, request):
-        """Answer the control route: ``{"fault": ..., "service_ms": ...}`` changes the stub."""
+        """Serve /control: ``{"fault": ..., "service_ms": ...}`` changes fault and service time."""
         fields = loads(request.body or b"{}")
         fault = fields.get("fault", self._fault)
         if fault not in FAULTS or fault == "doubled":
--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -1,4 +1,4 @@
-"""Worker stub: runs timers as tasks under a lease and records what it ran and when.
+"""Stub worker for tests: runs tasks as timers under a lease, and records their starts and ends.
 
 >>> from siskintally.stub_worker import WorkerOptions
 >>> options = WorkerOptions(name="w", domain="d", rack="r", capacity=None)
@@ -26,31 +26,31 @@
 from siskintally.wire_pb2 import Hello, WorkerOrders
 from siskintally.worker_state import WorkerState
 
-# Ends are reported at once, so the regular heartbeat only renews the lease; a third of the lease
-# leaves room for two that fail.
+# Ends of tasks are reported at once, so regular heartbeats only renew the lease. An interval of at
+# most a third of the lease allows for two failed heartbeats.
 BEAT_S = 10.0
 BEATS_PER_LEASE = 3
-# Heartbeats are calls, so an idle link needs no pings between them; a path that has gone silent is
-# noticed by TCP keepalive.
+# Longer than the heartbeat interval: heartbeats are calls, so a link needs no pings between them,
+# and TCP keepalive detects a connection on which packets are dropped.
 IDLE_PING_S = 12.0
 BEAT_TIMEOUT_S = 4.0
 OPEN_TIMEOUT_S = 2.0
 RETRY_S = 0.2
-# Changes within this time share one heartbeat.
+# Changes within this time are reported in one heartbeat.
 GATHER_S = 0.1
 MAX_TICK_S = 0.1
-# A process that did not run for this long was paused, and so were its tasks.
+# A process that did not run for this long is taken to have been paused, with its tasks.
 PAUSED_S = 0.5
 
 log = get_logger("stub-worker")
 
 
 class WorkerOptions:
-    """Options of one stub.
+    """Options of one stub worker.
 
-    :param capacity: Resources that it reports.
+    :param capacity: Resources that the worker reports.
     :param faults: :class:`~siskintally.worker_state.Faults`, or None.
-    :param beat_s: longest time between two heartbeats.
+    :param beat_s: longest time between two heartbeats, seconds.
     """
 
     __slots__ = ("beat_s", "capacity", "domain", "faults", "name", "rack")
@@ -65,7 +65,10 @@
 
 
 class TaskRecorder:
-    """Appends a JSON line per event, written at once; shared by the workers of a process."""
+    """Appends a JSON line per event to a file, line-buffered; shared by the workers of a process.
+
+    :param path: path of the file; nothing is recorded if it is empty.
+    """
 
     __slots__ = ("_file",)
 
@@ -73,13 +76,13 @@
         self._file = open(path, "a", buffering=1, encoding="utf-8") if path else None  # noqa: SIM115
 
     def capacity(self, options):
-        """Record that a worker begins without tasks."""
+        """Record the capacity of a worker that starts, without tasks."""
         self._write(monotonic(), options.name, "capacity", options.capacity)
 
     def event(self, at, worker, event):
         """Record a start, end or stop.
 
-        :param at: reading of CLOCK_MONOTONIC, which all processes of a machine share.
+        :param at: time of CLOCK_MONOTONIC, which is the same for all processes of a machine.
         """
         self._write(
             at,
@@ -107,9 +110,12 @@
 
 
 class StubWorker(Handler):
-    """One worker: a link to the owner, a lease, and timers.
+    """One worker: a link to the owner, a lease, and timers as tasks.
 
-    :param stores: processes of the domain group, :class:`~siskintally.settings.Process`.
+    :param options: :class:`WorkerOptions`.
+    :param stores: members of the domain group, as :class:`~siskintally.settings.Process`.
+    :param cell: cell name.
+    :param secret: secret of the cell.
     :param recorder: :class:`TaskRecorder`.
     """
 
@@ -139,7 +145,7 @@
         self._last_tick = monotonic()
 
     async def run(self):
-        """Serve until cancelled; all tasks end with it."""
+        """Run until cancelled; all tasks end then."""
         self._recorder.capacity(self._options)
         try:
             async with create_task_group() as tasks:
@@ -156,7 +162,11 @@
             self._record(self.state.tick(now=monotonic()))
 
     def _record(self, events):
-        """Record events; what a paused process stops had not run since it was last active."""
+        """Record events.
+
+        Tasks that are stopped after a pause of the process did not run during the pause, so their
+        stop is recorded with the time of the last tick before it.
+        """
         now = monotonic()
         paused_at = self._last_tick if now - self._last_tick > PAUSED_S else now
         for event in events:
@@ -167,7 +177,7 @@
             self._changed.set()
 
     async def _keep_link(self):
-        """Hold one link at a time; the old one is closed before another is opened."""
+        """Connect to the stores in turn until one leads; at most one link is open at a time."""
         turn = 0
         while True:
             store = next((one for one in self._stores if one.name == self._hint), None)
@@ -194,7 +204,10 @@
             await sleep(RETRY_S)
 
     async def _converse(self, link):
-        """Send heartbeats on one session until it fails or its peer does not lead."""
+        """Send heartbeats on one session until it fails or the store refuses them.
+
+        Retries on the same session after BAD_REQUEST or OVERLOADED.
+        """
         session = link.session
         self.state.reconnect()
         while link.session is session and not session.closed:
@@ -227,21 +240,23 @@
             self._record(self.state.answered(beat, orders, now=monotonic()))
 
     async def answer(self, session, body):
-        """Refuse calls; an owner sends messages only."""
-        raise RefusedError(f"{type(body).__name__}: no such call", code=Code.BAD_REQUEST)
+        """Refuse any call; an owner only sends messages."""
+        raise RefusedError(
+            f"{type(body).__name__}: a worker serves no calls", code=Code.BAD_REQUEST
+        )
 
     def receive(self, session, body):
-        """Carry out orders that come between heartbeats."""
+        """Apply orders that arrive between heartbeats."""
         if isinstance(body, WorkerOrders) and not session.closed:
             self._record(self.state.take(body, now=monotonic()))
 
     def closed(self, session):
-        """Note that a link has ended; tasks go on until the lease ends."""
+        """Wake up the heartbeat loop to reconnect; tasks run on until the lease expires."""
         self._changed.set()
 
 
 class StubWorkers:
-    """Several workers in one process, to save memory.
+    """Several stub workers in one process, to save memory.
 
     :param workers: :class:`StubWorker` objects.
     """
@@ -253,13 +268,13 @@
         self._scope = None
 
     async def run(self):
-        """Run all workers until :meth:`stop`."""
+        """Run all workers until :meth:`stop` is called."""
         async with create_task_group() as tasks:
             self._scope = tasks.cancel_scope
             for worker in self._workers:
                 tasks.start_soon(worker.run)
 
     async def stop(self):
-        """End all workers."""
+        """Cancel all workers."""
         if self._scope is not None:
             self._scope.cancel()
--- a/siskintally/tables.py
+++ b/siskintally/tables.py
@@ -1,4 +1,4 @@
-"""Text output of operator commands.
+"""Text output of operator commands: tables and summaries.
 
 >>> from siskintally.tables import table
 >>> print(table([("job", "state"), ("seats-1", "running")]))
@@ -10,7 +10,7 @@
 
 
 def table(rows):
-    """Return rows of text in columns."""
+    """Return rows formatted as left-aligned columns of text."""
     rows = [[str(cell) for cell in row] for row in rows]
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
     lines = ("  ".join(map(str.ljust, row, widths)).rstrip() for row in rows)
@@ -58,7 +58,7 @@
 
 
 def show_config(answer):
-    """Print the configuration document; the first line is a comment with its version."""
+    """Print the configuration document after a comment line with its version and preset."""
     print(f"# version {answer['version']}, preset {answer['preset'] or 'none'}")
     print(answer["document"], end="")
 
@@ -87,7 +87,7 @@
 
 
 def show_audit(answer):
-    """Print audit records and, if asked for, what the check of the file found."""
+    """Print audit records and, if the answer has it, the result of the check of the audit file."""
     rows = [("number", "time (UTC)", "operator", "verb", "what", "from", "to", "code")]
     rows.extend(
         (
--- a/siskintally/worker_state.py
+++ b/siskintally/worker_state.py
@@ -1,4 +1,4 @@
-"""What a worker stub runs, and the rules it follows; pure, with the time passed in.
+"""State of a stub worker: tasks, session and lease. Does no I/O; the caller passes the time.
 
 >>> from siskintally.worker_state import WorkerState
 >>> from siskintally.wire_pb2 import StartOrder, WorkerOrders
@@ -19,19 +19,19 @@
 from siskintally.wire_pb2 import AttemptState, Resources, WorkerBeat
 
 DEFAULT_LEASE_S = 30.0
-# A task of a worker that fails everything ends this long after its start.
+# Time from start to end of a task if the worker fails all tasks.
 FAIL_AFTER_S = 0.05
-# Attempts that are remembered so that a repeated start is ignored.
+# Largest number of ended attempts to remember, so that a repeated start order is ignored.
 KEEP_ENDED = 20_000
 
 
 class Faults:
-    """How a stub misbehaves.
+    """Faults that a stub worker injects.
 
-    :param fail: every task fails.
-    :param run_factor: true run time as a multiple of the declared one.
+    :param fail: whether each task fails.
+    :param run_factor: actual run time as a multiple of the declared one.
     :param size_factor: reported use as a multiple of the declared size.
-    :param pause_s: time between the receipt of an order and the start.
+    :param pause_s: delay between the receipt of a start order and the start, seconds.
     """
 
     __slots__ = ("fail", "pause_s", "run_factor", "size_factor")
@@ -44,9 +44,10 @@
 
 
 class Event:
-    """Start, end or stop of an attempt, for the record.
+    """Start, end or stop of an attempt, to be recorded.
 
-    :param kind: ``start``, ``end`` (by itself) or ``stop``.
+    :param kind: ``start``, ``end`` (the task ended on its own) or ``stop``.
+    :param result: name of an AttemptState.State; empty for a start.
     """
 
     __slots__ = ("attempt", "each", "kind", "result", "task_id")
@@ -72,11 +73,14 @@
 class WorkerState:
     """Attempts and lease of one worker.
 
-    It starts whatever it is given, whether it fits or not. Starts need a lease in force and the
-    present session; an attempt that is known already is ignored. When the lease ends everything is
-    stopped and a new session begins, so that orders under way for the old one have no effect.
+    The worker starts each task it is ordered to, even if its capacity is exceeded. It ignores start
+    orders without a valid lease, for another session, or for an attempt that it knows already. When
+    the lease expires, it stops all tasks and begins a new session, so that orders in flight for the
+    old session have no effect.
 
-    :param session: name of the first session, random by default.
+    :param session: id of the first session, random by default.
+    :param faults: :class:`Faults`, or None.
+    :param lease_s: duration of the lease, seconds.
     """
 
     __slots__ = (
@@ -102,7 +106,7 @@
 
     @property
     def is_report_due(self):
-        """Whether a heartbeat should be sent soon; starts wait for the next regular one."""
+        """Whether to send a heartbeat now; starts are reported with the next regular one."""
         return self._is_full_due or any(key in self._ended for key in self._changed)
 
     @property
@@ -111,13 +115,14 @@
         return [key for key, one in self._running.items() if one.started]
 
     def reconnect(self):
-        """Report everything with the next heartbeat."""
+        """Report all attempts with the next heartbeat, not only changed ones."""
         self._is_full_due = True
 
     def beat(self, *, now):
-        """Return a WorkerBeat without the names of the worker; its lease would run from now.
+        """Return a WorkerBeat without worker name, domain, rack and capacity.
 
-        Ends are repeated until the owner has confirmed that they are committed.
+        The lease that it renews runs from ``now``. Ends are reported with each heartbeat until the
+        owner has confirmed that they are committed.
         """
         beat = WorkerBeat(
             session=self.session, seq=self.lease.beat(now=now), full=self._is_full_due
@@ -137,9 +142,9 @@
         return AttemptState(task_id=key[0], attempt=key[1], state=state, used=used)
 
     def answered(self, beat, orders, *, now):
-        """Take the answer to a heartbeat; return the events.
+        """Apply the reply to a heartbeat; return the events.
 
-        A lease that has ended is noticed first: after a pause, the answer must not revive it.
+        First, an expired lease is handled: after a pause, the reply must not renew it.
         """
         events = self.tick(now=now)
         if orders.session != self.session or beat.session != self.session:
@@ -157,7 +162,7 @@
         return events + self.take(orders, now=now)
 
     def take(self, orders, *, now):
-        """Carry out orders; return the events."""
+        """Apply start and stop orders; return the events."""
         events = self.tick(now=now)
         known = orders.session == self.session
         if not known or not self.lease.acknowledged(orders.seq, term=orders.term):
@@ -186,7 +191,7 @@
         self._changed.add(key)
 
     def _stop(self, key):
-        """Stop an attempt; one that is not known yet will be refused when its start arrives."""
+        """Stop an attempt; if it is unknown, remember it, so that a late start order is ignored."""
         running = self._running.pop(key, None)
         if running is None and key in self._forgotten:
             return []
@@ -201,7 +206,10 @@
         self._changed.add(key)
 
     def tick(self, *, now):
-        """Start and end what is due, or stop all if the lease is over; return the events."""
+        """Start and end the tasks that are due, or stop all if the lease has expired.
+
+        :returns: the events.
+        """
         if self.lease.held_from is not None and self.lease.is_expired(now):
             return self._expire()
         events = []
@@ -238,7 +246,7 @@
         return lease
 
     def next_time(self):
-        """Return when :meth:`tick` has something to do, inf if never."""
+        """Return the time at which :meth:`tick` is due next, or inf."""
         times = [inf if one.started else one.start_at for one in self._running.values()]
         times.extend(one.end_at for one in self._running.values())
         if self.lease.held_from is not None:
