Say in plain words what the scripts do and need

Comments such as "the modules of this folder" and "the one file" left open which program runs. They now name the package in the checkout and the built executable, and say when a check succeeds.

--- a/scripts/acceptance.sh
+++ b/scripts/acceptance.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Runs the first requests of the README against a sample cell and checks every answer.
-# Usage: scripts/acceptance.sh   (the modules of this folder)
-#        SISKINTALLY=dist/siskintally scripts/acceptance.sh   (the one file)
-# It needs a cell that has never run: run/fjeldrute must not exist. The cell is stopped at the end.
+# Runs the first requests of the README against a new sample cell and checks each response.
+# Usage: scripts/acceptance.sh   (runs the package in this checkout)
+#        SISKINTALLY=dist/siskintally scripts/acceptance.sh   (runs the built executable)
+# The cell must be new: run/fjeldrute must not exist. The cell is stopped at the end.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ -e run/fjeldrute ]; then
@@ -10,7 +10,7 @@
   exit 2
 fi
 export SISKINTALLY_TOKEN=sample-token-astrid
-# A planned stop of all processes, also after a failed check.
+# Stops all processes in a planned way at exit, also after a failed check.
 trap 'scripts/cell.sh stop' EXIT
 scripts/cell.sh start
 read -ra program <<<"${SISKINTALLY:-.venv/bin/python -m siskintally}"
@@ -20,7 +20,8 @@
   exit 1
 }
 
-# Repeats a command until its output has a pattern, at most 120 s.
+# Repeats a command each second until it succeeds and its output matches a pattern; at most 120
+# times.
 expect() { # pattern, command...
   local pattern=$1 output
   shift
@@ -54,7 +55,7 @@
 for job in seat-count seat-reconciliation snow-replan; do
   "${program[@]}" submit "$samples-$job.toml" || fail "$job was not accepted"
 done
-all_placed() { # prints the jobs once none of their tasks waits
+all_placed() { # prints how many jobs have no waiting task; succeeds if all 3 have none
   "${program[@]}" jobs --json | .venv/bin/python -c '
 from json import loads
 from sys import exit, stdin
--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# Starts, stops or lists a sample cell on loopback: stores, entries, stub endpoints, stub workers.
+# Starts, stops or lists the processes of a sample cell on loopback addresses: stores, entries, stub
+# endpoints and stub workers.
 # Usage: scripts/cell.sh start|stop|status [SETTINGS]   (default samples/fjeldrute.toml)
-# Process ids, logs, records and data are kept in run/<cell>/. SISKINTALLY names another program to
-# run than the modules of this folder, for example SISKINTALLY=dist/siskintally.
+# Process ids, logs, records and data are kept in run/<cell>/. By default the package in this
+# checkout runs; SISKINTALLY names another program, for example SISKINTALLY=dist/siskintally.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 action=${1:-start}
@@ -11,7 +12,7 @@
 read -ra program <<<"${SISKINTALLY:-$python -m siskintally}"
 endpoint_port=7401
 
-rows() { # role name domain address, one process a line
+rows() { # prints a line "role name domain address" per process, and "domain name urls" per domain
   "$python" - "$settings" <<'PY'
 from sys import argv
 from siskintally.settings import load
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Regenerates the *_pb2.py and wire_grpc.py files from the *.proto files.
+# Generates the *_pb2.py files and wire_grpc.py from the *.proto files.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PATH="$PWD/.venv/bin:$PATH"
--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -1,6 +1,7 @@
-"""Prints the module table of the README, or with --write puts it there.
+"""Prints the module table of the README.
 
-The text of each row is the first line of the module's docstring.
+With --write, writes it into the README; with --check, fails if the README has another one. The
+description of a module is the first line of its docstring.
 """
 
 import ast
@@ -57,7 +58,7 @@
 
 
 def modules():
-    """Return the names of all modules that are not generated."""
+    """Return the names of all modules of the package, without generated ones."""
     paths = (ROOT / "siskintally").glob("*.py")
     names = {path.stem for path in paths}
     return {name for name in names if not name.endswith(("_pb2", "_grpc", "__init__"))}
@@ -72,7 +73,7 @@
 def table():
     """Return the table as Markdown.
 
-    :raises SystemExit: a module has no part, or a part names a module that does not exist.
+    :raises SystemExit: a module is in no part or in several, or a part names an unknown module.
     """
     listed = [name for names in PARTS.values() for name in names.split()]
     if set(listed) != modules() or len(listed) != len(set(listed)):
@@ -86,7 +87,10 @@
 
 
 def main():
-    """Print or write the table."""
+    """Print, write or check the table.
+
+    :raises SystemExit: with --check, the README differs.
+    """
     path = ROOT / "README.md"
     head, _, _ = path.read_text(encoding="utf-8").partition(MARKER)
     text = f"{head}{MARKER}\n{table()}"
--- a/scripts/package.sh
+++ b/scripts/package.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds dist/siskintally, one executable file with all dependencies (a zipapp that runs in one process).
+# Builds dist/siskintally: a zipapp, one executable file with all dependencies, which runs in one
+# process.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/setup.sh
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Creates .venv with the pinned dependencies, once per change of requirements.lock.
+# Creates .venv with the pinned dependencies; does nothing if requirements.lock has not changed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 stamp=.venv/lock.sum
