Rename the inner parts of links, stores and settings to terms of the field

Names such as keep_alive, watch, Step, LOST and note said little about what they do. They are now enable_tcp_keepalive, check_sessions, LinkAction, CONNECTION_ERRORS and record_session, private functions say what they read or send, and Outbox.take is pop.

--- a/siskintally/bootstrap.py
+++ b/siskintally/bootstrap.py
@@ -15,14 +15,14 @@
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello, JoinRequest
 
-ASK_TIMEOUT_S = 2.0
+PEER_QUERY_TIMEOUT_S = 2.0
 
 
 class AlreadyBootstrappedError(BadRequestError):
     """The group exists already; a second bootstrap would make a second group of that name."""
 
 
-class _Silent(Handler):
+class _RefusingHandler(Handler):
     """Handler for links on which this process only makes calls."""
 
     __slots__ = ()
@@ -42,10 +42,10 @@
             yield group
 
 
-async def bootstrap_group(*, settings, process, group, found):
+async def bootstrap_group(*, settings, process, group, bootstrap_replica):
     """Bootstrap a group in the data folder of a store.
 
-    :param found: writes the initial files, :func:`siskintally.journal.found`.
+    :param bootstrap_replica: :func:`siskintally.journal.bootstrap_replica`; writes the files.
     :raises AlreadyBootstrappedError: the folder is not empty, or a reachable peer has a log.
     """
     folder = group_folder(process.data, group.name)
@@ -60,14 +60,14 @@
             f"start this store to join it"
         )
     folder.parent.mkdir(parents=True, exist_ok=True)
-    found(folder, group=group.name, name=process.name)
+    bootstrap_replica(folder, group=group.name, name=process.name)
 
 
 async def find_bootstrapped_peer(*, settings, process, group):
     """Return the name of a reachable member that has a log of the group, or None."""
-    with_log = []
+    bootstrapped_peers = []
 
-    async def ask(name):
+    async def query_peer(name):
         peer = settings.process(name)
         hello = Hello(name=f"{process.name}/init", cell=settings.cell, incarnation=uuid4().hex)
         link = Link(
@@ -75,23 +75,25 @@
             port=peer.link.port,
             hello=hello,
             secret=settings.secret,
-            handler=_Silent(),
+            handler=_RefusingHandler(),
             tls=settings.tls(process.name),
         )
         async with create_task_group() as tasks:
             tasks.start_soon(link.run)
-            with move_on_after(ASK_TIMEOUT_S):
+            with move_on_after(PEER_QUERY_TIMEOUT_S):
                 await link.wait_open()
                 try:
-                    reply = await link.call(JoinRequest(group=group.name), timeout=ASK_TIMEOUT_S)
+                    reply = await link.call(
+                        JoinRequest(group=group.name), timeout=PEER_QUERY_TIMEOUT_S
+                    )
                 except SiskintallyError:
                     reply = None
                 if reply is not None and reply.last_index:
-                    with_log.append(name)
+                    bootstrapped_peers.append(name)
             tasks.cancel_scope.cancel()
 
     async with create_task_group() as tasks:
         for name in group.members:
             if name != process.name:
-                tasks.start_soon(ask, name)
-    return with_log[0] if with_log else None
+                tasks.start_soon(query_peer, name)
+    return bootstrapped_peers[0] if bootstrapped_peers else None
--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -55,7 +55,7 @@
                 raise BadSettingsError(f"arguments = {arguments}: expected only flags")
             return start(values)
         except* SiskintallyError as group:
-            error = _first(group)
+            error = _first_leaf(group)
             print(f"{int(error.code)} {error.code.name}: {error}", file=stderr)
             status = exit_status(error.code)
         return status
@@ -63,7 +63,7 @@
     return run
 
 
-def _first(error):
+def _first_leaf(error):
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     return error
@@ -108,7 +108,13 @@
     names = []
     for group in groups_to_bootstrap(settings, process.name):
         run_async(
-            partial(bootstrap_group, settings=settings, process=process, group=group, found=found)
+            partial(
+                bootstrap_group,
+                settings=settings,
+                process=process,
+                group=group,
+                bootstrap_replica=found,
+            )
         )
         names.append(group.name)
     if values.json:
--- a/siskintally/daemon.py
+++ b/siskintally/daemon.py
@@ -26,32 +26,32 @@
 
     async def main():
         async with create_task_group() as tasks:
-            tasks.start_soon(_on_signal, stop)
+            tasks.start_soon(_stop_on_signal, stop)
             if reload is not None:
-                tasks.start_soon(_on_hangup, reload)
+                tasks.start_soon(_reload_on_sighup, reload)
             await start()
             tasks.cancel_scope.cancel()
 
     try:
         run(main)
     except BaseExceptionGroup as group:
-        raise _first(group) from group
+        raise _first_leaf(group) from group
     return 0
 
 
-def _first(group):
+def _first_leaf(group):
     first = group.exceptions[0]
-    return _first(first) if isinstance(first, BaseExceptionGroup) else first
+    return _first_leaf(first) if isinstance(first, BaseExceptionGroup) else first
 
 
-async def _on_hangup(reload):
+async def _reload_on_sighup(reload):
     with open_signal_receiver(SIGHUP) as signals:
         async for _ in signals:
             log.info("reload")
             reload()
 
 
-async def _on_signal(stop):
+async def _stop_on_signal(stop):
     with open_signal_receiver(SIGINT, SIGTERM) as signals:
         async for number in signals:
             log.info("planned stop", signal=number.name)
--- a/siskintally/leader_client.py
+++ b/siskintally/leader_client.py
@@ -48,35 +48,35 @@
             have had an effect.
         """
         deadline = monotonic() + timeout
-        unknown = False
+        may_have_run = False
         while True:
             for name in self.order():
                 remaining = min(deadline - monotonic(), attempt_timeout or timeout)
                 if remaining <= 0:
                     break
                 try:
-                    return await self._ask(name, body, remaining)
+                    return await self._call_member(name, body, remaining)
                 except (NotLeaderError, UnreachableError):
                     continue
                 except RefusedError as error:
-                    if unknown:
+                    if may_have_run:
                         raise OutcomeUnknownError(
                             f"refused, but an earlier attempt may have run: {error}"
                         ) from error
                     raise
                 except OutcomeUnknownError:
                     self._leader = ""
-                    unknown = True
+                    may_have_run = True
                     if not idempotent:
                         raise
             if monotonic() + RETRY_DELAY_S >= deadline:
                 break
             await sleep(RETRY_DELAY_S)
-        if unknown:
+        if may_have_run:
             raise OutcomeUnknownError(f"group {self.group}: no reply in {timeout} s")
         raise NotLeaderError(f"group {self.group}: no leader found in {timeout} s")
 
-    async def _ask(self, name, body, timeout):
+    async def _call_member(self, name, body, timeout):
         try:
             reply = await self._call(name, body, timeout=timeout)
         except RefusedError as error:
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -31,9 +31,9 @@
 from grpclib.server import Server
 
 from siskintally.errors import UnreachableError
-from siskintally.liveness import LinkTiming, watch
+from siskintally.liveness import LinkTiming, check_sessions
 from siskintally.log import get_logger
-from siskintally.session import LOST, Session, unwrap, wrap
+from siskintally.session import CONNECTION_ERRORS, Session, unwrap, wrap
 from siskintally.wire_grpc import PeerBase, PeerStub
 from siskintally.wire_pb2 import Hello
 
@@ -46,15 +46,15 @@
 # If the network drops packets, the kernel closes an idle connection after 5 s and 3 probes (1 s
 # apart), at no cost to this process. Pings find failures behind a host (such as a proxy) that still
 # acknowledges the probes.
-TCP_OPTIONS = ((TCP_KEEPIDLE, 5), (TCP_KEEPINTVL, 1), (TCP_KEEPCNT, 3))
+TCP_KEEPALIVE_OPTIONS = ((TCP_KEEPIDLE, 5), (TCP_KEEPINTVL, 1), (TCP_KEEPCNT, 3))
 
 log = get_logger("link")
 
 
-def keep_alive(sock):
+def enable_tcp_keepalive(sock):
     """Turn on TCP keepalive for a connection, or for all that a listening socket accepts."""
     sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
-    for option, value in TCP_OPTIONS:
+    for option, value in TCP_KEEPALIVE_OPTIONS:
         sock.setsockopt(IPPROTO_TCP, option, value)
 
 
@@ -135,52 +135,52 @@
             # In a separate task: grpclib cancels the reading task when the connection is lost, and
             # on Python 3.11 the remaining cancellation count would end the enclosing tasks too.
             async with create_task_group() as tasks:
-                tasks.start_soon(watch, self._sessions)
-                tasks.start_soon(self._hold, tasks.cancel_scope)
+                tasks.start_soon(check_sessions, self._open_sessions)
+                tasks.start_soon(self._connect_once, tasks.cancel_scope)
             self.session = None
             if monotonic() - started > self._timing.max_backoff_s:
                 backoff = MIN_BACKOFF_S
             await sleep(backoff * (0.5 + random()))
             backoff = min(backoff * 2, self._timing.max_backoff_s)
 
-    def _sessions(self):
+    def _open_sessions(self):
         return (self.session,) if self.is_open else ()
 
-    async def _hold(self, scope):
+    async def _connect_once(self, scope):
         channel = Channel(self.host, self.port, ssl=self._tls)
         try:
-            await self._converse(channel)
-        except LOST as error:
+            await self._run_session(channel)
+        except CONNECTION_ERRORS as error:
             log.debug("connect failed", address=f"{self.host}:{self.port}", error=str(error))
             if isinstance(error, ConnectionRefusedError):
-                self._note_end()
+                self._report_peer_exit()
         finally:
             channel.close()
             scope.cancel()
 
-    def _note_end(self):
+    def _report_peer_exit(self):
         if self._ended is not None:
             self._ended()
 
-    def _note_incarnation(self, incarnation):
+    def _check_incarnation(self, incarnation):
         if self._incarnation not in (None, incarnation):
-            self._note_end()
+            self._report_peer_exit()
         self._incarnation = incarnation
 
-    async def _converse(self, channel):
+    async def _run_session(self, channel):
         metadata = {SECRET_HEADER: self._secret}
         async with PeerStub(channel).Link.open(metadata=metadata) as stream:
             peer = None
             with move_on_after(self._timing.connect_s):
                 await stream.send_message(wrap(self._hello))
                 # grpclib has no public access to its socket.
-                keep_alive(stream.peer._transport.get_extra_info("socket"))
+                enable_tcp_keepalive(stream.peer._transport.get_extra_info("socket"))
                 frame = await stream.recv_message()
                 peer = unwrap(frame) if frame is not None else None
             if not isinstance(peer, Hello):
                 await stream.cancel()
                 return
-            self._note_incarnation(peer.incarnation)
+            self._check_incarnation(peer.incarnation)
             self.session = session = Session(
                 stream=stream, peer=peer, handler=self._handler, timing=self._timing
             )
@@ -212,8 +212,8 @@
 
     async def Link(self, stream):  # noqa: N802 - name fixed by the generated base class
         """Serve one stream."""
-        given = stream.metadata.get(SECRET_HEADER, "")
-        if not compare_digest(str(given).encode(), self._secret.encode()):
+        presented_secret = stream.metadata.get(SECRET_HEADER, "")
+        if not compare_digest(str(presented_secret).encode(), self._secret.encode()):
             log.warning("link refused: wrong secret")
             raise GRPCError(Status.UNAUTHENTICATED, "wrong cell secret")
         session = None
@@ -246,10 +246,10 @@
         family = AF_INET6 if ":" in host else AF_INET
         listener = create_server((host, port), family=family)
         # Accepted connections inherit the socket options.
-        keep_alive(listener)
+        enable_tcp_keepalive(listener)
         await server.start(sock=listener, ssl=self._tls)
         try:
-            await watch(lambda: list(self.session_by_id.values()))
+            await check_sessions(lambda: list(self.session_by_id.values()))
         finally:
             for session in list(self.session_by_id.values()):
                 session.close()
--- a/siskintally/liveness.py
+++ b/siskintally/liveness.py
@@ -1,9 +1,9 @@
 """Keepalive of links: decides when to ping a link and when to close it as silent.
 
->>> from siskintally.liveness import LinkTiming, Liveness, Step
+>>> from siskintally.liveness import LinkTiming, Liveness, LinkAction
 >>> liveness = Liveness(timing=LinkTiming(), now=0.0)
->>> liveness.step(4.9), liveness.step(5.0), liveness.step(7.9), liveness.step(8.0)
-(<Step.NONE: 0>, <Step.PING: 1>, <Step.NONE: 0>, <Step.CLOSE: 2>)
+>>> [liveness.next_action(now) for now in (4.9, 5.0, 7.9, 8.0)]
+[<LinkAction.NONE: 0>, <LinkAction.PING: 1>, <LinkAction.NONE: 0>, <LinkAction.CLOSE: 2>]
 """
 
 from enum import IntEnum
@@ -11,7 +11,7 @@
 
 from anyio import sleep
 
-CHECK_S = 0.5
+CHECK_INTERVAL_S = 0.5
 
 
 class LinkTiming:
@@ -43,7 +43,7 @@
         self.max_backoff_s = max_backoff_s
 
 
-class Step(IntEnum):
+class LinkAction(IntEnum):
     """Action that is due on a link."""
 
     NONE = 0
@@ -65,24 +65,28 @@
         self._last_ping = 0.0
         self.last_heard = now
 
-    def step(self, now, *, busy_since=None):
+    def next_action(self, now, *, busy_since=None):
         """Return the action that is due; a ping counts as sent from then on.
 
         :param busy_since: time since which calls have been pending, or None. A call is a probe
             in itself, so a ping is due only when its reply takes longer than ``busy_ping_s``.
         """
         if self._last_ping > self.last_heard:
-            return Step.CLOSE if now >= self._last_ping + self._timing.silence_s else Step.NONE
+            return (
+                LinkAction.CLOSE
+                if now >= self._last_ping + self._timing.silence_s
+                else LinkAction.NONE
+            )
         due = self.last_heard + self._timing.idle_ping_s
         if busy_since is not None:
             due = max(self.last_heard, busy_since) + self._timing.busy_ping_s
         if now < due:
-            return Step.NONE
+            return LinkAction.NONE
         self._last_ping = now
-        return Step.PING
+        return LinkAction.PING
 
 
-async def watch(sessions):
+async def check_sessions(sessions):
     """Check sessions each 0.5 s until cancelled.
 
     The checks are aligned to multiples of the interval, as the heartbeats of groups are, so that
@@ -91,7 +95,7 @@
     :param sessions: function that returns the open sessions.
     """
     while True:
-        await sleep(CHECK_S - monotonic() % CHECK_S)
+        await sleep(CHECK_INTERVAL_S - monotonic() % CHECK_INTERVAL_S)
         now = monotonic()
         for session in sessions():
-            session.check(now)
+            session.check_liveness(now)
--- a/siskintally/log.py
+++ b/siskintally/log.py
@@ -38,12 +38,12 @@
             JSONRenderer(),
         ],
         wrapper_class=make_filtering_bound_logger(LEVEL_BY_NAME[level]),
-        logger_factory=PrintLoggerFactory(file=_bounded_stdout() if to_stdout else stderr),
+        logger_factory=PrintLoggerFactory(file=_nonblocking_stdout() if to_stdout else stderr),
     )
     bind_contextvars(process=process)
 
 
-def _bounded_stdout():
+def _nonblocking_stdout():
     descriptor = stdout.fileno()
     set_blocking(descriptor, False)
     return LogStream(write=partial(write_descriptor, descriptor), clock=monotonic)
--- a/siskintally/log_stream.py
+++ b/siskintally/log_stream.py
@@ -30,10 +30,10 @@
     # structlog keeps a lock per output file in a dictionary with weak references.
     __slots__ = (
         "__weakref__",
-        "_at",
         "_burst_lines",
         "_clock",
         "_lines_per_s",
+        "_refilled_at",
         "_tokens",
         "_write",
         "dropped",
@@ -45,25 +45,25 @@
         self._lines_per_s = lines_per_s
         self._burst_lines = burst_lines
         self._tokens = float(burst_lines)
-        self._at = clock()
+        self._refilled_at = clock()
         self.dropped = 0
 
     def write(self, text):
         """Write one line, including its line end, or drop it."""
         now = self._clock()
-        refill = (now - self._at) * self._lines_per_s
+        refill = (now - self._refilled_at) * self._lines_per_s
         self._tokens = min(self._tokens + refill, self._burst_lines)
-        self._at = now
+        self._refilled_at = now
         if self._tokens < 1.0:
             self.dropped += 1
             return
         self._tokens -= 1.0
-        if self.dropped and self._put(_note(self.dropped)):
+        if self.dropped and self._try_write(_drop_notice(self.dropped)):
             self.dropped = 0
-        if not self._put(text):
+        if not self._try_write(text):
             self.dropped += 1
 
-    def _put(self, text):
+    def _try_write(self, text):
         try:
             self._write(text.encode())
         except (BlockingIOError, BrokenPipeError):
@@ -75,5 +75,5 @@
         """Do nothing, as lines are not buffered."""
 
 
-def _note(count):
+def _drop_notice(count):
     return dumps({"event": "log lines dropped", "level": "warning", "count": count}) + "\n"
--- a/siskintally/outbox.py
+++ b/siskintally/outbox.py
@@ -50,7 +50,7 @@
         finally:
             self._ready = None
 
-    def take(self):
+    def pop(self):
         """Remove and return the oldest item, or None if the queue is empty."""
         return self._items.popleft() if self._items else None
 
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -68,7 +68,7 @@
     def _make_group(self, group, machine):
         folder = group_folder(self._process.data, group.name)
         folder.parent.mkdir(parents=True, exist_ok=True)
-        made = Group(
+        created = Group(
             name=group.name,
             process=self._process.name,
             founding_members=group.members,
@@ -76,8 +76,8 @@
             machine=machine,
             send=self._links.send,
         )
-        self.group_by_name[group.name] = made
-        return made
+        self.group_by_name[group.name] = created
+        return created
 
     def _add_cell(self, group):
         folder = Path(self._process.data)
@@ -120,12 +120,12 @@
         """
         if not self.owner_by_group:
             raise NotLeaderError("this store is not a member of any domain group")
-        name = self._group_of(body)
+        name = self._domain_group_name(body)
         if name not in self.owner_by_group:
             raise NotFoundError(f"domain group {name[:100]!r}: no replica on this store")
         return self.owner_by_group[name]
 
-    def _group_of(self, body):
+    def _domain_group_name(self, body):
         if isinstance(body, WorkerBeat):
             for name in self.owner_by_group:
                 if body.domain in self._settings.group_by_name[name].domains:
@@ -137,7 +137,7 @@
             return next(iter(self.owner_by_group))
         return body.group
 
-    async def join(self, body):
+    async def handle_join_request(self, body):
         """Answer a store that asks to be admitted, or that only asks whether the group exists.
 
         :raises NotFoundError: this store is not a member of the group.
--- a/siskintally/session.py
+++ b/siskintally/session.py
@@ -20,14 +20,14 @@
     SiskintallyError,
     UnreachableError,
 )
-from siskintally.liveness import LinkTiming, Liveness, Step
+from siskintally.liveness import LinkAction, LinkTiming, Liveness
 from siskintally.log import get_logger
 from siskintally.outbox import Outbox
 from siskintally.wire_pb2 import Failure, Frame, Ping, Pong
 
 OUTBOX_FRAMES = 4096
 BATCH_BYTES = 65536
-LOST = (GRPCError, ProtocolError, StreamTerminatedError, OSError, ClosedResourceError)
+CONNECTION_ERRORS = (GRPCError, ProtocolError, StreamTerminatedError, OSError, ClosedResourceError)
 
 _FIELD_BY_TYPE = {
     field.message_type.name: field.name for field in Frame.DESCRIPTOR.oneofs_by_name["body"].fields
@@ -73,7 +73,7 @@
         """Handle the end of a session."""
 
 
-class _Pending:
+class _QueuedFrame:
     __slots__ = ("done", "frame", "reply", "sent")
 
     def __init__(self, *, frame):
@@ -129,27 +129,27 @@
         """
         call_id = self._next_id
         self._next_id += 1
-        pending = _Pending(frame=wrap(body, call_id=call_id))
+        pending = _QueuedFrame(frame=wrap(body, call_id=call_id))
         if not self._pending_by_id:
             self._busy_since = monotonic()
         self._pending_by_id[call_id] = pending
         try:
-            self._put(pending)
+            self._enqueue(pending)
             with move_on_after(timeout):
                 await pending.done.wait()
         finally:
             self._pending_by_id.pop(call_id, None)
             pending.frame = None
-        return self._outcome(pending)
+        return self._result(pending)
 
-    def _outcome(self, pending):
+    def _result(self, pending):
         reply = pending.reply
         if reply is None:
             if pending.sent:
                 raise OutcomeUnknownError(f"no reply from {self.peer.name}")
             raise UnreachableError(f"call not sent to {self.peer.name}")
         if isinstance(reply, Failure):
-            raise RefusedError(reply.message, code=_code(reply.code), leader=reply.leader)
+            raise RefusedError(reply.message, code=_to_code(reply.code), leader=reply.leader)
         return reply
 
     def send(self, body):
@@ -158,7 +158,7 @@
         :returns: whether the message was queued.
         """
         try:
-            self._put(_Pending(frame=wrap(body)))
+            self._enqueue(_QueuedFrame(frame=wrap(body)))
         except UnreachableError:
             return False
         return True
@@ -169,7 +169,7 @@
         if self._scope is not None:
             self._scope.cancel()
 
-    def _put(self, pending):
+    def _enqueue(self, pending):
         if self.closed:
             raise UnreachableError(f"link to {self.peer.name} is closed")
         if not self._outbox.put(pending):
@@ -181,27 +181,27 @@
             async with create_task_group() as tasks:
                 self._tasks = tasks
                 self._scope = tasks.cancel_scope
-                tasks.start_soon(self._write)
-                await self._read()
+                tasks.start_soon(self._write_frames)
+                await self._read_frames()
                 tasks.cancel_scope.cancel()
         finally:
-            self._end()
+            self._finish()
 
-    def _end(self):
+    def _finish(self):
         self.closed = True
         for pending in self._pending_by_id.values():
             pending.done.set()
         self._outbox.close()
         self._handler.closed(self)
 
-    async def _read(self):
+    async def _read_frames(self):
         try:
             while (frame := await self._stream.recv_message()) is not None:
                 self._liveness.last_heard = monotonic()
                 self._dispatch(frame)
-                for further in frame.batch:
-                    self._dispatch(further)
-        except LOST as error:
+                for batched in frame.batch:
+                    self._dispatch(batched)
+        except CONNECTION_ERRORS as error:
             log.info("link lost", peer=self.peer.name, error=str(error))
 
     def _dispatch(self, frame):
@@ -215,7 +215,7 @@
         elif isinstance(body, Pong):
             return
         elif frame.id:
-            self._tasks.start_soon(self._answer, frame.id, body)
+            self._tasks.start_soon(self._run_call, frame.id, body)
         else:
             self._handler.receive(self, body)
 
@@ -225,7 +225,7 @@
             pending.reply = body
             pending.done.set()
 
-    async def _answer(self, call_id, body):
+    async def _run_call(self, call_id, body):
         try:
             reply = await self._handler.answer(self, body)
         except SiskintallyError as error:
@@ -235,49 +235,49 @@
             log.exception("call handler failed", peer=self.peer.name, body=type(body).__name__)
             reply = Failure(code=int(Code.INTERNAL), message=repr(error))
         try:
-            self._put(_Pending(frame=wrap(reply, call_id=call_id, reply=True)))
+            self._enqueue(_QueuedFrame(frame=wrap(reply, call_id=call_id, reply=True)))
         except UnreachableError:
             log.info("reply dropped", peer=self.peer.name, body=type(body).__name__)
 
-    async def _write(self):
+    async def _write_frames(self):
         try:
             while True:
                 await self._outbox.wait()
-                frames = list(self._waiting())
+                frames = list(self._queued_frames())
                 if frames:
                     frames[0].batch.extend(frames[1:])
                     await self._stream.send_message(frames[0])
-        except LOST:
+        except CONNECTION_ERRORS:
             self.close()
 
-    def _waiting(self):
+    def _queued_frames(self):
         """Yield queued frames, up to about 64 KiB, to be sent in one message.
 
         The frame of a call that has timed out is None; it is not sent.
         """
         size = 0
-        while size <= BATCH_BYTES and (pending := self._outbox.take()) is not None:
+        while size <= BATCH_BYTES and (pending := self._outbox.pop()) is not None:
             if pending.frame is not None:
                 pending.sent = True
                 size += pending.frame.ByteSize()
                 yield pending.frame
 
-    def check(self, now):
+    def check_liveness(self, now):
         """Ping the peer of an idle link; close a link on which a ping was not answered.
 
         :param now: monotonic time, seconds.
         """
         busy_since = self._busy_since if self._pending_by_id else None
-        step = self._liveness.step(now, busy_since=busy_since)
-        if step == Step.CLOSE:
+        action = self._liveness.next_action(now, busy_since=busy_since)
+        if action == LinkAction.CLOSE:
             silent = round(now - self._liveness.last_heard, 1)
             log.info("link silent", peer=self.peer.name, seconds=silent)
             self.close()
-        elif step == Step.PING:
+        elif action == LinkAction.PING:
             self.send(Ping(sent_at=now))
 
 
-def _code(number):
+def _to_code(number):
     try:
         return Code(number)
     except ValueError:
--- a/siskintally/settings.py
+++ b/siskintally/settings.py
@@ -260,57 +260,59 @@
         document = loads(text)
     except TOMLDecodeError as error:
         raise BadSettingsError(f"settings are not TOML: {error}") from error
-    _known(document, "settings", ("cell", "process", "group", "operator", "endpoint", "metrics"))
-    cell = _table(document, "cell", ("name", "secret", "tls"))
-    secret = _string(cell, "cell.secret", "secret")
+    _check_keys(
+        document, "settings", ("cell", "process", "group", "operator", "endpoint", "metrics")
+    )
+    cell = _read_table(document, "cell", ("name", "secret", "tls"))
+    secret = _read_string(cell, "cell.secret", "secret")
     if len(secret) < MIN_SECRET_LENGTH:
         raise BadSettingsError(f"cell.secret: expected at least {MIN_SECRET_LENGTH} characters")
-    process_by_name = _processes(document.get("process", []))
-    metrics = _table(document, "metrics", ("statsd",)) if "metrics" in document else {}
+    process_by_name = _read_processes(document.get("process", []))
+    metrics = _read_table(document, "metrics", ("statsd",)) if "metrics" in document else {}
     statsd = metrics.get("statsd")
     return Settings(
-        cell=_string(cell, "cell.name", "name"),
+        cell=_read_string(cell, "cell.name", "name"),
         secret=secret,
         process_by_name=process_by_name,
-        group_by_name=_groups(document.get("group", []), process_by_name),
-        operator_by_token=_tokens(document.get("operator", []), "operator", "name"),
-        service_by_token=_tokens(document.get("endpoint", []), "endpoint", "service"),
+        group_by_name=_read_groups(document.get("group", []), process_by_name),
+        operator_by_token=_read_tokens(document.get("operator", []), "operator", "name"),
+        service_by_token=_read_tokens(document.get("endpoint", []), "endpoint", "service"),
         statsd=Address.parse(statsd, key="metrics.statsd") if statsd else None,
-        tls_folder=_string(cell, "cell.tls", "tls") if "tls" in cell else None,
+        tls_folder=_read_string(cell, "cell.tls", "tls") if "tls" in cell else None,
     )
 
 
-def _known(table, key, names):
+def _check_keys(table, key, names):
     for name in table:
         if name not in names:
             raise BadSettingsError(f"{key}.{name}: unknown key, expected one of {', '.join(names)}")
 
 
-def _table(document, key, names):
+def _read_table(document, key, names):
     table = document.get(key)
     if not isinstance(table, dict):
         raise BadSettingsError(f"{key}: expected a table [{key}]")
-    _known(table, key, names)
+    _check_keys(table, key, names)
     return table
 
 
-def _string(table, key, name):
+def _read_string(table, key, name):
     value = table.get(name)
     if not isinstance(value, str) or not value:
         raise BadSettingsError(f"{key} = {value!r}: expected a non-empty string")
     return value
 
 
-def _processes(rows):
+def _read_processes(rows):
     by_name = {}
     for number, row in enumerate(rows):
         key = f"process[{number}]"
-        _known(row, key, ("name", "role", "domain", "region", "link", "http", "data"))
+        _check_keys(row, key, ("name", "role", "domain", "region", "link", "http", "data"))
         process = Process(
-            name=_string(row, f"{key}.name", "name"),
-            role=_string(row, f"{key}.role", "role"),
-            domain=_string(row, f"{key}.domain", "domain"),
-            region=_string(row, f"{key}.region", "region"),
+            name=_read_string(row, f"{key}.name", "name"),
+            role=_read_string(row, f"{key}.role", "role"),
+            domain=_read_string(row, f"{key}.domain", "domain"),
+            region=_read_string(row, f"{key}.region", "region"),
             link=Address.parse(row.get("link"), key=f"{key}.link"),
             http=Address.parse(row["http"], key=f"{key}.http") if "http" in row else None,
             data=row.get("data"),
@@ -331,13 +333,13 @@
         raise BadSettingsError(f"{key}.data = {process.data!r}: a store needs a data folder")
 
 
-def _groups(rows, process_by_name):
+def _read_groups(rows, process_by_name):
     by_name = {}
-    owned = set()
+    owned_domains = set()
     for number, row in enumerate(rows):
         key = f"group[{number}]"
-        _known(row, key, ("name", "members", "domains"))
-        name = _string(row, f"{key}.name", "name")
+        _check_keys(row, key, ("name", "members", "domains"))
+        name = _read_string(row, f"{key}.name", "name")
         members = tuple(row.get("members", ()))
         for member in members:
             if member not in process_by_name or process_by_name[member].role != "store":
@@ -347,7 +349,7 @@
                 f"{key}.members = {list(members)}: expected a list of distinct stores"
             )
         domains = tuple(row.get("domains", ()))
-        if owned & set(domains):
+        if owned_domains & set(domains):
             raise BadSettingsError(
                 f"{key}.domains = {list(domains)}: another group owns one of them too"
             )
@@ -355,21 +357,21 @@
             raise BadSettingsError(
                 f"{key}.domains: expected failure domains, and none for the group {CELL_GROUP!r}"
             )
-        owned.update(domains)
+        owned_domains.update(domains)
         by_name[name] = GroupSettings(name=name, members=members, domains=domains)
     return by_name
 
 
-def _tokens(rows, table, holder):
-    """Return ``{token: value of the key holder}`` from an array of tables."""
+def _read_tokens(rows, table, value_key):
+    """Return ``{token: value of the key value_key}`` from an array of tables."""
     by_token = {}
     for number, row in enumerate(rows):
         key = f"{table}[{number}]"
-        _known(row, key, (holder, "token"))
-        token = _string(row, f"{key}.token", "token")
+        _check_keys(row, key, (value_key, "token"))
+        token = _read_string(row, f"{key}.token", "token")
         if len(token) < MIN_SECRET_LENGTH or token in by_token:
             raise BadSettingsError(
                 f"{key}.token: expected a distinct token of at least {MIN_SECRET_LENGTH} characters"
             )
-        by_token[token] = _string(row, f"{key}.{holder}", holder)
+        by_token[token] = _read_string(row, f"{key}.{value_key}", value_key)
     return by_token
--- a/siskintally/store.py
+++ b/siskintally/store.py
@@ -1,8 +1,8 @@
 """Store daemon: runs replicas of the cell group and of domain groups, and serves calls to them.
 
->>> from siskintally.store import dispatch_field
+>>> from siskintally.store import destination_of
 >>> from siskintally.wire_pb2 import SyncRequest, VoteRequest
->>> dispatch_field(VoteRequest()), dispatch_field(SyncRequest())
+>>> destination_of(VoteRequest()), destination_of(SyncRequest())
 ('consensus', 'cell')
 """
 
@@ -34,9 +34,9 @@
 # Less than the 5 s that an entry waits for a store, so that the entry receives the store's own
 # reply instead of timing out.
 OPERATOR_TIMEOUT_S = 4.5
-OPERATOR_ATTEMPT_S = 2.0
+OPERATOR_ATTEMPT_TIMEOUT_S = 2.0
 STOP_TIMEOUT_S = 10.0
-_CONSENSUS = (
+_CONSENSUS_MESSAGES = (
     "VoteRequest",
     "VoteReply",
     "AppendRequest",
@@ -46,20 +46,20 @@
     "TransferLeadership",
     "JoinRequest",
 )
-_CELL = ("SyncRequest", "JobReport", "OperatorCall")
-_OWNER = ("ConfigWatch", "LedgerBegin", "LedgerFinish", "LedgerRelease", "WorkerBeat")
+_CELL_CALLS = ("SyncRequest", "JobReport", "OperatorCall")
+_OWNER_CALLS = ("ConfigWatch", "LedgerBegin", "LedgerFinish", "LedgerRelease", "WorkerBeat")
 
 log = get_logger("store")
 
 
-def dispatch_field(body):
+def destination_of(body):
     """Return the part of a store that handles a message: consensus, cell, owner, or none."""
     name = type(body).__name__
-    if name in _CONSENSUS:
+    if name in _CONSENSUS_MESSAGES:
         return "consensus"
-    if name in _CELL:
+    if name in _CELL_CALLS:
         return "cell"
-    if name in _OWNER:
+    if name in _OWNER_CALLS:
         return "owner"
     return "none"
 
@@ -139,45 +139,45 @@
 
     async def answer(self, session, body):
         """Handle a call from another process."""
-        self._links.note(session)
+        self._links.record_session(session)
         if self._stopping:
             # Nothing has been proposed, so the caller can safely call the next leader.
             raise NotLeaderError(f"store {self._process.name} is stopping")
-        part = dispatch_field(body)
+        destination = destination_of(body)
         if isinstance(body, JoinRequest):
-            return await self._replicas.join(body)
-        if part == "owner":
+            return await self._replicas.handle_join_request(body)
+        if destination == "owner":
             return await self._replicas.owner_for(body).answer(session, body)
-        if part != "cell":
+        if destination != "cell":
             raise NotFoundError(f"a store does not serve {type(body).__name__} calls")
-        if isinstance(body, OperatorCall) and not self._is_store(session):
+        if isinstance(body, OperatorCall) and not self._is_from_store(session):
             return await self._cell_client.call(
                 body,
                 timeout=OPERATOR_TIMEOUT_S,
-                attempt_timeout=OPERATOR_ATTEMPT_S,
+                attempt_timeout=OPERATOR_ATTEMPT_TIMEOUT_S,
                 idempotent=True,
             )
-        return await self._answer_cell(body)
+        return await self._handle_cell_call(body)
 
     def receive(self, session, body):
         """Handle a message without a reply from another process."""
-        self._links.note(session)
-        if dispatch_field(body) == "consensus":
+        self._links.record_session(session)
+        if destination_of(body) == "consensus":
             group = self._replicas.group_by_name.get(body.group)
             if group is not None:
                 group.receive(body)
 
     def closed(self, session):
         """Remove an ended session and notify the owners."""
-        self._links.forget(session)
+        self._links.remove_session(session)
         for owner in self._replicas.owner_by_group.values():
             owner.closed(session)
 
-    def _is_store(self, session):
+    def _is_from_store(self, session):
         process = self._settings.process_by_name.get(session.peer.name)
         return process is not None and process.role == "store"
 
-    async def _answer_cell(self, body):
+    async def _handle_cell_call(self, body):
         """Answer a call to the cell group locally, without forwarding it to another store."""
         service = self._replicas.cell_service
         if service is None:
@@ -204,7 +204,7 @@
             if name != self._process.name:
                 return await self._links.call(name, body, timeout=timeout)
             with fail_after(timeout):
-                return await self._answer_cell(body)
+                return await self._handle_cell_call(body)
         except TimeoutError as error:
             raise OutcomeUnknownError(f"no reply in {timeout} s") from error
         except SiskintallyError as error:
--- a/siskintally/store_links.py
+++ b/siskintally/store_links.py
@@ -2,8 +2,8 @@
 
 Of two stores, the one with the smaller name opens the link; the other uses the accepted session.
 
->>> from siskintally.store_links import dials
->>> dials("s1", "s2"), dials("s2", "s1")
+>>> from siskintally.store_links import opens_link
+>>> opens_link("s1", "s2"), opens_link("s2", "s1")
 (True, False)
 """
 
@@ -11,7 +11,7 @@
 from siskintally.link import Link
 
 
-def dials(own, other):
+def opens_link(own, other):
     """Return whether a store opens the link to another one."""
     return own < other
 
@@ -40,14 +40,14 @@
                 tls=settings.tls(process.name),
             )
             for peer in settings.process_by_name.values()
-            if peer.role == "store" and dials(process.name, peer.name)
+            if peer.role == "store" and opens_link(process.name, peer.name)
         }
 
     def links(self):
         """Yield (process name, link) of the links that this store opens."""
         yield from self._link_by_name.items()
 
-    def note(self, session):
+    def record_session(self, session):
         """Use the session that a frame came from for later frames to its process.
 
         When a connection is lost silently, the peer opens a new link while the old session still
@@ -56,7 +56,7 @@
         if session.peer.name not in self._link_by_name:
             self._accepted_by_name[session.peer.name] = session
 
-    def forget(self, session):
+    def remove_session(self, session):
         """Remove a session that has ended."""
         if self._accepted_by_name.get(session.peer.name) is session:
             del self._accepted_by_name[session.peer.name]
--- a/siskintally/supervisor.py
+++ b/siskintally/supervisor.py
@@ -62,14 +62,14 @@
         async with create_task_group() as tasks:
             self._scope = tasks.cancel_scope
             for name, start, restart in self._children:
-                tasks.start_soon(self._keep, name, start, restart)
+                tasks.start_soon(self._run_child, name, start, restart)
 
     def stop(self):
         """Cancel all children."""
         if self._scope is not None:
             self._scope.cancel()
 
-    async def _keep(self, name, start, restart):
+    async def _run_child(self, name, start, restart):
         failures = []
         while True:
             try:
--- a/tests/test_inbox.py
+++ b/tests/test_inbox.py
@@ -3,7 +3,7 @@
 from anyio import create_task_group, fail_after, run, sleep
 
 from siskintally.inbox import Inbox
-from siskintally.liveness import LinkTiming, Liveness, Step
+from siskintally.liveness import LinkAction, LinkTiming, Liveness
 from siskintally.outbox import Outbox
 
 LIMIT_S = 30
@@ -59,7 +59,7 @@
             assert outbox.put("two")
             assert not outbox.put("three")
             await outbox.wait()
-        assert [outbox.take(), outbox.take(), outbox.take()] == ["one", "two", None]
+        assert [outbox.pop(), outbox.pop(), outbox.pop()] == ["one", "two", None]
         outbox.close()
         assert not outbox.put("late")
 
@@ -69,6 +69,6 @@
 def test_call_on_a_quiet_link_is_pinged_only_when_its_reply_takes_long():
     """Guards against a ping for each heartbeat, and against a call on a silent link that waits."""
     liveness = Liveness(timing=LinkTiming(idle_ping_s=12.0), now=0.0)
-    assert liveness.step(10.5, busy_since=10.0) == Step.NONE
-    assert liveness.step(10.0 + LinkTiming().busy_ping_s, busy_since=10.0) == Step.PING
-    assert liveness.step(14.1, busy_since=10.0) == Step.CLOSE
+    assert liveness.next_action(10.5, busy_since=10.0) == LinkAction.NONE
+    assert liveness.next_action(10.0 + LinkTiming().busy_ping_s, busy_since=10.0) == LinkAction.PING
+    assert liveness.next_action(14.1, busy_since=10.0) == LinkAction.CLOSE
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -23,7 +23,7 @@
     UnreachableError,
     VersionConflictError,
 )
-from siskintally.link import TCP_OPTIONS, Link, LinkServer, keep_alive
+from siskintally.link import TCP_KEEPALIVE_OPTIONS, Link, LinkServer, enable_tcp_keepalive
 from siskintally.session import Handler
 from siskintally.settings import Tls
 from siskintally.wire_pb2 import ConfigState, ConfigWatch, Done, Hello, JobReport
@@ -103,7 +103,7 @@
         await link.wait_open()
         sock = link.session._stream.peer._transport.get_extra_info("socket")
         assert sock.getsockopt(SOL_SOCKET, SO_KEEPALIVE)
-        for option, value in TCP_OPTIONS:
+        for option, value in TCP_KEEPALIVE_OPTIONS:
             assert sock.getsockopt(IPPROTO_TCP, option) == value
 
     with_link(check)
@@ -112,10 +112,10 @@
 def test_accepted_connections_are_probed_by_the_kernel():
     """Guards against an owner that keeps the link of a worker whose path has gone silent."""
     with create_server(("127.0.0.1", 0)) as listener:
-        keep_alive(listener)
+        enable_tcp_keepalive(listener)
         with create_connection(listener.getsockname()), listener.accept()[0] as accepted:
             assert accepted.getsockopt(SOL_SOCKET, SO_KEEPALIVE)
-            for option, value in TCP_OPTIONS:
+            for option, value in TCP_KEEPALIVE_OPTIONS:
                 assert accepted.getsockopt(IPPROTO_TCP, option) == value
 
 
@@ -289,5 +289,5 @@
         ended=lambda: ended.append(1),
     )
     for incarnation in ("1", "1", "2"):
-        link._note_incarnation(incarnation)
+        link._check_incarnation(incarnation)
     assert len(ended) == 1
