--- a/siskintally/client.py
+++ b/siskintally/client.py
@@ -27,21 +27,21 @@
 ATTEMPT_TIMEOUT_S = 15.0
 RETRY_DELAY_S = 0.3
 # Codes after which a resend with the same request id may have another result. All others are final.
-RETRIED = (
+RETRIED_CODES = (
     Code.NO_ENDPOINT,
     Code.DRAINING,
     Code.NOT_LEADER,
     Code.OUTCOME_UNKNOWN,
     Code.STOPPED,
 )
-_BAD_INPUT = (
+_BAD_INPUT_CODES = (
     Code.BAD_REQUEST,
     Code.UNAUTHORIZED,
     Code.TOO_LARGE,
     Code.NOT_FOUND,
     Code.BAD_SETTINGS,
 )
-_NOT_SENT = (ConnectError, ConnectTimeout, PoolTimeout)
+_NOT_SENT_ERRORS = (ConnectError, ConnectTimeout, PoolTimeout)
 
 
 def exit_status(code):
@@ -55,10 +55,10 @@
         return EXIT_NOT_RUN
     if code < 4000:
         return EXIT_UNKNOWN
-    return EXIT_USAGE if code in _BAD_INPUT else EXIT_FAILED
+    return EXIT_USAGE if code in _BAD_INPUT_CODES else EXIT_FAILED
 
 
-class Outcome:
+class OperatorResponse:
     """Result code and answer of an operator call.
 
     :param code: result code, an int.
@@ -84,14 +84,14 @@
     :param transport: httpx transport, for tests.
     """
 
-    __slots__ = ("_client", "_entries", "_timeout_s", "_turn")
+    __slots__ = ("_client", "_entries", "_entry_index", "_timeout_s")
 
     def __init__(self, *, entries, token, timeout_s, transport=None):
         if not entries or not token:
             raise BadSettingsError("--entry and --token: expected both")
         self._entries = [url.rstrip("/") for url in entries]
         self._timeout_s = timeout_s
-        self._turn = 0
+        self._entry_index = 0
         headers = {"Authorization": f"Bearer {token}"}
         # Proxy settings of the environment are ignored, because entries are addressed directly.
         self._client = Client(headers=headers, trust_env=False, transport=transport)
@@ -100,36 +100,36 @@
         """Call a verb.
 
         :param arguments: dict of JSON values.
-        :returns: :class:`Outcome`, also for a refusal.
+        :returns: :class:`OperatorResponse`, also for a refusal.
         :raises UnreachableError: no final answer in time; the call was not run.
         :raises OutcomeUnknownError: no final answer in time; the call may have been run.
         """
         deadline = monotonic() + self._timeout_s
-        unknown = False
-        problem = "no attempt"
+        may_have_run = False
+        last_error = "no attempt"
         while (remaining := deadline - monotonic()) > 0:
-            url = self._entries[self._turn % len(self._entries)]
+            url = self._entries[self._entry_index % len(self._entries)]
             try:
-                outcome = self._post(url, verb, arguments, request_id, remaining)
+                response = self._post(url, verb, arguments, request_id, remaining)
             except UnreachableError as error:
-                problem = str(error)
+                last_error = str(error)
             except OutcomeUnknownError as error:
-                unknown, problem = True, str(error)
+                may_have_run, last_error = True, str(error)
             else:
-                if outcome.code not in RETRIED:
-                    return outcome
-                unknown = unknown or outcome.code == Code.OUTCOME_UNKNOWN
-                problem = f"{outcome.code} {outcome.answer.get('message', '')}"
-            self._turn += 1
+                if response.code not in RETRIED_CODES:
+                    return response
+                may_have_run = may_have_run or response.code == Code.OUTCOME_UNKNOWN
+                last_error = f"{response.code} {response.answer.get('message', '')}"
+            self._entry_index += 1
             sleep(min(RETRY_DELAY_S, max(0.0, deadline - monotonic())))
-        if unknown:
-            raise OutcomeUnknownError(f"{problem}; resend with --request_id {request_id}")
-        raise UnreachableError(f"not run: {problem}")
+        if may_have_run:
+            raise OutcomeUnknownError(f"{last_error}; resend with --request_id {request_id}")
+        raise UnreachableError(f"not run: {last_error}")
 
     def _post(self, url, verb, arguments, request_id, remaining):
         timeout = min(remaining, ATTEMPT_TIMEOUT_S)
         try:
-            response = self._client.post(
+            http_response = self._client.post(
                 f"{url}/v1/operator/{verb}",
                 json=arguments,
                 headers={REQUEST_ID_HEADER: request_id},
@@ -137,44 +137,44 @@
             )
         except InvalidURL as error:
             raise BadSettingsError(f"--entry = {url!r}: {error}") from error
-        except _NOT_SENT as error:
+        except _NOT_SENT_ERRORS as error:
             raise UnreachableError(f"{url}: {error}") from error
         except HTTPError as error:
             raise OutcomeUnknownError(f"{url}: {error!r}") from error
-        return _read(url, response)
+        return _parse_response(url, http_response)
 
     def close(self):
         """Close the HTTP connections."""
         self._client.close()
 
 
-def _read(url, response):
+def _parse_response(url, http_response):
     try:
-        fields = response.json()
+        fields = http_response.json()
         code = fields["code"]
         answer = fields.get("answer")
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise OutcomeUnknownError(
-            f"{url}: HTTP status {response.status_code} without a result code"
+            f"{url}: HTTP status {http_response.status_code} without a result code"
         ) from error
     if not isinstance(answer, dict):
         answer = {"message": str(fields.get("message", ""))}
-    return Outcome(code=int(code), answer=answer)
+    return OperatorResponse(code=int(code), answer=answer)
 
 
-def require_done(outcome):
+def require_success(response):
     """Return the answer of a call that succeeded.
 
     :raises NotLeaderError: the result code is NOT_LEADER.
     :raises RefusedError: the call failed; has the result code of the call.
     """
-    if outcome.code < 2000:
-        return outcome.answer
+    if response.code < 2000:
+        return response.answer
     try:
-        code = Code(outcome.code)
+        code = Code(response.code)
     except ValueError:
         code = Code.INTERNAL
     if code == Code.NOT_LEADER:
-        raise NotLeaderError(outcome.answer.get("message", ""))
-    message = outcome.answer.get("message", "refused")
+        raise NotLeaderError(response.answer.get("message", ""))
+    message = response.answer.get("message", "refused")
     raise RefusedError(message, code=code)
--- a/siskintally/commands_domain.py
+++ b/siskintally/commands_domain.py
@@ -11,7 +11,7 @@
 from siskintally.verbs import ACTIONS
 
 SUMMARY = "Declare domain groups lost, or restore one: domain lost GROUP... | domain restore GROUP."
-_MUST_BE_SURE = (
+_CONFIRM_REQUIRED = (
     "--confirm: expected. It states that every machine of these domain groups (stores, workers and "
     "entries) is switched off or fenced, so that no task runs on it now or later. The cell cannot "
     "distinguish a lost domain group from a partitioned one, and starts its tasks elsewhere"
@@ -47,7 +47,7 @@
     if action == "restore" and (len(groups) > 1 or values.confirm or values.force):
         raise BadSettingsError("restore: expected one group and neither --confirm nor --force")
     if action == "lost" and not values.confirm:
-        raise BadSettingsError(_MUST_BE_SURE)
+        raise BadSettingsError(_CONFIRM_REQUIRED)
     fields = {"action": action, "groups": groups}
     if action == "lost":
         fields |= {"confirm": True, "force": values.force}
--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -26,10 +26,10 @@
 from siskintally.errors import BadSettingsError
 from siskintally.log import set_up
 from siskintally.settings import load
-from siskintally.stub_endpoint import FAULTS, Stub, StubOptions
+from siskintally.stub_endpoint import FAULTS, StubEndpoint, StubEndpointOptions
 
 TOKEN_VARIABLE = "SISKINTALLY_ENDPOINT_TOKEN"
-LEVELS = ("debug", "info", "warning", "error")
+LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
 def register(registry):
@@ -69,12 +69,12 @@
         "how the endpoint of a request is chosen",
         flag_values=values,
     )
-    DEFINE_enum("log_level", "info", LEVELS, "lowest level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "info", LOG_LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_entry(values, arguments):
     """Run ``entry``."""
-    _no_arguments(arguments)
+    _require_no_arguments(arguments)
     if not values.settings or not values.name:
         raise BadSettingsError("--settings and --name: expected both")
     settings = load(values.settings)
@@ -109,14 +109,14 @@
     DEFINE_string(
         "token", None, f"token of the service; the default is ${TOKEN_VARIABLE}", flag_values=values
     )
-    DEFINE_enum("log_level", "warning", LEVELS, "lowest level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "warning", LOG_LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_stub(values, arguments):
     """Run ``stub-endpoint``."""
-    _no_arguments(arguments)
+    _require_no_arguments(arguments)
     set_up(process=values.name, level=values.log_level)
-    options = StubOptions(
+    options = StubEndpointOptions(
         name=values.name,
         service=values.service,
         domain=values.domain,
@@ -129,10 +129,10 @@
         token=values.token or environ.get(TOKEN_VARIABLE, ""),
         record=values.record,
     )
-    stub = Stub(options=options)
+    stub = StubEndpoint(options=options)
     return serve_until_signal(stub.run, stub.stop)
 
 
-def _no_arguments(arguments):
+def _require_no_arguments(arguments):
     if arguments:
         raise BadSettingsError(f"arguments = {arguments}: expected only flags")
--- a/siskintally/commands_operator.py
+++ b/siskintally/commands_operator.py
@@ -45,10 +45,12 @@
     """Add the commands of this family."""
     for name, summary in _SUMMARY_BY_NAME.items():
         define, start = _COMMANDS[name]
-        registry.add(Command(name=name, summary=summary, define=define, start=_starter(start)))
+        registry.add(
+            Command(name=name, summary=summary, define=define, start=_operation_runner(start))
+        )
 
 
-def _starter(start):
+def _operation_runner(start):
     def run(values, arguments):
         return Operation.run(values, arguments, start)
 
@@ -83,19 +85,21 @@
 def _submit(operation, values, arguments):
     if values.file and arguments:
         raise BadSettingsError(f"arguments = {arguments}: expected one job file")
-    path = values.file or _at_most_one(arguments, "job file")
+    path = values.file or _optional_argument(arguments, "job file")
     fields = _read_toml(path) if path else {}
     fields.update({key: values[key].value for key in KEYS if values[key].value is not None})
     answer = operation.call("submit", fields)
     if not operation.json:
-        waits = f"waits: {answer['reason']}" if answer["reason"] else _shares(answer["split"])
-        print(f"{answer['job']}  {waits}")
+        outcome = (
+            f"waits: {answer['reason']}" if answer["reason"] else _format_shares(answer["split"])
+        )
+        print(f"{answer['job']}  {outcome}")
     if operation.wait:
         operation.wait_jobs([answer["job"]])
     return answer
 
 
-def _shares(split):
+def _format_shares(split):
     return ", ".join(f"{group}: {tasks}" for group, tasks in split.items())
 
 
@@ -113,9 +117,9 @@
         raise BadSettingsError(f"{path}: {error}") from error
 
 
-def _at_most_one(arguments, what):
+def _optional_argument(arguments, description):
     if len(arguments) > 1:
-        raise BadSettingsError(f"arguments = {arguments}: expected at most one {what}")
+        raise BadSettingsError(f"arguments = {arguments}: expected at most one {description}")
     return arguments[0] if arguments else None
 
 
@@ -145,13 +149,13 @@
 
 
 def _jobs(operation, values, arguments):
-    asked = {"prefix": values.prefix, "state": values.state, "limit": values.limit}
+    query = {"prefix": values.prefix, "state": values.state, "limit": values.limit}
     if arguments:
-        asked["jobs"] = arguments
-    answer = operation.read("jobs", asked)
+        query["jobs"] = arguments
+    answer = operation.read("jobs", query)
     if operation.wait:
         operation.wait_jobs([row["job"] for row in answer["jobs"]])
-        answer = operation.read("jobs", asked)
+        answer = operation.read("jobs", query)
     if not operation.json:
         show_jobs(answer)
     return answer
@@ -183,20 +187,20 @@
     DEFINE_alias("expect-version", "expect_version", flag_values=values)
 
 
-def _expected(operation, values):
+def _expected_version(operation, values):
     if values.expect_version is not None:
         return values.expect_version
     return operation.read("config", {})["version"]
 
 
 def _preset(operation, values, arguments):
-    name = _at_most_one(arguments, f"preset of {', '.join(PRESET_NAMES)}")
+    name = _optional_argument(arguments, f"preset of {', '.join(PRESET_NAMES)}")
     if name is None:
         answer = operation.read("config", {})
         if not operation.json:
             print(f"{answer['preset'] or 'none'} (version {answer['version']})")
         return answer
-    fields = {"preset": name, "expect_version": _expected(operation, values)}
+    fields = {"preset": name, "expect_version": _expected_version(operation, values)}
     return _change_version(operation, "preset", fields)
 
 
@@ -225,7 +229,7 @@
 
 
 def _status(operation, values, arguments):
-    _at_most_none(arguments)
+    _require_no_arguments(arguments)
     answer = operation.read("status", {})
     if not operation.json:
         show_status(answer)
@@ -240,15 +244,15 @@
 
 
 def _audit(operation, values, arguments):
-    _at_most_none(arguments)
+    _require_no_arguments(arguments)
     answer = operation.read("audit", {"limit": values.limit, "verify": values.verify})
     if not operation.json:
         show_audit(answer)
-    operation.check_chain(answer)
+    operation.check_audit_chain(answer)
     return answer
 
 
-def _at_most_none(arguments):
+def _require_no_arguments(arguments):
     if arguments:
         raise BadSettingsError(f"arguments = {arguments}: expected only flags")
 
--- a/siskintally/commands_report.py
+++ b/siskintally/commands_report.py
@@ -24,10 +24,10 @@
 def _start(_, arguments):
     if not arguments:
         raise BadRequestError("arguments: expected one or more log files")
-    print(format_report(build_flow_traces(read_events(_lines(arguments))).values()))
+    print(format_report(build_flow_traces(read_events(_read_lines(arguments))).values()))
 
 
-def _lines(paths):
+def _read_lines(paths):
     for path in paths:
         try:
             with open(path, encoding="utf-8", errors="replace") as file:
--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -27,7 +27,7 @@
 from siskintally.settings import load
 from siskintally.store import Store
 
-LEVELS = tuple(LEVEL_BY_NAME)
+LOG_LEVELS = tuple(LEVEL_BY_NAME)
 
 
 def register(registry):
@@ -43,10 +43,12 @@
     )
     for name, summary, start in rows:
         define = define_check if name == "check" else define_process
-        registry.add(Command(name=name, summary=summary, define=define, start=_numbered(start)))
+        registry.add(
+            Command(name=name, summary=summary, define=define, start=_with_exit_status(start))
+        )
 
 
-def _numbered(start):
+def _with_exit_status(start):
     """Wrap a command so that an error is printed with its code and sets the exit status."""
 
     def run(values, arguments):
@@ -73,7 +75,7 @@
     """Add the flags of ``store`` and ``init``."""
     DEFINE_string("settings", None, "settings file of the cell (TOML)", flag_values=values)
     DEFINE_string("name", None, "name of this process in the settings", flag_values=values)
-    DEFINE_enum("log_level", "info", LEVELS, "lowest level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "info", LOG_LEVELS, "lowest level of log lines", flag_values=values)
     DEFINE_boolean("json", False, "print the answer as one line of JSON", flag_values=values)
 
 
@@ -84,7 +86,7 @@
     DEFINE_boolean("json", False, "print the answer as one line of JSON", flag_values=values)
 
 
-def _process(values):
+def _load_process(values):
     if not values.settings or not values.name:
         raise BadSettingsError("--settings and --name: expected both")
     settings = load(values.settings)
@@ -97,14 +99,14 @@
 
 def start_store(values):
     """Run ``store``."""
-    settings, process = _process(values)
+    settings, process = _load_process(values)
     store = Store(settings=settings, process=process)
     return serve_until_signal(store.run, store.stop)
 
 
 def start_init(values):
     """Run ``init``."""
-    settings, process = _process(values)
+    settings, process = _load_process(values)
     names = []
     for group in groups_to_bootstrap(settings, process.name):
         run_async(
--- a/siskintally/commands_worker.py
+++ b/siskintally/commands_worker.py
@@ -26,7 +26,7 @@
 from siskintally.wire_pb2 import Resources
 from siskintally.worker_state import Faults
 
-LEVELS = ("debug", "info", "warning", "error")
+LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
 def register(registry):
@@ -72,7 +72,7 @@
         flag_values=values,
     )
     DEFINE_string("record", "", "file to append a JSON line per event to", flag_values=values)
-    DEFINE_enum("log_level", "warning", LEVELS, "lowest level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "warning", LOG_LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_worker(values, arguments):
@@ -88,19 +88,19 @@
     workers = [
         StubWorker(
             options=options,
-            stores=_stores(settings, values),
+            stores=_store_processes(settings, values),
             cell=settings.cell,
             secret=settings.secret,
             recorder=recorder,
             tls=tls,
         )
-        for options in _options(values)
+        for options in _worker_options(values)
     ]
     stubs = StubWorkers(workers=workers)
     return serve_until_signal(stubs.run, stubs.stop)
 
 
-def _stores(settings, values):
+def _store_processes(settings, values):
     """Return the stores to connect to; the flag --stores replaces their addresses.
 
     The given addresses may be those of forwarders.
@@ -125,13 +125,13 @@
     ]
 
 
-def _options(values):
+def _worker_options(values):
     for number in range(values.count):
-        several = values.count > 1
+        has_several = values.count > 1
         yield WorkerOptions(
-            name=f"{values.name}-{number}" if several else values.name,
+            name=f"{values.name}-{number}" if has_several else values.name,
             domain=values.domain,
-            rack=f"{values.rack}-{number // values.per_rack}" if several else values.rack,
+            rack=f"{values.rack}-{number // values.per_rack}" if has_several else values.rack,
             capacity=Resources(
                 cpu_milli=values.cpu_milli,
                 memory_mb=values.memory_mb,
@@ -143,5 +143,5 @@
                 size_factor=values.size_factor,
                 pause_s=values.pause_s,
             ),
-            beat_s=values.beat_s,
+            heartbeat_interval_s=values.beat_s,
         )
--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -2,8 +2,8 @@
 
 Each family of commands is a module with a function ``register(registry)``, see ``FAMILIES``.
 
->>> from siskintally.main import commands
->>> "entry" in [command.name for command in commands()]
+>>> from siskintally.main import build_registry
+>>> "entry" in [command.name for command in build_registry()]
 True
 """
 
@@ -44,7 +44,7 @@
 }
 
 
-def commands(name=None):
+def build_registry(name=None):
     """Return the registry of all commands.
 
     :param name: command to be run; if it is in ``FAMILY_BY_COMMAND``, only its family is loaded.
@@ -79,24 +79,24 @@
     :param argv: program name, command, flags.
     :returns: exit status: 0 done, 1 failed with a result code, 2 wrong usage.
     """
-    registry = commands(argv[1] if len(argv) > 1 else None)
+    registry = build_registry(argv[1] if len(argv) > 1 else None)
     if len(argv) < 2 or argv[1] in ("--help", "-h", "help"):
         print(registry.usage())
         return EXIT_OK if len(argv) > 1 else EXIT_USAGE
     try:
         command = registry.find(argv[1])
     except SiskintallyError as error:
-        return _fail(error, EXIT_USAGE)
+        return _print_error(error, EXIT_USAGE)
     values = command.flag_values()
-    return _start(command, values, [argv[0], *argv[2:]])
+    return _run_command(command, values, [argv[0], *argv[2:]])
 
 
-def _start(command, values, argv):
+def _run_command(command, values, argv):
     def parse(words):
         FLAGS(words[:1])
         return values(words)
 
-    def start(words):
+    def main(words):
         # Libraries log each request at level INFO.
         set_verbosity(WARNING)
         if values.help:
@@ -105,16 +105,16 @@
         try:
             return command.start(values, words[1:]) or EXIT_OK
         except SiskintallyError as error:
-            return _fail(error, EXIT_FAILED)
+            return _print_error(error, EXIT_FAILED)
 
     try:
-        return run_app(start, argv=argv, flags_parser=parse)
+        return run_app(main, argv=argv, flags_parser=parse)
     except FlagError as error:
         print(f"siskintally {command.name}: {error}", file=stderr)
         return EXIT_USAGE
 
 
-def _fail(error, status):
+def _print_error(error, status):
     print(f"{int(error.code)} {error.code.name}: {error}", file=stderr)
     return status
 
--- a/siskintally/operation.py
+++ b/siskintally/operation.py
@@ -15,16 +15,16 @@
 
 from siskintally.audit import record_hash
 from siskintally.cell_state_pb2 import AuditRecord
-from siskintally.client import OperatorClient, exit_status, require_done
+from siskintally.client import OperatorClient, exit_status, require_success
 from siskintally.codes import Code
 from siskintally.errors import DamagedDataError, OutcomeUnknownError, SiskintallyError
 
 DEFAULT_ENTRY = "http://127.0.0.1:7101"
 TOKEN_VARIABLE = "SISKINTALLY_TOKEN"
-POLL_S = 1.0
+POLL_INTERVAL_S = 1.0
 ENDED_STATES = ("succeeded", "failed", "cancelled", "never")
 # Job ids per poll; the arguments of a call are limited to 1 MiB.
-POLLED_JOBS = 5000
+MAX_JOBS_PER_POLL = 5000
 
 
 def define_common(values):
@@ -60,13 +60,13 @@
     :param wait_s: longest time to wait, seconds.
     """
 
-    __slots__ = ("_client", "_request_id", "_shown", "_wait_s", "json", "wait")
+    __slots__ = ("_client", "_last_progress", "_remaining_wait_s", "_request_id", "json", "wait")
 
     def __init__(self, *, client, request_id, json, wait, wait_s):
         self._client = client
         self._request_id = request_id
-        self._wait_s = wait_s
-        self._shown = None
+        self._remaining_wait_s = wait_s
+        self._last_progress = None
         self.json = json
         self.wait = wait
 
@@ -104,11 +104,11 @@
         :raises SiskintallyError: the call was refused, was not run, or its outcome is unknown.
         """
         print(f"request id {self._request_id}", file=stderr)
-        return require_done(self._client.call(verb, arguments, request_id=self._request_id))
+        return require_success(self._client.call(verb, arguments, request_id=self._request_id))
 
     def read(self, verb, arguments):
         """Call a verb that makes no change and return the answer."""
-        return require_done(self._client.call(verb, arguments, request_id=uuid4().hex))
+        return require_success(self._client.call(verb, arguments, request_id=uuid4().hex))
 
     def wait_jobs(self, jobs, prefix=""):
         """Wait until jobs have ended or, for services, until all tasks run; print progress.
@@ -117,21 +117,24 @@
         :param prefix: also wait for the jobs whose id starts with this, if it is not empty.
         :raises OutcomeUnknownError: the longest wait is over.
         """
-        waiting = list(jobs)
+        job_ids = list(jobs)
         while True:
             rows = []
-            for start in range(0, len(waiting), POLLED_JOBS):
-                asked = {"jobs": waiting[start : start + POLLED_JOBS], "limit": POLLED_JOBS}
-                rows += self.read("jobs", asked)["jobs"]
+            for start in range(0, len(job_ids), MAX_JOBS_PER_POLL):
+                query = {
+                    "jobs": job_ids[start : start + MAX_JOBS_PER_POLL],
+                    "limit": MAX_JOBS_PER_POLL,
+                }
+                rows += self.read("jobs", query)["jobs"]
             if prefix:
-                rows += self.read("jobs", {"prefix": prefix, "limit": POLLED_JOBS})["jobs"]
+                rows += self.read("jobs", {"prefix": prefix, "limit": MAX_JOBS_PER_POLL})["jobs"]
             rows = [row for row in rows if not _is_settled(row)]
             if not rows:
                 return
-            counts = ", ".join(f"{name} {sum(row[name] for row in rows)}" for name in _COUNTS)
+            counts = ", ".join(f"{name} {sum(row[name] for row in rows)}" for name in _COUNT_KEYS)
             reasons = sorted({row["reason"] for row in rows if row["reason"]})
-            self._progress(f"{len(rows)} jobs: {counts} {'; '.join(reasons[:3])}")
-            waiting = [row["job"] for row in rows]
+            self._report_progress(f"{len(rows)} jobs: {counts} {'; '.join(reasons[:3])}")
+            job_ids = [row["job"] for row in rows]
             prefix = ""
 
     def wait_config(self, version):
@@ -145,23 +148,23 @@
             behind = [row["group"] for row in rows if not row["config_current"]]
             if status["version"] > version or not behind:
                 return
-            self._progress(f"version {version} not yet in {', '.join(behind)}")
+            self._report_progress(f"version {version} not yet in {', '.join(behind)}")
 
-    def _progress(self, text):
+    def _report_progress(self, text):
         """Print progress if it has changed, then sleep.
 
         :raises OutcomeUnknownError: the longest wait is over.
         """
-        if self._wait_s <= 0:
+        if self._remaining_wait_s <= 0:
             raise OutcomeUnknownError(f"wait timed out: {text}")
         started = monotonic()
-        if text != self._shown:
+        if text != self._last_progress:
             print(text.rstrip(), file=stderr)
-            self._shown = text
-        sleep(min(POLL_S, self._wait_s))
-        self._wait_s -= max(monotonic() - started, POLL_S)
+            self._last_progress = text
+        sleep(min(POLL_INTERVAL_S, self._remaining_wait_s))
+        self._remaining_wait_s -= max(monotonic() - started, POLL_INTERVAL_S)
 
-    def check_chain(self, answer):
+    def check_audit_chain(self, answer):
         """Check the hashes of audit records and the result of the check of the audit file.
 
         :raises DamagedDataError: a hash does not match, or the file is damaged.
@@ -177,7 +180,7 @@
             raise DamagedDataError(f"audit file of {answer['file']['store']}: {damage}")
 
 
-_COUNTS = ("waiting", "running", "succeeded", "failed", "cancelled")
+_COUNT_KEYS = ("waiting", "running", "succeeded", "failed", "cancelled")
 
 
 def _is_settled(row):
--- a/siskintally/stub_duplicator.py
+++ b/siskintally/stub_duplicator.py
@@ -16,7 +16,7 @@
 from h11 import CLIENT, NEED_DATA, Connection, EndOfMessage, Request
 
 CHUNK_BYTES = 65536
-_LOST = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
+_CONNECTION_ERRORS = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
 
 
 class ResponseDuplicator:
@@ -48,7 +48,7 @@
             return
         async with client, server, create_task_group() as tasks:
             tasks.start_soon(self._copy, client, server)
-            await self._double(server, client)
+            await self._duplicate_responses(server, client)
             tasks.cancel_scope.cancel()
 
     @staticmethod
@@ -57,27 +57,27 @@
             async for data in source:
                 await sink.send(data)
             await sink.send_eof()
-        except _LOST:
+        except _CONNECTION_ERRORS:
             return
 
-    async def _double(self, source, sink):
+    async def _duplicate_responses(self, source, sink):
         # Caught here, because the task group would wrap the error and the whole stub would fail.
         try:
             await self._relay_responses(source, sink)
-        except _LOST:
+        except _CONNECTION_ERRORS:
             return
 
     @staticmethod
     async def _relay_responses(source, sink):
-        parser, seen = _parser(), b""
+        parser, received = _parser(), b""
         while True:
             data = await source.receive(CHUNK_BYTES)
-            seen += data
+            received += data
             parser.receive_data(data)
-            if _ends(parser):
+            if _has_ended(parser):
                 # One write for both, so that they arrive before the entry reuses the connection.
-                await sink.send(data + seen)
-                parser, seen = _parser(), b""
+                await sink.send(data + received)
+                parser, received = _parser(), b""
             else:
                 await sink.send(data)
 
@@ -89,7 +89,7 @@
     return parser
 
 
-def _ends(parser):
+def _has_ended(parser):
     while (event := parser.next_event()) is not NEED_DATA:
         if isinstance(event, EndOfMessage):
             return True
--- a/siskintally/stub_endpoint.py
+++ b/siskintally/stub_endpoint.py
@@ -18,20 +18,20 @@
 from siskintally.log import get_logger
 from siskintally.stub_duplicator import ResponseDuplicator
 
-ANNOUNCE_S = 1.0
+ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_S = 0.8
-DRAIN_S = 60.0
-LATE_S = 5.0
+DRAIN_TIMEOUT_S = 60.0
+LATE_DELAY_S = 5.0
 # With the fault "doubled", which can only be set at the start, a relay listens at the announced
 # address, and the stub listens at the same port of this address, which no other process uses.
 DOUBLED_HOST = "127.0.0.2"
-ID_HEADER = "siskintally-request-id"
+REQUEST_ID_HEADER = "siskintally-request-id"
 FAULTS = ("none", "fail", "silent", "late", "truncated", "wrong-id", "wrong-digest", "doubled")
 
 log = get_logger("stub-endpoint")
 
 
-class StubOptions:
+class StubEndpointOptions:
     """Options of a stub endpoint.
 
     :param http: ``host:port`` to listen on.
@@ -106,22 +106,22 @@
 class Announcer:
     """Announces the endpoint each second to one entry, and to the next one after a failure."""
 
-    __slots__ = ("_clock_by_entry", "_incarnation", "_options", "_seq", "_turn", "leaving")
+    __slots__ = ("_echo_by_entry", "_entry_index", "_incarnation", "_options", "_seq", "leaving")
 
     def __init__(self, *, options):
         self.leaving = False
         self._options = options
         self._incarnation = time_ns()
         self._seq = 0
-        self._turn = 0
-        self._clock_by_entry = {}
+        self._entry_index = 0
+        self._echo_by_entry = {}
 
     async def run(self):
         """Announce until cancelled."""
         async with AsyncClient(timeout=ANNOUNCE_TIMEOUT_S) as client:
             while self._options.entries:
                 await self.announce(client)
-                await sleep(ANNOUNCE_S)
+                await sleep(ANNOUNCE_INTERVAL_S)
 
     async def announce(self, client):
         """Announce once, to the first entry that accepts the announcement.
@@ -129,13 +129,13 @@
         :returns: whether an entry accepted it.
         """
         for _ in self._options.entries:
-            entry = self._options.entries[self._turn % len(self._options.entries)]
-            known = entry in self._clock_by_entry
+            entry = self._options.entries[self._entry_index % len(self._options.entries)]
+            has_echo = entry in self._echo_by_entry
             if await self._post(client, entry):
                 # Without an echo the entry cannot bound the age of an announcement, so the first
                 # one to an entry is repeated with an echo.
-                return known or await self._post(client, entry)
-            self._turn += 1
+                return has_echo or await self._post(client, entry)
+            self._entry_index += 1
         return False
 
     async def _post(self, client, entry):
@@ -152,25 +152,25 @@
             "seq": self._seq,
             "state": "leaving" if self.leaving else "serving",
         }
-        if entry in self._clock_by_entry:
-            clock, received_at = self._clock_by_entry[entry]
+        if entry in self._echo_by_entry:
+            clock, received_at = self._echo_by_entry[entry]
             fields.update(echo=clock, held_s=monotonic() - received_at)
         try:
             headers = {"authorization": f"Bearer {options.token}"} if options.token else {}
             response = await client.post(f"{entry}/v1/announce", json=fields, headers=headers)
             response.raise_for_status()
-            self._clock_by_entry[entry] = (float(response.json()["clock"]), monotonic())
+            self._echo_by_entry[entry] = (float(response.json()["clock"]), monotonic())
         except (HTTPError, ValueError, KeyError) as error:
             log.info("announcement failed", entry=entry, error=repr(error))
-            self._clock_by_entry.pop(entry, None)
+            self._echo_by_entry.pop(entry, None)
             return False
         return True
 
 
-class Stub(HttpApp):
+class StubEndpoint(HttpApp):
     """Daemon of a stub endpoint.
 
-    :param options: :class:`StubOptions`.
+    :param options: :class:`StubEndpointOptions`.
     """
 
     __slots__ = (
@@ -204,7 +204,9 @@
                 address = f"{DOUBLED_HOST}:{port}"
                 relay = ResponseDuplicator(host=host, port=int(port), target_host=DOUBLED_HOST)
                 tasks.start_soon(relay.run)
-            await serve_http(self, address=address, stop_event=self._stopped, graceful_s=DRAIN_S)
+            await serve_http(
+                self, address=address, stop_event=self._stopped, graceful_s=DRAIN_TIMEOUT_S
+            )
             tasks.cancel_scope.cancel()
 
     async def stop(self):
@@ -225,7 +227,7 @@
     async def __call__(self, scope, receive, send):
         """Serve one ASGI request; faults are injected through the raw ``send``."""
         if scope["type"] == "http" and not scope["path"].startswith("/control"):
-            await self._run_one(scope, receive, send)
+            await self._serve_request(scope, receive, send)
         else:
             await super().__call__(scope, receive, send)
 
@@ -239,7 +241,7 @@
         self._service_s = fields.get("service_ms", self._service_s * 1000) / 1000
         return json_response(200, {"fault": self._fault, "in_flight": self._in_flight})
 
-    async def _run_one(self, scope, receive, send):
+    async def _serve_request(self, scope, receive, send):
         headers = {name.decode(): value.decode() for name, value in scope["headers"]}
         body = b""
         while True:
@@ -251,32 +253,34 @@
                 break
         event = {
             "endpoint": self._options.name,
-            "request_id": headers.get(ID_HEADER, ""),
+            "request_id": headers.get(REQUEST_ID_HEADER, ""),
             "key": headers.get("idempotency-key", ""),
             "path": scope["path"],
         }
         self._in_flight += 1
-        over = self._in_flight > self._options.slots
-        self._recorder.write(event="start", in_flight=self._in_flight, over_slots=over, **event)
+        is_over_slots = self._in_flight > self._options.slots
+        self._recorder.write(
+            event="start", in_flight=self._in_flight, over_slots=is_over_slots, **event
+        )
         try:
-            if await self._work(receive):
-                await self._answer(event, scope["path"], body, send)
+            if await self._wait_service_time(receive):
+                await self._send_response(event, scope["path"], body, send)
         finally:
             self._in_flight -= 1
             self._recorder.write(event="end", **event)
             if not self._in_flight:
                 self._idle.set()
 
-    async def _work(self, receive):
+    async def _wait_service_time(self, receive):
         await sleep(self._service_s)
         if self._fault == "late":
-            await sleep(LATE_S + uniform(0, 1))
+            await sleep(LATE_DELAY_S + uniform(0, 1))
         while self._fault == "silent":
             if (await receive())["type"] == "http.disconnect":
                 return False
         return True
 
-    async def _answer(self, event, path, body, send):
+    async def _send_response(self, event, path, body, send):
         fields = {
             "endpoint": self._options.name,
             "id": event["request_id"],
@@ -284,24 +288,27 @@
             "body": body.decode("latin-1"),
         }
         content = dumps(fields).encode()
-        answer = HttpResponse(
+        response = HttpResponse(
             status=500 if self._fault == "fail" else 200,
             body=content,
             headers=[
-                (ID_HEADER, "another" if self._fault == "wrong-id" else event["request_id"]),
+                (
+                    REQUEST_ID_HEADER,
+                    "another" if self._fault == "wrong-id" else event["request_id"],
+                ),
                 ("siskintally-digest", sha256(content).hexdigest()),
                 ("content-type", "application/json"),
             ],
         )
         if self._fault == "wrong-digest":
-            answer.body = content[:-1] + b"]"
+            response.body = content[:-1] + b"]"
         if self._fault == "truncated":
-            await self._truncate(answer, send)
+            await self._send_truncated(response, send)
         else:
-            await respond(send, answer)
+            await respond(send, response)
 
-    async def _truncate(self, answer, send):
-        headers = [(name.encode(), value.encode()) for name, value in answer.headers]
-        headers.append((b"content-length", str(len(answer.body)).encode()))
+    async def _send_truncated(self, response, send):
+        headers = [(name.encode(), value.encode()) for name, value in response.headers]
+        headers.append((b"content-length", str(len(response.body)).encode()))
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": answer.body[:5], "more_body": True})
+        await send({"type": "http.response.body", "body": response.body[:5], "more_body": True})
--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -2,7 +2,7 @@
 
 >>> from siskintally.stub_worker import WorkerOptions
 >>> options = WorkerOptions(name="w", domain="d", rack="r", capacity=None)
->>> options.beat_s
+>>> options.heartbeat_interval_s
 10.0
 """
 
@@ -28,19 +28,19 @@
 
 # Ends of tasks are reported at once, so regular heartbeats only renew the lease. An interval of at
 # most a third of the lease allows for two failed heartbeats.
-BEAT_S = 10.0
-BEATS_PER_LEASE = 3
+HEARTBEAT_INTERVAL_S = 10.0
+HEARTBEATS_PER_LEASE = 3
 # Longer than the heartbeat interval: heartbeats are calls, so a link needs no pings between them,
 # and TCP keepalive detects a connection on which packets are dropped.
 IDLE_PING_S = 12.0
-BEAT_TIMEOUT_S = 4.0
+HEARTBEAT_TIMEOUT_S = 4.0
 OPEN_TIMEOUT_S = 2.0
-RETRY_S = 0.2
+RETRY_DELAY_S = 0.2
 # Changes within this time are reported in one heartbeat.
-GATHER_S = 0.1
-MAX_TICK_S = 0.1
+REPORT_DELAY_S = 0.1
+MAX_TICK_INTERVAL_S = 0.1
 # A process that did not run for this long is taken to have been paused, with its tasks.
-PAUSED_S = 0.5
+PAUSE_THRESHOLD_S = 0.5
 
 log = get_logger("stub-worker")
 
@@ -50,18 +50,27 @@
 
     :param capacity: Resources that the worker reports.
     :param faults: :class:`~siskintally.worker_state.Faults`, or None.
-    :param beat_s: longest time between two heartbeats, seconds.
+    :param heartbeat_interval_s: longest time between two heartbeats, seconds.
     """
 
-    __slots__ = ("beat_s", "capacity", "domain", "faults", "name", "rack")
-
-    def __init__(self, *, name, domain, rack, capacity, faults=None, beat_s=BEAT_S):
+    __slots__ = ("capacity", "domain", "faults", "heartbeat_interval_s", "name", "rack")
+
+    def __init__(
+        self,
+        *,
+        name,
+        domain,
+        rack,
+        capacity,
+        faults=None,
+        heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+    ):
         self.name = name
         self.domain = domain
         self.rack = rack
         self.capacity = capacity
         self.faults = faults
-        self.beat_s = beat_s
+        self.heartbeat_interval_s = heartbeat_interval_s
 
 
 class TaskRecorder:
@@ -120,12 +129,12 @@
     """
 
     __slots__ = (
-        "_changed",
         "_hello",
-        "_hint",
         "_last_tick",
+        "_leader_hint",
         "_options",
         "_recorder",
+        "_report_due",
         "_secret",
         "_stores",
         "_tls",
@@ -140,8 +149,8 @@
         self._recorder = recorder
         self._tls = tls
         self._hello = Hello(name=options.name, cell=cell, incarnation=self.state.session)
-        self._hint = ""
-        self._changed = Event()
+        self._leader_hint = ""
+        self._report_due = Event()
         self._last_tick = monotonic()
 
     async def run(self):
@@ -149,16 +158,16 @@
         self._recorder.capacity(self._options)
         try:
             async with create_task_group() as tasks:
-                tasks.start_soon(self._keep_time)
-                await self._keep_link()
+                tasks.start_soon(self._run_timers)
+                await self._run_link()
         except get_cancelled_exc_class():
             log.debug("worker stopped", worker=self._options.name)
             raise
 
-    async def _keep_time(self):
+    async def _run_timers(self):
         while True:
-            wait = self.state.next_time() - monotonic()
-            await sleep(min(max(wait, 0.0), MAX_TICK_S))
+            wait = self.state.next_tick_time() - monotonic()
+            await sleep(min(max(wait, 0.0), MAX_TICK_INTERVAL_S))
             self._record(self.state.tick(now=monotonic()))
 
     def _record(self, events):
@@ -168,23 +177,23 @@
         stop is recorded with the time of the last tick before it.
         """
         now = monotonic()
-        paused_at = self._last_tick if now - self._last_tick > PAUSED_S else now
+        paused_at = self._last_tick if now - self._last_tick > PAUSE_THRESHOLD_S else now
         for event in events:
             at = paused_at if event.kind == "stop" else now
             self._recorder.event(at, self._options.name, event)
         self._last_tick = now
         if self.state.is_report_due:
-            self._changed.set()
+            self._report_due.set()
 
-    async def _keep_link(self):
+    async def _run_link(self):
         """Connect to the stores in turn until one leads; at most one link is open at a time."""
-        turn = 0
+        store_index = 0
         while True:
-            store = next((one for one in self._stores if one.name == self._hint), None)
+            store = next((one for one in self._stores if one.name == self._leader_hint), None)
             if store is None:
-                store = self._stores[turn % len(self._stores)]
-                turn += 1
-            self._hint = ""
+                store = self._stores[store_index % len(self._stores)]
+                store_index += 1
+            self._leader_hint = ""
             async with create_task_group() as tasks:
                 link = Link(
                     host=store.link.host,
@@ -199,11 +208,11 @@
                 with move_on_after(OPEN_TIMEOUT_S):
                     await link.wait_open()
                 if link.is_open:
-                    await self._converse(link)
+                    await self._send_heartbeats(link)
                 tasks.cancel_scope.cancel()
-            await sleep(RETRY_S)
+            await sleep(RETRY_DELAY_S)
 
-    async def _converse(self, link):
+    async def _send_heartbeats(self, link):
         """Send heartbeats on one session until it fails or the store refuses them.
 
         Retries on the same session after BAD_REQUEST or OVERLOADED.
@@ -212,32 +221,32 @@
         self.state.reconnect()
         while link.session is session and not session.closed:
             try:
-                await self._beat(session)
+                await self._send_heartbeat(session)
             except RefusedError as error:
-                self._hint = error.leader if error.code == Code.NOT_LEADER else ""
+                self._leader_hint = error.leader if error.code == Code.NOT_LEADER else ""
                 if error.code not in (Code.BAD_REQUEST, Code.OVERLOADED):
                     return
                 log.info("heartbeat refused", worker=self._options.name, error=str(error))
                 self.state.reconnect()
-                await sleep(RETRY_S)
+                await sleep(RETRY_DELAY_S)
                 continue
             except (OutcomeUnknownError, UnreachableError):
                 return
-            limit = self.state.lease.lease_s / BEATS_PER_LEASE
-            with move_on_after(min(self._options.beat_s, limit)):
-                await self._changed.wait()
-                await sleep(GATHER_S)
+            max_interval_s = self.state.lease.lease_s / HEARTBEATS_PER_LEASE
+            with move_on_after(min(self._options.heartbeat_interval_s, max_interval_s)):
+                await self._report_due.wait()
+                await sleep(REPORT_DELAY_S)
 
-    async def _beat(self, session):
-        self._changed = Event()
+    async def _send_heartbeat(self, session):
+        self._report_due = Event()
         self._record(self.state.tick(now=monotonic()))
-        beat = self.state.beat(now=monotonic())
+        beat = self.state.next_heartbeat(now=monotonic())
         beat.worker = self._options.name
         beat.domain, beat.rack = self._options.domain, self._options.rack
         beat.capacity.CopyFrom(self._options.capacity)
-        orders = await session.call(beat, timeout=BEAT_TIMEOUT_S)
+        orders = await session.call(beat, timeout=HEARTBEAT_TIMEOUT_S)
         if isinstance(orders, WorkerOrders):
-            self._record(self.state.answered(beat, orders, now=monotonic()))
+            self._record(self.state.apply_heartbeat_reply(beat, orders, now=monotonic()))
 
     async def answer(self, session, body):
         """Refuse any call; an owner only sends messages."""
@@ -248,11 +257,11 @@
     def receive(self, session, body):
         """Apply orders that arrive between heartbeats."""
         if isinstance(body, WorkerOrders) and not session.closed:
-            self._record(self.state.take(body, now=monotonic()))
+            self._record(self.state.apply_orders(body, now=monotonic()))
 
     def closed(self, session):
         """Wake up the heartbeat loop to reconnect; tasks run on until the lease expires."""
-        self._changed.set()
+        self._report_due.set()
 
 
 class StubWorkers:
--- a/siskintally/tables.py
+++ b/siskintally/tables.py
@@ -17,13 +17,13 @@
     return "\n".join(lines)
 
 
-def _time(seconds):
+def _format_time(seconds):
     return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S")
 
 
 def show_jobs(answer):
     """Print a list of jobs."""
-    head = (
+    header = (
         "job",
         "state",
         "kind",
@@ -52,7 +52,7 @@
         )
         for row in answer["jobs"]
     ]
-    print(table([head, *rows]))
+    print(table([header, *rows]))
     if answer["more"]:
         print("more jobs match; raise --limit or give --prefix")
 
@@ -92,7 +92,7 @@
     rows.extend(
         (
             row["number"],
-            _time(row["time"]),
+            _format_time(row["time"]),
             row["operator"],
             row["verb"],
             row["what"][:40],
@@ -104,7 +104,7 @@
     )
     print(table(rows))
     if "file" in answer:
-        found = answer["file"]
-        gaps = f", never received: {', '.join(found['gaps'])}" if found["gaps"] else ""
-        print(f"file of {found['store']}: {found['records']} records{gaps}")
-        print(f"chain: {found['damage'] or 'unbroken'}, head {answer['head']}")
+        file = answer["file"]
+        gaps = f", never received: {', '.join(file['gaps'])}" if file["gaps"] else ""
+        print(f"file of {file['store']}: {file['records']} records{gaps}")
+        print(f"chain: {file['damage'] or 'unbroken'}, head {answer['head']}")
--- a/siskintally/worker_state.py
+++ b/siskintally/worker_state.py
@@ -3,10 +3,10 @@
 >>> from siskintally.worker_state import WorkerState
 >>> from siskintally.wire_pb2 import StartOrder, WorkerOrders
 >>> state = WorkerState(session="s1")
->>> beat = state.beat(now=0.0)
+>>> beat = state.next_heartbeat(now=0.0)
 >>> start = StartOrder(task_id="j/g.0", attempt=1, run_s=5)
 >>> orders = WorkerOrders(session="s1", seq=beat.seq, lease_s=30, term=1, start=[start])
->>> [event.kind for event in state.take(orders, now=0.5)]
+>>> [event.kind for event in state.apply_orders(orders, now=0.5)]
 ['start']
 >>> [event.kind for event in state.tick(now=6.0)]
 ['end']
@@ -20,9 +20,9 @@
 
 DEFAULT_LEASE_S = 30.0
 # Time from start to end of a task if the worker fails all tasks.
-FAIL_AFTER_S = 0.05
+FAILED_TASK_DURATION_S = 0.05
 # Largest number of ended attempts to remember, so that a repeated start order is ignored.
-KEEP_ENDED = 20_000
+MAX_REMEMBERED_ATTEMPTS = 20_000
 
 
 class Faults:
@@ -43,7 +43,7 @@
         self.pause_s = pause_s
 
 
-class Event:
+class TaskEvent:
     """Start, end or stop of an attempt, to be recorded.
 
     :param kind: ``start``, ``end`` (the task ended on its own) or ``stop``.
@@ -52,15 +52,15 @@
 
     __slots__ = ("attempt", "each", "kind", "result", "task_id")
 
-    def __init__(self, *, kind, running, result=""):
+    def __init__(self, *, kind, accepted, result=""):
         self.kind = kind
-        self.task_id = running.order.task_id
-        self.attempt = running.order.attempt
-        self.each = running.order.each
+        self.task_id = accepted.order.task_id
+        self.attempt = accepted.order.attempt
+        self.each = accepted.order.each
         self.result = result
 
 
-class _Running:
+class _AcceptedAttempt:
     __slots__ = ("end_at", "order", "start_at", "started")
 
     def __init__(self, *, order, start_at):
@@ -84,9 +84,9 @@
     """
 
     __slots__ = (
-        "_changed",
+        "_changed_keys",
+        "_confirmed",
         "_ended",
-        "_forgotten",
         "_is_full_due",
         "_running",
         "faults",
@@ -100,25 +100,25 @@
         self.lease = LeaseHolder(lease_s=lease_s)
         self._running = {}
         self._ended = {}
-        self._forgotten = {}
-        self._changed = set()
+        self._confirmed = {}
+        self._changed_keys = set()
         self._is_full_due = True
 
     @property
     def is_report_due(self):
         """Whether to send a heartbeat now; starts are reported with the next regular one."""
-        return self._is_full_due or any(key in self._ended for key in self._changed)
+        return self._is_full_due or any(key in self._ended for key in self._changed_keys)
 
     @property
     def running(self):
         """Keys (task id, attempt) of the attempts that have been started."""
-        return [key for key, one in self._running.items() if one.started]
+        return [key for key, accepted in self._running.items() if accepted.started]
 
     def reconnect(self):
         """Report all attempts with the next heartbeat, not only changed ones."""
         self._is_full_due = True
 
-    def beat(self, *, now):
+    def next_heartbeat(self, *, now):
         """Return a WorkerBeat without worker name, domain, rack and capacity.
 
         The lease that it renews runs from ``now``. Ends are reported with each heartbeat until the
@@ -127,21 +127,23 @@
         beat = WorkerBeat(
             session=self.session, seq=self.lease.beat(now=now), full=self._is_full_due
         )
-        for key, one in self._running.items():
-            if self._is_full_due or key in self._changed:
-                beat.attempts.append(self._state(key, AttemptState.RUNNING, one.order.each))
+        for key, accepted in self._running.items():
+            if self._is_full_due or key in self._changed_keys:
+                beat.attempts.append(
+                    self._attempt_state(key, AttemptState.RUNNING, accepted.order.each)
+                )
         for key, result in self._ended.items():
-            beat.attempts.append(self._state(key, result, Resources()))
+            beat.attempts.append(self._attempt_state(key, result, Resources()))
         return beat
 
-    def _state(self, key, state, each):
+    def _attempt_state(self, key, state, each):
         factor = self.faults.size_factor
         used = Resources(
             cpu_milli=int(each.cpu_milli * factor), memory_mb=int(each.memory_mb * factor)
         )
         return AttemptState(task_id=key[0], attempt=key[1], state=state, used=used)
 
-    def answered(self, beat, orders, *, now):
+    def apply_heartbeat_reply(self, beat, orders, *, now):
         """Apply the reply to a heartbeat; return the events.
 
         First, an expired lease is handled: after a pause, the reply must not renew it.
@@ -153,57 +155,57 @@
             return events
         if beat.full:
             self._is_full_due = False
-        self._changed.difference_update(
+        self._changed_keys.difference_update(
             (state.task_id, state.attempt)
             for state in beat.attempts
             if (state.state == AttemptState.RUNNING)
             == ((state.task_id, state.attempt) in self._running)
         )
-        return events + self.take(orders, now=now)
+        return events + self.apply_orders(orders, now=now)
 
-    def take(self, orders, *, now):
+    def apply_orders(self, orders, *, now):
         """Apply start and stop orders; return the events."""
         events = self.tick(now=now)
-        known = orders.session == self.session
-        if not known or not self.lease.acknowledged(orders.seq, term=orders.term):
+        is_current_session = orders.session == self.session
+        if not is_current_session or not self.lease.acknowledged(orders.seq, term=orders.term):
             return events
         for state in orders.seen:
-            self._forget((state.task_id, state.attempt))
+            self._confirm_end((state.task_id, state.attempt))
         for stop in orders.stop:
             events.extend(self._stop((stop.task_id, stop.attempt)))
         for start in orders.start:
             self._accept(start, now)
         return events + self.tick(now=now)
 
-    def _forget(self, key):
+    def _confirm_end(self, key):
         if self._ended.pop(key, None) is not None:
-            self._changed.discard(key)
-            self._forgotten[key] = None
-            if len(self._forgotten) > KEEP_ENDED:
-                del self._forgotten[next(iter(self._forgotten))]
+            self._changed_keys.discard(key)
+            self._confirmed[key] = None
+            if len(self._confirmed) > MAX_REMEMBERED_ATTEMPTS:
+                del self._confirmed[next(iter(self._confirmed))]
 
     def _accept(self, order, now):
         key = (order.task_id, order.attempt)
-        is_known = key in self._running or key in self._ended or key in self._forgotten
+        is_known = key in self._running or key in self._ended or key in self._confirmed
         if is_known or self.lease.is_expired(now):
             return
-        self._running[key] = _Running(order=order, start_at=now + self.faults.pause_s)
-        self._changed.add(key)
+        self._running[key] = _AcceptedAttempt(order=order, start_at=now + self.faults.pause_s)
+        self._changed_keys.add(key)
 
     def _stop(self, key):
         """Stop an attempt; if it is unknown, remember it, so that a late start order is ignored."""
-        running = self._running.pop(key, None)
-        if running is None and key in self._forgotten:
+        accepted = self._running.pop(key, None)
+        if accepted is None and key in self._confirmed:
             return []
-        if running is not None or key not in self._ended:
+        if accepted is not None or key not in self._ended:
             self._end(key, AttemptState.STOPPED)
-        if running is not None and running.started:
-            return [Event(kind="stop", running=running, result="STOPPED")]
+        if accepted is not None and accepted.started:
+            return [TaskEvent(kind="stop", accepted=accepted, result="STOPPED")]
         return []
 
     def _end(self, key, result):
         self._ended[key] = result
-        self._changed.add(key)
+        self._changed_keys.add(key)
 
     def tick(self, *, now):
         """Start and end the tasks that are due, or stop all if the lease has expired.
@@ -213,22 +215,22 @@
         if self.lease.held_from is not None and self.lease.is_expired(now):
             return self._expire()
         events = []
-        for key, one in list(self._running.items()):
-            if not one.started and one.start_at <= now:
-                one.started = True
-                one.end_at = one.start_at + self._duration(one.order)
-                events.append(Event(kind="start", running=one))
-            if one.started and one.end_at <= now:
+        for key, accepted in list(self._running.items()):
+            if not accepted.started and accepted.start_at <= now:
+                accepted.started = True
+                accepted.end_at = accepted.start_at + self._duration(accepted.order)
+                events.append(TaskEvent(kind="start", accepted=accepted))
+            if accepted.started and accepted.end_at <= now:
                 del self._running[key]
                 result = AttemptState.FAILED if self.faults.fail else AttemptState.SUCCEEDED
                 self._end(key, result)
                 name = AttemptState.State.Name(result)
-                events.append(Event(kind="end", running=one, result=name))
+                events.append(TaskEvent(kind="end", accepted=accepted, result=name))
         return events
 
     def _duration(self, order):
         if self.faults.fail:
-            return FAIL_AFTER_S
+            return FAILED_TASK_DURATION_S
         return order.run_s * self.faults.run_factor if order.run_s > 0 else inf
 
     def _expire(self):
@@ -245,10 +247,12 @@
         lease.term = self.lease.term
         return lease
 
-    def next_time(self):
+    def next_tick_time(self):
         """Return the time at which :meth:`tick` is due next, or inf."""
-        times = [inf if one.started else one.start_at for one in self._running.values()]
-        times.extend(one.end_at for one in self._running.values())
+        times = [
+            inf if accepted.started else accepted.start_at for accepted in self._running.values()
+        ]
+        times.extend(accepted.end_at for accepted in self._running.values())
         if self.lease.held_from is not None:
             times.append(self.lease.expires_at())
         return min(times, default=inf)
--- a/tests/test_worker_state.py
+++ b/tests/test_worker_state.py
@@ -14,14 +14,16 @@
 
     def beat(self, *, sent, answered, term=1, **orders):
         """Send a heartbeat and take its answer; return the kinds of the events."""
-        beat = self.state.beat(now=sent)
+        beat = self.state.next_heartbeat(now=sent)
         answer = WorkerOrders(session=beat.session, seq=beat.seq, lease_s=30, term=term, **orders)
-        return [event.kind for event in self.state.answered(beat, answer, now=answered)]
+        return [
+            event.kind for event in self.state.apply_heartbeat_reply(beat, answer, now=answered)
+        ]
 
     def push(self, *, now, session="s", seq=1, term=1, **orders):
         """Take orders between heartbeats; return the kinds of the events."""
         message = WorkerOrders(session=session, seq=seq, lease_s=30, term=term, **orders)
-        return [event.kind for event in self.state.take(message, now=now)]
+        return [event.kind for event in self.state.apply_orders(message, now=now)]
 
 
 def start(attempt=1, run_s=0.0):
@@ -66,7 +68,7 @@
     stop = StopOrder(task_id="j/g.0", attempt=1)
     assert net.push(now=0.2, stop=[stop]) == []
     assert net.push(now=0.3, start=[start()]) == []
-    (reported,) = net.state.beat(now=0.4).attempts
+    (reported,) = net.state.next_heartbeat(now=0.4).attempts
     assert reported.state == AttemptState.STOPPED
 
 
@@ -74,15 +76,15 @@
     """Guards against a lost end, and against full lists that cost control traffic."""
     net = Net()
     net.beat(sent=0.0, answered=0.1, start=[start()])
-    assert [one.attempt for one in net.state.beat(now=0.2).attempts] == [1]
+    assert [one.attempt for one in net.state.next_heartbeat(now=0.2).attempts] == [1]
     net.beat(sent=0.3, answered=0.4)
-    quiet = net.state.beat(now=0.5)
+    quiet = net.state.next_heartbeat(now=0.5)
     assert not quiet.full and not quiet.attempts
     net.push(now=0.6, stop=[StopOrder(task_id="j/g.0", attempt=1)])
     for now in (0.7, 0.8):
-        assert [one.attempt for one in net.state.beat(now=now).attempts] == [1]
+        assert [one.attempt for one in net.state.next_heartbeat(now=now).attempts] == [1]
     net.state.reconnect()
-    assert net.state.beat(now=0.9).full
+    assert net.state.next_heartbeat(now=0.9).full
 
 
 def test_a_delayed_start_is_dropped_when_the_lease_ends_first():
