--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -189,7 +189,7 @@
         """Connect to the stores in turn until one leads; at most one link is open at a time."""
         store_index = 0
         while True:
-            store = next((one for one in self._stores if one.name == self._leader_hint), None)
+            store = next((store for store in self._stores if store.name == self._leader_hint), None)
             if store is None:
                 store = self._stores[store_index % len(self._stores)]
                 store_index += 1
@@ -240,13 +240,13 @@
     async def _send_heartbeat(self, session):
         self._report_due = Event()
         self._record(self.state.tick(now=monotonic()))
-        beat = self.state.next_heartbeat(now=monotonic())
-        beat.worker = self._options.name
-        beat.domain, beat.rack = self._options.domain, self._options.rack
-        beat.capacity.CopyFrom(self._options.capacity)
-        orders = await session.call(beat, timeout=HEARTBEAT_TIMEOUT_S)
+        heartbeat = self.state.next_heartbeat(now=monotonic())
+        heartbeat.worker = self._options.name
+        heartbeat.domain, heartbeat.rack = self._options.domain, self._options.rack
+        heartbeat.capacity.CopyFrom(self._options.capacity)
+        orders = await session.call(heartbeat, timeout=HEARTBEAT_TIMEOUT_S)
         if isinstance(orders, WorkerOrders):
-            self._record(self.state.apply_heartbeat_reply(beat, orders, now=monotonic()))
+            self._record(self.state.apply_heartbeat_reply(heartbeat, orders, now=monotonic()))
 
     async def answer(self, session, body):
         """Refuse any call; an owner only sends messages."""
--- a/siskintally/worker_state.py
+++ b/siskintally/worker_state.py
@@ -3,9 +3,9 @@
 >>> from siskintally.worker_state import WorkerState
 >>> from siskintally.wire_pb2 import StartOrder, WorkerOrders
 >>> state = WorkerState(session="s1")
->>> beat = state.next_heartbeat(now=0.0)
+>>> heartbeat = state.next_heartbeat(now=0.0)
 >>> start = StartOrder(task_id="j/g.0", attempt=1, run_s=5)
->>> orders = WorkerOrders(session="s1", seq=beat.seq, lease_s=30, term=1, start=[start])
+>>> orders = WorkerOrders(session="s1", seq=heartbeat.seq, lease_s=30, term=1, start=[start])
 >>> [event.kind for event in state.apply_orders(orders, now=0.5)]
 ['start']
 >>> [event.kind for event in state.tick(now=6.0)]
@@ -124,17 +124,17 @@
         The lease that it renews runs from ``now``. Ends are reported with each heartbeat until the
         owner has confirmed that they are committed.
         """
-        beat = WorkerBeat(
+        heartbeat = WorkerBeat(
             session=self.session, seq=self.lease.beat(now=now), full=self._is_full_due
         )
         for key, accepted in self._running.items():
             if self._is_full_due or key in self._changed_keys:
-                beat.attempts.append(
+                heartbeat.attempts.append(
                     self._attempt_state(key, AttemptState.RUNNING, accepted.order.each)
                 )
         for key, result in self._ended.items():
-            beat.attempts.append(self._attempt_state(key, result, Resources()))
-        return beat
+            heartbeat.attempts.append(self._attempt_state(key, result, Resources()))
+        return heartbeat
 
     def _attempt_state(self, key, state, each):
         factor = self.faults.size_factor
@@ -143,21 +143,21 @@
         )
         return AttemptState(task_id=key[0], attempt=key[1], state=state, used=used)
 
-    def apply_heartbeat_reply(self, beat, orders, *, now):
+    def apply_heartbeat_reply(self, heartbeat, orders, *, now):
         """Apply the reply to a heartbeat; return the events.
 
         First, an expired lease is handled: after a pause, the reply must not renew it.
         """
         events = self.tick(now=now)
-        if orders.session != self.session or beat.session != self.session:
+        if orders.session != self.session or heartbeat.session != self.session:
             return events
         if not self.lease.acknowledged(orders.seq, term=orders.term, lease_s=orders.lease_s):
             return events
-        if beat.full:
+        if heartbeat.full:
             self._is_full_due = False
         self._changed_keys.difference_update(
             (state.task_id, state.attempt)
-            for state in beat.attempts
+            for state in heartbeat.attempts
             if (state.state == AttemptState.RUNNING)
             == ((state.task_id, state.attempt) in self._running)
         )
