Rename the hooks of Handler to handle_call, handle_message and handle_session_end

answer, receive and closed did not say that they are callbacks, and closed was also the name of an attribute of Session. The owner and the service for workers, which are called the same way, follow.

--- a/bench/control.py
+++ b/bench/control.py
@@ -144,7 +144,7 @@
             attempts=states,
         )
         self.bytes += beat.ByteSize()
-        self._take(await self.owner.answer(self, beat))
+        self._take(await self.owner.handle_call(self, beat))
 
     async def worker(self, name):
         """Beat each 5 s with what has changed, and end one task now and then."""
--- a/bench/link.py
+++ b/bench/link.py
@@ -27,7 +27,7 @@
 class Sink(Handler):
     """Answers every call with Done and drops messages."""
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Answer a call."""
         return Done()
 
--- a/siskintally/bootstrap.py
+++ b/siskintally/bootstrap.py
@@ -27,7 +27,7 @@
 
     __slots__ = ()
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Refuse any call."""
         raise NotFoundError("this process serves no calls, it only bootstraps a group")
 
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -271,7 +271,7 @@
             self._told_by_session[id(session)] = version
         session.send(notice)
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Answer a call of another process."""
         if isinstance(body, JoinRequest):
             return await self._group.join_request(body)
@@ -289,7 +289,7 @@
             raise NotLeaderError(f"{self._settings.name} does not lead", leader=leader)
         return await service.answer(body)
 
-    def receive(self, session, body):
+    def handle_message(self, session, body):
         """Take a message of another process."""
         if isinstance(body, ControlNotice):
             self._links.learn(body.members)
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -292,7 +292,7 @@
         await done.wait()
         return answers[0] if answers else Answer.without_response(Code.INTERNAL, "internal error")
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Answer a call from another process."""
         if not isinstance(body, ForwardRequest):
             raise BadRequestError(f"{type(body).__name__}: not for an entry")
@@ -308,7 +308,7 @@
         finally:
             self._in_flight -= 1
 
-    def receive(self, session, body):
+    def handle_message(self, session, body):
         """Handle a message from another entry."""
         now = monotonic()
         if isinstance(body, AnnounceExchange):
@@ -316,7 +316,7 @@
         elif isinstance(body, EntrySummary):
             self._gossip.record_summary(session, body)
 
-    def closed(self, session):
+    def handle_session_end(self, session):
         """Drop the state of a closed session."""
         self._gossip.drop_session(session)
 
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -89,13 +89,13 @@
         await sleep(DRAIN_S)
         self.closing.set()
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Answer a call of a store."""
         if isinstance(body, AdviceAsk):
             return await answer_advice(self._advice, body)
         raise BadRequestError(f"{type(body).__name__}: no such call")
 
-    def receive(self, session, body):
+    def handle_message(self, session, body):
         """Take a notice of a store."""
         if not isinstance(body, ControlNotice):
             return
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -161,7 +161,7 @@
         self._config_changed.set()
         self._config_changed = Event()
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Answer a call of a worker or an entry.
 
         :raises NotLeaderError: this process does not lead the group.
@@ -170,17 +170,17 @@
         if self.owner_term is None:
             raise NotLeaderError(f"not the owner of {self._group.name}", leader=self._leader())
         if isinstance(body, WorkerBeat):
-            return await self._workers.answer(session, body)
+            return await self._workers.handle_call(session, body)
         if isinstance(body, ConfigWatch):
             return await self._answer_watch(body)
         if type(body) in _LEDGER_FIELDS:
             return await self._answer_ledger(body)
         raise BadRequestError(f"{type(body).__name__}: no such call of a domain owner")
 
-    def closed(self, session):
+    def handle_session_end(self, session):
         """Give no new tasks to a worker whose link has ended."""
         if self._workers is not None:
-            self._workers.closed(session)
+            self._workers.handle_session_end(session)
 
     def _leader(self):
         return self._group.leader or ""
--- a/siskintally/session.py
+++ b/siskintally/session.py
@@ -60,16 +60,16 @@
     __slots__ = ()
 
     @abstractmethod
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Handle a call and return the reply message.
 
         :raises SiskintallyError: sent to the calling process as a Failure with its code.
         """
 
-    def receive(self, session, body):
+    def handle_message(self, session, body):
         """Handle a message without a reply; must not block."""
 
-    def closed(self, session):
+    def handle_session_end(self, session):
         """Handle the end of a session."""
 
 
@@ -192,7 +192,7 @@
         for pending in self._pending_by_id.values():
             pending.done.set()
         self._outbox.close()
-        self._handler.closed(self)
+        self._handler.handle_session_end(self)
 
     async def _read_frames(self):
         try:
@@ -217,7 +217,7 @@
         elif frame.id:
             self._tasks.start_soon(self._run_call, frame.id, body)
         else:
-            self._handler.receive(self, body)
+            self._handler.handle_message(self, body)
 
     def _resolve(self, call_id, body):
         pending = self._pending_by_id.pop(call_id, None)
@@ -227,7 +227,7 @@
 
     async def _run_call(self, call_id, body):
         try:
-            reply = await self._handler.answer(self, body)
+            reply = await self._handler.handle_call(self, body)
         except SiskintallyError as error:
             leader = getattr(error, "leader", "")
             reply = Failure(code=int(error.code), message=str(error), leader=leader)
--- a/siskintally/store.py
+++ b/siskintally/store.py
@@ -137,7 +137,7 @@
                     tasks.start_soon(group.stop)
         self._supervisor.stop()
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Handle a call from another process."""
         self._links.record_session(session)
         if self._stopping:
@@ -147,7 +147,7 @@
         if isinstance(body, JoinRequest):
             return await self._replicas.handle_join_request(body)
         if destination == "owner":
-            return await self._replicas.owner_for(body).answer(session, body)
+            return await self._replicas.owner_for(body).handle_call(session, body)
         if destination != "cell":
             raise NotFoundError(f"a store does not serve {type(body).__name__} calls")
         if isinstance(body, OperatorCall) and not self._is_from_store(session):
@@ -159,7 +159,7 @@
             )
         return await self._handle_cell_call(body)
 
-    def receive(self, session, body):
+    def handle_message(self, session, body):
         """Handle a message without a reply from another process."""
         self._links.record_session(session)
         if destination_of(body) == "consensus":
@@ -167,11 +167,11 @@
             if group is not None:
                 group.receive(body)
 
-    def closed(self, session):
+    def handle_session_end(self, session):
         """Remove an ended session and notify the owners."""
         self._links.remove_session(session)
         for owner in self._replicas.owner_by_group.values():
-            owner.closed(session)
+            owner.handle_session_end(session)
 
     def _is_from_store(self, session):
         process = self._settings.process_by_name.get(session.peer.name)
--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -248,18 +248,18 @@
         if isinstance(orders, WorkerOrders):
             self._record(self.state.apply_heartbeat_reply(heartbeat, orders, now=monotonic()))
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Refuse any call; an owner only sends messages."""
         raise RefusedError(
             f"{type(body).__name__}: a worker serves no calls", code=Code.BAD_REQUEST
         )
 
-    def receive(self, session, body):
+    def handle_message(self, session, body):
         """Apply orders that arrive between heartbeats."""
         if isinstance(body, WorkerOrders) and not session.closed:
             self._record(self.state.apply_orders(body, now=monotonic()))
 
-    def closed(self, session):
+    def handle_session_end(self, session):
         """Wake up the heartbeat loop to reconnect; tasks run on until the lease expires."""
         self._report_due.set()
 
--- a/siskintally/worker_service.py
+++ b/siskintally/worker_service.py
@@ -32,7 +32,7 @@
         self._domains = domains
         self._reported = {}
 
-    async def answer(self, session, beat):
+    async def handle_call(self, session, beat):
         """Answer a WorkerBeat after a quorum round that began after it arrived.
 
         :returns: WorkerOrders; its lease runs from the sending of the heartbeat.
@@ -126,7 +126,7 @@
         orders.seen.extend(findings.seen)
         return orders
 
-    def closed(self, session):
+    def handle_session_end(self, session):
         """Give no new tasks to workers whose link has ended."""
         owner_term = self._owner_term
         names = [name for name, link in owner_term.link_by_worker.items() if link is session]
--- a/tests/store_processes.py
+++ b/tests/store_processes.py
@@ -37,7 +37,7 @@
 class _Silent(Handler):
     __slots__ = ()
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Refuse; the test serves nothing."""
         raise SiskintallyError("not served")
 
--- a/tests/test_entry_store.py
+++ b/tests/test_entry_store.py
@@ -46,7 +46,7 @@
         self.released = []
         self.calls = []
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Answer as the leader of the group, or not at all."""
         if not self.leads:
             raise NotLeaderError("no quorum")
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -35,7 +35,7 @@
 class Echo(Handler):
     """Answers watches and refuses reports."""
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Answer a call."""
         if isinstance(body, ConfigWatch):
             return ConfigState(version=body.known_version + 1)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -164,7 +164,7 @@
 
     async def beat(self, link, *, worker="w1", seq=1, session="a", full=True, attempts=()):
         """Send a heartbeat and return the answer, which the link keeps too."""
-        answer = await self.owner.answer(
+        answer = await self.owner.handle_call(
             link,
             WorkerBeat(
                 worker=worker,
@@ -369,7 +369,7 @@
         await bench.beat(link)
         bench.submit("j")
         await until(lambda: link.starts() == ["j/g.0"])
-        bench.owner.closed(link)
+        bench.owner.handle_session_end(link)
         await bench.beat(again, session="b")
         await until(lambda: again.starts() == ["j/g.0"])
         assert bench.domain.task("j/g.0").attempt == 2
@@ -455,12 +455,12 @@
 
     async def check(bench):
         begin = LedgerBegin(key="k", caller="c", digest=b"d", attempt="a")
-        reply = await bench.owner.answer(None, begin)
+        reply = await bench.owner.handle_call(None, begin)
         assert reply.verdict == reply.GRANTED
         answers = []
 
         async def watch():
-            answers.append(await bench.owner.answer(None, ConfigWatch(wait_s=30)))
+            answers.append(await bench.owner.handle_call(None, ConfigWatch(wait_s=30)))
 
         async with create_task_group() as tasks:
             tasks.start_soon(watch)
