Rename set_up, table and order to what they do

log.set_up is configure_logging, tables.table is format_table, and LeaderClient.order is members_to_try. The old names said nothing where they are imported or called.

--- a/bench/link.py
+++ b/bench/link.py
@@ -11,7 +11,7 @@
 
 from bench.meter import ByteCounter, cpu_seconds, fit, process_cpu_seconds
 from siskintally.link import Link, LinkServer
-from siskintally.log import set_up
+from siskintally.log import configure_logging
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Done, Hello, JobReport, WorkerBeat
 
@@ -42,7 +42,7 @@
 
 async def serve():
     """Run the server side."""
-    set_up(process="server", level="error")
+    configure_logging(process="server", level="error")
     hello = Hello(name="server", cell="bench", incarnation="1")
     await LinkServer(hello=hello, secret=SECRET, handler=Sink()).serve(
         host="127.0.0.1", port=SERVER_PORT
@@ -137,7 +137,7 @@
     if "--serve" in argv:
         run(serve)
         return
-    set_up(process="client", level="error")
+    configure_logging(process="client", level="error")
     seconds = float(argv[1]) if len(argv) > 1 else DEFAULT_SECONDS
     result = run(measure, seconds)
     print(f"{'message':24} {'client us':>10} {'server us':>10} {'bytes':>8}")
--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -24,7 +24,7 @@
 from siskintally.daemon import serve_until_signal
 from siskintally.entry import Entry
 from siskintally.errors import BadSettingsError
-from siskintally.log import set_up
+from siskintally.log import configure_logging
 from siskintally.settings import load
 from siskintally.stub_endpoint import FAULTS, StubEndpoint, StubEndpointOptions
 
@@ -81,7 +81,7 @@
     process = settings.process(values.name)
     if process.role != "entry":
         raise BadSettingsError(f"--name = {values.name!r}: expected a process with role entry")
-    set_up(process=process.name, level=values.log_level)
+    configure_logging(process=process.name, level=values.log_level)
     entry = Entry(
         settings=settings,
         process=process,
@@ -115,7 +115,7 @@
 def start_stub(values, arguments):
     """Run ``stub-endpoint``."""
     _require_no_arguments(arguments)
-    set_up(process=values.name, level=values.log_level)
+    configure_logging(process=values.name, level=values.log_level)
     options = StubEndpointOptions(
         name=values.name,
         service=values.service,
--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -23,7 +23,7 @@
 from siskintally.daemon import serve_until_signal
 from siskintally.errors import BadSettingsError, SiskintallyError
 from siskintally.journal import found
-from siskintally.log import LEVEL_BY_NAME, set_up
+from siskintally.log import LEVEL_BY_NAME, configure_logging
 from siskintally.settings import load
 from siskintally.store import Store
 
@@ -93,7 +93,7 @@
     process = settings.process(values.name)
     if process.role != "store":
         raise BadSettingsError(f"--name = {values.name!r}: expected a process with role store")
-    set_up(process=process.name, level=values.log_level)
+    configure_logging(process=process.name, level=values.log_level)
     return settings, process
 
 
--- a/siskintally/commands_worker.py
+++ b/siskintally/commands_worker.py
@@ -20,7 +20,7 @@
 from siskintally.command import Command
 from siskintally.daemon import serve_until_signal
 from siskintally.errors import BadSettingsError
-from siskintally.log import set_up
+from siskintally.log import configure_logging
 from siskintally.settings import Address, Process, load
 from siskintally.stub_worker import StubWorker, StubWorkers, TaskRecorder, WorkerOptions
 from siskintally.wire_pb2 import Resources
@@ -82,7 +82,7 @@
     if not values.settings:
         raise BadSettingsError("--settings: expected a file")
     settings = load(values.settings)
-    set_up(process=values.name, level=values.log_level)
+    configure_logging(process=values.name, level=values.log_level)
     recorder = TaskRecorder(path=values.record)
     tls = settings.tls(values.name)
     workers = [
--- a/siskintally/flow_report.py
+++ b/siskintally/flow_report.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from siskintally.tables import table
+from siskintally.tables import format_table
 
 # advice: until the last permit before the start. queue: from then to the first start. again: from
 # the first start to the start of the run that was done. work: run time up to the estimate. slow:
@@ -91,7 +91,7 @@
     lines = [f"{len(flows)} flows accepted, {len(breakdowns)} of them completed within these logs"]
     if not breakdowns:
         return lines[0]
-    lines += ["", table(_rows(by_queue)), ""]
+    lines += ["", format_table(_rows(by_queue)), ""]
     lines += [f"{name:<16} {_bar(_means(group))}" for name, group in sorted(by_queue.items())]
     legend = ", ".join(f"{letter} {name}" for name, letter in _BAR_LETTERS.items())
     lines += ["", f"share of the mean time: {legend}", "", "slowest against their estimate:"]
--- a/siskintally/leader_client.py
+++ b/siskintally/leader_client.py
@@ -2,7 +2,7 @@
 
 >>> from siskintally.leader_client import LeaderClient
 >>> client = LeaderClient(group="cell", members=("s1", "s2"), call=None)
->>> client.order()
+>>> client.members_to_try()
 ['s1', 's2']
 """
 
@@ -32,7 +32,7 @@
         self._call = call
         self._leader = ""
 
-    def order(self):
+    def members_to_try(self):
         """Return the members in the order to try them: the last known leader first."""
         return sorted(self.members, key=lambda name: name != self._leader)
 
@@ -50,7 +50,7 @@
         deadline = monotonic() + timeout
         may_have_run = False
         while True:
-            for name in self.order():
+            for name in self.members_to_try():
                 remaining = min(deadline - monotonic(), attempt_timeout or timeout)
                 if remaining <= 0:
                     break
--- a/siskintally/log.py
+++ b/siskintally/log.py
@@ -21,7 +21,7 @@
 LEVEL_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
-def set_up(*, process, level="info", to_stdout=False):
+def configure_logging(*, process, level="info", to_stdout=False):
     """Configure logging for this process.
 
     :param process: process name, added to each line.
--- a/siskintally/platform/process.py
+++ b/siskintally/platform/process.py
@@ -14,7 +14,7 @@
 from siskintally.daemon import serve_until_signal
 from siskintally.errors import BadSettingsError
 from siskintally.http_server import serve_http
-from siskintally.log import get_logger, set_up
+from siskintally.log import configure_logging, get_logger
 from siskintally.node_settings import load_node
 
 SETTINGS_VARIABLE = "SISKINTALLY_SETTINGS"
@@ -36,7 +36,7 @@
     if not path:
         raise BadSettingsError(f"--settings: missing, and {SETTINGS_VARIABLE} is not set")
     settings = load_node(path)
-    set_up(process=settings.name, to_stdout=True)
+    configure_logging(process=settings.name, to_stdout=True)
     log.info(
         "start",
         role=role,
--- a/siskintally/tables.py
+++ b/siskintally/tables.py
@@ -1,7 +1,7 @@
 """Text output of operator commands: tables and summaries.
 
->>> from siskintally.tables import table
->>> print(table([("job", "state"), ("seats-1", "running")]))
+>>> from siskintally.tables import format_table
+>>> print(format_table([("job", "state"), ("seats-1", "running")]))
 job      state
 seats-1  running
 """
@@ -9,7 +9,7 @@
 from datetime import UTC, datetime
 
 
-def table(rows):
+def format_table(rows):
     """Return rows formatted as left-aligned columns of text."""
     rows = [[str(cell) for cell in row] for row in rows]
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
@@ -52,7 +52,7 @@
         )
         for row in answer["jobs"]
     ]
-    print(table([header, *rows]))
+    print(format_table([header, *rows]))
     if answer["more"]:
         print("more jobs match; raise --limit or give --prefix")
 
@@ -81,7 +81,7 @@
         heard = "never" if row["heard_s"] is None else row["heard_s"]
         amounts = (cores, free.get("memory_mb", 0), free.get("accelerators", 0))
         rows.append((row["group"], row["workers"], *amounts, current, heard, row["standing"]))
-    print(table(rows))
+    print(format_table(rows))
     for item in answer["drains"]:
         print(f"draining       {item['kind']} {item['name']}")
 
@@ -102,7 +102,7 @@
         )
         for row in answer["rows"]
     )
-    print(table(rows))
+    print(format_table(rows))
     if "file" in answer:
         file = answer["file"]
         gaps = f", never received: {', '.join(file['gaps'])}" if file["gaps"] else ""
--- a/tests/model/__main__.py
+++ b/tests/model/__main__.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from sys import argv, exit
 
-from siskintally.log import set_up
+from siskintally.log import configure_logging
 from tests.model.registry import ci_specs, large_specs, mutants
 from tests.model.search import search
 
@@ -67,5 +67,5 @@
 
 
 if __name__ == "__main__":
-    set_up(process="model", level="error")
+    configure_logging(process="model", level="error")
     main(*(argv[1:] or ["ci"]))
