Rename the callback and the timeouts of links

Link calls on_peer_exit when the peer process has exited; ended was also read as the end of the link. LinkTiming.silence_s and connect_s are ping_timeout_s and connect_timeout_s, as they are timeouts.

--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -36,7 +36,7 @@
 DISK_RETRY_S = 0.5
 # Longest time for the requests in progress when a store ends.
 LAST_REQUESTS_S = 1.0
-ACCEPTED_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, silence_s=1.5)
+ACCEPTED_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, ping_timeout_s=1.5)
 
 log = get_logger("control-node")
 
--- a/siskintally/link.py
+++ b/siskintally/link.py
@@ -70,15 +70,15 @@
     :param handler: :class:`~siskintally.session.Handler` for calls and messages of the peer.
     :param tls: :class:`~siskintally.settings.Tls`, or None.
     :param timing: :class:`~siskintally.liveness.LinkTiming`.
-    :param ended: called when the peer process has exited: the connection was refused, or a
+    :param on_peer_exit: called when the peer process has exited: the connection was refused, or a
         process with another incarnation answered.
     """
 
     __slots__ = (
-        "_ended",
         "_handler",
         "_hello",
         "_incarnation",
+        "_on_peer_exit",
         "_opened",
         "_secret",
         "_timing",
@@ -88,7 +88,9 @@
         "session",
     )
 
-    def __init__(self, *, host, port, hello, secret, handler, tls=None, timing=None, ended=None):
+    def __init__(
+        self, *, host, port, hello, secret, handler, tls=None, timing=None, on_peer_exit=None
+    ):
         self.host = host
         self.port = port
         self.session = None
@@ -98,7 +100,7 @@
         self._timing = timing or LinkTiming()
         self._tls = tls.client_context() if tls is not None else None
         self._opened = Event()
-        self._ended = ended
+        self._on_peer_exit = on_peer_exit
         self._incarnation = None
 
     @property
@@ -159,8 +161,8 @@
             scope.cancel()
 
     def _report_peer_exit(self):
-        if self._ended is not None:
-            self._ended()
+        if self._on_peer_exit is not None:
+            self._on_peer_exit()
 
     def _check_incarnation(self, incarnation):
         if self._incarnation not in (None, incarnation):
@@ -171,7 +173,7 @@
         metadata = {SECRET_HEADER: self._secret}
         async with PeerStub(channel).Link.open(metadata=metadata) as stream:
             peer = None
-            with move_on_after(self._timing.connect_s):
+            with move_on_after(self._timing.connect_timeout_s):
                 await stream.send_message(wrap(self._hello))
                 # grpclib has no public access to its socket.
                 enable_tcp_keepalive(stream.peer._transport.get_extra_info("socket"))
@@ -217,7 +219,7 @@
             log.warning("link refused: wrong secret")
             raise GRPCError(Status.UNAUTHENTICATED, "wrong cell secret")
         session = None
-        with move_on_after(self._timing.connect_s):
+        with move_on_after(self._timing.connect_timeout_s):
             frame = await stream.recv_message()
             peer = unwrap(frame) if frame is not None else None
             if isinstance(peer, Hello) and peer.cell == self._hello.cell:
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -21,7 +21,7 @@
 # A cut has to be noticed, and a healed one used, well within the time in which a process has to
 # be in touch again.
 LINK_POOL_TIMING = LinkTiming(
-    idle_ping_s=1.0, busy_ping_s=0.6, silence_s=0.9, connect_s=0.4, max_backoff_s=0.3
+    idle_ping_s=1.0, busy_ping_s=0.6, ping_timeout_s=0.9, connect_timeout_s=0.4, max_backoff_s=0.3
 )
 MAX_STORES = 64
 # Name of the cell in the greeting of every link.
@@ -70,7 +70,7 @@
                 secret=self._secret,
                 handler=self._handler,
                 timing=LINK_POOL_TIMING,
-                ended=partial(self._ended, address) if self._ended is not None else None,
+                on_peer_exit=partial(self._ended, address) if self._ended is not None else None,
             )
             self._link_by_address[address] = link
             log.info("store learnt", address=address)
--- a/siskintally/liveness.py
+++ b/siskintally/liveness.py
@@ -20,26 +20,32 @@
     :param idle_ping_s: time without a received frame after which a link without calls is pinged.
     :param busy_ping_s: the same for a link with a pending call; shorter, so that the call fails
         before its own deadline.
-    :param silence_s: time after an unanswered ping at which the link is closed.
-    :param connect_s: longest time to open a link.
+    :param ping_timeout_s: time after an unanswered ping at which the link is closed.
+    :param connect_timeout_s: longest time to open a link.
     :param max_backoff_s: longest delay before a lost link is reopened, without jitter.
     """
 
-    __slots__ = ("busy_ping_s", "connect_s", "idle_ping_s", "max_backoff_s", "silence_s")
+    __slots__ = (
+        "busy_ping_s",
+        "connect_timeout_s",
+        "idle_ping_s",
+        "max_backoff_s",
+        "ping_timeout_s",
+    )
 
     def __init__(
         self,
         *,
         idle_ping_s=5.0,
         busy_ping_s=1.0,
-        silence_s=3.0,
-        connect_s=2.0,
+        ping_timeout_s=3.0,
+        connect_timeout_s=2.0,
         max_backoff_s=2.0,
     ):
         self.idle_ping_s = idle_ping_s
         self.busy_ping_s = busy_ping_s
-        self.silence_s = silence_s
-        self.connect_s = connect_s
+        self.ping_timeout_s = ping_timeout_s
+        self.connect_timeout_s = connect_timeout_s
         self.max_backoff_s = max_backoff_s
 
 
@@ -74,7 +80,7 @@
         if self._last_ping > self.last_heard:
             return (
                 LinkAction.CLOSE
-                if now >= self._last_ping + self._timing.silence_s
+                if now >= self._last_ping + self._timing.ping_timeout_s
                 else LinkAction.NONE
             )
         due = self.last_heard + self._timing.idle_ping_s
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -256,7 +256,7 @@
             hello=Hello(name="b", cell="demo", incarnation="7"),
             secret=SECRET,
             handler=Echo(),
-            ended=lambda: ended.append(current_time()),
+            on_peer_exit=lambda: ended.append(current_time()),
         )
         with fail_after(20):
             async with create_task_group() as tasks:
@@ -286,7 +286,7 @@
         hello=None,
         secret=SECRET,
         handler=Echo(),
-        ended=lambda: ended.append(1),
+        on_peer_exit=lambda: ended.append(1),
     )
     for incarnation in ("1", "1", "2"):
         link._check_incarnation(incarnation)
