--- a/siskintally/bootstrap.py
+++ b/siskintally/bootstrap.py
@@ -1,4 +1,4 @@
-"""Founding of groups, once in the life of a cell.
+"""Bootstrap of groups: writes the first member's initial data, once in the life of a cell.
 
 >>> from siskintally.bootstrap import AlreadyBootstrappedError
 >>> int(AlreadyBootstrappedError.code)
@@ -15,27 +15,27 @@
 from siskintally.session import Handler
 from siskintally.wire_pb2 import Hello, JoinRequest
 
-ASK_TIMEOUT_S = 2.0
+PEER_QUERY_TIMEOUT_S = 2.0
 
 
 class AlreadyBootstrappedError(BadRequestError):
-    """The group exists; founding it again would make a second one."""
+    """The group exists already; a second bootstrap would make a second group of that name."""
 
 
-class _Silent(Handler):
-    """Handler of links that only ask."""
+class _RefusingHandler(Handler):
+    """Handler for links on which this process only makes calls."""
 
     __slots__ = ()
 
-    async def answer(self, session, body):
-        """Refuse; this process serves nothing."""
-        raise NotFoundError("this process only founds a group")
+    async def handle_call(self, session, body):
+        """Refuse any call."""
+        raise NotFoundError("this process serves no calls, it only bootstraps a group")
 
 
 def groups_to_bootstrap(settings, name):
-    """Yield the groups whose first member is the store; it is the one that founds them.
+    """Yield the groups whose first member is the store; only that member bootstraps a group.
 
-    The other members join it, so that a cell in which `init` ran everywhere has one founder.
+    The other members join it. So a group is bootstrapped once even if `init` runs on every store.
     """
     for group in settings.groups_of_store(name):
         if group.members[0] == name:
@@ -43,20 +43,21 @@
 
 
 async def bootstrap_group(*, settings, process, group, bootstrap_replica):
-    """Found a group in the data folder of a store.
+    """Bootstrap a group in the data folder of a store.
 
-    :param bootstrap_replica: :func:`siskintally.journal.bootstrap_replica`.
+    :param bootstrap_replica: :func:`siskintally.journal.bootstrap_replica`; writes the files.
     :raises AlreadyBootstrappedError: the folder is not empty, or a reachable peer has a log.
     """
     folder = group_folder(process.data, group.name)
     if folder.exists() and any(folder.iterdir()):
         raise AlreadyBootstrappedError(
-            f"{folder}: not empty, the group {group.name!r} is founded here"
+            f"{folder}: not empty, the group {group.name!r} is already bootstrapped here"
         )
     peer = await find_bootstrapped_peer(settings=settings, process=process, group=group)
     if peer is not None:
         raise AlreadyBootstrappedError(
-            f"group {group.name!r}: store {peer} already has its log; start this store to join"
+            f"group {group.name!r}: already bootstrapped, store {peer} has its log; "
+            f"start this store to join it"
         )
     folder.parent.mkdir(parents=True, exist_ok=True)
     bootstrap_replica(folder, group=group.name, name=process.name)
@@ -64,9 +65,9 @@
 
 async def find_bootstrapped_peer(*, settings, process, group):
     """Return the name of a reachable member that has a log of the group, or None."""
-    with_log = []
+    bootstrapped_peers = []
 
-    async def ask(name):
+    async def query_peer(name):
         peer = settings.process(name)
         hello = Hello(name=f"{process.name}/init", cell=settings.cell, incarnation=uuid4().hex)
         link = Link(
@@ -74,23 +75,25 @@
             port=peer.link.port,
             hello=hello,
             secret=settings.secret,
-            handler=_Silent(),
+            handler=_RefusingHandler(),
             tls=settings.tls(process.name),
         )
         async with create_task_group() as tasks:
             tasks.start_soon(link.run)
-            with move_on_after(ASK_TIMEOUT_S):
+            with move_on_after(PEER_QUERY_TIMEOUT_S):
                 await link.wait_open()
                 try:
-                    reply = await link.call(JoinRequest(group=group.name), timeout=ASK_TIMEOUT_S)
+                    reply = await link.call(
+                        JoinRequest(group=group.name), timeout=PEER_QUERY_TIMEOUT_S
+                    )
                 except SiskintallyError:
                     reply = None
                 if reply is not None and reply.last_index:
-                    with_log.append(name)
+                    bootstrapped_peers.append(name)
             tasks.cancel_scope.cancel()
 
     async with create_task_group() as tasks:
         for name in group.members:
             if name != process.name:
-                tasks.start_soon(ask, name)
-    return with_log[0] if with_log else None
+                tasks.start_soon(query_peer, name)
+    return bootstrapped_peers[0] if bootstrapped_peers else None
--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -1,4 +1,4 @@
-"""Commands ``entry`` and ``stub-endpoint``.
+"""Commands ``entry`` (entry daemon) and ``stub-endpoint`` (endpoint for tests).
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_entry import register
@@ -24,12 +24,12 @@
 from siskintally.daemon import serve_until_signal
 from siskintally.entry import Entry
 from siskintally.errors import BadSettingsError
-from siskintally.log import set_up
+from siskintally.log import configure_logging
 from siskintally.settings import load
-from siskintally.stub_endpoint import FAULTS, Stub, StubOptions
+from siskintally.stub_endpoint import FAULTS, StubEndpoint, StubEndpointOptions
 
 TOKEN_VARIABLE = "SISKINTALLY_ENDPOINT_TOKEN"
-LEVELS = ("debug", "info", "warning", "error")
+LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
 def register(registry):
@@ -59,27 +59,29 @@
     DEFINE_boolean(
         "standalone", False, "serve with default limits and without stores", flag_values=values
     )
-    DEFINE_float("drain_s", 30.0, "longest planned stop, s", 0.0, 3600.0, flag_values=values)
+    DEFINE_float(
+        "drain_s", 30.0, "longest duration of a planned stop, s", 0.0, 3600.0, flag_values=values
+    )
     DEFINE_enum(
         "balancer",
         "power-of-two",
         sorted(BALANCER_BY_NAME),
-        "how an endpoint is chosen",
+        "how the endpoint of a request is chosen",
         flag_values=values,
     )
-    DEFINE_enum("log_level", "info", LEVELS, "least level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "info", LOG_LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_entry(values, arguments):
     """Run ``entry``."""
-    _no_arguments(arguments)
+    _require_no_arguments(arguments)
     if not values.settings or not values.name:
         raise BadSettingsError("--settings and --name: expected both")
     settings = load(values.settings)
     process = settings.process(values.name)
     if process.role != "entry":
         raise BadSettingsError(f"--name = {values.name!r}: expected a process with role entry")
-    set_up(process=process.name, level=values.log_level)
+    configure_logging(process=process.name, level=values.log_level)
     entry = Entry(
         settings=settings,
         process=process,
@@ -97,22 +99,24 @@
     DEFINE_string("domain", "jylland-a", "failure domain", flag_values=values)
     DEFINE_string("http", "127.0.0.1:7301", "address to listen on, host:port", flag_values=values)
     DEFINE_list("entries", [], "entry URLs to announce to, comma-separated", flag_values=values)
-    DEFINE_integer("slots", 8, "requests at a time", 1, 1024, flag_values=values)
-    DEFINE_integer("connections", 64, "connections at a time", 1, 8192, flag_values=values)
+    DEFINE_integer("slots", 8, "requests served at a time", 1, 1024, flag_values=values)
+    DEFINE_integer("connections", 64, "connections accepted at a time", 1, 8192, flag_values=values)
     DEFINE_float("service_ms", 20.0, "service time, ms", 0.0, 3.6e6, flag_values=values)
-    DEFINE_enum("fault", "none", FAULTS, "fault of every answer", flag_values=values)
-    DEFINE_string("record", "", "file that gets a JSON line per start and end", flag_values=values)
+    DEFINE_enum("fault", "none", FAULTS, "fault injected into each response", flag_values=values)
+    DEFINE_string(
+        "record", "", "file to append a JSON line to per start and end", flag_values=values
+    )
     DEFINE_string(
         "token", None, f"token of the service; the default is ${TOKEN_VARIABLE}", flag_values=values
     )
-    DEFINE_enum("log_level", "warning", LEVELS, "least level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "warning", LOG_LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_stub(values, arguments):
     """Run ``stub-endpoint``."""
-    _no_arguments(arguments)
-    set_up(process=values.name, level=values.log_level)
-    options = StubOptions(
+    _require_no_arguments(arguments)
+    configure_logging(process=values.name, level=values.log_level)
+    options = StubEndpointOptions(
         name=values.name,
         service=values.service,
         domain=values.domain,
@@ -125,10 +129,10 @@
         token=values.token or environ.get(TOKEN_VARIABLE, ""),
         record=values.record,
     )
-    stub = Stub(options=options)
+    stub = StubEndpoint(options=options)
     return serve_until_signal(stub.run, stub.stop)
 
 
-def _no_arguments(arguments):
+def _require_no_arguments(arguments):
     if arguments:
         raise BadSettingsError(f"arguments = {arguments}: expected only flags")
--- a/siskintally/commands_store.py
+++ b/siskintally/commands_store.py
@@ -1,4 +1,4 @@
-"""Commands ``store``, ``init``, and ``check``.
+"""Commands ``store`` (store daemon), ``init`` (bootstrap of groups), and ``check``.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_store import register
@@ -23,27 +23,33 @@
 from siskintally.daemon import serve_until_signal
 from siskintally.errors import BadSettingsError, SiskintallyError
 from siskintally.journal import bootstrap_replica
-from siskintally.log import LEVEL_BY_NAME, set_up
+from siskintally.log import LEVEL_BY_NAME, configure_logging
 from siskintally.settings import load
 from siskintally.store import Store
 
-LEVELS = tuple(LEVEL_BY_NAME)
+LOG_LEVELS = tuple(LEVEL_BY_NAME)
 
 
 def register(registry):
     """Add the commands of this family."""
     rows = (
         ("store", "Run a store: replicas of the cell group and of domain groups.", start_store),
-        ("init", "Found the groups whose first member is this store; once per cell.", start_init),
+        (
+            "init",
+            "Bootstrap the groups whose first member is this store; once per cell.",
+            start_init,
+        ),
         ("check", "Check settings and, with --config, a configuration document.", start_check),
     )
     for name, summary, start in rows:
         define = define_check if name == "check" else define_process
-        registry.add(Command(name=name, summary=summary, define=define, start=_numbered(start)))
+        registry.add(
+            Command(name=name, summary=summary, define=define, start=_with_exit_status(start))
+        )
 
 
-def _numbered(start):
-    """Turn an error into its exit status and a line with its code."""
+def _with_exit_status(start):
+    """Wrap a command so that an error is printed with its code and sets the exit status."""
 
     def run(values, arguments):
         try:
@@ -51,7 +57,7 @@
                 raise BadSettingsError(f"arguments = {arguments}: expected only flags")
             return start(values)
         except* SiskintallyError as group:
-            error = _first(group)
+            error = _first_leaf(group)
             print(f"{int(error.code)} {error.code.name}: {error}", file=stderr)
             status = exit_status(error.code)
         return status
@@ -59,7 +65,7 @@
     return run
 
 
-def _first(error):
+def _first_leaf(error):
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     return error
@@ -69,7 +75,7 @@
     """Add the flags of ``store`` and ``init``."""
     DEFINE_string("settings", None, "settings file of the cell (TOML)", flag_values=values)
     DEFINE_string("name", None, "name of this process in the settings", flag_values=values)
-    DEFINE_enum("log_level", "info", LEVELS, "least level of log lines", flag_values=values)
+    DEFINE_enum("log_level", "info", LOG_LEVELS, "lowest level of log lines", flag_values=values)
     DEFINE_boolean("json", False, "print the answer as one line of JSON", flag_values=values)
 
 
@@ -80,27 +86,27 @@
     DEFINE_boolean("json", False, "print the answer as one line of JSON", flag_values=values)
 
 
-def _process(values):
+def _load_process(values):
     if not values.settings or not values.name:
         raise BadSettingsError("--settings and --name: expected both")
     settings = load(values.settings)
     process = settings.process(values.name)
     if process.role != "store":
         raise BadSettingsError(f"--name = {values.name!r}: expected a process with role store")
-    set_up(process=process.name, level=values.log_level)
+    configure_logging(process=process.name, level=values.log_level)
     return settings, process
 
 
 def start_store(values):
     """Run ``store``."""
-    settings, process = _process(values)
+    settings, process = _load_process(values)
     store = Store(settings=settings, process=process)
     return serve_until_signal(store.run, store.stop)
 
 
 def start_init(values):
     """Run ``init``."""
-    settings, process = _process(values)
+    settings, process = _load_process(values)
     names = []
     for group in groups_to_bootstrap(settings, process.name):
         run_async(
@@ -116,14 +122,14 @@
     if values.json:
         print(dumps({"code": 1000, "answer": {"founded": names}}))
     else:
-        print(f"founded: {', '.join(names) or 'none; this store joins when it starts'}")
+        print(f"bootstrapped: {', '.join(names) or 'none; this store joins when it starts'}")
     return 0
 
 
 def start_check(values):
     """Run ``check``."""
     if not values.settings and not values.config:
-        raise BadSettingsError("--settings, --config: expected one of them")
+        raise BadSettingsError("--settings, --config: expected at least one of them")
     checked = []
     if values.settings:
         settings = load(values.settings)
--- a/siskintally/commands_worker.py
+++ b/siskintally/commands_worker.py
@@ -1,4 +1,4 @@
-"""Command ``stub-worker``.
+"""Command ``stub-worker``: runs stub workers, for tests.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_worker import register
@@ -20,13 +20,13 @@
 from siskintally.command import Command
 from siskintally.daemon import serve_until_signal
 from siskintally.errors import BadSettingsError
-from siskintally.log import set_up
+from siskintally.log import configure_logging
 from siskintally.settings import Address, Process, load
 from siskintally.stub_worker import StubWorker, StubWorkers, TaskRecorder, WorkerOptions
 from siskintally.wire_pb2 import Resources
 from siskintally.worker_state import Faults
 
-LEVELS = ("debug", "info", "warning", "error")
+LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
 def register(registry):
@@ -44,24 +44,35 @@
 def define_worker(values):
     """Add the flags of ``stub-worker``."""
     DEFINE_string("settings", None, "settings file of the cell (TOML)", flag_values=values)
-    DEFINE_list("stores", [], "links of the domain's stores, host:port", flag_values=values)
+    DEFINE_list("stores", [], "addresses of the domain's stores, host:port", flag_values=values)
     DEFINE_string("name", "worker", "worker name; with --count, its prefix", flag_values=values)
     DEFINE_string("domain", "jylland-a", "failure domain", flag_values=values)
     DEFINE_string("rack", "r0", "rack; with --count, its prefix", flag_values=values)
     DEFINE_integer("count", 1, "workers in this process", 1, 1000, flag_values=values)
     DEFINE_integer("per_rack", 8, "workers in a rack", 1, 1000, flag_values=values)
-    DEFINE_integer("cpu_milli", 32_000, "processors, thousandths", 0, flag_values=values)
-    DEFINE_integer("memory_mb", 128_000, "memory, MB", 0, flag_values=values)
-    DEFINE_integer("accelerators", 0, "accelerators", 0, flag_values=values)
+    DEFINE_integer(
+        "cpu_milli", 32_000, "processor capacity, thousandths of a core", 0, flag_values=values
+    )
+    DEFINE_integer("memory_mb", 128_000, "memory capacity, MB", 0, flag_values=values)
+    DEFINE_integer("accelerators", 0, "number of accelerators", 0, flag_values=values)
     DEFINE_float(
         "beat_s", 10.0, "longest time between heartbeats, s", 0.1, 60.0, flag_values=values
     )
     DEFINE_boolean("fail", False, "fail every task", flag_values=values)
-    DEFINE_float("run_factor", 1.0, "true over declared run time", 0.0, 1e3, flag_values=values)
-    DEFINE_float("size_factor", 1.0, "true over declared size", 0.0, 1e3, flag_values=values)
-    DEFINE_float("pause_s", 0.0, "from receipt to start, s", 0.0, 1e3, flag_values=values)
-    DEFINE_string("record", "", "file that gets a JSON line per event", flag_values=values)
-    DEFINE_enum("log_level", "warning", LEVELS, "least level of log lines", flag_values=values)
+    DEFINE_float(
+        "run_factor", 1.0, "actual run time / declared run time", 0.0, 1e3, flag_values=values
+    )
+    DEFINE_float("size_factor", 1.0, "reported use / declared size", 0.0, 1e3, flag_values=values)
+    DEFINE_float(
+        "pause_s",
+        0.0,
+        "delay from receipt of an order to the start, s",
+        0.0,
+        1e3,
+        flag_values=values,
+    )
+    DEFINE_string("record", "", "file to append a JSON line per event to", flag_values=values)
+    DEFINE_enum("log_level", "warning", LOG_LEVELS, "lowest level of log lines", flag_values=values)
 
 
 def start_worker(values, arguments):
@@ -71,26 +82,29 @@
     if not values.settings:
         raise BadSettingsError("--settings: expected a file")
     settings = load(values.settings)
-    set_up(process=values.name, level=values.log_level)
+    configure_logging(process=values.name, level=values.log_level)
     recorder = TaskRecorder(path=values.record)
     tls = settings.tls(values.name)
     workers = [
         StubWorker(
             options=options,
-            stores=_stores(settings, values),
+            stores=_store_processes(settings, values),
             cell=settings.cell,
             secret=settings.secret,
             recorder=recorder,
             tls=tls,
         )
-        for options in _options(values)
+        for options in _worker_options(values)
     ]
     stubs = StubWorkers(workers=workers)
     return serve_until_signal(stubs.run, stubs.stop)
 
 
-def _stores(settings, values):
-    """Return the stores to dial; given addresses may lie behind a forwarder."""
+def _store_processes(settings, values):
+    """Return the stores to connect to; the flag --stores replaces their addresses.
+
+    The given addresses may be those of forwarders.
+    """
     group = settings.group_of_domain(values.domain)
     members = [settings.process(member) for member in group.members]
     if not values.stores:
@@ -111,13 +125,13 @@
     ]
 
 
-def _options(values):
+def _worker_options(values):
     for number in range(values.count):
-        several = values.count > 1
+        has_several = values.count > 1
         yield WorkerOptions(
-            name=f"{values.name}-{number}" if several else values.name,
+            name=f"{values.name}-{number}" if has_several else values.name,
             domain=values.domain,
-            rack=f"{values.rack}-{number // values.per_rack}" if several else values.rack,
+            rack=f"{values.rack}-{number // values.per_rack}" if has_several else values.rack,
             capacity=Resources(
                 cpu_milli=values.cpu_milli,
                 memory_mb=values.memory_mb,
@@ -129,5 +143,5 @@
                 size_factor=values.size_factor,
                 pause_s=values.pause_s,
             ),
-            beat_s=values.beat_s,
+            heartbeat_interval_s=values.beat_s,
         )
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -21,7 +21,7 @@
 # Broken links must be detected and reopened well within the time in which a process has to be
 # connected again after a disruption.
 LINK_POOL_TIMING = LinkTiming(
-    idle_ping_s=1.0, busy_ping_s=0.6, silence_s=0.9, connect_s=0.4, max_backoff_s=0.3
+    idle_ping_s=1.0, busy_ping_s=0.6, ping_timeout_s=0.9, connect_timeout_s=0.4, max_backoff_s=0.3
 )
 MAX_STORES = 64
 # Cell name in the Hello message of every link.
@@ -79,7 +79,7 @@
                 secret=self._secret,
                 handler=self._handler,
                 timing=LINK_POOL_TIMING,
-                ended=partial(self._on_process_exit, address)
+                on_peer_exit=partial(self._on_process_exit, address)
                 if self._on_process_exit is not None
                 else None,
             )
--- a/siskintally/liveness.py
+++ b/siskintally/liveness.py
@@ -1,9 +1,9 @@
-"""Decides when a link is pinged and when it counts as silent.
+"""Keepalive of links: decides when to ping a link and when to close it as silent.
 
->>> from siskintally.liveness import LinkTiming, Liveness, Step
+>>> from siskintally.liveness import LinkTiming, Liveness, LinkAction
 >>> liveness = Liveness(timing=LinkTiming(), now=0.0)
->>> liveness.step(4.9), liveness.step(5.0), liveness.step(7.9), liveness.step(8.0)
-(<Step.NONE: 0>, <Step.PING: 1>, <Step.NONE: 0>, <Step.CLOSE: 2>)
+>>> [liveness.next_action(now) for now in (4.9, 5.0, 7.9, 8.0)]
+[<LinkAction.NONE: 0>, <LinkAction.PING: 1>, <LinkAction.NONE: 0>, <LinkAction.CLOSE: 2>]
 """
 
 from enum import IntEnum
@@ -11,40 +11,46 @@
 
 from anyio import sleep
 
-CHECK_S = 0.5
+CHECK_INTERVAL_S = 0.5
 
 
 class LinkTiming:
     """Intervals of one link, in seconds.
 
-    :param idle_ping_s: silence after which a link without calls is pinged.
-    :param busy_ping_s: the same for a link on which a call waits; shorter, so that the call fails
+    :param idle_ping_s: time without a received frame after which a link without calls is pinged.
+    :param busy_ping_s: the same for a link with a pending call; shorter, so that the call fails
         before its own deadline.
-    :param silence_s: time after a ping without an answer when the link is closed.
-    :param connect_s: longest time to open a link.
-    :param max_backoff_s: longest pause before a lost link is opened again.
+    :param ping_timeout_s: time after an unanswered ping at which the link is closed.
+    :param connect_timeout_s: longest time to open a link.
+    :param max_backoff_s: longest delay before a lost link is reopened, without jitter.
     """
 
-    __slots__ = ("busy_ping_s", "connect_s", "idle_ping_s", "max_backoff_s", "silence_s")
+    __slots__ = (
+        "busy_ping_s",
+        "connect_timeout_s",
+        "idle_ping_s",
+        "max_backoff_s",
+        "ping_timeout_s",
+    )
 
     def __init__(
         self,
         *,
         idle_ping_s=5.0,
         busy_ping_s=1.0,
-        silence_s=3.0,
-        connect_s=2.0,
+        ping_timeout_s=3.0,
+        connect_timeout_s=2.0,
         max_backoff_s=2.0,
     ):
         self.idle_ping_s = idle_ping_s
         self.busy_ping_s = busy_ping_s
-        self.silence_s = silence_s
-        self.connect_s = connect_s
+        self.ping_timeout_s = ping_timeout_s
+        self.connect_timeout_s = connect_timeout_s
         self.max_backoff_s = max_backoff_s
 
 
-class Step(IntEnum):
-    """What to do with a link."""
+class LinkAction(IntEnum):
+    """Action that is due on a link."""
 
     NONE = 0
     PING = 1
@@ -52,10 +58,10 @@
 
 
 class Liveness:
-    """When a link was heard and pinged; pure.
+    """Times of the last received frame and the last ping of a link; does no I/O.
 
     :param timing: :class:`LinkTiming`.
-    :param now: monotonic time, s.
+    :param now: monotonic time, seconds.
     """
 
     __slots__ = ("_last_ping", "_timing", "last_heard")
@@ -65,33 +71,37 @@
         self._last_ping = 0.0
         self.last_heard = now
 
-    def step(self, now, *, busy_since=None):
-        """Return what is due; a ping counts as sent.
+    def next_action(self, now, *, busy_since=None):
+        """Return the action that is due; a ping counts as sent from then on.
 
-        :param busy_since: since when calls wait for replies, or None. A call on a quiet link is
-            itself a question, so a ping is due only when its reply takes long.
+        :param busy_since: time since which calls have been pending, or None. A call is a probe
+            in itself, so a ping is due only when its reply takes longer than ``busy_ping_s``.
         """
         if self._last_ping > self.last_heard:
-            return Step.CLOSE if now >= self._last_ping + self._timing.silence_s else Step.NONE
+            return (
+                LinkAction.CLOSE
+                if now >= self._last_ping + self._timing.ping_timeout_s
+                else LinkAction.NONE
+            )
         due = self.last_heard + self._timing.idle_ping_s
         if busy_since is not None:
             due = max(self.last_heard, busy_since) + self._timing.busy_ping_s
         if now < due:
-            return Step.NONE
+            return LinkAction.NONE
         self._last_ping = now
-        return Step.PING
+        return LinkAction.PING
 
 
-async def watch(sessions):
-    """Check sessions until cancelled.
+async def check_sessions(sessions):
+    """Check sessions each 0.5 s until cancelled.
 
-    The checks fall on multiples of their interval, as the heartbeats of groups do, so that a
-    process wakes up once for both; one task checks all the sessions of a server.
+    The checks are aligned to multiples of the interval, as the heartbeats of groups are, so that
+    the process wakes up once for both. One task checks all the sessions of a server.
 
     :param sessions: function that returns the open sessions.
     """
     while True:
-        await sleep(CHECK_S - monotonic() % CHECK_S)
+        await sleep(CHECK_INTERVAL_S - monotonic() % CHECK_INTERVAL_S)
         now = monotonic()
         for session in sessions():
-            session.check(now)
+            session.check_liveness(now)
--- a/siskintally/log.py
+++ b/siskintally/log.py
@@ -1,4 +1,4 @@
-"""Structured logs, one JSON object a line.
+"""Structured logging: one JSON object per line.
 
 >>> from siskintally.log import get_logger
 >>> get_logger("entry") is not None
@@ -21,13 +21,13 @@
 LEVEL_BY_NAME = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
-def set_up(*, process, level="info", to_stdout=False):
+def configure_logging(*, process, level="info", to_stdout=False):
     """Configure logging for this process.
 
     :param process: process name, added to each line.
-    :param level: ``debug``, ``info``, ``warning``, or ``error``.
-    :param to_stdout: whether lines go to standard output in place of standard error, bounded and
-        without waiting for the reader.
+    :param level: lowest level to log: ``debug``, ``info``, ``warning``, or ``error``.
+    :param to_stdout: whether to log to standard output instead of standard error. Lines are then
+        rate-limited, and dropped if the reader is too slow, so that logging never blocks.
     """
     configure(
         processors=[
@@ -38,17 +38,17 @@
             JSONRenderer(),
         ],
         wrapper_class=make_filtering_bound_logger(LEVEL_BY_NAME[level]),
-        logger_factory=PrintLoggerFactory(file=_bounded_stdout() if to_stdout else stderr),
+        logger_factory=PrintLoggerFactory(file=_nonblocking_stdout() if to_stdout else stderr),
     )
     bind_contextvars(process=process)
 
 
-def _bounded_stdout():
+def _nonblocking_stdout():
     descriptor = stdout.fileno()
     set_blocking(descriptor, False)
     return LogStream(write=partial(write_descriptor, descriptor), clock=monotonic)
 
 
 def get_logger(module):
-    """Return a logger whose lines name a module."""
+    """Return a logger that adds the module name to each line."""
     return structlog_logger(module=module)
--- a/siskintally/settings.py
+++ b/siskintally/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a cell, read from one TOML file and checked as a whole.
+"""Settings of a cell: parses and validates the TOML settings file.
 
 >>> from siskintally.settings import parse
 >>> text = '''
@@ -44,10 +44,10 @@
 
     @classmethod
     def parse(cls, text, *, key):
-        """Read ``host:port``.
+        """Parse ``host:port``.
 
-        :param key: name of the setting, for the error.
-        :raises BadSettingsError: the text is no address.
+        :param key: name of the setting, for the error message.
+        :raises BadSettingsError: the text is not an address.
         """
         host, colon, port = str(text).rpartition(":")
         if not colon or not host or not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
@@ -64,7 +64,8 @@
     """One process of the cell.
 
     :param role: ``entry`` or ``store``.
-    :param link: address for links of other processes.
+    :param domain: failure domain of the process.
+    :param link: address on which the process accepts links of other processes.
     :param http: address for callers, endpoints, and operators; entries only.
     :param data: data folder; stores only.
     """
@@ -82,9 +83,11 @@
 
 
 class Tls:
-    """Certificate of this process and the authority that all processes of the cell trust.
+    """Paths of the TLS files of a process: its certificate and the authority of the cell.
 
-    :param authority: path of a PEM file; so are ``certificate`` and ``key``.
+    :param authority: PEM file of the certificate authority that all processes of the cell trust.
+    :param certificate: PEM file of the certificate of the process.
+    :param key: PEM file of its private key.
     """
 
     __slots__ = ("authority", "certificate", "key")
@@ -95,7 +98,7 @@
         self.key = key
 
     def server_context(self):
-        """Return a TLS context that asks the other side for a certificate.
+        """Return a TLS context that requires a certificate from the client.
 
         :raises BadSettingsError: a file is missing or holds no certificate.
         """
@@ -106,8 +109,8 @@
     def client_context(self):
         """Return a TLS context for outgoing links.
 
-        Host names are not compared, because processes are addressed by IP number and any
-        process of the cell may be behind one; the authority is the cell's own.
+        Host names are not checked, because processes are addressed by IP address and any process
+        of the cell may run there. The authority signs only certificates of the cell.
 
         :raises BadSettingsError: a file is missing or holds no certificate.
         """
@@ -128,9 +131,9 @@
 
 
 class GroupSettings:
-    """A replicated group.
+    """Settings of a replicated group.
 
-    :param members: names of the founding stores.
+    :param members: names of the initial member stores; the first one bootstraps the group.
     :param domains: failure domains whose workers and ledger it owns; empty for the cell group.
     """
 
@@ -146,9 +149,9 @@
     """All settings of a cell.
 
     :param operator_by_token: ``{token: operator name}``.
-    :param service_by_token: ``{token: service}`` of endpoints; empty if they need none.
+    :param service_by_token: ``{token: service}`` of endpoints; empty if endpoints need no token.
     :param statsd: :class:`Address` of a statsd server, or None.
-    :param tls_folder: folder of the certificates, or None.
+    :param tls_folder: folder of the certificates, or None if links are not encrypted.
     """
 
     __slots__ = (
@@ -184,7 +187,7 @@
         self.tls_folder = tls_folder
 
     def tls(self, name):
-        """Return the TLS files of a process, or None where links are not encrypted.
+        """Return the TLS files of a process, or None if links are not encrypted.
 
         The folder ``cell.tls`` holds ``authority.pem``, ``<process>.pem``, and
         ``<process>.key``.
@@ -199,7 +202,7 @@
         )
 
     def process(self, name):
-        """Return the process of that name.
+        """Return the process with this name.
 
         :raises BadSettingsError: there is none.
         """
@@ -225,7 +228,7 @@
         raise BadSettingsError(f"group.domains: no group owns failure domain {domain!r}")
 
     def groups_of_store(self, name):
-        """Yield the groups that a store is a founding member of."""
+        """Yield the groups that a store is an initial member of."""
         for group in self.group_by_name.values():
             if name in group.members:
                 yield group
@@ -238,7 +241,7 @@
 
 
 def load(path):
-    """Read and check a settings file.
+    """Read, parse and validate a settings file.
 
     :raises BadSettingsError: the file is missing or a value is out of range.
     """
@@ -249,65 +252,67 @@
 
 
 def parse(text):
-    """Check settings given as TOML text.
+    """Parse and validate settings given as TOML text.
 
-    :raises BadSettingsError: names the key, the value, and what is allowed.
+    :raises BadSettingsError: names the key, the value, and the allowed values.
     """
     try:
         document = loads(text)
     except TOMLDecodeError as error:
         raise BadSettingsError(f"settings are not TOML: {error}") from error
-    _known(document, "settings", ("cell", "process", "group", "operator", "endpoint", "metrics"))
-    cell = _table(document, "cell", ("name", "secret", "tls"))
-    secret = _string(cell, "cell.secret", "secret")
+    _check_keys(
+        document, "settings", ("cell", "process", "group", "operator", "endpoint", "metrics")
+    )
+    cell = _read_table(document, "cell", ("name", "secret", "tls"))
+    secret = _read_string(cell, "cell.secret", "secret")
     if len(secret) < MIN_SECRET_LENGTH:
         raise BadSettingsError(f"cell.secret: expected at least {MIN_SECRET_LENGTH} characters")
-    process_by_name = _processes(document.get("process", []))
-    metrics = _table(document, "metrics", ("statsd",)) if "metrics" in document else {}
+    process_by_name = _read_processes(document.get("process", []))
+    metrics = _read_table(document, "metrics", ("statsd",)) if "metrics" in document else {}
     statsd = metrics.get("statsd")
     return Settings(
-        cell=_string(cell, "cell.name", "name"),
+        cell=_read_string(cell, "cell.name", "name"),
         secret=secret,
         process_by_name=process_by_name,
-        group_by_name=_groups(document.get("group", []), process_by_name),
-        operator_by_token=_tokens(document.get("operator", []), "operator", "name"),
-        service_by_token=_tokens(document.get("endpoint", []), "endpoint", "service"),
+        group_by_name=_read_groups(document.get("group", []), process_by_name),
+        operator_by_token=_read_tokens(document.get("operator", []), "operator", "name"),
+        service_by_token=_read_tokens(document.get("endpoint", []), "endpoint", "service"),
         statsd=Address.parse(statsd, key="metrics.statsd") if statsd else None,
-        tls_folder=_string(cell, "cell.tls", "tls") if "tls" in cell else None,
+        tls_folder=_read_string(cell, "cell.tls", "tls") if "tls" in cell else None,
     )
 
 
-def _known(table, key, names):
+def _check_keys(table, key, names):
     for name in table:
         if name not in names:
             raise BadSettingsError(f"{key}.{name}: unknown key, expected one of {', '.join(names)}")
 
 
-def _table(document, key, names):
+def _read_table(document, key, names):
     table = document.get(key)
     if not isinstance(table, dict):
         raise BadSettingsError(f"{key}: expected a table [{key}]")
-    _known(table, key, names)
+    _check_keys(table, key, names)
     return table
 
 
-def _string(table, key, name):
+def _read_string(table, key, name):
     value = table.get(name)
     if not isinstance(value, str) or not value:
         raise BadSettingsError(f"{key} = {value!r}: expected a non-empty string")
     return value
 
 
-def _processes(rows):
+def _read_processes(rows):
     by_name = {}
     for number, row in enumerate(rows):
         key = f"process[{number}]"
-        _known(row, key, ("name", "role", "domain", "region", "link", "http", "data"))
+        _check_keys(row, key, ("name", "role", "domain", "region", "link", "http", "data"))
         process = Process(
-            name=_string(row, f"{key}.name", "name"),
-            role=_string(row, f"{key}.role", "role"),
-            domain=_string(row, f"{key}.domain", "domain"),
-            region=_string(row, f"{key}.region", "region"),
+            name=_read_string(row, f"{key}.name", "name"),
+            role=_read_string(row, f"{key}.role", "role"),
+            domain=_read_string(row, f"{key}.domain", "domain"),
+            region=_read_string(row, f"{key}.region", "region"),
             link=Address.parse(row.get("link"), key=f"{key}.link"),
             http=Address.parse(row["http"], key=f"{key}.http") if "http" in row else None,
             data=row.get("data"),
@@ -328,39 +333,45 @@
         raise BadSettingsError(f"{key}.data = {process.data!r}: a store needs a data folder")
 
 
-def _groups(rows, process_by_name):
+def _read_groups(rows, process_by_name):
     by_name = {}
-    owned = set()
+    owned_domains = set()
     for number, row in enumerate(rows):
         key = f"group[{number}]"
-        _known(row, key, ("name", "members", "domains"))
-        name = _string(row, f"{key}.name", "name")
+        _check_keys(row, key, ("name", "members", "domains"))
+        name = _read_string(row, f"{key}.name", "name")
         members = tuple(row.get("members", ()))
         for member in members:
             if member not in process_by_name or process_by_name[member].role != "store":
-                raise BadSettingsError(f"{key}.members: {member!r} is no store")
+                raise BadSettingsError(f"{key}.members: {member!r} is not a store")
         if not members or len(set(members)) != len(members):
-            raise BadSettingsError(f"{key}.members = {list(members)}: expected distinct stores")
+            raise BadSettingsError(
+                f"{key}.members = {list(members)}: expected a list of distinct stores"
+            )
         domains = tuple(row.get("domains", ()))
-        if owned & set(domains):
-            raise BadSettingsError(f"{key}.domains = {list(domains)}: owned by another group too")
+        if owned_domains & set(domains):
+            raise BadSettingsError(
+                f"{key}.domains = {list(domains)}: another group owns one of them too"
+            )
         if bool(domains) == (name == CELL_GROUP):
-            raise BadSettingsError(f"{key}.domains: expected for every group but {CELL_GROUP!r}")
-        owned.update(domains)
+            raise BadSettingsError(
+                f"{key}.domains: expected failure domains, and none for the group {CELL_GROUP!r}"
+            )
+        owned_domains.update(domains)
         by_name[name] = GroupSettings(name=name, members=members, domains=domains)
     return by_name
 
 
-def _tokens(rows, table, holder):
-    """Return ``{token: value of the key holder}`` of an array of tables."""
+def _read_tokens(rows, table, value_key):
+    """Return ``{token: value of the key value_key}`` from an array of tables."""
     by_token = {}
     for number, row in enumerate(rows):
         key = f"{table}[{number}]"
-        _known(row, key, (holder, "token"))
-        token = _string(row, f"{key}.token", "token")
+        _check_keys(row, key, (value_key, "token"))
+        token = _read_string(row, f"{key}.token", "token")
         if len(token) < MIN_SECRET_LENGTH or token in by_token:
             raise BadSettingsError(
                 f"{key}.token: expected a distinct token of at least {MIN_SECRET_LENGTH} characters"
             )
-        by_token[token] = _string(row, f"{key}.{holder}", holder)
+        by_token[token] = _read_string(row, f"{key}.{value_key}", value_key)
     return by_token
--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -1,8 +1,8 @@
-"""Worker stub: runs timers as tasks under a lease and records what it ran and when.
+"""Stub worker for tests: runs tasks as timers under a lease, and records their starts and ends.
 
 >>> from siskintally.stub_worker import WorkerOptions
 >>> options = WorkerOptions(name="w", domain="d", rack="r", capacity=None)
->>> options.beat_s
+>>> options.heartbeat_interval_s
 10.0
 """
 
@@ -26,46 +26,58 @@
 from siskintally.wire_pb2 import Hello, WorkerOrders
 from siskintally.worker_state import WorkerState
 
-# Ends are reported at once, so the regular heartbeat only renews the lease; a third of the lease
-# leaves room for two that fail.
-BEAT_S = 10.0
-BEATS_PER_LEASE = 3
-# Heartbeats are calls, so an idle link needs no pings between them; a path that has gone silent is
-# noticed by TCP keepalive.
+# Ends of tasks are reported at once, so regular heartbeats only renew the lease. An interval of at
+# most a third of the lease allows for two failed heartbeats.
+HEARTBEAT_INTERVAL_S = 10.0
+HEARTBEATS_PER_LEASE = 3
+# Longer than the heartbeat interval: heartbeats are calls, so a link needs no pings between them,
+# and TCP keepalive detects a connection on which packets are dropped.
 IDLE_PING_S = 12.0
-BEAT_TIMEOUT_S = 4.0
+HEARTBEAT_TIMEOUT_S = 4.0
 OPEN_TIMEOUT_S = 2.0
-RETRY_S = 0.2
-# Changes within this time share one heartbeat.
-GATHER_S = 0.1
-MAX_TICK_S = 0.1
-# A process that did not run for this long was paused, and so were its tasks.
-PAUSED_S = 0.5
+RETRY_DELAY_S = 0.2
+# Changes within this time are reported in one heartbeat.
+REPORT_DELAY_S = 0.1
+MAX_TICK_INTERVAL_S = 0.1
+# A process that did not run for this long is taken to have been paused, with its tasks.
+PAUSE_THRESHOLD_S = 0.5
 
 log = get_logger("stub-worker")
 
 
 class WorkerOptions:
-    """Options of one stub.
+    """Options of one stub worker.
 
-    :param capacity: Resources that it reports.
+    :param capacity: Resources that the worker reports.
     :param faults: :class:`~siskintally.worker_state.Faults`, or None.
-    :param beat_s: longest time between two heartbeats.
+    :param heartbeat_interval_s: longest time between two heartbeats, seconds.
     """
 
-    __slots__ = ("beat_s", "capacity", "domain", "faults", "name", "rack")
-
-    def __init__(self, *, name, domain, rack, capacity, faults=None, beat_s=BEAT_S):
+    __slots__ = ("capacity", "domain", "faults", "heartbeat_interval_s", "name", "rack")
+
+    def __init__(
+        self,
+        *,
+        name,
+        domain,
+        rack,
+        capacity,
+        faults=None,
+        heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+    ):
         self.name = name
         self.domain = domain
         self.rack = rack
         self.capacity = capacity
         self.faults = faults
-        self.beat_s = beat_s
+        self.heartbeat_interval_s = heartbeat_interval_s
 
 
 class TaskRecorder:
-    """Appends a JSON line per event, written at once; shared by the workers of a process."""
+    """Appends a JSON line per event to a file, line-buffered; shared by the workers of a process.
+
+    :param path: path of the file; nothing is recorded if it is empty.
+    """
 
     __slots__ = ("_file",)
 
@@ -73,13 +85,13 @@
         self._file = open(path, "a", buffering=1, encoding="utf-8") if path else None  # noqa: SIM115
 
     def capacity(self, options):
-        """Record that a worker begins without tasks."""
+        """Record the capacity of a worker that starts, without tasks."""
         self._write(monotonic(), options.name, "capacity", options.capacity)
 
     def event(self, at, worker, event):
         """Record a start, end or stop.
 
-        :param at: reading of CLOCK_MONOTONIC, which all processes of a machine share.
+        :param at: time of CLOCK_MONOTONIC, which is the same for all processes of a machine.
         """
         self._write(
             at,
@@ -107,19 +119,22 @@
 
 
 class StubWorker(Handler):
-    """One worker: a link to the owner, a lease, and timers.
+    """One worker: a link to the owner, a lease, and timers as tasks.
 
-    :param stores: processes of the domain group, :class:`~siskintally.settings.Process`.
+    :param options: :class:`WorkerOptions`.
+    :param stores: members of the domain group, as :class:`~siskintally.settings.Process`.
+    :param cell: cell name.
+    :param secret: secret of the cell.
     :param recorder: :class:`TaskRecorder`.
     """
 
     __slots__ = (
-        "_changed",
         "_hello",
-        "_hint",
         "_last_tick",
+        "_leader_hint",
         "_options",
         "_recorder",
+        "_report_due",
         "_secret",
         "_stores",
         "_tls",
@@ -134,47 +149,51 @@
         self._recorder = recorder
         self._tls = tls
         self._hello = Hello(name=options.name, cell=cell, incarnation=self.state.session)
-        self._hint = ""
-        self._changed = Event()
+        self._leader_hint = ""
+        self._report_due = Event()
         self._last_tick = monotonic()
 
     async def run(self):
-        """Serve until cancelled; all tasks end with it."""
+        """Run until cancelled; all tasks end then."""
         self._recorder.capacity(self._options)
         try:
             async with create_task_group() as tasks:
-                tasks.start_soon(self._keep_time)
-                await self._keep_link()
+                tasks.start_soon(self._run_timers)
+                await self._run_link()
         except get_cancelled_exc_class():
             log.debug("worker stopped", worker=self._options.name)
             raise
 
-    async def _keep_time(self):
+    async def _run_timers(self):
         while True:
-            wait = self.state.next_time() - monotonic()
-            await sleep(min(max(wait, 0.0), MAX_TICK_S))
+            wait = self.state.next_tick_time() - monotonic()
+            await sleep(min(max(wait, 0.0), MAX_TICK_INTERVAL_S))
             self._record(self.state.tick(now=monotonic()))
 
     def _record(self, events):
-        """Record events; what a paused process stops had not run since it was last active."""
+        """Record events.
+
+        Tasks that are stopped after a pause of the process did not run during the pause, so their
+        stop is recorded with the time of the last tick before it.
+        """
         now = monotonic()
-        paused_at = self._last_tick if now - self._last_tick > PAUSED_S else now
+        paused_at = self._last_tick if now - self._last_tick > PAUSE_THRESHOLD_S else now
         for event in events:
             at = paused_at if event.kind == "stop" else now
             self._recorder.event(at, self._options.name, event)
         self._last_tick = now
         if self.state.is_report_due:
-            self._changed.set()
+            self._report_due.set()
 
-    async def _keep_link(self):
-        """Hold one link at a time; the old one is closed before another is opened."""
-        turn = 0
+    async def _run_link(self):
+        """Connect to the stores in turn until one leads; at most one link is open at a time."""
+        store_index = 0
         while True:
-            store = next((one for one in self._stores if one.name == self._hint), None)
+            store = next((store for store in self._stores if store.name == self._leader_hint), None)
             if store is None:
-                store = self._stores[turn % len(self._stores)]
-                turn += 1
-            self._hint = ""
+                store = self._stores[store_index % len(self._stores)]
+                store_index += 1
+            self._leader_hint = ""
             async with create_task_group() as tasks:
                 link = Link(
                     host=store.link.host,
@@ -189,59 +208,64 @@
                 with move_on_after(OPEN_TIMEOUT_S):
                     await link.wait_open()
                 if link.is_open:
-                    await self._converse(link)
+                    await self._send_heartbeats(link)
                 tasks.cancel_scope.cancel()
-            await sleep(RETRY_S)
+            await sleep(RETRY_DELAY_S)
+
+    async def _send_heartbeats(self, link):
+        """Send heartbeats on one session until it fails or the store refuses them.
 
-    async def _converse(self, link):
-        """Send heartbeats on one session until it fails or its peer does not lead."""
+        Retries on the same session after BAD_REQUEST or OVERLOADED.
+        """
         session = link.session
         self.state.reconnect()
         while link.session is session and not session.closed:
             try:
-                await self._beat(session)
+                await self._send_heartbeat(session)
             except RefusedError as error:
-                self._hint = error.leader if error.code == Code.NOT_LEADER else ""
+                self._leader_hint = error.leader if error.code == Code.NOT_LEADER else ""
                 if error.code not in (Code.BAD_REQUEST, Code.OVERLOADED):
                     return
                 log.info("heartbeat refused", worker=self._options.name, error=str(error))
                 self.state.reconnect()
-                await sleep(RETRY_S)
+                await sleep(RETRY_DELAY_S)
                 continue
             except (OutcomeUnknownError, UnreachableError):
                 return
-            limit = self.state.lease.lease_s / BEATS_PER_LEASE
-            with move_on_after(min(self._options.beat_s, limit)):
-                await self._changed.wait()
-                await sleep(GATHER_S)
+            max_interval_s = self.state.lease.lease_s / HEARTBEATS_PER_LEASE
+            with move_on_after(min(self._options.heartbeat_interval_s, max_interval_s)):
+                await self._report_due.wait()
+                await sleep(REPORT_DELAY_S)
 
-    async def _beat(self, session):
-        self._changed = Event()
+    async def _send_heartbeat(self, session):
+        self._report_due = Event()
         self._record(self.state.tick(now=monotonic()))
-        beat = self.state.beat(now=monotonic())
-        beat.worker = self._options.name
-        beat.domain, beat.rack = self._options.domain, self._options.rack
-        beat.capacity.CopyFrom(self._options.capacity)
-        orders = await session.call(beat, timeout=BEAT_TIMEOUT_S)
+        heartbeat = self.state.next_heartbeat(now=monotonic())
+        heartbeat.worker = self._options.name
+        heartbeat.domain, heartbeat.rack = self._options.domain, self._options.rack
+        heartbeat.capacity.CopyFrom(self._options.capacity)
+        orders = await session.call(heartbeat, timeout=HEARTBEAT_TIMEOUT_S)
         if isinstance(orders, WorkerOrders):
-            self._record(self.state.answered(beat, orders, now=monotonic()))
+            self._record(self.state.apply_heartbeat_reply(heartbeat, orders, now=monotonic()))
 
-    async def answer(self, session, body):
-        """Refuse calls; an owner sends messages only."""
-        raise RefusedError(f"{type(body).__name__}: no such call", code=Code.BAD_REQUEST)
+    async def handle_call(self, session, body):
+        """Refuse any call; an owner only sends messages."""
+        raise RefusedError(
+            f"{type(body).__name__}: a worker serves no calls", code=Code.BAD_REQUEST
+        )
 
-    def receive(self, session, body):
-        """Carry out orders that come between heartbeats."""
+    def handle_message(self, session, body):
+        """Apply orders that arrive between heartbeats."""
         if isinstance(body, WorkerOrders) and not session.closed:
-            self._record(self.state.take(body, now=monotonic()))
+            self._record(self.state.apply_orders(body, now=monotonic()))
 
-    def closed(self, session):
-        """Note that a link has ended; tasks go on until the lease ends."""
-        self._changed.set()
+    def handle_session_end(self, session):
+        """Wake up the heartbeat loop to reconnect; tasks run on until the lease expires."""
+        self._report_due.set()
 
 
 class StubWorkers:
-    """Several workers in one process, to save memory.
+    """Several stub workers in one process, to save memory.
 
     :param workers: :class:`StubWorker` objects.
     """
@@ -253,13 +277,13 @@
         self._scope = None
 
     async def run(self):
-        """Run all workers until :meth:`stop`."""
+        """Run all workers until :meth:`stop` is called."""
         async with create_task_group() as tasks:
             self._scope = tasks.cancel_scope
             for worker in self._workers:
                 tasks.start_soon(worker.run)
 
     async def stop(self):
-        """End all workers."""
+        """Cancel all workers."""
         if self._scope is not None:
             self._scope.cancel()
--- a/siskintally/tables.py
+++ b/siskintally/tables.py
@@ -1,7 +1,7 @@
-"""Text output of operator commands.
+"""Text output of operator commands: tables and summaries.
 
->>> from siskintally.tables import table
->>> print(table([("job", "state"), ("seats-1", "running")]))
+>>> from siskintally.tables import format_table
+>>> print(format_table([("job", "state"), ("seats-1", "running")]))
 job      state
 seats-1  running
 """
@@ -9,21 +9,21 @@
 from datetime import UTC, datetime
 
 
-def table(rows):
-    """Return rows of text in columns."""
+def format_table(rows):
+    """Return rows formatted as left-aligned columns of text."""
     rows = [[str(cell) for cell in row] for row in rows]
     widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
     lines = ("  ".join(map(str.ljust, row, widths)).rstrip() for row in rows)
     return "\n".join(lines)
 
 
-def _time(seconds):
+def _format_time(seconds):
     return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S")
 
 
 def show_jobs(answer):
     """Print a list of jobs."""
-    head = (
+    header = (
         "job",
         "state",
         "kind",
@@ -52,13 +52,13 @@
         )
         for row in answer["jobs"]
     ]
-    print(table([head, *rows]))
+    print(format_table([header, *rows]))
     if answer["more"]:
         print("more jobs match; raise --limit or give --prefix")
 
 
 def show_config(answer):
-    """Print the configuration document; the first line is a comment with its version."""
+    """Print the configuration document after a comment line with its version and preset."""
     print(f"# version {answer['version']}, preset {answer['preset'] or 'none'}")
     print(answer["document"], end="")
 
@@ -81,18 +81,18 @@
         heard = "never" if row["heard_s"] is None else row["heard_s"]
         amounts = (cores, free.get("memory_mb", 0), free.get("accelerators", 0))
         rows.append((row["group"], row["workers"], *amounts, current, heard, row["standing"]))
-    print(table(rows))
+    print(format_table(rows))
     for item in answer["drains"]:
         print(f"draining       {item['kind']} {item['name']}")
 
 
 def show_audit(answer):
-    """Print audit records and, if asked for, what the check of the file found."""
+    """Print audit records and, if the answer has it, the result of the check of the audit file."""
     rows = [("number", "time (UTC)", "operator", "verb", "what", "from", "to", "code")]
     rows.extend(
         (
             row["number"],
-            _time(row["time"]),
+            _format_time(row["time"]),
             row["operator"],
             row["verb"],
             row["what"][:40],
@@ -102,9 +102,9 @@
         )
         for row in answer["rows"]
     )
-    print(table(rows))
+    print(format_table(rows))
     if "file" in answer:
-        found = answer["file"]
-        gaps = f", never received: {', '.join(found['gaps'])}" if found["gaps"] else ""
-        print(f"file of {found['store']}: {found['records']} records{gaps}")
-        print(f"chain: {found['damage'] or 'unbroken'}, head {answer['head']}")
+        file = answer["file"]
+        gaps = f", never received: {', '.join(file['gaps'])}" if file["gaps"] else ""
+        print(f"file of {file['store']}: {file['records']} records{gaps}")
+        print(f"chain: {file['damage'] or 'unbroken'}, head {answer['head']}")
