--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -36,7 +36,7 @@
 DISK_RETRY_S = 0.5
 # Longest time to finish the HTTP requests in progress at shutdown.
 HTTP_GRACEFUL_S = 1.0
-ACCEPTED_LINK_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, silence_s=1.5)
+ACCEPTED_LINK_TIMING = LinkTiming(idle_ping_s=2.0, busy_ping_s=0.8, ping_timeout_s=1.5)
 
 log = get_logger("control-node")
 
@@ -285,7 +285,7 @@
             self._sent_version_by_session[id(session)] = version
         session.send(notice)
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Handle a call of a linked process."""
         if isinstance(body, JoinRequest):
             return await self._group.handle_join_request(body)
@@ -303,7 +303,7 @@
             raise NotLeaderError(f"{self._settings.name} is not the leader", leader=leader)
         return await service.handle(body)
 
-    def receive(self, session, body):
+    def handle_message(self, session, body):
         """Handle a message of a linked process that expects no reply."""
         if isinstance(body, ControlNotice):
             self._links.add_addresses(body.members)
--- a/siskintally/daemon.py
+++ b/siskintally/daemon.py
@@ -1,4 +1,4 @@
-"""Signals of a daemon.
+"""Main loop of a daemon: serves until SIGTERM or SIGINT, reloads at SIGHUP.
 
 >>> from siskintally.daemon import serve_until_signal
 >>> serve_until_signal.__name__
@@ -18,40 +18,40 @@
     """Run a daemon; SIGTERM or SIGINT starts a planned stop.
 
     :param start: async function that serves until it is stopped.
-    :param stop: async function that starts the planned stop; ``start`` returns when it is over.
-    :param reload: function that is called at SIGHUP; without one, SIGHUP ends the process.
+    :param stop: async function that carries out the planned stop and makes ``start`` return.
+    :param reload: function to call at SIGHUP; by default, SIGHUP ends the process.
     :returns: exit status 0.
-    :raises SiskintallyError: the daemon failed.
+    :raises SiskintallyError: the daemon failed; the first error of an exception group.
     """
 
     async def main():
         async with create_task_group() as tasks:
-            tasks.start_soon(_on_signal, stop)
+            tasks.start_soon(_stop_on_signal, stop)
             if reload is not None:
-                tasks.start_soon(_on_hangup, reload)
+                tasks.start_soon(_reload_on_sighup, reload)
             await start()
             tasks.cancel_scope.cancel()
 
     try:
         run(main)
     except BaseExceptionGroup as group:
-        raise _first(group) from group
+        raise _first_leaf(group) from group
     return 0
 
 
-def _first(group):
+def _first_leaf(group):
     first = group.exceptions[0]
-    return _first(first) if isinstance(first, BaseExceptionGroup) else first
+    return _first_leaf(first) if isinstance(first, BaseExceptionGroup) else first
 
 
-async def _on_hangup(reload):
+async def _reload_on_sighup(reload):
     with open_signal_receiver(SIGHUP) as signals:
         async for _ in signals:
             log.info("reload")
             reload()
 
 
-async def _on_signal(stop):
+async def _stop_on_signal(stop):
     with open_signal_receiver(SIGINT, SIGTERM) as signals:
         async for number in signals:
             log.info("planned stop", signal=number.name)
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -91,13 +91,13 @@
         await sleep(UNREADY_SERVING_S)
         self.closing.set()
 
-    async def answer(self, session, body):
+    async def handle_call(self, session, body):
         """Handle a call of a store."""
         if isinstance(body, AdviceAsk):
             return await handle_advice_call(self._advice, body)
         raise BadRequestError(f"{type(body).__name__}: not a call of an entry")
 
-    def receive(self, session, body):
+    def handle_message(self, session, body):
         """Handle a notice of a store."""
         if not isinstance(body, ControlNotice):
             return
--- a/siskintally/main.py
+++ b/siskintally/main.py
@@ -1,9 +1,9 @@
 """Command line: ``siskintally <command> [flags]``.
 
-Each family of commands is a module ``commands_*`` with a function ``register(registry)``.
+Each family of commands is a module with a function ``register(registry)``, see ``FAMILIES``.
 
->>> from siskintally.main import commands
->>> "entry" in [command.name for command in commands()]
+>>> from siskintally.main import build_registry
+>>> "entry" in [command.name for command in build_registry()]
 True
 """
 
@@ -25,7 +25,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
-# What a shell shows for a process that SIGPIPE has ended.
+# Status that a shell reports for a process that was killed by SIGPIPE.
 EXIT_READER_GONE = 141
 FAMILIES = (
     "siskintally.commands_entry",
@@ -36,17 +36,18 @@
     "siskintally.platform.entry_command",
     "siskintally.platform.store_command",
 )
-# On a small VM the imports of the other families are half of the time that a start takes.
+# These commands import only their own family: on a small VM, the imports of the other families
+# take half of the start time.
 FAMILY_BY_COMMAND = {
     "platform-entry": "siskintally.platform.entry_command",
     "platform-store": "siskintally.platform.store_command",
 }
 
 
-def commands(name=None):
+def build_registry(name=None):
     """Return the registry of all commands.
 
-    :param name: command for which only its own family may be loaded.
+    :param name: command to be run; if it is in ``FAMILY_BY_COMMAND``, only its family is loaded.
     """
     registry = Registry()
     families = (FAMILY_BY_COMMAND[name],) if name in FAMILY_BY_COMMAND else FAMILIES
@@ -56,15 +57,17 @@
 
 
 def run():
-    """Run the process's own command line and exit; entry point of the executable.
+    """Run the command line of this process and exit; entry point of the executable.
 
-    A reader that closes its end, such as ``head``, ends the command without a message.
+    If the reader of standard output closes its end, as ``head`` does, the command ends without an
+    error message.
     """
     try:
         status = dispatch(process_argv)
         stdout.flush()
     except BrokenPipeError:
-        # What is left in the buffer must not be written when the interpreter ends.
+        # Redirect standard output, so that the interpreter does not write the rest of the buffer to
+        # the closed pipe when it exits.
         dup2(open_descriptor(devnull, O_WRONLY), stdout.fileno())
         status = EXIT_READER_GONE
     exit_process(status)
@@ -76,25 +79,25 @@
     :param argv: program name, command, flags.
     :returns: exit status: 0 done, 1 failed with a result code, 2 wrong usage.
     """
-    registry = commands(argv[1] if len(argv) > 1 else None)
+    registry = build_registry(argv[1] if len(argv) > 1 else None)
     if len(argv) < 2 or argv[1] in ("--help", "-h", "help"):
         print(registry.usage())
         return EXIT_OK if len(argv) > 1 else EXIT_USAGE
     try:
         command = registry.find(argv[1])
     except SiskintallyError as error:
-        return _fail(error, EXIT_USAGE)
+        return _print_error(error, EXIT_USAGE)
     values = command.flag_values()
-    return _start(command, values, [argv[0], *argv[2:]])
+    return _run_command(command, values, [argv[0], *argv[2:]])
 
 
-def _start(command, values, argv):
+def _run_command(command, values, argv):
     def parse(words):
         FLAGS(words[:1])
         return values(words)
 
-    def start(words):
-        # Libraries log each request at the level below.
+    def main(words):
+        # Libraries log each request at level INFO.
         set_verbosity(WARNING)
         if values.help:
             print(command.usage(values))
@@ -102,16 +105,16 @@
         try:
             return command.start(values, words[1:]) or EXIT_OK
         except SiskintallyError as error:
-            return _fail(error, EXIT_FAILED)
+            return _print_error(error, EXIT_FAILED)
 
     try:
-        return run_app(start, argv=argv, flags_parser=parse)
+        return run_app(main, argv=argv, flags_parser=parse)
     except FlagError as error:
         print(f"siskintally {command.name}: {error}", file=stderr)
         return EXIT_USAGE
 
 
-def _fail(error, status):
+def _print_error(error, status):
     print(f"{int(error.code)} {error.code.name}: {error}", file=stderr)
     return status
 
--- a/siskintally/stub_duplicator.py
+++ b/siskintally/stub_duplicator.py
@@ -1,4 +1,4 @@
-"""Relay in front of a stub endpoint that sends each response twice on its connection.
+"""Relay in front of a stub endpoint that sends each HTTP response twice (fault "doubled").
 
 >>> from siskintally.stub_duplicator import ResponseDuplicator
 >>> ResponseDuplicator(host="127.0.0.1", port=7301, target_host="127.0.0.2").port
@@ -16,14 +16,14 @@
 from h11 import CLIENT, NEED_DATA, Connection, EndOfMessage, Request
 
 CHUNK_BYTES = 65536
-_LOST = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
+_CONNECTION_ERRORS = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
 
 
 class ResponseDuplicator:
-    """TCP relay that knows where a response ends.
+    """TCP relay that parses responses, and repeats each one after its end.
 
-    :param host: address that entries connect to.
-    :param port: port of the relay and of the stub.
+    :param host: address to listen on, which entries connect to.
+    :param port: port of both the relay and the stub.
     :param target_host: address of the stub.
     """
 
@@ -48,7 +48,7 @@
             return
         async with client, server, create_task_group() as tasks:
             tasks.start_soon(self._copy, client, server)
-            await self._double(server, client)
+            await self._duplicate_responses(server, client)
             tasks.cancel_scope.cancel()
 
     @staticmethod
@@ -57,27 +57,27 @@
             async for data in source:
                 await sink.send(data)
             await sink.send_eof()
-        except _LOST:
+        except _CONNECTION_ERRORS:
             return
 
-    async def _double(self, source, sink):
-        # Caught here, since a task group would wrap the error and end the whole stub with it.
+    async def _duplicate_responses(self, source, sink):
+        # Caught here, because the task group would wrap the error and the whole stub would fail.
         try:
             await self._relay_responses(source, sink)
-        except _LOST:
+        except _CONNECTION_ERRORS:
             return
 
     @staticmethod
     async def _relay_responses(source, sink):
-        parser, seen = _parser(), b""
+        parser, received = _parser(), b""
         while True:
             data = await source.receive(CHUNK_BYTES)
-            seen += data
+            received += data
             parser.receive_data(data)
-            if _ends(parser):
-                # In one write, so that both arrive before the connection is used again.
-                await sink.send(data + seen)
-                parser, seen = _parser(), b""
+            if _has_ended(parser):
+                # One write for both, so that they arrive before the entry reuses the connection.
+                await sink.send(data + received)
+                parser, received = _parser(), b""
             else:
                 await sink.send(data)
 
@@ -89,7 +89,7 @@
     return parser
 
 
-def _ends(parser):
+def _has_ended(parser):
     while (event := parser.next_event()) is not NEED_DATA:
         if isinstance(event, EndOfMessage):
             return True
