Word the tests of flows and the control group plainly

Docstrings and messages spoke of looks, room, silence and orders under way, and some named a failure without its cause. They now use the terms of the project, such as status poll, resources and in flight, and say how the failure comes about.

--- a/tests/flow_rig.py
+++ b/tests/flow_rig.py
@@ -1,4 +1,4 @@
-"""A scheduler of flows with workers that answer at once; no network and no clock of its own."""
+"""Harness for tests of the flow scheduler: workers that obey at once, no network, set time."""
 
 from siskintally.control_pb2 import (
     ControlCommand,
@@ -77,7 +77,7 @@
         self.lead(term)
 
     def lead(self, term):
-        """Begin a new term: everything that was not committed is forgotten."""
+        """Begin a new term: everything that was not committed is lost."""
         self.uncommitted = []
         self.scheduler = FlowScheduler(term=term)
         self.scheduler.restore(self.state, self.now)
@@ -96,12 +96,12 @@
         self.ended_by_worker.setdefault(record.id, [])
 
     def submit(self, body):
-        """Hand in a flow, also once more."""
+        """Submit a flow; the same flow may be submitted again."""
         self.commit(accept=body)
         self.scheduler.accept(body, self.queue, self.now)
 
     def place(self):
-        """Start all that can be started; return the (task id, worker id) pairs."""
+        """Start all tasks that can be started; return the (task id, worker id) pairs."""
         pairs = []
         actions = list(self.scheduler.place(self.now, 0))
         self.commit(starts=StartBatch(starts=[start_record(action) for action in actions]))
@@ -114,7 +114,7 @@
         return pairs
 
     def carry_out_stops(self):
-        """Let workers end what is to be stopped; return the task ids."""
+        """Carry out the pending stop orders on their workers; return the task ids."""
         stops, self.scheduler.stops = self.scheduler.stops, []
         for action in stops:
             if self.running_by_worker[action.worker.id].get(action.task_id) == action.run:
@@ -123,7 +123,7 @@
         return [action.task_id for action in stops]
 
     def end(self, worker_id, task_id, kind=EndKind.DONE, checkpoint=""):
-        """Let a run end on its worker; the leader does not know yet."""
+        """End a run on its worker; the leader learns of it from the next report."""
         run = self.running_by_worker[worker_id].pop(task_id)
         number = self.number_by_worker.get(worker_id, 0) + 1
         self.number_by_worker[worker_id] = number
@@ -132,7 +132,7 @@
         )
 
     def report(self, worker_id, *, commit=True, percent=0, load=0):
-        """Let the leader look at a worker; ends are committed unless told otherwise."""
+        """Let the leader process a report of a worker; with ``commit``, commit the ends in it."""
         self.now += 0.01
         report = WorkerReport(
             clock_ms=int(self.now * 1000),
@@ -157,7 +157,7 @@
 
 
 def start_record(action):
-    """Return what is committed of a start before it is sent."""
+    """Return the record of a start that is committed before the order is sent."""
     return TaskStart(
         task=action.task.id,
         run=action.run,
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -1,4 +1,4 @@
-"""Calls to a leader that changes while they wait."""
+"""Calls to the leader of the control group while the leader changes or is unreachable."""
 
 from anyio import create_task_group, fail_after, run, sleep, sleep_forever
 
@@ -18,7 +18,7 @@
 
 
 class Stores:
-    """What each store does with a call."""
+    """Stores with a scripted answer each: a value, an error to raise, or None to hang."""
 
     def __init__(self, **answer_by_name):
         self.answer_by_name = answer_by_name
@@ -27,7 +27,7 @@
         self.calls = ControlClient(cache=self.cache, call=self.call)
 
     def lead(self, name):
-        """Let a store tell that it leads."""
+        """Let a store announce that it leads."""
         self.cache.take(ControlNotice(leads=True), sender=name, now=steady())
         self.calls.leader_changed()
 
@@ -61,9 +61,9 @@
 
 
 def test_a_call_that_waits_for_a_lost_leader_goes_to_the_next_one_at_once():
-    """Guards against requests that wait out an attempt though the next leader is known.
+    """Guards against requests that wait for a timeout though the next leader is known.
 
-    Pattern: a leader freezes with requests in flight, and the next one is elected meanwhile.
+    Scenario: a leader freezes with requests in flight, and the next one is elected meanwhile.
     """
     stores = Stores(a=None, b="done")
     stores.lead("a")
@@ -79,7 +79,7 @@
 
 
 def test_without_a_leader_a_call_is_refused_at_once_as_not_done():
-    """Guards against callers that wait for a leader that nobody knows."""
+    """Guards against callers that wait for their timeout while no leader is known."""
     stores = Stores()
     began = steady()
     assert isinstance(ask(stores, timeout=5.0), NotLeaderError)
@@ -87,7 +87,7 @@
 
 
 def test_a_call_that_may_have_had_an_effect_is_never_told_as_not_done():
-    """Guards against 'not accepted' for a flow that is stored."""
+    """Guards against a flow that is reported as not accepted although it is stored."""
     stores = Stores(a=OutcomeUnknownError("cut"))
     stores.lead("a")
     assert isinstance(ask(stores, timeout=0.3), OutcomeUnknownError)
@@ -105,7 +105,7 @@
 
 
 def test_an_unreachable_leader_is_tried_again_until_the_time_is_over():
-    """Guards against a refusal for a link that is opened again within the caller's time."""
+    """Guards against a refusal when the link is restored within the caller's timeout."""
     stores = Stores(a=UnreachableError("no link"))
     stores.lead("a")
 
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -1,4 +1,4 @@
-"""The leader at work: what has to be committed before an order leaves."""
+"""The leader of the control group: what must be committed before an order is sent."""
 
 from anyio import Event, create_task_group, run, sleep
 
@@ -18,7 +18,7 @@
 
 
 class SlowGroup:
-    """A group whose commits wait until they are let through, or fail."""
+    """A group whose commits wait until the test allows them, or fail with ``error``."""
 
     term = 3
 
@@ -35,18 +35,18 @@
             raise self.error
 
     async def confirm_leadership(self):
-        """Answer as a group whose quorum follows."""
+        """Return as a group whose quorum confirms the leader."""
 
 
 class RecordingWorkers(WorkerDriver):
-    """Workers that take every order and never end a run."""
+    """Workers that accept every order and never end a run."""
 
     def __init__(self):
         self.starts = []
         self.running = []
 
     async def start(self, worker, order, *, timeout):
-        """Take a start."""
+        """Accept a start order."""
         self.starts.append((order.task_id, worker.id))
         row = RunRow(task_id=order.task_id, run=order.run, checkpoint="", percent=1, load=0)
         self.running.append(row)
@@ -58,11 +58,11 @@
         return WorkerReport(clock_ms=1000, running=list(self.running))
 
     async def stop(self, worker, order, *, timeout):
-        """Take a stop."""
+        """Accept a stop order."""
         return OrderReply(clock_ms=1000)
 
     async def pace(self, worker, order, *, timeout):
-        """Take a pace order."""
+        """Accept a throttle order."""
         return OrderReply(clock_ms=1000)
 
     async def forget(self, worker):
@@ -70,7 +70,7 @@
 
 
 def play(check):
-    """Run a check beside a leader with one worker and one flow of two tasks."""
+    """Run a check against a leader with one worker and one flow of two tasks."""
 
     async def main():
         group, driver = SlowGroup(), RecordingWorkers()
@@ -96,12 +96,15 @@
 
 
 def test_a_leader_stops_acting_before_the_next_one_may_be_elected():
-    """Guards against two leaders that act at once after a change of either share."""
+    """Guards against two leaders that act at once after a change of either constant."""
     assert CONFIRMED_LEADER_SHARE < ENDED_LEADER_SHARE <= 1.0
 
 
 def test_a_start_is_sent_only_after_its_worker_is_on_record():
-    """Guards against a run that the next leader does not look for."""
+    """Guards against a run that the next leader does not know of.
+
+    It happens if a start is sent before the commit that records its worker.
+    """
 
     async def check(leader, group, driver):
         assert driver.starts == []
@@ -115,7 +118,7 @@
 
 
 def test_a_start_whose_record_is_not_committed_is_never_sent():
-    """Guards against orders of a leader that has lost its group."""
+    """Guards against orders of a leader whose commit failed because another store leads."""
 
     async def check(leader, group, driver):
         group.error = NotLeaderError("another store leads")
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -1,4 +1,4 @@
-"""Stores of a control group over real links on loopback, with stub workers in memory."""
+"""Flows on a control group of real nodes with links on loopback and stub workers in memory."""
 
 from contextlib import asynccontextmanager
 from functools import partial
@@ -32,7 +32,7 @@
 
 
 class NoAdvice(Advice):
-    """Advice service of queues that need none."""
+    """Advice service for queues that need no tickets."""
 
     async def ask(self, step_id, worker_ids, *, timeout):
         """Return no tickets."""
@@ -40,7 +40,7 @@
 
 
 class FlowCell:
-    """Three stores in one process, each with an address of its own and the same port."""
+    """Three stores of a control group in one process, one loopback address each, same port."""
 
     def __init__(self, *, folder, run_s=lambda task_id: 0.3):
         self.folder = folder
@@ -77,7 +77,7 @@
             await node.run(node.closing.wait)
 
     def kill(self, host):
-        """End a store at once."""
+        """Kill a store without a graceful stop."""
         self.scope_by_host[host].cancel()
         del self.node_by_host[host]
 
@@ -139,7 +139,7 @@
 
 
 def play(folder, check, **options):
-    """Run a check against a cell."""
+    """Run a check against a running cell."""
 
     async def main():
         async with FlowCell(folder=folder, **options).running() as cell:
@@ -149,7 +149,7 @@
 
 
 def test_a_flow_runs_its_steps_in_order_and_is_completed(tmp_path):
-    """Guards against a break anywhere on the way from a submission to its completion."""
+    """Guards against a fault anywhere on the path from a submission to its completion."""
 
     async def check(cell):
         await cell.configure("w1", "w2")
@@ -166,7 +166,7 @@
 
 
 def test_the_next_leader_goes_on_with_what_runs(tmp_path):
-    """Guards against a second run, or a loss, of tasks that run while their leader is killed."""
+    """Guards against a second run or a loss of tasks that run when the leader is killed."""
 
     async def check(cell):
         await cell.configure("w1", "w2")
@@ -186,7 +186,10 @@
 
 
 def test_an_order_that_was_carried_out_without_an_answer_is_not_doubled(tmp_path):
-    """Guards against a second run of a task whose start got no answer."""
+    """Guards against a second run of a task whose start got no answer.
+
+    The worker carries out the start, but its answer is lost.
+    """
 
     async def check(cell):
         await cell.configure("w1", "w2")
@@ -199,7 +202,7 @@
 
 
 def test_a_worker_without_answers_is_replaced_only_after_its_lease(tmp_path):
-    """Guards against a task in two places while its worker is cut off and runs on."""
+    """Guards against a task that runs on two workers while the first one is only unreachable."""
 
     async def check(cell):
         await cell.configure("w1")
@@ -224,7 +227,7 @@
 
 
 def test_a_cancelled_flow_stops_and_its_resend_stays_one(tmp_path):
-    """Guards against tasks that run on, and against a cancelled flow that a resend revives."""
+    """Guards against tasks that run on after a cancel, and a resend that revives the flow."""
 
     async def check(cell):
         await cell.configure("w1")
@@ -243,7 +246,7 @@
 
 
 def test_a_configuration_outlives_the_end_of_all_stores(tmp_path):
-    """Guards against an acknowledged configuration that is gone after all were killed at once."""
+    """Guards against losing an acknowledged configuration when all stores are killed at once."""
 
     async def check(cell):
         await cell.configure()
@@ -259,7 +262,7 @@
 
 
 def test_an_older_configuration_is_acknowledged_and_changes_nothing(tmp_path):
-    """Guards against a change that arrives again and takes back a newer one."""
+    """Guards against a repeated older change that overwrites a newer one."""
 
     async def check(cell):
         await cell.configure()
@@ -273,7 +276,7 @@
 
 
 def test_a_store_with_an_empty_disk_takes_the_place_of_a_lost_one(tmp_path):
-    """Guards against a group that cannot bear the next loss after a store was replaced."""
+    """Guards against a group that does not survive the next loss after a store was replaced."""
 
     async def check(cell):
         await cell.configure()
@@ -283,7 +286,7 @@
         others = {f"{host}:{cell.port}" for host in [*cell.hosts, "127.0.0.24"] if host != lost}
         await wait_until(
             lambda: cell.leader() and cell.node_by_host[cell.leader()].voters == others,
-            "the lost store has left",
+            "the lost store is no voter any more",
         )
         cell.kill(cell.leader())
         await wait_until(cell.leader, "a leader after the second loss")
@@ -293,7 +296,7 @@
 
 
 def test_a_store_whose_disk_fails_comes_back_without_a_new_process(tmp_path, monkeypatch):
-    """Guards against a store that ends itself while its disk takes no more bytes."""
+    """Guards against a store that exits when its disk is full and does not recover by itself."""
 
     async def check(cell):
         await cell.configure()
@@ -311,7 +314,7 @@
         await wait_until(lambda: cell.leader() not in (None, leader), "another leader")
         full[0] = False
         cell.kill(cell.leader())
-        await wait_until(cell.leader, "a quorum with the mended store")
+        await wait_until(cell.leader, "a quorum with the recovered store")
         assert (await cell.call(DocumentRead())).document.version == 9
 
     play(tmp_path, check)
@@ -345,7 +348,7 @@
 
 
 def test_a_leader_whose_disk_hangs_is_replaced_and_does_not_end_itself(tmp_path, monkeypatch):
-    """Guards against a store that takes its own blocked replica for one that still leads."""
+    """Guards against a store that counts its own blocked replica as still leading."""
 
     async def check(cell):
         await cell.configure("w1")
@@ -364,7 +367,7 @@
         await cell.call(DocumentPut(document=QueueDocument(version=9, original=b"{}")))
         others = [node for host, node in cell.node_by_host.items() if host != leader]
         await wait_until(lambda: any(node.leads for node in others), "another leader")
-        # Longer than a store waits before it asks whether a quorum still follows it.
+        # Longer than a leader waits before it checks that a quorum still follows it.
         await sleep(2.5)
         assert not cell.node_by_host[leader].leads
         hung.set()
@@ -377,7 +380,7 @@
 def test_a_slow_disk_of_the_leader_does_not_slow_commits(tmp_path, monkeypatch):
     """Guards against callers and starts that wait for the slowest disk under a burst.
 
-    Pattern: the leader's disk takes thirty times as long for some seconds.
+    Scenario: the leader's disk takes thirty times as long for some seconds.
     """
 
     async def check(cell):
--- a/tests/test_flow_report.py
+++ b/tests/test_flow_report.py
@@ -1,4 +1,4 @@
-"""The report on where the time of flows went."""
+"""The report that breaks the time of flows down into its parts."""
 
 from json import dumps
 
@@ -58,7 +58,7 @@
 
 
 def test_a_log_without_flows_and_a_missing_log_are_told():
-    """Guards against a traceback for the first thing that an operator gets wrong."""
+    """Guards against a traceback for common mistakes of an operator: no log, or a wrong path."""
     assert format_report([]) == "0 flows accepted, 0 of them completed within these logs"
     for arguments in ([], ["/nowhere/store.log"]):
         with raises(BadRequestError):
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -15,7 +15,7 @@
 
 
 def test_a_resent_flow_is_not_run_again_while_its_last_end_is_not_committed():
-    """Guards against a second run of a flow that is done and only waits for its commit."""
+    """Guards against a second run of a flow whose last end was reported but not yet committed."""
     rig = FlowRig()
     rig.add(worker("w"))
     body = flow("f", step(1))
@@ -30,14 +30,17 @@
 
 
 def test_a_failed_run_counts_once_though_two_leaders_report_it():
-    """Guards against a flow that is shown as failed before its attempts are used up."""
+    """Guards against a flow that is shown as failed before its attempts are used up.
+
+    The old and the new leader both read the same failed end from the worker.
+    """
     rig = FlowRig()
     rig.add(worker("w"))
     rig.submit(flow("f", step(1)))
     rig.place()
     rig.end("w", "f.0.0.0", EndKind.FAILED)
     rig.report("w")
-    # The next leader reads the same end again, because the worker was not told of the commit.
+    # The next leader reads the same end again: the worker got no acknowledgement of the commit.
     rig.lead(3)
     rig.report("w")
     assert rig.state.flow_by_id["f"].failures_by_task["f.0.0.0"].count == 1
@@ -46,7 +49,7 @@
 
 
 def test_the_failure_that_ends_a_flow_stops_only_what_still_runs():
-    """Guards against a stop for a task that its worker has already freed."""
+    """Guards against a stop order for a task that has already ended on its worker."""
     rig = FlowRig()
     rig.add(worker("w"))
     rig.submit(flow("f", step(2)))
@@ -61,7 +64,10 @@
 
 
 def test_no_worker_gets_more_than_it_has_and_a_stopping_task_still_counts():
-    """Guards against a start on room that is not free yet."""
+    """Guards against a start on resources that are not free yet.
+
+    A task that was told to stop uses its resources until its worker reports that it ended.
+    """
     rig = FlowRig()
     rig.add(worker("w", cpu_milli=2000))
     rig.submit(flow("f", step(2)))
@@ -108,9 +114,9 @@
 
 
 def test_a_new_leader_waits_only_for_the_workers_on_which_a_task_may_run():
-    """Guards against flows that all stand while a few workers are cut off and the leader is lost.
+    """Guards against flows that all stall after a leader change because few workers are cut off.
 
-    Pattern: one worker of four is silent when the leader changes, and urgent flows are open.
+    Scenario: one worker of four is unresponsive when the leader changes; urgent flows are open.
     """
     rig = FlowRig()
     for number in range(4):
@@ -123,7 +129,7 @@
     rig.lead(3)
     for worker_id in idle:
         rig.report(worker_id)
-    assert rig.place() == [("b.0.0.0", idle[0])], "never sent anywhere: starts at once"
+    assert rig.place() == [("b.0.0.0", idle[0])], "never sent to a worker: starts at once"
     rig.running_by_worker[seen].clear()
     rig.report(seen)
     assert [task for task, _ in rig.place()] == [ran[0][0]], "not on its worker: starts again"
@@ -133,7 +139,7 @@
 
 
 def test_a_task_may_start_again_when_its_worker_is_another_incarnation():
-    """Guards against a wait for a worker that was replaced under the same id."""
+    """Guards against waiting for a worker that was replaced by another one with the same id."""
     rig = FlowRig()
     rig.add(worker("w"))
     rig.submit(flow("f"))
@@ -158,7 +164,7 @@
 
 
 def test_a_failure_that_is_older_than_one_that_counts_is_not_counted():
-    """Guards against a flow that is given up early by ends that come in another order."""
+    """Guards against a flow that fails early because ends are reported out of order."""
     rig = FlowRig()
     rig.add(worker("w1", cpu_milli=1000))
     rig.add(worker("w2", cpu_milli=1000))
@@ -177,7 +183,7 @@
 
 
 def test_a_gang_with_a_lost_member_starts_again_once_all_members_are_located():
-    """Guards against members that are stopped while another one may still run unseen."""
+    """Guards against stopping members while another one may run on a worker not yet reported."""
     rig = FlowRig()
     for name in ("w1", "w2", "w3"):
         rig.add(worker(name, cpu_milli=1000))
@@ -209,7 +215,7 @@
 
 
 def test_a_gang_is_placed_as_a_whole_and_starts_again_as_a_whole():
-    """Guards against a gang that waits for a member, and against members of two runs at once."""
+    """Guards against a gang that starts in part, and against members of two runs at once."""
     rig = FlowRig()
     rig.add(worker("w1", cpu_milli=2000))
     rig.submit(flow("f", step(3, gang=True)))
@@ -230,7 +236,7 @@
 
 
 def test_one_end_of_a_gang_stands_for_all():
-    """Guards against a second run of members whose end was not listed yet."""
+    """Guards against a second run of members whose own end was not reported yet."""
     rig = FlowRig()
     rig.add(worker("w1", cpu_milli=1000))
     rig.add(worker("w2", cpu_milli=1000))
@@ -260,7 +266,10 @@
 
 
 def test_a_new_incarnation_under_the_same_id_knows_nothing():
-    """Guards against ends of a former incarnation that hide those of the new one."""
+    """Guards against ends of a former incarnation that hide those of the new one.
+
+    The end numbers of a new incarnation begin at 1 again.
+    """
     rig = FlowRig()
     rig.add(worker("w", born_ms=1))
     rig.submit(flow("f", step(1)))
@@ -278,7 +287,7 @@
 
 
 def test_a_lasting_task_starts_again_however_it_ends():
-    """Guards against a service task that stays away after it ended."""
+    """Guards against a service task that is not restarted after it ended."""
     rig = FlowRig()
     rig.add(worker("w"))
     rig.submit(flow("f", step(1, lasting=True)))
@@ -291,7 +300,7 @@
 
 
 def test_no_more_tasks_of_a_step_than_allowed_on_one_worker():
-    """Guards against a step that is not spread as it asked."""
+    """Guards against a step whose tasks are not spread over workers as it requires."""
     rig = FlowRig()
     rig.add(worker("w1"))
     rig.add(worker("w2"))
@@ -300,7 +309,7 @@
 
 
 def test_filling_tasks_are_slowed_while_a_serving_task_is_over_its_target():
-    """Guards against harm that lasts: a task that serves stays over its target beside others."""
+    """Guards against a serving task that stays over its latency target beside best-effort tasks."""
     rig = FlowRig()
     rig.add(worker("w"))
     rig.submit(flow("s", step(1, lasting=True, tail_target_ms=100)))
@@ -319,7 +328,7 @@
 
 
 def test_a_filling_task_that_starts_beside_a_slowed_one_is_slowed_too():
-    """Guards against new filling tasks that run at full pace on a worker that is relieved."""
+    """Guards against new best-effort tasks that run unthrottled on a worker that is throttled."""
     rig = FlowRig()
     rig.add(worker("w"))
     rig.scheduler.worker_by_id["w"].best_effort_percent = 5
@@ -329,7 +338,7 @@
 
 
 def test_a_task_that_stands_still_is_started_on_another_worker():
-    """Guards against tasks that hang on a worker whose announcements look good."""
+    """Guards against tasks that hang on a worker whose announcements are normal."""
     rig = FlowRig()
     rig.add(worker("w1"))
     rig.submit(flow("f", step(1, estimate_ms=1000)))
@@ -347,7 +356,7 @@
 
 
 def test_a_slow_task_is_left_alone_while_it_makes_progress():
-    """Guards against work that is thrown away because a worker is slow."""
+    """Guards against work that is lost because a task on a slow worker counts as stalled."""
     rig = FlowRig()
     rig.add(worker("w1"))
     rig.submit(flow("f", step(1, estimate_ms=12000)))
@@ -359,7 +368,10 @@
 
 
 def test_a_lasting_task_that_is_at_work_is_not_taken_for_standing_still():
-    """Guards against service tasks that are restarted though they work."""
+    """Guards against service tasks that are restarted although they work.
+
+    A service task reports 100 percent all the time, which looks like no progress.
+    """
     rig = FlowRig()
     rig.add(worker("w1"))
     rig.submit(flow("f", step(1, lasting=True)))
@@ -408,7 +420,7 @@
 def test_an_urgent_flow_comes_before_others_that_arrived_earlier():
     """Guards against urgent work that waits behind batch work.
 
-    Pattern: a burst of batch flows fills the workers, then an urgent flow arrives.
+    Scenario: a burst of batch flows is queued, then an urgent flow arrives.
     """
     rig = FlowRig()
     rig.add(worker("w", cpu_milli=1000))
@@ -424,9 +436,9 @@
 
 
 def test_urgent_tasks_avoid_a_worker_as_soon_as_its_tasks_crawl():
-    """Guards against urgent flows that are late because a slow worker shows only when tasks end.
+    """Guards against late urgent flows if a slow worker is detected only when its tasks end.
 
-    Pattern: a twelfth of the workers takes six times as long for some seconds, under a burst.
+    Scenario: during a burst, a twelfth of the workers takes six times as long for some seconds.
     """
     rig = FlowRig(queue=Queue(name="q", service="pool", priority=0, max_attempts=3, stretch=1.5))
     rig.add(worker("slow"))
@@ -439,11 +451,11 @@
     assert rig.place() == [("b.0.0.0", "sound")]
     rig.now += 30
     rig.submit(flow("c", step(1, estimate_ms=640)))
-    assert rig.place() == [("c.0.0.0", "slow")], "an old observation says nothing"
+    assert rig.place() == [("c.0.0.0", "slow")], "an old observation of a slowdown no longer counts"
 
 
 def test_a_rough_estimate_is_not_taken_for_a_slow_worker():
-    """Guards against sound workers that are avoided because of tasks that are a little long."""
+    """Guards against healthy workers that are avoided because tasks slightly exceed estimates."""
     rig = FlowRig()
     rig.add(worker("w"))
     rig.submit(flow("a", step(1, estimate_ms=640)))
@@ -454,7 +466,7 @@
 
 
 def test_what_a_leaving_worker_cannot_finish_moves_away():
-    """Guards against tasks that end with their worker though it told that it leaves."""
+    """Guards against tasks that are killed with their worker though it announced that it leaves."""
     rig = FlowRig()
     rig.add(worker("w1"))
     rig.submit(flow("f", step(1, estimate_ms=500), step(1, estimate_ms=60000)))
@@ -471,7 +483,7 @@
 
 
 def test_a_member_of_a_gang_waits_until_all_members_can_start():
-    """Guards against a member that starts alone while others of its gang still stop."""
+    """Guards against a member that starts alone while others of its gang are still stopping."""
     rig = FlowRig()
     rig.add(worker("w1"))
     rig.add(worker("w2"))
@@ -484,7 +496,7 @@
 
 
 def test_the_highest_version_of_the_configuration_stays_in_force():
-    """Guards against two proposals that are committed in the order in which they were not sent."""
+    """Guards against an older configuration that replaces a newer one if commits are reordered."""
     state = ControlState()
     for index, version in enumerate((5, 4, 5), start=2):
         document = QueueDocument(version=version, original=b"%d" % index)
--- a/tests/test_flow_walk.py
+++ b/tests/test_flow_walk.py
@@ -1,4 +1,4 @@
-"""Random walks of the flow scheduler: faults in any order never break what must always hold."""
+"""Random walks of the flow scheduler: no order of faults breaks its invariants."""
 
 from random import Random
 
@@ -17,7 +17,7 @@
 
 
 class Machine:
-    """A worker that keeps its own truth: what runs, what was refused, what has ended."""
+    """The true state of a worker: its runs, the highest run by task, and its ends."""
 
     def __init__(self, record):
         self.record = record
@@ -54,7 +54,7 @@
 
 
 class Walk:
-    """A leader, machines, and orders under way; each step does one random thing."""
+    """A leader, workers, and start orders in flight; each step takes one random action."""
 
     def __init__(self, seed):
         self.random = Random(seed)
@@ -70,11 +70,11 @@
 
     @property
     def scheduler(self):
-        """Scheduler of the present leader."""
+        """Scheduler of the current leader."""
         return self.rig.scheduler
 
     def submit(self):
-        """Hand in a flow of one to three steps."""
+        """Submit a flow of one to three steps."""
         self.flows += 1
         shapes = [
             step(
@@ -89,14 +89,14 @@
         self.rig.submit(flow(f"f{self.flows}", *shapes))
 
     def place(self):
-        """Commit starts and put their orders under way."""
+        """Commit starts and send their orders; they are in flight until delivered."""
         actions = list(self.scheduler.place(self.rig.now, 0))
         starts = StartBatch(starts=[start_record(action) for action in actions])
         self.rig.commit(starts=starts)
         self.orders.extend((self.scheduler, action) for action in actions)
 
     def deliver(self):
-        """Let a start order arrive, perhaps long after it was sent, with or without an answer."""
+        """Deliver a random start order, perhaps long after it was sent; its answer may be lost."""
         if not self.orders:
             return
         scheduler, action = self.orders.pop(self.random.randrange(len(self.orders)))
@@ -110,7 +110,7 @@
             self.orders.append((scheduler, action))
 
     def end(self):
-        """Let a run end."""
+        """End a random run as failed or done."""
         busy = [one for one in self.machines.values() if one.run_by_task]
         if busy:
             machine = self.random.choice(busy)
@@ -121,7 +121,7 @@
                 self.finish(machine, task)
 
     def finish(self, machine, task):
-        """Let a run end as done; the members of a gang do so together, once all are present."""
+        """End a run as done; members of a gang end together, and only when all of them run."""
         if not self.spec(task).gang:
             machine.end(task, EndKind.DONE)
             return
@@ -137,7 +137,7 @@
                 one.end(name, EndKind.DONE)
 
     def report(self):
-        """Let the leader look at a worker."""
+        """Let the leader process the report of a random worker."""
         machine = self.random.choice(list(self.machines.values()))
         machine.fence = max(machine.fence, self.scheduler.term)
         found = self.scheduler.worker_by_id[machine.record.id]
@@ -162,14 +162,17 @@
             self.scheduler.apply_stopped(action, self.rig.now)
 
     def suspect(self):
-        """Let a worker go silent."""
+        """Make a worker suspect, as if it had become unresponsive."""
         found = self.random.choice(list(self.scheduler.worker_by_id.values()))
         if found.status == WorkerStatus.READY:
             found.status = WorkerStatus.SUSPECT
             self.scheduler.speculate(found, self.rig.now)
 
     def expire_lease(self):
-        """Let the lease of a silent worker end: everything there is killed, orders are late."""
+        """Expire the lease of an unresponsive worker.
+
+        Its tasks are killed, and orders in flight to it are dropped, as they arrive too late.
+        """
         for found in list(self.scheduler.worker_by_id.values()):
             if found.status in (WorkerStatus.SUSPECT, WorkerStatus.UNSEEN):
                 self.machines[found.id].run_by_task.clear()
@@ -178,7 +181,7 @@
                 return
 
     def lead(self):
-        """Let another leader take over; some of what the last one learnt is lost."""
+        """Let another leader take over; what the last one had not committed is lost."""
         self.rig.lead(self.scheduler.term + 1)
 
     def cancel(self):
@@ -190,7 +193,7 @@
             self.scheduler.cancel(flow_id)
 
     def check(self):
-        """Check capacity, single runs, and gangs."""
+        """Check that no worker is over its capacity and no task has more runs than allowed."""
         runs_by_task = {}
         for machine in self.machines.values():
             used = 0
@@ -198,10 +201,10 @@
                 spec = self.spec(name)
                 used += spec.cpu_milli
                 runs_by_task.setdefault(name, []).append(run)
-            assert used <= CPU_MILLI, f"{machine.record.id} holds {used}"
+            assert used <= CPU_MILLI, f"{machine.record.id} uses {used} cpu_milli"
         for name, runs in runs_by_task.items():
             limit = 2 if self.spec(name).speculative and not self.spec(name).gang else 1
-            assert len(runs) <= limit, f"{name} runs {len(runs)} times: {runs}"
+            assert len(runs) <= limit, f"{name} runs {len(runs)} times at once: {runs}"
 
     def spec(self, name):
         """Return the step of a task."""
@@ -209,7 +212,7 @@
         return self.rig.state.flow_by_id[task.flow].flow.steps[task.step]
 
     def go(self):
-        """Take the steps."""
+        """Take ``STEPS`` random actions and check the invariants after each."""
         weights = {
             self.place: 20,
             self.deliver: 30,
@@ -229,7 +232,7 @@
             self.check()
 
     def settle(self):
-        """Let everything work again, and end every run as done."""
+        """Finish all runs without faults; check that all flows end and free their resources."""
         for _ in range(200):
             self.rig.now += 1.0
             self.stop()
@@ -249,10 +252,12 @@
             self.check()
             if not self.scheduler.flow_by_id and self.is_empty():
                 return
-        raise AssertionError(f"flows never end, or room is never free: {self.scheduler.flow_by_id}")
+        raise AssertionError(
+            f"flows never end or resources are in use: {self.scheduler.flow_by_id}"
+        )
 
     def is_empty(self):
-        """Tell whether no worker holds room any more."""
+        """Return whether no worker has a task or allocated resources."""
         return all(
             not found.task_by_id and found.free_cpu_milli == CPU_MILLI
             for found in self.scheduler.worker_by_id.values()
@@ -261,7 +266,7 @@
 
 @pytest.mark.parametrize("seed", range(60))
 def test_no_schedule_breaks_capacity_or_runs_a_task_twice(seed):
-    """Guards against double runs, overfull workers, and flows that stand still for good."""
+    """Guards against double runs, overcommitted workers, and flows that never end."""
     walk = Walk(seed)
     walk.go()
     walk.settle()
--- a/tests/test_leader_cache.py
+++ b/tests/test_leader_cache.py
@@ -1,4 +1,4 @@
-"""What a process believes of the leader, and when it tells callers to come back."""
+"""The cached view of the leader, and when callers are told to retry."""
 
 from siskintally.control_pb2 import ControlNotice, QueueDocument
 from siskintally.counters import Counters
@@ -21,7 +21,7 @@
 
 
 def test_a_follower_names_another_leader_only_when_the_known_one_is_silent():
-    """Guards against calls that are sent to a former leader on the word of a slow follower."""
+    """Guards against calls that go to a former leader because a slow follower still names it."""
     cache = led_cache()
     cache.take(ControlNotice(leader="b:1"), sender="c:1", now=10.5)
     assert cache.leader(10.5) == "a:1"
@@ -30,7 +30,7 @@
 
 
 def test_a_leader_that_disowns_its_office_is_not_called_again():
-    """Guards against calls that go on to a store that has said that it does not lead."""
+    """Guards against further calls to a store that answered that it does not lead."""
     cache = led_cache()
     cache.disown("a:1")
     assert cache.leader(10.1) == ""
@@ -40,7 +40,7 @@
 
 
 def test_an_older_configuration_never_replaces_a_newer_one():
-    """Guards against a notice of a former leader that takes back a change."""
+    """Guards against a notice of a former leader that undoes a newer change."""
     cache = led_cache()
     old = ControlNotice(leads=True, document=QueueDocument(version=3))
     assert not cache.take(old, sender="b:1", now=11.0)
@@ -50,7 +50,7 @@
 def test_callers_are_told_to_come_back_later_the_longer_no_leader_is_heard(monkeypatch):
     """Guards against callers whose retries are used up before a long outage ends.
 
-    Pattern: all stores are dark for 4.5 s and callers have four retries.
+    Scenario: all stores are unreachable for 4.5 s and callers have four retries.
     """
     gateway = FlowGateway(cache=led_cache(now=10.0), calls=None, counters=Counters())
     advised = []
@@ -63,7 +63,7 @@
 def test_a_former_leader_that_still_claims_to_lead_is_not_believed():
     """Guards against calls that go back and forth between two stores that both claim to lead.
 
-    Pattern: the disk of a leader hangs, so that it does not notice that another was elected.
+    Scenario: the disk of a leader hangs, so it does not notice that another was elected.
     """
     cache = led_cache(now=10.0)
     cache.take(ControlNotice(leads=True, term=3), sender="b:1", now=11.0)
--- a/tests/test_speculation.py
+++ b/tests/test_speculation.py
@@ -1,4 +1,4 @@
-"""Copies of tasks: a silent worker does not hold up a step whose tasks may run twice."""
+"""Speculative copies: an unresponsive worker does not delay a step whose tasks may run twice."""
 
 from siskintally.driver import EndKind
 from siskintally.fleet import WorkerStatus
@@ -7,7 +7,10 @@
 
 
 def silenced_rig(*, speculative=True, confirmed=True):
-    """Return (rig, silent worker id, other worker id): one task runs on a worker gone silent."""
+    """Return (harness, suspect worker id, other worker id).
+
+    One task was sent to the worker that is suspect now; the other worker is idle.
+    """
     rig = FlowRig()
     rig.add(worker("w1", cpu_milli=1000))
     rig.add(worker("w2", cpu_milli=1000))
@@ -23,9 +26,9 @@
 
 
 def test_a_task_of_a_silent_worker_starts_elsewhere_before_the_lease_is_over():
-    """Guards against urgent flows that wait for a lease though their steps allow copies.
+    """Guards against urgent flows that wait for a lease to expire though copies are allowed.
 
-    Pattern: workers are cut off for seconds under load.
+    Scenario: workers are unreachable for seconds under load.
     """
     rig, _, other = silenced_rig()
     assert rig.place() == [("f.0.0.0", other)]
@@ -40,7 +43,7 @@
 
 
 def test_the_first_end_wins_and_the_other_run_is_stopped():
-    """Guards against work that goes on for a task that is done."""
+    """Guards against a run that continues after the other run of its task has ended as done."""
     for winner_is_silent in (True, False):
         rig, silent, other = silenced_rig()
         rig.place()
@@ -69,7 +72,7 @@
 
 
 def test_a_copy_is_not_started_on_the_worker_that_may_run_the_task():
-    """Guards against two runs of a task that hide each other on one worker."""
+    """Guards against two runs of one task on one worker, where a report shows only one of them."""
     rig, silent, _ = silenced_rig()
     rig.scheduler.remove_worker(rig.scheduler.worker_by_id["w2" if silent == "w1" else "w1"])
     rig.add(worker("w3", cpu_milli=500))
@@ -81,7 +84,7 @@
 
 
 def test_the_room_of_a_start_under_way_is_kept_until_its_stop_is_confirmed():
-    """Guards against a worker over its capacity when an order is carried out seconds late."""
+    """Guards against a worker over its capacity when a start order arrives seconds late."""
     rig, silent, other = silenced_rig(confirmed=False)
     rig.running_by_worker[silent].clear()
     assert rig.place() == [("f.0.0.0", other)]
@@ -94,7 +97,7 @@
 
 
 def test_the_end_of_a_lease_leaves_the_copy_elsewhere_alone():
-    """Guards against a task that waits again though a copy of it runs."""
+    """Guards against a task that is queued again though a copy of it runs."""
     rig, silent, _ = silenced_rig()
     rig.place()
     rig.scheduler.expire_lease(rig.scheduler.worker_by_id[silent])
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -1,4 +1,4 @@
-"""The manager of one worker: what a failed call says of the worker."""
+"""The manager of one worker: how a failed status poll changes the status of the worker."""
 
 from anyio import create_task_group, run
 from pytest import fixture
@@ -16,7 +16,7 @@
 
 
 class ScriptedWorker(WorkerDriver):
-    """Answers each look with the next of some reports or errors."""
+    """Answers each status poll with the next of some reports or errors."""
 
     def __init__(self, *outcomes):
         self.outcomes = list(outcomes)
@@ -24,7 +24,7 @@
         self.wait_by_look = []
 
     async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
-        """Answer a look."""
+        """Answer a status poll."""
         self.lease_by_look.append(lease_until_ms)
         self.wait_by_look.append(wait_ms)
         outcome = self.outcomes.pop(0)
@@ -56,7 +56,7 @@
         self.poll_wait = LongPollWait(normal_wait_s=1.2, reduced_wait_s=0.3, reduced_period_s=3.0)
 
     async def handle_report(self, manager, report, asked_at):
-        """Take a report."""
+        """Record the status of the worker; end the manager after the last report."""
         self.statuses.append(manager.worker.status)
         manager.worker.status = WorkerStatus.READY if self.driver.outcomes else WorkerStatus.LOST
 
@@ -64,13 +64,13 @@
         """Not used here."""
 
     def handle_lease_expired(self, worker):
-        """End the manager: its lease is over."""
+        """End the manager, because the lease has expired."""
         worker.status = WorkerStatus.LOST
 
 
 @fixture
 def keep():
-    """Return a function that plays the outcomes of looks and returns (leader, driver)."""
+    """Return a function that runs a manager on outcomes of polls and returns (leader, driver)."""
 
     def play(*outcomes):
         driver = ScriptedWorker(*outcomes)
@@ -90,27 +90,27 @@
 
 
 def test_one_lost_connection_does_not_make_a_worker_suspect(keep):
-    """Guards against a reset connection that keeps new tasks from a sound worker."""
+    """Guards against a healthy worker that gets no new tasks because of one reset connection."""
     leader, driver = keep(REPORT, ConnectionLostError("reset"), REPORT)
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.READY]
     assert driver.lease_by_look[1] is not None
-    assert driver.lease_by_look[2] is None, "a look after a failed one grants no longer lease"
+    assert driver.lease_by_look[2] is None, "a poll after a failed one must not extend the lease"
 
 
 def test_connections_lost_one_after_the_other_make_a_worker_suspect(keep):
-    """Guards against starts that go on being sent to a worker that resets everything."""
+    """Guards against further starts to a worker that resets every connection."""
     lost = ConnectionLostError("reset")
     leader, _ = keep(REPORT, lost, lost, REPORT)
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
 def test_a_worker_that_keeps_silent_is_suspect_at_once(keep):
-    """Guards against starts that wait for a worker whose look timed out."""
+    """Guards against starts that wait for a worker whose status poll timed out."""
     leader, _ = keep(REPORT, OutcomeUnknownError("timeout"), REPORT)
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
 def test_looks_wait_less_after_a_call_without_an_answer(keep):
-    """Guards against ends that stay hidden for seconds behind each answer that is lost."""
+    """Guards against ends that the leader learns of seconds late after each lost answer."""
     _, driver = keep(REPORT, REPORT, OutcomeUnknownError("timeout"), REPORT, REPORT)
     assert driver.wait_by_look == [0, 1200, 1200, 0, 300]
