Word the tests of the platform adapter and HTTP client plainly

Several docstrings were figurative, for instance a term dropped on the way in or a configuration in force. They now name the conversion, the refused input and the error of a failed call.

--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -9,7 +9,7 @@
 
 
 class PlatformWorkerApp(HttpApp):
-    """Answers the calls of the system.
+    """Answers the calls of the control group.
 
     :param worker: :class:`~siskintally.stub_pool.StubPoolWorker`.
     """
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -1,4 +1,4 @@
-"""The HTTP client for workers: what is known of a call that fails."""
+"""The HTTP client for workers: the error of a failed call, and reuse of connections."""
 
 from functools import partial
 
@@ -13,7 +13,7 @@
 
 
 class Server:
-    """Answers each request with the next of some raw responses; None keeps silent."""
+    """Answers each request with the next of some raw responses; None means no answer."""
 
     def __init__(self, *responses):
         self.responses = list(responses)
@@ -82,7 +82,7 @@
 
 
 def test_silence_after_the_request_was_written_is_an_unknown_outcome():
-    """Guards against a start that is told as not sent though it may be carried out."""
+    """Guards against a start that is reported as not sent though it may be carried out."""
 
     async def check(pool):
         with raises(OutcomeUnknownError):
@@ -95,7 +95,7 @@
 
 
 def test_a_silent_connection_takes_the_idle_ones_with_it():
-    """Guards against each of several dead connections being found out alone, a timeout each."""
+    """Guards against several dead connections that are detected one by one, a timeout each."""
     server = Server(OK, OK, None, OK)
 
     async def check(pool):
@@ -113,7 +113,7 @@
 
 
 def test_a_reset_connection_is_told_from_silence():
-    """Guards against a worker taken for silent because a connection to it was reset."""
+    """Guards against a worker that counts as unresponsive because a connection was reset."""
 
     async def check(pool):
         with raises(ConnectionLostError):
@@ -123,7 +123,7 @@
 
 
 def test_a_refused_connection_is_provably_not_sent():
-    """Guards against retries that are withheld from calls that never left."""
+    """Guards against calls that are not retried though they were provably never sent."""
 
     async def main():
         listener = await create_tcp_listener(local_host="127.0.0.1")
@@ -136,7 +136,7 @@
 
 
 def test_a_broken_answer_is_an_unknown_outcome():
-    """Guards against a reply that is cut short or no HTTP and counts as an answer."""
+    """Guards against a truncated or malformed response that counts as an answer."""
 
     async def check(pool):
         for _ in range(2):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -1,4 +1,4 @@
-"""The platform's bodies as types of the product; bad ones change nothing and name the field."""
+"""Conversion of the platform's request bodies to types of the product; bad ones are refused."""
 
 from json import dumps
 
@@ -68,7 +68,7 @@
 
 
 def test_every_field_of_a_step_arrives():
-    """Guards against a term of a job that is dropped on the way in."""
+    """Guards against a field of a job that is dropped in the conversion."""
     step = read_flow("5c0e", "q", flow_body()).steps[1]
     assert (step.tasks, step.cpu_milli, step.memory_mb, step.accelerators) == (20, 2000, 1024, 1)
     assert (step.estimate_ms, list(step.after), step.label) == (7000, [0], "b")
@@ -92,13 +92,13 @@
     ],
 )
 def test_a_step_with_a_bad_field_is_refused(bad):
-    """Guards against a job that is stored and can never be run as it was meant."""
+    """Guards against a job that is stored and can never run as its sender meant."""
     with raises(BadRequestError):
         read_flow("5c0e", "q", flow_body(**bad))
 
 
 def test_a_configuration_arrives_whole_and_is_kept_as_it_was_sent():
-    """Guards against a configuration that is read back other than it was sent."""
+    """Guards against a configuration that is read back differently from how it was sent."""
     body = dumps(DOCUMENT).encode()
     document = read_document(body)
     check_document(document)
@@ -121,20 +121,20 @@
     ],
 )
 def test_an_invalid_configuration_is_refused_as_a_whole(bad):
-    """Guards against an acknowledged configuration that cannot be in force."""
+    """Guards against an acknowledged configuration that cannot be applied."""
     with raises(BadRequestError):
         check_document(read_document(dumps({**DOCUMENT, **bad}).encode()))
 
 
 @mark.parametrize("length", [0, 1, 20, 60])
 def test_a_configuration_that_was_cut_short_is_refused(length):
-    """Guards against half of a configuration in force."""
+    """Guards against a truncated configuration that is applied."""
     with raises(BadRequestError):
         read_document(dumps(DOCUMENT).encode()[:length])
 
 
 def test_a_worker_is_read_with_its_room_and_rack():
-    """Guards against work that is sent to a worker without the room for it."""
+    """Guards against tasks that are sent to a worker without the capacity for them."""
     worker = read_worker("i-1", dumps(WORKER).encode())
     assert (worker.cpu_milli, worker.memory_mb, worker.accelerators) == (16000, 32768, 1)
     assert (worker.rack, worker.born_ms, worker.leaving) == ("r1-3", 1783394105546, False)
@@ -154,13 +154,13 @@
     ],
 )
 def test_an_announcement_that_names_no_worker_is_refused(bad):
-    """Guards against announcements of other writers that become workers."""
+    """Guards against malformed announcements that are stored as workers."""
     with raises(BadRequestError):
         read_worker("i-1", dumps({**WORKER, **bad}).encode())
 
 
 def test_a_report_lists_runs_and_ends():
-    """Guards against ends that are taken for others."""
+    """Guards against ends that are read with the wrong task, run or kind."""
     body = {
         "clockMs": 9,
         "running": [["f.0.0.1", 2, "save", 41, 900]],
@@ -180,7 +180,7 @@
 
 @given(JSON)
 def test_no_body_of_another_shape_ends_a_process(value):
-    """Guards against input that raises anything but a numbered error."""
+    """Guards against JSON input that raises anything but an error with a code."""
     body = dumps(value).encode()
     for read in (
         lambda: read_flow("5c0e", "q", body),
@@ -196,7 +196,7 @@
 
 @given(st.binary(max_size=40))
 def test_no_unreadable_bytes_end_a_process(body):
-    """Guards against bytes that are no text or no JSON."""
+    """Guards against bytes that are not text or not JSON and raise an error without a code."""
     for read in (
         lambda: read_flow("5c0e", "q", body),
         lambda: read_document(body),
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -1,4 +1,4 @@
-"""The adapter's folder: it holds the platform's names and decides nothing."""
+"""The platform adapter's folder: all names of the platform are in it, and no decisions."""
 
 import ast
 from pathlib import Path
@@ -6,7 +6,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent / "siskintally"
 FOLDER = ROOT / "platform"
-# The platform writes its fields in this way; the product's own names have underscores.
+# The platform's field names are in camel case; the product's own names have underscores.
 CAMEL_CASE = compile_pattern(r"[a-z]+(?:[A-Z][a-z]*)+")
 HEADER = compile_pattern(r"Siskintally-[A-Z][A-Za-z-]+")
 # Headers of the product's own interface for callers and endpoints.
@@ -16,8 +16,8 @@
     "Siskintally-Code",
     "Siskintally-Request-Id",
 }
-# What a translation needs: types of the product, its errors, and calls. Whatever decides lives in
-# modules that are not listed here.
+# What a translation needs: types of the product, its errors, and calls. Modules that make decisions
+# must not be listed here.
 ALLOWED_IMPORTS = {
     "siskintally.codes",
     "siskintally.command",
@@ -36,7 +36,7 @@
     "siskintally.queue_checks",
 }
 DECIDING = {"time", "random", "anyio.sleep", "siskintally.clock"}
-# Statuses and bounds that the platform's pages state.
+# Status codes and limits that the platform's documentation states.
 PLATFORM_NUMBERS = {
     "BUSY",
     "ENDS_PER_REPORT",
@@ -51,7 +51,7 @@
     "STATUS_BY_CODE",
     "UNAVAILABLE",
 }
-# Calls that choose among values; a translation takes each value as it comes.
+# Calls that choose among values; a translation passes each value on unchanged.
 CHOOSING = {"min", "max", "sorted"}
 MAX_LINES = 900
 
@@ -88,7 +88,7 @@
 
 
 def is_plain_call(node):
-    """Tell whether a node calls a function by its bare name."""
+    """Return whether a node calls a function by its bare name."""
     return isinstance(node, ast.Call) and isinstance(node.func, ast.Name)
 
 
@@ -103,7 +103,7 @@
 
 
 def test_no_name_of_the_platform_stands_outside_its_folder():
-    """Guards against the platform's words that spread through the product."""
+    """Guards against the platform's names that spread through the product."""
     names = wire_names()
     assert len(names) > 20
     found = {
@@ -126,7 +126,7 @@
 
 
 def test_the_numbers_of_the_folder_are_the_platforms():
-    """Guards against times and limits that the adapter chooses in place of the product."""
+    """Guards against timeouts and limits that the adapter sets, which the product should set."""
     found = {
         node.targets[0].id
         for _, tree in modules(FOLDER)
@@ -143,8 +143,8 @@
 def test_the_folder_translates_and_decides_nothing():
     """Guards against retries, timers, and choices that move into the adapter.
 
-    A translation neither waits nor reads a clock nor draws numbers, has no loop that repeats a
-    call, and imports no module that decides.
+    A translation does not wait, read a clock or draw random numbers, has no loop that repeats a
+    call, and imports no module that makes decisions.
     """
     for path, tree in modules(FOLDER):
         assert not any(isinstance(node, ast.While) for node in ast.walk(tree)), path.name
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -32,7 +32,7 @@
 
 
 class PlatformCell:
-    """Three stores and an entry."""
+    """Three stores and an entry, each in a process of its own."""
 
     def __init__(self, *, processes):
         self.processes = processes
@@ -104,7 +104,7 @@
 
 
 def test_a_job_is_accepted_run_and_shown_as_completed_by_real_processes(tmp_path):
-    """Guards against commands that do not start, and against any gap on the whole path."""
+    """Guards against commands that do not start, and a fault anywhere on the path of a job."""
 
     async def check(cell, worker):
         async def accepted():
