Word the tests of placement, owners, leases and entries plainly

Comments that named the failure of a test are docstrings now, as in the other tests. Figurative terms such as deposed, places, waves and told are replaced by loss of leadership, resources, bursts and refused; reasons and numbers are kept.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -45,7 +45,7 @@
 
 
 def test_reserved_slots_go_to_urgent_requests_only():
-    # Guards against an urgent request that waits behind a deferrable one in the last slot.
+    """Guards against an urgent request that waits behind a deferrable one in the last slot."""
     queue = admission()
     for rank in (NORMAL, DEFERRABLE):
         offer(queue, request(rank))
@@ -58,7 +58,10 @@
 
 
 def test_slots_of_urgent_requests_count_as_the_reserve():
-    # Guards against idle slots while ordinary requests wait.
+    """Guards against idle slots while normal requests wait.
+
+    Urgent requests in flight already use the slots that are reserved for them.
+    """
     queue = admission()
     offer(queue, request(NORMAL))
     assert (
@@ -68,7 +71,7 @@
 
 @pytest.mark.parametrize("share", [0.1, 0.25])
 def test_waiting_deferrable_requests_get_their_share_of_dispatches(share):
-    # Guards against starvation of deferrable requests by a stream of urgent ones.
+    """Guards against starvation of deferrable requests by a stream of urgent ones."""
     queue = admission(deferrable_share=share, queue_limit_urgent=999, queue_limit_deferrable=999)
     for _ in range(300):
         offer(queue, request(URGENT))
@@ -90,8 +93,11 @@
 
 
 def test_promoted_request_is_taken_once_and_from_its_new_class():
-    # Guards against a promoted request that is also taken from its old queue: the new one then
-    # counted a request too many and failed at its next turn, after an endpoint had answered.
+    """Guards against a promoted request that is also taken from its old queue.
+
+    The new queue then counted one request too many and failed at its next turn, after an endpoint
+    had answered.
+    """
     queue = admission(deferrable_share=0.5, queue_limit_normal=20)
     normal = [request(NORMAL, deadline=40.0) for _ in range(10)]
     first = request(DEFERRABLE, deadline=50.0, at=29.0)
@@ -112,8 +118,7 @@
     queue.record_service_time(1.0, now=0.0)
     for number in range(14):
         offer(queue, request(deadline=100.0, caller=f"c{number}"))
-    # 7 slots for normal requests, 14 wait: 2 s in the queue, twice as much with the margin, and
-    # 1 s of service.
+    # 14 requests wait for 7 slots: 2 s in the queue, doubled by the margin, and 1 s of service.
     with pytest.raises(OverloadedError):
         offer(queue, request(deadline=4.9, caller="new"))
     offer(queue, request(deadline=5.1, caller="new"))
@@ -121,13 +126,13 @@
 
 
 def test_deferrable_request_counts_on_its_share_only():
-    # Guards against deferrable requests accepted for slots that later normal ones will take.
+    """Guards against deferrable requests accepted for slots that later normal ones will take."""
     queue = admission(deferrable_share=0.1)
     queue.record_service_time(0.1, now=0.0)
     for number in range(80):
         offer(queue, request(NORMAL, caller=f"c{number}"), now=number / 80)
     offer(queue, request(DEFERRABLE, deadline=1.2), now=1.0)
-    # 8 a second are left of 80, so the second one waits for 1/8 s, 1/4 s with the margin.
+    # The share is 8 of 80 requests a second: the second request waits 1/8 s, 1/4 s with the margin.
     bound_s = queue.service_bound_s(1.0)
     with pytest.raises(OverloadedError):
         offer(queue, request(DEFERRABLE, deadline=1.24 + bound_s), now=1.0)
@@ -135,7 +140,7 @@
 
 
 def test_waiting_request_is_kept_while_its_deadline_can_be_met():
-    # Guards against a request that is told "not run" only when its deadline passes.
+    """Guards against a request that is refused only when its deadline passes."""
     queue = admission()
     queue.record_service_time(1.0, now=0.0)
     for number in range(14):
@@ -143,13 +148,13 @@
     one = request(deadline=6.0, caller="new")
     offer(queue, one)
     assert queue.can_meet_deadline(one, now=2.0, total=TOTAL)
-    # Half of the slots are lost: 3 serve normal requests.
+    # Half of the slots are gone; 3 of the others serve normal requests.
     assert not queue.can_meet_deadline(one, now=2.0, total=TOTAL // 2)
     assert next_deadline_check(one, 0.0) <= 0.25 * one.deadline
 
 
 class Overload:
-    """Requests at twice the capacity, in virtual time."""
+    """Simulation of requests at twice the capacity, in virtual time."""
 
     SERVICE_S = 0.1
     DEADLINE_S = (1.0, 2.0, 4.0)
@@ -162,7 +167,7 @@
         self.told, self.finished = [], []
 
     def run(self, seconds):
-        """Offer requests for a time and serve until none waits."""
+        """Offer requests for ``seconds``, and serve until none waits."""
         at = 0.0
         while at < seconds:
             at += self.random.expovariate(2 * TOTAL / self.SERVICE_S)
@@ -219,7 +224,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_excess_at_twice_the_capacity_is_told_within_a_quarter_of_the_deadline(seed):
-    # Guards against requests that are accepted into the queue and told "not run" much later.
+    """Guards against requests that are queued and refused as "not run" much later."""
     load = Overload(seed=seed)
     load.run(60.0)
     assert sorted(load.told)[int(0.99 * len(load.told))] <= 0.25
@@ -229,7 +234,10 @@
 
 
 def test_one_slow_measurement_does_not_close_a_service():
-    # Guards against a refusal of everything that prevents any newer measurement.
+    """Guards against a service that refuses all requests after one slow measurement.
+
+    Without an accepted request, there would never be a newer measurement.
+    """
     queue = admission()
     queue.record_service_time(60.0, now=0.0)
     offer(queue, request(deadline=2.0), free=TOTAL)
@@ -250,7 +258,7 @@
 
 
 def test_full_queue_takes_the_place_from_the_largest_caller():
-    # Guards against one caller that fills the queue and shuts out all others.
+    """Guards against one caller that fills the queue, so that all others are refused."""
     queue = admission(queue_limit_normal=10)
     flood = [request(caller="flood", deadline=100.0 + number) for number in range(10)]
     for one in flood:
@@ -295,7 +303,7 @@
     )
 )
 def test_every_request_ends_exactly_one_way(steps):
-    # Guards against requests that are lost in a queue, or taken twice.
+    """Guards against requests that are lost in a queue or leave it twice."""
     queue = admission(queue_limit_urgent=3, queue_limit_normal=3, queue_limit_deferrable=3)
     waiting, ended, now = [], [], 0.0
     for kind, rank, caller, number in steps:
--- a/tests/test_announcement_model.py
+++ b/tests/test_announcement_model.py
@@ -1,8 +1,9 @@
-"""Announcements under delay, reordering, pauses, and clocks that differ: no stale endpoint is used.
+"""Model test of announcements under delay, reordering, pauses, and clocks that differ.
 
-The model knows the true time at which each endpoint last announced that it serves; the entries know
-only their own clocks. Announcements without an echo are delivered at once, because their age is not
-bounded; all others may be delayed without limit, repeated, and reordered.
+It checks that no stale endpoint is used. The model knows the true time at which each endpoint last
+announced that it serves; the entries know only their own clocks. Announcements without an echo are
+delivered at once, because their age is not bounded; all others may be delayed without limit,
+repeated, and reordered.
 """
 
 from os import environ
@@ -24,7 +25,7 @@
 
 
 class Announcements:
-    """Two entries of one domain and an endpoint."""
+    """Model of two entries and an endpoint in one domain."""
 
     def __init__(self):
         self.time = 1.0
@@ -49,7 +50,7 @@
         self.time += seconds
 
     def announce(self, endpoint, entry):
-        """Announce to an entry."""
+        """Send an announcement of an endpoint to an entry."""
         self.seq[endpoint] += 1
         leaving = self.leaving[endpoint]
         if not leaving:
@@ -83,7 +84,7 @@
         self.clock_given[key] = (now, self.clock(endpoint))
 
     def deliver_post(self, number, again):
-        """Deliver any announcement on its way."""
+        """Deliver one of the announcements in flight; with ``again``, keep it for another time."""
         if self.posts:
             post = self.posts[number % len(self.posts)]
             if not again:
@@ -102,7 +103,7 @@
             self.exchanges.append((source, self.runs[source], sink, self.runs[sink], message))
 
     def deliver_exchange(self, number, again):
-        """Deliver any exchange message on its way."""
+        """Deliver one of the exchange messages in flight, as :meth:`deliver_post` does."""
         if self.exchanges:
             item = self.exchanges[number % len(self.exchanges)]
             if not again:
@@ -113,7 +114,7 @@
                 table.merge_exchange(message, peer=f"{source}/{run}", now=self.clock(target))
 
     def gossip(self):
-        """Exchange messages both ways without delay, so that both entries hold a fresh echo."""
+        """Exchange messages both ways without delay, so that both entries have a recent echo."""
         for source, sink in (ENTRIES, ENTRIES[::-1]):
             self.exchange(source, sink)
             *_, message = self.exchanges.pop()
@@ -121,11 +122,11 @@
             self.tables[sink].merge_exchange(message, peer=peer, now=self.clock(sink))
 
     def leave(self, endpoint):
-        """Leave for good."""
+        """Let an endpoint announce from now on that it leaves."""
         self.leaving[endpoint] = True
 
     def restart_endpoint(self, endpoint):
-        """Start a new incarnation."""
+        """Start a new incarnation of an endpoint."""
         self.incarnation[endpoint] += 1
         self.leaving[endpoint] = False
         for key in [key for key in self.clock_given if key[0] == endpoint]:
@@ -137,11 +138,11 @@
         self.tables[entry] = AnnouncementTable(domain="d")
 
     def expire(self, entry):
-        """Tidy up."""
+        """Remove expired announcements from the table of an entry."""
         self.tables[entry].expire(now=self.clock(entry))
 
     def no_stale_endpoint_is_used(self):
-        """Check I6: new work goes only to what served in the last 3 s and is not known to leave."""
+        """Check I6: a used endpoint served in the last 3 s and is not known to leave."""
         for entry, table in self.tables.items():
             known = ((one.name, one.incarnation, one.leaving) for one in table._by_name.values())
             self.known_to_leave |= {(table, *one[:2]) for one in known if one[2]}
@@ -170,7 +171,7 @@
 
 
 def act(model, random, action):
-    """Carry out an action with random arguments."""
+    """Apply an action to the model with random arguments."""
     entry = random.choice(ENTRIES)
     endpoint = random.choice(ENDPOINTS)
     arguments = {
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -1,4 +1,4 @@
-"""Pure parts of the entry: announcements, shares, health, retries, summaries, pauses."""
+"""Parts of the entry without I/O: announcements, shares, health, retries, summaries, pauses."""
 
 from collections import Counter
 from random import Random
@@ -63,7 +63,7 @@
 
 
 def pair():
-    """Return tables of two entries that have echoed each other at time 0."""
+    """Return the tables of two entries, ``a`` and ``b``; ``a`` has received a message of ``b``."""
     a, b = AnnouncementTable(domain="d"), AnnouncementTable(domain="d")
     a.merge_exchange(b.build_exchange(peer="a", domain="d", now=10.0), peer="b", now=10.0)
     return a, b
@@ -72,7 +72,7 @@
 def test_passed_on_announcement_is_live_for_3_s_after_the_endpoint_sent_it():
     a, b = pair()
     a.record(heard(), age_s=0.0, now=10.0)
-    # The echo may be as old as the period of the exchange; it only makes the bound earlier.
+    # The echo may be as old as the exchange interval; an older echo only lowers the bound.
     a.merge_exchange(b.build_exchange(peer="a", domain="d", now=10.5), peer="b", now=10.5)
     exchange(a, b, sent=10.5, received=10.6)
     assert live(b, 12.8) == ["p1"]
@@ -80,7 +80,7 @@
 
 
 def test_message_delayed_on_its_way_refreshes_nothing():
-    # Guards against TCP that delivers an old message after a partition.
+    """Guards against a stale endpoint that is used because TCP delivers an old message late."""
     a, b = pair()
     a.record(heard(), age_s=0.0, now=10.0)
     exchange(a, b, sent=10.1, received=70.0)
@@ -109,7 +109,7 @@
 
 
 def test_announcement_is_passed_on_once_to_each_run_of_an_entry():
-    # Guards against bytes for repeated announcements, and against a restarted entry without any.
+    """Guards against repeated announcements on the wire, and a restarted entry that gets none."""
     table = AnnouncementTable(domain="d")
     table.record(heard(), age_s=0.0, now=10.0)
     counts = []
@@ -178,7 +178,7 @@
 
 @given(st.integers(1, 64), st.integers(1, 9), st.text(max_size=8))
 def test_shares_of_all_entries_add_up_to_the_total(total, count, endpoint):
-    # Guards against entries that together send more than the endpoint has slots.
+    """Guards against entries that together send more than the endpoint has slots."""
     entries = tuple(f"e{number}" for number in range(count))
     parts = [entry_share(total, endpoint=endpoint, entry=one, entries=entries) for one in entries]
     assert sum(parts) == total
@@ -219,7 +219,7 @@
 
 
 def test_at_most_30_percent_are_ejected():
-    # Guards against a fault of the entry's own network that would eject every endpoint.
+    """Guards against ejecting every endpoint because of a fault of the entry's own network."""
     names = [f"p{number}" for number in range(10)]
     table = HealthTable()
     for name in names:
@@ -257,7 +257,7 @@
 
 
 def test_unreachable_endpoint_is_not_used_however_few_there_are():
-    # Guards against a refusing endpoint of two that draws requests because its slots stay free.
+    """Guards against an unreachable endpoint that attracts requests because its slots stay free."""
     names, now = ["a", "b"], 10.0
     table = HealthTable()
     for backoff_s in (0.1, 0.2, 0.4, 0.8, 1.0, 1.0):
@@ -274,7 +274,7 @@
 
 
 def test_probe_that_is_cut_off_is_followed_by_another():
-    # Guards against an endpoint that stays shut because the caller of its probe disconnected.
+    """Guards against an endpoint that stays ejected when the caller of its probe disconnected."""
     names = ["a", "b", "c", "d"]
     table = HealthTable()
     fail(table, "a", names, 10.0)
@@ -285,7 +285,7 @@
 
 
 class ScriptedRequestHandler(RequestHandler):
-    """A handler whose dispatches end as a list says."""
+    """A handler whose dispatches return the next of a list of codes."""
 
     __slots__ = ("codes",)
 
@@ -294,7 +294,7 @@
 
 
 def test_retries_and_unsent_dispatches_do_not_fill_the_retry_budget():
-    # Guards against retries that allow further retries, which pass a tenth of the first sends.
+    """Guards against retries that add to the retry budget and so exceed a tenth of first sends."""
     budget = RetryBudget(ratio=0.1)
     metrics = Metrics(address=None, prefix="")
     handler = ScriptedRequestHandler(
@@ -319,7 +319,7 @@
 
 
 def test_request_waits_for_the_first_announcement_after_the_start_only():
-    # Guards against "no endpoint" from an entry that was restarted a moment ago.
+    """Guards against "no endpoint" from an entry that has just started."""
     counts = [0, 0, 1]
     dispatcher = SimpleNamespace(endpoint_count=lambda now: counts.pop(0))
     peers = SimpleNamespace(choose=lambda service: None)
@@ -337,7 +337,7 @@
 
 
 class DispatcherWithoutChance:
-    """A dispatcher whose waiting requests can't meet their deadlines."""
+    """A dispatcher for which no waiting request can meet its deadline."""
 
     def can_meet_deadline(self, request, *, now):
         """Return False."""
@@ -345,7 +345,8 @@
 
 
 def test_waiting_request_without_a_chance_is_told_at_its_review():
-    # Guards against a request that waits for its deadline although it can't be met any more.
+    """Guards against a request that waits until a deadline that can't be met any more."""
+
     async def main():
         now = monotonic()
         one = QueuedRequest(rank=1, caller="c", deadline=now + 80.1, queued_at=now - 19.9)
@@ -360,7 +361,7 @@
 
 
 def test_summary_is_sent_only_when_it_says_something_new():
-    # Guards against cross-region bytes for every small change of load.
+    """Guards against cross-region traffic for every small change of load."""
     throttle = SummaryThrottle()
     due = [throttle.is_due(summary(free), now=float(free)) for free in (8, 7, 5, 4, 3, 0, 0)]
     assert due == [True, False, False, False, True, True, False]
@@ -392,7 +393,7 @@
 
 
 def test_announcement_read_after_a_pause_needs_an_echo():
-    # Guards against announcements that waited in the socket buffers of a paused entry.
+    """Guards against use of announcements that waited in socket buffers while the entry paused."""
     text = (
         '[cell]\nname = "c"\nsecret = "0123456789abcdef"\n[[process]]\nname = "e1"\n'
         'role = "entry"\ndomain = "d"\nregion = "r"\nlink = "127.0.0.1:1"\nhttp = "127.0.0.1:2"'
@@ -422,10 +423,13 @@
 
 
 def test_forwarder_of_a_new_endpoint_reads_no_certificates(monkeypatch):
-    """Guards against a wave of announcements that keeps the entry from answering for seconds."""
+    """Guards against an entry that does not answer for seconds during a burst of announcements.
+
+    Loading the certificate authorities is slow, and each new endpoint gets its own forwarder.
+    """
 
     def refuse(*_, **__):
-        raise AssertionError("certificate authorities are read")
+        raise AssertionError("certificate authorities must not be loaded")
 
     monkeypatch.setattr("ssl.SSLContext.load_verify_locations", refuse)
     monkeypatch.setattr("ssl.SSLContext.load_default_certs", refuse)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -10,7 +10,7 @@
 
 
 def test_a_worker_is_lost_only_after_the_margin():
-    """Guards against placing its tasks again while they run."""
+    """Guards against placing the tasks of a worker again while they may still run."""
     owner = LeaseTable(lease_s=LEASE_S, elected_at=0.0)
     owner.arrived("w", 1, now=100.0)
     assert owner.acknowledged("w", 1)
@@ -19,7 +19,7 @@
 
 
 def test_an_unacknowledged_heartbeat_does_not_count():
-    """Guards against a worker kept alive by heartbeats without a quorum round."""
+    """Guards against a lease that is renewed by heartbeats without a quorum round."""
     owner = LeaseTable(lease_s=LEASE_S, elected_at=0.0)
     owner.watch("w")
     owner.arrived("w", 1, now=20.0)
@@ -34,7 +34,7 @@
 
 
 def test_the_lease_runs_from_the_sending():
-    """Guards against a lease made longer by a slow answer."""
+    """Guards against a lease that a slow answer makes longer."""
     worker = LeaseHolder(lease_s=LEASE_S)
     seq = worker.beat(now=0.0)
     assert worker.is_expired(0.0)
@@ -43,7 +43,7 @@
 
 
 def test_answers_out_of_order_and_old_terms():
-    """Guards against a lease set back by a late answer, and against a deposed owner."""
+    """Guards against a lease that a late answer shortens or a former owner renews."""
     worker = LeaseHolder(lease_s=LEASE_S)
     first, second = worker.beat(now=0.0), worker.beat(now=5.0)
     assert worker.acknowledged(second, term=2)
@@ -55,7 +55,7 @@
 
 @pytest.mark.parametrize("make", [LeaseHolder, LeaseTable])
 def test_equal_states_have_equal_keys(make):
-    """Guards against a model checker that sees the same state as two."""
+    """Guards against a model checker that counts equal states as different."""
     more = {"elected_at": 0.0} if make is LeaseTable else {}
     one, two = make(lease_s=LEASE_S, **more), make(lease_s=LEASE_S, **more)
     assert one.key() == two.key() and hash(one.key()) == hash(two.key())
@@ -76,9 +76,11 @@
 @settings(max_examples=300, deadline=None)
 @given(events=EVENTS, rate=st.floats(0.9905, 1.0095))
 def test_no_owner_counts_a_worker_as_lost_while_its_lease_runs(events, rate):
-    """Guards against two running attempts, with delays, pauses, new owners and unequal clocks.
+    """Guards against two running attempts of a task.
 
-    True time is the owner's clock; the worker's clock runs at ``rate``.
+    Heartbeats are delayed or lost, processes pause, owners change, and clock rates differ.
+
+    The owner's clock shows true time; the worker's clock runs at ``rate``.
     """
     worker = LeaseHolder(lease_s=LEASE_S)
     owner, term, now = LeaseTable(lease_s=LEASE_S, elected_at=0.0), 1, 0.0
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,4 +1,4 @@
-"""Owner: commits before starts, silence after deposition, leases, cancellation waves."""
+"""Owner of a domain group: commits before starts, loss of leadership, leases, cancellations."""
 
 import pytest
 from anyio import Event, create_memory_object_stream, create_task_group, fail_after, run, sleep
@@ -32,7 +32,7 @@
 
 
 class Clock:
-    """Monotonic time that a test moves."""
+    """A monotonic clock that only the test advances."""
 
     __slots__ = ("now",)
 
@@ -45,7 +45,7 @@
 
 
 class OwnerGroup(FakeGroup):
-    """A fake group with leadership messages, and commits and rounds that a test can hold up."""
+    """A fake group with leadership messages; a test can delay commits and quorum rounds."""
 
     __slots__ = ("ends", "gate", "proposals", "round_gate")
 
@@ -69,7 +69,7 @@
             end.send_nowait(Leadership(term=self.term, leader="s2", is_leader=False))
 
     def elect(self):
-        """Win it again, in a higher term."""
+        """Win the leadership again, in a higher term."""
         self.is_leader, self.term = True, self.term + 1
         for end in self.ends:
             end.send_nowait(Leadership(term=self.term, leader="s1", is_leader=True))
@@ -84,7 +84,7 @@
         return await super().propose(command)
 
     async def confirm_leadership(self, *, urgent=True):
-        """Complete a round once its gate is open."""
+        """Complete a quorum round once its gate is open."""
         if self.round_gate is not None:
             await self.round_gate.wait()
         await super().confirm_leadership()
@@ -99,7 +99,7 @@
         self.sent = []
 
     def send(self, body):
-        """Keep what the owner pushes."""
+        """Record a message that the owner pushes."""
         self.sent.append(body)
         return True
 
@@ -113,7 +113,7 @@
 
 
 class Bench:
-    """An owner with a fake group, a cell that a test feeds, and a clock."""
+    """An owner with a fake group, a fake cell leader and a clock that the test sets."""
 
     __slots__ = ("cell_index", "clock", "domain", "group", "items", "owner", "reports")
 
@@ -149,7 +149,7 @@
         return SyncReply(index=self.cell_index, jobs=items)
 
     def submit(self, name, *, tasks=1, cancelled=False, cpu=1000, **more):
-        """Have the cell send a job."""
+        """Let the cell send a job to the owner at its next sync."""
         self.cell_index += 1
         spec = JobSpec(name=name, each=Resources(cpu_milli=cpu, memory_mb=1), run_s=60, **more)
         self.items.append(
@@ -163,7 +163,7 @@
         )
 
     async def beat(self, link, *, worker="w1", seq=1, session="a", full=True, attempts=()):
-        """Send a heartbeat and return the answer, which the link keeps too."""
+        """Send a heartbeat; return the answer, which is also recorded on the link."""
         answer = await self.owner.answer(
             link,
             WorkerBeat(
@@ -211,7 +211,7 @@
 
 
 def test_a_start_is_sent_only_after_its_assignment_is_committed():
-    """Guards against a start that no later owner knows of."""
+    """Guards against a started task that the next owner does not know of."""
 
     async def check(bench):
         link = WorkerLink()
@@ -230,7 +230,7 @@
 
 
 def test_a_deposed_owner_sends_nothing_and_answers_nothing():
-    """Guards against two owners that start tasks or renew leases."""
+    """Guards against two owners that start tasks or renew leases at the same time."""
 
     async def check(bench):
         link = WorkerLink()
@@ -253,7 +253,7 @@
 
 
 def test_a_heartbeat_is_answered_only_after_a_quorum_round():
-    """Guards against a deposed owner that renews a lease before it notices."""
+    """Guards against a former owner that renews a lease before it notices the next one."""
 
     async def check(bench):
         link, answers = WorkerLink(), []
@@ -300,7 +300,7 @@
 
 
 def test_no_heartbeat_renews_a_lease_while_the_loss_is_committed():
-    """Guards against an answer that overtakes the decision that the worker is lost."""
+    """Guards against a renewed lease for a worker whose loss is being committed."""
 
     async def check(bench):
         link = WorkerLink()
@@ -320,7 +320,7 @@
 
 
 def test_a_new_owner_counts_no_worker_as_lost_before_old_leases_end():
-    """Guards against an owner that knows nothing of the leases its predecessor gave."""
+    """Guards against a new owner that ignores the leases that its predecessor granted."""
 
     async def check(bench):
         link = WorkerLink()
@@ -341,7 +341,7 @@
 
 
 def test_reports_are_reconciled_with_the_assignments():
-    """Guards against lost starts, tasks nobody assigned, and ends that are forgotten too soon."""
+    """Guards against lost starts, unassigned tasks that run, and ends dropped before a commit."""
 
     async def check(bench):
         link = WorkerLink()
@@ -362,7 +362,7 @@
 
 
 def test_a_restarted_worker_loses_its_attempts_and_gets_new_ones():
-    """Guards against an attempt that is believed to run in a session that is gone."""
+    """Guards against an attempt that counts as running though its worker session has ended."""
 
     async def check(bench):
         link, again = WorkerLink(), WorkerLink()
@@ -378,7 +378,7 @@
 
 
 def test_changes_without_a_full_report_are_refused():
-    """Guards against an owner that takes a change list for the whole list."""
+    """Guards against an owner that takes a list of changes for a full report."""
 
     async def check(bench):
         with pytest.raises(BadRequestError):
@@ -388,7 +388,7 @@
 
 
 def test_a_cancellation_wave_is_one_commit_and_stops_only_what_runs():
-    """Guards against 10,000 commits, and against tasks that are started after the wave."""
+    """Guards against a commit for each of 10,000 cancellations, and starts of cancelled tasks."""
 
     async def check(bench):
         link = WorkerLink()
@@ -412,7 +412,7 @@
 
 
 def test_a_gang_with_a_failed_task_is_stopped_and_started_again_whole():
-    """Guards against a gang that goes on with a part of its tasks."""
+    """Guards against a gang that continues with only some of its tasks."""
 
     async def check(bench):
         link = WorkerLink()
@@ -451,7 +451,7 @@
 
 
 def test_configuration_and_ledger_are_answered_from_the_group():
-    """Guards against a configuration that is not committed, and a ledger past the log."""
+    """Guards against a configuration that is not committed, and a ledger that bypasses the log."""
 
     async def check(bench):
         begin = LedgerBegin(key="k", caller="c", digest=b"d", attempt="a")
@@ -506,7 +506,7 @@
 
 
 def test_a_refused_assignment_is_placed_again():
-    """Guards against a task that is lost when the domain refuses what placement decided."""
+    """Guards against a task that is lost when the domain rejects an assignment by placement."""
 
     async def check(bench):
         link = WorkerLink()
@@ -526,7 +526,7 @@
 
 
 def test_a_job_that_never_fits_is_reported_with_the_reason():
-    """Guards against a job that waits silently for ever."""
+    """Guards against a job that waits for ever and is not reported."""
 
     async def check(bench):
         await bench.beat(WorkerLink())
--- a/tests/test_owner_fence.py
+++ b/tests/test_owner_fence.py
@@ -1,4 +1,4 @@
-"""Owner of a group that was, or may have been, declared lost while its machines were off."""
+"""Owner of a domain group that may have been declared lost while its machines were down."""
 
 from anyio import sleep
 
@@ -11,13 +11,16 @@
 
 
 def sync_of(tasks):
-    """Return a reply that brings one job."""
+    """Return a sync reply that carries one job."""
     spec = JobSpec(name="j", each={"cpu_milli": 1000, "memory_mb": 1}, run_s=60)
     return SyncReply(index=1, jobs=[JobItem(job_id="j", spec=spec, tasks=tasks, changed_at=1)])
 
 
 def test_nothing_is_started_before_the_cell_has_answered():
-    """Guards against a start by an owner whose group was declared lost while it was off."""
+    """Guards against a start by an owner whose group was declared lost while it was down.
+
+    The tasks of such a group may already run in another group.
+    """
 
     async def check(bench):
         term = bench.owner.owner_term
@@ -42,7 +45,7 @@
 
 
 def test_owner_that_was_declared_lost_ends_everything_before_it_says_so():
-    """Guards against a word that nothing runs while an attempt or a lease does."""
+    """Guards against reporting a group as idle while an attempt or a lease may still run."""
 
     async def check(bench):
         link = WorkerLink()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Placement: capacity, gangs, starvation, preemption, ejected workers."""
+"""Placement of jobs: capacity, gangs, starvation, preemption, ejected workers."""
 
 import pytest
 from hypothesis import given, settings
@@ -41,7 +41,7 @@
 
 
 def check_invariants(placement):
-    """Recompute all sums from the tasks and compare them with what the pool keeps."""
+    """Compare the sums that the pool keeps with sums recomputed from the tasks; check gangs."""
     for worker in placement.pool.worker_by_name.values():
         held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
         assert held.within(worker.capacity)
@@ -73,7 +73,7 @@
 @settings(max_examples=150, deadline=None)
 @given(steps=STEPS)
 def test_no_sequence_of_events_allocates_more_than_a_worker_has(steps):
-    """Guards against overcommitment and against a gang that holds a part of its places."""
+    """Guards against overcommitment and against a gang that is placed in part."""
     placement, now = (
         placement_with(3, racks=2, capacity=Size(cpu=8000, memory=9000, accelerators=2)),
         0.0,
@@ -115,7 +115,7 @@
 
 
 def test_taking_more_than_is_free_is_refused_in_the_pool():
-    """Guards against a policy that picks a worker without room."""
+    """Guards against a policy that picks a worker without enough free resources."""
     placement = placement_with(1)
     with pytest.raises(OvercommitError):
         placement.pool.take(placement.pool.worker_by_name["w0"], "j/0", job("j", 9000))
@@ -123,7 +123,7 @@
 
 
 def test_two_gangs_that_each_fit_alone_do_not_block_each_other():
-    """Guards against the deadlock of two gangs that hold half of their places."""
+    """Guards against a deadlock of two gangs of which each is placed in part."""
     placement = placement_with(4)
     for name in ("a", "b"):
         placement.submit(job(name, 8000, tasks=3, kind=Kind.GANG))
@@ -136,7 +136,7 @@
 
 
 def test_a_stream_of_small_jobs_does_not_starve_a_gang():
-    """Guards against starvation: each freed place went to the next small job."""
+    """Guards against starvation of a gang if freed resources always go to the next small job."""
     placement = placement_with(2)
     running, started = [], False
     for number in range(16):
@@ -155,7 +155,7 @@
 
 
 def test_a_reservation_moves_to_where_room_appears_first():
-    """Guards against a gang that waits for the workers chosen first while others become free."""
+    """Guards against a gang that waits for the workers reserved first while others become free."""
     placement = placement_with(6)
     for number in range(12):
         placement.submit(job(f"b{number}", 4000))
@@ -203,7 +203,7 @@
 
 
 def test_reservations_keep_only_a_few_jobs_places():
-    """Guards against reservations that leave the pool idle for every blocked job."""
+    """Guards against a pool that is left idle by reservations for every blocked job."""
     placement = placement_with(20)
     for number in range(20):
         placement.submit(job(f"small{number}", 5000))
@@ -217,7 +217,7 @@
 
 
 def test_urgent_work_waits_for_the_end_of_the_tasks_it_stops():
-    """Guards against counting resources as free when the stop order was only sent."""
+    """Guards against resources that count as free when the stop order was only sent."""
     placement = placement_with(1)
     placement.submit(job("low", 2000, tasks=4, urgency=Urgency.DEFERRABLE))
     assert len(placed(placement, 0.0)) == 4
@@ -232,7 +232,7 @@
 
 
 def test_urgent_work_stops_neither_services_nor_normal_batch():
-    """Guards against victims outside deferrable batch."""
+    """Guards against preemption of anything but deferrable batch tasks."""
     placement = placement_with(1)
     placement.submit(job("service", 4000, kind=Kind.SERVICE, urgency=Urgency.DEFERRABLE))
     placement.submit(job("batch", 4000))
@@ -251,7 +251,7 @@
     ],
 )
 def test_jobs_that_never_fit_say_why(wanted, reason):
-    """Guards against jobs that wait forever without a reason."""
+    """Guards against jobs that wait forever without showing a reason."""
     placement = placement_with(2)
     placement.submit(wanted)
     assert placed(placement, 0.0) == {}
@@ -259,7 +259,7 @@
 
 
 def test_never_is_not_said_before_workers_are_known():
-    """Guards against refusing all jobs right after an election."""
+    """Guards against jobs that are marked as never fitting right after an election."""
     placement, wanted = Placement(), job("j", 1000)
     placement.submit(wanted)
     placed(placement, 0.0)
@@ -269,7 +269,7 @@
 
 
 def test_a_worker_that_fails_every_task_is_tried_again_with_one_task():
-    """Guards against a broken worker that swallows the queue, and against losing it for good."""
+    """Guards against a broken worker that fails all queued tasks, and against its loss for good."""
     placement = placement_with(1)
     for number in range(5):
         placement.submit(job(f"j{number % 2}-{number}", 1000))
@@ -286,7 +286,10 @@
 
 
 def test_a_service_that_runs_brings_a_worker_back():
-    """Guards against a worker that is tried with a service and waits for its end for ever."""
+    """Guards against a worker that stays on probation for ever.
+
+    After an ejection, a worker is probed with one task; a service task that runs does not end.
+    """
     placement = placement_with(1)
     placement.submit(job("a", 100, tasks=3))
     placement.submit(job("b", 100, tasks=3))
@@ -299,7 +302,7 @@
 
 
 def test_failures_of_one_job_do_not_set_a_worker_aside():
-    """Guards against losing good workers to a job that cannot run anywhere."""
+    """Guards against ejecting healthy workers because of a job that cannot run anywhere."""
     placement = placement_with(1)
     placement.submit(job("broken", 1000, tasks=8))
     for task_id in placed(placement, 0.0):
@@ -342,7 +345,7 @@
 
 
 def test_a_drained_worker_gets_nothing_new():
-    """Guards against new work on a worker that is leaving."""
+    """Guards against new tasks on a worker that is leaving."""
     placement = placement_with(1)
     placement.drain_worker("w0", draining=True)
     placement.submit(job("j", 1000))
