--- a/tests/flow_rig.py
+++ b/tests/flow_harness.py
@@ -1,4 +1,4 @@
-"""Harness for tests of the flow scheduler: workers that obey at once, no network, set time."""
+"""Harness for tests of the flow scheduler: workers obey at once, no network, simulated time."""
 
 from siskintally.control_pb2 import (
     ControlCommand,
@@ -29,7 +29,7 @@
 )
 
 
-def worker(name, *, cpu_milli=8000, memory_mb=8000, born_ms=1, rack="r1"):
+def make_worker(name, *, cpu_milli=8000, memory_mb=8000, born_ms=1, rack="r1"):
     """Return an announcement of a worker."""
     return PoolWorker(
         id=name,
@@ -44,19 +44,19 @@
     )
 
 
-def flow(name, *steps):
+def make_flow(name, *steps):
     """Return a flow with steps, by default one task of one core."""
     steps = steps or (FlowStep(tasks=1, cpu_milli=1000, memory_mb=10, estimate_ms=1000),)
     return Flow(id=name, queue="q", spec="spec", steps=steps)
 
 
-def step(tasks, **fields):
+def make_step(tasks, **fields):
     """Return a step of tasks with one core each."""
     fields = {"cpu_milli": 1000, "memory_mb": 10, "estimate_ms": 1000, **fields}
     return FlowStep(tasks=tasks, **fields)
 
 
-class FlowRig:
+class FlowHarness:
     """A leader's scheduler, the replicated state, and workers that carry out orders at once."""
 
     def __init__(self, *, queue=QUEUE, term=2):
@@ -64,7 +64,7 @@
         self.state = ControlState()
         self.index = 1
         self.now = 100.0
-        self.number_by_worker = {}
+        self.end_number_by_worker = {}
         self.running_by_worker = {}
         self.ended_by_worker = {}
         self.started = []
@@ -74,31 +74,31 @@
                 version=1, queues=[queue], services=[WorkerService(name=SERVICE)]
             )
         )
-        self.lead(term)
+        self.begin_term(term)
 
-    def lead(self, term):
+    def begin_term(self, term):
         """Begin a new term: everything that was not committed is lost."""
         self.uncommitted = []
         self.scheduler = FlowScheduler(term=term)
         self.scheduler.restore(self.state, self.now)
 
-    def commit(self, **body):
+    def commit(self, **fields):
         """Apply a command."""
         self.index += 1
-        command = ControlCommand(**body).SerializeToString()
+        command = ControlCommand(**fields).SerializeToString()
         self.state.apply(index=self.index, command=command)
 
-    def add(self, record):
+    def add_worker(self, record):
         """Let a worker join."""
         self.commit(join=record)
         self.scheduler.join(record, is_new=True)
         self.running_by_worker.setdefault(record.id, {})
         self.ended_by_worker.setdefault(record.id, [])
 
-    def submit(self, body):
+    def submit(self, flow):
         """Submit a flow; the same flow may be submitted again."""
-        self.commit(accept=body)
-        self.scheduler.accept(body, self.queue, self.now)
+        self.commit(accept=flow)
+        self.scheduler.accept(flow, self.queue, self.now)
 
     def place(self):
         """Start all tasks that can be started; return the (task id, worker id) pairs."""
@@ -118,20 +118,20 @@
         stops, self.scheduler.stops = self.scheduler.stops, []
         for action in stops:
             if self.running_by_worker[action.worker.id].get(action.task_id) == action.run:
-                self.end(action.worker.id, action.task_id, EndKind.STOPPED)
+                self.end_run(action.worker.id, action.task_id, EndKind.STOPPED)
             self.scheduler.apply_stopped(action, self.now)
         return [action.task_id for action in stops]
 
-    def end(self, worker_id, task_id, kind=EndKind.DONE, checkpoint=""):
+    def end_run(self, worker_id, task_id, kind=EndKind.DONE, checkpoint=""):
         """End a run on its worker; the leader learns of it from the next report."""
         run = self.running_by_worker[worker_id].pop(task_id)
-        number = self.number_by_worker.get(worker_id, 0) + 1
-        self.number_by_worker[worker_id] = number
+        number = self.end_number_by_worker.get(worker_id, 0) + 1
+        self.end_number_by_worker[worker_id] = number
         self.ended_by_worker[worker_id].append(
             EndRow(number=number, task_id=task_id, run=run, kind=kind, checkpoint=checkpoint)
         )
 
-    def report(self, worker_id, *, commit=True, percent=0, load=0):
+    def deliver_report(self, worker_id, *, commit=True, percent=0, load=0):
         """Let the leader process a report of a worker; with ``commit``, commit the ends in it."""
         self.now += 0.01
         report = WorkerReport(
@@ -142,14 +142,14 @@
             ],
             ended=list(self.ended_by_worker[worker_id]),
         )
-        found = self.scheduler.worker_by_id[worker_id]
-        ends = self.scheduler.apply_report(found, report, self.now, self.now)
+        worker = self.scheduler.worker_by_id[worker_id]
+        ends = self.scheduler.apply_report(worker, report, self.now, self.now)
         self.uncommitted.extend(ends)
         if commit:
-            self.settle()
+            self.commit_ends()
         return ends
 
-    def settle(self):
+    def commit_ends(self):
         """Commit the ends that were reported."""
         if self.uncommitted:
             self.commit(ends=EndBatch(ends=self.uncommitted))
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -32,8 +32,10 @@
             lease_until_ms=body.get("untilMs", 0),
             checkpoint=body.get("checkpointed", ""),
         )
-        carry_out = {"/run-start": self.worker.start, "/run-stop": self.worker.stop}[request.path]
-        reply = carry_out(order)
+        handle_order = {"/run-start": self.worker.start, "/run-stop": self.worker.stop}[
+            request.path
+        ]
+        reply = handle_order(order)
         if reply.refusal != Refusal.NONE:
             reason = REASON_BY_REFUSAL[reply.refusal]
             return json_response(409, {"clockMs": reply.clock_ms, "reason": reason})
@@ -49,10 +51,10 @@
             200,
             {
                 "clockMs": report.clock_ms,
-                "running": [[one.task_id, one.run, "", 50] for one in report.running],
+                "running": [[row.task_id, row.run, "", 50] for row in report.running],
                 "ended": [
-                    [one.number, one.task_id, one.run, one.kind.name.lower(), ""]
-                    for one in report.ended
+                    [end.number, end.task_id, end.run, end.kind.name.lower(), ""]
+                    for end in report.ended
                 ],
             },
         )
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -17,23 +17,23 @@
 LIMIT_S = 10.0
 
 
-class Stores:
+class ScriptedStores:
     """Stores with a scripted answer each: a value, an error to raise, or None to hang."""
 
     def __init__(self, **answer_by_name):
         self.answer_by_name = answer_by_name
-        self.asked = []
+        self.called = []
         self.cache = LeaderCache(fresh_s=60.0)
         self.calls = ControlClient(cache=self.cache, call=self.call)
 
-    def lead(self, name):
+    def announce_leader(self, name):
         """Let a store announce that it leads."""
         self.cache.take(ControlNotice(leads=True), sender=name, now=steady())
         self.calls.leader_changed()
 
     async def call(self, name, body, *, timeout):
         """Answer a call, raise an error, or hang."""
-        self.asked.append(name)
+        self.called.append(name)
         answer = self.answer_by_name[name]
         if answer is None:
             await sleep_forever()
@@ -42,7 +42,7 @@
         return answer
 
 
-def ask(stores, *, timeout=1.0, meanwhile=None):
+def call_outcome(stores, *, timeout=1.0, meanwhile=None):
     """Return the answer to one call, or its error."""
 
     async def main():
@@ -65,52 +65,52 @@
 
     Scenario: a leader freezes with requests in flight, and the next one is elected meanwhile.
     """
-    stores = Stores(a=None, b="done")
-    stores.lead("a")
+    stores = ScriptedStores(a=None, b="done")
+    stores.announce_leader("a")
 
     async def elect():
         await sleep(0.05)
-        stores.lead("b")
+        stores.announce_leader("b")
 
-    began = steady()
-    assert ask(stores, timeout=5.0, meanwhile=elect) == "done"
-    assert stores.asked == ["a", "b"]
-    assert steady() - began < 1.0
+    started_at = steady()
+    assert call_outcome(stores, timeout=5.0, meanwhile=elect) == "done"
+    assert stores.called == ["a", "b"]
+    assert steady() - started_at < 1.0
 
 
 def test_without_a_leader_a_call_is_refused_at_once_as_not_done():
     """Guards against callers that wait for their timeout while no leader is known."""
-    stores = Stores()
-    began = steady()
-    assert isinstance(ask(stores, timeout=5.0), NotLeaderError)
-    assert steady() - began < 1.0
+    stores = ScriptedStores()
+    started_at = steady()
+    assert isinstance(call_outcome(stores, timeout=5.0), NotLeaderError)
+    assert steady() - started_at < 1.0
 
 
 def test_a_call_that_may_have_had_an_effect_is_never_told_as_not_done():
     """Guards against a flow that is reported as not accepted although it is stored."""
-    stores = Stores(a=OutcomeUnknownError("cut"))
-    stores.lead("a")
-    assert isinstance(ask(stores, timeout=0.3), OutcomeUnknownError)
-    stores = Stores(a=RefusedError("leadership was lost", code=Code.OUTCOME_UNKNOWN))
-    stores.lead("a")
-    assert isinstance(ask(stores, timeout=0.3), OutcomeUnknownError)
+    stores = ScriptedStores(a=OutcomeUnknownError("cut"))
+    stores.announce_leader("a")
+    assert isinstance(call_outcome(stores, timeout=0.3), OutcomeUnknownError)
+    stores = ScriptedStores(a=RefusedError("leadership was lost", code=Code.OUTCOME_UNKNOWN))
+    stores.announce_leader("a")
+    assert isinstance(call_outcome(stores, timeout=0.3), OutcomeUnknownError)
 
 
 def test_a_store_that_does_not_lead_names_the_one_that_does():
     """Guards against calls that keep going to a follower."""
-    stores = Stores(a=RefusedError("no", code=Code.NOT_LEADER, leader="b"), b="done")
-    stores.lead("a")
-    assert ask(stores) == "done"
-    assert stores.asked == ["a", "b"]
+    stores = ScriptedStores(a=RefusedError("no", code=Code.NOT_LEADER, leader="b"), b="done")
+    stores.announce_leader("a")
+    assert call_outcome(stores) == "done"
+    assert stores.called == ["a", "b"]
 
 
 def test_an_unreachable_leader_is_tried_again_until_the_time_is_over():
     """Guards against a refusal when the link is restored within the caller's timeout."""
-    stores = Stores(a=UnreachableError("no link"))
-    stores.lead("a")
+    stores = ScriptedStores(a=UnreachableError("no link"))
+    stores.announce_leader("a")
 
-    async def heal():
+    async def restore_link():
         await sleep(0.1)
         stores.answer_by_name["a"] = "done"
 
-    assert ask(stores, meanwhile=heal) == "done"
+    assert call_outcome(stores, meanwhile=restore_link) == "done"
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -11,13 +11,13 @@
 from siskintally.errors import NotLeaderError
 from siskintally.flow_timing import FlowTiming
 from siskintally.quorum_check import CONFIRMED_LEADER_SHARE
-from tests.flow_rig import QUEUE, flow, step, worker
+from tests.flow_harness import QUEUE, make_flow, make_step, make_worker
 
 TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
 SETTLE_S = 0.3
 
 
-class SlowGroup:
+class GatedGroup:
     """A group whose commits wait until the test allows them, or fail with ``error``."""
 
     term = 3
@@ -38,7 +38,7 @@
         """Return as a group whose quorum confirms the leader."""
 
 
-class RecordingWorkers(WorkerDriver):
+class RecordingDriver(WorkerDriver):
     """Workers that accept every order and never end a run."""
 
     def __init__(self):
@@ -69,11 +69,11 @@
         """Nothing to close."""
 
 
-def play(check):
+def run_check(check):
     """Run a check against a leader with one worker and one flow of two tasks."""
 
     async def main():
-        group, driver = SlowGroup(), RecordingWorkers()
+        group, driver = GatedGroup(), RecordingDriver()
         leader = ControlLeader(
             group=group,
             state=ControlState(),
@@ -85,8 +85,8 @@
         async with create_task_group() as tasks:
             tasks.start_soon(leader.run)
             await sleep(0.01)
-            leader.handle_join(worker("w"), 0.0)
-            leader.scheduler.accept(flow("f", step(2)), QUEUE, 0.0)
+            leader.handle_join(make_worker("w"), 0.0)
+            leader.scheduler.accept(make_flow("f", make_step(2)), QUEUE, 0.0)
             leader.request_pass()
             await sleep(SETTLE_S)
             await check(leader, group, driver)
@@ -109,12 +109,12 @@
     async def check(leader, group, driver):
         assert driver.starts == []
         [command] = group.commands
-        assert [one.worker for one in command.starts.starts] == ["w", "w"]
+        assert [start.worker for start in command.starts.starts] == ["w", "w"]
         group.may_commit.set()
         await sleep(SETTLE_S)
         assert sorted(driver.starts) == [("f.0.0.0", "w"), ("f.0.0.1", "w")]
 
-    play(check)
+    run_check(check)
 
 
 def test_a_start_whose_record_is_not_committed_is_never_sent():
@@ -127,4 +127,4 @@
         assert driver.starts == []
         assert leader.is_over
 
-    play(check)
+    run_check(check)
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -3,7 +3,7 @@
 from contextlib import asynccontextmanager
 from functools import partial
 from threading import Event as ThreadEvent
-from time import sleep as pause
+from time import sleep as blocking_sleep
 
 from anyio import create_task_group, current_time, run, sleep
 
@@ -27,7 +27,7 @@
 from siskintally.journal import Journal
 from siskintally.node_settings import parse_node
 from siskintally.stub_pool import StubPool
-from tests.flow_rig import QUEUE, SERVICE, flow, step
+from tests.flow_harness import QUEUE, SERVICE, make_flow, make_step
 from tests.processes import free_ports, wait_until
 
 
@@ -51,19 +51,19 @@
         self.scope_by_host = {}
         self.tasks = None
 
-    def settings(self, host, *, founding=True):
+    def settings(self, host, *, bootstrap=True):
         """Return the settings of a store."""
-        seeds = ", ".join(f'"{one}:1"' for one in self.hosts)
+        seeds = ", ".join(f'"{seed}:1"' for seed in self.hosts)
         return parse_node(
             f'name = "{host}"\nip = "{host}"\ndomain = "d"\nlink_port = {self.port}\n'
-            f"seeds = [{seeds}]\nfounding = {str(founding).lower()}\n"
+            f"seeds = [{seeds}]\nfounding = {str(bootstrap).lower()}\n"
             f'data = "{self.folder}/{host}"\n'
         )
 
-    def start(self, host, *, founding=True):
+    def start(self, host, *, bootstrap=True):
         """Start a store."""
         node = ControlNode(
-            settings=self.settings(host, founding=founding),
+            settings=self.settings(host, bootstrap=bootstrap),
             driver=self.pool,
             advice=NoAdvice(),
             counters=Counters(),
@@ -95,8 +95,8 @@
             for node in list(self.node_by_host.values()):
                 try:
                     return await node.calls.call(body, timeout=2.0)
-                except SiskintallyError as refused:
-                    error = refused
+                except SiskintallyError as raised:
+                    error = raised
             await sleep(0.05)
         raise AssertionError(f"no answer: {error}")
 
@@ -124,8 +124,8 @@
 
     def starts(self):
         """Return the task ids of all starts, the earliest first."""
-        events = [one for worker in self.pool.worker_by_id.values() for one in worker.history]
-        return [task_id for _, event, task_id, _ in sorted(events) if event == "START"]
+        events = [event for worker in self.pool.worker_by_id.values() for event in worker.history]
+        return [task_id for _, kind, task_id, _ in sorted(events) if kind == "START"]
 
     @asynccontextmanager
     async def running(self):
@@ -138,7 +138,7 @@
             tasks.cancel_scope.cancel()
 
 
-def play(folder, check, **options):
+def run_check(folder, check, **options):
     """Run a check against a running cell."""
 
     async def main():
@@ -153,15 +153,15 @@
 
     async def check(cell):
         await cell.configure("w1", "w2")
-        await cell.call(FlowSubmit(flow=flow("f", step(3), step(1, after=[0]))))
-        await wait_until(partial(is_state, cell, "f", "completed"), "completed")
+        await cell.call(FlowSubmit(flow=make_flow("f", make_step(3), make_step(1, after=[0]))))
+        await wait_until(partial(has_state, cell, "f", "completed"), "completed")
         assert sorted(cell.starts()) == ["f.0.0.0", "f.0.0.1", "f.0.0.2", "f.0.1.0"]
         assert cell.starts()[-1] == "f.0.1.0"
 
-    play(tmp_path, check)
+    run_check(tmp_path, check)
 
 
-async def is_state(cell, flow_id, state):
+async def has_state(cell, flow_id, state):
     return await cell.state(flow_id) == state
 
 
@@ -170,19 +170,19 @@
 
     async def check(cell):
         await cell.configure("w1", "w2")
-        await cell.call(FlowSubmit(flow=flow("f", step(4), step(2, after=[0]))))
+        await cell.call(FlowSubmit(flow=make_flow("f", make_step(4), make_step(2, after=[0]))))
         await wait_until(lambda: len(cell.starts()) == 4, "first step started")
         cell.kill(cell.leader())
         await wait_until(cell.leader, "next leader")
-        await cell.call(FlowSubmit(flow=flow("g", step(1))))
+        await cell.call(FlowSubmit(flow=make_flow("g", make_step(1))))
         for name in ("f", "g"):
-            await wait_until(partial(is_state, cell, name, "completed"), f"{name} completed")
+            await wait_until(partial(has_state, cell, name, "completed"), f"{name} completed")
         assert sorted(cell.starts()) == [
             *("f.0.0.0", "f.0.0.1", "f.0.0.2", "f.0.0.3"),
             *("f.0.1.0", "f.0.1.1", "g.0.0.0"),
         ]
 
-    play(tmp_path, check, run_s=lambda task_id: 1.0)
+    run_check(tmp_path, check, run_s=lambda task_id: 1.0)
 
 
 def test_an_order_that_was_carried_out_without_an_answer_is_not_doubled(tmp_path):
@@ -194,11 +194,11 @@
     async def check(cell):
         await cell.configure("w1", "w2")
         cell.pool.worker_by_id["w1"].loses_answers = True
-        await cell.call(FlowSubmit(flow=flow("f", step(8))))
-        await wait_until(partial(is_state, cell, "f", "completed"), "completed")
+        await cell.call(FlowSubmit(flow=make_flow("f", make_step(8))))
+        await wait_until(partial(has_state, cell, "f", "completed"), "completed")
         assert len(cell.starts()) == len(set(cell.starts())) == 8
 
-    play(tmp_path, check)
+    run_check(tmp_path, check)
 
 
 def test_a_worker_without_answers_is_replaced_only_after_its_lease(tmp_path):
@@ -206,7 +206,7 @@
 
     async def check(cell):
         await cell.configure("w1")
-        await cell.call(FlowSubmit(flow=flow("f", step(1))))
+        await cell.call(FlowSubmit(flow=make_flow("f", make_step(1))))
         first = cell.pool.worker_by_id["w1"]
         await wait_until(lambda: first.running_by_task, "started")
         first.is_dark = True
@@ -217,12 +217,12 @@
         first.tick()
         assert not first.running_by_task
         assert first.history[-1][1] == "LAPSED"
-        assert moved_at >= lease_end(first)
+        assert moved_at >= lease_end_s(first)
 
-    play(tmp_path, check, run_s=lambda task_id: 60.0)
+    run_check(tmp_path, check, run_s=lambda task_id: 60.0)
 
 
-def lease_end(worker):
+def lease_end_s(worker):
     return worker._lease_until_ms / 1000
 
 
@@ -231,18 +231,18 @@
 
     async def check(cell):
         await cell.configure("w1")
-        body = flow("f", FlowStep(tasks=2, cpu_milli=1000, lasting=True))
-        await cell.call(FlowSubmit(flow=body))
+        flow = make_flow("f", FlowStep(tasks=2, cpu_milli=1000, lasting=True))
+        await cell.call(FlowSubmit(flow=flow))
         worker = cell.pool.worker_by_id["w1"]
         await wait_until(lambda: len(worker.running_by_task) == 2, "started")
         await cell.call(FlowCancel(id="f", queue="q"))
         await wait_until(lambda: not worker.running_by_task, "stopped")
-        await cell.call(FlowSubmit(flow=body))
+        await cell.call(FlowSubmit(flow=flow))
         assert await cell.state("f") == "cancelled"
         await sleep(0.3)
         assert len(cell.starts()) == 2
 
-    play(tmp_path, check, run_s=lambda task_id: 60.0)
+    run_check(tmp_path, check, run_s=lambda task_id: 60.0)
 
 
 def test_a_configuration_outlives_the_end_of_all_stores(tmp_path):
@@ -254,11 +254,11 @@
             cell.kill(host)
         await sleep(0.3)
         for host in cell.hosts:
-            cell.start(host, founding=False)
+            cell.start(host, bootstrap=False)
         await wait_until(cell.leader, "a leader again")
         assert (await cell.call(DocumentRead())).document.version == 3
 
-    play(tmp_path, check)
+    run_check(tmp_path, check)
 
 
 def test_an_older_configuration_is_acknowledged_and_changes_nothing(tmp_path):
@@ -267,12 +267,12 @@
     async def check(cell):
         await cell.configure()
         for version in (2, 3):
-            body = QueueDocument(version=version, original=b'{"other": 1}')
-            await cell.call(DocumentPut(document=body))
-        found = (await cell.call(DocumentRead())).document
-        assert (found.version, found.original) == (3, b"{}")
+            document = QueueDocument(version=version, original=b'{"other": 1}')
+            await cell.call(DocumentPut(document=document))
+        stored = (await cell.call(DocumentRead())).document
+        assert (stored.version, stored.original) == (3, b"{}")
 
-    play(tmp_path, check)
+    run_check(tmp_path, check)
 
 
 def test_a_store_with_an_empty_disk_takes_the_place_of_a_lost_one(tmp_path):
@@ -282,17 +282,17 @@
         await cell.configure()
         lost = next(host for host in cell.hosts if host != cell.leader())
         cell.kill(lost)
-        cell.start("127.0.0.24", founding=False)
-        others = {f"{host}:{cell.port}" for host in [*cell.hosts, "127.0.0.24"] if host != lost}
+        cell.start("127.0.0.24", bootstrap=False)
+        voters = {f"{host}:{cell.port}" for host in [*cell.hosts, "127.0.0.24"] if host != lost}
         await wait_until(
-            lambda: cell.leader() and cell.node_by_host[cell.leader()].voters == others,
+            lambda: cell.leader() and cell.node_by_host[cell.leader()].voters == voters,
             "the lost store is no voter any more",
         )
         cell.kill(cell.leader())
         await wait_until(cell.leader, "a leader after the second loss")
         assert (await cell.call(DocumentRead())).document.version == 3
 
-    play(tmp_path, check)
+    run_check(tmp_path, check)
 
 
 def test_a_store_whose_disk_fails_comes_back_without_a_new_process(tmp_path, monkeypatch):
@@ -301,23 +301,23 @@
     async def check(cell):
         await cell.configure()
         leader = cell.leader()
-        full = [True]
+        disk_is_full = [True]
 
         def write(journal, effects, persistent_state, *, real=Journal.write):
-            if full[0] and journal.identity.name.startswith(f"{leader}:"):
+            if disk_is_full[0] and journal.identity.name.startswith(f"{leader}:"):
                 raise OSError("no space left")
             real(journal, effects, persistent_state)
 
         monkeypatch.setattr(Journal, "write", write)
-        body = QueueDocument(version=9, original=b"{}")
-        await cell.call(DocumentPut(document=body))
+        document = QueueDocument(version=9, original=b"{}")
+        await cell.call(DocumentPut(document=document))
         await wait_until(lambda: cell.leader() not in (None, leader), "another leader")
-        full[0] = False
+        disk_is_full[0] = False
         cell.kill(cell.leader())
         await wait_until(cell.leader, "a quorum with the recovered store")
         assert (await cell.call(DocumentRead())).document.version == 9
 
-    play(tmp_path, check)
+    run_check(tmp_path, check)
 
 
 def test_outcomes_are_forgotten_after_their_time(tmp_path, monkeypatch):
@@ -330,15 +330,15 @@
 
     async def check(cell):
         await cell.configure("w1")
-        await cell.call(FlowSubmit(flow=flow("f", step(1))))
-        await wait_until(partial(is_state, cell, "f", "completed"), "completed")
+        await cell.call(FlowSubmit(flow=make_flow("f", make_step(1))))
+        await wait_until(partial(has_state, cell, "f", "completed"), "completed")
 
         async def is_forgotten():
             return not (await cell.call(FlowRead(id="f", queue="q"))).known
 
         await wait_until(is_forgotten, "forgotten")
 
-    play(tmp_path, check)
+    run_check(tmp_path, check)
 
 
 def short_lived(derive, **bounds):
@@ -352,29 +352,29 @@
 
     async def check(cell):
         await cell.configure("w1")
-        body = flow("f", FlowStep(tasks=1, cpu_milli=1000, lasting=True))
-        await cell.call(FlowSubmit(flow=body))
+        flow = make_flow("f", FlowStep(tasks=1, cpu_milli=1000, lasting=True))
+        await cell.call(FlowSubmit(flow=flow))
         await wait_until(cell.starts, "started")
         leader = cell.leader()
-        hung = ThreadEvent()
+        disk_released = ThreadEvent()
 
         def write(journal, effects, persistent_state, *, real=Journal.write):
             if journal.identity.name.startswith(f"{leader}:"):
-                hung.wait(30.0)
+                disk_released.wait(30.0)
             real(journal, effects, persistent_state)
 
         monkeypatch.setattr(Journal, "write", write)
         await cell.call(DocumentPut(document=QueueDocument(version=9, original=b"{}")))
-        others = [node for host, node in cell.node_by_host.items() if host != leader]
-        await wait_until(lambda: any(node.leads for node in others), "another leader")
+        other_nodes = [node for host, node in cell.node_by_host.items() if host != leader]
+        await wait_until(lambda: any(node.leads for node in other_nodes), "another leader")
         # Longer than a leader waits before it checks that a quorum still follows it.
         await sleep(2.5)
         assert not cell.node_by_host[leader].leads
-        hung.set()
+        disk_released.set()
         assert (await cell.call(DocumentRead())).document.version == 9
         assert cell.starts() == ["f.0.0.0"]
 
-    play(tmp_path, check, run_s=lambda task_id: 60.0)
+    run_check(tmp_path, check, run_s=lambda task_id: 60.0)
 
 
 def test_a_slow_disk_of_the_leader_does_not_slow_commits(tmp_path, monkeypatch):
@@ -389,15 +389,15 @@
 
         def write(journal, effects, persistent_state, *, real=Journal.write):
             if journal.identity.name.startswith(f"{leader}:"):
-                pause(0.3)
+                blocking_sleep(0.3)
             real(journal, effects, persistent_state)
 
         monkeypatch.setattr(Journal, "write", write)
         for version in range(10, 20):
-            began = current_time()
+            started_at = current_time()
             document = QueueDocument(version=version, original=b"{}")
             await cell.call(DocumentPut(document=document))
-            assert current_time() - began < 0.25
+            assert current_time() - started_at < 0.25
         assert cell.node_by_host[leader].leads
 
-    play(tmp_path, check)
+    run_check(tmp_path, check)
--- a/tests/test_flow_report.py
+++ b/tests/test_flow_report.py
@@ -12,33 +12,33 @@
 STEPS = ["2 x 500m 64MB 600ms", "1 x 500m 64MB 400ms after=[0]"]
 
 
-def line(second, event, **fields):
+def log_line(second, event, **fields):
     """Return a log line as a store writes it."""
     stamp = f"2026-01-23T13:39:{second:06.3f}Z"
     return f"{second:9.4f} store-1 " + dumps({"event": event, "timestamp": stamp, **fields})
 
 
-def lines():
+def log_lines():
     """Return the log of a flow whose first step fails once, and of one that never ends."""
     return [
-        line(1.0, "flow accepted", flow="f", queue="q", steps=STEPS),
-        line(1.05, "advice", step="f.0.0"),
-        line(1.1, "start", task="f.0.0.0", run=1),
-        line(1.1, "start", task="f.0.0.1", run=2),
+        log_line(1.0, "flow accepted", flow="f", queue="q", steps=STEPS),
+        log_line(1.05, "advice", step="f.0.0"),
+        log_line(1.1, "start", task="f.0.0.0", run=1),
+        log_line(1.1, "start", task="f.0.0.1", run=2),
         "a line of another program {",
-        line(1.7, "end", task="f.0.0.0", run=1, how="DONE"),
-        line(1.8, "end", task="f.0.0.1", run=2, how="FAILED"),
-        line(1.9, "start", task="f.0.0.1", run=3),
-        line(2.9, "end", task="f.0.0.1", run=3, how="DONE"),
-        line(3.0, "start", task="f.0.1.0", run=4),
-        line(3.3, "end", task="f.0.1.0", run=4, how="DONE"),
-        line(4.0, "flow accepted", flow="g", queue="q", steps=STEPS),
+        log_line(1.7, "end", task="f.0.0.0", run=1, how="DONE"),
+        log_line(1.8, "end", task="f.0.0.1", run=2, how="FAILED"),
+        log_line(1.9, "start", task="f.0.0.1", run=3),
+        log_line(2.9, "end", task="f.0.0.1", run=3, how="DONE"),
+        log_line(3.0, "start", task="f.0.1.0", run=4),
+        log_line(3.3, "end", task="f.0.1.0", run=4, how="DONE"),
+        log_line(4.0, "flow accepted", flow="g", queue="q", steps=STEPS),
     ]
 
 
 def test_the_time_of_a_flow_is_split_along_its_last_tasks():
     """Guards against a report whose parts do not add up to the time that a caller waited."""
-    flows = build_flow_traces(read_events(lines()))
+    flows = build_flow_traces(read_events(log_lines()))
     breakdown = break_down_flow(flows["f"])
     rounded = {part: round(value, 3) for part, value in breakdown.parts.items()}
     assert rounded == {"advice": 0.05, "queue": 0.15, "again": 0.8, "work": 0.9, "slow": 0.4}
@@ -50,7 +50,7 @@
 def test_the_report_names_queues_and_the_slowest_flows(tmp_path, capsys):
     """Guards against a command that shows nothing for logs as the platform keeps them."""
     path = tmp_path / "store.log"
-    path.write_text("\n".join(lines()), encoding="utf-8")
+    path.write_text("\n".join(log_lines()), encoding="utf-8")
     _start(None, [str(path)])
     text = capsys.readouterr().out
     assert text.startswith("2 flows accepted, 1 of them completed")
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -9,10 +9,10 @@
 from siskintally.errors import ConnectionLostError, OutcomeUnknownError, UnreachableError
 from siskintally.http_pool import HttpPool
 
-OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+OK_RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
-class Server:
+class ScriptedServer:
     """Answers each request with the next of some raw responses; None means no answer."""
 
     def __init__(self, *responses):
@@ -37,7 +37,7 @@
                     return
 
 
-def play(server, check):
+def run_check(server, check):
     """Run a check with a pool that calls a server."""
 
     async def main():
@@ -58,26 +58,28 @@
 
 def test_one_connection_carries_many_requests():
     """Guards against a new connection for each call to a worker."""
-    server = Server(OK, OK, OK)
+    server = ScriptedServer(OK_RESPONSE, OK_RESPONSE, OK_RESPONSE)
 
     async def check(pool):
         for _ in range(3):
             assert (await post(pool)).body == b"ok"
 
-    play(server, check)
+    run_check(server, check)
     assert server.connections == 1
 
 
 def test_a_connection_that_the_other_side_closed_is_not_used_again():
     """Guards against an unknown outcome for a call that was sent on a dead connection."""
-    server = Server(OK.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"), OK)
+    server = ScriptedServer(
+        OK_RESPONSE.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"), OK_RESPONSE
+    )
 
     async def check(pool):
         await post(pool)
         await sleep(0.05)
         assert (await post(pool)).status == 200
 
-    play(server, check)
+    run_check(server, check)
     assert server.connections == 2
 
 
@@ -89,14 +91,14 @@
             await post(pool, timeout=0.1)
         assert (await post(pool)).status == 200
 
-    server = Server(None, OK)
-    play(server, check)
+    server = ScriptedServer(None, OK_RESPONSE)
+    run_check(server, check)
     assert server.connections == 2
 
 
 def test_a_silent_connection_takes_the_idle_ones_with_it():
     """Guards against several dead connections that are detected one by one, a timeout each."""
-    server = Server(OK, OK, None, OK)
+    server = ScriptedServer(OK_RESPONSE, OK_RESPONSE, None, OK_RESPONSE)
 
     async def check(pool):
         async with create_task_group() as tasks:
@@ -108,7 +110,7 @@
         assert pool.idle == 0
         assert (await post(pool)).status == 200
 
-    play(server, check)
+    run_check(server, check)
     assert server.connections == 3
 
 
@@ -119,7 +121,7 @@
         with raises(ConnectionLostError):
             await post(pool)
 
-    play(Server(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nclose"), check)
+    run_check(ScriptedServer(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nclose"), check)
 
 
 def test_a_refused_connection_is_provably_not_sent():
@@ -143,6 +145,9 @@
             with raises(OutcomeUnknownError):
                 await post(pool, timeout=0.3)
 
-    play(
-        Server(b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nclose", b"nonsense close\r\n"), check
+    run_check(
+        ScriptedServer(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nclose", b"nonsense close\r\n"
+        ),
+        check,
     )
--- a/tests/test_leader_cache.py
+++ b/tests/test_leader_cache.py
@@ -6,7 +6,7 @@
 from siskintally.leader_cache import LeaderCache
 
 
-def led_cache(now=10.0):
+def make_cache_with_leader(now=10.0):
     cache = LeaderCache(fresh_s=1.5)
     notice = ControlNotice(leads=True, document=QueueDocument(version=4))
     assert cache.take(notice, sender="a:1", now=now)
@@ -15,14 +15,14 @@
 
 def test_an_entry_without_news_does_not_trust_its_configuration():
     """Guards against a 404 for a queue that was added while the entry was cut off."""
-    cache = led_cache()
+    cache = make_cache_with_leader()
     assert cache.is_fresh(11.0)
     assert not cache.is_fresh(11.6)
 
 
 def test_a_follower_names_another_leader_only_when_the_known_one_is_silent():
     """Guards against calls that go to a former leader because a slow follower still names it."""
-    cache = led_cache()
+    cache = make_cache_with_leader()
     cache.take(ControlNotice(leader="b:1"), sender="c:1", now=10.5)
     assert cache.leader(10.5) == "a:1"
     cache.take(ControlNotice(leader="b:1"), sender="c:1", now=12.0)
@@ -31,7 +31,7 @@
 
 def test_a_leader_that_disowns_its_office_is_not_called_again():
     """Guards against further calls to a store that answered that it does not lead."""
-    cache = led_cache()
+    cache = make_cache_with_leader()
     cache.disown("a:1")
     assert cache.leader(10.1) == ""
     assert not cache.is_fresh(10.1)
@@ -41,9 +41,9 @@
 
 def test_an_older_configuration_never_replaces_a_newer_one():
     """Guards against a notice of a former leader that undoes a newer change."""
-    cache = led_cache()
-    old = ControlNotice(leads=True, document=QueueDocument(version=3))
-    assert not cache.take(old, sender="b:1", now=11.0)
+    cache = make_cache_with_leader()
+    older_notice = ControlNotice(leads=True, document=QueueDocument(version=3))
+    assert not cache.take(older_notice, sender="b:1", now=11.0)
     assert cache.document.version == 4
 
 
@@ -52,12 +52,12 @@
 
     Scenario: all stores are unreachable for 4.5 s and callers have four retries.
     """
-    gateway = FlowGateway(cache=led_cache(now=10.0), calls=None, counters=Counters())
-    advised = []
+    gateway = FlowGateway(cache=make_cache_with_leader(now=10.0), calls=None, counters=Counters())
+    advised_delays_s = []
     for now in (10.5, 11.5, 13.2, 20.0):
         monkeypatch.setattr("siskintally.flow_gateway.steady", lambda now=now: now)
-        advised.append(gateway.retry_after_s())
-    assert advised == [1, 1, 3, 4]
+        advised_delays_s.append(gateway.retry_after_s())
+    assert advised_delays_s == [1, 1, 3, 4]
 
 
 def test_a_former_leader_that_still_claims_to_lead_is_not_believed():
@@ -65,7 +65,7 @@
 
     Scenario: the disk of a leader hangs, so it does not notice that another was elected.
     """
-    cache = led_cache(now=10.0)
+    cache = make_cache_with_leader(now=10.0)
     cache.take(ControlNotice(leads=True, term=3), sender="b:1", now=11.0)
     cache.take(ControlNotice(leads=True, term=2), sender="a:1", now=11.2)
     assert cache.leader(11.2) == "b:1"
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -79,7 +79,7 @@
 
 
 @mark.parametrize(
-    "bad",
+    "bad_fields",
     [
         {"count": -1},
         {"count": "2"},
@@ -91,10 +91,10 @@
         {"image": "\ud800"},
     ],
 )
-def test_a_step_with_a_bad_field_is_refused(bad):
+def test_a_step_with_a_bad_field_is_refused(bad_fields):
     """Guards against a job that is stored and can never run as its sender meant."""
     with raises(BadRequestError):
-        read_flow("5c0e", "q", flow_body(**bad))
+        read_flow("5c0e", "q", flow_body(**bad_fields))
 
 
 def test_a_configuration_arrives_whole_and_is_kept_as_it_was_sent():
@@ -109,7 +109,7 @@
 
 
 @mark.parametrize(
-    "bad",
+    "bad_fields",
     [
         {"routes": [{**ROUTE, "service": "unknown"}]},
         {"routes": [{**ROUTE, "timeoutMs": 0}]},
@@ -120,10 +120,10 @@
         {"services": "s"},
     ],
 )
-def test_an_invalid_configuration_is_refused_as_a_whole(bad):
+def test_an_invalid_configuration_is_refused_as_a_whole(bad_fields):
     """Guards against an acknowledged configuration that cannot be applied."""
     with raises(BadRequestError):
-        check_document(read_document(dumps({**DOCUMENT, **bad}).encode()))
+        check_document(read_document(dumps({**DOCUMENT, **bad_fields}).encode()))
 
 
 @mark.parametrize("length", [0, 1, 20, 60])
@@ -141,7 +141,7 @@
 
 
 @mark.parametrize(
-    "bad",
+    "bad_fields",
     [
         {"state": "asleep"},
         {"state": 5},
@@ -153,10 +153,10 @@
         {"seq": "many"},
     ],
 )
-def test_an_announcement_that_names_no_worker_is_refused(bad):
+def test_an_announcement_that_names_no_worker_is_refused(bad_fields):
     """Guards against malformed announcements that are stored as workers."""
     with raises(BadRequestError):
-        read_worker("i-1", dumps({**WORKER, **bad}).encode())
+        read_worker("i-1", dumps({**WORKER, **bad_fields}).encode())
 
 
 def test_a_report_lists_runs_and_ends():
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -35,7 +35,7 @@
     "siskintally.node_settings",
     "siskintally.queue_checks",
 }
-DECIDING = {"time", "random", "anyio.sleep", "siskintally.clock"}
+DECIDING_MODULES = {"time", "random", "anyio.sleep", "siskintally.clock"}
 # Status codes and limits that the platform's documentation states.
 PLATFORM_NUMBERS = {
     "BUSY",
@@ -52,18 +52,18 @@
     "UNAVAILABLE",
 }
 # Calls that choose among values; a translation passes each value on unchanged.
-CHOOSING = {"min", "max", "sorted"}
+CHOOSING_CALLS = {"min", "max", "sorted"}
 MAX_LINES = 900
 
 
-def modules(folder):
+def parsed_modules(folder):
     """Yield (path, syntax tree) of the modules of a folder that are not generated."""
     for path in sorted(folder.glob("*.py")):
         if not path.stem.endswith(("_pb2", "_grpc")):
             yield path, ast.parse(path.read_text(encoding="utf-8"))
 
 
-def strings(tree):
+def string_literals(tree):
     """Yield the string literals of a module that are no docstrings."""
     docstrings = {
         id(node.body[0].value)
@@ -78,7 +78,7 @@
             yield node.value
 
 
-def imports(tree):
+def imported_modules(tree):
     """Yield the names of imported modules."""
     for node in ast.walk(tree):
         if isinstance(node, ast.Import):
@@ -92,44 +92,44 @@
     return isinstance(node, ast.Call) and isinstance(node.func, ast.Name)
 
 
-def wire_names():
+def platform_names():
     """Return the platform's field names, as the folder has them in string literals."""
     return {
         text
-        for _, tree in modules(FOLDER)
-        for text in strings(tree)
+        for _, tree in parsed_modules(FOLDER)
+        for text in string_literals(tree)
         if CAMEL_CASE.fullmatch(text) or HEADER.fullmatch(text)
     }
 
 
 def test_no_name_of_the_platform_stands_outside_its_folder():
     """Guards against the platform's names that spread through the product."""
-    names = wire_names()
+    names = platform_names()
     assert len(names) > 20
-    found = {
+    misplaced = {
         (path.name, text)
-        for path, tree in modules(ROOT)
-        for text in strings(tree)
+        for path, tree in parsed_modules(ROOT)
+        for text in string_literals(tree)
         if text in names or (HEADER.fullmatch(text) and text not in OWN_HEADERS)
     }
-    assert found == set()
+    assert misplaced == set()
 
 
 def test_no_module_of_the_product_imports_the_folder():
     """Guards against modules of the product that depend on one platform."""
-    users = {
+    importing_modules = {
         path.name
-        for path, tree in modules(ROOT)
-        if any(name and name.startswith("siskintally.platform") for name in imports(tree))
+        for path, tree in parsed_modules(ROOT)
+        if any(name and name.startswith("siskintally.platform") for name in imported_modules(tree))
     }
-    assert users == set()
+    assert importing_modules == set()
 
 
 def test_the_numbers_of_the_folder_are_the_platforms():
     """Guards against timeouts and limits that the adapter sets, which the product should set."""
-    found = {
+    constants = {
         node.targets[0].id
-        for _, tree in modules(FOLDER)
+        for _, tree in parsed_modules(FOLDER)
         for node in tree.body
         if isinstance(node, ast.Assign)
         and any(
@@ -137,7 +137,7 @@
             for part in ast.walk(node.value)
         )
     }
-    assert found <= PLATFORM_NUMBERS, found - PLATFORM_NUMBERS
+    assert constants <= PLATFORM_NUMBERS, constants - PLATFORM_NUMBERS
 
 
 def test_the_folder_translates_and_decides_nothing():
@@ -146,13 +146,15 @@
     A translation does not wait, read a clock or draw random numbers, has no loop that repeats a
     call, and imports no module that makes decisions.
     """
-    for path, tree in modules(FOLDER):
+    for path, tree in parsed_modules(FOLDER):
         assert not any(isinstance(node, ast.While) for node in ast.walk(tree)), path.name
-        for name in imports(tree):
-            is_own = name.startswith("siskintally.") and not name.startswith("siskintally.platform")
-            assert not is_own or name in ALLOWED_IMPORTS, (path.name, name)
-            assert name not in DECIDING, (path.name, name)
+        for name in imported_modules(tree):
+            is_product_module = name.startswith("siskintally.") and not name.startswith(
+                "siskintally.platform"
+            )
+            assert not is_product_module or name in ALLOWED_IMPORTS, (path.name, name)
+            assert name not in DECIDING_MODULES, (path.name, name)
         called = {node.func.id for node in ast.walk(tree) if is_plain_call(node)}
-        assert not called & CHOOSING, (path.name, called & CHOOSING)
-    lines = sum(len(path.read_text().splitlines()) for path, _ in modules(FOLDER))
+        assert not called & CHOOSING_CALLS, (path.name, called & CHOOSING_CALLS)
+    lines = sum(len(path.read_text().splitlines()) for path, _ in parsed_modules(FOLDER))
     assert lines <= MAX_LINES
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -44,14 +44,16 @@
     def start(self):
         """Start all processes."""
         for host in HOSTS:
-            own = f'control = "{host}:{self.control}"\ndata = "{self.processes.folder}/{host}"\n'
-            self._start(host, "platform-store", own)
-        own = f'callers = "{ENTRY}:{self.callers}"\nready = "{ENTRY}:{self.ready}"\n'
-        self._start(ENTRY, "platform-entry", own)
-
-    def _start(self, host, command, own):
+            own_settings = (
+                f'control = "{host}:{self.control}"\ndata = "{self.processes.folder}/{host}"\n'
+            )
+            self._start(host, "platform-store", own_settings)
+        own_settings = f'callers = "{ENTRY}:{self.callers}"\nready = "{ENTRY}:{self.ready}"\n'
+        self._start(ENTRY, "platform-entry", own_settings)
+
+    def _start(self, host, command, own_settings):
         path = self.processes.folder / f"{host}.toml"
-        path.write_text(f'name = "{host}"\nip = "{host}"\n{self.common}{own}')
+        path.write_text(f'name = "{host}"\nip = "{host}"\n{self.common}{own_settings}')
         self.processes.start(host, command, f"--settings={path}")
 
     async def ask(self, method, url, **arguments):
@@ -89,16 +91,16 @@
             worker = StubPool(clock=steady).add("i-1", cpu_milli=4000, memory_mb=4000)
             app = PlatformWorkerApp(worker=worker)
             address = f"127.0.0.1:{cell.worker_port}"
-            until = Event()
+            stop_event = Event()
             async with create_task_group() as tasks, AsyncClient() as cell.client:
                 tasks.start_soon(
-                    partial(serve_http, app, address=address, stop_event=until, graceful_s=0.1)
+                    partial(serve_http, app, address=address, stop_event=stop_event, graceful_s=0.1)
                 )
                 await cell.control_call("POST", "/config/replace", json=CONFIG)
-                beat = app.announcement(address)
-                await cell.control_call("POST", "/instances/i-1/heartbeat", json=beat)
+                announcement = app.announcement(address)
+                await cell.control_call("POST", "/instances/i-1/heartbeat", json=announcement)
                 await check(cell, worker)
-                until.set()
+                stop_event.set()
 
     run(main)
 
@@ -134,8 +136,8 @@
     async def check(cell, worker):
         for host in HOSTS[:1]:
             assert await cell.processes.finish(host) == 0
-        found = await cell.control_call("GET", "/config/get")
-        assert found.json()["version"] == 7
+        answer = await cell.control_call("GET", "/config/get")
+        assert answer.json()["version"] == 7
         assert await cell.processes.finish(ENTRY) == 0
 
     play(tmp_path, check)
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -20,13 +20,13 @@
 
     def __init__(self, *outcomes):
         self.outcomes = list(outcomes)
-        self.lease_by_look = []
-        self.wait_by_look = []
+        self.lease_by_poll = []
+        self.wait_by_poll = []
 
     async def hold(self, worker, *, fence, lease_until_ms, noted, wait_ms, timeout):
         """Answer a status poll."""
-        self.lease_by_look.append(lease_until_ms)
-        self.wait_by_look.append(wait_ms)
+        self.lease_by_poll.append(lease_until_ms)
+        self.wait_by_poll.append(wait_ms)
         outcome = self.outcomes.pop(0)
         if isinstance(outcome, Exception):
             raise outcome
@@ -69,10 +69,10 @@
 
 
 @fixture
-def keep():
+def run_manager():
     """Return a function that runs a manager on outcomes of polls and returns (leader, driver)."""
 
-    def play(*outcomes):
+    def run_outcomes(*outcomes):
         driver = ScriptedWorker(*outcomes)
         leader = LeaderOfOneWorker(driver)
         worker = FleetWorker(record=PoolWorker(id="w", cpu_milli=1000, memory_mb=10))
@@ -86,31 +86,31 @@
         run(main)
         return leader, driver
 
-    return play
+    return run_outcomes
 
 
-def test_one_lost_connection_does_not_make_a_worker_suspect(keep):
+def test_one_lost_connection_does_not_make_a_worker_suspect(run_manager):
     """Guards against a healthy worker that gets no new tasks because of one reset connection."""
-    leader, driver = keep(REPORT, ConnectionLostError("reset"), REPORT)
+    leader, driver = run_manager(REPORT, ConnectionLostError("reset"), REPORT)
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.READY]
-    assert driver.lease_by_look[1] is not None
-    assert driver.lease_by_look[2] is None, "a poll after a failed one must not extend the lease"
+    assert driver.lease_by_poll[1] is not None
+    assert driver.lease_by_poll[2] is None, "a poll after a failed one must not extend the lease"
 
 
-def test_connections_lost_one_after_the_other_make_a_worker_suspect(keep):
+def test_connections_lost_one_after_the_other_make_a_worker_suspect(run_manager):
     """Guards against further starts to a worker that resets every connection."""
     lost = ConnectionLostError("reset")
-    leader, _ = keep(REPORT, lost, lost, REPORT)
+    leader, _ = run_manager(REPORT, lost, lost, REPORT)
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
-def test_a_worker_that_keeps_silent_is_suspect_at_once(keep):
+def test_a_worker_that_keeps_silent_is_suspect_at_once(run_manager):
     """Guards against starts that wait for a worker whose status poll timed out."""
-    leader, _ = keep(REPORT, OutcomeUnknownError("timeout"), REPORT)
+    leader, _ = run_manager(REPORT, OutcomeUnknownError("timeout"), REPORT)
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
-def test_looks_wait_less_after_a_call_without_an_answer(keep):
+def test_looks_wait_less_after_a_call_without_an_answer(run_manager):
     """Guards against ends that the leader learns of seconds late after each lost answer."""
-    _, driver = keep(REPORT, REPORT, OutcomeUnknownError("timeout"), REPORT, REPORT)
-    assert driver.wait_by_look == [0, 1200, 1200, 0, 300]
+    _, driver = run_manager(REPORT, REPORT, OutcomeUnknownError("timeout"), REPORT, REPORT)
+    assert driver.wait_by_poll == [0, 1200, 1200, 0, 300]
