--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -16,18 +16,18 @@
 TOTAL = 8
 
 
-def request(rank=NORMAL, *, caller="c", deadline=100.0, at=0.0):
+def make_request(rank=NORMAL, *, caller="c", deadline=100.0, at=0.0):
     return QueuedRequest(
         rank=rank, caller=caller, deadline=deadline, queued_at=at, notify=lambda: None
     )
 
 
-def admission(**limits):
+def make_queue(**limits):
     return Admission(limits=EntryLimits(**limits))
 
 
-def offer(queue, one, *, now=0.0, free=0):
-    return queue.offer(one, now=now, free=free, total=TOTAL)
+def offer(queue, request, *, now=0.0, free=0):
+    return queue.offer(request, now=now, free=free, total=TOTAL)
 
 
 def drain(queue, *, free=TOTAL, now=0.0):
@@ -37,21 +37,21 @@
 
 
 def test_urgent_comes_first_and_within_a_class_the_earliest_deadline():
-    queue = admission()
+    queue = make_queue()
     for rank, deadline in ((NORMAL, 5), (DEFERRABLE, 1), (NORMAL, 4), (URGENT, 9), (URGENT, 8)):
-        offer(queue, request(rank, deadline=deadline))
-    order = [(one.rank, one.deadline) for one in drain(queue)]
+        offer(queue, make_request(rank, deadline=deadline))
+    order = [(request.rank, request.deadline) for request in drain(queue)]
     assert order == [(0, 8), (0, 9), (1, 4), (1, 5), (2, 1)]
 
 
 def test_reserved_slots_go_to_urgent_requests_only():
     """Guards against an urgent request that waits behind a deferrable one in the last slot."""
-    queue = admission()
+    queue = make_queue()
     for rank in (NORMAL, DEFERRABLE):
-        offer(queue, request(rank))
+        offer(queue, make_request(rank))
     assert urgent_reserve(TOTAL) == 1
     assert queue.pop_next(now=0.0, free=1, total=TOTAL, non_urgent_in_flight=TOTAL - 1) is None
-    offer(queue, request(URGENT))
+    offer(queue, make_request(URGENT))
     assert (
         queue.pop_next(now=0.0, free=1, total=TOTAL, non_urgent_in_flight=TOTAL - 1).rank == URGENT
     )
@@ -62,8 +62,8 @@
 
     Urgent requests in flight already use the slots that are reserved for them.
     """
-    queue = admission()
-    offer(queue, request(NORMAL))
+    queue = make_queue()
+    offer(queue, make_request(NORMAL))
     assert (
         queue.pop_next(now=0.0, free=1, total=TOTAL, non_urgent_in_flight=TOTAL - 2).rank == NORMAL
     )
@@ -72,10 +72,10 @@
 @pytest.mark.parametrize("share", [0.1, 0.25])
 def test_waiting_deferrable_requests_get_their_share_of_dispatches(share):
     """Guards against starvation of deferrable requests by a stream of urgent ones."""
-    queue = admission(deferrable_share=share, queue_limit_urgent=999, queue_limit_deferrable=999)
+    queue = make_queue(deferrable_share=share, queue_limit_urgent=999, queue_limit_deferrable=999)
     for _ in range(300):
-        offer(queue, request(URGENT))
-        offer(queue, request(DEFERRABLE))
+        offer(queue, make_request(URGENT))
+        offer(queue, make_request(DEFERRABLE))
     ranks = [
         queue.pop_next(now=0.0, free=2, total=TOTAL, non_urgent_in_flight=0).rank
         for _ in range(200)
@@ -84,12 +84,12 @@
 
 
 def test_deferrable_request_counts_as_normal_near_its_deadline():
-    queue = admission()
-    late = request(DEFERRABLE, deadline=10.0)
-    offer(queue, late)
+    queue = make_queue()
+    near_deadline = make_request(DEFERRABLE, deadline=10.0)
+    offer(queue, near_deadline)
     for _ in range(3):
-        offer(queue, request(NORMAL, caller="d", deadline=50.0), now=8.5)
-    assert queue.pop_next(now=8.5, free=TOTAL, total=TOTAL, non_urgent_in_flight=0) is late
+        offer(queue, make_request(NORMAL, caller="d", deadline=50.0), now=8.5)
+    assert queue.pop_next(now=8.5, free=TOTAL, total=TOTAL, non_urgent_in_flight=0) is near_deadline
 
 
 def test_promoted_request_is_taken_once_and_from_its_new_class():
@@ -98,62 +98,62 @@
     The new queue then counted one request too many and failed at its next turn, after an endpoint
     had answered.
     """
-    queue = admission(deferrable_share=0.5, queue_limit_normal=20)
-    normal = [request(NORMAL, deadline=40.0) for _ in range(10)]
-    first = request(DEFERRABLE, deadline=50.0, at=29.0)
-    promoted = request(DEFERRABLE, deadline=55.0, at=-100.0)
-    last = request(DEFERRABLE, deadline=60.0, at=29.0)
+    queue = make_queue(deferrable_share=0.5, queue_limit_normal=20)
+    normal = [make_request(NORMAL, deadline=40.0) for _ in range(10)]
+    first = make_request(DEFERRABLE, deadline=50.0, at=29.0)
+    promoted = make_request(DEFERRABLE, deadline=55.0, at=-100.0)
+    last = make_request(DEFERRABLE, deadline=60.0, at=29.0)
     requests = [*normal, first, promoted, last]
-    for one in requests:
-        offer(queue, one)
+    for request in requests:
+        offer(queue, request)
     taken = drain(queue, now=30.0)
     assert promoted.rank == NORMAL
-    assert len(taken) == len({id(one) for one in taken}) == len(requests)
+    assert len(taken) == len({id(request) for request in taken}) == len(requests)
     assert taken.index(last) < taken.index(promoted)
     assert len(queue) == 0
 
 
 def test_request_that_cannot_meet_its_deadline_is_refused_at_once():
-    queue = admission()
+    queue = make_queue()
     queue.record_service_time(1.0, now=0.0)
     for number in range(14):
-        offer(queue, request(deadline=100.0, caller=f"c{number}"))
+        offer(queue, make_request(deadline=100.0, caller=f"c{number}"))
     # 14 requests wait for 7 slots: 2 s in the queue, doubled by the margin, and 1 s of service.
     with pytest.raises(OverloadedError):
-        offer(queue, request(deadline=4.9, caller="new"))
-    offer(queue, request(deadline=5.1, caller="new"))
-    offer(queue, request(URGENT, deadline=1.1))
+        offer(queue, make_request(deadline=4.9, caller="new"))
+    offer(queue, make_request(deadline=5.1, caller="new"))
+    offer(queue, make_request(URGENT, deadline=1.1))
 
 
 def test_deferrable_request_counts_on_its_share_only():
     """Guards against deferrable requests accepted for slots that later normal ones will take."""
-    queue = admission(deferrable_share=0.1)
+    queue = make_queue(deferrable_share=0.1)
     queue.record_service_time(0.1, now=0.0)
     for number in range(80):
-        offer(queue, request(NORMAL, caller=f"c{number}"), now=number / 80)
-    offer(queue, request(DEFERRABLE, deadline=1.2), now=1.0)
+        offer(queue, make_request(NORMAL, caller=f"c{number}"), now=number / 80)
+    offer(queue, make_request(DEFERRABLE, deadline=1.2), now=1.0)
     # The share is 8 of 80 requests a second: the second request waits 1/8 s, 1/4 s with the margin.
     bound_s = queue.service_bound_s(1.0)
     with pytest.raises(OverloadedError):
-        offer(queue, request(DEFERRABLE, deadline=1.24 + bound_s), now=1.0)
-    offer(queue, request(DEFERRABLE, deadline=1.26 + bound_s), now=1.0)
+        offer(queue, make_request(DEFERRABLE, deadline=1.24 + bound_s), now=1.0)
+    offer(queue, make_request(DEFERRABLE, deadline=1.26 + bound_s), now=1.0)
 
 
 def test_waiting_request_is_kept_while_its_deadline_can_be_met():
     """Guards against a request that is refused only when its deadline passes."""
-    queue = admission()
+    queue = make_queue()
     queue.record_service_time(1.0, now=0.0)
     for number in range(14):
-        offer(queue, request(deadline=100.0, caller=f"c{number}"))
-    one = request(deadline=6.0, caller="new")
-    offer(queue, one)
-    assert queue.can_meet_deadline(one, now=2.0, total=TOTAL)
+        offer(queue, make_request(deadline=100.0, caller=f"c{number}"))
+    request = make_request(deadline=6.0, caller="new")
+    offer(queue, request)
+    assert queue.can_meet_deadline(request, now=2.0, total=TOTAL)
     # Half of the slots are gone; 3 of the others serve normal requests.
-    assert not queue.can_meet_deadline(one, now=2.0, total=TOTAL // 2)
-    assert next_deadline_check(one, 0.0) <= 0.25 * one.deadline
+    assert not queue.can_meet_deadline(request, now=2.0, total=TOTAL // 2)
+    assert next_deadline_check(request, 0.0) <= 0.25 * request.deadline
 
 
-class Overload:
+class OverloadSimulation:
     """Simulation of requests at twice the capacity, in virtual time."""
 
     SERVICE_S = 0.1
@@ -161,76 +161,83 @@
 
     def __init__(self, *, seed):
         self.random = Random(seed)
-        self.queue = admission()
-        self.events, self.numbers = [], count()
+        self.queue = make_queue()
+        self.events, self.sequence = [], count()
         self.sent_by_rank = Counter()
-        self.told, self.finished = [], []
+        # Delay of each refusal as a share of the time from the request to its deadline.
+        self.refusal_delays, self.finished = [], []
 
     def run(self, seconds):
         """Offer requests for ``seconds``, and serve until none waits."""
         at = 0.0
         while at < seconds:
             at += self.random.expovariate(2 * TOTAL / self.SERVICE_S)
-            self._plan(at, self._arrive)
+            self._schedule(at, self._arrive)
         while self.events:
-            now, _, act, arguments = heappop(self.events)
-            act(now, *arguments)
+            now, _, action, arguments = heappop(self.events)
+            action(now, *arguments)
 
-    def _plan(self, at, act, *arguments):
-        heappush(self.events, (at, next(self.numbers), act, arguments))
+    def _schedule(self, at, action, *arguments):
+        heappush(self.events, (at, next(self.sequence), action, arguments))
 
     def _arrive(self, now):
         rank = self.random.choices((URGENT, NORMAL, DEFERRABLE), (1, 2, 1))[0]
-        one = request(rank, deadline=now + self.DEADLINE_S[rank], at=now)
+        request = make_request(rank, deadline=now + self.DEADLINE_S[rank], at=now)
         try:
-            offer(self.queue, one, now=now, free=TOTAL - self.sent_by_rank.total())
+            offer(self.queue, request, now=now, free=TOTAL - self.sent_by_rank.total())
         except OverloadedError:
-            self._tell(now, one)
+            self._record_refusal(now, request)
             return
-        self._plan(next_deadline_check(one, now), self._review, one)
-        self._pump(now)
-
-    def _review(self, now, one):
-        if one.state is RequestState.WAITING:
-            if now >= one.deadline or not self.queue.can_meet_deadline(one, now=now, total=TOTAL):
-                self.queue.withdraw(one)
-                self._tell(now, one)
+        self._schedule(next_deadline_check(request, now), self._check_deadline, request)
+        self._dispatch(now)
+
+    def _check_deadline(self, now, request):
+        if request.state is RequestState.WAITING:
+            if now >= request.deadline or not self.queue.can_meet_deadline(
+                request, now=now, total=TOTAL
+            ):
+                self.queue.withdraw(request)
+                self._record_refusal(now, request)
             else:
-                self._plan(next_deadline_check(one, now + 1e-6), self._review, one)
+                self._schedule(
+                    next_deadline_check(request, now + 1e-6), self._check_deadline, request
+                )
 
-    def _pump(self, now):
+    def _dispatch(self, now):
         sent = self.sent_by_rank.total()
         non_urgent_in_flight = sent - self.sent_by_rank[URGENT]
-        one = self.queue.pop_next(
+        request = self.queue.pop_next(
             now=now, free=TOTAL - sent, total=TOTAL, non_urgent_in_flight=non_urgent_in_flight
         )
         for expired in self.queue.pop_expired():
-            self._tell(now, expired)
-        if one is not None:
-            self.sent_by_rank[one.rank] += 1
+            self._record_refusal(now, expired)
+        if request is not None:
+            self.sent_by_rank[request.rank] += 1
             service_s = self.SERVICE_S * self.random.uniform(0.5, 1.5)
-            self._plan(now + service_s, self._finish, one, service_s)
-            self._pump(now)
+            self._schedule(now + service_s, self._finish, request, service_s)
+            self._dispatch(now)
 
-    def _finish(self, now, one, service_s):
-        self.sent_by_rank[one.rank] -= 1
+    def _finish(self, now, request, service_s):
+        self.sent_by_rank[request.rank] -= 1
         self.queue.record_service_time(service_s, now=now)
-        self.finished.append((now, one))
-        self._pump(now)
+        self.finished.append((now, request))
+        self._dispatch(now)
 
-    def _tell(self, now, one):
-        self.told.append((now - one.queued_at) / (one.deadline - one.queued_at))
+    def _record_refusal(self, now, request):
+        self.refusal_delays.append(
+            (now - request.queued_at) / (request.deadline - request.queued_at)
+        )
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_excess_at_twice_the_capacity_is_told_within_a_quarter_of_the_deadline(seed):
     """Guards against requests that are queued and refused as "not run" much later."""
-    load = Overload(seed=seed)
-    load.run(60.0)
-    assert sorted(load.told)[int(0.99 * len(load.told))] <= 0.25
-    assert all(now <= one.deadline for now, one in load.finished)
+    simulation = OverloadSimulation(seed=seed)
+    simulation.run(60.0)
+    assert sorted(simulation.refusal_delays)[int(0.99 * len(simulation.refusal_delays))] <= 0.25
+    assert all(now <= request.deadline for now, request in simulation.finished)
     # Refusals must not leave slots idle.
-    assert len(load.finished) >= 0.95 * 60.0 * TOTAL / Overload.SERVICE_S
+    assert len(simulation.finished) >= 0.95 * 60.0 * TOTAL / OverloadSimulation.SERVICE_S
 
 
 def test_one_slow_measurement_does_not_close_a_service():
@@ -238,55 +245,55 @@
 
     Without an accepted request, there would never be a newer measurement.
     """
-    queue = admission()
+    queue = make_queue()
     queue.record_service_time(60.0, now=0.0)
-    offer(queue, request(deadline=2.0), free=TOTAL)
+    offer(queue, make_request(deadline=2.0), free=TOTAL)
     assert drain(queue)
-    offer(queue, request(deadline=100.0), now=20.0)
-    offer(queue, request(deadline=22.0), now=20.0)
+    offer(queue, make_request(deadline=100.0), now=20.0)
+    offer(queue, make_request(deadline=22.0), now=20.0)
     assert len(drain(queue, now=20.0)) == 2
 
 
 def test_expired_requests_are_told_and_take_no_slot():
-    queue = admission()
-    gone, kept = request(deadline=5.0), request(deadline=50.0)
-    offer(queue, gone)
-    offer(queue, kept)
-    assert queue.pop_next(now=6.0, free=2, total=TOTAL, non_urgent_in_flight=0) is kept
-    assert queue.pop_expired() == [gone]
-    assert gone.state is RequestState.GONE
+    queue = make_queue()
+    expired, waiting = make_request(deadline=5.0), make_request(deadline=50.0)
+    offer(queue, expired)
+    offer(queue, waiting)
+    assert queue.pop_next(now=6.0, free=2, total=TOTAL, non_urgent_in_flight=0) is waiting
+    assert queue.pop_expired() == [expired]
+    assert expired.state is RequestState.GONE
 
 
 def test_full_queue_takes_the_place_from_the_largest_caller():
     """Guards against one caller that fills the queue, so that all others are refused."""
-    queue = admission(queue_limit_normal=10)
-    flood = [request(caller="flood", deadline=100.0 + number) for number in range(10)]
-    for one in flood:
-        offer(queue, one)
+    queue = make_queue(queue_limit_normal=10)
+    flood_requests = [make_request(caller="flood", deadline=100.0 + number) for number in range(10)]
+    for request in flood_requests:
+        offer(queue, request)
     with pytest.raises(OverloadedError):
-        offer(queue, request(caller="flood"))
-    assert offer(queue, request(caller="small")) is flood[-1]
-    callers = [one.caller for one in drain(queue)]
+        offer(queue, make_request(caller="flood"))
+    assert offer(queue, make_request(caller="small")) is flood_requests[-1]
+    callers = [request.caller for request in drain(queue)]
     assert callers[:2].count("small") == 1
     assert len(callers) == 10
 
 
 def test_queue_limit_of_zero_still_lets_free_slots_be_used():
-    queue = admission(queue_limit_normal=0)
-    offer(queue, request(), free=TOTAL)
+    queue = make_queue(queue_limit_normal=0)
+    offer(queue, make_request(), free=TOTAL)
     assert len(drain(queue)) == 1
     with pytest.raises(OverloadedError):
-        offer(queue, request(), free=0)
+        offer(queue, make_request(), free=0)
 
 
 def test_caller_that_comes_back_gets_no_more_turns_than_others():
     queue = FairQueue()
     for _ in range(20):
-        queue.push(request(caller="steady"))
+        queue.push(make_request(caller="steady"))
     served = []
     for _ in range(20):
         if not queue.count_waiting("returning"):
-            queue.push(request(caller="returning"))
+            queue.push(make_request(caller="returning"))
         served.append(queue.pop().caller)
     assert served.count("steady") == 10
 
@@ -304,26 +311,26 @@
 )
 def test_every_request_ends_exactly_one_way(steps):
     """Guards against requests that are lost in a queue or leave it twice."""
-    queue = admission(queue_limit_urgent=3, queue_limit_normal=3, queue_limit_deferrable=3)
+    queue = make_queue(queue_limit_urgent=3, queue_limit_normal=3, queue_limit_deferrable=3)
     waiting, ended, now = [], [], 0.0
     for kind, rank, caller, number in steps:
         now += number / 10
         if kind == "offer":
-            one = request(rank, caller=caller, deadline=now + number, at=now)
+            request = make_request(rank, caller=caller, deadline=now + number, at=now)
             try:
-                victim = offer(queue, one, now=now)
+                dropped = offer(queue, request, now=now)
             except OverloadedError:
                 continue
-            waiting.append(one)
-            ended += [victim] if victim else []
+            waiting.append(request)
+            ended += [dropped] if dropped else []
         elif kind == "take":
             taken = queue.pop_next(now=now, free=2, total=TOTAL, non_urgent_in_flight=0)
             ended += [taken] if taken else []
             ended += queue.pop_expired()
         elif waiting:
-            one = waiting[int(number) % len(waiting)]
-            ended += [one] if one.state is RequestState.WAITING else []
-            queue.withdraw(one)
-        assert len({id(one) for one in ended}) == len(ended)
+            request = waiting[int(number) % len(waiting)]
+            ended += [request] if request.state is RequestState.WAITING else []
+            queue.withdraw(request)
+        assert len({id(request) for request in ended}) == len(ended)
         assert len(waiting) == len(ended) + len(queue)
         assert all(len(queue._queues[rank]) <= 3 for rank in (URGENT, DEFERRABLE))
--- a/tests/test_announcement_model.py
+++ b/tests/test_announcement_model.py
@@ -24,20 +24,20 @@
 OFFSETS = {"e1": 1000.0, "e2": 70_000.0, "p1": 300.0}
 
 
-class Announcements:
+class AnnouncementModel:
     """Model of two entries and an endpoint in one domain."""
 
     def __init__(self):
         self.time = 1.0
         self.tables = {name: AnnouncementTable(domain="d") for name in ENTRIES}
-        self.runs = dict.fromkeys(ENTRIES, 0)
+        self.run_by_entry = dict.fromkeys(ENTRIES, 0)
         self.incarnation = dict.fromkeys(ENDPOINTS, 1)
         self.seq = dict.fromkeys(ENDPOINTS, 0)
         self.leaving = dict.fromkeys(ENDPOINTS, False)
         self.served_at = {}
-        self.clock_given = {}
-        self.posts = []
-        self.exchanges = []
+        self.echo_clocks_by_route = {}
+        self.posts_in_flight = []
+        self.exchanges_in_flight = []
         self.known_to_leave = set()
         self.gossip()
 
@@ -66,60 +66,62 @@
             "seq": self.seq[endpoint],
             "state": "leaving" if leaving else "serving",
         }
-        given = self.clock_given.get((endpoint, entry, self.runs[entry]))
-        if given is None:
+        echo_clocks = self.echo_clocks_by_route.get((endpoint, entry, self.run_by_entry[entry]))
+        if echo_clocks is None:
             self.receive_post(endpoint, entry, fields)
         else:
-            held_s = self.clock(endpoint) - given[1]
-            fields |= {"echo": given[0], "held_s": held_s}
-            self.posts.append((endpoint, entry, self.runs[entry], fields))
+            held_s = self.clock(endpoint) - echo_clocks[1]
+            fields |= {"echo": echo_clocks[0], "held_s": held_s}
+            self.posts_in_flight.append((endpoint, entry, self.run_by_entry[entry], fields))
 
     def receive_post(self, endpoint, entry, fields):
         """Handle an announcement as the gateway does."""
         now = self.clock(entry)
         age_s = parse_age(fields, now=now)
-        heard = parse_announcement(fields)
-        self.tables[entry].record(heard, age_s=age_s or 0.0, now=now)
-        key = (endpoint, entry, self.runs[entry])
-        self.clock_given[key] = (now, self.clock(endpoint))
-
-    def deliver_post(self, number, again):
-        """Deliver one of the announcements in flight; with ``again``, keep it for another time."""
-        if self.posts:
-            post = self.posts[number % len(self.posts)]
-            if not again:
-                self.posts.remove(post)
+        announcement = parse_announcement(fields)
+        self.tables[entry].record(announcement, age_s=age_s or 0.0, now=now)
+        key = (endpoint, entry, self.run_by_entry[entry])
+        self.echo_clocks_by_route[key] = (now, self.clock(endpoint))
+
+    def deliver_post(self, number, duplicate):
+        """Deliver one of the announcements in flight; with ``duplicate``, keep a copy of it."""
+        if self.posts_in_flight:
+            post = self.posts_in_flight[number % len(self.posts_in_flight)]
+            if not duplicate:
+                self.posts_in_flight.remove(post)
             endpoint, entry, run, fields = post
-            if run == self.runs[entry]:
+            if run == self.run_by_entry[entry]:
                 self.receive_post(endpoint, entry, fields)
 
-    def exchange(self, source, sink):
+    def exchange(self, source, target):
         """Send an exchange message."""
-        if source != sink:
-            peer = f"{sink}/{self.runs[sink]}"
+        if source != target:
+            peer = f"{target}/{self.run_by_entry[target]}"
             message = self.tables[source].build_exchange(
                 peer=peer, domain="d", now=self.clock(source)
             )
-            self.exchanges.append((source, self.runs[source], sink, self.runs[sink], message))
+            self.exchanges_in_flight.append(
+                (source, self.run_by_entry[source], target, self.run_by_entry[target], message)
+            )
 
-    def deliver_exchange(self, number, again):
+    def deliver_exchange(self, number, duplicate):
         """Deliver one of the exchange messages in flight, as :meth:`deliver_post` does."""
-        if self.exchanges:
-            item = self.exchanges[number % len(self.exchanges)]
-            if not again:
-                self.exchanges.remove(item)
+        if self.exchanges_in_flight:
+            item = self.exchanges_in_flight[number % len(self.exchanges_in_flight)]
+            if not duplicate:
+                self.exchanges_in_flight.remove(item)
             source, run, target, target_run, message = item
-            if target_run == self.runs[target]:
+            if target_run == self.run_by_entry[target]:
                 table = self.tables[target]
                 table.merge_exchange(message, peer=f"{source}/{run}", now=self.clock(target))
 
     def gossip(self):
         """Exchange messages both ways without delay, so that both entries have a recent echo."""
-        for source, sink in (ENTRIES, ENTRIES[::-1]):
-            self.exchange(source, sink)
-            *_, message = self.exchanges.pop()
-            peer = f"{source}/{self.runs[source]}"
-            self.tables[sink].merge_exchange(message, peer=peer, now=self.clock(sink))
+        for source, target in (ENTRIES, ENTRIES[::-1]):
+            self.exchange(source, target)
+            *_, message = self.exchanges_in_flight.pop()
+            peer = f"{source}/{self.run_by_entry[source]}"
+            self.tables[target].merge_exchange(message, peer=peer, now=self.clock(target))
 
     def leave(self, endpoint):
         """Let an endpoint announce from now on that it leaves."""
@@ -129,23 +131,26 @@
         """Start a new incarnation of an endpoint."""
         self.incarnation[endpoint] += 1
         self.leaving[endpoint] = False
-        for key in [key for key in self.clock_given if key[0] == endpoint]:
-            del self.clock_given[key]
+        for key in [key for key in self.echo_clocks_by_route if key[0] == endpoint]:
+            del self.echo_clocks_by_route[key]
 
     def restart_entry(self, entry):
         """Start an entry with an empty table."""
-        self.runs[entry] += 1
+        self.run_by_entry[entry] += 1
         self.tables[entry] = AnnouncementTable(domain="d")
 
     def expire(self, entry):
         """Remove expired announcements from the table of an entry."""
         self.tables[entry].expire(now=self.clock(entry))
 
-    def no_stale_endpoint_is_used(self):
+    def check_no_stale_endpoint_is_used(self):
         """Check I6: a used endpoint served in the last 3 s and is not known to leave."""
         for entry, table in self.tables.items():
-            known = ((one.name, one.incarnation, one.leaving) for one in table._by_name.values())
-            self.known_to_leave |= {(table, *one[:2]) for one in known if one[2]}
+            states = (
+                (endpoint.name, endpoint.incarnation, endpoint.leaving)
+                for endpoint in table._by_name.values()
+            )
+            self.known_to_leave |= {(table, *state[:2]) for state in states if state[2]}
             for endpoint in table.live("s", now=self.clock(entry)):
                 served_at = self.served_at[endpoint.name, endpoint.incarnation]
                 assert self.time - served_at <= ANNOUNCEMENT_TTL_S * MAX_CLOCK_RATE_RATIO
@@ -170,18 +175,21 @@
 STEPS = 60
 
 
-def act(model, random, action):
+def apply_action(model, random, action):
     """Apply an action to the model with random arguments."""
     entry = random.choice(ENTRIES)
     endpoint = random.choice(ENDPOINTS)
     arguments = {
         "wait": lambda: {"seconds": random.choice(WAITS_S)},
         "announce": lambda: {"endpoint": endpoint, "entry": entry},
-        "exchange": lambda: {"source": entry, "sink": random.choice(ENTRIES)},
-        "deliver_post": lambda: {"number": random.randrange(99), "again": random.random() < 0.2},
+        "exchange": lambda: {"source": entry, "target": random.choice(ENTRIES)},
+        "deliver_post": lambda: {
+            "number": random.randrange(99),
+            "duplicate": random.random() < 0.2,
+        },
         "deliver_exchange": lambda: {
             "number": random.randrange(99),
-            "again": random.random() < 0.2,
+            "duplicate": random.random() < 0.2,
         },
         "gossip": dict,
         "leave": lambda: {"endpoint": endpoint},
@@ -198,7 +206,7 @@
     random = Random(seed)
     actions, weights = zip(*WEIGHT_BY_ACTION.items(), strict=True)
     for _ in range(WALKS):
-        model = Announcements()
+        model = AnnouncementModel()
         for action in random.choices(actions, weights, k=STEPS):
-            act(model, random, action)
-            model.no_stale_endpoint_is_used()
+            apply_action(model, random, action)
+            model.check_no_stale_endpoint_is_used()
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -48,21 +48,21 @@
 }
 
 
-def heard(**fields):
+def make_announcement(**fields):
     return parse_announcement(FIELDS | fields)
 
 
-def live(table, now):
+def live_names(table, now):
     return [endpoint.name for endpoint in table.live("s", now=now)]
 
 
-def exchange(source, target, *, sent, received):
+def send_exchange(source, target, *, sent, received):
     """Carry one message from the entry ``a`` to the entry ``b``."""
     message = source.build_exchange(peer="b", domain="d", now=sent)
     return target.merge_exchange(message, peer="a", now=received)
 
 
-def pair():
+def make_tables_with_echo():
     """Return the tables of two entries, ``a`` and ``b``; ``a`` has received a message of ``b``."""
     a, b = AnnouncementTable(domain="d"), AnnouncementTable(domain="d")
     a.merge_exchange(b.build_exchange(peer="a", domain="d", now=10.0), peer="b", now=10.0)
@@ -70,76 +70,80 @@
 
 
 def test_passed_on_announcement_is_live_for_3_s_after_the_endpoint_sent_it():
-    a, b = pair()
-    a.record(heard(), age_s=0.0, now=10.0)
+    a, b = make_tables_with_echo()
+    a.record(make_announcement(), age_s=0.0, now=10.0)
     # The echo may be as old as the exchange interval; an older echo only lowers the bound.
     a.merge_exchange(b.build_exchange(peer="a", domain="d", now=10.5), peer="b", now=10.5)
-    exchange(a, b, sent=10.5, received=10.6)
-    assert live(b, 12.8) == ["p1"]
-    assert live(b, 13.1) == []
+    send_exchange(a, b, sent=10.5, received=10.6)
+    assert live_names(b, 12.8) == ["p1"]
+    assert live_names(b, 13.1) == []
 
 
 def test_message_delayed_on_its_way_refreshes_nothing():
     """Guards against a stale endpoint that is used because TCP delivers an old message late."""
-    a, b = pair()
-    a.record(heard(), age_s=0.0, now=10.0)
-    exchange(a, b, sent=10.1, received=70.0)
-    assert live(b, 70.0) == []
+    a, b = make_tables_with_echo()
+    a.record(make_announcement(), age_s=0.0, now=10.0)
+    send_exchange(a, b, sent=10.1, received=70.0)
+    assert live_names(b, 70.0) == []
 
 
 def test_message_without_an_echo_tells_of_leaving_only():
     a, b = AnnouncementTable(domain="d"), AnnouncementTable(domain="d")
-    a.record(heard(), age_s=0.0, now=10.0)
-    a.record(heard(name="p2", state="leaving"), age_s=0.0, now=10.0)
-    assert exchange(a, b, sent=10.1, received=10.1) == ["p2"]
-    assert live(b, 10.1) == []
+    a.record(make_announcement(), age_s=0.0, now=10.0)
+    a.record(make_announcement(name="p2", state="leaving"), age_s=0.0, now=10.0)
+    assert send_exchange(a, b, sent=10.1, received=10.1) == ["p2"]
+    assert live_names(b, 10.1) == []
 
 
 def test_entries_do_not_keep_an_announcement_alive_among_themselves():
-    a, b = pair()
-    a.record(heard(), age_s=0.0, now=10.0)
+    a, b = make_tables_with_echo()
+    a.record(make_announcement(), age_s=0.0, now=10.0)
     now = 10.0
     while now < 20.0:
         now += 0.5
-        exchange(a, b, sent=now, received=now)
+        send_exchange(a, b, sent=now, received=now)
         message = b.build_exchange(peer="a", domain="d", now=now)
         assert not message.announcements
         a.merge_exchange(message, peer="b", now=now)
-    assert live(a, 13.2) == live(b, 13.2) == []
+    assert live_names(a, 13.2) == live_names(b, 13.2) == []
 
 
 def test_announcement_is_passed_on_once_to_each_run_of_an_entry():
     """Guards against repeated announcements on the wire, and a restarted entry that gets none."""
     table = AnnouncementTable(domain="d")
-    table.record(heard(), age_s=0.0, now=10.0)
+    table.record(make_announcement(), age_s=0.0, now=10.0)
     counts = []
     for peer, seq in (("b", 1), ("b", 1), ("c", 1), ("b", 2), ("b", 2)):
-        table.record(heard(seq=seq), age_s=0.0, now=10.0)
+        table.record(make_announcement(seq=seq), age_s=0.0, now=10.0)
         counts.append(len(table.build_exchange(peer=peer, domain="d", now=10.0).announcements))
     assert counts == [1, 0, 1, 1, 0]
 
 
 def test_order_is_by_incarnation_then_seq_and_leaving_is_final():
     table = AnnouncementTable(domain="d")
-    table.record(heard(incarnation=2, seq=5), age_s=0.0, now=10.0)
-    assert not table.record(heard(incarnation=1, seq=9, state="leaving"), age_s=0.0, now=10.1)
-    assert live(table, 10.1) == ["p1"]
-    assert table.record(heard(incarnation=2, seq=6, state="leaving"), age_s=0.0, now=10.2)
-    table.record(heard(incarnation=2, seq=7), age_s=0.0, now=10.3)
-    assert live(table, 10.3) == []
-    table.record(heard(incarnation=3, seq=1), age_s=0.0, now=10.4)
-    assert live(table, 10.4) == ["p1"]
+    table.record(make_announcement(incarnation=2, seq=5), age_s=0.0, now=10.0)
+    assert not table.record(
+        make_announcement(incarnation=1, seq=9, state="leaving"), age_s=0.0, now=10.1
+    )
+    assert live_names(table, 10.1) == ["p1"]
+    assert table.record(
+        make_announcement(incarnation=2, seq=6, state="leaving"), age_s=0.0, now=10.2
+    )
+    table.record(make_announcement(incarnation=2, seq=7), age_s=0.0, now=10.3)
+    assert live_names(table, 10.3) == []
+    table.record(make_announcement(incarnation=3, seq=1), age_s=0.0, now=10.4)
+    assert live_names(table, 10.4) == ["p1"]
 
 
 def test_flood_of_names_is_refused_and_changes_nothing():
     table = AnnouncementTable(domain="d")
     for number in range(MAX_ENDPOINTS):
-        table.record(heard(name=f"p{number}"), age_s=0.0, now=10.0)
+        table.record(make_announcement(name=f"p{number}"), age_s=0.0, now=10.0)
     with pytest.raises(TableFullError):
-        table.record(heard(name="more"), age_s=0.0, now=11.0)
+        table.record(make_announcement(name="more"), age_s=0.0, now=11.0)
     assert len(table) == MAX_ENDPOINTS
-    table.record(heard(name="p7", seq=2), age_s=0.0, now=11.0)
-    table.record(heard(name="more"), age_s=0.0, now=13.5)
+    table.record(make_announcement(name="p7", seq=2), age_s=0.0, now=11.0)
+    table.record(make_announcement(name="more"), age_s=0.0, now=13.5)
     assert len(table) == 2
 
 
@@ -160,7 +164,7 @@
 )
 def test_malformed_announcement_names_the_field(key, value):
     with pytest.raises(BadRequestError, match=key):
-        heard(**{key: value})
+        make_announcement(**{key: value})
 
 
 def test_age_of_a_direct_announcement_is_bounded_by_the_echo():
@@ -180,9 +184,11 @@
 def test_shares_of_all_entries_add_up_to_the_total(total, count, endpoint):
     """Guards against entries that together send more than the endpoint has slots."""
     entries = tuple(f"e{number}" for number in range(count))
-    parts = [entry_share(total, endpoint=endpoint, entry=one, entries=entries) for one in entries]
-    assert sum(parts) == total
-    assert max(parts) - min(parts) <= 1
+    shares = [
+        entry_share(total, endpoint=endpoint, entry=entry, entries=entries) for entry in entries
+    ]
+    assert sum(shares) == total
+    assert max(shares) - min(shares) <= 1
 
 
 def test_balancers_prefer_free_and_healthy_endpoints():
@@ -205,15 +211,15 @@
 
 def test_retries_are_at_most_a_tenth_of_first_sends():
     budget = RetryBudget(ratio=0.1)
-    taken = 0
+    granted = 0
     for sent in range(1, 1001):
         budget.record_first_attempt()
-        taken += budget.try_take()
-        assert taken <= sent * 0.1 + 1e-9
-    assert taken == 100
+        granted += budget.try_take()
+        assert granted <= sent * 0.1 + 1e-9
+    assert granted == 100
 
 
-def fail(table, name, names, now, count=5):
+def record_failures(table, name, names, now, count=5):
     for _ in range(count):
         table.record_result(name, ok=False, names=names, now=now)
 
@@ -223,11 +229,11 @@
     names = [f"p{number}" for number in range(10)]
     table = HealthTable()
     for name in names:
-        fail(table, name, names, 10.0)
+        record_failures(table, name, names, 10.0)
     assert len(table.usable(names, now=10.1)) == 7
-    fail(table, "p0", names[:3], 10.0)
+    record_failures(table, "p0", names[:3], 10.0)
     small = HealthTable()
-    fail(small, "p0", names[:3], 10.0)
+    record_failures(small, "p0", names[:3], 10.0)
     assert small.usable(names[:3], now=10.1) == names[:3]
     assert small.is_suspect("p0")
 
@@ -235,7 +241,7 @@
 def test_back_off_doubles_and_one_probe_readmits():
     names, now = ["a", "b", "c", "d"], 10.0
     table = HealthTable()
-    fail(table, "a", names, now)
+    record_failures(table, "a", names, now)
     for backoff_s in (1, 2, 4, 8, 16, 32, 60, 60):
         assert "a" not in table.usable(names, now=now + backoff_s - 0.01)
         now += backoff_s
@@ -277,7 +283,7 @@
     """Guards against an endpoint that stays ejected when the caller of its probe disconnected."""
     names = ["a", "b", "c", "d"]
     table = HealthTable()
-    fail(table, "a", names, 10.0)
+    record_failures(table, "a", names, 10.0)
     table.record_send("a")
     assert "a" not in table.usable(names, now=12.0)
     table.record_no_result("a")
@@ -323,20 +329,20 @@
     counts = [0, 0, 1]
     dispatcher = SimpleNamespace(endpoint_count=lambda now: counts.pop(0))
     peers = SimpleNamespace(choose=lambda service: None)
-    parts = {
+    arguments = {
         "dispatcher_of": lambda service: dispatcher,
         "budget": None,
         "ledger": None,
         "metrics": None,
     }
     call = SimpleNamespace(deadline=monotonic() + 1e6, service="s")
-    for started, left in ((float("inf"), 0), (monotonic() - STARTUP_WAIT_S, 0)):
-        handler = RequestHandler(**parts, peers=peers, started=started)
+    for started, remaining in ((float("inf"), 0), (monotonic() - STARTUP_WAIT_S, 0)):
+        handler = RequestHandler(**arguments, peers=peers, started=started)
         run(handler._wait_for_endpoint, call)
-        assert len(counts) == left
+        assert len(counts) == remaining
 
 
-class DispatcherWithoutChance:
+class DispatcherMissingDeadlines:
     """A dispatcher for which no waiting request can meet its deadline."""
 
     def can_meet_deadline(self, request, *, now):
@@ -349,13 +355,13 @@
 
     async def main():
         now = monotonic()
-        one = QueuedRequest(rank=1, caller="c", deadline=now + 80.1, queued_at=now - 19.9)
-        return await _wait_for_slot(DispatcherWithoutChance(), one, Event())
+        request = QueuedRequest(rank=1, caller="c", deadline=now + 80.1, queued_at=now - 19.9)
+        return await _wait_for_slot(DispatcherMissingDeadlines(), request, Event())
 
     assert run(main) is False
 
 
-def summary(free, endpoints=1, **fields):
+def make_summary(free, endpoints=1, **fields):
     load = ServiceLoad(service="s", endpoints=endpoints, free_slots=free)
     return EntrySummary(services=[load], **fields)
 
@@ -363,16 +369,16 @@
 def test_summary_is_sent_only_when_it_says_something_new():
     """Guards against cross-region traffic for every small change of load."""
     throttle = SummaryThrottle()
-    due = [throttle.is_due(summary(free), now=float(free)) for free in (8, 7, 5, 4, 3, 0, 0)]
+    due = [throttle.is_due(make_summary(free), now=float(free)) for free in (8, 7, 5, 4, 3, 0, 0)]
     assert due == [True, False, False, False, True, True, False]
-    assert throttle.is_due(summary(0, draining=True), now=8.0)
-    assert throttle.is_due(summary(0, draining=True), now=8.0 + REPEAT_INTERVAL_S)
+    assert throttle.is_due(make_summary(0, draining=True), now=8.0)
+    assert throttle.is_due(make_summary(0, draining=True), now=8.0 + REPEAT_INTERVAL_S)
 
 
 def test_own_region_comes_before_others_and_draining_entries_are_left_out():
     table = SummaryTable(region="r1")
     for peer, free in (("near", 0), ("far", 8), ("drains", 8), ("closed", 8)):
-        table.record(peer, summary(free, draining=peer == "drains"))
+        table.record(peer, make_summary(free, draining=peer == "drains"))
     peers = {"near": "r1", "far": "r2", "drains": "r1"}
     assert table.choose("s", open_peers=peers) == "near"
     assert table.choose("s", open_peers=peers, need_free=True) == "far"
@@ -381,15 +387,15 @@
 
 
 def test_pause_is_noticed_before_the_next_beat():
-    guard = PauseDetector()
-    for beat in range(5):
-        guard.tick(10.0 + beat / 4)
-    assert not guard.is_after_pause(11.5)
-    assert guard.is_after_pause(71.0)
-    guard.tick(71.1)
-    assert guard.is_after_pause(71.9)
-    guard.tick(71.9)
-    assert not guard.is_after_pause(72.2)
+    detector = PauseDetector()
+    for number in range(5):
+        detector.tick(10.0 + number / 4)
+    assert not detector.is_after_pause(11.5)
+    assert detector.is_after_pause(71.0)
+    detector.tick(71.1)
+    assert detector.is_after_pause(71.9)
+    detector.tick(71.9)
+    assert not detector.is_after_pause(72.2)
 
 
 def test_announcement_read_after_a_pause_needs_an_echo():
@@ -402,16 +408,16 @@
     process = settings.process("e1")
     entry = Entry(settings=settings, process=process, standalone=True, drain_s=0.0)
     entry._pause_detector.tick(10.0)
-    entry.record_announcement(heard(), age_s=None, now=70.0)
-    assert live(entry._table, 70.0) == []
-    entry.record_announcement(heard(seq=2), age_s=0.5, now=70.1)
-    assert live(entry._table, 70.1) == ["p1"]
-    entry.record_announcement(heard(name="p2"), age_s=None, now=70.1)
-    for beat in (70.5, 71.0, 71.5, 72.0):
-        entry._pause_detector.tick(beat)
-    assert live(entry._table, 72.0) == ["p1"]
-    entry.record_announcement(heard(name="p2", seq=2), age_s=None, now=72.6)
-    assert live(entry._table, 72.6) == ["p1", "p2"]
+    entry.record_announcement(make_announcement(), age_s=None, now=70.0)
+    assert live_names(entry._table, 70.0) == []
+    entry.record_announcement(make_announcement(seq=2), age_s=0.5, now=70.1)
+    assert live_names(entry._table, 70.1) == ["p1"]
+    entry.record_announcement(make_announcement(name="p2"), age_s=None, now=70.1)
+    for now in (70.5, 71.0, 71.5, 72.0):
+        entry._pause_detector.tick(now)
+    assert live_names(entry._table, 72.0) == ["p1"]
+    entry.record_announcement(make_announcement(name="p2", seq=2), age_s=None, now=72.6)
+    assert live_names(entry._table, 72.6) == ["p1", "p2"]
 
 
 def test_home_of_a_key_is_its_prefix_or_spread_over_the_groups():
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -53,17 +53,20 @@
     assert not worker.acknowledged(99, term=2)
 
 
-@pytest.mark.parametrize("make", [LeaseHolder, LeaseTable])
-def test_equal_states_have_equal_keys(make):
+@pytest.mark.parametrize("lease_class", [LeaseHolder, LeaseTable])
+def test_equal_states_have_equal_keys(lease_class):
     """Guards against a model checker that counts equal states as different."""
-    more = {"elected_at": 0.0} if make is LeaseTable else {}
-    one, two = make(lease_s=LEASE_S, **more), make(lease_s=LEASE_S, **more)
-    assert one.key() == two.key() and hash(one.key()) == hash(two.key())
+    arguments = {"elected_at": 0.0} if lease_class is LeaseTable else {}
+    first, second = (
+        lease_class(lease_s=LEASE_S, **arguments),
+        lease_class(lease_s=LEASE_S, **arguments),
+    )
+    assert first.key() == second.key() and hash(first.key()) == hash(second.key())
 
 
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(("beat", "elect", "pause")),
+        st.sampled_from(("heartbeat", "elect", "pause")),
         st.floats(0.0, 25.0),
         st.floats(0.0, 20.0),
         st.floats(0.0, 20.0),
@@ -78,27 +81,27 @@
 def test_no_owner_counts_a_worker_as_lost_while_its_lease_runs(events, rate):
     """Guards against two running attempts of a task.
 
-    Heartbeats are delayed or lost, processes pause, owners change, and clock rates differ.
+    Heartbeats are late or unacknowledged, processes pause, owners change, clock rates differ.
 
     The owner's clock shows true time; the worker's clock runs at ``rate``.
     """
     worker = LeaseHolder(lease_s=LEASE_S)
     owner, term, now = LeaseTable(lease_s=LEASE_S, elected_at=0.0), 1, 0.0
     owner.watch("w")
-    for kind, wait, out, back, kept in events:
-        now += wait
+    for kind, wait_s, send_delay_s, answer_delay_s, is_confirmed in events:
+        now += wait_s
         if kind == "elect":
             term += 1
             owner = LeaseTable(lease_s=LEASE_S, elected_at=now)
             owner.watch("w")
         elif kind == "pause":
-            now += out
+            now += send_delay_s
         else:
             seq = worker.beat(now=now * rate)
-            now += out
+            now += send_delay_s
             owner.arrived("w", seq, now=now)
-            if kept and owner.acknowledged("w", seq):
-                now += back
+            if is_confirmed and owner.acknowledged("w", seq):
+                now += answer_delay_s
                 worker.acknowledged(seq, term=term)
         if owner.lost(now):
             assert worker.is_expired(now * rate)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -47,38 +47,38 @@
 class OwnerGroup(FakeGroup):
     """A fake group with leadership messages; a test can delay commits and quorum rounds."""
 
-    __slots__ = ("ends", "gate", "proposals", "round_gate")
+    __slots__ = ("commit_gate", "proposals", "round_gate", "watchers")
 
     def __init__(self, *, machine):
         super().__init__(machine=machine, name=GROUP)
-        self.ends = []
-        self.gate = self.round_gate = None
+        self.watchers = []
+        self.commit_gate = self.round_gate = None
         self.proposals = []
 
     def watch(self):
         """Return a stream of Leadership."""
         sender, receiver = create_memory_object_stream(16)
         sender.send_nowait(Leadership(term=self.term, leader="s1", is_leader=self.is_leader))
-        self.ends.append(sender)
+        self.watchers.append(sender)
         return receiver
 
-    def depose(self):
+    def lose_leadership(self):
         """Lose the leadership."""
         self.is_leader = False
-        for end in self.ends:
-            end.send_nowait(Leadership(term=self.term, leader="s2", is_leader=False))
+        for watcher in self.watchers:
+            watcher.send_nowait(Leadership(term=self.term, leader="s2", is_leader=False))
 
-    def elect(self):
+    def win_leadership(self):
         """Win the leadership again, in a higher term."""
         self.is_leader, self.term = True, self.term + 1
-        for end in self.ends:
-            end.send_nowait(Leadership(term=self.term, leader="s1", is_leader=True))
+        for watcher in self.watchers:
+            watcher.send_nowait(Leadership(term=self.term, leader="s1", is_leader=True))
 
     async def propose(self, command):
         """Apply a command once the gate is open."""
         self.proposals.append(DomainCommand.FromString(command))
-        if self.gate is not None:
-            await self.gate.wait()
+        if self.commit_gate is not None:
+            await self.commit_gate.wait()
         if not self.is_leader:
             raise OutcomeUnknownError("leadership was lost")
         return await super().propose(command)
@@ -112,23 +112,23 @@
         return [stop.task_id for orders in self.sent for stop in orders.stop]
 
 
-class Bench:
+class OwnerHarness:
     """An owner with a fake group, a fake cell leader and a clock that the test sets."""
 
-    __slots__ = ("cell_index", "clock", "domain", "group", "items", "owner", "reports")
+    __slots__ = ("cell_index", "clock", "domain", "group", "owner", "pending_items", "reports")
 
     def __init__(self):
         self.clock = Clock()
         self.domain = Domain(group=GROUP)
         self.group = OwnerGroup(machine=self.domain)
-        self.items = []
+        self.pending_items = []
         self.reports = []
         self.cell_index = 0
         settings = GroupSettings(name=GROUP, members=("s1",), domains=("d",))
         self.owner = Owner(
             group=self.group,
             domain=self.domain,
-            settings=_Settings(group_by_name={GROUP: settings}),
+            settings=_OwnerSettings(group_by_name={GROUP: settings}),
             cell_call=self.cell_call,
             metrics=Metrics(address=None, prefix="test"),
             clock=self.clock,
@@ -141,18 +141,18 @@
             self.reports.extend(body.jobs)
             return Done()
         assert isinstance(body, SyncRequest)
-        while not self.items:
+        while not self.pending_items:
             await sleep(0.005)
-        items, self.items = self.items, []
+        items, self.pending_items = self.pending_items, []
         if isinstance(items[0], SyncReply):
             return items[0]
         return SyncReply(index=self.cell_index, jobs=items)
 
-    def submit(self, name, *, tasks=1, cancelled=False, cpu=1000, **more):
+    def submit(self, name, *, tasks=1, cancelled=False, cpu=1000, **fields):
         """Let the cell send a job to the owner at its next sync."""
         self.cell_index += 1
-        spec = JobSpec(name=name, each=Resources(cpu_milli=cpu, memory_mb=1), run_s=60, **more)
-        self.items.append(
+        spec = JobSpec(name=name, each=Resources(cpu_milli=cpu, memory_mb=1), run_s=60, **fields)
+        self.pending_items.append(
             JobItem(
                 job_id=name,
                 spec=spec,
@@ -162,7 +162,9 @@
             )
         )
 
-    async def beat(self, link, *, worker="w1", seq=1, session="a", full=True, attempts=()):
+    async def send_heartbeat(
+        self, link, *, worker="w1", seq=1, session="a", full=True, attempts=()
+    ):
         """Send a heartbeat; return the answer, which is also recorded on the link."""
         answer = await self.owner.answer(
             link,
@@ -181,7 +183,7 @@
         return answer
 
 
-class _Settings:
+class _OwnerSettings:
     __slots__ = ("group_by_name",)
 
     def __init__(self, *, group_by_name):
@@ -195,12 +197,12 @@
 
 def with_owner(check):
     async def main():
-        bench = Bench()
+        harness = OwnerHarness()
         with fail_after(60):
             async with create_task_group() as tasks:
-                tasks.start_soon(bench.owner.run)
-                await until(lambda: bench.owner.owner_term is not None)
-                await check(bench)
+                tasks.start_soon(harness.owner.run)
+                await until(lambda: harness.owner.owner_term is not None)
+                await check(harness)
                 tasks.cancel_scope.cancel()
 
     run(main)
@@ -213,16 +215,16 @@
 def test_a_start_is_sent_only_after_its_assignment_is_committed():
     """Guards against a started task that the next owner does not know of."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
-        bench.submit("j")
-        await until(lambda: "j" in bench.domain.job_by_id)
-        bench.group.gate = Event()
-        await until(lambda: any(one.batch.assigned for one in bench.group.proposals))
+        await harness.send_heartbeat(link)
+        harness.submit("j")
+        await until(lambda: "j" in harness.domain.job_by_id)
+        harness.group.commit_gate = Event()
+        await until(lambda: any(command.batch.assigned for command in harness.group.proposals))
         await sleep(0.1)
         assert link.starts() == []
-        bench.group.gate.set()
+        harness.group.commit_gate.set()
         await until(lambda: link.starts() == ["j/g.0"])
         assert link.sent[-1].seq == 1 and link.sent[-1].session == "a"
 
@@ -232,20 +234,20 @@
 def test_a_deposed_owner_sends_nothing_and_answers_nothing():
     """Guards against two owners that start tasks or renew leases at the same time."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
-        bench.submit("j")
-        await until(lambda: "j" in bench.domain.job_by_id)
-        bench.group.gate = Event()
-        await until(lambda: any(one.batch.assigned for one in bench.group.proposals))
-        owner_term = bench.owner.owner_term
-        bench.group.depose()
-        bench.group.gate.set()
-        await until(lambda: bench.owner.owner_term is None)
+        await harness.send_heartbeat(link)
+        harness.submit("j")
+        await until(lambda: "j" in harness.domain.job_by_id)
+        harness.group.commit_gate = Event()
+        await until(lambda: any(command.batch.assigned for command in harness.group.proposals))
+        owner_term = harness.owner.owner_term
+        harness.group.lose_leadership()
+        harness.group.commit_gate.set()
+        await until(lambda: harness.owner.owner_term is None)
         assert link.starts() == [] and owner_term.is_over
         with pytest.raises(NotLeaderError):
-            await bench.beat(link, seq=2, full=False)
+            await harness.send_heartbeat(link, seq=2, full=False)
         with pytest.raises(NotLeaderError):
             owner_term.push()
 
@@ -255,23 +257,23 @@
 def test_a_heartbeat_is_answered_only_after_a_quorum_round():
     """Guards against a former owner that renews a lease before it notices the next one."""
 
-    async def check(bench):
+    async def check(harness):
         link, answers = WorkerLink(), []
-        await bench.beat(link)
-        bench.group.round_gate = Event()
+        await harness.send_heartbeat(link)
+        harness.group.round_gate = Event()
 
-        async def beat():
+        async def send_heartbeat():
             try:
-                answers.append(await bench.beat(link, seq=2, full=False))
+                answers.append(await harness.send_heartbeat(link, seq=2, full=False))
             except NotLeaderError:
                 answers.append(None)
 
         async with create_task_group() as tasks:
-            tasks.start_soon(beat)
+            tasks.start_soon(send_heartbeat)
             await sleep(0.1)
             assert answers == []
-            bench.group.is_leader = False
-            bench.group.round_gate.set()
+            harness.group.is_leader = False
+            harness.group.round_gate.set()
         assert answers == [None]
 
     with_owner(check)
@@ -280,21 +282,21 @@
 def test_a_worker_is_lost_only_after_its_lease_and_its_tasks_are_placed_again():
     """Guards against two running attempts, and against tasks that are never placed again."""
 
-    async def check(bench):
-        one, two = WorkerLink(), WorkerLink()
-        await bench.beat(one)
-        bench.submit("j")
-        await until(lambda: one.starts() == ["j/g.0"])
-        bench.clock.now += 20.0
-        await bench.beat(two, worker="w2")
-        bench.clock.now += 11.0
-        await bench.owner._workers.lose()
-        assert bench.domain.task("j/g.0").worker == "w1"
-        bench.clock.now += 0.7
-        await bench.owner._workers.lose()
-        await until(lambda: two.starts() == ["j/g.0"])
-        assert bench.domain.task("j/g.0").attempt == 2
-        assert "w1" not in bench.domain.worker_by_name
+    async def check(harness):
+        first_link, second_link = WorkerLink(), WorkerLink()
+        await harness.send_heartbeat(first_link)
+        harness.submit("j")
+        await until(lambda: first_link.starts() == ["j/g.0"])
+        harness.clock.now += 20.0
+        await harness.send_heartbeat(second_link, worker="w2")
+        harness.clock.now += 11.0
+        await harness.owner._workers.lose()
+        assert harness.domain.task("j/g.0").worker == "w1"
+        harness.clock.now += 0.7
+        await harness.owner._workers.lose()
+        await until(lambda: second_link.starts() == ["j/g.0"])
+        assert harness.domain.task("j/g.0").attempt == 2
+        assert "w1" not in harness.domain.worker_by_name
 
     with_owner(check)
 
@@ -302,18 +304,18 @@
 def test_no_heartbeat_renews_a_lease_while_the_loss_is_committed():
     """Guards against a renewed lease for a worker whose loss is being committed."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
-        bench.clock.now += 31.7
-        bench.group.gate = Event()
+        await harness.send_heartbeat(link)
+        harness.clock.now += 31.7
+        harness.group.commit_gate = Event()
         async with create_task_group() as tasks:
-            tasks.start_soon(bench.owner._workers.lose)
-            await until(lambda: bool(bench.owner.owner_term.losing))
+            tasks.start_soon(harness.owner._workers.lose)
+            await until(lambda: bool(harness.owner.owner_term.losing))
             with pytest.raises(RefusedError):
-                await bench.beat(link, seq=2, full=False)
-            bench.group.gate.set()
-        answer = await bench.beat(link, seq=3, session="b")
+                await harness.send_heartbeat(link, seq=2, full=False)
+            harness.group.commit_gate.set()
+        answer = await harness.send_heartbeat(link, seq=3, session="b")
         assert answer.seq == 3
 
     with_owner(check)
@@ -322,20 +324,20 @@
 def test_a_new_owner_counts_no_worker_as_lost_before_old_leases_end():
     """Guards against a new owner that ignores the leases that its predecessor granted."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
-        bench.clock.now += 500.0
-        bench.group.depose()
-        await until(lambda: bench.owner.owner_term is None)
-        bench.group.elect()
-        await until(lambda: bench.owner.owner_term is not None)
-        bench.clock.now += 31.5
-        await bench.owner._workers.lose()
-        assert "w1" in bench.domain.worker_by_name
-        bench.clock.now += 0.2
-        await bench.owner._workers.lose()
-        assert "w1" not in bench.domain.worker_by_name
+        await harness.send_heartbeat(link)
+        harness.clock.now += 500.0
+        harness.group.lose_leadership()
+        await until(lambda: harness.owner.owner_term is None)
+        harness.group.win_leadership()
+        await until(lambda: harness.owner.owner_term is not None)
+        harness.clock.now += 31.5
+        await harness.owner._workers.lose()
+        assert "w1" in harness.domain.worker_by_name
+        harness.clock.now += 0.2
+        await harness.owner._workers.lose()
+        assert "w1" not in harness.domain.worker_by_name
 
     with_owner(check)
 
@@ -343,20 +345,22 @@
 def test_reports_are_reconciled_with_the_assignments():
     """Guards against lost starts, unassigned tasks that run, and ends dropped before a commit."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
-        bench.submit("j", tasks=2)
+        await harness.send_heartbeat(link)
+        harness.submit("j", tasks=2)
         await until(lambda: len(link.starts()) == 2)
-        again = WorkerLink()
+        reconnected_link = WorkerLink()
         done = state("j/g.1", kind=AttemptState.SUCCEEDED)
-        answer = await bench.beat(again, seq=2, attempts=[state("x/g.0"), done])
+        answer = await harness.send_heartbeat(
+            reconnected_link, seq=2, attempts=[state("x/g.0"), done]
+        )
         assert [start.task_id for start in answer.start] == ["j/g.0"]
         assert [stop.task_id for stop in answer.stop] == ["x/g.0"]
         assert [seen.task_id for seen in answer.seen] == ["j/g.1"]
-        assert bench.domain.job_by_id["j"].succeeded == 1
-        await bench.beat(again, seq=3, full=False, attempts=[state("j/g.0")])
-        await until(lambda: bench.reports and bench.reports[-1].running == 1)
+        assert harness.domain.job_by_id["j"].succeeded == 1
+        await harness.send_heartbeat(reconnected_link, seq=3, full=False, attempts=[state("j/g.0")])
+        await until(lambda: harness.reports and harness.reports[-1].running == 1)
 
     with_owner(check)
 
@@ -364,15 +368,15 @@
 def test_a_restarted_worker_loses_its_attempts_and_gets_new_ones():
     """Guards against an attempt that counts as running though its worker session has ended."""
 
-    async def check(bench):
-        link, again = WorkerLink(), WorkerLink()
-        await bench.beat(link)
-        bench.submit("j")
+    async def check(harness):
+        link, reconnected_link = WorkerLink(), WorkerLink()
+        await harness.send_heartbeat(link)
+        harness.submit("j")
         await until(lambda: link.starts() == ["j/g.0"])
-        bench.owner.closed(link)
-        await bench.beat(again, session="b")
-        await until(lambda: again.starts() == ["j/g.0"])
-        assert bench.domain.task("j/g.0").attempt == 2
+        harness.owner.closed(link)
+        await harness.send_heartbeat(reconnected_link, session="b")
+        await until(lambda: reconnected_link.starts() == ["j/g.0"])
+        assert harness.domain.task("j/g.0").attempt == 2
 
     with_owner(check)
 
@@ -380,9 +384,9 @@
 def test_changes_without_a_full_report_are_refused():
     """Guards against an owner that takes a list of changes for a full report."""
 
-    async def check(bench):
+    async def check(harness):
         with pytest.raises(BadRequestError):
-            await bench.beat(WorkerLink(), full=False)
+            await harness.send_heartbeat(WorkerLink(), full=False)
 
     with_owner(check)
 
@@ -390,23 +394,27 @@
 def test_a_cancellation_wave_is_one_commit_and_stops_only_what_runs():
     """Guards against a commit for each of 10,000 cancellations, and starts of cancelled tasks."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
+        await harness.send_heartbeat(link)
         for number in range(10_000):
-            bench.submit(f"j{number}")
+            harness.submit(f"j{number}")
         await until(lambda: len(link.starts()) == 4)
-        before = len(bench.group.proposals)
+        proposals_before = len(harness.group.proposals)
         for number in range(10_000):
-            bench.submit(f"j{number}", cancelled=True)
+            harness.submit(f"j{number}", cancelled=True)
         await until(lambda: len(link.stops()) == 4)
-        commits = [one for one in bench.group.proposals[before:] if one.HasField("sync")]
+        commits = [
+            command
+            for command in harness.group.proposals[proposals_before:]
+            if command.HasField("sync")
+        ]
         assert len(commits) == 1
         ends = [state(task, kind=AttemptState.STOPPED) for task in link.starts()]
-        await bench.beat(link, seq=2, full=False, attempts=ends)
+        await harness.send_heartbeat(link, seq=2, full=False, attempts=ends)
         await sleep(0.2)
         assert len(link.starts()) == 4
-        assert all(job.cancelled == 1 for job in bench.domain.job_by_id.values())
+        assert all(job.cancelled == 1 for job in harness.domain.job_by_id.values())
 
     with_owner(check)
 
@@ -414,16 +422,16 @@
 def test_a_gang_with_a_failed_task_is_stopped_and_started_again_whole():
     """Guards against a gang that continues with only some of its tasks."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
-        bench.submit("gang", tasks=3, kind=JobSpec.GANG)
+        await harness.send_heartbeat(link)
+        harness.submit("gang", tasks=3, kind=JobSpec.GANG)
         await until(lambda: len(link.starts()) == 3)
         failed = state("gang/g.0", kind=AttemptState.FAILED)
-        await bench.beat(link, seq=2, full=False, attempts=[failed])
+        await harness.send_heartbeat(link, seq=2, full=False, attempts=[failed])
         await until(lambda: sorted(link.stops()) == ["gang/g.1", "gang/g.2"])
         ends = [state(task, kind=AttemptState.STOPPED) for task in ("gang/g.1", "gang/g.2")]
-        await bench.beat(link, seq=3, full=False, attempts=ends)
+        await harness.send_heartbeat(link, seq=3, full=False, attempts=ends)
         await until(lambda: len(link.starts()) == 6)
 
     with_owner(check)
@@ -432,20 +440,20 @@
 def test_a_term_is_built_from_the_committed_state():
     """Guards against a new owner that forgets running tasks and places them again."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
-        bench.submit("j", tasks=6)
+        await harness.send_heartbeat(link)
+        harness.submit("j", tasks=6)
         await until(lambda: len(link.starts()) == 4)
-        bench.group.depose()
-        await until(lambda: bench.owner.owner_term is None)
-        bench.group.elect()
-        await until(lambda: bench.owner.owner_term is not None)
-        pool = bench.owner.owner_term.placement.pool
+        harness.group.lose_leadership()
+        await until(lambda: harness.owner.owner_term is None)
+        harness.group.win_leadership()
+        await until(lambda: harness.owner.owner_term is not None)
+        pool = harness.owner.owner_term.placement.pool
         assert len(pool.held_by_task) == 4 and pool.worker_by_name["w1"].free.cpu == 0
         running = [state(task) for task in link.starts()]
-        answer = await bench.beat(link, seq=2, attempts=running)
-        assert not answer.start and not answer.stop and answer.term == bench.group.term
+        answer = await harness.send_heartbeat(link, seq=2, attempts=running)
+        assert not answer.start and not answer.stop and answer.term == harness.group.term
 
     with_owner(check)
 
@@ -453,14 +461,14 @@
 def test_configuration_and_ledger_are_answered_from_the_group():
     """Guards against a configuration that is not committed, and a ledger that bypasses the log."""
 
-    async def check(bench):
+    async def check(harness):
         begin = LedgerBegin(key="k", caller="c", digest=b"d", attempt="a")
-        reply = await bench.owner.answer(None, begin)
+        reply = await harness.owner.answer(None, begin)
         assert reply.verdict == reply.GRANTED
         answers = []
 
         async def watch():
-            answers.append(await bench.owner.answer(None, ConfigWatch(wait_s=30)))
+            answers.append(await harness.owner.answer(None, ConfigWatch(wait_s=30)))
 
         async with create_task_group() as tasks:
             tasks.start_soon(watch)
@@ -469,8 +477,8 @@
             command = DomainCommand(
                 at=1, sync=SyncReply(index=1, config=ConfigState(version=7, preset="ordinary"))
             )
-            await bench.group.propose(command.SerializeToString())
-            bench.owner._change_config()
+            await harness.group.propose(command.SerializeToString())
+            harness.owner._change_config()
         assert answers[0].version == 7
 
     with_owner(check)
@@ -479,28 +487,28 @@
 def test_a_shorter_lease_counts_only_when_longer_ones_are_over():
     """Guards against a worker counted as lost while a lease of an earlier preset runs."""
 
-    async def configure(bench, version, lease_s):
+    async def configure(harness, version, lease_s):
         document = f"[presets.ordinary]\nlease_s = {lease_s}\n"
         config = ConfigState(version=version, preset="ordinary", document=document)
-        command = DomainCommand(at=1, sync=SyncReply(index=bench.cell_index, config=config))
-        await bench.group.propose(command.SerializeToString())
-        bench.owner._change_config()
-
-    async def check(bench):
-        link, workers = WorkerLink(), bench.owner._workers
-        await configure(bench, 1, 60)
-        assert (await bench.beat(link)).lease_s == 60
-        await configure(bench, 2, 10)
-        bench.clock.now += 62.1
+        command = DomainCommand(at=1, sync=SyncReply(index=harness.cell_index, config=config))
+        await harness.group.propose(command.SerializeToString())
+        harness.owner._change_config()
+
+    async def check(harness):
+        link, workers = WorkerLink(), harness.owner._workers
+        await configure(harness, 1, 60)
+        assert (await harness.send_heartbeat(link)).lease_s == 60
+        await configure(harness, 2, 10)
+        harness.clock.now += 62.1
         await workers.lose()
-        assert "w1" in bench.domain.worker_by_name
-        assert (await bench.beat(link, seq=2, full=False)).lease_s == 10
-        bench.clock.now += 0.2
+        assert "w1" in harness.domain.worker_by_name
+        assert (await harness.send_heartbeat(link, seq=2, full=False)).lease_s == 10
+        harness.clock.now += 0.2
         await workers.lose()
-        assert bench.domain.longest_lease_s == 10
-        bench.clock.now += 11.2
+        assert harness.domain.longest_lease_s == 10
+        harness.clock.now += 11.2
         await workers.lose()
-        assert "w1" not in bench.domain.worker_by_name
+        assert "w1" not in harness.domain.worker_by_name
 
     with_owner(check)
 
@@ -508,19 +516,19 @@
 def test_a_refused_assignment_is_placed_again():
     """Guards against a task that is lost when the domain rejects an assignment by placement."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
+        await harness.send_heartbeat(link)
         record = WorkerRecord(name="w1", domain="d", rack="r", session="z", capacity=CAPACITY)
         command = DomainCommand(at=1, batch=DomainBatch(joined=[record]))
-        bench.submit("j")
-        await until(lambda: "j" in bench.domain.job_by_id)
-        bench.group.gate = Event()
-        await until(lambda: any(one.batch.assigned for one in bench.group.proposals))
-        bench.domain.apply(index=99, command=command.SerializeToString())
-        bench.group.gate.set()
-        await until(lambda: bench.domain.task("j/g.0").worker == "w1")
-        assert bench.domain.task("j/g.0").session == "z"
+        harness.submit("j")
+        await until(lambda: "j" in harness.domain.job_by_id)
+        harness.group.commit_gate = Event()
+        await until(lambda: any(command.batch.assigned for command in harness.group.proposals))
+        harness.domain.apply(index=99, command=command.SerializeToString())
+        harness.group.commit_gate.set()
+        await until(lambda: harness.domain.task("j/g.0").worker == "w1")
+        assert harness.domain.task("j/g.0").session == "z"
 
     with_owner(check)
 
@@ -528,13 +536,13 @@
 def test_a_job_that_never_fits_is_reported_with_the_reason():
     """Guards against a job that waits for ever and is not reported."""
 
-    async def check(bench):
-        await bench.beat(WorkerLink())
-        bench.submit("big", cpu=99_000)
-        await until(lambda: bench.reports and bench.reports[-1].reason)
-        assert bench.reports[-1].code == 0
-        bench.clock.now += 11.0
-        await until(lambda: bench.reports[-1].code == Code.NEVER_FITS)
-        assert "99000 cpu_milli" in bench.reports[-1].reason
+    async def check(harness):
+        await harness.send_heartbeat(WorkerLink())
+        harness.submit("big", cpu=99_000)
+        await until(lambda: harness.reports and harness.reports[-1].reason)
+        assert harness.reports[-1].code == 0
+        harness.clock.now += 11.0
+        await until(lambda: harness.reports[-1].code == Code.NEVER_FITS)
+        assert "99000 cpu_milli" in harness.reports[-1].reason
 
     with_owner(check)
--- a/tests/test_owner_fence.py
+++ b/tests/test_owner_fence.py
@@ -10,7 +10,7 @@
 PASSES_S = 0.4
 
 
-def sync_of(tasks):
+def sync_with_job(tasks):
     """Return a sync reply that carries one job."""
     spec = JobSpec(name="j", each={"cpu_milli": 1000, "memory_mb": 1}, run_s=60)
     return SyncReply(index=1, jobs=[JobItem(job_id="j", spec=spec, tasks=tasks, changed_at=1)])
@@ -22,23 +22,23 @@
     The tasks of such a group may already run in another group.
     """
 
-    async def check(bench):
-        term = bench.owner.owner_term
+    async def check(harness):
+        term = harness.owner.owner_term
         record = WorkerRecord(name="w1", domain="d", rack="r", session="a", capacity=CAPACITY)
-        one = AssignmentRecord(task_id="j/g.0", attempt=1, worker="w1", session="a")
-        await term.commit(sync=sync_of(tasks=2))
-        await term.commit(batch=DomainBatch(joined=[record], assigned=[one]))
-        bench.group.depose()
-        await until(lambda: bench.owner.owner_term is None)
-        bench.group.elect()
-        await until(lambda: bench.owner.owner_term is not None)
+        assignment = AssignmentRecord(task_id="j/g.0", attempt=1, worker="w1", session="a")
+        await term.commit(sync=sync_with_job(tasks=2))
+        await term.commit(batch=DomainBatch(joined=[record], assigned=[assignment]))
+        harness.group.lose_leadership()
+        await until(lambda: harness.owner.owner_term is None)
+        harness.group.win_leadership()
+        await until(lambda: harness.owner.owner_term is not None)
         link = WorkerLink()
-        await bench.beat(link)
-        await bench.beat(link, seq=2)
+        await harness.send_heartbeat(link)
+        await harness.send_heartbeat(link, seq=2)
         await sleep(PASSES_S)
         assert link.starts() == []
-        assert bench.domain.task("j/g.1").worker == ""
-        bench.items = [SyncReply(index=1)]
+        assert harness.domain.task("j/g.1").worker == ""
+        harness.pending_items = [SyncReply(index=1)]
         await until(lambda: sorted(link.starts()) == ["j/g.0", "j/g.1"])
 
     with_owner(check)
@@ -47,25 +47,25 @@
 def test_owner_that_was_declared_lost_ends_everything_before_it_says_so():
     """Guards against reporting a group as idle while an attempt or a lease may still run."""
 
-    async def check(bench):
+    async def check(harness):
         link = WorkerLink()
-        await bench.beat(link)
-        bench.submit("j", tasks=5)
+        await harness.send_heartbeat(link)
+        harness.submit("j", tasks=5)
         await until(lambda: len(link.starts()) == 4)
-        bench.items = [SyncReply(epoch=1, lost=True)]
-        await until(lambda: bench.domain.fenced)
+        harness.pending_items = [SyncReply(epoch=1, lost=True)]
+        await until(lambda: harness.domain.fenced)
         await until(lambda: len(link.stops()) == 4)
-        term = bench.owner.owner_term
-        bench.clock.now += 100
+        term = harness.owner.owner_term
+        harness.clock.now += 100
         assert not term.is_idle(), "four attempts have not ended"
         stopped = [state(name, kind=AttemptState.STOPPED) for name in link.starts()]
-        await bench.beat(link, seq=2, full=False, attempts=stopped)
+        await harness.send_heartbeat(link, seq=2, full=False, attempts=stopped)
         assert term.is_idle()
-        bench.clock.now -= 100
+        harness.clock.now -= 100
         assert not term.is_idle(), "leases of an earlier owner may still run"
-        assert not bench.domain.job_by_id
+        assert not harness.domain.job_by_id
         assert not term.placement.job_by_id
-        bench.items = [SyncReply(index=0, epoch=1, lost=True)]
+        harness.pending_items = [SyncReply(index=0, epoch=1, lost=True)]
         await sleep(PASSES_S)
         assert len(link.starts()) == 4
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,7 +14,7 @@
 CAPACITY = Size(cpu=8000, memory=16_000)
 
 
-def placement_with(workers, *, racks=1, capacity=CAPACITY):
+def make_placement(workers, *, racks=1, capacity=CAPACITY):
     placement = Placement()
     for number in range(workers):
         rack = f"r{number % racks}"
@@ -22,43 +22,48 @@
     return placement
 
 
-def job(name, cpu, *, tasks=1, kind=Kind.BATCH, urgency=Urgency.NORMAL, run_s=60.0, **more):
-    need = Size(cpu=cpu, memory=more.pop("memory", 100), accelerators=more.pop("accelerators", 0))
+def make_job(name, cpu, *, tasks=1, kind=Kind.BATCH, urgency=Urgency.NORMAL, run_s=60.0, **fields):
+    need = Size(
+        cpu=cpu, memory=fields.pop("memory", 100), accelerators=fields.pop("accelerators", 0)
+    )
     return Job(
         job_id=name,
         kind=kind,
         need=need,
         tasks=tasks,
-        submitted=more.pop("submitted", 0.0),
+        submitted=fields.pop("submitted", 0.0),
         urgency=urgency,
         run_s=run_s,
-        **more,
+        **fields,
     )
 
 
-def placed(placement, now):
-    return {found.task_id: found.worker for found in placement.decide(now=now).assignments}
+def place_tasks(placement, now):
+    return {
+        assignment.task_id: assignment.worker
+        for assignment in placement.decide(now=now).assignments
+    }
 
 
 def check_invariants(placement):
     """Compare the sums that the pool keeps with sums recomputed from the tasks; check gangs."""
     for worker in placement.pool.worker_by_name.values():
-        held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
-        assert held.within(worker.capacity)
-        assert held + worker.free == worker.capacity
-        reservations = [
-            other.need
-            for other in placement.job_by_id.values()
-            for reserved in other.reservations
-            if reserved is worker
+        allocated = sum((entry.job.need for entry in worker.held_by_task.values()), NOTHING)
+        assert allocated.within(worker.capacity)
+        assert allocated + worker.free == worker.capacity
+        reserved_needs = [
+            job.need
+            for job in placement.job_by_id.values()
+            for reserved_worker in job.reservations
+            if reserved_worker is worker
         ]
-        assert sum(reservations, NOTHING) == worker.reserved
-    for other in placement.job_by_id.values():
-        if other.kind == Kind.GANG and not other.cancelled:
-            assert not (other.running and other.waiting)
+        assert sum(reserved_needs, NOTHING) == worker.reserved
+    for job in placement.job_by_id.values():
+        if job.kind == Kind.GANG and not job.cancelled:
+            assert not (job.running and job.waiting)
 
 
-STEPS = st.lists(
+EVENTS = st.lists(
     st.tuples(
         st.sampled_from(("submit", "end", "fail", "cancel", "lose", "add", "drain", "wait")),
         st.integers(0, 10_000),
@@ -71,44 +76,44 @@
 
 
 @settings(max_examples=150, deadline=None)
-@given(steps=STEPS)
-def test_no_sequence_of_events_allocates_more_than_a_worker_has(steps):
+@given(events=EVENTS)
+def test_no_sequence_of_events_allocates_more_than_a_worker_has(events):
     """Guards against overcommitment and against a gang that is placed in part."""
     placement, now = (
-        placement_with(3, racks=2, capacity=Size(cpu=8000, memory=9000, accelerators=2)),
+        make_placement(3, racks=2, capacity=Size(cpu=8000, memory=9000, accelerators=2)),
         0.0,
     )
-    for number, (step, value, kind, urgency, tasks) in enumerate(steps):
+    for number, (event, value, kind, urgency, tasks) in enumerate(events):
         now += 1.0
         running = sorted(placement.pool.held_by_task)
         names = sorted(placement.pool.worker_by_name)
-        if step == "submit":
-            more = {"memory": value // 3, "accelerators": value % 2}
+        if event == "submit":
+            fields = {"memory": value // 3, "accelerators": value % 2}
             placement.submit(
-                job(
+                make_job(
                     f"j{number}",
                     value,
                     tasks=tasks,
                     kind=kind,
                     urgency=urgency,
                     submitted=now,
-                    **more,
+                    **fields,
                 )
             )
-        elif step in ("end", "fail") and running:
+        elif event in ("end", "fail") and running:
             task_id = running[value % len(running)]
-            placement.ended(task_id, now=now, failed=step == "fail", succeeded=step == "end")
-        elif step == "cancel" and placement.job_by_id:
+            placement.ended(task_id, now=now, failed=event == "fail", succeeded=event == "end")
+        elif event == "cancel" and placement.job_by_id:
             placement.cancel(sorted(placement.job_by_id)[value % len(placement.job_by_id)])
-        elif step == "lose" and names:
+        elif event == "lose" and names:
             for task_id in placement.lose_worker(names[value % len(names)]):
                 if placement.job_by_id[task_id.partition("/")[0]].kind != Kind.GANG:
                     placement.requeue(task_id.partition("/")[0], task_id)
-        elif step == "add":
+        elif event == "add":
             placement.add_worker(f"n{number}", domain="d", rack="r9", capacity=CAPACITY)
-        elif step == "drain" and names:
+        elif event == "drain" and names:
             placement.drain_worker(names[value % len(names)], draining=bool(tasks % 2))
-        elif step == "wait":
+        elif event == "wait":
             now += 20.0
         placement.decide(now=now)
         check_invariants(placement)
@@ -116,173 +121,173 @@
 
 def test_taking_more_than_is_free_is_refused_in_the_pool():
     """Guards against a policy that picks a worker without enough free resources."""
-    placement = placement_with(1)
+    placement = make_placement(1)
     with pytest.raises(OvercommitError):
-        placement.pool.take(placement.pool.worker_by_name["w0"], "j/0", job("j", 9000))
+        placement.pool.take(placement.pool.worker_by_name["w0"], "j/0", make_job("j", 9000))
     check_invariants(placement)
 
 
 def test_two_gangs_that_each_fit_alone_do_not_block_each_other():
     """Guards against a deadlock of two gangs of which each is placed in part."""
-    placement = placement_with(4)
+    placement = make_placement(4)
     for name in ("a", "b"):
-        placement.submit(job(name, 8000, tasks=3, kind=Kind.GANG))
-    first = placed(placement, 0.0)
+        placement.submit(make_job(name, 8000, tasks=3, kind=Kind.GANG))
+    first = place_tasks(placement, 0.0)
     assert {task.partition("/")[0] for task in first} == {"a"} and len(first) == 3
     assert len(placement.pool.held_by_task) == 3
     for task_id in first:
         placement.ended(task_id, now=1.0, succeeded=True)
-    assert len(placed(placement, 1.0)) == 3
+    assert len(place_tasks(placement, 1.0)) == 3
 
 
 def test_a_stream_of_small_jobs_does_not_starve_a_gang():
     """Guards against starvation of a gang if freed resources always go to the next small job."""
-    placement = placement_with(2)
+    placement = make_placement(2)
     running, started = [], False
     for number in range(16):
-        placement.submit(job(f"s{number}", 1000))
-    running.extend(placed(placement, 0.0))
-    placement.submit(job("gang", 8000, tasks=2, kind=Kind.GANG))
+        placement.submit(make_job(f"s{number}", 1000))
+    running.extend(place_tasks(placement, 0.0))
+    placement.submit(make_job("gang", 8000, tasks=2, kind=Kind.GANG))
     for step in range(200):
         now = float(step)
-        placement.submit(job(f"t{step}", 1000, submitted=now))
+        placement.submit(make_job(f"t{step}", 1000, submitted=now))
         if running:
             placement.ended(running.pop(0), now=now, succeeded=True)
-        found = placed(placement, now)
-        started = started or "gang/0" in found
-        running.extend(task for task in found if not task.startswith("gang"))
+        assigned = place_tasks(placement, now)
+        started = started or "gang/0" in assigned
+        running.extend(task for task in assigned if not task.startswith("gang"))
     assert started
 
 
 def test_a_reservation_moves_to_where_room_appears_first():
     """Guards against a gang that waits for the workers reserved first while others become free."""
-    placement = placement_with(6)
+    placement = make_placement(6)
     for number in range(12):
-        placement.submit(job(f"b{number}", 4000))
-    worker_by_task = placed(placement, 0.0)
-    gang = job("gang", 8000, tasks=2, kind=Kind.GANG)
+        placement.submit(make_job(f"b{number}", 4000))
+    worker_by_task = place_tasks(placement, 0.0)
+    gang = make_job("gang", 8000, tasks=2, kind=Kind.GANG)
     placement.submit(gang)
-    placed(placement, 0.0)
-    placed(placement, RESERVE_AFTER_S)
+    place_tasks(placement, 0.0)
+    place_tasks(placement, RESERVE_AFTER_S)
     chosen = {worker.name for worker in gang.reservations}
     others = [task for task, name in worker_by_task.items() if name not in chosen]
     others.sort(key=worker_by_task.get)
     for number, task_id in enumerate(others[:4]):
-        placement.submit(job(f"late{number}", 100, submitted=1000.0))
+        placement.submit(make_job(f"late{number}", 100, submitted=1000.0))
         placement.ended(task_id, now=RESERVE_AFTER_S, succeeded=True)
         check_invariants(placement)
-    found = placed(placement, RESERVE_AFTER_S)
-    assert {"gang/0", "gang/1"} <= set(found) and not gang.reservations
+    assigned = place_tasks(placement, RESERVE_AFTER_S)
+    assert {"gang/0", "gang/1"} <= set(assigned) and not gang.reservations
 
 
 def test_a_reserved_place_on_an_unreachable_worker_is_not_used():
     """Guards against a start order for a worker that cannot be reached."""
-    placement = placement_with(1)
-    placement.submit(job("first", 8000))
-    placed(placement, 0.0)
-    placement.submit(job("next", 8000))
-    placed(placement, 0.0)
-    placed(placement, RESERVE_AFTER_S)
+    placement = make_placement(1)
+    placement.submit(make_job("first", 8000))
+    place_tasks(placement, 0.0)
+    placement.submit(make_job("next", 8000))
+    place_tasks(placement, 0.0)
+    place_tasks(placement, RESERVE_AFTER_S)
     assert placement.job_by_id["next"].reservations
     placement.connect_worker("w0", connected=False)
     placement.ended("first/0", now=RESERVE_AFTER_S, succeeded=True)
-    assert placed(placement, RESERVE_AFTER_S) == {}
+    assert place_tasks(placement, RESERVE_AFTER_S) == {}
     placement.connect_worker("w0", connected=True)
-    assert placed(placement, RESERVE_AFTER_S) == {"next/0": "w0"}
+    assert place_tasks(placement, RESERVE_AFTER_S) == {"next/0": "w0"}
 
 
 def test_large_tasks_go_first_but_pass_no_earlier_window():
     """Guards against small tasks that fill large holes, and against large ones that starve them."""
-    placement = placement_with(1)
-    placement.submit(job("small", 3000))
-    placement.submit(job("large", 7000, submitted=ORDER_WINDOW_S / 2))
-    assert list(placed(placement, 0.0)) == ["large/0"]
-    placement.submit(job("later", 8000, submitted=ORDER_WINDOW_S * 2))
+    placement = make_placement(1)
+    placement.submit(make_job("small", 3000))
+    placement.submit(make_job("large", 7000, submitted=ORDER_WINDOW_S / 2))
+    assert list(place_tasks(placement, 0.0)) == ["large/0"]
+    placement.submit(make_job("later", 8000, submitted=ORDER_WINDOW_S * 2))
     placement.ended("large/0", now=1.0, succeeded=True)
-    assert list(placed(placement, 1.0)) == ["small/0"]
+    assert list(place_tasks(placement, 1.0)) == ["small/0"]
 
 
 def test_reservations_keep_only_a_few_jobs_places():
     """Guards against a pool that is left idle by reservations for every blocked job."""
-    placement = placement_with(20)
+    placement = make_placement(20)
     for number in range(20):
-        placement.submit(job(f"small{number}", 5000))
-    placed(placement, 0.0)
+        placement.submit(make_job(f"small{number}", 5000))
+    place_tasks(placement, 0.0)
     for number in range(10):
-        placement.submit(job(f"large{number}", 8000))
-    placed(placement, 1.0)
-    placed(placement, 2.0 + RESERVE_AFTER_S)
-    reserved = [other for other in placement.job_by_id.values() if other.reservations]
+        placement.submit(make_job(f"large{number}", 8000))
+    place_tasks(placement, 1.0)
+    place_tasks(placement, 2.0 + RESERVE_AFTER_S)
+    reserved = [job for job in placement.job_by_id.values() if job.reservations]
     assert len(reserved) == MAX_RESERVATIONS
 
 
 def test_urgent_work_waits_for_the_end_of_the_tasks_it_stops():
     """Guards against resources that count as free when the stop order was only sent."""
-    placement = placement_with(1)
-    placement.submit(job("low", 2000, tasks=4, urgency=Urgency.DEFERRABLE))
-    assert len(placed(placement, 0.0)) == 4
-    placement.submit(job("now", 4000, urgency=Urgency.URGENT))
+    placement = make_placement(1)
+    placement.submit(make_job("low", 2000, tasks=4, urgency=Urgency.DEFERRABLE))
+    assert len(place_tasks(placement, 0.0)) == 4
+    placement.submit(make_job("now", 4000, urgency=Urgency.URGENT))
     decision = placement.decide(now=1.0)
     assert len(decision.stops) == 2 and not decision.assignments
-    placement.submit(job("other", 2000))
+    placement.submit(make_job("other", 2000))
     placement.ended(decision.stops[0], now=2.0)
-    assert placed(placement, 2.0) == {}
+    assert place_tasks(placement, 2.0) == {}
     placement.ended(decision.stops[1], now=3.0)
-    assert "now/0" in placed(placement, 3.0)
+    assert "now/0" in place_tasks(placement, 3.0)
 
 
 def test_urgent_work_stops_neither_services_nor_normal_batch():
     """Guards against preemption of anything but deferrable batch tasks."""
-    placement = placement_with(1)
-    placement.submit(job("service", 4000, kind=Kind.SERVICE, urgency=Urgency.DEFERRABLE))
-    placement.submit(job("batch", 4000))
-    placed(placement, 0.0)
-    placement.submit(job("now", 4000, urgency=Urgency.URGENT))
+    placement = make_placement(1)
+    placement.submit(make_job("service", 4000, kind=Kind.SERVICE, urgency=Urgency.DEFERRABLE))
+    placement.submit(make_job("batch", 4000))
+    place_tasks(placement, 0.0)
+    placement.submit(make_job("now", 4000, urgency=Urgency.URGENT))
     decision = placement.decide(now=1.0)
     assert decision.stops == [] and decision.assignments == []
 
 
 @pytest.mark.parametrize(
-    ("wanted", "reason"),
+    ("job", "reason"),
     [
-        (job("j", 9000), "needs 9000 cpu_milli, the largest worker has 8000"),
-        (job("j", 1, accelerators=1), "needs 1 accelerators, the largest worker has 0"),
-        (job("j", 8000, tasks=3, kind=Kind.GANG), "3 tasks must run at once"),
+        (make_job("j", 9000), "needs 9000 cpu_milli, the largest worker has 8000"),
+        (make_job("j", 1, accelerators=1), "needs 1 accelerators, the largest worker has 0"),
+        (make_job("j", 8000, tasks=3, kind=Kind.GANG), "3 tasks must run at once"),
     ],
 )
-def test_jobs_that_never_fit_say_why(wanted, reason):
+def test_jobs_that_never_fit_say_why(job, reason):
     """Guards against jobs that wait forever without showing a reason."""
-    placement = placement_with(2)
-    placement.submit(wanted)
-    assert placed(placement, 0.0) == {}
-    assert wanted.never and reason in wanted.reason
+    placement = make_placement(2)
+    placement.submit(job)
+    assert place_tasks(placement, 0.0) == {}
+    assert job.never and reason in job.reason
 
 
 def test_never_is_not_said_before_workers_are_known():
     """Guards against jobs that are marked as never fitting right after an election."""
-    placement, wanted = Placement(), job("j", 1000)
-    placement.submit(wanted)
-    placed(placement, 0.0)
-    assert not wanted.never
+    placement, job = Placement(), make_job("j", 1000)
+    placement.submit(job)
+    place_tasks(placement, 0.0)
+    assert not job.never
     placement.add_worker("w0", domain="d", rack="r", capacity=CAPACITY)
-    assert placed(placement, 0.1) == {"j/0": "w0"}
+    assert place_tasks(placement, 0.1) == {"j/0": "w0"}
 
 
 def test_a_worker_that_fails_every_task_is_tried_again_with_one_task():
     """Guards against a broken worker that fails all queued tasks, and against its loss for good."""
-    placement = placement_with(1)
+    placement = make_placement(1)
     for number in range(5):
-        placement.submit(job(f"j{number % 2}-{number}", 1000))
-        (task_id,) = placed(placement, 0.0)
+        placement.submit(make_job(f"j{number % 2}-{number}", 1000))
+        (task_id,) = place_tasks(placement, 0.0)
         placement.ended(task_id, now=0.0, failed=True)
-    placement.submit(job("next", 1000, tasks=3))
-    assert placed(placement, 59.0) == {}
-    assert len(placed(placement, 60.0)) == 1
+    placement.submit(make_job("next", 1000, tasks=3))
+    assert place_tasks(placement, 59.0) == {}
+    assert len(place_tasks(placement, 60.0)) == 1
     placement.ended("next/0", now=61.0, failed=True)
-    assert placed(placement, 179.0) == {}
-    assert len(placed(placement, 181.0)) == 1
+    assert place_tasks(placement, 179.0) == {}
+    assert len(place_tasks(placement, 181.0)) == 1
     placement.ended("next/1", now=182.0, succeeded=True)
-    assert len(placed(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].is_open
+    assert len(place_tasks(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].is_open
 
 
 def test_a_service_that_runs_brings_a_worker_back():
@@ -290,79 +295,81 @@
 
     After an ejection, a worker is probed with one task; a service task that runs does not end.
     """
-    placement = placement_with(1)
-    placement.submit(job("a", 100, tasks=3))
-    placement.submit(job("b", 100, tasks=3))
-    for task_id in placed(placement, 0.0):
+    placement = make_placement(1)
+    placement.submit(make_job("a", 100, tasks=3))
+    placement.submit(make_job("b", 100, tasks=3))
+    for task_id in place_tasks(placement, 0.0):
         placement.ended(task_id, now=0.0, failed=True)
-    placement.submit(job("s", 1000, tasks=2, kind=Kind.SERVICE, run_s=0))
-    assert len(placed(placement, 60.0)) == 1
-    assert placed(placement, 61.0) == placed(placement, 80.0) == {}
-    assert len(placed(placement, 91.0)) == 1
+    placement.submit(make_job("s", 1000, tasks=2, kind=Kind.SERVICE, run_s=0))
+    assert len(place_tasks(placement, 60.0)) == 1
+    assert place_tasks(placement, 61.0) == place_tasks(placement, 80.0) == {}
+    assert len(place_tasks(placement, 91.0)) == 1
 
 
 def test_failures_of_one_job_do_not_set_a_worker_aside():
     """Guards against ejecting healthy workers because of a job that cannot run anywhere."""
-    placement = placement_with(1)
-    placement.submit(job("broken", 1000, tasks=8))
-    for task_id in placed(placement, 0.0):
+    placement = make_placement(1)
+    placement.submit(make_job("broken", 1000, tasks=8))
+    for task_id in place_tasks(placement, 0.0):
         placement.ended(task_id, now=0.0, failed=True)
     assert placement.pool.worker_by_name["w0"].is_open
 
 
 def test_a_task_that_failed_is_tried_on_another_worker():
     """Guards against a broken worker that uses up all attempts of a task."""
-    placement = placement_with(2)
-    placement.submit(job("tightest", 1000))
-    (first,) = placed(placement, 0.0).values()
-    placement.submit(job("j", 1000))
-    assert placed(placement, 0.0) == {"j/0": first}
+    placement = make_placement(2)
+    placement.submit(make_job("tightest", 1000))
+    (first,) = place_tasks(placement, 0.0).values()
+    placement.submit(make_job("j", 1000))
+    assert place_tasks(placement, 0.0) == {"j/0": first}
     placement.ended("j/0", now=0.0, failed=True)
     placement.job_by_id["j"].avoid.add(first)
     placement.requeue("j", "j/0")
-    assert set(placed(placement, 1.0).values()) == {"w0", "w1"} - {first}
+    assert set(place_tasks(placement, 1.0).values()) == {"w0", "w1"} - {first}
 
 
 def test_services_use_each_rack_before_any_rack_twice():
     """Guards against a rack failure that takes a whole service."""
-    placement = placement_with(12, racks=4)
-    placement.submit(job("s", 500, tasks=8, kind=Kind.SERVICE))
-    racks = [placement.pool.worker_by_name[name].rack for name in placed(placement, 0.0).values()]
+    placement = make_placement(12, racks=4)
+    placement.submit(make_job("s", 500, tasks=8, kind=Kind.SERVICE))
+    racks = [
+        placement.pool.worker_by_name[name].rack for name in place_tasks(placement, 0.0).values()
+    ]
     assert {rack: racks.count(rack) for rack in racks} == {f"r{n}": 2 for n in range(4)}
 
 
 def test_order_is_urgent_then_normal_then_deferrable_unless_late():
     """Guards against priority inversion, and against deferrable work that is never run."""
-    placement = placement_with(1)
+    placement = make_placement(1)
     for name, urgency in (("d", Urgency.DEFERRABLE), ("n", Urgency.NORMAL), ("u", Urgency.URGENT)):
-        placement.submit(job(name, 8000, urgency=urgency))
-    assert list(placed(placement, 0.0)) == ["u/0"]
+        placement.submit(make_job(name, 8000, urgency=urgency))
+    assert list(place_tasks(placement, 0.0)) == ["u/0"]
     placement.ended("u/0", now=1.0)
-    assert list(placed(placement, 1.0)) == ["n/0"]
-    placement.submit(job("n2", 8000, submitted=3200.0))
+    assert list(place_tasks(placement, 1.0)) == ["n/0"]
+    placement.submit(make_job("n2", 8000, submitted=3200.0))
     placement.ended("n/0", now=3300.0)
-    assert list(placed(placement, 3300.0)) == ["d/0"]
+    assert list(place_tasks(placement, 3300.0)) == ["d/0"]
 
 
 def test_a_drained_worker_gets_nothing_new():
     """Guards against new tasks on a worker that is leaving."""
-    placement = placement_with(1)
+    placement = make_placement(1)
     placement.drain_worker("w0", draining=True)
-    placement.submit(job("j", 1000))
-    assert placed(placement, 0.0) == {}
+    placement.submit(make_job("j", 1000))
+    assert place_tasks(placement, 0.0) == {}
     placement.drain_worker("w0", draining=False)
-    assert placed(placement, 0.1) == {"j/0": "w0"}
+    assert place_tasks(placement, 0.1) == {"j/0": "w0"}
 
 
 def test_cancelling_a_wave_stops_only_what_runs():
     """Guards against placing cancelled tasks and against losing track of running ones."""
-    placement = placement_with(2)
+    placement = make_placement(2)
     for number in range(10_000):
-        placement.submit(job(f"j{number}", 8000))
-    running = placed(placement, 0.0)
+        placement.submit(make_job(f"j{number}", 8000))
+    running = place_tasks(placement, 0.0)
     stopped = [task for n in range(10_000) for task in placement.cancel(f"j{n}")]
     assert sorted(stopped) == sorted(running) and len(running) == 2
-    assert placed(placement, 1.0) == {}
+    assert place_tasks(placement, 1.0) == {}
     for task_id in stopped:
         placement.ended(task_id, now=2.0)
-    assert placed(placement, 2.0) == {} and placement.pool.free == placement.pool.capacity
+    assert place_tasks(placement, 2.0) == {} and placement.pool.free == placement.pool.capacity
--- a/tests/test_unreported_end.py
+++ b/tests/test_unreported_end.py
@@ -9,16 +9,16 @@
 
     async def check(bench):
         link = WorkerLink()
-        await bench.beat(link)
+        await bench.send_heartbeat(link)
         bench.submit("j")
         await until(link.starts)
         end = state("j/g.0", kind=AttemptState.SUCCEEDED)
-        await bench.beat(link, seq=2, full=False, attempts=[end])
+        await bench.send_heartbeat(link, seq=2, full=False, attempts=[end])
         assert bench.domain.job_by_id["j"].has_ended
-        bench.group.depose()
+        bench.group.lose_leadership()
         await until(lambda: bench.owner.owner_term is None)
         bench.reports.clear()
-        bench.group.elect()
+        bench.group.win_leadership()
         await until(lambda: bench.owner.owner_term is not None)
         await until(lambda: any(one.job_id == "j" for one in bench.reports))
         assert bench.reports[-1].succeeded == 1
