Rename unclear test functions of flows, placement, owners and entries

Names with figurative words, such as stands for all, told, crawl, room or office, did not say what is tested.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -230,7 +230,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_excess_at_twice_the_capacity_is_told_within_a_quarter_of_the_deadline(seed):
+def test_excess_at_twice_the_capacity_is_refused_within_a_quarter_of_the_deadline(seed):
     """Guards against requests that are queued and refused as "not run" much later."""
     simulation = OverloadSimulation(seed=seed)
     simulation.run(60.0)
@@ -254,7 +254,7 @@
     assert len(drain(queue, now=20.0)) == 2
 
 
-def test_expired_requests_are_told_and_take_no_slot():
+def test_expired_requests_are_reported_and_take_no_slot():
     queue = make_queue()
     expired, waiting = make_request(deadline=5.0), make_request(deadline=50.0)
     offer(queue, expired)
@@ -264,7 +264,7 @@
     assert expired.state is RequestState.GONE
 
 
-def test_full_queue_takes_the_place_from_the_largest_caller():
+def test_full_queue_drops_a_request_of_the_caller_with_the_most():
     """Guards against one caller that fills the queue, so that all others are refused."""
     queue = make_queue(queue_limit_normal=10)
     flood_requests = [make_request(caller="flood", deadline=100.0 + number) for number in range(10)]
--- a/tests/test_control_client.py
+++ b/tests/test_control_client.py
@@ -86,7 +86,7 @@
     assert steady() - started_at < 1.0
 
 
-def test_a_call_that_may_have_had_an_effect_is_never_told_as_not_done():
+def test_a_call_that_may_have_had_an_effect_is_never_reported_as_not_done():
     """Guards against a flow that is reported as not accepted although it is stored."""
     stores = ScriptedStores(a=OutcomeUnknownError("cut"))
     stores.announce_leader("a")
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -100,7 +100,7 @@
     assert CONFIRMED_LEADER_SHARE < ENDED_LEADER_SHARE <= 1.0
 
 
-def test_a_start_is_sent_only_after_its_worker_is_on_record():
+def test_a_start_is_sent_only_after_its_worker_is_committed():
     """Guards against a run that the next leader does not know of.
 
     It happens if a start is sent before the commit that records its worker.
--- a/tests/test_entry_logic.py
+++ b/tests/test_entry_logic.py
@@ -87,7 +87,7 @@
     assert live_names(b, 70.0) == []
 
 
-def test_message_without_an_echo_tells_of_leaving_only():
+def test_message_without_an_echo_reports_only_leaving_endpoints():
     a, b = AnnouncementTable(domain="d"), AnnouncementTable(domain="d")
     a.record(make_announcement(), age_s=0.0, now=10.0)
     a.record(make_announcement(name="p2", state="leaving"), age_s=0.0, now=10.0)
@@ -350,7 +350,7 @@
         return False
 
 
-def test_waiting_request_without_a_chance_is_told_at_its_review():
+def test_waiting_request_that_cannot_meet_its_deadline_is_refused_at_its_next_check():
     """Guards against a request that waits until a deadline that can't be met any more."""
 
     async def main():
@@ -366,7 +366,7 @@
     return EntrySummary(services=[load], **fields)
 
 
-def test_summary_is_sent_only_when_it_says_something_new():
+def test_summary_is_sent_only_when_the_load_changed_enough():
     """Guards against cross-region traffic for every small change of load."""
     throttle = SummaryThrottle()
     due = [throttle.is_due(make_summary(free), now=float(free)) for free in (8, 7, 5, 4, 3, 0, 0)]
@@ -386,7 +386,7 @@
     assert table.choose("other", open_peers=peers) is None
 
 
-def test_pause_is_noticed_before_the_next_beat():
+def test_pause_is_noticed_before_the_next_tick():
     detector = PauseDetector()
     for number in range(5):
         detector.tick(10.0 + number / 4)
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -165,7 +165,7 @@
     return await cell.state(flow_id) == state
 
 
-def test_the_next_leader_goes_on_with_what_runs(tmp_path):
+def test_the_next_leader_continues_with_running_tasks(tmp_path):
     """Guards against a second run or a loss of tasks that run when the leader is killed."""
 
     async def check(cell):
@@ -226,7 +226,7 @@
     return worker._lease_until_ms / 1000
 
 
-def test_a_cancelled_flow_stops_and_its_resend_stays_one(tmp_path):
+def test_a_cancelled_flow_stops_and_stays_cancelled_when_resent(tmp_path):
     """Guards against tasks that run on after a cancel, and a resend that revives the flow."""
 
     async def check(cell):
--- a/tests/test_flow_report.py
+++ b/tests/test_flow_report.py
@@ -57,7 +57,7 @@
     assert "most for again (0.80 s)" in text
 
 
-def test_a_log_without_flows_and_a_missing_log_are_told():
+def test_a_log_without_flows_and_a_missing_log_are_reported():
     """Guards against a traceback for common mistakes of an operator: no log, or a wrong path."""
     assert format_report([]) == "0 flows accepted, 0 of them completed within these logs"
     for arguments in ([], ["/nowhere/store.log"]):
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -96,7 +96,7 @@
     assert harness.place() == [("f.0.1.0", "w")]
 
 
-def test_a_new_leader_starts_nothing_old_before_every_worker_is_seen_or_waited_out():
+def test_a_new_leader_restarts_no_task_before_its_worker_reports_or_its_lease_expires():
     """Guards against a second run of a task on a worker that the new leader cannot reach."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w1", cpu_milli=1000))
@@ -157,7 +157,7 @@
     assert harness.scheduler.find_task("f.0.0.0").state == TaskState.WAITING
 
 
-def test_a_part_of_a_report_does_not_tell_what_is_missing():
+def test_a_partial_report_does_not_show_which_tasks_are_missing():
     """Guards against a second run of a task whose end is on the next page of a report."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w"))
@@ -243,7 +243,7 @@
     assert harness.state.flow_by_id["f"].failures_by_task["f.0.0.0"].count == 1
 
 
-def test_one_end_of_a_gang_stands_for_all():
+def test_the_end_of_one_gang_member_counts_for_all():
     """Guards against a second run of members whose own end was not reported yet."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w1", cpu_milli=1000))
@@ -261,7 +261,7 @@
     assert harness.scheduler.flow_by_id == {}
 
 
-def test_a_lost_worker_gives_back_its_tasks():
+def test_tasks_of_a_lost_worker_are_placed_again():
     """Guards against tasks that nobody runs after a worker is gone."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w1"))
@@ -273,7 +273,7 @@
     assert harness.place() == [("f.0.0.0", "w2")]
 
 
-def test_a_new_incarnation_under_the_same_id_knows_nothing():
+def test_a_new_incarnation_under_the_same_id_has_no_earlier_state():
     """Guards against ends of a former incarnation that hide those of the new one.
 
     The end numbers of a new incarnation begin at 1 again.
@@ -294,7 +294,7 @@
     assert harness.state.flow_by_id["f"].outcome == Outcome.COMPLETED
 
 
-def test_a_lasting_task_starts_again_however_it_ends():
+def test_a_long_running_task_starts_again_however_it_ends():
     """Guards against a service task that is not restarted after it ended."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w"))
@@ -316,7 +316,7 @@
     assert len(harness.place()) == 4
 
 
-def test_filling_tasks_are_slowed_while_a_serving_task_is_over_its_target():
+def test_filling_tasks_are_throttled_while_a_serving_task_is_over_its_target():
     """Guards against a serving task that stays over its latency target beside best-effort tasks."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w"))
@@ -335,7 +335,7 @@
     assert worker.best_effort_percent == 25
 
 
-def test_a_filling_task_that_starts_beside_a_slowed_one_is_slowed_too():
+def test_a_filling_task_that_starts_on_a_throttled_worker_is_throttled_too():
     """Guards against new best-effort tasks that run unthrottled on a worker that is throttled."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w"))
@@ -345,7 +345,7 @@
     assert [action.percent for action in harness.scheduler.throttles] == [5]
 
 
-def test_a_task_that_stands_still_is_started_on_another_worker():
+def test_a_stalled_task_is_started_on_another_worker():
     """Guards against tasks that hang on a worker whose announcements are normal."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w1"))
@@ -375,7 +375,7 @@
     assert harness.carry_out_stops() == []
 
 
-def test_a_lasting_task_that_is_at_work_is_not_taken_for_standing_still():
+def test_a_working_long_running_task_does_not_count_as_stalled():
     """Guards against service tasks that are restarted although they work.
 
     A service task reports 100 percent all the time, which looks like no progress.
@@ -445,7 +445,7 @@
     assert harness.place() == [("u.0.0.0", "w")]
 
 
-def test_urgent_tasks_avoid_a_worker_as_soon_as_its_tasks_crawl():
+def test_urgent_tasks_avoid_a_worker_as_soon_as_its_tasks_run_slowly():
     """Guards against late urgent flows if a slow worker is detected only when its tasks end.
 
     Scenario: during a burst, a twelfth of the workers takes six times as long for some seconds.
@@ -479,7 +479,7 @@
     assert harness.scheduler.worker_by_id["w"].expected_slowdown(harness.now) == 1.0
 
 
-def test_what_a_leaving_worker_cannot_finish_moves_away():
+def test_tasks_that_a_leaving_worker_cannot_finish_are_moved():
     """Guards against tasks that are killed with their worker though it announced that it leaves."""
     harness = FlowHarness()
     harness.add_worker(make_worker("w1"))
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -68,7 +68,7 @@
     assert server.connections == 1
 
 
-def test_a_connection_that_the_other_side_closed_is_not_used_again():
+def test_a_connection_that_the_peer_closed_is_not_used_again():
     """Guards against an unknown outcome for a call that was sent on a dead connection."""
     server = ScriptedServer(
         OK_RESPONSE.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"), OK_RESPONSE
@@ -83,7 +83,7 @@
     assert server.connections == 2
 
 
-def test_silence_after_the_request_was_written_is_an_unknown_outcome():
+def test_a_timeout_after_the_request_was_written_is_an_unknown_outcome():
     """Guards against a start that is reported as not sent though it may be carried out."""
 
     async def check(pool):
@@ -96,7 +96,7 @@
     assert server.connections == 2
 
 
-def test_a_silent_connection_takes_the_idle_ones_with_it():
+def test_a_timeout_on_one_connection_closes_the_idle_ones():
     """Guards against several dead connections that are detected one by one, a timeout each."""
     server = ScriptedServer(OK_RESPONSE, OK_RESPONSE, None, OK_RESPONSE)
 
@@ -114,7 +114,7 @@
     assert server.connections == 3
 
 
-def test_a_reset_connection_is_told_from_silence():
+def test_a_reset_connection_is_distinguished_from_a_timeout():
     """Guards against a worker that counts as unresponsive because a connection was reset."""
 
     async def check(pool):
--- a/tests/test_leader_cache.py
+++ b/tests/test_leader_cache.py
@@ -20,7 +20,7 @@
     assert not cache.is_fresh(11.6)
 
 
-def test_a_follower_names_another_leader_only_when_the_known_one_is_silent():
+def test_a_leader_named_by_a_follower_counts_only_when_the_known_one_is_silent():
     """Guards against calls that go to a former leader because a slow follower still names it."""
     cache = make_cache_with_leader()
     cache.take(ControlNotice(leader="b:1"), sender="c:1", now=10.5)
@@ -29,7 +29,7 @@
     assert cache.leader(12.0) == "b:1"
 
 
-def test_a_leader_that_disowns_its_office_is_not_called_again():
+def test_a_store_that_does_not_lead_any_more_is_not_called_again():
     """Guards against further calls to a store that answered that it does not lead."""
     cache = make_cache_with_leader()
     cache.disown("a:1")
@@ -47,7 +47,7 @@
     assert cache.document.version == 4
 
 
-def test_callers_are_told_to_come_back_later_the_longer_no_leader_is_heard(monkeypatch):
+def test_the_retry_delay_of_callers_grows_with_the_time_without_a_leader(monkeypatch):
     """Guards against callers whose retries are used up before a long outage ends.
 
     Scenario: all stores are unreachable for 4.5 s and callers have four retries.
@@ -60,7 +60,7 @@
     assert advised_delays_s == [1, 1, 3, 4]
 
 
-def test_a_former_leader_that_still_claims_to_lead_is_not_believed():
+def test_a_former_leader_that_still_claims_to_lead_is_ignored():
     """Guards against calls that go back and forth between two stores that both claim to lead.
 
     Scenario: the disk of a leader hangs, so it does not notice that another was elected.
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -33,7 +33,7 @@
     assert owner.lost(1031.5) == [] and owner.lost(1031.7) == ["w"]
 
 
-def test_the_lease_runs_from_the_sending():
+def test_a_lease_starts_when_its_heartbeat_is_sent():
     """Guards against a lease that a slow answer makes longer."""
     worker = LeaseHolder(lease_s=LEASE_S)
     seq = worker.beat(now=0.0)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -231,7 +231,7 @@
     with_owner(check)
 
 
-def test_a_deposed_owner_sends_nothing_and_answers_nothing():
+def test_an_owner_that_lost_leadership_sends_and_answers_nothing():
     """Guards against two owners that start tasks or renew leases at the same time."""
 
     async def check(harness):
@@ -391,7 +391,7 @@
     with_owner(check)
 
 
-def test_a_cancellation_wave_is_one_commit_and_stops_only_what_runs():
+def test_a_burst_of_cancellations_is_one_commit_and_stops_only_running_tasks():
     """Guards against a commit for each of 10,000 cancellations, and starts of cancelled tasks."""
 
     async def check(harness):
--- a/tests/test_owner_fence.py
+++ b/tests/test_owner_fence.py
@@ -44,7 +44,7 @@
     with_owner(check)
 
 
-def test_owner_that_was_declared_lost_ends_everything_before_it_says_so():
+def test_owner_that_was_declared_lost_is_idle_only_after_everything_ended():
     """Guards against reporting a group as idle while an attempt or a lease may still run."""
 
     async def check(harness):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -119,7 +119,7 @@
         check_invariants(placement)
 
 
-def test_taking_more_than_is_free_is_refused_in_the_pool():
+def test_allocating_more_than_is_free_is_refused_by_the_pool():
     """Guards against a policy that picks a worker without enough free resources."""
     placement = make_placement(1)
     with pytest.raises(OvercommitError):
@@ -159,7 +159,7 @@
     assert started
 
 
-def test_a_reservation_moves_to_where_room_appears_first():
+def test_a_reservation_moves_to_where_resources_become_free_first():
     """Guards against a gang that waits for the workers reserved first while others become free."""
     placement = make_placement(6)
     for number in range(12):
@@ -207,7 +207,7 @@
     assert list(place_tasks(placement, 1.0)) == ["small/0"]
 
 
-def test_reservations_keep_only_a_few_jobs_places():
+def test_only_a_few_jobs_have_reservations_at_once():
     """Guards against a pool that is left idle by reservations for every blocked job."""
     placement = make_placement(20)
     for number in range(20):
@@ -255,7 +255,7 @@
         (make_job("j", 8000, tasks=3, kind=Kind.GANG), "3 tasks must run at once"),
     ],
 )
-def test_jobs_that_never_fit_say_why(job, reason):
+def test_jobs_that_never_fit_show_the_reason(job, reason):
     """Guards against jobs that wait forever without showing a reason."""
     placement = make_placement(2)
     placement.submit(job)
@@ -263,7 +263,7 @@
     assert job.never and reason in job.reason
 
 
-def test_never_is_not_said_before_workers_are_known():
+def test_no_job_is_marked_as_never_fitting_before_workers_are_known():
     """Guards against jobs that are marked as never fitting right after an election."""
     placement, job = Placement(), make_job("j", 1000)
     placement.submit(job)
@@ -290,7 +290,7 @@
     assert len(place_tasks(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].is_open
 
 
-def test_a_service_that_runs_brings_a_worker_back():
+def test_a_running_service_task_readmits_an_ejected_worker():
     """Guards against a worker that stays on probation for ever.
 
     After an ejection, a worker is probed with one task; a service task that runs does not end.
@@ -306,7 +306,7 @@
     assert len(place_tasks(placement, 91.0)) == 1
 
 
-def test_failures_of_one_job_do_not_set_a_worker_aside():
+def test_failures_of_one_job_do_not_eject_a_worker():
     """Guards against ejecting healthy workers because of a job that cannot run anywhere."""
     placement = make_placement(1)
     placement.submit(make_job("broken", 1000, tasks=8))
@@ -361,7 +361,7 @@
     assert place_tasks(placement, 0.1) == {"j/0": "w0"}
 
 
-def test_cancelling_a_wave_stops_only_what_runs():
+def test_cancelling_many_jobs_stops_only_running_tasks():
     """Guards against placing cancelled tasks and against losing track of running ones."""
     placement = make_placement(2)
     for number in range(10_000):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -133,7 +133,7 @@
         read_document(dumps(DOCUMENT).encode()[:length])
 
 
-def test_a_worker_is_read_with_its_room_and_rack():
+def test_a_worker_is_read_with_its_capacity_and_rack():
     """Guards against tasks that are sent to a worker without the capacity for them."""
     worker = read_worker("i-1", dumps(WORKER).encode())
     assert (worker.cpu_milli, worker.memory_mb, worker.accelerators) == (16000, 32768, 1)
--- a/tests/test_speculation.py
+++ b/tests/test_speculation.py
@@ -25,7 +25,7 @@
     return harness, suspect, other
 
 
-def test_a_task_of_a_silent_worker_starts_elsewhere_before_the_lease_is_over():
+def test_a_task_of_an_unresponsive_worker_starts_elsewhere_before_the_lease_expires():
     """Guards against urgent flows that wait for a lease to expire though copies are allowed.
 
     Scenario: workers are unreachable for seconds under load.
@@ -85,7 +85,7 @@
     assert harness.place() == []
 
 
-def test_the_room_of_a_start_under_way_is_kept_until_its_stop_is_confirmed():
+def test_resources_of_a_start_in_flight_stay_allocated_until_its_stop_is_confirmed():
     """Guards against a worker over its capacity when a start order arrives seconds late."""
     harness, suspect, other = make_harness_with_suspect(confirmed=False)
     harness.running_by_worker[suspect].clear()
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -104,13 +104,13 @@
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
-def test_a_worker_that_keeps_silent_is_suspect_at_once(run_manager):
+def test_a_worker_that_does_not_answer_is_suspect_at_once(run_manager):
     """Guards against starts that wait for a worker whose status poll timed out."""
     leader, _ = run_manager(REPORT, OutcomeUnknownError("timeout"), REPORT)
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
-def test_looks_wait_less_after_a_call_without_an_answer(run_manager):
+def test_status_polls_wait_less_after_a_call_without_an_answer(run_manager):
     """Guards against ends that the leader learns of seconds late after each lost answer."""
     _, driver = run_manager(REPORT, REPORT, OutcomeUnknownError("timeout"), REPORT, REPORT)
     assert driver.wait_by_poll == [0, 1200, 1200, 0, 300]
