--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -10,7 +10,7 @@
 
 
 def test_a_worker_is_lost_only_after_the_margin():
-    """Guards against placing its tasks again while they run."""
+    """Guards against placing the tasks of a worker again while they may still run."""
     owner = LeaseTable(lease_s=LEASE_S, elected_at=0.0)
     owner.arrived("w", 1, now=100.0)
     assert owner.acknowledged("w", 1)
@@ -19,7 +19,7 @@
 
 
 def test_an_unacknowledged_heartbeat_does_not_count():
-    """Guards against a worker kept alive by heartbeats without a quorum round."""
+    """Guards against a lease that is renewed by heartbeats without a quorum round."""
     owner = LeaseTable(lease_s=LEASE_S, elected_at=0.0)
     owner.watch("w")
     owner.arrived("w", 1, now=20.0)
@@ -33,8 +33,8 @@
     assert owner.lost(1031.5) == [] and owner.lost(1031.7) == ["w"]
 
 
-def test_the_lease_runs_from_the_sending():
-    """Guards against a lease made longer by a slow answer."""
+def test_a_lease_starts_when_its_heartbeat_is_sent():
+    """Guards against a lease that a slow answer makes longer."""
     worker = LeaseHolder(lease_s=LEASE_S)
     seq = worker.beat(now=0.0)
     assert worker.is_expired(0.0)
@@ -43,7 +43,7 @@
 
 
 def test_answers_out_of_order_and_old_terms():
-    """Guards against a lease set back by a late answer, and against a deposed owner."""
+    """Guards against a lease that a late answer shortens or a former owner renews."""
     worker = LeaseHolder(lease_s=LEASE_S)
     first, second = worker.beat(now=0.0), worker.beat(now=5.0)
     assert worker.acknowledged(second, term=2)
@@ -53,17 +53,20 @@
     assert not worker.acknowledged(99, term=2)
 
 
-@pytest.mark.parametrize("make", [LeaseHolder, LeaseTable])
-def test_equal_states_have_equal_keys(make):
-    """Guards against a model checker that sees the same state as two."""
-    more = {"elected_at": 0.0} if make is LeaseTable else {}
-    one, two = make(lease_s=LEASE_S, **more), make(lease_s=LEASE_S, **more)
-    assert one.key() == two.key() and hash(one.key()) == hash(two.key())
+@pytest.mark.parametrize("lease_class", [LeaseHolder, LeaseTable])
+def test_equal_states_have_equal_keys(lease_class):
+    """Guards against a model checker that counts equal states as different."""
+    arguments = {"elected_at": 0.0} if lease_class is LeaseTable else {}
+    first, second = (
+        lease_class(lease_s=LEASE_S, **arguments),
+        lease_class(lease_s=LEASE_S, **arguments),
+    )
+    assert first.key() == second.key() and hash(first.key()) == hash(second.key())
 
 
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(("beat", "elect", "pause")),
+        st.sampled_from(("heartbeat", "elect", "pause")),
         st.floats(0.0, 25.0),
         st.floats(0.0, 20.0),
         st.floats(0.0, 20.0),
@@ -76,27 +79,29 @@
 @settings(max_examples=300, deadline=None)
 @given(events=EVENTS, rate=st.floats(0.9905, 1.0095))
 def test_no_owner_counts_a_worker_as_lost_while_its_lease_runs(events, rate):
-    """Guards against two running attempts, with delays, pauses, new owners and unequal clocks.
+    """Guards against two running attempts of a task.
 
-    True time is the owner's clock; the worker's clock runs at ``rate``.
+    Heartbeats are late or unacknowledged, processes pause, owners change, clock rates differ.
+
+    The owner's clock shows true time; the worker's clock runs at ``rate``.
     """
     worker = LeaseHolder(lease_s=LEASE_S)
     owner, term, now = LeaseTable(lease_s=LEASE_S, elected_at=0.0), 1, 0.0
     owner.watch("w")
-    for kind, wait, out, back, kept in events:
-        now += wait
+    for kind, wait_s, send_delay_s, answer_delay_s, is_confirmed in events:
+        now += wait_s
         if kind == "elect":
             term += 1
             owner = LeaseTable(lease_s=LEASE_S, elected_at=now)
             owner.watch("w")
         elif kind == "pause":
-            now += out
+            now += send_delay_s
         else:
             seq = worker.beat(now=now * rate)
-            now += out
+            now += send_delay_s
             owner.arrived("w", seq, now=now)
-            if kept and owner.acknowledged("w", seq):
-                now += back
+            if is_confirmed and owner.acknowledged("w", seq):
+                now += answer_delay_s
                 worker.acknowledged(seq, term=term)
         if owner.lost(now):
             assert worker.is_expired(now * rate)
