Say plainly what the tests of the replicated log guard against

Docstrings and messages spoke of disks that forget, nodes that lead as far as they know, messages that are told or heard, and a bootstrap called founding. They now name the failure and how it comes about in terms of consensus, and the model checker explains each field of its states and budgets.

--- a/tests/checker.py
+++ b/tests/checker.py
@@ -1,6 +1,6 @@
-"""Checks the records of endpoint stubs and worker stubs, not the system's own view.
+"""Checks of the invariants in docs/invariants.md on the records of endpoint and worker stubs.
 
-All times are readings of one machine's monotonic clock.
+The system's own view is not used. All times are readings of one machine's monotonic clock.
 """
 
 from collections import defaultdict
@@ -13,7 +13,7 @@
 
 
 def read(*paths):
-    """Return the records of all files in order of time; a torn last line is left out."""
+    """Return the records of all files in order of time, without a torn last line."""
     records = []
     for path in paths:
         lines = path.read_text(encoding="utf-8").split("\n") if path.exists() else []
@@ -27,11 +27,12 @@
 
 
 class Answer:
-    """What a caller received.
+    """Answer that a caller received.
 
-    :param code: result code, None if the connection was lost.
+    :param code: result code, or None if the connection was lost.
     :param body: received body.
-    :param expected: the body that belongs to the request.
+    :param expected: body that belongs to the request.
+    :param key: idempotency key of the request, if it had one.
     """
 
     __slots__ = ("body", "code", "expected", "key", "request_id")
@@ -47,7 +48,7 @@
 def check_workers(records):
     """Check I1 and I2 and return the violations as texts.
 
-    A ``capacity`` or ``killed`` line ends all that ran on the worker before.
+    A ``capacity`` or ``killed`` record ends all attempts that ran on the worker before.
     """
     faults, capacity, running, place_by_task = [], {}, defaultdict(dict), {}
     for record in records:
@@ -80,9 +81,9 @@
 
 
 def check_jobs(records, tasks_by_job):
-    """Check that no job runs more tasks at once than it has, on all workers together.
+    """Check that no job runs more tasks at once than it has, counted over all workers.
 
-    Tasks of one job have other names in another domain group.
+    Tasks are counted by job, because another domain group gives them other names.
     """
     faults, job_by_attempt = [], {}
     for record in records:
@@ -102,7 +103,9 @@
 
 
 def check_stopped(records, job_ids, *, since):
-    """Check that no task of some jobs runs or starts after a time; return violations as texts.
+    """Check that no task of the given jobs starts after a time or still runs at the end.
+
+    Returns the violations as texts.
 
     :param since: time at which the system reported the jobs as cancelled.
     """
@@ -123,7 +126,7 @@
 def check_requests(records, answers):
     """Check I3, I4 and I5 and return the violations as texts.
 
-    :param records: lines of the endpoint stubs.
+    :param records: records of the endpoint stubs.
     :param answers: :class:`Answer` of the callers.
     """
     starts = [record for record in records if record["event"] == "start"]
--- a/tests/fake_group.py
+++ b/tests/fake_group.py
@@ -1,10 +1,13 @@
-"""Group of one process for tests: a proposal is applied at once."""
+"""Group of one process for tests, which applies a proposal at once."""
 
 from siskintally.errors import NotLeaderError
 
 
 class FakeGroup:
-    """Stands in for :class:`siskintally.group.Group`."""
+    """Replaces :class:`siskintally.group.Group`.
+
+    :param machine: state machine to which proposals are applied.
+    """
 
     members = ()
 
--- a/tests/model/__init__.py
+++ b/tests/model/__init__.py
@@ -1,1 +1,1 @@
-"""Model checking of the pure transition functions; run with ``python -m tests.model``."""
+"""Model checker for the pure transition functions; run with ``python -m tests.model``."""
--- a/tests/model/__main__.py
+++ b/tests/model/__main__.py
@@ -1,6 +1,6 @@
 """Runs the model checker: ``python -m tests.model [ci|large] [write]``.
 
-``write`` puts the result into docs/model-checking.md.
+``write`` puts the results into docs/model-checking.md.
 """
 
 from pathlib import Path
@@ -11,12 +11,12 @@
 from tests.model.search import search
 
 PAGE = Path("docs/model-checking.md")
-# Keeps a search below 3 GiB.
+# Keeps the memory of a search below 3 GiB.
 MAX_STATES = 4_000_000
 
 
 def specification_rows(specs):
-    """Search the specifications and yield table rows; raise on a violation."""
+    """Search the specifications and yield table rows; exit on a violation."""
     for spec in specs:
         result = search(spec, max_states=MAX_STATES)
         print(f"{spec.name}: {spec.bounds}: {result}", flush=True)
@@ -30,7 +30,7 @@
 
 
 def mutant_lines():
-    """Search the mutants and yield their shortest traces; raise if one is not found."""
+    """Search the mutants and yield their shortest traces; exit if one is not found."""
     for mutant in mutants():
         spec = mutant.build()
         result = search(spec, max_states=MAX_STATES)
@@ -44,7 +44,7 @@
 
 
 def write(size, lines):
-    """Replace the part of the page that a run of this size produced."""
+    """Replace the part of the page that holds the results of this size."""
     begin, end = f"<!-- begin {size} -->", f"<!-- end {size} -->"
     text = PAGE.read_text(encoding="utf-8")
     head, rest = text.split(begin)
--- a/tests/model/config.py
+++ b/tests/model/config.py
@@ -1,8 +1,9 @@
-"""Specification of the configuration: operators with equal version numbers, the feed, entries.
+"""Specification of the configuration: racing operators, the feed of the domain, and entries.
 
-The cell is the real state machine, an entry is the real follower. The domain keeps what the real
-``Cell.changes`` sent if its version is higher; that rule is modeled here. Commands reach the cell
-in any order, late and repeated, as an operator sends a request again when its response is lost.
+The cell is the real state machine and an entry is the real configuration follower. The domain keeps
+a configuration that the real ``Cell.changes_since`` sent if its version is higher; that rule is
+modeled here. Commands reach the cell in any order, late and repeated, because an operator resends a
+request whose response was lost.
 """
 
 from sys import intern
@@ -43,12 +44,13 @@
 
 
 class State(NamedTuple):
-    """Number of the cell state, what is on the way, and what was observed.
+    """Number of the cell state, messages in flight, and what was observed.
 
-    ``replies``: first (code, answer) of each request. ``history``: configurations by version.
-    ``domain``: (followed index, configuration) that the domain has committed. ``feed``: replies of
-    the cell on the way. ``entries``: configuration of each entry. ``seen``: highest version that
-    each entry ever had. ``polls``: (entry, configuration) on the way.
+    ``sent``: requests in flight. ``replies``: first reply to each request. ``history``:
+    configurations by version. ``domain``: (followed index, configuration) that the domain has
+    committed. ``feed``: replies of the cell to the domain in flight. ``entries``: configuration of
+    each entry. ``seen``: highest version that each entry ever had. ``polls``: (entry,
+    configuration) in flight.
     """
 
     cell: int
@@ -76,11 +78,11 @@
 class ConfigSpec(Spec):
     """Four requests, one domain, entries.
 
-    :param repeats: commands that arrive a second time.
-    :param feeds: replies of the cell to the domain.
-    :param polls: replies of the domain to entries.
-    :param restarts: restarts of entries.
-    :param cell_class: a mutant in tests.
+    :param repeats: number of commands that arrive a second time.
+    :param feeds: number of replies of the cell to the domain.
+    :param polls: number of replies of the domain to entries.
+    :param restarts: number of restarts of entries.
+    :param cell_class: real class, or a mutant of it.
     """
 
     __slots__ = ("_budget", "_cell_class", "_cells", "_entries", "_memo")
@@ -98,7 +100,7 @@
         self._memo = {}
 
     def initial(self):
-        """Return a cell without configuration and all requests on the way."""
+        """Return a cell without configuration, with all requests in flight."""
         return [
             State(
                 cell=self._put(self._cell_class()),
@@ -115,7 +117,7 @@
         return state.fault
 
     def steps(self, state):
-        """Yield commands, feeds, polls, restarts, and a snapshot."""
+        """Yield applied commands, feeds, polls, restarts, and a snapshot of the cell."""
         repeats, feeds, polls, restarts = state.budget
         for name in state.sent:
             yield intern(f"apply {name}"), self._apply(state, name, state.sent - {name})
--- a/tests/model/consensus.py
+++ b/tests/model/consensus.py
@@ -1,10 +1,10 @@
 """Specification of consensus: real replicas, an unordered network, crashes and lost disks.
 
-One step is one transition of one replica together with the sync and the sending that it asks for.
-A crash before the sync equals the loss of the message that caused the transition. Elections start
-at any time without the pre-vote round, and voters never refuse because they hear a leader: both
-only protect liveness, so the search covers a superset of the behavior. With ``pre_vote`` the round
-is included.
+One step is one transition of one replica, with the sync and the messages that it asks for. A crash
+before the sync equals the loss of the message that caused the transition. Elections start at any
+time without the pre-vote round, and voters never refuse a vote because they are in contact with a
+leader: both rules only protect liveness, so the search covers a superset of the behavior. With
+``pre_vote`` the round is included.
 """
 
 from ast import literal_eval
@@ -24,7 +24,11 @@
 
 
 class Budget(NamedTuple):
-    """How many steps of each kind may still be taken."""
+    """How many steps of each kind may still be taken.
+
+    ``repeat``: second deliveries of a message. ``lazy``: read rounds that wait for the next
+    heartbeat. ``beat``: heartbeats of a leader. ``change``: steps of a member change.
+    """
 
     elect: int = 0
     propose: int = 0
@@ -42,7 +46,7 @@
 
 
 class Node(NamedTuple):
-    """A replica, what its machine has applied, and its disk if that is behind."""
+    """A replica, what its state machine has applied, and its disk if that lacks a sync."""
 
     replica: Replica
     applied: tuple = ()
@@ -54,7 +58,7 @@
 
 
 class State(NamedTuple):
-    """Numbers of nodes and messages, and what was observed so far.
+    """Table numbers of nodes and messages, and what was observed so far.
 
     ``committed``: longest applied sequence. ``leaders``: (term, identity). ``reads``: (node, term,
     round, length of ``committed`` and highest elected term when the round began).
@@ -72,11 +76,12 @@
 class Consensus(Spec):
     """Replicas of one group.
 
-    :param voters: number of founding voters.
+    :param voters: number of voters with which the group is bootstrapped.
     :param learner: whether a learner is a member from the start.
     :param candidates: numbers of the nodes that start elections.
-    :param led: start with node 0 as a leader whose first entry all have.
-    :param replica_class: a mutant in tests.
+    :param led: start with node 0 as a leader whose first entry all nodes have.
+    :param pre_vote: whether elections begin with the pre-vote round.
+    :param replica_class: real class, or a mutant of it.
     :param reuse_identity: mutant; an empty disk keeps the incarnation.
     :param early_send: mutant; messages leave before the sync.
     """
@@ -132,7 +137,7 @@
         self._shared = {}
 
     def initial(self):
-        """Return the founding state, led by node 0 if asked."""
+        """Return the bootstrapped state, led by node 0 with ``led``."""
         count = self._voters + self._learner
         ids = [Identity(name=f"s{number + 1}", incarnation="a") for number in range(count)]
         persistent_state = bootstrap_state(ids[: self._voters])
@@ -159,7 +164,7 @@
         return state
 
     def steps(self, state):
-        """Yield deliveries, repeated deliveries, and what the budget allows."""
+        """Yield deliveries, repeated deliveries, and the actions that the budget allows."""
         budget = state.budget
         for number in state.network:
             at = self._receiver(state, number)
@@ -199,7 +204,7 @@
             yield "elect"
 
     def _act(self, state, at, action, number=None):
-        """Apply a step of one node and check what can be observed."""
+        """Return the state after an action of one node; record and check what it shows."""
         before = state.nodes[at]
         extra = len(state.committed) if action == "propose" else number
         memo = (before, action, extra)
@@ -217,7 +222,7 @@
         return self._observe(state, at, seen) if seen else state
 
     def _pruned(self, nodes, network):
-        """Leave out the messages that can never change their receiver again."""
+        """Return the network without messages that can never change their receiver again."""
         at_by_id = {self._nodes[node].replica.identity: node for node in nodes}
         dead = []
         for number in network:
@@ -294,7 +299,7 @@
         return effects
 
     def _change(self, replica):
-        """Admit the new incarnation of the last founding voter, then promote it step by step."""
+        """Admit the new incarnation of the last bootstrapped voter, then promote it in steps."""
         newcomer = Identity(name=f"s{self._voters}", incarnation="b")
         members = replica.log.members
         known = [member for member in members if member.identity == newcomer]
@@ -354,7 +359,7 @@
         identity, term = replica.identity, replica.term
         if any(other != identity for at, other in state.leaders if at == term):
             return state._replace(fault=f"two leaders in term {term}")
-        # A late leader of an older term than the latest may lack what the latest committed.
+        # A leader that learns late of its election in an older term may lack newer commits.
         newest = all(at < term for at, _ in state.leaders)
         for number, entry in enumerate(state.committed if newest else ()):
             index = BOOTSTRAP_INDEX + 1 + number
@@ -405,7 +410,7 @@
 
 
 def _decoded(data):
-    """Return the applied sequence in a snapshot; that of the founding state is empty."""
+    """Return the applied sequence in a snapshot; that of the bootstrapped state is empty."""
     return literal_eval(data.decode()) if data else ()
 
 
--- a/tests/model/ledger.py
+++ b/tests/model/ledger.py
@@ -2,7 +2,7 @@
 
 Every attempt follows section 3.3 of the design and can crash, give up or resend at any moment; a
 crash of an entry is a crash of its attempts. The network is unordered; a message that is never
-delivered is lost. Time stands still, so that nothing expires.
+delivered is lost. The clock does not advance, so that nothing expires.
 """
 
 from sys import intern
@@ -25,11 +25,11 @@
 
 
 class State(NamedTuple):
-    """Number of the ledger state, attempts, network, and what was observed.
+    """Number of the ledger state, attempts, messages in flight, and what was observed.
 
-    ``phases``: of each attempt. ``told``: what the caller of each attempt was told. ``executed``:
-    attempts in the order in which the endpoint ran them. ``granted``, ``released``: attempts for
-    which the ledger answered or applied it.
+    ``phases``: phase of each attempt. ``told``: result that the caller of each attempt received.
+    ``executed``: attempts in the order in which the endpoint ran them. ``granted``: attempts to
+    which the ledger granted the key. ``released``: attempts whose release the ledger applied.
     """
 
     ledger: int
@@ -44,7 +44,7 @@
     fault: str = ""
 
     def move(self, attempt, phase, *, told=None, send=()):
-        """Return the state after an attempt changed its phase."""
+        """Return the state after an attempt has changed its phase."""
         return self._replace(
             phases=(*self.phases[:attempt], phase, *self.phases[attempt + 1 :]),
             told=(*self.told[:attempt], told or self.told[attempt], *self.told[attempt + 1 :]),
@@ -52,7 +52,7 @@
         ).pruned()
 
     def pruned(self):
-        """Leave out the replies that their attempt will ignore from now on."""
+        """Return the state without replies that their attempt will ignore from now on."""
         dead = {message for message in self.network if _is_dead(message, self.phases)}
         return self._replace(network=self.network - dead) if dead else self
 
@@ -60,10 +60,11 @@
 class LedgerSpec(Spec):
     """One key, several attempts.
 
-    :param attempts: number of attempts; the last has another digest if ``conflict``.
-    :param repeats: messages that are delivered twice.
-    :param resends: messages that an attempt sends again.
-    :param ledger_class: a mutant in tests.
+    :param attempts: number of attempts.
+    :param repeats: number of messages that are delivered twice.
+    :param resends: number of messages that an attempt sends again.
+    :param conflict: whether the last attempt has another digest.
+    :param ledger_class: real class, or a mutant of it.
     """
 
     __slots__ = ("_attempts", "_conflict", "_ledger_class", "_ledgers", "_memo", "_resends")
@@ -102,12 +103,12 @@
         return state.fault
 
     def steps(self, state):
-        """Yield deliveries, steps of the attempts, and a snapshot."""
+        """Yield deliveries, steps of the attempts, and a snapshot of the ledger."""
         for message in state.network:
             label = intern(f"deliver {' '.join(map(str, message))}")
             without = state._replace(network=state.network - {message})
             yield label, self._checked(self._deliver(without, message))
-            # A stream carries a request to an endpoint and its answer once.
+            # A stream delivers a request to an endpoint, and the answer, only once.
             if state.repeats and message[0] not in ("request", "answer"):
                 kept = state._replace(repeats=state.repeats - 1)
                 yield intern(f"{label} (a copy)"), self._checked(self._deliver(kept, message))
@@ -200,7 +201,7 @@
 
 
 def _own_steps(state, attempt, phase):
-    """Yield what an attempt does by itself."""
+    """Yield the steps of an attempt that need no message."""
     if phase == "idle":
         # Attempts are numbered in the order in which they begin.
         if attempt and state.phases[attempt - 1] == "idle":
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -1,4 +1,4 @@
-"""Faulty versions of the checked functions; the search must find every one."""
+"""Faulty versions of the checked classes; the search must find every fault."""
 
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import State as CellState
@@ -23,7 +23,7 @@
 
 
 class StaleRoundReplica(Replica):
-    """Counts an answer to an earlier message for the newest read round."""
+    """Counts a reply to an earlier message for the newest read round."""
 
     __slots__ = ()
 
@@ -37,7 +37,7 @@
     __slots__ = ()
 
     def snapshot(self):
-        """Return the state without what a resend needs."""
+        """Return the state without the records that a resend needs."""
         state = LedgerState.FromString(super().snapshot())
         for generation in state.generations:
             generation.fingerprints = b""
@@ -55,19 +55,19 @@
 
 
 class AmnesicLedger(Ledger):
-    """Keeps no released attempts."""
+    """Keeps no record of released attempts."""
 
     __slots__ = ()
 
     def release(self, message, now):
-        """Give the key back and forget the attempt."""
+        """Release the key and delete the record of the attempt."""
         done = super().release(message, now)
         self._delete_record(_tombstone_fingerprint(message.key, message.attempt))
         return done
 
 
 class GenerousLedger(Ledger):
-    """Grants a key again whose outcome is unknown."""
+    """Grants a key with an unknown outcome again."""
 
     __slots__ = ()
 
@@ -80,7 +80,7 @@
 
 
 class LenientCell(Cell):
-    """Accepts the version before the present one too, so two changes with equal numbers pass."""
+    """Accepts the previous version as well, so that two changes with equal numbers pass."""
 
     __slots__ = ()
 
@@ -102,7 +102,7 @@
 
 
 class HastyLeaseTable(LeaseTable):
-    """Counts a worker as lost after the bare lease, without room for the drift of clocks."""
+    """Declares a worker lost right after its lease, without a margin for the drift of clocks."""
 
     __slots__ = ()
 
@@ -112,12 +112,12 @@
 
 
 class FreshLeaseTable(LeaseTable):
-    """Ignores that an earlier owner may have renewed the lease until the election."""
+    """Ignores that an earlier owner may have renewed the lease just before the election."""
 
     __slots__ = ()
 
     def lost_at(self, worker):
-        """Return a time that does not wait for leases of an earlier owner."""
+        """Return a time that does not wait for leases granted by an earlier owner."""
         contact = self._contact_by_worker[worker]
         if self.elected_at and contact.acknowledged_at == self.elected_at:
             return self.elected_at
--- a/tests/model/ownership.py
+++ b/tests/model/ownership.py
@@ -2,10 +2,11 @@
 
 The lease table and the lease holder are the real ones. Owners and w1 take steps at any time or not
 at all, which covers pauses; links keep the order of messages and may delay them without bound. Two
-properties of consensus that ``consensus.py`` checks are assumed: a deposed owner commits nothing,
-and a round that began after the election of a newer owner is never confirmed. A worker stops its
-tasks at the moment its lease ends by its own clock. Worker w2 starts the task at the moment the
-loss of w1 is committed and runs it for ever: this overlaps with w1 whenever a later start would.
+properties of consensus that ``consensus.py`` checks are assumed: an owner that has lost leadership
+commits nothing, and its rounds that began after the election of a newer owner are never confirmed.
+A worker stops its tasks at the moment its lease expires by its own clock. Worker w2 starts the task
+at the moment the loss of w1 is committed and never ends it: this overlaps with w1 whenever a later
+start would.
 """
 
 from copy import deepcopy
@@ -22,7 +23,10 @@
 
 
 class Budget(NamedTuple):
-    """How many steps of each kind may still be taken."""
+    """How many steps of each kind may still be taken.
+
+    ``beat``: heartbeats of w1. ``wait``: steps in which time passes.
+    """
 
     beat: int
     connect: int
@@ -31,18 +35,18 @@
 
 
 class Owner(NamedTuple):
-    """Number of the lease table, and the heartbeats whose rounds can succeed."""
+    """Number of the lease table, and the heartbeats whose quorum rounds can succeed."""
 
     table: int
     rounds: frozenset = frozenset()
 
 
 class State(NamedTuple):
-    """Global time, clock rates of worker and owners, and everybody's state.
+    """Global time, clock rates of worker and owners, and the state of w1 and of the owners.
 
-    ``holder``: number of the lease holder. ``link``: term of the owner that w1 is linked to.
-    ``beats``, ``orders``: messages on that link, oldest first. ``started``: whether w1 knows the
-    attempt. ``moved``: term of the owner that committed the loss of w1, or 0.
+    ``holder``: number of the lease holder. ``link``: term of the owner to which w1 is connected.
+    ``beats``, ``orders``: messages on that link, oldest first. ``started``: whether w1 has received
+    the attempt. ``moved``: term of the owner that committed the loss of w1, or 0.
     """
 
     now: float
@@ -61,7 +65,7 @@
 class OwnershipSpec(Spec):
     """One task, one lease, owners of successive terms.
 
-    :param table_class: a mutant in tests.
+    :param table_class: real class, or a mutant of it.
     :param trust_all_rounds: mutant; heartbeats are acknowledged without a quorum.
     :param trust_all_terms: mutant; w1 takes orders of owners that were replaced.
     :param rates: (worker, owner) clock rates.
@@ -92,7 +96,7 @@
         self._memo = {}
 
     def initial(self):
-        """Return w1 with a fresh lease of the first owner, before and after the start."""
+        """Return w1 with a new lease of the first owner, before and after the start of the task."""
         table = self._new_table(0.0)
         holder = LeaseHolder(lease_s=LEASE_S)
         seq = holder.beat(now=0.0)
@@ -112,7 +116,7 @@
         return table
 
     def fault(self, state):
-        """Report two running copies."""
+        """Return the violation if the task runs on both workers."""
         return "w1 runs the task while w2 runs it" if state.running and state.moved else ""
 
     def steps(self, state):
@@ -176,7 +180,7 @@
             yield f"owner {term} commits the loss of w1", state._replace(moved=term)
 
     def _order_steps(self, state, term):
-        # An owner that is replaced before the loss is committed never learns of it.
+        # An owner that was replaced before the loss was committed never learns of the loss.
         believes = not state.moved or term < state.moved
         is_sent = state.started or ("start", ATTEMPT) in state.orders
         if state.link == term and believes and not is_sent:
--- a/tests/model/registry.py
+++ b/tests/model/registry.py
@@ -1,4 +1,4 @@
-"""Specifications and mutants by size of the search."""
+"""Specifications for CI, specifications with larger bounds, and mutants."""
 
 from tests.model.config import ConfigSpec
 from tests.model.consensus import Budget, Consensus
@@ -22,7 +22,7 @@
 class Mutant:
     """A seeded fault.
 
-    :param name: what is wrong.
+    :param name: description of the fault.
     :param build: function that returns the specification with the fault.
     """
 
--- a/tests/model/search.py
+++ b/tests/model/search.py
@@ -8,7 +8,7 @@
     """A transition system whose states are hashable values in canonical form.
 
     :param name: name on the command line.
-    :param bounds: text that states what the exhaustive search covers.
+    :param bounds: text that states within which bounds the search is exhaustive.
     """
 
     __slots__ = ("bounds", "name")
@@ -59,9 +59,11 @@
 
 
 def search(spec, *, max_states=None):
-    """Visit all states of a specification in order of their distance.
+    """Visit the states of a specification in order of their distance from an initial state.
 
-    :param max_states: give up after this many states; the result is then incomplete.
+    The search ends at the first violation.
+
+    :param max_states: stop after this many states; the result is then incomplete.
     """
     started = monotonic()
     origin_by_state = dict.fromkeys(spec.initial())
@@ -117,7 +119,7 @@
         return self._values[number]
 
     def put(self, key, value):
-        """Return the number of a key; ``value`` is kept for a new key."""
+        """Return the number of a key; a new key gets the next number and stores ``value``."""
         number = self._number_by_key.setdefault(key, len(self._values))
         if number == len(self._values):
             self._values.append(value)
--- a/tests/test_encoding.py
+++ b/tests/test_encoding.py
@@ -60,7 +60,7 @@
 
 @given(message=MESSAGE)
 def test_message_survives_the_wire(message):
-    """Guards against a field that is lost or swapped between two versions of a message."""
+    """Guards against a field that is lost or swapped between a message and its wire form."""
     body = encode_message(message, group="g")
     again = type(body).FromString(body.SerializeToString())
     assert again.group == "g"
@@ -70,7 +70,7 @@
 @settings(max_examples=300)
 @given(type_=st.sampled_from(CONSENSUS_BODY_TYPES), data=st.binary(max_size=60))
 def test_any_bytes_are_a_message_or_an_error(type_, data):
-    """Guards the task of a group against a frame that it cannot read."""
+    """Guards against malformed bytes that end the task of a group by another error."""
     try:
         body = type_.FromString(data)
     except DecodeError:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -20,7 +20,7 @@
 
 
 class Journaled(StateMachine):
-    """Keeps the commands in order; replies with their count."""
+    """State machine that keeps the commands in order and replies with their count."""
 
     def __init__(self):
         self.commands = []
@@ -43,7 +43,10 @@
 
 
 class Cell:
-    """Three stores with one group; ``cut`` names processes whose messages are dropped."""
+    """Three stores with one group.
+
+    Messages from and to the processes in ``cut``, and of the types in ``lose``, are dropped.
+    """
 
     def __init__(self, folder, tasks, **options):
         self.folder = folder
@@ -78,7 +81,7 @@
             self.failures.append(error)
 
     def send(self, sender, to, body):
-        """Deliver a message, unless it is lost."""
+        """Deliver a message unless it is to be dropped."""
         if {sender, to} & self.cut or to not in self.group_by_name or isinstance(body, self.lose):
             return False
         self.group_by_name[to].receive(type(body).FromString(body.SerializeToString()))
@@ -103,7 +106,7 @@
             await sleep(0.01)
 
     async def propose(self, command):
-        """Propose to whichever replica leads."""
+        """Propose to the present leader; retry if it has lost leadership."""
         while True:
             try:
                 return await (await self.leader()).propose(command)
@@ -123,7 +126,7 @@
             await sleep(0.01)
 
     def commands(self, name):
-        """Return what the machine of a process has applied."""
+        """Return the commands that the state machine of a process has applied."""
         return self.group_by_name[name]._applier._state_machine.commands
 
 
@@ -170,7 +173,7 @@
 
 
 def test_founder_alone_accepts_nothing(tmp_path):
-    """Guards against a commit that only one disk holds, before the others have joined."""
+    """Guards against a commit stored on one disk only, before the other members have joined."""
 
     async def test(cell):
         cell.cut = {"s2", "s3"}
@@ -184,7 +187,7 @@
 
 
 def test_many_proposals_share_syncs(tmp_path):
-    """Guards group commit: replies are in order and far fewer syncs than proposals are made."""
+    """Guards group commit: each proposal gets its reply, with far fewer syncs than proposals."""
 
     async def test(cell):
         leader = await cell.full()
@@ -217,7 +220,7 @@
 
 
 def test_follower_names_the_leader(tmp_path):
-    """Guards callers that look for the leader."""
+    """Guards against callers that cannot find the leader from a follower's error."""
 
     async def test(cell):
         leader = await cell.full()
@@ -233,7 +236,7 @@
 
 
 def test_cut_leader_leaves_the_outcome_unknown_and_confirms_no_read(tmp_path):
-    """Guards against a false failure of a proposal, and against a stale read."""
+    """Guards against a proposal reported as failed that may commit, and against a stale read."""
 
     async def test(cell):
         leader = await cell.full()
@@ -253,7 +256,7 @@
 
 
 def test_killed_leader_is_replaced_and_restarts_with_its_data(tmp_path):
-    """Guards acknowledged commands over a crash and a restart from the journal."""
+    """Guards against the loss of acknowledged commands in a crash and restart from the journal."""
 
     async def test(cell):
         leader = await cell.full()
@@ -272,7 +275,7 @@
 
 @pytest.mark.parametrize("loss", ["removed", "damaged"])
 def test_lost_disk_joins_as_a_new_incarnation(tmp_path, loss):
-    """Guards against a vote by a disk that forgot, and against a group that stays a voter short."""
+    """Guards against a vote by a disk that lost its data, and a group that stays a voter short."""
 
     async def test(cell):
         leader = await cell.full()
@@ -299,7 +302,7 @@
 
 
 def test_replaced_incarnation_that_returns_is_admitted_again(tmp_path):
-    """Guards against a store that comes back with its old disk and waits forever."""
+    """Guards against a store that returns with its old disk and is never admitted again."""
 
     async def test(cell):
         leader = await cell.full()
@@ -345,7 +348,7 @@
 
 
 def test_leadership_returns_to_the_first_member(tmp_path):
-    """Guards against leaders of many groups that stay on the VMs that failed least lately."""
+    """Guards against leaders of many groups that gather on the VMs that have not failed lately."""
 
     async def test(cell):
         await cell.full()
@@ -357,7 +360,7 @@
         cell.start("s1")
         sent = 0
         while not cell.group_by_name["s1"].is_leader:
-            # Not a proposal at the same time as a transfer: each of these has a known outcome.
+            # One proposal at a time, so that no outcome becomes unknown in the transfer.
             await cell.propose(b"%d" % sent)
             sent += 1
             await sleep(0.05)
@@ -367,7 +370,7 @@
 
 
 def test_stop_hands_leadership_over(tmp_path):
-    """Guards a planned stop: no election timeout, no accepted proposal without a reply."""
+    """Guards against a planned stop that costs an election timeout or the reply of a proposal."""
 
     async def test(cell):
         leader = await cell.full()
@@ -392,7 +395,10 @@
 
 
 def test_watch_starts_with_the_present_and_ends_with_the_latest(tmp_path):
-    """Guards owners that act on leadership, also slow ones."""
+    """Guards against owners with an outdated leadership, and streams that outlive their owner.
+
+    An owner may read slower than leadership changes.
+    """
 
     async def test(cell):
         leader = await cell.full()
@@ -410,7 +416,7 @@
 
 
 def test_failed_disk_ends_the_replica_and_its_calls(tmp_path):
-    """Guards against an acknowledgement after a failed sync, and a state that is applied twice."""
+    """Guards against an acknowledgement after a failed sync, and commands applied twice."""
 
     async def test(cell):
         leader = await cell.full()
@@ -435,7 +441,10 @@
 
 
 def test_join_request_tells_the_log_length_and_admits_no_stranger(tmp_path):
-    """Guards ``init`` (refused when a peer has a log) and the member set."""
+    """Guards ``init``, which is refused when a peer has a log, and the member set.
+
+    A request by an unlisted process, or for a second incarnation of a live member, changes none.
+    """
 
     async def test(cell):
         leader = await cell.full()
@@ -452,7 +461,7 @@
 
 
 def test_lost_answers_delay_but_lose_nothing(tmp_path):
-    """Guards retransmission: every append is lost for a while, then every answer."""
+    """Guards retransmission: for a while every append is dropped, then every reply."""
 
     async def test(cell):
         leader = await cell.full()
--- a/tests/test_group_disk.py
+++ b/tests/test_group_disk.py
@@ -1,4 +1,4 @@
-"""What a leader may send before its own disk has it."""
+"""Which effects a leader may send before they are on its own disk."""
 
 from types import SimpleNamespace
 
@@ -21,7 +21,7 @@
 
 
 def effects_of(*, message=None):
-    """Return the effects of a proposal, perhaps with a message."""
+    """Return the effects of a proposal, with a message if one is given."""
     effects = Effects()
     effects.entries = [Entry(5, 2, EntryKind.COMMAND, b"x")]
     if message is not None:
@@ -30,13 +30,13 @@
 
 
 def can_write_behind(effects, *, replica=LEADER, in_thread=True):
-    """Ask a disk."""
+    """Return whether a group disk lets a replica send these effects before it writes them."""
     disk = GroupDisk(folder=None, group="g", process="a", in_thread=in_thread)
     return disk.can_write_behind(effects, replica)
 
 
 def test_entries_of_a_leader_may_be_sent_first():
-    """Guards against commits that wait for the slowest disk."""
+    """Guards against commits that wait for a slow disk of the leader."""
     request = AppendRequest(2, ME, 4, 2, 4, 1)
     assert can_write_behind(effects_of(message=request))
 
@@ -50,13 +50,16 @@
 
 
 def test_the_answer_of_a_follower_waits_for_its_disk():
-    """Guards against an entry that counts as stored and is lost, in a batch with an election."""
+    """Guards against a reply that counts an entry as stored and leaves before the sync.
+
+    A batch can hold the reply of a follower and its election as leader.
+    """
     reply = AppendReply(2, ME, True, match_index=5, round=0)
     assert not can_write_behind(effects_of(message=reply))
 
 
 def test_only_a_leader_with_a_thread_for_its_disk_writes_behind():
-    """Guards against followers, and disks synced in the event loop, that are taken for leaders."""
+    """Guards against write-behind by a follower, or on a disk that the event loop syncs."""
     assert not can_write_behind(effects_of(), replica=SimpleNamespace(is_leader=False))
     assert not can_write_behind(effects_of(), in_thread=False)
     assert not can_write_behind(Effects())
--- a/tests/test_inbox.py
+++ b/tests/test_inbox.py
@@ -1,4 +1,4 @@
-"""Queues of the group task and of links."""
+"""Queues of the group task and of links, and the liveness check of links."""
 
 from anyio import create_task_group, fail_after, run, sleep
 
@@ -10,7 +10,7 @@
 
 
 def test_message_that_does_not_wake_is_taken_with_the_next_one():
-    """Guards against a keepalive that wakes the task, and against one that is never taken."""
+    """Guards against a keepalive that wakes the task, and against one that is never delivered."""
 
     async def main():
         inbox = Inbox(max_messages=8)
@@ -35,7 +35,7 @@
 
 
 def test_items_over_the_limit_of_a_batch_are_due_at_once():
-    """Guards against a call that waits for a timeout because another one was taken before it."""
+    """Guards against a call left over by a full batch that then waits for the timeout."""
 
     async def main():
         inbox = Inbox(max_messages=8)
@@ -49,6 +49,8 @@
 
 
 def test_outbox_keeps_the_order_and_refuses_after_its_end():
+    """Guards against reordered items, and items accepted when the outbox is full or closed."""
+
     async def main():
         outbox = Outbox(max_items=2)
         with fail_after(LIMIT_S):
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -1,4 +1,4 @@
-"""The table of proofs must name tests that exist."""
+"""The table of invariants in docs/invariants.md must name tests that exist."""
 
 from pathlib import Path
 from re import findall
@@ -7,6 +7,7 @@
 
 
 def test_table_names_existing_tests_and_specifications():
+    """Guards against an invariant whose listed test or specification was renamed or removed."""
     text = Path("docs/invariants.md").read_text(encoding="utf-8")
     code = "".join(path.read_text(encoding="utf-8") for path in Path("tests").glob("test_*.py"))
     missing = [name for name in findall(r"`(test_\w+)`", text) if f"def {name}(" not in code]
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -35,7 +35,7 @@
 
 
 class Model:
-    """What the folder must hold, computed without it."""
+    """Expected content of the folder, computed in memory."""
 
     def __init__(self):
         self.hard_state = HardState(term=0, vote=None)
@@ -62,7 +62,7 @@
 
 
 def filled(folder):
-    """Return the expected contents after each write to a new folder."""
+    """Make a sequence of writes to a new folder; return the expected content after each."""
     journal = Journal.open(folder, group="g", name="s1")
     model = Model()
     states = [model.persistent_state()]
@@ -83,7 +83,7 @@
 
 
 def test_flipping_any_byte_is_found(tmp_path):
-    """Guards against acknowledged records that are lost or changed without notice."""
+    """Guards against acknowledged records that are lost or changed and still accepted."""
     filled(tmp_path / "g")
     model = Model()
     journal = Journal.open(tmp_path / "g", group="g", name="s1")
@@ -110,7 +110,7 @@
 
 
 def test_cutting_at_any_length_keeps_a_prefix(tmp_path):
-    """Guards against a replica that cannot start after a torn write, or starts with half of one."""
+    """Guards against a replica that cannot start after a torn write, or loads part of a record."""
     states = filled(tmp_path / "g")
     path = tmp_path / "g" / "log"
     good = path.read_bytes()
@@ -135,7 +135,7 @@
 
 
 def test_sectors_that_were_not_written_are_a_torn_write(tmp_path):
-    """Guards against a refusal to start when the file grew and its last sectors are zeros."""
+    """Guards against a refusal to start when a crash left zeros in the last sectors of the file."""
     states = filled(tmp_path / "g")
     path = tmp_path / "g" / "log"
     good = path.read_bytes()
@@ -155,7 +155,7 @@
 
 
 def test_damaged_folder_is_set_aside_and_the_incarnation_is_new(tmp_path):
-    """Guards against a vote under an identity whose memory is lost."""
+    """Guards against a vote under an identity whose earlier votes are lost."""
     old = bootstrap_replica(tmp_path / "g", group="g", name="s1")
     for number in (1, 2):
         (tmp_path / "g" / "log").unlink()
@@ -165,7 +165,7 @@
 
 
 def test_group_is_founded_once(tmp_path):
-    """Guards against a second founding that would drop the log."""
+    """Guards against a second bootstrap that would drop the log."""
     identity = bootstrap_replica(tmp_path / "g", group="g", name="s1")
     with pytest.raises(BadRequestError):
         bootstrap_replica(tmp_path / "g", group="g", name="s1")
@@ -174,7 +174,7 @@
 
 
 def test_folder_of_another_replica_is_refused(tmp_path):
-    """Guards against swapped disks."""
+    """Guards against a replica that runs on the disk of another one, after disks were swapped."""
     bootstrap_replica(tmp_path / "g", group="g", name="s1")
     with pytest.raises(BadSettingsError):
         Journal.open(tmp_path / "g", group="g", name="s2")
@@ -190,7 +190,7 @@
 
 
 def test_crash_between_the_steps_of_a_compaction(tmp_path):
-    """Guards against a log whose snapshot does not exist yet, or any more."""
+    """Guards against a log whose snapshot does not exist yet, or no longer exists."""
     states = filled(tmp_path / "g")
     (tmp_path / "g" / "snapshot-3").write_bytes(pack_record(b"newer, not in use"))
     (tmp_path / "g" / "log.tmp").write_bytes(b"half")
@@ -198,7 +198,7 @@
     assert {path.name for path in (tmp_path / "g").iterdir()} == {"identity", "log"}
 
 
-# The core removes entries only by appending others in their place.
+# The consensus core removes entries only by appending others in their place.
 COMMANDS = st.lists(st.binary(max_size=40), min_size=1)
 STEPS = st.lists(
     st.one_of(
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -8,6 +8,7 @@
 
 @pytest.mark.parametrize("spec", list(ci_specs()), ids=lambda spec: spec.name)
 def test_specification_holds_within_its_bounds(spec):
+    """Guards every state within the bounds, so an incomplete search fails as well."""
     result = search(spec)
     print(f"{spec.name}: {spec.bounds}: {result}")
     assert not result.fault, "\n".join([result.fault, *result.trace])
@@ -16,6 +17,7 @@
 
 @pytest.mark.parametrize("mutant", list(mutants()), ids=lambda mutant: mutant.name)
 def test_search_finds_the_seeded_fault(mutant):
+    """Guards against a specification that would pass with a known fault in the code."""
     result = search(mutant.build())
     assert result.fault
     assert result.trace
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,4 +1,4 @@
-"""Consensus core under virtual time: elections, replication, snapshots, membership, schedules."""
+"""Consensus core under virtual time: elections, replication, snapshots, members, random runs."""
 
 from random import Random
 
@@ -33,7 +33,10 @@
 
 
 class Node:
-    """A replica with its disk, its machine (a list of commands) and the rules it must obey."""
+    """A replica, its disk and its state machine, which is the list of applied commands.
+
+    It asserts that entries are applied in order and that no read misses an earlier commit.
+    """
 
     def __init__(self, net, identity, persistent_state):
         self.net = net
@@ -58,7 +61,7 @@
         self.reads = {}
 
     def do(self, method, *arguments, sync=True, **options):
-        """Run a transition; without ``sync`` the node crashes before its disk has it."""
+        """Call a transition of the replica; without ``sync`` the node crashes before the write."""
         effects = getattr(self.replica, method)(*arguments, **options)
         if not sync:
             self.start()
@@ -74,7 +77,7 @@
         return effects
 
     def write(self):
-        """Let the disk have what the leader has sent ahead of it."""
+        """Sync the entries that the leader sent before its own disk had them."""
         if self.unwritten is not None:
             last, self.unwritten = self.unwritten, None
             self.disk = self.replica.persistent_state
@@ -108,7 +111,7 @@
 
 
 class Net:
-    """Nodes, messages in flight, and the record of everything that was ever committed."""
+    """Nodes, messages in flight, and every entry that was ever committed."""
 
     def __init__(self, seed=0, names=NAMES, timing=SMALL, writes_behind=False):
         self.random = Random(seed)
@@ -139,12 +142,12 @@
             if not self.flight:
                 return
             self.deliver()
-        raise AssertionError("messages never end")
+        raise AssertionError("messages are still in flight after 10000 deliveries")
 
     def run(self, seconds, step=0.05, writes=False):
         """Let virtual time pass.
 
-        :param writes: whether disks get what was sent ahead of them.
+        :param writes: whether leaders sync the entries that they sent before writing them.
         """
         for _ in range(round(seconds / step)):
             self.now += step
@@ -168,21 +171,21 @@
         raise AssertionError("not elected")
 
     def leaders(self):
-        """Return the nodes that lead as far as they know."""
+        """Return the nodes that consider themselves the leader."""
         return [node for node in self.nodes.values() if node.replica.is_leader]
 
     def wipe(self, name):
-        """Replace a disk with an empty one, which has a new incarnation."""
+        """Replace the disk of a node with an empty one and give the node a new incarnation."""
         fresh = Identity(name, f"{name}{self.random.getrandbits(40):x}")
         self.nodes[name] = Node(self, fresh, PersistentState())
         return fresh
 
     def note_committed(self, node, entry):
-        """Check state machine safety."""
+        """Check state machine safety: the same entry and the same state at each index."""
         known = self.committed.setdefault(entry.index, entry)
         assert known == entry, f"two entries committed at {entry.index}: {known} {entry}"
         state = tuple(node.state)
-        assert self.state_at.setdefault(entry.index, state) == state, "machines differ"
+        assert self.state_at.setdefault(entry.index, state) == state, "state machines differ"
 
     def check(self, node):
         """Check election safety and leader completeness."""
@@ -214,7 +217,7 @@
 
 
 def test_one_leader_is_elected_and_keeps_the_lead():
-    """Guards against elections that never end or that unseat a live leader."""
+    """Guards against elections that never end or that replace a live leader."""
     net = Net(seed=1)
     net.run(6)
     (leader,) = net.leaders()
@@ -225,7 +228,7 @@
 
 
 def test_idle_group_sends_few_messages():
-    """Guards the control budget: 2 heartbeats a second to each follower, and their replies."""
+    """Guards the limit on idle messages: 2 heartbeats a second to each follower, and replies."""
     net = Net(seed=1)
     # Heartbeats fall on multiples of 0.5 s; 10 s that begin between two of them hold 20.
     net.run(8.2)
@@ -240,7 +243,10 @@
 
 
 def test_entry_of_an_older_term_is_not_committed_by_counting():
-    """Guards against the loss of a committed entry of an older leader (Raft, 5.4.2)."""
+    """Guards against the loss of a committed entry of an earlier term (Raft, 5.4.2).
+
+    A majority that has stored such an entry can still be overruled by a leader that lacks it.
+    """
     net = Net()
     a = net.elect("a")
     net.cut = {"c"}
@@ -269,7 +275,10 @@
 
 
 def test_read_round_counts_only_answers_to_messages_sent_after_it():
-    """Guards against a read that is confirmed by answers from before another election."""
+    """Guards against a stale read confirmed by a reply to a message sent before the read.
+
+    Another leader may have been elected since that message.
+    """
     net = Net()
     a = net.elect("a")
     b = net.nodes["b"].identity
@@ -281,7 +290,10 @@
 
 
 def test_reply_for_which_something_waits_is_no_keepalive():
-    """Guards against a commit or a read that waits for the next heartbeat."""
+    """Guards against a commit or a read that waits for the next heartbeat.
+
+    A keepalive does not wake the task of the group.
+    """
     net = Net()
     a = net.elect("a")
     net.run(1)
@@ -302,7 +314,7 @@
 
 
 def test_isolated_voter_does_not_raise_terms():
-    """Guards against a returning voter that unseats the leader with a higher term (pre-vote)."""
+    """Guards against a reconnected voter that replaces the leader by a higher term (pre-vote)."""
     net = Net(seed=5)
     leader = net.elect("a")
     net.cut = {"c"}
@@ -334,11 +346,11 @@
     assert 0.35 <= b.next_tick() - 5.0 <= 0.7
     leader = VoteRequest(b.term, Identity("a", "a0"), 0, 0, pre_vote=False)
     b._become_follower(b.term, leader.sender, 6.0, Effects())
-    assert 1.0 <= b.next_tick() - 6.0 <= 2.0, "a follower waits a whole timeout"
+    assert 1.0 <= b.next_tick() - 6.0 <= 2.0, "a follower must wait a whole timeout"
 
 
 def test_voters_let_those_before_them_go_first():
-    """Guards against two candidates that split the votes again and again."""
+    """Guards against split votes: candidates with the same timeout would split them repeatedly."""
     net = Net(timing=Timing(stagger_s=3.0))
     deadlines = [net.nodes[name].replica.next_tick() for name in NAMES]
     assert deadlines == sorted(deadlines)
@@ -346,14 +358,14 @@
 
 
 def test_the_next_leader_is_elected_early_when_the_process_of_the_last_one_has_ended():
-    """Guards against a whole election timeout without a leader after the end of a process."""
+    """Guards against a whole election timeout without a leader after its process has exited."""
     net = Net(timing=Timing(exited_leader_timeout_factor=0.6))
     net.elect("a")
     b, c = net.nodes["b"].replica, net.nodes["c"].replica
     b.leader_contact_at = c.leader_contact_at = net.now
     request = VoteRequest(b.term + 1, Identity("c", "c0"), 99, 99, pre_vote=True)
     b.record_process_exit("c", net.now)
-    assert b.next_tick() - net.now >= 1.0, "another process than the leader's"
+    assert b.next_tick() - net.now >= 1.0, "the exit of a process that does not lead"
     b.record_process_exit("a", net.now)
     assert 0.6 <= b.next_tick() - net.now < 1.0
     for later_s, granted in ((0.5, False), (0.7, True)):
@@ -362,7 +374,7 @@
 
 
 def test_a_leader_that_is_heard_again_has_not_ended():
-    """Guards against an election beside a leader that only refused a connection."""
+    """Guards against an election while the leader runs and has only refused a connection."""
     net = Net(timing=Timing(exited_leader_timeout_factor=0.6))
     net.elect("a")
     b = net.nodes["b"].replica
@@ -373,7 +385,7 @@
 
 
 def test_vote_is_counted_only_from_the_identity_that_is_a_voter():
-    """Guards against votes of an empty disk under the name of a voter, and of learners."""
+    """Guards against counted votes of a learner, or of an empty disk under the name of a voter."""
     net = Net()
     a = net.nodes["a"]
     a.replica.expire_election_timers()
@@ -400,7 +412,7 @@
 
 
 def test_learner_is_not_counted():
-    """Guards against a commit that only a minority of the voters holds."""
+    """Guards against a commit that only a minority of the voters has stored."""
     net = Net()
     a = net.elect("a")
     learner = Identity("d", "d0")
@@ -440,7 +452,10 @@
 
 
 def test_member_change_waits_for_a_commit_of_the_term():
-    """Guards against the known flaw of single-server changes by two successive leaders."""
+    """Guards against disjoint quorums, the known flaw of Raft's single-server changes.
+
+    Two successive leaders could each change the members before an entry of their term commits.
+    """
     net = Net()
     a = net.nodes["a"]
     a.replica.expire_election_timers()
@@ -452,7 +467,10 @@
 
 
 def test_empty_disk_rejoins_in_single_steps():
-    """Guards against a voter that forgot its vote: the old incarnation is removed first."""
+    """Guards against a voter that lost its vote with its disk and votes again.
+
+    Its old incarnation is removed from the members before the new one is promoted.
+    """
     net = Net(seed=8)
     a = net.elect("a")
     for number in range(10):
@@ -476,7 +494,7 @@
 
 
 def test_new_leader_keeps_the_learner_of_a_dead_voter():
-    """Guards against a learner that is dropped without being told, and then never asks again."""
+    """Guards against a learner that a new leader drops without notice: it never asks again."""
     net = Net(seed=8)
     a = net.elect("a")
     fresh = net.wipe("c")
@@ -534,7 +552,7 @@
 
 
 def test_leadership_returns_to_the_preferred_member_when_it_has_caught_up():
-    """Guards against leaders that gather on few VMs, and against a transfer to a member behind."""
+    """Guards against leaders that gather on few VMs, and a transfer to a member that lags."""
     net = Net(seed=2)
     replica = net.elect("a").replica
     net.settle()
@@ -552,7 +570,7 @@
     assert target(61.0) is None
     progress.match_index = match
     assert target(62.0) == other
-    assert target(63.0) is None, "a transfer that failed is tried again too soon"
+    assert target(63.0) is None, "a failed transfer is retried too soon"
     assert (
         LeaderPreference(group="g", preferred=replica.identity.name, transfer_delay_s=0.0).target(
             replica, 1e9
@@ -573,7 +591,7 @@
 
 
 def test_append_does_not_remove_entries_that_it_lacks():
-    """Guards against the loss of acknowledged entries through a late, shorter append."""
+    """Guards against the loss of acknowledged entries by a late append that ends before them."""
     net = Net()
     a = net.elect("a")
     b = net.nodes["b"]
@@ -588,7 +606,7 @@
 
 
 def test_leader_counts_itself_only_after_its_sync():
-    """Guards against a commit that one disk holds, when the owner syncs later than it sends."""
+    """Guards against a commit stored on one disk only, when a leader sends before it syncs."""
     net = Net()
     a = net.elect("a").replica
     before = a.commit_index
@@ -599,7 +617,7 @@
 
 
 def test_copy_and_key_describe_the_whole_state():
-    """Guards the model checker: a copy is independent and equal keys mean equal states."""
+    """Guards the model checker: a copy is independent, and a changed state has another key."""
     net = Net()
     a = net.elect("a")
     copy = a.replica.copy()
@@ -614,7 +632,7 @@
 @pytest.mark.parametrize("writes_behind", [False, True])
 @pytest.mark.parametrize(("seed", "steps"), SCHEDULES)
 def test_random_schedule(seed, steps, writes_behind):
-    """Guards election safety, log matching, leader completeness, machine equality and reads.
+    """Guards election safety, log matching, leader completeness, equal states and reads.
 
     A leader that writes behind sends and commits entries before its own disk has them, and loses
     them when it crashes.
@@ -694,7 +712,7 @@
 
 
 def _random_wipe(net, random):
-    """Lose a disk, if the voters that remain can still elect a leader."""
+    """Wipe the disk of a follower, if a leader has all present nodes as its voters."""
     for leader in net.leaders():
         present = {node.identity for node in net.nodes.values()}
         voters = set(leader.replica.voters)
@@ -705,6 +723,7 @@
 
 
 def _admit_step(net):
+    """Let a leader propose the next step by which a node that is no voter becomes one."""
     for leader in net.leaders():
         members = leader.replica.log.members
         known = {member.identity for member in members}
--- a/tests/test_write_behind.py
+++ b/tests/test_write_behind.py
@@ -1,4 +1,4 @@
-"""Entries of a leader that are synced while its replica goes on."""
+"""Entries of a leader that a thread syncs while its replica goes on."""
 
 from threading import Event as ThreadEvent
 
@@ -9,7 +9,7 @@
 
 
 def play(write, check):
-    """Run a check beside a writer."""
+    """Run a writer, and a check beside it."""
 
     async def main():
         writer = WriteBehind(write=write, wake=lambda: None)
@@ -56,7 +56,7 @@
 
 
 def test_an_error_of_the_disk_ends_the_replica():
-    """Guards against a leader that goes on for good without its own disk."""
+    """Guards against a leader that keeps running after its own disk has failed."""
 
     def write(effects):
         raise OSError("input/output error")
