Say plainly what the tests of the cell, domains and ledger guard against

Some docstrings used figures of speech (a torn gang, the word of a group, a silent hole), and the tests of the ledger had none. Each now names the failure that the test guards against.

--- a/tests/cell_commands.py
+++ b/tests/cell_commands.py
@@ -76,7 +76,7 @@
         return reply.code, loads(reply.answer)
 
     def configure(self, document=DOCUMENT):
-        """Set a configuration at the present version."""
+        """Set a configuration, expecting the present version."""
         version = self.cell.config_state.version
         return self.change(SetConfig(document=document, expect_version=version))
 
@@ -90,11 +90,11 @@
         return self.change(LoseGroups(groups=names, force=force))
 
     def restore(self, name):
-        """Let a domain group take work again."""
+        """Declare that a lost domain group may get work again."""
         return self.change(RestoreGroup(group=name))
 
     def confirm_idle(self, name, epoch=1):
-        """Say as a domain group that nothing runs there."""
+        """Confirm for a domain group that nothing runs there."""
         self.raw(Command(at=self.at, confirm_idle=ConfirmIdle(group=name, epoch=epoch)))
 
     def report(self, group_name, job_id, epoch=0, **progress):
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -61,7 +61,7 @@
 
 
 def drop_line(lines):
-    # A dropped line looks like a gap, so the number of the next one is closed up as well.
+    # The next record gets the dropped number, as a dropped line alone would count as a gap.
     lines[1:3] = [forge(lines[2], number=2)]
 
 
@@ -88,7 +88,7 @@
 
 
 def test_missing_record_is_reported_as_a_gap(chain, tmp_path):
-    """Guards against a silent hole; a store that was away long has one without tampering."""
+    """Guards against an unreported gap; a store that was down for long has one legitimately."""
     path = written(chain, tmp_path / "audit.log")
     lines = path.read_bytes().splitlines(keepends=True)
     path.write_bytes(b"".join(lines[:1] + lines[2:]))
@@ -108,7 +108,7 @@
 
 @pytest.mark.parametrize("cut", [1, 20, 150])
 def test_torn_last_line_is_written_again(chain, tmp_path, cut):
-    """Guards against a crash within a write that spoils the file."""
+    """Guards against a file that stays damaged after a crash during a write."""
     path = written(chain, tmp_path / "audit.log")
     whole = path.read_bytes()
     path.write_bytes(whole[:-cut])
@@ -117,7 +117,7 @@
 
 
 def test_replay_after_restart_writes_nothing_twice(chain, tmp_path):
-    """Guards against doubled records when a store applies its log again."""
+    """Guards against duplicate records when a store applies its log again."""
     path = written(chain, tmp_path / "audit.log")
     whole = path.read_bytes()
     file = AuditFile(path=path)
@@ -128,7 +128,7 @@
 
 
 def test_record_that_contradicts_the_file_is_refused(chain, tmp_path):
-    """Guards against replicas that compute different chains without notice."""
+    """Guards against replicas that compute different chains without an error."""
     file = AuditFile(path=written(chain, tmp_path / "audit.log"))
     other = type(chain.recent[-1])()
     other.CopyFrom(chain.recent[-1])
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -20,7 +20,7 @@
 
 
 def test_first_commit_of_equal_versions_wins(driver):
-    """Guards against two operators who hold one version number both getting through."""
+    """Guards against two accepted changes by operators who expect the same version."""
     first = driver.change(SetPreset(preset="peak", expect_version=1), operator="ana")
     second = driver.change(SetConfig(document=DOCUMENT, expect_version=1), operator="ole")
     assert first[0] == Code.DONE
@@ -66,7 +66,7 @@
 
 
 def test_replies_are_kept_by_count_and_by_age(driver):
-    """Guards against a resend that runs again because younger requests pushed its reply out."""
+    """Guards against a resend that runs again because later requests evicted its reply."""
     drain = SetDrain(kind="worker", name="w1", draining=True)
     driver.change(drain, request_id="first")
     for _ in range(MIN_KEPT_REPLIES):
@@ -79,7 +79,7 @@
 
 
 def test_job_above_the_whole_quota_is_refused_for_good(driver):
-    """Guards against a job that would wait for ever."""
+    """Guards against a job that would wait forever."""
     assert driver.submit(tasks=101)[0] == Code.QUOTA_EXCEEDED
     assert driver.submit(team="unknown")[0] == Code.QUOTA_EXCEEDED
     assert not driver.cell.jobs.job_by_id
@@ -115,7 +115,7 @@
 
 
 def test_split_by_kind(driver):
-    """Guards against a torn gang, a service in one domain, and a batch in a full one."""
+    """Guards against a gang split over domains, a service in one domain, a batch in a full one."""
     driver.groups = [group(NAMES[0], free=4), group(NAMES[1], free=32), group(NAMES[2], free=32)]
     assert driver.submit(kind="gang", tasks=40)[1]["split"] == {"jylland-a": 40}
     assert driver.submit(kind="service", tasks=8)[1]["split"] == {"fjeld-a": 4, "sjaelland-a": 4}
@@ -175,7 +175,7 @@
 
 
 def test_job_cancelled_before_its_domain_knew_it_ends(driver):
-    """Guards against a cancelled job that holds quota for ever."""
+    """Guards against a cancelled job that uses quota forever."""
     _, answer = driver.submit(tasks=5, domain="fjeld-a")
     driver.change(CancelJobs(job_ids=[answer["job"]]))
     job = driver.cell.jobs.job_by_id[answer["job"]]
@@ -201,7 +201,7 @@
 
 
 def test_late_report_of_a_former_leader_is_ignored(driver):
-    """Guards against progress that goes back and a job that never ends."""
+    """Guards against progress that decreases, so that a job never ends."""
     _, answer = driver.submit(tasks=3, domain="fjeld-a")
     driver.report("fjeld-a", answer["job"], succeeded=2, running=1)
     driver.report("fjeld-a", answer["job"], waiting=3)
@@ -220,7 +220,7 @@
 
 
 def test_replicas_and_restored_snapshots_agree(driver):
-    """Guards against state that depends on anything but the log."""
+    """Guards against replicas that diverge because state depends on more than the log."""
     for number in range(30):
         _, answer = driver.submit(tasks=number + 1, kind=("batch", "service", "gang")[number % 3])
         if number % 4 == 0 and answer["split"]:
@@ -239,7 +239,7 @@
 
 
 def test_empty_snapshot_is_the_empty_state():
-    """Guards against a founded group whose chain does not start as a new one does."""
+    """Guards against a bootstrapped group whose audit chain starts unlike that of a new cell."""
     cell = Cell()
     cell.restore(b"")
     assert cell.snapshot() == Cell().snapshot()
--- a/tests/test_cell_service.py
+++ b/tests/test_cell_service.py
@@ -113,7 +113,7 @@
 
 
 def test_audit_check_finds_a_changed_file(desk):
-    """Guards against a check that reads the state in place of the file."""
+    """Guards against a check that verifies the replicated state and not the file."""
 
     async def main():
         await desk.ask("preset", {"preset": "peak", "expect_version": 0})
@@ -127,7 +127,7 @@
 
 def test_poll_is_answered_at_once_by_a_change_and_empty_after_the_wait(desk, monkeypatch):
     """Guards against a configuration that arrives only with the next poll."""
-    # Without the wake-up the poll would see the change at its next look at the leadership.
+    # Without the wake-up the poll would see the change only at its next check of the leadership.
     monkeypatch.setattr(cell_service, "LEADER_CHECK_S", 60.0)
 
     async def main():
@@ -167,7 +167,7 @@
 
 
 def test_follower_names_the_leader(desk):
-    """Guards against an operator who is told a wrong result by a follower."""
+    """Guards against a follower that answers an operator from outdated state."""
 
     async def main():
         desk.group.is_leader, desk.group.leader = False, "s2"
@@ -181,7 +181,7 @@
 
 
 def test_unknown_group_is_refused(desk):
-    """Guards against soft state that grows with made-up group names."""
+    """Guards against unreplicated state that grows with group names that are not configured."""
 
     async def main():
         with pytest.raises(BadRequestError):
@@ -191,7 +191,7 @@
 
 
 def test_restored_snapshot_fills_the_audit_file(desk, tmp_path):
-    """Guards against a store that was away and then lacks records."""
+    """Guards against a store that was down and then lacks audit records."""
 
     async def main():
         for number in range(5):
@@ -223,7 +223,7 @@
 
 
 def without_trace(snapshot):
-    """Return the state without what records the refusal: reply, audit record, and time."""
+    """Return the state without the fields that record a refusal: reply, audit record, time."""
     state = State.FromString(snapshot)
     for field in ("now", "groups", "largest_at", "replies", "records", "audit_number"):
         state.ClearField(field)
@@ -234,7 +234,7 @@
 @settings(max_examples=1000, deadline=None)
 @given(verb=st.sampled_from((*READ_VERBS, *CHANGE_VERBS, "reboot", "")), arguments=ARGUMENTS)
 def test_malformed_arguments_give_a_code_and_change_nothing(verb, arguments):
-    """Guards against arguments that crash the leader or leave a trace when refused."""
+    """Guards against arguments that crash the leader, or change state although refused."""
     desk = Desk(_NoFile())
     before = desk.machine.snapshot()
 
@@ -272,7 +272,7 @@
 
 
 def test_deeply_nested_arguments_are_refused(desk):
-    """Guards against recursion that ends the leader."""
+    """Guards against a recursion error that ends the leader."""
 
     async def main():
         for depth in (*range(100, 1100, 4), 100_000):
@@ -289,10 +289,10 @@
 
 
 class _NoFile:
-    """Audit file that keeps nothing."""
+    """Audit file that discards its records."""
 
     last = 0
     path = "no-such-file"
 
     def write(self, records):
-        """Drop the records."""
+        """Discard the records."""
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,4 +1,4 @@
-"""Pages and samples agree with the code."""
+"""Documentation pages and sample files agree with the code."""
 
 from pathlib import Path
 from re import MULTILINE, findall
@@ -27,7 +27,7 @@
 
 
 def rows(text):
-    """Return the cells of all table rows whose first cell is a code span."""
+    """Return {name: other cells} of the table rows whose first cell is a name in backquotes."""
     lines = findall(r"^\| `(\w+)` \|(.*)\|$", text, flags=MULTILINE)
     return {name: [cell.strip() for cell in rest.split("|")] for name, rest in lines}
 
@@ -39,7 +39,7 @@
 
 
 def test_preset_table_agrees_with_the_code():
-    """Guards against documented ranges or defaults that are not the ones checked."""
+    """Guards against documented ranges or defaults that differ from those the code applies."""
     table = rows(page("configuration.md"))
     for limit in LIMITS:
         kind, _, range_, defaults, _ = table[limit.name]
--- a/tests/test_domain.py
+++ b/tests/test_domain.py
@@ -29,7 +29,7 @@
 
 
 class Driver:
-    """A domain with shorthand for commands."""
+    """Applies commands to a domain with increasing log indexes."""
 
     __slots__ = ("domain", "index")
 
@@ -44,7 +44,7 @@
         return DomainReply.FromString(self.domain.apply(index=self.index, command=command))
 
     def job(self, name, *, tasks=1, cpu=1000, changed_at=1, **more):
-        """Follow a job of the cell."""
+        """Apply the item of a job as the cell sends it."""
         cancelled = more.pop("cancelled", False)
         spec = JobSpec(name=name, each=Resources(cpu_milli=cpu), **more)
         item = JobItem(
@@ -53,14 +53,14 @@
         return self.apply(sync=SyncReply(index=changed_at, jobs=[item]))
 
     def worker(self, name, *, cpu=4000, session="s1"):
-        """Record a worker."""
+        """Record that a worker joined; return the refused names."""
         record = WorkerRecord(
             name=name, domain="d", rack="r", session=session, capacity=Resources(cpu_milli=cpu)
         )
         return list(self.apply(batch=DomainBatch(joined=[record])).refused)
 
     def assign(self, task_id, worker, *, attempt=1, session="s1"):
-        """Assign a task; tell whether it was taken."""
+        """Assign a task and return whether the assignment was accepted."""
         one = AssignmentRecord(task_id=task_id, attempt=attempt, worker=worker, session=session)
         return not self.apply(batch=DomainBatch(assigned=[one])).refused
 
@@ -79,7 +79,7 @@
 
 
 def test_assignments_beyond_the_capacity_are_refused():
-    """Guards against overcommitment by an owner whose view is wrong."""
+    """Guards against overcommitment by an owner with an outdated view of the workers."""
     driver = filled()
     assert all(driver.assign(f"j/g.{n}", "w1") for n in range(4))
     assert not driver.assign("j/g.4", "w1")
@@ -108,7 +108,7 @@
 
 
 def test_a_late_end_of_an_old_attempt_changes_nothing():
-    """Guards against ending the new attempt by a repeated report of the old one."""
+    """Guards against a repeated report of an old attempt that ends the new one."""
     driver = filled()
     driver.assign("j/g.0", "w1")
     driver.end("j/g.0", 1, AttemptEnd.STOPPED)
@@ -118,7 +118,7 @@
 
 
 def test_an_item_sent_again_runs_nothing_twice():
-    """Guards against running an ended job again when the cell repeats its item."""
+    """Guards against an ended job that runs again when the cell repeats its item."""
     driver = filled()
     driver.job("k", changed_at=5)
     driver.assign("k/g.0", "w1")
@@ -129,7 +129,7 @@
 
 
 def test_fewer_tasks_drop_waiting_ones_only():
-    """Guards against losing running tasks when the cell moves a share to another group."""
+    """Guards against the loss of running tasks when the cell moves a share to another group."""
     driver = filled()
     driver.assign("j/g.0", "w1")
     driver.job("j", tasks=1, changed_at=2)
@@ -146,7 +146,7 @@
 
 
 def test_a_lost_worker_frees_its_tasks():
-    """Guards against tasks that stay assigned to a worker that is gone."""
+    """Guards against tasks that stay assigned to a lost worker."""
     driver = filled()
     driver.assign("j/g.0", "w1")
     driver.apply(batch=DomainBatch(lost=["w1"]))
@@ -154,7 +154,7 @@
 
 
 def test_configuration_and_cell_index_never_go_back():
-    """Guards against a late reply of an old cell leader."""
+    """Guards against a late reply of a former cell leader that brings back older state."""
     driver = Driver()
     driver.apply(sync=SyncReply(index=9, config=ConfigState(version=3)))
     driver.apply(sync=SyncReply(index=8, config=ConfigState(version=2)))
@@ -215,7 +215,7 @@
 @settings(max_examples=200, deadline=None)
 @given(batches=st.lists(BATCHES, max_size=12))
 def test_no_sequence_of_batches_breaks_the_capacity(batches):
-    """Guards against sums that drift, whatever an owner proposes."""
+    """Guards against used resources that differ from the assigned tasks or exceed a worker."""
     driver = filled()
     for batch in batches:
         assert driver.apply(batch=batch).code == Code.DONE
@@ -228,7 +228,7 @@
 @settings(max_examples=300, deadline=None)
 @given(data=st.binary(max_size=200), cut=st.integers(0, 60), at=st.floats())
 def test_arbitrary_bytes_give_a_numbered_error_and_change_nothing(data, cut, at):
-    """Guards against a replica that stops, or differs, after a malformed command."""
+    """Guards against a replica that stops, or diverges, after a malformed command."""
     driver = filled()
     before = driver.domain.snapshot()
     spec = JobSpec(kind=cut, run_s=at)
@@ -244,7 +244,7 @@
 
 @given(data=st.binary(min_size=1, max_size=100))
 def test_a_damaged_snapshot_changes_nothing(data):
-    """Guards against a state that is half replaced."""
+    """Guards against a state that a damaged snapshot has replaced in part."""
     driver = filled()
     before = driver.domain.snapshot()
     with pytest.raises(DamagedDataError):
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -1,4 +1,4 @@
-"""Declared loss of domain groups: what the cell moves, and what a group does that comes back."""
+"""Declared loss of domain groups: tasks that the cell moves, and the return of a lost group."""
 
 import pytest
 from anyio import run
@@ -39,7 +39,7 @@
 
 
 def test_group_that_was_heard_from_is_not_declared_lost(driver):
-    """Guards against a loss by mistake, whose tasks would run in two places."""
+    """Guards against a group declared lost by mistake: its tasks would run in two places."""
     job = submitted(driver, kind="service", tasks=3)
     driver.groups[0] = group(FJELD, silent_s=MIN_SILENCE_S - 1)
     code, answer = driver.lose(FJELD, force=False)
@@ -59,7 +59,7 @@
 
 
 def test_service_stays_spread_and_gang_moves_whole(driver):
-    """Guards against a service on one group after a loss, and against a torn gang."""
+    """Guards against a service on one group after a loss, and a gang split over groups."""
     service = submitted(driver, kind="service", tasks=6)
     gang = submitted(driver, kind="gang", tasks=20, domain=FJELD)
     assert tasks_by_group(service) == dict.fromkeys(NAMES, 2)
@@ -75,7 +75,7 @@
 
 
 def test_service_is_spread_again_over_a_restored_group(driver):
-    """Guards against tasks that pile up where the job has most, beside an empty group."""
+    """Guards against tasks that gather on the group with most of the job, beside an empty one."""
     job = submitted(driver, kind="service", tasks=6)
     driver.lose(FJELD)
     driver.confirm_idle(FJELD)
@@ -85,7 +85,7 @@
 
 
 def test_ended_tasks_stay_ended_and_others_count_as_restarted(driver):
-    """Guards against a batch that runs again from the start, and a quota that leaks."""
+    """Guards against ended tasks of a batch that run again, and quota that is never released."""
     job = submitted(driver, tasks=10, domain=FJELD)
     driver.report(FJELD, job.job_id, succeeded=6, running=3, waiting=1)
     free = submitted(driver, tasks=4)
@@ -100,11 +100,11 @@
         driver.report(name, free.job_id, succeeded=tasks)
     assert job_state(free) == "succeeded"
     used = driver.cell.jobs.quota_use.used("ski").cpu_milli
-    assert used == 4000, "only the four open tasks of the first job hold quota"
+    assert used == 4000, "only the four open tasks of the first job use quota"
 
 
 def test_loss_of_a_region_and_of_a_group_that_has_just_been_given_the_tasks(driver):
-    """Guards against tasks given to a group that is lost at the same time or next."""
+    """Guards against tasks that move to a group that is lost at the same time or next."""
     job = submitted(driver, kind="service", tasks=6)
     driver.lose(FJELD, JYLLAND)
     assert tasks_by_group(job) == {SJAELLAND: 6}
@@ -119,7 +119,7 @@
 
 
 def test_late_report_of_an_earlier_epoch_is_ignored(driver):
-    """Guards against the progress of tasks that ended with the loss counting for new ones."""
+    """Guards against progress of tasks that ended with the loss being counted for new ones."""
     job = submitted(driver, tasks=2, domain=FJELD)
     driver.lose(FJELD)
     driver.confirm_idle(FJELD)
@@ -132,7 +132,7 @@
 
 
 def test_cancelled_jobs_of_a_lost_group_end_and_free_their_quota(driver):
-    """Guards against quota held for ever by tasks of which nobody will report."""
+    """Guards against quota used forever by cancelled tasks whose end no group will report."""
     job = submitted(driver, tasks=90, domain=FJELD)
     late = submitted(driver, tasks=50)
     driver.report(FJELD, job.job_id, running=90)
@@ -145,7 +145,7 @@
 
 
 def test_restore_needs_the_word_of_the_present_epoch(driver):
-    """Guards against work for a group that still runs what was given to others."""
+    """Guards against work for a group that still runs tasks that other groups run now."""
     driver.lose(FJELD)
     assert driver.restore(FJELD)[0] == Code.GROUP_IN_USE
     driver.confirm_idle(FJELD, epoch=0)
@@ -153,7 +153,9 @@
     driver.confirm_idle(FJELD)
     assert driver.restore(FJELD) == (1000, {"lost": []})
     driver.lose(FJELD)
-    assert driver.restore(FJELD)[0] == Code.GROUP_IN_USE, "the word of the first loss counted"
+    assert driver.restore(FJELD)[0] == Code.GROUP_IN_USE, (
+        "the confirmation of the first loss counted"
+    )
     restored = Cell()
     restored.restore(driver.cell.snapshot())
     assert restored.snapshot() == driver.cell.snapshot()
@@ -161,7 +163,7 @@
 
 
 def test_returned_group_ends_its_jobs_and_numbers_tasks_anew():
-    """Guards against old tasks that wait or start, and against two tasks of one name."""
+    """Guards against old tasks that stay or start, and against two tasks of one name."""
     driver = DomainDriver()
     domain = driver.domain
     driver.job("j", tasks=2, changed_at=5)
@@ -188,14 +190,14 @@
 
 
 def test_calls_of_a_lost_group(tmp_path, monkeypatch):
-    """Guards against a stale word of the cell, and a confirmation that is not committed."""
+    """Guards against a stale group status from the cell, and an uncommitted confirmation."""
 
     async def check():
         desk = Desk(AuditFile(path=tmp_path / "audit"))
         lost = {"action": "lost", "groups": ["fjeld"]}
         assert (await desk.ask("domain", lost))[0] == Code.BAD_REQUEST
         lost["confirm"] = True
-        # A leader that has heard nothing of a group yet cannot know of its silence.
+        # A leader that has had no request of a group yet cannot know how long it is unreachable.
         assert (await desk.ask("domain", lost))[0] == Code.GROUP_IN_USE
         assert (await desk.ask("domain", lost | {"force": True}))[0] == Code.DONE
         old = await desk.service.sync(SyncRequest(group="fjeld", wait_s=5))
@@ -220,7 +222,7 @@
 
 
 def test_clearance_is_of_one_process_and_one_epoch():
-    """Guards against a start by a process that was switched off while its group was lost."""
+    """Guards against a start by a process that was down while its group was declared lost."""
     driver, status_check = DomainDriver(), GroupStatusCheck()
     domain = driver.domain
     assert not status_check.permits_start(domain)
@@ -231,7 +233,7 @@
     for now in (0, MAX_GAP_S, 2 * MAX_GAP_S):
         status_check.note_leader(now)
     assert status_check.permits_start(domain), (
-        "a group that has a leader goes on through a partition"
+        "a group that has a leader may start tasks through a partition"
     )
     status_check.note_leader(3 * MAX_GAP_S + 1)
     assert not status_check.permits_start(domain), "its loss may have been declared in the gap"
@@ -240,4 +242,4 @@
     assert not status_check.permits_start(domain)
     driver.apply(sync=SyncReply(index=1, epoch=1))
     assert not domain.fenced
-    assert not status_check.permits_start(domain), "the word of an earlier epoch counted"
+    assert not status_check.permits_start(domain), "the status of an earlier epoch counted"
--- a/tests/test_group_loss_walk.py
+++ b/tests/test_group_loss_walk.py
@@ -39,8 +39,9 @@
 class Site:
     """A domain group with one worker.
 
-    :param running: {task id: job id} of what runs on the worker.
-    :param completed: number of tasks that have succeeded, by job.
+    ``running`` is {task id: job id} of the tasks on the worker.
+
+    :param completed: {job id: number of tasks that have succeeded}, shared by all sites.
     """
 
     def __init__(self, name, completed):
@@ -100,7 +101,7 @@
         self.commit(batch=DomainBatch(ended=[end]))
 
     def place(self, random, share=1.0):
-        """Assign some waiting tasks and start those whose assignment was committed."""
+        """Assign some waiting tasks and start those whose assignment was accepted."""
         if not self.status_check.permits_start(self.domain):
             return
         for job_id, job in self.domain.job_by_id.items():
@@ -125,14 +126,14 @@
                 self.end(self.domain.task(task_id), AttemptEnd.SUCCEEDED)
 
     def report(self):
-        """Return a Command with the progress of all jobs."""
+        """Return a report with the progress of all jobs, or None while the group is fenced."""
         rows = [job.progress() for job in self.domain.job_by_id.values()]
         report = JobReport(group=self.name, jobs=rows, epoch=self.domain.epoch)
         return None if self.domain.fenced else report
 
 
 class Walk:
-    """A cell, three sites, and reports on the way."""
+    """A cell, three sites, and reports in flight."""
 
     def __init__(self, seed):
         self.random = Random(seed)
@@ -173,7 +174,7 @@
             self.step_of(site, kind)
 
     def step_of(self, site, kind):
-        """Let a site that is switched on do something."""
+        """Take a step of one site that is switched on."""
         if kind == "sync":
             site.sync(self.driver)
         elif kind == "report":
@@ -182,20 +183,20 @@
             getattr(site, kind)(self.random, share=0.5)
 
     def deliver(self, report):
-        """Commit a report; it may be old."""
+        """Apply a report to the cell; it may be old."""
         if report is not None:
             driver = self.driver
             driver.raw(Command(at=driver.at, groups=driver.groups, job_report=report))
 
     def take_snapshots(self, site):
-        """Go on from snapshots, as a store does that was restarted."""
+        """Replace the cell and a domain by copies from snapshots, like a restarted store."""
         cell, domain = Cell(), Domain(group=site.name)
         cell.restore(self.driver.cell.snapshot())
         domain.restore(site.domain.snapshot())
         self.driver.cell, site.domain = cell, domain
 
     def check(self):
-        """Compare what runs with what was asked for."""
+        """Check that no job runs, or has ever started, more tasks than it may."""
         running = Counter(job_id for site in self.sites for job_id in site.running.values())
         for job_id, job in self.jobs().items():
             tasks = job.spec.tasks
@@ -205,7 +206,7 @@
             assert begun <= tasks + job.restarted, f"{job_id}: {begun} begun of {tasks}"
 
     def settle(self):
-        """Bring everything back; all that was asked for must end or run."""
+        """Switch on and restore all sites; every job must then end, run or wait for quota."""
         for _ in range(12):
             for site in self.sites:
                 if not site.is_on:
@@ -219,7 +220,7 @@
         for job in self.jobs().values():
             running = sum(share.progress.running for share in job.shares)
             done = job.ended or (job.spec.kind == JobSpec.SERVICE and running == job.spec.tasks)
-            assert done or job.reason == "quota", f"left over: {job}"
+            assert done or job.reason == "quota", f"neither ended nor running: {job}"
             if job.ended and not job.cancelled:
                 assert job_state(job) == "succeeded"
         held = sum(job.spec.tasks for job in self.jobs().values() if job.admitted and not job.ended)
@@ -229,7 +230,7 @@
 
 @pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + WALKS))
 def test_no_task_runs_in_two_groups(seed):
-    """Guards against tasks that run in a returned group and elsewhere, or are forgotten."""
+    """Guards against tasks that run in a returned group and in another one, or never run."""
     walk = Walk(seed)
     for _ in range(STEPS):
         walk.step()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,4 @@
-"""Ledger: verdicts, late messages, bounds, snapshots."""
+"""Ledger of idempotency keys: verdicts, late messages, capacity limits, snapshots."""
 
 import pytest
 from hypothesis import given
@@ -36,6 +36,7 @@
 
 
 def test_key_is_granted_to_one_attempt_and_its_answer_replayed():
+    """Guards against a request that runs twice under one key."""
     ledger = Ledger()
     assert begin(ledger, "a") == V.GRANTED
     assert begin(ledger, "a") == V.GRANTED
@@ -48,6 +49,7 @@
 
 @pytest.mark.parametrize("field", [{"caller": "other"}, {"digest": b"e"}])
 def test_same_key_with_another_request_is_a_conflict(field):
+    """Guards against the answer of one request being replayed to another one."""
     ledger = Ledger()
     begin(ledger, "a")
     assert begin(ledger, "b", **field) == V.CONFLICT
@@ -56,7 +58,7 @@
 
 
 def test_attempt_of_a_lost_entry_is_unknown_after_its_time_and_may_still_finish():
-    """Guards against 3002 for a day when the entry that ran the request was killed."""
+    """Guards against 3002 (in progress) for a day when the entry of the request was killed."""
     ledger = Ledger()
     order = LedgerBegin(key="k", caller="shop", digest=b"d", attempt="a", deadline_s=30.0)
     assert ledger.begin(order, 100.0).verdict == V.GRANTED
@@ -70,6 +72,7 @@
 
 
 def test_unknown_outcome_stays_unknown():
+    """Guards against a late message that turns a reported unknown outcome into another one."""
     ledger = Ledger()
     begin(ledger, "a")
     finish(ledger, "a", unknown=True)
@@ -80,6 +83,7 @@
 
 
 def test_other_attempts_neither_finish_nor_release_a_key():
+    """Guards against an attempt that ends the running attempt of another entry."""
     ledger = Ledger()
     begin(ledger, "a")
     finish(ledger, "b")
@@ -89,6 +93,7 @@
 
 
 def test_released_attempt_is_never_granted_again():
+    """Guards against a resent begin of a request that was already reported as not run."""
     ledger = Ledger()
     begin(ledger, "a")
     release(ledger, "a")
@@ -99,6 +104,7 @@
 
 
 def test_release_before_begin_wins_over_the_late_begin():
+    """Guards against a begin that arrives after its release and blocks the key."""
     ledger = Ledger()
     release(ledger, "a")
     assert begin(ledger, "a") == V.RELEASED
@@ -106,6 +112,7 @@
 
 
 def test_full_ledger_refuses_new_keys_and_keeps_the_records():
+    """Guards against a full ledger that drops records, so that a resend would run again."""
     ledger = Ledger(capacity_records=2)
     begin(ledger, "a", key="1")
     begin(ledger, "b", key="2")
@@ -120,6 +127,7 @@
 
 
 def test_full_store_of_answers_refuses_new_keys():
+    """Guards against stored answers that grow without limit, or are dropped to make space."""
     ledger = Ledger(capacity_bytes=10)
     begin(ledger, "a", key="1")
     finish(ledger, "a", key="1")
@@ -129,6 +137,7 @@
 
 
 def test_records_live_for_the_retention_after_their_last_change():
+    """Guards against a record that expires early, and against one that is kept forever."""
     ledger = Ledger(retention_s=240.0)
     begin(ledger, "a")
     finish(ledger, "a", now=100.0)
@@ -138,6 +147,7 @@
 
 
 def test_time_that_goes_back_drops_nothing_early():
+    """Guards against early expiry when the clock of a new leader is behind that of the last."""
     ledger = Ledger(retention_s=240.0)
     ledger.expire(1000.0)
     begin(ledger, "a", now=5.0)
@@ -145,6 +155,7 @@
 
 
 def test_long_body_is_replaced_by_its_digest():
+    """Guards against large bodies that fill the replicated state."""
     ledger = Ledger(body_limit_bytes=4)
     begin(ledger, "a")
     finish(ledger, "a")
@@ -165,6 +176,7 @@
 
 @given(_actions)
 def test_snapshot_restores_the_same_state(actions):
+    """Guards against replicas that differ after a snapshot."""
     ledger, now = Ledger(retention_s=48.0), 0.0
     for name, key, attempt, step in actions:
         now += step
@@ -184,6 +196,7 @@
 
 @given(st.binary(max_size=80))
 def test_damaged_snapshot_is_refused_and_changes_nothing(data):
+    """Guards against a state that a damaged snapshot has replaced in part."""
     ledger = Ledger()
     begin(ledger, "a")
     before = ledger.key()
--- a/tests/test_missed_changes.py
+++ b/tests/test_missed_changes.py
@@ -1,4 +1,4 @@
-"""A store that missed hundreds of changes and then has to lead, in a whole cell."""
+"""A store that missed hundreds of changes and then becomes leader, in a whole cell."""
 
 import pytest
 from anyio import create_task_group, sleep
@@ -33,15 +33,15 @@
 
 
 async def make_lead(cell, late):
-    """Stop the other stores one after another so that only ``late`` can lead both groups."""
+    """Stop the other stores in turn, so that only ``late`` can lead both groups."""
     complete, other = (name for name in cell.stores if name != late)
     cell.processes.kill(other)
     cell.processes.kill(complete)
-    # The late store is first to ask for votes, and must not get that of the complete one.
+    # The late store requests votes first, and must not get the vote of the complete one.
     cell.start_store(late)
     await sleep(HEAD_START_S)
     cell.start_store(complete)
-    # The killed store misses this change, so it can't be elected when the complete one has gone.
+    # The killed store misses this change, so it can't be elected after the complete one stops.
     change = {"preset": "peak", "expect_version": LAST_VERSION}
     assert (await cell.operate("preset", change, request_id="peak"))["version"] == LAST_VERSION + 1
     await wait_version(cell, LAST_VERSION + 1)
@@ -69,7 +69,7 @@
             cell.processes.kill("e1")
             cell.start_entry("e1")
             await wait_version(cell, LAST_VERSION + 1)
-            # The new leader knows the reply to the first change.
+            # The new leader has stored the reply to the first change.
             change = {"document": f"{DOCUMENT}# 0\n", "expect_version": 1}
             answer = await cell.operate("config", change, request_id="config-0")
             assert answer["version"] == 2
--- a/tests/test_unreported_end.py
+++ b/tests/test_unreported_end.py
@@ -1,11 +1,11 @@
-"""Ends of jobs that a domain owner committed and did not live to report."""
+"""Ends of jobs that a domain owner committed, but did not report before it lost leadership."""
 
 from siskintally.wire_pb2 import AttemptState
 from tests.test_owner import WorkerLink, state, until, with_owner
 
 
 def test_new_owner_reports_jobs_that_ended_under_the_former_one():
-    """Guards against a job that the cell shows as running, with its quota held, for ever."""
+    """Guards against an ended job that the cell shows as running forever, and its used quota."""
 
     async def check(bench):
         link = WorkerLink()
--- a/tests/test_workloads.py
+++ b/tests/test_workloads.py
@@ -1,4 +1,4 @@
-"""Difficult workloads in a whole cell; the verdict comes from the records of the workers."""
+"""Difficult workloads in a whole cell, checked by the records of the workers."""
 
 import pytest
 from anyio import CapacityLimiter, create_task_group, sleep
@@ -27,7 +27,7 @@
 
 
 async def call_all(cell, verb, arguments_by_id):
-    """Make many operator calls at a time; return {request id: answer}."""
+    """Make operator calls, up to ``CALLERS`` at a time; return {request id: answer}."""
     answer_by_id, limiter = {}, CapacityLimiter(CALLERS)
 
     async def one(request_id, arguments):
@@ -67,7 +67,7 @@
 
 
 async def start_workers_of_all_kinds(cell):
-    """Start good workers, workers that fail everything, and some that run ten times as long."""
+    """Start good workers, workers that fail every task, and some with ten times the run time."""
     cell.start_workers("good", 4)
     cell.start_workers("bad", 2, "--fail")
     cell.start_workers("slow", 2, "--run_factor", 10, "--size_factor", 10)
@@ -85,17 +85,17 @@
 
 
 def succeeded(lines):
-    """Return how often a task of each job has succeeded, {job id: count}."""
+    """Return {job id: number of tasks that have succeeded}."""
     ended = [job_id_of(line["task"]) for line in lines if line.get("result") == "SUCCEEDED"]
     return {job_id: ended.count(job_id) for job_id in ended}
 
 
 @pytest.mark.timeout(300)
 def test_difficult_workloads_leave_no_job_without_an_outcome(tmp_path):
-    """Guards against overcommitment, lost jobs and a blocked queue under a wave of cancellations.
+    """Guards against overcommitment, lost jobs and a blocked queue in a burst of cancellations.
 
-    Sizes and run times are wrong by ten times in both directions, some jobs can never run, and
-    two of eight workers fail every task.
+    Declared sizes and run times are wrong by a factor of ten in both directions, some jobs can
+    never run, and two of eight workers fail every task.
     """
 
     async def check(cell):
