--- a/tests/checker.py
+++ b/tests/checker.py
@@ -50,27 +50,29 @@
 
     A ``capacity`` or ``killed`` record ends all attempts that ran on the worker before.
     """
-    faults, capacity, running, place_by_task = [], {}, defaultdict(dict), {}
+    violations, capacity, running, worker_by_task = [], {}, defaultdict(dict), {}
     for record in records:
         worker, event = record["worker"], record["event"]
         if event in ("capacity", "killed"):
             for attempt in running.pop(worker, {}):
-                place_by_task.pop(attempt[0], None)
+                worker_by_task.pop(attempt[0], None)
             if event == "capacity":
                 capacity[worker] = record
             continue
         attempt = (record["task"], record["attempt"])
         if event != "start":
-            if running[worker].pop(attempt, None) and place_by_task.get(attempt[0]) == worker:
-                del place_by_task[attempt[0]]
+            if running[worker].pop(attempt, None) and worker_by_task.get(attempt[0]) == worker:
+                del worker_by_task[attempt[0]]
             continue
-        if attempt[0] in place_by_task:
-            place = place_by_task[attempt[0]]
-            faults.append(f"{record['t']}: task {attempt[0]} starts on {worker}, runs on {place}")
-        place_by_task[attempt[0]] = worker
+        if attempt[0] in worker_by_task:
+            present_worker = worker_by_task[attempt[0]]
+            violations.append(
+                f"{record['t']}: task {attempt[0]} starts on {worker}, runs on {present_worker}"
+            )
+        worker_by_task[attempt[0]] = worker
         running[worker][attempt] = record
-        faults.extend(_overcommitted(record, capacity[worker], running[worker].values()))
-    return faults
+        violations.extend(_overcommitted(record, capacity[worker], running[worker].values()))
+    return violations
 
 
 def _overcommitted(record, capacity, running):
@@ -85,7 +87,7 @@
 
     Tasks are counted by job, because another domain group gives them other names.
     """
-    faults, job_by_attempt = [], {}
+    violations, job_by_attempt = [], {}
     for record in records:
         worker, event = record["worker"], record["event"]
         if event in ("capacity", "killed"):
@@ -98,8 +100,8 @@
         job_by_attempt[key] = job
         running = list(job_by_attempt.values()).count(job)
         if running > tasks_by_job[job]:
-            faults.append(f"{record['t']}: {job} runs {running} of {tasks_by_job[job]} tasks")
-    return faults
+            violations.append(f"{record['t']}: {job} runs {running} of {tasks_by_job[job]} tasks")
+    return violations
 
 
 def check_stopped(records, job_ids, *, since):
@@ -109,7 +111,7 @@
 
     :param since: time at which the system reported the jobs as cancelled.
     """
-    faults, running = [], set()
+    violations, running = [], set()
     for record in records:
         if "task" not in record or job_id_of(record["task"]) not in job_ids:
             continue
@@ -117,10 +119,10 @@
         if record["event"] == "start":
             running.add(attempt)
             if record["t"] > since:
-                faults.append(f"{record['t']}: {attempt} starts after its job was cancelled")
+                violations.append(f"{record['t']}: {attempt} starts after its job was cancelled")
         else:
             running.discard(attempt)
-    return faults + [f"{attempt} still runs" for attempt in running]
+    return violations + [f"{attempt} still runs" for attempt in running]
 
 
 def check_requests(records, answers):
@@ -130,28 +132,28 @@
     :param answers: :class:`Answer` of the callers.
     """
     starts = [record for record in records if record["event"] == "start"]
-    ran = {record["request_id"] for record in starts}
-    by_key = defaultdict(list)
+    executed_ids = {record["request_id"] for record in starts}
+    starts_by_key = defaultdict(list)
     for record in starts:
         if record.get("key"):
-            by_key[record["key"]].append(record)
-    faults = [
+            starts_by_key[record["key"]].append(record)
+    violations = [
         f"key {key} ran {len(runs)} times at {[run['endpoint'] for run in runs]}"
-        for key, runs in by_key.items()
+        for key, runs in starts_by_key.items()
         if len(runs) > 1
     ]
     for answer in answers:
         if answer.code is None:
             continue
-        if not_run(answer.code) and answer.request_id in ran:
-            faults.append(f"request {answer.request_id} answered {answer.code} but ran")
+        if not_run(answer.code) and answer.request_id in executed_ids:
+            violations.append(f"request {answer.request_id} answered {answer.code} but ran")
         if answer.code in (Code.DONE, Code.REPLAYED):
-            faults.extend(_foreign(answer, ran, by_key))
-    return faults
+            violations.extend(_wrong_answers(answer, executed_ids, starts_by_key))
+    return violations
 
 
-def _foreign(answer, ran, by_key):
+def _wrong_answers(answer, executed_ids, starts_by_key):
     if answer.body != answer.expected:
         yield f"request {answer.request_id} got {answer.body[:40]!r}, not its own answer"
-    if answer.request_id not in ran and answer.key not in by_key:
+    if answer.request_id not in executed_ids and answer.key not in starts_by_key:
         yield f"request {answer.request_id} answered {answer.code} but never ran"
--- a/tests/test_encoding.py
+++ b/tests/test_encoding.py
@@ -62,9 +62,9 @@
 def test_message_survives_the_wire(message):
     """Guards against a field that is lost or swapped between a message and its wire form."""
     body = encode_message(message, group="g")
-    again = type(body).FromString(body.SerializeToString())
-    assert again.group == "g"
-    assert decode_message(again) == message and type(decode_message(again)) is type(message)
+    received = type(body).FromString(body.SerializeToString())
+    assert received.group == "g"
+    assert decode_message(received) == message and type(decode_message(received)) is type(message)
 
 
 @settings(max_examples=300)
--- a/tests/test_group_disk.py
+++ b/tests/test_group_disk.py
@@ -16,7 +16,7 @@
     Identity,
 )
 
-ME, OTHER = Identity("a", "a0"), Identity("b", "b0")
+SELF, PEER = Identity("a", "a0"), Identity("b", "b0")
 LEADER = SimpleNamespace(is_leader=True)
 
 
@@ -25,7 +25,7 @@
     effects = Effects()
     effects.entries = [Entry(5, 2, EntryKind.COMMAND, b"x")]
     if message is not None:
-        effects.messages = [Envelope(to=OTHER, message=message)]
+        effects.messages = [Envelope(to=PEER, message=message)]
     return effects
 
 
@@ -37,7 +37,7 @@
 
 def test_entries_of_a_leader_may_be_sent_first():
     """Guards against commits that wait for a slow disk of the leader."""
-    request = AppendRequest(2, ME, 4, 2, 4, 1)
+    request = AppendRequest(2, SELF, 4, 2, 4, 1)
     assert can_write_behind(effects_of(message=request))
 
 
@@ -45,16 +45,16 @@
 def test_a_term_a_vote_and_a_snapshot_are_on_disk_first(field):
     """Guards against a second vote in a term, and a log without its beginning, after a crash."""
     effects = effects_of()
-    setattr(effects, field, HardState(term=3, vote=ME))
+    setattr(effects, field, HardState(term=3, vote=SELF))
     assert not can_write_behind(effects)
 
 
-def test_the_answer_of_a_follower_waits_for_its_disk():
+def test_the_reply_of_a_follower_waits_for_its_disk():
     """Guards against a reply that counts an entry as stored and leaves before the sync.
 
     A batch can hold the reply of a follower and its election as leader.
     """
-    reply = AppendReply(2, ME, True, match_index=5, round=0)
+    reply = AppendReply(2, SELF, True, match_index=5, round=0)
     assert not can_write_behind(effects_of(message=reply))
 
 
--- a/tests/test_inbox.py
+++ b/tests/test_inbox.py
@@ -9,25 +9,25 @@
 LIMIT_S = 30
 
 
-def test_message_that_does_not_wake_is_taken_with_the_next_one():
+def test_message_that_does_not_wake_is_delivered_with_the_next_one():
     """Guards against a keepalive that wakes the task, and against one that is never delivered."""
 
     async def main():
         inbox = Inbox(max_messages=8)
-        taken = []
+        received = []
 
-        async def take():
-            taken.extend(await inbox.wait_for_items(LIMIT_S, 10))
+        async def receive():
+            received.extend(await inbox.wait_for_items(LIMIT_S, 10))
 
         with fail_after(LIMIT_S):
             async with create_task_group() as tasks:
-                tasks.start_soon(take)
+                tasks.start_soon(receive)
                 await sleep(0.01)
                 inbox.put_message("keepalive", wakes=False)
                 await sleep(0.01)
-                assert not taken
+                assert not received
                 inbox.put_message("entry")
-        assert taken == ["keepalive", "entry"]
+        assert received == ["keepalive", "entry"]
         inbox.put_message("keepalive", wakes=False)
         assert await inbox.wait_for_items(0.01, 10) == ["keepalive"]
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -12,8 +12,10 @@
     code = "".join(path.read_text(encoding="utf-8") for path in Path("tests").glob("test_*.py"))
     missing = [name for name in findall(r"`(test_\w+)`", text) if f"def {name}(" not in code]
     assert missing == []
-    names = {spec.name for spec in (*ci_specs(), *large_specs())}
-    rows = findall(r"models? ((?:`[\w*-]+`(?:, )?)+)", text)
-    used = {name.rstrip("*") for row in rows for name in findall(r"`([\w*-]+)`", row)}
-    assert used
-    assert [name for name in used if not any(one.startswith(name) for one in names)] == []
+    spec_names = {spec.name for spec in (*ci_specs(), *large_specs())}
+    lists = findall(r"models? ((?:`[\w*-]+`(?:, )?)+)", text)
+    prefixes = {name.rstrip("*") for names in lists for name in findall(r"`([\w*-]+)`", names)}
+    assert prefixes
+    assert [
+        prefix for prefix in prefixes if not any(name.startswith(prefix) for name in spec_names)
+    ] == []
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -26,7 +26,7 @@
     return journal
 
 
-def change(*, hard_state=None, entries=(), snapshot=None):
+def effects_of(*, hard_state=None, entries=(), snapshot=None):
     effects = Effects()
     effects.hard_state = hard_state
     effects.entries.extend(entries)
@@ -34,7 +34,7 @@
     return effects
 
 
-class Model:
+class ExpectedContent:
     """Expected content of the folder, computed in memory."""
 
     def __init__(self):
@@ -58,90 +58,90 @@
         self.log.truncate(first)
         for entry in entries:
             self.log.append(entry)
-        journal.write(change(entries=entries), self.persistent_state)
+        journal.write(effects_of(entries=entries), self.persistent_state)
 
 
-def filled(folder):
+def write_sample_log(folder):
     """Make a sequence of writes to a new folder; return the expected content after each."""
     journal = Journal.open(folder, group="g", name="s1")
-    model = Model()
-    states = [model.persistent_state()]
+    expected = ExpectedContent()
+    states = [expected.persistent_state()]
     members = (Member(journal.identity, True), Member(Identity("s2", "x"), False))
     for number in range(1, 7):
         if number == 4:
-            model.hard_state = HardState(term=2, vote=Identity("s2", "x"))
-            journal.write(change(hard_state=model.hard_state), model.persistent_state)
+            expected.hard_state = HardState(term=2, vote=Identity("s2", "x"))
+            journal.write(effects_of(hard_state=expected.hard_state), expected.persistent_state)
         else:
-            model.append(journal, model.log.last_index + 1, [b"c%d" % number, b""], number)
-        states.append(model.persistent_state())
-    entry = Entry(model.log.last_index + 1, 7, EntryKind.MEMBERS, members=members)
-    model.log.append(entry)
-    journal.write(change(entries=[entry]), model.persistent_state)
-    states.append(model.persistent_state())
+            expected.append(journal, expected.log.last_index + 1, [b"c%d" % number, b""], number)
+        states.append(expected.persistent_state())
+    entry = Entry(expected.log.last_index + 1, 7, EntryKind.MEMBERS, members=members)
+    expected.log.append(entry)
+    journal.write(effects_of(entries=[entry]), expected.persistent_state)
+    states.append(expected.persistent_state())
     journal.close()
     return states
 
 
 def test_flipping_any_byte_is_found(tmp_path):
     """Guards against acknowledged records that are lost or changed and still accepted."""
-    filled(tmp_path / "g")
-    model = Model()
+    write_sample_log(tmp_path / "g")
+    expected = ExpectedContent()
     journal = Journal.open(tmp_path / "g", group="g", name="s1")
-    model.log = RaftLog(entries=journal.persistent_state.entries)
-    model.log.compact(5, b"state", keep=1)
-    journal.write(change(snapshot=model.log.snapshot), model.persistent_state)
-    model.append(journal, model.log.last_index + 1, [b"x" * 700, b"y"], 9)
+    expected.log = RaftLog(entries=journal.persistent_state.entries)
+    expected.log.compact(5, b"state", keep=1)
+    journal.write(effects_of(snapshot=expected.log.snapshot), expected.persistent_state)
+    expected.append(journal, expected.log.last_index + 1, [b"x" * 700, b"y"], 9)
     journal.close()
     flips = 0
     for name in ("identity", "log", "snapshot-5"):
         path = tmp_path / "g" / name
-        good = path.read_bytes()
-        for position in range(len(good)):
-            bad = bytearray(good)
-            bad[position] ^= 1 << (position % 8)
-            path.write_bytes(bad)
+        intact = path.read_bytes()
+        for position in range(len(intact)):
+            damaged = bytearray(intact)
+            damaged[position] ^= 1 << (position % 8)
+            path.write_bytes(damaged)
             with pytest.raises(DamagedDataError):
                 reopen(tmp_path / "g")
             flips += 1
-        path.write_bytes(good)
+        path.write_bytes(intact)
     size = sum(path.stat().st_size for path in (tmp_path / "g").iterdir())
     assert flips == size > 900
-    assert reopen(tmp_path / "g").persistent_state == model.persistent_state()
+    assert reopen(tmp_path / "g").persistent_state == expected.persistent_state()
 
 
 def test_cutting_at_any_length_keeps_a_prefix(tmp_path):
     """Guards against a replica that cannot start after a torn write, or loads part of a record."""
-    states = filled(tmp_path / "g")
+    states = write_sample_log(tmp_path / "g")
     path = tmp_path / "g" / "log"
-    good = path.read_bytes()
-    seen = set()
-    prefixes = {state: number for number, state in enumerate(states)}
-    for length in range(len(good), -1, -1):
-        path.write_bytes(good[:length])
+    intact = path.read_bytes()
+    recovered = set()
+    number_by_state = {state: number for number, state in enumerate(states)}
+    for length in range(len(intact), -1, -1):
+        path.write_bytes(intact[:length])
         try:
             persistent_state = reopen(tmp_path / "g").persistent_state
         except DamagedDataError:
             continue
-        whole = [
-            s
-            for s in states
-            if s.entries[: len(persistent_state.entries)] == persistent_state.entries
+        matching = [
+            state
+            for state in states
+            if state.entries[: len(persistent_state.entries)] == persistent_state.entries
         ]
-        assert whole and (persistent_state.term, persistent_state.vote) in {
-            (s.term, s.vote) for s in states
+        assert matching and (persistent_state.term, persistent_state.vote) in {
+            (state.term, state.vote) for state in states
         }
-        seen.add(prefixes.get(persistent_state))
-    assert seen >= set(range(len(states)))
+        recovered.add(number_by_state.get(persistent_state))
+    assert recovered >= set(range(len(states)))
 
 
 def test_sectors_that_were_not_written_are_a_torn_write(tmp_path):
     """Guards against a refusal to start when a crash left zeros in the last sectors of the file."""
-    states = filled(tmp_path / "g")
+    states = write_sample_log(tmp_path / "g")
     path = tmp_path / "g" / "log"
-    good = path.read_bytes()
-    torn = (good + pack_record(b"z" * 2000))[: (len(good) // 512 + 2) * 512]
-    for tail in (b"\0" * 100, torn[len(good) :] + b"\0" * 700):
-        path.write_bytes(good + tail)
+    intact = path.read_bytes()
+    torn = (intact + pack_record(b"z" * 2000))[: (len(intact) // 512 + 2) * 512]
+    for tail in (b"\0" * 100, torn[len(intact) :] + b"\0" * 700):
+        path.write_bytes(intact + tail)
         assert reopen(tmp_path / "g").persistent_state == states[-1]
 
 
@@ -160,11 +160,11 @@
     for number in (1, 2):
         (tmp_path / "g" / "log").unlink()
         assert set_aside(tmp_path / "g").name == f"g.damaged-{number}"
-        fresh = reopen(tmp_path / "g")
-        assert fresh.identity != old and fresh.persistent_state == PersistentState()
+        reopened = reopen(tmp_path / "g")
+        assert reopened.identity != old and reopened.persistent_state == PersistentState()
 
 
-def test_group_is_founded_once(tmp_path):
+def test_group_is_bootstrapped_once(tmp_path):
     """Guards against a second bootstrap that would drop the log."""
     identity = bootstrap_replica(tmp_path / "g", group="g", name="s1")
     with pytest.raises(BadRequestError):
@@ -191,7 +191,7 @@
 
 def test_crash_between_the_steps_of_a_compaction(tmp_path):
     """Guards against a log whose snapshot does not exist yet, or no longer exists."""
-    states = filled(tmp_path / "g")
+    states = write_sample_log(tmp_path / "g")
     (tmp_path / "g" / "snapshot-3").write_bytes(pack_record(b"newer, not in use"))
     (tmp_path / "g" / "log.tmp").write_bytes(b"half")
     assert reopen(tmp_path / "g").persistent_state == states[-1]
@@ -217,25 +217,27 @@
     """Guards recovery after any sequence of writes, truncations, snapshots and torn writes."""
     with TemporaryDirectory() as folder:
         journal = Journal.open(f"{folder}/g", group="g", name="s1")
-        model = Model()
+        expected = ExpectedContent()
         for kind, number, value in steps:
             if kind == "append":
-                first = max(model.log.snapshot.index, model.log.last_index - number) + 1
-                model.append(journal, first, value, term=number + 1)
+                first = max(expected.log.snapshot.index, expected.log.last_index - number) + 1
+                expected.append(journal, first, value, term=number + 1)
             elif kind == "vote":
                 vote = Identity("s2", "x") if value else None
-                model.hard_state = HardState(term=number, vote=vote)
-                journal.write(change(hard_state=model.hard_state), model.persistent_state)
+                expected.hard_state = HardState(term=number, vote=vote)
+                journal.write(effects_of(hard_state=expected.hard_state), expected.persistent_state)
             elif kind == "compact":
-                index = min(model.log.last_index, model.log.snapshot.index + number)
-                if index > model.log.snapshot.index:
-                    model.log.compact(index, b"state%d" % index, keep=value)
-                    journal.write(change(snapshot=model.log.snapshot), model.persistent_state)
+                index = min(expected.log.last_index, expected.log.snapshot.index + number)
+                if index > expected.log.snapshot.index:
+                    expected.log.compact(index, b"state%d" % index, keep=value)
+                    journal.write(
+                        effects_of(snapshot=expected.log.snapshot), expected.persistent_state
+                    )
             else:
                 journal.close()
                 with open(f"{folder}/g/log", "ab") as file:
                     file.write(pack_record(b"not acknowledged" * 3)[:number])
                 journal = Journal.open(f"{folder}/g", group="g", name="s1")
-                assert journal.persistent_state == model.persistent_state()
+                assert journal.persistent_state == expected.persistent_state()
         journal.close()
-        assert reopen(f"{folder}/g").persistent_state == model.persistent_state()
+        assert reopen(f"{folder}/g").persistent_state == expected.persistent_state()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -29,7 +29,7 @@
 
 NAMES = ("a", "b", "c")
 DISK = GroupDisk(folder=None, group="g", process="p", in_thread=True)
-SMALL = Timing(chunk_bytes=7, batch_entries=3, window_entries=6)
+SMALL_TIMING = Timing(chunk_bytes=7, batch_entries=3, window_entries=6)
 
 
 class Node:
@@ -54,13 +54,13 @@
             election_timeout=lambda: self.net.random.uniform(1.0, 2.0),
             now=self.net.now,
         )
-        self.unwritten = None
+        self.unsynced = None
         data = self.disk.snapshot.data
         self.state = data.decode().split(",") if data else []
         self.applied = self.disk.snapshot.index
         self.reads = {}
 
-    def do(self, method, *arguments, sync=True, **options):
+    def call(self, method, *arguments, sync=True, **options):
         """Call a transition of the replica; without ``sync`` the node crashes before the write."""
         effects = getattr(self.replica, method)(*arguments, **options)
         if not sync:
@@ -68,29 +68,29 @@
             return effects
         last = (self.replica.log.last_index, self.replica.log.last_term)
         if self.net.writes_behind and DISK.can_write_behind(effects, self.replica):
-            self.unwritten = last
+            self.unsynced = last
             self._send_and_apply(effects)
             return effects
         if effects.must_sync:
-            self.disk, self.unwritten = self.replica.persistent_state, None
+            self.disk, self.unsynced = self.replica.persistent_state, None
         self._send_and_apply(effects, last)
         return effects
 
-    def write(self):
+    def flush(self):
         """Sync the entries that the leader sent before its own disk had them."""
-        if self.unwritten is not None:
-            last, self.unwritten = self.unwritten, None
+        if self.unsynced is not None:
+            last, self.unsynced = self.unsynced, None
             self.disk = self.replica.persistent_state
             self._apply(self.replica.mark_synced(*last, self.net.now))
-            self.net.check(self)
+            self.net.check_leader(self)
 
     def _send_and_apply(self, effects, last=None):
         for envelope in effects.messages:
-            self.net.post(self.identity, envelope)
+            self.net.send(self.identity, envelope)
         self._apply(effects)
         if last is not None and effects.must_sync:
             self._apply(self.replica.mark_synced(*last, self.net.now))
-        self.net.check(self)
+        self.net.check_leader(self)
 
     def _apply(self, effects):
         if effects.restore is not None:
@@ -102,60 +102,60 @@
             self.applied = entry.index
             if entry.kind == EntryKind.COMMAND:
                 self.state.append(entry.command.decode())
-            self.net.note_committed(self, entry)
+            self.net.record_committed(self, entry)
         if effects.confirmed_round:
-            for round_, floor in list(self.reads.items()):
+            for round_, min_index in list(self.reads.items()):
                 if round_ <= effects.confirmed_round:
                     del self.reads[round_]
-                    assert self.applied >= floor, "a read missed a commit that preceded it"
+                    assert self.applied >= min_index, "a read missed a commit that preceded it"
 
 
 class Net:
     """Nodes, messages in flight, and every entry that was ever committed."""
 
-    def __init__(self, seed=0, names=NAMES, timing=SMALL, writes_behind=False):
+    def __init__(self, seed=0, names=NAMES, timing=SMALL_TIMING, writes_behind=False):
         self.random = Random(seed)
         self.writes_behind = writes_behind
         self.timing = timing
         self.now = 0.0
-        self.flight = []
+        self.in_flight = []
         self.committed = {}
-        self.state_at = {}
-        self.leader_of_term = {}
-        self.cut = set()
-        ids = [Identity(name, f"{name}0") for name in names]
-        self.nodes = {i.name: Node(self, i, bootstrap_state(ids)) for i in ids}
+        self.state_by_index = {}
+        self.leader_by_term = {}
+        self.isolated = set()
+        identities = [Identity(name, f"{name}0") for name in names]
+        self.nodes = {i.name: Node(self, i, bootstrap_state(identities)) for i in identities}
 
-    def post(self, sender, envelope):
+    def send(self, sender, envelope):
         """Put a message in flight."""
-        self.flight.append((sender.name, envelope.to.name, envelope.message))
+        self.in_flight.append((sender.name, envelope.to.name, envelope.message))
 
     def deliver(self, position=0, *, sync=True):
         """Deliver a message in flight."""
-        sender, to, message = self.flight.pop(position)
-        if to in self.nodes and not {sender, to} & self.cut:
-            self.nodes[to].do("receive", message, self.now, sync=sync)
+        sender, to, message = self.in_flight.pop(position)
+        if to in self.nodes and not {sender, to} & self.isolated:
+            self.nodes[to].call("receive", message, self.now, sync=sync)
 
     def settle(self):
         """Deliver until nothing is in flight."""
         for _ in range(10000):
-            if not self.flight:
+            if not self.in_flight:
                 return
             self.deliver()
         raise AssertionError("messages are still in flight after 10000 deliveries")
 
-    def run(self, seconds, step=0.05, writes=False):
+    def run(self, seconds, step=0.05, flush=False):
         """Let virtual time pass.
 
-        :param writes: whether leaders sync the entries that they sent before writing them.
+        :param flush: whether leaders sync the entries that they sent before writing them.
         """
         for _ in range(round(seconds / step)):
             self.now += step
             for node in self.nodes.values():
-                if node.identity.name not in self.cut:
-                    node.do("tick", self.now)
-                if writes:
-                    node.write()
+                if node.identity.name not in self.isolated:
+                    node.call("tick", self.now)
+                if flush:
+                    node.flush()
             self.settle()
 
     def elect(self, name):
@@ -164,7 +164,7 @@
             self.nodes[name].replica.expire_election_timers()
             for node in self.nodes.values():
                 node.replica.leader_contact_at = float("-inf")
-            self.nodes[name].do("tick", self.now)
+            self.nodes[name].call("tick", self.now)
             self.settle()
             if self.nodes[name].replica.is_leader:
                 return self.nodes[name]
@@ -176,23 +176,23 @@
 
     def wipe(self, name):
         """Replace the disk of a node with an empty one and give the node a new incarnation."""
-        fresh = Identity(name, f"{name}{self.random.getrandbits(40):x}")
-        self.nodes[name] = Node(self, fresh, PersistentState())
-        return fresh
+        new_identity = Identity(name, f"{name}{self.random.getrandbits(40):x}")
+        self.nodes[name] = Node(self, new_identity, PersistentState())
+        return new_identity
 
-    def note_committed(self, node, entry):
+    def record_committed(self, node, entry):
         """Check state machine safety: the same entry and the same state at each index."""
         known = self.committed.setdefault(entry.index, entry)
         assert known == entry, f"two entries committed at {entry.index}: {known} {entry}"
         state = tuple(node.state)
-        assert self.state_at.setdefault(entry.index, state) == state, "state machines differ"
+        assert self.state_by_index.setdefault(entry.index, state) == state, "state machines differ"
 
-    def check(self, node):
+    def check_leader(self, node):
         """Check election safety and leader completeness."""
         replica = node.replica
         if not replica.is_leader:
             return
-        first = self.leader_of_term.setdefault(replica.term, node.identity)
+        first = self.leader_by_term.setdefault(replica.term, node.identity)
         assert first == node.identity, f"two leaders in term {replica.term}"
         for index, entry in self.committed.items():
             if entry.term < replica.term and index > replica.log.base_index:
@@ -201,22 +201,22 @@
     def check_logs_match(self):
         """Check log matching for each pair of logs."""
         logs = [node.replica.log for node in self.nodes.values()]
-        for one in logs:
+        for log in logs:
             for other in logs:
-                low = max(one.base_index, other.base_index)
-                common = [
+                base = max(log.base_index, other.base_index)
+                same_term = [
                     index
-                    for index in range(low + 1, min(one.last_index, other.last_index) + 1)
-                    if one.term_at(index) == other.term_at(index)
+                    for index in range(base + 1, min(log.last_index, other.last_index) + 1)
+                    if log.term_at(index) == other.term_at(index)
                 ]
-                if common:
-                    last = common[-1]
-                    assert one.entries_between(low + 1, last) == other.entries_between(
-                        low + 1, last
+                if same_term:
+                    last = same_term[-1]
+                    assert log.entries_between(base + 1, last) == other.entries_between(
+                        base + 1, last
                     )
 
 
-def test_one_leader_is_elected_and_keeps_the_lead():
+def test_one_leader_is_elected_and_keeps_leadership():
     """Guards against elections that never end or that replace a live leader."""
     net = Net(seed=1)
     net.run(6)
@@ -236,8 +236,8 @@
     for _ in range(200):
         net.now += 0.05
         for node in net.nodes.values():
-            node.do("tick", net.now)
-        sent += len(net.flight)
+            node.call("tick", net.now)
+        sent += len(net.in_flight)
         net.settle()
     assert sent <= 10 * 2 * 2
 
@@ -249,13 +249,13 @@
     """
     net = Net()
     a = net.elect("a")
-    net.cut = {"c"}
-    a.do("propose", b"x", net.now)
-    net.flight.clear()
+    net.isolated = {"c"}
+    a.call("propose", b"x", net.now)
+    net.in_flight.clear()
     index = a.replica.log.last_index
     a.replica.term += 1
     a.replica.progress_by_id[net.nodes["b"].identity].match_index = index
-    a.do("mark_synced", index, a.replica.log.last_term, net.now)
+    a.call("mark_synced", index, a.replica.log.last_term, net.now)
     assert a.replica.commit_index < index
 
 
@@ -263,15 +263,15 @@
     """Guards against stale reads by a leader that another one has replaced."""
     net = Net(seed=3)
     a = net.elect("a")
-    net.cut = {"a"}
-    effects = a.do("start_read_round", net.now)
+    net.isolated = {"a"}
+    effects = a.call("start_read_round", net.now)
     assert effects.read_round == 1 and effects.confirmed_round == 0
-    net.flight.clear()
+    net.in_flight.clear()
     net.now += 2.1
-    a.do("tick", net.now)
+    a.call("tick", net.now)
     assert not a.replica.is_leader
     with pytest.raises(NotLeaderError):
-        a.do("propose", b"x", net.now)
+        a.call("propose", b"x", net.now)
 
 
 def test_read_round_counts_only_answers_to_messages_sent_after_it():
@@ -282,14 +282,14 @@
     net = Net()
     a = net.elect("a")
     b = net.nodes["b"].identity
-    a.do("start_read_round", net.now)
-    net.flight.clear()
-    old = AppendReply(term=a.replica.term, sender=b, accepted=True, match_index=2, round=0)
-    assert a.do("receive", old, net.now).confirmed_round == 0
-    assert a.do("receive", old._replace(round=1), net.now).confirmed_round == 1
+    a.call("start_read_round", net.now)
+    net.in_flight.clear()
+    early = AppendReply(term=a.replica.term, sender=b, accepted=True, match_index=2, round=0)
+    assert a.call("receive", early, net.now).confirmed_round == 0
+    assert a.call("receive", early._replace(round=1), net.now).confirmed_round == 1
 
 
-def test_reply_for_which_something_waits_is_no_keepalive():
+def test_reply_for_which_a_commit_or_read_waits_is_no_keepalive():
     """Guards against a commit or a read that waits for the next heartbeat.
 
     A keepalive does not wake the task of the group.
@@ -306,10 +306,10 @@
     assert not a.replica.is_keepalive(reply._replace(match_index=index - 1))
     assert not a.replica.is_keepalive(reply._replace(term=a.replica.term - 1))
     assert not a.replica.is_keepalive(reply._replace(sender=Identity("d", "d0")))
-    a.do("start_read_round", net.now, urgent=False)
+    a.call("start_read_round", net.now, urgent=False)
     assert not a.replica.is_keepalive(reply)
     net.run(1)
-    a.do("propose", b"x", net.now)
+    a.call("propose", b"x", net.now)
     assert not a.replica.is_keepalive(reply)
 
 
@@ -317,26 +317,26 @@
     """Guards against a reconnected voter that replaces the leader by a higher term (pre-vote)."""
     net = Net(seed=5)
     leader = net.elect("a")
-    net.cut = {"c"}
+    net.isolated = {"c"}
     net.run(15)
-    net.cut = set()
+    net.isolated = set()
     net.run(5)
     assert leader.replica.is_leader
     assert net.nodes["c"].replica.term == leader.replica.term
 
 
-def test_vote_request_is_ignored_while_the_leader_is_heard():
+def test_vote_request_is_ignored_while_the_leader_is_reachable():
     """Guards against disruption by a removed member that still asks for votes."""
     net = Net()
     net.elect("a")
     b = net.nodes["b"]
     b.replica.leader_contact_at = net.now
     request = VoteRequest(b.replica.term + 5, Identity("c", "c0"), 99, 99, pre_vote=False)
-    b.do("receive", request, net.now)
-    assert b.replica.term < request.term and not net.flight
+    b.call("receive", request, net.now)
+    assert b.replica.term < request.term and not net.in_flight
 
 
-def test_a_candidate_that_was_not_elected_asks_again_soon():
+def test_a_candidate_that_was_not_elected_retries_soon():
     """Guards against a whole election timeout without a leader after each split vote."""
     timing = Timing(retry_timeout_factor=0.35)
     b = Net(timing=timing).nodes["b"].replica
@@ -344,12 +344,12 @@
     b.tick(5.0)
     assert b.role == Role.PRE_CANDIDATE
     assert 0.35 <= b.next_tick() - 5.0 <= 0.7
-    leader = VoteRequest(b.term, Identity("a", "a0"), 0, 0, pre_vote=False)
-    b._become_follower(b.term, leader.sender, 6.0, Effects())
+    request = VoteRequest(b.term, Identity("a", "a0"), 0, 0, pre_vote=False)
+    b._become_follower(b.term, request.sender, 6.0, Effects())
     assert 1.0 <= b.next_tick() - 6.0 <= 2.0, "a follower must wait a whole timeout"
 
 
-def test_voters_let_those_before_them_go_first():
+def test_election_timeouts_are_staggered_in_the_order_of_voters():
     """Guards against split votes: candidates with the same timeout would split them repeatedly."""
     net = Net(timing=Timing(stagger_s=3.0))
     deadlines = [net.nodes[name].replica.next_tick() for name in NAMES]
@@ -357,7 +357,7 @@
     assert deadlines[2] - deadlines[0] >= 5.0
 
 
-def test_the_next_leader_is_elected_early_when_the_process_of_the_last_one_has_ended():
+def test_the_next_leader_is_elected_early_when_the_process_of_the_last_one_has_exited():
     """Guards against a whole election timeout without a leader after its process has exited."""
     net = Net(timing=Timing(exited_leader_timeout_factor=0.6))
     net.elect("a")
@@ -373,7 +373,7 @@
         assert effects.messages[0].message.granted == granted
 
 
-def test_a_leader_that_is_heard_again_has_not_ended():
+def test_a_leader_that_sends_messages_again_has_not_exited():
     """Guards against an election while the leader runs and has only refused a connection."""
     net = Net(timing=Timing(exited_leader_timeout_factor=0.6))
     net.elect("a")
@@ -389,13 +389,13 @@
     net = Net()
     a = net.nodes["a"]
     a.replica.expire_election_timers()
-    a.do("tick", net.now)
-    net.flight.clear()
+    a.call("tick", net.now)
+    net.in_flight.clear()
     term = a.replica.term
     for sender in (Identity("b", "other"), Identity("z", "z0")):
-        a.do("receive", VoteReply(term + 1, sender, granted=True, pre_vote=True), net.now)
+        a.call("receive", VoteReply(term + 1, sender, granted=True, pre_vote=True), net.now)
     assert a.replica.term == term
-    a.do("receive", VoteReply(term + 1, Identity("b", "b0"), True, pre_vote=True), net.now)
+    a.call("receive", VoteReply(term + 1, Identity("b", "b0"), True, pre_vote=True), net.now)
     assert a.replica.term == term + 1
 
 
@@ -403,12 +403,12 @@
     """Guards against two leaders in a term through a voter that votes again after a restart."""
     net = Net()
     b = net.nodes["b"]
-    ask = VoteRequest(5, Identity("a", "a0"), 9, 9, pre_vote=False)
-    assert b.do("receive", ask, net.now).messages[0].message.granted
+    request_of_a = VoteRequest(5, Identity("a", "a0"), 9, 9, pre_vote=False)
+    assert b.call("receive", request_of_a, net.now).messages[0].message.granted
     b.start()
-    other = ask._replace(sender=Identity("c", "c0"))
-    assert not b.do("receive", other, net.now).messages[0].message.granted
-    assert b.do("receive", ask, net.now).messages[0].message.granted
+    request_of_c = request_of_a._replace(sender=Identity("c", "c0"))
+    assert not b.call("receive", request_of_c, net.now).messages[0].message.granted
+    assert b.call("receive", request_of_a, net.now).messages[0].message.granted
 
 
 def test_learner_is_not_counted():
@@ -416,39 +416,39 @@
     net = Net()
     a = net.elect("a")
     learner = Identity("d", "d0")
-    a.do("propose_members", add_learner(a.replica.log.members, learner), net.now)
+    a.call("propose_members", add_learner(a.replica.log.members, learner), net.now)
     net.settle()
-    net.cut = {"b", "c"}
-    a.do("propose", b"x", net.now)
-    net.flight.clear()
+    net.isolated = {"b", "c"}
+    a.call("propose", b"x", net.now)
+    net.in_flight.clear()
     index = a.replica.log.last_index
     reply = AppendReply(a.replica.term, learner, True, match_index=index, round=9)
-    a.do("receive", reply, net.now)
+    a.call("receive", reply, net.now)
     assert a.replica.commit_index < index and a.replica.confirmed_round == 0
 
 
 def test_member_changes_are_single_steps_after_the_first_commit():
     """Guards against disjoint quorums of two member sets."""
     net = Net()
-    net.cut = {"b", "c"}
+    net.isolated = {"b", "c"}
     a = net.nodes["a"]
     a.replica.expire_election_timers()
-    a.do("tick", net.now)
-    net.cut = set()
+    a.call("tick", net.now)
+    net.isolated = set()
     net.settle()
     if not a.replica.is_leader:
         a = net.elect("a")
     members = a.replica.log.members
     without_b = tuple(member for member in members if member.identity.name != "b")
     with pytest.raises(BadRequestError, match="voters differ"):
-        a.do("propose_members", without_b[:1], net.now)
+        a.call("propose_members", without_b[:1], net.now)
     with pytest.raises(BadRequestError, match="leader must stay"):
-        a.do("propose_members", members[1:], net.now)
-    a.do("propose_members", without_b, net.now)
+        a.call("propose_members", members[1:], net.now)
+    a.call("propose_members", without_b, net.now)
     with pytest.raises(BadRequestError, match="previous change"):
-        a.do("propose_members", members, net.now)
+        a.call("propose_members", members, net.now)
     net.settle()
-    a.do("propose_members", members, net.now)
+    a.call("propose_members", members, net.now)
 
 
 def test_member_change_waits_for_a_commit_of_the_term():
@@ -459,11 +459,11 @@
     net = Net()
     a = net.nodes["a"]
     a.replica.expire_election_timers()
-    a.do("tick", net.now)
+    a.call("tick", net.now)
     while not a.replica.is_leader:
         net.deliver()
     with pytest.raises(BadRequestError, match="no entry of the present term"):
-        a.do("propose_members", a.replica.log.members, net.now)
+        a.call("propose_members", a.replica.log.members, net.now)
 
 
 def test_empty_disk_rejoins_in_single_steps():
@@ -474,21 +474,21 @@
     net = Net(seed=8)
     a = net.elect("a")
     for number in range(10):
-        a.do("propose", b"%d" % number, net.now)
+        a.call("propose", b"%d" % number, net.now)
         net.settle()
-    a.do("compact", a.applied, ",".join(a.state).encode())
-    fresh = net.wipe("c")
-    a.do("propose_members", add_learner(a.replica.log.members, fresh), net.now)
+    a.call("compact", a.applied, ",".join(a.state).encode())
+    new_identity = net.wipe("c")
+    a.call("propose_members", add_learner(a.replica.log.members, new_identity), net.now)
     net.run(4)
     assert net.nodes["c"].state == a.state
     voter_sets = []
-    while Member(fresh, True) not in a.replica.log.members:
-        a.do("propose_members", next_promotion_step(a.replica.log.members, fresh), net.now)
+    while Member(new_identity, True) not in a.replica.log.members:
+        a.call("propose_members", next_promotion_step(a.replica.log.members, new_identity), net.now)
         net.run(1)
         voter_sets.append([voter.name for voter in a.replica.voters])
     assert voter_sets == [["a", "b"], ["a", "b", "c"]]
-    net.cut = {"b"}
-    a.do("propose", b"after", net.now)
+    net.isolated = {"b"}
+    a.call("propose", b"after", net.now)
     net.settle()
     assert a.state[-1] == "after"
 
@@ -497,37 +497,39 @@
     """Guards against a learner that a new leader drops without notice: it never asks again."""
     net = Net(seed=8)
     a = net.elect("a")
-    fresh = net.wipe("c")
-    a.do("propose_members", add_learner(a.replica.log.members, fresh), net.now)
+    new_identity = net.wipe("c")
+    a.call("propose_members", add_learner(a.replica.log.members, new_identity), net.now)
     net.settle()
-    net.cut = {"c"}
-    a.do("transfer_leadership", net.now)
+    net.isolated = {"c"}
+    a.call("transfer_leadership", net.now)
     net.settle()
     b = net.nodes["b"].replica
-    joins = MemberAdmission(group="g", process="b", roster=FixedRoster(names=NAMES))
-    assert b.has_committed_in_term and joins.next_member_change(b, net.now) is None
-    net.cut = set()
+    admission = MemberAdmission(group="g", process="b", roster=FixedRoster(names=NAMES))
+    assert b.has_committed_in_term and admission.next_member_change(b, net.now) is None
+    net.isolated = set()
     net.run(1)
-    assert joins.next_member_change(b, net.now) == next_promotion_step(b.log.members, fresh)
+    assert admission.next_member_change(b, net.now) == next_promotion_step(
+        b.log.members, new_identity
+    )
 
 
 def test_snapshot_is_installed_in_chunks_despite_loss():
     """Guards against a follower that never catches up or installs a mixed snapshot."""
     net = Net(seed=9)
     a = net.elect("a")
-    net.cut = {"c"}
+    net.isolated = {"c"}
     for number in range(30):
-        a.do("propose", b"n%d" % number, net.now)
+        a.call("propose", b"n%d" % number, net.now)
         net.settle()
-    a.do("compact", a.applied, ",".join(a.state).encode())
-    net.cut = set()
+    a.call("compact", a.applied, ",".join(a.state).encode())
+    net.isolated = set()
     for _ in range(3000):
         net.now += 0.02
         for node in net.nodes.values():
-            node.do("tick", net.now)
-        while net.flight:
+            node.call("tick", net.now)
+        while net.in_flight:
             if net.random.random() < 0.2:
-                net.flight.pop(0)
+                net.in_flight.pop(0)
             else:
                 net.deliver()
         if net.nodes["c"].state == a.state:
@@ -536,15 +538,15 @@
     assert net.nodes["c"].replica.log.snapshot == a.replica.log.snapshot
 
 
-def test_transfer_moves_the_lead_to_an_up_to_date_voter():
+def test_transfer_moves_leadership_to_an_up_to_date_voter():
     """Guards against a planned stop that waits for an election timeout."""
     net = Net(seed=2)
     a = net.elect("a")
-    a.do("propose", b"x", net.now)
-    a.do("transfer_leadership", net.now)
+    a.call("propose", b"x", net.now)
+    a.call("transfer_leadership", net.now)
     with pytest.raises(NotLeaderError):
-        a.do("propose", b"y", net.now)
-    sent = [message for _, _, message in net.flight if isinstance(message, TransferLeadership)]
+        a.call("propose", b"y", net.now)
+    sent = [message for _, _, message in net.in_flight if isinstance(message, TransferLeadership)]
     assert not sent, "no voter has the last entry yet"
     net.settle()
     (leader,) = net.leaders()
@@ -583,11 +585,11 @@
     """Guards against a leader that refuses proposals forever."""
     net = Net(seed=2)
     a = net.elect("a")
-    a.do("transfer_leadership", net.now)
-    net.flight.clear()
+    a.call("transfer_leadership", net.now)
+    net.in_flight.clear()
     net.now += 1.1
-    a.do("tick", net.now)
-    a.do("propose", b"y", net.now)
+    a.call("tick", net.now)
+    a.call("propose", b"y", net.now)
 
 
 def test_append_does_not_remove_entries_that_it_lacks():
@@ -595,12 +597,12 @@
     net = Net()
     a = net.elect("a")
     b = net.nodes["b"]
-    a.do("propose", b"x", net.now)
-    a.do("propose", b"y", net.now)
-    appends = [m for _, to, m in net.flight if to == "b" and isinstance(m, AppendRequest)]
+    a.call("propose", b"x", net.now)
+    a.call("propose", b"y", net.now)
+    appends = [m for _, to, m in net.in_flight if to == "b" and isinstance(m, AppendRequest)]
     assert len(appends) == 2
     for message in (*appends, appends[0]):
-        b.do("receive", message, net.now)
+        b.call("receive", message, net.now)
     assert b.replica.log.last_index == a.replica.log.last_index
     assert b.replica.commit_index < b.replica.log.last_index
 
@@ -622,7 +624,7 @@
     a = net.elect("a")
     copy = a.replica.copy()
     assert copy.key() == a.replica.key() and hash(copy.key()) == hash(a.replica.key())
-    a.do("propose", b"x", net.now)
+    a.call("propose", b"x", net.now)
     assert copy.key() != a.replica.key()
 
 
@@ -644,14 +646,14 @@
         _random_step(net, random, step)
         if step % 50 == 0:
             net.check_logs_match()
-    net.cut = set()
-    net.flight.clear()
-    net.run(30, writes=True)
+    net.isolated = set()
+    net.in_flight.clear()
+    net.run(30, flush=True)
     (leader,) = net.leaders()
     _rejoin_all(net)
     leader = net.leaders()[0]
-    leader.do("propose", b"last", net.now)
-    net.run(3, writes=True)
+    leader.call("propose", b"last", net.now)
+    net.run(3, flush=True)
     states = {tuple(node.state) for node in net.nodes.values()}
     assert len(states) == 1 and states.pop()[-1] == "last"
     assert len(net.committed) > 20
@@ -660,32 +662,32 @@
 def _random_step(net, random, step):
     node = net.nodes[random.choice(NAMES)]
     roll = random.random()
-    if net.flight and roll < 0.62:
+    if net.in_flight and roll < 0.62:
         _random_delivery(net, random)
     elif roll < 0.80:
         net.now += random.choice((0.01, 0.05, 0.3))
-        node.do("tick", net.now, sync=random.random() > 0.02)
+        node.call("tick", net.now, sync=random.random() > 0.02)
     elif roll < 0.90:
         _random_call(net, random, node, step)
     elif roll < 0.92:
         node.start()
     elif net.writes_behind and random.random() < 0.3:
-        node.write()
+        node.flush()
     elif roll < 0.94:
-        net.cut = set(random.sample(NAMES, random.choice((0, 0, 1))))
+        net.isolated = set(random.sample(NAMES, random.choice((0, 0, 1))))
     elif roll < 0.955 and random.random() < 0.2:
         _random_wipe(net, random)
     elif roll < 0.97:
-        _admit_step(net)
+        _propose_admission_step(net)
 
 
 def _random_delivery(net, random):
-    position = random.randrange(len(net.flight)) if random.random() < 0.3 else 0
+    position = random.randrange(len(net.in_flight)) if random.random() < 0.3 else 0
     roll = random.random()
     if roll < 0.08:
-        net.flight.pop(position)
+        net.in_flight.pop(position)
     elif roll < 0.13:
-        net.flight.insert(random.randrange(len(net.flight) + 1), net.flight[position])
+        net.in_flight.insert(random.randrange(len(net.in_flight) + 1), net.in_flight[position])
     else:
         net.deliver(position, sync=random.random() > 0.02)
 
@@ -693,20 +695,20 @@
 def _random_call(net, random, node, step):
     sync = random.random() > 0.05
     try:
-        call = random.choice(
+        method = random.choice(
             ("propose", "propose", "propose", "start_read_round", "transfer_leadership", "compact")
         )
-        if call == "propose":
-            node.do("propose", b"%d" % step, net.now, sync=sync)
-        elif call == "start_read_round":
+        if method == "propose":
+            node.call("propose", b"%d" % step, net.now, sync=sync)
+        elif method == "start_read_round":
             effects = node.replica.copy().start_read_round(net.now)
             node.reads[effects.read_round] = max(net.committed, default=0)
-            node.do("start_read_round", net.now)
-        elif call == "transfer_leadership" and random.random() < 0.1:
-            node.do("transfer_leadership", net.now)
-        elif call == "compact":
+            node.call("start_read_round", net.now)
+        elif method == "transfer_leadership" and random.random() < 0.1:
+            node.call("transfer_leadership", net.now)
+        elif method == "compact":
             data = ",".join(node.state).encode()
-            node.do("compact", node.applied, data, keep=random.choice((0, 2)), sync=sync)
+            node.call("compact", node.applied, data, keep=random.choice((0, 2)), sync=sync)
     except NotLeaderError:
         pass
 
@@ -722,7 +724,7 @@
             return
 
 
-def _admit_step(net):
+def _propose_admission_step(net):
     """Let a leader propose the next step by which a node that is no voter becomes one."""
     for leader in net.leaders():
         members = leader.replica.log.members
@@ -737,7 +739,7 @@
                     continue
                 change = next_promotion_step(members, node.identity)
             try:
-                leader.do("propose_members", change, net.now)
+                leader.call("propose_members", change, net.now)
             except (BadRequestError, NotLeaderError):
                 continue
             return
@@ -745,6 +747,6 @@
 
 def _rejoin_all(net):
     for _ in range(10):
-        _admit_step(net)
+        _propose_admission_step(net)
         net.run(3)
     assert len(net.leaders()) == 1
--- a/tests/test_write_behind.py
+++ b/tests/test_write_behind.py
@@ -8,7 +8,7 @@
 from siskintally.write_behind import WriteBehind
 
 
-def play(write, check):
+def run_beside_writer(write, check):
     """Run a writer, and a check beside it."""
 
     async def main():
@@ -22,7 +22,7 @@
     run(main)
 
 
-def test_entries_are_written_in_order_and_told_once():
+def test_entries_are_written_in_order_and_reported_once():
     """Guards against a log on disk that differs from the one in memory."""
     written = []
 
@@ -36,23 +36,23 @@
         assert writer.pop_written() == (4, 1)
         assert writer.pop_written() is None
 
-    play(lambda effects: written.extend(effects.entries), check)
+    run_beside_writer(lambda effects: written.extend(effects.entries), check)
 
 
-def test_what_is_not_on_disk_is_not_told():
+def test_entries_that_are_not_on_disk_are_not_reported():
     """Guards against a leader that counts itself before its sync."""
-    may_go = ThreadEvent()
+    may_write = ThreadEvent()
 
     async def check(writer):
         writer.add(["a"], (1, 1))
         await sleep(0.1)
         assert writer.pop_written() is None
         assert writer.sync_duration_s(1e9) > 0
-        may_go.set()
+        may_write.set()
         await writer.drain()
         assert writer.pop_written() == (1, 1)
 
-    play(lambda effects: may_go.wait(5), check)
+    run_beside_writer(lambda effects: may_write.wait(5), check)
 
 
 def test_an_error_of_the_disk_ends_the_replica():
@@ -68,4 +68,4 @@
         with raises(OSError):
             writer.pop_written()
 
-    play(write, check)
+    run_beside_writer(write, check)
