Name the parts of the model checker in its usual terms

A fault meant both a seeded mutant and a violated invariant, mutants had figurative names (forgetful, trusting, hasty), and states held told, moved and seen. A violation is now one, mutants say what they do wrong, and the fields say what they hold. Labels of steps and texts of violations are as they were.

--- a/tests/model/__main__.py
+++ b/tests/model/__main__.py
@@ -20,7 +20,7 @@
     for spec in specs:
         result = search(spec, max_states=MAX_STATES)
         print(f"{spec.name}: {spec.bounds}: {result}", flush=True)
-        if result.fault:
+        if result.violation:
             exit("\n".join(result.trace))
         end = "yes" if result.complete else "no"
         yield (
@@ -35,10 +35,10 @@
         spec = mutant.build()
         result = search(spec, max_states=MAX_STATES)
         print(f"mutant {mutant.name!r} in {spec.name}: {result}", flush=True)
-        if not result.fault:
+        if not result.violation:
             exit("not found")
         yield f"\n### {mutant.name}\n"
-        yield f"Specification `{spec.name}` ({spec.bounds}). Found: {result.fault}"
+        yield f"Specification `{spec.name}` ({spec.bounds}). Found: {result.violation}"
         yield f"({result.states} states, {result.seconds:.1f} s).\n"
         yield from (f"{number}. {label}" for number, label in enumerate(result.trace, 1))
 
--- a/tests/model/config.py
+++ b/tests/model/config.py
@@ -49,7 +49,7 @@
     ``sent``: requests in flight. ``replies``: first reply to each request. ``history``:
     configurations by version. ``domain``: (followed index, configuration) that the domain has
     committed. ``feed``: replies of the cell to the domain in flight. ``entries``: configuration of
-    each entry. ``seen``: highest version that each entry ever had. ``polls``: (entry,
+    each entry. ``highest_versions``: highest version that each entry ever had. ``polls``: (entry,
     configuration) in flight.
     """
 
@@ -62,17 +62,17 @@
     domain: tuple = (0, b"")
     feed: frozenset = frozenset()
     entries: tuple = ()
-    seen: tuple = ()
+    highest_versions: tuple = ()
     polls: frozenset = frozenset()
-    fault: str = ""
+    violation: str = ""
 
 
 def _version(state):
     return ConfigState.FromString(state).version
 
 
-def _replaced(items, at, value):
-    return (*items[:at], value, *items[at + 1 :])
+def _replaced(items, position, value):
+    return (*items[:position], value, *items[position + 1 :])
 
 
 class ConfigSpec(Spec):
@@ -103,18 +103,18 @@
         """Return a cell without configuration, with all requests in flight."""
         return [
             State(
-                cell=self._put(self._cell_class()),
+                cell=self._put_cell(self._cell_class()),
                 index=0,
                 sent=frozenset(COMMAND_BY_NAME),
                 budget=self._budget,
                 entries=(b"",) * self._entries,
-                seen=(0,) * self._entries,
+                highest_versions=(0,) * self._entries,
             )
         ]
 
-    def fault(self, state):
+    def violation(self, state):
         """Return the violation that the last step made."""
-        return state.fault
+        return state.violation
 
     def steps(self, state):
         """Yield applied commands, feeds, polls, restarts, and a snapshot of the cell."""
@@ -122,36 +122,36 @@
         for name in state.sent:
             yield intern(f"apply {name}"), self._apply(state, name, state.sent - {name})
             if repeats:
-                kept = state._replace(budget=(repeats - 1, feeds, polls, restarts))
-                yield intern(f"apply {name} (sent again)"), self._apply(kept, name, state.sent)
+                repeated = state._replace(budget=(repeats - 1, feeds, polls, restarts))
+                yield intern(f"apply {name} (sent again)"), self._apply(repeated, name, state.sent)
         restored = self._cell_step(state.cell, None, state.index)[0]
         if restored != state.cell:
             yield "snapshot and restore of the cell", state._replace(cell=restored)
         if feeds:
             yield from self._send_feed(state)
         for reply in state.feed:
-            taken = state._replace(feed=state.feed - {reply})
-            yield intern(f"domain takes index {reply[0]}"), _take_feed(taken, *reply)
+            remaining = state._replace(feed=state.feed - {reply})
+            yield intern(f"domain takes index {reply[0]}"), _apply_feed(remaining, *reply)
         yield from self._entry_steps(state)
 
     def _entry_steps(self, state):
         repeats, feeds, polls, restarts = state.budget
-        for at in range(self._entries):
-            message = (at, state.domain[1])
+        for entry_number in range(self._entries):
+            message = (entry_number, state.domain[1])
             if polls and state.domain[1] and message not in state.polls:
                 budget = (repeats, feeds, polls - 1, restarts)
                 sent = state._replace(polls=state.polls | {message}, budget=budget)
-                yield intern(f"domain answers entry {at}"), sent
-            if restarts and state.entries[at]:
-                lost = frozenset(poll for poll in state.polls if poll[0] != at)
-                left = state._replace(budget=(repeats, feeds, polls, restarts - 1), polls=lost)
-                entries = _replaced(state.entries, at, b"")
-                yield intern(f"entry {at} restarts"), left._replace(entries=entries)
+                yield intern(f"domain answers entry {entry_number}"), sent
+            if restarts and state.entries[entry_number]:
+                lost = frozenset(poll for poll in state.polls if poll[0] != entry_number)
+                restarted = state._replace(budget=(repeats, feeds, polls, restarts - 1), polls=lost)
+                entries = _replaced(state.entries, entry_number, b"")
+                yield intern(f"entry {entry_number} restarts"), restarted._replace(entries=entries)
         for message in state.polls:
-            at, config = message
-            label = intern(f"entry {at} gets version {_version(config)}")
-            left = state._replace(polls=state.polls - {message})
-            yield label, self._take_poll(left, at, config)
+            entry_number, config = message
+            label = intern(f"entry {entry_number} gets version {_version(config)}")
+            remaining = state._replace(polls=state.polls - {message})
+            yield label, self._apply_poll(remaining, entry_number, config)
 
     def _send_feed(self, state):
         cell = self._cells[state.cell]
@@ -169,7 +169,7 @@
         first = dict(state.replies).get(name)
         if first is not None:
             if first != reply:
-                return state._replace(fault=f"request {name} got {first}, sent again {reply}")
+                return state._replace(violation=f"request {name} got {first}, sent again {reply}")
             return state
         state = state._replace(replies=state.replies | {(name, reply)})
         return self._check_history(state, name, reply)
@@ -179,35 +179,39 @@
         before = len(state.history)
         accepted = OperatorReply.FromString(reply).code == Code.DONE
         if config.version != before + accepted:
-            return state._replace(fault=f"{name}: version {before} became {config.version}")
+            return state._replace(violation=f"{name}: version {before} became {config.version}")
         expected = int(name.rsplit(" ", 1)[1])
         if accepted and expected != before:
-            return state._replace(fault=f"{name} accepted at version {before}")
+            return state._replace(violation=f"{name} accepted at version {before}")
         if accepted:
             data = config.SerializeToString(deterministic=True)
             state = state._replace(history=(*state.history, data))
         return state
 
-    def _take_poll(self, state, at, config):
-        present = state.entries[at]
+    def _apply_poll(self, state, entry_number, config):
+        present = state.entries[entry_number]
         if ("poll", present, config) not in self._memo:
             follower = ConfigFollower(
                 client=None, on_limits=lambda limits: None, on_drained=lambda names: None
             )
             follower.version = _version(present) if present else 0
-            taken = follower.apply(ConfigState.FromString(config))
-            self._memo["poll", present, config] = config if taken else present
+            is_applied = follower.apply(ConfigState.FromString(config))
+            self._memo["poll", present, config] = config if is_applied else present
         after = self._memo["poll", present, config]
-        state = state._replace(entries=_replaced(state.entries, at, after))
-        if after not in state.history or _version(after) < state.seen[at]:
-            return state._replace(fault=f"entry {at} went back to version {_version(after)}")
+        state = state._replace(entries=_replaced(state.entries, entry_number, after))
+        if after not in state.history or _version(after) < state.highest_versions[entry_number]:
+            return state._replace(
+                violation=f"entry {entry_number} went back to version {_version(after)}"
+            )
         if _version(after) > _version(state.domain[1]):
-            return state._replace(fault=f"entry {at} is ahead of its domain")
-        return state._replace(seen=_replaced(state.seen, at, _version(after)))
+            return state._replace(violation=f"entry {entry_number} is ahead of its domain")
+        return state._replace(
+            highest_versions=_replaced(state.highest_versions, entry_number, _version(after))
+        )
 
     def _cell_step(self, number, name, index):
-        memo = (number, name, index)
-        if memo not in self._memo:
+        memo_key = (number, name, index)
+        if memo_key not in self._memo:
             cell = self._cell_class()
             cell.restore(Cell.snapshot(self._cells[number]))
             reply = None
@@ -215,16 +219,18 @@
                 cell.restore(cell.snapshot())
             else:
                 reply = cell.apply(index=index, command=COMMAND_BY_NAME[name])
-            self._memo[memo] = (self._put(cell), reply)
-        return self._memo[memo]
+            self._memo[memo_key] = (self._put_cell(cell), reply)
+        return self._memo[memo_key]
 
-    def _put(self, cell):
+    def _put_cell(self, cell):
         return self._cells.put(Cell.snapshot(cell), cell)
 
 
-def _take_feed(state, index, config):
+def _apply_feed(state, index, config):
     followed, present = state.domain
     newer = not present or _version(config) > _version(present)
     if newer and config not in state.history:
-        return state._replace(fault=f"domain got version {_version(config)} outside of the history")
+        return state._replace(
+            violation=f"domain got version {_version(config)} outside of the history"
+        )
     return state._replace(domain=(max(followed, index), config if newer else present))
--- a/tests/model/consensus.py
+++ b/tests/model/consensus.py
@@ -70,7 +70,7 @@
     committed: tuple = ()
     leaders: tuple = ()
     reads: tuple = ()
-    fault: str = ""
+    violation: str = ""
 
 
 class Consensus(Spec):
@@ -149,88 +149,96 @@
                 snapshot=persistent_state.snapshot._replace(members=members)
             )
         nodes = tuple(
-            self._put(Node(replica=self._replica(each, persistent_state))) for each in ids
+            self._put_node(Node(replica=self._replica(each, persistent_state))) for each in ids
         )
         state = State(nodes=nodes, network=frozenset(), budget=self._budget)
-        return [self._settled(state) if self._led else state]
+        return [self._deliver_all(state) if self._led else state]
 
-    def _settled(self, state):
-        state = self._act(state, 0, "elect")
+    def _deliver_all(self, state):
+        state = self._apply_action(state, 0, "elect")
         while state.network:
             number = min(state.network)
-            at = self._receiver(state, number)
+            position = self._receiver(state, number)
             state = state._replace(network=state.network - {number})
-            state = self._act(state, at, "receive", number)
+            state = self._apply_action(state, position, "receive", number)
         return state
 
     def steps(self, state):
         """Yield deliveries, repeated deliveries, and the actions that the budget allows."""
         budget = state.budget
         for number in state.network:
-            at = self._receiver(state, number)
-            if at is None:
+            position = self._receiver(state, number)
+            if position is None:
                 continue
             label = self._label(number)
             without = state._replace(network=state.network - {number})
-            yield label, self._act(without, at, "receive", number)
+            yield label, self._apply_action(without, position, "receive", number)
             if budget.repeat:
                 kept = state._replace(budget=budget._replace(repeat=budget.repeat - 1))
-                yield intern(f"{label} (a copy)"), self._act(kept, at, "receive", number)
-        for at in range(len(state.nodes)):
-            for action in self._actions(state, at):
-                left = self._share(budget._replace(**{action: getattr(budget, action) - 1}))
-                label = intern(f"{self._name(state, at)}: {action}")
-                yield label, self._act(state._replace(budget=left), at, action)
-            if self._nodes[state.nodes[at]].disk is not None:
-                yield f"{self._name(state, at)}: sync", self._act(state, at, "sync")
-
-    def fault(self, state):
+                yield (
+                    intern(f"{label} (a copy)"),
+                    self._apply_action(kept, position, "receive", number),
+                )
+        for position in range(len(state.nodes)):
+            for action in self._actions(state, position):
+                remaining = self._share(budget._replace(**{action: getattr(budget, action) - 1}))
+                label = intern(f"{self._name(state, position)}: {action}")
+                yield label, self._apply_action(state._replace(budget=remaining), position, action)
+            if self._nodes[state.nodes[position]].disk is not None:
+                yield (
+                    f"{self._name(state, position)}: sync",
+                    self._apply_action(state, position, "sync"),
+                )
+
+    def violation(self, state):
         """Return the violation that the last step made."""
-        return state.fault
+        return state.violation
 
-    def _actions(self, state, at):
-        replica = self._nodes[state.nodes[at]].replica
+    def _actions(self, state, position):
+        replica = self._nodes[state.nodes[position]].replica
         budget = state.budget
         if budget.crash:
             yield "crash"
-        if budget.wipe and at == self._voters - 1:
+        if budget.wipe and position == self._voters - 1:
             yield "wipe"
         if budget.compact and replica.commit_index > replica.log.snapshot.index:
             yield "compact"
         if replica.is_leader:
             leading = ("propose", "read", "lazy", "beat", "change")
             yield from (action for action in leading if getattr(budget, action))
-        elif budget.elect and at in self._candidates and replica.identity in replica.voters:
+        elif budget.elect and position in self._candidates and replica.identity in replica.voters:
             yield "elect"
 
-    def _act(self, state, at, action, number=None):
+    def _apply_action(self, state, position, action, number=None):
         """Return the state after an action of one node; record and check what it shows."""
-        before = state.nodes[at]
-        extra = len(state.committed) if action == "propose" else number
-        memo = (before, action, extra)
-        if memo not in self._memo:
-            self._memo[memo] = self._transition(self._nodes[before], action, extra)
-        after, sent, seen = self._memo[memo]
-        nodes = self._share((*state.nodes[:at], after, *state.nodes[at + 1 :]))
+        before = state.nodes[position]
+        argument = len(state.committed) if action == "propose" else number
+        memo_key = (before, action, argument)
+        if memo_key not in self._memo:
+            self._memo[memo_key] = self._transition(self._nodes[before], action, argument)
+        after, sent, observed = self._memo[memo_key]
+        nodes = self._share((*state.nodes[:position], after, *state.nodes[position + 1 :]))
         reads = state.reads
         if action in ("crash", "wipe"):
-            reads = tuple(read for read in reads if read[0] != at)
+            reads = tuple(read for read in reads if read[0] != position)
         network = state.network | sent
         if after != before or sent:
             network = self._pruned(nodes, network)
         state = state._replace(nodes=nodes, network=self._share(network), reads=reads)
-        return self._observe(state, at, seen) if seen else state
+        return self._observe(state, position, observed) if observed else state
 
     def _pruned(self, nodes, network):
         """Return the network without messages that can never change their receiver again."""
-        at_by_id = {self._nodes[node].replica.identity: node for node in nodes}
+        position_by_id = {self._nodes[node].replica.identity: node for node in nodes}
         dead = []
         for number in network:
-            at = at_by_id.get(self._messages[number].to)
-            memo = (number, at)
-            if memo not in self._dead:
-                self._dead[memo] = at is None or self._is_dead(number, self._nodes[at].replica)
-            if self._dead[memo]:
+            position = position_by_id.get(self._messages[number].to)
+            memo_key = (number, position)
+            if memo_key not in self._dead:
+                self._dead[memo_key] = position is None or self._is_dead(
+                    number, self._nodes[position].replica
+                )
+            if self._dead[memo_key]:
                 dead.append(number)
         return network.difference(dead) if dead else network
 
@@ -248,15 +256,15 @@
             return replica.vote not in (None, message.sender)
         return False
 
-    def _transition(self, node, action, extra):
+    def _transition(self, node, action, argument):
         replica = node.replica.copy()
         if action == "crash":
-            return self._put(self._restarted(node)), frozenset(), None
+            return self._put_node(self._restarted(node)), frozenset(), None
         if action == "wipe":
-            return self._put(Node(replica=self._wiped(replica.identity))), frozenset(), None
+            return self._put_node(Node(replica=self._wiped(replica.identity))), frozenset(), None
         if action == "sync":
-            return self._put(node._replace(disk=None)), frozenset(), None
-        effects = self._effects(replica, node, action, extra)
+            return self._put_node(node._replace(disk=None)), frozenset(), None
+        effects = self._call_replica(replica, node, action, argument)
         disk = node.disk
         if effects.must_sync:
             if self._early_send:
@@ -268,19 +276,19 @@
             (entry.term, int(entry.kind), entry.command) for entry in effects.committed
         )
         replica.leader_contact_at = NEVER
-        after = self._put(Node(replica=replica, applied=applied, disk=disk))
+        after = self._put_node(Node(replica=replica, applied=applied, disk=disk))
         sent = frozenset(self._messages.put(each, each) for each in effects.messages)
-        lead = effects.leadership is not None and effects.leadership.is_leader
-        seen = (lead, effects.read_round, effects.confirmed_round)
-        return after, sent, seen if any(seen) or applied != node.applied else None
+        elected = effects.leadership is not None and effects.leadership.is_leader
+        observed = (elected, effects.read_round, effects.confirmed_round)
+        return after, sent, observed if any(observed) or applied != node.applied else None
 
-    def _effects(self, replica, node, action, extra):
+    def _call_replica(self, replica, node, action, argument):
         if action == "receive":
-            return replica.receive(self._messages[extra].message, NOW)
+            return replica.receive(self._messages[argument].message, NOW)
         if action == "elect":
             return self._elect(replica)
         if action == "propose":
-            return replica.propose(b"%d" % extra, NOW)
+            return replica.propose(b"%d" % argument, NOW)
         if action in ("read", "lazy"):
             return replica.start_read_round(NOW, urgent=action == "read")
         if action == "compact":
@@ -288,7 +296,7 @@
         if action == "beat":
             replica.expire_heartbeat_timers()
             return replica.tick(NOW)
-        return self._change(replica)
+        return self._change_members(replica)
 
     def _elect(self, replica):
         if self._pre_vote:
@@ -298,7 +306,7 @@
         replica._start_election(NOW, effects)
         return effects
 
-    def _change(self, replica):
+    def _change_members(self, replica):
         """Admit the new incarnation of the last bootstrapped voter, then promote it in steps."""
         newcomer = Identity(name=f"s{self._voters}", incarnation="b")
         members = replica.log.members
@@ -333,75 +341,81 @@
         """Return the first object that is equal to a value, so that states share their parts."""
         return self._shared.setdefault(value, value)
 
-    def _put(self, node):
+    def _put_node(self, node):
         return self._nodes.put(node.key(), node)
 
-    def _observe(self, state, at, seen):
-        node = self._nodes[state.nodes[at]]
-        lead, begun, confirmed = seen
+    def _observe(self, state, position, observed):
+        node = self._nodes[state.nodes[position]]
+        elected, started_round, confirmed = observed
         shared = min(len(node.applied), len(state.committed))
         if node.applied[:shared] != state.committed[:shared]:
-            fault = f"{node.replica.identity.name} applied {node.applied}, not {state.committed}"
-            return state._replace(fault=fault)
+            violation = (
+                f"{node.replica.identity.name} applied {node.applied}, not {state.committed}"
+            )
+            return state._replace(violation=violation)
         if len(node.applied) > shared:
             state = state._replace(committed=self._share(node.applied))
-        if lead:
+        if elected:
             state = self._observe_leader(state, node.replica)
-            if state.fault:
+            if state.violation:
                 return state
-        if begun:
-            top = max((term for term, _ in state.leaders), default=0)
-            read = (at, node.replica.term, begun, len(state.committed), top)
+        if started_round:
+            highest_term = max((term for term, _ in state.leaders), default=0)
+            read = (position, node.replica.term, started_round, len(state.committed), highest_term)
             state = state._replace(reads=tuple(sorted({*state.reads, read})))
-        return self._observe_reads(state, at, node.replica, confirmed) if confirmed else state
+        return self._observe_reads(state, position, node.replica, confirmed) if confirmed else state
 
     def _observe_leader(self, state, replica):
         identity, term = replica.identity, replica.term
-        if any(other != identity for at, other in state.leaders if at == term):
-            return state._replace(fault=f"two leaders in term {term}")
+        if any(other != identity for elected_term, other in state.leaders if elected_term == term):
+            return state._replace(violation=f"two leaders in term {term}")
         # A leader that learns late of its election in an older term may lack newer commits.
-        newest = all(at < term for at, _ in state.leaders)
-        for number, entry in enumerate(state.committed if newest else ()):
+        is_newest = all(elected_term < term for elected_term, _ in state.leaders)
+        for number, entry in enumerate(state.committed if is_newest else ()):
             index = BOOTSTRAP_INDEX + 1 + number
             if index > replica.log.base_index and replica.log.term_at(index) != entry[0]:
-                fault = f"leader {identity.name} lacks the committed entry {index}"
-                return state._replace(fault=fault)
+                violation = f"leader {identity.name} lacks the committed entry {index}"
+                return state._replace(violation=violation)
         leaders = tuple(sorted({*state.leaders, (term, identity)}))
         return state._replace(leaders=self._share(leaders))
 
-    def _observe_reads(self, state, at, replica, confirmed):
+    def _observe_reads(self, state, position, replica, confirmed):
         kept = []
         for read in state.reads:
-            node, term, begun, length, top = read
-            if node != at or term != replica.term or begun > confirmed:
+            reader, term, started_round, length, highest_term = read
+            if reader != position or term != replica.term or started_round > confirmed:
                 kept.append(read)
-            elif top > term:
-                return state._replace(fault=f"round of term {term} confirmed after term {top}")
+            elif highest_term > term:
+                return state._replace(
+                    violation=f"round of term {term} confirmed after term {highest_term}"
+                )
             elif replica.commit_index < BOOTSTRAP_INDEX + length:
-                return state._replace(fault=f"round confirmed without {length} committed entries")
+                return state._replace(
+                    violation=f"round confirmed without {length} committed entries"
+                )
         return state._replace(reads=tuple(kept))
 
     def _receiver(self, state, number):
-        for at, node in enumerate(state.nodes):
+        for position, node in enumerate(state.nodes):
             if self._nodes[node].replica.identity == self._messages[number].to:
-                return at
+                return position
         return None
 
-    def _name(self, state, at):
-        replica = self._nodes[state.nodes[at]].replica
+    def _name(self, state, position):
+        replica = self._nodes[state.nodes[position]].replica
         return f"{replica.identity.name}.{replica.identity.incarnation}"
 
     def _label(self, number):
         if number not in self._label_by_number:
             to = self._messages[number].to
-            text = f"deliver to {to.name}.{to.incarnation}: {self._text(number)}"
+            text = f"deliver to {to.name}.{to.incarnation}: {self._describe(number)}"
             self._label_by_number[number] = text
         return self._label_by_number[number]
 
-    def _text(self, number):
+    def _describe(self, number):
         message = self._messages[number].message
         shown = [
-            f"{name}={_plain(value)}"
+            f"{name}={_format_value(value)}"
             for name, value in message._asdict().items()
             if name != "sender" and value not in (False, (), b"")
         ]
@@ -414,7 +428,7 @@
     return literal_eval(data.decode()) if data else ()
 
 
-def _plain(value):
+def _format_value(value):
     if isinstance(value, tuple):
         return "+".join(
             f"{entry.index}.{entry.term}{EntryKind(entry.kind).name.lower()}"
--- a/tests/model/ledger.py
+++ b/tests/model/ledger.py
@@ -27,7 +27,7 @@
 class State(NamedTuple):
     """Number of the ledger state, attempts, messages in flight, and what was observed.
 
-    ``phases``: phase of each attempt. ``told``: result that the caller of each attempt received.
+    ``phases``: phase of each attempt. ``results``: result that the caller of each attempt received.
     ``executed``: attempts in the order in which the endpoint ran them. ``granted``: attempts to
     which the ledger granted the key. ``released``: attempts whose release the ledger applied.
     """
@@ -35,19 +35,23 @@
     ledger: int
     phases: tuple
     network: frozenset
-    told: tuple
+    results: tuple
     repeats: int
     resends: int
     executed: tuple = ()
     granted: frozenset = frozenset()
     released: frozenset = frozenset()
-    fault: str = ""
+    violation: str = ""
 
-    def move(self, attempt, phase, *, told=None, send=()):
+    def move(self, attempt, phase, *, result=None, send=()):
         """Return the state after an attempt has changed its phase."""
         return self._replace(
             phases=(*self.phases[:attempt], phase, *self.phases[attempt + 1 :]),
-            told=(*self.told[:attempt], told or self.told[attempt], *self.told[attempt + 1 :]),
+            results=(
+                *self.results[:attempt],
+                result or self.results[attempt],
+                *self.results[attempt + 1 :],
+            ),
             network=self.network | set(send),
         ).pruned()
 
@@ -92,29 +96,29 @@
                 ledger=self._ledgers.put(ledger.key(), ledger),
                 phases=("idle",) * self._attempts,
                 network=frozenset(),
-                told=("",) * self._attempts,
+                results=("",) * self._attempts,
                 repeats=self._repeats,
                 resends=self._resends,
             )
         ]
 
-    def fault(self, state):
+    def violation(self, state):
         """Return the violation that the last step made."""
-        return state.fault
+        return state.violation
 
     def steps(self, state):
         """Yield deliveries, steps of the attempts, and a snapshot of the ledger."""
         for message in state.network:
             label = intern(f"deliver {' '.join(map(str, message))}")
             without = state._replace(network=state.network - {message})
-            yield label, self._checked(self._deliver(without, message))
+            yield label, self._check(self._deliver(without, message))
             # A stream delivers a request to an endpoint, and the answer, only once.
             if state.repeats and message[0] not in ("request", "answer"):
                 kept = state._replace(repeats=state.repeats - 1)
-                yield intern(f"{label} (a copy)"), self._checked(self._deliver(kept, message))
+                yield intern(f"{label} (a copy)"), self._check(self._deliver(kept, message))
         for attempt, phase in enumerate(state.phases):
-            for label, successor in _own_steps(state, attempt, phase):
-                yield intern(f"attempt {attempt} {label}"), self._checked(successor)
+            for label, successor in _attempt_steps(state, attempt, phase):
+                yield intern(f"attempt {attempt} {label}"), self._check(successor)
         restored = self._ledger_step(state.ledger, ("restore", 0))[0]
         if restored != state.ledger:
             yield "snapshot and restore", state._replace(ledger=restored)
@@ -122,7 +126,7 @@
     def _deliver(self, state, message):
         kind, attempt = message[:2]
         if kind in ("begin", "finish", "unsure", "release"):
-            return self._at_ledger(state, message)
+            return self._deliver_to_ledger(state, message)
         phase = state.phases[attempt]
         if kind == "request":
             executed = (*state.executed, attempt)
@@ -132,10 +136,10 @@
             return state.move(attempt, "answered", send=[("finish", attempt)])
         if kind == "verdict":
             return _on_verdict(state, attempt, *message[2:])
-        told = f"answer {attempt}" if phase == "answered" else None
-        return state.move(attempt, "over", told=told)
+        result = f"answer {attempt}" if phase == "answered" else None
+        return state.move(attempt, "over", result=result)
 
-    def _at_ledger(self, state, message):
+    def _deliver_to_ledger(self, state, message):
         kind, attempt = message
         ledger, reply = self._ledger_step(state.ledger, message)
         state = state._replace(ledger=ledger, network=state.network | {reply}).pruned()
@@ -146,13 +150,13 @@
         return _check_verdict(state, reply) if kind == "begin" else state
 
     def _ledger_step(self, number, message):
-        memo = (number, message)
-        if memo not in self._memo:
+        memo_key = (number, message)
+        if memo_key not in self._memo:
             ledger = self._ledger_class()
             ledger.restore(Ledger.snapshot(self._ledgers[number]))
             reply = self._apply(ledger, message)
-            self._memo[memo] = (self._ledgers.put(ledger.key(), ledger), reply)
-        return self._memo[memo]
+            self._memo[memo_key] = (self._ledgers.put(ledger.key(), ledger), reply)
+        return self._memo[memo_key]
 
     def _apply(self, ledger, message):
         kind, attempt = message
@@ -175,16 +179,16 @@
             ledger.finish(finish, NOW)
         return ("done", attempt, kind)
 
-    def _checked(self, state):
-        if state.fault:
+    def _check(self, state):
+        if state.violation:
             return state
         if len(state.executed) > 1:
-            return state._replace(fault=f"attempts {state.executed} were both executed")
-        for attempt, told in enumerate(state.told):
-            if told == NOT_RUN and attempt in state.executed:
-                return state._replace(fault=f"attempt {attempt} told not run, but executed")
-            if told.startswith("answer") and told != f"answer {state.executed[0]}":
-                return state._replace(fault=f"attempt {attempt} told {told}")
+            return state._replace(violation=f"attempts {state.executed} were both executed")
+        for attempt, result in enumerate(state.results):
+            if result == NOT_RUN and attempt in state.executed:
+                return state._replace(violation=f"attempt {attempt} told not run, but executed")
+            if result.startswith("answer") and result != f"answer {state.executed[0]}":
+                return state._replace(violation=f"attempt {attempt} told {result}")
         return state
 
 
@@ -200,7 +204,7 @@
     return expected is not None and phases[attempt] != expected
 
 
-def _own_steps(state, attempt, phase):
+def _attempt_steps(state, attempt, phase):
     """Yield the steps of an attempt that need no message."""
     if phase == "idle":
         # Attempts are numbered in the order in which they begin.
@@ -217,34 +221,34 @@
         yield f"resends {resent}", again.move(attempt, phase, send=[(resent, attempt)])
     if phase == "asked":
         release = [("release", attempt)]
-        yield "times out", state.move(attempt, "releasing", told=NOT_RUN, send=release)
+        yield "times out", state.move(attempt, "releasing", result=NOT_RUN, send=release)
         unsure = [("unsure", attempt)]
-        yield "gives up as unknown", state.move(attempt, "unsure", told=UNKNOWN, send=unsure)
+        yield "gives up as unknown", state.move(attempt, "unsure", result=UNKNOWN, send=unsure)
     elif phase == "granted":
         yield "dispatches", state.move(attempt, "sent", send=[("request", attempt)])
         release = [("release", attempt)]
-        yield "cannot send", state.move(attempt, "releasing", told=NOT_RUN, send=release)
+        yield "cannot send", state.move(attempt, "releasing", result=NOT_RUN, send=release)
     elif phase == "sent":
         unsure = [("unsure", attempt)]
-        yield "loses its endpoint", state.move(attempt, "unsure", told=UNKNOWN, send=unsure)
+        yield "loses its endpoint", state.move(attempt, "unsure", result=UNKNOWN, send=unsure)
 
 
 def _on_verdict(state, attempt, verdict, answer):
     if verdict == "GRANTED":
         return state.move(attempt, "granted")
-    told = {"REPLAYED": answer, "RELEASED": NOT_RUN, "UNKNOWN": UNKNOWN}
-    return state.move(attempt, "over", told=told.get(verdict, verdict))
+    result_by_verdict = {"REPLAYED": answer, "RELEASED": NOT_RUN, "UNKNOWN": UNKNOWN}
+    return state.move(attempt, "over", result=result_by_verdict.get(verdict, verdict))
 
 
 def _check_verdict(state, reply):
     _, attempt, verdict, answer = reply
-    answers = {told for told in state.told if told.startswith("answer")}
+    answers = {result for result in state.results if result.startswith("answer")}
     if answers and verdict not in ("RELEASED", "CONFLICT") and answer not in answers:
-        return state._replace(fault=f"{answers} was told, but the ledger answers {verdict}")
+        return state._replace(violation=f"{answers} was told, but the ledger answers {verdict}")
     if verdict != "GRANTED":
         return state
     if attempt in state.released:
-        return state._replace(fault=f"released attempt {attempt} is granted again")
+        return state._replace(violation=f"released attempt {attempt} is granted again")
     if state.granted - {attempt}:
-        return state._replace(fault=f"granted to {attempt} besides {sorted(state.granted)}")
+        return state._replace(violation=f"granted to {attempt} besides {sorted(state.granted)}")
     return state._replace(granted=state.granted | {attempt})
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -22,7 +22,7 @@
             self._commit_to(reached, effects)
 
 
-class StaleRoundReplica(Replica):
+class ReplicaCountingEarlierReplies(Replica):
     """Counts a reply to an earlier message for the newest read round."""
 
     __slots__ = ()
@@ -31,7 +31,7 @@
         super()._on_append_reply(reply._replace(round=self.read_round), now, effects)
 
 
-class ForgetfulLedger(Ledger):
+class LedgerWithoutSnapshotRecords(Ledger):
     """Drops the records of running attempts at a snapshot."""
 
     __slots__ = ()
@@ -45,7 +45,7 @@
         return state.SerializeToString()
 
 
-class TrustingLedger(Ledger):
+class LedgerFinishedByAnyAttempt(Ledger):
     """Accepts a finish from any attempt."""
 
     __slots__ = ()
@@ -54,7 +54,7 @@
         return record is not None and record[0] == RUNNING
 
 
-class AmnesicLedger(Ledger):
+class LedgerWithoutTombstones(Ledger):
     """Keeps no record of released attempts."""
 
     __slots__ = ()
@@ -66,7 +66,7 @@
         return done
 
 
-class GenerousLedger(Ledger):
+class LedgerReleasingUnknownOutcomes(Ledger):
     """Grants a key with an unknown outcome again."""
 
     __slots__ = ()
@@ -79,7 +79,7 @@
         return done
 
 
-class LenientCell(Cell):
+class CellAcceptingPreviousVersion(Cell):
     """Accepts the previous version as well, so that two changes with equal numbers pass."""
 
     __slots__ = ()
@@ -89,7 +89,7 @@
             super()._check_version(expected)
 
 
-class ForgetfulCell(Cell):
+class CellWithoutSnapshotReplies(Cell):
     """Drops the stored responses at a snapshot."""
 
     __slots__ = ()
@@ -101,7 +101,7 @@
         return state.SerializeToString(deterministic=True)
 
 
-class HastyLeaseTable(LeaseTable):
+class LeaseTableWithoutDriftMargin(LeaseTable):
     """Declares a worker lost right after its lease, without a margin for the drift of clocks."""
 
     __slots__ = ()
@@ -111,7 +111,7 @@
         return self._contact_by_worker[worker].acknowledged_at + self.lease_s
 
 
-class FreshLeaseTable(LeaseTable):
+class LeaseTableIgnoringEarlierOwner(LeaseTable):
     """Ignores that an earlier owner may have renewed the lease just before the election."""
 
     __slots__ = ()
--- a/tests/model/ownership.py
+++ b/tests/model/ownership.py
@@ -45,8 +45,8 @@
     """Global time, clock rates of worker and owners, and the state of w1 and of the owners.
 
     ``holder``: number of the lease holder. ``link``: term of the owner to which w1 is connected.
-    ``beats``, ``orders``: messages on that link, oldest first. ``started``: whether w1 has received
-    the attempt. ``moved``: term of the owner that committed the loss of w1, or 0.
+    ``heartbeats``, ``orders``: messages on that link, oldest first. ``started``: whether w1 has
+    received the attempt. ``loss_term``: term of the owner that committed the loss of w1, or 0.
     """
 
     now: float
@@ -55,11 +55,11 @@
     owners: tuple
     holder: int
     link: int = 1
-    beats: tuple = ()
+    heartbeats: tuple = ()
     orders: tuple = ()
     started: bool = False
     running: bool = False
-    moved: int = 0
+    loss_term: int = 0
 
 
 class OwnershipSpec(Spec):
@@ -103,11 +103,11 @@
         holder.acknowledged(seq, term=1)
         table.arrived(WORKER, seq, now=0.0)
         table.acknowledged(WORKER, seq)
-        held = self._holders.put(holder.key(), holder)
+        holder_number = self._holders.put(holder.key(), holder)
         owners = (Owner(self._tables.put(table.key(), table)),)
         for rates in self._rates:
             for started in (False, True):
-                first = State(0.0, rates, self._budget, owners, held)
+                first = State(0.0, rates, self._budget, owners, holder_number)
                 yield first._replace(started=started, running=started)
 
     def _new_table(self, now):
@@ -115,9 +115,9 @@
         table.watch(WORKER)
         return table
 
-    def fault(self, state):
+    def violation(self, state):
         """Return the violation if the task runs on both workers."""
-        return "w1 runs the task while w2 runs it" if state.running and state.moved else ""
+        return "w1 runs the task while w2 runs it" if state.running and state.loss_term else ""
 
     def steps(self, state):
         """Yield steps of w1 and the owners, elections, and the passing of time."""
@@ -129,28 +129,30 @@
             owners = (*state.owners, Owner(self._tables.put(table.key(), table)))
             yield f"owner {len(owners)} is elected", _spend(state, "elect")._replace(owners=owners)
         if state.budget.wait:
-            for until in sorted(self._instants(state)):
+            for until in sorted(self._next_instants(state)):
                 yield intern(f"time passes to {until:.1f} s"), self._wait(state, until)
 
     def _worker_steps(self, state):
         if state.budget.beat:
-            holder, seq = self._hold(state.holder, "beat", now=_worker_time(state))
-            sent = _spend(state, "beat")._replace(holder=holder, beats=(*state.beats, seq))
+            holder, seq = self._call_holder(state.holder, "beat", now=_worker_time(state))
+            sent = _spend(state, "beat")._replace(
+                holder=holder, heartbeats=(*state.heartbeats, seq)
+            )
             yield intern(f"w1 sends heartbeat {seq}"), sent
         if state.budget.connect:
-            holder, _ = self._hold(state.holder, "reset")
-            lost = _spend(state, "connect")._replace(holder=holder, beats=(), orders=())
+            holder, _ = self._call_holder(state.holder, "reset")
+            lost = _spend(state, "connect")._replace(holder=holder, heartbeats=(), orders=())
             for term in range(1, len(state.owners) + 1):
                 yield f"w1 connects to owner {term}", lost._replace(link=term)
         if state.orders:
             kind, seq = state.orders[0]
-            taken = state._replace(orders=state.orders[1:])
-            yield intern(f"w1 receives {kind} {seq}"), self._take_order(taken, kind, seq)
+            remaining = state._replace(orders=state.orders[1:])
+            yield intern(f"w1 receives {kind} {seq}"), self._receive_order(remaining, kind, seq)
 
-    def _take_order(self, state, kind, seq):
+    def _receive_order(self, state, kind, seq):
         if kind == "answer":
             term = 1 if self._trust_all_terms else state.link
-            holder, _ = self._hold(state.holder, "acknowledged", seq, term=term)
+            holder, _ = self._call_holder(state.holder, "acknowledged", seq, term=term)
             return state._replace(holder=holder)
         holder = self._holders[state.holder]
         if state.started or state.link < holder.term or holder.is_expired(_worker_time(state)):
@@ -160,34 +162,34 @@
     def _owner_steps(self, state, term):
         owner = state.owners[term - 1]
         is_newest = term == len(state.owners)
-        if state.beats and state.link == term:
-            seq = state.beats[0]
+        if state.heartbeats and state.link == term:
+            seq = state.heartbeats[0]
             now = _owner_time(state)
-            table, _ = self._keep(owner.table, "arrived", WORKER, seq, now=now)
+            table, _ = self._call_table(owner.table, "arrived", WORKER, seq, now=now)
             succeeds = is_newest or self._trust_all_rounds
             after = Owner(table, owner.rounds | ({seq} if succeeds else set()))
             label = intern(f"owner {term} receives heartbeat {seq}")
-            yield label, _set_owner(state._replace(beats=state.beats[1:]), term, after)
+            yield label, _set_owner(state._replace(heartbeats=state.heartbeats[1:]), term, after)
         for seq in owner.rounds:
-            table, known = self._keep(owner.table, "acknowledged", WORKER, seq)
+            table, is_known = self._call_table(owner.table, "acknowledged", WORKER, seq)
             after = _set_owner(state, term, Owner(table, owner.rounds - {seq}))
-            if known and state.link == term:
+            if is_known and state.link == term:
                 after = after._replace(orders=(*state.orders, ("answer", seq)))
             yield intern(f"owner {term} answers heartbeat {seq}"), after
         yield from self._order_steps(state, term)
         is_lost = self._tables[owner.table].lost_at(WORKER) <= _owner_time(state)
-        if is_newest and is_lost and not state.moved:
-            yield f"owner {term} commits the loss of w1", state._replace(moved=term)
+        if is_newest and is_lost and not state.loss_term:
+            yield f"owner {term} commits the loss of w1", state._replace(loss_term=term)
 
     def _order_steps(self, state, term):
         # An owner that was replaced before the loss was committed never learns of the loss.
-        believes = not state.moved or term < state.moved
+        assumes_alive = not state.loss_term or term < state.loss_term
         is_sent = state.started or ("start", ATTEMPT) in state.orders
-        if state.link == term and believes and not is_sent:
+        if state.link == term and assumes_alive and not is_sent:
             orders = (*state.orders, ("start", ATTEMPT))
             yield f"owner {term} sends the start order", state._replace(orders=orders)
 
-    def _instants(self, state):
+    def _next_instants(self, state):
         """Return the next instants at which something can change."""
         yield round(state.now + STEP_S, 6)
         for owner in state.owners:
@@ -200,20 +202,20 @@
         expired = self._holders[state.holder].is_expired(_worker_time(state))
         return state._replace(running=state.running and not expired)
 
-    def _hold(self, number, method, *arguments, **options):
+    def _call_holder(self, number, method, *arguments, **options):
         return self._call(self._holders, number, method, arguments, options)
 
-    def _keep(self, number, method, *arguments, **options):
+    def _call_table(self, number, method, *arguments, **options):
         return self._call(self._tables, number, method, arguments, options)
 
     def _call(self, table, number, method, arguments, options):
         """Call a method on a copy and return the number of the new state and the result."""
-        memo = (id(table), number, method, arguments, tuple(options.items()))
-        if memo not in self._memo:
+        memo_key = (id(table), number, method, arguments, tuple(options.items()))
+        if memo_key not in self._memo:
             copy = deepcopy(table[number])
             result = getattr(copy, method)(*arguments, **options)
-            self._memo[memo] = (table.put(copy.key(), copy), result)
-        return self._memo[memo]
+            self._memo[memo_key] = (table.put(copy.key(), copy), result)
+        return self._memo[memo_key]
 
 
 def _spend(state, kind):
--- a/tests/model/registry.py
+++ b/tests/model/registry.py
@@ -4,16 +4,16 @@
 from tests.model.consensus import Budget, Consensus
 from tests.model.ledger import LedgerSpec
 from tests.model.mutants import (
-    AmnesicLedger,
-    ForgetfulCell,
-    ForgetfulLedger,
-    FreshLeaseTable,
-    GenerousLedger,
-    HastyLeaseTable,
+    CellAcceptingPreviousVersion,
+    CellWithoutSnapshotReplies,
     LearnerCountingReplica,
-    LenientCell,
-    StaleRoundReplica,
-    TrustingLedger,
+    LeaseTableIgnoringEarlierOwner,
+    LeaseTableWithoutDriftMargin,
+    LedgerFinishedByAnyAttempt,
+    LedgerReleasingUnknownOutcomes,
+    LedgerWithoutSnapshotRecords,
+    LedgerWithoutTombstones,
+    ReplicaCountingEarlierReplies,
 )
 from tests.model.ownership import Budget as LeaseBudget
 from tests.model.ownership import OwnershipSpec
@@ -111,14 +111,14 @@
             name="reads",
             budget=Budget(elect=1, read=1, beat=1),
             led=True,
-            replica_class=StaleRoundReplica,
+            replica_class=ReplicaCountingEarlierReplies,
         ),
     )
     yield from ledger_mutants()
     yield from lease_mutants()
     for name, cell_class in {
-        "accept an equal version twice": LenientCell,
-        "drop the stored responses of operators at a snapshot": ForgetfulCell,
+        "accept an equal version twice": CellAcceptingPreviousVersion,
+        "drop the stored responses of operators at a snapshot": CellWithoutSnapshotReplies,
     }.items():
         yield Mutant(
             name=name,
@@ -131,29 +131,29 @@
 def lease_mutants():
     """Yield the seeded faults of leases."""
     budget = LeaseBudget(beat=1, connect=2, elect=1, wait=2)
-    for name, fault in {
+    for name, options in {
         "grant before the old lease has ended: no room for clock drift": {
-            "table_class": HastyLeaseTable
+            "table_class": LeaseTableWithoutDriftMargin
         },
         "grant before the old lease has ended: leases of the earlier owner ignored": {
-            "table_class": FreshLeaseTable
+            "table_class": LeaseTableIgnoringEarlierOwner
         },
         "acknowledge a heartbeat without a quorum round": {"trust_all_rounds": True},
         "take orders of an owner of a lower term": {"trust_all_terms": True},
     }.items():
         yield Mutant(
             name=name,
-            build=lambda fault=fault: OwnershipSpec(name="lease", budget=budget, **fault),
+            build=lambda options=options: OwnershipSpec(name="lease", budget=budget, **options),
         )
 
 
 def ledger_mutants():
     """Yield the seeded faults of the ledger."""
     named = {
-        "drop the resend record at a snapshot": ForgetfulLedger,
-        "accept a finish from another attempt": TrustingLedger,
-        "grant a released attempt again": AmnesicLedger,
-        "grant a key of unknown outcome again": GenerousLedger,
+        "drop the resend record at a snapshot": LedgerWithoutSnapshotRecords,
+        "accept a finish from another attempt": LedgerFinishedByAnyAttempt,
+        "grant a released attempt again": LedgerWithoutTombstones,
+        "grant a key of unknown outcome again": LedgerReleasingUnknownOutcomes,
     }
     for name, ledger_class in named.items():
         yield Mutant(
--- a/tests/model/search.py
+++ b/tests/model/search.py
@@ -26,7 +26,7 @@
         """Yield (label, next state) for every enabled step."""
 
     @abstractmethod
-    def fault(self, state):
+    def violation(self, state):
         """Return what is wrong with a state, or an empty text."""
 
 
@@ -34,24 +34,24 @@
     """Outcome of a search.
 
     :param complete: whether every state within the bounds was visited.
-    :param trace: labels of a shortest path to ``fault``.
+    :param trace: labels of a shortest path to ``violation``.
     """
 
-    __slots__ = ("complete", "depth", "fault", "seconds", "states", "steps", "trace")
+    __slots__ = ("complete", "depth", "seconds", "states", "steps", "trace", "violation")
 
-    def __init__(self, *, states, steps, depth, seconds, complete, fault="", trace=()):
+    def __init__(self, *, states, steps, depth, seconds, complete, violation="", trace=()):
         self.states = states
         self.steps = steps
         self.depth = depth
         self.seconds = seconds
         self.complete = complete
-        self.fault = fault
+        self.violation = violation
         self.trace = trace
 
     def __str__(self):
         end = "complete" if self.complete else "incomplete"
-        if self.fault:
-            end = f"violation after {len(self.trace)} steps: {self.fault}"
+        if self.violation:
+            end = f"violation after {len(self.trace)} steps: {self.violation}"
         return (
             f"{self.states} states, {self.steps} steps, depth {self.depth}, "
             f"{self.seconds:.1f} s, {end}"
@@ -70,7 +70,7 @@
     level, depth, steps = list(origin_by_state), 0, 0
 
     def result(state=None, *, complete=False):
-        trace, fault = [], spec.fault(state) if state is not None else ""
+        trace, violation = [], spec.violation(state) if state is not None else ""
         while state is not None and origin_by_state[state] is not None:
             state, label = origin_by_state[state]
             trace.append(label)
@@ -80,12 +80,12 @@
             depth=depth,
             seconds=monotonic() - started,
             complete=complete,
-            fault=fault,
+            violation=violation,
             trace=trace[::-1],
         )
 
     for state in level:
-        if spec.fault(state):
+        if spec.violation(state):
             return result(state)
     while level:
         depth += 1
@@ -96,7 +96,7 @@
                 if successor in origin_by_state:
                     continue
                 origin_by_state[successor] = (state, label)
-                if spec.fault(successor):
+                if spec.violation(successor):
                     return result(successor)
                 following.append(successor)
             if max_states is not None and len(origin_by_state) >= max_states:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -11,7 +11,7 @@
     """Guards every state within the bounds, so an incomplete search fails as well."""
     result = search(spec)
     print(f"{spec.name}: {spec.bounds}: {result}")
-    assert not result.fault, "\n".join([result.fault, *result.trace])
+    assert not result.violation, "\n".join([result.violation, *result.trace])
     assert result.complete
 
 
@@ -19,5 +19,5 @@
 def test_search_finds_the_seeded_fault(mutant):
     """Guards against a specification that would pass with a known fault in the code."""
     result = search(mutant.build())
-    assert result.fault
+    assert result.violation
     assert result.trace
