--- a/tests/cell_commands.py
+++ b/tests/cell_commands.py
@@ -46,7 +46,7 @@
         self.groups = [group(name) for name in NAMES]
         self.log = []
 
-    def raw(self, command):
+    def apply_command(self, command):
         """Apply a Command and return the reply bytes."""
         self.index += 1
         data = command.SerializeToString()
@@ -72,7 +72,7 @@
             groups=self.groups,
             **{field: change},
         )
-        reply = OperatorReply.FromString(self.raw(command))
+        reply = OperatorReply.FromString(self.apply_command(command))
         return reply.code, loads(reply.answer)
 
     def configure(self, document=DOCUMENT):
@@ -95,10 +95,10 @@
 
     def confirm_idle(self, name, epoch=1):
         """Confirm for a domain group that nothing runs there."""
-        self.raw(Command(at=self.at, confirm_idle=ConfirmIdle(group=name, epoch=epoch)))
+        self.apply_command(Command(at=self.at, confirm_idle=ConfirmIdle(group=name, epoch=epoch)))
 
     def report(self, group_name, job_id, epoch=0, **progress):
         """Report progress of one job."""
         rows = [JobProgress(job_id=job_id, **progress)]
         report = JobReport(group=group_name, jobs=rows, epoch=epoch)
-        self.raw(Command(at=self.at, groups=self.groups, job_report=report))
+        self.apply_command(Command(at=self.at, groups=self.groups, job_report=report))
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -20,7 +20,7 @@
     return driver.cell.audit
 
 
-def written(chain, path):
+def write_audit_file(chain, path):
     file = AuditFile(path=path)
     file.write(chain.recent)
     file.close()
@@ -39,7 +39,7 @@
 
 def test_file_has_the_whole_chain(chain, tmp_path):
     """Guards against a file whose head differs from the one in the state."""
-    findings = verify_file(written(chain, tmp_path / "audit.log"))
+    findings = verify_file(write_audit_file(chain, tmp_path / "audit.log"))
     assert (findings.records, findings.head, findings.damage) == (4, chain.head, "")
 
 
@@ -78,7 +78,7 @@
 )
 def test_tampering_is_found(chain, tmp_path, tamper):
     """Guards against a changed, dropped, or moved record that the check passes."""
-    path = written(chain, tmp_path / "audit.log")
+    path = write_audit_file(chain, tmp_path / "audit.log")
     lines = path.read_bytes().splitlines(keepends=True)
     tamper(lines)
     path.write_bytes(b"".join(lines))
@@ -89,15 +89,15 @@
 
 def test_missing_record_is_reported_as_a_gap(chain, tmp_path):
     """Guards against an unreported gap; a store that was down for long has one legitimately."""
-    path = written(chain, tmp_path / "audit.log")
+    path = write_audit_file(chain, tmp_path / "audit.log")
     lines = path.read_bytes().splitlines(keepends=True)
     path.write_bytes(b"".join(lines[:1] + lines[2:]))
     assert verify_file(path).gaps == ["records 2 to 2"]
 
 
-def test_damaged_file_is_kept_aside(chain, tmp_path):
+def test_damaged_file_is_set_aside(chain, tmp_path):
     """Guards against evidence of damage that is overwritten."""
-    path = written(chain, tmp_path / "audit.log")
+    path = write_audit_file(chain, tmp_path / "audit.log")
     path.write_bytes(b"x" + path.read_bytes())
     file = AuditFile.recover(path=path)
     file.write(chain.recent)
@@ -109,30 +109,30 @@
 @pytest.mark.parametrize("cut", [1, 20, 150])
 def test_torn_last_line_is_written_again(chain, tmp_path, cut):
     """Guards against a file that stays damaged after a crash during a write."""
-    path = written(chain, tmp_path / "audit.log")
-    whole = path.read_bytes()
-    path.write_bytes(whole[:-cut])
-    written(chain, path)
-    assert path.read_bytes() == whole
+    path = write_audit_file(chain, tmp_path / "audit.log")
+    intact = path.read_bytes()
+    path.write_bytes(intact[:-cut])
+    write_audit_file(chain, path)
+    assert path.read_bytes() == intact
 
 
 def test_replay_after_restart_writes_nothing_twice(chain, tmp_path):
     """Guards against duplicate records when a store applies its log again."""
-    path = written(chain, tmp_path / "audit.log")
-    whole = path.read_bytes()
+    path = write_audit_file(chain, tmp_path / "audit.log")
+    intact = path.read_bytes()
     file = AuditFile(path=path)
     for record in chain.recent:
         file.write([record])
     file.close()
-    assert path.read_bytes() == whole
+    assert path.read_bytes() == intact
 
 
 def test_record_that_contradicts_the_file_is_refused(chain, tmp_path):
     """Guards against replicas that compute different chains without an error."""
-    file = AuditFile(path=written(chain, tmp_path / "audit.log"))
-    other = type(chain.recent[-1])()
-    other.CopyFrom(chain.recent[-1])
-    other.hash = "f" * 64
+    file = AuditFile(path=write_audit_file(chain, tmp_path / "audit.log"))
+    record = type(chain.recent[-1])()
+    record.CopyFrom(chain.recent[-1])
+    record.hash = "f" * 64
     with pytest.raises(DamagedDataError):
-        file.write([other])
+        file.write([record])
     file.close()
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -138,7 +138,7 @@
     assert "cpu_milli" in answer["message"]
 
 
-def test_smaller_largest_worker_is_not_believed_at_once(driver):
+def test_smaller_largest_worker_is_adopted_only_after_a_delay(driver):
     """Guards against false NEVER_FITS while workers register again after an election."""
     driver.groups = [group(name, largest=8) for name in NAMES]
     assert driver.submit(cpu_milli=9000)[0] == Code.DONE
@@ -150,15 +150,15 @@
     """Guards against a job lost in a group that can never run it."""
     _, answer = driver.submit(kind="gang", tasks=4)
     job = driver.cell.jobs.job_by_id[answer["job"]]
-    seen = set()
+    tried_groups = set()
     for _ in NAMES:
         assert not job.ended
         (share,) = [share for share in job.shares if share.tasks]
-        seen.add(share.group)
+        tried_groups.add(share.group)
         driver.report(share.group, job.job_id, waiting=4, code=4005, reason="accelerators")
         (item,) = driver.cell.jobs.items_since(share.group, 0)
         assert item.cancelled
-    assert seen == set(NAMES)
+    assert tried_groups == set(NAMES)
     assert (job.ended, job_state(job), job.reason) == (True, "never", "accelerators")
 
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -22,11 +22,11 @@
 }
 
 
-def page(name):
+def read_page(name):
     return (ROOT / "docs" / name).read_text(encoding="utf-8")
 
 
-def rows(text):
+def table_rows(text):
     """Return {name: other cells} of the table rows whose first cell is a name in backquotes."""
     lines = findall(r"^\| `(\w+)` \|(.*)\|$", text, flags=MULTILINE)
     return {name: [cell.strip() for cell in rest.split("|")] for name, rest in lines}
@@ -34,13 +34,13 @@
 
 def test_result_code_table_is_complete():
     """Guards against a code that operators cannot look up."""
-    listed = findall(r"^\| (\d+) \| (\w+) \|", page("result-codes.md"), flags=MULTILINE)
+    listed = findall(r"^\| (\d+) \| (\w+) \|", read_page("result-codes.md"), flags=MULTILINE)
     assert [(int(number), name) for number, name in listed] == [(c.value, c.name) for c in Code]
 
 
 def test_preset_table_agrees_with_the_code():
     """Guards against documented ranges or defaults that differ from those the code applies."""
-    table = rows(page("configuration.md"))
+    table = table_rows(read_page("configuration.md"))
     for limit in LIMITS:
         kind, _, range_, defaults, _ = table[limit.name]
         assert kind == limit.kind.__name__
@@ -49,10 +49,10 @@
     assert set(SPEC_KEYS) <= set(table)
 
 
-def test_layout_of_nine_vms_gives_each_leader_its_own():
+def test_layout_of_nine_vms_gives_each_leader_its_own_vm():
     """Guards against a VM that leads two groups, which is over its processor budget."""
     settings = load(SAMPLES / "two-regions.toml")
-    stores = {name for name, one in settings.process_by_name.items() if one.role == "store"}
+    stores = {name for name, process in settings.process_by_name.items() if process.role == "store"}
     leaders = [group.members[0] for group in settings.group_by_name.values()]
     assert len(stores) == 9
     assert len(set(leaders)) == len(leaders) == 7
--- a/tests/test_domain.py
+++ b/tests/test_domain.py
@@ -43,10 +43,10 @@
         command = DomainCommand(at=100.0 + self.index, **change).SerializeToString()
         return DomainReply.FromString(self.domain.apply(index=self.index, command=command))
 
-    def job(self, name, *, tasks=1, cpu=1000, changed_at=1, **more):
+    def job(self, name, *, tasks=1, cpu=1000, changed_at=1, **fields):
         """Apply the item of a job as the cell sends it."""
-        cancelled = more.pop("cancelled", False)
-        spec = JobSpec(name=name, each=Resources(cpu_milli=cpu), **more)
+        cancelled = fields.pop("cancelled", False)
+        spec = JobSpec(name=name, each=Resources(cpu_milli=cpu), **fields)
         item = JobItem(
             job_id=name, spec=spec, tasks=tasks, cancelled=cancelled, changed_at=changed_at
         )
@@ -61,16 +61,16 @@
 
     def assign(self, task_id, worker, *, attempt=1, session="s1"):
         """Assign a task and return whether the assignment was accepted."""
-        one = AssignmentRecord(task_id=task_id, attempt=attempt, worker=worker, session=session)
-        return not self.apply(batch=DomainBatch(assigned=[one])).refused
+        record = AssignmentRecord(task_id=task_id, attempt=attempt, worker=worker, session=session)
+        return not self.apply(batch=DomainBatch(assigned=[record])).refused
 
     def end(self, task_id, attempt, cause):
         """End an attempt."""
-        one = AttemptEnd(task_id=task_id, attempt=attempt, cause=cause)
-        return self.apply(batch=DomainBatch(ended=[one]))
+        end = AttemptEnd(task_id=task_id, attempt=attempt, cause=cause)
+        return self.apply(batch=DomainBatch(ended=[end]))
 
 
-def filled():
+def driver_with_job():
     driver = Driver()
     driver.worker("w1")
     driver.worker("w2")
@@ -80,7 +80,7 @@
 
 def test_assignments_beyond_the_capacity_are_refused():
     """Guards against overcommitment by an owner with an outdated view of the workers."""
-    driver = filled()
+    driver = driver_with_job()
     assert all(driver.assign(f"j/g.{n}", "w1") for n in range(4))
     assert not driver.assign("j/g.4", "w1")
     assert driver.worker("w1", cpu=3000) == ["w1"]
@@ -89,7 +89,7 @@
 
 def test_a_task_never_gets_a_second_live_attempt():
     """Guards against a task that runs in two places."""
-    driver = filled()
+    driver = driver_with_job()
     assert driver.assign("j/g.0", "w1")
     assert not driver.assign("j/g.0", "w2", attempt=2)
     driver.end("j/g.0", 1, AttemptEnd.LOST)
@@ -99,7 +99,7 @@
 
 def test_an_old_session_or_a_cancelled_job_gets_no_assignment():
     """Guards against starts for a worker that has restarted, and after a cancellation."""
-    driver = filled()
+    driver = driver_with_job()
     driver.worker("w1", session="s2")
     assert not driver.assign("j/g.0", "w1", session="s1")
     driver.job("j", tasks=5, changed_at=2, cancelled=True)
@@ -109,7 +109,7 @@
 
 def test_a_late_end_of_an_old_attempt_changes_nothing():
     """Guards against a repeated report of an old attempt that ends the new one."""
-    driver = filled()
+    driver = driver_with_job()
     driver.assign("j/g.0", "w1")
     driver.end("j/g.0", 1, AttemptEnd.STOPPED)
     driver.assign("j/g.0", "w2", attempt=2)
@@ -117,9 +117,9 @@
     assert driver.domain.task("j/g.0").worker == "w2"
 
 
-def test_an_item_sent_again_runs_nothing_twice():
+def test_a_repeated_item_of_a_job_runs_nothing_twice():
     """Guards against an ended job that runs again when the cell repeats its item."""
-    driver = filled()
+    driver = driver_with_job()
     driver.job("k", changed_at=5)
     driver.assign("k/g.0", "w1")
     driver.end("k/g.0", 1, AttemptEnd.SUCCEEDED)
@@ -128,9 +128,9 @@
     assert driver.domain.job_by_id["k"].succeeded == 1
 
 
-def test_fewer_tasks_drop_waiting_ones_only():
+def test_a_reduced_number_of_tasks_drops_only_waiting_tasks():
     """Guards against the loss of running tasks when the cell moves a share to another group."""
-    driver = filled()
+    driver = driver_with_job()
     driver.assign("j/g.0", "w1")
     driver.job("j", tasks=1, changed_at=2)
     assert list(driver.domain.job_by_id["j"].task_by_id) == ["j/g.0"]
@@ -138,7 +138,7 @@
 
 def test_a_batch_task_that_always_fails_ends_as_failed():
     """Guards against a job that fails forever."""
-    driver = filled()
+    driver = driver_with_job()
     for attempt in range(1, MAX_TASK_FAILURES + 1):
         assert driver.assign("j/g.0", "w1", attempt=attempt)
         driver.end("j/g.0", attempt, AttemptEnd.FAILED)
@@ -147,7 +147,7 @@
 
 def test_a_lost_worker_frees_its_tasks():
     """Guards against tasks that stay assigned to a lost worker."""
-    driver = filled()
+    driver = driver_with_job()
     driver.assign("j/g.0", "w1")
     driver.apply(batch=DomainBatch(lost=["w1"]))
     assert not driver.domain.task("j/g.0").worker and "w1" not in driver.domain.worker_by_name
@@ -173,18 +173,18 @@
 
 def test_restore_gives_the_same_state():
     """Guards against replicas that differ after a snapshot."""
-    driver = filled()
+    driver = driver_with_job()
     driver.assign("j/g.0", "w1")
     driver.apply(
         sync=SyncReply(index=4, drains=[DrainItem(kind="worker", name="w1", draining=True)])
     )
-    other = Driver()
-    other.domain.restore(driver.domain.snapshot())
-    for one in (driver, other):
-        one.index = 50
-        one.assign("j/g.1", "w1")
-        one.end("j/g.0", 1, AttemptEnd.SUCCEEDED)
-    assert other.domain.snapshot() == driver.domain.snapshot()
+    restored = Driver()
+    restored.domain.restore(driver.domain.snapshot())
+    for replica in (driver, restored):
+        replica.index = 50
+        replica.assign("j/g.1", "w1")
+        replica.end("j/g.0", 1, AttemptEnd.SUCCEEDED)
+    assert restored.domain.snapshot() == driver.domain.snapshot()
 
 
 BATCHES = st.builds(
@@ -216,7 +216,7 @@
 @given(batches=st.lists(BATCHES, max_size=12))
 def test_no_sequence_of_batches_breaks_the_capacity(batches):
     """Guards against used resources that differ from the assigned tasks or exceed a worker."""
-    driver = filled()
+    driver = driver_with_job()
     for batch in batches:
         assert driver.apply(batch=batch).code == Code.DONE
         for name, worker in driver.domain.worker_by_name.items():
@@ -229,13 +229,13 @@
 @given(data=st.binary(max_size=200), cut=st.integers(0, 60), at=st.floats())
 def test_arbitrary_bytes_give_a_numbered_error_and_change_nothing(data, cut, at):
     """Guards against a replica that stops, or diverges, after a malformed command."""
-    driver = filled()
+    driver = driver_with_job()
     before = driver.domain.snapshot()
     spec = JobSpec(kind=cut, run_s=at)
     command = DomainCommand(at=at, sync=SyncReply(index=1, jobs=[JobItem(job_id="q", spec=spec)]))
-    whole = command.SerializeToString()
-    for sent in (data, whole[:cut] + data, whole):
-        reply = DomainReply.FromString(driver.domain.apply(index=9, command=sent))
+    valid = command.SerializeToString()
+    for command_bytes in (data, valid[:cut] + data, valid):
+        reply = DomainReply.FromString(driver.domain.apply(index=9, command=command_bytes))
         assert Code(reply.code)
         if reply.code != Code.DONE:
             assert driver.domain.snapshot() == before
@@ -245,7 +245,7 @@
 @given(data=st.binary(min_size=1, max_size=100))
 def test_a_damaged_snapshot_changes_nothing(data):
     """Guards against a state that a damaged snapshot has replaced in part."""
-    driver = filled()
+    driver = driver_with_job()
     before = driver.domain.snapshot()
     with pytest.raises(DamagedDataError):
         driver.domain.restore(data)
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -17,7 +17,7 @@
 from siskintally.wire_pb2 import JobItem, JobSpec, SyncReply, SyncRequest
 from tests.cell_commands import NAMES, Driver, group
 from tests.fake_group import FakeGroup
-from tests.test_cell_service import Desk
+from tests.test_cell_service import ServiceHarness
 from tests.test_domain import Driver as DomainDriver
 
 FJELD, JYLLAND, SJAELLAND = NAMES
@@ -34,13 +34,13 @@
     return {share.group: share.tasks for share in job.shares}
 
 
-def submitted(driver, **fields):
+def submit_job(driver, **fields):
     return driver.cell.jobs.job_by_id[driver.submit(**fields)[1]["job"]]
 
 
-def test_group_that_was_heard_from_is_not_declared_lost(driver):
+def test_group_that_synced_recently_is_not_declared_lost(driver):
     """Guards against a group declared lost by mistake: its tasks would run in two places."""
-    job = submitted(driver, kind="service", tasks=3)
+    job = submit_job(driver, kind="service", tasks=3)
     driver.groups[0] = group(FJELD, silent_s=MIN_SILENCE_S - 1)
     code, answer = driver.lose(FJELD, force=False)
     assert code == Code.GROUP_IN_USE
@@ -60,23 +60,23 @@
 
 def test_service_stays_spread_and_gang_moves_whole(driver):
     """Guards against a service on one group after a loss, and a gang split over groups."""
-    service = submitted(driver, kind="service", tasks=6)
-    gang = submitted(driver, kind="gang", tasks=20, domain=FJELD)
+    service = submit_job(driver, kind="service", tasks=6)
+    gang = submit_job(driver, kind="gang", tasks=20, domain=FJELD)
     assert tasks_by_group(service) == dict.fromkeys(NAMES, 2)
     code, answer = driver.lose(FJELD)
     assert (code, answer) == (1000, {"lost": [FJELD], "moved": 2, "unplaced": 20})
     assert tasks_by_group(service) == {JYLLAND: 3, SJAELLAND: 3}
     assert (gang.unplaced, gang.reason, list(gang.shares)) == (20, LOST_GROUP_REASON, [])
-    free = submitted(driver, kind="gang", tasks=20)
+    free = submit_job(driver, kind="gang", tasks=20)
     (home,) = tasks_by_group(free)
     driver.lose(home)
-    (other,) = tasks_by_group(free).items()
-    assert other == (({JYLLAND, SJAELLAND} - {home}).pop(), 20)
+    (new_share,) = tasks_by_group(free).items()
+    assert new_share == (({JYLLAND, SJAELLAND} - {home}).pop(), 20)
 
 
 def test_service_is_spread_again_over_a_restored_group(driver):
     """Guards against tasks that gather on the group with most of the job, beside an empty one."""
-    job = submitted(driver, kind="service", tasks=6)
+    job = submit_job(driver, kind="service", tasks=6)
     driver.lose(FJELD)
     driver.confirm_idle(FJELD)
     driver.restore(FJELD)
@@ -86,9 +86,9 @@
 
 def test_ended_tasks_stay_ended_and_others_count_as_restarted(driver):
     """Guards against ended tasks of a batch that run again, and quota that is never released."""
-    job = submitted(driver, tasks=10, domain=FJELD)
+    job = submit_job(driver, tasks=10, domain=FJELD)
     driver.report(FJELD, job.job_id, succeeded=6, running=3, waiting=1)
-    free = submitted(driver, tasks=4)
+    free = submit_job(driver, tasks=4)
     (home,) = tasks_by_group(free)
     driver.report(home, free.job_id, succeeded=1, running=3)
     driver.lose(home)
@@ -103,14 +103,14 @@
     assert used == 4000, "only the four open tasks of the first job use quota"
 
 
-def test_loss_of_a_region_and_of_a_group_that_has_just_been_given_the_tasks(driver):
+def test_loss_of_a_region_and_then_of_the_group_that_got_the_tasks(driver):
     """Guards against tasks that move to a group that is lost at the same time or next."""
-    job = submitted(driver, kind="service", tasks=6)
+    job = submit_job(driver, kind="service", tasks=6)
     driver.lose(FJELD, JYLLAND)
     assert tasks_by_group(job) == {SJAELLAND: 6}
     driver.lose(SJAELLAND)
     assert (tasks_by_group(job), job.unplaced, job.reason) == ({}, 6, LOST_GROUP_REASON)
-    waiting = submitted(driver, tasks=2)
+    waiting = submit_job(driver, tasks=2)
     assert (waiting.unplaced, waiting.reason) == (2, LOST_GROUP_REASON)
     driver.confirm_idle(JYLLAND)
     assert driver.restore(JYLLAND)[0] == Code.DONE
@@ -120,7 +120,7 @@
 
 def test_late_report_of_an_earlier_epoch_is_ignored(driver):
     """Guards against progress of tasks that ended with the loss being counted for new ones."""
-    job = submitted(driver, tasks=2, domain=FJELD)
+    job = submit_job(driver, tasks=2, domain=FJELD)
     driver.lose(FJELD)
     driver.confirm_idle(FJELD)
     driver.restore(FJELD)
@@ -133,8 +133,8 @@
 
 def test_cancelled_jobs_of_a_lost_group_end_and_free_their_quota(driver):
     """Guards against quota used forever by cancelled tasks whose end no group will report."""
-    job = submitted(driver, tasks=90, domain=FJELD)
-    late = submitted(driver, tasks=50)
+    job = submit_job(driver, tasks=90, domain=FJELD)
+    late = submit_job(driver, tasks=50)
     driver.report(FJELD, job.job_id, running=90)
     driver.change(CancelJobs(job_ids=[job.job_id]))
     assert not job.ended
@@ -144,7 +144,7 @@
     assert late.admitted
 
 
-def test_restore_needs_the_word_of_the_present_epoch(driver):
+def test_restore_needs_an_idle_confirmation_of_the_present_epoch(driver):
     """Guards against work for a group that still runs tasks that other groups run now."""
     driver.lose(FJELD)
     assert driver.restore(FJELD)[0] == Code.GROUP_IN_USE
@@ -193,35 +193,35 @@
     """Guards against a stale group status from the cell, and an uncommitted confirmation."""
 
     async def check():
-        desk = Desk(AuditFile(path=tmp_path / "audit"))
+        harness = ServiceHarness(AuditFile(path=tmp_path / "audit"))
         lost = {"action": "lost", "groups": ["fjeld"]}
-        assert (await desk.ask("domain", lost))[0] == Code.BAD_REQUEST
+        assert (await harness.call("domain", lost))[0] == Code.BAD_REQUEST
         lost["confirm"] = True
         # A leader that has had no request of a group yet cannot know how long it is unreachable.
-        assert (await desk.ask("domain", lost))[0] == Code.GROUP_IN_USE
-        assert (await desk.ask("domain", lost | {"force": True}))[0] == Code.DONE
-        old = await desk.service.sync(SyncRequest(group="fjeld", wait_s=5))
-        assert (old.epoch, old.lost, len(old.jobs)) == (1, True, 0)
-        rows = (await desk.ask("status", {}))[1]["groups"]
+        assert (await harness.call("domain", lost))[0] == Code.GROUP_IN_USE
+        assert (await harness.call("domain", lost | {"force": True}))[0] == Code.DONE
+        reply = await harness.service.sync(SyncRequest(group="fjeld", wait_s=5))
+        assert (reply.epoch, reply.lost, len(reply.jobs)) == (1, True, 0)
+        rows = (await harness.call("status", {}))[1]["groups"]
         assert [row["standing"] for row in rows] == ["lost"]
-        await desk.service.sync(SyncRequest(group="fjeld", epoch=1, idle=True))
+        await harness.service.sync(SyncRequest(group="fjeld", epoch=1, idle=True))
         restore = {"action": "restore", "groups": ["fjeld"]}
-        assert (await desk.ask("domain", restore))[0] == Code.DONE
-        word = SyncRequest(group="fjeld", epoch=1, check=True)
-        assert not (await desk.service.sync(word)).lost
+        assert (await harness.call("domain", restore))[0] == Code.DONE
+        check_request = SyncRequest(group="fjeld", epoch=1, check=True)
+        assert not (await harness.service.sync(check_request)).lost
 
-        async def cut_off(_):
+        async def fail_without_quorum(_):
             raise NotLeaderError("no quorum")
 
-        monkeypatch.setattr(FakeGroup, "confirm_leadership", cut_off)
-        for request in (word, SyncRequest(group="fjeld", epoch=1)):
+        monkeypatch.setattr(FakeGroup, "confirm_leadership", fail_without_quorum)
+        for request in (check_request, SyncRequest(group="fjeld", epoch=1)):
             with pytest.raises(NotLeaderError):
-                await desk.service.sync(request)
+                await harness.service.sync(request)
 
     run(check)
 
 
-def test_clearance_is_of_one_process_and_one_epoch():
+def test_start_permission_is_of_one_process_and_one_epoch():
     """Guards against a start by a process that was down while its group was declared lost."""
     driver, status_check = DomainDriver(), GroupStatusCheck()
     domain = driver.domain
--- a/tests/test_group_loss_walk.py
+++ b/tests/test_group_loss_walk.py
@@ -165,15 +165,15 @@
         elif kind == "on" and not site.is_on:
             site.switch_on()
         elif kind == "lose" and random.random() < 0.5:
-            driver.lose(*[one.name for one in self.sites if not one.is_on])
+            driver.lose(*[other.name for other in self.sites if not other.is_on])
         elif kind == "restore":
             driver.restore(site.name)
         elif kind == "snapshot":
             self.take_snapshots(site)
         elif site.is_on and kind in ("sync", "place", "complete", "report"):
-            self.step_of(site, kind)
+            self.step_site(site, kind)
 
-    def step_of(self, site, kind):
+    def step_site(self, site, kind):
         """Take a step of one site that is switched on."""
         if kind == "sync":
             site.sync(self.driver)
@@ -186,7 +186,7 @@
         """Apply a report to the cell; it may be old."""
         if report is not None:
             driver = self.driver
-            driver.raw(Command(at=driver.at, groups=driver.groups, job_report=report))
+            driver.apply_command(Command(at=driver.at, groups=driver.groups, job_report=report))
 
     def take_snapshots(self, site):
         """Replace the cell and a domain by copies from snapshots, like a restarted store."""
@@ -200,10 +200,12 @@
         running = Counter(job_id for site in self.sites for job_id in site.running.values())
         for job_id, job in self.jobs().items():
             tasks = job.spec.tasks
-            where = [site.name for site in self.sites if job_id in site.running.values()]
-            assert running[job_id] <= tasks, f"{job_id}: {running[job_id]} of {tasks} in {where}"
-            begun = running[job_id] + self.completed[job_id]
-            assert begun <= tasks + job.restarted, f"{job_id}: {begun} begun of {tasks}"
+            site_names = [site.name for site in self.sites if job_id in site.running.values()]
+            assert running[job_id] <= tasks, (
+                f"{job_id}: {running[job_id]} of {tasks} in {site_names}"
+            )
+            started = running[job_id] + self.completed[job_id]
+            assert started <= tasks + job.restarted, f"{job_id}: {started} started of {tasks}"
 
     def settle(self):
         """Switch on and restore all sites; every job must then end, run or wait for quota."""
@@ -223,9 +225,11 @@
             assert done or job.reason == "quota", f"neither ended nor running: {job}"
             if job.ended and not job.cancelled:
                 assert job_state(job) == "succeeded"
-        held = sum(job.spec.tasks for job in self.jobs().values() if job.admitted and not job.ended)
+        reserved = sum(
+            job.spec.tasks for job in self.jobs().values() if job.admitted and not job.ended
+        )
         used = self.driver.cell.jobs.quota_use.used("ski").cpu_milli
-        assert used == 1000 * held, "the quota does not agree with the services that run"
+        assert used == 1000 * reserved, "the quota does not agree with the services that run"
 
 
 @pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + WALKS))
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -15,7 +15,7 @@
     StoredAnswer,
 )
 
-V = LedgerBeginReply.Verdict
+Verdict = LedgerBeginReply.Verdict
 ANSWER = StoredAnswer(status=201, content_type="text/plain", body=b"ticket 9", body_kept=True)
 
 
@@ -38,13 +38,13 @@
 def test_key_is_granted_to_one_attempt_and_its_answer_replayed():
     """Guards against a request that runs twice under one key."""
     ledger = Ledger()
-    assert begin(ledger, "a") == V.GRANTED
-    assert begin(ledger, "a") == V.GRANTED
-    assert begin(ledger, "b") == V.IN_PROGRESS
+    assert begin(ledger, "a") == Verdict.GRANTED
+    assert begin(ledger, "a") == Verdict.GRANTED
+    assert begin(ledger, "b") == Verdict.IN_PROGRESS
     finish(ledger, "a")
     reply = ledger.begin(LedgerBegin(key="k", caller="shop", digest=b"d", attempt="b"), 0.0)
-    assert (reply.verdict, reply.answer) == (V.REPLAYED, ANSWER)
-    assert begin(ledger, "a") == V.REPLAYED
+    assert (reply.verdict, reply.answer) == (Verdict.REPLAYED, ANSWER)
+    assert begin(ledger, "a") == Verdict.REPLAYED
 
 
 @pytest.mark.parametrize("field", [{"caller": "other"}, {"digest": b"e"}])
@@ -52,23 +52,23 @@
     """Guards against the answer of one request being replayed to another one."""
     ledger = Ledger()
     begin(ledger, "a")
-    assert begin(ledger, "b", **field) == V.CONFLICT
+    assert begin(ledger, "b", **field) == Verdict.CONFLICT
     finish(ledger, "a")
-    assert begin(ledger, "b", **field) == V.CONFLICT
+    assert begin(ledger, "b", **field) == Verdict.CONFLICT
 
 
 def test_attempt_of_a_lost_entry_is_unknown_after_its_time_and_may_still_finish():
     """Guards against 3002 (in progress) for a day when the entry of the request was killed."""
     ledger = Ledger()
-    order = LedgerBegin(key="k", caller="shop", digest=b"d", attempt="a", deadline_s=30.0)
-    assert ledger.begin(order, 100.0).verdict == V.GRANTED
-    assert begin(ledger, "b", now=130.0) == V.IN_PROGRESS
-    copy = Ledger()
-    copy.restore(ledger.snapshot())
-    for each in (ledger, copy):
-        assert begin(each, "b", now=130.1 + DEADLINE_MARGIN_S) == V.UNKNOWN
-        finish(each, "a", now=200.0)
-        assert begin(each, "b", now=201.0) == V.REPLAYED
+    message = LedgerBegin(key="k", caller="shop", digest=b"d", attempt="a", deadline_s=30.0)
+    assert ledger.begin(message, 100.0).verdict == Verdict.GRANTED
+    assert begin(ledger, "b", now=130.0) == Verdict.IN_PROGRESS
+    restored = Ledger()
+    restored.restore(ledger.snapshot())
+    for replica in (ledger, restored):
+        assert begin(replica, "b", now=130.1 + DEADLINE_MARGIN_S) == Verdict.UNKNOWN
+        finish(replica, "a", now=200.0)
+        assert begin(replica, "b", now=201.0) == Verdict.REPLAYED
 
 
 def test_unknown_outcome_stays_unknown():
@@ -78,8 +78,8 @@
     finish(ledger, "a", unknown=True)
     finish(ledger, "a")
     release(ledger, "a")
-    assert begin(ledger, "b") == V.UNKNOWN
-    assert begin(ledger, "a") == V.UNKNOWN
+    assert begin(ledger, "b") == Verdict.UNKNOWN
+    assert begin(ledger, "a") == Verdict.UNKNOWN
 
 
 def test_other_attempts_neither_finish_nor_release_a_key():
@@ -88,8 +88,8 @@
     begin(ledger, "a")
     finish(ledger, "b")
     release(ledger, "b")
-    assert begin(ledger, "c") == V.IN_PROGRESS
-    assert begin(ledger, "b") == V.RELEASED
+    assert begin(ledger, "c") == Verdict.IN_PROGRESS
+    assert begin(ledger, "b") == Verdict.RELEASED
 
 
 def test_released_attempt_is_never_granted_again():
@@ -97,18 +97,18 @@
     ledger = Ledger()
     begin(ledger, "a")
     release(ledger, "a")
-    assert begin(ledger, "a") == V.RELEASED
-    assert begin(ledger, "b", digest=b"e") == V.GRANTED
+    assert begin(ledger, "a") == Verdict.RELEASED
+    assert begin(ledger, "b", digest=b"e") == Verdict.GRANTED
     finish(ledger, "a")
-    assert begin(ledger, "c", digest=b"e") == V.IN_PROGRESS
+    assert begin(ledger, "c", digest=b"e") == Verdict.IN_PROGRESS
 
 
 def test_release_before_begin_wins_over_the_late_begin():
     """Guards against a begin that arrives after its release and blocks the key."""
     ledger = Ledger()
     release(ledger, "a")
-    assert begin(ledger, "a") == V.RELEASED
-    assert begin(ledger, "b") == V.GRANTED
+    assert begin(ledger, "a") == Verdict.RELEASED
+    assert begin(ledger, "b") == Verdict.GRANTED
 
 
 def test_full_ledger_refuses_new_keys_and_keeps_the_records():
@@ -122,8 +122,8 @@
         assert caught.value.code == Code.OVERLOADED
     finish(ledger, "a", key="1")
     release(ledger, "b", key="2")
-    assert begin(ledger, "d", key="1") == V.REPLAYED
-    assert begin(ledger, "b", key="2") == V.RELEASED
+    assert begin(ledger, "d", key="1") == Verdict.REPLAYED
+    assert begin(ledger, "b", key="2") == Verdict.RELEASED
 
 
 def test_full_store_of_answers_refuses_new_keys():
@@ -133,7 +133,7 @@
     finish(ledger, "a", key="1")
     with pytest.raises(RefusedError):
         begin(ledger, "b", key="2")
-    assert begin(ledger, "b", key="1") == V.REPLAYED
+    assert begin(ledger, "b", key="1") == Verdict.REPLAYED
 
 
 def test_records_live_for_the_retention_after_their_last_change():
@@ -141,8 +141,8 @@
     ledger = Ledger(retention_s=240.0)
     begin(ledger, "a")
     finish(ledger, "a", now=100.0)
-    assert begin(ledger, "b", now=339.0) == V.REPLAYED
-    assert begin(ledger, "b", now=351.0) == V.GRANTED
+    assert begin(ledger, "b", now=339.0) == Verdict.REPLAYED
+    assert begin(ledger, "b", now=351.0) == Verdict.GRANTED
     assert len(ledger) == 1
 
 
@@ -151,7 +151,7 @@
     ledger = Ledger(retention_s=240.0)
     ledger.expire(1000.0)
     begin(ledger, "a", now=5.0)
-    assert begin(ledger, "b", now=1239.0) == V.IN_PROGRESS
+    assert begin(ledger, "b", now=1239.0) == Verdict.IN_PROGRESS
 
 
 def test_long_body_is_replaced_by_its_digest():
--- a/tests/test_missed_changes.py
+++ b/tests/test_missed_changes.py
@@ -32,24 +32,24 @@
     return job_ids
 
 
-async def make_lead(cell, late):
-    """Stop the other stores in turn, so that only ``late`` can lead both groups."""
-    complete, other = (name for name in cell.stores if name != late)
-    cell.processes.kill(other)
-    cell.processes.kill(complete)
+async def make_leader(cell, late_store):
+    """Stop the other stores in turn, so that only the late one can lead both groups."""
+    complete_store, other_store = (name for name in cell.stores if name != late_store)
+    cell.processes.kill(other_store)
+    cell.processes.kill(complete_store)
     # The late store requests votes first, and must not get the vote of the complete one.
-    cell.start_store(late)
+    cell.start_store(late_store)
     await sleep(HEAD_START_S)
-    cell.start_store(complete)
+    cell.start_store(complete_store)
     # The killed store misses this change, so it can't be elected after the complete one stops.
     change = {"preset": "peak", "expect_version": LAST_VERSION}
     assert (await cell.operate("preset", change, request_id="peak"))["version"] == LAST_VERSION + 1
     await wait_version(cell, LAST_VERSION + 1)
-    assert cell.processes.stop(complete) == 0
-    cell.start_store(other)
-    await wait_until(lambda: cell.owner() == late, f"{late} owns the domain")
+    assert cell.processes.stop(complete_store) == 0
+    cell.start_store(other_store)
+    await wait_until(lambda: cell.owner() == late_store, f"{late_store} owns the domain")
     status = await cell.operate("status", {}, request_id="read")
-    assert status["leader"] == late
+    assert status["leader"] == late_store
 
 
 @pytest.mark.timeout(300)
@@ -58,14 +58,14 @@
 
     async def check(cell):
         cell.start_workers("w", 2)
-        late = cell.random.choice(cell.stores)
-        assert cell.processes.stop(late) == 0
+        late_store = cell.random.choice(cell.stores)
+        assert cell.processes.stop(late_store) == 0
         faults = []
         async with create_task_group() as tasks:
             tasks.start_soon(watch_versions, cell, faults)
             job_ids = await change_all(cell)
             await wait_version(cell, LAST_VERSION)
-            await make_lead(cell, late)
+            await make_leader(cell, late_store)
             cell.processes.kill("e1")
             cell.start_entry("e1")
             await wait_version(cell, LAST_VERSION + 1)
--- a/tests/test_unreported_end.py
+++ b/tests/test_unreported_end.py
@@ -20,7 +20,7 @@
         bench.reports.clear()
         bench.group.elect()
         await until(lambda: bench.owner.owner_term is not None)
-        await until(lambda: any(one.job_id == "j" for one in bench.reports))
+        await until(lambda: any(report.job_id == "j" for report in bench.reports))
         assert bench.reports[-1].succeeded == 1
 
     with_owner(check)
