--- a/tests/model/consensus.py
+++ b/tests/model/consensus.py
@@ -174,10 +174,10 @@
             without = state._replace(network=state.network - {number})
             yield label, self._apply_action(without, position, "receive", number)
             if budget.repeat:
-                kept = state._replace(budget=budget._replace(repeat=budget.repeat - 1))
+                repeated = state._replace(budget=budget._replace(repeat=budget.repeat - 1))
                 yield (
                     intern(f"{label} (a copy)"),
-                    self._apply_action(kept, position, "receive", number),
+                    self._apply_action(repeated, position, "receive", number),
                 )
         for position in range(len(state.nodes)):
             for action in self._actions(state, position):
@@ -380,11 +380,11 @@
         return state._replace(leaders=self._share(leaders))
 
     def _observe_reads(self, state, position, replica, confirmed):
-        kept = []
+        pending = []
         for read in state.reads:
             reader, term, started_round, length, highest_term = read
             if reader != position or term != replica.term or started_round > confirmed:
-                kept.append(read)
+                pending.append(read)
             elif highest_term > term:
                 return state._replace(
                     violation=f"round of term {term} confirmed after term {highest_term}"
@@ -393,7 +393,7 @@
                 return state._replace(
                     violation=f"round confirmed without {length} committed entries"
                 )
-        return state._replace(reads=tuple(kept))
+        return state._replace(reads=tuple(pending))
 
     def _receiver(self, state, number):
         for position, node in enumerate(state.nodes):
--- a/tests/model/ledger.py
+++ b/tests/model/ledger.py
@@ -114,8 +114,8 @@
             yield label, self._check(self._deliver(without, message))
             # A stream delivers a request to an endpoint, and the answer, only once.
             if state.repeats and message[0] not in ("request", "answer"):
-                kept = state._replace(repeats=state.repeats - 1)
-                yield intern(f"{label} (a copy)"), self._check(self._deliver(kept, message))
+                repeated = state._replace(repeats=state.repeats - 1)
+                yield intern(f"{label} (a copy)"), self._check(self._deliver(repeated, message))
         for attempt, phase in enumerate(state.phases):
             for label, successor in _attempt_steps(state, attempt, phase):
                 yield intern(f"attempt {attempt} {label}"), self._check(successor)
@@ -165,8 +165,8 @@
             ledger.restore(ledger.snapshot())
             return None
         if kind == "begin":
-            other = self._conflict and attempt == self._attempts - 1
-            digest = b"other" if other else b"digest"
+            conflicts = self._conflict and attempt == self._attempts - 1
+            digest = b"other" if conflicts else b"digest"
             begin = LedgerBegin(key="k", caller="shop", digest=digest, attempt=name)
             reply = ledger.begin(begin, NOW)
             return ("verdict", attempt, _Verdict.Name(reply.verdict), reply.answer.body.decode())
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -411,11 +411,11 @@
         stream = leader.watch()
         assert (await stream.receive()).is_leader
         cluster.isolated = {leader.process}
-        lost = await stream.receive()
-        assert not lost.is_leader
+        leadership = await stream.receive()
+        assert not leadership.is_leader
         stream.close()
         for number in range(40):
-            leader._publish(lost._replace(term=lost.term + number + 1))
+            leader._publish(leadership._replace(term=leadership.term + number + 1))
         assert not leader._leadership._watchers._streams
 
     run_with_cluster(tmp_path, scenario)
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -172,8 +172,8 @@
     driver.apply(sync=SyncReply(epoch=1, lost=True))
     assert (domain.fenced, domain.cell_index, domain.is_idle) == (True, 0, False)
     assert list(domain.job_by_id["j"].task_by_id) == ["j/g.0"]
-    again = JobItem(job_id="j", spec=JobSpec(name="j"), tasks=1, changed_at=9)
-    driver.apply(sync=SyncReply(index=9, epoch=1, jobs=[again]))
+    item = JobItem(job_id="j", spec=JobSpec(name="j"), tasks=1, changed_at=9)
+    driver.apply(sync=SyncReply(index=9, epoch=1, jobs=[item]))
     assert domain.fenced, "the fence was lifted while an attempt is assigned"
     restored = Domain(group="g")
     restored.restore(domain.snapshot())
@@ -183,7 +183,7 @@
     assert not domain.job_by_id
     driver.job("j", tasks=2, changed_at=7)
     assert not domain.job_by_id, "a reply of the former epoch counted"
-    driver.apply(sync=SyncReply(index=9, epoch=1, jobs=[again]))
+    driver.apply(sync=SyncReply(index=9, epoch=1, jobs=[item]))
     assert list(domain.job_by_id["j"].task_by_id) == ["j/g~1.0"]
     driver.worker("w1")
     assert driver.assign("j/g~1.0", "w1")
@@ -194,12 +194,12 @@
 
     async def check():
         harness = ServiceHarness(AuditFile(path=tmp_path / "audit"))
-        lost = {"action": "lost", "groups": ["fjeld"]}
-        assert (await harness.call("domain", lost))[0] == Code.BAD_REQUEST
-        lost["confirm"] = True
+        declare_lost = {"action": "lost", "groups": ["fjeld"]}
+        assert (await harness.call("domain", declare_lost))[0] == Code.BAD_REQUEST
+        declare_lost["confirm"] = True
         # A leader that has had no request of a group yet cannot know how long it is unreachable.
-        assert (await harness.call("domain", lost))[0] == Code.GROUP_IN_USE
-        assert (await harness.call("domain", lost | {"force": True}))[0] == Code.DONE
+        assert (await harness.call("domain", declare_lost))[0] == Code.GROUP_IN_USE
+        assert (await harness.call("domain", declare_lost | {"force": True}))[0] == Code.DONE
         reply = await harness.service.sync(SyncRequest(group="fjeld", wait_s=5))
         assert (reply.epoch, reply.lost, len(reply.jobs)) == (1, True, 0)
         rows = (await harness.call("status", {}))[1]["groups"]
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -184,14 +184,14 @@
             ledger.expire(now)
         else:
             globals()[name](ledger, attempt, key=key, now=now)
-    other = Ledger(retention_s=48.0)
-    other.restore(ledger.snapshot())
-    assert (other.key(), len(other), other.answer_bytes) == (
+    restored = Ledger(retention_s=48.0)
+    restored.restore(ledger.snapshot())
+    assert (restored.key(), len(restored), restored.answer_bytes) == (
         ledger.key(),
         len(ledger),
         ledger.answer_bytes,
     )
-    assert other.snapshot() == ledger.snapshot()
+    assert restored.snapshot() == ledger.snapshot()
 
 
 @given(st.binary(max_size=80))
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -182,8 +182,8 @@
 
     def record_committed(self, node, entry):
         """Check state machine safety: the same entry and the same state at each index."""
-        known = self.committed.setdefault(entry.index, entry)
-        assert known == entry, f"two entries committed at {entry.index}: {known} {entry}"
+        first = self.committed.setdefault(entry.index, entry)
+        assert first == entry, f"two entries committed at {entry.index}: {first} {entry}"
         state = tuple(node.state)
         assert self.state_by_index.setdefault(entry.index, state) == state, "state machines differ"
 
@@ -728,13 +728,13 @@
     """Let a leader propose the next step by which a node that is no voter becomes one."""
     for leader in net.leaders():
         members = leader.replica.log.members
-        known = {member.identity for member in members}
+        member_ids = {member.identity for member in members}
         for node in net.nodes.values():
             if node.identity in voters_of(members):
                 continue
             progress = leader.replica.progress_by_id.get(node.identity)
             change = add_learner(members, node.identity)
-            if node.identity in known:
+            if node.identity in member_ids:
                 if progress.match_index < leader.replica.commit_index:
                     continue
                 change = next_promotion_step(members, node.identity)
