--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -365,7 +365,7 @@
     b.leader_contact_at = c.leader_contact_at = net.now
     request = VoteRequest(b.term + 1, Identity("c", "c0"), 99, 99, pre_vote=True)
     b.record_process_exit("c", net.now)
-    assert b.next_tick() - net.now >= 1.0, "the exit of a process that does not lead"
+    assert b.next_tick() - net.now >= 1.0, "only the exit of the leader shortens it"
     b.record_process_exit("a", net.now)
     assert 0.6 <= b.next_tick() - net.now < 1.0
     for later_s, granted in ((0.5, False), (0.7, True)):
