--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -1,4 +1,4 @@
-"""Faulty versions of the checked functions; the search must find every one."""
+"""Faulty versions of the checked classes; the search must find every fault."""
 
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import State as CellState
@@ -22,8 +22,8 @@
             self._commit_to(reached, effects)
 
 
-class StaleRoundReplica(Replica):
-    """Counts an answer to an earlier message for the newest read round."""
+class ReplicaCountingEarlierReplies(Replica):
+    """Counts a reply to an earlier message for the newest read round."""
 
     __slots__ = ()
 
@@ -31,13 +31,13 @@
         super()._on_append_reply(reply._replace(round=self.read_round), now, effects)
 
 
-class ForgetfulLedger(Ledger):
+class LedgerWithoutSnapshotRecords(Ledger):
     """Drops the records of running attempts at a snapshot."""
 
     __slots__ = ()
 
     def snapshot(self):
-        """Return the state without what a resend needs."""
+        """Return the state without the records that a resend needs."""
         state = LedgerState.FromString(super().snapshot())
         for generation in state.generations:
             generation.fingerprints = b""
@@ -45,7 +45,7 @@
         return state.SerializeToString()
 
 
-class TrustingLedger(Ledger):
+class LedgerFinishedByAnyAttempt(Ledger):
     """Accepts a finish from any attempt."""
 
     __slots__ = ()
@@ -54,20 +54,20 @@
         return record is not None and record[0] == RUNNING
 
 
-class AmnesicLedger(Ledger):
-    """Keeps no released attempts."""
+class LedgerWithoutTombstones(Ledger):
+    """Keeps no record of released attempts."""
 
     __slots__ = ()
 
     def release(self, message, now):
-        """Give the key back and forget the attempt."""
+        """Release the key and delete the record of the attempt."""
         done = super().release(message, now)
         self._delete_record(_tombstone_fingerprint(message.key, message.attempt))
         return done
 
 
-class GenerousLedger(Ledger):
-    """Grants a key again whose outcome is unknown."""
+class LedgerReleasingUnknownOutcomes(Ledger):
+    """Grants a key with an unknown outcome again."""
 
     __slots__ = ()
 
@@ -79,8 +79,8 @@
         return done
 
 
-class LenientCell(Cell):
-    """Accepts the version before the present one too, so two changes with equal numbers pass."""
+class CellAcceptingPreviousVersion(Cell):
+    """Accepts the previous version as well, so that two changes with equal numbers pass."""
 
     __slots__ = ()
 
@@ -89,7 +89,7 @@
             super()._check_version(expected)
 
 
-class ForgetfulCell(Cell):
+class CellWithoutSnapshotReplies(Cell):
     """Drops the stored responses at a snapshot."""
 
     __slots__ = ()
@@ -101,8 +101,8 @@
         return state.SerializeToString(deterministic=True)
 
 
-class HastyLeaseTable(LeaseTable):
-    """Counts a worker as lost after the bare lease, without room for the drift of clocks."""
+class LeaseTableWithoutDriftMargin(LeaseTable):
+    """Declares a worker lost right after its lease, without a margin for the drift of clocks."""
 
     __slots__ = ()
 
@@ -111,13 +111,13 @@
         return self._contact_by_worker[worker].acknowledged_at + self.lease_s
 
 
-class FreshLeaseTable(LeaseTable):
-    """Ignores that an earlier owner may have renewed the lease until the election."""
+class LeaseTableIgnoringEarlierOwner(LeaseTable):
+    """Ignores that an earlier owner may have renewed the lease just before the election."""
 
     __slots__ = ()
 
     def lost_at(self, worker):
-        """Return a time that does not wait for leases of an earlier owner."""
+        """Return a time that does not wait for leases granted by an earlier owner."""
         contact = self._contact_by_worker[worker]
         if self.elected_at and contact.acknowledged_at == self.elected_at:
             return self.elected_at
--- a/tests/test_unreported_end.py
+++ b/tests/test_unreported_end.py
@@ -1,11 +1,11 @@
-"""Ends of jobs that a domain owner committed and did not live to report."""
+"""Ends of jobs that a domain owner committed, but did not report before it lost leadership."""
 
 from siskintally.wire_pb2 import AttemptState
 from tests.test_owner import WorkerLink, state, until, with_owner
 
 
 def test_new_owner_reports_jobs_that_ended_under_the_former_one():
-    """Guards against a job that the cell shows as running, with its quota held, for ever."""
+    """Guards against an ended job that the cell shows as running forever, and its used quota."""
 
     async def check(bench):
         link = WorkerLink()
@@ -20,7 +20,7 @@
         bench.reports.clear()
         bench.group.win_leadership()
         await until(lambda: bench.owner.owner_term is not None)
-        await until(lambda: any(one.job_id == "j" for one in bench.reports))
+        await until(lambda: any(report.job_id == "j" for report in bench.reports))
         assert bench.reports[-1].succeeded == 1
 
     with_owner(check)
