--- a/siskintally/backlog.py
+++ b/siskintally/backlog.py
@@ -1,4 +1,4 @@
-"""Jobs with waiting tasks, in the order they are placed.
+"""Queue of jobs with waiting tasks, in the order in which they are placed.
 
 >>> from siskintally.backlog import Backlog
 >>> from siskintally.size import Size
@@ -16,11 +16,11 @@
 
 from siskintally.workload import Kind, Urgency
 
-# Deferrable work is placed as normal work when its latest start is this near.
+# A deferrable job is queued as a normal one when its latest start is this near.
 PROMOTE_BEFORE_S = 600.0
-# Jobs whose latest starts fall into the same window are tried largest first: small tasks then fill
-# the holes that large ones leave. No job is passed by one of a later window, so the wait that this
-# order adds is bounded; windows of 10 s pack less well, of 60 s no better.
+# Jobs whose latest starts fall into the same window are tried largest first, so that small tasks
+# fill the gaps between large ones. No job is overtaken by one of a later window, which bounds the
+# wait that this order adds. Windows of 10 s pack less well, windows of 60 s no better.
 ORDER_WINDOW_S = 30.0
 
 
@@ -37,10 +37,10 @@
 
 
 class Backlog:
-    """Urgent before normal before deferrable; within a class by window of latest start, then size.
+    """Jobs sorted by class (urgent first), window of latest start, then size (largest first).
 
-    Removal only unmarks the job; entries are dropped when the list is next read, so that a wave of
-    cancellations costs the same for each job however long the list is.
+    :meth:`remove` only marks the entry; :meth:`jobs` drops marked entries. Each of many
+    cancellations therefore costs the same however long the queue is.
     """
 
     __slots__ = ("_dead", "_entries", "_jobs", "_next", "changes")
@@ -56,7 +56,7 @@
         return len(self._entries) - self._dead
 
     def add(self, job):
-        """Add a job; one that is queued already stays where it is."""
+        """Add a job; a job that is queued already keeps its position."""
         self.changes += 1
         if job.queued is not None:
             return
@@ -77,7 +77,7 @@
             self._jobs = None
 
     def jobs(self):
-        """Return the queued jobs, first to place first; the list must not be changed."""
+        """Return the queued jobs in placement order; callers must not change the list."""
         if self._jobs is None:
             self._entries = [entry for entry in self._entries if entry.live]
             self._dead = 0
@@ -85,7 +85,7 @@
         return self._jobs
 
     def promote(self, now):
-        """Treat deferrable jobs whose latest start is near as normal ones.
+        """Queue deferrable jobs whose latest start is near as normal ones; return their number.
 
         :param now: monotonic seconds.
         """
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -1,4 +1,4 @@
-"""The two loops between a domain owner and the cell: what to run, and how it goes.
+"""Sync of a domain owner with the cell: fetches jobs and settings, reports job progress.
 
 >>> from siskintally.cell_sync import SYNC_WAIT_S
 >>> SYNC_WAIT_S
@@ -21,14 +21,15 @@
 REPORT_S = 1.0
 REPORT_TIMEOUT_S = 5.0
 MAX_REPORT_JOBS = 5000
-# Workers that register one after the other must not turn a large job into one that never fits.
+# A job is reported as never fitting only this long after the term began: a large job must not be
+# failed while workers are still registering.
 NEVER_AFTER_S = 10.0
 
 log = get_logger("cell-sync")
 
 
 class CellSync:
-    """Follows the cell and reports to it during one term as owner.
+    """Follows the state of the cell and reports to the cell during one term as owner.
 
     :param owner_term: :class:`~siskintally.owner_term.OwnerTerm`.
     :param cell_call: ``async cell_call(body, timeout=seconds)`` to the leader of the cell group.
@@ -44,7 +45,7 @@
         self._reason_by_job = {}
 
     async def follow(self):
-        """Commit what changes in the cell, then act on it, until cancelled.
+        """Fetch the changes of the cell, commit and apply them, until cancelled.
 
         :raises NotLeaderError: leadership has ended.
         """
@@ -63,7 +64,7 @@
                 reply = await self._cell_call(request, timeout=SYNC_TIMEOUT_S)
             except SiskintallyError as error:
                 owner_term.check()
-                log.info("cell not reached", error=str(error))
+                log.info("cell unreachable", error=str(error))
                 await sleep(RETRY_S)
                 continue
             if self._is_too_early(reply):
@@ -77,7 +78,7 @@
                 await sleep(RETRY_S)
 
     def _wait_s(self):
-        """Return the longest wait for news, s; an owner that may not start tasks asks at once."""
+        """Return the wait of the long poll, seconds; 0 while the owner may not start tasks."""
         owner_term = self._owner_term
         return SYNC_WAIT_S if owner_term.may_start() or owner_term.domain.fenced else 0.0
 
@@ -89,13 +90,13 @@
         return bool(items) or reply.lost != domain.fenced
 
     def _is_too_early(self, reply):
-        """Tell whether a restore has to wait until nothing runs here any more."""
+        """Return whether a restore of the group must wait until it is idle."""
         owner_term = self._owner_term
         same_epoch = reply.epoch == owner_term.domain.epoch
         return same_epoch and owner_term.domain.fenced and not (reply.lost or owner_term.is_idle())
 
     def _clear(self, reply):
-        """Start tasks if the cell says that the group is not lost and nothing forbids it."""
+        """Record the group's status; send pending start orders if it newly permits starts."""
         owner_term = self._owner_term
         before = owner_term.may_start()
         owner_term.status_check.record_reply(reply)
@@ -109,7 +110,7 @@
         before, epoch = owner_term.domain.config.version, owner_term.domain.epoch
         answer = await owner_term.commit(sync=reply)
         if answer.code != Code.DONE:
-            log.error("cell item refused", code=answer.code, message=answer.message)
+            log.error("cell changes refused", code=answer.code, message=answer.message)
             await sleep(RETRY_S)
             return
         if owner_term.domain.epoch != epoch:
@@ -130,7 +131,7 @@
             self._on_config()
 
     def capacity(self):
-        """Return the DomainCapacity of the registered workers."""
+        """Return a DomainCapacity message for the registered workers."""
         pool = self._owner_term.placement.pool
         largest = NOTHING
         for worker in pool.worker_by_name.values():
@@ -145,7 +146,7 @@
         )
 
     async def report(self):
-        """Report the progress of jobs that changed, each second, until cancelled.
+        """Report the progress of changed jobs every ``REPORT_S`` seconds until cancelled.
 
         :raises NotLeaderError: leadership has ended.
         """
@@ -158,7 +159,7 @@
             await self.send_report()
 
     async def send_report(self):
-        """Send one report of what has changed since the last; what fails is sent again."""
+        """Report the jobs changed since the last report; a failed report is repeated later."""
         owner_term = self._owner_term
         if owner_term.domain.fenced:
             owner_term.dirty.clear()
@@ -179,7 +180,7 @@
             owner_term.dirty.update(jobs)
         except SiskintallyError as error:
             owner_term.dirty.update(jobs)
-            log.info("report not delivered", error=str(error))
+            log.info("progress report failed", error=str(error))
         else:
             self._reported_by_job.update((one.job_id, one) for one in changed)
             for one in changed:
@@ -188,7 +189,7 @@
                     self._reported_by_job.pop(one.job_id)
 
     def _add_waiting(self):
-        """Look again at jobs whose reason for waiting has changed."""
+        """Mark the jobs whose reason for waiting has changed as to be reported."""
         owner_term = self._owner_term
         is_due = owner_term.clock() - owner_term.since >= NEVER_AFTER_S
         before, self._reason_by_job = self._reason_by_job, {}
--- a/siskintally/dispatcher.py
+++ b/siskintally/dispatcher.py
@@ -1,4 +1,4 @@
-"""The loop that places tasks, commits the assignments, and then sends the start orders.
+"""Dispatch loop of a domain owner: places tasks, commits assignments, sends start orders.
 
 >>> from siskintally.dispatcher import PASS_S
 >>> PASS_S
@@ -11,16 +11,17 @@
 from siskintally.domain_state_pb2 import AssignmentRecord, DomainBatch
 from siskintally.log import get_logger
 
-# Passes this far apart let tasks that arrive together share one commit.
+# Delay before a pass that is not urgent, so that tasks that arrive together share one commit.
 PASS_S = 0.05
-# Reservations and workers set aside become due without any event.
+# Longest time between passes: reservations and probes of ejected workers become due without any
+# event.
 IDLE_PASS_S = 1.0
 
 log = get_logger("dispatcher")
 
 
 class Dispatcher:
-    """Places the waiting tasks during one term as owner.
+    """Places waiting tasks during one term as owner.
 
     :param owner_term: :class:`~siskintally.owner_term.OwnerTerm`.
     """
@@ -48,7 +49,7 @@
             await self.step()
 
     async def step(self):
-        """Make one pass; unless the cell permits starts only stops are sent."""
+        """Run one pass; only send stop orders while the group may not start tasks."""
         owner_term = self._owner_term
         if not owner_term.may_start():
             owner_term.push()
@@ -94,7 +95,7 @@
         )
 
     def _give_back(self, task_id):
-        """Undo a decision that the domain refused because its worker or job had changed."""
+        """Undo an assignment that the domain refused because the worker or the job had changed."""
         owner_term = self._owner_term
         log.info("assignment refused", task=task_id)
         owner_term.placement.pool.release(task_id)
--- a/siskintally/ejection.py
+++ b/siskintally/ejection.py
@@ -1,4 +1,4 @@
-"""Workers that fail every task they start.
+"""Failure counts of workers: when a worker is ejected, and for how long.
 
 >>> from siskintally.ejection import Ejection
 >>> ejection = Ejection()
@@ -9,7 +9,7 @@
 """
 
 FAILURES = 5
-# Failures of one job alone point to the job, not to the worker.
+# Failures must come from this many jobs: failures of a single job suggest that the job is broken.
 MIN_JOBS = 2
 FIRST_PAUSE_S = 60.0
 MAX_PAUSE_S = 3600.0
@@ -27,7 +27,7 @@
 
 
 class Ejection:
-    """Counts failures in a row and decides how long a worker stays ejected."""
+    """Counts consecutive failures of each worker and decides how long it stays ejected."""
 
     __slots__ = ("_history_by_worker",)
 
@@ -35,7 +35,7 @@
         self._history_by_worker = {}
 
     def failed(self, worker, job_id, *, now):
-        """Note a failed task; return whether the worker is to be ejected now.
+        """Record a failed task; return whether the worker must be ejected now.
 
         :param now: monotonic seconds.
         """
@@ -51,7 +51,7 @@
         return True
 
     def succeeded(self, worker):
-        """Note a task that ran; return whether the worker was being tried with one task."""
+        """Record a successful task; return whether the worker was being probed."""
         history = self._history_by_worker.get(worker)
         if history is None or history.until is not None:
             return False
@@ -59,7 +59,7 @@
         return history.probing
 
     def due(self, now):
-        """Return the workers whose pause is over; each is to be tried with one task."""
+        """Return the workers whose pause is over; each must be probed with one task."""
         over = []
         for worker, history in self._history_by_worker.items():
             if history.until is not None and history.until <= now:
@@ -69,5 +69,5 @@
         return over
 
     def forget(self, worker):
-        """Drop what is known of a worker that is gone."""
+        """Drop the failure history of a removed worker."""
         self._history_by_worker.pop(worker, None)
--- a/siskintally/failed_searches.py
+++ b/siskintally/failed_searches.py
@@ -1,4 +1,4 @@
-"""What searches for room have failed since resources were last freed.
+"""Cache of placement searches that have failed since resources were last freed.
 
 >>> from siskintally.failed_searches import FailedSearches
 >>> from siskintally.size import Size
@@ -17,7 +17,7 @@
 
 
 class FailedSearches:
-    """Sizes that found no room since resources were last freed; larger ones need no search."""
+    """Needs that fitted nowhere since resources were last freed; larger ones need no search."""
 
     __slots__ = ("_failed", "_freed", "_shapes")
 
@@ -27,14 +27,14 @@
         self._shapes = set()
 
     def start(self, freed):
-        """Begin a pass; a new value of ``freed`` drops what is known."""
+        """Begin a pass; a changed value of ``freed`` clears the cache."""
         if freed != self._freed:
             self._freed = freed
             self._failed = []
             self._shapes = set()
 
     def covers(self, job):
-        """Tell whether a search for a job is known to find nothing."""
+        """Return whether a search for the job is known to fail."""
         if job.shape in self._shapes:
             return True
         return any(
@@ -42,7 +42,7 @@
         )
 
     def add(self, job):
-        """Note that a search for a job found nothing."""
+        """Record that a search for the job has failed."""
         self._shapes.add(job.shape)
         if job.kind != Kind.GANG:
             self._failed = [
--- a/siskintally/feasibility.py
+++ b/siskintally/feasibility.py
@@ -1,4 +1,4 @@
-"""Which jobs no worker can ever hold.
+"""Check whether a job could ever run on the known workers, and why it waits.
 
 >>> from siskintally.feasibility import CapacityTable
 >>> from siskintally.size import Size
@@ -20,7 +20,7 @@
 
 
 class CapacityTable:
-    """Numbers of workers by failure domain and capacity, empty or not."""
+    """Number of workers for each failure domain and capacity, whatever runs on them."""
 
     __slots__ = ("_count_by_capacity",)
 
@@ -28,11 +28,11 @@
         self._count_by_capacity = Counter()
 
     def add(self, domain, capacity):
-        """Count a worker."""
+        """Add a worker."""
         self._count_by_capacity[domain, capacity] += 1
 
     def remove(self, domain, capacity):
-        """Count a worker no more."""
+        """Remove a worker."""
         self._count_by_capacity[domain, capacity] -= 1
         if not self._count_by_capacity[domain, capacity]:
             del self._count_by_capacity[domain, capacity]
@@ -43,9 +43,9 @@
                 yield capacity, count
 
     def reason(self, job):
-        """Say why a job waits.
+        """Return why a job waits.
 
-        :returns: the reason, and whether the job could not run even if all workers were empty.
+        :returns: the reason, and whether the job would not fit even if all workers were empty.
         """
         capacities = list(self._capacities(job))
         if not capacities:
@@ -55,7 +55,10 @@
         if places >= (tasks if job.kind == Kind.GANG else 1):
             return NO_ROOM, False
         if places:
-            return f"{tasks} tasks must run at once, all workers together hold {places}", True
+            return (
+                f"{tasks} tasks must run at once, all workers together have capacity for {places}",
+                True,
+            )
         for number, name in enumerate(_NAMES):
             needed = job.need.key()[number]
             largest = max(capacity.key()[number] for capacity, _ in capacities)
--- a/siskintally/group_status_check.py
+++ b/siskintally/group_status_check.py
@@ -1,4 +1,4 @@
-"""What a store process knows from the cell about the status of its domain group.
+"""Group status check: a process starts tasks only once the cell reports its group as not lost.
 
 >>> from siskintally.group_status_check import GroupStatusCheck
 >>> from siskintally.domain import Domain
@@ -23,19 +23,19 @@
 RETRY_S = 1.0
 LOOK_S = 1.0
 # Half of the silence after which a group can be declared lost. A group without a leader for longer
-# may come back after a loss, though a store of it, on a machine that other groups use too, ran on.
+# may have been declared lost and restored, even though this store process kept running because its
+# machine serves other groups too.
 MAX_GAP_S = 60.0
 
 log = get_logger("group-status-check")
 
 
 class GroupStatusCheck:
-    """Whether the cell has told this process, since its start, that the group is not lost.
+    """Whether the cell has reported, since this process started, that the group is not lost.
 
-    A process that was switched off may come back after its group was declared lost and its tasks
-    run elsewhere, so nothing is started before the cell has been asked. A process that runs on
-    through a partition may go on starting tasks while its group has a leader, and so its domain
-    goes on with its work.
+    A process may restart after its group was declared lost and its tasks run elsewhere, so it
+    starts no tasks before it has asked the cell. A process that keeps running during a partition
+    may continue to start tasks while its group has a leader, so that its domain stays available.
     """
 
     __slots__ = ("_epoch", "_led_at")
@@ -45,7 +45,7 @@
         self._led_at = None
 
     def note_leader(self, now):
-        """Note that the group has a leader; after a long time without one the cell is asked again.
+        """Record that the group has a leader; after a long time without one, ask the cell again.
 
         :param now: monotonic seconds. A pause of the process counts as time without a leader.
         """
@@ -54,22 +54,22 @@
         self._led_at = now
 
     def record_reply(self, reply):
-        """Take what a SyncReply says of the group."""
+        """Record the status of the group from a SyncReply."""
         if not reply.lost:
             self._epoch = reply.epoch
 
     def permits_start(self, domain):
-        """Tell whether tasks of a domain may be started.
+        """Return whether tasks of the domain may be started.
 
         :param domain: :class:`~siskintally.domain.Domain`.
         """
         return not domain.fenced and self._epoch == domain.epoch
 
     async def run(self, *, group, domain, cell_call):
-        """Ask the cell while it is needed, until cancelled.
+        """Ask the cell for the group's status whenever starts are not permitted, until cancelled.
 
-        The leader asks by its sync; the others ask too, so that one that wins an election during a
-        partition can go on.
+        The leader asks with its sync requests. Followers ask here, so that one that wins an
+        election during a partition may start tasks.
 
         :param group: :class:`~siskintally.group.Group` of the domain group.
         """
@@ -83,6 +83,6 @@
             try:
                 self.record_reply(await cell_call(request, timeout=CHECK_TIMEOUT_S))
             except SiskintallyError as error:
-                log.info("cell not reached", error=str(error))
+                log.info("cell unreachable", error=str(error))
             if not self.permits_start(domain):
                 await sleep(RETRY_S)
--- a/siskintally/lease.py
+++ b/siskintally/lease.py
@@ -1,7 +1,7 @@
-"""Worker leases: when an owner may count a worker as lost, and when a worker must stop its tasks.
+"""Worker leases: when an owner may declare a worker lost, and when a worker must stop its tasks.
 
-Both sides are pure; times are seconds of the monotonic clock of the process that holds the object.
-Clock rates may differ by less than 1%, clock values are never compared between processes.
+Both sides do no I/O. Times are seconds of the monotonic clock of the process that uses the object.
+Clock rates may differ by less than 1%; clock values are never compared between processes.
 
 >>> from siskintally.lease import LeaseHolder, LeaseTable
 >>> worker, owner = LeaseHolder(lease_s=30.0), LeaseTable(lease_s=30.0, elected_at=0.0)
@@ -15,7 +15,7 @@
 (40.0, 42.1)
 """
 
-# Clock rates differ by less than 1%; the rest is room for rounding and for timers that fire late.
+# Clock rates differ by less than 1%; the rest allows for rounding and for timers that fire late.
 RATE_MARGIN = 1.02
 FIXED_MARGIN_S = 1.0
 
@@ -30,14 +30,14 @@
 
 
 class LeaseTable:
-    """The owner's side, for all workers of one term of leadership.
+    """The owner's side: the leases of all workers during one term.
 
-    A worker counts as lost ``lease_s`` x 1.02 + 1 s after the arrival of the last heartbeat that
-    was acknowledged, and no sooner than that after the election: an earlier owner may have renewed
-    the lease until shortly before.
+    A worker counts as lost ``lease_s`` x 1.02 + 1 s after the arrival of its last acknowledged
+    heartbeat, but no sooner than this time after the election: an earlier owner may have renewed
+    the lease until shortly before the election.
 
-    :param lease_s: duration of a lease.
-    :param elected_at: when this owner was elected.
+    :param lease_s: duration of a lease, seconds.
+    :param elected_at: time of the election of this owner.
     """
 
     __slots__ = ("_contact_by_worker", "elected_at", "lease_s")
@@ -48,11 +48,11 @@
         self._contact_by_worker = {}
 
     def watch(self, worker):
-        """Add a worker that the committed state names; an earlier owner may have renewed it."""
+        """Add a worker from the committed state, whose lease an earlier owner may have renewed."""
         self._contact_by_worker.setdefault(worker, _Contact(since=self.elected_at))
 
     def arrived(self, worker, seq, *, now):
-        """Note a heartbeat; it renews nothing until it is acknowledged.
+        """Record the arrival of a heartbeat; it renews the lease only once acknowledged.
 
         :param seq: number of the heartbeat in its session.
         """
@@ -61,7 +61,9 @@
         self._contact_by_worker[worker].arrival_by_seq.setdefault(seq, now)
 
     def acknowledged(self, worker, seq):
-        """Note that a heartbeat is about to be acknowledged, after a quorum round begun after it.
+        """Renew a lease, just before the heartbeat is acknowledged.
+
+        A quorum round that began after the arrival of the heartbeat must have succeeded.
 
         :returns: whether the heartbeat is known; if not, it must not be acknowledged.
         """
@@ -77,7 +79,7 @@
         return True
 
     def renewed(self, worker):
-        """Start the heartbeat numbers of a worker anew, for a new session."""
+        """Reset the heartbeat numbers of a worker, for a new session."""
         contact = self._contact_by_worker.get(worker)
         if contact is not None:
             contact.arrival_by_seq = {}
@@ -98,7 +100,7 @@
         return sorted(name for name in self._contact_by_worker if self.lost_at(name) <= now)
 
     def forget(self, worker):
-        """Drop a worker whose loss is committed."""
+        """Remove a worker that was declared lost."""
         self._contact_by_worker.pop(worker, None)
 
     def key(self):
@@ -111,11 +113,11 @@
 
 
 class LeaseHolder:
-    """The worker's side: one lease for all its tasks.
+    """The worker's side: one lease for all tasks of the worker.
 
-    The lease runs from the sending of the heartbeat, so a delay on the way only makes it shorter.
+    The lease runs from the time the heartbeat was sent, so a network delay only shortens it.
 
-    :param lease_s: duration until an owner gives another one.
+    :param lease_s: duration in seconds until an owner grants another one.
     """
 
     __slots__ = ("_sent_by_seq", "_seq", "held_from", "lease_s", "term")
@@ -128,17 +130,17 @@
         self._sent_by_seq = {}
 
     def beat(self, *, now):
-        """Return the number of a heartbeat that is sent now."""
+        """Record that a heartbeat is sent now; return its number."""
         self._seq += 1
         self._sent_by_seq[self._seq] = now
         return self._seq
 
     def acknowledged(self, seq, *, term, lease_s=None):
-        """Renew the lease from the sending of a heartbeat.
+        """Renew the lease from the time an acknowledged heartbeat was sent.
 
-        :param term: term of the owner; one lower than the highest seen is refused.
-        :param lease_s: duration that the owner grants.
-        :returns: whether the answer was taken.
+        :param term: term of the owner; a term lower than the highest seen is refused.
+        :param lease_s: duration that the owner grants, seconds.
+        :returns: whether the acknowledgement is valid.
         """
         if term < self.term:
             return False
@@ -153,15 +155,15 @@
         return True
 
     def expires_at(self):
-        """Return when the lease ends, or None if there is none."""
+        """Return when the lease expires, or None if there is none."""
         return None if self.held_from is None else self.held_from + self.lease_s
 
     def is_expired(self, now):
-        """Tell whether all tasks must be stopped; also before the first lease."""
+        """Return whether all tasks must be stopped; True also before the first lease."""
         return self.held_from is None or now >= self.held_from + self.lease_s
 
     def reset(self):
-        """Begin a new session: numbers of heartbeats sent before mean nothing any more."""
+        """Begin a new session: acknowledgements of earlier heartbeats no longer renew the lease."""
         self._sent_by_seq = {}
 
     def key(self):
--- a/siskintally/orders.py
+++ b/siskintally/orders.py
@@ -1,4 +1,4 @@
-"""Start and stop orders that a worker has not confirmed yet; pure.
+"""Start and stop orders that workers have not confirmed yet; does no I/O.
 
 >>> from siskintally.orders import Orders
 >>> from siskintally.wire_pb2 import StopOrder
@@ -10,8 +10,9 @@
 True
 """
 
-# Orders are lost only with their link, after which all are sent again at once. This time is longer
-# than the distance of two heartbeats, because workers confirm starts with the next regular one.
+# An order is resent after this time. Orders are lost only with their link, and then all are resent
+# at once. The time exceeds the interval between heartbeats, because workers confirm starts with the
+# next regular heartbeat.
 RESEND_S = 15.0
 
 
@@ -43,7 +44,7 @@
 
 
 class Orders:
-    """Pending orders by worker."""
+    """Unconfirmed orders of each worker."""
 
     __slots__ = ("_starts_by_worker", "_stops_by_worker")
 
@@ -52,37 +53,37 @@
         self._stops_by_worker = {}
 
     def start(self, worker, message):
-        """Add a start whose assignment is committed."""
+        """Add a start order whose assignment is committed."""
         starts = self._starts_by_worker.setdefault(worker, {})
         starts[message.task_id, message.attempt] = _Order(message=message)
 
     def stop(self, worker, message):
-        """Add a stop; an unsent start stays, so that the worker reports the end."""
+        """Add a stop order; an unsent start order stays, so that the worker reports the end."""
         stops = self._stops_by_worker.setdefault(worker, {})
         stops.setdefault((message.task_id, message.attempt), _Order(message=message))
 
     def running(self, worker, task_id, attempt):
-        """Note that a worker has confirmed a start."""
+        """Remove a start order that the worker has confirmed."""
         self._starts_by_worker.get(worker, {}).pop((task_id, attempt), None)
 
     def ended(self, worker, task_id, attempt):
-        """Note that an attempt has ended."""
+        """Remove the orders of an attempt that has ended."""
         self._starts_by_worker.get(worker, {}).pop((task_id, attempt), None)
         self._stops_by_worker.get(worker, {}).pop((task_id, attempt), None)
 
     def forget(self, worker):
-        """Drop all orders of a worker that is lost."""
+        """Remove all orders of a lost worker."""
         self._starts_by_worker.pop(worker, None)
         self._stops_by_worker.pop(worker, None)
 
     def resend(self, worker):
-        """Make all orders of a worker due, after its link was opened again."""
+        """Make all orders of a worker due, after it has reconnected or a send has failed."""
         for orders in (self._starts_by_worker, self._stops_by_worker):
             for order in orders.get(worker, {}).values():
                 order.sent_at = None
 
     def due(self, worker, *, now, with_starts=True):
-        """Return the orders that were not sent, or long ago, and count them as sent."""
+        """Return the orders not sent in the last ``RESEND_S``, and mark them as sent now."""
         starts = self._starts_by_worker.get(worker, {}) if with_starts else {}
         return Due(
             starts=list(_take(starts, now)),
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -1,4 +1,4 @@
-"""Owner of the workers of a domain group: what its leader does, from election to deposition.
+"""Owner of the workers of a domain group: runs on the leader, from election to loss of leadership.
 
 >>> from siskintally.owner import Owner
 >>> Owner.__mro__[1].__name__
@@ -30,7 +30,8 @@
 from siskintally.worker_service import WorkerService
 
 MAX_WATCH_S = 30.0
-# Part of the wait that is left for a read round on the next heartbeat of the group.
+# Part of the wait of a long poll that is kept for the quorum round that confirms the answer; the
+# next heartbeat of the group carries the round.
 CONFIRM_S = 0.5
 RESTART_S = 0.1
 
@@ -44,10 +45,10 @@
 
 
 class Owner(Handler):
-    """Places and watches tasks while this process leads a domain group.
+    """Places and supervises tasks while this process leads a domain group.
 
-    All it knows is in an :class:`~siskintally.owner_term.OwnerTerm`, built from the committed
-    state when leadership begins and dropped when it ends.
+    Its state is an :class:`~siskintally.owner_term.OwnerTerm`, built from the committed state when
+    leadership begins and dropped when it ends.
 
     :param group: :class:`~siskintally.group.Group` of the domain group.
     :param domain: its :class:`~siskintally.domain.Domain`.
@@ -95,7 +96,7 @@
         self._status_check = GroupStatusCheck()
 
     async def run(self):
-        """Act as the owner whenever this process leads, until cancelled."""
+        """Act as the owner while this process leads, term after term, until cancelled."""
         async with create_task_group() as tasks:
             tasks.start_soon(self._seek_clearance)
             await self._follow_leadership()
@@ -115,7 +116,7 @@
                     leadership = await leaderships.receive()
 
     async def _lead(self, leadership, leaderships):
-        """Act as the owner for one term; return the next leadership."""
+        """Act as the owner for one term; return the leadership that follows it."""
         self._status_check.note_leader(monotonic())
         owner_term = OwnerTerm(
             group=self._group,
@@ -141,7 +142,7 @@
         return following
 
     async def _hold(self, owner_term, scope):
-        """Run the loops of a term; after a lost commit the next one reads the state anew."""
+        """Run the loops of a term; after an uncertain commit the next term reloads the state."""
         workers = WorkerService(
             owner_term=owner_term, domains=self._settings.group_by_name[self._group.name].domains
         )
@@ -162,10 +163,10 @@
         self._config_changed = Event()
 
     async def answer(self, session, body):
-        """Answer a call of a worker or an entry.
+        """Answer a request from a worker or an entry.
 
         :raises NotLeaderError: this process does not lead the group.
-        :raises BadRequestError: no such call.
+        :raises BadRequestError: a domain owner does not serve this request.
         """
         if self.owner_term is None:
             raise NotLeaderError(f"not the owner of {self._group.name}", leader=self._leader())
@@ -175,10 +176,10 @@
             return await self._answer_watch(body)
         if type(body) in _LEDGER_FIELDS:
             return await self._answer_ledger(body)
-        raise BadRequestError(f"{type(body).__name__}: no such call of a domain owner")
+        raise BadRequestError(f"{type(body).__name__}: a domain owner does not serve this request")
 
     def closed(self, session):
-        """Give no new tasks to a worker whose link has ended."""
+        """Place no new tasks on the workers of a closed link."""
         if self._workers is not None:
             self._workers.closed(session)
 
@@ -186,7 +187,7 @@
         return self._group.leader or ""
 
     async def _answer_watch(self, body):
-        """Return the committed configuration, at once if it is newer than the known one."""
+        """Return the committed configuration when it differs from the known one or on timeout."""
         deadline = self._clock() + min(max(body.wait_s - CONFIRM_S, 0.0), MAX_WATCH_S)
         while not self._has_news(body) and self.owner_term is not None:
             remaining = deadline - self._clock()
@@ -206,7 +207,7 @@
 
     async def _answer_ledger(self, body):
         at = self.owner_term.stamp()
-        body.ClearField("group")  # The log of a group need not repeat its name.
+        body.ClearField("group")  # Saves log space: the group is known from its log.
         command = DomainCommand(at=at, **{_LEDGER_FIELDS[type(body)]: body})
         reply = DomainReply.FromString(await self._group.propose(command.SerializeToString()))
         if reply.code != Code.DONE:
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -1,4 +1,4 @@
-"""What an owner knows in one term of leadership: placement, leases, links, pending orders.
+"""State of a domain owner in one term: placement, leases, links and pending orders.
 
 >>> from siskintally.owner_term import OwnerTerm
 >>> OwnerTerm.__name__
@@ -19,12 +19,13 @@
 from siskintally.wire_pb2 import StartOrder, StopOrder, WorkerOrders
 from siskintally.workload import Job, Kind, Urgency
 
-# Heartbeats are not urgent; rounds of this distance keep the share of the control budget small.
+# Heartbeats that arrive within this window share a quorum round. They are not urgent, and fewer
+# rounds keep their share of the control traffic budget small.
 CONFIRM_WINDOW_S = 0.25
 
 
 class OwnerTerm:
-    """State of the owner in one term, built from the committed state; gone with the leadership.
+    """State of the owner in one term, built from the committed state and dropped with leadership.
 
     :param group: :class:`~siskintally.group.Group` that this process leads.
     :param domain: its :class:`~siskintally.domain.Domain`.
@@ -71,9 +72,10 @@
         self.grant_s = domain.longest_lease_s
         self.settled_at = self.since
         self.orders = Orders()
-        # Workers that register after an election get no tasks before the round, so it is urgent.
+        # Workers that register after an election get no tasks before this round, so it is urgent.
         self.register_confirm = SharedConfirm(confirm=group.confirm, window_s=window_s)
-        # A round of its own costs two messages to each follower; the next heartbeat carries it.
+        # Not urgent: a separate round costs two messages for each follower, so the next heartbeat
+        # of the group carries this one.
         self.shared_confirm = SharedConfirm(
             confirm=partial(group.confirm, urgent=False), window_s=window_s
         )
@@ -91,7 +93,7 @@
         for name, worker in self.domain.worker_by_name.items():
             self.add_worker(name, worker, connected=False)
             self.leases.watch(name)
-        # The former leader may have committed the end of a job and not lived to report it.
+        # The former leader may have committed the end of a job and failed before reporting it.
         self.dirty.update(self.domain.job_by_id)
         for job in self.domain.job_by_id.values():
             if not job.is_over:
@@ -99,9 +101,10 @@
         self.request_pass()
 
     def configure(self):
-        """Follow the preset in force.
+        """Apply the preset in force.
 
-        Leases given before may be longer; until they are over, workers count as lost later.
+        Leases granted before may be longer. Until those have expired, the longer duration decides
+        when a worker counts as lost.
         """
         preset = self.domain.preset()
         self.placement.may_preempt = preset.preempt
@@ -111,7 +114,7 @@
         self.settled_at = self.clock() + self.leases.lease_s * RATE_MARGIN + FIXED_MARGIN_S
 
     async def settle_leases(self):
-        """Commit that no longer lease runs any more, when that is certain."""
+        """Commit the granted lease duration as the longest, once all longer leases have expired."""
         if self.leases.lease_s <= self.grant_s or self.clock() < self.settled_at:
             return
         grant_s = self.grant_s
@@ -120,7 +123,7 @@
             self.leases.lease_s = grant_s
 
     def add_worker(self, name, worker, *, connected):
-        """Offer a committed worker to placement."""
+        """Add a committed worker to placement."""
         record = worker.record
         self.placement.add_worker(
             name, domain=record.domain, rack=record.rack, capacity=worker.capacity
@@ -142,16 +145,16 @@
             self.stop_tasks(self.placement.cancel(job.item.job_id))
 
     def request_pass(self, *, urgent=False):
-        """Have waiting tasks looked at soon, or at once."""
+        """Request a placement pass; an urgent one does not wait for other changes."""
         self.urgent = self.urgent or urgent
         self.wake.set()
 
     async def commit(self, **change):
-        """Commit one change of a DomainCommand and act on the attempts that it ended.
+        """Commit a DomainCommand with one change, and handle the attempts that it ended.
 
         :returns: DomainReply.
         :raises NotLeaderError: nothing was proposed.
-        :raises OutcomeUnknownError: leadership was lost; this object must not be used on.
+        :raises OutcomeUnknownError: leadership was lost; this object must not be used any more.
         """
         self.check()
         command = DomainCommand(at=self.stamp(), **change)
@@ -165,19 +168,20 @@
         return reply
 
     def stamp(self):
-        """Return the time for a command: committed time plus what has passed in this term.
+        """Return the timestamp of a command: committed time plus the time since the term began.
 
-        A wall clock that is a day ahead would let the ledger forget orders that can be resent.
+        With a wall clock that is a day ahead the ledger would drop requests that callers may still
+        resend.
         """
         return self._committed_at + self.clock() - self.since
 
     def check(self):
-        """Refuse to act after the leadership has ended.
+        """Check that this process still leads the group in this term.
 
-        :raises NotLeaderError: it has.
+        :raises NotLeaderError: it does not.
         """
         if self.is_over or not self.group.is_leader or self.group.term != self.term:
-            raise NotLeaderError("not the owner any more", leader=self.group.leader or "")
+            raise NotLeaderError("no longer the owner", leader=self.group.leader or "")
 
     def _ended(self, task_id, cause):
         job_id = job_id_of(task_id)
@@ -204,7 +208,7 @@
             self.placement.forget(job_id)
 
     def stop_tasks(self, task_ids, *, checkpoint=False):
-        """Order the stop of tasks; their resources stay allocated until the end is reported."""
+        """Queue stop orders for tasks; their resources stay allocated until the end is reported."""
         for task_id in list(task_ids):
             task = self.domain.task(task_id)
             if task is None or not task.worker:
@@ -216,16 +220,16 @@
             self.unsent.add(task.worker)
 
     def may_start(self):
-        """Tell whether the cell has said that the group is not lost."""
+        """Return whether the group status check permits starting tasks."""
         return self.status_check.permits_start(self.domain)
 
     def is_idle(self):
-        """Tell whether a fenced group has nothing running, on workers it does not know either."""
+        """Return whether nothing runs in a fenced group, nor on workers that it does not know."""
         is_over = self.clock() >= self.settled_at
         return self.domain.fenced and self.domain.is_idle and is_over
 
     def withdraw(self):
-        """Follow the committed state of a group that was declared lost: nothing may run."""
+        """Apply the committed state of a group declared lost: drop its jobs and stop its tasks."""
         for job_id in list(self.placement.job_by_id):
             if job_id in self.domain.job_by_id:
                 self.follow(job_id)
@@ -235,7 +239,7 @@
         self.push()
 
     def start_task(self, task_id):
-        """Order the start of a task, unless its committed assignment has ended meanwhile."""
+        """Queue the start order of a task, unless its committed assignment has ended."""
         task = self.domain.task(task_id)
         if task is None or not task.worker:
             return
@@ -252,7 +256,7 @@
         self.unsent.add(task.worker)
 
     def orders_for(self, worker, session):
-        """Return the WorkerOrders with all due orders of a worker."""
+        """Return a WorkerOrders message with all due orders for a worker."""
         due = self.orders.due(worker, now=self.clock(), with_starts=self.may_start())
         return WorkerOrders(
             session=session,
@@ -264,7 +268,7 @@
         )
 
     def push(self):
-        """Send new orders between heartbeats; what cannot be sent goes with the next answer."""
+        """Send new orders at once; those that cannot be sent go with the next heartbeat answer."""
         self.check()
         names, self.unsent = self.unsent, set()
         for name in sorted(names):
@@ -277,7 +281,7 @@
                 self.orders.resend(name)
 
     def follow(self, job_id):
-        """Bring placement up to date with a committed JobItem."""
+        """Update placement from the committed state of a job."""
         job = self.domain.job_by_id.get(job_id)
         if job is None:
             return
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -1,4 +1,4 @@
-"""Decisions on which worker runs which task; pure, with the time passed in.
+"""Placement of waiting tasks on workers; does no I/O, callers pass the time.
 
 >>> from siskintally.placement import Placement
 >>> from siskintally.size import Size
@@ -23,20 +23,20 @@
 from siskintally.reservation import RESERVE_AFTER_S, Reservations
 from siskintally.workload import Kind, Urgency
 
-# Searches without a result, or for preemption, in each part of a pass: together they stay below the
+# Failed searches and preemption searches in each part of a pass. The limit keeps a pass below the
 # 2 ms that a decision may take.
 MAX_MISSES = 32
-# Jobs looked at in each part of a pass, most of them known not to fit.
+# Jobs examined in each part of a pass; most are skipped because they are known not to fit.
 MAX_LOOKS = 500
-# Without changes, the queue is looked at this often for reservations that became due.
+# Shortest time between passes while nothing changes; a pass then makes reservations that are due.
 PASS_INTERVAL_S = 1.0
 
 
 class Decision:
-    """Result of one pass.
+    """Result of one placement pass.
 
     :param assignments: list of :class:`~siskintally.policy.Assignment`.
-    :param stops: ids of tasks to stop for urgent work.
+    :param stops: ids of tasks to preempt for urgent jobs.
     """
 
     __slots__ = ("assignments", "stops")
@@ -47,10 +47,10 @@
 
 
 class Placement:
-    """Jobs, workers and the order in which resources are given out.
+    """Queued jobs, the worker pool, and the passes that assign tasks to workers.
 
-    A decision takes the resources at once; they come back by :meth:`ended` or :meth:`lose_worker`.
-    ``may_preempt`` and ``places_deferrable`` follow the preset in force.
+    A pass allocates resources at once; :meth:`ended` or :meth:`lose_worker` frees them.
+    ``may_preempt`` and ``places_deferrable`` are set from the preset in force.
     """
 
     __slots__ = (
@@ -87,13 +87,13 @@
         self._last_pass = float("-inf")
 
     def add_worker(self, name, *, domain, rack, capacity):
-        """Add a worker, without tasks."""
+        """Add a worker that runs no tasks."""
         self.pool.add(name, domain=domain, rack=rack, capacity=capacity)
         self.pool.freed += 1
         self._capacities.add(domain, capacity)
 
     def lose_worker(self, name):
-        """Remove a worker; return the ids of the tasks that ended with it."""
+        """Remove a lost worker; return the ids of the tasks that ran on it."""
         worker = self.pool.worker_by_name[name]
         self._reservations.drop_on(worker)
         self._capacities.remove(worker.domain, worker.capacity)
@@ -101,7 +101,7 @@
         return self.pool.remove(name)
 
     def drain_worker(self, name, *, draining):
-        """Stop or resume giving new tasks to a worker."""
+        """Stop or resume placing new tasks on a worker."""
         worker = self.pool.worker_by_name.get(name)
         if worker is not None and worker.draining != draining:
             if draining:
@@ -109,13 +109,13 @@
             self.pool.open(worker, draining=draining)
 
     def connect_worker(self, name, *, connected):
-        """Give new tasks only to workers that can be reached."""
+        """Record whether a worker is connected; only connected workers get new tasks."""
         worker = self.pool.worker_by_name.get(name)
         if worker is not None and worker.connected != connected:
             self.pool.open(worker, connected=connected)
 
     def set_waiting(self, job_id, task_ids):
-        """Replace the waiting tasks of a job; tasks that hold resources are left out."""
+        """Replace the waiting tasks of a job, except tasks that have resources allocated."""
         job = self.job_by_id[job_id]
         held = self.pool.held_by_task
         job.waiting = deque(task_id for task_id in task_ids if task_id not in held)
@@ -142,15 +142,15 @@
             self._backlog.add(job)
 
     def restore(self, job_id, task_id, worker):
-        """Record a task that runs already, as the committed state says.
+        """Allocate resources to a task that the committed state assigns to a worker.
 
-        :raises OvercommitError: the worker has no room for it.
+        :raises OvercommitError: the worker has too few free resources.
         """
         job = self.job_by_id[job_id]
         self.pool.take(self.pool.worker_by_name[worker], task_id, job)
 
     def cancel(self, job_id):
-        """Drop the waiting tasks of a job; return the ids of those that run and must be stopped."""
+        """Drop the waiting tasks of a job; return the ids of its running tasks, to be stopped."""
         job = self.job_by_id.get(job_id)
         if job is None or job.cancelled:
             return []
@@ -162,17 +162,17 @@
         return list(job.running)
 
     def forget(self, job_id):
-        """Drop a job that has no tasks left."""
+        """Remove a job that has no running tasks left."""
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
             self._backlog.remove(job)
             self._reservations.drop(job)
 
     def ended(self, task_id, *, now, failed=False, succeeded=False):
-        """Free what a task held, after its worker reported the end.
+        """Free the resources of a task whose attempt has ended.
 
-        :param failed: it ended with an error; counts against the worker.
-        :param succeeded: it ran to its end.
+        :param failed: the task ended with an error; counts towards ejecting the worker.
+        :param succeeded: the task ran to completion.
         """
         held = self.pool.release(task_id)
         if held is None:
@@ -185,11 +185,11 @@
         self._reservations.offer(worker)
 
     def decide(self, *, now, limit=1000):
-        """Place waiting tasks in order.
+        """Run a pass: place waiting tasks in queue order.
 
         :param now: monotonic seconds.
-        :param limit: number of assignments; the last gang may go beyond it.
-        :returns: :class:`Decision`; its resources are taken already.
+        :param limit: maximum number of assignments; the last gang may exceed it.
+        :returns: :class:`Decision`; the resources of its assignments are allocated already.
         """
         decision = Decision()
         self._readmission.review(now)
@@ -211,9 +211,9 @@
             self._tidy(job)
 
     def _pass(self, decision, now, limit):
-        """Try the jobs in order; return whether none was left out for the limits.
+        """Try to place the queued jobs; return whether the limits left none untried.
 
-        The head of the queue comes first, then jobs not tried yet, then the others in turn.
+        Tries the head of the queue first, then new jobs, then the others round robin.
         """
         self._failed_searches.start(self.pool.freed)
         self._failed_reclaim_searches.start((self.pool.freed, self.pool.offered))
@@ -230,7 +230,7 @@
         return False
 
     def _run(self, jobs, start, decision, now, limit):
-        """Try jobs from a position on; return the position reached within the limits."""
+        """Try jobs from a position on; return the position at which a limit stopped the pass."""
         misses = 0
         for position in range(start, min(start + MAX_LOOKS, len(jobs))):
             if misses >= MAX_MISSES or len(decision.assignments) >= limit:
@@ -243,7 +243,7 @@
         return min(start + MAX_LOOKS, len(jobs))
 
     def _try(self, job, decision, now, limit):
-        """Place what can be placed of a job; return the number of searches made for the rest."""
+        """Place as many tasks of a job as fit; return the number of failed searches."""
         missed, known = True, self._failed_searches.covers(job)
         if not known:
             room = limit - len(decision.assignments)
@@ -258,7 +258,7 @@
         return (not known) + self._wait(job, decision, now)
 
     def _wait(self, job, decision, now):
-        """Act for a job that has found no room; return the number of searches made."""
+        """Preempt or reserve for a job that does not fit; return the number of searches made."""
         searches = 0
         if job.blocked_since is None:
             searches = 1
@@ -289,7 +289,7 @@
             self._reservations.drop(job)
 
     def review(self):
-        """Judge again which jobs can never run, after workers were added or lost."""
+        """Recompute which jobs can never fit, after workers were added or lost."""
         for job in self.job_by_id.values():
             if job.waiting:
                 job.reason, job.never = self._capacities.reason(job)
--- a/siskintally/policy.py
+++ b/siskintally/policy.py
@@ -1,4 +1,4 @@
-"""How the tasks of one job are put on workers, by kind of job.
+"""Placement policies: how each kind of job chooses workers for its tasks.
 
 >>> from siskintally.policy import policy_for
 >>> from siskintally.workload import Kind
@@ -12,7 +12,7 @@
 
 
 class Assignment:
-    """A task and the worker it was given."""
+    """A task and the worker it is assigned to."""
 
     __slots__ = ("job", "task_id", "worker")
 
@@ -23,15 +23,15 @@
 
 
 class Policy(ABC):
-    """Chooses workers for the waiting tasks of a job and takes their resources."""
+    """Chooses workers for the waiting tasks of a job and allocates their resources."""
 
     __slots__ = ()
 
     @abstractmethod
     def place(self, *, pool, job, limit):
-        """Return assignments for up to ``limit`` waiting tasks; the tasks no longer wait.
+        """Remove up to ``limit`` waiting tasks from the job; return their assignments.
 
-        :param limit: number of tasks; a gang is placed whole even if it is larger.
+        :param limit: maximum number of tasks; does not apply to a gang, which is placed whole.
         """
 
 
@@ -40,10 +40,10 @@
 
     @abstractmethod
     def choose(self, pool, job):
-        """Return a worker for one task, or None."""
+        """Return a worker for one task, or None if it fits nowhere."""
 
     def place(self, *, pool, job, limit):
-        """Place tasks one after the other."""
+        """Place tasks one at a time until one fits nowhere."""
         placed = []
         while job.waiting and len(placed) < limit:
             worker = self.choose(pool, job)
@@ -59,32 +59,32 @@
 
 
 class BatchPolicy(_OneByOne):
-    """Best fit on the scarcer resource, so that large holes stay for large tasks."""
+    """Best fit by the scarcer resource, which keeps large free amounts for large tasks."""
 
     __slots__ = ()
 
     def choose(self, pool, job):
-        """Return the tightest worker."""
+        """Return the worker with the tightest fit."""
         return pool.best(job)
 
 
 class ServicePolicy(_OneByOne):
-    """Fewest tasks of the same job in a domain, then in a rack, then on a worker."""
+    """Spreads tasks: fewest of the job in a failure domain, then in a rack, then on a worker."""
 
     __slots__ = ()
 
     def choose(self, pool, job):
-        """Return a worker far from the other tasks of the job."""
+        """Return a worker where few other tasks of the job run."""
         return pool.spread(job)
 
 
 class GangPolicy(Policy):
-    """All tasks or none; nothing is held while a part of the gang has no room."""
+    """Places all tasks or none; nothing stays allocated if a part of the gang does not fit."""
 
     __slots__ = ()
 
     def place(self, *, pool, job, limit):
-        """Place the whole gang in one decision, or nothing."""
+        """Place the whole gang, or nothing."""
         if job.running or not _has_room(pool, job):
             return []
         placed = []
@@ -105,7 +105,7 @@
 
 
 def _has_room(pool, job):
-    """Count places without taking any; most gangs that do not fit are refused here."""
+    """Return whether enough tasks fit, without allocating; rejects most gangs that do not fit."""
     count = 0
     for worker in pool.fitting(job):
         count += 1 if worker.probing else job.need.times(worker.available())
--- a/siskintally/pool.py
+++ b/siskintally/pool.py
@@ -1,4 +1,4 @@
-"""Workers, what runs on them, and the search for free resources.
+"""Worker pool of a domain group: allocations, and searches for free resources.
 
 >>> from siskintally.pool import Pool
 >>> from siskintally.size import Size
@@ -19,19 +19,19 @@
 from siskintally.worker import Held, Worker
 from siskintally.worker_index import WorkerIndex
 
-# A service compares this many workers with room; more would cost time and hardly spread it better.
+# Workers with enough free resources compared to spread a service; more cost time and hardly help.
 MAX_COMPARED = 256
 
 
 class OvercommitError(SiskintallyError):
-    """A decision would allocate more than a worker has; it was not carried out."""
+    """An allocation was refused: it exceeds the free resources or the task has one already."""
 
 
 class Pool:
     """All workers of a domain group.
 
-    ``freed`` grows whenever a task that did not fit before may fit now, ``offered`` when a task
-    was placed that urgent work may stop.
+    ``freed`` grows whenever a task that did not fit before may fit now. ``offered`` grows whenever
+    a preemptible task is placed. Both show that a failed search is worth repeating.
     """
 
     __slots__ = (
@@ -56,7 +56,7 @@
         self._reclaim_by_domain = {}
 
     def add(self, name, *, domain, rack, capacity):
-        """Add a worker without tasks."""
+        """Add a worker that runs no tasks."""
         worker = Worker(name=name, domain=domain, rack=rack, capacity=capacity)
         self.worker_by_name[name] = worker
         self.capacity += capacity
@@ -67,7 +67,7 @@
         self.refresh(worker)
 
     def remove(self, name):
-        """Remove a worker that is lost; return the ids of the tasks it held."""
+        """Remove a lost worker; return the ids of the tasks that were allocated on it."""
         worker = self.worker_by_name[name]
         tasks = list(worker.held_by_task)
         for task_id in tasks:
@@ -80,7 +80,7 @@
         return tasks
 
     def refresh(self, worker):
-        """Bring the indexes up to date after a change of a worker."""
+        """Update the indexes after a worker has changed."""
         index = self._index_by_domain[worker.domain]
         accelerated = worker.capacity.accelerators > 0
         size = worker.available() if worker.is_open else None
@@ -95,9 +95,9 @@
         reclaim.put(worker, after, accelerated=accelerated)
 
     def take(self, worker, task_id, job):
-        """Allocate resources to a task; the only place that does so.
+        """Allocate resources to a task; nothing else allocates.
 
-        :raises OvercommitError: the task does not fit or holds resources already.
+        :raises OvercommitError: the task does not fit or has resources allocated already.
         """
         left = worker.free - job.need
         if left.cpu < 0 or left.memory < 0 or left.accelerators < 0:
@@ -105,7 +105,7 @@
                 f"{task_id} needs {job.need}, {worker.name} has {worker.free} free"
             )
         if task_id in self.held_by_task:
-            raise OvercommitError(f"{task_id} already holds resources")
+            raise OvercommitError(f"{task_id} already has resources allocated")
         held = Held(task_id=task_id, job=job, worker=worker)
         self.held_by_task[task_id] = worker.held_by_task[task_id] = held
         worker.free = left
@@ -121,9 +121,9 @@
         self.refresh(worker)
 
     def release(self, task_id):
-        """Free the resources of a task whose end is certain.
+        """Free the resources of a task that certainly no longer runs.
 
-        :returns: what the task held, or None if it held nothing.
+        :returns: the allocation, or None if the task had none.
         """
         held = self.held_by_task.pop(task_id, None)
         if held is None:
@@ -146,13 +146,13 @@
         return held
 
     def stop(self, task_id):
-        """Note that a task was told to stop; it holds its resources until :meth:`release`."""
+        """Mark a task as stopping; its resources stay allocated until :meth:`release`."""
         held = self.held_by_task[task_id]
         if not held.stopping:
             self._mark(held, stopping=True)
 
     def resume(self, task_id):
-        """Take back :meth:`stop`, when the order was not sent."""
+        """Undo :meth:`stop` for a task whose stop order was not sent."""
         held = self.held_by_task[task_id]
         if held.stopping:
             self._mark(held, stopping=False)
@@ -167,19 +167,19 @@
         self.refresh(worker)
 
     def reserve(self, worker, need):
-        """Keep a worker's resources, free now or later, from other tasks."""
+        """Withhold resources of a worker, also ones not free yet, from other tasks."""
         worker.reserved += need
         self.refresh(worker)
 
     def unreserve(self, worker, need):
-        """Take back a reservation."""
+        """Release a reservation."""
         left = worker.reserved - need
         worker.reserved = NOTHING if left == NOTHING else left
         self.freed += 1
         self.refresh(worker)
 
     def open(self, worker, *, draining=None, ejected=None, connected=None):
-        """Change whether a worker takes new tasks."""
+        """Set the flags that decide whether a worker accepts new tasks."""
         if connected is not None:
             worker.connected = connected
         if draining is not None:
@@ -190,7 +190,7 @@
         self.refresh(worker)
 
     def memory_is_scarcer(self):
-        """Tell whether a larger part of the memory is in use than of the processors."""
+        """Return whether a larger share of the memory than of the processors is in use."""
         total, free = self.capacity, self.free
         return free.memory * total.cpu < free.cpu * total.memory
 
@@ -200,7 +200,7 @@
         return self._index_by_domain
 
     def best(self, job):
-        """Return the worker that a task of a job fits on most tightly, or None."""
+        """Return the worker with the tightest fit for a task of the job, or None."""
         by_memory = self.memory_is_scarcer()
         found = None
         for domain in self._domains(job):
@@ -210,12 +210,12 @@
         return found
 
     def fitting(self, job):
-        """Yield the workers that one task of a job fits on now, tightest classes first."""
+        """Yield the workers that a task of the job fits on now, tightest size classes first."""
         for domain in self._domains(job):
             yield from self._index_by_domain[domain].fitting(job.need)
 
     def reclaim(self, job):
-        """Return the tightest worker for a task once deferrable tasks have ended, or None."""
+        """Return the worker with the tightest fit if its preemptible tasks are stopped, or None."""
         for domain in self._domains(job):
             worker = self._reclaim_by_domain[domain].best(job.need)
             if worker is not None:
--- a/siskintally/preemption.py
+++ b/siskintally/preemption.py
@@ -1,4 +1,4 @@
-"""Places for urgent tasks that are made by stopping deferrable batch tasks.
+"""Preemption: stops deferrable batch tasks to free resources for urgent tasks.
 
 >>> from siskintally.pool import Pool
 >>> from siskintally.preemption import preempt
@@ -17,9 +17,9 @@
 
 
 def preempt(pool, job):
-    """Reserve places for the waiting tasks of an urgent job by stopping deferrable batch tasks.
+    """Choose deferrable batch tasks to stop, and reserve their resources for an urgent job.
 
-    :returns: ids of the tasks to stop. A gang gets all places or none.
+    :returns: ids of the tasks to stop. A gang gets reservations for all its tasks or for none.
     """
     victims = []
     first = len(job.reservations)
@@ -43,7 +43,7 @@
 
 
 def _cheapest(worker, need):
-    """Return few deferrable tasks whose end makes room for ``need``."""
+    """Return few preemptible tasks that free enough resources for ``need`` when they stop."""
     room = worker.after_stops(reclaim=False)
     candidates = [
         held for held in worker.held_by_task.values() if held.job.reclaimable and not held.stopping
@@ -63,7 +63,7 @@
 
 
 def _closing(candidates, gap):
-    """Return the smallest task that closes the gap alone, otherwise the largest task."""
+    """Return the smallest task that covers the missing resources alone, otherwise the largest."""
     for held in candidates:
         if gap.within(held.job.need):
             return held
--- a/siskintally/readmission.py
+++ b/siskintally/readmission.py
@@ -1,4 +1,4 @@
-"""Workers that were ejected for failed tasks, and how they are taken back.
+"""Ejection of failing workers from the pool, and their readmission after a probe task.
 
 >>> from siskintally.pool import Pool
 >>> from siskintally.readmission import Readmission
@@ -15,12 +15,12 @@
 
 from siskintally.ejection import Ejection
 
-# A worker that is tried with one task is trusted again when the task has run this long.
+# A worker is readmitted when its probe task has run this long.
 PROBE_RUN_S = 30.0
 
 
 class Readmission:
-    """Closes and opens the workers of a pool after failures and successes of their tasks.
+    """Ejects and readmits the workers of a pool after failures and successes of their tasks.
 
     :param pool: :class:`~siskintally.pool.Pool`.
     """
@@ -33,7 +33,7 @@
         self._since_by_name = {}
 
     def failed(self, worker, job_id, *, now):
-        """Note a failed task; return whether the worker was ejected for it.
+        """Record a failed task; return whether the worker was ejected for it.
 
         :param now: monotonic seconds.
         """
@@ -44,14 +44,14 @@
         return True
 
     def succeeded(self, worker):
-        """Note a task that ran to its end."""
+        """Record a task that ran to completion; a successful probe readmits its worker."""
         if self._ejection.succeeded(worker.name):
             self._restore(worker)
 
     def review(self, now):
-        """Take back workers whose first task has run for a while, and try those that are due.
+        """Readmit workers whose probe task has run long enough; start probes that are due.
 
-        A first task counts as a success before its end, because a service never ends.
+        A probe counts as a success before its task ends, because a service never ends.
         """
         for name, since in list(self._since_by_name.items()):
             worker = self._pool.worker_by_name.get(name)
@@ -72,7 +72,7 @@
                 self._pool.open(worker, ejected=False)
 
     def forget(self, name):
-        """Drop what is known of a worker that is gone."""
+        """Drop the failure history of a removed worker."""
         self._ejection.forget(name)
 
     def _restore(self, worker):
--- a/siskintally/reconciler.py
+++ b/siskintally/reconciler.py
@@ -1,4 +1,4 @@
-"""Comparison of what a worker reports with what is assigned to it; pure.
+"""Reconciles a worker's heartbeat with the committed assignments; does no I/O.
 
 >>> from siskintally.domain import Domain
 >>> from siskintally.reconciler import compare
@@ -21,14 +21,14 @@
 
 
 class Findings:
-    """What follows from a heartbeat.
+    """Differences between a heartbeat and the committed state.
 
     :param joined: WorkerRecord to commit if the worker is new or has changed, or None.
     :param ended: AttemptEnd messages to commit.
-    :param seen: reported ends; the worker may forget them once ``ended`` is committed.
-    :param running: (task id, attempt) of assigned attempts that the worker confirms.
-    :param missing: ids of tasks assigned in this session that the worker does not know.
-    :param stops: StopOrder messages for attempts that are not assigned to it.
+    :param seen: reported ends; the worker may drop them once ``ended`` is committed.
+    :param running: (task id, attempt) of assigned attempts that the worker reports as started.
+    :param missing: ids of tasks assigned in this session that the worker does not report.
+    :param stops: StopOrder messages for attempts that are not assigned to the worker.
     """
 
     __slots__ = ("ended", "joined", "missing", "running", "seen", "stops")
@@ -43,7 +43,7 @@
 
     @property
     def must_commit(self):
-        """Whether the committed state changes."""
+        """Whether there are changes to commit."""
         return self.joined is not None or bool(self.ended)
 
 
@@ -51,7 +51,7 @@
     """Compare a heartbeat with the committed state.
 
     :param domain: :class:`~siskintally.domain.Domain`.
-    :param beat: WorkerBeat; a full one lists all attempts that the worker knows.
+    :param beat: WorkerBeat; a full one lists all attempts of the worker.
     :returns: :class:`Findings`.
     """
     findings = Findings()
@@ -89,10 +89,11 @@
 
 
 def _compare_absent(domain, worker, beat, findings):
-    """Judge assigned attempts that a full report leaves out.
+    """Add the assigned attempts that a full heartbeat does not list.
 
-    In the session of the assignment the start was lost or is under way, and the worker ignores a
-    second one. In another session the attempt was never started or has ended with the old session.
+    If the session is the one of the assignment, the start order was lost or is in flight; it is
+    resent, and the worker ignores a duplicate. In another session the attempt was never started or
+    has ended with the old session.
     """
     reported = {(state.task_id, state.attempt) for state in beat.attempts}
     for task_id in sorted(worker.task_ids):
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -1,7 +1,7 @@
-"""Reservations of resources for jobs that have waited long.
+"""Reservations of worker resources for jobs that have waited long.
 
-A reservation keeps resources from other jobs. It allocates nothing: the task is placed when the
-resources are free, which is after the worker has reported the end of what used them.
+A reservation withholds resources from other jobs but allocates nothing. The task is placed once the
+resources are free, after the worker has reported the end of the tasks that used them.
 
 >>> from siskintally.pool import Pool
 >>> from siskintally.reservation import Reservations
@@ -21,17 +21,20 @@
 from siskintally.policy import Assignment, policy_for
 from siskintally.workload import Kind, Urgency
 
-# A job that has found no room for this long gets a reservation. Most large tasks find room earlier;
-# with 5 s the places kept idle for them cost 0.5 to 1.3 points of packing on 100 workers.
+# A job that has not fitted for this long gets a reservation. Most large tasks fit earlier. With 5 s
+# the resources kept idle for them cost 0.5 to 1.3 percentage points of packing on 100 workers.
 RESERVE_AFTER_S = 15.0
-# Each reservation keeps resources idle, so only the oldest jobs get one.
+# Jobs with reservations at a time. Reservations keep resources idle, so only the first get one.
 MAX_RESERVATIONS = 4
-# Places of a job compared with a worker on which a task ended; bounds the time for large gangs.
+# Reservations of a job compared with a worker on which a task ended; bounds the time for large
+# gangs.
 MAX_COMPARED = 32
 
 
 class Reservations:
-    """Jobs with reserved places. Places are moved to where less has to end, as tasks end.
+    """Jobs with reserved resources.
+
+    When a task ends, reservations move to its worker if they can be used there sooner.
 
     :param pool: :class:`~siskintally.pool.Pool`.
     """
@@ -49,9 +52,9 @@
         return len(self._jobs) < MAX_RESERVATIONS
 
     def reserve(self, job):
-        """Reserve places for all tasks of a gang, otherwise for one.
+        """Reserve resources for all tasks of a gang, or for one task of another job.
 
-        :returns: whether all reservations could be made, within the limit on their number.
+        :returns: False if the workers or the limit on jobs with reservations do not permit it.
         """
         if not self.has_room:
             return False
@@ -65,32 +68,32 @@
         return True
 
     def keep(self, job):
-        """Note a job whose places were reserved; those of urgent jobs are never moved."""
+        """Register a job that has reservations; those of urgent jobs are never moved."""
         if job.job_id not in self._job_by_id and job.urgency != Urgency.URGENT:
             self._jobs.append(job)
         self._job_by_id[job.job_id] = job
 
     def drop(self, job):
-        """Take back all reservations of a job."""
+        """Release all reservations of a job and unregister it."""
         withdraw(self._pool, job)
         if self._job_by_id.pop(job.job_id, None) is not None and job in self._jobs:
             self._jobs.remove(job)
 
     def drop_on(self, worker):
-        """Take back the reservations of jobs with a place on a worker that cannot keep it."""
+        """Release all reservations of the jobs that have one on a worker no longer available."""
         for job in list(self._job_by_id.values()):
             if worker in job.reservations:
                 self.drop(job)
 
     def place(self):
-        """Place what has room now; return the assignments and the jobs that were looked at."""
+        """Place tasks that fit now; return the assignments and all jobs that had reservations."""
         jobs = list(self._job_by_id.values())
         return [found for job in jobs for found in place_reserved(self._pool, job)], jobs
 
     def offer(self, worker):
-        """Move places to a worker on which a task ended, where less has to end there.
+        """Move reservations to a worker on which a task ended, if the shortfall is smaller there.
 
-        Older jobs come first.
+        Jobs that have had reservations for longer come first.
         """
         for job in self._jobs:
             while _move(self._pool, job, worker):
@@ -98,7 +101,7 @@
 
 
 def _closest(pool, job, wanted):
-    """Return workers for ``wanted`` places, those where the least has to end; empty if too few."""
+    """Return ``wanted`` workers with the smallest shortfall, repeats allowed; empty if too few."""
     places = [
         (_shortfall(worker, job.need, 1), worker.name, 1, worker)
         for worker in pool.worker_by_name.values()
@@ -122,18 +125,21 @@
 
 
 def _most(worker, need):
-    """Return how many places can be reserved; tasks that run until stopped are taken to stay."""
+    """Return how many tasks can be reserved for, without the resources of long-running tasks."""
     count = need.times(worker.capacity - worker.lasting() - worker.reserved)
     return min(count, 1) if worker.probing else count
 
 
 def _move(pool, job, worker):
-    """Move the place that lacks most to ``worker`` if less is missing there; tell whether."""
+    """Move the reservation with the largest shortfall to ``worker``, if it is smaller there.
+
+    :returns: whether a reservation was moved.
+    """
     if not job.reservations or not _may_hold(worker, job):
         return False
     compared = job.reservations[:MAX_COMPARED]
     if len(job.reservations) > MAX_COMPARED:
-        # The next end is compared with other places.
+        # Rotates the list, so that the next call compares other reservations.
         job.reservations.extend(compared)
         del job.reservations[:MAX_COMPARED]
     shortfalls = [_shortfall(place, job.need, 0) for place in compared]
@@ -151,9 +157,9 @@
 
 
 def _shortfall(worker, need, count):
-    """Return what is missing for ``count`` more places, as the largest part of a resource.
+    """Return the resources missing for ``count`` more tasks, as the largest share of the capacity.
 
-    Negative when more is available than needed.
+    Negative if more is available than needed.
     """
     capacity, free, reserved = worker.capacity, worker.free, worker.reserved
     parts = [0.0]
@@ -168,16 +174,16 @@
 
 
 def withdraw(pool, job):
-    """Take back all reservations of a job."""
+    """Release all reservations of a job."""
     for worker in job.reservations:
         pool.unreserve(worker, job.need)
     job.reservations.clear()
 
 
 def place_reserved(pool, job):
-    """Place the tasks that have room now, in reserved places or elsewhere.
+    """Place the tasks of a job that fit now, on reserved or other resources.
 
-    :returns: assignments; for a gang all or none.
+    :returns: assignments; for a gang of all tasks or of none.
     """
     if job.kind == Kind.GANG:
         if job.running or not _gang_has_room(pool, job):
@@ -199,7 +205,7 @@
 
 
 def _gang_has_room(pool, job):
-    """Tell whether places free now, the gang's own reserved ones included, suffice for it."""
+    """Return whether the whole gang fits now, counting its own reservations as available."""
     own = Counter(job.reservations)
     count = 0
     for worker, reserved in own.items():
--- a/siskintally/resource_index.py
+++ b/siskintally/resource_index.py
@@ -1,4 +1,4 @@
-"""Index of items by the processor and memory they have free.
+"""Best-fit index of items by free processor and memory, in logarithmic size classes.
 
 >>> from siskintally.resource_index import ResourceIndex
 >>> from siskintally.size import Size
@@ -11,17 +11,18 @@
 
 from itertools import islice
 
-# Three bits below the leading one: neighbouring classes differ by at most an eighth.
+# Bits kept below the leading one; with three, neighbouring classes differ by at most an eighth.
 SUBCLASS_BITS = 3
 _SUBCLASSES = 1 << SUBCLASS_BITS
-# Within a class that fits as a whole, the closest of the first few amounts is taken.
+# Amounts compared in a class whose items all fit; the closest of them is chosen.
 MAX_COMPARED = 8
-# Amounts compared in a class at the edge before the next class; the others come last.
+# Amounts compared in a class at the edge, where some items do not fit, before the next class is
+# searched; the others are compared last.
 MAX_EDGE = 32
 
 
 def size_class(amount):
-    """Return the logarithmic class of an amount; grows with the amount.
+    """Return the logarithmic size class of an amount; larger amounts never get a lower class.
 
     >>> size_class(7), size_class(16), size_class(17), size_class(18)
     (7, 16, 16, 17)
@@ -33,7 +34,7 @@
 
 
 class _Axis:
-    """Non-empty cells seen from one resource: a mask of rows, and for each row one of columns."""
+    """Bit masks of the non-empty cells: one of the rows, and for each row one of its columns."""
 
     __slots__ = ("columns_by_row", "rows")
 
@@ -72,10 +73,10 @@
 
 
 class ResourceIndex:
-    """Items in cells of (processor class, memory class), found in time that hardly grows.
+    """Items in cells of (processor class, memory class), for searches in nearly constant time.
 
-    The search walks over non-empty cells by bit masks. Only the cells at the lower edge can hold
-    items that do not fit; items with equal amounts are kept together and compared once.
+    A search steps over the non-empty cells by bit masks. Only cells at the lower edge can contain
+    items that do not fit. Items with equal amounts are grouped and compared once.
     """
 
     __slots__ = ("_by_cpu", "_by_memory", "_cells")
@@ -89,7 +90,7 @@
         return bool(self._cells)
 
     def add(self, item, size):
-        """Add an item under a size."""
+        """Add an item with its free resources."""
         row, column = size_class(size.cpu), size_class(size.memory)
         cell = self._cells.get((row, column))
         if cell is None:
@@ -99,7 +100,7 @@
         cell.setdefault((size.cpu, size.memory), {})[item] = None
 
     def remove(self, item, size):
-        """Remove an item that was added under that size."""
+        """Remove an item that was added with this size."""
         row, column = size_class(size.cpu), size_class(size.memory)
         cell = self._cells[row, column]
         amounts = (size.cpu, size.memory)
@@ -112,7 +113,7 @@
             self._by_memory.clear(column, row)
 
     def _groups(self, need, by_memory):
-        """Yield groups of items that fit, tightest cells first, tightest group of a cell first."""
+        """Yield groups of items that fit, tightest cell first, then tightest group in the cell."""
         row, column = size_class(need.cpu), size_class(need.memory)
         cells = (
             ((at, over) for over, at in self._by_memory.cells(column, row))
@@ -132,9 +133,9 @@
             yield from _fitting(rest, need, len(rest), by_memory)
 
     def best(self, need, *, by_memory=False):
-        """Return the tightest item that fits, or None.
+        """Return the item with the tightest fit, or None.
 
-        :param by_memory: compare what is left of the memory first, otherwise of the processor.
+        :param by_memory: compare the free memory first, otherwise the free processor.
         """
         for _, items in self._groups(need, by_memory):
             return next(iter(items))
--- a/siskintally/shared_confirm.py
+++ b/siskintally/shared_confirm.py
@@ -1,4 +1,4 @@
-"""One quorum round for many heartbeats.
+"""Batching of quorum rounds: concurrent callers share one round.
 
 >>> from anyio import run
 >>> from siskintally.shared_confirm import SharedConfirm
@@ -24,10 +24,10 @@
 
 
 class SharedConfirm:
-    """Calls that arrive within a window share the round that begins at its end.
+    """Runs one quorum round for all callers that arrive within a window, at the end of the window.
 
     :param confirm: ``async confirm()`` of a group.
-    :param window_s: how long the first call waits for others.
+    :param window_s: how long the first caller waits for others, seconds.
     """
 
     __slots__ = ("_confirm", "_next", "_window_s", "rounds")
@@ -39,7 +39,7 @@
         self.rounds = 0
 
     async def wait(self):
-        """Return after a round that began after the call.
+        """Return after a successful round that began after the call.
 
         :raises NotLeaderError: leadership was lost.
         """
--- a/siskintally/size.py
+++ b/siskintally/size.py
@@ -1,4 +1,4 @@
-"""Amounts of processor, memory and accelerators.
+"""Resource amounts of a task or worker: processor, memory and accelerators.
 
 >>> from siskintally.size import Size
 >>> Size(cpu=2000, memory=512).within(Size(cpu=4000, memory=1024))
@@ -7,12 +7,12 @@
 
 from siskintally.wire_pb2 import Resources
 
-# How many tasks that need nothing fit anywhere.
+# Returned as the number of tasks that fit when a task needs no resources.
 UNLIMITED = 1 << 30
 
 
 class Size:
-    """Resources of a task or a worker; not changed after creation.
+    """Immutable resource amounts of a task or a worker.
 
     :param cpu: thousandths of a core.
     :param memory: megabytes.
@@ -28,7 +28,7 @@
 
     @classmethod
     def of(cls, resources):
-        """Convert the wire message ``Resources``."""
+        """Create a size from the wire message ``Resources``."""
         return cls(
             cpu=resources.cpu_milli,
             memory=resources.memory_mb,
@@ -36,11 +36,11 @@
         )
 
     def message(self):
-        """Return the wire message."""
+        """Return the size as the wire message ``Resources``."""
         return Resources(cpu_milli=self.cpu, memory_mb=self.memory, accelerators=self.accelerators)
 
     def within(self, other):
-        """Tell whether no amount is larger than in ``other``."""
+        """Return whether no amount is larger than in ``other``."""
         return (
             self.cpu <= other.cpu
             and self.memory <= other.memory
@@ -48,7 +48,7 @@
         )
 
     def scaled(self, factor):
-        """Return this size times a whole number."""
+        """Return this size multiplied by a whole number."""
         return Size(
             cpu=self.cpu * factor,
             memory=self.memory * factor,
@@ -56,7 +56,7 @@
         )
 
     def times(self, room):
-        """Return how many pieces of this size fit into ``room``."""
+        """Return how many times this size fits into ``room``."""
         counts = []
         for part, whole in zip(self.key(), room.key(), strict=True):
             if part > 0:
@@ -64,7 +64,7 @@
         return min(counts) if counts else UNLIMITED
 
     def key(self):
-        """Return the amounts as a tuple that can be hashed and compared."""
+        """Return the amounts as a hashable, comparable tuple."""
         return (self.cpu, self.memory, self.accelerators)
 
     def __add__(self, other):
--- a/siskintally/worker.py
+++ b/siskintally/worker.py
@@ -1,4 +1,4 @@
-"""A worker of the pool and what its tasks hold.
+"""State of one worker in the pool: free, reserved and allocated resources.
 
 >>> from siskintally.size import Size
 >>> from siskintally.worker import Worker
@@ -12,7 +12,7 @@
 
 
 class Held:
-    """Resources that one task holds on a worker until its end is reported."""
+    """Resources allocated to one task on a worker until the end of the task is reported."""
 
     __slots__ = ("job", "stopping", "task_id", "worker")
 
@@ -24,11 +24,13 @@
 
 
 class Worker:
-    """A worker with its free resources.
+    """A worker with its resources and the tasks on it.
 
-    :param capacity: what the worker has.
+    :param capacity: total resources of the worker.
 
-    A worker with ``probing`` takes one task and is ejected until its result is known.
+    ``ending`` counts the resources of tasks that were ordered to stop, ``reclaimable`` those of
+    other tasks that urgent jobs may preempt. A worker with ``probing`` was ejected earlier: it
+    gets one task, and no other until the result of that task is known.
     """
 
     __slots__ = (
@@ -66,23 +68,23 @@
 
     @property
     def is_open(self):
-        """Whether the worker takes new tasks."""
+        """Whether the worker accepts new tasks."""
         return self.connected and not (self.draining or self.ejected)
 
     def available(self):
-        """Return what is free and not reserved to a waiting task."""
+        """Return the resources that are free and not reserved for a waiting task."""
         return self.free - self.reserved if self.reserved is not NOTHING else self.free
 
     def after_stops(self, *, reclaim):
-        """Return what will be available when ends under way are reported.
+        """Return the resources available once all stopping tasks have ended.
 
-        :param reclaim: whether every task that urgent work may stop counts as ending.
+        :param reclaim: count every preemptible task as stopping too.
         """
         room = self.available() + self.ending
         return room + self.reclaimable if reclaim else room
 
     def lasting(self):
-        """Return what tasks hold that run until they are stopped."""
+        """Return the resources of tasks that run until they are stopped, except stopping ones."""
         total = NOTHING
         for held in self.held_by_task.values():
             if held.job.lasting and not held.stopping:
--- a/siskintally/worker_index.py
+++ b/siskintally/worker_index.py
@@ -1,4 +1,4 @@
-"""Workers of one failure domain, indexed by their free resources.
+"""Index of the workers of one failure domain by free accelerators, processors and memory.
 
 >>> from siskintally.worker_index import WorkerIndex
 >>> from siskintally.size import Size
@@ -11,7 +11,8 @@
 
 from siskintally.resource_index import ResourceIndex
 
-# Key of workers without accelerators: work that needs none is kept off the others while possible.
+# Key of workers without accelerators. It sorts first, so tasks that need no accelerator are placed
+# on workers that have some only if they fit on no other.
 _PLAIN = -1
 
 
@@ -26,7 +27,7 @@
         self._place_by_item = {}
 
     def put(self, item, size, *, accelerated):
-        """Add an item, or move it; a size of None removes it."""
+        """Add an item, or move it to another size; a size of None removes it."""
         place = self._place_by_item.pop(item, None)
         if place is not None:
             self._index_by_accelerators[place[0]].remove(item, place[1])
@@ -48,7 +49,7 @@
                     yield index
 
     def best(self, need, *, by_memory=False):
-        """Return the tightest item that fits, with the fewest free accelerators, or None."""
+        """Return the item with the fewest free accelerators and the tightest fit, or None."""
         for index in self._indexes(need):
             item = index.best(need, by_memory=by_memory)
             if item is not None:
@@ -56,6 +57,6 @@
         return None
 
     def fitting(self, need, *, by_memory=False):
-        """Yield the items that fit; the index must not change meanwhile."""
+        """Yield the items that fit; the index must not change during the iteration."""
         for index in self._indexes(need):
             yield from index.fitting(need, by_memory=by_memory)
--- a/siskintally/worker_service.py
+++ b/siskintally/worker_service.py
@@ -1,4 +1,4 @@
-"""Answers the heartbeats of workers and ends the attempts of workers that are lost.
+"""Owner side of worker heartbeats: answers them and ends the attempts of lost workers.
 
 >>> from siskintally.worker_service import LOSS_CHECK_S
 >>> LOSS_CHECK_S
@@ -19,7 +19,7 @@
 
 
 class WorkerService:
-    """Heartbeats and losses during one term as owner.
+    """Handles worker heartbeats and worker losses during one term as owner.
 
     :param owner_term: :class:`~siskintally.owner_term.OwnerTerm`.
     :param domains: failure domains whose workers the group owns.
@@ -35,16 +35,19 @@
     async def answer(self, session, beat):
         """Answer a WorkerBeat after a quorum round that began after it arrived.
 
-        :returns: WorkerOrders; its lease runs from the sending of the heartbeat.
+        :returns: WorkerOrders; its lease runs from the time the heartbeat was sent.
         :raises NotLeaderError: leadership has ended.
-        :raises BadRequestError: a full heartbeat is expected, or the domain is not owned here.
+        :raises BadRequestError: the first heartbeat of a session must be full, or this group does
+            not own the failure domain of the worker.
+        :raises RefusedError: the worker is being declared lost, or the heartbeat is from an earlier
+            session.
         """
         owner_term = self._owner_term
         owner_term.check()
         self._check(beat)
         if self._reported.get(beat.worker) != (session, beat.session):
             if not beat.full:
-                raise BadRequestError("full heartbeat expected")
+                raise BadRequestError("the first heartbeat of a session must be full")
             owner_term.leases.renewed(beat.worker)
         owner_term.leases.arrived(beat.worker, beat.seq, now=owner_term.clock())
         findings = compare(owner_term.domain, beat)
@@ -62,18 +65,18 @@
     def _check(self, beat):
         if not beat.worker or not beat.session or beat.domain not in self._domains:
             raise BadRequestError(
-                f"worker {beat.worker!r}: domain {beat.domain!r} is not owned here"
+                f"worker {beat.worker!r}: this group does not own domain {beat.domain!r}"
             )
         if beat.worker in self._owner_term.losing:
-            # Answering would renew the lease while the attempts are being placed elsewhere.
-            raise RefusedError("the worker is being counted as lost", code=Code.OVERLOADED)
+            # An answer would renew the lease while the tasks are being placed on other workers.
+            raise RefusedError("the worker is being declared lost", code=Code.OVERLOADED)
 
     async def _commit(self, beat, findings):
         owner_term = self._owner_term
         joined = [findings.joined] if findings.joined is not None else []
         reply = await owner_term.commit(batch=DomainBatch(ended=findings.ended, joined=joined))
         if reply.code != Code.DONE or beat.worker in reply.refused:
-            message = reply.message or "capacity below what is assigned"
+            message = reply.message or "its capacity is below its assigned resources"
             raise BadRequestError(f"worker {beat.worker!r}: {message}")
         for end in findings.ended:
             owner_term.orders.ended(beat.worker, end.task_id, end.attempt)
@@ -81,7 +84,7 @@
             self._add(beat.worker)
 
     def _add(self, name):
-        """Offer a new worker; one with another capacity is offered anew with its tasks."""
+        """Add a new worker to placement; re-add one whose capacity changed, with its tasks."""
         owner_term = self._owner_term
         pool, worker = owner_term.placement.pool, owner_term.domain.worker_by_name[name]
         known = pool.worker_by_name.get(name)
@@ -99,7 +102,7 @@
                 owner_term.placement.requeue(job.job_id, task_id)
 
     def _register(self, session, beat):
-        """Take a link as the worker's only one; orders not confirmed on an earlier one are due."""
+        """Register the link of a worker; orders not confirmed on an earlier link are resent."""
         owner_term = self._owner_term
         if self._reported.get(beat.worker) == (session, beat.session):
             return
@@ -127,7 +130,7 @@
         return orders
 
     def closed(self, session):
-        """Give no new tasks to workers whose link has ended."""
+        """Place no new tasks on the workers of a closed link."""
         owner_term = self._owner_term
         names = [name for name, link in owner_term.link_by_worker.items() if link is session]
         for name in names:
@@ -136,7 +139,7 @@
             owner_term.placement.connect_worker(name, connected=False)
 
     async def watch(self):
-        """End the attempts of lost workers until cancelled.
+        """Check for lost workers periodically until cancelled.
 
         :raises NotLeaderError: leadership has ended.
         """
@@ -145,7 +148,7 @@
             await self.lose()
 
     async def lose(self):
-        """End the attempts of workers whose leases can no longer run."""
+        """Declare workers lost whose leases have certainly expired; this ends their attempts."""
         owner_term = self._owner_term
         owner_term.check()
         await owner_term.settle_leases()
--- a/siskintally/workload.py
+++ b/siskintally/workload.py
@@ -1,4 +1,4 @@
-"""Jobs as placement sees them.
+"""Jobs as placement sees them: needs, priority class, waiting and running tasks.
 
 >>> from siskintally.size import Size
 >>> from siskintally.workload import Job, Kind
@@ -12,13 +12,13 @@
 
 from siskintally.size import Size
 
-# A job without a deadline is treated as if it should start within an hour, so that newer jobs with
-# deadlines cannot pass it forever.
+# A job without a deadline is queued as if it had to start within an hour of its submission, so that
+# newer jobs with deadlines cannot overtake it forever.
 PATIENCE_S = 3600.0
 
 
 class Kind(IntEnum):
-    """Kinds of jobs; the numbers of ``JobSpec.Kind``."""
+    """Kinds of jobs, numbered as in ``JobSpec.Kind``."""
 
     BATCH = 0
     SERVICE = 1
@@ -33,23 +33,23 @@
     DEFERRABLE = 2
 
 
-# JobSpec.Class has NORMAL = 0 so that it is the default on the wire.
+# Urgency by the number of JobSpec.Class, where NORMAL is 0 because 0 is the default on the wire.
 _URGENCY_BY_WIRE = (Urgency.NORMAL, Urgency.URGENT, Urgency.DEFERRABLE)
 
 
 class Job:
-    """One job and its tasks that wait for a worker.
+    """One job with its waiting and running tasks.
 
     :param need: :class:`~siskintally.size.Size` of one task.
     :param tasks: number of tasks, or the ids of the waiting ones.
-    :param domain: failure domain the tasks must run in, empty for any.
-    :param submitted: monotonic seconds.
-    :param run_s: declared run time, 0 for until stopped; only orders the queue.
-    :param deadline_s: seconds from submission, 0 for none.
-
-    Workers in ``avoid`` are used only if no other has room. Urgent work may stop the tasks of a
-    ``reclaimable`` job. ``rank`` is the class it is queued in;
-    deferrable jobs move up when their latest start is near.
+    :param domain: failure domain that the tasks must run in, empty for any.
+    :param submitted: time of submission, monotonic seconds.
+    :param run_s: declared run time, 0 for a job that runs until it is stopped.
+    :param deadline_s: seconds from submission to the end, 0 for none.
+
+    Workers in ``avoid`` are used only if the task fits on no other. Urgent jobs may preempt the
+    tasks of a ``reclaimable`` job. ``rank`` is the class that the job is queued in: a deferrable
+    job is queued as a normal one when its latest start is near.
     """
 
     __slots__ = (
@@ -117,7 +117,7 @@
 
     @classmethod
     def of(cls, job_id, spec, *, tasks, submitted):
-        """Convert the wire message ``JobSpec``."""
+        """Create a job from the wire message ``JobSpec``."""
         return cls(
             job_id=job_id,
             kind=Kind(spec.kind),
