Name pool and index members after resource allocation

Held, take, reclaim, room and the bare counters freed and offered hid allocation, preemption and free resources. They are now Allocation, allocate, best_fit_after_preemption, available, freed_version and preemptible_version; sizes say fits by count with max_count_in. Constants name what they count.

--- a/bench/churn.py
+++ b/bench/churn.py
@@ -199,7 +199,7 @@
 def reservations_as_declared(placement):
     """Tell whether each worker's reservations are the declared sizes and none is overcommitted."""
     for worker in placement.pool.worker_by_name.values():
-        held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
+        held = sum((held.job.need for held in worker.allocation_by_task.values()), NOTHING)
         if held + worker.free != worker.capacity or min(worker.free.key()) < 0:
             return False
     return True
--- a/bench/packing.py
+++ b/bench/packing.py
@@ -108,7 +108,7 @@
     for worker in pool.placement.pool.worker_by_name.values():
         true = sum(
             held.job.need.cpu * LARGEST_ERROR ** random.uniform(-1, 1)
-            for held in worker.held_by_task.values()
+            for held in worker.allocation_by_task.values()
         )
         worst = max(worst, true / capacity.cpu)
     return reservations_as_declared(pool.placement), worst
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -139,9 +139,9 @@
             cpu, memory, accelerators = (max(pair) for pair in pairs)
             largest = Size(cpu=cpu, memory=memory, accelerators=accelerators)
         return DomainCapacity(
-            total=pool.capacity.message(),
-            free=pool.free.message(),
-            largest=largest.message(),
+            total=pool.capacity.to_message(),
+            free=pool.free.to_message(),
+            largest=largest.to_message(),
             workers=len(pool.worker_by_name),
         )
 
--- a/siskintally/feasibility.py
+++ b/siskintally/feasibility.py
@@ -50,7 +50,7 @@
         capacities = list(self._capacities(job))
         if not capacities:
             return NO_WORKERS, False
-        places = sum(job.need.times(capacity) * count for capacity, count in capacities)
+        places = sum(job.need.max_count_in(capacity) * count for capacity, count in capacities)
         tasks = len(job.waiting) + len(job.running)
         if places >= (tasks if job.kind == Kind.GANG else 1):
             return NO_ROOM, False
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -186,7 +186,7 @@
     def _ended(self, task_id, cause):
         job_id = job_id_of(task_id)
         self.dirty.add(job_id)
-        held = self.placement.pool.held_by_task.get(task_id)
+        allocation = self.placement.pool.allocation_by_task.get(task_id)
         self.placement.ended(
             task_id,
             now=self.clock(),
@@ -196,8 +196,8 @@
         job = self.placement.job_by_id.get(job_id)
         if job is None:
             return
-        if held is not None and cause == AttemptEnd.FAILED:
-            job.avoid.add(held.worker.name)
+        if allocation is not None and cause == AttemptEnd.FAILED:
+            job.avoid.add(allocation.worker.name)
         task = self.domain.task(task_id)
         if task is not None and not task.worker:
             self.placement.requeue(job_id, task_id)
@@ -213,8 +213,8 @@
             task = self.domain.task(task_id)
             if task is None or not task.worker:
                 continue
-            if task_id in self.placement.pool.held_by_task:
-                self.placement.pool.stop(task_id)
+            if task_id in self.placement.pool.allocation_by_task:
+                self.placement.pool.mark_stopping(task_id)
             stop = StopOrder(task_id=task_id, attempt=task.attempt, checkpoint=checkpoint)
             self.orders.stop(task.worker, stop)
             self.unsent.add(task.worker)
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -89,7 +89,7 @@
     def add_worker(self, name, *, domain, rack, capacity):
         """Add a worker that runs no tasks."""
         self.pool.add(name, domain=domain, rack=rack, capacity=capacity)
-        self.pool.freed += 1
+        self.pool.freed_version += 1
         self._capacities.add(domain, capacity)
 
     def lose_worker(self, name):
@@ -106,19 +106,19 @@
         if worker is not None and worker.draining != draining:
             if draining:
                 self._reservations.drop_on(worker)
-            self.pool.open(worker, draining=draining)
+            self.pool.set_flags(worker, draining=draining)
 
     def connect_worker(self, name, *, connected):
         """Record whether a worker is connected; only connected workers get new tasks."""
         worker = self.pool.worker_by_name.get(name)
         if worker is not None and worker.connected != connected:
-            self.pool.open(worker, connected=connected)
+            self.pool.set_flags(worker, connected=connected)
 
     def set_waiting(self, job_id, task_ids):
         """Replace the waiting tasks of a job, except tasks that have resources allocated."""
         job = self.job_by_id[job_id]
-        held = self.pool.held_by_task
-        job.waiting = deque(task_id for task_id in task_ids if task_id not in held)
+        allocated = self.pool.allocation_by_task
+        job.waiting = deque(task_id for task_id in task_ids if task_id not in allocated)
         if job.reservations:
             self._reservations.drop(job)
         if job.waiting:
@@ -147,7 +147,7 @@
         :raises OvercommitError: the worker has too few free resources.
         """
         job = self.job_by_id[job_id]
-        self.pool.take(self.pool.worker_by_name[worker], task_id, job)
+        self.pool.allocate(self.pool.worker_by_name[worker], task_id, job)
 
     def cancel(self, job_id):
         """Drop the waiting tasks of a job; return the ids of its running tasks, to be stopped."""
@@ -174,11 +174,11 @@
         :param failed: the task ended with an error; counts towards ejecting the worker.
         :param succeeded: the task ran to completion.
         """
-        held = self.pool.release(task_id)
-        if held is None:
+        allocation = self.pool.release(task_id)
+        if allocation is None:
             return
-        worker = held.worker
-        if failed and self._readmission.failed(worker, held.job.job_id, now=now):
+        worker = allocation.worker
+        if failed and self._readmission.failed(worker, allocation.job.job_id, now=now):
             self._reservations.drop_on(worker)
         elif succeeded:
             self._readmission.succeeded(worker)
@@ -194,11 +194,11 @@
         decision = Decision()
         self._readmission.review(now)
         self._backlog.promote(now)
-        state = (self.pool.freed, self._backlog.changes)
+        state = (self.pool.freed_version, self._backlog.changes)
         if state == self._seen and now - self._last_pass < PASS_INTERVAL_S:
             return decision
         self._place_reserved(decision)
-        state = (self.pool.freed, self._backlog.changes)
+        state = (self.pool.freed_version, self._backlog.changes)
         complete = self._pass(decision, now, limit)
         self._last_pass = now
         self._seen = state if complete else None
@@ -215,8 +215,10 @@
 
         Tries the head of the queue first, then new jobs, then the others round robin.
         """
-        self._failed_searches.start(self.pool.freed)
-        self._failed_reclaim_searches.start((self.pool.freed, self.pool.offered))
+        self._failed_searches.start(self.pool.freed_version)
+        self._failed_reclaim_searches.start(
+            (self.pool.freed_version, self.pool.preemptible_version)
+        )
         jobs = self._backlog.jobs()
         fresh, self._fresh = self._fresh, []
         head = self._run(jobs, 0, decision, now, limit)
--- a/siskintally/policy.py
+++ b/siskintally/policy.py
@@ -35,47 +35,47 @@
         """
 
 
-class _OneByOne(Policy):
+class _PerTaskPolicy(Policy):
     __slots__ = ()
 
     @abstractmethod
-    def choose(self, pool, job):
+    def choose_worker(self, pool, job):
         """Return a worker for one task, or None if it fits nowhere."""
 
     def place(self, *, pool, job, limit):
         """Place tasks one at a time until one fits nowhere."""
         placed = []
         while job.waiting and len(placed) < limit:
-            worker = self.choose(pool, job)
+            worker = self.choose_worker(pool, job)
             if worker is None:
                 break
             if worker.name in job.avoid:
-                others = (one for one in pool.fitting(job) if one.name not in job.avoid)
+                others = (other for other in pool.fitting(job) if other.name not in job.avoid)
                 worker = next(others, worker)
             task_id = job.waiting.popleft()
-            pool.take(worker, task_id, job)
+            pool.allocate(worker, task_id, job)
             placed.append(Assignment(task_id=task_id, job=job, worker=worker.name))
         return placed
 
 
-class BatchPolicy(_OneByOne):
+class BatchPolicy(_PerTaskPolicy):
     """Best fit by the scarcer resource, which keeps large free amounts for large tasks."""
 
     __slots__ = ()
 
-    def choose(self, pool, job):
+    def choose_worker(self, pool, job):
         """Return the worker with the tightest fit."""
-        return pool.best(job)
+        return pool.best_fit(job)
 
 
-class ServicePolicy(_OneByOne):
+class ServicePolicy(_PerTaskPolicy):
     """Spreads tasks: fewest of the job in a failure domain, then in a rack, then on a worker."""
 
     __slots__ = ()
 
-    def choose(self, pool, job):
+    def choose_worker(self, pool, job):
         """Return a worker where few other tasks of the job run."""
-        return pool.spread(job)
+        return pool.best_spread(job)
 
 
 class GangPolicy(Policy):
@@ -85,30 +85,30 @@
 
     def place(self, *, pool, job, limit):
         """Place the whole gang, or nothing."""
-        if job.running or not _has_room(pool, job):
+        if job.running or not _gang_fits(pool, job):
             return []
         placed = []
-        freed = pool.freed
+        freed_version = pool.freed_version
         for task_id in job.waiting:
-            worker = pool.best(job)
+            worker = pool.best_fit(job)
             if worker is None:
                 break
-            pool.take(worker, task_id, job)
+            pool.allocate(worker, task_id, job)
             placed.append(Assignment(task_id=task_id, job=job, worker=worker.name))
         if len(placed) < len(job.waiting):
             for assignment in placed:
                 pool.release(assignment.task_id)
-            pool.freed = freed
+            pool.freed_version = freed_version
             return []
         job.waiting.clear()
         return placed
 
 
-def _has_room(pool, job):
+def _gang_fits(pool, job):
     """Return whether enough tasks fit, without allocating; rejects most gangs that do not fit."""
     count = 0
     for worker in pool.fitting(job):
-        count += 1 if worker.probing else job.need.times(worker.available())
+        count += 1 if worker.probing else job.need.max_count_in(worker.available())
         if count >= len(job.waiting):
             return True
     return False
--- a/siskintally/preemption.py
+++ b/siskintally/preemption.py
@@ -8,7 +8,7 @@
 >>> pool.add("w1", domain="d", rack="r", capacity=Size(cpu=4000, memory=4000))
 >>> need, low = Size(cpu=3000), Urgency.DEFERRABLE
 >>> job = Job(job_id="b", kind=Kind.BATCH, need=need, tasks=1, submitted=0.0, urgency=low)
->>> pool.take(pool.best(job), "b/0", job)
+>>> pool.allocate(pool.best_fit(job), "b/0", job)
 >>> preempt(pool, Job(job_id="u", kind=Kind.BATCH, need=need, tasks=1, submitted=0.0))
 ['b/0']
 """
@@ -22,49 +22,51 @@
     :returns: ids of the tasks to stop. A gang gets reservations for all its tasks or for none.
     """
     victims = []
-    first = len(job.reservations)
+    previous_count = len(job.reservations)
     for _ in range(len(job.waiting) - len(job.reservations)):
-        worker = pool.reclaim(job)
+        worker = pool.best_fit_after_preemption(job)
         if worker is None:
             break
-        for held in _cheapest(worker, job.need):
-            pool.stop(held.task_id)
-            victims.append(held)
+        for allocation in _choose_victims(worker, job.need):
+            pool.mark_stopping(allocation.task_id)
+            victims.append(allocation)
         pool.reserve(worker, job.need)
         job.reservations.append(worker)
     if job.kind == Kind.GANG and len(job.reservations) < len(job.waiting):
-        for held in victims:
-            pool.resume(held.task_id)
-        for worker in job.reservations[first:]:
+        for allocation in victims:
+            pool.unmark_stopping(allocation.task_id)
+        for worker in job.reservations[previous_count:]:
             pool.unreserve(worker, job.need)
-        del job.reservations[first:]
+        del job.reservations[previous_count:]
         return []
-    return [held.task_id for held in victims]
+    return [allocation.task_id for allocation in victims]
 
 
-def _cheapest(worker, need):
+def _choose_victims(worker, need):
     """Return few preemptible tasks that free enough resources for ``need`` when they stop."""
-    room = worker.after_stops(reclaim=False)
+    available = worker.available_after_stops(include_preemptible=False)
     candidates = [
-        held for held in worker.held_by_task.values() if held.job.reclaimable and not held.stopping
+        allocation
+        for allocation in worker.allocation_by_task.values()
+        if allocation.job.is_preemptible and not allocation.stopping
     ]
-    candidates.sort(key=lambda held: held.job.need.key())
+    candidates.sort(key=lambda allocation: allocation.job.need.key())
     chosen = []
-    while not need.within(room):
-        held = _closing(candidates, need - room)
-        candidates.remove(held)
-        chosen.append(held)
-        room += held.job.need
-    for held in list(chosen):
-        if need.within(room - held.job.need):
-            chosen.remove(held)
-            room -= held.job.need
+    while not need.within(available):
+        allocation = _best_victim(candidates, need - available)
+        candidates.remove(allocation)
+        chosen.append(allocation)
+        available += allocation.job.need
+    for allocation in list(chosen):
+        if need.within(available - allocation.job.need):
+            chosen.remove(allocation)
+            available -= allocation.job.need
     return chosen
 
 
-def _closing(candidates, gap):
+def _best_victim(candidates, gap):
     """Return the smallest task that covers the missing resources alone, otherwise the largest."""
-    for held in candidates:
-        if gap.within(held.job.need):
-            return held
+    for allocation in candidates:
+        if gap.within(allocation.job.need):
+            return allocation
     return candidates[-1]
--- a/siskintally/readmission.py
+++ b/siskintally/readmission.py
@@ -6,10 +6,10 @@
 >>> pool = Pool()
 >>> pool.add("w1", domain="d", rack="r", capacity=Size(cpu=4000))
 >>> worker, readmission = pool.worker_by_name["w1"], Readmission(pool=pool)
->>> [readmission.failed(worker, job_id, now=0.0) for job_id in "aaaab"][-1], worker.is_open
+>>> [readmission.failed(worker, job_id, now=0.0) for job_id in "aaaab"][-1], worker.accepts_tasks
 (True, False)
 >>> readmission.review(60.0)
->>> worker.is_open, worker.probing
+>>> worker.accepts_tasks, worker.probing
 (True, True)
 """
 
@@ -40,7 +40,7 @@
         if not self._ejection.failed(worker.name, job_id, now=now):
             return False
         worker.probing = False
-        self._pool.open(worker, ejected=True)
+        self._pool.set_flags(worker, ejected=True)
         return True
 
     def succeeded(self, worker):
@@ -57,7 +57,7 @@
             worker = self._pool.worker_by_name.get(name)
             if worker is None or not worker.probing:
                 del self._since_by_name[name]
-            elif not worker.held_by_task:
+            elif not worker.allocation_by_task:
                 self._since_by_name[name] = None
             elif since is None:
                 self._since_by_name[name] = now
@@ -69,7 +69,7 @@
                 self._since_by_name[name] = None
                 worker = self._pool.worker_by_name[name]
                 worker.probing = True
-                self._pool.open(worker, ejected=False)
+                self._pool.set_flags(worker, ejected=False)
 
     def forget(self, name):
         """Drop the failure history of a removed worker."""
@@ -77,4 +77,4 @@
 
     def _restore(self, worker):
         worker.probing = False
-        self._pool.open(worker, ejected=False)
+        self._pool.set_flags(worker, ejected=False)
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -12,7 +12,7 @@
 >>> gang = Job(job_id="g", kind=Kind.GANG, need=Size(cpu=1000), tasks=4, submitted=0.0)
 >>> Reservations(pool=pool).reserve(gang)
 True
->>> pool.best(Job(job_id="b", kind=Kind.BATCH, need=Size(cpu=1), tasks=1, submitted=0.0))
+>>> pool.best_fit(Job(job_id="b", kind=Kind.BATCH, need=Size(cpu=1), tasks=1, submitted=0.0))
 """
 
 from collections import Counter
@@ -121,12 +121,16 @@
 
 
 def _may_hold(worker, job):
-    return worker.is_open and job.domain in ("", worker.domain) and job.need.within(worker.capacity)
+    return (
+        worker.accepts_tasks
+        and job.domain in ("", worker.domain)
+        and job.need.within(worker.capacity)
+    )
 
 
 def _most(worker, need):
     """Return how many tasks can be reserved for, without the resources of long-running tasks."""
-    count = need.times(worker.capacity - worker.lasting() - worker.reserved)
+    count = need.max_count_in(worker.capacity - worker.long_running() - worker.reserved)
     return min(count, 1) if worker.probing else count
 
 
@@ -195,7 +199,7 @@
         job.reservations.remove(worker)
         pool.unreserve(worker, job.need)
         task_id = job.waiting.popleft()
-        pool.take(worker, task_id, job)
+        pool.allocate(worker, task_id, job)
         placed.append(Assignment(task_id=task_id, job=job, worker=worker.name))
     policy = policy_for(job.kind)
     placed.extend(policy.place(pool=pool, job=job, limit=len(job.reservations)))
@@ -209,14 +213,14 @@
     own = Counter(job.reservations)
     count = 0
     for worker, reserved in own.items():
-        if worker.is_open:
-            fitting = job.need.times(worker.available() + job.need.scaled(reserved))
+        if worker.accepts_tasks:
+            fitting = job.need.max_count_in(worker.available() + job.need.scaled(reserved))
             count += min(1, fitting) if worker.probing else fitting
     if count >= len(job.waiting):
         return True
     for worker in pool.fitting(job):
         if worker not in own:
-            count += 1 if worker.probing else job.need.times(worker.available())
+            count += 1 if worker.probing else job.need.max_count_in(worker.available())
             if count >= len(job.waiting):
                 return True
     return False
@@ -225,6 +229,6 @@
 def _free_now(job):
     ready = []
     for worker, count in Counter(job.reservations).items():
-        if worker.is_open:
-            ready.extend([worker] * min(count, job.need.times(worker.free)))
+        if worker.accepts_tasks:
+            ready.extend([worker] * min(count, job.need.max_count_in(worker.free)))
     return ready[: len(job.waiting)]
--- a/siskintally/resource_index.py
+++ b/siskintally/resource_index.py
@@ -5,7 +5,7 @@
 >>> index = ResourceIndex()
 >>> index.add("w1", Size(cpu=4000, memory=8000))
 >>> index.add("w2", Size(cpu=2000, memory=8000))
->>> index.best(Size(cpu=1500, memory=1000))
+>>> index.best_fit(Size(cpu=1500, memory=1000))
 'w2'
 """
 
@@ -15,10 +15,10 @@
 SUBCLASS_BITS = 3
 _SUBCLASSES = 1 << SUBCLASS_BITS
 # Amounts compared in a class whose items all fit; the closest of them is chosen.
-MAX_COMPARED = 8
+MAX_COMPARED_AMOUNTS = 8
 # Amounts compared in a class at the edge, where some items do not fit, before the next class is
 # searched; the others are compared last.
-MAX_EDGE = 32
+MAX_COMPARED_EDGE_AMOUNTS = 32
 
 
 def size_class(amount):
@@ -120,19 +120,24 @@
             if by_memory
             else self._by_cpu.cells(row, column)
         )
-        put_off = []
+        deferred = []
         for at in cells:
             amounts = self._cells[at]
             edge = at[0] == row or at[1] == column
-            if edge and len(amounts) > MAX_EDGE:
-                put_off.append(amounts)
-                amounts = dict(islice(amounts.items(), MAX_EDGE))
-            yield from _fitting(amounts, need, MAX_EDGE if edge else MAX_COMPARED, by_memory)
-        for amounts in put_off:
-            rest = dict(islice(amounts.items(), MAX_EDGE, None))
-            yield from _fitting(rest, need, len(rest), by_memory)
-
-    def best(self, need, *, by_memory=False):
+            if edge and len(amounts) > MAX_COMPARED_EDGE_AMOUNTS:
+                deferred.append(amounts)
+                amounts = dict(islice(amounts.items(), MAX_COMPARED_EDGE_AMOUNTS))
+            yield from _fitting_groups(
+                amounts,
+                need,
+                MAX_COMPARED_EDGE_AMOUNTS if edge else MAX_COMPARED_AMOUNTS,
+                by_memory,
+            )
+        for amounts in deferred:
+            rest = dict(islice(amounts.items(), MAX_COMPARED_EDGE_AMOUNTS, None))
+            yield from _fitting_groups(rest, need, len(rest), by_memory)
+
+    def best_fit(self, need, *, by_memory=False):
         """Return the item with the tightest fit, or None.
 
         :param by_memory: compare the free memory first, otherwise the free processor.
@@ -147,7 +152,7 @@
             yield from items
 
 
-def _fitting(groups, need, limit, by_memory):
+def _fitting_groups(groups, need, limit, by_memory):
     """Yield up to ``limit`` groups that fit, tightest first."""
     fits = (at for at in groups if at[0] >= need.cpu and at[1] >= need.memory)
     for at in sorted(islice(fits, limit), key=_memory_first if by_memory else None):
--- a/siskintally/size.py
+++ b/siskintally/size.py
@@ -8,7 +8,7 @@
 from siskintally.wire_pb2 import Resources
 
 # Returned as the number of tasks that fit when a task needs no resources.
-UNLIMITED = 1 << 30
+UNLIMITED_COUNT = 1 << 30
 
 
 class Size:
@@ -35,7 +35,7 @@
             accelerators=resources.accelerators,
         )
 
-    def message(self):
+    def to_message(self):
         """Return the size as the wire message ``Resources``."""
         return Resources(cpu_milli=self.cpu, memory_mb=self.memory, accelerators=self.accelerators)
 
@@ -55,13 +55,13 @@
             accelerators=self.accelerators * factor,
         )
 
-    def times(self, room):
-        """Return how many times this size fits into ``room``."""
+    def max_count_in(self, available):
+        """Return how many times this size fits into ``available``."""
         counts = []
-        for part, whole in zip(self.key(), room.key(), strict=True):
+        for part, whole in zip(self.key(), available.key(), strict=True):
             if part > 0:
                 counts.append(max(whole, 0) // part)
-        return min(counts) if counts else UNLIMITED
+        return min(counts) if counts else UNLIMITED_COUNT
 
     def key(self):
         """Return the amounts as a hashable, comparable tuple."""
--- a/siskintally/worker.py
+++ b/siskintally/worker.py
@@ -4,14 +4,14 @@
 >>> from siskintally.worker import Worker
 >>> worker = Worker(name="w1", domain="d", rack="r", capacity=Size(cpu=4000, memory=4000))
 >>> worker.reserved = Size(cpu=1000)
->>> worker.available().cpu, worker.is_open
+>>> worker.available().cpu, worker.accepts_tasks
 (3000, True)
 """
 
 from siskintally.size import NOTHING
 
 
-class Held:
+class Allocation:
     """Resources allocated to one task on a worker until the end of the task is reported."""
 
     __slots__ = ("job", "stopping", "task_id", "worker")
@@ -28,25 +28,25 @@
 
     :param capacity: total resources of the worker.
 
-    ``ending`` counts the resources of tasks that were ordered to stop, ``reclaimable`` those of
-    other tasks that urgent jobs may preempt. A worker with ``probing`` was ejected earlier: it
-    gets one task, and no other until the result of that task is known.
+    ``pending_release`` counts the resources of tasks that were ordered to stop, ``preemptible``
+    those of other tasks that urgent jobs may preempt. A worker with ``probing`` was ejected
+    earlier: it gets one task, and no other until the result of that task is known.
     """
 
     __slots__ = (
+        "allocation_by_task",
         "capacity",
         "connected",
         "count_by_job",
         "domain",
         "draining",
         "ejected",
-        "ending",
         "free",
-        "held_by_task",
         "name",
+        "pending_release",
+        "preemptible",
         "probing",
         "rack",
-        "reclaimable",
         "reserved",
     )
 
@@ -57,9 +57,9 @@
         self.capacity = capacity
         self.free = capacity
         self.reserved = NOTHING
-        self.ending = NOTHING
-        self.reclaimable = NOTHING
-        self.held_by_task = {}
+        self.pending_release = NOTHING
+        self.preemptible = NOTHING
+        self.allocation_by_task = {}
         self.count_by_job = {}
         self.draining = False
         self.connected = True
@@ -67,7 +67,7 @@
         self.probing = False
 
     @property
-    def is_open(self):
+    def accepts_tasks(self):
         """Whether the worker accepts new tasks."""
         return self.connected and not (self.draining or self.ejected)
 
@@ -75,18 +75,18 @@
         """Return the resources that are free and not reserved for a waiting task."""
         return self.free - self.reserved if self.reserved is not NOTHING else self.free
 
-    def after_stops(self, *, reclaim):
+    def available_after_stops(self, *, include_preemptible):
         """Return the resources available once all stopping tasks have ended.
 
-        :param reclaim: count every preemptible task as stopping too.
+        :param include_preemptible: count every preemptible task as stopping too.
         """
-        room = self.available() + self.ending
-        return room + self.reclaimable if reclaim else room
+        available = self.available() + self.pending_release
+        return available + self.preemptible if include_preemptible else available
 
-    def lasting(self):
+    def long_running(self):
         """Return the resources of tasks that run until they are stopped, except stopping ones."""
         total = NOTHING
-        for held in self.held_by_task.values():
-            if held.job.lasting and not held.stopping:
-                total += held.job.need
+        for allocation in self.allocation_by_task.values():
+            if allocation.job.is_long_running and not allocation.stopping:
+                total += allocation.job.need
         return total
--- a/siskintally/worker_service.py
+++ b/siskintally/worker_service.py
@@ -90,14 +90,14 @@
         known = pool.worker_by_name.get(name)
         if known is not None and known.capacity == worker.capacity:
             return
-        held = []
+        allocated = []
         if known is not None:
-            held = [(one.job, one.task_id) for one in known.held_by_task.values()]
+            allocated = [(each.job, each.task_id) for each in known.allocation_by_task.values()]
             owner_term.placement.lose_worker(name)
         owner_term.add_worker(name, worker, connected=False)
-        for job, task_id in held:
+        for job, task_id in allocated:
             if task_id in worker.task_ids:
-                pool.take(pool.worker_by_name[name], task_id, job)
+                pool.allocate(pool.worker_by_name[name], task_id, job)
             elif owner_term.domain.task(task_id) is not None:
                 owner_term.placement.requeue(job.job_id, task_id)
 
--- a/siskintally/workload.py
+++ b/siskintally/workload.py
@@ -48,7 +48,7 @@
     :param deadline_s: seconds from submission to the end, 0 for none.
 
     Workers in ``avoid`` are used only if the task fits on no other. Urgent jobs may preempt the
-    tasks of a ``reclaimable`` job. ``rank`` is the class that the job is queued in: a deferrable
+    tasks of a ``is_preemptible`` job. ``rank`` is the class that the job is queued in: a deferrable
     job is queued as a normal one when its latest start is near.
     """
 
@@ -59,16 +59,16 @@
         "count_by_domain",
         "count_by_rack",
         "domain",
+        "is_long_running",
+        "is_preemptible",
         "job_id",
         "kind",
-        "lasting",
         "latest_start",
         "need",
         "never",
         "queued",
         "rank",
         "reason",
-        "reclaimable",
         "reservations",
         "running",
         "shape",
@@ -98,8 +98,8 @@
         self.domain = domain
         self.urgency = urgency
         self.rank = urgency
-        self.reclaimable = kind == Kind.BATCH and urgency == Urgency.DEFERRABLE
-        self.lasting = kind == Kind.SERVICE or run_s <= 0
+        self.is_preemptible = kind == Kind.BATCH and urgency == Urgency.DEFERRABLE
+        self.is_long_running = kind == Kind.SERVICE or run_s <= 0
         self.latest_start = submitted + (max(deadline_s - run_s, 0.0) if deadline_s else PATIENCE_S)
         self.waiting = deque(names)
         self.running = set()
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -442,7 +442,7 @@
         bench.group.elect()
         await until(lambda: bench.owner.owner_term is not None)
         pool = bench.owner.owner_term.placement.pool
-        assert len(pool.held_by_task) == 4 and pool.worker_by_name["w1"].free.cpu == 0
+        assert len(pool.allocation_by_task) == 4 and pool.worker_by_name["w1"].free.cpu == 0
         running = [state(task) for task in link.starts()]
         answer = await bench.beat(link, seq=2, attempts=running)
         assert not answer.start and not answer.stop and answer.term == bench.group.term
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -43,7 +43,7 @@
 def check_invariants(placement):
     """Recompute all sums from the tasks and compare them with what the pool keeps."""
     for worker in placement.pool.worker_by_name.values():
-        held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
+        held = sum((held.job.need for held in worker.allocation_by_task.values()), NOTHING)
         assert held.within(worker.capacity)
         assert held + worker.free == worker.capacity
         reservations = [
@@ -80,7 +80,7 @@
     )
     for number, (step, value, kind, urgency, tasks) in enumerate(steps):
         now += 1.0
-        running = sorted(placement.pool.held_by_task)
+        running = sorted(placement.pool.allocation_by_task)
         names = sorted(placement.pool.worker_by_name)
         if step == "submit":
             more = {"memory": value // 3, "accelerators": value % 2}
@@ -118,7 +118,7 @@
     """Guards against a policy that picks a worker without room."""
     placement = placement_with(1)
     with pytest.raises(OvercommitError):
-        placement.pool.take(placement.pool.worker_by_name["w0"], "j/0", job("j", 9000))
+        placement.pool.allocate(placement.pool.worker_by_name["w0"], "j/0", job("j", 9000))
     check_invariants(placement)
 
 
@@ -129,7 +129,7 @@
         placement.submit(job(name, 8000, tasks=3, kind=Kind.GANG))
     first = placed(placement, 0.0)
     assert {task.partition("/")[0] for task in first} == {"a"} and len(first) == 3
-    assert len(placement.pool.held_by_task) == 3
+    assert len(placement.pool.allocation_by_task) == 3
     for task_id in first:
         placement.ended(task_id, now=1.0, succeeded=True)
     assert len(placed(placement, 1.0)) == 3
@@ -282,7 +282,7 @@
     assert placed(placement, 179.0) == {}
     assert len(placed(placement, 181.0)) == 1
     placement.ended("next/1", now=182.0, succeeded=True)
-    assert len(placed(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].is_open
+    assert len(placed(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].accepts_tasks
 
 
 def test_a_service_that_runs_brings_a_worker_back():
@@ -304,7 +304,7 @@
     placement.submit(job("broken", 1000, tasks=8))
     for task_id in placed(placement, 0.0):
         placement.ended(task_id, now=0.0, failed=True)
-    assert placement.pool.worker_by_name["w0"].is_open
+    assert placement.pool.worker_by_name["w0"].accepts_tasks
 
 
 def test_a_task_that_failed_is_tried_on_another_worker():
