Name queue, placement and reservation members after what they do

Names such as take, tidy, wait, keep, drop, offer, covers, never and rank did not say what happens to a job or a reservation. They are now register, release, move_to, is_known_to_fail, never_fits and queue_class; the second CapacityTable is FeasibilityCheck. Failure counts record failures and successes.

--- a/bench/churn.py
+++ b/bench/churn.py
@@ -88,15 +88,15 @@
     def drop(self, job):
         """Take a job out of the queue."""
         self.placement.cancel(job.job_id)
-        self.placement.forget(job.job_id)
+        self.placement.remove_job(job.job_id)
 
     def end(self, task_id, now):
         """Free the resources of a task."""
-        self.placement.ended(task_id, now=now, succeeded=True)
+        self.placement.record_end(task_id, now=now, succeeded=True)
         job_id = task_id.partition("/")[0]
         job = self.placement.job_by_id[job_id]
         if not job.running and not job.waiting:
-            self.placement.forget(job_id)
+            self.placement.remove_job(job_id)
 
 
 class Spread:
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -118,8 +118,8 @@
     placed = 0
     for _ in range(decisions):
         task_id = workload.victim(running)
-        placement.ended(task_id, now=0.0, succeeded=True)
-        placement.forget(task_id.partition("/")[0])
+        placement.record_end(task_id, now=0.0, succeeded=True)
+        placement.remove_job(task_id.partition("/")[0])
         job = workload.job()
         started = perf_counter()
         placement.submit(job)
@@ -166,7 +166,7 @@
     while len(waiting) < CANCELLATIONS // 2:
         job = workload.job()
         job.need = job.need.scaled(30)
-        job.shape = (job.kind, "", job.need.key(), 1)
+        job.search_key = (job.kind, "", job.need.key(), 1)
         placement.submit(job)
         waiting.append(job.job_id)
     placement.decide(now=0.0)
--- a/siskintally/backlog.py
+++ b/siskintally/backlog.py
@@ -25,12 +25,12 @@
 
 
 class _Entry:
-    __slots__ = ("job", "key", "live")
+    __slots__ = ("is_queued", "job", "key")
 
     def __init__(self, *, key, job):
         self.key = key
         self.job = job
-        self.live = True
+        self.is_queued = True
 
     def __lt__(self, other):
         return self.key < other.key
@@ -43,44 +43,50 @@
     cancellations therefore costs the same however long the queue is.
     """
 
-    __slots__ = ("_dead", "_entries", "_jobs", "_next", "changes")
+    __slots__ = ("_entries", "_jobs", "_last_number", "_removed_count", "additions")
 
     def __init__(self):
         self._entries = []
-        self._dead = 0
+        self._removed_count = 0
         self._jobs = None
-        self._next = 0
-        self.changes = 0
+        self._last_number = 0
+        self.additions = 0
 
     def __len__(self):
-        return len(self._entries) - self._dead
+        return len(self._entries) - self._removed_count
 
     def add(self, job):
         """Add a job; a job that is queued already keeps its position."""
-        self.changes += 1
-        if job.queued is not None:
+        self.additions += 1
+        if job.queue_entry is not None:
             return
-        self._next += 1
+        self._last_number += 1
         window = job.latest_start // ORDER_WINDOW_S
-        together = len(job.waiting) if job.kind == Kind.GANG else 1
-        key = (job.rank, window, -job.need.cpu * together, job.latest_start, self._next)
-        job.queued = _Entry(key=key, job=job)
-        insort(self._entries, job.queued)
+        task_count = len(job.waiting) if job.kind == Kind.GANG else 1
+        key = (
+            job.queue_class,
+            window,
+            -job.need.cpu * task_count,
+            job.latest_start,
+            self._last_number,
+        )
+        job.queue_entry = _Entry(key=key, job=job)
+        insort(self._entries, job.queue_entry)
         self._jobs = None
 
     def remove(self, job):
         """Remove a job."""
-        if job.queued is not None:
-            job.queued.live = False
-            job.queued = None
-            self._dead += 1
+        if job.queue_entry is not None:
+            job.queue_entry.is_queued = False
+            job.queue_entry = None
+            self._removed_count += 1
             self._jobs = None
 
     def jobs(self):
         """Return the queued jobs in placement order; callers must not change the list."""
         if self._jobs is None:
-            self._entries = [entry for entry in self._entries if entry.live]
-            self._dead = 0
+            self._entries = [entry for entry in self._entries if entry.is_queued]
+            self._removed_count = 0
             self._jobs = [entry.job for entry in self._entries]
         return self._jobs
 
@@ -89,17 +95,17 @@
 
         :param now: monotonic seconds.
         """
-        late = list(self._due(now + PROMOTE_BEFORE_S))
-        for job in late:
+        due_jobs = list(self._due_before(now + PROMOTE_BEFORE_S))
+        for job in due_jobs:
             self.remove(job)
-            job.rank = Urgency.NORMAL
+            job.queue_class = Urgency.NORMAL
             self.add(job)
-        return len(late)
+        return len(due_jobs)
 
-    def _due(self, until):
-        probe = _Entry(key=(Urgency.DEFERRABLE, float("-inf")), job=None)
-        for entry in self._entries[bisect_left(self._entries, probe) :]:
+    def _due_before(self, until):
+        first_deferrable = _Entry(key=(Urgency.DEFERRABLE, float("-inf")), job=None)
+        for entry in self._entries[bisect_left(self._entries, first_deferrable) :]:
             if entry.key[1] > until // ORDER_WINDOW_S:
                 return
-            if entry.live and entry.job.latest_start <= until:
+            if entry.is_queued and entry.job.latest_start <= until:
                 yield entry.job
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -120,7 +120,7 @@
             return
         for drain in reply.drains:
             if drain.kind == "worker":
-                owner_term.placement.drain_worker(drain.name, draining=drain.draining)
+                owner_term.placement.set_worker_draining(drain.name, draining=drain.draining)
             else:
                 self._on_config()
         for item in reply.jobs:
@@ -155,7 +155,7 @@
             self._owner_term.check()
             if self._owner_term.review_due:
                 self._owner_term.review_due = False
-                self._owner_term.placement.review()
+                self._owner_term.placement.update_feasibility()
             await self.send_report()
 
     async def send_report(self):
@@ -195,7 +195,7 @@
         before, self._reason_by_job = self._reason_by_job, {}
         for job_id, job in owner_term.placement.job_by_id.items():
             if job.reason:
-                reason = self._reason_by_job[job_id] = (job.reason, job.never and is_due)
+                reason = self._reason_by_job[job_id] = (job.reason, job.never_fits and is_due)
                 if before.get(job_id) != reason:
                     owner_term.dirty.add(job_id)
 
@@ -208,6 +208,6 @@
         placed = owner_term.placement.job_by_id.get(job_id)
         if placed is not None and progress.waiting:
             progress.reason = placed.reason
-            if placed.never and owner_term.clock() - owner_term.since >= NEVER_AFTER_S:
+            if placed.never_fits and owner_term.clock() - owner_term.since >= NEVER_AFTER_S:
                 progress.code = int(Code.NEVER_FITS)
         return progress
--- a/siskintally/ejection.py
+++ b/siskintally/ejection.py
@@ -2,27 +2,27 @@
 
 >>> from siskintally.ejection import Ejection
 >>> ejection = Ejection()
->>> [ejection.failed("w1", job_id, now=0.0) for job_id in "aaaab"]
+>>> [ejection.record_failure("w1", job_id, now=0.0) for job_id in "aaaab"]
 [False, False, False, False, True]
->>> ejection.due(59.0), ejection.due(60.0)
+>>> ejection.start_due_probes(59.0), ejection.start_due_probes(60.0)
 ([], ['w1'])
 """
 
-FAILURES = 5
+MIN_FAILURES = 5
 # Failures must come from this many jobs: failures of a single job suggest that the job is broken.
-MIN_JOBS = 2
+MIN_FAILED_JOBS = 2
 FIRST_PAUSE_S = 60.0
 MAX_PAUSE_S = 3600.0
 
 
 class _History:
-    __slots__ = ("failures", "jobs", "pause", "probing", "until")
+    __slots__ = ("ejected_until", "failures", "jobs", "pause_s", "probing")
 
     def __init__(self):
         self.failures = 0
         self.jobs = set()
-        self.pause = FIRST_PAUSE_S
-        self.until = None
+        self.pause_s = FIRST_PAUSE_S
+        self.ejected_until = None
         self.probing = False
 
 
@@ -34,39 +34,41 @@
     def __init__(self):
         self._history_by_worker = {}
 
-    def failed(self, worker, job_id, *, now):
+    def record_failure(self, worker, job_id, *, now):
         """Record a failed task; return whether the worker must be ejected now.
 
         :param now: monotonic seconds.
         """
         history = self._history_by_worker.setdefault(worker, _History())
-        if history.until is not None:
+        if history.ejected_until is not None:
             return False
         history.failures += 1
         history.jobs.add(job_id)
-        if not history.probing and (history.failures < FAILURES or len(history.jobs) < MIN_JOBS):
+        if not history.probing and (
+            history.failures < MIN_FAILURES or len(history.jobs) < MIN_FAILED_JOBS
+        ):
             return False
-        history.until = now + history.pause
-        history.pause = min(history.pause * 2, MAX_PAUSE_S)
+        history.ejected_until = now + history.pause_s
+        history.pause_s = min(history.pause_s * 2, MAX_PAUSE_S)
         return True
 
-    def succeeded(self, worker):
+    def record_success(self, worker):
         """Record a successful task; return whether the worker was being probed."""
         history = self._history_by_worker.get(worker)
-        if history is None or history.until is not None:
+        if history is None or history.ejected_until is not None:
             return False
         del self._history_by_worker[worker]
         return history.probing
 
-    def due(self, now):
+    def start_due_probes(self, now):
         """Return the workers whose pause is over; each must be probed with one task."""
-        over = []
+        due_workers = []
         for worker, history in self._history_by_worker.items():
-            if history.until is not None and history.until <= now:
-                history.until = None
+            if history.ejected_until is not None and history.ejected_until <= now:
+                history.ejected_until = None
                 history.probing = True
-                over.append(worker)
-        return over
+                due_workers.append(worker)
+        return due_workers
 
     def forget(self, worker):
         """Drop the failure history of a removed worker."""
--- a/siskintally/failed_searches.py
+++ b/siskintally/failed_searches.py
@@ -8,8 +8,8 @@
 ...     for cpu in (1000, 2000)
 ... )
 >>> searches = FailedSearches()
->>> searches.add(small)
->>> searches.covers(large)
+>>> searches.record(small)
+>>> searches.is_known_to_fail(large)
 True
 """
 
@@ -19,35 +19,36 @@
 class FailedSearches:
     """Needs that fitted nowhere since resources were last freed; larger ones need no search."""
 
-    __slots__ = ("_failed", "_freed", "_shapes")
+    __slots__ = ("_failed_needs", "_search_keys", "_version")
 
     def __init__(self):
-        self._freed = None
-        self._failed = []
-        self._shapes = set()
-
-    def start(self, freed):
-        """Begin a pass; a changed value of ``freed`` clears the cache."""
-        if freed != self._freed:
-            self._freed = freed
-            self._failed = []
-            self._shapes = set()
-
-    def covers(self, job):
+        self._version = None
+        self._failed_needs = []
+        self._search_keys = set()
+
+    def start_pass(self, version):
+        """Begin a pass; a changed value of ``version`` clears the cache."""
+        if version != self._version:
+            self._version = version
+            self._failed_needs = []
+            self._search_keys = set()
+
+    def is_known_to_fail(self, job):
         """Return whether a search for the job is known to fail."""
-        if job.shape in self._shapes:
+        if job.search_key in self._search_keys:
             return True
         return any(
-            domain in ("", job.domain) and need.within(job.need) for domain, need in self._failed
+            domain in ("", job.domain) and need.within(job.need)
+            for domain, need in self._failed_needs
         )
 
-    def add(self, job):
+    def record(self, job):
         """Record that a search for the job has failed."""
-        self._shapes.add(job.shape)
+        self._search_keys.add(job.search_key)
         if job.kind != Kind.GANG:
-            self._failed = [
+            self._failed_needs = [
                 (domain, need)
-                for domain, need in self._failed
+                for domain, need in self._failed_needs
                 if not (job.domain in ("", domain) and job.need.within(need))
             ]
-            self._failed.append((job.domain, job.need))
+            self._failed_needs.append((job.domain, job.need))
--- a/siskintally/feasibility.py
+++ b/siskintally/feasibility.py
@@ -1,11 +1,11 @@
 """Check whether a job could ever run on the known workers, and why it waits.
 
->>> from siskintally.feasibility import CapacityTable
+>>> from siskintally.feasibility import FeasibilityCheck
 >>> from siskintally.size import Size
 >>> from siskintally.workload import Job, Kind
->>> table = CapacityTable()
->>> table.add("d", Size(cpu=32000, memory=64000))
->>> table.reason(Job(job_id="j", kind=Kind.BATCH, need=Size(cpu=64000), tasks=1, submitted=0.0))
+>>> check = FeasibilityCheck()
+>>> check.add("d", Size(cpu=32000, memory=64000))
+>>> check.explain(Job(job_id="j", kind=Kind.BATCH, need=Size(cpu=64000), tasks=1, submitted=0.0))
 ('needs 64000 cpu_milli, the largest worker has 32000', True)
 """
 
@@ -14,12 +14,12 @@
 from siskintally.size import NOTHING
 from siskintally.workload import Kind
 
-_NAMES = ("cpu_milli", "memory_mb", "accelerators")
-NO_ROOM = "waits for free resources"
+_RESOURCE_NAMES = ("cpu_milli", "memory_mb", "accelerators")
+WAITS_FOR_RESOURCES = "waits for free resources"
 NO_WORKERS = "no worker is known"
 
 
-class CapacityTable:
+class FeasibilityCheck:
     """Number of workers for each failure domain and capacity, whatever runs on them."""
 
     __slots__ = ("_count_by_capacity",)
@@ -42,7 +42,7 @@
             if job.domain in ("", domain):
                 yield capacity, count
 
-    def reason(self, job):
+    def explain(self, job):
         """Return why a job waits.
 
         :returns: the reason, and whether the job would not fit even if all workers were empty.
@@ -50,16 +50,16 @@
         capacities = list(self._capacities(job))
         if not capacities:
             return NO_WORKERS, False
-        places = sum(job.need.max_count_in(capacity) * count for capacity, count in capacities)
+        fitting = sum(job.need.max_count_in(capacity) * count for capacity, count in capacities)
         tasks = len(job.waiting) + len(job.running)
-        if places >= (tasks if job.kind == Kind.GANG else 1):
-            return NO_ROOM, False
-        if places:
+        if fitting >= (tasks if job.kind == Kind.GANG else 1):
+            return WAITS_FOR_RESOURCES, False
+        if fitting:
             return (
-                f"{tasks} tasks must run at once, all workers together have capacity for {places}",
+                f"{tasks} tasks must run at once, all workers together have capacity for {fitting}",
                 True,
             )
-        for number, name in enumerate(_NAMES):
+        for number, name in enumerate(_RESOURCE_NAMES):
             needed = job.need.key()[number]
             largest = max(capacity.key()[number] for capacity, _ in capacities)
             if needed > largest:
@@ -68,5 +68,5 @@
 
 
 def _describe(size):
-    parts = zip(_NAMES, size.key(), NOTHING.key(), strict=True)
-    return ", ".join(f"{amount} {name}" for name, amount, none in parts if amount != none)
+    parts = zip(_RESOURCE_NAMES, size.key(), NOTHING.key(), strict=True)
+    return ", ".join(f"{amount} {name}" for name, amount, nothing in parts if amount != nothing)
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -128,19 +128,21 @@
         self.placement.add_worker(
             name, domain=record.domain, rack=record.rack, capacity=worker.capacity
         )
-        self.placement.connect_worker(name, connected=connected)
+        self.placement.set_worker_connected(name, connected=connected)
         drain = self.domain.drain_by_key.get(("worker", name))
-        self.placement.drain_worker(name, draining=drain is not None)
+        self.placement.set_worker_draining(name, draining=drain is not None)
         self.review_due = True
 
     def _add_job(self, job):
         age = max(0.0, self.domain.now - job.accepted_at)
         waiting = [task.task_id for task in job.waiting()]
-        added = Job.of(job.item.job_id, job.item.spec, tasks=waiting, submitted=self.clock() - age)
+        added = Job.from_message(
+            job.item.job_id, job.item.spec, tasks=waiting, submitted=self.clock() - age
+        )
         self.placement.submit(added)
         for task in job.task_by_id.values():
             if task.worker:
-                self.placement.restore(job.item.job_id, task.task_id, task.worker)
+                self.placement.restore_task(job.item.job_id, task.task_id, task.worker)
         if job.item.cancelled:
             self.stop_tasks(self.placement.cancel(job.item.job_id))
 
@@ -187,7 +189,7 @@
         job_id = job_id_of(task_id)
         self.dirty.add(job_id)
         allocation = self.placement.pool.allocation_by_task.get(task_id)
-        self.placement.ended(
+        self.placement.record_end(
             task_id,
             now=self.clock(),
             failed=cause == AttemptEnd.FAILED,
@@ -197,7 +199,7 @@
         if job is None:
             return
         if allocation is not None and cause == AttemptEnd.FAILED:
-            job.avoid.add(allocation.worker.name)
+            job.avoided_workers.add(allocation.worker.name)
         task = self.domain.task(task_id)
         if task is not None and not task.worker:
             self.placement.requeue(job_id, task_id)
@@ -205,7 +207,7 @@
             self.stop_tasks(job.running)
         committed = self.domain.job_by_id.get(job_id)
         if committed is None or committed.is_over:
-            self.placement.forget(job_id)
+            self.placement.remove_job(job_id)
 
     def stop_tasks(self, task_ids, *, checkpoint=False):
         """Queue stop orders for tasks; their resources stay allocated until the end is reported."""
@@ -235,7 +237,7 @@
                 self.follow(job_id)
             else:
                 self.placement.cancel(job_id)
-                self.placement.forget(job_id)
+                self.placement.remove_job(job_id)
         self.push()
 
     def start_task(self, task_id):
@@ -290,13 +292,13 @@
         if job.item.cancelled:
             self.stop_tasks(self.placement.cancel(job_id))
             if job.is_over:
-                self.placement.forget(job_id)
+                self.placement.remove_job(job_id)
             return
         if known is not None:
             self.placement.set_waiting(job_id, [task.task_id for task in job.waiting()])
         elif not job.is_over:
             self._add_job(job)
         if job.is_over:
-            self.placement.forget(job_id)
+            self.placement.remove_job(job_id)
         else:
             self.request_pass(urgent=self.placement.job_by_id[job_id].urgency == Urgency.URGENT)
--- a/siskintally/policy.py
+++ b/siskintally/policy.py
@@ -49,8 +49,10 @@
             worker = self.choose_worker(pool, job)
             if worker is None:
                 break
-            if worker.name in job.avoid:
-                others = (other for other in pool.fitting(job) if other.name not in job.avoid)
+            if worker.name in job.avoided_workers:
+                others = (
+                    other for other in pool.fitting(job) if other.name not in job.avoided_workers
+                )
                 worker = next(others, worker)
             task_id = job.waiting.popleft()
             pool.allocate(worker, task_id, job)
--- a/siskintally/readmission.py
+++ b/siskintally/readmission.py
@@ -6,9 +6,11 @@
 >>> pool = Pool()
 >>> pool.add("w1", domain="d", rack="r", capacity=Size(cpu=4000))
 >>> worker, readmission = pool.worker_by_name["w1"], Readmission(pool=pool)
->>> [readmission.failed(worker, job_id, now=0.0) for job_id in "aaaab"][-1], worker.accepts_tasks
-(True, False)
->>> readmission.review(60.0)
+>>> [readmission.record_failure(worker, job_id, now=0.0) for job_id in "aaaab"][-1]
+True
+>>> worker.accepts_tasks
+False
+>>> readmission.update(60.0)
 >>> worker.accepts_tasks, worker.probing
 (True, True)
 """
@@ -25,48 +27,48 @@
     :param pool: :class:`~siskintally.pool.Pool`.
     """
 
-    __slots__ = ("_ejection", "_pool", "_since_by_name")
+    __slots__ = ("_ejection", "_pool", "_probe_started_by_name")
 
     def __init__(self, *, pool):
         self._ejection = Ejection()
         self._pool = pool
-        self._since_by_name = {}
+        self._probe_started_by_name = {}
 
-    def failed(self, worker, job_id, *, now):
+    def record_failure(self, worker, job_id, *, now):
         """Record a failed task; return whether the worker was ejected for it.
 
         :param now: monotonic seconds.
         """
-        if not self._ejection.failed(worker.name, job_id, now=now):
+        if not self._ejection.record_failure(worker.name, job_id, now=now):
             return False
         worker.probing = False
         self._pool.set_flags(worker, ejected=True)
         return True
 
-    def succeeded(self, worker):
+    def record_success(self, worker):
         """Record a task that ran to completion; a successful probe readmits its worker."""
-        if self._ejection.succeeded(worker.name):
-            self._restore(worker)
+        if self._ejection.record_success(worker.name):
+            self._readmit(worker)
 
-    def review(self, now):
+    def update(self, now):
         """Readmit workers whose probe task has run long enough; start probes that are due.
 
         A probe counts as a success before its task ends, because a service never ends.
         """
-        for name, since in list(self._since_by_name.items()):
+        for name, started_at in list(self._probe_started_by_name.items()):
             worker = self._pool.worker_by_name.get(name)
             if worker is None or not worker.probing:
-                del self._since_by_name[name]
+                del self._probe_started_by_name[name]
             elif not worker.allocation_by_task:
-                self._since_by_name[name] = None
-            elif since is None:
-                self._since_by_name[name] = now
-            elif now - since >= PROBE_RUN_S:
-                self._ejection.succeeded(name)
-                self._restore(worker)
-        for name in self._ejection.due(now):
+                self._probe_started_by_name[name] = None
+            elif started_at is None:
+                self._probe_started_by_name[name] = now
+            elif now - started_at >= PROBE_RUN_S:
+                self._ejection.record_success(name)
+                self._readmit(worker)
+        for name in self._ejection.start_due_probes(now):
             if name in self._pool.worker_by_name:
-                self._since_by_name[name] = None
+                self._probe_started_by_name[name] = None
                 worker = self._pool.worker_by_name[name]
                 worker.probing = True
                 self._pool.set_flags(worker, ejected=False)
@@ -75,6 +77,6 @@
         """Drop the failure history of a removed worker."""
         self._ejection.forget(name)
 
-    def _restore(self, worker):
+    def _readmit(self, worker):
         worker.probing = False
         self._pool.set_flags(worker, ejected=False)
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -28,7 +28,7 @@
 MAX_RESERVATIONS = 4
 # Reservations of a job compared with a worker on which a task ended; bounds the time for large
 # gangs.
-MAX_COMPARED = 32
+MAX_COMPARED_RESERVATIONS = 32
 
 
 class Reservations:
@@ -47,7 +47,7 @@
         self._jobs = []
 
     @property
-    def has_room(self):
+    def can_reserve(self):
         """Whether another job may get a reservation."""
         return len(self._jobs) < MAX_RESERVATIONS
 
@@ -56,71 +56,71 @@
 
         :returns: False if the workers or the limit on jobs with reservations do not permit it.
         """
-        if not self.has_room:
+        if not self.can_reserve:
             return False
-        chosen = _closest(self._pool, job, len(job.waiting) if job.kind == Kind.GANG else 1)
+        chosen = _choose_workers(self._pool, job, len(job.waiting) if job.kind == Kind.GANG else 1)
         for worker in chosen:
             self._pool.reserve(worker, job.need)
         job.reservations.extend(chosen)
         if not chosen:
             return False
-        self.keep(job)
+        self.register(job)
         return True
 
-    def keep(self, job):
+    def register(self, job):
         """Register a job that has reservations; those of urgent jobs are never moved."""
         if job.job_id not in self._job_by_id and job.urgency != Urgency.URGENT:
             self._jobs.append(job)
         self._job_by_id[job.job_id] = job
 
-    def drop(self, job):
+    def release(self, job):
         """Release all reservations of a job and unregister it."""
-        withdraw(self._pool, job)
+        unreserve_all(self._pool, job)
         if self._job_by_id.pop(job.job_id, None) is not None and job in self._jobs:
             self._jobs.remove(job)
 
-    def drop_on(self, worker):
+    def release_on(self, worker):
         """Release all reservations of the jobs that have one on a worker no longer available."""
         for job in list(self._job_by_id.values()):
             if worker in job.reservations:
-                self.drop(job)
+                self.release(job)
 
-    def place(self):
+    def place_tasks(self):
         """Place tasks that fit now; return the assignments and all jobs that had reservations."""
         jobs = list(self._job_by_id.values())
         return [found for job in jobs for found in place_reserved(self._pool, job)], jobs
 
-    def offer(self, worker):
+    def move_to(self, worker):
         """Move reservations to a worker on which a task ended, if the shortfall is smaller there.
 
         Jobs that have had reservations for longer come first.
         """
         for job in self._jobs:
-            while _move(self._pool, job, worker):
+            while _move_reservation(self._pool, job, worker):
                 pass
 
 
-def _closest(pool, job, wanted):
+def _choose_workers(pool, job, wanted):
     """Return ``wanted`` workers with the smallest shortfall, repeats allowed; empty if too few."""
-    places = [
+    candidates = [
         (_shortfall(worker, job.need, 1), worker.name, 1, worker)
         for worker in pool.worker_by_name.values()
-        if _may_hold(worker, job)
+        if _can_reserve_on(worker, job)
     ]
-    heapify(places)
-    chosen, most_by_name = [], {}
-    while places and len(chosen) < wanted:
-        _, name, count, worker = heappop(places)
-        if name not in most_by_name:
-            most_by_name[name] = _most(worker, job.need)
-        if count <= most_by_name[name]:
+    heapify(candidates)
+    chosen, max_by_name = [], {}
+    while candidates and len(chosen) < wanted:
+        _, name, count, worker = heappop(candidates)
+        if name not in max_by_name:
+            max_by_name[name] = _max_tasks(worker, job.need)
+        if count <= max_by_name[name]:
             chosen.append(worker)
-            more = _shortfall(worker, job.need, count + 1)
-            heappush(places, (more, name, count + 1, worker))
+            shortfall = _shortfall(worker, job.need, count + 1)
+            heappush(candidates, (shortfall, name, count + 1, worker))
     return chosen if len(chosen) == wanted else []
 
 
-def _may_hold(worker, job):
+def _can_reserve_on(worker, job):
     return (
         worker.accepts_tasks
         and job.domain in ("", worker.domain)
@@ -128,34 +128,34 @@
     )
 
 
-def _most(worker, need):
+def _max_tasks(worker, need):
     """Return how many tasks can be reserved for, without the resources of long-running tasks."""
     count = need.max_count_in(worker.capacity - worker.long_running() - worker.reserved)
     return min(count, 1) if worker.probing else count
 
 
-def _move(pool, job, worker):
+def _move_reservation(pool, job, worker):
     """Move the reservation with the largest shortfall to ``worker``, if it is smaller there.
 
     :returns: whether a reservation was moved.
     """
-    if not job.reservations or not _may_hold(worker, job):
+    if not job.reservations or not _can_reserve_on(worker, job):
         return False
-    compared = job.reservations[:MAX_COMPARED]
-    if len(job.reservations) > MAX_COMPARED:
+    compared = job.reservations[:MAX_COMPARED_RESERVATIONS]
+    if len(job.reservations) > MAX_COMPARED_RESERVATIONS:
         # Rotates the list, so that the next call compares other reservations.
         job.reservations.extend(compared)
-        del job.reservations[:MAX_COMPARED]
-    shortfalls = [_shortfall(place, job.need, 0) for place in compared]
+        del job.reservations[:MAX_COMPARED_RESERVATIONS]
+    shortfalls = [_shortfall(reserved, job.need, 0) for reserved in compared]
     worst = max(shortfalls)
-    if worst <= 0 or _shortfall(worker, job.need, 1) >= worst or not _most(worker, job.need):
+    if worst <= 0 or _shortfall(worker, job.need, 1) >= worst or not _max_tasks(worker, job.need):
         return False
-    place = compared[shortfalls.index(worst)]
-    if place is worker:
+    source = compared[shortfalls.index(worst)]
+    if source is worker:
         return False
-    pool.unreserve(place, job.need)
+    pool.unreserve(source, job.need)
     pool.reserve(worker, job.need)
-    job.reservations.remove(place)
+    job.reservations.remove(source)
     job.reservations.append(worker)
     return True
 
@@ -177,7 +177,7 @@
     return max(parts)
 
 
-def withdraw(pool, job):
+def unreserve_all(pool, job):
     """Release all reservations of a job."""
     for worker in job.reservations:
         pool.unreserve(worker, job.need)
@@ -190,12 +190,12 @@
     :returns: assignments; for a gang of all tasks or of none.
     """
     if job.kind == Kind.GANG:
-        if job.running or not _gang_has_room(pool, job):
+        if job.running or not _gang_fits(pool, job):
             return []
-        withdraw(pool, job)
+        unreserve_all(pool, job)
         return policy_for(job.kind).place(pool=pool, job=job, limit=len(job.waiting))
     placed = []
-    for worker in _free_now(job):
+    for worker in _ready_workers(job):
         job.reservations.remove(worker)
         pool.unreserve(worker, job.need)
         task_id = job.waiting.popleft()
@@ -208,7 +208,7 @@
     return placed
 
 
-def _gang_has_room(pool, job):
+def _gang_fits(pool, job):
     """Return whether the whole gang fits now, counting its own reservations as available."""
     own = Counter(job.reservations)
     count = 0
@@ -226,7 +226,7 @@
     return False
 
 
-def _free_now(job):
+def _ready_workers(job):
     ready = []
     for worker, count in Counter(job.reservations).items():
         if worker.accepts_tasks:
--- a/siskintally/worker_service.py
+++ b/siskintally/worker_service.py
@@ -93,7 +93,7 @@
         allocated = []
         if known is not None:
             allocated = [(each.job, each.task_id) for each in known.allocation_by_task.values()]
-            owner_term.placement.lose_worker(name)
+            owner_term.placement.remove_worker(name)
         owner_term.add_worker(name, worker, connected=False)
         for job, task_id in allocated:
             if task_id in worker.task_ids:
@@ -109,7 +109,7 @@
         self._reported[beat.worker] = (session, beat.session)
         owner_term.link_by_worker[beat.worker] = session
         owner_term.orders.resend(beat.worker)
-        owner_term.placement.connect_worker(beat.worker, connected=True)
+        owner_term.placement.set_worker_connected(beat.worker, connected=True)
         owner_term.review_due = True
         owner_term.request_pass()
 
@@ -136,7 +136,7 @@
         for name in names:
             del owner_term.link_by_worker[name]
             self._reported.pop(name, None)
-            owner_term.placement.connect_worker(name, connected=False)
+            owner_term.placement.set_worker_connected(name, connected=False)
 
     async def watch(self):
         """Check for lost workers periodically until cancelled.
@@ -170,6 +170,6 @@
             owner_term.link_by_worker.pop(name, None)
             self._reported.pop(name, None)
             if name in owner_term.placement.pool.worker_by_name:
-                owner_term.placement.lose_worker(name)
+                owner_term.placement.remove_worker(name)
         owner_term.review_due = True
         owner_term.request_pass()
--- a/siskintally/workload.py
+++ b/siskintally/workload.py
@@ -14,7 +14,7 @@
 
 # A job without a deadline is queued as if it had to start within an hour of its submission, so that
 # newer jobs with deadlines cannot overtake it forever.
-PATIENCE_S = 3600.0
+DEFAULT_START_WITHIN_S = 3600.0
 
 
 class Kind(IntEnum):
@@ -47,13 +47,13 @@
     :param run_s: declared run time, 0 for a job that runs until it is stopped.
     :param deadline_s: seconds from submission to the end, 0 for none.
 
-    Workers in ``avoid`` are used only if the task fits on no other. Urgent jobs may preempt the
-    tasks of a ``is_preemptible`` job. ``rank`` is the class that the job is queued in: a deferrable
-    job is queued as a normal one when its latest start is near.
+    Workers in ``avoided_workers`` are used only if the task fits on no other. Urgent jobs may
+    preempt tasks of a job with ``is_preemptible``. ``queue_class`` is the class that the job is
+    queued in: a deferrable job is queued as a normal one when its latest start is near.
     """
 
     __slots__ = (
-        "avoid",
+        "avoided_workers",
         "blocked_since",
         "cancelled",
         "count_by_domain",
@@ -65,13 +65,13 @@
         "kind",
         "latest_start",
         "need",
-        "never",
-        "queued",
-        "rank",
+        "never_fits",
+        "queue_class",
+        "queue_entry",
         "reason",
         "reservations",
         "running",
-        "shape",
+        "search_key",
         "urgency",
         "waiting",
     )
@@ -89,34 +89,36 @@
         run_s=0.0,
         deadline_s=0.0,
     ):
-        names = tasks
+        task_ids = tasks
         if isinstance(tasks, int):
-            names = [f"{job_id}/{number}" for number in range(tasks)]
+            task_ids = [f"{job_id}/{number}" for number in range(tasks)]
         self.job_id = job_id
         self.kind = kind
         self.need = need
         self.domain = domain
         self.urgency = urgency
-        self.rank = urgency
+        self.queue_class = urgency
         self.is_preemptible = kind == Kind.BATCH and urgency == Urgency.DEFERRABLE
         self.is_long_running = kind == Kind.SERVICE or run_s <= 0
-        self.latest_start = submitted + (max(deadline_s - run_s, 0.0) if deadline_s else PATIENCE_S)
-        self.waiting = deque(names)
+        self.latest_start = submitted + (
+            max(deadline_s - run_s, 0.0) if deadline_s else DEFAULT_START_WITHIN_S
+        )
+        self.waiting = deque(task_ids)
         self.running = set()
         self.reservations = []
         self.count_by_rack = {}
         self.count_by_domain = {}
-        self.avoid = set()
+        self.avoided_workers = set()
         self.blocked_since = None
         self.cancelled = False
-        self.queued = None
-        self.never = False
+        self.queue_entry = None
+        self.never_fits = False
         self.reason = ""
-        size = len(self.waiting) if kind == Kind.GANG else 1
-        self.shape = (kind, domain, need.key(), size)
+        task_count = len(self.waiting) if kind == Kind.GANG else 1
+        self.search_key = (kind, domain, need.key(), task_count)
 
     @classmethod
-    def of(cls, job_id, spec, *, tasks, submitted):
+    def from_message(cls, job_id, spec, *, tasks, submitted):
         """Create a job from the wire message ``JobSpec``."""
         return cls(
             job_id=job_id,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -97,17 +97,17 @@
             )
         elif step in ("end", "fail") and running:
             task_id = running[value % len(running)]
-            placement.ended(task_id, now=now, failed=step == "fail", succeeded=step == "end")
+            placement.record_end(task_id, now=now, failed=step == "fail", succeeded=step == "end")
         elif step == "cancel" and placement.job_by_id:
             placement.cancel(sorted(placement.job_by_id)[value % len(placement.job_by_id)])
         elif step == "lose" and names:
-            for task_id in placement.lose_worker(names[value % len(names)]):
+            for task_id in placement.remove_worker(names[value % len(names)]):
                 if placement.job_by_id[task_id.partition("/")[0]].kind != Kind.GANG:
                     placement.requeue(task_id.partition("/")[0], task_id)
         elif step == "add":
             placement.add_worker(f"n{number}", domain="d", rack="r9", capacity=CAPACITY)
         elif step == "drain" and names:
-            placement.drain_worker(names[value % len(names)], draining=bool(tasks % 2))
+            placement.set_worker_draining(names[value % len(names)], draining=bool(tasks % 2))
         elif step == "wait":
             now += 20.0
         placement.decide(now=now)
@@ -131,7 +131,7 @@
     assert {task.partition("/")[0] for task in first} == {"a"} and len(first) == 3
     assert len(placement.pool.allocation_by_task) == 3
     for task_id in first:
-        placement.ended(task_id, now=1.0, succeeded=True)
+        placement.record_end(task_id, now=1.0, succeeded=True)
     assert len(placed(placement, 1.0)) == 3
 
 
@@ -147,7 +147,7 @@
         now = float(step)
         placement.submit(job(f"t{step}", 1000, submitted=now))
         if running:
-            placement.ended(running.pop(0), now=now, succeeded=True)
+            placement.record_end(running.pop(0), now=now, succeeded=True)
         found = placed(placement, now)
         started = started or "gang/0" in found
         running.extend(task for task in found if not task.startswith("gang"))
@@ -169,7 +169,7 @@
     others.sort(key=worker_by_task.get)
     for number, task_id in enumerate(others[:4]):
         placement.submit(job(f"late{number}", 100, submitted=1000.0))
-        placement.ended(task_id, now=RESERVE_AFTER_S, succeeded=True)
+        placement.record_end(task_id, now=RESERVE_AFTER_S, succeeded=True)
         check_invariants(placement)
     found = placed(placement, RESERVE_AFTER_S)
     assert {"gang/0", "gang/1"} <= set(found) and not gang.reservations
@@ -184,10 +184,10 @@
     placed(placement, 0.0)
     placed(placement, RESERVE_AFTER_S)
     assert placement.job_by_id["next"].reservations
-    placement.connect_worker("w0", connected=False)
-    placement.ended("first/0", now=RESERVE_AFTER_S, succeeded=True)
+    placement.set_worker_connected("w0", connected=False)
+    placement.record_end("first/0", now=RESERVE_AFTER_S, succeeded=True)
     assert placed(placement, RESERVE_AFTER_S) == {}
-    placement.connect_worker("w0", connected=True)
+    placement.set_worker_connected("w0", connected=True)
     assert placed(placement, RESERVE_AFTER_S) == {"next/0": "w0"}
 
 
@@ -198,7 +198,7 @@
     placement.submit(job("large", 7000, submitted=ORDER_WINDOW_S / 2))
     assert list(placed(placement, 0.0)) == ["large/0"]
     placement.submit(job("later", 8000, submitted=ORDER_WINDOW_S * 2))
-    placement.ended("large/0", now=1.0, succeeded=True)
+    placement.record_end("large/0", now=1.0, succeeded=True)
     assert list(placed(placement, 1.0)) == ["small/0"]
 
 
@@ -225,9 +225,9 @@
     decision = placement.decide(now=1.0)
     assert len(decision.stops) == 2 and not decision.assignments
     placement.submit(job("other", 2000))
-    placement.ended(decision.stops[0], now=2.0)
+    placement.record_end(decision.stops[0], now=2.0)
     assert placed(placement, 2.0) == {}
-    placement.ended(decision.stops[1], now=3.0)
+    placement.record_end(decision.stops[1], now=3.0)
     assert "now/0" in placed(placement, 3.0)
 
 
@@ -255,7 +255,7 @@
     placement = placement_with(2)
     placement.submit(wanted)
     assert placed(placement, 0.0) == {}
-    assert wanted.never and reason in wanted.reason
+    assert wanted.never_fits and reason in wanted.reason
 
 
 def test_never_is_not_said_before_workers_are_known():
@@ -263,7 +263,7 @@
     placement, wanted = Placement(), job("j", 1000)
     placement.submit(wanted)
     placed(placement, 0.0)
-    assert not wanted.never
+    assert not wanted.never_fits
     placement.add_worker("w0", domain="d", rack="r", capacity=CAPACITY)
     assert placed(placement, 0.1) == {"j/0": "w0"}
 
@@ -274,14 +274,14 @@
     for number in range(5):
         placement.submit(job(f"j{number % 2}-{number}", 1000))
         (task_id,) = placed(placement, 0.0)
-        placement.ended(task_id, now=0.0, failed=True)
+        placement.record_end(task_id, now=0.0, failed=True)
     placement.submit(job("next", 1000, tasks=3))
     assert placed(placement, 59.0) == {}
     assert len(placed(placement, 60.0)) == 1
-    placement.ended("next/0", now=61.0, failed=True)
+    placement.record_end("next/0", now=61.0, failed=True)
     assert placed(placement, 179.0) == {}
     assert len(placed(placement, 181.0)) == 1
-    placement.ended("next/1", now=182.0, succeeded=True)
+    placement.record_end("next/1", now=182.0, succeeded=True)
     assert len(placed(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].accepts_tasks
 
 
@@ -291,7 +291,7 @@
     placement.submit(job("a", 100, tasks=3))
     placement.submit(job("b", 100, tasks=3))
     for task_id in placed(placement, 0.0):
-        placement.ended(task_id, now=0.0, failed=True)
+        placement.record_end(task_id, now=0.0, failed=True)
     placement.submit(job("s", 1000, tasks=2, kind=Kind.SERVICE, run_s=0))
     assert len(placed(placement, 60.0)) == 1
     assert placed(placement, 61.0) == placed(placement, 80.0) == {}
@@ -303,7 +303,7 @@
     placement = placement_with(1)
     placement.submit(job("broken", 1000, tasks=8))
     for task_id in placed(placement, 0.0):
-        placement.ended(task_id, now=0.0, failed=True)
+        placement.record_end(task_id, now=0.0, failed=True)
     assert placement.pool.worker_by_name["w0"].accepts_tasks
 
 
@@ -314,8 +314,8 @@
     (first,) = placed(placement, 0.0).values()
     placement.submit(job("j", 1000))
     assert placed(placement, 0.0) == {"j/0": first}
-    placement.ended("j/0", now=0.0, failed=True)
-    placement.job_by_id["j"].avoid.add(first)
+    placement.record_end("j/0", now=0.0, failed=True)
+    placement.job_by_id["j"].avoided_workers.add(first)
     placement.requeue("j", "j/0")
     assert set(placed(placement, 1.0).values()) == {"w0", "w1"} - {first}
 
@@ -334,20 +334,20 @@
     for name, urgency in (("d", Urgency.DEFERRABLE), ("n", Urgency.NORMAL), ("u", Urgency.URGENT)):
         placement.submit(job(name, 8000, urgency=urgency))
     assert list(placed(placement, 0.0)) == ["u/0"]
-    placement.ended("u/0", now=1.0)
+    placement.record_end("u/0", now=1.0)
     assert list(placed(placement, 1.0)) == ["n/0"]
     placement.submit(job("n2", 8000, submitted=3200.0))
-    placement.ended("n/0", now=3300.0)
+    placement.record_end("n/0", now=3300.0)
     assert list(placed(placement, 3300.0)) == ["d/0"]
 
 
 def test_a_drained_worker_gets_nothing_new():
     """Guards against new work on a worker that is leaving."""
     placement = placement_with(1)
-    placement.drain_worker("w0", draining=True)
+    placement.set_worker_draining("w0", draining=True)
     placement.submit(job("j", 1000))
     assert placed(placement, 0.0) == {}
-    placement.drain_worker("w0", draining=False)
+    placement.set_worker_draining("w0", draining=False)
     assert placed(placement, 0.1) == {"j/0": "w0"}
 
 
@@ -361,5 +361,5 @@
     assert sorted(stopped) == sorted(running) and len(running) == 2
     assert placed(placement, 1.0) == {}
     for task_id in stopped:
-        placement.ended(task_id, now=2.0)
+        placement.record_end(task_id, now=2.0)
     assert placed(placement, 2.0) == {} and placement.pool.free == placement.pool.capacity
