Name lease, owner and order members after what they do

Names such as arrived, dirty, unsent, wake, hold, stamp, take, clear, lose and Due did not say which state they keep or change.

--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -18,12 +18,12 @@
 SYNC_WAIT_S = 5.0
 SYNC_TIMEOUT_S = 10.0
 RETRY_S = 0.5
-REPORT_S = 1.0
+REPORT_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 5.0
 MAX_REPORT_JOBS = 5000
 # A job is reported as never fitting only this long after the term began: a large job must not be
 # failed while workers are still registering.
-NEVER_AFTER_S = 10.0
+NEVER_FITS_DELAY_S = 10.0
 
 log = get_logger("cell-sync")
 
@@ -44,7 +44,7 @@
         self._reported_by_job = {}
         self._reason_by_job = {}
 
-    async def follow(self):
+    async def run_sync(self):
         """Fetch the changes of the cell, commit and apply them, until cancelled.
 
         :raises NotLeaderError: leadership has ended.
@@ -63,49 +63,49 @@
             try:
                 reply = await self._cell_call(request, timeout=SYNC_TIMEOUT_S)
             except SiskintallyError as error:
-                owner_term.check()
+                owner_term.check_leadership()
                 log.info("cell unreachable", error=str(error))
                 await sleep(RETRY_S)
                 continue
-            if self._is_too_early(reply):
+            if self._must_wait_for_idle(reply):
                 await sleep(RETRY_S)
-            elif self._has_news(reply):
-                await self._take(reply)
-                self._clear(reply)
-            elif not owner_term.may_start():
-                self._clear(reply)
+            elif self._has_changes(reply):
+                await self._apply_reply(reply)
+                self._apply_status(reply)
+            elif not owner_term.may_start_tasks():
+                self._apply_status(reply)
             elif monotonic() - started < RETRY_S:
                 await sleep(RETRY_S)
 
     def _wait_s(self):
         """Return the wait of the long poll, seconds; 0 while the owner may not start tasks."""
         owner_term = self._owner_term
-        return SYNC_WAIT_S if owner_term.may_start() or owner_term.domain.fenced else 0.0
+        return SYNC_WAIT_S if owner_term.may_start_tasks() or owner_term.domain.fenced else 0.0
 
-    def _has_news(self, reply):
+    def _has_changes(self, reply):
         domain = self._owner_term.domain
         if reply.epoch != domain.epoch:
             return reply.epoch > domain.epoch
         items = reply.jobs or reply.drains or reply.HasField("config")
         return bool(items) or reply.lost != domain.fenced
 
-    def _is_too_early(self, reply):
+    def _must_wait_for_idle(self, reply):
         """Return whether a restore of the group must wait until it is idle."""
         owner_term = self._owner_term
         same_epoch = reply.epoch == owner_term.domain.epoch
         return same_epoch and owner_term.domain.fenced and not (reply.lost or owner_term.is_idle())
 
-    def _clear(self, reply):
+    def _apply_status(self, reply):
         """Record the group's status; send pending start orders if it newly permits starts."""
         owner_term = self._owner_term
-        before = owner_term.may_start()
+        before = owner_term.may_start_tasks()
         owner_term.status_check.record_reply(reply)
-        if owner_term.may_start() and not before:
-            owner_term.unsent.update(owner_term.link_by_worker)
-            owner_term.push()
+        if owner_term.may_start_tasks() and not before:
+            owner_term.workers_to_push.update(owner_term.link_by_worker)
+            owner_term.push_orders()
             owner_term.request_pass()
 
-    async def _take(self, reply):
+    async def _apply_reply(self, reply):
         owner_term = self._owner_term
         before, epoch = owner_term.domain.config.version, owner_term.domain.epoch
         answer = await owner_term.commit(sync=reply)
@@ -116,7 +116,7 @@
         if owner_term.domain.epoch != epoch:
             log.error("declared lost, all tasks end", epoch=owner_term.domain.epoch)
             self._reported_by_job.clear()
-            owner_term.withdraw()
+            owner_term.apply_group_loss()
             return
         for drain in reply.drains:
             if drain.kind == "worker":
@@ -124,8 +124,8 @@
             else:
                 self._on_config()
         for item in reply.jobs:
-            owner_term.follow(item.job_id)
-        owner_term.push()
+            owner_term.apply_job(item.job_id)
+        owner_term.push_orders()
         owner_term.request_pass()
         if owner_term.domain.config.version != before:
             self._on_config()
@@ -145,16 +145,16 @@
             workers=len(pool.worker_by_name),
         )
 
-    async def report(self):
-        """Report the progress of changed jobs every ``REPORT_S`` seconds until cancelled.
+    async def run_reports(self):
+        """Report the progress of changed jobs periodically, until cancelled.
 
         :raises NotLeaderError: leadership has ended.
         """
         while True:
-            await sleep(REPORT_S)
-            self._owner_term.check()
-            if self._owner_term.review_due:
-                self._owner_term.review_due = False
+            await sleep(REPORT_INTERVAL_S)
+            self._owner_term.check_leadership()
+            if self._owner_term.feasibility_due:
+                self._owner_term.feasibility_due = False
                 self._owner_term.placement.update_feasibility()
             await self.send_report()
 
@@ -162,13 +162,13 @@
         """Report the jobs changed since the last report; a failed report is repeated later."""
         owner_term = self._owner_term
         if owner_term.domain.fenced:
-            owner_term.dirty.clear()
+            owner_term.changed_jobs.clear()
             return
-        self._add_waiting()
-        jobs = sorted(owner_term.dirty)[:MAX_REPORT_JOBS]
-        progress = [one for one in map(self._progress, jobs) if one is not None]
-        changed = [one for one in progress if self._reported_by_job.get(one.job_id) != one]
-        owner_term.dirty.difference_update(jobs)
+        self._mark_changed_reasons()
+        jobs = sorted(owner_term.changed_jobs)[:MAX_REPORT_JOBS]
+        progress = [each for each in map(self._progress, jobs) if each is not None]
+        changed = [each for each in progress if self._reported_by_job.get(each.job_id) != each]
+        owner_term.changed_jobs.difference_update(jobs)
         if not changed:
             return
         try:
@@ -177,27 +177,27 @@
                 timeout=REPORT_TIMEOUT_S,
             )
         except NotLeaderError:
-            owner_term.dirty.update(jobs)
+            owner_term.changed_jobs.update(jobs)
         except SiskintallyError as error:
-            owner_term.dirty.update(jobs)
+            owner_term.changed_jobs.update(jobs)
             log.info("progress report failed", error=str(error))
         else:
-            self._reported_by_job.update((one.job_id, one) for one in changed)
-            for one in changed:
-                job = owner_term.domain.job_by_id.get(one.job_id)
+            self._reported_by_job.update((each.job_id, each) for each in changed)
+            for each in changed:
+                job = owner_term.domain.job_by_id.get(each.job_id)
                 if job is None or job.is_over:
-                    self._reported_by_job.pop(one.job_id)
+                    self._reported_by_job.pop(each.job_id)
 
-    def _add_waiting(self):
+    def _mark_changed_reasons(self):
         """Mark the jobs whose reason for waiting has changed as to be reported."""
         owner_term = self._owner_term
-        is_due = owner_term.clock() - owner_term.since >= NEVER_AFTER_S
+        is_due = owner_term.clock() - owner_term.started_at >= NEVER_FITS_DELAY_S
         before, self._reason_by_job = self._reason_by_job, {}
         for job_id, job in owner_term.placement.job_by_id.items():
             if job.reason:
                 reason = self._reason_by_job[job_id] = (job.reason, job.never_fits and is_due)
                 if before.get(job_id) != reason:
-                    owner_term.dirty.add(job_id)
+                    owner_term.changed_jobs.add(job_id)
 
     def _progress(self, job_id):
         owner_term = self._owner_term
@@ -205,9 +205,12 @@
         if job is None:
             return None
         progress = job.progress()
-        placed = owner_term.placement.job_by_id.get(job_id)
-        if placed is not None and progress.waiting:
-            progress.reason = placed.reason
-            if placed.never_fits and owner_term.clock() - owner_term.since >= NEVER_AFTER_S:
+        placement_job = owner_term.placement.job_by_id.get(job_id)
+        if placement_job is not None and progress.waiting:
+            progress.reason = placement_job.reason
+            if (
+                placement_job.never_fits
+                and owner_term.clock() - owner_term.started_at >= NEVER_FITS_DELAY_S
+            ):
                 progress.code = int(Code.NEVER_FITS)
         return progress
--- a/siskintally/dispatcher.py
+++ b/siskintally/dispatcher.py
@@ -1,7 +1,7 @@
 """Dispatch loop of a domain owner: places tasks, commits assignments, sends start orders.
 
->>> from siskintally.dispatcher import PASS_S
->>> PASS_S
+>>> from siskintally.dispatcher import PASS_DELAY_S
+>>> PASS_DELAY_S
 0.05
 """
 
@@ -12,10 +12,10 @@
 from siskintally.log import get_logger
 
 # Delay before a pass that is not urgent, so that tasks that arrive together share one commit.
-PASS_S = 0.05
+PASS_DELAY_S = 0.05
 # Longest time between passes: reservations and probes of ejected workers become due without any
 # event.
-IDLE_PASS_S = 1.0
+MAX_PASS_INTERVAL_S = 1.0
 
 log = get_logger("dispatcher")
 
@@ -40,26 +40,26 @@
         """
         owner_term = self._owner_term
         while True:
-            with move_on_after(IDLE_PASS_S):
-                await owner_term.wake.wait()
-            if owner_term.wake.is_set() and not owner_term.urgent:
-                await sleep(PASS_S)
-            owner_term.wake = Event()
-            owner_term.urgent = False
-            await self.step()
-
-    async def step(self):
+            with move_on_after(MAX_PASS_INTERVAL_S):
+                await owner_term.pass_requested.wait()
+            if owner_term.pass_requested.is_set() and not owner_term.is_pass_urgent:
+                await sleep(PASS_DELAY_S)
+            owner_term.pass_requested = Event()
+            owner_term.is_pass_urgent = False
+            await self.run_pass()
+
+    async def run_pass(self):
         """Run one pass; only send stop orders while the group may not start tasks."""
         owner_term = self._owner_term
-        if not owner_term.may_start():
-            owner_term.push()
+        if not owner_term.may_start_tasks():
+            owner_term.push_orders()
             return
         started = owner_term.clock()
         decision = owner_term.placement.decide(now=started)
         if decision.assignments:
             await self._assign(decision.assignments)
         owner_term.stop_tasks(decision.stops, checkpoint=True)
-        owner_term.push()
+        owner_term.push_orders()
         if decision.assignments:
             self._metrics.count("placements", len(decision.assignments))
             self._metrics.timing("placement_pass", owner_term.clock() - started)
@@ -68,33 +68,33 @@
     async def _assign(self, assignments):
         owner_term = self._owner_term
         records, records_by_task = [], {}
-        for found in assignments:
-            record = self._record(found)
+        for assignment in assignments:
+            record = self._build_record(assignment)
             if record is not None:
                 records.append(record)
-            records_by_task[found.task_id] = record
+            records_by_task[assignment.task_id] = record
         reply = await owner_term.commit(batch=DomainBatch(assigned=records))
         refused = set(reply.refused)
         refused.update(task for task, record in records_by_task.items() if record is None)
-        for found in assignments:
-            if found.task_id in refused:
-                self._give_back(found.task_id)
+        for assignment in assignments:
+            if assignment.task_id in refused:
+                self._undo_assignment(assignment.task_id)
             else:
-                owner_term.start_task(found.task_id)
+                owner_term.start_task(assignment.task_id)
 
-    def _record(self, found):
+    def _build_record(self, assignment):
         domain = self._owner_term.domain
-        task, worker = domain.task(found.task_id), domain.worker_by_name.get(found.worker)
+        task, worker = domain.task(assignment.task_id), domain.worker_by_name.get(assignment.worker)
         if task is None or worker is None:
             return None
         return AssignmentRecord(
-            task_id=found.task_id,
+            task_id=assignment.task_id,
             attempt=task.attempt + 1,
-            worker=found.worker,
+            worker=assignment.worker,
             session=worker.record.session,
         )
 
-    def _give_back(self, task_id):
+    def _undo_assignment(self, task_id):
         """Undo an assignment that the domain refused because the worker or the job had changed."""
         owner_term = self._owner_term
         log.info("assignment refused", task=task_id)
--- a/siskintally/group_status_check.py
+++ b/siskintally/group_status_check.py
@@ -21,11 +21,11 @@
 
 CHECK_TIMEOUT_S = 10.0
 RETRY_S = 1.0
-LOOK_S = 1.0
+CHECK_INTERVAL_S = 1.0
 # Half of the silence after which a group can be declared lost. A group without a leader for longer
 # may have been declared lost and restored, even though this store process kept running because its
 # machine serves other groups too.
-MAX_GAP_S = 60.0
+MAX_LEADERLESS_S = 60.0
 
 log = get_logger("group-status-check")
 
@@ -38,20 +38,20 @@
     may continue to start tasks while its group has a leader, so that its domain stays available.
     """
 
-    __slots__ = ("_epoch", "_led_at")
+    __slots__ = ("_epoch", "_leader_seen_at")
 
     def __init__(self):
         self._epoch = None
-        self._led_at = None
+        self._leader_seen_at = None
 
-    def note_leader(self, now):
+    def record_leader(self, now):
         """Record that the group has a leader; after a long time without one, ask the cell again.
 
         :param now: monotonic seconds. A pause of the process counts as time without a leader.
         """
-        if self._led_at is not None and now - self._led_at > MAX_GAP_S:
+        if self._leader_seen_at is not None and now - self._leader_seen_at > MAX_LEADERLESS_S:
             self._epoch = None
-        self._led_at = now
+        self._leader_seen_at = now
 
     def record_reply(self, reply):
         """Record the status of the group from a SyncReply."""
@@ -75,9 +75,9 @@
         """
         while True:
             if group.leader:
-                self.note_leader(monotonic())
+                self.record_leader(monotonic())
             if group.is_leader or domain.fenced or self.permits_start(domain):
-                await sleep(LOOK_S)
+                await sleep(CHECK_INTERVAL_S)
                 continue
             request = SyncRequest(group=domain.group, epoch=domain.epoch, check=True)
             try:
--- a/siskintally/lease.py
+++ b/siskintally/lease.py
@@ -6,8 +6,8 @@
 >>> from siskintally.lease import LeaseHolder, LeaseTable
 >>> worker, owner = LeaseHolder(lease_s=30.0), LeaseTable(lease_s=30.0, elected_at=0.0)
 >>> seq = worker.beat(now=10.0)
->>> owner.arrived("w1", seq, now=10.5)
->>> owner.acknowledged("w1", seq)
+>>> owner.record_heartbeat("w1", seq, now=10.5)
+>>> owner.renew("w1", seq)
 True
 >>> worker.acknowledged(seq, term=1)
 True
@@ -20,13 +20,13 @@
 FIXED_MARGIN_S = 1.0
 
 
-class _Contact:
-    __slots__ = ("acknowledged_at", "arrival_by_seq", "seq")
+class _Lease:
+    __slots__ = ("arrival_by_seq", "last_seq", "renewed_at")
 
     def __init__(self, *, since):
-        self.acknowledged_at = since
+        self.renewed_at = since
         self.arrival_by_seq = {}
-        self.seq = 0
+        self.last_seq = 0
 
 
 class LeaseTable:
@@ -40,76 +40,76 @@
     :param elected_at: time of the election of this owner.
     """
 
-    __slots__ = ("_contact_by_worker", "elected_at", "lease_s")
+    __slots__ = ("_lease_by_worker", "elected_at", "lease_s")
 
     def __init__(self, *, lease_s, elected_at):
         self.lease_s = lease_s
         self.elected_at = elected_at
-        self._contact_by_worker = {}
+        self._lease_by_worker = {}
 
-    def watch(self, worker):
+    def add_worker(self, worker):
         """Add a worker from the committed state, whose lease an earlier owner may have renewed."""
-        self._contact_by_worker.setdefault(worker, _Contact(since=self.elected_at))
+        self._lease_by_worker.setdefault(worker, _Lease(since=self.elected_at))
 
-    def arrived(self, worker, seq, *, now):
+    def record_heartbeat(self, worker, seq, *, now):
         """Record the arrival of a heartbeat; it renews the lease only once acknowledged.
 
         :param seq: number of the heartbeat in its session.
         """
-        if worker not in self._contact_by_worker:
-            self._contact_by_worker[worker] = _Contact(since=max(now, self.elected_at))
-        self._contact_by_worker[worker].arrival_by_seq.setdefault(seq, now)
+        if worker not in self._lease_by_worker:
+            self._lease_by_worker[worker] = _Lease(since=max(now, self.elected_at))
+        self._lease_by_worker[worker].arrival_by_seq.setdefault(seq, now)
 
-    def acknowledged(self, worker, seq):
+    def renew(self, worker, seq):
         """Renew a lease, just before the heartbeat is acknowledged.
 
         A quorum round that began after the arrival of the heartbeat must have succeeded.
 
         :returns: whether the heartbeat is known; if not, it must not be acknowledged.
         """
-        contact = self._contact_by_worker.get(worker)
-        if contact is None or seq not in contact.arrival_by_seq:
+        lease = self._lease_by_worker.get(worker)
+        if lease is None or seq not in lease.arrival_by_seq:
             return False
-        arrival = contact.arrival_by_seq[seq]
-        contact.acknowledged_at = max(contact.acknowledged_at, arrival)
-        contact.arrival_by_seq = {
-            later: at for later, at in contact.arrival_by_seq.items() if later > seq
+        arrival = lease.arrival_by_seq[seq]
+        lease.renewed_at = max(lease.renewed_at, arrival)
+        lease.arrival_by_seq = {
+            later: at for later, at in lease.arrival_by_seq.items() if later > seq
         }
-        contact.seq = max(contact.seq, seq)
+        lease.last_seq = max(lease.last_seq, seq)
         return True
 
-    def renewed(self, worker):
+    def reset_session(self, worker):
         """Reset the heartbeat numbers of a worker, for a new session."""
-        contact = self._contact_by_worker.get(worker)
-        if contact is not None:
-            contact.arrival_by_seq = {}
-            contact.seq = 0
+        lease = self._lease_by_worker.get(worker)
+        if lease is not None:
+            lease.arrival_by_seq = {}
+            lease.last_seq = 0
 
-    def seq(self, worker):
+    def last_seq(self, worker):
         """Return the number of the last acknowledged heartbeat, 0 if none."""
-        contact = self._contact_by_worker.get(worker)
-        return contact.seq if contact is not None else 0
+        lease = self._lease_by_worker.get(worker)
+        return lease.last_seq if lease is not None else 0
 
     def lost_at(self, worker):
         """Return the time from which a worker counts as lost."""
-        contact = self._contact_by_worker[worker]
-        return contact.acknowledged_at + self.lease_s * RATE_MARGIN + FIXED_MARGIN_S
+        lease = self._lease_by_worker[worker]
+        return lease.renewed_at + self.lease_s * RATE_MARGIN + FIXED_MARGIN_S
 
-    def lost(self, now):
+    def lost_workers(self, now):
         """Return the workers that count as lost, in name order."""
-        return sorted(name for name in self._contact_by_worker if self.lost_at(name) <= now)
+        return sorted(name for name in self._lease_by_worker if self.lost_at(name) <= now)
 
-    def forget(self, worker):
+    def remove_worker(self, worker):
         """Remove a worker that was declared lost."""
-        self._contact_by_worker.pop(worker, None)
+        self._lease_by_worker.pop(worker, None)
 
     def key(self):
         """Return the state as a hashable value, equal for equal states."""
-        contacts = []
-        for name, contact in sorted(self._contact_by_worker.items()):
-            arrivals = tuple(sorted(contact.arrival_by_seq.items()))
-            contacts.append((name, contact.acknowledged_at, contact.seq, arrivals))
-        return (self.lease_s, self.elected_at, tuple(contacts))
+        leases = []
+        for name, lease in sorted(self._lease_by_worker.items()):
+            arrivals = tuple(sorted(lease.arrival_by_seq.items()))
+            leases.append((name, lease.renewed_at, lease.last_seq, arrivals))
+        return (self.lease_s, self.elected_at, tuple(leases))
 
 
 class LeaseHolder:
--- a/siskintally/orders.py
+++ b/siskintally/orders.py
@@ -3,10 +3,10 @@
 >>> from siskintally.orders import Orders
 >>> from siskintally.wire_pb2 import StopOrder
 >>> orders = Orders()
->>> orders.stop("w1", StopOrder(task_id="j/g.0", attempt=1))
->>> [stop.task_id for stop in orders.due("w1", now=0.0).stops]
+>>> orders.add_stop("w1", StopOrder(task_id="j/g.0", attempt=1))
+>>> [stop.task_id for stop in orders.take_due("w1", now=0.0).stops]
 ['j/g.0']
->>> orders.due("w1", now=1.0).is_empty
+>>> orders.take_due("w1", now=1.0).is_empty
 True
 """
 
@@ -16,7 +16,7 @@
 RESEND_S = 15.0
 
 
-class Due:
+class DueOrders:
     """Orders to send now.
 
     :param starts: StartOrder messages.
@@ -52,26 +52,26 @@
         self._starts_by_worker = {}
         self._stops_by_worker = {}
 
-    def start(self, worker, message):
+    def add_start(self, worker, message):
         """Add a start order whose assignment is committed."""
         starts = self._starts_by_worker.setdefault(worker, {})
         starts[message.task_id, message.attempt] = _Order(message=message)
 
-    def stop(self, worker, message):
+    def add_stop(self, worker, message):
         """Add a stop order; an unsent start order stays, so that the worker reports the end."""
         stops = self._stops_by_worker.setdefault(worker, {})
         stops.setdefault((message.task_id, message.attempt), _Order(message=message))
 
-    def running(self, worker, task_id, attempt):
+    def confirm_start(self, worker, task_id, attempt):
         """Remove a start order that the worker has confirmed."""
         self._starts_by_worker.get(worker, {}).pop((task_id, attempt), None)
 
-    def ended(self, worker, task_id, attempt):
+    def remove_attempt(self, worker, task_id, attempt):
         """Remove the orders of an attempt that has ended."""
         self._starts_by_worker.get(worker, {}).pop((task_id, attempt), None)
         self._stops_by_worker.get(worker, {}).pop((task_id, attempt), None)
 
-    def forget(self, worker):
+    def remove_worker(self, worker):
         """Remove all orders of a lost worker."""
         self._starts_by_worker.pop(worker, None)
         self._stops_by_worker.pop(worker, None)
@@ -82,16 +82,16 @@
             for order in orders.get(worker, {}).values():
                 order.sent_at = None
 
-    def due(self, worker, *, now, with_starts=True):
+    def take_due(self, worker, *, now, with_starts=True):
         """Return the orders not sent in the last ``RESEND_S``, and mark them as sent now."""
         starts = self._starts_by_worker.get(worker, {}) if with_starts else {}
-        return Due(
-            starts=list(_take(starts, now)),
-            stops=list(_take(self._stops_by_worker.get(worker, {}), now)),
+        return DueOrders(
+            starts=list(_mark_sent(starts, now)),
+            stops=list(_mark_sent(self._stops_by_worker.get(worker, {}), now)),
         )
 
 
-def _take(orders, now):
+def _mark_sent(orders, now):
     for order in orders.values():
         if order.sent_at is None or now - order.sent_at >= RESEND_S:
             order.sent_at = now
--- a/siskintally/owner.py
+++ b/siskintally/owner.py
@@ -29,11 +29,11 @@
 )
 from siskintally.worker_service import WorkerService
 
-MAX_WATCH_S = 30.0
+MAX_CONFIG_WATCH_S = 30.0
 # Part of the wait of a long poll that is kept for the quorum round that confirms the answer; the
 # next heartbeat of the group carries the round.
-CONFIRM_S = 0.5
-RESTART_S = 0.1
+CONFIRM_RESERVE_S = 0.5
+RESTART_PAUSE_S = 0.1
 
 _LEDGER_FIELDS = {
     LedgerBegin: "ledger_begin",
@@ -68,7 +68,7 @@
         "_settings",
         "_status_check",
         "_window_s",
-        "_workers",
+        "_worker_service",
         "owner_term",
     )
 
@@ -91,17 +91,17 @@
         self._metrics = metrics
         self._clock = clock
         self._window_s = window_s
-        self._workers = None
+        self._worker_service = None
         self._config_changed = Event()
         self._status_check = GroupStatusCheck()
 
     async def run(self):
         """Act as the owner while this process leads, term after term, until cancelled."""
         async with create_task_group() as tasks:
-            tasks.start_soon(self._seek_clearance)
+            tasks.start_soon(self._run_status_check)
             await self._follow_leadership()
 
-    async def _seek_clearance(self):
+    async def _run_status_check(self):
         await self._status_check.run(
             group=self._group, domain=self._domain, cell_call=self._cell_call
         )
@@ -117,7 +117,7 @@
 
     async def _lead(self, leadership, leaderships):
         """Act as the owner for one term; return the leadership that follows it."""
-        self._status_check.note_leader(monotonic())
+        self._status_check.record_leader(monotonic())
         owner_term = OwnerTerm(
             group=self._group,
             domain=self._domain,
@@ -126,38 +126,43 @@
             window_s=self._window_s,
         )
         log.info("term as owner begins", group=self._group.name, term=owner_term.term)
-        following = leadership
+        latest = leadership
         try:
             async with create_task_group() as tasks:
-                tasks.start_soon(self._hold, owner_term, tasks.cancel_scope)
-                while following.is_leader and following.term == leadership.term:
-                    following = await leaderships.receive()
+                tasks.start_soon(self._run_term, owner_term, tasks.cancel_scope)
+                while latest.is_leader and latest.term == leadership.term:
+                    latest = await leaderships.receive()
                 tasks.cancel_scope.cancel()
         finally:
             owner_term.is_over = True
-            self.owner_term = self._workers = None
-            self._change_config()
+            self.owner_term = self._worker_service = None
+            self._handle_config_change()
             log.info("term as owner ends", group=self._group.name, term=owner_term.term)
-        await sleep(RESTART_S)
-        return following
+        await sleep(RESTART_PAUSE_S)
+        return latest
 
-    async def _hold(self, owner_term, scope):
+    async def _run_term(self, owner_term, scope):
         """Run the loops of a term; after an uncertain commit the next term reloads the state."""
-        workers = WorkerService(
+        worker_service = WorkerService(
             owner_term=owner_term, domains=self._settings.group_by_name[self._group.name].domains
         )
         sync = CellSync(
-            owner_term=owner_term, cell_call=self._cell_call, on_config=self._change_config
+            owner_term=owner_term, cell_call=self._cell_call, on_config=self._handle_config_change
         )
         dispatcher = Dispatcher(owner_term=owner_term, metrics=self._metrics)
-        self.owner_term, self._workers = owner_term, workers
+        self.owner_term, self._worker_service = owner_term, worker_service
         async with create_task_group() as tasks:
-            for loop in (dispatcher.run, workers.watch, sync.follow, sync.report):
-                tasks.start_soon(_until_lost, loop, scope)
-
-    def _change_config(self):
+            for loop in (
+                dispatcher.run,
+                worker_service.watch_leases,
+                sync.run_sync,
+                sync.run_reports,
+            ):
+                tasks.start_soon(_run_until_leadership_lost, loop, scope)
+
+    def _handle_config_change(self):
         if self.owner_term is not None:
-            self.owner_term.configure()
+            self.owner_term.apply_preset()
             self.owner_term.request_pass()
         self._config_changed.set()
         self._config_changed = Event()
@@ -171,51 +176,53 @@
         if self.owner_term is None:
             raise NotLeaderError(f"not the owner of {self._group.name}", leader=self._leader())
         if isinstance(body, WorkerBeat):
-            return await self._workers.answer(session, body)
+            return await self._worker_service.answer(session, body)
         if isinstance(body, ConfigWatch):
-            return await self._answer_watch(body)
+            return await self._answer_config_watch(body)
         if type(body) in _LEDGER_FIELDS:
             return await self._answer_ledger(body)
         raise BadRequestError(f"{type(body).__name__}: a domain owner does not serve this request")
 
     def closed(self, session):
         """Place no new tasks on the workers of a closed link."""
-        if self._workers is not None:
-            self._workers.closed(session)
+        if self._worker_service is not None:
+            self._worker_service.closed(session)
 
     def _leader(self):
         return self._group.leader or ""
 
-    async def _answer_watch(self, body):
+    async def _answer_config_watch(self, body):
         """Return the committed configuration when it differs from the known one or on timeout."""
-        deadline = self._clock() + min(max(body.wait_s - CONFIRM_S, 0.0), MAX_WATCH_S)
-        while not self._has_news(body) and self.owner_term is not None:
+        deadline = self._clock() + min(
+            max(body.wait_s - CONFIRM_RESERVE_S, 0.0), MAX_CONFIG_WATCH_S
+        )
+        while not self._is_outdated(body) and self.owner_term is not None:
             remaining = deadline - self._clock()
             if remaining <= 0:
                 break
             with move_on_after(remaining):
                 await self._config_changed.wait()
-        await self._group.confirm(urgent=self._has_news(body))
+        await self._group.confirm(urgent=self._is_outdated(body))
         state = ConfigState()
         state.CopyFrom(self._domain.config)
         state.drained.extend(self._domain.drained_endpoints())
         return state
 
-    def _has_news(self, body):
+    def _is_outdated(self, body):
         newer = self._domain.config.version > body.known_version
         return newer or list(body.known_drained) != self._domain.drained_endpoints()
 
     async def _answer_ledger(self, body):
-        at = self.owner_term.stamp()
+        command_time = self.owner_term.command_time()
         body.ClearField("group")  # Saves log space: the group is known from its log.
-        command = DomainCommand(at=at, **{_LEDGER_FIELDS[type(body)]: body})
+        command = DomainCommand(at=command_time, **{_LEDGER_FIELDS[type(body)]: body})
         reply = DomainReply.FromString(await self._group.propose(command.SerializeToString()))
         if reply.code != Code.DONE:
             raise RefusedError(reply.message, code=Code(reply.code))
         return reply.ledger_begin if reply.HasField("ledger_begin") else Done()
 
 
-async def _until_lost(loop, scope):
+async def _run_until_leadership_lost(loop, scope):
     try:
         await loop()
     except (NotLeaderError, OutcomeUnknownError) as error:
--- a/siskintally/shared_confirm.py
+++ b/siskintally/shared_confirm.py
@@ -30,37 +30,37 @@
     :param window_s: how long the first caller waits for others, seconds.
     """
 
-    __slots__ = ("_confirm", "_next", "_window_s", "rounds")
+    __slots__ = ("_confirm", "_pending", "_window_s", "round_count")
 
     def __init__(self, *, confirm, window_s):
         self._confirm = confirm
         self._window_s = window_s
-        self._next = None
-        self.rounds = 0
+        self._pending = None
+        self.round_count = 0
 
     async def wait(self):
         """Return after a successful round that began after the call.
 
         :raises NotLeaderError: leadership was lost.
         """
-        waiting = self._next
-        if waiting is not None:
-            await waiting.done.wait()
-            if waiting.error is not None:
-                raise waiting.error
+        pending = self._pending
+        if pending is not None:
+            await pending.done.wait()
+            if pending.error is not None:
+                raise pending.error
             return
-        mine = self._next = _Round()
+        own = self._pending = _Round()
         try:
             await sleep(self._window_s)
-            self._next = None
-            self.rounds += 1
+            self._pending = None
+            self.round_count += 1
             await self._confirm()
         except BaseException as error:
-            mine.error = error
+            own.error = error
             if not isinstance(error, Exception):
-                mine.error = NotLeaderError("the quorum round was interrupted")
+                own.error = NotLeaderError("the quorum round was interrupted")
             raise
         finally:
-            if self._next is mine:
-                self._next = None
-            mine.done.set()
+            if self._pending is own:
+                self._pending = None
+            own.done.set()
--- a/siskintally/worker_service.py
+++ b/siskintally/worker_service.py
@@ -11,7 +11,7 @@
 from siskintally.domain_state_pb2 import DomainBatch
 from siskintally.errors import BadRequestError, RefusedError
 from siskintally.log import get_logger
-from siskintally.reconciler import compare
+from siskintally.reconciler import compare_heartbeat
 
 LOSS_CHECK_S = 0.5
 
@@ -25,12 +25,12 @@
     :param domains: failure domains whose workers the group owns.
     """
 
-    __slots__ = ("_domains", "_owner_term", "_reported")
+    __slots__ = ("_domains", "_owner_term", "_session_by_worker")
 
     def __init__(self, *, owner_term, domains):
         self._owner_term = owner_term
         self._domains = domains
-        self._reported = {}
+        self._session_by_worker = {}
 
     async def answer(self, session, beat):
         """Answer a WorkerBeat after a quorum round that began after it arrived.
@@ -43,47 +43,47 @@
             session.
         """
         owner_term = self._owner_term
-        owner_term.check()
-        self._check(beat)
-        if self._reported.get(beat.worker) != (session, beat.session):
+        owner_term.check_leadership()
+        self._check_sender(beat)
+        if self._session_by_worker.get(beat.worker) != (session, beat.session):
             if not beat.full:
                 raise BadRequestError("the first heartbeat of a session must be full")
-            owner_term.leases.renewed(beat.worker)
-        owner_term.leases.arrived(beat.worker, beat.seq, now=owner_term.clock())
-        findings = compare(owner_term.domain, beat)
-        if findings.must_commit:
-            await self._commit(beat, findings)
-        rounds = owner_term.register_confirm if beat.full else owner_term.shared_confirm
-        await rounds.wait()
-        owner_term.check()
-        self._check(beat)
-        if not owner_term.leases.acknowledged(beat.worker, beat.seq):
+            owner_term.leases.reset_session(beat.worker)
+        owner_term.leases.record_heartbeat(beat.worker, beat.seq, now=owner_term.clock())
+        diff = compare_heartbeat(owner_term.domain, beat)
+        if diff.must_commit:
+            await self._commit(beat, diff)
+        confirm = owner_term.registration_confirm if beat.full else owner_term.heartbeat_confirm
+        await confirm.wait()
+        owner_term.check_leadership()
+        self._check_sender(beat)
+        if not owner_term.leases.renew(beat.worker, beat.seq):
             raise RefusedError("heartbeat of an earlier session", code=Code.OVERLOADED)
-        self._register(session, beat)
-        return self._orders(beat, findings)
+        self._register_link(session, beat)
+        return self._build_orders(beat, diff)
 
-    def _check(self, beat):
+    def _check_sender(self, beat):
         if not beat.worker or not beat.session or beat.domain not in self._domains:
             raise BadRequestError(
                 f"worker {beat.worker!r}: this group does not own domain {beat.domain!r}"
             )
-        if beat.worker in self._owner_term.losing:
+        if beat.worker in self._owner_term.losing_workers:
             # An answer would renew the lease while the tasks are being placed on other workers.
             raise RefusedError("the worker is being declared lost", code=Code.OVERLOADED)
 
-    async def _commit(self, beat, findings):
+    async def _commit(self, beat, diff):
         owner_term = self._owner_term
-        joined = [findings.joined] if findings.joined is not None else []
-        reply = await owner_term.commit(batch=DomainBatch(ended=findings.ended, joined=joined))
+        joined = [diff.worker_record] if diff.worker_record is not None else []
+        reply = await owner_term.commit(batch=DomainBatch(ended=diff.ended, joined=joined))
         if reply.code != Code.DONE or beat.worker in reply.refused:
             message = reply.message or "its capacity is below its assigned resources"
             raise BadRequestError(f"worker {beat.worker!r}: {message}")
-        for end in findings.ended:
-            owner_term.orders.ended(beat.worker, end.task_id, end.attempt)
+        for end in diff.ended:
+            owner_term.orders.remove_attempt(beat.worker, end.task_id, end.attempt)
         if joined:
-            self._add(beat.worker)
+            self._update_placement(beat.worker)
 
-    def _add(self, name):
+    def _update_placement(self, name):
         """Add a new worker to placement; re-add one whose capacity changed, with its tasks."""
         owner_term = self._owner_term
         pool, worker = owner_term.placement.pool, owner_term.domain.worker_by_name[name]
@@ -101,32 +101,32 @@
             elif owner_term.domain.task(task_id) is not None:
                 owner_term.placement.requeue(job.job_id, task_id)
 
-    def _register(self, session, beat):
+    def _register_link(self, session, beat):
         """Register the link of a worker; orders not confirmed on an earlier link are resent."""
         owner_term = self._owner_term
-        if self._reported.get(beat.worker) == (session, beat.session):
+        if self._session_by_worker.get(beat.worker) == (session, beat.session):
             return
-        self._reported[beat.worker] = (session, beat.session)
+        self._session_by_worker[beat.worker] = (session, beat.session)
         owner_term.link_by_worker[beat.worker] = session
         owner_term.orders.resend(beat.worker)
         owner_term.placement.set_worker_connected(beat.worker, connected=True)
-        owner_term.review_due = True
+        owner_term.feasibility_due = True
         owner_term.request_pass()
 
-    def _orders(self, beat, findings):
+    def _build_orders(self, beat, diff):
         owner_term = self._owner_term
-        for task_id, attempt in findings.running:
-            owner_term.orders.running(beat.worker, task_id, attempt)
-        for task_id in findings.missing:
+        for task_id, attempt in diff.running:
+            owner_term.orders.confirm_start(beat.worker, task_id, attempt)
+        for task_id in diff.unreported:
             task = owner_term.domain.task(task_id)
             if task is not None and task.worker == beat.worker and task.session == beat.session:
                 owner_term.start_task(task_id)
-        for state in findings.seen:
-            owner_term.orders.ended(beat.worker, state.task_id, state.attempt)
+        for state in diff.reported_ends:
+            owner_term.orders.remove_attempt(beat.worker, state.task_id, state.attempt)
         orders = owner_term.orders_for(beat.worker, beat.session)
         orders.seq = beat.seq
-        orders.stop.extend(findings.stops)
-        orders.seen.extend(findings.seen)
+        orders.stop.extend(diff.stops)
+        orders.seen.extend(diff.reported_ends)
         return orders
 
     def closed(self, session):
@@ -135,41 +135,41 @@
         names = [name for name, link in owner_term.link_by_worker.items() if link is session]
         for name in names:
             del owner_term.link_by_worker[name]
-            self._reported.pop(name, None)
+            self._session_by_worker.pop(name, None)
             owner_term.placement.set_worker_connected(name, connected=False)
 
-    async def watch(self):
+    async def watch_leases(self):
         """Check for lost workers periodically until cancelled.
 
         :raises NotLeaderError: leadership has ended.
         """
         while True:
             await sleep(LOSS_CHECK_S)
-            await self.lose()
+            await self.end_lost_workers()
 
-    async def lose(self):
+    async def end_lost_workers(self):
         """Declare workers lost whose leases have certainly expired; this ends their attempts."""
         owner_term = self._owner_term
-        owner_term.check()
-        await owner_term.settle_leases()
+        owner_term.check_leadership()
+        await owner_term.commit_longest_lease()
         names = []
-        for name in owner_term.leases.lost(owner_term.clock()):
-            owner_term.leases.forget(name)
+        for name in owner_term.leases.lost_workers(owner_term.clock()):
+            owner_term.leases.remove_worker(name)
             if name in owner_term.domain.worker_by_name:
                 names.append(name)
         if not names:
             return
         log.info("workers lost", workers=names)
-        owner_term.losing.update(names)
+        owner_term.losing_workers.update(names)
         try:
             await owner_term.commit(batch=DomainBatch(lost=names))
         finally:
-            owner_term.losing.difference_update(names)
+            owner_term.losing_workers.difference_update(names)
         for name in names:
-            owner_term.orders.forget(name)
+            owner_term.orders.remove_worker(name)
             owner_term.link_by_worker.pop(name, None)
-            self._reported.pop(name, None)
+            self._session_by_worker.pop(name, None)
             if name in owner_term.placement.pool.worker_by_name:
                 owner_term.placement.remove_worker(name)
-        owner_term.review_due = True
+        owner_term.feasibility_due = True
         owner_term.request_pass()
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -108,7 +108,7 @@
 
     def lost_at(self, worker):
         """Return the end of the lease by the clock of the owner."""
-        return self._contact_by_worker[worker].acknowledged_at + self.lease_s
+        return self._lease_by_worker[worker].renewed_at + self.lease_s
 
 
 class FreshLeaseTable(LeaseTable):
@@ -118,7 +118,7 @@
 
     def lost_at(self, worker):
         """Return a time that does not wait for leases of an earlier owner."""
-        contact = self._contact_by_worker[worker]
-        if self.elected_at and contact.acknowledged_at == self.elected_at:
+        lease = self._lease_by_worker[worker]
+        if self.elected_at and lease.renewed_at == self.elected_at:
             return self.elected_at
         return super().lost_at(worker)
--- a/tests/model/ownership.py
+++ b/tests/model/ownership.py
@@ -97,8 +97,8 @@
         holder = LeaseHolder(lease_s=LEASE_S)
         seq = holder.beat(now=0.0)
         holder.acknowledged(seq, term=1)
-        table.arrived(WORKER, seq, now=0.0)
-        table.acknowledged(WORKER, seq)
+        table.record_heartbeat(WORKER, seq, now=0.0)
+        table.renew(WORKER, seq)
         held = self._holders.put(holder.key(), holder)
         owners = (Owner(self._tables.put(table.key(), table)),)
         for rates in self._rates:
@@ -108,7 +108,7 @@
 
     def _new_table(self, now):
         table = self._table_class(lease_s=LEASE_S, elected_at=now)
-        table.watch(WORKER)
+        table.add_worker(WORKER)
         return table
 
     def fault(self, state):
@@ -159,13 +159,13 @@
         if state.beats and state.link == term:
             seq = state.beats[0]
             now = _owner_time(state)
-            table, _ = self._keep(owner.table, "arrived", WORKER, seq, now=now)
+            table, _ = self._keep(owner.table, "record_heartbeat", WORKER, seq, now=now)
             succeeds = is_newest or self._trust_all_rounds
             after = Owner(table, owner.rounds | ({seq} if succeeds else set()))
             label = intern(f"owner {term} receives heartbeat {seq}")
             yield label, _set_owner(state._replace(beats=state.beats[1:]), term, after)
         for seq in owner.rounds:
-            table, known = self._keep(owner.table, "acknowledged", WORKER, seq)
+            table, known = self._keep(owner.table, "renew", WORKER, seq)
             after = _set_owner(state, term, Owner(table, owner.rounds - {seq}))
             if known and state.link == term:
                 after = after._replace(orders=(*state.orders, ("answer", seq)))
--- a/tests/test_group_loss.py
+++ b/tests/test_group_loss.py
@@ -11,7 +11,7 @@
 from siskintally.domain_state_pb2 import DomainBatch
 from siskintally.errors import NotLeaderError
 from siskintally.group_status import MIN_SILENCE_S
-from siskintally.group_status_check import MAX_GAP_S, GroupStatusCheck
+from siskintally.group_status_check import MAX_LEADERLESS_S, GroupStatusCheck
 from siskintally.job_counts import job_state
 from siskintally.job_shares import WAITS_FOR_GROUP
 from siskintally.wire_pb2 import JobItem, JobSpec, SyncReply, SyncRequest
@@ -228,12 +228,12 @@
     assert not status_check.permits_start(domain)
     status_check.record_reply(SyncReply(epoch=0))
     assert status_check.permits_start(domain)
-    for now in (0, MAX_GAP_S, 2 * MAX_GAP_S):
-        status_check.note_leader(now)
+    for now in (0, MAX_LEADERLESS_S, 2 * MAX_LEADERLESS_S):
+        status_check.record_leader(now)
     assert status_check.permits_start(domain), (
         "a group that has a leader goes on through a partition"
     )
-    status_check.note_leader(3 * MAX_GAP_S + 1)
+    status_check.record_leader(3 * MAX_LEADERLESS_S + 1)
     assert not status_check.permits_start(domain), "its loss may have been declared in the gap"
     status_check.record_reply(SyncReply(epoch=0))
     driver.apply(sync=SyncReply(epoch=1, lost=True))
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -12,25 +12,25 @@
 def test_a_worker_is_lost_only_after_the_margin():
     """Guards against placing its tasks again while they run."""
     owner = LeaseTable(lease_s=LEASE_S, elected_at=0.0)
-    owner.arrived("w", 1, now=100.0)
-    assert owner.acknowledged("w", 1)
-    assert owner.lost(131.59) == []
-    assert owner.lost(131.61) == ["w"]
+    owner.record_heartbeat("w", 1, now=100.0)
+    assert owner.renew("w", 1)
+    assert owner.lost_workers(131.59) == []
+    assert owner.lost_workers(131.61) == ["w"]
 
 
 def test_an_unacknowledged_heartbeat_does_not_count():
     """Guards against a worker kept alive by heartbeats without a quorum round."""
     owner = LeaseTable(lease_s=LEASE_S, elected_at=0.0)
-    owner.watch("w")
-    owner.arrived("w", 1, now=20.0)
-    assert owner.lost(31.7) == ["w"]
+    owner.add_worker("w")
+    owner.record_heartbeat("w", 1, now=20.0)
+    assert owner.lost_workers(31.7) == ["w"]
 
 
 def test_a_new_owner_waits_for_leases_of_the_old_one():
     """Guards against counting a worker as lost at once after an election."""
     owner = LeaseTable(lease_s=LEASE_S, elected_at=1000.0)
-    owner.watch("w")
-    assert owner.lost(1031.5) == [] and owner.lost(1031.7) == ["w"]
+    owner.add_worker("w")
+    assert owner.lost_workers(1031.5) == [] and owner.lost_workers(1031.7) == ["w"]
 
 
 def test_the_lease_runs_from_the_sending():
@@ -82,21 +82,21 @@
     """
     worker = LeaseHolder(lease_s=LEASE_S)
     owner, term, now = LeaseTable(lease_s=LEASE_S, elected_at=0.0), 1, 0.0
-    owner.watch("w")
+    owner.add_worker("w")
     for kind, wait, out, back, kept in events:
         now += wait
         if kind == "elect":
             term += 1
             owner = LeaseTable(lease_s=LEASE_S, elected_at=now)
-            owner.watch("w")
+            owner.add_worker("w")
         elif kind == "pause":
             now += out
         else:
             seq = worker.beat(now=now * rate)
             now += out
-            owner.arrived("w", seq, now=now)
-            if kept and owner.acknowledged("w", seq):
+            owner.record_heartbeat("w", seq, now=now)
+            if kept and owner.renew("w", seq):
                 now += back
                 worker.acknowledged(seq, term=term)
-        if owner.lost(now):
+        if owner.lost_workers(now):
             assert worker.is_expired(now * rate)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -247,7 +247,7 @@
         with pytest.raises(NotLeaderError):
             await bench.beat(link, seq=2, full=False)
         with pytest.raises(NotLeaderError):
-            owner_term.push()
+            owner_term.push_orders()
 
     with_owner(check)
 
@@ -288,10 +288,10 @@
         bench.clock.now += 20.0
         await bench.beat(two, worker="w2")
         bench.clock.now += 11.0
-        await bench.owner._workers.lose()
+        await bench.owner._worker_service.end_lost_workers()
         assert bench.domain.task("j/g.0").worker == "w1"
         bench.clock.now += 0.7
-        await bench.owner._workers.lose()
+        await bench.owner._worker_service.end_lost_workers()
         await until(lambda: two.starts() == ["j/g.0"])
         assert bench.domain.task("j/g.0").attempt == 2
         assert "w1" not in bench.domain.worker_by_name
@@ -308,8 +308,8 @@
         bench.clock.now += 31.7
         bench.group.gate = Event()
         async with create_task_group() as tasks:
-            tasks.start_soon(bench.owner._workers.lose)
-            await until(lambda: bool(bench.owner.owner_term.losing))
+            tasks.start_soon(bench.owner._worker_service.end_lost_workers)
+            await until(lambda: bool(bench.owner.owner_term.losing_workers))
             with pytest.raises(RefusedError):
                 await bench.beat(link, seq=2, full=False)
             bench.group.gate.set()
@@ -331,10 +331,10 @@
         bench.group.elect()
         await until(lambda: bench.owner.owner_term is not None)
         bench.clock.now += 31.5
-        await bench.owner._workers.lose()
+        await bench.owner._worker_service.end_lost_workers()
         assert "w1" in bench.domain.worker_by_name
         bench.clock.now += 0.2
-        await bench.owner._workers.lose()
+        await bench.owner._worker_service.end_lost_workers()
         assert "w1" not in bench.domain.worker_by_name
 
     with_owner(check)
@@ -470,7 +470,7 @@
                 at=1, sync=SyncReply(index=1, config=ConfigState(version=7, preset="ordinary"))
             )
             await bench.group.propose(command.SerializeToString())
-            bench.owner._change_config()
+            bench.owner._handle_config_change()
         assert answers[0].version == 7
 
     with_owner(check)
@@ -484,22 +484,22 @@
         config = ConfigState(version=version, preset="ordinary", document=document)
         command = DomainCommand(at=1, sync=SyncReply(index=bench.cell_index, config=config))
         await bench.group.propose(command.SerializeToString())
-        bench.owner._change_config()
+        bench.owner._handle_config_change()
 
     async def check(bench):
-        link, workers = WorkerLink(), bench.owner._workers
+        link, worker_service = WorkerLink(), bench.owner._worker_service
         await configure(bench, 1, 60)
         assert (await bench.beat(link)).lease_s == 60
         await configure(bench, 2, 10)
         bench.clock.now += 62.1
-        await workers.lose()
+        await worker_service.end_lost_workers()
         assert "w1" in bench.domain.worker_by_name
         assert (await bench.beat(link, seq=2, full=False)).lease_s == 10
         bench.clock.now += 0.2
-        await workers.lose()
+        await worker_service.end_lost_workers()
         assert bench.domain.longest_lease_s == 10
         bench.clock.now += 11.2
-        await workers.lose()
+        await worker_service.end_lost_workers()
         assert "w1" not in bench.domain.worker_by_name
 
     with_owner(check)
