Name the shared resource and lease methods after what they do

Size.of, key and within and the constant NOTHING left open what they convert or compare; they are now from_message, as_tuple, fits_in and NO_RESOURCES. A lease holder numbers its next_heartbeat and is renewed by an acknowledgement; its lease is valid_from the sending of the heartbeat.

--- a/bench/churn.py
+++ b/bench/churn.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 from siskintally.placement import Placement
-from siskintally.size import NOTHING
+from siskintally.size import NO_RESOURCES
 from siskintally.workload import Job, Kind
 
 WORKERS_PER_RACK = 8
@@ -199,7 +199,7 @@
 def reservations_as_declared(placement):
     """Tell whether each worker's reservations are the declared sizes and none is overcommitted."""
     for worker in placement.pool.worker_by_name.values():
-        held = sum((held.job.need for held in worker.allocation_by_task.values()), NOTHING)
-        if held + worker.free != worker.capacity or min(worker.free.key()) < 0:
+        held = sum((held.job.need for held in worker.allocation_by_task.values()), NO_RESOURCES)
+        if held + worker.free != worker.capacity or min(worker.free.as_tuple()) < 0:
             return False
     return True
--- a/bench/packing.py
+++ b/bench/packing.py
@@ -16,7 +16,7 @@
 from absl import app, flags
 
 from bench.churn import TURNS_PER_WORKER, Churn, IndexedPool, ScanPool, reservations_as_declared
-from siskintally.size import NOTHING, Size
+from siskintally.size import NO_RESOURCES, Size
 from siskintally.workload import Job, Kind
 
 FLAGS = flags.FLAGS
@@ -68,9 +68,9 @@
 
 def whole_list(random, total, capacity, mix):
     """Return tasks that use the scarcer resource of ``total`` to the whole, and which one it is."""
-    tasks, used = [], NOTHING
+    tasks, used = [], NO_RESOURCES
     for need in sizes(random, capacity, mix):
-        if not (used + need).within(total):
+        if not (used + need).fits_in(total):
             break
         tasks.append(need)
         used += need
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -166,7 +166,7 @@
     while len(waiting) < CANCELLATIONS // 2:
         job = workload.job()
         job.need = job.need.scaled(30)
-        job.search_key = (job.kind, "", job.need.key(), 1)
+        job.search_key = (job.kind, "", job.need.as_tuple(), 1)
         placement.submit(job)
         waiting.append(job.job_id)
     placement.decide(now=0.0)
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -12,7 +12,7 @@
 from siskintally.codes import Code
 from siskintally.errors import NotLeaderError, SiskintallyError
 from siskintally.log import get_logger
-from siskintally.size import NOTHING, Size
+from siskintally.size import NO_RESOURCES, Size
 from siskintally.wire_pb2 import DomainCapacity, JobReport, SyncRequest
 
 SYNC_WAIT_S = 5.0
@@ -133,9 +133,9 @@
     def capacity(self):
         """Return a DomainCapacity message for the registered workers."""
         pool = self._owner_term.placement.pool
-        largest = NOTHING
+        largest = NO_RESOURCES
         for worker in pool.worker_by_name.values():
-            pairs = zip(largest.key(), worker.capacity.key(), strict=True)
+            pairs = zip(largest.as_tuple(), worker.capacity.as_tuple(), strict=True)
             cpu, memory, accelerators = (max(pair) for pair in pairs)
             largest = Size(cpu=cpu, memory=memory, accelerators=accelerators)
         return DomainCapacity(
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -21,7 +21,7 @@
 from siskintally.errors import BadRequestError, DamagedDataError, SiskintallyError
 from siskintally.ledger import Ledger
 from siskintally.preset import default_preset
-from siskintally.size import NOTHING, Size
+from siskintally.size import NO_RESOURCES, Size
 from siskintally.state_machine import StateMachine
 from siskintally.wire_pb2 import ConfigState
 
@@ -38,8 +38,8 @@
 
     def __init__(self, *, record):
         self.record = record
-        self.capacity = Size.of(record.capacity)
-        self.used = NOTHING
+        self.capacity = Size.from_message(record.capacity)
+        self.used = NO_RESOURCES
         self.task_ids = {}
 
 
@@ -242,7 +242,7 @@
         known = self.worker_by_name.get(record.name)
         worker = DomainWorker(record=_copy(record))
         if known is not None:
-            if not known.used.within(worker.capacity):
+            if not known.used.fits_in(worker.capacity):
                 return False
             worker.used, worker.task_ids = known.used, known.task_ids
         self.worker_by_name[record.name] = worker
@@ -260,7 +260,7 @@
             return False
         if job.item.cancelled or worker.record.session != one.session:
             return False
-        if not total.within(worker.capacity):
+        if not total.fits_in(worker.capacity):
             return False
         task.attempt, task.worker, task.session = one.attempt, one.worker, one.session
         worker.used = total
--- a/siskintally/domain_checks.py
+++ b/siskintally/domain_checks.py
@@ -23,7 +23,7 @@
 
 
 def _check_amounts(resources):
-    for amount in Size.of(resources).key():
+    for amount in Size.from_message(resources).as_tuple():
         if not 0 <= amount <= MAX_AMOUNT:
             raise BadRequestError(f"amount {amount}: expected 0 to {MAX_AMOUNT}")
 
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -78,7 +78,7 @@
         self.item = item
         self.group = group
         self.epoch = epoch
-        self.need = Size.of(item.spec.each)
+        self.need = Size.from_message(item.spec.each)
         self.accepted_at = accepted_at
         self.next_number = 0
         self.running = 0
@@ -100,7 +100,7 @@
     def follow(self, item):
         """Take a newer item; the size of a task stays while the job has any."""
         if self.is_over:
-            self.need = Size.of(item.spec.each)
+            self.need = Size.from_message(item.spec.each)
         self.item = item
         self.resize()
 
--- a/siskintally/failed_searches.py
+++ b/siskintally/failed_searches.py
@@ -38,7 +38,7 @@
         if job.search_key in self._search_keys:
             return True
         return any(
-            domain in ("", job.domain) and need.within(job.need)
+            domain in ("", job.domain) and need.fits_in(job.need)
             for domain, need in self._failed_needs
         )
 
@@ -49,6 +49,6 @@
             self._failed_needs = [
                 (domain, need)
                 for domain, need in self._failed_needs
-                if not (job.domain in ("", domain) and job.need.within(need))
+                if not (job.domain in ("", domain) and job.need.fits_in(need))
             ]
             self._failed_needs.append((job.domain, job.need))
--- a/siskintally/feasibility.py
+++ b/siskintally/feasibility.py
@@ -11,7 +11,7 @@
 
 from collections import Counter
 
-from siskintally.size import NOTHING
+from siskintally.size import NO_RESOURCES
 from siskintally.workload import Kind
 
 _RESOURCE_NAMES = ("cpu_milli", "memory_mb", "accelerators")
@@ -60,13 +60,13 @@
                 True,
             )
         for number, name in enumerate(_RESOURCE_NAMES):
-            needed = job.need.key()[number]
-            largest = max(capacity.key()[number] for capacity, _ in capacities)
+            needed = job.need.as_tuple()[number]
+            largest = max(capacity.as_tuple()[number] for capacity, _ in capacities)
             if needed > largest:
                 return f"needs {needed} {name}, the largest worker has {largest}", True
         return f"no worker has {_describe(job.need)} together", True
 
 
 def _describe(size):
-    parts = zip(_RESOURCE_NAMES, size.key(), NOTHING.key(), strict=True)
+    parts = zip(_RESOURCE_NAMES, size.as_tuple(), NO_RESOURCES.as_tuple(), strict=True)
     return ", ".join(f"{amount} {name}" for name, amount, nothing in parts if amount != nothing)
--- a/siskintally/lease.py
+++ b/siskintally/lease.py
@@ -5,11 +5,11 @@
 
 >>> from siskintally.lease import LeaseHolder, LeaseTable
 >>> worker, owner = LeaseHolder(lease_s=30.0), LeaseTable(lease_s=30.0, elected_at=0.0)
->>> seq = worker.beat(now=10.0)
+>>> seq = worker.next_heartbeat(now=10.0)
 >>> owner.record_heartbeat("w1", seq, now=10.5)
 >>> owner.renew("w1", seq)
 True
->>> worker.acknowledged(seq, term=1)
+>>> worker.renew(seq, term=1)
 True
 >>> worker.expires_at(), owner.lost_at("w1")
 (40.0, 42.1)
@@ -120,22 +120,22 @@
     :param lease_s: duration in seconds until an owner grants another one.
     """
 
-    __slots__ = ("_sent_by_seq", "_seq", "held_from", "lease_s", "term")
+    __slots__ = ("_sent_by_seq", "_seq", "lease_s", "term", "valid_from")
 
     def __init__(self, *, lease_s):
         self.lease_s = lease_s
-        self.held_from = None
+        self.valid_from = None
         self.term = 0
         self._seq = 0
         self._sent_by_seq = {}
 
-    def beat(self, *, now):
+    def next_heartbeat(self, *, now):
         """Record that a heartbeat is sent now; return its number."""
         self._seq += 1
         self._sent_by_seq[self._seq] = now
         return self._seq
 
-    def acknowledged(self, seq, *, term, lease_s=None):
+    def renew(self, seq, *, term, lease_s=None):
         """Renew the lease from the time an acknowledged heartbeat was sent.
 
         :param term: term of the owner; a term lower than the highest seen is refused.
@@ -150,17 +150,17 @@
         sent = self._sent_by_seq[seq]
         if lease_s is not None:
             self.lease_s = lease_s
-        self.held_from = sent if self.held_from is None else max(self.held_from, sent)
+        self.valid_from = sent if self.valid_from is None else max(self.valid_from, sent)
         self._sent_by_seq = {later: at for later, at in self._sent_by_seq.items() if later > seq}
         return True
 
     def expires_at(self):
         """Return when the lease expires, or None if there is none."""
-        return None if self.held_from is None else self.held_from + self.lease_s
+        return None if self.valid_from is None else self.valid_from + self.lease_s
 
     def is_expired(self, now):
         """Return whether all tasks must be stopped; True also before the first lease."""
-        return self.held_from is None or now >= self.held_from + self.lease_s
+        return self.valid_from is None or now >= self.valid_from + self.lease_s
 
     def reset(self):
         """Begin a new session: acknowledgements of earlier heartbeats no longer renew the lease."""
@@ -170,7 +170,7 @@
         """Return the state as a hashable value, equal for equal states."""
         return (
             self.lease_s,
-            self.held_from,
+            self.valid_from,
             self.term,
             self._seq,
             tuple(sorted(self._sent_by_seq.items())),
--- a/siskintally/pool.py
+++ b/siskintally/pool.py
@@ -15,7 +15,7 @@
 from itertools import islice
 
 from siskintally.errors import SiskintallyError
-from siskintally.size import NOTHING
+from siskintally.size import NO_RESOURCES
 from siskintally.worker import Allocation, Worker
 from siskintally.worker_index import WorkerIndex
 
@@ -49,8 +49,8 @@
     def __init__(self):
         self.worker_by_name = {}
         self.allocation_by_task = {}
-        self.capacity = NOTHING
-        self.free = NOTHING
+        self.capacity = NO_RESOURCES
+        self.free = NO_RESOURCES
         self.freed_version = 0
         self.preemptible_version = 0
         self._index_by_domain = {}
@@ -85,14 +85,14 @@
         index = self._index_by_domain[worker.domain]
         accelerated = worker.capacity.accelerators > 0
         size = worker.available() if worker.accepts_tasks else None
-        if size is not None and min(size.key()) < 0:
+        if size is not None and min(size.as_tuple()) < 0:
             size = None
         index.put(worker, size, accelerated=accelerated)
         preemption_index = self._preemption_index_by_domain[worker.domain]
         available_after = None
-        if worker.accepts_tasks and worker.preemptible != NOTHING:
+        if worker.accepts_tasks and worker.preemptible != NO_RESOURCES:
             available_after = worker.available_after_stops(include_preemptible=True)
-            available_after = available_after if min(available_after.key()) >= 0 else None
+            available_after = available_after if min(available_after.as_tuple()) >= 0 else None
         preemption_index.put(worker, available_after, accelerated=accelerated)
 
     def allocate(self, worker, task_id, job):
@@ -177,7 +177,7 @@
     def unreserve(self, worker, need):
         """Release a reservation."""
         left = worker.reserved - need
-        worker.reserved = NOTHING if left == NOTHING else left
+        worker.reserved = NO_RESOURCES if left == NO_RESOURCES else left
         self.freed_version += 1
         self.update_indexes(worker)
 
--- a/siskintally/preemption.py
+++ b/siskintally/preemption.py
@@ -50,15 +50,15 @@
         for allocation in worker.allocation_by_task.values()
         if allocation.job.is_preemptible and not allocation.stopping
     ]
-    candidates.sort(key=lambda allocation: allocation.job.need.key())
+    candidates.sort(key=lambda allocation: allocation.job.need.as_tuple())
     chosen = []
-    while not need.within(available):
+    while not need.fits_in(available):
         allocation = _best_victim(candidates, need - available)
         candidates.remove(allocation)
         chosen.append(allocation)
         available += allocation.job.need
     for allocation in list(chosen):
-        if need.within(available - allocation.job.need):
+        if need.fits_in(available - allocation.job.need):
             chosen.remove(allocation)
             available -= allocation.job.need
     return chosen
@@ -67,6 +67,6 @@
 def _best_victim(candidates, gap):
     """Return the smallest task that covers the missing resources alone, otherwise the largest."""
     for allocation in candidates:
-        if gap.within(allocation.job.need):
+        if gap.fits_in(allocation.job.need):
             return allocation
     return candidates[-1]
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -124,7 +124,7 @@
     return (
         worker.accepts_tasks
         and job.domain in ("", worker.domain)
-        and job.need.within(worker.capacity)
+        and job.need.fits_in(worker.capacity)
     )
 
 
--- a/siskintally/size.py
+++ b/siskintally/size.py
@@ -1,7 +1,7 @@
 """Resource amounts of a task or worker: processor, memory and accelerators.
 
 >>> from siskintally.size import Size
->>> Size(cpu=2000, memory=512).within(Size(cpu=4000, memory=1024))
+>>> Size(cpu=2000, memory=512).fits_in(Size(cpu=4000, memory=1024))
 True
 """
 
@@ -27,7 +27,7 @@
         self.accelerators = accelerators
 
     @classmethod
-    def of(cls, resources):
+    def from_message(cls, resources):
         """Create a size from the wire message ``Resources``."""
         return cls(
             cpu=resources.cpu_milli,
@@ -39,7 +39,7 @@
         """Return the size as the wire message ``Resources``."""
         return Resources(cpu_milli=self.cpu, memory_mb=self.memory, accelerators=self.accelerators)
 
-    def within(self, other):
+    def fits_in(self, other):
         """Return whether no amount is larger than in ``other``."""
         return (
             self.cpu <= other.cpu
@@ -58,12 +58,12 @@
     def max_count_in(self, available):
         """Return how many times this size fits into ``available``."""
         counts = []
-        for part, whole in zip(self.key(), available.key(), strict=True):
+        for part, whole in zip(self.as_tuple(), available.as_tuple(), strict=True):
             if part > 0:
                 counts.append(max(whole, 0) // part)
         return min(counts) if counts else UNLIMITED_COUNT
 
-    def key(self):
+    def as_tuple(self):
         """Return the amounts as a hashable, comparable tuple."""
         return (self.cpu, self.memory, self.accelerators)
 
@@ -82,13 +82,13 @@
         )
 
     def __eq__(self, other):
-        return isinstance(other, Size) and self.key() == other.key()
+        return isinstance(other, Size) and self.as_tuple() == other.as_tuple()
 
     def __hash__(self):
-        return hash(self.key())
+        return hash(self.as_tuple())
 
     def __repr__(self):
         return f"Size(cpu={self.cpu}, memory={self.memory}, accelerators={self.accelerators})"
 
 
-NOTHING = Size()
+NO_RESOURCES = Size()
--- a/siskintally/worker.py
+++ b/siskintally/worker.py
@@ -8,7 +8,7 @@
 (3000, True)
 """
 
-from siskintally.size import NOTHING
+from siskintally.size import NO_RESOURCES
 
 
 class Allocation:
@@ -56,9 +56,9 @@
         self.rack = rack
         self.capacity = capacity
         self.free = capacity
-        self.reserved = NOTHING
-        self.pending_release = NOTHING
-        self.preemptible = NOTHING
+        self.reserved = NO_RESOURCES
+        self.pending_release = NO_RESOURCES
+        self.preemptible = NO_RESOURCES
         self.allocation_by_task = {}
         self.count_by_job = {}
         self.draining = False
@@ -73,7 +73,7 @@
 
     def available(self):
         """Return the resources that are free and not reserved for a waiting task."""
-        return self.free - self.reserved if self.reserved is not NOTHING else self.free
+        return self.free - self.reserved if self.reserved is not NO_RESOURCES else self.free
 
     def available_after_stops(self, *, include_preemptible):
         """Return the resources available once all stopping tasks have ended.
@@ -85,7 +85,7 @@
 
     def long_running(self):
         """Return the resources of tasks that run until they are stopped, except stopping ones."""
-        total = NOTHING
+        total = NO_RESOURCES
         for allocation in self.allocation_by_task.values():
             if allocation.job.is_long_running and not allocation.stopping:
                 total += allocation.job.need
--- a/siskintally/worker_state.py
+++ b/siskintally/worker_state.py
@@ -120,7 +120,7 @@
         Ends are repeated until the owner has confirmed that they are committed.
         """
         beat = WorkerBeat(
-            session=self.session, seq=self.lease.beat(now=now), full=self._is_full_due
+            session=self.session, seq=self.lease.next_heartbeat(now=now), full=self._is_full_due
         )
         for key, one in self._running.items():
             if self._is_full_due or key in self._changed:
@@ -144,7 +144,7 @@
         events = self.tick(now=now)
         if orders.session != self.session or beat.session != self.session:
             return events
-        if not self.lease.acknowledged(orders.seq, term=orders.term, lease_s=orders.lease_s):
+        if not self.lease.renew(orders.seq, term=orders.term, lease_s=orders.lease_s):
             return events
         if beat.full:
             self._is_full_due = False
@@ -160,7 +160,7 @@
         """Carry out orders; return the events."""
         events = self.tick(now=now)
         known = orders.session == self.session
-        if not known or not self.lease.acknowledged(orders.seq, term=orders.term):
+        if not known or not self.lease.renew(orders.seq, term=orders.term):
             return events
         for state in orders.seen:
             self._forget((state.task_id, state.attempt))
@@ -202,7 +202,7 @@
 
     def tick(self, *, now):
         """Start and end what is due, or stop all if the lease is over; return the events."""
-        if self.lease.held_from is not None and self.lease.is_expired(now):
+        if self.lease.valid_from is not None and self.lease.is_expired(now):
             return self._expire()
         events = []
         for key, one in list(self._running.items()):
@@ -241,6 +241,6 @@
         """Return when :meth:`tick` has something to do, inf if never."""
         times = [inf if one.started else one.start_at for one in self._running.values()]
         times.extend(one.end_at for one in self._running.values())
-        if self.lease.held_from is not None:
+        if self.lease.valid_from is not None:
             times.append(self.lease.expires_at())
         return min(times, default=inf)
--- a/siskintally/workload.py
+++ b/siskintally/workload.py
@@ -115,7 +115,7 @@
         self.never_fits = False
         self.reason = ""
         task_count = len(self.waiting) if kind == Kind.GANG else 1
-        self.search_key = (kind, domain, need.key(), task_count)
+        self.search_key = (kind, domain, need.as_tuple(), task_count)
 
     @classmethod
     def from_message(cls, job_id, spec, *, tasks, submitted):
@@ -123,7 +123,7 @@
         return cls(
             job_id=job_id,
             kind=Kind(spec.kind),
-            need=Size.of(spec.each),
+            need=Size.from_message(spec.each),
             tasks=tasks,
             submitted=submitted,
             urgency=_URGENCY_BY_WIRE[spec.class_],
--- a/tests/model/ownership.py
+++ b/tests/model/ownership.py
@@ -95,8 +95,8 @@
         """Return w1 with a fresh lease of the first owner, before and after the start."""
         table = self._new_table(0.0)
         holder = LeaseHolder(lease_s=LEASE_S)
-        seq = holder.beat(now=0.0)
-        holder.acknowledged(seq, term=1)
+        seq = holder.next_heartbeat(now=0.0)
+        holder.renew(seq, term=1)
         table.record_heartbeat(WORKER, seq, now=0.0)
         table.renew(WORKER, seq)
         held = self._holders.put(holder.key(), holder)
@@ -130,7 +130,7 @@
 
     def _worker_steps(self, state):
         if state.budget.beat:
-            holder, seq = self._hold(state.holder, "beat", now=_worker_time(state))
+            holder, seq = self._hold(state.holder, "next_heartbeat", now=_worker_time(state))
             sent = _spend(state, "beat")._replace(holder=holder, beats=(*state.beats, seq))
             yield intern(f"w1 sends heartbeat {seq}"), sent
         if state.budget.connect:
@@ -146,7 +146,7 @@
     def _take_order(self, state, kind, seq):
         if kind == "answer":
             term = 1 if self._trust_all_terms else state.link
-            holder, _ = self._hold(state.holder, "acknowledged", seq, term=term)
+            holder, _ = self._hold(state.holder, "renew", seq, term=term)
             return state._replace(holder=holder)
         holder = self._holders[state.holder]
         if state.started or state.link < holder.term or holder.is_expired(_worker_time(state)):
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -36,21 +36,21 @@
 def test_the_lease_runs_from_the_sending():
     """Guards against a lease made longer by a slow answer."""
     worker = LeaseHolder(lease_s=LEASE_S)
-    seq = worker.beat(now=0.0)
+    seq = worker.next_heartbeat(now=0.0)
     assert worker.is_expired(0.0)
-    assert worker.acknowledged(seq, term=1)
+    assert worker.renew(seq, term=1)
     assert not worker.is_expired(29.9) and worker.is_expired(30.0)
 
 
 def test_answers_out_of_order_and_old_terms():
     """Guards against a lease set back by a late answer, and against a deposed owner."""
     worker = LeaseHolder(lease_s=LEASE_S)
-    first, second = worker.beat(now=0.0), worker.beat(now=5.0)
-    assert worker.acknowledged(second, term=2)
-    assert worker.acknowledged(first, term=2) and worker.expires_at() == 35.0
-    third = worker.beat(now=10.0)
-    assert not worker.acknowledged(third, term=1) and worker.expires_at() == 35.0
-    assert not worker.acknowledged(99, term=2)
+    first, second = worker.next_heartbeat(now=0.0), worker.next_heartbeat(now=5.0)
+    assert worker.renew(second, term=2)
+    assert worker.renew(first, term=2) and worker.expires_at() == 35.0
+    third = worker.next_heartbeat(now=10.0)
+    assert not worker.renew(third, term=1) and worker.expires_at() == 35.0
+    assert not worker.renew(99, term=2)
 
 
 @pytest.mark.parametrize("make", [LeaseHolder, LeaseTable])
@@ -92,11 +92,11 @@
         elif kind == "pause":
             now += out
         else:
-            seq = worker.beat(now=now * rate)
+            seq = worker.next_heartbeat(now=now * rate)
             now += out
             owner.record_heartbeat("w", seq, now=now)
             if kept and owner.renew("w", seq):
                 now += back
-                worker.acknowledged(seq, term=term)
+                worker.renew(seq, term=term)
         if owner.lost_workers(now):
             assert worker.is_expired(now * rate)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,7 @@
 from siskintally.placement import Placement
 from siskintally.pool import OvercommitError
 from siskintally.reservation import MAX_RESERVATIONS, RESERVE_AFTER_S
-from siskintally.size import NOTHING, Size
+from siskintally.size import NO_RESOURCES, Size
 from siskintally.workload import Job, Kind, Urgency
 
 CAPACITY = Size(cpu=8000, memory=16_000)
@@ -43,8 +43,8 @@
 def check_invariants(placement):
     """Recompute all sums from the tasks and compare them with what the pool keeps."""
     for worker in placement.pool.worker_by_name.values():
-        held = sum((held.job.need for held in worker.allocation_by_task.values()), NOTHING)
-        assert held.within(worker.capacity)
+        held = sum((held.job.need for held in worker.allocation_by_task.values()), NO_RESOURCES)
+        assert held.fits_in(worker.capacity)
         assert held + worker.free == worker.capacity
         reservations = [
             other.need
@@ -52,7 +52,7 @@
             for reserved in other.reservations
             if reserved is worker
         ]
-        assert sum(reservations, NOTHING) == worker.reserved
+        assert sum(reservations, NO_RESOURCES) == worker.reserved
     for other in placement.job_by_id.values():
         if other.kind == Kind.GANG and not other.cancelled:
             assert not (other.running and other.waiting)
