Say what the ejection limit and the reservation count assume

The number of failures that ejects a worker had no explanation, and the count of tasks to reserve for did not say that long-running tasks are assumed to stay. Both say so now.

--- a/siskintally/ejection.py
+++ b/siskintally/ejection.py
@@ -8,6 +8,7 @@
 ([], ['w1'])
 """
 
+# Consecutive failures after which a worker is ejected.
 MIN_FAILURES = 5
 # Failures must come from this many jobs: failures of a single job suggest that the job is broken.
 MIN_FAILED_JOBS = 2
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -129,7 +129,7 @@
 
 
 def _max_tasks(worker, need):
-    """Return how many tasks can be reserved for, without the resources of long-running tasks."""
+    """Return the number of tasks to reserve for, assuming that long-running tasks stay."""
     count = need.max_count_in(worker.capacity - worker.long_running() - worker.reserved)
     return min(count, 1) if worker.probing else count
 
