--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -21,7 +21,7 @@
 from siskintally.errors import BadRequestError, DamagedDataError, SiskintallyError
 from siskintally.ledger import Ledger
 from siskintally.preset import default_preset
-from siskintally.size import NOTHING, Size
+from siskintally.size import NO_RESOURCES, Size
 from siskintally.state_machine import StateMachine
 from siskintally.wire_pb2 import ConfigState
 
@@ -38,8 +38,8 @@
 
     def __init__(self, *, record):
         self.record = record
-        self.capacity = Size.of(record.capacity)
-        self.used = NOTHING
+        self.capacity = Size.from_message(record.capacity)
+        self.used = NO_RESOURCES
         self.task_ids = {}
 
 
@@ -249,7 +249,7 @@
         registered = self.worker_by_name.get(record.name)
         worker = DomainWorker(record=_copy(record))
         if registered is not None:
-            if not registered.used.within(worker.capacity):
+            if not registered.used.fits_in(worker.capacity):
                 return False
             worker.used, worker.task_ids = registered.used, registered.task_ids
         self.worker_by_name[record.name] = worker
@@ -270,7 +270,7 @@
             return False
         if job.item.cancelled or worker.record.session != assignment.session:
             return False
-        if not used.within(worker.capacity):
+        if not used.fits_in(worker.capacity):
             return False
         task.attempt, task.worker, task.session = (
             assignment.attempt,
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -81,7 +81,7 @@
         self.item = item
         self.group = group
         self.epoch = epoch
-        self.need = Size.of(item.spec.each)
+        self.need = Size.from_message(item.spec.each)
         self.accepted_at = accepted_at
         self.next_number = 0
         self.running = 0
@@ -103,7 +103,7 @@
     def apply_item(self, item):
         """Apply a newer item; the size of the tasks changes only when all of them have ended."""
         if self.has_ended:
-            self.need = Size.of(item.spec.each)
+            self.need = Size.from_message(item.spec.each)
         self.item = item
         self.adjust_tasks()
 
--- a/siskintally/failed_searches.py
+++ b/siskintally/failed_searches.py
@@ -1,4 +1,4 @@
-"""What searches for room have failed since resources were last freed.
+"""Cache of placement searches that have failed since resources were last freed.
 
 >>> from siskintally.failed_searches import FailedSearches
 >>> from siskintally.size import Size
@@ -8,8 +8,8 @@
 ...     for cpu in (1000, 2000)
 ... )
 >>> searches = FailedSearches()
->>> searches.add(small)
->>> searches.covers(large)
+>>> searches.record(small)
+>>> searches.is_known_to_fail(large)
 True
 """
 
@@ -17,37 +17,38 @@
 
 
 class FailedSearches:
-    """Sizes that found no room since resources were last freed; larger ones need no search."""
+    """Needs that fitted nowhere since resources were last freed; larger ones need no search."""
 
-    __slots__ = ("_failed", "_freed", "_shapes")
+    __slots__ = ("_failed_needs", "_search_keys", "_version")
 
     def __init__(self):
-        self._freed = None
-        self._failed = []
-        self._shapes = set()
-
-    def start(self, freed):
-        """Begin a pass; a new value of ``freed`` drops what is known."""
-        if freed != self._freed:
-            self._freed = freed
-            self._failed = []
-            self._shapes = set()
-
-    def covers(self, job):
-        """Tell whether a search for a job is known to find nothing."""
-        if job.shape in self._shapes:
+        self._version = None
+        self._failed_needs = []
+        self._search_keys = set()
+
+    def start_pass(self, version):
+        """Begin a pass; a changed value of ``version`` clears the cache."""
+        if version != self._version:
+            self._version = version
+            self._failed_needs = []
+            self._search_keys = set()
+
+    def is_known_to_fail(self, job):
+        """Return whether a search for the job is known to fail."""
+        if job.search_key in self._search_keys:
             return True
         return any(
-            domain in ("", job.domain) and need.within(job.need) for domain, need in self._failed
+            domain in ("", job.domain) and need.fits_in(job.need)
+            for domain, need in self._failed_needs
         )
 
-    def add(self, job):
-        """Note that a search for a job found nothing."""
-        self._shapes.add(job.shape)
+    def record(self, job):
+        """Record that a search for the job has failed."""
+        self._search_keys.add(job.search_key)
         if job.kind != Kind.GANG:
-            self._failed = [
+            self._failed_needs = [
                 (domain, need)
-                for domain, need in self._failed
-                if not (job.domain in ("", domain) and job.need.within(need))
+                for domain, need in self._failed_needs
+                if not (job.domain in ("", domain) and job.need.fits_in(need))
             ]
-            self._failed.append((job.domain, job.need))
+            self._failed_needs.append((job.domain, job.need))
--- a/siskintally/feasibility.py
+++ b/siskintally/feasibility.py
@@ -1,26 +1,26 @@
-"""Which jobs no worker can ever hold.
+"""Check whether a job could ever run on the known workers, and why it waits.
 
->>> from siskintally.feasibility import CapacityTable
+>>> from siskintally.feasibility import FeasibilityCheck
 >>> from siskintally.size import Size
 >>> from siskintally.workload import Job, Kind
->>> table = CapacityTable()
->>> table.add("d", Size(cpu=32000, memory=64000))
->>> table.reason(Job(job_id="j", kind=Kind.BATCH, need=Size(cpu=64000), tasks=1, submitted=0.0))
+>>> check = FeasibilityCheck()
+>>> check.add("d", Size(cpu=32000, memory=64000))
+>>> check.explain(Job(job_id="j", kind=Kind.BATCH, need=Size(cpu=64000), tasks=1, submitted=0.0))
 ('needs 64000 cpu_milli, the largest worker has 32000', True)
 """
 
 from collections import Counter
 
-from siskintally.size import NOTHING
+from siskintally.size import NO_RESOURCES
 from siskintally.workload import Kind
 
-_NAMES = ("cpu_milli", "memory_mb", "accelerators")
-NO_ROOM = "waits for free resources"
+_RESOURCE_NAMES = ("cpu_milli", "memory_mb", "accelerators")
+WAITS_FOR_RESOURCES = "waits for free resources"
 NO_WORKERS = "no worker is known"
 
 
-class CapacityTable:
-    """Numbers of workers by failure domain and capacity, empty or not."""
+class FeasibilityCheck:
+    """Number of workers for each failure domain and capacity, whatever runs on them."""
 
     __slots__ = ("_count_by_capacity",)
 
@@ -28,11 +28,11 @@
         self._count_by_capacity = Counter()
 
     def add(self, domain, capacity):
-        """Count a worker."""
+        """Add a worker."""
         self._count_by_capacity[domain, capacity] += 1
 
     def remove(self, domain, capacity):
-        """Count a worker no more."""
+        """Remove a worker."""
         self._count_by_capacity[domain, capacity] -= 1
         if not self._count_by_capacity[domain, capacity]:
             del self._count_by_capacity[domain, capacity]
@@ -42,28 +42,31 @@
             if job.domain in ("", domain):
                 yield capacity, count
 
-    def reason(self, job):
-        """Say why a job waits.
+    def explain(self, job):
+        """Return why a job waits.
 
-        :returns: the reason, and whether the job could not run even if all workers were empty.
+        :returns: the reason, and whether the job would not fit even if all workers were empty.
         """
         capacities = list(self._capacities(job))
         if not capacities:
             return NO_WORKERS, False
-        places = sum(job.need.times(capacity) * count for capacity, count in capacities)
+        fitting = sum(job.need.max_count_in(capacity) * count for capacity, count in capacities)
         tasks = len(job.waiting) + len(job.running)
-        if places >= (tasks if job.kind == Kind.GANG else 1):
-            return NO_ROOM, False
-        if places:
-            return f"{tasks} tasks must run at once, all workers together hold {places}", True
-        for number, name in enumerate(_NAMES):
-            needed = job.need.key()[number]
-            largest = max(capacity.key()[number] for capacity, _ in capacities)
+        if fitting >= (tasks if job.kind == Kind.GANG else 1):
+            return WAITS_FOR_RESOURCES, False
+        if fitting:
+            return (
+                f"{tasks} tasks must run at once, all workers together have capacity for {fitting}",
+                True,
+            )
+        for number, name in enumerate(_RESOURCE_NAMES):
+            needed = job.need.as_tuple()[number]
+            largest = max(capacity.as_tuple()[number] for capacity, _ in capacities)
             if needed > largest:
                 return f"needs {needed} {name}, the largest worker has {largest}", True
         return f"no worker has {_describe(job.need)} together", True
 
 
 def _describe(size):
-    parts = zip(_NAMES, size.key(), NOTHING.key(), strict=True)
-    return ", ".join(f"{amount} {name}" for name, amount, none in parts if amount != none)
+    parts = zip(_RESOURCE_NAMES, size.as_tuple(), NO_RESOURCES.as_tuple(), strict=True)
+    return ", ".join(f"{amount} {name}" for name, amount, nothing in parts if amount != nothing)
--- a/siskintally/resource_index.py
+++ b/siskintally/resource_index.py
@@ -1,27 +1,28 @@
-"""Index of items by the processor and memory they have free.
+"""Best-fit index of items by free processor and memory, in logarithmic size classes.
 
 >>> from siskintally.resource_index import ResourceIndex
 >>> from siskintally.size import Size
 >>> index = ResourceIndex()
 >>> index.add("w1", Size(cpu=4000, memory=8000))
 >>> index.add("w2", Size(cpu=2000, memory=8000))
->>> index.best(Size(cpu=1500, memory=1000))
+>>> index.best_fit(Size(cpu=1500, memory=1000))
 'w2'
 """
 
 from itertools import islice
 
-# Three bits below the leading one: neighbouring classes differ by at most an eighth.
+# Bits kept below the leading one; with three, neighbouring classes differ by at most an eighth.
 SUBCLASS_BITS = 3
 _SUBCLASSES = 1 << SUBCLASS_BITS
-# Within a class that fits as a whole, the closest of the first few amounts is taken.
-MAX_COMPARED = 8
-# Amounts compared in a class at the edge before the next class; the others come last.
-MAX_EDGE = 32
+# Amounts compared in a class whose items all fit; the closest of them is chosen.
+MAX_COMPARED_AMOUNTS = 8
+# Amounts compared in a class at the edge, where some items do not fit, before the next class is
+# searched; the others are compared last.
+MAX_COMPARED_EDGE_AMOUNTS = 32
 
 
 def size_class(amount):
-    """Return the logarithmic class of an amount; grows with the amount.
+    """Return the logarithmic size class of an amount; larger amounts never get a lower class.
 
     >>> size_class(7), size_class(16), size_class(17), size_class(18)
     (7, 16, 16, 17)
@@ -33,7 +34,7 @@
 
 
 class _Axis:
-    """Non-empty cells seen from one resource: a mask of rows, and for each row one of columns."""
+    """Bit masks of the non-empty cells: one of the rows, and for each row one of its columns."""
 
     __slots__ = ("columns_by_row", "rows")
 
@@ -72,10 +73,10 @@
 
 
 class ResourceIndex:
-    """Items in cells of (processor class, memory class), found in time that hardly grows.
+    """Items in cells of (processor class, memory class), for searches in nearly constant time.
 
-    The search walks over non-empty cells by bit masks. Only the cells at the lower edge can hold
-    items that do not fit; items with equal amounts are kept together and compared once.
+    A search steps over the non-empty cells by bit masks. Only cells at the lower edge can contain
+    items that do not fit. Items with equal amounts are grouped and compared once.
     """
 
     __slots__ = ("_by_cpu", "_by_memory", "_cells")
@@ -89,7 +90,7 @@
         return bool(self._cells)
 
     def add(self, item, size):
-        """Add an item under a size."""
+        """Add an item with its free resources."""
         row, column = size_class(size.cpu), size_class(size.memory)
         cell = self._cells.get((row, column))
         if cell is None:
@@ -99,7 +100,7 @@
         cell.setdefault((size.cpu, size.memory), {})[item] = None
 
     def remove(self, item, size):
-        """Remove an item that was added under that size."""
+        """Remove an item that was added with this size."""
         row, column = size_class(size.cpu), size_class(size.memory)
         cell = self._cells[row, column]
         amounts = (size.cpu, size.memory)
@@ -112,29 +113,34 @@
             self._by_memory.clear(column, row)
 
     def _groups(self, need, by_memory):
-        """Yield groups of items that fit, tightest cells first, tightest group of a cell first."""
+        """Yield groups of items that fit, tightest cell first, then tightest group in the cell."""
         row, column = size_class(need.cpu), size_class(need.memory)
         cells = (
             ((at, over) for over, at in self._by_memory.cells(column, row))
             if by_memory
             else self._by_cpu.cells(row, column)
         )
-        put_off = []
+        deferred = []
         for at in cells:
             amounts = self._cells[at]
             edge = at[0] == row or at[1] == column
-            if edge and len(amounts) > MAX_EDGE:
-                put_off.append(amounts)
-                amounts = dict(islice(amounts.items(), MAX_EDGE))
-            yield from _fitting(amounts, need, MAX_EDGE if edge else MAX_COMPARED, by_memory)
-        for amounts in put_off:
-            rest = dict(islice(amounts.items(), MAX_EDGE, None))
-            yield from _fitting(rest, need, len(rest), by_memory)
-
-    def best(self, need, *, by_memory=False):
-        """Return the tightest item that fits, or None.
-
-        :param by_memory: compare what is left of the memory first, otherwise of the processor.
+            if edge and len(amounts) > MAX_COMPARED_EDGE_AMOUNTS:
+                deferred.append(amounts)
+                amounts = dict(islice(amounts.items(), MAX_COMPARED_EDGE_AMOUNTS))
+            yield from _fitting_groups(
+                amounts,
+                need,
+                MAX_COMPARED_EDGE_AMOUNTS if edge else MAX_COMPARED_AMOUNTS,
+                by_memory,
+            )
+        for amounts in deferred:
+            rest = dict(islice(amounts.items(), MAX_COMPARED_EDGE_AMOUNTS, None))
+            yield from _fitting_groups(rest, need, len(rest), by_memory)
+
+    def best_fit(self, need, *, by_memory=False):
+        """Return the item with the tightest fit, or None.
+
+        :param by_memory: compare the free memory first, otherwise the free processor.
         """
         for _, items in self._groups(need, by_memory):
             return next(iter(items))
@@ -146,7 +152,7 @@
             yield from items
 
 
-def _fitting(groups, need, limit, by_memory):
+def _fitting_groups(groups, need, limit, by_memory):
     """Yield up to ``limit`` groups that fit, tightest first."""
     fits = (at for at in groups if at[0] >= need.cpu and at[1] >= need.memory)
     for at in sorted(islice(fits, limit), key=_memory_first if by_memory else None):
--- a/siskintally/size.py
+++ b/siskintally/size.py
@@ -1,18 +1,18 @@
-"""Amounts of processor, memory and accelerators.
+"""Resource amounts of a task or worker: processor, memory and accelerators.
 
 >>> from siskintally.size import Size
->>> Size(cpu=2000, memory=512).within(Size(cpu=4000, memory=1024))
+>>> Size(cpu=2000, memory=512).fits_in(Size(cpu=4000, memory=1024))
 True
 """
 
 from siskintally.wire_pb2 import Resources
 
-# How many tasks that need nothing fit anywhere.
-UNLIMITED = 1 << 30
+# Returned as the number of tasks that fit when a task needs no resources.
+UNLIMITED_COUNT = 1 << 30
 
 
 class Size:
-    """Resources of a task or a worker; not changed after creation.
+    """Immutable resource amounts of a task or a worker.
 
     :param cpu: thousandths of a core.
     :param memory: megabytes.
@@ -27,20 +27,20 @@
         self.accelerators = accelerators
 
     @classmethod
-    def of(cls, resources):
-        """Convert the wire message ``Resources``."""
+    def from_message(cls, resources):
+        """Create a size from the wire message ``Resources``."""
         return cls(
             cpu=resources.cpu_milli,
             memory=resources.memory_mb,
             accelerators=resources.accelerators,
         )
 
-    def message(self):
-        """Return the wire message."""
+    def to_message(self):
+        """Return the size as the wire message ``Resources``."""
         return Resources(cpu_milli=self.cpu, memory_mb=self.memory, accelerators=self.accelerators)
 
-    def within(self, other):
-        """Tell whether no amount is larger than in ``other``."""
+    def fits_in(self, other):
+        """Return whether no amount is larger than in ``other``."""
         return (
             self.cpu <= other.cpu
             and self.memory <= other.memory
@@ -48,23 +48,23 @@
         )
 
     def scaled(self, factor):
-        """Return this size times a whole number."""
+        """Return this size multiplied by a whole number."""
         return Size(
             cpu=self.cpu * factor,
             memory=self.memory * factor,
             accelerators=self.accelerators * factor,
         )
 
-    def times(self, room):
-        """Return how many pieces of this size fit into ``room``."""
+    def max_count_in(self, available):
+        """Return how many times this size fits into ``available``."""
         counts = []
-        for part, whole in zip(self.key(), room.key(), strict=True):
+        for part, whole in zip(self.as_tuple(), available.as_tuple(), strict=True):
             if part > 0:
                 counts.append(max(whole, 0) // part)
-        return min(counts) if counts else UNLIMITED
+        return min(counts) if counts else UNLIMITED_COUNT
 
-    def key(self):
-        """Return the amounts as a tuple that can be hashed and compared."""
+    def as_tuple(self):
+        """Return the amounts as a hashable, comparable tuple."""
         return (self.cpu, self.memory, self.accelerators)
 
     def __add__(self, other):
@@ -82,13 +82,13 @@
         )
 
     def __eq__(self, other):
-        return isinstance(other, Size) and self.key() == other.key()
+        return isinstance(other, Size) and self.as_tuple() == other.as_tuple()
 
     def __hash__(self):
-        return hash(self.key())
+        return hash(self.as_tuple())
 
     def __repr__(self):
         return f"Size(cpu={self.cpu}, memory={self.memory}, accelerators={self.accelerators})"
 
 
-NOTHING = Size()
+NO_RESOURCES = Size()
--- a/siskintally/worker_state.py
+++ b/siskintally/worker_state.py
@@ -125,7 +125,7 @@
         owner has confirmed that they are committed.
         """
         heartbeat = WorkerBeat(
-            session=self.session, seq=self.lease.beat(now=now), full=self._is_full_due
+            session=self.session, seq=self.lease.next_heartbeat(now=now), full=self._is_full_due
         )
         for key, accepted in self._running.items():
             if self._is_full_due or key in self._changed_keys:
@@ -151,7 +151,7 @@
         events = self.tick(now=now)
         if orders.session != self.session or heartbeat.session != self.session:
             return events
-        if not self.lease.acknowledged(orders.seq, term=orders.term, lease_s=orders.lease_s):
+        if not self.lease.renew(orders.seq, term=orders.term, lease_s=orders.lease_s):
             return events
         if heartbeat.full:
             self._is_full_due = False
@@ -167,7 +167,7 @@
         """Apply start and stop orders; return the events."""
         events = self.tick(now=now)
         is_current_session = orders.session == self.session
-        if not is_current_session or not self.lease.acknowledged(orders.seq, term=orders.term):
+        if not is_current_session or not self.lease.renew(orders.seq, term=orders.term):
             return events
         for state in orders.seen:
             self._confirm_end((state.task_id, state.attempt))
@@ -212,7 +212,7 @@
 
         :returns: the events.
         """
-        if self.lease.held_from is not None and self.lease.is_expired(now):
+        if self.lease.valid_from is not None and self.lease.is_expired(now):
             return self._expire()
         events = []
         for key, accepted in list(self._running.items()):
@@ -253,6 +253,6 @@
             inf if accepted.started else accepted.start_at for accepted in self._running.values()
         ]
         times.extend(accepted.end_at for accepted in self._running.values())
-        if self.lease.held_from is not None:
+        if self.lease.valid_from is not None:
             times.append(self.lease.expires_at())
         return min(times, default=inf)
--- a/tests/model/ownership.py
+++ b/tests/model/ownership.py
@@ -25,7 +25,7 @@
 class Budget(NamedTuple):
     """How many steps of each kind may still be taken.
 
-    ``beat``: heartbeats of w1. ``wait``: steps in which time passes.
+    ``next_heartbeat``: heartbeats of w1. ``wait``: steps in which time passes.
     """
 
     beat: int
@@ -99,10 +99,10 @@
         """Return w1 with a new lease of the first owner, before and after the start of the task."""
         table = self._new_table(0.0)
         holder = LeaseHolder(lease_s=LEASE_S)
-        seq = holder.beat(now=0.0)
-        holder.acknowledged(seq, term=1)
-        table.arrived(WORKER, seq, now=0.0)
-        table.acknowledged(WORKER, seq)
+        seq = holder.next_heartbeat(now=0.0)
+        holder.renew(seq, term=1)
+        table.record_heartbeat(WORKER, seq, now=0.0)
+        table.renew(WORKER, seq)
         holder_number = self._holders.put(holder.key(), holder)
         owners = (Owner(self._tables.put(table.key(), table)),)
         for rates in self._rates:
@@ -112,7 +112,7 @@
 
     def _new_table(self, now):
         table = self._table_class(lease_s=LEASE_S, elected_at=now)
-        table.watch(WORKER)
+        table.add_worker(WORKER)
         return table
 
     def violation(self, state):
@@ -134,7 +134,7 @@
 
     def _worker_steps(self, state):
         if state.budget.beat:
-            holder, seq = self._call_holder(state.holder, "beat", now=_worker_time(state))
+            holder, seq = self._call_holder(state.holder, "next_heartbeat", now=_worker_time(state))
             sent = _spend(state, "beat")._replace(
                 holder=holder, heartbeats=(*state.heartbeats, seq)
             )
@@ -152,7 +152,7 @@
     def _receive_order(self, state, kind, seq):
         if kind == "answer":
             term = 1 if self._trust_all_terms else state.link
-            holder, _ = self._call_holder(state.holder, "acknowledged", seq, term=term)
+            holder, _ = self._call_holder(state.holder, "renew", seq, term=term)
             return state._replace(holder=holder)
         holder = self._holders[state.holder]
         if state.started or state.link < holder.term or holder.is_expired(_worker_time(state)):
@@ -165,13 +165,13 @@
         if state.heartbeats and state.link == term:
             seq = state.heartbeats[0]
             now = _owner_time(state)
-            table, _ = self._call_table(owner.table, "arrived", WORKER, seq, now=now)
+            table, _ = self._call_table(owner.table, "record_heartbeat", WORKER, seq, now=now)
             succeeds = is_newest or self._trust_all_rounds
             after = Owner(table, owner.rounds | ({seq} if succeeds else set()))
             label = intern(f"owner {term} receives heartbeat {seq}")
             yield label, _set_owner(state._replace(heartbeats=state.heartbeats[1:]), term, after)
         for seq in owner.rounds:
-            table, is_known = self._call_table(owner.table, "acknowledged", WORKER, seq)
+            table, is_known = self._call_table(owner.table, "renew", WORKER, seq)
             after = _set_owner(state, term, Owner(table, owner.rounds - {seq}))
             if is_known and state.link == term:
                 after = after._replace(orders=(*state.orders, ("answer", seq)))
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -249,7 +249,7 @@
         with pytest.raises(NotLeaderError):
             await harness.send_heartbeat(link, seq=2, full=False)
         with pytest.raises(NotLeaderError):
-            owner_term.push()
+            owner_term.push_orders()
 
     with_owner(check)
 
@@ -290,10 +290,10 @@
         harness.clock.now += 20.0
         await harness.send_heartbeat(second_link, worker="w2")
         harness.clock.now += 11.0
-        await harness.owner._workers.lose()
+        await harness.owner._worker_service.end_lost_workers()
         assert harness.domain.task("j/g.0").worker == "w1"
         harness.clock.now += 0.7
-        await harness.owner._workers.lose()
+        await harness.owner._worker_service.end_lost_workers()
         await until(lambda: second_link.starts() == ["j/g.0"])
         assert harness.domain.task("j/g.0").attempt == 2
         assert "w1" not in harness.domain.worker_by_name
@@ -310,8 +310,8 @@
         harness.clock.now += 31.7
         harness.group.commit_gate = Event()
         async with create_task_group() as tasks:
-            tasks.start_soon(harness.owner._workers.lose)
-            await until(lambda: bool(harness.owner.owner_term.losing))
+            tasks.start_soon(harness.owner._worker_service.end_lost_workers)
+            await until(lambda: bool(harness.owner.owner_term.losing_workers))
             with pytest.raises(RefusedError):
                 await harness.send_heartbeat(link, seq=2, full=False)
             harness.group.commit_gate.set()
@@ -333,10 +333,10 @@
         harness.group.win_leadership()
         await until(lambda: harness.owner.owner_term is not None)
         harness.clock.now += 31.5
-        await harness.owner._workers.lose()
+        await harness.owner._worker_service.end_lost_workers()
         assert "w1" in harness.domain.worker_by_name
         harness.clock.now += 0.2
-        await harness.owner._workers.lose()
+        await harness.owner._worker_service.end_lost_workers()
         assert "w1" not in harness.domain.worker_by_name
 
     with_owner(check)
@@ -450,7 +450,7 @@
         harness.group.win_leadership()
         await until(lambda: harness.owner.owner_term is not None)
         pool = harness.owner.owner_term.placement.pool
-        assert len(pool.held_by_task) == 4 and pool.worker_by_name["w1"].free.cpu == 0
+        assert len(pool.allocation_by_task) == 4 and pool.worker_by_name["w1"].free.cpu == 0
         running = [state(task) for task in link.starts()]
         answer = await harness.send_heartbeat(link, seq=2, attempts=running)
         assert not answer.start and not answer.stop and answer.term == harness.group.term
@@ -478,7 +478,7 @@
                 at=1, sync=SyncReply(index=1, config=ConfigState(version=7, preset="ordinary"))
             )
             await harness.group.propose(command.SerializeToString())
-            harness.owner._change_config()
+            harness.owner._handle_config_change()
         assert answers[0].version == 7
 
     with_owner(check)
@@ -492,22 +492,22 @@
         config = ConfigState(version=version, preset="ordinary", document=document)
         command = DomainCommand(at=1, sync=SyncReply(index=harness.cell_index, config=config))
         await harness.group.propose(command.SerializeToString())
-        harness.owner._change_config()
+        harness.owner._handle_config_change()
 
     async def check(harness):
-        link, workers = WorkerLink(), harness.owner._workers
+        link, worker_service = WorkerLink(), harness.owner._worker_service
         await configure(harness, 1, 60)
         assert (await harness.send_heartbeat(link)).lease_s == 60
         await configure(harness, 2, 10)
         harness.clock.now += 62.1
-        await workers.lose()
+        await worker_service.end_lost_workers()
         assert "w1" in harness.domain.worker_by_name
         assert (await harness.send_heartbeat(link, seq=2, full=False)).lease_s == 10
         harness.clock.now += 0.2
-        await workers.lose()
+        await worker_service.end_lost_workers()
         assert harness.domain.longest_lease_s == 10
         harness.clock.now += 11.2
-        await workers.lose()
+        await worker_service.end_lost_workers()
         assert "w1" not in harness.domain.worker_by_name
 
     with_owner(check)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,7 +8,7 @@
 from siskintally.placement import Placement
 from siskintally.pool import OvercommitError
 from siskintally.reservation import MAX_RESERVATIONS, RESERVE_AFTER_S
-from siskintally.size import NOTHING, Size
+from siskintally.size import NO_RESOURCES, Size
 from siskintally.workload import Job, Kind, Urgency
 
 CAPACITY = Size(cpu=8000, memory=16_000)
@@ -48,8 +48,10 @@
 def check_invariants(placement):
     """Compare the sums that the pool keeps with sums recomputed from the tasks; check gangs."""
     for worker in placement.pool.worker_by_name.values():
-        allocated = sum((entry.job.need for entry in worker.held_by_task.values()), NOTHING)
-        assert allocated.within(worker.capacity)
+        allocated = sum(
+            (entry.job.need for entry in worker.allocation_by_task.values()), NO_RESOURCES
+        )
+        assert allocated.fits_in(worker.capacity)
         assert allocated + worker.free == worker.capacity
         reserved_needs = [
             job.need
@@ -57,7 +59,7 @@
             for reserved_worker in job.reservations
             if reserved_worker is worker
         ]
-        assert sum(reserved_needs, NOTHING) == worker.reserved
+        assert sum(reserved_needs, NO_RESOURCES) == worker.reserved
     for job in placement.job_by_id.values():
         if job.kind == Kind.GANG and not job.cancelled:
             assert not (job.running and job.waiting)
@@ -85,7 +87,7 @@
     )
     for number, (event, value, kind, urgency, tasks) in enumerate(events):
         now += 1.0
-        running = sorted(placement.pool.held_by_task)
+        running = sorted(placement.pool.allocation_by_task)
         names = sorted(placement.pool.worker_by_name)
         if event == "submit":
             fields = {"memory": value // 3, "accelerators": value % 2}
@@ -102,17 +104,17 @@
             )
         elif event in ("end", "fail") and running:
             task_id = running[value % len(running)]
-            placement.ended(task_id, now=now, failed=event == "fail", succeeded=event == "end")
+            placement.record_end(task_id, now=now, failed=event == "fail", succeeded=event == "end")
         elif event == "cancel" and placement.job_by_id:
             placement.cancel(sorted(placement.job_by_id)[value % len(placement.job_by_id)])
         elif event == "lose" and names:
-            for task_id in placement.lose_worker(names[value % len(names)]):
+            for task_id in placement.remove_worker(names[value % len(names)]):
                 if placement.job_by_id[task_id.partition("/")[0]].kind != Kind.GANG:
                     placement.requeue(task_id.partition("/")[0], task_id)
         elif event == "add":
             placement.add_worker(f"n{number}", domain="d", rack="r9", capacity=CAPACITY)
         elif event == "drain" and names:
-            placement.drain_worker(names[value % len(names)], draining=bool(tasks % 2))
+            placement.set_worker_draining(names[value % len(names)], draining=bool(tasks % 2))
         elif event == "wait":
             now += 20.0
         placement.decide(now=now)
@@ -123,7 +125,7 @@
     """Guards against a policy that picks a worker without enough free resources."""
     placement = make_placement(1)
     with pytest.raises(OvercommitError):
-        placement.pool.take(placement.pool.worker_by_name["w0"], "j/0", make_job("j", 9000))
+        placement.pool.allocate(placement.pool.worker_by_name["w0"], "j/0", make_job("j", 9000))
     check_invariants(placement)
 
 
@@ -134,9 +136,9 @@
         placement.submit(make_job(name, 8000, tasks=3, kind=Kind.GANG))
     first = place_tasks(placement, 0.0)
     assert {task.partition("/")[0] for task in first} == {"a"} and len(first) == 3
-    assert len(placement.pool.held_by_task) == 3
+    assert len(placement.pool.allocation_by_task) == 3
     for task_id in first:
-        placement.ended(task_id, now=1.0, succeeded=True)
+        placement.record_end(task_id, now=1.0, succeeded=True)
     assert len(place_tasks(placement, 1.0)) == 3
 
 
@@ -152,7 +154,7 @@
         now = float(step)
         placement.submit(make_job(f"t{step}", 1000, submitted=now))
         if running:
-            placement.ended(running.pop(0), now=now, succeeded=True)
+            placement.record_end(running.pop(0), now=now, succeeded=True)
         assigned = place_tasks(placement, now)
         started = started or "gang/0" in assigned
         running.extend(task for task in assigned if not task.startswith("gang"))
@@ -174,7 +176,7 @@
     others.sort(key=worker_by_task.get)
     for number, task_id in enumerate(others[:4]):
         placement.submit(make_job(f"late{number}", 100, submitted=1000.0))
-        placement.ended(task_id, now=RESERVE_AFTER_S, succeeded=True)
+        placement.record_end(task_id, now=RESERVE_AFTER_S, succeeded=True)
         check_invariants(placement)
     assigned = place_tasks(placement, RESERVE_AFTER_S)
     assert {"gang/0", "gang/1"} <= set(assigned) and not gang.reservations
@@ -189,10 +191,10 @@
     place_tasks(placement, 0.0)
     place_tasks(placement, RESERVE_AFTER_S)
     assert placement.job_by_id["next"].reservations
-    placement.connect_worker("w0", connected=False)
-    placement.ended("first/0", now=RESERVE_AFTER_S, succeeded=True)
+    placement.set_worker_connected("w0", connected=False)
+    placement.record_end("first/0", now=RESERVE_AFTER_S, succeeded=True)
     assert place_tasks(placement, RESERVE_AFTER_S) == {}
-    placement.connect_worker("w0", connected=True)
+    placement.set_worker_connected("w0", connected=True)
     assert place_tasks(placement, RESERVE_AFTER_S) == {"next/0": "w0"}
 
 
@@ -203,7 +205,7 @@
     placement.submit(make_job("large", 7000, submitted=ORDER_WINDOW_S / 2))
     assert list(place_tasks(placement, 0.0)) == ["large/0"]
     placement.submit(make_job("later", 8000, submitted=ORDER_WINDOW_S * 2))
-    placement.ended("large/0", now=1.0, succeeded=True)
+    placement.record_end("large/0", now=1.0, succeeded=True)
     assert list(place_tasks(placement, 1.0)) == ["small/0"]
 
 
@@ -230,9 +232,9 @@
     decision = placement.decide(now=1.0)
     assert len(decision.stops) == 2 and not decision.assignments
     placement.submit(make_job("other", 2000))
-    placement.ended(decision.stops[0], now=2.0)
+    placement.record_end(decision.stops[0], now=2.0)
     assert place_tasks(placement, 2.0) == {}
-    placement.ended(decision.stops[1], now=3.0)
+    placement.record_end(decision.stops[1], now=3.0)
     assert "now/0" in place_tasks(placement, 3.0)
 
 
@@ -260,7 +262,7 @@
     placement = make_placement(2)
     placement.submit(job)
     assert place_tasks(placement, 0.0) == {}
-    assert job.never and reason in job.reason
+    assert job.never_fits and reason in job.reason
 
 
 def test_no_job_is_marked_as_never_fitting_before_workers_are_known():
@@ -268,7 +270,7 @@
     placement, job = Placement(), make_job("j", 1000)
     placement.submit(job)
     place_tasks(placement, 0.0)
-    assert not job.never
+    assert not job.never_fits
     placement.add_worker("w0", domain="d", rack="r", capacity=CAPACITY)
     assert place_tasks(placement, 0.1) == {"j/0": "w0"}
 
@@ -279,15 +281,18 @@
     for number in range(5):
         placement.submit(make_job(f"j{number % 2}-{number}", 1000))
         (task_id,) = place_tasks(placement, 0.0)
-        placement.ended(task_id, now=0.0, failed=True)
+        placement.record_end(task_id, now=0.0, failed=True)
     placement.submit(make_job("next", 1000, tasks=3))
     assert place_tasks(placement, 59.0) == {}
     assert len(place_tasks(placement, 60.0)) == 1
-    placement.ended("next/0", now=61.0, failed=True)
+    placement.record_end("next/0", now=61.0, failed=True)
     assert place_tasks(placement, 179.0) == {}
     assert len(place_tasks(placement, 181.0)) == 1
-    placement.ended("next/1", now=182.0, succeeded=True)
-    assert len(place_tasks(placement, 182.0)) == 1 and placement.pool.worker_by_name["w0"].is_open
+    placement.record_end("next/1", now=182.0, succeeded=True)
+    assert (
+        len(place_tasks(placement, 182.0)) == 1
+        and placement.pool.worker_by_name["w0"].accepts_tasks
+    )
 
 
 def test_a_running_service_task_readmits_an_ejected_worker():
@@ -299,7 +304,7 @@
     placement.submit(make_job("a", 100, tasks=3))
     placement.submit(make_job("b", 100, tasks=3))
     for task_id in place_tasks(placement, 0.0):
-        placement.ended(task_id, now=0.0, failed=True)
+        placement.record_end(task_id, now=0.0, failed=True)
     placement.submit(make_job("s", 1000, tasks=2, kind=Kind.SERVICE, run_s=0))
     assert len(place_tasks(placement, 60.0)) == 1
     assert place_tasks(placement, 61.0) == place_tasks(placement, 80.0) == {}
@@ -311,8 +316,8 @@
     placement = make_placement(1)
     placement.submit(make_job("broken", 1000, tasks=8))
     for task_id in place_tasks(placement, 0.0):
-        placement.ended(task_id, now=0.0, failed=True)
-    assert placement.pool.worker_by_name["w0"].is_open
+        placement.record_end(task_id, now=0.0, failed=True)
+    assert placement.pool.worker_by_name["w0"].accepts_tasks
 
 
 def test_a_task_that_failed_is_tried_on_another_worker():
@@ -322,8 +327,8 @@
     (first,) = place_tasks(placement, 0.0).values()
     placement.submit(make_job("j", 1000))
     assert place_tasks(placement, 0.0) == {"j/0": first}
-    placement.ended("j/0", now=0.0, failed=True)
-    placement.job_by_id["j"].avoid.add(first)
+    placement.record_end("j/0", now=0.0, failed=True)
+    placement.job_by_id["j"].avoided_workers.add(first)
     placement.requeue("j", "j/0")
     assert set(place_tasks(placement, 1.0).values()) == {"w0", "w1"} - {first}
 
@@ -344,20 +349,20 @@
     for name, urgency in (("d", Urgency.DEFERRABLE), ("n", Urgency.NORMAL), ("u", Urgency.URGENT)):
         placement.submit(make_job(name, 8000, urgency=urgency))
     assert list(place_tasks(placement, 0.0)) == ["u/0"]
-    placement.ended("u/0", now=1.0)
+    placement.record_end("u/0", now=1.0)
     assert list(place_tasks(placement, 1.0)) == ["n/0"]
     placement.submit(make_job("n2", 8000, submitted=3200.0))
-    placement.ended("n/0", now=3300.0)
+    placement.record_end("n/0", now=3300.0)
     assert list(place_tasks(placement, 3300.0)) == ["d/0"]
 
 
 def test_a_drained_worker_gets_nothing_new():
     """Guards against new tasks on a worker that is leaving."""
     placement = make_placement(1)
-    placement.drain_worker("w0", draining=True)
+    placement.set_worker_draining("w0", draining=True)
     placement.submit(make_job("j", 1000))
     assert place_tasks(placement, 0.0) == {}
-    placement.drain_worker("w0", draining=False)
+    placement.set_worker_draining("w0", draining=False)
     assert place_tasks(placement, 0.1) == {"j/0": "w0"}
 
 
@@ -371,5 +376,5 @@
     assert sorted(stopped) == sorted(running) and len(running) == 2
     assert place_tasks(placement, 1.0) == {}
     for task_id in stopped:
-        placement.ended(task_id, now=2.0)
+        placement.record_end(task_id, now=2.0)
     assert place_tasks(placement, 2.0) == {} and placement.pool.free == placement.pool.capacity
