Keep the text of the reason why a gang never fits

The reason is reported to the cell, stored with the job and shown to operators, so it stays letter for letter. The reworded text of the branch is undone.

--- a/siskintally/feasibility.py
+++ b/siskintally/feasibility.py
@@ -55,10 +55,7 @@
         if fitting >= (tasks if job.kind == Kind.GANG else 1):
             return WAITS_FOR_RESOURCES, False
         if fitting:
-            return (
-                f"{tasks} tasks must run at once, all workers together have capacity for {fitting}",
-                True,
-            )
+            return f"{tasks} tasks must run at once, all workers together hold {fitting}", True
         for number, name in enumerate(_RESOURCE_NAMES):
             needed = job.need.as_tuple()[number]
             largest = max(capacity.as_tuple()[number] for capacity, _ in capacities)
