--- a/bench/churn.py
+++ b/bench/churn.py
@@ -7,7 +7,7 @@
 from collections import Counter
 
 from siskintally.placement import Placement
-from siskintally.size import NOTHING
+from siskintally.size import NO_RESOURCES
 from siskintally.workload import Job, Kind
 
 WORKERS_PER_RACK = 8
@@ -88,15 +88,15 @@
     def drop(self, job):
         """Take a job out of the queue."""
         self.placement.cancel(job.job_id)
-        self.placement.forget(job.job_id)
+        self.placement.remove_job(job.job_id)
 
     def end(self, task_id, now):
         """Free the resources of a task."""
-        self.placement.ended(task_id, now=now, succeeded=True)
+        self.placement.record_end(task_id, now=now, succeeded=True)
         job_id = task_id.partition("/")[0]
         job = self.placement.job_by_id[job_id]
         if not job.running and not job.waiting:
-            self.placement.forget(job_id)
+            self.placement.remove_job(job_id)
 
 
 class Spread:
@@ -199,7 +199,7 @@
 def reservations_as_declared(placement):
     """Tell whether each worker's reservations are the declared sizes and none is overcommitted."""
     for worker in placement.pool.worker_by_name.values():
-        held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
-        if held + worker.free != worker.capacity or min(worker.free.key()) < 0:
+        held = sum((held.job.need for held in worker.allocation_by_task.values()), NO_RESOURCES)
+        if held + worker.free != worker.capacity or min(worker.free.as_tuple()) < 0:
             return False
     return True
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -1,4 +1,4 @@
-"""The two loops between a domain owner and the cell: what to run, and how it goes.
+"""Sync of a domain owner with the cell: fetches jobs and settings, reports job progress.
 
 >>> from siskintally.cell_sync import SYNC_WAIT_S
 >>> SYNC_WAIT_S
@@ -12,23 +12,24 @@
 from siskintally.codes import Code
 from siskintally.errors import NotLeaderError, SiskintallyError
 from siskintally.log import get_logger
-from siskintally.size import NOTHING, Size
+from siskintally.size import NO_RESOURCES, Size
 from siskintally.wire_pb2 import DomainCapacity, JobReport, SyncRequest
 
 SYNC_WAIT_S = 5.0
 SYNC_TIMEOUT_S = 10.0
 RETRY_S = 0.5
-REPORT_S = 1.0
+REPORT_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 5.0
 MAX_REPORT_JOBS = 5000
-# Workers that register one after the other must not turn a large job into one that never fits.
-NEVER_AFTER_S = 10.0
+# A job is reported as never fitting only this long after the term began: a large job must not be
+# failed while workers are still registering.
+NEVER_FITS_DELAY_S = 10.0
 
 log = get_logger("cell-sync")
 
 
 class CellSync:
-    """Follows the cell and reports to it during one term as owner.
+    """Follows the state of the cell and reports to the cell during one term as owner.
 
     :param owner_term: :class:`~siskintally.owner_term.OwnerTerm`.
     :param cell_call: ``async cell_call(body, timeout=seconds)`` to the leader of the cell group.
@@ -43,8 +44,8 @@
         self._reported_by_job = {}
         self._reason_by_job = {}
 
-    async def follow(self):
-        """Commit what changes in the cell, then act on it, until cancelled.
+    async def run_sync(self):
+        """Fetch the changes of the cell, commit and apply them, until cancelled.
 
         :raises NotLeaderError: leadership has ended.
         """
@@ -62,112 +63,112 @@
             try:
                 reply = await self._cell_call(request, timeout=SYNC_TIMEOUT_S)
             except SiskintallyError as error:
-                owner_term.check()
-                log.info("cell not reached", error=str(error))
+                owner_term.check_leadership()
+                log.info("cell unreachable", error=str(error))
                 await sleep(RETRY_S)
                 continue
-            if self._is_too_early(reply):
+            if self._must_wait_for_idle(reply):
                 await sleep(RETRY_S)
-            elif self._has_news(reply):
-                await self._take(reply)
-                self._clear(reply)
-            elif not owner_term.may_start():
-                self._clear(reply)
+            elif self._has_changes(reply):
+                await self._apply_reply(reply)
+                self._apply_status(reply)
+            elif not owner_term.may_start_tasks():
+                self._apply_status(reply)
             elif monotonic() - started < RETRY_S:
                 await sleep(RETRY_S)
 
     def _wait_s(self):
-        """Return the longest wait for news, s; an owner that may not start tasks asks at once."""
+        """Return the wait of the long poll, seconds; 0 while the owner may not start tasks."""
         owner_term = self._owner_term
-        return SYNC_WAIT_S if owner_term.may_start() or owner_term.domain.fenced else 0.0
+        return SYNC_WAIT_S if owner_term.may_start_tasks() or owner_term.domain.fenced else 0.0
 
-    def _has_news(self, reply):
+    def _has_changes(self, reply):
         domain = self._owner_term.domain
         if reply.epoch != domain.epoch:
             return reply.epoch > domain.epoch
         items = reply.jobs or reply.drains or reply.HasField("config")
         return bool(items) or reply.lost != domain.fenced
 
-    def _is_too_early(self, reply):
-        """Tell whether a restore has to wait until nothing runs here any more."""
+    def _must_wait_for_idle(self, reply):
+        """Return whether a restore of the group must wait until it is idle."""
         owner_term = self._owner_term
         same_epoch = reply.epoch == owner_term.domain.epoch
         return same_epoch and owner_term.domain.fenced and not (reply.lost or owner_term.is_idle())
 
-    def _clear(self, reply):
-        """Start tasks if the cell says that the group is not lost and nothing forbids it."""
+    def _apply_status(self, reply):
+        """Record the group's status; send pending start orders if it newly permits starts."""
         owner_term = self._owner_term
-        before = owner_term.may_start()
+        before = owner_term.may_start_tasks()
         owner_term.status_check.record_reply(reply)
-        if owner_term.may_start() and not before:
-            owner_term.unsent.update(owner_term.link_by_worker)
-            owner_term.push()
+        if owner_term.may_start_tasks() and not before:
+            owner_term.workers_to_push.update(owner_term.link_by_worker)
+            owner_term.push_orders()
             owner_term.request_pass()
 
-    async def _take(self, reply):
+    async def _apply_reply(self, reply):
         owner_term = self._owner_term
         before, epoch = owner_term.domain.config.version, owner_term.domain.epoch
         answer = await owner_term.commit(sync=reply)
         if answer.code != Code.DONE:
-            log.error("cell item refused", code=answer.code, message=answer.message)
+            log.error("cell changes refused", code=answer.code, message=answer.message)
             await sleep(RETRY_S)
             return
         if owner_term.domain.epoch != epoch:
             log.error("declared lost, all tasks end", epoch=owner_term.domain.epoch)
             self._reported_by_job.clear()
-            owner_term.withdraw()
+            owner_term.apply_group_loss()
             return
         for drain in reply.drains:
             if drain.kind == "worker":
-                owner_term.placement.drain_worker(drain.name, draining=drain.draining)
+                owner_term.placement.set_worker_draining(drain.name, draining=drain.draining)
             else:
                 self._on_config()
         for item in reply.jobs:
-            owner_term.follow(item.job_id)
-        owner_term.push()
+            owner_term.apply_job(item.job_id)
+        owner_term.push_orders()
         owner_term.request_pass()
         if owner_term.domain.config.version != before:
             self._on_config()
 
     def capacity(self):
-        """Return the DomainCapacity of the registered workers."""
+        """Return a DomainCapacity message for the registered workers."""
         pool = self._owner_term.placement.pool
-        largest = NOTHING
+        largest = NO_RESOURCES
         for worker in pool.worker_by_name.values():
-            pairs = zip(largest.key(), worker.capacity.key(), strict=True)
+            pairs = zip(largest.as_tuple(), worker.capacity.as_tuple(), strict=True)
             cpu, memory, accelerators = (max(pair) for pair in pairs)
             largest = Size(cpu=cpu, memory=memory, accelerators=accelerators)
         return DomainCapacity(
-            total=pool.capacity.message(),
-            free=pool.free.message(),
-            largest=largest.message(),
+            total=pool.capacity.to_message(),
+            free=pool.free.to_message(),
+            largest=largest.to_message(),
             workers=len(pool.worker_by_name),
         )
 
-    async def report(self):
-        """Report the progress of jobs that changed, each second, until cancelled.
+    async def run_reports(self):
+        """Report the progress of changed jobs periodically, until cancelled.
 
         :raises NotLeaderError: leadership has ended.
         """
         while True:
-            await sleep(REPORT_S)
-            self._owner_term.check()
-            if self._owner_term.review_due:
-                self._owner_term.review_due = False
-                self._owner_term.placement.review()
+            await sleep(REPORT_INTERVAL_S)
+            self._owner_term.check_leadership()
+            if self._owner_term.feasibility_due:
+                self._owner_term.feasibility_due = False
+                self._owner_term.placement.update_feasibility()
             await self.send_report()
 
     async def send_report(self):
-        """Send one report of what has changed since the last; what fails is sent again."""
+        """Report the jobs changed since the last report; a failed report is repeated later."""
         owner_term = self._owner_term
         if owner_term.domain.fenced:
-            owner_term.dirty.clear()
+            owner_term.changed_jobs.clear()
             return
-        self._add_waiting()
-        jobs = sorted(owner_term.dirty)[:MAX_REPORT_JOBS]
-        progress = [one for one in map(self._progress, jobs) if one is not None]
-        changed = [one for one in progress if self._reported_by_job.get(one.job_id) != one]
-        owner_term.dirty.difference_update(jobs)
+        self._mark_changed_reasons()
+        jobs = sorted(owner_term.changed_jobs)[:MAX_REPORT_JOBS]
+        progress = [each for each in map(self._progress, jobs) if each is not None]
+        changed = [each for each in progress if self._reported_by_job.get(each.job_id) != each]
+        owner_term.changed_jobs.difference_update(jobs)
         if not changed:
             return
         try:
@@ -176,27 +177,27 @@
                 timeout=REPORT_TIMEOUT_S,
             )
         except NotLeaderError:
-            owner_term.dirty.update(jobs)
+            owner_term.changed_jobs.update(jobs)
         except SiskintallyError as error:
-            owner_term.dirty.update(jobs)
-            log.info("report not delivered", error=str(error))
+            owner_term.changed_jobs.update(jobs)
+            log.info("progress report failed", error=str(error))
         else:
-            self._reported_by_job.update((one.job_id, one) for one in changed)
-            for one in changed:
-                job = owner_term.domain.job_by_id.get(one.job_id)
+            self._reported_by_job.update((each.job_id, each) for each in changed)
+            for each in changed:
+                job = owner_term.domain.job_by_id.get(each.job_id)
                 if job is None or job.has_ended:
-                    self._reported_by_job.pop(one.job_id)
+                    self._reported_by_job.pop(each.job_id)
 
-    def _add_waiting(self):
-        """Look again at jobs whose reason for waiting has changed."""
+    def _mark_changed_reasons(self):
+        """Mark the jobs whose reason for waiting has changed as to be reported."""
         owner_term = self._owner_term
-        is_due = owner_term.clock() - owner_term.since >= NEVER_AFTER_S
+        is_due = owner_term.clock() - owner_term.started_at >= NEVER_FITS_DELAY_S
         before, self._reason_by_job = self._reason_by_job, {}
         for job_id, job in owner_term.placement.job_by_id.items():
             if job.reason:
-                reason = self._reason_by_job[job_id] = (job.reason, job.never and is_due)
+                reason = self._reason_by_job[job_id] = (job.reason, job.never_fits and is_due)
                 if before.get(job_id) != reason:
-                    owner_term.dirty.add(job_id)
+                    owner_term.changed_jobs.add(job_id)
 
     def _progress(self, job_id):
         owner_term = self._owner_term
@@ -204,9 +205,12 @@
         if job is None:
             return None
         progress = job.progress()
-        placed = owner_term.placement.job_by_id.get(job_id)
-        if placed is not None and progress.waiting:
-            progress.reason = placed.reason
-            if placed.never and owner_term.clock() - owner_term.since >= NEVER_AFTER_S:
+        placement_job = owner_term.placement.job_by_id.get(job_id)
+        if placement_job is not None and progress.waiting:
+            progress.reason = placement_job.reason
+            if (
+                placement_job.never_fits
+                and owner_term.clock() - owner_term.started_at >= NEVER_FITS_DELAY_S
+            ):
                 progress.code = int(Code.NEVER_FITS)
         return progress
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -1,4 +1,4 @@
-"""Decisions on which worker runs which task; pure, with the time passed in.
+"""Placement of waiting tasks on workers; does no I/O, callers pass the time.
 
 >>> from siskintally.placement import Placement
 >>> from siskintally.size import Size
@@ -15,7 +15,7 @@
 
 from siskintally.backlog import Backlog
 from siskintally.failed_searches import FailedSearches
-from siskintally.feasibility import CapacityTable
+from siskintally.feasibility import FeasibilityCheck
 from siskintally.policy import policy_for
 from siskintally.pool import Pool
 from siskintally.preemption import preempt
@@ -23,20 +23,20 @@
 from siskintally.reservation import RESERVE_AFTER_S, Reservations
 from siskintally.workload import Kind, Urgency
 
-# Searches without a result, or for preemption, in each part of a pass: together they stay below the
+# Failed searches and preemption searches in each part of a pass. The limit keeps a pass below the
 # 2 ms that a decision may take.
-MAX_MISSES = 32
-# Jobs looked at in each part of a pass, most of them known not to fit.
-MAX_LOOKS = 500
-# Without changes, the queue is looked at this often for reservations that became due.
+MAX_FAILED_SEARCHES = 32
+# Jobs examined in each part of a pass; most are skipped because they are known not to fit.
+MAX_JOBS_EXAMINED = 500
+# Shortest time between passes while nothing changes; a pass then makes reservations that are due.
 PASS_INTERVAL_S = 1.0
 
 
 class Decision:
-    """Result of one pass.
+    """Result of one placement pass.
 
     :param assignments: list of :class:`~siskintally.policy.Assignment`.
-    :param stops: ids of tasks to stop for urgent work.
+    :param stops: ids of tasks to preempt for urgent jobs.
     """
 
     __slots__ = ("assignments", "stops")
@@ -47,23 +47,23 @@
 
 
 class Placement:
-    """Jobs, workers and the order in which resources are given out.
+    """Queued jobs, the worker pool, and the passes that assign tasks to workers.
 
-    A decision takes the resources at once; they come back by :meth:`ended` or :meth:`lose_worker`.
-    ``may_preempt`` and ``places_deferrable`` follow the preset in force.
+    A pass allocates resources at once; :meth:`record_end` or :meth:`remove_worker` frees them.
+    ``may_preempt`` and ``places_deferrable`` are set from the preset in force.
     """
 
     __slots__ = (
         "_backlog",
-        "_capacities",
+        "_completed_version",
         "_cursor",
-        "_failed_reclaim_searches",
+        "_failed_preemption_searches",
         "_failed_searches",
-        "_fresh",
+        "_feasibility",
         "_last_pass",
+        "_new_jobs",
         "_readmission",
         "_reservations",
-        "_seen",
         "job_by_id",
         "may_preempt",
         "places_deferrable",
@@ -76,54 +76,54 @@
         self.may_preempt = True
         self.places_deferrable = True
         self._backlog = Backlog()
-        self._capacities = CapacityTable()
+        self._feasibility = FeasibilityCheck()
         self._readmission = Readmission(pool=self.pool)
         self._reservations = Reservations(pool=self.pool)
         self._failed_searches = FailedSearches()
-        self._failed_reclaim_searches = FailedSearches()
-        self._fresh = []
+        self._failed_preemption_searches = FailedSearches()
+        self._new_jobs = []
         self._cursor = 0
-        self._seen = None
+        self._completed_version = None
         self._last_pass = float("-inf")
 
     def add_worker(self, name, *, domain, rack, capacity):
-        """Add a worker, without tasks."""
+        """Add a worker that runs no tasks."""
         self.pool.add(name, domain=domain, rack=rack, capacity=capacity)
-        self.pool.freed += 1
-        self._capacities.add(domain, capacity)
+        self.pool.freed_version += 1
+        self._feasibility.add(domain, capacity)
 
-    def lose_worker(self, name):
-        """Remove a worker; return the ids of the tasks that ended with it."""
+    def remove_worker(self, name):
+        """Remove a lost worker; return the ids of the tasks that ran on it."""
         worker = self.pool.worker_by_name[name]
-        self._reservations.drop_on(worker)
-        self._capacities.remove(worker.domain, worker.capacity)
+        self._reservations.release_on(worker)
+        self._feasibility.remove(worker.domain, worker.capacity)
         self._readmission.forget(name)
         return self.pool.remove(name)
 
-    def drain_worker(self, name, *, draining):
-        """Stop or resume giving new tasks to a worker."""
+    def set_worker_draining(self, name, *, draining):
+        """Stop or resume placing new tasks on a worker."""
         worker = self.pool.worker_by_name.get(name)
         if worker is not None and worker.draining != draining:
             if draining:
-                self._reservations.drop_on(worker)
-            self.pool.open(worker, draining=draining)
+                self._reservations.release_on(worker)
+            self.pool.set_flags(worker, draining=draining)
 
-    def connect_worker(self, name, *, connected):
-        """Give new tasks only to workers that can be reached."""
+    def set_worker_connected(self, name, *, connected):
+        """Record whether a worker is connected; only connected workers get new tasks."""
         worker = self.pool.worker_by_name.get(name)
         if worker is not None and worker.connected != connected:
-            self.pool.open(worker, connected=connected)
+            self.pool.set_flags(worker, connected=connected)
 
     def set_waiting(self, job_id, task_ids):
-        """Replace the waiting tasks of a job; tasks that hold resources are left out."""
+        """Replace the waiting tasks of a job, except tasks that have resources allocated."""
         job = self.job_by_id[job_id]
-        held = self.pool.held_by_task
-        job.waiting = deque(task_id for task_id in task_ids if task_id not in held)
+        allocated = self.pool.allocation_by_task
+        job.waiting = deque(task_id for task_id in task_ids if task_id not in allocated)
         if job.reservations:
-            self._reservations.drop(job)
+            self._reservations.release(job)
         if job.waiting:
             self._backlog.add(job)
-            self._fresh.append(job)
+            self._new_jobs.append(job)
         else:
             self._backlog.remove(job)
 
@@ -132,7 +132,7 @@
         self.job_by_id[job.job_id] = job
         if job.waiting:
             self._backlog.add(job)
-            self._fresh.append(job)
+            self._new_jobs.append(job)
 
     def requeue(self, job_id, task_id):
         """Queue a task again after its attempt ended."""
@@ -141,16 +141,16 @@
             job.waiting.append(task_id)
             self._backlog.add(job)
 
-    def restore(self, job_id, task_id, worker):
-        """Record a task that runs already, as the committed state says.
+    def restore_task(self, job_id, task_id, worker):
+        """Allocate resources to a task that the committed state assigns to a worker.
 
-        :raises OvercommitError: the worker has no room for it.
+        :raises OvercommitError: the worker has too few free resources.
         """
         job = self.job_by_id[job_id]
-        self.pool.take(self.pool.worker_by_name[worker], task_id, job)
+        self.pool.allocate(self.pool.worker_by_name[worker], task_id, job)
 
     def cancel(self, job_id):
-        """Drop the waiting tasks of a job; return the ids of those that run and must be stopped."""
+        """Drop the waiting tasks of a job; return the ids of its running tasks, to be stopped."""
         job = self.job_by_id.get(job_id)
         if job is None or job.cancelled:
             return []
@@ -158,138 +158,140 @@
         job.waiting.clear()
         self._backlog.remove(job)
         if job.reservations:
-            self._reservations.drop(job)
+            self._reservations.release(job)
         return list(job.running)
 
-    def forget(self, job_id):
-        """Drop a job that has no tasks left."""
+    def remove_job(self, job_id):
+        """Remove a job that has no running tasks left."""
         job = self.job_by_id.pop(job_id, None)
         if job is not None:
             self._backlog.remove(job)
-            self._reservations.drop(job)
+            self._reservations.release(job)
 
-    def ended(self, task_id, *, now, failed=False, succeeded=False):
-        """Free what a task held, after its worker reported the end.
+    def record_end(self, task_id, *, now, failed=False, succeeded=False):
+        """Free the resources of a task whose attempt has ended.
 
-        :param failed: it ended with an error; counts against the worker.
-        :param succeeded: it ran to its end.
+        :param failed: the task ended with an error; counts towards ejecting the worker.
+        :param succeeded: the task ran to completion.
         """
-        held = self.pool.release(task_id)
-        if held is None:
+        allocation = self.pool.release(task_id)
+        if allocation is None:
             return
-        worker = held.worker
-        if failed and self._readmission.failed(worker, held.job.job_id, now=now):
-            self._reservations.drop_on(worker)
+        worker = allocation.worker
+        if failed and self._readmission.record_failure(worker, allocation.job.job_id, now=now):
+            self._reservations.release_on(worker)
         elif succeeded:
-            self._readmission.succeeded(worker)
-        self._reservations.offer(worker)
+            self._readmission.record_success(worker)
+        self._reservations.move_to(worker)
 
     def decide(self, *, now, limit=1000):
-        """Place waiting tasks in order.
+        """Run a pass: place waiting tasks in queue order.
 
         :param now: monotonic seconds.
-        :param limit: number of assignments; the last gang may go beyond it.
-        :returns: :class:`Decision`; its resources are taken already.
+        :param limit: maximum number of assignments; the last gang may exceed it.
+        :returns: :class:`Decision`; the resources of its assignments are allocated already.
         """
         decision = Decision()
-        self._readmission.review(now)
+        self._readmission.update(now)
         self._backlog.promote(now)
-        state = (self.pool.freed, self._backlog.changes)
-        if state == self._seen and now - self._last_pass < PASS_INTERVAL_S:
+        version = (self.pool.freed_version, self._backlog.additions)
+        if version == self._completed_version and now - self._last_pass < PASS_INTERVAL_S:
             return decision
         self._place_reserved(decision)
-        state = (self.pool.freed, self._backlog.changes)
-        complete = self._pass(decision, now, limit)
+        version = (self.pool.freed_version, self._backlog.additions)
+        complete = self._run_pass(decision, now, limit)
         self._last_pass = now
-        self._seen = state if complete else None
+        self._completed_version = version if complete else None
         return decision
 
     def _place_reserved(self, decision):
-        placed, jobs = self._reservations.place()
+        placed, jobs = self._reservations.place_tasks()
         decision.assignments.extend(placed)
         for job in jobs:
-            self._tidy(job)
+            self._clean_up(job)
 
-    def _pass(self, decision, now, limit):
-        """Try the jobs in order; return whether none was left out for the limits.
+    def _run_pass(self, decision, now, limit):
+        """Try to place the queued jobs; return whether the limits left none untried.
 
-        The head of the queue comes first, then jobs not tried yet, then the others in turn.
+        Tries the head of the queue first, then new jobs, then the others round robin.
         """
-        self._failed_searches.start(self.pool.freed)
-        self._failed_reclaim_searches.start((self.pool.freed, self.pool.offered))
+        self._failed_searches.start_pass(self.pool.freed_version)
+        self._failed_preemption_searches.start_pass(
+            (self.pool.freed_version, self.pool.preemptible_version)
+        )
         jobs = self._backlog.jobs()
-        fresh, self._fresh = self._fresh, []
-        head = self._run(jobs, 0, decision, now, limit)
+        new_jobs, self._new_jobs = self._new_jobs, []
+        head = self._try_jobs(jobs, 0, decision, now, limit)
         if head == len(jobs):
             self._cursor = 0
             return True
-        left = self._run(fresh, 0, decision, now, limit)
-        self._fresh.extend(fresh[left:])
-        reached = self._run(jobs, max(self._cursor, head), decision, now, limit)
+        reached_new = self._try_jobs(new_jobs, 0, decision, now, limit)
+        self._new_jobs.extend(new_jobs[reached_new:])
+        reached = self._try_jobs(jobs, max(self._cursor, head), decision, now, limit)
         self._cursor = reached if reached < len(jobs) else 0
         return False
 
-    def _run(self, jobs, start, decision, now, limit):
-        """Try jobs from a position on; return the position reached within the limits."""
-        misses = 0
-        for position in range(start, min(start + MAX_LOOKS, len(jobs))):
-            if misses >= MAX_MISSES or len(decision.assignments) >= limit:
+    def _try_jobs(self, jobs, start, decision, now, limit):
+        """Try jobs from a position on; return the position at which a limit stopped the pass."""
+        searches = 0
+        for position in range(start, min(start + MAX_JOBS_EXAMINED, len(jobs))):
+            if searches >= MAX_FAILED_SEARCHES or len(decision.assignments) >= limit:
                 return position
             job = jobs[position]
-            if job.rank == Urgency.DEFERRABLE and not self.places_deferrable:
+            if job.queue_class == Urgency.DEFERRABLE and not self.places_deferrable:
                 continue
-            if job.waiting and not job.never and len(job.reservations) < len(job.waiting):
-                misses += self._try(job, decision, now, limit)
-        return min(start + MAX_LOOKS, len(jobs))
-
-    def _try(self, job, decision, now, limit):
-        """Place what can be placed of a job; return the number of searches made for the rest."""
-        missed, known = True, self._failed_searches.covers(job)
-        if not known:
-            room = limit - len(decision.assignments)
-            placed = policy_for(job.kind).place(pool=self.pool, job=job, limit=room)
+            if job.waiting and not job.never_fits and len(job.reservations) < len(job.waiting):
+                searches += self._try_job(job, decision, now, limit)
+        return min(start + MAX_JOBS_EXAMINED, len(jobs))
+
+    def _try_job(self, job, decision, now, limit):
+        """Place as many tasks of a job as fit; return the number of failed searches."""
+        is_blocked, is_known = True, self._failed_searches.is_known_to_fail(job)
+        if not is_known:
+            max_tasks = limit - len(decision.assignments)
+            placed = policy_for(job.kind).place(pool=self.pool, job=job, limit=max_tasks)
             decision.assignments.extend(placed)
-            missed = bool(job.waiting) and len(placed) < room
-        self._tidy(job)
-        if not missed or (job.kind == Kind.GANG and job.running):
+            is_blocked = bool(job.waiting) and len(placed) < max_tasks
+        self._clean_up(job)
+        if not is_blocked or (job.kind == Kind.GANG and job.running):
             return 0
-        if not known:
-            self._failed_searches.add(job)
-        return (not known) + self._wait(job, decision, now)
+        if not is_known:
+            self._failed_searches.record(job)
+        return (not is_known) + self._handle_blocked(job, decision, now)
 
-    def _wait(self, job, decision, now):
-        """Act for a job that has found no room; return the number of searches made."""
+    def _handle_blocked(self, job, decision, now):
+        """Preempt or reserve for a job that does not fit; return the number of searches made."""
         searches = 0
         if job.blocked_since is None:
             searches = 1
             job.blocked_since = now
-            job.reason, job.never = self._capacities.reason(job)
-        if job.never:
+            job.reason, job.never_fits = self._feasibility.explain(job)
+        if job.never_fits:
             return searches
         if job.urgency == Urgency.URGENT:
-            if self.may_preempt and not self._failed_reclaim_searches.covers(job):
+            if self.may_preempt and not self._failed_preemption_searches.is_known_to_fail(job):
                 searches += 1
                 decision.stops.extend(preempt(self.pool, job))
                 if job.reservations:
-                    self._reservations.keep(job)
+                    self._reservations.register(job)
                 if len(job.reservations) < len(job.waiting):
-                    self._failed_reclaim_searches.add(job)
+                    self._failed_preemption_searches.record(job)
         elif now - job.blocked_since >= RESERVE_AFTER_S and not job.reservations:
-            searches += self._reservations.has_room
+            searches += self._reservations.can_reserve
             self._reservations.reserve(job)
         return searches
 
-    def _tidy(self, job):
+    def _clean_up(self, job):
         if not job.waiting:
             self._backlog.remove(job)
             job.blocked_since = None
             job.reason = ""
-            self._reservations.drop(job)
+            self._reservations.release(job)
         elif not job.reservations:
-            self._reservations.drop(job)
+            self._reservations.release(job)
 
-    def review(self):
-        """Judge again which jobs can never run, after workers were added or lost."""
+    def update_feasibility(self):
+        """Recompute which jobs can never fit, after workers were added or lost."""
         for job in self.job_by_id.values():
             if job.waiting:
-                job.reason, job.never = self._capacities.reason(job)
+                job.reason, job.never_fits = self._feasibility.explain(job)
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -1,7 +1,7 @@
-"""Reservations of resources for jobs that have waited long.
+"""Reservations of worker resources for jobs that have waited long.
 
-A reservation keeps resources from other jobs. It allocates nothing: the task is placed when the
-resources are free, which is after the worker has reported the end of what used them.
+A reservation withholds resources from other jobs but allocates nothing. The task is placed once the
+resources are free, after the worker has reported the end of the tasks that used them.
 
 >>> from siskintally.pool import Pool
 >>> from siskintally.reservation import Reservations
@@ -12,7 +12,7 @@
 >>> gang = Job(job_id="g", kind=Kind.GANG, need=Size(cpu=1000), tasks=4, submitted=0.0)
 >>> Reservations(pool=pool).reserve(gang)
 True
->>> pool.best(Job(job_id="b", kind=Kind.BATCH, need=Size(cpu=1), tasks=1, submitted=0.0))
+>>> pool.best_fit(Job(job_id="b", kind=Kind.BATCH, need=Size(cpu=1), tasks=1, submitted=0.0))
 """
 
 from collections import Counter
@@ -21,17 +21,20 @@
 from siskintally.policy import Assignment, policy_for
 from siskintally.workload import Kind, Urgency
 
-# A job that has found no room for this long gets a reservation. Most large tasks find room earlier;
-# with 5 s the places kept idle for them cost 0.5 to 1.3 points of packing on 100 workers.
+# A job that has not fitted for this long gets a reservation. Most large tasks fit earlier. With 5 s
+# the resources kept idle for them cost 0.5 to 1.3 percentage points of packing on 100 workers.
 RESERVE_AFTER_S = 15.0
-# Each reservation keeps resources idle, so only the oldest jobs get one.
+# Jobs with reservations at a time. Reservations keep resources idle, so only the first get one.
 MAX_RESERVATIONS = 4
-# Places of a job compared with a worker on which a task ended; bounds the time for large gangs.
-MAX_COMPARED = 32
+# Reservations of a job compared with a worker on which a task ended; bounds the time for large
+# gangs.
+MAX_COMPARED_RESERVATIONS = 32
 
 
 class Reservations:
-    """Jobs with reserved places. Places are moved to where less has to end, as tasks end.
+    """Jobs with reserved resources.
+
+    When a task ends, reservations move to its worker if they can be used there sooner.
 
     :param pool: :class:`~siskintally.pool.Pool`.
     """
@@ -44,116 +47,123 @@
         self._jobs = []
 
     @property
-    def has_room(self):
+    def can_reserve(self):
         """Whether another job may get a reservation."""
         return len(self._jobs) < MAX_RESERVATIONS
 
     def reserve(self, job):
-        """Reserve places for all tasks of a gang, otherwise for one.
+        """Reserve resources for all tasks of a gang, or for one task of another job.
 
-        :returns: whether all reservations could be made, within the limit on their number.
+        :returns: False if the workers or the limit on jobs with reservations do not permit it.
         """
-        if not self.has_room:
+        if not self.can_reserve:
             return False
-        chosen = _closest(self._pool, job, len(job.waiting) if job.kind == Kind.GANG else 1)
+        chosen = _choose_workers(self._pool, job, len(job.waiting) if job.kind == Kind.GANG else 1)
         for worker in chosen:
             self._pool.reserve(worker, job.need)
         job.reservations.extend(chosen)
         if not chosen:
             return False
-        self.keep(job)
+        self.register(job)
         return True
 
-    def keep(self, job):
-        """Note a job whose places were reserved; those of urgent jobs are never moved."""
+    def register(self, job):
+        """Register a job that has reservations; those of urgent jobs are never moved."""
         if job.job_id not in self._job_by_id and job.urgency != Urgency.URGENT:
             self._jobs.append(job)
         self._job_by_id[job.job_id] = job
 
-    def drop(self, job):
-        """Take back all reservations of a job."""
-        withdraw(self._pool, job)
+    def release(self, job):
+        """Release all reservations of a job and unregister it."""
+        unreserve_all(self._pool, job)
         if self._job_by_id.pop(job.job_id, None) is not None and job in self._jobs:
             self._jobs.remove(job)
 
-    def drop_on(self, worker):
-        """Take back the reservations of jobs with a place on a worker that cannot keep it."""
+    def release_on(self, worker):
+        """Release all reservations of the jobs that have one on a worker no longer available."""
         for job in list(self._job_by_id.values()):
             if worker in job.reservations:
-                self.drop(job)
+                self.release(job)
 
-    def place(self):
-        """Place what has room now; return the assignments and the jobs that were looked at."""
+    def place_tasks(self):
+        """Place tasks that fit now; return the assignments and all jobs that had reservations."""
         jobs = list(self._job_by_id.values())
         return [found for job in jobs for found in place_reserved(self._pool, job)], jobs
 
-    def offer(self, worker):
-        """Move places to a worker on which a task ended, where less has to end there.
+    def move_to(self, worker):
+        """Move reservations to a worker on which a task ended, if the shortfall is smaller there.
 
-        Older jobs come first.
+        Jobs that have had reservations for longer come first.
         """
         for job in self._jobs:
-            while _move(self._pool, job, worker):
+            while _move_reservation(self._pool, job, worker):
                 pass
 
 
-def _closest(pool, job, wanted):
-    """Return workers for ``wanted`` places, those where the least has to end; empty if too few."""
-    places = [
+def _choose_workers(pool, job, wanted):
+    """Return ``wanted`` workers with the smallest shortfall, repeats allowed; empty if too few."""
+    candidates = [
         (_shortfall(worker, job.need, 1), worker.name, 1, worker)
         for worker in pool.worker_by_name.values()
-        if _may_hold(worker, job)
+        if _can_reserve_on(worker, job)
     ]
-    heapify(places)
-    chosen, most_by_name = [], {}
-    while places and len(chosen) < wanted:
-        _, name, count, worker = heappop(places)
-        if name not in most_by_name:
-            most_by_name[name] = _most(worker, job.need)
-        if count <= most_by_name[name]:
+    heapify(candidates)
+    chosen, max_by_name = [], {}
+    while candidates and len(chosen) < wanted:
+        _, name, count, worker = heappop(candidates)
+        if name not in max_by_name:
+            max_by_name[name] = _max_tasks(worker, job.need)
+        if count <= max_by_name[name]:
             chosen.append(worker)
-            more = _shortfall(worker, job.need, count + 1)
-            heappush(places, (more, name, count + 1, worker))
+            shortfall = _shortfall(worker, job.need, count + 1)
+            heappush(candidates, (shortfall, name, count + 1, worker))
     return chosen if len(chosen) == wanted else []
 
 
-def _may_hold(worker, job):
-    return worker.is_open and job.domain in ("", worker.domain) and job.need.within(worker.capacity)
+def _can_reserve_on(worker, job):
+    return (
+        worker.accepts_tasks
+        and job.domain in ("", worker.domain)
+        and job.need.fits_in(worker.capacity)
+    )
 
 
-def _most(worker, need):
-    """Return how many places can be reserved; tasks that run until stopped are taken to stay."""
-    count = need.times(worker.capacity - worker.lasting() - worker.reserved)
+def _max_tasks(worker, need):
+    """Return the number of tasks to reserve for, assuming that long-running tasks stay."""
+    count = need.max_count_in(worker.capacity - worker.long_running() - worker.reserved)
     return min(count, 1) if worker.probing else count
 
 
-def _move(pool, job, worker):
-    """Move the place that lacks most to ``worker`` if less is missing there; tell whether."""
-    if not job.reservations or not _may_hold(worker, job):
+def _move_reservation(pool, job, worker):
+    """Move the reservation with the largest shortfall to ``worker``, if it is smaller there.
+
+    :returns: whether a reservation was moved.
+    """
+    if not job.reservations or not _can_reserve_on(worker, job):
         return False
-    compared = job.reservations[:MAX_COMPARED]
-    if len(job.reservations) > MAX_COMPARED:
-        # The next end is compared with other places.
+    compared = job.reservations[:MAX_COMPARED_RESERVATIONS]
+    if len(job.reservations) > MAX_COMPARED_RESERVATIONS:
+        # Rotates the list, so that the next call compares other reservations.
         job.reservations.extend(compared)
-        del job.reservations[:MAX_COMPARED]
-    shortfalls = [_shortfall(place, job.need, 0) for place in compared]
+        del job.reservations[:MAX_COMPARED_RESERVATIONS]
+    shortfalls = [_shortfall(reserved, job.need, 0) for reserved in compared]
     worst = max(shortfalls)
-    if worst <= 0 or _shortfall(worker, job.need, 1) >= worst or not _most(worker, job.need):
+    if worst <= 0 or _shortfall(worker, job.need, 1) >= worst or not _max_tasks(worker, job.need):
         return False
-    place = compared[shortfalls.index(worst)]
-    if place is worker:
+    source = compared[shortfalls.index(worst)]
+    if source is worker:
         return False
-    pool.unreserve(place, job.need)
+    pool.unreserve(source, job.need)
     pool.reserve(worker, job.need)
-    job.reservations.remove(place)
+    job.reservations.remove(source)
     job.reservations.append(worker)
     return True
 
 
 def _shortfall(worker, need, count):
-    """Return what is missing for ``count`` more places, as the largest part of a resource.
+    """Return the resources missing for ``count`` more tasks, as the largest share of the capacity.
 
-    Negative when more is available than needed.
+    Negative if more is available than needed.
     """
     capacity, free, reserved = worker.capacity, worker.free, worker.reserved
     parts = [0.0]
@@ -167,29 +177,29 @@
     return max(parts)
 
 
-def withdraw(pool, job):
-    """Take back all reservations of a job."""
+def unreserve_all(pool, job):
+    """Release all reservations of a job."""
     for worker in job.reservations:
         pool.unreserve(worker, job.need)
     job.reservations.clear()
 
 
 def place_reserved(pool, job):
-    """Place the tasks that have room now, in reserved places or elsewhere.
+    """Place the tasks of a job that fit now, on reserved or other resources.
 
-    :returns: assignments; for a gang all or none.
+    :returns: assignments; for a gang of all tasks or of none.
     """
     if job.kind == Kind.GANG:
-        if job.running or not _gang_has_room(pool, job):
+        if job.running or not _gang_fits(pool, job):
             return []
-        withdraw(pool, job)
+        unreserve_all(pool, job)
         return policy_for(job.kind).place(pool=pool, job=job, limit=len(job.waiting))
     placed = []
-    for worker in _free_now(job):
+    for worker in _ready_workers(job):
         job.reservations.remove(worker)
         pool.unreserve(worker, job.need)
         task_id = job.waiting.popleft()
-        pool.take(worker, task_id, job)
+        pool.allocate(worker, task_id, job)
         placed.append(Assignment(task_id=task_id, job=job, worker=worker.name))
     policy = policy_for(job.kind)
     placed.extend(policy.place(pool=pool, job=job, limit=len(job.reservations)))
@@ -198,27 +208,27 @@
     return placed
 
 
-def _gang_has_room(pool, job):
-    """Tell whether places free now, the gang's own reserved ones included, suffice for it."""
+def _gang_fits(pool, job):
+    """Return whether the whole gang fits now, counting its own reservations as available."""
     own = Counter(job.reservations)
     count = 0
     for worker, reserved in own.items():
-        if worker.is_open:
-            fitting = job.need.times(worker.available() + job.need.scaled(reserved))
+        if worker.accepts_tasks:
+            fitting = job.need.max_count_in(worker.available() + job.need.scaled(reserved))
             count += min(1, fitting) if worker.probing else fitting
     if count >= len(job.waiting):
         return True
     for worker in pool.fitting(job):
         if worker not in own:
-            count += 1 if worker.probing else job.need.times(worker.available())
+            count += 1 if worker.probing else job.need.max_count_in(worker.available())
             if count >= len(job.waiting):
                 return True
     return False
 
 
-def _free_now(job):
+def _ready_workers(job):
     ready = []
     for worker, count in Counter(job.reservations).items():
-        if worker.is_open:
-            ready.extend([worker] * min(count, job.need.times(worker.free)))
+        if worker.accepts_tasks:
+            ready.extend([worker] * min(count, job.need.max_count_in(worker.free)))
     return ready[: len(job.waiting)]
--- a/siskintally/worker.py
+++ b/siskintally/worker.py
@@ -1,18 +1,18 @@
-"""A worker of the pool and what its tasks hold.
+"""State of one worker in the pool: free, reserved and allocated resources.
 
 >>> from siskintally.size import Size
 >>> from siskintally.worker import Worker
 >>> worker = Worker(name="w1", domain="d", rack="r", capacity=Size(cpu=4000, memory=4000))
 >>> worker.reserved = Size(cpu=1000)
->>> worker.available().cpu, worker.is_open
+>>> worker.available().cpu, worker.accepts_tasks
 (3000, True)
 """
 
-from siskintally.size import NOTHING
+from siskintally.size import NO_RESOURCES
 
 
-class Held:
-    """Resources that one task holds on a worker until its end is reported."""
+class Allocation:
+    """Resources allocated to one task on a worker until the end of the task is reported."""
 
     __slots__ = ("job", "stopping", "task_id", "worker")
 
@@ -24,27 +24,29 @@
 
 
 class Worker:
-    """A worker with its free resources.
+    """A worker with its resources and the tasks on it.
 
-    :param capacity: what the worker has.
+    :param capacity: total resources of the worker.
 
-    A worker with ``probing`` takes one task and is ejected until its result is known.
+    ``pending_release`` counts the resources of tasks that were ordered to stop, ``preemptible``
+    those of other tasks that urgent jobs may preempt. A worker with ``probing`` was ejected
+    earlier: it gets one task, and no other until the result of that task is known.
     """
 
     __slots__ = (
+        "allocation_by_task",
         "capacity",
         "connected",
         "count_by_job",
         "domain",
         "draining",
         "ejected",
-        "ending",
         "free",
-        "held_by_task",
         "name",
+        "pending_release",
+        "preemptible",
         "probing",
         "rack",
-        "reclaimable",
         "reserved",
     )
 
@@ -54,10 +56,10 @@
         self.rack = rack
         self.capacity = capacity
         self.free = capacity
-        self.reserved = NOTHING
-        self.ending = NOTHING
-        self.reclaimable = NOTHING
-        self.held_by_task = {}
+        self.reserved = NO_RESOURCES
+        self.pending_release = NO_RESOURCES
+        self.preemptible = NO_RESOURCES
+        self.allocation_by_task = {}
         self.count_by_job = {}
         self.draining = False
         self.connected = True
@@ -65,26 +67,26 @@
         self.probing = False
 
     @property
-    def is_open(self):
-        """Whether the worker takes new tasks."""
+    def accepts_tasks(self):
+        """Whether the worker accepts new tasks."""
         return self.connected and not (self.draining or self.ejected)
 
     def available(self):
-        """Return what is free and not reserved to a waiting task."""
-        return self.free - self.reserved if self.reserved is not NOTHING else self.free
+        """Return the resources that are free and not reserved for a waiting task."""
+        return self.free - self.reserved if self.reserved is not NO_RESOURCES else self.free
 
-    def after_stops(self, *, reclaim):
-        """Return what will be available when ends under way are reported.
+    def available_after_stops(self, *, include_preemptible):
+        """Return the resources available once all stopping tasks have ended.
 
-        :param reclaim: whether every task that urgent work may stop counts as ending.
+        :param include_preemptible: count every preemptible task as stopping too.
         """
-        room = self.available() + self.ending
-        return room + self.reclaimable if reclaim else room
-
-    def lasting(self):
-        """Return what tasks hold that run until they are stopped."""
-        total = NOTHING
-        for held in self.held_by_task.values():
-            if held.job.lasting and not held.stopping:
-                total += held.job.need
+        available = self.available() + self.pending_release
+        return available + self.preemptible if include_preemptible else available
+
+    def long_running(self):
+        """Return the resources of tasks that run until they are stopped, except stopping ones."""
+        total = NO_RESOURCES
+        for allocation in self.allocation_by_task.values():
+            if allocation.job.is_long_running and not allocation.stopping:
+                total += allocation.job.need
         return total
--- a/tests/model/ledger.py
+++ b/tests/model/ledger.py
@@ -2,7 +2,7 @@
 
 Every attempt follows section 3.3 of the design and can crash, give up or resend at any moment; a
 crash of an entry is a crash of its attempts. The network is unordered; a message that is never
-delivered is lost. Time stands still, so that nothing expires.
+delivered is lost. The clock does not advance, so that nothing expires.
 """
 
 from sys import intern
@@ -25,34 +25,38 @@
 
 
 class State(NamedTuple):
-    """Number of the ledger state, attempts, network, and what was observed.
+    """Number of the ledger state, attempts, messages in flight, and what was observed.
 
-    ``phases``: of each attempt. ``told``: what the caller of each attempt was told. ``executed``:
-    attempts in the order in which the endpoint ran them. ``granted``, ``released``: attempts for
-    which the ledger answered or applied it.
+    ``phases``: phase of each attempt. ``results``: result that the caller of each attempt received.
+    ``executed``: attempts in the order in which the endpoint ran them. ``granted``: attempts to
+    which the ledger granted the key. ``released``: attempts whose release the ledger applied.
     """
 
     ledger: int
     phases: tuple
     network: frozenset
-    told: tuple
+    results: tuple
     repeats: int
     resends: int
     executed: tuple = ()
     granted: frozenset = frozenset()
     released: frozenset = frozenset()
-    fault: str = ""
+    violation: str = ""
 
-    def move(self, attempt, phase, *, told=None, send=()):
-        """Return the state after an attempt changed its phase."""
+    def move(self, attempt, phase, *, result=None, send=()):
+        """Return the state after an attempt has changed its phase."""
         return self._replace(
             phases=(*self.phases[:attempt], phase, *self.phases[attempt + 1 :]),
-            told=(*self.told[:attempt], told or self.told[attempt], *self.told[attempt + 1 :]),
+            results=(
+                *self.results[:attempt],
+                result or self.results[attempt],
+                *self.results[attempt + 1 :],
+            ),
             network=self.network | set(send),
         ).pruned()
 
     def pruned(self):
-        """Leave out the replies that their attempt will ignore from now on."""
+        """Return the state without replies that their attempt will ignore from now on."""
         dead = {message for message in self.network if _is_dead(message, self.phases)}
         return self._replace(network=self.network - dead) if dead else self
 
@@ -60,10 +64,11 @@
 class LedgerSpec(Spec):
     """One key, several attempts.
 
-    :param attempts: number of attempts; the last has another digest if ``conflict``.
-    :param repeats: messages that are delivered twice.
-    :param resends: messages that an attempt sends again.
-    :param ledger_class: a mutant in tests.
+    :param attempts: number of attempts.
+    :param repeats: number of messages that are delivered twice.
+    :param resends: number of messages that an attempt sends again.
+    :param conflict: whether the last attempt has another digest.
+    :param ledger_class: real class, or a mutant of it.
     """
 
     __slots__ = ("_attempts", "_conflict", "_ledger_class", "_ledgers", "_memo", "_resends")
@@ -91,29 +96,29 @@
                 ledger=self._ledgers.put(ledger.key(), ledger),
                 phases=("idle",) * self._attempts,
                 network=frozenset(),
-                told=("",) * self._attempts,
+                results=("",) * self._attempts,
                 repeats=self._repeats,
                 resends=self._resends,
             )
         ]
 
-    def fault(self, state):
+    def violation(self, state):
         """Return the violation that the last step made."""
-        return state.fault
+        return state.violation
 
     def steps(self, state):
-        """Yield deliveries, steps of the attempts, and a snapshot."""
+        """Yield deliveries, steps of the attempts, and a snapshot of the ledger."""
         for message in state.network:
             label = intern(f"deliver {' '.join(map(str, message))}")
             without = state._replace(network=state.network - {message})
-            yield label, self._checked(self._deliver(without, message))
-            # A stream carries a request to an endpoint and its answer once.
+            yield label, self._check(self._deliver(without, message))
+            # A stream delivers a request to an endpoint, and the answer, only once.
             if state.repeats and message[0] not in ("request", "answer"):
-                kept = state._replace(repeats=state.repeats - 1)
-                yield intern(f"{label} (a copy)"), self._checked(self._deliver(kept, message))
+                repeated = state._replace(repeats=state.repeats - 1)
+                yield intern(f"{label} (a copy)"), self._check(self._deliver(repeated, message))
         for attempt, phase in enumerate(state.phases):
-            for label, successor in _own_steps(state, attempt, phase):
-                yield intern(f"attempt {attempt} {label}"), self._checked(successor)
+            for label, successor in _attempt_steps(state, attempt, phase):
+                yield intern(f"attempt {attempt} {label}"), self._check(successor)
         restored = self._ledger_step(state.ledger, ("restore", 0))[0]
         if restored != state.ledger:
             yield "snapshot and restore", state._replace(ledger=restored)
@@ -121,7 +126,7 @@
     def _deliver(self, state, message):
         kind, attempt = message[:2]
         if kind in ("begin", "finish", "unsure", "release"):
-            return self._at_ledger(state, message)
+            return self._deliver_to_ledger(state, message)
         phase = state.phases[attempt]
         if kind == "request":
             executed = (*state.executed, attempt)
@@ -131,10 +136,10 @@
             return state.move(attempt, "answered", send=[("finish", attempt)])
         if kind == "verdict":
             return _on_verdict(state, attempt, *message[2:])
-        told = f"answer {attempt}" if phase == "answered" else None
-        return state.move(attempt, "over", told=told)
+        result = f"answer {attempt}" if phase == "answered" else None
+        return state.move(attempt, "over", result=result)
 
-    def _at_ledger(self, state, message):
+    def _deliver_to_ledger(self, state, message):
         kind, attempt = message
         ledger, reply = self._ledger_step(state.ledger, message)
         state = state._replace(ledger=ledger, network=state.network | {reply}).pruned()
@@ -145,13 +150,13 @@
         return _check_verdict(state, reply) if kind == "begin" else state
 
     def _ledger_step(self, number, message):
-        memo = (number, message)
-        if memo not in self._memo:
+        memo_key = (number, message)
+        if memo_key not in self._memo:
             ledger = self._ledger_class()
             ledger.restore(Ledger.snapshot(self._ledgers[number]))
             reply = self._apply(ledger, message)
-            self._memo[memo] = (self._ledgers.put(ledger.key(), ledger), reply)
-        return self._memo[memo]
+            self._memo[memo_key] = (self._ledgers.put(ledger.key(), ledger), reply)
+        return self._memo[memo_key]
 
     def _apply(self, ledger, message):
         kind, attempt = message
@@ -160,8 +165,8 @@
             ledger.restore(ledger.snapshot())
             return None
         if kind == "begin":
-            other = self._conflict and attempt == self._attempts - 1
-            digest = b"other" if other else b"digest"
+            conflicts = self._conflict and attempt == self._attempts - 1
+            digest = b"other" if conflicts else b"digest"
             begin = LedgerBegin(key="k", caller="shop", digest=digest, attempt=name)
             reply = ledger.begin(begin, NOW)
             return ("verdict", attempt, _Verdict.Name(reply.verdict), reply.answer.body.decode())
@@ -174,16 +179,16 @@
             ledger.finish(finish, NOW)
         return ("done", attempt, kind)
 
-    def _checked(self, state):
-        if state.fault:
+    def _check(self, state):
+        if state.violation:
             return state
         if len(state.executed) > 1:
-            return state._replace(fault=f"attempts {state.executed} were both executed")
-        for attempt, told in enumerate(state.told):
-            if told == NOT_RUN and attempt in state.executed:
-                return state._replace(fault=f"attempt {attempt} told not run, but executed")
-            if told.startswith("answer") and told != f"answer {state.executed[0]}":
-                return state._replace(fault=f"attempt {attempt} told {told}")
+            return state._replace(violation=f"attempts {state.executed} were both executed")
+        for attempt, result in enumerate(state.results):
+            if result == NOT_RUN and attempt in state.executed:
+                return state._replace(violation=f"attempt {attempt} told not run, but executed")
+            if result.startswith("answer") and result != f"answer {state.executed[0]}":
+                return state._replace(violation=f"attempt {attempt} told {result}")
         return state
 
 
@@ -199,8 +204,8 @@
     return expected is not None and phases[attempt] != expected
 
 
-def _own_steps(state, attempt, phase):
-    """Yield what an attempt does by itself."""
+def _attempt_steps(state, attempt, phase):
+    """Yield the steps of an attempt that need no message."""
     if phase == "idle":
         # Attempts are numbered in the order in which they begin.
         if attempt and state.phases[attempt - 1] == "idle":
@@ -216,34 +221,34 @@
         yield f"resends {resent}", again.move(attempt, phase, send=[(resent, attempt)])
     if phase == "asked":
         release = [("release", attempt)]
-        yield "times out", state.move(attempt, "releasing", told=NOT_RUN, send=release)
+        yield "times out", state.move(attempt, "releasing", result=NOT_RUN, send=release)
         unsure = [("unsure", attempt)]
-        yield "gives up as unknown", state.move(attempt, "unsure", told=UNKNOWN, send=unsure)
+        yield "gives up as unknown", state.move(attempt, "unsure", result=UNKNOWN, send=unsure)
     elif phase == "granted":
         yield "dispatches", state.move(attempt, "sent", send=[("request", attempt)])
         release = [("release", attempt)]
-        yield "cannot send", state.move(attempt, "releasing", told=NOT_RUN, send=release)
+        yield "cannot send", state.move(attempt, "releasing", result=NOT_RUN, send=release)
     elif phase == "sent":
         unsure = [("unsure", attempt)]
-        yield "loses its endpoint", state.move(attempt, "unsure", told=UNKNOWN, send=unsure)
+        yield "loses its endpoint", state.move(attempt, "unsure", result=UNKNOWN, send=unsure)
 
 
 def _on_verdict(state, attempt, verdict, answer):
     if verdict == "GRANTED":
         return state.move(attempt, "granted")
-    told = {"REPLAYED": answer, "RELEASED": NOT_RUN, "UNKNOWN": UNKNOWN}
-    return state.move(attempt, "over", told=told.get(verdict, verdict))
+    result_by_verdict = {"REPLAYED": answer, "RELEASED": NOT_RUN, "UNKNOWN": UNKNOWN}
+    return state.move(attempt, "over", result=result_by_verdict.get(verdict, verdict))
 
 
 def _check_verdict(state, reply):
     _, attempt, verdict, answer = reply
-    answers = {told for told in state.told if told.startswith("answer")}
+    answers = {result for result in state.results if result.startswith("answer")}
     if answers and verdict not in ("RELEASED", "CONFLICT") and answer not in answers:
-        return state._replace(fault=f"{answers} was told, but the ledger answers {verdict}")
+        return state._replace(violation=f"{answers} was told, but the ledger answers {verdict}")
     if verdict != "GRANTED":
         return state
     if attempt in state.released:
-        return state._replace(fault=f"released attempt {attempt} is granted again")
+        return state._replace(violation=f"released attempt {attempt} is granted again")
     if state.granted - {attempt}:
-        return state._replace(fault=f"granted to {attempt} besides {sorted(state.granted)}")
+        return state._replace(violation=f"granted to {attempt} besides {sorted(state.granted)}")
     return state._replace(granted=state.granted | {attempt})
--- a/tests/model/search.py
+++ b/tests/model/search.py
@@ -8,7 +8,7 @@
     """A transition system whose states are hashable values in canonical form.
 
     :param name: name on the command line.
-    :param bounds: text that states what the exhaustive search covers.
+    :param bounds: text that states within which bounds the search is exhaustive.
     """
 
     __slots__ = ("bounds", "name")
@@ -26,7 +26,7 @@
         """Yield (label, next state) for every enabled step."""
 
     @abstractmethod
-    def fault(self, state):
+    def violation(self, state):
         """Return what is wrong with a state, or an empty text."""
 
 
@@ -34,24 +34,24 @@
     """Outcome of a search.
 
     :param complete: whether every state within the bounds was visited.
-    :param trace: labels of a shortest path to ``fault``.
+    :param trace: labels of a shortest path to ``violation``.
     """
 
-    __slots__ = ("complete", "depth", "fault", "seconds", "states", "steps", "trace")
+    __slots__ = ("complete", "depth", "seconds", "states", "steps", "trace", "violation")
 
-    def __init__(self, *, states, steps, depth, seconds, complete, fault="", trace=()):
+    def __init__(self, *, states, steps, depth, seconds, complete, violation="", trace=()):
         self.states = states
         self.steps = steps
         self.depth = depth
         self.seconds = seconds
         self.complete = complete
-        self.fault = fault
+        self.violation = violation
         self.trace = trace
 
     def __str__(self):
         end = "complete" if self.complete else "incomplete"
-        if self.fault:
-            end = f"violation after {len(self.trace)} steps: {self.fault}"
+        if self.violation:
+            end = f"violation after {len(self.trace)} steps: {self.violation}"
         return (
             f"{self.states} states, {self.steps} steps, depth {self.depth}, "
             f"{self.seconds:.1f} s, {end}"
@@ -59,16 +59,18 @@
 
 
 def search(spec, *, max_states=None):
-    """Visit all states of a specification in order of their distance.
+    """Visit the states of a specification in order of their distance from an initial state.
 
-    :param max_states: give up after this many states; the result is then incomplete.
+    The search ends at the first violation.
+
+    :param max_states: stop after this many states; the result is then incomplete.
     """
     started = monotonic()
     origin_by_state = dict.fromkeys(spec.initial())
     level, depth, steps = list(origin_by_state), 0, 0
 
     def result(state=None, *, complete=False):
-        trace, fault = [], spec.fault(state) if state is not None else ""
+        trace, violation = [], spec.violation(state) if state is not None else ""
         while state is not None and origin_by_state[state] is not None:
             state, label = origin_by_state[state]
             trace.append(label)
@@ -78,12 +80,12 @@
             depth=depth,
             seconds=monotonic() - started,
             complete=complete,
-            fault=fault,
+            violation=violation,
             trace=trace[::-1],
         )
 
     for state in level:
-        if spec.fault(state):
+        if spec.violation(state):
             return result(state)
     while level:
         depth += 1
@@ -94,7 +96,7 @@
                 if successor in origin_by_state:
                     continue
                 origin_by_state[successor] = (state, label)
-                if spec.fault(successor):
+                if spec.violation(successor):
                     return result(successor)
                 following.append(successor)
             if max_states is not None and len(origin_by_state) >= max_states:
@@ -117,7 +119,7 @@
         return self._values[number]
 
     def put(self, key, value):
-        """Return the number of a key; ``value`` is kept for a new key."""
+        """Return the number of a key; a new key gets the next number and stores ``value``."""
         number = self._number_by_key.setdefault(key, len(self._values))
         if number == len(self._values):
             self._values.append(value)
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -1,4 +1,4 @@
-"""The leader at work: what has to be committed before an order leaves."""
+"""The leader of the control group: what must be committed before an order is sent."""
 
 from anyio import Event, create_task_group, run, sleep
 
@@ -11,14 +11,14 @@
 from siskintally.errors import NotLeaderError
 from siskintally.flow_timing import FlowTiming
 from siskintally.quorum_check import CONFIRMED_LEADER_SHARE
-from tests.flow_rig import QUEUE, flow, step, worker
+from tests.flow_harness import QUEUE, make_flow, make_step, make_worker
 
 TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
 SETTLE_S = 0.3
 
 
-class SlowGroup:
-    """A group whose commits wait until they are let through, or fail."""
+class GatedGroup:
+    """A group whose commits wait until the test allows them, or fail with ``error``."""
 
     term = 3
 
@@ -35,18 +35,18 @@
             raise self.error
 
     async def confirm_leadership(self):
-        """Answer as a group whose quorum follows."""
+        """Return as a group whose quorum confirms the leader."""
 
 
-class RecordingWorkers(WorkerDriver):
-    """Workers that take every order and never end a run."""
+class RecordingDriver(WorkerDriver):
+    """Workers that accept every order and never end a run."""
 
     def __init__(self):
         self.starts = []
         self.running = []
 
     async def start(self, worker, order, *, timeout):
-        """Take a start."""
+        """Accept a start order."""
         self.starts.append((order.task_id, worker.id))
         row = RunStatus(task_id=order.task_id, run=order.run, checkpoint="", percent=1, load=0)
         self.running.append(row)
@@ -60,22 +60,22 @@
         return WorkerReport(clock_ms=1000, running=list(self.running))
 
     async def stop(self, worker, order, *, timeout):
-        """Take a stop."""
+        """Accept a stop order."""
         return OrderReply(clock_ms=1000)
 
     async def throttle(self, worker, order, *, timeout):
-        """Take a pace order."""
+        """Accept a throttle order."""
         return OrderReply(clock_ms=1000)
 
     async def disconnect(self, worker):
         """Nothing to close."""
 
 
-def play(check):
-    """Run a check beside a leader with one worker and one flow of two tasks."""
+def run_check(check):
+    """Run a check against a leader with one worker and one flow of two tasks."""
 
     async def main():
-        group, driver = SlowGroup(), RecordingWorkers()
+        group, driver = GatedGroup(), RecordingDriver()
         leader = ControlLeader(
             group=group,
             state=ControlState(),
@@ -87,8 +87,8 @@
         async with create_task_group() as tasks:
             tasks.start_soon(leader.run)
             await sleep(0.01)
-            leader.handle_join(worker("w"), 0.0)
-            leader.scheduler.accept(flow("f", step(2)), QUEUE, 0.0)
+            leader.handle_join(make_worker("w"), 0.0)
+            leader.scheduler.accept(make_flow("f", make_step(2)), QUEUE, 0.0)
             leader.request_pass()
             await sleep(SETTLE_S)
             await check(leader, group, driver)
@@ -98,26 +98,29 @@
 
 
 def test_a_leader_stops_acting_before_the_next_one_may_be_elected():
-    """Guards against two leaders that act at once after a change of either share."""
+    """Guards against two leaders that act at once after a change of either constant."""
     assert CONFIRMED_LEADER_SHARE < EXITED_LEADER_TIMEOUT_FACTOR <= 1.0
 
 
-def test_a_start_is_sent_only_after_its_worker_is_on_record():
-    """Guards against a run that the next leader does not look for."""
+def test_a_start_is_sent_only_after_its_worker_is_committed():
+    """Guards against a run that the next leader does not know of.
+
+    It happens if a start is sent before the commit that records its worker.
+    """
 
     async def check(leader, group, driver):
         assert driver.starts == []
         [command] = group.commands
-        assert [one.worker for one in command.starts.starts] == ["w", "w"]
+        assert [start.worker for start in command.starts.starts] == ["w", "w"]
         group.may_commit.set()
         await sleep(SETTLE_S)
         assert sorted(driver.starts) == [("f.0.0.0", "w"), ("f.0.0.1", "w")]
 
-    play(check)
+    run_check(check)
 
 
 def test_a_start_whose_record_is_not_committed_is_never_sent():
-    """Guards against orders of a leader that has lost its group."""
+    """Guards against orders of a leader whose commit failed because another store leads."""
 
     async def check(leader, group, driver):
         group.error = NotLeaderError("another store leads")
@@ -126,4 +129,4 @@
         assert driver.starts == []
         assert leader.is_over
 
-    play(check)
+    run_check(check)
