--- a/siskintally/admission.py
+++ b/siskintally/admission.py
@@ -32,8 +32,8 @@
 PROMOTION_SERVICE_TIMES = 2.0
 # Dispatches that deferrable requests may be owed at most.
 MAX_DEFERRABLE_CREDIT = 2.0
-# The forecast wait is multiplied by this before it is compared with the deadline, because requests
-# that arrive later with a higher class or an earlier deadline are sent first.
+# On admission, the forecast wait is multiplied by this before it is compared with the deadline,
+# because requests that arrive later with a higher class or an earlier deadline are sent first.
 WAIT_SAFETY_FACTOR = 2.0
 # Each waiting request is checked this many times between arrival and deadline. One that can't meet
 # its deadline any more at the first check is refused within a quarter of that time.
@@ -109,7 +109,7 @@
         return self._service_time.mean_s(now)
 
     def service_bound_s(self, now):
-        """Return the service time in seconds that nearly all requests stay below."""
+        """Return the service time in seconds that nearly all requests stay below; 0 if unknown."""
         return self._service_time.upper_bound_s(now)
 
     def record_service_time(self, seconds, *, now):
--- a/siskintally/announcement.py
+++ b/siskintally/announcement.py
@@ -216,7 +216,7 @@
         """Record an announcement from the endpoint itself.
 
         :param age_s: upper bound of its age in seconds.
-        :returns: whether it is the first news that the endpoint is leaving.
+        :returns: whether the endpoint is leaving and was not known to be.
         :raises TableFullError: no space; nothing was changed.
         """
         received.alive_at = received.direct_alive_at = now - age_s
@@ -226,7 +226,7 @@
         """Record announcements relayed by another entry.
 
         :param peer: identity of the sending process; a restarted process has a new one.
-        :returns: names of the endpoints that are leaving, if that is news.
+        :returns: names of the endpoints that are leaving and were not known to be.
         """
         self._last_sent_at_by_peer[peer] = max(
             exchange.sent_at, self._last_sent_at_by_peer.get(peer, 0.0)
@@ -253,7 +253,7 @@
     def build_exchange(self, *, peer, domain, now):
         """Return the message that relays fresh direct announcements to another entry.
 
-        Each announcement is relayed once to each incarnation of the other entry.
+        Each announcement is relayed once per peer, and again after :meth:`forget_peer`.
 
         :param peer: identity of the other process.
         :param domain: failure domain of the other entry; only its endpoints are relayed.
@@ -270,7 +270,7 @@
         return exchange
 
     def forget_peer(self, peer):
-        """Drop the state kept for an incarnation of another entry that has ended."""
+        """Drop the state kept for a process whose session has ended."""
         self._last_sent_at_by_peer.pop(peer, None)
         self._sent_versions_by_peer.pop(peer, None)
 
--- a/siskintally/balancer.py
+++ b/siskintally/balancer.py
@@ -33,7 +33,7 @@
         self.suspect = suspect
 
     def load(self):
-        """Return the fraction of the share in use after one more request."""
+        """Return the fraction of the share in use after one more request, times 8 for a suspect."""
         factor = SUSPECT_LOAD_FACTOR if self.suspect else 1
         return (self.in_flight + 1) / self.share * factor
 
@@ -82,7 +82,10 @@
 
 
 class Rendezvous(Balancer):
-    """Rendezvous hashing: equal keys go to the same endpoint, where caches are warm."""
+    """Rendezvous hashing: equal keys go to the same endpoint, where caches are warm.
+
+    A key moves to another endpoint while its own has no free slot or is suspect.
+    """
 
     __slots__ = ()
 
--- a/siskintally/client.py
+++ b/siskintally/client.py
@@ -62,7 +62,7 @@
     """Result code and answer of an operator call.
 
     :param code: result code, an int.
-    :param answer: dict; after a failure, it has the key ``message``.
+    :param answer: dict; after a failure, its key ``message`` says why, if the entry gave a reason.
     """
 
     __slots__ = ("answer", "code")
--- a/siskintally/commands_entry.py
+++ b/siskintally/commands_entry.py
@@ -99,8 +99,12 @@
     DEFINE_string("domain", "jylland-a", "failure domain", flag_values=values)
     DEFINE_string("http", "127.0.0.1:7301", "address to listen on, host:port", flag_values=values)
     DEFINE_list("entries", [], "entry URLs to announce to, comma-separated", flag_values=values)
-    DEFINE_integer("slots", 8, "requests served at a time", 1, 1024, flag_values=values)
-    DEFINE_integer("connections", 64, "connections accepted at a time", 1, 8192, flag_values=values)
+    DEFINE_integer(
+        "slots", 8, "announced number of requests at a time", 1, 1024, flag_values=values
+    )
+    DEFINE_integer(
+        "connections", 64, "announced number of connections at a time", 1, 8192, flag_values=values
+    )
     DEFINE_float("service_ms", 20.0, "service time, ms", 0.0, 3.6e6, flag_values=values)
     DEFINE_enum("fault", "none", FAULTS, "fault injected into each response", flag_values=values)
     DEFINE_string(
--- a/siskintally/commands_report.py
+++ b/siskintally/commands_report.py
@@ -1,4 +1,4 @@
-"""Command ``flow-report``: reports from store logs where the time of flows was spent.
+"""Command ``flow-report``: reads the logs of stores and reports where flows spent their time.
 
 >>> from siskintally.command import Registry
 >>> from siskintally.commands_report import register
--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -39,12 +39,12 @@
 
 MAINTENANCE_INTERVAL_S = 0.25
 DRAIN_POLL_S = 0.05
-# Shortest drain. Until load balancers see the state, they open connections, and those that arrive
-# while the listening socket closes are reset unread.
+# Shortest drain, unless drain_s is less. Until load balancers see the state, they open connections,
+# and those that arrive while the listening socket closes are reset unread.
 MIN_DRAIN_S = 1.0
 # Time to write the last responses after all requests are answered.
 RESPONSE_FLUSH_S = 2.0
-# Limit on the request bodies of callers in memory.
+# New requests are refused while the request bodies of callers in memory take up more than this.
 MAX_BUFFERED_BYTES = 64 << 20
 
 log = get_logger("entry")
@@ -54,7 +54,8 @@
     """One entry process.
 
     :param standalone: serve with default limits and without stores.
-    :param drain_s: longest time in seconds to wait for requests in flight at a planned stop.
+    :param drain_s: longest time in seconds that a planned stop waits for requests in flight and for
+        the ledger.
     :param balancer: name of the load balancing policy.
     """
 
--- a/siskintally/entry_summary.py
+++ b/siskintally/entry_summary.py
@@ -10,12 +10,13 @@
 
 # An unchanged summary is repeated only to make up for lost messages; pings check the link.
 REPEAT_INTERVAL_S = 30.0
-# Free slots change all the time; smaller changes are not worth billed cross-region bytes.
+# Free slots change all the time; changes by a smaller factor are not worth billed cross-region
+# bytes.
 MIN_CHANGE_FACTOR = 2.0
 
 
 class SummaryThrottle:
-    """Decides when to send a summary to one peer: when it changed much, or after 30 s."""
+    """Decides when to send a summary to one peer: after a significant change, or after 30 s."""
 
     __slots__ = ("_last_sent", "_sent_at")
 
--- a/siskintally/fair_queue.py
+++ b/siskintally/fair_queue.py
@@ -17,7 +17,7 @@
 
 
 class RequestState(Enum):
-    """State of a request in the queue: TAKEN has a slot, GONE was dropped."""
+    """State of a request: TAKEN was popped to be sent, GONE left the queue without being sent."""
 
     NEW = 0
     WAITING = 1
--- a/siskintally/forward.py
+++ b/siskintally/forward.py
@@ -48,7 +48,7 @@
     }
 )
 # Endpoints have plain http URLs. Without a context, httpx loads the certificate authorities of the
-# system for each endpoint, which blocks the event loop for 41 ms on a busy machine. This context
+# system for each endpoint: 41 ms of processor time in the event loop on a busy machine. This one
 # trusts no authority.
 _EMPTY_TLS_CONTEXT = SSLContext(PROTOCOL_TLS_CLIENT)
 
@@ -126,7 +126,7 @@
 
         :param target: path with query.
         :param headers: list of ``(name, value)`` without hop-by-hop headers.
-        :param deadline: monotonic time at which an incomplete exchange is cut off.
+        :param deadline: monotonic time; the connection is closed if no response is complete then.
         :returns: a :class:`SendResult`.
         """
         remaining = deadline - monotonic()
@@ -186,7 +186,7 @@
 
 
 def end_to_end_headers(headers):
-    """Yield the headers to forward, without hop-by-hop headers."""
+    """Yield the headers to forward, without hop-by-hop headers, credentials and Host."""
     return ((name, value) for name, value in headers if name.lower() not in NOT_FORWARDED_HEADERS)
 
 
--- a/siskintally/gossip.py
+++ b/siskintally/gossip.py
@@ -64,7 +64,7 @@
     def apply_exchange(self, session, body, now):
         """Record the announcements relayed by another entry.
 
-        :returns: names of the endpoints that are leaving, if that is news.
+        :returns: names of the endpoints that are leaving and were not known to be.
         """
         peer = incarnation_id(session.peer)
         if body.announcements:
--- a/siskintally/health.py
+++ b/siskintally/health.py
@@ -69,7 +69,8 @@
     def record_unreachable(self, now):
         """Record that no connection could be made."""
         if self.unreachable_backoff_s and not self.probing:
-            # The request was sent before the endpoint was marked as unreachable.
+            # The request was sent before the endpoint was marked as unreachable, so its failure is
+            # no news and doesn't double the back-off.
             return
         doubled = min(self.unreachable_backoff_s * 2, MAX_UNREACHABLE_BACKOFF_S)
         self.unreachable_backoff_s = max(doubled, MIN_UNREACHABLE_BACKOFF_S)
--- a/siskintally/ledger_client.py
+++ b/siskintally/ledger_client.py
@@ -44,7 +44,7 @@
 
 
 class LedgerUnreachableError(SiskintallyError):
-    """The ledger granted no attempt; the request was not run."""
+    """The ledger confirmed no grant of the attempt; the request was not run."""
 
     code = Code.LEDGER_UNREACHABLE
 
@@ -157,7 +157,7 @@
 
 
 class StoreLedger(LedgerClient):
-    """Ledger that the domain groups replicate; each key belongs to one group.
+    """Client of the ledger that the domain groups replicate; each key belongs to one group.
 
     :param groups: ``GroupSettings`` of all domain groups.
     :param call: ``async call(process_name, body, timeout=seconds)``.
--- a/siskintally/pause_detector.py
+++ b/siskintally/pause_detector.py
@@ -29,7 +29,7 @@
         self._last_seen = now
 
     def is_after_pause(self, now):
-        """Return whether input read now may have arrived during a pause."""
+        """Return whether input read now may have arrived before the end of a pause."""
         self._check_gap(now)
         return now <= self._catch_up_until
 
--- a/siskintally/request_handler.py
+++ b/siskintally/request_handler.py
@@ -37,7 +37,8 @@
 # whichever is less.
 FORWARD_MARGIN_S = 0.1
 FORWARD_MARGIN_RATIO = 0.1
-# Longest wait for the ledger before the caller is answered; settling continues in the background.
+# Longest wait for the ledger to acknowledge an outcome before the caller is answered; settling
+# continues in the background.
 MAX_SETTLE_WAIT_S = 2.0
 EXPIRED_EVIDENCE = "deadline passed in the queue; no byte was sent"
 NOT_RUN_EVIDENCE = "this attempt was not run; earlier ones with the key are unchanged"
@@ -81,7 +82,10 @@
         return answer
 
     async def handle_forwarded(self, call):
-        """Serve a request forwarded by an entry of another domain; only that entry retries it."""
+        """Serve a request that an entry of another domain forwarded.
+
+        An attempt with an unknown outcome is retried only by that entry, from its retry budget.
+        """
         return await self._dispatch_with_retries(call, forwarded=True)
 
     async def _run_at_most_once(self, call):
@@ -153,6 +157,8 @@
     async def _dispatch(self, call, avoid, forwarded, is_last_attempt):
         """Make one attempt, at an endpoint or through an entry of another domain.
 
+        :param is_last_attempt: whether no attempt may follow one that may have run; it then gets
+            all of the time left.
         :returns: the answer, and the endpoint or entry that was tried (empty if none).
         """
         now = monotonic()
--- a/siskintally/stub_worker.py
+++ b/siskintally/stub_worker.py
@@ -186,7 +186,10 @@
             self._report_due.set()
 
     async def _run_link(self):
-        """Connect to the stores in turn until one leads; at most one link is open at a time."""
+        """Connect to the store that a refusal named as leader, or else to the stores in turn.
+
+        A link is closed before another is opened.
+        """
         store_index = 0
         while True:
             store = next((store for store in self._stores if store.name == self._leader_hint), None)
--- a/siskintally/worker_state.py
+++ b/siskintally/worker_state.py
@@ -21,7 +21,8 @@
 DEFAULT_LEASE_S = 30.0
 # Time from start to end of a task if the worker fails all tasks.
 FAILED_TASK_DURATION_S = 0.05
-# Largest number of ended attempts to remember, so that a repeated start order is ignored.
+# Ended attempts that are remembered after the owner has confirmed them, so that a repeated start
+# order is ignored.
 MAX_REMEMBERED_ATTEMPTS = 20_000
 
 
@@ -106,7 +107,7 @@
 
     @property
     def is_report_due(self):
-        """Whether to send a heartbeat now; starts are reported with the next regular one."""
+        """Whether to send a heartbeat soon; starts are reported with the next regular one."""
         return self._is_full_due or any(key in self._ended for key in self._changed_keys)
 
     @property
