Name a local response and the entries of a domain by what they are

The gateway called the HTTP response of a route an answer, which elsewhere is the result of a call, and the entry daemon had a variable named one. They are now response and entry.

--- a/siskintally/entry.py
+++ b/siskintally/entry.py
@@ -93,7 +93,7 @@
         self._standalone = standalone
         self._drain_s = drain_s
         self._balancer = BALANCER_BY_NAME[balancer]()
-        domain_entries = (one.name for one in settings.entries(domain=process.domain))
+        domain_entries = (entry.name for entry in settings.entries(domain=process.domain))
         self._domain_entries = tuple(sorted(domain_entries))
         self._metrics = Metrics(address=settings.statsd, prefix=f"siskintally.{process.name}")
         self._table = AnnouncementTable(domain=process.domain)
--- a/siskintally/gateway.py
+++ b/siskintally/gateway.py
@@ -83,11 +83,11 @@
 
     async def handle(self, request):
         """Answer one request."""
-        answer = await self._route(request)
+        response = await self._route(request)
         if self._entry.draining:
             # The caller's next request must not use a connection that closes with this process.
-            answer.headers = [*answer.headers, ("connection", "close")]
-        return answer
+            response.headers = [*response.headers, ("connection", "close")]
+        return response
 
     async def _route(self, request):
         if request.path.startswith("/call/"):
