--- a/tests/cell_runs.py
+++ b/tests/cell_runs.py
@@ -1,4 +1,4 @@
-"""Steps that tests of whole cells share: bring a cell up, place orders, check the records."""
+"""Steps shared by tests of whole cells: start a cell, send orders, check the records."""
 
 from anyio import create_task_group, fail_after, run, sleep
 
@@ -12,6 +12,10 @@
 
 
 def with_cell(folder, check, **options):
+    """Run ``await check(cell)`` with a running cell.
+
+    :param options: for :func:`~tests.full_cell.running_cell`.
+    """
     random = seeded()
 
     async def main():
@@ -23,10 +27,10 @@
 
 
 async def place_orders(cell, fault, *, orders=ORDERS, headers=None, spread_s=1.0, prefix=""):
-    """Send orders while ``await fault()`` runs; return {key: final code} and all answers.
+    """Send orders while ``await fault()`` runs; return ``{key: final code}`` and all answers.
 
-    :param spread_s: time over which the orders are first sent, seconds.
-    :param prefix: of the keys; names their home group.
+    :param spread_s: time over which the first attempts are spread, s.
+    :param prefix: prefix of the idempotency keys; names the group that records them.
     """
     code_by_key, answers = {}, []
 
@@ -43,32 +47,37 @@
 
 
 def check_orders(cell, code_by_key, answers, *stubs):
+    """Check the answers against the records of the stubs, and that every process still runs.
+
+    :returns: keys of the orders that ran.
+    """
     records = read(*(cell.record(stub) for stub in stubs))
     faults = check_requests(records, answers)
     assert not faults, faults
     ran = {record["key"] for record in records if record["event"] == "start"}
     missing = {key for key, code in code_by_key.items() if code in (1000, 1001)} - ran
-    assert not missing, f"answered as run, but never ran: {missing}"
+    assert not missing, f"answered as done, but never run: {missing}"
     for name in [*cell.entries, *cell.stores, *stubs]:
         assert cell.processes.is_running(name), f"{name} has ended: {cell.processes.log_text(name)}"
     return ran
 
 
 async def wait_ready(cell, *entries):
+    """Wait until the given entries serve requests."""
     for entry in entries:
         await cell.wait_served(entry)
 
 
 async def watch_versions(cell, faults):
-    """Watch the configuration in force at every entry until cancelled.
+    """Poll the configuration version in force at every entry until cancelled.
 
-    :param faults: list that gets a text for each version that follows a newer one.
+    :param faults: list to which a message is appended for each version that follows a newer one.
     """
     highest = dict.fromkeys(cell.entries, 0)
     while True:
         for entry in cell.entries:
             state = await cell.health(entry)
-            # A restarted entry has version 0, that is none, and serves nothing.
+            # Version 0 means no configuration: a restarted entry has none and serves no requests.
             version = state["config_version"] if state else 0
             if 0 < version < highest[entry]:
                 faults.append(f"{entry}: version {version} after {highest[entry]}")
@@ -77,7 +86,7 @@
 
 
 async def wait_version(cell, version, *, entries=None):
-    """Wait until a configuration version is in force at entries, by default at all."""
+    """Wait until a configuration version is in force at the entries, by default at all."""
 
     async def reached():
         states = [await cell.health(entry) for entry in entries or cell.entries]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Shared set-up of the tests."""
+"""Hypothesis profiles, and expected failures from KNOWN-RED.txt."""
 
 from os import environ
 from pathlib import Path
@@ -6,7 +6,8 @@
 from hypothesis import settings
 from pytest import mark
 
-# CI has to give the same verdict at each run; SISKINTALLY_FUZZ=1 searches with fresh seeds.
+# CI must give the same result in each run, so its examples are fixed; SISKINTALLY_FUZZ=1 uses new
+# seeds.
 settings.register_profile("ci", derandomize=True, deadline=None)
 settings.register_profile("fuzz", print_blob=True, deadline=None)
 settings.load_profile("fuzz" if environ.get("SISKINTALLY_FUZZ") else "ci")
@@ -21,13 +22,13 @@
 
 
 def pytest_collection_modifyitems(items):
-    """Let failures of exactly the listed tests pass; they still run."""
+    """Mark exactly the listed tests as expected failures; they still run."""
     for item in items:
         if item.nodeid in known_red():
             item.add_marker(mark.xfail(reason="KNOWN-RED.txt", strict=False))
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Print the listed tests, whatever their result."""
+    """Print the listed tests, whether they passed or failed."""
     for test in sorted(known_red()):
         terminalreporter.write_line(f"KNOWN-RED.txt lists {test}")
--- a/tests/entry_net.py
+++ b/tests/entry_net.py
@@ -1,4 +1,4 @@
-"""Entries and endpoint stubs as processes of one test."""
+"""Entries and endpoint stubs as real processes."""
 
 from contextlib import asynccontextmanager
 
@@ -14,11 +14,11 @@
 
 
 class Net:
-    """Standalone entries and stubs.
+    """Entries without stores, and endpoint stubs.
 
     :param processes: :class:`~tests.processes.Processes`.
     :param entries: ``{entry name: failure domain}``.
-    :param extra: more settings, TOML.
+    :param extra: additional settings as TOML.
     """
 
     __slots__ = ("client", "entries", "folder", "processes", "settings", "url_by_name")
@@ -42,13 +42,13 @@
         self.settings.write_text(text + extra)
 
     def start_entry(self, name, *flags):
-        """Start an entry."""
+        """Start a standalone entry."""
         self.processes.start(
             name, "entry", "--settings", self.settings, "--name", name, "--standalone", *flags
         )
 
     def start_stub(self, name, *flags, entries=None, domain="jylland-a"):
-        """Start a stub that announces itself to the named entries, by default to all."""
+        """Start an endpoint stub that announces itself to the given entries, by default to all."""
         (port,) = free_ports(1)
         self.url_by_name[name] = f"http://127.0.0.1:{port}"
         urls = ",".join(self.url_by_name[one] for one in entries or self.entries)
@@ -65,9 +65,9 @@
         return self.folder / f"{name}.record"
 
     async def call(self, entry, path="boarding", *, body=b"x", timeout=30.0, **headers):
-        """Send a request; header names have ``_`` for ``-``.
+        """Send a request; ``_`` in a header name stands for ``-``.
 
-        :returns: the httpx response, or None if the connection was lost.
+        :returns: the httpx response, or None if there was none.
         """
         names = {name.replace("_", "-"): value for name, value in headers.items()}
         url = f"{self.url_by_name[entry]}/call/seat-count/{path}"
@@ -77,23 +77,25 @@
             return None
 
     async def health(self, entry):
-        """Return the state of an entry, or None."""
+        """Return the health report of an entry, or None if there was no response."""
         try:
             return (await self.client.get(f"{self.url_by_name[entry]}/v1/health")).json()
         except HTTPError:
             return None
 
     async def control(self, stub, **fields):
-        """Change a stub."""
+        """Change the behaviour of an endpoint stub, such as its fault."""
         await self.client.post(f"{self.url_by_name[stub]}/control", json=fields)
 
     async def wait_known(self, count, *entries):
-        """Wait until entries know a number of endpoints."""
+        """Wait until each of the entries, by default all, lists ``count`` endpoints."""
         for entry in entries or self.entries:
-            await wait_until(lambda entry=entry: self._knows(entry, count), f"{entry}: {count}")
+            await wait_until(
+                lambda entry=entry: self._knows(entry, count), f"{entry} lists {count} endpoints"
+            )
 
     async def wait_served(self, entry):
-        """Wait until an entry serves requests."""
+        """Wait until an entry answers a request with code 1000."""
 
         async def served():
             response = await self.call(entry)
@@ -113,7 +115,7 @@
 
 @asynccontextmanager
 async def running(folder, *, entries=None, extra=""):
-    """Give a :class:`Net` whose entries have been started."""
+    """Yield a :class:`Net` whose entries have been started."""
     with Processes(folder=folder) as processes:
         net = Net(processes=processes, entries=entries or {"e1": "jylland-a"}, extra=extra)
         async with AsyncClient(timeout=30.0) as net.client:
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -1,6 +1,6 @@
-"""TCP forwarder with faults, for failure tests.
+"""TCP forwarder that injects network faults.
 
-The bytes of a blocked direction are held and delivered after :meth:`Forwarder.heal`, as TCP does
+The bytes of a blocked direction are buffered and delivered after :meth:`Forwarder.heal`, as by TCP
 after a partition.
 """
 
@@ -29,10 +29,10 @@
 
 
 class Forwarder:
-    """Forwards one listening port to one target port on loopback.
+    """Forwards connections from one loopback port to another.
 
     :param port: port that clients connect to.
-    :param target: port that is forwarded to.
+    :param target: port of the server.
     """
 
     __slots__ = (
@@ -50,12 +50,12 @@
         self.target = target
         self.delay_s = 0.0
         self.is_cut = False
-        self.blocked = set()  # of "to_server", "to_client"
+        self.blocked = set()  # "to_server", "to_client" or both
         self._connections = []
         self._changed = Event()
 
     async def run(self):
-        """Forward until cancelled."""
+        """Forward connections until cancelled."""
         async with await create_tcp_listener(local_host="127.0.0.1", local_port=self.port) as ears:
             await ears.serve(self._serve)
 
@@ -67,16 +67,16 @@
             await connection.server.aclose()
 
     def block(self, *directions):
-        """Hold the bytes of ``to_server``, ``to_client`` or both, on all connections."""
+        """Stop delivery in ``to_server``, ``to_client`` or both, on all connections."""
         self.blocked.update(directions)
 
     def silence(self):
-        """Make the present connections silent for good; new ones work."""
+        """Stop delivery on the existing connections for good; new ones work."""
         for connection in self._connections:
             connection.silent = True
 
     def heal(self):
-        """End all faults but the silence of single connections."""
+        """End all faults except those of :meth:`silence`."""
         self.is_cut = False
         self.delay_s = 0.0
         self.blocked.clear()
--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -1,4 +1,4 @@
-"""A whole cell as processes of one test: stores, entries, endpoint stubs, worker stubs."""
+"""A whole cell as real processes: stores, entries, endpoint stubs, worker stubs."""
 
 from contextlib import asynccontextmanager
 from json import JSONDecodeError, dumps, loads
@@ -29,7 +29,7 @@
 
     :param stores: ``{store: failure domain}``.
     :param entries: ``{entry: failure domain}``.
-    :param members_by_group: ``{group: stores}``; the first one founds the group.
+    :param members_by_group: ``{group: stores}``; the first one bootstraps the group.
     :param domains_by_group: ``{domain group: failure domains}``.
     """
 
@@ -42,11 +42,11 @@
         self.domains_by_group = domains_by_group
 
     def places(self):
-        """Return ``{process name: failure domain}``."""
+        """Return ``{process name: failure domain}`` of stores and entries."""
         return self.stores | self.entries
 
     def rows(self, folder):
-        """Return the settings of stores and groups as TOML."""
+        """Return the settings of the stores and groups as TOML."""
         text = ""
         for (name, domain), port in zip(
             self.stores.items(), free_ports(len(self.stores)), strict=True
@@ -64,7 +64,7 @@
 
 
 def one_domain(entries):
-    """Return the layout of three stores that are members of both groups."""
+    """Return a layout with one domain group; its three stores are the cell group as well."""
     stores = ["s1", "s2", "s3"]
     return Layout(
         stores=dict.fromkeys(stores, DOMAIN),
@@ -78,7 +78,7 @@
     """Stores of the cell group and of domain groups, and entries that use them.
 
     :param layout: :class:`Layout`.
-    :param random: seeded source for choices of the callers.
+    :param random: seeded random generator for the choices of callers and faults.
     """
 
     __slots__ = ("layout", "places", "random", "stores")
@@ -92,10 +92,12 @@
         self.places = None
 
     def split(self, place_by_name, *, forwarder=Forwarder):
-        """Let the links of processes that are started from now on be cut between places.
+        """Route the links between places through forwarders, which can cut them.
+
+        Applies to processes that are started afterwards.
 
         :param place_by_name: ``{process name: place}``.
-        :param forwarder: ``forwarder(port=..., target=...)`` makes a forwarder.
+        :param forwarder: factory, called as ``forwarder(port=..., target=...)``.
         """
         self.places = Places(
             settings=self.settings, place_by_name=place_by_name, forwarder=forwarder
@@ -103,15 +105,15 @@
 
     @property
     def forwarders(self):
-        """Forwarders between the places; the test runs them."""
+        """Forwarders between the places; the test has to run them."""
         return list(self.places.forwarder_by_way.values()) if self.places else []
 
     def view(self, name):
-        """Return the settings file of a process."""
+        """Return the path of the settings file of a process."""
         return self.places.view(name) if self.places else self.settings
 
     def start_entry(self, name, *flags):
-        """Start an entry that uses the stores."""
+        """Start an entry that is connected to the stores."""
         self.processes.start(name, "entry", "--settings", self.view(name), "--name", name, *flags)
 
     def start_store(self, name):
@@ -119,7 +121,7 @@
         self.processes.start(name, "store", "--settings", self.view(name), "--name", name)
 
     def start_workers(self, name, count, *flags, domain=DOMAIN):
-        """Start a process with worker stubs."""
+        """Start one process with ``count`` worker stubs."""
         self.processes.start(
             name,
             "stub-worker",
@@ -129,14 +131,14 @@
         )
 
     def found(self):
-        """Found the groups, each on its first member."""
+        """Bootstrap each group on its first member."""
         for name in sorted({members[0] for members in self.layout.members_by_group.values()}):
             command = [executable, "-m", "siskintally.main", "init"]
             command += ["--settings", str(self.view(name)), "--name", name]
             run_process(command, check=True, capture_output=True, timeout=60)
 
     async def operate(self, verb, arguments, *, request_id, entry="e1"):
-        """Send an operator call until it is answered with code 1000; return the answer."""
+        """Repeat an operator call until it is answered with code 1000; return the answer."""
 
         async def done():
             fields = await self.post(entry, verb, arguments, request_id)
@@ -145,7 +147,7 @@
         return (await wait_until(done, f"{verb} done"))["answer"]
 
     async def post(self, entry, verb, arguments, request_id):
-        """Send an operator call once; return the fields of the answer, none if it was lost."""
+        """Send an operator call once; return the fields of the reply, none if it was lost."""
         headers = {"authorization": f"Bearer {TOKEN}", "siskintally-request-id": request_id}
         url = f"{self.url_by_name[entry]}/v1/operator/{verb}"
         try:
@@ -155,7 +157,7 @@
         return response.json()
 
     def _events(self, event, group):
-        """Yield the log lines of stores for an event of a group."""
+        """Yield the fields of the log lines in which the stores record an event of a group."""
         for name in self.stores:
             for line in self.processes.log_text(name).splitlines():
                 try:
@@ -166,13 +168,13 @@
                     yield fields
 
     def owner(self, group=GROUP):
-        """Return the store whose term as owner of a domain group began last."""
+        """Return the store whose term as owner of a domain group started last, by the logs."""
         begun = self._events("term as owner begins", group)
         last = max(begun, key=lambda fields: int(fields["term"]), default={})
         return last.get("process")
 
     def owners(self, group=GROUP):
-        """Return the stores that act as owner of a domain group now."""
+        """Return the running stores that act as owner of a domain group now, by the logs."""
         acting = set()
         for event in ("term as owner begins", "term as owner ends"):
             for fields in self._events(event, group):
@@ -181,16 +183,17 @@
         return {name for name, _ in acting if self.processes.is_running(name)}
 
     def voters(self, group):
-        """Return {store: incarnation} of the voters in the latest committed member set."""
+        """Return ``{store: incarnation}`` of the voters in the latest committed member set."""
         sets = self._events("members", group)
         last = max(sets, key=lambda fields: fields["index"], default={"members": ""})
         found = findall(r"name='([\w-]+)', incarnation='(\w+)'\), voter=True", last["members"])
         return dict(found)
 
     async def wait_voters(self, *, without=()):
-        """Wait until all members vote in their groups, none with one of the given incarnations.
+        """Wait until all members are voters in their groups.
 
-        :returns: {group: {store: incarnation}}.
+        :param without: incarnations that must not be among the voters.
+        :returns: ``{group: {store: incarnation}}``.
         """
 
         def complete():
@@ -204,20 +207,21 @@
                 and found
             )
 
-        return await wait_until(complete, "all stores vote")
+        return await wait_until(complete, "all stores are voters")
 
     async def order(self, key, answers, *, headers=None, limit_s=60.0):
-        """Send one non-idempotent order through random entries until its outcome is final.
+        """Send a non-idempotent order through random entries until its outcome is final.
+
+        Each attempt has the same idempotency key. Every answer is appended to ``answers``.
 
-        Every answer is appended to ``answers``; returns the final code, 3002 if the key stays in
-        progress because the entry that runs it is gone.
+        :returns: final code; 3002 if the key stays in progress because its entry has failed.
         """
         started, in_progress_since = monotonic(), None
         body = f"order {key}".encode()
         while monotonic() - started < limit_s:
             entry = self.random.choice(list(self.entries))
             response = await self.call(entry, body=body, idempotency_key=key, **(headers or {}))
-            # A process that dies may cut a request with a response of the HTTP library.
+            # The HTTP library of a dying process may send a response of its own, without a code.
             if response is not None and "siskintally-code" in response.headers:
                 answers.append(_answer(response, key, body))
                 got = code(response)
@@ -243,10 +247,11 @@
 
 @asynccontextmanager
 async def running_cell(folder, random, *, layout=None, place_by_name=None, document=DOCUMENT):
-    """Give a :class:`FullCell` with a configuration in force.
+    """Yield a running :class:`FullCell` with a configuration in force.
 
     :param layout: :class:`Layout`, by default two entries in one domain.
-    :param place_by_name: places between which links can be cut, none by default.
+    :param place_by_name: ``{process name: place}``; links between places can be cut. By default
+        none can.
     """
     layout = layout or one_domain(("e1", "e2"))
     with Processes(folder=folder) as processes:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,4 +1,4 @@
-"""Real processes for failure tests: start, signal, wait, end."""
+"""Start, signal, stop and inspect real processes in failure tests."""
 
 from fcntl import LOCK_EX, LOCK_NB, flock
 from json import dumps
@@ -27,10 +27,10 @@
 
 
 def free_ports(count):
-    """Return ports that were free a moment ago, none of them twice in one run.
+    """Return free loopback ports; no port is returned twice in one run.
 
-    They lie below the range from which the system takes the ports of outgoing connections, which
-    could otherwise use one before its process is bound to it.
+    They are below the ephemeral port range. Otherwise an outgoing connection could take a port
+    before the process under test binds it.
     """
     first = _range_start()
     ports = []
@@ -45,8 +45,8 @@
 def _range_start():
     """Return the first port of a range that no other test process on this machine uses.
 
-    The range is held by a file lock until this process ends, so that neither the workers of a
-    parallel run nor runs side by side give a port twice.
+    A file lock reserves the range until this process ends, so that pytest workers and concurrent
+    test runs do not use the same port.
     """
     if not _claims:
         for number in range(RANGES):
@@ -73,15 +73,16 @@
 
 
 def seeded():
-    """Return a random source; its seed is printed and can be given in SISKINTALLY_SEED."""
+    """Return a random generator; prints its seed, which SISKINTALLY_SEED can set."""
     seed = int(environ.get("SISKINTALLY_SEED", randrange(2**32)))
     print(f"SISKINTALLY_SEED={seed}")
     return Random(seed)
 
 
 async def wait_until(condition, what, *, limit_s=WAIT_LIMIT_S):
-    """Wait until ``condition`` (a function or coroutine function) gives a true value; return it.
+    """Poll ``condition`` (a function or coroutine function) until it is true; return its value.
 
+    :param what: the expected condition, for the error message.
     :raises AssertionError: not true within the limit.
     """
     started = monotonic()
@@ -96,9 +97,11 @@
 
 
 class Processes:
-    """Processes of one test, by name; ends only those that it started.
+    """Processes of one test, by name; kills the ones still running at the end of the test.
 
-    :param folder: path for logs, records and data folders.
+    Signals only processes that it started.
+
+    :param folder: directory for logs, records and data directories.
     """
 
     __slots__ = ("folder", "popen_by_name")
@@ -117,18 +120,18 @@
                 popen.wait()
 
     def start(self, name, *arguments):
-        """Start ``siskintally`` with the arguments; the log goes to ``<name>.log``."""
+        """Start ``siskintally`` with the arguments; stdout and stderr go to ``<name>.log``."""
         assert name not in self.popen_by_name or self.popen_by_name[name].poll() is not None
         with open(self.folder / f"{name}.log", "ab") as log:
             command = [executable, "-m", "siskintally.main", *map(str, arguments)]
             self.popen_by_name[name] = Popen(command, stdout=log, stderr=log)
 
     def is_running(self, name):
-        """Tell whether the process has not ended."""
+        """Return whether the process has not ended."""
         return self.popen_by_name[name].poll() is None
 
     def describe(self, name):
-        """Return the exit status of a process, or what the kernel says of its state."""
+        """Return the exit status of a process, or its state as the kernel reports it."""
         popen = self.popen_by_name[name]
         if popen.poll() is not None:
             return f"{name}: ended with status {popen.returncode}"
@@ -145,9 +148,9 @@
         self.popen_by_name[name].send_signal(SIGCONT)
 
     def kill(self, name, *, record=None):
-        """Send SIGKILL and wait for the end.
+        """Send SIGKILL and wait until the process has ended.
 
-        :param record: record file of a worker stub; gets a line with the time of the kill.
+        :param record: record file of a worker stub; a line with the time of the kill is appended.
         """
         popen = self.popen_by_name[name]
         popen.send_signal(SIGKILL)
@@ -157,7 +160,7 @@
                 file.write(dumps({"t": monotonic(), "event": "killed", "worker": name}) + "\n")
 
     def stop(self, name):
-        """Send SIGTERM and wait for the end.
+        """Send SIGTERM and wait until the process has ended.
 
         :returns: exit code.
         """
@@ -169,7 +172,7 @@
             raise AssertionError(f"{name} did not stop within {STOP_LIMIT_S} s") from error
 
     async def finish(self, name):
-        """Send SIGTERM and wait for the end while the test goes on.
+        """Send SIGTERM and wait for the exit without blocking the event loop.
 
         :returns: exit code.
         """
@@ -179,11 +182,11 @@
         return popen.returncode
 
     def remove(self, path):
-        """Remove a data folder below the folder of the test."""
+        """Remove a data directory, which must be below the directory of the test."""
         full = (self.folder / path).resolve()
         assert self.folder.resolve() in full.parents
         rmtree(full)
 
     def log_text(self, name):
-        """Return the log of a process."""
+        """Return the log of a process as text."""
         return (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
--- a/tests/six_domains.py
+++ b/tests/six_domains.py
@@ -1,4 +1,7 @@
-"""A cell of six failure domains in two regions: a store and an entry in each, a group a region."""
+"""A cell of six failure domains in two regions.
+
+Each domain has a store and an entry; each region is one domain group.
+"""
 
 from time import monotonic
 
@@ -10,7 +13,7 @@
 DOMAINS = [domain for domains in DOMAINS_BY_REGION.values() for domain in domains]
 STORES = {f"s{number}": domain for number, domain in enumerate(DOMAINS, start=1)}
 ENTRIES = {f"e{number}": domain for number, domain in enumerate(DOMAINS, start=1)}
-# Two of three members of the cell group are in one region.
+# Two of the three members of the cell group are in the same region.
 LAYOUT = Layout(
     stores=STORES,
     entries=ENTRIES,
@@ -24,7 +27,7 @@
 
 
 async def change(cell, version):
-    """Change the configuration through the first entry; return the time of acceptance."""
+    """Change the configuration through e1; return the time of acceptance."""
     fields = {"document": f"{DOCUMENT}# {version}\n", "expect_version": version}
     answer = await cell.operate("config", fields, request_id=f"change-{version}")
     assert answer["version"] == version + 1
--- a/tests/split_cell.py
+++ b/tests/split_cell.py
@@ -1,4 +1,4 @@
-"""A cell whose places (VMs or failure domains) can be cut off from each other."""
+"""Network partitions between the places (VMs or failure domains) of a cell."""
 
 from re import search
 
@@ -7,11 +7,14 @@
 
 
 class Places:
-    """Forwarders on all links between places, and the settings files that lead through them.
+    """Forwarders on all links between places, and one settings file for each place.
 
-    :param settings: path of the settings file with the true addresses.
-    :param place_by_name: ``{process name: place}``; names without a row only dial.
-    :param forwarder: ``forwarder(port=..., target=...)`` makes a forwarder.
+    In the settings file of a place, the addresses of processes elsewhere are those of forwarders.
+
+    :param settings: path of the settings file with the real addresses.
+    :param place_by_name: ``{process name: place}``; a process that is missing in the settings only
+        opens connections.
+    :param forwarder: factory, called as ``forwarder(port=..., target=...)``.
     """
 
     __slots__ = ("_folder", "_forwarder", "forwarder_by_way", "place_by_name")
@@ -35,11 +38,11 @@
         (self._folder / f"{place}.toml").write_text(text)
 
     def view(self, name):
-        """Return the settings file of a process."""
+        """Return the path of the settings file of a process."""
         return self._folder / f"{self.place_by_name[name]}.toml"
 
     def cut(self, *places, inbound=True, outbound=True):
-        """Hold the bytes to (inbound) or from (outbound) places, on all connections."""
+        """Delay all bytes to (inbound) and from (outbound) the places until :meth:`heal`."""
         for (start, name), forwarder in self.forwarder_by_way.items():
             starts_there = start in places
             if starts_there == (self.place_by_name[name] in places):
@@ -50,6 +53,6 @@
                 forwarder.block("to_server" if starts_there else "to_client")
 
     def heal(self):
-        """End all cuts."""
+        """End all cuts and deliver the delayed bytes."""
         for forwarder in self.forwarder_by_way.values():
             forwarder.heal()
--- a/tests/store_processes.py
+++ b/tests/store_processes.py
@@ -1,4 +1,4 @@
-"""Stores as real processes, called over links as an entry calls them."""
+"""Stores as real processes; the test calls them over links, as an entry does."""
 
 from json import dumps, loads
 from subprocess import run as run_process
@@ -38,15 +38,15 @@
     __slots__ = ()
 
     async def answer(self, session, body):
-        """Refuse; the test serves nothing."""
+        """Refuse every call, because the test process serves none."""
         raise SiskintallyError("not served")
 
 
 class Stores:
-    """Stores s1, s2, ... that are members of the cell group.
+    """Stores s1, s2 and s3, which are members of the cell group.
 
-    :param folder: path for settings, data, and logs.
-    :param with_entry: whether they are a domain group as well and an entry e1 runs.
+    :param folder: directory for settings, data and logs.
+    :param with_entry: whether the stores also form a domain group and an entry e1 runs.
     """
 
     __slots__ = (
@@ -87,7 +87,7 @@
         return "\n".join([*lines, self.extra])
 
     def command(self, *words):
-        """Run a command to its end; return (exit status, output)."""
+        """Run a ``siskintally`` command to its end; return (exit status, output)."""
         command = [executable, "-m", "siskintally.main", *words]
         done = run_process(command, capture_output=True, text=True, timeout=60, check=False)
         return done.returncode, done.stdout + done.stderr
@@ -104,12 +104,12 @@
         return status, loads(lines[-1])["answer"]
 
     def start(self, *names):
-        """Start stores, all by default."""
+        """Start the named stores, by default all."""
         for name in names or self.names:
             self.processes.start(name, "store", f"--settings={self.settings_path}", "--name", name)
 
     def run(self, check):
-        """Found the group, start all stores, and run ``await check(self)``."""
+        """Bootstrap the group, start all stores, and run ``await check(self)``."""
 
         async def main():
             async with create_task_group() as tasks:
@@ -132,7 +132,7 @@
             run_async(main)
 
     async def ask(self, name, verb, arguments=None, *, request_id="read"):
-        """Return (code, answer) of an operator call through a store, or None without a reply."""
+        """Send an operator call to a store; return (code, answer), or None if there is no reply."""
         body = OperatorCall(
             request_id=request_id,
             operator="ana",
@@ -146,7 +146,7 @@
         return reply.code, loads(reply.answer)
 
     async def change(self, name, verb, arguments, *, request_id):
-        """Send a change with one request id until it is answered."""
+        """Send a change, repeatedly with the same request id, until it is answered."""
 
         async def answered():
             return await self.ask(name, verb, arguments, request_id=request_id)
@@ -154,7 +154,7 @@
         return await wait_until(answered, f"{verb} answered")
 
     async def leader(self, names=None):
-        """Wait until stores agree on a leader among themselves and return its name."""
+        """Wait until the stores, by default all, report the same leader and return its name."""
         names = names or self.names
 
         async def agreed():
@@ -165,7 +165,7 @@
         return await wait_until(agreed, f"leader of {names}")
 
     async def ready(self):
-        """Wait until all stores vote, so that any one can be lost, and return the leader."""
+        """Wait until all stores are voters, so that any one can be lost, and return the leader."""
 
         async def all_vote():
             found = await self.ask(self.names[0], "status")
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,4 +1,4 @@
-"""Operator client and commands: resends, exit statuses, output."""
+"""Operator client and commands: retries, exit statuses, output."""
 
 import sys
 from json import loads
@@ -16,7 +16,7 @@
 
 
 class Entry:
-    """Answers requests from a list; the last one is repeated."""
+    """Fake entry that returns or raises its answers in order; the last one is repeated."""
 
     __slots__ = ("answers", "requests")
 
@@ -33,7 +33,7 @@
         return answer
 
     def request_ids(self):
-        """Return the distinct request ids."""
+        """Return the set of request ids that were received."""
         return {request.headers["siskintally-request-id"] for request in self.requests}
 
 
@@ -51,7 +51,7 @@
 
 
 def test_lost_answer_is_asked_for_again_with_the_same_request_id():
-    """Guards against a change that is made twice after a lost answer."""
+    """Guards against a change that is applied twice because a retry has a new request id."""
     entry = Entry(ReadTimeout("lost"), reply(2006), reply(1000, {"version": 4}))
     outcome = client(entry).call("preset", {}, request_id="r1")
     assert outcome.answer == {"version": 4}
@@ -71,24 +71,26 @@
     ],
 )
 def test_not_run_and_unknown_are_told_apart(answer, error):
-    """Guards against a change reported as not run that may have been made."""
+    """Guards against a change that is reported as not run but may have been applied."""
     with pytest.raises(error):
         client(Entry(answer), timeout_s=0.2).call("cancel", {}, request_id="r1")
 
 
 def test_unknown_stays_unknown_when_later_tries_are_refused():
-    """Guards against a refused resend that hides a first try with an effect."""
+    """Guards against a refused retry that hides the unknown outcome of the first attempt."""
     entry = Entry(ReadTimeout("lost"), ConnectError("refused"))
     with pytest.raises(OutcomeUnknownError):
         client(entry, timeout_s=0.8).call("cancel", {}, request_id="r1")
 
 
 def run_command(monkeypatch, entry, *words):
+    """Run a command whose client is connected to a fake entry; return its exit status."""
+
     def make(**fields):
         return OperatorClient(**fields, transport=MockTransport(entry))
 
     monkeypatch.setattr(operation, "OperatorClient", make)
-    # The module holds the stream of the time of its import, which capsys does not replace.
+    # The module has imported stderr by name, which capsys does not replace.
     monkeypatch.setattr(operation, "stderr", sys.stderr)
     monkeypatch.setenv("SISKINTALLY_TOKEN", TOKEN)
     with pytest.raises(SystemExit) as caught:
@@ -101,7 +103,7 @@
     [(1000, 0), (4000, 2), (4007, 2), (2001, 3), (2007, 3), (3002, 4), (4006, 5), (4009, 5)],
 )
 def test_exit_status_tells_what_happened(monkeypatch, capsys, code, status):
-    """Guards against a script that takes a refusal for success or resends a final refusal."""
+    """Guards against an exit status that shows a refusal as success or as worth a retry."""
     entry = Entry(reply(code, {"kind": "worker", "name": "w1", "draining": True, "message": "m"}))
     assert run_command(monkeypatch, entry, "drain", "worker", "w1", "--json") == status
     assert len(entry.requests) == 1
@@ -109,7 +111,7 @@
 
 
 def test_submit_merges_file_and_flags(monkeypatch, tmp_path, capsys):
-    """Guards against flags that a job file overrides."""
+    """Guards against a job file that overrides flags."""
     path = tmp_path / "job.toml"
     path.write_text('name = "seats"\nteam = "ski"\nkind = "batch"\ntasks = 3\n')
     entry = Entry(reply(1000, {"job": "seats-9", "reason": "quota", "split": {}}))
@@ -122,14 +124,14 @@
 
 
 def test_preset_reads_the_version_it_is_based_on(monkeypatch):
-    """Guards against a preset change that overrides another without a conflict."""
+    """Guards against a preset change that overwrites a concurrent one without a conflict."""
     entry = Entry(reply(1000, {"version": 8}), reply(1000, {"version": 9, "preset": "peak"}))
     assert run_command(monkeypatch, entry, "preset", "peak") == 0
     assert loads(entry.requests[1].content) == {"preset": "peak", "expect_version": 8}
 
 
 def test_cancel_waits_until_the_jobs_have_ended(monkeypatch, capsys):
-    """Guards against --wait that returns while tasks still run."""
+    """Guards against ``--wait`` that returns while tasks still run."""
     counts = dict.fromkeys(("waiting", "succeeded", "failed", "cancelled"), 0)
     row = {"job": "a-1", "kind": "batch", "tasks": 2, "reason": "", "running": 2, **counts}
     entry = Entry(
@@ -143,7 +145,7 @@
 
 
 def test_usage_errors_exit_with_2(monkeypatch, capsys):
-    """Guards against a mistyped command that seems to have worked."""
+    """Guards against a mistyped command that is sent, or that exits as if it had succeeded."""
     entry = Entry(reply(1000, {}))
     for words in (
         ("config", "set", "no-such-file", "--expect-version=1"),
@@ -160,7 +162,7 @@
 
 
 def test_audit_with_a_broken_chain_fails(monkeypatch, capsys):
-    """Guards against an audit command that trusts the answer of the entry."""
+    """Guards against an audit command that does not verify the hash chain in the answer."""
     fields = {"number": 1, "index": 2, "time": 1.0, "operator": "ana", "request_id": "r", "code": 0}
     texts = dict.fromkeys(("verb", "what", "from_value", "to_value", "previous"), "")
     row = fields | texts | {"hash": "f" * 64}
--- a/tests/test_domain_loss.py
+++ b/tests/test_domain_loss.py
@@ -1,4 +1,4 @@
-"""Permanent loss of a failure domain and its return with the old disks, with real processes."""
+"""Loss of a failure domain that is declared lost and returns with its old disks."""
 
 import pytest
 from anyio import sleep
@@ -10,7 +10,7 @@
 
 GROUP = "fjeld"
 LARGE = ("--cpu_milli", 8000, "--memory_mb", 8000)
-# Longer than the returned workers take to register and a placement pass takes.
+# Longer than the registration of the returned workers and a placement pass.
 CUT_OFF_S = 8
 SERVICE, PINNED, BATCH = "tally", "lift", "count"
 TASKS_BY_NAME = {SERVICE: 6, PINNED: 1, BATCH: 2}
@@ -29,26 +29,29 @@
 
 
 async def row(cell, job):
-    """Return a job as the cell shows it."""
+    """Return the row of a job in the answer to the operator call ``jobs``."""
     answer = await cell.operate("jobs", {"jobs": [job]}, request_id="read")
     return answer["jobs"][0]
 
 
 async def standing(cell):
-    """Return the standing of the far group."""
+    """Return the status of the far group as the cell reports it."""
     status = await cell.operate("status", {}, request_id="read")
     return next(row["standing"] for row in status["groups"] if row["group"] == GROUP)
 
 
 def running(cell, name, job):
-    """Return the number of tasks of a job that run on the workers of a process."""
+    """Return the number of tasks of a job that run on the workers of a stub process."""
     lines = [line for line in read(cell.record(name)) if job in line.get("task", "")]
     starts = sum(line["event"] == "start" for line in lines)
     return 2 * starts - len(lines)
 
 
 async def prepare(cell):
-    """Bring up a service in both domains, a pinned one, and a finished batch."""
+    """Start a service in both domains and one that is pinned to the far domain.
+
+    A batch in the far domain has ended before. Returns the ids of the three jobs.
+    """
     cell.start_workers("n", 2, *LARGE, domain=NEAR)
     cell.start_workers("w", 2, *LARGE, domain=FAR)
 
@@ -62,23 +65,28 @@
     service = await submit(cell, SERVICE, kind="service")
     pinned = await submit(cell, PINNED, kind="service", domain=FAR)
     await wait_until(
-        lambda: running(cell, "n", service) == 3 and running(cell, "w", service) == 3, "spread"
+        lambda: running(cell, "n", service) == 3 and running(cell, "w", service) == 3,
+        "the service is spread over both domains",
     )
     await wait_until(lambda: running(cell, "w", pinned) == 1, "the pinned service runs")
     return service, pinned, batch
 
 
 async def has_state(cell, job, state):
+    """Return whether a job has a state."""
     return (await row(cell, job))["state"] == state
 
 
 async def lose(cell, service, pinned):
-    """End everything in the far domain and declare it lost."""
+    """Kill everything in the far domain and declare the domain lost.
+
+    The declaration needs force, because the cell can't see whether the machines are off.
+    """
     for name in [*STORES_BY_DOMAIN[FAR], "e2"]:
         cell.processes.kill(name)
     await wait_until(
         lambda: running(cell, "w", service) == running(cell, "w", pinned) == 0,
-        "workers without an owner stop their tasks when the lease ends",
+        "workers without an owner stop their tasks when the lease expires",
     )
     cell.processes.kill("w")
     lost = {"action": "lost", "groups": [GROUP], "confirm": True}
@@ -93,14 +101,14 @@
 
 
 async def bring_back(cell, service, pinned):
-    """Start the far domain on its old disks, cut off from the cell at first."""
+    """Start the far domain on its old disks, at first cut off from the cell, and restore it."""
     cell.places.cut(FAR)
     for name in STORES_BY_DOMAIN[FAR]:
         cell.start_store(name)
     cell.start_entry("e2")
     cell.start_workers("w", 2, *LARGE, domain=FAR)
     await sleep(CUT_OFF_S)
-    assert running(cell, "w", service) == 0, "started without the word of the cell"
+    assert running(cell, "w", service) == 0, "started without the permission of the cell"
     cell.places.heal()
     restore = {"action": "restore", "groups": [GROUP]}
     assert await code_of(cell, "domain", restore, request_id="early") in (4010, None)
@@ -116,7 +124,7 @@
 
 @pytest.mark.timeout(300)
 def test_lost_domain_comes_back_and_runs_nothing_twice(tmp_path):
-    """Guards against jobs that stay with a lost domain, and tasks that run there again."""
+    """Guards against jobs that stay in a lost domain, and tasks that run again when it returns."""
 
     async def check(cell):
         service, pinned, batch = await prepare(cell)
--- a/tests/test_entry_cell.py
+++ b/tests/test_entry_cell.py
@@ -1,4 +1,4 @@
-"""Entries, stores, and an endpoint as real processes: configuration, ledger, loss of a leader."""
+"""Entries, stores and an endpoint as real processes: configuration, ledger, leader loss."""
 
 from httpx import AsyncClient
 
@@ -12,7 +12,7 @@
 
 
 class StoresWithLedger(Stores):
-    """Stores of a cell group and a domain group."""
+    """Stores that form the cell group and a domain group."""
 
     __slots__ = ()
 
@@ -22,7 +22,7 @@
 
 
 async def serving(stores, client):
-    """Start two entries and an endpoint beside the stores and return the :class:`Net`."""
+    """Start two entries and an endpoint that use the stores; return the :class:`Net`."""
     text = stores.settings_path.read_text().partition("[[process]]")
     net = Net(processes=stores.processes, entries={"e1": "fjeld-a", "e2": "fjeld-a"})
     net.settings.write_text(net.settings.read_text() + "".join(text[1:]))
@@ -35,6 +35,7 @@
 
 
 async def configure(net, entry, request_id):
+    """Send the first configuration through an entry; return the result code."""
     response = await net.client.post(
         f"{net.url_by_name[entry]}/v1/operator/config",
         json={"document": DOCUMENT, "expect_version": 0},
@@ -44,7 +45,8 @@
 
 
 def test_keyed_requests_run_once_while_each_store_is_lost_in_turn(tmp_path):
-    # Guards against a key that is forgotten by an election or run again through another entry.
+    """Guards against a key that an election loses, so that it runs again through another entry."""
+
     async def check(stores):
         await stores.leader()
         async with AsyncClient(timeout=30.0) as client:
@@ -64,7 +66,7 @@
 
             await wait_until(lambda: done("k0"), "k0 is done")
             keys = ["k0"]
-            # Each store in turn, so that the leader of the ledger is among them.
+            # Kills each store in turn, so that the ledger's leader is killed at least once.
             for name in stores.names:
                 stores.processes.kill(name)
                 keys.append(f"without {name}")
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -1,4 +1,4 @@
-"""Entries and endpoints as real processes on loopback."""
+"""Entries without stores, and endpoint stubs, as real processes on loopback."""
 
 from itertools import count
 from json import loads
@@ -16,6 +16,8 @@
 
 
 def with_net(folder, check, **options):
+    """Run ``await check(net)`` with running entries."""
+
     async def main():
         with fail_after(LIMIT_S):
             async with running(folder, **options) as net:
@@ -25,6 +27,7 @@
 
 
 def starts(net, *stubs):
+    """Return the records of requests that started at the given endpoint stubs."""
     records = read(*(net.record(stub) for stub in stubs))
     return [record for record in records if record["event"] == "start"]
 
@@ -43,6 +46,7 @@
 
 
 def answer_of(response, body, key=None):
+    """Return a response, or None for a lost connection, in the form that the checker reads."""
     if response is None:
         return Answer(request_id="", code=None)
     content = response.content if code(response) in (1000, 1001) else b""
@@ -57,7 +61,11 @@
 
 
 def test_each_caller_gets_its_own_answer_from_any_entry(tmp_path):
-    # Guards against answers mixed up between connections, and endpoints known to one entry only.
+    """Guards against answers that reach another caller.
+
+    Also guards against endpoints that only the entry knows to which they announce themselves.
+    """
+
     async def check(net):
         net.start_stub("p1", "--service_ms", 5, entries=["e1"])
         net.start_stub("p2", "--service_ms", 15, entries=["e2"])
@@ -79,8 +87,12 @@
 
 
 def test_leaving_endpoint_gets_no_new_work_and_finishes_its_requests(tmp_path):
-    # Guards against an entry that sends to an endpoint 3 s after it announced that it leaves, and
-    # against a stop that cuts requests. The endpoint announces to the other entry only.
+    """Guards against requests to an endpoint later than 3 s after it announced that it leaves.
+
+    Also guards against a stop that cuts off requests. The endpoint announces itself to the other
+    entry only.
+    """
+
     async def check(net):
         net.start_stub("p1", "--service_ms", 300, entries=["e1"])
         net.start_stub("p2", "--service_ms", 300, entries=["e1"])
@@ -95,12 +107,13 @@
         async with create_task_group() as tasks:
             for _ in range(4):
                 tasks.start_soon(keep_calling)
-            await wait_until(lambda: len(starts(net, "p1")) > 3, "p1 works")
-            # A request that no entry knows of keeps p1 listening for longer than 3 s.
+            await wait_until(lambda: len(starts(net, "p1")) > 3, "p1 runs requests")
+            # A request that was not sent by an entry keeps p1 listening for longer than 3 s.
             await net.control("p1", service_ms=6000)
             tasks.start_soon(net.client.post, f"{net.url_by_name['p1']}/long")
             await wait_until(
-                lambda: any(not one["request_id"] for one in starts(net, "p1")), "long request"
+                lambda: any(not one["request_id"] for one in starts(net, "p1")),
+                "the long request has started",
             )
             await net.control("p1", service_ms=300)
             stopping = net.processes.popen_by_name["p1"]
@@ -119,25 +132,30 @@
 
 
 def test_lost_endpoint_is_forgotten_in_3_s(tmp_path):
-    # Guards against announcements that entries keep fresh among themselves.
+    """Guards against a lost endpoint that entries keep alive by forwarding its announcements."""
+
     async def check(net):
         net.start_stub("p1")
         await net.wait_known(1)
         net.processes.kill("p1")
         killed = monotonic()
-        await wait_until(lambda: net._knows("e1", 0), "e1 forgets")
-        await wait_until(lambda: net._knows("e2", 0), "e2 forgets")
+        await wait_until(lambda: net._knows("e1", 0), "e1 drops p1")
+        await wait_until(lambda: net._knows("e2", 0), "e2 drops p1")
         response = await net.call("e1")
         assert code(response) == Code.NO_ENDPOINT
-        # Each entry forgets 3 s after the latest time at which the endpoint announced, plus the
-        # step of the table and the polling of this test.
+        # Each entry drops the endpoint 3 s after its latest announcement, plus the interval of the
+        # table and the polling of this test.
         assert monotonic() - killed < 10.0
 
     with_net(tmp_path, check, entries={"e1": "jylland-a", "e2": "jylland-a"})
 
 
 def test_entry_resumed_after_a_pause_sends_nothing_to_an_endpoint_that_left(tmp_path):
-    # Guards against a paused entry that uses what it knew before; the endpoint still listens.
+    """Guards against a resumed entry that uses its cached endpoints from before the pause.
+
+    The endpoint has announced that it leaves, but still listens.
+    """
+
     async def check(net):
         net.start_stub("p1", "--service_ms", 10)
         await net.wait_known(1)
@@ -145,7 +163,7 @@
         await net.control("p1", service_ms=10_000)
         async with create_task_group() as tasks:
             tasks.start_soon(net.call, "e2")
-            await wait_until(lambda: len(starts(net, "p1")) > 1, "p1 works")
+            await wait_until(lambda: len(starts(net, "p1")) > 1, "p1 runs the request")
             net.processes.pause("e1")
             await sleep(1.5)
             net.processes.popen_by_name["p1"].terminate()
@@ -161,7 +179,8 @@
 
 
 def test_stop_of_an_entry_finishes_what_is_in_flight(tmp_path):
-    # Guards against a planned stop that cuts requests, and against new work during it.
+    """Guards against a planned stop that cuts off requests, or that accepts new ones."""
+
     async def check(net):
         net.start_stub("p1", "--service_ms", 1500)
         await net.wait_known(1)
@@ -173,16 +192,16 @@
         async with create_task_group() as tasks:
             for number in range(8):
                 tasks.start_soon(lambda number=number: one(idempotency_key=f"k{number}"))
-            # More than the slots, so that some requests wait in the queue at the stop.
+            # More requests than slots, so that some wait in the queue at the stop.
             for _ in range(8):
                 tasks.start_soon(one)
-            await wait_until(lambda: len(starts(net, "p1")) >= 7, "p1 works")
+            await wait_until(lambda: len(starts(net, "p1")) >= 7, "p1 runs requests")
 
             async def has_all():
                 return (await net.health("e1") or {}).get("in_flight") == 16
 
-            # A request that arrives after the signal is refused, which is no fault.
-            await wait_until(has_all, "e1 has taken every request")
+            # Wait, because an entry correctly refuses a request that arrives after the signal.
+            await wait_until(has_all, "e1 has accepted all requests")
             net.processes.popen_by_name["e1"].terminate()
 
             async def is_draining():
@@ -199,7 +218,8 @@
 
 
 def test_endpoint_that_fails_everything_is_ejected_and_comes_back(tmp_path):
-    # Guards against a fast failing endpoint that draws the traffic of a service.
+    """Guards against an endpoint that fails fast and so attracts the traffic of its service."""
+
     async def check(net):
         for number in range(4):
             net.start_stub(f"p{number}", "--service_ms", 10)
@@ -210,12 +230,12 @@
         async def many(total):
             return [code(await net.call("e1")) for _ in range(total)]
 
-        await wait_until(lambda: many(20), "warm")
+        await wait_until(lambda: many(20), "e1 has sent requests")
         await many(40)
         before = len(starts(net, "p0"))
         began = monotonic()
         codes = await many(100)
-        # One probe is due in each back-off, which is at least 1 s.
+        # One probe request is sent in each back-off interval, which is at least 1 s.
         assert len(starts(net, "p0")) - before <= monotonic() - began + 1
         assert codes.count(1000) >= 97
         await net.control("p0", fault="none")
@@ -231,8 +251,12 @@
 
 
 def test_requests_wait_for_the_other_endpoint_while_one_refuses_connections(tmp_path):
-    # Guards against "no endpoint" while the other one would take the request a moment later: the
-    # slots of an endpoint that refuses are always free and so draw what waits.
+    """Guards against "no endpoint" while another endpoint would soon be free.
+
+    The slots of an endpoint that refuses connections are always free, so they attract the waiting
+    requests.
+    """
+
     async def check(net):
         net.start_stub("p1", "--service_ms", 50)
         await net.wait_known(1)
@@ -275,14 +299,16 @@
 
 @pytest.mark.parametrize("fault", ["truncated", "wrong-id", "wrong-digest", "doubled"])
 def test_damaged_answers_are_not_delivered(tmp_path, fault):
-    # Guards against answers of other requests and incomplete answers reaching a caller.
+    """Guards against a caller that gets an incomplete answer or that of another request."""
+
     async def check(net):
         start_fault = fault if fault == "doubled" else "none"
         net.start_stub("p1", "--service_ms", 2, "--fault", start_fault)
         net.start_stub("p2", "--service_ms", 2)
         await net.wait_known(2)
         if fault != "doubled":
-            # Fills the retry budget, so that a wrong retry of a request with a key would happen.
+            # Fills the retry budget; otherwise an entry that wrongly retries a request with a key
+            # would have no budget to do so.
             await gather(lambda number: net.call("e1"), 100)
             await net.control("p1", fault=fault)
 
@@ -299,7 +325,7 @@
         codes = {answer.code for answer in answers}
         assert codes <= {1000, 1001, 3001}
         assert 1000 in codes
-        # Shows that the fault took place: a doubled answer meets the next request as well.
+        # Shows that the fault occurred; a doubled answer also affects the next request.
         assert 3001 in codes
         assert check_requests(read(net.record("p1"), net.record("p2")), answers) == []
 
@@ -307,8 +333,12 @@
 
 
 def test_silent_endpoint_holds_no_request_past_its_deadline(tmp_path):
-    # Guards against connections that go silent: the request ends, its slot is free again, and a
-    # non-idempotent one is never sent twice.
+    """Guards against requests that hang on a connection whose endpoint sends nothing.
+
+    The request has to end by its deadline and free its slot; a non-idempotent one must not be sent
+    twice.
+    """
+
     async def check(net):
         net.start_stub("p1", "--service_ms", 2)
         await net.wait_known(1)
@@ -321,7 +351,7 @@
             return await net.call("e1", siskintally_deadline_ms="1000", **headers)
 
         codes = [code(response) for response in await gather(one, 12)]
-        # Bounded by the deadline of the requests; the rest allows for a busy machine.
+        # The requests have a deadline of 1 s; the rest allows for a busy machine.
         assert monotonic() - began < 10
         assert set(codes) <= {2001, 2005, 3001}
         assert 3001 in codes
@@ -338,8 +368,12 @@
 
 
 def test_overload_tells_the_excess_and_keeps_urgent_within_the_deadline(tmp_path):
-    # Guards against queues that grow without bound, urgent work behind deferrable work, and
-    # answers "not run" to requests that ran.
+    """Guards against queues that grow without bound under overload.
+
+    Also guards against urgent requests that wait behind deferrable ones, and against "not run" for
+    requests that ran.
+    """
+
     async def check(net):
         net.start_stub("p1", "--service_ms", 100)
         await net.wait_known(1)
@@ -356,18 +390,19 @@
                 urgent.append(code(response))
 
         async with create_task_group() as tasks:
-            # 8 slots of 100 ms serve 80 a second; this offers 160.
+            # 8 slots of 100 ms serve 80 requests a second; the load is 160.
             for number in range(640):
                 tasks.start_soon(one, number)
                 await sleep(1 / 160)
         codes = [answer.code for answer in answers]
         assert set(codes) <= {1000, 2001, 2005, 3001}
         assert urgent.count(1000) == len(urgent)
-        # A stall of the machine may pass a deadline at the endpoint; the excess is told "not run".
+        # The excess is answered "not run", unless the machine stalls and a deadline passes at the
+        # endpoint.
         excess = [one for one in codes if one != 1000]
         assert sum(map(not_run, excess)) >= 0.95 * len(excess)
-        # Told before the deadline passes in the queue; test_admission.py checks the times, which
-        # here would depend on the speed of the machine.
+        # Refused before the deadline passes in the queue. test_admission.py checks the times, which
+        # would depend on the speed of the machine here.
         assert excess.count(2001) >= 0.75 * len(excess) > 0
         assert check_requests(read(net.record("p1")), answers) == []
         assert not any(record["over_slots"] for record in starts(net, "p1"))
@@ -376,25 +411,29 @@
 
 
 def test_request_goes_to_another_domain_when_the_own_has_no_endpoint(tmp_path):
-    # Guards against entries that send to endpoints of other domains directly, and against a
-    # service that can't be reached from a domain without endpoints.
+    """Guards against a service that can't be reached from a domain without endpoints.
+
+    Also guards against entries that send directly to endpoints of other domains.
+    """
+
     async def check(net):
         net.start_stub("p1", domain="jylland-b", entries=["e2"])
         net.start_stub("p2", domain="fjeld-a", entries=["e1"])
         await net.wait_known(1, "e2", "e3")
         answers = []
 
-        # Each entry sends its summary every 2 s, so e1 may hear of fjeld-a first, and on a busy
-        # machine e2 may lose p1 for a moment; only a run of answers shows what e1 prefers.
+        # Each entry sends its summary every 2 s, so e1 may receive that of fjeld-a first, and on a
+        # busy machine e2 may lose p1 for a moment. Only a series of answers shows which region e1
+        # prefers.
         async def prefers_own_region():
             latest = [await net.call("e1") for _ in range(20)]
             answers.extend(latest)
             return all(code(one) == 1000 and one.json()["endpoint"] == "p1" for one in latest)
 
-        await wait_until(prefers_own_region, "e1 sends to the own region")
+        await wait_until(prefers_own_region, "e1 sends to its own region")
         assert {code(one) for one in answers} <= {Code.NO_ENDPOINT, 1000}
         net.processes.kill("p1")
-        await wait_until(lambda: net._knows("e2", 0), "e2 forgets p1")
+        await wait_until(lambda: net._knows("e2", 0), "e2 drops p1")
 
         async def reaches_other_region():
             response = await net.call("e1")
@@ -407,7 +446,8 @@
 
 
 def test_malformed_input_is_refused_with_a_number_and_changes_nothing(tmp_path):
-    # Guards against a daemon that stops, or changes its state, on malformed input.
+    """Guards against an entry that stops, or changes its state, on malformed input."""
+
     async def check(net):
         net.start_stub("p1")
         await net.wait_known(1)
--- a/tests/test_entry_store.py
+++ b/tests/test_entry_store.py
@@ -1,6 +1,6 @@
 """Entries with a store: configuration, ledger, operator calls.
 
-The store is a stand-in in the test process that leads the only domain group.
+The store is a fake in the test process, which leads the only domain group.
 """
 
 from json import dumps, loads
@@ -32,9 +32,13 @@
 
 
 class FakeStore(Handler):
-    """Leader of a domain group, with faults.
+    """Fake leader of a domain group, with faults.
 
-    :param begin_delay_s: time between a begin and its reply.
+    :param begin_delay_s: time from a begin call to its reply.
+    :param lose_settlements: number of the next finish and release calls that fail.
+    :param leads: whether calls are answered.
+    :param released: keys of the released attempts, in order.
+    :param calls: operator calls, in order.
     """
 
     def __init__(self):
@@ -47,7 +51,7 @@
         self.calls = []
 
     async def answer(self, session, body):
-        """Answer as the leader of the group, or not at all."""
+        """Answer as the leader of the group, or refuse if it does not lead."""
         if not self.leads:
             raise NotLeaderError("no quorum")
         if isinstance(body, ConfigWatch):
@@ -86,6 +90,8 @@
 
 
 def with_store(folder, check):
+    """Run ``await check(net, store)`` with a :class:`FakeStore`, two entries and an endpoint."""
+
     async def main():
         store = FakeStore()
         with Processes(folder=folder) as processes:
@@ -110,6 +116,7 @@
 
 
 async def served(net, store):
+    """Set the first configuration and wait until all entries serve requests."""
     store.configure(1)
     await net.wait_known(1)
     for entry in net.entries:
@@ -117,11 +124,17 @@
 
 
 def keys_run(net):
+    """Return the idempotency keys of the requests that started at the endpoint, in order."""
     records = read(net.record("p1"))
     return [one["key"] for one in records if one["event"] == "start" and one["key"]]
 
 
 def test_entry_serves_nothing_before_its_first_configuration_and_never_goes_back(tmp_path):
+    """Guards against an entry that serves without a configuration or applies an older one.
+
+    An invalid one must not be applied either.
+    """
+
     async def check(net, store):
         await net.wait_known(1)
         assert code(await net.call("e1")) == 2007
@@ -149,7 +162,11 @@
 
 
 def test_key_runs_once_at_all_entries(tmp_path):
-    # Guards against a second run through another entry, and against answers to other requests.
+    """Guards against a second run of a key through another entry.
+
+    Also guards against an answer for a request with the same key but another body.
+    """
+
     async def check(net, store):
         await served(net, store)
         codes = []
@@ -174,7 +191,11 @@
 
 
 def test_begin_without_a_reply_is_not_run_and_released(tmp_path):
-    # Guards against a dispatch after a late grant, and against a key that stays blocked.
+    """Guards against a dispatch after the caller was told "not run".
+
+    The store grants the key too late. The entry has to release it, or the key would stay blocked.
+    """
+
     async def check(net, store):
         await served(net, store)
         store.begin_delay_s = 3.0
@@ -192,7 +213,11 @@
 
 
 def test_without_a_leader_only_keyed_requests_are_refused(tmp_path):
-    # Guards against a run without a record, and against refusing what needs no record.
+    """Guards against a keyed request that runs without a ledger record.
+
+    Also guards against the refusal of requests without a key, which need no record.
+    """
+
     async def check(net, store):
         await served(net, store)
         store.leads = False
@@ -205,9 +230,11 @@
 
 
 def test_lost_finish_is_sent_again_and_caller_is_answered(tmp_path):
+    """Guards against an answer that is never stored because there was no leader for a while."""
+
     async def check(net, store):
         await served(net, store)
-        # Longer than one attempt of the entry to settle, which lasts 5 s.
+        # Fails for longer than one attempt of the entry to record the finish, which lasts 5 s.
         store.lose_settlements = 1_000_000
         assert code(await net.call("e1", idempotency_key="k1")) == 1000
         await sleep(6.0)
@@ -223,6 +250,8 @@
 
 
 def test_disconnected_caller_does_not_stop_a_keyed_request(tmp_path):
+    """Guards against a key without an outcome after its caller has closed the connection."""
+
     async def check(net, store):
         await served(net, store)
         await net.control("p1", service_ms=1000)
@@ -239,6 +268,8 @@
 
 @pytest.mark.parametrize("token", [TOKEN, "wrong-token-of-nobody"])
 def test_operator_call_is_relayed_with_the_name_of_its_token(tmp_path, token):
+    """Guards against a call recorded under another operator's name, or without a valid token."""
+
     async def check(net, store):
         await served(net, store)
         response = await net.client.post(
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,4 @@
-"""Failures of whole cells of real processes; the verdict comes from the records of the stubs."""
+"""Failures in whole cells of real processes; the results are judged by the stubs' records."""
 
 import pytest
 from anyio import sleep
@@ -8,13 +8,13 @@
 from tests.entry_net import code
 from tests.processes import wait_until
 
-# Longer than a lease of 30 s and the time after which a worker counts as lost.
+# Longer than a lease of 30 s, and than the time after which a worker is considered lost.
 PAUSE_S = 36.0
 
 
 @pytest.mark.timeout(300)
 def test_orders_survive_the_loss_of_the_ledger_leader(tmp_path):
-    """Guards against a second run of an order whose record the new leader of the ledger lacks."""
+    """Guards against a second run of an order whose record the new ledger leader lacks."""
 
     async def check(cell):
         cell.start_stub("p1", "--service_ms", 40)
@@ -35,7 +35,7 @@
 
 @pytest.mark.timeout(300)
 def test_orders_of_a_killed_entry_do_not_run_twice(tmp_path):
-    """Guards against a resend that runs again what the killed entry had already sent."""
+    """Guards against a retry that runs an order which the killed entry had already sent."""
 
     async def check(cell):
         cell.start_stub("p1", "--service_ms", 300)
@@ -55,7 +55,10 @@
 
 @pytest.mark.timeout(300)
 def test_late_answer_leaves_the_outcome_unknown_for_good(tmp_path):
-    """Guards against a resend that runs again, or that gets the answer of another request."""
+    """Guards against a retry that runs again, or that gets the answer of another request.
+
+    The endpoint answers after the deadline, so the entry cannot know the outcome.
+    """
 
     async def check(cell):
         cell.start_stub("p1", "--fault", "late")
@@ -73,7 +76,7 @@
 
 @pytest.mark.timeout(300)
 def test_empty_disk_does_not_vote(tmp_path):
-    """Guards against a quorum of a store with an empty disk that votes as its old self."""
+    """Guards against a quorum with a store that votes as its old incarnation on an empty disk."""
 
     async def check(cell):
         owner = await wait_until(cell.owner, "an owner")
@@ -83,7 +86,7 @@
         cell.processes.kill(owner)
         cell.processes.remove(wiped)
         cell.start_store(wiped)
-        # Several election timeouts; the remaining voter has one vote of three.
+        # Several election timeouts; the one remaining voter has one of three votes.
         await sleep(12.0)
         assert cell.owner() == owner
         cell.start_store(owner)
@@ -100,7 +103,7 @@
 
 @pytest.mark.timeout(300)
 def test_paused_owner_starts_no_task_a_second_time(tmp_path):
-    """Guards against an owner that wakes after its lease and acts on what it knew before."""
+    """Guards against an owner that is resumed after its lease and acts on its cached state."""
 
     async def check(cell):
         cell.start_workers("w", 3, "--beat_s", 2)
@@ -131,7 +134,7 @@
 
 
 async def random_fault(cell):
-    """Apply one fault and end it; at most one store is away at a time."""
+    """Apply one random fault and end it; at most one store is down or paused at a time."""
     random = cell.random
     kind = random.choice(["kill store", "pause store", "kill entry", "pause entry", "late", "fail"])
     print("fault:", kind, "while", cell.owner(), "owns the domain")
@@ -154,7 +157,7 @@
 
 @pytest.mark.timeout(300)
 def test_random_faults_break_no_invariant(tmp_path):
-    """Guards against faults that only a sequence of crashes and pauses brings out."""
+    """Guards against violations that only a sequence of crashes and pauses causes."""
 
     async def check(cell):
         cell.start_stub("p1", "--service_ms", 100)
@@ -185,7 +188,7 @@
 
 @pytest.mark.timeout(300)
 def test_drained_endpoint_gets_no_new_work_at_any_entry(tmp_path):
-    """Guards against a drain by an operator that is accepted and has no effect."""
+    """Guards against a drain by an operator that is accepted but has no effect."""
 
     async def check(cell):
         cell.start_stub("p1")
@@ -197,19 +200,19 @@
 
         drain = {"kind": "endpoint", "name": "p1", "draining": True}
         await cell.operate("drain", drain, request_id="drain")
-        await wait_until(lambda: answers(2002), "no endpoint in service")
+        await wait_until(lambda: answers(2002), "no endpoint is in service")
         before = len(read(cell.record("p1")))
         assert await answers(2002)
         assert len(read(cell.record("p1"))) == before
         await cell.operate("drain", drain | {"draining": False}, request_id="undrain")
-        await wait_until(lambda: answers(1000), "the endpoint in service again")
+        await wait_until(lambda: answers(1000), "the endpoint is in service again")
 
     with_cell(tmp_path, check)
 
 
 @pytest.mark.timeout(300)
 def test_orders_go_on_when_links_to_the_stores_fall_silent(tmp_path):
-    """Guards against calls that wait for ever, or run twice, on connections that are silent."""
+    """Guards against calls that never return or run twice when links deliver no more frames."""
 
     async def check(cell):
         cell.start_stub("p1", "--service_ms", 40)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,4 +1,4 @@
-"""Links: calls, failures, silence."""
+"""Links: calls, failures, connections that deliver nothing, restarts of the peer."""
 
 from functools import partial
 from socket import (
@@ -33,7 +33,7 @@
 
 
 class Echo(Handler):
-    """Answers watches and refuses reports."""
+    """Answers configuration watches with the next version and refuses job reports."""
 
     async def answer(self, session, body):
         """Answer a call."""
@@ -51,6 +51,11 @@
 
 
 def with_link(check, *, secret=SECRET, tls=None, client_tls=None):
+    """Run ``await check(link)`` with a link to a server on loopback.
+
+    :param secret: secret of the client; the server has ``SECRET``.
+    """
+
     async def main():
         port = free_port()
         hello = Hello(name="a", cell="demo", incarnation="1")
@@ -78,6 +83,8 @@
 
 
 def test_call_returns_the_reply_of_the_other_side():
+    """Guards against a call that gets no reply, or another one than the peer sent."""
+
     async def check(link):
         await link.wait_open()
         reply = await link.call(ConfigWatch(known_version=4), timeout=5)
@@ -87,6 +94,8 @@
 
 
 def test_failure_keeps_the_result_code():
+    """Guards against a refusal whose result code is lost on the way to the caller."""
+
     async def check(link):
         await link.wait_open()
         with pytest.raises(RefusedError) as caught:
@@ -97,7 +106,7 @@
 
 
 def test_link_is_probed_by_the_kernel():
-    """Guards against a worker link without pings that a silent path keeps open for hours."""
+    """Guards against a worker link that stays open for hours on a broken path; it has no pings."""
 
     async def check(link):
         await link.wait_open()
@@ -110,7 +119,7 @@
 
 
 def test_accepted_connections_are_probed_by_the_kernel():
-    """Guards against an owner that keeps the link of a worker whose path has gone silent."""
+    """Guards against an owner that keeps the link of a worker whose network path is broken."""
     with create_server(("127.0.0.1", 0)) as listener:
         keep_alive(listener)
         with create_connection(listener.getsockname()), listener.accept()[0] as accepted:
@@ -120,6 +129,8 @@
 
 
 def test_wrong_secret_opens_no_session():
+    """Guards against a server that accepts calls from a client with another secret."""
+
     async def check(link):
         with move_on_after(1.0):
             await link.wait_open()
@@ -131,6 +142,7 @@
 
 
 def certificates(folder, *, name):
+    """Return TLS settings with a new authority and a certificate that it has issued."""
     authority = CA()
     leaf = authority.issue_cert("127.0.0.1")
     paths = [folder / f"{name}.{part}" for part in ("authority", "pem", "key")]
@@ -141,6 +153,8 @@
 
 
 def test_tls_link_carries_calls(tmp_path):
+    """Guards against TLS settings with which no session opens."""
+
     async def check(link):
         await link.wait_open()
         assert (await link.call(ConfigWatch(known_version=1), timeout=5)).version == 2
@@ -150,6 +164,8 @@
 
 
 def test_certificate_of_another_authority_opens_no_session(tmp_path):
+    """Guards against a peer that is trusted though another authority issued its certificate."""
+
     async def check(link):
         with move_on_after(1.0):
             await link.wait_open()
@@ -160,6 +176,8 @@
 
 
 def test_calls_of_one_burst_get_their_own_replies():
+    """Guards against replies that are assigned to the wrong one of many concurrent calls."""
+
     async def check(link):
         await link.wait_open()
         replies = {}
@@ -177,7 +195,10 @@
 
 
 def test_silent_connection_is_closed_and_opened_again_while_a_call_waits():
-    """Guards against a connection that something in between has forgotten."""
+    """Guards against a call that waits until its deadline on a connection that delivers nothing.
+
+    A firewall or NAT between the peers may have dropped the state of the connection.
+    """
 
     async def main():
         server_port, port = free_port(), free_port()
@@ -199,7 +220,7 @@
                 started = current_time()
                 with pytest.raises(OutcomeUnknownError):
                     await link.call(ConfigWatch(), timeout=20)
-                # The outcome is known to be lost long before the call's own deadline.
+                # The call fails with an unknown outcome long before its own deadline.
                 assert current_time() - started < 10
                 await link.wait_open()
                 assert (await link.call(ConfigWatch(known_version=1), timeout=10)).version == 2
@@ -245,7 +266,11 @@
 
 
 def test_the_end_of_the_other_process_is_told():
-    """Guards against a link that looks like a cut one though its process has ended."""
+    """Guards against the end of a peer process that is taken for a network failure.
+
+    The callback must run when the peer's port refuses connections, but not when the same
+    incarnation answers again.
+    """
     ended = []
 
     async def main():
@@ -278,7 +303,10 @@
 
 
 def test_another_incarnation_tells_the_end_of_the_one_before():
-    """Guards against a restart that is faster than the next attempt to connect."""
+    """Guards against a peer restart that stays unnoticed.
+
+    A restart can be faster than the next attempt to connect; only the incarnation shows it then.
+    """
     ended = []
     link = Link(
         host="127.0.0.1",
--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -1,17 +1,17 @@
-"""Log output under load and behind a slow reader."""
+"""Log output under load and with a slow reader."""
 
 from siskintally.log_stream import LogStream
 
 
 class Pipe:
-    """A reader that may be behind or gone."""
+    """Pipe whose reader may be slow or closed."""
 
     def __init__(self):
         self.lines = []
         self.error = None
 
     def write(self, data):
-        """Take a line, or fail as a full or closed pipe does."""
+        """Store a line, or fail as a full or closed pipe does."""
         if self.error is not None:
             raise self.error
         self.lines.append(data.decode())
@@ -19,7 +19,7 @@
 
 
 def test_a_flood_of_lines_is_bounded_and_counted():
-    """Guards against logs that cost more than the work they tell of."""
+    """Guards against log output that costs more than the work it records."""
     pipe, now = Pipe(), [0.0]
     stream = LogStream(write=pipe.write, clock=lambda: now[0], lines_per_s=10, burst_lines=5)
     for _ in range(100):
@@ -32,7 +32,7 @@
 
 
 def test_a_reader_that_does_not_read_never_holds_up_the_process():
-    """Guards against a process that waits for its own log."""
+    """Guards against a process that blocks on its own log output."""
     pipe = Pipe()
     stream = LogStream(write=pipe.write, clock=lambda: 0.0)
     for error in (BlockingIOError(), BrokenPipeError()):
--- a/tests/test_one_way_cut.py
+++ b/tests/test_one_way_cut.py
@@ -1,4 +1,4 @@
-"""Silent cuts of a control-plane VM in one direction only, in a whole cell."""
+"""One-way network cuts of a control-plane VM in a whole cell; connections stay open."""
 
 import pytest
 from anyio import sleep
@@ -8,7 +8,7 @@
 from tests.processes import wait_until
 
 LEASE_S = 10
-# Longer than the time after which a worker counts as lost: lease x 1.02 + 1 s.
+# Longer than the time after which a worker is considered lost: lease x 1.02 + 1 s.
 CUT_S = 12.0
 DOCUMENT = (
     f"[presets.ordinary]\nlease_s = {LEASE_S}\n"
@@ -19,7 +19,7 @@
 
 
 def starts(cell):
-    """Return the starts of tasks at the workers."""
+    """Return the records of task starts on the workers."""
     return [line for line in read(cell.record("w")) if line["event"] == "start"]
 
 
@@ -31,9 +31,10 @@
 @pytest.mark.timeout(300)
 @pytest.mark.parametrize("direction", ["inbound", "outbound"])
 def test_leader_cut_in_one_direction_is_replaced(tmp_path, direction):
-    """Guards against a leader that is heard but hears nobody, or hears all and is not heard.
+    """Guards against a leader whose messages pass in one direction only.
 
-    Either could block the election of another one, or go on acting as the owner.
+    A leader that still sends, or still receives, could prevent the election of another one or
+    continue to act as the owner.
     """
 
     async def check(cell):
@@ -51,7 +52,7 @@
             await cell.operate("submit", SERVICE | {"name": "during"}, request_id="during")
             await wait_until(lambda: len(starts(cell)) == 8, "a service starts during the cut")
             await sleep(CUT_S)
-            assert victim not in cell.owners(), "the old owner has not stepped down"
+            assert victim not in cell.owners(), "the old owner still acts as owner"
 
         code_by_key, answers = await place_orders(cell, cut, spread_s=CUT_S)
         cell.places.heal()
--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -1,4 +1,4 @@
-"""Silent partition between two failure domains of one cell, with real processes."""
+"""Partition between two failure domains of a cell that drops no connection; real processes."""
 
 from time import monotonic
 
@@ -13,13 +13,16 @@
 
 @pytest.mark.timeout(300)
 def test_partitioned_domain_goes_on_and_follows_afterwards(tmp_path):
-    """Guards against a domain that stops in a partition, or that runs another domain's orders."""
+    """Guards against a domain that stops during a partition, or runs orders of the other domain.
+
+    After the partition the domain has to apply the configuration that it missed.
+    """
 
     async def check(cell):
         await prepared(cell)
         answers = []
         cell.places.cut(FAR)
-        # Longer than a lease and than the time in which silent links are noticed.
+        # Longer than a lease, and than the time in which silent links are detected.
         await sleep(LEASE_S + 6)
         response = await cell.call("e2", body=b"boarding", timeout=20)
         assert code(response) == 1000
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -1,4 +1,4 @@
-"""Planned stop of every process of a cell under load; the records of the stubs decide."""
+"""Planned stop of each process of a cell under load; judged by the records of the stubs."""
 
 from json import loads
 
@@ -19,8 +19,8 @@
 class Load:
     """Callers that send requests and orders until the test ends.
 
-    :param error_by_path: requests without an answer, and what the HTTP client said.
-    :param refused: number of connections that no process accepted.
+    :param error_by_path: errors of the HTTP client, by path of the request that got no answer.
+    :param refused: number of refused connections.
     """
 
     __slots__ = (
@@ -40,13 +40,13 @@
         self.sent = 0
         self.refused = 0
         self.error_by_path = {}
-        # A request on a kept connection can meet its regular end, which no server can prevent.
+        # Without keep-alive: a server may close an idle connection just as a request is sent on it.
         self.client = AsyncClient(timeout=30.0, limits=Limits(max_keepalive_connections=0))
         self.code_by_key = {}
         self.answers = []
 
     async def send_requests(self, caller):
-        """Send requests with a path of their own through random entries."""
+        """Send requests, each with its own path, through random entries until the load ends."""
         while not self.is_over:
             self.sent += 1
             path = f"request-{caller}-{self.sent}"
@@ -64,14 +64,14 @@
                     self.error_by_path[path] = f"HTTP status {response.status_code}"
 
     async def send_orders(self, caller):
-        """Send orders until each has an outcome."""
+        """Send orders, one after the other, until the load ends; each gets a final outcome."""
         while not self.is_over:
             key = f"order-{caller}-{len(self.code_by_key)}"
             self.code_by_key[key] = await self.cell.order(key, self.answers)
 
 
 async def stop_in_turn(cell):
-    """Stop and start every process; return {name: exit code}."""
+    """Stop and restart every process in turn; return ``{name: exit code}``."""
     restart_by_name = {
         **dict.fromkeys(cell.stores, cell.start_store),
         **dict.fromkeys(cell.entries, cell.start_entry),
@@ -89,18 +89,19 @@
 
 
 def drained(cell, entry):
-    """Return what an entry held at the end of each planned stop: (requests, ledger records)."""
+    """Return (requests in flight, unsettled ledger records) at the end of each planned stop."""
     lines = [loads(line) for line in cell.processes.log_text(entry).splitlines()]
     return [(line["in_flight"], line["unsettled"]) for line in lines if line["event"] == "drained"]
 
 
 def start_endpoint(cell):
+    """Return a function that starts the endpoint stub of a given name."""
     return lambda name: cell.start_stub(name, "--service_ms", 200)
 
 
 @pytest.mark.timeout(300)
 def test_planned_stop_of_every_process_cuts_off_nothing(tmp_path):
-    """Guards against a stop that cuts off what was accepted, or that a process fails to make."""
+    """Guards against a stop that cuts off accepted work, or that ends with an error."""
 
     async def check(cell):
         start_endpoint(cell)("p1")
@@ -119,10 +120,13 @@
         assert set(exit_by_name.values()) == {0}, exit_by_name
         records = read(cell.record("p1"), cell.record("p2"))
         ran = {record["path"].strip("/") for record in records if record["event"] == "start"}
-        # A connection that arrives as the listening socket closes is reset before it is read.
+        # Only requests that never ran may fail: a connection that arrives as the listening socket
+        # closes is reset before it is read.
         assert not load.error_by_path.keys() & ran, "accepted requests were cut off"
         for entry in cell.entries:
-            assert drained(cell, entry) == [(0, 0)], "the stop did not wait for what it held"
+            assert drained(cell, entry) == [(0, 0)], (
+                "the stop did not wait for its requests and records"
+            )
         print(
             f"{load.sent} requests, {load.refused} refused, {len(load.error_by_path)} reset before "
             f"they ran, {len(load.code_by_key)} orders"
--- a/tests/test_reader_gone.py
+++ b/tests/test_reader_gone.py
@@ -1,4 +1,4 @@
-"""Commands whose reader closes its end early."""
+"""Commands whose output pipe is closed early by the reader."""
 
 from subprocess import PIPE, Popen
 from sys import executable
--- a/tests/test_scaffolding.py
+++ b/tests/test_scaffolding.py
@@ -1,4 +1,4 @@
-"""The checker must find each kind of violation, and the forwarder must apply each fault."""
+"""Tests of the test tools: the checker finds each violation, the forwarder applies each fault."""
 
 from json import dumps
 
@@ -27,6 +27,10 @@
 
 
 def test_checker_accepts_a_task_that_moves_after_its_end(tmp_path):
+    """Guards against a false violation when a task runs elsewhere after a stop or a kill.
+
+    The last line of the file is torn, as after the kill of the process that writes it.
+    """
     lines = [
         event(0, "a", "capacity"),
         event(0, "b", "capacity"),
@@ -47,11 +51,17 @@
     ids=["two places", "overcommitted"],
 )
 def test_checker_finds_wrong_placement(second):
+    """Guards against a checker that misses a task in two places or an overcommitted worker."""
     records = [event(0, "a", "capacity"), event(0, "b", "capacity"), event(1, "a", "start"), second]
     assert len(check_workers(records)) == 1
 
 
 def test_checker_finds_wrong_requests():
+    """Guards against a checker that misses one of four faults.
+
+    The faults are a key that runs twice, a request that runs though it was answered "not run", a
+    wrong body, and a request that was answered as done but never ran.
+    """
     ran = [
         {"t": 1, "event": "start", "endpoint": "p", "request_id": "1", "key": "k"},
         {"t": 2, "event": "start", "endpoint": "q", "request_id": "2", "key": "k"},
@@ -103,6 +113,8 @@
 
 
 def test_silence_affects_present_connections_only():
+    """Guards against a forwarder whose silence also affects new connections, or has no effect."""
+
     async def check(forwarder):
         old = await connect_tcp("127.0.0.1", forwarder.port)
         assert await ask(old)
@@ -114,6 +126,8 @@
 
 
 def test_blocked_direction_delivers_after_healing():
+    """Guards against a partition that loses bytes, which TCP would deliver after it."""
+
     async def check(forwarder):
         stream = await connect_tcp("127.0.0.1", forwarder.port)
         forwarder.block("to_client")
@@ -125,6 +139,8 @@
 
 
 def test_cut_refuses_until_healed():
+    """Guards against a cut that lets new connections through, or that does not end."""
+
     async def check(forwarder):
         await forwarder.cut()
         with pytest.raises((EndOfStream, BrokenResourceError)):
--- a/tests/test_shared_stores.py
+++ b/tests/test_shared_stores.py
@@ -1,4 +1,4 @@
-"""Stores that hold several domain groups, as real processes."""
+"""Stores that are members of several domain groups, as real processes."""
 
 import pytest
 
@@ -48,7 +48,7 @@
 
 
 def test_call_reaches_the_owner_of_its_group_only(tmp_path):
-    """Guards against an order that is recorded in a ledger where no resend looks for it."""
+    """Guards against an order recorded in the ledger of a group that no retry asks."""
     settings = parse(SETTINGS.format(folder=tmp_path))
     process = settings.process("s1")
     replicas = Replicas(
@@ -73,7 +73,7 @@
 
 
 def running(cell, workers):
-    """Return the tasks that have started and not ended at some worker stubs."""
+    """Return the tasks that have started and not ended on the workers of a stub process."""
     records = [record for record in read(cell.record(workers)) if "task" in record]
     started = {record["task"] for record in records if record["event"] == "start"}
     return started - {record["task"] for record in records if record["event"] == "end"}
@@ -81,7 +81,7 @@
 
 @pytest.mark.timeout(300)
 def test_groups_on_the_same_stores_keep_their_workers_and_orders_apart(tmp_path):
-    """Guards against a call that reaches the owner or the ledger of another group of its store."""
+    """Guards against a call that reaches another group's owner or ledger on the same store."""
 
     async def check(cell):
         for domain, entry, stub, workers in (
@@ -94,7 +94,9 @@
             job = JOB | {"name": f"tally-{workers}", "domain": domain}
             await cell.operate("submit", job, request_id=workers)
         for workers in ("w1", "w2"):
-            await wait_until(lambda one=workers: len(running(cell, one)) == 4, f"{workers} runs")
+            await wait_until(
+                lambda one=workers: len(running(cell, one)) == 4, f"the service runs on {workers}"
+            )
         killed = cell.owner(OTHER_GROUP)
         keys = [f"{group}/order-{number}" for group in (GROUP, OTHER_GROUP) for number in range(6)]
         answers = []
--- a/tests/test_six_domains.py
+++ b/tests/test_six_domains.py
@@ -1,4 +1,4 @@
-"""Six failure domains in two regions: the order of configurations at every entry."""
+"""Six failure domains in two regions: every entry applies configurations in order."""
 
 import pytest
 from anyio import create_task_group, sleep
@@ -7,12 +7,12 @@
 from tests.six_domains import DOMAINS_BY_REGION, ENTRIES, LAYOUT, change
 
 CHANGES = 8
-# Longer than the 3 s of silence after which links are closed and what they hold is lost.
+# Longer than the 3 s without a frame after which links are closed and their frames are lost.
 CUT_S = 4.0
 
 
 async def change_during_cut(cell, places, version):
-    """Change the configuration while places are cut off; return the new version."""
+    """Change the configuration several times while places are cut off; return the new version."""
     cell.places.cut(*places)
     for _ in range(CHANGES):
         await change(cell, version)
@@ -30,9 +30,10 @@
 
 @pytest.mark.timeout(300)
 def test_configurations_reach_six_domains_in_order(tmp_path):
-    """Guards against an entry that misses a change, or gets an older one after a newer one.
+    """Guards against an entry that misses a change, or applies an older one after a newer one.
 
-    The bound of 5 s depends on the load of the machine and is measured by bench.config_reach.
+    bench.config_reach measures the time, which has to be within 5 s; here it would depend on the
+    load of the machine.
     """
 
     async def check(cell):
@@ -42,7 +43,7 @@
             for version in range(1, CHANGES + 1):
                 await change(cell, version)
                 await wait_version(cell, version + 1)
-            # One of the two has a member of the cell group.
+            # One of these two domains has a member of the cell group.
             version = await change_during_cut(cell, ["fjeld-b", "jylland-b"], CHANGES + 1)
             await change_during_cut(cell, DOMAINS_BY_REGION["fjeld"], version)
             tasks.cancel_scope.cancel()
--- a/tests/test_store_process.py
+++ b/tests/test_store_process.py
@@ -1,4 +1,4 @@
-"""Stores as real processes: founding, election, loss of the leader, planned stop."""
+"""Stores as real processes: bootstrap, election, loss of the leader, planned stop."""
 
 from anyio import create_task_group
 from httpx import get
@@ -10,7 +10,7 @@
 
 
 def test_state_survives_the_loss_of_the_leader(tmp_path):
-    """Guards against an accepted configuration that an election loses or runs twice."""
+    """Guards against an accepted configuration that an election loses or applies twice."""
 
     async def check(stores):
         leader = await stores.ready()
@@ -27,7 +27,9 @@
         assert (code, config["document"]) == (Code.DONE, DOCUMENT)
         stores.start(leader)
         await stores.leader()
-        await wait_until(lambda: same_audit_files(stores, 2), "audit file of the restarted store")
+        await wait_until(
+            lambda: same_audit_files(stores, 2), "audit file of the restarted store is complete"
+        )
 
     Stores(folder=tmp_path).run(check)
 
@@ -39,7 +41,7 @@
 
 
 def test_racing_operators_get_one_winner(tmp_path):
-    """Guards against two stores that both accept a change of the same version."""
+    """Guards against two stores that each accept a different change of the same version."""
 
     async def check(stores):
         await stores.leader()
@@ -62,7 +64,7 @@
 
 
 def test_planned_stop_hands_over_and_exits_with_0(tmp_path):
-    """Guards against a stop that kills the process or leaves the group without a leader."""
+    """Guards against a stop that ends with an error or leaves the group without a leader."""
 
     async def check(stores):
         leader = await stores.ready()
@@ -76,7 +78,10 @@
 
 
 def test_lost_disk_joins_again_and_is_not_founded_again(tmp_path):
-    """Guards against a second group, or a vote of a store that has forgotten its votes."""
+    """Guards against the bootstrap of a second group by a store that lost its disk.
+
+    The store must join as a new member, because its old incarnation has lost its votes.
+    """
 
     async def check(stores):
         await stores.ready()
@@ -89,14 +94,16 @@
         assert status == 2
         assert "4000" in text
         stores.start("s1")
-        await wait_until(lambda: same_audit_files(stores, 1), "audit file of the new disk")
+        await wait_until(
+            lambda: same_audit_files(stores, 1), "audit file on the new disk is complete"
+        )
         assert (await stores.change("s1", "config", change, request_id="r1"))[0] == Code.DONE
 
     Stores(folder=tmp_path).run(check)
 
 
 def test_init_founds_once_and_only_on_the_first_member(tmp_path):
-    """Guards against two founders, which would be two groups under one name."""
+    """Guards against two stores that bootstrap, which would be two groups with one name."""
     stores = Stores(folder=tmp_path)
     status, text = stores.init("s2")
     assert (status, "joins" in text) == (0, True)
@@ -106,7 +113,7 @@
 
 
 def test_stores_of_another_cell_secret_stay_out(tmp_path):
-    """Guards against a store with a wrong settings file that takes part."""
+    """Guards against a store that takes part in a cell though its settings have another secret."""
 
     async def check(stores):
         await stores.ready()
@@ -115,7 +122,9 @@
         stores.settings_path.write_text(text.replace("0123456789abcdef", "fedcba9876543210"))
         stores.start("s3")
         # Of two stores the one with the larger name accepts the link, so s3 sees the wrong secret.
-        await wait_until(lambda: "link refused" in stores.processes.log_text("s3"), "refusal")
+        await wait_until(
+            lambda: "link refused" in stores.processes.log_text("s3"), "s3 logs the refusal"
+        )
         assert await stores.leader(["s1", "s2"]) in ("s1", "s2")
         assert await stores.ask("s3", "status") is None
 
@@ -123,7 +132,7 @@
 
 
 def test_operator_commands_through_an_entry(tmp_path):
-    """Guards against a change that the operator sees as done and the domain never gets."""
+    """Guards against a change that is confirmed to the operator but never reaches the domain."""
 
     async def check(stores):
         await stores.leader()
@@ -153,6 +162,6 @@
 
 
 def entry_version(stores):
-    """Return (configuration version, preset) that the entry has in force."""
+    """Return (configuration version, preset) in force at the entry."""
     health = get(f"http://127.0.0.1:{stores.entry_port}/v1/health", trust_env=False).json()
     return health["config_version"], health["preset"]
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -1,4 +1,4 @@
-"""What keeps an outsider from posing as an endpoint."""
+"""Endpoints must authenticate with the token of their service."""
 
 from anyio import run
 
@@ -16,7 +16,7 @@
 
 
 def test_endpoint_needs_the_token_of_its_service(tmp_path):
-    """Guards against requests that are sent to whoever announces the name of a service."""
+    """Guards against requests sent to any process that announces itself under a service's name."""
 
     async def main():
         async with running(tmp_path, extra=TOKENS) as net:
--- a/tests/test_two_faults.py
+++ b/tests/test_two_faults.py
@@ -1,4 +1,4 @@
-"""Two faults at the same time in a whole cell; the verdict comes from the records of the stubs."""
+"""Two simultaneous faults in a whole cell; the results are judged by the stubs' records."""
 
 import pytest
 from anyio import sleep
@@ -9,15 +9,15 @@
 from tests.processes import wait_until
 from tests.two_domains import DOCUMENT, FAR, LAYOUT, LEASE_S, PLACES, prepared, starts
 
-# Longer than the time after which a worker counts as lost: lease x 1.02 + 1 s.
+# Longer than the time after which a worker is considered lost: lease x 1.02 + 1 s.
 FAULT_S = LEASE_S + 4
 
 
 @pytest.mark.timeout(300)
 def test_paused_owner_and_lost_disk_of_another_store(tmp_path):
-    """Guards against a leader elected with the vote of an empty disk while the owner sleeps.
+    """Guards against a leader elected by a store with an empty disk while the owner is paused.
 
-    It would lack committed orders, and two owners would act when the paused one wakes.
+    It would lack committed orders, and two owners would act after the paused one is resumed.
     """
 
     async def check(cell):
@@ -36,7 +36,7 @@
             cell.processes.kill(wiped)
             cell.processes.remove(wiped)
             cell.start_store(wiped)
-            # Several election timeouts; one intact voter of three is awake.
+            # Several election timeouts; only one of three voters is running with its disk intact.
             await sleep(FAULT_S)
             assert cell.owner() == owner, "a store was elected without a quorum of intact disks"
             cell.processes.resume(owner)
@@ -45,7 +45,8 @@
         code_by_key, answers = await place_orders(cell, pause_and_wipe, spread_s=FAULT_S)
         more = job | {"name": "more", "cpu_milli": 500, "memory_mb": 300}
         await cell.operate("submit", more, request_id="more")
-        # The tasks of the first job ended with the leases and run again, those of both once each.
+        # The tasks of the first job ended when the leases expired and run again; each task of both
+        # jobs runs once.
         await wait_until(lambda: len(running(cell)) == 12, "both jobs run")
         await sleep(3.0)
         assert len(running(cell)) == 12
@@ -57,7 +58,7 @@
 
 
 def running(cell):
-    """Return the tasks that run now, by the records of the workers."""
+    """Return the tasks that are running now, by the records of the workers."""
     tasks = set()
     for line in read(cell.record("w")):
         if line["event"] == "start":
@@ -69,9 +70,9 @@
 
 @pytest.mark.timeout(300)
 def test_entry_killed_in_a_domain_that_is_cut_off(tmp_path):
-    """Guards against an entry that starts in a cut-off domain without its configuration.
+    """Guards against an entry that restarts without configuration in a partitioned domain.
 
-    It must also not run the orders of the killed one a second time.
+    It must also not run the orders of the killed entry a second time.
     """
 
     async def check(cell):
--- a/tests/test_worker_process.py
+++ b/tests/test_worker_process.py
@@ -1,4 +1,4 @@
-"""Stores and workers as real processes; the verdict comes from the records of the workers."""
+"""Stores and worker stubs as real processes; the results are judged by the stubs' records."""
 
 from json import dumps
 
@@ -7,7 +7,7 @@
 from tests.processes import wait_until
 from tests.store_processes import Stores
 
-# Leases of 10 s, the shortest that a preset may have, keep the tests short.
+# Leases of 10 s, the shortest that a preset allows, keep the tests short.
 DOCUMENT = """
 [presets.ordinary]
 lease_s = 10
@@ -19,7 +19,7 @@
 
 
 class Fleet(Stores):
-    """Stores of a cell group and a domain group, and worker stubs in two processes."""
+    """Stores that form the cell group and a domain group, and processes of worker stubs."""
 
     __slots__ = ()
 
@@ -28,11 +28,11 @@
         return super()._settings() + group
 
     def record(self, name):
-        """Return the path of a record file."""
+        """Return the path of the record file of a worker process."""
         return self.folder / f"{name}.record"
 
     def start_workers(self, name, count=WORKERS):
-        """Start one process with several workers of 4 cores."""
+        """Start one process with ``count`` worker stubs of 4 cores each."""
         self.processes.start(
             name,
             "stub-worker",
@@ -60,18 +60,19 @@
         return [record for record in records if record["event"] == "start"]
 
     def check(self, *names):
-        """Check I1 and I2."""
+        """Check I1 (no overcommitted worker) and I2 (no task in two places)."""
         assert check_workers(read(*(self.record(name) for name in names))) == []
 
 
 async def configured(stores):
+    """Wait for a leader and set the first configuration."""
     await stores.leader()
     change = {"document": DOCUMENT, "expect_version": 0}
     assert (await stores.change("s1", "config", change, request_id="c"))[0] == Code.DONE
 
 
 def test_tasks_run_end_and_stop(tmp_path):
-    """Guards against tasks that are lost or doubled between cell, owner, and worker."""
+    """Guards against tasks that are lost or run twice between cell, owner and worker."""
 
     async def check(stores):
         await configured(stores)
@@ -87,7 +88,8 @@
         await wait_until(batch_succeeded, "success reported to the cell")
         await stores.change("s1", "cancel", {"jobs": [service]}, request_id="x")
         await wait_until(
-            lambda: sum(one["event"] == "stop" for one in read(stores.record("w"))) == 3, "stops"
+            lambda: sum(one["event"] == "stop" for one in read(stores.record("w"))) == 3,
+            "service stopped",
         )
         stores.check("w")
 
@@ -95,7 +97,7 @@
 
 
 def test_placement_goes_on_after_the_owner_is_killed(tmp_path):
-    """Guards against a new owner that starts running tasks again, or none at all."""
+    """Guards against a new owner that restarts running tasks, or that places nothing."""
 
     async def check(stores):
         await configured(stores)
@@ -114,7 +116,7 @@
 
 
 def test_a_paused_worker_is_replaced_and_stops_its_tasks(tmp_path):
-    """Guards against a task in two places when a worker wakes up after its lease."""
+    """Guards against a task in two places when a worker is resumed after its lease has expired."""
 
     async def check(stores):
         await configured(stores)
--- a/tests/test_worker_state.py
+++ b/tests/test_worker_state.py
@@ -1,11 +1,11 @@
-"""Rules of the worker stub: lease, session, term, repeated and early orders."""
+"""State of a worker: lease, session, term, repeated orders, orders that arrive out of order."""
 
 from siskintally.wire_pb2 import AttemptState, StartOrder, StopOrder, WorkerOrders
 from siskintally.worker_state import Faults, WorkerState
 
 
 class Net:
-    """A worker state and shorthand for the orders of its owner."""
+    """A worker state, and shorthand for its heartbeats and the orders of its owner."""
 
     __slots__ = ("state",)
 
@@ -13,13 +13,13 @@
         self.state = WorkerState(session="s", faults=Faults(**faults))
 
     def beat(self, *, sent, answered, term=1, **orders):
-        """Send a heartbeat and take its answer; return the kinds of the events."""
+        """Send a heartbeat and apply its reply; return the kinds of the events."""
         beat = self.state.beat(now=sent)
         answer = WorkerOrders(session=beat.session, seq=beat.seq, lease_s=30, term=term, **orders)
         return [event.kind for event in self.state.answered(beat, answer, now=answered)]
 
     def push(self, *, now, session="s", seq=1, term=1, **orders):
-        """Take orders between heartbeats; return the kinds of the events."""
+        """Apply orders that arrive between heartbeats; return the kinds of the events."""
         message = WorkerOrders(session=session, seq=seq, lease_s=30, term=term, **orders)
         return [event.kind for event in self.state.take(message, now=now)]
 
@@ -29,7 +29,10 @@
 
 
 def test_a_lease_that_has_ended_is_not_revived_by_an_answer():
-    """Guards against a paused worker that goes on with tasks that run elsewhere by now."""
+    """Guards against a paused worker that continues tasks which run elsewhere by now.
+
+    The reply to a heartbeat from before the end of the lease arrives after it.
+    """
     net = Net()
     assert net.beat(sent=0.0, answered=0.1, start=[start()]) == ["start"]
     assert net.beat(sent=29.0, answered=35.0) == ["stop"]
@@ -37,7 +40,7 @@
 
 
 def test_orders_without_a_lease_or_of_another_session_or_term_have_no_effect():
-    """Guards against late starts of a deposed owner."""
+    """Guards against late start orders of an owner that has lost its leadership."""
     net = Net()
     assert net.push(now=0.0, start=[start()]) == []
     net.beat(sent=0.0, answered=0.1, term=3)
@@ -48,7 +51,7 @@
 
 
 def test_repeated_orders_run_an_attempt_once():
-    """Guards against a second run when an order is sent again."""
+    """Guards against a second run of an attempt when its start order is sent again."""
     net = Net()
     net.beat(sent=0.0, answered=0.1, start=[start(run_s=1)])
     assert net.push(now=0.5, start=[start(run_s=1)]) == []
@@ -71,7 +74,10 @@
 
 
 def test_ends_are_reported_until_they_are_seen_and_full_lists_once():
-    """Guards against a lost end, and against full lists that cost control traffic."""
+    """Guards against the end of a task that never reaches the owner.
+
+    Also guards against full lists in every heartbeat, which would cost control traffic.
+    """
     net = Net()
     net.beat(sent=0.0, answered=0.1, start=[start()])
     assert [one.attempt for one in net.state.beat(now=0.2).attempts] == [1]
@@ -86,7 +92,7 @@
 
 
 def test_a_delayed_start_is_dropped_when_the_lease_ends_first():
-    """Guards against a start between receipt and lease end that is carried out too late."""
+    """Guards against a start order that arrives within the lease and is carried out after it."""
     net = Net(pause_s=20.0)
     net.beat(sent=0.0, answered=15.0, start=[start()])
     assert net.state.tick(now=36.0) == [] and net.state.running == []
--- a/tests/two_domains.py
+++ b/tests/two_domains.py
@@ -6,7 +6,8 @@
 
 NEAR, FAR = "jylland-a", "fjeld-a"
 STORES_BY_DOMAIN = {NEAR: ["s1", "s2", "s3"], FAR: ["s4", "s5", "s6"]}
-# Two of three are near, so the far domain is the one without the cell group.
+# Two of the three members are in the near domain, so the far domain alone has no quorum of the cell
+# group.
 CELL_MEMBERS = ["s1", "s2", "s4"]
 LEASE_S = 10
 DOCUMENT = (
@@ -28,7 +29,7 @@
 
 
 async def prepared(cell):
-    """Bring up an endpoint in each domain and a service in the far one."""
+    """Start an endpoint in each domain, and a service of four tasks in the far one."""
     cell.start_stub("p1", entries=["e1"], domain=NEAR)
     cell.start_stub("p2", entries=["e2"], domain=FAR)
     for entry in cell.entries:
@@ -40,5 +41,5 @@
 
 
 def starts(cell):
-    """Return the starts of tasks at the workers."""
+    """Return the records of task starts on the workers."""
     return [line for line in read(cell.record("w")) if line["event"] == "start"]
