Reword the prose of the benchmarks

Several docstrings named neither units nor the way to run the module, and some had drifted from the code: stub workers fit 320 tasks, not 160; the owner is killed for three more urgent jobs, not for each second one; roles print maxima, not means. The docstrings now say what is measured, in which units and how to run it.

--- a/bench/balancing.py
+++ b/bench/balancing.py
@@ -1,7 +1,9 @@
-"""Waiting time under each balancing policy: slow endpoint, lost endpoint, restart of an entry.
+"""Request latency under each balancing policy: slow endpoint, lost endpoint, restart of an entry.
 
-Run ``python -m bench.balancing [SECONDS] [POLICY ...]``; each run has three parts of the given
-length: before, during and after the fault. The ratios are against the part before it.
+Each run has three parts of the given length: before, during and after the fault. Latencies are in
+milliseconds; the ratios are against the part before the fault. The last line of the output is JSON.
+
+Usage: python -m bench.balancing [SECONDS] [POLICY ...]
 """
 
 from json import dumps
@@ -23,7 +25,7 @@
 SLOTS = 8
 SERVICE_MS = 200
 SLOW_MS = 1000
-# Two of three endpoints serve 80 a second.
+# Requests a second; two of the three endpoints can serve 80.
 RATE = 64.0
 SECONDS = 5.0
 SEED = 20260
@@ -39,17 +41,17 @@
 
 
 async def make_slow(net):
-    """Make one endpoint five times slower."""
+    """Make one of the endpoints five times slower."""
     await net.control("p0", service_ms=SLOW_MS)
 
 
 async def lose_endpoint(net):
-    """Kill an endpoint; its announcements stay valid for up to 3 s."""
+    """Kill an endpoint; its last announcement stays valid for up to 3 s."""
     net.processes.kill("p0")
 
 
 async def restart_entry(net):
-    """Stop an entry in the planned way and start it again."""
+    """Stop an entry by SIGTERM and start it again."""
     net.processes.popen_by_name["e1"].terminate()
     await wait_until(lambda: not net.processes.is_running("e1"), "e1 stops")
     net.start_entry("e1")
@@ -59,7 +61,7 @@
 
 
 async def measure_fault(policy, fault, seconds):
-    """Return the figures of the three parts of one run."""
+    """Return the figures before, during and after a fault under a policy."""
     with TemporaryDirectory() as folder, Processes(folder=Path(folder)) as processes:
         net = Net(processes=processes, entries=ENTRIES)
         async with AsyncClient(timeout=30.0) as net.client:
@@ -83,7 +85,7 @@
 
 
 def figures(result):
-    """Return the figures of one part."""
+    """Return the figures of one part: latencies in ms, the share not run, counts by code."""
     codes = result.codes()
     done = result.all_done()
     total = sum(codes.values())
@@ -98,7 +100,7 @@
 
 
 async def main(seconds, policies):
-    """Measure all policies under all faults."""
+    """Measure all policies under all faults; print the figures and JSON."""
     rows = []
     for fault in FAULTS:
         for policy in policies:
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,7 +1,9 @@
-"""Writes docs/CAPACITY.md from measured slopes.
+"""Writes docs/CAPACITY.md from measured slopes; measures nothing itself.
 
 The slopes are the JSON lines that bench.domain_load, bench.state, bench.link and bench.layout
-print, kept in bench/results/. Usage: python -m bench.capacity
+print, kept in bench/results/.
+
+Usage: python -m bench.capacity
 """
 
 import json
@@ -30,13 +32,13 @@
 
 
 def load(name):
-    """Return the slopes that a measurement printed as its last line."""
+    """Return the figures that a benchmark has printed as its last line."""
     text = (RESULTS / f"{name}.txt").read_text(encoding="utf-8").strip()
     return json.loads(text.splitlines()[-1])
 
 
 def verdict(value, budget):
-    """Say whether a figure is within its budget, with the margin or the shortfall."""
+    """Return as text whether a figure is within its budget, with the margin or the excess."""
     ratio = value / budget
     if ratio <= 1:
         return f"within, margin {100 * (1 - ratio):.0f}%"
@@ -46,8 +48,9 @@
 class Leader:
     """Cost of a store that leads a domain group and the cell group.
 
-    :param workers: workers of the group.
-    :param starts: task starts a second of the group.
+    :param slopes: figures of bench.domain_load.
+    :param workers: number of workers of the group.
+    :param starts: task starts a second in the group.
     """
 
     __slots__ = ("bytes_s", "core", "mb", "starts", "workers")
@@ -78,7 +81,7 @@
 
 
 def leader_rows(slopes):
-    """Yield rows for groups of a failure domain and of a region, idle and at the peak."""
+    """Yield rows for groups of a failure domain and of a region, on an ordinary day and at peak."""
     for label, groups in (("group a failure domain", DOMAINS), ("group a region", 2)):
         workers = round(WORKERS / groups)
         daily = TASKS / DAY_S / groups
@@ -90,7 +93,7 @@
 
 
 def state_rows(state):
-    """Yield rows of what roles keep."""
+    """Yield rows of the state that each role keeps, with its memory and snapshot cost."""
     orders = ORDERS_PER_HOUR * 24 / DOMAINS
     amounts = (
         ("request ledger, a domain group", "ledger_record", orders, "orders kept 24 h"),
@@ -108,7 +111,7 @@
 
 
 def layout_rows(layout):
-    """Yield rows of the VMs of the whole layout, by what they lead and by load."""
+    """Yield rows of the VMs of the whole layout, by load and whether they lead a domain group."""
     leading = {store.partition("-")[0] for store in layout["leaders"].values()}
     kinds = (
         ("leads a domain group", True),
--- a/bench/churn.py
+++ b/bench/churn.py
@@ -1,7 +1,7 @@
-"""Pools behind one interface, and a steady state in which tasks end and the queue is never empty.
+"""Pools of workers with a common interface, and a steady state in which the queue is never empty.
 
-The queue belongs to the pool: it is offered every waiting task, in its own order, until none is
-placed any more. New tasks join at the end.
+Each pool keeps its own queue. In a step the pool tries every waiting task, in the order of its
+queue; steps are repeated until none places a task. New tasks are appended to the queue.
 """
 
 from collections import Counter
@@ -12,16 +12,19 @@
 
 WORKERS_PER_RACK = 8
 DOMAINS = 3
-# Jobs that wait at any time.
+# Number of jobs that wait at any time.
 AHEAD = 32
-# Mean of the exponentially distributed run times.
+# Mean of the exponentially distributed run times, seconds.
 RUN_S = 60.0
-# Ends of tasks in a run, for each worker; the second half is measured.
+# Number of task ends in a run, for each worker; the second half is measured.
 TURNS_PER_WORKER = 60
 
 
 class ScanPool:
-    """Baselines: scan of all workers, first fit or best fit on the processor, oldest task first."""
+    """Baseline that scans all workers; first fit or best fit by processor, oldest task first.
+
+    :param best: best fit instead of first fit.
+    """
 
     __slots__ = ("_best", "_place_by_task", "_waiting", "rooms")
 
@@ -64,7 +67,7 @@
 
 
 class IndexedPool:
-    """The project's placement behind the same calls."""
+    """The placement of siskintally, with the interface of :class:`ScanPool`."""
 
     __slots__ = ("placement", "racks")
 
@@ -100,7 +103,7 @@
 
 
 class Spread:
-    """How many domains and racks the tasks of a service use, and how many they could use."""
+    """Numbers of domains and racks that the tasks of a service use and that they could use."""
 
     __slots__ = ("domains", "most_domains", "most_racks", "racks")
 
@@ -114,7 +117,7 @@
     """One run of the steady state.
 
     :param shapes: iterator of (kind, need, number of tasks).
-    :param use: mean part of the processors in use, of the second half of the run.
+    :param use: mean share of the processors in use during the second half of the run.
     :param waits_by_kind: seconds from submission to the start of the last task of each job.
     :param spreads: :class:`Spread` of each service when its last task was placed.
     """
@@ -135,7 +138,7 @@
         self.spreads = []
 
     def run(self, turns):
-        """Let ``turns`` tasks end; return this object."""
+        """Run until ``turns`` tasks have ended; return this object."""
         total = 0.0
         for turn in range(turns):
             self._fill(measured=turn >= turns // 2)
@@ -146,7 +149,7 @@
         return self
 
     def waiting_s(self, kind):
-        """Return how long the jobs of a kind have waited that wait still, in seconds."""
+        """Return the waiting times so far of the jobs of a kind that still wait, seconds."""
         return [
             self._now - self._submitted_by_id[job_id]
             for job_id in self._missing
@@ -197,7 +200,7 @@
 
 
 def reservations_as_declared(placement):
-    """Tell whether each worker's reservations are the declared sizes and none is overcommitted."""
+    """Return whether reservations equal the declared sizes and no worker is overcommitted."""
     for worker in placement.pool.worker_by_name.values():
         held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
         if held + worker.free != worker.capacity or min(worker.free.key()) < 0:
--- a/bench/config_reach.py
+++ b/bench/config_reach.py
@@ -1,7 +1,7 @@
-"""Time from the acceptance of a configuration until it is in force at all entries.
+"""Time in seconds from the acceptance of a configuration until it is in force at all entries.
 
-Six failure domains in two regions, with the delays of the platform between them. After a cut of one
-domain, or of one region, the time counts from the end of the cut.
+The cell has six failure domains in two regions, with the network delays of the platform between
+them. After a network cut of one domain or one region, the time counts from the end of the cut.
 
 Usage: python -m bench.config_reach [changes]
 """
@@ -22,14 +22,14 @@
 CHANGES = 40
 CUTS = 3
 TARGET_S = 5.0
-# Longer than the silence after which links are closed.
+# Longer than the time without a frame after which links are closed.
 CUT_S = 8.0
 REGION_DELAY_S = 0.008
 DOMAIN_DELAY_S = 0.0005
 
 
 def delay(cell):
-    """Set the delays of the platform on all links between domains."""
+    """Set the network delays of the platform on all links between domains."""
     for (start, name), forwarder in cell.places.forwarder_by_way.items():
         region, other = (
             text.partition("-")[0] for text in (start, cell.places.place_by_name[name])
@@ -38,7 +38,7 @@
 
 
 async def after_cut(cell, places, version):
-    """Change the configuration during a cut; return the time after its end, s."""
+    """Change the configuration during a cut; return the seconds from the end of the cut."""
     cell.places.cut(*places)
     await sleep(CUT_S)
     await change(cell, version)
@@ -50,7 +50,7 @@
 
 
 async def measure(changes):
-    """Return {what: seconds of each change}."""
+    """Return ``{kind of change: seconds of each change}``."""
     took = {"ordinary": [], "after the cut of a domain": [], "after the cut of a region": []}
     with TemporaryDirectory() as folder:
         options = {"layout": LAYOUT, "place_by_name": LAYOUT.places()}
--- a/bench/control.py
+++ b/bench/control.py
@@ -1,7 +1,8 @@
 """Share of the control budget that the owner of a domain group uses, without the transport.
 
-142 workers send a heartbeat each 5 s and 9 tasks start and end each second. The group is a stand-in
-that applies commands at once; CPU time of the process and bytes of the messages are counted.
+142 workers send a heartbeat each 5 s, and 9 tasks start and end each second. The replicated group
+is a fake that applies commands at once. Measures the processor time of the process (ms a second,
+load generator included) and the bytes of the messages (bytes a second for each worker).
 
 Usage: python -m bench.control [--json FILE] [--workers N] [--run_s N]
 """
@@ -43,7 +44,7 @@
 
 
 class LocalGroup:
-    """Applies commands at once."""
+    """Fake of a replicated group; this process leads it and commands are applied at once."""
 
     __slots__ = ("applied_index", "bytes", "is_leader", "leader", "machine", "name", "term")
 
@@ -57,7 +58,7 @@
         self.bytes = 0
 
     def watch(self):
-        """Return a stream that says that this process leads."""
+        """Return a stream with the event that this process leads."""
         sender, receiver = create_memory_object_stream(4)
         sender.send_nowait(Leadership(term=1, leader="s1", is_leader=True))
         self.leader = "s1"
@@ -71,14 +72,14 @@
         return self.machine.apply(index=self.applied_index, command=command)
 
     async def confirm_leadership(self, *, urgent=True):
-        """Complete a round."""
+        """Return at once, as after a completed quorum round."""
 
 
 _KEPT = []
 
 
 class FakeSettings:
-    """Settings with one group."""
+    """Fake settings with one group."""
 
     __slots__ = ("group_by_name",)
 
@@ -88,7 +89,7 @@
 
 
 class Load:
-    """Workers and the cell of one owner."""
+    """Fake workers and a fake cell for one owner; counts the bytes of their messages."""
 
     __slots__ = ("_ended", "_items", "_seq", "bytes", "owner", "starts_by_worker")
 
@@ -101,7 +102,7 @@
         self._seq = 0
 
     def send(self, body):
-        """Take pushed orders."""
+        """Process orders that the owner pushes."""
         self._take(body)
         return True
 
@@ -112,7 +113,7 @@
             self.starts_by_worker.setdefault(worker, []).append((start.task_id, start.attempt))
 
     async def cell_call(self, body, *, timeout):
-        """Answer as the cell."""
+        """Answer a call of the owner as the cell does."""
         self.bytes += body.ByteSize()
         if isinstance(body, JobReport):
             return Done()
@@ -125,14 +126,14 @@
         return reply
 
     def submit(self, name, tasks, run_s):
-        """Add a job."""
+        """Add a job to the next reply of the cell."""
         spec = JobSpec(
             name=name, tasks=tasks, each=Resources(cpu_milli=1000, memory_mb=2000), run_s=run_s
         )
         self._items.append(JobItem(job_id=name, spec=spec, tasks=tasks, changed_at=self._seq + 1))
 
     async def beat(self, name, seq, *, full, states=()):
-        """Send a heartbeat."""
+        """Send a heartbeat and process the orders in the reply."""
         beat = WorkerBeat(
             worker=name,
             domain="d",
@@ -147,7 +148,7 @@
         self._take(await self.owner.answer(self, beat))
 
     async def worker(self, name):
-        """Beat each 5 s with what has changed, and end one task now and then."""
+        """Send a heartbeat each 5 s with the changed attempts; end short tasks in the next one."""
         await sleep(int(name[1:]) % 50 / 10)
         seq, known = 1, 0
         await self.beat(name, seq, full=True)
@@ -169,6 +170,7 @@
 
 
 async def measure(workers, run_s):
+    """Return the figures of one run as a mapping."""
     load = Load()
     domain = Domain(group="g")
     group = LocalGroup(machine=domain)
@@ -206,6 +208,7 @@
 
 
 def main(_):
+    """Print the figures with their ratios to the targets, and write the JSON file."""
     result = run(measure, FLAGS.workers, FLAGS.run_s)
     per_node = (result["message_bytes_per_s"] + result["log_bytes_per_s"]) / FLAGS.workers
     result["bytes_per_s_per_worker"] = per_node
--- a/bench/domain_load.py
+++ b/bench/domain_load.py
@@ -1,9 +1,10 @@
-"""Control cost of a domain group against its number of workers and its task starts.
+"""Control cost of a domain group as a function of its number of workers and its task starts.
 
-Three stores hold the cell group and one domain group; stub workers run services of 20 tasks each.
-Processor time and memory are those of the store that leads, the mean of the others and the entry;
-bytes are counted by relays between the stores and between workers and stores. All these links are
-within one region; what crosses a region boundary is measured with two regions by bench.regions.
+Three stores are the members of the cell group and of one domain group; each stub worker runs 20
+tasks of a service. Processor time (share of a core) and memory (MB) are those of the leading store,
+the mean of the other stores, and the entry. Relays count the bytes a second between the stores, and
+between workers and stores. All these links are within one region; bench.regions measures the
+traffic between two regions.
 
 Usage: python -m bench.domain_load [workers,workers,...] [starts a second] [seconds]
 """
@@ -27,16 +28,16 @@
 STARTS_PER_S = 9.0
 SECONDS = 20.0
 SETTLE_S = 22.0
-# A third of a lease of 30 s, the longest interval of heartbeats.
+# The longest heartbeat interval: a third of a lease of 30 s.
 BEAT_S = 10.0
 BATCH_INTERVAL_S = 5.0
 DOCUMENT = "[teams.ski]\ncpu_milli = 1000000000\nmemory_mb = 1000000000\n"
 
 
 class MeasuredCell(FullCell):
-    """A cell whose stores are reached through relays that count bytes.
+    """A cell whose links to stores pass relays that count bytes.
 
-    :param relay_by_store: ``{store: [counter of links of stores, counter of links of workers]}``.
+    :param relay_by_store: ``{store: [relay for other stores, relay for workers]}``.
     """
 
     __slots__ = ("relay_by_store", "worker_settings")
@@ -54,7 +55,7 @@
             for number, counter in enumerate(counters):
                 shown[number] = shown[number].replace(f":{target}", f":{counter.port}")
         for name in self.stores:
-            # A store listens on its own address and dials the relays of the others.
+            # A store listens on its own address and connects to the relays of the others.
             own = shown[0].replace(
                 f":{self.relay_by_store[name][0].port}", f":{self.port_of(name)}"
             )
@@ -62,17 +63,17 @@
         self.worker_settings.write_text(shown[1])
 
     def port_of(self, name):
-        """Return the link port of a store."""
+        """Return the port on which a store accepts links."""
         text = self.settings.read_text().split(f'name = "{name}"')[1]
         return int(text.split('link = "127.0.0.1:')[1].split('"')[0])
 
     def start_store(self, name):
-        """Start a store that dials the others through relays."""
+        """Start a store that connects to the others through relays."""
         path = self.folder / f"{name}.toml"
         self.processes.start(name, "store", "--settings", path, "--name", name)
 
     def start_workers(self, name, count, *flags):
-        """Start stub workers that dial through relays; 160 slots of the task size each."""
+        """Start stub workers that connect through relays; each has resources for 320 tasks."""
         self.processes.start(
             name,
             "stub-worker",
@@ -82,12 +83,12 @@
         )
 
     def bytes_of(self, kind):
-        """Return the bytes so far: 0 between stores, 1 between workers and stores."""
+        """Return the bytes so far, for kind 0 between stores, for 1 between workers and stores."""
         return sum(pair[kind].sent + pair[kind].received for pair in self.relay_by_store.values())
 
 
 class Reading:
-    """Counters of all stores and the entry at one moment."""
+    """Counters of all stores and entries at one time."""
 
     __slots__ = ("cpu_by_name", "store_bytes", "worker_bytes")
 
@@ -100,7 +101,7 @@
 
 
 def costs(cell, before, after, seconds):
-    """Return the costs between two readings as a flat mapping."""
+    """Return the costs between two readings: shares of a core, MB, and bytes a second."""
     leader = cell.owner()
     core = {
         name: (after.cpu_by_name[name] - before.cpu_by_name[name]) / seconds
@@ -120,7 +121,7 @@
 
 
 async def measured(cell, seconds, work=None):
-    """Measure for a time, with work beside it."""
+    """Return the costs over some seconds, while ``await work()`` runs."""
     before = Reading(cell=cell)
     async with create_task_group() as tasks:
         if work is not None:
@@ -131,20 +132,20 @@
 
 
 async def submit(cell, name, *, kind, tasks, run_s):
-    """Submit a job of small tasks."""
+    """Submit a job of small tasks; return the answer."""
     spec = {"name": name, "team": "ski", "kind": kind, "tasks": tasks, "run_s": run_s}
     spec |= {"cpu_milli": 100, "memory_mb": 100}
     return await cell.operate("submit", spec, request_id=name)
 
 
 async def running_tasks(cell):
-    """Return how many tasks run."""
+    """Return the number of running tasks."""
     answer = await cell.operate("jobs", {}, request_id="jobs")
     return sum(job["running"] for job in answer["jobs"])
 
 
 async def point(folder, workers, starts_per_s, seconds):
-    """Measure one number of workers: idle, then with task starts."""
+    """Return the costs with a number of workers, idle and with task starts."""
     random = Random(1)
     with Processes(folder=folder) as processes:
         cell = MeasuredCell(processes=processes, entries=("e1",), random=random)
@@ -184,7 +185,7 @@
 
 
 async def measure(sizes, starts_per_s, seconds):
-    """Measure all sizes."""
+    """Return ``{number of workers: (idle costs, busy costs)}``."""
     result = {}
     for workers in sizes:
         with TemporaryDirectory() as folder:
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -1,7 +1,9 @@
 """Latency of the entry path against direct calls to the same endpoints, and behaviour at overload.
 
-Run ``python -m bench.entry``; it prints a table and, as the last line, JSON. The exit status is 1
-if a bound that follows from a stated target is broken.
+Latencies are in milliseconds, loads in parts of the capacity of the endpoints. Prints a table and,
+as the last line, JSON. The exit status is 1 if a bound that follows from a stated target is broken.
+
+Usage: python -m bench.entry [SECONDS]
 """
 
 from collections import Counter
@@ -26,8 +28,8 @@
 CAPACITY = STUBS * SLOTS * 1000 / SERVICE_MS
 SECONDS = 12.0
 SEED = 20260
-# Targets: urgent requests at twice the capacity take at most twice the time they take at half of
-# it, retries are at most a tenth of the load, and 99% of the requests that are not run are told so
+# Targets: at twice the capacity, urgent requests take at most twice as long as at half of it;
+# retries are at most a tenth of the load; and 99% of the requests that are not run are refused
 # within a quarter of their deadline.
 MAX_URGENT_RATIO = 2.0
 MAX_RETRY_RATIO = 0.1
@@ -49,13 +51,16 @@
 
 
 def targets(net, names):
-    """Return (host, port) of processes."""
+    """Return ``[(host, port)]`` of processes."""
     parts = (net.url_by_name[name].rpartition(":") for name in names)
     return [(host.removeprefix("http://"), int(port)) for host, _, port in parts]
 
 
 async def measure(net, *, path, names, load, seconds):
-    """Run one load and return the result with the entry's CPU time per request, ms."""
+    """Run one load; return its result and the entry's CPU time for each request, ms.
+
+    :param load: offered load, in parts of the capacity.
+    """
     pid = net.processes.popen_by_name["e1"].pid
     source = Load(targets=targets(net, names), path=path, kinds=KINDS, seed=SEED)
     before = process_cpu_seconds(pid)
@@ -66,7 +71,10 @@
 
 
 def row(load, way, result, cpu_ms):
-    """Return the figures of one run."""
+    """Return the figures of one run.
+
+    :param way: ``direct`` or ``entry``.
+    """
     codes = result.codes()
     total = sum(codes.values())
     done, urgent = result.all_done(), result.done_by_kind["urgent"]
@@ -110,7 +118,7 @@
         (2, "entry"),
     ):
         path, names = ways[way]
-        # The direct calls have no request id and so do not count as retries below.
+        # Direct calls have no request id, so retry_ratio does not count them.
         result, cpu_ms = await measure(net, path=path, names=names, load=load, seconds=seconds)
         rows.append(row(load, way, result, cpu_ms))
         print_row(rows[-1])
@@ -132,7 +140,7 @@
 
 
 def retry_ratio(net):
-    """Return repeated sends per first send, from the records of the endpoints."""
+    """Return the number of retries for each first send, by the records of the endpoints."""
     records = read(*(net.record(f"p{number}") for number in range(STUBS)))
     ids = Counter(
         record["request_id"]
@@ -143,7 +151,7 @@
 
 
 def summarize(rows, net):
-    """Return the ratios of one run of this script."""
+    """Return the ratios between the rows, which were measured in the same run."""
     by = {(one["load"], one["way"]): one for one in rows}
     half, most, over = by[0.5, "entry"], by[0.9, "entry"], by[2, "entry"]
     return {
--- a/bench/layout.py
+++ b/bench/layout.py
@@ -1,8 +1,9 @@
-"""Control cost of every VM of the layout in samples/two-regions.toml, at the size to design for.
+"""Control cost of every VM of the layout in samples/two-regions.toml, at the design size.
 
 Nine stores and nine entries run on one machine, with stub workers in each of six failure domains.
-The cost of a VM is that of its store and its entry together. Then the time is measured from the
-answer to a configuration change until it is in force at all entries.
+The cost of a VM is that of its store and its entry together: shares of a core, and MB. Afterwards
+the time in seconds from the answer to a configuration change until it is in force at all entries is
+measured.
 
 Usage: python -m bench.layout [workers a domain] [tasks a domain] [seconds]
 """
@@ -25,7 +26,7 @@
 from tests.processes import Processes, free_ports, wait_until
 
 SAMPLE = Path(__file__).parent.parent / "samples" / "two-regions.toml"
-# 850 workers and 20,000 tasks in six failure domains.
+# For each of six failure domains; together about 850 workers and 20,000 tasks.
 WORKERS = 142
 TASKS = 3333
 STARTS_PER_S = 9.0
@@ -41,9 +42,9 @@
 
 
 class LayoutCell(FullCell):
-    """The processes of the sample, on free ports and with data below a folder.
+    """The cell of the sample settings, on free ports and with its data in a temporary directory.
 
-    :param parsed: :class:`~siskintally.settings.Settings`.
+    :param parsed: the :class:`~siskintally.settings.Settings` in use.
     """
 
     __slots__ = ("parsed",)
@@ -78,12 +79,15 @@
         return {group: self.owner(group) for group in self.layout.domains_by_group}
 
     def vms(self):
-        """Yield (VM, names of its processes)."""
+        """Yield ``(VM, (store, entry))``, the names of each VM and its processes."""
         for store, entry in zip(self.stores, self.entries, strict=True):
             yield store.partition("-")[0], (store, entry)
 
     async def start(self, workers):
-        """Start everything and wait until the workers are known."""
+        """Start all processes and set the configuration.
+
+        :param workers: number of stub workers in each failure domain.
+        """
         self.found()
         for name in self.stores:
             self.start_store(name)
@@ -104,7 +108,7 @@
         await self.operate("submit", spec, request_id=name, entry="vm1-entry")
 
     async def running(self):
-        """Return how many tasks run."""
+        """Return the number of running tasks."""
         answer = await self.operate("jobs", {}, request_id="jobs", entry="vm1-entry")
         return sum(job["running"] for job in answer["jobs"])
 
@@ -114,7 +118,10 @@
 
 
 async def costs(cell, seconds, work=None):
-    """Return ``{VM: (store's share of a core, entry's, MB of both)}``, with work beside it."""
+    """Return ``{VM: (store's share of a core, entry's share, MB of both)}``.
+
+    :param work: coroutine function that runs during the measurement.
+    """
     pid_by_name = {name: popen.pid for name, popen in cell.processes.popen_by_name.items()}
     before = {name: process_cpu_seconds(pid) for name, pid in pid_by_name.items()}
     async with create_task_group() as tasks:
@@ -133,7 +140,7 @@
 
 
 async def in_force_s(cell, number):
-    """Change the preset and return the time until all entries have it, seconds."""
+    """Change the preset; return the seconds until it is in force at all entries."""
     preset = "peak" if number % 2 else "ordinary"
     change = {"preset": preset, "expect_version": number}
     await cell.operate("preset", change, request_id=f"preset-{number}", entry="vm1-entry")
@@ -194,7 +201,7 @@
 
 
 def show(result):
-    """Print the figures beside their budgets."""
+    """Print the figures with their ratios to the budgets, and JSON."""
     leads = {store.partition("-")[0]: group for group, store in result["leaders"].items()}
     size = f"{result['workers']} workers, {result['tasks']} tasks"
     print(f"{size}, placed in {result['placed_s']:.1f} s")
--- a/bench/ledger_memory.py
+++ b/bench/ledger_memory.py
@@ -1,4 +1,7 @@
-"""Memory and time of the ledger: ``python -m bench.ledger_memory [records]``."""
+"""Memory (bytes) and processor time (microseconds) of the ledger for each record.
+
+Usage: python -m bench.ledger_memory [records]
+"""
 
 from sys import argv
 from time import process_time
@@ -12,7 +15,7 @@
 
 
 def fill(ledger, records):
-    """Run orders that are spread over 24 h.
+    """Begin and finish orders that are spread evenly over the retention time of 24 h.
 
     :returns: CPU time, seconds.
     """
@@ -26,7 +29,7 @@
 
 
 def main(records):
-    """Print bytes and CPU time for one record."""
+    """Print the bytes and the CPU time for each record."""
     cpu_s = fill(Ledger(), records)
     start()
     ledger = Ledger()
--- a/bench/link.py
+++ b/bench/link.py
@@ -1,4 +1,7 @@
-"""Cost of links: processor time and bytes for each message, at three rates and three sizes.
+"""Cost of links: processor time and bytes for each message.
+
+Calls are measured at three rates, heartbeats at three sizes and in bursts of three lengths. Times
+are in microseconds in the table, in seconds in the JSON.
 
 Usage: python -m bench.link [seconds for each point]
 """
@@ -25,7 +28,7 @@
 
 
 class Sink(Handler):
-    """Answers every call with Done and drops messages."""
+    """Answers every call with ``Done`` and ignores messages."""
 
     async def answer(self, session, body):
         """Answer a call."""
@@ -33,7 +36,7 @@
 
 
 def beat(attempts):
-    """Return a worker beat with some attempts."""
+    """Return a heartbeat of a worker with some attempts."""
     body = WorkerBeat(worker="worker-101", domain="jylland-a", rack="rack-7", session="a1b2c3d4")
     for number in range(attempts):
         body.attempts.add(task_id=f"job-1234/{number}", attempt=1)
@@ -41,7 +44,7 @@
 
 
 async def serve():
-    """Run the server side."""
+    """Run the server, in a process of its own."""
     set_up(process="server", level="error")
     hello = Hello(name="server", cell="bench", incarnation="1")
     await LinkServer(hello=hello, secret=SECRET, handler=Sink()).serve(
@@ -50,7 +53,7 @@
 
 
 async def drive(link, counter, server, *, rate, seconds, send, burst=1):
-    """Send at a rate; return CPU of each side and bytes, each for one message."""
+    """Send at a rate; return the CPU seconds of client and server and the bytes for one message."""
     before = cpu_seconds(), process_cpu_seconds(server.pid), counter.sent + counter.received
     count = int(rate * seconds)
     for number in range(count):
@@ -68,7 +71,7 @@
 
 
 def post(attempts):
-    """Return a function that sends one beat."""
+    """Return a function that sends one heartbeat."""
 
     async def send(link):
         link.send(beat(attempts))
@@ -77,7 +80,7 @@
 
 
 async def idle_cpu(seconds):
-    """Return the processor time of the pacing loop itself, a second at the lowest rate."""
+    """Return the processor time of the pacing loop itself, for one turn at the lowest rate."""
     before = cpu_seconds()
     count = int(RATES[0] * seconds)
     for _ in range(count):
@@ -86,7 +89,7 @@
 
 
 async def points(link, counter, server, seconds):
-    """Yield the name and the costs of each point."""
+    """Yield the name and the costs of each measuring point."""
     for rate in RATES:
         costs = await drive(link, counter, server, rate=rate, seconds=seconds, send=call)
         yield f"call at {rate}/s", costs
@@ -101,7 +104,7 @@
 
 
 async def measure_through(port, counter, server, seconds):
-    """Measure all points over one port, the server's own or the relay's."""
+    """Return ``{point: costs}`` over the port of the server or of the relay."""
     hello = Hello(name="client", cell="bench", incarnation="1")
     link = Link(host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=Sink())
     async with create_task_group() as tasks:
@@ -116,7 +119,10 @@
 
 
 async def measure(seconds):
-    """Measure processor time over a direct link and bytes through the relay."""
+    """Return ``{point: (client s, server s, bytes)}`` for one message.
+
+    Processor time is measured over a direct link, bytes through the relay.
+    """
     server = Popen([executable, "-m", "bench.link", "--serve"])
     try:
         counter = ByteCounter(port=RELAY_PORT, target=SERVER_PORT)
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,7 +1,7 @@
-"""Open-loop load over HTTP: requests leave at planned times, whatever happened to earlier ones.
+"""Open-loop HTTP load: each request is sent at its planned time, whether earlier ones are answered.
 
-Latencies count from the planned time, so a stalled system can't hide the requests it delayed
-(coordinated omission).
+Latencies count from the planned time, so that the requests which a stalled system delays are
+included (no coordinated omission). Shared by the benchmarks of entries.
 """
 
 from collections import Counter
@@ -29,7 +29,7 @@
 
 
 class Histogram:
-    """Latencies of one kind of request."""
+    """Histogram of latencies, up to 120 s."""
 
     __slots__ = ("_inner",)
 
@@ -37,15 +37,15 @@
         self._inner = HdrHistogram(1, HIGHEST_US, DIGITS)
 
     def record(self, seconds):
-        """Add a latency."""
+        """Record a latency."""
         self._inner.record_value(max(1, min(int(seconds * 1e6), HIGHEST_US)))
 
     def ms(self, percent):
-        """Return a percentile, ms."""
+        """Return the latency at a percentile, ms."""
         return self._inner.get_value_at_percentile(percent) / 1000
 
     def mean_ms(self):
-        """Return the mean, ms."""
+        """Return the mean latency, ms."""
         return self._inner.get_mean_value() / 1000
 
     def count(self):
@@ -73,7 +73,12 @@
 class Result:
     """Outcome of one run.
 
-    ``told`` has the times to an answer other than 1000, each in units of the request's deadline.
+    :param codes_by_kind: ``{kind: Counter of result codes}``; code 0 is a lost connection.
+    :param done_by_kind: ``{kind: latencies of answers with code 1000}``.
+    :param refused: latencies of all other answers.
+    :param told: the same latencies, each in units of the request's deadline.
+    :param lag: delays of the load generator against the planned times.
+    :param seconds: length of the run.
     """
 
     __slots__ = ("codes_by_kind", "done_by_kind", "lag", "refused", "seconds", "told")
@@ -87,11 +92,11 @@
         self.seconds = 0.0
 
     def codes(self):
-        """Return the number of answers by code."""
+        """Return the number of answers of all kinds by code."""
         return sum(self.codes_by_kind.values(), Counter())
 
     def all_done(self):
-        """Return the latencies of all requests that were answered by an endpoint."""
+        """Return the latencies of the answers with code 1000, for all kinds together."""
         total = Histogram()
         for one in self.done_by_kind.values():
             total._inner.add(one._inner)
@@ -135,11 +140,12 @@
 
 
 class Load:
-    """Sends a mix of requests to targets in turn.
+    """Load generator that sends a mix of requests to the targets in turn.
 
     :param targets: list of ``(host, port)``.
     :param path: path of all requests.
     :param kinds: list of :class:`Kind`.
+    :param seed: seed of the mix and of the intervals.
     """
 
     __slots__ = ("_idle_by_target", "_kinds", "_path", "_random", "_targets")
@@ -152,9 +158,10 @@
         self._idle_by_target = {target: [] for target in targets}
 
     async def run(self, *, rate, seconds, limit_s=30.0):
-        """Send for a time at Poisson intervals and wait for the answers.
+        """Send requests as a Poisson process, wait for the answers and return a :class:`Result`.
 
         :param rate: requests a second.
+        :param limit_s: longest wait for answers after the last request.
         """
         result = Result(kinds=self._kinds)
         kinds = self._random.choices(
@@ -198,7 +205,7 @@
         try:
             code = await channel.exchange(self._path, kind.headers)
         except (OSError, EndOfStream, BrokenResourceError, ClosedResourceError):
-            # The target closed the idle connection; a load balancer opens another one.
+            # The target has closed the idle connection; open a new one, as a load balancer does.
             if is_new:
                 raise
             channel = await self._open(target)
@@ -208,7 +215,7 @@
         return code
 
     async def _open(self, target):
-        # Like a load balancer, a connection that is refused goes to the next target.
+        # Like a load balancer, try the next target if one refuses the connection.
         first = self._targets.index(target)
         for host, port in self._targets[first:] + self._targets[:first]:
             try:
@@ -218,7 +225,7 @@
         raise refused
 
     async def close(self):
-        """Close the connections."""
+        """Close the idle connections."""
         for idle in self._idle_by_target.values():
             for channel in idle:
                 await channel.stream.aclose()
--- a/bench/log.py
+++ b/bench/log.py
@@ -1,7 +1,10 @@
-"""Throughput, CPU and idle cost of one group of three replicas in one process.
+"""Throughput, latency, processor time and idle cost of one replicated group of three members.
 
-Run ``python -m bench.log``. Messages are serialized and passed in memory; disks are real files in a
-temporary folder. All three replicas share the process, so CPU is for the whole group.
+Throughput is in log entries a second, latency in ms, processor time in us for each entry or in ms a
+second. All replicas run in one process, so processor time is that of the whole group. Messages are
+serialized and passed in memory; the logs are real files in a temporary directory.
+
+Usage: python -m bench.log [--seconds N] [--idle_seconds N] [--folder DIRECTORY]
 """
 
 from contextlib import asynccontextmanager
@@ -29,13 +32,13 @@
 SYNC_PROBES = 200
 
 FLAGS = flags.FLAGS
-flags.DEFINE_float("seconds", 3.0, "Time of each measurement.")
-flags.DEFINE_float("idle_seconds", 10.0, "Time of the idle measurement.")
-flags.DEFINE_string("folder", None, "Where to put the data; default: the temporary folder.")
+flags.DEFINE_float("seconds", 3.0, "Length of each measurement, s.")
+flags.DEFINE_float("idle_seconds", 10.0, "Length of the idle measurement, s.")
+flags.DEFINE_string("folder", None, "Directory of the data, by default that for temporary files.")
 
 
 class Counter(StateMachine):
-    """Counts commands."""
+    """State machine that counts commands."""
 
     __slots__ = ("count",)
 
@@ -43,7 +46,7 @@
         self.count = 0
 
     def apply(self, *, index, command):
-        """Count one."""
+        """Count a command."""
         self.count += 1
         return b""
 
@@ -57,7 +60,7 @@
 
 
 class Traffic:
-    """Messages between the replicas of one group."""
+    """Delivers and counts the messages between the replicas of one group."""
 
     __slots__ = ("bytes", "group_by_name", "messages")
 
@@ -67,7 +70,7 @@
         self.messages = 0
 
     def send(self, to, body):
-        """Serialize a frame, count it and deliver it."""
+        """Count the bytes of a frame and deliver the message."""
         data = wrap(body).SerializeToString()
         self.bytes += len(data)
         self.messages += 1
@@ -77,6 +80,7 @@
 
 @asynccontextmanager
 async def running(batch_items):
+    """Yield (leader, traffic) of a running group."""
     with TemporaryDirectory(dir=FLAGS.folder) as folder:
         traffic = Traffic()
         bootstrap_replica(Path(folder) / NAMES[0], group="bench", name=NAMES[0])
@@ -99,6 +103,7 @@
 
 
 async def settled(traffic):
+    """Wait until all members are voters; return the leader."""
     while True:
         for group in traffic.group_by_name.values():
             if group.is_leader and sum(member.voter for member in group.members) == len(NAMES):
@@ -107,7 +112,10 @@
 
 
 async def load(leader, callers):
-    """Return (entries a second, CPU us an entry, histogram of latencies in us)."""
+    """Propose from concurrent callers.
+
+    :returns: entries a second, CPU us for each entry, histogram of latencies in us.
+    """
     histogram = HdrHistogram(1, 60_000_000, 3)
     end = monotonic() + FLAGS.seconds
     cpu = process_time()
@@ -126,6 +134,7 @@
 
 
 async def measure_load(batch_items, label):
+    """Print and return ``{callers: (entries a second, CPU us for each entry)}``."""
     rates = {}
     async with running(batch_items) as (leader, _):
         for callers in CALLERS:
@@ -141,6 +150,7 @@
 
 
 async def measure_idle():
+    """Print the processor time and the traffic of a group without commands."""
     async with running(BATCH_ITEMS) as (_, traffic):
         await sleep(1.0)
         size, messages, cpu = traffic.bytes, traffic.messages, process_time()
@@ -155,7 +165,7 @@
 
 
 async def measure_sync():
-    """Compare a sync in the event loop with one in a worker thread."""
+    """Print the cost of an append and fsync in the event loop and in a thread."""
     limiter = CapacityLimiter(1)
     folder = TemporaryDirectory(dir=FLAGS.folder)
     with folder, open(Path(folder.name) / "log", "ab", buffering=0) as file:
@@ -174,6 +184,7 @@
 
 
 async def main():
+    """Run all measurements, with and without group commit."""
     configure(wrapper_class=make_filtering_bound_logger(ERROR_LEVEL))
     await measure_sync()
     await measure_idle()
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -1,4 +1,4 @@
-"""Shared tools of the measurements: processor time, memory, byte counts, and slopes."""
+"""Shared tools of the benchmarks: processor time, memory, byte counts and linear fits."""
 
 from os import getpid
 from pathlib import Path
@@ -18,19 +18,19 @@
 
 
 def cpu_seconds():
-    """Return the processor time of this process in seconds."""
+    """Return the processor time of this process so far, seconds."""
     usage = getrusage(RUSAGE_SELF)
     return usage.ru_utime + usage.ru_stime
 
 
 def process_cpu_seconds(pid):
-    """Return the processor time of another process in seconds."""
+    """Return the processor time of a process so far, seconds."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / 100
 
 
 def resident_mb(pid=None):
-    """Return the resident memory of a process in MB."""
+    """Return the resident memory of a process, by default of this one, MB."""
     pages = Path(f"/proc/{pid or getpid()}/statm").read_text().split()[1]
     return int(pages) * PAGE_BYTES / MB
 
@@ -53,10 +53,12 @@
 
 
 class ByteCounter:
-    """TCP relay that counts what passes through it.
+    """TCP relay that counts the bytes in each direction.
 
     :param port: port to listen on.
-    :param target: port to connect to, both on loopback.
+    :param target: port to connect to; both ports are on loopback.
+    :param sent: bytes from clients to the target.
+    :param received: bytes from the target to clients.
     """
 
     __slots__ = ("_target", "port", "received", "sent")
--- a/bench/packing.py
+++ b/bench/packing.py
@@ -1,9 +1,10 @@
-"""Packing efficiency against first fit, best fit and the upper bound.
+"""Packing efficiency of placement, compared with first fit, best fit and the upper bound.
 
-Fill: a fixed list of tasks that would use the scarcer resource to exactly the whole is offered to
-an empty pool. Churn: tasks end and new ones are submitted while the queue is never empty. The bound
-is the whole of the scarcer resource. The waiting times of gangs and the spread of services come
-from a churn of all kinds of jobs, so that packing is not bought with starvation.
+Efficiency is a share of the upper bound, which is the total capacity of the scarcer resource. Fill:
+an empty pool is offered a fixed list of tasks that needs all of the scarcer resource. Churn: tasks
+end and new ones are submitted, so that the queue is never empty. A churn of all kinds of jobs also
+gives the waiting times of gangs (seconds) and the spread of services, which would show packing at
+the cost of starvation.
 
 Usage: python -m bench.packing [--json FILE] [--seed N] [--quick] [--check]
 """
@@ -36,7 +37,7 @@
     "common": (250, 500, 500, 1000, 1000, 2000, 2000, 4000, 8000),
     "large": (700, 1900, 3100, 4700, 6100, 7300, 9700, 11_300, 13_100),
 }
-# Parts of the jobs in the churn of all kinds, and the largest number of tasks of a job.
+# Shares of gangs and services in the churn of all kinds, and the largest number of tasks of a job.
 GANGS, SERVICES, MOST_TASKS = 0.05, 0.15, 8
 
 
@@ -49,13 +50,13 @@
 
 
 def batch(random, capacity, mix):
-    """Yield (kind, size, tasks) of batch jobs with one task."""
+    """Yield (kind, size, number of tasks) of batch jobs with one task."""
     for need in sizes(random, capacity, mix):
         yield Kind.BATCH, need, 1
 
 
 def all_kinds(random, capacity, mix):
-    """Yield (kind, size, tasks) of batch jobs, services and gangs."""
+    """Yield (kind, size, number of tasks) of batch jobs, services and gangs."""
     for need in sizes(random, capacity, mix):
         part = random.random()
         if part < GANGS:
@@ -67,7 +68,7 @@
 
 
 def whole_list(random, total, capacity, mix):
-    """Return tasks that use the scarcer resource of ``total`` to the whole, and which one it is."""
+    """Return tasks that need all of the scarcer resource of ``total``, and its name."""
     tasks, used = [], NOTHING
     for need in sizes(random, capacity, mix):
         if not (used + need).within(total):
@@ -79,7 +80,7 @@
 
 
 def fill(pool, tasks, resource):
-    """Offer a list of tasks one by one; return the placed part of it, by the scarcer resource."""
+    """Offer tasks one by one; return the placed share of them, by the scarcer resource."""
     offered, placed = 0, 0
     for number, need in enumerate(tasks):
         job = Job(job_id=f"f{number}", kind=Kind.BATCH, need=need, tasks=1, submitted=0.0)
@@ -94,10 +95,10 @@
 
 
 def worst_true_use(random, workers, capacity):
-    """Place tasks whose true sizes are off by up to 10 times either way.
+    """Place tasks whose actual use is up to 10 times more or less than the declared size.
 
-    :returns: whether each worker's reservations are the declared sizes, and the largest true use
-        of a worker as a part of its capacity.
+    :returns: whether each worker's reservations equal the declared sizes, and the largest actual
+        use of a worker as a share of its capacity.
     """
     pool, worst = IndexedPool(workers=workers, capacity=capacity), 0.0
     source = sizes(random, capacity, "common")
@@ -115,7 +116,7 @@
 
 
 def measure(name, capacity, mix, workers, seed):
-    """Return fill and churn of batch tasks for the indexed pool and the baselines."""
+    """Return the fill and the churn of batch tasks, for the placement and the baselines."""
     pools = {
         "indexed": lambda count: IndexedPool(workers=count, capacity=capacity),
         "first_fit": lambda count: ScanPool(workers=count, capacity=capacity, best=False),
@@ -144,7 +145,7 @@
 
 
 def measure_all_kinds(name, capacity, mix, workers, seed):
-    """Return the use, the waits and the spread of services in a churn of all kinds of jobs."""
+    """Return the use, the waiting times and the spread of services in a churn of all kinds."""
     pool = IndexedPool(workers=workers, capacity=capacity)
     steady = run_churn(pool, all_kinds(Random(seed), capacity, mix), workers, capacity, seed)
     row = {"workers": workers, "churn": steady.use}
@@ -175,6 +176,7 @@
 
 
 def main(_):
+    """Run all measurements; print the figures and the targets, and write the JSON file."""
     workers = 24 if FLAGS.quick else 850
     results = {"seed": FLAGS.seed, "workers": workers, "churn_workers": CHURN_WORKERS}
     met = results["target_met"] = {}
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,4 +1,7 @@
-"""Speed of placement decisions against a first-fit scan in the same run.
+"""Speed of placement decisions, compared with a first-fit scan in the same run.
+
+Prints placements a second and decision times in ms for three numbers of workers, and the time in ms
+to cancel 10,000 jobs.
 
 Usage: python -m bench.placement [--json FILE] [--seed N] [--quick] [--check]
 """
@@ -34,7 +37,7 @@
 
 
 class FirstFit:
-    """Baseline: scans the workers in order for the first one with room."""
+    """Baseline that scans the workers in order for the first one with free resources."""
 
     __slots__ = ("free", "held")
 
@@ -43,7 +46,7 @@
         self.held = {}
 
     def place(self, task_id, need):
-        """Place a task if it fits."""
+        """Place a task; return the number of its worker, or None if it fits nowhere."""
         for number, room in enumerate(self.free):
             if room[0] >= need.cpu and room[1] >= need.memory:
                 room[0] -= need.cpu
@@ -60,7 +63,7 @@
 
 
 class Workload:
-    """Sizes and kinds of tasks: a fifth services, some gangs, the rest batch."""
+    """Random jobs with one task; a fifth of them are services, the rest batch jobs."""
 
     __slots__ = ("_random", "count")
 
@@ -97,7 +100,7 @@
 
 
 def filled(workers, workload):
-    """Return a placement and the ids of its running tasks."""
+    """Return a placement on filled workers, and the ids of its running tasks."""
     placement = Placement()
     for number in range(workers):
         domain = f"d{number % 3}"
@@ -111,6 +114,7 @@
 
 
 def measure_indexed(workers, decisions, seed):
+    """Return the speed of the placement in a steady state: one task ends for each new one."""
     workload = Workload(seed=seed)
     placement, running = filled(workers, workload)
     histogram = HdrHistogram(1, 60_000_000, 3)
@@ -139,6 +143,7 @@
 
 
 def measure_first_fit(workers, decisions, seed):
+    """Return the speed of the first-fit scan in the same steady state."""
     workload = Workload(seed=seed)
     pool = FirstFit(workers=workers)
     running = []
@@ -159,7 +164,7 @@
 
 
 def measure_wave(workers, seed):
-    """Cancel 10,000 waiting or running jobs, with placements going on between parts of the wave."""
+    """Cancel 10,000 waiting or running jobs in parts of 500, with a placement after each part."""
     workload = Workload(seed=seed)
     placement, running = filled(workers, workload)
     waiting = []
@@ -185,6 +190,7 @@
 
 
 def main(_):
+    """Run all measurements; print the figures and the targets, and write the JSON file."""
     decisions = DECISIONS // 10 if FLAGS.quick else DECISIONS
     results = {"seed": FLAGS.seed, "decisions": decisions, "by_workers": {}}
     for workers in WORKERS:
--- a/bench/regions.py
+++ b/bench/regions.py
@@ -1,8 +1,8 @@
-"""Bytes that cross a region boundary, and what a catch-up and a wave of announcements cost.
+"""Traffic between two regions: idle, with many announcements, and after missed changes.
 
-Two domains in two regions with three stores and an entry each; the cell group has two stores in one
-region and one in the other. Every link whose ends are in different regions passes a relay that
-counts its bytes, in both directions.
+Traffic is in bytes a second; processor time in seconds, or as a share of a core. Two domains in two
+regions have three stores and an entry each; the cell group has two stores in one region and one in
+the other. Every link between the regions passes a relay that counts the bytes in both directions.
 
 Usage: python -m bench.regions [seconds]
 """
@@ -27,13 +27,13 @@
 MISSED_CHANGES = 500
 ENDPOINTS = 142
 WAVE_S = 10.0
-# Two of the three stores of the far domain; without them its group has no quorum.
+# Two of the three stores in the far domain; without them its group has no quorum.
 STOPPED = ("s5", "s6")
 FAR_GROUP = "fjeld"
 
 
 class CountedDomains(FullCell):
-    """Two domains whose links to each other are counted."""
+    """Two domains; the bytes on the links between them are counted."""
 
     __slots__ = ()
 
@@ -42,24 +42,24 @@
         self.split(LAYOUT.places(), forwarder=ByteCounter)
 
     def crossing_bytes(self):
-        """Return the bytes between the regions so far."""
+        """Return the number of bytes between the regions so far."""
         return sum(one.sent + one.received for one in self.forwarders)
 
     def cpu_of(self, names):
-        """Return the processor time of processes so far, s."""
+        """Return the processor time of processes so far, seconds."""
         popen = self.processes.popen_by_name
         return sum(process_cpu_seconds(popen[name].pid) for name in names)
 
 
 async def idle(cell, seconds):
-    """Return the bytes a second between the regions without work."""
+    """Return the bytes a second between the regions while the cell is idle."""
     before = cell.crossing_bytes()
     await sleep(seconds)
     return (cell.crossing_bytes() - before) / seconds
 
 
 async def catch_up(cell, idle_bytes_s):
-    """Return the cost of a domain that comes back after missing changes, without the idle part."""
+    """Return the cost when a domain that missed changes catches up, without the idle traffic."""
     for name in STOPPED:
         cell.processes.stop(name)
     spec = {"team": "ski", "kind": "batch", "tasks": 1, "run_s": 1, "domain": FAR}
@@ -104,7 +104,7 @@
 
 
 async def wave(cell, idle_bytes_s):
-    """Return the cost of many endpoints that announce themselves each second."""
+    """Return the cost of many endpoints that each announce themselves once a second."""
     before, cpu, started = cell.crossing_bytes(), cell.cpu_of(["e1"]), monotonic()
     seq = 0
     while monotonic() - started < WAVE_S:
@@ -122,7 +122,7 @@
 
 
 async def measure(seconds=SECONDS):
-    """Return all figures as a flat mapping."""
+    """Return all figures as a flat mapping, as bench.capacity reads it."""
     with TemporaryDirectory() as folder, Processes(folder=Path(folder)) as processes:
         cell = CountedDomains(processes=processes)
         cell.found()
--- a/bench/roles.py
+++ b/bench/roles.py
@@ -1,4 +1,4 @@
-"""Processor time and memory of the processes of a running cell.
+"""Processor time (share of a core) and memory (MB) of the processes of a running cell.
 
 Usage: python -m bench.roles RUN_FOLDER [seconds]
 
@@ -18,12 +18,12 @@
 
 
 def sample(pids):
-    """Return ``{name: cpu seconds}``."""
+    """Return ``{process name: CPU seconds so far}``."""
     return {name: process_cpu_seconds(pid) for name, pid in pids.items()}
 
 
 def main():
-    """Print a row for each process and the means of each role."""
+    """Print a row for each process, the largest values of each role, and JSON."""
     folder = Path(argv[1])
     seconds = float(argv[2]) if len(argv) > 2 else DEFAULT_SECONDS
     pids = {path.stem: int(path.read_text()) for path in sorted(folder.glob("*.pid"))}
--- a/bench/state.py
+++ b/bench/state.py
@@ -1,4 +1,7 @@
-"""Memory, processor time and snapshot size of the states that roles keep, at three sizes each.
+"""Cost of the state that roles keep, at three sizes of each.
+
+Measures the memory (bytes), the time to build it (us), and the size (kB) and time (ms) of a
+snapshot. The JSON has the slopes for each item, in bytes and seconds.
 
 Usage: python -m bench.state
 """
@@ -23,10 +26,10 @@
 
 
 class Point:
-    """Costs of one size.
+    """Costs of a state of one size.
 
     :param build_s: seconds to build the state.
-    :param memory: bytes that it holds.
+    :param memory: bytes of memory that it uses.
     :param snapshot: size of its snapshot in bytes, 0 if it has none.
     :param snapshot_s: seconds to take the snapshot.
     """
@@ -42,7 +45,7 @@
 
 
 def measure(build, size):
-    """Build a state twice: for time, then for memory."""
+    """Build a state twice, because tracing memory slows it down: for time, then for memory."""
     before = perf_counter()
     state = build(size)
     build_s = perf_counter() - before
@@ -103,7 +106,7 @@
 
 
 def announcements(size):
-    """Return a table of announced endpoints."""
+    """Return an announcement table with endpoints of 20 services."""
     table = AnnouncementTable(domain="jylland-a")
     for number in range(size):
         fields = {
@@ -129,7 +132,7 @@
 
 
 def main():
-    """Print the points and the slopes."""
+    """Print the points, and the slopes as JSON."""
     slopes = {}
     print(f"{'state':16} {'size':>8} {'build us each':>14} {'bytes each':>11} {'snapshot':>12}")
     for name, build, sizes in STATES:
--- a/bench/urgent.py
+++ b/bench/urgent.py
@@ -1,7 +1,7 @@
-"""Time from the submission of an urgent job to the start of its task on full workers.
+"""Time in ms from the submission of an urgent job to the start of its task on full workers.
 
-Deferrable tasks fill all workers; urgent jobs then have to preempt. Each second point kills the
-owner first. Times are from the records of the workers.
+Deferrable tasks fill all workers, so that urgent jobs have to preempt them. For three more jobs the
+owner is killed just before the submission. The start times are from the records of the workers.
 
 Usage: python -m bench.urgent [jobs] [workers]
 """
@@ -37,7 +37,10 @@
 
 
 async def submit(cell, name, *, tasks, rank):
-    """Submit a batch job of tasks that take a quarter of a worker; return its id."""
+    """Submit a batch job whose tasks use a quarter of a worker each; return its id.
+
+    :param rank: class of the job, such as ``urgent``.
+    """
     spec = {"name": name, "team": "ski", "kind": "batch", "class": rank, "tasks": tasks}
     spec |= {"cpu_milli": 1000, "memory_mb": 1000, "run_s": 600}
     answer = await cell.operate("submit", spec, request_id=name)
@@ -45,7 +48,7 @@
 
 
 async def measure(jobs, workers):
-    """Return milliseconds of each urgent job, without and with the loss of the owner."""
+    """Return the milliseconds of each urgent job, without and with a loss of the owner."""
     with TemporaryDirectory() as folder:
         async with running_cell(Path(folder), Random(1)) as cell:
             await cell.wait_voters()
@@ -76,7 +79,7 @@
 
 
 def main():
-    """Print percentiles, the target and JSON."""
+    """Print percentiles beside the target, and JSON."""
     jobs = int(argv[1]) if len(argv) > 1 else JOBS
     workers = int(argv[2]) if len(argv) > 2 else WORKERS
     calm, lost = run(measure, jobs, workers)
