--- a/bench/balancing.py
+++ b/bench/balancing.py
@@ -18,7 +18,7 @@
 from bench.load import Kind, Load
 from siskintally.balancer import BALANCER_BY_NAME
 from siskintally.codes import not_run
-from tests.entry_net import Net
+from tests.entry_net import EntryNetwork
 from tests.processes import Processes, wait_until
 
 STUBS = 3
@@ -42,7 +42,7 @@
 
 async def make_slow(net):
     """Make one of the endpoints five times slower."""
-    await net.control("p0", service_ms=SLOW_MS)
+    await net.set_behaviour("p0", service_ms=SLOW_MS)
 
 
 async def lose_endpoint(net):
@@ -63,15 +63,15 @@
 async def measure_fault(policy, fault, seconds):
     """Return the figures before, during and after a fault under a policy."""
     with TemporaryDirectory() as folder, Processes(folder=Path(folder)) as processes:
-        net = Net(processes=processes, entries=ENTRIES)
+        net = EntryNetwork(processes=processes, entries=ENTRIES)
         async with AsyncClient(timeout=30.0) as net.client:
             for name in ENTRIES:
                 net.start_entry(name, "--balancer", policy)
             for number in range(STUBS):
                 net.start_stub(f"p{number}", "--service_ms", SERVICE_MS, "--slots", SLOTS)
-            await net.wait_known(STUBS)
+            await net.wait_endpoints(STUBS)
             for name in ENTRIES:
-                await net.wait_served(name)
+                await net.wait_serving(name)
             load = Load(
                 targets=targets(net, ENTRIES), path="/call/seat-count/x", kinds=KINDS, seed=SEED
             )
--- a/bench/config_reach.py
+++ b/bench/config_reach.py
@@ -17,7 +17,7 @@
 
 from tests.cell_runs import wait_version
 from tests.full_cell import running_cell
-from tests.six_domains import DOMAINS_BY_REGION, LAYOUT, change
+from tests.six_domains import DOMAINS_BY_REGION, LAYOUT, change_config
 
 CHANGES = 40
 CUTS = 3
@@ -28,62 +28,66 @@
 DOMAIN_DELAY_S = 0.0005
 
 
-def delay(cell):
+def set_delays(cell):
     """Set the network delays of the platform on all links between domains."""
-    for (start, name), forwarder in cell.places.forwarder_by_way.items():
-        region, other = (
-            text.partition("-")[0] for text in (start, cell.places.place_by_name[name])
+    for (source_domain, name), forwarder in cell.network.forwarder_by_route.items():
+        source_region, target_region = (
+            text.partition("-")[0] for text in (source_domain, cell.network.location_by_name[name])
         )
-        forwarder.delay_s = DOMAIN_DELAY_S if region == other else REGION_DELAY_S
+        forwarder.delay_s = DOMAIN_DELAY_S if source_region == target_region else REGION_DELAY_S
 
 
-async def after_cut(cell, places, version):
+async def measure_after_cut(cell, locations, version):
     """Change the configuration during a cut; return the seconds from the end of the cut."""
-    cell.places.cut(*places)
+    cell.network.cut(*locations)
     await sleep(CUT_S)
-    await change(cell, version)
-    cell.places.heal()
+    await change_config(cell, version)
+    cell.network.heal()
     healed = monotonic()
-    delay(cell)
+    set_delays(cell)
     await wait_version(cell, version + 1)
     return monotonic() - healed
 
 
 async def measure(changes):
     """Return ``{kind of change: seconds of each change}``."""
-    took = {"ordinary": [], "after the cut of a domain": [], "after the cut of a region": []}
+    seconds_by_kind = {
+        "ordinary": [],
+        "after the cut of a domain": [],
+        "after the cut of a region": [],
+    }
     with TemporaryDirectory() as folder:
-        options = {"layout": LAYOUT, "place_by_name": LAYOUT.places()}
+        options = {"layout": LAYOUT, "location_by_name": LAYOUT.domain_by_name()}
         async with running_cell(Path(folder), Random(1), **options) as cell:
-            delay(cell)
+            set_delays(cell)
             version = 1
             for _ in range(changes):
-                accepted = await change(cell, version)
+                accepted = await change_config(cell, version)
                 version += 1
                 await wait_version(cell, version)
-                took["ordinary"].append(monotonic() - accepted)
+                seconds_by_kind["ordinary"].append(monotonic() - accepted)
             for _ in range(CUTS):
-                for what, places in (
+                for what, locations in (
                     ("domain", ["fjeld-b"]),
                     ("region", DOMAINS_BY_REGION["fjeld"]),
                 ):
-                    seconds = await after_cut(cell, places, version)
-                    took[f"after the cut of a {what}"].append(seconds)
+                    seconds = await measure_after_cut(cell, locations, version)
+                    seconds_by_kind[f"after the cut of a {what}"].append(seconds)
                     version += 1
-    return took
+    return seconds_by_kind
 
 
 def main():
     """Print the median and the maximum with their ratio to the target, and JSON."""
-    took = run(measure, int(argv[1]) if len(argv) > 1 else CHANGES)
-    for what, seconds in took.items():
+    seconds_by_kind = run(measure, int(argv[1]) if len(argv) > 1 else CHANGES)
+    for what, seconds in seconds_by_kind.items():
         ordered = sorted(seconds)
         median, longest = ordered[len(ordered) // 2], ordered[-1]
         print(
             f"{what}: {len(ordered)} changes, median {median:.3f} s, max {longest:.3f} s, "
             f"x{longest / TARGET_S:.3f} of the target of {TARGET_S} s"
         )
-    print(json.dumps(took))
+    print(json.dumps(seconds_by_kind))
 
 
 if __name__ == "__main__":
--- a/bench/domain_load.py
+++ b/bench/domain_load.py
@@ -149,7 +149,7 @@
     random = Random(1)
     with Processes(folder=folder) as processes:
         cell = MeasuredCell(processes=processes, entries=("e1",), random=random)
-        cell.found()
+        cell.bootstrap()
         async with AsyncClient(timeout=30.0) as cell.client, create_task_group() as tasks:
             for pair in cell.relay_by_store.values():
                 for counter in pair:
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -19,7 +19,7 @@
 from bench.meter import process_cpu_seconds, resident_mb
 from siskintally.codes import not_run
 from tests.checker import read
-from tests.entry_net import Net
+from tests.entry_net import EntryNetwork
 from tests.processes import Processes
 
 SLOTS = 8
@@ -106,8 +106,8 @@
     stubs = [f"p{number}" for number in range(STUBS)]
     for stub in stubs:
         net.start_stub(stub, "--service_ms", SERVICE_MS, "--slots", SLOTS)
-    await net.wait_known(STUBS)
-    await net.wait_served("e1")
+    await net.wait_endpoints(STUBS)
+    await net.wait_serving("e1")
     ways = {"direct": ("/boarding", stubs), "entry": ("/call/seat-count/boarding", ["e1"])}
     rows = []
     for load, way in (
@@ -172,7 +172,7 @@
 async def main(seconds):
     """Run all measurements; return whether the bounds hold."""
     with TemporaryDirectory() as folder, Processes(folder=Path(folder)) as processes:
-        net = Net(processes=processes, entries={"e1": "jylland-a"})
+        net = EntryNetwork(processes=processes, entries={"e1": "jylland-a"})
         async with AsyncClient(timeout=30.0) as net.client:
             net.start_entry("e1")
             rows = await measure_all(net, seconds)
--- a/bench/layout.py
+++ b/bench/layout.py
@@ -53,7 +53,7 @@
         self.processes = processes
         self.folder = processes.folder
         self.random = Random(1)
-        self.places = None
+        self.network = None
         text = sub(
             r"127\.0\.0\.1:\d+", lambda _: f"127.0.0.1:{free_ports(1)[0]}", SAMPLE.read_text()
         )
@@ -88,7 +88,7 @@
 
         :param workers: number of stub workers in each failure domain.
         """
-        self.found()
+        self.bootstrap()
         for name in self.stores:
             self.start_store(name)
         for name in self.entries:
--- a/bench/regions.py
+++ b/bench/regions.py
@@ -39,7 +39,7 @@
 
     def __init__(self, *, processes):
         super().__init__(processes=processes, layout=LAYOUT, random=Random(1))
-        self.split(LAYOUT.places(), forwarder=ByteCounter)
+        self.add_forwarders(LAYOUT.domain_by_name(), forwarder=ByteCounter)
 
     def crossing_bytes(self):
         """Return the number of bytes between the regions so far."""
@@ -125,7 +125,7 @@
     """Return all figures as a flat mapping, as bench.capacity reads it."""
     with TemporaryDirectory() as folder, Processes(folder=Path(folder)) as processes:
         cell = CountedDomains(processes=processes)
-        cell.found()
+        cell.bootstrap()
         # Each endpoint keeps its connection, as real ones do.
         limits = Limits(max_connections=None, max_keepalive_connections=None)
         async with (
--- a/tests/cell_runs.py
+++ b/tests/cell_runs.py
@@ -4,11 +4,11 @@
 
 from tests.checker import check_requests, read
 from tests.full_cell import running_cell
-from tests.processes import seeded, wait_until
+from tests.processes import seeded_random, wait_until
 
-LIMIT_S = 240
+TEST_LIMIT_S = 240
 ORDERS = 24
-WATCH_S = 0.05
+WATCH_INTERVAL_S = 0.05
 
 
 def with_cell(folder, check, **options):
@@ -16,10 +16,10 @@
 
     :param options: for :func:`~tests.full_cell.running_cell`.
     """
-    random = seeded()
+    random = seeded_random()
 
     async def main():
-        with fail_after(LIMIT_S):
+        with fail_after(TEST_LIMIT_S):
             async with running_cell(folder, random, **options) as cell:
                 await check(cell)
 
@@ -36,7 +36,7 @@
 
     async def place(key):
         await sleep(cell.random.uniform(0.0, spread_s))
-        code_by_key[key] = await cell.order(key, answers, headers=headers)
+        code_by_key[key] = await cell.place_order(key, answers, headers=headers)
 
     async with create_task_group() as tasks:
         for number in range(orders):
@@ -65,7 +65,7 @@
 async def wait_ready(cell, *entries):
     """Wait until the given entries serve requests."""
     for entry in entries:
-        await cell.wait_served(entry)
+        await cell.wait_serving(entry)
 
 
 async def watch_versions(cell, faults):
@@ -82,7 +82,7 @@
             if 0 < version < highest[entry]:
                 faults.append(f"{entry}: version {version} after {highest[entry]}")
             highest[entry] = max(highest[entry], version)
-        await sleep(WATCH_S)
+        await sleep(WATCH_INTERVAL_S)
 
 
 async def wait_version(cell, version, *, entries=None):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,7 @@
 settings.load_profile("fuzz" if environ.get("SISKINTALLY_FUZZ") else "ci")
 
 
-def known_red():
+def known_failures():
     """Return the ids of the tests listed in KNOWN-RED.txt."""
     lines = (
         (Path(__file__).parent.parent / "KNOWN-RED.txt").read_text(encoding="utf-8").splitlines()
@@ -24,11 +24,11 @@
 def pytest_collection_modifyitems(items):
     """Mark exactly the listed tests as expected failures; they still run."""
     for item in items:
-        if item.nodeid in known_red():
+        if item.nodeid in known_failures():
             item.add_marker(mark.xfail(reason="KNOWN-RED.txt", strict=False))
 
 
 def pytest_terminal_summary(terminalreporter):
     """Print the listed tests, whether they passed or failed."""
-    for test in sorted(known_red()):
+    for test in sorted(known_failures()):
         terminalreporter.write_line(f"KNOWN-RED.txt lists {test}")
--- a/tests/entry_net.py
+++ b/tests/entry_net.py
@@ -6,14 +6,14 @@
 
 from tests.processes import Processes, free_ports, wait_until
 
-HEAD = '[cell]\nname = "demo"\nsecret = "0123456789abcdef"\n'
+CELL_SETTINGS = '[cell]\nname = "demo"\nsecret = "0123456789abcdef"\n'
 TOKEN = "operator-token-of-astrid"
 REGION_BY_DOMAIN = {
     f"{region}-{letter}": region for region in ("jylland", "fjeld") for letter in "abc"
 }
 
 
-class Net:
+class EntryNetwork:
     """Entries without stores, and endpoint stubs.
 
     :param processes: :class:`~tests.processes.Processes`.
@@ -29,7 +29,7 @@
         self.folder = processes.folder
         self.url_by_name = {}
         self.client = None
-        text = HEAD + f'[[operator]]\nname = "astrid"\ntoken = "{TOKEN}"\n'
+        text = CELL_SETTINGS + f'[[operator]]\nname = "astrid"\ntoken = "{TOKEN}"\n'
         for name, domain in entries.items():
             link, http = free_ports(2)
             text += (
@@ -51,7 +51,7 @@
         """Start an endpoint stub that announces itself to the given entries, by default to all."""
         (port,) = free_ports(1)
         self.url_by_name[name] = f"http://127.0.0.1:{port}"
-        urls = ",".join(self.url_by_name[one] for one in entries or self.entries)
+        urls = ",".join(self.url_by_name[target] for target in entries or self.entries)
         self.processes.start(
             name,
             "stub-endpoint",
@@ -83,29 +83,31 @@
         except HTTPError:
             return None
 
-    async def control(self, stub, **fields):
+    async def set_behaviour(self, stub, **fields):
         """Change the behaviour of an endpoint stub, such as its fault."""
         await self.client.post(f"{self.url_by_name[stub]}/control", json=fields)
 
-    async def wait_known(self, count, *entries):
+    async def wait_endpoints(self, count, *entries):
         """Wait until each of the entries, by default all, lists ``count`` endpoints."""
         for entry in entries or self.entries:
             await wait_until(
-                lambda entry=entry: self._knows(entry, count), f"{entry} lists {count} endpoints"
+                lambda entry=entry: self.lists_endpoints(entry, count),
+                f"{entry} lists {count} endpoints",
             )
 
-    async def wait_served(self, entry):
+    async def wait_serving(self, entry):
         """Wait until an entry answers a request with code 1000."""
 
-        async def served():
+        async def is_serving():
             response = await self.call(entry)
             return response is not None and code(response) == 1000
 
-        await wait_until(served, f"{entry} serves")
+        await wait_until(is_serving, f"{entry} serves")
 
-    async def _knows(self, entry, count):
-        state = await self.health(entry)
-        return state is not None and state["endpoints"] == count
+    async def lists_endpoints(self, entry, count):
+        """Return whether an entry lists ``count`` endpoints."""
+        report = await self.health(entry)
+        return report is not None and report["endpoints"] == count
 
 
 def code(response):
@@ -114,10 +116,10 @@
 
 
 @asynccontextmanager
-async def running(folder, *, entries=None, extra=""):
+async def running_network(folder, *, entries=None, extra=""):
     """Yield a :class:`Net` whose entries have been started."""
     with Processes(folder=folder) as processes:
-        net = Net(processes=processes, entries=entries or {"e1": "jylland-a"}, extra=extra)
+        net = EntryNetwork(processes=processes, entries=entries or {"e1": "jylland-a"}, extra=extra)
         async with AsyncClient(timeout=30.0) as net.client:
             for name in net.entries:
                 net.start_entry(name)
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -15,7 +15,7 @@
     sleep,
 )
 
-_LOST = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
+_CONNECTION_ERRORS = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
 CHUNK_BYTES = 65536
 
 
@@ -36,8 +36,8 @@
     """
 
     __slots__ = (
-        "_changed",
         "_connections",
+        "_healed",
         "blocked",
         "delay_s",
         "is_cut",
@@ -52,12 +52,14 @@
         self.is_cut = False
         self.blocked = set()  # "to_server", "to_client" or both
         self._connections = []
-        self._changed = Event()
+        self._healed = Event()
 
     async def run(self):
         """Forward connections until cancelled."""
-        async with await create_tcp_listener(local_host="127.0.0.1", local_port=self.port) as ears:
-            await ears.serve(self._serve)
+        async with await create_tcp_listener(
+            local_host="127.0.0.1", local_port=self.port
+        ) as listener:
+            await listener.serve(self._serve)
 
     async def cut(self):
         """Reset all connections and refuse new ones."""
@@ -80,8 +82,8 @@
         self.is_cut = False
         self.delay_s = 0.0
         self.blocked.clear()
-        self._changed.set()
-        self._changed = Event()
+        self._healed.set()
+        self._healed = Event()
 
     async def _serve(self, client):
         if self.is_cut:
@@ -96,25 +98,25 @@
         self._connections.append(connection)
         try:
             async with client, server, create_task_group() as tasks:
-                tasks.start_soon(self._pump, connection, client, server, "to_server")
-                tasks.start_soon(self._pump, connection, server, client, "to_client")
+                tasks.start_soon(self._forward, connection, client, server, "to_server")
+                tasks.start_soon(self._forward, connection, server, client, "to_client")
         finally:
             self._connections.remove(connection)
 
-    async def _pump(self, connection, source, sink, direction):
+    async def _forward(self, connection, source, sink, direction):
         try:
             while True:
                 data = await source.receive(CHUNK_BYTES)
                 if self.delay_s:
                     await sleep(self.delay_s)
                 while connection.silent or direction in self.blocked:
-                    await self._changed.wait()
+                    await self._healed.wait()
                 await sink.send(data)
         except EndOfStream:
             try:
                 await sink.send_eof()
-            except _LOST:
+            except _CONNECTION_ERRORS:
                 return
-        except _LOST:
+        except _CONNECTION_ERRORS:
             await source.aclose()
             await sink.aclose()
--- a/tests/full_cell.py
+++ b/tests/full_cell.py
@@ -11,16 +11,16 @@
 from httpx import AsyncClient, HTTPError
 
 from tests.checker import Answer
-from tests.entry_net import REGION_BY_DOMAIN, TOKEN, Net, code
+from tests.entry_net import REGION_BY_DOMAIN, TOKEN, EntryNetwork, code
 from tests.forwarder import Forwarder
 from tests.processes import Processes, free_ports, wait_until
-from tests.split_cell import Places
+from tests.split_cell import SplitNetwork
 
 DOMAIN = "jylland-a"
 GROUP = "jylland"
 DOCUMENT = "[teams.ski]\ncpu_milli = 100000\nmemory_mb = 100000\n"
 FINAL_CODES = (1000, 1001, 3001)
-RESEND_S = 0.3
+RETRY_INTERVAL_S = 0.3
 IN_PROGRESS_LIMIT_S = 8.0
 
 
@@ -41,11 +41,11 @@
         self.members_by_group = members_by_group
         self.domains_by_group = domains_by_group
 
-    def places(self):
+    def domain_by_name(self):
         """Return ``{process name: failure domain}`` of stores and entries."""
         return self.stores | self.entries
 
-    def rows(self, folder):
+    def settings_toml(self, folder):
         """Return the settings of the stores and groups as TOML."""
         text = ""
         for (name, domain), port in zip(
@@ -74,67 +74,69 @@
     )
 
 
-class FullCell(Net):
+class FullCell(EntryNetwork):
     """Stores of the cell group and of domain groups, and entries that use them.
 
     :param layout: :class:`Layout`.
     :param random: seeded random generator for the choices of callers and faults.
     """
 
-    __slots__ = ("layout", "places", "random", "stores")
+    __slots__ = ("layout", "network", "random", "stores")
 
     def __init__(self, *, processes, layout, random):
         super().__init__(processes=processes, entries=layout.entries)
         self.random = random
         self.layout = layout
         self.stores = list(layout.stores)
-        self.settings.write_text(self.settings.read_text() + layout.rows(self.folder))
-        self.places = None
+        self.settings.write_text(self.settings.read_text() + layout.settings_toml(self.folder))
+        self.network = None
 
-    def split(self, place_by_name, *, forwarder=Forwarder):
-        """Route the links between places through forwarders, which can cut them.
+    def add_forwarders(self, location_by_name, *, forwarder=Forwarder):
+        """Route the links between locations through forwarders, which can cut them.
 
         Applies to processes that are started afterwards.
 
-        :param place_by_name: ``{process name: place}``.
+        :param location_by_name: ``{process name: location}``.
         :param forwarder: factory, called as ``forwarder(port=..., target=...)``.
         """
-        self.places = Places(
-            settings=self.settings, place_by_name=place_by_name, forwarder=forwarder
+        self.network = SplitNetwork(
+            settings=self.settings, location_by_name=location_by_name, forwarder=forwarder
         )
 
     @property
     def forwarders(self):
-        """Forwarders between the places; the test has to run them."""
-        return list(self.places.forwarder_by_way.values()) if self.places else []
+        """Forwarders between the locations; the test has to run them."""
+        return list(self.network.forwarder_by_route.values()) if self.network else []
 
-    def view(self, name):
+    def settings_for(self, name):
         """Return the path of the settings file of a process."""
-        return self.places.view(name) if self.places else self.settings
+        return self.network.settings_for(name) if self.network else self.settings
 
     def start_entry(self, name, *flags):
         """Start an entry that is connected to the stores."""
-        self.processes.start(name, "entry", "--settings", self.view(name), "--name", name, *flags)
+        self.processes.start(
+            name, "entry", "--settings", self.settings_for(name), "--name", name, *flags
+        )
 
     def start_store(self, name):
         """Start a store."""
-        self.processes.start(name, "store", "--settings", self.view(name), "--name", name)
+        self.processes.start(name, "store", "--settings", self.settings_for(name), "--name", name)
 
     def start_workers(self, name, count, *flags, domain=DOMAIN):
         """Start one process with ``count`` worker stubs."""
         self.processes.start(
             name,
             "stub-worker",
-            *("--settings", self.view(name), "--name", name, "--domain", domain),
+            *("--settings", self.settings_for(name), "--name", name, "--domain", domain),
             *("--count", count, "--cpu_milli", 4000, "--memory_mb", 4000),
             *("--record", self.record(name), *flags),
         )
 
-    def found(self):
+    def bootstrap(self):
         """Bootstrap each group on its first member."""
         for name in sorted({members[0] for members in self.layout.members_by_group.values()}):
             command = [executable, "-m", "siskintally.main", "init"]
-            command += ["--settings", str(self.view(name)), "--name", name]
+            command += ["--settings", str(self.settings_for(name)), "--name", name]
             run_process(command, check=True, capture_output=True, timeout=60)
 
     async def operate(self, verb, arguments, *, request_id, entry="e1"):
@@ -169,23 +171,23 @@
 
     def owner(self, group=GROUP):
         """Return the store whose term as owner of a domain group started last, by the logs."""
-        begun = self._events("term as owner begins", group)
-        last = max(begun, key=lambda fields: int(fields["term"]), default={})
+        starts = self._events("term as owner begins", group)
+        last = max(starts, key=lambda fields: int(fields["term"]), default={})
         return last.get("process")
 
-    def owners(self, group=GROUP):
+    def acting_owners(self, group=GROUP):
         """Return the running stores that act as owner of a domain group now, by the logs."""
-        acting = set()
+        terms = set()
         for event in ("term as owner begins", "term as owner ends"):
             for fields in self._events(event, group):
-                change = acting.add if event.endswith("begins") else acting.discard
-                change((fields["process"], fields["term"]))
-        return {name for name, _ in acting if self.processes.is_running(name)}
+                update = terms.add if event.endswith("begins") else terms.discard
+                update((fields["process"], fields["term"]))
+        return {name for name, _ in terms if self.processes.is_running(name)}
 
     def voters(self, group):
         """Return ``{store: incarnation}`` of the voters in the latest committed member set."""
-        sets = self._events("members", group)
-        last = max(sets, key=lambda fields: fields["index"], default={"members": ""})
+        changes = self._events("members", group)
+        last = max(changes, key=lambda fields: fields["index"], default={"members": ""})
         found = findall(r"name='([\w-]+)', incarnation='(\w+)'\), voter=True", last["members"])
         return dict(found)
 
@@ -196,7 +198,7 @@
         :returns: ``{group: {store: incarnation}}``.
         """
 
-        def complete():
+        def all_vote():
             found = {group: self.voters(group) for group in self.layout.members_by_group}
             return (
                 all(
@@ -207,9 +209,9 @@
                 and found
             )
 
-        return await wait_until(complete, "all stores are voters")
+        return await wait_until(all_vote, "all stores are voters")
 
-    async def order(self, key, answers, *, headers=None, limit_s=60.0):
+    async def place_order(self, key, answers, *, headers=None, limit_s=60.0):
         """Send a non-idempotent order through random entries until its outcome is final.
 
         Each attempt has the same idempotency key. Every answer is appended to ``answers``.
@@ -224,41 +226,45 @@
             # The HTTP library of a dying process may send a response of its own, without a code.
             if response is not None and "siskintally-code" in response.headers:
                 answers.append(_answer(response, key, body))
-                got = code(response)
-                if got in FINAL_CODES:
-                    return got
-                in_progress_since = (in_progress_since or monotonic()) if got == 3002 else None
+                result_code = code(response)
+                if result_code in FINAL_CODES:
+                    return result_code
+                in_progress_since = (
+                    (in_progress_since or monotonic()) if result_code == 3002 else None
+                )
                 if in_progress_since and monotonic() - in_progress_since > IN_PROGRESS_LIMIT_S:
-                    return got
-            await sleep(RESEND_S)
+                    return result_code
+            await sleep(RETRY_INTERVAL_S)
         raise AssertionError(f"order {key}: no final outcome in {limit_s} s")
 
 
 def _answer(response, key, body):
-    got = loads(response.content)["body"].encode() if code(response) in (1000, 1001) else b""
+    body_returned = (
+        loads(response.content)["body"].encode() if code(response) in (1000, 1001) else b""
+    )
     return Answer(
         request_id=response.headers["siskintally-request-id"],
         code=code(response),
-        body=got,
+        body=body_returned,
         expected=body,
         key=key,
     )
 
 
 @asynccontextmanager
-async def running_cell(folder, random, *, layout=None, place_by_name=None, document=DOCUMENT):
+async def running_cell(folder, random, *, layout=None, location_by_name=None, document=DOCUMENT):
     """Yield a running :class:`FullCell` with a configuration in force.
 
     :param layout: :class:`Layout`, by default two entries in one domain.
-    :param place_by_name: ``{process name: place}``; links between places can be cut. By default
-        none can.
+    :param location_by_name: ``{process name: location}``; links between locations can be cut. By
+        default none can.
     """
     layout = layout or one_domain(("e1", "e2"))
     with Processes(folder=folder) as processes:
         cell = FullCell(processes=processes, layout=layout, random=random)
-        if place_by_name:
-            cell.split(place_by_name)
-        cell.found()
+        if location_by_name:
+            cell.add_forwarders(location_by_name)
+        cell.bootstrap()
         async with AsyncClient(timeout=30.0) as cell.client, create_task_group() as tasks:
             for forwarder in cell.forwarders:
                 tasks.start_soon(forwarder.run)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,11 +19,11 @@
 POLL_S = 0.05
 STOP_LIMIT_S = 15.0
 FIRST_PORT = 10_000
-RANGE_PORTS = 2_000
-RANGES = 11
+PORTS_PER_RANGE = 2_000
+RANGE_COUNT = 11
 
-_given_ports = set()
-_claims = []
+_returned_ports = set()
+_reserved_ranges = []
 
 
 def free_ports(count):
@@ -35,9 +35,9 @@
     first = _range_start()
     ports = []
     while len(ports) < count:
-        port = randrange(first, first + RANGE_PORTS)
-        if port not in _given_ports and _is_free(port):
-            _given_ports.add(port)
+        port = randrange(first, first + PORTS_PER_RANGE)
+        if port not in _returned_ports and _is_free(port):
+            _returned_ports.add(port)
             ports.append(port)
     return ports
 
@@ -48,19 +48,19 @@
     A file lock reserves the range until this process ends, so that pytest workers and concurrent
     test runs do not use the same port.
     """
-    if not _claims:
-        for number in range(RANGES):
+    if not _reserved_ranges:
+        for number in range(RANGE_COUNT):
             file = open(Path(gettempdir()) / f"siskintally-ports-{number}", "w")  # noqa: SIM115
             try:
                 flock(file, LOCK_EX | LOCK_NB)
             except BlockingIOError:
                 file.close()
                 continue
-            _claims.append((file, FIRST_PORT + number * RANGE_PORTS))
+            _reserved_ranges.append((file, FIRST_PORT + number * PORTS_PER_RANGE))
             break
         else:
-            raise AssertionError(f"all {RANGES} ranges of ports are in use by other tests")
-    return _claims[0][1]
+            raise AssertionError(f"all {RANGE_COUNT} ranges of ports are in use by other tests")
+    return _reserved_ranges[0][1]
 
 
 def _is_free(port):
@@ -72,7 +72,7 @@
     return True
 
 
-def seeded():
+def seeded_random():
     """Return a random generator; prints its seed, which SISKINTALLY_SEED can set."""
     seed = int(environ.get("SISKINTALLY_SEED", randrange(2**32)))
     print(f"SISKINTALLY_SEED={seed}")
--- a/tests/six_domains.py
+++ b/tests/six_domains.py
@@ -26,7 +26,7 @@
 )
 
 
-async def change(cell, version):
+async def change_config(cell, version):
     """Change the configuration through e1; return the time of acceptance."""
     fields = {"document": f"{DOCUMENT}# {version}\n", "expect_version": version}
     answer = await cell.operate("config", fields, request_id=f"change-{version}")
--- a/tests/store_processes.py
+++ b/tests/store_processes.py
@@ -15,7 +15,7 @@
 
 SECRET = "0123456789abcdef"
 TOKEN = "ana-0123456789abcdef"
-ENTRY = f"""
+ENTRY_SETTINGS = f"""
 [[process]]
 name = "e1"
 role = "entry"
@@ -34,7 +34,7 @@
 DOCUMENT = "[teams.ski]\ncpu_milli = 4000\nmemory_mb = 4000\n"
 
 
-class _Silent(Handler):
+class _RefusingHandler(Handler):
     __slots__ = ()
 
     async def answer(self, session, body):
@@ -52,7 +52,7 @@
     __slots__ = (
         "_link_by_name",
         "entry_port",
-        "extra",
+        "entry_settings",
         "folder",
         "names",
         "ports",
@@ -65,7 +65,9 @@
         self.names = ["s1", "s2", "s3"]
         *ports, entry_link, self.entry_port = free_ports(5)
         self.ports = dict(zip(self.names, ports, strict=True))
-        self.extra = ENTRY.format(entry_link, self.entry_port) if with_entry else ""
+        self.entry_settings = (
+            ENTRY_SETTINGS.format(entry_link, self.entry_port) if with_entry else ""
+        )
         self.settings_path = folder / "cell.toml"
         self.settings_path.write_text(self._settings())
         self.processes = None
@@ -84,22 +86,22 @@
                 f'data = "{self.folder / name}"',
             ]
         lines += ["[[group]]", 'name = "cell"', f"members = {self.names}"]
-        return "\n".join([*lines, self.extra])
+        return "\n".join([*lines, self.entry_settings])
 
-    def command(self, *words):
+    def run_command(self, *arguments):
         """Run a ``siskintally`` command to its end; return (exit status, output)."""
-        command = [executable, "-m", "siskintally.main", *words]
-        done = run_process(command, capture_output=True, text=True, timeout=60, check=False)
-        return done.returncode, done.stdout + done.stderr
+        command = [executable, "-m", "siskintally.main", *arguments]
+        result = run_process(command, capture_output=True, text=True, timeout=60, check=False)
+        return result.returncode, result.stdout + result.stderr
 
     def init(self, name):
         """Run ``init`` for a store."""
-        return self.command("init", f"--settings={self.settings_path}", f"--name={name}")
+        return self.run_command("init", f"--settings={self.settings_path}", f"--name={name}")
 
-    def operate(self, *words):
+    def operate(self, *arguments):
         """Run an operator command through the entry; return (exit status, answer)."""
         url = f"http://127.0.0.1:{self.entry_port}"
-        status, text = self.command(*words, f"--entry={url}", f"--token={TOKEN}", "--json")
+        status, text = self.run_command(*arguments, f"--entry={url}", f"--token={TOKEN}", "--json")
         lines = [line for line in text.splitlines() if line.startswith("{")]
         return status, loads(lines[-1])["answer"]
 
@@ -116,7 +118,11 @@
                 for name, port in self.ports.items():
                     hello = Hello(name="e1", cell="demo", incarnation="1")
                     link = Link(
-                        host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=_Silent()
+                        host="127.0.0.1",
+                        port=port,
+                        hello=hello,
+                        secret=SECRET,
+                        handler=_RefusingHandler(),
                     )
                     self._link_by_name[name] = link
                     tasks.start_soon(link.run)
@@ -126,12 +132,12 @@
         with Processes(folder=self.folder) as self.processes:
             assert self.init(self.names[0])[0] == 0
             self.start()
-            if self.extra:
-                words = (f"--settings={self.settings_path}", "--name=e1")
-                self.processes.start("e1", "entry", *words)
+            if self.entry_settings:
+                arguments = (f"--settings={self.settings_path}", "--name=e1")
+                self.processes.start("e1", "entry", *arguments)
             run_async(main)
 
-    async def ask(self, name, verb, arguments=None, *, request_id="read"):
+    async def call_operator(self, name, verb, arguments=None, *, request_id="read"):
         """Send an operator call to a store; return (code, answer), or None if there is no reply."""
         body = OperatorCall(
             request_id=request_id,
@@ -145,31 +151,31 @@
             return None
         return reply.code, loads(reply.answer)
 
-    async def change(self, name, verb, arguments, *, request_id):
+    async def send_change(self, name, verb, arguments, *, request_id):
         """Send a change, repeatedly with the same request id, until it is answered."""
 
         async def answered():
-            return await self.ask(name, verb, arguments, request_id=request_id)
+            return await self.call_operator(name, verb, arguments, request_id=request_id)
 
         return await wait_until(answered, f"{verb} answered")
 
-    async def leader(self, names=None):
+    async def wait_leader(self, names=None):
         """Wait until the stores, by default all, report the same leader and return its name."""
         names = names or self.names
 
-        async def agreed():
-            found = [await self.ask(name, "status") for name in names]
-            leaders = {answer[1]["leader"] for answer in found if answer and answer[0] == 1000}
-            return leaders.pop() if len(leaders) == 1 and None not in found else None
+        async def agreed_leader():
+            replies = [await self.call_operator(name, "status") for name in names]
+            leaders = {reply[1]["leader"] for reply in replies if reply and reply[0] == 1000}
+            return leaders.pop() if len(leaders) == 1 and None not in replies else None
 
-        return await wait_until(agreed, f"leader of {names}")
+        return await wait_until(agreed_leader, f"leader of {names}")
 
-    async def ready(self):
+    async def wait_all_voters(self):
         """Wait until all stores are voters, so that any one can be lost, and return the leader."""
 
         async def all_vote():
-            found = await self.ask(self.names[0], "status")
-            return found and found[0] == 1000 and len(found[1]["voters"]) == len(self.names)
+            reply = await self.call_operator(self.names[0], "status")
+            return reply and reply[0] == 1000 and len(reply[1]["voters"]) == len(self.names)
 
         await wait_until(all_vote, "all stores vote")
-        return await self.leader()
+        return await self.wait_leader()
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -15,7 +15,7 @@
 TOKEN = "0123456789abcdef"
 
 
-class Entry:
+class FakeEntry:
     """Fake entry that returns or raises its answers in order; the last one is repeated."""
 
     __slots__ = ("answers", "requests")
@@ -50,9 +50,9 @@
     )
 
 
-def test_lost_answer_is_asked_for_again_with_the_same_request_id():
+def test_lost_answer_is_retried_with_the_same_request_id():
     """Guards against a change that is applied twice because a retry has a new request id."""
-    entry = Entry(ReadTimeout("lost"), reply(2006), reply(1000, {"version": 4}))
+    entry = FakeEntry(ReadTimeout("lost"), reply(2006), reply(1000, {"version": 4}))
     outcome = client(entry).call("preset", {}, request_id="r1")
     assert outcome.answer == {"version": 4}
     assert entry.request_ids() == {"r1"}
@@ -70,15 +70,15 @@
         (Response(502, text="<html>"), OutcomeUnknownError),
     ],
 )
-def test_not_run_and_unknown_are_told_apart(answer, error):
+def test_not_run_and_unknown_outcome_are_distinguished(answer, error):
     """Guards against a change that is reported as not run but may have been applied."""
     with pytest.raises(error):
-        client(Entry(answer), timeout_s=0.2).call("cancel", {}, request_id="r1")
+        client(FakeEntry(answer), timeout_s=0.2).call("cancel", {}, request_id="r1")
 
 
 def test_unknown_stays_unknown_when_later_tries_are_refused():
     """Guards against a refused retry that hides the unknown outcome of the first attempt."""
-    entry = Entry(ReadTimeout("lost"), ConnectError("refused"))
+    entry = FakeEntry(ReadTimeout("lost"), ConnectError("refused"))
     with pytest.raises(OutcomeUnknownError):
         client(entry, timeout_s=0.8).call("cancel", {}, request_id="r1")
 
@@ -102,9 +102,11 @@
     ("code", "status"),
     [(1000, 0), (4000, 2), (4007, 2), (2001, 3), (2007, 3), (3002, 4), (4006, 5), (4009, 5)],
 )
-def test_exit_status_tells_what_happened(monkeypatch, capsys, code, status):
+def test_exit_status_shows_the_outcome(monkeypatch, capsys, code, status):
     """Guards against an exit status that shows a refusal as success or as worth a retry."""
-    entry = Entry(reply(code, {"kind": "worker", "name": "w1", "draining": True, "message": "m"}))
+    entry = FakeEntry(
+        reply(code, {"kind": "worker", "name": "w1", "draining": True, "message": "m"})
+    )
     assert run_command(monkeypatch, entry, "drain", "worker", "w1", "--json") == status
     assert len(entry.requests) == 1
     assert loads(capsys.readouterr().out)["code"] == code
@@ -114,7 +116,7 @@
     """Guards against a job file that overrides flags."""
     path = tmp_path / "job.toml"
     path.write_text('name = "seats"\nteam = "ski"\nkind = "batch"\ntasks = 3\n')
-    entry = Entry(reply(1000, {"job": "seats-9", "reason": "quota", "split": {}}))
+    entry = FakeEntry(reply(1000, {"job": "seats-9", "reason": "quota", "split": {}}))
     words = ("submit", str(path), "--tasks", "5", "--class=urgent", "--request-id", "r7")
     assert run_command(monkeypatch, entry, *words) == 0
     sent = loads(entry.requests[0].content)
@@ -125,7 +127,7 @@
 
 def test_preset_reads_the_version_it_is_based_on(monkeypatch):
     """Guards against a preset change that overwrites a concurrent one without a conflict."""
-    entry = Entry(reply(1000, {"version": 8}), reply(1000, {"version": 9, "preset": "peak"}))
+    entry = FakeEntry(reply(1000, {"version": 8}), reply(1000, {"version": 9, "preset": "peak"}))
     assert run_command(monkeypatch, entry, "preset", "peak") == 0
     assert loads(entry.requests[1].content) == {"preset": "peak", "expect_version": 8}
 
@@ -134,7 +136,7 @@
     """Guards against ``--wait`` that returns while tasks still run."""
     counts = dict.fromkeys(("waiting", "succeeded", "failed", "cancelled"), 0)
     row = {"job": "a-1", "kind": "batch", "tasks": 2, "reason": "", "running": 2, **counts}
-    entry = Entry(
+    entry = FakeEntry(
         reply(1000, {"cancelled": 1, "ended": 0, "not_found": []}),
         reply(1000, {"jobs": [row | {"state": "cancelling"}], "more": False}),
         reply(1000, {"jobs": [row | {"state": "cancelled"}], "more": False}),
@@ -146,7 +148,7 @@
 
 def test_usage_errors_exit_with_2(monkeypatch, capsys):
     """Guards against a mistyped command that is sent, or that exits as if it had succeeded."""
-    entry = Entry(reply(1000, {}))
+    entry = FakeEntry(reply(1000, {}))
     for words in (
         ("config", "set", "no-such-file", "--expect-version=1"),
         ("config", "set", "f"),
@@ -166,6 +168,6 @@
     fields = {"number": 1, "index": 2, "time": 1.0, "operator": "ana", "request_id": "r", "code": 0}
     texts = dict.fromkeys(("verb", "what", "from_value", "to_value", "previous"), "")
     row = fields | texts | {"hash": "f" * 64}
-    entry = Entry(reply(1000, {"records": 1, "head": "f" * 64, "rows": [row]}))
+    entry = FakeEntry(reply(1000, {"records": 1, "head": "f" * 64, "rows": [row]}))
     assert run_command(monkeypatch, entry, "audit") == 5
     assert str(int(Code.DAMAGED_DATA)) in capsys.readouterr().err
--- a/tests/test_entry_store.py
+++ b/tests/test_entry_store.py
@@ -25,7 +25,7 @@
     OperatorReply,
 )
 from tests.checker import read
-from tests.entry_net import TOKEN, Net, code
+from tests.entry_net import TOKEN, EntryNetwork, code
 from tests.processes import Processes, free_ports, wait_until
 
 GROUP = '[[group]]\nname = "g"\nmembers = ["s1"]\ndomains = ["jylland-a"]\n'
@@ -95,10 +95,12 @@
     async def main():
         store = FakeStore()
         with Processes(folder=folder) as processes:
-            net = Net(processes=processes, entries={"e1": "jylland-a", "e2": "jylland-a"})
+            net = EntryNetwork(processes=processes, entries={"e1": "jylland-a", "e2": "jylland-a"})
             (port,) = free_ports(1)
-            row = f'role = "store"\ndomain = "jylland-a"\nregion = "jylland"\ndata = "{folder}"\n'
-            text = f'[[process]]\nname = "s1"\n{row}link = "127.0.0.1:{port}"\n{GROUP}'
+            store_settings = (
+                f'role = "store"\ndomain = "jylland-a"\nregion = "jylland"\ndata = "{folder}"\n'
+            )
+            text = f'[[process]]\nname = "s1"\n{store_settings}link = "127.0.0.1:{port}"\n{GROUP}'
             net.settings.write_text(net.settings.read_text() + text)
             hello = Hello(name="s1", cell="demo", incarnation="1")
             server = LinkServer(hello=hello, secret="0123456789abcdef", handler=store)
@@ -115,15 +117,15 @@
     run(main)
 
 
-async def served(net, store):
+async def configure_and_wait(net, store):
     """Set the first configuration and wait until all entries serve requests."""
     store.configure(1)
-    await net.wait_known(1)
+    await net.wait_endpoints(1)
     for entry in net.entries:
-        await net.wait_served(entry)
+        await net.wait_serving(entry)
 
 
-def keys_run(net):
+def started_keys(net):
     """Return the idempotency keys of the requests that started at the endpoint, in order."""
     records = read(net.record("p1"))
     return [one["key"] for one in records if one["event"] == "start" and one["key"]]
@@ -136,28 +138,28 @@
     """
 
     async def check(net, store):
-        await net.wait_known(1)
+        await net.wait_endpoints(1)
         assert code(await net.call("e1")) == 2007
-        await served(net, store)
+        await configure_and_wait(net, store)
 
         async def version():
             return (await net.health("e1"))["config_version"]
 
         store.configure(3, queue_limit_normal=0, deadline_ms_normal=500)
-        await wait_until(lambda: _is(version, 3), "version 3")
+        await wait_until(lambda: _returns(version, 3), "version 3")
         store.configure(2)
         await sleep(3.0)
         assert await version() == 3
         store.configure(4, retry_ratio=7)
         await sleep(1.0)
         assert await version() == 3
-        await net.control("p1", service_ms=2000)
+        await net.set_behaviour("p1", service_ms=2000)
         assert code(await net.call("e1")) == 3001
 
     with_store(tmp_path, check)
 
 
-async def _is(function, value):
+async def _returns(function, value):
     return await function() == value
 
 
@@ -168,24 +170,24 @@
     """
 
     async def check(net, store):
-        await served(net, store)
+        await configure_and_wait(net, store)
         codes = []
 
-        async def one(entry):
+        async def send(entry):
             response = await net.call(entry, body=b"order", idempotency_key="k1", **caller)
             codes.append(code(response))
 
         caller = {"siskintally_caller": "shop"}
         async with create_task_group() as tasks:
             for number in range(8):
-                tasks.start_soon(one, ("e1", "e2")[number % 2])
+                tasks.start_soon(send, ("e1", "e2")[number % 2])
         assert codes.count(1000) == 1
         assert set(codes) <= {1000, 1001, 3002}
-        again = await net.call("e2", body=b"order", idempotency_key="k1", **caller)
-        assert (code(again), again.json()["body"]) == (1001, "order")
+        repeated = await net.call("e2", body=b"order", idempotency_key="k1", **caller)
+        assert (code(repeated), repeated.json()["body"]) == (1001, "order")
         other = await net.call("e1", body=b"another", idempotency_key="k1", **caller)
         assert code(other) == 4003
-        assert keys_run(net) == ["k1"]
+        assert started_keys(net) == ["k1"]
 
     with_store(tmp_path, check)
 
@@ -197,7 +199,7 @@
     """
 
     async def check(net, store):
-        await served(net, store)
+        await configure_and_wait(net, store)
         store.begin_delay_s = 3.0
         store.lose_settlements = 2
         late = await net.call("e1", idempotency_key="k1", siskintally_deadline_ms="500")
@@ -205,9 +207,9 @@
         store.begin_delay_s = 0.0
         await wait_until(lambda: store.released == ["k1"], "release is acknowledged")
         await sleep(3.0)
-        assert keys_run(net) == []
+        assert started_keys(net) == []
         assert code(await net.call("e1", idempotency_key="k1")) == 1000
-        assert keys_run(net) == ["k1"]
+        assert started_keys(net) == ["k1"]
 
     with_store(tmp_path, check)
 
@@ -219,12 +221,12 @@
     """
 
     async def check(net, store):
-        await served(net, store)
+        await configure_and_wait(net, store)
         store.leads = False
         keyed = await net.call("e1", idempotency_key="k1", siskintally_deadline_ms="1000")
         assert code(keyed) == 2003
         assert code(await net.call("e1")) == 1000
-        assert keys_run(net) == []
+        assert started_keys(net) == []
 
     with_store(tmp_path, check)
 
@@ -233,7 +235,7 @@
     """Guards against an answer that is never stored because there was no leader for a while."""
 
     async def check(net, store):
-        await served(net, store)
+        await configure_and_wait(net, store)
         # Fails for longer than one attempt of the entry to record the finish, which lasts 5 s.
         store.lose_settlements = 1_000_000
         assert code(await net.call("e1", idempotency_key="k1")) == 1000
@@ -253,15 +255,15 @@
     """Guards against a key without an outcome after its caller has closed the connection."""
 
     async def check(net, store):
-        await served(net, store)
-        await net.control("p1", service_ms=1000)
+        await configure_and_wait(net, store)
+        await net.set_behaviour("p1", service_ms=1000)
         assert await net.call("e1", idempotency_key="k1", timeout=0.5) is None
 
         async def replayed():
             return code(await net.call("e1", idempotency_key="k1")) == 1001
 
         await wait_until(replayed, "the answer is stored")
-        assert keys_run(net) == ["k1"]
+        assert started_keys(net) == ["k1"]
 
     with_store(tmp_path, check)
 
@@ -271,7 +273,7 @@
     """Guards against a call recorded under another operator's name, or without a valid token."""
 
     async def check(net, store):
-        await served(net, store)
+        await configure_and_wait(net, store)
         response = await net.client.post(
             f"{net.url_by_name['e1']}/v1/operator/drain",
             json={"worker": "w1"},
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -67,9 +67,9 @@
         code_by_key, answers = await place_orders(cell, lambda: sleep(0), orders=6, headers=headers)
         await sleep(7.0)
         for key in code_by_key:
-            code_by_key[key] = await cell.order(key, answers)
-        ran = check_orders(cell, code_by_key, answers, "p1")
-        assert all(code == 3001 for key, code in code_by_key.items() if key in ran)
+            code_by_key[key] = await cell.place_order(key, answers)
+        run_keys = check_orders(cell, code_by_key, answers, "p1")
+        assert all(code == 3001 for key, code in code_by_key.items() if key in run_keys)
 
     with_cell(tmp_path, check)
 
@@ -113,10 +113,10 @@
         )
         record = cell.record("w")
 
-        def starts():
+        def task_starts():
             return [line for line in read(record) if line["event"] == "start"]
 
-        await wait_until(lambda: len(starts()) >= 6, "six tasks run")
+        await wait_until(lambda: len(task_starts()) >= 6, "six tasks run")
         paused = cell.owner()
         cell.processes.pause(paused)
         await wait_until(lambda: cell.owner() != paused, "a new owner")
@@ -124,10 +124,10 @@
         await cell.operate("submit", more, request_id="job-2", entry="e2")
         await sleep(PAUSE_S)
         cell.processes.resume(paused)
-        await wait_until(lambda: len(starts()) >= 12, "the second job runs")
+        await wait_until(lambda: len(task_starts()) >= 12, "the second job runs")
         await sleep(5.0)
         assert check_workers(read(record)) == []
-        running = {line["task"] for line in starts()}
+        running = {line["task"] for line in task_starts()}
         assert len(running) == 12
 
     with_cell(tmp_path, check)
@@ -139,9 +139,9 @@
     kind = random.choice(["kill store", "pause store", "kill entry", "pause entry", "late", "fail"])
     print("fault:", kind, "while", cell.owner(), "owns the domain")
     if kind in ("late", "fail"):
-        await cell.control("p1", fault=kind)
+        await cell.set_behaviour("p1", fault=kind)
         await sleep(random.uniform(0.5, 3.0))
-        await cell.control("p1", fault="none")
+        await cell.set_behaviour("p1", fault="none")
         return
     names = cell.stores if "store" in kind else list(cell.entries)
     name = random.choice(names)
@@ -177,10 +177,10 @@
         check_orders(cell, code_by_key, answers, "p1", "p2")
         record = cell.record("w")
 
-        def ended():
+        def ended_tasks():
             return {line["task"] for line in read(record) if line["event"] == "end"}
 
-        await wait_until(lambda: len(ended()) == 40, "all tasks of the job end")
+        await wait_until(lambda: len(ended_tasks()) == 40, "all tasks of the job end")
         assert check_workers(read(record)) == []
 
     with_cell(tmp_path, check)
@@ -234,5 +234,8 @@
         check_orders(cell, code_by_key, answers, "p1")
         assert set(code_by_key.values()) <= {1000, 1001}
 
-    place_by_name = dict.fromkeys(("s1", "s2", "s3"), "stores") | {"e1": "entries", "e2": "entries"}
-    with_cell(tmp_path, check, place_by_name=place_by_name)
+    location_by_name = dict.fromkeys(("s1", "s2", "s3"), "stores") | {
+        "e1": "entries",
+        "e2": "entries",
+    }
+    with_cell(tmp_path, check, location_by_name=location_by_name)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -82,7 +82,7 @@
     run(main)
 
 
-def test_call_returns_the_reply_of_the_other_side():
+def test_call_returns_the_reply_of_the_peer():
     """Guards against a call that gets no reply, or another one than the peer sent."""
 
     async def check(link):
@@ -229,7 +229,7 @@
     run(main)
 
 
-SERVER = """
+SERVER_SCRIPT = """
 from functools import partial
 from sys import argv
 from anyio import run
@@ -253,7 +253,7 @@
             async with create_task_group() as tasks:
                 tasks.start_soon(link.run)
                 for _ in range(3):
-                    with Popen([executable, "-c", SERVER, str(port)]) as server:
+                    with Popen([executable, "-c", SERVER_SCRIPT, str(port)]) as server:
                         await link.wait_open()
                         server.kill()
                     rounds += 1
@@ -265,7 +265,7 @@
     run(main)
 
 
-def test_the_end_of_the_other_process_is_told():
+def test_the_end_of_the_peer_process_is_reported():
     """Guards against the end of a peer process that is taken for a network failure.
 
     The callback must run when the peer's port refuses connections, but not when the same
@@ -302,7 +302,7 @@
     run(main)
 
 
-def test_another_incarnation_tells_the_end_of_the_one_before():
+def test_another_incarnation_reports_the_end_of_the_previous_one():
     """Guards against a peer restart that stays unnoticed.
 
     A restart can be faster than the next attempt to connect; only the incarnation shows it then.
--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -3,7 +3,7 @@
 from siskintally.log_stream import LogStream
 
 
-class Pipe:
+class FakePipe:
     """Pipe whose reader may be slow or closed."""
 
     def __init__(self):
@@ -20,7 +20,7 @@
 
 def test_a_flood_of_lines_is_bounded_and_counted():
     """Guards against log output that costs more than the work it records."""
-    pipe, now = Pipe(), [0.0]
+    pipe, now = FakePipe(), [0.0]
     stream = LogStream(write=pipe.write, clock=lambda: now[0], lines_per_s=10, burst_lines=5)
     for _ in range(100):
         stream.write("x\n")
@@ -31,9 +31,9 @@
     assert pipe.lines[6:] == ["y\n"]
 
 
-def test_a_reader_that_does_not_read_never_holds_up_the_process():
+def test_a_reader_that_does_not_read_never_blocks_the_process():
     """Guards against a process that blocks on its own log output."""
-    pipe = Pipe()
+    pipe = FakePipe()
     stream = LogStream(write=pipe.write, clock=lambda: 0.0)
     for error in (BlockingIOError(), BrokenPipeError()):
         pipe.error = error
--- a/tests/test_one_way_cut.py
+++ b/tests/test_one_way_cut.py
@@ -14,16 +14,23 @@
     f"[presets.ordinary]\nlease_s = {LEASE_S}\n"
     "[teams.ski]\ncpu_milli = 100000\nmemory_mb = 100000\n"
 )
-PLACES = {"s1": "s1", "s2": "s2", "s3": "s3", "e1": "entries", "e2": "entries", "w": "workers"}
+LOCATION_BY_NAME = {
+    "s1": "s1",
+    "s2": "s2",
+    "s3": "s3",
+    "e1": "entries",
+    "e2": "entries",
+    "w": "workers",
+}
 SERVICE = {"team": "ski", "kind": "service", "tasks": 4, "cpu_milli": 500, "memory_mb": 300}
 
 
-def starts(cell):
+def task_starts(cell):
     """Return the records of task starts on the workers."""
     return [line for line in read(cell.record("w")) if line["event"] == "start"]
 
 
-async def leader(cell):
+async def cell_leader(cell):
     """Return the leader of the cell group."""
     return (await cell.operate("status", {}, request_id="read"))["leader"]
 
@@ -42,27 +49,29 @@
         cell.start_workers("w", 3, "--beat_s", 2)
         await wait_ready(cell, "e1", "e2")
         await cell.operate("submit", SERVICE | {"name": "before"}, request_id="before")
-        await wait_until(lambda: len(starts(cell)) == 4, "the first service runs")
-        victim = await wait_until(cell.owner, "an owner")
+        await wait_until(lambda: len(task_starts(cell)) == 4, "the first service runs")
+        cut_store = await wait_until(cell.owner, "an owner")
 
         async def cut():
-            cell.places.cut(victim, inbound=direction == "inbound", outbound=direction != "inbound")
-            await wait_until(lambda: cell.owner() != victim, "another owner")
-            assert await leader(cell) != victim
+            cell.network.cut(
+                cut_store, inbound=direction == "inbound", outbound=direction != "inbound"
+            )
+            await wait_until(lambda: cell.owner() != cut_store, "another owner")
+            assert await cell_leader(cell) != cut_store
             await cell.operate("submit", SERVICE | {"name": "during"}, request_id="during")
-            await wait_until(lambda: len(starts(cell)) == 8, "a service starts during the cut")
+            await wait_until(lambda: len(task_starts(cell)) == 8, "a service starts during the cut")
             await sleep(CUT_S)
-            assert victim not in cell.owners(), "the old owner still acts as owner"
+            assert cut_store not in cell.acting_owners(), "the old owner still acts as owner"
 
         code_by_key, answers = await place_orders(cell, cut, spread_s=CUT_S)
-        cell.places.heal()
+        cell.network.heal()
         await cell.operate("submit", SERVICE | {"name": "after"}, request_id="after")
-        await wait_until(lambda: len(starts(cell)) == 12, "a service starts after the cut")
+        await wait_until(lambda: len(task_starts(cell)) == 12, "a service starts after the cut")
         await sleep(3.0)
-        assert len(cell.owners()) == 1
-        assert len({line["task"] for line in starts(cell)}) == len(starts(cell)) == 12
+        assert len(cell.acting_owners()) == 1
+        assert len({line["task"] for line in task_starts(cell)}) == len(task_starts(cell)) == 12
         assert check_workers(read(cell.record("w"))) == []
         check_orders(cell, code_by_key, answers, "p1")
         assert set(code_by_key.values()) <= {1000, 1001}
 
-    with_cell(tmp_path, check, place_by_name=PLACES, document=DOCUMENT)
+    with_cell(tmp_path, check, location_by_name=LOCATION_BY_NAME, document=DOCUMENT)
--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -8,7 +8,15 @@
 from tests.cell_runs import wait_version, with_cell
 from tests.checker import check_requests, check_workers, read
 from tests.entry_net import code
-from tests.two_domains import DOCUMENT, FAR, LAYOUT, LEASE_S, PLACES, prepared, starts
+from tests.two_domains import (
+    DOCUMENT,
+    FAR,
+    LAYOUT,
+    LEASE_S,
+    LOCATION_BY_NAME,
+    start_service,
+    task_starts,
+)
 
 
 @pytest.mark.timeout(300)
@@ -19,9 +27,9 @@
     """
 
     async def check(cell):
-        await prepared(cell)
+        await start_service(cell)
         answers = []
-        cell.places.cut(FAR)
+        cell.network.cut(FAR)
         # Longer than a lease, and than the time in which silent links are detected.
         await sleep(LEASE_S + 6)
         response = await cell.call("e2", body=b"boarding", timeout=20)
@@ -36,8 +44,8 @@
         await cell.operate("preset", change, request_id="peak")
         await wait_version(cell, 2, entries=["e1"])
         assert (await cell.health("e2"))["config_version"] == 1
-        assert len(starts(cell)) == 4, "the service was started again"
-        cell.places.heal()
+        assert len(task_starts(cell)) == 4, "the service was started again"
+        cell.network.heal()
         healed = monotonic()
         await wait_version(cell, 2, entries=["e2"])
         print(f"in force {monotonic() - healed:.2f} s after the partition ended")
@@ -47,4 +55,4 @@
         assert check_workers(read(cell.record("w"))) == []
         assert check_requests(read(cell.record("p1"), cell.record("p2")), answers) == []
 
-    with_cell(tmp_path, check, layout=LAYOUT, place_by_name=PLACES, document=DOCUMENT)
+    with_cell(tmp_path, check, layout=LAYOUT, location_by_name=LOCATION_BY_NAME, document=DOCUMENT)
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -67,34 +67,34 @@
         """Send orders, one after the other, until the load ends; each gets a final outcome."""
         while not self.is_over:
             key = f"order-{caller}-{len(self.code_by_key)}"
-            self.code_by_key[key] = await self.cell.order(key, self.answers)
+            self.code_by_key[key] = await self.cell.place_order(key, self.answers)
 
 
-async def stop_in_turn(cell):
+async def restart_in_turn(cell):
     """Stop and restart every process in turn; return ``{name: exit code}``."""
     restart_by_name = {
         **dict.fromkeys(cell.stores, cell.start_store),
         **dict.fromkeys(cell.entries, cell.start_entry),
-        "p1": start_endpoint(cell),
-        "p2": start_endpoint(cell),
+        "p1": endpoint_starter(cell),
+        "p2": endpoint_starter(cell),
         "w": lambda name: cell.start_workers(name, 2, "--beat_s", 2),
     }
     exit_by_name = {}
     for name, restart in restart_by_name.items():
         exit_by_name[name] = await cell.processes.finish(name)
         restart(name)
-        await wait_until(lambda: cell.owners(), "an owner")
+        await wait_until(lambda: cell.acting_owners(), "an owner")
         await wait_ready(cell, *cell.entries)
     return exit_by_name
 
 
-def drained(cell, entry):
+def state_at_stops(cell, entry):
     """Return (requests in flight, unsettled ledger records) at the end of each planned stop."""
     lines = [loads(line) for line in cell.processes.log_text(entry).splitlines()]
     return [(line["in_flight"], line["unsettled"]) for line in lines if line["event"] == "drained"]
 
 
-def start_endpoint(cell):
+def endpoint_starter(cell):
     """Return a function that starts the endpoint stub of a given name."""
     return lambda name: cell.start_stub(name, "--service_ms", 200)
 
@@ -104,8 +104,8 @@
     """Guards against a stop that cuts off accepted work, or that ends with an error."""
 
     async def check(cell):
-        start_endpoint(cell)("p1")
-        start_endpoint(cell)("p2")
+        endpoint_starter(cell)("p1")
+        endpoint_starter(cell)("p2")
         cell.start_workers("w", 2, "--beat_s", 2)
         await wait_ready(cell, *cell.entries)
         await cell.operate("submit", SERVICE | {"name": "service"}, request_id="service")
@@ -115,16 +115,16 @@
                 tasks.start_soon(load.send_requests, caller)
             for caller in range(ORDERERS):
                 tasks.start_soon(load.send_orders, caller)
-            exit_by_name = await stop_in_turn(cell)
+            exit_by_name = await restart_in_turn(cell)
             load.is_over = True
         assert set(exit_by_name.values()) == {0}, exit_by_name
         records = read(cell.record("p1"), cell.record("p2"))
-        ran = {record["path"].strip("/") for record in records if record["event"] == "start"}
+        run_paths = {record["path"].strip("/") for record in records if record["event"] == "start"}
         # Only requests that never ran may fail: a connection that arrives as the listening socket
         # closes is reset before it is read.
-        assert not load.error_by_path.keys() & ran, "accepted requests were cut off"
+        assert not load.error_by_path.keys() & run_paths, "accepted requests were cut off"
         for entry in cell.entries:
-            assert drained(cell, entry) == [(0, 0)], (
+            assert state_at_stops(cell, entry) == [(0, 0)], (
                 "the stop did not wait for its requests and records"
             )
         print(
--- a/tests/test_scaffolding.py
+++ b/tests/test_scaffolding.py
@@ -62,7 +62,7 @@
     The faults are a key that runs twice, a request that runs though it was answered "not run", a
     wrong body, and a request that was answered as done but never ran.
     """
-    ran = [
+    records = [
         {"t": 1, "event": "start", "endpoint": "p", "request_id": "1", "key": "k"},
         {"t": 2, "event": "start", "endpoint": "q", "request_id": "2", "key": "k"},
         {"t": 3, "event": "start", "endpoint": "q", "request_id": "3", "key": ""},
@@ -73,7 +73,7 @@
         Answer(request_id="3", code=Code.DONE, body=b"on", expected=b"one"),
         Answer(request_id="4", code=Code.DONE, body=b"", expected=b""),
     ]
-    assert len(check_requests(ran, answers)) == 4
+    assert len(check_requests(records, answers)) == 4
 
 
 async def _echo(stream):
@@ -91,21 +91,21 @@
                 listener = await create_tcp_listener(local_host="127.0.0.1", local_port=target)
                 tasks.start_soon(listener.serve, _echo)
                 tasks.start_soon(forwarder.run)
-                await wait_until(lambda: answers(port), "forwarder listens")
+                await wait_until(lambda: server_answers(port), "forwarder listens")
                 await check(forwarder)
                 tasks.cancel_scope.cancel()
 
     run(main)
 
 
-async def answers(port):
+async def server_answers(port):
     try:
-        return await ask(await connect_tcp("127.0.0.1", port))
+        return await is_answered(await connect_tcp("127.0.0.1", port))
     except OSError:
         return False
 
 
-async def ask(stream):
+async def is_answered(stream):
     with move_on_after(1.0):
         await stream.send(b"x")
         return await stream.receive() == b"x"
@@ -117,10 +117,10 @@
 
     async def check(forwarder):
         old = await connect_tcp("127.0.0.1", forwarder.port)
-        assert await ask(old)
+        assert await is_answered(old)
         forwarder.silence()
-        assert not await ask(old)
-        assert await answers(forwarder.port)
+        assert not await is_answered(old)
+        assert await server_answers(forwarder.port)
 
     with_forwarder(check)
 
@@ -131,7 +131,7 @@
     async def check(forwarder):
         stream = await connect_tcp("127.0.0.1", forwarder.port)
         forwarder.block("to_client")
-        assert not await ask(stream)
+        assert not await is_answered(stream)
         forwarder.heal()
         assert await stream.receive() == b"x"
 
@@ -144,8 +144,8 @@
     async def check(forwarder):
         await forwarder.cut()
         with pytest.raises((EndOfStream, BrokenResourceError)):
-            await ask(await connect_tcp("127.0.0.1", forwarder.port))
+            await is_answered(await connect_tcp("127.0.0.1", forwarder.port))
         forwarder.heal()
-        assert await answers(forwarder.port)
+        assert await server_answers(forwarder.port)
 
     with_forwarder(check)
--- a/tests/test_shared_stores.py
+++ b/tests/test_shared_stores.py
@@ -72,7 +72,7 @@
     replicas.close()
 
 
-def running(cell, workers):
+def running_tasks(cell, workers):
     """Return the tasks that have started and not ended on the workers of a stub process."""
     records = [record for record in read(cell.record(workers)) if "task" in record]
     started = {record["task"] for record in records if record["event"] == "start"}
@@ -90,26 +90,27 @@
         ):
             cell.start_stub(stub, "--service_ms", 20, entries=[entry], domain=domain)
             cell.start_workers(workers, 2, domain=domain)
-            await cell.wait_served(entry)
+            await cell.wait_serving(entry)
             job = JOB | {"name": f"tally-{workers}", "domain": domain}
             await cell.operate("submit", job, request_id=workers)
         for workers in ("w1", "w2"):
             await wait_until(
-                lambda one=workers: len(running(cell, one)) == 4, f"the service runs on {workers}"
+                lambda one=workers: len(running_tasks(cell, one)) == 4,
+                f"the service runs on {workers}",
             )
         killed = cell.owner(OTHER_GROUP)
         keys = [f"{group}/order-{number}" for group in (GROUP, OTHER_GROUP) for number in range(6)]
         answers = []
         for key in keys[::2]:
-            assert await cell.order(key, answers) == 1000
+            assert await cell.place_order(key, answers) == 1000
         cell.processes.kill(killed)
         for key in keys:
             expected = 1001 if key in keys[::2] else 1000
-            assert await cell.order(key, answers) in (expected, 1001)
+            assert await cell.place_order(key, answers) in (expected, 1001)
         cell.start_store(killed)
         assert check_requests(read(cell.record("p1"), cell.record("p2")), answers) == []
         assert check_workers(read(cell.record("w1"), cell.record("w2"))) == []
-        assert len(running(cell, "w1")) == len(running(cell, "w2")) == 4
+        assert len(running_tasks(cell, "w1")) == len(running_tasks(cell, "w2")) == 4
         status = await cell.operate("status", {}, request_id="status")
         assert {row["group"] for row in status["groups"]} == {GROUP, OTHER_GROUP}
 
--- a/tests/test_store_process.py
+++ b/tests/test_store_process.py
@@ -13,50 +13,52 @@
     """Guards against an accepted configuration that an election loses or applies twice."""
 
     async def check(stores):
-        leader = await stores.ready()
+        leader = await stores.wait_all_voters()
         change = {"document": DOCUMENT, "expect_version": 0}
-        first = await stores.change("s2", "config", change, request_id="r1")
+        first = await stores.send_change("s2", "config", change, request_id="r1")
         assert first == (Code.DONE, {"version": 1, "preset": "ordinary"})
         stores.processes.kill(leader)
-        left = [name for name in stores.names if name != leader]
-        assert await stores.leader(left) in left
-        assert await stores.change(left[0], "config", change, request_id="r1") == first
-        code, answer = await stores.change(left[1], "config", change, request_id="r2")
+        remaining = [name for name in stores.names if name != leader]
+        assert await stores.wait_leader(remaining) in remaining
+        assert await stores.send_change(remaining[0], "config", change, request_id="r1") == first
+        code, answer = await stores.send_change(remaining[1], "config", change, request_id="r2")
         assert (code, answer["version"]) == (Code.VERSION_CONFLICT, 1)
-        code, config = await stores.ask(left[0], "config")
+        code, config = await stores.call_operator(remaining[0], "config")
         assert (code, config["document"]) == (Code.DONE, DOCUMENT)
         stores.start(leader)
-        await stores.leader()
+        await stores.wait_leader()
         await wait_until(
-            lambda: same_audit_files(stores, 2), "audit file of the restarted store is complete"
+            lambda: audit_files_match(stores, 2), "audit file of the restarted store is complete"
         )
 
     Stores(folder=tmp_path).run(check)
 
 
-def same_audit_files(stores, records):
-    found = [verify_file(stores.folder / name / "audit.log") for name in stores.names]
-    same_head = len({one.head for one in found}) == 1
-    return same_head and all(one.records == records and not one.damage for one in found)
+def audit_files_match(stores, records):
+    audits = [verify_file(stores.folder / name / "audit.log") for name in stores.names]
+    same_head = len({audit_result.head for audit_result in audits}) == 1
+    return same_head and all(
+        audit_result.records == records and not audit_result.damage for audit_result in audits
+    )
 
 
 def test_racing_operators_get_one_winner(tmp_path):
     """Guards against two stores that each accept a different change of the same version."""
 
     async def check(stores):
-        await stores.leader()
-        await stores.change(
+        await stores.wait_leader()
+        await stores.send_change(
             "s1", "config", {"document": DOCUMENT, "expect_version": 0}, request_id="r0"
         )
         answers = []
 
-        async def race(name):
+        async def change_preset(name):
             change = {"preset": "peak", "expect_version": 1}
-            answers.append(await stores.change(name, "preset", change, request_id=name))
+            answers.append(await stores.send_change(name, "preset", change, request_id=name))
 
         async with create_task_group() as tasks:
             for name in stores.names:
-                tasks.start_soon(race, name)
+                tasks.start_soon(change_preset, name)
         assert sorted(code for code, _ in answers) == [1000, 4009, 4009]
         assert {answer["version"] for _, answer in answers} == {2}
 
@@ -67,42 +69,42 @@
     """Guards against a stop that ends with an error or leaves the group without a leader."""
 
     async def check(stores):
-        leader = await stores.ready()
+        leader = await stores.wait_all_voters()
         assert stores.processes.stop(leader) == 0
-        left = [name for name in stores.names if name != leader]
-        assert await stores.leader(left) in left
-        for name in left:
+        remaining = [name for name in stores.names if name != leader]
+        assert await stores.wait_leader(remaining) in remaining
+        for name in remaining:
             assert stores.processes.stop(name) == 0
 
     Stores(folder=tmp_path).run(check)
 
 
-def test_lost_disk_joins_again_and_is_not_founded_again(tmp_path):
+def test_store_with_a_lost_disk_joins_again_and_cannot_bootstrap(tmp_path):
     """Guards against the bootstrap of a second group by a store that lost its disk.
 
     The store must join as a new member, because its old incarnation has lost its votes.
     """
 
     async def check(stores):
-        await stores.ready()
+        await stores.wait_all_voters()
         change = {"document": DOCUMENT, "expect_version": 0}
-        await stores.change("s2", "config", change, request_id="r1")
+        await stores.send_change("s2", "config", change, request_id="r1")
         stores.processes.kill("s1")
         stores.processes.remove("s1")
-        await stores.leader(["s2", "s3"])
+        await stores.wait_leader(["s2", "s3"])
         status, text = stores.init("s1")
         assert status == 2
         assert "4000" in text
         stores.start("s1")
         await wait_until(
-            lambda: same_audit_files(stores, 1), "audit file on the new disk is complete"
+            lambda: audit_files_match(stores, 1), "audit file on the new disk is complete"
         )
-        assert (await stores.change("s1", "config", change, request_id="r1"))[0] == Code.DONE
+        assert (await stores.send_change("s1", "config", change, request_id="r1"))[0] == Code.DONE
 
     Stores(folder=tmp_path).run(check)
 
 
-def test_init_founds_once_and_only_on_the_first_member(tmp_path):
+def test_init_bootstraps_once_and_only_on_the_first_member(tmp_path):
     """Guards against two stores that bootstrap, which would be two groups with one name."""
     stores = Stores(folder=tmp_path)
     status, text = stores.init("s2")
@@ -112,11 +114,11 @@
     assert (status, "4000" in text) == (2, True)
 
 
-def test_stores_of_another_cell_secret_stay_out(tmp_path):
+def test_store_with_another_cell_secret_is_refused(tmp_path):
     """Guards against a store that takes part in a cell though its settings have another secret."""
 
     async def check(stores):
-        await stores.ready()
+        await stores.wait_all_voters()
         assert stores.processes.stop("s3") == 0
         text = stores.settings_path.read_text()
         stores.settings_path.write_text(text.replace("0123456789abcdef", "fedcba9876543210"))
@@ -125,8 +127,8 @@
         await wait_until(
             lambda: "link refused" in stores.processes.log_text("s3"), "s3 logs the refusal"
         )
-        assert await stores.leader(["s1", "s2"]) in ("s1", "s2")
-        assert await stores.ask("s3", "status") is None
+        assert await stores.wait_leader(["s1", "s2"]) in ("s1", "s2")
+        assert await stores.call_operator("s3", "status") is None
 
     Stores(folder=tmp_path).run(check)
 
@@ -135,7 +137,7 @@
     """Guards against a change that is confirmed to the operator but never reaches the domain."""
 
     async def check(stores):
-        await stores.leader()
+        await stores.wait_leader()
         path = tmp_path / "config.toml"
         path.write_text(DOCUMENT)
         change = ("config", "set", str(path), "--expect-version=0", "--wait")
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -2,7 +2,7 @@
 
 from anyio import run
 
-from tests.entry_net import running
+from tests.entry_net import running_network
 from tests.processes import wait_until
 
 TOKENS = """
@@ -19,11 +19,11 @@
     """Guards against requests sent to any process that announces itself under a service's name."""
 
     async def main():
-        async with running(tmp_path, extra=TOKENS) as net:
+        async with running_network(tmp_path, extra=TOKENS) as net:
             net.start_stub("p1", "--token", "token-of-seat-count")
             net.start_stub("p2", "--log_level", "info", "--token", "token-of-price-watch")
             net.start_stub("p3", "--log_level", "info")
-            await net.wait_served("e1")
+            await net.wait_serving("e1")
             for name in ("p2", "p3"):
                 await wait_until(lambda: "401" in net.processes.log_text(name), f"{name} refused")  # noqa: B023
             assert (await net.health("e1"))["endpoints"] == 1
--- a/tests/test_worker_process.py
+++ b/tests/test_worker_process.py
@@ -18,7 +18,7 @@
 WORKERS = 3
 
 
-class Fleet(Stores):
+class StoresAndWorkers(Stores):
     """Stores that form the cell group and a domain group, and processes of worker stubs."""
 
     __slots__ = ()
@@ -49,8 +49,8 @@
     async def submit(self, name, **arguments):
         """Submit a job and return its id."""
         job = {"name": name, "team": "ski", "cpu_milli": 1000, "memory_mb": 100, **arguments}
-        living = next(one for one in self.names if self.processes.is_running(one))
-        code, answer = await self.change(living, "submit", job, request_id=name)
+        running_store = next(one for one in self.names if self.processes.is_running(one))
+        code, answer = await self.send_change(running_store, "submit", job, request_id=name)
         assert code == Code.DONE, dumps(answer)
         return answer["job"]
 
@@ -64,62 +64,62 @@
         assert check_workers(read(*(self.record(name) for name in names))) == []
 
 
-async def configured(stores):
+async def configure(stores):
     """Wait for a leader and set the first configuration."""
-    await stores.leader()
+    await stores.wait_leader()
     change = {"document": DOCUMENT, "expect_version": 0}
-    assert (await stores.change("s1", "config", change, request_id="c"))[0] == Code.DONE
+    assert (await stores.send_change("s1", "config", change, request_id="c"))[0] == Code.DONE
 
 
 def test_tasks_run_end_and_stop(tmp_path):
     """Guards against tasks that are lost or run twice between cell, owner and worker."""
 
     async def check(stores):
-        await configured(stores)
+        await configure(stores)
         stores.start_workers("w")
         await stores.submit("batch", tasks=9, run_s=0.5, kind="batch")
         service = await stores.submit("service", tasks=3, kind="service")
         await wait_until(lambda: len(stores.starts("w")) == 12, "all tasks started")
 
         async def batch_succeeded():
-            answer = await stores.ask("s1", "jobs")
+            answer = await stores.call_operator("s1", "jobs")
             return answer and any(row.get("succeeded") == 9 for row in answer[1]["jobs"])
 
         await wait_until(batch_succeeded, "success reported to the cell")
-        await stores.change("s1", "cancel", {"jobs": [service]}, request_id="x")
+        await stores.send_change("s1", "cancel", {"jobs": [service]}, request_id="x")
         await wait_until(
             lambda: sum(one["event"] == "stop" for one in read(stores.record("w"))) == 3,
             "service stopped",
         )
         stores.check("w")
 
-    Fleet(folder=tmp_path).run(check)
+    StoresAndWorkers(folder=tmp_path).run(check)
 
 
 def test_placement_goes_on_after_the_owner_is_killed(tmp_path):
     """Guards against a new owner that restarts running tasks, or that places nothing."""
 
     async def check(stores):
-        await configured(stores)
+        await configure(stores)
         stores.start_workers("w")
         await stores.submit("service", tasks=6, kind="service")
         await wait_until(lambda: len(stores.starts("w")) == 6, "service started")
-        leader = await stores.leader()
+        leader = await stores.wait_leader()
         stores.processes.kill(leader)
         others = [name for name in stores.names if name != leader]
-        await stores.leader(others)
+        await stores.wait_leader(others)
         await stores.submit("batch", tasks=6, run_s=0.3, kind="batch")
         await wait_until(lambda: len(stores.starts("w")) == 12, "batch started")
         stores.check("w")
 
-    Fleet(folder=tmp_path).run(check)
+    StoresAndWorkers(folder=tmp_path).run(check)
 
 
 def test_a_paused_worker_is_replaced_and_stops_its_tasks(tmp_path):
     """Guards against a task in two places when a worker is resumed after its lease has expired."""
 
     async def check(stores):
-        await configured(stores)
+        await configure(stores)
         stores.start_workers("a", count=1)
         await stores.submit("service", tasks=2, kind="service")
         await wait_until(lambda: len(stores.starts("a")) == 2, "service started")
@@ -138,4 +138,4 @@
             raise AssertionError(f"{error}; {stores.processes.describe('a')}") from error
         stores.check("a", "b")
 
-    Fleet(folder=tmp_path).run(check)
+    StoresAndWorkers(folder=tmp_path).run(check)
--- a/tests/test_worker_state.py
+++ b/tests/test_worker_state.py
@@ -4,7 +4,7 @@
 from siskintally.worker_state import Faults, WorkerState
 
 
-class Net:
+class WorkerHarness:
     """A worker state, and shorthand for its heartbeats and the orders of its owner."""
 
     __slots__ = ("state",)
@@ -18,7 +18,7 @@
         answer = WorkerOrders(session=beat.session, seq=beat.seq, lease_s=30, term=term, **orders)
         return [event.kind for event in self.state.answered(beat, answer, now=answered)]
 
-    def push(self, *, now, session="s", seq=1, term=1, **orders):
+    def receive(self, *, now, session="s", seq=1, term=1, **orders):
         """Apply orders that arrive between heartbeats; return the kinds of the events."""
         message = WorkerOrders(session=session, seq=seq, lease_s=30, term=term, **orders)
         return [event.kind for event in self.state.take(message, now=now)]
@@ -33,43 +33,43 @@
 
     The reply to a heartbeat from before the end of the lease arrives after it.
     """
-    net = Net()
-    assert net.beat(sent=0.0, answered=0.1, start=[start()]) == ["start"]
-    assert net.beat(sent=29.0, answered=35.0) == ["stop"]
-    assert net.state.running == [] and net.state.session != "s"
+    worker = WorkerHarness()
+    assert worker.beat(sent=0.0, answered=0.1, start=[start()]) == ["start"]
+    assert worker.beat(sent=29.0, answered=35.0) == ["stop"]
+    assert worker.state.running == [] and worker.state.session != "s"
 
 
 def test_orders_without_a_lease_or_of_another_session_or_term_have_no_effect():
     """Guards against late start orders of an owner that has lost its leadership."""
-    net = Net()
-    assert net.push(now=0.0, start=[start()]) == []
-    net.beat(sent=0.0, answered=0.1, term=3)
-    assert net.push(now=1.0, session="old", term=3, start=[start()]) == []
-    assert net.push(now=1.0, term=2, start=[start()]) == []
-    assert net.push(now=1.0, term=3, start=[start()]) == ["start"]
-    assert net.push(now=31.0, term=3, start=[start(2)]) == ["stop"]
+    worker = WorkerHarness()
+    assert worker.receive(now=0.0, start=[start()]) == []
+    worker.beat(sent=0.0, answered=0.1, term=3)
+    assert worker.receive(now=1.0, session="old", term=3, start=[start()]) == []
+    assert worker.receive(now=1.0, term=2, start=[start()]) == []
+    assert worker.receive(now=1.0, term=3, start=[start()]) == ["start"]
+    assert worker.receive(now=31.0, term=3, start=[start(2)]) == ["stop"]
 
 
 def test_repeated_orders_run_an_attempt_once():
     """Guards against a second run of an attempt when its start order is sent again."""
-    net = Net()
-    net.beat(sent=0.0, answered=0.1, start=[start(run_s=1)])
-    assert net.push(now=0.5, start=[start(run_s=1)]) == []
-    assert net.push(now=2.0) == ["end"]
-    assert net.push(now=2.1, start=[start(run_s=1)]) == []
+    worker = WorkerHarness()
+    worker.beat(sent=0.0, answered=0.1, start=[start(run_s=1)])
+    assert worker.receive(now=0.5, start=[start(run_s=1)]) == []
+    assert worker.receive(now=2.0) == ["end"]
+    assert worker.receive(now=2.1, start=[start(run_s=1)]) == []
     seen = AttemptState(task_id="j/g.0", attempt=1, state=AttemptState.SUCCEEDED)
-    assert net.push(now=2.2, seen=[seen], start=[start(run_s=1)]) == []
-    assert net.push(now=2.3, start=[start(2)]) == ["start"]
+    assert worker.receive(now=2.2, seen=[seen], start=[start(run_s=1)]) == []
+    assert worker.receive(now=2.3, start=[start(2)]) == ["start"]
 
 
 def test_a_stop_that_overtakes_its_start_wins():
     """Guards against a cancelled task that starts after its stop was confirmed."""
-    net = Net()
-    net.beat(sent=0.0, answered=0.1)
+    worker = WorkerHarness()
+    worker.beat(sent=0.0, answered=0.1)
     stop = StopOrder(task_id="j/g.0", attempt=1)
-    assert net.push(now=0.2, stop=[stop]) == []
-    assert net.push(now=0.3, start=[start()]) == []
-    (reported,) = net.state.beat(now=0.4).attempts
+    assert worker.receive(now=0.2, stop=[stop]) == []
+    assert worker.receive(now=0.3, start=[start()]) == []
+    (reported,) = worker.state.beat(now=0.4).attempts
     assert reported.state == AttemptState.STOPPED
 
 
@@ -78,21 +78,21 @@
 
     Also guards against full lists in every heartbeat, which would cost control traffic.
     """
-    net = Net()
-    net.beat(sent=0.0, answered=0.1, start=[start()])
-    assert [one.attempt for one in net.state.beat(now=0.2).attempts] == [1]
-    net.beat(sent=0.3, answered=0.4)
-    quiet = net.state.beat(now=0.5)
-    assert not quiet.full and not quiet.attempts
-    net.push(now=0.6, stop=[StopOrder(task_id="j/g.0", attempt=1)])
+    worker = WorkerHarness()
+    worker.beat(sent=0.0, answered=0.1, start=[start()])
+    assert [attempt.attempt for attempt in worker.state.beat(now=0.2).attempts] == [1]
+    worker.beat(sent=0.3, answered=0.4)
+    heartbeat = worker.state.beat(now=0.5)
+    assert not heartbeat.full and not heartbeat.attempts
+    worker.receive(now=0.6, stop=[StopOrder(task_id="j/g.0", attempt=1)])
     for now in (0.7, 0.8):
-        assert [one.attempt for one in net.state.beat(now=now).attempts] == [1]
-    net.state.reconnect()
-    assert net.state.beat(now=0.9).full
+        assert [attempt.attempt for attempt in worker.state.beat(now=now).attempts] == [1]
+    worker.state.reconnect()
+    assert worker.state.beat(now=0.9).full
 
 
 def test_a_delayed_start_is_dropped_when_the_lease_ends_first():
     """Guards against a start order that arrives within the lease and is carried out after it."""
-    net = Net(pause_s=20.0)
-    net.beat(sent=0.0, answered=15.0, start=[start()])
-    assert net.state.tick(now=36.0) == [] and net.state.running == []
+    worker = WorkerHarness(pause_s=20.0)
+    worker.beat(sent=0.0, answered=15.0, start=[start()])
+    assert worker.state.tick(now=36.0) == [] and worker.state.running == []
--- a/tests/two_domains.py
+++ b/tests/two_domains.py
@@ -25,21 +25,21 @@
 )
 
 
-PLACES = LAYOUT.places() | {"w": FAR}
+LOCATION_BY_NAME = LAYOUT.domain_by_name() | {"w": FAR}
 
 
-async def prepared(cell):
+async def start_service(cell):
     """Start an endpoint in each domain, and a service of four tasks in the far one."""
     cell.start_stub("p1", entries=["e1"], domain=NEAR)
     cell.start_stub("p2", entries=["e2"], domain=FAR)
     for entry in cell.entries:
-        await cell.wait_served(entry)
+        await cell.wait_serving(entry)
     cell.start_workers("w", 2, domain=FAR)
     job = {"name": "tally", "team": "ski", "kind": "service", "tasks": 4, "domain": FAR}
     await cell.operate("submit", job | {"cpu_milli": 1000, "memory_mb": 500}, request_id="job")
-    await wait_until(lambda: len(starts(cell)) == 4, "four tasks run")
+    await wait_until(lambda: len(task_starts(cell)) == 4, "four tasks run")
 
 
-def starts(cell):
+def task_starts(cell):
     """Return the records of task starts on the workers."""
     return [line for line in read(cell.record("w")) if line["event"] == "start"]
