--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -31,7 +31,7 @@
 ORDERS_PER_HOUR = 3_600
 
 
-def load(name):
+def load_figures(name):
     """Return the figures that a benchmark has printed as its last line."""
     text = (RESULTS / f"{name}.txt").read_text(encoding="utf-8").strip()
     return json.loads(text.splitlines()[-1])
@@ -84,8 +84,8 @@
     """Yield rows for groups of a failure domain and of a region, on an ordinary day and at peak."""
     for label, groups in (("group a failure domain", DOMAINS), ("group a region", 2)):
         workers = round(WORKERS / groups)
-        daily = TASKS / DAY_S / groups
-        for state, starts in (("ordinary day", daily), ("peak", STARTS_PER_S / groups)):
+        daily_starts = TASKS / DAY_S / groups
+        for state, starts in (("ordinary day", daily_starts), ("peak", STARTS_PER_S / groups)):
             yield Leader(slopes=slopes, workers=workers, starts=starts).row(f"{label}, {state}")
     yield Leader(slopes=slopes, workers=round(10 * WORKERS / DOMAINS), starts=90).row(
         "group a failure domain at ten times the size, peak"
@@ -95,12 +95,12 @@
 def state_rows(state):
     """Yield rows of the state that each role keeps, with its memory and snapshot cost."""
     orders = ORDERS_PER_HOUR * 24 / DOMAINS
-    amounts = (
+    kinds = (
         ("request ledger, a domain group", "ledger_record", orders, "orders kept 24 h"),
         ("jobs, the cell group", "job", JOBS_PER_DAY * 2, "jobs, ended ones kept 24 h"),
         ("announcements, an entry", "endpoint", WORKERS / DOMAINS, "endpoints of its domain"),
     )
-    for label, key, count, what in amounts:
+    for label, key, count, what in kinds:
         memory = state[f"{key}_bytes"] * count / 1e6
         snapshot = state[f"{key}_snapshot_bytes"] * count / 1e6
         stall = state[f"{key}_snapshot_s"] * count * 1000
@@ -171,7 +171,7 @@
 def main():
     """Write the page."""
     names = ("domain_load", "state", "link", "layout")
-    text = page(*map(load, names))
+    text = page(*map(load_figures, names))
     (ROOT / "docs" / "CAPACITY.md").write_text(text, encoding="utf-8")
     print(text)
 
--- a/bench/churn.py
+++ b/bench/churn.py
@@ -13,26 +13,26 @@
 WORKERS_PER_RACK = 8
 DOMAINS = 3
 # Number of jobs that wait at any time.
-AHEAD = 32
+WAITING_JOBS = 32
 # Mean of the exponentially distributed run times, seconds.
 RUN_S = 60.0
 # Number of task ends in a run, for each worker; the second half is measured.
-TURNS_PER_WORKER = 60
+ENDS_PER_WORKER = 60
 
 
 class ScanPool:
     """Baseline that scans all workers; first fit or best fit by processor, oldest task first.
 
-    :param best: best fit instead of first fit.
+    :param best_fit: best fit instead of first fit.
     """
 
-    __slots__ = ("_best", "_place_by_task", "_waiting", "rooms")
+    __slots__ = ("_allocation_by_task", "_best_fit", "_waiting", "free_by_worker")
 
-    def __init__(self, *, workers, capacity, best):
-        self.rooms = [[capacity.cpu, capacity.memory] for _ in range(workers)]
-        self._best = best
+    def __init__(self, *, workers, capacity, best_fit):
+        self.free_by_worker = [[capacity.cpu, capacity.memory] for _ in range(workers)]
+        self._best_fit = best_fit
         self._waiting = {}
-        self._place_by_task = {}
+        self._allocation_by_task = {}
 
     def submit(self, job):
         """Queue a job with one task."""
@@ -50,20 +50,26 @@
         del self._waiting[job.waiting[0]]
 
     def _place(self, task_id, need):
-        fits = (room for room in self.rooms if room[0] >= need.cpu and room[1] >= need.memory)
-        room = min(fits, key=lambda at: at[0], default=None) if self._best else next(fits, None)
-        if room is None:
+        fits = (
+            free for free in self.free_by_worker if free[0] >= need.cpu and free[1] >= need.memory
+        )
+        free = (
+            min(fits, key=lambda amounts: amounts[0], default=None)
+            if self._best_fit
+            else next(fits, None)
+        )
+        if free is None:
             return False
-        room[0] -= need.cpu
-        room[1] -= need.memory
-        self._place_by_task[task_id] = (room, need)
+        free[0] -= need.cpu
+        free[1] -= need.memory
+        self._allocation_by_task[task_id] = (free, need)
         return True
 
     def end(self, task_id, now):
         """Free the resources of a task."""
-        room, need = self._place_by_task.pop(task_id)
-        room[0] += need.cpu
-        room[1] += need.memory
+        free, need = self._allocation_by_task.pop(task_id)
+        free[0] += need.cpu
+        free[1] += need.memory
 
 
 class IndexedPool:
@@ -105,19 +111,19 @@
 class Spread:
     """Numbers of domains and racks that the tasks of a service use and that they could use."""
 
-    __slots__ = ("domains", "most_domains", "most_racks", "racks")
+    __slots__ = ("domains", "possible_domains", "possible_racks", "racks")
 
     def __init__(self, job, racks):
         tasks = len(job.running)
-        self.domains, self.most_domains = len(job.count_by_domain), min(tasks, DOMAINS)
-        self.racks, self.most_racks = len(job.count_by_rack), min(tasks, racks)
+        self.domains, self.possible_domains = len(job.count_by_domain), min(tasks, DOMAINS)
+        self.racks, self.possible_racks = len(job.count_by_rack), min(tasks, racks)
 
 
 class Churn:
     """One run of the steady state.
 
     :param shapes: iterator of (kind, need, number of tasks).
-    :param use: mean share of the processors in use during the second half of the run.
+    :param mean_use: mean share of the processors in use during the second half of the run.
     :param waits_by_kind: seconds from submission to the start of the last task of each job.
     :param spreads: :class:`Spread` of each service when its last task was placed.
     """
@@ -128,42 +134,42 @@
         self._random = random
         self._total_cpu = total_cpu
         self._job_by_id = {}
-        self._missing = Counter()
+        self._unplaced_by_id = Counter()
         self._submitted_by_id = {}
         self._running = []
-        self._used = 0
+        self._used_cpu = 0
         self._now = 0.0
-        self.use = 0.0
+        self.mean_use = 0.0
         self.waits_by_kind = {kind: [] for kind in Kind}
         self.spreads = []
 
-    def run(self, turns):
-        """Run until ``turns`` tasks have ended; return this object."""
+    def run(self, ends):
+        """Run until ``ends`` tasks have ended; return this object."""
         total = 0.0
-        for turn in range(turns):
-            self._fill(measured=turn >= turns // 2)
-            if turn >= turns // 2:
-                total += self._used / self._total_cpu
-            self._end()
-        self.use = total / (turns - turns // 2)
+        for end_number in range(ends):
+            self._fill_pool(measured=end_number >= ends // 2)
+            if end_number >= ends // 2:
+                total += self._used_cpu / self._total_cpu
+            self._end_random_task()
+        self.mean_use = total / (ends - ends // 2)
         return self
 
-    def waiting_s(self, kind):
+    def unfinished_waits_s(self, kind):
         """Return the waiting times so far of the jobs of a kind that still wait, seconds."""
         return [
             self._now - self._submitted_by_id[job_id]
-            for job_id in self._missing
+            for job_id in self._unplaced_by_id
             if self._job_by_id[job_id].kind == kind
         ]
 
-    def _fill(self, *, measured):
+    def _fill_pool(self, *, measured):
         placed = [None]
         while placed:
-            while len(self._missing) < AHEAD:
+            while len(self._unplaced_by_id) < WAITING_JOBS:
                 self._submit()
             placed = self._pool.step(self._now)
             for task_id in placed:
-                self._started(task_id, measured)
+                self._record_start(task_id, measured)
 
     def _submit(self):
         kind, need, tasks = next(self._shapes)
@@ -173,36 +179,36 @@
             job_id=job_id, kind=kind, need=need, tasks=tasks, submitted=self._now, run_s=run_s
         )
         self._submitted_by_id[job_id] = self._now
-        self._missing[job_id] = tasks
+        self._unplaced_by_id[job_id] = tasks
         self._job_by_id[job_id] = job
         self._pool.submit(job)
 
-    def _started(self, task_id, measured):
+    def _record_start(self, task_id, measured):
         job_id = task_id.partition("/")[0]
         job = self._job_by_id[job_id]
         self._running.append(task_id)
-        self._used += job.need.cpu
-        self._missing[job_id] -= 1
-        if not self._missing[job_id]:
-            del self._missing[job_id]
+        self._used_cpu += job.need.cpu
+        self._unplaced_by_id[job_id] -= 1
+        if not self._unplaced_by_id[job_id]:
+            del self._unplaced_by_id[job_id]
             if measured:
                 self.waits_by_kind[job.kind].append(self._now - self._submitted_by_id[job_id])
                 if job.kind == Kind.SERVICE:
                     self.spreads.append(Spread(job, self._pool.racks))
 
-    def _end(self):
+    def _end_random_task(self):
         self._now += self._random.expovariate(len(self._running) / RUN_S)
-        at = self._random.randrange(len(self._running))
-        self._running[at], self._running[-1] = self._running[-1], self._running[at]
+        index = self._random.randrange(len(self._running))
+        self._running[index], self._running[-1] = self._running[-1], self._running[index]
         task_id = self._running.pop()
-        self._used -= self._job_by_id[task_id.partition("/")[0]].need.cpu
+        self._used_cpu -= self._job_by_id[task_id.partition("/")[0]].need.cpu
         self._pool.end(task_id, self._now)
 
 
 def reservations_as_declared(placement):
     """Return whether reservations equal the declared sizes and no worker is overcommitted."""
     for worker in placement.pool.worker_by_name.values():
-        held = sum((held.job.need for held in worker.held_by_task.values()), NOTHING)
-        if held + worker.free != worker.capacity or min(worker.free.key()) < 0:
+        reserved = sum((task.job.need for task in worker.held_by_task.values()), NOTHING)
+        if reserved + worker.free != worker.capacity or min(worker.free.key()) < 0:
             return False
     return True
--- a/bench/control.py
+++ b/bench/control.py
@@ -40,10 +40,10 @@
 TASKS_PER_WORKER = 23
 CAPACITY = Resources(cpu_milli=32_000, memory_mb=128_000)
 TARGET_CPU_MS = 12.0
-TARGET_BYTES_PER_NODE = 9000
+TARGET_BYTES_PER_WORKER = 9000
 
 
-class LocalGroup:
+class FakeGroup:
     """Fake of a replicated group; this process leads it and commands are applied at once."""
 
     __slots__ = ("applied_index", "bytes", "is_leader", "leader", "machine", "name", "term")
@@ -62,7 +62,7 @@
         sender, receiver = create_memory_object_stream(4)
         sender.send_nowait(Leadership(term=1, leader="s1", is_leader=True))
         self.leader = "s1"
-        _KEPT.append(sender)
+        _OPEN_SENDERS.append(sender)
         return receiver
 
     async def propose(self, command):
@@ -75,7 +75,7 @@
         """Return at once, as after a completed quorum round."""
 
 
-_KEPT = []
+_OPEN_SENDERS = []
 
 
 class FakeSettings:
@@ -88,7 +88,7 @@
         self.group_by_name = {"g": group}
 
 
-class Load:
+class FakeCellAndWorkers:
     """Fake workers and a fake cell for one owner; counts the bytes of their messages."""
 
     __slots__ = ("_ended", "_items", "_seq", "bytes", "owner", "starts_by_worker")
@@ -103,10 +103,10 @@
 
     def send(self, body):
         """Process orders that the owner pushes."""
-        self._take(body)
+        self._process_orders(body)
         return True
 
-    def _take(self, orders):
+    def _process_orders(self, orders):
         self.bytes += orders.ByteSize()
         worker = orders.session
         for start in orders.start:
@@ -145,62 +145,71 @@
             attempts=states,
         )
         self.bytes += beat.ByteSize()
-        self._take(await self.owner.answer(self, beat))
+        self._process_orders(await self.owner.answer(self, beat))
 
     async def worker(self, name):
         """Send a heartbeat each 5 s with the changed attempts; end short tasks in the next one."""
         await sleep(int(name[1:]) % 50 / 10)
-        seq, known = 1, 0
+        seq, reported = 1, 0
         await self.beat(name, seq, full=True)
         while True:
             await sleep(BEAT_S)
             seq += 1
             starts = self.starts_by_worker.get(name, [])
-            states = [_state(key, AttemptState.RUNNING) for key in starts[known:]]
-            ending = [key for key in starts[:known] if key[0].startswith("short")]
-            states += [_state(key, AttemptState.SUCCEEDED) for key in ending]
-            self.starts_by_worker[name] = [key for key in starts if key not in ending]
-            known = len(self.starts_by_worker[name])
+            states = [_state(attempt, AttemptState.RUNNING) for attempt in starts[reported:]]
+            ended_attempts = [
+                attempt for attempt in starts[:reported] if attempt[0].startswith("short")
+            ]
+            states += [_state(attempt, AttemptState.SUCCEEDED) for attempt in ended_attempts]
+            self.starts_by_worker[name] = [
+                attempt for attempt in starts if attempt not in ended_attempts
+            ]
+            reported = len(self.starts_by_worker[name])
             await self.beat(name, seq, full=False, states=states)
 
 
-def _state(key, state):
+def _state(attempt, state):
     used = Resources(cpu_milli=900, memory_mb=1800)
-    return AttemptState(task_id=key[0], attempt=key[1], state=state, used=used)
+    return AttemptState(task_id=attempt[0], attempt=attempt[1], state=state, used=used)
 
 
 async def measure(workers, run_s):
     """Return the figures of one run as a mapping."""
-    load = Load()
+    fakes = FakeCellAndWorkers()
     domain = Domain(group="g")
-    group = LocalGroup(machine=domain)
-    load.owner = Owner(
+    group = FakeGroup(machine=domain)
+    fakes.owner = Owner(
         group=group,
         domain=domain,
         settings=FakeSettings(),
-        cell_call=load.cell_call,
+        cell_call=fakes.cell_call,
         metrics=Metrics(address=None, prefix="bench"),
     )
     async with create_task_group() as tasks:
-        tasks.start_soon(load.owner.run)
-        while load.owner.owner_term is None:
+        tasks.start_soon(fakes.owner.run)
+        while fakes.owner.owner_term is None:
             await sleep(0.01)
         for number in range(workers):
-            tasks.start_soon(load.worker, f"w{number}")
-        load.submit("long", workers * TASKS_PER_WORKER, 0)
+            tasks.start_soon(fakes.worker, f"w{number}")
+        fakes.submit("long", workers * TASKS_PER_WORKER, 0)
         await sleep(3 * BEAT_S)
-        begun, cpu, sent, applied = monotonic(), process_time(), load.bytes, group.bytes
+        started, cpu_before, bytes_before, log_bytes_before = (
+            monotonic(),
+            process_time(),
+            fakes.bytes,
+            group.bytes,
+        )
         number = 0
-        while monotonic() - begun < run_s:
+        while monotonic() - started < run_s:
             number += 1
-            load.submit(f"short{number}", STARTS_PER_S, 5)
+            fakes.submit(f"short{number}", STARTS_PER_S, 5)
             await sleep(1.0)
-        spent = monotonic() - begun
+        elapsed_s = monotonic() - started
         result = {
             "workers": workers,
-            "cpu_ms_per_s": (process_time() - cpu) * 1000 / spent,
-            "message_bytes_per_s": (load.bytes - sent) / spent,
-            "log_bytes_per_s": (group.bytes - applied) / spent,
+            "cpu_ms_per_s": (process_time() - cpu_before) * 1000 / elapsed_s,
+            "message_bytes_per_s": (fakes.bytes - bytes_before) / elapsed_s,
+            "log_bytes_per_s": (group.bytes - log_bytes_before) / elapsed_s,
             "running": sum(job.running for job in domain.job_by_id.values()),
         }
         tasks.cancel_scope.cancel()
@@ -210,14 +219,14 @@
 def main(_):
     """Print the figures with their ratios to the targets, and write the JSON file."""
     result = run(measure, FLAGS.workers, FLAGS.run_s)
-    per_node = (result["message_bytes_per_s"] + result["log_bytes_per_s"]) / FLAGS.workers
-    result["bytes_per_s_per_worker"] = per_node
+    bytes_per_worker = (result["message_bytes_per_s"] + result["log_bytes_per_s"]) / FLAGS.workers
+    result["bytes_per_s_per_worker"] = bytes_per_worker
     result["cpu_ratio_to_target"] = result["cpu_ms_per_s"] / TARGET_CPU_MS
-    result["bytes_ratio_to_target"] = per_node / TARGET_BYTES_PER_NODE
+    result["bytes_ratio_to_target"] = bytes_per_worker / TARGET_BYTES_PER_WORKER
     print(
         f"{result['workers']} workers, {result['running']} tasks: {result['cpu_ms_per_s']:.1f} ms"
         f" CPU a second ({result['cpu_ratio_to_target']:.2f} of the target, load generator"
-        f" included), {per_node:.0f} bytes a second for each worker"
+        f" included), {bytes_per_worker:.0f} bytes a second for each worker"
     )
     if FLAGS.json:
         Path(FLAGS.json).write_text(dumps(result, indent=2) + "\n", encoding="utf-8")
--- a/bench/domain_load.py
+++ b/bench/domain_load.py
@@ -19,7 +19,7 @@
 from httpx import AsyncClient
 
 from bench import regions
-from bench.meter import ByteCounter, fit, process_cpu_seconds, resident_mb
+from bench.meter import ByteCounter, fit_line, process_cpu_seconds, resident_mb
 from tests.full_cell import FullCell, one_domain
 from tests.processes import Processes, free_ports, wait_until
 
@@ -46,21 +46,21 @@
         super().__init__(processes=processes, layout=one_domain(entries), random=random)
         self.relay_by_store = {}
         self.worker_settings = self.folder / "workers.toml"
-        lines = self.settings.read_text()
-        shown = [lines, lines]
+        text = self.settings.read_text()
+        texts = [text, text]
         for name in self.stores:
             target = self.port_of(name)
-            counters = [ByteCounter(port=port, target=target) for port in free_ports(2)]
-            self.relay_by_store[name] = counters
-            for number, counter in enumerate(counters):
-                shown[number] = shown[number].replace(f":{target}", f":{counter.port}")
+            relays = [ByteCounter(port=port, target=target) for port in free_ports(2)]
+            self.relay_by_store[name] = relays
+            for number, relay in enumerate(relays):
+                texts[number] = texts[number].replace(f":{target}", f":{relay.port}")
         for name in self.stores:
             # A store listens on its own address and connects to the relays of the others.
-            own = shown[0].replace(
+            own = texts[0].replace(
                 f":{self.relay_by_store[name][0].port}", f":{self.port_of(name)}"
             )
             (self.folder / f"{name}.toml").write_text(own)
-        self.worker_settings.write_text(shown[1])
+        self.worker_settings.write_text(texts[1])
 
     def port_of(self, name):
         """Return the port on which a store accepts links."""
@@ -84,7 +84,9 @@
 
     def bytes_of(self, kind):
         """Return the bytes so far, for kind 0 between stores, for 1 between workers and stores."""
-        return sum(pair[kind].sent + pair[kind].received for pair in self.relay_by_store.values())
+        return sum(
+            relays[kind].sent + relays[kind].received for relays in self.relay_by_store.values()
+        )
 
 
 class Reading:
@@ -120,7 +122,7 @@
     }
 
 
-async def measured(cell, seconds, work=None):
+async def measure_costs(cell, seconds, work=None):
     """Return the costs over some seconds, while ``await work()`` runs."""
     before = Reading(cell=cell)
     async with create_task_group() as tasks:
@@ -144,16 +146,16 @@
     return sum(job["running"] for job in answer["jobs"])
 
 
-async def point(folder, workers, starts_per_s, seconds):
+async def measure_size(folder, workers, starts_per_s, seconds):
     """Return the costs with a number of workers, idle and with task starts."""
     random = Random(1)
     with Processes(folder=folder) as processes:
         cell = MeasuredCell(processes=processes, entries=("e1",), random=random)
         cell.bootstrap()
         async with AsyncClient(timeout=30.0) as cell.client, create_task_group() as tasks:
-            for pair in cell.relay_by_store.values():
-                for counter in pair:
-                    tasks.start_soon(counter.run)
+            for relays in cell.relay_by_store.values():
+                for relay in relays:
+                    tasks.start_soon(relay.run)
             for name in cell.stores:
                 cell.start_store(name)
             cell.start_entry("e1")
@@ -169,9 +171,9 @@
 
             await wait_until(placed, f"{count} tasks run")
             await sleep(SETTLE_S)
-            idle = await measured(cell, seconds)
+            idle = await measure_costs(cell, seconds)
 
-            async def stream():
+            async def submit_batches():
                 number = 0
                 while True:
                     batch = round(starts_per_s * BATCH_INTERVAL_S)
@@ -179,7 +181,7 @@
                     number += 1
                     await sleep(BATCH_INTERVAL_S)
 
-            busy = await measured(cell, seconds, stream)
+            busy = await measure_costs(cell, seconds, submit_batches)
             tasks.cancel_scope.cancel()
     return idle, busy
 
@@ -189,7 +191,7 @@
     result = {}
     for workers in sizes:
         with TemporaryDirectory() as folder:
-            result[workers] = await point(Path(folder), workers, starts_per_s, seconds)
+            result[workers] = await measure_size(Path(folder), workers, starts_per_s, seconds)
     return result
 
 
@@ -209,11 +211,11 @@
     slopes = {"starts_per_s": starts_per_s}
     for name in names:
         idle = [(workers, states[0][name]) for workers, states in result.items()]
-        slope, base = fit(idle) if len(idle) > 1 else (0.0, idle[0][1])
+        slope, base = fit_line(idle) if len(idle) > 1 else (0.0, idle[0][1])
         slopes[f"{name}_per_worker"], slopes[f"{name}_base"] = slope, base
-        extra = [states[1][name] - states[0][name] for states in result.values()]
-        slopes[f"{name}_per_start_s"] = sum(extra) / len(extra) / starts_per_s
-    regions.show(crossing)
+        differences = [states[1][name] - states[0][name] for states in result.values()]
+        slopes[f"{name}_per_start_s"] = sum(differences) / len(differences) / starts_per_s
+    regions.print_figures(crossing)
     print(json.dumps(slopes | crossing))
 
 
--- a/bench/entry.py
+++ b/bench/entry.py
@@ -33,7 +33,7 @@
 # within a quarter of their deadline.
 MAX_URGENT_RATIO = 2.0
 MAX_RETRY_RATIO = 0.1
-MAX_TOLD_RATIO = 0.25
+MAX_REFUSAL_RATIO = 0.25
 
 KINDS = [
     Kind(
@@ -62,15 +62,15 @@
     :param load: offered load, in parts of the capacity.
     """
     pid = net.processes.popen_by_name["e1"].pid
-    source = Load(targets=targets(net, names), path=path, kinds=KINDS, seed=SEED)
+    generator = Load(targets=targets(net, names), path=path, kinds=KINDS, seed=SEED)
     before = process_cpu_seconds(pid)
-    result = await source.run(rate=load * CAPACITY, seconds=seconds)
-    await source.close()
-    used = process_cpu_seconds(pid) - before
-    return result, used * 1000 / max(sum(result.codes().values()), 1)
+    result = await generator.run(rate=load * CAPACITY, seconds=seconds)
+    await generator.close()
+    cpu_s = process_cpu_seconds(pid) - before
+    return result, cpu_s * 1000 / max(sum(result.codes().values()), 1)
 
 
-def row(load, way, result, cpu_ms):
+def figures(load, way, result, cpu_ms):
     """Return the figures of one run.
 
     :param way: ``direct`` or ``entry``.
@@ -89,8 +89,8 @@
         "done": codes[1000] / total,
         "not_run": sum(count for code, count in codes.items() if code and not_run(code)) / total,
         "refused_p99_ms": result.refused.ms(99) if result.refused.count() else 0.0,
-        "told_p50": result.told.ms(50) / 1000 if result.told.count() else 0.0,
-        "told_p99": result.told.ms(99) / 1000 if result.told.count() else 0.0,
+        "told_p50": result.refused_ratio.ms(50) / 1000 if result.refused_ratio.count() else 0.0,
+        "told_p99": result.refused_ratio.ms(99) / 1000 if result.refused_ratio.count() else 0.0,
         "deferrable_codes": {
             str(code): count for code, count in sorted(result.codes_by_kind["deferrable"].items())
         },
@@ -120,22 +120,22 @@
         path, names = ways[way]
         # Direct calls have no request id, so retry_ratio does not count them.
         result, cpu_ms = await measure(net, path=path, names=names, load=load, seconds=seconds)
-        rows.append(row(load, way, result, cpu_ms))
+        rows.append(figures(load, way, result, cpu_ms))
         print_row(rows[-1])
     return rows
 
 
-def print_row(one):
+def print_row(row):
     """Print one run."""
     print(
-        f"{one['load']:>4.0%} {one['way']:<7} n={one['requests']:<5} p50={one['p50_ms']:.1f} ms "
-        f"p99={one['p99_ms']:.1f} ms urgent p99={one['urgent_p99_ms']:.1f} ms "
-        f"urgent done={one['urgent_done']:.1%} done={one['done']:.1%} "
-        f"not run={one['not_run']:.1%} (p99 {one['refused_p99_ms']:.1f} ms, "
-        f"{one['told_p50']:.2f} and {one['told_p99']:.2f} of the deadline) "
-        f"client lag p99={one['client_lag_p99_ms']:.1f} ms CPU={one['entry_cpu_ms']:.2f} ms "
-        f"codes={one['codes']} deferrable p99={one['deferrable_p99_ms']:.1f} ms "
-        f"codes={one['deferrable_codes']}"
+        f"{row['load']:>4.0%} {row['way']:<7} n={row['requests']:<5} p50={row['p50_ms']:.1f} ms "
+        f"p99={row['p99_ms']:.1f} ms urgent p99={row['urgent_p99_ms']:.1f} ms "
+        f"urgent done={row['urgent_done']:.1%} done={row['done']:.1%} "
+        f"not run={row['not_run']:.1%} (p99 {row['refused_p99_ms']:.1f} ms, "
+        f"{row['told_p50']:.2f} and {row['told_p99']:.2f} of the deadline) "
+        f"client lag p99={row['client_lag_p99_ms']:.1f} ms CPU={row['entry_cpu_ms']:.2f} ms "
+        f"codes={row['codes']} deferrable p99={row['deferrable_p99_ms']:.1f} ms "
+        f"codes={row['deferrable_codes']}"
     )
 
 
@@ -152,17 +152,21 @@
 
 def summarize(rows, net):
     """Return the ratios between the rows, which were measured in the same run."""
-    by = {(one["load"], one["way"]): one for one in rows}
-    half, most, over = by[0.5, "entry"], by[0.9, "entry"], by[2, "entry"]
+    row_by_load_and_way = {(row["load"], row["way"]): row for row in rows}
+    half_load, high_load, overload = (
+        row_by_load_and_way[0.5, "entry"],
+        row_by_load_and_way[0.9, "entry"],
+        row_by_load_and_way[2, "entry"],
+    )
     return {
-        "overhead_p50_at_50": half["p50_ms"] / by[0.5, "direct"]["p50_ms"],
-        "overhead_p99_at_50": half["p99_ms"] / by[0.5, "direct"]["p99_ms"],
-        "overhead_p50_at_90": most["p50_ms"] / by[0.9, "direct"]["p50_ms"],
-        "overhead_p99_at_90": most["p99_ms"] / by[0.9, "direct"]["p99_ms"],
-        "urgent_p99_200_to_50": over["urgent_p99_ms"] / half["urgent_p99_ms"],
-        "urgent_done_at_200": over["urgent_done"],
-        "not_run_at_200": over["not_run"],
-        "told_p99_of_deadline_at_200": over["told_p99"],
+        "overhead_p50_at_50": half_load["p50_ms"] / row_by_load_and_way[0.5, "direct"]["p50_ms"],
+        "overhead_p99_at_50": half_load["p99_ms"] / row_by_load_and_way[0.5, "direct"]["p99_ms"],
+        "overhead_p50_at_90": high_load["p50_ms"] / row_by_load_and_way[0.9, "direct"]["p50_ms"],
+        "overhead_p99_at_90": high_load["p99_ms"] / row_by_load_and_way[0.9, "direct"]["p99_ms"],
+        "urgent_p99_200_to_50": overload["urgent_p99_ms"] / half_load["urgent_p99_ms"],
+        "urgent_done_at_200": overload["urgent_done"],
+        "not_run_at_200": overload["not_run"],
+        "told_p99_of_deadline_at_200": overload["told_p99"],
         "retries_per_first_send": retry_ratio(net),
         "entry_resident_mb": resident_mb(net.processes.popen_by_name["e1"].pid),
         "rows": rows,
@@ -185,7 +189,7 @@
         broken.append("urgent_p99_200_to_50")
     if summary["retries_per_first_send"] > MAX_RETRY_RATIO:
         broken.append("retries_per_first_send")
-    if summary["told_p99_of_deadline_at_200"] > MAX_TOLD_RATIO:
+    if summary["told_p99_of_deadline_at_200"] > MAX_REFUSAL_RATIO:
         broken.append("told_p99_of_deadline_at_200")
     print(dumps({**summary, "broken": broken}))
     return not broken
--- a/bench/layout.py
+++ b/bench/layout.py
@@ -44,10 +44,10 @@
 class LayoutCell(FullCell):
     """The cell of the sample settings, on free ports and with its data in a temporary directory.
 
-    :param parsed: the :class:`~siskintally.settings.Settings` in use.
+    :param parsed_settings: the :class:`~siskintally.settings.Settings` in use.
     """
 
-    __slots__ = ("parsed",)
+    __slots__ = ("parsed_settings",)
 
     def __init__(self, *, processes):
         self.processes = processes
@@ -61,13 +61,15 @@
         text += f'\n[[operator]]\nname = "bench"\ntoken = "{TOKEN}"\n'
         self.settings = self.folder / "cell.toml"
         self.settings.write_text(text)
-        self.parsed = load(self.settings)
-        self.entries = {entry.name: entry.domain for entry in self.parsed.entries()}
-        self.url_by_name = {entry.name: f"http://{entry.http}" for entry in self.parsed.entries()}
+        self.parsed_settings = load(self.settings)
+        self.entries = {entry.name: entry.domain for entry in self.parsed_settings.entries()}
+        self.url_by_name = {
+            entry.name: f"http://{entry.http}" for entry in self.parsed_settings.entries()
+        }
         self.stores = [name.replace("entry", "store") for name in self.entries]
-        groups = self.parsed.group_by_name.values()
+        groups = self.parsed_settings.group_by_name.values()
         self.layout = Layout(
-            stores={name: self.parsed.process(name).domain for name in self.stores},
+            stores={name: self.parsed_settings.process(name).domain for name in self.stores},
             entries=self.entries,
             members_by_group={group.name: list(group.members) for group in groups},
             domains_by_group={group.name: list(group.domains) for group in groups if group.domains},
@@ -97,7 +99,9 @@
         await self.operate("config", change, request_id="config", entry="vm1-entry")
         await self.wait_voters()
         for domain in dict.fromkeys(self.entries.values()):
-            entries = [name for name, own in self.entries.items() if own == domain]
+            entries = [
+                name for name, entry_domain in self.entries.items() if entry_domain == domain
+            ]
             self.start_stub(f"endpoint-{domain}", entries=entries, domain=domain)
             flags = ("--cpu_milli", 32000, "--memory_mb", 128000, "--beat_s", BEAT_S)
             self.start_workers(f"workers-{domain}", workers, *flags, domain=domain)
@@ -134,7 +138,11 @@
         for name, pid in pid_by_name.items()
     }
     return {
-        vm: (core[store], core[entry], sum(resident_mb(pid_by_name[n]) for n in (store, entry)))
+        vm: (
+            core[store],
+            core[entry],
+            sum(resident_mb(pid_by_name[name]) for name in (store, entry)),
+        )
         for vm, (store, entry) in cell.vms()
     }
 
@@ -165,18 +173,18 @@
                 await cell.submit(f"s-{domain}", kind="service", tasks=services, domain=domain)
                 batch = {"kind": "batch", "tasks": tasks - services, "run_s": 1e6}
                 await cell.submit(f"b-{domain}", domain=domain, **batch)
-            wanted = tasks * len(domains)
+            total_tasks = tasks * len(domains)
             started = monotonic()
 
             async def placed():
-                return await cell.running() >= wanted
+                return await cell.running() >= total_tasks
 
-            await wait_until(placed, f"{wanted} tasks run", limit_s=300.0)
+            await wait_until(placed, f"{total_tasks} tasks run", limit_s=300.0)
             placed_s = monotonic() - started
             await sleep(SETTLE_S)
             idle = await costs(cell, seconds)
 
-            async def stream():
+            async def submit_batches():
                 number = 0
                 while True:
                     for domain in domains:
@@ -186,12 +194,12 @@
                     number += 1
                     await sleep(BATCH_INTERVAL_S)
 
-            busy = await costs(cell, seconds, stream)
+            busy = await costs(cell, seconds, submit_batches)
             times_s = [await in_force_s(cell, number) for number in range(1, CHANGES + 1)]
             leaders = cell.leaders()
     return {
         "workers": workers * len(domains),
-        "tasks": wanted,
+        "tasks": total_tasks,
         "placed_s": placed_s,
         "idle": idle,
         "busy": busy,
@@ -200,9 +208,9 @@
     }
 
 
-def show(result):
+def print_figures(result):
     """Print the figures with their ratios to the budgets, and JSON."""
-    leads = {store.partition("-")[0]: group for group, store in result["leaders"].items()}
+    groups = {store.partition("-")[0]: group for group, store in result["leaders"].items()}
     size = f"{result['workers']} workers, {result['tasks']} tasks"
     print(f"{size}, placed in {result['placed_s']:.1f} s")
     columns = f"{'VM':5} {'leads':10} {'state':5} {'store %':>8} {'entry %':>8}"
@@ -210,11 +218,11 @@
     for state in ("idle", "busy"):
         for vm, (store, entry, memory_mb) in result[state].items():
             print(
-                f"{vm:5} {leads.get(vm, '-'):10} {state:5} {store * 100:8.2f} {entry * 100:8.2f} "
+                f"{vm:5} {groups.get(vm, '-'):10} {state:5} {store * 100:8.2f} {entry * 100:8.2f} "
                 f"{(store + entry) / CPU_BUDGET:10.2f} {memory_mb:5.0f}"
             )
-    most_mb = max(memory_mb for _, _, memory_mb in result["busy"].values())
-    print(f"memory: most {most_mb:.0f} MB, {most_mb / MEMORY_BUDGET_MB:.2f} of the budget")
+    max_mb = max(memory_mb for _, _, memory_mb in result["busy"].values())
+    print(f"memory: most {max_mb:.0f} MB, {max_mb / MEMORY_BUDGET_MB:.2f} of the budget")
     times_s = result["in_force_s"]
     print(
         f"configuration in force at all entries: median {times_s[len(times_s) // 2]:.3f} s, "
@@ -229,7 +237,7 @@
     tasks = int(argv[2]) if len(argv) > 2 else TASKS
     seconds = float(argv[3]) if len(argv) > 3 else SECONDS
     with TemporaryDirectory() as folder:
-        show(run(measure, Path(folder), workers, tasks, seconds))
+        print_figures(run(measure, Path(folder), workers, tasks, seconds))
 
 
 if __name__ == "__main__":
--- a/bench/link.py
+++ b/bench/link.py
@@ -12,7 +12,7 @@
 
 from anyio import create_task_group, move_on_after, run, sleep
 
-from bench.meter import ByteCounter, cpu_seconds, fit, process_cpu_seconds
+from bench.meter import ByteCounter, cpu_seconds, fit_line, process_cpu_seconds
 from siskintally.link import Link, LinkServer
 from siskintally.log import set_up
 from siskintally.session import Handler
@@ -27,7 +27,7 @@
 DEFAULT_SECONDS = 3.0
 
 
-class Sink(Handler):
+class DoneHandler(Handler):
     """Answers every call with ``Done`` and ignores messages."""
 
     async def answer(self, session, body):
@@ -35,7 +35,7 @@
         return Done()
 
 
-def beat(attempts):
+def heartbeat(attempts):
     """Return a heartbeat of a worker with some attempts."""
     body = WorkerBeat(worker="worker-101", domain="jylland-a", rack="rack-7", session="a1b2c3d4")
     for number in range(attempts):
@@ -47,12 +47,12 @@
     """Run the server, in a process of its own."""
     set_up(process="server", level="error")
     hello = Hello(name="server", cell="bench", incarnation="1")
-    await LinkServer(hello=hello, secret=SECRET, handler=Sink()).serve(
+    await LinkServer(hello=hello, secret=SECRET, handler=DoneHandler()).serve(
         host="127.0.0.1", port=SERVER_PORT
     )
 
 
-async def drive(link, counter, server, *, rate, seconds, send, burst=1):
+async def send_at_rate(link, counter, server, *, rate, seconds, send, burst=1):
     """Send at a rate; return the CPU seconds of client and server and the bytes for one message."""
     before = cpu_seconds(), process_cpu_seconds(server.pid), counter.sent + counter.received
     count = int(rate * seconds)
@@ -70,11 +70,11 @@
     await link.call(JobReport(group="jylland-a"), timeout=5)
 
 
-def post(attempts):
+def heartbeat_sender(attempts):
     """Return a function that sends one heartbeat."""
 
     async def send(link):
-        link.send(beat(attempts))
+        link.send(heartbeat(attempts))
 
     return send
 
@@ -88,17 +88,19 @@
     return (cpu_seconds() - before) / count
 
 
-async def points(link, counter, server, seconds):
+async def measure_points(link, counter, server, seconds):
     """Yield the name and the costs of each measuring point."""
     for rate in RATES:
-        costs = await drive(link, counter, server, rate=rate, seconds=seconds, send=call)
+        costs = await send_at_rate(link, counter, server, rate=rate, seconds=seconds, send=call)
         yield f"call at {rate}/s", costs
     for size in ATTEMPTS:
-        costs = await drive(link, counter, server, rate=100, seconds=seconds, send=post(size))
+        costs = await send_at_rate(
+            link, counter, server, rate=100, seconds=seconds, send=heartbeat_sender(size)
+        )
         yield f"beat of {size} attempts", costs
     for burst in BURSTS:
-        costs = await drive(
-            link, counter, server, rate=200, seconds=seconds, send=post(0), burst=burst
+        costs = await send_at_rate(
+            link, counter, server, rate=200, seconds=seconds, send=heartbeat_sender(0), burst=burst
         )
         yield f"beat in bursts of {burst}", costs
 
@@ -106,14 +108,16 @@
 async def measure_through(port, counter, server, seconds):
     """Return ``{point: costs}`` over the port of the server or of the relay."""
     hello = Hello(name="client", cell="bench", incarnation="1")
-    link = Link(host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=Sink())
+    link = Link(host="127.0.0.1", port=port, hello=hello, secret=SECRET, handler=DoneHandler())
     async with create_task_group() as tasks:
         if port == RELAY_PORT:
             tasks.start_soon(counter.run)
         tasks.start_soon(link.run)
         with move_on_after(20):
             await link.wait_open()
-        result = {name: costs async for name, costs in points(link, counter, server, seconds)}
+        result = {
+            name: costs async for name, costs in measure_points(link, counter, server, seconds)
+        }
         tasks.cancel_scope.cancel()
     return result
 
@@ -133,8 +137,8 @@
         server.terminate()
         server.wait()
     return {
-        name: (client - idle, served, relayed[name][2])
-        for name, (client, served, _) in direct.items()
+        name: (client - idle, server_s, relayed[name][2])
+        for name, (client, server_s, _) in direct.items()
     }
 
 
@@ -150,13 +154,13 @@
     for name, (client, server, size) in result.items():
         print(f"{name:24} {client * 1e6:10.0f} {server * 1e6:10.0f} {size:8.0f}")
     sizes = [(size, result[f"beat of {size} attempts"]) for size in ATTEMPTS]
-    cpu, cpu_base = fit([(size, row[1]) for size, row in sizes])
-    wire, wire_base = fit([(size, row[2]) for size, row in sizes])
+    cpu_slope, cpu_base = fit_line([(size, row[1]) for size, row in sizes])
+    bytes_slope, bytes_base = fit_line([(size, row[2]) for size, row in sizes])
     slopes = {
         "beat_server_s": cpu_base,
-        "beat_attempt_server_s": cpu,
-        "beat_bytes": wire_base,
-        "beat_attempt_bytes": wire,
+        "beat_attempt_server_s": cpu_slope,
+        "beat_bytes": bytes_base,
+        "beat_attempt_bytes": bytes_slope,
         "call_client_s": result[f"call at {RATES[-1]}/s"][0],
         "call_server_s": result[f"call at {RATES[-1]}/s"][1],
         "call_bytes": result[f"call at {RATES[-1]}/s"][2],
--- a/bench/load.py
+++ b/bench/load.py
@@ -76,18 +76,25 @@
     :param codes_by_kind: ``{kind: Counter of result codes}``; code 0 is a lost connection.
     :param done_by_kind: ``{kind: latencies of answers with code 1000}``.
     :param refused: latencies of all other answers.
-    :param told: the same latencies, each in units of the request's deadline.
+    :param refused_ratio: the same latencies, each in units of the request's deadline.
     :param lag: delays of the load generator against the planned times.
     :param seconds: length of the run.
     """
 
-    __slots__ = ("codes_by_kind", "done_by_kind", "lag", "refused", "seconds", "told")
+    __slots__ = (
+        "codes_by_kind",
+        "done_by_kind",
+        "lag",
+        "refused",
+        "refused_ratio",
+        "seconds",
+    )
 
     def __init__(self, *, kinds):
         self.codes_by_kind = {kind.name: Counter() for kind in kinds}
         self.done_by_kind = {kind.name: Histogram() for kind in kinds}
         self.refused = Histogram()
-        self.told = Histogram()
+        self.refused_ratio = Histogram()
         self.lag = Histogram()
         self.seconds = 0.0
 
@@ -97,13 +104,13 @@
 
     def all_done(self):
         """Return the latencies of the answers with code 1000, for all kinds together."""
-        total = Histogram()
-        for one in self.done_by_kind.values():
-            total._inner.add(one._inner)
-        return total
+        merged = Histogram()
+        for histogram in self.done_by_kind.values():
+            merged._inner.add(histogram._inner)
+        return merged
 
 
-class _Channel:
+class _HttpConnection:
     __slots__ = ("host", "parser", "stream", "used_at")
 
     def __init__(self, *, stream, host):
@@ -135,8 +142,8 @@
 
 
 def _code(response):
-    found = dict(response.headers).get(b"siskintally-code")
-    return int(found) if found else response.status_code * 5
+    code_header = dict(response.headers).get(b"siskintally-code")
+    return int(code_header) if code_header else response.status_code * 5
 
 
 class Load:
@@ -167,30 +174,30 @@
         kinds = self._random.choices(
             self._kinds, [kind.weight for kind in self._kinds], k=int(rate * seconds)
         )
-        at = began = loop_time()
+        planned_at = started_at = loop_time()
         with move_on_after(seconds + limit_s):
             async with create_task_group() as tasks:
                 for number, kind in enumerate(kinds):
-                    at += self._random.expovariate(rate)
-                    await sleep_until(at)
+                    planned_at += self._random.expovariate(rate)
+                    await sleep_until(planned_at)
                     target = self._targets[number % len(self._targets)]
-                    tasks.start_soon(self._one, target, kind, at, result)
-        result.seconds = at - began
+                    tasks.start_soon(self._send, target, kind, planned_at, result)
+        result.seconds = planned_at - started_at
         return result
 
-    async def _one(self, target, kind, at, result):
-        result.lag.record(loop_time() - at)
+    async def _send(self, target, kind, planned_at, result):
+        result.lag.record(loop_time() - planned_at)
         try:
             code = await self._exchange(target, kind)
         except (OSError, EndOfStream, BrokenResourceError, ClosedResourceError, ProtocolError):
             code = 0
-        latency = loop_time() - at
+        latency = loop_time() - planned_at
         result.codes_by_kind[kind.name][code] += 1
         if code == 1000:
             result.done_by_kind[kind.name].record(latency)
         else:
             result.refused.record(latency)
-            result.told.record(latency / kind.deadline_s)
+            result.refused_ratio.record(latency / kind.deadline_s)
 
     async def _exchange(self, target, kind):
         is_new = False
@@ -198,20 +205,20 @@
         while idle and monotonic() - idle[-1].used_at > REUSE_IDLE_S:
             await idle.pop().stream.aclose()
         if idle:
-            channel = idle.pop()
+            connection = idle.pop()
         else:
-            channel = await self._open(target)
+            connection = await self._open(target)
             is_new = True
         try:
-            code = await channel.exchange(self._path, kind.headers)
+            code = await connection.exchange(self._path, kind.headers)
         except (OSError, EndOfStream, BrokenResourceError, ClosedResourceError):
             # The target has closed the idle connection; open a new one, as a load balancer does.
             if is_new:
                 raise
-            channel = await self._open(target)
-            code = await channel.exchange(self._path, kind.headers)
-        host, _, port = channel.host.rpartition(":")
-        self._idle_by_target[host, int(port)].append(channel)
+            connection = await self._open(target)
+            code = await connection.exchange(self._path, kind.headers)
+        host, _, port = connection.host.rpartition(":")
+        self._idle_by_target[host, int(port)].append(connection)
         return code
 
     async def _open(self, target):
@@ -219,7 +226,7 @@
         first = self._targets.index(target)
         for host, port in self._targets[first:] + self._targets[:first]:
             try:
-                return _Channel(stream=await connect_tcp(host, port), host=f"{host}:{port}")
+                return _HttpConnection(stream=await connect_tcp(host, port), host=f"{host}:{port}")
             except OSError as error:
                 refused = error
         raise refused
@@ -227,6 +234,6 @@
     async def close(self):
         """Close the idle connections."""
         for idle in self._idle_by_target.values():
-            for channel in idle:
-                await channel.stream.aclose()
+            for connection in idle:
+                await connection.stream.aclose()
             idle.clear()
--- a/bench/log.py
+++ b/bench/log.py
@@ -37,7 +37,7 @@
 flags.DEFINE_string("folder", None, "Directory of the data, by default that for temporary files.")
 
 
-class Counter(StateMachine):
+class CountingMachine(StateMachine):
     """State machine that counts commands."""
 
     __slots__ = ("count",)
@@ -79,7 +79,7 @@
 
 
 @asynccontextmanager
-async def running(batch_items):
+async def running_group(batch_items):
     """Yield (leader, traffic) of a running group."""
     with TemporaryDirectory(dir=FLAGS.folder) as folder:
         traffic = Traffic()
@@ -91,18 +91,18 @@
                     process=name,
                     bootstrap_members=NAMES,
                     folder=Path(folder) / name,
-                    state_machine=Counter(),
+                    state_machine=CountingMachine(),
                     send=traffic.send,
                     batch_items=batch_items,
                 )
                 traffic.group_by_name[name] = group
                 tasks.start_soon(group.run)
-            leader = await settled(traffic)
+            leader = await wait_leader(traffic)
             yield leader, traffic
             tasks.cancel_scope.cancel()
 
 
-async def settled(traffic):
+async def wait_leader(traffic):
     """Wait until all members are voters; return the leader."""
     while True:
         for group in traffic.group_by_name.values():
@@ -111,7 +111,7 @@
         await sleep(0.05)
 
 
-async def load(leader, callers):
+async def propose_concurrently(leader, callers):
     """Propose from concurrent callers.
 
     :returns: entries a second, CPU us for each entry, histogram of latencies in us.
@@ -122,9 +122,9 @@
 
     async def propose():
         while monotonic() < end:
-            begin = monotonic()
+            started = monotonic()
             await leader.propose(COMMAND)
-            histogram.record_value(max(1, int((monotonic() - begin) * 1e6)))
+            histogram.record_value(max(1, int((monotonic() - started) * 1e6)))
 
     async with create_task_group() as tasks:
         for _ in range(callers):
@@ -136,9 +136,9 @@
 async def measure_load(batch_items, label):
     """Print and return ``{callers: (entries a second, CPU us for each entry)}``."""
     rates = {}
-    async with running(batch_items) as (leader, _):
+    async with running_group(batch_items) as (leader, _):
         for callers in CALLERS:
-            rate, cpu, histogram = await load(leader, callers)
+            rate, cpu, histogram = await propose_concurrently(leader, callers)
             rates[callers] = (rate, cpu)
             p50, p99 = (histogram.get_value_at_percentile(p) / 1000 for p in (50, 99))
             print(
@@ -151,7 +151,7 @@
 
 async def measure_idle():
     """Print the processor time and the traffic of a group without commands."""
-    async with running(BATCH_ITEMS) as (_, traffic):
+    async with running_group(BATCH_ITEMS) as (_, traffic):
         await sleep(1.0)
         size, messages, cpu = traffic.bytes, traffic.messages, process_time()
         await sleep(FLAGS.idle_seconds)
@@ -173,12 +173,12 @@
             times = []
             cpu = process_time()
             for _ in range(SYNC_PROBES):
-                begin = monotonic()
+                started = monotonic()
                 if label == "inline":
                     append_and_sync(file, COMMAND)
                 else:
                     await run_sync(append_and_sync, file, COMMAND, limiter=limiter)
-                times.append(monotonic() - begin)
+                times.append(monotonic() - started)
             cpu = (process_time() - cpu) / SYNC_PROBES * 1e6
             print(f"sync {label}: {cpu:.0f} us CPU, median {median(times) * 1e6:.0f} us")
 
@@ -188,11 +188,11 @@
     configure(wrapper_class=make_filtering_bound_logger(ERROR_LEVEL))
     await measure_sync()
     await measure_idle()
-    grouped = await measure_load(BATCH_ITEMS, "group commit on ")
-    single = await measure_load(1, "group commit off")
+    with_group_commit = await measure_load(BATCH_ITEMS, "group commit on ")
+    without_group_commit = await measure_load(1, "group commit off")
     for callers in CALLERS:
-        rate = grouped[callers][0] / single[callers][0]
-        cpu = grouped[callers][1] / single[callers][1]
+        rate = with_group_commit[callers][0] / without_group_commit[callers][0]
+        cpu = with_group_commit[callers][1] / without_group_commit[callers][1]
         print(f"on/off at callers={callers}: entries/s x{rate:.2f}, CPU/entry x{cpu:.2f}")
 
 
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -35,7 +35,7 @@
     return int(pages) * PAGE_BYTES / MB
 
 
-def fit(points):
+def fit_line(points):
     """Fit a line by least squares.
 
     >>> fit([(1, 3.0), (2, 5.0), (3, 7.0)])
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -9,7 +9,7 @@
 from json import dumps
 from pathlib import Path
 from random import Random
-from sys import exit as leave
+from sys import exit as exit_process
 from time import perf_counter
 
 from absl import app, flags
@@ -39,25 +39,25 @@
 class FirstFit:
     """Baseline that scans the workers in order for the first one with free resources."""
 
-    __slots__ = ("free", "held")
+    __slots__ = ("allocation_by_task", "free")
 
     def __init__(self, *, workers):
         self.free = [[CAPACITY.cpu, CAPACITY.memory] for _ in range(workers)]
-        self.held = {}
+        self.allocation_by_task = {}
 
     def place(self, task_id, need):
         """Place a task; return the number of its worker, or None if it fits nowhere."""
-        for number, room in enumerate(self.free):
-            if room[0] >= need.cpu and room[1] >= need.memory:
-                room[0] -= need.cpu
-                room[1] -= need.memory
-                self.held[task_id] = (number, need)
+        for number, free_amounts in enumerate(self.free):
+            if free_amounts[0] >= need.cpu and free_amounts[1] >= need.memory:
+                free_amounts[0] -= need.cpu
+                free_amounts[1] -= need.memory
+                self.allocation_by_task[task_id] = (number, need)
                 return number
         return None
 
     def end(self, task_id):
         """Free the resources of a task."""
-        number, need = self.held.pop(task_id)
+        number, need = self.allocation_by_task.pop(task_id)
         self.free[number][0] += need.cpu
         self.free[number][1] += need.memory
 
@@ -92,14 +92,14 @@
             run_s=60.0,
         )
 
-    def victim(self, items):
+    def pop_random(self, items):
         """Remove and return one of the items."""
         number = self._random.randrange(len(items))
         items[number], items[-1] = items[-1], items[number]
         return items.pop()
 
 
-def filled(workers, workload):
+def filled_placement(workers, workload):
     """Return a placement on filled workers, and the ids of its running tasks."""
     placement = Placement()
     for number in range(workers):
@@ -109,29 +109,29 @@
     running = []
     while len(running) < workers * TASKS_PER_WORKER:
         placement.submit(workload.job())
-        running.extend(found.task_id for found in placement.decide(now=0.0).assignments)
+        running.extend(assignment.task_id for assignment in placement.decide(now=0.0).assignments)
     return placement, running
 
 
 def measure_indexed(workers, decisions, seed):
     """Return the speed of the placement in a steady state: one task ends for each new one."""
     workload = Workload(seed=seed)
-    placement, running = filled(workers, workload)
+    placement, running = filled_placement(workers, workload)
     histogram = HdrHistogram(1, 60_000_000, 3)
     total = 0.0
     placed = 0
     for _ in range(decisions):
-        task_id = workload.victim(running)
+        task_id = workload.pop_random(running)
         placement.ended(task_id, now=0.0, succeeded=True)
         placement.forget(task_id.partition("/")[0])
         job = workload.job()
         started = perf_counter()
         placement.submit(job)
         decision = placement.decide(now=0.0)
-        spent = perf_counter() - started
-        total += spent
-        histogram.record_value(max(1, int(spent * 1e6)))
-        running.extend(found.task_id for found in decision.assignments)
+        elapsed_s = perf_counter() - started
+        total += elapsed_s
+        histogram.record_value(max(1, int(elapsed_s * 1e6)))
+        running.extend(assignment.task_id for assignment in decision.assignments)
         placed += len(decision.assignments)
     return {
         "per_s": placed / total,
@@ -153,12 +153,12 @@
             running.append(job.job_id)
     total = 0.0
     for _ in range(decisions):
-        pool.end(workload.victim(running))
+        pool.end(workload.pop_random(running))
         job = workload.job()
         started = perf_counter()
-        found = pool.place(job.job_id, job.need)
+        assignment = pool.place(job.job_id, job.need)
         total += perf_counter() - started
-        if found is not None:
+        if assignment is not None:
             running.append(job.job_id)
     return {"per_s": decisions / total}
 
@@ -166,7 +166,7 @@
 def measure_wave(workers, seed):
     """Cancel 10,000 waiting or running jobs in parts of 500, with a placement after each part."""
     workload = Workload(seed=seed)
-    placement, running = filled(workers, workload)
+    placement, running = filled_placement(workers, workload)
     waiting = []
     while len(waiting) < CANCELLATIONS // 2:
         job = workload.job()
@@ -232,7 +232,7 @@
     if FLAGS.json:
         Path(FLAGS.json).write_text(dumps(results, indent=2) + "\n", encoding="utf-8")
     if FLAGS.check and not all(results["targets"].values()):
-        leave(1)
+        exit_process(1)
 
 
 if __name__ == "__main__":
--- a/bench/regions.py
+++ b/bench/regions.py
@@ -43,7 +43,7 @@
 
     def crossing_bytes(self):
         """Return the number of bytes between the regions so far."""
-        return sum(one.sent + one.received for one in self.forwarders)
+        return sum(forwarder.sent + forwarder.received for forwarder in self.forwarders)
 
     def cpu_of(self, names):
         """Return the processor time of processes so far, seconds."""
@@ -51,7 +51,7 @@
         return sum(process_cpu_seconds(popen[name].pid) for name in names)
 
 
-async def idle(cell, seconds):
+async def idle_bytes(cell, seconds):
     """Return the bytes a second between the regions while the cell is idle."""
     before = cell.crossing_bytes()
     await sleep(seconds)
@@ -70,24 +70,24 @@
     change = {"document": DOCUMENT, "expect_version": 1}
     await cell.operate("config", change, request_id="missed-config")
 
-    async def current():
+    async def has_caught_up():
         status = await cell.operate("status", {}, request_id="status")
         rows = {row["group"]: row["config_current"] for row in status["groups"]}
         return rows[FAR_GROUP]
 
-    assert not await current()
+    assert not await has_caught_up()
     others = [name for name in cell.stores if name not in STOPPED]
     before, cpu, started = cell.crossing_bytes(), cell.cpu_of(others), monotonic()
     for name in STOPPED:
         cell.start_store(name)
-    await wait_until(current, "the far domain has caught up")
-    took = monotonic() - started
+    await wait_until(has_caught_up, "the far domain has caught up")
+    caught_up_s = monotonic() - started
     # The progress of the jobs is reported after the catch-up.
     await sleep(SETTLE_S)
-    spent = monotonic() - started
-    crossing = cell.crossing_bytes() - before - idle_bytes_s * spent
+    elapsed_s = monotonic() - started
+    crossing = cell.crossing_bytes() - before - idle_bytes_s * elapsed_s
     return {
-        "catch_up_s": took,
+        "catch_up_s": caught_up_s,
         "catch_up_crossing_bytes": crossing,
         "catch_up_crossing_bytes_per_change": crossing / MISSED_CHANGES,
         "catch_up_cpu_s_other_stores": cell.cpu_of(others) - cpu,
@@ -103,7 +103,7 @@
     answer.raise_for_status()
 
 
-async def wave(cell, idle_bytes_s):
+async def announcement_wave(cell, idle_bytes_s):
     """Return the cost of many endpoints that each announce themselves once a second."""
     before, cpu, started = cell.crossing_bytes(), cell.cpu_of(["e1"]), monotonic()
     seq = 0
@@ -113,11 +113,11 @@
             for number in range(ENDPOINTS):
                 tasks.start_soon(announce, cell, number, seq)
         await sleep(max(0.0, started + seq - monotonic()))
-    spent = monotonic() - started
+    elapsed_s = monotonic() - started
     return {
-        "wave_announcements_s": seq * ENDPOINTS / spent,
-        "wave_entry_core": (cell.cpu_of(["e1"]) - cpu) / spent,
-        "wave_crossing_bytes_s": (cell.crossing_bytes() - before) / spent - idle_bytes_s,
+        "wave_announcements_s": seq * ENDPOINTS / elapsed_s,
+        "wave_entry_core": (cell.cpu_of(["e1"]) - cpu) / elapsed_s,
+        "wave_crossing_bytes_s": (cell.crossing_bytes() - before) / elapsed_s - idle_bytes_s,
     }
 
 
@@ -141,15 +141,15 @@
             change = {"document": DOCUMENT, "expect_version": 0}
             await cell.operate("config", change, request_id="config")
             await sleep(SETTLE_S)
-            bytes_s = await idle(cell, seconds)
+            bytes_s = await idle_bytes(cell, seconds)
             result = {"crossing_bytes_s": bytes_s}
-            result |= await wave(cell, bytes_s)
+            result |= await announcement_wave(cell, bytes_s)
             result |= await catch_up(cell, bytes_s)
             tasks.cancel_scope.cancel()
     return result
 
 
-def show(result):
+def print_figures(result):
     """Print a row for each figure."""
     for name, value in result.items():
         print(f"{name:36} {value:14.4f}")
@@ -159,7 +159,7 @@
     """Print a row for each figure, and JSON."""
     seconds = float(argv[1]) if len(argv) > 1 else SECONDS
     result = run(measure, seconds)
-    show(result)
+    print_figures(result)
     print(json.dumps(result))
 
 
--- a/bench/roles.py
+++ b/bench/roles.py
@@ -17,31 +17,31 @@
 MEMORY_BUDGET_MB = 256.0
 
 
-def sample(pids):
+def cpu_by_name(pid_by_name):
     """Return ``{process name: CPU seconds so far}``."""
-    return {name: process_cpu_seconds(pid) for name, pid in pids.items()}
+    return {name: process_cpu_seconds(pid) for name, pid in pid_by_name.items()}
 
 
 def main():
     """Print a row for each process, the largest values of each role, and JSON."""
     folder = Path(argv[1])
     seconds = float(argv[2]) if len(argv) > 2 else DEFAULT_SECONDS
-    pids = {path.stem: int(path.read_text()) for path in sorted(folder.glob("*.pid"))}
-    pids = {name: pid for name, pid in pids.items() if Path(f"/proc/{pid}").exists()}
-    before = sample(pids)
+    pid_by_name = {path.stem: int(path.read_text()) for path in sorted(folder.glob("*.pid"))}
+    pid_by_name = {name: pid for name, pid in pid_by_name.items() if Path(f"/proc/{pid}").exists()}
+    before = cpu_by_name(pid_by_name)
     sleep(seconds)
-    after = sample(pids)
+    after = cpu_by_name(pid_by_name)
     rows = {}
     print(f"{'process':24} {'core %':>8} {'MB':>6}")
-    for name, pid in pids.items():
+    for name, pid in pid_by_name.items():
         core = (after[name] - before[name]) / seconds
         rows[name] = {"core": core, "mb": resident_mb(pid)}
         print(f"{name:24} {core * 100:8.2f} {rows[name]['mb']:6.0f}")
     for role in ("store", "entry"):
-        chosen = [row for name, row in rows.items() if f"-{role}-" in name]
-        if chosen:
-            core = max(row["core"] for row in chosen)
-            memory = max(row["mb"] for row in chosen)
+        role_rows = [row for name, row in rows.items() if f"-{role}-" in name]
+        if role_rows:
+            core = max(row["core"] for row in role_rows)
+            memory = max(row["mb"] for row in role_rows)
             print(
                 f"{role}: most {core * 100:.2f}% of a core, {core / CPU_BUDGET:.2f} of the budget; "
                 f"{memory:.0f} MB, {memory / MEMORY_BUDGET_MB:.2f} of the budget"
--- a/bench/state.py
+++ b/bench/state.py
@@ -10,7 +10,7 @@
 from time import perf_counter
 from tracemalloc import get_traced_memory, start, stop
 
-from bench.meter import fit
+from bench.meter import fit_line
 from siskintally.announcement import AnnouncementTable, parse_announcement
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import Command, GroupInfo
@@ -56,10 +56,10 @@
         snapshot_s = perf_counter() - before
     del state
     start()
-    kept = [build(size)]
+    states = [build(size)]
     memory = get_traced_memory()[0]
     stop()
-    kept.clear()
+    states.clear()
     return Point(
         size=size,
         build_s=build_s,
@@ -69,7 +69,7 @@
     )
 
 
-def ledger(size):
+def build_ledger(size):
     """Return a ledger with answered orders, spread over a day."""
     state = Ledger()
     answer = StoredAnswer(status=200, content_type="application/json", body=b"x" * ANSWER_BYTES)
@@ -81,14 +81,14 @@
     return state
 
 
-def cell(size):
+def build_cell(size):
     """Return a cell with one configuration and jobs of 44 teams."""
     state = Cell()
     groups = [GroupInfo(name=f"domain-{n}", domains=[f"domain-{n}"]) for n in range(6)]
     for group in groups:
         group.capacity.workers = 142
-        for figure in (group.capacity.total, group.capacity.free, group.capacity.largest):
-            figure.CopyFrom(Resources(cpu_milli=4_544_000, memory_mb=18_000_000))
+        for resources in (group.capacity.total, group.capacity.free, group.capacity.largest):
+            resources.CopyFrom(Resources(cpu_milli=4_544_000, memory_mb=18_000_000))
     document = DEFAULT_DOCUMENT + "".join(
         f"[teams.team-{n}]\ncpu_milli = 600000000\nmemory_mb = 2000000000\n" for n in range(44)
     )
@@ -105,7 +105,7 @@
     return state
 
 
-def announcements(size):
+def build_announcements(size):
     """Return an announcement table with endpoints of 20 services."""
     table = AnnouncementTable(domain="jylland-a")
     for number in range(size):
@@ -125,9 +125,9 @@
 
 
 STATES = (
-    ("ledger record", ledger, LEDGER_SIZES),
-    ("job", cell, JOB_SIZES),
-    ("endpoint", announcements, ENDPOINT_SIZES),
+    ("ledger record", build_ledger, LEDGER_SIZES),
+    ("job", build_cell, JOB_SIZES),
+    ("endpoint", build_announcements, ENDPOINT_SIZES),
 )
 
 
@@ -144,10 +144,10 @@
                 f"{point.snapshot / 1000:9.0f} kB {point.snapshot_s * 1000:7.1f} ms"
             )
         key = name.replace(" ", "_")
-        slopes[f"{key}_bytes"] = fit([(p.size, p.memory) for p in points])[0]
-        slopes[f"{key}_s"] = fit([(p.size, p.build_s) for p in points])[0]
-        slopes[f"{key}_snapshot_bytes"] = fit([(p.size, p.snapshot) for p in points])[0]
-        slopes[f"{key}_snapshot_s"] = fit([(p.size, p.snapshot_s) for p in points])[0]
+        slopes[f"{key}_bytes"] = fit_line([(p.size, p.memory) for p in points])[0]
+        slopes[f"{key}_s"] = fit_line([(p.size, p.build_s) for p in points])[0]
+        slopes[f"{key}_snapshot_bytes"] = fit_line([(p.size, p.snapshot) for p in points])[0]
+        slopes[f"{key}_snapshot_s"] = fit_line([(p.size, p.snapshot_s) for p in points])[0]
     print(json.dumps(slopes))
 
 
--- a/bench/urgent.py
+++ b/bench/urgent.py
@@ -28,7 +28,7 @@
 DOCUMENT = "[teams.ski]\ncpu_milli = 1000000000\nmemory_mb = 1000000000\n"
 
 
-def started(cell, job):
+def start_time(cell, job):
     """Return the time at which the first task of a job started, or None."""
     for line in read(cell.record("w")):
         if line["event"] == "start" and line["task"].startswith(f"{job}/"):
@@ -36,12 +36,12 @@
     return None
 
 
-async def submit(cell, name, *, tasks, rank):
+async def submit(cell, name, *, tasks, job_class):
     """Submit a batch job whose tasks use a quarter of a worker each; return its id.
 
-    :param rank: class of the job, such as ``urgent``.
+    :param job_class: class of the job, such as ``urgent``.
     """
-    spec = {"name": name, "team": "ski", "kind": "batch", "class": rank, "tasks": tasks}
+    spec = {"name": name, "team": "ski", "kind": "batch", "class": job_class, "tasks": tasks}
     spec |= {"cpu_milli": 1000, "memory_mb": 1000, "run_s": 600}
     answer = await cell.operate("submit", spec, request_id=name)
     return answer["job"]
@@ -56,46 +56,46 @@
             await cell.operate("config", change, request_id="quota")
             cell.start_workers("w", workers)
             slots = workers * SLOTS_PER_WORKER
-            await submit(cell, "night", tasks=slots * 2, rank="deferrable")
+            await submit(cell, "night", tasks=slots * 2, job_class="deferrable")
             await wait_until(lambda: len(read(cell.record("w"))) >= slots, "workers are full")
             await sleep(2.0)
-            calm = [await one(cell, f"calm-{number}") for number in range(jobs)]
-            lost = []
+            undisturbed = [await measure_job(cell, f"calm-{number}") for number in range(jobs)]
+            after_owner_loss = []
             for number in range(3):
                 owner = cell.owner()
                 cell.processes.kill(owner)
-                lost.append(await one(cell, f"lost-{number}"))
+                after_owner_loss.append(await measure_job(cell, f"lost-{number}"))
                 cell.start_store(owner)
                 await sleep(8.0)
-    return calm, lost
+    return undisturbed, after_owner_loss
 
 
-async def one(cell, name):
+async def measure_job(cell, name):
     """Submit one urgent job and return the milliseconds to its start."""
-    begun = monotonic()
-    job = await submit(cell, name, tasks=1, rank="urgent")
-    at = await wait_until(lambda: started(cell, job), f"{name} starts")
-    return max(1, round((at - begun) * 1000))
+    submitted_at = monotonic()
+    job = await submit(cell, name, tasks=1, job_class="urgent")
+    started_at = await wait_until(lambda: start_time(cell, job), f"{name} starts")
+    return max(1, round((started_at - submitted_at) * 1000))
 
 
 def main():
     """Print percentiles beside the target, and JSON."""
     jobs = int(argv[1]) if len(argv) > 1 else JOBS
     workers = int(argv[2]) if len(argv) > 2 else WORKERS
-    calm, lost = run(measure, jobs, workers)
+    undisturbed, after_owner_loss = run(measure, jobs, workers)
     histogram = HdrHistogram(1, MAX_MS, 3)
-    for value in calm:
+    for value in undisturbed:
         histogram.record_value(value)
     figures = {
         "p50_ms": histogram.get_value_at_percentile(50),
         "p99_ms": histogram.get_value_at_percentile(99),
-        "max_ms": max(calm),
-        "owner_lost_ms": lost,
+        "max_ms": max(undisturbed),
+        "owner_lost_ms": after_owner_loss,
         "target_ms": TARGET_S * 1000,
     }
     print(f"{jobs} urgent jobs on {workers} full workers: p50 {figures['p50_ms']} ms, ", end="")
     print(f"p99 {figures['p99_ms']} ms, max {figures['max_ms']} ms; target {TARGET_S} s")
-    print(f"submitted right after the loss of the owner: {lost} ms")
+    print(f"submitted right after the loss of the owner: {after_owner_loss} ms")
     print(json.dumps(figures))
 
 
