--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -63,7 +63,8 @@
 def test_each_caller_gets_its_own_answer_from_any_entry(tmp_path):
     """Guards against answers that reach another caller.
 
-    Also guards against endpoints that only the entry knows to which they announce themselves.
+    Also guards against an endpoint that is reached only through the entry to which it announces
+    itself.
     """
 
     async def check(net):
--- a/tests/test_entry_store.py
+++ b/tests/test_entry_store.py
@@ -160,6 +160,7 @@
 
 
 async def _returns(function, value):
+    """Return whether ``await function()`` returns the value."""
     return await function() == value
 
 
@@ -193,7 +194,7 @@
 
 
 def test_begin_without_a_reply_is_not_run_and_released(tmp_path):
-    """Guards against a dispatch after the caller was told "not run".
+    """Guards against a dispatch after the caller was answered "not run".
 
     The store grants the key too late. The entry has to release it, or the key would stay blocked.
     """
--- a/tests/test_scaffolding.py
+++ b/tests/test_scaffolding.py
@@ -83,6 +83,8 @@
 
 
 def with_forwarder(check):
+    """Run ``await check(forwarder)`` with a forwarder in front of an echo server."""
+
     async def main():
         port, target = free_ports(2)
         forwarder = Forwarder(port=port, target=target)
@@ -99,6 +101,7 @@
 
 
 async def server_answers(port):
+    """Return whether a new connection to the port is answered."""
     try:
         return await is_answered(await connect_tcp("127.0.0.1", port))
     except OSError:
@@ -106,6 +109,7 @@
 
 
 async def is_answered(stream):
+    """Return whether the server echoes a byte within a second."""
     with move_on_after(1.0):
         await stream.send(b"x")
         return await stream.receive() == b"x"
--- a/tests/test_store_process.py
+++ b/tests/test_store_process.py
@@ -35,6 +35,7 @@
 
 
 def audit_files_match(stores, records):
+    """Return whether the audit files of all stores are equal, intact and of the given length."""
     audits = [verify_file(stores.folder / name / "audit.log") for name in stores.names]
     same_head = len({audit_result.head for audit_result in audits}) == 1
     return same_head and all(
