--- a/bench/control.py
+++ b/bench/control.py
@@ -132,7 +132,7 @@
         )
         self._items.append(JobItem(job_id=name, spec=spec, tasks=tasks, changed_at=self._seq + 1))
 
-    async def beat(self, name, seq, *, full, states=()):
+    async def send_heartbeat(self, name, seq, *, full, states=()):
         """Send a heartbeat and process the orders in the reply."""
         beat = WorkerBeat(
             worker=name,
@@ -151,7 +151,7 @@
         """Send a heartbeat each 5 s with the changed attempts; end short tasks in the next one."""
         await sleep(int(name[1:]) % 50 / 10)
         seq, reported = 1, 0
-        await self.beat(name, seq, full=True)
+        await self.send_heartbeat(name, seq, full=True)
         while True:
             await sleep(BEAT_S)
             seq += 1
@@ -165,7 +165,7 @@
                 attempt for attempt in starts if attempt not in ended_attempts
             ]
             reported = len(self.starts_by_worker[name])
-            await self.beat(name, seq, full=False, states=states)
+            await self.send_heartbeat(name, seq, full=False, states=states)
 
 
 def _state(attempt, state):
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -113,7 +113,7 @@
             await net.set_behaviour("p1", service_ms=6000)
             tasks.start_soon(net.client.post, f"{net.url_by_name['p1']}/long")
             await wait_until(
-                lambda: any(not one["request_id"] for one in start_records(net, "p1")),
+                lambda: any(not record["request_id"] for record in start_records(net, "p1")),
                 "the long request has started",
             )
             await net.set_behaviour("p1", service_ms=300)
@@ -360,7 +360,9 @@
         await net.wait_serving("e1")
         resent = [code(await net.call("e1", idempotency_key=f"k{number}")) for number in (1, 3)]
         assert all(
-            one == 3001 for one, first in zip(resent, codes[1:4:2], strict=True) if first == 3001
+            again == 3001
+            for again, first in zip(resent, codes[1:4:2], strict=True)
+            if first == 3001
         )
         keys = [record["key"] for record in start_records(net, "p1") if record["key"]]
         assert len(keys) == len(set(keys))
@@ -400,7 +402,7 @@
         assert urgent.count(1000) == len(urgent)
         # The excess is answered "not run", unless the machine stalls and a deadline passes at the
         # endpoint.
-        refused_codes = [one for one in codes if one != 1000]
+        refused_codes = [refused for refused in codes if refused != 1000]
         assert sum(map(not_run, refused_codes)) >= 0.95 * len(refused_codes)
         # Refused before the deadline passes in the queue. test_admission.py checks the times, which
         # would depend on the speed of the machine here.
@@ -429,10 +431,12 @@
         async def prefers_own_region():
             latest = [await net.call("e1") for _ in range(20)]
             answers.extend(latest)
-            return all(code(one) == 1000 and one.json()["endpoint"] == "p1" for one in latest)
+            return all(
+                code(answer) == 1000 and answer.json()["endpoint"] == "p1" for answer in latest
+            )
 
         await wait_until(prefers_own_region, "e1 sends to its own region")
-        assert {code(one) for one in answers} <= {Code.NO_ENDPOINT, 1000}
+        assert {code(answer) for answer in answers} <= {Code.NO_ENDPOINT, 1000}
         net.processes.kill("p1")
         await wait_until(lambda: net.lists_endpoints("e2", 0), "e2 drops p1")
 
--- a/tests/test_entry_store.py
+++ b/tests/test_entry_store.py
@@ -128,7 +128,7 @@
 def started_keys(net):
     """Return the idempotency keys of the requests that started at the endpoint, in order."""
     records = read(net.record("p1"))
-    return [one["key"] for one in records if one["event"] == "start" and one["key"]]
+    return [record["key"] for record in records if record["event"] == "start" and record["key"]]
 
 
 def test_entry_serves_nothing_before_its_first_configuration_and_never_goes_back(tmp_path):
--- a/tests/test_shared_stores.py
+++ b/tests/test_shared_stores.py
@@ -95,7 +95,7 @@
             await cell.operate("submit", job, request_id=workers)
         for workers in ("w1", "w2"):
             await wait_until(
-                lambda one=workers: len(running_tasks(cell, one)) == 4,
+                lambda name=workers: len(running_tasks(cell, name)) == 4,
                 f"the service runs on {workers}",
             )
         killed = cell.owner(OTHER_GROUP)
--- a/tests/test_worker_process.py
+++ b/tests/test_worker_process.py
@@ -49,7 +49,7 @@
     async def submit(self, name, **arguments):
         """Submit a job and return its id."""
         job = {"name": name, "team": "ski", "cpu_milli": 1000, "memory_mb": 100, **arguments}
-        running_store = next(one for one in self.names if self.processes.is_running(one))
+        running_store = next(name for name in self.names if self.processes.is_running(name))
         code, answer = await self.send_change(running_store, "submit", job, request_id=name)
         assert code == Code.DONE, dumps(answer)
         return answer["job"]
@@ -88,7 +88,7 @@
         await wait_until(batch_succeeded, "success reported to the cell")
         await stores.send_change("s1", "cancel", {"jobs": [service]}, request_id="x")
         await wait_until(
-            lambda: sum(one["event"] == "stop" for one in read(stores.record("w"))) == 3,
+            lambda: sum(record["event"] == "stop" for record in read(stores.record("w"))) == 3,
             "service stopped",
         )
         stores.check("w")
@@ -131,7 +131,7 @@
             stores.processes.resume("a")
         try:
             await wait_until(
-                lambda: sum(one["event"] == "stop" for one in read(stores.record("a"))) == 2,
+                lambda: sum(record["event"] == "stop" for record in read(stores.record("a"))) == 2,
                 "stops",
             )
         except AssertionError as error:
