--- a/bench/state.py
+++ b/bench/state.py
@@ -1,4 +1,7 @@
-"""Memory, processor time and snapshot size of the states that roles keep, at three sizes each.
+"""Cost of the state that roles keep, at three sizes of each.
+
+Measures the memory (bytes), the time to build it (us), and the size (kB) and time (ms) of a
+snapshot. The JSON has the slopes for each item, in bytes and seconds.
 
 Usage: python -m bench.state
 """
@@ -7,7 +10,7 @@
 from time import perf_counter
 from tracemalloc import get_traced_memory, start, stop
 
-from bench.meter import fit
+from bench.meter import fit_line
 from siskintally.announcement import AnnouncementTable, parse_announcement
 from siskintally.cell import Cell
 from siskintally.cell_state_pb2 import Command, GroupInfo
@@ -23,10 +26,10 @@
 
 
 class Point:
-    """Costs of one size.
+    """Costs of a state of one size.
 
     :param build_s: seconds to build the state.
-    :param memory: bytes that it holds.
+    :param memory: bytes of memory that it uses.
     :param snapshot: size of its snapshot in bytes, 0 if it has none.
     :param snapshot_s: seconds to take the snapshot.
     """
@@ -42,7 +45,7 @@
 
 
 def measure(build, size):
-    """Build a state twice: for time, then for memory."""
+    """Build a state twice, because tracing memory slows it down: for time, then for memory."""
     before = perf_counter()
     state = build(size)
     build_s = perf_counter() - before
@@ -53,10 +56,10 @@
         snapshot_s = perf_counter() - before
     del state
     start()
-    kept = [build(size)]
+    states = [build(size)]
     memory = get_traced_memory()[0]
     stop()
-    kept.clear()
+    states.clear()
     return Point(
         size=size,
         build_s=build_s,
@@ -66,7 +69,7 @@
     )
 
 
-def ledger(size):
+def build_ledger(size):
     """Return a ledger with answered orders, spread over a day."""
     state = Ledger()
     answer = StoredAnswer(status=200, content_type="application/json", body=b"x" * ANSWER_BYTES)
@@ -78,14 +81,14 @@
     return state
 
 
-def cell(size):
+def build_cell(size):
     """Return a cell with one configuration and jobs of 44 teams."""
     state = Cell()
     groups = [GroupInfo(name=f"domain-{n}", domains=[f"domain-{n}"]) for n in range(6)]
     for group in groups:
         group.capacity.workers = 142
-        for figure in (group.capacity.total, group.capacity.free, group.capacity.largest):
-            figure.CopyFrom(Resources(cpu_milli=4_544_000, memory_mb=18_000_000))
+        for resources in (group.capacity.total, group.capacity.free, group.capacity.largest):
+            resources.CopyFrom(Resources(cpu_milli=4_544_000, memory_mb=18_000_000))
     document = DEFAULT_DOCUMENT + "".join(
         f"[teams.team-{n}]\ncpu_milli = 600000000\nmemory_mb = 2000000000\n" for n in range(44)
     )
@@ -102,8 +105,8 @@
     return state
 
 
-def announcements(size):
-    """Return a table of announced endpoints."""
+def build_announcements(size):
+    """Return an announcement table with endpoints of 20 services."""
     table = AnnouncementTable(domain="jylland-a")
     for number in range(size):
         fields = {
@@ -122,14 +125,14 @@
 
 
 STATES = (
-    ("ledger record", ledger, LEDGER_SIZES),
-    ("job", cell, JOB_SIZES),
-    ("endpoint", announcements, ENDPOINT_SIZES),
+    ("ledger record", build_ledger, LEDGER_SIZES),
+    ("job", build_cell, JOB_SIZES),
+    ("endpoint", build_announcements, ENDPOINT_SIZES),
 )
 
 
 def main():
-    """Print the points and the slopes."""
+    """Print the points, and the slopes as JSON."""
     slopes = {}
     print(f"{'state':16} {'size':>8} {'build us each':>14} {'bytes each':>11} {'snapshot':>12}")
     for name, build, sizes in STATES:
@@ -141,10 +144,10 @@
                 f"{point.snapshot / 1000:9.0f} kB {point.snapshot_s * 1000:7.1f} ms"
             )
         key = name.replace(" ", "_")
-        slopes[f"{key}_bytes"] = fit([(p.size, p.memory) for p in points])[0]
-        slopes[f"{key}_s"] = fit([(p.size, p.build_s) for p in points])[0]
-        slopes[f"{key}_snapshot_bytes"] = fit([(p.size, p.snapshot) for p in points])[0]
-        slopes[f"{key}_snapshot_s"] = fit([(p.size, p.snapshot_s) for p in points])[0]
+        slopes[f"{key}_bytes"] = fit_line([(p.size, p.memory) for p in points])[0]
+        slopes[f"{key}_s"] = fit_line([(p.size, p.build_s) for p in points])[0]
+        slopes[f"{key}_snapshot_bytes"] = fit_line([(p.size, p.snapshot) for p in points])[0]
+        slopes[f"{key}_snapshot_s"] = fit_line([(p.size, p.snapshot_s) for p in points])[0]
     print(json.dumps(slopes))
 
 
--- a/tests/entry_net.py
+++ b/tests/entry_net.py
@@ -1,4 +1,4 @@
-"""Entries and endpoint stubs as processes of one test."""
+"""Entries and endpoint stubs as real processes."""
 
 from contextlib import asynccontextmanager
 
@@ -6,19 +6,19 @@
 
 from tests.processes import Processes, free_ports, wait_until
 
-HEAD = '[cell]\nname = "demo"\nsecret = "0123456789abcdef"\n'
+CELL_SETTINGS = '[cell]\nname = "demo"\nsecret = "0123456789abcdef"\n'
 TOKEN = "operator-token-of-astrid"
 REGION_BY_DOMAIN = {
     f"{region}-{letter}": region for region in ("jylland", "fjeld") for letter in "abc"
 }
 
 
-class Net:
-    """Standalone entries and stubs.
+class EntryNetwork:
+    """Entries without stores, and endpoint stubs.
 
     :param processes: :class:`~tests.processes.Processes`.
     :param entries: ``{entry name: failure domain}``.
-    :param extra: more settings, TOML.
+    :param extra: additional settings as TOML.
     """
 
     __slots__ = ("client", "entries", "folder", "processes", "settings", "url_by_name")
@@ -29,7 +29,7 @@
         self.folder = processes.folder
         self.url_by_name = {}
         self.client = None
-        text = HEAD + f'[[operator]]\nname = "astrid"\ntoken = "{TOKEN}"\n'
+        text = CELL_SETTINGS + f'[[operator]]\nname = "astrid"\ntoken = "{TOKEN}"\n'
         for name, domain in entries.items():
             link, http = free_ports(2)
             text += (
@@ -42,16 +42,16 @@
         self.settings.write_text(text + extra)
 
     def start_entry(self, name, *flags):
-        """Start an entry."""
+        """Start a standalone entry."""
         self.processes.start(
             name, "entry", "--settings", self.settings, "--name", name, "--standalone", *flags
         )
 
     def start_stub(self, name, *flags, entries=None, domain="jylland-a"):
-        """Start a stub that announces itself to the named entries, by default to all."""
+        """Start an endpoint stub that announces itself to the given entries, by default to all."""
         (port,) = free_ports(1)
         self.url_by_name[name] = f"http://127.0.0.1:{port}"
-        urls = ",".join(self.url_by_name[one] for one in entries or self.entries)
+        urls = ",".join(self.url_by_name[target] for target in entries or self.entries)
         self.processes.start(
             name,
             "stub-endpoint",
@@ -65,9 +65,9 @@
         return self.folder / f"{name}.record"
 
     async def call(self, entry, path="boarding", *, body=b"x", timeout=30.0, **headers):
-        """Send a request; header names have ``_`` for ``-``.
+        """Send a request; ``_`` in a header name stands for ``-``.
 
-        :returns: the httpx response, or None if the connection was lost.
+        :returns: the httpx response, or None if there was none.
         """
         names = {name.replace("_", "-"): value for name, value in headers.items()}
         url = f"{self.url_by_name[entry]}/call/seat-count/{path}"
@@ -77,33 +77,37 @@
             return None
 
     async def health(self, entry):
-        """Return the state of an entry, or None."""
+        """Return the health report of an entry, or None if there was no response."""
         try:
             return (await self.client.get(f"{self.url_by_name[entry]}/v1/health")).json()
         except HTTPError:
             return None
 
-    async def control(self, stub, **fields):
-        """Change a stub."""
+    async def set_behaviour(self, stub, **fields):
+        """Change the behaviour of an endpoint stub, such as its fault."""
         await self.client.post(f"{self.url_by_name[stub]}/control", json=fields)
 
-    async def wait_known(self, count, *entries):
-        """Wait until entries know a number of endpoints."""
+    async def wait_endpoints(self, count, *entries):
+        """Wait until each of the entries, by default all, lists ``count`` endpoints."""
         for entry in entries or self.entries:
-            await wait_until(lambda entry=entry: self._knows(entry, count), f"{entry}: {count}")
+            await wait_until(
+                lambda entry=entry: self.lists_endpoints(entry, count),
+                f"{entry} lists {count} endpoints",
+            )
 
-    async def wait_served(self, entry):
-        """Wait until an entry serves requests."""
+    async def wait_serving(self, entry):
+        """Wait until an entry answers a request with code 1000."""
 
-        async def served():
+        async def is_serving():
             response = await self.call(entry)
             return response is not None and code(response) == 1000
 
-        await wait_until(served, f"{entry} serves")
+        await wait_until(is_serving, f"{entry} serves")
 
-    async def _knows(self, entry, count):
-        state = await self.health(entry)
-        return state is not None and state["endpoints"] == count
+    async def lists_endpoints(self, entry, count):
+        """Return whether an entry lists ``count`` endpoints."""
+        report = await self.health(entry)
+        return report is not None and report["endpoints"] == count
 
 
 def code(response):
@@ -112,10 +116,10 @@
 
 
 @asynccontextmanager
-async def running(folder, *, entries=None, extra=""):
-    """Give a :class:`Net` whose entries have been started."""
+async def running_network(folder, *, entries=None, extra=""):
+    """Yield a :class:`Net` whose entries have been started."""
     with Processes(folder=folder) as processes:
-        net = Net(processes=processes, entries=entries or {"e1": "jylland-a"}, extra=extra)
+        net = EntryNetwork(processes=processes, entries=entries or {"e1": "jylland-a"}, extra=extra)
         async with AsyncClient(timeout=30.0) as net.client:
             for name in net.entries:
                 net.start_entry(name)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,4 +1,4 @@
-"""Failures of whole cells of real processes; the verdict comes from the records of the stubs."""
+"""Failures in whole cells of real processes; the results are judged by the stubs' records."""
 
 import pytest
 from anyio import sleep
@@ -8,13 +8,13 @@
 from tests.entry_net import code
 from tests.processes import wait_until
 
-# Longer than a lease of 30 s and the time after which a worker counts as lost.
+# Longer than a lease of 30 s, and than the time after which a worker is considered lost.
 PAUSE_S = 36.0
 
 
 @pytest.mark.timeout(300)
 def test_orders_survive_the_loss_of_the_ledger_leader(tmp_path):
-    """Guards against a second run of an order whose record the new leader of the ledger lacks."""
+    """Guards against a second run of an order whose record the new ledger leader lacks."""
 
     async def check(cell):
         cell.start_stub("p1", "--service_ms", 40)
@@ -35,7 +35,7 @@
 
 @pytest.mark.timeout(300)
 def test_orders_of_a_killed_entry_do_not_run_twice(tmp_path):
-    """Guards against a resend that runs again what the killed entry had already sent."""
+    """Guards against a retry that runs an order which the killed entry had already sent."""
 
     async def check(cell):
         cell.start_stub("p1", "--service_ms", 300)
@@ -55,7 +55,10 @@
 
 @pytest.mark.timeout(300)
 def test_late_answer_leaves_the_outcome_unknown_for_good(tmp_path):
-    """Guards against a resend that runs again, or that gets the answer of another request."""
+    """Guards against a retry that runs again, or that gets the answer of another request.
+
+    The endpoint answers after the deadline, so the entry cannot know the outcome.
+    """
 
     async def check(cell):
         cell.start_stub("p1", "--fault", "late")
@@ -64,16 +67,16 @@
         code_by_key, answers = await place_orders(cell, lambda: sleep(0), orders=6, headers=headers)
         await sleep(7.0)
         for key in code_by_key:
-            code_by_key[key] = await cell.order(key, answers)
-        ran = check_orders(cell, code_by_key, answers, "p1")
-        assert all(code == 3001 for key, code in code_by_key.items() if key in ran)
+            code_by_key[key] = await cell.place_order(key, answers)
+        run_keys = check_orders(cell, code_by_key, answers, "p1")
+        assert all(code == 3001 for key, code in code_by_key.items() if key in run_keys)
 
     with_cell(tmp_path, check)
 
 
 @pytest.mark.timeout(300)
 def test_empty_disk_does_not_vote(tmp_path):
-    """Guards against a quorum of a store with an empty disk that votes as its old self."""
+    """Guards against a quorum with a store that votes as its old incarnation on an empty disk."""
 
     async def check(cell):
         owner = await wait_until(cell.owner, "an owner")
@@ -83,7 +86,7 @@
         cell.processes.kill(owner)
         cell.processes.remove(wiped)
         cell.start_store(wiped)
-        # Several election timeouts; the remaining voter has one vote of three.
+        # Several election timeouts; the one remaining voter has one of three votes.
         await sleep(12.0)
         assert cell.owner() == owner
         cell.start_store(owner)
@@ -100,7 +103,7 @@
 
 @pytest.mark.timeout(300)
 def test_paused_owner_starts_no_task_a_second_time(tmp_path):
-    """Guards against an owner that wakes after its lease and acts on what it knew before."""
+    """Guards against an owner that is resumed after its lease and acts on its cached state."""
 
     async def check(cell):
         cell.start_workers("w", 3, "--beat_s", 2)
@@ -110,10 +113,10 @@
         )
         record = cell.record("w")
 
-        def starts():
+        def task_starts():
             return [line for line in read(record) if line["event"] == "start"]
 
-        await wait_until(lambda: len(starts()) >= 6, "six tasks run")
+        await wait_until(lambda: len(task_starts()) >= 6, "six tasks run")
         paused = cell.owner()
         cell.processes.pause(paused)
         await wait_until(lambda: cell.owner() != paused, "a new owner")
@@ -121,24 +124,24 @@
         await cell.operate("submit", more, request_id="job-2", entry="e2")
         await sleep(PAUSE_S)
         cell.processes.resume(paused)
-        await wait_until(lambda: len(starts()) >= 12, "the second job runs")
+        await wait_until(lambda: len(task_starts()) >= 12, "the second job runs")
         await sleep(5.0)
         assert check_workers(read(record)) == []
-        running = {line["task"] for line in starts()}
+        running = {line["task"] for line in task_starts()}
         assert len(running) == 12
 
     with_cell(tmp_path, check)
 
 
 async def random_fault(cell):
-    """Apply one fault and end it; at most one store is away at a time."""
+    """Apply one random fault and end it; at most one store is down or paused at a time."""
     random = cell.random
     kind = random.choice(["kill store", "pause store", "kill entry", "pause entry", "late", "fail"])
     print("fault:", kind, "while", cell.owner(), "owns the domain")
     if kind in ("late", "fail"):
-        await cell.control("p1", fault=kind)
+        await cell.set_behaviour("p1", fault=kind)
         await sleep(random.uniform(0.5, 3.0))
-        await cell.control("p1", fault="none")
+        await cell.set_behaviour("p1", fault="none")
         return
     names = cell.stores if "store" in kind else list(cell.entries)
     name = random.choice(names)
@@ -154,7 +157,7 @@
 
 @pytest.mark.timeout(300)
 def test_random_faults_break_no_invariant(tmp_path):
-    """Guards against faults that only a sequence of crashes and pauses brings out."""
+    """Guards against violations that only a sequence of crashes and pauses causes."""
 
     async def check(cell):
         cell.start_stub("p1", "--service_ms", 100)
@@ -174,10 +177,10 @@
         check_orders(cell, code_by_key, answers, "p1", "p2")
         record = cell.record("w")
 
-        def ended():
+        def ended_tasks():
             return {line["task"] for line in read(record) if line["event"] == "end"}
 
-        await wait_until(lambda: len(ended()) == 40, "all tasks of the job end")
+        await wait_until(lambda: len(ended_tasks()) == 40, "all tasks of the job end")
         assert check_workers(read(record)) == []
 
     with_cell(tmp_path, check)
@@ -185,7 +188,7 @@
 
 @pytest.mark.timeout(300)
 def test_drained_endpoint_gets_no_new_work_at_any_entry(tmp_path):
-    """Guards against a drain by an operator that is accepted and has no effect."""
+    """Guards against a drain by an operator that is accepted but has no effect."""
 
     async def check(cell):
         cell.start_stub("p1")
@@ -197,19 +200,19 @@
 
         drain = {"kind": "endpoint", "name": "p1", "draining": True}
         await cell.operate("drain", drain, request_id="drain")
-        await wait_until(lambda: answers(2002), "no endpoint in service")
+        await wait_until(lambda: answers(2002), "no endpoint is in service")
         before = len(read(cell.record("p1")))
         assert await answers(2002)
         assert len(read(cell.record("p1"))) == before
         await cell.operate("drain", drain | {"draining": False}, request_id="undrain")
-        await wait_until(lambda: answers(1000), "the endpoint in service again")
+        await wait_until(lambda: answers(1000), "the endpoint is in service again")
 
     with_cell(tmp_path, check)
 
 
 @pytest.mark.timeout(300)
 def test_orders_go_on_when_links_to_the_stores_fall_silent(tmp_path):
-    """Guards against calls that wait for ever, or run twice, on connections that are silent."""
+    """Guards against calls that never return or run twice when links deliver no more frames."""
 
     async def check(cell):
         cell.start_stub("p1", "--service_ms", 40)
@@ -231,5 +234,8 @@
         check_orders(cell, code_by_key, answers, "p1")
         assert set(code_by_key.values()) <= {1000, 1001}
 
-    place_by_name = dict.fromkeys(("s1", "s2", "s3"), "stores") | {"e1": "entries", "e2": "entries"}
-    with_cell(tmp_path, check, place_by_name=place_by_name)
+    location_by_name = dict.fromkeys(("s1", "s2", "s3"), "stores") | {
+        "e1": "entries",
+        "e2": "entries",
+    }
+    with_cell(tmp_path, check, location_by_name=location_by_name)
--- a/tests/test_scaffolding.py
+++ b/tests/test_scaffolding.py
@@ -1,4 +1,4 @@
-"""The checker must find each kind of violation, and the forwarder must apply each fault."""
+"""Tests of the test tools: the checker finds each violation, the forwarder applies each fault."""
 
 from json import dumps
 
@@ -27,6 +27,10 @@
 
 
 def test_checker_accepts_a_task_that_moves_after_its_end(tmp_path):
+    """Guards against a false violation when a task runs elsewhere after a stop or a kill.
+
+    The last line of the file is torn, as after the kill of the process that writes it.
+    """
     lines = [
         event(0, "a", "capacity"),
         event(0, "b", "capacity"),
@@ -47,12 +51,18 @@
     ids=["two places", "overcommitted"],
 )
 def test_checker_finds_wrong_placement(second):
+    """Guards against a checker that misses a task in two places or an overcommitted worker."""
     records = [event(0, "a", "capacity"), event(0, "b", "capacity"), event(1, "a", "start"), second]
     assert len(check_workers(records)) == 1
 
 
 def test_checker_finds_wrong_requests():
-    ran = [
+    """Guards against a checker that misses one of four faults.
+
+    The faults are a key that runs twice, a request that runs though it was answered "not run", a
+    wrong body, and a request that was answered as done but never ran.
+    """
+    records = [
         {"t": 1, "event": "start", "endpoint": "p", "request_id": "1", "key": "k"},
         {"t": 2, "event": "start", "endpoint": "q", "request_id": "2", "key": "k"},
         {"t": 3, "event": "start", "endpoint": "q", "request_id": "3", "key": ""},
@@ -63,7 +73,7 @@
         Answer(request_id="3", code=Code.DONE, body=b"on", expected=b"one"),
         Answer(request_id="4", code=Code.DONE, body=b"", expected=b""),
     ]
-    assert len(check_requests(ran, answers)) == 4
+    assert len(check_requests(records, answers)) == 4
 
 
 async def _echo(stream):
@@ -73,6 +83,8 @@
 
 
 def with_forwarder(check):
+    """Run ``await check(forwarder)`` with a forwarder in front of an echo server."""
+
     async def main():
         port, target = free_ports(2)
         forwarder = Forwarder(port=port, target=target)
@@ -81,21 +93,23 @@
                 listener = await create_tcp_listener(local_host="127.0.0.1", local_port=target)
                 tasks.start_soon(listener.serve, _echo)
                 tasks.start_soon(forwarder.run)
-                await wait_until(lambda: answers(port), "forwarder listens")
+                await wait_until(lambda: server_answers(port), "forwarder listens")
                 await check(forwarder)
                 tasks.cancel_scope.cancel()
 
     run(main)
 
 
-async def answers(port):
+async def server_answers(port):
+    """Return whether a new connection to the port is answered."""
     try:
-        return await ask(await connect_tcp("127.0.0.1", port))
+        return await is_answered(await connect_tcp("127.0.0.1", port))
     except OSError:
         return False
 
 
-async def ask(stream):
+async def is_answered(stream):
+    """Return whether the server echoes a byte within a second."""
     with move_on_after(1.0):
         await stream.send(b"x")
         return await stream.receive() == b"x"
@@ -103,21 +117,25 @@
 
 
 def test_silence_affects_present_connections_only():
+    """Guards against a forwarder whose silence also affects new connections, or has no effect."""
+
     async def check(forwarder):
         old = await connect_tcp("127.0.0.1", forwarder.port)
-        assert await ask(old)
+        assert await is_answered(old)
         forwarder.silence()
-        assert not await ask(old)
-        assert await answers(forwarder.port)
+        assert not await is_answered(old)
+        assert await server_answers(forwarder.port)
 
     with_forwarder(check)
 
 
 def test_blocked_direction_delivers_after_healing():
+    """Guards against a partition that loses bytes, which TCP would deliver after it."""
+
     async def check(forwarder):
         stream = await connect_tcp("127.0.0.1", forwarder.port)
         forwarder.block("to_client")
-        assert not await ask(stream)
+        assert not await is_answered(stream)
         forwarder.heal()
         assert await stream.receive() == b"x"
 
@@ -125,11 +143,13 @@
 
 
 def test_cut_refuses_until_healed():
+    """Guards against a cut that lets new connections through, or that does not end."""
+
     async def check(forwarder):
         await forwarder.cut()
         with pytest.raises((EndOfStream, BrokenResourceError)):
-            await ask(await connect_tcp("127.0.0.1", forwarder.port))
+            await is_answered(await connect_tcp("127.0.0.1", forwarder.port))
         forwarder.heal()
-        assert await answers(forwarder.port)
+        assert await server_answers(forwarder.port)
 
     with_forwarder(check)
