Correct comments and messages of flows, workers and the control node

Several comments said more or less than the code does: which runs a report must list, where a speculative task can run after a change of leaders, what the advice time of a flow covers, and when a refused start counts as undelivered. They now state these conditions, and the reason why a store restarts after its leader ended its own term is back. Errors about a missing leader or configuration and about unsupported calls name the actual cause.

--- a/siskintally/advice_client_pool.py
+++ b/siskintally/advice_client_pool.py
@@ -50,7 +50,7 @@
         """Return a free client and mark it as busy, or None.
 
         Slow calls use the farthest clients and leave some free, so that a quick call never waits
-        for a slow one.
+        for a slow one. With fewer than three clients, none is reserved.
         """
         clients = list(self._clients())
         free = [client for client in clients if client.name not in self._busy]
--- a/siskintally/advice_clients.py
+++ b/siskintally/advice_clients.py
@@ -51,7 +51,7 @@
         body = AdviceAsk(step=step_id, workers=worker_ids, timeout_s=timeout)
         reply = await self._session.call(body, timeout=timeout + ROUND_TRIP_S)
         if reply.failed:
-            raise UnreachableError(f"{self.name}: no usable reply of the advice service")
+            raise UnreachableError(f"{self.name}: no usable reply from the advice service")
         return [Ticket(worker_id=ticket.worker, text=ticket.ticket) for ticket in reply.tickets]
 
 
--- a/siskintally/control_client.py
+++ b/siskintally/control_client.py
@@ -68,7 +68,7 @@
             await sleep(RETRY_DELAY_S)
         if may_have_effect:
             raise OutcomeUnknownError(f"{type(body).__name__}: no reply within {timeout:.1f} s")
-        raise NotLeaderError(f"{type(body).__name__}: no leader is known")
+        raise NotLeaderError(f"{type(body).__name__}: no leader is known or reachable")
 
     async def _attempt(self, leader, body, timeout):
         """Call one store; raise refusals that allow a retry as their own error types."""
--- a/siskintally/control_group.py
+++ b/siskintally/control_group.py
@@ -51,7 +51,7 @@
 
     :param settings: :class:`~siskintally.node_settings.NodeSettings`.
     :param state_machine: :class:`~siskintally.state_machine.StateMachine`.
-    :param contacts: function that yields the link addresses of known stores.
+    :param contacts: function that yields the link addresses of the other known stores.
     :param send: ``send(address, body) -> bool``; must not block.
     """
     election_min_s = flow_timing(settings).election_min_s
@@ -83,7 +83,7 @@
 
 
 def bootstrap_group(settings):
-    """Write the bootstrap state at the first start of a seed; all seeds write the same state."""
+    """Write the bootstrap state at the first start of the cell; all seeds write the same state."""
     folder, voters = _journal_folder(settings), settings.seed_link_addresses()
     if not settings.founding or settings.link_address not in voters or folder.exists():
         return
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -28,7 +28,7 @@
 PASS_DELAY_S = 0.004
 # Longest time between placement passes.
 MAX_PASS_INTERVAL_S = 0.1
-# Interval of the check for closed flows to forget.
+# Interval at which closed flows whose retention time is over are removed.
 RETENTION_CHECK_S = 10.0
 # Wait of a status poll, and for how long it applies, after a call without a reply: faults of
 # workers or links leave calls without a reply for seconds.
@@ -239,7 +239,7 @@
         self.scheduler.apply_stopped(action, steady())
 
     def handle_suspect(self, worker):
-        """Requeue tasks of an unresponsive worker for speculative copies elsewhere."""
+        """Requeue the tasks of an unresponsive worker that may run speculatively elsewhere."""
         task_ids = self.scheduler.speculate(worker, steady())
         if task_ids:
             log.info("copies wanted", worker=worker.id, tasks=len(task_ids), first=task_ids[0])
--- a/siskintally/control_node.py
+++ b/siskintally/control_node.py
@@ -219,7 +219,8 @@
     async def _run_leader(self, leader):
         """Run a control leader until its term ends; a leader must not start the same term twice.
 
-        :raises StoppedError: the leader ended its own term, but a quorum still follows this store.
+        :raises StoppedError: the leader ended its own term, but a quorum still follows this store,
+            so no store would do the work of the leader.
         """
         await leader.run()
         await sleep(self._settings.fresh_ms / 1000)
@@ -292,7 +293,7 @@
         if isinstance(body, AdviceAsk):
             return await handle_advice_call(self._advice, body)
         if not ControlService.handles(body):
-            raise BadRequestError(f"{type(body).__name__}: not a call of a store")
+            raise BadRequestError(f"{type(body).__name__}: stores do not handle this call")
         return await self._handle_leader_call(body)
 
     async def _handle_leader_call(self, body):
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -44,7 +44,11 @@
 
 
 class Start(NamedTuple):
-    """Last committed start of a task; the task can run on no other worker."""
+    """Last committed start of a task.
+
+    The task can run on no other worker, except that a speculative task may still run where it was
+    started before.
+    """
 
     run: int
     worker: str
--- a/siskintally/driver.py
+++ b/siskintally/driver.py
@@ -178,7 +178,10 @@
 
     @abstractmethod
     async def stop(self, worker, order, *, timeout):
-        """Stop a run, or have its late start refused; return an :class:`OrderReply`."""
+        """Stop a run; return an :class:`OrderReply`.
+
+        If the run has not started yet, the worker refuses its start order when that arrives later.
+        """
 
     @abstractmethod
     async def throttle(self, worker, order, *, timeout):
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -95,7 +95,7 @@
         """Handle a call of a store."""
         if isinstance(body, AdviceAsk):
             return await handle_advice_call(self._advice, body)
-        raise BadRequestError(f"{type(body).__name__}: not a call of an entry")
+        raise BadRequestError(f"{type(body).__name__}: entries do not handle this call")
 
     def handle_message(self, session, body):
         """Handle a notice of a store."""
--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -42,10 +42,11 @@
     # It has not reported in this term, so the tasks that run there are not known.
     UNSEEN = 0
     READY = 1
-    # Calls fail; no new tasks are sent there.
+    # Calls fail; no new tasks are placed there.
     SUSPECT = 2
     # Its lease has expired, so no task runs there any more.
     LAPSED = 3
+    # This incarnation no longer exists.
     LOST = 4
 
 
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -34,9 +34,10 @@
 
     ``failures``: number of failed attempts. ``last_failed_run``: run number of the last one. A gang
     counts both at its first task. ``run``: number of the current or last run. ``since``: steady
-    time of the last state change. ``worker``: :class:`~siskintally.fleet.FleetWorker` on which
-    resources are reserved for the task, or None. ``checkpoint``: checkpoint from which the next
-    start resumes, "" for none. ``percent``: progress, or 100 for a long-running task that is
+    time of the last state change; while the task is stopping, the time at which its worker
+    confirmed the stop, infinite until then. ``worker``: :class:`~siskintally.fleet.FleetWorker` on
+    which resources are reserved for the task, or None. ``checkpoint``: checkpoint from which the
+    next start resumes, "" for none. ``percent``: progress, or 100 for a long-running task that is
     working. ``progress_at``: steady time of the last change of ``percent``. ``copies``: other runs
     of the task that still have resources reserved, as tasks whose ``copy_of`` is this one.
     ``tail_latency_ms``: last reported tail latency of a long-running task.
@@ -83,11 +84,11 @@
 
     ``unfinished_dependencies``: number of unfinished steps that this one depends on.
     ``dependents``: steps that depend on this one. ``waiting``: stack of tasks that can be started.
-    ``task_count_by_worker``: number of this step's tasks on each worker. ``ticket_by_worker``:
-    permits of the advice service, as (ticket, steady time at which it expires).
-    ``denied_worker_ids``: workers that the advice service denied. ``is_asking``: whether a call to
-    the advice service is in flight. ``next_ask_at``: earliest steady time of the next call.
-    ``gang_run``: run number shared by all members of a gang.
+    ``task_count_by_worker``: number of this step's runs, copies included, for which each worker has
+    resources reserved. ``ticket_by_worker``: permits of the advice service, as (ticket, steady time
+    at which it expires). ``denied_worker_ids``: workers that the advice service denied.
+    ``is_asking``: whether a call to the advice service is in flight. ``next_ask_at``: earliest
+    steady time of the next call. ``gang_run``: run number shared by all members of a gang.
     """
 
     __slots__ = (
@@ -150,7 +151,7 @@
 
     @property
     def is_due(self):
-        """Whether the step has tasks to start and may start them now."""
+        """Whether the step has tasks to start, is ready, and its flow is open."""
         return bool(self.waiting) and not self.unfinished_dependencies and self.flow.is_open
 
 
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -20,7 +20,8 @@
 # Applies to callers without a deadline, on a queue without a timeout.
 DEFAULT_TIMEOUT_S = 3.0
 # Limits of the Retry-After value. A leader is usually elected within the minimum. The longer there
-# has been none, the longer the outage lasts, and early retries would exhaust a caller's attempts.
+# has been none, the longer the outage is likely to last; a caller that retries too early would use
+# up its attempts before it ends.
 MIN_RETRY_AFTER_S = 1
 MAX_RETRY_AFTER_S = 4
 
@@ -61,13 +62,13 @@
     def find_queue(self, host, path):
         """Return the queue that a path belongs to.
 
-        :raises NoConfigError: the cached configuration may be outdated.
+        :raises NoConfigError: there is no cached configuration, or it may be outdated.
         :raises NotFoundError: no queue matches.
         """
         now = steady()
         if not self._cache.is_fresh(now):
             self._record_refusal("no leader in touch", path, now)
-            raise NoConfigError("no leader is reachable")
+            raise NoConfigError("no current configuration from a leader")
         queue = match_queue(self._cache.document, host, path)
         if queue is None:
             self._record_refusal("no such queue", path, now)
@@ -149,7 +150,7 @@
 
 
 def _timeout_s(queue, deadline_s):
-    """Return the timeout of a request, the lower one of the caller's and the queue's."""
+    """Return the lower one of the caller's and the queue's timeout, or the default."""
     limits = [queue.timeout_ms / 1000] if queue.timeout_ms else []
     if deadline_s is not None:
         limits.append(deadline_s)
--- a/siskintally/flow_report.py
+++ b/siskintally/flow_report.py
@@ -9,9 +9,9 @@
 
 from siskintally.tables import format_table
 
-# advice: until the last permit before the start. queue: from then to the first start. again: from
-# the first start to the start of the run that was done. work: run time up to the estimate. slow:
-# run time beyond the estimate.
+# advice: from the end of the last dependency to the last answer of the advice service before the
+# first start. queue: from then to the first start. again: from the first start to the start of the
+# run that was done. work: run time up to the estimate. slow: run time beyond the estimate.
 PARTS = ("advice", "queue", "again", "work", "slow")
 BAR_WIDTH = 40
 SLOWEST_SHOWN = 5
@@ -32,7 +32,10 @@
 
 
 def break_down_flow(flow):
-    """Return the :class:`TimeBreakdown` of a flow, or None if the log does not contain all of it.
+    """Return the :class:`TimeBreakdown` of the first occurrence of a flow.
+
+    Returns None for a flow that was cancelled or has a long-running step, and if the log does not
+    contain all of it.
 
     :param flow: :class:`~siskintally.flow_trace.FlowTrace`.
     """
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -69,8 +69,9 @@
     def restore(self, state, now):
         """Load the flows and workers from the replicated state at the start of the term.
 
-        A task can only be running on the worker that its last committed start names. Tasks that
-        were never started, or whose worker is gone, can start at once.
+        A task can only be running on the worker that its last committed start names; a speculative
+        task also on the workers of earlier starts. Tasks that were never started, or whose worker
+        is gone, can start at once.
 
         :param state: :class:`~siskintally.control_state.ControlState`.
         """
@@ -191,7 +192,7 @@
         self.stops.append(StopAction(task.id, task.run, task.worker))
 
     def running_steps(self):
-        """Yield unfinished steps with all tasks started that other steps depend on."""
+        """Yield unfinished steps that have dependents and no more tasks to start."""
         for step in self.ready_by_id.values():
             if not step.waiting and step.dependents:
                 yield step
@@ -227,7 +228,7 @@
                 self.stop(task)
 
     def expire_lease(self, worker):
-        """Requeue the tasks of a worker whose lease has expired: none of them runs any more."""
+        """Requeue the tasks of a worker whose lease has expired: nothing runs there any more."""
         worker.status = WorkerStatus.LAPSED
         self._release_tasks(worker)
         self.requeue_unlocated(worker)
@@ -297,7 +298,7 @@
             self._remove_if_over(step.flow)
 
     def _remove_if_over(self, flow):
-        """Remove a closed flow once no worker has a task of it."""
+        """Remove a closed flow once none of its tasks, apart from copies, is on a worker."""
         if flow.is_open or self.flow_by_id.get(flow.id) is not flow:
             return
         if all(task.worker is None for step in flow.steps() for task in step.tasks):
--- a/siskintally/flow_trace.py
+++ b/siskintally/flow_trace.py
@@ -75,7 +75,8 @@
 def build_flow_traces(events):
     """Return :class:`FlowTrace` objects by flow id.
 
-    A new leader logs the flows and ends that it takes over again, so only the first ones count.
+    A new leader logs flows and ends that a former one has already logged, so only the first
+    acceptance of a flow and the first time at which a task was done count.
     """
     flows = {}
     for at, fields in events:
@@ -92,7 +93,7 @@
     try:
         steps = [parse_step(text) for text in fields.get("steps", ())]
     except BadRequestError:
-        # The log of another version may lack the steps; no breakdown is possible then.
+        # Another version may describe steps differently; no breakdown is possible then.
         steps = []
     flows[flow_id] = FlowTrace(
         flow_id=flow_id, queue=fields.get("queue", ""), accepted_at=at, steps=steps
--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -91,7 +91,8 @@
         :param headers: pairs of strings.
         :param timeout: seconds, including the time to connect.
         :raises UnreachableError: the request was certainly not sent.
-        :raises ConnectionLostError: the connection was lost after (part of) the request was sent.
+        :raises ConnectionLostError: the connection was lost, or the response was invalid or too
+            large, after (part of) the request was sent.
         :raises OutcomeUnknownError: the timeout expired after (part of) the request was sent.
         """
         sent = False
--- a/siskintally/node_settings.py
+++ b/siskintally/node_settings.py
@@ -48,9 +48,10 @@
 class NodeSettings:
     """Settings of one process.
 
-    ``seeds``: addresses of some stores. ``founding``: whether this is the first start of the cell,
-    which bootstraps the group. ``callers``, ``ready``, ``control``: addresses to listen on, empty
-    for none. ``tolerated``: stores that may be lost at the same time.
+    ``seeds``: control addresses of some stores, of which only the IP addresses are used.
+    ``founding``: whether this is the first start of the cell, which bootstraps the group.
+    ``callers``, ``ready``, ``control``: addresses to listen on, empty for none. ``tolerated``:
+    stores that may be lost at the same time.
     """
 
     __slots__ = tuple(_KEYS)
--- a/siskintally/platform/fields.py
+++ b/siskintally/platform/fields.py
@@ -16,7 +16,8 @@
 class Fields:
     """Typed access to one JSON object.
 
-    All getters raise :class:`~siskintally.errors.BadRequestError` for a field of another type.
+    All getters raise :class:`~siskintally.errors.BadRequestError` for a field of another type, a
+    value out of range, and a missing field without a default.
     """
 
     __slots__ = ("_values",)
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -29,8 +29,8 @@
 UNAVAILABLE = 503
 GONE = 410
 DEADLINE_HEADER = "siskintally-deadline-ms"
-# Timeout of a heartbeat call. The platform resends a heartbeat to another node after one second
-# without a response.
+# Timeout of a heartbeat or deregistration call. The platform resends a heartbeat to another node
+# after one second without a response.
 HEARTBEAT_TIMEOUT_S = 0.8
 MAX_CONFIG_BYTES = 4 * 1024 * 1024
 METRICS_HEADER = ("content-type", "text/plain; version=0.0.4")
@@ -181,7 +181,10 @@
         return HttpResponse(status=200, body=reply.document.original, headers=headers)
 
     def error_to_response(self, error):
-        """Return the response to a refused request; 503 lets the sender try another node."""
+        """Return the response to a refused request.
+
+        An unknown outcome becomes status 503, so that the sender tries another node.
+        """
         if error.code == Code.OUTCOME_UNKNOWN:
             return json_response(UNAVAILABLE, {"error": str(error)[:200]})
         return super().error_to_response(error)
@@ -193,5 +196,5 @@
     try:
         return Fields.parse(body).integer("born", 0)
     except BadRequestError as error:
-        log.info("deregistration without an incarnation", error=str(error)[:80])
+        log.info("deregistration with a malformed body", error=str(error)[:80])
         return 0
--- a/siskintally/quorum_check.py
+++ b/siskintally/quorum_check.py
@@ -10,9 +10,10 @@
 from siskintally.clock import now as steady
 
 # Share of the shortest election timeout for which a confirmation by a quorum lets the leader act.
-# No other leader can be elected while a quorum has heard from this one within that timeout, or
-# within a smaller share of it, still larger than this one, if the leader's process has ended. The
-# rest covers differences between clocks, and members that forget the leader by a restart.
+# While a quorum has heard from this leader within that timeout, no other leader can be elected.
+# Members that see the leader's process exit wait for a smaller share of the timeout, which is still
+# larger than this one. The difference covers clocks that run at different rates, and members that
+# forget the leader by a restart.
 CONFIRMED_LEADER_SHARE = 0.5
 CONFIRM_INTERVAL_S = 0.15
 
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -33,6 +33,8 @@
 def is_stalled(task, now):
     """Return whether a task makes no progress although it is not throttled.
 
+    Best-effort tasks may be throttled to a halt, so they never count as stalled.
+
     :param now: steady time, s.
     """
     if task.state != TaskState.RUNNING or task.step.spec.filling:
@@ -222,7 +224,11 @@
         self._update_run(task, row, now)
 
     def _release_unlisted(self, worker, rows, asked_at, now):
-        """Release and requeue runs that are missing from a report requested after they began."""
+        """Release and requeue runs that a report does not list although it should.
+
+        Covered are runs whose start, or stop if one was ordered, was confirmed before the status
+        poll was sent.
+        """
         for task in list(worker.task_by_id.values()):
             row = rows.get(task.id)
             is_listed = row is not None and row.run == task.run
@@ -276,7 +282,7 @@
             reserved.since = now
 
     def find_task(self, name):
-        """Return the task with that id, or None if its flow or the task is unknown."""
+        """Return the task with the id ``name``, or None if its flow or the task is unknown."""
         task_id = TaskId.parse(name)
         flow = self.flow_by_id.get(task_id.flow) if task_id is not None else None
         if flow is None or not task_id.belongs_to(flow.flow):
--- a/siskintally/speculation.py
+++ b/siskintally/speculation.py
@@ -1,4 +1,6 @@
-"""Speculative execution: second runs of tasks on unresponsive workers; pure logic.
+"""Speculative execution: second runs of tasks whose workers are unresponsive; pure logic.
+
+The code calls the earlier run the copy; the task itself is requeued and gets a new run elsewhere.
 
 >>> from siskintally.speculation import Speculation
 >>> Speculation.__slots__
--- a/siskintally/worker_lease.py
+++ b/siskintally/worker_lease.py
@@ -69,7 +69,10 @@
         return self.until_ms
 
     def include_former_grants(self, until):
-        """Account for grants of former leaders, which have expired by steady time ``until``."""
+        """Account for grants of former leaders.
+
+        :param until: steady time by which they have expired and their runs have ended.
+        """
         self.expired_by = max(self.expired_by, until)
 
 
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -53,7 +53,7 @@
         self._driver = driver
         self._timing = timing
         self._wake_event = Event()
-        # Whether the previous status poll ended with a lost connection.
+        # Whether a status poll has lost its connection since the last report.
         self._has_lost_connection = False
 
     def wake(self):
@@ -61,7 +61,7 @@
         self._wake_event.set()
 
     async def run(self):
-        """Poll the worker until it is lost."""
+        """Poll the worker while there is a reason to, until it is lost."""
         try:
             while self.worker.status != WorkerStatus.LOST:
                 if self._is_idle():
@@ -117,7 +117,8 @@
         self.lease.sample_clock(clock_ms=report.clock_ms, sent_at=asked_at, received_at=received_at)
         await self._leader.handle_report(self, report, asked_at)
         if worker.unexpected_run_by_task:
-            # Unexpected runs count until their ends are reported; a stop takes a moment.
+            # Such runs count until a report no longer lists them, which takes a moment after the
+            # stop; until then workers reply to polls at once.
             await sleep(RETRY_S)
 
     async def _handle_poll_failure(self, error):
@@ -158,7 +159,12 @@
             await sleep(0.02)
 
     async def _try_start(self, action, was_sent):
-        """Return (refusal code or None without a reply, whether the order may be executed)."""
+        """Send a start order once.
+
+        :returns: (refusal, whether the order may have reached the worker). The refusal is None if
+            the order has neither been confirmed nor refused; it is ``INVALID`` also if the order
+            could not be delivered.
+        """
         if not self.lease.has_clock_sample:
             self.wake()
             await sleep(0.05)
@@ -220,7 +226,7 @@
             self.lease.sample_clock(clock_ms=reply.clock_ms, sent_at=sent_at, received_at=steady())
 
     async def throttle(self, action):
-        """Send a throttle order until it is confirmed or superseded."""
+        """Send a throttle order until the worker replies or the order is obsolete."""
         task = action.task
         order = Order(
             task_id=task.id, run=action.run, fence=self._leader.term, percent=action.percent
