Name the last vague variables of flows, placement and fleet

Locals called one, before, place and shape, and a method named as if it raised the free resources while it reduced them, did not say what they hold. They are now candidate, dependency, previous, route, summary and _change_reserved, and the dispatcher's pool of advice clients is advice_pool instead of the name of the function that lists the clients.

--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -48,11 +48,11 @@
             queue = step.flow.queue
             if queue is None or not queue.HasField("advice"):
                 continue
-            workers = self._workers_to_ask(step, now)
-            if workers:
+            worker_ids = self._workers_to_ask(step, now)
+            if worker_ids:
                 terms = queue.advice
-                expected_s = (terms.decide_ms + terms.per_worker_ms * len(workers)) / 1000
-                yield AdviceAction(step=step, worker_ids=workers, expected_s=expected_s)
+                expected_s = (terms.decide_ms + terms.per_worker_ms * len(worker_ids)) / 1000
+                yield AdviceAction(step=step, worker_ids=worker_ids, expected_s=expected_s)
 
     def _steps_ready_soon(self, now):
         """Yield steps whose last dependency ends soon, so that their permits arrive in time."""
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -77,7 +77,7 @@
         self._group = group
         self._driver = driver
         self._dispatcher = FlowDispatcher(
-            leader=self, advice_clients=AdviceClientPool(clients=advice_clients), counters=counters
+            leader=self, advice_pool=AdviceClientPool(clients=advice_clients), counters=counters
         )
         self._timing = timing
         self._counters = counters
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -112,10 +112,10 @@
         name = str(task._replace(index=0)) if step.gang else str(task)
         if step.lasting or name in self.done:
             return
-        before = self.failures_by_task.get(name, Failures())
-        if run <= before.last_run:
+        previous = self.failures_by_task.get(name, Failures())
+        if run <= previous.last_run:
             return
-        count = before.count + 1
+        count = previous.count + 1
         self.failures_by_task[name] = Failures(count=count, last_run=run)
         is_exhausted = max_attempts is not None and count >= max_attempts
         if is_exhausted:
--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -148,15 +148,15 @@
         """Reserve the resources of a task."""
         self.task_by_id[task.id] = task
         self.latency_task_count += bool(task.step.spec.tail_target_ms)
-        self._adjust_free(task.resources, 1)
+        self._change_reserved(task.resources, 1)
 
     def release(self, task):
         """Release the resources of a task that no longer runs here."""
         if self.task_by_id.pop(task.id, None) is not None:
             self.latency_task_count -= bool(task.step.spec.tail_target_ms)
-            self._adjust_free(task.resources, -1)
+            self._change_reserved(task.resources, -1)
 
-    def _adjust_free(self, resources, sign):
+    def _change_reserved(self, resources, sign):
         self.free_cpu_milli -= sign * resources.cpu_milli
         self.free_memory_mb -= sign * resources.memory_mb
         self.free_accelerators -= sign * resources.accelerators
@@ -172,8 +172,8 @@
         :param ratio: run time of a task as a multiple of its estimate.
         :param weight: share of this observation in the new average.
         """
-        before = self.expected_slowdown(now)
-        self.slowdown = before + weight * (min(max(ratio, MIN_SLOWDOWN), MAX_SLOWDOWN) - before)
+        previous = self.expected_slowdown(now)
+        self.slowdown = previous + weight * (min(max(ratio, MIN_SLOWDOWN), MAX_SLOWDOWN) - previous)
         self.slowdown_at = now
 
     def update(self, record):
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -188,8 +188,8 @@
                 step = StepRun(flow=self, occurrence=occurrence, number=number, spec=spec)
                 self.step_by_key[occurrence, number] = step
         for step in self.steps():
-            for before in set(step.spec.after):
-                self.step_by_key[step.occurrence, before].dependents.append(step)
+            for dependency in set(step.spec.after):
+                self.step_by_key[step.occurrence, dependency].dependents.append(step)
         aim_s = queue.aim_ms / 1000 if queue is not None else 0.0
         stretch = queue.stretch if queue is not None else 1.0
         self.due_at = arrived_at + aim_s + max(stretch, 1.0) * self.critical_path_s()
@@ -219,8 +219,10 @@
         """Return the estimated run time of the critical path of one occurrence, s."""
         ends = []
         for spec in self.flow.steps:
-            before = max((ends[number] for number in spec.after if number < len(ends)), default=0.0)
-            ends.append(before + spec.estimate_ms / 1000)
+            start_s = max(
+                (ends[number] for number in spec.after if number < len(ends)), default=0.0
+            )
+            ends.append(start_s + spec.estimate_ms / 1000)
         return max(ends, default=0.0)
 
     def scheduled_at_ms(self, occurrence):
--- a/siskintally/flow_checks.py
+++ b/siskintally/flow_checks.py
@@ -29,5 +29,5 @@
     for number, step in enumerate(flow.steps):
         if not step.tasks:
             raise BadRequestError(f"steps[{number}].tasks: expected 1 or more")
-        if any(before >= number for before in step.after):
+        if any(dependency >= number for dependency in step.after):
             raise BadRequestError(f"steps[{number}].after: expected numbers of earlier steps")
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -20,15 +20,15 @@
     """Sends start, stop, and throttle orders, and calls to the advice service.
 
     :param leader: :class:`~siskintally.control_leader.ControlLeader`.
-    :param advice_clients: :class:`~siskintally.advice_client_pool.AdviceClientPool`.
+    :param advice_pool: :class:`~siskintally.advice_client_pool.AdviceClientPool`.
     :param counters: :class:`~siskintally.counters.Counters`.
     """
 
     __slots__ = ("_advice_pool", "_counters", "_leader")
 
-    def __init__(self, *, leader, advice_clients, counters):
+    def __init__(self, *, leader, advice_pool, counters):
         self._leader = leader
-        self._advice_pool = advice_clients
+        self._advice_pool = advice_pool
         self._counters = counters
 
     def run_pass(self, now, wall_ms, tasks):
--- a/siskintally/flow_report.py
+++ b/siskintally/flow_report.py
@@ -50,11 +50,11 @@
     number = last
     while number is not None:
         step = flow.steps[number]
-        before = max(step.after, key=lambda one: done[one].done_at, default=None)
-        ready_at = flow.accepted_at if before is None else done[before].done_at
+        dependency = max(step.after, key=lambda earlier: done[earlier].done_at, default=None)
+        ready_at = flow.accepted_at if dependency is None else done[dependency].done_at
         _add_step(parts, flow, number, done[number], ready_at)
         estimate_s += step.estimate_s
-        number = before
+        number = dependency
     total_s = done[last].done_at - flow.accepted_at
     return TimeBreakdown(flow.id, flow.queue, total_s, estimate_s, parts)
 
@@ -107,8 +107,8 @@
     for name, group in sorted(by_queue.items()):
         means = _means(group)
         total = sum(breakdown.total_s for breakdown in group) / len(group)
-        chain = sum(breakdown.estimate_s for breakdown in group) / len(group)
-        figures = (f"{value:.3f}" for value in (total, chain, *means.values()))
+        estimate = sum(breakdown.estimate_s for breakdown in group) / len(group)
+        figures = (f"{value:.3f}" for value in (total, estimate, *means.values()))
         yield (name, len(group), *figures)
 
 
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -60,7 +60,7 @@
         self._tasks = None
 
     def addresses(self):
-        """Yield the known addresses except the own one."""
+        """Yield the known addresses except its own."""
         yield from self._link_by_address
 
     def add_addresses(self, addresses):
--- a/siskintally/queue_checks.py
+++ b/siskintally/queue_checks.py
@@ -15,7 +15,7 @@
     :raises BadRequestError: a queue is invalid; the message says which and why.
     """
     services = {service.name for service in document.services}
-    places = set()
+    routes = set()
     names = set()
     for queue in document.queues:
         if queue.service not in services:
@@ -26,8 +26,8 @@
             raise BadRequestError(
                 f"queue {queue.name!r}: prefix {queue.prefix!r} must start with a slash"
             )
-        place = (queue.host, queue.prefix)
-        if place in places or queue.name in names:
+        route = (queue.host, queue.prefix)
+        if route in routes or queue.name in names:
             raise BadRequestError(f"queue {queue.name!r}: duplicate name or host and prefix")
-        places.add(place)
+        routes.add(route)
         names.add(queue.name)
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -115,8 +115,8 @@
             return
         yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.DONE)
         ended = task.step.tasks if task.step.spec.gang else (task,)
-        for one in ended:
-            self._finish(one, now)
+        for ended_task in ended:
+            self._finish(ended_task, now)
 
     def _record_run_time(self, worker, task, row, now):
         estimate_s = task.step.spec.estimate_ms / 1000
@@ -132,8 +132,8 @@
         if not is_comparable or task.state != TaskState.RUNNING or ran_s < MIN_OBSERVED_S:
             return
         # With less progress than that, the run time so far is a lower bound of the ratio.
-        share = task.percent / 100 if task.percent >= MIN_OBSERVED_PERCENT else 1.0
-        ratio = ran_s / share / estimate_s
+        done_share = task.percent / 100 if task.percent >= MIN_OBSERVED_PERCENT else 1.0
+        ratio = ran_s / done_share / estimate_s
         if ratio >= SLOW_RATIO:
             worker.record_slowdown(ratio, PROGRESS_WEIGHT, now)
 
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -44,13 +44,13 @@
         while step.waiting and candidates:
             copy_workers = {copy.worker for copy in step.waiting[-1].copies}
             options = (
-                [one for one in candidates if one not in copy_workers]
+                [worker for worker in candidates if worker not in copy_workers]
                 if copy_workers
                 else candidates
             )
             if not options:
                 return
-            worker = min(options, key=lambda one: self.sort_key(step, one, now))
+            worker = min(options, key=lambda candidate: self.sort_key(step, candidate, now))
             yield self._assign(step.waiting.pop(), worker, self.next_run_number(), now)
             if not _has_capacity(step, worker):
                 candidates.remove(worker)
@@ -65,7 +65,7 @@
             racks = {worker.rack for worker in candidates}
             options = [
                 self._choose_gang_workers(
-                    step, [one for one in candidates if one.rack == rack], now
+                    step, [worker for worker in candidates if worker.rack == rack], now
                 )
                 for rack in sorted(racks)
             ]
@@ -81,7 +81,7 @@
         """Return a list with a worker for each member, or None if they do not all fit."""
         workers = []
         limit = step.spec.max_per_worker or step.spec.tasks
-        for worker in sorted(candidates, key=lambda one: self.sort_key(step, one, now)):
+        for worker in sorted(candidates, key=lambda candidate: self.sort_key(step, candidate, now)):
             placed_count = step.task_count_by_worker.get(worker.id, 0)
             count = min(worker.capacity_for(step.resources), limit - placed_count)
             workers.extend([worker] * max(count, 0))
--- a/siskintally/step_text.py
+++ b/siskintally/step_text.py
@@ -42,13 +42,13 @@
 
     :raises BadRequestError: the text does not describe a step.
     """
-    shape, after = _STEP_PATTERN.match(text), _AFTER_PATTERN.search(text)
-    if shape is None:
+    summary, after = _STEP_PATTERN.match(text), _AFTER_PATTERN.search(text)
+    if summary is None:
         raise BadRequestError(f"{text[:80]!r}: expected the text of a step")
     numbers = after[1].split(",") if after else ()
     return StepSummary(
-        tasks=int(shape[1]),
-        estimate_s=int(shape[2]) / 1000,
+        tasks=int(summary[1]),
+        estimate_s=int(summary[2]) / 1000,
         after=tuple(int(number) for number in numbers),
         lasting="lasting" in text.split(),
     )
