Say why a gang is placed within one rack

The comment on gang placement spoke of a preference of the step and left out its reason. It says again that such a gang runs slower when it is spread over racks.

--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -56,7 +56,11 @@
                 candidates.remove(worker)
 
     def _place_gang(self, step, now):
-        """Place all members or none; within one rack if the step prefers that and one fits."""
+        """Place all members or none.
+
+        A gang that runs slower when spread over racks is placed within one rack if one has enough
+        free resources.
+        """
         if len(step.waiting) < len(step.tasks):
             return
         candidates = list(self.candidates(step, now))
