--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -42,10 +42,11 @@
     # It has not reported in this term, so the tasks that run there are not known.
     UNSEEN = 0
     READY = 1
-    # Calls fail; no new tasks are sent there.
+    # Calls fail; no new tasks are placed there.
     SUSPECT = 2
     # Its lease has expired, so no task runs there any more.
     LAPSED = 3
+    # This incarnation no longer exists.
     LOST = 4
 
 
@@ -147,15 +148,15 @@
         """Reserve the resources of a task."""
         self.task_by_id[task.id] = task
         self.latency_task_count += bool(task.step.spec.tail_target_ms)
-        self._adjust_free(task.resources, 1)
+        self._change_reserved(task.resources, 1)
 
     def release(self, task):
         """Release the resources of a task that no longer runs here."""
         if self.task_by_id.pop(task.id, None) is not None:
             self.latency_task_count -= bool(task.step.spec.tail_target_ms)
-            self._adjust_free(task.resources, -1)
+            self._change_reserved(task.resources, -1)
 
-    def _adjust_free(self, resources, sign):
+    def _change_reserved(self, resources, sign):
         self.free_cpu_milli -= sign * resources.cpu_milli
         self.free_memory_mb -= sign * resources.memory_mb
         self.free_accelerators -= sign * resources.accelerators
@@ -171,8 +172,8 @@
         :param ratio: run time of a task as a multiple of its estimate.
         :param weight: share of this observation in the new average.
         """
-        before = self.expected_slowdown(now)
-        self.slowdown = before + weight * (min(max(ratio, MIN_SLOWDOWN), MAX_SLOWDOWN) - before)
+        previous = self.expected_slowdown(now)
+        self.slowdown = previous + weight * (min(max(ratio, MIN_SLOWDOWN), MAX_SLOWDOWN) - previous)
         self.slowdown_at = now
 
     def update(self, record):
