Correct what comments of the replicated log and of links say

Some comments said less or something else than the code: a read round also needs a committed entry of the term, a member asks to join only after 5 s without a leader, a replica ignores candidates after its start only for a newer term, and excess log lines are dropped. They now give these conditions. The head of leader_preference said that leaders accumulate on VMs that failed last; they accumulate on those that have run longest without a failure.

--- a/siskintally/applier.py
+++ b/siskintally/applier.py
@@ -44,7 +44,7 @@
         self._applied_bytes = 0
 
     def apply(self, entry):
-        """Apply an entry and return the reply of the state machine, empty if it is no command."""
+        """Apply an entry; return the reply of the state machine, empty if there is no command."""
         reply = b""
         if entry.kind == EntryKind.COMMAND:
             reply = self._state_machine.apply(index=entry.index, command=entry.command)
--- a/siskintally/encoding.py
+++ b/siskintally/encoding.py
@@ -58,7 +58,7 @@
 
 
 def decode_members(bodies):
-    """Return the member set in wire messages."""
+    """Return the member set decoded from wire messages."""
     return tuple(
         Member(identity=Identity(body.name, body.incarnation), voter=body.voter) for body in bodies
     )
@@ -73,7 +73,7 @@
 
 
 def decode_entry(body):
-    """Return the log entry in a wire message.
+    """Return the log entry decoded from a wire message.
 
     :raises ValueError: the entry has an unknown kind.
     """
@@ -102,7 +102,7 @@
 
 
 def decode_message(body):
-    """Return the Raft message in a frame body.
+    """Return the Raft message decoded from a frame body.
 
     :raises ValueError: an entry has an unknown kind.
     """
--- a/siskintally/errors.py
+++ b/siskintally/errors.py
@@ -77,7 +77,7 @@
 
 
 class NeverFitsError(SiskintallyError):
-    """No worker is large enough for the task."""
+    """No worker is large enough for the task, even with all its resources free."""
 
     code = Code.NEVER_FITS
 
@@ -89,7 +89,7 @@
 
 
 class StoppedError(SiskintallyError):
-    """The process is stopping."""
+    """The process is stopping, or must stop because it cannot serve."""
 
     code = Code.STOPPED
 
--- a/siskintally/follower.py
+++ b/siskintally/follower.py
@@ -111,7 +111,8 @@
         data = b"".join(self.incoming_snapshot.parts)
         self.incoming_snapshot = None
         if xxh64_intdigest(data) != chunk.checksum:
-            # No reply: the leader retransmits the last chunk, and the reply to that restarts it.
+            # No reply: the leader retransmits the last chunk; the reply to it, with offset 0, makes
+            # the leader send the snapshot again from its start.
             return
         snapshot = Snapshot(
             index=chunk.index, term=chunk.index_term, members=chunk.members, data=data
--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -45,9 +45,9 @@
 class Group:
     """One replica of a Raft group.
 
-    Only the task in :meth:`run` changes the replica. It processes all queued inputs as a batch with
-    one disk sync (group commit), in the event loop or in a worker thread; snapshots are always
-    written in a worker thread.
+    Only the task in :meth:`run` changes the replica. It processes all queued inputs, up to
+    ``batch_items``, with one disk sync (group commit), in the event loop or in a worker thread;
+    snapshots are always written in a worker thread.
 
     :param name: group name.
     :param process: name of this process.
@@ -142,7 +142,11 @@
 
     @property
     def is_leader(self):
-        """Whether this replica leads and can serve: it has applied an entry of its term."""
+        """Whether this replica leads and serves calls.
+
+        A new leader does so once it has applied an entry of its term and the group counts as
+        bootstrapped.
+        """
         return self._leadership.current.is_leader
 
     @property
@@ -170,7 +174,7 @@
 
         :param command: bytes.
         :raises NotLeaderError: the command was not appended to the log.
-        :raises OutcomeUnknownError: leadership was lost first; the command may be committed yet.
+        :raises OutcomeUnknownError: leadership was lost first; the command may still commit.
         """
         return await self._call(Waiter(command=command))
 
@@ -201,7 +205,8 @@
         except (KeyError, ValueError) as error:
             log.warning("dropped invalid message", group=self.name, error=str(error))
             return
-        # A reply that only shows that a peer is alive does not wake the task.
+        # A reply that only shows that a peer is alive waits for the next input or timer, at the
+        # latest the next heartbeat.
         is_keepalive = self._replica is not None and self._replica.is_keepalive(item)
         item = ReceivedMessage(message=item, received_at=steady() if is_keepalive else None)
         self._inbox.put_message(item, wakes=not is_keepalive)
--- a/siskintally/group_calls.py
+++ b/siskintally/group_calls.py
@@ -34,7 +34,7 @@
         return self._waiters.has_proposals
 
     def not_leader_error(self):
-        """Return the error for a call that belongs to the leader; it names the leader if known."""
+        """Return the error for a call that only the leader serves; it names the leader if known."""
         leader = self._leadership.current.leader
         leader = leader if leader != self._process else ""
         return NotLeaderError(
--- a/siskintally/group_disk.py
+++ b/siskintally/group_disk.py
@@ -1,4 +1,4 @@
-"""Disk of one replica: its journal, written before messages are sent or in the background.
+"""Disk of one replica: its journal, and the background writer for the entries of a leader.
 
 >>> from siskintally.group_disk import GroupDisk
 >>> disk = GroupDisk(folder="data/cell", group="cell", process="s1", in_thread=False)
@@ -103,9 +103,10 @@
             effects.extend(replica.transfer_leadership(now))
 
     def can_write_behind(self, effects, replica):
-        """Return whether entries may be sent, and committed by followers, before the own sync.
+        """Return whether the entries may be sent before they are on the disk of this leader.
 
-        A vote, a new term, or what a follower acknowledges must be on disk first.
+        Followers can commit them meanwhile. A vote, a new term, or what a follower acknowledges
+        must be on disk first.
         """
         if not (self._in_thread and replica.is_leader and effects.entries):
             return False
--- a/siskintally/journal.py
+++ b/siskintally/journal.py
@@ -136,7 +136,7 @@
         _remove_other_snapshots(self.folder, persistent_state.snapshot.index)
 
     def _replace_log(self, persistent_state):
-        """Replace the log file with one that starts with the given state."""
+        """Replace the log file with one whose head record has the term, vote and entries."""
         data = _encode_head(persistent_state, self._group, self.identity)
         path = self.folder / LOG_FILE
         if self._log is not None:
--- a/siskintally/leader_preference.py
+++ b/siskintally/leader_preference.py
@@ -1,7 +1,8 @@
 """Transfers leadership back to the preferred member of a group after a failover.
 
-Otherwise, after failures, the leaders of many groups would accumulate on the VMs that failed last,
-and a VM that leads several groups exceeds its processor budget. The current time is passed in.
+Otherwise, after failures, the leaders of many groups would accumulate on the few VMs that have run
+longest without a failure, and a VM that leads several groups exceeds its processor budget. The
+current time is passed in.
 
 >>> from siskintally.leader_preference import LeaderPreference
 >>> LeaderPreference(group="cell", preferred="s1").preferred
--- a/siskintally/liveness.py
+++ b/siskintally/liveness.py
@@ -93,7 +93,7 @@
 
 
 async def check_sessions(sessions):
-    """Check sessions each 0.5 s until cancelled.
+    """Check sessions every 0.5 s until cancelled.
 
     The checks are aligned to multiples of the interval, as the heartbeats of groups are, so that
     the process wakes up once for both. One task checks all the sessions of a server.
--- a/siskintally/log_stream.py
+++ b/siskintally/log_stream.py
@@ -19,7 +19,7 @@
 
 
 class LogStream:
-    """File-like object for log lines with a token bucket; lines that do not fit are counted.
+    """File-like object for log lines with a token bucket; excess lines are dropped and counted.
 
     :param write: function that writes bytes without blocking, or raises BlockingIOError.
     :param clock: function that returns the monotonic time in seconds.
--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -1,4 +1,4 @@
-"""Join requests of a group: sending them as a new incarnation, granting them as the leader.
+"""Admission of replicas to a group: when to request it, and which change a leader makes next.
 
 >>> from siskintally.member_admission import MemberAdmission
 >>> from siskintally.roster import FixedRoster
@@ -20,7 +20,7 @@
 
 
 class MemberAdmission:
-    """Sends join requests and, on the leader, decides on the next membership change.
+    """Decides when to send join requests and, on the leader, which membership change is next.
 
     :param roster: :class:`~siskintally.roster.Roster` of the group.
     """
@@ -45,7 +45,8 @@
     def request_due_at(self, replica):
         """Return the time at which a replica should request to join the group.
 
-        A member without contact to a leader does so too: it may have been replaced meanwhile.
+        A member does so too after 5 s without contact to a leader: it may have been replaced by a
+        new incarnation and not been notified.
         """
         if replica.is_leader:
             return float("inf")
--- a/siskintally/member_changes.py
+++ b/siskintally/member_changes.py
@@ -1,4 +1,4 @@
-"""Membership changes by one replica: sends join requests, proposes changes, logs commits.
+"""Membership changes by one replica: sends join requests, proposes and logs changes.
 
 >>> from siskintally.member_changes import MemberChanges
 >>> from siskintally.roster import FixedRoster
--- a/siskintally/raftlog.py
+++ b/siskintally/raftlog.py
@@ -89,7 +89,7 @@
         return self.snapshot.members, self.snapshot.index
 
     def compact(self, index, data, *, keep):
-        """Take a snapshot at ``index`` and drop all but ``keep`` of the entries before it."""
+        """Take a snapshot at ``index`` and drop all but the last ``keep`` entries up to it."""
         members, _ = self.members_at(index)
         self.snapshot = Snapshot(index=index, term=self.term_at(index), members=members, data=data)
         self._drop_through(max(self.base_index, index - keep))
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -43,8 +43,8 @@
     """One Raft replica; each transition returns :class:`~siskintally.effects.Effects`.
 
     The caller executes the effects of a transition, and calls :meth:`mark_synced` after each sync,
-    before it sends the messages of a later transition. ``deadline`` is the election timeout, and
-    on a leader the end of a leadership transfer.
+    before it sends the messages of a later transition. ``deadline`` is the time at which the
+    election timeout expires, or on a leader the time at which a leadership transfer is given up.
 
     :param persistent_state: persistent state read from disk; by default that of an empty disk.
     :param election_timeout: function that returns a random election timeout in seconds.
@@ -178,7 +178,7 @@
 
         :raises NotLeaderError: this replica cannot accept proposals; nothing was appended.
         :raises BadRequestError: an earlier change or the first entry of the term is not committed,
-            or more than one voter changes.
+            or the change is not a valid single-server change.
         """
         self._check_is_leader()
         if not self.has_committed_in_term:
@@ -198,7 +198,8 @@
     def start_read_round(self, now, *, urgent=True):
         """Start a read round (as in ReadIndex); ``effects.read_round`` is its number.
 
-        The round is confirmed once a quorum has replied to a message sent after this call.
+        The round is confirmed once a quorum has replied to a message sent after this call and the
+        first entry of the term is committed.
 
         :param urgent: whether to send messages now; otherwise the next heartbeats carry the round.
         :raises NotLeaderError: this replica does not lead.
@@ -230,7 +231,7 @@
         """Compact the log: replace entries up to an applied one with a snapshot.
 
         :param data: serialized state machine after that entry.
-        :param keep: number of entries before ``index`` to retain, so that followers slightly behind
+        :param keep: number of entries up to ``index`` to retain, so that followers slightly behind
             need no snapshot.
         """
         effects = Effects()
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -138,7 +138,9 @@
         return body.group
 
     async def handle_join_request(self, body):
-        """Answer a store that asks to be admitted, or that only asks whether the group exists.
+        """Handle a request to join a group, or a query whether the group has a log.
+
+        :param body: JoinRequest; one with an empty incarnation is a query.
 
         :raises NotFoundError: this store is not a member of the group.
         """
--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -185,7 +185,7 @@
             for voter in self.voters
         ]
         quorum_reached = quorum_value(matches)
-        # Raft 5.4.2: an entry of an older term can still be overwritten, even on a quorum.
+        # Raft 5.4.2: an entry of an older term can be overwritten even if a quorum stores it.
         if quorum_reached > self.commit_index and self.log.term_at(quorum_reached) == self.term:
             self._commit_to(quorum_reached, effects)
 
@@ -228,7 +228,7 @@
                 self._send_chunk(peer, progress, now, effects)
 
     def _next_heartbeat_at(self, progress):
-        """Return the time of the next heartbeat, sooner if the peer lacks entries or a commit.
+        """Return the time of the next heartbeat: sooner if the peer lacks entries or the commit.
 
         Heartbeats are sent at multiples of their interval, so that those of all groups of a
         process go out together, as one message per link.
--- a/siskintally/roster.py
+++ b/siskintally/roster.py
@@ -55,7 +55,10 @@
         return name in self.names
 
     def is_bootstrapped(self, voter_names):
-        """Return whether a majority are voters; before that, one disk alone could commit."""
+        """Return whether a majority of the listed processes are voters.
+
+        Before that, a commit could be on one disk only.
+        """
         return len(set(voter_names) & set(self.names)) >= quorum_size(len(self.names))
 
 
@@ -83,11 +86,14 @@
         return bool(name)
 
     def is_bootstrapped(self, voter_names):
-        """Return whether there are voters; all first ones are bootstrapped with the same state."""
+        """Return whether there are voters; the initial ones all start from the same state."""
         return bool(voter_names)
 
     def voter_to_remove(self, silent_s_by_voter):
-        """Return the voter unresponsive for longest, if 2 * ``tolerated`` + 1 others are alive."""
+        """Return the voter unresponsive for longest, if enough others respond, or None.
+
+        Enough are 2 * ``tolerated`` + 1: as many as bear the tolerated losses on their own.
+        """
         unresponsive = {
             voter: silent_s
             for voter, silent_s in silent_s_by_voter.items()
--- a/siskintally/session.py
+++ b/siskintally/session.py
@@ -124,7 +124,8 @@
 
         :param timeout: seconds.
         :raises UnreachableError: provably not sent.
-        :raises OutcomeUnknownError: sent, but no reply arrived in time.
+        :raises OutcomeUnknownError: sent, but the timeout or the end of the session came before a
+            reply.
         :raises RefusedError: the peer replied with an error code.
         """
         call_id = self._next_id
@@ -263,7 +264,7 @@
                 yield pending.frame
 
     def check_liveness(self, now):
-        """Ping the peer of an idle link; close a link on which a ping was not answered.
+        """Ping a peer that has sent nothing for a while; close the link if a ping is not answered.
 
         :param now: monotonic time, seconds.
         """
--- a/siskintally/supervisor.py
+++ b/siskintally/supervisor.py
@@ -57,7 +57,8 @@
     async def run(self):
         """Run all children until all have ended or :meth:`stop` is called.
 
-        :raises ExceptionGroup: of a TooManyRestartsError, if a child failed too often.
+        :raises ExceptionGroup: of a TooManyRestartsError if a child failed too often, or of the
+            exception of a child that is not to be restarted.
         """
         async with create_task_group() as tasks:
             self._scope = tasks.cancel_scope
--- a/siskintally/timing.py
+++ b/siskintally/timing.py
@@ -21,14 +21,15 @@
         with a leader since its start; after a restart of the whole group there is no leader.
     :param retry_timeout_factor: factor of the election timeout for a candidate that was not
         elected: there is no leader then that a new election could disrupt.
-    :param exited_leader_timeout_factor: factor of ``election_min_s`` after which another leader
-        may be elected once the process of the leader is known to have exited.
+    :param exited_leader_timeout_factor: factor of ``election_min_s``, the time without contact to a
+        leader after which it may be replaced, if its process is known to have exited.
     :param stagger_s: added to the election timeout for each voter that precedes in the order of
         names; longer than a round of votes, so that candidates rarely split the vote.
     :param election_spread_s: random part of the election timeout; by default the difference between
         ``election_max_s`` and ``election_min_s``.
-    :param startup_vote_block_s: time after its start in which a replica grants no votes, because
-        it may have followed a leader until shortly before.
+    :param startup_vote_block_s: time after its start in which a replica ignores candidates for a
+        newer term, because it may have followed a leader until shortly before. A candidate to which
+        the leader transfers its leadership is not ignored.
     """
 
     __slots__ = (
--- a/siskintally/write_behind.py
+++ b/siskintally/write_behind.py
@@ -45,7 +45,7 @@
 
     @property
     def is_idle(self):
-        """Whether everything that was added is on disk."""
+        """Whether no entries are queued or being written."""
         return self._sync_started_at is None and not self._pending
 
     def sync_duration_s(self, now):
@@ -58,7 +58,7 @@
     def add(self, entries, last):
         """Queue entries to be written.
 
-        :param last: (index, term) of the last log entry once they are written.
+        :param last: (index, term) of the last log entry, with which the entries end.
         """
         self._pending.append((entries, last))
         self._pending_event.set()
