Name state machines, times and lost voters after what they are

A few local names were vague: machine, at, lost, and silent for a number of seconds. They are now state_machine, received_at, lost_voter and silent_s, as elsewhere in these modules.

--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -77,9 +77,9 @@
         if not can_change or log.members_index > replica.commit_index:
             return None
         self._request_by_name = {
-            name: (incarnation, at)
-            for name, (incarnation, at) in self._request_by_name.items()
-            if now - at < JOIN_REQUEST_VALID_S
+            name: (incarnation, received_at)
+            for name, (incarnation, received_at) in self._request_by_name.items()
+            if now - received_at < JOIN_REQUEST_VALID_S
         }
         return self._next_admission(replica, now) or self._next_removal(replica, now)
 
@@ -102,10 +102,10 @@
             voter: _seconds_since_reply(replica, voter, now, self._term_start[1])
             for voter in replica.voters
         }
-        lost = self._roster.voter_to_remove(silent_s_by_voter)
-        if lost is None:
+        lost_voter = self._roster.voter_to_remove(silent_s_by_voter)
+        if lost_voter is None:
             return None
-        return tuple(member for member in replica.log.members if member.identity != lost)
+        return tuple(member for member in replica.log.members if member.identity != lost_voter)
 
 
 def _seconds_since_reply(replica, voter, now, since):
--- a/siskintally/replicas.py
+++ b/siskintally/replicas.py
@@ -65,7 +65,7 @@
             else:
                 self._add_domain(group)
 
-    def _make_group(self, group, machine):
+    def _make_group(self, group, state_machine):
         folder = group_folder(self._process.data, group.name)
         folder.parent.mkdir(parents=True, exist_ok=True)
         created = Group(
@@ -73,7 +73,7 @@
             process=self._process.name,
             bootstrap_members=group.members,
             folder=folder,
-            state_machine=machine,
+            state_machine=state_machine,
             send=self._links.send,
         )
         self.group_by_name[group.name] = created
@@ -83,9 +83,11 @@
         folder = Path(self._process.data)
         folder.mkdir(parents=True, exist_ok=True)
         self._audit_file = AuditFile.recover(path=folder / AUDIT_FILE)
-        machine = RecordedCell(cell=Cell(), audit_file=self._audit_file)
+        state_machine = RecordedCell(cell=Cell(), audit_file=self._audit_file)
         self.cell_service = CellService(
-            group=self._make_group(group, machine), state_machine=machine, settings=self._settings
+            group=self._make_group(group, state_machine),
+            state_machine=state_machine,
+            settings=self._settings,
         )
 
     def _add_domain(self, group):
--- a/siskintally/session.py
+++ b/siskintally/session.py
@@ -271,8 +271,8 @@
         busy_since = self._busy_since if self._pending_by_id else None
         action = self._liveness.next_action(now, busy_since=busy_since)
         if action == LinkAction.CLOSE:
-            silent = round(now - self._liveness.last_heard, 1)
-            log.info("link silent", peer=self.peer.name, seconds=silent)
+            silent_s = round(now - self._liveness.last_heard, 1)
+            log.info("link silent", peer=self.peer.name, seconds=silent_s)
             self.close()
         elif action == LinkAction.PING:
             self.send(Ping(sent_at=now))
