Say when a NotFoundError is raised and which time the disk takes

NotFoundError is also raised for groups and calls that a process does not serve, which its text left out. The modules of the disk called the monotonic time a steady one, other than their neighbours.

--- a/siskintally/errors.py
+++ b/siskintally/errors.py
@@ -59,7 +59,7 @@
 
 
 class NotFoundError(SiskintallyError):
-    """No such job, service, or path."""
+    """The job, service, group, or path does not exist, or this process does not serve it."""
 
     code = Code.NOT_FOUND
 
--- a/siskintally/group_disk.py
+++ b/siskintally/group_disk.py
@@ -91,7 +91,7 @@
     def poll(self, replica, now, effects):
         """Record newly synced entries; transfer leadership away if the disk hangs.
 
-        :param now: steady time, s.
+        :param now: monotonic time in seconds.
         :raises OSError: the disk failed.
         """
         written = self._writer.pop_written()
--- a/siskintally/write_behind.py
+++ b/siskintally/write_behind.py
@@ -51,7 +51,7 @@
     def sync_duration_s(self, now):
         """Return how long the sync in progress has taken, 0 if there is none, in seconds.
 
-        :param now: steady time, s.
+        :param now: monotonic time in seconds.
         """
         return now - self._sync_started_at if self._sync_started_at is not None else 0.0
 
