--- a/siskintally/member_admission.py
+++ b/siskintally/member_admission.py
@@ -1,4 +1,4 @@
-"""Join requests of a group: sending them as a new incarnation, granting them as the leader.
+"""Admission of replicas to a group: when to request it, and which change a leader makes next.
 
 >>> from siskintally.member_admission import MemberAdmission
 >>> from siskintally.roster import FixedRoster
@@ -20,7 +20,7 @@
 
 
 class MemberAdmission:
-    """Sends join requests and, on the leader, decides on the next membership change.
+    """Decides when to send join requests and, on the leader, which membership change is next.
 
     :param roster: :class:`~siskintally.roster.Roster` of the group.
     """
@@ -45,7 +45,8 @@
     def request_due_at(self, replica):
         """Return the time at which a replica should request to join the group.
 
-        A member without contact to a leader does so too: it may have been replaced meanwhile.
+        A member does so too after 5 s without contact to a leader: it may have been replaced by a
+        new incarnation and not been notified.
         """
         if replica.is_leader:
             return float("inf")
@@ -76,9 +77,9 @@
         if not can_change or log.members_index > replica.commit_index:
             return None
         self._request_by_name = {
-            name: (incarnation, at)
-            for name, (incarnation, at) in self._request_by_name.items()
-            if now - at < JOIN_REQUEST_VALID_S
+            name: (incarnation, received_at)
+            for name, (incarnation, received_at) in self._request_by_name.items()
+            if now - received_at < JOIN_REQUEST_VALID_S
         }
         return self._next_admission(replica, now) or self._next_removal(replica, now)
 
@@ -101,10 +102,10 @@
             voter: _seconds_since_reply(replica, voter, now, self._term_start[1])
             for voter in replica.voters
         }
-        lost = self._roster.voter_to_remove(silent_s_by_voter)
-        if lost is None:
+        lost_voter = self._roster.voter_to_remove(silent_s_by_voter)
+        if lost_voter is None:
             return None
-        return tuple(member for member in replica.log.members if member.identity != lost)
+        return tuple(member for member in replica.log.members if member.identity != lost_voter)
 
 
 def _seconds_since_reply(replica, voter, now, since):
--- a/siskintally/write_behind.py
+++ b/siskintally/write_behind.py
@@ -45,20 +45,20 @@
 
     @property
     def is_idle(self):
-        """Whether everything that was added is on disk."""
+        """Whether no entries are queued or being written."""
         return self._sync_started_at is None and not self._pending
 
     def sync_duration_s(self, now):
         """Return how long the sync in progress has taken, 0 if there is none, in seconds.
 
-        :param now: steady time, s.
+        :param now: monotonic time in seconds.
         """
         return now - self._sync_started_at if self._sync_started_at is not None else 0.0
 
     def add(self, entries, last):
         """Queue entries to be written.
 
-        :param last: (index, term) of the last log entry once they are written.
+        :param last: (index, term) of the last log entry, with which the entries end.
         """
         self._pending.append((entries, last))
         self._pending_event.set()
