Correct comments of placement, owners and the ledger

Some comments said more or less than the code does: which searches the limit of a pass counts, that the reservation limit leaves out urgent jobs, which worker a search with preemption returns, and that a repeated acknowledgement is valid. Two errors of requests now say what is expected, and loops that commit name OutcomeUnknownError.

--- a/siskintally/backlog.py
+++ b/siskintally/backlog.py
@@ -19,8 +19,9 @@
 # A deferrable job is queued as a normal one when its latest start is this near.
 PROMOTE_BEFORE_S = 600.0
 # Jobs whose latest starts fall into the same window are tried largest first, so that small tasks
-# fill the gaps between large ones. No job is overtaken by one of a later window, which bounds the
-# wait that this order adds. Windows of 10 s pack less well, windows of 60 s no better.
+# fill the gaps between large ones. Within a class no job is overtaken by one of a later window,
+# which bounds the wait that this order adds. Windows of 10 s pack less well, windows of 60 s no
+# better.
 ORDER_WINDOW_S = 30.0
 
 
--- a/siskintally/cell.py
+++ b/siskintally/cell.py
@@ -285,7 +285,7 @@
     def changes_since(self, group, since, epoch=0):
         """Return a SyncReply with all changes for a domain group after a log index.
 
-        A group in another epoch gets only its current epoch and whether it is lost.
+        A group that is still in another epoch gets only the current one and whether it is lost.
         """
         status = self.group_statuses.get(group)
         reply = SyncReply(index=since, epoch=status.epoch, lost=status.lost)
--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -48,6 +48,7 @@
         """Fetch the changes of the cell, commit and apply them, until cancelled.
 
         :raises NotLeaderError: leadership has ended.
+        :raises OutcomeUnknownError: leadership was lost during a commit.
         """
         owner_term = self._owner_term
         while True:
--- a/siskintally/dispatcher.py
+++ b/siskintally/dispatcher.py
@@ -36,7 +36,7 @@
         """Place tasks until cancelled.
 
         :raises NotLeaderError: leadership has ended.
-        :raises OutcomeUnknownError: as above, during a commit.
+        :raises OutcomeUnknownError: leadership was lost during a commit.
         """
         owner_term = self._owner_term
         while True:
--- a/siskintally/domain.py
+++ b/siskintally/domain.py
@@ -51,7 +51,7 @@
     ``config`` is the last ConfigState received from the cell (version 0 before the first one), and
     ``cell_index`` the cell log index up to which the cell's changes are applied.
     ``longest_lease_s`` is an upper bound of all worker leases that may still run. ``epoch`` counts
-    the declared losses of the group that it has learned of; while ``fenced`` it starts no task.
+    the declared losses of the group that it has applied; while ``fenced`` the group starts no task.
     """
 
     __slots__ = (
@@ -245,7 +245,7 @@
         self._update_ended_jobs(job)
 
     def _register_worker(self, record):
-        """Register a worker; return False if its capacity is below what its tasks have reserved."""
+        """Register a worker; return False if its capacity is below its allocated resources."""
         registered = self.worker_by_name.get(record.name)
         worker = DomainWorker(record=_copy(record))
         if registered is not None:
--- a/siskintally/domain_job.py
+++ b/siskintally/domain_job.py
@@ -12,7 +12,8 @@
 from siskintally.size import Size
 from siskintally.wire_pb2 import JobProgress, JobSpec
 
-# A batch or gang task that has failed this often, on different workers, is reported as failed.
+# A batch or gang task that has failed this often is reported as failed. Batch tasks are retried on
+# other workers where possible.
 MAX_TASK_FAILURES = 5
 
 
--- a/siskintally/ejection.py
+++ b/siskintally/ejection.py
@@ -10,7 +10,8 @@
 
 # Consecutive failures after which a worker is ejected.
 MIN_FAILURES = 5
-# Failures must come from this many jobs: failures of a single job suggest that the job is broken.
+# Failures must come from at least this many jobs: failures of a single job suggest that the job is
+# broken.
 MIN_FAILED_JOBS = 2
 FIRST_PAUSE_S = 60.0
 MAX_PAUSE_S = 3600.0
--- a/siskintally/job_split.py
+++ b/siskintally/job_split.py
@@ -108,6 +108,8 @@
 def _level_up(tasks, assigned_by_name, free_tasks_by_name, present):
     """Add tasks to the groups with the fewest tasks of the job until all have equally many.
 
+    Groups without free capacity for another task stay below the others.
+
     :returns: number of tasks remaining.
     """
     highest = max((present.get(name, 0) for name in assigned_by_name), default=0)
--- a/siskintally/lease.py
+++ b/siskintally/lease.py
@@ -140,7 +140,8 @@
 
         :param term: term of the owner; a term lower than the highest seen is refused.
         :param lease_s: duration that the owner grants, seconds.
-        :returns: whether the acknowledgement is valid.
+        :returns: whether the acknowledgement is valid; a repeated or outdated one is, but renews
+            nothing.
         """
         if term < self.term:
             return False
--- a/siskintally/ledger.py
+++ b/siskintally/ledger.py
@@ -70,7 +70,8 @@
     """The records that last changed within one time interval; they expire together.
 
     :param until: end of the interval, seconds.
-    :param record_by_fingerprint: ``{fingerprint of a key: record}``.
+    :param record_by_fingerprint: ``{fingerprint: record}``. The fingerprint is of a key, or, for a
+        tombstone, of a key and the released attempt.
     """
 
     __slots__ = ("record_by_fingerprint", "until")
--- a/siskintally/owner_term.py
+++ b/siskintally/owner_term.py
@@ -228,7 +228,7 @@
         return self.status_check.permits_start(self.domain)
 
     def is_idle(self):
-        """Return whether nothing runs in a fenced group, nor on workers that it does not know."""
+        """Return whether the group is fenced and runs nothing, even on workers it does not know."""
         leases_ended = self.clock() >= self.long_leases_end_at
         return self.domain.fenced and self.domain.is_idle and leases_ended
 
--- a/siskintally/placement.py
+++ b/siskintally/placement.py
@@ -23,8 +23,8 @@
 from siskintally.reservation import RESERVE_AFTER_S, Reservations
 from siskintally.workload import Kind, Urgency
 
-# Failed searches and preemption searches in each part of a pass. The limit keeps a pass below the
-# 2 ms that a decision may take.
+# Failed searches in each part of a pass, with the feasibility checks, preemptions and reservations
+# that follow them. The limit keeps a pass below the 2 ms that a decision may take.
 MAX_FAILED_SEARCHES = 32
 # Jobs examined in each part of a pass; most are skipped because they are known not to fit.
 MAX_JOBS_EXAMINED = 500
@@ -211,7 +211,7 @@
             self._clean_up(job)
 
     def _run_pass(self, decision, now, limit):
-        """Try to place the queued jobs; return whether the limits left none untried.
+        """Try to place the queued jobs; return whether all were tried before a limit was reached.
 
         Tries the head of the queue first, then new jobs, then the others round robin.
         """
@@ -245,7 +245,7 @@
         return min(start + MAX_JOBS_EXAMINED, len(jobs))
 
     def _try_job(self, job, decision, now, limit):
-        """Place as many tasks of a job as fit; return the number of failed searches."""
+        """Place as many tasks of a job as fit; return the number of searches made for the rest."""
         is_blocked, is_known = True, self._failed_searches.is_known_to_fail(job)
         if not is_known:
             max_tasks = limit - len(decision.assignments)
--- a/siskintally/pool.py
+++ b/siskintally/pool.py
@@ -19,7 +19,8 @@
 from siskintally.worker import Allocation, Worker
 from siskintally.worker_index import WorkerIndex
 
-# Workers with enough free resources compared to spread a service; more cost time and hardly help.
+# Fitting workers compared when a service task is placed; comparing more takes time and hardly
+# improves the spread.
 MAX_COMPARED_WORKERS = 256
 
 
@@ -96,7 +97,7 @@
         preemption_index.put(worker, available_after, accelerated=accelerated)
 
     def allocate(self, worker, task_id, job):
-        """Allocate resources to a task; nothing else allocates.
+        """Allocate resources to a task; the only method that allocates.
 
         :raises OvercommitError: the task does not fit or has resources allocated already.
         """
@@ -218,7 +219,10 @@
             yield from self._index_by_domain[domain].fitting(job.need)
 
     def best_fit_after_preemption(self, job):
-        """Return the worker with the tightest fit if its preemptible tasks are stopped, or None."""
+        """Return a worker that a task fits on once preemptible tasks have stopped, or None.
+
+        It has the tightest fit in its failure domain; the domains are not compared.
+        """
         for domain in self._domains(job):
             worker = self._preemption_index_by_domain[domain].best_fit(job.need)
             if worker is not None:
--- a/siskintally/preemption.py
+++ b/siskintally/preemption.py
@@ -17,7 +17,9 @@
 
 
 def preempt(pool, job):
-    """Choose deferrable batch tasks to stop, and reserve their resources for an urgent job.
+    """Choose deferrable batch tasks to stop, and reserve resources on their workers for a job.
+
+    :param job: an urgent job.
 
     :returns: ids of the tasks to stop. A gang gets reservations for all its tasks or for none.
     """
--- a/siskintally/preset.py
+++ b/siskintally/preset.py
@@ -146,7 +146,8 @@
     :param deferrable_share: share of dispatches guaranteed to deferrable requests.
     :param lease_s: length of a worker lease, s.
     :param preempt: whether urgent work may stop deferrable batch tasks.
-    :param place_deferrable: whether deferrable tasks are started.
+    :param place_deferrable: whether deferrable tasks are placed; those whose latest start is near
+        are placed in any case.
     """
 
     __slots__ = ("name", *LIMIT_BY_NAME)
--- a/siskintally/readmission.py
+++ b/siskintally/readmission.py
@@ -17,7 +17,7 @@
 
 from siskintally.ejection import Ejection
 
-# A worker is readmitted when its probe task has run this long.
+# A worker is readmitted when its probe task has run this long or has succeeded earlier.
 PROBE_RUN_S = 30.0
 
 
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -24,7 +24,8 @@
 # A job that has not fitted for this long gets a reservation. Most large tasks fit earlier. With 5 s
 # the resources kept idle for them cost 0.5 to 1.3 percentage points of packing on 100 workers.
 RESERVE_AFTER_S = 15.0
-# Jobs with reservations at a time. Reservations keep resources idle, so only the first get one.
+# Jobs with reservations at a time, not counting urgent ones. Reservations keep resources idle, so
+# only the jobs that were first to wait long enough get one.
 MAX_RESERVATIONS = 4
 # Reservations of a job compared with a worker on which a task ended; bounds the time for large
 # gangs.
@@ -34,7 +35,7 @@
 class Reservations:
     """Jobs with reserved resources.
 
-    When a task ends, reservations move to its worker if they can be used there sooner.
+    When a task ends, reservations move to its worker if fewer resources are missing there.
 
     :param pool: :class:`~siskintally.pool.Pool`.
     """
@@ -129,7 +130,7 @@
 
 
 def _max_tasks(worker, need):
-    """Return the number of tasks to reserve for, assuming that long-running tasks stay."""
+    """Return how many more tasks can be reserved for, assuming that long-running tasks stay."""
     count = need.max_count_in(worker.capacity - worker.long_running() - worker.reserved)
     return min(count, 1) if worker.probing else count
 
--- a/siskintally/verbs.py
+++ b/siskintally/verbs.py
@@ -139,7 +139,7 @@
         raise BadRequestError("jobs: expected a list of job ids")
     prefix = text_argument(arguments, "prefix", "")
     if not jobs and not prefix:
-        raise BadRequestError("jobs, prefix: expected one of them")
+        raise BadRequestError("jobs, prefix: expected at least one of them")
     return "cancel_jobs", CancelJobs(job_ids=jobs, prefix=prefix)
 
 
--- a/siskintally/worker_service.py
+++ b/siskintally/worker_service.py
@@ -37,8 +37,10 @@
 
         :returns: WorkerOrders; its lease runs from the time the heartbeat was sent.
         :raises NotLeaderError: leadership has ended.
-        :raises BadRequestError: the first heartbeat of a session must be full, or this group does
-            not own the failure domain of the worker.
+        :raises OutcomeUnknownError: leadership was lost during a commit.
+        :raises BadRequestError: the first heartbeat of a worker session on a link is not full, this
+            group does not own the failure domain of the worker, or its capacity is below the
+            resources allocated to its tasks.
         :raises RefusedError: the worker is being declared lost, or the heartbeat is from an earlier
             session.
         """
@@ -47,7 +49,7 @@
         self._check_sender(beat)
         if self._session_by_worker.get(beat.worker) != (session, beat.session):
             if not beat.full:
-                raise BadRequestError("the first heartbeat of a session must be full")
+                raise BadRequestError("the first heartbeat of a session on a link must be full")
             owner_term.leases.reset_session(beat.worker)
         owner_term.leases.record_heartbeat(beat.worker, beat.seq, now=owner_term.clock())
         diff = compare_heartbeat(owner_term.domain, beat)
@@ -142,6 +144,7 @@
         """Check for lost workers periodically until cancelled.
 
         :raises NotLeaderError: leadership has ended.
+        :raises OutcomeUnknownError: leadership was lost during a commit.
         """
         while True:
             await sleep(LOSS_CHECK_S)
