Call heartbeats, allocations and reports by their names

The owner's side of heartbeats called them beats, and loops over allocations, job reports and assignments used each and found. These parameters and local variables now have the names of what they stand for.

--- a/siskintally/cell_sync.py
+++ b/siskintally/cell_sync.py
@@ -167,8 +167,10 @@
             return
         self._mark_changed_reasons()
         jobs = sorted(owner_term.changed_jobs)[:MAX_REPORT_JOBS]
-        progress = [each for each in map(self._progress, jobs) if each is not None]
-        changed = [each for each in progress if self._reported_by_job.get(each.job_id) != each]
+        reports = [report for report in map(self._progress, jobs) if report is not None]
+        changed = [
+            report for report in reports if self._reported_by_job.get(report.job_id) != report
+        ]
         owner_term.changed_jobs.difference_update(jobs)
         if not changed:
             return
@@ -183,11 +185,11 @@
             owner_term.changed_jobs.update(jobs)
             log.info("progress report failed", error=str(error))
         else:
-            self._reported_by_job.update((each.job_id, each) for each in changed)
-            for each in changed:
-                job = owner_term.domain.job_by_id.get(each.job_id)
+            self._reported_by_job.update((report.job_id, report) for report in changed)
+            for report in changed:
+                job = owner_term.domain.job_by_id.get(report.job_id)
                 if job is None or job.has_ended:
-                    self._reported_by_job.pop(each.job_id)
+                    self._reported_by_job.pop(report.job_id)
 
     def _mark_changed_reasons(self):
         """Mark the jobs whose reason for waiting has changed as to be reported."""
--- a/siskintally/reconciler.py
+++ b/siskintally/reconciler.py
@@ -4,8 +4,8 @@
 >>> from siskintally.reconciler import compare_heartbeat
 >>> from siskintally.wire_pb2 import AttemptState, WorkerBeat
 >>> running = AttemptState(task_id="j/g.0", attempt=1)
->>> beat = WorkerBeat(worker="w1", session="s", full=True, attempts=[running])
->>> diff = compare_heartbeat(Domain(group="g"), beat)
+>>> heartbeat = WorkerBeat(worker="w1", session="s", full=True, attempts=[running])
+>>> diff = compare_heartbeat(Domain(group="g"), heartbeat)
 >>> [stop.task_id for stop in diff.stops], diff.worker_record.name
 (['j/g.0'], 'w1')
 """
@@ -47,28 +47,28 @@
         return self.worker_record is not None or bool(self.ended)
 
 
-def compare_heartbeat(domain, beat):
+def compare_heartbeat(domain, heartbeat):
     """Compare a heartbeat with the committed state.
 
     :param domain: :class:`~siskintally.domain.Domain`.
-    :param beat: WorkerBeat; a full one lists all attempts of the worker.
+    :param heartbeat: WorkerBeat; a full one lists all attempts of the worker.
     :returns: :class:`HeartbeatDiff`.
     """
     diff = HeartbeatDiff()
     record = WorkerRecord(
-        name=beat.worker,
-        domain=beat.domain,
-        rack=beat.rack,
-        session=beat.session,
-        capacity=beat.capacity,
+        name=heartbeat.worker,
+        domain=heartbeat.domain,
+        rack=heartbeat.rack,
+        session=heartbeat.session,
+        capacity=heartbeat.capacity,
     )
-    worker = domain.worker_by_name.get(beat.worker)
+    worker = domain.worker_by_name.get(heartbeat.worker)
     if worker is None or worker.record != record:
         diff.worker_record = record
-    for state in beat.attempts:
-        _compare_attempt(domain, beat.worker, state, diff)
-    if beat.full and worker is not None:
-        _compare_unreported(domain, worker, beat, diff)
+    for state in heartbeat.attempts:
+        _compare_attempt(domain, heartbeat.worker, state, diff)
+    if heartbeat.full and worker is not None:
+        _compare_unreported(domain, worker, heartbeat, diff)
     return diff
 
 
@@ -86,19 +86,19 @@
         diff.stops.append(StopOrder(task_id=state.task_id, attempt=state.attempt))
 
 
-def _compare_unreported(domain, worker, beat, diff):
+def _compare_unreported(domain, worker, heartbeat, diff):
     """Add the assigned attempts that a full heartbeat does not list.
 
     If the session is the one of the assignment, the start order was lost or is in flight; it is
     resent, and the worker ignores a duplicate. In another session the attempt was never started or
     has ended with the old session.
     """
-    reported = {(state.task_id, state.attempt) for state in beat.attempts}
+    reported = {(state.task_id, state.attempt) for state in heartbeat.attempts}
     for task_id in sorted(worker.task_ids):
         task = domain.task(task_id)
         if (task_id, task.attempt) in reported:
             continue
-        if task.session == beat.session:
+        if task.session == heartbeat.session:
             diff.unreported.append(task_id)
         else:
             diff.ended.append(
--- a/siskintally/reservation.py
+++ b/siskintally/reservation.py
@@ -89,7 +89,7 @@
     def place_tasks(self):
         """Place tasks that fit now; return the assignments and all jobs that had reservations."""
         jobs = list(self._job_by_id.values())
-        return [found for job in jobs for found in place_reserved(self._pool, job)], jobs
+        return [assignment for job in jobs for assignment in place_reserved(self._pool, job)], jobs
 
     def move_to(self, worker):
         """Move reservations to a worker on which a task ended, if the shortfall is smaller there.
@@ -147,7 +147,7 @@
         # Rotates the list, so that the next call compares other reservations.
         job.reservations.extend(compared)
         del job.reservations[:MAX_COMPARED_RESERVATIONS]
-    shortfalls = [_shortfall(reserved, job.need, 0) for reserved in compared]
+    shortfalls = [_shortfall(reserved_worker, job.need, 0) for reserved_worker in compared]
     worst = max(shortfalls)
     if worst <= 0 or _shortfall(worker, job.need, 1) >= worst or not _max_tasks(worker, job.need):
         return False
--- a/siskintally/worker_service.py
+++ b/siskintally/worker_service.py
@@ -32,7 +32,7 @@
         self._domains = domains
         self._session_by_worker = {}
 
-    async def handle_call(self, session, beat):
+    async def handle_call(self, session, heartbeat):
         """Answer a WorkerBeat after a quorum round that began after it arrived.
 
         :returns: WorkerOrders; its lease runs from the time the heartbeat was sent.
@@ -46,44 +46,46 @@
         """
         owner_term = self._owner_term
         owner_term.check_leadership()
-        self._check_sender(beat)
-        if self._session_by_worker.get(beat.worker) != (session, beat.session):
-            if not beat.full:
+        self._check_sender(heartbeat)
+        if self._session_by_worker.get(heartbeat.worker) != (session, heartbeat.session):
+            if not heartbeat.full:
                 raise BadRequestError("the first heartbeat of a session on a link must be full")
-            owner_term.leases.reset_session(beat.worker)
-        owner_term.leases.record_heartbeat(beat.worker, beat.seq, now=owner_term.clock())
-        diff = compare_heartbeat(owner_term.domain, beat)
+            owner_term.leases.reset_session(heartbeat.worker)
+        owner_term.leases.record_heartbeat(heartbeat.worker, heartbeat.seq, now=owner_term.clock())
+        diff = compare_heartbeat(owner_term.domain, heartbeat)
         if diff.must_commit:
-            await self._commit(beat, diff)
-        confirm = owner_term.registration_confirm if beat.full else owner_term.heartbeat_confirm
+            await self._commit(heartbeat, diff)
+        confirm = (
+            owner_term.registration_confirm if heartbeat.full else owner_term.heartbeat_confirm
+        )
         await confirm.wait()
         owner_term.check_leadership()
-        self._check_sender(beat)
-        if not owner_term.leases.renew(beat.worker, beat.seq):
+        self._check_sender(heartbeat)
+        if not owner_term.leases.renew(heartbeat.worker, heartbeat.seq):
             raise RefusedError("heartbeat of an earlier session", code=Code.OVERLOADED)
-        self._register_link(session, beat)
-        return self._build_orders(beat, diff)
+        self._register_link(session, heartbeat)
+        return self._build_orders(heartbeat, diff)
 
-    def _check_sender(self, beat):
-        if not beat.worker or not beat.session or beat.domain not in self._domains:
+    def _check_sender(self, heartbeat):
+        if not heartbeat.worker or not heartbeat.session or heartbeat.domain not in self._domains:
             raise BadRequestError(
-                f"worker {beat.worker!r}: this group does not own domain {beat.domain!r}"
+                f"worker {heartbeat.worker!r}: this group does not own domain {heartbeat.domain!r}"
             )
-        if beat.worker in self._owner_term.losing_workers:
+        if heartbeat.worker in self._owner_term.losing_workers:
             # An answer would renew the lease while the tasks are being placed on other workers.
             raise RefusedError("the worker is being declared lost", code=Code.OVERLOADED)
 
-    async def _commit(self, beat, diff):
+    async def _commit(self, heartbeat, diff):
         owner_term = self._owner_term
         joined = [diff.worker_record] if diff.worker_record is not None else []
         reply = await owner_term.commit(batch=DomainBatch(ended=diff.ended, joined=joined))
-        if reply.code != Code.DONE or beat.worker in reply.refused:
+        if reply.code != Code.DONE or heartbeat.worker in reply.refused:
             message = reply.message or "its capacity is below its assigned resources"
-            raise BadRequestError(f"worker {beat.worker!r}: {message}")
+            raise BadRequestError(f"worker {heartbeat.worker!r}: {message}")
         for end in diff.ended:
-            owner_term.orders.remove_attempt(beat.worker, end.task_id, end.attempt)
+            owner_term.orders.remove_attempt(heartbeat.worker, end.task_id, end.attempt)
         if joined:
-            self._update_placement(beat.worker)
+            self._update_placement(heartbeat.worker)
 
     def _update_placement(self, name):
         """Add a new worker to placement; re-add one whose capacity changed, with its tasks."""
@@ -94,7 +96,10 @@
             return
         allocated = []
         if known is not None:
-            allocated = [(each.job, each.task_id) for each in known.allocation_by_task.values()]
+            allocated = [
+                (allocation.job, allocation.task_id)
+                for allocation in known.allocation_by_task.values()
+            ]
             owner_term.placement.remove_worker(name)
         owner_term.add_worker(name, worker, connected=False)
         for job, task_id in allocated:
@@ -103,30 +108,34 @@
             elif owner_term.domain.task(task_id) is not None:
                 owner_term.placement.requeue(job.job_id, task_id)
 
-    def _register_link(self, session, beat):
+    def _register_link(self, session, heartbeat):
         """Register the link of a worker; orders not confirmed on an earlier link are resent."""
         owner_term = self._owner_term
-        if self._session_by_worker.get(beat.worker) == (session, beat.session):
+        if self._session_by_worker.get(heartbeat.worker) == (session, heartbeat.session):
             return
-        self._session_by_worker[beat.worker] = (session, beat.session)
-        owner_term.link_by_worker[beat.worker] = session
-        owner_term.orders.resend(beat.worker)
-        owner_term.placement.set_worker_connected(beat.worker, connected=True)
+        self._session_by_worker[heartbeat.worker] = (session, heartbeat.session)
+        owner_term.link_by_worker[heartbeat.worker] = session
+        owner_term.orders.resend(heartbeat.worker)
+        owner_term.placement.set_worker_connected(heartbeat.worker, connected=True)
         owner_term.feasibility_due = True
         owner_term.request_pass()
 
-    def _build_orders(self, beat, diff):
+    def _build_orders(self, heartbeat, diff):
         owner_term = self._owner_term
         for task_id, attempt in diff.running:
-            owner_term.orders.confirm_start(beat.worker, task_id, attempt)
+            owner_term.orders.confirm_start(heartbeat.worker, task_id, attempt)
         for task_id in diff.unreported:
             task = owner_term.domain.task(task_id)
-            if task is not None and task.worker == beat.worker and task.session == beat.session:
+            if (
+                task is not None
+                and task.worker == heartbeat.worker
+                and task.session == heartbeat.session
+            ):
                 owner_term.start_task(task_id)
         for state in diff.reported_ends:
-            owner_term.orders.remove_attempt(beat.worker, state.task_id, state.attempt)
-        orders = owner_term.orders_for(beat.worker, beat.session)
-        orders.seq = beat.seq
+            owner_term.orders.remove_attempt(heartbeat.worker, state.task_id, state.attempt)
+        orders = owner_term.orders_for(heartbeat.worker, heartbeat.session)
+        orders.seq = heartbeat.seq
         orders.stop.extend(diff.stops)
         orders.seen.extend(diff.reported_ends)
         return orders
