--- a/bench/regions.py
+++ b/bench/regions.py
@@ -1,8 +1,8 @@
-"""Bytes that cross a region boundary, and what a catch-up and a wave of announcements cost.
+"""Traffic between two regions: idle, with many announcements, and after missed changes.
 
-Two domains in two regions with three stores and an entry each; the cell group has two stores in one
-region and one in the other. Every link whose ends are in different regions passes a relay that
-counts its bytes, in both directions.
+Traffic is in bytes a second; processor time in seconds, or as a share of a core. Two domains in two
+regions have three stores and an entry each; the cell group has two stores in one region and one in
+the other. Every link between the regions passes a relay that counts the bytes in both directions.
 
 Usage: python -m bench.regions [seconds]
 """
@@ -27,39 +27,39 @@
 MISSED_CHANGES = 500
 ENDPOINTS = 142
 WAVE_S = 10.0
-# Two of the three stores of the far domain; without them its group has no quorum.
+# Two of the three stores in the far domain; without them its group has no quorum.
 STOPPED = ("s5", "s6")
 FAR_GROUP = "fjeld"
 
 
 class CountedDomains(FullCell):
-    """Two domains whose links to each other are counted."""
+    """Two domains; the bytes on the links between them are counted."""
 
     __slots__ = ()
 
     def __init__(self, *, processes):
         super().__init__(processes=processes, layout=LAYOUT, random=Random(1))
-        self.split(LAYOUT.places(), forwarder=ByteCounter)
+        self.add_forwarders(LAYOUT.domain_by_name(), forwarder=ByteCounter)
 
     def crossing_bytes(self):
-        """Return the bytes between the regions so far."""
-        return sum(one.sent + one.received for one in self.forwarders)
+        """Return the number of bytes between the regions so far."""
+        return sum(forwarder.sent + forwarder.received for forwarder in self.forwarders)
 
     def cpu_of(self, names):
-        """Return the processor time of processes so far, s."""
+        """Return the processor time of processes so far, seconds."""
         popen = self.processes.popen_by_name
         return sum(process_cpu_seconds(popen[name].pid) for name in names)
 
 
-async def idle(cell, seconds):
-    """Return the bytes a second between the regions without work."""
+async def idle_bytes(cell, seconds):
+    """Return the bytes a second between the regions while the cell is idle."""
     before = cell.crossing_bytes()
     await sleep(seconds)
     return (cell.crossing_bytes() - before) / seconds
 
 
 async def catch_up(cell, idle_bytes_s):
-    """Return the cost of a domain that comes back after missing changes, without the idle part."""
+    """Return the cost when a domain that missed changes catches up, without the idle traffic."""
     for name in STOPPED:
         cell.processes.stop(name)
     spec = {"team": "ski", "kind": "batch", "tasks": 1, "run_s": 1, "domain": FAR}
@@ -70,24 +70,24 @@
     change = {"document": DOCUMENT, "expect_version": 1}
     await cell.operate("config", change, request_id="missed-config")
 
-    async def current():
+    async def has_caught_up():
         status = await cell.operate("status", {}, request_id="status")
         rows = {row["group"]: row["config_current"] for row in status["groups"]}
         return rows[FAR_GROUP]
 
-    assert not await current()
+    assert not await has_caught_up()
     others = [name for name in cell.stores if name not in STOPPED]
     before, cpu, started = cell.crossing_bytes(), cell.cpu_of(others), monotonic()
     for name in STOPPED:
         cell.start_store(name)
-    await wait_until(current, "the far domain has caught up")
-    took = monotonic() - started
+    await wait_until(has_caught_up, "the far domain has caught up")
+    caught_up_s = monotonic() - started
     # The progress of the jobs is reported after the catch-up.
     await sleep(SETTLE_S)
-    spent = monotonic() - started
-    crossing = cell.crossing_bytes() - before - idle_bytes_s * spent
+    elapsed_s = monotonic() - started
+    crossing = cell.crossing_bytes() - before - idle_bytes_s * elapsed_s
     return {
-        "catch_up_s": took,
+        "catch_up_s": caught_up_s,
         "catch_up_crossing_bytes": crossing,
         "catch_up_crossing_bytes_per_change": crossing / MISSED_CHANGES,
         "catch_up_cpu_s_other_stores": cell.cpu_of(others) - cpu,
@@ -103,8 +103,8 @@
     answer.raise_for_status()
 
 
-async def wave(cell, idle_bytes_s):
-    """Return the cost of many endpoints that announce themselves each second."""
+async def announcement_wave(cell, idle_bytes_s):
+    """Return the cost of many endpoints that each announce themselves once a second."""
     before, cpu, started = cell.crossing_bytes(), cell.cpu_of(["e1"]), monotonic()
     seq = 0
     while monotonic() - started < WAVE_S:
@@ -113,19 +113,19 @@
             for number in range(ENDPOINTS):
                 tasks.start_soon(announce, cell, number, seq)
         await sleep(max(0.0, started + seq - monotonic()))
-    spent = monotonic() - started
+    elapsed_s = monotonic() - started
     return {
-        "wave_announcements_s": seq * ENDPOINTS / spent,
-        "wave_entry_core": (cell.cpu_of(["e1"]) - cpu) / spent,
-        "wave_crossing_bytes_s": (cell.crossing_bytes() - before) / spent - idle_bytes_s,
+        "wave_announcements_s": seq * ENDPOINTS / elapsed_s,
+        "wave_entry_core": (cell.cpu_of(["e1"]) - cpu) / elapsed_s,
+        "wave_crossing_bytes_s": (cell.crossing_bytes() - before) / elapsed_s - idle_bytes_s,
     }
 
 
 async def measure(seconds=SECONDS):
-    """Return all figures as a flat mapping."""
+    """Return all figures as a flat mapping, as bench.capacity reads it."""
     with TemporaryDirectory() as folder, Processes(folder=Path(folder)) as processes:
         cell = CountedDomains(processes=processes)
-        cell.found()
+        cell.bootstrap()
         # Each endpoint keeps its connection, as real ones do.
         limits = Limits(max_connections=None, max_keepalive_connections=None)
         async with (
@@ -141,15 +141,15 @@
             change = {"document": DOCUMENT, "expect_version": 0}
             await cell.operate("config", change, request_id="config")
             await sleep(SETTLE_S)
-            bytes_s = await idle(cell, seconds)
+            bytes_s = await idle_bytes(cell, seconds)
             result = {"crossing_bytes_s": bytes_s}
-            result |= await wave(cell, bytes_s)
+            result |= await announcement_wave(cell, bytes_s)
             result |= await catch_up(cell, bytes_s)
             tasks.cancel_scope.cancel()
     return result
 
 
-def show(result):
+def print_figures(result):
     """Print a row for each figure."""
     for name, value in result.items():
         print(f"{name:36} {value:14.4f}")
@@ -159,7 +159,7 @@
     """Print a row for each figure, and JSON."""
     seconds = float(argv[1]) if len(argv) > 1 else SECONDS
     result = run(measure, seconds)
-    show(result)
+    print_figures(result)
     print(json.dumps(result))
 
 
--- a/tests/forwarder.py
+++ b/tests/forwarder.py
@@ -1,6 +1,6 @@
-"""TCP forwarder with faults, for failure tests.
+"""TCP forwarder that injects network faults.
 
-The bytes of a blocked direction are held and delivered after :meth:`Forwarder.heal`, as TCP does
+The bytes of a blocked direction are buffered and delivered after :meth:`Forwarder.heal`, as by TCP
 after a partition.
 """
 
@@ -15,7 +15,7 @@
     sleep,
 )
 
-_LOST = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
+_CONNECTION_ERRORS = (BrokenResourceError, ClosedResourceError, EndOfStream, OSError)
 CHUNK_BYTES = 65536
 
 
@@ -29,15 +29,15 @@
 
 
 class Forwarder:
-    """Forwards one listening port to one target port on loopback.
+    """Forwards connections from one loopback port to another.
 
     :param port: port that clients connect to.
-    :param target: port that is forwarded to.
+    :param target: port of the server.
     """
 
     __slots__ = (
-        "_changed",
         "_connections",
+        "_healed",
         "blocked",
         "delay_s",
         "is_cut",
@@ -50,14 +50,16 @@
         self.target = target
         self.delay_s = 0.0
         self.is_cut = False
-        self.blocked = set()  # of "to_server", "to_client"
+        self.blocked = set()  # "to_server", "to_client" or both
         self._connections = []
-        self._changed = Event()
+        self._healed = Event()
 
     async def run(self):
-        """Forward until cancelled."""
-        async with await create_tcp_listener(local_host="127.0.0.1", local_port=self.port) as ears:
-            await ears.serve(self._serve)
+        """Forward connections until cancelled."""
+        async with await create_tcp_listener(
+            local_host="127.0.0.1", local_port=self.port
+        ) as listener:
+            await listener.serve(self._serve)
 
     async def cut(self):
         """Reset all connections and refuse new ones."""
@@ -67,21 +69,21 @@
             await connection.server.aclose()
 
     def block(self, *directions):
-        """Hold the bytes of ``to_server``, ``to_client`` or both, on all connections."""
+        """Stop delivery in ``to_server``, ``to_client`` or both, on all connections."""
         self.blocked.update(directions)
 
     def silence(self):
-        """Make the present connections silent for good; new ones work."""
+        """Stop delivery on the existing connections for good; new ones work."""
         for connection in self._connections:
             connection.silent = True
 
     def heal(self):
-        """End all faults but the silence of single connections."""
+        """End all faults except those of :meth:`silence`."""
         self.is_cut = False
         self.delay_s = 0.0
         self.blocked.clear()
-        self._changed.set()
-        self._changed = Event()
+        self._healed.set()
+        self._healed = Event()
 
     async def _serve(self, client):
         if self.is_cut:
@@ -96,25 +98,25 @@
         self._connections.append(connection)
         try:
             async with client, server, create_task_group() as tasks:
-                tasks.start_soon(self._pump, connection, client, server, "to_server")
-                tasks.start_soon(self._pump, connection, server, client, "to_client")
+                tasks.start_soon(self._forward, connection, client, server, "to_server")
+                tasks.start_soon(self._forward, connection, server, client, "to_client")
         finally:
             self._connections.remove(connection)
 
-    async def _pump(self, connection, source, sink, direction):
+    async def _forward(self, connection, source, sink, direction):
         try:
             while True:
                 data = await source.receive(CHUNK_BYTES)
                 if self.delay_s:
                     await sleep(self.delay_s)
                 while connection.silent or direction in self.blocked:
-                    await self._changed.wait()
+                    await self._healed.wait()
                 await sink.send(data)
         except EndOfStream:
             try:
                 await sink.send_eof()
-            except _LOST:
+            except _CONNECTION_ERRORS:
                 return
-        except _LOST:
+        except _CONNECTION_ERRORS:
             await source.aclose()
             await sink.aclose()
--- a/tests/test_shared_stores.py
+++ b/tests/test_shared_stores.py
@@ -1,4 +1,4 @@
-"""Stores that hold several domain groups, as real processes."""
+"""Stores that are members of several domain groups, as real processes."""
 
 import pytest
 
@@ -48,7 +48,7 @@
 
 
 def test_call_reaches_the_owner_of_its_group_only(tmp_path):
-    """Guards against an order that is recorded in a ledger where no resend looks for it."""
+    """Guards against an order recorded in the ledger of a group that no retry asks."""
     settings = parse(SETTINGS.format(folder=tmp_path))
     process = settings.process("s1")
     replicas = Replicas(
@@ -72,8 +72,8 @@
     replicas.close()
 
 
-def running(cell, workers):
-    """Return the tasks that have started and not ended at some worker stubs."""
+def running_tasks(cell, workers):
+    """Return the tasks that have started and not ended on the workers of a stub process."""
     records = [record for record in read(cell.record(workers)) if "task" in record]
     started = {record["task"] for record in records if record["event"] == "start"}
     return started - {record["task"] for record in records if record["event"] == "end"}
@@ -81,7 +81,7 @@
 
 @pytest.mark.timeout(300)
 def test_groups_on_the_same_stores_keep_their_workers_and_orders_apart(tmp_path):
-    """Guards against a call that reaches the owner or the ledger of another group of its store."""
+    """Guards against a call that reaches another group's owner or ledger on the same store."""
 
     async def check(cell):
         for domain, entry, stub, workers in (
@@ -90,24 +90,27 @@
         ):
             cell.start_stub(stub, "--service_ms", 20, entries=[entry], domain=domain)
             cell.start_workers(workers, 2, domain=domain)
-            await cell.wait_served(entry)
+            await cell.wait_serving(entry)
             job = JOB | {"name": f"tally-{workers}", "domain": domain}
             await cell.operate("submit", job, request_id=workers)
         for workers in ("w1", "w2"):
-            await wait_until(lambda one=workers: len(running(cell, one)) == 4, f"{workers} runs")
+            await wait_until(
+                lambda name=workers: len(running_tasks(cell, name)) == 4,
+                f"the service runs on {workers}",
+            )
         killed = cell.owner(OTHER_GROUP)
         keys = [f"{group}/order-{number}" for group in (GROUP, OTHER_GROUP) for number in range(6)]
         answers = []
         for key in keys[::2]:
-            assert await cell.order(key, answers) == 1000
+            assert await cell.place_order(key, answers) == 1000
         cell.processes.kill(killed)
         for key in keys:
             expected = 1001 if key in keys[::2] else 1000
-            assert await cell.order(key, answers) in (expected, 1001)
+            assert await cell.place_order(key, answers) in (expected, 1001)
         cell.start_store(killed)
         assert check_requests(read(cell.record("p1"), cell.record("p2")), answers) == []
         assert check_workers(read(cell.record("w1"), cell.record("w2"))) == []
-        assert len(running(cell, "w1")) == len(running(cell, "w2")) == 4
+        assert len(running_tasks(cell, "w1")) == len(running_tasks(cell, "w2")) == 4
         status = await cell.operate("status", {}, request_id="status")
         assert {row["group"] for row in status["groups"]} == {GROUP, OTHER_GROUP}
 
