Let a leader act no more once it transfers leadership

Around a transfer by a leader with a hung disk, the target is elected without an election timeout, while the former leader may act on its last confirmation for up to 0.45 s. If the transfer was given up, the request could still arrive later, held up by a partition, with the same effect.

Cause: QuorumCheck relied on the election timeout, which a transfer bypasses; a leader whose request had been sent resumed in the same term. Change: no action while the replica transfers leadership; a leader steps down if the target of a sent request does not take over.

--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -149,6 +149,11 @@
         """
         return self._leadership.current.is_leader
 
+    @property
+    def is_transferring(self):
+        """Whether this replica is transferring leadership, so another one may lead at any time."""
+        return self._replica is not None and self._replica.transfer_target is not None
+
     @property
     def leader(self):
         """Process name of the leader, empty if unknown."""
--- a/siskintally/quorum_check.py
+++ b/siskintally/quorum_check.py
@@ -48,7 +48,14 @@
                 self._confirmed = Event()
             await sleep(CONFIRM_INTERVAL_S)
 
+    def is_confirmed(self, now):
+        """Return whether no other leader can be elected by ``now``, so that this one may act.
+
+        A successor to which leadership is transferred is elected without an election timeout.
+        """
+        return now < self._confirmed_until and not self._group.is_transferring
+
     async def wait(self):
         """Wait until a quorum is known to follow; the end of the term cancels the wait."""
-        while steady() >= self._confirmed_until:
+        while not self.is_confirmed(steady()):
             await self._confirmed.wait()
--- a/siskintally/replication.py
+++ b/siskintally/replication.py
@@ -219,8 +219,11 @@
             self._become_follower(self.term, None, now, effects)
             return
         if self.transfer_target is not None and now >= self.deadline:
+            if self.transfer_sent:
+                # The target may receive the request at any time later and be elected at once.
+                self._become_follower(self.term, None, now, effects)
+                return
             self.transfer_target = None
-            self.transfer_sent = False
         for peer, progress in self.progress_by_id.items():
             if now >= self._next_heartbeat_at(progress):
                 self._send_append(peer, progress, now, effects)
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -2,6 +2,7 @@
 
 from anyio import Event, create_task_group, run, sleep
 
+from siskintally.clock import now as steady
 from siskintally.control_group import EXITED_LEADER_TIMEOUT_FACTOR
 from siskintally.control_leader import ControlLeader
 from siskintally.control_pb2 import ControlCommand
@@ -21,6 +22,7 @@
     """A group whose commits wait until the test allows them, or fail with ``error``."""
 
     term = 3
+    is_transferring = False
 
     def __init__(self):
         self.commands = []
@@ -102,6 +104,23 @@
     assert CONFIRMED_LEADER_SHARE < EXITED_LEADER_TIMEOUT_FACTOR <= 1.0
 
 
+def test_a_leader_does_not_act_while_it_transfers_leadership():
+    """Guards against orders of two leaders: the target is elected without an election timeout."""
+
+    async def check(leader, group, driver):
+        assert leader.quorum_check.is_confirmed(steady())
+        group.is_transferring = True
+        assert not leader.quorum_check.is_confirmed(steady())
+        group.may_commit.set()
+        await sleep(SETTLE_S)
+        assert driver.starts == []
+        group.is_transferring = False
+        await sleep(SETTLE_S)
+        assert len(driver.starts) == 2
+
+    run_check(check)
+
+
 def test_a_start_is_sent_only_after_its_worker_is_committed():
     """Guards against a run that the next leader does not know of.
 
