Grant worker leases that end within the wait of the next leader

Cause, two paths. A grant counted from the time at which the last poll was sent, but the worker reads its clock up to the wait of that poll (1.2 s) later, so the lease lasted that much longer than the next leader waits. And status polls renewed leases without a confirmed quorum, after the next leader had begun to wait. Change: a grant counts from the latest time of the reading, at the least rate of the worker's clock, and is made only at a time that a quorum has confirmed, also for a start after a pause of the process. The lease is 4.2 s (before: 3.5 s and up to 1.2 s by the fault), so that 3.0 s are left when a leader is lost.

--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -204,9 +204,7 @@
         worker = self.scheduler.worker_by_id[record.id]
         manager = self._start_manager(worker) if is_new else self._manager_by_worker[record.id]
         if record.clock_ms:
-            manager.lease.sample_clock(
-                clock_ms=record.clock_ms, sent_at=received_at, received_at=received_at
-            )
+            manager.lease.sample_clock(clock_ms=record.clock_ms, received_at=received_at)
         if worker.status == WorkerStatus.LAPSED:
             manager.wake()
         if record.leaving:
--- a/siskintally/flow_timing.py
+++ b/siskintally/flow_timing.py
@@ -3,12 +3,15 @@
 >>> from siskintally.flow_timing import FlowTiming
 >>> timing = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
 >>> timing.lease_s, round(timing.election_min_s, 3)
-(3.5, 0.9)
+(4.2, 0.9)
 """
 
-# A lease has to outlive the loss of a leader: detection, election, and the first call of the next
-# leader take up to 2.5 s. A longer lease delays the restart of tasks of a lost worker.
-LEASE_S = 3.5
+# Part of a lease that is left at least when a leader is lost: detection, election, and the first
+# call of the next leader take up to 2.5 s. A longer lease delays the restart of tasks of a lost
+# worker.
+MIN_LEASE_LEFT_S = 3.0
+# Longest wait of a status poll. A lease is renewed by each poll, so it lasts longer by this time.
+MAX_POLL_WAIT_S = 1.2
 # Timeout for the reply to an order: the longest round trip (16 ms between regions) with one lost
 # packet (200 ms). A repeated order has the same run number, so a short timeout is safe.
 ORDER_TIMEOUT_S = 0.25
@@ -63,11 +66,11 @@
         :param status_s: time for which callers may query the outcome of a flow.
         :param contact_s: time within which the system has to work again after a disruption.
         """
-        lease_s = min(LEASE_S, lease_max_s)
+        lease_s = min(MIN_LEASE_LEFT_S + MAX_POLL_WAIT_S, lease_max_s)
         return cls(
             lease_s=lease_s,
             margin_s=thaw_s + 0.1,
-            max_wait_s=min(1.2, lease_s / 3),
+            max_wait_s=min(MAX_POLL_WAIT_S, lease_s / 3),
             order_timeout_s=ORDER_TIMEOUT_S,
             election_min_s=min(0.9, contact_s * 0.3),
             retention_s=status_s * 1.5,
--- a/siskintally/worker_lease.py
+++ b/siskintally/worker_lease.py
@@ -2,11 +2,11 @@
 
 >>> from siskintally.worker_lease import WorkerLease
 >>> lease = WorkerLease(length_s=3.0, margin_s=0.5)
->>> lease.sample_clock(clock_ms=1000, sent_at=10.0, received_at=10.1)
->>> lease.grant(now=11.0)
-5000
+>>> lease.sample_clock(clock_ms=1000, received_at=10.1)
+>>> lease.grant(now=11.1)
+4980
 >>> round(lease.expired_by, 2)
-14.68
+14.66
 """
 
 from math import inf
@@ -30,7 +30,6 @@
         "_length_s",
         "_margin_s",
         "_received_at",
-        "_sent_at",
         "expired_by",
         "until_ms",
     )
@@ -39,7 +38,6 @@
         self._length_s = length_s
         self._margin_s = margin_s
         self._clock_ms = None
-        self._sent_at = 0.0
         self._received_at = 0.0
         self.expired_by = -inf
         self.until_ms = 0
@@ -49,20 +47,23 @@
         """Whether there is a reading of the worker's clock."""
         return self._clock_ms is not None
 
-    def sample_clock(self, *, clock_ms, sent_at, received_at):
+    def sample_clock(self, *, clock_ms, received_at):
         """Record a reading of the worker's clock; one older than the last is ignored.
 
-        :param sent_at: earliest steady time at which the reading can have been taken.
-        :param received_at: latest steady time at which it can have been taken.
+        :param received_at: latest steady time at which the reading can have been taken.
         """
         if self._clock_ms is None or clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
-            self._sent_at = sent_at
             self._received_at = received_at
 
     def grant(self, now):
-        """Extend the lease from now; return its end on the worker's clock, in ms."""
-        until_ms = int(self._clock_ms + (now - self._sent_at + self._length_s) * 1000)
+        """Extend the lease from now; return its end on the worker's clock, in ms.
+
+        The worker's clock is taken to show the least that it can show now, because a former leader
+        is waited out for :func:`longest_grant_s` from its last grant at most.
+        """
+        clock_now_ms = self._clock_ms + (now - self._received_at) * MIN_CLOCK_RATE * 1000
+        until_ms = int(clock_now_ms + self._length_s * 1000)
         left_s = (until_ms - self._clock_ms) / 1000 / MIN_CLOCK_RATE
         self.expired_by = max(self.expired_by, self._received_at + left_s + self._margin_s)
         self.until_ms = max(self.until_ms, until_ms)
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -94,12 +94,13 @@
         worker = self.worker
         self._wake_event = Event()
         is_healthy = worker.status == WorkerStatus.READY and not self._has_lost_connection
+        if is_healthy:
+            with move_on_after(RETRY_S):
+                await self._leader.quorum_check.wait()
         asked_at = steady()
         may_wait = is_healthy and not worker.unexpected_run_by_task
         wait_s = self._leader.poll_wait.seconds(asked_at) if may_wait else 0.0
-        # The lease of an unresponsive worker is not renewed, or it would never expire.
-        may_grant = self.lease.has_clock_sample and is_healthy
-        until_ms = self.lease.grant(asked_at) if may_grant else None
+        until_ms = self._renew_lease(asked_at) if is_healthy else None
         worker.lease_expires_at = self.lease.expired_by
         try:
             report = await self._call(
@@ -116,8 +117,8 @@
         except (UnreachableError, OutcomeUnknownError, BusyError) as error:
             await self._handle_poll_failure(error)
             return
-        self._has_lost_connection = False
         received_at = steady()
+        self._has_lost_connection = False
         if report.refusal == Refusal.FENCED:
             self._leader.end_term(f"worker {worker.id} has a higher fence")
             return
@@ -125,13 +126,23 @@
             # The worker says nothing about its runs, so they must not count as ended.
             await self._handle_poll_failure(BusyError(f"poll refused: {report.refusal.name}"))
             return
-        self.lease.sample_clock(clock_ms=report.clock_ms, sent_at=asked_at, received_at=received_at)
+        self.lease.sample_clock(clock_ms=report.clock_ms, received_at=received_at)
         await self._leader.handle_report(self, report, asked_at)
         if worker.unexpected_run_by_task:
             # Such runs count until a report no longer lists them, which takes a moment after the
             # stop; until then workers reply to polls at once.
             await sleep(RETRY_S)
 
+    def _renew_lease(self, now):
+        """Extend the lease of a responsive worker; return its end, or None if it is not extended.
+
+        The lease of an unresponsive worker would never expire if it were renewed. Without a
+        confirmation by a quorum, the next leader may not wait for the grant.
+        """
+        if not self.lease.has_clock_sample or not self._leader.quorum_check.is_confirmed(now):
+            return None
+        return self.lease.grant(now)
+
     async def _call(self, method, *arguments, timeout, **options):
         """Call the worker; an error without a code becomes one of an unknown outcome.
 
@@ -202,6 +213,9 @@
             return None, False
         task = action.task
         now = steady()
+        if not self._leader.quorum_check.is_confirmed(now):
+            # This process was paused after it had waited for the confirmation.
+            return None, False
         order = Order(
             task_id=task.id,
             run=action.run,
@@ -213,9 +227,9 @@
         )
         self.worker.lease_expires_at = self.lease.expired_by
         self.wake()
-        return await self._send_start(action, order, was_sent, now)
+        return await self._send_start(action, order, was_sent)
 
-    async def _send_start(self, action, order, was_sent, now):
+    async def _send_start(self, action, order, was_sent):
         task = action.task
         try:
             reply = await self._call(
@@ -235,7 +249,7 @@
             self._exclude_worker(error)
             self._leader.handle_refused(action, Refusal.INVALID, was_sent_before=False)
             return Refusal.INVALID, False
-        self._sample_clock(reply, now)
+        self._sample_clock(reply)
         if reply.refusal == Refusal.NONE:
             self._leader.handle_started(action)
         else:
@@ -252,9 +266,9 @@
         log.info("start not delivered", worker=self.worker.id, error=str(error)[:120])
         self.wake()
 
-    def _sample_clock(self, reply, sent_at):
+    def _sample_clock(self, reply):
         if reply.clock_ms is not None:
-            self.lease.sample_clock(clock_ms=reply.clock_ms, sent_at=sent_at, received_at=steady())
+            self.lease.sample_clock(clock_ms=reply.clock_ms, received_at=steady())
 
     async def throttle(self, action):
         """Send a throttle order until the worker replies or the order is obsolete."""
@@ -291,7 +305,6 @@
             WorkerStatus.SUSPECT,
         ):
             await self._leader.quorum_check.wait()
-            sent_at = steady()
             try:
                 reply = await self._call(
                     self._driver.stop, order, timeout=self._timing.order_timeout_s
@@ -304,7 +317,7 @@
                 log.info("stop repeated", task=action.task_id, run=action.run, error=str(error))
                 await sleep(RETRY_S)
                 continue
-            self._sample_clock(reply, sent_at)
+            self._sample_clock(reply)
             if reply.refusal == Refusal.FENCED:
                 self._leader.handle_stop_unconfirmed(action, "fenced")
                 self._leader.end_term(f"worker {self.worker.id} has a higher fence")
--- a/tests/test_flow_records.py
+++ b/tests/test_flow_records.py
@@ -251,7 +251,7 @@
 
     leader = SimpleNamespace(
         term=3,
-        quorum_check=SimpleNamespace(wait=wait),
+        quorum_check=SimpleNamespace(wait=wait, is_confirmed=lambda now: True),
         end_term=lambda reason: None,
         handle_stop_unconfirmed=lambda action, reason: given_up.append((action.run, reason)),
     )
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -1,6 +1,6 @@
 """The manager of one worker: failed status polls, and stop orders until they are confirmed."""
 
-from anyio import create_task_group, move_on_after, run
+from anyio import create_task_group, move_on_after, run, sleep_forever
 from pytest import fixture, mark
 
 from siskintally.actions import StartAction, StopAction
@@ -51,13 +51,37 @@
         """Not used here."""
 
 
+class OpenQuorumCheck:
+    """Confirms the leadership at once."""
+
+    async def wait(self):
+        """Return at once."""
+
+    def is_confirmed(self, now):
+        """Return that a quorum follows the leader."""
+        return True
+
+
+class LostQuorumCheck:
+    """Confirmations of a leader that no quorum follows any more."""
+
+    async def wait(self):
+        """Wait for a confirmation that never comes."""
+        await sleep_forever()
+
+    def is_confirmed(self, now):
+        """Return that the last confirmation has run out."""
+        return False
+
+
 class LeaderOfOneWorker:
     """Records the status of the worker at each report; ends the manager after the last."""
 
     term = 3
 
-    def __init__(self, driver):
+    def __init__(self, driver, quorum_check):
         self.driver = driver
+        self.quorum_check = quorum_check
         self.statuses = []
         self.poll_wait = LongPollWait(normal_wait_s=1.2, reduced_wait_s=0.3, reduced_period_s=3.0)
 
@@ -78,9 +102,9 @@
 def run_manager():
     """Return a function that runs a manager on outcomes of polls and returns (leader, driver)."""
 
-    def run_outcomes(*outcomes):
+    def run_outcomes(*outcomes, quorum_check=None):
         driver = ScriptedWorker(*outcomes)
-        leader = LeaderOfOneWorker(driver)
+        leader = LeaderOfOneWorker(driver, quorum_check or OpenQuorumCheck())
         worker = FleetWorker(record=PoolWorker(id="w", cpu_milli=1000, memory_mb=10))
         worker.task_by_id = {"some task": None}
         manager = WorkerManager(worker=worker, leader=leader, driver=driver, timing=TIMING)
@@ -135,6 +159,12 @@
     assert driver.wait_by_poll == [0, 1200, 1200, 0, 300]
 
 
+def test_no_lease_is_renewed_without_a_quorum(run_manager):
+    """Guards against two runs of a task: the next leader does not wait for such a grant."""
+    _, driver = run_manager(REPORT, REPORT, REPORT, quorum_check=LostQuorumCheck())
+    assert driver.lease_by_poll == [None, None, None]
+
+
 STOP = StopAction("f.0.0.0", 7, None)
 STOP_TIMEOUT_S = 1.5
 
@@ -162,13 +192,6 @@
         return OrderReply(refusal=reply)
 
 
-class OpenQuorumCheck:
-    """Confirms the leadership at once."""
-
-    async def wait(self):
-        """Return at once."""
-
-
 class LeaderOfStops:
     """Records the confirmed stops and the end of the term."""
 
@@ -258,26 +281,61 @@
         """Return once the task is stopping."""
         self.task.state = TaskState.STOPPING
 
+    def is_confirmed(self, now):
+        """Return that a quorum follows the leader."""
+        return True
 
-def test_a_start_is_not_sent_once_its_task_is_stopping():
-    """Guards against a start sent after the cancellation of its flow.
 
-    The order waits until a quorum has confirmed the leader; the cancellation comes meanwhile.
+class PausedQuorumCheck(OpenQuorumCheck):
+    """Confirms the leadership, but the process is paused until the confirmation has run out.
+
+    ``pauses``: number of pauses so far; a start is given up after the third.
     """
+
+    def __init__(self, task):
+        self.task = task
+        self.pauses = 0
+
+    def is_confirmed(self, now):
+        """Return that the confirmation has run out during the pause."""
+        self.pauses += 1
+        if self.pauses == 3:
+            self.task.state = TaskState.STOPPING
+        return False
+
+
+def start_once(make_quorum_check):
+    """Run a start order; return the (quorum check, driver)."""
     driver, leader = ScriptedStops(Refusal.NONE), LeaderOfStops()
     worker = FleetWorker(record=PoolWorker(id="w", cpu_milli=1000, memory_mb=10))
     worker.status = WorkerStatus.READY
     task = FlowRun(flow=make_flow("f"), queue=None, arrived_at=0.0).step_by_key[0, 0].tasks[0]
     task.run, task.worker, task.state = 7, worker, TaskState.STARTING
-    leader.quorum_check = ClosingQuorumCheck(task)
+    leader.quorum_check = make_quorum_check(task)
     manager = WorkerManager(worker=worker, leader=leader, driver=driver, timing=TIMING)
-    manager.lease.sample_clock(clock_ms=1000, sent_at=0.0, received_at=0.0)
+    manager.lease.sample_clock(clock_ms=1000, received_at=0.0)
 
     async def main():
         with move_on_after(STOP_TIMEOUT_S):
             await manager.start(StartAction(task=task, worker=worker, run=7, ticket=""))
 
     run(main)
+    return leader.quorum_check, driver
+
+
+def test_a_start_is_not_sent_once_its_task_is_stopping():
+    """Guards against a start sent after the cancellation of its flow.
+
+    The order waits until a quorum has confirmed the leader; the cancellation comes meanwhile.
+    """
+    _, driver = start_once(ClosingQuorumCheck)
+    assert driver.starts == []
+
+
+def test_a_start_is_not_sent_after_a_pause_that_outlasts_the_confirmation():
+    """Guards against a former leader that goes on sending starts after its process was paused."""
+    quorum_check, driver = start_once(PausedQuorumCheck)
+    assert quorum_check.pauses == 3
     assert driver.starts == []
 
 
