Count received bytes as a sign of life of a link

A link closed as silent after 2.2 to 2.4 s while a message of 5 s arrived over it; the message was sent again on the next link and never received.

Cause: only whole frames counted as heard. Change: the time at which bytes last arrived on the connection counts too. Messages are still sent whole, so a heartbeat behind a large one waits for it.

--- a/siskintally/liveness.py
+++ b/siskintally/liveness.py
@@ -1,5 +1,7 @@
 """Keepalive of links: decides when to ping a link and when to close it as silent.
 
+Every received byte counts as a sign of life, also one of a frame that has arrived only in part.
+
 >>> from siskintally.liveness import LinkTiming, Liveness, LinkAction
 >>> liveness = Liveness(timing=LinkTiming(), now=0.0)
 >>> [liveness.next_action(now) for now in (4.9, 5.0, 7.9, 8.0)]
@@ -17,7 +19,7 @@
 class LinkTiming:
     """Intervals of one link, in seconds.
 
-    :param idle_ping_s: time without a received frame after which a link without calls is pinged.
+    :param idle_ping_s: time without received bytes after which a link without calls is pinged.
     :param busy_ping_s: the same for a link with a pending call; shorter, so that the call fails
         before its own deadline.
     :param ping_timeout_s: time after an unanswered ping at which the link is closed.
@@ -58,7 +60,7 @@
 
 
 class Liveness:
-    """Times of the last received frame and the last ping of a link; does no I/O.
+    """Times of the last received bytes and the last ping of a link; does no I/O.
 
     :param timing: :class:`LinkTiming`.
     :param now: monotonic time, seconds.
--- a/siskintally/session.py
+++ b/siskintally/session.py
@@ -293,11 +293,19 @@
                 size += pending.frame.ByteSize()
                 yield pending.frame
 
+    def _record_received_data(self):
+        """Count bytes as heard: a large message on a slow link arrives for longer than a timeout."""
+        # grpclib has no public access to its connection.
+        data_at = self._stream._stream.connection.last_data_received
+        if data_at is not None:
+            self._liveness.last_heard = max(self._liveness.last_heard, data_at)
+
     def check_liveness(self, now):
         """Ping a peer that has sent nothing for a while; close the link if a ping is not answered.
 
         :param now: monotonic time, seconds.
         """
+        self._record_received_data()
         busy_since = self._busy_since if self._pending_by_id else None
         action = self._liveness.next_action(now, busy_since=busy_since)
         if action == LinkAction.CLOSE:
