Let the next leader count the copy of a speculative task

Cause: the state keeps the last committed start of a task only. The next leader did not know of an earlier run that went on on a worker which had not reported yet, and allowed one more copy. Change: a committed start names the copy that may still run, and the next leader counts it as running until its worker reports, lapses, or is gone. The record is one optional field; older logs are read as before. Harness and dispatcher share the function that builds the record.

--- a/siskintally/actions.py
+++ b/siskintally/actions.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from siskintally.control_pb2 import TaskStart
 from siskintally.fleet import FleetWorker
 from siskintally.flow import TaskRun
 
@@ -19,6 +20,20 @@
     run: int
     ticket: str
 
+    def to_record(self):
+        """Return the :class:`TaskStart` to commit before the order is sent.
+
+        It also names the copy of the task that may still run, so that the next leader counts it.
+        """
+        record = _record(self.task.id, self.run, self.worker)
+        for copy in self.task.copies:
+            record.copy.CopyFrom(_record(copy.id, copy.run, copy.worker))
+        return record
+
+
+def _record(task_id, run, worker):
+    return TaskStart(task=task_id, run=run, worker=worker.id, born_ms=worker.record.born_ms)
+
 
 class StopAction(NamedTuple):
     """A stop order to send.
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -47,13 +47,27 @@
 class Start(NamedTuple):
     """Last committed start of a task.
 
-    The task can run on no other worker, except that a speculative task may still run where it was
-    started before.
+    The task can run on no other worker, except that a speculative task may still run where
+    ``copy``, an earlier start of it, was sent.
     """
 
     run: int
     worker: str
     born_ms: int
+    copy: "Start | None" = None
+
+    @classmethod
+    def from_record(cls, record):
+        """Return the start that a :class:`TaskStart` describes."""
+        copy = cls.from_record(record.copy) if record.HasField("copy") else None
+        return cls(run=record.run, worker=record.worker, born_ms=record.born_ms, copy=copy)
+
+    def to_record(self, task_id):
+        """Return the :class:`TaskStart` of a task."""
+        copy = self.copy.to_record(task_id) if self.copy is not None else None
+        return TaskStart(
+            task=task_id, run=self.run, worker=self.worker, born_ms=self.born_ms, copy=copy
+        )
 
 
 class FlowState:
@@ -79,8 +93,7 @@
     def record_start(self, start):
         """Record the start of a task in place of its previous one."""
         if self.outcome == Outcome.OPEN and start.task not in self.done:
-            recorded = Start(run=start.run, worker=start.worker, born_ms=start.born_ms)
-            self.start_by_task[start.task] = recorded
+            self.start_by_task[start.task] = Start.from_record(start)
 
     def close(self, outcome):
         """Record the outcome of an open flow; its tasks are not started again."""
@@ -231,10 +244,7 @@
             name: TaskFailures(count=failures.count, last_run=failures.last_run)
             for name, failures in state.failures_by_task.items()
         },
-        starts=[
-            TaskStart(task=name, run=start.run, worker=start.worker, born_ms=start.born_ms)
-            for name, start in state.start_by_task.items()
-        ],
+        starts=[start.to_record(name) for name, start in state.start_by_task.items()],
     )
 
 
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -6,7 +6,7 @@
 """
 
 from siskintally.clock import now as steady
-from siskintally.control_pb2 import StartBatch, TaskStart
+from siskintally.control_pb2 import StartBatch
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
 from siskintally.log import get_logger
 
@@ -75,15 +75,7 @@
         So the next leader has to wait only for the recorded workers, not for every unresponsive
         one.
         """
-        starts = [
-            TaskStart(
-                task=action.task.id,
-                run=action.run,
-                worker=action.worker.id,
-                born_ms=action.worker.record.born_ms,
-            )
-            for action in actions
-        ]
+        starts = [action.to_record() for action in actions]
         try:
             await self._leader.propose(starts=StartBatch(starts=starts))
         except (NotLeaderError, OutcomeUnknownError) as error:
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -88,20 +88,23 @@
         self._known_flow_ids.add(run.id)
         run.started = bool(state.done or state.start_by_task)
         for step in run.steps():
-            self._restore_step(step, state)
+            self._restore_step(step, state, now)
         for step in run.steps():
             if not step.remaining:
                 for dependent in step.dependents:
                     dependent.unfinished_dependencies -= 1
         self._add_ready(run.steps())
 
-    def _restore_step(self, step, state):
+    def _restore_step(self, step, state, now):
         step.waiting.clear()
         for task in reversed(step.tasks):
             failures = state.failures_by_task.get(task.id, Failures())
             task.failures = failures.count
             task.last_failed_run = failures.last_run
-            worker = self._worker_of_start(state.start_by_task.get(task.id))
+            start = state.start_by_task.get(task.id)
+            worker = self._worker_of_start(start)
+            if start is not None and task.id not in state.done:
+                self.restore_copy(task, start.copy, self._worker_of_start(start.copy), now)
             if task.id in state.done:
                 task.state = TaskState.DONE
             elif worker is not None:
--- a/siskintally/speculation.py
+++ b/siskintally/speculation.py
@@ -56,6 +56,23 @@
             # The start order may still be executed; after a stop the worker refuses it.
             self.stop(copy)
 
+    def restore_copy(self, task, start, worker, now):
+        """Count an earlier start of a former leader as a running copy until its worker reports.
+
+        :param start: :class:`~siskintally.control_state.Start`.
+        :param worker: its worker, None if that incarnation is gone.
+        """
+        if worker is None:
+            return
+        copy = TaskRun(task_id=task.id, step=task.step, resources=task.resources)
+        copy.copy_of = task
+        copy.run, copy.worker, copy.since, copy.progress_at = start.run, worker, now, now
+        copy.state = TaskState.RUNNING
+        worker.reserve(copy)
+        counts = task.step.task_count_by_worker
+        counts[worker.id] = counts.get(worker.id, 0) + 1
+        task.copies.append(copy)
+
     def _stop_copies(self, task, now):
         """Stop all other runs of a task that is done; the first run to finish counts."""
         if task.worker is not None:
--- a/tests/flow_harness.py
+++ b/tests/flow_harness.py
@@ -9,7 +9,6 @@
     Queue,
     QueueDocument,
     StartBatch,
-    TaskStart,
     WorkerService,
 )
 from siskintally.control_state import ControlState
@@ -104,7 +103,7 @@
         """Start all tasks that can be started; return the (task id, worker id) pairs."""
         pairs = []
         actions = list(self.scheduler.place(self.now, 0))
-        self.commit(starts=StartBatch(starts=[start_record(action) for action in actions]))
+        self.commit(starts=StartBatch(starts=[action.to_record() for action in actions]))
         for action in actions:
             runs = self.running_by_worker[action.worker.id]
             runs[action.task.id] = action.run
@@ -161,13 +160,3 @@
         if self.uncommitted:
             self.commit(ends=EndBatch(ends=self.uncommitted))
             self.uncommitted = []
-
-
-def start_record(action):
-    """Return the record of a start that is committed before the order is sent."""
-    return TaskStart(
-        task=action.task.id,
-        run=action.run,
-        worker=action.worker.id,
-        born_ms=action.worker.record.born_ms,
-    )
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -14,7 +14,7 @@
 from siskintally.fleet import WorkerStatus
 from siskintally.flow import TaskState
 from siskintally.report_handling import STOP_AGAIN_S
-from tests.flow_harness import QUEUE, FlowHarness, make_flow, make_step, make_worker, start_record
+from tests.flow_harness import QUEUE, FlowHarness, make_flow, make_step, make_worker
 
 
 def test_a_resent_flow_is_not_run_again_while_its_last_end_is_not_committed():
@@ -764,7 +764,7 @@
     harness.submit(make_flow("f", make_step(1)))
     [start] = harness.scheduler.place(harness.now, 0)
     harness.commit(cancel={"id": "f"})
-    harness.commit(starts=StartBatch(starts=[start_record(start)]))
+    harness.commit(starts=StartBatch(starts=[start.to_record()]))
     harness.running_by_worker["w"][start.task.id] = start.run
     harness.begin_term(3)
     harness.deliver_report("w")
--- a/tests/test_flow_walk.py
+++ b/tests/test_flow_walk.py
@@ -10,7 +10,7 @@
 from siskintally.flow import TaskState
 from siskintally.report_handling import STOP_AGAIN_S
 from siskintally.task_id import TaskId
-from tests.flow_harness import QUEUE, FlowHarness, make_flow, make_step, make_worker, start_record
+from tests.flow_harness import QUEUE, FlowHarness, make_flow, make_step, make_worker
 
 STEPS = 400
 WORKER_COUNT = 5
@@ -98,7 +98,7 @@
     def place_tasks(self):
         """Commit starts and send their orders; they are in flight until delivered."""
         actions = list(self.scheduler.place(self.harness.now, 0))
-        starts = StartBatch(starts=[start_record(action) for action in actions])
+        starts = StartBatch(starts=[action.to_record() for action in actions])
         self.harness.commit(starts=starts)
         self.orders_in_flight.extend((self.scheduler, action) for action in actions)
 
