Answer the count of a queue whose prefix ends like a job id

Cause: an entry holds no configuration and took the last 16 hexadecimal digits of a path for an id. Change: the leader finds by the longest prefix whether the path is that of a queue, and then replies with the count. In its place a test with a cell, where a queue /tenant/ with a job of the same path lies beside it, checks the responses to both prefixes, a job and an unknown job.

--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -125,6 +125,9 @@
 
     async def _read_flow_state(self, body):
         await self._leader.confirm()
+        counted = self._match_queue(body, "", "") if body.HasField("address") else None
+        if counted is not None:
+            return self._pending_reply(counted)
         queue = await self._find_queue(body, body.queue, body.id)
         flow_state = self._leader.state.flow_by_id.get(body.id)
         if flow_state is None:
@@ -137,7 +140,9 @@
 
     async def _count_pending(self, body):
         await self._leader.confirm()
-        queue = await self._find_queue(body, body.queue, "")
+        return self._pending_reply(await self._find_queue(body, body.queue, ""))
+
+    def _pending_reply(self, queue):
         pending = self._leader.scheduler.count_pending(queue.name)
         return FlowReply(known=True, pending=pending, timeout_ms=queue.timeout_ms)
 
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -97,10 +97,13 @@
         return (await self._call_leader(body, flow_id, deadline_s)).known
 
     async def read(self, flow_id, address, *, deadline_s):
-        """Return the state of a flow, or None if it does not exist."""
+        """Return the :class:`~siskintally.control_pb2.FlowReply` with the state of a flow.
+
+        If the address is the prefix of a queue, which may end like a flow id, the reply has the
+        number of flows that have not started in place of a state.
+        """
         body = FlowRead(id=flow_id, address=address)
-        reply = await self._call_leader(body, flow_id, deadline_s)
-        return reply.state if reply.known else None
+        return await self._call_leader(body, flow_id, deadline_s)
 
     async def count_pending(self, address, *, deadline_s):
         """Return how many flows of a queue have not started."""
--- a/siskintally/platform/http.py
+++ b/siskintally/platform/http.py
@@ -98,13 +98,17 @@
             is_known = await self._gateway.cancel(job_id, address, deadline_s=deadline_s)
             return json_response(200 if is_known else GONE, {})
         if request.method == "GET":
-            state = await self._gateway.read(job_id, address, deadline_s=deadline_s)
-            return (
-                json_response(GONE, {}) if state is None else json_response(200, {"state": state})
-            )
+            return _read_response(await self._gateway.read(job_id, address, deadline_s=deadline_s))
         return json_response(405, {"error": "expected GET, POST or DELETE"})
 
 
+def _read_response(reply):
+    """Return the response to a GET of a job, or of a queue whose prefix ends like a job id."""
+    if not reply.known:
+        return json_response(GONE, {})
+    return json_response(200, {"state": reply.state} if reply.state else {"pending": reply.pending})
+
+
 def _deadline_s(request):
     """Return the seconds for which the client waits, None without the header."""
     text = request.headers.get(DEADLINE_HEADER, "")
--- a/siskintally/session.py
+++ b/siskintally/session.py
@@ -294,7 +294,7 @@
                 yield pending.frame
 
     def _record_received_data(self):
-        """Count bytes as heard: a large message on a slow link arrives for longer than a timeout."""
+        """Count bytes as heard: a large message may take longer to arrive than a timeout."""
         # grpclib has no public access to its connection.
         data_at = self._stream._stream.connection.last_data_received
         if data_at is not None:
--- a/tests/test_queue_addresses.py
+++ b/tests/test_queue_addresses.py
@@ -1,6 +1,7 @@
 """Requests at a leader: dropped queues, odd paths, and flows that only the state has closed."""
 
 from contextlib import suppress
+from json import loads
 
 from anyio import run, sleep
 from pytest import raises
@@ -183,23 +184,37 @@
     assert cancelled == ["f"]
 
 
-def test_a_queue_whose_prefix_ends_like_a_job_id_is_counted():
-    """Guards against a status read in place of the count of a queue such as /tenant/<hex>."""
-    prefix = f"/tenant/{JOB_ID}"
-    asked = []
-
-    class Gateway:
-        """Gateway that records what it is asked for."""
+def test_a_queue_whose_prefix_ends_like_a_job_id_is_counted(tmp_path):
+    """Guards against a status read in place of the count of a queue such as /tenant/<hex>.
 
-        async def count_pending(self, address, *, deadline_s):
-            asked.append("count")
-            return 0
+    The queue of /tenant/ has a job of the same path; the longest prefix decides.
+    """
+    prefix = f"/tenant/{JOB_ID}"
 
-        async def read(self, flow_id, address, *, deadline_s):
-            asked.append("read")
+    async def check(cell):
+        queues = [
+            Queue(name=name, host="h", prefix=path, service=SERVICE, timeout_ms=100)
+            for name, path in (("outer", "/tenant/"), ("inner", prefix))
+        ]
+        await cell.call(DocumentPut(document=document_with(4, *queues)))
+        flow = make_flow(JOB_ID, FlowStep(tasks=1, cpu_milli=10**9))
+        await cell.call(FlowSubmit(flow=flow, address=QueueAddress(host="h", path=prefix + JOB_ID)))
+
+        class Gateway:
+            """Gateway of an entry beside the leader."""
+
+            async def read(self, flow_id, address, *, deadline_s):
+                return await cell.call(FlowRead(id=flow_id, address=address))
+
+        async def get(path):
+            request = HttpRequest(
+                method="GET", path=path, query="", header_items=[("host", "h")], body=b""
+            )
+            response = await ClientApp(gateway=Gateway()).handle(request)
+            return response.status, loads(response.body)
+
+        assert await get(prefix) == (200, {"pending": 1})
+        assert await get(prefix + JOB_ID) == (200, {"state": "queued"})
+        assert await get(f"/tenant/{JOB_ID[::-1]}") == (410, {})
 
-    request = HttpRequest(
-        method="GET", path=prefix, query="", header_items=[(b"host", b"h")], body=b""
-    )
-    run(ClientApp(gateway=Gateway()).handle, request)
-    assert asked == ["count"]
+    run_cell(tmp_path, check)
