Ignore late heartbeats also at the next leader

A worker that had reported that it leaves got tasks again when one of its earlier heartbeats arrived late at the next leader (reported by other operators: a server that had left was in use again).

Cause: the leader compared sequence numbers with those heard in its own term only; a deregistration at a leader that had heard none was stored with the number 0. Change: the number of the stored record counts too.

--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -184,7 +184,7 @@
             log.info("announcement of a former incarnation", worker=record.id)
             return FlowReply(known=True)
         is_known_incarnation = known_record is not None and known_record.born_ms == record.born_ms
-        if is_known_incarnation and record.seq < self._seq_by_worker.get(record.id, 0):
+        if is_known_incarnation and record.seq < self._last_seq(known_record):
             return FlowReply(known=True)
         self._seq_by_worker[record.id] = record.seq
         if not is_known_incarnation or _stored_fields(known_record) != _stored_fields(record):
@@ -193,6 +193,10 @@
         leader.handle_join(record, received_at)
         return FlowReply(known=True)
 
+    def _last_seq(self, record):
+        """Return the highest sequence number known of a worker, also from former leaders."""
+        return max(record.seq, self._seq_by_worker.get(record.id, 0))
+
     async def _handle_deregistration(self, body):
         """Mark a deregistering worker as leaving; its tasks may still run for a moment."""
         known_record = self._leader.state.worker_by_id.get(body.id)
@@ -203,7 +207,7 @@
         record.leaving = True
         record.leaves_in_ms = 0
         record.clock_ms = 0
-        record.seq = self._seq_by_worker.get(body.id, 0)
+        record.seq = self._last_seq(known_record)
         return await self._handle_announcement(WorkerSeen(worker=record))
 
 
