Grant no pre-vote while a round of votes may succeed

Cause: a voter whose log was longer than that of the candidate voted for nobody. Its own pre-vote reached the others after they had voted and before they heard the new leader, so they granted it; its vote request of the next term then made the new leader step down, while nobody voted for it. Change: a replica that has voted grants no pre-vote for the time of a vote round (the stagger of candidates). Only liveness depends on pre-votes. Test: test_a_candidate_does_not_depose_the_leader_that_is_being_elected failed before, passes now.

--- a/siskintally/election.py
+++ b/siskintally/election.py
@@ -139,6 +139,7 @@
 
     def _start_election(self, now, effects, *, transfer=False):
         self._set_term(self.term + 1, self.identity, effects)
+        self._block_pre_votes(now)
         self._request_votes(Role.CANDIDATE, now, effects, transfer=transfer)
 
     def _count_votes(self, now, effects):
@@ -177,6 +178,7 @@
         )
         if granted and self.vote is None:
             self._set_term(self.term, request.sender, effects)
+            self._block_pre_votes(now)
             self._restart_election_timer(now)
         self._reply_vote(request, granted, effects)
 
@@ -184,10 +186,18 @@
         granted = (
             request.term > self.term
             and not self._must_ignore_candidates(now)
+            and now >= self.pre_votes_blocked_until
             and self._is_up_to_date(request)
         )
         self._reply_vote(request, granted, effects)
 
+    def _block_pre_votes(self, now):
+        """Grant no pre-vote while the round of votes in which this replica has voted may succeed.
+
+        A candidate of the next term would depose the leader that is just being elected.
+        """
+        self.pre_votes_blocked_until = now + self.timing.stagger_s
+
     def _reply_vote(self, request, granted, effects):
         reply = VoteReply(
             term=request.term if granted else self.term,
--- a/siskintally/replica.py
+++ b/siskintally/replica.py
@@ -64,6 +64,7 @@
         "leader_contact_at",
         "leader_process_exited",
         "log",
+        "pre_votes_blocked_until",
         "progress_by_id",
         "read_round",
         "role",
@@ -97,6 +98,7 @@
         self.votes = frozenset()
         self.leader_contact_at = NEVER
         self.votes_blocked_until = now + self.timing.startup_vote_block_s
+        self.pre_votes_blocked_until = NEVER
         self._restart_election_timer(now)
         self.progress_by_id = {}
         self.read_round = 0
@@ -304,6 +306,7 @@
             self.votes,
             self.leader_contact_at,
             self.deadline,
+            self.pre_votes_blocked_until,
             self.read_round,
             self.confirmed_round,
             self.transfer_target,
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -538,6 +538,36 @@
     assert net.nodes["c"].replica.log.snapshot == a.replica.log.snapshot
 
 
+def test_a_candidate_does_not_depose_the_leader_that_is_being_elected():
+    """Guards against a group without a leader for another election timeout after a restart.
+
+    A voter with a longer log votes for nobody; its own pre-vote arrives after the others have
+    voted, but before the new leader is heard.
+    """
+    net = Net(seed=2, timing=Timing(stagger_s=0.1))
+    b = net.elect("b")
+    b.call("propose", b"lost", net.now)
+    net.in_flight.clear()
+    for node in net.nodes.values():
+        node.start()
+    a, c = net.nodes["a"], net.nodes["c"]
+    a.replica.expire_election_timers()
+    a.call("tick", net.now)
+    while not a.replica.is_leader:
+        net.deliver()
+    b.replica.expire_election_timers()
+    b.call("tick", net.now)
+    is_append = [isinstance(message, AppendRequest) for _, _, message in net.in_flight]
+    appends = [item for item, late in zip(net.in_flight, is_append, strict=True) if late]
+    net.in_flight = [item for item, late in zip(net.in_flight, is_append, strict=True) if not late]
+    net.settle()
+    net.in_flight.extend(appends)
+    net.settle()
+    assert a.replica.is_leader and c.replica.term == a.replica.term
+    net.now += 0.2
+    assert b.replica.term == a.replica.term
+
+
 def test_transfer_moves_leadership_to_an_up_to_date_voter():
     """Guards against a planned stop that waits for an election timeout."""
     net = Net(seed=2)
