Start flows that can still meet their due time before those that cannot

Pattern: the backlog of an outage.

Cause: flows of equal priority were started in the order of their due times, so that each new flow waited behind those that had already missed theirs. Change: within a priority, a step that can no longer meet its due time goes after those that can, up to a lateness of 30 s, from which on it goes first. The due time of a repeated flow counts from its scheduled time.

--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -64,7 +64,7 @@
         index = self.new_pass_index(now)
         # Listing the clients is costly with many linked processes, and only a call changes it.
         free = {is_quick: has_client(is_quick=is_quick) for is_quick in (True, False)}
-        for step in (*self.due_steps(wall_ms), *self._steps_ready_soon(now)):
+        for step in (*self.due_steps(now, wall_ms), *self._steps_ready_soon(now)):
             if not free[True]:
                 return
             if step.is_asking or now < step.next_ask_at or not step.flow.is_open:
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -89,6 +89,7 @@
     at which it expires). ``denied_worker_ids``: workers that the advice service denied.
     ``is_asking``: whether a call to the advice service is in flight. ``next_ask_at``: earliest
     steady time of the next call. ``gang_run``: run number shared by all members of a gang.
+    ``path_s``: estimated run time of this step and of the longest chain of steps behind it.
     """
 
     __slots__ = (
@@ -100,6 +101,7 @@
         "next_ask_at",
         "number",
         "occurrence",
+        "path_s",
         "remaining",
         "spec",
         "task_count_by_worker",
@@ -133,6 +135,7 @@
         self.is_asking = False
         self.next_ask_at = 0.0
         self.gang_run = 0
+        self.path_s = spec.estimate_ms / 1000
 
     @property
     def id(self):
@@ -149,6 +152,17 @@
         """Whether all steps that it depends on are done."""
         return not self.unfinished_dependencies
 
+    @property
+    def due_at(self):
+        """Steady time by which its occurrence should be done."""
+        flow = self.flow
+        delay_ms = flow.scheduled_at_ms(self.occurrence) - flow.flow.accepted_ms
+        return flow.due_at + max(delay_ms, 0) / 1000
+
+    def lateness_s(self, now):
+        """Return by how much its occurrence will miss its due time at least, s; negative if not."""
+        return now + self.path_s - self.due_at
+
     @property
     def is_due(self):
         """Whether the step has tasks to start, is ready, and its flow is open."""
@@ -190,6 +204,8 @@
         for step in self.steps():
             for dependency in set(step.spec.after):
                 self.step_by_key[step.occurrence, dependency].dependents.append(step)
+        for step in reversed(self.step_by_key.values()):
+            step.path_s += max((dependent.path_s for dependent in step.dependents), default=0.0)
         aim_s = queue.aim_ms / 1000 if queue is not None else 0.0
         stretch = queue.stretch if queue is not None else 1.0
         self.due_at = arrived_at + aim_s + max(stretch, 1.0) * self.critical_path_s()
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -12,6 +12,9 @@
 from siskintally.flow import TaskState
 from siskintally.pass_index import PassIndex
 
+# A flow that will miss its due time waits behind those that can still meet theirs, up to this
+# lateness; then it is served first.
+MAX_LATENESS_S = 30.0
 # A start order has to reach the worker before its ticket expires.
 TICKET_MARGIN_S = 0.15
 
@@ -30,7 +33,7 @@
         """
         start_count = 0
         index = self.new_pass_index(now)
-        for step in self.due_steps(wall_ms):
+        for step in self.due_steps(now, wall_ms):
             if start_count >= max_starts:
                 return
             if step.spec.gang:
@@ -47,14 +50,18 @@
         """Return a :class:`PassIndex` of the current workers."""
         return PassIndex(list_eligible=lambda step: self.eligible_workers(step, now))
 
-    def due_steps(self, wall_ms):
-        """Return the steps with tasks to start, in the order in which resources are allocated."""
+    def due_steps(self, now, wall_ms):
+        """Return the steps with tasks to start, in the order in which resources are allocated.
+
+        Within a priority, steps that can still meet their due time go before those that cannot:
+        in the order of due times alone, the backlog of an outage makes every later flow late.
+        """
         due = [
             step
             for step in self.ready_by_id.values()
             if step.is_due and step.flow.scheduled_at_ms(step.occurrence) <= wall_ms
         ]
-        due.sort(key=lambda step: (step.flow.priority, step.flow.due_at, step.id))
+        due.sort(key=lambda step: _rank(step, now))
         return due
 
     def _place_tasks(self, step, now, index):
@@ -184,6 +191,12 @@
         return StartAction(task=task, worker=worker, run=run, ticket=ticket)
 
 
+def _rank(step, now):
+    """Return the sort key of a step with tasks to start."""
+    is_late = not step.spec.lasting and 0.0 < step.lateness_s(now) <= MAX_LATENESS_S
+    return (step.flow.priority, is_late, step.due_at, step.id)
+
+
 def _has_capacity(step, worker):
     limit = step.spec.max_per_worker
     if limit and step.task_count_by_worker.get(worker.id, 0) >= limit:
--- a/tests/test_flow_walk.py
+++ b/tests/test_flow_walk.py
@@ -52,10 +52,13 @@
         row = RunEnd(number=self.end_number, task_id=task, run=run, kind=kind, checkpoint="")
         self.ended.append(row)
 
-    def stop(self, action):
-        """Carry out a stop order; a start of that run is refused from now on."""
+    def stop(self, action, *, is_effective=True):
+        """Carry out a stop order; a start of that run is refused from now on.
+
+        A stop without effect leaves a run that is there, but still refuses its start.
+        """
         task = action.task_id
-        if self.run_by_task.get(task) == action.run:
+        if is_effective and self.run_by_task.get(task) == action.run:
             self.end(task, EndKind.STOPPED)
         self.highest_run_by_task[task] = max(action.run, self.highest_run_by_task.get(task, 0))
 
@@ -172,8 +175,8 @@
         """Deliver the stop orders; a share of them has no effect although it is confirmed."""
         stops, self.scheduler.stops = self.scheduler.stops, []
         for action in stops:
-            if not ineffective_share or self.random.random() >= ineffective_share:
-                self.simulated_by_id[action.worker.id].stop(action)
+            is_effective = not ineffective_share or self.random.random() >= ineffective_share
+            self.simulated_by_id[action.worker.id].stop(action, is_effective=is_effective)
             self.scheduler.apply_stopped(action, self.harness.now)
 
     def deliver_faulty_stops(self):
