Hold requests of an entry while the notices of the leader are overdue

Pattern: a lost leader under load.

Cause: for 1.5 s after the last notice, an entry sent its calls to the lost leader, so their outcome was unknown. Change: once the notices are overdue (0.75 s, more than two intervals), a request waits unsent for the next leader, for 1 s at most, and is then refused truthfully. Without a link to any store it is refused at once.

--- a/siskintally/control_client.py
+++ b/siskintally/control_client.py
@@ -25,13 +25,15 @@
 
     :param cache: :class:`~siskintally.leader_cache.LeaderCache`.
     :param call: ``async call(address, body, timeout=seconds)`` that returns the reply.
+    :param has_link: function that returns whether a link to any store is open.
     """
 
-    __slots__ = ("_attempt_scopes", "_cache", "_call")
+    __slots__ = ("_attempt_scopes", "_cache", "_call", "_has_link")
 
-    def __init__(self, *, cache, call):
+    def __init__(self, *, cache, call, has_link=lambda: True):
         self._cache = cache
         self._call = call
+        self._has_link = has_link
         self._attempt_scopes = set()
 
     def handle_leader_change(self):
@@ -39,6 +41,22 @@
         for scope in list(self._attempt_scopes):
             scope.cancel()
 
+    async def wait_for_leader(self, *, timeout):
+        """Wait until a leader has announced itself recently; return whether one has.
+
+        A call that is sent to a lost leader may have had an effect, so its caller cannot be told
+        to send it again; one that waits here is refused truthfully. Without a link to any store
+        there is nothing to wait for.
+
+        :param timeout: seconds.
+        """
+        deadline = steady() + timeout
+        while not self._cache.is_current(steady()):
+            if steady() >= deadline or not self._has_link():
+                return False
+            await sleep(RETRY_DELAY_S)
+        return True
+
     async def call(self, body, *, timeout=DEFAULT_TIMEOUT_S):
         """Call the leader until it replies or the timeout expires.
 
--- a/siskintally/entry_node.py
+++ b/siskintally/entry_node.py
@@ -71,7 +71,9 @@
         self.cache = LeaderCache(fresh_s=fresh_s)
         self._contact = LeaderContact(fresh_s=fresh_s, counters=counters, now=steady())
         self._session_log = SessionLog(counters=counters)
-        self.client = ControlClient(cache=self.cache, call=self._links.call)
+        self.client = ControlClient(
+            cache=self.cache, call=self._links.call, has_link=lambda: self._links.has_open_link
+        )
 
     def add_seeds(self, settings):
         """Open links to the seeds of reloaded settings; existing links stay open."""
--- a/siskintally/flow_gateway.py
+++ b/siskintally/flow_gateway.py
@@ -23,6 +23,9 @@
 
 # Share of the caller's time that a call to the leader may take; the rest is for the response.
 CALL_TIME_FRACTION = 0.85
+# Longest wait for a leader before a request is refused: a lost leader is usually replaced within
+# this time after its notices are overdue.
+LEADER_WAIT_S = 1.0
 # Applies to callers that name no deadline.
 DEFAULT_TIMEOUT_S = 3.0
 # Limits of the Retry-After value. A leader is usually elected within the minimum. The longer there
@@ -53,12 +56,15 @@
         self._counters = counters
         self._timeout_s_by_address = {}
 
-    def _check_leader(self, body):
-        """Check that the leader has been heard recently.
+    async def _require_leader(self, body, timeout_s):
+        """Wait for a leader that has been heard recently.
 
-        :raises NoConfigError: it has not, or there is no configuration yet.
+        :raises NoConfigError: none was heard, or there is no configuration yet.
         """
-        if not self._cache.is_fresh(steady()):
+        has_leader = self._cache.version > 0 and await self._client.wait_for_leader(
+            timeout=min(LEADER_WAIT_S, timeout_s)
+        )
+        if not has_leader:
             self._record_refusal("no leader in touch", body)
             raise NoConfigError("no current configuration from a leader")
 
@@ -123,13 +129,14 @@
             self._timeout_s_by_address[_queue_key(body)] = reply.timeout_ms / 1000
 
     async def _call_leader(self, body, name, deadline_s):
-        self._check_leader(body)
-        timeout_s = self._timeout_s(body, deadline_s)
         started_at = steady()
+        timeout_s = self._timeout_s(body, deadline_s) * CALL_TIME_FRACTION
+        await self._require_leader(body, timeout_s)
+        timeout_s -= steady() - started_at
         call = type(body).__name__
         outcome = "failed"
         try:
-            reply = await self._client.call(body, timeout=timeout_s * CALL_TIME_FRACTION)
+            reply = await self._client.call(body, timeout=timeout_s)
             self._record_timeout(body, reply)
             outcome = "done"
             return reply
--- a/siskintally/leader_cache.py
+++ b/siskintally/leader_cache.py
@@ -10,6 +10,9 @@
 
 from math import inf
 
+# Age of the last notice from which on the leader may be lost: more than two intervals of notices.
+OVERDUE_NOTICE_S = 0.75
+
 
 class LeaderCache:
     """Caches what the notices of stores say of the leader and the configuration.
@@ -67,6 +70,10 @@
         has_leader_notice = not self._is_rejected and now - self._leader_notice_at <= self._fresh_s
         return has_leader_notice and self.version > 0
 
+    def is_current(self, now):
+        """Return whether the leader is fresh and its next notice is not overdue."""
+        return self.is_fresh(now) and now - self._leader_notice_at <= OVERDUE_NOTICE_S
+
     def notice_age_s(self, now):
         """Return the age of the last notice from a leader in seconds, infinite before the first.
 
--- a/siskintally/link_pool.py
+++ b/siskintally/link_pool.py
@@ -96,6 +96,11 @@
                 tasks.start_soon(link.run)
             await sleep_forever()
 
+    @property
+    def has_open_link(self):
+        """Whether the link to any store is open."""
+        return any(link.is_open for link in self._link_by_address.values())
+
     def is_open(self, address):
         """Return whether the link to a store is open."""
         link = self._link_by_address.get(address)
--- a/tests/test_flow_records.py
+++ b/tests/test_flow_records.py
@@ -67,7 +67,12 @@
     cache = LeaderCache(fresh_s=1.5)
     if has_leader:
         cache.apply_notice(ControlNotice(leads=True, version=1), sender="a:1", now=steady())
-    return FlowGateway(cache=cache, client=SimpleNamespace(call=call), counters=counters)
+
+    async def wait_for_leader(*, timeout):
+        return has_leader
+
+    client = SimpleNamespace(call=call, wait_for_leader=wait_for_leader)
+    return FlowGateway(cache=cache, client=client, counters=counters)
 
 
 def test_a_refusal_names_its_call_and_its_flow(counters):
