Reserve workers for tasks that take half of a worker or more

Pattern: jobs of one accelerator keep a job of eight waiting.

Cause: a large task starts only when chance empties a worker that the advice service allows for it, and small tasks of lower priority fill each gap at once. Tickets were asked for workers with room only, and the room was gone by the answer. Change: while large tasks wait, the pass keeps free as many of their allowed workers as they need, those that will have room first, and later steps go around them. The first call asks about all workers, full ones too, to know the allowed ones; later calls come so that the ticket arrives with the room. Tasks with accelerators go to the worker with the fewest left. The line of an accepted flow names accelerators.

--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from siskintally.flow import StepRun, TaskState
+from siskintally.room_reservation import remaining_s, room_in_s
 from siskintally.step_placement import TICKET_MARGIN_S
 
 # Workers named in one call.
@@ -102,8 +103,7 @@
                 continue
             if task.state != TaskState.RUNNING:
                 return inf
-            run_s = step.spec.estimate_ms / 1000 * task.worker.expected_slowdown(now)
-            longest_s = max(longest_s, task.since + run_s - now)
+            longest_s = max(longest_s, remaining_s(task, now))
         return longest_s
 
     def _workers_to_ask(self, step, now, index):
@@ -112,6 +112,8 @@
         Urgent steps and steps that are not ready ask also about workers that are full now.
         """
         asks_about_full = step.flow.priority == 0 or step.unfinished_dependencies
+        if not asks_about_full and index.is_large(step):
+            return self._workers_for_large_tasks(step, now, index)
         if not asks_about_full and not index.with_room(step):
             return ()
         if not step.ticket_by_worker and not step.denied_worker_ids:
@@ -132,6 +134,29 @@
             return unpermitted
         return [worker for worker in unpermitted if worker.fits(step.resources)]
 
+    def _workers_for_large_tasks(self, step, now, index):
+        """Return the workers to ask about for tasks that wait for reserved workers.
+
+        Until one is allowed, these are all others, whether full or not, to find out which ones to
+        reserve; then the reserved ones, by the time that they have room.
+        """
+        reply_s = _expected_s(step.flow.queue.advice, worker_count=1)
+        unknown = [
+            worker
+            for worker in index.eligible(step)
+            if worker.id not in step.denied_worker_ids and worker.id not in step.ticket_by_worker
+        ]
+        if not step.ticket_by_worker:
+            return unknown
+        reserved = [
+            worker
+            for worker in index.eligible(step)
+            if worker.id in step.reserved_worker_ids
+            and not self._is_permitted(step, worker, now)
+            and room_in_s(worker, step.resources, now) <= reply_s
+        ]
+        return reserved + [worker for worker in unknown if worker.fits(step.resources)]
+
     def _preferred_ids(self, step, workers, now):
         """Return the ids of the workers to name in a call, the preferred one first."""
         ordered = sorted(workers, key=lambda worker: self.sort_key(step, worker, now))
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -90,6 +90,7 @@
     ``is_asking``: whether a call to the advice service is in flight. ``next_ask_at``: earliest
     steady time of the next call. ``gang_run``: run number shared by all members of a gang.
     ``path_s``: estimated run time of this step and of the longest chain of steps behind it.
+    ``reserved_worker_ids``: workers that the last pass kept free for its large tasks.
     """
 
     __slots__ = (
@@ -103,6 +104,7 @@
         "occurrence",
         "path_s",
         "remaining",
+        "reserved_worker_ids",
         "spec",
         "task_count_by_worker",
         "tasks",
@@ -135,6 +137,7 @@
         self.is_asking = False
         self.next_ask_at = 0.0
         self.gang_run = 0
+        self.reserved_worker_ids = frozenset()
         self.path_s = spec.estimate_ms / 1000
 
     @property
--- a/siskintally/pass_index.py
+++ b/siskintally/pass_index.py
@@ -4,9 +4,11 @@
 
 >>> from siskintally.pass_index import PassIndex
 >>> PassIndex(list_eligible=lambda step: []).__slots__
-('_eligible_by_key', '_list_eligible', '_with_room_by_key')
+('_eligible_by_key', '_is_large_by_key', '_list_eligible', '_reserved', '_with_room_by_key')
 """
 
+from siskintally.room_reservation import is_large
+
 
 class PassIndex:
     """Eligible workers during one pass, in which workers only get fuller.
@@ -14,11 +16,19 @@
     :param list_eligible: function of a step that returns its eligible workers.
     """
 
-    __slots__ = ("_eligible_by_key", "_list_eligible", "_with_room_by_key")
+    __slots__ = (
+        "_eligible_by_key",
+        "_is_large_by_key",
+        "_list_eligible",
+        "_reserved",
+        "_with_room_by_key",
+    )
 
     def __init__(self, *, list_eligible):
         self._list_eligible = list_eligible
         self._eligible_by_key = {}
+        self._is_large_by_key = {}
+        self._reserved = set()
         self._with_room_by_key = {}
 
     def eligible(self, step):
@@ -30,15 +40,38 @@
         return workers
 
     def with_room(self, step):
-        """Return the eligible workers into whose free resources a task of the step fits."""
+        """Return the eligible workers into whose free resources a task of the step fits.
+
+        Workers that an earlier step of the pass has reserved are left out.
+        """
         key = (_requirements(step), step.resources)
         workers = self._with_room_by_key.get(key)
         if workers is None:
             workers = self._with_room_by_key[key] = [
-                worker for worker in self.eligible(step) if worker.fits(step.resources)
+                worker
+                for worker in self.eligible(step)
+                if worker.fits(step.resources) and worker not in self._reserved
             ]
         return workers
 
+    def is_large(self, step):
+        """Return whether the tasks of a step take a large share of each eligible worker."""
+        key = (_requirements(step), step.resources)
+        if key not in self._is_large_by_key:
+            self._is_large_by_key[key] = is_large(step.resources, self.eligible(step))
+        return self._is_large_by_key[key]
+
+    def unreserved(self, step):
+        """Return the eligible workers that no earlier step of the pass has reserved."""
+        return [worker for worker in self.eligible(step) if worker not in self._reserved]
+
+    def reserve(self, worker):
+        """Keep a worker free of the tasks of later steps in this pass."""
+        self._reserved.add(worker)
+        for workers in self._with_room_by_key.values():
+            if worker in workers:
+                workers.remove(worker)
+
     def update_room(self, worker):
         """Apply that resources of a worker have been reserved."""
         for (_, resources), workers in self._with_room_by_key.items():
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -11,6 +11,7 @@
 from siskintally.actions import StartAction
 from siskintally.flow import TaskState
 from siskintally.pass_index import PassIndex
+from siskintally.room_reservation import workers_to_reserve
 
 # A flow that will miss its due time waits behind those that can still meet theirs, up to this
 # lateness; then it is served first.
@@ -45,6 +46,22 @@
                 start_count += 1
                 index.update_room(action.worker)
                 yield action
+            self._reserve_room(step, now, index)
+
+    def _reserve_room(self, step, now, index):
+        """Keep workers free for the large tasks of a step that still wait; later steps go around.
+
+        Reserved are workers that the advice service has allowed, if it is asked for the step.
+        """
+        if not step.waiting or not index.is_large(step):
+            return
+        workers = index.unreserved(step)
+        if step.flow.queue.HasField("advice"):
+            workers = [worker for worker in workers if worker.id in step.ticket_by_worker]
+        reserved = workers_to_reserve(step, workers, now)
+        step.reserved_worker_ids = frozenset(worker.id for worker in reserved)
+        for worker in reserved:
+            index.reserve(worker)
 
     def new_pass_index(self, now):
         """Return a :class:`PassIndex` of the current workers."""
@@ -169,7 +186,8 @@
                 -cpu_left_milli,
                 worker.id,
             )
-        return (is_remote, cpu_left_milli, worker.id)
+        accelerators_left = worker.free_accelerators - step.resources.accelerators
+        return (is_remote, accelerators_left, cpu_left_milli, worker.id)
 
     def _valid_ticket(self, step, worker, now):
         """Return the ticket for a worker, "" if none is needed, None if it is missing."""
--- a/siskintally/step_text.py
+++ b/siskintally/step_text.py
@@ -15,7 +15,7 @@
 from siskintally.errors import BadRequestError
 
 FLAG_FIELDS = ("gang", "one_rack", "speculative", "lasting", "filling", "checkpointable")
-VALUE_FIELDS = ("label", "data_rack", "max_per_worker", "after")
+VALUE_FIELDS = ("accelerators", "label", "data_rack", "max_per_worker", "after")
 _STEP_PATTERN = compile_pattern(r"(\d+) x \d+m \d+MB (\d+)ms")
 _AFTER_PATTERN = compile_pattern(r"after=\[([\d, ]*)\]")
 
