--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -141,16 +141,18 @@
         reserve; then the reserved ones, by the time that they have room.
         """
         reply_s = _expected_s(step.flow.queue.advice, worker_count=1)
+        workers = index.eligible(step)
+        allowed = [worker for worker in workers if worker.id in step.ticket_by_worker]
         unknown = [
             worker
-            for worker in index.eligible(step)
-            if worker.id not in step.denied_worker_ids and worker.id not in step.ticket_by_worker
+            for worker in workers
+            if worker.id not in step.denied_worker_ids and worker not in allowed
         ]
-        if not step.ticket_by_worker:
+        if not allowed:
             return unknown
         reserved = [
             worker
-            for worker in index.eligible(step)
+            for worker in allowed
             if worker.id in step.reserved_worker_ids
             and not self._is_permitted(step, worker, now)
             and room_in_s(worker, step.resources, now) <= reply_s
