Bound what reservations keep from smaller tasks

Cause: each waiting large step reserved workers without a limit, and smaller tasks went around them for as long as large ones waited for permits. Change: at most about a third of the workers of a step are reserved at a time, and a step that is late does not go around reservations. Large steps also ask about allowed workers with room that are not reserved. The next leader counts the age of the flows that it takes over, so that the backlog is late for it too. Tests: two tests of tests/test_accelerator_room.py, and one of tests/test_outage_backlog.py for the age.

--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -138,7 +138,7 @@
         """Return the workers to ask about for tasks that wait for reserved workers.
 
         Until one is allowed, these are all others, whether full or not, to find out which ones to
-        reserve; then the reserved ones, by the time that they have room.
+        reserve; then the reserved ones, by the time that they have room, and others with room.
         """
         reply_s = _expected_s(step.flow.queue.advice, worker_count=1)
         workers = index.eligible(step)
@@ -150,14 +150,19 @@
         ]
         if not allowed:
             return unknown
+        expired = [worker for worker in allowed if not self._is_permitted(step, worker, now)]
         reserved = [
             worker
-            for worker in allowed
+            for worker in expired
             if worker.id in step.reserved_worker_ids
-            and not self._is_permitted(step, worker, now)
             and room_in_s(worker, step.resources, now) <= reply_s
         ]
-        return reserved + [worker for worker in unknown if worker.fits(step.resources)]
+        others = [
+            worker
+            for worker in (*expired, *unknown)
+            if worker not in reserved and worker.fits(step.resources)
+        ]
+        return reserved + others
 
     def _preferred_ids(self, step, workers, now):
         """Return the ids of the workers to name in a call, the preferred one first."""
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -105,7 +105,7 @@
         """Lead until the term ends or is cancelled."""
         now = steady()
         log.info("term begins", term=self.term, flows=len(self.state.flow_by_id))
-        self.scheduler.restore(self.state, now)
+        self.scheduler.restore(self.state, now, wall_ms=int(time() * 1000))
         self.state.on_applied = self._record_committed
         former_leases = now + longest_grant_s(self._timing.lease_s, self._timing.margin_s)
         try:
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -171,8 +171,7 @@
     ``started``: whether any task has been started.
 
     :param queue: :class:`~siskintally.control_pb2.Queue`, None if it is no longer configured.
-    :param arrived_at: steady time of acceptance, or of the start of this leader's term if a former
-        leader accepted the flow.
+    :param arrived_at: steady time of acceptance; an estimate if a former leader accepted the flow.
     """
 
     __slots__ = (
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -22,6 +22,8 @@
 
 # Each term has its own range of run numbers, so those of a later leader are always higher.
 RUNS_PER_TERM = 1_000_000
+# Longest age of a flow that a leader takes over, for its place in the order of starts.
+MAX_RESTORED_AGE_S = 60.0
 
 
 class FlowScheduler(StepPlacement, AdvicePlanning, ReportHandling, Speculation):
@@ -66,7 +68,7 @@
         self._run_count += 1
         return self.term * RUNS_PER_TERM + self._run_count
 
-    def restore(self, state, now):
+    def restore(self, state, now, *, wall_ms=0):
         """Load the flows and workers from the replicated state at the start of the term.
 
         A task can only be running on the worker that its last committed start names; a speculative
@@ -74,16 +76,20 @@
         is gone, can start at once.
 
         :param state: :class:`~siskintally.control_state.ControlState`.
+        :param wall_ms: Unix time, ms; 0 if flows are to count as accepted now.
         """
         for record in state.worker_by_id.values():
             self.join(record, is_new=False)
         for flow_state in state.flow_by_id.values():
             if flow_state.outcome == Outcome.OPEN:
                 queue = state.queue(flow_state.flow.queue)
-                self._restore_flow(flow_state, queue, now)
+                age_s = (wall_ms - flow_state.flow.accepted_ms) / 1000 if wall_ms else 0.0
+                # The clocks of the VMs may differ by seconds.
+                arrived_at = now - min(max(age_s, 0.0), MAX_RESTORED_AGE_S)
+                self._restore_flow(flow_state, queue, arrived_at, now)
 
-    def _restore_flow(self, state, queue, now):
-        run = FlowRun(flow=state.flow, queue=queue, arrived_at=now)
+    def _restore_flow(self, state, queue, arrived_at, now):
+        run = FlowRun(flow=state.flow, queue=queue, arrived_at=arrived_at)
         self.flow_by_id[run.id] = run
         self._known_flow_ids.add(run.id)
         run.started = bool(state.done or state.start_by_task)
--- a/siskintally/pass_index.py
+++ b/siskintally/pass_index.py
@@ -7,8 +7,13 @@
 ('_eligible_by_key', '_is_large_by_key', '_list_eligible', '_reserved', '_with_room_by_key')
 """
 
+from math import ceil
+
 from siskintally.room_reservation import is_large
 
+# Share of the workers of a step that may be reserved at a time; the rest is for smaller tasks.
+MAX_RESERVED_SHARE = 0.34
+
 
 class PassIndex:
     """Eligible workers during one pass, in which workers only get fuller.
@@ -39,11 +44,14 @@
             workers = self._eligible_by_key[key] = list(self._list_eligible(step))
         return workers
 
-    def with_room(self, step):
+    def with_room(self, step, *, ignores_reservations=False):
         """Return the eligible workers into whose free resources a task of the step fits.
 
-        Workers that an earlier step of the pass has reserved are left out.
+        :param ignores_reservations: whether to include workers that an earlier step of the pass
+            has reserved.
         """
+        if ignores_reservations:
+            return [worker for worker in self.eligible(step) if worker.fits(step.resources)]
         key = (_requirements(step), step.resources)
         workers = self._with_room_by_key.get(key)
         if workers is None:
@@ -65,6 +73,12 @@
         """Return the eligible workers that no earlier step of the pass has reserved."""
         return [worker for worker in self.eligible(step) if worker not in self._reserved]
 
+    def free_to_reserve(self, step):
+        """Return how many more of the eligible workers may be reserved in this pass."""
+        workers = self.eligible(step)
+        reserved_count = sum(worker in self._reserved for worker in workers)
+        return max(ceil(len(workers) * MAX_RESERVED_SHARE) - reserved_count, 0)
+
     def reserve(self, worker):
         """Keep a worker free of the tasks of later steps in this pass."""
         self._reserved.add(worker)
--- a/siskintally/room_reservation.py
+++ b/siskintally/room_reservation.py
@@ -67,15 +67,15 @@
     return inf
 
 
-def workers_to_reserve(step, workers, now):
+def workers_to_reserve(step, workers, now, *, limit):
     """Return the workers to keep free for the waiting tasks of a step, or none.
 
     Workers with room come first, then those that a former pass has chosen, so that they get empty.
     A gang gets a worker for each member or none.
 
     :param workers: workers on which the tasks may run.
+    :param limit: most workers to keep free.
     """
-    wanted_count = len(step.waiting)
     room_by_worker = {worker: room_in_s(worker, step.resources, now) for worker in workers}
     options = sorted(
         (worker for worker, room_s in room_by_worker.items() if room_s < inf),
@@ -86,6 +86,6 @@
             worker.id,
         ),
     )
-    if step.spec.gang and len(options) < wanted_count:
+    if step.spec.gang and min(len(options), limit) < len(step.waiting):
         return []
-    return options[:wanted_count]
+    return options[:limit]
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -50,8 +50,9 @@
             self._reserve_room(step, now, index)
 
     def _reserve_room(self, step, now, index):
-        """Keep workers free for the large tasks of a step that still wait; later steps go around.
+        """Keep workers free for the large tasks of a step that still wait.
 
+        Later steps go around them, unless they are late themselves.
         Reserved are workers that the advice service has allowed, if it is asked for the step.
         """
         if not step.waiting or not index.is_large(step):
@@ -59,7 +60,8 @@
         workers = index.unreserved(step)
         if step.flow.queue.HasField("advice"):
             workers = [worker for worker in workers if worker.id in step.ticket_by_worker]
-        reserved = workers_to_reserve(step, workers, now)
+        limit = min(len(step.waiting), index.free_to_reserve(step))
+        reserved = workers_to_reserve(step, workers, now, limit=limit)
         step.reserved_worker_ids = frozenset(worker.id for worker in reserved)
         for worker in reserved:
             index.reserve(worker)
@@ -143,7 +145,8 @@
         queue = step.flow.queue
         if queue is None or (queue.HasField("advice") and not step.ticket_by_worker):
             return
-        for worker in index.with_room(step):
+        is_late = now + step.path_s > step.due_at
+        for worker in index.with_room(step, ignores_reservations=is_late):
             if self._valid_ticket(step, worker, now) is not None and _has_capacity(step, worker):
                 yield worker
 
--- a/tests/test_accelerator_room.py
+++ b/tests/test_accelerator_room.py
@@ -145,9 +145,10 @@
     assert max(started.values()) <= LONGEST_WAIT_S, started
 
 
-def test_small_tasks_go_on_beside_reserved_workers():
+@mark.parametrize("has_advice", [False, True])
+def test_small_tasks_go_on_beside_reserved_workers(has_advice):
     """Guards against reservations that leave most of the accelerators unused."""
-    load = MixedLoad(has_advice=False).run()
+    load = MixedLoad(has_advice=has_advice).run()
     waiting = sum(
         len(step.waiting)
         for flow in load.harness.scheduler.flow_by_id.values()
@@ -155,3 +156,35 @@
         if flow.id.startswith("s")
     )
     assert waiting <= WORKER_COUNT * ACCELERATORS / 2
+
+
+def make_waiting_leader():
+    """Return a harness with idle workers and two large flows that wait for their permits."""
+    load = MixedLoad(has_advice=True)
+    for name in ("l1", "l2"):
+        load._submit(name, load.large_queue, ACCELERATORS, LARGE_RUN_S)
+    for action in list(load.harness.scheduler.plan_advice_calls(load.harness.now, 0)):
+        tickets = [Ticket(worker_id=worker_id, text="t") for worker_id in action.worker_ids]
+        expired_at = load.harness.now
+        load.harness.scheduler.apply_advice(action, tickets, expired_at, load.harness.now)
+    return load
+
+
+def test_reservations_leave_most_workers_to_smaller_tasks():
+    """Guards against small tasks that nothing starts while large ones wait for their permits."""
+    load = make_waiting_leader()
+    count = WORKER_COUNT * ACCELERATORS
+    for number in range(count):
+        load._submit(f"s{number}", SMALL_QUEUE, 1, SMALL_RUN_S)
+    used = {worker_id for _, worker_id in load.harness.place()}
+    assert len(used) >= WORKER_COUNT / 2
+
+
+def test_a_small_task_that_is_late_does_not_go_around_reserved_workers():
+    """Guards against a small task that waits for ever because its workers stay reserved."""
+    load = make_waiting_leader()
+    for number in range(WORKER_COUNT * ACCELERATORS):
+        load._submit(f"s{number}", SMALL_QUEUE, 1, SMALL_RUN_S)
+    # Beyond the latest start that meets the due time of the small tasks.
+    load.harness.now += SMALL_QUEUE.stretch * SMALL_RUN_S
+    assert len({worker_id for _, worker_id in load.harness.place()}) == WORKER_COUNT
--- a/tests/test_outage_backlog.py
+++ b/tests/test_outage_backlog.py
@@ -8,6 +8,7 @@
 
 from siskintally.control_pb2 import Flow, FlowStep
 from siskintally.driver import EndKind
+from siskintally.flow_scheduler import FlowScheduler
 from tests.flow_harness import QUEUE, FlowHarness, make_worker
 
 WORKER_COUNT = 8
@@ -108,3 +109,20 @@
     for name, arrival in simulation.arrival_by_flow.items():
         if arrival < simulation.outage_ends_s:
             assert simulation.response_by_flow[name] <= LONGEST_WAIT_S + simulation.outage_s
+
+
+def test_the_next_leader_counts_the_age_of_the_flows_that_it_takes_over():
+    """Guards against a backlog that goes first after a change of leaders because it looks new."""
+    harness = FlowHarness()
+    wall_ms = 1_000_000_000
+    for name, age_s in (("old", 10.0), ("new", 0.0), ("future", -3.0)):
+        step = FlowStep(tasks=1, cpu_milli=1000, memory_mb=1, estimate_ms=int(RUN_S * 1000))
+        accepted_ms = wall_ms - int(age_s * 1000)
+        flow = Flow(id=name, queue="q", spec="x", steps=[step], accepted_ms=accepted_ms)
+        harness.commit(accept=flow)
+    scheduler = FlowScheduler(term=3)
+    scheduler.restore(harness.state, harness.now, wall_ms=wall_ms)
+    arrived_at = {flow.id: flow.arrived_at for flow in scheduler.flow_by_id.values()}
+    assert arrived_at == {"old": harness.now - 10.0, "new": harness.now, "future": harness.now}
+    order = [step.flow.id for step in scheduler.due_steps(harness.now, wall_ms)]
+    assert order[-1] == "old"
