Let a test of reservations fail without their bound

Cause: two large flows reserve less than the bound, so the test passed with the bound taken out. Change: as many large flows as workers; with the bound at 1.0 the test fails, with 0.34 it passes.

--- a/tests/test_accelerator_room.py
+++ b/tests/test_accelerator_room.py
@@ -159,10 +159,10 @@
 
 
 def make_waiting_leader():
-    """Return a harness with idle workers and two large flows that wait for their permits."""
+    """Return a load of idle workers, and as many large flows that wait for their permits."""
     load = MixedLoad(has_advice=True)
-    for name in ("l1", "l2"):
-        load._submit(name, load.large_queue, ACCELERATORS, LARGE_RUN_S)
+    for number in range(WORKER_COUNT):
+        load._submit(f"l{number}", load.large_queue, ACCELERATORS, LARGE_RUN_S)
     for action in list(load.harness.scheduler.plan_advice_calls(load.harness.now, 0)):
         tickets = [Ticket(worker_id=worker_id, text="t") for worker_id in action.worker_ids]
         expired_at = load.harness.now
