--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -45,7 +45,10 @@
         self.runs = {}
         self.ends = []
         self.end_count = 0
-        self.acked = 0
+        # How often the lease has lapsed, and whether it is lapsed now.
+        self.lapses = 0
+        self.is_lapsed = True
+        self.lapses_at_end = {}
         self.highest = {}
         self.seq = 0
         self.changed = asyncio.Event()
@@ -166,6 +169,9 @@
         while True:
             await asyncio.sleep(0.01)
             now = time.monotonic()
+            if life.clock_ms() >= life.until_ms and not life.is_lapsed:
+                life.is_lapsed = True
+                life.lapses += 1
             for (name, _), run in list(life.runs.items()):
                 if life.clock_ms() >= life.until_ms:
                     self._end(life, name, run, "lapsed")
@@ -179,6 +185,7 @@
         life.highest[name] = max(life.highest.get(name, 0), run.number)
         life.end_count += 1
         life.ends.append([life.end_count, name, run.number, how, ""])
+        life.lapses_at_end[life.end_count] = life.lapses
         life.changed.set()
         at = self._record.add(
             self.name, "END", life=life.number, n=life.end_count, task=name, run=run.number, how=how
@@ -224,6 +231,7 @@
     def _extend(self, life, until_ms):
         limit_ms = life.clock_ms() + HOLD_MAX_MS
         life.until_ms = max(life.until_ms, min(until_ms or 0, limit_ms))
+        life.is_lapsed = life.is_lapsed and life.clock_ms() >= life.until_ms
 
     async def _run_start(self, life, fields):
         name, number = fields["task"], fields["run"]
@@ -268,6 +276,7 @@
                 run=row[2],
                 how=row[3],
                 ackedUpto=acked,
+                lapsed=life.lapses > life.lapses_at_end[row[0]],
             )
         life.ends = [row for row in life.ends if row[0] > acked]
         if not life.ends and fields.get("waitMs"):
