Send nothing meant for one life of a worker to the next one

Cause: a call names the worker's id only, and the next life answers to it. Orders, leases and acknowledged ends of the former life took effect there, and the heartbeat then requeued what the leader had started on the new life. In the trace a run ordered after the crash starts on the second life, and the same task starts there again 9 ms after the heartbeat.

Change: the driver asks each new connection for the start time of the worker, by a poll without effect, before it sends anything on it. A connection leads to one process until it is closed, so a call reaches the life that it is meant for or none. Connections are kept for each life. The count of calls in test_odd_replies_of_one_worker is now awaited, with repeated announcements, because the flow no longer waits for the odd worker; a second flow after it has to be completed too.

--- a/siskintally/driver.py
+++ b/siskintally/driver.py
@@ -161,6 +161,9 @@
 class WorkerDriver(ABC):
     """Calls to workers; each call addresses one incarnation.
 
+    A call has no effect on another incarnation, not even on one that started again under the same
+    id at the same address: leases, run numbers, and acknowledged ends mean nothing there.
+
     Every call raises :class:`~siskintally.errors.UnreachableError` if it was certainly not sent,
     :class:`~siskintally.errors.OutcomeUnknownError` if the worker may execute it, even seconds
     later, :class:`IncarnationGoneError` if another incarnation answered, and :class:`BusyError`
--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -89,12 +89,13 @@
 
 
 class _Connection:
-    __slots__ = ("protocol", "request_count", "stream")
+    __slots__ = ("is_checked", "protocol", "request_count", "stream")
 
     def __init__(self, *, stream):
         self.stream = stream
         self.protocol = Protocol(CLIENT)
         self.request_count = 0
+        self.is_checked = False
 
 
 class HttpPool:
@@ -116,11 +117,15 @@
         """Number of idle connections."""
         return len(self._idle)
 
-    async def request(self, method, path, *, headers=(), body=b"", timeout):
+    async def request(self, method, path, *, headers=(), body=b"", timeout, check_peer=None):
         """Send a request and return the :class:`HttpReply`.
 
         :param headers: pairs of strings.
-        :param timeout: seconds, including the time to connect.
+        :param timeout: seconds, including the time to connect and to check the peer.
+        :param check_peer: ``async check_peer(exchange)`` that is called once for each new
+            connection before its first request; ``await exchange(method, path, headers=,
+            body=)`` sends a request on that connection and returns the reply. An error that it
+            raises ends the connection, and the request is not sent.
         :raises UnreachableError: the request was certainly not sent.
         :raises ConnectionLostError: the connection was lost, or the response was invalid or too
             large, after (part of) the request was sent.
@@ -131,6 +136,7 @@
         try:
             with fail_after(timeout):
                 connection = await self._acquire()
+                await self._check(connection, check_peer)
                 data = self._encode_request(connection, method, path, headers, body)
                 sent = True
                 await connection.stream.send(data)
@@ -167,6 +173,21 @@
         self.opened_count += 1
         return _Connection(stream=await connect_tcp(self._host, self._port))
 
+    async def _check(self, connection, check_peer):
+        """Check the peer of a connection, which stays the same process until it is closed."""
+        if check_peer is None or connection.is_checked:
+            return
+
+        async def exchange(method, path, *, headers=(), body=b""):
+            data = self._encode_request(connection, method, path, headers, body)
+            await connection.stream.send(data)
+            reply = await _receive_reply(connection)
+            connection.protocol.start_next_cycle()
+            return reply
+
+        await check_peer(exchange)
+        connection.is_checked = True
+
     def _encode_request(self, connection, method, path, headers, body):
         all_headers = [
             ("host", f"{self._host}:{self._port}"),
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -5,6 +5,7 @@
 0
 """
 
+from functools import partial
 from json import dumps
 
 from siskintally.driver import (
@@ -27,6 +28,7 @@
 
 EXPECT_INSTANCE_HEADER = "Siskintally-Expect-Instance"
 JSON_HEADER = ("Content-Type", "application/json")
+STATUS_PATH = "/hold"
 # Most ends that a worker returns in one response.
 ENDS_PER_REPORT = 500
 MISDIRECTED = 421
@@ -54,17 +56,22 @@
 
 
 class PlatformWorkerDriver(WorkerDriver):
-    """Sends orders and status polls to workers over HTTP."""
+    """Sends orders and status polls to workers over HTTP.
 
-    __slots__ = ("_pool_by_address",)
+    A worker that starts again under its id answers to that id. So each new connection is asked
+    for the incarnation at its other end, which stays the same while the connection is open, before
+    anything that holds for one incarnation only is sent on it.
+    """
+
+    __slots__ = ("_pool_by_incarnation",)
 
     def __init__(self):
-        self._pool_by_address = {}
+        self._pool_by_incarnation = {}
 
     @property
     def pool_count(self):
-        """Number of connection pools, one per worker address."""
-        return len(self._pool_by_address)
+        """Number of connection pools, one per worker incarnation and address."""
+        return len(self._pool_by_incarnation)
 
     async def start(self, worker, order, *, timeout):
         """Send a start order."""
@@ -105,7 +112,7 @@
             body["untilMs"] = lease_until_ms
         if wait_ms:
             body["waitMs"] = wait_ms
-        reply = await self._post(worker, "/hold", body, timeout)
+        reply = await self._post(worker, STATUS_PATH, body, timeout)
         order_reply = _read_order_reply(reply)
         if order_reply.refusal != Refusal.NONE:
             return WorkerReport(clock_ms=order_reply.clock_ms, refusal=order_reply.refusal)
@@ -113,33 +120,83 @@
 
     async def disconnect(self, worker):
         """Close the connections to a worker."""
-        pool = self._pool_by_address.pop(worker.address, None)
+        pool = self._pool_by_incarnation.pop(_incarnation_key(worker), None)
         if pool is not None:
             await pool.close()
 
     async def _post(self, worker, path, body, timeout):
-        pool = self._pool_by_address.get(worker.address)
-        if pool is None:
-            try:
-                host, port = parse_address(worker.address)
-            except BadRequestError as error:
-                raise UnreachableError(f"{worker.id}: {error}") from error
-            pool = self._pool_by_address[worker.address] = HttpPool(host=host, port=port)
-        reply = await pool.request(
+        reply = await self._pool_of(worker).request(
             "POST",
             path,
-            headers=(JSON_HEADER, (EXPECT_INSTANCE_HEADER, worker.id)),
-            body=dumps(body, separators=(",", ":")).encode(),
+            headers=_headers(worker),
+            body=_encode(body),
             timeout=timeout,
+            check_peer=partial(_check_incarnation, worker, body["fence"]),
         )
-        if reply.status == MISDIRECTED:
-            raise IncarnationGoneError(f"{worker.address}: another instance than {worker.id}")
-        if reply.status in BUSY_STATUSES:
-            raise BusyError(f"{worker.id}: status {reply.status}")
-        if reply.status >= 500:
-            raise OutcomeUnknownError(f"{worker.id}: status {reply.status}")
+        _raise_for_status(worker, reply)
         return reply
 
+    def _pool_of(self, worker):
+        """Return the pool of connections to one incarnation.
+
+        :raises UnreachableError: its address cannot be used.
+        """
+        key = _incarnation_key(worker)
+        if key not in self._pool_by_incarnation:
+            try:
+                host, port = parse_address(worker.address)
+            except BadRequestError as error:
+                raise UnreachableError(f"{worker.id}: {error}") from error
+            self._pool_by_incarnation[key] = HttpPool(host=host, port=port)
+        return self._pool_by_incarnation[key]
+
+
+def _incarnation_key(worker):
+    return worker.address, worker.id, worker.born_ms
+
+
+def _headers(worker):
+    return JSON_HEADER, (EXPECT_INSTANCE_HEADER, worker.id)
+
+
+def _encode(body):
+    return dumps(body, separators=(",", ":")).encode()
+
+
+def _raise_for_status(worker, reply):
+    """Raise the error for a response that neither executes nor refuses a call."""
+    if reply.status == MISDIRECTED:
+        raise IncarnationGoneError(f"{worker.address}: another instance than {worker.id}")
+    if reply.status in BUSY_STATUSES:
+        raise BusyError(f"{worker.id}: status {reply.status}")
+    if reply.status >= 500:
+        raise OutcomeUnknownError(f"{worker.id}: status {reply.status}")
+
+
+async def _check_incarnation(worker, fence, exchange):
+    """Check which incarnation answers on a new connection.
+
+    The status poll renews no lease and acknowledges no end, so it does no harm to another one.
+
+    :param exchange: function that sends a request on the connection.
+    :raises IncarnationGoneError: another incarnation answers.
+    :raises OutcomeUnknownError: the reply is malformed and does not refuse the poll.
+    """
+    body = _encode({"fence": fence, "ackedUpto": 0})
+    reply = await exchange("POST", STATUS_PATH, headers=_headers(worker), body=body)
+    _raise_for_status(worker, reply)
+    try:
+        fields = Fields.parse(reply.body or b"{}")
+        born_ms = fields.integer("born", 0)
+    except BadRequestError as error:
+        if reply.status < 300:
+            raise OutcomeUnknownError(f"report of a worker: {error}") from error
+        return
+    if born_ms and worker.born_ms and born_ms != worker.born_ms:
+        raise IncarnationGoneError(
+            f"{worker.address}: {worker.id} was started at {born_ms}, not at {worker.born_ms}"
+        )
+
 
 def _read_order_reply(reply):
     """Parse the reply to an order; a refusal without a readable reason is ``INVALID``.
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -53,6 +53,7 @@
             200,
             {
                 "clockMs": report.clock_ms,
+                "born": self.worker.record.born_ms,
                 "running": [[row.task_id, row.run, "", 50] for row in report.running],
                 "ended": [
                     [end.number, end.task_id, end.run, end.kind.name.lower(), ""]
@@ -75,5 +76,5 @@
             "labels": ["a", "r1"],
             "clockMs": self.worker.clock_ms,
             "seq": self.worker.record.seq,
-            "born": 5,
+            "born": self.worker.record.born_ms,
         }
--- a/tests/test_flow_cell.py
+++ b/tests/test_flow_cell.py
@@ -64,13 +64,17 @@
         """Start a store."""
         node = ControlNode(
             settings=self.settings(host, bootstrap=bootstrap),
-            driver=self.pool,
+            driver=self.make_driver(),
             advice=NoAdvice(),
             counters=Counters(),
         )
         self.node_by_host[host] = node
         self.tasks.start_soon(self._run, host, node)
 
+    def make_driver(self):
+        """Return the driver of a store."""
+        return self.pool
+
     async def _run(self, host, node):
         async with create_task_group() as tasks:
             self.scope_by_host[host] = tasks.cancel_scope
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -8,7 +8,7 @@
 from siskintally.http_server import HttpApp, HttpResponse, serve_http
 from tests.platform_worker import PlatformWorkerApp
 from tests.processes import free_ports, wait_until
-from tests.test_platform_process import HOSTS, JOB, play
+from tests.test_platform_process import HOSTS, JOB, JOB_PATH, play
 
 DEEP_LISTS = b"[" * 100_000 + b"]" * 100_000
 # Nested as deeply as the parser still accepts.
@@ -125,13 +125,21 @@
             )
             await cell.control_call("POST", "/instances/a-odd/heartbeat", json=body)
 
-            async def completed():
-                await cell.job("POST", json=JOB)
-                answer = await cell.job("GET")
+            async def completed(path):
+                await cell.job("POST", path, json=JOB)
+                answer = await cell.job("GET", path)
                 return answer is not None and answer.json() == {"state": "completed"}
 
-            await wait_until(completed, "completed", limit_s=40)
-            assert app.calls > len(app.bodies) * 2
+            await wait_until(partial(completed, JOB_PATH), "completed", limit_s=40)
+
+            async def has_given_each_reply():
+                body["seq"] += 1
+                await cell.control_call("POST", "/instances/a-odd/heartbeat", json=body)
+                return app.calls > len(app.bodies) * 2
+
+            await wait_until(has_given_each_reply, "each reply", limit_s=40)
+            last_path = "/q/00000000000000ab"
+            await wait_until(partial(completed, last_path), "completed again", limit_s=40)
             stop_event.set()
         assert all(cell.processes.popen_by_name[host].poll() is None for host in HOSTS)
         assert pids == {host: cell.processes.popen_by_name[host].pid for host in HOSTS}
