Let advice about a worker end with the life that it was given for

A ticket of a former life made the next life refuse the start (409, ticket), and a worker that was denied once was never asked about again in its next life, which may be another machine.

Change: the end of a life removes its tickets and denials, and an answer that arrives after it is ignored for that worker, because the planned call now names the incarnations.

--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -23,13 +23,19 @@
 class AdviceAction(NamedTuple):
     """A planned call to the advice service for one step.
 
-    ``expected_s``: call duration according to the terms of the service.
+    ``workers``: the :class:`~siskintally.fleet.FleetWorker` objects that it names, the preferred
+    one first. ``expected_s``: call duration according to the terms of the service.
     """
 
     step: StepRun
-    worker_ids: tuple
+    workers: tuple
     expected_s: float
 
+    @property
+    def worker_ids(self):
+        """Ids of the workers that the call names."""
+        return tuple(worker.id for worker in self.workers)
+
     @property
     def is_quick(self):
         """Whether the call may use a client reserved for quick calls."""
@@ -78,9 +84,9 @@
             workers = self._workers_to_ask(step, now, index)
             worker_count = min(len(workers), MAX_WORKERS)
             if worker_count and free[_is_quick(queue.advice, worker_count=worker_count)]:
-                worker_ids = self._preferred_ids(step, workers, now)
+                named = self._preferred_workers(step, workers, now)
                 expected_s = _expected_s(queue.advice, worker_count)
-                yield AdviceAction(step=step, worker_ids=worker_ids, expected_s=expected_s)
+                yield AdviceAction(step=step, workers=named, expected_s=expected_s)
                 free = {is_quick: has_client(is_quick=is_quick) for is_quick in (True, False)}
 
     def _steps_ready_soon(self, now):
@@ -164,10 +170,10 @@
         ]
         return reserved + others
 
-    def _preferred_ids(self, step, workers, now):
-        """Return the ids of the workers to name in a call, the preferred one first."""
+    def _preferred_workers(self, step, workers, now):
+        """Return the workers to name in a call, the preferred one first."""
         ordered = sorted(workers, key=lambda worker: self.sort_key(step, worker, now))
-        return tuple(worker.id for worker in ordered[:MAX_WORKERS])
+        return tuple(ordered[:MAX_WORKERS])
 
     def _is_permitted(self, step, worker, now):
         _, expires_at = step.ticket_by_worker.get(worker.id, ("", 0.0))
@@ -176,6 +182,8 @@
     def apply_advice(self, action, tickets, valid_until, now):
         """Store the tickets and denials from an answer of the advice service.
 
+        Those of an incarnation that has ended since the call are ignored.
+
         :param tickets: :class:`~siskintally.driver.Ticket` objects, None after a failed call.
         :param valid_until: steady time at which the tickets expire.
         """
@@ -185,10 +193,19 @@
             step.next_ask_at = now + RETRY_S
             return
         allowed = {ticket.worker_id for ticket in tickets}
-        step.denied_worker_ids.update(
-            worker_id for worker_id in action.worker_ids if worker_id not in allowed
-        )
+        current = {
+            worker.id for worker in action.workers if self.worker_by_id.get(worker.id) is worker
+        }
+        step.denied_worker_ids.update(current - allowed)
         for ticket in tickets:
-            step.ticket_by_worker[ticket.worker_id] = (ticket.text, valid_until)
+            if ticket.worker_id in current:
+                step.ticket_by_worker[ticket.worker_id] = (ticket.text, valid_until)
         if not allowed:
             step.next_ask_at = now + RETRY_S
+
+    def forget_advice(self, worker_id):
+        """Forget the tickets and denials of an incarnation that has ended."""
+        for flow in self.flow_by_id.values():
+            for step in flow.steps():
+                step.ticket_by_worker.pop(worker_id, None)
+                step.denied_worker_ids.discard(worker_id)
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -259,6 +259,7 @@
         self._release_tasks(worker)
         if self.worker_by_id.get(worker.id) is worker:
             del self.worker_by_id[worker.id]
+            self.forget_advice(worker.id)
             self.requeue_unlocated(worker)
 
     def _release_tasks(self, worker):
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -1,5 +1,7 @@
 """Decisions of the flow scheduler; each test names the failure it guards against."""
 
+from pytest import mark
+
 from siskintally.control_pb2 import (
     AdviceTerms,
     ControlCommand,
@@ -408,6 +410,37 @@
     assert started == {999: [], 1000: ["f.0.0.0"], 1499: [], 1500: ["f.1.0.0"]}
 
 
+@mark.parametrize("is_answered", [True, False], ids=["answered before", "answered after"])
+@mark.parametrize("is_allowed", [True, False], ids=["allowed", "denied"])
+def test_advice_about_a_former_life_of_a_worker_does_not_hold_for_the_next_one(
+    is_answered, is_allowed
+):
+    """Guards against starts refused for their ticket, and a worker that is never asked about again.
+
+    A ticket is valid during one life of the worker, which may return as a machine of another kind.
+    """
+    queue = Queue()
+    queue.CopyFrom(QUEUE)
+    queue.advice.CopyFrom(AdviceTerms(decide_ms=20, per_worker_ms=1, valid_ms=2000))
+    harness = FlowHarness(queue=queue)
+    harness.add_worker(make_worker("w", born_ms=1))
+    harness.submit(make_flow("f"))
+    scheduler = harness.scheduler
+    (action,) = scheduler.plan_advice_calls(harness.now, 0)
+    tickets = [Ticket(worker_id="w", text="t")] if is_allowed else []
+    if is_answered:
+        scheduler.apply_advice(action, tickets, harness.now + 2.0, harness.now)
+        harness.add_worker(make_worker("w", born_ms=2))
+    else:
+        action.step.is_asking = True
+        harness.add_worker(make_worker("w", born_ms=2))
+        scheduler.apply_advice(action, tickets, harness.now + 2.0, harness.now)
+    assert harness.place() == []
+    harness.now += 1.0
+    (action,) = scheduler.plan_advice_calls(harness.now, 0)
+    assert action.worker_ids == ("w",)
+
+
 def test_a_start_on_a_queue_with_advice_needs_a_ticket_in_force():
     """Guards against starts that workers refuse for want of a ticket."""
     queue = Queue()
