Let only flows whose queue is configured take part in placement passes

Cause: a flow whose queue is removed had no queue and still took part in each pass. The reservation of room reads the terms of the queue of a step that counts as large, and a step without eligible workers always does. The next leader restores the same flow.

Change: a step is due only while its flow may start tasks, which is one condition in place of the checks for a missing queue along the pass.

--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -74,10 +74,10 @@
         for step in (*self.due_steps(now, wall_ms), *self._steps_ready_soon(now)):
             if not free[True]:
                 return
-            if step.is_asking or now < step.next_ask_at or not step.flow.is_open:
+            if step.is_asking or now < step.next_ask_at or not step.flow.may_start:
                 continue
             queue = step.flow.queue
-            if queue is None or not queue.HasField("advice"):
+            if not queue.HasField("advice"):
                 continue
             if not free[_is_quick(queue.advice, worker_count=1)]:
                 continue
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -160,8 +160,8 @@
 
     @property
     def is_due(self):
-        """Whether the step has tasks to start, is ready, and its flow is open."""
-        return bool(self.waiting) and not self.unfinished_dependencies and self.flow.is_open
+        """Whether the step has tasks to start, is ready, and its flow may start tasks."""
+        return bool(self.waiting) and not self.unfinished_dependencies and self.flow.may_start
 
 
 class FlowRun:
@@ -207,6 +207,11 @@
             delay_ms = self.scheduled_at_ms(step.occurrence) - flow.accepted_ms
             step.due_at = self.due_at + max(delay_ms, 0) / 1000
 
+    @property
+    def may_start(self):
+        """Whether tasks may be started: the flow is open and its queue is configured."""
+        return self.is_open and self.queue is not None
+
     @property
     def id(self):
         """Flow id."""
--- a/siskintally/pass_index.py
+++ b/siskintally/pass_index.py
@@ -95,5 +95,4 @@
 
 def _requirements(step):
     """Return what the eligible workers depend on, apart from the free resources."""
-    queue = step.flow.queue
-    return (queue.service if queue is not None else None, step.spec.label)
+    return step.flow.queue.service, step.spec.label
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -143,7 +143,7 @@
         :param index: :class:`PassIndex` of the pass.
         """
         queue = step.flow.queue
-        if queue is None or (queue.HasField("advice") and not step.ticket_by_worker):
+        if queue.HasField("advice") and not step.ticket_by_worker:
             return
         is_late = now + step.path_s > step.due_at
         for worker in index.with_room(step, ignores_reservations=is_late):
@@ -152,13 +152,11 @@
 
     def eligible_workers(self, step, now):
         """Yield the workers that match the service and label of a step and accept tasks."""
-        queue = step.flow.queue
-        if queue is None:
-            return
+        service = step.flow.queue.service
         for worker in self.worker_by_id.values():
             if (
                 worker.accepts_tasks
-                and worker.record.service == queue.service
+                and worker.record.service == service
                 and worker.excluded_until <= now
                 and (not step.spec.label or step.spec.label in worker.record.labels)
             ):
--- a/tests/flow_harness.py
+++ b/tests/flow_harness.py
@@ -43,10 +43,10 @@
     )
 
 
-def make_flow(name, *steps):
+def make_flow(name, *steps, queue="q"):
     """Return a flow with steps, by default one task of one core."""
     steps = steps or (FlowStep(tasks=1, cpu_milli=1000, memory_mb=10, estimate_ms=1000),)
-    return Flow(id=name, queue="q", spec="spec", steps=steps)
+    return Flow(id=name, queue=queue, spec="spec", steps=steps)
 
 
 def make_step(tasks, **fields):
@@ -68,11 +68,8 @@
         self.ended_by_worker = {}
         self.started = []
         self.uncommitted = []
-        self.commit(
-            document=QueueDocument(
-                version=1, queues=[queue], services=[WorkerService(name=SERVICE)]
-            )
-        )
+        self.scheduler = FlowScheduler(term=term)
+        self.configure(queue)
         self.begin_term(term)
 
     def begin_term(self, term):
@@ -94,10 +91,20 @@
         self.running_by_worker.setdefault(record.id, {})
         self.ended_by_worker.setdefault(record.id, [])
 
+    def configure(self, *queues):
+        """Put the next version of the configuration in force."""
+        document = QueueDocument(
+            version=self.state.document.version + 1,
+            queues=queues,
+            services=[WorkerService(name=SERVICE)],
+        )
+        self.commit(document=document)
+        self.scheduler.update_queues(self.state)
+
     def submit(self, flow):
         """Submit a flow; the same flow may be submitted again."""
         self.commit(accept=flow)
-        self.scheduler.accept(flow, self.queue, self.now)
+        self.scheduler.accept(flow, self.state.queue(flow.queue), self.now)
 
     def place(self):
         """Start all tasks that can be started; return the (task id, worker id) pairs."""
