Give a flow that was restored without its queue the due time of its queue

Change: a flow gets its due times when its queue is known for the first time; later changes of the queue leave them as they are, as before.

--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -200,13 +200,28 @@
                 self.step_by_key[step.occurrence, dependency].dependents.append(step)
         for step in reversed(self.step_by_key.values()):
             step.path_s += max((dependent.path_s for dependent in step.dependents), default=0.0)
-        aim_s = queue.aim_ms / 1000 if queue is not None else 0.0
-        stretch = queue.stretch if queue is not None else 1.0
-        self.due_at = arrived_at + aim_s + max(stretch, 1.0) * self.critical_path_s()
+        self.due_at = arrived_at
+        if queue is not None:
+            self._set_due_times()
+
+    def _set_due_times(self):
+        aim_s = self.queue.aim_ms / 1000
+        stretch = max(self.queue.stretch, 1.0)
+        self.due_at = self.arrived_at + aim_s + stretch * self.critical_path_s()
         for step in self.steps():
-            delay_ms = self.scheduled_at_ms(step.occurrence) - flow.accepted_ms
+            delay_ms = self.scheduled_at_ms(step.occurrence) - self.flow.accepted_ms
             step.due_at = self.due_at + max(delay_ms, 0) / 1000
 
+    def change_queue(self, queue):
+        """Follow a new configuration; a flow whose queue it lacks waits until the queue is back.
+
+        :param queue: :class:`~siskintally.control_pb2.Queue`, None if it is not configured.
+        """
+        was_without_queue = self.queue is None
+        self.queue = queue
+        if was_without_queue and queue is not None:
+            self._set_due_times()
+
     @property
     def may_start(self):
         """Whether tasks may be started: the flow is open and its queue is configured."""
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -176,7 +176,7 @@
         """
         by_name = {queue.name: queue for queue in state.document.queues}
         for flow in self.flow_by_id.values():
-            flow.queue = by_name.get(flow.flow.queue)
+            flow.change_queue(by_name.get(flow.flow.queue))
 
     def cancel(self, flow_id):
         """Close a flow whose cancellation is committed."""
--- a/tests/test_removed_queue.py
+++ b/tests/test_removed_queue.py
@@ -135,6 +135,7 @@
     """Guards against an accepted job that is forgotten or late for ever after the queue is back."""
     harness = make_harness()
     submit(harness, make_step(2, cpu_milli=LARGE_CPU_MILLI))
+    due_at = harness.scheduler.flow_by_id["f"].due_at
     harness.place()
     for _ in range(times):
         harness.configure(KEPT)
@@ -143,6 +144,8 @@
         harness.deliver_report("w0")
         assert harness.place() == []
         harness.configure(KEPT, REMOVED)
+        flow = harness.scheduler.flow_by_id["f"]
+        assert flow.due_at - flow.arrived_at == due_at - 100.0
     for _ in range(2):
         harness.place()
         [running] = harness.running_by_worker["w0"]
