End a flow that used up its attempts without its queue when the queue is back

Change: a configuration that brings a queue back closes its flows whose attempts are used up, as part of the replicated command; the scheduler follows and stops their other runs.

Result: test_a_flow_whose_attempts_end_while_its_queue_is_removed_fails_when_it_is_back, both cases failed before and pass now; scheduler, cell and walk tests pass.

--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -135,6 +135,12 @@
         if is_exhausted:
             self.close(Outcome.FAILED)
 
+    def close_if_exhausted(self, max_attempts):
+        """Record the failure of a flow whose tasks failed too often while it had no queue."""
+        failures = self.failures_by_task
+        if any(failures[name].count >= max_attempts for name in failures if name not in self.done):
+            self.close(Outcome.FAILED)
+
 
 class ControlState(StateMachine):
     """Replicated state; ``worker_by_id`` contains every worker that may have received tasks.
@@ -200,8 +206,14 @@
                 state.record_failure(task, end.run, max_attempts)
 
     def _apply_document(self, document):
-        if document.version > self.document.version:
-            self._set_document(document)
+        if document.version <= self.document.version:
+            return
+        former = self.queues
+        self._set_document(document)
+        for state in self.flow_by_id.values():
+            queue = self.queue(state.flow.queue)
+            if queue is not None and state.flow.queue not in former.by_name:
+                state.close_if_exhausted(queue.max_attempts)
 
     def _apply_join(self, worker):
         self.worker_by_id[worker.id] = worker
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -175,8 +175,11 @@
         :param state: :class:`~siskintally.control_state.ControlState`.
         """
         by_name = {queue.name: queue for queue in state.document.queues}
-        for flow in self.flow_by_id.values():
+        for flow in list(self.flow_by_id.values()):
             flow.change_queue(by_name.get(flow.flow.queue))
+            flow_state = state.flow_by_id.get(flow.id)
+            if flow_state is not None and flow_state.outcome != Outcome.OPEN:
+                self.close(flow)
 
     def cancel(self, flow_id):
         """Close a flow whose cancellation is committed."""
--- a/tests/test_removed_queue.py
+++ b/tests/test_removed_queue.py
@@ -155,6 +155,28 @@
     assert sorted(task_id for task_id, _ in harness.started) == ["f.0.0.0", "f.0.0.1"]
 
 
+@mark.parametrize("has_next_leader", [False, True], ids=["same leader", "next leader"])
+def test_a_flow_whose_attempts_end_while_its_queue_is_removed_fails_when_it_is_back(
+    has_next_leader,
+):
+    """Guards against a start after the last allowed attempt has failed."""
+    queue = make_queue("removed", max_attempts=1)
+    harness = make_harness(queue)
+    submit(harness, make_step(2))
+    harness.place()
+    harness.configure(KEPT)
+    harness.end_run("w0", "f.0.0.0", EndKind.FAILED)
+    harness.deliver_report("w0")
+    assert harness.state.flow_by_id["f"].outcome == Outcome.OPEN
+    if has_next_leader:
+        restart_from_disk(harness)
+        harness.deliver_report("w0")
+    harness.configure(KEPT, queue)
+    assert harness.state.flow_by_id["f"].outcome == Outcome.FAILED
+    assert harness.place() == []
+    assert harness.carry_out_stops() == ["f.0.0.1"]
+
+
 def test_advice_that_arrives_after_its_queue_was_removed_starts_nothing():
     """Guards against a leader that ends because of an answer about a removed queue."""
     harness = make_harness(make_queue("removed", advice=ADVICE))
