Keep an unexpected error of one flow from ending the leader

An end that cannot be handled is still committed as done, since its worker forgets it. A report that cannot be handled as a whole counts as a failed poll. Without a recorder of errors, as in unit tests, the scheduler raises as before.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -29,8 +29,8 @@
     ),
     "Flows (jobs made of steps)": (
         "flow task_id flow_checks flow_scheduler step_placement pass_index room_reservation "
-        "advice_planning report_handling throttling fleet worker_lease flow_timing control_state "
-        "queue_checks queue_index committed_commands worker_checks "
+        "advice_planning report_handling error_isolation throttling fleet worker_lease "
+        "flow_timing control_state queue_checks queue_index committed_commands worker_checks "
         "actions speculation quorum_check flow_retention control_leader flow_dispatcher "
         "worker_manager long_poll advice_client_pool step_text flow_trace flow_report "
         "advice_clients control_service driver stub_pool"
--- a/siskintally/actions.py
+++ b/siskintally/actions.py
@@ -10,6 +10,7 @@
 from siskintally.control_pb2 import TaskStart
 from siskintally.fleet import FleetWorker
 from siskintally.flow import TaskRun
+from siskintally.task_id import TaskId
 
 
 class StartAction(NamedTuple):
@@ -20,6 +21,11 @@
     run: int
     ticket: str
 
+    @property
+    def flow_id(self):
+        """Id of the flow that the action is for."""
+        return self.task.step.flow.id
+
     def to_record(self):
         """Return the :class:`TaskStart` to commit before the order is sent.
 
@@ -46,6 +52,12 @@
     worker: FleetWorker
     is_overdue: bool = False
 
+    @property
+    def flow_id(self):
+        """Id of the flow that the action is for."""
+        task_id = TaskId.parse(self.task_id)
+        return task_id.flow if task_id is not None else ""
+
 
 class ThrottleAction(NamedTuple):
     """An order to send that limits a best-effort task to a share of the processor."""
@@ -54,3 +66,8 @@
     run: int
     worker: FleetWorker
     percent: int
+
+    @property
+    def flow_id(self):
+        """Id of the flow that the action is for."""
+        return self.task.step.flow.id
--- a/siskintally/advice_planning.py
+++ b/siskintally/advice_planning.py
@@ -36,6 +36,11 @@
         """Ids of the workers that the call names."""
         return tuple(worker.id for worker in self.workers)
 
+    @property
+    def flow_id(self):
+        """Id of the flow that the action is for."""
+        return self.step.flow.id
+
     @property
     def is_quick(self):
         """Whether the call may use a client reserved for quick calls."""
@@ -74,32 +79,55 @@
         for step in (*self.due_steps(now, wall_ms), *self._steps_ready_soon(now)):
             if not free[True]:
                 return
-            if step.is_asking or now < step.next_ask_at or not step.flow.may_start:
-                continue
-            queue = step.flow.queue
-            if not queue.HasField("advice"):
+            try:
+                action = self._plan_advice_call(step, now, index, free)
+            except Exception as error:
+                self.isolate(step.flow.id, error, now)
                 continue
-            if not free[_is_quick(queue.advice, worker_count=1)]:
-                continue
-            workers = self._workers_to_ask(step, now, index)
-            worker_count = min(len(workers), MAX_WORKERS)
-            if worker_count and free[_is_quick(queue.advice, worker_count=worker_count)]:
-                named = self._preferred_workers(step, workers, now)
-                expected_s = _expected_s(queue.advice, worker_count)
-                yield AdviceAction(step=step, workers=named, expected_s=expected_s)
+            if action is not None:
+                yield action
                 free = {is_quick: has_client(is_quick=is_quick) for is_quick in (True, False)}
 
+    def _plan_advice_call(self, step, now, index, free):
+        """Return the :class:`AdviceAction` of a step, or None if it should not ask now.
+
+        :param free: whether a client is free, by whether it is for quick calls.
+        """
+        if step.is_asking or now < step.next_ask_at or not step.flow.may_start:
+            return None
+        queue = step.flow.queue
+        if not queue.HasField("advice") or not free[_is_quick(queue.advice, worker_count=1)]:
+            return None
+        workers = self._workers_to_ask(step, now, index)
+        worker_count = min(len(workers), MAX_WORKERS)
+        if not worker_count or not free[_is_quick(queue.advice, worker_count=worker_count)]:
+            return None
+        return AdviceAction(
+            step=step,
+            workers=self._preferred_workers(step, workers, now),
+            expected_s=_expected_s(queue.advice, worker_count),
+        )
+
     def _steps_ready_soon(self, now):
         """Yield steps whose last dependency ends soon, so that their permits arrive in time."""
         for step in self.running_steps():
-            for dependent in step.dependents:
-                if dependent.unfinished_dependencies == 1 and not dependent.ticket_by_worker:
-                    queue = dependent.flow.queue
-                    if queue is None or not queue.HasField("advice"):
-                        continue
-                    lead_s = (queue.advice.decide_ms + 200) / 1000
-                    if self._remaining_s(step, now) <= lead_s:
-                        yield dependent
+            if not step.flow.may_start or not step.flow.queue.HasField("advice"):
+                continue
+            if step.flow.is_suspended(now):
+                continue
+            try:
+                yield from self._dependents_ready_soon(step, now)
+            except Exception as error:
+                self.isolate(step.flow.id, error, now)
+
+    def _dependents_ready_soon(self, step, now):
+        lead_s = (step.flow.queue.advice.decide_ms + 200) / 1000
+        for dependent in step.dependents:
+            is_last = dependent.unfinished_dependencies == 1
+            if not is_last or dependent.ticket_by_worker:
+                continue
+            if self._remaining_s(step, now) <= lead_s:
+                yield dependent
 
     def _remaining_s(self, step, now):
         """Return the estimated time until a step ends, s; infinite if a task is not running."""
--- a/siskintally/committed_commands.py
+++ b/siskintally/committed_commands.py
@@ -56,7 +56,10 @@
         count = 0
         while self._commands:
             kind, body = self._commands.popleft()
-            _HANDLER_BY_KIND[kind](self, body, now)
+            try:
+                _HANDLER_BY_KIND[kind](self, body, now)
+            except Exception as error:
+                self._scheduler.isolate(getattr(body, "id", ""), error, now)
             count += 1
         return count
 
@@ -104,7 +107,7 @@
                 self._scheduler.cancel(flow_state.flow.id)
 
     def _update_queues(self, document, now):
-        self._scheduler.update_queues(self._state)
+        self._scheduler.update_queues(self._state, now)
         self._on_document()
 
 
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -78,7 +78,7 @@
     ):
         self.state = state
         self.term = group.term
-        self.scheduler = FlowScheduler(term=group.term)
+        self.scheduler = FlowScheduler(term=group.term, on_error=self._record_flow_error)
         self._committed = CommittedCommands(
             scheduler=self.scheduler, state=state, on_document=on_document
         )
@@ -170,14 +170,22 @@
         """Request a placement pass."""
         self._wake.set()
 
+    def _record_flow_error(self, flow_id, error):
+        """Record an unexpected error; called while it is handled."""
+        log.exception("unexpected error", flow=flow_id)
+        self._counters.flow_errors.labels(type(error).__name__).inc()
+
     async def _run_passes(self):
         while True:
             with move_on_after(MAX_PASS_INTERVAL_S):
                 await self._wake.wait()
             await sleep(PASS_DELAY_S)
             self._wake = Event()
-            self._committed.apply(steady())
-            self._dispatcher.run_pass(steady(), int(time() * 1000), self._tasks)
+            try:
+                self._committed.apply(steady())
+                self._dispatcher.run_pass(steady(), int(time() * 1000), self._tasks)
+            except Exception as error:
+                self.scheduler.isolate("", error)
 
     def _start_manager(self, worker):
         manager = WorkerManager(
--- a/siskintally/counters.py
+++ b/siskintally/counters.py
@@ -20,6 +20,7 @@
         "advice_seconds",
         "cancellations",
         "ends",
+        "flow_errors",
         "leader_contact_losses",
         "leader_notice_age",
         "leases_expired",
@@ -59,6 +60,9 @@
         self.starts_refused = self._counter("starts_refused", "Refused starts.", "reason")
         self.start_seconds = self._histogram("start_seconds", "Acceptance to start of a task.")
         self.ends = self._counter("ends", "Ends of tasks.", "how")
+        self.flow_errors = self._counter(
+            "flow_errors", "Unexpected errors in the handling of a flow.", "error"
+        )
         self.stops = self._counter("stops", "Stop orders for tasks.")
         self.stops_confirmed = self._counter("stops_confirmed", "Stop orders that were confirmed.")
         self.stops_dropped = self._counter("stops_dropped", "Stop orders never sent.", "reason")
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -12,6 +12,7 @@
 """
 
 from enum import IntEnum
+from math import inf
 
 from siskintally.fleet import task_resources
 from siskintally.task_id import TaskId, occurrence_count
@@ -168,7 +169,8 @@
     """One flow that is open, or closed with tasks still on workers.
 
     ``due_at``: steady time by which the flow should be done; orders flows of equal priority.
-    ``started``: whether any task has been started.
+    ``started``: whether any task has been started. ``suspended_until``: steady time before which no
+    tasks are started, because an unexpected error came from the flow.
 
     :param queue: :class:`~siskintally.control_pb2.Queue`, None if it is no longer configured.
     :param arrived_at: steady time of acceptance; an estimate if a former leader accepted the flow.
@@ -182,10 +184,12 @@
         "queue",
         "started",
         "step_by_key",
+        "suspended_until",
     )
 
     def __init__(self, *, flow, queue, arrived_at):
         self.flow = flow
+        self.suspended_until = -inf
         self.queue = queue
         self.arrived_at = arrived_at
         self.is_open = True
@@ -227,6 +231,10 @@
         """Whether tasks may be started: the flow is open and its queue is configured."""
         return self.is_open and self.queue is not None
 
+    def is_suspended(self, now):
+        """Return whether no tasks are started after an unexpected error."""
+        return now < self.suspended_until
+
     @property
     def id(self):
         """Flow id."""
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -7,6 +7,7 @@
 
 from siskintally.clock import now as steady
 from siskintally.control_pb2 import StartBatch
+from siskintally.error_isolation import isolated
 from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
 from siskintally.log import get_logger
 
@@ -128,6 +129,7 @@
             reason=reason,
         )
 
+    @isolated
     async def _request_advice(self, client, action):
         tickets = None
         asked_at = steady()
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -14,6 +14,7 @@
 from siskintally.actions import StopAction
 from siskintally.advice_planning import AdvicePlanning
 from siskintally.control_state import Failures, Outcome
+from siskintally.error_isolation import ErrorIsolation
 from siskintally.fleet import FleetWorker, WorkerStatus
 from siskintally.flow import FlowRun, TaskState
 from siskintally.report_handling import ReportHandling
@@ -26,7 +27,7 @@
 MAX_RESTORED_AGE_S = 60.0
 
 
-class FlowScheduler(StepPlacement, AdvicePlanning, ReportHandling, Speculation):
+class FlowScheduler(StepPlacement, AdvicePlanning, ReportHandling, Speculation, ErrorIsolation):
     """Scheduling decisions of a leader during its term.
 
     ``ready_by_id``: unfinished steps whose dependencies are done. ``stops``, ``throttles``:
@@ -36,6 +37,8 @@
     reported in this term. ``_known_flow_ids``: ids of all flows seen in this term.
 
     :param term: term of the leader; also the fence of its orders.
+    :param on_error: ``on_error(flow_id, error)`` that is called for an unexpected error that
+        suspends a flow; None to raise such errors.
     """
 
     __slots__ = (
@@ -44,6 +47,7 @@
         "_unlocated_by_worker",
         "flow_by_id",
         "last_end_by_worker",
+        "on_error",
         "ready_by_id",
         "stops",
         "term",
@@ -51,8 +55,9 @@
         "worker_by_id",
     )
 
-    def __init__(self, *, term):
+    def __init__(self, *, term, on_error=None):
         self.term = term
+        self.on_error = on_error
         self.flow_by_id = {}
         self.worker_by_id = {}
         self.ready_by_id = {}
@@ -81,17 +86,28 @@
         for record in state.worker_by_id.values():
             self.join(record, is_new=False)
         for flow_state in state.flow_by_id.values():
-            if flow_state.outcome == Outcome.OPEN:
-                queue = state.queue(flow_state.flow.queue)
-                age_s = (wall_ms - flow_state.flow.accepted_ms) / 1000 if wall_ms else 0.0
-                # The clocks of the VMs may differ by seconds.
-                arrived_at = now - min(max(age_s, 0.0), MAX_RESTORED_AGE_S)
+            if flow_state.outcome != Outcome.OPEN:
+                continue
+            queue = state.queue(flow_state.flow.queue)
+            age_s = (wall_ms - flow_state.flow.accepted_ms) / 1000 if wall_ms else 0.0
+            # The clocks of the VMs may differ by seconds.
+            arrived_at = now - min(max(age_s, 0.0), MAX_RESTORED_AGE_S)
+            self._known_flow_ids.add(flow_state.flow.id)
+            try:
                 self._restore_flow(flow_state, queue, arrived_at, now)
+            except Exception as error:
+                self._drop(flow_state.flow.id, error)
+
+    def _drop(self, flow_id, error):
+        """Leave out a flow that cannot be restored; runs of it that workers list are stopped."""
+        flow = self.flow_by_id.pop(flow_id, None)
+        if flow is not None:
+            flow.is_open = False
+        self.isolate(flow_id, error)
 
     def _restore_flow(self, state, queue, arrived_at, now):
         run = FlowRun(flow=state.flow, queue=queue, arrived_at=arrived_at)
         self.flow_by_id[run.id] = run
-        self._known_flow_ids.add(run.id)
         run.started = bool(state.done or state.start_by_task)
         for step in run.steps():
             self._restore_step(step, state, now)
@@ -135,7 +151,10 @@
             if task.state == TaskState.UNKNOWN and task.step.flow.is_open:
                 self._requeue(task, "")
         for step in steps.values():
-            self._stop_incomplete_gang(step)
+            try:
+                self._stop_incomplete_gang(step)
+            except Exception as error:
+                self.isolate(step.flow.id, error)
 
     def _stop_incomplete_gang(self, step):
         """Stop the running members of an incomplete gang, once all members are located."""
@@ -169,17 +188,19 @@
             if step.flow.is_open and step.is_ready and step.remaining:
                 self.ready_by_id[step.id] = step
 
-    def update_queues(self, state):
+    def update_queues(self, state, now):
         """Apply a new queue configuration to all flows.
 
         :param state: :class:`~siskintally.control_state.ControlState`.
         """
-        by_name = {queue.name: queue for queue in state.document.queues}
         for flow in list(self.flow_by_id.values()):
-            flow.change_queue(by_name.get(flow.flow.queue))
-            flow_state = state.flow_by_id.get(flow.id)
-            if flow_state is not None and flow_state.outcome != Outcome.OPEN:
-                self.close(flow)
+            try:
+                flow.change_queue(state.queue(flow.flow.queue))
+                flow_state = state.flow_by_id.get(flow.id)
+                if flow_state is not None and flow_state.outcome != Outcome.OPEN:
+                    self.close(flow)
+            except Exception as error:
+                self.isolate(flow.id, error, now)
 
     def cancel(self, flow_id):
         """Close a flow whose cancellation is committed."""
@@ -268,12 +289,19 @@
     def _release_tasks(self, worker):
         worker.unexpected_run_by_task = {}
         for task in list(worker.task_by_id.values()):
-            self._release_from_worker(task)
-            if task.state == TaskState.DONE:
-                continue
-            self._requeue(task, "")
-            if task.step.spec.gang:
-                self.stop_gang(task.step, task.run)
+            try:
+                self._release_and_requeue(task)
+            except Exception as error:
+                self.isolate(task.step.flow.id, error)
+
+    def _release_and_requeue(self, task):
+        """Release a run that is over without a known end, and start its task again."""
+        self._release_from_worker(task)
+        if task.state == TaskState.DONE:
+            return
+        self._requeue(task, "")
+        if task.step.spec.gang:
+            self.stop_gang(task.step, task.run)
 
     def _release_from_worker(self, task):
         worker = task.worker
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -51,6 +51,12 @@
     return task.percent < 100 and unchanged_s > max(MIN_STALL_S, percent_s)
 
 
+def _flow_id(row):
+    """Return the id of the flow that a row of a report names, "" if it names none."""
+    task_id = TaskId.parse(row.task_id)
+    return task_id.flow if task_id is not None else ""
+
+
 class ReportHandling:
     """Mixin of the scheduler that processes what workers report."""
 
@@ -68,7 +74,10 @@
         ends = list(self._handle_ends(worker, report.ended, now))
         rows = {row.task_id: row for row in report.running}
         for row in report.running:
-            self._handle_running(worker, row, now)
+            try:
+                self._handle_running(worker, row, now)
+            except Exception as error:
+                self.isolate(_flow_id(row), error, now)
         if not report.is_partial:
             self._release_unlisted(worker, rows, asked_at, now)
             self.requeue_unlocated(worker)
@@ -97,20 +106,34 @@
             if row.number <= self.last_end_by_worker.get(worker.id, 0):
                 continue
             self.last_end_by_worker[worker.id] = row.number
-            task = self.find_task(row.task_id)
-            reserved = worker.task_by_id.get(row.task_id)
-            is_present = reserved is not None and reserved.run == row.run
-            if task is None:
-                continue
-            if is_present:
-                self._record_run_time(worker, reserved, row, now)
-                self._release_from_worker(reserved)
-            if row.kind == EndKind.DONE:
-                yield from self._handle_done(worker, task, row, is_present, now)
-            elif is_present and reserved is not task:
-                yield from self._handle_failure(worker, task, row, now)
-            elif is_present or (task.state == TaskState.UNKNOWN):
-                yield from self._handle_other_end(worker, task, row, now)
+            try:
+                yield from self._handle_end(worker, row, now)
+            except Exception as error:
+                self.isolate(_flow_id(row), error, now)
+                yield from self._keep_done(row)
+
+    def _handle_end(self, worker, row, now):
+        task = self.find_task(row.task_id)
+        reserved = worker.task_by_id.get(row.task_id)
+        is_present = reserved is not None and reserved.run == row.run
+        if task is None:
+            return
+        if is_present:
+            self._record_run_time(worker, reserved, row, now)
+            self._release_from_worker(reserved)
+        if row.kind == EndKind.DONE:
+            yield from self._handle_done(worker, task, row, is_present, now)
+        elif is_present and reserved is not task:
+            yield from self._handle_failure(worker, task, row, now)
+        elif is_present or (task.state == TaskState.UNKNOWN):
+            yield from self._handle_other_end(worker, task, row, now)
+
+    def _keep_done(self, row):
+        """Count an end as done that could not be handled: the worker will not list it again."""
+        task = self.find_task(row.task_id)
+        if row.kind == EndKind.DONE and task is not None and not task.step.spec.lasting:
+            task.state = TaskState.DONE
+            yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.DONE)
 
     def _handle_done(self, worker, task, row, is_present, now):
         if task.step.spec.lasting:
@@ -252,11 +275,10 @@
             is_settled = task.state != TaskState.STARTING and task.since < asked_at
             if is_listed or not is_settled:
                 continue
-            self._release_from_worker(task)
-            if task.state != TaskState.DONE:
-                self._requeue(task, "")
-                if task.step.spec.gang:
-                    self.stop_gang(task.step, task.run)
+            try:
+                self._release_and_requeue(task)
+            except Exception as error:
+                self.isolate(task.step.flow.id, error, now)
 
     def apply_started(self, task, run, now):
         """Mark a task as running after its worker confirmed the start."""
--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -8,6 +8,7 @@
 from heapq import heapify, heappop, heappush
 from itertools import islice
 from math import inf
+from operator import itemgetter
 
 from siskintally.actions import StartAction
 from siskintally.flow import TaskState
@@ -38,16 +39,20 @@
         for step in self.due_steps(now, wall_ms):
             if start_count >= max_starts:
                 return
-            if step.spec.gang:
-                actions = self._place_gang(step, now, index)
-            else:
-                limit = None if max_starts == inf else max_starts - start_count
-                actions = islice(self._place_tasks(step, now, index), limit)
-            for action in actions:
-                start_count += 1
-                index.update_room(action.worker)
-                yield action
-            self._reserve_room(step, now, index)
+            try:
+                for action in self._place_step(step, now, index, max_starts - start_count):
+                    start_count += 1
+                    index.update_room(action.worker)
+                    yield action
+                self._reserve_room(step, now, index)
+            except Exception as error:
+                self.isolate(step.flow.id, error, now)
+
+    def _place_step(self, step, now, index, max_starts):
+        if step.spec.gang:
+            return self._place_gang(step, now, index)
+        limit = None if max_starts == inf else max_starts
+        return islice(self._place_tasks(step, now, index), limit)
 
     def _reserve_room(self, step, now, index):
         """Keep workers free for the large tasks of a step that still wait.
@@ -76,13 +81,15 @@
         Within a priority, steps that can still meet their due time go before those that cannot:
         in the order of due times alone, the backlog of an outage makes every later flow late.
         """
-        due = [
-            step
-            for step in self.ready_by_id.values()
-            if step.is_due and step.flow.scheduled_at_ms(step.occurrence) <= wall_ms
-        ]
-        due.sort(key=lambda step: _rank(step, now))
-        return due
+        due = []
+        for step in self.ready_by_id.values():
+            try:
+                if _is_due(step, now, wall_ms):
+                    due.append((_rank(step, now), step))
+            except Exception as error:
+                self.isolate(step.flow.id, error, now)
+        due.sort(key=itemgetter(0))
+        return [step for _, step in due]
 
     def _place_tasks(self, step, now, index):
         """Place tasks one by one; a heap of the workers spares a walk over them for each task."""
@@ -228,6 +235,12 @@
     return chosen
 
 
+def _is_due(step, now, wall_ms):
+    if not step.is_due or step.flow.is_suspended(now):
+        return False
+    return step.flow.scheduled_at_ms(step.occurrence) <= wall_ms
+
+
 def _rank(step, now):
     """Return the sort key of a step with tasks to start."""
     lateness_s = now + step.path_s - step.due_at
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -9,6 +9,7 @@
 
 from siskintally.clock import now as steady
 from siskintally.driver import BusyError, IncarnationGoneError, Order, Refusal
+from siskintally.error_isolation import isolated
 from siskintally.errors import (
     ConnectionLostError,
     OutcomeUnknownError,
@@ -127,7 +128,15 @@
             await self._handle_poll_failure(BusyError(f"poll refused: {report.refusal.name}"))
             return
         self.lease.sample_clock(clock_ms=report.clock_ms, received_at=received_at)
-        await self._leader.handle_report(self, report, asked_at)
+        try:
+            await self._leader.handle_report(self, report, asked_at)
+        except SiskintallyError:
+            raise
+        except Exception as error:
+            # Its lease is not renewed until a report can be handled.
+            log.exception("report not handled", worker=worker.id)
+            await self._handle_poll_failure(OutcomeUnknownError(type(error).__name__))
+            return
         if worker.unexpected_run_by_task:
             # Such runs count until a report no longer lists them, which takes a moment after the
             # stop; until then workers reply to polls at once.
@@ -178,6 +187,7 @@
         with move_on_after(RETRY_S):
             await self._wake_event.wait()
 
+    @isolated
     async def start(self, action):
         """Send a start order until it is confirmed, refused, or obsolete."""
         was_sent = False
@@ -270,6 +280,7 @@
         if reply.clock_ms is not None:
             self.lease.sample_clock(clock_ms=reply.clock_ms, received_at=steady())
 
+    @isolated
     async def throttle(self, action):
         """Send a throttle order until the worker replies or the order is obsolete."""
         task = action.task
@@ -296,6 +307,7 @@
                 continue
             return
 
+    @isolated
     async def stop(self, action):
         """Send a stop order until it is confirmed or nothing can run on the worker any more."""
         order = Order(task_id=action.task_id, run=action.run, fence=self._leader.term)
--- a/tests/flow_harness.py
+++ b/tests/flow_harness.py
@@ -99,7 +99,7 @@
             services=[WorkerService(name=SERVICE)],
         )
         self.commit(document=document)
-        self.scheduler.update_queues(self.state)
+        self.scheduler.update_queues(self.state, self.now)
 
     def submit(self, flow):
         """Submit a flow; the same flow may be submitted again."""
--- a/tests/test_worker_manager.py
+++ b/tests/test_worker_manager.py
@@ -17,6 +17,8 @@
 
 TIMING = FlowTiming.derive(lease_max_s=6.0, thaw_s=0.3, contact_s=3.0)
 REPORT = WorkerReport(clock_ms=1000)
+# A report whose handling ends with an unexpected error.
+ODD_REPORT = WorkerReport(clock_ms=1000)
 
 
 class ScriptedWorker(WorkerDriver):
@@ -87,6 +89,8 @@
 
     async def handle_report(self, manager, report, asked_at):
         """Record the status of the worker; end the manager after the last report."""
+        if report is ODD_REPORT:
+            raise ArithmeticError("unexpected")
         self.statuses.append(manager.worker.status)
         manager.worker.status = WorkerStatus.READY if self.driver.outcomes else WorkerStatus.LOST
 
@@ -153,6 +157,13 @@
     assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
 
 
+def test_a_report_that_cannot_be_handled_makes_one_worker_suspect_and_ends_nothing(run_manager):
+    """Guards against a report that ends each leader, and a lease that it keeps up for ever."""
+    leader, driver = run_manager(REPORT, ODD_REPORT, REPORT)
+    assert leader.statuses == [WorkerStatus.UNSEEN, WorkerStatus.SUSPECT]
+    assert driver.lease_by_poll[2] is None
+
+
 def test_status_polls_wait_less_after_a_call_without_an_answer(run_manager):
     """Guards against ends that the leader learns of seconds late after each lost answer."""
     _, driver = run_manager(REPORT, REPORT, OutcomeUnknownError("timeout"), REPORT, REPORT)
