Go on with a flow after an unexpected error has passed

Change: a command that the scheduler failed to follow is tried again after the suspension; a start that failed in the leader counts as sent, so that the next report decides; a failed call for advice is over; ends as done of a flow that could not be restored are committed.

Result: test_a_leader_outlives_an_error_of_one_flow, which now waits for the flow with the fault as well, and test_an_end_of_a_flow_that_could_not_be_restored_counts pass.

--- a/siskintally/committed_commands.py
+++ b/siskintally/committed_commands.py
@@ -12,6 +12,7 @@
 from collections import deque
 
 from siskintally.control_state import Outcome
+from siskintally.error_isolation import SUSPENSION_S
 from siskintally.log import get_logger
 from siskintally.step_text import describe_step
 from siskintally.task_id import TaskId
@@ -30,10 +31,12 @@
     :param on_document: function that is called when a new configuration is in force.
     """
 
-    __slots__ = ("_commands", "_on_document", "_scheduler", "_state")
+    __slots__ = ("_commands", "_failed", "_on_document", "_scheduler", "_state")
 
     def __init__(self, *, scheduler, state, on_document):
         self._commands = deque()
+        # (steady time of the next attempt, kind, body) of commands whose handler failed.
+        self._failed = deque()
         self._scheduler = scheduler
         self._state = state
         self._on_document = on_document
@@ -54,15 +57,21 @@
         :param now: steady time, s.
         """
         count = 0
+        while self._failed and self._failed[0][0] <= now:
+            self._commands.append(self._failed.popleft()[1:])
         while self._commands:
-            kind, body = self._commands.popleft()
-            try:
-                _HANDLER_BY_KIND[kind](self, body, now)
-            except Exception as error:
-                self._scheduler.isolate(getattr(body, "id", ""), error, now)
+            self._follow(*self._commands.popleft(), now)
             count += 1
         return count
 
+    def _follow(self, kind, body, now):
+        """Follow a command; after an unexpected error, it is tried again later."""
+        try:
+            _HANDLER_BY_KIND[kind](self, body, now)
+        except Exception as error:
+            self._failed.append((now + SUSPENSION_S, kind, body))
+            self._scheduler.isolate(getattr(body, "id", ""), error, now)
+
     def _accept(self, flow, now):
         flow_state = self._state.flow_by_id.get(flow.id)
         if flow_state is None or flow_state.outcome != Outcome.OPEN:
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -139,6 +139,7 @@
         except SiskintallyError as error:
             log.info("advice failed", step=action.step.id, lane=client.name, error=str(error)[:120])
         finally:
+            action.step.is_asking = False
             self._advice_pool.release(client)
         now = steady()
         self._counters.advice_seconds.observe(now - asked_at)
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -35,6 +35,7 @@
     objects waiting to be sent. ``last_end_by_worker``: number of the last end processed from each
     worker. ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not yet
     reported in this term. ``_known_flow_ids``: ids of all flows seen in this term.
+    ``_dropped_flow_ids``: ids of the flows that could not be restored.
 
     :param term: term of the leader; also the fence of its orders.
     :param on_error: ``on_error(flow_id, error)`` that is called for an unexpected error that
@@ -42,6 +43,7 @@
     """
 
     __slots__ = (
+        "_dropped_flow_ids",
         "_known_flow_ids",
         "_run_count",
         "_unlocated_by_worker",
@@ -66,6 +68,7 @@
         self.last_end_by_worker = {}
         self._run_count = 0
         self._known_flow_ids = set()
+        self._dropped_flow_ids = set()
         self._unlocated_by_worker = {}
 
     def next_run_number(self):
@@ -103,6 +106,7 @@
         flow = self.flow_by_id.pop(flow_id, None)
         if flow is not None:
             flow.is_open = False
+        self._dropped_flow_ids.add(flow_id)
         self.isolate(flow_id, error)
 
     def _restore_flow(self, state, queue, arrived_at, now):
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -117,6 +117,7 @@
         reserved = worker.task_by_id.get(row.task_id)
         is_present = reserved is not None and reserved.run == row.run
         if task is None:
+            yield from self._keep_done(row)
             return
         if is_present:
             self._record_run_time(worker, reserved, row, now)
@@ -129,10 +130,13 @@
             yield from self._handle_other_end(worker, task, row, now)
 
     def _keep_done(self, row):
-        """Count an end as done that could not be handled: the worker will not list it again."""
+        """Commit an end as done that could not be handled: the worker will not list it again."""
+        if row.kind != EndKind.DONE:
+            return
         task = self.find_task(row.task_id)
-        if row.kind == EndKind.DONE and task is not None and not task.step.spec.lasting:
+        if task is not None and not task.step.spec.lasting:
             task.state = TaskState.DONE
+        if task is not None or _flow_id(row) in self._dropped_flow_ids:
             yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.DONE)
 
     def _handle_done(self, worker, task, row, is_present, now):
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -190,6 +190,14 @@
     @isolated
     async def start(self, action):
         """Send a start order until it is confirmed, refused, or obsolete."""
+        try:
+            await self._send_start_until_settled(action)
+        except Exception:
+            # The next report of the worker tells whether the run has started.
+            self._leader.handle_started(action)
+            raise
+
+    async def _send_start_until_settled(self, action):
         was_sent = False
         while self._is_start_due(action):
             await self._leader.quorum_check.wait()
--- a/tests/test_error_isolation.py
+++ b/tests/test_error_isolation.py
@@ -105,11 +105,23 @@
     harness.end_run("w", "good.0.0.0")
     harness.deliver_report("w")
     assert harness.state.flow_by_id["good"].outcome == Outcome.COMPLETED
+    harness.ended_by_worker["w"] = []
     harness.begin_term(4)
     harness.deliver_report("w")
     assert harness.place() == [(f"{BAD}.0.0.0", "w")], "the next leader goes on with it"
 
 
+def test_an_end_of_a_flow_that_could_not_be_restored_counts():
+    """Guards against a second run by the next leader, as the worker forgets acknowledged ends."""
+    harness = make_harness()
+    harness.place()
+    with injected(FlowScheduler, "_restore_flow"):
+        harness.begin_term(3)
+    harness.end_run("w", f"{BAD}.0.0.0")
+    harness.deliver_report("w")
+    assert harness.state.flow_by_id[BAD].outcome == Outcome.COMPLETED
+
+
 @mark.parametrize("name", ["_handle_done", "_release_from_worker", "_handle_end"])
 def test_an_end_that_cannot_be_handled_counts_and_hides_no_other(name):
     """Guards against a task that is started again after its worker has forgotten its end."""
@@ -183,6 +195,7 @@
                 await sleep(0.5)
                 await cell.call(FlowSubmit(flow=make_flow("good", make_step(2))))
                 await wait_until(partial(has_state, cell, "good", "completed"), "completed")
+            await wait_until(partial(has_state, cell, BAD, "completed"), f"{BAD} completed")
             assert cell.leader() == leader
             counters = cell.node_by_host[leader]._counters.to_text()
             assert 'flow_errors_total{error="InjectedError"}' in counters
