Ask the announced life of a worker before its former life counts as gone

Cause: the leader believed the heartbeat as it came, replaced the record and requeued the tasks of the true worker. A service that no configuration names was taken as well.

Change: before an announcement replaces a life whose lease may be in force, the leader polls the announced life, without an effect; without its answer the sender gets an error. An announcement that moves a known worker to a service that is not configured changes nothing.

--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -35,6 +35,8 @@
 # workers or links leave calls without a reply for seconds.
 REDUCED_WAIT_S = 0.3
 REDUCED_WAIT_PERIOD_S = 3.0
+# Timeout of the call that confirms an announcement, which has to be answered within a second.
+VERIFICATION_TIMEOUT_S = 0.5
 
 log = get_logger("control-leader")
 
@@ -219,6 +221,32 @@
             self.scheduler.evacuate(worker, steady())
         self.request_pass()
 
+    async def verify_announcement(self, record):
+        """Ask a worker whether it has started again, before its former life counts as gone.
+
+        An announcement may come from another writer. The tasks of a worker that it wrongly
+        declares gone would run twice.
+
+        :raises SiskintallyError: the announced incarnation did not answer.
+        """
+        existing = self.scheduler.worker_by_id.get(record.id)
+        is_known = existing is None or existing.record.born_ms == record.born_ms
+        if is_known or existing.status == WorkerStatus.LAPSED:
+            return
+        try:
+            await self._driver.poll_status(
+                record,
+                fence=self.term,
+                lease_until_ms=None,
+                committed_end_number=0,
+                wait_ms=0,
+                timeout=VERIFICATION_TIMEOUT_S,
+            )
+        except SiskintallyError as error:
+            log.info("announcement not confirmed", worker=record.id, error=str(error)[:120])
+            await self._driver.disconnect(record)
+            raise
+
     async def propose(self, **body):
         """Commit a :class:`ControlCommand`.
 
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -176,23 +176,49 @@
             raise BadRequestError(
                 f"born, seq = {record.born_ms}, {record.seq}: no worker has reached them"
             )
-        known_record = leader.state.worker_by_id.get(record.id)
-        if known_record is not None and not is_plausible(known_record, wall_ms=wall_ms):
-            log.warning("stored record of the future replaced", worker=record.id)
-            known_record = None
-        if known_record is not None and record.born_ms < known_record.born_ms:
-            log.info("announcement of a former incarnation", worker=record.id)
+        if self._is_outdated(record, wall_ms) or self._is_foreign(record):
             return FlowReply(known=True)
-        is_known_incarnation = known_record is not None and known_record.born_ms == record.born_ms
-        if is_known_incarnation and record.seq < self._last_seq(known_record):
+        await leader.verify_announcement(record)
+        if self._is_outdated(record, wall_ms):
             return FlowReply(known=True)
         self._seq_by_worker[record.id] = record.seq
+        known_record = self._find_record(record.id, wall_ms)
+        is_known_incarnation = known_record is not None and known_record.born_ms == record.born_ms
         if not is_known_incarnation or _stored_fields(known_record) != _stored_fields(record):
             await leader.propose(join=record)
             log.info("worker announced", worker=record.id, leaving=record.leaving)
         leader.handle_join(record, received_at)
         return FlowReply(known=True)
 
+    def _find_record(self, worker_id, wall_ms):
+        """Return the stored record of a worker, None if there is none that can be true."""
+        record = self._leader.state.worker_by_id.get(worker_id)
+        if record is not None and not is_plausible(record, wall_ms=wall_ms):
+            log.warning("stored record of the future ignored", worker=worker_id)
+            return None
+        return record
+
+    def _is_outdated(self, record, wall_ms):
+        """Return whether a later announcement or incarnation of the worker is known."""
+        known_record = self._find_record(record.id, wall_ms)
+        if known_record is None:
+            return False
+        if record.born_ms < known_record.born_ms:
+            log.info("announcement of a former incarnation", worker=record.id)
+            return True
+        is_known_incarnation = known_record.born_ms == record.born_ms
+        return is_known_incarnation and record.seq < self._last_seq(known_record)
+
+    def _is_foreign(self, record):
+        """Return whether an announcement moves a known worker to a service that does not exist."""
+        known_record = self._leader.state.worker_by_id.get(record.id)
+        if known_record is None or known_record.service == record.service:
+            return False
+        if any(service.name == record.service for service in self._leader.state.document.services):
+            return False
+        log.info("announcement of an unknown service", worker=record.id, service=record.service)
+        return True
+
     def _last_seq(self, record):
         """Return the highest sequence number known of a worker, also from former leaders."""
         return max(record.seq, self._seq_by_worker.get(record.id, 0))
--- a/tests/test_worker_announcements.py
+++ b/tests/test_worker_announcements.py
@@ -15,6 +15,9 @@
         self.harness = harness
         self.state = harness.state
 
+    async def verify_announcement(self, record):
+        """Confirm each announcement."""
+
     async def propose(self, **body):
         """Commit a command."""
         self.harness.commit(**body)
--- a/tests/test_worker_checks.py
+++ b/tests/test_worker_checks.py
@@ -5,7 +5,7 @@
 from anyio import run
 from pytest import mark, raises
 
-from siskintally.control_pb2 import PoolWorker, WorkerSeen
+from siskintally.control_pb2 import PoolWorker, QueueDocument, WorkerSeen
 from siskintally.control_service import ControlService
 from siskintally.counters import Counters
 from siskintally.errors import BadRequestError
@@ -16,10 +16,11 @@
 
 
 class State:
-    """The replicated workers."""
+    """The replicated workers, and a configuration without services."""
 
     def __init__(self):
         self.worker_by_id = {}
+        self.document = QueueDocument()
 
 
 class Leader:
@@ -29,6 +30,9 @@
         self.state = State()
         self.joined = []
 
+    async def verify_announcement(self, record):
+        """Confirm each announcement."""
+
     async def propose(self, *, join):
         """Store a record."""
         self.state.worker_by_id[join.id] = join
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -1,5 +1,6 @@
 """A worker that starts again under its id: nothing meant for its former life reaches the next."""
 
+from contextlib import suppress
 from functools import partial
 
 from anyio import create_task_group, run, sleep
@@ -7,7 +8,7 @@
 
 from siskintally.control_pb2 import FlowSubmit, PoolWorker, WorkerSeen
 from siskintally.driver import IncarnationGoneError, Order
-from siskintally.errors import UnreachableError
+from siskintally.errors import SiskintallyError, UnreachableError
 from siskintally.platform.workers import PlatformWorkerDriver
 from tests.flow_harness import make_flow, make_step
 from tests.processes import wait_until
@@ -219,3 +220,41 @@
             assert double_runs(cell.hosts_by_name.values()) == []
 
     run(main)
+
+
+FOREIGN_FIELDS = {
+    "next life": {"born_ms": 1},
+    "next life of another service": {"born_ms": 1, "service": "unknown"},
+    "next life at an address where nobody listens": {"born_ms": 1, "address": "127.0.0.1:1"},
+    "other service": {"service": "unknown", "seq": 1_000},
+}
+
+
+@mark.parametrize("name", FOREIGN_FIELDS)
+def test_an_announcement_of_another_writer_leaves_the_tasks_of_a_worker_in_place(tmp_path, name):
+    """Guards against tasks run twice after a heartbeat declares their worker gone (review/4)."""
+
+    async def main():
+        async with LivesCell(folder=tmp_path).running() as cell:
+            await cell.add_workers()
+            steps = [make_step(4, estimate_ms=300)]
+            await cell.call(FlowSubmit(flow=make_flow("f", *steps, *steps)))
+            host = cell.hosts_by_name["w1"]
+            await wait_until(lambda: host.life.worker.running_by_task, "started")
+            foreign = PoolWorker()
+            foreign.CopyFrom(host.announcement())
+            for field, value in FOREIGN_FIELDS[name].items():
+                is_later = field in ("born_ms", "seq")
+                setattr(foreign, field, getattr(foreign, field) + value if is_later else value)
+            for node in cell.node_by_host.values():
+                with suppress(SiskintallyError):
+                    await node.client.call(WorkerSeen(worker=foreign), timeout=2.0)
+            await cell.call(WorkerSeen(worker=host.announcement()))
+            await wait_until(partial(has_state, cell, "f", "completed"), "completed")
+            await cell.call(FlowSubmit(flow=make_flow("g", make_step(8))))
+            await wait_until(partial(has_state, cell, "g", "completed"), "completed")
+            await cell.stop_workers()
+            assert double_runs(cell.hosts_by_name.values()) == []
+            assert any(row[0].startswith("g.") for row in host.life.runs()), "it is used again"
+
+    run(main)
