Give the check of a new connection a time of its own

Cause: the check of a new connection came out of the 0.25 s of an order. A leader that has just taken over and is slow spent them before the order was sent. The start then counted as not delivered and was tried at another worker, over another new connection, and each timeout closed the idle connections, so that no start got through any more.

Change: the set-up of a connection has its own timeout, leaves the idle connections open, and a check without a reply is repeated at the same worker, like an order without one. On a new connection the check is the status poll, so a new leader makes one call to each worker as before. The soak restarts workers under their id and removes the queue.

--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -23,6 +23,7 @@
 from anyio.abc import SocketAttribute
 from h11 import (
     CLIENT,
+    DONE,
     NEED_DATA,
     ConnectionClosed,
     Data,
@@ -44,6 +45,8 @@
 READ_BYTES = 65536
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 8
+# A new connection takes up to three round trips, each of which may lose a packet.
+MIN_SET_UP_TIMEOUT_S = 0.5
 MAX_PORT = 65535
 CONNECTION_ERRORS = (
     OSError,
@@ -89,13 +92,12 @@
 
 
 class _Connection:
-    __slots__ = ("is_checked", "protocol", "request_count", "stream")
+    __slots__ = ("protocol", "request_count", "stream")
 
     def __init__(self, *, stream):
         self.stream = stream
         self.protocol = Protocol(CLIENT)
         self.request_count = 0
-        self.is_checked = False
 
 
 class HttpPool:
@@ -121,72 +123,98 @@
         """Send a request and return the :class:`HttpReply`.
 
         :param headers: pairs of strings.
-        :param timeout: seconds, including the time to connect and to check the peer.
+        :param timeout: seconds for the exchange, and again for the set-up of a new connection.
         :param check_peer: ``async check_peer(exchange)`` that is called once for each new
             connection before its first request; ``await exchange(method, path, headers=,
             body=)`` sends a request on that connection and returns the reply. An error that it
-            raises ends the connection, and the request is not sent.
+            raises ends the connection, and the request is not sent. A reply that it returns is
+            that of the request, which is not sent either.
         :raises UnreachableError: the request was certainly not sent.
         :raises ConnectionLostError: the connection was lost, or the response was invalid or too
             large, after (part of) the request was sent.
         :raises OutcomeUnknownError: the timeout expired after (part of) the request was sent.
         """
-        sent = False
+        connection = await self._take_idle()
+        reply = None
+        if connection is None:
+            connection, reply = await self._set_up(check_peer, timeout)
+        if reply is None:
+            reply = await self._exchange(connection, timeout, method, path, headers, body)
+        await self._release(connection)
+        return reply
+
+    async def _set_up(self, check_peer, timeout):
+        """Open and check a connection; return it, and the reply if the check has given one.
+
+        A check without a reply counts as a request without one, so that a slow process repeats it
+        at the same peer. The idle connections stay open, or it would open ever more.
+        """
         connection = None
+        try:
+            with fail_after(max(timeout, MIN_SET_UP_TIMEOUT_S)):
+                self.opened_count += 1
+                connection = _Connection(stream=await connect_tcp(self._host, self._port))
+                reply = await self._check(connection, check_peer)
+        except (TimeoutError, *INVALID_CALL_ERRORS, *CONNECTION_ERRORS) as error:
+            await self._close(connection)
+            if connection is None or isinstance(error, LocalProtocolError):
+                raise UnreachableError(self._describe(error)) from error
+            if isinstance(error, TimeoutError):
+                raise OutcomeUnknownError(self._describe(error)) from error
+            raise ConnectionLostError(self._describe(error)) from error
+        except BaseException:
+            await self._close(connection)
+            raise
+        return connection, reply
+
+    async def _check(self, connection, check_peer):
+        """Check the peer of a connection, which stays the same process until it is closed."""
+        if check_peer is None:
+            return None
+
+        async def exchange(method, path, *, headers=(), body=b""):
+            data = self._encode_request(connection, method, path, headers, body)
+            await connection.stream.send(data)
+            return await _receive_reply(connection)
+
+        return await check_peer(exchange)
+
+    async def _exchange(self, connection, timeout, method, path, headers, body):
+        sent = False
         try:
             with fail_after(timeout):
-                connection = await self._acquire()
-                await self._check(connection, check_peer)
                 data = self._encode_request(connection, method, path, headers, body)
                 sent = True
                 await connection.stream.send(data)
-                reply = await _receive_reply(connection)
+                return await _receive_reply(connection)
         except INVALID_CALL_ERRORS as error:
             await self._close(connection)
-            reason = f"{self._host}:{self._port}: {type(error).__name__} {error}"
             if sent:
-                raise ConnectionLostError(reason) from error
-            raise UnreachableError(reason) from error
+                raise ConnectionLostError(self._describe(error)) from error
+            raise UnreachableError(self._describe(error)) from error
         except (TimeoutError, *CONNECTION_ERRORS) as error:
             await self._close(connection)
             # The same fault may affect the idle connections, and each of them would cost another
             # timeout.
             await self.close()
-            reason = f"{self._host}:{self._port}: {type(error).__name__} {error}"
-            if not sent:
-                raise UnreachableError(reason) from error
             if isinstance(error, TimeoutError):
-                raise OutcomeUnknownError(reason) from error
-            raise ConnectionLostError(reason) from error
+                raise OutcomeUnknownError(self._describe(error)) from error
+            raise ConnectionLostError(self._describe(error)) from error
         except BaseException:
             await self._close(connection)
             raise
-        await self._release(connection)
-        return reply
 
-    async def _acquire(self):
+    def _describe(self, error):
+        return f"{self._host}:{self._port}: {type(error).__name__} {error}"
+
+    async def _take_idle(self):
+        """Return an idle connection, None if there is none."""
         while self._idle:
             connection = self._idle.pop()
             if not _is_stale(connection):
                 return connection
             await self._close(connection)
-        self.opened_count += 1
-        return _Connection(stream=await connect_tcp(self._host, self._port))
-
-    async def _check(self, connection, check_peer):
-        """Check the peer of a connection, which stays the same process until it is closed."""
-        if check_peer is None or connection.is_checked:
-            return
-
-        async def exchange(method, path, *, headers=(), body=b""):
-            data = self._encode_request(connection, method, path, headers, body)
-            await connection.stream.send(data)
-            reply = await _receive_reply(connection)
-            connection.protocol.start_next_cycle()
-            return reply
-
-        await check_peer(exchange)
-        connection.is_checked = True
+        return None
 
     def _encode_request(self, connection, method, path, headers, body):
         all_headers = [
@@ -195,19 +223,17 @@
             *headers,
         ]
         protocol = connection.protocol
+        if protocol.our_state is DONE:
+            protocol.start_next_cycle()
         data = protocol.send(Request(method=method, target=path, headers=all_headers))
         if body:
             data += protocol.send(Data(data=body))
         return data + protocol.send(EndOfMessage())
 
     async def _release(self, connection):
-        try:
-            connection.protocol.start_next_cycle()
-        except LocalProtocolError:
-            # The peer asked to close the connection.
-            await self._close(connection)
-            return
-        if len(self._idle) >= MAX_IDLE_CONNECTIONS:
+        # In any other state the peer has asked to close the connection.
+        is_reusable = connection.protocol.our_state is DONE
+        if not is_reusable or len(self._idle) >= MAX_IDLE_CONNECTIONS:
             await self._close(connection)
             return
         connection.request_count += 1
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -106,13 +106,17 @@
     async def poll_status(
         self, worker, *, fence, lease_until_ms, committed_end_number, wait_ms, timeout
     ):
-        """Renew the lease; return the runs in progress and the kept ends."""
+        """Renew the lease; return the runs in progress and the kept ends.
+
+        On a new connection, the check of the incarnation is the poll, which renews nothing.
+        """
         body = {"fence": fence, "ackedUpto": committed_end_number}
         if lease_until_ms is not None:
             body["untilMs"] = lease_until_ms
         if wait_ms:
             body["waitMs"] = wait_ms
-        reply = await self._post(worker, STATUS_PATH, body, timeout)
+        check = partial(_check_incarnation, worker, fence)
+        reply = await self._request(worker, STATUS_PATH, body, timeout, check)
         order_reply = _read_order_reply(reply)
         if order_reply.refusal != Refusal.NONE:
             return WorkerReport(clock_ms=order_reply.clock_ms, refusal=order_reply.refusal)
@@ -125,13 +129,21 @@
             await pool.close()
 
     async def _post(self, worker, path, body, timeout):
+        """Send an order, after a status poll on a new connection."""
+
+        async def check(exchange):
+            await _check_incarnation(worker, body["fence"], exchange)
+
+        return await self._request(worker, path, body, timeout, check)
+
+    async def _request(self, worker, path, body, timeout, check_peer):
         reply = await self._pool_of(worker).request(
             "POST",
             path,
             headers=_headers(worker),
             body=_encode(body),
             timeout=timeout,
-            check_peer=partial(_check_incarnation, worker, body["fence"]),
+            check_peer=check_peer,
         )
         _raise_for_status(worker, reply)
         return reply
@@ -174,7 +186,7 @@
 
 
 async def _check_incarnation(worker, fence, exchange):
-    """Check which incarnation answers on a new connection.
+    """Check which incarnation answers on a new connection; return its reply to a status poll.
 
     The status poll renews no lease and acknowledges no end, so it does no harm to another one.
 
@@ -191,11 +203,12 @@
     except BadRequestError as error:
         if reply.status < 300:
             raise OutcomeUnknownError(f"report of a worker: {error}") from error
-        return
+        return reply
     if born_ms and worker.born_ms and born_ms != worker.born_ms:
         raise IncarnationGoneError(
             f"{worker.address}: {worker.id} was started at {born_ms}, not at {worker.born_ms}"
         )
+    return reply
 
 
 def _read_order_reply(reply):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,7 +2,8 @@
 
 Three stores and two entries run as processes of their own; workers are stand-ins in this process,
 each behind a forwarder. Faults come in series and overlap: processes are paused, killed, stopped,
-reloaded and restarted; connections to workers are delayed, reset, cut in one direction or silenced.
+reloaded and restarted; connections to workers are delayed, reset, cut in one direction or silenced;
+workers crash and start again under their id; the queue is removed and put back.
 At most one store is away at a time, which is what three stores bear.
 
 Usage: python -m tests.soak [--seeds N] [--first SEED] [--length_s S]
@@ -33,7 +34,7 @@
 
 from siskintally.clock import now as steady
 from siskintally.driver import EndKind, Refusal
-from siskintally.http_server import serve_http
+from siskintally.http_server import HttpApp, serve_http
 from siskintally.stub_pool import StubPool
 from tests.forwarder import Forwarder
 from tests.platform_worker import PlatformWorkerApp
@@ -109,6 +110,35 @@
             await sleep(CHECK_S)
 
 
+class SoakWorkerHost(HttpApp):
+    """Address of a worker; a request is answered by the incarnation that is up when it arrives."""
+
+    def __init__(self, *, app):
+        self.lives = [app]
+
+    @property
+    def life(self):
+        """Current incarnation."""
+        return self.lives[-1]
+
+    def start_again(self, pool):
+        """Replace the incarnation by a new one under its id, which knows nothing of before."""
+        former = self.life.worker
+        former.running_by_task.clear()
+        record = former.record
+        worker = pool.add(
+            record.id,
+            cpu_milli=record.cpu_milli,
+            memory_mb=record.memory_mb,
+            born_ms=record.born_ms + 1,
+        )
+        self.lives.append(SoakWorkerApp(worker=worker))
+
+    async def handle(self, request):
+        """Answer one call."""
+        return await self.life.handle(request)
+
+
 class SoakFlow:
     """A flow and what its caller was told."""
 
@@ -143,6 +173,8 @@
         self.faults = Counter()
         self.violations = []
         self.store_is_away = False
+        self.queue_is_removed = False
+        self.config_version = CONFIG["version"]
         self.is_over = False
         self.started_command_by_host = {}
         self.pool = StubPool(clock=steady, run_s=self.run_s)
@@ -151,10 +183,15 @@
             Forwarder(port=port, target=target)
             for port, target in zip(free_ports(WORKER_COUNT), self.worker_ports, strict=True)
         ]
-        self.apps = []
+        self.worker_hosts = []
         for number in range(WORKER_COUNT):
             worker = self.pool.add(f"i-{number}", cpu_milli=CPU_MILLI, memory_mb=4000)
-            self.apps.append(SoakWorkerApp(worker=worker))
+            self.worker_hosts.append(SoakWorkerHost(app=SoakWorkerApp(worker=worker)))
+
+    @property
+    def lives(self):
+        """All incarnations of all workers."""
+        return [life for host in self.worker_hosts for life in host.lives]
 
     def run_s(self, task_id):
         """Return the run time of a task, s."""
@@ -245,7 +282,7 @@
         """Announce a worker at intervals to any store that answers."""
         address = f"127.0.0.1:{self.forwarders[number].port}"
         while not self.is_over:
-            body = self.apps[number].announcement(address)
+            body = self.worker_hosts[number].life.announcement(address)
             hosts = self.random.sample(HOSTS, len(HOSTS))
             for host in hosts:
                 url = f"http://{host}:{self.control}/instances/i-{number}/heartbeat"
@@ -258,8 +295,8 @@
         """Check capacity and single runs from what the workers run."""
         while not self.is_over:
             runs = Counter()
-            for worker_app in self.apps:
-                worker_app.record_lapse()
+            for host in self.worker_hosts:
+                host.life.record_lapse()
             for stub in self.pool.worker_by_id.values():
                 stub.end_due_runs()
                 used = len(stub.running_by_task) * TASK_CPU_MILLI
@@ -288,6 +325,8 @@
             self.cut_worker,
             self.block_worker,
             self.delay_worker,
+            self.restart_worker,
+            self.remove_queue,
         )
         while steady() < ends_at:
             await sleep(self.random.uniform(0.3, 1.5))
@@ -380,6 +419,31 @@
         await sleep(self.random.uniform(0.5, 4.0))
         forwarder.heal()
 
+    async def restart_worker(self):
+        """Let a worker crash and start again under its id; it announces itself only later."""
+        number = self.random.randrange(WORKER_COUNT)
+        await self.forwarders[number].cut()
+        self.worker_hosts[number].start_again(self.pool)
+        await sleep(self.random.uniform(0.0, 0.5))
+        self.forwarders[number].heal()
+
+    async def remove_queue(self):
+        """Remove the queue from the configuration and put it back."""
+        if self.queue_is_removed:
+            return
+        self.queue_is_removed = True
+        [route] = CONFIG["routes"]
+        await self.replace_config({**route, "name": "other", "pathPrefix": "/other/"})
+        await sleep(self.random.uniform(0.1, 3.0))
+        await self.replace_config(route)
+        self.queue_is_removed = False
+
+    async def replace_config(self, route):
+        """Put a configuration with one queue in force."""
+        self.config_version += 1
+        config = {**CONFIG, "version": self.config_version, "routes": [route]}
+        await self.control_call("POST", "/config/replace", json=config)
+
     # Verdict
 
     async def settle(self):
@@ -429,8 +493,8 @@
 
     def check_histories(self):
         """Check the starts that the workers have recorded."""
-        events = sorted(event for stub in self.pool.worker_by_id.values() for event in stub.history)
-        noted = set().union(*(worker_app.noted_runs for worker_app in self.apps))
+        events = sorted(event for life in self.lives for event in life.worker.history)
+        noted = set().union(*(life.noted_runs for life in self.lives))
         done, done_for_good = set(), set()
         for _, kind, task_id, run_number in events:
             if kind == "DONE":
@@ -459,7 +523,7 @@
     async def serve_workers(self, stop_event, stopped):
         """Serve the workers until an event is set; set ``stopped`` then."""
         async with create_task_group() as servers:
-            for worker_app, port in zip(self.apps, self.worker_ports, strict=True):
+            for worker_app, port in zip(self.worker_hosts, self.worker_ports, strict=True):
                 address = f"127.0.0.1:{port}"
                 servers.start_soon(
                     partial(
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -173,3 +173,83 @@
         ),
         check,
     )
+
+
+class CheckFailedError(Exception):
+    """The error of a check."""
+
+
+def make_check(*, delay_s=0.0, error=None, answers=False):
+    """Return a check of the peer that sends one request, waits, and fails or answers."""
+
+    async def check_peer(exchange):
+        reply = await exchange("POST", "/check", body=b"{}")
+        await sleep(delay_s)
+        if error is not None:
+            raise error
+        return reply if answers else None
+
+    return check_peer
+
+
+def test_a_check_precedes_the_first_request_of_each_connection_only():
+    """Guards against a request sent to a process that nobody has checked, and needless checks."""
+    server = ScriptedServer(OK_RESPONSE, OK_RESPONSE, OK_RESPONSE)
+
+    async def check(pool):
+        for _ in range(2):
+            await post(pool, check_peer=make_check())
+
+    run_check(server, check)
+    paths = [request.split()[1] for request in server.requests]
+    assert paths == [b"/check", b"/x", b"/x"]
+
+
+def test_a_request_is_not_sent_after_a_failed_check():
+    """Guards against an order that reaches another process than it is meant for."""
+    server = ScriptedServer(OK_RESPONSE)
+
+    async def check(pool):
+        with raises(CheckFailedError):
+            await post(pool, check_peer=make_check(error=CheckFailedError()))
+        assert pool.idle_count == 0
+
+    run_check(server, check)
+    assert [request.split()[1] for request in server.requests] == [b"/check"]
+
+
+def test_a_check_that_answers_the_request_replaces_it():
+    """Guards against two status polls where one says everything."""
+    server = ScriptedServer(OK_RESPONSE, OK_RESPONSE)
+
+    async def check(pool):
+        for _ in range(2):
+            assert (await post(pool, check_peer=make_check(answers=True))).body == b"ok"
+
+    run_check(server, check)
+    assert [request.split()[1] for request in server.requests] == [b"/check", b"/x"]
+
+
+def test_the_set_up_of_a_connection_takes_nothing_from_the_timeout_of_its_request():
+    """Guards against a busy process whose requests never get beyond the check."""
+    server = ScriptedServer(OK_RESPONSE, OK_RESPONSE)
+
+    async def check(pool):
+        reply = await post(pool, timeout=0.2, check_peer=make_check(delay_s=0.3))
+        assert reply.body == b"ok"
+
+    run_check(server, check)
+
+
+def test_a_timeout_of_a_check_leaves_the_idle_connections_open():
+    """Guards against a busy process that opens ever more connections, each with a check."""
+    server = ScriptedServer(OK_RESPONSE, OK_RESPONSE, OK_RESPONSE)
+
+    async def check(pool):
+        async with create_task_group() as tasks:
+            tasks.start_soon(post, pool)
+            with raises(OutcomeUnknownError):
+                await post(pool, timeout=0.1, check_peer=make_check(delay_s=5.0))
+        assert pool.idle_count == 1
+
+    run_check(server, check)
