--- a/siskintally/http_pool.py
+++ b/siskintally/http_pool.py
@@ -45,8 +45,6 @@
 READ_BYTES = 65536
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 8
-# A new connection takes up to three round trips, each of which may lose a packet.
-MIN_SET_UP_TIMEOUT_S = 0.5
 MAX_PORT = 65535
 CONNECTION_ERRORS = (
     OSError,
@@ -151,7 +149,7 @@
         """
         connection = None
         try:
-            with fail_after(max(timeout, MIN_SET_UP_TIMEOUT_S)):
+            with fail_after(timeout):
                 self.opened_count += 1
                 connection = _Connection(stream=await connect_tcp(self._host, self._port))
                 reply = await self._check(connection, check_peer)
