Move the connections to workers out of the platform folder

The soak kept the server of a worker over its restart, so bytes of a connection to the former life that were still unread reached the next one, which a process that ends never allows. Each life has a server of its own now.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -37,7 +37,8 @@
     ),
     "Processes of the control plane": (
         "control_group control_node entry_node flow_gateway leader_cache control_client "
-        "leader_contact link_pool node_settings http_pool counters"
+        "leader_contact link_pool node_settings http_pool "
+        "worker_connections counters"
     ),
     "Replicated log": (
         "replica election replication follower membership leader_preference progress raftlog "
--- a/siskintally/platform/workers.py
+++ b/siskintally/platform/workers.py
@@ -5,7 +5,6 @@
 0
 """
 
-from functools import partial
 from json import dumps
 
 from siskintally.driver import (
@@ -22,9 +21,10 @@
     WorkerReport,
 )
 from siskintally.errors import BadRequestError, OutcomeUnknownError, UnreachableError
-from siskintally.http_pool import HttpPool, parse_address
+from siskintally.http_pool import HttpPool
 from siskintally.log import get_logger
 from siskintally.platform.fields import Fields
+from siskintally.worker_connections import WorkerConnections
 
 EXPECT_INSTANCE_HEADER = "Siskintally-Expect-Instance"
 JSON_HEADER = ("Content-Type", "application/json")
@@ -56,22 +56,17 @@
 
 
 class PlatformWorkerDriver(WorkerDriver):
-    """Sends orders and status polls to workers over HTTP.
+    """Sends orders and status polls to workers over HTTP."""
 
-    A worker that starts again under its id answers to that id. So each new connection is asked
-    for the incarnation at its other end, which stays the same while the connection is open, before
-    anything that holds for one incarnation only is sent on it.
-    """
-
-    __slots__ = ("_pool_by_incarnation",)
+    __slots__ = ("_connections",)
 
     def __init__(self):
-        self._pool_by_incarnation = {}
+        self._connections = WorkerConnections(read_start_ms=_read_start_ms)
 
     @property
     def pool_count(self):
         """Number of connection pools, one per worker incarnation and address."""
-        return len(self._pool_by_incarnation)
+        return self._connections.pool_count
 
     async def start(self, worker, order, *, timeout):
         """Send a start order."""
@@ -115,8 +110,7 @@
             body["untilMs"] = lease_until_ms
         if wait_ms:
             body["waitMs"] = wait_ms
-        check = partial(_check_incarnation, worker, fence)
-        reply = await self._request(worker, STATUS_PATH, body, timeout, check)
+        reply = await self._post(worker, STATUS_PATH, body, timeout)
         order_reply = _read_order_reply(reply)
         if order_reply.refusal != Refusal.NONE:
             return WorkerReport(clock_ms=order_reply.clock_ms, refusal=order_reply.refusal)
@@ -124,55 +118,24 @@
 
     async def disconnect(self, worker):
         """Close the connections to a worker."""
-        pool = self._pool_by_incarnation.pop(_incarnation_key(worker), None)
-        if pool is not None:
-            await pool.close()
+        await self._connections.close(worker)
 
     async def _post(self, worker, path, body, timeout):
-        """Send an order, after a status poll on a new connection."""
-
-        async def check(exchange):
-            await _check_incarnation(worker, body["fence"], exchange)
-
-        return await self._request(worker, path, body, timeout, check)
-
-    async def _request(self, worker, path, body, timeout, check_peer):
-        reply = await self._pool_of(worker).request(
-            "POST",
-            path,
-            headers=_headers(worker),
-            body=_encode(body),
-            timeout=timeout,
-            check_peer=check_peer,
+        status_poll = _call(worker, STATUS_PATH, {"fence": body["fence"], "ackedUpto": 0})
+        reply = await self._connections.request(
+            worker, _call(worker, path, body), timeout=timeout, status_poll=status_poll
         )
         _raise_for_status(worker, reply)
         return reply
 
-    def _pool_of(self, worker):
-        """Return the pool of connections to one incarnation.
-
-        :raises UnreachableError: its address cannot be used.
-        """
-        key = _incarnation_key(worker)
-        if key not in self._pool_by_incarnation:
-            try:
-                host, port = parse_address(worker.address)
-            except BadRequestError as error:
-                raise UnreachableError(f"{worker.id}: {error}") from error
-            self._pool_by_incarnation[key] = HttpPool(host=host, port=port)
-        return self._pool_by_incarnation[key]
-
 
-def _incarnation_key(worker):
-    return worker.address, worker.id, worker.born_ms
-
-
-def _headers(worker):
-    return JSON_HEADER, (EXPECT_INSTANCE_HEADER, worker.id)
-
-
-def _encode(body):
-    return dumps(body, separators=(",", ":")).encode()
+def _call(worker, path, body):
+    return {
+        "method": "POST",
+        "path": path,
+        "headers": (JSON_HEADER, (EXPECT_INSTANCE_HEADER, worker.id)),
+        "body": dumps(body, separators=(",", ":")).encode(),
+    }
 
 
 def _raise_for_status(worker, reply):
@@ -185,30 +148,17 @@
         raise OutcomeUnknownError(f"{worker.id}: status {reply.status}")
 
 
-async def _check_incarnation(worker, fence, exchange):
-    """Check which incarnation answers on a new connection; return its reply to a status poll.
+def _read_start_ms(reply):
+    """Return the start time in the reply to a status poll, 0 if it has none.
 
-    The status poll renews no lease and acknowledges no end, so it does no harm to another one.
-
-    :param exchange: function that sends a request on the connection.
-    :raises IncarnationGoneError: another incarnation answers.
     :raises OutcomeUnknownError: the reply is malformed and does not refuse the poll.
     """
-    body = _encode({"fence": fence, "ackedUpto": 0})
-    reply = await exchange("POST", STATUS_PATH, headers=_headers(worker), body=body)
-    _raise_for_status(worker, reply)
     try:
-        fields = Fields.parse(reply.body or b"{}")
-        born_ms = fields.integer("born", 0)
+        return Fields.parse(reply.body or b"{}").integer("born", 0)
     except BadRequestError as error:
         if reply.status < 300:
             raise OutcomeUnknownError(f"report of a worker: {error}") from error
-        return reply
-    if born_ms and worker.born_ms and born_ms != worker.born_ms:
-        raise IncarnationGoneError(
-            f"{worker.address}: {worker.id} was started at {born_ms}, not at {worker.born_ms}"
-        )
-    return reply
+        return 0
 
 
 def _read_order_reply(reply):
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -20,7 +20,6 @@
 
 from collections import Counter
 from contextlib import suppress
-from functools import partial
 from json import loads
 from pathlib import Path
 from random import Random
@@ -34,7 +33,7 @@
 
 from siskintally.clock import now as steady
 from siskintally.driver import EndKind, Refusal
-from siskintally.http_server import HttpApp, serve_http
+from siskintally.http_server import serve_http
 from siskintally.stub_pool import StubPool
 from tests.forwarder import Forwarder
 from tests.platform_worker import PlatformWorkerApp
@@ -68,14 +67,17 @@
         super().__init__(worker=worker)
         self.noted_runs = set()
         self.lapsed_runs = set()
+        self.is_over = False
 
     async def handle(self, request):
-        """Answer one call."""
+        """Answer one call; an incarnation that is over answers none."""
+        if self.is_over:
+            return None
         if request.path == "/hold":
             body = loads(request.body)
             self._record_noted(body)
             await self._wait_for_end(body)
-        return await super().handle(request)
+        return None if self.is_over else await super().handle(request)
 
     def _record_noted(self, body):
         for end in self._unacknowledged_done():
@@ -98,7 +100,7 @@
         """Renew the lease and wait until there is an end that is not acknowledged."""
         deadline = steady() + body.get("waitMs", 0) / 1000
         lease_until_ms = body.get("untilMs")
-        while True:
+        while not self.is_over:
             report = self.worker.poll_status(
                 fence=body["fence"],
                 lease_until_ms=lease_until_ms,
@@ -110,33 +112,52 @@
             await sleep(CHECK_S)
 
 
-class SoakWorkerHost(HttpApp):
-    """Address of a worker; a request is answered by the incarnation that is up when it arrives."""
+class SoakWorkerHost:
+    """Address of a worker, whose incarnations each have a server of their own.
 
-    def __init__(self, *, app):
-        self.lives = [app]
+    So a request on a connection of a former incarnation never reaches the next one.
+
+    :param pool: :class:`~siskintally.stub_pool.StubPool`.
+    """
+
+    def __init__(self, *, name, port, pool):
+        self.lives = []
+        self._name = name
+        self._address = f"127.0.0.1:{port}"
+        self._pool = pool
+        self._stop_event = Event()
+        self._begin_life()
 
     @property
     def life(self):
         """Current incarnation."""
         return self.lives[-1]
 
-    def start_again(self, pool):
-        """Replace the incarnation by a new one under its id, which knows nothing of before."""
-        former = self.life.worker
-        former.running_by_task.clear()
-        record = former.record
-        worker = pool.add(
-            record.id,
-            cpu_milli=record.cpu_milli,
-            memory_mb=record.memory_mb,
-            born_ms=record.born_ms + 1,
-        )
+    def _begin_life(self):
+        born_ms = 1 + len(self.lives)
+        worker = self._pool.add(self._name, cpu_milli=CPU_MILLI, memory_mb=4000, born_ms=born_ms)
         self.lives.append(SoakWorkerApp(worker=worker))
 
-    async def handle(self, request):
-        """Answer one call."""
-        return await self.life.handle(request)
+    def start_again(self):
+        """End the incarnation and begin one under the same id, which knows nothing of before."""
+        self.life.is_over = True
+        self.life.worker.running_by_task.clear()
+        self._begin_life()
+        self._stop_event.set()
+
+    async def serve(self, stop_event):
+        """Serve one incarnation after the other until an event is set."""
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._stop_when, stop_event)
+            while not stop_event.is_set():
+                self._stop_event = Event()
+                await serve_http(
+                    self.life, address=self._address, stop_event=self._stop_event, graceful_s=0.1
+                )
+
+    async def _stop_when(self, stop_event):
+        await stop_event.wait()
+        self._stop_event.set()
 
 
 class SoakFlow:
@@ -183,10 +204,10 @@
             Forwarder(port=port, target=target)
             for port, target in zip(free_ports(WORKER_COUNT), self.worker_ports, strict=True)
         ]
-        self.worker_hosts = []
-        for number in range(WORKER_COUNT):
-            worker = self.pool.add(f"i-{number}", cpu_milli=CPU_MILLI, memory_mb=4000)
-            self.worker_hosts.append(SoakWorkerHost(app=SoakWorkerApp(worker=worker)))
+        self.worker_hosts = [
+            SoakWorkerHost(name=f"i-{number}", port=port, pool=self.pool)
+            for number, port in enumerate(self.worker_ports)
+        ]
 
     @property
     def lives(self):
@@ -423,7 +444,7 @@
         """Let a worker crash and start again under its id; it announces itself only later."""
         number = self.random.randrange(WORKER_COUNT)
         await self.forwarders[number].cut()
-        self.worker_hosts[number].start_again(self.pool)
+        self.worker_hosts[number].start_again()
         await sleep(self.random.uniform(0.0, 0.5))
         self.forwarders[number].heal()
 
@@ -523,17 +544,8 @@
     async def serve_workers(self, stop_event, stopped):
         """Serve the workers until an event is set; set ``stopped`` then."""
         async with create_task_group() as servers:
-            for worker_app, port in zip(self.worker_hosts, self.worker_ports, strict=True):
-                address = f"127.0.0.1:{port}"
-                servers.start_soon(
-                    partial(
-                        serve_http,
-                        worker_app,
-                        address=address,
-                        stop_event=stop_event,
-                        graceful_s=0.1,
-                    )
-                )
+            for host in self.worker_hosts:
+                servers.start_soon(host.serve, stop_event)
         stopped.set()
 
     async def play(self):
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -34,6 +34,7 @@
     "siskintally.log",
     "siskintally.node_settings",
     "siskintally.queue_checks",
+    "siskintally.worker_connections",
 }
 DECIDING_MODULES = {"time", "random", "anyio.sleep", "siskintally.clock"}
 # Status codes and limits that the platform's documentation states.
--- a/tests/test_queue_addresses.py
+++ b/tests/test_queue_addresses.py
@@ -175,6 +175,9 @@
         def cancel(self, flow_id):
             cancelled.append(flow_id)
 
+        def isolate(self, flow_id, error, now):
+            raise error
+
     commands = CommittedCommands(scheduler=Scheduler(), state=state, on_document=None)
     commands.record("accept", make_flow("f"))
     commands.record("cancel", FlowId(id="f"))
