Log why a run counts as over, and which life of a worker is announced

Change: 'run released' with its cause, start times and address in 'worker announced' and 'worker lost', 'worker reports' when a worker becomes usable, and whether a refused start follows an unanswered attempt; a metric for each. No logic is changed. Measured: tests/test_flow_records.py passes, 4 new cases.

--- a/siskintally/actions.py
+++ b/siskintally/actions.py
@@ -1,10 +1,11 @@
-"""Start, stop, and throttle orders that a scheduler has decided on but not yet sent.
+"""Orders that a scheduler has decided on but not yet sent, and runs that it has released.
 
 >>> from siskintally.actions import StopAction
 >>> StopAction(task_id="f.0.0.1", run=7, worker=None).run
 7
 """
 
+from enum import StrEnum
 from typing import NamedTuple
 
 from siskintally.control_pb2 import TaskStart
@@ -71,3 +72,24 @@
     def flow_id(self):
         """Id of the flow that the action is for."""
         return self.task.step.flow.id
+
+
+class ReleaseCause(StrEnum):
+    """Evidence on which a run counts as over although no end of it was reported."""
+
+    # A report that should list the run does not.
+    UNLISTED = "unlisted"
+    LEASE_EXPIRED = "lease expired"
+    # The incarnation of the worker no longer exists.
+    WORKER_GONE = "worker gone"
+    # The worker refused the start.
+    REFUSED = "refused"
+
+
+class Release(NamedTuple):
+    """A run without a reported end that the scheduler counts as over."""
+
+    task_id: str
+    run: int
+    worker_id: str
+    cause: ReleaseCause
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -264,6 +264,7 @@
         """Apply a status report; commit its ends before they are acknowledged to the worker."""
         unexpected_runs = manager.worker.unexpected_run_by_task
         known_runs = {task_id: run.number for task_id, run in unexpected_runs.items()}
+        self._log_return(manager.worker, report)
         ends = self.scheduler.apply_report(manager.worker, report, asked_at, steady())
         self._record_unexpected_runs(manager.worker, known_runs)
         self.request_pass()
@@ -281,6 +282,21 @@
             [manager.committed_end_number, *(row.number for row in report.ended)]
         )
 
+    @staticmethod
+    def _log_return(worker, report):
+        """Log the report with which a worker becomes usable, or usable again."""
+        if worker.status == WorkerStatus.READY:
+            return
+        log.info(
+            "worker reports",
+            worker=worker.id,
+            born_ms=worker.record.born_ms,
+            status=worker.status.name,
+            running=len(report.running),
+            ended=len(report.ended),
+            held=len(worker.task_by_id),
+        )
+
     def _record_unexpected_runs(self, worker, known_runs):
         """Record the runs that a worker lists for the first time without being expected."""
         for task_id, run in worker.unexpected_run_by_task.items():
@@ -300,10 +316,28 @@
         """Process a confirmed start."""
         self.scheduler.apply_started(action.task, action.run, steady())
 
+    def handle_unanswered(self, action, error):
+        """Record an attempt to send a start that the worker may carry out, even later."""
+        self._counters.starts_unanswered.inc()
+        log.info(
+            "start repeated",
+            task=action.task.id,
+            run=action.run,
+            worker=action.worker.id,
+            error=str(error)[:120],
+        )
+
     def handle_refused(self, action, refusal, *, was_sent_before):
         """Process a refused start."""
-        log.info("start refused", task=action.task.id, run=action.run, reason=refusal.name)
-        self._counters.starts_refused.labels(refusal.name).inc()
+        log.info(
+            "start refused",
+            task=action.task.id,
+            run=action.run,
+            worker=action.worker.id,
+            reason=refusal.name,
+            after_unanswered=was_sent_before,
+        )
+        self._counters.starts_refused.labels(refusal.name, str(was_sent_before).lower()).inc()
         if refusal.name == "FENCED":
             self.end_term(f"worker {action.worker.id} has a higher fence")
             return
@@ -346,7 +380,13 @@
         """Process the loss of a worker incarnation that no longer exists."""
         if worker.status == WorkerStatus.LOST:
             return
-        log.warning("worker lost", worker=worker.id, reason=reason[:120])
+        log.warning(
+            "worker lost",
+            worker=worker.id,
+            born_ms=worker.record.born_ms,
+            held=len(worker.task_by_id),
+            reason=reason[:120],
+        )
         self.scheduler.remove_worker(worker)
         manager = self._manager_by_worker.get(worker.id)
         if manager is not None and manager.worker is worker:
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -186,7 +186,14 @@
         is_known_incarnation = known_record is not None and known_record.born_ms == record.born_ms
         if not is_known_incarnation or _stored_fields(known_record) != _stored_fields(record):
             await leader.propose(join=record)
-            log.info("worker announced", worker=record.id, leaving=record.leaving)
+            log.info(
+                "worker announced",
+                worker=record.id,
+                leaving=record.leaving,
+                born_ms=record.born_ms,
+                former_born_ms=known_record.born_ms if known_record is not None else 0,
+                address=record.address,
+            )
         leader.handle_join(record, received_at)
         return FlowReply(known=True)
 
--- a/siskintally/counters.py
+++ b/siskintally/counters.py
@@ -27,10 +27,12 @@
         "refusals",
         "request_seconds",
         "requests",
+        "runs_released",
         "sessions_ended",
         "start_seconds",
         "starts",
         "starts_refused",
+        "starts_unanswered",
         "stops",
         "stops_confirmed",
         "stops_dropped",
@@ -57,7 +59,15 @@
             "cancellations", "Commits of cancellations by the leader.", "outcome"
         )
         self.starts = self._counter("starts", "Start orders for tasks.")
-        self.starts_refused = self._counter("starts_refused", "Refused starts.", "reason")
+        self.starts_refused = self._counter(
+            "starts_refused", "Refused starts.", "reason", "after_unanswered"
+        )
+        self.starts_unanswered = self._counter(
+            "starts_unanswered", "Attempts to send a start that may have reached the worker."
+        )
+        self.runs_released = self._counter(
+            "runs_released", "Runs that count as over without a reported end.", "cause"
+        )
         self.start_seconds = self._histogram("start_seconds", "Acceptance to start of a task.")
         self.ends = self._counter("ends", "Ends of tasks.", "how")
         self.flow_errors = self._counter(
--- a/siskintally/flow_dispatcher.py
+++ b/siskintally/flow_dispatcher.py
@@ -44,6 +44,7 @@
         :param wall_ms: Unix time, ms.
         :param tasks: task group for the calls.
         """
+        self._log_releases()
         self._send_stops(tasks)
         self._send_throttles(tasks)
         scheduler = self._leader.scheduler
@@ -87,6 +88,18 @@
             if manager is not None and manager.worker is action.worker:
                 tasks.start_soon(manager.start, action)
 
+    def _log_releases(self):
+        releases, self._leader.scheduler.releases = self._leader.scheduler.releases, []
+        for release in releases:
+            self._counters.runs_released.labels(release.cause).inc()
+            log.info(
+                "run released",
+                task=release.task_id,
+                run=release.run,
+                worker=release.worker_id,
+                cause=str(release.cause),
+            )
+
     def _send_throttles(self, tasks):
         throttles, self._leader.scheduler.throttles = self._leader.scheduler.throttles, []
         for action in throttles:
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -11,7 +11,7 @@
 [('f.0.0.0', 'w')]
 """
 
-from siskintally.actions import StopAction
+from siskintally.actions import Release, ReleaseCause, StopAction
 from siskintally.advice_planning import AdvicePlanning
 from siskintally.control_state import Failures, Outcome
 from siskintally.error_isolation import ErrorIsolation
@@ -32,10 +32,11 @@
 
     ``ready_by_id``: unfinished steps whose dependencies are done. ``stops``, ``throttles``:
     :class:`~siskintally.actions.StopAction` and :class:`~siskintally.actions.ThrottleAction`
-    objects waiting to be sent. ``last_end_by_worker``: number of the last end processed from each
-    worker. ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not yet
-    reported in this term. ``_known_flow_ids``: ids of all flows seen in this term.
-    ``_dropped_flow_ids``: ids of the flows that could not be restored.
+    objects waiting to be sent. ``releases``: :class:`~siskintally.actions.Release` objects waiting
+    to be logged. ``last_end_by_worker``: number of the last end processed from each worker.
+    ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not yet reported
+    in this term. ``_known_flow_ids``: ids of all flows seen in this term. ``_dropped_flow_ids``:
+    ids of the flows that could not be restored.
 
     :param term: term of the leader; also the fence of its orders.
     :param on_error: ``on_error(flow_id, error)`` that is called for an unexpected error that
@@ -51,6 +52,7 @@
         "last_end_by_worker",
         "on_error",
         "ready_by_id",
+        "releases",
         "stops",
         "term",
         "throttles",
@@ -65,6 +67,7 @@
         self.ready_by_id = {}
         self.stops = []
         self.throttles = []
+        self.releases = []
         self.last_end_by_worker = {}
         self._run_count = 0
         self._known_flow_ids = set()
@@ -278,28 +281,29 @@
     def expire_lease(self, worker):
         """Requeue the tasks of a worker whose lease has expired: nothing runs there any more."""
         worker.status = WorkerStatus.LAPSED
-        self._release_tasks(worker)
+        self._release_tasks(worker, ReleaseCause.LEASE_EXPIRED)
         self.requeue_unlocated(worker)
 
     def remove_worker(self, worker):
         """Remove a worker incarnation that no longer exists and requeue its tasks."""
         worker.status = WorkerStatus.LOST
-        self._release_tasks(worker)
+        self._release_tasks(worker, ReleaseCause.WORKER_GONE)
         if self.worker_by_id.get(worker.id) is worker:
             del self.worker_by_id[worker.id]
             self.forget_advice(worker.id)
             self.requeue_unlocated(worker)
 
-    def _release_tasks(self, worker):
+    def _release_tasks(self, worker, cause):
         worker.unexpected_run_by_task = {}
         for task in list(worker.task_by_id.values()):
             try:
-                self._release_and_requeue(task)
+                self._release_and_requeue(task, cause)
             except Exception as error:
                 self.isolate(task.step.flow.id, error)
 
-    def _release_and_requeue(self, task):
+    def _release_and_requeue(self, task, cause):
         """Release a run that is over without a known end, and start its task again."""
+        self.releases.append(Release(task.id, task.run, task.worker.id, cause))
         self._release_from_worker(task)
         if task.state == TaskState.DONE:
             return
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -5,7 +5,7 @@
 ()
 """
 
-from siskintally.actions import StopAction, ThrottleAction
+from siskintally.actions import Release, ReleaseCause, StopAction, ThrottleAction
 from siskintally.control_pb2 import TaskEnd
 from siskintally.driver import EndKind, Refusal
 from siskintally.fleet import END_WEIGHT, PROGRESS_WEIGHT, UnexpectedRun, WorkerStatus
@@ -280,7 +280,7 @@
             if is_listed or not is_settled:
                 continue
             try:
-                self._release_and_requeue(task)
+                self._release_and_requeue(task, ReleaseCause.UNLISTED)
             except Exception as error:
                 self.isolate(task.step.flow.id, error, now)
 
@@ -310,6 +310,7 @@
         worker = task.worker
         if refusal == Refusal.TICKET:
             task.step.ticket_by_worker.pop(worker.id, None)
+        self.releases.append(Release(task.id, run, worker.id, ReleaseCause.REFUSED))
         self._release_from_worker(task)
         self._requeue(task, "")
         if task.step.spec.gang:
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -248,14 +248,13 @@
         return await self._send_start(action, order, was_sent)
 
     async def _send_start(self, action, order, was_sent):
-        task = action.task
         try:
             reply = await self._call(
                 self._driver.start, order, timeout=self._timing.order_timeout_s
             )
         except OutcomeUnknownError as error:
             self._leader.poll_wait.record_unanswered(steady())
-            log.info("start repeated", task=task.id, run=action.run, error=str(error)[:120])
+            self._leader.handle_unanswered(action, error)
             return None, True
         except IncarnationGoneError as error:
             self._leader.handle_worker_lost(self.worker, str(error))
--- a/tests/test_flow_records.py
+++ b/tests/test_flow_records.py
@@ -24,6 +24,7 @@
     SiskintallyError,
 )
 from siskintally.fleet import FleetWorker, WorkerStatus
+from siskintally.flow import TaskState
 from siskintally.flow_dispatcher import FlowDispatcher
 from siskintally.flow_gateway import FlowGateway
 from siskintally.leader_cache import LeaderCache
@@ -222,6 +223,52 @@
     )
 
 
+def release_unlisted(harness):
+    """Release a run that the report of its worker does not list."""
+    harness.running_by_worker["w"].clear()
+    harness.deliver_report("w")
+
+
+def release_refused(harness):
+    """Release a run whose start is refused."""
+    [task] = harness.scheduler.worker_by_id["w"].task_by_id.values()
+    task.state = TaskState.STARTING
+    harness.scheduler.apply_refusal(
+        task, task.run, Refusal.ROOM, harness.now, was_sent_before=False
+    )
+
+
+RELEASES = {
+    "unlisted": release_unlisted,
+    "refused": release_refused,
+    "lease expired": lambda harness: harness.scheduler.expire_lease(
+        harness.scheduler.worker_by_id["w"]
+    ),
+    "worker gone": lambda harness: harness.scheduler.remove_worker(
+        harness.scheduler.worker_by_id["w"]
+    ),
+}
+
+
+@mark.parametrize("cause", RELEASES)
+def test_a_run_that_counts_as_over_is_recorded_with_the_cause(counters, cause):
+    """Guards against double runs whose logs don't say why the first run counted as over."""
+    harness = FlowHarness()
+    harness.add_worker(make_worker("w"))
+    harness.submit(make_flow("f"))
+    harness.place()
+    RELEASES[cause](harness)
+    dispatcher = FlowDispatcher(
+        leader=SimpleNamespace(scheduler=harness.scheduler), advice_pool=None, counters=counters
+    )
+    with capture_logs() as lines:
+        dispatcher._log_releases()
+        dispatcher._log_releases()
+    [line] = events(lines, "run released")
+    assert (line["task"], line["worker"], line["cause"]) == ("f.0.0.0", "w", cause)
+    assert f'siskintally_runs_released_total{{cause="{cause}"}} 1.0' in counters.to_text()
+
+
 def test_a_stop_order_that_is_not_sent_is_recorded(counters):
     """Guards against stop orders that vanish because their worker has been replaced."""
     replaced, gone = (FleetWorker(record=make_worker(name)) for name in "bc")
