Hold a start that got no answer until its run is proved over, although a repeat is refused

Cause: a worker may carry out a start seconds after it gave no answer. When the repeat was refused (room, ticket, late, 400), the leader released room and task, although the refusal speaks for the repeat alone. Change: after an attempt without an answer such a refusal orders a stop; room and task are held until the stop is confirmed and a later report does not list the run.

--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -294,28 +294,50 @@
                 self.throttles.append(ThrottleAction(task, run, worker, worker.best_effort_percent))
 
     def apply_refusal(self, task, run, refusal, now, *, was_sent_before):
-        """Release and requeue a task after its worker refused the start.
+        """Process a refused start; requeue the task if the run is certainly over.
 
-        :param was_sent_before: whether an earlier attempt to send the order may have started the
-            run. Its end, if any, arrives with the next report.
+        A refusal speaks for the attempt that it answers. An earlier attempt may still be carried
+        out, except after ``OLD``: then the next report lists the end of the run, if there was one.
+
+        :param was_sent_before: whether an earlier attempt got no answer.
         """
         is_pending = task.state in (TaskState.STARTING, TaskState.STOPPING)
         if task.run != run or not is_pending or task.worker is None:
             return
-        if refusal == Refusal.OLD and was_sent_before:
-            if task.state == TaskState.STARTING:
-                task.state = TaskState.RUNNING
-            task.since = now
-            return
         worker = task.worker
         if refusal == Refusal.TICKET:
             task.step.ticket_by_worker.pop(worker.id, None)
+        if was_sent_before:
+            if refusal == Refusal.OLD:
+                self._await_report(task, now)
+            else:
+                self.settle_by_stop(task, run)
+            return
         self.releases.append(Release(task.id, run, worker.id, ReleaseCause.REFUSED))
         self._release_from_worker(task)
         self._requeue(task, "")
         if task.step.spec.gang:
             self.stop_gang(task.step, run)
 
+    @staticmethod
+    def _await_report(task, now):
+        """Let the next report tell whether a run that is not there has ended."""
+        if task.state == TaskState.STARTING:
+            task.state = TaskState.RUNNING
+        task.since = now
+
+    def settle_by_stop(self, task, run):
+        """Stop a run that may still be started by an order without an answer.
+
+        Its room and its task are held until a report asked for after the stop does not list it: the
+        worker refuses the start of a stopped run.
+        """
+        if task.run != run or task.worker is None or task.state != TaskState.STARTING:
+            return
+        self.stop(task)
+        if task.step.spec.gang:
+            self.stop_gang(task.step, run)
+
     def apply_stopped(self, action, now):
         """Record a confirmed stop; the resources are released when the run has ended."""
         worker = action.worker
