Stop a run whose start is given up by an unexpected error before its task starts again

Cause: an unexpected error while a start was sent, also after an attempt without an answer, counted as a confirmed start. The next report without the run released it, while the first attempt could still be carried out. Change: such a start is settled by a stop, as after a refused repeat. Evidence: both cases of tests/test_unanswered_orders.py failed before and pass now; tests/test_error_isolation.py and tests/test_worker_manager.py pass.

--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -316,6 +316,11 @@
         """Process a confirmed start."""
         self.scheduler.apply_started(action.task, action.run, steady())
 
+    def handle_unsettled(self, action):
+        """Process a start that was given up and may have reached the worker."""
+        self.scheduler.settle_by_stop(action.task, action.run)
+        self.request_pass()
+
     def handle_unanswered(self, action, error):
         """Record an attempt to send a start that the worker may carry out, even later."""
         self._counters.starts_unanswered.inc()
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -193,8 +193,7 @@
         try:
             await self._send_start_until_settled(action)
         except Exception:
-            # The next report of the worker tells whether the run has started.
-            self._leader.handle_started(action)
+            self._leader.handle_unsettled(action)
             raise
 
     async def _send_start_until_settled(self, action):
