Send a throttle again while an earlier order without an answer may still come

Cause: a throttle order that got no answer may be carried out after the next one; a best-effort task could stand still for good at a share that is no longer in force, and never counts as stalled. Change: once an order for a run got no answer, the one in force is sent again every 5 s while the run goes on. Evidence: the case in tests/test_unanswered_orders.py failed before (the share in force was sent once) and passes now.

--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -25,6 +25,9 @@
 # round trip with one lost packet.
 REPLY_MARGIN_S = 0.5
 RETRY_S = 0.2
+# Interval at which a throttle is repeated if an earlier order got no answer: that order may be
+# carried out after later ones.
+THROTTLE_REFRESH_S = 5.0
 # Time for which a worker that could not take a start gets no new tasks.
 BUSY_EXCLUSION_S = 1.0
 # Replies to a stop order after which the run cannot go on or start on the worker.
@@ -33,6 +36,11 @@
 log = get_logger("worker-manager")
 
 
+def _is_running(action):
+    """Return whether the run that a throttle order is for goes on."""
+    return action.task.run == action.run and action.task.state == TaskState.RUNNING
+
+
 class WorkerManager:
     """Calls of the leader to one incarnation of a worker.
 
@@ -46,7 +54,9 @@
         "_driver",
         "_has_lost_connection",
         "_leader",
+        "_throttle_by_task",
         "_timing",
+        "_unanswered_throttles",
         "_wake_event",
         "committed_end_number",
         "lease",
@@ -61,6 +71,10 @@
         self._driver = driver
         self._timing = timing
         self._wake_event = Event()
+        # Last throttle order for each task.
+        self._throttle_by_task = {}
+        # (task id, run) of runs for which a throttle order got no answer.
+        self._unanswered_throttles = set()
         # Whether a status poll has lost its connection since the last report.
         self._has_lost_connection = False
 
@@ -288,30 +302,52 @@
 
     @isolated
     async def throttle(self, action):
-        """Send a throttle order until the worker replies or the order is obsolete."""
-        task = action.task
-        order = Order(
-            task_id=task.id, run=action.run, fence=self._leader.term, percent=action.percent
-        )
-        while (
-            task.run == action.run
-            and task.state == TaskState.RUNNING
+        """Send a throttle order until the worker replies or the order is obsolete.
+
+        If an order for the run got no answer, go on sending the one in force.
+        """
+        task_id = action.task.id
+        key = task_id, action.run
+        self._throttle_by_task[task_id] = action
+        while self._is_throttle_due(action):
+            await self._leader.quorum_check.wait()
+            is_answered = await self._try_throttle(action)
+            if is_answered and key not in self._unanswered_throttles:
+                break
+            await sleep(THROTTLE_REFRESH_S if is_answered else RETRY_S)
+        if not _is_running(action):
+            self._unanswered_throttles.discard(key)
+        if self._throttle_by_task.get(task_id) is action:
+            del self._throttle_by_task[task_id]
+
+    def _is_throttle_due(self, action):
+        return (
+            self._throttle_by_task.get(action.task.id) is action
+            and _is_running(action)
             and self.worker.best_effort_percent == action.percent
             and self.worker.status in (WorkerStatus.READY, WorkerStatus.SUSPECT)
-        ):
-            await self._leader.quorum_check.wait()
-            try:
-                await self._call(self._driver.throttle, order, timeout=self._timing.order_timeout_s)
-            except IncarnationGoneError as error:
-                self._leader.handle_worker_lost(self.worker, str(error))
-                return
-            except (UnreachableError, OutcomeUnknownError, BusyError) as error:
-                log.info(
-                    "throttle order repeated", task=task.id, run=action.run, error=str(error)[:120]
-                )
-                await sleep(RETRY_S)
-                continue
-            return
+        )
+
+    async def _try_throttle(self, action):
+        """Send a throttle order once; return whether the worker replied."""
+        order = Order(
+            task_id=action.task.id, run=action.run, fence=self._leader.term, percent=action.percent
+        )
+        try:
+            await self._call(self._driver.throttle, order, timeout=self._timing.order_timeout_s)
+        except IncarnationGoneError as error:
+            self._leader.handle_worker_lost(self.worker, str(error))
+        except (UnreachableError, OutcomeUnknownError, BusyError) as error:
+            if isinstance(error, OutcomeUnknownError):
+                self._unanswered_throttles.add((action.task.id, action.run))
+            log.info(
+                "throttle order repeated",
+                task=action.task.id,
+                run=action.run,
+                error=str(error)[:120],
+            )
+            return False
+        return True
 
     @isolated
     async def stop(self, action):
--- a/tests/test_unanswered_orders.py
+++ b/tests/test_unanswered_orders.py
@@ -1,10 +1,10 @@
-"""Orders without an answer that are given up by an error."""
+"""Orders without an answer that are given up by an error, or carried out after later ones."""
 
 from anyio import move_on_after, run
 
-from siskintally.actions import StartAction
+from siskintally.actions import StartAction, ThrottleAction
 from siskintally.control_pb2 import PoolWorker
-from siskintally.driver import Refusal
+from siskintally.driver import OrderReply, Refusal
 from siskintally.errors import OutcomeUnknownError
 from siskintally.fleet import FleetWorker, WorkerStatus
 from siskintally.flow import FlowRun, TaskState
@@ -94,3 +94,38 @@
     assert harness.carry_out_stops() == [action.task.id]
     harness.deliver_report(action.worker.id)
     assert len(harness.send_starts()) == 1
+
+
+class LateThrottles(ScriptedStops):
+    """Carries out the first throttle order late, after the next one, and answers only that."""
+
+    def __init__(self):
+        super().__init__(Refusal.NONE)
+        self.percents = []
+
+    async def throttle(self, worker, order, *, timeout):
+        """Record the share that is in force after each order."""
+        if not self.percents:
+            self.percents.append(None)
+            raise OutcomeUnknownError("timeout")
+        self.percents.append(order.percent)
+        return OrderReply()
+
+
+def test_a_throttle_without_an_answer_is_sent_again_after_it_may_have_come_late(monkeypatch):
+    """Guards against a best-effort task that stands still for good by an old throttle order."""
+    monkeypatch.setattr("siskintally.worker_manager.THROTTLE_REFRESH_S", 0.05)
+    leader, driver = LeaderOfStops(), LateThrottles()
+    manager, task = make_manager(leader, driver, TaskState.RUNNING)
+    worker = task.worker
+
+    async def main():
+        worker.best_effort_percent = 10
+        with move_on_after(0.6):
+            await manager.throttle(ThrottleAction(task, 7, worker, 10))
+        worker.best_effort_percent = 100
+        with move_on_after(0.3):
+            await manager.throttle(ThrottleAction(task, 7, worker, 100))
+        assert driver.percents.count(100) >= 2, "sent again, as the first order may come late"
+
+    run(main)
