Test starts that are carried out after the refusal of their repeat

In the soak, one worker after the other behaves so for 1 to 3 s, beside the other faults; the choices come from a generator of their own, seeded. The soak prints each finding once, and how many starts were late and how many repeats were refused.

--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -8,6 +8,18 @@
 REASON_BY_REFUSAL = {Refusal.FENCED: "fence", Refusal.OLD: "old", Refusal.LATE: "late"}
 
 
+def read_order(body):
+    """Return the order in the body of a call."""
+    return Order(
+        task_id=body["task"],
+        run=body["run"],
+        fence=body["fence"],
+        spec=body.get("spec", ""),
+        lease_until_ms=body.get("untilMs", 0),
+        checkpoint=body.get("checkpointed", ""),
+    )
+
+
 class PlatformWorkerApp(HttpApp):
     """Answers the calls of the control group.
 
@@ -20,18 +32,11 @@
     async def handle(self, request):
         """Answer one call."""
         body = loads(request.body)
-        if request.headers.get("siskintally-expect-instance") != self.worker.record.id:
+        if not self.is_addressed(request):
             return json_response(421, {})
         if request.path == "/hold":
             return self._hold(body)
-        order = Order(
-            task_id=body["task"],
-            run=body["run"],
-            fence=body["fence"],
-            spec=body.get("spec", ""),
-            lease_until_ms=body.get("untilMs", 0),
-            checkpoint=body.get("checkpointed", ""),
-        )
+        order = read_order(body)
         handle_order = {"/run-start": self.worker.start, "/run-stop": self.worker.stop}[
             request.path
         ]
@@ -41,6 +46,10 @@
             return json_response(409, {"clockMs": reply.clock_ms, "reason": reason})
         return json_response(200, {"clockMs": reply.clock_ms})
 
+    def is_addressed(self, request):
+        """Return whether a call is meant for this worker."""
+        return request.headers.get("siskintally-expect-instance") == self.worker.record.id
+
     def _hold(self, body):
         report = self.worker.poll_status(
             fence=body["fence"],
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,8 @@
 Three stores and two entries run as processes of their own; workers are stand-ins in this process,
 each behind a forwarder. Faults come in series and overlap: processes are paused, killed, stopped,
 reloaded and restarted; connections to workers are delayed, reset, cut in one direction or silenced;
-workers crash and start again under their id; the queue is removed and put back.
+workers crash and start again under their id; workers carry out starts late, which they have not
+answered, and refuse the repeats; the queue is removed and put back.
 At most one store is away at a time, which is what three stores bear.
 
 Usage: python -m tests.soak [--seeds N] [--first SEED] [--length_s S]
@@ -36,27 +37,26 @@
 from siskintally.http_server import serve_http
 from siskintally.stub_pool import StubPool
 from tests.forwarder import Forwarder
-from tests.platform_worker import PlatformWorkerApp
+from tests.late_starts import CARRIED_OUT, LateStarts, LateStartWorkerApp
 from tests.processes import Processes, free_ports, wait_until
 from tests.test_platform_process import CONFIG, HOSTS, PlatformCell
 
 ENTRIES = ("127.0.0.34", "127.0.0.35")
-WORKER_COUNT = 4
 CPU_MILLI = 4000
 TASK_CPU_MILLI = 1000
 HEARTBEAT_S = 1.0
 CHECK_S = 0.02
-SUBMIT_INTERVAL_S = 0.35
-CANCEL_SHARE = 0.15
-LASTING_SHARE = 0.1
 ATTEMPTS = 5
 REFUSED_STATUSES = (429, 503)
+LATE_START_SHARE = 0.5
+LATE_START_DELAY_S = (0.5, 3.0)
+LATE_START_REPEATS = ("room", "400", CARRIED_OUT)
 # Longest time after the last fault until all flows are completed and all cancelled tasks are gone.
 SETTLE_S = 60.0
 DEFAULT_LENGTH_S = 30.0
 
 
-class SoakWorkerApp(PlatformWorkerApp):
+class SoakWorkerApp(LateStartWorkerApp):
     """A worker whose status polls wait for an end, as the leader asks them to.
 
     ``noted_runs``: (task id, run) of the ends as done that were acknowledged while the lease had
@@ -186,8 +186,14 @@
 class SoakCell(PlatformCell):
     """Stores and entries in processes; ``length_s`` of load and faults from one seed."""
 
+    worker_count = 4
+    submit_interval_s = 0.35
+    cancel_share = 0.15
+    lasting_share = 0.1
+
     def __init__(self, *, processes, seed, length_s):
         super().__init__(processes=processes)
+        self.seed = seed
         self.random = Random(seed)
         self.length_s = length_s
         self.flow_by_id = {}
@@ -199,10 +205,10 @@
         self.is_over = False
         self.started_command_by_host = {}
         self.pool = StubPool(clock=steady, run_s=self.run_s)
-        self.worker_ports = free_ports(WORKER_COUNT)
+        self.worker_ports = free_ports(self.worker_count)
         self.forwarders = [
             Forwarder(port=port, target=target)
-            for port, target in zip(free_ports(WORKER_COUNT), self.worker_ports, strict=True)
+            for port, target in zip(free_ports(self.worker_count), self.worker_ports, strict=True)
         ]
         self.worker_hosts = [
             SoakWorkerHost(name=f"i-{number}", port=port, pool=self.pool)
@@ -214,6 +220,16 @@
         """All incarnations of all workers."""
         return [life for host in self.worker_hosts for life in host.lives]
 
+    @property
+    def late_start_count(self):
+        """Number of runs that were started late."""
+        return sum(len(life.executed_late) for life in self.lives)
+
+    @property
+    def refused_repeat_count(self):
+        """Number of runs whose start was refused before the first attempt was carried out."""
+        return sum(len(life.refused_repeats) for life in self.lives)
+
     def run_s(self, task_id):
         """Return the run time of a task, s."""
         flow = self.flow_by_id.get(task_id.partition(".")[0])
@@ -252,13 +268,13 @@
 
     async def submit_flows(self, tasks):
         """Submit flows in an open loop; some are cancelled a moment later."""
-        for number in range(int(self.length_s / SUBMIT_INTERVAL_S)):
+        for number in range(int(self.length_s / self.submit_interval_s)):
             tasks.start_soon(self.run_caller, f"{number:016x}")
-            await sleep(SUBMIT_INTERVAL_S * self.random.uniform(0.5, 1.5))
+            await sleep(self.submit_interval_s * self.random.uniform(0.5, 1.5))
 
     async def run_caller(self, flow_id):
         """Submit a flow until it is accepted; cancel it in some cases."""
-        is_lasting = self.random.random() < LASTING_SHARE
+        is_lasting = self.random.random() < self.lasting_share
         count = self.random.randint(1, 3)
         flow = SoakFlow(flow_id=flow_id, is_lasting=is_lasting, task_count=count)
         self.flow_by_id[flow_id] = flow
@@ -271,7 +287,7 @@
             if status == 200:
                 break
             await sleep(self.random.uniform(0.2, 1.0))
-        if flow.is_accepted and (is_lasting or self.random.random() < CANCEL_SHARE):
+        if flow.is_accepted and (is_lasting or self.random.random() < self.cancel_share):
             await sleep(self.random.uniform(0.0, 3.0))
             await self.cancel_flow(flow)
 
@@ -318,6 +334,7 @@
             runs = Counter()
             for host in self.worker_hosts:
                 host.life.record_lapse()
+                host.life.execute_due_starts()
             for stub in self.pool.worker_by_id.values():
                 stub.end_due_runs()
                 used = len(stub.running_by_task) * TASK_CPU_MILLI
@@ -333,6 +350,7 @@
 
     async def inject_faults(self, tasks):
         """Start faults in an open loop, so that they overlap."""
+        tasks.start_soon(self.delay_starts)
         ends_at = steady() + self.length_s
         kinds = (
             self.pause_store,
@@ -442,12 +460,34 @@
 
     async def restart_worker(self):
         """Let a worker crash and start again under its id; it announces itself only later."""
-        number = self.random.randrange(WORKER_COUNT)
+        number = self.random.randrange(self.worker_count)
         await self.forwarders[number].cut()
         self.worker_hosts[number].start_again()
         await sleep(self.random.uniform(0.0, 0.5))
         self.forwarders[number].heal()
 
+    async def delay_starts(self):
+        """Let one worker after the other carry out some starts late, beside the other faults.
+
+        These choices have a generator of their own, so that they leave those of the other faults
+        as they are.
+        """
+        random = Random(f"late starts {self.seed}")
+        late_starts = LateStarts(
+            seed=self.seed,
+            share=LATE_START_SHARE,
+            delay_s=LATE_START_DELAY_S,
+            repeats=LATE_START_REPEATS,
+        )
+        ends_at = steady() + self.length_s
+        while steady() < ends_at:
+            await sleep(random.uniform(0.1, 1.5))
+            life = random.choice(self.worker_hosts).life
+            self.faults["delay_starts"] += 1
+            life.late_starts = late_starts
+            await sleep(random.uniform(1.0, 3.0))
+            life.late_starts = None
+
     async def remove_queue(self):
         """Remove the queue from the configuration and put it back."""
         if self.queue_is_removed:
@@ -476,6 +516,8 @@
                 self.restart(host)
         for forwarder in self.forwarders:
             forwarder.heal()
+        for host in self.worker_hosts:
+            host.life.late_starts = None
         lasting = [flow for flow in self.flow_by_id.values() if flow.is_lasting]
         for flow in lasting:
             if flow.is_accepted and flow.cancelled_at is None:
@@ -502,7 +544,10 @@
         """Wait until no task of a flow that is over runs."""
 
         def is_idle():
-            return not any(stub.running_by_task for stub in self.pool.worker_by_id.values())
+            return not any(
+                host.life.worker.running_by_task or host.life.has_pending_starts
+                for host in self.worker_hosts
+            )
 
         try:
             await wait_until(is_idle, "idle", limit_s=SETTLE_S)
@@ -569,7 +614,7 @@
                 tasks.start_soon(forwarder.run)
             self.start()
             await self.control_call("POST", "/config/replace", json=CONFIG)
-            for number in range(WORKER_COUNT):
+            for number in range(self.worker_count):
                 tasks.start_soon(self.send_heartbeats, number)
             tasks.start_soon(self.check_workers)
             tasks.start_soon(self.read_states)
@@ -607,8 +652,11 @@
         path.mkdir(parents=True)
         try:
             cell = play_seed(seed, path, length_s=values.length_s)
-            violations = cell.violations
-            counts = f"{len(cell.flow_by_id)} flows, {sum(cell.faults.values())} faults"
+            violations = list(dict.fromkeys(cell.violations))
+            counts = (
+                f"{len(cell.flow_by_id)} flows, {sum(cell.faults.values())} faults, "
+                f"{cell.late_start_count} late starts, {cell.refused_repeat_count} refused repeats"
+            )
         except Exception:
             print_exc()
             violations, counts = ["the soak itself failed"], ""
