Write each log line with one call, so that the limit of lines counts lines

Cause: structlog's PrintLogger prints a line and its line end with two calls, and LogStream counts each call as a line. Change: WriteLogger, which writes both with one call.

--- a/siskintally/log.py
+++ b/siskintally/log.py
@@ -11,7 +11,7 @@
 from sys import stderr, stdout
 from time import monotonic
 
-from structlog import PrintLoggerFactory, configure, make_filtering_bound_logger
+from structlog import WriteLoggerFactory, configure, make_filtering_bound_logger
 from structlog import get_logger as structlog_logger
 from structlog.contextvars import bind_contextvars, merge_contextvars
 from structlog.processors import JSONRenderer, TimeStamper, add_log_level, format_exc_info
@@ -38,7 +38,7 @@
             JSONRenderer(),
         ],
         wrapper_class=make_filtering_bound_logger(LEVEL_BY_NAME[level]),
-        logger_factory=PrintLoggerFactory(file=_nonblocking_stdout() if to_stdout else stderr),
+        logger_factory=WriteLoggerFactory(file=_nonblocking_stdout() if to_stdout else stderr),
     )
     bind_contextvars(process=process)
 
--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -1,6 +1,19 @@
 """Log output under load and with a slow reader."""
 
-from siskintally.log_stream import LogStream
+from json import loads
+from subprocess import run as run_process
+from sys import executable
+
+from siskintally.log_stream import BURST_LINES, LogStream
+
+PROGRAM = """
+from sys import argv
+from siskintally.log import configure_logging, get_logger
+configure_logging(process="p", to_stdout=True)
+log = get_logger("m")
+for number in range(int(argv[1])):
+    log.info("x", number=number)
+"""
 
 
 class FakePipe:
@@ -42,3 +55,25 @@
     stream.write("kept\n")
     assert '"count": 2' in pipe.lines[0]
     assert pipe.lines[1] == "kept\n"
+
+
+def _log_lines(path, count):
+    """Return the lines that a process writes which logs ``count`` events to standard output."""
+    with path.open("wb") as file:
+        run_process([executable, "-c", PROGRAM, str(count)], stdout=file, timeout=60, check=True)
+    return [loads(line) for line in path.read_text(encoding="utf-8").splitlines()]
+
+
+def test_a_burst_within_the_limit_is_written_whole(tmp_path):
+    """Guards against a line that uses up two lines of the limit, one for its line end."""
+    lines = _log_lines(tmp_path / "log", BURST_LINES)
+    assert [line.get("number") for line in lines] == list(range(BURST_LINES))
+
+
+def test_a_flood_leaves_whole_lines(tmp_path):
+    """Guards against a line end that is dropped alone, so that two lines become one."""
+    count = 8 * BURST_LINES
+    lines = _log_lines(tmp_path / "log", count)
+    written = [line["number"] for line in lines if "number" in line]
+    assert BURST_LINES <= len(written) < count
+    assert written == sorted(set(written))
