Believe another address of a worker only after a poll there

Cause: an announcement that kept the start time of a worker and named the address of another process was believed. Calls got 421 or another start time there, the leader counted the worker as lost and started its tasks elsewhere while they ran on; the next heartbeat of the worker brought it back as empty.

Change: verify_announcement also polls a known incarnation at a changed address. A refused poll does not confirm an announcement, because it carries no start time. An answer of another incarnation at the former address of a worker that has moved no longer ends it, and the connections there are closed.

--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -14,7 +14,13 @@
 from siskintally.committed_commands import CommittedCommands
 from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, TaskEnd, WorkerKey
 from siskintally.control_state import Outcome
-from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
+from siskintally.driver import Refusal
+from siskintally.errors import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    SiskintallyError,
+    UnreachableError,
+)
 from siskintally.fleet import WorkerStatus
 from siskintally.flow_dispatcher import FlowDispatcher
 from siskintally.flow_retention import FlowRetention
@@ -210,6 +216,8 @@
         is_new = existing is None or existing.record.born_ms != record.born_ms
         if is_new and existing is not None:
             self._manager_by_worker[record.id].wake()
+        if not is_new and existing.record.address != record.address:
+            self._tasks.start_soon(self._driver.disconnect, existing.record)
         self.scheduler.join(record, is_new=is_new)
         worker = self.scheduler.worker_by_id[record.id]
         manager = self._start_manager(worker) if is_new else self._manager_by_worker[record.id]
@@ -222,19 +230,18 @@
         self.request_pass()
 
     async def verify_announcement(self, record):
-        """Ask a worker whether it has started again, before its former life counts as gone.
+        """Ask a worker whether it has started again, or has moved to another address.
 
-        An announcement may come from another writer. The tasks of a worker that it wrongly
-        declares gone would run twice.
+        An announcement may come from another writer. A worker that is wrongly declared gone, or
+        is called at the address of another process, would count as lost, and its tasks would run
+        twice.
 
-        :raises SiskintallyError: the announced incarnation did not answer.
+        :raises SiskintallyError: the announced incarnation did not answer at the announced address.
         """
-        existing = self.scheduler.worker_by_id.get(record.id)
-        is_known = existing is None or existing.record.born_ms == record.born_ms
-        if is_known or existing.status == WorkerStatus.LAPSED:
+        if not self._needs_verification(record):
             return
         try:
-            await self._driver.poll_status(
+            report = await self._driver.poll_status(
                 record,
                 fence=self.term,
                 lease_until_ms=None,
@@ -242,11 +249,23 @@
                 wait_ms=0,
                 timeout=VERIFICATION_TIMEOUT_S,
             )
+            if report.refusal != Refusal.NONE:
+                # A refusal has no start time, so it may come from another incarnation.
+                raise UnreachableError(f"{record.id}: poll refused: {report.refusal.name}")
         except SiskintallyError as error:
             log.info("announcement not confirmed", worker=record.id, error=str(error)[:120])
             await self._driver.disconnect(record)
             raise
 
+    def _needs_verification(self, record):
+        """Return whether an announcement replaces a known incarnation or changes its address."""
+        existing = self.scheduler.worker_by_id.get(record.id)
+        if existing is None:
+            return False
+        if existing.record.born_ms == record.born_ms:
+            return existing.record.address != record.address
+        return existing.status != WorkerStatus.LAPSED
+
     async def propose(self, **body):
         """Commit a :class:`ControlCommand`.
 
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -157,9 +157,16 @@
 
         A worker whose record or replies cannot be used must not end the term, because the next
         leader would call the same worker.
+
+        :raises IncarnationGoneError: another incarnation answers at the address of the worker.
         """
+        record = self.worker.record
         try:
-            return await method(self.worker.record, *arguments, timeout=timeout, **options)
+            return await method(record, *arguments, timeout=timeout, **options)
+        except IncarnationGoneError as error:
+            if record.address == self.worker.record.address:
+                raise
+            raise UnreachableError(f"{record.id} has moved: {error}") from error
         except SiskintallyError:
             raise
         except Exception as error:
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -144,11 +144,14 @@
         """Return a driver with connections of its own."""
         return PlatformWorkerDriver()
 
-    async def add_workers(self):
-        """Configure the cell and let two workers announce themselves."""
+    async def add_workers(self, **options):
+        """Configure the cell and let two workers announce themselves.
+
+        :param options: those of the :class:`~tests.worker_lives.WorkerHost` objects.
+        """
         await self.configure()
         for name in ("w1", "w2"):
-            host = self.hosts_by_name[name] = WorkerHost(name=name, tasks=self.tasks)
+            host = self.hosts_by_name[name] = WorkerHost(name=name, tasks=self.tasks, **options)
             await host.start()
             await self.call(WorkerSeen(worker=host.announcement()))
 
--- a/tests/worker_lives.py
+++ b/tests/worker_lives.py
@@ -1,6 +1,7 @@
 """Workers that crash and start again under their id at their address, served over HTTP."""
 
 from functools import partial
+from itertools import accumulate
 
 from anyio import Event, connect_tcp, sleep
 
@@ -139,3 +140,18 @@
         for earlier in rows[:index]
         if earlier[0] == later[0] and (earlier[3] > later[2] or earlier[4])
     ]
+
+
+def overfull_workers(hosts, *, capacity=4):
+    """Return (worker id, number of runs at once) where more tasks run than fit.
+
+    :param capacity: number of tasks that fit on a worker.
+    """
+    peaks = [(host.name, _peak(life.runs())) for host in hosts for life in host.lives]
+    return [(name, peak) for name, peak in peaks if peak > capacity]
+
+
+def _peak(rows):
+    """Return the largest number of runs at once; a run that ends makes room at that instant."""
+    changes = sorted(change for _, _, start, end, _ in rows for change in ((end, -1), (start, 1)))
+    return max(accumulate((sign for _, sign in changes), initial=0))
