Give a joining worker no tasks before its first report

Cause: a worker that joined was ready at once, that is, taken for empty. An incarnation that its leader had wrongly given up announced itself again with the same start time, its runs went on there, and it was filled a second time.

The leader takes it that earlier grants may hold, so failed first polls don't make it lapse at once. The parameter is_new of join is gone; the harness, the bench and the doctest make a worker ready by an empty report.

--- a/bench/flow_pass.py
+++ b/bench/flow_pass.py
@@ -21,6 +21,7 @@
 from siskintally.advice_client_pool import AdviceClientPool
 from siskintally.control_pb2 import AdviceTerms, Flow, FlowStep, PoolWorker, Queue
 from siskintally.counters import Counters
+from siskintally.driver import WorkerReport
 from siskintally.flow_dispatcher import FlowDispatcher
 from siskintally.flow_scheduler import FlowScheduler
 
@@ -43,7 +44,9 @@
     scheduler = FlowScheduler(term=1)
     for number in range(WORKERS):
         record = PoolWorker(id=f"w{number}", service="s", cpu_milli=8000, memory_mb=8000)
-        scheduler.join(record, is_new=True)
+        scheduler.join(record)
+        worker = scheduler.worker_by_id[record.id]
+        scheduler.apply_report(worker, WorkerReport(clock_ms=0), 0.0, 0.0)
     queue = Queue(
         name="q", service="s", priority=priority, max_attempts=3, stretch=1.5, advice=terms
     )
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -115,21 +115,20 @@
         log.info("term begins", term=self.term, flows=len(self.state.flow_by_id))
         self.scheduler.restore(self.state, now, wall_ms=int(time() * 1000))
         self.state.on_applied = self._record_committed
-        former_leases = now + longest_grant_s(self._timing.lease_s, self._timing.margin_s)
         try:
-            await self._lead(former_leases)
+            await self._lead(now)
         finally:
             if self.state.on_applied == self._record_committed:
                 self.state.on_applied = None
         self.is_over = True
         log.info("term over", term=self.term)
 
-    async def _lead(self, former_leases):
+    async def _lead(self, now):
         async with create_task_group() as tasks:
             self._tasks = tasks
             self._cancel_scope = tasks.cancel_scope
             for worker in list(self.scheduler.worker_by_id.values()):
-                self._start_manager(worker).lease.include_former_grants(former_leases)
+                self._start_manager(worker, now)
             tasks.start_soon(self._run_quorum_check)
             tasks.start_soon(self._run_passes)
             tasks.start_soon(self._forget_closed_flows)
@@ -195,10 +194,12 @@
             except Exception as error:
                 self.scheduler.isolate("", error)
 
-    def _start_manager(self, worker):
-        manager = WorkerManager(
-            worker=worker, leader=self, driver=self._driver, timing=self._timing
-        )
+    def _start_manager(self, worker, now):
+        """Start the manager of an incarnation, which may hold a lease that was granted before."""
+        timing = self._timing
+        manager = WorkerManager(worker=worker, leader=self, driver=self._driver, timing=timing)
+        former_grants = now + longest_grant_s(timing.lease_s, timing.margin_s)
+        manager.lease.include_former_grants(former_grants)
         self._manager_by_worker[worker.id] = manager
         self._tasks.start_soon(manager.run)
         return manager
@@ -218,9 +219,11 @@
             self._manager_by_worker[record.id].wake()
         if not is_new and existing.record.address != record.address:
             self._tasks.start_soon(self._driver.disconnect, existing.record)
-        self.scheduler.join(record, is_new=is_new)
+        self.scheduler.join(record)
         worker = self.scheduler.worker_by_id[record.id]
-        manager = self._start_manager(worker) if is_new else self._manager_by_worker[record.id]
+        if is_new:
+            self._start_manager(worker, steady())
+        manager = self._manager_by_worker[record.id]
         if record.clock_ms:
             manager.lease.sample_clock(clock_ms=record.clock_ms, received_at=received_at)
         if worker.status == WorkerStatus.LAPSED:
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -1,9 +1,12 @@
 """Flow scheduler for one leader term; pure logic, callers pass the time in.
 
 >>> from siskintally.control_pb2 import Flow, FlowStep, PoolWorker, Queue
+>>> from siskintally.driver import WorkerReport
 >>> from siskintally.flow_scheduler import FlowScheduler
 >>> scheduler = FlowScheduler(term=3)
->>> scheduler.join(PoolWorker(id="w", service="s", cpu_milli=1000, memory_mb=100), is_new=True)
+>>> scheduler.join(PoolWorker(id="w", service="s", cpu_milli=1000, memory_mb=100))
+>>> scheduler.apply_report(scheduler.worker_by_id["w"], WorkerReport(clock_ms=0), 0.0, 0.0)
+[]
 >>> queue = Queue(name="q", service="s", max_attempts=2)
 >>> flow = Flow(id="f", queue="q", steps=[FlowStep(tasks=1, cpu_milli=500)])
 >>> scheduler.accept(flow, queue, now=0.0)
@@ -90,7 +93,7 @@
         :param wall_ms: Unix time, ms; 0 if flows are to count as accepted now.
         """
         for record in state.worker_by_id.values():
-            self.join(record, is_new=False)
+            self.join(record)
         for flow_state in state.flow_by_id.values():
             if flow_state.outcome != Outcome.OPEN:
                 continue
@@ -248,10 +251,11 @@
             if not step.waiting and step.dependents:
                 yield step
 
-    def join(self, record, *, is_new):
+    def join(self, record):
         """Add a worker, replace its former incarnation, or update its record.
 
-        :param is_new: whether no leader has sent tasks to this incarnation before.
+        An incarnation that is added gets no tasks before its first report: it may have runs of a
+        former leader, or of this one if it was wrongly given up.
         """
         existing = self.worker_by_id.get(record.id)
         if existing is not None and existing.record.born_ms == record.born_ms:
@@ -259,10 +263,7 @@
             return
         if existing is not None:
             self.remove_worker(existing)
-        worker = FleetWorker(record=record)
-        if is_new:
-            worker.status = WorkerStatus.READY
-        self.worker_by_id[record.id] = worker
+        self.worker_by_id[record.id] = FleetWorker(record=record)
         self.last_end_by_worker.pop(record.id, None)
 
     def evacuate(self, worker, now):
--- a/tests/flow_harness.py
+++ b/tests/flow_harness.py
@@ -13,6 +13,7 @@
 )
 from siskintally.control_state import ControlState
 from siskintally.driver import EndKind, RunEnd, RunStatus, WorkerReport
+from siskintally.fleet import WorkerStatus
 from siskintally.flow_scheduler import FlowScheduler
 
 SERVICE = "pool"
@@ -85,9 +86,13 @@
         self.state.apply(index=self.index, command=command)
 
     def add_worker(self, record):
-        """Let a worker join."""
+        """Let a worker join and report, if it is a new incarnation, that nothing runs there."""
         self.commit(join=record)
-        self.scheduler.join(record, is_new=True)
+        self.scheduler.join(record)
+        worker = self.scheduler.worker_by_id[record.id]
+        if worker.status == WorkerStatus.UNSEEN:
+            report = WorkerReport(clock_ms=int(self.now * 1000))
+            self.scheduler.apply_report(worker, report, self.now, self.now)
         self.running_by_worker.setdefault(record.id, {})
         self.ended_by_worker.setdefault(record.id, [])
 
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -523,7 +523,7 @@
     harness.place()
     leaving = make_worker("w1")
     leaving.leaving, leaving.leaves_in_ms = True, 2000
-    harness.scheduler.join(leaving, is_new=False)
+    harness.scheduler.join(leaving)
     harness.scheduler.evacuate(harness.scheduler.worker_by_id["w1"], harness.now)
     assert harness.carry_out_stops() == ["f.0.1.0"]
     harness.deliver_report("w1")
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -151,9 +151,13 @@
         """
         await self.configure()
         for name in ("w1", "w2"):
-            host = self.hosts_by_name[name] = WorkerHost(name=name, tasks=self.tasks, **options)
-            await host.start()
-            await self.call(WorkerSeen(worker=host.announcement()))
+            await self.add_worker(name, **options)
+
+    async def add_worker(self, name, **options):
+        """Let a worker start and announce itself."""
+        host = self.hosts_by_name[name] = WorkerHost(name=name, tasks=self.tasks, **options)
+        await host.start()
+        await self.call(WorkerSeen(worker=host.announcement()))
 
     async def restart_worker(self, name, *, meanwhile):
         """Let a worker crash, start again, and announce itself only later."""
