--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -14,7 +14,13 @@
 from siskintally.committed_commands import CommittedCommands
 from siskintally.control_pb2 import ControlCommand, EndBatch, FlowIds, TaskEnd, WorkerKey
 from siskintally.control_state import Outcome
-from siskintally.errors import NotLeaderError, OutcomeUnknownError, SiskintallyError
+from siskintally.driver import Refusal
+from siskintally.errors import (
+    NotLeaderError,
+    OutcomeUnknownError,
+    SiskintallyError,
+    UnreachableError,
+)
 from siskintally.fleet import WorkerStatus
 from siskintally.flow_dispatcher import FlowDispatcher
 from siskintally.flow_retention import FlowRetention
@@ -109,21 +115,20 @@
         log.info("term begins", term=self.term, flows=len(self.state.flow_by_id))
         self.scheduler.restore(self.state, now, wall_ms=int(time() * 1000))
         self.state.on_applied = self._record_committed
-        former_leases = now + longest_grant_s(self._timing.lease_s, self._timing.margin_s)
         try:
-            await self._lead(former_leases)
+            await self._lead(now)
         finally:
             if self.state.on_applied == self._record_committed:
                 self.state.on_applied = None
         self.is_over = True
         log.info("term over", term=self.term)
 
-    async def _lead(self, former_leases):
+    async def _lead(self, now):
         async with create_task_group() as tasks:
             self._tasks = tasks
             self._cancel_scope = tasks.cancel_scope
             for worker in list(self.scheduler.worker_by_id.values()):
-                self._start_manager(worker).lease.include_former_grants(former_leases)
+                self._start_manager(worker, now)
             tasks.start_soon(self._run_quorum_check)
             tasks.start_soon(self._run_passes)
             tasks.start_soon(self._forget_closed_flows)
@@ -189,10 +194,12 @@
             except Exception as error:
                 self.scheduler.isolate("", error)
 
-    def _start_manager(self, worker):
-        manager = WorkerManager(
-            worker=worker, leader=self, driver=self._driver, timing=self._timing
-        )
+    def _start_manager(self, worker, now):
+        """Start the manager of an incarnation, which may hold a lease that was granted before."""
+        timing = self._timing
+        manager = WorkerManager(worker=worker, leader=self, driver=self._driver, timing=timing)
+        former_grants = now + longest_grant_s(timing.lease_s, timing.margin_s)
+        manager.lease.include_former_grants(former_grants)
         self._manager_by_worker[worker.id] = manager
         self._tasks.start_soon(manager.run)
         return manager
@@ -210,9 +217,13 @@
         is_new = existing is None or existing.record.born_ms != record.born_ms
         if is_new and existing is not None:
             self._manager_by_worker[record.id].wake()
-        self.scheduler.join(record, is_new=is_new)
+        if not is_new and existing.record.address != record.address:
+            self._tasks.start_soon(self._driver.disconnect, existing.record)
+        self.scheduler.join(record)
         worker = self.scheduler.worker_by_id[record.id]
-        manager = self._start_manager(worker) if is_new else self._manager_by_worker[record.id]
+        if is_new:
+            self._start_manager(worker, steady())
+        manager = self._manager_by_worker[record.id]
         if record.clock_ms:
             manager.lease.sample_clock(clock_ms=record.clock_ms, received_at=received_at)
         if worker.status == WorkerStatus.LAPSED:
@@ -222,19 +233,18 @@
         self.request_pass()
 
     async def verify_announcement(self, record):
-        """Ask a worker whether it has started again, before its former life counts as gone.
+        """Ask a worker whether it has started again, or has moved to another address.
 
-        An announcement may come from another writer. The tasks of a worker that it wrongly
-        declares gone would run twice.
+        An announcement may come from another writer. A worker that is wrongly declared gone, or
+        is called at the address of another process, would count as lost, and its tasks would run
+        twice.
 
-        :raises SiskintallyError: the announced incarnation did not answer.
+        :raises SiskintallyError: the announced incarnation did not answer at the announced address.
         """
-        existing = self.scheduler.worker_by_id.get(record.id)
-        is_known = existing is None or existing.record.born_ms == record.born_ms
-        if is_known or existing.status == WorkerStatus.LAPSED:
+        if not self._needs_verification(record):
             return
         try:
-            await self._driver.poll_status(
+            report = await self._driver.poll_status(
                 record,
                 fence=self.term,
                 lease_until_ms=None,
@@ -242,11 +252,23 @@
                 wait_ms=0,
                 timeout=VERIFICATION_TIMEOUT_S,
             )
+            if report.refusal != Refusal.NONE:
+                # A refusal has no start time, so it may come from another incarnation.
+                raise UnreachableError(f"{record.id}: poll refused: {report.refusal.name}")
         except SiskintallyError as error:
             log.info("announcement not confirmed", worker=record.id, error=str(error)[:120])
             await self._driver.disconnect(record)
             raise
 
+    def _needs_verification(self, record):
+        """Return whether an announcement replaces a known incarnation or changes its address."""
+        existing = self.scheduler.worker_by_id.get(record.id)
+        if existing is None:
+            return False
+        if existing.record.born_ms == record.born_ms:
+            return existing.record.address != record.address
+        return existing.status != WorkerStatus.LAPSED
+
     async def propose(self, **body):
         """Commit a :class:`ControlCommand`.
 
