Store a worker again that returns while its loss is being committed

Cause: the loss of a worker is committed in the background. An announcement of the same incarnation meanwhile found its record still in the state, committed nothing and joined; then the loss was committed. The state lacked a worker that got tasks, so the next leader would start them again at once. The same came of a loss while a change of the record was being committed.

Change: an announcement waits until no loss of its incarnation is pending (PendingLosses), then commits a join. If the state does not hold the incarnation after that, the sender gets an error.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -33,7 +33,7 @@
         "flow_timing control_state queue_checks queue_index committed_commands worker_checks "
         "actions speculation quorum_check flow_retention control_leader flow_dispatcher "
         "worker_manager long_poll advice_client_pool step_text flow_trace flow_report "
-        "advice_clients control_service driver stub_pool"
+        "advice_clients control_service driver stub_pool pending_losses"
     ),
     "Processes of the control plane": (
         "control_group control_node entry_node flow_gateway leader_cache control_client "
--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -27,6 +27,7 @@
 from siskintally.flow_scheduler import FlowScheduler
 from siskintally.log import get_logger
 from siskintally.long_poll import LongPollWait
+from siskintally.pending_losses import PendingLosses
 from siskintally.quorum_check import QuorumCheck
 from siskintally.worker_lease import longest_grant_s
 from siskintally.worker_manager import WorkerManager
@@ -70,6 +71,7 @@
         "_driver",
         "_group",
         "_manager_by_worker",
+        "_pending_losses",
         "_tasks",
         "_timing",
         "_wake",
@@ -98,6 +100,7 @@
         self._timing = timing
         self._counters = counters
         self._manager_by_worker = {}
+        self._pending_losses = PendingLosses()
         self.poll_wait = LongPollWait(
             normal_wait_s=timing.max_wait_s,
             reduced_wait_s=REDUCED_WAIT_S,
@@ -414,11 +417,31 @@
         if manager is not None and manager.worker is worker:
             manager.wake()
             del self._manager_by_worker[worker.id]
+        self._pending_losses.begin(worker.record)
         self._tasks.start_soon(self._commit_loss, worker.record)
         self.request_pass()
 
     async def _commit_loss(self, record):
+        is_committed = False
         try:
             await self.propose(leave=WorkerKey(id=record.id, born_ms=record.born_ms))
+            is_committed = True
         except (NotLeaderError, OutcomeUnknownError) as error:
             self.end_term(str(error))
+        finally:
+            self._pending_losses.end(record, is_committed=is_committed)
+
+    async def wait_for_loss(self, record):
+        """Wait until no loss of an incarnation is being committed.
+
+        Otherwise its announcement would find a record that the loss then removes from the state.
+
+        :raises OutcomeUnknownError: its loss could not be committed.
+        """
+        await self._pending_losses.wait(record)
+
+    def is_stored(self, record):
+        """Return whether the state contains an incarnation that is not being given up."""
+        stored = self.state.worker_by_id.get(record.id)
+        is_known = stored is not None and stored.born_ms == record.born_ms
+        return is_known and not self._pending_losses.includes(record)
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -22,7 +22,13 @@
     WorkerSeen,
 )
 from siskintally.control_state import Outcome
-from siskintally.errors import BadRequestError, NoConfigError, NotFoundError, SiskintallyError
+from siskintally.errors import (
+    BadRequestError,
+    NoConfigError,
+    NotFoundError,
+    OutcomeUnknownError,
+    SiskintallyError,
+)
 from siskintally.flow_checks import check_flow
 from siskintally.log import get_logger
 from siskintally.worker_checks import is_plausible
@@ -179,6 +185,7 @@
         if self._is_outdated(record, wall_ms) or self._is_foreign(record):
             return FlowReply(known=True)
         await leader.verify_announcement(record)
+        await leader.wait_for_loss(record)
         if self._is_outdated(record, wall_ms):
             return FlowReply(known=True)
         self._seq_by_worker[record.id] = record.seq
@@ -194,6 +201,8 @@
                 former_born_ms=known_record.born_ms if known_record is not None else 0,
                 address=record.address,
             )
+            if not leader.is_stored(record):
+                raise OutcomeUnknownError(f"{record.id}: lost while its announcement was committed")
         leader.handle_join(record, received_at)
         return FlowReply(known=True)
 
--- a/tests/test_worker_checks.py
+++ b/tests/test_worker_checks.py
@@ -30,6 +30,13 @@
         self.state = State()
         self.joined = []
 
+    async def wait_for_loss(self, record):
+        """Return at once: no worker is given up."""
+
+    def is_stored(self, record):
+        """Return that the worker is stored."""
+        return True
+
     async def verify_announcement(self, record):
         """Confirm each announcement."""
 
