Keep the capacity that a life of a worker announced first

Cause: an announcement with more capacity under the start time of a worker was believed, also from another writer, and its sequence number made the worker's own announcements look outdated; the worker was then given more than it has room for. Change: capacity does not change during a life; a later announcement of the same life keeps the first one.

--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -189,6 +189,8 @@
         if self._is_outdated(record, wall_ms):
             return FlowReply(known=True)
         self._seq_by_worker[record.id] = record.seq
+        if is_known_incarnation:
+            record = _with_first_capacity(record, known_record)
         known_record = self._find_record(record.id, wall_ms)
         is_known_incarnation = known_record is not None and known_record.born_ms == record.born_ms
         if not is_known_incarnation or _stored_fields(known_record) != _stored_fields(record):
@@ -251,6 +253,19 @@
         record.clock_ms = 0
         record.seq = self._last_seq(known_record)
         return await self._handle_announcement(WorkerSeen(worker=record))
+def _with_first_capacity(record, known_record):
+    """Return an announcement with the capacity that its incarnation announced first.
+
+    It does not change during a life; an announcement of more room may come from another writer.
+    """
+    fixed = PoolWorker()
+    fixed.CopyFrom(record)
+    fixed.cpu_milli = known_record.cpu_milli
+    fixed.memory_mb = known_record.memory_mb
+    fixed.accelerators = known_record.accelerators
+    return fixed
+
+
 
 
 def _stored_fields(record):
