Log the tasks that a new leader starts again because no report lists them

Change: the cause 'not reported'. Measured: tests/test_flow_records.py and tests/test_flow_scheduler.py pass; no logic is changed.

--- a/siskintally/actions.py
+++ b/siskintally/actions.py
@@ -82,6 +82,8 @@
     LEASE_EXPIRED = "lease expired"
     # The incarnation of the worker no longer exists.
     WORKER_GONE = "worker gone"
+    # The first report to this leader lacks a run that a former leader ordered.
+    NOT_REPORTED = "not reported"
     # The worker refused the start.
     REFUSED = "refused"
 
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -159,6 +159,7 @@
         for task in self._unlocated_by_worker.pop(worker.id, ()):
             steps[task.step.id] = task.step
             if task.state == TaskState.UNKNOWN and task.step.flow.is_open:
+                self.releases.append(Release(task.id, 0, worker.id, ReleaseCause.NOT_REPORTED))
                 self._requeue(task, "")
         for step in steps.values():
             try:
