Ask an announced life also when the former one has lapsed

Cause: a life that was announced under the id of a lapsed worker was not asked, as nothing runs on a lapsed worker. While its record was committed, the worker could return and get tasks; then it was removed, and they started elsewhere while they ran on. Change: every announcement of another life or address is confirmed by a poll.

--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -268,9 +268,10 @@
         existing = self.scheduler.worker_by_id.get(record.id)
         if existing is None:
             return False
-        if existing.record.born_ms == record.born_ms:
-            return existing.record.address != record.address
-        return existing.status != WorkerStatus.LAPSED
+        return (existing.record.born_ms, existing.record.address) != (
+            record.born_ms,
+            record.address,
+        )
 
     async def propose(self, **body):
         """Commit a :class:`ControlCommand`.
