Read the clock of a worker from its replies alone

Cause: leases are computed from a reading of the worker's clock, and the one in an announcement was believed; an announcement of another writer with a clock that is ahead made the worker keep its runs long after the leader counted the lease as over and started the tasks elsewhere. Change: announcements are no readings. A joining worker is polled before its first start, so a reading is there; a start after a long idle time renews the reading with its poll.

--- a/siskintally/control_leader.py
+++ b/siskintally/control_leader.py
@@ -211,10 +211,11 @@
         """Return the manager of the current incarnation of a worker, or None."""
         return self._manager_by_worker.get(worker_id)
 
-    def handle_join(self, record, received_at):
+    def handle_join(self, record):
         """Add a worker whose announcement is committed, or update the record of a known one.
 
-        :param received_at: steady time at which the announcement, with its clock reading, arrived.
+        Its clock is read from replies of the worker alone: leases rest on it, and an announcement
+        may come from another writer.
         """
         existing = self.scheduler.worker_by_id.get(record.id)
         is_new = existing is None or existing.record.born_ms != record.born_ms
@@ -226,11 +227,8 @@
         worker = self.scheduler.worker_by_id[record.id]
         if is_new:
             self._start_manager(worker, steady())
-        manager = self._manager_by_worker[record.id]
-        if record.clock_ms:
-            manager.lease.sample_clock(clock_ms=record.clock_ms, received_at=received_at)
         if worker.status == WorkerStatus.LAPSED:
-            manager.wake()
+            self._manager_by_worker[record.id].wake()
         if record.leaving:
             self.scheduler.evacuate(worker, steady())
         self.request_pass()
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -7,7 +7,6 @@
 
 from time import time
 
-from siskintally.clock import now as steady
 from siskintally.control_pb2 import (
     DocumentPut,
     DocumentRead,
@@ -174,7 +173,6 @@
 
     async def _handle_announcement(self, body):
         """Handle a worker announcement; commit a new incarnation before it gets tasks."""
-        received_at = steady()
         wall_ms = int(time() * 1000)
         record = body.worker
         leader = self._leader
@@ -189,10 +187,10 @@
         if self._is_outdated(record, wall_ms):
             return FlowReply(known=True)
         self._seq_by_worker[record.id] = record.seq
-        if is_known_incarnation:
-            record = _with_first_capacity(record, known_record)
         known_record = self._find_record(record.id, wall_ms)
         is_known_incarnation = known_record is not None and known_record.born_ms == record.born_ms
+        if is_known_incarnation:
+            record = _with_first_capacity(record, known_record)
         if not is_known_incarnation or _stored_fields(known_record) != _stored_fields(record):
             await leader.propose(join=record)
             log.info(
@@ -205,7 +203,7 @@
             )
             if not leader.is_stored(record):
                 raise OutcomeUnknownError(f"{record.id}: lost while its announcement was committed")
-        leader.handle_join(record, received_at)
+        leader.handle_join(record)
         return FlowReply(known=True)
 
     def _find_record(self, worker_id, wall_ms):
@@ -253,6 +251,8 @@
         record.clock_ms = 0
         record.seq = self._last_seq(known_record)
         return await self._handle_announcement(WorkerSeen(worker=record))
+
+
 def _with_first_capacity(record, known_record):
     """Return an announcement with the capacity that its incarnation announced first.
 
@@ -266,8 +266,6 @@
     return fixed
 
 
-
-
 def _stored_fields(record):
     """Return the fields of an announcement whose change has to be committed."""
     return (
--- a/tests/test_control_leader.py
+++ b/tests/test_control_leader.py
@@ -89,7 +89,7 @@
         async with create_task_group() as tasks:
             tasks.start_soon(leader.run)
             await sleep(0.01)
-            leader.handle_join(make_worker("w"), 0.0)
+            leader.handle_join(make_worker("w"))
             leader.scheduler.accept(make_flow("f", make_step(2)), QUEUE, 0.0)
             leader.request_pass()
             await sleep(SETTLE_S)
--- a/tests/test_foreign_fields.py
+++ b/tests/test_foreign_fields.py
@@ -2,7 +2,8 @@
 
 from contextlib import suppress
 
-from anyio import create_task_group, run, sleep
+from anyio import Event, create_task_group, run, sleep
+from pytest import mark
 
 from siskintally.clock import now as steady
 from siskintally.control_leader import ControlLeader
@@ -98,6 +99,28 @@
     run(main)
 
 
+@mark.parametrize("seq", [2, 1000])
+def test_the_clock_in_an_announcement_does_not_lengthen_leases(seq):
+    """Guards against a lease that goes on at the worker after the leader counts it as over.
+
+    An announcement of another writer names a clock that is ahead of the worker's. The worker then
+    keeps runs, while the leader starts their tasks elsewhere after the usual time.
+    """
+
+    async def body(leader, service, group, driver, tasks):
+        lease = leader.manager_of("w").lease
+        began_at = steady()
+        await service.handle(announce(seq=seq, clock_ms=TRUE_CLOCK_MS + 3_600_000))
+        await sleep(SETTLE_S)
+        now = steady()
+        until_ms = lease.grant(now)
+        # The fixed clock of the stand-in shows at least this when the leader's wait is over.
+        clock_then_ms = TRUE_CLOCK_MS + (lease.expired_by - began_at) * 1000
+        assert until_ms <= clock_then_ms
+
+    check(body)
+
+
 def test_another_writer_cannot_raise_the_capacity_of_a_life():
     """Guards against an overfull worker after one announcement that is not its own.
 
@@ -112,3 +135,24 @@
         assert len(driver.starts) == 4
 
     check(body)
+
+
+def test_a_lapsed_worker_that_returns_while_another_life_is_committed_keeps_its_tasks():
+    """Guards against two runs of a task: the life is not asked, as its lease was over before."""
+
+    async def body(leader, service, group, driver, tasks):
+        worker = leader.scheduler.worker_by_id["w"]
+        driver.running.clear()
+        leader.handle_lease_expired(worker)
+        group.gate_by_kind["join"] = gate = Event()
+        tasks.start_soon(announce_later_life, service)
+        await sleep(0.01)
+        await service.handle(announce(seq=2))
+        await sleep(2 * SETTLE_S)
+        held = dict(worker.task_by_id)
+        assert len(held) == 4, "it is in use again"
+        gate.set()
+        await sleep(SETTLE_S)
+        assert worker.task_by_id == held
+
+    check(body)
--- a/tests/test_joining_worker.py
+++ b/tests/test_joining_worker.py
@@ -150,7 +150,7 @@
             await sleep(SETTLE_S)
             leader.scheduler.accept(make_flow("f", make_step(1)), QUEUE, steady())
             joined_at = steady()
-            leader.handle_join(make_worker("w"), joined_at)
+            leader.handle_join(make_worker("w"))
             worker = leader.scheduler.worker_by_id["w"]
             assert worker.status == WorkerStatus.UNSEEN
             await wait_until(lambda: driver.starts, "started")
--- a/tests/test_worker_announcements.py
+++ b/tests/test_worker_announcements.py
@@ -29,7 +29,7 @@
         """Commit a command."""
         self.harness.commit(**body)
 
-    def handle_join(self, record, received_at):
+    def handle_join(self, record):
         """Not used here."""
 
 
--- a/tests/test_worker_checks.py
+++ b/tests/test_worker_checks.py
@@ -44,7 +44,7 @@
         """Store a record."""
         self.state.worker_by_id[join.id] = join
 
-    def handle_join(self, record, received_at):
+    def handle_join(self, record):
         """Record what the scheduler would get."""
         self.joined.append((record.born_ms, record.seq))
 
