Send the starts of a step before updating the room of its workers

Cause: place() updated the index of the pass between the assignment of a task and the yield of its start. An error there lost the start: the task stayed in STARTING with its room held, and in a gang the other members were not assigned.

Change: the starts of a step are yielded first and the index is updated after them. Placement checks the free room of a worker itself, so an index that was not updated cannot overfill one.

It expected no start in the broken pass and one later. The start is now returned although the error came, so the test instead counts the starts over all passes: each task is started exactly once, also in a gang, and holds its room once.

--- a/siskintally/step_placement.py
+++ b/siskintally/step_placement.py
@@ -40,10 +40,15 @@
             if start_count >= max_starts:
                 return
             try:
+                # The index is updated last: an error there must neither lose the start of a task
+                # that is assigned nor split a gang.
+                workers = {}
                 for action in self._place_step(step, now, index, max_starts - start_count):
                     start_count += 1
-                    index.update_room(action.worker)
+                    workers[action.worker.id] = action.worker
                     yield action
+                for worker in workers.values():
+                    index.update_room(worker)
                 self._reserve_room(step, now, index)
             except Exception as error:
                 self.isolate(step.flow.id, error, now)
