Requeue a task whose end is broken off by an error after its release

Cause: an unexpected error in the handling of an end, after the run was released from its worker, left a task without a worker that was neither waiting nor done. The worker does not list the end again, so the task waited for ever. In a gang, the other members were not stopped.

Change: after such an error the task is requeued if its run is that of the row, it has no worker and is not queued yet; a closed flow and a task that is done stay as they are. The other members of a gang are stopped. An error in that repair is isolated to the flow.

--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -111,6 +111,7 @@
             except Exception as error:
                 self.isolate(_flow_id(row), error, now)
                 yield from self._keep_done(row)
+                self._settle_broken_off_end(row, now)
 
     def _handle_end(self, worker, row, now):
         task = self.find_task(row.task_id)
@@ -139,6 +140,22 @@
         if task is not None or _flow_id(row) in self._dropped_flow_ids:
             yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.DONE)
 
+    def _settle_broken_off_end(self, row, now):
+        """Make the task of an end startable if an error came after the release of its run.
+
+        After an error before that, the run is released because reports no longer list it.
+        """
+        task = self.find_task(row.task_id)
+        if task is None or task.run != row.run or task.worker is not None:
+            return
+        try:
+            if task not in task.step.waiting:
+                self._requeue(task, row.checkpoint)
+            if task.step.spec.gang and row.kind != EndKind.DONE:
+                self.stop_gang(task.step, row.run)
+        except Exception as error:
+            self.isolate(_flow_id(row), error, now)
+
     def _handle_done(self, worker, task, row, is_present, now):
         if task.step.spec.lasting:
             if is_present:
