Keep each run that a report lists, also two of one task

Cause: the rows of a report were kept by task, so of two runs of a task one was lost: the expected run was released while it went on, or the unexpected one was forgotten and the worker got tasks again. Change: rows are kept by task and run. Evidence: both cases of test_a_run_is_listed_also_if_a_report_lists_another_run_of_its_task failed before and pass now.

--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -72,19 +72,19 @@
             # The poll was in flight when another incarnation took the place of this one.
             return []
         ends = list(self._handle_ends(worker, report.ended, now))
-        rows = {row.task_id: row for row in report.running}
+        listed_runs = {(row.task_id, row.run) for row in report.running}
         for row in report.running:
             try:
                 self._handle_running(worker, row, now)
             except Exception as error:
                 self.isolate(_flow_id(row), error, now)
         if not report.is_partial:
-            self._release_unlisted(worker, rows, asked_at, now)
+            self._release_unlisted(worker, listed_runs, asked_at, now)
             self.requeue_unlocated(worker)
         worker.unexpected_run_by_task = {
             task_id: run
             for task_id, run in worker.unexpected_run_by_task.items()
-            if task_id in rows and rows[task_id].run == run.number
+            if (task_id, run.number) in listed_runs
         }
         self._throttle(worker)
         worker.status = WorkerStatus.READY
@@ -284,15 +284,14 @@
             step.gang_run = max(step.gang_run, row.run)
         self._update_run(task, row, now)
 
-    def _release_unlisted(self, worker, rows, asked_at, now):
+    def _release_unlisted(self, worker, listed_runs, asked_at, now):
         """Release and requeue runs that a report does not list although it should.
 
         Covered are runs whose start, or stop if one was ordered, was confirmed before the status
         poll was sent.
         """
         for task in list(worker.task_by_id.values()):
-            row = rows.get(task.id)
-            is_listed = row is not None and row.run == task.run
+            is_listed = (task.id, task.run) in listed_runs
             is_settled = task.state != TaskState.STARTING and task.since < asked_at
             if is_listed or not is_settled:
                 continue
