Send the share in force to a best-effort run that a new leader adopts

Cause: a new leader takes the share of best-effort tasks for 100 % and sends an order only when it changes, so a run that the former leader had throttled to a halt stood still for good. Change: the share in force is sent with the adoption.

--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -99,7 +99,12 @@
         worker.best_effort_percent = percent
         for task in tasks:
             if task.step.spec.filling and task.state == TaskState.RUNNING:
-                self.throttles.append(ThrottleAction(task, task.run, worker, percent))
+                self._order_throttle(task)
+
+    def _order_throttle(self, task):
+        """Queue an order with the share of best-effort tasks in force on the worker of a task."""
+        percent = task.worker.best_effort_percent
+        self.throttles.append(ThrottleAction(task, task.run, task.worker, percent))
 
     def _handle_ends(self, worker, rows, now):
         for row in rows:
@@ -282,6 +287,9 @@
         step.flow.started = True
         if step.spec.gang:
             step.gang_run = max(step.gang_run, row.run)
+        if step.spec.filling:
+            # The former leader may have throttled it.
+            self._order_throttle(task)
         self._update_run(task, row, now)
 
     def _release_unlisted(self, worker, listed_runs, asked_at, now):
@@ -305,9 +313,8 @@
         if task.run == run and task.state == TaskState.STARTING:
             task.state = TaskState.RUNNING
             task.since = now
-            worker = task.worker
-            if task.step.spec.filling and worker.best_effort_percent < 100:
-                self.throttles.append(ThrottleAction(task, run, worker, worker.best_effort_percent))
+            if task.step.spec.filling and task.worker.best_effort_percent < 100:
+                self._order_throttle(task)
 
     def apply_refusal(self, task, run, refusal, now, *, was_sent_before):
         """Process a refused start; requeue the task if the run is certainly over.
