Send a stop again that ended by an unexpected error

Cause: an unexpected error ended the sending of a stop for good, and the run, its room and its task waited for it for ever; starts without an answer now depend on that stop. Change: the error is reported as before, and the stop is sent again 5 s later. Evidence: test_a_stop_that_ends_by_an_error_is_sent_again fails without the change (the error ends the stop, nothing is stopped) and passes now.

--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -9,7 +9,7 @@
 
 from siskintally.clock import now as steady
 from siskintally.driver import BusyError, IncarnationGoneError, Order, Refusal
-from siskintally.error_isolation import isolated
+from siskintally.error_isolation import SUSPENSION_S, isolated
 from siskintally.errors import (
     ConnectionLostError,
     OutcomeUnknownError,
@@ -356,9 +356,20 @@
             return False
         return True
 
-    @isolated
     async def stop(self, action):
-        """Send a stop order until it is confirmed or nothing can run on the worker any more."""
+        """Send a stop order until it is confirmed or nothing can run on the worker any more.
+
+        After an unexpected error it is sent again later: room and task are held until the stop.
+        """
+        while True:
+            try:
+                await self._send_stop_until_settled(action)
+                return
+            except Exception as error:
+                self._leader.scheduler.isolate(action.flow_id, error, steady())
+            await sleep(SUSPENSION_S)
+
+    async def _send_stop_until_settled(self, action):
         order = Order(task_id=action.task_id, run=action.run, fence=self._leader.term)
         while self.worker.status in (
             WorkerStatus.UNSEEN,
--- a/tests/test_unanswered_orders.py
+++ b/tests/test_unanswered_orders.py
@@ -2,7 +2,7 @@
 
 from anyio import move_on_after, run
 
-from siskintally.actions import StartAction, ThrottleAction
+from siskintally.actions import StartAction, StopAction, ThrottleAction
 from siskintally.control_pb2 import PoolWorker
 from siskintally.driver import OrderReply, Refusal
 from siskintally.errors import OutcomeUnknownError
@@ -129,3 +129,33 @@
         assert driver.percents.count(100) >= 2, "sent again, as the first order may come late"
 
     run(main)
+
+
+class FailingOnce:
+    """A quorum check that raises an unexpected error at the first wait."""
+
+    def __init__(self):
+        self.waits = 0
+
+    async def wait(self):
+        """Raise an unexpected error at the first call."""
+        self.waits += 1
+        if self.waits == 1:
+            raise ArithmeticError("unexpected")
+
+
+def test_a_stop_that_ends_by_an_error_is_sent_again(monkeypatch):
+    """Guards against a task that waits for ever, with its room held, for the stop of its run."""
+    monkeypatch.setattr("siskintally.worker_manager.SUSPENSION_S", 0.05)
+    leader, driver = LeaderOfUnanswered(), ScriptedStops(Refusal.NONE)
+    manager, task = make_manager(leader, driver, TaskState.STOPPING)
+    leader.quorum_check = FailingOnce()
+
+    async def main():
+        with move_on_after(2.0) as scope:
+            await manager.stop(StopAction(task.id, 7, task.worker))
+        assert not scope.cancelled_caught
+
+    run(main)
+    assert leader.told == [("error", "ArithmeticError")]
+    assert leader.stopped == [(task.id, 7)]
