--- a/tests/worker_lives.py
+++ b/tests/worker_lives.py
@@ -15,6 +15,8 @@
 TICK_S = 0.01
 GRACEFUL_S = 0.05
 FIRST_BORN_MS = 1_700_000_000_000
+# Reading of a worker's clock when it starts; a reading of 0 would count as none.
+CLOCK_START_S = 1.0
 
 
 class WorkerLife(SoakWorkerApp):
@@ -23,7 +25,7 @@
     def __init__(self, *, record, run_s):
         self.born_at = steady()
         worker = StubPoolWorker(
-            record=record, clock=lambda: 1.0 + steady() - self.born_at, run_s=run_s
+            record=record, clock=lambda: CLOCK_START_S + steady() - self.born_at, run_s=run_s
         )
         super().__init__(worker=worker)
         self.stop_event = Event()
@@ -57,7 +59,7 @@
         """Return the runs as [task id, run, start, end, whether its end was acknowledged]."""
         rows = {}
         for at, event, task_id, run in self.worker.history:
-            at += self.born_at
+            at += self.born_at - CLOCK_START_S
             if event == "START":
                 rows[task_id, run] = [task_id, run, at, self.crashed_at or float("inf"), False]
             else:
