--- a/tests/overfill.py
+++ b/tests/overfill.py
@@ -19,13 +19,13 @@
 # Number and cpu_milli of the tasks of each step. Large tasks wait while small ones find room, so
 # one pass can start a task a second time elsewhere and fill the room that it seems to have left.
 STEPS = ((14, 1000), (6, 3000))
-FLOW_COUNT = 5
-# A worker that starts again is down for a moment and announces itself some hundred ms later.
+FLOW_COUNT = 6
+# A worker that starts again is down for a moment and announces itself up to a second later.
 DOWN_S = 0.2
-UNANNOUNCED_S = 0.6
+UNANNOUNCED_S = 1.0
 # Time between two disturbances, in which workers are filled again.
 INTERVAL_S = 0.4
-DISTURBANCES = 3
+DISTURBANCES = 4
 COMPLETION_LIMIT_S = 40.0
 
 
@@ -149,22 +149,27 @@
     async def play(self, disturb):
         """Submit the backlog, disturb some workers in turn, and wait for the ends.
 
+        The workers are stopped then: their servers cannot be cancelled.
+
         :param disturb: coroutine function of a :class:`~tests.worker_lives.WorkerHost`.
         :returns: the :class:`BrokenRules`.
         """
+        try:
+            await self._play_backlog(disturb)
+            return find_broken_rules(list_runs(self.worker_hosts))
+        finally:
+            for host in self.worker_hosts:
+                await host.crash()
+
+    async def _play_backlog(self, disturb):
         names = [f"{number:016x}" for number in range(FLOW_COUNT)]
         for name in names:
             await self.submit(name)
         for host in self.worker_hosts[:DISTURBANCES]:
             await sleep(INTERVAL_S)
+            await wait_until(lambda host=host: host.life.worker.running_by_task, "tasks there")
             await disturb(host)
         for name in names:
             await wait_until(
                 partial(self.is_completed, name), f"{name} completed", limit_s=COMPLETION_LIMIT_S
             )
-        return find_broken_rules(list_runs(self.worker_hosts))
-
-    async def stop_workers(self):
-        """End the workers, whose servers cannot be cancelled."""
-        for host in self.worker_hosts:
-            await host.crash()
--- a/tests/test_worker_overfill.py
+++ b/tests/test_worker_overfill.py
@@ -72,7 +72,6 @@
             await cell.configure()
             await cell.start_workers(cell.tasks)
             broken = await cell.play(lambda host: DISTURBANCES[name](cell, host))
-            await cell.stop_workers()
             print(broken.counts(), broken.both[:3])
             assert (broken.overfull, broken.double) == ([], [])
 
--- a/tests/test_worker_overfill_processes.py
+++ b/tests/test_worker_overfill_processes.py
@@ -49,7 +49,7 @@
 
 @mark.parametrize("name", DISTURBANCES)
 def test_no_worker_of_real_processes_is_overfilled_with_tasks_that_run_twice(tmp_path, name):
-    """Guards against a fault that stores with links and processes of their own bring back."""
+    """Guards against an overfill that shows only with links and processes between the parts."""
 
     async def main():
         with Processes(folder=tmp_path) as processes:
@@ -59,7 +59,6 @@
                 await cell.control_call("POST", "/config/replace", json=CONFIG)
                 await cell.start_workers(tasks)
                 broken = await cell.play(lambda host: DISTURBANCES[name](cell, host))
-                await cell.stop_workers()
                 tasks.cancel_scope.cancel()
             print(broken.counts(), broken.both[:3])
             assert (broken.overfull, broken.double) == ([], [])
