Give a worker that was wrongly given up no tasks before its lease is over

Cause: an incarnation that was given up and announces itself again with the same start time reports nothing at first, but starts of this leader without an answer may still be carried out there under their fence and lease; it got tasks again and could be overfull. Change: it gets none until the lease that this leader had granted to it is over.

--- a/siskintally/fleet.py
+++ b/siskintally/fleet.py
@@ -127,6 +127,10 @@
             and not self.unexpected_run_by_task
         )
 
+    def exclude_until(self, time):
+        """Place no new tasks here before a steady time, or before a later one set earlier."""
+        self.excluded_until = max(self.excluded_until, time)
+
     def fits(self, resources):
         """Return whether a task fits into the free resources."""
         return (
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -14,6 +14,8 @@
 [('f.0.0.0', 'w')]
 """
 
+from math import inf
+
 from siskintally.actions import Release, ReleaseCause, StopAction
 from siskintally.advice_planning import AdvicePlanning
 from siskintally.control_state import Failures, Outcome
@@ -38,8 +40,9 @@
     objects waiting to be sent. ``releases``: :class:`~siskintally.actions.Release` objects waiting
     to be logged. ``last_end_by_worker``: number of the last end processed from each worker.
     ``_unlocated_by_worker``: tasks that a former leader sent to a worker that has not yet reported
-    in this term. ``_known_flow_ids``: ids of all flows seen in this term. ``_dropped_flow_ids``:
-    ids of the flows that could not be restored.
+    in this term. ``_lease_end_by_lost``: steady time at which the lease of a lost incarnation ends,
+    by (id, start time). ``_known_flow_ids``: ids of all flows seen in this term.
+    ``_dropped_flow_ids``: ids of the flows that could not be restored.
 
     :param term: term of the leader; also the fence of its orders.
     :param on_error: ``on_error(flow_id, error)`` that is called for an unexpected error that
@@ -49,6 +52,7 @@
     __slots__ = (
         "_dropped_flow_ids",
         "_known_flow_ids",
+        "_lease_end_by_lost",
         "_run_count",
         "_unlocated_by_worker",
         "flow_by_id",
@@ -75,6 +79,7 @@
         self._run_count = 0
         self._known_flow_ids = set()
         self._dropped_flow_ids = set()
+        self._lease_end_by_lost = {}
         self._unlocated_by_worker = {}
 
     def next_run_number(self):
@@ -256,7 +261,8 @@
         """Add a worker, replace its former incarnation, or update its record.
 
         An incarnation that is added gets no tasks before its first report: it may have runs of a
-        former leader, or of this one if it was wrongly given up.
+        former leader. If this leader has wrongly given it up, it gets none either until the lease
+        in its earlier starts, which may still be carried out, is over.
         """
         existing = self.worker_by_id.get(record.id)
         if existing is not None and existing.record.born_ms == record.born_ms:
@@ -264,7 +270,9 @@
             return
         if existing is not None:
             self.remove_worker(existing)
-        self.worker_by_id[record.id] = FleetWorker(record=record)
+        worker = FleetWorker(record=record)
+        worker.exclude_until(self._lease_end_by_lost.get((record.id, record.born_ms), -inf))
+        self.worker_by_id[record.id] = worker
         self.last_end_by_worker.pop(record.id, None)
 
     def evacuate(self, worker, now):
@@ -289,6 +297,7 @@
     def remove_worker(self, worker):
         """Remove a worker incarnation that no longer exists and requeue its tasks."""
         worker.status = WorkerStatus.LOST
+        self._lease_end_by_lost[worker.id, worker.record.born_ms] = worker.lease_expires_at
         self._release_tasks(worker, ReleaseCause.WORKER_GONE)
         if self.worker_by_id.get(worker.id) is worker:
             del self.worker_by_id[worker.id]
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -198,7 +198,7 @@
             return
         worker.consecutive_failures += 1
         if worker.consecutive_failures >= MAX_CONSECUTIVE_FAILURES:
-            worker.excluded_until = now + EXCLUSION_S
+            worker.exclude_until(now + EXCLUSION_S)
         yield from self._count_failure(task, row)
 
     def _handle_other_end(self, worker, task, row, now):
@@ -270,7 +270,7 @@
 
     def _replace_stalled(self, task, now):
         """Stop a stalled task so that it restarts elsewhere; exclude its worker for a while."""
-        task.worker.excluded_until = now + EXCLUSION_S
+        task.worker.exclude_until(now + EXCLUSION_S)
         self.stop(task)
         if task.step.spec.gang:
             self.stop_gang(task.step, task.run)
--- a/siskintally/worker_manager.py
+++ b/siskintally/worker_manager.py
@@ -299,7 +299,7 @@
         return self.lease.until_ms
 
     def _exclude_worker(self, error):
-        self.worker.excluded_until = steady() + BUSY_EXCLUSION_S
+        self.worker.exclude_until(steady() + BUSY_EXCLUSION_S)
         log.info("start not delivered", worker=self.worker.id, error=str(error)[:120])
         self.wake()
 
--- a/tests/test_joining_worker.py
+++ b/tests/test_joining_worker.py
@@ -17,6 +17,7 @@
 from tests.processes import wait_until
 from tests.test_control_leader import TIMING, GatedGroup, RecordingDriver
 from tests.test_flow_cell import has_state
+from tests.test_unanswered_starts import CPU_MILLI, LateHarness
 from tests.test_worker_incarnations import LivesCell
 from tests.worker_lives import overfull_workers
 
@@ -106,6 +107,31 @@
     assert sorted(harness.place()) == sorted(first)
 
 
+@mark.parametrize("tasks", [1, 4])
+def test_a_start_without_an_answer_may_come_after_the_return_of_its_worker(tasks):
+    """Guards against a second run, and an overfull worker, after a wrong loss.
+
+    The worker returns with the same start time. Starts that were sent before are still carried out
+    after its first report, because their fence and their lease are still good there.
+    """
+    harness = LateHarness("w")
+    harness.submit(make_flow("f", make_step(tasks)))
+    actions = harness.send_starts()
+    lease_end = harness.now + 5.0
+    actions[0].worker.lease_expires_at = lease_end
+    lose_and_return(harness, make_worker("w", cpu_milli=CPU_MILLI))
+    harness.deliver_report("w")
+    later = harness.send_starts()
+    for action in actions:
+        harness.carry_out(action)
+    assert later == [], "the first starts may still be carried out"
+    harness.deliver_report("w")
+    harness.carry_out_stops()
+    harness.now = lease_end
+    harness.deliver_report("w")
+    assert len(harness.send_starts()) == tasks
+
+
 class CountingDriver(RecordingDriver):
     """Workers whose first polls fail; ``polled_at``: steady times of all polls."""
 
