Say what a release without a run number is

Cause: read as a newcomer, 'run: 0' in 'run released' needs a word. Measured: nothing, no logic is changed.

--- a/siskintally/actions.py
+++ b/siskintally/actions.py
@@ -89,7 +89,10 @@
 
 
 class Release(NamedTuple):
-    """A run without a reported end that the scheduler counts as over."""
+    """A run without a reported end that the scheduler counts as over.
+
+    ``run``: 0 if a former leader ordered it.
+    """
 
     task_id: str
     run: int
