Add a failing test of a stop that is lost by an unexpected error

Cause: a task that is stopping has no time from which its stop is ordered again, so it and its room wait for ever when the sending of the stop ends by an error.

Change: a test only.

--- a/tests/test_review32_scheduler.py
+++ b/tests/test_review32_scheduler.py
@@ -2,11 +2,12 @@
 
 from pytest import mark
 
-from siskintally.driver import EndKind, RunStatus, WorkerReport
+from siskintally.driver import EndKind, Refusal, RunStatus, WorkerReport
 from siskintally.pass_index import PassIndex
+from siskintally.report_handling import STOP_AGAIN_S
 from tests.flow_harness import FlowHarness, make_flow, make_step, make_worker
 from tests.test_joining_worker import lose_and_return
-from tests.test_unanswered_starts import CPU_MILLI, LateHarness
+from tests.test_unanswered_starts import CPU_MILLI, LateHarness, start_last_step
 
 
 @mark.parametrize("tasks", [1, 4])
@@ -107,3 +108,21 @@
         harness.scheduler.apply_report(action.worker, report, harness.now, harness.now)
     assert list(action.worker.task_by_id) == [action.task.id]
     assert [stop.run for stop in harness.scheduler.stops] == [action.run - 1]
+
+
+@mark.parametrize("has_come", [False, True])
+def test_a_stop_that_is_given_up_by_an_error_is_ordered_again(has_come):
+    """Guards against a task that waits for ever, with its room held, after a lost stop.
+
+    An unexpected error in the sending of a stop ends the sending, and is isolated to its flow.
+    """
+    harness, action = start_last_step("single")
+    harness.refuse(action, Refusal.ROOM)
+    assert [stop.run for stop in harness.scheduler.stops] == [action.run]
+    harness.scheduler.stops.clear()
+    if has_come:
+        harness.carry_out(action)
+    for _ in range(3):
+        harness.now += 2 * STOP_AGAIN_S
+        harness.deliver_report(action.worker.id)
+    assert [stop.run for stop in harness.scheduler.stops][:1] == [action.run]
