End the processes of a review case when the case itself is ended

Cause: a SIGTERM to a script of the second review left its stores and entries running (seen once). Change: the signal ends the script through the code that ends its processes.

--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -3,6 +3,7 @@
 from asyncio import run as run_loop
 from asyncio import wait_for
 from os import environ
+from signal import SIGTERM, signal
 from sys import exit as exit_with
 from tempfile import TemporaryDirectory
 from traceback import format_exc
@@ -43,6 +44,8 @@
     :param folder: folder of the case, for its record.
     :param options: options of the :class:`~review.standins_2.cell.Cell`.
     """
+    # Lets the cell end its processes if the case itself is ended.
+    signal(SIGTERM, lambda *_: exit_with(NOT_RUN))
     has_trouble = environ.get("TROUBLE", "1") != "0"
     record = Record(path=f"{folder}/record.txt")
     record.write(f"trouble: {'yes' if has_trouble else 'no'}")
