Identify the queue of a flow by its host and prefix

Cause: a flow stored the name of its queue, and the state machine, the scheduler and the count of pending flows looked the queue up by that name. Callers know only the host and prefix, so the operator could take away the name under which an accepted flow was kept.

Change: a flow stores the host and prefix of its queue and belongs to the queue that is configured there, under any name. Flows that were stored without an address are still found by name. The due times of flows follow the present terms of their queue. The leader logs the accepted flows that a configuration leaves without a queue.

Why it works: host and prefix are what a request is matched by, so as long as a caller's address leads to a queue, the flows accepted there have one.

--- a/siskintally/committed_commands.py
+++ b/siskintally/committed_commands.py
@@ -85,7 +85,7 @@
             queue=flow.queue,
             steps=[describe_step(step) for step in flow.steps[:LOGGED_STEPS]],
         )
-        self._scheduler.accept(flow, self._state.queue(flow.queue), now)
+        self._scheduler.accept(flow, self._state.queue_of(flow), now)
 
     def _cancel(self, key, now):
         flow_state = self._state.flow_by_id.get(key.id)
@@ -117,6 +117,14 @@
 
     def _update_queues(self, document, now):
         self._scheduler.update_queues(self._state, now)
+        waiting = [flow.id for flow in self._scheduler.flows_without_queue()]
+        if waiting:
+            log.info(
+                "flows without a queue",
+                version=document.version,
+                count=len(waiting),
+                first=waiting[0],
+            )
         self._on_document()
 
 
--- a/siskintally/control_service.py
+++ b/siskintally/control_service.py
@@ -92,7 +92,7 @@
     async def _submit_flow(self, body):
         flow = body.flow
         queue = await self._find_queue(body, flow.queue, flow.id)
-        flow.queue = queue.name
+        flow.queue, flow.host, flow.prefix = queue.name, queue.host, queue.prefix
         check_flow(flow)
         if flow.id not in self._leader.state.flow_by_id:
             flow.accepted_ms = int(time() * 1000)
@@ -148,7 +148,7 @@
         return self._pending_reply(await self._find_queue(body, body.queue, ""))
 
     def _pending_reply(self, queue):
-        pending = self._leader.scheduler.count_pending(queue.name)
+        pending = self._leader.scheduler.count_pending(queue)
         return FlowReply(known=True, pending=pending, timeout_ms=queue.timeout_ms)
 
     async def _put_document(self, body):
--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -162,6 +162,10 @@
         """Return the queue of that name, or None."""
         return self.queues.by_name.get(name)
 
+    def queue_of(self, flow):
+        """Return the queue of a flow, or None if it is not configured."""
+        return self.queues.of_flow(flow)
+
     def _set_document(self, document):
         self.document = document
         self.queues = QueueIndex(queues=document.queues)
@@ -201,7 +205,7 @@
             if end.how == TaskEnd.DONE:
                 state.record_done(task)
             else:
-                queue = self.queue(state.flow.queue)
+                queue = self.queue_of(state.flow)
                 max_attempts = queue.max_attempts if queue is not None else None
                 state.record_failure(task, end.run, max_attempts)
 
@@ -211,8 +215,8 @@
         former = self.queues
         self._set_document(document)
         for state in self.flow_by_id.values():
-            queue = self.queue(state.flow.queue)
-            if queue is not None and state.flow.queue not in former.by_name:
+            queue = self.queue_of(state.flow)
+            if queue is not None and former.of_flow(state.flow) is None:
                 state.close_if_exhausted(queue.max_attempts)
 
     def _apply_join(self, worker):
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -165,6 +165,11 @@
         return bool(self.waiting) and not self.unfinished_dependencies and self.flow.may_start
 
 
+def _due_terms(queue):
+    """Return the terms of a queue from which the due times of its flows follow."""
+    return queue.aim_ms, queue.stretch
+
+
 class FlowRun:
     """One flow that is open, or closed with tasks still on workers.
 
@@ -221,11 +226,15 @@
 
         :param queue: :class:`~siskintally.control_pb2.Queue`, None if it is not configured.
         """
-        was_without_queue = self.queue is None
-        self.queue = queue
-        if was_without_queue and queue is not None:
+        former, self.queue = self.queue, queue
+        if queue is not None and (former is None or _due_terms(former) != _due_terms(queue)):
             self._set_due_times()
 
+    def is_in(self, queue):
+        """Return whether the flow belongs to a configured queue."""
+        own = self.queue
+        return own is not None and (own.host, own.prefix) == (queue.host, queue.prefix)
+
     @property
     def may_start(self):
         """Whether tasks may be started: the flow is open and its queue is configured."""
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -102,7 +102,7 @@
         for flow_state in state.flow_by_id.values():
             if flow_state.outcome != Outcome.OPEN:
                 continue
-            queue = state.queue(flow_state.flow.queue)
+            queue = state.queue_of(flow_state.flow)
             age_s = (wall_ms - flow_state.flow.accepted_ms) / 1000 if wall_ms else 0.0
             # The clocks of the VMs may differ by seconds.
             arrived_at = now - min(max(age_s, 0.0), MAX_RESTORED_AGE_S)
@@ -211,7 +211,7 @@
         """
         for flow in list(self.flow_by_id.values()):
             try:
-                flow.change_queue(state.queue(flow.flow.queue))
+                flow.change_queue(state.queue_of(flow.flow))
                 flow_state = state.flow_by_id.get(flow.id)
                 if flow_state is not None and flow_state.outcome != Outcome.OPEN:
                     self.close(flow)
@@ -379,9 +379,15 @@
         if all(task.worker is None for step in flow.steps() for task in step.tasks):
             del self.flow_by_id[flow.id]
 
-    def count_pending(self, queue_name):
+    def count_pending(self, queue):
         """Return the number of open flows of a queue without a started task."""
         return sum(
-            flow.flow.queue == queue_name and flow.is_open and not flow.started
+            flow.is_in(queue) and flow.is_open and not flow.started
             for flow in self.flow_by_id.values()
         )
+
+    def flows_without_queue(self):
+        """Yield the open flows that wait until their queue is configured again."""
+        for flow in self.flow_by_id.values():
+            if flow.is_open and flow.queue is None:
+                yield flow
--- a/siskintally/queue_index.py
+++ b/siskintally/queue_index.py
@@ -1,10 +1,14 @@
 """Index of the configured queues by name, and by host and prefix; pure logic.
 
->>> from siskintally.control_pb2 import Queue
+A queue is identified by its host and prefix, which callers know. Its name may change.
+
+>>> from siskintally.control_pb2 import Flow, Queue
 >>> from siskintally.queue_index import QueueIndex
 >>> index = QueueIndex(queues=[Queue(name="q", host="h", prefix="/a/")])
 >>> index.match("h", "/a/17").name, index.match("h", "/b/17")
 ('q', None)
+>>> index.of_flow(Flow(queue="former name", host="h", prefix="/a/")).name
+'q'
 """
 
 
@@ -30,3 +34,12 @@
             if queue is not None:
                 return queue
         return None
+
+    def of_flow(self, flow):
+        """Return the queue at the address where a flow was accepted, or None.
+
+        Flows that were stored without an address are found by the name of their queue.
+        """
+        if not flow.prefix:
+            return self.by_name.get(flow.queue)
+        return self._by_host_and_prefix.get((flow.host.lower(), flow.prefix))
--- a/tests/flow_harness.py
+++ b/tests/flow_harness.py
@@ -108,8 +108,15 @@
 
     def submit(self, flow):
         """Submit a flow; the same flow may be submitted again."""
+        queue = self.state.queue(flow.queue)
+        if queue is not None:
+            flow.host, flow.prefix = queue.host, queue.prefix
+        self.accept(flow)
+
+    def accept(self, flow):
+        """Commit a flow that names its queue."""
         self.commit(accept=flow)
-        self.scheduler.accept(flow, self.state.queue(flow.queue), self.now)
+        self.scheduler.accept(flow, self.state.queue_of(flow), self.now)
 
     def place(self):
         """Start all tasks that can be started; return the (task id, worker id) pairs."""
