Count the failures of runs that a copy has overtaken

Cause: to count an end once though two leaders report it, the scheduler and the replicated state kept the number of the last failed run and dropped each run that was not higher. The run that a copy has overtaken has the lower number and is heard of later, so its failure was acknowledged and not counted.

Change: the record of a task names the counted runs among its last start and copy, and the highest counted one. A task that a new leader has not located keeps the number of its last committed start. Scheduler and state share the rule.

Why it works: the last start and its copy are the only runs that can be heard of in any order, and each is recognised by its own number; for all others the highest counted run decides, as before.

Two tests read the number of failures from its new place; what they check is the same.

--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -38,10 +38,30 @@
 
 
 class Failures(NamedTuple):
-    """Failed attempts of a task; ``last_run`` is the run number of the last one."""
+    """Failed attempts of a task.
+
+    ``runs``: the counted runs that are live, and the highest counted one. Live are the last start
+    of the task and its copy, which may fail in any order. Every other run is over; if a higher one
+    counts, it has been counted or given up itself.
+
+    >>> Failures().with_run(7, live_runs=(7, 3)).with_run(3, live_runs=(7, 3))
+    Failures(count=2, runs=(7, 3))
+    """
 
     count: int = 0
-    last_run: int = 0
+    runs: tuple = ()
+
+    def includes(self, run, live_runs):
+        """Return whether a failed run has been counted, or given up before a later one failed."""
+        if run in live_runs:
+            return run in self.runs
+        return run <= max(self.runs, default=0)
+
+    def with_run(self, run, live_runs):
+        """Return the failures with one more."""
+        highest = max(self.runs, default=0)
+        kept = (known for known in self.runs if known in live_runs or known == highest)
+        return Failures(count=self.count + 1, runs=(*kept, run))
 
 
 class Start(NamedTuple):
@@ -62,6 +82,10 @@
         copy = cls.from_record(record.copy) if record.HasField("copy") else None
         return cls(run=record.run, worker=record.worker, born_ms=record.born_ms, copy=copy)
 
+    def runs(self):
+        """Return the numbers of the runs that may still be reported."""
+        return (self.run,) if self.copy is None else (self.run, self.copy.run)
+
     def to_record(self, task_id):
         """Return the :class:`TaskStart` of a task."""
         copy = self.copy.to_record(task_id) if self.copy is not None else None
@@ -126,12 +150,13 @@
         name = str(task._replace(index=0)) if step.gang else str(task)
         if step.lasting or name in self.done:
             return
-        previous = self.failures_by_task.get(name, Failures())
-        if run <= previous.last_run:
+        start = self.start_by_task.get(str(task))
+        live_runs = start.runs() if start is not None else ()
+        failures = self.failures_by_task.get(name, Failures())
+        if failures.includes(run, live_runs):
             return
-        count = previous.count + 1
-        self.failures_by_task[name] = Failures(count=count, last_run=run)
-        is_exhausted = max_attempts is not None and count >= max_attempts
+        failures = self.failures_by_task[name] = failures.with_run(run, live_runs)
+        is_exhausted = max_attempts is not None and failures.count >= max_attempts
         if is_exhausted:
             self.close(Outcome.FAILED)
 
@@ -257,7 +282,7 @@
         failed=state.outcome == Outcome.FAILED,
         done=sorted(state.done),
         failures={
-            name: TaskFailures(count=failures.count, last_run=failures.last_run)
+            name: TaskFailures(count=failures.count, runs=failures.runs)
             for name, failures in state.failures_by_task.items()
         },
         starts=[start.to_record(name) for name, start in state.start_by_task.items()],
@@ -268,7 +293,7 @@
     state = FlowState(flow=_copy_message(Flow, record.flow))
     state.done = set(record.done)
     state.failures_by_task = {
-        name: Failures(count=failures.count, last_run=failures.last_run)
+        name: Failures(count=failures.count, runs=tuple(failures.runs or (failures.last_run,)))
         for name, failures in record.failures.items()
     }
     state.remaining -= len(state.done)
--- a/siskintally/flow.py
+++ b/siskintally/flow.py
@@ -14,9 +14,12 @@
 from enum import IntEnum
 from math import inf
 
+from siskintally.control_state import Failures
 from siskintally.fleet import task_resources
 from siskintally.task_id import TaskId, occurrence_count
 
+NO_FAILURES = Failures()
+
 
 class TaskState(IntEnum):
     """State of a task in the view of the leader."""
@@ -33,15 +36,16 @@
 class TaskRun:
     """One task of a step.
 
-    ``failures``: number of failed attempts. ``last_failed_run``: run number of the last one. A gang
-    counts both at its first task. ``run``: number of the current or last run. ``since``: steady
-    time of the last state change; once its run is stopped, the time at which its worker confirmed
-    the stop, infinite until then. ``worker``: :class:`~siskintally.fleet.FleetWorker` on
-    which resources are reserved for the task, or None. ``checkpoint``: checkpoint from which the
-    next start resumes, "" for none. ``percent``: progress, or 100 for a long-running task that is
-    working. ``progress_at``: steady time of the last change of ``percent``. ``copies``: other runs
-    of the task that still have resources reserved, as tasks whose ``copy_of`` is this one.
-    ``tail_latency_ms``: last reported tail latency of a long-running task.
+    ``failures``: :class:`~siskintally.control_state.Failures`; a gang counts them at its first
+    task. ``run``: number of the current or last run, which a former leader may have started.
+    ``since``: steady time of the last state change; once its run is stopped, the time at which its
+    worker confirmed the stop, infinite until then. ``worker``:
+    :class:`~siskintally.fleet.FleetWorker` on which resources are reserved for the task, or None.
+    ``checkpoint``: checkpoint from which the next start resumes, "" for none. ``percent``:
+    progress, or 100 for a long-running task that is working. ``progress_at``: steady time of the
+    last change of ``percent``. ``copies``: other runs of the task that still have resources
+    reserved, as tasks whose ``copy_of`` is this one. ``tail_latency_ms``: last reported tail
+    latency of a long-running task.
     """
 
     __slots__ = (
@@ -50,7 +54,6 @@
         "copy_of",
         "failures",
         "id",
-        "last_failed_run",
         "percent",
         "progress_at",
         "resources",
@@ -72,13 +75,16 @@
         self.copies = []
         self.copy_of = None
         self.checkpoint = ""
-        self.failures = 0
-        self.last_failed_run = 0
+        self.failures = NO_FAILURES
         self.percent = 0
         self.progress_at = 0.0
         self.since = 0.0
         self.tail_latency_ms = 0
 
+    def live_runs(self):
+        """Return the numbers of the last run and of its copies."""
+        return (self.run, *(copy.run for copy in self.copies))
+
 
 class StepRun:
     """One step of one occurrence.
--- a/siskintally/flow_scheduler.py
+++ b/siskintally/flow_scheduler.py
@@ -18,10 +18,10 @@
 
 from siskintally.actions import Release, ReleaseCause, StopAction
 from siskintally.advice_planning import AdvicePlanning
-from siskintally.control_state import Failures, Outcome
+from siskintally.control_state import Outcome
 from siskintally.error_isolation import ErrorIsolation
 from siskintally.fleet import FleetWorker, WorkerStatus
-from siskintally.flow import FlowRun, TaskState
+from siskintally.flow import NO_FAILURES, FlowRun, TaskState
 from siskintally.report_handling import ReportHandling
 from siskintally.speculation import Speculation
 from siskintally.step_placement import StepPlacement
@@ -135,9 +135,7 @@
     def _restore_step(self, step, state, now):
         step.waiting.clear()
         for task in reversed(step.tasks):
-            failures = state.failures_by_task.get(task.id, Failures())
-            task.failures = failures.count
-            task.last_failed_run = failures.last_run
+            task.failures = state.failures_by_task.get(task.id, NO_FAILURES)
             start = state.start_by_task.get(task.id)
             worker = self._worker_of_start(start)
             if start is not None and task.id not in state.done:
@@ -146,6 +144,7 @@
                 task.state = TaskState.DONE
             elif worker is not None:
                 task.state = TaskState.UNKNOWN
+                task.run = start.run
                 self._unlocated_by_worker.setdefault(worker.id, []).append(task)
             else:
                 step.waiting.append(task)
--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -125,15 +125,17 @@
         if task is None:
             yield from self._keep_done(row)
             return
+        live_runs = task.live_runs()
         if is_present:
             self._record_run_time(worker, reserved, row, now)
             self._release_from_worker(reserved)
         if row.kind == EndKind.DONE:
             yield from self._handle_done(worker, task, row, is_present, now)
         elif is_present and reserved is not task:
-            yield from self._handle_failure(worker, task, row, now)
+            yield from self._handle_failure(worker, task, row, live_runs, now)
         elif is_present or (task.state == TaskState.UNKNOWN):
-            yield from self._handle_other_end(worker, task, row, now)
+            yield from self._handle_failure(worker, task, row, live_runs, now)
+            self._handle_other_end(task, row)
 
     def _keep_done(self, row):
         """Commit an end as done that could not be handled: the worker will not list it again."""
@@ -193,16 +195,15 @@
         if ratio >= SLOW_RATIO:
             worker.record_slowdown(ratio, PROGRESS_WEIGHT, now)
 
-    def _handle_failure(self, worker, task, row, now):
+    def _handle_failure(self, worker, task, row, live_runs, now):
         if row.kind != EndKind.FAILED:
             return
         worker.consecutive_failures += 1
         if worker.consecutive_failures >= MAX_CONSECUTIVE_FAILURES:
             worker.exclude_until(now + EXCLUSION_S)
-        yield from self._count_failure(task, row)
+        yield from self._count_failure(task, row, live_runs)
 
-    def _handle_other_end(self, worker, task, row, now):
-        yield from self._handle_failure(worker, task, row, now)
+    def _handle_other_end(self, task, row):
         if task.state != TaskState.UNKNOWN:
             self._requeue(task, row.checkpoint)
         elif row.checkpoint:
@@ -210,17 +211,16 @@
         if task.step.spec.gang:
             self.stop_gang(task.step, row.run)
 
-    def _count_failure(self, task, row):
+    def _count_failure(self, task, row, live_runs):
         step = task.step
         counted = step.tasks[0] if step.spec.gang else task
         is_over = step.spec.lasting or counted.state == TaskState.DONE
-        if is_over or row.run <= counted.last_failed_run:
+        if is_over or counted.failures.includes(row.run, live_runs):
             return
-        counted.last_failed_run = row.run
+        counted.failures = counted.failures.with_run(row.run, live_runs)
         yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.FAILED)
-        counted.failures += 1
         queue = step.flow.queue
-        if queue is not None and counted.failures >= queue.max_attempts:
+        if queue is not None and counted.failures.count >= queue.max_attempts:
             self.close(step.flow)
 
     def stop_gang(self, step, run):
--- a/tests/test_flow_scheduler.py
+++ b/tests/test_flow_scheduler.py
@@ -192,7 +192,7 @@
     harness.begin_term(3)
     assert harness.deliver_report(second) == []
     assert harness.deliver_report(first) == []
-    assert harness.scheduler.find_task(task_id).failures == 1
+    assert harness.scheduler.find_task(task_id).failures.count == 1
 
 
 def test_a_gang_with_a_lost_member_starts_again_once_all_members_are_located():
--- a/tests/test_flow_walk.py
+++ b/tests/test_flow_walk.py
@@ -1,10 +1,12 @@
 """Random walks of the flow scheduler: no order of faults breaks its invariants."""
 
+from collections import Counter
 from random import Random
 
 import pytest
 
-from siskintally.control_pb2 import StartBatch
+from siskintally.control_pb2 import Queue, StartBatch
+from siskintally.control_state import Outcome
 from siskintally.driver import EndKind, RunEnd, RunStatus, WorkerReport
 from siskintally.fleet import WorkerStatus
 from siskintally.flow import TaskState
@@ -24,7 +26,10 @@
 
 
 class SimulatedWorker:
-    """The true state of a worker: its runs, the highest run by task, and its ends."""
+    """The true state of a worker: its runs, the highest run by task, and its ends.
+
+    ``lapsed_end_number``: number of its last end before its lease expired.
+    """
 
     def __init__(self, record):
         self.record = record
@@ -32,6 +37,7 @@
         self.highest_run_by_task = {}
         self.fence = 0
         self.end_number = 0
+        self.lapsed_end_number = 0
         self.ended = []
 
     def start(self, action, fence):
@@ -52,6 +58,17 @@
         row = RunEnd(number=self.end_number, task_id=task, run=run, kind=kind, checkpoint="")
         self.ended.append(row)
 
+    def lapse(self):
+        """Kill everything because the lease has expired."""
+        self.run_by_task.clear()
+        self.lapsed_end_number = self.end_number
+
+    def acknowledged_failures(self):
+        """Yield the failed ends that the leader knows of while their lease is held."""
+        for row in self.ended:
+            if row.kind == EndKind.FAILED and row.number > self.lapsed_end_number:
+                yield row
+
     def stop(self, action, *, is_effective=True):
         """Carry out a stop order; a start of that run is refused from now on.
 
@@ -66,9 +83,14 @@
 class RandomWalk:
     """A leader, workers, and start orders in flight; each step takes one random action."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, *, max_attempts=QUEUE.max_attempts, failed_share=0.25):
         self.random = Random(seed)
-        self.harness = FlowHarness(queue=QUEUE)
+        self.failed_share = failed_share
+        queue = Queue()
+        queue.CopyFrom(QUEUE)
+        queue.max_attempts = max_attempts
+        self.harness = FlowHarness(queue=queue)
+        self.failed_runs_by_task = {}
         self.simulated_by_id = {}
         self.orders_in_flight = []
         self.steps_by_task = {}
@@ -101,6 +123,8 @@
     def place_tasks(self):
         """Commit starts and send their orders; they are in flight until delivered."""
         actions = list(self.scheduler.place(self.harness.now, 0))
+        for action in actions:
+            self.check_attempts(action.task.id)
         starts = StartBatch(starts=[action.to_record() for action in actions])
         self.harness.commit(starts=starts)
         self.orders_in_flight.extend((self.scheduler, action) for action in actions)
@@ -127,7 +151,7 @@
         if busy:
             simulated = self.random.choice(busy)
             task = self.random.choice(sorted(simulated.run_by_task))
-            if self.random.random() < 0.25:
+            if self.random.random() < self.failed_share:
                 simulated.end(task, EndKind.FAILED)
             else:
                 self.finish_run(simulated, task)
@@ -157,7 +181,7 @@
         simulated.fence = max(simulated.fence, self.scheduler.term)
         worker = self.scheduler.worker_by_id[simulated.record.id]
         if worker.status == WorkerStatus.LAPSED:
-            simulated.run_by_task.clear()
+            simulated.lapse()
         rows = [
             RunStatus(
                 task_id=task, run=run, checkpoint="", percent=self.random.randint(1, 99), load=0
@@ -170,6 +194,9 @@
         )
         if self.random.random() < 0.9:
             self.harness.commit_ends()
+            for row in simulated.acknowledged_failures():
+                key = self.attempts_key(row.task_id)
+                self.failed_runs_by_task.setdefault(key, set()).add(row.run)
 
     def deliver_stops(self, ineffective_share=0.0):
         """Deliver the stop orders; a share of them has no effect although it is confirmed."""
@@ -197,7 +224,7 @@
         """
         for worker in list(self.scheduler.worker_by_id.values()):
             if worker.status in (WorkerStatus.SUSPECT, WorkerStatus.UNSEEN):
-                self.simulated_by_id[worker.id].run_by_task.clear()
+                self.simulated_by_id[worker.id].lapse()
                 self.orders_in_flight = [
                     order for order in self.orders_in_flight if order[1].worker.id != worker.id
                 ]
@@ -230,6 +257,30 @@
             limit = 2 if self.step_of(name).speculative and not self.step_of(name).gang else 1
             assert len(runs) <= limit, f"{name} runs {len(runs)} times at once: {runs}"
 
+    def attempts_key(self, name):
+        """Return the task under which the attempts of a task, or of its gang, are counted."""
+        return str(TaskId.parse(name)._replace(index=0)) if self.step_of(name).gang else name
+
+    def check_attempts(self, name):
+        """Check that a task that starts has not used up its attempts."""
+        runs = self.failed_runs_by_task.get(self.attempts_key(name), ())
+        limit = self.harness.queue.max_attempts
+        assert len(runs) < limit, f"{name} starts after {len(runs)} of {limit} attempts failed"
+
+    def check_failed_flows(self):
+        """Check that each failed flow has a task whose attempts have all failed."""
+        ends = {
+            (self.attempts_key(row.task_id), row.run)
+            for simulated in self.simulated_by_id.values()
+            for row in simulated.ended
+            if row.kind == EndKind.FAILED
+        }
+        count_by_task = Counter(name for name, _ in ends)
+        for flow_id, state in self.harness.state.flow_by_id.items():
+            if state.outcome == Outcome.FAILED:
+                counts = [n for name, n in count_by_task.items() if name.startswith(f"{flow_id}.")]
+                assert max(counts, default=0) >= self.harness.queue.max_attempts, flow_id
+
     def step_of(self, name):
         """Return the step of a task."""
         task = TaskId.parse(name)
@@ -313,6 +364,16 @@
         )
 
 
+@pytest.mark.parametrize("max_attempts", [1, 2, 3])
+@pytest.mark.parametrize("seed", range(60))
+def test_no_schedule_starts_a_task_after_its_attempts_have_failed(seed, max_attempts):
+    """Guards against failures that do not count, or count twice, whatever order they come in."""
+    walk = RandomWalk(seed, max_attempts=max_attempts, failed_share=0.6)
+    walk.run()
+    walk.finish_all()
+    walk.check_failed_flows()
+
+
 @pytest.mark.parametrize("seed", range(60))
 def test_no_schedule_breaks_capacity_or_runs_a_task_twice(seed):
     """Guards against double runs, overcommitted workers, and flows that never end."""
--- a/tests/test_speculation.py
+++ b/tests/test_speculation.py
@@ -64,7 +64,7 @@
     harness.end_run(suspect, "f.0.0.0", EndKind.FAILED)
     harness.deliver_report(suspect)
     assert harness.place() == []
-    assert harness.scheduler.find_task("f.0.0.0").failures == 1
+    assert harness.scheduler.find_task("f.0.0.0").failures.count == 1
     harness.end_run(other, "f.0.0.0")
     harness.deliver_report(other)
     assert harness.state.flow_by_id["f"].outcome.name == "COMPLETED"
