Count failures whose handling is broken off by an error

What callers would see: a task that is started after maxAttempts of its runs have failed and have been acknowledged; seen in tests only.

Cause: an end that an unexpected error keeps from being handled, and each end of a flow that the leader could not restore, is acknowledged to the worker, which then forgets it. Ends that are done were committed all the same, failed ones were not, so no later leader could count them.

Change: failed ends are committed too. The replicated state counts each run once, so an end that was committed before the error does not count twice.

--- a/siskintally/report_handling.py
+++ b/siskintally/report_handling.py
@@ -33,6 +33,8 @@
 # (0.9 s) plus the longest wait of a status poll (1.2 s).
 STOP_AGAIN_S = 2.5
 
+_HOW_BY_KIND = {EndKind.DONE: TaskEnd.DONE, EndKind.FAILED: TaskEnd.FAILED}
+
 
 def is_stalled(task, now):
     """Return whether a task makes no progress although it is not throttled.
@@ -115,7 +117,7 @@
                 yield from self._handle_end(worker, row, now)
             except Exception as error:
                 self.isolate(_flow_id(row), error, now)
-                yield from self._keep_done(row)
+                yield from self._keep_end(row)
                 self._settle_broken_off_end(row, now)
 
     def _handle_end(self, worker, row, now):
@@ -123,7 +125,7 @@
         reserved = worker.task_by_id.get(row.task_id)
         is_present = reserved is not None and reserved.run == row.run
         if task is None:
-            yield from self._keep_done(row)
+            yield from self._keep_end(row)
             return
         live_runs = task.live_runs()
         if is_present:
@@ -137,15 +139,18 @@
             yield from self._handle_failure(worker, task, row, live_runs, now)
             self._handle_other_end(task, row)
 
-    def _keep_done(self, row):
-        """Commit an end as done that could not be handled: the worker will not list it again."""
-        if row.kind != EndKind.DONE:
-            return
+    def _keep_end(self, row):
+        """Commit an end that could not be handled: the worker will not list it again.
+
+        The replicated state counts a failure that has been committed before only once.
+        """
+        how = _HOW_BY_KIND.get(row.kind)
         task = self.find_task(row.task_id)
-        if task is not None and not task.step.spec.lasting:
+        if how == TaskEnd.DONE and task is not None and not task.step.spec.lasting:
             task.state = TaskState.DONE
-        if task is not None or _flow_id(row) in self._dropped_flow_ids:
-            yield TaskEnd(task=row.task_id, run=row.run, how=TaskEnd.DONE)
+        is_known = task is not None or _flow_id(row) in self._dropped_flow_ids
+        if how is not None and is_known:
+            yield TaskEnd(task=row.task_id, run=row.run, how=how)
 
     def _settle_broken_off_end(self, row, now):
         """Make the task of an end startable if an error came after the release of its run.
--- a/tests/test_error_isolation.py
+++ b/tests/test_error_isolation.py
@@ -12,7 +12,7 @@
 from siskintally.error_isolation import SUSPENSION_S
 from siskintally.flow_scheduler import FlowScheduler
 from siskintally.worker_manager import WorkerManager
-from tests.flow_harness import FlowHarness, make_flow, make_step, make_worker
+from tests.flow_harness import QUEUE, FlowHarness, make_flow, make_step, make_worker
 from tests.processes import wait_until
 from tests.test_flow_cell import FlowCell, has_state
 
@@ -67,12 +67,12 @@
         self.errors.append(flow_id)
 
 
-def make_harness():
-    """Return a harness with a worker and a flow with the fault beside a sound one."""
+def make_harness(*names):
+    """Return a harness with a worker and flows, by default that with the fault and a sound one."""
     harness = IsolatingHarness()
     harness.add_worker(make_worker("w"))
-    harness.submit(make_flow(BAD, make_step(1)))
-    harness.submit(make_flow("good", make_step(1)))
+    for name in names or (BAD, "good"):
+        harness.submit(make_flow(name, make_step(1)))
     return harness
 
 
@@ -111,6 +111,56 @@
     assert harness.place() == [(f"{BAD}.0.0.0", "w")], "the next leader goes on with it"
 
 
+def fail_run(harness):
+    """Let the run of the flow with the fault fail, and the leader hear of it."""
+    harness.end_run("w", f"{BAD}.0.0.0", EndKind.FAILED)
+    harness.deliver_report("w")
+
+
+def acknowledge_ends(harness):
+    """Let the worker forget its ends."""
+    harness.ended_by_worker["w"] = []
+
+
+def test_a_failure_in_a_flow_that_could_not_be_restored_counts():
+    """Guards against a start beyond the limit of attempts, as the worker forgets known ends."""
+    harness = make_harness()
+    harness.place()
+    for term in (3, 4):
+        with injected(FlowScheduler, "_restore_flow"):
+            harness.begin_term(term)
+        fail_run(harness)
+        acknowledge_ends(harness)
+        harness.begin_term(term + 10)
+        harness.deliver_report("w")
+        assert harness.place() == [(f"{BAD}.0.0.0", "w")]
+    fail_run(harness)
+    assert harness.state.flow_by_id[BAD].outcome == Outcome.FAILED
+
+
+@mark.parametrize("name", ["_record_run_time", "_release_from_worker", "_handle_failure"])
+def test_a_failure_that_could_not_be_handled_counts(name):
+    """Guards against a start beyond the limit of attempts after an unexpected error."""
+    harness = make_harness(BAD)
+    for _ in range(QUEUE.max_attempts):
+        harness.place()
+        with injected(FlowScheduler, name):
+            fail_run(harness)
+        acknowledge_ends(harness)
+        harness.deliver_report("w")
+        harness.now += SUSPENSION_S
+    assert harness.state.flow_by_id[BAD].outcome == Outcome.FAILED
+
+
+def test_a_failure_whose_handling_is_broken_off_later_counts_once():
+    """Guards against a flow that fails early because an error came after the count."""
+    harness = make_harness()
+    harness.place()
+    with injected(FlowScheduler, "_requeue"):
+        fail_run(harness)
+    assert harness.state.flow_by_id[BAD].failures_by_task[f"{BAD}.0.0.0"].count == 1
+
+
 def test_an_end_of_a_flow_that_could_not_be_restored_counts():
     """Guards against a second run by the next leader, as the worker forgets acknowledged ends."""
     harness = make_harness()
--- a/tests/test_overtaken_failures.py
+++ b/tests/test_overtaken_failures.py
@@ -53,9 +53,9 @@
     return harness.state.flow_by_id["f"].failures_by_task.get(TASK, Failures()).count
 
 
-def make_overtaken():
+def make_overtaken(*, max_attempts=2):
     """Return (harness, worker of the first run, worker of its copy); the copy's failure counts."""
-    harness = make_harness()
+    harness = make_harness(max_attempts=max_attempts)
     first = start(harness)
     cut_off(harness, first)
     second = start(harness)
@@ -100,13 +100,7 @@
 @mark.parametrize("is_committed", [False, True])
 def test_a_failure_of_an_overtaken_run_is_counted_once_by_two_leaders(is_committed):
     """Guards against a flow that fails early because two leaders hear of one overtaken run."""
-    harness = make_harness(max_attempts=3)
-    first = start(harness)
-    cut_off(harness, first)
-    second = start(harness)
-    fail(harness, first)
-    fail(harness, second)
-    harness.deliver_report(second)
+    harness, first, second = make_overtaken(max_attempts=3)
     harness.deliver_report(first, commit=is_committed)
     harness.begin_term(3)
     for worker_id in (first, second, first, second):
