Fail flows that have used up a lowered limit of attempts

What callers would see: a task that is started once more although as many of its runs have failed as the configuration in force allows; seen in tests only.

Cause: a configuration was compared with the attempts of a flow only if the flow had had no queue before. A lower limit, as with a queue that is removed and added again in one version, was noticed at the next failure.

Change: each configuration that comes into force fails the open flows with a task that has used up the limit of its queue. The scheduler closes them as it follows the configuration.

Result: test_a_lowered_limit_of_attempts_ends_flows_that_have_used_it_up fails before the change in all 4 cases and passes with it.

--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -161,7 +161,7 @@
             self.close(Outcome.FAILED)
 
     def close_if_exhausted(self, max_attempts):
-        """Record the failure of a flow whose tasks failed too often while it had no queue."""
+        """Record the failure of a flow whose tasks have used up the attempts now allowed."""
         failures = self.failures_by_task
         if any(failures[name].count >= max_attempts for name in failures if name not in self.done):
             self.close(Outcome.FAILED)
@@ -237,11 +237,10 @@
     def _apply_document(self, document):
         if document.version <= self.document.version:
             return
-        former = self.queues
         self._set_document(document)
         for state in self.flow_by_id.values():
             queue = self.queue_of(state.flow)
-            if queue is not None and former.of_flow(state.flow) is None:
+            if queue is not None:
                 state.close_if_exhausted(queue.max_attempts)
 
     def _apply_join(self, worker):
--- a/tests/test_overtaken_failures.py
+++ b/tests/test_overtaken_failures.py
@@ -188,6 +188,36 @@
     assert harness.state.flow_by_id["f"].outcome == Outcome.FAILED
 
 
+@mark.parametrize("has_next_leader", [False, True], ids=["same leader", "next leader"])
+@mark.parametrize("max_attempts", [1, 2])
+def test_a_lowered_limit_of_attempts_ends_flows_that_have_used_it_up(max_attempts, has_next_leader):
+    """Guards against a start after the limit in force, before the next failure closes the flow."""
+    harness = make_harness(max_attempts=4)
+    for _ in range(2):
+        worker_id = start(harness)
+        fail(harness, worker_id)
+        harness.deliver_report(worker_id)
+    harness.configure(make_queue(max_attempts))
+    if has_next_leader:
+        restart_from_disk(harness)
+    assert harness.state.flow_by_id["f"].outcome == Outcome.FAILED
+    assert harness.place() == []
+
+
+def test_a_lowered_limit_of_attempts_leaves_other_flows_alone():
+    """Guards against a flow that fails early, or a done task that counts, after a lower limit."""
+    harness = make_harness(max_attempts=4)
+    worker_id = start(harness)
+    fail(harness, worker_id)
+    harness.deliver_report(worker_id)
+    harness.configure(make_queue(2))
+    worker_id = start(harness)
+    harness.end_run(worker_id, TASK)
+    harness.deliver_report(worker_id)
+    harness.configure(make_queue(1))
+    assert harness.state.flow_by_id["f"].outcome == Outcome.COMPLETED
+
+
 def test_the_failure_of_a_gang_counts_once_after_an_earlier_one():
     """Guards against a gang whose members are counted one by one, or not after its first run."""
     harness = FlowHarness(queue=make_queue(2))
