Give the queue of the soak other names while it runs

Change: beside the other faults, the queue gets other names at its address, also while it is removed. The times have a generator of their own, so the other faults of a seed stay as they are.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -4,7 +4,7 @@
 each behind a forwarder. Faults come in series and overlap: processes are paused, killed, stopped,
 reloaded and restarted; connections to workers are delayed, reset, cut in one direction or silenced;
 workers crash and start again under their id; workers carry out starts late, which they have not
-answered, and refuse the repeats; the queue is removed and put back.
+answered, and refuse the repeats; the queue is removed and put back, and gets other names.
 At most one store is away at a time, which is what three stores bear.
 
 Usage: python -m tests.soak [--seeds N] [--first SEED] [--length_s S]
@@ -201,6 +201,7 @@
         self.violations = []
         self.store_is_away = False
         self.queue_is_removed = False
+        self.queue_name = CONFIG["routes"][0]["name"]
         self.config_version = CONFIG["version"]
         self.is_over = False
         self.started_command_by_host = {}
@@ -351,6 +352,7 @@
     async def inject_faults(self, tasks):
         """Start faults in an open loop, so that they overlap."""
         tasks.start_soon(self.delay_starts)
+        tasks.start_soon(self.rename_queue)
         ends_at = steady() + self.length_s
         kinds = (
             self.pause_store,
@@ -496,9 +498,23 @@
         [route] = CONFIG["routes"]
         await self.replace_config({**route, "name": "other", "pathPrefix": "/other/"})
         await sleep(self.random.uniform(0.1, 3.0))
-        await self.replace_config(route)
+        await self.replace_config({**route, "name": self.queue_name})
         self.queue_is_removed = False
 
+    async def rename_queue(self):
+        """Give the queue other names at the same address, also while it is removed.
+
+        The times have a generator of their own, like those of the late starts.
+        """
+        random = Random(f"names {self.seed}")
+        ends_at = steady() + self.length_s
+        while steady() < ends_at:
+            await sleep(random.uniform(0.5, 5.0))
+            self.faults["rename_queue"] += 1
+            self.queue_name = f"q-{self.faults['rename_queue']}"
+            if not self.queue_is_removed:
+                await self.replace_config({**CONFIG["routes"][0], "name": self.queue_name})
+
     async def replace_config(self, route):
         """Put a configuration with one queue in force."""
         self.config_version += 1
