Complete a proposal only by the entry of its own term

What callers would see: a job, a cancellation or a configuration that is acknowledged and is in no log; a start would be ordered without its commit.

Cause: a call waited for the index of its entry. A leader that was paused may handle the entry that a later leader wrote at that index, and its commit, in one batch; the call was completed with the reply to that entry before the loss of leadership ended it.

Change: calls wait for the term and index of their entry. The consensus models know callers, and a mutant that matches by index alone is found.

Why it works: term and index identify an entry, and only an entry that is committed is applied, so a call is completed only if its own command is.

--- a/siskintally/group.py
+++ b/siskintally/group.py
@@ -345,7 +345,7 @@
         if effects.restore is not None:
             self._applier.restore(effects.restore)
         for entry in effects.committed:
-            self._calls.complete_proposal(entry.index, self._applier.apply(entry))
+            self._calls.complete_proposal(entry, self._applier.apply(entry))
         if effects.confirmed_round:
             self._calls.complete_reads(effects.confirmed_round)
         if effects.committed or effects.leadership:
--- a/siskintally/group_calls.py
+++ b/siskintally/group_calls.py
@@ -49,7 +49,7 @@
             if proposals:
                 commands = [waiter.command for waiter in proposals]
                 effects.extend(replica.propose_batch(commands, now))
-                self._waiters.add_proposals(proposals, effects.index)
+                self._waiters.add_proposals(proposals, replica.term, effects.index)
                 proposals = []
             if reads:
                 urgent = any(waiter.urgent for waiter in reads)
@@ -64,9 +64,9 @@
         for waiter in waiters:
             waiter.fail(self.not_leader_error())
 
-    def complete_proposal(self, index, reply):
-        """Complete the proposal whose entry was applied."""
-        self._waiters.complete_proposal(index, reply)
+    def complete_proposal(self, entry, reply):
+        """Complete the proposal whose entry was applied, if it was proposed here."""
+        self._waiters.complete_proposal(entry, reply)
 
     def complete_reads(self, round_):
         """Complete the reads of all rounds up to a confirmed one."""
--- a/siskintally/waiters.py
+++ b/siskintally/waiters.py
@@ -1,4 +1,4 @@
-"""Pending calls of a group: proposals by log index and reads by read round.
+"""Pending calls of a group: proposals by term and log index, and reads by read round.
 
 >>> from siskintally.waiters import Waiters
 >>> Waiters().is_empty
@@ -44,37 +44,41 @@
 
 
 class Waiters:
-    """All calls that a leader has accepted in its current term."""
+    """All calls that a leader has accepted in its current term.
 
-    __slots__ = ("_by_index", "_by_round")
+    An entry is identified by its term and index: a later leader may replace an entry, so the index
+    of a committed one does not tell whose command it has.
+    """
+
+    __slots__ = ("_by_entry", "_by_round")
 
     def __init__(self):
-        self._by_index = {}
+        self._by_entry = {}
         self._by_round = {}
 
     @property
     def is_empty(self):
         """Whether no call is pending."""
-        return not self._by_index and not self._by_round
+        return not self._by_entry and not self._by_round
 
     @property
     def has_proposals(self):
         """Whether a proposal is pending."""
-        return bool(self._by_index)
+        return bool(self._by_entry)
 
-    def add_proposals(self, waiters, last_index):
-        """Add proposals whose commands are the entries up to ``last_index``."""
+    def add_proposals(self, waiters, term, last_index):
+        """Add proposals whose commands are the entries of a term up to ``last_index``."""
         first = last_index - len(waiters) + 1
         for index, waiter in enumerate(waiters, first):
-            self._by_index[index] = waiter
+            self._by_entry[term, index] = waiter
 
     def add_reads(self, waiters, round_):
         """Add reads that wait for a read round."""
         self._by_round.setdefault(round_, []).extend(waiters)
 
-    def complete_proposal(self, index, reply):
-        """Complete the proposal whose entry was applied."""
-        waiter = self._by_index.pop(index, None)
+    def complete_proposal(self, entry, reply):
+        """Complete the proposal whose entry was applied, if it was proposed here."""
+        waiter = self._by_entry.pop((entry.term, entry.index), None)
         if waiter is not None:
             waiter.resolve(reply)
 
@@ -90,10 +94,10 @@
         :param proposals: function that returns the exception of a proposal.
         :param reads: function that returns the exception of a read.
         """
-        for waiter in self._by_index.values():
+        for waiter in self._by_entry.values():
             waiter.fail(proposals())
         for waiters in self._by_round.values():
             for waiter in waiters:
                 waiter.fail(reads())
-        self._by_index.clear()
+        self._by_entry.clear()
         self._by_round.clear()
--- a/tests/model/consensus.py
+++ b/tests/model/consensus.py
@@ -5,9 +5,14 @@
 time without the pre-vote round, and voters never refuse a vote because they are in contact with a
 leader: both rules only protect liveness, so the search covers a superset of the behavior. With
 ``pre_vote`` the round is included.
+
+Callers are covered too: a command that a caller was told to be stored is the committed one at its
+index. Calls end as in :class:`~siskintally.group.Group`: first by the entries that a step applies,
+then by a loss of leadership.
 """
 
 from ast import literal_eval
+from itertools import permutations
 from sys import intern
 from typing import NamedTuple
 
@@ -18,6 +23,7 @@
 from siskintally.messages import AppendReply, EntryKind, Identity, Member, VoteReply, VoteRequest
 from siskintally.persistent_state import BOOTSTRAP_INDEX, bootstrap_state
 from siskintally.replica import Replica
+from siskintally.waiters import Waiters
 from tests.model.search import Spec, Table
 
 NOW = 0.0
@@ -26,7 +32,8 @@
 class Budget(NamedTuple):
     """How many steps of each kind may still be taken.
 
-    ``repeat``: second deliveries of a message. ``lazy``: read rounds that wait for the next
+    ``repeat``: second deliveries of a message. ``batch``: pairs of messages that a replica handles
+    before it completes calls, as after a pause. ``lazy``: read rounds that wait for the next
     heartbeat. ``beat``: heartbeats of a leader. ``change``: steps of a member change.
     """
 
@@ -35,6 +42,7 @@
     crash: int = 0
     wipe: int = 0
     repeat: int = 0
+    batch: int = 0
     read: int = 0
     lazy: int = 0
     beat: int = 0
@@ -45,16 +53,37 @@
         return ", ".join(f"{name} {value}" for name, value in self._asdict().items() if value)
 
 
+class Call(NamedTuple):
+    """A proposal that waits for its entry."""
+
+    term: int
+    index: int
+    command: bytes
+
+
+class CallRecorder:
+    """Stands for the waiter of a call; adds the call to a list when it is completed."""
+
+    def __init__(self, *, call, completed):
+        self._call = call
+        self._completed = completed
+
+    def resolve(self, reply):
+        """Record that the caller is told of success."""
+        self._completed.append(self._call)
+
+
 class Node(NamedTuple):
-    """A replica, what its state machine has applied, and its disk if that lacks a sync."""
+    """A replica, what its state machine has applied, its disk if that lacks a sync, and calls."""
 
     replica: Replica
     applied: tuple = ()
     disk: object = None
+    calls: tuple = ()
 
     def key(self):
         """Return a hashable value."""
-        return self.replica.key(), self.applied, self.disk
+        return self.replica.key(), self.applied, self.disk, self.calls
 
 
 class State(NamedTuple):
@@ -82,6 +111,7 @@
     :param led: start with node 0 as a leader whose first entry all nodes have.
     :param pre_vote: whether elections begin with the pre-vote round.
     :param replica_class: real class, or a mutant of it.
+    :param waiters_class: real class, or a mutant of it.
     :param reuse_identity: mutant; an empty disk keeps the incarnation.
     :param early_send: mutant; messages leave before the sync.
     """
@@ -102,6 +132,7 @@
         "_reuse_identity",
         "_shared",
         "_voters",
+        "_waiters_class",
     )
 
     def __init__(
@@ -115,6 +146,7 @@
         led=False,
         pre_vote=False,
         replica_class=Replica,
+        waiters_class=Waiters,
         reuse_identity=False,
         early_send=False,
     ):
@@ -127,6 +159,7 @@
         self._led = led
         self._pre_vote = pre_vote
         self._replica_class = replica_class
+        self._waiters_class = waiters_class
         self._reuse_identity = reuse_identity
         self._early_send = early_send
         self._nodes = Table()
@@ -179,6 +212,8 @@
                     intern(f"{label} (a copy)"),
                     self._apply_action(repeated, position, "receive", number),
                 )
+        if budget.batch:
+            yield from self._batch_steps(state)
         for position in range(len(state.nodes)):
             for action in self._actions(state, position):
                 remaining = self._share(budget._replace(**{action: getattr(budget, action) - 1}))
@@ -190,6 +225,19 @@
                     self._apply_action(state, position, "sync"),
                 )
 
+    def _batch_steps(self, state):
+        """Yield deliveries of two messages that a replica handles as one batch."""
+        budget = self._share(state.budget._replace(batch=state.budget.batch - 1))
+        for first, second in permutations(state.network, 2):
+            position = self._receiver(state, first)
+            if position is None or self._messages[first].to != self._messages[second].to:
+                continue
+            without = state._replace(network=state.network - {first, second}, budget=budget)
+            yield (
+                intern(f"{self._label(first)}, then at once {self._label(second)}"),
+                self._apply_action(without, position, "batch", (first, second)),
+            )
+
     def violation(self, state):
         """Return the violation that the last step made."""
         return state.violation
@@ -276,15 +324,37 @@
             (entry.term, int(entry.kind), entry.command) for entry in effects.committed
         )
         replica.leader_contact_at = NEVER
-        after = self._put_node(Node(replica=replica, applied=applied, disk=disk))
+        calls, completed = self._complete_calls(node, replica, action, argument, effects)
+        after = self._put_node(Node(replica=replica, applied=applied, disk=disk, calls=calls))
         sent = frozenset(self._messages.put(each, each) for each in effects.messages)
         elected = effects.leadership is not None and effects.leadership.is_leader
-        observed = (elected, effects.read_round, effects.confirmed_round)
+        observed = (elected, effects.read_round, effects.confirmed_round, completed)
         return after, sent, observed if any(observed) or applied != node.applied else None
 
+    def _complete_calls(self, node, replica, action, argument, effects):
+        """Return the calls that wait after a step, and those whose callers it tells of success."""
+        calls, completed = node.calls, []
+        if action == "propose":
+            calls += (Call(replica.term, effects.index, b"%d" % argument),)
+        if not calls:
+            return (), ()
+        waiters = self._waiters_class()
+        for call in calls:
+            recorder = CallRecorder(call=call, completed=completed)
+            waiters.add_proposals([recorder], call.term, call.index)
+        for entry in effects.committed:
+            waiters.complete_proposal(entry, b"")
+        waiting = tuple(call for call in calls if call not in completed)
+        return waiting if replica.is_leader else (), tuple(completed)
+
     def _call_replica(self, replica, node, action, argument):
         if action == "receive":
             return replica.receive(self._messages[argument].message, NOW)
+        if action == "batch":
+            effects = Effects()
+            for number in argument:
+                effects.extend(replica.receive(self._messages[number].message, NOW))
+            return effects
         if action == "elect":
             return self._elect(replica)
         if action == "propose":
@@ -346,7 +416,7 @@
 
     def _observe(self, state, position, observed):
         node = self._nodes[state.nodes[position]]
-        elected, started_round, confirmed = observed
+        elected, started_round, confirmed, completed = observed
         shared = min(len(node.applied), len(state.committed))
         if node.applied[:shared] != state.committed[:shared]:
             violation = (
@@ -355,6 +425,11 @@
             return state._replace(violation=violation)
         if len(node.applied) > shared:
             state = state._replace(committed=self._share(node.applied))
+        for call in completed:
+            entry = state.committed[call.index - BOOTSTRAP_INDEX - 1]
+            if entry[2] != call.command:
+                violation = f"told that {call} is stored, but {entry} is committed there"
+                return state._replace(violation=violation)
         if elected:
             state = self._observe_leader(state, node.replica)
             if state.violation:
--- a/tests/model/mutants.py
+++ b/tests/model/mutants.py
@@ -7,6 +7,7 @@
 from siskintally.ledger_state_pb2 import LedgerState
 from siskintally.membership import quorum_size
 from siskintally.replica import Replica
+from siskintally.waiters import Waiters
 
 
 class LearnerCountingReplica(Replica):
@@ -31,6 +32,18 @@
         super()._on_append_reply(reply._replace(round=self.read_round), now, effects)
 
 
+class WaitersMatchingIndexAlone(Waiters):
+    """Completes a proposal by any entry that is committed at its index."""
+
+    __slots__ = ()
+
+    def complete_proposal(self, entry, reply):
+        """Complete the proposals of all terms at the index of an entry."""
+        for term, index in list(self._by_entry):
+            if index == entry.index:
+                super().complete_proposal(entry._replace(term=term), reply)
+
+
 class LedgerWithoutSnapshotRecords(Ledger):
     """Drops the records of running attempts at a snapshot."""
 
--- a/tests/model/registry.py
+++ b/tests/model/registry.py
@@ -14,10 +14,14 @@
     LedgerWithoutSnapshotRecords,
     LedgerWithoutTombstones,
     ReplicaCountingEarlierReplies,
+    WaitersMatchingIndexAlone,
 )
 from tests.model.ownership import Budget as LeaseBudget
 from tests.model.ownership import OwnershipSpec
 
+# A former leader hears of the entry that replaces its own, and of its commit, in one batch.
+CALLS_BUDGET = Budget(elect=1, propose=1, beat=1, batch=1)
+
 
 class Mutant:
     """A seeded fault.
@@ -48,6 +52,7 @@
     )
     yield Consensus(name="learner", budget=Budget(elect=1, propose=1), learner=True, led=True)
     yield Consensus(name="commands", budget=Budget(elect=1, propose=1, crash=1), led=True)
+    yield Consensus(name="calls", budget=CALLS_BUDGET, led=True)
     yield Consensus(name="reads", budget=Budget(elect=1, read=1, crash=1), led=True)
     yield Consensus(name="reads-lazy", budget=Budget(elect=1, lazy=1, beat=1), led=True)
     yield LedgerSpec(name="ledger-repeat", attempts=2, repeats=1, resends=1)
@@ -114,6 +119,15 @@
             replica_class=ReplicaCountingEarlierReplies,
         ),
     )
+    yield Mutant(
+        name="complete a proposal by the index of its entry alone",
+        build=lambda: Consensus(
+            name="calls",
+            budget=CALLS_BUDGET,
+            led=True,
+            waiters_class=WaitersMatchingIndexAlone,
+        ),
+    )
     yield from ledger_mutants()
     yield from lease_mutants()
     for name, cell_class in {
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -47,14 +47,19 @@
 class Cluster:
     """Three stores with one group.
 
-    ``isolated`` names processes whose messages are dropped, ``dropped_types`` the message types.
+    ``isolated`` names processes whose messages are dropped, ``muted`` those from which they are,
+    ``dropped_types`` the message types.
+
+    :param inbox: function that returns an inbox to use in place of that of a group.
     """
 
-    def __init__(self, folder, tasks, **options):
+    def __init__(self, folder, tasks, *, inbox=None, **options):
+        self.inbox = inbox
         self.folder = folder
         self.tasks = tasks
         self.options = {"timing": FAST_TIMING, **options}
         self.isolated = set()
+        self.muted = set()
         self.dropped_types = ()
         self.failures = []
         self.expected_failures = 0
@@ -72,6 +77,8 @@
             send=lambda to, body: self.send(name, to, body),
             **self.options,
         )
+        if self.inbox is not None:
+            self.group_by_name[name]._inbox = self.inbox()
         self.tasks.start_soon(self._run, name, self.group_by_name[name])
 
     async def _run(self, name, group):
@@ -86,6 +93,7 @@
         """Deliver a message unless it is to be dropped."""
         if (
             {sender, to} & self.isolated
+            or sender in self.muted
             or to not in self.group_by_name
             or isinstance(body, self.dropped_types)
         ):
