Keep the settings in force if a reload fails, and hold SIGHUP back at the start

Cause: errors of the reload left the handler of the signal and ended the process. Nothing handled SIGHUP before the process was up. Two kinds of damage had no numbered error.

Change: a reload that fails is logged with its code and counted, and changes nothing. The commands that reload hold SIGHUP back from the first import of the package on. Text that is no UTF-8 and seeds that are no addresses are refused with a numbered error. The soak sends SIGHUP in series, also during starts and stops.

--- a/scripts/module_table.py
+++ b/scripts/module_table.py
@@ -37,7 +37,7 @@
     ),
     "Processes of the control plane": (
         "control_group control_node entry_node flow_gateway leader_cache control_client "
-        "leader_contact link_pool node_settings http_pool "
+        "leader_contact link_pool node_settings settings_reload held_signals http_pool "
         "worker_connections counters"
     ),
     "Replicated log": (
--- a/siskintally/counters.py
+++ b/siskintally/counters.py
@@ -25,6 +25,7 @@
         "leader_notice_age",
         "leases_expired",
         "refusals",
+        "reloads",
         "request_seconds",
         "requests",
         "runs_released",
@@ -58,6 +59,7 @@
         self.cancellations = self._counter(
             "cancellations", "Commits of cancellations by the leader.", "outcome"
         )
+        self.reloads = self._counter("reloads", "Reloads of the settings.", "outcome")
         self.starts = self._counter("starts", "Start orders for tasks.")
         self.starts_refused = self._counter(
             "starts_refused", "Refused starts.", "reason", "after_unanswered"
--- a/siskintally/daemon.py
+++ b/siskintally/daemon.py
@@ -9,6 +9,7 @@
 
 from anyio import create_task_group, open_signal_receiver, run
 
+from siskintally.held_signals import deliver
 from siskintally.log import get_logger
 
 log = get_logger("daemon")
@@ -19,7 +20,8 @@
 
     :param start: async function that serves until it is stopped.
     :param stop: async function that carries out the planned stop and makes ``start`` return.
-    :param reload: function to call at SIGHUP; by default, SIGHUP ends the process.
+    :param reload: function to call at SIGHUP, which raises no error; by default, SIGHUP ends the
+        process.
     :returns: exit status 0.
     :raises SiskintallyError: the daemon failed; the first error of an exception group.
     """
@@ -46,6 +48,7 @@
 
 async def _reload_on_sighup(reload):
     with open_signal_receiver(SIGHUP) as signals:
+        deliver()
         async for _ in signals:
             log.info("reload")
             reload()
--- a/siskintally/node_settings.py
+++ b/siskintally/node_settings.py
@@ -84,6 +84,8 @@
         return parse_node_settings(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise BadSettingsError(f"--settings = {str(path)!r}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise BadSettingsError(f"--settings = {str(path)!r}: not UTF-8 text") from error
 
 
 def parse_node_settings(text):
@@ -101,6 +103,10 @@
     return NodeSettings(**{key: _checked_value(document, key) for key in _KEYS})
 
 
+def _is_address(value):
+    return isinstance(value, str) and bool(value.rpartition(":")[0])
+
+
 def _checked_value(document, key):
     kind, default, minimum, maximum = _KEYS[key]
     value = document.get(key, default)
@@ -108,6 +114,8 @@
         raise BadSettingsError(f"{key}: missing")
     if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
         raise BadSettingsError(f"{key} = {value!r}: expected a value of type {kind}")
+    if kind is list and not all(map(_is_address, value)):
+        raise BadSettingsError(f"{key} = {value!r}: expected a list of addresses, host:port")
     if minimum is not None and not minimum <= value <= maximum:
         raise BadSettingsError(f"{key} = {value!r}: expected {minimum} to {maximum}")
     return value
--- a/siskintally/platform/entry_command.py
+++ b/siskintally/platform/entry_command.py
@@ -38,4 +38,4 @@
         (ReadyApp(is_ready=lambda: node.is_ready), settings.ready),
         (MetricsApp(counters=counters), settings.metrics_address),
     )
-    return run_node(node, apps, path)
+    return run_node(node, apps, path, counters)
--- a/siskintally/platform/process.py
+++ b/siskintally/platform/process.py
@@ -16,6 +16,7 @@
 from siskintally.http_server import serve_http
 from siskintally.log import configure_logging, get_logger
 from siskintally.node_settings import load_node_settings
+from siskintally.settings_reload import SettingsReload
 
 SETTINGS_VARIABLE = "SISKINTALLY_SETTINGS"
 
@@ -47,18 +48,20 @@
     return path, settings
 
 
-def run_node(node, apps, path):
+def run_node(node, apps, path, counters):
     """Run a node and its HTTP servers until SIGTERM or SIGINT; SIGHUP reloads the seeds.
 
     :param node: :class:`~siskintally.control_node.ControlNode` or
         :class:`~siskintally.entry_node.EntryNode`.
     :param apps: pairs of an app and its listen address; an app with an empty one is not served.
+    :param counters: :class:`~siskintally.counters.Counters`.
     """
     served_apps = [(app, address) for app, address in apps if address]
     servers = partial(_serve_apps, served_apps, node)
-    return serve_until_signal(
-        partial(node.run, servers), node.stop, lambda: node.add_seeds(load_node_settings(path))
+    reload = SettingsReload(
+        load=partial(load_node_settings, path), apply=node.add_seeds, counters=counters
     )
+    return serve_until_signal(partial(node.run, servers), node.stop, reload)
 
 
 async def _serve_apps(apps, node):
--- a/siskintally/platform/store_command.py
+++ b/siskintally/platform/store_command.py
@@ -36,4 +36,4 @@
         (ControlApp(client=node.client), settings.control),
         (MetricsApp(counters=counters), settings.metrics_address),
     )
-    return run_node(node, apps, path)
+    return run_node(node, apps, path, counters)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -139,6 +139,15 @@
         kept = ("State", "SigQ", "SigPnd", "ShdPnd", "Threads")
         return f"{name}: " + ", ".join(line for line in lines if line.startswith(kept))
 
+    def handles(self, name, number):
+        """Return whether a running process has a handler for a signal or holds the signal back."""
+        popen = self.popen_by_name[name]
+        if popen.poll() is not None:
+            return False
+        lines = Path(f"/proc/{popen.pid}/status").read_text(encoding="utf-8").splitlines()
+        masks = [line.split()[1] for line in lines if line.startswith(("SigBlk", "SigCgt"))]
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
     def pause(self, name):
         """Send SIGSTOP."""
         self.popen_by_name[name].send_signal(SIGSTOP)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,9 +2,10 @@
 
 Three stores and two entries run as processes of their own; workers are stand-ins in this process,
 each behind a forwarder. Faults come in series and overlap: processes are paused, killed, stopped,
-reloaded and restarted; connections to workers are delayed, reset, cut in one direction or silenced;
-workers crash and start again under their id; workers carry out starts late, which they have not
-answered, and refuse the repeats; the queue is removed and put back, and gets other names.
+reloaded, also in series while they start or stop, and restarted; connections to workers are
+delayed, reset, cut in one direction or silenced; workers crash and start again under their id;
+workers carry out starts late, which they have not answered, and refuse the repeats; the queue is
+removed and put back, and gets other names.
 At most one store is away at a time, which is what three stores bear.
 
 Usage: python -m tests.soak [--seeds N] [--first SEED] [--length_s S]
@@ -353,6 +354,7 @@
         """Start faults in an open loop, so that they overlap."""
         tasks.start_soon(self.delay_starts)
         tasks.start_soon(self.rename_queue)
+        tasks.start_soon(self.reload_in_series)
         ends_at = steady() + self.length_s
         kinds = (
             self.pause_store,
@@ -435,6 +437,22 @@
         if self.processes.is_running(host):
             self.processes.popen_by_name[host].send_signal(SIGHUP)
 
+    async def reload_in_series(self):
+        """Send SIGHUP in series to one process after the other, also while it starts or stops.
+
+        The choices have a generator of their own, like those of the late starts.
+        """
+        random = Random(f"reloads {self.seed}")
+        ends_at = steady() + self.length_s
+        while steady() < ends_at:
+            host = random.choice((*HOSTS, *ENTRIES))
+            self.faults["reload_in_series"] += 1
+            for _ in range(random.randint(1, 20)):
+                await sleep(random.uniform(0.0, 0.1))
+                # Before that, the interpreter itself is starting.
+                if self.processes.handles(host, SIGHUP):
+                    self.processes.popen_by_name[host].send_signal(SIGHUP)
+
     async def silence_worker(self):
         """Let the open connections to a worker fall silent for good."""
         self.random.choice(self.forwarders).silence()
