Give flows of an earlier release the address of their queue

What callers would see: after an update, the jobs that an earlier release had accepted stand still once their queue gets another name; seen in tests only.

Cause: such flows are stored with the name of their queue alone and were looked up by it for good.

From then on the address decides, as for all other flows.

--- a/siskintally/control_state.py
+++ b/siskintally/control_state.py
@@ -208,6 +208,13 @@
     def _apply_accept(self, flow):
         if flow.id not in self.flow_by_id:
             self.flow_by_id[flow.id] = FlowState(flow=flow)
+            self._add_address(flow)
+
+    def _add_address(self, flow):
+        """Add the address of its queue to a flow that an earlier version stored with a name."""
+        queue = self.queue(flow.queue) if not flow.prefix else None
+        if queue is not None:
+            flow.host, flow.prefix = queue.host, queue.prefix
 
     def _apply_cancel(self, key):
         state = self.flow_by_id.get(key.id)
@@ -239,6 +246,7 @@
             return
         self._set_document(document)
         for state in self.flow_by_id.values():
+            self._add_address(state.flow)
             queue = self.queue_of(state.flow)
             if queue is not None:
                 state.close_if_exhausted(queue.max_attempts)
@@ -272,6 +280,8 @@
             worker.id: _copy_message(PoolWorker, worker) for worker in snapshot.workers
         }
         self.flow_by_id = {record.flow.id: _flow_state(record) for record in snapshot.flows}
+        for state in self.flow_by_id.values():
+            self._add_address(state.flow)
 
 
 def _flow_record(state):
--- a/siskintally/queue_index.py
+++ b/siskintally/queue_index.py
@@ -36,10 +36,5 @@
         return None
 
     def of_flow(self, flow):
-        """Return the queue at the address where a flow was accepted, or None.
-
-        Flows that were stored without an address are found by the name of their queue.
-        """
-        if not flow.prefix:
-            return self.by_name.get(flow.queue)
+        """Return the queue at the address where a flow was accepted, or None."""
         return self._by_host_and_prefix.get((flow.host.lower(), flow.prefix))
